--- /dev/null
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -0,0 +1,409 @@
+package wheattrack.drill;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import wheattrack.Rules;
+import wheattrack.port.Outcome;
+import wheattrack.port.Port;
+import wheattrack.port.Req;
+
+/** One instance at the door: turns its lines into calls and its answers into lines; ids live only here. */
+final class Door implements Port {
+    /** A req at the door: its name, its dispatches' continuations and what the module left for it. */
+    private static final class Guest {
+        final String rid;
+        final List<Result> legs = new ArrayList<>(2);
+        final List<Srv> where = new ArrayList<>(2);
+        int out;
+        boolean over;
+        Held held;
+
+        Guest(String rid) {
+            this.rid = rid;
+        }
+    }
+
+    /** A backend at the door; its index is free again once it is gone and nothing is out there. */
+    private static final class Srv {
+        final long id;
+        final int at;
+        int out;
+        boolean gone;
+        final List<Heard> probes = new ArrayList<>();
+
+        Srv(long id, int at) {
+            this.id = id;
+            this.at = at;
+        }
+    }
+
+    private final long instance;
+    private final JsonGenerator out;
+    private final Map<String, Guest> guests = new HashMap<>();
+    private final Map<Long, Srv> srvs = new HashMap<>();
+    private final List<Srv> byIndex = new ArrayList<>();
+    private final Map<Long, Runnable> timers = new HashMap<>();
+    private long timer;
+    private long now;
+    private long micros;
+    private Rules rules;
+    private wheattrack.port.RuleSet[] sets;
+    private int busyAt;
+    private int heldAt;
+    private int fields;
+
+    Door(long instance, JsonGenerator out) {
+        this.instance = instance;
+        this.out = out;
+    }
+
+    /** The clock rounds up and each due rounds down, so that no limit is passed in between. */
+    void at(long micros) {
+        this.micros = micros;
+        now = Math.floorDiv(micros + Drill.UNIT - 1, (long) Drill.UNIT);
+    }
+
+    void read(String kind, Line line) throws IOException {
+        try {
+            turn(kind, line);
+        } catch (RuntimeException e) {
+            failed(kind, e);
+        }
+    }
+
+    private void failed(String what, RuntimeException e) throws IOException {
+        if (e instanceof UncheckedIOException io) {
+            throw io.getCause();
+        }
+        StackTraceElement[] trace = e.getStackTrace();
+        open("InternalError");
+        out.writeStringField("msg", what + ": " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+        out.writeEndObject();
+    }
+
+    private void turn(String kind, Line line) throws IOException {
+        switch (kind) {
+            case "Configure" -> configure(line.number("seed"), new Settings(
+                Drill.needed(line.settings, "settings")));
+            case "Shutdown" -> forget();
+            case "Arrival" -> arrival(line);
+            case "ReportBack" -> report(line);
+            case "First" -> {
+                int leg = (int) line.number("leg");
+                Guest guest = guests.get(line.text("rid"));
+                if (guest != null && !guest.over) {
+                    guest.held.streams(leg);
+                }
+            }
+            case "Expired" -> {
+                Guest guest = guests.get(line.text("rid"));
+                if (guest != null && !guest.over) {
+                    close(guest);
+                    guest.held.left();
+                }
+            }
+            case "Due" -> {
+                Runnable next = timers.remove(line.number("nonce"));
+                if (next != null) {
+                    next.run();
+                }
+            }
+            case "ProbeDone" -> probed(line);
+            case "NeighbourSays" -> line.number("neighbour");
+            default -> throw new Drill.BadInput("unknown event kind " + kind);
+        }
+    }
+
+    private void forget() {
+        guests.clear();
+        srvs.clear();
+        byIndex.clear();
+        timers.clear();
+        rules = null;
+    }
+
+    private void configure(long seed, Settings s) {
+        forget();
+        sets = s.ruleSets();
+        busyAt = s.placeIn("report.fields", "busy");
+        heldAt = s.placeIn("report.fields", "rif");
+        fields = s.size("report.fields");
+        rules = new Rules(this, seed, s.count("me", 0), s.count("balancers", 1), sets);
+        rules.limits(s.count("limits.maxDispatches", 1), s.flag("limits.mayCancel"),
+            s.flag("limits.mayDuplicate"), s.flag("limits.retryAfter") ? s.time("limits.maxRetryAfter", 0) : 0);
+        rules.zones(s.count("zone", 0), s.number("prices.crossZone", 0));
+        rules.cold(s.number("rules.startCapacity", 1), s.time("rules.cold", 0), s.time("rules.fall", 0));
+        rules.tenants(s.quotas(), s.number("excessValue", 1));
+        rules.goal(s.number("goal.whole", 1), s.number("goal.worstClass", 0));
+        rules.probing(s.flag("limits.probing") && fields > 0 && (busyAt >= 0 || heldAt >= 0));
+        rules.start(s.word("discovery", "").equals("subscribe"), s.time("rules.askEvery", 10_000_000));
+    }
+
+    private void arrival(Line line) throws Drill.BadInput {
+        int profile = (int) line.number("profile");
+        if (profile < 0 || sets == null || profile >= sets.length) {
+            throw new Drill.BadInput("no such profile: " + profile);
+        }
+        long key = 0;
+        if (line.has("targetKey")) {
+            try {
+                key = Long.parseUnsignedLong(line.text("targetKey"), 16);
+            } catch (NumberFormatException e) {
+                throw new Drill.BadInput("not a key: " + line.text("targetKey"));
+            }
+        }
+        Guest guest = new Guest(line.text("rid"));
+        guests.put(guest.rid, guest);
+        long hint = Math.max(0, line.number("sizeHint", 0));
+        int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Drill.UNIT - 1) / Drill.UNIT);
+        Req req = new Req(sets[profile], (int) line.number("tenant", 0), key, now,
+            Math.floorDiv(line.number("due"), (long) Drill.UNIT), cost, line.number("resent", 0) != 0, guest);
+        guest.held = rules.arrive(req);
+    }
+
+    private void report(Line line) throws Drill.BadInput {
+        Guest guest = guests.get(line.text("rid"));
+        int leg = (int) line.number("leg");
+        Outcome how = outcome((int) line.number("status"));
+        long lag = line.number("lag") / Drill.UNIT;
+        boolean ended = line.number("ended", 0) != 0;
+        if (guest == null || leg < 0 || leg >= guest.legs.size() || guest.legs.get(leg) == null) {
+            return;
+        }
+        Result next = guest.legs.set(leg, null);
+        guest.where.get(leg).out--;
+        guest.out--;
+        if (ended) {
+            guest.over = true;
+        }
+        if (guest.over && guest.out == 0) {
+            guests.remove(guest.rid);
+        }
+        next.ended(how, lag, ended);
+    }
+
+    private static Outcome outcome(int status) throws Drill.BadInput {
+        return switch (status) {
+            case 0 -> Outcome.DONE;
+            case 255 -> Outcome.ERROR;
+            case 254 -> Outcome.FULL;
+            case 253 -> Outcome.TIMEOUT;
+            case 252 -> Outcome.NO_CONNECT;
+            case 251 -> Outcome.RESET;
+            case 250 -> Outcome.CANCELLED;
+            case 249 -> Outcome.MOOT;
+            default -> throw new Drill.BadInput("unknown status " + status);
+        };
+    }
+
+    private void probed(Line line) throws Drill.BadInput {
+        Srv srv = srvs.get(line.number("backend"));
+        boolean ok = line.number("status") == 0;
+        long lag = line.number("lag") / Drill.UNIT;
+        if (srv == null || srv.probes.isEmpty()) {
+            return;
+        }
+        double[] load = null;
+        if (line.feedback != null) {
+            Settings figures = new Settings(line.feedback);
+            load = new double[] {figures.number("busy", -1), figures.number("rif", -1)};
+        }
+        srv.probes.remove(0).load(ok, lag, load);
+    }
+
+    void list(String mode, List<?> records) throws IOException {
+        try {
+            if (rules == null) {
+                return;
+            }
+            if (mode.equals("X")) {
+                rules.listFailed();
+                return;
+            }
+            if (!mode.equals("D") && !mode.equals("F") && !mode.equals("C")) {
+                throw new Drill.BadInput("unknown list mode " + mode);
+            }
+            if (!mode.equals("D")) {
+                missing(records);
+            }
+            for (Object record : records) {
+                entry(record);
+            }
+            rules.listed(mode.equals("C"));
+        } catch (RuntimeException e) {
+            failed("PeersKnown", e);
+        }
+    }
+
+    private void missing(List<?> records) throws Drill.BadInput {
+        List<Long> named = new ArrayList<>();
+        for (Object record : records) {
+            named.add(id(record));
+        }
+        Collections.sort(named);
+        for (Srv srv : List.copyOf(byIndex)) {
+            if (!srv.gone && Collections.binarySearch(named, srv.id) < 0) {
+                srv.gone = true;
+                rules.gone(srv.at);
+            }
+        }
+    }
+
+    private static long id(Object record) throws Drill.BadInput {
+        if (record instanceof Map<?, ?> map && map.get("backend") instanceof Number n) {
+            return n.longValue();
+        }
+        throw new Drill.BadInput("missing field backend");
+    }
+
+    @SuppressWarnings("unchecked")
+    private void entry(Object record) throws Drill.BadInput {
+        long id = id(record);
+        Settings r = new Settings((Map<String, Object>) record);
+        Srv srv = srvs.get(id);
+        String readiness = r.word("readiness", "healthy");
+        if (readiness.equals("deregistered")) {
+            if (srv != null && !srv.gone) {
+                srv.gone = true;
+                rules.gone(srv.at);
+            }
+            return;
+        }
+        boolean fresh = srv == null || srv.gone;
+        if (srv == null) {
+            srv = admit(id);
+        }
+        srv.gone = false;
+        long up = (long) r.number("upSince", 0);
+        double weight = r.number("weight", 1);
+        rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0), weight,
+            up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Drill.UNIT), fresh);
+    }
+
+    private Srv admit(long id) {
+        for (Srv old : byIndex) {
+            if (old.gone && old.out == 0 && old.probes.isEmpty()) {
+                srvs.remove(old.id);
+                Srv srv = new Srv(id, old.at);
+                byIndex.set(old.at, srv);
+                srvs.put(id, srv);
+                return srv;
+            }
+        }
+        Srv srv = new Srv(id, byIndex.size());
+        byIndex.add(srv);
+        srvs.put(id, srv);
+        return srv;
+    }
+
+    private void close(Guest guest) {
+        guest.over = true;
+        if (guest.out == 0) {
+            guests.remove(guest.rid);
+        }
+    }
+
+    private void open(String kind) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("kind", kind);
+        out.writeNumberField("proxyId", instance);
+    }
+
+    /** One line out: a kind, at most a rid, and up to two numbers. */
+    private void write(String kind, Guest guest, String name, long value, String name2, long value2) {
+        try {
+            open(kind);
+            if (guest != null) {
+                out.writeStringField("rid", guest.rid);
+            }
+            if (name != null) {
+                out.writeNumberField(name, value);
+            }
+            if (name2 != null) {
+                out.writeNumberField(name2, value2);
+            }
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public void dispatch(Req req, int backend, long tryFor, Result next) {
+        Guest guest = (Guest) req.door;
+        Srv srv = byIndex.get(backend);
+        guest.legs.add(next);
+        guest.where.add(srv);
+        guest.out++;
+        srv.out++;
+        write("Place", guest, "backend", srv.id, "tryFor", tryFor * Drill.UNIT);
+    }
+
+    @Override
+    public void cancel(Req req, int leg) {
+        write("UndoSend", (Guest) req.door, "leg", leg, null, 0);
+    }
+
+    @Override
+    public void deny(Req req, long wait) {
+        close((Guest) req.door);
+        write("Deny", (Guest) req.door, "wait", wait * Drill.UNIT, null, 0);
+    }
+
+    @Override
+    public void abort(Req req) {
+        close((Guest) req.door);
+        write("Error", (Guest) req.door, null, 0, null, 0);
+    }
+
+    @Override
+    public void probe(int backend, Heard next) {
+        Srv srv = byIndex.get(backend);
+        srv.probes.add(next);
+        write("AskLoad", null, "backend", srv.id, null, 0);
+    }
+
+    @Override
+    public void later(long delay, Runnable next) {
+        timers.put(++timer, next);
+        write("Schedule", null, "delay", delay * Drill.UNIT, "nonce", timer);
+    }
+
+    @Override
+    public void follow() {
+        try {
+            open("Subscribe");
+            out.writeBooleanField("on", true);
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void fetch() {
+        write("ListAll", null, null, 0, null, 0);
+    }
+
+    @Override
+    public void log(String text) {
+        try {
+            open("SayLog");
+            out.writeStringField("msg", text);
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/drill/Line.java
@@ -0,0 +1,122 @@
+package wheattrack.drill;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The fields of the message last read: scalars in reused slots, so that nothing is built for most lines. */
+final class Line {
+    static final String[] NAMES = {"kind", "simTime", "proxyId", "rid", "profile", "tenant", "targetKey", "due",
+        "sizeHint", "resent", "write", "leg", "backend", "status", "lag", "ended", "nonce", "seed", "mode", "rev",
+        "sheet", "neighbour", "contents"};
+    private static final Map<String, Integer> SLOT = new HashMap<>();
+
+    static {
+        for (int i = 0; i < NAMES.length; i++) {
+            SLOT.put(NAMES[i], i);
+        }
+    }
+
+    private final String[] text = new String[NAMES.length];
+    private final long[] number = new long[NAMES.length];
+    private final boolean[] there = new boolean[NAMES.length];
+    Map<String, Object> settings;
+    Map<String, Object> feedback;
+    List<Object> records;
+
+    /** Reads one object whose opening brace is the parser's present token. */
+    void read(JsonParser in) throws IOException {
+        java.util.Arrays.fill(there, false);
+        settings = null;
+        feedback = null;
+        records = null;
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+            String name = in.currentName();
+            JsonToken value = in.nextToken();
+            Integer slot = SLOT.get(name);
+            if (slot != null && value.isScalarValue()) {
+                take(in, value, slot);
+            } else if (value == JsonToken.START_OBJECT && name.equals("settings")) {
+                settings = map(in);
+            } else if (value == JsonToken.START_OBJECT && name.equals("feedback")) {
+                feedback = map(in);
+            } else if (value == JsonToken.START_ARRAY && name.equals("records")) {
+                records = list(in);
+            } else {
+                in.skipChildren();
+            }
+        }
+    }
+
+    private void take(JsonParser in, JsonToken value, int slot) throws IOException {
+        there[slot] = value != JsonToken.VALUE_NULL;
+        text[slot] = null;
+        switch (value) {
+            case VALUE_NUMBER_INT -> number[slot] = in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                ? in.getBigIntegerValue().longValue() : in.getLongValue();
+            case VALUE_NUMBER_FLOAT -> number[slot] = (long) in.getDoubleValue();
+            case VALUE_TRUE -> number[slot] = 1;
+            case VALUE_FALSE -> number[slot] = 0;
+            default -> text[slot] = in.getText();
+        }
+    }
+
+    boolean has(String name) {
+        return there[SLOT.get(name)];
+    }
+
+    long number(String name) throws Drill.BadInput {
+        int slot = SLOT.get(name);
+        if (!there[slot] || text[slot] != null) {
+            throw new Drill.BadInput((there[slot] ? "not a number: " : "missing field ") + name);
+        }
+        return number[slot];
+    }
+
+    long number(String name, long otherwise) throws Drill.BadInput {
+        return has(name) ? number(name) : otherwise;
+    }
+
+    String text(String name) throws Drill.BadInput {
+        int slot = SLOT.get(name);
+        if (!there[slot] || text[slot] == null) {
+            throw new Drill.BadInput((there[slot] ? "not a text: " : "missing field ") + name);
+        }
+        return text[slot];
+    }
+
+    private static Map<String, Object> map(JsonParser in) throws IOException {
+        Map<String, Object> map = new HashMap<>();
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+            String name = in.currentName();
+            in.nextToken();
+            map.put(name, any(in));
+        }
+        return map;
+    }
+
+    private static List<Object> list(JsonParser in) throws IOException {
+        List<Object> list = new ArrayList<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            list.add(any(in));
+        }
+        return list;
+    }
+
+    private static Object any(JsonParser in) throws IOException {
+        return switch (in.currentToken()) {
+            case START_OBJECT -> map(in);
+            case START_ARRAY -> list(in);
+            case VALUE_NULL -> null;
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new BigDecimal(in.getText());
+            default -> in.getText();
+        };
+    }
+}
