Judge silence by what is out; learn pace from own busy time; tighter pass-over

Change: waits come from the cost done per busy time; silence must outlast patience weighed by what is out; a shut server is asked again by light reqs.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -1,6 +1,8 @@
 package wheattrack;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.zip.CRC32;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
@@ -62,6 +64,8 @@
     private double[] fails = new double[8];
     private int[] out = new int[8];
     private double[] outCost = new double[8];
+    private double[] busy = new double[8];          // time with something out there, decaying
+    private long[] busyFrom = new long[8];
     private long[] quiet = new long[8];             // since when it owes an answer and gave none
     private boolean[] shut = new boolean[8];
     private long[] trialAt = new long[8];
@@ -77,6 +81,7 @@
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
     private double misses;
     private double judged;
+    private double usualPace = 1;
     private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
     private Course head;                            // open reqs, oldest first
@@ -116,9 +121,6 @@
         excess = excessValue;
     }
 
-    public void goal(double whole, double worstRuleSet) {
-    }
-
     public void probing(boolean pays) {
         probes = pays;
     }
@@ -160,7 +162,7 @@
         ready[b] = healthy;
         if (restarted) {
             speed[b] = 1;
-            lagSum[b] = costSum[b] = tries[b] = fails[b] = 0;
+            lagSum[b] = costSum[b] = busy[b] = tries[b] = fails[b] = 0;
             shut[b] = false;
         }
     }
@@ -180,6 +182,8 @@
         fails = Arrays.copyOf(fails, n);
         out = Arrays.copyOf(out, n);
         outCost = Arrays.copyOf(outCost, n);
+        busy = Arrays.copyOf(busy, n);
+        busyFrom = Arrays.copyOf(busyFrom, n);
         quiet = Arrays.copyOf(quiet, n);
         shut = Arrays.copyOf(shut, n);
         trialAt = Arrays.copyOf(trialAt, n);
@@ -282,6 +286,14 @@
     /** Shares follow what dispatches took against their cost: who answers slower than the fleet gets less. */
     private void learn() {
         long now = port.now();
+        double pace = 0;
+        double time = 0;
+        for (int b = 0; b < slots; b++) {
+            settle(b, now);
+            pace += costSum[b];
+            time += busy[b] * weight[b];
+        }
+        usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         for (Course c = head; c != null; c = c.next) {
             c.addLateness(now);
         }
@@ -302,6 +314,7 @@
         for (int b = 0; b < slots; b++) {
             lagSum[b] *= KEEP;
             costSum[b] *= KEEP;
+            busy[b] *= KEEP;
             tries[b] *= KEEP;
             fails[b] *= KEEP;
         }
@@ -342,9 +355,42 @@
         return lo;
     }
 
-    /** When a cost given to this srv now would be done, by what this proxy has out there. */
+    private void settle(int b, long now) {
+        if (out[b] > 0) {
+            busy[b] += now - busyFrom[b];
+            busyFrom[b] = now;
+        }
+    }
+
+    /** Cost this srv does for us in a unit of time while we have something out there. */
+    private double pace(int b) {
+        double prior = SECOND / 2.0;
+        return (costSum[b] + prior * usualPace * weight[b]) / (busy[b] + prior);
+    }
+
+    /** How long a cost given to this srv now would take, by what this proxy has out there. */
     private double finish(int b, int cost) {
-        return (outCost[b] + Math.max(cost, 1)) * slowness / Math.max(0.05, speed[b]);
+        return (outCost[b] + Math.max(cost, 1)) / pace(b);
+    }
+
+    /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
+    private int trial(Course c, long now) {
+        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.req.cost > meanCost) {
+            return -1;
+        }
+        for (int b : order) {
+            if (shut[b] && now >= trialAt[b] && ourTurn(b, now)) {
+                trialAt[b] = now + trialGap[b];
+                trialGap[b] = Math.min(4 * SECOND, 2 * trialGap[b]);
+                return b;
+            }
+        }
+        return -1;
+    }
+
+    /** Silence that speaks against a srv: longer where little is out there, or where much work is. */
+    private double patience(int b) {
+        return (shortest / 4.0 + 3 * finish(b, (int) meanCost)) * (1 + 2.0 / Math.max(1, out[b]));
     }
 
     /** The srv for a req's next dispatch, or -1: its interval's, or the next in order not passed over. */
@@ -354,6 +400,10 @@
             return -1;
         }
         long now = port.now();
+        int trial = trial(c, now);
+        if (trial >= 0) {
+            return trial;
+        }
         int from = place(c.req.cost);
         double sum = 0;
         double shares = 0;
@@ -368,15 +418,10 @@
                 continue;
             }
             if (shut[b]) {
-                if (k == 0 && now >= trialAt[b] && c.req.ruleSet.effect() == Effect.REPLAYABLE) {
-                    trialAt[b] = now + trialGap[b];
-                    trialGap[b] = Math.min(4 * SECOND, 2 * trialGap[b]);
-                    return b;
-                }
                 continue;
             }
             double fair = shares > 0 ? sum * share[b] / shares : 0;
-            boolean crowded = out[b] >= 2 && outCost[b] > 2 * fair + meanCost;
+            boolean crowded = out[b] >= 1 && outCost[b] > 1.5 * fair + meanCost / 2;
             boolean foreign = zoneOf[b] != zone && k > 0 && crossPrice * 10 > 1;
             if (!crowded && !foreign) {
                 return b;
@@ -405,8 +450,7 @@
     private void sweepAndWait() {
         long now = port.now();
         for (int b : order) {
-            long patience = (long) Math.max(shortest / 4.0, 3 * finish(b, 0));
-            if (!shut[b] && out[b] > 0 && now - quiet[b] > patience) {
+            if (!shut[b] && out[b] > 0 && now - quiet[b] > patience(b)) {
                 shut[b] = true;
                 trialGap[b] = shortest;
                 trialAt[b] = now + trialGap[b];
@@ -435,15 +479,8 @@
         Course last;
         boolean over;
         boolean streaming;
-        int count;
         int live;
-        int[] srv = new int[2];
-        int[] zones = new int[2];
-        int[] packs = new int[2];
-        long[] sent = new long[2];
-        boolean[] isOut = new boolean[2];
-        boolean[] called = new boolean[2];
-        boolean[] mayHaveRun = new boolean[2];
+        final List<Leg> legs = new ArrayList<>(2);
 
         Course(Req req) {
             this.req = req;
@@ -457,22 +494,17 @@
         }
 
         boolean met(int b) {
-            for (int k = 0; k < count; k++) {
-                if (srv[k] == b && !(k < count - 2)) {
-                    return true;
-                }
-            }
-            return false;
+            return !legs.isEmpty() && legs.get(legs.size() - 1).b == b;
         }
 
         /** Rule two: after a dispatch that may have run, only where a repeat is known not to count. */
         boolean allows(int b, long now) {
             RuleSet set = req.ruleSet;
-            for (int k = 0; k < count; k++) {
-                if (mayHaveRun[k] && set.effect() != Effect.REPLAYABLE && (set.effect() == Effect.NON_REPLAYABLE
-                        || now >= sent[k] + set.window()
-                        || set.group() == Group.ZONE && zones[k] != zoneOf[b]
-                        || set.group() == Group.CELL && packs[k] != packOf[b])) {
+            for (Leg leg : legs) {
+                if (leg.mayHaveRun && set.effect() != Effect.REPLAYABLE && (set.effect() == Effect.NON_REPLAYABLE
+                        || now >= leg.sent + set.window()
+                        || set.group() == Group.ZONE && leg.inZone != zoneOf[b]
+                        || set.group() == Group.CELL && leg.inPack != packOf[b])) {
                     return false;
                 }
             }
@@ -480,21 +512,18 @@
         }
 
         boolean mayDeny() {
-            boolean ran = false;
-            for (int k = 0; k < count; k++) {
-                ran |= mayHaveRun[k];
-            }
-            return !ran || req.ruleSet.effect() == Effect.REPLAYABLE
-                || req.ruleSet.effect() == Effect.UNIQUED && req.ruleSet.group() == Group.ALL;
+            RuleSet set = req.ruleSet;
+            return set.effect() == Effect.REPLAYABLE || legs.stream().noneMatch(leg -> leg.mayHaveRun)
+                || set.effect() == Effect.UNIQUED && set.group() == Group.ALL;
         }
 
         /** The next dispatch, or the final answer where none can help any more. */
         void next() {
             long now = port.now();
-            int b = count < maxDispatches && now < req.due ? pick(this) : -1;
+            int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
             long until = req.ruleSet.overdue() > 0 ? req.due
                 : Math.min(req.due, req.arrived + req.ruleSet.target());
-            if (b >= 0 && now + finish(b, req.cost) <= until) {
+            if (b >= 0 && now + finish(b, 0) <= until) {
                 send(b);
             } else if (live == 0) {
                 giveUp();
@@ -502,48 +531,34 @@
         }
 
         void send(int b) {
-            if (count == srv.length) {
-                srv = Arrays.copyOf(srv, 2 * count);
-                zones = Arrays.copyOf(zones, 2 * count);
-                packs = Arrays.copyOf(packs, 2 * count);
-                sent = Arrays.copyOf(sent, 2 * count);
-                isOut = Arrays.copyOf(isOut, 2 * count);
-                called = Arrays.copyOf(called, 2 * count);
-                mayHaveRun = Arrays.copyOf(mayHaveRun, 2 * count);
-            }
-            int leg = count++;
             long now = port.now();
-            srv[leg] = b;
-            zones[leg] = zoneOf[b];
-            packs[leg] = packOf[b];
-            sent[leg] = now;
-            isOut[leg] = mayHaveRun[leg] = true;
+            Leg leg = new Leg(legs.size(), b, now, zoneOf[b], packOf[b]);
+            legs.add(leg);
             live++;
             if (out[b]++ == 0) {
-                quiet[b] = now;
+                quiet[b] = busyFrom[b] = now;
             }
             outCost[b] += req.cost;
             port.dispatch(req, b, req.due - now, (how, lag, ended) -> result(leg, how, lag, ended));
         }
 
-        void result(int leg, Outcome how, long lag, boolean ended) {
-            int b = srv[leg];
-            isOut[leg] = false;
+        void result(Leg leg, Outcome how, long lag, boolean ended) {
+            int b = leg.b;
+            leg.isOut = false;
+            leg.mayHaveRun = !how.neverRan;
             live--;
-            mayHaveRun[leg] = !how.neverRan;
+            settle(b, port.now());
             out[b]--;
             outCost[b] = out[b] == 0 ? 0 : outCost[b] - req.cost;
             if (how != Outcome.CANCELLED && how != Outcome.MOOT) {
                 tries[b]++;
-                if (how != Outcome.DONE) {
-                    fails[b]++;
-                }
+                fails[b] += how == Outcome.DONE ? 0 : 1;
             }
             if (how == Outcome.DONE) {
                 lagSum[b] += lag;
                 costSum[b] += req.cost;
-                answered(b);
-            } else if (how == Outcome.ERROR || how == Outcome.FULL) {
+            }
+            if (how == Outcome.DONE || how == Outcome.ERROR || how == Outcome.FULL) {
                 answered(b);
             }
             if (over) {
@@ -551,14 +566,10 @@
             }
             if (ended) {
                 close(how == Outcome.DONE && port.now() - req.arrived <= req.ruleSet.target());
-                return;
-            }
-            if (live == 0) {
-                if (how == Outcome.TIMEOUT || port.now() >= req.due) {
-                    giveUp();
-                } else {
-                    next();
-                }
+            } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due)) {
+                giveUp();
+            } else if (live == 0) {
+                next();
             }
         }
 
@@ -587,41 +598,38 @@
             } else {
                 next.last = last;
             }
-            for (int k = 0; k < count; k++) {
-                callOff(k);
-            }
+            legs.forEach(this::callOff);
         }
 
-        void callOff(int k) {
-            if (isOut[k] && !called[k] && mayCancel) {
-                called[k] = true;
-                port.cancel(req, k);
+        void callOff(Leg leg) {
+            if (leg.isOut && !leg.called && mayCancel) {
+                leg.called = true;
+                port.cancel(req, leg.number);
             }
         }
 
         /** A req stuck at a shut srv moves on: by a copy, or else by calling the first off. */
         void look(long now) {
-            if (live != 1 || streaming || count >= maxDispatches) {
-                return;
-            }
-            int leg = count - 1;
-            while (!isOut[leg]) {
-                leg--;
-            }
-            if (!shut[srv[leg]] || called[leg] || req.ruleSet.effect() == Effect.NON_REPLAYABLE) {
+            if (live != 1 || streaming || legs.size() >= maxDispatches) {
                 return;
             }
-            if (mayDuplicate) {
-                next();
-            } else {
-                callOff(leg);
+            for (Leg leg : legs) {
+                if (leg.isOut && shut[leg.b] && !leg.called && now - leg.sent >= shortest / 4
+                        && req.ruleSet.effect() != Effect.NON_REPLAYABLE) {
+                    if (mayDuplicate) {
+                        next();
+                    } else {
+                        callOff(leg);
+                    }
+                    return;
+                }
             }
         }
 
         void addLateness(long now) {
-            for (int k = 0; k < count; k++) {
-                if (isOut[k] && now - sent[k] > 2 * req.cost * slowness) {
-                    lagSum[srv[k]] += (now - sent[k]) * (1 - KEEP);
+            for (Leg leg : legs) {
+                if (leg.isOut && now - leg.sent > 2 * req.cost * slowness) {
+                    lagSum[leg.b] += (now - leg.sent) * (1 - KEEP);
                 }
             }
         }
@@ -638,4 +646,23 @@
             }
         }
     }
+    /** One dispatch of a req. */
+    private static final class Leg {
+        final int number;
+        final int b;
+        final long sent;
+        final int inZone;
+        final int inPack;
+        boolean isOut = true;
+        boolean called;
+        boolean mayHaveRun = true;
+
+        Leg(int number, int b, long sent, int inZone, int inPack) {
+            this.number = number;
+            this.b = b;
+            this.sent = sent;
+            this.inZone = inZone;
+            this.inPack = inPack;
+        }
+    }
 }
