--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -19,6 +19,7 @@
  */
 public final class Rules {
     private static final int HINTS = 2000;          // the design's window
+    private static final int MOST = 1024;           // backends known at once; further ones are left out
     private static final long SECOND = 10_000;
     private static final long RECUT = SECOND;       // recompute period
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
@@ -40,6 +41,8 @@
     private double startCapacity = 1;
     private long cold;
     private long fall;
+    private double fallMultiple = 1;
+    private double mayWait = 1;                     // of the time left to the target
     private double[] quota = {};
     private double excess = 1;
     private boolean probes;
@@ -50,26 +53,30 @@
 
     // Backends, under their dense index.
     private int slots;
-    private long[] id = new long[8];
-    private boolean[] ready = new boolean[8];
-    private int[] zoneOf = new int[8];
-    private int[] packOf = new int[8];
-    private double[] weight = new double[8];
-    private long[] upSince = new long[8];
-    private double[] share = new double[8];
-    private double[] speed = new double[8];         // learnt, against the weight; 1 is as listed
-    private double[] lagSum = new double[8];
-    private double[] costSum = new double[8];
-    private double[] tries = new double[8];
-    private double[] fails = new double[8];
-    private int[] out = new int[8];
-    private double[] outCost = new double[8];
-    private double[] busy = new double[8];          // time with something out there, decaying
-    private long[] busyFrom = new long[8];
-    private long[] quiet = new long[8];             // since when it owes an answer and gave none
-    private boolean[] shut = new boolean[8];
-    private long[] trialAt = new long[8];
-    private long[] trialGap = new long[8];
+    private long[] id = new long[MOST];
+    private boolean[] ready = new boolean[MOST];
+    private int[] zoneOf = new int[MOST];
+    private int[] packOf = new int[MOST];
+    private double[] weight = new double[MOST];
+    private long[] upSince = new long[MOST];
+    private double[] share = new double[MOST];
+    private double[] speed = new double[MOST];         // learnt, against the weight; 1 is as listed
+    private double[] lagSum = new double[MOST];
+    private double[] costSum = new double[MOST];
+    private double[] tries = new double[MOST];
+    private double[] fails = new double[MOST];
+    private int[] out = new int[MOST];
+    private double[] room = new double[MOST];       // dispatches it has room for, as its full answers teach
+    private double[] outCost = new double[MOST];
+    private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
+    private double[] busy = new double[MOST];          // time with something out there, decaying
+    private long[] busyFrom = new long[MOST];
+    private long[] quiet = new long[MOST];             // since when it owes an answer and gave none
+    private boolean[] shut = new boolean[MOST];
+    private long[] trialAt = new long[MOST];
+    private long[] trialGap = new long[MOST];
+    private double[] spent = new double[MOST];         // of a cold srv's budget, leaking
+    private long[] spentAt = new long[MOST];
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
     private final int[] window = new int[HINTS];
@@ -82,6 +89,7 @@
     private double misses;
     private double judged;
     private double usualPace = 1;
+    private double usualLoad;                       // cost a warm srv does for us in a unit of time, by weight
     private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
     private Course head;                            // open reqs, oldest first
@@ -110,9 +118,10 @@
         abroad = 1 / (1 + 100 * price);
     }
 
-    public void cold(double least, long warmAfter, long fallAfter) {
+    public void cold(double least, long warmAfter, double multiple, long fallAfter) {
         startCapacity = least;
         cold = warmAfter;
+        fallMultiple = multiple;
         fall = fallAfter;
     }
 
@@ -121,6 +130,11 @@
         excess = excessValue;
     }
 
+    /** Where the goal counts the tail, little may be waited; elsewhere all of the time to the target. */
+    public void goal(double punctual) {
+        mayWait = 1 / (1 + 10 * punctual);
+    }
+
     public void probing(boolean pays) {
         probes = pays;
     }
@@ -149,8 +163,9 @@
 
     public void entry(int b, long name, boolean healthy, int inZone, int inPack, double size, long up,
             boolean fresh) {
-        if (b >= id.length) {
-            grow(2 * b);
+        if (b >= MOST) {
+            port.log("left out " + name + ": " + MOST + " are known already");
+            return;
         }
         slots = Math.max(slots, b + 1);
         boolean restarted = fresh || up > upSince[b];
@@ -164,34 +179,14 @@
             speed[b] = 1;
             lagSum[b] = costSum[b] = busy[b] = tries[b] = fails[b] = 0;
             shut[b] = false;
+            room[b] = MOST;
         }
     }
 
-    private void grow(int n) {
-        id = Arrays.copyOf(id, n);
-        ready = Arrays.copyOf(ready, n);
-        zoneOf = Arrays.copyOf(zoneOf, n);
-        packOf = Arrays.copyOf(packOf, n);
-        weight = Arrays.copyOf(weight, n);
-        upSince = Arrays.copyOf(upSince, n);
-        share = Arrays.copyOf(share, n);
-        speed = Arrays.copyOf(speed, n);
-        lagSum = Arrays.copyOf(lagSum, n);
-        costSum = Arrays.copyOf(costSum, n);
-        tries = Arrays.copyOf(tries, n);
-        fails = Arrays.copyOf(fails, n);
-        out = Arrays.copyOf(out, n);
-        outCost = Arrays.copyOf(outCost, n);
-        busy = Arrays.copyOf(busy, n);
-        busyFrom = Arrays.copyOf(busyFrom, n);
-        quiet = Arrays.copyOf(quiet, n);
-        shut = Arrays.copyOf(shut, n);
-        trialAt = Arrays.copyOf(trialAt, n);
-        trialGap = Arrays.copyOf(trialGap, n);
-    }
-
     public void gone(int b) {
-        ready[b] = false;
+        if (b < MOST) {
+            ready[b] = false;
+        }
     }
 
     /** The list has been told; saved: it is only what this instance had last, no answer to a call. */
@@ -283,16 +278,37 @@
         return age >= cold / 2 || age >= 0 && age / Math.max(1, fall / 4) % balancers == me;
     }
 
+    /** Found by incident: a cold srv fell over under heavy or refused reqs, though its share was small. */
+    private boolean bears(int b, int load, long now) {
+        if (now - upSince[b] >= cold) {
+            return true;
+        }
+        if (usualLoad == 0) {
+            return out[b] == 0 && order.length <= 1;
+        }
+        double rate = fallMultiple / 4 * warmth(b, now) * usualLoad * weight[b];
+        spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
+        spentAt[b] = now;
+        return spent[b] + load <= rate * fall / 2;
+    }
+
     /** Shares follow what dispatches took against their cost: who answers slower than the fleet gets less. */
     private void learn() {
         long now = port.now();
         double pace = 0;
         double time = 0;
+        double warm = 0;
+        double warmCost = 0;
         for (int b = 0; b < slots; b++) {
             settle(b, now);
             pace += costSum[b];
             time += busy[b] * weight[b];
+            if (ready[b] && now - upSince[b] >= cold) {
+                warm += weight[b];
+                warmCost += costSum[b];
+            }
         }
+        usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         for (Course c = head; c != null; c = c.next) {
             c.addLateness(now);
@@ -358,8 +374,9 @@
     private void settle(int b, long now) {
         if (out[b] > 0) {
             busy[b] += now - busyFrom[b];
-            busyFrom[b] = now;
         }
+        ghost[b] = Math.max(0, ghost[b] - (now - busyFrom[b]) * pace(b));
+        busyFrom[b] = now;
     }
 
     /** Cost this srv does for us in a unit of time while we have something out there. */
@@ -370,16 +387,17 @@
 
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
     private double finish(int b, int cost) {
-        return (outCost[b] + Math.max(cost, 1)) / pace(b);
+        settle(b, port.now());
+        return (outCost[b] + ghost[b] + Math.max(cost, 1)) / pace(b);
     }
 
     /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
     private int trial(Course c, long now) {
-        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.req.cost > meanCost) {
+        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.load > meanCost) {
             return -1;
         }
         for (int b : order) {
-            if (shut[b] && now >= trialAt[b] && ourTurn(b, now)) {
+            if (shut[b] && now >= trialAt[b] && ourTurn(b, now) && bears(b, c.load, now)) {
                 trialAt[b] = now + trialGap[b];
                 trialGap[b] = Math.min(4 * SECOND, 2 * trialGap[b]);
                 return b;
@@ -414,7 +432,8 @@
         int spare = -1;
         for (int k = 0; k < n; k++) {
             int b = order[(from + k) % n];
-            if (!ready[b] || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)) {
+            if (!ready[b] || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
+                    || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
             if (shut[b]) {
@@ -423,10 +442,11 @@
             double fair = shares > 0 ? sum * share[b] / shares : 0;
             boolean crowded = out[b] >= 1 && outCost[b] > 1.5 * fair + meanCost / 2;
             boolean foreign = zoneOf[b] != zone && k > 0 && crossPrice * 10 > 1;
-            if (!crowded && !foreign) {
+            boolean late = finish(b, c.load) > c.left(now);
+            if (!crowded && !foreign && !late) {
                 return b;
             }
-            if (spare < 0 || finish(b, c.req.cost) < finish(spare, c.req.cost)) {
+            if (spare < 0 || finish(b, c.load) < finish(spare, c.load)) {
                 spare = b;
             }
         }
@@ -475,6 +495,7 @@
     /** One open req: its dispatches and what may still be done for it. */
     private final class Course implements Port.Held {
         final Req req;
+        final int load;
         Course next;
         Course last;
         boolean over;
@@ -484,6 +505,7 @@
 
         Course(Req req) {
             this.req = req;
+            load = req.cost > 0 ? req.cost : (int) Math.max(1, meanCost);
             last = tail;
             if (tail == null) {
                 head = this;
@@ -521,24 +543,28 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            long until = req.ruleSet.overdue() > 0 ? req.due
-                : Math.min(req.due, req.arrived + req.ruleSet.target());
-            if (b >= 0 && now + finish(b, 0) <= until) {
+            if (b >= 0 && finish(b, 0) <= left(now) * mayWait) {
                 send(b);
             } else if (live == 0) {
                 giveUp();
             }
         }
 
+        long left(long now) {
+            return Math.min(req.due, req.arrived + req.ruleSet.target()) - now;
+        }
+
         void send(int b) {
             long now = port.now();
             Leg leg = new Leg(legs.size(), b, now, zoneOf[b], packOf[b]);
             legs.add(leg);
             live++;
+            settle(b, now);
             if (out[b]++ == 0) {
-                quiet[b] = busyFrom[b] = now;
+                quiet[b] = now;
             }
-            outCost[b] += req.cost;
+            outCost[b] += load;
+            spent[b] += load;
             port.dispatch(req, b, req.due - now, (how, lag, ended) -> result(leg, how, lag, ended));
         }
 
@@ -549,16 +575,23 @@
             live--;
             settle(b, port.now());
             out[b]--;
-            outCost[b] = out[b] == 0 ? 0 : outCost[b] - req.cost;
+            outCost[b] = out[b] == 0 ? 0 : outCost[b] - load;
+            if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
+                ghost[b] += load;
+            }
             if (how != Outcome.CANCELLED && how != Outcome.MOOT) {
                 tries[b]++;
                 fails[b] += how == Outcome.DONE ? 0 : 1;
             }
+            if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
+                room[b] = Math.min(room[b], out[b]);
+            }
             if (how == Outcome.DONE) {
+                room[b] += 1 / Math.max(1, room[b]);
                 lagSum[b] += lag;
-                costSum[b] += req.cost;
+                costSum[b] += load;
             }
-            if (how == Outcome.DONE || how == Outcome.ERROR || how == Outcome.FULL) {
+            if (how == Outcome.DONE || how == Outcome.ERROR) {
                 answered(b);
             }
             if (over) {
@@ -610,6 +643,10 @@
 
         /** A req stuck at a shut srv moves on: by a copy, or else by calling the first off. */
         void look(long now) {
+            if (!streaming && req.ruleSet.overdue() == 0 && left(now) <= shortest / 10) {
+                giveUp();
+                return;
+            }
             if (live != 1 || streaming || legs.size() >= maxDispatches) {
                 return;
             }
@@ -628,7 +665,7 @@
 
         void addLateness(long now) {
             for (Leg leg : legs) {
-                if (leg.isOut && now - leg.sent > 2 * req.cost * slowness) {
+                if (leg.isOut && now - leg.sent > 2 * load * slowness) {
                     lagSum[leg.b] += (now - leg.sent) * (1 - KEEP);
                 }
             }
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -138,8 +138,10 @@
         rules.limits(s.count("limits.maxDispatches", 1), s.flag("limits.mayCancel"),
             s.flag("limits.mayDuplicate"), s.flag("limits.retryAfter") ? s.time("limits.maxRetryAfter", 0) : 0);
         rules.zones(s.count("zone", 0), s.number("prices.crossZone", 0));
-        rules.cold(s.number("rules.startCapacity", 1), s.time("rules.cold", 0), s.time("rules.fall", 0));
+        rules.cold(s.number("rules.startCapacity", 1), s.time("rules.cold", 0),
+            s.number("rules.fallMultiple", 1), s.time("rules.fall", 0));
         rules.tenants(s.quotas(), s.number("excessValue", 1));
+        rules.goal(s.number("goal.punctual", 0));
         rules.probing(s.flag("limits.probing") && fields > 0 && (busyAt >= 0 || heldAt >= 0));
         rules.start(s.word("discovery", "").equals("subscribe"), s.time("rules.askEvery", 10_000_000));
     }
