--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -71,7 +71,7 @@
     private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
     private double[] busy = new double[MOST];          // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
-    private long[] quiet = new long[MOST];             // since when it owes an answer and gave none
+    private long[] silence = new long[MOST];        // time with something out there since its last answer
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST];
     private long[] trialGap = new long[MOST];
@@ -374,6 +374,7 @@
     private void settle(int b, long now) {
         if (out[b] > 0) {
             busy[b] += now - busyFrom[b];
+            silence[b] += now - busyFrom[b];
         }
         ghost[b] = Math.max(0, ghost[b] - (now - busyFrom[b]) * pace(b));
         busyFrom[b] = now;
@@ -408,7 +409,7 @@
 
     /** Silence that speaks against a srv: longer where little is out there, or where much work is. */
     private double patience(int b) {
-        return (shortest / 4.0 + 3 * finish(b, (int) meanCost)) * (1 + 2.0 / Math.max(1, out[b]));
+        return shortest / 2.0 + 6 * finish(b, (int) meanCost) / (1 + out[b]);
     }
 
     /** The srv for a req's next dispatch, or -1: its interval's, or the next in order not passed over. */
@@ -470,11 +471,11 @@
     private void sweepAndWait() {
         long now = port.now();
         for (int b : order) {
-            if (!shut[b] && out[b] > 0 && now - quiet[b] > patience(b)) {
+            if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
                 shut[b] = true;
                 trialGap[b] = shortest;
                 trialAt[b] = now + trialGap[b];
-                port.log("shut " + id[b] + ": " + out[b] + " out, silent for " + (now - quiet[b]) / 10 + " ms");
+                port.log("shut " + id[b] + ": " + out[b] + " out, silent for " + silence[b] / 10 + " ms");
             }
         }
         for (Course c = head, after; c != null; c = after) {
@@ -485,7 +486,7 @@
     }
 
     private void answered(int b) {
-        quiet[b] = port.now();
+        silence[b] = 0;
         if (shut[b]) {
             shut[b] = false;
             port.log("open " + id[b] + ": it answers");
@@ -560,9 +561,7 @@
             legs.add(leg);
             live++;
             settle(b, now);
-            if (out[b]++ == 0) {
-                quiet[b] = now;
-            }
+            out[b]++;
             outCost[b] += load;
             spent[b] += load;
             port.dispatch(req, b, req.due - now, (how, lag, ended) -> result(leg, how, lag, ended));
