--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -23,6 +23,7 @@
     private static final long SECOND = 10_000;
     private static final long RECUT = SECOND;       // recompute period
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
+    private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -81,6 +82,7 @@
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
     private final int[] window = new int[HINTS];
     private int seen;
+    private long taken;
     private int[] values = {};
     private double[] below = {0};
     private int[] order = {};
@@ -92,6 +94,7 @@
     private double usualLoad;                       // cost a warm srv does for us in a unit of time, by weight
     private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
+    private double meanWorth = 1;
     private Course head;                            // open reqs, oldest first
     private Course tail;
 
@@ -431,6 +434,7 @@
             shares += share[b];
         }
         int spare = -1;
+        int worst = 4;
         for (int k = 0; k < n; k++) {
             int b = order[(from + k) % n];
             if (!ready[b] || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
@@ -442,12 +446,13 @@
             }
             double fair = shares > 0 ? sum * share[b] / shares : 0;
             boolean crowded = out[b] >= 1 && outCost[b] > 1.5 * fair + meanCost / 2;
-            boolean foreign = zoneOf[b] != zone && k > 0 && crossPrice * 10 > 1;
-            boolean late = finish(b, c.load) > c.left(now);
-            if (!crowded && !foreign && !late) {
+            boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
+            int rank = finish(b, c.load) > c.left(now) ? 3 : dear ? 2 : crowded ? 1 : 0;
+            if (rank == 0) {
                 return b;
             }
-            if (spare < 0 || finish(b, c.load) < finish(spare, c.load)) {
+            if (rank < worst || rank == worst && finish(b, c.load) < finish(spare, c.load)) {
+                worst = rank;
                 spare = b;
             }
         }
@@ -464,6 +469,7 @@
             }
         }
         Course c = new Course(req);
+        meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
         c.next();
         return c;
     }
@@ -551,6 +557,10 @@
             }
         }
 
+        double worth() {
+            return req.ruleSet.value() * load;
+        }
+
         long left(long now) {
             return Math.min(req.due, req.arrived + req.ruleSet.target()) - now;
         }
