Trace tests, dead settings out, shut srvs serve only when all are shut

Traces found: cuts starved foreign srvs where crossing has no price (mended), a lone shut srv denied everything (mended).

--- a/src/main/java/wheattrack/Main.java
+++ b/src/main/java/wheattrack/Main.java
@@ -13,7 +13,8 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: wheattrack drill    decide for a simulator on standard input and output");
+            System.err.println(
+                "usage: wheattrack drill   (decides for a simulator on standard input and output)");
             System.exit(2);
         }
         try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.zip.CRC32;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
@@ -44,10 +46,6 @@
     private long fall;
     private double fallMultiple = 1;
     private double mayWait = 1;                     // of the time left to the target
-    private double[] quota = {};
-    private double excess = 1;
-    private boolean probes;
-    private boolean asks;
     private long askEvery;
     private boolean following;
     private long retryAsk;
@@ -91,12 +89,11 @@
     private double misses;
     private double judged;
     private double usualPace = 1;
-    private double usualLoad;                       // cost a warm srv does for us in a unit of time, by weight
+    private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
     private double meanWorth = 1;
-    private Course head;                            // open reqs, oldest first
-    private Course tail;
+    private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
     public Rules(Port port, long seed, int me, int balancers, RuleSet[] sets) {
         this.port = port;
@@ -128,24 +125,14 @@
         fall = fallAfter;
     }
 
-    public void tenants(double[] perSecond, double excessValue) {
-        quota = perSecond;
-        excess = excessValue;
-    }
-
     /** Where the goal counts the tail, little may be waited; elsewhere all of the time to the target. */
     public void goal(double punctual) {
         mayWait = 1 / (1 + 10 * punctual);
     }
 
-    public void probing(boolean pays) {
-        probes = pays;
-    }
-
     public void start(boolean mustAsk, long ask) {
-        asks = mustAsk;
         askEvery = ask;
-        if (asks) {
+        if (mustAsk) {
             port.follow();
         }
         recutAndWait();
@@ -263,11 +250,7 @@
     }
 
     private double health(int b, double usual) {
-        if (shut[b]) {
-            return FLOOR;
-        }
-        double better = 1 - Math.max(0, failure(b) - usual);
-        return Math.max(FLOOR, Math.pow(better, 6));
+        return shut[b] ? FLOOR : Math.max(FLOOR, Math.pow(1 - Math.max(0, failure(b) - usual), 6));
     }
 
     private double warmth(int b, long now) {
@@ -313,15 +296,9 @@
         }
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
-        for (Course c = head; c != null; c = c.next) {
-            c.addLateness(now);
-        }
-        double lag = 0;
-        double cost = 0;
-        for (int b : order) {
-            lag += lagSum[b];
-            cost += costSum[b];
-        }
+        open.forEach(c -> c.addLateness(now));
+        double lag = Arrays.stream(order).mapToDouble(b -> lagSum[b]).sum();
+        double cost = Arrays.stream(order).mapToDouble(b -> costSum[b]).sum();
         if (cost > 0 && lag > 0) {
             slowness = lag / cost;
             for (int b : order) {
@@ -330,15 +307,13 @@
                 speed[b] = Math.min(4, Math.max(0.1, Math.pow(speed[b], 0.98) * Math.pow(own, -0.25)));
             }
         }
-        for (int b = 0; b < slots; b++) {
-            lagSum[b] *= KEEP;
-            costSum[b] *= KEEP;
-            busy[b] *= KEEP;
-            tries[b] *= KEEP;
-            fails[b] *= KEEP;
+        for (double[] sum : new double[][] {lagSum, costSum, busy, tries, fails}) {
+            for (int b = 0; b < slots; b++) {
+                sum[b] *= KEEP;
+            }
         }
         double late = judged > 0 ? misses / judged : 0;
-        abroad = Math.min(1, Math.max(0.02, abroad * (late > crossPrice / 4 ? 1.25 : 0.9)));
+        abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1.25 : 0.9)));
         misses *= KEEP;
         judged *= KEEP;
     }
@@ -429,9 +404,11 @@
         int from = place(c.req.cost);
         double sum = 0;
         double shares = 0;
+        boolean allShut = true;
         for (int b : order) {
             sum += outCost[b];
             shares += share[b];
+            allShut &= shut[b];
         }
         int spare = -1;
         int worst = 4;
@@ -441,7 +418,7 @@
                     || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
-            if (shut[b]) {
+            if (shut[b] && !allShut) {
                 continue;
             }
             double fair = shares > 0 ? sum * share[b] / shares : 0;
@@ -484,10 +461,7 @@
                 port.log("shut " + id[b] + ": " + out[b] + " out, silent for " + silence[b] / 10 + " ms");
             }
         }
-        for (Course c = head, after; c != null; c = after) {
-            after = c.next;
-            c.look(now);
-        }
+        List.copyOf(open).forEach(c -> c.look(now));
         port.later(shortest / 10, this::sweepAndWait);
     }
 
@@ -503,8 +477,6 @@
     private final class Course implements Port.Held {
         final Req req;
         final int load;
-        Course next;
-        Course last;
         boolean over;
         boolean streaming;
         int live;
@@ -513,13 +485,7 @@
         Course(Req req) {
             this.req = req;
             load = req.cost > 0 ? req.cost : (int) Math.max(1, meanCost);
-            last = tail;
-            if (tail == null) {
-                head = this;
-            } else {
-                tail.next = this;
-            }
-            tail = this;
+            open.add(this);
         }
 
         boolean met(int b) {
@@ -530,8 +496,8 @@
         boolean allows(int b, long now) {
             RuleSet set = req.ruleSet;
             for (Leg leg : legs) {
-                if (leg.mayHaveRun && set.effect() != Effect.REPLAYABLE && (set.effect() == Effect.NON_REPLAYABLE
-                        || now >= leg.sent + set.window()
+                if (leg.mayHaveRun && set.effect() != Effect.REPLAYABLE
+                        && (set.effect() == Effect.NON_REPLAYABLE || now >= leg.sent + set.window()
                         || set.group() == Group.ZONE && leg.inZone != zoneOf[b]
                         || set.group() == Group.CELL && leg.inPack != packOf[b])) {
                     return false;
@@ -566,15 +532,14 @@
         }
 
         void send(int b) {
-            long now = port.now();
-            Leg leg = new Leg(legs.size(), b, now, zoneOf[b], packOf[b]);
+            Leg leg = new Leg(legs.size(), b);
             legs.add(leg);
             live++;
-            settle(b, now);
+            settle(b, leg.sent);
             out[b]++;
             outCost[b] += load;
             spent[b] += load;
-            port.dispatch(req, b, req.due - now, (how, lag, ended) -> result(leg, how, lag, ended));
+            port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, lag, ended));
         }
 
         void result(Leg leg, Outcome how, long lag, boolean ended) {
@@ -630,16 +595,7 @@
             if (!good) {
                 misses++;
             }
-            if (last == null) {
-                head = next;
-            } else {
-                last.next = next;
-            }
-            if (next == null) {
-                tail = last;
-            } else {
-                next.last = last;
-            }
+            open.remove(this);
             legs.forEach(this::callOff);
         }
 
@@ -693,22 +649,21 @@
         }
     }
     /** One dispatch of a req. */
-    private static final class Leg {
+    private final class Leg {
         final int number;
         final int b;
-        final long sent;
+        final long sent = port.now();
         final int inZone;
         final int inPack;
         boolean isOut = true;
         boolean called;
         boolean mayHaveRun = true;
 
-        Leg(int number, int b, long sent, int inZone, int inPack) {
+        Leg(int number, int b) {
             this.number = number;
             this.b = b;
-            this.sent = sent;
-            this.inZone = inZone;
-            this.inPack = inPack;
+            inZone = zoneOf[b];
+            inPack = packOf[b];
         }
     }
 }
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -54,9 +54,6 @@
     private long micros;
     private Rules rules;
     private wheattrack.port.RuleSet[] sets;
-    private int busyAt;
-    private int heldAt;
-    private int fields;
 
     Door(long instance, JsonGenerator out) {
         this.instance = instance;
@@ -84,7 +81,7 @@
         StackTraceElement[] trace = e.getStackTrace();
         open("InternalError");
         out.writeStringField("msg", what + ": " + e + (trace.length > 0 ? " at " + trace[0] : ""));
-        out.writeEndObject();
+        end();
     }
 
     private void turn(String kind, Line line) throws IOException {
@@ -131,18 +128,14 @@
     private void configure(long seed, Settings s) {
         forget();
         sets = s.ruleSets();
-        busyAt = s.placeIn("report.fields", "busy");
-        heldAt = s.placeIn("report.fields", "rif");
-        fields = s.size("report.fields");
         rules = new Rules(this, seed, s.count("me", 0), s.count("balancers", 1), sets);
         rules.limits(s.count("limits.maxDispatches", 1), s.flag("limits.mayCancel"),
-            s.flag("limits.mayDuplicate"), s.flag("limits.retryAfter") ? s.time("limits.maxRetryAfter", 0) : 0);
+            s.flag("limits.mayDuplicate"),
+            s.flag("limits.retryAfter") ? s.time("limits.maxRetryAfter", 0) : 0);
         rules.zones(s.count("zone", 0), s.number("prices.crossZone", 0));
         rules.cold(s.number("rules.startCapacity", 1), s.time("rules.cold", 0),
             s.number("rules.fallMultiple", 1), s.time("rules.fall", 0));
-        rules.tenants(s.quotas(), s.number("excessValue", 1));
         rules.goal(s.number("goal.punctual", 0));
-        rules.probing(s.flag("limits.probing") && fields > 0 && (busyAt >= 0 || heldAt >= 0));
         rules.start(s.word("discovery", "").equals("subscribe"), s.time("rules.askEvery", 10_000_000));
     }
 
@@ -283,8 +276,8 @@
         srv.gone = false;
         long up = (long) r.number("upSince", 0);
         double weight = r.number("weight", 1);
-        rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0), weight,
-            up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Drill.UNIT), fresh);
+        rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0),
+            weight, up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Drill.UNIT), fresh);
     }
 
     private Srv admit(long id) {
@@ -316,6 +309,11 @@
         out.writeNumberField("proxyId", instance);
     }
 
+    private void end() throws IOException {
+        out.writeEndObject();
+        out.writeRaw('\n');
+    }
+
     /** One line out: a kind, at most a rid, and up to two numbers. */
     private void write(String kind, Guest guest, String name, long value, String name2, long value2) {
         try {
@@ -329,7 +327,7 @@
             if (name2 != null) {
                 out.writeNumberField(name2, value2);
             }
-            out.writeEndObject();
+            end();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -386,7 +384,7 @@
         try {
             open("Subscribe");
             out.writeBooleanField("on", true);
-            out.writeEndObject();
+            end();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -402,7 +400,7 @@
         try {
             open("SayLog");
             out.writeStringField("msg", text);
-            out.writeEndObject();
+            end();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/wheattrack/drill/Drill.java
+++ b/src/main/java/wheattrack/drill/Drill.java
@@ -38,7 +38,7 @@
         JsonFactory json = new JsonFactory();
         this.in = json.createParser(in);
         this.out = json.createGenerator(out);
-        this.out.setRootValueSeparator(new SerializedString("\n"));
+        this.out.setRootValueSeparator(new SerializedString(""));
     }
 
     /** Runs until the input ends. */
@@ -48,7 +48,7 @@
                 batch(line.number("simTime"));
             }
         } catch (BadInput e) {
-            throw new BadInput("line " + in.currentTokenLocation().getLineNr() + ": " + e.getMessage());
+            throw new BadInput("line " + in.currentLocation().getLineNr() + ": " + e.getMessage());
         } catch (JsonProcessingException e) {
             throw new BadInput("line " + e.getLocation().getLineNr() + ": malformed JSON: "
                 + e.getOriginalMessage().split("\n")[0]);
--- a/src/main/java/wheattrack/drill/Line.java
+++ b/src/main/java/wheattrack/drill/Line.java
@@ -11,9 +11,9 @@
 
 /** The fields of the message last read: scalars in reused slots, so that nothing is built for most lines. */
 final class Line {
-    static final String[] NAMES = {"kind", "simTime", "proxyId", "rid", "profile", "tenant", "targetKey", "due",
-        "sizeHint", "resent", "write", "leg", "backend", "status", "lag", "ended", "nonce", "seed", "mode", "rev",
-        "sheet", "neighbour", "contents"};
+    private static final String[] NAMES = {"kind", "simTime", "proxyId", "rid", "profile", "tenant",
+        "targetKey", "due", "sizeHint", "resent", "write", "leg", "backend", "status", "lag", "ended",
+        "nonce", "seed", "mode", "rev", "sheet", "neighbour", "contents"};
     private static final Map<String, Integer> SLOT = new HashMap<>();
 
     static {
--- a/src/main/java/wheattrack/drill/Settings.java
+++ b/src/main/java/wheattrack/drill/Settings.java
@@ -44,23 +44,11 @@
         return at(path) instanceof List<?> l ? l : List.of();
     }
 
-    int size(String path) {
-        return list(path).size();
-    }
-
-    int placeIn(String path, String word) {
-        return list(path).indexOf(word);
-    }
-
     @SuppressWarnings("unchecked")
     private static Settings of(Object entry) {
         return new Settings(entry instanceof Map<?, ?> ? (Map<String, Object>) entry : Map.of());
     }
 
-    double[] quotas() {
-        return list("tenants").stream().mapToDouble(t -> of(t).number("quotaPerS", 0)).toArray();
-    }
-
     RuleSet[] ruleSets() {
         List<?> sets = list("ruleSets");
         RuleSet[] out = new RuleSet[sets.size()];
@@ -77,9 +65,9 @@
                 default -> RuleSet.Group.CELL;
             };
             long timeout = s.time("clientTimeout", 1_000_000);
-            out[i] = new RuleSet(i, Math.max(1, Math.min(timeout, s.time("responseTarget", 1_000_000))), timeout,
-                effect, group, s.time("window", 0), s.number("value", 1), s.number("overdueValue", 0),
-                s.flag("stream"));
+            long target = Math.max(1, Math.min(timeout, s.time("responseTarget", 1_000_000)));
+            out[i] = new RuleSet(i, target, timeout, effect, group, s.time("window", 0),
+                s.number("value", 1), s.number("overdueValue", 0), s.flag("stream"));
         }
         return out;
     }
--- /dev/null
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -0,0 +1,167 @@
+package wheattrack;
+
+import static wheattrack.World.SECOND;
+
+import java.io.IOException;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import wheattrack.port.Outcome;
+import wheattrack.port.RuleSet.Effect;
+import wheattrack.port.RuleSet.Group;
+
+class RulesTest {
+    private static final int[] COSTS = {10, 20, 30, 40, 50, 60, 70, 80};
+
+    private static World replayable(int srvs, boolean duplicates) {
+        return World.of(srvs, 0, World.set(Effect.REPLAYABLE, Group.ALL, 0), duplicates, false);
+    }
+
+    /** Equal shares of summed cost in id order; a value on a cut is split; crowded srvs are passed over. */
+    @Test
+    void cutsAndPassesOver() throws IOException {
+        World w = replayable(4, false);
+        w.busy(3, COSTS);
+        for (int cost : COSTS) {
+            int[] went = new int[4];
+            w.quiet = true;
+            for (int i = 0; i < 20; i++) {
+                w.arrive("x", cost);
+                went[w.last]++;
+                w.pass(cost);
+                w.end(Outcome.DONE);
+            }
+            w.quiet = false;
+            w.say(cost + ": " + Arrays.toString(went));
+        }
+        w.say("four alike at once");
+        for (int i = 0; i < 4; i++) {
+            w.arrive("r" + i, 100);
+        }
+        w.matches("cuts");
+    }
+
+    /** No effect twice: after which outcome a non-replayable req goes on, is denied or is aborted. */
+    @Test
+    void nonReplayable() throws IOException {
+        World w = new World();
+        for (Outcome how : Outcome.values()) {
+            if (how != Outcome.DONE) {
+                World one = World.of(2, 0, World.set(Effect.NON_REPLAYABLE, Group.ALL, 0), true, false);
+                one.set0 = World.set(Effect.NON_REPLAYABLE, Group.ALL, 0);
+                one.arrive("pay", 100);
+                one.end(how);
+                w.say(how + ":\n" + one.trace);
+            }
+        }
+        w.matches("non-replayable");
+    }
+
+    /** A uniqued req that may have run is sent again inside its group and window only. */
+    @Test
+    void uniqued() throws IOException {
+        World w = new World();
+        for (Group group : Group.values()) {
+            for (long wait : new long[] {SECOND / 10 - 1, SECOND / 10}) {
+                World one = World.of(7, 0, World.set(Effect.UNIQUED, group, 0.5), true, false);
+                one.set0 = World.set(Effect.UNIQUED, group, 0.5);
+                one.arrive("mark", 100);
+                one.pass(wait);
+                one.end(Outcome.RESET);
+                w.say(group + " after " + wait + ":\n" + one.trace);
+            }
+        }
+        w.matches("uniqued");
+    }
+
+    /** Drained, gone, stale after a restart, one left, none: nothing new goes to who left. */
+    @Test
+    void listChanges() throws IOException {
+        World w = replayable(3, true);
+        w.list(0, false, Long.MIN_VALUE / 2);
+        w.rules.gone(1);
+        w.rules.listed(false);
+        w.arrive("a", 100);
+        w.arrive("odd", Integer.MAX_VALUE / 4);
+        w.end(0, Outcome.DONE);
+        w.list(2, false, Long.MIN_VALUE / 2);
+        w.arrive("b", 0);
+        w.say("restarted with the saved list");
+        World again = World.of(1, 0, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, true);
+        again.rules.listFailed();
+        again.rules.listFailed();
+        again.pass(2 * SECOND);
+        again.rules.listed(false);
+        again.pass(20 * SECOND);
+        w.say(again.trace.toString());
+        w.matches("list");
+    }
+
+    /** Incident, pushed-over cold srvs: three proxies under full load keep a fresh srv within its budget. */
+    @Test
+    void freshSrvUnderAllProxies() throws IOException {
+        World w = new World();
+        for (int me = 0; me < 3; me++) {
+            World one = World.of(3, me, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+            one.busy(4, COSTS);
+            one.list(3, true, one.now());
+            one.rules.listed(false);
+            for (int s = 0; s < 9; s++) {
+                int before = one.sent.size();
+                one.fresh = 0;
+                one.busy(1, COSTS);
+                w.say(me + " in second " + s + ": " + one.fresh + " of " + (one.sent.size() - before));
+            }
+        }
+        w.matches("fresh");
+    }
+
+    /** amman quiet, falsely shut srvs; repas big-1, hung srvs found late: silence shuts, an answer opens. */
+    @Test
+    void hungSrv() throws IOException {
+        for (boolean duplicates : new boolean[] {true, false}) {
+            World w = replayable(3, duplicates);
+            w.busy(2, COSTS);
+            int first = w.sent.size();
+            for (int i = 0; i < 8; i++) {
+                w.arrive("r" + i, 10 * i + 10);
+                w.pass(300);
+                for (int k = first; k < w.sent.size(); k++) {
+                    if (w.where.get(k) != 0) {
+                        w.end(k, Outcome.DONE);
+                    }
+                }
+                first = w.sent.size();
+            }
+            w.pass(SECOND);
+            w.arrive("trial", 10);
+            w.end(Outcome.DONE);
+            w.matches("hung-" + (duplicates ? "copies" : "moves"));
+        }
+    }
+
+    /** repas, wasted late work: past its target a req that earns nothing is called off and denied at once. */
+    @Test
+    void pastItsTarget() throws IOException {
+        World w = replayable(1, false);
+        w.arrive("late", 100);
+        w.pass(SECOND / 2);
+        w.arrive("next", 4000);
+        w.end(0, Outcome.CANCELLED);
+        w.arrive("queued behind the ghost", 100);
+        w.matches("late");
+    }
+
+    /** repas big-1, full srvs asked again and again: a full answer teaches how much room there is. */
+    @Test
+    void roomLearnt() throws IOException {
+        World w = replayable(2, false);
+        w.busy(2, COSTS);
+        for (int i = 0; i < 6; i++) {
+            w.arrive("r" + i, 100);
+            if (i % 3 == 2) {
+                w.end(Outcome.FULL);
+            }
+        }
+        w.matches("room");
+    }
+}
