Waits may be long for a moment but not stand: fewer overdriven servers

Cause: waits up to the whole target keep srvs crowded for good. Change: a srv whose mean wait over the last second exceeds an eighth of the tightest target takes no more until it falls.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -26,6 +26,7 @@
     private static final long RECUT = SECOND;       // recompute period
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
+    private static final double CALM = 0.125;        // of the tightest target: a mean wait that may stand
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -71,6 +72,7 @@
     private double[] busy = new double[MOST];          // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
     private long[] silence = new long[MOST];        // time with something out there since its last answer
+    private double[] stand = new double[MOST];      // mean wait over the last second
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST];
     private long[] trialGap = new long[MOST];
@@ -364,6 +366,11 @@
         return (costSum[b] + prior * usualPace * weight[b]) / (busy[b] + prior);
     }
 
+    /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
+    private boolean takes(int b, long left) {
+        return finish(b, 0) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
+    }
+
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
     private double finish(int b, int cost) {
         settle(b, port.now());
@@ -411,7 +418,7 @@
             allShut &= shut[b];
         }
         int spare = -1;
-        int worst = 4;
+        int worst = 5;
         for (int k = 0; k < n; k++) {
             int b = order[(from + k) % n];
             if (!ready[b] || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
@@ -424,7 +431,7 @@
             double fair = shares > 0 ? sum * share[b] / shares : 0;
             boolean crowded = out[b] >= 1 && outCost[b] > 1.5 * fair + meanCost / 2;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
-            int rank = finish(b, c.load) > c.left(now) ? 3 : dear ? 2 : crowded ? 1 : 0;
+            int rank = !takes(b, c.left(now)) ? 4 : finish(b, c.load) > c.left(now) ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
                 return b;
             }
@@ -454,6 +461,7 @@
     private void sweepAndWait() {
         long now = port.now();
         for (int b : order) {
+            stand[b] += (finish(b, 0) - stand[b]) * shortest / 10 / SECOND;
             if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
                 shut[b] = true;
                 trialGap[b] = shortest;
@@ -516,7 +524,7 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            if (b >= 0 && finish(b, 0) <= left(now) * mayWait) {
+            if (b >= 0 && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
                 giveUp();
