Others' queue shows in a pace well under the fleet's best

Change: a wait also counts what others queue, seen as the present pace against the fleet's best of late; the more proxies, the sooner. Told from heavy reqs and slow srvs: all srvs at once, and few of our own out.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -90,7 +90,8 @@
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
     private double misses;
     private double judged;
-    private double usualPace = 1;
+    private double usualPace = 1;                   // the fleet's, by weight
+    private double bestPace;                        // the best it was of late
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
@@ -296,6 +297,7 @@
                 warmCost += costSum[b];
             }
         }
+        bestPace = Math.max(bestPace * 0.98, usualPace);
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         open.forEach(c -> c.addLateness(now));
@@ -366,9 +368,15 @@
         return (costSum[b] + prior * usualPace * weight[b]) / (busy[b] + prior);
     }
 
+    /** The wait there: what is out from us, or what of others shows in a pace well under the fleet's best. */
+    private double waiting(int b) {
+        double service = meanCost / (Math.max(bestPace, usualPace) * weight[b]);
+        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 4.0 / balancers) * service);
+    }
+
     /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
     private boolean takes(int b, long left) {
-        return finish(b, 0) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
+        return waiting(b) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
     }
 
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
@@ -461,7 +469,7 @@
     private void sweepAndWait() {
         long now = port.now();
         for (int b : order) {
-            stand[b] += (finish(b, 0) - stand[b]) * shortest / 10 / SECOND;
+            stand[b] += (waiting(b) - stand[b]) * shortest / 10 / SECOND;
             if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
                 shut[b] = true;
                 trialGap[b] = shortest;
