Figures of an idle srv no longer deny: no standing denial after an outage

Cause, from a print of the figures behind the denies: the pace learnt during the outage was never learnt anew, as nothing was sent. Ruled out: shut srvs (2 of 25), room, cold budgets. Change: what others queue counts only for srvs that were busy for us lately; the fleet's best starts with the first learnt pace.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -297,7 +297,7 @@
                 warmCost += costSum[b];
             }
         }
-        bestPace = Math.max(bestPace * 0.98, usualPace);
+        bestPace = time > 0 ? Math.max(bestPace * 0.98, usualPace) : 0;
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         open.forEach(c -> c.addLateness(now));
@@ -370,8 +370,11 @@
 
     /** The wait there: what is out from us, or what of others shows in a pace well under the fleet's best. */
     private double waiting(int b) {
+        if (busy[b] < SECOND) {
+            return finish(b, 0);        // incident: judged by old figures, idle srvs were denied to all for good
+        }
         double service = meanCost / (Math.max(bestPace, usualPace) * weight[b]);
-        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 4.0 / balancers) * service);
+        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * service);
     }
 
     /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
