--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -371,7 +371,7 @@
     /** The wait there: what is out from us, or what of others shows in a pace well under the fleet's best. */
     private double waiting(int b) {
         if (busy[b] < SECOND) {
-            return finish(b, 0);        // incident: judged by old figures, idle srvs were denied to all for good
+            return finish(b, 0);        // incident: by old figures, idle srvs were denied to all
         }
         double service = meanCost / (Math.max(bestPace, usualPace) * weight[b]);
         return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * service);
@@ -442,7 +442,8 @@
             double fair = shares > 0 ? sum * share[b] / shares : 0;
             boolean crowded = out[b] >= 1 && outCost[b] > 1.5 * fair + meanCost / 2;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
-            int rank = !takes(b, c.left(now)) ? 4 : finish(b, c.load) > c.left(now) ? 3 : dear ? 2 : crowded ? 1 : 0;
+            boolean late = finish(b, c.load) > c.left(now);
+            int rank = !takes(b, c.left(now)) ? 4 : late ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
                 return b;
             }
