Random ready srv while the window is thin; others' queue against the hints' own time

Change: under 8 hints a srv the random pick stays; pass-over from 1.2 fair shares on; a wait beyond the hints' own time counts as others' queue in place of a fading best.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -27,6 +27,7 @@
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double CALM = 0.125;        // of the tightest target: a mean wait that may stand
+    private static final int THIN = 8;              // hints a srv, below which cuts would jump
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -91,7 +92,6 @@
     private double misses;
     private double judged;
     private double usualPace = 1;                   // the fleet's, by weight
-    private double bestPace;                        // the best it was of late
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
@@ -297,7 +297,6 @@
                 warmCost += costSum[b];
             }
         }
-        bestPace = time > 0 ? Math.max(bestPace * 0.98, usualPace) : 0;
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         open.forEach(c -> c.addLateness(now));
@@ -326,7 +325,7 @@
     private int place(int cost) {
         int n = order.length;
         double all = n == 0 ? 0 : ends[n - 1];
-        if (cost <= 0 || values.length == 0 || all <= 0) {
+        if (cost <= 0 || values.length < THIN * n || all <= 0) {
             return (int) (chance() * n);
         }
         double lo = below[bound(cost)];
@@ -368,13 +367,12 @@
         return (costSum[b] + prior * usualPace * weight[b]) / (busy[b] + prior);
     }
 
-    /** The wait there: what is out from us, or what of others shows in a pace well under the fleet's best. */
+    /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
         if (busy[b] < SECOND) {
             return finish(b, 0);        // incident: by old figures, idle srvs were denied to all
         }
-        double service = meanCost / (Math.max(bestPace, usualPace) * weight[b]);
-        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * service);
+        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
     }
 
     /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
@@ -440,7 +438,7 @@
                 continue;
             }
             double fair = shares > 0 ? sum * share[b] / shares : 0;
-            boolean crowded = out[b] >= 1 && outCost[b] > 1.5 * fair + meanCost / 2;
+            boolean crowded = out[b] >= 1 && outCost[b] > 1.2 * fair + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
             boolean late = finish(b, c.load) > c.left(now);
             int rank = !takes(b, c.left(now)) ? 4 : late ? 3 : dear ? 2 : crowded ? 1 : 0;
