--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -61,8 +61,6 @@
     private double[] weight = new double[MOST];
     private long[] upSince = new long[MOST];
     private double[] share = new double[MOST];
-    private double[] speed = new double[MOST];         // learnt, against the weight; 1 is as listed
-    private double[] lagSum = new double[MOST];
     private double[] costSum = new double[MOST];
     private double[] tries = new double[MOST];
     private double[] fails = new double[MOST];
@@ -93,7 +91,6 @@
     private double judged;
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
-    private double slowness = 1;                    // fleet's lag over cost
     private double meanCost = 1;
     private double meanWorth = 1;
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
@@ -169,8 +166,7 @@
         upSince[b] = up;
         ready[b] = healthy;
         if (restarted) {
-            speed[b] = 1;
-            lagSum[b] = costSum[b] = busy[b] = tries[b] = fails[b] = 0;
+            costSum[b] = busy[b] = tries[b] = fails[b] = 0;
             shut[b] = false;
             room[b] = MOST;
         }
@@ -237,7 +233,7 @@
         double sum = 0;
         for (int i = 0; i < n; i++) {
             int b = order[i];
-            share[b] = weight[b] * speed[b] * health(b, usual) * warmth(b, now)
+            share[b] = Math.sqrt(weight[b] * pace(b)) * health(b, usual) * warmth(b, now)
                 * (zoneOf[b] == zone ? 1 : abroad);
             ends[i] = sum += share[b];
         }
@@ -281,7 +277,7 @@
         return spent[b] + load <= rate * fall / 2;
     }
 
-    /** Shares follow what dispatches took against their cost: who answers slower than the fleet gets less. */
+    /** What srvs did for us while we had something out there, and how near those elsewhere count. */
     private void learn() {
         long now = port.now();
         double pace = 0;
@@ -299,18 +295,7 @@
         }
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
-        open.forEach(c -> c.addLateness(now));
-        double lag = Arrays.stream(order).mapToDouble(b -> lagSum[b]).sum();
-        double cost = Arrays.stream(order).mapToDouble(b -> costSum[b]).sum();
-        if (cost > 0 && lag > 0) {
-            slowness = lag / cost;
-            for (int b : order) {
-                double prior = meanCost * 2;
-                double own = (lagSum[b] + prior * slowness) / (costSum[b] + prior) / slowness;
-                speed[b] = Math.min(4, Math.max(0.1, Math.pow(speed[b], 0.98) * Math.pow(own, -0.25)));
-            }
-        }
-        for (double[] sum : new double[][] {lagSum, costSum, busy, tries, fails}) {
+        for (double[] sum : new double[][] {costSum, busy, tries, fails}) {
             for (int b = 0; b < slots; b++) {
                 sum[b] *= KEEP;
             }
@@ -557,10 +542,10 @@
             out[b]++;
             outCost[b] += load;
             spent[b] += load;
-            port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, lag, ended));
+            port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, ended));
         }
 
-        void result(Leg leg, Outcome how, long lag, boolean ended) {
+        void result(Leg leg, Outcome how, boolean ended) {
             int b = leg.b;
             leg.isOut = false;
             leg.mayHaveRun = !how.neverRan;
@@ -580,7 +565,6 @@
             }
             if (how == Outcome.DONE) {
                 room[b] += 1 / Math.max(1, room[b]);
-                lagSum[b] += lag;
                 costSum[b] += load;
             }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
@@ -646,14 +630,6 @@
             }
         }
 
-        void addLateness(long now) {
-            for (Leg leg : legs) {
-                if (leg.isOut && now - leg.sent > 2 * load * slowness) {
-                    lagSum[leg.b] += (now - leg.sent) * (1 - KEEP);
-                }
-            }
-        }
-
         @Override
         public void streams(int leg) {
             streaming = true;
