A light req weighs like a mean one in a cold srv's budget

The tapped traffic showed 141 light reqs in that second whose summed hints were no more than its fair load: what reaches a cold srv counts by the req, and the lightest interval gets the most. Ruled out: the turns (over by then), a stale list (told at 22 s), heavy reqs. Change: in the budget each req weighs at least the mean cost.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -263,7 +263,10 @@
         return age >= cold / 2 || age >= 0 && age / Math.max(1, fall / 4) % balancers == me;
     }
 
-    /** Found by incident: a cold srv fell over under heavy or refused reqs, though its share was small. */
+    /**
+     * Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean one,
+     * for each that reaches a cold srv counts; those on the lightest interval fell over first.
+     */
     private boolean bears(int b, int load, long now) {
         if (now - upSince[b] >= cold) {
             return true;
@@ -274,7 +277,7 @@
         double rate = fallMultiple / 4 * warmth(b, now) * usualLoad * weight[b];
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
-        return spent[b] + load <= rate * fall / 2;
+        return spent[b] + Math.max(load, meanCost) <= rate * fall / 2;
     }
 
     /** What srvs did for us while we had something out there, and how near those elsewhere count. */
@@ -541,7 +544,7 @@
             settle(b, leg.sent);
             out[b]++;
             outCost[b] += load;
-            spent[b] += load;
+            spent[b] += Math.max(load, meanCost);
             port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, ended));
         }
 
