--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -264,8 +264,8 @@
     }
 
     /**
-     * Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean one,
-     * for each that reaches a cold srv counts; those on the lightest interval fell over first.
+     * Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
+     * one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
      */
     private boolean bears(int b, int load, long now) {
         if (now - upSince[b] >= cold) {
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -96,14 +96,16 @@
         w.matches("list");
     }
 
-    /** Incident, pushed-over cold srvs: three proxies under full load keep a fresh srv within its budget. */
+    /** Incident, cold srvs pushed over by light reqs: three proxies keep a fresh srv within its budget. */
     @Test
     void freshSrvUnderAllProxies() throws IOException {
         World w = new World();
         for (int me = 0; me < 3; me++) {
-            World one = World.of(3, me, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+            World one = World.of(4, me, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+            one.rules.gone(0);
+            one.rules.listed(false);
             one.busy(4, COSTS);
-            one.list(3, true, one.now());
+            one.list(0, true, one.now());
             one.rules.listed(false);
             for (int s = 0; s < 9; s++) {
                 int before = one.sent.size();
--- a/src/test/java/wheattrack/World.java
+++ b/src/test/java/wheattrack/World.java
@@ -125,7 +125,7 @@
     @Override
     public void dispatch(Req req, int backend, long tryFor, Result next) {
         last = backend;
-        fresh += backend == 3 ? 1 : 0;
+        fresh += backend == 0 ? 1 : 0;
         say(req.door + " -> " + (10 * backend + 10) + " for " + tryFor / 10 + " ms");
         where.add(backend);
         sent.add(next);
