A srv that turns us away with nothing out there is shut until a trial

Cause: room falls to one but with nothing out there every next req tries again. Ruled out: the two dead srvs, hung srvs.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -461,16 +461,20 @@
         for (int b : order) {
             stand[b] += (waiting(b) - stand[b]) * shortest / 10 / SECOND;
             if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
-                shut[b] = true;
-                trialGap[b] = shortest;
-                trialAt[b] = now + trialGap[b];
-                port.log("shut " + id[b] + ": " + out[b] + " out, silent for " + silence[b] / 10 + " ms");
+                shut(b, out[b] + " out, silent for " + silence[b] / 10 + " ms");
             }
         }
         List.copyOf(open).forEach(c -> c.look(now));
         port.later(shortest / 10, this::sweepAndWait);
     }
 
+    private void shut(int b, String why) {
+        shut[b] = true;
+        trialGap[b] = shortest;
+        trialAt[b] = port.now() + trialGap[b];
+        port.log("shut " + id[b] + ": " + why);
+    }
+
     private void answered(int b) {
         silence[b] = 0;
         if (shut[b]) {
@@ -565,6 +569,9 @@
             }
             if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
                 room[b] = Math.min(room[b], out[b]);
+                if (out[b] == 0 && !shut[b]) {      // incident: 4 dispatches a req into closed doors
+                    shut(b, "turned away with nothing out");
+                }
             }
             if (how == Outcome.DONE) {
                 room[b] += 1 / Math.max(1, room[b]);
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -153,7 +153,7 @@
         w.matches("late");
     }
 
-    /** repas big-1, full srvs asked again and again: a full answer teaches how much room there is. */
+    /** repas big-1, full srvs asked again and again: full answers teach the room. (Also i6d7f1e.) */
     @Test
     void roomLearnt() throws IOException {
         World w = replayable(2, false);
@@ -164,6 +164,15 @@
                 w.end(Outcome.FULL);
             }
         }
+        World one = replayable(2, false);
+        one.arrive("first", 100);
+        one.end(Outcome.NO_CONNECT);
+        one.end(Outcome.DONE);
+        for (int i = 0; i < 4; i++) {
+            one.arrive("s" + i, 100);
+            one.end(Outcome.DONE);
+        }
+        w.say("nothing out there and no connection:\n" + one.trace);
         w.matches("room");
     }
 }
