--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -595,7 +595,7 @@
         void giveUp() {
             close(false);
             if (mayDeny()) {
-                port.deny(req, maxWait);
+                port.deny(req, Math.min(maxWait, Math.max(0, left(port.now()) / 4)));
             } else {
                 port.abort(req);
             }
