--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -595,7 +595,8 @@
         void giveUp() {
             close(false);
             if (mayDeny()) {
-                port.deny(req, Math.min(maxWait, Math.max(0, left(port.now()) / 4)));
+                long left = left(port.now());
+                port.deny(req, left < req.ruleSet.target() / 4 ? maxWait : Math.min(maxWait, left / 4));
             } else {
                 port.abort(req);
             }
