--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -357,7 +357,7 @@
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
-        if (busy[b] < SECOND) {
+        if (busy[b] < SECOND / 2) {
             return finish(b, 0);        // incident: by old figures, idle srvs were denied to all
         }
         return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
