--- a/src/main/java/wheattrack/drill/Drill.java
+++ b/src/main/java/wheattrack/drill/Drill.java
@@ -51,7 +51,7 @@
             throw new BadInput("line " + in.currentLocation().getLineNr() + ": " + e.getMessage());
         } catch (JsonProcessingException e) {
             throw new BadInput("line " + e.getLocation().getLineNr() + ": malformed JSON: "
-                + e.getOriginalMessage().split("\n")[0]);
+                + e.getOriginalMessage().split("\n")[0].replaceAll("[ :]*\\(.*", ""));
         }
         out.flush();
     }
