--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -15,7 +15,7 @@
 
 /*
  * All decisions of one proxy. How to call: construct, hand each part its settings (limits, zones, cold,
- * tenants, goal, probing), then start; entry, gone and listed follow the list; arrive takes a req and returns
+ * goal), then start; entry, gone, listed and listFailed follow the list; arrive takes a req and returns
  * what the port tells of it later. The interface called out through is wheattrack.port.Port. Times are
  * tenths of a millisecond, backends dense indexes. The ordinary path is EQUILOAD, see docs/design.md.
  */
@@ -26,7 +26,7 @@
     private static final long RECUT = SECOND;       // recompute period
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
-    private static final double CALM = 0.125;        // of the tightest target: a mean wait that may stand
+    private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
     private static final int THIN = 8;              // hints a srv, below which cuts would jump
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
@@ -68,14 +68,14 @@
     private double[] room = new double[MOST];       // dispatches it has room for, as its full answers teach
     private double[] outCost = new double[MOST];
     private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
-    private double[] busy = new double[MOST];          // time with something out there, decaying
+    private double[] busy = new double[MOST];       // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
     private long[] silence = new long[MOST];        // time with something out there since its last answer
     private double[] stand = new double[MOST];      // mean wait over the last second
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST];
     private long[] trialGap = new long[MOST];
-    private double[] spent = new double[MOST];         // of a cold srv's budget, leaking
+    private double[] spent = new double[MOST];      // of a cold srv's budget, leaking
     private long[] spentAt = new long[MOST];
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
@@ -166,7 +166,8 @@
         upSince[b] = up;
         ready[b] = healthy;
         if (restarted) {
-            costSum[b] = busy[b] = tries[b] = fails[b] = 0;
+            costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = 0;
+            silence[b] = 0;
             shut[b] = false;
             room[b] = MOST;
         }
@@ -198,8 +199,8 @@
     // ---- the cut
 
     private void recutAndWait() {
+        learn();
         if (seen > 0) {
-            learn();
             int n = Math.min(seen, HINTS);
             values = Arrays.copyOf(window, n);
             Arrays.sort(values);
@@ -357,7 +358,7 @@
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
-        if (busy[b] < SECOND / 2) {
+        if (seen == 0 || busy[b] < SECOND / 2) {
             return finish(b, 0);        // incident: by old figures, idle srvs were denied to all
         }
         return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
@@ -371,7 +372,7 @@
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
     private double finish(int b, int cost) {
         settle(b, port.now());
-        return (outCost[b] + ghost[b] + Math.max(cost, 1)) / pace(b);
+        return (outCost[b] + ghost[b] + cost) / pace(b);
     }
 
     /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -175,4 +175,27 @@
         w.say("nothing out there and no connection:\n" + one.trace);
         w.matches("room");
     }
+
+    /** Without hints a random ready srv takes each req, long lags alone deny nothing, a cold srv is met. */
+    @Test
+    void noHints() throws IOException {
+        World w = replayable(4, false);
+        w.rules.gone(3);
+        w.rules.listed(false);
+        w.quiet = true;
+        for (int i = 0; i < 120; i++) {
+            w.arrive("plain", 0);
+            w.pass(1000);
+            w.end(Outcome.DONE);
+            if (i == 40) {
+                w.list(3, true, w.now());
+                w.rules.listed(false);
+            }
+        }
+        w.quiet = false;
+        int[] went = new int[4];
+        w.where.forEach(b -> went[b]++);
+        w.say("of 120: " + Arrays.toString(went));
+        w.matches("no-hints");
+    }
 }
