Tidy-up: each srv's finish is worked out once, dead clock field and derivable test state out

In the pick, a srv's finish and the time left were worked out up to three times; a check that something is out was implied by the cost out there; the two skips are one. The test world kept the last backend and a count that its list of dispatches tells.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -407,6 +407,7 @@
             return trial;
         }
         int from = place(c.req.cost);
+        long left = c.left(now);
         double sum = 0;
         double shares = 0;
         boolean allShut = true;
@@ -417,25 +418,25 @@
         }
         int spare = -1;
         int worst = 5;
+        double soonest = 0;
         for (int k = 0; k < n; k++) {
             int b = order[(from + k) % n];
-            if (!ready[b] || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
+            if (!ready[b] || shut[b] && !allShut || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
                     || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
-            if (shut[b] && !allShut) {
-                continue;
-            }
             double fair = shares > 0 ? sum * share[b] / shares : 0;
-            boolean crowded = out[b] >= 1 && outCost[b] > 1.2 * fair + meanCost / 4;
+            boolean crowded = outCost[b] > 1.2 * fair + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
-            boolean late = finish(b, c.load) > c.left(now);
-            int rank = !takes(b, c.left(now)) ? 4 : late ? 3 : dear ? 2 : crowded ? 1 : 0;
+            double finish = finish(b, c.load);
+            boolean late = finish > left;
+            int rank = !takes(b, left) ? 4 : late ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
                 return b;
             }
-            if (rank < worst || rank == worst && finish(b, c.load) < finish(spare, c.load)) {
+            if (rank < worst || rank == worst && finish < soonest) {
                 worst = rank;
+                soonest = finish;
                 spare = b;
             }
         }
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -51,7 +51,6 @@
     private final Map<Long, Runnable> timers = new HashMap<>();
     private long timer;
     private long now;
-    private long micros;
     private Rules rules;
     private wheattrack.port.RuleSet[] sets;
 
@@ -62,7 +61,6 @@
 
     /** The clock rounds up and each due rounds down, so that no limit is passed in between. */
     void at(long micros) {
-        this.micros = micros;
         now = Math.floorDiv(micros + Drill.UNIT - 1, (long) Drill.UNIT);
     }
 
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -4,6 +4,8 @@
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import wheattrack.port.Outcome;
 import wheattrack.port.RuleSet.Effect;
@@ -26,7 +28,7 @@
             w.quiet = true;
             for (int i = 0; i < 20; i++) {
                 w.arrive("x", cost);
-                went[w.last]++;
+                went[w.where.get(w.where.size() - 1)]++;
                 w.pass(cost);
                 w.end(Outcome.DONE);
             }
@@ -47,7 +49,6 @@
         for (Outcome how : Outcome.values()) {
             if (how != Outcome.DONE) {
                 World one = World.of(2, 0, World.set(Effect.NON_REPLAYABLE, Group.ALL, 0), true, false);
-                one.set0 = World.set(Effect.NON_REPLAYABLE, Group.ALL, 0);
                 one.arrive("pay", 100);
                 one.end(how);
                 w.say(how + ":\n" + one.trace);
@@ -63,7 +64,6 @@
         for (Group group : Group.values()) {
             for (long wait : new long[] {SECOND / 10 - 1, SECOND / 10}) {
                 World one = World.of(7, 0, World.set(Effect.UNIQUED, group, 0.5), true, false);
-                one.set0 = World.set(Effect.UNIQUED, group, 0.5);
                 one.arrive("mark", 100);
                 one.pass(wait);
                 one.end(Outcome.RESET);
@@ -108,10 +108,10 @@
             one.list(0, true, one.now());
             one.rules.listed(false);
             for (int s = 0; s < 9; s++) {
-                int before = one.sent.size();
-                one.fresh = 0;
+                int before = one.where.size();
                 one.busy(1, COSTS);
-                w.say(me + " in second " + s + ": " + one.fresh + " of " + (one.sent.size() - before));
+                List<Integer> went = one.where.subList(before, one.where.size());
+                w.say(me + " in second " + s + ": " + Collections.frequency(went, 0) + " of " + went.size());
             }
         }
         w.matches("fresh");
--- a/src/test/java/wheattrack/World.java
+++ b/src/test/java/wheattrack/World.java
@@ -33,8 +33,7 @@
     private long now = 100 * SECOND;
     private long turns;
     private final Set<Integer> known = new HashSet<>();
-    int last = -1;
-    int fresh;
+    private RuleSet set0;
     boolean quiet;
     Rules rules;
 
@@ -45,6 +44,7 @@
     /** One proxy of three with srvs 0..n-1, named 10, 20, ..., in zones b % 2 and packs b % 3. */
     static World of(int srvs, int me, RuleSet set, boolean duplicates, boolean asks) {
         World w = new World();
+        w.set0 = set;
         w.rules = new Rules(w, 7, me, 3, new RuleSet[] {set});
         w.rules.limits(4, true, duplicates, SECOND);
         w.rules.zones(0, 0);
@@ -65,8 +65,6 @@
         return rules.arrive(new Req(set0, 0, 0, now, now + SECOND, cost, false, name));
     }
 
-    RuleSet set0 = set(Effect.REPLAYABLE, Group.ALL, 0);
-
     /** Ends the dispatch sent last, or the one of that number, as told. */
     void end(Outcome how) {
         end(sent.size() - 1, how);
@@ -124,8 +122,6 @@
 
     @Override
     public void dispatch(Req req, int backend, long tryFor, Result next) {
-        last = backend;
-        fresh += backend == 0 ? 1 : 0;
         say(req.door + " -> " + (10 * backend + 10) + " for " + tryFor / 10 + " ms");
         where.add(backend);
         sent.add(next);
