The req's own hint joins the cut, and hints are corrected by lags

The random pick for thin windows (THIN) is gone: a req's own hint counts as one more in the window, so that its stretch spans all of the cut when the window is empty and little when it is full, at equal shares of expected cost for any length.

Equal shares of hinted cost were up to seven times unequal in work, which hardly any proxy sees from one req in flight.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -27,7 +27,7 @@
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
-    private static final int THIN = 8;              // hints a srv, below which cuts would jump
+    private static final double DOUBT = 8;          // reqs that believe the hints before any lag is seen
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -92,6 +92,13 @@
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
+    private double trust = 1;                       // cost grows as this power of the hint
+    private double scale = 1;
+    private long compared;
+    private double meanHint;
+    private double meanLag;
+    private double spread;
+    private double slope;
     private double meanWorth = 1;
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
@@ -205,8 +212,15 @@
             values = Arrays.copyOf(window, n);
             Arrays.sort(values);
             below = new double[n + 1];
+            double sum = 0;
+            double bent = 0;
+            for (int hint : values) {
+                sum += hint;
+                bent += Math.pow(hint, trust);
+            }
+            scale = sum / bent;
             for (int i = 0; i < n; i++) {
-                below[i + 1] = below[i] + values[i];
+                below[i + 1] = below[i] + expected(values[i]);
             }
             meanCost = below[n] / n;
         }
@@ -310,21 +324,42 @@
         judged *= KEEP;
     }
 
-    /** The place in the order whose interval holds this cost; a value on a cut falls by covered share. */
+    /**
+     * The place in the order whose interval holds this cost; a value on a cut falls by covered share. The
+     * req's own hint counts as one more in the window: alone it spans all of the cut, among few a good part
+     * of it, so a thin window cuts nearly at random and a full one sharply, at equal shares throughout.
+     */
     private int place(int cost) {
         int n = order.length;
         double all = n == 0 ? 0 : ends[n - 1];
-        if (cost <= 0 || values.length < THIN * n || all <= 0) {
+        if (cost <= 0 || all <= 0) {
             return (int) (chance() * n);
         }
         double lo = below[bound(cost)];
-        double hi = below[bound(cost + 1)];
-        double at = (lo + chance() * (hi - lo)) / below[values.length] * all;
-        int i = 0;
-        while (i < n - 1 && ends[i] <= at) {
-            i++;
-        }
-        return i;
+        double own = expected(cost);
+        double hi = below[bound(cost + 1)] + own;
+        double at = (lo + chance() * (hi - lo)) / (below[values.length] + own) * all;
+        int i = Arrays.binarySearch(ends, at);
+        return Math.min(n - 1, i < 0 ? -i - 1 : i + 1);
+    }
+
+    /** The cost that a hint stands for: as far as lags bear it out, small hints hide more and large ones less. */
+    private double expected(int hint) {
+        return scale * Math.pow(hint, trust);
+    }
+
+    /** How steeply lags follow hints, in logs, beside some reqs that believe them; queues of our own left out. */
+    private void compare(int hint, long lag) {
+        double x = Math.log(hint);
+        double y = Math.log(Math.max(1, lag));
+        double step = Math.max(1.0 / HINTS, 1.0 / ++compared);
+        double dx = x - meanHint;
+        meanHint += step * dx;
+        meanLag += step * (y - meanLag);
+        spread += step * (dx * (x - meanHint) - spread);
+        slope += step * (dx * (y - meanLag) - slope);
+        double doubt = DOUBT / Math.min(compared, HINTS);
+        trust = Math.max(0.1, Math.min(1, (slope + doubt) / (spread + doubt)));
     }
 
     private int bound(int value) {
@@ -496,7 +531,7 @@
 
         Course(Req req) {
             this.req = req;
-            load = req.cost > 0 ? req.cost : (int) Math.max(1, meanCost);
+            load = (int) Math.max(1, req.cost > 0 ? expected(req.cost) : meanCost);
             open.add(this);
         }
 
@@ -576,6 +611,9 @@
                 }
             }
             if (how == Outcome.DONE) {
+                if (leg.alone && req.cost > 0) {
+                    compare(req.cost, port.now() - leg.sent);
+                }
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load;
             }
@@ -662,6 +700,7 @@
         final long sent = port.now();
         final int inZone;
         final int inPack;
+        final boolean alone;
         boolean isOut = true;
         boolean called;
         boolean mayHaveRun = true;
@@ -669,6 +708,7 @@
         Leg(int number, int b) {
             this.number = number;
             this.b = b;
+            alone = out[b] == 0;
             inZone = zoneOf[b];
             inPack = packOf[b];
         }
