Hints half believed at first; lags above the fit count a tenth

Cause: all proxies start in step and trusted the hints fully until lags came, so light intervals filled at 0:01; then, under load, queues flattened the fit.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -27,7 +27,9 @@
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
-    private static final double DOUBT = 8;          // reqs that believe the hints before any lag is seen
+    private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
+    private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
+    private static final double TINY = 1e-9;
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -92,9 +94,9 @@
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
-    private double trust = 1;                       // cost grows as this power of the hint
+    private double trust = 0.5;                     // cost grows as this power of the hint
     private double scale = 1;
-    private long compared;
+    private double compared;
     private double meanHint;
     private double meanLag;
     private double spread;
@@ -348,18 +350,22 @@
         return scale * Math.pow(hint, trust);
     }
 
-    /** How steeply lags follow hints, in logs, beside some reqs that believe them; queues of our own left out. */
+    /**
+     * How steeply lags follow hints, in logs, beside some reqs that half believe them. Lags above the fit
+     * hold others' queues and count little: taken in full, crowded fleets would look deaf to the hints.
+     */
     private void compare(int hint, long lag) {
-        double x = Math.log(hint);
-        double y = Math.log(Math.max(1, lag));
-        double step = Math.max(1.0 / HINTS, 1.0 / ++compared);
-        double dx = x - meanHint;
+        double dx = Math.log(hint) - meanHint;
+        double dy = Math.log(Math.max(1, lag)) - meanLag;
+        double counts = compared > 0 && dy > slope / (spread + TINY) * dx ? QUEUED : 1;
+        compared = Math.min(HINTS, compared + counts);
+        double step = counts / compared;
         meanHint += step * dx;
-        meanLag += step * (y - meanLag);
-        spread += step * (dx * (x - meanHint) - spread);
-        slope += step * (dx * (y - meanLag) - slope);
-        double doubt = DOUBT / Math.min(compared, HINTS);
-        trust = Math.max(0.1, Math.min(1, (slope + doubt) / (spread + doubt)));
+        meanLag += step * dy;
+        spread += step * ((1 - step) * dx * dx - spread);
+        slope += step * ((1 - step) * dx * dy - slope);
+        double doubt = DOUBT / compared;
+        trust = Math.max(0.1, Math.min(1, (slope + doubt / 2) / (spread + doubt)));
     }
 
     private int bound(int value) {
