--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -26,7 +26,7 @@
     private static final long RECUT = SECOND;       // recompute period
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
-    private static final double CALM = 0.25;        // of the tightest target: a mean wait that may stand
+    private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double TINY = 1e-9;
@@ -73,6 +73,7 @@
     private double[] busy = new double[MOST];       // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
     private long[] silence = new long[MOST];        // time with something out there since its last answer
+    private double[] stand = new double[MOST];      // mean wait over the last second
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST];
     private long[] trialGap = new long[MOST];
@@ -101,9 +102,6 @@
     private double spread;
     private double slope;
     private double meanWorth = 1;
-    private final double[] lags = new double[5];    // of our dispatches: count, costs, lags, squares, products
-    private double wait;                            // that of others' queues
-    private double refuse;                          // the part of reqs denied for it
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
     public Rules(Port port, long seed, int me, int balancers, RuleSet[] sets) {
@@ -177,7 +175,7 @@
         upSince[b] = up;
         ready[b] = healthy;
         if (restarted) {
-            costSum[b] = busy[b] = ghost[b] = tries[b] = fails[b] = 0;
+            costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = 0;
             silence[b] = 0;
             shut[b] = false;
             room[b] = MOST;
@@ -322,46 +320,12 @@
                 sum[b] *= KEEP;
             }
         }
-        shed();
         double late = judged > 0 ? misses / judged : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1.25 : 0.9)));
         misses *= KEEP;
         judged *= KEEP;
     }
 
-    /**
-     * Incident, all overdriven from within seconds: the wait that lags show beyond what grows with cost, a
-     * queue of all proxies' making. It may be long for a moment but not stand: while it does, a growing part
-     * is denied at once, the less a req is worth for its cost the more. A slowness alone denies nothing.
-     */
-    private void shed() {
-        double[] s = lags;
-        double before = wait;
-        if (s[0] > 0) {
-            double c = s[1] / s[0];
-            double usual = s[2] / s[1];
-            double vary = Math.max(0, s[3] - s[1] * c);
-            double prior = DOUBT * c * c;
-            double per = (s[4] - s[2] * c + prior * usual) / (vary + prior);
-            wait = Math.max(0, (s[2] - per * s[1]) / s[0]);
-        }
-        double calm = CALM * shortest;
-        refuse += 0.1 * Math.max(-1, Math.min(2, wait / calm - 1))
-            + 0.2 * Math.max(-1, Math.min(1, (wait - before) / calm));
-        refuse = Math.max(0, Math.min(0.95, refuse));
-        for (int i = 0; i < s.length; i++) {
-            s[i] *= KEEP;
-        }
-    }
-
-    private void lag(double cost, long lag) {
-        lags[0]++;
-        lags[1] += cost;
-        lags[2] += lag;
-        lags[3] += cost * cost;
-        lags[4] += cost * lag;
-    }
-
     /**
      * The place in the order whose interval holds this cost; a value on a cut falls by covered share. The
      * req's own hint counts as one more in the window: alone it spans all of the cut, among few a good part
@@ -433,8 +397,17 @@
         return (costSum[b] + prior * usualPace * weight[b]) / (busy[b] + prior);
     }
 
+    /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
+    private double waiting(int b) {
+        if (seen == 0 || busy[b] < SECOND / 2) {
+            return finish(b, 0);        // incident: by old figures, idle srvs were denied to all
+        }
+        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
+    }
+
+    /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
     private boolean takes(int b, long left) {
-        return finish(b, 0) <= left * mayWait;
+        return waiting(b) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
     }
 
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
@@ -529,6 +502,7 @@
     private void sweepAndWait() {
         long now = port.now();
         for (int b : order) {
+            stand[b] += (waiting(b) - stand[b]) * shortest / 10 / SECOND;
             if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
                 shut(b, out[b] + " out, silent for " + silence[b] / 10 + " ms");
             }
@@ -595,8 +569,7 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            boolean shed = legs.isEmpty() && chance() < Math.pow(refuse, worth() / load * meanCost / meanWorth);
-            if (b >= 0 && !shed && takes(b, left(now))) {
+            if (b >= 0 && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
                 giveUp();
@@ -650,9 +623,6 @@
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load;
             }
-            if (!shut[b] && (how == Outcome.DONE || leg.called && over && live == 0)) {
-                lag(load, port.now() - leg.sent);
-            }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
                 answered(b);
             }
