Early give-up only where the advised wait outlasts the client

Now a req is given up at its target only if the longest wait it may be told outlasts its client's time.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -667,7 +667,8 @@
 
         /** A req stuck at a shut srv moves on: by a copy, or else by calling the first off. */
         void look(long now) {
-            if (!streaming && req.ruleSet.overdue() == 0 && left(now) <= shortest / 10) {
+            if (!streaming && req.ruleSet.overdue() == 0 && left(now) <= shortest / 10
+                    && now + maxWait >= req.arrived + req.ruleSet.timeout()) {
                 giveUp();
                 return;
             }
