--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -30,6 +30,7 @@
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double TINY = 1e-9;
+    private static final double MISSED = 0.15;      // of the reqs sent: late or lost, as many as may be
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -102,6 +103,9 @@
     private double spread;
     private double slope;
     private double meanWorth = 1;
+    private double sent;
+    private double sentLate;
+    private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
     public Rules(Port port, long seed, int me, int balancers, RuleSet[] sets) {
@@ -320,6 +324,11 @@
                 sum[b] *= KEEP;
             }
         }
+        double missed = sent > 0 ? sentLate / (sent + 2) : 0;
+        refuse = Math.max(0, Math.min(0.95, refuse + 0.1 * Math.max(-1, Math.min(2, missed / MISSED - 1))));
+        if (me == 7) { double st = 0, g = 0; int sh = 0; for (int b : order) { st += stand[b]; g += ghost[b]; sh += shut[b] ? 1 : 0; } port.log(String.format("t refuse %.2f missed %.2f sent %.1f stand %.0f ghost %.0f shut %d n %d pace %.3f mean %.0f trust %.2f abroad %.2f", refuse, missed, sent, st / order.length, g, sh, order.length, usualPace, meanCost, trust, abroad)); }
+        sent *= KEEP;
+        sentLate *= KEEP;
         double late = judged > 0 ? misses / judged : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1.25 : 0.9)));
         misses *= KEEP;
@@ -569,7 +578,8 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            if (b >= 0 && takes(b, left(now))) {
+            boolean shed = legs.isEmpty() && chance() < Math.pow(refuse, worth() / load * meanCost / meanWorth);
+            if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
                 giveUp();
@@ -650,6 +660,10 @@
 
         void close(boolean good) {
             over = true;
+            if (!legs.isEmpty()) {
+                sent++;
+                sentLate += good ? 0 : 1;
+            }
             judged++;
             if (!good) {
                 misses++;
