--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -30,7 +30,7 @@
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double TINY = 1e-9;
-    private static final double MISSED = 0.15;      // of the reqs sent: late or lost, as many as may be
+    private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -103,6 +103,7 @@
     private double spread;
     private double slope;
     private double meanWorth = 1;
+    private double came;
     private double sent;
     private double sentLate;
     private double refuse;                          // the part of reqs denied as too many sent ones are late
@@ -213,6 +214,12 @@
 
     private void recutAndWait() {
         learn();
+        recut();
+        order();
+        port.later(RECUT, this::recutAndWait);
+    }
+
+    private void recut() {
         if (seen > 0) {
             int n = Math.min(seen, HINTS);
             values = Arrays.copyOf(window, n);
@@ -230,8 +237,6 @@
             }
             meanCost = below[n] / n;
         }
-        order();
-        port.later(RECUT, this::recutAndWait);
     }
 
     /** The ready srvs by id, each with its share of the cut. */
@@ -324,11 +329,11 @@
                 sum[b] *= KEEP;
             }
         }
-        double missed = sent > 0 ? sentLate / (sent + 2) : 0;
-        refuse = Math.max(0, Math.min(0.95, refuse + 0.1 * Math.max(-1, Math.min(2, missed / MISSED - 1))));
-        if (me == 7) { double st = 0, g = 0; int sh = 0; for (int b : order) { st += stand[b]; g += ghost[b]; sh += shut[b] ? 1 : 0; } port.log(String.format("t refuse %.2f missed %.2f sent %.1f stand %.0f ghost %.0f shut %d n %d pace %.3f mean %.0f trust %.2f abroad %.2f", refuse, missed, sent, st / order.length, g, sh, order.length, usualPace, meanCost, trust, abroad)); }
-        sent *= KEEP;
-        sentLate *= KEEP;
+        double excess = 3 * (sentLate - MISSED * sent) / (came + 2);
+        refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
+        came *= KEEP * KEEP;
+        sent *= KEEP * KEEP;
+        sentLate *= KEEP * KEEP;
         double late = judged > 0 ? misses / judged : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1.25 : 0.9)));
         misses *= KEEP;
@@ -498,12 +503,16 @@
     public Port.Held arrive(Req req) {
         if (req.cost > 0) {
             window[seen++ % HINTS] = req.cost;
+            if ((seen & seen - 1) == 0) {           // a thin window: cut anew whenever it has doubled
+                recut();
+            }
             if (seen >= 2 * HINTS) {
                 seen -= HINTS;
             }
         }
         Course c = new Course(req);
         meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
+        came++;
         c.next();
         return c;
     }
@@ -682,7 +691,7 @@
         /** A req stuck at a shut srv moves on: by a copy, or else by calling the first off. */
         void look(long now) {
             if (!streaming && req.ruleSet.overdue() == 0 && left(now) <= shortest / 10
-                    && now + maxWait >= req.arrived + req.ruleSet.timeout()) {
+                    && (now + maxWait >= req.arrived + req.ruleSet.timeout() || chance() < refuse)) {
                 giveUp();
                 return;
             }
