--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -22,9 +22,11 @@
 public final class Rules {
     private static final int HINTS = 2000;          // the design's window
     private static final int MOST = 1024;           // backends known at once; further ones are left out
+    private static final int KINDS = 64;            // kinds of machine told apart
     private static final long SECOND = 10_000;
     private static final long RECUT = SECOND;       // recompute period
     private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
+    private static final double SLOWLY = 0.95;      // the same of a kind's: half-life 14 s
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
@@ -61,6 +63,7 @@
     private boolean[] ready = new boolean[MOST];
     private int[] zoneOf = new int[MOST];
     private int[] packOf = new int[MOST];
+    private int[] kind = new int[MOST];
     private double[] weight = new double[MOST];
     private long[] upSince = new long[MOST];
     private double[] share = new double[MOST];
@@ -92,6 +95,8 @@
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
     private double misses;
     private double judged;
+    private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, with longer memory
+    private final double[] kindBusy = new double[KINDS];
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
@@ -165,8 +170,8 @@
 
     // ---- the list
 
-    public void entry(int b, long name, boolean healthy, int inZone, int inPack, double size, long up,
-            boolean fresh) {
+    public void entry(int b, long name, boolean healthy, int inZone, int inPack, int ofKind, double size,
+            long up, boolean fresh) {
         if (b >= MOST) {
             port.log("left out " + name + ": " + MOST + " are known already");
             return;
@@ -176,6 +181,7 @@
         id[b] = name;
         zoneOf[b] = inZone;
         packOf[b] = inPack;
+        kind[b] = Math.floorMod(ofKind, KINDS);
         weight[b] = size > 0 && size < 1e9 ? size : 1;
         upSince[b] = up;
         ready[b] = healthy;
@@ -259,7 +265,7 @@
         double sum = 0;
         for (int i = 0; i < n; i++) {
             int b = order[i];
-            share[b] = Math.sqrt(weight[b] * pace(b)) * health(b, usual) * warmth(b, now)
+            share[b] = Math.sqrt(usual(b) * pace(b)) * health(b, usual) * warmth(b, now)
                 * (zoneOf[b] == zone ? 1 : abroad);
             ends[i] = sum += share[b];
         }
@@ -324,6 +330,10 @@
         }
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
+        for (int k = 0; k < KINDS; k++) {
+            kindCost[k] *= SLOWLY;
+            kindBusy[k] *= SLOWLY;
+        }
         for (double[] sum : new double[][] {costSum, busy, tries, fails}) {
             for (int b = 0; b < slots; b++) {
                 sum[b] *= KEEP;
@@ -399,6 +409,7 @@
     private void settle(int b, long now) {
         if (out[b] > 0) {
             busy[b] += now - busyFrom[b];
+            kindBusy[kind[b]] += (now - busyFrom[b]) * weight[b];
             silence[b] += now - busyFrom[b];
         }
         ghost[b] = Math.max(0, ghost[b] - (now - busyFrom[b]) * pace(b));
@@ -408,7 +419,13 @@
     /** Cost this srv does for us in a unit of time while we have something out there. */
     private double pace(int b) {
         double prior = SECOND / 2.0;
-        return (costSum[b] + prior * usualPace * weight[b]) / (busy[b] + prior);
+        return (costSum[b] + prior * usual(b)) / (busy[b] + prior);
+    }
+
+    /** The pace of its kind: one proxy of hundreds hardly sees a srv, but soon how fast each kind is. */
+    private double usual(int b) {
+        double prior = 2 * SECOND;
+        return weight[b] * (kindCost[kind[b]] + prior * usualPace) / (kindBusy[kind[b]] + prior);
     }
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
@@ -641,6 +658,7 @@
                 }
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load;
+                kindCost[kind[b]] += load;
             }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
                 answered(b);
--- a/src/test/java/wheattrack/World.java
+++ b/src/test/java/wheattrack/World.java
@@ -58,7 +58,7 @@
     }
 
     void list(int b, boolean healthy, long up) {
-        rules.entry(b, 10 * b + 10, healthy, b % 2, b % 3, 1, up, known.add(b));
+        rules.entry(b, 10 * b + 10, healthy, b % 2, b % 3, 0, 1, up, known.add(b));
     }
 
     Held arrive(String name, int cost) {
