--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -141,16 +141,24 @@
         }
     }
 
-    /** repas, wasted late work: past its target a req that earns nothing is called off and denied at once. */
+    /**
+     * repas, wasted late work: past its target a req that earns nothing is called off and denied at once; but
+     * amman-later rough-2, the same work done twice: only if the wait advised outlasts its client.
+     */
     @Test
     void pastItsTarget() throws IOException {
-        World w = replayable(1, false);
-        w.arrive("late", 100);
-        w.pass(SECOND / 2);
-        w.arrive("next", 4000);
-        w.end(0, Outcome.CANCELLED);
-        w.arrive("queued behind the ghost", 100);
-        w.matches("late");
+        World all = new World();
+        for (long longestWait : new long[] {SECOND, 2 * SECOND}) {
+            World w = replayable(1, false);
+            w.rules.limits(4, true, false, longestWait);
+            w.arrive("late", 100);
+            w.pass(SECOND / 2);
+            w.arrive("next", 4000);
+            w.end(0, Outcome.CANCELLED);
+            w.arrive("queued behind the ghost", 100);
+            all.say("waits up to " + longestWait / 10 + " ms:\n" + w.trace);
+        }
+        all.matches("late");
     }
 
     /** repas big-1, full srvs asked again and again: full answers teach the room. (Also i6d7f1e.) */
