--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -339,7 +339,7 @@
                 sum[b] *= KEEP;
             }
         }
-        double excess = 3 * (sentLate - MISSED * sent) / (came + 2);
+        double excess = 6 * (sentLate - MISSED * sent) / (came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         came *= KEEP * KEEP;
         sent *= KEEP * KEEP;
