--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -339,7 +339,7 @@
                 sum[b] *= KEEP;
             }
         }
-        double excess = 6 * (sentLate - MISSED * sent) / (came + 2);
+        double excess = 3 * (sentLate - MISSED * sent) / (came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         came *= KEEP * KEEP;
         sent *= KEEP * KEEP;
@@ -604,7 +604,8 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            boolean shed = legs.isEmpty() && chance() < Math.pow(refuse, worth() / load * meanCost / meanWorth);
+            double hope = Math.min(2, left(now) * usualPace / load);
+            boolean shed = legs.isEmpty() && chance() < Math.pow(refuse, hope * worth() / load * meanCost / meanWorth);
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
