--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -604,7 +604,7 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            double hope = Math.min(2, left(now) * usualPace / load);
+            double hope = Math.min(2, Math.pow(left(now) * usualPace / load, 2));
             boolean shed = legs.isEmpty() && chance() < Math.pow(refuse, hope * worth() / load * meanCost / meanWorth);
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
