--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -33,8 +33,6 @@
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double TINY = 1e-9;
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
-    private static final int PROBE = 4;             // reqs a probe, where load reports come so
-    private static final double HELD = 3;           // reqs a core beyond which a srv counts as loaded
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -83,8 +81,6 @@
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST];
     private long[] trialGap = new long[MOST];
-    private double[] held = new double[MOST];       // reqs there by its last report, less ours of then
-    private long[] heardAt = new long[MOST];
     private double[] spent = new double[MOST];      // of a cold srv's budget, leaking
     private long[] spentAt = new long[MOST];
 
@@ -101,10 +97,6 @@
     private double judged;
     private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, with longer memory
     private final double[] kindBusy = new double[KINDS];
-    private final double[] kindHeld = new double[KINDS];    // reports, idle ones above all: reqs held, cores busy
-    private final double[] kindUsed = new double[KINDS];
-    private boolean asks;
-    private int asked;
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
@@ -157,11 +149,6 @@
         mayWait = 1 / (1 + 10 * punctual);
     }
 
-    /** Whether load reports may be asked for by probes. */
-    public void reports(boolean mayAsk) {
-        asks = mayAsk;
-    }
-
     public void start(boolean mustAsk, long ask) {
         askEvery = ask;
         if (mustAsk) {
@@ -200,7 +187,7 @@
         ready[b] = healthy;
         if (restarted) {
             costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = 0;
-            silence[b] = heardAt[b] = 0;
+            silence[b] = 0;
             shut[b] = false;
             room[b] = MOST;
         }
@@ -451,30 +438,7 @@
 
     /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
     private boolean takes(int b, long left) {
-        return !loaded(b) && waiting(b) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
-    }
-
-    /** Every few reqs the next srv in order is asked for its load. */
-    private void ask() {
-        if (!asks || order.length == 0 || taken % PROBE != 0) {
-            return;
-        }
-        int b = order[(asked++ + me * order.length / balancers) % order.length];
-        port.probe(b, (ok, lag, load) -> {
-            if (ok && load != null && load[0] >= 0 && load[1] >= 0) {
-                double idle = Math.pow(Math.max(0, 1 - load[0]), 2);
-                kindHeld[kind[b]] += load[1] * idle;
-                kindUsed[kind[b]] += load[0] * idle;
-                held[b] = load[1] - out[b];
-                heardAt[b] = port.now();
-            }
-        });
-    }
-
-    /** Its last report, with what is out from us now, shows many times the reqs that its cores hold when idle. */
-    private boolean loaded(int b) {
-        double cores = Math.max(1, (kindHeld[kind[b]] + 1) / (kindUsed[kind[b]] + 1));
-        return heardAt[b] > 0 && port.now() - heardAt[b] < 4 * SECOND && held[b] + out[b] > HELD * cores;
+        return waiting(b) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
     }
 
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
@@ -542,7 +506,7 @@
             if (rank == 0) {
                 return b;
             }
-            if (rank < worst || rank == worst && finish < soonest) {
+            if (rank < worst || rank == worst && rank > 2 && finish < soonest) {
                 worst = rank;
                 soonest = finish;
                 spare = b;
@@ -566,7 +530,6 @@
         Course c = new Course(req);
         meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
         came++;
-        ask();
         c.next();
         return c;
     }
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -133,7 +133,6 @@
         rules.zones(s.count("zone", 0), s.number("prices.crossZone", 0));
         rules.cold(s.number("rules.startCapacity", 1), s.time("rules.cold", 0),
             s.number("rules.fallMultiple", 1), s.time("rules.fall", 0));
-        rules.reports(s.flag("limits.probing") && s.word("report.how", "none").equals("probe"));
         rules.goal(s.number("goal.punctual", 0));
         rules.start(s.word("discovery", "").equals("subscribe"), s.time("rules.askEvery", 10_000_000));
     }
