--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -345,7 +345,7 @@
         sent *= KEEP * KEEP;
         sentLate *= KEEP * KEEP;
         double late = judged > 0 ? misses / judged : 0;
-        abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1.25 : 0.9)));
+        abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
         misses *= KEEP;
         judged *= KEEP;
     }
