--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -134,7 +134,7 @@
     public void zones(int own, double price) {
         zone = own;
         crossPrice = price;
-        abroad = 1 / (1 + 10 * price);
+        abroad = 1 / (1 + 100 * price);
     }
 
     public void cold(double least, long warmAfter, double multiple, long fallAfter) {
