--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -97,6 +97,7 @@
     private double judged;
     private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, with longer memory
     private final double[] kindBusy = new double[KINDS];
+    private final double[] swift = new double[KINDS];       // a kind's pace against the fleet's
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
@@ -121,6 +122,7 @@
         for (int i = 0; i < 8; i++) {
             salt[i] = (byte) (seed >> 8 * i);
         }
+        Arrays.fill(swift, 1);
         shortest = Arrays.stream(sets).mapToLong(RuleSet::target).min().orElse(SECOND);
     }
 
@@ -330,7 +332,10 @@
         }
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
+        double fleet = Arrays.stream(kindCost).sum() / Math.max(1, Arrays.stream(kindBusy).sum());
         for (int k = 0; k < KINDS; k++) {
+            double prior = 2 * SECOND * fleet;
+            swift[k] = fleet > 0 ? (kindCost[k] + prior) / (kindBusy[k] * fleet + prior) : 1;
             kindCost[k] *= SLOWLY;
             kindBusy[k] *= SLOWLY;
         }
@@ -424,8 +429,7 @@
 
     /** The pace of its kind: one proxy of hundreds hardly sees a srv, but soon how fast each kind is. */
     private double usual(int b) {
-        double prior = 2 * SECOND;
-        return weight[b] * (kindCost[kind[b]] + prior * usualPace) / (kindBusy[kind[b]] + prior);
+        return weight[b] * usualPace * swift[kind[b]];
     }
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
