--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.zip.CRC32;
+import wheattrack.port.Chance;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
@@ -33,14 +33,13 @@
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double TINY = 1e-9;
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
+    private static final int LOOKS = 16;            // srvs looked at for a req, so that none costs by the fleet
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
     private final int me;
     private final int balancers;
-    private final CRC32 crc = new CRC32();
-    private final byte[] salt = new byte[16];
-    private long draws;
+    private final Chance chance;
     private final long shortest;                    // the tightest response target
     private int maxDispatches = 1;
     private boolean mayCancel;
@@ -92,12 +91,11 @@
     private double[] below = {0};
     private int[] order = {};
     private double[] ends = {};
+    private int shuts;                              // shut ones among them
+    private double allOut;                          // cost out from us anywhere
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
-    private double misses;
-    private double judged;
     private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, with longer memory
     private final double[] kindBusy = new double[KINDS];
-    private final double[] swift = new double[KINDS];       // a kind's pace against the fleet's
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
@@ -109,7 +107,8 @@
     private double spread;
     private double slope;
     private double meanWorth = 1;
-    private double came;
+    private double came;                            // reqs of late, decaying: all of them, those not done in
+    private double missed;                          // their target, those sent, and those sent and missed
     private double sent;
     private double sentLate;
     private double refuse;                          // the part of reqs denied as too many sent ones are late
@@ -119,10 +118,7 @@
         this.port = port;
         this.me = me;
         this.balancers = Math.max(1, balancers);
-        for (int i = 0; i < 8; i++) {
-            salt[i] = (byte) (seed >> 8 * i);
-        }
-        Arrays.fill(swift, 1);
+        chance = new Chance(seed);
         shortest = Arrays.stream(sets).mapToLong(RuleSet::target).min().orElse(SECOND);
     }
 
@@ -160,16 +156,6 @@
         sweepAndWait();
     }
 
-    private double chance() {
-        draws++;
-        for (int i = 0; i < 8; i++) {
-            salt[8 + i] = (byte) (draws >> 8 * i);
-        }
-        crc.reset();
-        crc.update(salt, 0, 16);
-        return crc.getValue() / 4294967296.0;
-    }
-
     // ---- the list
 
     public void entry(int b, long name, boolean healthy, int inZone, int inPack, int ofKind, double size,
@@ -211,7 +197,7 @@
     public void listFailed() {
         following = false;
         retryAsk = retryAsk == 0 ? askEvery / 40 : Math.min(askEvery / 4, 2 * retryAsk);
-        port.later((long) (retryAsk * (0.5 + chance())), () -> {
+        port.later((long) (retryAsk * (0.5 + chance.draw())), () -> {
             if (!following) {
                 port.follow();
             }
@@ -263,6 +249,7 @@
         }
         order = Arrays.copyOf(order, n);
         ends = new double[n];
+        shuts = 0;
         double usual = usualFailure();
         double sum = 0;
         for (int i = 0; i < n; i++) {
@@ -270,6 +257,7 @@
             share[b] = Math.sqrt(usual(b) * pace(b)) * health(b, usual) * warmth(b, now)
                 * (zoneOf[b] == zone ? 1 : abroad);
             ends[i] = sum += share[b];
+            shuts += shut[b] ? 1 : 0;
         }
     }
 
@@ -332,10 +320,7 @@
         }
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
-        double fleet = Arrays.stream(kindCost).sum() / Math.max(1, Arrays.stream(kindBusy).sum());
         for (int k = 0; k < KINDS; k++) {
-            double prior = 2 * SECOND * fleet;
-            swift[k] = fleet > 0 ? (kindCost[k] + prior) / (kindBusy[k] * fleet + prior) : 1;
             kindCost[k] *= SLOWLY;
             kindBusy[k] *= SLOWLY;
         }
@@ -346,13 +331,12 @@
         }
         double excess = 3 * (sentLate - MISSED * sent) / (came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
+        double late = came > 0 ? missed / came : 0;
+        abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
         came *= KEEP * KEEP;
+        missed *= KEEP * KEEP;
         sent *= KEEP * KEEP;
         sentLate *= KEEP * KEEP;
-        double late = judged > 0 ? misses / judged : 0;
-        abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
-        misses *= KEEP;
-        judged *= KEEP;
     }
 
     /**
@@ -364,12 +348,12 @@
         int n = order.length;
         double all = n == 0 ? 0 : ends[n - 1];
         if (cost <= 0 || all <= 0) {
-            return (int) (chance() * n);
+            return (int) (chance.draw() * n);
         }
         double lo = below[bound(cost)];
         double own = expected(cost);
         double hi = below[bound(cost + 1)] + own;
-        double at = (lo + chance() * (hi - lo)) / (below[values.length] + own) * all;
+        double at = (lo + chance.draw() * (hi - lo)) / (below[values.length] + own) * all;
         int i = Arrays.binarySearch(ends, at);
         return Math.min(n - 1, i < 0 ? -i - 1 : i + 1);
     }
@@ -429,7 +413,8 @@
 
     /** The pace of its kind: one proxy of hundreds hardly sees a srv, but soon how fast each kind is. */
     private double usual(int b) {
-        return weight[b] * usualPace * swift[kind[b]];
+        double prior = 2 * SECOND;
+        return weight[b] * (kindCost[kind[b]] + prior * usualPace) / (kindBusy[kind[b]] + prior);
     }
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
@@ -478,31 +463,25 @@
             return -1;
         }
         long now = port.now();
-        int trial = trial(c, now);
+        int trial = shuts > 0 ? trial(c, now) : -1;
         if (trial >= 0) {
             return trial;
         }
         int from = place(c.req.cost);
         long left = c.left(now);
-        double sum = 0;
-        double shares = 0;
-        boolean allShut = true;
-        for (int b : order) {
-            sum += outCost[b];
-            shares += share[b];
-            allShut &= shut[b];
-        }
+        double fairness = allOut / Math.max(TINY, ends[n - 1]);
         int spare = -1;
         int worst = 5;
+        int looks = LOOKS;
         double soonest = 0;
-        for (int k = 0; k < n; k++) {
+        for (int k = 0; k < n && looks > 0; k++) {
             int b = order[(from + k) % n];
-            if (!ready[b] || shut[b] && !allShut || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
+            if (!ready[b] || shut[b] && shuts < n || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
                     || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
-            double fair = shares > 0 ? sum * share[b] / shares : 0;
-            boolean crowded = outCost[b] > 1.2 * fair + meanCost / 4;
+            looks--;
+            boolean crowded = outCost[b] > 1.2 * fairness * share[b] + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
             double finish = finish(b, c.load);
             boolean late = finish > left;
@@ -552,6 +531,7 @@
 
     private void shut(int b, String why) {
         shut[b] = true;
+        shuts++;
         trialGap[b] = shortest;
         trialAt[b] = port.now() + trialGap[b];
         port.log("shut " + id[b] + ": " + why);
@@ -561,6 +541,7 @@
         silence[b] = 0;
         if (shut[b]) {
             shut[b] = false;
+            shuts--;
             port.log("open " + id[b] + ": it answers");
         }
     }
@@ -609,7 +590,7 @@
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
             double hope = Math.min(2, Math.pow(left(now) * usualPace / load, 2));
-            boolean shed = legs.isEmpty() && chance() < Math.pow(refuse, hope * worth() / load * meanCost / meanWorth);
+            boolean shed = legs.isEmpty() && chance.draw() < Math.pow(refuse, hope * worth() / load * meanCost / meanWorth);
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
@@ -632,6 +613,7 @@
             settle(b, leg.sent);
             out[b]++;
             outCost[b] += load;
+            allOut += load;
             spent[b] += Math.max(load, meanCost);
             port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, ended));
         }
@@ -643,7 +625,8 @@
             live--;
             settle(b, port.now());
             out[b]--;
-            outCost[b] = out[b] == 0 ? 0 : outCost[b] - load;
+            outCost[b] -= load;
+            allOut -= load;
             if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
                 ghost[b] += load;
             }
@@ -696,10 +679,7 @@
                 sent++;
                 sentLate += good ? 0 : 1;
             }
-            judged++;
-            if (!good) {
-                misses++;
-            }
+            missed += good ? 0 : 1;
             open.remove(this);
             legs.forEach(this::callOff);
         }
@@ -714,7 +694,7 @@
         /** A req stuck at a shut srv moves on: by a copy, or else by calling the first off. */
         void look(long now) {
             if (!streaming && req.ruleSet.overdue() == 0 && left(now) <= shortest / 10
-                    && (now + maxWait >= req.arrived + req.ruleSet.timeout() || chance() < refuse)) {
+                    && (now + maxWait >= req.arrived + req.ruleSet.timeout() || chance.draw() < refuse)) {
                 giveUp();
                 return;
             }
