--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -484,6 +484,7 @@
             boolean crowded = outCost[b] > 1.2 * fairness * share[b] + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
             double finish = finish(b, Math.max(c.load, c.req.cost));
+            crowded |= finish + c.req.cost / pace(b) > left;
             boolean late = finish > left;
             int rank = !takes(b, left) ? 4 : late ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
