--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -96,6 +96,8 @@
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
     private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, with longer memory
     private final double[] kindBusy = new double[KINDS];
+    private final double[] kindOut = new double[KINDS];     // time each of our dispatches was there, summed
+    private final double[] speed = new double[KINDS];       // cost a dispatch in that time, the fleet's being 1
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
@@ -119,6 +121,7 @@
         this.me = me;
         this.balancers = Math.max(1, balancers);
         chance = new Chance(seed);
+        Arrays.fill(speed, 1);
         shortest = Arrays.stream(sets).mapToLong(RuleSet::target).min().orElse(SECOND);
     }
 
@@ -254,7 +257,7 @@
         double sum = 0;
         for (int i = 0; i < n; i++) {
             int b = order[i];
-            share[b] = Math.sqrt(usual(b) * pace(b)) * health(b, usual) * warmth(b, now)
+            share[b] = weight[b] * speed[kind[b]] * Math.sqrt(pace(b) / usual(b)) * health(b, usual) * warmth(b, now)
                 * (zoneOf[b] == zone ? 1 : abroad);
             ends[i] = sum += share[b];
             shuts += shut[b] ? 1 : 0;
@@ -320,7 +323,11 @@
         }
         usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
+        double fleet = Arrays.stream(kindCost).sum() / Math.max(1, Arrays.stream(kindOut).sum());
         for (int k = 0; k < KINDS; k++) {
+            double prior = 2 * SECOND * fleet;
+            speed[k] = fleet > 0 ? (kindCost[k] + prior) / (kindOut[k] * fleet + prior) : 1;
+            kindOut[k] *= SLOWLY;
             kindCost[k] *= SLOWLY;
             kindBusy[k] *= SLOWLY;
         }
@@ -399,6 +406,7 @@
         if (out[b] > 0) {
             busy[b] += now - busyFrom[b];
             kindBusy[kind[b]] += (now - busyFrom[b]) * weight[b];
+            kindOut[kind[b]] += (now - busyFrom[b]) * out[b];
             silence[b] += now - busyFrom[b];
         }
         ghost[b] = Math.max(0, ghost[b] - (now - busyFrom[b]) * pace(b));
