Every req costs at least a tenth of the mean

Cause: the server of the lightest interval gets hundreds of reqs a second whose handshakes and errors of the hint exceed the hint.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -34,6 +34,7 @@
     private static final double TINY = 1e-9;
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req, so that none costs by the fleet
+    private static final double FLAT = 0.1;         // of the mean cost, which every req costs at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -103,6 +104,7 @@
     private double meanCost = 1;
     private double trust = 0.5;                     // cost grows as this power of the hint
     private double scale = 1;
+    private double flat;
     private double compared;
     private double meanHint;
     private double meanLag;
@@ -228,7 +230,8 @@
                 sum += hint;
                 bent += Math.pow(hint, trust);
             }
-            scale = sum / bent;
+            flat = FLAT * sum / n;
+            scale = (1 - FLAT) * sum / bent;
             for (int i = 0; i < n; i++) {
                 below[i + 1] = below[i] + expected(values[i]);
             }
@@ -367,7 +370,7 @@
 
     /** The cost that a hint stands for: as far as lags bear it out, small hints hide more and large ones less. */
     private double expected(int hint) {
-        return scale * Math.pow(hint, trust);
+        return flat + scale * Math.pow(hint, trust);
     }
 
     /**
