--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -34,7 +34,7 @@
     private static final double TINY = 1e-9;
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req, so that none costs by the fleet
-    private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
+    private static final double FLAT = 0.5;         // of the mean cost, which every req costs at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
