--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -33,8 +33,8 @@
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double TINY = 1e-9;
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
-    private static final int LOOKS = 16;            // srvs looked at for a req, so that none costs by the fleet
-    private static final double FLAT = 0.5;         // of the mean cost, which every req costs at least
+    private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
+    private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -95,10 +95,10 @@
     private int shuts;                              // shut ones among them
     private double allOut;                          // cost out from us anywhere
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
-    private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, with longer memory
+    private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, kept longer
     private final double[] kindBusy = new double[KINDS];
     private final double[] kindOut = new double[KINDS];     // time each of our dispatches was there, summed
-    private final double[] speed = new double[KINDS];       // cost a dispatch in that time, the fleet's being 1
+    private final double[] speed = new double[KINDS];       // cost a dispatch in that time, the fleet's as 1
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1;
@@ -115,6 +115,8 @@
     private double missed;                          // their target, those sent, and those sent and missed
     private double sent;
     private double sentLate;
+    private double sentCost;                        // cost done of late, and the time of all dispatches
+    private double sentTime;
     private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
@@ -260,8 +262,8 @@
         double sum = 0;
         for (int i = 0; i < n; i++) {
             int b = order[i];
-            share[b] = weight[b] * speed[kind[b]] * Math.sqrt(pace(b) / usual(b)) * health(b, usual) * warmth(b, now)
-                * (zoneOf[b] == zone ? 1 : abroad);
+            share[b] = weight[b] * speed[kind[b]] * Math.sqrt(pace(b) / usual(b))
+                * health(b, usual) * warmth(b, now) * (zoneOf[b] == zone ? 1 : abroad);
             ends[i] = sum += share[b];
             shuts += shut[b] ? 1 : 0;
         }
@@ -339,7 +341,7 @@
                 sum[b] *= KEEP;
             }
         }
-        double excess = 3 * (sentLate - MISSED * sent) / (came + 2);
+        double excess = 3 * (sentLate - MISSED * mayWait * sent) / (came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         double late = came > 0 ? missed / came : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
@@ -347,6 +349,8 @@
         missed *= KEEP * KEEP;
         sent *= KEEP * KEEP;
         sentLate *= KEEP * KEEP;
+        sentCost *= KEEP * KEEP;
+        sentTime *= KEEP * KEEP;
     }
 
     /**
@@ -368,7 +372,7 @@
         return Math.min(n - 1, i < 0 ? -i - 1 : i + 1);
     }
 
-    /** The cost that a hint stands for: as far as lags bear it out, small hints hide more and large ones less. */
+    /** The cost a hint stands for: as far as lags bear it out, small hints hide more and large ones less. */
     private double expected(int hint) {
         return flat + scale * Math.pow(hint, trust);
     }
@@ -601,8 +605,7 @@
         void next() {
             long now = port.now();
             int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            double hope = Math.min(2, Math.pow(left(now) * usualPace / load, 2));
-            boolean shed = legs.isEmpty() && chance.draw() < Math.pow(refuse, hope * worth() / load * meanCost / meanWorth);
+            boolean shed = legs.isEmpty() && refuse > 0 && chance.draw() < Math.pow(refuse, hope(now));
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
@@ -610,6 +613,12 @@
             }
         }
 
+        /** Its value for its cost against the mean, the less the surer it is to be late. */
+        double hope(long now) {
+            double inTime = left(now) * sentCost / (sentTime * load + 1);
+            return Math.min(2, inTime * inTime) * worth() / load * meanCost / meanWorth;
+        }
+
         double worth() {
             return req.ruleSet.value() * load;
         }
@@ -639,6 +648,7 @@
             out[b]--;
             outCost[b] -= load;
             allOut -= load;
+            sentTime += port.now() - leg.sent;
             if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
                 ghost[b] += load;
             }
@@ -658,6 +668,7 @@
                 }
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load;
+                sentCost += load;
                 kindCost[kind[b]] += load;
             }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
