--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -341,7 +341,7 @@
                 sum[b] *= KEEP;
             }
         }
-        double excess = 3 * (sentLate - MISSED * mayWait * sent) / (came + 2);
+        double excess = 3 / mayWait * (sentLate - MISSED * mayWait * sent) / (came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         double late = came > 0 ? missed / came : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
