--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -330,7 +330,7 @@
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         double fleet = Arrays.stream(kindCost).sum() / Math.max(1, Arrays.stream(kindOut).sum());
         for (int k = 0; k < KINDS; k++) {
-            double prior = 2 * SECOND * fleet;
+            double prior = SECOND * fleet;
             speed[k] = fleet > 0 ? (kindCost[k] + prior) / (kindOut[k] * fleet + prior) : 1;
             kindOut[k] *= SLOWLY;
             kindCost[k] *= SLOWLY;
@@ -341,7 +341,7 @@
                 sum[b] *= KEEP;
             }
         }
-        double excess = 3 / mayWait * (sentLate - MISSED * mayWait * sent) / (came + 2);
+        double excess = 3 * (sentLate - MISSED * mayWait * sent) / (came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         double late = came > 0 ? missed / came : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
