--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -117,6 +117,8 @@
     private double sentLate;
     private double sentCost;                        // cost done of late, and the time of all dispatches
     private double sentTime;
+    private double results;                         // of dispatches, and how many were turned away
+    private double turned;
     private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
@@ -351,6 +353,8 @@
         sentLate *= KEEP * KEEP;
         sentCost *= KEEP * KEEP;
         sentTime *= KEEP * KEEP;
+        results *= KEEP * KEEP;
+        turned *= KEEP * KEEP;
     }
 
     /**
@@ -656,7 +660,9 @@
                 tries[b]++;
                 fails[b] += how == Outcome.DONE ? 0 : 1;
             }
+            results++;
             if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
+                turned++;
                 room[b] = Math.min(room[b], out[b]);
                 if (out[b] == 0 && !shut[b]) {      // incident: 4 dispatches a req into closed doors
                     shut(b, "turned away with nothing out");
@@ -679,8 +685,9 @@
             }
             if (ended) {
                 close(how == Outcome.DONE && port.now() - req.arrived <= req.ruleSet.target());
-            } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due)) {
-                giveUp();
+            } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due
+                    || how.neverRan && chance.draw() < turned / (results + DOUBT))) {
+                giveUp();                           // incident i6ca61b: full srvs asked three times a req
             } else if (live == 0) {
                 next();
             }
