--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -115,10 +115,8 @@
     private double missed;                          // their target, those sent, and those sent and missed
     private double sent;
     private double sentLate;
-    private double sentCost;                        // cost done of late, and the time of all dispatches
+    private double results;                         // of dispatches, and the time they took
     private double sentTime;
-    private double results;                         // of dispatches, and how many were turned away
-    private double turned;
     private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
@@ -351,10 +349,8 @@
         missed *= KEEP * KEEP;
         sent *= KEEP * KEEP;
         sentLate *= KEEP * KEEP;
-        sentCost *= KEEP * KEEP;
-        sentTime *= KEEP * KEEP;
         results *= KEEP * KEEP;
-        turned *= KEEP * KEEP;
+        sentTime *= KEEP * KEEP;
     }
 
     /**
@@ -619,7 +615,7 @@
 
         /** Its value for its cost against the mean, the less the surer it is to be late. */
         double hope(long now) {
-            double inTime = left(now) * sentCost / (sentTime * load + 1);
+            double inTime = left(now) * 2 * results / (sentTime * (1 + load / meanCost) + 1);
             return Math.min(2, inTime * inTime) * worth() / load * meanCost / meanWorth;
         }
 
@@ -652,6 +648,7 @@
             out[b]--;
             outCost[b] -= load;
             allOut -= load;
+            results++;
             sentTime += port.now() - leg.sent;
             if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
                 ghost[b] += load;
@@ -660,9 +657,7 @@
                 tries[b]++;
                 fails[b] += how == Outcome.DONE ? 0 : 1;
             }
-            results++;
             if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
-                turned++;
                 room[b] = Math.min(room[b], out[b]);
                 if (out[b] == 0 && !shut[b]) {      // incident: 4 dispatches a req into closed doors
                     shut(b, "turned away with nothing out");
@@ -674,7 +669,6 @@
                 }
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load;
-                sentCost += load;
                 kindCost[kind[b]] += load;
             }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
@@ -685,9 +679,8 @@
             }
             if (ended) {
                 close(how == Outcome.DONE && port.now() - req.arrived <= req.ruleSet.target());
-            } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due
-                    || how.neverRan && chance.draw() < turned / (results + DOUBT))) {
-                giveUp();                           // incident i6ca61b: full srvs asked three times a req
+            } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due)) {
+                giveUp();
             } else if (live == 0) {
                 next();
             }
