--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -2,10 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import wheattrack.port.Chance;
+import java.util.stream.IntStream;
+import wheattrack.figures.Chance;
+import wheattrack.figures.Fit;
+import wheattrack.figures.Tally;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
@@ -59,28 +63,21 @@
 
     // Backends, under their dense index.
     private int slots;
-    private long[] id = new long[MOST];
+    private long[] id = new long[MOST], upSince = new long[MOST];
     private boolean[] ready = new boolean[MOST];
-    private int[] zoneOf = new int[MOST];
-    private int[] packOf = new int[MOST];
-    private int[] kind = new int[MOST];
-    private double[] weight = new double[MOST];
-    private long[] upSince = new long[MOST];
-    private double[] share = new double[MOST];
-    private double[] costSum = new double[MOST];
-    private double[] tries = new double[MOST];
-    private double[] fails = new double[MOST];
-    private int[] out = new int[MOST];
+    private int[] zoneOf = new int[MOST], packOf = new int[MOST];
+    private double[] share = new double[MOST], weight = new double[MOST];
+    private double[] tries = new double[MOST], fails = new double[MOST];
+    private int[] out = new int[MOST], kind = new int[MOST];
     private double[] room = new double[MOST];       // dispatches it has room for, as its full answers teach
-    private double[] outCost = new double[MOST];
+    private double[] outCost = new double[MOST], costSum = new double[MOST];
     private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
     private double[] busy = new double[MOST];       // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
     private long[] silence = new long[MOST];        // time with something out there since its last answer
     private double[] stand = new double[MOST];      // mean wait over the last second
     private boolean[] shut = new boolean[MOST];
-    private long[] trialAt = new long[MOST];
-    private long[] trialGap = new long[MOST];
+    private long[] trialAt = new long[MOST], trialGap = new long[MOST];
     private double[] spent = new double[MOST];      // of a cold srv's budget, leaking
     private long[] spentAt = new long[MOST];
 
@@ -105,18 +102,9 @@
     private double trust = 0.5;                     // cost grows as this power of the hint
     private double scale = 1;
     private double flat;
-    private double compared;
-    private double meanHint;
-    private double meanLag;
-    private double spread;
-    private double slope;
+    private final Fit fit = new Fit(HINTS);
     private double meanWorth = 1;
-    private double came;                            // reqs of late, decaying: all of them, those not done in
-    private double missed;                          // their target, those sent, and those sent and missed
-    private double sent;
-    private double sentLate;
-    private double results;                         // of dispatches, and the time they took
-    private double sentTime;
+    private final Tally late = new Tally();
     private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
@@ -244,18 +232,9 @@
     /** The ready srvs by id, each with its share of the cut. */
     private void order() {
         long now = port.now();
-        int n = 0;
-        order = new int[slots];
-        for (int b = 0; b < slots; b++) {
-            if (ready[b]) {
-                int i = n++;
-                for (; i > 0 && id[order[i - 1]] > id[b]; i--) {
-                    order[i] = order[i - 1];
-                }
-                order[i] = b;
-            }
-        }
-        order = Arrays.copyOf(order, n);
+        order = IntStream.range(0, slots).filter(b -> ready[b]).boxed()
+            .sorted(Comparator.comparingLong(b -> id[b])).mapToInt(b -> b).toArray();
+        int n = order.length;
         ends = new double[n];
         shuts = 0;
         double usual = usualFailure();
@@ -341,16 +320,11 @@
                 sum[b] *= KEEP;
             }
         }
-        double excess = 3 * (sentLate - MISSED * mayWait * sent) / (came + 2);
+        double excess = 3 * (late.sentLate - MISSED * mayWait * late.sent) / (late.came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
-        double late = came > 0 ? missed / came : 0;
-        abroad = Math.min(1, Math.max(0.02, abroad * (late >= crossPrice / 4 ? 1 + 5 * late : 0.9)));
-        came *= KEEP * KEEP;
-        missed *= KEEP * KEEP;
-        sent *= KEEP * KEEP;
-        sentLate *= KEEP * KEEP;
-        results *= KEEP * KEEP;
-        sentTime *= KEEP * KEEP;
+        double missed = late.came > 0 ? late.missed / late.came : 0;
+        abroad = Math.min(1, Math.max(0.02, abroad * (missed >= crossPrice / 4 ? 1 + 5 * missed : 0.9)));
+        late.fade(KEEP * KEEP);
     }
 
     /**
@@ -382,17 +356,10 @@
      * hold others' queues and count little: taken in full, crowded fleets would look deaf to the hints.
      */
     private void compare(int hint, long lag) {
-        double dx = Math.log(hint) - meanHint;
-        double dy = Math.log(Math.max(1, lag)) - meanLag;
-        double counts = compared > 0 && dy > slope / (spread + TINY) * dx ? QUEUED : 1;
-        compared = Math.min(HINTS, compared + counts);
-        double step = counts / compared;
-        meanHint += step * dx;
-        meanLag += step * dy;
-        spread += step * ((1 - step) * dx * dx - spread);
-        slope += step * ((1 - step) * dx * dy - slope);
-        double doubt = DOUBT / compared;
-        trust = Math.max(0.1, Math.min(1, (slope + doubt / 2) / (spread + doubt)));
+        double x = Math.log(hint);
+        double y = Math.log(Math.max(1, lag));
+        fit.add(x, y, fit.isUnder(x, y) ? QUEUED : 1);
+        trust = Math.max(0.1, Math.min(1, fit.slope(DOUBT, 0.5)));
     }
 
     private int bound(int value) {
@@ -528,7 +495,7 @@
         }
         Course c = new Course(req);
         meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
-        came++;
+        late.came++;
         c.next();
         return c;
     }
@@ -615,7 +582,7 @@
 
         /** Its value for its cost against the mean, the less the surer it is to be late. */
         double hope(long now) {
-            double inTime = left(now) * 2 * results / (sentTime * (1 + load / meanCost) + 1);
+            double inTime = left(now) * late.cost / (late.time * load + 1);
             return Math.min(2, inTime * inTime) * worth() / load * meanCost / meanWorth;
         }
 
@@ -648,8 +615,7 @@
             out[b]--;
             outCost[b] -= load;
             allOut -= load;
-            results++;
-            sentTime += port.now() - leg.sent;
+            late.time += port.now() - leg.sent;
             if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
                 ghost[b] += load;
             }
@@ -669,6 +635,7 @@
                 }
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load;
+                late.cost += load;
                 kindCost[kind[b]] += load;
             }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
@@ -699,10 +666,10 @@
         void close(boolean good) {
             over = true;
             if (!legs.isEmpty()) {
-                sent++;
-                sentLate += good ? 0 : 1;
+                late.sent++;
+                late.sentLate += good ? 0 : 1;
             }
-            missed += good ? 0 : 1;
+            late.missed += good ? 0 : 1;
             open.remove(this);
             legs.forEach(this::callOff);
         }
--- a/src/main/java/wheattrack/port/Chance.java
+++ b/src/main/java/wheattrack/figures/Chance.java
@@ -1,4 +1,4 @@
-package wheattrack.port;
+package wheattrack.figures;
 
 import java.util.zip.CRC32;
 
