--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -42,24 +42,19 @@
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
-    private final int me;
-    private final int balancers;
+    private final int me, balancers;
     private final Chance chance;
     private final long shortest;                    // the tightest response target
     private int maxDispatches = 1;
-    private boolean mayCancel;
-    private boolean mayDuplicate;
+    private boolean mayCancel, mayDuplicate;
     private long maxWait;
     private int zone;
     private double crossPrice;
-    private double startCapacity = 1;
-    private long cold;
-    private long fall;
-    private double fallMultiple = 1;
+    private double startCapacity = 1, fallMultiple = 1;
+    private long cold, fall;
     private double mayWait = 1;                     // of the time left to the target
-    private long askEvery;
+    private long askEvery, retryAsk;
     private boolean following;
-    private long retryAsk;
 
     // Backends, under their dense index.
     private int slots;
@@ -74,7 +69,7 @@
     private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
     private double[] busy = new double[MOST];       // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
-    private long[] silence = new long[MOST];        // time with something out there since its last answer
+    private double[] silence = new double[MOST];      // time with something out there since its last answer
     private double[] stand = new double[MOST];      // mean wait over the last second
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST], trialGap = new long[MOST];
@@ -83,27 +78,22 @@
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
     private final int[] window = new int[HINTS];
-    private int seen;
-    private long taken;
-    private int[] values = {};
-    private double[] below = {0};
-    private int[] order = {};
-    private double[] ends = {};
-    private int shuts;                              // shut ones among them
+    private int seen, taken;
+    private int[] values = {}, order = {};
+    private double[] below = {0}, ends = {};
+    private int shuts;                              // shut ones among the ready
     private double allOut;                          // cost out from us anywhere
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
-    private final double[] kindCost = new double[KINDS];    // as costSum and busy by weight, kept longer
-    private final double[] kindBusy = new double[KINDS];
-    private final double[] kindOut = new double[KINDS];     // time each of our dispatches was there, summed
-    private final double[] speed = new double[KINDS];       // cost a dispatch in that time, the fleet's as 1
+    // By kind: cost and busy time by weight as above, kept longer; the time of all dispatches there; and
+    // the cost a dispatch in that time, the fleet's being 1.
+    private final double[] kindCost = new double[KINDS], kindBusy = new double[KINDS];
+    private final double[] kindOut = new double[KINDS], speed = new double[KINDS];
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
-    private double meanCost = 1;
+    private double meanCost = 1, meanWorth = 1;
     private double trust = 0.5;                     // cost grows as this power of the hint
-    private double scale = 1;
-    private double flat;
+    private double scale = 1, flat;
     private final Fit fit = new Fit(HINTS);
-    private double meanWorth = 1;
     private final Tally late = new Tally();
     private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
@@ -169,8 +159,7 @@
         upSince[b] = up;
         ready[b] = healthy;
         if (restarted) {
-            costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = 0;
-            silence[b] = 0;
+            costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = silence[b] = 0;
             shut[b] = false;
             room[b] = MOST;
         }
@@ -214,8 +203,7 @@
             values = Arrays.copyOf(window, n);
             Arrays.sort(values);
             below = new double[n + 1];
-            double sum = 0;
-            double bent = 0;
+            double sum = 0, bent = 0;
             for (int hint : values) {
                 sum += hint;
                 bent += Math.pow(hint, trust);
@@ -272,10 +260,8 @@
         return age >= cold / 2 || age >= 0 && age / Math.max(1, fall / 4) % balancers == me;
     }
 
-    /**
-     * Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
-     * one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
-     */
+    // Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
+    // one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
     private boolean bears(int b, int load, long now) {
         if (now - upSince[b] >= cold) {
             return true;
@@ -292,10 +278,7 @@
     /** What srvs did for us while we had something out there, and how near those elsewhere count. */
     private void learn() {
         long now = port.now();
-        double pace = 0;
-        double time = 0;
-        double warm = 0;
-        double warmCost = 0;
+        double pace = 0, time = 0, warm = 0, warmCost = 0;
         for (int b = 0; b < slots; b++) {
             settle(b, now);
             pace += costSum[b];
@@ -327,11 +310,9 @@
         late.fade(KEEP * KEEP);
     }
 
-    /**
-     * The place in the order whose interval holds this cost; a value on a cut falls by covered share. The
-     * req's own hint counts as one more in the window: alone it spans all of the cut, among few a good part
-     * of it, so a thin window cuts nearly at random and a full one sharply, at equal shares throughout.
-     */
+    // The place in the order whose interval holds this cost; a value on a cut falls by covered share. The
+    // req's own hint counts as one more in the window: alone it spans all of the cut, among few a good part
+    // of it, so a thin window cuts nearly at random and a full one sharply, at equal shares throughout.
     private int place(int cost) {
         int n = order.length;
         double all = n == 0 ? 0 : ends[n - 1];
@@ -351,10 +332,8 @@
         return flat + scale * Math.pow(hint, trust);
     }
 
-    /**
-     * How steeply lags follow hints, in logs, beside some reqs that half believe them. Lags above the fit
-     * hold others' queues and count little: taken in full, crowded fleets would look deaf to the hints.
-     */
+    // How steeply lags follow hints, in logs, beside some reqs that half believe them. Lags above the fit
+    // hold others' queues and count little: taken in full, crowded fleets would look deaf to the hints.
     private void compare(int hint, long lag) {
         double x = Math.log(hint);
         double y = Math.log(Math.max(1, lag));
@@ -452,9 +431,7 @@
         int from = place(c.req.cost);
         long left = c.left(now);
         double fairness = allOut / Math.max(TINY, ends[n - 1]);
-        int spare = -1;
-        int worst = 5;
-        int looks = LOOKS;
+        int spare = -1, worst = 5, looks = LOOKS;
         double soonest = 0;
         for (int k = 0; k < n && looks > 0; k++) {
             int b = order[(from + k) % n];
@@ -467,8 +444,7 @@
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
             double finish = finish(b, Math.max(c.load, c.req.cost));
             crowded |= finish + c.req.cost / pace(b) > left;
-            boolean late = finish > left;
-            int rank = !takes(b, left) ? 4 : late ? 3 : dear ? 2 : crowded ? 1 : 0;
+            int rank = !takes(b, left) ? 4 : finish > left ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
                 return b;
             }
@@ -505,7 +481,7 @@
         for (int b : order) {
             stand[b] += (waiting(b) - stand[b]) * shortest / 10 / SECOND;
             if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
-                shut(b, out[b] + " out, silent for " + silence[b] / 10 + " ms");
+                shut(b, out[b] + " out, silent for " + (long) silence[b] / 10 + " ms");
             }
         }
         List.copyOf(open).forEach(c -> c.look(now));
@@ -514,7 +490,7 @@
 
     private void shut(int b, String why) {
         shut[b] = true;
-        shuts++;
+        shuts += ready[b] ? 1 : 0;
         trialGap[b] = shortest;
         trialAt[b] = port.now() + trialGap[b];
         port.log("shut " + id[b] + ": " + why);
@@ -524,7 +500,7 @@
         silence[b] = 0;
         if (shut[b]) {
             shut[b] = false;
-            shuts--;
+            shuts -= ready[b] ? 1 : 0;
             port.log("open " + id[b] + ": it answers");
         }
     }
@@ -533,8 +509,7 @@
     private final class Course implements Port.Held {
         final Req req;
         final int load;
-        boolean over;
-        boolean streaming;
+        boolean over, streaming;
         int live;
         final List<Leg> legs = new ArrayList<>(2);
 
@@ -718,15 +693,11 @@
     }
     /** One dispatch of a req. */
     private final class Leg {
-        final int number;
-        final int b;
+        final int number, b;
         final long sent = port.now();
-        final int inZone;
-        final int inPack;
+        final int inZone, inPack;
         final boolean alone;
-        boolean isOut = true;
-        boolean called;
-        boolean mayHaveRun = true;
+        boolean isOut = true, mayHaveRun = true, called;
 
         Leg(int number, int b) {
             this.number = number;
