Fresh srvs are met in groups of proxies, each from a random point of its budget

Cause: with 300 proxies six turns came round in half a warm-up, so 294 never had one, and a budget of a fraction of a req meant never: cold servers stood unused until warm. Turns are now shared by number, and a budget under one req lets one through in its time, from a random start.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -162,6 +162,8 @@
             costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = silence[b] = 0;
             shut[b] = false;
             room[b] = MOST;
+            spent[b] = meanCost * chance.draw();    // and not all of them at the same moment
+            spentAt[b] = port.now();
         }
     }
 
@@ -254,10 +256,12 @@
         return age >= cold ? 1 : startCapacity + (1 - startCapacity) * Math.max(0, age) / cold;
     }
 
-    /** A fresh srv is first met by one proxy at a time, in turns by their number. */
+    /** A fresh srv is first met in turns by the proxies' numbers, by some at a time where turns are too few. */
     private boolean ourTurn(int b, long now) {
         long age = now - upSince[b];
-        return age >= cold / 2 || age >= 0 && age / Math.max(1, fall / 4) % balancers == me;
+        long turn = Math.max(1, fall / 4);
+        long turns = Math.max(1, Math.min(balancers, cold / 2 / turn));
+        return age >= cold / 2 || age >= 0 && age / turn % turns == me % turns;
     }
 
     // Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
@@ -272,7 +276,8 @@
         double rate = fallMultiple / 4 * warmth(b, now) * usualLoad * weight[b];
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
-        return spent[b] + Math.max(load, meanCost) <= rate * fall / 2;
+        double need = Math.max(load, meanCost);     // one of hundreds may send one req in some seconds
+        return spent[b] + need <= Math.max(rate * fall / 2, need);
     }
 
     /** What srvs did for us while we had something out there, and how near those elsewhere count. */
