A trial of a shut srv comes at most every eighth req

Cause: at size a proxy holds up to a dozen servers shut and has four reqs a second; their trials took most light reqs.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -39,6 +39,7 @@
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
+    private static final int TRIALS = 8;            // reqs a trial of a shut srv: with many shut, few are risked
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -78,7 +79,7 @@
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
     private final int[] window = new int[HINTS];
-    private int seen, taken;
+    private int seen, taken, triedAt;
     private int[] values = {}, order = {};
     private double[] below = {0}, ends = {};
     private int shuts;                              // shut ones among the ready
@@ -404,11 +405,13 @@
 
     /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
     private int trial(Course c, long now) {
-        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.load > meanCost) {
+        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.load > meanCost
+                || taken - triedAt < TRIALS) {
             return -1;
         }
         for (int b : order) {
             if (shut[b] && now >= trialAt[b] && ourTurn(b, now) && bears(b, c.load, now)) {
+                triedAt = taken;
                 trialAt[b] = now + trialGap[b];
                 trialGap[b] = Math.min(4 * SECOND, 2 * trialGap[b]);
                 return b;
