A second copy goes out where a req alone at a srv has waited its share of the target

Where two copies may be out, late answers earn nothing, nothing is being denied and nothing else of ours is out there, a copy goes elsewhere after a third of the target x (1 + 3 / proxies).

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -39,7 +39,7 @@
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
-    private static final int TRIALS = 8;            // reqs a trial of a shut srv: with many shut, few are risked
+    private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -257,7 +257,7 @@
         return age >= cold ? 1 : startCapacity + (1 - startCapacity) * Math.max(0, age) / cold;
     }
 
-    /** A fresh srv is first met in turns by the proxies' numbers, by some at a time where turns are too few. */
+    /** A fresh srv is first met in turns by own number, by several at a time where turns are too few. */
     private boolean ourTurn(int b, long now) {
         long age = now - upSince[b];
         long turn = Math.max(1, fall / 4);
@@ -675,7 +675,9 @@
                 return;
             }
             for (Leg leg : legs) {
-                if (leg.isOut && shut[leg.b] && !leg.called && now - leg.sent >= shortest / 4
+                boolean slow = mayDuplicate && refuse == 0 && out[leg.b] == 1 && req.ruleSet.overdue() == 0
+                    && now - req.arrived > req.ruleSet.target() / 3 * (1 + 3.0 / balancers);
+                if (leg.isOut && (shut[leg.b] || slow) && !leg.called && now - leg.sent >= shortest / 4
                         && req.ruleSet.effect() != Effect.NON_REPLAYABLE) {
                     if (mayDuplicate) {
                         next();
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -275,7 +275,8 @@
         long up = (long) r.number("upSince", 0);
         double weight = r.number("weight", 1);
         rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0),
-            r.count("familyType", 0), weight, up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Drill.UNIT), fresh);
+            r.count("familyType", 0), weight,
+            up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Drill.UNIT), fresh);
     }
 
     private Srv admit(long id) {
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -161,6 +161,21 @@
         all.matches("late");
     }
 
+    /** repas-later big-1, reqs lost in queues no proxy sees: alone there past its share of target, a copy. */
+    @Test
+    void secondCopy() throws IOException {
+        World all = new World();
+        for (int proxies : new int[] {3, 300}) {
+            World w = World.of(4, 0, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, false);
+            w.busy(3, COSTS);
+            w.arrive("alone", 40);
+            w.pass(2500);
+            w.end(w.sent.size() - 1, Outcome.DONE);
+            all.say("one of " + proxies + " proxies, 250 ms later:\n" + w.trace);
+        }
+        all.matches("second-copy");
+    }
+
     /** repas big-1, full srvs asked again and again: full answers teach the room. (Also i6d7f1e.) */
     @Test
     void roomLearnt() throws IOException {
--- a/src/test/java/wheattrack/World.java
+++ b/src/test/java/wheattrack/World.java
@@ -43,9 +43,13 @@
 
     /** One proxy of three with srvs 0..n-1, named 10, 20, ..., in zones b % 2 and packs b % 3. */
     static World of(int srvs, int me, RuleSet set, boolean duplicates, boolean asks) {
+        return of(srvs, me, 3, set, duplicates, asks);
+    }
+
+    static World of(int srvs, int me, int proxies, RuleSet set, boolean duplicates, boolean asks) {
         World w = new World();
         w.set0 = set;
-        w.rules = new Rules(w, 7, me, 3, new RuleSet[] {set});
+        w.rules = new Rules(w, 7, me, proxies, new RuleSet[] {set});
         w.rules.limits(4, true, duplicates, SECOND);
         w.rules.zones(0, 0);
         w.rules.cold(0.25, 8 * SECOND, 3, 2 * SECOND);
