--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -35,7 +35,6 @@
     private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
-    private static final double TINY = 1e-9;
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
@@ -78,10 +77,10 @@
     private long[] spentAt = new long[MOST];
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
-    private final int[] window = new int[HINTS];
-    private int seen, taken, triedAt;
-    private int[] values = {}, order = {};
-    private double[] below = {0}, ends = {};
+    private final double[] window = new double[HINTS];
+    private long seen, taken, triedAt;
+    private int[] order = {};
+    private double[] values = {}, below = {0}, ends = {};
     private int shuts;                              // shut ones among the ready
     private double allOut;                          // cost out from us anywhere
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
@@ -202,12 +201,12 @@
 
     private void recut() {
         if (seen > 0) {
-            int n = Math.min(seen, HINTS);
+            int n = (int) Math.min(seen, HINTS);
             values = Arrays.copyOf(window, n);
             Arrays.sort(values);
             below = new double[n + 1];
             double sum = 0, bent = 0;
-            for (int hint : values) {
+            for (double hint : values) {
                 sum += hint;
                 bent += Math.pow(hint, trust);
             }
@@ -228,7 +227,8 @@
         int n = order.length;
         ends = new double[n];
         shuts = 0;
-        double usual = usualFailure();
+        double[] failures = Arrays.stream(order).mapToDouble(this::failure).sorted().toArray();
+        double usual = n == 0 ? 0 : failures[n / 2];
         double sum = 0;
         for (int i = 0; i < n; i++) {
             int b = order[i];
@@ -243,11 +243,6 @@
         return fails[b] / (tries[b] + 2);
     }
 
-    private double usualFailure() {
-        double[] all = Arrays.stream(order).mapToDouble(this::failure).sorted().toArray();
-        return all.length == 0 ? 0 : all[all.length / 2];
-    }
-
     private double health(int b, double usual) {
         return shut[b] ? FLOOR : Math.max(FLOOR, Math.pow(1 - Math.max(0, failure(b) - usual), 6));
     }
@@ -325,16 +320,16 @@
         if (cost <= 0 || all <= 0) {
             return (int) (chance.draw() * n);
         }
-        double lo = below[bound(cost)];
+        double lo = below[under(cost - 0.5)];
         double own = expected(cost);
-        double hi = below[bound(cost + 1)] + own;
+        double hi = below[under(cost + 0.5)] + own;
         double at = (lo + chance.draw() * (hi - lo)) / (below[values.length] + own) * all;
         int i = Arrays.binarySearch(ends, at);
         return Math.min(n - 1, i < 0 ? -i - 1 : i + 1);
     }
 
     /** The cost a hint stands for: as far as lags bear it out, small hints hide more and large ones less. */
-    private double expected(int hint) {
+    private double expected(double hint) {
         return flat + scale * Math.pow(hint, trust);
     }
 
@@ -347,18 +342,9 @@
         trust = Math.max(0.1, Math.min(1, fit.slope(DOUBT, 0.5)));
     }
 
-    private int bound(int value) {
-        int lo = 0;
-        int hi = values.length;
-        while (lo < hi) {
-            int mid = (lo + hi) >>> 1;
-            if (values[mid] < value) {
-                lo = mid + 1;
-            } else {
-                hi = mid;
-            }
-        }
-        return lo;
+    /** How many hints of the window lie under this one; asked for halves, so none is met. */
+    private int under(double value) {
+        return -Arrays.binarySearch(values, value) - 1;
     }
 
     private void settle(int b, long now) {
@@ -386,10 +372,9 @@
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
-        if (seen == 0 || busy[b] < SECOND / 2) {
-            return finish(b, 0);        // incident: by old figures, idle srvs were denied to all
-        }
-        return Math.max(finish(b, 0), finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
+        double own = finish(b, 0);      // incident: by old figures, idle srvs were denied to all
+        return seen == 0 || busy[b] < SECOND / 2 ? own
+            : Math.max(own, finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
     }
 
     /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
@@ -428,9 +413,6 @@
     /** The srv for a req's next dispatch, or -1: its interval's, or the next in order not passed over. */
     private int pick(Course c) {
         int n = order.length;
-        if (n == 0) {
-            return -1;
-        }
         long now = port.now();
         int trial = shuts > 0 ? trial(c, now) : -1;
         if (trial >= 0) {
@@ -438,17 +420,16 @@
         }
         int from = place(c.req.cost);
         long left = c.left(now);
-        double fairness = allOut / Math.max(TINY, ends[n - 1]);
         int spare = -1, worst = 5, looks = LOOKS;
         double soonest = 0;
         for (int k = 0; k < n && looks > 0; k++) {
             int b = order[(from + k) % n];
-            if (!ready[b] || shut[b] && shuts < n || c.met(b) || !c.allows(b, now) || !ourTurn(b, now)
+            if (!ready[b] || shut[b] && shuts < n || !c.allows(b, now) || !ourTurn(b, now)
                     || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
             looks--;
-            boolean crowded = outCost[b] > 1.2 * fairness * share[b] + meanCost / 4;
+            boolean crowded = outCost[b] > 1.2 * allOut * share[b] / ends[n - 1] + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
             double finish = finish(b, Math.max(c.load, c.req.cost));
             crowded |= finish + c.req.cost / pace(b) > left;
@@ -469,13 +450,10 @@
 
     public Port.Held arrive(Req req) {
         if (req.cost > 0) {
-            window[seen++ % HINTS] = req.cost;
+            window[(int) (seen++ % HINTS)] = req.cost;
             if ((seen & seen - 1) == 0) {           // a thin window: cut anew whenever it has doubled
                 recut();
             }
-            if (seen >= 2 * HINTS) {
-                seen -= HINTS;
-            }
         }
         Course c = new Course(req);
         meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
@@ -527,15 +505,12 @@
             open.add(this);
         }
 
-        boolean met(int b) {
-            return !legs.isEmpty() && legs.get(legs.size() - 1).b == b;
-        }
-
-        /** Rule two: after a dispatch that may have run, only where a repeat is known not to count. */
+        /** Not where it was last. Rule two: once it may have run, only where a repeat is known not to count. */
         boolean allows(int b, long now) {
             RuleSet set = req.ruleSet;
             for (Leg leg : legs) {
-                if (leg.mayHaveRun && set.effect() != Effect.REPLAYABLE
+                if (leg.b == b && leg.number == legs.size() - 1
+                        || leg.mayHaveRun && set.effect() != Effect.REPLAYABLE
                         && (set.effect() == Effect.NON_REPLAYABLE || now >= leg.sent + set.window()
                         || set.group() == Group.ZONE && leg.inZone != zoneOf[b]
                         || set.group() == Group.CELL && leg.inPack != packOf[b])) {
@@ -554,7 +529,7 @@
         /** The next dispatch, or the final answer where none can help any more. */
         void next() {
             long now = port.now();
-            int b = legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
+            int b = order.length > 0 && legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
             boolean shed = legs.isEmpty() && refuse > 0 && chance.draw() < Math.pow(refuse, hope(now));
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
@@ -648,11 +623,7 @@
 
         void close(boolean good) {
             over = true;
-            if (!legs.isEmpty()) {
-                late.sent++;
-                late.sentLate += good ? 0 : 1;
-            }
-            late.missed += good ? 0 : 1;
+            late.closed(!legs.isEmpty(), good);
             open.remove(this);
             legs.forEach(this::callOff);
         }
@@ -701,6 +672,7 @@
             }
         }
     }
+
     /** One dispatch of a req. */
     private final class Leg {
         final int number, b;
--- a/src/main/java/wheattrack/figures/Tally.java
+++ b/src/main/java/wheattrack/figures/Tally.java
@@ -12,6 +12,13 @@
     public double cost;
     public double time;
 
+    public void closed(boolean wasSent, boolean good) {
+        int bad = good ? 0 : 1;
+        missed += bad;
+        sent += wasSent ? 1 : 0;
+        sentLate += wasSent ? bad : 0;
+    }
+
     public void fade(double keep) {
         came *= keep;
         missed *= keep;
