--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -505,7 +505,7 @@
             open.add(this);
         }
 
-        /** Not where it was last. Rule two: once it may have run, only where a repeat is known not to count. */
+        /** Not where it was last. Rule two: once it may have run, only where a repeat does no harm. */
         boolean allows(int b, long now) {
             RuleSet set = req.ruleSet;
             for (Leg leg : legs) {
