--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -372,7 +372,7 @@
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
-        double own = finish(b, 0);      // incident: by old figures, idle srvs were denied to all
+        double own = Math.max(0, finish(b, (int) (-meanCost / balancers)));     // incident: idle srvs denied
         return seen == 0 || busy[b] < SECOND / 2 ? own
             : Math.max(own, finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
     }
