--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -88,8 +88,6 @@
     // the cost a dispatch in that time, the fleet's being 1.
     private final double[] kindCost = new double[KINDS], kindBusy = new double[KINDS];
     private final double[] kindOut = new double[KINDS], speed = new double[KINDS];
-    private double best;
-    private long restUntil = Long.MIN_VALUE / 2;
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1, meanWorth = 1;
@@ -306,11 +304,6 @@
                 sum[b] *= KEEP;
             }
         }
-        best = Math.max(0.98 * best, time > 0 ? usualPace : 0);
-        if (usualPace < 0.4 * best && late.missed > 0.3 * late.came && now > restUntil + 30 * SECOND) {
-            restUntil = now + 9 * SECOND / 2;
-            port.log("rest: pace " + usualPace + " of " + best);
-        }
         double excess = 3 * (late.sentLate - MISSED * mayWait * late.sent) / (late.came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         double missed = late.came > 0 ? late.missed / late.came : 0;
@@ -537,7 +530,7 @@
         void next() {
             long now = port.now();
             int b = order.length > 0 && legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            boolean shed = legs.isEmpty() && (now < restUntil || refuse > 0 && chance.draw() < Math.pow(refuse, hope(now)));
+            boolean shed = legs.isEmpty() && refuse > 0 && chance.draw() < Math.pow(refuse, hope(now));
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
