--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -39,8 +39,6 @@
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
-    private static final long REST = 6 * SECOND;
-    private static final int TURNS = 3;
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -90,8 +88,6 @@
     // the cost a dispatch in that time, the fleet's being 1.
     private final double[] kindCost = new double[KINDS], kindBusy = new double[KINDS];
     private final double[] kindOut = new double[KINDS], speed = new double[KINDS];
-    private double best;                            // pace of the fleet so far, fading
-    private long restUntil = Long.MIN_VALUE / 2;
     private double usualPace = 1;                   // the fleet's, by weight
     private double usualLoad;                       // cost a warm srv does for us in a unit of time
     private double meanCost = 1, meanWorth = 1;
@@ -308,11 +304,6 @@
                 sum[b] *= KEEP;
             }
         }
-        best = Math.max(0.98 * best, time > 0 ? usualPace : 0);
-        if (usualPace < 0.5 * best && late.missed > 0.3 * late.came && now > restUntil + 20 * SECOND) {
-            restUntil = now + (TURNS + 1) * REST;
-            port.log("rest in turns: pace " + (int) (100 * usualPace / best) + "% of its best");
-        }
         double excess = 3 * (late.sentLate - MISSED * mayWait * late.sent) / (late.came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         double missed = late.came > 0 ? late.missed / late.came : 0;
@@ -433,7 +424,7 @@
         double soonest = 0;
         for (int k = 0; k < n && looks > 0; k++) {
             int b = order[(from + k) % n];
-            if (!ready[b] || now < restUntil && (now / REST + id[b]) % TURNS == 0 || shut[b] && shuts < n || !c.allows(b, now) || !ourTurn(b, now)
+            if (!ready[b] || shut[b] && shuts < n || !c.allows(b, now) || !ourTurn(b, now)
                     || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
@@ -655,8 +646,9 @@
                 return;
             }
             for (Leg leg : legs) {
-                boolean slow = mayDuplicate && refuse == 0 && out[leg.b] == 1 && req.ruleSet.overdue() == 0
-                    && now - req.arrived > req.ruleSet.target() / 3 * (1 + 3.0 / balancers);
+                boolean slow = refuse == 0 && out[leg.b] == 1 && req.ruleSet.overdue() == 0
+                    && now - req.arrived > req.ruleSet.target() / 3 * (1 + 3.0 / balancers)
+                    && (mayDuplicate || now - leg.sent > 4 * Math.max(load, req.cost));
                 if (leg.isOut && (shut[leg.b] || slow) && !leg.called && now - leg.sent >= shortest / 4
                         && req.ruleSet.effect() != Effect.NON_REPLAYABLE) {
                     if (mayDuplicate) {
