--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -96,6 +96,44 @@
         w.matches("list");
     }
 
+    /** Hundreds restart together and the list turns every call away: the calls spread and thin out. */
+    @Test
+    void listAskedByMany() throws IOException {
+        int[] calls = new int[30];
+        for (int me = 0; me < 300; me++) {
+            World one = World.of(2, me, 300, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, true);
+            int answered = 0;
+            for (int tenth = 0; tenth < 300; tenth++) {
+                for (; answered < one.asked; answered++) {
+                    calls[tenth / 10]++;
+                    one.rules.listFailed();
+                }
+                one.pass(SECOND / 10);
+            }
+        }
+        World w = new World();
+        w.say("calls of 300 proxies by second: " + Arrays.toString(calls));
+        w.matches("list-many");
+    }
+
+    /** A number of proxies that is absent or huge, odd hints, one srv, none: a dispatch or a quick deny. */
+    @Test
+    void oddSettings() throws IOException {
+        World all = new World();
+        for (int proxies : new int[] {0, 5000}) {
+            World w = World.of(1, 0, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, false);
+            for (int cost : new int[] {Integer.MAX_VALUE / 4, 0, 1}) {
+                w.arrive("hint " + cost, cost);
+                w.end(Outcome.DONE);
+            }
+            w.rules.gone(0);
+            w.rules.listed(false);
+            w.arrive("no srv", 100);
+            all.say("one of " + proxies + " proxies:\n" + w.trace);
+        }
+        all.matches("odd-settings");
+    }
+
     /** Incident, cold srvs pushed over by light reqs: three proxies keep a fresh srv within its budget. */
     @Test
     void freshSrvUnderAllProxies() throws IOException {
--- a/src/test/java/wheattrack/World.java
+++ b/src/test/java/wheattrack/World.java
@@ -27,6 +27,7 @@
     final StringBuilder trace = new StringBuilder();
     final List<Result> sent = new ArrayList<>();
     final List<Integer> where = new ArrayList<>();
+    int asked;
     private final List<Long> sentAt = new ArrayList<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) ->
         a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
@@ -49,7 +50,7 @@
     static World of(int srvs, int me, int proxies, RuleSet set, boolean duplicates, boolean asks) {
         World w = new World();
         w.set0 = set;
-        w.rules = new Rules(w, 7, me, proxies, new RuleSet[] {set});
+        w.rules = new Rules(w, 7 + me, me, proxies, new RuleSet[] {set});
         w.rules.limits(4, true, duplicates, SECOND);
         w.rules.zones(0, 0);
         w.rules.cold(0.25, 8 * SECOND, 3, 2 * SECOND);
@@ -159,6 +160,7 @@
 
     @Override
     public void follow() {
+        asked++;
         say("follow at " + (now - 100 * SECOND) / 10 + " ms");
     }
 
