--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -646,9 +646,8 @@
                 return;
             }
             for (Leg leg : legs) {
-                boolean slow = refuse == 0 && out[leg.b] == 1 && req.ruleSet.overdue() == 0
-                    && now - req.arrived > req.ruleSet.target() / 3 * (1 + 3.0 / balancers)
-                    && (mayDuplicate || now - leg.sent > 4 * Math.max(load, req.cost));
+                boolean slow = mayDuplicate && refuse == 0 && out[leg.b] == 1 && req.ruleSet.overdue() == 0
+                    && now - req.arrived > req.ruleSet.target() / 3 * (1 + 3.0 / balancers);
                 if (leg.isOut && (shut[leg.b] || slow) && !leg.called && now - leg.sent >= shortest / 4
                         && req.ruleSet.effect() != Effect.NON_REPLAYABLE) {
                     if (mayDuplicate) {
