--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -88,11 +88,10 @@
     // the cost a dispatch in that time, the fleet's being 1.
     private final double[] kindCost = new double[KINDS], kindBusy = new double[KINDS];
     private final double[] kindOut = new double[KINDS], speed = new double[KINDS];
-    private double usualPace = 1;                   // the fleet's, by weight
-    private double usualLoad;                       // cost a warm srv does for us in a unit of time
+    private double usualPace = 1, usualLoad;        // cost a srv does for us, by weight: busy, in all
+    private double keep = KEEP;                     // of what is learnt of a srv, by the second or the visit
     private double meanCost = 1, meanWorth = 1;
-    private double trust = 0.5;                     // cost grows as this power of the hint
-    private double scale = 1, flat;
+    private double trust = 0.5, scale = 1, flat;    // cost: flat + scale x hint to the power of trust
     private final Fit fit = new Fit(HINTS);
     private final Tally late = new Tally();
     private double refuse;                          // the part of reqs denied as too many sent ones are late
@@ -289,7 +288,7 @@
                 warmCost += costSum[b];
             }
         }
-        usualLoad = warm > 0 ? warmCost * (1 - KEEP) / RECUT / warm : usualLoad;
+        usualLoad = warm > 0 ? warmCost * (1 - keep) / RECUT / warm : usualLoad;
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         double fleet = Arrays.stream(kindCost).sum() / Math.max(1, Arrays.stream(kindOut).sum());
         for (int k = 0; k < KINDS; k++) {
@@ -299,9 +298,10 @@
             kindCost[k] *= SLOWLY;
             kindBusy[k] *= SLOWLY;
         }
+        keep = Math.pow(KEEP, Math.min(1, late.came * (1 - KEEP * KEEP) / Math.max(1, order.length)));
         for (double[] sum : new double[][] {costSum, busy, tries, fails}) {
             for (int b = 0; b < slots; b++) {
-                sum[b] *= KEEP;
+                sum[b] *= keep;
             }
         }
         double excess = 3 * (late.sentLate - MISSED * mayWait * late.sent) / (late.came + 2);
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -214,6 +214,24 @@
         all.matches("second-copy");
     }
 
+    /** ibf8546, bad srvs forgotten between two visits: where visits are rare, a slow srv stays known. */
+    @Test
+    void slowSrvMetRarely() throws IOException {
+        World w = World.of(4, 0, 300, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+        w.quiet = true;
+        for (int i = 0; i < 80; i++) {
+            w.arrive("rare", COSTS[i % COSTS.length]);
+            w.pass(w.where.get(i) == 0 ? 4000 : 100);
+            w.end(Outcome.DONE);
+            w.pass(2 * SECOND);
+        }
+        w.quiet = false;
+        for (int b = 0; b < 4; b++) {
+            w.say(10 * b + 10 + ": " + Collections.frequency(w.where, b));
+        }
+        w.matches("slow-rare");
+    }
+
     /** repas big-1, full srvs asked again and again: full answers teach the room. (Also i6d7f1e.) */
     @Test
     void roomLearnt() throws IOException {
