Of hundreds of proxies each cuts over its turn of the servers

A proxy now cuts over n x 50 / proxies servers, eight at least, from its own number on in id order, so that all are met by as many. Up to 50 proxies nothing changes.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -27,10 +27,8 @@
     private static final int HINTS = 2000;          // the design's window
     private static final int MOST = 1024;           // backends known at once; further ones are left out
     private static final int KINDS = 64;            // kinds of machine told apart
-    private static final long SECOND = 10_000;
-    private static final long RECUT = SECOND;       // recompute period
-    private static final double KEEP = 0.8;         // of the learnt sums, at each recompute: half-life 3 s
-    private static final double SLOWLY = 0.95;      // the same of a kind's: half-life 14 s
+    private static final long SECOND = 10_000, RECUT = SECOND;     // recompute period
+    private static final double KEEP = 0.8, SLOWLY = 0.95;  // of learnt sums a second; of a kind's
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
@@ -39,6 +37,7 @@
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
+    private static final int MANY = 50, FEW = 8;    // proxies a srv is met by, and srvs a proxy meets, at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -47,13 +46,12 @@
     private final long shortest;                    // the tightest response target
     private int maxDispatches = 1;
     private boolean mayCancel, mayDuplicate;
-    private long maxWait;
     private int zone;
     private double crossPrice;
     private double startCapacity = 1, fallMultiple = 1;
     private long cold, fall;
     private double mayWait = 1;                     // of the time left to the target
-    private long askEvery, retryAsk;
+    private long maxWait, askEvery, retryAsk;
     private boolean following;
 
     // Backends, under their dense index.
@@ -84,8 +82,7 @@
     private int shuts;                              // shut ones among the ready
     private double allOut;                          // cost out from us anywhere
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
-    // By kind: cost and busy time by weight as above, kept longer; the time of all dispatches there; and
-    // the cost a dispatch in that time, the fleet's being 1.
+    // By kind, kept longer: cost, time busy by weight, time of all dispatches; and cost by that, fleet 1.
     private final double[] kindCost = new double[KINDS], kindBusy = new double[KINDS];
     private final double[] kindOut = new double[KINDS], speed = new double[KINDS];
     private double usualPace = 1, usualLoad;        // cost a srv does for us, by weight: busy, in all
@@ -218,12 +215,14 @@
         }
     }
 
-    /** The ready srvs by id, each with its share of the cut. */
+    /** The ready srvs by id, or a proxy of hundreds' turn of them, each with its share of the cut. */
     private void order() {
         long now = port.now();
-        order = IntStream.range(0, slots).filter(b -> ready[b]).boxed()
+        int[] all = IntStream.range(0, slots).filter(b -> ready[b]).boxed()
             .sorted(Comparator.comparingLong(b -> id[b])).mapToInt(b -> b).toArray();
-        int n = order.length;
+        int n = Math.min(all.length, Math.max(FEW, MANY * all.length / balancers));
+        order = IntStream.range(0, all.length).filter(i -> Math.floorMod(i - (long) me * n, all.length) < n)
+            .map(i -> all[i]).toArray();
         ends = new double[n];
         shuts = 0;
         double[] failures = Arrays.stream(order).mapToDouble(this::failure).sorted().toArray();
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -214,6 +214,25 @@
         all.matches("second-copy");
     }
 
+    /** i306e13, every srv's connections taken by 726 proxies: of hundreds each meets its turn of the srvs. */
+    @Test
+    void partOfTheFleet() throws IOException {
+        World all = new World();
+        for (int proxies : new int[] {3, 50, 300}) {
+            int[] met = new int[40];
+            for (int me = 0; me < proxies; me++) {
+                World w = World.of(40, me, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, false);
+                for (int i = 0; i < 400; i++) {
+                    w.arrive("r", 0);
+                    w.end(Outcome.DONE);
+                }
+                w.where.stream().distinct().forEach(b -> met[b]++);
+            }
+            all.say(proxies + " proxies, those that meet each srv: " + Arrays.toString(met));
+        }
+        all.matches("part");
+    }
+
     /** ibf8546, bad srvs forgotten between two visits: where visits are rare, a slow srv stays known. */
     @Test
     void slowSrvMetRarely() throws IOException {
