A server is met by four proxies' turns in place of fifty

Cause: what helps banks of hundreds helps those of ten too: a proxy that meets a quarter of the servers knows them four times sooner. Up to four proxies it never acts; banks of hundreds are bounded by eight servers a proxy as before.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -37,7 +37,7 @@
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
-    private static final int MANY = 50, FEW = 8;    // proxies that meet a srv; srvs a proxy meets at least
+    private static final int MANY = 4, FEW = 8;    // proxies that meet a srv; srvs a proxy meets at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
