--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -220,10 +220,10 @@
         long now = port.now();
         int[] all = IntStream.range(0, slots).filter(b -> ready[b]).boxed()
             .sorted(Comparator.comparingLong(b -> id[b])).mapToInt(b -> b).toArray();
-        int part = Math.max(FEW, MANY * all.length / balancers);    // incident i8788ed: wider by those shut
-        int n = Math.min(all.length, part + 2 * shuts);
-        order = IntStream.range(0, all.length).filter(i -> Math.floorMod(i - (long) me * part, all.length) < n)
-            .map(i -> all[i]).toArray();
+        int part = Math.max(FEW, MANY * all.length / balancers);
+        int n = Math.min(all.length, part + Math.max(0, 4 * shuts - 2 * part));     // incident i8788ed
+        order = IntStream.range(0, all.length)
+            .filter(i -> Math.floorMod(i - (long) me * part, all.length) < n).map(i -> all[i]).toArray();
         ends = new double[n];
         shuts = 0;
         double[] failures = Arrays.stream(order).mapToDouble(this::failure).sorted().toArray();
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -233,6 +233,26 @@
         all.matches("part");
     }
 
+    /** i8788ed, an outage takes most of a proxy's part of the srvs: the part widens within a second. */
+    @Test
+    void partWidens() throws IOException {
+        World w = World.of(30, 0, 12, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+        w.quiet = true;
+        for (int i = 0; i < 8; i++) {
+            w.arrive("r", 0);
+            w.end(Outcome.NO_CONNECT);
+        }
+        long before = w.where.stream().distinct().count();
+        w.pass(2 * SECOND);
+        for (int i = 0; i < 100; i++) {
+            w.arrive("r", 0);
+            w.end(Outcome.DONE);
+        }
+        w.quiet = false;
+        w.say(before + " srvs met, all turn it away; a second later " + w.where.stream().distinct().count());
+        w.matches("part-widens");
+    }
+
     /** ibf8546, bad srvs forgotten between two visits: where visits are rare, a slow srv stays known. */
     @Test
     void slowSrvMetRarely() throws IOException {
