--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -238,9 +238,10 @@
     void partWidens() throws IOException {
         World w = World.of(30, 0, 12, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
         w.quiet = true;
-        for (int i = 0; i < 8; i++) {
+        w.arrive("r", 0);
+        for (int k = 0; k < w.sent.size() && k < 40; k++) {
+            w.end(k, Outcome.NO_CONNECT);
             w.arrive("r", 0);
-            w.end(Outcome.NO_CONNECT);
         }
         long before = w.where.stream().distinct().count();
         w.pass(2 * SECOND);
