--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -37,7 +37,7 @@
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
-    private static final int MANY = 4, FEW = 8;    // proxies that meet a srv; srvs a proxy meets at least
+    private static final int MANY = 4, FEW = 8;     // proxies that meet a srv; srvs a proxy meets at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -215,7 +215,7 @@
         }
     }
 
-    /** The ready srvs by id, or a proxy of hundreds' turn of them, each with its share of the cut. */
+    /** The ready srvs by id, or of many proxies its turn of them, each with its share of the cut. */
     private void order() {
         long now = port.now();
         int[] all = IntStream.range(0, slots).filter(b -> ready[b]).boxed()
