Tidy-up after a last read: no check twice, a plain value, one maker of test worlds

Text only: the empty order is already kept out where a pick is asked for; value x cost over cost is the value; settle works its time out once; the test of a point above the fit says so; seven tests share one maker.

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -67,7 +67,7 @@
     private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
     private double[] busy = new double[MOST];       // time with something out there, decaying
     private long[] busyFrom = new long[MOST];
-    private double[] silence = new double[MOST];      // time with something out there since its last answer
+    private double[] silence = new double[MOST];    // time with something out there since its last answer
     private double[] stand = new double[MOST];      // mean wait over the last second
     private boolean[] shut = new boolean[MOST];
     private long[] trialAt = new long[MOST], trialGap = new long[MOST];
@@ -316,14 +316,13 @@
     // of it, so a thin window cuts nearly at random and a full one sharply, at equal shares throughout.
     private int place(int cost) {
         int n = order.length;
-        double all = n == 0 ? 0 : ends[n - 1];
-        if (cost <= 0 || all <= 0) {
+        if (cost <= 0) {
             return (int) (chance.draw() * n);
         }
         double lo = below[under(cost - 0.5)];
         double own = expected(cost);
         double hi = below[under(cost + 0.5)] + own;
-        double at = (lo + chance.draw() * (hi - lo)) / (below[values.length] + own) * all;
+        double at = (lo + chance.draw() * (hi - lo)) / (below[values.length] + own) * ends[n - 1];
         int i = Arrays.binarySearch(ends, at);
         return Math.min(n - 1, i < 0 ? -i - 1 : i + 1);
     }
@@ -338,7 +337,7 @@
     private void compare(int hint, long lag) {
         double x = Math.log(hint);
         double y = Math.log(Math.max(1, lag));
-        fit.add(x, y, fit.isUnder(x, y) ? QUEUED : 1);
+        fit.add(x, y, fit.isAbove(x, y) ? QUEUED : 1);
         trust = Math.max(0.1, Math.min(1, fit.slope(DOUBT, 0.5)));
     }
 
@@ -348,13 +347,14 @@
     }
 
     private void settle(int b, long now) {
+        long time = now - busyFrom[b];
         if (out[b] > 0) {
-            busy[b] += now - busyFrom[b];
-            kindBusy[kind[b]] += (now - busyFrom[b]) * weight[b];
-            kindOut[kind[b]] += (now - busyFrom[b]) * out[b];
-            silence[b] += now - busyFrom[b];
+            busy[b] += time;
+            kindBusy[kind[b]] += time * weight[b];
+            kindOut[kind[b]] += time * out[b];
+            silence[b] += time;
         }
-        ghost[b] = Math.max(0, ghost[b] - (now - busyFrom[b]) * pace(b));
+        ghost[b] = Math.max(0, ghost[b] - time * pace(b));
         busyFrom[b] = now;
     }
 
@@ -541,7 +541,7 @@
         /** Its value for its cost against the mean, the less the surer it is to be late. */
         double hope(long now) {
             double inTime = left(now) * late.cost / (late.time * load + 1);
-            return Math.min(2, inTime * inTime) * worth() / load * meanCost / meanWorth;
+            return Math.min(2, inTime * inTime) * req.ruleSet.value() * meanCost / meanWorth;
         }
 
         double worth() {
--- a/src/main/java/wheattrack/figures/Fit.java
+++ b/src/main/java/wheattrack/figures/Fit.java
@@ -26,7 +26,8 @@
         slope += step * ((1 - step) * dx * dy - slope);
     }
 
-    public boolean isUnder(double x, double y) {
+    /** Whether a point lies above the line. */
+    public boolean isAbove(double x, double y) {
         return weight > 0 && y - meanY > slope / (spread + TINY) * (x - meanX);
     }
 
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -15,7 +15,11 @@
     private static final int[] COSTS = {10, 20, 30, 40, 50, 60, 70, 80};
 
     private static World replayable(int srvs, boolean duplicates) {
-        return World.of(srvs, 0, World.set(Effect.REPLAYABLE, Group.ALL, 0), duplicates, false);
+        return replayable(srvs, 0, 3, duplicates);
+    }
+
+    private static World replayable(int srvs, int me, int proxies, boolean duplicates) {
+        return World.of(srvs, me, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), duplicates, false);
     }
 
     /** Equal shares of summed cost in id order; a value on a cut is split; crowded srvs are passed over. */
@@ -121,7 +125,7 @@
     void oddSettings() throws IOException {
         World all = new World();
         for (int proxies : new int[] {0, 5000}) {
-            World w = World.of(1, 0, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, false);
+            World w = replayable(1, 0, proxies, true);
             for (int cost : new int[] {Integer.MAX_VALUE / 4, 0, 1}) {
                 w.arrive("hint " + cost, cost);
                 w.end(Outcome.DONE);
@@ -139,7 +143,7 @@
     void freshSrvUnderAllProxies() throws IOException {
         World w = new World();
         for (int me = 0; me < 3; me++) {
-            World one = World.of(4, me, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+            World one = replayable(4, me, 3, false);
             one.rules.gone(0);
             one.rules.listed(false);
             one.busy(4, COSTS);
@@ -204,11 +208,11 @@
     void secondCopy() throws IOException {
         World all = new World();
         for (int proxies : new int[] {3, 300}) {
-            World w = World.of(4, 0, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, false);
+            World w = replayable(4, 0, proxies, true);
             w.busy(3, COSTS);
             w.arrive("alone", 40);
             w.pass(2500);
-            w.end(w.sent.size() - 1, Outcome.DONE);
+            w.end(Outcome.DONE);
             all.say("one of " + proxies + " proxies, 250 ms later:\n" + w.trace);
         }
         all.matches("second-copy");
@@ -221,7 +225,7 @@
         for (int proxies : new int[] {3, 50, 300}) {
             int[] met = new int[40];
             for (int me = 0; me < proxies; me++) {
-                World w = World.of(40, me, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, false);
+                World w = replayable(40, me, proxies, true);
                 for (int i = 0; i < 400; i++) {
                     w.arrive("r", 0);
                     w.end(Outcome.DONE);
@@ -236,7 +240,7 @@
     /** i8788ed, an outage takes most of a proxy's part of the srvs: the part widens within a second. */
     @Test
     void partWidens() throws IOException {
-        World w = World.of(30, 0, 12, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+        World w = replayable(30, 0, 12, false);
         w.quiet = true;
         w.arrive("r", 0);
         for (int k = 0; k < w.sent.size() && k < 40; k++) {
@@ -257,7 +261,7 @@
     /** ibf8546, bad srvs forgotten between two visits: where visits are rare, a slow srv stays known. */
     @Test
     void slowSrvMetRarely() throws IOException {
-        World w = World.of(4, 0, 300, World.set(Effect.REPLAYABLE, Group.ALL, 0), false, false);
+        World w = replayable(4, 0, 300, false);
         w.quiet = true;
         for (int i = 0; i < 80; i++) {
             w.arrive("rare", COSTS[i % COSTS.length]);
