--- /dev/null
+++ b/src/main/java/wheattrack/config/BadConfig.java
@@ -0,0 +1,10 @@
+package wheattrack.config;
+
+/** A configuration that cannot be used; the message names the faulty key. */
+public final class BadConfig extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    public BadConfig(String key, String fault) {
+        super(key + ": " + fault);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/config/Settings.java
@@ -0,0 +1,150 @@
+package wheattrack.config;
+
+import java.util.List;
+import java.util.Map;
+import wheattrack.Rules;
+import wheattrack.port.Port;
+import wheattrack.port.RuleSet;
+
+/**
+ * One object of a configuration, read by paths of keys. A key that is not there has its default; one that
+ * holds something of the wrong kind is an error that names it. Times are microseconds there and come out in
+ * tenths of a millisecond, rounded down.
+ */
+public final class Settings {
+    /** Microseconds in the project's unit of time. */
+    public static final int UNIT = 100;
+
+    private final Map<String, Object> all;
+    private final String where;
+
+    public Settings(Map<String, Object> all) {
+        this(all, "");
+    }
+
+    private Settings(Map<String, Object> all, String where) {
+        this.all = all;
+        this.where = where;
+    }
+
+    private Object at(String path) {
+        Object here = all;
+        for (String part : path.split("\\.")) {
+            here = here instanceof Map<?, ?> map ? map.get(part) : null;
+        }
+        return here;
+    }
+
+    private <T> T at(String path, Class<T> kind, T otherwise) {
+        Object value = at(path);
+        if (value == null) {
+            return otherwise;
+        }
+        if (!kind.isInstance(value)) {
+            throw new BadConfig(where + path, "not a " + switch (kind.getSimpleName()) {
+                case "Number" -> "number";
+                case "Boolean" -> "mark (true or false)";
+                case "String" -> "text";
+                case "List" -> "list";
+                default -> "object";
+            });
+        }
+        return kind.cast(value);
+    }
+
+    public boolean has(String path) {
+        return at(path) != null;
+    }
+
+    public double number(String path, double otherwise) {
+        return at(path, Number.class, otherwise).doubleValue();
+    }
+
+    public int count(String path, int otherwise) {
+        return (int) number(path, otherwise);
+    }
+
+    public long whole(String path, long otherwise) {
+        return at(path, Number.class, otherwise).longValue();
+    }
+
+    public long time(String path, long otherwiseMicros) {
+        return (long) number(path, otherwiseMicros) / UNIT;
+    }
+
+    public boolean flag(String path) {
+        return at(path, Boolean.class, false);
+    }
+
+    public String word(String path, String otherwise) {
+        return at(path, String.class, otherwise);
+    }
+
+    /** A text that must be there. */
+    public String word(String path) {
+        String word = word(path, null);
+        if (word == null || word.isEmpty()) {
+            throw new BadConfig(where + path, "missing");
+        }
+        return word;
+    }
+
+    public List<?> list(String path) {
+        return at(path, List.class, List.of());
+    }
+
+    @SuppressWarnings("unchecked")
+    public Settings part(String path) {
+        return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
+    }
+
+    /** The list's entries, each an object. */
+    @SuppressWarnings("unchecked")
+    public List<Settings> parts(String path) {
+        List<?> list = list(path);
+        return java.util.stream.IntStream.range(0, list.size()).mapToObj(i -> {
+            String name = where + path + "[" + i + "]";
+            if (!(list.get(i) instanceof Map<?, ?> map)) {
+                throw new BadConfig(name, "not an object");
+            }
+            return new Settings((Map<String, Object>) map, name + ".");
+        }).toList();
+    }
+
+    public RuleSet[] ruleSets() {
+        List<Settings> sets = parts("ruleSets");
+        RuleSet[] out = new RuleSet[sets.size()];
+        for (int i = 0; i < out.length; i++) {
+            Settings s = sets.get(i);
+            RuleSet.Effect effect = switch (s.word("effect", "")) {
+                case "read_like" -> RuleSet.Effect.REPLAYABLE;
+                case "idempotency_key" -> RuleSet.Effect.UNIQUED;
+                default -> RuleSet.Effect.NON_REPLAYABLE;
+            };
+            RuleSet.Group group = switch (s.word("group", "")) {
+                case "all" -> RuleSet.Group.ALL;
+                case "zone" -> RuleSet.Group.ZONE;
+                default -> RuleSet.Group.CELL;
+            };
+            long timeout = s.time("clientTimeout", 1_000_000);
+            long target = Math.max(1, Math.min(timeout, s.time("responseTarget", 1_000_000)));
+            out[i] = new RuleSet(i, target, timeout, effect, group, s.time("window", 0),
+                s.number("value", 1), s.number("overdueValue", 0), s.flag("stream"));
+        }
+        return out;
+    }
+
+    /** The decisions under these settings, each part given its own; asks: the list must be asked for. */
+    public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
+        Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
+        rules.limits(count("limits.maxDispatches", 1), flag("limits.mayCancel"),
+            flag("limits.mayDuplicate"),
+            flag("limits.retryAfter") ? time("limits.maxRetryAfter", 0) : 0);
+        rules.zones(count("zone", 0), number("prices.crossZone", 0));
+        rules.cold(number("rules.startCapacity", 1), time("rules.cold", 0),
+            number("rules.fallMultiple", 1), time("rules.fall", 0));
+        rules.goal(number("goal.punctual", 0));
+        rules.start(asks, time("rules.askEvery", 10_000_000));
+        return rules;
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/core/Fleet.java
@@ -0,0 +1,101 @@
+package wheattrack.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiFunction;
+
+/** The list of backends as dense indexes. An index is free again once its srv is gone and nothing is out there. */
+public final class Fleet<K, S extends Fleet.Srv<K>> {
+    /** A backend at the door. */
+    public abstract static class Srv<K> {
+        public final K id;
+        public final int at;
+        private boolean gone = true;
+
+        protected Srv(K id, int at) {
+            this.id = id;
+            this.at = at;
+        }
+
+        public boolean isGone() {
+            return gone;
+        }
+
+        /** Whether something is still out there. */
+        protected abstract boolean isBusy();
+    }
+
+    private final BiFunction<K, Integer, S> maker;
+    private final Map<K, S> byId = new HashMap<>();
+    private final List<S> byIndex = new ArrayList<>();
+
+    public Fleet(BiFunction<K, Integer, S> maker) {
+        this.maker = maker;
+    }
+
+    public S at(int index) {
+        return byIndex.get(index);
+    }
+
+    /** The backend of this id, or null. */
+    public S find(K id) {
+        return byId.get(id);
+    }
+
+    public List<S> all() {
+        return List.copyOf(byIndex);
+    }
+
+    /** The backend of this id, admitted if it is new; still gone until it is met. */
+    public S admit(K id) {
+        S known = byId.get(id);
+        if (known != null) {
+            return known;
+        }
+        int index = byIndex.size();
+        for (S old : byIndex) {
+            if (old.isGone() && !old.isBusy()) {
+                index = old.at;
+                byId.remove(old.id);
+                break;
+            }
+        }
+        S srv = maker.apply(id, index);
+        if (index == byIndex.size()) {
+            byIndex.add(srv);
+        } else {
+            byIndex.set(index, srv);
+        }
+        byId.put(id, srv);
+        return srv;
+    }
+
+    /** The srv is on the list; says whether it was not before. */
+    public boolean met(S srv) {
+        boolean fresh = srv.isGone();
+        ((Srv<K>) srv).gone = false;
+        return fresh;
+    }
+
+    /** The srv has left the list; says whether it was on it. */
+    public boolean left(S srv) {
+        boolean was = srv != null && !srv.isGone();
+        if (was) {
+            ((Srv<K>) srv).gone = true;
+        }
+        return was;
+    }
+
+    /** Those on the list that are not named. */
+    public List<S> missing(Set<K> named) {
+        return byIndex.stream().filter(srv -> !srv.isGone() && !named.contains(srv.id)).toList();
+    }
+
+    public void clear() {
+        byId.clear();
+        byIndex.clear();
+    }
+}
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -4,11 +4,14 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wheattrack.Rules;
+import wheattrack.config.Settings;
+import wheattrack.core.Fleet;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
@@ -29,25 +32,25 @@
         }
     }
 
-    /** A backend at the door; its index is free again once it is gone and nothing is out there. */
-    private static final class Srv {
-        final long id;
-        final int at;
+    /** A backend at the door, with what is out there. */
+    private static final class Srv extends Fleet.Srv<Long> {
         int out;
-        boolean gone;
         final List<Heard> probes = new ArrayList<>();
 
-        Srv(long id, int at) {
-            this.id = id;
-            this.at = at;
+        Srv(Long id, int at) {
+            super(id, at);
+        }
+
+        @Override
+        protected boolean isBusy() {
+            return out > 0 || !probes.isEmpty();
         }
     }
 
     private final long instance;
     private final JsonGenerator out;
     private final Map<String, Guest> guests = new HashMap<>();
-    private final Map<Long, Srv> srvs = new HashMap<>();
-    private final List<Srv> byIndex = new ArrayList<>();
+    private final Fleet<Long, Srv> fleet = new Fleet<>(Srv::new);
     private final Map<Long, Runnable> timers = new HashMap<>();
     private long timer;
     private long now;
@@ -61,7 +64,7 @@
 
     /** The clock rounds up and each due rounds down, so that no limit is passed in between. */
     void at(long micros) {
-        now = Math.floorDiv(micros + Drill.UNIT - 1, (long) Drill.UNIT);
+        now = Math.floorDiv(micros + Settings.UNIT - 1, (long) Settings.UNIT);
     }
 
     void read(String kind, Line line) throws IOException {
@@ -117,8 +120,7 @@
 
     private void forget() {
         guests.clear();
-        srvs.clear();
-        byIndex.clear();
+        fleet.clear();
         timers.clear();
         rules = null;
     }
@@ -126,15 +128,7 @@
     private void configure(long seed, Settings s) {
         forget();
         sets = s.ruleSets();
-        rules = new Rules(this, seed, s.count("me", 0), s.count("balancers", 1), sets);
-        rules.limits(s.count("limits.maxDispatches", 1), s.flag("limits.mayCancel"),
-            s.flag("limits.mayDuplicate"),
-            s.flag("limits.retryAfter") ? s.time("limits.maxRetryAfter", 0) : 0);
-        rules.zones(s.count("zone", 0), s.number("prices.crossZone", 0));
-        rules.cold(s.number("rules.startCapacity", 1), s.time("rules.cold", 0),
-            s.number("rules.fallMultiple", 1), s.time("rules.fall", 0));
-        rules.goal(s.number("goal.punctual", 0));
-        rules.start(s.word("discovery", "").equals("subscribe"), s.time("rules.askEvery", 10_000_000));
+        rules = s.rules(this, seed, sets, s.word("discovery", "").equals("subscribe"));
     }
 
     private void arrival(Line line) throws Drill.BadInput {
@@ -153,9 +147,9 @@
         Guest guest = new Guest(line.text("rid"));
         guests.put(guest.rid, guest);
         long hint = Math.max(0, line.number("sizeHint", 0));
-        int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Drill.UNIT - 1) / Drill.UNIT);
+        int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Settings.UNIT - 1) / Settings.UNIT);
         Req req = new Req(sets[profile], (int) line.number("tenant", 0), key, now,
-            Math.floorDiv(line.number("due"), (long) Drill.UNIT), cost, line.number("resent", 0) != 0, guest);
+            Math.floorDiv(line.number("due"), (long) Settings.UNIT), cost, line.number("resent", 0) != 0, guest);
         guest.held = rules.arrive(req);
     }
 
@@ -163,7 +157,7 @@
         Guest guest = guests.get(line.text("rid"));
         int leg = (int) line.number("leg");
         Outcome how = outcome((int) line.number("status"));
-        long lag = line.number("lag") / Drill.UNIT;
+        long lag = line.number("lag") / Settings.UNIT;
         boolean ended = line.number("ended", 0) != 0;
         if (guest == null || leg < 0 || leg >= guest.legs.size() || guest.legs.get(leg) == null) {
             return;
@@ -195,9 +189,9 @@
     }
 
     private void probed(Line line) throws Drill.BadInput {
-        Srv srv = srvs.get(line.number("backend"));
+        Srv srv = fleet.find(line.number("backend"));
         boolean ok = line.number("status") == 0;
-        long lag = line.number("lag") / Drill.UNIT;
+        long lag = line.number("lag") / Settings.UNIT;
         if (srv == null || srv.probes.isEmpty()) {
             return;
         }
@@ -234,16 +228,18 @@
     }
 
     private void missing(List<?> records) throws Drill.BadInput {
-        List<Long> named = new ArrayList<>();
+        Set<Long> named = new HashSet<>();
         for (Object record : records) {
             named.add(id(record));
         }
-        Collections.sort(named);
-        for (Srv srv : List.copyOf(byIndex)) {
-            if (!srv.gone && Collections.binarySearch(named, srv.id) < 0) {
-                srv.gone = true;
-                rules.gone(srv.at);
-            }
+        for (Srv srv : fleet.missing(named)) {
+            gone(srv);
+        }
+    }
+
+    private void gone(Srv srv) {
+        if (fleet.left(srv)) {
+            rules.gone(srv.at);
         }
     }
 
@@ -258,41 +254,18 @@
     private void entry(Object record) throws Drill.BadInput {
         long id = id(record);
         Settings r = new Settings((Map<String, Object>) record);
-        Srv srv = srvs.get(id);
         String readiness = r.word("readiness", "healthy");
         if (readiness.equals("deregistered")) {
-            if (srv != null && !srv.gone) {
-                srv.gone = true;
-                rules.gone(srv.at);
-            }
+            gone(fleet.find(id));
             return;
         }
-        boolean fresh = srv == null || srv.gone;
-        if (srv == null) {
-            srv = admit(id);
-        }
-        srv.gone = false;
+        Srv srv = fleet.admit(id);
+        boolean fresh = fleet.met(srv);
         long up = (long) r.number("upSince", 0);
         double weight = r.number("weight", 1);
         rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0),
             r.count("familyType", 0), weight,
-            up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Drill.UNIT), fresh);
-    }
-
-    private Srv admit(long id) {
-        for (Srv old : byIndex) {
-            if (old.gone && old.out == 0 && old.probes.isEmpty()) {
-                srvs.remove(old.id);
-                Srv srv = new Srv(id, old.at);
-                byIndex.set(old.at, srv);
-                srvs.put(id, srv);
-                return srv;
-            }
-        }
-        Srv srv = new Srv(id, byIndex.size());
-        byIndex.add(srv);
-        srvs.put(id, srv);
-        return srv;
+            up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Settings.UNIT), fresh);
     }
 
     private void close(Guest guest) {
@@ -340,12 +313,12 @@
     @Override
     public void dispatch(Req req, int backend, long tryFor, Result next) {
         Guest guest = (Guest) req.door;
-        Srv srv = byIndex.get(backend);
+        Srv srv = fleet.at(backend);
         guest.legs.add(next);
         guest.where.add(srv);
         guest.out++;
         srv.out++;
-        write("Place", guest, "backend", srv.id, "tryFor", tryFor * Drill.UNIT);
+        write("Place", guest, "backend", srv.id, "tryFor", tryFor * Settings.UNIT);
     }
 
     @Override
@@ -356,7 +329,7 @@
     @Override
     public void deny(Req req, long wait) {
         close((Guest) req.door);
-        write("Deny", (Guest) req.door, "wait", wait * Drill.UNIT, null, 0);
+        write("Deny", (Guest) req.door, "wait", wait * Settings.UNIT, null, 0);
     }
 
     @Override
@@ -367,7 +340,7 @@
 
     @Override
     public void probe(int backend, Heard next) {
-        Srv srv = byIndex.get(backend);
+        Srv srv = fleet.at(backend);
         srv.probes.add(next);
         write("AskLoad", null, "backend", srv.id, null, 0);
     }
@@ -375,7 +348,7 @@
     @Override
     public void later(long delay, Runnable next) {
         timers.put(++timer, next);
-        write("Schedule", null, "delay", delay * Drill.UNIT, "nonce", timer);
+        write("Schedule", null, "delay", delay * Settings.UNIT, "nonce", timer);
     }
 
     @Override
--- a/src/main/java/wheattrack/drill/Drill.java
+++ b/src/main/java/wheattrack/drill/Drill.java
@@ -24,8 +24,6 @@
         }
     }
 
-    /** Microseconds in the project's unit of time. */
-    static final int UNIT = 100;
     private static final int SHEETS = 16;
 
     private final JsonParser in;
--- a/src/main/java/wheattrack/drill/Line.java
+++ b/src/main/java/wheattrack/drill/Line.java
@@ -3,11 +3,10 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.math.BigDecimal;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wheattrack.config.Json;
 
 /** The fields of the message last read: scalars in reused slots, so that nothing is built for most lines. */
 final class Line {
@@ -42,11 +41,11 @@
             if (slot != null && value.isScalarValue()) {
                 take(in, value, slot);
             } else if (value == JsonToken.START_OBJECT && name.equals("settings")) {
-                settings = map(in);
+                settings = Json.map(in);
             } else if (value == JsonToken.START_OBJECT && name.equals("feedback")) {
-                feedback = map(in);
+                feedback = Json.map(in);
             } else if (value == JsonToken.START_ARRAY && name.equals("records")) {
-                records = list(in);
+                records = Json.list(in);
             } else {
                 in.skipChildren();
             }
@@ -89,34 +88,4 @@
         }
         return text[slot];
     }
-
-    private static Map<String, Object> map(JsonParser in) throws IOException {
-        Map<String, Object> map = new HashMap<>();
-        while (in.nextToken() != JsonToken.END_OBJECT) {
-            String name = in.currentName();
-            in.nextToken();
-            map.put(name, any(in));
-        }
-        return map;
-    }
-
-    private static List<Object> list(JsonParser in) throws IOException {
-        List<Object> list = new ArrayList<>();
-        while (in.nextToken() != JsonToken.END_ARRAY) {
-            list.add(any(in));
-        }
-        return list;
-    }
-
-    private static Object any(JsonParser in) throws IOException {
-        return switch (in.currentToken()) {
-            case START_OBJECT -> map(in);
-            case START_ARRAY -> list(in);
-            case VALUE_NULL -> null;
-            case VALUE_TRUE -> Boolean.TRUE;
-            case VALUE_FALSE -> Boolean.FALSE;
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new BigDecimal(in.getText());
-            default -> in.getText();
-        };
-    }
 }
