--- /dev/null
+++ b/src/main/java/wheattrack/Logs.java
@@ -0,0 +1,28 @@
+package wheattrack;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+
+/** Logs by java.util.logging, a line each on standard error, to the very end: the exit resets no handler. */
+public final class Logs extends LogManager {
+    static void open() {
+        System.setProperty("java.util.logging.manager", Logs.class.getName());
+        System.setProperty("java.util.logging.SimpleFormatter.format",
+            "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+        Logger root = Logger.getLogger("");
+        for (Handler old : root.getHandlers()) {
+            root.removeHandler(old);
+        }
+        Handler console = new ConsoleHandler();
+        console.setFormatter(new SimpleFormatter());
+        root.addHandler(console);
+    }
+
+    @Override
+    public void reset() {
+        // the exit runs this beside the drain, whose lines are still to come
+    }
+}
--- a/src/main/java/wheattrack/Main.java
+++ b/src/main/java/wheattrack/Main.java
@@ -1,27 +1,89 @@
 package wheattrack;
 
 import java.io.BufferedOutputStream;
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import wheattrack.config.BadConfig;
+import wheattrack.config.Config;
 import wheattrack.drill.Drill;
+import wheattrack.net.Server;
 
 /** The command line. */
 public final class Main {
+    private static final String USAGE = """
+        usage: wheattrack COMMAND [--config FILE]
+          serve    one proxy on sockets, as the configuration says (or $GW_CONFIG)
+          check    reads the configuration and says whether it can be used
+          drill    decides for a simulator on standard input and output
+          version  prints the version
+          help     prints this""";
+
     private Main() {
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println(
-                "usage: wheattrack drill   (decides for a simulator on standard input and output)");
-            System.exit(2);
+        System.exit(run(args));
+    }
+
+    private static int run(String[] args) throws IOException {
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(new Options().addOption("c", "config", true, ""), args);
+        } catch (ParseException e) {
+            return fault("wheattrack: " + e.getMessage());
+        }
+        if (line.getArgs().length != 1) {
+            return fault(USAGE);
+        }
+        try {
+            switch (line.getArgs()[0]) {
+                case "serve" -> serve(config(line));
+                case "check" -> System.out.println("good: " + config(line).name);
+                case "drill" -> drill();
+                case "version" -> System.out.println("wheattrack " + Main.class.getPackage()
+                    .getImplementationVersion());
+                case "help" -> System.out.println(USAGE);
+                default -> {
+                    return fault(USAGE);
+                }
+            }
+            return 0;
+        } catch (BadConfig | Drill.BadInput e) {
+            return fault("wheattrack " + line.getArgs()[0] + ": " + e.getMessage());
+        }
+    }
+
+    private static int fault(String text) {
+        System.err.println(text);
+        return 2;
+    }
+
+    private static Config config(CommandLine line) {
+        String file = line.getOptionValue("config", System.getenv("GW_CONFIG"));
+        if (file == null) {
+            throw new BadConfig("--config", "missing, and GW_CONFIG is not set");
         }
+        return Config.read(Path.of(file));
+    }
+
+    private static void serve(Config config) throws IOException {
+        Logs.open();
+        Server server = new Server(config);
+        Thread end = new Thread(server::end, "end");
+        Runtime.getRuntime().addShutdownHook(end);
+        server.run();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void drill() throws IOException {
         try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
             new Drill(System.in, out).run();
-        } catch (Drill.BadInput e) {
-            System.err.println("wheattrack drill: " + e.getMessage());
-            System.exit(2);
         }
     }
 }
--- a/src/main/java/wheattrack/config/Settings.java
+++ b/src/main/java/wheattrack/config/Settings.java
@@ -94,8 +94,12 @@
     }
 
     @SuppressWarnings("unchecked")
+    public Map<String, Object> map(String path) {
+        return at(path, Map.class, Map.of());
+    }
+
     public Settings part(String path) {
-        return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
+        return new Settings(map(path), where + path + ".");
     }
 
     /** The list's entries, each an object. */
--- /dev/null
+++ b/src/main/java/wheattrack/http/RequestDecoder.java
@@ -0,0 +1,49 @@
+package wheattrack.http;
+
+import java.util.Set;
+
+/** Requests, as a server reads them. */
+public final class RequestDecoder extends Decoder<Request> {
+    private static final Set<String> METHODS = Set.of("GET", "POST", "PUT", "PATCH", "DELETE");
+
+    private String method;
+    private String target;
+    private Headers headers;
+    private boolean keep;
+    private boolean expects;
+
+    @Override
+    protected long start(String line, Headers with) throws BadMessage {
+        String[] parts = line.split(" ", -1);
+        if (parts.length != 3 || !Inbox.isToken(parts[0]) || !isTarget(parts[1])) {
+            throw new BadMessage(400, "bad request line");
+        }
+        checkVersion(parts[2]);
+        if (!METHODS.contains(parts[0])) {
+            throw new BadMessage(405, "method not taken");
+        }
+        method = parts[0];
+        target = parts[1];
+        headers = with;
+        keep = keeps(parts[2], with);
+        expects = with.lists("Expect", "100-continue");
+        return Math.max(0, with.length());
+    }
+
+    private static boolean isTarget(String word) {
+        return word.startsWith("/") && word.chars().allMatch(c -> c > ' ' && c != 127);
+    }
+
+    /** Whether the client waits to be told that its body is wanted; says so once. */
+    public boolean expectsWord() {
+        boolean was = expects;
+        expects = false;
+        return was;
+    }
+
+    @Override
+    protected Request whole(byte[] body) {
+        expects = false;
+        return new Request(method, target, headers, keep, body);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -0,0 +1,35 @@
+package wheattrack.http;
+
+/** Answers, as a client reads them. One that ends only with its connection can't be told from a cut-off one. */
+public final class ResponseDecoder extends Decoder<Response> {
+    private int status;
+    private Headers headers;
+    private boolean keep;
+
+    @Override
+    protected long start(String line, Headers with) throws BadMessage {
+        status = status(line);
+        headers = with;
+        keep = keeps(line.substring(0, 8), with);
+        long length = with.length();
+        if (status < 200 || status == 204 || status == 304) {
+            return 0;
+        }
+        if (length < 0 && !with.chunked()) {
+            throw new BadMessage(502, "an answer of no known length");
+        }
+        return Math.max(0, length);
+    }
+
+    static int status(String line) throws BadMessage {
+        if (!line.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
+            throw new BadMessage(502, "bad status line");
+        }
+        return Integer.parseInt(line.substring(9, 12));
+    }
+
+    @Override
+    protected Response whole(byte[] body) {
+        return new Response(status, headers, keep, body);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Backend.java
@@ -0,0 +1,106 @@
+package wheattrack.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import wheattrack.core.Fleet;
+import wheattrack.port.Outcome;
+
+/** A backend at the door: its address, the connections to it and the dispatches that wait for one. */
+final class Backend extends Fleet.Srv<String> {
+    final Loop loop;
+    private final Dialler dialler;
+    private final Deque<Upstream> idle = new ArrayDeque<>();
+    private final Deque<Dispatch> waiting = new ArrayDeque<>();
+    private int dialling;
+    InetSocketAddress address;
+    int out;
+
+    Backend(String id, int at, Dialler dialler) {
+        super(id, at);
+        this.dialler = dialler;
+        loop = dialler.loop;
+    }
+
+    @Override
+    protected boolean isBusy() {
+        return out > 0;
+    }
+
+    void moveTo(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            closeIdle();
+        }
+    }
+
+    void closeIdle() {
+        List.copyOf(idle).forEach(Upstream::close);
+    }
+
+    /** It drains or is gone: what is not yet begun there never will be. */
+    void leaving() {
+        closeIdle();
+        for (Dispatch d : List.copyOf(waiting)) {
+            loop.step(() -> d.end(Outcome.NO_CONNECT, null));
+        }
+    }
+
+    /** Carries it on the connection used last, or on the first that is free or up. */
+    void carry(Dispatch d) {
+        out++;
+        Upstream free = idle.pollLast();
+        if (free != null) {
+            free.carry(d);
+            return;
+        }
+        waiting.add(d);
+        if (dialling < waiting.size()) {
+            dial(d);
+        }
+    }
+
+    void forget(Dispatch d) {
+        waiting.remove(d);
+    }
+
+    private void dial(Dispatch d) {
+        try {
+            dialler.dial(this);
+            dialling++;
+        } catch (IOException e) {
+            loop.step(() -> d.end(Outcome.MOOT, null));
+        }
+    }
+
+    void dialled(Upstream up) {
+        dialling--;
+        free(up);
+    }
+
+    void dialFailed() {
+        dialling--;
+        if (waiting.size() > dialling) {
+            waiting.peekFirst().end(Outcome.NO_CONNECT, null);
+        }
+    }
+
+    /** A connection is free for the next dispatch. */
+    void free(Upstream up) {
+        Dispatch first = waiting.pollFirst();
+        if (first != null) {
+            up.carry(first);
+        } else if (isGone()) {
+            up.close();
+        } else {
+            idle.addLast(up);
+            up.rest();
+        }
+    }
+
+    void closed(Upstream up) {
+        idle.remove(up);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Client.java
@@ -0,0 +1,133 @@
+package wheattrack.net;
+
+import java.nio.channels.AsynchronousSocketChannel;
+import wheattrack.core.Deadlines;
+import wheattrack.http.BadMessage;
+import wheattrack.http.Decoder;
+import wheattrack.http.Encoder;
+import wheattrack.http.Request;
+import wheattrack.http.RequestDecoder;
+import wheattrack.http.Response;
+
+/** One client connection; it has one req open at a time. */
+final class Client extends Link {
+    /** How long a message may take to come, an answer to go, or a closing client to close. */
+    private static final long STALL = 100_000;
+    private static final long LINGER = 10_000;
+    private static final int MOST_AHEAD = 2 * Decoder.MOST_BODY;
+
+    private final Front front;
+    private final int slot;
+    private final RequestDecoder in = new RequestDecoder();
+    private boolean busy;
+    private boolean keep;
+    private boolean lingering;
+    private boolean interim;
+    private Deadlines.Entry stall;
+    Guest guest;
+
+    Client(Front front, Loop loop, AsynchronousSocketChannel channel) {
+        super(loop, channel);
+        this.front = front;
+        slot = front.admitted(this);
+    }
+
+    void open() {
+        read(in.room());
+    }
+
+    boolean isIdle() {
+        return !busy && !lingering && !in.isAmid();
+    }
+
+    @Override
+    protected void came(int n) {
+        if (n < 0) {
+            close();
+            return;
+        }
+        if (lingering) {
+            in.room().clear();
+        } else if (!busy) {
+            advance();
+        }
+        if (!isClosed() && in.waiting() < MOST_AHEAD) {
+            read(in.room());
+        }
+    }
+
+    private void advance() {
+        loop.cancel(stall);
+        try {
+            Request request = in.next();
+            if (request != null) {
+                busy = true;
+                front.came(this, request);
+            } else if (in.isAmid()) {
+                stall = loop.after(STALL, () -> refuse(408, "the request did not come whole"));
+                if (in.expectsWord()) {
+                    interim = true;
+                    write(Encoder.goOn());
+                }
+            }
+        } catch (BadMessage e) {
+            refuse(e.status, e.getMessage());
+        }
+    }
+
+    private void refuse(int status, String why) {
+        front.refused(status, why);
+        busy = true;
+        answer(Wire.plain(status, why, false));
+    }
+
+    /** The one answer to the request that is open. */
+    void answer(Response response) {
+        guest = null;
+        if (isClosed()) {
+            return;
+        }
+        keep = response.keep();
+        loop.cancel(stall);
+        stall = loop.after(STALL, this::close);
+        write(Encoder.response(response));
+    }
+
+    @Override
+    protected void wrote(boolean whole) {
+        if (isClosed()) {
+            return;
+        }
+        if (interim) {
+            interim = false;
+            return;
+        }
+        loop.cancel(stall);
+        if (!whole) {
+            close();
+        } else if (keep) {
+            busy = false;
+            advance();
+            if (!isClosed() && in.waiting() < MOST_AHEAD) {
+                read(in.room());
+            }
+        } else {
+            lingering = true;
+            stall = loop.after(LINGER, this::close);
+            endOutput();
+        }
+    }
+
+    @Override
+    void close() {
+        if (isClosed()) {
+            return;
+        }
+        super.close();
+        loop.cancel(stall);
+        front.closed(slot);
+        if (guest != null) {
+            guest.left();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Dialler.java
@@ -0,0 +1,52 @@
+package wheattrack.net;
+
+import java.io.IOException;
+import java.nio.channels.AsynchronousChannelGroup;
+import wheattrack.core.Slots;
+
+/** Opens connections to backends, within the budget of descriptors; at its limit an idle one gives way. */
+final class Dialler {
+    /** Of the time after which a backend closes an idle connection: ours are closed by then. */
+    private static final double IDLE_PART = 0.8;
+
+    final Loop loop;
+    private final AsynchronousChannelGroup group;
+    private final int most;
+    private final long timeout;
+    private final long idle;
+    private final Slots<Upstream> table = new Slots<>();
+
+    Dialler(Loop loop, AsynchronousChannelGroup group, int most, long timeout, long idleClose) {
+        this.loop = loop;
+        this.group = group;
+        this.most = most;
+        this.timeout = timeout;
+        idle = (long) (IDLE_PART * idleClose);
+    }
+
+    /** A connection that is being made; none where descriptors have run out. */
+    Upstream dial(Backend to) throws IOException {
+        if (table.size() >= most) {
+            table.all().stream().filter(Upstream::isResting).findFirst().ifPresent(Upstream::close);
+        }
+        if (table.size() >= most) {
+            throw new IOException(most + " connections to backends are open");
+        }
+        Upstream up = new Upstream(to, Link.open(group), this, idle);
+        up.slot = table.add(up);
+        up.dial(to.address, timeout);
+        return up;
+    }
+
+    void closed(Upstream up) {
+        table.remove(up.slot);
+    }
+
+    int open() {
+        return table.size();
+    }
+
+    void closeAll() {
+        table.all().forEach(Upstream::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Front.java
@@ -0,0 +1,144 @@
+package wheattrack.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.logging.Logger;
+import wheattrack.core.Life;
+import wheattrack.core.Slots;
+import wheattrack.http.Request;
+
+/** Where clients connect: takes connections within a budget of descriptors and hands their requests on. */
+final class Front {
+    private static final Logger LOG = Logger.getLogger("wheattrack");
+    private static final int BACKLOG = 1024;
+    private static final long PAUSE = 200;          // after a failed accept, tenths of a millisecond
+    private static final long LOG_EVERY = 10_000;
+
+    /** What becomes of a request that is not one of the proxy's own. */
+    interface Taker {
+        void take(Client client, Request request);
+    }
+
+    private final Loop loop;
+    private final Life life;
+    private final int most;
+    private final Taker taker;
+    private final Slots<Client> clients = new Slots<>();
+    private final AsynchronousServerSocketChannel channel;
+    private boolean accepting;
+    private long loggedAt;
+    private long unlogged;
+
+    /** most: descriptors for clients; a few more are taken, to tell those that come then. */
+    Front(Loop loop, AsynchronousChannelGroup group, Life life, int most, InetSocketAddress listen, Taker taker)
+            throws IOException {
+        this.loop = loop;
+        this.life = life;
+        this.most = most;
+        this.taker = taker;
+        channel = AsynchronousServerSocketChannel.open(group).bind(listen, BACKLOG);
+        accept();
+    }
+
+    private void accept() {
+        if (accepting || !channel.isOpen()) {
+            return;
+        }
+        accepting = true;
+        channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+            @Override
+            public void completed(AsynchronousSocketChannel one, Void none) {
+                loop.step(() -> accepted(one));
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                loop.step(() -> acceptFailed(why));
+            }
+        });
+    }
+
+    private void accepted(AsynchronousSocketChannel one) {
+        accepting = false;
+        new Client(this, loop, one).open();
+        if (clients.size() > most) {
+            freeOne();
+        }
+        if (clients.size() < most + most / 16) {
+            accept();
+        }
+    }
+
+    /** Descriptors have run out, most likely: an idle connection makes room, and the rest waits a moment. */
+    private void acceptFailed(Throwable why) {
+        accepting = false;
+        if (channel.isOpen()) {
+            note("not accepted: " + why);
+            freeOne();
+            loop.after(PAUSE, this::accept);
+        }
+    }
+
+    private void freeOne() {
+        clients.all().stream().filter(Client::isIdle).findFirst().ifPresent(Client::close);
+    }
+
+    int admitted(Client client) {
+        return clients.add(client);
+    }
+
+    void closed(int slot) {
+        clients.remove(slot);
+        accept();
+    }
+
+    /** Whether a connection may stay open for a further request. */
+    boolean keeps(boolean asked) {
+        return asked && !life.isLeaving() && clients.size() <= most;
+    }
+
+    void came(Client client, Request request) {
+        String path = request.target().split("\\?", 2)[0];
+        if (path.equals(Wire.READY)) {
+            client.answer(Wire.plain(life.isReady() ? 200 : 503, life.phase().name(), keeps(request.keep())));
+        } else {
+            taker.take(client, request);
+        }
+    }
+
+    void refused(int status, String why) {
+        note("answered " + status + ": " + why);
+    }
+
+    /** Bad input may come in floods: a line a second. */
+    private void note(String what) {
+        if (loop.now() - loggedAt < LOG_EVERY) {
+            unlogged++;
+            return;
+        }
+        LOG.info(what + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
+        loggedAt = loop.now();
+        unlogged = 0;
+    }
+
+    void closeIdle() {
+        clients.all().stream().filter(Client::isIdle).forEach(Client::close);
+    }
+
+    /** Nothing more is accepted. */
+    void shut() {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            LOG.warning("the listening socket: " + e);
+        }
+    }
+
+    int open() {
+        return clients.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Link.java
@@ -0,0 +1,131 @@
+package wheattrack.net;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+
+/** One TCP connection: at most one read and one write at a time, each ending as a step of the loop. */
+abstract class Link {
+    final Loop loop;
+    private final AsynchronousSocketChannel channel;
+    private boolean closed;
+    private boolean reading;
+    private final ArrayDeque<ByteBuffer> writes = new ArrayDeque<>();
+
+    Link(Loop loop, AsynchronousSocketChannel channel) {
+        this.loop = loop;
+        this.channel = channel;
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException | RuntimeException e) {
+            // a connection that is broken already shows so at its first read
+            closed = false;
+        }
+    }
+
+    static AsynchronousSocketChannel open(AsynchronousChannelGroup group) throws IOException {
+        return AsynchronousSocketChannel.open(group);
+    }
+
+    private <R> CompletionHandler<R, Void> handler(Consumer<R> then, Runnable failed) {
+        return new CompletionHandler<>() {
+            @Override
+            public void completed(R result, Void none) {
+                loop.step(() -> then.accept(result));
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                loop.step(failed);
+            }
+        };
+    }
+
+    final void connect(SocketAddress to, Runnable up, Runnable failed) {
+        try {
+            channel.connect(to, null, handler(none -> up.run(), failed));
+        } catch (RuntimeException e) {
+            loop.step(failed);
+        }
+    }
+
+    /** Reads once into the room; came() follows, also at the end or a break (-1), but not after close(). */
+    final void read(ByteBuffer room) {
+        if (closed || reading) {
+            return;
+        }
+        reading = true;
+        channel.read(room, null, handler(n -> readDone(n), () -> readDone(-1)));
+    }
+
+    private void readDone(int n) {
+        reading = false;
+        if (!closed) {
+            came(n);
+        }
+    }
+
+    /** Writes all, after what is being written; wrote() follows, with whether the last byte was taken. */
+    final void write(ByteBuffer bytes) {
+        writes.add(bytes);
+        if (writes.size() == 1) {
+            writeOn();
+        }
+    }
+
+    private void writeOn() {
+        ByteBuffer bytes = writes.peek();
+        channel.write(bytes, null, handler(n -> writeDone(bytes, n), () -> writeDone(bytes, -1)));
+    }
+
+    private void writeDone(ByteBuffer bytes, int n) {
+        if (n >= 0 && bytes.hasRemaining() && !closed) {
+            writeOn();
+            return;
+        }
+        writes.remove();
+        if (!writes.isEmpty() && !closed) {
+            writeOn();
+        }
+        wrote(n >= 0 && !bytes.hasRemaining());
+    }
+
+    final boolean isWriting() {
+        return !writes.isEmpty();
+    }
+
+    final boolean isClosed() {
+        return closed;
+    }
+
+    final void endOutput() {
+        try {
+            channel.shutdownOutput();
+        } catch (IOException | RuntimeException e) {
+            close();
+        }
+    }
+
+    void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // it is gone either way
+            closed = true;
+        }
+    }
+
+    protected abstract void came(int n);
+
+    protected abstract void wrote(boolean whole);
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Loop.java
@@ -0,0 +1,122 @@
+package wheattrack.net;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import wheattrack.core.Deadlines;
+
+/**
+ * The one thread that runs completion handlers, deadlines and the module, and its clock. The channel group
+ * hands its handlers over as tasks; what a step leaves for later runs as a step of its own, never nested.
+ */
+final class Loop extends AbstractExecutorService {
+    private static final Logger LOG = Logger.getLogger("wheattrack");
+    private static final long NANOS = 100_000;      // in the project's unit of time
+
+    private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
+    private final ArrayDeque<Runnable> next = new ArrayDeque<>();
+    private final Deadlines deadlines = new Deadlines();
+    private final long offset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private long now;
+    private volatile boolean stopped;
+
+    Loop() {
+        tick();
+    }
+
+    /** Tenths of a millisecond since 1970, rounded up; stands still within a step. */
+    long now() {
+        return now;
+    }
+
+    private void tick() {
+        now = Math.max(now, Math.floorDiv(System.nanoTime() + offset + NANOS - 1, NANOS));
+    }
+
+    Deadlines.Entry after(long delay, Runnable then) {
+        return deadlines.add(now + Math.max(0, delay), then);
+    }
+
+    void cancel(Deadlines.Entry entry) {
+        deadlines.cancel(entry);
+    }
+
+    /** To be run on the loop's thread after the present step; called on that thread only. */
+    void step(Runnable then) {
+        next.add(then);
+    }
+
+    /** Runs until stopped. */
+    void run() {
+        while (!stopped) {
+            tick();
+            for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
+                perform(due);
+            }
+            Runnable task = come.poll();
+            if (task == null) {
+                task = pause(deadlines.first() - now);
+            }
+            if (task != null) {
+                perform(task);
+            }
+        }
+    }
+
+    private Runnable pause(long time) {
+        try {
+            long most = 10_000;
+            return come.poll(Math.min(most, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            stopped = true;
+            return null;
+        }
+    }
+
+    private void perform(Runnable task) {
+        for (Runnable step = task; step != null; step = next.poll()) {
+            tick();
+            try {
+                step.run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "a step failed", e);
+            }
+        }
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        come.add(task);
+    }
+
+    @Override
+    public void shutdown() {
+        stopped = true;
+        come.add(() -> { });
+    }
+
+    @Override
+    public List<Runnable> shutdownNow() {
+        shutdown();
+        return List.of();
+    }
+
+    @Override
+    public boolean isShutdown() {
+        return stopped;
+    }
+
+    @Override
+    public boolean isTerminated() {
+        return stopped;
+    }
+
+    @Override
+    public boolean awaitTermination(long time, TimeUnit unit) {
+        return stopped;
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Server.java
@@ -0,0 +1,93 @@
+package wheattrack.net;
+
+import java.io.IOException;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.util.logging.Logger;
+import wheattrack.config.Config;
+import wheattrack.core.Life;
+import wheattrack.core.Life.Phase;
+
+/** One real proxy: puts the parts together and leads them from start to exit. */
+public final class Server {
+    private static final Logger LOG = Logger.getLogger("wheattrack");
+    private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
+    private static final long LIST_WAIT = 10_000;   // for the list's first news before ready
+
+    private final Config config;
+    private final Loop loop = new Loop();
+    private final Life life = new Life(phase -> LOG.info("phase " + phase));
+    private final Front front;
+    private final Proxy proxy;
+    private final Dialler dialler;
+    private final long longest;
+    private final Thread own = Thread.currentThread();
+
+    public Server(Config config) throws IOException {
+        this.config = config;
+        AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(loop);
+        int own = Math.max(32, config.sockets / 16);
+        int clients = (config.sockets - own) * 6 / 10;
+        int backends = (config.sockets - own - clients) * 9 / 10;
+        dialler = new Dialler(loop, group, backends, config.settings.time("limits.dialTimeout", 250_000),
+            config.settings.time("limits.idleClose", 0));
+        proxy = new Proxy(loop, group, dialler, config.discovery, config.settings, config.seed, config.known);
+        front = new Front(loop, group, life, clients, config.listen, proxy::take);
+        proxy.from(front);
+        long most = 0;
+        for (var set : config.settings.ruleSets()) {
+            most = Math.max(most, set.timeout());
+        }
+        longest = most;
+    }
+
+    /** Serves until it is told to end and has ended in order. */
+    public void run() {
+        LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
+        life.enter(Phase.WARMING);
+        long from = loop.now();
+        loop.step(() -> readyFrom(from));
+        loop.execute(() -> { });
+        loop.run();
+        life.enter(Phase.ENDED);
+    }
+
+    private void readyFrom(long from) {
+        if (proxy.isTold() || loop.now() - from >= LIST_WAIT) {
+            life.enter(Phase.SERVING);
+        } else {
+            loop.after(LOOK, () -> readyFrom(from));
+        }
+    }
+
+    /** From another thread: ends in order, and returns when that is done. */
+    public void end() {
+        loop.execute(this::drain);
+        try {
+            own.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void drain() {
+        if (life.enter(Phase.DRAINING)) {
+            loop.after(config.drain, this::close);
+        }
+    }
+
+    private void close() {
+        life.enter(Phase.CLOSING);
+        front.shut();
+        endWhenAnswered(loop.now() + longest);
+    }
+
+    private void endWhenAnswered(long latest) {
+        front.closeIdle();
+        if (front.open() == 0 && proxy.open() == 0 || loop.now() >= latest) {
+            dialler.closeAll();
+            loop.shutdown();
+        } else {
+            loop.after(LOOK, () -> endWhenAnswered(latest));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -0,0 +1,125 @@
+package wheattrack.net;
+
+import java.math.BigDecimal;
+import java.util.Map;
+import java.util.Set;
+import wheattrack.config.Settings;
+import wheattrack.http.Headers;
+import wheattrack.http.Request;
+import wheattrack.http.Response;
+import wheattrack.port.Outcome;
+import wheattrack.port.RuleSet;
+
+/** The protocol's names, turned into ours and back. */
+final class Wire {
+    static final String READY = "/ready";
+    static final String HEALTH = "/health";
+    private static final String ID = "Request-Id";
+    private static final String RULE_SET = "Request-Class";
+    private static final String TIMEOUT = "Request-Timeout";
+    private static final String AGAIN = "Client-Retry";
+    private static final String HINT = "Work-Hint";
+    private static final String NOT_RUN = "Not-Started";
+    private static final Set<String> HOP = Set.of("connection", "keep-alive", "te", "trailer", "upgrade",
+        "transfer-encoding", "content-length", "expect", "proxy-connection", "proxy-authorization",
+        "request-timeout");
+    private static final byte[] NOTHING = {};
+
+    /** What a client asks, in our words. */
+    record Call(Request request, RuleSet ruleSet, long timeout, int cost, boolean again) {
+    }
+
+    /** A request that cannot be taken; status tells the client. */
+    static final class Unfit extends Exception {
+        private static final long serialVersionUID = 1;
+        final int status;
+
+        Unfit(int status, String fault) {
+            super(fault);
+            this.status = status;
+        }
+    }
+
+    private Wire() {
+    }
+
+    static Call call(Request r, Map<String, RuleSet> sets) throws Unfit {
+        Headers h = r.headers();
+        String id = h.first(ID);
+        if (id == null || id.isEmpty()) {
+            throw new Unfit(400, "no " + ID);
+        }
+        String first = r.target().substring(1).split("[/?]", 2)[0];
+        String name = h.first(RULE_SET) == null ? first : h.first(RULE_SET);
+        RuleSet set = sets.get(name);
+        if (set == null) {
+            throw new Unfit(404, "unknown " + RULE_SET + " " + name);
+        }
+        long timeout = h.first(TIMEOUT) == null ? set.timeout()
+            : figure(TIMEOUT, h.first(TIMEOUT), 10_000, Integer.MAX_VALUE);
+        long hint = h.first(HINT) == null ? 0 : figure(HINT, h.first(HINT), 1, Integer.MAX_VALUE * 20L);
+        int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Settings.UNIT - 1) / Settings.UNIT);
+        return new Call(r, set, timeout, cost, "1".equals(h.first(AGAIN)));
+    }
+
+    private static long figure(String name, String text, long times, long most) throws Unfit {
+        try {
+            if (text.length() <= 20 && text.matches("[0-9]+(\\.[0-9]*)?")) {
+                return Math.min(most, new BigDecimal(text).multiply(BigDecimal.valueOf(times)).longValue());
+            }
+        } catch (NumberFormatException e) {
+            throw new Unfit(400, "bad " + name);
+        }
+        throw new Unfit(400, "bad " + name);
+    }
+
+    /** The request as a backend gets it, told how long the proxy will wait. */
+    static Request onward(Request r, long wait) {
+        Headers out = new Headers();
+        for (int i = 0; i < r.headers().size(); i++) {
+            if (!HOP.contains(r.headers().name(i).toLowerCase(java.util.Locale.ROOT))) {
+                out.with(r.headers().name(i), r.headers().value(i));
+            }
+        }
+        return new Request(r.method(), r.target(), out.with(TIMEOUT, seconds(wait)), true, r.body());
+    }
+
+    static Request probe() {
+        return new Request("GET", HEALTH, new Headers().with("Host", "service.internal"), true, NOTHING);
+    }
+
+    static Outcome outcome(Response r) {
+        if (r.status() == 200) {
+            return Outcome.DONE;
+        }
+        boolean turnedAway = (r.status() == 503 || r.status() == 504) && "1".equals(r.headers().first(NOT_RUN));
+        return turnedAway ? Outcome.FULL : Outcome.ERROR;
+    }
+
+    static Response done(Response from, boolean keep) {
+        Headers out = new Headers();
+        for (int i = 0; i < from.headers().size(); i++) {
+            if (!HOP.contains(from.headers().name(i).toLowerCase(java.util.Locale.ROOT))) {
+                out.with(from.headers().name(i), from.headers().value(i));
+            }
+        }
+        return new Response(200, out, keep, from.body());
+    }
+
+    static Response denied(long wait, boolean keep) {
+        Headers out = new Headers();
+        if (wait > 0) {
+            out.with("Retry-After", seconds(wait));
+        }
+        return new Response(503, out, keep, NOTHING);
+    }
+
+    static Response plain(int status, String text, boolean keep) {
+        byte[] body = (text + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return new Response(status, new Headers().with("Content-Type", "text/plain; charset=utf-8"), keep, body);
+    }
+
+    private static String seconds(long tenths) {
+        return BigDecimal.valueOf(Math.max(0, tenths), 4).toPlainString();
+    }
+}
