Warm-up before ready; never-sent dispatches are moot; surplus clients denied; guard at due

A dispatch that waits for a connection when its req ends is never sent; a read that may be filling the inbox is not read beside; over the budget of clients a req is denied at once.

--- a/src/main/java/wheattrack/net/Backend.java
+++ b/src/main/java/wheattrack/net/Backend.java
@@ -17,6 +17,7 @@
     private int dialling;
     InetSocketAddress address;
     int out;
+    private boolean serving;
 
     Backend(String id, int at, Dialler dialler) {
         super(id, at);
@@ -29,22 +30,25 @@
         return out > 0;
     }
 
-    void moveTo(InetSocketAddress to) {
-        if (!to.equals(address)) {
-            address = to;
+    /** It stands on the list, at this address. */
+    void serves(InetSocketAddress at) {
+        serving = true;
+        if (!at.equals(address)) {
+            address = at;
             closeIdle();
         }
     }
 
-    void closeIdle() {
+    private void closeIdle() {
         List.copyOf(idle).forEach(Upstream::close);
     }
 
     /** It drains or is gone: what is not yet begun there never will be. */
-    void leaving() {
+    void leaves() {
+        serving = false;
         closeIdle();
         for (Dispatch d : List.copyOf(waiting)) {
-            loop.step(() -> d.end(Outcome.NO_CONNECT, null));
+            loop.step(() -> d.giveUp(Outcome.MOOT));
         }
     }
 
@@ -71,7 +75,7 @@
             dialler.dial(this);
             dialling++;
         } catch (IOException e) {
-            loop.step(() -> d.end(Outcome.MOOT, null));
+            loop.step(() -> d.giveUp(Outcome.MOOT));
         }
     }
 
@@ -92,7 +96,7 @@
         Dispatch first = waiting.pollFirst();
         if (first != null) {
             up.carry(first);
-        } else if (isGone()) {
+        } else if (!serving) {
             up.close();
         } else {
             idle.addLast(up);
--- a/src/main/java/wheattrack/net/Client.java
+++ b/src/main/java/wheattrack/net/Client.java
@@ -3,7 +3,6 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import wheattrack.core.Deadlines;
 import wheattrack.http.BadMessage;
-import wheattrack.http.Decoder;
 import wheattrack.http.Encoder;
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
@@ -14,7 +13,6 @@
     /** How long a message may take to come, an answer to go, or a closing client to close. */
     private static final long STALL = 100_000;
     private static final long LINGER = 10_000;
-    private static final int MOST_AHEAD = 2 * Decoder.MOST_BODY;
 
     private final Front front;
     private final int slot;
@@ -24,12 +22,18 @@
     private boolean lingering;
     private boolean interim;
     private Deadlines.Entry stall;
+    private long idleSince;
     Guest guest;
 
     Client(Front front, Loop loop, AsynchronousSocketChannel channel) {
         super(loop, channel);
         this.front = front;
         slot = front.admitted(this);
+        idleSince = loop.now();
+    }
+
+    long idleSince() {
+        return idleSince;
     }
 
     void open() {
@@ -51,7 +55,12 @@
         } else if (!busy) {
             advance();
         }
-        if (!isClosed() && in.waiting() < MOST_AHEAD) {
+        readOn();
+    }
+
+    /** Reads on, for the next bytes or the client's leaving; not while bytes of a next request wait. */
+    private void readOn() {
+        if (!isClosed() && (lingering || !busy || in.waiting() == 0)) {
             read(in.room());
         }
     }
@@ -107,14 +116,16 @@
             close();
         } else if (keep) {
             busy = false;
-            advance();
-            if (!isClosed() && in.waiting() < MOST_AHEAD) {
-                read(in.room());
+            idleSince = loop.now();
+            if (!isReading()) {                     // a read that is out may be filling the inbox just now
+                advance();
+                readOn();
             }
         } else {
             lingering = true;
             stall = loop.after(LINGER, this::close);
             endOutput();
+            readOn();
         }
     }
 
--- a/src/main/java/wheattrack/net/Dispatch.java
+++ b/src/main/java/wheattrack/net/Dispatch.java
@@ -20,8 +20,14 @@
         this.sent = sent;
     }
 
-    final boolean isOver() {
-        return over;
+    /** Whether any of its bytes may have left. */
+    final boolean isBegun() {
+        return on != null;
+    }
+
+    /** Ends one that is not begun as never sent, and any other as said. */
+    final void giveUp(Outcome how) {
+        end(isBegun() ? how : Outcome.MOOT, null);
     }
 
     /** Ends it, once; a connection that still carries it is closed. */
--- a/src/main/java/wheattrack/net/Front.java
+++ b/src/main/java/wheattrack/net/Front.java
@@ -6,6 +6,7 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.Comparator;
 import java.util.logging.Logger;
 import wheattrack.core.Life;
 import wheattrack.core.Slots;
@@ -26,6 +27,7 @@
     private final Loop loop;
     private final Life life;
     private final int most;
+    private final int surplus;
     private final Taker taker;
     private final Slots<Client> clients = new Slots<>();
     private final AsynchronousServerSocketChannel channel;
@@ -33,19 +35,20 @@
     private long loggedAt;
     private long unlogged;
 
-    /** most: descriptors for clients; a few more are taken, to tell those that come then. */
+    /** most: connections of clients; a few more are taken, so that those who come then are denied. */
     Front(Loop loop, AsynchronousChannelGroup group, Life life, int most, InetSocketAddress listen, Taker taker)
             throws IOException {
         this.loop = loop;
         this.life = life;
         this.most = most;
+        surplus = 1 + most / 16;
         this.taker = taker;
         channel = AsynchronousServerSocketChannel.open(group).bind(listen, BACKLOG);
         accept();
     }
 
     private void accept() {
-        if (accepting || !channel.isOpen()) {
+        if (accepting || !channel.isOpen() || clients.size() >= most + surplus) {
             return;
         }
         accepting = true;
@@ -68,9 +71,7 @@
         if (clients.size() > most) {
             freeOne();
         }
-        if (clients.size() < most + most / 16) {
-            accept();
-        }
+        accept();
     }
 
     /** Descriptors have run out, most likely: an idle connection makes room, and the rest waits a moment. */
@@ -84,7 +85,8 @@
     }
 
     private void freeOne() {
-        clients.all().stream().filter(Client::isIdle).findFirst().ifPresent(Client::close);
+        clients.all().stream().filter(Client::isIdle).min(Comparator.comparingLong(Client::idleSince))
+            .ifPresent(Client::close);
     }
 
     int admitted(Client client) {
@@ -105,6 +107,9 @@
         String path = request.target().split("\\?", 2)[0];
         if (path.equals(Wire.READY)) {
             client.answer(Wire.plain(life.isReady() ? 200 : 503, life.phase().name(), keeps(request.keep())));
+        } else if (clients.size() > most) {
+            note("denied: " + clients.size() + " clients are connected");
+            client.answer(Wire.denied(0, false));
         } else {
             taker.take(client, request);
         }
--- a/src/main/java/wheattrack/net/Guest.java
+++ b/src/main/java/wheattrack/net/Guest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import wheattrack.core.Deadlines;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
 
@@ -14,6 +15,7 @@
     private final Consumer<Guest> onLeft;
     int slot;
     Req req;
+    Deadlines.Entry guard;
     Port.Held held;
     boolean over;
 
--- a/src/main/java/wheattrack/net/Link.java
+++ b/src/main/java/wheattrack/net/Link.java
@@ -96,6 +96,10 @@
         wrote(n >= 0 && !bytes.hasRemaining());
     }
 
+    final boolean isReading() {
+        return reading;
+    }
+
     final boolean isWriting() {
         return !writes.isEmpty();
     }
--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -28,7 +28,7 @@
     private static final Logger LOG = Logger.getLogger("wheattrack");
     /** Of a req's time, kept back so that its answer is out before the client stops waiting. */
     private static final long WRITE_PART = 200;
-    private static final Response NO_ANSWER = null;
+    private static final long GUARD = 50;
 
     private final Loop loop;
     private final AsynchronousChannelGroup group;
@@ -40,6 +40,8 @@
     private final Slots<Guest> guests = new Slots<>();
     private final Fleet<String, Backend> fleet;
     private final Rules rules;
+    private final boolean reports;
+    private final long probeTimeout;
     private Front front;
     private Watch watch;
     private long version = -1;
@@ -59,6 +61,8 @@
         for (int i = 0; i < all.length; i++) {
             sets.put(named.get(i).word("name"), all[i]);
         }
+        reports = !settings.word("report.how", "none").equals("none");
+        probeTimeout = settings.time("limits.dialTimeout", 250_000);
         version = new Settings(known).whole("rev", -1);
         rules = settings.rules(this, seed, all, true);
         if (!known.isEmpty()) {
@@ -95,9 +99,19 @@
         client.guest = guest;
         long due = loop.now() + call.timeout() - Math.max(10, call.timeout() / WRITE_PART);
         guest.req = new Req(call.ruleSet(), 0, 0, loop.now(), due, call.cost(), call.again(), guest);
+        guest.guard = loop.after(due + GUARD - loop.now(), () -> forgotten(guest));
         guest.held = rules.arrive(guest.req);
     }
 
+    /** Only a failure of the program leaves a req open past its due; even then it has its answer. */
+    private void forgotten(Guest guest) {
+        LOG.severe("a req stood open past its due");
+        guest.dispatches.forEach(d -> d.giveUp(Outcome.TIMEOUT));
+        if (!guest.over) {
+            abort(guest.req);
+        }
+    }
+
     private void left(Guest guest) {
         if (!guest.over) {
             close(guest);
@@ -110,6 +124,8 @@
     private void close(Guest guest) {
         guest.over = true;
         guests.remove(guest.slot);
+        loop.cancel(guest.guard);
+        guest.dispatches.stream().filter(d -> !d.isBegun()).forEach(d -> d.giveUp(Outcome.MOOT));
     }
 
     private void answer(Guest guest, Response response) {
@@ -147,13 +163,13 @@
         long wait = tryFor == 0 ? req.due - loop.now() : tryFor;
         Leg leg = new Leg(guest, fleet.at(backend), Wire.onward(guest.call.request(), wait), next);
         guest.dispatches.add(leg);
-        leg.timeout = loop.after(wait, () -> leg.end(Outcome.TIMEOUT, NO_ANSWER));
+        leg.timeout = loop.after(wait, () -> leg.giveUp(Outcome.TIMEOUT));
         leg.backend.carry(leg);
     }
 
     @Override
     public void cancel(Req req, int leg) {
-        ((Guest) req.door).dispatches.get(leg).end(Outcome.CANCELLED, NO_ANSWER);
+        ((Guest) req.door).dispatches.get(leg).giveUp(Outcome.CANCELLED);
     }
 
     @Override
@@ -170,12 +186,13 @@
 
     @Override
     public void probe(int backend, Heard next) {
-        Dispatch probe = new Dispatch(fleet.at(backend), Wire.probe(), loop.now()) {
+        Dispatch probe = new Dispatch(fleet.at(backend), Wire.probe(reports), loop.now()) {
             @Override
             protected void ended(Outcome how, Response answer) {
                 loop.step(() -> next.load(how == Outcome.DONE, loop.now() - sent, null));
             }
         };
+        probe.timeout = loop.after(probeTimeout, () -> probe.giveUp(Outcome.TIMEOUT));
         probe.backend.carry(probe);
     }
 
@@ -229,7 +246,8 @@
             list(new Settings(Json.object(line)), false);
             told = true;
         } catch (IOException | BadConfig e) {
-            LOG.warning("skipped news of the list: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            String fault = String.valueOf(e.getMessage()).split("\n")[0];
+            watch.fail("skipped news that can't be read: " + fault);      // and asked for again
         }
     }
 
@@ -257,7 +275,7 @@
     private void gone(Backend backend) {
         if (backend != null && fleet.left(backend)) {
             rules.gone(backend.at);
-            backend.leaving();
+            backend.leaves();
         }
     }
 
@@ -279,12 +297,12 @@
         double weight = e.number("capacity_hint", 1);
         Backend backend = fleet.admit(id);
         boolean fresh = fleet.met(backend);
-        backend.moveTo(address);
+        backend.serves(address);
         boolean ready = state.equals("SERVING");
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight, up <= 0 ? Long.MIN_VALUE / 2 : up,
             fresh);
         if (!ready) {
-            backend.leaving();
+            backend.leaves();
         }
         if (fresh) {
             LOG.info("met srv " + number(id) + ": " + id + " at " + e.word("endpoint"));
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -11,6 +11,8 @@
 public final class Server {
     private static final Logger LOG = Logger.getLogger("wheattrack");
     private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
+    private static final int WARM_REQS = 4000;
+    private static final long WARM_NANOS = 400_000_000;
     private static final long LIST_WAIT = 10_000;   // for the list's first news before ready
 
     private final Config config;
@@ -44,13 +46,17 @@
     public void run() {
         LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
         life.enter(Phase.WARMING);
-        long from = loop.now();
-        loop.step(() -> readyFrom(from));
-        loop.execute(() -> { });
+        loop.execute(this::warmUp);
         loop.run();
         life.enter(Phase.ENDED);
     }
 
+    private void warmUp() {
+        int reqs = new WarmUp(config.settings).run(WARM_REQS, WARM_NANOS);
+        LOG.fine("warmed up with " + reqs + " reqs");
+        readyFrom(loop.now());
+    }
+
     private void readyFrom(long from) {
         if (proxy.isTold() || loop.now() - from >= LIST_WAIT) {
             life.enter(Phase.SERVING);
--- a/src/main/java/wheattrack/net/Watch.java
+++ b/src/main/java/wheattrack/net/Watch.java
@@ -78,7 +78,7 @@
         }
     }
 
-    private void fail(String why) {
+    void fail(String why) {
         if (!isClosed()) {
             close();
             failed.accept(why);
--- a/src/main/java/wheattrack/net/Wire.java
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -13,7 +13,8 @@
 /** The protocol's names, turned into ours and back. */
 final class Wire {
     static final String READY = "/ready";
-    static final String HEALTH = "/health";
+    private static final String HEALTH = "/health";
+    private static final String LOAD = "/status/load";
     private static final String ID = "Request-Id";
     private static final String RULE_SET = "Request-Class";
     private static final String TIMEOUT = "Request-Timeout";
@@ -84,8 +85,8 @@
         return new Request(r.method(), r.target(), out.with(TIMEOUT, seconds(wait)), true, r.body());
     }
 
-    static Request probe() {
-        return new Request("GET", HEALTH, new Headers().with("Host", "service.internal"), true, NOTHING);
+    static Request probe(boolean reports) {
+        return new Request("GET", reports ? LOAD : HEALTH, new Headers().with("Host", "service.internal"), true, NOTHING);
     }
 
     static Outcome outcome(Response r) {
