--- a/src/main/java/wheattrack/config/Settings.java
+++ b/src/main/java/wheattrack/config/Settings.java
@@ -41,12 +41,12 @@
             return otherwise;
         }
         if (!kind.isInstance(value)) {
-            throw new BadConfig(where + path, "not a " + switch (kind.getSimpleName()) {
-                case "Number" -> "number";
-                case "Boolean" -> "mark (true or false)";
-                case "String" -> "text";
-                case "List" -> "list";
-                default -> "object";
+            throw new BadConfig(where + path, switch (kind.getSimpleName()) {
+                case "Number" -> "not a number";
+                case "Boolean" -> "neither true nor false";
+                case "String" -> "not a text";
+                case "List" -> "not a list";
+                default -> "not an object";
             });
         }
         return kind.cast(value);
--- a/src/main/java/wheattrack/http/Inbox.java
+++ b/src/main/java/wheattrack/http/Inbox.java
@@ -92,7 +92,7 @@
             if (colon <= 0 || !isToken(lines[i].substring(0, colon))) {
                 throw new BadMessage(400, "bad header line");
             }
-            String value = lines[i].substring(colon + 1).trim();
+            String value = lines[i].substring(colon + 1).strip();
             if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
                 throw new BadMessage(400, "bad header value");
             }
--- a/src/main/java/wheattrack/net/Backend.java
+++ b/src/main/java/wheattrack/net/Backend.java
@@ -30,13 +30,12 @@
         return out > 0;
     }
 
-    /** It stands on the list, at this address. */
-    void serves(InetSocketAddress at) {
+    /** It stands on the list, at this address since then; what leads to an earlier life is closed. */
+    void serves(InetSocketAddress at, long since) {
         serving = true;
-        if (!at.equals(address)) {
-            address = at;
-            closeIdle();
-        }
+        boolean moved = !at.equals(address);
+        address = at;
+        List.copyOf(idle).stream().filter(up -> moved || up.since < since).forEach(Upstream::close);
     }
 
     private void closeIdle() {
--- a/src/main/java/wheattrack/net/Front.java
+++ b/src/main/java/wheattrack/net/Front.java
@@ -143,6 +143,10 @@
         }
     }
 
+    int port() throws IOException {
+        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+    }
+
     int open() {
         return clients.size();
     }
--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -297,7 +297,7 @@
         double weight = e.number("capacity_hint", 1);
         Backend backend = fleet.admit(id);
         boolean fresh = fleet.met(backend);
-        backend.serves(address);
+        backend.serves(address, up);
         boolean ready = state.equals("SERVING");
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight, up <= 0 ? Long.MIN_VALUE / 2 : up,
             fresh);
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
 import wheattrack.config.Config;
 import wheattrack.core.Life;
@@ -22,7 +23,7 @@
     private final Proxy proxy;
     private final Dialler dialler;
     private final long longest;
-    private final Thread own = Thread.currentThread();
+    private final CountDownLatch ended = new CountDownLatch(1);
 
     public Server(Config config) throws IOException {
         this.config = config;
@@ -42,6 +43,11 @@
         longest = most;
     }
 
+    /** The port it listens at; of use where the configuration leaves the choice to the system. */
+    public int port() throws IOException {
+        return front.port();
+    }
+
     /** Serves until it is told to end and has ended in order. */
     public void run() {
         LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
@@ -49,6 +55,7 @@
         loop.execute(this::warmUp);
         loop.run();
         life.enter(Phase.ENDED);
+        ended.countDown();
     }
 
     private void warmUp() {
@@ -69,7 +76,7 @@
     public void end() {
         loop.execute(this::drain);
         try {
-            own.join();
+            ended.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/wheattrack/net/Upstream.java
+++ b/src/main/java/wheattrack/net/Upstream.java
@@ -15,6 +15,7 @@
     private final Dialler dialler;
     private final long idleLimit;
     private final ResponseDecoder in = new ResponseDecoder();
+    final long since;
     private Dispatch carried;
     private boolean dialling;
     private boolean resting;
@@ -27,6 +28,7 @@
         this.backend = backend;
         this.dialler = dialler;
         this.idleLimit = idleLimit;
+        since = loop.now();
     }
 
     Dispatch carried() {
--- /dev/null
+++ b/src/test/java/wheattrack/ServerTest.java
@@ -0,0 +1,384 @@
+package wheattrack;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import wheattrack.config.Config;
+import wheattrack.config.Json;
+import wheattrack.net.Server;
+
+/** One proxy on loopback sockets between a client, a list and backends that the test plays. */
+class ServerTest {
+    private static final int BACKLOG = 100;
+
+    private final World w = new World();
+    private final List<ServerSocket> doors = new ArrayList<>();
+    /** What the backends do with the next requests, whichever gets them. */
+    private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private final AtomicInteger came = new AtomicInteger();
+    /** The list's answers, a watch each: lines, and at last what becomes of the connection. */
+    private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+    private final AtomicInteger watches = new AtomicInteger();
+    private Server server;
+    private int port;
+    private Thread running;
+
+    @BeforeAll
+    static void quiet() {
+        Logger.getLogger("wheattrack").setLevel(Level.SEVERE);
+    }
+
+    private interface Talk {
+        void with(Socket socket) throws Exception;
+    }
+
+    private ServerSocket open(Talk talk) throws IOException {
+        ServerSocket door = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        doors.add(door);
+        start(() -> {
+            while (true) {
+                Socket socket = door.accept();
+                start(() -> talk.with(socket));
+            }
+        });
+        return door;
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static Thread start(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the other side has gone, or the test is over
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static String head(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            head.write(c);
+            if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+                return head.toString(StandardCharsets.ISO_8859_1);
+            }
+        }
+        return null;
+    }
+
+    private static int length(String head) {
+        int at = head.toLowerCase().indexOf("content-length: ");
+        return at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
+    }
+
+    private static void send(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private void backend(String name, Socket socket) throws Exception {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: ";
+        for (String head = head(in); head != null; head = head(in)) {
+            in.readNBytes(length(head));
+            came.incrementAndGet();
+            String act = script.isEmpty() ? "ok" : script.take();
+            switch (act) {
+                case "ok" -> send(socket, answer + name.length() + "\r\n\r\n" + name);
+                case "chunks" -> send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"
+                    + name + "\r\n0\r\n\r\n");
+                case "slow" -> {
+                    Thread.sleep(250);
+                    send(socket, answer + "4\r\n\r\nslow");
+                }
+                case "full" -> send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+                case "late" -> send(socket, "HTTP/1.1 504 Late\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+                case "half" -> send(socket, answer + "9\r\n\r\nhalf");
+                case "unmeasured" -> send(socket, "HTTP/1.1 200 OK\r\n\r\nwhole or not?");
+                case "garbage" -> send(socket, "SSH-2.0-OpenSSH\r\n\r\n");
+                case "cut", "none" -> { }
+                default -> send(socket, "HTTP/1.1 " + act + " X\r\nContent-Length: 0\r\n\r\n");
+            }
+            if (List.of("cut", "half", "unmeasured", "garbage").contains(act)) {
+                socket.close();
+            }
+        }
+        seen.add("closed");
+    }
+
+    private void list(Socket socket) throws Exception {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        seen.add(head(in).split(" ")[1]);
+        int mine = watches.incrementAndGet();
+        send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while (mine == watches.get()) {
+            String line = news.poll(5, TimeUnit.MILLISECONDS);
+            if ("end".equals(line)) {
+                socket.close();
+                return;
+            } else if (line != null) {
+                send(socket, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+            }
+        }
+    }
+
+    private static String entry(String uid, String state, int port) {
+        return "{'uid':'" + uid + "','endpoint':'127.0.0.1:" + port + "','az':'a','state':'" + state + "'}";
+    }
+
+    private static String told(int rev, boolean all, String... entries) {
+        return ("{'rev':" + rev + ",'all':" + all + ",'targets':[" + String.join(",", entries) + "]}")
+            .replace('\'', '"');
+    }
+
+    private void serve(int sockets, String known) throws Exception {
+        ServerSocket list = open(this::list);
+        String set = "','clientTimeout':600000,'responseTarget':400000,'group':'all','window':5000000,'effect':'";
+        server = new Server(new Config(Json.object(("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:"
+            + list.getLocalPort() + "','seed':'1','drain_ms':300,'limits':{'sockets':" + sockets + "},'known':" + known
+            + ",'settings':{'balancers':2,'zones':['a'],'limits':{'maxDispatches':3,'mayCancel':true,"
+            + "'retryAfter':true,'maxRetryAfter':2000000,'dialTimeout':250000,'idleClose':30000000},"
+            + "'rules':{'askEvery':1000000},'ruleSets':[{'name':'buy" + set + "read_like'},{'name':'mark" + set
+            + "idempotency_key'},{'name':'pay" + set + "non_idempotent'}]}}").replace('\'', '"'))));
+        port = server.port();
+        running = start(server::run);
+        while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("200")) {
+            Thread.sleep(10);
+        }
+    }
+
+    /** Backends on the list, and nothing else told. */
+    private void serveBy(int backends) throws Exception {
+        String[] entries = new String[backends];
+        for (int i = 0; i < backends; i++) {
+            String name = "s" + i;
+            entries[i] = entry(name, "SERVING", open(socket -> backend(name, socket)).getLocalPort());
+        }
+        news.add(told(1, true, entries));
+        serve(1024, "{}");
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        server.end();
+        for (ServerSocket door : doors) {
+            door.close();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress("127.0.0.1", port), 1000);
+        socket.setSoTimeout(3000);
+        return socket;
+    }
+
+    private static String request(String set) {
+        return "POST /" + set + " HTTP/1.1\r\nRequest-Id: 7\r\nRequest-Class: " + set
+            + "\r\nWork-Hint: 5000\r\nContent-Length: 2\r\n\r\nhi";
+    }
+
+    /** The answer: status, whether to come again later, the body, whether the connection ends. */
+    private static String answer(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        String head = head(in);
+        if (head == null) {
+            return "closed";
+        }
+        String body = new String(in.readNBytes(length(head)), StandardCharsets.ISO_8859_1).strip();
+        return (head.substring(9, 12) + (head.contains("Retry-After: ") ? " wait" : "") + " " + body
+            + (head.contains("Connection: close") ? " close" : "")).strip();
+    }
+
+    private String call(String text) throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, text);
+            return answer(socket);
+        }
+    }
+
+    /** Each outcome under each effect: what the client is told and how often it may have run. */
+    @Test
+    void outcomes() throws Exception {
+        serveBy(8);
+        for (String set : new String[] {"buy", "mark", "pay"}) {
+            for (String acts : new String[] {"ok", "chunks", "500 ok", "full ok", "late ok", "503 ok", "404 ok", "cut ok",
+                "half ok", "unmeasured ok", "garbage ok", "full 500 ok", "500 500 500"}) {
+                script.addAll(List.of(acts.split(" ")));
+                int before = came.get();
+                String answer = call(request(set)).replaceAll("s\\d", "ok");
+                w.say(set + " [" + acts + "] " + answer + ", sent " + (came.get() - before));
+                script.clear();
+            }
+            Thread.sleep(450);                      // then shut ones are tried again
+            for (int i = 0; i < 100; i++) {
+                call(request("buy"));
+            }
+        }
+        w.matches("server-outcomes");
+    }
+
+    /** Bad input of clients: a clear 4xx and the connection closed, and the next client is served. */
+    @Test
+    void badClients() throws Exception {
+        serveBy(3);
+        String post = "POST /buy HTTP/1.1\r\nRequest-Id: 7\r\n";
+        for (String in : new String[] {"GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n", "POST /buy HTTP/1.1\r\n\r\n",
+            post + "Request-Class: sell\r\n\r\n", post + "Request-Timeout: soon\r\n\r\n",
+            post + "Request-Timeout: -1\r\n\r\n", post + "Work-Hint: 1e9\r\n\r\n", post + "Content-Length: x\r\n\r\n",
+            post + "Content-Length: 70000\r\n\r\n", post + "A: " + "1".repeat(20_000) + "\r\n\r\n", "\u0000\u0001\r\n\r\n",
+            "HEAD /buy HTTP/1.1\r\n\r\n", post + "Request-Timeout: 0\r\n\r\n",
+            post + "Work-Hint: 99999999999999999999\r\n\r\n"}) {
+            try (Socket socket = connect()) {
+                send(socket, in);
+                w.say(in.substring(0, Math.min(70, in.length())).replaceAll("[^ -~]+", "|") + " -> " + answer(socket));
+            }
+        }
+        try (Socket socket = connect()) {
+            send(socket, post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+            w.say("expecting -> " + answer(socket));
+            send(socket, "hi" + request("buy") + request("buy"));
+            w.say("whole, and two more at once -> " + answer(socket).substring(0, 3) + " "
+                + answer(socket).substring(0, 3) + " " + answer(socket).substring(0, 3));
+        }
+        w.matches("server-bad-clients");
+    }
+
+    /** Incident to be: nothing more runs for a client that has left. */
+    @Test
+    void clientLeaves() throws Exception {
+        serveBy(3);
+        seen.clear();
+        script.add("none");
+        Socket socket = connect();
+        send(socket, request("pay"));
+        while (came.get() == 0) {
+            Thread.sleep(5);
+        }
+        socket.close();
+        w.say("client left, backend's connection " + seen.poll(300, TimeUnit.MILLISECONDS) + ", sent " + came.get());
+        w.matches("server-client-leaves");
+    }
+
+    /** An end in order: what comes while draining is served, what is open is answered, then nothing listens. */
+    @Test
+    void endsInOrder() throws Exception {
+        serveBy(3);
+        try (Socket slow = connect(); Socket idle = connect()) {
+            script.add("slow");
+            send(idle, "GET /ready HTTP/1.1\r\n\r\n");
+            w.say("before: " + answer(idle));
+            Thread ending = start(server::end);
+            while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("503")) {
+                Thread.sleep(5);
+            }
+            send(slow, request("pay"));
+            w.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
+            w.say("one more: " + call(request("buy")).replaceAll("s[012]", "ok"));
+            w.say("open: " + answer(slow) + ", idle: " + answer(idle));
+            ending.join(2000);
+            w.say("ended: " + !running.isAlive());
+            try (Socket late = connect()) {
+                w.say("late: accepted " + late.isConnected());
+            } catch (IOException e) {
+                w.say("late: " + e.getMessage());
+            }
+        }
+        w.matches("server-ends");
+    }
+
+    /** The list: an old one at the start, bad entries and lines, a srv that drains, moves and goes. */
+    @Test
+    void followsTheList() throws Exception {
+        int[] at = new int[3];
+        for (int i = 0; i < 3; i++) {
+            String name = "s" + i;
+            at[i] = open(socket -> backend(name, socket)).getLocalPort();
+        }
+        int shut = open(socket -> { }).getLocalPort();
+        doors.get(doors.size() - 1).close();
+        news.add(told(4, false));
+        serve(1024, told(3, true, entry("s0", "SERVING", at[0]), entry("s9", "SERVING", shut)));
+        w.say("known of old: " + who());
+        step(told(5, false, entry("s1", "SERVING", at[1]), "{'uid':'s7'}", entry("s8", "ASLEEP", 1),
+            "{'uid':'s6','endpoint':'localhost:1','state':'SERVING'}", "{'uid':6}"));
+        step(told(6, false, entry("s0", "DRAINING", at[0])));
+        step("no json");
+        step(told(7, false, entry("s1", "SERVING", at[2])));
+        step("[]");
+        step(told(8, true, entry("s0", "SERVING", at[0])));
+        step(told(9, false, entry("s0", "DELETED", at[0])));
+        news.add("end");
+        step(told(10, true, entry("s1", "SERVING", at[1])));
+        seen.removeIf("closed"::equals);
+        w.say("asked " + seen);
+        w.matches("server-list");
+    }
+
+    private void step(String line) throws Exception {
+        news.add(line);
+        Thread.sleep(200);
+        w.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + who());
+    }
+
+    /** Which backends serve ten calls. */
+    private String who() throws IOException {
+        var names = new java.util.TreeSet<String>();
+        for (int i = 0; i < 10; i++) {
+            names.add(call(request("buy")));
+        }
+        return names.toString();
+    }
+
+    /** Few descriptors: idle connections give way, and who comes beyond is denied at once. */
+    @Test
+    void fewSockets() throws Exception {
+        news.add(told(1, true, entry("s0", "SERVING", open(socket -> backend("s0", socket)).getLocalPort())));
+        serve(64, "{}");
+        List<Socket> open = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            open.add(connect());
+        }
+        w.say("beside 40 idle: " + call(request("buy")));
+        int[] answers = new int[2];
+        for (int i = 0; i < 30; i++) {
+            script.add("slow");
+            open.add(connect());
+            send(open.get(40 + i), request("buy"));
+        }
+        for (Socket socket : open.subList(40, 70)) {
+            answers[answer(socket).startsWith("200") ? 0 : 1]++;
+        }
+        script.clear();
+        w.say("of 30 at once all answered, some denied: " + (answers[0] > 0 && answers[1] > 0));
+        for (Socket socket : open) {
+            socket.close();
+        }
+        w.say("after: " + call(request("buy")));
+        w.matches("server-few-sockets");
+    }
+}
