--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -29,15 +29,18 @@
                 answer(e, name + " answers " + e.getRequestMethod() + " " + e.getRequestURI() + "\n");
             });
             targets.add("{\"uid\":\"" + name + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"home\","
-                + "\"model\":\"toy\",\"pod_group\":0,\"state\":\"SERVING\",\"capacity_hint\":1,\"boot_ms\":0}");
+                + "\"model\":\"toy\",\"pod_group\":0,\"state\":\"SERVING\",\"capacity_hint\":1,"
+                + "\"boot_ms\":0}");
         }
         HttpServer list = open(LIST);
-        list.createContext("/v1/endpoints", e -> watch(e, "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}\n"));
-        System.out.println(backends + " toy backends from port " + (LIST + 1) + " on, their list at port " + LIST);
+        String whole = "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}\n";
+        list.createContext("/v1/endpoints", e -> watch(e, whole));
+        System.out.println(backends + " backends from port " + (LIST + 1) + " on, their list at " + LIST);
     }
 
     private static HttpServer open(int port) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 64);
+        InetAddress home = InetAddress.getByName("127.0.0.1");
+        HttpServer server = HttpServer.create(new InetSocketAddress(home, port), 64);
         server.setExecutor(Executors.newCachedThreadPool());
         server.start();
         return server;
--- a/src/main/java/wheattrack/Logs.java
+++ b/src/main/java/wheattrack/Logs.java
@@ -8,8 +8,8 @@
 
 /** Logs by java.util.logging, a line each on standard error, to the very end: the exit resets no handler. */
 public final class Logs extends LogManager {
+    /** To be called once java.util.logging.manager names this class, before any logger is. */
     static void open() {
-        System.setProperty("java.util.logging.manager", Logs.class.getName());
         System.setProperty("java.util.logging.SimpleFormatter.format",
             "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         Logger root = Logger.getLogger("");
--- a/src/main/java/wheattrack/Main.java
+++ b/src/main/java/wheattrack/Main.java
@@ -73,6 +73,7 @@
     }
 
     private static void serve(Config config) throws IOException {
+        System.setProperty("java.util.logging.manager", Logs.class.getName());
         Logs.open();
         Server server = new Server(config);
         Thread end = new Thread(server::end, "end");
--- a/src/main/java/wheattrack/core/Deadlines.java
+++ b/src/main/java/wheattrack/core/Deadlines.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 
-/** All deadlines of the process in one order: a heap whose entries know their place, so any can be taken out. */
+/** All deadlines of the process in one order: a heap whose entries know their place, so any can go early. */
 public final class Deadlines {
     /** One deadline; what is to be done goes with it. */
     public static final class Entry {
--- a/src/main/java/wheattrack/core/Fleet.java
+++ b/src/main/java/wheattrack/core/Fleet.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import java.util.function.BiFunction;
 
-/** The list of backends as dense indexes. An index is free again once its srv is gone and nothing is out there. */
+/** The list of backends as dense indexes; one is free again once its srv is gone and nothing is out there. */
 public final class Fleet<K, S extends Fleet.Srv<K>> {
     /** A backend at the door. */
     public abstract static class Srv<K> {
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -148,8 +148,9 @@
         guests.put(guest.rid, guest);
         long hint = Math.max(0, line.number("sizeHint", 0));
         int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Settings.UNIT - 1) / Settings.UNIT);
-        Req req = new Req(sets[profile], (int) line.number("tenant", 0), key, now,
-            Math.floorDiv(line.number("due"), (long) Settings.UNIT), cost, line.number("resent", 0) != 0, guest);
+        long due = Math.floorDiv(line.number("due"), (long) Settings.UNIT);
+        Req req = new Req(sets[profile], (int) line.number("tenant", 0), key, now, due, cost,
+            line.number("resent", 0) != 0, guest);
         guest.held = rules.arrive(req);
     }
 
--- a/src/main/java/wheattrack/http/Encoder.java
+++ b/src/main/java/wheattrack/http/Encoder.java
@@ -11,7 +11,8 @@
     public static ByteBuffer request(Request r) {
         StringBuilder head = new StringBuilder(256);
         head.append(r.method()).append(' ').append(r.target()).append(" HTTP/1.1\r\n");
-        return message(head, r.headers(), r.keep(), r.body(), r.body().length > 0 || !r.method().equals("GET"));
+        boolean measured = r.body().length > 0 || !r.method().equals("GET");
+        return message(head, r.headers(), r.keep(), r.body(), measured);
     }
 
     public static ByteBuffer response(Response r) {
--- a/src/main/java/wheattrack/http/Headers.java
+++ b/src/main/java/wheattrack/http/Headers.java
@@ -56,7 +56,7 @@
         for (int i = 0; i < names.size(); i++) {
             if (names.get(i).equalsIgnoreCase("Content-Length")) {
                 String value = values.get(i);
-                if (value.isEmpty() || value.length() > 15 || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
+                if (!value.matches("[0-9]{1,15}")) {
                     throw new BadMessage(400, "bad length " + value);
                 }
                 long one = Long.parseLong(value);
--- a/src/main/java/wheattrack/http/Inbox.java
+++ b/src/main/java/wheattrack/http/Inbox.java
@@ -102,6 +102,7 @@
     }
 
     static boolean isToken(String word) {
-        return !word.isEmpty() && word.chars().allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+        return !word.isEmpty()
+            && word.chars().allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
     }
 }
--- a/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -1,6 +1,6 @@
 package wheattrack.http;
 
-/** Answers, as a client reads them. One that ends only with its connection can't be told from a cut-off one. */
+/** Answers, as a client reads them; one without a length might be cut off and is not taken. */
 public final class ResponseDecoder extends Decoder<Response> {
     private int status;
     private Headers headers;
--- a/src/main/java/wheattrack/net/Front.java
+++ b/src/main/java/wheattrack/net/Front.java
@@ -36,8 +36,8 @@
     private long unlogged;
 
     /** most: connections of clients; a few more are taken, so that those who come then are denied. */
-    Front(Loop loop, AsynchronousChannelGroup group, Life life, int most, InetSocketAddress listen, Taker taker)
-            throws IOException {
+    Front(Loop loop, AsynchronousChannelGroup group, Life life, int most, InetSocketAddress listen,
+            Taker taker) throws IOException {
         this.loop = loop;
         this.life = life;
         this.most = most;
--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -45,7 +45,6 @@
     private Front front;
     private Watch watch;
     private long version = -1;
-    private boolean told;
 
     Proxy(Loop loop, AsynchronousChannelGroup group, Dialler dialler, InetSocketAddress discovery,
             Settings settings, long seed, Map<String, Object> known) {
@@ -74,9 +73,9 @@
         front = clients;
     }
 
-    /** Whether the list has been told since the start. */
-    boolean isTold() {
-        return told;
+    /** Whether a list is there to serve by, be it an old one. */
+    boolean hasList() {
+        return version >= 0;
     }
 
     int open() {
@@ -244,7 +243,6 @@
     private void told(String line) {
         try {
             list(new Settings(Json.object(line)), false);
-            told = true;
         } catch (IOException | BadConfig e) {
             String fault = String.valueOf(e.getMessage()).split("\n")[0];
             watch.fail("skipped news that can't be read: " + fault);      // and asked for again
@@ -299,8 +297,8 @@
         boolean fresh = fleet.met(backend);
         backend.serves(address, up);
         boolean ready = state.equals("SERVING");
-        rules.entry(backend.at, number(id), ready, zone, pack, kind, weight, up <= 0 ? Long.MIN_VALUE / 2 : up,
-            fresh);
+        rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
+            up <= 0 ? Long.MIN_VALUE / 2 : up, fresh);
         if (!ready) {
             backend.leaves();
         }
@@ -309,7 +307,7 @@
         }
     }
 
-    /** A number for the id, the same at every proxy: the module orders srvs by it and names them so in logs. */
+    /** A number for the id, the same at every proxy: the module orders srvs by it and names them so. */
     static long number(String id) {
         String tail = id.substring(id.lastIndexOf('-') + 1);
         if (tail.matches("[0-9a-f]{1,15}")) {
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -14,7 +14,7 @@
     private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
     private static final int WARM_REQS = 4000;
     private static final long WARM_NANOS = 400_000_000;
-    private static final long LIST_WAIT = 10_000;   // for the list's first news before ready
+    private static final long LIST_WAIT = 10_000;   // for a list, old or new, before ready
 
     private final Config config;
     private final Loop loop = new Loop();
@@ -65,7 +65,7 @@
     }
 
     private void readyFrom(long from) {
-        if (proxy.isTold() || loop.now() - from >= LIST_WAIT) {
+        if (proxy.hasList() || loop.now() - from >= LIST_WAIT) {
             life.enter(Phase.SERVING);
         } else {
             loop.after(LOOK, () -> readyFrom(from));
--- a/src/main/java/wheattrack/net/WarmUp.java
+++ b/src/main/java/wheattrack/net/WarmUp.java
@@ -79,7 +79,8 @@
             }
         }
         Wire.Call call = Wire.call(in.next(), sets);
-        rules.arrive(new Req(call.ruleSet(), 0, 0, now, now + call.timeout(), call.cost(), call.again(), call));
+        rules.arrive(new Req(call.ruleSet(), 0, 0, now, now + call.timeout(), call.cost(), call.again(),
+            call));
     }
 
     @Override
--- a/src/main/java/wheattrack/net/Watch.java
+++ b/src/main/java/wheattrack/net/Watch.java
@@ -22,7 +22,8 @@
     private final Consumer<String> failed;
     private Deadlines.Entry silence;
 
-    private Watch(Loop loop, AsynchronousSocketChannel channel, Consumer<String> line, Consumer<String> failed) {
+    private Watch(Loop loop, AsynchronousSocketChannel channel, Consumer<String> line,
+            Consumer<String> failed) {
         super(loop, channel);
         this.line = line;
         this.failed = failed;
--- a/src/main/java/wheattrack/net/Wire.java
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -86,15 +86,16 @@
     }
 
     static Request probe(boolean reports) {
-        return new Request("GET", reports ? LOAD : HEALTH, new Headers().with("Host", "service.internal"), true, NOTHING);
+        return new Request("GET", reports ? LOAD : HEALTH, new Headers().with("Host", "service.internal"),
+            true, NOTHING);
     }
 
     static Outcome outcome(Response r) {
         if (r.status() == 200) {
             return Outcome.DONE;
         }
-        boolean turnedAway = (r.status() == 503 || r.status() == 504) && "1".equals(r.headers().first(NOT_RUN));
-        return turnedAway ? Outcome.FULL : Outcome.ERROR;
+        boolean no = r.status() == 503 || r.status() == 504;
+        return no && "1".equals(r.headers().first(NOT_RUN)) ? Outcome.FULL : Outcome.ERROR;
     }
 
     static Response done(Response from, boolean keep) {
@@ -117,7 +118,8 @@
 
     static Response plain(int status, String text, boolean keep) {
         byte[] body = (text + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
-        return new Response(status, new Headers().with("Content-Type", "text/plain; charset=utf-8"), keep, body);
+        Headers headers = new Headers().with("Content-Type", "text/plain; charset=utf-8");
+        return new Response(status, headers, keep, body);
     }
 
     private static String seconds(long tenths) {
--- a/src/test/java/wheattrack/CoreTest.java
+++ b/src/test/java/wheattrack/CoreTest.java
@@ -77,7 +77,8 @@
             w.say(srv.id + " missing " + fleet.left(srv) + fleet.left(srv));
         }
         w.say("new ones at " + fleet.admit("v").at + " and " + fleet.admit("w").at);
-        w.say("y " + fleet.find("y") + ", x still at " + fleet.find("x").at + ", none left " + fleet.left(null));
+        w.say("y " + fleet.find("y") + ", x still at " + fleet.find("x").at + ", none left "
+            + fleet.left(null));
         w.matches("tables");
     }
 
@@ -85,8 +86,8 @@
     void phases() throws IOException {
         World w = new World();
         Life life = new Life(phase -> w.say("enters " + phase));
-        for (Phase phase : new Phase[] {Phase.WARMING, Phase.SERVING, Phase.WARMING, Phase.DRAINING, Phase.SERVING,
-            Phase.CLOSING, Phase.ENDED}) {
+        for (Phase phase : new Phase[] {Phase.WARMING, Phase.SERVING, Phase.WARMING, Phase.DRAINING,
+            Phase.SERVING, Phase.CLOSING, Phase.ENDED}) {
             w.say(phase + " " + life.enter(phase) + (life.isReady() ? " ready" : "")
                 + (life.isLeaving() ? " leaving" : ""));
         }
--- a/src/test/java/wheattrack/HttpTest.java
+++ b/src/test/java/wheattrack/HttpTest.java
@@ -71,9 +71,11 @@
             post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
             post + "Content-Length: -3\r\n\r\n", post + "Content-Length: 65537\r\n\r\n",
             post + "Transfer-Encoding: gzip\r\n\r\n", post + "Transfer-Encoding: chunked\r\n\r\nxyz",
-            post + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc", post + "Transfer-Encoding: chunked\r\n\r\n\r\n",
+            post + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc",
+            post + "Transfer-Encoding: chunked\r\n\r\n\r\n",
             post + "Transfer-Encoding: chunked\r\n\r\n1ffff\r\n" + "z".repeat(70_000),
-            post + "A : 1\r\n\r\n", post + "A: 1\r\n folded\r\n\r\n", post + "A: 1\u0001\r\n\r\n", post + "A\r\n\r\n",
+            post + "A : 1\r\n\r\n", post + "A: 1\r\n folded\r\n\r\n", post + "A: 1\u0001\r\n\r\n",
+            post + "A\r\n\r\n",
             post + "A: 1\r\n".repeat(101) + "\r\n", post + "A: " + "1".repeat(20_000),
             "GET http://a/ HTTP/1.1\r\n\r\n", "GET  /a HTTP/1.1\r\n\r\n", "GET /a HTTP/2.0\r\n\r\n",
             "BREW /a HTTP/1.1\r\n\r\n", "\u0016\u0003\u0001\n\n", "GET /a\r\n\r\n"}) {
--- a/src/test/java/wheattrack/ServerTest.java
+++ b/src/test/java/wheattrack/ServerTest.java
@@ -103,6 +103,7 @@
     private void backend(String name, Socket socket) throws Exception {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         String answer = "HTTP/1.1 200 OK\r\nContent-Length: ";
+        String nothing = "Content-Length: 0\r\n\r\n";
         for (String head = head(in); head != null; head = head(in)) {
             in.readNBytes(length(head));
             came.incrementAndGet();
@@ -115,13 +116,13 @@
                     Thread.sleep(250);
                     send(socket, answer + "4\r\n\r\nslow");
                 }
-                case "full" -> send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
-                case "late" -> send(socket, "HTTP/1.1 504 Late\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+                case "full" -> send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\n" + nothing);
+                case "late" -> send(socket, "HTTP/1.1 504 Late\r\nNot-Started: 1\r\n" + nothing);
                 case "half" -> send(socket, answer + "9\r\n\r\nhalf");
                 case "unmeasured" -> send(socket, "HTTP/1.1 200 OK\r\n\r\nwhole or not?");
                 case "garbage" -> send(socket, "SSH-2.0-OpenSSH\r\n\r\n");
                 case "cut", "none" -> { }
-                default -> send(socket, "HTTP/1.1 " + act + " X\r\nContent-Length: 0\r\n\r\n");
+                default -> send(socket, "HTTP/1.1 " + act + " X\r\n" + nothing);
             }
             if (List.of("cut", "half", "unmeasured", "garbage").contains(act)) {
                 socket.close();
@@ -157,13 +158,15 @@
 
     private void serve(int sockets, String known) throws Exception {
         ServerSocket list = open(this::list);
-        String set = "','clientTimeout':600000,'responseTarget':400000,'group':'all','window':5000000,'effect':'";
+        String set = "','clientTimeout':600000,'responseTarget':400000,'group':'all','window':5000000,"
+            + "'effect':'";
         server = new Server(new Config(Json.object(("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:"
-            + list.getLocalPort() + "','seed':'1','drain_ms':300,'limits':{'sockets':" + sockets + "},'known':" + known
-            + ",'settings':{'balancers':2,'zones':['a'],'limits':{'maxDispatches':3,'mayCancel':true,"
+            + list.getLocalPort() + "','seed':'1','drain_ms':300,'limits':{'sockets':" + sockets
+            + "},'known':" + known + ",'settings':{'balancers':2,'zones':['a'],"
+            + "'limits':{'maxDispatches':3,'mayCancel':true,"
             + "'retryAfter':true,'maxRetryAfter':2000000,'dialTimeout':250000,'idleClose':30000000},"
-            + "'rules':{'askEvery':1000000},'ruleSets':[{'name':'buy" + set + "read_like'},{'name':'mark" + set
-            + "idempotency_key'},{'name':'pay" + set + "non_idempotent'}]}}").replace('\'', '"'))));
+            + "'rules':{'askEvery':1000000},'ruleSets':[{'name':'buy" + set + "read_like'},{'name':'mark"
+            + set + "idempotency_key'},{'name':'pay" + set + "non_idempotent'}]}}").replace('\'', '"'))));
         port = server.port();
         running = start(server::run);
         while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("200")) {
@@ -226,8 +229,8 @@
     void outcomes() throws Exception {
         serveBy(8);
         for (String set : new String[] {"buy", "mark", "pay"}) {
-            for (String acts : new String[] {"ok", "chunks", "500 ok", "full ok", "late ok", "503 ok", "404 ok", "cut ok",
-                "half ok", "unmeasured ok", "garbage ok", "full 500 ok", "500 500 500"}) {
+            for (String acts : new String[] {"ok", "chunks", "500 ok", "full ok", "late ok", "503 ok",
+                "404 ok", "cut ok", "half ok", "unmeasured ok", "garbage ok", "full 500 ok", "500 500 500"}) {
                 script.addAll(List.of(acts.split(" ")));
                 int before = came.get();
                 String answer = call(request(set)).replaceAll("s\\d", "ok");
@@ -247,15 +250,19 @@
     void badClients() throws Exception {
         serveBy(3);
         String post = "POST /buy HTTP/1.1\r\nRequest-Id: 7\r\n";
-        for (String in : new String[] {"GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n", "POST /buy HTTP/1.1\r\n\r\n",
+        for (String in : new String[] {"GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n",
+            "POST /buy HTTP/1.1\r\n\r\n",
             post + "Request-Class: sell\r\n\r\n", post + "Request-Timeout: soon\r\n\r\n",
-            post + "Request-Timeout: -1\r\n\r\n", post + "Work-Hint: 1e9\r\n\r\n", post + "Content-Length: x\r\n\r\n",
-            post + "Content-Length: 70000\r\n\r\n", post + "A: " + "1".repeat(20_000) + "\r\n\r\n", "\u0000\u0001\r\n\r\n",
+            post + "Request-Timeout: -1\r\n\r\n", post + "Work-Hint: 1e9\r\n\r\n",
+            post + "Content-Length: x\r\n\r\n",
+            post + "Content-Length: 70000\r\n\r\n", post + "A: " + "1".repeat(20_000) + "\r\n\r\n",
+            "\u0000\u0001\r\n\r\n",
             "HEAD /buy HTTP/1.1\r\n\r\n", post + "Request-Timeout: 0\r\n\r\n",
             post + "Work-Hint: 99999999999999999999\r\n\r\n"}) {
             try (Socket socket = connect()) {
                 send(socket, in);
-                w.say(in.substring(0, Math.min(70, in.length())).replaceAll("[^ -~]+", "|") + " -> " + answer(socket));
+                String short70 = in.substring(0, Math.min(70, in.length())).replaceAll("[^ -~]+", "|");
+                w.say(short70 + " -> " + answer(socket));
             }
         }
         try (Socket socket = connect()) {
@@ -280,11 +287,12 @@
             Thread.sleep(5);
         }
         socket.close();
-        w.say("client left, backend's connection " + seen.poll(300, TimeUnit.MILLISECONDS) + ", sent " + came.get());
+        String ends = seen.poll(300, TimeUnit.MILLISECONDS);
+        w.say("client left, backend's connection " + ends + ", sent " + came.get());
         w.matches("server-client-leaves");
     }
 
-    /** An end in order: what comes while draining is served, what is open is answered, then nothing listens. */
+    /** An end in order: what comes while draining is served, what is open answered, then nothing listens. */
     @Test
     void endsInOrder() throws Exception {
         serveBy(3);
