--- a/src/main/java/wheattrack/http/Bytes.java
+++ b/src/main/java/wheattrack/http/Bytes.java
@@ -7,6 +7,7 @@
 final class Bytes {
     private byte[] bytes = new byte[256];
     private int size;
+    private int searched;
 
     int size() {
         return size;
@@ -26,11 +27,12 @@
 
     /** Takes out the bytes up to the first line feed, without it, or null. */
     byte[] line() {
-        for (int i = 0; i < size; i++) {
-            if (bytes[i] == '\n') {
-                byte[] line = Arrays.copyOf(bytes, i);
-                System.arraycopy(bytes, i + 1, bytes, 0, size - i - 1);
-                size -= i + 1;
+        for (; searched < size; searched++) {
+            if (bytes[searched] == '\n') {
+                byte[] line = Arrays.copyOf(bytes, searched);
+                System.arraycopy(bytes, searched + 1, bytes, 0, size - searched - 1);
+                size -= searched + 1;
+                searched = 0;
                 return line;
             }
         }
--- a/src/main/java/wheattrack/http/Decoder.java
+++ b/src/main/java/wheattrack/http/Decoder.java
@@ -69,8 +69,7 @@
     protected abstract M whole(byte[] body);
 
     static boolean keeps(String version, Headers headers) {
-        return version.equals("HTTP/1.1") ? !headers.lists("Connection", "close")
-            : headers.lists("Connection", "keep-alive");
+        return version.equals("HTTP/1.1") && !headers.lists("Connection", "close");
     }
 
     static void checkVersion(String version) throws BadMessage {
--- a/src/main/java/wheattrack/net/Client.java
+++ b/src/main/java/wheattrack/net/Client.java
@@ -19,6 +19,7 @@
     private final RequestDecoder in = new RequestDecoder();
     private boolean busy;
     private boolean keep;
+    private boolean unread;
     private boolean lingering;
     private boolean interim;
     private Deadlines.Entry stall;
@@ -66,14 +67,16 @@
     }
 
     private void advance() {
-        loop.cancel(stall);
         try {
             Request request = in.next();
             if (request != null) {
                 busy = true;
+                calm();
                 front.came(this, request);
             } else if (in.isAmid()) {
-                stall = loop.after(STALL, () -> refuse(408, "the request did not come whole"));
+                if (stall == null) {
+                    stall = loop.after(STALL, () -> refuse(408, "the request did not come whole"));
+                }
                 if (in.expectsWord()) {
                     interim = true;
                     write(Encoder.goOn());
@@ -84,9 +87,15 @@
         }
     }
 
+    private void calm() {
+        loop.cancel(stall);
+        stall = null;
+    }
+
     private void refuse(int status, String why) {
         front.refused(status, why);
         busy = true;
+        unread = true;
         answer(Wire.plain(status, why, false));
     }
 
@@ -97,7 +106,7 @@
             return;
         }
         keep = response.keep();
-        loop.cancel(stall);
+        calm();
         stall = loop.after(STALL, this::close);
         write(Encoder.response(response));
     }
@@ -111,8 +120,8 @@
             interim = false;
             return;
         }
-        loop.cancel(stall);
-        if (!whole) {
+        calm();
+        if (!whole || !keep && !unread) {
             close();
         } else if (keep) {
             busy = false;
@@ -121,7 +130,7 @@
                 advance();
                 readOn();
             }
-        } else {
+        } else {                                    // what it goes on sending would reset the answer
             lingering = true;
             stall = loop.after(LINGER, this::close);
             endOutput();
@@ -135,7 +144,7 @@
             return;
         }
         super.close();
-        loop.cancel(stall);
+        calm();
         front.closed(slot);
         if (guest != null) {
             guest.left();
--- a/src/main/java/wheattrack/net/Link.java
+++ b/src/main/java/wheattrack/net/Link.java
@@ -25,7 +25,6 @@
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException | RuntimeException e) {
             // a connection that is broken already shows so at its first read
-            closed = false;
         }
     }
 
@@ -125,7 +124,6 @@
             channel.close();
         } catch (IOException e) {
             // it is gone either way
-            closed = true;
         }
     }
 
--- a/src/main/java/wheattrack/net/Loop.java
+++ b/src/main/java/wheattrack/net/Loop.java
@@ -16,6 +16,7 @@
 final class Loop extends AbstractExecutorService {
     private static final Logger LOG = Logger.getLogger("wheattrack");
     private static final long NANOS = 100_000;      // in the project's unit of time
+    private static final long LATE = 100, HEAR = 10, LONGEST = 10_000;
 
     private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
@@ -54,6 +55,9 @@
     void run() {
         while (!stopped) {
             tick();
+            if (now - deadlines.first() > LATE) {
+                catchUp();
+            }
             for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
                 perform(due);
             }
@@ -67,10 +71,20 @@
         }
     }
 
+    /**
+     * Deadlines long past: this process stood still, and what came meanwhile is heard first. Else answers
+     * that lie in the sockets would be held for time-outs, and their srvs for silent.
+     */
+    private void catchUp() {
+        Runnable task = this::tick;
+        for (long until = now + LATE; task != null; task = now < until ? pause(HEAR) : null) {
+            perform(task);
+        }
+    }
+
     private Runnable pause(long time) {
         try {
-            long most = 10_000;
-            return come.poll(Math.min(most, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
+            return come.poll(Math.min(LONGEST, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
         } catch (InterruptedException e) {
             stopped = true;
             return null;
@@ -82,7 +96,7 @@
             tick();
             try {
                 step.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {      // one req's failure is not the next one's
                 LOG.log(Level.SEVERE, "a step failed", e);
             }
         }
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -53,9 +53,12 @@
         LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
         life.enter(Phase.WARMING);
         loop.execute(this::warmUp);
-        loop.run();
-        life.enter(Phase.ENDED);
-        ended.countDown();
+        try {
+            loop.run();
+            life.enter(Phase.ENDED);
+        } finally {
+            ended.countDown();
+        }
     }
 
     private void warmUp() {
