A uniqued req's window holds for dispatches that wait for a connection; address taken is named

The module keeps to the window when it decides; a dispatch that then waits for its connection could be sent after it (Backend.free). It is moot from then on. At the limit of descriptors the backend connection longest at rest gives way.

--- a/src/main/java/wheattrack/Main.java
+++ b/src/main/java/wheattrack/Main.java
@@ -75,7 +75,12 @@
     private static void serve(Config config) throws IOException {
         System.setProperty("java.util.logging.manager", Logs.class.getName());
         Logs.open();
-        Server server = new Server(config);
+        Server server;
+        try {
+            server = new Server(config);
+        } catch (IOException e) {
+            throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
+        }
         Thread end = new Thread(server::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
         server.run();
--- a/src/main/java/wheattrack/net/Backend.java
+++ b/src/main/java/wheattrack/net/Backend.java
@@ -93,6 +93,10 @@
     /** A connection is free for the next dispatch. */
     void free(Upstream up) {
         Dispatch first = waiting.pollFirst();
+        while (first != null && loop.now() >= first.latest) {
+            first.giveUp(Outcome.MOOT);
+            first = waiting.pollFirst();
+        }
         if (first != null) {
             up.carry(first);
         } else if (!serving) {
--- a/src/main/java/wheattrack/net/Dialler.java
+++ b/src/main/java/wheattrack/net/Dialler.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.Comparator;
 import wheattrack.core.Slots;
 
 /** Opens connections to backends, within the budget of descriptors; at its limit an idle one gives way. */
@@ -27,7 +28,8 @@
     /** A connection that is being made; none where descriptors have run out. */
     Upstream dial(Backend to) throws IOException {
         if (table.size() >= most) {
-            table.all().stream().filter(Upstream::isResting).findFirst().ifPresent(Upstream::close);
+            table.all().stream().filter(Upstream::isResting)
+                .min(Comparator.comparingLong(Upstream::restsSince)).ifPresent(Upstream::close);
         }
         if (table.size() >= most) {
             throw new IOException(most + " connections to backends are open");
@@ -42,10 +44,6 @@
         table.remove(up.slot);
     }
 
-    int open() {
-        return table.size();
-    }
-
     void closeAll() {
         table.all().forEach(Upstream::close);
     }
--- a/src/main/java/wheattrack/net/Dispatch.java
+++ b/src/main/java/wheattrack/net/Dispatch.java
@@ -10,6 +10,8 @@
     final Backend backend;
     final Request request;
     final long sent;
+    /** When its first byte must have left, or it never does. */
+    long latest = Long.MAX_VALUE;
     Deadlines.Entry timeout;
     Upstream on;
     private boolean over;
--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -161,11 +161,21 @@
         Guest guest = (Guest) req.door;
         long wait = tryFor == 0 ? req.due - loop.now() : tryFor;
         Leg leg = new Leg(guest, fleet.at(backend), Wire.onward(guest.call.request(), wait), next);
+        leg.latest = latest(guest);
         guest.dispatches.add(leg);
         leg.timeout = loop.after(wait, () -> leg.giveUp(Outcome.TIMEOUT));
         leg.backend.carry(leg);
     }
 
+    /** The module keeps to a uniqued req's window as it decides; a connection may take its time after. */
+    private static long latest(Guest guest) {
+        if (guest.req.ruleSet.effect() != RuleSet.Effect.UNIQUED) {
+            return Long.MAX_VALUE;
+        }
+        return guest.dispatches.stream().filter(Dispatch::isBegun).mapToLong(d -> d.sent).min()
+            .orElse(Long.MAX_VALUE / 2) + guest.req.ruleSet.window();
+    }
+
     @Override
     public void cancel(Req req, int leg) {
         ((Guest) req.door).dispatches.get(leg).giveUp(Outcome.CANCELLED);
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -2,15 +2,20 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
 import wheattrack.config.Config;
 import wheattrack.core.Life;
 import wheattrack.core.Life.Phase;
+import wheattrack.port.RuleSet;
 
 /** One real proxy: puts the parts together and leads them from start to exit. */
 public final class Server {
     private static final Logger LOG = Logger.getLogger("wheattrack");
+    // Of the descriptors: some for the program itself; parts of the rest, and what is left for surplus clients.
+    private static final int OWN = 32;
+    private static final double CLIENTS = 0.58, BACKENDS = 0.36;
     private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
     private static final int WARM_REQS = 4000;
     private static final long WARM_NANOS = 400_000_000;
@@ -28,19 +33,14 @@
     public Server(Config config) throws IOException {
         this.config = config;
         AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(loop);
-        int own = Math.max(32, config.sockets / 16);
-        int clients = (config.sockets - own) * 6 / 10;
-        int backends = (config.sockets - own - clients) * 9 / 10;
-        dialler = new Dialler(loop, group, backends, config.settings.time("limits.dialTimeout", 250_000),
+        int free = config.sockets - Math.max(OWN, config.sockets / 16);
+        int clients = (int) (CLIENTS * free);
+        dialler = new Dialler(loop, group, (int) (BACKENDS * free), config.settings.time("limits.dialTimeout", 250_000),
             config.settings.time("limits.idleClose", 0));
         proxy = new Proxy(loop, group, dialler, config.discovery, config.settings, config.seed, config.known);
         front = new Front(loop, group, life, clients, config.listen, proxy::take);
         proxy.from(front);
-        long most = 0;
-        for (var set : config.settings.ruleSets()) {
-            most = Math.max(most, set.timeout());
-        }
-        longest = most;
+        longest = Arrays.stream(config.settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
     }
 
     /** The port it listens at; of use where the configuration leaves the choice to the system. */
--- a/src/main/java/wheattrack/net/Upstream.java
+++ b/src/main/java/wheattrack/net/Upstream.java
@@ -19,6 +19,7 @@
     private Dispatch carried;
     private boolean dialling;
     private boolean resting;
+    private long restsSince;
     private boolean broken;
     private Deadlines.Entry deadline;
     int slot;
@@ -68,9 +69,14 @@
         return resting;
     }
 
+    long restsSince() {
+        return restsSince;
+    }
+
     /** Stands idle; closed well before the backend would do so. */
     void rest() {
         resting = true;
+        restsSince = loop.now();
         if (idleLimit > 0) {
             deadline = loop.after(idleLimit, this::close);
         }
