--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
 import wheattrack.config.Config;
+import wheattrack.config.Settings;
 import wheattrack.core.Life;
 import wheattrack.core.Life.Phase;
 import wheattrack.port.RuleSet;
@@ -13,7 +14,7 @@
 /** One real proxy: puts the parts together and leads them from start to exit. */
 public final class Server {
     private static final Logger LOG = Logger.getLogger("wheattrack");
-    // Of the descriptors: some for the program itself; parts of the rest, and what is left for surplus clients.
+    // Of the descriptors: some for the program itself, parts of the rest, the last bit for surplus clients.
     private static final int OWN = 32;
     private static final double CLIENTS = 0.58, BACKENDS = 0.36;
     private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
@@ -35,12 +36,13 @@
         AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(loop);
         int free = config.sockets - Math.max(OWN, config.sockets / 16);
         int clients = (int) (CLIENTS * free);
-        dialler = new Dialler(loop, group, (int) (BACKENDS * free), config.settings.time("limits.dialTimeout", 250_000),
-            config.settings.time("limits.idleClose", 0));
-        proxy = new Proxy(loop, group, dialler, config.discovery, config.settings, config.seed, config.known);
+        Settings settings = config.settings;
+        dialler = new Dialler(loop, group, (int) (BACKENDS * free),
+            settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
+        proxy = new Proxy(loop, group, dialler, config.discovery, settings, config.seed, config.known);
         front = new Front(loop, group, life, clients, config.listen, proxy::take);
         proxy.from(front);
-        longest = Arrays.stream(config.settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
+        longest = Arrays.stream(settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
     }
 
     /** The port it listens at; of use where the configuration leaves the choice to the system. */
