--- a/src/main/java/wheattrack/config/Config.java
+++ b/src/main/java/wheattrack/config/Config.java
@@ -21,7 +21,7 @@
     /** How long new connections may still come once the end is announced, in tenths of a millisecond. */
     public final long drain;
     /** The list of backends as this proxy last had it, in discovery's form. */
-    public final Map<String, Object> known;
+    public final Settings known;
     public final Settings settings;
 
     public Config(Map<String, Object> all) {
@@ -35,7 +35,7 @@
             throw new BadConfig("limits.sockets", "under " + LEAST_SOCKETS);
         }
         drain = (long) (s.number("drain_ms", 500) * 10);
-        known = s.map("known");
+        known = s.part("known");
         settings = s.part("settings");
         if (settings.parts("ruleSets").isEmpty()) {
             throw new BadConfig("settings.ruleSets", "missing");
--- a/src/main/java/wheattrack/config/Settings.java
+++ b/src/main/java/wheattrack/config/Settings.java
@@ -93,13 +93,14 @@
         return at(path, List.class, List.of());
     }
 
-    @SuppressWarnings("unchecked")
-    public Map<String, Object> map(String path) {
-        return at(path, Map.class, Map.of());
+    /** Whatever stands there, or null. */
+    public Object any(String path) {
+        return at(path);
     }
 
+    @SuppressWarnings("unchecked")
     public Settings part(String path) {
-        return new Settings(map(path), where + path + ".");
+        return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
     }
 
     /** The list's entries, each an object. */
--- a/src/main/java/wheattrack/core/Fleet.java
+++ b/src/main/java/wheattrack/core/Fleet.java
@@ -90,7 +90,7 @@
     }
 
     /** Those on the list that are not named. */
-    public List<S> missing(Set<K> named) {
+    public List<S> missing(Set<?> named) {
         return byIndex.stream().filter(srv -> !srv.isGone() && !named.contains(srv.id)).toList();
     }
 
--- a/src/main/java/wheattrack/net/Dispatch.java
+++ b/src/main/java/wheattrack/net/Dispatch.java
@@ -8,7 +8,6 @@
 /** One dispatch of a req, or a probe, from its sending to its one outcome. */
 abstract class Dispatch {
     final Backend backend;
-    final Request request;
     final long sent;
     /** When its first byte must have left, or it never does. */
     long latest = Long.MAX_VALUE;
@@ -16,9 +15,8 @@
     Upstream on;
     private boolean over;
 
-    Dispatch(Backend backend, Request request, long sent) {
+    Dispatch(Backend backend, long sent) {
         this.backend = backend;
-        this.request = request;
         this.sent = sent;
     }
 
@@ -48,5 +46,8 @@
         ended(how, answer);
     }
 
+    /** What is written for it, made as it begins. */
+    protected abstract Request request();
+
     protected abstract void ended(Outcome how, Response answer);
 }
--- /dev/null
+++ b/src/main/java/wheattrack/net/Listing.java
@@ -0,0 +1,161 @@
+package wheattrack.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.logging.Logger;
+import java.util.zip.CRC32;
+import wheattrack.Rules;
+import wheattrack.config.BadConfig;
+import wheattrack.config.Config;
+import wheattrack.config.Json;
+import wheattrack.config.Settings;
+import wheattrack.core.Fleet;
+
+/** The list of backends on the wire: the watch on it, and its entries turned into calls on the module. */
+final class Listing {
+    private static final Logger LOG = Logger.getLogger("wheattrack");
+
+    private final Loop loop;
+    private final AsynchronousChannelGroup group;
+    private final InetSocketAddress discovery;
+    private final List<?> zones;
+    private final List<?> kinds;
+    private final Fleet<String, Backend> fleet;
+    private Rules rules;
+    private Watch watch;
+    private long version;
+
+    /** version: that of the list known of old, which is told later, or one below 0. */
+    Listing(Loop loop, AsynchronousChannelGroup group, Dialler dialler, InetSocketAddress discovery,
+            List<?> zones, List<?> kinds, long version) {
+        this.loop = loop;
+        this.group = group;
+        this.discovery = discovery;
+        this.zones = zones;
+        this.kinds = kinds;
+        this.version = version;
+        fleet = new Fleet<>((id, at) -> new Backend(id, at, dialler));
+    }
+
+    /** Who hears of the list; to be called before anything is told. */
+    void tell(Rules module) {
+        rules = module;
+    }
+
+    Backend at(int index) {
+        return fleet.at(index);
+    }
+
+    /** Whether a list is there to serve by, be it an old one. */
+    boolean isThere() {
+        return version >= 0;
+    }
+
+    /** Watches from the version on that is known, unless a watch is open. */
+    void follow() {
+        if (watch != null && !watch.isClosed()) {
+            return;
+        }
+        try {
+            watch = Watch.open(loop, group, discovery, version, this::told, this::failed);
+        } catch (IOException e) {
+            failed(e.toString());
+        }
+    }
+
+    /** Watches anew, from the whole list on. */
+    void fetch() {
+        if (watch != null) {
+            watch.close();
+        }
+        version = -1;
+        follow();
+    }
+
+    private void failed(String why) {
+        LOG.info("watch on the list: " + why);
+        rules.listFailed();
+    }
+
+    private void told(String line) {
+        try {
+            list(new Settings(Json.object(line)), false);
+        } catch (IOException | BadConfig e) {
+            String fault = String.valueOf(e.getMessage()).split("\n")[0];
+            watch.fail("skipped news that can't be read: " + fault);      // and asked for again
+        }
+    }
+
+    /** saved: it is the list known of old. */
+    void list(Settings news, boolean saved) {
+        List<Settings> entries = news.parts("targets");
+        long rev = news.whole("rev", version);
+        if (news.flag("all")) {
+            Set<Object> named = new HashSet<>();
+            entries.forEach(entry -> named.add(entry.any("uid")));
+            fleet.missing(named).forEach(this::gone);
+        }
+        for (Settings entry : entries) {
+            try {
+                entry(entry);
+            } catch (BadConfig e) {
+                LOG.warning("skipped an entry of the list: " + e.getMessage());
+            }
+        }
+        version = rev;
+        rules.listed(saved);
+    }
+
+    private void gone(Backend backend) {
+        if (backend != null && fleet.left(backend)) {
+            rules.gone(backend.at);
+            backend.leaves();
+        }
+    }
+
+    private void entry(Settings e) {
+        String id = e.word("uid");
+        String state = e.word("state");
+        if (state.equals("DELETED")) {
+            gone(fleet.find(id));
+            return;
+        }
+        if (!state.equals("SERVING") && !state.equals("DRAINING")) {
+            throw new BadConfig("state", "unknown: " + state);
+        }
+        InetSocketAddress address = Config.address("endpoint", e.word("endpoint"));
+        long up = (long) (e.number("boot_ms", 0) * 10);
+        int zone = zones.indexOf(e.word("az", ""));
+        int kind = Math.max(0, kinds.indexOf(e.word("model", "")));
+        int pack = e.count("pod_group", 0);
+        double weight = e.number("capacity_hint", 1);
+        Backend backend = fleet.admit(id);
+        boolean fresh = fleet.met(backend);
+        if (fresh) {
+            LOG.info("met srv " + number(id) + ": " + id + " at " + e.word("endpoint"));
+        }
+        boolean ready = state.equals("SERVING");
+        rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
+            up <= 0 ? Long.MIN_VALUE / 2 : up, fresh);
+        backend.serves(address, up);
+        if (!ready) {
+            backend.leaves();
+        }
+    }
+
+    /** A number for the id, the same at every proxy: the module orders srvs by it and names them so. */
+    static long number(String id) {
+        String tail = id.substring(id.lastIndexOf('-') + 1);
+        if (tail.matches("[0-9a-f]{1,15}")) {
+            return Long.parseLong(tail, 16);
+        }
+        CRC32 crc = new CRC32();
+        crc.update(id.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+}
--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -1,20 +1,11 @@
 package wheattrack.net;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.logging.Logger;
 import wheattrack.Rules;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Config;
-import wheattrack.config.Json;
 import wheattrack.config.Settings;
-import wheattrack.core.Fleet;
 import wheattrack.core.Slots;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
@@ -31,30 +22,17 @@
     private static final long GUARD = 50;
 
     private final Loop loop;
-    private final AsynchronousChannelGroup group;
-    private final Dialler dialler;
-    private final InetSocketAddress discovery;
-    private final List<?> zones;
-    private final List<?> kinds;
+    private final Listing listing;
     private final Map<String, RuleSet> sets = new HashMap<>();
     private final Slots<Guest> guests = new Slots<>();
-    private final Fleet<String, Backend> fleet;
     private final Rules rules;
     private final boolean reports;
     private final long probeTimeout;
     private Front front;
-    private Watch watch;
-    private long version = -1;
 
-    Proxy(Loop loop, AsynchronousChannelGroup group, Dialler dialler, InetSocketAddress discovery,
-            Settings settings, long seed, Map<String, Object> known) {
+    Proxy(Loop loop, Listing listing, Settings settings, long seed) {
         this.loop = loop;
-        this.group = group;
-        this.dialler = dialler;
-        this.discovery = discovery;
-        zones = settings.list("zones");
-        kinds = settings.list("kinds");
-        fleet = new Fleet<>((id, at) -> new Backend(id, at, dialler));
+        this.listing = listing;
         RuleSet[] all = settings.ruleSets();
         List<Settings> named = settings.parts("ruleSets");
         for (int i = 0; i < all.length; i++) {
@@ -62,22 +40,14 @@
         }
         reports = !settings.word("report.how", "none").equals("none");
         probeTimeout = settings.time("limits.dialTimeout", 250_000);
-        version = new Settings(known).whole("rev", -1);
         rules = settings.rules(this, seed, all, true);
-        if (!known.isEmpty()) {
-            list(new Settings(known), true);
-        }
+        listing.tell(rules);
     }
 
     void from(Front clients) {
         front = clients;
     }
 
-    /** Whether a list is there to serve by, be it an old one. */
-    boolean hasList() {
-        return version >= 0;
-    }
-
     int open() {
         return guests.size();
     }
@@ -139,14 +109,21 @@
     /** One dispatch of a req; its outcome goes to the module as a step of its own. */
     private final class Leg extends Dispatch {
         private final Guest guest;
+        private final long until;
         private final Result next;
 
-        Leg(Guest guest, Backend backend, Request request, Result next) {
-            super(backend, request, loop.now());
+        Leg(Guest guest, Backend backend, long until, Result next) {
+            super(backend, loop.now());
             this.guest = guest;
+            this.until = until;
             this.next = next;
         }
 
+        @Override
+        protected Request request() {
+            return Wire.onward(guest.call.request(), until - loop.now());
+        }
+
         @Override
         protected void ended(Outcome how, Response answer) {
             if (how == Outcome.DONE && !guest.over) {
@@ -160,7 +137,7 @@
     public void dispatch(Req req, int backend, long tryFor, Result next) {
         Guest guest = (Guest) req.door;
         long wait = tryFor == 0 ? req.due - loop.now() : tryFor;
-        Leg leg = new Leg(guest, fleet.at(backend), Wire.onward(guest.call.request(), wait), next);
+        Leg leg = new Leg(guest, listing.at(backend), loop.now() + wait, next);
         leg.latest = latest(guest);
         guest.dispatches.add(leg);
         leg.timeout = loop.after(wait, () -> leg.giveUp(Outcome.TIMEOUT));
@@ -195,7 +172,12 @@
 
     @Override
     public void probe(int backend, Heard next) {
-        Dispatch probe = new Dispatch(fleet.at(backend), Wire.probe(reports), loop.now()) {
+        Dispatch probe = new Dispatch(listing.at(backend), loop.now()) {
+            @Override
+            protected Request request() {
+                return Wire.probe(reports);
+            }
+
             @Override
             protected void ended(Outcome how, Response answer) {
                 loop.step(() -> next.load(how == Outcome.DONE, loop.now() - sent, null));
@@ -214,7 +196,7 @@
 
     @Override
     public void later(long delay, Runnable next) {
-        loop.after(delay, next);
+        loop.after(Math.max(1, delay), next);       // one that asks for none still lets others have a turn
     }
 
     @Override
@@ -222,109 +204,13 @@
         LOG.info(text);
     }
 
-    // ---- the list
-
     @Override
     public void follow() {
-        if (watch != null && !watch.isClosed()) {
-            return;
-        }
-        try {
-            watch = Watch.open(loop, group, discovery, version, this::told, this::watchFailed);
-        } catch (IOException e) {
-            watchFailed(e.toString());
-        }
+        listing.follow();
     }
 
     @Override
     public void fetch() {
-        if (watch != null) {
-            watch.close();
-        }
-        version = -1;
-        follow();
-    }
-
-    private void watchFailed(String why) {
-        LOG.info("watch on the list: " + why);
-        rules.listFailed();
-    }
-
-    private void told(String line) {
-        try {
-            list(new Settings(Json.object(line)), false);
-        } catch (IOException | BadConfig e) {
-            String fault = String.valueOf(e.getMessage()).split("\n")[0];
-            watch.fail("skipped news that can't be read: " + fault);      // and asked for again
-        }
-    }
-
-    private void list(Settings news, boolean saved) {
-        List<Settings> entries = news.parts("targets");
-        long rev = news.whole("rev", version);
-        if (news.flag("all")) {
-            Set<String> named = new HashSet<>();
-            for (Settings entry : entries) {
-                named.add(entry.word("uid", ""));
-            }
-            fleet.missing(named).forEach(this::gone);
-        }
-        for (Settings entry : entries) {
-            try {
-                entry(entry);
-            } catch (BadConfig e) {
-                LOG.warning("skipped an entry of the list: " + e.getMessage());
-            }
-        }
-        version = rev;
-        rules.listed(saved);
-    }
-
-    private void gone(Backend backend) {
-        if (backend != null && fleet.left(backend)) {
-            rules.gone(backend.at);
-            backend.leaves();
-        }
-    }
-
-    private void entry(Settings e) {
-        String id = e.word("uid");
-        String state = e.word("state");
-        if (state.equals("DELETED")) {
-            gone(fleet.find(id));
-            return;
-        }
-        if (!state.equals("SERVING") && !state.equals("DRAINING")) {
-            throw new BadConfig("state", "unknown: " + state);
-        }
-        InetSocketAddress address = Config.address("endpoint", e.word("endpoint"));
-        long up = (long) (e.number("boot_ms", 0) * 10);
-        int zone = zones.indexOf(e.word("az", ""));
-        int kind = Math.max(0, kinds.indexOf(e.word("model", "")));
-        int pack = e.count("pod_group", 0);
-        double weight = e.number("capacity_hint", 1);
-        Backend backend = fleet.admit(id);
-        boolean fresh = fleet.met(backend);
-        backend.serves(address, up);
-        boolean ready = state.equals("SERVING");
-        rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
-            up <= 0 ? Long.MIN_VALUE / 2 : up, fresh);
-        if (!ready) {
-            backend.leaves();
-        }
-        if (fresh) {
-            LOG.info("met srv " + number(id) + ": " + id + " at " + e.word("endpoint"));
-        }
-    }
-
-    /** A number for the id, the same at every proxy: the module orders srvs by it and names them so. */
-    static long number(String id) {
-        String tail = id.substring(id.lastIndexOf('-') + 1);
-        if (tail.matches("[0-9a-f]{1,15}")) {
-            return Long.parseLong(tail, 16);
-        }
-        var crc = new java.util.zip.CRC32();
-        crc.update(id.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        return crc.getValue();
+        listing.fetch();
     }
 }
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -26,6 +26,7 @@
     private final Loop loop = new Loop();
     private final Life life = new Life(phase -> LOG.info("phase " + phase));
     private final Front front;
+    private final Listing listing;
     private final Proxy proxy;
     private final Dialler dialler;
     private final long longest;
@@ -39,7 +40,12 @@
         Settings settings = config.settings;
         dialler = new Dialler(loop, group, (int) (BACKENDS * free),
             settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
-        proxy = new Proxy(loop, group, dialler, config.discovery, settings, config.seed, config.known);
+        listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
+            settings.list("kinds"), config.known.whole("rev", -1));
+        proxy = new Proxy(loop, listing, settings, config.seed);
+        if (config.known.has("targets")) {
+            listing.list(config.known, true);
+        }
         front = new Front(loop, group, life, clients, config.listen, proxy::take);
         proxy.from(front);
         longest = Arrays.stream(settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
@@ -70,7 +76,7 @@
     }
 
     private void readyFrom(long from) {
-        if (proxy.hasList() || loop.now() - from >= LIST_WAIT) {
+        if (listing.isThere() || loop.now() - from >= LIST_WAIT) {
             life.enter(Phase.SERVING);
         } else {
             loop.after(LOOK, () -> readyFrom(from));
--- a/src/main/java/wheattrack/net/Upstream.java
+++ b/src/main/java/wheattrack/net/Upstream.java
@@ -62,7 +62,7 @@
         resting = false;
         carried = d;
         d.on = this;
-        write(Encoder.request(d.request));
+        write(Encoder.request(d.request()));
     }
 
     boolean isResting() {
--- a/src/main/java/wheattrack/net/Wire.java
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -1,6 +1,7 @@
 package wheattrack.net;
 
 import java.math.BigDecimal;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import wheattrack.config.Settings;
@@ -57,7 +58,7 @@
             throw new Unfit(404, "unknown " + RULE_SET + " " + name);
         }
         long timeout = h.first(TIMEOUT) == null ? set.timeout()
-            : figure(TIMEOUT, h.first(TIMEOUT), 10_000, Integer.MAX_VALUE);
+            : figure(TIMEOUT, h.first(TIMEOUT), 10_000, set.timeout());
         long hint = h.first(HINT) == null ? 0 : figure(HINT, h.first(HINT), 1, Integer.MAX_VALUE * 20L);
         int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Settings.UNIT - 1) / Settings.UNIT);
         return new Call(r, set, timeout, cost, "1".equals(h.first(AGAIN)));
@@ -76,13 +77,20 @@
 
     /** The request as a backend gets it, told how long the proxy will wait. */
     static Request onward(Request r, long wait) {
+        Headers out = passedOn(r.headers()).with(TIMEOUT, seconds(wait));
+        return new Request(r.method(), r.target(), out, true, r.body());
+    }
+
+    /** All but what speaks of one connection only, or is said anew. */
+    private static Headers passedOn(Headers from) {
         Headers out = new Headers();
-        for (int i = 0; i < r.headers().size(); i++) {
-            if (!HOP.contains(r.headers().name(i).toLowerCase(java.util.Locale.ROOT))) {
-                out.with(r.headers().name(i), r.headers().value(i));
+        for (int i = 0; i < from.size(); i++) {
+            String name = from.name(i);
+            if (!HOP.contains(name.toLowerCase(Locale.ROOT)) && !from.lists("Connection", name)) {
+                out.with(name, from.value(i));
             }
         }
-        return new Request(r.method(), r.target(), out.with(TIMEOUT, seconds(wait)), true, r.body());
+        return out;
     }
 
     static Request probe(boolean reports) {
@@ -99,13 +107,7 @@
     }
 
     static Response done(Response from, boolean keep) {
-        Headers out = new Headers();
-        for (int i = 0; i < from.headers().size(); i++) {
-            if (!HOP.contains(from.headers().name(i).toLowerCase(java.util.Locale.ROOT))) {
-                out.with(from.headers().name(i), from.headers().value(i));
-            }
-        }
-        return new Response(200, out, keep, from.body());
+        return new Response(200, passedOn(from.headers()), keep, from.body());
     }
 
     static Response denied(long wait, boolean keep) {
--- a/src/test/java/wheattrack/ServerTest.java
+++ b/src/test/java/wheattrack/ServerTest.java
@@ -112,6 +112,11 @@
                 case "ok" -> send(socket, answer + name.length() + "\r\n\r\n" + name);
                 case "chunks" -> send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"
                     + name + "\r\n0\r\n\r\n");
+                case "echo" -> {
+                    String body = head.strip().replaceAll("out: [0-9.]+", "out: T").replace("\r\n", "|");
+                    send(socket, "HTTP/1.1 200 OK\r\nX-Back: 3\r\nKeep-Alive: 9\r\nContent-Length: "
+                        + body.length() + "\r\n\r\n" + body);
+                }
                 case "slow" -> {
                     Thread.sleep(250);
                     send(socket, answer + "4\r\n\r\nslow");
@@ -245,6 +250,22 @@
         w.matches("server-outcomes");
     }
 
+    /** What goes on to a backend and back, and how long a silent one is waited for. */
+    @Test
+    void passesOn() throws Exception {
+        serveBy(2);
+        script.add("echo");
+        w.say(call("PUT /buy/7?x=%20y HTTP/1.1\r\nHost: shop\r\nRequest-Id: 7\r\nRequest-Timeout: 0.300\r\n"
+            + "Connection: X-Own\r\nX-Own: 1\r\nX-Other: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "2\r\nhi\r\n0\r\n\r\n"));
+        script.add("none");
+        long from = System.nanoTime();
+        String answer = call(request("pay").replace("Work-Hint", "Request-Timeout: 0.300\r\nWork-Hint"));
+        long took = (System.nanoTime() - from) / 1_000_000;
+        w.say("silent: " + answer + ", in time " + (took > 200 && took <= 300) + ", sent " + came.get());
+        w.matches("server-passes-on");
+    }
+
     /** Bad input of clients: a clear 4xx and the connection closed, and the next client is served. */
     @Test
     void badClients() throws Exception {
