Configuration: what the decisions would silently take for something else is named and refused

Effects, groups, names twice, zones, turns, times below 0 and objects that are none: each ends the start with its key; ranges were not looked at before (Config, Settings.at). Traces hold each.

--- a/src/main/java/wheattrack/config/Config.java
+++ b/src/main/java/wheattrack/config/Config.java
@@ -5,12 +5,18 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What one real proxy is told at its start. */
 public final class Config {
     private static final int LEAST_SOCKETS = 64;
+    private static final List<String> EFFECTS = List.of("read_like", "idempotency_key", "non_idempotent");
+    private static final List<String> GROUPS = List.of("all", "zone", "cell");
 
     public final String name;
     public final InetSocketAddress listen;
@@ -31,21 +37,49 @@
         discovery = address("discovery", s.word("discovery"));
         seed = seed(s);
         sockets = s.count("limits.sockets", 1024);
-        if (sockets < LEAST_SOCKETS) {
-            throw new BadConfig("limits.sockets", "under " + LEAST_SOCKETS);
-        }
+        check(sockets >= LEAST_SOCKETS, "limits.sockets", "under " + LEAST_SOCKETS);
         drain = (long) (s.number("drain_ms", 500) * 10);
+        check(drain >= 0, "drain_ms", "negative");
         known = s.part("known");
         settings = s.part("settings");
-        if (settings.parts("ruleSets").isEmpty()) {
-            throw new BadConfig("settings.ruleSets", "missing");
+        checkSettings();
+    }
+
+    private static void check(boolean good, String key, String fault) {
+        if (!good) {
+            throw new BadConfig(key, fault);
+        }
+    }
+
+    /** What the decisions could not act on, or would silently take for something else. */
+    private void checkSettings() {
+        List<Settings> sets = settings.parts("ruleSets");
+        check(!sets.isEmpty(), "settings.ruleSets", "missing");
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < sets.size(); i++) {
+            String key = "settings.ruleSets[" + i + "].";
+            Settings set = sets.get(i);
+            check(names.add(set.word("name")), key + "name", "the same as another's");
+            check(EFFECTS.contains(set.word("effect")), key + "effect", "none of " + EFFECTS);
+            check(GROUPS.contains(set.word("group", "all")), key + "group", "none of " + GROUPS);
+            check(set.time("clientTimeout", 1) > 0, key + "clientTimeout", "not above 0");
         }
         settings.ruleSets();
+        int balancers = settings.count("balancers", 1);
+        int me = settings.count("me", 0);
+        check(balancers >= 1, "settings.balancers", "under 1");
+        check(me >= 0 && me < balancers, "settings.me", "not from 0 to under balancers");
+        check(settings.count("limits.maxDispatches", 1) >= 1, "settings.limits.maxDispatches", "under 1");
+        int zones = Math.max(1, settings.list("zones").size());
+        int zone = settings.count("zone", 0);
+        check(zone >= 0 && zone < zones, "settings.zone", "not a place in zones");
     }
 
     public static Config read(Path file) {
         try {
             return new Config(Json.object(Files.readString(file)));
+        } catch (NoSuchFileException e) {
+            throw new BadConfig(file.toString(), "no such file");
         } catch (IOException e) {
             String fault = e.getMessage() == null ? e.toString() : e.getMessage().split("\n")[0];
             throw new BadConfig(file.toString(), "unreadable: " + fault);
--- a/src/main/java/wheattrack/config/Settings.java
+++ b/src/main/java/wheattrack/config/Settings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import wheattrack.Rules;
 import wheattrack.port.Port;
 import wheattrack.port.RuleSet;
@@ -29,10 +30,15 @@
 
     private Object at(String path) {
         Object here = all;
-        for (String part : path.split("\\.")) {
-            here = here instanceof Map<?, ?> map ? map.get(part) : null;
+        int from = 0;
+        for (int dot = path.indexOf('.'); here != null && dot >= 0; dot = path.indexOf('.', from)) {
+            here = ((Map<?, ?>) here).get(path.substring(from, dot));
+            if (here != null && !(here instanceof Map<?, ?>)) {
+                throw new BadConfig(where + path.substring(0, dot), "not an object");
+            }
+            from = dot + 1;
         }
-        return here;
+        return here == null ? null : ((Map<?, ?>) here).get(path.substring(from));
     }
 
     private <T> T at(String path, Class<T> kind, T otherwise) {
@@ -69,7 +75,11 @@
     }
 
     public long time(String path, long otherwiseMicros) {
-        return (long) number(path, otherwiseMicros) / UNIT;
+        double micros = number(path, otherwiseMicros);
+        if (micros < 0) {
+            throw new BadConfig(where + path, "negative");
+        }
+        return (long) micros / UNIT;
     }
 
     public boolean flag(String path) {
@@ -107,7 +117,7 @@
     @SuppressWarnings("unchecked")
     public List<Settings> parts(String path) {
         List<?> list = list(path);
-        return java.util.stream.IntStream.range(0, list.size()).mapToObj(i -> {
+        return IntStream.range(0, list.size()).mapToObj(i -> {
             String name = where + path + "[" + i + "]";
             if (!(list.get(i) instanceof Map<?, ?> map)) {
                 throw new BadConfig(name, "not an object");
--- a/src/main/java/wheattrack/core/Slots.java
+++ b/src/main/java/wheattrack/core/Slots.java
@@ -1,6 +1,7 @@
 package wheattrack.core;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /** A table of numbered slots; a number that is given back is the next to be given out. */
@@ -33,7 +34,7 @@
         table.set(slot, null);
         size--;
         if (frees == free.length) {
-            free = java.util.Arrays.copyOf(free, 2 * frees);
+            free = Arrays.copyOf(free, 2 * frees);
         }
         free[frees++] = slot;
     }
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -15,6 +15,7 @@
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
+import wheattrack.port.RuleSet;
 
 /** One instance at the door: turns its lines into calls and its answers into lines; ids live only here. */
 final class Door implements Port {
@@ -55,7 +56,7 @@
     private long timer;
     private long now;
     private Rules rules;
-    private wheattrack.port.RuleSet[] sets;
+    private RuleSet[] sets;
 
     Door(long instance, JsonGenerator out) {
         this.instance = instance;
--- a/src/main/java/wheattrack/drill/Line.java
+++ b/src/main/java/wheattrack/drill/Line.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +31,7 @@
 
     /** Reads one object whose opening brace is the parser's present token. */
     void read(JsonParser in) throws IOException {
-        java.util.Arrays.fill(there, false);
+        Arrays.fill(there, false);
         settings = null;
         feedback = null;
         records = null;
--- a/src/main/java/wheattrack/net/WarmUp.java
+++ b/src/main/java/wheattrack/net/WarmUp.java
@@ -1,7 +1,6 @@
 package wheattrack.net;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import wheattrack.Rules;
--- a/src/main/java/wheattrack/net/Wire.java
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -1,6 +1,7 @@
 package wheattrack.net;
 
 import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -119,7 +120,7 @@
     }
 
     static Response plain(int status, String text, boolean keep) {
-        byte[] body = (text + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        byte[] body = (text + "\n").getBytes(StandardCharsets.UTF_8);
         Headers headers = new Headers().with("Content-Type", "text/plain; charset=utf-8");
         return new Response(status, headers, keep, body);
     }
--- a/src/test/java/wheattrack/CoreTest.java
+++ b/src/test/java/wheattrack/CoreTest.java
@@ -99,13 +99,18 @@
     void namesTheFaultyKey() throws IOException {
         World w = new World();
         String good = "'listen':'127.0.0.1:8000','discovery':'[::1]:8500',"
-            + "'settings':{'ruleSets':[{'name':'buy','clientTimeout':1200000}]}";
+            + "'settings':{'ruleSets':[{'name':'buy','clientTimeout':1200000,'effect':'read_like'}]}";
         for (String in : new String[] {good, "", good.replace("127.0.0.1:8000", "localhost:80"),
             good.replace(":8000", ":80000"), good.replace(":8000", ""), good.replace("'[::1]:8500'", "7"),
             good + ",'seed':'xyz'", good + ",'limits':{'sockets':'many'}", good + ",'limits':{'sockets':12}",
             good + ",'limits':7", good + ",'known':[]", good.replace("1200000", "'soon'"),
-            good.replace("{'name':'buy','clientTimeout':1200000}", "3"),
-            good.replace("'ruleSets'", "'sets'")}) {
+            good.replaceAll("\\[\\{.*\\]", "[3]"), good.replace("'ruleSets'", "'sets'"),
+            good.replace("1200000", "-1"), good.replace("1200000", "50"),
+            good.replace("read_like", "red_like"),
+            good.replace("'name'", "'nom'"), good.replace("'ruleSets'", "'zone':1,'ruleSets'"),
+            good.replace("'ruleSets'", "'me':2,'balancers':2,'ruleSets'"), good + ",'drain_ms':-1",
+            good.replaceAll("\\[(\\{.*)\\]", "[$1,$1]"),
+            good.replace("'ruleSets'", "'limits':{'maxDispatches':0},'ruleSets'")}) {
             try {
                 Map<String, Object> all = Json.object(("{" + in + "}").replace('\'', '"'));
                 Config c = new Config(all);
