--- a/src/main/java/wheattrack/net/Wire.java
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -27,6 +27,8 @@
         "transfer-encoding", "content-length", "expect", "proxy-connection", "proxy-authorization",
         "request-timeout");
     private static final byte[] NOTHING = {};
+    private static final long MOST_COST = Integer.MAX_VALUE / 4;
+    private static final int MOST_FIGURE = 20;      // digits, and a point
 
     /** What a client asks, in our words. */
     record Call(Request request, RuleSet ruleSet, long timeout, int cost, boolean again) {
@@ -60,20 +62,17 @@
         }
         long timeout = h.first(TIMEOUT) == null ? set.timeout()
             : figure(TIMEOUT, h.first(TIMEOUT), 10_000, set.timeout());
-        long hint = h.first(HINT) == null ? 0 : figure(HINT, h.first(HINT), 1, Integer.MAX_VALUE * 20L);
-        int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Settings.UNIT - 1) / Settings.UNIT);
-        return new Call(r, set, timeout, cost, "1".equals(h.first(AGAIN)));
+        long hint = h.first(HINT) == null ? 0 : figure(HINT, h.first(HINT), 1, MOST_COST * Settings.UNIT);
+        long cost = (hint + Settings.UNIT - 1) / Settings.UNIT;
+        return new Call(r, set, timeout, (int) cost, "1".equals(h.first(AGAIN)));
     }
 
     private static long figure(String name, String text, long times, long most) throws Unfit {
-        try {
-            if (text.length() <= 20 && text.matches("[0-9]+(\\.[0-9]*)?")) {
-                return Math.min(most, new BigDecimal(text).multiply(BigDecimal.valueOf(times)).longValue());
-            }
-        } catch (NumberFormatException e) {
+        if (text.length() > MOST_FIGURE || !text.matches("[0-9]+(\\.[0-9]*)?")) {
             throw new Unfit(400, "bad " + name);
         }
-        throw new Unfit(400, "bad " + name);
+        BigDecimal figure = new BigDecimal(text).multiply(BigDecimal.valueOf(times));
+        return figure.min(BigDecimal.valueOf(most)).longValue();
     }
 
     /** The request as a backend gets it, told how long the proxy will wait. */
