Tidy-up after a last read: one completion handler, words and bounds once, no dead members

Text only, no test touched. Link and Front each wrote the handler that hands over a step: now Loop.handler. Proxy and WarmUp named the rule sets alike: Settings.byName. Config repeated the words of the switch on effects and groups: two lists. Door and Wire bounded a hint alike: Settings.cost; long ago is Fleet.LONG_AGO. Patterns are compiled once and not a message. A client keeps a closure in place of its guest. Gone: Fleet.all, Link.open, a poll before the timed poll.

--- a/src/main/java/wheattrack/config/Config.java
+++ b/src/main/java/wheattrack/config/Config.java
@@ -15,8 +15,6 @@
 /** What one real proxy is told at its start. */
 public final class Config {
     private static final int LEAST_SOCKETS = 64;
-    private static final List<String> EFFECTS = List.of("read_like", "idempotency_key", "non_idempotent");
-    private static final List<String> GROUPS = List.of("all", "zone", "cell");
 
     public final String name;
     public final InetSocketAddress listen;
@@ -60,8 +58,10 @@
             String key = "settings.ruleSets[" + i + "].";
             Settings set = sets.get(i);
             check(names.add(set.word("name")), key + "name", "the same as another's");
-            check(EFFECTS.contains(set.word("effect")), key + "effect", "none of " + EFFECTS);
-            check(GROUPS.contains(set.word("group", "all")), key + "group", "none of " + GROUPS);
+            check(Settings.EFFECTS.contains(set.word("effect")), key + "effect",
+                "none of " + Settings.EFFECTS);
+            check(Settings.GROUPS.contains(set.word("group", "all")), key + "group",
+                "none of " + Settings.GROUPS);
             check(set.time("clientTimeout", 1) > 0, key + "clientTimeout", "not above 0");
         }
         settings.ruleSets();
--- a/src/main/java/wheattrack/config/Settings.java
+++ b/src/main/java/wheattrack/config/Settings.java
@@ -1,5 +1,6 @@
 package wheattrack.config;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -16,6 +17,11 @@
     /** Microseconds in the project's unit of time. */
     public static final int UNIT = 100;
 
+    /** The words for effects and groups, in the order of their enums; of those unlike any, the last holds. */
+    static final List<String> EFFECTS = List.of("read_like", "idempotency_key", "non_idempotent");
+    static final List<String> GROUPS = List.of("all", "zone", "cell");
+    private static final int MOST_COST = Integer.MAX_VALUE / 4;
+
     private final Map<String, Object> all;
     private final String where;
 
@@ -28,7 +34,8 @@
         this.where = where;
     }
 
-    private Object at(String path) {
+    /** Whatever stands there, or null. */
+    public Object any(String path) {
         Object here = all;
         int from = 0;
         for (int dot = path.indexOf('.'); here != null && dot >= 0; dot = path.indexOf('.', from)) {
@@ -42,7 +49,7 @@
     }
 
     private <T> T at(String path, Class<T> kind, T otherwise) {
-        Object value = at(path);
+        Object value = any(path);
         if (value == null) {
             return otherwise;
         }
@@ -59,7 +66,7 @@
     }
 
     public boolean has(String path) {
-        return at(path) != null;
+        return any(path) != null;
     }
 
     public double number(String path, double otherwise) {
@@ -82,6 +89,11 @@
         return (long) micros / UNIT;
     }
 
+    /** The cost that a hint in microseconds stands for, in our unit, rounded up; 0 for none. */
+    public static int cost(long hint) {
+        return (int) Math.min(MOST_COST, (Math.max(0, hint) + UNIT - 1) / UNIT);
+    }
+
     public boolean flag(String path) {
         return at(path, Boolean.class, false);
     }
@@ -103,11 +115,6 @@
         return at(path, List.class, List.of());
     }
 
-    /** Whatever stands there, or null. */
-    public Object any(String path) {
-        return at(path);
-    }
-
     @SuppressWarnings("unchecked")
     public Settings part(String path) {
         return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
@@ -131,16 +138,8 @@
         RuleSet[] out = new RuleSet[sets.size()];
         for (int i = 0; i < out.length; i++) {
             Settings s = sets.get(i);
-            RuleSet.Effect effect = switch (s.word("effect", "")) {
-                case "read_like" -> RuleSet.Effect.REPLAYABLE;
-                case "idempotency_key" -> RuleSet.Effect.UNIQUED;
-                default -> RuleSet.Effect.NON_REPLAYABLE;
-            };
-            RuleSet.Group group = switch (s.word("group", "")) {
-                case "all" -> RuleSet.Group.ALL;
-                case "zone" -> RuleSet.Group.ZONE;
-                default -> RuleSet.Group.CELL;
-            };
+            RuleSet.Effect effect = choice(s.word("effect", ""), EFFECTS, RuleSet.Effect.values());
+            RuleSet.Group group = choice(s.word("group", ""), GROUPS, RuleSet.Group.values());
             long timeout = s.time("clientTimeout", 1_000_000);
             long target = Math.max(1, Math.min(timeout, s.time("responseTarget", 1_000_000)));
             out[i] = new RuleSet(i, target, timeout, effect, group, s.time("window", 0),
@@ -149,6 +148,21 @@
         return out;
     }
 
+    private static <T> T choice(String word, List<String> words, T[] values) {
+        int i = words.indexOf(word);
+        return values[i < 0 ? values.length - 1 : i];
+    }
+
+    /** These rule sets of ours under their names. */
+    public Map<String, RuleSet> byName(RuleSet[] sets) {
+        Map<String, RuleSet> named = new HashMap<>();
+        List<Settings> parts = parts("ruleSets");
+        for (int i = 0; i < sets.length; i++) {
+            named.put(parts.get(i).word("name"), sets[i]);
+        }
+        return named;
+    }
+
     /** The decisions under these settings, each part given its own; asks: the list must be asked for. */
     public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
         Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
--- a/src/main/java/wheattrack/core/Fleet.java
+++ b/src/main/java/wheattrack/core/Fleet.java
@@ -9,6 +9,9 @@
 
 /** The list of backends as dense indexes; one is free again once its srv is gone and nothing is out there. */
 public final class Fleet<K, S extends Fleet.Srv<K>> {
+    /** When a srv started of which only "long ago" is known. */
+    public static final long LONG_AGO = Long.MIN_VALUE / 2;
+
     /** A backend at the door. */
     public abstract static class Srv<K> {
         public final K id;
@@ -20,10 +23,6 @@
             this.at = at;
         }
 
-        public boolean isGone() {
-            return gone;
-        }
-
         /** Whether something is still out there. */
         protected abstract boolean isBusy();
     }
@@ -45,10 +44,6 @@
         return byId.get(id);
     }
 
-    public List<S> all() {
-        return List.copyOf(byIndex);
-    }
-
     /** The backend of this id, admitted if it is new; still gone until it is met. */
     public S admit(K id) {
         S known = byId.get(id);
@@ -57,7 +52,7 @@
         }
         int index = byIndex.size();
         for (S old : byIndex) {
-            if (old.isGone() && !old.isBusy()) {
+            if (isGone(old) && !old.isBusy()) {
                 index = old.at;
                 byId.remove(old.id);
                 break;
@@ -73,16 +68,20 @@
         return srv;
     }
 
+    private static boolean isGone(Srv<?> srv) {
+        return srv.gone;
+    }
+
     /** The srv is on the list; says whether it was not before. */
     public boolean met(S srv) {
-        boolean fresh = srv.isGone();
+        boolean fresh = isGone(srv);
         ((Srv<K>) srv).gone = false;
         return fresh;
     }
 
     /** The srv has left the list; says whether it was on it. */
     public boolean left(S srv) {
-        boolean was = srv != null && !srv.isGone();
+        boolean was = srv != null && !isGone(srv);
         if (was) {
             ((Srv<K>) srv).gone = true;
         }
@@ -91,7 +90,7 @@
 
     /** Those on the list that are not named. */
     public List<S> missing(Set<?> named) {
-        return byIndex.stream().filter(srv -> !srv.isGone() && !named.contains(srv.id)).toList();
+        return byIndex.stream().filter(srv -> !isGone(srv) && !named.contains(srv.id)).toList();
     }
 
     public void clear() {
--- a/src/main/java/wheattrack/drill/Door.java
+++ b/src/main/java/wheattrack/drill/Door.java
@@ -147,8 +147,7 @@
         }
         Guest guest = new Guest(line.text("rid"));
         guests.put(guest.rid, guest);
-        long hint = Math.max(0, line.number("sizeHint", 0));
-        int cost = (int) Math.min(Integer.MAX_VALUE / 4, (hint + Settings.UNIT - 1) / Settings.UNIT);
+        int cost = Settings.cost(line.number("sizeHint", 0));
         long due = Math.floorDiv(line.number("due"), (long) Settings.UNIT);
         Req req = new Req(sets[profile], (int) line.number("tenant", 0), key, now, due, cost,
             line.number("resent", 0) != 0, guest);
@@ -267,7 +266,7 @@
         double weight = r.number("weight", 1);
         rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0),
             r.count("familyType", 0), weight,
-            up <= 0 ? Long.MIN_VALUE / 2 : Math.floorDiv(up, (long) Settings.UNIT), fresh);
+            up <= 0 ? Fleet.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT), fresh);
     }
 
     private void close(Guest guest) {
--- a/src/main/java/wheattrack/http/Headers.java
+++ b/src/main/java/wheattrack/http/Headers.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /** Header lines in their order; names in any case. */
 public final class Headers {
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
+
     private final List<String> names = new ArrayList<>(8);
     private final List<String> values = new ArrayList<>(8);
 
@@ -56,7 +59,7 @@
         for (int i = 0; i < names.size(); i++) {
             if (names.get(i).equalsIgnoreCase("Content-Length")) {
                 String value = values.get(i);
-                if (!value.matches("[0-9]{1,15}")) {
+                if (!LENGTH.matcher(value).matches()) {
                     throw new BadMessage(400, "bad length " + value);
                 }
                 long one = Long.parseLong(value);
--- a/src/main/java/wheattrack/http/Inbox.java
+++ b/src/main/java/wheattrack/http/Inbox.java
@@ -89,14 +89,15 @@
         Headers headers = new Headers();
         for (int i = 1; i < lines.length; i++) {
             int colon = lines[i].indexOf(':');
-            if (colon <= 0 || !isToken(lines[i].substring(0, colon))) {
+            String name = lines[i].substring(0, Math.max(0, colon));
+            if (!isToken(name)) {
                 throw new BadMessage(400, "bad header line");
             }
             String value = lines[i].substring(colon + 1).strip();
             if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
                 throw new BadMessage(400, "bad header value");
             }
-            headers.with(lines[i].substring(0, colon), value);
+            headers.with(name, value);
         }
         return headers;
     }
--- a/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -1,7 +1,11 @@
 package wheattrack.http;
 
+import java.util.regex.Pattern;
+
 /** Answers, as a client reads them; one without a length might be cut off and is not taken. */
 public final class ResponseDecoder extends Decoder<Response> {
+    private static final Pattern LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
+
     private int status;
     private Headers headers;
     private boolean keep;
@@ -22,7 +26,7 @@
     }
 
     static int status(String line) throws BadMessage {
-        if (!line.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
+        if (!LINE.matcher(line).matches()) {
             throw new BadMessage(502, "bad status line");
         }
         return Integer.parseInt(line.substring(9, 12));
--- a/src/main/java/wheattrack/net/Backend.java
+++ b/src/main/java/wheattrack/net/Backend.java
@@ -38,14 +38,10 @@
         List.copyOf(idle).stream().filter(up -> moved || up.since < since).forEach(Upstream::close);
     }
 
-    private void closeIdle() {
-        List.copyOf(idle).forEach(Upstream::close);
-    }
-
     /** It drains or is gone: what is not yet begun there never will be. */
     void leaves() {
         serving = false;
-        closeIdle();
+        List.copyOf(idle).forEach(Upstream::close);
         for (Dispatch d : List.copyOf(waiting)) {
             loop.step(() -> d.giveUp(Outcome.MOOT));
         }
--- a/src/main/java/wheattrack/net/Client.java
+++ b/src/main/java/wheattrack/net/Client.java
@@ -24,7 +24,7 @@
     private boolean interim;
     private Deadlines.Entry stall;
     private long idleSince;
-    Guest guest;
+    private Runnable onLeft;
 
     Client(Front front, Loop loop, AsynchronousSocketChannel channel) {
         super(loop, channel);
@@ -99,9 +99,14 @@
         answer(Wire.plain(status, why, false));
     }
 
+    /** What is to be done should the client leave before its answer. */
+    void onLeft(Runnable then) {
+        onLeft = then;
+    }
+
     /** The one answer to the request that is open. */
     void answer(Response response) {
-        guest = null;
+        onLeft = null;
         if (isClosed()) {
             return;
         }
@@ -146,8 +151,8 @@
         super.close();
         calm();
         front.closed(slot);
-        if (guest != null) {
-            guest.left();
+        if (onLeft != null) {
+            onLeft.run();
         }
     }
 }
--- a/src/main/java/wheattrack/net/Dialler.java
+++ b/src/main/java/wheattrack/net/Dialler.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
 import wheattrack.core.Slots;
 
@@ -14,7 +15,8 @@
     private final AsynchronousChannelGroup group;
     private final int most;
     private final long timeout;
-    private final long idle;
+    /** How long a connection may rest, or 0 for ever. */
+    final long idle;
     private final Slots<Upstream> table = new Slots<>();
 
     Dialler(Loop loop, AsynchronousChannelGroup group, int most, long timeout, long idleClose) {
@@ -25,8 +27,8 @@
         idle = (long) (IDLE_PART * idleClose);
     }
 
-    /** A connection that is being made; none where descriptors have run out. */
-    Upstream dial(Backend to) throws IOException {
+    /** Starts making a connection; not where descriptors have run out. */
+    void dial(Backend to) throws IOException {
         if (table.size() >= most) {
             table.all().stream().filter(Upstream::isResting)
                 .min(Comparator.comparingLong(Upstream::restsSince)).ifPresent(Upstream::close);
@@ -34,10 +36,9 @@
         if (table.size() >= most) {
             throw new IOException(most + " connections to backends are open");
         }
-        Upstream up = new Upstream(to, Link.open(group), this, idle);
+        Upstream up = new Upstream(to, AsynchronousSocketChannel.open(group), this);
         up.slot = table.add(up);
         up.dial(to.address, timeout);
-        return up;
     }
 
     void closed(Upstream up) {
--- a/src/main/java/wheattrack/net/Front.java
+++ b/src/main/java/wheattrack/net/Front.java
@@ -5,7 +5,6 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.util.Comparator;
 import java.util.logging.Logger;
 import wheattrack.core.Life;
@@ -52,17 +51,7 @@
             return;
         }
         accepting = true;
-        channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
-            @Override
-            public void completed(AsynchronousSocketChannel one, Void none) {
-                loop.step(() -> accepted(one));
-            }
-
-            @Override
-            public void failed(Throwable why, Void none) {
-                loop.step(() -> acceptFailed(why));
-            }
-        });
+        channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
     }
 
     private void accepted(AsynchronousSocketChannel one) {
--- a/src/main/java/wheattrack/net/Link.java
+++ b/src/main/java/wheattrack/net/Link.java
@@ -4,11 +4,8 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
-import java.util.function.Consumer;
 
 /** One TCP connection: at most one read and one write at a time, each ending as a step of the loop. */
 abstract class Link {
@@ -28,27 +25,9 @@
         }
     }
 
-    static AsynchronousSocketChannel open(AsynchronousChannelGroup group) throws IOException {
-        return AsynchronousSocketChannel.open(group);
-    }
-
-    private <R> CompletionHandler<R, Void> handler(Consumer<R> then, Runnable failed) {
-        return new CompletionHandler<>() {
-            @Override
-            public void completed(R result, Void none) {
-                loop.step(() -> then.accept(result));
-            }
-
-            @Override
-            public void failed(Throwable why, Void none) {
-                loop.step(failed);
-            }
-        };
-    }
-
     final void connect(SocketAddress to, Runnable up, Runnable failed) {
         try {
-            channel.connect(to, null, handler(none -> up.run(), failed));
+            channel.connect(to, null, loop.handler(none -> up.run(), why -> failed.run()));
         } catch (RuntimeException e) {
             loop.step(failed);
         }
@@ -60,7 +39,7 @@
             return;
         }
         reading = true;
-        channel.read(room, null, handler(n -> readDone(n), () -> readDone(-1)));
+        channel.read(room, null, loop.handler(n -> readDone(n), why -> readDone(-1)));
     }
 
     private void readDone(int n) {
@@ -80,7 +59,7 @@
 
     private void writeOn() {
         ByteBuffer bytes = writes.peek();
-        channel.write(bytes, null, handler(n -> writeDone(bytes, n), () -> writeDone(bytes, -1)));
+        channel.write(bytes, null, loop.handler(n -> writeDone(bytes, n), why -> writeDone(bytes, -1)));
     }
 
     private void writeDone(ByteBuffer bytes, int n) {
--- a/src/main/java/wheattrack/net/Listing.java
+++ b/src/main/java/wheattrack/net/Listing.java
@@ -112,7 +112,7 @@
     }
 
     private void gone(Backend backend) {
-        if (backend != null && fleet.left(backend)) {
+        if (fleet.left(backend)) {
             rules.gone(backend.at);
             backend.leaves();
         }
@@ -141,7 +141,7 @@
         }
         boolean ready = state.equals("SERVING");
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
-            up <= 0 ? Long.MIN_VALUE / 2 : up, fresh);
+            up <= 0 ? Fleet.LONG_AGO : up, fresh);
         backend.serves(address, up);
         if (!ready) {
             backend.leaves();
--- a/src/main/java/wheattrack/net/Loop.java
+++ b/src/main/java/wheattrack/net/Loop.java
@@ -1,10 +1,12 @@
 package wheattrack.net;
 
+import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import wheattrack.core.Deadlines;
@@ -51,6 +53,21 @@
         next.add(then);
     }
 
+    /** Hands what becomes of a channel's operation over as a step. */
+    <R> CompletionHandler<R, Void> handler(Consumer<R> then, Consumer<Throwable> failed) {
+        return new CompletionHandler<>() {
+            @Override
+            public void completed(R result, Void none) {
+                step(() -> then.accept(result));
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                step(() -> failed.accept(why));
+            }
+        };
+    }
+
     /** Runs until stopped. */
     void run() {
         while (!stopped) {
@@ -61,10 +78,7 @@
             for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
                 perform(due);
             }
-            Runnable task = come.poll();
-            if (task == null) {
-                task = pause(deadlines.first() - now);
-            }
+            Runnable task = pause(deadlines.first() - now);
             if (task != null) {
                 perform(task);
             }
--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -1,7 +1,5 @@
 package wheattrack.net;
 
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.logging.Logger;
 import wheattrack.Rules;
@@ -23,7 +21,7 @@
 
     private final Loop loop;
     private final Listing listing;
-    private final Map<String, RuleSet> sets = new HashMap<>();
+    private final Map<String, RuleSet> sets;
     private final Slots<Guest> guests = new Slots<>();
     private final Rules rules;
     private final boolean reports;
@@ -34,10 +32,7 @@
         this.loop = loop;
         this.listing = listing;
         RuleSet[] all = settings.ruleSets();
-        List<Settings> named = settings.parts("ruleSets");
-        for (int i = 0; i < all.length; i++) {
-            sets.put(named.get(i).word("name"), all[i]);
-        }
+        sets = settings.byName(all);
         reports = !settings.word("report.how", "none").equals("none");
         probeTimeout = settings.time("limits.dialTimeout", 250_000);
         rules = settings.rules(this, seed, all, true);
@@ -63,9 +58,9 @@
             client.answer(Wire.plain(e.status, e.getMessage(), front.keeps(request.keep())));
             return;
         }
-        Guest guest = new Guest(client, call, this::left);
+        Guest guest = new Guest(client, call);
         guest.slot = guests.add(guest);
-        client.guest = guest;
+        client.onLeft(() -> left(guest));
         long due = loop.now() + call.timeout() - Math.max(10, call.timeout() / WRITE_PART);
         guest.req = new Req(call.ruleSet(), 0, 0, loop.now(), due, call.cost(), call.again(), guest);
         guest.guard = loop.after(due + GUARD - loop.now(), () -> forgotten(guest));
--- a/src/main/java/wheattrack/net/Upstream.java
+++ b/src/main/java/wheattrack/net/Upstream.java
@@ -13,7 +13,6 @@
 final class Upstream extends Link {
     private final Backend backend;
     private final Dialler dialler;
-    private final long idleLimit;
     private final ResponseDecoder in = new ResponseDecoder();
     final long since;
     private Dispatch carried;
@@ -24,11 +23,10 @@
     private Deadlines.Entry deadline;
     int slot;
 
-    Upstream(Backend backend, AsynchronousSocketChannel channel, Dialler dialler, long idleLimit) {
+    Upstream(Backend backend, AsynchronousSocketChannel channel, Dialler dialler) {
         super(backend.loop, channel);
         this.backend = backend;
         this.dialler = dialler;
-        this.idleLimit = idleLimit;
         since = loop.now();
     }
 
@@ -77,8 +75,8 @@
     void rest() {
         resting = true;
         restsSince = loop.now();
-        if (idleLimit > 0) {
-            deadline = loop.after(idleLimit, this::close);
+        if (dialler.idle > 0) {
+            deadline = loop.after(dialler.idle, this::close);
         }
     }
 
--- a/src/main/java/wheattrack/net/WarmUp.java
+++ b/src/main/java/wheattrack/net/WarmUp.java
@@ -1,11 +1,11 @@
 package wheattrack.net;
 
 import java.nio.ByteBuffer;
-import java.util.HashMap;
 import java.util.Map;
 import wheattrack.Rules;
 import wheattrack.config.Settings;
 import wheattrack.core.Deadlines;
+import wheattrack.core.Fleet;
 import wheattrack.http.BadMessage;
 import wheattrack.http.Encoder;
 import wheattrack.http.Headers;
@@ -26,7 +26,7 @@
     private static final int SRVS = 8;
     private static final long TICK = 20;
 
-    private final Map<String, RuleSet> sets = new HashMap<>();
+    private final Map<String, RuleSet> sets;
     private final Deadlines deadlines = new Deadlines();
     private final RequestDecoder in = new RequestDecoder();
     private final ResponseDecoder back = new ResponseDecoder();
@@ -35,12 +35,10 @@
 
     WarmUp(Settings settings) {
         RuleSet[] all = settings.ruleSets();
-        for (int i = 0; i < all.length; i++) {
-            sets.put(settings.parts("ruleSets").get(i).word("name"), all[i]);
-        }
+        sets = settings.byName(all);
         rules = settings.rules(this, 1, all, false);
         for (int b = 0; b < SRVS; b++) {
-            rules.entry(b, b, true, 0, 0, 0, 1, Long.MIN_VALUE / 2, true);
+            rules.entry(b, b, true, 0, 0, 0, 1, Fleet.LONG_AGO, true);
         }
         rules.listed(false);
     }
--- a/src/main/java/wheattrack/net/Watch.java
+++ b/src/main/java/wheattrack/net/Watch.java
@@ -32,7 +32,7 @@
     /** Opens a watch for what comes after a version, or for the whole list if that is negative. */
     static Watch open(Loop loop, AsynchronousChannelGroup group, InetSocketAddress to, long after,
             Consumer<String> line, Consumer<String> failed) throws IOException {
-        Watch watch = new Watch(loop, open(group), line, failed);
+        Watch watch = new Watch(loop, AsynchronousSocketChannel.open(group), line, failed);
         watch.listen();
         watch.connect(to, () -> watch.ask(to, after), () -> watch.fail("no connection"));
         return watch;
--- a/src/main/java/wheattrack/net/Wire.java
+++ b/src/main/java/wheattrack/net/Wire.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 import wheattrack.config.Settings;
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
@@ -27,7 +28,9 @@
         "transfer-encoding", "content-length", "expect", "proxy-connection", "proxy-authorization",
         "request-timeout");
     private static final byte[] NOTHING = {};
-    private static final long MOST_COST = Integer.MAX_VALUE / 4;
+    private static final Pattern FIGURE = Pattern.compile("[0-9]+(\\.[0-9]*)?");
+    private static final Pattern AFTER_NAME = Pattern.compile("[/?]");
+    private static final long MOST_HINT = (long) Integer.MAX_VALUE * Settings.UNIT;
     private static final int MOST_FIGURE = 20;      // digits, and a point
 
     /** What a client asks, in our words. */
@@ -54,21 +57,25 @@
         if (id == null || id.isEmpty()) {
             throw new Unfit(400, "no " + ID);
         }
-        String first = r.target().substring(1).split("[/?]", 2)[0];
-        String name = h.first(RULE_SET) == null ? first : h.first(RULE_SET);
+        String name = h.first(RULE_SET);
+        if (name == null) {
+            name = AFTER_NAME.split(r.target().substring(1), 2)[0];
+        }
         RuleSet set = sets.get(name);
         if (set == null) {
             throw new Unfit(404, "unknown " + RULE_SET + " " + name);
         }
-        long timeout = h.first(TIMEOUT) == null ? set.timeout()
-            : figure(TIMEOUT, h.first(TIMEOUT), 10_000, set.timeout());
-        long hint = h.first(HINT) == null ? 0 : figure(HINT, h.first(HINT), 1, MOST_COST * Settings.UNIT);
-        long cost = (hint + Settings.UNIT - 1) / Settings.UNIT;
-        return new Call(r, set, timeout, (int) cost, "1".equals(h.first(AGAIN)));
+        long timeout = figure(h, TIMEOUT, 10_000, set.timeout(), set.timeout());
+        int cost = Settings.cost(figure(h, HINT, 1, MOST_HINT, 0));
+        return new Call(r, set, timeout, cost, "1".equals(h.first(AGAIN)));
     }
 
-    private static long figure(String name, String text, long times, long most) throws Unfit {
-        if (text.length() > MOST_FIGURE || !text.matches("[0-9]+(\\.[0-9]*)?")) {
+    private static long figure(Headers h, String name, long times, long most, long otherwise) throws Unfit {
+        String text = h.first(name);
+        if (text == null) {
+            return otherwise;
+        }
+        if (text.length() > MOST_FIGURE || !FIGURE.matcher(text).matches()) {
             throw new Unfit(400, "bad " + name);
         }
         BigDecimal figure = new BigDecimal(text).multiply(BigDecimal.valueOf(times));
