SIGHUP reads the configuration again and moves the watch on the list

No line of the log says why: the process ends by the JVM's own answer to SIGHUP, which runs the shutdown hook, so the proxy drained and left in order. Checked and ruled out: a failed step (none logged), memory (39 of 144 MB). Nothing in Main.serve took the signal, and Listing held its address for good.

Now the signal is taken (Signals, by reflection: javac warns of sun.misc.Signal at any use, no lint switch of release 17 silences it, and warnings are errors here); Server.reread reads the file between two steps of the loop, Listing.moveTo watches at the new address from the whole list on. A file that cannot be used is logged by its key and the old configuration stays; keys that only a start brings in are named.

--- a/src/main/java/wheattrack/Main.java
+++ b/src/main/java/wheattrack/Main.java
@@ -43,8 +43,8 @@
         }
         try {
             switch (line.getArgs()[0]) {
-                case "serve" -> serve(config(line));
-                case "check" -> System.out.println("good: " + config(line).name);
+                case "serve" -> serve(file(line));
+                case "check" -> System.out.println("good: " + Config.read(file(line)).name);
                 case "drill" -> drill();
                 case "version" -> System.out.println("wheattrack " + Main.class.getPackage()
                     .getImplementationVersion());
@@ -64,15 +64,16 @@
         return 2;
     }
 
-    private static Config config(CommandLine line) {
+    private static Path file(CommandLine line) {
         String file = line.getOptionValue("config", System.getenv("GW_CONFIG"));
         if (file == null) {
             throw new BadConfig("--config", "missing, and GW_CONFIG is not set");
         }
-        return Config.read(Path.of(file));
+        return Path.of(file);
     }
 
-    private static void serve(Config config) throws IOException {
+    private static void serve(Path file) throws IOException {
+        Config config = Config.read(file);
         System.setProperty("java.util.logging.manager", Logs.class.getName());
         Logs.open();
         Server server;
@@ -81,6 +82,7 @@
         } catch (IOException e) {
             throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
         }
+        Signals.onHangup(() -> server.reread(file));
         Thread end = new Thread(server::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
         server.run();
--- a/src/main/java/wheattrack/config/Config.java
+++ b/src/main/java/wheattrack/config/Config.java
@@ -10,7 +10,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** What one real proxy is told at its start. */
 public final class Config {
@@ -27,8 +29,10 @@
     /** The list of backends as this proxy last had it, in discovery's form. */
     public final Settings known;
     public final Settings settings;
+    private final Map<String, Object> all;
 
     public Config(Map<String, Object> all) {
+        this.all = all;
         Settings s = new Settings(all);
         name = s.word("name", "wheattrack");
         listen = address("listen", s.word("listen"));
@@ -75,6 +79,12 @@
         check(zone >= 0 && zone < zones, "settings.zone", "not a place in zones");
     }
 
+    /** The keys that differ from the running configuration's and act at a start only. */
+    public List<String> fixedAgainst(Config running) {
+        return Stream.of("listen", "limits", "settings")
+            .filter(key -> !Objects.equals(all.get(key), running.all.get(key))).toList();
+    }
+
     public static Config read(Path file) {
         try {
             return new Config(Json.object(Files.readString(file)));
--- a/src/main/java/wheattrack/net/Listing.java
+++ b/src/main/java/wheattrack/net/Listing.java
@@ -22,7 +22,7 @@
 
     private final Loop loop;
     private final AsynchronousChannelGroup group;
-    private final InetSocketAddress discovery;
+    private InetSocketAddress discovery;
     private final List<?> zones;
     private final List<?> kinds;
     private final Fleet<String, Backend> fleet;
@@ -77,6 +77,14 @@
         follow();
     }
 
+    /** Watches at another address from now on; the whole list, as the versions there may be its own. */
+    void moveTo(InetSocketAddress to) {
+        if (!to.equals(discovery)) {
+            discovery = to;
+            fetch();
+        }
+    }
+
     private void failed(String why) {
         LOG.info("watch on the list: " + why);
         rules.listFailed();
--- a/src/main/java/wheattrack/net/Server.java
+++ b/src/main/java/wheattrack/net/Server.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
+import wheattrack.config.BadConfig;
 import wheattrack.config.Config;
 import wheattrack.config.Settings;
 import wheattrack.core.Life;
@@ -22,7 +25,7 @@
     private static final long WARM_NANOS = 400_000_000;
     private static final long LIST_WAIT = 10_000;   // for a list, old or new, before ready
 
-    private final Config config;
+    private Config config;
     private final Loop loop = new Loop();
     private final Life life = new Life(phase -> LOG.info("phase " + phase));
     private final Front front;
@@ -93,6 +96,26 @@
         }
     }
 
+    /** From another thread: the file is read again, between two steps. */
+    public void reread(Path file) {
+        loop.execute(() -> {
+            try {
+                turnTo(Config.read(file));
+            } catch (BadConfig e) {
+                LOG.warning("configuration kept as it was: " + e.getMessage());
+            }
+        });
+    }
+
+    /** Reqs, connections and what is learnt stay; what only a start can change is named. */
+    private void turnTo(Config next) {
+        List<String> fixed = next.fixedAgainst(config);
+        LOG.info("configuration read again, list from " + next.discovery
+            + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
+        listing.moveTo(next.discovery);
+        config = next;
+    }
+
     private void drain() {
         if (life.enter(Phase.DRAINING)) {
             loop.after(config.drain, this::close);
--- a/src/test/java/wheattrack/ServerTest.java
+++ b/src/test/java/wheattrack/ServerTest.java
@@ -9,13 +9,17 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
 import java.util.logging.Level;
+import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -162,16 +166,7 @@
     }
 
     private void serve(int sockets, String known) throws Exception {
-        ServerSocket list = open(this::list);
-        String set = "','clientTimeout':1500000,'responseTarget':1000000,'group':'all','window':5000000,"
-            + "'effect':'";
-        server = new Server(new Config(Json.object(("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:"
-            + list.getLocalPort() + "','seed':'1','drain_ms':1000,'limits':{'sockets':" + sockets
-            + "},'known':" + known + ",'settings':{'balancers':2,'zones':['a'],"
-            + "'limits':{'maxDispatches':3,'mayCancel':true,"
-            + "'retryAfter':true,'maxRetryAfter':2000000,'dialTimeout':250000,'idleClose':30000000},"
-            + "'rules':{'askEvery':1000000},'ruleSets':[{'name':'buy" + set + "read_like'},{'name':'mark"
-            + set + "idempotency_key'},{'name':'pay" + set + "non_idempotent'}]}}").replace('\'', '"'))));
+        server = new Server(new Config(Json.object(config(open(this::list).getLocalPort(), sockets, known))));
         port = server.port();
         running = start(server::run);
         while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("200")) {
@@ -179,6 +174,18 @@
         }
     }
 
+    private static String config(int list, int sockets, String known) {
+        String set = "','clientTimeout':1500000,'responseTarget':1000000,'group':'all','window':5000000,"
+            + "'effect':'";
+        return ("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:" + list + "','seed':'1','drain_ms':1000,"
+            + "'limits':{'sockets':" + sockets + "},'known':" + known
+            + ",'settings':{'balancers':2,'zones':['a'],"
+            + "'limits':{'maxDispatches':3,'mayCancel':true,"
+            + "'retryAfter':true,'maxRetryAfter':2000000,'dialTimeout':250000,'idleClose':30000000},"
+            + "'rules':{'askEvery':1000000},'ruleSets':[{'name':'buy" + set + "read_like'},{'name':'mark"
+            + set + "idempotency_key'},{'name':'pay" + set + "non_idempotent'}]}}").replace('\'', '"');
+    }
+
     /** Backends on the list, and nothing else told. */
     private void serveBy(int backends) throws Exception {
         String[] entries = new String[backends];
@@ -374,6 +381,67 @@
         w.matches("server-list");
     }
 
+    /** Day of new configurations: SIGHUP ended the process. What is open and learnt stays; a bad file too. */
+    @Test
+    void rereads() throws Exception {
+        serveBy(2);
+        Path file = Files.createTempFile("wheattrack", ".json");
+        Signals.onHangup(() -> server.reread(file));
+        Logger log = Logger.getLogger("wheattrack");
+        Handler ear = ear();
+        log.addHandler(ear);
+        log.setLevel(Level.INFO);
+        try (Socket slow = connect()) {
+            script.add("slow");
+            send(slow, request("pay"));
+            while (came.get() == 0) {
+                Thread.sleep(5);
+            }
+            int second = open(socket -> {
+                seen.add("second list");
+                list(socket);
+            }).getLocalPort();
+            String s2 = entry("s2", "SERVING", open(socket -> backend("s2", socket)).getLocalPort());
+            for (String text : new String[] {config(second, 512, "{}"), "{'discovery'", "",
+                config(second, 1024, "{}").replace("127.0.0.1:" + second, "list:1"),
+                config(second, 1024, "{}").replace("read_like", "any")}) {
+                Files.writeString(file, text);
+                new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start().waitFor();
+                Thread.sleep(200);
+            }
+            w.say("open meanwhile: " + answer(slow));
+            news.add(told(1, true, s2));
+            Thread.sleep(200);
+            seen.removeIf("closed"::equals);
+            w.say("asked " + seen + ", now " + who());
+        } finally {
+            log.removeHandler(ear);
+            log.setLevel(Level.SEVERE);
+            Files.delete(file);
+        }
+        w.matches("server-rereads");
+    }
+
+    private Handler ear() {
+        return new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                w.say("log: " + line.getMessage().replaceAll("127.0.0.1:\\d+", "PORT")
+                    .replaceAll("/\\S*/wheattrack\\d+", "FILE"));
+            }
+
+            @Override
+            public void flush() {
+                // nothing is held back
+            }
+
+            @Override
+            public void close() {
+                // nothing is open
+            }
+        };
+    }
+
     private void step(String line) throws Exception {
         news.add(line);
         Thread.sleep(300);
