A req in work is no standing wait, giving up no closed door; cold srvs bear a third

The budget counted shut srvs as warm ones that do nothing (Rules.learn) and was a quarter of what may be (bears). Ruled out: proxy CPU (0.1 core in steady state), dialling, late list news (denies went on after it).

--- a/src/main/java/wheattrack/Rules.java
+++ b/src/main/java/wheattrack/Rules.java
@@ -25,8 +25,7 @@
  */
 public final class Rules {
     private static final int HINTS = 2000;          // the design's window
-    private static final int MOST = 1024;           // backends known at once; further ones are left out
-    private static final int KINDS = 64;            // kinds of machine told apart
+    private static final int MOST = 1024, KINDS = 64;   // backends known at once, kinds of machine told apart
     private static final long SECOND = 10_000, RECUT = SECOND;     // recompute period
     private static final double KEEP = 0.8, SLOWLY = 0.95;  // of learnt sums a second; of a kind's
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
@@ -44,15 +43,11 @@
     private final int me, balancers;
     private final Chance chance;
     private final long shortest;                    // the tightest response target
-    private int maxDispatches = 1;
-    private boolean mayCancel, mayDuplicate;
-    private int zone;
-    private double crossPrice;
-    private double startCapacity = 1, fallMultiple = 1;
-    private long cold, fall;
-    private double mayWait = 1;                     // of the time left to the target
-    private long maxWait, askEvery, retryAsk;
-    private boolean following;
+    private int maxDispatches = 1, zone;
+    private boolean mayCancel, mayDuplicate, following;
+    private double crossPrice, startCapacity = 1, fallMultiple = 1;
+    private double mayWait = 1, calmly = 1;         // of the time left to the target; of a mean req's time
+    private long cold, fall, maxWait, askEvery, retryAsk;
 
     // Backends, under their dense index.
     private int slots;
@@ -126,6 +121,7 @@
     /** Where the goal counts the tail, little may be waited; elsewhere all of the time to the target. */
     public void goal(double punctual) {
         mayWait = 1 / (1 + 10 * punctual);
+        calmly = punctual > 0 ? 0 : 1;
     }
 
     public void start(boolean mustAsk, long ask) {
@@ -268,11 +264,11 @@
         if (usualLoad == 0) {
             return out[b] == 0 && order.length <= 1;
         }
-        double rate = fallMultiple / 4 * warmth(b, now) * usualLoad * weight[b];
+        double rate = fallMultiple / 3 * warmth(b, now) * usualLoad * weight[b];
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
         double need = Math.max(load, meanCost);     // one of hundreds may send one req in some seconds
-        return spent[b] + need <= Math.max(rate * fall / 2, need);
+        return spent[b] + need <= Math.max(rate * fall / 3, need);
     }
 
     /** What srvs did for us while we had something out there, and how near those elsewhere count. */
@@ -283,7 +279,7 @@
             settle(b, now);
             pace += costSum[b];
             time += busy[b] * weight[b];
-            if (ready[b] && now - upSince[b] >= cold) {
+            if (ready[b] && !shut[b] && now - upSince[b] >= cold) {
                 warm += weight[b];
                 warmCost += costSum[b];
             }
@@ -377,9 +373,12 @@
             : Math.max(own, finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
     }
 
-    /** Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. */
+    // Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. The one mean req
+    // that is in work, its way there and back with it, is no such wait: service days denied at idle srvs.
     private boolean takes(int b, long left) {
-        return waiting(b) <= left * (stand[b] > CALM * shortest ? Math.min(CALM, mayWait) : mayWait);
+        double own = calmly * meanCost / pace(b), most = mayWait * left;
+        boolean stands = stand[b] > Math.max(CALM * shortest, own);
+        return waiting(b) <= (stands ? Math.min(most, Math.max(CALM * left, own)) : most);
     }
 
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
@@ -561,10 +560,10 @@
             outCost[b] += load;
             allOut += load;
             spent[b] += Math.max(load, meanCost);
-            port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, ended));
+            port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, lag, ended));
         }
 
-        void result(Leg leg, Outcome how, boolean ended) {
+        void result(Leg leg, Outcome how, long lag, boolean ended) {
             int b = leg.b;
             leg.isOut = false;
             leg.mayHaveRun = !how.neverRan;
@@ -583,7 +582,8 @@
             }
             if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
                 room[b] = Math.min(room[b], out[b]);
-                if (out[b] == 0 && !shut[b]) {      // incident: 4 dispatches a req into closed doors
+                // Incident: 4 dispatches a req into closed doors. After a wait the srv only gave up on it.
+                if (out[b] == 0 && !shut[b] && lag < CALM * shortest) {
                     shut(b, "turned away with nothing out");
                 }
             }
--- a/src/test/java/wheattrack/RulesTest.java
+++ b/src/test/java/wheattrack/RulesTest.java
@@ -299,6 +299,37 @@
         w.matches("room");
     }
 
+    /** Service days: srvs that gave up on a req after a while were shut as if their doors were closed. */
+    @Test
+    void gaveUpAfterAWait() throws IOException {
+        World w = replayable(2, false);
+        w.busy(2, COSTS);
+        for (long wait : new long[] {SECOND / 10, SECOND / 100}) {
+            w.arrive("given up on after " + wait / 10 + " ms", 100);
+            w.pass(wait);
+            w.end(Outcome.FULL);
+            w.end(Outcome.DONE);
+        }
+        w.matches("gave-up");
+    }
+
+    /** Service days: a req in work and a long way there were held for a wait that stands, at idle srvs. */
+    @Test
+    void oneInWork() throws IOException {
+        World w = replayable(1, false);
+        w.quiet = true;
+        for (int i = 0; i < 200; i++) {             // one at a time, 83 ms each, the most of it on its way
+            w.arrive("busy", 300);
+            w.pass(SECOND / 12);
+            w.end(Outcome.DONE);
+        }
+        w.quiet = false;
+        w.arrive("in work", 300);
+        w.arrive("next", 300);
+        w.arrive("one more", 300);
+        w.matches("one-in-work");
+    }
+
     /** Without hints a random ready srv takes each req, long lags alone deny nothing, a cold srv is met. */
     @Test
     void noHints() throws IOException {
