--- a/src/main/java/wheattrack/net/Proxy.java
+++ b/src/main/java/wheattrack/net/Proxy.java
@@ -56,7 +56,7 @@
         Wire.Call call;
         try {
             call = Wire.call(request, sets);
-            if (!ids.add(call.id())) {              // bad clients: a second copy of another's req reached srvs
+            if (!ids.add(call.id())) {              // bad clients: copies reached srvs
                 throw new Wire.Unfit(409, "a req of this id is open");
             }
         } catch (Wire.Unfit e) {
@@ -132,7 +132,7 @@
                 answer(guest, Wire.done(answer, keeps(guest)));
             }
             boolean unfit = how == Outcome.ERROR && Wire.isUnfit(answer);
-            if (unfit && !guest.over) {             // bad clients: three srvs were blamed for a req none could use
+            if (unfit && !guest.over) {             // bad clients: srvs were blamed for them
                 answer(guest, Wire.plain(answer.status(), "not taken by the backend", keeps(guest)));
             }
             loop.step(() -> next.ended(unfit ? Outcome.MOOT : how, loop.now() - sent, guest.over));
