--- a/src/main/java/wheattrack/net/Client.java
+++ b/src/main/java/wheattrack/net/Client.java
@@ -12,10 +12,8 @@
 final class Client extends Link {
     /** How long an answer may take to go, or a closing client to close. */
     private static final long STALL = 100_000, LINGER = 10_000;
-    /** For a whole request: the first counts from connecting, a later one from its first byte. */
-    private static final long WHOLE = 25_000;
-    /** How long a connection may rest between two requests. */
-    private static final long REST = 60_000;
+    /** For a first whole request from connecting, for a later one from its first byte, and for resting. */
+    private static final long PATIENCE = 20_500;
 
     private final Front front;
     private final int slot;
@@ -44,7 +42,7 @@
 
     /** Bad clients, silent, dripping or half-said, held a place for 10 s or for good: this ends them. */
     void open() {
-        stall = loop.after(WHOLE, this::tooLate);
+        stall = loop.after(PATIENCE, this::tooLate);
         read(in.room());
     }
 
@@ -62,7 +60,7 @@
 
     /** How soon it gives way to another: 0 turned away, 1 still asks nothing, 2 at rest, 3 not at all. */
     int rank() {
-        boolean mute = !asked && loop.now() - idleSince > WHOLE / 10;
+        boolean mute = !asked && loop.now() - idleSince > PATIENCE / 8;
         return lingering ? 0 : busy ? 3 : mute ? 1 : in.isAmid() ? 3 : 2;
     }
 
@@ -98,7 +96,7 @@
             } else if (in.isAmid()) {
                 if (stall == null || resting) {
                     calm();
-                    stall = loop.after(WHOLE, this::tooLate);
+                    stall = loop.after(PATIENCE, this::tooLate);
                 }
                 if (in.expectsWord()) {
                     interim = true;
@@ -155,7 +153,7 @@
         } else if (keep) {
             busy = false;
             idleSince = loop.now();
-            stall = loop.after(REST, this::close);
+            stall = loop.after(PATIENCE, this::close);
             resting = true;
             if (!isReading()) {                     // a read that is out may be filling the inbox just now
                 advance();
--- a/src/main/java/wheattrack/net/Front.java
+++ b/src/main/java/wheattrack/net/Front.java
@@ -88,9 +88,12 @@
         accept();
     }
 
-    /** Whether a connection may stay open for a further request. */
+    /**
+     * Whether a connection may stay open for a further request: only while places are plenty. Incident
+     * rde3a99: connections that ask once and stay used up what clients may hold; none was left for requests.
+     */
     boolean keeps(boolean asked) {
-        return asked && !life.isLeaving() && clients.size() <= most;
+        return asked && !life.isLeaving() && clients.size() <= most / 2;
     }
 
     void came(Client client, Request request) {
