--- a/src/test/java/wheattrack/ServerTest.java
+++ b/src/test/java/wheattrack/ServerTest.java
@@ -213,6 +213,13 @@
         return socket;
     }
 
+    /** A first request is at a backend. */
+    private void untilOneCame() throws InterruptedException {
+        while (came.get() == 0) {
+            Thread.sleep(5);
+        }
+    }
+
     private static String request(String set) {
         return "POST /" + set + " HTTP/1.1\r\nRequest-Id: " + IDS.incrementAndGet()
             + "\r\nRequest-Class: " + set + "\r\nWork-Hint: 5000\r\nContent-Length: 2\r\n\r\nhi";
@@ -346,9 +353,7 @@
             script.add("slow");
             String same = request("buy");
             send(first, same);
-            while (came.get() == 0) {
-                Thread.sleep(5);
-            }
+            untilOneCame();
             w.say("id open: " + call(same) + ", sent " + came);
             w.say("first: " + answer(first) + ", id free: " + call(same).replaceAll("s\\d", "ok"));
         }
@@ -363,9 +368,7 @@
         script.add("none");
         Socket socket = connect();
         send(socket, request("pay"));
-        while (came.get() == 0) {
-            Thread.sleep(5);
-        }
+        untilOneCame();
         socket.close();
         String ends = seen.poll(2000, TimeUnit.MILLISECONDS);
         w.say("client left, backend's connection " + ends + ", sent " + came.get());
@@ -444,9 +447,7 @@
         try (Socket slow = connect()) {
             script.add("slow");
             send(slow, request("pay"));
-            while (came.get() == 0) {
-                Thread.sleep(5);
-            }
+            untilOneCame();
             int second = open(socket -> {
                 seen.add("second list");
                 list(socket);
