The lab's virtual world: deployments of hundreds of proxies, judged by a referee

Change: package by package, scenario (strict TOML, errors name file, line and key), load (open loop; Poisson, even, bursty, wave, traced), referee (an append-only ledger, the four rules, service and latency from it), world (proxies that run the module itself, servers with cores, rooms and cold starts, list, front, clients, links), report (JSON lines, HTML with SVG).

--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -1,11 +1,96 @@
 package wheattrack.lab;
 
-/** The lab's command line. */
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import wheattrack.config.BadConfig;
+import wheattrack.lab.referee.Ledger;
+import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.world.Minds;
+
+/** The lab's command line. Exit codes: 0 good, 1 fell short, 2 bad input, 3 the run says nothing. */
 public final class LabMain {
+    private static final String USAGE = """
+        usage: ./wheattrack lab COMMAND
+          list                        the scenarios that ship, a line each
+          run NAME_OR_FILE            plays one; its last line is RESULT
+              --seed N                another seed (1)
+              --out DIR               leaves ledgers, JSON lines and an HTML report there
+              --policy P              who decides on the virtual clock: rules, random, round-robin, least-out,
+                                      two-choices
+              --jar FILE              the proxies' program on the real clock
+          check NAME_OR_FILE          reads one and says whether it can be played
+        exit codes: 0 good, 1 fell short, 2 bad input, 3 the machine was too busy or a ledger is torn""";
+
     private LabMain() {
     }
 
     public static void main(String[] args) {
-        System.exit(2);
+        System.exit(run(args));
+    }
+
+    private static int run(String[] args) {
+        Options options = new Options().addOption(null, "seed", true, "").addOption(null, "out", true, "")
+            .addOption(null, "policy", true, "").addOption(null, "jar", true, "")
+            .addOption(null, "help", false, "");
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            List<String> words = line.getArgList();
+            if (line.hasOption("help") || words.equals(List.of("help"))) {
+                System.out.println(USAGE);
+                return 0;
+            }
+            if (words.equals(List.of("list"))) {
+                for (String name : Shelf.names()) {
+                    Scenario s = Scenario.read(Shelf.find(name));
+                    System.out.printf("%-24s %-7s %s%n", name, s.virtual ? "virtual" : "real", s.about);
+                }
+                return 0;
+            }
+            if (words.size() != 2) {
+                return fault(USAGE);
+            }
+            Scenario scenario = Scenario.read(Shelf.find(words.get(1)));
+            return switch (words.get(0)) {
+                case "check" -> {
+                    System.out.println("good: " + scenario.name);
+                    yield 0;
+                }
+                case "run" -> Play.run(scenario, job(line));
+                default -> fault(USAGE);
+            };
+        } catch (ParseException | BadConfig e) {
+            return fault("wheattrack lab: " + e.getMessage());
+        } catch (Ledger.Void e) {
+            System.err.println("wheattrack lab: void: " + e.getMessage());
+            return 3;
+        } catch (IOException e) {
+            return fault("wheattrack lab: " + e);
+        }
+    }
+
+    private static Play.Job job(CommandLine line) {
+        String policy = line.getOptionValue("policy", Minds.words().get(0));
+        if (!Minds.words().contains(policy)) {
+            throw new BadConfig("--policy", "'" + policy + "' is none of " + Minds.words());
+        }
+        long seed;
+        try {
+            seed = Long.parseLong(line.getOptionValue("seed", "1"));
+        } catch (NumberFormatException e) {
+            throw new BadConfig("--seed", "not a whole number: " + line.getOptionValue("seed"));
+        }
+        Path out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
+        Path jar = line.hasOption("jar") ? Path.of(line.getOptionValue("jar")) : Shelf.proxyJar();
+        return new Play.Job(seed, out, Minds.Policy.values()[Minds.words().indexOf(policy)], jar);
+    }
+
+    private static int fault(String text) {
+        System.err.println(text);
+        return 2;
     }
 }
