--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
@@ -20,10 +22,18 @@
           run NAME_OR_FILE            plays one; its last line is RESULT
               --seed N                another seed (1)
               --out DIR               leaves ledgers, JSON lines and an HTML report there
+              --set KEY=VALUE         sets a key of the scenario, as in --set load.rate=200
               --policy P              who decides on the virtual clock: rules, random, round-robin, least-out,
                                       two-choices
               --jar FILE              the proxies' program on the real clock
           check NAME_OR_FILE          reads one and says whether it can be played
+          compare NAME_OR_FILE        plays two sides over the same seeds and says how they differ
+              --seeds N               seeds from 1 on (20)
+              --base SIDE             a policy, or jar:FILE for another build's decisions (random)
+              --cand SIDE             the other side (rules)
+              --set KEY=A,B,...       plays each value of a key of the scenario; may stand several times
+              --out DIR               leaves JSON lines and an HTML report of the first seed there
+          bench                       what the virtual world and the sockets can do on this machine
         exit codes: 0 good, 1 fell short, 2 bad input, 3 the machine was too busy or a ledger is torn""";
 
     private LabMain() {
@@ -36,6 +46,8 @@
     private static int run(String[] args) {
         Options options = new Options().addOption(null, "seed", true, "").addOption(null, "out", true, "")
             .addOption(null, "policy", true, "").addOption(null, "jar", true, "")
+            .addOption(null, "seeds", true, "").addOption(null, "base", true, "")
+            .addOption(null, "cand", true, "").addOption(null, "set", true, "")
             .addOption(null, "help", false, "");
         try {
             CommandLine line = new DefaultParser().parse(options, args);
@@ -51,10 +63,19 @@
                 }
                 return 0;
             }
+            if (words.equals(List.of("demo"))) {
+                return Demo.run(job(line));
+            }
+            if (words.equals(List.of("bench"))) {
+                return Bench.run(job(line));
+            }
+            if (words.size() == 2 && words.get(0).equals("compare")) {
+                return Compare.run(Shelf.find(words.get(1)), line);
+            }
             if (words.size() != 2) {
                 return fault(USAGE);
             }
-            Scenario scenario = Scenario.read(Shelf.find(words.get(1)));
+            Scenario scenario = Scenario.read(Shelf.find(words.get(1)), settings(line));
             return switch (words.get(0)) {
                 case "check" -> {
                     System.out.println("good: " + scenario.name);
@@ -73,22 +94,39 @@
         }
     }
 
-    private static Play.Job job(CommandLine line) {
+    static Play.Job job(CommandLine line) {
         String policy = line.getOptionValue("policy", Minds.words().get(0));
         if (!Minds.words().contains(policy)) {
             throw new BadConfig("--policy", "'" + policy + "' is none of " + Minds.words());
         }
-        long seed;
-        try {
-            seed = Long.parseLong(line.getOptionValue("seed", "1"));
-        } catch (NumberFormatException e) {
-            throw new BadConfig("--seed", "not a whole number: " + line.getOptionValue("seed"));
-        }
+        long seed = whole(line, "seed", 1);
         Path out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
         Path jar = line.hasOption("jar") ? Path.of(line.getOptionValue("jar")) : Shelf.proxyJar();
         return new Play.Job(seed, out, Minds.Policy.values()[Minds.words().indexOf(policy)], jar);
     }
 
+    /** What --set says, each key with its one value. */
+    private static Map<String, String> settings(CommandLine line) {
+        Map<String, String> out = new LinkedHashMap<>();
+        for (String set : line.hasOption("set") ? line.getOptionValues("set") : new String[0]) {
+            int cut = set.indexOf('=');
+            if (cut <= 0) {
+                throw new BadConfig("--set", "not KEY=VALUE: " + set);
+            }
+            out.put(set.substring(0, cut), set.substring(cut + 1));
+        }
+        return out;
+    }
+
+    static long whole(CommandLine line, String option, long otherwise) {
+        String text = line.getOptionValue(option, Long.toString(otherwise));
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new BadConfig("--" + option, "not a whole number: " + text);
+        }
+    }
+
     private static int fault(String text) {
         System.err.println(text);
         return 2;
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.referee.Entry.Answer;
@@ -31,6 +32,17 @@
         public int denied, aborted, done, dispatches;
     }
 
+    /** What one proxy did: reqs taken, how they ended, and dispatches by the server's place. */
+    public static final class ByProxy {
+        public int taken, kills;
+        public final int[] ended = new int[Answer.values().length];
+        public final Map<Integer, Integer> sent = new TreeMap<>();
+    }
+
+    private ByProxy proxy(int place) {
+        return byProxy.computeIfAbsent(place, p -> new ByProxy());
+    }
+
     private static final class Op {
         long at;
         int set;
@@ -66,6 +78,7 @@
     private final List<Break> breaks = new ArrayList<>();
     private final List<Second> seconds = new ArrayList<>();
     private final Map<Integer, long[]> byServer = new HashMap<>();
+    private final Map<Integer, ByProxy> byProxy = new TreeMap<>();
     private final Histogram latency = new Histogram(10 * 60_000L * 10, 3);
     private final List<Entry> faults = new ArrayList<>();
     private long dispatches, crossings, runs, done, denied, aborted, lost, lateDrain, lastAt;
@@ -130,6 +143,7 @@
         t.op = (long) e.figure();
         t.due = e.time();
         t.proxy = e.proxy();
+        proxy(t.proxy).taken++;
         if (tries.put(e.req(), t) != null) {
             broke("answers", e.at(), "req " + e.req() + " was taken twice under one id");
         }
@@ -142,6 +156,7 @@
             return;
         }
         Answer how = e.answer();
+        proxy(t.proxy).ended[how.ordinal()]++;
         if (how == Answer.BROKEN) {
             t.excused |= wasDown(t.proxy, e.at());
             if (!t.excused && !t.left) {
@@ -210,6 +225,7 @@
     private void came(Entry e) {
         Try t = tries.get(e.req());
         dispatches++;
+        proxy(e.proxy()).sent.merge(e.server(), 1, Integer::sum);
         second(e.at()).dispatches++;
         crossings += e.proxy() % scenario.zones != e.server() % scenario.zones ? 1 : 0;
         byServer.computeIfAbsent(e.server(), s -> new long[(int) (scenario.length / Scenario.SECOND) + 2]);
@@ -313,6 +329,7 @@
     private void proxy(Entry e) {
         if (e.code() == 0) {
             downAt.put(e.proxy(), e.at());
+            proxy(e.proxy()).kills++;
             tries.values().forEach(t -> t.excused |= t.proxy == e.proxy() && t.answers == 0);
         } else {
             downAt.remove(e.proxy());
@@ -352,7 +369,7 @@
         f.put("p999", latency.getValueAtPercentile(99.9) / 10.0);
         f.put("late-drain", lateDrain / 10.0);
         return new Verdict(scenario, f, List.copyOf(breaks), List.copyOf(seconds), Map.copyOf(byServer),
-            List.copyOf(faults), latency);
+            byProxy, List.copyOf(faults), latency);
     }
 
     /** Value done in time over value asked for, by the seconds of asking that begin in this stretch. */
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -13,7 +13,8 @@
  * latency in tenths of a millisecond from a client's first try.
  */
 public record Verdict(Scenario scenario, Map<String, Double> figures, List<Referee.Break> breaks,
-        List<Referee.Second> seconds, Map<Integer, long[]> byServer, List<Entry> faults, Histogram latency) {
+        List<Referee.Second> seconds, Map<Integer, long[]> byServer,
+        Map<Integer, Referee.ByProxy> byProxy, List<Entry> faults, Histogram latency) {
 
     /** The expectations that do not hold. */
     public List<Expect> shortfalls() {
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -149,12 +149,23 @@
         t.done();
     }
 
+    /** Reads a file with some of its keys, by their paths, set to other values written as in TOML. */
+    public static Scenario read(Path file, Map<String, String> other) {
+        Table t = Table.read(file);
+        other.forEach(t::set);
+        return new Scenario(nameOf(file), t);
+    }
+
     /** Reads a file; the scenario's name is that of the file below a folder named scenarios. */
     public static Scenario read(Path file) {
+        return read(file, Map.of());
+    }
+
+    private static String nameOf(Path file) {
         String path = file.toAbsolutePath().normalize().toString().replace('\\', '/');
         int at = path.lastIndexOf("/scenarios/");
         String name = at < 0 ? file.getFileName().toString() : path.substring(at + 11);
-        return new Scenario(name.replaceAll("\\.toml$", ""), Table.read(file));
+        return name.replaceAll("\\.toml$", "");
     }
 
     /** Reads a text. */
--- a/lab/src/main/java/wheattrack/lab/world/Machine.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Machine.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.world;
+package wheattrack.lab.stage;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,31 +10,31 @@
 import wheattrack.lab.scenario.Scenario.Servers;
 import wheattrack.port.Outcome;
 
-/** One server of the virtual world: cores, a waiting room, a cold start and all that can befall it. */
-final class Machine {
+/** One server, on either clock: cores, a waiting room, a cold start and all that can befall it. */
+public final class Machine {
     /** DEAD refuses connections, SILENT drops all that comes, HUNG takes reqs and answers none. */
-    enum State { UP, DEAD, SILENT, HUNG }
+    public enum State { UP, DEAD, SILENT, HUNG }
 
     private static final double NOISE = 0.2;        // how much the same work varies from run to run
     private static final long FAST = 10;            // an error's time
 
     /** A dispatch at this server. */
     private final class Visit {
-        final Node.Leg leg;
+        final Visitor who;
         final double work;
-        final long came = world.now();
+        final long came = stage.now();
         Deadlines.Entry end;
         long endsAt;
 
-        Visit(Node.Leg leg, double work) {
-            this.leg = leg;
+        Visit(Visitor who, double work) {
+            this.who = who;
             this.work = work;
         }
     }
 
-    final int place, zone;
-    final Servers kind;
-    private final World world;
+    public final int place, zone;
+    public final Servers kind;
+    private final Stage stage;
     private final Draws draws;
     private final ArrayDeque<Visit> queue = new ArrayDeque<>();
     private final List<Visit> running = new ArrayList<>();
@@ -44,62 +44,71 @@
     private long start, stalledUntil;
     private double slow = 1, failing;
     private int epoch, connections;
-    long linkDelay;
-    double linkLoss;
+    private Runnable changed = () -> { };
 
-    Machine(World world, int place, Servers kind) {
-        this.world = world;
+    Machine(Stage stage, int place, Servers kind) {
+        this.stage = stage;
         this.place = place;
         this.kind = kind;
-        zone = place % world.scenario.zones;
-        draws = world.draws("server" + place);
-        budget = new ColdBudget(world.scenario.terms.fallMultiple(), world.scenario.terms.fall());
+        zone = place % stage.scenario.zones;
+        draws = stage.draws("server" + place);
+        budget = new ColdBudget(stage.scenario.terms.fallMultiple(), stage.scenario.terms.fall());
     }
 
-    State state() {
+    /** Runs whenever the state changes; one listener. */
+    public void onChange(Runnable then) {
+        changed = then;
+    }
+
+    private void turn(State next) {
+        state = next;
+        changed.run();
+    }
+
+    public State state() {
         return state;
     }
 
-    boolean isDraining() {
+    public boolean isDraining() {
         return draining;
     }
 
-    boolean isFallen() {
+    public boolean isFallen() {
         return fallen;
     }
 
-    long start() {
+    public long start() {
         return start;
     }
 
-    boolean isCold() {
+    public boolean isCold() {
         return cold;
     }
 
     /** Changes with each life; connections of an earlier one are broken. */
-    int epoch() {
+    public int epoch() {
         return epoch;
     }
 
-    void start(boolean asCold) {
+    public void start(boolean asCold) {
         if (fallen) {
             return;
         }
-        state = State.UP;
         draining = false;
-        start = world.now();
+        start = stage.now();
         cold = asCold;
         budget.clear();
-        world.say(Entry.started(world.now(), place, kind.cores() * kind.speed(), asCold));
+        stage.say(Entry.started(stage.now(), place, kind.cores() * kind.speed(), asCold));
+        turn(State.UP);
     }
 
     private double warmth() {
-        double age = world.now() - start;
+        double age = stage.now() - start;
         return !cold || age >= kind.coldFor() ? 1
             : kind.coldFrom() + (1 - kind.coldFrom()) * age / kind.coldFor();
     }
 
-    boolean connects() {
+    public boolean connects() {
         if (connections >= kind.connections()) {
             return false;
         }
@@ -107,38 +116,37 @@
         return true;
     }
 
-    void hangsUp(int life) {
+    public void hangsUp(int life) {
         connections -= life == epoch ? 1 : 0;
     }
 
     /** A dispatch's first byte left at that time and has come; anew: on a connection of its own. */
-    void arrive(Node.Leg leg, long sent, boolean anew) {
+    public void arrive(Visitor who, long sent, boolean anew) {
         if (state == State.SILENT) {
             return;
         }
         if (state == State.DEAD) {
-            reply(leg, Outcome.RESET);
+            who.heard(Outcome.RESET);
             return;
         }
-        double work = leg.work() * draws.factor(NOISE) + (anew ? kind.handshake() : 0);
-        world.say(Entry.came(sent, leg.req(), leg.node().place, place, work));
-        boolean knows = leg.node().knowsStart(place) >= start;
-        if (cold && warmth() < 1 && budget.add(sent, work, kind.cores() * kind.speed() * warmth(), knows)) {
+        double work = who.work() * draws.factor(NOISE) + (anew ? kind.handshake() : 0);
+        stage.say(Entry.came(sent, who.req(), who.proxy(), place, work));
+        if (cold && warmth() < 1 && budget.add(sent, work, kind.cores() * kind.speed() * warmth(), true)) {
             fallen = true;
-            world.say(Entry.fell(world.now(), place));
-            reply(leg, Outcome.RESET);
-            world.roster.noticesDeath(this);
+            stage.say(Entry.fell(stage.now(), place));
+            who.heard(Outcome.RESET);
+            stage.roster().noticesDeath(this);
             crash();
             return;
         }
-        Visit v = new Visit(leg, work);
-        leg.at = () -> callOff(v);
+        Visit v = new Visit(who, work);
+        who.stops(() -> callOff(v));
         if (state == State.HUNG) {
             queue.add(v);
         } else if (draining || queue.size() >= kind.room() && running.size() >= kind.cores()) {
-            reply(leg, Outcome.FULL);
+            reply(who, Outcome.FULL);
         } else if (draws.happens(failing)) {
-            world.after(FAST, () -> reply(leg, Outcome.ERROR));
+            stage.after(FAST, () -> reply(who, Outcome.ERROR));
         } else {
             queue.add(v);
             serve();
@@ -146,55 +154,55 @@
     }
 
     private void serve() {
-        while (state == State.UP && world.now() >= stalledUntil && running.size() < kind.cores()
+        while (state == State.UP && stage.now() >= stalledUntil && running.size() < kind.cores()
                 && !queue.isEmpty()) {
             Visit v = queue.poll();
-            if (world.now() >= v.leg.due()) {
-                reply(v.leg, Outcome.FULL);         // over already; not begun
+            if (stage.now() >= v.who.due()) {
+                reply(v.who, Outcome.FULL);         // over already; not begun
                 continue;
             }
             running.add(v);
-            world.say(Entry.ran(world.now(), v.leg.req(), v.leg.node().place, place, v.came, v.work));
-            v.endsAt = world.now() + Math.max(1, Math.round(v.work / (kind.speed() * warmth() / slow)));
-            v.end = world.after(v.endsAt - world.now(), () -> finish(v));
+            stage.say(Entry.ran(stage.now(), v.who.req(), v.who.proxy(), place, v.came, v.work));
+            v.endsAt = stage.now() + Math.max(1, Math.round(v.work / (kind.speed() * warmth() / slow)));
+            v.end = stage.after(v.endsAt - stage.now(), () -> finish(v));
         }
     }
 
     private void finish(Visit v) {
         running.remove(v);
-        reply(v.leg, Outcome.DONE);
+        reply(v.who, Outcome.DONE);
         serve();
     }
 
     /** Its connection was closed: what waits or runs for it stops. */
     private void callOff(Visit v) {
         if (!queue.remove(v) && running.remove(v)) {
-            world.cancel(v.end);
+            stage.cancel(v.end);
             serve();
         }
     }
 
-    private void reply(Node.Leg leg, Outcome how) {
-        leg.at = null;
-        world.after(world.way(zone, leg.node().zone) + linkDelay, () -> leg.node().heard(leg, how));
+    private void reply(Visitor who, Outcome how) {
+        who.stops(null);
+        who.heard(how);
     }
 
     // ---- what befalls it
 
     /** The process dies: what it had breaks. */
-    void crash() {
-        state = State.DEAD;
+    public void crash() {
         epoch++;
         connections = 0;
         drop(true);
+        turn(State.DEAD);
     }
 
     /** The machine is cut off: nobody hears of it again. */
-    void vanish() {
-        state = State.SILENT;
+    public void vanish() {
         epoch++;
         connections = 0;
         drop(false);
+        turn(State.SILENT);
     }
 
     private void drop(boolean heard) {
@@ -203,54 +211,55 @@
         running.clear();
         queue.clear();
         for (Visit v : all) {
-            world.cancel(v.end);
-            v.leg.at = null;
+            stage.cancel(v.end);
             if (heard) {
-                reply(v.leg, Outcome.RESET);
+                reply(v.who, Outcome.RESET);
+            } else {
+                v.who.stops(null);
             }
         }
     }
 
-    void hang() {
+    public void hang() {
         if (state == State.UP) {
-            state = State.HUNG;
-            running.forEach(v -> world.cancel(v.end));
+            turn(State.HUNG);
+            running.forEach(v -> stage.cancel(v.end));
         }
     }
 
     /** What was in work when it hung is lost; what waited goes on. */
-    void unhang() {
+    public void unhang() {
         if (state == State.HUNG) {
-            state = State.UP;
+            turn(State.UP);
             List<Visit> lost = List.copyOf(running);
             running.clear();
-            lost.forEach(v -> reply(v.leg, Outcome.RESET));
+            lost.forEach(v -> reply(v.who, Outcome.RESET));
             serve();
         }
     }
 
-    void stall(long time) {
+    public void stall(long time) {
         if (state != State.UP) {
             return;
         }
-        stalledUntil = Math.max(stalledUntil, world.now() + time);
+        stalledUntil = Math.max(stalledUntil, stage.now() + time);
         for (Visit v : running) {
-            world.cancel(v.end);
+            stage.cancel(v.end);
             v.endsAt += time;
-            v.end = world.after(v.endsAt - world.now(), () -> finish(v));
+            v.end = stage.after(v.endsAt - stage.now(), () -> finish(v));
         }
-        world.after(time, this::serve);
+        stage.after(time, this::serve);
     }
 
-    void slow(double times) {
+    public void slow(double times) {
         slow = times;
     }
 
-    void fails(double share) {
+    public void fails(double share) {
         failing = share;
     }
 
-    void drain() {
+    public void drain() {
         draining = true;
     }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/stage/Timeline.java
@@ -0,0 +1,182 @@
+package wheattrack.lab.stage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntConsumer;
+import wheattrack.lab.load.Draws;
+import wheattrack.lab.referee.Entry;
+import wheattrack.lab.referee.Entry.State;
+import wheattrack.lab.scenario.Fault;
+import wheattrack.lab.scenario.Scenario;
+
+/** Plays a scenario's faults, on either clock. */
+public final class Timeline {
+    private static final long GONE_AFTER = 2 * Scenario.SECOND;
+
+    private final Stage stage;
+
+    private Timeline(Stage stage) {
+        this.stage = stage;
+    }
+
+    /** Puts all faults of the scenario into the agenda. */
+    public static void schedule(Stage stage) {
+        Draws draws = stage.draws("faults");
+        Timeline t = new Timeline(stage);
+        for (int i = 0; i < stage.scenario.faults.size(); i++) {
+            Fault f = stage.scenario.faults.get(i);
+            int n = f.kind().hitsProxies() ? stage.doors().size() : stage.machines().size();
+            boolean hits = f.kind().hitsProxies() || f.kind().hitsServers();
+            List<Integer> hit = hits ? hit(f, n, draws) : List.of();
+            int number = i;
+            stage.after(f.at(), () -> {
+                stage.say(Entry.fault(stage.now(), number, true));
+                t.begin(f, hit);
+                if (f.lasts() > 0) {
+                    stage.after(f.lasts(), () -> {
+                        stage.say(Entry.fault(stage.now(), number, false));
+                        t.end(f, hit);
+                    });
+                }
+            });
+        }
+    }
+
+    /** Which places a fault hits: the seed draws them without repeats. */
+    static List<Integer> hit(Fault f, int n, Draws draws) {
+        if (f.what().place() >= 0) {
+            return List.of(f.what().place());
+        }
+        List<Integer> left = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            left.add(i);
+        }
+        List<Integer> out = new ArrayList<>();
+        for (int k = f.what().count(n); k > 0; k--) {
+            out.add(left.remove(draws.below(left.size())));
+        }
+        return out;
+    }
+
+    private void each(List<Integer> hit, IntConsumer what) {
+        hit.forEach(what::accept);
+    }
+
+    private void begin(Fault f, List<Integer> hit) {
+        switch (f.kind()) {
+            case KILL_PROXY -> each(hit, p -> {
+                Door door = stage.door(p);
+                if (door.isUp()) {
+                    door.kill();
+                    int life = door.life();
+                    stage.after(stage.scenario.frontNotice, () -> {
+                        if (door.life() == life) {
+                            stage.crowd().sees(door, false);
+                        }
+                    });
+                }
+            });
+            case STOP_PROXY -> each(hit, p -> stage.door(p).halt(true));
+            case CLOCK_PROXY -> each(hit, p -> {
+                stage.door(p).kill();
+                stage.crowd().sees(stage.door(p), false);
+                stage.door(p).skew(f.size());
+                stage.door(p).start();
+            });
+            case CRASH, VANISH -> each(hit, s -> {
+                Machine m = stage.machine(s);
+                stage.roster().noticesDeath(m);
+                if (f.kind() == Fault.Kind.CRASH) {
+                    m.crash();
+                } else {
+                    m.vanish();
+                }
+            });
+            case HANG -> each(hit, s -> stage.machine(s).hang());
+            case SLOW -> each(hit, s -> stage.machine(s).slow(f.size()));
+            case FAIL -> each(hit, s -> stage.machine(s).fails(f.size()));
+            case PAUSE -> each(hit, s -> pauses(stage.machine(s), f, stage.now() + f.lasts()));
+            case DRAIN -> each(hit, this::drain);
+            case SHRINK -> {
+                for (int i = 0; i < hit.size(); i++) {
+                    int s = hit.get(i);
+                    stage.after(f.lasts() * i / hit.size(), () -> {
+                        drain(s);
+                        stage.after(GONE_AFTER, () -> leave(s));
+                    });
+                }
+            }
+            case LIST_DOWN -> stage.roster().down(true);
+            case LIST_STALE -> stage.roster().stale(true);
+            case LIST_EMPTY -> stage.roster().empty(true);
+            case LINK_DELAY, LINK_DROP, LINK_HOLD, LINK_CUT, LINK_RESET, LINK_CORRUPT -> each(hit, s ->
+                stage.link(f, s, true));
+            case BURST -> stage.crowd().arrivals().times(f.size());
+            case HINT_SHARE -> stage.crowd().wants().share(f.size());
+            case HINT_SCALE -> stage.crowd().wants().scale(f.size());
+            case HINT_NOISE -> stage.crowd().wants().noise(f.size());
+            default -> throw new IllegalStateException("unknown fault " + f.kind());
+        }
+    }
+
+    private void end(Fault f, List<Integer> hit) {
+        switch (f.kind()) {
+            case KILL_PROXY -> each(hit, p -> {
+                if (!stage.door(p).isUp()) {
+                    stage.door(p).start();
+                }
+            });
+            case STOP_PROXY -> each(hit, p -> stage.door(p).halt(false));
+            case CLOCK_PROXY -> each(hit, p -> stage.door(p).skew(0));
+            case CRASH, VANISH -> each(hit, this::restart);
+            case HANG -> each(hit, s -> stage.machine(s).unhang());
+            case SLOW -> each(hit, s -> stage.machine(s).slow(1));
+            case FAIL -> each(hit, s -> stage.machine(s).fails(0));
+            case DRAIN -> each(hit, this::leave);
+            case LIST_DOWN -> stage.roster().down(false);
+            case LIST_STALE -> stage.roster().stale(false);
+            case LIST_EMPTY -> stage.roster().empty(false);
+            case LINK_DELAY, LINK_DROP, LINK_HOLD, LINK_CUT, LINK_RESET, LINK_CORRUPT -> each(hit, s ->
+                stage.link(f, s, false));
+            case BURST -> stage.crowd().arrivals().times(1);
+            case HINT_SHARE -> stage.crowd().wants().share(stage.scenario.hints.share());
+            case HINT_SCALE -> stage.crowd().wants().scale(stage.scenario.hints.scale());
+            case HINT_NOISE -> stage.crowd().wants().noise(stage.scenario.hints.noise());
+            default -> { }
+        }
+    }
+
+    private void pauses(Machine m, Fault f, long until) {
+        if (stage.now() < until) {
+            m.stall(Math.round(f.size() * Scenario.MS));
+            stage.after(f.every(), () -> pauses(m, f, until));
+        }
+    }
+
+    private void drain(int s) {
+        stage.machine(s).drain();
+        stage.roster().changes(s, State.DRAINING, startOf(s));
+    }
+
+    private void leave(int s) {
+        Machine m = stage.machine(s);
+        if (m.isDraining()) {
+            m.crash();
+            stage.roster().changes(s, State.GONE, 0);
+        }
+    }
+
+    /** It comes back cold, under its old id with a later start. */
+    private void restart(int s) {
+        Machine m = stage.machine(s);
+        if (m.state() != Machine.State.UP && !m.isFallen()) {
+            m.start(true);
+            stage.roster().changes(s, State.READY, m.start());
+        }
+    }
+
+    private long startOf(int s) {
+        Machine m = stage.machine(s);
+        return m.isCold() ? m.start() : Roster.LONG_AGO;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/world/Listing.java
@@ -0,0 +1,56 @@
+package wheattrack.lab.world;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wheattrack.lab.load.Draws;
+import wheattrack.lab.stage.Roster;
+
+/** The list as the virtual world tells it: each proxy hears after a while of its own, in order. */
+final class Listing extends Roster {
+    private static final long NO_ANSWER = 5_000;    // a call on a list that is down
+
+    private final Draws draws;
+    private final Map<Node, Long> lastAt = new LinkedHashMap<>();
+
+    Listing(World world) {
+        super(world);
+        draws = world.draws("list");
+    }
+
+    /** A proxy asks for all changes from now on, and gets the whole list first. */
+    void follows(Node node) {
+        int life = node.life();
+        if (down) {
+            stage.after(NO_ANSWER, () -> {
+                if (node.life() == life) {
+                    node.listFailed();
+                }
+            });
+        } else {
+            tell(node, null);
+        }
+    }
+
+    @Override
+    protected void tellAll(News news) {
+        lastAt.keySet().forEach(node -> tell(node, news));
+    }
+
+    @Override
+    protected void breakOff() {
+        lastAt.keySet().forEach(Node::listFailed);
+    }
+
+    private void tell(Node node, News news) {
+        int life = node.life();
+        long way = Math.round(stage.scenario.roster.delay() * (0.5 + draws.uniform()));
+        long at = Math.max(stage.now() + way, lastAt.getOrDefault(node, 0L));
+        lastAt.put(node, at);
+        stage.after(at - stage.now(), () -> {
+            if (node.life() == life && !down) {
+                node.told(news == null ? all() : List.of(news), news == null);
+            }
+        });
+    }
+}
--- a/lab/src/main/java/wheattrack/lab/world/Node.java
+++ b/lab/src/main/java/wheattrack/lab/world/Node.java
@@ -1,7 +1,6 @@
 package wheattrack.lab.world;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,15 +11,19 @@
 import wheattrack.lab.referee.Entry;
 import wheattrack.lab.referee.Entry.Answer;
 import wheattrack.lab.referee.Entry.State;
+import wheattrack.lab.stage.Crowd;
+import wheattrack.lab.stage.Door;
+import wheattrack.lab.stage.Machine;
+import wheattrack.lab.stage.Roster;
+import wheattrack.lab.stage.Visitor;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
 import wheattrack.port.RuleSet;
 
 /** One proxy of the virtual world: the module's port over virtual links. It decides nothing. */
-final class Node implements Port {
-    static final long LONG_AGO = Fleet.LONG_AGO;
-    private static final long WRITE_PART = 200, GUARD = 50, DIAL = 2_500, RETRANSMIT = 2_000;
+final class Node extends Door implements Port {
+    private static final long WRITE_PART = 200, GUARD = 50, DIAL = 2_500;
 
     /** A req at this proxy. */
     static final class Guest {
@@ -50,7 +53,7 @@
     }
 
     /** One dispatch. */
-    final class Leg {
+    final class Leg implements Visitor {
         private final Guest guest;
         private final Srv srv;
         private final Result next;
@@ -59,8 +62,7 @@
         private Deadlines.Entry timer;
         private boolean begun, over, holds;
         private int lifeOfServer;
-        /** How the server is told that its connection has closed, while it has the dispatch. */
-        Runnable at;
+        private Runnable at;
 
         Leg(Guest guest, Srv srv, Result next) {
             this.guest = guest;
@@ -68,19 +70,37 @@
             this.next = next;
         }
 
-        Node node() {
-            return Node.this;
+        @Override
+        public int proxy() {
+            return place;
+        }
+
+        @Override
+        public void stops(Runnable how) {
+            at = how;
         }
 
-        long req() {
+        @Override
+        public void heard(Outcome how) {
+            world.after(world.way(zone, world.machine(srv.id)), () -> {
+                if (lifeOfNode == life) {
+                    end(how);
+                }
+            });
+        }
+
+        @Override
+        public long req() {
             return guest.ask.req();
         }
 
-        double work() {
+        @Override
+        public double work() {
             return guest.ask.want().work();
         }
 
-        long due() {
+        @Override
+        public long due() {
             return guest.ask.due();
         }
 
@@ -102,7 +122,7 @@
             } else if (holds) {
                 int lived = lifeOfServer;
                 Runnable stop = at;
-                world.after(world.way(zone, m.zone) + m.linkDelay, () -> {
+                world.after(world.way(zone, m), () -> {
                     m.hangsUp(lived);
                     if (stop != null && lived == m.epoch()) {
                         stop.run();
@@ -112,7 +132,7 @@
             holds = false;
             if (how == Outcome.DONE && !guest.over) {
                 close(guest);
-                world.crowd.answers(guest.ask, Answer.DONE, 0);
+                answer(guest, Answer.DONE, 0);
             }
             world.after(0, () -> {
                 if (lifeOfNode == life) {
@@ -122,53 +142,66 @@
         }
     }
 
-    final int place, zone;
     private final World world;
+    private final Listing list;
     private final Mind.Maker maker;
     private final long seed;
     private final Map<Long, Guest> guests = new LinkedHashMap<>();
-    private final Map<Integer, Long> starts = new HashMap<>();
     private Fleet<Integer, Srv> fleet = new Fleet<>(Srv::new);
     private List<Roster.News> saved = List.of();
     private Mind mind;
     private boolean up;
     private int life;
 
-    Node(World world, int place, Mind.Maker maker, long seed) {
+    Node(World world, Listing list, int place, Mind.Maker maker, long seed) {
+        super(place, world.scenario.zones);
         this.world = world;
-        this.place = place;
+        this.list = list;
         this.maker = maker;
         this.seed = seed;
-        zone = place % world.scenario.zones;
     }
 
-    boolean isUp() {
+    @Override
+    public boolean isUp() {
         return up;
     }
 
-    int life() {
+    @Override
+    public int life() {
         return life;
     }
 
     /** It starts from nothing but the list as it last had it. */
-    void start() {
+    @Override
+    public void start() {
         up = true;
         life++;
         fleet = new Fleet<>(Srv::new);
-        starts.clear();
         world.say(Entry.proxy(world.now(), place, true));
         mind = maker.make(this, seed + life, place);
         if (!saved.isEmpty()) {
             List<Roster.News> old = saved;
             tell(old, true, true);
         }
+        world.crowd().sees(this, true);
+    }
+
+    @Override
+    public void halt(boolean still) {
+        throw new IllegalStateException("not on the virtual clock");
+    }
+
+    @Override
+    public void skew(double millis) {
+        throw new IllegalStateException("not on the virtual clock");
     }
 
     /** The process is killed: its connections break. */
-    void kill() {
+    @Override
+    public void kill() {
         up = false;
         life++;
-        saved = lastList();
+        saved = new ArrayList<>(last.values());
         world.say(Entry.proxy(world.now(), place, false));
         for (Guest g : guests.values()) {
             g.over = true;
@@ -178,10 +211,10 @@
                 world.cancel(leg.timer);
                 Machine m = world.machine(leg.srv.id);
                 if (leg.holds && leg.at != null && leg.lifeOfServer == m.epoch()) {
-                    world.after(world.way(zone, m.zone), leg.at);
+                    world.after(world.way(zone, m), leg.at);
                 }
             }
-            world.crowd.breaks(g.ask);
+            answer(g, Answer.BROKEN, 0);
         }
         guests.clear();
         for (Machine m : world.machines()) {
@@ -196,14 +229,6 @@
 
     private final Map<Integer, Roster.News> last = new LinkedHashMap<>();
 
-    private List<Roster.News> lastList() {
-        return new ArrayList<>(last.values());
-    }
-
-    long knowsStart(int server) {
-        return starts.getOrDefault(server, Long.MIN_VALUE);
-    }
-
     void told(List<Roster.News> news, boolean all) {
         if (up) {
             tell(news, all, false);
@@ -226,7 +251,6 @@
             last.put(n.server(), n);
             Srv srv = fleet.admit(n.server());
             boolean fresh = fleet.met(srv);
-            starts.put(n.server(), n.start());
             if (!old) {
                 world.say(Entry.told(world.now(), place, n.server(), n.state(), n.start()));
             }
@@ -234,8 +258,8 @@
             int kinds = world.scenario.servers.stream().map(s -> s.kind()).distinct().toList()
                 .indexOf(m.kind.kind());
             mind.entry(srv.at, m.place, n.state() == State.READY, m.zone, m.place / 4, kinds,
-                m.kind.cores() * m.kind.speed(), n.start() == LONG_AGO ? LONG_AGO : World.EPOCH + n.start(),
-                fresh);
+                m.kind.cores() * m.kind.speed(),
+                n.start() == Roster.LONG_AGO ? Roster.LONG_AGO : World.EPOCH + n.start(), fresh);
         }
         mind.listed(old);
     }
@@ -253,24 +277,33 @@
         }
     }
 
-    /** The watch broke. */
-    void listBroke() {
-        listFailed();
-    }
-
     @Override
     public void follow() {
-        world.roster.follows(this);
+        list.follows(this);
     }
 
     @Override
     public void fetch() {
-        world.roster.follows(this);
+        list.follows(this);
     }
 
     // ---- reqs
 
-    void take(Crowd.Ask ask) {
+    @Override
+    public void take(Crowd.Ask ask) {
+        long sent = world.now();
+        world.after(world.vary(world.scenario.net.client()), () -> {
+            if (up) {
+                world.say(Entry.taken(sent, ask.req(), ask.op().id(), place, ask.due(),
+                    ask.want().set().rules().at()));
+                admit(ask);
+            } else {
+                world.after(world.vary(world.scenario.net.client()), () -> world.crowd().refused(ask));
+            }
+        });
+    }
+
+    private void admit(Crowd.Ask ask) {
         Guest g = new Guest(ask);
         guests.put(ask.req(), g);
         RuleSet set = ask.want().set().rules();
@@ -285,9 +318,9 @@
         g.held = mind.arrive(g.req);
     }
 
-    /** The client of this req hung up. */
-    void left(long req) {
-        Guest g = guests.get(req);
+    @Override
+    public void left(Crowd.Ask ask) {
+        Guest g = guests.get(ask.req());
         if (g != null) {
             close(g);
             g.held.left();
@@ -315,7 +348,7 @@
             srv.life = m.epoch();
             srv.idle = 0;
         }
-        long way = world.way(zone, m.zone) + m.linkDelay + (world.links.happens(m.linkLoss) ? RETRANSMIT : 0);
+        long way = world.way(zone, m);
         if (srv.idle > 0) {
             srv.idle--;
             begin(leg, m, way, false);
@@ -368,18 +401,12 @@
 
     private void arrives(Leg leg, Machine m, long sent, boolean anew) {
         if (leg.lifeOfServer != m.epoch()) {
-            world.after(world.way(zone, m.zone), () -> leg.end(Outcome.RESET));
+            world.after(world.way(zone, m), () -> leg.end(Outcome.RESET));
         } else {
             m.arrive(leg, sent, anew);
         }
     }
 
-    void heard(Leg leg, Outcome how) {
-        if (leg.lifeOfNode == life) {
-            leg.end(how);
-        }
-    }
-
     @Override
     public void cancel(Req req, int leg) {
         ((Guest) req.door).legs.get(leg).giveUp(Outcome.CANCELLED);
@@ -396,9 +423,12 @@
     }
 
     private void answer(Req req, Answer how, long wait) {
-        Guest g = (Guest) req.door;
-        close(g);
-        world.crowd.answers(g.ask, how, wait);
+        close((Guest) req.door);
+        answer((Guest) req.door, how, wait);
+    }
+
+    private void answer(Guest g, Answer how, long wait) {
+        world.after(world.vary(world.scenario.net.client()), () -> world.crowd().answers(g.ask, how, wait));
     }
 
     @Override
--- a/lab/src/main/java/wheattrack/lab/world/World.java
+++ b/lab/src/main/java/wheattrack/lab/world/World.java
@@ -1,33 +1,32 @@
 package wheattrack.lab.world;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Consumer;
 import wheattrack.core.Deadlines;
 import wheattrack.lab.load.Draws;
 import wheattrack.lab.referee.Entry;
+import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.stage.Door;
+import wheattrack.lab.stage.Machine;
+import wheattrack.lab.stage.Stage;
+import wheattrack.lab.stage.Timeline;
 
 /**
  * A whole deployment in one thread under a virtual clock: proxies that decide by the module itself, servers,
  * list, links, front and clients. The same scenario, seed and policy give the same entries on any machine.
  * Times are tenths of a millisecond from the start of the run.
  */
-public final class World {
+public final class World extends Stage {
     /** What a proxy's clock shows at the start of the run. */
     static final long EPOCH = 1_000_000;
-    private static final long AFTER = 4 * Scenario.SECOND;
+    private static final long AFTER = 4 * Scenario.SECOND, RETRANSMIT = 2_000;
 
-    final Scenario scenario;
     final Draws links;
-    final Crowd crowd;
-    final Roster roster;
     final boolean guarded;
-    private final List<Machine> machines = new ArrayList<>();
-    private final List<Node> nodes = new ArrayList<>();
+    private final long[] linkDelay;
+    private final double[] linkLoss;
     private final Consumer<Entry> ledger;
     private final Deadlines agenda = new Deadlines();
-    private final long seed;
     private long now;
     private long steps;
 
@@ -37,35 +36,27 @@
 
     /** guarded: proxies abort what stands open past its due, as those on sockets do. */
     World(Scenario scenario, long seed, Mind.Maker maker, boolean guarded, Consumer<Entry> ledger) {
-        this.scenario = scenario;
+        super(scenario, seed);
         this.guarded = guarded;
-        this.seed = seed;
         this.ledger = ledger;
         links = draws("links");
-        for (int i = 0; i < scenario.serverCount(); i++) {
-            machines.add(new Machine(this, i, scenario.kindOf(i)));
-        }
-        roster = new Roster(this);
+        linkDelay = new long[scenario.serverCount()];
+        linkLoss = new double[scenario.serverCount()];
+        Listing list = new Listing(this);
+        roster = list;
         Draws seeds = draws("proxies");
         for (int i = 0; i < scenario.proxies; i++) {
-            nodes.add(new Node(this, i, maker, seeds.seed()));
+            doors.add(new Node(this, list, i, maker, seeds.seed()));
         }
-        crowd = new Crowd(this);
-    }
-
-    Draws draws(String part) {
-        return new Draws(seed, part);
     }
 
     /** Plays the whole run. */
     public void run() {
-        machines.forEach(m -> m.start(false));
-        nodes.forEach(Node::start);
-        nodes.forEach(node -> crowd.sees(node, true));
+        machines().forEach(m -> m.start(false));
+        doors().forEach(Door::start);
         Timeline.schedule(this);
-        crowd.open();
-        long longest = scenario.sets.stream().mapToLong(s -> s.rules().timeout()).max().orElse(0);
-        long end = scenario.length + longest + AFTER;
+        crowd().open();
+        long end = end() + AFTER;
         for (Runnable next = null; agenda.first() <= end; ) {
             now = Math.max(now, agenda.first());
             next = agenda.due(now);
@@ -81,42 +72,39 @@
         return steps;
     }
 
-    long now() {
+    @Override
+    public long now() {
         return now;
     }
 
-    Deadlines.Entry after(long delay, Runnable then) {
+    @Override
+    public Deadlines.Entry after(long delay, Runnable then) {
         return agenda.add(now + Math.max(0, delay), then);
     }
 
-    void cancel(Deadlines.Entry entry) {
+    @Override
+    public void cancel(Deadlines.Entry entry) {
         agenda.cancel(entry);
     }
 
-    void say(Entry e) {
+    @Override
+    public void say(Entry e) {
         ledger.accept(e);
     }
 
-    Machine machine(int place) {
-        return machines.get(place);
-    }
-
-    List<Machine> machines() {
-        return machines;
-    }
-
-    Node node(int place) {
-        return nodes.get(place);
-    }
-
-    List<Node> nodes() {
-        return nodes;
+    @Override
+    public void link(Fault fault, int server, boolean on) {
+        if (fault.kind() == Fault.Kind.LINK_DELAY) {
+            linkDelay[server] = on ? Math.round(fault.size() * Scenario.MS) : 0;
+        } else {
+            linkLoss[server] = on ? fault.size() : 0;
+        }
     }
 
-    /** One way between these zones. */
-    long way(int one, int other) {
-        long mean = one == other ? scenario.net.same() : scenario.net.cross();
-        return vary(mean);
+    /** One way between a proxy's zone and a server, as its link is now. */
+    long way(int from, Machine to) {
+        long mean = from == to.zone ? scenario.net.same() : scenario.net.cross();
+        return vary(mean) + linkDelay[to.place] + (links.happens(linkLoss[to.place]) ? RETRANSMIT : 0);
     }
 
     long vary(long mean) {
--- a/proxy/src/main/java/wheattrack/Logs.java
+++ b/proxy/src/main/java/wheattrack/Logs.java
@@ -4,12 +4,15 @@
 import java.util.logging.Handler;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
-import java.util.logging.SimpleFormatter;
+import wheattrack.config.Operator;
+import wheattrack.log.JsonLines;
+import wheattrack.log.Limit;
+import wheattrack.log.PlainLines;
 
-/** Logs by java.util.logging, a line each on standard error, to the very end: the exit resets no handler. */
+/** Logs by java.util.logging, a line each on standard error, to the end: the exit resets no handler. */
 public final class Logs extends LogManager {
     /** To be called once java.util.logging.manager names this class, before any logger is. */
-    static void open() {
+    static void open(Operator.Log log) {
         System.setProperty("java.util.logging.SimpleFormatter.format",
             "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         Logger root = Logger.getLogger("");
@@ -17,7 +20,10 @@
             root.removeHandler(old);
         }
         Handler console = new ConsoleHandler();
-        console.setFormatter(new SimpleFormatter());
+        console.setFormatter(log.json() ? new JsonLines() : new PlainLines());
+        if (log.linesPerSecond() > 0) {
+            console.setFilter(new Limit(log.linesPerSecond()));
+        }
         root.addHandler(console);
     }
 
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -14,16 +14,18 @@
 import org.apache.commons.cli.ParseException;
 import wheattrack.config.BadConfig;
 import wheattrack.config.Config;
+import wheattrack.config.Operator;
 import wheattrack.drill.Drill;
 import wheattrack.net.Server;
 
 /** The command line. */
 public final class Main {
     private static final String USAGE = """
-        usage: wheattrack COMMAND [--config FILE]
+        usage: wheattrack COMMAND [--config FILE] [--operator FILE]
           serve    one proxy on sockets, as the configuration says (or $GW_CONFIG)
           rehearse starts one on a free port, asks it whether it is ready and ends it in order
-          check    reads the configuration and says whether it can be used
+          check    reads the configuration, the operators' file or both and says whether they can be used;
+                   with --print-defaults it prints the operators' file with all defaults
           drill    decides for a simulator on standard input and output
           version  prints the version
           help     prints this""";
@@ -38,18 +40,25 @@
     private static int run(String[] args) throws IOException {
         CommandLine line;
         try {
-            line = new DefaultParser().parse(new Options().addOption("c", "config", true, ""), args);
+            line = new DefaultParser().parse(new Options().addOption("c", "config", true, "")
+                .addOption("o", "operator", true, "").addOption(null, "print-defaults", false, "")
+                .addOption("h", "help", false, ""), args);
         } catch (ParseException e) {
             return fault("wheattrack: " + e.getMessage());
         }
+        if (line.hasOption("help")) {
+            System.out.println(USAGE);
+            return 0;
+        }
         if (line.getArgs().length != 1) {
             return fault(USAGE);
         }
         try {
             switch (line.getArgs()[0]) {
-                case "serve" -> serve(file(line));
+                case "serve" -> serve(file(line), line.hasOption("operator")
+                    ? Operator.read(Path.of(line.getOptionValue("operator"))).log : Operator.plainLog());
                 case "rehearse" -> rehearse(file(line));
-                case "check" -> System.out.println("good: " + Config.read(file(line)).name);
+                case "check" -> check(line);
                 case "drill" -> drill();
                 case "version" -> System.out.println("wheattrack " + Main.class.getPackage()
                     .getImplementationVersion());
@@ -77,10 +86,25 @@
         return Path.of(file);
     }
 
-    private static void serve(Path file) throws IOException {
+    private static void check(CommandLine line) {
+        if (line.hasOption("print-defaults")) {
+            System.out.print(Operator.DEFAULTS);
+            return;
+        }
+        if (line.hasOption("operator")) {
+            String operator = line.getOptionValue("operator");
+            Operator.read(Path.of(operator));
+            System.out.println("good: " + operator);
+        }
+        if (line.hasOption("config") || !line.hasOption("operator")) {
+            System.out.println("good: " + Config.read(file(line)).name);
+        }
+    }
+
+    private static void serve(Path file, Operator.Log log) throws IOException {
         Config config = Config.read(file);
         System.setProperty("java.util.logging.manager", Logs.class.getName());
-        Logs.open();
+        Logs.open(log);
         Server server;
         try {
             server = new Server(config);
--- a/proxy/src/main/java/wheattrack/net/Link.java
+++ b/proxy/src/main/java/wheattrack/aio/Link.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.aio;
 
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -8,14 +8,14 @@
 import java.util.ArrayDeque;
 
 /** One TCP connection: at most one read and one write at a time, each ending as a step of the loop. */
-abstract class Link {
-    final Loop loop;
+public abstract class Link {
+    protected final Loop loop;
     private final AsynchronousSocketChannel channel;
     private boolean closed;
     private boolean reading;
     private final ArrayDeque<ByteBuffer> writes = new ArrayDeque<>();
 
-    Link(Loop loop, AsynchronousSocketChannel channel) {
+    protected Link(Loop loop, AsynchronousSocketChannel channel) {
         this.loop = loop;
         this.channel = channel;
         try {
@@ -25,7 +25,7 @@
         }
     }
 
-    final void connect(SocketAddress to, Runnable up, Runnable failed) {
+    public final void connect(SocketAddress to, Runnable up, Runnable failed) {
         try {
             channel.connect(to, null, loop.handler(none -> up.run(), why -> failed.run()));
         } catch (RuntimeException e) {
@@ -34,7 +34,7 @@
     }
 
     /** Reads once into the room; came() follows, also at the end or a break (-1), but not after close(). */
-    final void read(ByteBuffer room) {
+    public final void read(ByteBuffer room) {
         if (closed || reading) {
             return;
         }
@@ -50,7 +50,7 @@
     }
 
     /** Writes all, after what is being written; wrote() follows, with whether the last byte was taken. */
-    final void write(ByteBuffer bytes) {
+    public final void write(ByteBuffer bytes) {
         writes.add(bytes);
         if (writes.size() == 1) {
             writeOn();
@@ -74,19 +74,19 @@
         wrote(n >= 0 && !bytes.hasRemaining());
     }
 
-    final boolean isReading() {
+    public final boolean isReading() {
         return reading;
     }
 
-    final boolean isWriting() {
+    public final boolean isWriting() {
         return !writes.isEmpty();
     }
 
-    final boolean isClosed() {
+    public final boolean isClosed() {
         return closed;
     }
 
-    final void endOutput() {
+    public final void endOutput() {
         try {
             channel.shutdownOutput();
         } catch (IOException | RuntimeException e) {
@@ -94,7 +94,7 @@
         }
     }
 
-    void close() {
+    public void close() {
         if (closed) {
             return;
         }
--- a/proxy/src/main/java/wheattrack/net/Loop.java
+++ b/proxy/src/main/java/wheattrack/aio/Loop.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.aio;
 
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
@@ -15,24 +15,28 @@
  * The one thread that runs completion handlers, deadlines and the module, and its clock. The channel group
  * hands its handlers over as tasks; what a step leaves for later runs as a step of its own, never nested.
  */
-final class Loop extends AbstractExecutorService {
+public final class Loop extends AbstractExecutorService {
     private static final Logger LOG = Logger.getLogger("wheattrack");
     private static final long NANOS = 100_000;      // in the project's unit of time
     private static final long LATE = 100, HEAR = 10, LONGEST = 10_000;
 
+    /** For trials of clocks that disagree: milliseconds by which this process's clock is off. */
+    private static final long SKEW = (long) Double.parseDouble(
+        System.getProperty("wheattrack.skew", "0"));
+
     private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
     private final Deadlines deadlines = new Deadlines();
-    private final long offset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private final long offset = (System.currentTimeMillis() + SKEW) * 1_000_000 - System.nanoTime();
     private long now;
     private volatile boolean stopped;
 
-    Loop() {
+    public Loop() {
         tick();
     }
 
     /** Tenths of a millisecond since 1970, rounded up; stands still within a step. */
-    long now() {
+    public long now() {
         return now;
     }
 
@@ -40,21 +44,22 @@
         now = Math.max(now, Math.floorDiv(System.nanoTime() + offset + NANOS - 1, NANOS));
     }
 
-    Deadlines.Entry after(long delay, Runnable then) {
+    /** Runs then after so long, unless it is cancelled; on the loop's thread only. */
+    public Deadlines.Entry after(long delay, Runnable then) {
         return deadlines.add(now + Math.max(0, delay), then);
     }
 
-    void cancel(Deadlines.Entry entry) {
+    public void cancel(Deadlines.Entry entry) {
         deadlines.cancel(entry);
     }
 
     /** To be run on the loop's thread after the present step; called on that thread only. */
-    void step(Runnable then) {
+    public void step(Runnable then) {
         next.add(then);
     }
 
     /** Hands what becomes of a channel's operation over as a step. */
-    <R> CompletionHandler<R, Void> handler(Consumer<R> then, Consumer<Throwable> failed) {
+    public <R> CompletionHandler<R, Void> handler(Consumer<R> then, Consumer<Throwable> failed) {
         return new CompletionHandler<>() {
             @Override
             public void completed(R result, Void none) {
@@ -69,7 +74,7 @@
     }
 
     /** Runs until stopped. */
-    void run() {
+    public void run() {
         while (!stopped) {
             tick();
             if (now - deadlines.first() > LATE) {
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/config/Operator.java
@@ -0,0 +1,46 @@
+package wheattrack.config;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * The operators' own file: what this installation switches on beside what the platform tells. All of it is
+ * off by default; later parts add their tables here. Errors are {@link BadConfig} and name file, line, key.
+ */
+public final class Operator {
+    /** The log's form, and how many lines a second an event may have (0: all). */
+    public record Log(boolean json, int linesPerSecond) {
+    }
+
+    /** What holds where there is no file, in the file's own form. */
+    public static final String DEFAULTS = """
+        # What the operators of an installation switch on. Each key stands here with its default.
+
+        [log]
+        format = "plain"              # or "json": an object a line
+        lines-per-second = 0          # an event's, the rest is counted; 0: all
+        """;
+
+    public final Log log;
+
+    private Operator(Table t) {
+        Table l = t.part("log");
+        log = new Log(l.choice("format", List.of("plain", "json")).equals("json"),
+            l.count("lines-per-second", 0, 0, 1_000_000));
+        t.done();
+    }
+
+    public static Operator read(Path file) {
+        return new Operator(Table.read(file));
+    }
+
+    /** Reads a text; name stands for the file in errors. */
+    public static Operator of(String name, String text) {
+        return new Operator(Table.of(name, text));
+    }
+
+    /** Without a file; no TOML is read, as a start has no time for it. */
+    public static Log plainLog() {
+        return new Log(false, 0);
+    }
+}
--- a/proxy/src/main/java/wheattrack/config/Table.java
+++ b/proxy/src/main/java/wheattrack/config/Table.java
@@ -109,6 +109,38 @@
         return path.isEmpty() ? key : key.isEmpty() ? path : path + "." + key;
     }
 
+    /** Sets a key, by its path of tables and list places (as in fault[0].size), to a value as TOML has it. */
+    public void set(String keyPath, String value) {
+        Object parsed;
+        try {
+            parsed = new TomlMapper().readValue("v = " + value, Map.class).get("v");
+        } catch (JacksonException e) {
+            throw fault(keyPath, "can't be set to " + value);
+        }
+        Object here = all;
+        String[] parts = keyPath.replace("[", ".[").split("\\.");
+        for (int i = 0; i < parts.length; i++) {
+            here = step(here, parts[i], keyPath, i == parts.length - 1 ? parsed : null);
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private Object step(Object here, String part, String keyPath, Object last) {
+        if (part.matches("\\[\\d+\\]") && here instanceof List<?> list) {
+            int i = Integer.parseInt(part.substring(1, part.length() - 1));
+            if (i < list.size()) {
+                return list.get(i);
+            }
+        } else if (here instanceof Map<?, ?> map && !part.startsWith("[")) {
+            if (last != null) {
+                ((Map<String, Object>) map).put(part, last);
+                return last;
+            }
+            return ((Map<String, Object>) map).computeIfAbsent(part, k -> new java.util.LinkedHashMap<>());
+        }
+        throw fault(keyPath, "names nothing that is there");
+    }
+
     public boolean has(String key) {
         return all.get(key) != null;
     }
--- a/proxy/src/main/java/wheattrack/net/Backend.java
+++ b/proxy/src/main/java/wheattrack/net/Backend.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import wheattrack.aio.Loop;
 import wheattrack.core.Fleet;
 import wheattrack.port.Outcome;
 
--- a/proxy/src/main/java/wheattrack/net/Client.java
+++ b/proxy/src/main/java/wheattrack/net/Client.java
@@ -1,6 +1,8 @@
 package wheattrack.net;
 
 import java.nio.channels.AsynchronousSocketChannel;
+import wheattrack.aio.Link;
+import wheattrack.aio.Loop;
 import wheattrack.core.Deadlines;
 import wheattrack.http.BadMessage;
 import wheattrack.http.Encoder;
@@ -168,7 +170,7 @@
     }
 
     @Override
-    void close() {
+    public void close() {
         if (isClosed()) {
             return;
         }
--- a/proxy/src/main/java/wheattrack/net/Dialler.java
+++ b/proxy/src/main/java/wheattrack/net/Dialler.java
@@ -4,6 +4,7 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
+import wheattrack.aio.Loop;
 import wheattrack.core.Slots;
 
 /** Opens connections to backends, within the budget of descriptors; at its limit an idle one gives way. */
--- a/proxy/src/main/java/wheattrack/net/Front.java
+++ b/proxy/src/main/java/wheattrack/net/Front.java
@@ -6,14 +6,14 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
-import java.util.logging.Logger;
+import wheattrack.aio.Loop;
 import wheattrack.core.Life;
 import wheattrack.core.Slots;
 import wheattrack.http.Request;
+import wheattrack.log.Event;
 
 /** Where clients connect: takes connections within a budget of descriptors and hands their requests on. */
 final class Front {
-    private static final Logger LOG = Logger.getLogger("wheattrack");
     private static final int BACKLOG = 1024;
     private static final long PAUSE = 200;          // after a failed accept, tenths of a millisecond
     private static final long LOG_EVERY = 10_000;
@@ -67,7 +67,7 @@
     private void acceptFailed(Throwable why) {
         accepting = false;
         if (channel.isOpen()) {
-            note("not accepted: " + why);
+            note("not accepted", why.toString());
             freeOne();
             loop.after(PAUSE, this::accept);
         }
@@ -101,7 +101,7 @@
         if (path.equals(Wire.READY)) {
             client.answer(Wire.plain(life.isReady() ? 200 : 503, life.phase().name(), keeps(request.keep())));
         } else if (clients.size() > most) {
-            note("denied: " + clients.size() + " clients are connected");
+            note("denied", clients.size() + " clients are connected");
             client.answer(Wire.denied(0, false));
         } else {
             taker.take(client, request);
@@ -109,16 +109,16 @@
     }
 
     void refused(int status, String why) {
-        note("answered " + status + ": " + why);
+        note("answered " + status, why);
     }
 
     /** Bad input may come in floods: a line a second. */
-    private void note(String what) {
+    private void note(String event, String cause) {
         if (loop.now() - loggedAt < LOG_EVERY) {
             unlogged++;
             return;
         }
-        LOG.info(what + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
+        Event.info(event, null, cause + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
         loggedAt = loop.now();
         unlogged = 0;
     }
@@ -132,7 +132,7 @@
         try {
             channel.close();
         } catch (IOException e) {
-            LOG.warning("the listening socket: " + e);
+            Event.warning("the listening socket", null, e.toString());
         }
     }
 
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/Listing.java
@@ -7,19 +7,18 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.logging.Logger;
 import java.util.zip.CRC32;
 import wheattrack.Rules;
+import wheattrack.aio.Loop;
 import wheattrack.config.BadConfig;
 import wheattrack.config.Config;
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
 import wheattrack.core.Fleet;
+import wheattrack.log.Event;
 
 /** The list of backends on the wire: the watch on it, and its entries turned into calls on the module. */
 final class Listing {
-    private static final Logger LOG = Logger.getLogger("wheattrack");
-
     private final Loop loop;
     private final AsynchronousChannelGroup group;
     private InetSocketAddress discovery;
@@ -86,7 +85,7 @@
     }
 
     private void failed(String why) {
-        LOG.info("watch on the list: " + why);
+        Event.info("watch on the list", null, why);
         rules.listFailed();
     }
 
@@ -112,7 +111,7 @@
             try {
                 entry(entry);
             } catch (BadConfig e) {
-                LOG.warning("skipped an entry of the list: " + e.getMessage());
+                Event.warning("skipped an entry of the list", null, e.getMessage());
             }
         }
         version = rev;
@@ -145,7 +144,7 @@
         Backend backend = fleet.admit(id);
         boolean fresh = fleet.met(backend);
         if (fresh) {
-            LOG.info("met srv " + number(id) + ": " + id + " at " + e.word("endpoint"));
+            Event.info("met srv", Long.toString(number(id)), id + " at " + e.word("endpoint"));
         }
         boolean ready = state.equals("SERVING");
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/Proxy.java
@@ -3,12 +3,16 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.logging.Logger;
+import java.util.logging.Level;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import wheattrack.Rules;
+import wheattrack.aio.Loop;
 import wheattrack.config.Settings;
 import wheattrack.core.Slots;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
+import wheattrack.log.Event;
 import wheattrack.port.Outcome;
 import wheattrack.port.Port;
 import wheattrack.port.Req;
@@ -16,7 +20,8 @@
 
 /** The module's port on sockets: reqs, dispatches and the list; it decides nothing. */
 final class Proxy implements Port {
-    private static final Logger LOG = Logger.getLogger("wheattrack");
+    /** What the module says of a srv: what happened, its number, why. */
+    private static final Pattern SAID = Pattern.compile("(\\D+) (\\d+): (.*)");
     /** Of a req's time, kept back so that its answer is out before the client stops waiting. */
     private static final long WRITE_PART = 200;
     private static final long GUARD = 50;
@@ -75,7 +80,7 @@
 
     /** Only a failure of the program leaves a req open past its due; even then it has its answer. */
     private void forgotten(Guest guest) {
-        LOG.severe("a req stood open past its due");
+        Event.log(Level.SEVERE, "a req stood open past its due", guest.call.id(), null);
         guest.dispatches.forEach(d -> d.giveUp(Outcome.TIMEOUT));
         if (!guest.over) {
             abort(guest.req);
@@ -207,7 +212,12 @@
 
     @Override
     public void log(String text) {
-        LOG.info(text);
+        Matcher said = SAID.matcher(text);
+        if (said.matches()) {
+            Event.info(said.group(1), said.group(2), said.group(3));
+        } else {
+            Event.info(text, null, null);
+        }
     }
 
     @Override
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
+import wheattrack.aio.Loop;
 import wheattrack.config.BadConfig;
 import wheattrack.config.Config;
 import wheattrack.config.Settings;
-import wheattrack.core.Life;
 import wheattrack.core.Life.Phase;
+import wheattrack.log.Event;
+import wheattrack.core.Life;
 import wheattrack.port.RuleSet;
 
 /** One real proxy: puts the parts together and leads them from start to exit. */
@@ -27,7 +29,7 @@
 
     private Config config;
     private final Loop loop = new Loop();
-    private final Life life = new Life(phase -> LOG.info("phase " + phase));
+    private final Life life = new Life(phase -> Event.info("phase", phase.name(), null));
     private final Front front;
     private final Listing listing;
     private final Proxy proxy;
@@ -102,7 +104,7 @@
             try {
                 turnTo(Config.read(file));
             } catch (BadConfig e) {
-                LOG.warning("configuration kept as it was: " + e.getMessage());
+                Event.warning("configuration kept as it was", null, e.getMessage());
             }
         });
     }
--- a/proxy/src/main/java/wheattrack/net/Upstream.java
+++ b/proxy/src/main/java/wheattrack/net/Upstream.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousSocketChannel;
+import wheattrack.aio.Link;
 import wheattrack.core.Deadlines;
 import wheattrack.http.BadMessage;
 import wheattrack.http.Encoder;
@@ -143,7 +144,7 @@
     }
 
     @Override
-    void close() {
+    public void close() {
         if (isClosed()) {
             return;
         }
--- a/proxy/src/main/java/wheattrack/net/Watch.java
+++ b/proxy/src/main/java/wheattrack/net/Watch.java
@@ -5,6 +5,8 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.function.Consumer;
+import wheattrack.aio.Link;
+import wheattrack.aio.Loop;
 import wheattrack.core.Deadlines;
 import wheattrack.http.BadMessage;
 import wheattrack.http.Encoder;
@@ -87,7 +89,7 @@
     }
 
     @Override
-    void close() {
+    public void close() {
         super.close();
         loop.cancel(silence);
     }
--- a/proxy/src/test/java/wheattrack/net/LoopTest.java
+++ b/proxy/src/test/java/wheattrack/aio/LoopTest.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.aio;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
