Hints that begin or change unit: learnt costs are carried over, nothing stands still

Cause: costs are in the unit of hints, and without hints a req costs 1. Servers learnt to do 1 in 20 ms; the first hints made a mean req 200, so each server seemed to hold 4 s of others' queue (waiting()), all was denied, nothing was sent and nothing learnt until the time busy had faded.

Change: where hints begin after reqs without, or the mean log of the last 32 leaves the window's by a factor of 8, what is learnt as cost is carried over in proportion. By construction: with nothing out, and nothing sent for a tightest target, a req is sent whatever is learnt. The denied part ends at a hundredth (it was halved for ever, and hopeless reqs went on being denied). A line a second says when much is denied while nothing is out, and why.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -35,6 +35,10 @@
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
+    private static final int LATELY = 32;           // hints that tell whether their unit has moved,
+    private static final double JUMP = Math.log(8); // by their mean log against the window's
+    private static final double ODD = 1000;         // times the median hint: what lies above counts as that
+    private static final double TRACE = 0.01;       // a part denied that is none
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
     private static final int MANY = 4, FEW = 8;     // proxies that meet a srv; srvs a proxy meets at least
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
@@ -83,6 +87,12 @@
     private double usualPace = 1, usualLoad;        // cost a srv does for us, by weight: busy, in all
     private double keep = KEEP;                     // of what is learnt of a srv, by the second or the visit
     private double meanCost = 1, meanWorth = 1;
+    private double lately, windowLog, mostHint = Integer.MAX_VALUE;
+    private double unit = 1;                        // costs of now in one of the start
+    private int outs, idleDenied;                   // dispatches out; reqs denied this second with none
+    private long sentAt;
+    private boolean began;                          // to get hints after reqs without
+    private String why = "";
     private double trust = 0.5, scale = 1, flat;    // cost: flat + scale x hint to the power of trust
     private final Fit fit = new Fit(HINTS);
     private final Tally late = new Tally();
@@ -193,22 +203,61 @@
 
     private void recut() {
         if (seen > 0) {
+            boolean moved = seen > LATELY && Math.abs(lately - windowLog) > JUMP;
+            if (moved) {
+                forgetOld();
+            }
             int n = (int) Math.min(seen, HINTS);
             values = Arrays.copyOf(window, n);
             Arrays.sort(values);
             below = new double[n + 1];
-            double sum = 0, bent = 0;
-            for (double hint : values) {
+            mostHint = ODD * values[n / 2];
+            double sum = 0, bent = 0, logs = 0, before = meanCost;
+            for (double value : values) {
+                double hint = Math.min(value, mostHint);
                 sum += hint;
                 bent += Math.pow(hint, trust);
+                logs += Math.log(hint);
             }
+            windowLog = logs / n;
             flat = FLAT * sum / n;
             scale = (1 - FLAT) * sum / bent;
             for (int i = 0; i < n; i++) {
                 below[i + 1] = below[i] + expected(values[i]);
             }
             meanCost = below[n] / n;
+            if (moved || began && n <= LATELY) {
+                rescale(meanCost / before);
+            }
+        }
+    }
+
+    /** The latest hints alone are of the unit that hints have now. */
+    private void forgetOld() {
+        double[] latest = new double[LATELY];
+        for (int i = 0; i < LATELY; i++) {
+            latest[i] = window[(int) ((seen - LATELY + i) % HINTS)];
+        }
+        System.arraycopy(latest, 0, window, 0, LATELY);
+        seen = LATELY;
+        port.log("hints moved " + Math.round(100 * Math.exp(lately - windowLog)) + ": per cent of before");
+    }
+
+    // Hints that begin or change their unit: a mean req is as much work as before, whatever it is called. All
+    // that was learnt as cost is carried over so; else idle srvs looked as if each req took them seconds.
+    private void rescale(double times) {
+        unit *= times;
+        for (double[] costs : new double[][] {costSum, outCost, ghost, spent, kindCost}) {
+            for (int i = 0; i < costs.length; i++) {
+                costs[i] *= times;
+            }
         }
+        allOut *= times;
+        usualPace *= times;
+        usualLoad *= times;
+        late.cost *= times;
+        meanWorth *= times;
+        fit.shift(Math.log(times));
     }
 
     /** The ready srvs by id, or of many proxies its turn of them, each with its share of the cut. */
@@ -257,12 +306,12 @@
 
     // Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
     // one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
-    private boolean bears(int b, int load, long now) {
+    private boolean bears(int b, double load, long now) {
         if (now - upSince[b] >= cold) {
             return true;
         }
         if (usualLoad == 0) {
-            return out[b] == 0 && order.length <= 1;
+            return out[b] == 0 && (order.length <= 1 || isStill(now));
         }
         double rate = fallMultiple / 3 * warmth(b, now) * usualLoad * weight[b];
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
@@ -302,6 +351,11 @@
         }
         double excess = 3 * (late.sentLate - MISSED * mayWait * late.sent) / (late.came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
+        refuse = refuse < TRACE ? 0 : refuse;       // halved for ever, it still denied what had little hope
+        if (idleDenied > Math.max(4, (1 - KEEP * KEEP) * late.came / 2)) {
+            port.log("denied " + idleDenied + ": in a second, while nothing was out; " + why);
+        }
+        idleDenied = 0;
         double missed = late.came > 0 ? late.missed / late.came : 0;
         abroad = Math.min(1, Math.max(0.02, abroad * (missed >= crossPrice / 4 ? 1 + 5 * missed : 0.9)));
         late.fade(KEEP * KEEP);
@@ -325,7 +379,7 @@
 
     /** The cost a hint stands for: as far as lags bear it out, small hints hide more and large ones less. */
     private double expected(double hint) {
-        return flat + scale * Math.pow(hint, trust);
+        return flat + scale * Math.pow(Math.min(hint, mostHint), trust);
     }
 
     // How steeply lags follow hints, in logs, beside some reqs that half believe them. Lags above the fit
@@ -376,25 +430,33 @@
     // Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. The one mean req
     // that is in work, its way there and back with it, is no such wait: service days denied at idle srvs.
     private boolean takes(int b, long left) {
+        if (isStill(port.now())) {
+            return true;
+        }
         double own = calmly * meanCost / pace(b), most = mayWait * left;
         boolean stands = stand[b] > Math.max(CALM * shortest, own);
         return waiting(b) <= (stands ? Math.min(most, Math.max(CALM * left, own)) : most);
     }
 
+    /** Nothing is out, and was sent for a target: whatever is learnt, one req may find out. */
+    private boolean isStill(long now) {
+        return outs == 0 && now - sentAt >= shortest;
+    }
+
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
-    private double finish(int b, int cost) {
+    private double finish(int b, double cost) {
         settle(b, port.now());
         return (outCost[b] + ghost[b] + cost) / pace(b);
     }
 
     /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
     private int trial(Course c, long now) {
-        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.load > meanCost
+        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.load() > meanCost
                 || taken - triedAt < TRIALS) {
             return -1;
         }
         for (int b : order) {
-            if (shut[b] && now >= trialAt[b] && ourTurn(b, now) && bears(b, c.load, now)) {
+            if (shut[b] && now >= trialAt[b] && ourTurn(b, now) && bears(b, c.load(), now)) {
                 triedAt = taken;
                 trialAt[b] = now + trialGap[b];
                 trialGap[b] = Math.min(4 * SECOND, 2 * trialGap[b]);
@@ -424,13 +486,13 @@
         for (int k = 0; k < n && looks > 0; k++) {
             int b = order[(from + k) % n];
             if (!ready[b] || shut[b] && shuts < n || !c.allows(b, now) || !ourTurn(b, now)
-                    || !bears(b, c.load, now) || out[b] >= Math.max(1, room[b])) {
+                    || !bears(b, c.load(), now) || out[b] >= Math.max(1, room[b])) {
                 continue;
             }
             looks--;
             boolean crowded = outCost[b] > 1.2 * allOut * share[b] / ends[n - 1] + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
-            double finish = finish(b, Math.max(c.load, c.req.cost));
+            double finish = finish(b, Math.max(c.load(), c.req.cost));
             crowded |= finish + c.req.cost / pace(b) > left;
             int rank = !takes(b, left) ? 4 : finish > left ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
@@ -442,6 +504,10 @@
                 spare = b;
             }
         }
+        for (int k = 0; spare < 0 && k < n && isStill(now); k++) {
+            int b = order[(from + k) % n];          // the others are cold: one that is shut may be well again
+            spare = c.allows(b, now) && ourTurn(b, now) && bears(b, c.load(), now) ? b : -1;
+        }
         return spare;
     }
 
@@ -450,7 +516,11 @@
     public Port.Held arrive(Req req) {
         if (req.cost > 0) {
             window[(int) (seen++ % HINTS)] = req.cost;
-            if ((seen & seen - 1) == 0) {           // a thin window: cut anew whenever it has doubled
+            began |= seen == 1 && taken > 0;
+            double log = Math.log(Math.min(req.cost, mostHint));
+            lately += (log - lately) / Math.min(LATELY, seen);
+            if ((seen & seen - 1) == 0 || seen > LATELY && Math.abs(lately - windowLog) > JUMP) {
+                // a thin window, or one in another unit: cut anew whenever it has doubled, or moved
                 recut();
             }
         }
@@ -493,17 +563,22 @@
     /** One open req: its dispatches and what may still be done for it. */
     private final class Course implements Port.Held {
         final Req req;
-        final int load;
+        private final double asked, unitThen = unit;
         boolean over, streaming;
         int live;
         final List<Leg> legs = new ArrayList<>(2);
 
         Course(Req req) {
             this.req = req;
-            load = (int) Math.max(1, req.cost > 0 ? expected(req.cost) : meanCost);
+            asked = (int) Math.max(1, req.cost > 0 ? expected(req.cost) : meanCost);
             open.add(this);
         }
 
+        /** Its cost in the unit of now. */
+        double load() {
+            return asked * unit / unitThen;
+        }
+
         /** Not where it was last. Rule two: once it may have run, only where a repeat does no harm. */
         boolean allows(int b, long now) {
             RuleSet set = req.ruleSet;
@@ -529,22 +604,28 @@
         void next() {
             long now = port.now();
             int b = order.length > 0 && legs.size() < maxDispatches && now < req.due ? pick(this) : -1;
-            boolean shed = legs.isEmpty() && refuse > 0 && chance.draw() < Math.pow(refuse, hope(now));
+            boolean shed = legs.isEmpty() && refuse > 0 && !isStill(now)
+                && chance.draw() < Math.pow(refuse, hope(now));
             if (b >= 0 && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
+                if (legs.isEmpty() && outs == 0) {
+                    idleDenied++;
+                    why = order.length == 0 ? "no srv is ready" : b < 0 ? "all are cold, shut or full"
+                        : shed ? "a part is denied, as too many ended late" : "each wait is judged too long";
+                }
                 giveUp();
             }
         }
 
         /** Its value for its cost against the mean, the less the surer it is to be late. */
         double hope(long now) {
-            double inTime = left(now) * late.cost / (late.time * load + 1);
+            double inTime = left(now) * late.cost / (late.time * load() + 1);
             return Math.min(2, inTime * inTime) * req.ruleSet.value() * meanCost / meanWorth;
         }
 
         double worth() {
-            return req.ruleSet.value() * load;
+            return req.ruleSet.value() * load();
         }
 
         long left(long now) {
@@ -557,9 +638,11 @@
             live++;
             settle(b, leg.sent);
             out[b]++;
-            outCost[b] += load;
-            allOut += load;
-            spent[b] += Math.max(load, meanCost);
+            outs++;
+            sentAt = leg.sent;
+            outCost[b] += load();
+            allOut += load();
+            spent[b] += Math.max(load(), meanCost);
             port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, lag, ended));
         }
 
@@ -570,6 +653,8 @@
             live--;
             settle(b, port.now());
             out[b]--;
+            outs--;
+            double load = load();
             outCost[b] -= load;
             allOut -= load;
             late.time += port.now() - leg.sent;
--- a/decisions/src/main/java/wheattrack/figures/Fit.java
+++ b/decisions/src/main/java/wheattrack/figures/Fit.java
@@ -26,6 +26,11 @@
         slope += step * ((1 - step) * dx * dy - slope);
     }
 
+    /** All points so far as if they stood so much further on. */
+    public void shift(double dx) {
+        meanX += dx;
+    }
+
     /** Whether a point lies above the line. */
     public boolean isAbove(double x, double y) {
         return weight > 0 && y - meanY > slope / (spread + TINY) * (x - meanX);
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -352,4 +352,52 @@
         w.say("of 120: " + Arrays.toString(went));
         w.matches("no-hints");
     }
+
+    /** Reqs one after the other, 20 ms each; says how many were sent. */
+    private static void count(World w, String what, int reqs, int hint) {
+        int sent = w.sent.size();
+        w.quiet = true;
+        for (int i = 0; i < reqs; i++) {
+            int before = w.sent.size();
+            w.arrive("r", hint);
+            w.pass(200);
+            if (w.sent.size() > before) {
+                w.end(Outcome.DONE);
+            }
+        }
+        w.quiet = false;
+        w.say(what + ": " + (w.sent.size() - sent) + " of " + reqs + " sent");
+    }
+
+    /** A release of the clients, idle srvs denied for 4 s: hints begin, end, begin again in thousands. */
+    @Test
+    void hintsBegin() throws IOException {
+        World all = new World();
+        for (int proxies : new int[] {1, 3, 300}) {
+            World w = replayable(3, 0, proxies, false);
+            count(w, "without hints", 200, 0);
+            count(w, "hints of 20 ms", 50, 200);
+            count(w, "without again", 50, 0);
+            count(w, "hints of 20,000 ms", 100, 200_000);
+            count(w, "hints of 0.2 ms", 100, 2);
+            all.say("one of " + proxies + " proxies\n" + w.trace);
+        }
+        all.matches("hints-begin");
+    }
+
+    /** Much denied while nothing is out: one line a second says so, and why. */
+    @Test
+    void deniesWhileIdle() throws IOException {
+        World w = replayable(2, false);
+        w.rules.gone(0);
+        w.rules.gone(1);
+        w.rules.listed(false);
+        for (int i = 0; i < 30; i++) {
+            w.quiet = true;
+            w.arrive("r", 100);
+            w.quiet = false;
+            w.pass(SECOND / 10);
+        }
+        w.matches("denies-while-idle");
+    }
 }
--- a/lab/src/main/java/wheattrack/lab/scenario/Fault.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Fault.java
@@ -1,5 +1,6 @@
 package wheattrack.lab.scenario;
 
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,7 +23,9 @@
         LIST_DOWN(true, true), LIST_STALE(true, true), LIST_EMPTY(true, true),
         LINK_DELAY(true, true), LINK_HOLD(false, true), LINK_DROP(true, true), LINK_CUT(false, true),
         LINK_RESET(false, true), LINK_CORRUPT(false, true),
-        BURST(true, true), HINT_SHARE(true, true), HINT_SCALE(true, true), HINT_NOISE(true, true);
+        BURST(true, true), HINT_SHARE(true, true), HINT_SCALE(true, true), HINT_NOISE(true, true),
+        HINT_CONSTANT(true, true), HINT_RANDOM(true, true), HINT_INVERTED(true, true),
+        HINT_ABSURD(true, true);
 
         public final boolean virtual, real;
 
@@ -40,6 +43,11 @@
             return Set.of(KILL_PROXY, STOP_PROXY, CLOCK_PROXY).contains(this);
         }
 
+        /** Whether it may be of one rule set only. */
+        public boolean hitsRuleSets() {
+            return name().startsWith("HINT");
+        }
+
         public boolean hitsServers() {
             return Set.of(CRASH, VANISH, HANG, SLOW, FAIL, PAUSE, SHRINK, DRAIN).contains(this)
                 || name().startsWith("LINK");
@@ -55,11 +63,16 @@
     }
 
     /** What size means to a kind, its default and its bounds; kinds that are not here have none. */
-    static final Map<Kind, List<Double>> SIZES = Map.of(
-        Kind.SLOW, List.of(4.0, 1.0, 1000.0), Kind.FAIL, List.of(0.5, 0.0, 1.0),
+    static final Map<Kind, List<Double>> SIZES = new EnumMap<>(Map.of(
+        Kind.SLOW, List.of(4.0, 0.001, 1000.0), Kind.FAIL, List.of(0.5, 0.0, 1.0),
         Kind.PAUSE, List.of(200.0, 1.0, 60_000.0), Kind.BURST, List.of(2.0, 0.01, 100.0),
         Kind.LINK_DELAY, List.of(50.0, 0.0, 60_000.0), Kind.LINK_DROP, List.of(0.02, 0.0, 1.0),
         Kind.HINT_SHARE, List.of(1.0, 0.0, 1.0), Kind.HINT_SCALE, List.of(1000.0, 1e-6, 1e9),
         Kind.HINT_NOISE, List.of(1.0, 0.0, 10.0),
-        Kind.CLOCK_PROXY, List.of(200.0, -3_600_000.0, 3_600_000.0));
+        Kind.CLOCK_PROXY, List.of(200.0, -3_600_000.0, 3_600_000.0)));
+
+    static {
+        SIZES.put(Kind.HINT_CONSTANT, List.of(20.0, 0.001, 1e9));
+        SIZES.put(Kind.HINT_ABSURD, List.of(214_748_364.7, 0.0001, 1e9));
+    }
 }
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -262,7 +262,8 @@
             }
             long lasts = seconds(f, "for-s", 0, 0, 3600);
             int most = kind.hitsProxies() ? proxies : servers.stream().mapToInt(Servers::count).sum();
-            Fault.Hits hits = new Fault.Hits(-1, 0);
+            Fault.Hits hits = new Fault.Hits(kind.hitsRuleSets()
+                ? f.count("rule-set", -1, -1, sets.size() - 1) : -1, 0);
             if (kind.hitsProxies() || kind.hitsServers()) {
                 hits = new Fault.Hits(f.count("place", -1, -1, most - 1), f.number("share", 0, 0, 1));
             }
--- a/lab/src/main/java/wheattrack/lab/stage/Timeline.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Timeline.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.IntConsumer;
 import wheattrack.lab.load.Draws;
+import wheattrack.lab.load.Want.Source.Sense;
 import wheattrack.lab.referee.Entry;
 import wheattrack.lab.referee.Entry.State;
 import wheattrack.lab.scenario.Fault;
@@ -112,9 +113,13 @@
             case LINK_DELAY, LINK_DROP, LINK_HOLD, LINK_CUT, LINK_RESET, LINK_CORRUPT -> each(hit, s ->
                 stage.link(f, s, true));
             case BURST -> stage.crowd().arrivals().times(f.size());
-            case HINT_SHARE -> stage.crowd().wants().share(f.size());
+            case HINT_SHARE -> stage.crowd().wants().share(f.what().place(), f.size());
             case HINT_SCALE -> stage.crowd().wants().scale(f.size());
             case HINT_NOISE -> stage.crowd().wants().noise(f.size());
+            case HINT_CONSTANT -> stage.crowd().wants().sense(Sense.CONSTANT, f.size() * Scenario.MS);
+            case HINT_RANDOM -> stage.crowd().wants().sense(Sense.RANDOM, 0);
+            case HINT_INVERTED -> stage.crowd().wants().sense(Sense.INVERTED, 0);
+            case HINT_ABSURD -> stage.crowd().wants().once(f.size() * Scenario.MS);
             default -> throw new IllegalStateException("unknown fault " + f.kind());
         }
     }
@@ -139,9 +144,10 @@
             case LINK_DELAY, LINK_DROP, LINK_HOLD, LINK_CUT, LINK_RESET, LINK_CORRUPT -> each(hit, s ->
                 stage.link(f, s, false));
             case BURST -> stage.crowd().arrivals().times(1);
-            case HINT_SHARE -> stage.crowd().wants().share(stage.scenario.hints.share());
+            case HINT_SHARE -> stage.crowd().wants().share(-1, stage.scenario.hints.share());
             case HINT_SCALE -> stage.crowd().wants().scale(stage.scenario.hints.scale());
             case HINT_NOISE -> stage.crowd().wants().noise(stage.scenario.hints.noise());
+            case HINT_CONSTANT, HINT_RANDOM, HINT_INVERTED -> stage.crowd().wants().sense(Sense.ROUGH, 0);
             default -> { }
         }
     }
