A moved unit of hints shows after some six hints; retries of one heavy req do not count

Change: 16 hints, marked retries left out, and the threshold is five deviations of such a mean where the window is wide; after a move the mean starts from the hints that are kept. The report shows the work each server got and its labels are right (read in a browser).

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -35,8 +35,8 @@
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
-    private static final int LATELY = 32;           // hints that tell whether their unit has moved,
-    private static final double JUMP = Math.log(8); // by their mean log against the window's
+    private static final int LATELY = 16;           // hints that tell whether their unit has moved,
+    private static final double JUMP = Math.log(8), SURE = 5;   // by their mean log against the window's
     private static final double ODD = 1000;         // times the median hint: what lies above counts as that
     private static final double TRACE = 0.01;       // a part denied that is none
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
@@ -87,7 +87,7 @@
     private double usualPace = 1, usualLoad;        // cost a srv does for us, by weight: busy, in all
     private double keep = KEEP;                     // of what is learnt of a srv, by the second or the visit
     private double meanCost = 1, meanWorth = 1;
-    private double lately, windowLog, mostHint = Integer.MAX_VALUE;
+    private double lately, windowLog, jump = JUMP, mostHint = Integer.MAX_VALUE;
     private double unit = 1;                        // costs of now in one of the start
     private int outs, idleDenied;                   // dispatches out; reqs denied this second with none
     private long sentAt;
@@ -203,7 +203,7 @@
 
     private void recut() {
         if (seen > 0) {
-            boolean moved = seen > LATELY && Math.abs(lately - windowLog) > JUMP;
+            boolean moved = moved();
             if (moved) {
                 forgetOld();
             }
@@ -212,14 +212,18 @@
             Arrays.sort(values);
             below = new double[n + 1];
             mostHint = ODD * values[n / 2];
-            double sum = 0, bent = 0, logs = 0, before = meanCost;
+            double sum = 0, bent = 0, logs = 0, squares = 0, before = meanCost;
             for (double value : values) {
                 double hint = Math.min(value, mostHint);
                 sum += hint;
                 bent += Math.pow(hint, trust);
-                logs += Math.log(hint);
+                double log = Math.log(hint);
+                logs += log;
+                squares += log * log;
             }
             windowLog = logs / n;
+            double spread = Math.sqrt(Math.max(0, squares / n - windowLog * windowLog));
+            jump = Math.max(JUMP, SURE * spread / Math.sqrt(2 * LATELY - 1));
             flat = FLAT * sum / n;
             scale = (1 - FLAT) * sum / bent;
             for (int i = 0; i < n; i++) {
@@ -232,6 +236,10 @@
         }
     }
 
+    private boolean moved() {
+        return seen > LATELY && Math.abs(lately - windowLog) > jump;
+    }
+
     /** The latest hints alone are of the unit that hints have now. */
     private void forgetOld() {
         double[] latest = new double[LATELY];
@@ -240,6 +248,7 @@
         }
         System.arraycopy(latest, 0, window, 0, LATELY);
         seen = LATELY;
+        lately = Arrays.stream(latest).map(Math::log).sum() / LATELY;
         port.log("hints moved " + Math.round(100 * Math.exp(lately - windowLog)) + ": per cent of before");
     }
 
@@ -517,9 +526,11 @@
         if (req.cost > 0) {
             window[(int) (seen++ % HINTS)] = req.cost;
             began |= seen == 1 && taken > 0;
-            double log = Math.log(Math.min(req.cost, mostHint));
-            lately += (log - lately) / Math.min(LATELY, seen);
-            if ((seen & seen - 1) == 0 || seen > LATELY && Math.abs(lately - windowLog) > JUMP) {
+            if (!req.again || lately == 0) {        // grown overload: one heavy req, tried again and again
+                double log = Math.log(Math.min(req.cost, mostHint));
+                lately = lately == 0 ? log : lately + (log - lately) / LATELY;
+            }
+            if ((seen & seen - 1) == 0 || moved()) {
                 // a thin window, or one in another unit: cut anew whenever it has doubled, or moved
                 recut();
             }
--- a/lab/src/main/java/wheattrack/lab/load/Want.java
+++ b/lab/src/main/java/wheattrack/lab/load/Want.java
@@ -19,7 +19,7 @@
         private final Draws draws;
         private final double total;
         private final double[] share;
-        private double noise, scale, constant, once;
+        private double noise, scale, constant, once, mixed;
         private Sense sense = Sense.ROUGH;
 
         public Source(Scenario scenario, Draws draws) {
@@ -53,6 +53,11 @@
             constant = size;
         }
 
+        /** This share of the clients says a thousand times what the others say. */
+        public void mixed(double share) {
+            mixed = share;
+        }
+
         /** The next hint says this, in tenths of a millisecond. */
         public void once(double hint) {
             once = hint;
@@ -78,6 +83,7 @@
                 case INVERTED -> set.work() * set.work() / work * off;
             };
             double hint = draws.happens(share[set.rules().at()]) ? Math.max(1, says * scale) : 0;
+            hint *= draws.happens(mixed) ? 1000 : 1;
             if (once > 0) {
                 hint = once;
                 once = 0;
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -20,6 +20,7 @@
  * time. It keeps something for each req and server of the run, and goes with it. One thread.
  */
 public final class Referee implements Consumer<Entry> {
+    private static final long MOST_WORK = 1_000_000;
     private static final int MOST_TOLD = 20;        // breaks spelt out; the rest is counted
 
     /** A rule broken, by whom and how. */
@@ -78,6 +79,7 @@
     private final List<Break> breaks = new ArrayList<>();
     private final List<Second> seconds = new ArrayList<>();
     private final Map<Integer, long[]> byServer = new HashMap<>();
+    private final Map<Integer, Histogram> work = new TreeMap<>();
     private final Map<Integer, ByProxy> byProxy = new TreeMap<>();
     private final Histogram latency = new Histogram(10 * 60_000L * 10, 3);
     private final List<Entry> faults = new ArrayList<>();
@@ -225,6 +227,8 @@
     private void came(Entry e) {
         Try t = tries.get(e.req());
         dispatches++;
+        Histogram h = work.computeIfAbsent(e.server(), n -> new Histogram(MOST_WORK, 2));
+        h.recordValue(Math.max(0, Math.min(MOST_WORK, Math.round(e.figure()))));
         proxy(e.proxy()).sent.merge(e.server(), 1, Integer::sum);
         second(e.at()).dispatches++;
         crossings += e.proxy() % scenario.zones != e.server() % scenario.zones ? 1 : 0;
@@ -368,8 +372,11 @@
         f.put("p99", latency.getValueAtPercentile(99) / 10.0);
         f.put("p999", latency.getValueAtPercentile(99.9) / 10.0);
         f.put("late-drain", lateDrain / 10.0);
+        Map<Integer, double[]> quantiles = new TreeMap<>();
+        work.forEach((server, h) -> quantiles.put(server, new double[] {h.getValueAtPercentile(10) / 10.0,
+            h.getValueAtPercentile(50) / 10.0, h.getValueAtPercentile(90) / 10.0}));
         return new Verdict(scenario, f, List.copyOf(breaks), List.copyOf(seconds), Map.copyOf(byServer),
-            byProxy, List.copyOf(faults), latency);
+            quantiles, byProxy, List.copyOf(faults), latency);
     }
 
     /** Value done in time over value asked for, by the seconds of asking that begin in this stretch. */
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -10,11 +10,13 @@
 
 /**
  * What the referee found of one run. Figures by name; byServer: dispatches by second and server's place;
+ * work: ms at speed 1 of what each server got, a tenth lies below, half, nine tenths;
  * latency in tenths of a millisecond from a client's first try.
  */
 public record Verdict(Scenario scenario, Map<String, Double> figures, List<Referee.Break> breaks,
         List<Referee.Second> seconds, Map<Integer, long[]> byServer,
-        Map<Integer, Referee.ByProxy> byProxy, List<Entry> faults, Histogram latency) {
+        Map<Integer, double[]> work, Map<Integer, Referee.ByProxy> byProxy,
+        List<Entry> faults, Histogram latency) {
 
     /** The expectations that do not hold. */
     public List<Expect> shortfalls() {
--- a/lab/src/main/java/wheattrack/lab/report/Page.java
+++ b/lab/src/main/java/wheattrack/lab/report/Page.java
@@ -46,13 +46,14 @@
             + "border-bottom:1px solid #ddd;text-align:right}td:first-child,th:first-child{text-align:left}"
             + "svg text{font:11px system-ui,sans-serif;fill:#444}"
             + ".bad{color:#b00020;font-weight:600}</style>");
-        add("<h1>%s</h1><p>%s %s clock, %d proxies, %d servers, %s s.</p>", escaped(scenario.name),
+        add("<h1>%s</h1><p>%s. %s clock, %d proxies, %d servers, %s s.</p>", escaped(scenario.name),
             escaped(scenario.about), scenario.virtual ? "Simulated on a virtual" : "On sockets by a real",
             scenario.proxies, scenario.serverCount(), Verdict.text(seconds));
         legend();
         service();
         outcomes();
         servers();
+        intervals();
         latency();
         figures();
         breaks();
@@ -102,7 +103,8 @@
             LEFT - 6, y(part) + 4, label));
         double step = seconds > 60 ? 10 : seconds > 20 ? 5 : seconds > 5 ? 2 : 1;
         for (double s = 0; s <= seconds; s += step) {
-            add("<text x='%.1f' y='%d' text-anchor='middle'>%s s</text>", x(s), HIGH - 6, Verdict.text(s));
+            add("<text x='%.1f' y='%d' text-anchor='%s'>%s s</text>", x(s), HIGH - 6,
+                s + step > seconds ? "end" : "middle", Verdict.text(s));
         }
     }
 
@@ -173,6 +175,44 @@
         add("</svg>");
     }
 
+    /** A row a server: the work of the middle eight tenths of what it got, its median marked. */
+    private void intervals() {
+        Map<Integer, double[]> rows = runs.get(0).verdict().work();
+        double low = Double.MAX_VALUE, high = 1;
+        for (double[] row : rows.values()) {
+            low = Math.min(low, row[0]);
+            high = Math.max(high, row[2]);
+        }
+        double from = Math.log(Math.max(0.1, low)), wide = Math.max(0.1, Math.log(high) - from);
+        int thick = Math.max(4, Math.min(14, 420 / Math.max(1, rows.size())));
+        int tall = rows.size() * thick + BASE + 10;
+        add("<h2>Work of what each server got (%s), ms, logarithmic: a tenth below, the median, a tenth above"
+            + "</h2><svg viewBox='0 0 %d %d' width='%d' height='%d' role='img'>", escaped(runs.get(0).name()),
+            WIDE, tall, WIDE, tall);
+        int row = 0;
+        double span = WIDE - LEFT - 30;
+        for (Map.Entry<Integer, double[]> e : rows.entrySet()) {
+            int top = 6 + row * thick;
+            double a = LEFT + span * (Math.log(Math.max(0.1, e.getValue()[0])) - from) / wide;
+            double m = LEFT + span * (Math.log(Math.max(0.1, e.getValue()[1])) - from) / wide;
+            double b = LEFT + span * (Math.log(Math.max(0.1, e.getValue()[2])) - from) / wide;
+            if (thick >= 10 || row % 10 == 0) {
+                add("<text x='%d' y='%d' text-anchor='end'>%d</text>", LEFT - 6, top + thick - 2, e.getKey());
+            }
+            add("<rect x='%.1f' y='%d' width='%.1f' height='%d' fill='#1b6ca8' fill-opacity='.45'/>", a, top,
+                Math.max(1, b - a), thick - 1);
+            add("<rect x='%.1f' y='%d' width='2' height='%d' fill='#0b3a5e'/>", m, top, thick - 1);
+            row++;
+        }
+        for (double v = 0.1; v <= high; v *= 10) {
+            if (Math.log(v) >= from) {
+                add("<text x='%.1f' y='%d' text-anchor='middle'>%s ms</text>",
+                    LEFT + span * (Math.log(v) - from) / wide, tall - 6, Verdict.text(v));
+            }
+        }
+        add("</svg>");
+    }
+
     private void latency() {
         double most = 1;
         for (Run run : runs) {
@@ -190,7 +230,8 @@
         double gap = (WIDE - LEFT - 30) / (double) (PERCENTILES.length - 1);
         for (int p = 0; p < PERCENTILES.length; p++) {
             add("<text x='%.1f' y='%d' text-anchor='middle'>%s%%</text>", LEFT + p * gap, HIGH - 6,
-                Verdict.text(PERCENTILES[p]).replaceAll("0+$", "").replaceAll("^$", "0"));
+                new java.math.BigDecimal(PERCENTILES[p]).setScale(2, java.math.RoundingMode.HALF_UP)
+                    .stripTrailingZeros().toPlainString());
         }
         for (int i = 0; i < runs.size(); i++) {
             List<double[]> points = new ArrayList<>();
--- a/lab/src/main/java/wheattrack/lab/scenario/Fault.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Fault.java
@@ -25,7 +25,7 @@
         LINK_RESET(false, true), LINK_CORRUPT(false, true),
         BURST(true, true), HINT_SHARE(true, true), HINT_SCALE(true, true), HINT_NOISE(true, true),
         HINT_CONSTANT(true, true), HINT_RANDOM(true, true), HINT_INVERTED(true, true),
-        HINT_ABSURD(true, true);
+        HINT_ABSURD(true, true), HINT_MIXED(true, true);
 
         public final boolean virtual, real;
 
@@ -72,6 +72,7 @@
         Kind.CLOCK_PROXY, List.of(200.0, -3_600_000.0, 3_600_000.0)));
 
     static {
+        SIZES.put(Kind.HINT_MIXED, List.of(0.5, 0.0, 1.0));
         SIZES.put(Kind.HINT_CONSTANT, List.of(20.0, 0.001, 1e9));
         SIZES.put(Kind.HINT_ABSURD, List.of(214_748_364.7, 0.0001, 1e9));
     }
--- a/lab/src/main/java/wheattrack/lab/stage/Timeline.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Timeline.java
@@ -119,6 +119,7 @@
             case HINT_CONSTANT -> stage.crowd().wants().sense(Sense.CONSTANT, f.size() * Scenario.MS);
             case HINT_RANDOM -> stage.crowd().wants().sense(Sense.RANDOM, 0);
             case HINT_INVERTED -> stage.crowd().wants().sense(Sense.INVERTED, 0);
+            case HINT_MIXED -> stage.crowd().wants().mixed(f.size());
             case HINT_ABSURD -> stage.crowd().wants().once(f.size() * Scenario.MS);
             default -> throw new IllegalStateException("unknown fault " + f.kind());
         }
@@ -147,6 +148,7 @@
             case HINT_SHARE -> stage.crowd().wants().share(-1, stage.scenario.hints.share());
             case HINT_SCALE -> stage.crowd().wants().scale(stage.scenario.hints.scale());
             case HINT_NOISE -> stage.crowd().wants().noise(stage.scenario.hints.noise());
+            case HINT_MIXED -> stage.crowd().wants().mixed(0);
             case HINT_CONSTANT, HINT_RANDOM, HINT_INVERTED -> stage.crowd().wants().sense(Sense.ROUGH, 0);
             default -> { }
         }
