--- a/lab/src/main/java/wheattrack/lab/real/Caller.java
+++ b/lab/src/main/java/wheattrack/lab/real/Caller.java
@@ -59,7 +59,7 @@
         if (call == null || out.hasRemaining()) {
             return;
         }
-        if (whole && !call.taken) {
+        if (whole && !call.taken && call.ask.isOpen()) {
             call.taken = true;
             Crowd.Ask ask = call.ask;
             stage.say(Entry.taken(stage.now(), ask.req(), ask.op().id(), to.place, stage.now() + call.timeout,
--- a/lab/src/main/java/wheattrack/lab/stage/Crowd.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Crowd.java
@@ -14,6 +14,10 @@
 public final class Crowd {
     /** One try: a req on its way to a proxy. */
     public record Ask(long req, Want want, long due, boolean again, Op op, int proxy) {
+        /** Whether its client still waits for it. */
+        public boolean isOpen() {
+            return op.open == this;
+        }
     }
 
     /** What a client wants, over all its tries. */
@@ -117,6 +121,7 @@
         if (op.open == ask) {
             op.over = true;
             op.left = true;
+            op.open = null;
             stage.say(Entry.left(stage.now(), ask.req));
             door.left(ask);
         }
--- a/lab/src/main/java/wheattrack/lab/world/Node.java
+++ b/lab/src/main/java/wheattrack/lab/world/Node.java
@@ -293,6 +293,9 @@
     public void take(Crowd.Ask ask) {
         long sent = world.now();
         world.after(world.vary(world.scenario.net.client()), () -> {
+            if (!ask.isOpen()) {
+                return;                             // the client hung up before it was here
+            }
             if (up) {
                 world.say(Entry.taken(sent, ask.req(), ask.op().id(), place, ask.due(),
                     ask.want().set().rules().at()));
--- a/lab/src/test/java/wheattrack/lab/world/WorldTest.java
+++ b/lab/src/test/java/wheattrack/lab/world/WorldTest.java
@@ -164,6 +164,17 @@
         caught("cold", play("replayable", CRASH, herd));
     }
 
+    /** Clients that hang up at any moment, also with the req still on its way: nothing is lost by that. */
+    @Test
+    void impatientClientsLoseNothing() {
+        Scenario s = Texts.small("non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
+        Referee referee = new Referee(s);
+        new World(s, 4, Minds.Policy.RULES, referee).run();
+        Verdict v = referee.verdict();
+        assertEquals(0, v.figures().get("broken"), v.breaks().toString());
+        assertTrue(v.figures().get("done") > 50, v.figures().toString());
+    }
+
     /** The same seed gives the same entries to the last; another seed others. */
     @Test
     void theSameSeedGivesTheSameBytes() {
