Dead members out of the lab: a budget's part, a door's pid, a field for one use

Need: a last read of the change found them; nothing calls them. Change: they are gone, no behaviour with them.

--- a/lab/src/main/java/wheattrack/lab/real/ProxyDoor.java
+++ b/lab/src/main/java/wheattrack/lab/real/ProxyDoor.java
@@ -34,7 +34,7 @@
     private static final long ASK_EVERY = 200;
 
     private final Sockets stage;
-    private final int port, list;
+    private final int port;
     private final Path jar, config;
     private final Sockets.How how;
     private final Server server;
@@ -49,7 +49,6 @@
             throws IOException {
         super(place, stage.scenario.zones);
         this.stage = stage;
-        this.list = list;
         this.jar = jar;
         this.how = how;
         this.server = server;
@@ -76,10 +75,6 @@
         return stage.folder.resolve("p" + place + ".log");
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     @Override
     public void start() {
         life++;
--- a/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
@@ -47,9 +47,4 @@
     public boolean isBreak() {
         return knowing >= sum * 2 / 3;
     }
-
-    /** What is borne now, as a part of what may be. */
-    public double part(double capacity) {
-        return sum / (multiple * capacity * window);
-    }
 }
