Cold budget by warm backends of the own part; after its first turn a proxy stays admitted

Seen, with a copy that writes each proxy's denials and their causes each second (herd+vast, 14 x 60): at 18 s a proxy is sent 113 reqs a second and denies 80 as "no server takes it" with 8 dispatches out. Of its 17 servers 11 are new and cold; in that second they were passed over 290 times for their turn and 865 times for their budget, and the few warm ones hold a queue. The whole fleet did 364 reqs a second of some 1,500 it can do. The survivors of the mass kill do the same, so it is no matter of the restarts; nothing was shut, no list was late by more than a second, full answers came to 1 a second.

Cause, two lines in Rules: learn() took what warm servers do for us (usualLoad) over all listed ones, though a proxy of 14 meets 17 of 60: a budget 3.5 times too small, at each of the four proxies that meet a server. And ourTurn() admitted a proxy for its own slice of 0.75 s alone in the first 4.5 s. Harmless where few servers are new; with a third of the fleet replaced the rest is overrun.

Change: the sum runs over the own part, and a proxy that had its first turn stays admitted. A trace holds what new servers of a part get; before it was none in three of four seconds.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -305,12 +305,12 @@
         return age >= cold ? 1 : startCapacity + (1 - startCapacity) * Math.max(0, age) / cold;
     }
 
-    /** A fresh srv is first met in turns by own number, by several at a time where turns are too few. */
+    /** A fresh srv is first met in turns by own number, then by one proxy more with each turn. */
     private boolean ourTurn(int b, long now) {
         long age = now - upSince[b];
         long turn = Math.max(1, fall / 4);
         long turns = Math.max(1, Math.min(balancers, cold / 2 / turn));
-        return age >= cold / 2 || age >= 0 && age / turn % turns == me % turns;
+        return age >= me % turns * turn;
     }
 
     // Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
@@ -337,6 +337,8 @@
             settle(b, now);
             pace += costSum[b];
             time += busy[b] * weight[b];
+        }
+        for (int b : order) {                       // of those we meet: others get nothing from us
             if (ready[b] && !shut[b] && now - upSince[b] >= cold) {
                 warm += weight[b];
                 warmCost += costSum[b];
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -159,6 +159,31 @@
         w.matches("fresh");
     }
 
+    /**
+     * join+vast, new srvs left idle while the rest was overrun: of 8 proxies before 48 srvs each meets 24, and
+     * the 24 that get nothing from it are no measure of what a cold one can bear.
+     */
+    @Test
+    void freshSrvOfAPart() throws IOException {
+        World w = new World();
+        for (int me = 0; me < 2; me++) {
+            World one = replayable(48, me, 8, false);
+            one.busy(6, COSTS);
+            int fresh = 24 * me + 12;
+            one.list(fresh, true, one.now());
+            one.rules.listed(false);
+            for (int s = 0; s < 8; s++) {
+                int before = one.where.size();
+                one.busy(1, COSTS);
+                List<Integer> went = one.where.subList(before, one.where.size());
+                long met = went.stream().distinct().count();
+                w.say(me + " in second " + s + ": " + Collections.frequency(went, fresh) + " of " + went.size()
+                    + " at " + met);
+            }
+        }
+        w.matches("fresh-part");
+    }
+
     /** amman quiet, falsely shut srvs; repas big-1, hung srvs found late: silence shuts, an answer opens. */
     @Test
     void hungSrv() throws IOException {
