Cold budget by the pace of a kind, shared by those that meet it; a start reckons with all

Ruled out: the list (news comes 2 s after the start, and the four with news all along deny as much), dead addresses (no failed connect in any count), shut servers (one of 17).

Cause: bears() measured a new server by what this proxy sends elsewhere, which falls as it denies: less is sent, so less may be sent. And waiting() took a server it had not met for one that only this proxy sends to; so did the nine others, at the same moment.

Change: the budget is the larger of that and the pace of the server's kind shared among the proxies that meet it, within the bound also with what may come at once. At a server hardly met our own wait counts once for each proxy that meets it.

Traces of both cases; each fails without.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -41,6 +41,7 @@
     private static final double TRACE = 0.01;       // a part denied that is none
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
     private static final int MANY = 4, FEW = 8;     // proxies that meet a srv; srvs a proxy meets at least
+    private static final double ATONCE = 0.25;      // of a cold srv's bound: what may come at once
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
@@ -78,6 +79,7 @@
     private long seen, taken, triedAt;
     private int[] order = {};
     private double[] values = {}, below = {0}, ends = {};
+    private double meeting = 1;                     // proxies that meet a srv
     private int shuts;                              // shut ones among the ready
     private double allOut;                          // cost out from us anywhere
     private double abroad;                          // nearness of srvs in other zones, 0 to 1
@@ -279,6 +281,7 @@
         order = IntStream.range(0, all.length)
             .filter(i -> Math.floorMod(i - (long) me * part, all.length) < n).map(i -> all[i]).toArray();
         ends = new double[n];
+        meeting = Math.max(1, (double) balancers * n / Math.max(1, all.length));
         shuts = 0;
         double[] failures = Arrays.stream(order).mapToDouble(this::failure).sorted().toArray();
         double usual = n == 0 ? 0 : failures[n / 2];
@@ -322,7 +325,8 @@
         if (usualLoad == 0) {
             return out[b] == 0 && (order.length <= 1 || isStill(now));
         }
-        double rate = fallMultiple / 3 * warmth(b, now) * usualLoad * weight[b];
+        double able = Math.max(usualLoad * weight[b] / 3, (1 - ATONCE / meeting) * usual(b) / meeting);
+        double rate = fallMultiple * warmth(b, now) * able;
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
         double need = Math.max(load, meanCost);     // one of hundreds may send one req in some seconds
@@ -434,7 +438,7 @@
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
         double own = Math.max(0, finish(b, (int) (-meanCost / balancers)));     // incident: idle srvs denied
-        return seen == 0 || busy[b] < SECOND / 2 ? own
+        return seen == 0 || busy[b] < SECOND / 2 ? own * meeting
             : Math.max(own, finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
     }
 
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -184,6 +184,51 @@
         w.matches("fresh-part");
     }
 
+    /** herd+vast, new srvs kept idle as long as little was sent anywhere: the budget is what they can do. */
+    @Test
+    void freshSrvAfterAQuietTime() throws IOException {
+        World w = new World();
+        for (int proxies : new int[] {1, 3}) {
+            World one = replayable(2, 0, proxies, false);
+            one.rules.gone(1);
+            one.rules.listed(false);
+            one.quiet = true;
+            for (int i = 0; i < 40; i++) {
+                one.arrive("seldom", 40);
+                one.pass(40);
+                one.end(Outcome.DONE);
+                one.pass(SECOND / 5);
+            }
+            one.list(1, true, one.now());
+            one.rules.listed(false);
+            for (int s = 0; s < 3; s++) {
+                int before = one.where.size();
+                one.busy(1, COSTS);
+                List<Integer> went = one.where.subList(before, one.where.size());
+                w.say("of " + proxies + " in second " + s + ": " + Collections.frequency(went, 1) + " of "
+                    + went.size());
+            }
+        }
+        w.matches("fresh-quiet");
+    }
+
+    /** herd+vast, ten of 14 start anew at once and fill every queue: a srv not yet met waits for all of them. */
+    @Test
+    void allStartAtOnce() throws IOException {
+        World w = new World();
+        for (int proxies : new int[] {1, 14}) {
+            World one = replayable(60, 0, proxies, false);
+            one.quiet = true;
+            for (int i = 0; i < 300; i++) {
+                one.arrive("r" + i, 600 + i % 7 * 100);
+            }
+            int most = one.where.stream().mapToInt(b -> Collections.frequency(one.where, b)).max().orElse(0);
+            w.say("one of " + proxies + ": " + one.where.size() + " of 300 sent, " + most
+                + " at most to a srv");
+        }
+        w.matches("all-start");
+    }
+
     /** amman quiet, falsely shut srvs; repas big-1, hung srvs found late: silence shuts, an answer opens. */
     @Test
     void hungSrv() throws IOException {
