Turns at a cold backend are among the proxies that meet it, not among all

Cause, in Rules.ourTurn: turns are dealt by own number among 14, over six slices, yet only four proxies meet a server, so slices stay empty and a proxy may come last where nobody came before it.

The trace of a part's new servers has a proxy more.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -312,7 +312,7 @@
     private boolean ourTurn(int b, long now) {
         long age = now - upSince[b];
         long turn = Math.max(1, fall / 4);
-        long turns = Math.max(1, Math.min(balancers, cold / 2 / turn));
+        long turns = Math.max(1, Math.min((long) meeting, cold / 2 / turn));
         return age >= me % turns * turn;
     }
 
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -161,15 +161,16 @@
 
     /**
      * join+vast, new srvs left idle while the rest was overrun: of 8 proxies before 48 srvs each meets 24, and
-     * the 24 that get nothing from it are no measure of what a cold one can bear.
+     * the 24 that get nothing from it are no measure of what a cold one can bear. The turns there are among
+     * the four that meet it: the sixth proxy's is the second.
      */
     @Test
     void freshSrvOfAPart() throws IOException {
         World w = new World();
-        for (int me = 0; me < 2; me++) {
+        for (int me : new int[] {0, 1, 5}) {
             World one = replayable(48, me, 8, false);
             one.busy(6, COSTS);
-            int fresh = 24 * me + 12;
+            int fresh = 24 * (me % 2) + 12;
             one.list(fresh, true, one.now());
             one.rules.listed(false);
             for (int s = 0; s < 8; s++) {
