--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -24,7 +24,8 @@
     private static final double CLIENTS = 0.58, BACKENDS = 0.36;
     private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
     private static final int WARM_REQS = 4000;
-    private static final long WARM_NANOS = 400_000_000;
+    // Mass restart: with 400 ms, the clients of ten killed proxies waited so much longer or were turned away.
+    private static final long WARM_NANOS = 20_000_000;
     private static final long LIST_WAIT = 10_000;   // for a list, old or new, before ready
 
     private Config config;
--- a/proxy/src/main/java/wheattrack/net/WarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/WarmUp.java
@@ -43,12 +43,15 @@
         rules.listed(false);
     }
 
-    /** Runs until so many reqs are through or the time, in nanoseconds, is over; says how many were. */
+    /**
+     * Runs each rule set once, and on until so many reqs are through or the time, in nanoseconds, is over;
+     * says how many were.
+     */
     int run(int most, long nanos) {
         long until = System.nanoTime() + nanos;
         int n = 0;
         try {
-            while (n < most && System.nanoTime() < until) {
+            do {
                 for (String name : sets.keySet()) {
                     one(name, n++);
                 }
@@ -56,7 +59,7 @@
                 for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
                     due.run();
                 }
-            }
+            } while (n < most && System.nanoTime() < until);
         } catch (BadMessage | Wire.Unfit e) {
             throw new IllegalStateException("a canned message is not taken", e);
         }
