--- a/lab/src/main/java/wheattrack/lab/scenario/Fault.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Fault.java
@@ -19,7 +19,7 @@
     public enum Kind {
         KILL_PROXY(true, true), STOP_PROXY(false, true), CLOCK_PROXY(false, true),
         CRASH(true, true), VANISH(true, true), HANG(true, true), SLOW(true, true), FAIL(true, true),
-        PAUSE(true, true), SHRINK(true, true), DRAIN(true, true),
+        PAUSE(true, true), SHRINK(true, true), DRAIN(true, true), REPLACE(true, false),
         LIST_DOWN(true, true), LIST_STALE(true, true), LIST_EMPTY(true, true),
         LINK_DELAY(true, true), LINK_HOLD(false, true), LINK_DROP(true, true), LINK_CUT(false, true),
         LINK_RESET(false, true), LINK_CORRUPT(false, true),
@@ -49,13 +49,16 @@
         }
 
         public boolean hitsServers() {
-            return Set.of(CRASH, VANISH, HANG, SLOW, FAIL, PAUSE, SHRINK, DRAIN).contains(this)
+            return Set.of(CRASH, VANISH, HANG, SLOW, FAIL, PAUSE, SHRINK, DRAIN, REPLACE).contains(this)
                 || name().startsWith("LINK");
         }
     }
 
-    /** Of the servers or proxies: this one where place is 0 or more, else a share of all, one at least. */
-    public record Hits(int place, double share) {
+    /**
+     * Of the servers or proxies: this one where place is 0 or more, else a share, one at least, of those in
+     * the zone, or of all where zone is below 0.
+     */
+    public record Hits(int place, double share, int zone) {
         /** So many of n. */
         public int count(int n) {
             return place >= 0 ? 1 : Math.min(n, Math.max(1, (int) Math.round(share * n)));
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -57,8 +57,8 @@
     public record Clients(int retries, long backoff, double honour, double impatient) {
     }
 
-    /** The list: how long news is on its way, and until a dead server is noticed. */
-    public record Roster(long delay, long notice) {
+    /** The list: how long news is on its way, until a dead server is noticed, entries told a second (0: all). */
+    public record Roster(long delay, long notice, double entries) {
     }
 
     /** One-way delays, and how much they vary. */
@@ -131,7 +131,11 @@
             c.number("honour", 1, 0, 1), c.number("impatient", 0, 0, 1));
         frontNotice = millis(t.part("front"), "notice-ms", 1000, 0);
         Table l = t.part("list");
-        roster = new Roster(millis(l, "delay-ms", 100, 0), millis(l, "notice-ms", 1000, 0));
+        roster = new Roster(millis(l, "delay-ms", 100, 0), millis(l, "notice-ms", 1000, 0),
+            l.number("entries-per-second", 0, 0, 1e9));
+        if (!virtual && roster.entries > 0) {
+            throw l.fault("entries-per-second", "can't be played on the real clock");
+        }
         Table n = t.part("net");
         net = new Net(millis(n, "same-ms", 0.3, 0), millis(n, "cross-ms", 10, 0),
             millis(n, "client-ms", 0.5, 0), n.number("jitter", 0.2, 0, 5));
@@ -263,9 +267,11 @@
             long lasts = seconds(f, "for-s", 0, 0, 3600);
             int most = kind.hitsProxies() ? proxies : servers.stream().mapToInt(Servers::count).sum();
             Fault.Hits hits = new Fault.Hits(kind.hitsRuleSets()
-                ? f.count("rule-set", -1, -1, sets.size() - 1) : -1, 0);
+                ? f.count("rule-set", -1, -1, sets.size() - 1) : -1, 0, -1);
             if (kind.hitsProxies() || kind.hitsServers()) {
-                hits = new Fault.Hits(f.count("place", -1, -1, most - 1), f.number("share", 0, 0, 1));
+                int zone = f.count("zone", -1, -1, zones - 1);
+                hits = new Fault.Hits(f.count("place", -1, -1, most - 1),
+                    f.number("share", zone < 0 ? 0 : 1, 0, 1), zone);
             }
             List<Double> size = Fault.SIZES.get(kind);
             out.add(new Fault(kind, at, lasts, hits,
--- a/lab/src/main/java/wheattrack/lab/stage/Machine.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Machine.java
@@ -43,7 +43,7 @@
     private boolean draining, cold, fallen;
     private long start, stalledUntil;
     private double slow = 1, failing;
-    private int epoch, connections;
+    private int epoch, connections, renewals;
     private Runnable changed = () -> { };
 
     Machine(Stage stage, int place, Servers kind) {
@@ -85,6 +85,18 @@
         return cold;
     }
 
+    /** Its id, larger than 0: another one each time it was replaced, and elsewhere in the order of ids. */
+    public long id() {
+        int n = stage.scenario.serverCount();
+        long rank = renewals == 0 ? place : (place * 31L + renewals * 17L) % n;
+        return (rank * n + renewals) * n + place + 1;
+    }
+
+    /** The next life is that of another server. */
+    public void renew() {
+        renewals++;
+    }
+
     /** Changes with each life; connections of an earlier one are broken. */
     public int epoch() {
         return epoch;
--- a/lab/src/main/java/wheattrack/lab/stage/Timeline.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Timeline.java
@@ -12,7 +12,7 @@
 
 /** Plays a scenario's faults, on either clock. */
 public final class Timeline {
-    private static final long GONE_AFTER = 2 * Scenario.SECOND;
+    private static final long GONE_AFTER = 2 * Scenario.SECOND, ANEW_AFTER = Scenario.SECOND;
 
     private final Stage stage;
 
@@ -28,7 +28,7 @@
             Fault f = stage.scenario.faults.get(i);
             int n = f.kind().hitsProxies() ? stage.doors().size() : stage.machines().size();
             boolean hits = f.kind().hitsProxies() || f.kind().hitsServers();
-            List<Integer> hit = hits ? hit(f, n, draws) : List.of();
+            List<Integer> hit = hits ? hit(f, n, stage.scenario.zones, draws) : List.of();
             int number = i;
             stage.after(f.at(), () -> {
                 stage.say(Entry.fault(stage.now(), number, true));
@@ -44,16 +44,18 @@
     }
 
     /** Which places a fault hits: the seed draws them without repeats. */
-    static List<Integer> hit(Fault f, int n, Draws draws) {
+    static List<Integer> hit(Fault f, int n, int zones, Draws draws) {
         if (f.what().place() >= 0) {
             return List.of(f.what().place());
         }
         List<Integer> left = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            left.add(i);
+            if (f.what().zone() < 0 || i % zones == f.what().zone()) {
+                left.add(i);
+            }
         }
         List<Integer> out = new ArrayList<>();
-        for (int k = f.what().count(n); k > 0; k--) {
+        for (int k = f.what().count(left.size()); k > 0; k--) {
             out.add(left.remove(draws.below(left.size())));
         }
         return out;
@@ -107,6 +109,18 @@
                     });
                 }
             }
+            case REPLACE -> {
+                for (int i = 0; i < hit.size(); i++) {
+                    int s = hit.get(i);
+                    stage.after(f.lasts() * i / hit.size(), () -> {
+                        drain(s);
+                        stage.after(GONE_AFTER, () -> {
+                            leave(s);
+                            stage.after(ANEW_AFTER, () -> replace(s));
+                        });
+                    });
+                }
+            }
             case LIST_DOWN -> stage.roster().down(true);
             case LIST_STALE -> stage.roster().stale(true);
             case LIST_EMPTY -> stage.roster().empty(true);
@@ -183,6 +197,15 @@
         }
     }
 
+    /** A new server in its place: cold, and under an id that nobody has seen. */
+    private void replace(int s) {
+        Machine m = stage.machine(s);
+        if (m.state() != Machine.State.UP && !m.isFallen()) {
+            m.renew();
+            restart(s);
+        }
+    }
+
     private long startOf(int s) {
         Machine m = stage.machine(s);
         return m.isCold() ? m.start() : Roster.LONG_AGO;
--- a/lab/src/main/java/wheattrack/lab/world/Listing.java
+++ b/lab/src/main/java/wheattrack/lab/world/Listing.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import wheattrack.lab.load.Draws;
+import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.stage.Roster;
 
 /** The list as the virtual world tells it: each proxy hears after a while of its own, in order. */
@@ -12,6 +13,7 @@
 
     private final Draws draws;
     private final Map<Node, Long> lastAt = new LinkedHashMap<>();
+    private long busyUntil;
 
     Listing(World world) {
         super(world);
@@ -44,8 +46,13 @@
 
     private void tell(Node node, News news) {
         int life = node.life();
+        double entries = stage.scenario.roster.entries();
+        if (entries > 0 && stage.now() > 0) {       // overbooked, it tells one after the other
+            double lines = news == null ? all().size() : 1;
+            busyUntil = Math.max(stage.now(), busyUntil) + Math.round(lines * Scenario.SECOND / entries);
+        }
         long way = Math.round(stage.scenario.roster.delay() * (0.5 + draws.uniform()));
-        long at = Math.max(stage.now() + way, lastAt.getOrDefault(node, 0L));
+        long at = Math.max(Math.max(stage.now(), busyUntil) + way, lastAt.getOrDefault(node, 0L));
         lastAt.put(node, at);
         stage.after(at - stage.now(), () -> {
             if (node.life() == life && !down) {
--- a/lab/src/main/java/wheattrack/lab/world/Node.java
+++ b/lab/src/main/java/wheattrack/lab/world/Node.java
@@ -257,7 +257,7 @@
             Machine m = world.machine(n.server());
             int kinds = world.scenario.servers.stream().map(s -> s.kind()).distinct().toList()
                 .indexOf(m.kind.kind());
-            mind.entry(srv.at, m.place, n.state() == State.READY, m.zone, m.place / 4, kinds,
+            mind.entry(srv.at, m.id(), n.state() == State.READY, m.zone, m.place / 4, kinds,
                 m.kind.cores() * m.kind.speed(),
                 n.start() == Roster.LONG_AGO ? Roster.LONG_AGO : World.EPOCH + n.start(), fresh);
         }
--- a/lab/src/test/java/wheattrack/lab/ScenarioTest.java
+++ b/lab/src/test/java/wheattrack/lab/ScenarioTest.java
@@ -30,6 +30,10 @@
         fails("[expect]\nservce = \">= 1\"\n", "small.toml:18: expect.servce: unknown figure");
         fails("[expect]\nservice = \"about 1\"\n",
             "small.toml:18: expect.service: not a sign (>=, <=, >, <, =) and a number");
+        fails("[list]\nentries-per-second = -1\n",
+            "small.toml:18: list.entries-per-second: -1.0 is not from 0.0 to 1.0E9");
+        fails("[[fault]]\nkind = \"crash\"\nzone = 1\n",
+            "small.toml:19: fault[0].zone: 1.0 is not from -1.0 to 0.0");
         fails("[hints]\nshare = \"all\"\n", "small.toml:18: hints.share: not a number");
         fails("[hints\n", "small.toml:17: not TOML: Newline not permitted here");
     }
