News of an old revision of the list brings no drained backend back; broken entries are one line

Need: on a large fleet the list comes late, twice and in pieces. Seen with a list that the test plays: changes of revision 4 after 6 made a drained backend ready again, as Listing.list took any revision for the next one; a whole list of an old revision did so too; 40 broken entries of 60 were 40 lines.

Change: such changes are skipped. A whole list of an old revision is taken, as its source may have begun anew, but a backend that drained or went stays so unless it started later. A list's broken entries are one line with their number and the first cause. A replaced fleet, 500 times 60 ids, keeps to 122 places (held by a test; it did before).

--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -160,8 +160,8 @@
     }
 
     /**
-     * join+vast, new srvs left idle while the rest was overrun: of 8 proxies before 48 srvs each meets 24, and
-     * the 24 that get nothing from it are no measure of what a cold one can bear. The turns there are among
+     * join+vast, new srvs left idle while the rest was overrun: of 8 proxies before 48 srvs each meets 24,
+     * and the 24 that get nothing from it are no measure of what a cold one can bear. The turns are among
      * the four that meet it: the sixth proxy's is the second.
      */
     @Test
@@ -178,8 +178,8 @@
                 one.busy(1, COSTS);
                 List<Integer> went = one.where.subList(before, one.where.size());
                 long met = went.stream().distinct().count();
-                w.say(me + " in second " + s + ": " + Collections.frequency(went, fresh) + " of " + went.size()
-                    + " at " + met);
+                w.say(me + " in second " + s + ": " + Collections.frequency(went, fresh) + " of "
+                    + went.size() + " at " + met);
             }
         }
         w.matches("fresh-part");
@@ -213,7 +213,7 @@
         w.matches("fresh-quiet");
     }
 
-    /** herd+vast, ten of 14 start anew at once and fill every queue: a srv not yet met waits for all of them. */
+    /** herd+vast, ten of 14 start anew at once and fill every queue: at a srv not yet met all wait. */
     @Test
     void allStartAtOnce() throws IOException {
         World w = new World();
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -57,7 +57,7 @@
     public record Clients(int retries, long backoff, double honour, double impatient) {
     }
 
-    /** The list: how long news is on its way, until a dead server is noticed, entries told a second (0: all). */
+    /** The list: how long news is on its way, until a death is noticed, entries told a second (0: all). */
     public record Roster(long delay, long notice, double entries) {
     }
 
--- a/proxy/src/main/java/wheattrack/net/Backend.java
+++ b/proxy/src/main/java/wheattrack/net/Backend.java
@@ -19,6 +19,7 @@
     InetSocketAddress address;
     int out;
     private boolean serving;
+    private long up;
 
     Backend(String id, int at, Dialler dialler) {
         super(id, at);
@@ -34,11 +35,17 @@
     /** It stands on the list, at this address since then; what leads to an earlier life is closed. */
     void serves(InetSocketAddress at, long since) {
         serving = true;
+        up = since;
         boolean moved = !at.equals(address);
         address = at;
         List.copyOf(idle).stream().filter(up -> moved || up.since < since).forEach(Upstream::close);
     }
 
+    /** Whether this life of it, begun then, drains or is gone by what was told. */
+    boolean hasLeft(long since) {
+        return !serving && since <= up;
+    }
+
     /** It drains or is gone: what is not yet begun there never will be. */
     void leaves() {
         serving = false;
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/Listing.java
@@ -98,22 +98,37 @@
         }
     }
 
-    /** saved: it is the list known of old. */
+    /**
+     * saved: it is the list known of old. Changes of an old revision are skipped: they could bring a drained
+     * srv back. A whole list of one is taken, as its source may have begun anew, but brings none back either.
+     */
     void list(Settings news, boolean saved) {
         List<Settings> entries = news.parts("targets");
         long rev = news.whole("rev", version);
+        boolean old = rev < version;
+        if (old) {
+            Event.warning("old news of the list", null, "revision " + rev + " after " + version);
+        }
+        if (old && !news.flag("all")) {
+            return;
+        }
         if (news.flag("all")) {
             Set<Object> named = new HashSet<>();
             entries.forEach(entry -> named.add(entry.any("uid")));
             fleet.missing(named).forEach(this::gone);
         }
+        int skipped = 0;
+        String why = null;
         for (Settings entry : entries) {
             try {
-                entry(entry);
+                entry(entry, old);
             } catch (BadConfig e) {
-                Event.warning("skipped an entry of the list", null, e.getMessage());
+                why = skipped++ == 0 ? e.getMessage() : why;
             }
         }
+        if (skipped > 0) {                          // one line, whatever the size of the fleet
+            Event.warning("skipped " + skipped + " of " + entries.size() + " entries of the list", null, why);
+        }
         version = rev;
         rules.listed(saved);
     }
@@ -125,7 +140,7 @@
         }
     }
 
-    private void entry(Settings e) {
+    private void entry(Settings e, boolean old) {
         String id = e.word("uid");
         String state = e.word("state");
         if (state.equals("DELETED")) {
@@ -141,12 +156,14 @@
         int kind = Math.max(0, kinds.indexOf(e.word("model", "")));
         int pack = e.count("pod_group", 0);
         double weight = e.number("capacity_hint", 1);
+        Backend known = fleet.find(id);
+        boolean left = old && known != null && known.hasLeft(up);
         Backend backend = fleet.admit(id);
         boolean fresh = fleet.met(backend);
         if (fresh) {
             Event.info("met srv", Long.toString(number(id)), id + " at " + e.word("endpoint"));
         }
-        boolean ready = state.equals("SERVING");
+        boolean ready = state.equals("SERVING") && !left;
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
             up <= 0 ? Fleet.LONG_AGO : up, fresh);
         backend.serves(address, up);
--- a/proxy/src/test/java/wheattrack/CoreTest.java
+++ b/proxy/src/test/java/wheattrack/CoreTest.java
@@ -84,6 +84,30 @@
         w.matches("tables");
     }
 
+    /** A fleet replaced again and again: 60 ids at a time, two of them busy for long, take few places. */
+    @Test
+    void replacedFleetTakesNoMorePlaces() {
+        Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
+        int most = 0;
+        for (int round = 0; round < 500; round++) {
+            Set<String> named = new java.util.HashSet<>();
+            for (int i = 0; i < 60; i++) {
+                Srv srv = fleet.admit("s" + round + "-" + i);
+                fleet.met(srv);
+                srv.busy = i == round % 60;
+                named.add(srv.id);
+                most = Math.max(most, srv.at);
+            }
+            fleet.missing(named).forEach(fleet::left);
+            if (round > 1) {
+                int old = round - 2;
+                fleet.find("s" + old + "-" + old % 60).busy = false;
+            }
+        }
+        org.junit.jupiter.api.Assertions.assertTrue(most <= 122, most + " places");
+        org.junit.jupiter.api.Assertions.assertNull(fleet.find("s0-0"));
+    }
+
     @Test
     void phases() throws IOException {
         World w = new World();
--- a/proxy/src/test/java/wheattrack/ServerTest.java
+++ b/proxy/src/test/java/wheattrack/ServerTest.java
@@ -151,6 +151,10 @@
             if ("end".equals(line)) {
                 socket.close();
                 return;
+            } else if (line != null && line.startsWith("half ")) {
+                send(socket, Integer.toHexString(line.length()) + "\r\n" + line.substring(5, 40));
+                socket.close();
+                return;
             } else if (line != null) {
                 send(socket, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
             }
@@ -434,6 +438,49 @@
         w.matches("server-list");
     }
 
+    /**
+     * A large fleet's list in trouble: changes of an old revision, and a whole list of one, bring no drained
+     * srv back; of repeated entries the last counts; 40 broken ones of 60 are one line; cut off amid a line,
+     * the last good list is kept.
+     */
+    @Test
+    void listInTrouble() throws Exception {
+        String[] s = new String[2];
+        for (int i = 0; i < 2; i++) {
+            String name = "s" + i;
+            s[i] = entry(name, "SERVING", open(socket -> backend(name, socket)).getLocalPort());
+        }
+        String drains = s[0].replace("SERVING", "DRAINING");
+        Logger log = Logger.getLogger("wheattrack");
+        Handler ear = ear();
+        log.addHandler(ear);
+        log.setLevel(Level.WARNING);
+        try {
+            news.add(told(5, true, s));
+            serve(1024, "{}");
+            step(told(6, false, drains));
+            step(told(4, false, s[0]));
+            news.add("end");
+            step(told(3, true, s));
+            step(told(7, false, s[0]));
+            step(told(8, true, s[0], s[1], drains));
+            String[] many = new String[60];
+            for (int i = 0; i < 60; i++) {
+                many[i] = i % 3 == 0 ? s[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
+            }
+            news.add(told(9, true, many));
+            Thread.sleep(300);
+            w.say("60 entries, 40 broken: " + who());
+            news.add("half " + told(10, true, s[0]));
+            Thread.sleep(600);
+            w.say("cut off: " + who());
+        } finally {
+            log.removeHandler(ear);
+            log.setLevel(Level.SEVERE);
+        }
+        w.matches("server-list-trouble");
+    }
+
     /** Day of new configurations: SIGHUP ended the process. What is open and learnt stays; a bad file too. */
     @Test
     void rereads() throws Exception {
