A cold backend that shows more pace than its age says may be sent more

Nothing is shut or full. Ruled out by the same count: late news (all 60 ready are known to all), turns (up to 1,200 passed over in one second, none after), full answers (5).

Cause: Rules.bears() goes by the age that the settings tell, which is the slowest a backend may warm up; here they warm up by work. What one does is known to the proxy and was not used.

Change: the cost it did of late in the time it had work, half a second more, counts where it is more than the age's part of its kind's pace. It lies below what the backend does, so the bound holds.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -326,7 +326,8 @@
             return out[b] == 0 && (order.length <= 1 || isStill(now));
         }
         double able = Math.max(usualLoad * weight[b] / 3, (1 - ATONCE / meeting) * usual(b) / meeting);
-        double rate = fallMultiple * warmth(b, now) * able;
+        double shown = (1 - ATONCE / meeting) * costSum[b] / (busy[b] + SECOND / 2.0) / meeting;
+        double rate = fallMultiple * Math.max(warmth(b, now) * able, shown);
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
         double need = Math.max(load, meanCost);     // one of hundreds may send one req in some seconds
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -213,6 +213,44 @@
         w.matches("fresh-quiet");
     }
 
+    /** join+vast, new srvs quicker than their age says were kept at it: what one does is what it can bear. */
+    @Test
+    void freshSrvShowsItsPace() throws IOException {
+        World w = new World();
+        for (int slower : new int[] {1, 4}) {       // times longer at the new one
+            World one = replayable(3, 0, 8, false);
+            one.rules.gone(2);
+            one.rules.listed(false);
+            one.quiet = true;
+            for (int s = 0; s < 8; s++) {
+                int before = one.where.size();
+                for (int i = 0; i < 50; i++) {
+                    int first = one.sent.size();
+                    one.arrive("a", 40);
+                    one.arrive("b", 40);
+                    one.pass(40);
+                    for (int left = 160; left > 0; left -= 40) {
+                        for (int k = first; k < one.sent.size(); k++) {
+                            int time = one.where.get(k) == 2 ? 40 * slower : 160;
+                            if (time == 200 - left) {
+                                one.end(k, Outcome.DONE);
+                            }
+                        }
+                        one.pass(40);
+                    }
+                }
+                List<Integer> went = one.where.subList(before, one.where.size());
+                w.say("new one " + slower + " times as slow, second " + s + ": "
+                    + Collections.frequency(went, 2) + " of " + went.size());
+                if (s == 3) {
+                    one.list(2, true, one.now());
+                    one.rules.listed(false);
+                }
+            }
+        }
+        w.matches("fresh-shows");
+    }
+
     /** herd+vast, ten of 14 start anew at once and fill every queue: at a srv not yet met all wait. */
     @Test
     void allStartAtOnce() throws IOException {
