--- a/proxy/src/test/java/wheattrack/ServerTest.java
+++ b/proxy/src/test/java/wheattrack/ServerTest.java
@@ -441,7 +441,7 @@
     /**
      * A large fleet's list in trouble: changes of an old revision, and a whole list of one, bring no drained
      * srv back; of repeated entries the last counts; 40 broken ones of 60 are one line; cut off amid a line,
-     * the last good list is kept.
+     * or refused, the last good list is kept.
      */
     @Test
     void listInTrouble() throws Exception {
@@ -474,6 +474,10 @@
             news.add("half " + told(10, true, s[0]));
             Thread.sleep(600);
             w.say("cut off: " + who());
+            doors.get(doors.size() - 1).close();    // the list's
+            news.add("end");
+            Thread.sleep(1000);
+            w.say("refuses: " + who());
         } finally {
             log.removeHandler(ear);
             log.setLevel(Level.SEVERE);
