--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -316,8 +316,8 @@
         return age >= me % turns * turn;
     }
 
-    // Incident, cold srvs fell over: a budget by what warm srvs do for us. A light req weighs like a mean
-    // one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
+    // Incident, cold srvs fell over: a budget by what warm srvs and its kind do. A light req weighs like a
+    // mean one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
     private boolean bears(int b, double load, long now) {
         if (now - upSince[b] >= cold) {
             return true;
@@ -325,8 +325,9 @@
         if (usualLoad == 0) {
             return out[b] == 0 && (order.length <= 1 || isStill(now));
         }
-        double able = Math.max(usualLoad * weight[b] / 3, (1 - ATONCE / meeting) * usual(b) / meeting);
-        double shown = (1 - ATONCE / meeting) * costSum[b] / (busy[b] + SECOND / 2.0) / meeting;
+        double safe = 1 - ATONCE / meeting;
+        double able = Math.max(usualLoad * weight[b] / 3, safe * usual(b) / meeting);
+        double shown = safe * costSum[b] / (busy[b] + SECOND / 2.0) / meeting;
         double rate = fallMultiple * Math.max(warmth(b, now) * able, shown);
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -138,6 +138,13 @@
         all.matches("odd-settings");
     }
 
+    /** Where the reqs of a busy second went. */
+    private static List<Integer> inASecond(World w) {
+        int before = w.where.size();
+        w.busy(1, COSTS);
+        return w.where.subList(before, w.where.size());
+    }
+
     /** Incident, cold srvs pushed over by light reqs: three proxies keep a fresh srv within its budget. */
     @Test
     void freshSrvUnderAllProxies() throws IOException {
@@ -150,9 +157,7 @@
             one.list(0, true, one.now());
             one.rules.listed(false);
             for (int s = 0; s < 9; s++) {
-                int before = one.where.size();
-                one.busy(1, COSTS);
-                List<Integer> went = one.where.subList(before, one.where.size());
+                List<Integer> went = inASecond(one);
                 w.say(me + " in second " + s + ": " + Collections.frequency(went, 0) + " of " + went.size());
             }
         }
@@ -174,9 +179,7 @@
             one.list(fresh, true, one.now());
             one.rules.listed(false);
             for (int s = 0; s < 8; s++) {
-                int before = one.where.size();
-                one.busy(1, COSTS);
-                List<Integer> went = one.where.subList(before, one.where.size());
+                List<Integer> went = inASecond(one);
                 long met = went.stream().distinct().count();
                 w.say(me + " in second " + s + ": " + Collections.frequency(went, fresh) + " of "
                     + went.size() + " at " + met);
@@ -203,9 +206,7 @@
             one.list(1, true, one.now());
             one.rules.listed(false);
             for (int s = 0; s < 3; s++) {
-                int before = one.where.size();
-                one.busy(1, COSTS);
-                List<Integer> went = one.where.subList(before, one.where.size());
+                List<Integer> went = inASecond(one);
                 w.say("of " + proxies + " in second " + s + ": " + Collections.frequency(went, 1) + " of "
                     + went.size());
             }
@@ -229,10 +230,9 @@
                     one.arrive("a", 40);
                     one.arrive("b", 40);
                     one.pass(40);
-                    for (int left = 160; left > 0; left -= 40) {
+                    for (int time = 40; time <= 160; time += 40) {
                         for (int k = first; k < one.sent.size(); k++) {
-                            int time = one.where.get(k) == 2 ? 40 * slower : 160;
-                            if (time == 200 - left) {
+                            if (time == (one.where.get(k) == 2 ? 40 * slower : 160)) {
                                 one.end(k, Outcome.DONE);
                             }
                         }
--- a/lab/src/main/java/wheattrack/lab/stage/Timeline.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Timeline.java
@@ -100,27 +100,8 @@
             case FAIL -> each(hit, s -> stage.machine(s).fails(f.size()));
             case PAUSE -> each(hit, s -> pauses(stage.machine(s), f, stage.now() + f.lasts()));
             case DRAIN -> each(hit, this::drain);
-            case SHRINK -> {
-                for (int i = 0; i < hit.size(); i++) {
-                    int s = hit.get(i);
-                    stage.after(f.lasts() * i / hit.size(), () -> {
-                        drain(s);
-                        stage.after(GONE_AFTER, () -> leave(s));
-                    });
-                }
-            }
-            case REPLACE -> {
-                for (int i = 0; i < hit.size(); i++) {
-                    int s = hit.get(i);
-                    stage.after(f.lasts() * i / hit.size(), () -> {
-                        drain(s);
-                        stage.after(GONE_AFTER, () -> {
-                            leave(s);
-                            stage.after(ANEW_AFTER, () -> replace(s));
-                        });
-                    });
-                }
-            }
+            case SHRINK -> leaveInTurn(f, hit, s -> { });
+            case REPLACE -> leaveInTurn(f, hit, s -> stage.after(ANEW_AFTER, () -> start(s, true)));
             case LIST_DOWN -> stage.roster().down(true);
             case LIST_STALE -> stage.roster().stale(true);
             case LIST_EMPTY -> stage.roster().empty(true);
@@ -148,7 +129,7 @@
             });
             case STOP_PROXY -> each(hit, p -> stage.door(p).halt(false));
             case CLOCK_PROXY -> each(hit, p -> stage.door(p).skew(0));
-            case CRASH, VANISH -> each(hit, this::restart);
+            case CRASH, VANISH -> each(hit, s -> start(s, false));
             case HANG -> each(hit, s -> stage.machine(s).unhang());
             case SLOW -> each(hit, s -> stage.machine(s).slow(1));
             case FAIL -> each(hit, s -> stage.machine(s).fails(0));
@@ -188,21 +169,29 @@
         }
     }
 
-    /** It comes back cold, under its old id with a later start. */
-    private void restart(int s) {
-        Machine m = stage.machine(s);
-        if (m.state() != Machine.State.UP && !m.isFallen()) {
-            m.start(true);
-            stage.roster().changes(s, State.READY, m.start());
+    /** They drain one after the other, and each is gone a while later. */
+    private void leaveInTurn(Fault f, List<Integer> hit, IntConsumer then) {
+        for (int i = 0; i < hit.size(); i++) {
+            int s = hit.get(i);
+            stage.after(f.lasts() * i / hit.size(), () -> {
+                drain(s);
+                stage.after(GONE_AFTER, () -> {
+                    leave(s);
+                    then.accept(s);
+                });
+            });
         }
     }
 
-    /** A new server in its place: cold, and under an id that nobody has seen. */
-    private void replace(int s) {
+    /** Cold: under its old id with a later start, or as another server under an id that nobody has seen. */
+    private void start(int s, boolean asAnother) {
         Machine m = stage.machine(s);
         if (m.state() != Machine.State.UP && !m.isFallen()) {
-            m.renew();
-            restart(s);
+            if (asAnother) {
+                m.renew();
+            }
+            m.start(true);
+            stage.roster().changes(s, State.READY, m.start());
         }
     }
 
--- a/lab/src/test/java/wheattrack/lab/world/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/world/FleetTest.java
@@ -158,8 +158,9 @@
     /** Ten proxies ask an overbooked list for all of it: the last one waits for the other nine. */
     @Test
     void overbookedListTellsInTurn() {
-        assertTrue(longestWait("250") > 15_000, longestWait("250") + "");
-        assertTrue(longestWait("0") < 7_000, longestWait("0") + "");
+        long overbooked = longestWait("250"), free = longestWait("0");
+        assertTrue(overbooked > 15_000, overbooked + "");
+        assertTrue(free < 7_000, free + "");
     }
 
     private static long longestWait(String entriesPerSecond) {
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/Listing.java
@@ -106,13 +106,14 @@
         List<Settings> entries = news.parts("targets");
         long rev = news.whole("rev", version);
         boolean old = rev < version;
+        boolean all = news.flag("all");
         if (old) {
             Event.warning("old news of the list", null, "revision " + rev + " after " + version);
         }
-        if (old && !news.flag("all")) {
+        if (old && !all) {
             return;
         }
-        if (news.flag("all")) {
+        if (all) {
             Set<Object> named = new HashSet<>();
             entries.forEach(entry -> named.add(entry.any("uid")));
             fleet.missing(named).forEach(this::gone);
--- a/proxy/src/test/java/wheattrack/CoreTest.java
+++ b/proxy/src/test/java/wheattrack/CoreTest.java
@@ -1,9 +1,13 @@
 package wheattrack;
 
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -90,7 +94,7 @@
         Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
         int most = 0;
         for (int round = 0; round < 500; round++) {
-            Set<String> named = new java.util.HashSet<>();
+            Set<String> named = new HashSet<>();
             for (int i = 0; i < 60; i++) {
                 Srv srv = fleet.admit("s" + round + "-" + i);
                 fleet.met(srv);
@@ -104,8 +108,8 @@
                 fleet.find("s" + old + "-" + old % 60).busy = false;
             }
         }
-        org.junit.jupiter.api.Assertions.assertTrue(most <= 122, most + " places");
-        org.junit.jupiter.api.Assertions.assertNull(fleet.find("s0-0"));
+        assertTrue(most <= 122, most + " places");
+        assertNull(fleet.find("s0-0"));
     }
 
     @Test
--- a/proxy/src/test/java/wheattrack/ServerTest.java
+++ b/proxy/src/test/java/wheattrack/ServerTest.java
@@ -165,6 +165,11 @@
         return "{'uid':'" + uid + "','endpoint':'127.0.0.1:" + port + "','az':'a','state':'" + state + "'}";
     }
 
+    /** A backend of this name that listens, as an entry of the list. */
+    private String ready(String name) throws IOException {
+        return entry(name, "SERVING", open(socket -> backend(name, socket)).getLocalPort());
+    }
+
     private static String told(int rev, boolean all, String... entries) {
         return ("{'rev':" + rev + ",'all':" + all + ",'targets':[" + String.join(",", entries) + "]}")
             .replace('\'', '"');
@@ -195,8 +200,7 @@
     private void serveBy(int backends) throws Exception {
         String[] entries = new String[backends];
         for (int i = 0; i < backends; i++) {
-            String name = "s" + i;
-            entries[i] = entry(name, "SERVING", open(socket -> backend(name, socket)).getLocalPort());
+            entries[i] = ready("s" + i);
         }
         news.add(told(1, true, entries));
         serve(1024, "{}");
@@ -445,11 +449,7 @@
      */
     @Test
     void listInTrouble() throws Exception {
-        String[] s = new String[2];
-        for (int i = 0; i < 2; i++) {
-            String name = "s" + i;
-            s[i] = entry(name, "SERVING", open(socket -> backend(name, socket)).getLocalPort());
-        }
+        String[] s = {ready("s0"), ready("s1")};
         String drains = s[0].replace("SERVING", "DRAINING");
         Logger log = Logger.getLogger("wheattrack");
         Handler ear = ear();
@@ -503,7 +503,7 @@
                 seen.add("second list");
                 list(socket);
             }).getLocalPort();
-            String s2 = entry("s2", "SERVING", open(socket -> backend("s2", socket)).getLocalPort());
+            String s2 = ready("s2");
             for (String text : new String[] {config(second, 512, "{}"), "{'discovery'", "",
                 config(second, 1024, "{}").replace("127.0.0.1:" + second, "list:1"),
                 config(second, 1024, "{}").replace("read_like", "any")}) {
@@ -562,7 +562,7 @@
     /** Few descriptors: idle connections give way, and who comes beyond is denied at once. */
     @Test
     void fewSockets() throws Exception {
-        news.add(told(1, true, entry("s0", "SERVING", open(socket -> backend("s0", socket)).getLocalPort())));
+        news.add(told(1, true, ready("s0")));
         serve(64, "{}");
         List<Socket> open = new ArrayList<>();
         Socket usual = connect();
