A start lets clients in by the list discovery tells, not by the one known of old

Lines at fault: Server's constructor put config.known into use, so Listing.isThere() was true at once and readyFrom() entered SERVING before the watch's first line was read.

Change: the first watch asks for the whole list; clients' connections wait in the backlog until it is there, for 1 s at most; only then the list known of old is used. It is also read first where the first news holds changes only, or is of an older revision. The operators' file gets log.reqs (off): a line for each dispatch's outcome and each req's end. Test: ServerTest.startsByWhatDiscoverySays; with the old code it says "came early: 200 s0".

--- a/proxy/src/main/java/wheattrack/Logs.java
+++ b/proxy/src/main/java/wheattrack/Logs.java
@@ -2,9 +2,11 @@
 
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 import wheattrack.config.Operator;
+import wheattrack.log.Event;
 import wheattrack.log.JsonLines;
 import wheattrack.log.Limit;
 import wheattrack.log.PlainLines;
@@ -24,6 +26,10 @@
         if (log.linesPerSecond() > 0) {
             console.setFilter(new Limit(log.linesPerSecond()));
         }
+        if (log.reqs()) {
+            console.setLevel(Level.FINE);
+            Event.detailed();
+        }
         root.addHandler(console);
     }
 
--- a/proxy/src/main/java/wheattrack/config/Operator.java
+++ b/proxy/src/main/java/wheattrack/config/Operator.java
@@ -8,8 +8,8 @@
  * off by default; later parts add their tables here. Errors are {@link BadConfig} and name file, line, key.
  */
 public final class Operator {
-    /** The log's form, and how many lines a second an event may have (0: all). */
-    public record Log(boolean json, int linesPerSecond) {
+    /** The log's form, how many lines a second an event may have (0: all), whether reqs have lines. */
+    public record Log(boolean json, int linesPerSecond, boolean reqs) {
     }
 
     /** What holds where there is no file, in the file's own form. */
@@ -19,6 +19,7 @@
         [log]
         format = "plain"              # or "json": an object a line
         lines-per-second = 0          # an event's, the rest is counted; 0: all
+        reqs = false                  # a line for each dispatch's outcome and each req's end, by its id
         """;
 
     public final Log log;
@@ -26,7 +27,8 @@
     private Operator(Table t) {
         Table l = t.part("log");
         log = new Log(l.choice("format", List.of("plain", "json")).equals("json"),
-            l.count("lines-per-second", 0, 0, 1_000_000));
+            l.count("lines-per-second", 0, 0, 1_000_000),
+            l.flag("reqs", false));
         t.done();
     }
 
@@ -41,6 +43,6 @@
 
     /** Without a file; no TOML is read, as a start has no time for it. */
     public static Log plainLog() {
-        return new Log(false, 0);
+        return new Log(false, 0, false);
     }
 }
--- a/proxy/src/main/java/wheattrack/log/Event.java
+++ b/proxy/src/main/java/wheattrack/log/Event.java
@@ -1,5 +1,6 @@
 package wheattrack.log;
 
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -28,6 +29,18 @@
         }
     }
 
+    /** Lines of single reqs are written from now on. */
+    public static void detailed() {
+        LOG.setLevel(Level.FINE);
+    }
+
+    /** A line of a single req or of one entry of the list; of no cost unless they are switched on. */
+    public static void detail(String event, String id, Supplier<String> cause) {
+        if (LOG.isLoggable(Level.FINE)) {
+            log(Level.FINE, event, id, cause.get());
+        }
+    }
+
     public static void info(String event, String id, String cause) {
         log(Level.INFO, event, id, cause);
     }
--- a/proxy/src/main/java/wheattrack/net/Dispatch.java
+++ b/proxy/src/main/java/wheattrack/net/Dispatch.java
@@ -9,6 +9,8 @@
 abstract class Dispatch {
     final Backend backend;
     final long sent;
+    /** When it got its connection, which is when its first byte left. */
+    long begun;
     /** When its first byte must have left, or it never does. */
     long latest = Long.MAX_VALUE;
     Deadlines.Entry timeout;
--- a/proxy/src/main/java/wheattrack/net/Front.java
+++ b/proxy/src/main/java/wheattrack/net/Front.java
@@ -34,7 +34,7 @@
     private final Taker taker;
     private final Slots<Client> clients = new Slots<>();
     private AsynchronousServerSocketChannel channel;
-    private boolean accepting;
+    private boolean accepting, opened;
     private long loggedAt;
     private long unlogged;
 
@@ -47,11 +47,16 @@
         this.taker = taker;
     }
 
-    /** Listens from now on; another process of this proxy may do so at the same address. */
+    /** Has the address from now on, as another process of this proxy may; who connects waits till open(). */
     void listen(AsynchronousChannelGroup group, InetSocketAddress at) throws IOException {
         channel = AsynchronousServerSocketChannel.open(group);
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(at, BACKLOG);
+    }
+
+    /** Takes who has connected and who does from now on. */
+    void open() {
+        opened = true;
         accept();
     }
 
@@ -69,7 +74,7 @@
     }
 
     private void accept() {
-        if (accepting || !isListening() || clients.size() >= most + 1 + most / 16) {
+        if (accepting || !opened || !isListening() || clients.size() >= most + 1 + most / 16) {
             return;
         }
         accepting = true;
@@ -169,7 +174,7 @@
         return ((InetSocketAddress) channel.getLocalAddress()).getPort();
     }
 
-    int open() {
+    int taken() {
         return clients.size();
     }
 }
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/Listing.java
@@ -28,20 +28,22 @@
     private final boolean advice;
     private Rules rules;
     private Watch watch;
-    private long version;
+    private long version = -1;
+    /** The list known of old, until it is used or one has come from discovery. */
+    private Settings known;
 
     /**
-     * version: that of the list known of old, which is told later, or one below 0. advice: a server that the
-     * list drops without having drained may still be sent to.
+     * known: the list known of old, or one without entries. advice: a server that the list drops without
+     * having drained may still be sent to.
      */
     Listing(Loop loop, AsynchronousChannelGroup group, Dialler dialler, InetSocketAddress discovery,
-            List<?> zones, List<?> kinds, boolean advice, long version) {
+            List<?> zones, List<?> kinds, boolean advice, Settings known) {
         this.loop = loop;
         this.group = group;
         this.discovery = discovery;
         this.zones = zones;
         this.kinds = kinds;
-        this.version = version;
+        this.known = known.has("targets") ? known : null;
         this.advice = advice;
         fleet = new Fleet<>((id, at) -> new Backend(id, at, dialler));
     }
@@ -59,11 +61,20 @@
         return fleet.listed();
     }
 
-    /** Whether a list is there to serve by, be it an old one. */
+    /** Whether a list is there to serve by. */
     boolean isThere() {
         return version >= 0;
     }
 
+    /** Discovery says nothing: the list known of old has to do, if there is one. */
+    void fallBack() {
+        if (known != null) {
+            Settings old = known;
+            known = null;
+            list(old, true);
+        }
+    }
+
     /** Watches from the version on that is known, unless a watch is open. */
     void follow() {
         if (watch != null && !watch.isClosed()) {
@@ -100,7 +111,12 @@
 
     private void told(String line) {
         try {
-            list(new Settings(Json.object(line)), false);
+            Settings news = new Settings(Json.object(line));
+            if (known != null && (!news.flag("all") || news.whole("rev", -1) < known.whole("rev", -1))) {
+                fallBack();                         // what it changes, or what it must bring nothing back to
+            }
+            known = null;
+            list(news, false);
         } catch (IOException | BadConfig e) {
             String fault = String.valueOf(e.getMessage()).split("\n")[0];
             watch.fail("skipped news that can't be read: " + fault);      // and asked for again
@@ -151,6 +167,7 @@
         if (advice && backend != null && backend.isServing()) {
             rules.dropped(backend.at);
         } else if (fleet.left(backend)) {
+            Event.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
             rules.gone(backend.at);
             backend.leaves();
         }
@@ -180,6 +197,7 @@
             Event.info("met srv", Long.toString(number(id)), id + " at " + e.word("endpoint"));
         }
         boolean ready = state.equals("SERVING") && !left;
+        Event.detail("srv", Long.toString(number(id)), () -> id + " " + state + ", up since " + up);
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
             up <= 0 ? Fleet.LONG_AGO : up, fresh);
         backend.serves(address, up);
--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/Proxy.java
@@ -149,6 +149,7 @@
 
     private void left(Guest guest) {
         if (!guest.over) {
+            note(guest, "LEFT");
             close(guest);
             if (guest.held != null) {
                 guest.held.left();
@@ -175,9 +176,15 @@
     private void answer(Guest guest, End how, Response response) {
         close(guest);
         counts.ended(guest.call.name(), how);
+        note(guest, how.name());
         guest.client.answer(response);
     }
 
+    private void note(Guest guest, String end) {
+        Event.detail("req", guest.call.id(), () -> end + " after " + (loop.now() - guest.req.arrived) / 10
+            + " ms, " + guest.dispatches.size() + " dispatches");
+    }
+
     private boolean keeps(Guest guest) {
         return front.keeps(guest.call.request().keep());
     }
@@ -223,6 +230,8 @@
                 return null;
             }
             Response answer = Wire.done(head, keeps(guest), guest.call.request().chunks());
+            Event.detail("dispatch", guest.call.id(), () -> "to " + backend.id + " at " + sent
+                + ", a long answer after " + (loop.now() - sent));
             Passing rest = new Passing(on, guest.client, answer.more(), whole -> {
                 passed();
                 gone(guest);
@@ -236,6 +245,9 @@
 
         @Override
         protected void ended(Outcome how, Response answer) {
+            Event.detail("dispatch", guest.call.id(), () -> "to " + backend.id + " at " + sent + ", begun "
+                + (on == null ? "never" : "after " + (begun - sent)) + ", " + how + " after "
+                + (loop.now() - sent));
             if (how == Outcome.DONE && !guest.over) {
                 answer(guest, End.DONE, Wire.done(answer, keeps(guest), guest.call.request().chunks()));
             }
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -31,7 +31,8 @@
     private static final long WARM_NANOS = 20_000_000;
     private static final long WARM_BESIDE = 400_000_000;    // while an older process still serves
     private static final long LOOK_BESIDE = 1000;   // how often a process beside this one is looked for
-    private static final long LIST_WAIT = 10_000;   // for a list, old or new, before ready
+    // For discovery's list before the one known of old is used. Mass restart: that one named drained srvs.
+    private static final long LIST_WAIT = 10_000;
 
     private Config config;
     private final Loop loop = new Loop();
@@ -56,11 +57,8 @@
         dialler = new Dialler(loop, group, (int) (BACKENDS * free()), config.mostBody,
             settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
         listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
-            settings.list("kinds"), settings.flag("rules.goneIsAdvice"), config.known.whole("rev", -1));
+            settings.list("kinds"), settings.flag("rules.goneIsAdvice"), config.known);
         proxy = new Proxy(loop, listing, counts, settings, config.seed);
-        if (config.known.has("targets")) {
-            listing.list(config.known, true);
-        }
         front = new Front(loop, life, (int) (CLIENTS * free()), config.mostBody, proxy);
         proxy.from(front);
         proxy.beside(isBeside());
@@ -151,6 +149,7 @@
             return;                                 // told to end before it was ready: nobody is let in
         }
         if (listing.isThere() || loop.now() - from >= LIST_WAIT) {
+            listing.fallBack();
             openLate();
             life.enter(Phase.SERVING);
         } else {
@@ -158,12 +157,13 @@
         }
     }
 
-    /** A newer process lets clients in only now that it can serve them. */
+    /** Clients are let in only now that they can be served; a newer process only now takes its address. */
     private void openLate() {
         try {
             if (!front.isListening()) {
                 front.listen(group, config.listen);
             }
+            front.open();
         } catch (IOException e) {
             fault = config.listen + " can't be had: " + e.getMessage();
             loop.shutdown();
@@ -172,7 +172,7 @@
 
     /** Whether no req is open and no client connected; a look from another thread, a moment old. */
     public boolean isQuiet() {
-        return proxy.open() == 0 && front.open() == 0;
+        return proxy.open() == 0 && front.taken() == 0;
     }
 
     /** From another thread: ends in order, and returns when that is done. */
@@ -229,7 +229,7 @@
 
     private void endWhenAnswered(long latest) {
         front.closeIdle();
-        if (front.open() == 0 && proxy.open() == 0 || loop.now() >= latest) {
+        if (front.taken() == 0 && proxy.open() == 0 || loop.now() >= latest) {
             dialler.closeAll();
             if (admin != null) {
                 admin.close();
--- a/proxy/src/main/java/wheattrack/net/Upstream.java
+++ b/proxy/src/main/java/wheattrack/net/Upstream.java
@@ -74,6 +74,7 @@
         resting = false;
         carried = writing = d;
         d.on = this;
+        d.begun = loop.now();
         Request request = d.request();
         body = d.body();
         chunks = request.more() == Decoder.CHUNKED;
--- a/proxy/src/test/java/wheattrack/OperatorTest.java
+++ b/proxy/src/test/java/wheattrack/OperatorTest.java
@@ -40,6 +40,7 @@
         fails("[log]\nlines-per-second = -1\n",
             "o.toml:2: log.lines-per-second: -1.0 is not from 0.0 to 1000000.0");
         fails("[log]\nlines-per-second = 1.5\n", "o.toml:2: log.lines-per-second: 1.5 is not whole");
+        fails("[log]\nreqs = 1\n", "o.toml:2: log.reqs: not true or false");
         fails("log = 3\n", "o.toml:1: log: not a table");
     }
 
--- a/proxy/src/test/java/wheattrack/ServerTest.java
+++ b/proxy/src/test/java/wheattrack/ServerTest.java
@@ -11,6 +11,9 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
+import wheattrack.config.Config;
+import wheattrack.config.Json;
+import wheattrack.net.Server;
 
 /** One proxy on loopback sockets: what clients, backends and the list see of it. */
 class ServerTest extends Rig {
@@ -200,6 +203,38 @@
         w.matches("server-list");
     }
 
+    /** Mass restart: reqs went to srvs that drain, as the list known of old was used until news came. */
+    @Test
+    void startsByWhatDiscoverySays() throws Exception {
+        int[] at = new int[2];
+        for (int i = 0; i < 2; i++) {
+            String name = "s" + i;
+            at[i] = open(socket -> backend(name, socket)).getLocalPort();
+        }
+        String known = told(3, true, entry("s0", "SERVING", at[0]), entry("s1", "SERVING", at[1]));
+        String now = told(7, true, entry("s0", "DRAINING", at[0]), entry("s1", "SERVING", at[1]));
+        int list = open(this::list).getLocalPort();
+        server = new Server(new Config(Json.object(config(list, 1024, known))));
+        port = server.port();
+        running = start(server::run);
+        try (Socket early = connect()) {            // while it starts: waits, and is served by the news
+            send(early, request("buy"));
+            Thread.sleep(300);
+            news.add(now);
+            w.say("came early: " + answer(early) + ", then " + who() + ", asked " + seen);
+        }
+        server.end();
+        news.clear();
+        server = new Server(new Config(Json.object(config(list, 1024, known))));
+        port = server.port();
+        running = start(server::run);
+        w.say("discovery says nothing: " + who());
+        news.add(now);
+        Thread.sleep(300);
+        w.say("and then: " + who());
+        w.matches("server-starts");
+    }
+
     /**
      * A large fleet's list in trouble: changes of an old revision, and a whole list of one, bring no drained
      * srv back; of repeated entries the last counts; 40 broken ones of 60 are one line; cut off amid a line,
