A start without discovery denies after a dial's time and serves by the old list after 3 s

Change: clients are let in after a dial's time (limits.dialTimeout) and denied while no list is there; the list known of old is used after 3 s of silence, the time after which a watch counts as dead.

--- a/proxy/src/main/java/wheattrack/net/Rehearsal.java
+++ b/proxy/src/main/java/wheattrack/net/Rehearsal.java
@@ -90,7 +90,8 @@
     private static String list(int port) {
         StringBuilder entries = new StringBuilder();
         for (int i = 0; i < SRVS; i++) {
-            entries.append(i == 0 ? "" : ",").append("{'uid':'s-").append(i).append("','endpoint':'127.0.0.1:")
+            entries.append(i == 0 ? "" : ",").append("{'uid':'s-").append(i)
+                .append("','endpoint':'127.0.0.1:")
                 .append(port).append("','az':'a','model':'m','state':'SERVING','capacity_hint':1.5,")
                 .append("'boot_ms':0}");
         }
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -31,8 +31,9 @@
     private static final long WARM_NANOS = 20_000_000;
     private static final long WARM_BESIDE = 400_000_000;    // while an older process still serves
     private static final long LOOK_BESIDE = 1000;   // how often a process beside this one is looked for
-    // For discovery's list before the one known of old is used. Mass restart: that one named drained srvs.
-    private static final long LIST_WAIT = 10_000;
+    // For discovery's list before the one known of old is used: a watch silent so long is dead. Mass
+    // restart: the known one named drained srvs. Clients wait as long as a dial may take, then are denied.
+    private static final long LIST_WAIT = Watch.SILENCE;
 
     private Config config;
     private final Loop loop = new Loop();
@@ -148,11 +149,15 @@
         if (life.isLeaving()) {
             return;                                 // told to end before it was ready: nobody is let in
         }
-        if (listing.isThere() || loop.now() - from >= LIST_WAIT) {
+        long waited = loop.now() - from;
+        if (listing.isThere() || waited >= LIST_WAIT) {
             listing.fallBack();
             openLate();
             life.enter(Phase.SERVING);
         } else {
+            if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
+                front.open();
+            }
             loop.after(LOOK, () -> readyFrom(from));
         }
     }
--- a/proxy/src/main/java/wheattrack/net/Watch.java
+++ b/proxy/src/main/java/wheattrack/net/Watch.java
@@ -17,7 +17,7 @@
 /** One watch on the list, until it breaks or falls silent. */
 final class Watch extends Link {
     /** A line comes every 2 s at least; half as much again without one is a break. */
-    private static final long SILENCE = 30_000;
+    static final long SILENCE = 30_000;
 
     private final LineDecoder in = new LineDecoder();
     private final Consumer<String> line;
