--- a/proxy/src/main/java/wheattrack/Signals.java
+++ b/proxy/src/main/java/wheattrack/Signals.java
@@ -26,8 +26,12 @@
                     then.run();
                     return null;
                 });
-            signal.getMethod("handle", signal, handler)
+            Object was = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+            if (was == handler.getField("SIG_IGN").get(null)) {
+                // rolling day: a bench under nohup, and the list's old address was asked until the restart
+                LOG.warning("SIGHUP is not heard, as whoever started this process ignores it (nohup does)");
+            }
         } catch (ReflectiveOperationException | RuntimeException e) {
             LOG.warning("SIGHUP will end this process: " + e);
         }
--- a/proxy/src/test/java/wheattrack/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/ReloadTest.java
@@ -155,4 +155,22 @@
         assertEquals(RELOADS, taken + Integer.parseInt(figure("reloads_failed")));
         assertTrue(taken > RELOADS / 3, "taken: " + taken);
     }
+
+    /** A fleet under nohup kept its old list: no JVM hears SIGHUP where its parent ignores it; it says so. */
+    @Test
+    void hangupIgnored() throws Exception {
+        Path file = Files.createTempFile("wheattrack", ".json");
+        Files.writeString(file, config(9, 1024, "{}"));
+        String start = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        Process proxy = new ProcessBuilder("sh", "-c", start, java, System.getProperty("java.class.path"), file.toString()).redirectErrorStream(true).start();
+        try (var lines = proxy.inputReader()) {
+            String said = lines.lines().filter(line -> line.matches(".*SIGHUP is not heard.*|.*SERVING.*"))
+                .findFirst().orElse("nothing");
+            assertTrue(said.contains("SIGHUP is not heard"), said);
+        } finally {
+            proxy.destroyForcibly().waitFor();
+            Files.delete(file);
+        }
+    }
 }
