--- a/proxy/src/test/java/wheattrack/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/ReloadTest.java
@@ -163,7 +163,8 @@
         Files.writeString(file, config(9, 1024, "{}"));
         String start = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process proxy = new ProcessBuilder("sh", "-c", start, java, System.getProperty("java.class.path"), file.toString()).redirectErrorStream(true).start();
+        Process proxy = new ProcessBuilder("sh", "-c", start, java, System.getProperty("java.class.path"),
+            file.toString()).redirectErrorStream(true).start();
         try (var lines = proxy.inputReader()) {
             String said = lines.lines().filter(line -> line.matches(".*SIGHUP is not heard.*|.*SERVING.*"))
                 .findFirst().orElse("nothing");
