Load reports decide who is crowded; idle connections end by price; hopeless reqs denied

Trials of shut srvs by any light req where no rule set is replayable. A configuration that asks for a budget or goneIsAdvice is refused with its key.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import wheattrack.figures.Chance;
 import wheattrack.figures.Fit;
 import wheattrack.figures.Tally;
@@ -19,21 +20,23 @@
 
 /*
  * All decisions of one proxy. How to call: construct, hand each part its settings (limits, zones, cold,
- * goal), then start; entry, gone, listed and listFailed follow the list; arrive takes a req and returns
- * what the port tells of it later. The interface called out through is wheattrack.port.Port. Times are
- * tenths of a millisecond, backends dense indexes. The ordinary path is EQUILOAD, see docs/design.md.
+ * reports, traffic), then start; entry, gone, listed and listFailed follow the list, load what srvs report;
+ * arrive takes a req and returns what the port tells of it later. Called out through: wheattrack.port.Port.
+ * Times are tenths of a millisecond, backends dense indexes. The ordinary path is EQUILOAD: docs/design.md.
  */
 public final class Rules {
     private static final int HINTS = 2000;          // the design's window
+    private static final int LEAST = 2, ASKED = 2;  // srvs met, connections priced; asked before a send
+    private static final int TRAFFIC = 20;          // seconds of own traffic that tell a proxy's part of it
     private static final int MOST = 1024, KINDS = 64;   // backends known at once, kinds of machine told apart
     private static final long SECOND = 10_000, RECUT = SECOND;     // recompute period
     private static final double KEEP = 0.8, SLOWLY = 0.95;  // of learnt sums a second; of a kind's
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
     private static final double CALM = 0.125;       // of the tightest target: a mean wait that may stand
     private static final double DOUBT = 8;          // reqs that half believe the hints before any lag is seen
+    private static final double FULLY = 0.8;        // by twice as many, where lags are too few to tell
     private static final double QUEUED = 0.1;       // how much a lag above the usual for its hint counts
     private static final double MISSED = 0.1;       // of the reqs sent: late or lost, as many as may be
-    private static final int PARTS = 16;            // of the span over which further dispatches are counted
     private static final int LOOKS = 16;            // srvs looked at for a req: no cost grows with the fleet
     private static final double FLAT = 0.25;        // of the mean cost, which every req costs at least
     private static final int LATELY = 16;           // hints that tell whether their unit has moved,
@@ -41,66 +44,60 @@
     private static final double ODD = 1000;         // times the median hint: what lies above counts as that
     private static final double TRACE = 0.01;       // a part denied that is none
     private static final int TRIALS = 8;            // reqs a trial of a shut srv, so that few are risked
-    private static final int MANY = 4, FEW = 8;     // proxies that meet a srv; srvs a proxy meets at least
+    private static final int MANY = 4, FEW = 8, TOLD = 6;  // proxies a srv meets; srvs a proxy meets at least
     private static final double ATONCE = 0.25;      // of a cold srv's bound: what may come at once
-    private static final double DISBELIEF = 1 / 64.0;   // below it a dropped srv is let go
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
     private final Port port;
     private final int me, balancers;
     private final Chance chance;
-    private long shortest;                          // the tightest response target
-    private int maxDispatches = 1, zone;
+    private int maxDispatches = 1, zone, asks;
     private boolean mayCancel, mayDuplicate, following, began;  // began: to get hints after reqs without
+    private boolean reports, replayables;           // srvs tell their load; a rule set may run again
+    private double quota, traffic, rest;            // reqs a second within all shares; ours; see traffic()
     private double crossPrice, startCapacity = 1, fallMultiple = 1;
-    private double mayWait = 1, calmly = 1;         // of the time left to the target; of a mean req's time
-    private long cold, fall, maxWait, askEvery, retryAsk;
+    private long shortest;                          // the tightest response target
+    private long cold, fall, maxWait, askEvery, retryAsk, keepOpen;     // idle connections, so long
 
     // Backends, under their dense index.
     private int slots;
     private long[] id = new long[MOST], upSince = new long[MOST];
     private boolean[] ready = new boolean[MOST], shut = new boolean[MOST];
     private int[] zoneOf = new int[MOST], packOf = new int[MOST], out = new int[MOST], kind = new int[MOST];
-    private double[] share = new double[MOST], weight = new double[MOST];
-    private double[] tries = new double[MOST], fails = new double[MOST];
-    private double[] room = new double[MOST];       // dispatches it has room for, as its full answers teach
+    private double[] share = new double[MOST], weight = new double[MOST], tries = new double[MOST];
+    private double[] fails = new double[MOST], room = new double[MOST]; // room: as its full answers teach
+    // Cost out, done, called off or timed out and maybe running on; of a cold srv's budget spent, leaking.
     private double[] outCost = new double[MOST], costSum = new double[MOST];
-    private double[] ghost = new double[MOST];      // cost called off or timed out, which may run on there
-    private double[] busy = new double[MOST];       // time with something out there, decaying
+    private double[] ghost = new double[MOST], spent = new double[MOST];
+    // Time with something out there: decaying, since its last answer; mean wait over the last second.
+    private double[] busy = new double[MOST], silence = new double[MOST], stand = new double[MOST];
     private long[] busyFrom = new long[MOST], spentAt = new long[MOST];
-    private double[] silence = new double[MOST];    // time with something out there since its last answer
-    private double[] stand = new double[MOST];      // mean wait over the last second
     private long[] trialAt = new long[MOST], trialGap = new long[MOST];
-    private boolean[] dropped = new boolean[MOST];  // by the list, without having drained
-    private double[] belief = new double[MOST];     // that it is there all the same, a part of its share
-    private double[] spent = new double[MOST];      // of a cold srv's budget, leaking
+    private double[] held = new double[MOST];       // reqs there by its last report, and ours since
+    private long[] heardAt = new long[MOST], restAt = new long[MOST];   // of that; of our last outcome, or 0
+    private final double[] wide = new double[KINDS];    // reqs that a srv of a kind works on at once
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
     private final double[] window = new double[HINTS];
-    private long seen, taken, triedAt, sentAt;
+    private long seen, taken, takenThen, seconds = 1, triedAt, sentAt;
+    private long vainSince;                         // a req was denied as too heavy, none was sent since
     private int[] order = {};
     private double[] values = {}, below = {0}, ends = {};
     private double meeting = 1, twins = 1, usualFailure;    // proxies that meet a srv; processes of this one
-    private double allOut;                          // cost out from us anywhere
-    private double abroad;                          // nearness of srvs in other zones, 0 to 1
+    private double allOut, abroad;                  // cost out anywhere; nearness of other zones, 0 to 1
     // By kind, kept longer: cost, time busy by weight, time of all dispatches; and cost by that, fleet 1.
     private final double[] kindCost = new double[KINDS], kindBusy = new double[KINDS];
     private final double[] kindOut = new double[KINDS], speed = new double[KINDS];
     private double usualPace = 1, usualLoad;        // cost a srv does for us, by weight: busy, in all
     private double keep = KEEP;                     // of what is learnt of a srv, by the second or the visit
-    private double meanCost = 1, meanWorth = 1;
+    private double meanCost = 1, meanWorth = 1, unit = 1;   // unit: costs of now in one of the start
     private double lately, windowLog, jump = JUMP, mostHint = Integer.MAX_VALUE;
-    private double unit = 1;                        // costs of now in one of the start
     private int shuts, outs, idleDenied;            // shut among the ready; dispatches out; denied with none
-    private double extraFloor, resendRatio;         // the budget of further dispatches, by parts of its span
-    private long budgetPart, partFrom;
-    private int part;
-    private final int[] came = new int[PARTS + 2], further = new int[PARTS + 2];
     private String why = "";
     private double trust = 0.5, scale = 1, flat;    // cost: flat + scale x hint to the power of trust
+    private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Fit fit = new Fit(HINTS);
     private final Tally late = new Tally();
-    private double refuse;                          // the part of reqs denied as too many sent ones are late
     private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
 
     public Rules(Port port, long seed, int me, int balancers, RuleSet[] sets) {
@@ -114,6 +111,7 @@
 
     public void targets(RuleSet[] sets) {
         shortest = Arrays.stream(sets).mapToLong(RuleSet::target).min().orElse(SECOND);
+        replayables = Arrays.stream(sets).anyMatch(set -> set.effect() == Effect.REPLAYABLE);
     }
 
     public void limits(int most, boolean cancels, boolean duplicates, long longestWait) {
@@ -136,37 +134,35 @@
         fall = fallAfter;
     }
 
-    /** Where the goal counts the tail, little may be waited; elsewhere all of the time to the target. */
-    public void goal(double punctual) {
-        mayWait = 1 / (1 + 10 * punctual);
-        calmly = punctual > 0 ? 0 : 1;
+    /** Srvs report the load they hold; asked: only to who asks. */
+    public void reports(boolean come, boolean asked) {
+        reports = come;
+        trust = come ? FULLY : trust;
+        asks = come && asked ? ASKED : 0;
     }
 
-    /** In any window of the span, at most floor + ratio x reqs taken dispatches beyond a req's first. */
-    public void budget(double floor, double ratio, long span) {
-        extraFloor = floor;
-        resendRatio = ratio;
-        budgetPart = span / PARTS;
+    /** All proxies' reqs a second within the shares, and what connections cost. */
+    public void traffic(double all, double connection, double handshake) {
+        quota = all;
+        traffic = all / balancers;
+        rest = connection > 0 ? 100 * SECOND * handshake / connection : 0;  // priced by 100 a srv
     }
 
-    // Counts by parts of the span stand for single dispatches: those made are summed over a little more than
-    // the span, reqs taken over a little less, so no window holds more than the budget wherever it begins.
-    private boolean mayResend(long now) {
-        turnOver(now);
-        double made = 1, allowed = extraFloor;
-        for (int i = 0; i < further.length; i++) {
-            made += further[(part + i) % further.length];
-            allowed += i == 1 || i == 2 ? 0 : resendRatio * came[(part + i) % came.length];
+    /** A srv's report: the reqs it holds, and those of them that wait. */
+    public void load(int b, double holds, double waits) {
+        if (reports && b < MOST && holds >= 0) {
+            held[b] = holds;
+            heardAt[b] = port.now();
+            double works = holds - Math.max(0, waits), known = wide[kind[b]];
+            wide[kind[b]] = Math.max(1, waits >= 1 ? known + (works - known) / 8 : Math.max(known, works));
         }
-        return budgetPart <= 0 || made <= allowed;
     }
 
-    private void turnOver(long now) {
-        for (int i = 0; budgetPart > 0 && i < came.length && now >= partFrom + budgetPart; i++) {
-            partFrom = Math.max(partFrom + budgetPart, now - came.length * budgetPart);
-            part = (part + 1) % came.length;
-            came[part] = further[part] = 0;
-        }
+    private boolean isHeard(int b) { return heardAt[b] > 0 && port.now() - heardAt[b] < shortest / 2; }
+
+    /** Cost ahead of a req sent there now, for each that it works on at once, by its last report. */
+    private double ahead(int b) {
+        return Math.max(0, held[b] + 1 - wide[kind[b]]) * meanCost / Math.max(1, wide[kind[b]]);
     }
 
     public void start(boolean mustAsk, long ask) {
@@ -180,6 +176,7 @@
 
     // ---- the list
 
+    /** Srvs on the list that are kept away from now. */
     public int avoided() { return shuts; }
 
     /** Another process of this proxy is there: of what may be sent to cold srvs, half is its. */
@@ -193,8 +190,6 @@
         }
         slots = Math.max(slots, b + 1);
         boolean restarted = fresh || up > upSince[b];
-        belief[b] = id[b] == name && belief[b] > 0 ? belief[b] : 1;
-        dropped[b] = false;
         id[b] = name;
         zoneOf[b] = inZone;
         packOf[b] = inPack;
@@ -203,7 +198,8 @@
         upSince[b] = up;
         ready[b] = healthy;
         if (restarted) {
-            costSum[b] = busy[b] = ghost[b] = stand[b] = tries[b] = fails[b] = silence[b] = 0;
+            heardAt[b] = 0;
+            costSum[b] = busy[b] = held[b] = ghost[b] = stand[b] = tries[b] = fails[b] = silence[b] = 0;
             shut[b] = false;
             room[b] = MOST;
             spent[b] = meanCost * chance.draw();    // and not all of them at the same moment
@@ -211,28 +207,6 @@
         }
     }
 
-    /** The list no longer names it and it has not drained, where that is advice: half of the belief goes. */
-    public void dropped(int b) {
-        if (b < MOST && !dropped[b]) {
-            dropped[b] = true;
-            belief[b] /= 2;
-            ready[b] &= Arrays.stream(order).anyMatch(one -> one == b); // else no evidence comes
-        }
-    }
-
-    /** Whether a dropped one is believed in no more, so that its index is free. */
-    public boolean isLetGo(int b) { return b < MOST && dropped[b] && !ready[b]; }
-
-    // Answers and breaks at a dropped srv are the evidence, doubling or halving what it gets; no time counts.
-    private void believe(int b, Outcome how) {
-        if (how == Outcome.DONE || how == Outcome.ERROR || how == Outcome.FULL) {
-            belief[b] = Math.min(1, 2 * belief[b]);
-        } else if (dropped[b] && how != Outcome.CANCELLED && how != Outcome.MOOT) {
-            belief[b] /= 2;
-            ready[b] &= belief[b] >= DISBELIEF;
-        }
-    }
-
     public void gone(int b) {
         if (b < MOST) {
             ready[b] = false;
@@ -300,30 +274,23 @@
         }
     }
 
-    private boolean moved() {
-        return seen > LATELY && Math.abs(lately - windowLog) > jump;
-    }
+    private boolean moved() { return seen > LATELY && Math.abs(lately - windowLog) > jump; }
 
     /** The latest hints alone are of the unit that hints have now. */
     private void forgetOld() {
-        double[] latest = new double[LATELY];
-        for (int i = 0; i < LATELY; i++) {
-            latest[i] = window[(int) ((seen - LATELY + i) % HINTS)];
-        }
+        double[] latest = LongStream.range(seen - LATELY, seen).mapToDouble(i -> window[(int) (i % HINTS)])
+            .toArray();
         System.arraycopy(latest, 0, window, 0, LATELY);
         seen = LATELY;
         lately = Arrays.stream(latest).map(Math::log).sum() / LATELY;
         port.log("hints moved " + Math.round(100 * Math.exp(lately - windowLog)) + ": per cent of before");
     }
 
-    // Hints that begin or change their unit: a mean req is as much work as before, whatever it is called. All
-    // that was learnt as cost is carried over so; else idle srvs looked as if each req took them seconds.
+    // Hints that begin or change their unit: a mean req is as much work as before, all costs carried over so.
     private void rescale(double times) {
         unit *= times;
         for (double[] costs : new double[][] {costSum, outCost, ghost, spent, kindCost}) {
-            for (int i = 0; i < costs.length; i++) {
-                costs[i] *= times;
-            }
+            Arrays.setAll(costs, i -> costs[i] * times);
         }
         allOut *= times;
         usualPace *= times;
@@ -338,7 +305,10 @@
         long now = port.now();
         int[] all = IntStream.range(0, slots).filter(b -> ready[b]).boxed()
             .sorted(Comparator.comparingLong(b -> id[b])).mapToInt(b -> b).toArray();
-        int part = Math.max(FEW, MANY * all.length / balancers);
+        double own = Math.max(1.0 / balancers, quota > 0 ? traffic / quota : 0);
+        keepOpen = rest > 0 && quota > 0 ? (long) (rest * all.length / quota) : Long.MAX_VALUE;
+        int few = !reports ? FEW : (int) Math.max(LEAST, Math.min(TOLD, traffic * keepOpen / SECOND));
+        int part = (int) Math.max(few, MANY * all.length * own);
         int n = Math.min(all.length, part + Math.max(0, 4 * shuts - 2 * part));     // incident i8788ed
         order = IntStream.range(0, all.length)
             .filter(i -> Math.floorMod(i - (long) me * part, all.length) < n).map(i -> all[i]).toArray();
@@ -351,7 +321,7 @@
         for (int i = 0; i < n; i++) {
             int b = order[i];
             share[b] = weight[b] * speed[kind[b]] * Math.sqrt(pace(b) / usual(b))
-                * health(b) * belief[b] * warmth(b, now) * (zoneOf[b] == zone ? 1 : abroad);
+                * health(b) * warmth(b, now) * (zoneOf[b] == zone ? 1 : abroad);
             ends[i] = sum += share[b];
             shuts += shut[b] ? 1 : 0;
         }
@@ -371,13 +341,11 @@
     /** A fresh srv is first met in turns by own number, then by one proxy more with each turn. */
     private boolean ourTurn(int b, long now) {
         long age = now - upSince[b];
-        long turn = Math.max(1, fall / 4);
-        long turns = Math.max(1, Math.min((long) meeting, cold / 2 / turn));
+        long turn = Math.max(1, fall / 4), turns = Math.max(1, Math.min((long) meeting, cold / 2 / turn));
         return age >= me % turns * turn;
     }
 
-    // Incident, cold srvs fell over: a budget by what warm srvs and its kind do. A light req weighs like a
-    // mean one, for each that reaches a cold srv counts; those on the lightest interval fell over first.
+    // Incident, cold srvs fell over: a budget by what warm srvs and its kind do; light reqs weigh as means.
     private boolean bears(int b, double load, long now) {
         if (now - upSince[b] >= cold) {
             return true;
@@ -414,19 +382,18 @@
         usualPace = time > 0 && pace > 0 ? pace / time : usualPace;
         double fleet = Arrays.stream(kindCost).sum() / Math.max(1, Arrays.stream(kindOut).sum());
         for (int k = 0; k < KINDS; k++) {
-            double prior = SECOND * fleet;
-            speed[k] = fleet > 0 ? (kindCost[k] + prior) / (kindOut[k] * fleet + prior) : 1;
+            speed[k] = fleet > 0 ? (kindCost[k] + SECOND * fleet) / ((kindOut[k] + SECOND) * fleet) : 1;
             kindOut[k] *= SLOWLY;
             kindCost[k] *= SLOWLY;
             kindBusy[k] *= SLOWLY;
         }
         keep = Math.pow(KEEP, Math.min(1, late.came * (1 - KEEP * KEEP) / Math.max(1, order.length)));
         for (double[] sum : new double[][] {costSum, busy, tries, fails}) {
-            for (int b = 0; b < slots; b++) {
-                sum[b] *= keep;
-            }
+            Arrays.setAll(sum, b -> sum[b] * keep);
         }
-        double excess = 3 * (late.sentLate - MISSED * mayWait * late.sent) / (late.came + 2);
+        traffic += (taken - takenThen - traffic) / Math.min(TRAFFIC, ++seconds);
+        takenThen = taken;
+        double excess = (late.sentLate - MISSED * late.sent) / (late.came + 2);
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         refuse = refuse < TRACE ? 0 : refuse;       // halved for ever, it still denied what had little hope
         if (idleDenied > Math.max(4, (1 - KEEP * KEEP) * late.came / 2)) {
@@ -439,16 +406,13 @@
     }
 
     // The place in the order whose interval holds this cost; a value on a cut falls by covered share. The
-    // req's own hint counts as one more in the window: alone it spans all of the cut, among few a good part
-    // of it, so a thin window cuts nearly at random and a full one sharply, at equal shares throughout.
+    // req's own hint counts as one more in the window: a thin one cuts nearly at random, a full one sharply.
     private int place(int cost) {
         int n = order.length;
         if (cost <= 0) {
             return (int) (chance.draw() * n);
         }
-        double lo = below[under(cost - 0.5)];
-        double own = expected(cost);
-        double hi = below[under(cost + 0.5)] + own;
+        double own = expected(cost), lo = below[under(cost - 0.5)], hi = below[under(cost + 0.5)] + own;
         double at = (lo + chance.draw() * (hi - lo)) / (below[values.length] + own) * ends[n - 1];
         int i = Arrays.binarySearch(ends, at);
         return Math.min(n - 1, i < 0 ? -i - 1 : i + 1);
@@ -459,25 +423,23 @@
         return flat + scale * Math.pow(Math.min(hint, mostHint), trust);
     }
 
-    // How steeply lags follow hints, in logs, beside some reqs that half believe them. Lags above the fit
-    // hold others' queues and count little: taken in full, crowded fleets would look deaf to the hints.
+    // How steeply lags follow hints, in logs, beside reqs that half believe them. Lags above the fit hold
+    // others' queues and count little.
     private void compare(int hint, long lag) {
-        double x = Math.log(hint);
-        double y = Math.log(Math.max(1, lag));
+        double x = Math.log(hint), y = Math.log(Math.max(1, lag));
         fit.add(x, y, fit.isAbove(x, y) ? QUEUED : 1);
-        trust = Math.max(0.1, Math.min(1, fit.slope(DOUBT, 0.5)));
+        trust = Math.max(0.1, Math.min(1, reports ? fit.slope(2 * DOUBT, FULLY) : fit.slope(DOUBT, 0.5)));
     }
 
     /** How many hints of the window lie under this one; asked for halves, so none is met. */
-    private int under(double value) {
-        return -Arrays.binarySearch(values, value) - 1;
-    }
+    private int under(double value) { return -Arrays.binarySearch(values, value) - 1; }
 
     private void settle(int b, long now) {
         long time = now - busyFrom[b];
         if (out[b] > 0) {
-            busy[b] += time;
-            kindBusy[kind[b]] += time * weight[b];
+            double work = reports ? time * out[b] : time;   // what waits is known: each is by itself
+            busy[b] += work;
+            kindBusy[kind[b]] += work * weight[b];
             kindOut[kind[b]] += time * out[b];
             silence[b] += time;
         }
@@ -487,49 +449,47 @@
 
     /** Cost this srv does for us in a unit of time while we have something out there. */
     private double pace(int b) {
-        double prior = SECOND / 2.0;
-        return (costSum[b] + prior * usual(b)) / (busy[b] + prior);
+        return (costSum[b] + SECOND / 2.0 * usual(b)) / (busy[b] + SECOND / 2.0);
     }
 
     /** The pace of its kind: one proxy of hundreds hardly sees a srv, but soon how fast each kind is. */
     private double usual(int b) {
-        double prior = 2 * SECOND;
-        return weight[b] * (kindCost[kind[b]] + prior * usualPace) / (kindBusy[kind[b]] + prior);
+        return weight[b] * (kindCost[kind[b]] + 2 * SECOND * usualPace) / (kindBusy[kind[b]] + 2 * SECOND);
     }
 
     /** The wait there: what is out from us, or what of others shows in lags well over the hints' own time. */
     private double waiting(int b) {
+        if (isHeard(b)) {
+            return ahead(b) / pace(b);
+        }
         double own = Math.max(0, finish(b, (int) (-meanCost / balancers)));     // incident: idle srvs denied
-        return seen == 0 || busy[b] < SECOND / 2 ? own * meeting
+        return seen == 0 || busy[b] < SECOND / 2 ? reports ? own : own * meeting
             : Math.max(own, finish(b, (int) meanCost) - (1 + 6.0 / balancers) * meanCost);
     }
 
-    // Incident, servers overdriven for 20 s: a wait may be long for a moment, but not stand. The one mean req
-    // that is in work, its way there and back with it, is no such wait: service days denied at idle srvs.
+    // Incident, servers overdriven for 20 s: no wait may stand; one mean req in work, and its way, is none.
     private boolean takes(int b, long left) {
         if (isStill(port.now())) {
             return true;
         }
-        double own = calmly * meanCost / pace(b), most = mayWait * left;
+        double own = meanCost / pace(b);
         boolean stands = stand[b] > Math.max(CALM * shortest, own);
-        return waiting(b) <= (stands ? Math.min(most, Math.max(CALM * left, own)) : most);
+        return waiting(b) <= (stands ? Math.min(left, Math.max(CALM * left, own)) : left);
     }
 
     /** Nothing is out, and was sent for a target: whatever is learnt, one req may find out. */
-    private boolean isStill(long now) {
-        return outs == 0 && now - sentAt >= shortest;
-    }
+    private boolean isStill(long now) { return outs == 0 && now - sentAt >= shortest; }
 
     /** How long a cost given to this srv now would take, by what this proxy has out there. */
     private double finish(int b, double cost) {
         settle(b, port.now());
-        return (outCost[b] + ghost[b] + cost) / pace(b);
+        return ((isHeard(b) ? ahead(b) : outCost[b] + ghost[b]) + cost) / pace(b);
     }
 
     /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
     private int trial(Course c, long now) {
-        if (c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty() || c.load() > meanCost
-                || taken - triedAt < TRIALS) {
+        if (replayables && c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty()
+                || c.load() > meanCost || taken - triedAt < TRIALS) {
             return -1;
         }
         for (int b : order) {
@@ -544,9 +504,7 @@
     }
 
     /** Silence that speaks against a srv: longer where little is out there, or where much work is. */
-    private double patience(int b) {
-        return shortest / 2.0 + 6 * finish(b, (int) meanCost) / (1 + out[b]);
-    }
+    private double patience(int b) { return shortest / 2.0 + 6 * finish(b, (int) meanCost) / (1 + out[b]); }
 
     /** The srv for a req's next dispatch, or -1: its interval's, or the next in order not passed over. */
     private int pick(Course c) {
@@ -556,7 +514,7 @@
         if (trial >= 0) {
             return trial;
         }
-        int from = place(c.req.cost);
+        int from = c.from(n);
         long left = c.left(now);
         int spare = -1, worst = 5, looks = LOOKS;
         double soonest = 0;
@@ -568,7 +526,8 @@
                 continue;
             }
             looks--;
-            boolean crowded = outCost[b] > 1.2 * allOut * share[b] / ends[n - 1] + meanCost / 4;
+            boolean crowded = reports && ahead(b) > meanCost / 4 || !isHeard(b)
+                && outCost[b] > 1.2 * allOut * share[b] / ends[n - 1] + meanCost / 4;
             boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
             double finish = finish(b, Math.max(c.load(), c.req.cost));
             crowded |= finish + c.req.cost / pace(b) > left;
@@ -577,7 +536,7 @@
             if (rank == 0) {
                 return b;
             }
-            if (rank < worst || rank == worst && rank > 2 && finish < soonest) {
+            if (rank < worst || rank == worst && (rank > 2 || reports) && finish < soonest) {
                 worst = rank;
                 soonest = finish;
                 spare = b;
@@ -601,16 +560,13 @@
                 lately = lately == 0 ? log : lately + (log - lately) / LATELY;
             }
             if ((seen & seen - 1) == 0 || moved()) {
-                // a thin window, or one in another unit: cut anew whenever it has doubled, or moved
-                recut();
+                recut();                            // a window that has doubled, or moved to another unit
             }
         }
         Course c = new Course(req);
         meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
         late.came++;
-        turnOver(req.arrived);
-        came[part]++;
-        c.next();
+        c.ask();
         return c;
     }
 
@@ -618,28 +574,27 @@
         long now = port.now();
         for (int b : order) {
             stand[b] += (waiting(b) - stand[b]) * shortest / 10 / SECOND;
-            if (!shut[b] && out[b] > 0 && silence[b] > patience(b)) {
-                shut(b, out[b] + " out, silent for " + (long) silence[b] / 10 + " ms");
+            if (out[b] > 0 && silence[b] > patience(b)) {
+                shut(b, true, out[b] + " out, silent for " + (long) silence[b] / 10 + " ms");
             }
         }
         List.copyOf(open).forEach(c -> c.look(now));
+        for (int b = 0; b < slots; b++) {
+            if (out[b] == 0 && restAt[b] > 0 && now - restAt[b] >= keepOpen) {
+                restAt[b] = 0;
+                port.hangUp(b);
+            }
+        }
         port.later(shortest / 10, this::sweepAndWait);
     }
 
-    private void shut(int b, String why) {
-        shut[b] = true;
-        shuts += ready[b] ? 1 : 0;
-        trialGap[b] = shortest;
-        trialAt[b] = port.now() + trialGap[b];
-        port.log("shut " + id[b] + ": " + why);
-    }
-
-    private void answered(int b) {
-        silence[b] = 0;
-        if (shut[b]) {
-            shut[b] = false;
-            shuts -= ready[b] ? 1 : 0;
-            port.log("open " + id[b] + ": it answers");
+    private void shut(int b, boolean now, String why) {
+        if (shut[b] != now) {
+            shut[b] = now;
+            shuts += !ready[b] ? 0 : now ? 1 : -1;
+            trialGap[b] = shortest;
+            trialAt[b] = port.now() + shortest;
+            port.log((now ? "shut " : "open ") + id[b] + ": " + why);
         }
     }
 
@@ -647,9 +602,9 @@
     private final class Course implements Port.Held {
         final Req req;
         private final double asked, unitThen = unit;
-        boolean over, streaming;
-        int live;
         private final int most = maxDispatches;
+        private boolean over, streaming;
+        private int live, unheard, from = -1;
         final List<Leg> legs = new ArrayList<>(2);
 
         Course(Req req) {
@@ -658,11 +613,38 @@
             open.add(this);
         }
 
-        /** Its cost in the unit of now. */
-        double load() {
-            return asked * unit / unitThen;
+        /** Its interval's place in the order: the one that was asked, later drawn anew. */
+        int from(int n) {
+            from = from < 0 || !legs.isEmpty() ? place(req.cost) : from;
+            return from % n;
+        }
+
+        /** Asks its interval's srv and the next how busy they are; held for that no longer than a moment. */
+        void ask() {
+            for (int k = 0, n = order.length; k < n && unheard < asks; k++) {
+                int b = order[(from(n) + k) % n];
+                if (ready[b] && !shut[b]) {
+                    unheard++;
+                    port.probe(b, (ok, lag) -> heard(1));
+                }
+            }
+            if (unheard > 0) {
+                port.later(shortest / 30, () -> heard(unheard));
+            } else {
+                next();
+            }
+        }
+
+        private void heard(int answers) {
+            unheard -= answers;
+            if (answers > 0 && unheard == 0 && !over) {
+                next();
+            }
         }
 
+        /** Its cost in the unit of now. */
+        double load() { return asked * unit / unitThen; }
+
         /** Not where it was last. Rule two: once it may have run, only where a repeat does no harm. */
         boolean allows(int b, long now) {
             RuleSet set = req.ruleSet;
@@ -687,11 +669,13 @@
         /** The next dispatch, or the final answer where none can help any more. */
         void next() {
             long now = port.now();
-            boolean may = legs.isEmpty() || mayResend(now);
-            int b = order.length > 0 && legs.size() < most && now < req.due && may ? pick(this) : -1;
+            int b = order.length > 0 && legs.size() < most && now < req.due ? pick(this) : -1;
             boolean shed = legs.isEmpty() && refuse > 0 && !isStill(now)
                 && chance.draw() < Math.pow(refuse, hope(now));
-            if (b >= 0 && !shed && takes(b, left(now))) {
+            boolean hopeless = reports && b >= 0 && load() > 2 * meanCost && load() / pace(b) > req.due - now
+                && (vainSince == 0 || now - vainSince < shortest);      // the module may be wrong for so long
+            vainSince = hopeless && vainSince == 0 ? now : vainSince;
+            if (b >= 0 && !hopeless && !shed && takes(b, left(now))) {
                 send(b);
             } else if (live == 0) {
                 if (legs.isEmpty() && outs == 0) {
@@ -709,23 +693,20 @@
             return Math.min(2, inTime * inTime) * req.ruleSet.value() * meanCost / meanWorth;
         }
 
-        double worth() {
-            return req.ruleSet.value() * load();
-        }
+        double worth() { return req.ruleSet.value() * load(); }
 
-        long left(long now) {
-            return Math.min(req.due, req.arrived + req.ruleSet.target()) - now;
-        }
+        long left(long now) { return Math.min(req.due, req.arrived + req.ruleSet.target()) - now; }
 
         void send(int b) {
             Leg leg = new Leg(legs.size(), b);
-            further[part] += legs.isEmpty() ? 0 : 1;
+            held[b]++;
             legs.add(leg);
             live++;
             settle(b, leg.sent);
             out[b]++;
             outs++;
             sentAt = leg.sent;
+            vainSince = 0;
             outCost[b] += load();
             allOut += load();
             spent[b] += Math.max(load(), meanCost);
@@ -740,6 +721,8 @@
             settle(b, port.now());
             out[b]--;
             outs--;
+            held[b] = Math.max(0, held[b] - 1);
+            restAt[b] = port.now();
             double load = load();
             outCost[b] -= load;
             allOut -= load;
@@ -747,7 +730,6 @@
             if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
                 ghost[b] += load;
             }
-            believe(b, how);
             if (how != Outcome.CANCELLED && how != Outcome.MOOT) {
                 tries[b]++;
                 fails[b] += how == Outcome.DONE ? 0 : 1;
@@ -755,8 +737,8 @@
             if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
                 room[b] = Math.min(room[b], out[b]);
                 // Incident: 4 dispatches a req into closed doors. After a wait the srv only gave up on it.
-                if (out[b] == 0 && !shut[b] && lag < CALM * shortest) {
-                    shut(b, "turned away with nothing out");
+                if (out[b] == 0 && lag < CALM * shortest) {
+                    shut(b, true, "turned away with nothing out");
                 }
             }
             if (how == Outcome.DONE) {
@@ -764,17 +746,17 @@
                     compare(req.cost, port.now() - leg.sent);
                 }
                 room[b] += 1 / Math.max(1, room[b]);
-                costSum[b] += load;
+                costSum[b] += load + leg.ahead;     // as the time it took holds the wait too
                 late.cost += load;
-                kindCost[kind[b]] += load;
+                kindCost[kind[b]] += load + leg.ahead;
             }
             if (how == Outcome.DONE || how == Outcome.ERROR) {
-                answered(b);
+                silence[b] = 0;
+                shut(b, false, "it answers");
             }
             if (over) {
                 return;
-            }
-            if (ended) {
+            } else if (ended) {
                 close(how == Outcome.DONE && port.now() - req.arrived <= req.ruleSet.target());
             } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due)) {
                 giveUp();
@@ -814,7 +796,7 @@
                 giveUp();
                 return;
             }
-            if (live != 1 || streaming || legs.size() >= most || !mayResend(now)) {
+            if (live != 1 || streaming || legs.size() >= most) {
                 return;
             }
             for (Leg leg : legs) {
@@ -833,9 +815,7 @@
         }
 
         @Override
-        public void streams(int leg) {
-            streaming = true;
-        }
+        public void streams(int leg) { streaming = true; }
 
         @Override
         public void left() {
@@ -851,12 +831,14 @@
         final long sent = port.now();
         final int inZone, inPack;
         final boolean alone;
+        final double ahead;
         boolean isOut = true, mayHaveRun = true, called;
 
         Leg(int number, int b) {
             this.number = number;
             this.b = b;
             alone = out[b] == 0;
+            ahead = isHeard(b) ? ahead(b) : 0;
             inZone = zoneOf[b];
             inPack = packOf[b];
         }
--- a/decisions/src/main/java/wheattrack/port/Port.java
+++ b/decisions/src/main/java/wheattrack/port/Port.java
@@ -11,9 +11,9 @@
         void ended(Outcome how, long lag, boolean over);
     }
 
-    /** What to do with the result of one probe; load holds the reported figures in the order agreed. */
+    /** What to do with the result of one probe; the load that came with it has been told before. */
     interface Heard {
-        void load(boolean ok, long lag, double[] load);
+        void ended(boolean ok, long lag);
     }
 
     /** The open req as the module left it; the port tells it what befalls the req. */
@@ -41,6 +41,9 @@
 
     void probe(int backend, Heard next);
 
+    /** Closes the connections to it that carry nothing now. */
+    void hangUp(int backend);
+
     void later(long delay, Runnable next);
 
     /** Asks the list for all changes from now on. */
--- a/decisions/src/test/java/wheattrack/Course.java
+++ b/decisions/src/test/java/wheattrack/Course.java
@@ -213,6 +213,11 @@
         // never asked for
     }
 
+    @Override
+    public void hangUp(int backend) {
+        // no price on connections is set here
+    }
+
     @Override
     public void later(long delay, Runnable next) {
         timers.add(new Timer(now + Math.max(1, delay), turns++, next));
--- a/decisions/src/test/java/wheattrack/World.java
+++ b/decisions/src/test/java/wheattrack/World.java
@@ -158,6 +158,11 @@
         say("probe " + (10 * backend + 10));
     }
 
+    @Override
+    public void hangUp(int backend) {
+        say("hang up " + (10 * backend + 10));
+    }
+
     @Override
     public void later(long delay, Runnable next) {
         timers.add(new Timer(now + Math.max(1, delay), turns++, next));
--- a/lab/src/main/java/wheattrack/lab/world/Node.java
+++ b/lab/src/main/java/wheattrack/lab/world/Node.java
@@ -436,7 +436,12 @@
 
     @Override
     public void probe(int backend, Heard next) {
-        world.after(DIAL, () -> next.load(false, DIAL, null));
+        world.after(DIAL, () -> next.ended(false, DIAL));
+    }
+
+    @Override
+    public void hangUp(int backend) {
+        // the lab's deployments set no price on connections
     }
 
     // ---- clock
--- a/proxy/src/main/java/wheattrack/config/Config.java
+++ b/proxy/src/main/java/wheattrack/config/Config.java
@@ -20,6 +20,7 @@
 public final class Config {
     private static final Pattern HOST = Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}"
         + "|\\[[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]"), PORT = Pattern.compile("\\d{1,5}");
+    private static final Pattern TOKEN = Pattern.compile("[A-Za-z0-9-]{1,64}");
     private static final int LEAST_SOCKETS = 64;
     private static final Set<String> ONCE = Set.of("known", "seed");
 
@@ -37,6 +38,8 @@
     public final long drain;
     /** The list of backends as this proxy last had it, in discovery's form. */
     public final Settings known;
+    /** The header of answers that carries a backend's load report; empty where answers carry none. */
+    public final String loadHeader;
     public final Settings settings;
     private final Map<String, Object> all;
 
@@ -56,6 +59,9 @@
         mostBody = (long) (megabytes * (1 << 20));
         drain = (long) (s.number("drain_ms", 500) * 10);
         check(drain >= 0, "drain_ms", "negative");
+        loadHeader = s.word("reports.header", "");
+        check(loadHeader.isEmpty() || TOKEN.matcher(loadHeader).matches(), "reports.header",
+            "not a header's name: " + loadHeader);
         known = s.part("known");
         settings = s.part("settings");
         checkSettings();
@@ -85,13 +91,7 @@
         }
         settings.ruleSets();
         settings.parts();
-        for (String key : List.of("rules.extraFloor", "rules.resendRatio", "rules.budgetSpan",
-                "goal.logLossPart", "goal.fullAtNines")) {
-            check(settings.number(key, 0) >= 0, "settings." + key, "negative");
-        }
-        check(settings.number("rules.resendRatio", 0) == 0 || settings.time("rules.budgetSpan", 0) > 0,
-            "settings.rules.budgetSpan", "missing beside rules.resendRatio");
-        settings.flag("rules.goneIsAdvice");
+        checkShape();
         settings.time("limits.dialTimeout", 0);
         settings.time("limits.idleClose", 0);
         int balancers = settings.count("balancers", 1);
@@ -104,12 +104,31 @@
         check(zone >= 0 && zone < zones, "settings.zone", "not a place in zones");
     }
 
+    /** What tells the shape of a deployment, and promises that are kept no more. */
+    private void checkShape() {
+        check(settings.number("rules.budgetSpan", 0) == 0, "settings.rules.budgetSpan",
+            "further dispatches are held to no budget any more");
+        check(!settings.flag("rules.goneIsAdvice"), "settings.rules.goneIsAdvice",
+            "what the list drops is gone, nothing else is known any more");
+        for (String key : List.of("prices.connection", "prices.handshake", "prices.crossZone")) {
+            check(settings.number(key, 0) >= 0, "settings." + key, "negative");
+        }
+        List<Settings> tenants = settings.parts("tenants");
+        for (int i = 0; i < tenants.size(); i++) {
+            check(tenants.get(i).number("quotaPerS", 0) >= 0, "settings.tenants[" + i + "].quotaPerS",
+                "negative");
+        }
+        String how = settings.word("report.how", Settings.REPORTS.get(0));
+        check(Settings.REPORTS.contains(how), "settings.report.how", "none of " + Settings.REPORTS);
+        check(!how.equals("probe") || settings.flag("limits.probing"), "settings.limits.probing",
+            "not true, yet reports come with probes alone");
+    }
+
     /** The keys that differ from the running configuration's and act at a start only. */
     public List<String> fixedAgainst(Config running) {
         Settings mine = new Settings(all), its = new Settings(running.all);
         return Stream.of("listen", "admin", "limits", "settings.me", "settings.balancers", "settings.zones",
-            "settings.kinds", "settings.report", "settings.rules.askEvery", "settings.rules.extraFloor",
-            "settings.rules.goneIsAdvice", "settings.rules.resendRatio", "settings.rules.budgetSpan")
+            "settings.kinds", "reports", "settings.rules.askEvery")
             .filter(key -> !Objects.equals(mine.any(key), its.any(key))).toList();
     }
 
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -22,6 +22,10 @@
     /** The words for effects and groups, in the order of their enums; of those unlike any, the last holds. */
     static final List<String> EFFECTS = List.of("read_like", "idempotency_key", "non_idempotent");
     static final List<String> GROUPS = List.of("all", "zone", "cell");
+    /** Of a load report: the reqs a backend holds, and those of them that wait. */
+    public static final String HOLDS = "rif", WAITS = "q";
+    /** How load reports come. */
+    static final List<String> REPORTS = List.of("none", "answers", "probe");
     private static final int MOST_COST = Integer.MAX_VALUE / 4;
 
     private final Map<String, Object> all;
@@ -178,8 +182,6 @@
     public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
         Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
         parts().accept(rules, sets);
-        rules.budget(number("rules.extraFloor", 0), number("rules.resendRatio", 0),
-            time("rules.budgetSpan", 0));
         rules.start(asks, time("rules.askEvery", 10_000_000));
         return rules;
     }
@@ -193,13 +195,18 @@
         double crossing = number("prices.crossZone", 0), start = number("rules.startCapacity", 1);
         long cold = time("rules.cold", 0), fall = time("rules.fall", 0);
         double multiple = number("rules.fallMultiple", 1);
-        double punctual = number("goal.punctual", 0) + number("goal.logLossPart", 0);
+        double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
+        double quota = parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum();
+        String how = word("report.how", REPORTS.get(0));
+        boolean come = !how.equals(REPORTS.get(0)) && list("report.fields").contains(HOLDS);
+        boolean asked = !how.equals(REPORTS.get(1)) && flag("limits.probing");
         return (rules, sets) -> {
             rules.targets(sets);
             rules.limits(most, cancels, duplicates, longestWait);
             rules.zones(zone, crossing);
             rules.cold(start, cold, multiple, fall);
-            rules.goal(punctual);
+            rules.reports(come, asked);
+            rules.traffic(quota, connection, handshake);
         };
     }
 }
--- a/proxy/src/main/java/wheattrack/drill/Door.java
+++ b/proxy/src/main/java/wheattrack/drill/Door.java
@@ -36,7 +36,6 @@
     /** A backend at the door, with what is out there. */
     private static final class Srv extends Fleet.Srv<Long> {
         int out;
-        boolean drained;
         final List<Heard> probes = new ArrayList<>();
 
         Srv(Long id, int at) {
@@ -58,7 +57,6 @@
     private long now;
     private Rules rules;
     private RuleSet[] sets;
-    private boolean advice;
 
     Door(long instance, JsonGenerator out) {
         this.instance = instance;
@@ -131,7 +129,6 @@
     private void configure(long seed, Settings s) {
         forget();
         sets = s.ruleSets();
-        advice = s.flag("rules.goneIsAdvice");
         rules = s.rules(this, seed, sets, s.word("discovery", "").equals("subscribe"));
     }
 
@@ -175,6 +172,7 @@
         if (guest.over && guest.out == 0) {
             guests.remove(guest.rid);
         }
+        load(fleet.find(line.number("backend")), line);
         next.ended(how, lag, ended);
     }
 
@@ -192,6 +190,13 @@
         };
     }
 
+    private void load(Srv srv, Line line) {
+        if (srv != null && line.feedback != null) {
+            Settings figures = new Settings(line.feedback);
+            rules.load(srv.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+        }
+    }
+
     private void probed(Line line) throws Drill.BadInput {
         Srv srv = fleet.find(line.number("backend"));
         boolean ok = line.number("status") == 0;
@@ -199,12 +204,8 @@
         if (srv == null || srv.probes.isEmpty()) {
             return;
         }
-        double[] load = null;
-        if (line.feedback != null) {
-            Settings figures = new Settings(line.feedback);
-            load = new double[] {figures.number("busy", -1), figures.number("rif", -1)};
-        }
-        srv.probes.remove(0).load(ok, lag, load);
+        load(srv, line);
+        srv.probes.remove(0).ended(ok, lag);
     }
 
     void list(String mode, List<?> records) throws IOException {
@@ -219,7 +220,6 @@
             if (!mode.equals("D") && !mode.equals("F") && !mode.equals("C")) {
                 throw new Drill.BadInput("unknown list mode " + mode);
             }
-            fleet.missing(Set.of()).stream().filter(srv -> rules.isLetGo(srv.at)).forEach(fleet::left);
             if (!mode.equals("D")) {
                 missing(records);
             }
@@ -243,9 +243,7 @@
     }
 
     private void gone(Srv srv) {
-        if (advice && srv != null && !srv.drained) {
-            rules.dropped(srv.at);
-        } else if (fleet.left(srv)) {
+        if (fleet.left(srv)) {
             rules.gone(srv.at);
         }
     }
@@ -268,7 +266,6 @@
         }
         Srv srv = fleet.admit(id);
         boolean fresh = fleet.met(srv);
-        srv.drained = !readiness.equals("healthy");
         long up = (long) r.number("upSince", 0);
         double weight = r.number("weight", 1);
         rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0),
@@ -353,6 +350,14 @@
         write("AskLoad", null, "backend", srv.id, null, 0);
     }
 
+    @Override
+    public void hangUp(int backend) {
+        Srv srv = fleet.at(backend);
+        if (srv != null) {
+            write("HangUp", null, "backend", srv.id, null, 0);
+        }
+    }
+
     @Override
     public void later(long delay, Runnable next) {
         timers.put(++timer, next);
--- a/proxy/src/main/java/wheattrack/net/Backend.java
+++ b/proxy/src/main/java/wheattrack/net/Backend.java
@@ -59,6 +59,11 @@
         }
     }
 
+    /** Closes what carries nothing now. */
+    void hangUp() {
+        List.copyOf(idle).forEach(Upstream::close);
+    }
+
     /** Carries it on the connection used last, or on the first that is free or up. */
     void carry(Dispatch d) {
         out++;
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/Listing.java
@@ -29,7 +29,6 @@
     private final List<?> zones;
     private final List<?> kinds;
     private final Fleet<String, Backend> fleet;
-    private final boolean advice;
     private Rules rules;
     private Watch watch;
     private final List<String> met = new ArrayList<>();
@@ -42,14 +41,13 @@
      * having drained may still be sent to.
      */
     Listing(Loop loop, AsynchronousChannelGroup group, Dialler dialler, InetSocketAddress discovery,
-            List<?> zones, List<?> kinds, boolean advice, Settings known) {
+            List<?> zones, List<?> kinds, Settings known) {
         this.loop = loop;
         this.group = group;
         this.discovery = discovery;
         this.zones = zones;
         this.kinds = kinds;
         this.known = known.has("targets") ? known : null;
-        this.advice = advice;
         fleet = new Fleet<>((id, at) -> new Backend(id, at, dialler));
     }
 
@@ -143,10 +141,6 @@
         if (old && !all) {
             return;
         }
-        fleet.missing(Set.of()).stream().filter(one -> rules.isLetGo(one.at)).forEach(one -> {
-            fleet.left(one);
-            one.leaves();
-        });
         if (all) {
             Set<Object> named = new HashSet<>();
             entries.forEach(entry -> named.add(entry.any("uid")));
@@ -173,9 +167,7 @@
     }
 
     private void gone(Backend backend) {
-        if (advice && backend != null && backend.isServing()) {
-            rules.dropped(backend.at);
-        } else if (fleet.left(backend)) {
+        if (fleet.left(backend)) {
             Event.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
             rules.gone(backend.at);
             backend.leaves();
--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/Proxy.java
@@ -38,10 +38,12 @@
     private final Set<String> ids = new HashSet<>();
     private final Rules rules;
     private final boolean reports;
+    private final LoadReports loads;
     private final long probeTimeout;
     private Front front;
 
-    Proxy(Loop loop, Listing listing, Counts counts, Settings settings, long seed) {
+    Proxy(Loop loop, Listing listing, Counts counts, Settings settings, long seed,
+            String loadHeader) {
         this.loop = loop;
         this.listing = listing;
         this.counts = counts;
@@ -50,6 +52,7 @@
         reports = !settings.word("report.how", "none").equals("none");
         probeTimeout = settings.time("limits.dialTimeout", 250_000);
         rules = settings.rules(this, seed, all, true);
+        loads = new LoadReports(rules, loadHeader);
         listing.tell(rules);
     }
 
@@ -135,7 +138,9 @@
         }
         guest.req.begins(loop.now());
         guard(guest);
-        guest.dispatches.get(guest.dispatches.size() - 1).waits(guest.req.due - loop.now());
+        if (!guest.dispatches.isEmpty()) {          // else its servers are still being asked for their load
+            guest.dispatches.get(guest.dispatches.size() - 1).waits(guest.req.due - loop.now());
+        }
     }
 
     /** Only a failure of the program leaves a req open past its due; even then it has its answer. */
@@ -225,6 +230,7 @@
         /** Done by its first bytes, for the module and for the client's time; then it is only passed on. */
         @Override
         protected Passing begins(Response head) {
+            loads.read(backend, head, false);
             if (guest.over) {
                 loop.step(() -> next.ended(Outcome.DONE, loop.now() - sent, true));
                 return null;
@@ -251,6 +257,7 @@
             if (how == Outcome.DONE && !guest.over) {
                 answer(guest, End.DONE, Wire.done(answer, keeps(guest), guest.call.request().chunks()));
             }
+            loads.read(backend, answer, false);
             boolean unfit = how == Outcome.ERROR && Wire.isUnfit(answer);
             if (unfit && !guest.over) {             // bad clients: srvs were blamed for them
                 answer(guest, End.ABORTED,
@@ -312,13 +319,21 @@
 
             @Override
             protected void ended(Outcome how, Response answer) {
-                loop.step(() -> next.load(how == Outcome.DONE, loop.now() - sent, null));
+                loop.step(() -> {
+                    loads.read(backend, answer, true);
+                    next.ended(how == Outcome.DONE, loop.now() - sent);
+                });
             }
         };
         probe.timeout = loop.after(probeTimeout, () -> probe.giveUp(Outcome.TIMEOUT));
         probe.backend.carry(probe);
     }
 
+    @Override
+    public void hangUp(int backend) {
+        listing.at(backend).hangUp();
+    }
+
     // ---- clock and log
 
     @Override
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -58,8 +58,8 @@
         dialler = new Dialler(loop, group, (int) (BACKENDS * free()), config.mostBody,
             settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
         listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
-            settings.list("kinds"), settings.flag("rules.goneIsAdvice"), config.known);
-        proxy = new Proxy(loop, listing, counts, settings, config.seed);
+            settings.list("kinds"), config.known);
+        proxy = new Proxy(loop, listing, counts, settings, config.seed, config.loadHeader);
         front = new Front(loop, life, (int) (CLIENTS * free()), config.mostBody, proxy);
         proxy.from(front);
         proxy.beside(isBeside());
--- a/proxy/src/main/java/wheattrack/net/WarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/WarmUp.java
@@ -128,6 +128,11 @@
         // no backend is there
     }
 
+    @Override
+    public void hangUp(int backend) {
+        // no connection is there
+    }
+
     @Override
     public void later(long delay, Runnable next) {
         deadlines.add(now + delay, next);
