--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/RulesTest.java
@@ -1,5 +1,7 @@
 package wheattrack;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static wheattrack.World.SECOND;
 
@@ -25,6 +27,67 @@
         return World.of(srvs, me, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), duplicates, false);
     }
 
+    private static World reporting(boolean asked) {
+        World w = replayable(4, false);
+        w.rules.reports(true, asked);
+        return w;
+    }
+
+    /** Two are asked before the first dispatch; no answer holds a req for longer than a moment. */
+    @Test
+    void askedFirst() {
+        World w = reporting(true);
+        w.arrive("x", 100);
+        assertEquals(List.of(2, 0), List.of(w.trace.toString().split("probe").length - 1, w.sent.size()));
+        w.pass(SECOND / 2 / 30);
+        assertEquals(1, w.sent.size());
+        w.pass(SECOND);
+        assertEquals(1, w.sent.size());
+    }
+
+    /** By their reports three have work ahead of any req: the fourth gets all that its report can mean. */
+    @Test
+    void crowdedByReport() {
+        World w = reporting(false);
+        for (int i = 0; i < 20; i++) {
+            for (int b = 0; b < 4; b++) {
+                w.rules.load(b, b == 2 ? 0 : 9, b == 2 ? 0 : 7);
+            }
+            w.arrive("x", COSTS[i % 8]);
+            w.pass(100);
+            w.end(Outcome.DONE);
+        }
+        assertEquals(20, Collections.frequency(w.where, 2));
+    }
+
+    /** Too heavy for its client's time even alone: denied at once; after a target of that it is tried. */
+    @Test
+    void hopelessIsDeniedAtOnce() {
+        World w = reporting(false);
+        w.busy(2, COSTS);
+        int before = w.sent.size();
+        w.arrive("x", 200_000);
+        assertTrue(w.trace.toString().contains("x denied"), w.trace.toString());
+        assertEquals(before, w.sent.size());
+        w.pass(SECOND / 2);
+        w.arrive("y", 200_000);
+        assertEquals(before + 1, w.sent.size());
+    }
+
+    /** An open connection costs a handshake in a second here: it is closed then, and no sooner. */
+    @Test
+    void restingConnectionsEnd() {
+        World w = replayable(4, false);
+        w.rules.traffic(400, 0.08, 0.08);
+        w.rules.listed(false);
+        w.arrive("x", 100);
+        w.end(Outcome.DONE);
+        w.pass(SECOND - 1);
+        assertFalse(w.trace.toString().contains("hang up"), w.trace.toString());
+        w.pass(SECOND / 5);
+        assertTrue(w.trace.toString().contains("hang up " + (10 * w.where.get(0) + 10)), w.trace.toString());
+    }
+
     /** Equal shares of summed cost in id order; a value on a cut is split; crowded srvs are passed over. */
     @Test
     void cutsAndPassesOver() throws IOException {
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -5,12 +5,14 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import wheattrack.config.BadConfig;
 import wheattrack.config.Config;
+import wheattrack.config.Migrate;
 import wheattrack.config.Operator;
 import wheattrack.drill.Drill;
 import wheattrack.net.Rehearsal;
@@ -24,6 +26,7 @@
           rehearse starts one on a free port before a list and backends of its own, and ends it in order
           check    reads the configuration, the operators' file or both and says whether they can be used;
                    with --print-defaults it prints the operators' file with all defaults
+          migrate  writes a configuration's counterpart for a proxy beside each client process (--help)
           drill    decides for a simulator on standard input and output
           version  prints the version
           help     prints this""";
@@ -36,6 +39,9 @@
     }
 
     private static int run(String[] args) throws IOException {
+        if (args.length > 0 && args[0].equals("migrate")) {
+            return Migrate.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
+        }
         CommandLine line;
         try {
             line = new DefaultParser().parse(new Options().addOption("c", "config", true, "")
@@ -53,8 +59,12 @@
         }
         try {
             switch (line.getArgs()[0]) {
-                case "serve" -> serve(file(line), line.hasOption("operator")
-                    ? Operator.read(Path.of(line.getOptionValue("operator"))).log : Operator.plainLog());
+                case "serve" -> {
+                    Operator own = line.hasOption("operator")
+                        ? Operator.read(Path.of(line.getOptionValue("operator"))) : null;
+                    serve(file(line), own == null ? Operator.plainLog() : own.log,
+                        own == null ? "" : own.loadHeader);
+                }
                 case "rehearse" -> rehearse(file(line));
                 case "check" -> check(line);
                 case "drill" -> drill();
@@ -104,12 +114,12 @@
         Logs.open(log);
     }
 
-    private static void serve(Path file, Operator.Log log) throws IOException {
+    private static void serve(Path file, Operator.Log log, String loadHeader) throws IOException {
         Config config = Config.read(file);
         log(log);
         Server server;
         try {
-            server = new Server(config);
+            server = new Server(config, loadHeader);
         } catch (IOException e) {
             throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
         }
--- a/proxy/src/main/java/wheattrack/config/Config.java
+++ b/proxy/src/main/java/wheattrack/config/Config.java
@@ -20,7 +20,8 @@
 public final class Config {
     private static final Pattern HOST = Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}"
         + "|\\[[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]"), PORT = Pattern.compile("\\d{1,5}");
-    private static final Pattern TOKEN = Pattern.compile("[A-Za-z0-9-]{1,64}");
+    /** Whether clients reach a bank of proxies, or each client process has one of its own beside it. */
+    static final List<String> SHAPES = List.of("pool", "per-client");
     private static final int LEAST_SOCKETS = 64;
     private static final Set<String> ONCE = Set.of("known", "seed");
 
@@ -38,8 +39,6 @@
     public final long drain;
     /** The list of backends as this proxy last had it, in discovery's form. */
     public final Settings known;
-    /** The header of answers that carries a backend's load report; empty where answers carry none. */
-    public final String loadHeader;
     public final Settings settings;
     private final Map<String, Object> all;
 
@@ -59,9 +58,8 @@
         mostBody = (long) (megabytes * (1 << 20));
         drain = (long) (s.number("drain_ms", 500) * 10);
         check(drain >= 0, "drain_ms", "negative");
-        loadHeader = s.word("reports.header", "");
-        check(loadHeader.isEmpty() || TOKEN.matcher(loadHeader).matches(), "reports.header",
-            "not a header's name: " + loadHeader);
+        String shape = s.word("shape", SHAPES.get(0));
+        check(SHAPES.contains(shape), "shape", "none of " + SHAPES);
         known = s.part("known");
         settings = s.part("settings");
         checkSettings();
@@ -128,7 +126,7 @@
     public List<String> fixedAgainst(Config running) {
         Settings mine = new Settings(all), its = new Settings(running.all);
         return Stream.of("listen", "admin", "limits", "settings.me", "settings.balancers", "settings.zones",
-            "settings.kinds", "reports", "settings.rules.askEvery")
+            "settings.kinds", "settings.rules.askEvery")
             .filter(key -> !Objects.equals(mine.any(key), its.any(key))).toList();
     }
 
@@ -179,7 +177,7 @@
         return new Config(all);
     }
 
-    private static Map<String, Object> map(Path file) {
+    static Map<String, Object> map(Path file) {
         try {
             return Json.object(Files.readString(file));
         } catch (NoSuchFileException e) {
--- a/proxy/src/main/java/wheattrack/config/Operator.java
+++ b/proxy/src/main/java/wheattrack/config/Operator.java
@@ -20,15 +20,25 @@
         format = "plain"              # or "json": an object a line
         lines-per-second = 0          # an event's, the rest is counted; 0: all
         reqs = false                  # a line for each dispatch's outcome and each req's end, by its id
+
+        [reports]
+        answers-header = ""           # of a backend's answers, its load as a JSON object; "": none carries it
         """;
 
     public final Log log;
+    /** The header of answers that carries a backend's load report; empty where none does. */
+    public final String loadHeader;
 
     private Operator(Table t) {
         Table l = t.part("log");
         log = new Log(l.choice("format", List.of("plain", "json")).equals("json"),
             l.count("lines-per-second", 0, 0, 1_000_000),
             l.flag("reqs", false));
+        Table r = t.part("reports");
+        loadHeader = r.word("answers-header", "");
+        if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
+            throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
+        }
         t.done();
     }
 
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -51,6 +51,11 @@
     private final CountDownLatch ended = new CountDownLatch(1);
 
     public Server(Config config) throws IOException {
+        this(config, "");
+    }
+
+    /** loadHeader: of backends' answers, where their load stands; empty where answers carry none. */
+    public Server(Config config, String loadHeader) throws IOException {
         this.config = config;
         group = AsynchronousChannelGroup.withThreadPool(loop);
         seats = new Seats(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
@@ -59,7 +64,7 @@
             settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
         listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
             settings.list("kinds"), config.known);
-        proxy = new Proxy(loop, listing, counts, settings, config.seed, config.loadHeader);
+        proxy = new Proxy(loop, listing, counts, settings, config.seed, loadHeader);
         front = new Front(loop, life, (int) (CLIENTS * free()), config.mostBody, proxy);
         proxy.from(front);
         proxy.beside(isBeside());
--- a/proxy/src/test/java/wheattrack/Rig.java
+++ b/proxy/src/test/java/wheattrack/Rig.java
@@ -177,7 +177,11 @@
     }
 
     void serve(int sockets, String known) throws Exception {
-        server = new Server(new Config(Json.object(config(open(this::list).getLocalPort(), sockets, known))));
+        serve(config(open(this::list).getLocalPort(), sockets, known), "");
+    }
+
+    void serve(String config, String loadHeader) throws Exception {
+        server = new Server(new Config(Json.object(config)), loadHeader);
         port = server.port();
         running = start(server::run);
         while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("200")) {
