--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -469,7 +469,7 @@
 
     // Incident, servers overdriven for 20 s: no wait may stand; one mean req in work, and its way, is none.
     private boolean takes(int b, long left) {
-        if (isStill(port.now())) {
+        if (isStill(port.now()) && !isHeard(b)) {
             return true;
         }
         double own = meanCost / pace(b);
@@ -526,9 +526,9 @@
                 continue;
             }
             looks--;
-            boolean crowded = reports && ahead(b) > meanCost / 4 || !isHeard(b)
+            boolean crowded = heardAt[b] > 0 && ahead(b) > meanCost / 4 || !isHeard(b)
                 && outCost[b] > 1.2 * allOut * share[b] / ends[n - 1] + meanCost / 4;
-            boolean dear = zoneOf[b] != zone && c.worth() < DEAR * crossPrice * meanWorth;
+            boolean dear = zoneOf[b] != zone && (reports || c.worth() < DEAR * crossPrice * meanWorth);
             double finish = finish(b, Math.max(c.load(), c.req.cost));
             crowded |= finish + c.req.cost / pace(b) > left;
             boolean vain = finish > left || k > 0 && health(b) <= FLOOR;    // idle for its errors: no refuge
