--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -136,15 +136,15 @@
 
     /** Srvs report the load they hold; asked: only to who asks. */
     public void reports(boolean come, boolean asked) {
+        trust = come && !reports ? FULLY : trust;
         reports = come;
-        trust = come ? FULLY : trust;
         asks = come && asked ? ASKED : 0;
     }
 
     /** All proxies' reqs a second within the shares, and what connections cost. */
     public void traffic(double all, double connection, double handshake) {
         quota = all;
-        traffic = all / balancers;
+        traffic = seconds > 1 ? traffic : all / balancers;      // new settings unlearn nothing
         rest = connection > 0 ? 100 * SECOND * handshake / connection : 0;  // priced by 100 a srv
     }
 
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -186,6 +186,12 @@
         return rules;
     }
 
+    /** Whether backends report what the decisions need of their load. */
+    public boolean tellsLoad() {
+        return !word("report.how", REPORTS.get(0)).equals(REPORTS.get(0))
+            && list("report.fields").contains(HOLDS);
+    }
+
     /** Gives each part of the decisions its settings; all are read here and now, and then given as one. */
     public BiConsumer<Rules, RuleSet[]> parts() {
         int most = count("limits.maxDispatches", 1);
@@ -197,9 +203,8 @@
         double multiple = number("rules.fallMultiple", 1);
         double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
         double quota = parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum();
-        String how = word("report.how", REPORTS.get(0));
-        boolean come = !how.equals(REPORTS.get(0)) && list("report.fields").contains(HOLDS);
-        boolean asked = !how.equals(REPORTS.get(1)) && flag("limits.probing");
+        boolean come = tellsLoad();
+        boolean asked = !word("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
         return (rules, sets) -> {
             rules.targets(sets);
             rules.limits(most, cancels, duplicates, longestWait);
--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/Proxy.java
@@ -37,7 +37,7 @@
     private final Slots<Guest> guests = new Slots<>();
     private final Set<String> ids = new HashSet<>();
     private final Rules rules;
-    private final boolean reports;
+    private boolean reports;
     private final LoadReports loads;
     private final long probeTimeout;
     private Front front;
@@ -49,7 +49,6 @@
         this.counts = counts;
         RuleSet[] all = settings.ruleSets();
         name(settings, all);
-        reports = !settings.word("report.how", "none").equals("none");
         probeTimeout = settings.time("limits.dialTimeout", 250_000);
         rules = settings.rules(this, seed, all, true);
         loads = new LoadReports(rules, loadHeader);
@@ -66,6 +65,7 @@
     private void name(Settings settings, RuleSet[] all) {
         sets = settings.byName(all);
         settings.names().forEach(counts::name);     // in their order, which the figures keep
+        reports = settings.tellsLoad();
     }
 
     void from(Front clients) {
--- a/proxy/src/test/java/wheattrack/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/LoadReportsTest.java
@@ -6,8 +6,11 @@
 import java.io.BufferedInputStream;
 import java.io.InputStream;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Load reports on sockets, from stand-ins that say they are busy or idle, whatever they do. */
 class LoadReportsTest extends Rig {
@@ -30,15 +33,33 @@
         }
     }
 
-    private void serve(String how, String header, int... holds) throws Exception {
+    private String how(String how, int list) {
+        return config(list, 1024, "{}").replace("\"limits\":{\"maxD",
+            "\"report\":{\"how\":\"" + how + "\",\"fields\":[\"rif\",\"q\"]},"
+            + "\"limits\":{\"probing\":true,\"maxD");
+    }
+
+    private int serve(String how, String header, int... holds) throws Exception {
         String[] entries = new String[holds.length];
         for (int i = 0; i < holds.length; i++) {
             entries[i] = reporting("s" + i, holds[i]);
         }
         news.add(told(1, true, entries));
-        serve(config(open(this::list).getLocalPort(), 1024, "{}").replace("\"limits\":{\"maxD",
-            "\"report\":{\"how\":\"" + how + "\",\"fields\":[\"rif\",\"q\"]},"
-            + "\"limits\":{\"probing\":true,\"maxD"), header);
+        int list = open(this::list).getLocalPort();
+        serve(how(how, list), header);
+        return list;
+    }
+
+    /** Reports switched on by SIGHUP: servers are asked for their load from then on, not for their health. */
+    @Test
+    void switchedOn(@TempDir Path dir) throws Exception {
+        int list = serve("none", "", 20, 0);
+        at("s1", 5);
+        assertEquals(0, probes.get());
+        server.reread(Files.writeString(dir.resolve("proxy.json"), how("probe", list)));
+        at("s1", 5);
+        assertEquals(20, at("s1", 20));
+        assertTrue(probes.get() >= 20, probes + " probes");
     }
 
     private int at(String name, int reqs) throws Exception {
--- a/proxy/src/test/java/wheattrack/MigrateTest.java
+++ b/proxy/src/test/java/wheattrack/MigrateTest.java
@@ -84,7 +84,8 @@
         String file = old.toString(), out = next.toString();
         fails("old.json: --me: 2 of 2 proxies contradicts settings.balancers and settings.me",
             file, "--out", out, "--me", "2");
-        fails("old.json: --place: 'c' contradicts settings.zones, [a, b]", file, "--out", out, "--place", "c");
+        fails("old.json: --place: 'c' contradicts settings.zones, [a, b]", file, "--out", out,
+            "--place", "c");
         fails("old.json: --reports: probe contradicts settings.limits.probing, which is false",
             file, "--out", out, "--reports", "probe");
         fails("old.json: --balancers: not a whole number: many", file, "--out", out, "--balancers", "many");
