--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -63,7 +63,7 @@
         } else {
             result.put("listen", told.listen);
         }
-        if (settings.get("tenants") == null || ((List<?>) settings.get("tenants")).isEmpty()) {
+        if (new Settings(result).list("settings.tenants").isEmpty()) {
             left.add("settings.tenants: no quotaPerS is known, a proxy's part of it can't be told");
         }
         new Config(result);
@@ -105,13 +105,13 @@
         if (probe && old.has("limits.probing") && !old.flag("limits.probing")) {
             throw new BadConfig("--reports", "probe contradicts settings.limits.probing, which is false");
         }
-        Map<String, Object> report = map(settings, "report");
-        if (report.get("fields") == null || ((List<?>) report.get("fields")).isEmpty()) {
+        Map<String, Object> report = made(settings, "report");
+        if (new Settings(result).list("settings.report.fields").isEmpty()) {
             report.put("fields", how.equals("none") ? List.of() : List.of(Settings.HOLDS, Settings.WAITS));
         }
         report.put("how", how);
         if (probe) {
-            map(settings, "limits").put("probing", true);
+            made(settings, "limits").put("probing", true);
         }
         if (how.equals("answers")) {
             left.add("settings.report: name the answers' header in the operators' file, answers-header");
@@ -119,7 +119,7 @@
     }
 
     private void place(String place) {
-        List<?> zones = settings.get("zones") instanceof List<?> some ? some : List.of();
+        List<?> zones = new Settings(result).list("settings.zones");
         if (!zones.isEmpty() && !zones.contains(place)) {
             throw new BadConfig("--place", "'" + place + "' contradicts settings.zones, " + zones);
         }
@@ -149,21 +149,19 @@
         }
     }
 
-    /** The object there, made where it is missing only as something is put into it. */
+    /** The object there to read or take from, an empty one where it is missing. */
     @SuppressWarnings("unchecked")
     private static Map<String, Object> map(Map<String, Object> in, String key) {
         Object found = in.get(key);
-        if (found == null) {
-            return key.equals("report") ? put(in, key) : new LinkedHashMap<>();
-        }
-        if (!(found instanceof Map<?, ?>)) {
+        if (found != null && !(found instanceof Map<?, ?>)) {
             throw new BadConfig(key, "not an object");
         }
-        return (Map<String, Object>) found;
+        return found == null ? new LinkedHashMap<>() : (Map<String, Object>) found;
     }
 
-    private static Map<String, Object> put(Map<String, Object> in, String key) {
-        Map<String, Object> made = new LinkedHashMap<>();
+    /** The object there to put into, made where it is missing. */
+    private static Map<String, Object> made(Map<String, Object> in, String key) {
+        Map<String, Object> made = map(in, key);
         in.put(key, made);
         return made;
     }
--- a/proxy/src/test/java/wheattrack/MigrateTest.java
+++ b/proxy/src/test/java/wheattrack/MigrateTest.java
@@ -79,6 +79,14 @@
         assertEquals(1, Files.list(dir).count());
     }
 
+    /** Probes were switched on in limits that no file held: the result was refused for want of them. */
+    @Test
+    void probesWithoutLimits() throws Exception {
+        Files.writeString(old, OLD.replace("\"limits\": {\"probing\": false},", ""));
+        assertEquals(1, migrate(old.toString(), "--out", next.toString(), "--reports", "probe"));
+        assertTrue(Config.read(next).settings.flag("limits.probing"));
+    }
+
     @Test
     void badInput() throws Exception {
         String file = old.toString(), out = next.toString();
@@ -90,6 +98,8 @@
             file, "--out", out, "--reports", "probe");
         fails("old.json: --balancers: not a whole number: many", file, "--out", out, "--balancers", "many");
         fails("none.json: no such file", dir.resolve("none.json").toString(), "--out", out);
+        Files.writeString(old, OLD.replace("[{\"name\": \"t\", \"quotaPerS\": 50}]", "7"));
+        fails("old.json: settings.tenants: not a list", file, "--out", out);
         Files.writeString(old, OLD.replace("\"zone\": 1", "\"zoned\": 1"));
         fails("old.json: settings.zoned: unknown key", file, "--out", out);
         Files.writeString(old, OLD.replace("\"zone\": 1", "\"zone\": 2"));
