Discovery's return: calls that failed are 2 s apart at most, whatever askEvery says

Cause: Rules.listFailed spaces calls by parts of askEvery, up to 0.375 of it with its chance: 3.75 s at 10 s, 22 s at 60 s. After a call that hears nothing (3 s) that went past the 6 s after which a change counts as told. Change: on sockets the module is given an askEvery of 5.3 s at most (Watch.ASK_EVERY_AT_MOST); the module itself is as it was, and so is the simulator's adapter. At 10 s calls after a watch that had spoken come after 0.03 to 0.08 s, no longer 0.05 to 0.15.

--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -180,9 +180,14 @@
 
     /** The decisions under these settings, each part given its own; asks: the list must be asked for. */
     public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
+        return rules(port, seed, sets, asks, Long.MAX_VALUE);
+    }
+
+    /** The same; calls to the list that fail are spaced as if it were asked this often, or oftener. */
+    public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks, long askEveryAtMost) {
         Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
         parts(list("zones")).accept(rules, sets);
-        rules.start(asks, time("rules.askEvery", 10_000_000));
+        rules.start(asks, Math.min(askEveryAtMost, time("rules.askEvery", 10_000_000)));
         return rules;
     }
 
--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/Proxy.java
@@ -51,7 +51,7 @@
         this.counts = counts;
         RuleSet[] all = settings.ruleSets();
         name(settings, all);
-        rules = settings.rules(this, seed, all, true);
+        rules = settings.rules(this, seed, all, true, Watch.ASK_EVERY_AT_MOST);
         loads = new LoadReports(rules, loadHeader);
         listing.tell(rules);
     }
--- a/proxy/src/main/java/wheattrack/net/Watch.java
+++ b/proxy/src/main/java/wheattrack/net/Watch.java
@@ -23,6 +23,14 @@
      * told 6 s after it fell silent: a second silent one must not use up the rest of that.
      */
     static final long FIRST = SILENCE / 2;
+    /**
+     * After a failed call a change counts as told so long after discovery had it and could be reached
+     * (STANDING.md). Of that a call which is open at the return and hears nothing uses up a silence, and the
+     * good one's connection and whole list a sixth; the rest is the longest pause between two calls.
+     */
+    private static final long TOLD = 60_000, WORST_PAUSE = TOLD - SILENCE - TOLD / 6;
+    /** The module pauses for three eighths of this at the longest; a longer setting held calls back for 22 s. */
+    static final long ASK_EVERY_AT_MOST = WORST_PAUSE * 8 / 3;
 
     /** Hears why it is over: by its silence or not, and whether it had said anything that was whole. */
     interface Failed {
--- /dev/null
+++ b/proxy/src/test/java/wheattrack/DiscoveryReturnsTest.java
@@ -0,0 +1,162 @@
+package wheattrack;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wheattrack.config.Config;
+import wheattrack.config.Json;
+import wheattrack.net.Server;
+
+/**
+ * Discovery fails in each way, then in each other, and returns at many points of the pauses between calls:
+ * what it has then is acted on within the 6 s after which it counts as told, however long askEvery is.
+ */
+class DiscoveryReturnsTest extends Rig {
+    /** Refuses to connect, answers 503, or 200 with nothing; says nothing; ends amid a line. */
+    enum Fails { REFUSED, TURNED_AWAY, EMPTY, SILENT, CUT }
+
+    private static final long TOLD = 6000, SECOND_WAY = 3000, RETURN = 6000, SPREAD = 2200;
+
+    private final long from = System.nanoTime();
+    private final List<String> late = Collections.synchronizedList(new ArrayList<>());
+
+    private long passed() {
+        return (System.nanoTime() - from) / 1_000_000;
+    }
+
+    private void sleepUntil(long time) throws InterruptedException {
+        Thread.sleep(Math.max(0, time - passed()));
+    }
+
+    /** One discovery at an address of its own, and whether it has returned. */
+    private final class Discovery {
+        private final Fails first, second;
+        private final int at;
+        private ServerSocket door;
+
+        Discovery(Fails first, Fails second) throws IOException {
+            this.first = first;
+            this.second = second;
+            try (ServerSocket free = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))) {
+                at = free.getLocalPort();
+            }
+        }
+
+        void run(long returns) throws Exception {
+            during(first);
+            sleepUntil(SECOND_WAY);
+            during(second);
+            sleepUntil(returns);
+            during(null);
+        }
+
+        /** From now on who connects meets this; null: it is back. Who is connected goes on hearing nothing. */
+        private void during(Fails how) throws IOException {
+            if (how == Fails.REFUSED) {
+                if (door != null) {
+                    door.close();
+                }
+                return;
+            }
+            ServerSocket mine = door == null || door.isClosed() ? new ServerSocket() : door;
+            ways = how;
+            if (mine != door) {
+                mine.setReuseAddress(true);
+                mine.bind(new InetSocketAddress("127.0.0.1", at), BACKLOG);
+                doors.add(mine);
+                door = mine;
+                start(() -> {
+                    while (true) {
+                        Socket one = mine.accept();
+                        start(() -> meet(one, ways));
+                    }
+                });
+            }
+        }
+
+        private volatile Fails ways;
+
+        private void meet(Socket one, Fails how) throws IOException {
+            head(one.getInputStream());
+            if (how == Fails.SILENT) {
+                return;
+            }
+            send(one, how == Fails.TURNED_AWAY ? "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+                : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            if (how == Fails.CUT) {
+                send(one, "9\r\n{\"rev\":1,\r\n");
+            } else if (how == Fails.EMPTY) {
+                send(one, "0\r\n\r\n");
+            } else if (how == null) {
+                String line = told(2, true, entry("s0", "SERVING", 1)) + "\n";
+                send(one, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+                return;
+            }
+            one.close();
+        }
+    }
+
+    /** From its start on; how long after the return its one backend is known. */
+    private void meets(Fails first, Fails second, long askEvery, long returns) throws Exception {
+        Discovery discovery = new Discovery(first, second);
+        start(() -> discovery.run(returns));
+        Thread.sleep(20);
+        Server proxy = new Server(new Config(Json.object(config(discovery.at, 256, "{}")
+            .replace("\"askEvery\":1000000", "\"askEvery\":" + askEvery * 1000)
+            .replace("\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))), "");
+        Thread loop = start(proxy::run);
+        sleepUntil(returns);
+        while (passed() < returns + TOLD && !isKnown(proxy.adminPort())) {
+            Thread.sleep(20);
+        }
+        if (passed() >= returns + TOLD) {
+            late.add(first + ", " + second + ", every " + askEvery + " ms, back after " + returns + " ms");
+        }
+        proxy.end();
+        loop.join();
+    }
+
+    private static boolean isKnown(int admin) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", admin)) {
+            return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n").contains("backends_known:1");
+        }
+    }
+
+    @Test
+    void actedOnWithinSixSeconds() throws Exception {
+        List<Thread> all = new ArrayList<>();
+        List<Throwable> faults = Collections.synchronizedList(new ArrayList<>());
+        int number = 0;
+        for (Fails first : Fails.values()) {
+            for (Fails second : Fails.values()) {
+                for (long askEvery : new long[] {10_000, 60_000}) {
+                    long returns = RETURN + SPREAD * (number++ * 7 % 50) / 50;
+                    Thread one = new Thread(() -> {
+                        try {
+                            meets(first, second, askEvery, returns);
+                        } catch (Exception e) {
+                            faults.add(e);
+                        }
+                    });
+                    one.start();
+                    all.add(one);
+                }
+            }
+        }
+        for (Thread one : all) {
+            one.join();
+        }
+        assertEquals(List.of(), faults);
+        assertEquals(50, all.size());
+        assertTrue(late.isEmpty(), late.size() + " of 50: " + late);
+    }
+}
