--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -359,8 +359,8 @@
         double rate = fallMultiple * Math.max(warmth(b, now) * able, shown);
         spent[b] = Math.max(0, spent[b] - rate * (now - spentAt[b]));
         spentAt[b] = now;
-        double need = Math.max(load, meanCost);     // one of hundreds may send one req in some seconds
-        return spent[b] + need <= Math.max(rate * fall / 3, need);
+        double need = Math.max(load, meanCost), whole = Math.max(rate * fall, meanCost);
+        return spent[b] + need <= Math.max(rate * fall / 3, Math.min(need, whole)); // or one, not heavy
     }
 
     /** What srvs did for us while we had something out there, and how near those elsewhere count. */
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -84,7 +84,8 @@
     private final Histogram latency = new Histogram(10 * 60_000L * 10, 3);
     private final List<Entry> faults = new ArrayList<>();
     private long dispatches, crossings, runs, done, denied, aborted, lost, lateDrain, lastAt;
-    private double workRun, workTwice;
+    private double workRun, workTwice, coldLoad;
+    private int fallen;
 
     public Referee(Scenario scenario) {
         this.scenario = scenario;
@@ -267,8 +268,11 @@
         }
         double warmth = kind.coldFrom() + (1 - kind.coldFrom()) * Math.max(0, age) / kind.coldFor();
         boolean knows = s.toldStart.getOrDefault(e.proxy(), Long.MIN_VALUE) >= s.start;
-        if (s.budget.add(e.at(), e.figure(), s.capacity * warmth, knows) && !s.fallen) {
+        boolean falls = s.budget.add(e.at(), e.figure(), s.capacity * warmth, knows);
+        coldLoad = Math.max(coldLoad, s.budget.most());
+        if (falls && !s.fallen) {
             s.fallen = true;
+            fallen++;
             if (s.budget.isBreak()) {
                 broke("cold", e.at(), "server " + e.server() + " was pushed over "
                     + (long) age / 10 + " ms after its start");
@@ -326,7 +330,7 @@
         s.capacity = e.figure();
         s.cold = e.code() == 1;
         s.fallen = false;
-        s.budget = new ColdBudget(scenario.terms.fallMultiple(), scenario.terms.fall());
+        s.budget = scenario.coldBudget();
     }
 
     /** What a killed proxy held is lost by the fault; what it is told after its return it hears anew. */
@@ -372,6 +376,8 @@
         f.put("p99", latency.getValueAtPercentile(99) / 10.0);
         f.put("p999", latency.getValueAtPercentile(99.9) / 10.0);
         f.put("late-drain", lateDrain / 10.0);
+        f.put("cold-load", coldLoad);
+        f.put("fallen", (double) fallen);
         Map<Integer, double[]> quantiles = new TreeMap<>();
         work.forEach((server, h) -> quantiles.put(server, new double[] {h.getValueAtPercentile(10) / 10.0,
             h.getValueAtPercentile(50) / 10.0, h.getValueAtPercentile(90) / 10.0}));
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import wheattrack.config.Settings;
 import wheattrack.config.Table;
+import wheattrack.lab.referee.ColdBudget;
 import wheattrack.port.RuleSet;
 import wheattrack.port.RuleSet.Effect;
 import wheattrack.port.RuleSet.Group;
@@ -90,7 +91,7 @@
     /** What a verdict can be asked for, beside service in a window. */
     public static final List<String> FIGURES = List.of("broken", "broken.answers", "broken.effects",
         "broken.drains", "broken.cold", "service", "asked", "done", "denied", "aborted", "lost", "dispatches",
-        "duplicate", "crossings", "p50", "p99", "p999", "late-drain", "worst-second");
+        "duplicate", "crossings", "p50", "p99", "p999", "late-drain", "worst-second", "cold-load", "fallen");
 
     public final String name, about;
     public final boolean virtual;
@@ -331,6 +332,18 @@
         }
     }
 
+    /** The work of a mean request, in time at a server of speed 1. */
+    public double meanWork() {
+        double all = sets.stream().mapToDouble(Set1::share).sum();
+        return all > 0 ? sets.stream().mapToDouble(s -> s.share * s.work).sum() / all
+            : sets.stream().mapToDouble(Set1::work).average().orElse(1);
+    }
+
+    /** What a server bears while it is cold, by these terms. */
+    public ColdBudget coldBudget() {
+        return new ColdBudget(terms.fallMultiple, terms.fall, meanWork());
+    }
+
     /** The settings one proxy is given, in the form of the proxies' own configuration. */
     public Map<String, Object> settings(int me) {
         Map<String, Object> all = new LinkedHashMap<>();
--- a/lab/src/main/java/wheattrack/lab/stage/Machine.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Machine.java
@@ -52,7 +52,7 @@
         this.kind = kind;
         zone = place % stage.scenario.zones;
         draws = stage.draws("server" + place);
-        budget = new ColdBudget(stage.scenario.terms.fallMultiple(), stage.scenario.terms.fall());
+        budget = stage.scenario.coldBudget();
     }
 
     /** Runs whenever the state changes; one listener. */
--- a/proxy/src/main/java/wheattrack/net/Watch.java
+++ b/proxy/src/main/java/wheattrack/net/Watch.java
@@ -29,7 +29,7 @@
      * good one's connection and whole list a sixth; the rest is the longest pause between two calls.
      */
     private static final long TOLD = 60_000, WORST_PAUSE = TOLD - SILENCE - TOLD / 6;
-    /** The module pauses for three eighths of this at the longest; a longer setting held calls back for 22 s. */
+    /** The module pauses for three eighths of this at most; a longer setting held calls back for 22 s. */
     static final long ASK_EVERY_AT_MOST = WORST_PAUSE * 8 / 3;
 
     /** Hears why it is over: by its silence or not, and whether it had said anything that was whole. */
--- a/proxy/src/test/java/wheattrack/DiscoveryReturnsTest.java
+++ b/proxy/src/test/java/wheattrack/DiscoveryReturnsTest.java
@@ -28,6 +28,7 @@
 
     private final long from = System.nanoTime();
     private final List<String> late = Collections.synchronizedList(new ArrayList<>());
+    private final List<Throwable> faults = Collections.synchronizedList(new ArrayList<>());
 
     private long passed() {
         return (System.nanoTime() - from) / 1_000_000;
@@ -37,17 +38,19 @@
         Thread.sleep(Math.max(0, time - passed()));
     }
 
-    /** One discovery at an address of its own, and whether it has returned. */
+    /** One discovery at a host of its own, as a port that is let go may be somebody else's meanwhile. */
     private final class Discovery {
         private final Fails first, second;
-        private final int at;
+        private final InetSocketAddress at;
         private ServerSocket door;
+        private volatile Fails ways;
 
-        Discovery(Fails first, Fails second) throws IOException {
+        Discovery(int number, Fails first, Fails second) throws IOException {
             this.first = first;
             this.second = second;
-            try (ServerSocket free = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))) {
-                at = free.getLocalPort();
+            InetAddress host = InetAddress.getByName("127.0.43." + (1 + number));
+            try (ServerSocket free = new ServerSocket(0, BACKLOG, host)) {
+                at = (InetSocketAddress) free.getLocalSocketAddress();
             }
         }
 
@@ -59,7 +62,7 @@
             during(null);
         }
 
-        /** From now on who connects meets this; null: it is back. Who is connected goes on hearing nothing. */
+        /** Who connects now meets this; null: it is back. Who is connected goes on hearing nothing. */
         private void during(Fails how) throws IOException {
             if (how == Fails.REFUSED) {
                 if (door != null) {
@@ -71,7 +74,7 @@
             ways = how;
             if (mine != door) {
                 mine.setReuseAddress(true);
-                mine.bind(new InetSocketAddress("127.0.0.1", at), BACKLOG);
+                mine.bind(at, BACKLOG);
                 doors.add(mine);
                 door = mine;
                 start(() -> {
@@ -83,8 +86,6 @@
             }
         }
 
-        private volatile Fails ways;
-
         private void meet(Socket one, Fails how) throws IOException {
             head(one.getInputStream());
             if (how == Fails.SILENT) {
@@ -106,11 +107,20 @@
     }
 
     /** From its start on; how long after the return its one backend is known. */
-    private void meets(Fails first, Fails second, long askEvery, long returns) throws Exception {
-        Discovery discovery = new Discovery(first, second);
-        start(() -> discovery.run(returns));
+    private void meets(int number, Fails first, Fails second, long askEvery, long returns) throws Exception {
+        Discovery discovery = new Discovery(number, first, second);
+        Thread there = new Thread(() -> {
+            try {
+                discovery.run(returns);
+            } catch (Exception e) {
+                faults.add(e);
+            }
+        });
+        there.start();
         Thread.sleep(20);
-        Server proxy = new Server(new Config(Json.object(config(discovery.at, 256, "{}")
+        Server proxy = new Server(new Config(Json.object(config(0, 256, "{}")
+            .replace("127.0.0.1:0\",\"seed", discovery.at.getHostString() + ":" + discovery.at.getPort()
+                + "\",\"seed")
             .replace("\"askEvery\":1000000", "\"askEvery\":" + askEvery * 1000)
             .replace("\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))), "");
         Thread loop = start(proxy::run);
@@ -123,6 +133,7 @@
         }
         proxy.end();
         loop.join();
+        there.join();
     }
 
     private static boolean isKnown(int admin) throws IOException {
@@ -134,15 +145,14 @@
     @Test
     void actedOnWithinSixSeconds() throws Exception {
         List<Thread> all = new ArrayList<>();
-        List<Throwable> faults = Collections.synchronizedList(new ArrayList<>());
-        int number = 0;
         for (Fails first : Fails.values()) {
             for (Fails second : Fails.values()) {
                 for (long askEvery : new long[] {10_000, 60_000}) {
-                    long returns = RETURN + SPREAD * (number++ * 7 % 50) / 50;
+                    int number = all.size();
+                    long returns = RETURN + SPREAD * (number * 7 % 50) / 50;
                     Thread one = new Thread(() -> {
                         try {
-                            meets(first, second, askEvery, returns);
+                            meets(number, first, second, askEvery, returns);
                         } catch (Exception e) {
                             faults.add(e);
                         }
--- a/proxy/src/test/java/wheattrack/LeavingTest.java
+++ b/proxy/src/test/java/wheattrack/LeavingTest.java
@@ -6,11 +6,18 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A client that leaves while its req waits: it is seen to leave while the wait still lasts, and nothing is
@@ -23,7 +30,7 @@
     /** What the client has sent beside its req as it goes: nothing, a req, much; its body, part or whole. */
     enum With { NOTHING, BEHIND, FLOOD, PART, WHOLE }
 
-    private static final int FLOOD = 300_000, LONG = 200_000;
+    private static final int FLOOD = 300_000, LONG = 200_000, HUGE = 1_700_000;
 
     private ServerSocket door;
     private Socket held;
@@ -41,12 +48,7 @@
         String config = configFor(entry("s0", "SERVING", door.getLocalPort()))
             .replace("\"dialTimeout\":250000", "\"dialTimeout\":9000000")
             .replace(":1500000", ":90000000").replace(":1000000,\"group", ":90000000,\"group");
-        if (wait == Wait.ASKED) {                   // held for a thirtieth of the response target
-            config = config.replace("\"maxDispatches\"", "\"probing\":true,\"maxDispatches\"")
-                .replace("{\"balancers\"", "{\"report\":{\"how\":\"probe\",\"fields\":[\"rif\",\"q\"]},"
-                    + "\"balancers\"");
-        }
-        serve(config, "");
+        serve(wait == Wait.ASKED ? probing(config) : config, "");  // for a thirtieth of the response target
         Socket other = wait == Wait.FREE ? connect() : null;
         if (other != null) {
             send(other, request("pay"));           // nothing calls it off
@@ -119,4 +121,179 @@
             start(() -> play(held));
         }
     }
+
+    /** What an attempt waits for: its connection, the first, second or third time, or as a second copy. */
+    enum Attempt { FIRST, SECOND, THIRD, COPY, ON_FREE, ASKED }
+
+    /** How a client goes, or that it stays: then the same attempt is made, so that the test can fail. */
+    enum Goes { FIN, RST, HALF_CLOSED, STAYS }
+
+    private static final int TENTH = 100, LATE_DIAL = 1500;
+
+    static Stream<Arguments> attempts() {
+        return Arrays.stream(Attempt.values()).flatMap(attempt -> Arrays.stream(Goes.values())
+            .filter(goes -> attempt.ordinal() < 2 || goes == Goes.FIN || goes == Goes.STAYS)
+            .map(goes -> Arguments.of(attempt, goes)));
+    }
+
+    /** A tenth of a second after the client has gone the wait ends: no attempt begins, first or further. */
+    @ParameterizedTest(name = "{0}, {1}")
+    @MethodSource("attempts")
+    void goneATenthBefore(Attempt attempt, Goes goes) throws Exception {
+        door = door(1);
+        serve(configWithLongTimes(attempt), "");
+        Socket other = attempt == Attempt.ON_FREE ? connect() : null;
+        if (other != null) {
+            send(other, request("pay"));            // nothing calls it off
+            held = take(door);
+            read(held);
+        }
+        if (attempt == Attempt.FIRST || attempt == Attempt.ON_FREE) {
+            fill(door);
+        }
+        Socket client = connect();
+        String text = request("buy");
+        send(client, text);
+        until("in flight", () -> figure("in_flight") == (other == null ? 1 : 2));
+        switch (attempt) {
+            case SECOND -> door = turnedAway(true);
+            case THIRD -> {
+                ServerSocket second = turnedAway(false);
+                Socket two = take(second);
+                read(two);
+                fill(door);
+                answer(two, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+                until("two attempts", () -> figure("attempts") == 2);
+                Thread.sleep(TENTH);
+            }
+            case COPY, ASKED -> held = take(door);
+            default -> { }
+        }
+        if (attempt == Attempt.COPY) {
+            read(held);
+            door = another(true);
+            Thread.sleep(1200);                     // past five sixths of the target: a copy waits there
+        }
+        leave(client, goes);
+        Thread.sleep(TENTH);
+        play(door);
+        if (attempt == Attempt.ON_FREE) {
+            answer(held, "200", "", "first");
+        }
+        if (attempt == Attempt.ON_FREE || attempt == Attempt.ASKED) {
+            start(() -> play(held));
+        }
+        if (goes == Goes.STAYS) {
+            until("sent on", () -> had.contains(id(text)));
+        } else {
+            Thread.sleep(LATE_DIAL);                // a connection that comes up late is tried again in 1 s
+            assertFalse(had.contains(id(text)), had + " after " + id(text));
+        }
+        client.close();
+    }
+
+    private String configWithLongTimes(Attempt attempt) throws IOException {
+        String config = configFor(entry("s0", "SERVING", door.getLocalPort()))
+            .replace("\"dialTimeout\":250000", "\"dialTimeout\":9000000").replace(":1500000", ":90000000");
+        return switch (attempt) {
+            case COPY -> config.replace("\"mayCancel\"", "\"mayDuplicate\":true,\"mayCancel\"");
+            case ASKED -> probing(config.replace(":1000000,\"group", ":90000000,\"group"));
+            default -> config.replace(":1000000,\"group", ":90000000,\"group");
+        };
+    }
+
+    private static String probing(String config) {
+        return config.replace("\"maxDispatches\"", "\"probing\":true,\"maxDispatches\"")
+            .replace("{\"balancers\"", "{\"report\":{\"how\":\"probe\",\"fields\":[\"rif\",\"q\"]},"
+                + "\"balancers\"");
+    }
+
+    /** A second backend that has its door full, or takes who comes. */
+    private ServerSocket another(boolean full) throws Exception {
+        ServerSocket second = door(full ? 1 : BACKLOG);
+        if (full) {
+            fill(second);
+        }
+        news.add(told(2, false, entry("s1", "SERVING", second.getLocalPort())));
+        until("a second backend is known", () -> figure("backends_known") == 2);
+        return second;
+    }
+
+    /** The first attempt has come, and is turned away once there is another backend to go to. */
+    private ServerSocket turnedAway(boolean full) throws Exception {
+        held = take(door);
+        read(held);
+        ServerSocket second = another(full);
+        answer(held, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+        return second;
+    }
+
+    private static void leave(Socket client, Goes how) throws IOException {
+        switch (how) {
+            case FIN -> client.close();
+            case RST -> {
+                client.setSoLinger(true, 0);
+                client.close();
+            }
+            case HALF_CLOSED -> client.shutdownOutput();
+            default -> { }
+        }
+    }
+
+    /** Two hundred clients leave in one burst, fifty stay: the backend gets those of the fifty alone. */
+    @Test
+    void burst() throws Exception {
+        door = door(1);
+        serve(configWithLongTimes(Attempt.FIRST), "");
+        fill(door);
+        List<Socket> leavers = new ArrayList<>();
+        Set<String> gone = new HashSet<>(), stay = new HashSet<>();
+        for (int i = 0; i < 250; i++) {
+            Socket client = connect();
+            String text = request("buy");
+            send(client, text);
+            if (i % 5 == 0) {
+                stay.add(id(text));
+            } else {
+                leavers.add(client);
+                gone.add(id(text));
+            }
+        }
+        until("in flight", () -> figure("in_flight") > 0);
+        for (Socket client : leavers) {
+            leave(client, leavers.indexOf(client) % 2 == 0 ? Goes.FIN : Goes.RST);
+        }
+        Thread.sleep(TENTH);
+        play(door);
+        until("one that stayed is sent on", () -> had.stream().anyMatch(stay::contains));
+        Thread.sleep(LATE_DIAL);
+        assertEquals(Set.of(), had.stream().filter(gone::contains).collect(Collectors.toSet()));
+    }
+
+    /** More of a body than is read ahead hides the leaving: it is sent on, and never whole. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void neverWhole(boolean goes) throws Exception {
+        door = door(1);
+        serve(configWithLongTimes(Attempt.FIRST), "");
+        fill(door);
+        Socket client = connect();
+        String text = request("buy").replace("Content-Length: 2\r\n\r\nhi", "Content-Length: " + HUGE
+            + "\r\n\r\n");
+        send(client, text);
+        Thread writer = start(() -> client.getOutputStream().write(new byte[HUGE]));
+        until("in flight", () -> figure("in_flight") == 1);
+        if (goes) {
+            writer.join(SOON);
+            client.close();
+        }
+        Thread.sleep(TENTH);
+        play(door);
+        if (goes) {
+            Thread.sleep(LATE_DIAL);
+            assertFalse(had.contains(id(text)), had + " after " + id(text));
+        } else {
+            until("it is had whole", () -> had.contains(id(text)));
+        }
+    }
 }
