lab scale, docs/CAPACITY.md, and scoped settings told by changes (off by default)

Need: what control costs at 4,700 proxies, 200,000 backends, 43,000 routes, 430,000 tenants, and the first mechanism missing. Seen by lab scale (docs/CAPACITY.md): one change of the list costs 0.65 ms of a core, a file of 43,000 rule sets 6.0 s at each SIGHUP, 430,000 tenants don't start; 1,024 backends and settings read whole break first. Change: net.SettingsWatch and config.SettingsFeed (pure) hold rule sets, tenants and limits by name, whole once and then changes; a scope goes with requests for settings and list; backends beyond 1,024 are one line and a figure; a list that can't be read keeps a start from being ready for 9 s. net.Hollow is the door for lab scale. Rules: MOST is public, no other change.

--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/Rules.java
@@ -27,8 +27,8 @@
 public final class Rules {
     private static final int HINTS = 2000;          // the design's window
     private static final int LEAST = 2, ASKED = 2;  // srvs met, connections priced; asked before a send
-    private static final int TRAFFIC = 20;          // seconds of own traffic that tell a proxy's part of it
-    private static final int MOST = 1024, KINDS = 64;   // backends known at once, kinds of machine told apart
+    private static final int TRAFFIC = 20, KINDS = 64;     // seconds of own traffic that tell a part; kinds
+    public static final int MOST = 1024;            // backends known at once
     private static final long SECOND = 10_000, RECUT = SECOND;     // recompute period
     private static final double KEEP = 0.8, SLOWLY = 0.95;  // of learnt sums a second; of a kind's
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -11,6 +11,8 @@
 import org.apache.commons.cli.ParseException;
 import wheattrack.config.BadConfig;
 import wheattrack.lab.referee.Ledger;
+import wheattrack.lab.scale.Processes;
+import wheattrack.lab.scale.Scale;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.world.Minds;
 
@@ -34,6 +36,11 @@
               --set KEY=A,B,...       plays each value of a key of the scenario; may stand several times
               --out DIR               leaves JSON lines and an HTML report of the first seed there
           bench                       what the virtual world and the sockets can do on this machine
+          scale                       what control costs by size: hollow proxies beside real ones
+              --axis NAME             one of backends, changes, watchers, rule-sets, tenants, scope,
+                                      scope-watchers, outage, restart
+              --points A,B,...        its points (whole numbers)
+              --memory-mb N           what all processes may hold (half of the machine's, 12288 at most)
         exit codes: 0 good, 1 fell short, 2 bad input, 3 the machine was too busy or a ledger is torn""";
 
     private LabMain() {
@@ -48,7 +55,8 @@
             .addOption(null, "policy", true, "").addOption(null, "jar", true, "")
             .addOption(null, "seeds", true, "").addOption(null, "base", true, "")
             .addOption(null, "cand", true, "").addOption(null, "set", true, "")
-            .addOption(null, "help", false, "");
+            .addOption(null, "axis", true, "").addOption(null, "points", true, "")
+            .addOption(null, "memory-mb", true, "").addOption(null, "help", false, "");
         try {
             CommandLine line = new DefaultParser().parse(options, args);
             List<String> words = line.getArgList();
@@ -69,6 +77,9 @@
             if (words.equals(List.of("bench"))) {
                 return Bench.run(job(line));
             }
+            if (words.equals(List.of("scale"))) {
+                return scale(line);
+            }
             if (words.size() == 2 && words.get(0).equals("compare")) {
                 return Compare.run(Shelf.find(words.get(1)), line);
             }
@@ -94,6 +105,22 @@
         }
     }
 
+    private static int scale(CommandLine line) throws IOException {
+        long memory = whole(line, "memory-mb", 0) << 20;
+        if (memory < 0) {
+            throw new BadConfig("--memory-mb", "negative");
+        }
+        try {
+            Scale.run(new Scale.Job(Shelf.home(), line.getOptionValue("axis"), line.getOptionValue("points"),
+                whole(line, "seed", 1), line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null,
+                memory, false, true), System.out);
+            return 0;
+        } catch (Processes.OverBound e) {
+            System.err.println("wheattrack lab: void: " + e.getMessage());
+            return 3;
+        }
+    }
+
     static Play.Job job(CommandLine line) {
         String policy = line.getOptionValue("policy", Minds.words().get(0));
         if (!Minds.words().contains(policy)) {
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -60,10 +60,8 @@
         try {
             switch (line.getArgs()[0]) {
                 case "serve" -> {
-                    Operator own = line.hasOption("operator")
-                        ? Operator.read(Path.of(line.getOptionValue("operator"))) : null;
-                    serve(file(line), own == null ? Operator.plainLog() : own.log,
-                        own == null ? "" : own.loadHeader);
+                    Path own = line.hasOption("operator") ? Path.of(line.getOptionValue("operator")) : null;
+                    serve(file(line), own, own == null ? null : Operator.read(own));
                 }
                 case "rehearse" -> rehearse(file(line));
                 case "check" -> check(line);
@@ -114,22 +112,39 @@
         Logs.open(log);
     }
 
-    private static void serve(Path file, Operator.Log log, String loadHeader) throws IOException {
+    /** own: what the operators' file says, null where there is none. */
+    private static void serve(Path file, Path operator, Operator own) throws IOException {
         Config config = Config.read(file);
-        log(log);
+        log(own == null ? Operator.plainLog() : own.log);
         Server server;
         try {
-            server = new Server(config, loadHeader);
+            server = own == null ? new Server(config)
+                : new Server(config, own.loadHeader, own.settingsSource, own.scope);
         } catch (IOException e) {
             throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
         }
-        Signals.onHangup(() -> server.reread(file));
+        Signals.onHangup(() -> {
+            server.reread(file);
+            if (own != null && own.settingsSource != null) {
+                resubscribe(server, operator);
+            }
+        });
         Thread end = new Thread(server::end, "end");
         Runtime.getRuntime().addShutdownHook(end);
         server.run();
         Runtime.getRuntime().halt(0);
     }
 
+    private static void resubscribe(Server server, Path operator) {
+        try {
+            Operator next = Operator.read(operator);
+            server.resubscribe(next.settingsSource, next.scope);
+        } catch (BadConfig e) {
+            java.util.logging.Logger.getLogger("wheattrack").warning("operators' file kept as it was: "
+                + e.getMessage());
+        }
+    }
+
     /** For the build, whose JVM keeps the classes that a start needs: restarts took 1.9 s of half a core. */
     private static void rehearse(Path file) throws IOException {
         log(Operator.plainLog());
--- a/proxy/src/main/java/wheattrack/admin/Figures.java
+++ b/proxy/src/main/java/wheattrack/admin/Figures.java
@@ -8,10 +8,15 @@
     private static final String[] ENDS = {"served", "refused", "failed"};
 
     private final Counts counts;
-    private final IntSupplier open, listed, avoided;
+    private final IntSupplier open, listed, avoided, leftOut;
 
-    /** open: reqs taken and not ended; listed, avoided: backends on the list, and those left out now. */
-    public Figures(Counts counts, IntSupplier open, IntSupplier listed, IntSupplier avoided) {
+    /**
+     * open: reqs taken and not ended; listed, avoided: backends on the list, and those kept away from now;
+     * leftOut: those beyond the number that can be known at once.
+     */
+    public Figures(Counts counts, IntSupplier open, IntSupplier listed, IntSupplier avoided,
+            IntSupplier leftOut) {
+        this.leftOut = leftOut;
         this.counts = counts;
         this.open = open;
         this.listed = listed;
@@ -30,6 +35,8 @@
         line(out, "in_flight", open.getAsInt(), 'g');
         line(out, "backends_known", listed.getAsInt(), 'g');
         line(out, "backends_excluded", avoided.getAsInt(), 'g');
+        line(out, "backends_left_out", leftOut.getAsInt(), 'g');
+        line(out, "settings_told", counts.told, 'c');
         line(out, "reloads_ok", counts.reread, 'c');
         line(out, "reloads_failed", counts.turnedDown, 'c');
         return out.toString();
--- a/proxy/src/main/java/wheattrack/config/Config.java
+++ b/proxy/src/main/java/wheattrack/config/Config.java
@@ -77,31 +77,44 @@
         check(!sets.isEmpty(), "settings.ruleSets", "missing");
         Set<String> names = new HashSet<>();
         for (int i = 0; i < sets.size(); i++) {
-            String key = "settings.ruleSets[" + i + "].";
             Settings set = sets.get(i);
-            check(names.add(set.word("name")), key + "name", "the same as another's");
-            check(Settings.EFFECTS.contains(set.word("effect")), key + "effect",
-                "none of " + Settings.EFFECTS);
-            check(Settings.GROUPS.contains(set.word("group", "all")), key + "group",
-                "none of " + Settings.GROUPS);
-            check(set.time("clientTimeout", 1_000_000) > 0, key + "clientTimeout", "not above 0");
-            check(set.time("responseTarget", 1_000_000) > 0, key + "responseTarget", "not above 0");
+            check(names.add(set.word("name")), set.key("name"), "the same as another's");
+            checkRuleSet(set);
         }
         settings.ruleSets();
         settings.parts(settings.list("zones"));
         checkShape();
-        settings.time("limits.dialTimeout", 0);
-        settings.time("limits.idleClose", 0);
         int balancers = settings.count("balancers", 1);
         int me = settings.count("me", 0);
         check(balancers >= 1, "settings.balancers", "under 1");
         check(me >= 0 && me < balancers, "settings.me", "not from 0 to under balancers");
-        check(settings.count("limits.maxDispatches", 1) >= 1, "settings.limits.maxDispatches", "under 1");
+        checkLimits(settings);
         int zones = Math.max(1, settings.list("zones").size());
         int zone = settings.count("zone", 0);
         check(zone >= 0 && zone < zones, "settings.zone", "not a place in zones");
     }
 
+    static void checkRuleSet(Settings set) {
+        check(Settings.EFFECTS.contains(set.word("effect")), set.key("effect"),
+            "none of " + Settings.EFFECTS);
+        check(Settings.GROUPS.contains(set.word("group", "all")), set.key("group"),
+            "none of " + Settings.GROUPS);
+        check(set.time("clientTimeout", 1_000_000) > 0, set.key("clientTimeout"), "not above 0");
+        check(set.time("responseTarget", 1_000_000) > 0, set.key("responseTarget"), "not above 0");
+        set.ruleSet(0);
+    }
+
+    static void checkLimits(Settings settings) {
+        check(settings.count("limits.maxDispatches", 1) >= 1, settings.key("limits.maxDispatches"),
+            "under 1");
+        for (String key : List.of("dialTimeout", "idleClose", "maxRetryAfter")) {
+            settings.time("limits." + key, 0);
+        }
+        for (String key : List.of("mayCancel", "mayDuplicate", "retryAfter", "probing")) {
+            settings.flag("limits." + key);
+        }
+    }
+
     /** What tells the shape of a deployment, and promises that are kept no more. */
     private void checkShape() {
         check(settings.number("rules.budgetSpan", 0) == 0, "settings.rules.budgetSpan",
--- a/proxy/src/main/java/wheattrack/config/Operator.java
+++ b/proxy/src/main/java/wheattrack/config/Operator.java
@@ -1,5 +1,6 @@
 package wheattrack.config;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 
@@ -23,11 +24,18 @@
 
         [reports]
         answers-header = ""           # of a backend's answers, its load as a JSON object; "": none carries it
+
+        [settings]
+        source = ""                   # address in figures of a source whose settings are watched; "": none is
+        scope = ""                    # names that go with requests for settings and list, by commas; "": all
         """;
 
     public final Log log;
     /** The header of answers that carries a backend's load report; empty where none does. */
     public final String loadHeader;
+    /** Where settings are watched, or null; and the scope that goes with requests, empty for all. */
+    public final InetSocketAddress settingsSource;
+    public final String scope;
 
     private Operator(Table t) {
         Table l = t.part("log");
@@ -39,6 +47,17 @@
         if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
             throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
         }
+        Table s = t.part("settings");
+        String at = s.word("source", "");
+        try {
+            settingsSource = at.isEmpty() ? null : Config.address("source", at);
+        } catch (BadConfig e) {
+            throw s.fault("source", "not an address in figures with a port: " + at);
+        }
+        scope = s.word("scope", "");
+        if (!scope.matches("([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?")) {
+            throw s.fault("scope", "no names of letters, figures, '.', '_', '-' by commas, 256 at most");
+        }
         t.done();
     }
 
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -71,6 +71,19 @@
         return kind.cast(value);
     }
 
+    /** The whole path of a key, for messages. */
+    String key(String path) {
+        return where + path;
+    }
+
+    /** The same with some keys of one of its objects in place of their own; the rest is shared. */
+    Settings with(String part, Map<String, Object> other) {
+        Map<String, Object> all2 = new HashMap<>(all), inner = new HashMap<>(part(part).all);
+        inner.putAll(other);
+        all2.put(part, inner);
+        return new Settings(all2, where);
+    }
+
     Set<String> keys() {
         return all.keySet();
     }
@@ -147,17 +160,21 @@
         List<Settings> sets = parts("ruleSets");
         RuleSet[] out = new RuleSet[sets.size()];
         for (int i = 0; i < out.length; i++) {
-            Settings s = sets.get(i);
-            RuleSet.Effect effect = choice(s.word("effect", ""), EFFECTS, RuleSet.Effect.values());
-            RuleSet.Group group = choice(s.word("group", ""), GROUPS, RuleSet.Group.values());
-            long timeout = s.time("clientTimeout", 1_000_000);
-            long target = Math.max(1, Math.min(timeout, s.time("responseTarget", 1_000_000)));
-            out[i] = new RuleSet(i, target, timeout, effect, group, s.time("window", 0),
-                s.number("value", 1), s.number("overdueValue", 0), s.flag("stream"));
+            out[i] = sets.get(i).ruleSet(i);
         }
         return out;
     }
 
+    /** This object as a rule set of that number. */
+    RuleSet ruleSet(int number) {
+        RuleSet.Effect effect = choice(word("effect", ""), EFFECTS, RuleSet.Effect.values());
+        RuleSet.Group group = choice(word("group", ""), GROUPS, RuleSet.Group.values());
+        long timeout = time("clientTimeout", 1_000_000);
+        long target = Math.max(1, Math.min(timeout, time("responseTarget", 1_000_000)));
+        return new RuleSet(number, target, timeout, effect, group, time("window", 0), number("value", 1),
+            number("overdueValue", 0), flag("stream"));
+    }
+
     private static <T> T choice(String word, List<String> words, T[] values) {
         int i = words.indexOf(word);
         return values[i < 0 ? values.length - 1 : i];
@@ -202,6 +219,11 @@
      * zones: those whose places the list's entries go by, which a later file may have in another order.
      */
     public BiConsumer<Rules, RuleSet[]> parts(List<?> zones) {
+        return parts(zones, parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum());
+    }
+
+    /** The same, with all tenants' shares known otherwise. */
+    public BiConsumer<Rules, RuleSet[]> parts(List<?> zones, double quota) {
         int most = count("limits.maxDispatches", 1);
         boolean cancels = flag("limits.mayCancel"), duplicates = flag("limits.mayDuplicate");
         long longestWait = flag("limits.retryAfter") ? time("limits.maxRetryAfter", 0) : 0;
@@ -212,7 +234,6 @@
         long cold = time("rules.cold", 0), fall = time("rules.fall", 0);
         double multiple = number("rules.fallMultiple", 1);
         double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
-        double quota = parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum();
         boolean come = tellsLoad();
         boolean asked = !word("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
         return (rules, sets) -> {
--- a/proxy/src/main/java/wheattrack/core/Counts.java
+++ b/proxy/src/main/java/wheattrack/core/Counts.java
@@ -13,8 +13,11 @@
     private static final String FURTHER = "further";
 
     private final Map<String, long[]> byName = new LinkedHashMap<>();
-    /** Dispatches written whole to a backend; configurations read again and taken, and turned down. */
-    public long dispatches, reread, turnedDown;
+    /**
+     * Dispatches written whole to a backend; configurations read again and taken, and turned down, those of a
+     * watched source among them; and news of such a source that holds.
+     */
+    public long dispatches, reread, turnedDown, told;
 
     /** The rule set of this name is in use, so that its counts are shown from now on, be they 0. */
     public void name(String ruleSet) {
--- a/proxy/src/main/java/wheattrack/core/Fleet.java
+++ b/proxy/src/main/java/wheattrack/core/Fleet.java
@@ -93,6 +93,11 @@
         return (int) byIndex.stream().filter(srv -> !isGone(srv)).count();
     }
 
+    /** How many of those on the list have this index or a greater one. */
+    public int listedFrom(int index) {
+        return (int) byIndex.stream().skip(index).filter(srv -> !isGone(srv)).count();
+    }
+
     /** Those on the list that are not named. */
     public List<S> missing(Set<?> named) {
         return byIndex.stream().filter(srv -> !isGone(srv) && !named.contains(srv.id)).toList();
--- a/proxy/src/main/java/wheattrack/http/LineDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/LineDecoder.java
@@ -28,6 +28,11 @@
         return chunks != null && chunks.ended();
     }
 
+    /** Whether its head has come, with a 200. */
+    public boolean isOpen() {
+        return open;
+    }
+
     /** Whether an object has begun that is not whole. */
     public boolean isAmid() {
         return depth > 0;
--- a/proxy/src/main/java/wheattrack/net/Front.java
+++ b/proxy/src/main/java/wheattrack/net/Front.java
@@ -7,6 +7,7 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
+import java.util.function.Supplier;
 import wheattrack.aio.Loop;
 import wheattrack.core.Deadlines;
 import wheattrack.core.Life;
@@ -33,6 +34,7 @@
     private int most;
     private final long mostBody;
     private final Taker taker;
+    private final Supplier<String> remark;
     private final Slots<Client> clients = new Slots<>();
     private AsynchronousServerSocketChannel channel;
     private boolean accepting, opened;
@@ -44,8 +46,12 @@
     private long loggedAt;
     private long unlogged;
 
-    /** most: connections of clients; a few more are taken, so that those who come then are denied. */
-    Front(Loop loop, Life life, int most, long mostBody, Taker taker) {
+    /**
+     * most: connections of clients; a few more are taken, so that those who come then are denied. remark:
+     * said behind the phase to who asks whether this proxy is ready.
+     */
+    Front(Loop loop, Life life, int most, long mostBody, Taker taker, Supplier<String> remark) {
+        this.remark = remark;
         this.mostBody = mostBody;
         this.loop = loop;
         this.life = life;
@@ -160,7 +166,8 @@
     void came(Client client, Request request) {
         String path = request.target().split("\\?", 2)[0];
         if (path.equals(Wire.READY)) {
-            client.answer(Wire.plain(life.isReady() ? 200 : 503, life.phase().name(), keeps(request.keep())));
+            client.answer(Wire.plain(life.isReady() ? 200 : 503, life.phase().name() + remark.get(),
+                keeps(request.keep())));
         } else if (clients.size() > most && served() > most) {
             note("denied", clients.size() + " clients are connected");
             taker.denied(request);
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/Listing.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
 import wheattrack.Rules;
@@ -21,6 +22,7 @@
 
 /** The list of backends on the wire: the watch on it, and its entries turned into calls on the module. */
 final class Listing {
+    private static final String PATH = "/v1/endpoints";
     private static final Pattern NUMBER = Pattern.compile("[0-9a-f]{1,15}");
 
     private final Loop loop;
@@ -32,7 +34,11 @@
     private Rules rules;
     private Watch watch;
     private final List<String> met = new ArrayList<>();
+    private int beyond;
+    private String scope;
     private long version = -1;
+    private boolean unread;
+    private LongConsumer inForce = rev -> { };
     /** The list known of old, until it is used or one has come from discovery. */
     private Settings known;
 
@@ -41,7 +47,8 @@
      * having drained may still be sent to.
      */
     Listing(Loop loop, AsynchronousChannelGroup group, Dialler dialler, InetSocketAddress discovery,
-            List<?> zones, List<?> kinds, Settings known) {
+            List<?> zones, List<?> kinds, Settings known, String scope) {
+        this.scope = scope;
         this.loop = loop;
         this.group = group;
         this.discovery = discovery;
@@ -56,6 +63,11 @@
         rules = module;
     }
 
+    /** Who hears of each revision once the module acts on it. */
+    void onForce(LongConsumer then) {
+        inForce = then;
+    }
+
     /** The names of zones; entries go by their places. */
     List<?> zones() {
         return zones;
@@ -74,6 +86,16 @@
         return version >= 0;
     }
 
+    /** Discovery answers, and what it tells can't be read or is over a bound. */
+    boolean isUnread() {
+        return unread;
+    }
+
+    /** Listed backends beyond those that the module knows at once: nothing is sent to them. */
+    int leftOut() {
+        return fleet.listedFrom(Rules.MOST);
+    }
+
     /** Discovery says nothing: the list known of old has to do, if there is one. */
     void fallBack() {
         if (known != null) {
@@ -93,7 +115,8 @@
         }
         long patience = watch != null && watch.hasSpoken() ? Watch.FIRST : Watch.SILENCE;
         try {
-            watch = Watch.open(loop, group, discovery, version, patience, this::told, this::failed);
+            watch = Watch.open(loop, group, new Watch.Target(discovery, PATH, version, scope), patience,
+                this::told, this::failed);
         } catch (IOException e) {
             failed(e.toString(), false, false);
         }
@@ -108,6 +131,14 @@
         follow();
     }
 
+    /** Another scope goes with its requests from now on; the whole list of it is asked for. */
+    void turnTo(String otherScope) {
+        if (!otherScope.equals(scope)) {
+            scope = otherScope;
+            fetch();
+        }
+    }
+
     /** Watches at another address from now on; the whole list, as the versions there may be its own. */
     void moveTo(InetSocketAddress to) {
         if (!to.equals(discovery)) {
@@ -122,6 +153,7 @@
      */
     private void failed(String why, boolean silent, boolean spoke) {
         Event.info("watch on the list", null, why);
+        unread = watch != null && watch.isUnread();
         if (silent) {
             follow();
         } else {
@@ -164,6 +196,7 @@
             fleet.missing(named).forEach(this::gone);
         }
         met.clear();
+        beyond = 0;
         int skipped = 0;
         String why = null;
         for (Settings entry : entries) {
@@ -179,8 +212,14 @@
         if (!met.isEmpty()) {                       // one line too: at a start a line each took 2 ms
             Event.info("met srv", null, String.join(", ", met));
         }
+        if (beyond > 0) {
+            Event.warning("left out " + beyond + " of " + entries.size() + " entries of the list", null,
+                Rules.MOST + " backends are known at most");
+        }
         version = rev;
+        unread = false;
         rules.listed(saved);
+        inForce.accept(version);
     }
 
     private void gone(Backend backend) {
@@ -216,6 +255,10 @@
         }
         boolean ready = state.equals("SERVING") && !left;
         Event.detail("srv", Long.toString(number(id)), () -> id + " " + state + ", up since " + up);
+        if (backend.at >= Rules.MOST) {
+            beyond++;
+            return;
+        }
         rules.entry(backend.at, number(id), ready, zone, pack, kind, weight,
             up <= 0 ? Fleet.LONG_AGO : up, fresh);
         backend.serves(address, up);
--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/Proxy.java
@@ -9,6 +9,7 @@
 import wheattrack.Rules;
 import wheattrack.aio.Loop;
 import wheattrack.config.Settings;
+import wheattrack.config.SettingsFeed;
 import wheattrack.core.Counts;
 import wheattrack.core.Counts.End;
 import wheattrack.core.Slots;
@@ -56,8 +57,18 @@
         listing.tell(rules);
     }
 
-    /** Takes new settings into use, whole; reqs under way keep the rule set that they came under. */
-    void turnTo(Settings settings) {
+    /**
+     * Takes new settings into use, whole; reqs under way keep the rule set that they came under. feed: what a
+     * watched source has told, which goes before their rule sets, tenants and limits; null or empty: nothing.
+     */
+    void turnTo(Settings settings, SettingsFeed feed) {
+        if (feed != null && feed.isThere()) {
+            Settings held = feed.over(settings);
+            held.parts(listing.zones(), feed.quota()).accept(rules, feed.summary());
+            sets = feed.sets();
+            further(held);
+            return;
+        }
         RuleSet[] all = settings.ruleSets();
         settings.parts(listing.zones()).accept(rules, all);
         name(settings, all);
@@ -66,6 +77,10 @@
     private void name(Settings settings, RuleSet[] all) {
         sets = settings.byName(all);
         settings.names().forEach(counts::name);     // in their order, which the figures keep
+        further(settings);
+    }
+
+    private void further(Settings settings) {
         reports = settings.tellsLoad();
         probeTimeout = settings.time("limits.dialTimeout", 250_000);
     }
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -1,6 +1,7 @@
 package wheattrack.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -13,6 +14,7 @@
 import wheattrack.config.BadConfig;
 import wheattrack.config.Config;
 import wheattrack.config.Settings;
+import wheattrack.config.SettingsFeed;
 import wheattrack.core.Counts;
 import wheattrack.core.Life.Phase;
 import wheattrack.log.Event;
@@ -34,6 +36,9 @@
     // For discovery's list before the one known of old is used: a watch silent so long is dead. Mass
     // restart: the known one named drained srvs. Clients wait as long as a dial may take, then are denied.
     private static final long LIST_WAIT = Watch.SILENCE;
+    // Where discovery answers and its list can't be read: a proxy that knows of no backend takes clients from
+    // those that do. Ready all the same in the time that a restart may take.
+    private static final long UNREAD_WAIT = 3 * Watch.SILENCE;
 
     private Config config;
     private final Loop loop = new Loop();
@@ -44,6 +49,8 @@
     private final Listing listing;
     private final Proxy proxy;
     private final Dialler dialler;
+    private final SettingsFeed feed;
+    private final SettingsWatch settingsWatch;
     private long longest;
     private final AsynchronousChannelGroup group;
     private final Seats seats;
@@ -56,6 +63,12 @@
 
     /** loadHeader: of backends' answers, where their load stands; empty where answers carry none. */
     public Server(Config config, String loadHeader) throws IOException {
+        this(config, loadHeader, null, "");
+    }
+
+    /** source: where settings are watched, or null; scope: goes with requests for them and the list. */
+    public Server(Config config, String loadHeader, InetSocketAddress source, String scope)
+            throws IOException {
         this.config = config;
         group = AsynchronousChannelGroup.withThreadPool(loop);
         seats = new Seats(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
@@ -63,9 +76,10 @@
         dialler = new Dialler(loop, group, (int) (BACKENDS * free()), config.mostBody,
             settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
         listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
-            settings.list("kinds"), config.known);
+            settings.list("kinds"), config.known, scope);
         proxy = new Proxy(loop, listing, counts, settings, config.seed, loadHeader);
-        front = new Front(loop, life, (int) (CLIENTS * free()), config.mostBody, proxy);
+        front = new Front(loop, life, (int) (CLIENTS * free()), config.mostBody, proxy,
+            () -> listing.isThere() ? "" : ", no list");
         proxy.from(front);
         proxy.beside(isBeside());
         if (seats.place() != Seats.Place.NEWER) {
@@ -73,6 +87,22 @@
         }
         admin = config.admin == null ? null : admin(group);
         longest = longest(settings);
+        feed = source == null ? null : new SettingsFeed();
+        settingsWatch = source == null ? null : new SettingsWatch(loop, group, source, scope, config.seed,
+            counts, feed, told -> turnToTold());
+    }
+
+    /** Other settings of the watched source hold. */
+    private void turnToTold() {
+        proxy.turnTo(config.settings, feed);
+        longest = Math.max(longest, feed.longest());
+        if (!feed.limited().isEmpty()) {
+            dial(feed.over(config.settings));
+        }
+    }
+
+    private void dial(Settings settings) {
+        dialler.times(settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
     }
 
     private static long longest(Settings settings) {
@@ -107,7 +137,8 @@
     }
 
     private Admin admin(AsynchronousChannelGroup group) {
-        Figures figures = new Figures(counts, proxy::open, listing::listed, proxy::avoided);
+        Figures figures = new Figures(counts, proxy::open, listing::listed, proxy::avoided,
+            listing::leftOut);
         try {
             return new Admin(loop, group, life, config.admin, figures::text);
         } catch (IOException e) {
@@ -130,6 +161,9 @@
         LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
         life.enter(Phase.WARMING);
         loop.execute(this::warmUp);
+        if (settingsWatch != null) {
+            loop.execute(settingsWatch::follow);
+        }
         try {
             loop.run();
             seats.close();
@@ -155,7 +189,8 @@
             return;                                 // told to end before it was ready: nobody is let in
         }
         long waited = loop.now() - from;
-        if (listing.isThere() || waited >= LIST_WAIT) {
+        boolean there = listing.isThere() && (feed == null || feed.isThere());
+        if (there || waited >= (listing.isThere() || !listing.isUnread() ? LIST_WAIT : UNREAD_WAIT)) {
             listing.fallBack();
             openLate();
             life.enter(Phase.SERVING);
@@ -209,14 +244,26 @@
         });
     }
 
+    /** From another thread: the operators' file names another source or scope of settings. */
+    public void resubscribe(InetSocketAddress source, String scope) {
+        loop.execute(() -> {
+            if (settingsWatch == null || source == null) {
+                Event.warning("settings' source kept as it was", null,
+                    "only a restart begins or ends a watch");
+            } else {
+                settingsWatch.turnTo(source, scope);
+                listing.turnTo(scope);
+            }
+        });
+    }
+
     /** Reqs, connections and what is learnt stay; what only a start can change is named. */
     private void turnTo(Config next) {
         List<String> fixed = next.fixedAgainst(config);
         LOG.info("configuration read again, list from " + next.discovery
             + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
-        proxy.turnTo(next.settings);
-        dialler.times(next.settings.time("limits.dialTimeout", 250_000),
-            next.settings.time("limits.idleClose", 0));
+        proxy.turnTo(next.settings, feed);
+        dial(feed == null ? next.settings : feed.over(next.settings));
         longest = Math.max(longest, longest(next.settings));       // what is under way may still take as long
         listing.moveTo(next.discovery);
         config = next;
@@ -246,6 +293,9 @@
         boolean empty = !front.isListening() && front.taken() == 0 && proxy.open() == 0;
         if (empty || loop.now() >= latest) {
             dialler.closeAll();
+            if (settingsWatch != null) {
+                settingsWatch.close();
+            }
             if (admin != null) {
                 admin.close();
             }
--- a/proxy/src/main/java/wheattrack/net/Watch.java
+++ b/proxy/src/main/java/wheattrack/net/Watch.java
@@ -14,7 +14,7 @@
 import wheattrack.http.LineDecoder;
 import wheattrack.http.Request;
 
-/** One watch on the list, until it breaks or falls silent. */
+/** One watch on the list, or on settings, until it breaks or falls silent. */
 final class Watch extends Link {
     /** An object or an empty line comes whole every 2 s at least; half as much again without is a break. */
     static final long SILENCE = 30_000;
@@ -42,7 +42,7 @@
     private final Failed failed;
     private Deadlines.Entry silence;
     private final long patience;
-    private boolean began, spoke;
+    private boolean began, spoke, unread;
 
     private Watch(Loop loop, AsynchronousSocketChannel channel, long patience, Consumer<String> line,
             Failed failed) {
@@ -52,20 +52,30 @@
         this.failed = failed;
     }
 
-    /** Opens a watch for what comes after a version, or for the whole list if that is negative. */
-    static Watch open(Loop loop, AsynchronousChannelGroup group, InetSocketAddress to, long after,
-            long patience, Consumer<String> line, Failed failed) throws IOException {
+    /** What is asked for: a path, what comes after a version or with a negative one all, a scope or "". */
+    record Target(InetSocketAddress at, String path, long after, String scope) {
+        @Override
+        public String toString() {
+            return path + "?watch=1" + (after < 0 ? "" : "&after=" + after)
+                + (scope.isEmpty() ? "" : "&scope=" + scope);
+        }
+    }
+
+    /** Opens a watch. */
+    static Watch open(Loop loop, AsynchronousChannelGroup group, Target target, long patience,
+            Consumer<String> line, Failed failed) throws IOException {
         Watch watch = new Watch(loop, AsynchronousSocketChannel.open(group), patience, line, failed);
         watch.listen(patience);
-        watch.connect(to, () -> watch.ask(to, after), () -> watch.fail("no connection", false));
+        watch.connect(target.at, () -> watch.ask(target), () -> watch.fail("no connection", false));
         return watch;
     }
 
-    private void ask(InetSocketAddress to, long after) {
+    private void ask(Target asked) {
         if (isClosed()) {
             return;
         }
-        String target = "/v1/endpoints?watch=1" + (after < 0 ? "" : "&after=" + after);
+        InetSocketAddress to = asked.at;
+        String target = asked.toString();
         Headers headers = new Headers().with("Host", to.getAddress().getHostAddress() + ":" + to.getPort());
         write(Encoder.request(new Request("GET", target, headers, true, new byte[0])));
         read(in.room());
@@ -81,6 +91,11 @@
         return spoke;
     }
 
+    /** Whether it has brought what could not be read. */
+    boolean isUnread() {
+        return unread;
+    }
+
     @Override
     protected void came(int n) {
         if (n < 0) {
@@ -104,6 +119,11 @@
             }
             read(in.room());
         } catch (BadMessage e) {
+            if (!in.isOpen()) {                     // turned away: that is no news
+                spoke = false;
+                fail(e.getMessage(), false);
+                return;
+            }
             unreadable(e.getMessage());
         }
     }
@@ -117,6 +137,7 @@
 
     /** What it brings can't be read: as if it had said nothing, so that it is not asked again and again. */
     void unreadable(String why) {
+        unread = true;
         spoke = false;
         fail(why, false);
     }
--- a/proxy/src/test/java/wheattrack/AdminTest.java
+++ b/proxy/src/test/java/wheattrack/AdminTest.java
@@ -98,7 +98,7 @@
         for (int i = 0; i < 1000; i++) {
             counts.ended("n" + i, Counts.End.DENIED);
         }
-        String text = new Figures(counts, () -> 0, () -> 0, () -> 0).text();
+        String text = new Figures(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
         assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
         assertTrue(counts.ends().size() <= 257, "names kept: " + counts.ends().size());
         assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
--- a/proxy/src/test/java/wheattrack/IdleCrowdTest.java
+++ b/proxy/src/test/java/wheattrack/IdleCrowdTest.java
@@ -142,7 +142,7 @@
             }
         }
 
-        /** Of clients, as docs/design.md has them; half a head holds one for up to 0.8 s where others wait. */
+        /** Of clients, as docs/design.md has them; half a head holds one for 0.8 s where others wait. */
         private int places() {
             return (int) (0.58 * (sockets - Math.max(32, sockets / 16) - 9));
         }
