--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -38,7 +38,7 @@
     private static final long LIST_WAIT = Watch.SILENCE;
     // Where discovery answers and its list can't be read: a proxy that knows of no backend takes clients from
     // those that do. Ready all the same in the time that a restart may take.
-    private static final long UNREAD_WAIT = 3 * Watch.SILENCE;
+    private static final long UNREAD_WAIT = 2 * Watch.SILENCE;
 
     private Config config;
     private final Loop loop = new Loop();
