A configuration over a twelfth of the heap is one line and exit 2; lab scale: hollow beside real

Cause: 430,000 tenants (16 MB) filled the heap before anything was checked: a stack trace in place of an error. Config.map looks at the file's size first, at SIGHUP too.

--- a/lab/src/main/java/wheattrack/lab/scale/Axes.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Axes.java
@@ -99,12 +99,14 @@
             row.put("list_ms", listed);
             row.put("known", fleet.known());
             row.put("list_kb", (source.sent() - calls) / 1024.0 / hollow);
+            row.put("asked_bytes", source.came() / (double) (hollow + (witness == null ? 0 : 1)));
             row.put("heap_kb", fleet.heapEach());
             if (witness != null) {
                 row.put("w_ready_ms", witness.readyMillis);
                 row.put("w_known", witness.figure("backends_known"));
                 row.put("w_start_cpu_ms", Processes.cpu(witness.process) / MS);
                 row.put("w_rss_mb", Processes.memory(witness.process, "VmHWM") / 1024.0);
+                row.put("w_rest_mb", Processes.memory(witness.process, "VmRSS") / 1024.0);
             }
             if (Double.isFinite(listed)) {
                 steady(source, fleet, witness, n, CHANGES, 100, row);
--- a/lab/src/main/java/wheattrack/lab/scale/Figures.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Figures.java
@@ -1,6 +1,7 @@
 package wheattrack.lab.scale;
 
 import java.util.ArrayList;
+import java.util.DoubleSummaryStatistics;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -74,6 +75,15 @@
                     name, line.slope, line.error, axis, line.bend));
             }
         }
+        for (String name : names) {
+            DoubleSummaryStatistics part = rows.stream().map(Row::figures)
+                .mapToDouble(f -> f.getOrDefault(name, Double.NaN) / f.getOrDefault("w_" + name, Double.NaN))
+                .filter(Double::isFinite).summaryStatistics();
+            if (part.getCount() > 0) {
+                out.append(String.format(Locale.ROOT, "%n  %-18s %.2f to %.2f of the real one's", name,
+                    part.getMin(), part.getMax()));
+            }
+        }
         return out.append('\n').toString();
     }
 
--- a/proxy/src/main/java/wheattrack/config/Config.java
+++ b/proxy/src/main/java/wheattrack/config/Config.java
@@ -23,6 +23,8 @@
     /** Whether clients reach a bank of proxies, or each client process has one of its own beside it. */
     static final List<String> SHAPES = List.of("pool", "per-client");
     private static final int LEAST_SOCKETS = 64;
+    /** Of the heap, a file may have this part: read, its objects are some five times as large. */
+    private static final int HEAP_PART = 12;
     private static final Set<String> ONCE = Set.of("known", "seed");
 
     public final String name;
@@ -192,6 +194,11 @@
 
     static Map<String, Object> map(Path file) {
         try {
+            long size = Files.size(file), most = Runtime.getRuntime().maxMemory() / HEAP_PART;
+            if (size > most) {                      // 430,000 tenants: out of memory, and a stack trace
+                throw new BadConfig(file.toString(),
+                    size + " bytes, over the " + most + " that the heap allows");
+            }
             return Json.object(Files.readString(file));
         } catch (NoSuchFileException e) {
             throw new BadConfig(file.toString(), "no such file");
--- a/proxy/src/main/java/wheattrack/net/Hollow.java
+++ b/proxy/src/main/java/wheattrack/net/Hollow.java
@@ -27,8 +27,8 @@
         this.group = group;
         this.config = config;
         Settings settings = config.settings;
-        Dialler dialler = new Dialler(loop, group, 0, config.mostBody, settings.time("limits.dialTimeout", 250_000),
-            settings.time("limits.idleClose", 0));
+        Dialler dialler = new Dialler(loop, group, 0, config.mostBody,
+            settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
         listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
             settings.list("kinds"), config.known, "");
         listing.onForce(inForce);
--- a/proxy/src/test/java/wheattrack/OperatorTest.java
+++ b/proxy/src/test/java/wheattrack/OperatorTest.java
@@ -42,6 +42,10 @@
         fails("[log]\nlines-per-second = 1.5\n", "o.toml:2: log.lines-per-second: 1.5 is not whole");
         fails("[log]\nreqs = 1\n", "o.toml:2: log.reqs: not true or false");
         fails("log = 3\n", "o.toml:1: log: not a table");
+        fails("[settings]\nsource = \"here\"\n",
+            "o.toml:2: settings.source: not an address in figures with a port: here");
+        fails("[settings]\nscope = \"a b\"\n", "o.toml:2: settings.scope: no names of letters, figures, '.', "
+            + "'_', '-' by commas, 256 at most");
     }
 
     /** A storm of one event leaves no line of the others out, and is counted. */
