--- a/proxy/src/test/java/wheattrack/LargeConfigTest.java
+++ b/proxy/src/test/java/wheattrack/LargeConfigTest.java
@@ -26,8 +26,8 @@
         Path file = Files.writeString(folder.resolve("config.json"), text + "]}}");
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         String classes = System.getProperty("java.class.path");
-        Process process = new ProcessBuilder(java, HEAP, "-XX:+UseSerialGC", "-cp", classes, "wheattrack.Main",
-            "check", "--config", file.toString()).redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(java, HEAP, "-XX:+UseSerialGC", "-cp", classes,
+            "wheattrack.Main", "check", "--config", file.toString()).redirectErrorStream(true).start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
         return process.waitFor() + " " + said.replace(folder.toString(), "DIR").replaceAll("[0-9]{5,}", "N");
     }
