--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -38,7 +38,7 @@
           bench                       what the virtual world and the sockets can do on this machine
           scale                       what control costs by size: hollow proxies beside real ones
               --axis NAME             one of backends, changes, watchers, rule-sets, tenants, scope,
-                                      scope-watchers, outage, restart
+                                      scope-watchers, outage, scope-outage, restart
               --points A,B,...        its points (whole numbers)
               --memory-mb N           what all processes may hold (half of the machine's, 12288 at most)
         exit codes: 0 good, 1 fell short, 2 bad input, 3 the machine was too busy or a ledger is torn""";
--- a/lab/src/main/java/wheattrack/lab/scale/Axes.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Axes.java
@@ -83,7 +83,9 @@
             new Axis("scope-watchers", "hollow proxies that watch " + SCOPE + " rule sets at one source",
                 new int[] {100, 500, 1500, 4700}, 1, 4700, (n, row) -> scope(SCOPE, n, row)),
             new Axis("outage", "hollow proxies that lose one source for 6 s",
-                new int[] {100, 500, 1500, 4700}, 1, 4700, this::outage),
+                new int[] {100, 500, 1500, 4700}, 1, 4700, (n, row) -> outage(n, false, row)),
+            new Axis("scope-outage", "hollow proxies that lose their source of settings for 6 s",
+                new int[] {100, 500, 1500, 4700}, 1, 4700, (n, row) -> outage(n, true, row)),
             new Axis("restart", "real proxies started at once", new int[] {1, 10, 30, 147}, 1, 180,
                 this::restart));
     }
@@ -242,9 +244,12 @@
         return witness;
     }
 
-    private void outage(int n, Map<String, Double> row) throws Exception {
-        try (Source source = source(SMALL)) {
-            Fleet fleet = new Fleet(n, config(source.at(), null, 100, 0));
+    /** settings: it is their source that is away, and not the list's. */
+    private void outage(int n, boolean settings, Map<String, Double> row) throws Exception {
+        try (Source list = source(SMALL); Source told = new Source(new Told.Scope(SCOPE), tellsWhole)) {
+            Source source = settings ? told : list;
+            Fleet fleet = new Fleet(n, config(list.at(), null, settings ? 1 : 100, 0),
+                settings ? told.at() : null);
             row.put("list_ms", fleet.awaitListed(4 * LIST_MILLIS));
             fleet.ask("forget");
             source.mode(Source.Mode.REFUSING);
