--- a/decisions/src/test/java/wheattrack/HistoriesTest.java
+++ b/decisions/src/test/java/wheattrack/HistoriesTest.java
@@ -18,30 +18,40 @@
 
 /** What no history may lead to; a history that does is shrunk to the shortest one and printed. */
 class HistoriesTest {
-    @Provide
-    Arbitrary<Step> steps() {
-        return Combinators.combine(Arbitraries.of(What.class), Arbitraries.integers().between(0, 99),
-            Arbitraries.integers().between(2, 20)).as(Step::new);
-    }
+  @Provide
+  Arbitrary<Step> steps() {
+    return Combinators.combine(
+            Arbitraries.of(What.class),
+            Arbitraries.integers().between(0, 99),
+            Arbitraries.integers().between(2, 20))
+        .as(Step::new);
+  }
 
-    /** Idle ready servers and denied reqs with time left: never for longer than two tightest targets. */
-    @Property(tries = 10_000, edgeCases = EdgeCasesMode.NONE, seed = "17")
-    void nothingStandsStill(@ForAll @Size(max = 6) List<@net.jqwik.api.From("steps") Step> history,
-            @ForAll @IntRange(min = 1, max = 4) int servers, @ForAll boolean async, @ForAll boolean many) {
-        Course c = new Course(history.toString().hashCode(), servers, many ? 300 : 1, async, many);
-        history.forEach(c::play);
-        assertNull(c.fault);
-    }
+  /**
+   * Idle ready servers and denied reqs with time left: never for longer than two tightest targets.
+   */
+  @Property(tries = 10_000, edgeCases = EdgeCasesMode.NONE, seed = "17")
+  void nothingStandsStill(
+      @ForAll @Size(max = 6) List<@net.jqwik.api.From("steps") Step> history,
+      @ForAll @IntRange(min = 1, max = 4) int servers,
+      @ForAll boolean async,
+      @ForAll boolean many) {
+    Course c = new Course(history.toString().hashCode(), servers, many ? 300 : 1, async, many);
+    history.forEach(c::play);
+    assertNull(c.fault);
+  }
 
-    /** Once all is well again, each server gets something within twenty seconds. */
-    @Property(tries = 1_000, edgeCases = EdgeCasesMode.NONE, seed = "18")
-    void noServerStarves(@ForAll @Size(max = 6) List<@net.jqwik.api.From("steps") Step> history,
-            @ForAll @IntRange(min = 2, max = 4) int servers, @ForAll boolean async) {
-        Course c = new Course(history.toString().hashCode(), servers, 1, async, false);
-        history.forEach(c::play);
-        c.calm();
-        c.pass(20 * Course.SECOND);
-        assertNull(c.fault);
-        assertEquals(-1, c.starved(20 * Course.SECOND));
-    }
+  /** Once all is well again, each server gets something within twenty seconds. */
+  @Property(tries = 1_000, edgeCases = EdgeCasesMode.NONE, seed = "18")
+  void noServerStarves(
+      @ForAll @Size(max = 6) List<@net.jqwik.api.From("steps") Step> history,
+      @ForAll @IntRange(min = 2, max = 4) int servers,
+      @ForAll boolean async) {
+    Course c = new Course(history.toString().hashCode(), servers, 1, async, false);
+    history.forEach(c::play);
+    c.calm();
+    c.pass(20 * Course.SECOND);
+    assertNull(c.fault);
+    assertEquals(-1, c.starved(20 * Course.SECOND));
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/Demo.java
+++ b/lab/src/main/java/wheattrack/lab/Demo.java
@@ -11,48 +11,75 @@
 
 /** Two proxies, six servers and load on loopback; a server is killed, and the referee judges. */
 final class Demo {
-    private static final int WIDE = 40;
+  private static final int WIDE = 40;
 
-    private Demo() {
-    }
+  private Demo() {}
 
-    static int run(Play.Job job) throws IOException {
-        Scenario s = Scenario.read(Shelf.find("demo"));
-        System.out.println("two proxies, six servers, a list and clients on 127.0.0.1: "
-            + Verdict.text(s.load.rate()) + " reqs a second for " + s.length / Scenario.SECOND + " s;");
-        System.out.println("server 0 is killed at " + s.faults.get(0).at() / Scenario.SECOND
-            + " s and comes back cold " + s.faults.get(0).lasts() / Scenario.SECOND + " s later");
-        Play.Real real = Play.real(s, job, Sockets.How.USUAL);
-        Verdict v = real.verdict();
-        System.out.println();
-        System.out.println("value done in time, by second");
-        for (int i = 0; i < Math.min(v.seconds().size(), s.length / Scenario.SECOND); i++) {
-            Referee.Second one = v.seconds().get(i);
-            double part = one.asked > 0 ? one.earned / one.asked : 1;
-            System.out.printf(Locale.ROOT, "%4d s %-" + WIDE + "s %3.0f%%%s%n", i,
-                "#".repeat((int) Math.round(WIDE * part)), 100 * part, mark(s, i));
-        }
-        System.out.println();
-        for (Map.Entry<Integer, Referee.ByProxy> e : v.byProxy().entrySet()) {
-            Referee.ByProxy p = e.getValue();
-            System.out.printf(Locale.ROOT, "proxy %d took %d reqs: %d done, %d denied, %d aborted; sent to "
-                + "servers (by place) %s%n", e.getKey(), p.taken, p.ended[Answer.DONE.ordinal()],
-                p.ended[Answer.DENIED.ordinal()], p.ended[Answer.ABORTED.ordinal()], p.sent);
-        }
-        v.breaks().forEach(b -> System.out.println("broken, " + b.rule() + ": " + b.how()));
-        System.out.println("the referee: " + (v.figures().get("broken") == 0 ? "no rule was broken"
-            : Verdict.text(v.figures().get("broken")) + " rules were broken") + "; "
+  static int run(Play.Job job) throws IOException {
+    Scenario s = Scenario.read(Shelf.find("demo"));
+    System.out.println(
+        "two proxies, six servers, a list and clients on 127.0.0.1: "
+            + Verdict.text(s.load.rate())
+            + " reqs a second for "
+            + s.length / Scenario.SECOND
+            + " s;");
+    System.out.println(
+        "server 0 is killed at "
+            + s.faults.get(0).at() / Scenario.SECOND
+            + " s and comes back cold "
+            + s.faults.get(0).lasts() / Scenario.SECOND
+            + " s later");
+    Play.Real real = Play.real(s, job, Sockets.How.USUAL);
+    Verdict v = real.verdict();
+    System.out.println();
+    System.out.println("value done in time, by second");
+    for (int i = 0; i < Math.min(v.seconds().size(), s.length / Scenario.SECOND); i++) {
+      Referee.Second one = v.seconds().get(i);
+      double part = one.asked > 0 ? one.earned / one.asked : 1;
+      System.out.printf(
+          Locale.ROOT,
+          "%4d s %-" + WIDE + "s %3.0f%%%s%n",
+          i,
+          "#".repeat((int) Math.round(WIDE * part)),
+          100 * part,
+          mark(s, i));
+    }
+    System.out.println();
+    for (Map.Entry<Integer, Referee.ByProxy> e : v.byProxy().entrySet()) {
+      Referee.ByProxy p = e.getValue();
+      System.out.printf(
+          Locale.ROOT,
+          "proxy %d took %d reqs: %d done, %d denied, %d aborted; sent to "
+              + "servers (by place) %s%n",
+          e.getKey(),
+          p.taken,
+          p.ended[Answer.DONE.ordinal()],
+          p.ended[Answer.DENIED.ordinal()],
+          p.ended[Answer.ABORTED.ordinal()],
+          p.sent);
+    }
+    v.breaks().forEach(b -> System.out.println("broken, " + b.rule() + ": " + b.how()));
+    System.out.println(
+        "the referee: "
+            + (v.figures().get("broken") == 0
+                ? "no rule was broken"
+                : Verdict.text(v.figures().get("broken")) + " rules were broken")
+            + "; "
             + String.format(Locale.ROOT, "%.1f", 100 * v.figures().get("service"))
             + "% of the value was done in time, half within "
-            + Verdict.text(v.figures().get("p50")) + " ms, all but 1% within "
-            + Verdict.text(v.figures().get("p99")) + " ms");
-        System.out.println(v.result(job.seed()));
-        return real.quality().isTooLate() ? 3 : v.isGood() ? 0 : 1;
-    }
+            + Verdict.text(v.figures().get("p50"))
+            + " ms, all but 1% within "
+            + Verdict.text(v.figures().get("p99"))
+            + " ms");
+    System.out.println(v.result(job.seed()));
+    return real.quality().isTooLate() ? 3 : v.isGood() ? 0 : 1;
+  }
 
-    private static String mark(Scenario s, int second) {
-        long from = s.faults.get(0).at() / Scenario.SECOND;
-        long until = from + s.faults.get(0).lasts() / Scenario.SECOND;
-        return second == from ? "  server 0 is killed" : second == until ? "  server 0 is back, cold" : "";
-    }
+  private static String mark(Scenario s, int second) {
+    long from = s.faults.get(0).at() / Scenario.SECOND;
+    long until = from + s.faults.get(0).lasts() / Scenario.SECOND;
+    return second == from
+        ? "  server 0 is killed"
+        : second == until ? "  server 0 is back, cold" : "";
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/Play.java
+++ b/lab/src/main/java/wheattrack/lab/Play.java
@@ -17,99 +17,119 @@
 
 /** Plays one scenario and says what came of it. */
 final class Play {
-    /** How to play it; out and jar may be null. */
-    record Job(long seed, Path out, Minds.Policy policy, Path jar) {
-        String policyWord() {
-            return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
-        }
+  /** How to play it; out and jar may be null. */
+  record Job(long seed, Path out, Minds.Policy policy, Path jar) {
+    String policyWord() {
+      return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
+  }
 
-    private Play() {
-    }
+  private Play() {}
 
-    /** Plays it on the clock it names, prints the verdict and gives the exit code. */
-    static int run(Scenario scenario, Job job) throws IOException {
-        if (job.out() != null) {
-            Files.createDirectories(job.out());
-        }
-        if (scenario.virtual) {
-            Verdict verdict = virtual(scenario, job);
-            tell(verdict, job);
-            return verdict.isGood() ? 0 : 1;
-        }
-        Real real = real(scenario, job, Sockets.How.USUAL);
-        tell(real.verdict, job);
-        return real.quality.isTooLate() ? 3 : real.verdict.isGood() ? 0 : 1;
+  /** Plays it on the clock it names, prints the verdict and gives the exit code. */
+  static int run(Scenario scenario, Job job) throws IOException {
+    if (job.out() != null) {
+      Files.createDirectories(job.out());
     }
-
-    private static Verdict virtual(Scenario scenario, Job job) throws IOException {
-        Referee referee = new Referee(scenario);
-        if (job.out() == null) {
-            new World(scenario, job.seed(), job.policy(), referee).run();
-            return referee.verdict();
-        }
-        Path file = job.out().resolve("world.ledger");
-        Files.deleteIfExists(file);
-        try (Ledger.Out out = new Ledger.Out(file, false)) {
-            new World(scenario, job.seed(), job.policy(), out).run();
-        }
-        Ledger.merge(List.of(file)).forEach(referee);
-        return referee.verdict();
+    if (scenario.virtual) {
+      Verdict verdict = virtual(scenario, job);
+      tell(verdict, job);
+      return verdict.isGood() ? 0 : 1;
     }
+    Real real = real(scenario, job, Sockets.How.USUAL);
+    tell(real.verdict, job);
+    return real.quality.isTooLate() ? 3 : real.verdict.isGood() ? 0 : 1;
+  }
 
-    /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
-    record Real(Verdict verdict, Sockets.Quality quality) {
+  private static Verdict virtual(Scenario scenario, Job job) throws IOException {
+    Referee referee = new Referee(scenario);
+    if (job.out() == null) {
+      new World(scenario, job.seed(), job.policy(), referee).run();
+      return referee.verdict();
     }
+    Path file = job.out().resolve("world.ledger");
+    Files.deleteIfExists(file);
+    try (Ledger.Out out = new Ledger.Out(file, false)) {
+      new World(scenario, job.seed(), job.policy(), out).run();
+    }
+    Ledger.merge(List.of(file)).forEach(referee);
+    return referee.verdict();
+  }
+
+  /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
+  record Real(Verdict verdict, Sockets.Quality quality) {}
 
-    /** Plays on sockets, by ledgers on disk as ever. */
-    static Real real(Scenario scenario, Job job, Sockets.How how) throws IOException {
-        Path file = job.out() == null ? Files.createTempFile("wheattrack", ".ledger")
+  /** Plays on sockets, by ledgers on disk as ever. */
+  static Real real(Scenario scenario, Job job, Sockets.How how) throws IOException {
+    Path file =
+        job.out() == null
+            ? Files.createTempFile("wheattrack", ".ledger")
             : job.out().resolve("sockets.ledger");
+    Files.deleteIfExists(file);
+    try {
+      Sockets.Quality quality = sockets(scenario, job, how, file);
+      Referee referee = new Referee(scenario);
+      Ledger.merge(List.of(file)).forEach(referee);
+      System.out.printf(
+          Locale.ROOT,
+          "the lab: late by %.2f ms at p50, %.2f at p99, %.2f at most; %d "
+              + "connections of clients, %d reqs sent once more%n",
+          micros(quality, 50),
+          micros(quality, 99),
+          micros(quality, 100),
+          quality.connected(),
+          quality.resent());
+      if (quality.isTooLate()) {
+        System.err.println("wheattrack lab: the machine was too busy; the run says nothing");
+      }
+      return new Real(referee.verdict(), quality);
+    } finally {
+      if (job.out() == null) {
         Files.deleteIfExists(file);
-        try {
-            Sockets.Quality quality = sockets(scenario, job, how, file);
-            Referee referee = new Referee(scenario);
-            Ledger.merge(List.of(file)).forEach(referee);
-            System.out.printf(Locale.ROOT, "the lab: late by %.2f ms at p50, %.2f at p99, %.2f at most; %d "
-                + "connections of clients, %d reqs sent once more%n", micros(quality, 50),
-                micros(quality, 99), micros(quality, 100), quality.connected(), quality.resent());
-            if (quality.isTooLate()) {
-                System.err.println("wheattrack lab: the machine was too busy; the run says nothing");
-            }
-            return new Real(referee.verdict(), quality);
-        } finally {
-            if (job.out() == null) {
-                Files.deleteIfExists(file);
-            }
-        }
+      }
     }
+  }
 
-    private static Sockets.Quality sockets(Scenario scenario, Job job, Sockets.How how, Path file)
-            throws IOException {
-        try (Ledger.Out out = new Ledger.Out(file, false);
-                Sockets sockets = new Sockets(scenario, job.seed(), job.jar(), how, out)) {
-            Sockets.Quality quality = sockets.run();
-            if (job.out() != null) {
-                sockets.keepLogs(job.out());
-            }
-            return quality;
-        }
+  private static Sockets.Quality sockets(Scenario scenario, Job job, Sockets.How how, Path file)
+      throws IOException {
+    try (Ledger.Out out = new Ledger.Out(file, false);
+        Sockets sockets = new Sockets(scenario, job.seed(), job.jar(), how, out)) {
+      Sockets.Quality quality = sockets.run();
+      if (job.out() != null) {
+        sockets.keepLogs(job.out());
+      }
+      return quality;
     }
+  }
 
-    private static double micros(Sockets.Quality quality, double percentile) {
-        return quality.lateMicros().getValueAtPercentile(percentile) / 1000.0;
-    }
+  private static double micros(Sockets.Quality quality, double percentile) {
+    return quality.lateMicros().getValueAtPercentile(percentile) / 1000.0;
+  }
 
-    private static void tell(Verdict v, Job job) throws IOException {
-        v.breaks().forEach(b -> System.out.printf(Locale.ROOT, "broken %8.3f s %s: %s%n", b.at() / 10_000.0,
-            b.rule(), b.how()));
-        v.shortfalls().forEach(e -> System.out.println("fell short: " + e.figure() + " "
-            + (v.figures().containsKey(e.figure()) ? Verdict.text(v.figures().get(e.figure())) : "unknown")
-            + ", expected " + e.sign() + " " + Verdict.text(e.bound())));
-        if (job.out() != null) {
-            Lines.write(job.out().resolve("result.jsonl"), v, job.seed(), job.policyWord());
-            Page.write(job.out().resolve("report.html"), List.of(new Page.Run(job.policyWord(), v)));
-        }
-        System.out.println(v.result(job.seed()));
+  private static void tell(Verdict v, Job job) throws IOException {
+    v.breaks()
+        .forEach(
+            b ->
+                System.out.printf(
+                    Locale.ROOT, "broken %8.3f s %s: %s%n", b.at() / 10_000.0, b.rule(), b.how()));
+    v.shortfalls()
+        .forEach(
+            e ->
+                System.out.println(
+                    "fell short: "
+                        + e.figure()
+                        + " "
+                        + (v.figures().containsKey(e.figure())
+                            ? Verdict.text(v.figures().get(e.figure()))
+                            : "unknown")
+                        + ", expected "
+                        + e.sign()
+                        + " "
+                        + Verdict.text(e.bound())));
+    if (job.out() != null) {
+      Lines.write(job.out().resolve("result.jsonl"), v, job.seed(), job.policyWord());
+      Page.write(job.out().resolve("report.html"), List.of(new Page.Run(job.policyWord(), v)));
     }
+    System.out.println(v.result(job.seed()));
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/real/Asker.java
+++ b/lab/src/main/java/wheattrack/lab/real/Asker.java
@@ -9,43 +9,47 @@
 
 /** Asks a proxy once whether it is ready. */
 final class Asker extends Link {
-    private static final ByteBuffer ASK = ByteBuffer.wrap(
-        "GET /ready HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
-
-    private final ProxyDoor of;
-    private final Consumer<Boolean> then;
-    private final ByteBuffer in = ByteBuffer.allocate(1024);
-
-    Asker(ProxyDoor of, Sockets stage, Consumer<Boolean> then) throws IOException {
-        super(stage.loop, AsynchronousSocketChannel.open(stage.group));
-        this.of = of;
-        this.then = then;
+  private static final ByteBuffer ASK =
+      ByteBuffer.wrap("GET /ready HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII))
+          .asReadOnlyBuffer();
+
+  private final ProxyDoor of;
+  private final Consumer<Boolean> then;
+  private final ByteBuffer in = ByteBuffer.allocate(1024);
+
+  Asker(ProxyDoor of, Sockets stage, Consumer<Boolean> then) throws IOException {
+    super(stage.loop, AsynchronousSocketChannel.open(stage.group));
+    this.of = of;
+    this.then = then;
+  }
+
+  void open() {
+    connect(
+        of.address(),
+        () -> {
+          write(ASK.duplicate());
+          read(in);
+        },
+        () -> end(false));
+  }
+
+  private void end(boolean ready) {
+    close();
+    then.accept(ready);
+  }
+
+  @Override
+  protected void came(int n) {
+    String text = new String(in.array(), 0, in.position(), StandardCharsets.US_ASCII);
+    if (n < 0 || text.contains("\r\n")) {
+      end(text.startsWith("HTTP/1.1 200"));
+    } else {
+      read(in);
     }
+  }
 
-    void open() {
-        connect(of.address(), () -> {
-            write(ASK.duplicate());
-            read(in);
-        }, () -> end(false));
-    }
-
-    private void end(boolean ready) {
-        close();
-        then.accept(ready);
-    }
-
-    @Override
-    protected void came(int n) {
-        String text = new String(in.array(), 0, in.position(), StandardCharsets.US_ASCII);
-        if (n < 0 || text.contains("\r\n")) {
-            end(text.startsWith("HTTP/1.1 200"));
-        } else {
-            read(in);
-        }
-    }
-
-    @Override
-    protected void wrote(boolean whole) {
-        // what comes tells
-    }
+  @Override
+  protected void wrote(boolean whole) {
+    // what comes tells
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/real/Caller.java
+++ b/lab/src/main/java/wheattrack/lab/real/Caller.java
@@ -13,128 +13,146 @@
 
 /** One client connection to a proxy; it carries one req at a time. */
 final class Caller extends Link {
-    private static final long REST = 15_000;        // less than proxies let a connection rest
+  private static final long REST = 15_000; // less than proxies let a connection rest
 
-    private final ProxyDoor to;
-    private final Sockets stage;
-    private final ResponseDecoder in = new ResponseDecoder();
-    private ProxyDoor.Call call, last;
-    private ByteBuffer out;
-    private boolean reused, anyByte;
-    private int turns;
+  private final ProxyDoor to;
+  private final Sockets stage;
+  private final ResponseDecoder in = new ResponseDecoder();
+  private ProxyDoor.Call call, last;
+  private ByteBuffer out;
+  private boolean reused, anyByte;
+  private int turns;
 
-    Caller(ProxyDoor to, Sockets stage, AsynchronousSocketChannel channel) {
-        super(stage.loop, channel);
-        this.to = to;
-        this.stage = stage;
-    }
+  Caller(ProxyDoor to, Sockets stage, AsynchronousSocketChannel channel) {
+    super(stage.loop, channel);
+    this.to = to;
+    this.stage = stage;
+  }
 
-    void dial(ProxyDoor.Call first) {
-        call = first;
-        connect(to.address(), () -> call(first, false), () -> {
-            close();
-            to.broke(first);
+  void dial(ProxyDoor.Call first) {
+    call = first;
+    connect(
+        to.address(),
+        () -> call(first, false),
+        () -> {
+          close();
+          to.broke(first);
         });
-    }
+  }
 
-    boolean carries(Crowd.Ask ask) {
-        return call != null && call.ask == ask;
-    }
+  boolean carries(Crowd.Ask ask) {
+    return call != null && call.ask == ask;
+  }
 
-    void call(ProxyDoor.Call next, boolean again) {
-        if (isClosed()) {
-            return;
-        }
-        call = next;
-        reused = again;
-        anyByte = false;
-        turns++;
-        out = next.bytes.duplicate();
-        write(out);
-        read(in.room());
+  void call(ProxyDoor.Call next, boolean again) {
+    if (isClosed()) {
+      return;
     }
+    call = next;
+    reused = again;
+    anyByte = false;
+    turns++;
+    out = next.bytes.duplicate();
+    write(out);
+    read(in.room());
+  }
 
-    @Override
-    protected void wrote(boolean whole) {
-        if (call == null || out.hasRemaining()) {
-            return;
-        }
-        if (whole && !call.taken && call.ask.isOpen()) {
-            call.taken = true;
-            Crowd.Ask ask = call.ask;
-            stage.say(Entry.taken(stage.now(), ask.req(), ask.op().id(), to.place, stage.now() + call.timeout,
-                ask.want().set().rules().at()));
-            ProxyDoor.Call mine = call;
-            stage.after(call.timeout + 5_000, () -> {
-                if (call == mine) {                 // no answer is to come any more; the referee knows
-                    close();
-                }
-            });
-        }
+  @Override
+  protected void wrote(boolean whole) {
+    if (call == null || out.hasRemaining()) {
+      return;
     }
-
-    @Override
-    protected void came(int n) {
-        if (n < 0) {
-            ended();
-            return;
-        }
-        anyByte |= n > 0;
-        try {
-            Response answer = in.next();
-            if (answer == null) {
-                read(in.room());
-            } else if (call == null) {              // bytes that nobody asked for: a second answer
-                stage.crowd().answers(last.ask, Answer.ABORTED, 0);
-                close();
-            } else {
-                answered(answer);
+    if (whole && !call.taken && call.ask.isOpen()) {
+      call.taken = true;
+      Crowd.Ask ask = call.ask;
+      stage.say(
+          Entry.taken(
+              stage.now(),
+              ask.req(),
+              ask.op().id(),
+              to.place,
+              stage.now() + call.timeout,
+              ask.want().set().rules().at()));
+      ProxyDoor.Call mine = call;
+      stage.after(
+          call.timeout + 5_000,
+          () -> {
+            if (call == mine) { // no answer is to come any more; the referee knows
+              close();
             }
-        } catch (BadMessage e) {
-            ended();
-        }
+          });
     }
+  }
 
-    private void answered(Response answer) {
-        last = call;
-        call = null;
-        String body = new String(answer.body(), StandardCharsets.US_ASCII);
-        Answer how = answer.status() == 503 || answer.status() == 429 ? Answer.DENIED
-            : answer.status() != 200 ? Answer.ABORTED
-            : body.equals(Long.toHexString(last.ask.req())) ? Answer.DONE : Answer.BROKEN;
-        String advice = answer.headers().first("Retry-After");
-        long wait = advice == null ? 0 : (long) (Double.parseDouble(advice) * 10_000);
-        if (answer.keep() && !isClosed()) {
-            int turn = turns;
-            to.free(this);
-            read(in.room());
-            stage.after(REST, () -> {
-                if (turns == turn) {
-                    close();
-                }
-            });
-        } else {
-            close();
-        }
-        stage.crowd().answers(last.ask, how, wait);
+  @Override
+  protected void came(int n) {
+    if (n < 0) {
+      ended();
+      return;
     }
-
-    /** A proxy may close a connection as a req crosses on it: that one is sent once more on a new one. */
-    private void ended() {
-        ProxyDoor.Call lost = call;
-        call = null;
+    anyByte |= n > 0;
+    try {
+      Response answer = in.next();
+      if (answer == null) {
+        read(in.room());
+      } else if (call == null) { // bytes that nobody asked for: a second answer
+        stage.crowd().answers(last.ask, Answer.ABORTED, 0);
         close();
-        if (lost != null && reused && !anyByte && to.isUp()) {
-            stage.resent++;
-            to.send(lost);
-        } else if (lost != null) {
-            to.broke(lost);
-        }
+      } else {
+        answered(answer);
+      }
+    } catch (BadMessage e) {
+      ended();
     }
+  }
 
-    @Override
-    public void close() {
-        super.close();
-        to.closed(this);
+  private void answered(Response answer) {
+    last = call;
+    call = null;
+    String body = new String(answer.body(), StandardCharsets.US_ASCII);
+    Answer how =
+        answer.status() == 503 || answer.status() == 429
+            ? Answer.DENIED
+            : answer.status() != 200
+                ? Answer.ABORTED
+                : body.equals(Long.toHexString(last.ask.req())) ? Answer.DONE : Answer.BROKEN;
+    String advice = answer.headers().first("Retry-After");
+    long wait = advice == null ? 0 : (long) (Double.parseDouble(advice) * 10_000);
+    if (answer.keep() && !isClosed()) {
+      int turn = turns;
+      to.free(this);
+      read(in.room());
+      stage.after(
+          REST,
+          () -> {
+            if (turns == turn) {
+              close();
+            }
+          });
+    } else {
+      close();
     }
+    stage.crowd().answers(last.ask, how, wait);
+  }
+
+  /**
+   * A proxy may close a connection as a req crosses on it: that one is sent once more on a new one.
+   */
+  private void ended() {
+    ProxyDoor.Call lost = call;
+    call = null;
+    close();
+    if (lost != null && reused && !anyByte && to.isUp()) {
+      stage.resent++;
+      to.send(lost);
+    } else if (lost != null) {
+      to.broke(lost);
+    }
+  }
+
+  @Override
+  public void close() {
+    super.close();
+    to.closed(this);
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/stage/Crowd.java
+++ b/lab/src/main/java/wheattrack/lab/stage/Crowd.java
@@ -10,158 +10,164 @@
 import wheattrack.lab.scenario.Scenario.Clients;
 import wheattrack.port.RuleSet.Effect;
 
-/** The clients, and the front that deals them out among the proxies of their zone, on either clock. */
+/**
+ * The clients, and the front that deals them out among the proxies of their zone, on either clock.
+ */
 public final class Crowd {
-    /** One try: a req on its way to a proxy. */
-    public record Ask(long req, Want want, long due, boolean again, Op op, int proxy) {
-        /** Whether its client still waits for it. */
-        public boolean isOpen() {
-            return op.open == this;
-        }
-    }
-
-    /** What a client wants, over all its tries. */
-    public static final class Op {
-        final long id, at;
-        final Want want;
-        final int zone;
-        int tries;
-        boolean over, left;
-        Ask open;
-
-        Op(long id, long at, Want want, int zone) {
-            this.id = id;
-            this.at = at;
-            this.want = want;
-            this.zone = zone;
-        }
-
-        /** Its number in the ledger. */
-        public long id() {
-            return id;
-        }
-    }
-
-    private final Stage stage;
-    private final Draws draws;
-    private final Want.Source wants;
-    private final Arrivals arrivals;
-    private final Clients clients;
-    private final List<List<Door>> believed = new ArrayList<>();
-    private long ops, reqs;
-
-    Crowd(Stage stage) {
-        this.stage = stage;
-        draws = stage.draws("clients");
-        wants = new Want.Source(stage.scenario, stage.draws("wants"));
-        arrivals = new Arrivals(stage.scenario.load, stage.draws("arrivals"));
-        clients = stage.scenario.clients;
-        for (int z = 0; z < stage.scenario.zones; z++) {
-            believed.add(new ArrayList<>());
-        }
-    }
-
-    Want.Source wants() {
-        return wants;
-    }
-
-    Arrivals arrivals() {
-        return arrivals;
-    }
-
-    /** The front takes a proxy in, or has noticed that it is dead. */
-    public void sees(Door door, boolean up) {
-        List<Door> zone = believed.get(door.zone);
-        zone.remove(door);
-        if (up) {
-            zone.add(door);
-        }
-    }
-
-    public void open() {
-        double at = arrivals.next();
-        if (at < stage.scenario.length) {
-            stage.after((long) at - stage.now(), () -> {
-                stage.wanted(at);
-                Op op = new Op(++ops, (long) at, wants.next(), draws.below(believed.size()));
-                stage.say(Entry.asked(op.at, op.id, op.want.set().rules().at(), op.want.value()));
-                tries(op);
-                open();
-            });
-        }
-    }
-
-    private Door pick(int zone) {
-        for (int i = 0; i < believed.size(); i++) {
-            List<Door> there = believed.get((zone + i) % believed.size());
-            if (!there.isEmpty()) {
-                return there.get(draws.below(there.size()));
-            }
-        }
-        return null;
-    }
-
-    private void tries(Op op) {
-        op.tries++;
-        Door door = pick(op.zone);
-        if (door == null) {
-            again(op, 0);
-            return;
-        }
-        long timeout = op.want.set().rules().timeout();
-        Ask ask = new Ask(++reqs, op.want, stage.now() + timeout, op.tries > 1, op, door.place);
-        op.open = ask;
-        door.take(ask);
-        if (draws.happens(clients.impatient())) {
-            stage.after((long) (draws.uniform() * timeout), () -> leaves(op, ask, door));
-        }
-    }
-
-    private void leaves(Op op, Ask ask, Door door) {
-        if (op.open == ask) {
-            op.over = true;
-            op.left = true;
-            op.open = null;
-            stage.say(Entry.left(stage.now(), ask.req));
-            door.left(ask);
-        }
-    }
-
-    /** No proxy took it: nothing was there to connect to. */
-    public void refused(Ask ask) {
-        if (ask.op.open == ask) {
-            ask.op.open = null;
-            again(ask.op, 0);
-        }
-    }
-
-    /** A client has a final answer, or its connection ended without one. */
-    public void answers(Ask ask, Answer how, long wait) {
-        if (ask.op.left) {
-            return;
-        }
-        stage.say(Entry.answered(stage.now(), ask.req, how));
-        Op op = ask.op;
-        if (op.open != ask) {
-            return;                                 // a second answer; the referee has heard it
-        }
-        op.open = null;
-        if (how == Answer.DONE) {
-            op.over = true;
-        } else if (how == Answer.DENIED || op.want.set().rules().effect() == Effect.REPLAYABLE) {
-            again(op, wait);
-        }
-    }
-
-    /** Tries again after the advice, if it follows it, or a wait that doubles; not past its patience. */
-    private void again(Op op, long advice) {
-        if (op.tries > clients.retries() || op.over) {
-            return;
-        }
-        long own = Math.round(clients.backoff() * Math.pow(2, op.tries - 1) * (0.5 + draws.uniform()));
-        long wait = advice > 0 && draws.happens(clients.honour()) ? advice : own;
-        if (stage.now() + wait < op.at + op.want.set().rules().timeout()) {
-            stage.after(wait, () -> tries(op));
-        }
+  /** One try: a req on its way to a proxy. */
+  public record Ask(long req, Want want, long due, boolean again, Op op, int proxy) {
+    /** Whether its client still waits for it. */
+    public boolean isOpen() {
+      return op.open == this;
     }
+  }
+
+  /** What a client wants, over all its tries. */
+  public static final class Op {
+    final long id, at;
+    final Want want;
+    final int zone;
+    int tries;
+    boolean over, left;
+    Ask open;
+
+    Op(long id, long at, Want want, int zone) {
+      this.id = id;
+      this.at = at;
+      this.want = want;
+      this.zone = zone;
+    }
+
+    /** Its number in the ledger. */
+    public long id() {
+      return id;
+    }
+  }
+
+  private final Stage stage;
+  private final Draws draws;
+  private final Want.Source wants;
+  private final Arrivals arrivals;
+  private final Clients clients;
+  private final List<List<Door>> believed = new ArrayList<>();
+  private long ops, reqs;
+
+  Crowd(Stage stage) {
+    this.stage = stage;
+    draws = stage.draws("clients");
+    wants = new Want.Source(stage.scenario, stage.draws("wants"));
+    arrivals = new Arrivals(stage.scenario.load, stage.draws("arrivals"));
+    clients = stage.scenario.clients;
+    for (int z = 0; z < stage.scenario.zones; z++) {
+      believed.add(new ArrayList<>());
+    }
+  }
+
+  Want.Source wants() {
+    return wants;
+  }
+
+  Arrivals arrivals() {
+    return arrivals;
+  }
+
+  /** The front takes a proxy in, or has noticed that it is dead. */
+  public void sees(Door door, boolean up) {
+    List<Door> zone = believed.get(door.zone);
+    zone.remove(door);
+    if (up) {
+      zone.add(door);
+    }
+  }
+
+  public void open() {
+    double at = arrivals.next();
+    if (at < stage.scenario.length) {
+      stage.after(
+          (long) at - stage.now(),
+          () -> {
+            stage.wanted(at);
+            Op op = new Op(++ops, (long) at, wants.next(), draws.below(believed.size()));
+            stage.say(Entry.asked(op.at, op.id, op.want.set().rules().at(), op.want.value()));
+            tries(op);
+            open();
+          });
+    }
+  }
+
+  private Door pick(int zone) {
+    for (int i = 0; i < believed.size(); i++) {
+      List<Door> there = believed.get((zone + i) % believed.size());
+      if (!there.isEmpty()) {
+        return there.get(draws.below(there.size()));
+      }
+    }
+    return null;
+  }
+
+  private void tries(Op op) {
+    op.tries++;
+    Door door = pick(op.zone);
+    if (door == null) {
+      again(op, 0);
+      return;
+    }
+    long timeout = op.want.set().rules().timeout();
+    Ask ask = new Ask(++reqs, op.want, stage.now() + timeout, op.tries > 1, op, door.place);
+    op.open = ask;
+    door.take(ask);
+    if (draws.happens(clients.impatient())) {
+      stage.after((long) (draws.uniform() * timeout), () -> leaves(op, ask, door));
+    }
+  }
+
+  private void leaves(Op op, Ask ask, Door door) {
+    if (op.open == ask) {
+      op.over = true;
+      op.left = true;
+      op.open = null;
+      stage.say(Entry.left(stage.now(), ask.req));
+      door.left(ask);
+    }
+  }
+
+  /** No proxy took it: nothing was there to connect to. */
+  public void refused(Ask ask) {
+    if (ask.op.open == ask) {
+      ask.op.open = null;
+      again(ask.op, 0);
+    }
+  }
+
+  /** A client has a final answer, or its connection ended without one. */
+  public void answers(Ask ask, Answer how, long wait) {
+    if (ask.op.left) {
+      return;
+    }
+    stage.say(Entry.answered(stage.now(), ask.req, how));
+    Op op = ask.op;
+    if (op.open != ask) {
+      return; // a second answer; the referee has heard it
+    }
+    op.open = null;
+    if (how == Answer.DONE) {
+      op.over = true;
+    } else if (how == Answer.DENIED || op.want.set().rules().effect() == Effect.REPLAYABLE) {
+      again(op, wait);
+    }
+  }
+
+  /**
+   * Tries again after the advice, if it follows it, or a wait that doubles; not past its patience.
+   */
+  private void again(Op op, long advice) {
+    if (op.tries > clients.retries() || op.over) {
+      return;
+    }
+    long own = Math.round(clients.backoff() * Math.pow(2, op.tries - 1) * (0.5 + draws.uniform()));
+    long wait = advice > 0 && draws.happens(clients.honour()) ? advice : own;
+    if (stage.now() + wait < op.at + op.want.set().rules().timeout()) {
+      stage.after(wait, () -> tries(op));
+    }
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/world/Listing.java
+++ b/lab/src/main/java/wheattrack/lab/world/Listing.java
@@ -9,55 +9,59 @@
 
 /** The list as the virtual world tells it: each proxy hears after a while of its own, in order. */
 final class Listing extends Roster {
-    private static final long NO_ANSWER = 5_000;    // a call on a list that is down
+  private static final long NO_ANSWER = 5_000; // a call on a list that is down
 
-    private final Draws draws;
-    private final Map<Node, Long> lastAt = new LinkedHashMap<>();
-    private long busyUntil;
+  private final Draws draws;
+  private final Map<Node, Long> lastAt = new LinkedHashMap<>();
+  private long busyUntil;
 
-    Listing(World world) {
-        super(world);
-        draws = world.draws("list");
-    }
+  Listing(World world) {
+    super(world);
+    draws = world.draws("list");
+  }
 
-    /** A proxy asks for all changes from now on, and gets the whole list first. */
-    void follows(Node node) {
-        int life = node.life();
-        if (down) {
-            stage.after(NO_ANSWER, () -> {
-                if (node.life() == life) {
-                    node.listFailed();
-                }
-            });
-        } else {
-            tell(node, null);
-        }
+  /** A proxy asks for all changes from now on, and gets the whole list first. */
+  void follows(Node node) {
+    int life = node.life();
+    if (down) {
+      stage.after(
+          NO_ANSWER,
+          () -> {
+            if (node.life() == life) {
+              node.listFailed();
+            }
+          });
+    } else {
+      tell(node, null);
     }
+  }
 
-    @Override
-    protected void tellAll(News news) {
-        lastAt.keySet().forEach(node -> tell(node, news));
-    }
+  @Override
+  protected void tellAll(News news) {
+    lastAt.keySet().forEach(node -> tell(node, news));
+  }
 
-    @Override
-    protected void breakOff() {
-        lastAt.keySet().forEach(Node::listFailed);
-    }
+  @Override
+  protected void breakOff() {
+    lastAt.keySet().forEach(Node::listFailed);
+  }
 
-    private void tell(Node node, News news) {
-        int life = node.life();
-        double entries = stage.scenario.roster.entries();
-        if (entries > 0 && stage.now() > 0) {       // overbooked, it tells one after the other
-            double lines = news == null ? all().size() : 1;
-            busyUntil = Math.max(stage.now(), busyUntil) + Math.round(lines * Scenario.SECOND / entries);
-        }
-        long way = Math.round(stage.scenario.roster.delay() * (0.5 + draws.uniform()));
-        long at = Math.max(Math.max(stage.now(), busyUntil) + way, lastAt.getOrDefault(node, 0L));
-        lastAt.put(node, at);
-        stage.after(at - stage.now(), () -> {
-            if (node.life() == life && !down) {
-                node.told(news == null ? all() : List.of(news), news == null);
-            }
-        });
+  private void tell(Node node, News news) {
+    int life = node.life();
+    double entries = stage.scenario.roster.entries();
+    if (entries > 0 && stage.now() > 0) { // overbooked, it tells one after the other
+      double lines = news == null ? all().size() : 1;
+      busyUntil = Math.max(stage.now(), busyUntil) + Math.round(lines * Scenario.SECOND / entries);
     }
+    long way = Math.round(stage.scenario.roster.delay() * (0.5 + draws.uniform()));
+    long at = Math.max(Math.max(stage.now(), busyUntil) + way, lastAt.getOrDefault(node, 0L));
+    lastAt.put(node, at);
+    stage.after(
+        at - stage.now(),
+        () -> {
+          if (node.life() == life && !down) {
+            node.told(news == null ? all() : List.of(news), news == null);
+          }
+        });
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/world/World.java
+++ b/lab/src/main/java/wheattrack/lab/world/World.java
@@ -12,102 +12,103 @@
 import wheattrack.lab.stage.Timeline;
 
 /**
- * A whole deployment in one thread under a virtual clock: proxies that decide by the module itself, servers,
- * list, links, front and clients. The same scenario, seed and policy give the same entries on any machine.
- * Times are tenths of a millisecond from the start of the run.
+ * A whole deployment in one thread under a virtual clock: proxies that decide by the module itself,
+ * servers, list, links, front and clients. The same scenario, seed and policy give the same entries
+ * on any machine. Times are tenths of a millisecond from the start of the run.
  */
 public final class World extends Stage {
-    /** What a proxy's clock shows at the start of the run. */
-    static final long EPOCH = 1_000_000;
-    private static final long AFTER = 4 * Scenario.SECOND, RETRANSMIT = 2_000;
+  /** What a proxy's clock shows at the start of the run. */
+  static final long EPOCH = 1_000_000;
 
-    final Draws links;
-    final boolean guarded;
-    private final long[] linkDelay;
-    private final double[] linkLoss;
-    private final Consumer<Entry> ledger;
-    private final Deadlines agenda = new Deadlines();
-    private long now;
-    private long steps;
+  private static final long AFTER = 4 * Scenario.SECOND, RETRANSMIT = 2_000;
 
-    public World(Scenario scenario, long seed, Minds.Policy policy, Consumer<Entry> ledger) {
-        this(scenario, seed, Minds.of(policy, scenario), true, ledger);
-    }
+  final Draws links;
+  final boolean guarded;
+  private final long[] linkDelay;
+  private final double[] linkLoss;
+  private final Consumer<Entry> ledger;
+  private final Deadlines agenda = new Deadlines();
+  private long now;
+  private long steps;
 
-    /** guarded: proxies abort what stands open past its due, as those on sockets do. */
-    World(Scenario scenario, long seed, Mind.Maker maker, boolean guarded, Consumer<Entry> ledger) {
-        super(scenario, seed);
-        this.guarded = guarded;
-        this.ledger = ledger;
-        links = draws("links");
-        linkDelay = new long[scenario.serverCount()];
-        linkLoss = new double[scenario.serverCount()];
-        Listing list = new Listing(this);
-        roster = list;
-        Draws seeds = draws("proxies");
-        for (int i = 0; i < scenario.proxies; i++) {
-            doors.add(new Node(this, list, i, maker, seeds.seed()));
-        }
-    }
+  public World(Scenario scenario, long seed, Minds.Policy policy, Consumer<Entry> ledger) {
+    this(scenario, seed, Minds.of(policy, scenario), true, ledger);
+  }
 
-    /** Plays the whole run. */
-    public void run() {
-        machines().forEach(m -> m.start(false));
-        doors().forEach(Door::start);
-        Timeline.schedule(this);
-        crowd().open();
-        long end = end() + AFTER;
-        for (Runnable next = null; agenda.first() <= end; ) {
-            now = Math.max(now, agenda.first());
-            next = agenda.due(now);
-            steps++;
-            next.run();
-        }
-        now = end;
-        say(Entry.end(now));
+  /** guarded: proxies abort what stands open past its due, as those on sockets do. */
+  World(Scenario scenario, long seed, Mind.Maker maker, boolean guarded, Consumer<Entry> ledger) {
+    super(scenario, seed);
+    this.guarded = guarded;
+    this.ledger = ledger;
+    links = draws("links");
+    linkDelay = new long[scenario.serverCount()];
+    linkLoss = new double[scenario.serverCount()];
+    Listing list = new Listing(this);
+    roster = list;
+    Draws seeds = draws("proxies");
+    for (int i = 0; i < scenario.proxies; i++) {
+      doors.add(new Node(this, list, i, maker, seeds.seed()));
     }
+  }
 
-    /** Steps of the world so far, for measurements. */
-    public long steps() {
-        return steps;
+  /** Plays the whole run. */
+  public void run() {
+    machines().forEach(m -> m.start(false));
+    doors().forEach(Door::start);
+    Timeline.schedule(this);
+    crowd().open();
+    long end = end() + AFTER;
+    for (Runnable next = null; agenda.first() <= end; ) {
+      now = Math.max(now, agenda.first());
+      next = agenda.due(now);
+      steps++;
+      next.run();
     }
+    now = end;
+    say(Entry.end(now));
+  }
 
-    @Override
-    public long now() {
-        return now;
-    }
+  /** Steps of the world so far, for measurements. */
+  public long steps() {
+    return steps;
+  }
 
-    @Override
-    public Deadlines.Entry after(long delay, Runnable then) {
-        return agenda.add(now + Math.max(0, delay), then);
-    }
+  @Override
+  public long now() {
+    return now;
+  }
 
-    @Override
-    public void cancel(Deadlines.Entry entry) {
-        agenda.cancel(entry);
-    }
+  @Override
+  public Deadlines.Entry after(long delay, Runnable then) {
+    return agenda.add(now + Math.max(0, delay), then);
+  }
 
-    @Override
-    public void say(Entry e) {
-        ledger.accept(e);
-    }
+  @Override
+  public void cancel(Deadlines.Entry entry) {
+    agenda.cancel(entry);
+  }
 
-    @Override
-    public void link(Fault fault, int server, boolean on) {
-        if (fault.kind() == Fault.Kind.LINK_DELAY) {
-            linkDelay[server] = on ? Math.round(fault.size() * Scenario.MS) : 0;
-        } else {
-            linkLoss[server] = on ? fault.size() : 0;
-        }
-    }
+  @Override
+  public void say(Entry e) {
+    ledger.accept(e);
+  }
 
-    /** One way between a proxy's zone and a server, as its link is now. */
-    long way(int from, Machine to) {
-        long mean = from == to.zone ? scenario.net.same() : scenario.net.cross();
-        return vary(mean) + linkDelay[to.place] + (links.happens(linkLoss[to.place]) ? RETRANSMIT : 0);
+  @Override
+  public void link(Fault fault, int server, boolean on) {
+    if (fault.kind() == Fault.Kind.LINK_DELAY) {
+      linkDelay[server] = on ? Math.round(fault.size() * Scenario.MS) : 0;
+    } else {
+      linkLoss[server] = on ? fault.size() : 0;
     }
+  }
 
-    long vary(long mean) {
-        return Math.round(mean * links.factor(scenario.net.jitter()));
-    }
+  /** One way between a proxy's zone and a server, as its link is now. */
+  long way(int from, Machine to) {
+    long mean = from == to.zone ? scenario.net.same() : scenario.net.cross();
+    return vary(mean) + linkDelay[to.place] + (links.happens(linkLoss[to.place]) ? RETRANSMIT : 0);
+  }
+
+  long vary(long mean) {
+    return Math.round(mean * links.factor(scenario.net.jitter()));
+  }
 }
--- a/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
@@ -17,83 +17,111 @@
 
 /** The short form of `lab scale`: three axes, hollow proxies alone, judged by counts and bytes. */
 class ScaleTest {
-    /** Bytes of one entry, and of what stands around it in a change; and so much more for signs of life. */
-    private static final double ENTRY = 160, AROUND = 60, NOISE = 60;
+  /**
+   * Bytes of one entry, and of what stands around it in a change; and so much more for signs of
+   * life.
+   */
+  private static final double ENTRY = 160, AROUND = 60, NOISE = 60;
 
-    @TempDir
-    Path folder;
+  @TempDir Path folder;
 
-    private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream said = new ByteArrayOutputStream();
 
-    private Figures play(String axis, String points, boolean tellsWhole) throws IOException {
-        return Scale.run(new Scale.Job(Path.of(".."), axis, points, 1, folder, 0, tellsWhole, false),
-            new PrintStream(said)).get(0);
-    }
+  private Figures play(String axis, String points, boolean tellsWhole) throws IOException {
+    return Scale.run(
+            new Scale.Job(Path.of(".."), axis, points, 1, folder, 0, tellsWhole, false),
+            new PrintStream(said))
+        .get(0);
+  }
 
-    private static double figure(Figures figures, int row, String name) {
-        return figures.rows.get(row).figures().get(name);
-    }
+  private static double figure(Figures figures, int row, String name) {
+    return figures.rows.get(row).figures().get(name);
+  }
 
-    /** One change costs each watcher one entry, whatever is known; twice as far over counts as no slope. */
-    private static boolean isFlat(Figures figures) {
-        return figures.rows.stream()
-            .allMatch(row -> row.figures().get("change_bytes") < ENTRY + AROUND + NOISE);
-    }
+  /**
+   * One change costs each watcher one entry, whatever is known; twice as far over counts as no
+   * slope.
+   */
+  private static boolean isFlat(Figures figures) {
+    return figures.rows.stream()
+        .allMatch(row -> row.figures().get("change_bytes") < ENTRY + AROUND + NOISE);
+  }
 
-    @Test
-    void backends() throws Exception {
-        Figures figures = play("backends", "50,200,800", false);
-        for (int i = 0; i < 3; i++) {
-            double point = figures.rows.get(i).point();
-            assertEquals(point, figure(figures, i, "known"), said.toString());
-            assertEquals(0, figure(figures, i, "untold"), said.toString());
-            double list = figure(figures, i, "list_kb") * 1024;
-            assertTrue(list > 0.5 * ENTRY * point && list < ENTRY * point + 1000, said.toString());
-        }
-        assertTrue(isFlat(figures), said.toString());
-        assertTrue(Files.readString(folder.resolve("scale.html")).contains("polyline"));
-        assertEquals(3, Files.readAllLines(folder.resolve("scale.jsonl")).size());
+  @Test
+  void backends() throws Exception {
+    Figures figures = play("backends", "50,200,800", false);
+    for (int i = 0; i < 3; i++) {
+      double point = figures.rows.get(i).point();
+      assertEquals(point, figure(figures, i, "known"), said.toString());
+      assertEquals(0, figure(figures, i, "untold"), said.toString());
+      double list = figure(figures, i, "list_kb") * 1024;
+      assertTrue(list > 0.5 * ENTRY * point && list < ENTRY * point + 1000, said.toString());
     }
+    assertTrue(isFlat(figures), said.toString());
+    assertTrue(Files.readString(folder.resolve("scale.html")).contains("polyline"));
+    assertEquals(3, Files.readAllLines(folder.resolve("scale.jsonl")).size());
+  }
 
-    /** The twin: its source tells each change by the whole list, so that bytes go with the square of size. */
-    @Test
-    void twinIsNoticed() throws Exception {
-        assertTrue(!isFlat(play("backends", "50,200,800", true)), said.toString());
-    }
+  /**
+   * The twin: its source tells each change by the whole list, so that bytes go with the square of
+   * size.
+   */
+  @Test
+  void twinIsNoticed() throws Exception {
+    assertTrue(!isFlat(play("backends", "50,200,800", true)), said.toString());
+  }
 
-    @Test
-    void watchers() throws Exception {
-        Figures figures = play("watchers", "20,60,180", false);
-        for (int i = 0; i < 3; i++) {
-            assertEquals(0, figure(figures, i, "untold"), said.toString());
-        }
-        assertTrue(isFlat(figures), said.toString());
+  @Test
+  void watchers() throws Exception {
+    Figures figures = play("watchers", "20,60,180", false);
+    for (int i = 0; i < 3; i++) {
+      assertEquals(0, figure(figures, i, "untold"), said.toString());
     }
+    assertTrue(isFlat(figures), said.toString());
+  }
 
-    @Test
-    void ruleSets() throws Exception {
-        Figures figures = play("rule-sets", "10,100,1000", false);
-        double each = (figure(figures, 2, "file_mb") - figure(figures, 1, "file_mb")) * 1048576 / 900;
-        assertTrue(each > 80 && each < 200, each + " bytes each");
-    }
+  @Test
+  void ruleSets() throws Exception {
+    Figures figures = play("rule-sets", "10,100,1000", false);
+    double each = (figure(figures, 2, "file_mb") - figure(figures, 1, "file_mb")) * 1048576 / 900;
+    assertTrue(each > 80 && each < 200, each + " bytes each");
+  }
 
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"nothing|10|--axis", "backends|0|--points", "backends|ten|--points",
-        "backends|300000|--points", "backends|5,|--points", "|5|--points"})
-    void badInput(String axis, String points, String key) {
-        BadConfig bad = assertThrows(BadConfig.class, () -> play(axis, points, false));
-        assertTrue(bad.getMessage().startsWith(key) && !bad.getMessage().contains("\n"), bad.getMessage());
-    }
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "nothing|10|--axis",
+        "backends|0|--points",
+        "backends|ten|--points",
+        "backends|300000|--points",
+        "backends|5,|--points",
+        "|5|--points"
+      })
+  void badInput(String axis, String points, String key) {
+    BadConfig bad = assertThrows(BadConfig.class, () -> play(axis, points, false));
+    assertTrue(
+        bad.getMessage().startsWith(key) && !bad.getMessage().contains("\n"), bad.getMessage());
+  }
 
-    /** Too much asked of the machine is bad input; over the bound ends the run and its processes. */
-    @Test
-    void memory() {
-        Scale.Job much = new Scale.Job(Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
-        assertTrue(assertThrows(BadConfig.class, () -> Scale.run(much, new PrintStream(said))).getMessage()
+  /** Too much asked of the machine is bad input; over the bound ends the run and its processes. */
+  @Test
+  void memory() {
+    Scale.Job much =
+        new Scale.Job(Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
+    assertTrue(
+        assertThrows(BadConfig.class, () -> Scale.run(much, new PrintStream(said)))
+            .getMessage()
             .startsWith("--memory-mb"));
-        Scale.Job little = new Scale.Job(Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
-        assertThrows(Processes.OverBound.class, () -> Scale.run(little, new PrintStream(said)));
-        assertEquals(0, ProcessHandle.current().children().filter(ProcessHandle::isAlive).filter(p -> p.info()
-            .commandLine().orElse("").contains(HollowMain.class.getName())).count());
-    }
+    Scale.Job little =
+        new Scale.Job(Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
+    assertThrows(Processes.OverBound.class, () -> Scale.run(little, new PrintStream(said)));
+    assertEquals(
+        0,
+        ProcessHandle.current()
+            .children()
+            .filter(ProcessHandle::isAlive)
+            .filter(p -> p.info().commandLine().orElse("").contains(HollowMain.class.getName()))
+            .count());
+  }
 }
--- a/lab/src/test/java/wheattrack/lab/world/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/world/FleetTest.java
@@ -23,157 +23,211 @@
 import wheattrack.port.Port;
 import wheattrack.port.Req;
 
-/** The three days of a large fleet, as scenarios: the module holds what is expected, others fall short. */
+/**
+ * The three days of a large fleet, as scenarios: the module holds what is expected, others fall
+ * short.
+ */
 class FleetTest {
-    /** Sends all it has to the server that started last, as each one alone might think right. */
-    private static class Eager implements Mind {
-        private final Port port;
-        private final Map<Integer, Long> ready = new HashMap<>();
-
-        Eager(Port port) {
-            this.port = port;
-            port.follow();
-        }
-
-        @Override
-        public void entry(int at, long name, boolean isReady, int zone, int pack, int kind, double weight,
-                long up, boolean fresh) {
-            ready.remove(at);
-            if (isReady) {
-                ready.put(at, up);
-            }
-        }
-
-        @Override
-        public void gone(int at) {
-            ready.remove(at);
-        }
-
-        @Override
-        public void listed(boolean saved) {
-            // each entry was told
-        }
-
-        @Override
-        public void listFailed() {
-            port.later(1_000, port::follow);
-        }
-
-        @Override
-        public Port.Held arrive(Req req) {
-            long last = ready.values().stream().mapToLong(Long::longValue).max().orElse(0);
-            int latest = ready.keySet().stream().filter(b -> ready.get(b) == last).min(Integer::compare)
-                .orElse(-1);
-            if (latest < 0) {
-                port.deny(req, 0);
-            } else {
-                port.dispatch(req, latest, 0, (how, lag, over) -> {
-                    if (!over) {
-                        port.deny(req, 0);
-                    }
-                });
-            }
-            return new Port.Held() {
-                @Override
-                public void streams(int leg) {
-                    // none does
-                }
-
-                @Override
-                public void left() {
-                    // nothing is held
-                }
-            };
-        }
-    }
-
-    private static Scenario file(String name, Map<String, String> other) {
-        return Scenario.read(Path.of("scenarios", "fleet", name + ".toml"), other);
-    }
-
-    private static Verdict play(String name, Mind.Maker maker) {
-        Scenario s = file(name, Map.of());
-        Referee referee = new Referee(s);
-        new World(s, 2, maker == null ? Minds.of(Minds.Policy.RULES, s) : maker, true, referee).run();
-        return referee.verdict();
+  /** Sends all it has to the server that started last, as each one alone might think right. */
+  private static class Eager implements Mind {
+    private final Port port;
+    private final Map<Integer, Long> ready = new HashMap<>();
+
+    Eager(Port port) {
+      this.port = port;
+      port.follow();
     }
 
-    @ParameterizedTest
-    @ValueSource(strings = {"herd", "herd-48", "zone", "join"})
-    void moduleHoldsAndOthersFallShort(String name) {
-        Verdict good = play(name, null);
-        assertEquals(List.of(), good.shortfalls(), good.figures().toString());
-        Scenario s = file(name, Map.of());
-        Verdict random = play(name, Minds.of(Minds.Policy.RANDOM, s));
-        Set<String> fell = random.shortfalls().stream().map(Scenario.Expect::figure)
-            .collect(Collectors.toSet());
-        s.expects.stream().map(Scenario.Expect::figure).filter(f -> f.startsWith("service"))
-            .forEach(f -> assertTrue(fell.contains(f), f + " of " + random.figures()));
-        Verdict eager = play(name, (port, seed, me) -> new Eager(port));
-        assertTrue(eager.figures().get("broken.cold") > 0, eager.figures().toString());
+    @Override
+    public void entry(
+        int at,
+        long name,
+        boolean isReady,
+        int zone,
+        int pack,
+        int kind,
+        double weight,
+        long up,
+        boolean fresh) {
+      ready.remove(at);
+      if (isReady) {
+        ready.put(at, up);
+      }
     }
 
-    /** A replaced server drains and goes; a cold one under an id that no proxy has seen is in its place. */
-    @Test
-    void replacedServersAreNew() {
-        Scenario s = Texts.small("replayable",
-            "[[fault]]\nkind = \"replace\"\nat-s = 1\nfor-s = 1\nshare = 0.5\n");
-        Set<Long> ids = new HashSet<>();
-        StringBuilder told = new StringBuilder();
-        new World(s, 3, (port, seed, me) -> new Eager(port) {
-            @Override
-            public void entry(int at, long name, boolean isReady, int zone, int pack, int kind,
-                    double weight, long up, boolean fresh) {
-                super.entry(at, name, isReady, zone, pack, kind, weight, up, fresh);
-                if (me == 0) {
-                    told.append(ids.add(name) ? "new " : "old ").append(isReady ? "ready " : "draining ");
-                }
-            }
-        }, true, e -> { }).run();
-        assertEquals("new ready new ready new ready new ready old draining old draining new ready new ready ",
-            told.toString());
+    @Override
+    public void gone(int at) {
+      ready.remove(at);
     }
 
-    /** A zone's fault hits all servers, and all proxies, of that zone and no others. */
-    @Test
-    void zoneFaultsHitTheZone() {
-        Set<Integer> started = new TreeSet<>(), killed = new TreeSet<>();
-        World world = new World(file("zone", Map.of()), 3, (port, seed, me) -> new Eager(port), true, e -> {
-            if (e.kind() == Entry.Kind.STARTED && e.code() == 1) {
-                started.add(e.server());
-            } else if (e.kind() == Entry.Kind.PROXY && e.code() == 0) {
-                killed.add(e.proxy());
-            }
-        });
-        world.run();
-        assertEquals(odd(60), started);
-        assertEquals(odd(14), killed);
+    @Override
+    public void listed(boolean saved) {
+      // each entry was told
     }
 
-    private static Set<Integer> odd(int n) {
-        return IntStream.range(0, n).filter(i -> i % 2 == 1).boxed()
-            .collect(Collectors.toCollection(TreeSet::new));
+    @Override
+    public void listFailed() {
+      port.later(1_000, port::follow);
     }
 
-    /** Ten proxies ask an overbooked list for all of it: the last one waits for the other nine. */
-    @Test
-    void overbookedListTellsInTurn() {
-        long overbooked = longestWait("250"), free = longestWait("0");
-        assertTrue(overbooked > 15_000, overbooked + "");
-        assertTrue(free < 7_000, free + "");
-    }
+    @Override
+    public Port.Held arrive(Req req) {
+      long last = ready.values().stream().mapToLong(Long::longValue).max().orElse(0);
+      int latest =
+          ready.keySet().stream()
+              .filter(b -> ready.get(b) == last)
+              .min(Integer::compare)
+              .orElse(-1);
+      if (latest < 0) {
+        port.deny(req, 0);
+      } else {
+        port.dispatch(
+            req,
+            latest,
+            0,
+            (how, lag, over) -> {
+              if (!over) {
+                port.deny(req, 0);
+              }
+            });
+      }
+      return new Port.Held() {
+        @Override
+        public void streams(int leg) {
+          // none does
+        }
 
-    private static long longestWait(String entriesPerSecond) {
-        Map<Integer, Long> since = new HashMap<>();
-        long[] longest = {0};
-        new World(file("herd", Map.of("list.entries-per-second", entriesPerSecond)), 2,
-            (port, seed, me) -> new Eager(port), true, e -> {
-                if (e.kind() == Entry.Kind.PROXY && e.code() == 1 && e.at() > 0) {
-                    since.put(e.proxy(), e.at());
-                } else if (e.kind() == Entry.Kind.TOLD && since.containsKey(e.proxy())) {
-                    longest[0] = Math.max(longest[0], e.at() - since.remove(e.proxy()));
-                }
-            }).run();
-        return longest[0];
+        @Override
+        public void left() {
+          // nothing is held
+        }
+      };
     }
+  }
+
+  private static Scenario file(String name, Map<String, String> other) {
+    return Scenario.read(Path.of("scenarios", "fleet", name + ".toml"), other);
+  }
+
+  private static Verdict play(String name, Mind.Maker maker) {
+    Scenario s = file(name, Map.of());
+    Referee referee = new Referee(s);
+    new World(s, 2, maker == null ? Minds.of(Minds.Policy.RULES, s) : maker, true, referee).run();
+    return referee.verdict();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"herd", "herd-48", "zone", "join"})
+  void moduleHoldsAndOthersFallShort(String name) {
+    Verdict good = play(name, null);
+    assertEquals(List.of(), good.shortfalls(), good.figures().toString());
+    Scenario s = file(name, Map.of());
+    Verdict random = play(name, Minds.of(Minds.Policy.RANDOM, s));
+    Set<String> fell =
+        random.shortfalls().stream().map(Scenario.Expect::figure).collect(Collectors.toSet());
+    s.expects.stream()
+        .map(Scenario.Expect::figure)
+        .filter(f -> f.startsWith("service"))
+        .forEach(f -> assertTrue(fell.contains(f), f + " of " + random.figures()));
+    Verdict eager = play(name, (port, seed, me) -> new Eager(port));
+    assertTrue(eager.figures().get("broken.cold") > 0, eager.figures().toString());
+  }
+
+  /**
+   * A replaced server drains and goes; a cold one under an id that no proxy has seen is in its
+   * place.
+   */
+  @Test
+  void replacedServersAreNew() {
+    Scenario s =
+        Texts.small(
+            "replayable", "[[fault]]\nkind = \"replace\"\nat-s = 1\nfor-s = 1\nshare = 0.5\n");
+    Set<Long> ids = new HashSet<>();
+    StringBuilder told = new StringBuilder();
+    new World(
+            s,
+            3,
+            (port, seed, me) ->
+                new Eager(port) {
+                  @Override
+                  public void entry(
+                      int at,
+                      long name,
+                      boolean isReady,
+                      int zone,
+                      int pack,
+                      int kind,
+                      double weight,
+                      long up,
+                      boolean fresh) {
+                    super.entry(at, name, isReady, zone, pack, kind, weight, up, fresh);
+                    if (me == 0) {
+                      told.append(ids.add(name) ? "new " : "old ")
+                          .append(isReady ? "ready " : "draining ");
+                    }
+                  }
+                },
+            true,
+            e -> {})
+        .run();
+    assertEquals(
+        "new ready new ready new ready new ready old draining old draining new ready new ready ",
+        told.toString());
+  }
+
+  /** A zone's fault hits all servers, and all proxies, of that zone and no others. */
+  @Test
+  void zoneFaultsHitTheZone() {
+    Set<Integer> started = new TreeSet<>(), killed = new TreeSet<>();
+    World world =
+        new World(
+            file("zone", Map.of()),
+            3,
+            (port, seed, me) -> new Eager(port),
+            true,
+            e -> {
+              if (e.kind() == Entry.Kind.STARTED && e.code() == 1) {
+                started.add(e.server());
+              } else if (e.kind() == Entry.Kind.PROXY && e.code() == 0) {
+                killed.add(e.proxy());
+              }
+            });
+    world.run();
+    assertEquals(odd(60), started);
+    assertEquals(odd(14), killed);
+  }
+
+  private static Set<Integer> odd(int n) {
+    return IntStream.range(0, n)
+        .filter(i -> i % 2 == 1)
+        .boxed()
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  /** Ten proxies ask an overbooked list for all of it: the last one waits for the other nine. */
+  @Test
+  void overbookedListTellsInTurn() {
+    long overbooked = longestWait("250"), free = longestWait("0");
+    assertTrue(overbooked > 15_000, overbooked + "");
+    assertTrue(free < 7_000, free + "");
+  }
+
+  private static long longestWait(String entriesPerSecond) {
+    Map<Integer, Long> since = new HashMap<>();
+    long[] longest = {0};
+    new World(
+            file("herd", Map.of("list.entries-per-second", entriesPerSecond)),
+            2,
+            (port, seed, me) -> new Eager(port),
+            true,
+            e -> {
+              if (e.kind() == Entry.Kind.PROXY && e.code() == 1 && e.at() > 0) {
+                since.put(e.proxy(), e.at());
+              } else if (e.kind() == Entry.Kind.TOLD && since.containsKey(e.proxy())) {
+                longest[0] = Math.max(longest[0], e.at() - since.remove(e.proxy()));
+              }
+            })
+        .run();
+    return longest[0];
+  }
 }
--- a/proxy/src/main/java/wheattrack/Logs.java
+++ b/proxy/src/main/java/wheattrack/Logs.java
@@ -11,30 +11,32 @@
 import wheattrack.log.Limit;
 import wheattrack.log.PlainLines;
 
-/** Logs by java.util.logging, a line each on standard error, to the end: the exit resets no handler. */
+/**
+ * Logs by java.util.logging, a line each on standard error, to the end: the exit resets no handler.
+ */
 public final class Logs extends LogManager {
-    /** To be called once java.util.logging.manager names this class, before any logger is. */
-    static void open(Operator.Log log) {
-        System.setProperty("java.util.logging.SimpleFormatter.format",
-            "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-        Logger root = Logger.getLogger("");
-        for (Handler old : root.getHandlers()) {
-            root.removeHandler(old);
-        }
-        Handler console = new ConsoleHandler();
-        console.setFormatter(log.json() ? new JsonLines() : new PlainLines());
-        if (log.linesPerSecond() > 0) {
-            console.setFilter(new Limit(log.linesPerSecond()));
-        }
-        if (log.reqs()) {
-            console.setLevel(Level.FINE);
-            Event.detailed();
-        }
-        root.addHandler(console);
+  /** To be called once java.util.logging.manager names this class, before any logger is. */
+  static void open(Operator.Log log) {
+    System.setProperty(
+        "java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+    Logger root = Logger.getLogger("");
+    for (Handler old : root.getHandlers()) {
+      root.removeHandler(old);
     }
-
-    @Override
-    public void reset() {
-        // the exit runs this beside the drain, whose lines are still to come
+    Handler console = new ConsoleHandler();
+    console.setFormatter(log.json() ? new JsonLines() : new PlainLines());
+    if (log.linesPerSecond() > 0) {
+      console.setFilter(new Limit(log.linesPerSecond()));
+    }
+    if (log.reqs()) {
+      console.setLevel(Level.FINE);
+      Event.detailed();
     }
+    root.addHandler(console);
+  }
+
+  @Override
+  public void reset() {
+    // the exit runs this beside the drain, whose lines are still to come
+  }
 }
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -20,140 +20,152 @@
 
 /** The command line. */
 public final class Main {
-    private static final String USAGE = """
-        usage: wheattrack COMMAND [--config FILE] [--operator FILE]
-          serve    one proxy on sockets, as the configuration says (or $GW_CONFIG)
-          rehearse starts one on a free port before a list and backends of its own, and ends it in order
-          check    reads the configuration, the operators' file or both and says whether they can be used;
-                   with --print-defaults it prints the operators' file with all defaults
-          migrate  writes a configuration's counterpart for a proxy beside each client process (--help)
-          drill    decides for a simulator on standard input and output
-          version  prints the version
-          help     prints this""";
+  private static final String USAGE =
+      """
+usage: wheattrack COMMAND [--config FILE] [--operator FILE]
+  serve    one proxy on sockets, as the configuration says (or $GW_CONFIG)
+  rehearse starts one on a free port before a list and backends of its own, and ends it in order
+  check    reads the configuration, the operators' file or both and says whether they can be used;
+           with --print-defaults it prints the operators' file with all defaults
+  migrate  writes a configuration's counterpart for a proxy beside each client process (--help)
+  drill    decides for a simulator on standard input and output
+  version  prints the version
+  help     prints this""";
 
-    private Main() {
-    }
+  private Main() {}
 
-    public static void main(String[] args) throws IOException {
-        System.exit(run(args));
-    }
+  public static void main(String[] args) throws IOException {
+    System.exit(run(args));
+  }
 
-    private static int run(String[] args) throws IOException {
-        if (args.length > 0 && args[0].equals("migrate")) {
-            return Migrate.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
-        }
-        CommandLine line;
-        try {
-            line = new DefaultParser().parse(new Options().addOption("c", "config", true, "")
-                .addOption("o", "operator", true, "").addOption(null, "print-defaults", false, "")
-                .addOption("h", "help", false, ""), args);
-        } catch (ParseException e) {
-            return fault("wheattrack: " + e.getMessage());
-        }
-        if (line.hasOption("help")) {
-            System.out.println(USAGE);
-            return 0;
-        }
-        if (line.getArgs().length != 1) {
-            return fault(USAGE);
-        }
-        try {
-            switch (line.getArgs()[0]) {
-                case "serve" -> {
-                    Path own = line.hasOption("operator") ? Path.of(line.getOptionValue("operator")) : null;
-                    serve(file(line), own, own == null ? null : Operator.read(own));
-                }
-                case "rehearse" -> rehearse(file(line));
-                case "check" -> check(line);
-                case "drill" -> drill();
-                case "version" -> System.out.println("wheattrack " + Main.class.getPackage()
-                    .getImplementationVersion());
-                case "help" -> System.out.println(USAGE);
-                default -> {
-                    return fault(USAGE);
-                }
-            }
-            return 0;
-        } catch (BadConfig | Drill.BadInput e) {
-            return fault("wheattrack " + line.getArgs()[0] + ": " + e.getMessage());
-        }
+  private static int run(String[] args) throws IOException {
+    if (args.length > 0 && args[0].equals("migrate")) {
+      return Migrate.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
     }
-
-    private static int fault(String text) {
-        System.err.println(text);
-        return 2;
+    CommandLine line;
+    try {
+      line =
+          new DefaultParser()
+              .parse(
+                  new Options()
+                      .addOption("c", "config", true, "")
+                      .addOption("o", "operator", true, "")
+                      .addOption(null, "print-defaults", false, "")
+                      .addOption("h", "help", false, ""),
+                  args);
+    } catch (ParseException e) {
+      return fault("wheattrack: " + e.getMessage());
     }
-
-    private static Path file(CommandLine line) {
-        String file = line.getOptionValue("config", System.getenv("GW_CONFIG"));
-        if (file == null) {
-            throw new BadConfig("--config", "missing, and GW_CONFIG is not set");
-        }
-        return Path.of(file);
+    if (line.hasOption("help")) {
+      System.out.println(USAGE);
+      return 0;
     }
-
-    private static void check(CommandLine line) {
-        if (line.hasOption("print-defaults")) {
-            System.out.print(Operator.DEFAULTS);
-            return;
-        }
-        if (line.hasOption("operator")) {
-            String operator = line.getOptionValue("operator");
-            Operator.read(Path.of(operator));
-            System.out.println("good: " + operator);
+    if (line.getArgs().length != 1) {
+      return fault(USAGE);
+    }
+    try {
+      switch (line.getArgs()[0]) {
+        case "serve" -> {
+          Path own = line.hasOption("operator") ? Path.of(line.getOptionValue("operator")) : null;
+          serve(file(line), own, own == null ? null : Operator.read(own));
         }
-        if (line.hasOption("config") || !line.hasOption("operator")) {
-            System.out.println("good: " + Config.read(file(line)).name);
+        case "rehearse" -> rehearse(file(line));
+        case "check" -> check(line);
+        case "drill" -> drill();
+        case "version" ->
+            System.out.println("wheattrack " + Main.class.getPackage().getImplementationVersion());
+        case "help" -> System.out.println(USAGE);
+        default -> {
+          return fault(USAGE);
         }
+      }
+      return 0;
+    } catch (BadConfig | Drill.BadInput e) {
+      return fault("wheattrack " + line.getArgs()[0] + ": " + e.getMessage());
     }
+  }
+
+  private static int fault(String text) {
+    System.err.println(text);
+    return 2;
+  }
 
-    private static void log(Operator.Log log) {
-        System.setProperty("java.util.logging.manager", Logs.class.getName());
-        Logs.open(log);
+  private static Path file(CommandLine line) {
+    String file = line.getOptionValue("config", System.getenv("GW_CONFIG"));
+    if (file == null) {
+      throw new BadConfig("--config", "missing, and GW_CONFIG is not set");
     }
+    return Path.of(file);
+  }
 
-    /** own: what the operators' file says, null where there is none. */
-    private static void serve(Path file, Path operator, Operator own) throws IOException {
-        Config config = Config.read(file);
-        log(own == null ? Operator.plainLog() : own.log);
-        Server server;
-        try {
-            server = own == null ? new Server(config)
-                : new Server(config, own.loadHeader, own.settingsSource, own.scope);
-        } catch (IOException e) {
-            throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
-        }
-        Signals.onHangup(() -> {
-            server.reread(file);
-            if (own != null && own.settingsSource != null) {
-                resubscribe(server, operator);
-            }
-        });
-        Thread end = new Thread(server::end, "end");
-        Runtime.getRuntime().addShutdownHook(end);
-        server.run();
-        Runtime.getRuntime().halt(0);
+  private static void check(CommandLine line) {
+    if (line.hasOption("print-defaults")) {
+      System.out.print(Operator.DEFAULTS);
+      return;
+    }
+    if (line.hasOption("operator")) {
+      String operator = line.getOptionValue("operator");
+      Operator.read(Path.of(operator));
+      System.out.println("good: " + operator);
+    }
+    if (line.hasOption("config") || !line.hasOption("operator")) {
+      System.out.println("good: " + Config.read(file(line)).name);
     }
+  }
 
-    private static void resubscribe(Server server, Path operator) {
-        try {
-            Operator next = Operator.read(operator);
-            server.resubscribe(next.settingsSource, next.scope);
-        } catch (BadConfig e) {
-            java.util.logging.Logger.getLogger("wheattrack").warning("operators' file kept as it was: "
-                + e.getMessage());
-        }
+  private static void log(Operator.Log log) {
+    System.setProperty("java.util.logging.manager", Logs.class.getName());
+    Logs.open(log);
+  }
+
+  /** own: what the operators' file says, null where there is none. */
+  private static void serve(Path file, Path operator, Operator own) throws IOException {
+    Config config = Config.read(file);
+    log(own == null ? Operator.plainLog() : own.log);
+    Server server;
+    try {
+      server =
+          own == null
+              ? new Server(config)
+              : new Server(config, own.loadHeader, own.settingsSource, own.scope);
+    } catch (IOException e) {
+      throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
     }
+    Signals.onHangup(
+        () -> {
+          server.reread(file);
+          if (own != null && own.settingsSource != null) {
+            resubscribe(server, operator);
+          }
+        });
+    Thread end = new Thread(server::end, "end");
+    Runtime.getRuntime().addShutdownHook(end);
+    server.run();
+    Runtime.getRuntime().halt(0);
+  }
 
-    /** For the build, whose JVM keeps the classes that a start needs: restarts took 1.9 s of half a core. */
-    private static void rehearse(Path file) throws IOException {
-        log(Operator.plainLog());
-        Rehearsal.run(file);
+  private static void resubscribe(Server server, Path operator) {
+    try {
+      Operator next = Operator.read(operator);
+      server.resubscribe(next.settingsSource, next.scope);
+    } catch (BadConfig e) {
+      java.util.logging.Logger.getLogger("wheattrack")
+          .warning("operators' file kept as it was: " + e.getMessage());
     }
+  }
 
-    private static void drill() throws IOException {
-        try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
-            new Drill(System.in, out).run();
-        }
+  /**
+   * For the build, whose JVM keeps the classes that a start needs: restarts took 1.9 s of half a
+   * core.
+   */
+  private static void rehearse(Path file) throws IOException {
+    log(Operator.plainLog());
+    Rehearsal.run(file);
+  }
+
+  private static void drill() throws IOException {
+    try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
+      new Drill(System.in, out).run();
     }
+  }
 }
--- a/proxy/src/main/java/wheattrack/admin/Admin.java
+++ b/proxy/src/main/java/wheattrack/admin/Admin.java
@@ -9,90 +9,96 @@
 import java.util.Deque;
 import java.util.function.Supplier;
 import wheattrack.aio.Loop;
+import wheattrack.core.Life;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.Event;
-import wheattrack.core.Life;
 
 /**
- * Where operators call: few places, apart from the clients' ones, one call to a connection. Whoever holds a
- * place with no whole call gives way to the next caller, so that nobody can shut the operators out.
- * On the loop's thread only.
+ * Where operators call: few places, apart from the clients' ones, one call to a connection. Whoever
+ * holds a place with no whole call gives way to the next caller, so that nobody can shut the
+ * operators out. On the loop's thread only.
  */
 public final class Admin {
-    /** Callers at once. */
-    public static final int PLACES = 8;
-    private static final int BACKLOG = 64;
-    private static final long PAUSE = 200;          // after a failed accept, tenths of a millisecond
+  /** Callers at once. */
+  public static final int PLACES = 8;
 
-    private final Loop loop;
-    private final Life life;
-    private final Supplier<String> figures;
-    private final AsynchronousServerSocketChannel channel;
-    private final Deque<Caller> callers = new ArrayDeque<>();      // longest here first
+  private static final int BACKLOG = 64;
+  private static final long PAUSE = 200; // after a failed accept, tenths of a millisecond
 
-    public Admin(Loop loop, AsynchronousChannelGroup group, Life life, InetSocketAddress listen,
-            Supplier<String> figures) throws IOException {
-        this.loop = loop;
-        this.life = life;
-        this.figures = figures;
-        channel = AsynchronousServerSocketChannel.open(group).bind(listen, BACKLOG);
-        accept();
-    }
+  private final Loop loop;
+  private final Life life;
+  private final Supplier<String> figures;
+  private final AsynchronousServerSocketChannel channel;
+  private final Deque<Caller> callers = new ArrayDeque<>(); // longest here first
 
-    public int port() throws IOException {
-        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
-    }
+  public Admin(
+      Loop loop,
+      AsynchronousChannelGroup group,
+      Life life,
+      InetSocketAddress listen,
+      Supplier<String> figures)
+      throws IOException {
+    this.loop = loop;
+    this.life = life;
+    this.figures = figures;
+    channel = AsynchronousServerSocketChannel.open(group).bind(listen, BACKLOG);
+    accept();
+  }
 
-    private void accept() {
-        if (channel.isOpen()) {
-            channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
-        }
-    }
+  public int port() throws IOException {
+    return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+  }
 
-    private void accepted(AsynchronousSocketChannel one) {
-        if (callers.size() >= PLACES) {
-            callers.stream().filter(c -> !c.isAnswered()).findFirst().orElse(callers.peekFirst()).close();
-        }
-        Caller caller = new Caller(this, loop, one);
-        callers.addLast(caller);
-        caller.open();
-        accept();
+  private void accept() {
+    if (channel.isOpen()) {
+      channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
     }
+  }
 
-    private void acceptFailed(Throwable why) {
-        if (channel.isOpen()) {
-            Event.info("operator not accepted", null, why.toString());
-            loop.after(PAUSE, this::accept);
-        }
+  private void accepted(AsynchronousSocketChannel one) {
+    if (callers.size() >= PLACES) {
+      callers.stream().filter(c -> !c.isAnswered()).findFirst().orElse(callers.peekFirst()).close();
     }
+    Caller caller = new Caller(this, loop, one);
+    callers.addLast(caller);
+    caller.open();
+    accept();
+  }
 
-    void closed(Caller caller) {
-        callers.remove(caller);
+  private void acceptFailed(Throwable why) {
+    if (channel.isOpen()) {
+      Event.info("operator not accepted", null, why.toString());
+      loop.after(PAUSE, this::accept);
     }
+  }
 
-    Response answer(Request call) {
-        if (!call.method().equals("GET")) {
-            return text(405, "only GET is taken here");
-        }
-        return switch (call.target().split("\\?", 2)[0]) {
-            case "/status" -> text(life.isReady() ? 200 : 503, life.phase().name());
-            case "/status/metrics" -> text(200, figures.get());
-            default -> text(404, "no such call; there are /status and /status/metrics");
-        };
-    }
+  void closed(Caller caller) {
+    callers.remove(caller);
+  }
 
-    static Response text(int status, String text) {
-        return Response.text(status, text, false);
+  Response answer(Request call) {
+    if (!call.method().equals("GET")) {
+      return text(405, "only GET is taken here");
     }
+    return switch (call.target().split("\\?", 2)[0]) {
+      case "/status" -> text(life.isReady() ? 200 : 503, life.phase().name());
+      case "/status/metrics" -> text(200, figures.get());
+      default -> text(404, "no such call; there are /status and /status/metrics");
+    };
+  }
+
+  static Response text(int status, String text) {
+    return Response.text(status, text, false);
+  }
 
-    /** Nothing more is accepted, and who is here is sent away. */
-    public void close() {
-        try {
-            channel.close();
-        } catch (IOException e) {
-            Event.warning("the operators' listening socket", null, e.toString());
-        }
-        new ArrayDeque<>(callers).forEach(Caller::close);
+  /** Nothing more is accepted, and who is here is sent away. */
+  public void close() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      Event.warning("the operators' listening socket", null, e.toString());
     }
+    new ArrayDeque<>(callers).forEach(Caller::close);
+  }
 }
--- a/proxy/src/main/java/wheattrack/aio/Link.java
+++ b/proxy/src/main/java/wheattrack/aio/Link.java
@@ -7,109 +7,113 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayDeque;
 
-/** One TCP connection: at most one read and one write at a time, each ending as a step of the loop. */
+/**
+ * One TCP connection: at most one read and one write at a time, each ending as a step of the loop.
+ */
 public abstract class Link {
-    protected final Loop loop;
-    private final AsynchronousSocketChannel channel;
-    private boolean closed;
-    private boolean reading;
-    private final ArrayDeque<ByteBuffer> writes = new ArrayDeque<>();
-
-    protected Link(Loop loop, AsynchronousSocketChannel channel) {
-        this.loop = loop;
-        this.channel = channel;
-        try {
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        } catch (IOException | RuntimeException e) {
-            // a connection that is broken already shows so at its first read
-        }
+  protected final Loop loop;
+  private final AsynchronousSocketChannel channel;
+  private boolean closed;
+  private boolean reading;
+  private final ArrayDeque<ByteBuffer> writes = new ArrayDeque<>();
+
+  protected Link(Loop loop, AsynchronousSocketChannel channel) {
+    this.loop = loop;
+    this.channel = channel;
+    try {
+      channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    } catch (IOException | RuntimeException e) {
+      // a connection that is broken already shows so at its first read
     }
+  }
 
-    public final void connect(SocketAddress to, Runnable up, Runnable failed) {
-        try {
-            channel.connect(to, null, loop.handler(none -> up.run(), why -> failed.run()));
-        } catch (RuntimeException e) {
-            loop.step(failed);
-        }
+  public final void connect(SocketAddress to, Runnable up, Runnable failed) {
+    try {
+      channel.connect(to, null, loop.handler(none -> up.run(), why -> failed.run()));
+    } catch (RuntimeException e) {
+      loop.step(failed);
     }
+  }
 
-    /** What came() is told when the other side ended in order, and when the connection broke. */
-    public static final int END = -1, BREAK = -2;
+  /** What came() is told when the other side ended in order, and when the connection broke. */
+  public static final int END = -1, BREAK = -2;
 
-    /** Reads once into the room; came() follows, also with END or BREAK, but not after close(). */
-    public final void read(ByteBuffer room) {
-        if (closed || reading) {
-            return;
-        }
-        reading = true;
-        channel.read(room, null, loop.handler(n -> readDone(n), why -> readDone(BREAK)));
+  /** Reads once into the room; came() follows, also with END or BREAK, but not after close(). */
+  public final void read(ByteBuffer room) {
+    if (closed || reading) {
+      return;
     }
-
-    private void readDone(int n) {
-        reading = false;
-        if (!closed) {
-            came(n);
-        }
-    }
-
-    /** Writes all, after what is being written; wrote() follows, with whether the last byte was taken. */
-    public final void write(ByteBuffer bytes) {
-        writes.add(bytes);
-        if (writes.size() == 1) {
-            writeOn();
-        }
+    reading = true;
+    channel.read(room, null, loop.handler(n -> readDone(n), why -> readDone(BREAK)));
+  }
+
+  private void readDone(int n) {
+    reading = false;
+    if (!closed) {
+      came(n);
     }
-
-    private void writeOn() {
-        ByteBuffer bytes = writes.peek();
-        channel.write(bytes, null, loop.handler(n -> writeDone(bytes, n), why -> writeDone(bytes, -1)));
+  }
+
+  /**
+   * Writes all, after what is being written; wrote() follows, with whether the last byte was taken.
+   */
+  public final void write(ByteBuffer bytes) {
+    writes.add(bytes);
+    if (writes.size() == 1) {
+      writeOn();
     }
+  }
 
-    private void writeDone(ByteBuffer bytes, int n) {
-        if (n >= 0 && bytes.hasRemaining() && !closed) {
-            writeOn();
-            return;
-        }
-        writes.remove();
-        if (!writes.isEmpty() && !closed) {
-            writeOn();
-        }
-        wrote(n >= 0 && !bytes.hasRemaining());
-    }
+  private void writeOn() {
+    ByteBuffer bytes = writes.peek();
+    channel.write(bytes, null, loop.handler(n -> writeDone(bytes, n), why -> writeDone(bytes, -1)));
+  }
 
-    public final boolean isReading() {
-        return reading;
+  private void writeDone(ByteBuffer bytes, int n) {
+    if (n >= 0 && bytes.hasRemaining() && !closed) {
+      writeOn();
+      return;
     }
-
-    public final boolean isWriting() {
-        return !writes.isEmpty();
+    writes.remove();
+    if (!writes.isEmpty() && !closed) {
+      writeOn();
     }
-
-    public final boolean isClosed() {
-        return closed;
+    wrote(n >= 0 && !bytes.hasRemaining());
+  }
+
+  public final boolean isReading() {
+    return reading;
+  }
+
+  public final boolean isWriting() {
+    return !writes.isEmpty();
+  }
+
+  public final boolean isClosed() {
+    return closed;
+  }
+
+  public final void endOutput() {
+    try {
+      channel.shutdownOutput();
+    } catch (IOException | RuntimeException e) {
+      close();
     }
+  }
 
-    public final void endOutput() {
-        try {
-            channel.shutdownOutput();
-        } catch (IOException | RuntimeException e) {
-            close();
-        }
+  public void close() {
+    if (closed) {
+      return;
     }
-
-    public void close() {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        try {
-            channel.close();
-        } catch (IOException e) {
-            // it is gone either way
-        }
+    closed = true;
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // it is gone either way
     }
+  }
 
-    protected abstract void came(int n);
+  protected abstract void came(int n);
 
-    protected abstract void wrote(boolean whole);
+  protected abstract void wrote(boolean whole);
 }
--- a/proxy/src/main/java/wheattrack/aio/Loop.java
+++ b/proxy/src/main/java/wheattrack/aio/Loop.java
@@ -12,144 +12,145 @@
 import wheattrack.core.Deadlines;
 
 /**
- * The one thread that runs completion handlers, deadlines and the module, and its clock. The channel group
- * hands its handlers over as tasks; what a step leaves for later runs as a step of its own, never nested.
+ * The one thread that runs completion handlers, deadlines and the module, and its clock. The
+ * channel group hands its handlers over as tasks; what a step leaves for later runs as a step of
+ * its own, never nested.
  */
 public final class Loop extends AbstractExecutorService {
-    private static final Logger LOG = Logger.getLogger("wheattrack");
-    private static final long NANOS = 100_000;      // in the project's unit of time
-    private static final long LATE = 100, HEAR = 10, LONGEST = 10_000;
-
-    /** For trials of clocks that disagree: milliseconds by which this process's clock is off. */
-    private static final long SKEW = (long) Double.parseDouble(
-        System.getProperty("wheattrack.skew", "0"));
-
-    private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
-    private final ArrayDeque<Runnable> next = new ArrayDeque<>();
-    private final Deadlines deadlines = new Deadlines();
-    private final long offset = (System.currentTimeMillis() + SKEW) * 1_000_000 - System.nanoTime();
-    private long now;
-    private volatile boolean stopped;
-
-    public Loop() {
-        tick();
-    }
-
-    /** Tenths of a millisecond since 1970, rounded up; stands still within a step. */
-    public long now() {
-        return now;
-    }
-
-    private void tick() {
-        now = Math.max(now, Math.floorDiv(System.nanoTime() + offset + NANOS - 1, NANOS));
-    }
-
-    /** Runs then after so long, unless it is cancelled; on the loop's thread only. */
-    public Deadlines.Entry after(long delay, Runnable then) {
-        return deadlines.add(now + Math.max(0, delay), then);
-    }
-
-    public void cancel(Deadlines.Entry entry) {
-        deadlines.cancel(entry);
-    }
-
-    /** To be run on the loop's thread after the present step; called on that thread only. */
-    public void step(Runnable then) {
-        next.add(then);
-    }
-
-    /** Hands what becomes of a channel's operation over as a step. */
-    public <R> CompletionHandler<R, Void> handler(Consumer<R> then, Consumer<Throwable> failed) {
-        return new CompletionHandler<>() {
-            @Override
-            public void completed(R result, Void none) {
-                step(() -> then.accept(result));
-            }
-
-            @Override
-            public void failed(Throwable why, Void none) {
-                step(() -> failed.accept(why));
-            }
-        };
-    }
-
-    /** Runs until stopped. */
-    public void run() {
-        while (!stopped) {
-            tick();
-            if (now - deadlines.first() > LATE) {
-                catchUp();
-            }
-            for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
-                perform(due);
-            }
-            Runnable task = pause(deadlines.first() - now);
-            if (task != null) {
-                perform(task);
-            }
-        }
-    }
-
-    /**
-     * Deadlines long past: this process stood still, and what came meanwhile is heard first. Else answers
-     * that lie in the sockets would be held for time-outs, and their srvs for silent.
-     */
-    private void catchUp() {
-        Runnable task = this::tick;
-        for (long until = now + LATE; task != null; task = now < until ? pause(HEAR) : null) {
-            perform(task);
-        }
-    }
-
-    private Runnable pause(long time) {
-        try {
-            return come.poll(Math.min(LONGEST, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
-        } catch (InterruptedException e) {
-            stopped = true;
-            return null;
-        }
-    }
-
-    private void perform(Runnable task) {
-        for (Runnable step = task; step != null; step = next.poll()) {
-            tick();
-            try {
-                step.run();
-            } catch (RuntimeException | Error e) {      // one req's failure is not the next one's
-                LOG.log(Level.SEVERE, "a step failed", e);
-            }
-        }
-    }
-
-    @Override
-    public void execute(Runnable task) {
-        come.add(task);
-    }
-
-    @Override
-    public void shutdown() {
-        stopped = true;
-        come.add(() -> { });
-    }
-
-    @Override
-    public List<Runnable> shutdownNow() {
-        shutdown();
-        return List.of();
-    }
-
-    @Override
-    public boolean isShutdown() {
-        return stopped;
-    }
-
-    @Override
-    public boolean isTerminated() {
-        return stopped;
-    }
-
-    @Override
-    public boolean awaitTermination(long time, TimeUnit unit) {
-        return stopped;
-    }
+  private static final Logger LOG = Logger.getLogger("wheattrack");
+  private static final long NANOS = 100_000; // in the project's unit of time
+  private static final long LATE = 100, HEAR = 10, LONGEST = 10_000;
+
+  /** For trials of clocks that disagree: milliseconds by which this process's clock is off. */
+  private static final long SKEW =
+      (long) Double.parseDouble(System.getProperty("wheattrack.skew", "0"));
+
+  private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
+  private final ArrayDeque<Runnable> next = new ArrayDeque<>();
+  private final Deadlines deadlines = new Deadlines();
+  private final long offset = (System.currentTimeMillis() + SKEW) * 1_000_000 - System.nanoTime();
+  private long now;
+  private volatile boolean stopped;
+
+  public Loop() {
+    tick();
+  }
+
+  /** Tenths of a millisecond since 1970, rounded up; stands still within a step. */
+  public long now() {
+    return now;
+  }
+
+  private void tick() {
+    now = Math.max(now, Math.floorDiv(System.nanoTime() + offset + NANOS - 1, NANOS));
+  }
+
+  /** Runs then after so long, unless it is cancelled; on the loop's thread only. */
+  public Deadlines.Entry after(long delay, Runnable then) {
+    return deadlines.add(now + Math.max(0, delay), then);
+  }
+
+  public void cancel(Deadlines.Entry entry) {
+    deadlines.cancel(entry);
+  }
+
+  /** To be run on the loop's thread after the present step; called on that thread only. */
+  public void step(Runnable then) {
+    next.add(then);
+  }
+
+  /** Hands what becomes of a channel's operation over as a step. */
+  public <R> CompletionHandler<R, Void> handler(Consumer<R> then, Consumer<Throwable> failed) {
+    return new CompletionHandler<>() {
+      @Override
+      public void completed(R result, Void none) {
+        step(() -> then.accept(result));
+      }
+
+      @Override
+      public void failed(Throwable why, Void none) {
+        step(() -> failed.accept(why));
+      }
+    };
+  }
+
+  /** Runs until stopped. */
+  public void run() {
+    while (!stopped) {
+      tick();
+      if (now - deadlines.first() > LATE) {
+        catchUp();
+      }
+      for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
+        perform(due);
+      }
+      Runnable task = pause(deadlines.first() - now);
+      if (task != null) {
+        perform(task);
+      }
+    }
+  }
+
+  /**
+   * Deadlines long past: this process stood still, and what came meanwhile is heard first. Else
+   * answers that lie in the sockets would be held for time-outs, and their srvs for silent.
+   */
+  private void catchUp() {
+    Runnable task = this::tick;
+    for (long until = now + LATE; task != null; task = now < until ? pause(HEAR) : null) {
+      perform(task);
+    }
+  }
+
+  private Runnable pause(long time) {
+    try {
+      return come.poll(Math.min(LONGEST, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
+    } catch (InterruptedException e) {
+      stopped = true;
+      return null;
+    }
+  }
+
+  private void perform(Runnable task) {
+    for (Runnable step = task; step != null; step = next.poll()) {
+      tick();
+      try {
+        step.run();
+      } catch (RuntimeException | Error e) { // one req's failure is not the next one's
+        LOG.log(Level.SEVERE, "a step failed", e);
+      }
+    }
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    come.add(task);
+  }
+
+  @Override
+  public void shutdown() {
+    stopped = true;
+    come.add(() -> {});
+  }
+
+  @Override
+  public List<Runnable> shutdownNow() {
+    shutdown();
+    return List.of();
+  }
+
+  @Override
+  public boolean isShutdown() {
+    return stopped;
+  }
+
+  @Override
+  public boolean isTerminated() {
+    return stopped;
+  }
+
+  @Override
+  public boolean awaitTermination(long time, TimeUnit unit) {
+    return stopped;
+  }
 }
--- a/proxy/src/main/java/wheattrack/config/BadConfig.java
+++ b/proxy/src/main/java/wheattrack/config/BadConfig.java
@@ -2,9 +2,9 @@
 
 /** A configuration that cannot be used; the message names the faulty key. */
 public final class BadConfig extends RuntimeException {
-    private static final long serialVersionUID = 1;
+  private static final long serialVersionUID = 1;
 
-    public BadConfig(String key, String fault) {
-        super(key + ": " + fault);
-    }
+  public BadConfig(String key, String fault) {
+    super(key + ": " + fault);
+  }
 }
--- a/proxy/src/main/java/wheattrack/config/Operator.java
+++ b/proxy/src/main/java/wheattrack/config/Operator.java
@@ -5,73 +5,81 @@
 import java.util.List;
 
 /**
- * The operators' own file: what this installation switches on beside what the platform tells. All of it is
- * off by default; later parts add their tables here. Errors are {@link BadConfig} and name file, line, key.
+ * The operators' own file: what this installation switches on beside what the platform tells. All
+ * of it is off by default; later parts add their tables here. Errors are {@link BadConfig} and name
+ * file, line, key.
  */
 public final class Operator {
-    /** The log's form, how many lines a second an event may have (0: all), whether reqs have lines. */
-    public record Log(boolean json, int linesPerSecond, boolean reqs) {
-    }
+  /**
+   * The log's form, how many lines a second an event may have (0: all), whether reqs have lines.
+   */
+  public record Log(boolean json, int linesPerSecond, boolean reqs) {}
+
+  /** What holds where there is no file, in the file's own form. */
+  public static final String DEFAULTS =
+      """
+# What the operators of an installation switch on. Each key stands here with its default.
+
+[log]
+format = "plain"              # or "json": an object a line
+lines-per-second = 0          # an event's, the rest is counted; 0: all
+reqs = false                  # a line for each dispatch's outcome and each req's end, by its id
 
-    /** What holds where there is no file, in the file's own form. */
-    public static final String DEFAULTS = """
-        # What the operators of an installation switch on. Each key stands here with its default.
+[reports]
+answers-header = ""           # of a backend's answers, its load as a JSON object; "": none carries it
 
-        [log]
-        format = "plain"              # or "json": an object a line
-        lines-per-second = 0          # an event's, the rest is counted; 0: all
-        reqs = false                  # a line for each dispatch's outcome and each req's end, by its id
+[settings]
+source = ""                   # address in figures of a source whose settings are watched; "": none is
+scope = ""                    # names that go with requests for settings and list, by commas; "": all
+""";
 
-        [reports]
-        answers-header = ""           # of a backend's answers, its load as a JSON object; "": none carries it
+  public final Log log;
 
-        [settings]
-        source = ""                   # address in figures of a source whose settings are watched; "": none is
-        scope = ""                    # names that go with requests for settings and list, by commas; "": all
-        """;
+  /** The header of answers that carries a backend's load report; empty where none does. */
+  public final String loadHeader;
 
-    public final Log log;
-    /** The header of answers that carries a backend's load report; empty where none does. */
-    public final String loadHeader;
-    /** Where settings are watched, or null; and the scope that goes with requests, empty for all. */
-    public final InetSocketAddress settingsSource;
-    public final String scope;
+  /** Where settings are watched, or null; and the scope that goes with requests, empty for all. */
+  public final InetSocketAddress settingsSource;
 
-    private Operator(Table t) {
-        Table l = t.part("log");
-        log = new Log(l.choice("format", List.of("plain", "json")).equals("json"),
+  public final String scope;
+
+  private Operator(Table t) {
+    Table l = t.part("log");
+    log =
+        new Log(
+            l.choice("format", List.of("plain", "json")).equals("json"),
             l.count("lines-per-second", 0, 0, 1_000_000),
             l.flag("reqs", false));
-        Table r = t.part("reports");
-        loadHeader = r.word("answers-header", "");
-        if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
-            throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
-        }
-        Table s = t.part("settings");
-        String at = s.word("source", "");
-        try {
-            settingsSource = at.isEmpty() ? null : Config.address("source", at);
-        } catch (BadConfig e) {
-            throw s.fault("source", "not an address in figures with a port: " + at);
-        }
-        scope = s.word("scope", "");
-        if (!scope.matches("([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?")) {
-            throw s.fault("scope", "no names of letters, figures, '.', '_', '-' by commas, 256 at most");
-        }
-        t.done();
+    Table r = t.part("reports");
+    loadHeader = r.word("answers-header", "");
+    if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
+      throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
     }
-
-    public static Operator read(Path file) {
-        return new Operator(Table.read(file));
+    Table s = t.part("settings");
+    String at = s.word("source", "");
+    try {
+      settingsSource = at.isEmpty() ? null : Config.address("source", at);
+    } catch (BadConfig e) {
+      throw s.fault("source", "not an address in figures with a port: " + at);
     }
-
-    /** Reads a text; name stands for the file in errors. */
-    public static Operator of(String name, String text) {
-        return new Operator(Table.of(name, text));
+    scope = s.word("scope", "");
+    if (!scope.matches("([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?")) {
+      throw s.fault("scope", "no names of letters, figures, '.', '_', '-' by commas, 256 at most");
     }
+    t.done();
+  }
 
-    /** Without a file; no TOML is read, as a start has no time for it. */
-    public static Log plainLog() {
-        return new Log(false, 0, false);
-    }
+  public static Operator read(Path file) {
+    return new Operator(Table.read(file));
+  }
+
+  /** Reads a text; name stands for the file in errors. */
+  public static Operator of(String name, String text) {
+    return new Operator(Table.of(name, text));
+  }
+
+  /** Without a file; no TOML is read, as a start has no time for it. */
+  public static Log plainLog() {
+    return new Log(false, 0, false);
+  }
 }
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -11,238 +11,264 @@
 import wheattrack.port.RuleSet;
 
 /**
- * One object of a configuration, read by paths of keys. A key that is not there has its default; one that
- * holds something of the wrong kind is an error that names it. Times are microseconds there and come out in
- * tenths of a millisecond, rounded down.
+ * One object of a configuration, read by paths of keys. A key that is not there has its default;
+ * one that holds something of the wrong kind is an error that names it. Times are microseconds
+ * there and come out in tenths of a millisecond, rounded down.
  */
 public final class Settings {
-    /** Microseconds in the project's unit of time. */
-    public static final int UNIT = 100;
-
-    /** The words for effects and groups, in the order of their enums; of those unlike any, the last holds. */
-    static final List<String> EFFECTS = List.of("read_like", "idempotency_key", "non_idempotent");
-    static final List<String> GROUPS = List.of("all", "zone", "cell");
-    /** Of a load report: the reqs a backend holds, and those of them that wait. */
-    public static final String HOLDS = "rif", WAITS = "q";
-    /** How load reports come. */
-    static final List<String> REPORTS = List.of("none", "answers", "probe");
-    private static final int MOST_COST = Integer.MAX_VALUE / 4;
-
-    private final Map<String, Object> all;
-    private final String where;
-
-    public Settings(Map<String, Object> all) {
-        this(all, "");
+  /** Microseconds in the project's unit of time. */
+  public static final int UNIT = 100;
+
+  /**
+   * The words for effects and groups, in the order of their enums; of those unlike any, the last
+   * holds.
+   */
+  static final List<String> EFFECTS = List.of("read_like", "idempotency_key", "non_idempotent");
+
+  static final List<String> GROUPS = List.of("all", "zone", "cell");
+
+  /** Of a load report: the reqs a backend holds, and those of them that wait. */
+  public static final String HOLDS = "rif", WAITS = "q";
+
+  /** How load reports come. */
+  static final List<String> REPORTS = List.of("none", "answers", "probe");
+
+  private static final int MOST_COST = Integer.MAX_VALUE / 4;
+
+  private final Map<String, Object> all;
+  private final String where;
+
+  public Settings(Map<String, Object> all) {
+    this(all, "");
+  }
+
+  private Settings(Map<String, Object> all, String where) {
+    this.all = all;
+    this.where = where;
+  }
+
+  /** Whatever stands there, or null. */
+  public Object any(String path) {
+    Object here = all;
+    int from = 0;
+    for (int dot = path.indexOf('.'); here != null && dot >= 0; dot = path.indexOf('.', from)) {
+      here = ((Map<?, ?>) here).get(path.substring(from, dot));
+      if (here != null && !(here instanceof Map<?, ?>)) {
+        throw new BadConfig(where + path.substring(0, dot), "not an object");
+      }
+      from = dot + 1;
     }
+    return here == null ? null : ((Map<?, ?>) here).get(path.substring(from));
+  }
 
-    private Settings(Map<String, Object> all, String where) {
-        this.all = all;
-        this.where = where;
+  private <T> T at(String path, Class<T> kind, T otherwise) {
+    Object value = any(path);
+    if (value == null) {
+      return otherwise;
     }
-
-    /** Whatever stands there, or null. */
-    public Object any(String path) {
-        Object here = all;
-        int from = 0;
-        for (int dot = path.indexOf('.'); here != null && dot >= 0; dot = path.indexOf('.', from)) {
-            here = ((Map<?, ?>) here).get(path.substring(from, dot));
-            if (here != null && !(here instanceof Map<?, ?>)) {
-                throw new BadConfig(where + path.substring(0, dot), "not an object");
-            }
-            from = dot + 1;
-        }
-        return here == null ? null : ((Map<?, ?>) here).get(path.substring(from));
-    }
-
-    private <T> T at(String path, Class<T> kind, T otherwise) {
-        Object value = any(path);
-        if (value == null) {
-            return otherwise;
-        }
-        if (!kind.isInstance(value)) {
-            throw new BadConfig(where + path, switch (kind.getSimpleName()) {
-                case "Number" -> "not a number";
-                case "Boolean" -> "neither true nor false";
-                case "String" -> "not a text";
-                case "List" -> "not a list";
-                default -> "not an object";
-            });
-        }
-        return kind.cast(value);
+    if (!kind.isInstance(value)) {
+      throw new BadConfig(
+          where + path,
+          switch (kind.getSimpleName()) {
+            case "Number" -> "not a number";
+            case "Boolean" -> "neither true nor false";
+            case "String" -> "not a text";
+            case "List" -> "not a list";
+            default -> "not an object";
+          });
     }
-
-    /** The whole path of a key, for messages. */
-    String key(String path) {
-        return where + path;
+    return kind.cast(value);
+  }
+
+  /** The whole path of a key, for messages. */
+  String key(String path) {
+    return where + path;
+  }
+
+  /** The same with some keys of one of its objects in place of their own; the rest is shared. */
+  Settings with(String part, Map<String, Object> other) {
+    Map<String, Object> all2 = new HashMap<>(all), inner = new HashMap<>(part(part).all);
+    inner.putAll(other);
+    all2.put(part, inner);
+    return new Settings(all2, where);
+  }
+
+  Set<String> keys() {
+    return all.keySet();
+  }
+
+  public boolean has(String path) {
+    return any(path) != null;
+  }
+
+  public double number(String path, double otherwise) {
+    return at(path, Number.class, otherwise).doubleValue();
+  }
+
+  public int count(String path, int otherwise) {
+    return (int) number(path, otherwise);
+  }
+
+  public long whole(String path, long otherwise) {
+    return at(path, Number.class, otherwise).longValue();
+  }
+
+  public long time(String path, long otherwiseMicros) {
+    double micros = number(path, otherwiseMicros);
+    if (micros < 0) {
+      throw new BadConfig(where + path, "negative");
     }
-
-    /** The same with some keys of one of its objects in place of their own; the rest is shared. */
-    Settings with(String part, Map<String, Object> other) {
-        Map<String, Object> all2 = new HashMap<>(all), inner = new HashMap<>(part(part).all);
-        inner.putAll(other);
-        all2.put(part, inner);
-        return new Settings(all2, where);
-    }
-
-    Set<String> keys() {
-        return all.keySet();
-    }
-
-    public boolean has(String path) {
-        return any(path) != null;
-    }
-
-    public double number(String path, double otherwise) {
-        return at(path, Number.class, otherwise).doubleValue();
-    }
-
-    public int count(String path, int otherwise) {
-        return (int) number(path, otherwise);
-    }
-
-    public long whole(String path, long otherwise) {
-        return at(path, Number.class, otherwise).longValue();
-    }
-
-    public long time(String path, long otherwiseMicros) {
-        double micros = number(path, otherwiseMicros);
-        if (micros < 0) {
-            throw new BadConfig(where + path, "negative");
-        }
-        return (long) micros / UNIT;
-    }
-
-    /** The cost that a hint in microseconds stands for, in our unit, rounded up; 0 for none. */
-    public static int cost(long hint) {
-        return (int) Math.min(MOST_COST, (Math.max(0, hint) + UNIT - 1) / UNIT);
-    }
-
-    public boolean flag(String path) {
-        return at(path, Boolean.class, false);
-    }
-
-    public String word(String path, String otherwise) {
-        return at(path, String.class, otherwise);
-    }
-
-    /** A text that must be there. */
-    public String word(String path) {
-        String word = word(path, null);
-        if (word == null || word.isEmpty()) {
-            throw new BadConfig(where + path, "missing");
-        }
-        return word;
+    return (long) micros / UNIT;
+  }
+
+  /** The cost that a hint in microseconds stands for, in our unit, rounded up; 0 for none. */
+  public static int cost(long hint) {
+    return (int) Math.min(MOST_COST, (Math.max(0, hint) + UNIT - 1) / UNIT);
+  }
+
+  public boolean flag(String path) {
+    return at(path, Boolean.class, false);
+  }
+
+  public String word(String path, String otherwise) {
+    return at(path, String.class, otherwise);
+  }
+
+  /** A text that must be there. */
+  public String word(String path) {
+    String word = word(path, null);
+    if (word == null || word.isEmpty()) {
+      throw new BadConfig(where + path, "missing");
     }
-
-    public List<?> list(String path) {
-        return at(path, List.class, List.of());
-    }
-
-    @SuppressWarnings("unchecked")
-    public Settings part(String path) {
-        return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
-    }
-
-    /** The list's entries, each an object. */
-    @SuppressWarnings("unchecked")
-    public List<Settings> parts(String path) {
-        List<?> list = list(path);
-        return IntStream.range(0, list.size()).mapToObj(i -> {
-            String name = where + path + "[" + i + "]";
-            if (!(list.get(i) instanceof Map<?, ?> map)) {
+    return word;
+  }
+
+  public List<?> list(String path) {
+    return at(path, List.class, List.of());
+  }
+
+  @SuppressWarnings("unchecked")
+  public Settings part(String path) {
+    return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
+  }
+
+  /** The list's entries, each an object. */
+  @SuppressWarnings("unchecked")
+  public List<Settings> parts(String path) {
+    List<?> list = list(path);
+    return IntStream.range(0, list.size())
+        .mapToObj(
+            i -> {
+              String name = where + path + "[" + i + "]";
+              if (!(list.get(i) instanceof Map<?, ?> map)) {
                 throw new BadConfig(name, "not an object");
-            }
-            return new Settings((Map<String, Object>) map, name + ".");
-        }).toList();
-    }
-
-    public RuleSet[] ruleSets() {
-        List<Settings> sets = parts("ruleSets");
-        RuleSet[] out = new RuleSet[sets.size()];
-        for (int i = 0; i < out.length; i++) {
-            out[i] = sets.get(i).ruleSet(i);
-        }
-        return out;
-    }
-
-    /** This object as a rule set of that number. */
-    RuleSet ruleSet(int number) {
-        RuleSet.Effect effect = choice(word("effect", ""), EFFECTS, RuleSet.Effect.values());
-        RuleSet.Group group = choice(word("group", ""), GROUPS, RuleSet.Group.values());
-        long timeout = time("clientTimeout", 1_000_000);
-        long target = Math.max(1, Math.min(timeout, time("responseTarget", 1_000_000)));
-        return new RuleSet(number, target, timeout, effect, group, time("window", 0), number("value", 1),
-            number("overdueValue", 0), flag("stream"));
-    }
-
-    private static <T> T choice(String word, List<String> words, T[] values) {
-        int i = words.indexOf(word);
-        return values[i < 0 ? values.length - 1 : i];
-    }
-
-    /** These rule sets of ours under their names. */
-    public Map<String, RuleSet> byName(RuleSet[] sets) {
-        Map<String, RuleSet> named = new HashMap<>();
-        List<Settings> parts = parts("ruleSets");
-        for (int i = 0; i < sets.length; i++) {
-            named.put(parts.get(i).word("name"), sets[i]);
-        }
-        return named;
-    }
-
-    /** The names of the rule sets, in their order. */
-    public List<String> names() {
-        return parts("ruleSets").stream().map(set -> set.word("name")).toList();
-    }
-
-    /** The decisions under these settings, each part given its own; asks: the list must be asked for. */
-    public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
-        return rules(port, seed, sets, asks, Long.MAX_VALUE);
-    }
-
-    /** The same; calls to the list that fail are spaced as if it were asked this often, or oftener. */
-    public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks, long askEveryAtMost) {
-        Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
-        parts(list("zones")).accept(rules, sets);
-        rules.start(asks, Math.min(askEveryAtMost, time("rules.askEvery", 10_000_000)));
-        return rules;
-    }
-
-    /** Whether backends report what the decisions need of their load. */
-    public boolean tellsLoad() {
-        return !word("report.how", REPORTS.get(0)).equals(REPORTS.get(0))
-            && list("report.fields").contains(HOLDS);
+              }
+              return new Settings((Map<String, Object>) map, name + ".");
+            })
+        .toList();
+  }
+
+  public RuleSet[] ruleSets() {
+    List<Settings> sets = parts("ruleSets");
+    RuleSet[] out = new RuleSet[sets.size()];
+    for (int i = 0; i < out.length; i++) {
+      out[i] = sets.get(i).ruleSet(i);
     }
-
-    /**
-     * Gives each part of the decisions its settings; all are read here and now, and then given as one.
-     * zones: those whose places the list's entries go by, which a later file may have in another order.
-     */
-    public BiConsumer<Rules, RuleSet[]> parts(List<?> zones) {
-        return parts(zones, parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum());
-    }
-
-    /** The same, with all tenants' shares known otherwise. */
-    public BiConsumer<Rules, RuleSet[]> parts(List<?> zones, double quota) {
-        int most = count("limits.maxDispatches", 1);
-        boolean cancels = flag("limits.mayCancel"), duplicates = flag("limits.mayDuplicate");
-        long longestWait = flag("limits.retryAfter") ? time("limits.maxRetryAfter", 0) : 0;
-        int own = count("zone", 0);
-        List<?> mine = list("zones");
-        int zone = own >= 0 && own < mine.size() ? zones.indexOf(mine.get(own)) : own;
-        double crossing = number("prices.crossZone", 0), start = number("rules.startCapacity", 1);
-        long cold = time("rules.cold", 0), fall = time("rules.fall", 0);
-        double multiple = number("rules.fallMultiple", 1);
-        double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
-        boolean come = tellsLoad();
-        boolean asked = !word("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
-        return (rules, sets) -> {
-            rules.targets(sets);
-            rules.limits(most, cancels, duplicates, longestWait);
-            rules.zones(zone, crossing);
-            rules.cold(start, cold, multiple, fall);
-            rules.reports(come, asked);
-            rules.traffic(quota, connection, handshake);
-        };
+    return out;
+  }
+
+  /** This object as a rule set of that number. */
+  RuleSet ruleSet(int number) {
+    RuleSet.Effect effect = choice(word("effect", ""), EFFECTS, RuleSet.Effect.values());
+    RuleSet.Group group = choice(word("group", ""), GROUPS, RuleSet.Group.values());
+    long timeout = time("clientTimeout", 1_000_000);
+    long target = Math.max(1, Math.min(timeout, time("responseTarget", 1_000_000)));
+    return new RuleSet(
+        number,
+        target,
+        timeout,
+        effect,
+        group,
+        time("window", 0),
+        number("value", 1),
+        number("overdueValue", 0),
+        flag("stream"));
+  }
+
+  private static <T> T choice(String word, List<String> words, T[] values) {
+    int i = words.indexOf(word);
+    return values[i < 0 ? values.length - 1 : i];
+  }
+
+  /** These rule sets of ours under their names. */
+  public Map<String, RuleSet> byName(RuleSet[] sets) {
+    Map<String, RuleSet> named = new HashMap<>();
+    List<Settings> parts = parts("ruleSets");
+    for (int i = 0; i < sets.length; i++) {
+      named.put(parts.get(i).word("name"), sets[i]);
     }
+    return named;
+  }
+
+  /** The names of the rule sets, in their order. */
+  public List<String> names() {
+    return parts("ruleSets").stream().map(set -> set.word("name")).toList();
+  }
+
+  /**
+   * The decisions under these settings, each part given its own; asks: the list must be asked for.
+   */
+  public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
+    return rules(port, seed, sets, asks, Long.MAX_VALUE);
+  }
+
+  /**
+   * The same; calls to the list that fail are spaced as if it were asked this often, or oftener.
+   */
+  public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks, long askEveryAtMost) {
+    Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
+    parts(list("zones")).accept(rules, sets);
+    rules.start(asks, Math.min(askEveryAtMost, time("rules.askEvery", 10_000_000)));
+    return rules;
+  }
+
+  /** Whether backends report what the decisions need of their load. */
+  public boolean tellsLoad() {
+    return !word("report.how", REPORTS.get(0)).equals(REPORTS.get(0))
+        && list("report.fields").contains(HOLDS);
+  }
+
+  /**
+   * Gives each part of the decisions its settings; all are read here and now, and then given as
+   * one. zones: those whose places the list's entries go by, which a later file may have in another
+   * order.
+   */
+  public BiConsumer<Rules, RuleSet[]> parts(List<?> zones) {
+    return parts(
+        zones, parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum());
+  }
+
+  /** The same, with all tenants' shares known otherwise. */
+  public BiConsumer<Rules, RuleSet[]> parts(List<?> zones, double quota) {
+    int most = count("limits.maxDispatches", 1);
+    boolean cancels = flag("limits.mayCancel"), duplicates = flag("limits.mayDuplicate");
+    long longestWait = flag("limits.retryAfter") ? time("limits.maxRetryAfter", 0) : 0;
+    int own = count("zone", 0);
+    List<?> mine = list("zones");
+    int zone = own >= 0 && own < mine.size() ? zones.indexOf(mine.get(own)) : own;
+    double crossing = number("prices.crossZone", 0), start = number("rules.startCapacity", 1);
+    long cold = time("rules.cold", 0), fall = time("rules.fall", 0);
+    double multiple = number("rules.fallMultiple", 1);
+    double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
+    boolean come = tellsLoad();
+    boolean asked = !word("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
+    return (rules, sets) -> {
+      rules.targets(sets);
+      rules.limits(most, cancels, duplicates, longestWait);
+      rules.zones(zone, crossing);
+      rules.cold(start, cold, multiple, fall);
+      rules.reports(come, asked);
+      rules.traffic(quota, connection, handshake);
+    };
+  }
 }
--- a/proxy/src/main/java/wheattrack/core/Fleet.java
+++ b/proxy/src/main/java/wheattrack/core/Fleet.java
@@ -7,104 +7,107 @@
 import java.util.Set;
 import java.util.function.BiFunction;
 
-/** The list of backends as dense indexes; one is free again once its srv is gone and nothing is out there. */
+/**
+ * The list of backends as dense indexes; one is free again once its srv is gone and nothing is out
+ * there.
+ */
 public final class Fleet<K, S extends Fleet.Srv<K>> {
-    /** When a srv started of which only "long ago" is known. */
-    public static final long LONG_AGO = Long.MIN_VALUE / 2;
-
-    /** A backend at the door. */
-    public abstract static class Srv<K> {
-        public final K id;
-        public final int at;
-        private boolean gone = true;
-
-        protected Srv(K id, int at) {
-            this.id = id;
-            this.at = at;
-        }
-
-        /** Whether something is still out there. */
-        protected abstract boolean isBusy();
+  /** When a srv started of which only "long ago" is known. */
+  public static final long LONG_AGO = Long.MIN_VALUE / 2;
+
+  /** A backend at the door. */
+  public abstract static class Srv<K> {
+    public final K id;
+    public final int at;
+    private boolean gone = true;
+
+    protected Srv(K id, int at) {
+      this.id = id;
+      this.at = at;
     }
 
-    private final BiFunction<K, Integer, S> maker;
-    private final Map<K, S> byId = new HashMap<>();
-    private final List<S> byIndex = new ArrayList<>();
+    /** Whether something is still out there. */
+    protected abstract boolean isBusy();
+  }
 
-    public Fleet(BiFunction<K, Integer, S> maker) {
-        this.maker = maker;
-    }
+  private final BiFunction<K, Integer, S> maker;
+  private final Map<K, S> byId = new HashMap<>();
+  private final List<S> byIndex = new ArrayList<>();
 
-    public S at(int index) {
-        return byIndex.get(index);
-    }
+  public Fleet(BiFunction<K, Integer, S> maker) {
+    this.maker = maker;
+  }
 
-    /** The backend of this id, or null. */
-    public S find(K id) {
-        return byId.get(id);
-    }
+  public S at(int index) {
+    return byIndex.get(index);
+  }
 
-    /** The backend of this id, admitted if it is new; still gone until it is met. */
-    public S admit(K id) {
-        S known = byId.get(id);
-        if (known != null) {
-            return known;
-        }
-        int index = byIndex.size();
-        for (S old : byIndex) {
-            if (isGone(old) && !old.isBusy()) {
-                index = old.at;
-                byId.remove(old.id);
-                break;
-            }
-        }
-        S srv = maker.apply(id, index);
-        if (index == byIndex.size()) {
-            byIndex.add(srv);
-        } else {
-            byIndex.set(index, srv);
-        }
-        byId.put(id, srv);
-        return srv;
-    }
+  /** The backend of this id, or null. */
+  public S find(K id) {
+    return byId.get(id);
+  }
 
-    private static boolean isGone(Srv<?> srv) {
-        return srv.gone;
+  /** The backend of this id, admitted if it is new; still gone until it is met. */
+  public S admit(K id) {
+    S known = byId.get(id);
+    if (known != null) {
+      return known;
     }
-
-    /** The srv is on the list; says whether it was not before. */
-    public boolean met(S srv) {
-        boolean fresh = isGone(srv);
-        ((Srv<K>) srv).gone = false;
-        return fresh;
+    int index = byIndex.size();
+    for (S old : byIndex) {
+      if (isGone(old) && !old.isBusy()) {
+        index = old.at;
+        byId.remove(old.id);
+        break;
+      }
     }
-
-    /** The srv has left the list; says whether it was on it. */
-    public boolean left(S srv) {
-        boolean was = srv != null && !isGone(srv);
-        if (was) {
-            ((Srv<K>) srv).gone = true;
-        }
-        return was;
+    S srv = maker.apply(id, index);
+    if (index == byIndex.size()) {
+      byIndex.add(srv);
+    } else {
+      byIndex.set(index, srv);
     }
-
-    /** How many are on the list. */
-    public int listed() {
-        return (int) byIndex.stream().filter(srv -> !isGone(srv)).count();
-    }
-
-    /** How many of those on the list have this index or a greater one. */
-    public int listedFrom(int index) {
-        return (int) byIndex.stream().skip(index).filter(srv -> !isGone(srv)).count();
-    }
-
-    /** Those on the list that are not named. */
-    public List<S> missing(Set<?> named) {
-        return byIndex.stream().filter(srv -> !isGone(srv) && !named.contains(srv.id)).toList();
-    }
-
-    public void clear() {
-        byId.clear();
-        byIndex.clear();
+    byId.put(id, srv);
+    return srv;
+  }
+
+  private static boolean isGone(Srv<?> srv) {
+    return srv.gone;
+  }
+
+  /** The srv is on the list; says whether it was not before. */
+  public boolean met(S srv) {
+    boolean fresh = isGone(srv);
+    ((Srv<K>) srv).gone = false;
+    return fresh;
+  }
+
+  /** The srv has left the list; says whether it was on it. */
+  public boolean left(S srv) {
+    boolean was = srv != null && !isGone(srv);
+    if (was) {
+      ((Srv<K>) srv).gone = true;
     }
+    return was;
+  }
+
+  /** How many are on the list. */
+  public int listed() {
+    return (int) byIndex.stream().filter(srv -> !isGone(srv)).count();
+  }
+
+  /** How many of those on the list have this index or a greater one. */
+  public int listedFrom(int index) {
+    return (int) byIndex.stream().skip(index).filter(srv -> !isGone(srv)).count();
+  }
+
+  /** Those on the list that are not named. */
+  public List<S> missing(Set<?> named) {
+    return byIndex.stream().filter(srv -> !isGone(srv) && !named.contains(srv.id)).toList();
+  }
+
+  public void clear() {
+    byId.clear();
+    byIndex.clear();
+  }
 }
--- a/proxy/src/main/java/wheattrack/drill/Door.java
+++ b/proxy/src/main/java/wheattrack/drill/Door.java
@@ -17,377 +17,395 @@
 import wheattrack.port.Req;
 import wheattrack.port.RuleSet;
 
-/** One instance at the door: turns its lines into calls and its answers into lines; ids live only here. */
+/**
+ * One instance at the door: turns its lines into calls and its answers into lines; ids live only
+ * here.
+ */
 final class Door implements Port {
-    /** A req at the door: its name, its dispatches' continuations and what the module left for it. */
-    private static final class Guest {
-        final String rid;
-        final List<Result> legs = new ArrayList<>(2);
-        final List<Srv> where = new ArrayList<>(2);
-        int out;
-        boolean over;
-        Held held;
-
-        Guest(String rid) {
-            this.rid = rid;
-        }
-    }
-
-    /** A backend at the door, with what is out there. */
-    private static final class Srv extends Fleet.Srv<Long> {
-        int out;
-        final List<Heard> probes = new ArrayList<>();
-
-        Srv(Long id, int at) {
-            super(id, at);
-        }
-
-        @Override
-        protected boolean isBusy() {
-            return out > 0 || !probes.isEmpty();
-        }
-    }
-
-    private final long instance;
-    private final JsonGenerator out;
-    private final Map<String, Guest> guests = new HashMap<>();
-    private final Fleet<Long, Srv> fleet = new Fleet<>(Srv::new);
-    private final Map<Long, Runnable> timers = new HashMap<>();
-    private long timer;
-    private long now;
-    private Rules rules;
-    private RuleSet[] sets;
-
-    Door(long instance, JsonGenerator out) {
-        this.instance = instance;
-        this.out = out;
-    }
-
-    /** The clock rounds up and each due rounds down, so that no limit is passed in between. */
-    void at(long micros) {
-        now = Math.floorDiv(micros + Settings.UNIT - 1, (long) Settings.UNIT);
-    }
-
-    void read(String kind, Line line) throws IOException {
-        try {
-            turn(kind, line);
-        } catch (RuntimeException e) {
-            failed(kind, e);
-        }
-    }
-
-    private void failed(String what, RuntimeException e) throws IOException {
-        if (e instanceof UncheckedIOException io) {
-            throw io.getCause();
-        }
-        StackTraceElement[] trace = e.getStackTrace();
-        open("InternalError");
-        out.writeStringField("msg", what + ": " + e + (trace.length > 0 ? " at " + trace[0] : ""));
-        end();
-    }
-
-    private void turn(String kind, Line line) throws IOException {
-        switch (kind) {
-            case "Configure" -> configure(line.number("seed"), new Settings(
-                Drill.needed(line.settings, "settings")));
-            case "Shutdown" -> forget();
-            case "Arrival" -> arrival(line);
-            case "ReportBack" -> report(line);
-            case "First" -> {
-                int leg = (int) line.number("leg");
-                Guest guest = guests.get(line.text("rid"));
-                if (guest != null && !guest.over) {
-                    guest.held.streams(leg);
-                }
-            }
-            case "Expired" -> {
-                Guest guest = guests.get(line.text("rid"));
-                if (guest != null && !guest.over) {
-                    close(guest);
-                    guest.held.left();
-                }
-            }
-            case "Due" -> {
-                Runnable next = timers.remove(line.number("nonce"));
-                if (next != null) {
-                    next.run();
-                }
-            }
-            case "ProbeDone" -> probed(line);
-            case "NeighbourSays" -> line.number("neighbour");
-            default -> throw new Drill.BadInput("unknown event kind " + kind);
-        }
-    }
-
-    private void forget() {
-        guests.clear();
-        fleet.clear();
-        timers.clear();
-        rules = null;
-    }
-
-    private void configure(long seed, Settings s) {
-        forget();
-        sets = s.ruleSets();
-        rules = s.rules(this, seed, sets, s.word("discovery", "").equals("subscribe"));
-    }
+  /** A req at the door: its name, its dispatches' continuations and what the module left for it. */
+  private static final class Guest {
+    final String rid;
+    final List<Result> legs = new ArrayList<>(2);
+    final List<Srv> where = new ArrayList<>(2);
+    int out;
+    boolean over;
+    Held held;
 
-    private void arrival(Line line) throws Drill.BadInput {
-        int profile = (int) line.number("profile");
-        if (profile < 0 || sets == null || profile >= sets.length) {
-            throw new Drill.BadInput("no such profile: " + profile);
-        }
-        long key = 0;
-        if (line.has("targetKey")) {
-            try {
-                key = Long.parseUnsignedLong(line.text("targetKey"), 16);
-            } catch (NumberFormatException e) {
-                throw new Drill.BadInput("not a key: " + line.text("targetKey"));
-            }
-        }
-        Guest guest = new Guest(line.text("rid"));
-        guests.put(guest.rid, guest);
-        int cost = Settings.cost(line.number("sizeHint", 0));
-        long due = Math.floorDiv(line.number("due"), (long) Settings.UNIT);
-        Req req = new Req(sets[profile], (int) line.number("tenant", 0), key, now, due, cost,
-            line.number("resent", 0) != 0, guest);
-        guest.held = rules.arrive(req);
+    Guest(String rid) {
+      this.rid = rid;
     }
+  }
 
-    private void report(Line line) throws Drill.BadInput {
-        Guest guest = guests.get(line.text("rid"));
-        int leg = (int) line.number("leg");
-        Outcome how = outcome((int) line.number("status"));
-        long lag = line.number("lag") / Settings.UNIT;
-        boolean ended = line.number("ended", 0) != 0;
-        if (guest == null || leg < 0 || leg >= guest.legs.size() || guest.legs.get(leg) == null) {
-            return;
-        }
-        Result next = guest.legs.set(leg, null);
-        guest.where.get(leg).out--;
-        guest.out--;
-        if (ended) {
-            guest.over = true;
-        }
-        if (guest.over && guest.out == 0) {
-            guests.remove(guest.rid);
-        }
-        load(fleet.find(line.number("backend")), line);
-        next.ended(how, lag, ended);
-    }
-
-    private static Outcome outcome(int status) throws Drill.BadInput {
-        return switch (status) {
-            case 0 -> Outcome.DONE;
-            case 255 -> Outcome.ERROR;
-            case 254 -> Outcome.FULL;
-            case 253 -> Outcome.TIMEOUT;
-            case 252 -> Outcome.NO_CONNECT;
-            case 251 -> Outcome.RESET;
-            case 250 -> Outcome.CANCELLED;
-            case 249 -> Outcome.MOOT;
-            default -> throw new Drill.BadInput("unknown status " + status);
-        };
-    }
+  /** A backend at the door, with what is out there. */
+  private static final class Srv extends Fleet.Srv<Long> {
+    int out;
+    final List<Heard> probes = new ArrayList<>();
 
-    private void load(Srv srv, Line line) {
-        if (srv != null && line.feedback != null) {
-            Settings figures = new Settings(line.feedback);
-            rules.load(srv.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
-        }
-    }
-
-    private void probed(Line line) throws Drill.BadInput {
-        Srv srv = fleet.find(line.number("backend"));
-        boolean ok = line.number("status") == 0;
-        long lag = line.number("lag") / Settings.UNIT;
-        if (srv == null || srv.probes.isEmpty()) {
-            return;
-        }
-        load(srv, line);
-        srv.probes.remove(0).ended(ok, lag);
-    }
-
-    void list(String mode, List<?> records) throws IOException {
-        try {
-            if (rules == null) {
-                return;
-            }
-            if (mode.equals("X")) {
-                rules.listFailed(false);
-                return;
-            }
-            if (!mode.equals("D") && !mode.equals("F") && !mode.equals("C")) {
-                throw new Drill.BadInput("unknown list mode " + mode);
-            }
-            if (!mode.equals("D")) {
-                missing(records);
-            }
-            for (Object record : records) {
-                entry(record);
-            }
-            rules.listed(mode.equals("C"));
-        } catch (RuntimeException e) {
-            failed("PeersKnown", e);
-        }
-    }
-
-    private void missing(List<?> records) throws Drill.BadInput {
-        Set<Long> named = new HashSet<>();
-        for (Object record : records) {
-            named.add(id(record));
-        }
-        for (Srv srv : fleet.missing(named)) {
-            gone(srv);
-        }
-    }
-
-    private void gone(Srv srv) {
-        if (fleet.left(srv)) {
-            rules.gone(srv.at);
-        }
-    }
-
-    private static long id(Object record) throws Drill.BadInput {
-        if (record instanceof Map<?, ?> map && map.get("backend") instanceof Number n) {
-            return n.longValue();
-        }
-        throw new Drill.BadInput("missing field backend");
-    }
-
-    @SuppressWarnings("unchecked")
-    private void entry(Object record) throws Drill.BadInput {
-        long id = id(record);
-        Settings r = new Settings((Map<String, Object>) record);
-        String readiness = r.word("readiness", "healthy");
-        if (readiness.equals("deregistered")) {
-            gone(fleet.find(id));
-            return;
-        }
-        Srv srv = fleet.admit(id);
-        boolean fresh = fleet.met(srv);
-        long up = (long) r.number("upSince", 0);
-        double weight = r.number("weight", 1);
-        rules.entry(srv.at, id, readiness.equals("healthy"), r.count("rackZone", 0), r.count("pack", 0),
-            r.count("familyType", 0), weight,
-            up <= 0 ? Fleet.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT), fresh);
-    }
-
-    private void close(Guest guest) {
-        guest.over = true;
-        if (guest.out == 0) {
-            guests.remove(guest.rid);
-        }
-    }
-
-    private void open(String kind) throws IOException {
-        out.writeStartObject();
-        out.writeStringField("kind", kind);
-        out.writeNumberField("proxyId", instance);
-    }
-
-    private void end() throws IOException {
-        out.writeEndObject();
-        out.writeRaw('\n');
-    }
-
-    /** One line out: a kind, at most a rid, and up to two numbers. */
-    private void write(String kind, Guest guest, String name, long value, String name2, long value2) {
-        try {
-            open(kind);
-            if (guest != null) {
-                out.writeStringField("rid", guest.rid);
-            }
-            if (name != null) {
-                out.writeNumberField(name, value);
-            }
-            if (name2 != null) {
-                out.writeNumberField(name2, value2);
-            }
-            end();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    @Override
-    public long now() {
-        return now;
-    }
-
-    @Override
-    public void dispatch(Req req, int backend, long tryFor, Result next) {
-        Guest guest = (Guest) req.door;
-        Srv srv = fleet.at(backend);
-        guest.legs.add(next);
-        guest.where.add(srv);
-        guest.out++;
-        srv.out++;
-        write("Place", guest, "backend", srv.id, "tryFor", tryFor * Settings.UNIT);
-    }
-
-    @Override
-    public void cancel(Req req, int leg) {
-        write("UndoSend", (Guest) req.door, "leg", leg, null, 0);
+    Srv(Long id, int at) {
+      super(id, at);
     }
 
     @Override
-    public void deny(Req req, long wait) {
-        close((Guest) req.door);
-        write("Deny", (Guest) req.door, "wait", wait * Settings.UNIT, null, 0);
-    }
-
-    @Override
-    public void abort(Req req) {
-        close((Guest) req.door);
-        write("Error", (Guest) req.door, null, 0, null, 0);
-    }
-
-    @Override
-    public void probe(int backend, Heard next) {
-        Srv srv = fleet.at(backend);
-        srv.probes.add(next);
-        write("AskLoad", null, "backend", srv.id, null, 0);
-    }
-
-    @Override
-    public void hangUp(int backend) {
-        Srv srv = fleet.at(backend);
-        if (srv != null) {
-            write("HangUp", null, "backend", srv.id, null, 0);
+    protected boolean isBusy() {
+      return out > 0 || !probes.isEmpty();
+    }
+  }
+
+  private final long instance;
+  private final JsonGenerator out;
+  private final Map<String, Guest> guests = new HashMap<>();
+  private final Fleet<Long, Srv> fleet = new Fleet<>(Srv::new);
+  private final Map<Long, Runnable> timers = new HashMap<>();
+  private long timer;
+  private long now;
+  private Rules rules;
+  private RuleSet[] sets;
+
+  Door(long instance, JsonGenerator out) {
+    this.instance = instance;
+    this.out = out;
+  }
+
+  /** The clock rounds up and each due rounds down, so that no limit is passed in between. */
+  void at(long micros) {
+    now = Math.floorDiv(micros + Settings.UNIT - 1, (long) Settings.UNIT);
+  }
+
+  void read(String kind, Line line) throws IOException {
+    try {
+      turn(kind, line);
+    } catch (RuntimeException e) {
+      failed(kind, e);
+    }
+  }
+
+  private void failed(String what, RuntimeException e) throws IOException {
+    if (e instanceof UncheckedIOException io) {
+      throw io.getCause();
+    }
+    StackTraceElement[] trace = e.getStackTrace();
+    open("InternalError");
+    out.writeStringField("msg", what + ": " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+    end();
+  }
+
+  private void turn(String kind, Line line) throws IOException {
+    switch (kind) {
+      case "Configure" ->
+          configure(line.number("seed"), new Settings(Drill.needed(line.settings, "settings")));
+      case "Shutdown" -> forget();
+      case "Arrival" -> arrival(line);
+      case "ReportBack" -> report(line);
+      case "First" -> {
+        int leg = (int) line.number("leg");
+        Guest guest = guests.get(line.text("rid"));
+        if (guest != null && !guest.over) {
+          guest.held.streams(leg);
         }
-    }
-
-    @Override
-    public void later(long delay, Runnable next) {
-        timers.put(++timer, next);
-        write("Schedule", null, "delay", delay * Settings.UNIT, "nonce", timer);
-    }
-
-    @Override
-    public void follow() {
-        try {
-            open("Subscribe");
-            out.writeBooleanField("on", true);
-            end();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+      }
+      case "Expired" -> {
+        Guest guest = guests.get(line.text("rid"));
+        if (guest != null && !guest.over) {
+          close(guest);
+          guest.held.left();
         }
-    }
-
-    @Override
-    public void fetch() {
-        write("ListAll", null, null, 0, null, 0);
-    }
-
-    @Override
-    public void log(String text) {
-        try {
-            open("SayLog");
-            out.writeStringField("msg", text);
-            end();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+      }
+      case "Due" -> {
+        Runnable next = timers.remove(line.number("nonce"));
+        if (next != null) {
+          next.run();
         }
-    }
+      }
+      case "ProbeDone" -> probed(line);
+      case "NeighbourSays" -> line.number("neighbour");
+      default -> throw new Drill.BadInput("unknown event kind " + kind);
+    }
+  }
+
+  private void forget() {
+    guests.clear();
+    fleet.clear();
+    timers.clear();
+    rules = null;
+  }
+
+  private void configure(long seed, Settings s) {
+    forget();
+    sets = s.ruleSets();
+    rules = s.rules(this, seed, sets, s.word("discovery", "").equals("subscribe"));
+  }
+
+  private void arrival(Line line) throws Drill.BadInput {
+    int profile = (int) line.number("profile");
+    if (profile < 0 || sets == null || profile >= sets.length) {
+      throw new Drill.BadInput("no such profile: " + profile);
+    }
+    long key = 0;
+    if (line.has("targetKey")) {
+      try {
+        key = Long.parseUnsignedLong(line.text("targetKey"), 16);
+      } catch (NumberFormatException e) {
+        throw new Drill.BadInput("not a key: " + line.text("targetKey"));
+      }
+    }
+    Guest guest = new Guest(line.text("rid"));
+    guests.put(guest.rid, guest);
+    int cost = Settings.cost(line.number("sizeHint", 0));
+    long due = Math.floorDiv(line.number("due"), (long) Settings.UNIT);
+    Req req =
+        new Req(
+            sets[profile],
+            (int) line.number("tenant", 0),
+            key,
+            now,
+            due,
+            cost,
+            line.number("resent", 0) != 0,
+            guest);
+    guest.held = rules.arrive(req);
+  }
+
+  private void report(Line line) throws Drill.BadInput {
+    Guest guest = guests.get(line.text("rid"));
+    int leg = (int) line.number("leg");
+    Outcome how = outcome((int) line.number("status"));
+    long lag = line.number("lag") / Settings.UNIT;
+    boolean ended = line.number("ended", 0) != 0;
+    if (guest == null || leg < 0 || leg >= guest.legs.size() || guest.legs.get(leg) == null) {
+      return;
+    }
+    Result next = guest.legs.set(leg, null);
+    guest.where.get(leg).out--;
+    guest.out--;
+    if (ended) {
+      guest.over = true;
+    }
+    if (guest.over && guest.out == 0) {
+      guests.remove(guest.rid);
+    }
+    load(fleet.find(line.number("backend")), line);
+    next.ended(how, lag, ended);
+  }
+
+  private static Outcome outcome(int status) throws Drill.BadInput {
+    return switch (status) {
+      case 0 -> Outcome.DONE;
+      case 255 -> Outcome.ERROR;
+      case 254 -> Outcome.FULL;
+      case 253 -> Outcome.TIMEOUT;
+      case 252 -> Outcome.NO_CONNECT;
+      case 251 -> Outcome.RESET;
+      case 250 -> Outcome.CANCELLED;
+      case 249 -> Outcome.MOOT;
+      default -> throw new Drill.BadInput("unknown status " + status);
+    };
+  }
+
+  private void load(Srv srv, Line line) {
+    if (srv != null && line.feedback != null) {
+      Settings figures = new Settings(line.feedback);
+      rules.load(srv.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+    }
+  }
+
+  private void probed(Line line) throws Drill.BadInput {
+    Srv srv = fleet.find(line.number("backend"));
+    boolean ok = line.number("status") == 0;
+    long lag = line.number("lag") / Settings.UNIT;
+    if (srv == null || srv.probes.isEmpty()) {
+      return;
+    }
+    load(srv, line);
+    srv.probes.remove(0).ended(ok, lag);
+  }
+
+  void list(String mode, List<?> records) throws IOException {
+    try {
+      if (rules == null) {
+        return;
+      }
+      if (mode.equals("X")) {
+        rules.listFailed(false);
+        return;
+      }
+      if (!mode.equals("D") && !mode.equals("F") && !mode.equals("C")) {
+        throw new Drill.BadInput("unknown list mode " + mode);
+      }
+      if (!mode.equals("D")) {
+        missing(records);
+      }
+      for (Object record : records) {
+        entry(record);
+      }
+      rules.listed(mode.equals("C"));
+    } catch (RuntimeException e) {
+      failed("PeersKnown", e);
+    }
+  }
+
+  private void missing(List<?> records) throws Drill.BadInput {
+    Set<Long> named = new HashSet<>();
+    for (Object record : records) {
+      named.add(id(record));
+    }
+    for (Srv srv : fleet.missing(named)) {
+      gone(srv);
+    }
+  }
+
+  private void gone(Srv srv) {
+    if (fleet.left(srv)) {
+      rules.gone(srv.at);
+    }
+  }
+
+  private static long id(Object record) throws Drill.BadInput {
+    if (record instanceof Map<?, ?> map && map.get("backend") instanceof Number n) {
+      return n.longValue();
+    }
+    throw new Drill.BadInput("missing field backend");
+  }
+
+  @SuppressWarnings("unchecked")
+  private void entry(Object record) throws Drill.BadInput {
+    long id = id(record);
+    Settings r = new Settings((Map<String, Object>) record);
+    String readiness = r.word("readiness", "healthy");
+    if (readiness.equals("deregistered")) {
+      gone(fleet.find(id));
+      return;
+    }
+    Srv srv = fleet.admit(id);
+    boolean fresh = fleet.met(srv);
+    long up = (long) r.number("upSince", 0);
+    double weight = r.number("weight", 1);
+    rules.entry(
+        srv.at,
+        id,
+        readiness.equals("healthy"),
+        r.count("rackZone", 0),
+        r.count("pack", 0),
+        r.count("familyType", 0),
+        weight,
+        up <= 0 ? Fleet.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT),
+        fresh);
+  }
+
+  private void close(Guest guest) {
+    guest.over = true;
+    if (guest.out == 0) {
+      guests.remove(guest.rid);
+    }
+  }
+
+  private void open(String kind) throws IOException {
+    out.writeStartObject();
+    out.writeStringField("kind", kind);
+    out.writeNumberField("proxyId", instance);
+  }
+
+  private void end() throws IOException {
+    out.writeEndObject();
+    out.writeRaw('\n');
+  }
+
+  /** One line out: a kind, at most a rid, and up to two numbers. */
+  private void write(String kind, Guest guest, String name, long value, String name2, long value2) {
+    try {
+      open(kind);
+      if (guest != null) {
+        out.writeStringField("rid", guest.rid);
+      }
+      if (name != null) {
+        out.writeNumberField(name, value);
+      }
+      if (name2 != null) {
+        out.writeNumberField(name2, value2);
+      }
+      end();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public long now() {
+    return now;
+  }
+
+  @Override
+  public void dispatch(Req req, int backend, long tryFor, Result next) {
+    Guest guest = (Guest) req.door;
+    Srv srv = fleet.at(backend);
+    guest.legs.add(next);
+    guest.where.add(srv);
+    guest.out++;
+    srv.out++;
+    write("Place", guest, "backend", srv.id, "tryFor", tryFor * Settings.UNIT);
+  }
+
+  @Override
+  public void cancel(Req req, int leg) {
+    write("UndoSend", (Guest) req.door, "leg", leg, null, 0);
+  }
+
+  @Override
+  public void deny(Req req, long wait) {
+    close((Guest) req.door);
+    write("Deny", (Guest) req.door, "wait", wait * Settings.UNIT, null, 0);
+  }
+
+  @Override
+  public void abort(Req req) {
+    close((Guest) req.door);
+    write("Error", (Guest) req.door, null, 0, null, 0);
+  }
+
+  @Override
+  public void probe(int backend, Heard next) {
+    Srv srv = fleet.at(backend);
+    srv.probes.add(next);
+    write("AskLoad", null, "backend", srv.id, null, 0);
+  }
+
+  @Override
+  public void hangUp(int backend) {
+    Srv srv = fleet.at(backend);
+    if (srv != null) {
+      write("HangUp", null, "backend", srv.id, null, 0);
+    }
+  }
+
+  @Override
+  public void later(long delay, Runnable next) {
+    timers.put(++timer, next);
+    write("Schedule", null, "delay", delay * Settings.UNIT, "nonce", timer);
+  }
+
+  @Override
+  public void follow() {
+    try {
+      open("Subscribe");
+      out.writeBooleanField("on", true);
+      end();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void fetch() {
+    write("ListAll", null, null, 0, null, 0);
+  }
+
+  @Override
+  public void log(String text) {
+    try {
+      open("SayLog");
+      out.writeStringField("msg", text);
+      end();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
 }
--- a/proxy/src/main/java/wheattrack/http/BadMessage.java
+++ b/proxy/src/main/java/wheattrack/http/BadMessage.java
@@ -2,12 +2,12 @@
 
 /** Bytes that are no message we take; status is what a client is told. */
 public final class BadMessage extends Exception {
-    private static final long serialVersionUID = 1;
+  private static final long serialVersionUID = 1;
 
-    public final int status;
+  public final int status;
 
-    BadMessage(int status, String fault) {
-        super(fault);
-        this.status = status;
-    }
+  BadMessage(int status, String fault) {
+    super(fault);
+    this.status = status;
+  }
 }
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -3,189 +3,195 @@
 import java.nio.ByteBuffer;
 
 /**
- * Makes messages of the bytes of one connection, as they come. One with a body of up to KEPT bytes comes
- * whole; of a longer one comes the head with the first bytes, and the rest in pieces for who asks for them.
+ * Makes messages of the bytes of one connection, as they come. One with a body of up to KEPT bytes
+ * comes whole; of a longer one comes the head with the first bytes, and the rest in pieces for who
+ * asks for them.
  */
 public abstract class Decoder<M> {
-    /** The longest body that is kept whole. */
-    public static final int KEPT = 64 * 1024;
-    /** The longest body that is passed on, unless it is said otherwise. */
-    public static final long MOST_BODY = 32L << 20;
-    /** Of a body whose length is not known: pieces follow, chunked or until the connection's end. */
-    public static final long CHUNKED = -1, TILL_END = -2;
-    /** The bytes of one read, and of one piece. */
-    private static final int PIECE = 16 * 1024;
-
-    private final Inbox in = new Inbox();
-    private final long most;
-    private boolean inBody, passing, ended;
-    private long left;                              // of a body of known length
-    private long size;                              // of the body so far
-    private Chunks chunks;
-    private boolean tillEnd;
-    private Bytes body;
-
-    protected Decoder(long most) {
-        this.most = most;
-    }
-
-    /** Room for what comes next; to be filled by one read. */
-    public ByteBuffer room() {
-        return inBody && (chunks != null || tillEnd || left > PIECE / 16) ? in.room(PIECE) : in.room();
-    }
-
-    /** Bytes that came next and were read elsewhere; not while a read fills the room. */
-    public void add(ByteBuffer more) {
-        in.add(more);
-    }
-
-    /** Bytes that wait to be made into a message. */
-    public int waiting() {
-        return in.waiting();
-    }
-
-    /** Whether a message has begun that is not whole yet. */
-    public boolean isAmid() {
-        return inBody || in.waiting() > 0;
-    }
-
-    /** Whether a message was given whose further pieces are still to be asked for. */
-    public boolean isPassing() {
-        return passing;
-    }
-
-    /** Whether the head has come and the body has not. */
-    public boolean isInBody() {
-        return inBody;
-    }
-
-    /** The next message, whole or as far as it is kept, or null while there is none. */
-    public M next() throws BadMessage {
-        if (passing) {
-            return null;
-        }
-        if (!inBody && !begin()) {
-            return null;
-        }
-        fill(body, KEPT);
-        boolean whole = isWhole();
-        boolean measured = chunks == null && !tillEnd;
-        if (!whole && !(measured && size + left > KEPT ? size >= enough() : size >= KEPT)) {
-            return null;
-        }
-        return give(whole);
-    }
-
-    private M give(boolean whole) throws BadMessage {
-        byte[] kept = body.all();
-        body = null;
-        passing = !whole;
-        long more = whole ? 0 : chunks != null ? CHUNKED : tillEnd ? TILL_END : left;
-        if (whole) {
-            over();
-        }
-        return message(kept, more);
-    }
-
-    /** Whether a message has begun whose length nobody knows before its end. */
-    public boolean isOpenEnded() {
-        return inBody && !passing && (chunks != null || tillEnd);
-    }
-
-    /** Such a message as far as it has come; takes nothing further of what waits. */
-    public M early() throws BadMessage {
-        return give(false);
-    }
-
-    private boolean begin() throws BadMessage {
-        String[] lines = in.head();
-        if (lines == null) {
-            return false;
-        }
-        Headers headers = Inbox.headers(lines);
-        long length = start(lines[0], headers);
-        chunks = length == CHUNKED ? new Chunks() : null;
-        tillEnd = length == TILL_END;
-        left = Math.max(0, length);
-        if (length > most) {
-            throw tooLong();
-        }
-        size = 0;
-        ended = false;
-        body = new Bytes();
-        inBody = true;
-        return true;
-    }
-
-    private BadMessage tooLong() {
-        return new BadMessage(413, "body over " + most + " bytes");
-    }
-
-    /** Undoes the framing of what has come, until so many bytes are in out. */
-    private void fill(Bytes out, int full) throws BadMessage {
-        int before = out.size();
-        ByteBuffer came = in.open();
-        try {
-            if (chunks != null) {
-                chunks.decode(came, out, full);
-            } else {
-                long n = Math.min(came.remaining(), full - before);
-                n = tillEnd ? n : Math.min(n, left);
-                out.add(came, (int) n);
-                left -= n;
-            }
-        } finally {
-            in.taken();
-        }
-        size += out.size() - before;
-        if (size > most) {
-            throw tooLong();
-        }
-    }
-
-    private boolean isWhole() {
-        return chunks != null ? chunks.ended() : tillEnd ? ended && in.waiting() == 0 : left == 0;
-    }
-
-    private void over() {
-        inBody = false;
-        passing = false;
-        chunks = null;
-        in.narrow();
-    }
-
-    /** The next bytes of the body that is passed on, or none; isPassing() says whether it goes on. */
-    public ByteBuffer piece() throws BadMessage {
-        Bytes out = new Bytes(Math.min(PIECE, Math.max(16, in.waiting())));
-        fill(out, PIECE);
-        if (isWhole()) {
-            over();
-        }
-        return out.buffer();
-    }
-
-    /** The connection has ended in order; says whether that is the end of the body that was to come. */
-    public boolean end() {
-        ended = inBody && tillEnd;
-        return ended;
-    }
-
-    /** Of a long body of known length: bytes that must be there before its message is given. */
-    protected abstract int enough();
-
-    /** Takes the first line and the headers; gives the body's length, CHUNKED or TILL_END. */
-    protected abstract long start(String line, Headers headers) throws BadMessage;
-
-    /** more: bytes that follow the kept ones, or CHUNKED or TILL_END. */
-    protected abstract M message(byte[] kept, long more);
-
-    static boolean keeps(String version, Headers headers) {
-        return version.equals("HTTP/1.1") && !headers.lists("Connection", "close");
-    }
-
-    static void checkVersion(String version) throws BadMessage {
-        if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
-            throw new BadMessage(400, "unknown version");
-        }
-    }
+  /** The longest body that is kept whole. */
+  public static final int KEPT = 64 * 1024;
+
+  /** The longest body that is passed on, unless it is said otherwise. */
+  public static final long MOST_BODY = 32L << 20;
+
+  /** Of a body whose length is not known: pieces follow, chunked or until the connection's end. */
+  public static final long CHUNKED = -1, TILL_END = -2;
+
+  /** The bytes of one read, and of one piece. */
+  private static final int PIECE = 16 * 1024;
+
+  private final Inbox in = new Inbox();
+  private final long most;
+  private boolean inBody, passing, ended;
+  private long left; // of a body of known length
+  private long size; // of the body so far
+  private Chunks chunks;
+  private boolean tillEnd;
+  private Bytes body;
+
+  protected Decoder(long most) {
+    this.most = most;
+  }
+
+  /** Room for what comes next; to be filled by one read. */
+  public ByteBuffer room() {
+    return inBody && (chunks != null || tillEnd || left > PIECE / 16) ? in.room(PIECE) : in.room();
+  }
+
+  /** Bytes that came next and were read elsewhere; not while a read fills the room. */
+  public void add(ByteBuffer more) {
+    in.add(more);
+  }
+
+  /** Bytes that wait to be made into a message. */
+  public int waiting() {
+    return in.waiting();
+  }
+
+  /** Whether a message has begun that is not whole yet. */
+  public boolean isAmid() {
+    return inBody || in.waiting() > 0;
+  }
+
+  /** Whether a message was given whose further pieces are still to be asked for. */
+  public boolean isPassing() {
+    return passing;
+  }
+
+  /** Whether the head has come and the body has not. */
+  public boolean isInBody() {
+    return inBody;
+  }
+
+  /** The next message, whole or as far as it is kept, or null while there is none. */
+  public M next() throws BadMessage {
+    if (passing) {
+      return null;
+    }
+    if (!inBody && !begin()) {
+      return null;
+    }
+    fill(body, KEPT);
+    boolean whole = isWhole();
+    boolean measured = chunks == null && !tillEnd;
+    if (!whole && !(measured && size + left > KEPT ? size >= enough() : size >= KEPT)) {
+      return null;
+    }
+    return give(whole);
+  }
+
+  private M give(boolean whole) throws BadMessage {
+    byte[] kept = body.all();
+    body = null;
+    passing = !whole;
+    long more = whole ? 0 : chunks != null ? CHUNKED : tillEnd ? TILL_END : left;
+    if (whole) {
+      over();
+    }
+    return message(kept, more);
+  }
+
+  /** Whether a message has begun whose length nobody knows before its end. */
+  public boolean isOpenEnded() {
+    return inBody && !passing && (chunks != null || tillEnd);
+  }
+
+  /** Such a message as far as it has come; takes nothing further of what waits. */
+  public M early() throws BadMessage {
+    return give(false);
+  }
+
+  private boolean begin() throws BadMessage {
+    String[] lines = in.head();
+    if (lines == null) {
+      return false;
+    }
+    Headers headers = Inbox.headers(lines);
+    long length = start(lines[0], headers);
+    chunks = length == CHUNKED ? new Chunks() : null;
+    tillEnd = length == TILL_END;
+    left = Math.max(0, length);
+    if (length > most) {
+      throw tooLong();
+    }
+    size = 0;
+    ended = false;
+    body = new Bytes();
+    inBody = true;
+    return true;
+  }
+
+  private BadMessage tooLong() {
+    return new BadMessage(413, "body over " + most + " bytes");
+  }
+
+  /** Undoes the framing of what has come, until so many bytes are in out. */
+  private void fill(Bytes out, int full) throws BadMessage {
+    int before = out.size();
+    ByteBuffer came = in.open();
+    try {
+      if (chunks != null) {
+        chunks.decode(came, out, full);
+      } else {
+        long n = Math.min(came.remaining(), full - before);
+        n = tillEnd ? n : Math.min(n, left);
+        out.add(came, (int) n);
+        left -= n;
+      }
+    } finally {
+      in.taken();
+    }
+    size += out.size() - before;
+    if (size > most) {
+      throw tooLong();
+    }
+  }
+
+  private boolean isWhole() {
+    return chunks != null ? chunks.ended() : tillEnd ? ended && in.waiting() == 0 : left == 0;
+  }
+
+  private void over() {
+    inBody = false;
+    passing = false;
+    chunks = null;
+    in.narrow();
+  }
+
+  /** The next bytes of the body that is passed on, or none; isPassing() says whether it goes on. */
+  public ByteBuffer piece() throws BadMessage {
+    Bytes out = new Bytes(Math.min(PIECE, Math.max(16, in.waiting())));
+    fill(out, PIECE);
+    if (isWhole()) {
+      over();
+    }
+    return out.buffer();
+  }
+
+  /**
+   * The connection has ended in order; says whether that is the end of the body that was to come.
+   */
+  public boolean end() {
+    ended = inBody && tillEnd;
+    return ended;
+  }
+
+  /** Of a long body of known length: bytes that must be there before its message is given. */
+  protected abstract int enough();
+
+  /** Takes the first line and the headers; gives the body's length, CHUNKED or TILL_END. */
+  protected abstract long start(String line, Headers headers) throws BadMessage;
+
+  /** more: bytes that follow the kept ones, or CHUNKED or TILL_END. */
+  protected abstract M message(byte[] kept, long more);
+
+  static boolean keeps(String version, Headers headers) {
+    return version.equals("HTTP/1.1") && !headers.lists("Connection", "close");
+  }
+
+  static void checkVersion(String version) throws BadMessage {
+    if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
+      throw new BadMessage(400, "unknown version");
+    }
+  }
 }
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -6,86 +6,89 @@
 
 /** Header lines in their order; names in any case. */
 public final class Headers {
-    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
 
-    private final List<String> names = new ArrayList<>(8);
-    private final List<String> values = new ArrayList<>(8);
+  private final List<String> names = new ArrayList<>(8);
+  private final List<String> values = new ArrayList<>(8);
 
-    public Headers with(String name, String value) {
-        names.add(name);
-        values.add(value);
-        return this;
-    }
+  public Headers with(String name, String value) {
+    names.add(name);
+    values.add(value);
+    return this;
+  }
 
-    public int size() {
-        return names.size();
-    }
+  public int size() {
+    return names.size();
+  }
 
-    public String name(int i) {
-        return names.get(i);
-    }
+  public String name(int i) {
+    return names.get(i);
+  }
+
+  public String value(int i) {
+    return values.get(i);
+  }
 
-    public String value(int i) {
+  /** The first of this name, or null. */
+  public String first(String name) {
+    for (int i = 0; i < names.size(); i++) {
+      if (names.get(i).equalsIgnoreCase(name)) {
         return values.get(i);
+      }
     }
+    return null;
+  }
 
-    /** The first of this name, or null. */
-    public String first(String name) {
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).equalsIgnoreCase(name)) {
-                return values.get(i);
-            }
+  /** Whether a list-valued header holds this word. */
+  public boolean lists(String name, String word) {
+    for (int i = 0; i < names.size(); i++) {
+      if (names.get(i).equalsIgnoreCase(name)) {
+        for (String part : values.get(i).split(",")) {
+          if (part.trim().equalsIgnoreCase(word)) {
+            return true;
+          }
         }
-        return null;
+      }
     }
+    return false;
+  }
 
-    /** Whether a list-valued header holds this word. */
-    public boolean lists(String name, String word) {
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).equalsIgnoreCase(name)) {
-                for (String part : values.get(i).split(",")) {
-                    if (part.trim().equalsIgnoreCase(word)) {
-                        return true;
-                    }
-                }
-            }
+  /**
+   * The one length these headers give, or -1; two that differ, or one beside chunks, are no
+   * message.
+   */
+  long length() throws BadMessage {
+    long length = -1;
+    for (int i = 0; i < names.size(); i++) {
+      if (names.get(i).equalsIgnoreCase("Content-Length")) {
+        String value = values.get(i);
+        if (!LENGTH.matcher(value).matches()) {
+          throw new BadMessage(400, "bad length " + value);
         }
-        return false;
-    }
-
-    /** The one length these headers give, or -1; two that differ, or one beside chunks, are no message. */
-    long length() throws BadMessage {
-        long length = -1;
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).equalsIgnoreCase("Content-Length")) {
-                String value = values.get(i);
-                if (!LENGTH.matcher(value).matches()) {
-                    throw new BadMessage(400, "bad length " + value);
-                }
-                long one = Long.parseLong(value);
-                if (length >= 0 && length != one) {
-                    throw new BadMessage(400, "lengths that differ");
-                }
-                length = one;
-            }
+        long one = Long.parseLong(value);
+        if (length >= 0 && length != one) {
+          throw new BadMessage(400, "lengths that differ");
         }
-        return length;
+        length = one;
+      }
     }
+    return length;
+  }
 
-    /** Whether the body comes in chunks; any other coding is no message we take. */
-    boolean chunked() throws BadMessage {
-        String coding = null;
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).equalsIgnoreCase("Transfer-Encoding")) {
-                if (coding != null || !values.get(i).equalsIgnoreCase("chunked")) {
-                    throw new BadMessage(400, "unknown transfer coding");
-                }
-                coding = values.get(i);
-            }
+  /** Whether the body comes in chunks; any other coding is no message we take. */
+  boolean chunked() throws BadMessage {
+    String coding = null;
+    for (int i = 0; i < names.size(); i++) {
+      if (names.get(i).equalsIgnoreCase("Transfer-Encoding")) {
+        if (coding != null || !values.get(i).equalsIgnoreCase("chunked")) {
+          throw new BadMessage(400, "unknown transfer coding");
         }
-        if (coding != null && first("Content-Length") != null) {
-            throw new BadMessage(400, "a length beside chunks");
-        }
-        return coding != null;
+        coding = values.get(i);
+      }
+    }
+    if (coding != null && first("Content-Length") != null) {
+      throw new BadMessage(400, "a length beside chunks");
     }
+    return coding != null;
+  }
 }
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -4,57 +4,57 @@
 
 /** Answers, as a client reads them; one without a length ends in order with its connection. */
 public final class ResponseDecoder extends Decoder<Response> {
-    private static final Pattern LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
-
-    private int status;
-    private Headers headers;
-    private boolean keep, bare;
-
-    public ResponseDecoder() {
-        this(MOST_BODY);
-    }
-
-    /** most: bytes of the longest body. */
-    public ResponseDecoder(long most) {
-        super(most);
-    }
-
-    /** Whether the next answer is one to HEAD, which has no body whatever it says. */
-    public void bare(boolean asked) {
-        bare = asked;
+  private static final Pattern LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
+
+  private int status;
+  private Headers headers;
+  private boolean keep, bare;
+
+  public ResponseDecoder() {
+    this(MOST_BODY);
+  }
+
+  /** most: bytes of the longest body. */
+  public ResponseDecoder(long most) {
+    super(most);
+  }
+
+  /** Whether the next answer is one to HEAD, which has no body whatever it says. */
+  public void bare(boolean asked) {
+    bare = asked;
+  }
+
+  @Override
+  protected int enough() {
+    return 1; // a long answer is timed by its first bytes
+  }
+
+  @Override
+  protected long start(String line, Headers with) throws BadMessage {
+    status = status(line);
+    headers = with;
+    keep = keeps(line.substring(0, 8), with);
+    long length = with.length();
+    boolean chunked = with.chunked();
+    if (status < 200 || status == 204 || status == 304 || bare) {
+      return 0;
     }
-
-    @Override
-    protected int enough() {
-        return 1;                                   // a long answer is timed by its first bytes
+    if (!chunked && length < 0) {
+      keep = false;
+      return TILL_END;
     }
+    return chunked ? CHUNKED : length;
+  }
 
-    @Override
-    protected long start(String line, Headers with) throws BadMessage {
-        status = status(line);
-        headers = with;
-        keep = keeps(line.substring(0, 8), with);
-        long length = with.length();
-        boolean chunked = with.chunked();
-        if (status < 200 || status == 204 || status == 304 || bare) {
-            return 0;
-        }
-        if (!chunked && length < 0) {
-            keep = false;
-            return TILL_END;
-        }
-        return chunked ? CHUNKED : length;
+  static int status(String line) throws BadMessage {
+    if (!LINE.matcher(line).matches()) {
+      throw new BadMessage(502, "bad status line");
     }
+    return Integer.parseInt(line.substring(9, 12));
+  }
 
-    static int status(String line) throws BadMessage {
-        if (!LINE.matcher(line).matches()) {
-            throw new BadMessage(502, "bad status line");
-        }
-        return Integer.parseInt(line.substring(9, 12));
-    }
-
-    @Override
-    protected Response message(byte[] kept, long more) {
-        return new Response(status, headers, keep, kept, bare ? Response.BARE : more);
-    }
+  @Override
+  protected Response message(byte[] kept, long more) {
+    return new Response(status, headers, keep, kept, bare ? Response.BARE : more);
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/Backend.java
+++ b/proxy/src/main/java/wheattrack/net/Backend.java
@@ -11,190 +11,200 @@
 import wheattrack.core.Fleet;
 import wheattrack.port.Outcome;
 
-/** A backend at the door: its address, the connections to it and the dispatches that wait for one. */
+/**
+ * A backend at the door: its address, the connections to it and the dispatches that wait for one.
+ */
 final class Backend extends Fleet.Srv<String> {
-    final Loop loop;
-    private final Dialler dialler;
-    /** At rest, the one used last at the end; coming up, to where it stands now. */
-    private final List<Upstream> idle = new ArrayList<>(), dials = new ArrayList<>();
-    private final Deque<Dispatch> waiting = new ArrayDeque<>();
-    private boolean matching;
-    private Deadlines.Entry settling;
-    InetSocketAddress address;
-    int out;
-    private boolean serving;
-    private long up;
-
-    Backend(String id, int at, Dialler dialler) {
-        super(id, at);
-        this.dialler = dialler;
-        loop = dialler.loop;
-    }
-
-    @Override
-    protected boolean isBusy() {
-        return out > 0;
-    }
-
-    /** It stands on the list, at this address since then; what leads to an earlier life is closed. */
-    void serves(InetSocketAddress at, long since) {
-        serving = true;
-        up = since;
-        address = at;
-        List.copyOf(idle).stream().filter(this::isOld).forEach(Upstream::close);
-        List<Upstream> old = dials.stream().filter(this::isOld).toList();
-        dials.removeAll(old);
-        old.forEach(Upstream::close);
-        arrange();
-    }
-
-    /** Whether it leads to where this backend was, or to an earlier life of it. */
-    private boolean isOld(Upstream link) {
-        return !link.to.equals(address) || link.since < up;
-    }
-
-    /** Whether this life of it, begun then, drains or is gone by what was told. */
-    boolean hasLeft(long since) {
-        return !serving && since <= up;
-    }
-
-    /** It drains or is gone: what is not yet begun there never will be. */
-    void leaves() {
-        serving = false;
-        for (Dispatch d : List.copyOf(waiting)) {
-            loop.step(() -> d.giveUp(Outcome.MOOT));
-        }
-        hangUp();
-    }
-
-    /** Closes what carries nothing now. */
-    void hangUp() {
-        List.copyOf(idle).forEach(Upstream::close);
-    }
-
-    /** Carries it on the connection used last, or on the first that is free or up. */
-    void carry(Dispatch d) {
-        out++;
-        waiting.add(d);
-        arrange();
-    }
-
-    void forget(Dispatch d) {
-        waiting.remove(d);
-    }
-
-    /**
-     * Sees to what waits: by a connection that is free, once what has come on it by now is heard, as its end
-     * may be among that; by one that settles, which is soon; or by a new one.
-     */
-    private void arrange() {
-        if (waiting.isEmpty() || matching) {
-            return;
-        }
-        long fit = idle.stream().mapToLong(Upstream::fitFrom).min().orElse(Long.MAX_VALUE);
-        if (fit <= loop.now()) {
-            matching = true;
-            loop.execute(this::match);
-            return;
-        }
-        while (dials.size() + idle.size() < waiting.size() && dial(waiting.peekLast())) {
-            continue;
-        }
-        if (fit < Long.MAX_VALUE && settling == null) {
-            settling = loop.after(fit - loop.now(), () -> {
+  final Loop loop;
+  private final Dialler dialler;
+
+  /** At rest, the one used last at the end; coming up, to where it stands now. */
+  private final List<Upstream> idle = new ArrayList<>(), dials = new ArrayList<>();
+
+  private final Deque<Dispatch> waiting = new ArrayDeque<>();
+  private boolean matching;
+  private Deadlines.Entry settling;
+  InetSocketAddress address;
+  int out;
+  private boolean serving;
+  private long up;
+
+  Backend(String id, int at, Dialler dialler) {
+    super(id, at);
+    this.dialler = dialler;
+    loop = dialler.loop;
+  }
+
+  @Override
+  protected boolean isBusy() {
+    return out > 0;
+  }
+
+  /** It stands on the list, at this address since then; what leads to an earlier life is closed. */
+  void serves(InetSocketAddress at, long since) {
+    serving = true;
+    up = since;
+    address = at;
+    List.copyOf(idle).stream().filter(this::isOld).forEach(Upstream::close);
+    List<Upstream> old = dials.stream().filter(this::isOld).toList();
+    dials.removeAll(old);
+    old.forEach(Upstream::close);
+    arrange();
+  }
+
+  /** Whether it leads to where this backend was, or to an earlier life of it. */
+  private boolean isOld(Upstream link) {
+    return !link.to.equals(address) || link.since < up;
+  }
+
+  /** Whether this life of it, begun then, drains or is gone by what was told. */
+  boolean hasLeft(long since) {
+    return !serving && since <= up;
+  }
+
+  /** It drains or is gone: what is not yet begun there never will be. */
+  void leaves() {
+    serving = false;
+    for (Dispatch d : List.copyOf(waiting)) {
+      loop.step(() -> d.giveUp(Outcome.MOOT));
+    }
+    hangUp();
+  }
+
+  /** Closes what carries nothing now. */
+  void hangUp() {
+    List.copyOf(idle).forEach(Upstream::close);
+  }
+
+  /** Carries it on the connection used last, or on the first that is free or up. */
+  void carry(Dispatch d) {
+    out++;
+    waiting.add(d);
+    arrange();
+  }
+
+  void forget(Dispatch d) {
+    waiting.remove(d);
+  }
+
+  /**
+   * Sees to what waits: by a connection that is free, once what has come on it by now is heard, as
+   * its end may be among that; by one that settles, which is soon; or by a new one.
+   */
+  private void arrange() {
+    if (waiting.isEmpty() || matching) {
+      return;
+    }
+    long fit = idle.stream().mapToLong(Upstream::fitFrom).min().orElse(Long.MAX_VALUE);
+    if (fit <= loop.now()) {
+      matching = true;
+      loop.execute(this::match);
+      return;
+    }
+    while (dials.size() + idle.size() < waiting.size() && dial(waiting.peekLast())) {
+      continue;
+    }
+    if (fit < Long.MAX_VALUE && settling == null) {
+      settling =
+          loop.after(
+              fit - loop.now(),
+              () -> {
                 settling = null;
                 arrange();
-            });
-        }
-    }
-
-    private void match() {
-        matching = false;
-        for (Upstream free = fit(); free != null && !waiting.isEmpty(); free = fit()) {
-            Dispatch first = next();
-            if (first != null) {
-                idle.remove(free);
-                free.carry(first);
-            }
-        }
+              });
+    }
+  }
+
+  private void match() {
+    matching = false;
+    for (Upstream free = fit(); free != null && !waiting.isEmpty(); free = fit()) {
+      Dispatch first = next();
+      if (first != null) {
+        idle.remove(free);
+        free.carry(first);
+      }
+    }
+    arrange();
+  }
+
+  /** The free connection used last; one that should have been closed by now is no more used. */
+  private Upstream fit() {
+    for (int i = idle.size() - 1; i >= 0; i--) {
+      Upstream free = idle.get(i);
+      if (free.isOverdue()) {
+        free.close();
+      } else if (free.fitFrom() <= loop.now()) {
+        return free;
+      }
+    }
+    return null;
+  }
+
+  /** What waits longest and may still begin; standstill: reqs were sent on after their due. */
+  private Dispatch next() {
+    Dispatch first = waiting.pollFirst();
+    while (first != null && loop.now() >= first.latest) {
+      first.giveUp(Outcome.MOOT);
+      first = waiting.pollFirst();
+    }
+    return first;
+  }
+
+  private boolean dial(Dispatch d) {
+    try {
+      dials.add(dialler.dial(this));
+      return true;
+    } catch (IOException e) {
+      loop.step(
+          () -> {
+            d.giveUp(Outcome.MOOT);
+            arrange();
+          });
+      return false;
+    }
+  }
+
+  void dialled(Upstream link) {
+    if (dials.remove(link)) {
+      Dispatch first = next();
+      if (first != null) {
+        link.carry(first);
+      } else {
+        rest(link, 0);
+      }
+    }
+  }
+
+  void dialFailed(Upstream link) {
+    if (dials.remove(link) && waiting.size() > dials.size()) {
+      if (idle.isEmpty()) {
+        waiting.peekFirst().end(Outcome.NO_CONNECT, null);
+      } else {
         arrange();
+      }
     }
+  }
 
-    /** The free connection used last; one that should have been closed by now is no more used. */
-    private Upstream fit() {
-        for (int i = idle.size() - 1; i >= 0; i--) {
-            Upstream free = idle.get(i);
-            if (free.isOverdue()) {
-                free.close();
-            } else if (free.fitFrom() <= loop.now()) {
-                return free;
-            }
-        }
-        return null;
-    }
-
-    /** What waits longest and may still begin; standstill: reqs were sent on after their due. */
-    private Dispatch next() {
-        Dispatch first = waiting.pollFirst();
-        while (first != null && loop.now() >= first.latest) {
-            first.giveUp(Outcome.MOOT);
-            first = waiting.pollFirst();
-        }
-        return first;
-    }
-
-    private boolean dial(Dispatch d) {
-        try {
-            dials.add(dialler.dial(this));
-            return true;
-        } catch (IOException e) {
-            loop.step(() -> {
-                d.giveUp(Outcome.MOOT);
-                arrange();
-            });
-            return false;
-        }
-    }
-
-    void dialled(Upstream link) {
-        if (dials.remove(link)) {
-            Dispatch first = next();
-            if (first != null) {
-                link.carry(first);
-            } else {
-                rest(link, 0);
-            }
-        }
-    }
-
-    void dialFailed(Upstream link) {
-        if (dials.remove(link) && waiting.size() > dials.size()) {
-            if (idle.isEmpty()) {
-                waiting.peekFirst().end(Outcome.NO_CONNECT, null);
-            } else {
-                arrange();
-            }
-        }
-    }
-
-    /** Its answer has come; it settles, as a second one may follow: that was taken for the next req's. */
-    void free(Upstream link) {
-        rest(link, dialler.settle());
-        arrange();
-    }
+  /**
+   * Its answer has come; it settles, as a second one may follow: that was taken for the next req's.
+   */
+  void free(Upstream link) {
+    rest(link, dialler.settle());
+    arrange();
+  }
 
-    private void rest(Upstream link, long settle) {
-        if (serving && !isOld(link)) {
-            idle.add(link);
-            link.rest(settle);
-        } else {
-            link.close();
-        }
+  private void rest(Upstream link, long settle) {
+    if (serving && !isOld(link)) {
+      idle.add(link);
+      link.rest(settle);
+    } else {
+      link.close();
     }
+  }
 
-    void closed(Upstream link) {
-        if (idle.remove(link) && !waiting.isEmpty()) {
-            loop.step(this::arrange);               // what waits may have counted on it
-        }
+  void closed(Upstream link) {
+    if (idle.remove(link) && !waiting.isEmpty()) {
+      loop.step(this::arrange); // what waits may have counted on it
     }
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/Body.java
+++ b/proxy/src/main/java/wheattrack/net/Body.java
@@ -3,52 +3,53 @@
 import java.nio.ByteBuffer;
 
 /**
- * The body of a long req beyond what is kept of it: read from its client only as fast as a backend takes it.
- * It may go to one backend after another until its first piece has gone; then never again.
+ * The body of a long req beyond what is kept of it: read from its client only as fast as a backend
+ * takes it. It may go to one backend after another until its first piece has gone; then never
+ * again.
  */
 final class Body {
-    private final Client client;
-    private final Runnable whole;
-    private Upstream to;
-    private boolean begun, ended;
-
-    /** whole: to be done when its last byte has come. */
-    Body(Client client, Runnable whole) {
-        this.client = client;
-        this.whole = whole;
+  private final Client client;
+  private final Runnable whole;
+  private Upstream to;
+  private boolean begun, ended;
+
+  /** whole: to be done when its last byte has come. */
+  Body(Client client, Runnable whole) {
+    this.client = client;
+    this.whole = whole;
+  }
+
+  /** Whether a further dispatch would bring all of it. */
+  boolean isRepeatable() {
+    return !begun;
+  }
+
+  boolean isWhole() {
+    return ended;
+  }
+
+  /** This connection has written all that it had, and waits for more. */
+  void pull(Upstream by) {
+    to = by;
+    client.pull(this::piece);
+  }
+
+  private void piece(ByteBuffer bytes, boolean last) {
+    begun = true;
+    if (last) {
+      ended = true;
+      whole.run();
     }
-
-    /** Whether a further dispatch would bring all of it. */
-    boolean isRepeatable() {
-        return !begun;
-    }
-
-    boolean isWhole() {
-        return ended;
-    }
-
-    /** This connection has written all that it had, and waits for more. */
-    void pull(Upstream by) {
-        to = by;
-        client.pull(this::piece);
-    }
-
-    private void piece(ByteBuffer bytes, boolean last) {
-        begun = true;
-        if (last) {
-            ended = true;
-            whole.run();
-        }
-        if (to != null) {
-            to.pass(bytes, last);
-        }
+    if (to != null) {
+      to.pass(bytes, last);
     }
+  }
 
-    /** This connection takes no more; what has come and was not asked for stays with the client. */
-    void stop(Upstream by) {
-        if (to == by) {
-            to = null;
-            client.pull(null);
-        }
+  /** This connection takes no more; what has come and was not asked for stays with the client. */
+  void stop(Upstream by) {
+    if (to == by) {
+      to = null;
+      client.pull(null);
     }
+  }
 }
