--- a/proxy/src/main/java/wheattrack/net/Dispatch.java
+++ b/proxy/src/main/java/wheattrack/net/Dispatch.java
@@ -7,104 +7,111 @@
 
 /** One dispatch of a req, or a probe, from its sending to its one outcome. */
 abstract class Dispatch {
-    final Backend backend;
-    final long sent;
-    /** When it got its connection, which is when its first byte left. */
-    long begun;
-    /** When its first byte must have left, or it never does. */
-    long latest = Long.MAX_VALUE;
-    Deadlines.Entry timeout;
-    Upstream on;
-    private boolean over;
-    private Outcome outcome;
-
-    Dispatch(Backend backend, long sent) {
-        this.backend = backend;
-        this.sent = sent;
+  final Backend backend;
+  final long sent;
+
+  /** When it got its connection, which is when its first byte left. */
+  long begun;
+
+  /** When its first byte must have left, or it never does. */
+  long latest = Long.MAX_VALUE;
+
+  Deadlines.Entry timeout;
+  Upstream on;
+  private boolean over;
+  private Outcome outcome;
+
+  Dispatch(Backend backend, long sent) {
+    this.backend = backend;
+    this.sent = sent;
+  }
+
+  /** From now on it may take so long. */
+  final void waits(long time) {
+    if (!over) {
+      backend.loop.cancel(timeout);
+      timeout = backend.loop.after(time, () -> giveUp(Outcome.TIMEOUT));
     }
-
-    /** From now on it may take so long. */
-    final void waits(long time) {
-        if (!over) {
-            backend.loop.cancel(timeout);
-            timeout = backend.loop.after(time, () -> giveUp(Outcome.TIMEOUT));
-        }
-    }
-
-    /** Whether any of its bytes may have left. */
-    final boolean isBegun() {
-        return on != null;
-    }
-
-    /** Whether it may have run, or may yet. */
-    final boolean mayRun() {
-        return isBegun() && (outcome == null || !outcome.neverRan);
+  }
+
+  /** Whether any of its bytes may have left. */
+  final boolean isBegun() {
+    return on != null;
+  }
+
+  /** Whether it may have run, or may yet. */
+  final boolean mayRun() {
+    return isBegun() && (outcome == null || !outcome.neverRan);
+  }
+
+  /** Ends one that is not begun as never sent, and any other as said. */
+  final void giveUp(Outcome how) {
+    end(isBegun() ? how : Outcome.MOOT, null);
+  }
+
+  /** Ends it, once; a connection that still carries it is closed. */
+  final void end(Outcome how, Response answer) {
+    if (over) {
+      return;
     }
-
-    /** Ends one that is not begun as never sent, and any other as said. */
-    final void giveUp(Outcome how) {
-        end(isBegun() ? how : Outcome.MOOT, null);
+    over = true;
+    outcome = how;
+    backend.loop.cancel(timeout);
+    backend.out--;
+    if (on != null && on.carried() == this) {
+      on.close();
+    } else {
+      backend.forget(this);
     }
-
-    /** Ends it, once; a connection that still carries it is closed. */
-    final void end(Outcome how, Response answer) {
-        if (over) {
-            return;
-        }
-        over = true;
-        outcome = how;
-        backend.loop.cancel(timeout);
-        backend.out--;
-        if (on != null && on.carried() == this) {
-            on.close();
-        } else {
-            backend.forget(this);
-        }
-        ended(how, answer);
+    ended(how, answer);
+  }
+
+  /** What is written for it, made as it begins. */
+  protected abstract Request request();
+
+  /**
+   * Its answer is too long to be kept: as an outcome that is its end, on its connection it is not.
+   */
+  final Passing begin(Response head) {
+    if (over) {
+      return null;
     }
-
-    /** What is written for it, made as it begins. */
-    protected abstract Request request();
-
-    /** Its answer is too long to be kept: as an outcome that is its end, on its connection it is not. */
-    final Passing begin(Response head) {
-        if (over) {
-            return null;
-        }
-        over = true;
-        backend.loop.cancel(timeout);
-        Passing passing = begins(head);
-        if (passing == null) {
-            backend.out--;
-        }
-        return passing;
-    }
-
-    /** The long answer is through, or broken off. */
-    final void passed() {
-        backend.out--;
+    over = true;
+    backend.loop.cancel(timeout);
+    Passing passing = begins(head);
+    if (passing == null) {
+      backend.out--;
     }
-
-    /** How long an answer of unknown length may still be kept back, to be had anew should it break. */
-    protected long holds() {
-        return Long.MAX_VALUE / 4;
-    }
-
-    /** What is still to come of what is written, or null. */
-    protected Body body() {
-        return null;
-    }
-
-    /** Who takes the rest of a long answer, or null where nobody does. */
-    protected Passing begins(Response head) {
-        ended(Outcome.RESET, null);
-        return null;
-    }
-
-    /** Its last byte is written. */
-    protected void written() {
-        // of a probe nothing is counted
-    }
-
-    protected abstract void ended(Outcome how, Response answer);
+    return passing;
+  }
+
+  /** The long answer is through, or broken off. */
+  final void passed() {
+    backend.out--;
+  }
+
+  /**
+   * How long an answer of unknown length may still be kept back, to be had anew should it break.
+   */
+  protected long holds() {
+    return Long.MAX_VALUE / 4;
+  }
+
+  /** What is still to come of what is written, or null. */
+  protected Body body() {
+    return null;
+  }
+
+  /** Who takes the rest of a long answer, or null where nobody does. */
+  protected Passing begins(Response head) {
+    ended(Outcome.RESET, null);
+    return null;
+  }
+
+  /** Its last byte is written. */
+  protected void written() {
+    // of a probe nothing is counted
+  }
+
+  protected abstract void ended(Outcome how, Response answer);
 }
--- a/proxy/src/main/java/wheattrack/net/Front.java
+++ b/proxy/src/main/java/wheattrack/net/Front.java
@@ -15,223 +15,248 @@
 import wheattrack.http.Request;
 import wheattrack.log.Event;
 
-/** Where clients connect: takes connections within a budget of descriptors and hands their requests on. */
+/**
+ * Where clients connect: takes connections within a budget of descriptors and hands their requests
+ * on.
+ */
 final class Front {
-    private static final int BACKLOG = 1024;
-    private static final long PAUSE = 200;          // after a failed accept, tenths of a millisecond
-    private static final long LOG_EVERY = 10_000;
+  private static final int BACKLOG = 1024;
+  private static final long PAUSE = 200; // after a failed accept, tenths of a millisecond
+  private static final long LOG_EVERY = 10_000;
 
-    /** What becomes of a request that is not one of the proxy's own. */
-    interface Taker {
-        void take(Client client, Request request);
+  /** What becomes of a request that is not one of the proxy's own. */
+  interface Taker {
+    void take(Client client, Request request);
 
-        /** Too many clients are here: it has been answered, unheard. */
-        void denied(Request request);
-    }
+    /** Too many clients are here: it has been answered, unheard. */
+    void denied(Request request);
+  }
 
-    private final Loop loop;
-    private final Life life;
-    private int most;
-    private final long mostBody;
-    private final Taker taker;
-    private final Supplier<String> remark;
-    private final Slots<Client> clients = new Slots<>();
-    private AsynchronousServerSocketChannel channel;
-    private boolean accepting, opened;
-    private Deadlines.Entry pressing;
-    /** Bytes that clients have sent ahead of what is asked for, and so many as may be. */
-    private long ahead;
-    private final long mostAhead = Runtime.getRuntime().maxMemory() / 8;
-    private long accepted;
-    private long loggedAt;
-    private long unlogged;
-
-    /**
-     * most: connections of clients; a few more are taken, so that those who come then are denied. remark:
-     * said behind the phase to who asks whether this proxy is ready.
-     */
-    Front(Loop loop, Life life, int most, long mostBody, Taker taker, Supplier<String> remark) {
-        this.remark = remark;
-        this.mostBody = mostBody;
-        this.loop = loop;
-        this.life = life;
-        this.most = most;
-        this.taker = taker;
-    }
+  private final Loop loop;
+  private final Life life;
+  private int most;
+  private final long mostBody;
+  private final Taker taker;
+  private final Supplier<String> remark;
+  private final Slots<Client> clients = new Slots<>();
+  private AsynchronousServerSocketChannel channel;
+  private boolean accepting, opened;
+  private Deadlines.Entry pressing;
 
-    /** Has the address from now on, as another process of this proxy may; who connects waits till open(). */
-    void listen(AsynchronousChannelGroup group, InetSocketAddress at) throws IOException {
-        channel = AsynchronousServerSocketChannel.open(group);
-        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(at, BACKLOG);
-    }
+  /** Bytes that clients have sent ahead of what is asked for, and so many as may be. */
+  private long ahead;
 
-    /** Takes who has connected and who does from now on. */
-    void open() {
-        opened = true;
-        accept();
-    }
+  private final long mostAhead = Runtime.getRuntime().maxMemory() / 8;
+  private long accepted;
+  private long loggedAt;
+  private long unlogged;
 
-    /** So many connections may be had from now on; surplus ones go as they come to rest. */
-    void limit(int most) {
-        this.most = most;
-        free(clients.size() - most);
-        accept();
-    }
+  /**
+   * most: connections of clients; a few more are taken, so that those who come then are denied.
+   * remark: said behind the phase to who asks whether this proxy is ready.
+   */
+  Front(Loop loop, Life life, int most, long mostBody, Taker taker, Supplier<String> remark) {
+    this.remark = remark;
+    this.mostBody = mostBody;
+    this.loop = loop;
+    this.life = life;
+    this.most = most;
+    this.taker = taker;
+  }
 
-    boolean isListening() {
-        return channel != null && channel.isOpen();
-    }
+  /**
+   * Has the address from now on, as another process of this proxy may; who connects waits till
+   * open().
+   */
+  void listen(AsynchronousChannelGroup group, InetSocketAddress at) throws IOException {
+    channel = AsynchronousServerSocketChannel.open(group);
+    channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(at, BACKLOG);
+  }
 
-    private void accept() {
-        if (accepting || !opened || !isListening()) {
-            return;
-        }
-        if (clients.size() >= most + 1 + most / 16) {
-            press();
-            return;
-        }
-        accepting = true;
-        channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
+  /** Takes who has connected and who does from now on. */
+  void open() {
+    opened = true;
+    accept();
+  }
+
+  /** So many connections may be had from now on; surplus ones go as they come to rest. */
+  void limit(int most) {
+    this.most = most;
+    free(clients.size() - most);
+    accept();
+  }
+
+  boolean isListening() {
+    return channel != null && channel.isOpen();
+  }
+
+  private void accept() {
+    if (accepting || !opened || !isListening()) {
+      return;
     }
+    if (clients.size() >= most + 1 + most / 16) {
+      press();
+      return;
+    }
+    accepting = true;
+    channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
+  }
 
-    /** All places are taken: who is slow with its head, or comes to be, makes room for who waits. */
-    private void press() {
-        if (pressing == null) {
-            pressing = loop.after(Client.HEAD_AMID_CROWD / 4, () -> {
+  /** All places are taken: who is slow with its head, or comes to be, makes room for who waits. */
+  private void press() {
+    if (pressing == null) {
+      pressing =
+          loop.after(
+              Client.HEAD_AMID_CROWD / 4,
+              () -> {
                 pressing = null;
-                clients.all().stream().filter(c -> c.rank() == Client.SLOW).forEach(Client::giveWay);
+                clients.all().stream()
+                    .filter(c -> c.rank() == Client.SLOW)
+                    .forEach(Client::giveWay);
                 free(clients.size() - most);
                 accept();
-            });
-        }
+              });
     }
+  }
 
-    private void accepted(AsynchronousSocketChannel one) {
-        accepting = false;
-        accepted++;
-        new Client(this, loop, one).open();
-        free(clients.size() - most);
-        accept();
-    }
+  private void accepted(AsynchronousSocketChannel one) {
+    accepting = false;
+    accepted++;
+    new Client(this, loop, one).open();
+    free(clients.size() - most);
+    accept();
+  }
 
-    /** Descriptors have run out, most likely: an idle connection makes room, and the rest waits a moment. */
-    private void acceptFailed(Throwable why) {
-        accepting = false;
-        if (isListening()) {
-            note("not accepted", why.toString());
-            free(1);
-            loop.after(PAUSE, this::accept);
-        }
+  /**
+   * Descriptors have run out, most likely: an idle connection makes room, and the rest waits a
+   * moment.
+   */
+  private void acceptFailed(Throwable why) {
+    accepting = false;
+    if (isListening()) {
+      note("not accepted", why.toString());
+      free(1);
+      loop.after(PAUSE, this::accept);
     }
+  }
 
-    private void free(int surplus) {
-        if (surplus > 0) {
-            clients.all().stream().filter(client -> client.rank() < Client.NOT_AT_ALL)
-                .sorted(Comparator.comparingInt(Client::rank).thenComparingLong(Client::idleSince))
-                .limit(surplus).forEach(Client::giveWay);
-        }
+  private void free(int surplus) {
+    if (surplus > 0) {
+      clients.all().stream()
+          .filter(client -> client.rank() < Client.NOT_AT_ALL)
+          .sorted(Comparator.comparingInt(Client::rank).thenComparingLong(Client::idleSince))
+          .limit(surplus)
+          .forEach(Client::giveWay);
     }
+  }
 
-    /** So many more bytes of clients are held, or fewer. */
-    void readAhead(long more) {
-        ahead += more;
-    }
+  /** So many more bytes of clients are held, or fewer. */
+  void readAhead(long more) {
+    ahead += more;
+  }
 
-    boolean mayReadAhead() {
-        return ahead < mostAhead;
-    }
+  boolean mayReadAhead() {
+    return ahead < mostAhead;
+  }
 
-    long mostBody() {
-        return mostBody;
-    }
+  long mostBody() {
+    return mostBody;
+  }
 
-    int admitted(Client client) {
-        return clients.add(client);
-    }
+  int admitted(Client client) {
+    return clients.add(client);
+  }
 
-    void closed(int slot) {
-        clients.remove(slot);
-        accept();
-    }
+  void closed(int slot) {
+    clients.remove(slot);
+    accept();
+  }
 
-    /**
-     * Whether a connection may stay open for a further request: only while places are plenty. Incident
-     * rde3a99: connections that ask once and stay used up what clients may hold; none was left for requests.
-     */
-    boolean keeps(boolean asked) {
-        return asked && !life.isLeaving() && clients.size() <= most / 2;
-    }
+  /**
+   * Whether a connection may stay open for a further request: only while places are plenty.
+   * Incident rde3a99: connections that ask once and stay used up what clients may hold; none was
+   * left for requests.
+   */
+  boolean keeps(boolean asked) {
+    return asked && !life.isLeaving() && clients.size() <= most / 2;
+  }
 
-    void came(Client client, Request request) {
-        String path = request.target().split("\\?", 2)[0];
-        if (path.equals(Wire.READY)) {
-            client.answer(Wire.plain(life.isReady() ? 200 : 503, life.phase().name() + remark.get(),
-                keeps(request.keep())));
-        } else if (clients.size() > most && served() > most) {
-            note("denied", clients.size() + " clients are connected");
-            taker.denied(request);
-            client.answer(Wire.denied(0, false));
-        } else {
-            taker.take(client, request);
-        }
+  void came(Client client, Request request) {
+    String path = request.target().split("\\?", 2)[0];
+    if (path.equals(Wire.READY)) {
+      client.answer(
+          Wire.plain(
+              life.isReady() ? 200 : 503,
+              life.phase().name() + remark.get(),
+              keeps(request.keep())));
+    } else if (clients.size() > most && served() > most) {
+      note("denied", clients.size() + " clients are connected");
+      taker.denied(request);
+      client.answer(Wire.denied(0, false));
+    } else {
+      taker.take(client, request);
     }
+  }
 
-    /** Requests that are open; idle clients, of which some are to go, are none of them. */
-    private long served() {
-        return clients.all().stream().filter(Client::isServed).count();
-    }
+  /** Requests that are open; idle clients, of which some are to go, are none of them. */
+  private long served() {
+    return clients.all().stream().filter(Client::isServed).count();
+  }
 
-    void refused(int status, String why) {
-        note("answered " + status, why);
-    }
+  void refused(int status, String why) {
+    note("answered " + status, why);
+  }
 
-    /** Bad input may come in floods: a line a second. */
-    private void note(String event, String cause) {
-        if (loop.now() - loggedAt < LOG_EVERY) {
-            unlogged++;
-            return;
-        }
-        Event.info(event, null, cause + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
-        loggedAt = loop.now();
-        unlogged = 0;
+  /** Bad input may come in floods: a line a second. */
+  private void note(String event, String cause) {
+    if (loop.now() - loggedAt < LOG_EVERY) {
+      unlogged++;
+      return;
     }
+    Event.info(event, null, cause + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
+    loggedAt = loop.now();
+    unlogged = 0;
+  }
 
-    void closeIdle() {
-        clients.all().stream().filter(Client::isIdle).forEach(Client::close);
-    }
+  void closeIdle() {
+    clients.all().stream().filter(Client::isIdle).forEach(Client::close);
+  }
 
-    /** Nothing more is accepted but who has connected by now: they would be reset with what they sent. */
-    void shut() {
-        if (!isListening()) {
-            return;
-        }
-        long before = accepted;
-        open();
-        loop.execute(() -> {
-            if (accepted > before) {
-                shut();
-            } else if (!accepting) {                // its places are all taken: as they come free
-                loop.after(PAUSE, this::shut);
-            } else {
-                closeDoor();
-            }
-        });
+  /**
+   * Nothing more is accepted but who has connected by now: they would be reset with what they sent.
+   */
+  void shut() {
+    if (!isListening()) {
+      return;
     }
+    long before = accepted;
+    open();
+    loop.execute(
+        () -> {
+          if (accepted > before) {
+            shut();
+          } else if (!accepting) { // its places are all taken: as they come free
+            loop.after(PAUSE, this::shut);
+          } else {
+            closeDoor();
+          }
+        });
+  }
 
-    private void closeDoor() {
-        try {
-            channel.close();
-        } catch (IOException e) {
-            Event.warning("the listening socket", null, e.toString());
-        }
+  private void closeDoor() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      Event.warning("the listening socket", null, e.toString());
     }
+  }
 
-    int port() throws IOException {
-        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
-    }
+  int port() throws IOException {
+    return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+  }
 
-    int taken() {
-        return clients.size();
-    }
+  int taken() {
+    return clients.size();
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/Guest.java
+++ b/proxy/src/main/java/wheattrack/net/Guest.java
@@ -8,19 +8,21 @@
 
 /** A req at the door: who asked, what was sent for it and what the module left for it. */
 final class Guest {
-    final Client client;
-    final Wire.Call call;
-    final List<Dispatch> dispatches = new ArrayList<>(2);
-    int slot;
-    Req req;
-    Deadlines.Entry guard;
-    Port.Held held;
-    /** Of a long req, what of its body is still to come when it is taken; else null. */
-    Body body;
-    boolean over;
+  final Client client;
+  final Wire.Call call;
+  final List<Dispatch> dispatches = new ArrayList<>(2);
+  int slot;
+  Req req;
+  Deadlines.Entry guard;
+  Port.Held held;
 
-    Guest(Client client, Wire.Call call) {
-        this.client = client;
-        this.call = call;
-    }
+  /** Of a long req, what of its body is still to come when it is taken; else null. */
+  Body body;
+
+  boolean over;
+
+  Guest(Client client, Wire.Call call) {
+    this.client = client;
+    this.call = call;
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -10,37 +10,38 @@
 import wheattrack.log.Event;
 
 /**
- * Where load reports stand on the wire, a JSON object of figures: the body of a probe's answer, as the
- * operators' protocol has it, or a header of a req's answer, which is this project's own carriage and off
- * unless a header is named. What can't be read tells nothing. For the loop's thread alone.
+ * Where load reports stand on the wire, a JSON object of figures: the body of a probe's answer, as
+ * the operators' protocol has it, or a header of a req's answer, which is this project's own
+ * carriage and off unless a header is named. What can't be read tells nothing. For the loop's
+ * thread alone.
  */
 final class LoadReports {
-    private static final int LONGEST = 1024;
+  private static final int LONGEST = 1024;
 
-    private final Rules rules;
-    private final String header;
+  private final Rules rules;
+  private final String header;
 
-    /** header: of answers to reqs; empty where they carry no report. */
-    LoadReports(Rules rules, String header) {
-        this.rules = rules;
-        this.header = header;
-    }
+  /** header: of answers to reqs; empty where they carry no report. */
+  LoadReports(Rules rules, String header) {
+    this.rules = rules;
+    this.header = header;
+  }
 
-    /** Tells the module what came with an answer to a req, or to a probe. */
-    void read(Backend from, Response answer, boolean probe) {
-        if (answer == null || !probe && header.isEmpty()) {
-            return;
-        }
-        String text = probe ? new String(answer.body(), StandardCharsets.UTF_8)
-            : answer.headers().first(header);
-        if (text == null || text.isEmpty() || text.length() > LONGEST) {
-            return;
-        }
-        try {
-            Settings figures = new Settings(Json.object(text));
-            rules.load(from.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
-        } catch (IOException | BadConfig e) {
-            Event.detail("load report", from.id, () -> "can't be read: " + text);
-        }
+  /** Tells the module what came with an answer to a req, or to a probe. */
+  void read(Backend from, Response answer, boolean probe) {
+    if (answer == null || !probe && header.isEmpty()) {
+      return;
+    }
+    String text =
+        probe ? new String(answer.body(), StandardCharsets.UTF_8) : answer.headers().first(header);
+    if (text == null || text.isEmpty() || text.length() > LONGEST) {
+      return;
+    }
+    try {
+      Settings figures = new Settings(Json.object(text));
+      rules.load(from.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+    } catch (IOException | BadConfig e) {
+      Event.detail("load report", from.id, () -> "can't be read: " + text);
     }
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/Seats.java
+++ b/proxy/src/main/java/wheattrack/net/Seats.java
@@ -9,98 +9,112 @@
 import wheattrack.log.Event;
 
 /**
- * Who of one proxy's processes runs beside this one: two seats, locks on a file that both can reach. A lock
- * dies with its holder, however it ends, so that leftovers hinder nobody. On the loop's thread only.
+ * Who of one proxy's processes runs beside this one: two seats, locks on a file that both can
+ * reach. A lock dies with its holder, however it ends, so that leftovers hinder nobody. On the
+ * loop's thread only.
  */
 final class Seats {
-    /** ALONE: nobody is beside. OLDER: a newer process has begun. NEWER: an older one is not gone yet. */
-    enum Place { ALONE, OLDER, NEWER }
+  /**
+   * ALONE: nobody is beside. OLDER: a newer process has begun. NEWER: an older one is not gone yet.
+   */
+  enum Place {
+    ALONE,
+    OLDER,
+    NEWER
+  }
 
-    private static final int FIRST = 0, SECOND = 1;
+  private static final int FIRST = 0, SECOND = 1;
 
-    private final FileChannel file;
-    private FileLock first, second;
-    private Place place = Place.ALONE;
+  private final FileChannel file;
+  private FileLock first, second;
+  private Place place = Place.ALONE;
 
-    /**
-     * folder: shared by both; where no file can be had there, this process is alone. null: it is alone, too,
-     * as at a free port, which is nobody's to share: two builds at once, and the second rehearsal hung.
-     */
-    Seats(Path folder, String proxy) {
-        file = folder == null ? null : open(folder, proxy);
-        look();
-    }
+  /**
+   * folder: shared by both; where no file can be had there, this process is alone. null: it is
+   * alone, too, as at a free port, which is nobody's to share: two builds at once, and the second
+   * rehearsal hung.
+   */
+  Seats(Path folder, String proxy) {
+    file = folder == null ? null : open(folder, proxy);
+    look();
+  }
 
-    private static FileChannel open(Path folder, String proxy) {
-        try {
-            String name = "wheattrack-" + proxy.replaceAll("[^A-Za-z0-9.]", "_") + ".seats";
-            return FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
-                StandardOpenOption.READ, StandardOpenOption.WRITE);
-        } catch (IOException | RuntimeException e) {
-            Event.warning("no seat", null, "counts as the only process of this proxy: " + e);
-            return null;
-        }
+  private static FileChannel open(Path folder, String proxy) {
+    try {
+      String name = "wheattrack-" + proxy.replaceAll("[^A-Za-z0-9.]", "_") + ".seats";
+      return FileChannel.open(
+          folder.resolve(name),
+          StandardOpenOption.CREATE,
+          StandardOpenOption.READ,
+          StandardOpenOption.WRITE);
+    } catch (IOException | RuntimeException e) {
+      Event.warning("no seat", null, "counts as the only process of this proxy: " + e);
+      return null;
     }
+  }
 
-    /** How things stand now; to be called now and then. */
-    Place look() {
-        if (file == null) {
-            return place;
-        }
-        Place was = place;
-        try {
-            first = first == null ? lock(FIRST) : first;
-            if (first == null) {
-                second = second == null ? lock(SECOND) : second;
-                place = Place.NEWER;
-            } else {
-                release(second);
-                second = null;
-                FileLock other = lock(SECOND);
-                release(other);
-                place = other == null ? Place.OLDER : Place.ALONE;
-            }
-        } catch (IOException e) {
-            Event.warning("seats can't be read", null, e.toString());
-        }
-        if (place != was) {
-            Event.info("process", place.name(), switch (place) {
-                case ALONE -> "no other process of this proxy";
-                case OLDER -> "a newer process has begun";
-                case NEWER -> "an older process is not gone yet";
-            });
-        }
-        return place;
+  /** How things stand now; to be called now and then. */
+  Place look() {
+    if (file == null) {
+      return place;
     }
-
-    Place place() {
-        return place;
+    Place was = place;
+    try {
+      first = first == null ? lock(FIRST) : first;
+      if (first == null) {
+        second = second == null ? lock(SECOND) : second;
+        place = Place.NEWER;
+      } else {
+        release(second);
+        second = null;
+        FileLock other = lock(SECOND);
+        release(other);
+        place = other == null ? Place.OLDER : Place.ALONE;
+      }
+    } catch (IOException e) {
+      Event.warning("seats can't be read", null, e.toString());
     }
+    if (place != was) {
+      Event.info(
+          "process",
+          place.name(),
+          switch (place) {
+            case ALONE -> "no other process of this proxy";
+            case OLDER -> "a newer process has begun";
+            case NEWER -> "an older process is not gone yet";
+          });
+    }
+    return place;
+  }
+
+  Place place() {
+    return place;
+  }
 
-    private FileLock lock(int seat) throws IOException {
-        try {
-            return file.tryLock(seat, 1, false);
-        } catch (OverlappingFileLockException e) {  // another of this JVM's, as in tests
-            return null;
-        }
+  private FileLock lock(int seat) throws IOException {
+    try {
+      return file.tryLock(seat, 1, false);
+    } catch (OverlappingFileLockException e) { // another of this JVM's, as in tests
+      return null;
     }
+  }
 
-    private static void release(FileLock lock) throws IOException {
-        if (lock != null) {
-            lock.release();
-        }
+  private static void release(FileLock lock) throws IOException {
+    if (lock != null) {
+      lock.release();
     }
+  }
 
-    /** Leaves; the locks go with the file. */
-    void close() {
-        try {
-            if (file != null) {
-                release(first);
-                release(second);
-                file.close();
-            }
-        } catch (IOException e) {
-            Event.warning("the seat", null, e.toString());
-        }
+  /** Leaves; the locks go with the file. */
+  void close() {
+    try {
+      if (file != null) {
+        release(first);
+        release(second);
+        file.close();
+      }
+    } catch (IOException e) {
+      Event.warning("the seat", null, e.toString());
     }
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/Server.java
@@ -16,292 +16,332 @@
 import wheattrack.config.Settings;
 import wheattrack.config.SettingsFeed;
 import wheattrack.core.Counts;
+import wheattrack.core.Life;
 import wheattrack.core.Life.Phase;
 import wheattrack.log.Event;
-import wheattrack.core.Life;
 import wheattrack.port.RuleSet;
 
 /** One real proxy: puts the parts together and leads them from start to exit. */
 public final class Server {
-    private static final Logger LOG = Logger.getLogger("wheattrack");
-    // Of the descriptors: some for the program itself, parts of the rest, the last bit for surplus clients.
-    private static final int OWN = 32;
-    private static final double CLIENTS = 0.58, BACKENDS = 0.36;
-    private static final long LOOK = 100;           // how often an end is looked for, tenths of a millisecond
-    private static final int WARM_REQS = 4000;
-    // Mass restart: with 400 ms, the clients of ten killed proxies waited so much longer or were turned away.
-    private static final long WARM_NANOS = 20_000_000;
-    private static final long WARM_BESIDE = 400_000_000;    // while an older process still serves
-    private static final long LOOK_BESIDE = 1000;   // how often a process beside this one is looked for
-    // For discovery's list before the one known of old is used: a watch silent so long is dead. Mass
-    // restart: the known one named drained srvs. Clients wait as long as a dial may take, then are denied.
-    private static final long LIST_WAIT = Watch.SILENCE;
-    // Where discovery answers and its list can't be read: a proxy that knows of no backend takes clients from
-    // those that do. Ready all the same in the time that a restart may take.
-    private static final long UNREAD_WAIT = 2 * Watch.SILENCE;
+  private static final Logger LOG = Logger.getLogger("wheattrack");
+  // Of the descriptors: some for the program itself, parts of the rest, the last bit for surplus
+  // clients.
+  private static final int OWN = 32;
+  private static final double CLIENTS = 0.58, BACKENDS = 0.36;
+  private static final long LOOK = 100; // how often an end is looked for, tenths of a millisecond
+  private static final int WARM_REQS = 4000;
+  // Mass restart: with 400 ms, the clients of ten killed proxies waited so much longer or were
+  // turned away.
+  private static final long WARM_NANOS = 20_000_000;
+  private static final long WARM_BESIDE = 400_000_000; // while an older process still serves
+  private static final long LOOK_BESIDE = 1000; // how often a process beside this one is looked for
+  // For discovery's list before the one known of old is used: a watch silent so long is dead. Mass
+  // restart: the known one named drained srvs. Clients wait as long as a dial may take, then are
+  // denied.
+  private static final long LIST_WAIT = Watch.SILENCE;
+  // Where discovery answers and its list can't be read: a proxy that knows of no backend takes
+  // clients from
+  // those that do. Ready all the same in the time that a restart may take.
+  private static final long UNREAD_WAIT = 2 * Watch.SILENCE;
 
-    private Config config;
-    private final Loop loop = new Loop();
-    private final Life life = new Life(phase -> Event.info("phase", phase.name(), null));
-    private final Counts counts = new Counts();
-    private final Front front;
-    private final Admin admin;
-    private final Listing listing;
-    private final Proxy proxy;
-    private final Dialler dialler;
-    private final SettingsFeed feed;
-    private final SettingsWatch settingsWatch;
-    private long longest;
-    private final AsynchronousChannelGroup group;
-    private final Seats seats;
-    private String fault;
-    private final CountDownLatch ended = new CountDownLatch(1);
+  private Config config;
+  private final Loop loop = new Loop();
+  private final Life life = new Life(phase -> Event.info("phase", phase.name(), null));
+  private final Counts counts = new Counts();
+  private final Front front;
+  private final Admin admin;
+  private final Listing listing;
+  private final Proxy proxy;
+  private final Dialler dialler;
+  private final SettingsFeed feed;
+  private final SettingsWatch settingsWatch;
+  private long longest;
+  private final AsynchronousChannelGroup group;
+  private final Seats seats;
+  private String fault;
+  private final CountDownLatch ended = new CountDownLatch(1);
 
-    public Server(Config config) throws IOException {
-        this(config, "");
-    }
+  public Server(Config config) throws IOException {
+    this(config, "");
+  }
 
-    /** loadHeader: of backends' answers, where their load stands; empty where answers carry none. */
-    public Server(Config config, String loadHeader) throws IOException {
-        this(config, loadHeader, null, "");
-    }
+  /** loadHeader: of backends' answers, where their load stands; empty where answers carry none. */
+  public Server(Config config, String loadHeader) throws IOException {
+    this(config, loadHeader, null, "");
+  }
 
-    /** source: where settings are watched, or null; scope: goes with requests for them and the list. */
-    public Server(Config config, String loadHeader, InetSocketAddress source, String scope)
-            throws IOException {
-        this.config = config;
-        group = AsynchronousChannelGroup.withThreadPool(loop);
-        seats = new Seats(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
-        Settings settings = config.settings;
-        dialler = new Dialler(loop, group, (int) (BACKENDS * free()), config.mostBody,
-            settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
-        listing = new Listing(loop, group, dialler, config.discovery, settings.list("zones"),
-            settings.list("kinds"), config.known, scope);
-        proxy = new Proxy(loop, listing, counts, settings, config.seed, loadHeader);
-        front = new Front(loop, life, (int) (CLIENTS * free()), config.mostBody, proxy,
+  /**
+   * source: where settings are watched, or null; scope: goes with requests for them and the list.
+   */
+  public Server(Config config, String loadHeader, InetSocketAddress source, String scope)
+      throws IOException {
+    this.config = config;
+    group = AsynchronousChannelGroup.withThreadPool(loop);
+    seats = new Seats(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
+    Settings settings = config.settings;
+    dialler =
+        new Dialler(
+            loop,
+            group,
+            (int) (BACKENDS * free()),
+            config.mostBody,
+            settings.time("limits.dialTimeout", 250_000),
+            settings.time("limits.idleClose", 0));
+    listing =
+        new Listing(
+            loop,
+            group,
+            dialler,
+            config.discovery,
+            settings.list("zones"),
+            settings.list("kinds"),
+            config.known,
+            scope);
+    proxy = new Proxy(loop, listing, counts, settings, config.seed, loadHeader);
+    front =
+        new Front(
+            loop,
+            life,
+            (int) (CLIENTS * free()),
+            config.mostBody,
+            proxy,
             () -> listing.isThere() ? "" : ", no list");
-        proxy.from(front);
-        proxy.beside(isBeside());
-        if (seats.place() != Seats.Place.NEWER) {
-            front.listen(group, config.listen);
-        }
-        admin = config.admin == null ? null : admin(group);
-        longest = longest(settings);
-        feed = source == null ? null : new SettingsFeed();
-        settingsWatch = source == null ? null : new SettingsWatch(loop, group, source, scope, config.seed,
-            counts, feed, told -> turnToTold());
+    proxy.from(front);
+    proxy.beside(isBeside());
+    if (seats.place() != Seats.Place.NEWER) {
+      front.listen(group, config.listen);
     }
+    admin = config.admin == null ? null : admin(group);
+    longest = longest(settings);
+    feed = source == null ? null : new SettingsFeed();
+    settingsWatch =
+        source == null
+            ? null
+            : new SettingsWatch(
+                loop, group, source, scope, config.seed, counts, feed, told -> turnToTold());
+  }
 
-    /** Other settings of the watched source hold. */
-    private void turnToTold() {
-        proxy.turnTo(config.settings, feed);
-        longest = Math.max(longest, feed.longest());
-        if (!feed.limited().isEmpty()) {
-            dial(feed.over(config.settings));
-        }
+  /** Other settings of the watched source hold. */
+  private void turnToTold() {
+    proxy.turnTo(config.settings, feed);
+    longest = Math.max(longest, feed.longest());
+    if (!feed.limited().isEmpty()) {
+      dial(feed.over(config.settings));
     }
+  }
 
-    private void dial(Settings settings) {
-        dialler.times(settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
-    }
+  private void dial(Settings settings) {
+    dialler.times(
+        settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
+  }
 
-    private static long longest(Settings settings) {
-        return Arrays.stream(settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
-    }
+  private static long longest(Settings settings) {
+    return Arrays.stream(settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
+  }
 
-    /** The folder that all processes of this proxy can reach. */
-    private static Path shared() {
-        String folder = System.getenv("TMPDIR");
-        return Path.of(folder == null || folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder);
-    }
+  /** The folder that all processes of this proxy can reach. */
+  private static Path shared() {
+    String folder = System.getenv("TMPDIR");
+    return Path.of(
+        folder == null || folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder);
+  }
 
-    private boolean isBeside() {
-        return seats.place() != Seats.Place.ALONE;
-    }
+  private boolean isBeside() {
+    return seats.place() != Seats.Place.ALONE;
+  }
 
-    /** Descriptors for clients and backends; two processes beside each other have half of all each. */
-    private int free() {
-        int own = Math.max(OWN, config.sockets / 16) + (config.admin == null ? 0 : 1 + Admin.PLACES);
-        return Math.max(8, (isBeside() ? config.sockets / 2 : config.sockets) - own);
-    }
+  /**
+   * Descriptors for clients and backends; two processes beside each other have half of all each.
+   */
+  private int free() {
+    int own = Math.max(OWN, config.sockets / 16) + (config.admin == null ? 0 : 1 + Admin.PLACES);
+    return Math.max(8, (isBeside() ? config.sockets / 2 : config.sockets) - own);
+  }
 
-    private void lookBeside() {
-        boolean was = isBeside();
-        seats.look();
-        if (was != isBeside()) {
-            front.limit((int) (CLIENTS * free()));
-            dialler.limit((int) (BACKENDS * free()));
-            proxy.beside(isBeside());
-        }
-        loop.after(LOOK_BESIDE, this::lookBeside);
+  private void lookBeside() {
+    boolean was = isBeside();
+    seats.look();
+    if (was != isBeside()) {
+      front.limit((int) (CLIENTS * free()));
+      dialler.limit((int) (BACKENDS * free()));
+      proxy.beside(isBeside());
     }
+    loop.after(LOOK_BESIDE, this::lookBeside);
+  }
 
-    private Admin admin(AsynchronousChannelGroup group) {
-        Figures figures = new Figures(counts, proxy::open, listing::listed, proxy::avoided,
-            listing::leftOut);
-        try {
-            return new Admin(loop, group, life, config.admin, figures::text);
-        } catch (IOException e) {
-            throw new BadConfig("admin", config.admin + " can't be had: " + e.getMessage());
-        }
+  private Admin admin(AsynchronousChannelGroup group) {
+    Figures figures =
+        new Figures(counts, proxy::open, listing::listed, proxy::avoided, listing::leftOut);
+    try {
+      return new Admin(loop, group, life, config.admin, figures::text);
+    } catch (IOException e) {
+      throw new BadConfig("admin", config.admin + " can't be had: " + e.getMessage());
     }
+  }
 
-    /** The port that operators call at. */
-    public int adminPort() throws IOException {
-        return admin.port();
-    }
+  /** The port that operators call at. */
+  public int adminPort() throws IOException {
+    return admin.port();
+  }
 
-    /** The port it listens at; of use where the configuration leaves the choice to the system. */
-    public int port() throws IOException {
-        return front.port();
-    }
+  /** The port it listens at; of use where the configuration leaves the choice to the system. */
+  public int port() throws IOException {
+    return front.port();
+  }
 
-    /** Serves until it is told to end and has ended in order. */
-    public void run() {
-        LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
-        life.enter(Phase.WARMING);
-        loop.execute(this::warmUp);
-        if (settingsWatch != null) {
-            loop.execute(settingsWatch::follow);
-        }
-        try {
-            loop.run();
-            seats.close();
-            life.enter(Phase.ENDED);
-        } finally {
-            ended.countDown();
-        }
-        if (fault != null) {
-            throw new BadConfig("listen", fault);
-        }
+  /** Serves until it is told to end and has ended in order. */
+  public void run() {
+    LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
+    life.enter(Phase.WARMING);
+    loop.execute(this::warmUp);
+    if (settingsWatch != null) {
+      loop.execute(settingsWatch::follow);
     }
-
-    private void warmUp() {
-        boolean newer = seats.place() == Seats.Place.NEWER;
-        int reqs = new WarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
-        LOG.fine("warmed up with " + reqs + " reqs");
-        lookBeside();
-        readyFrom(loop.now());
+    try {
+      loop.run();
+      seats.close();
+      life.enter(Phase.ENDED);
+    } finally {
+      ended.countDown();
     }
-
-    private void readyFrom(long from) {
-        if (life.isLeaving()) {
-            return;                                 // told to end before it was ready: nobody is let in
-        }
-        long waited = loop.now() - from;
-        boolean there = listing.isThere() && (feed == null || feed.isThere());
-        if (there || waited >= (listing.isThere() || !listing.isUnread() ? LIST_WAIT : UNREAD_WAIT)) {
-            listing.fallBack();
-            openLate();
-            life.enter(Phase.SERVING);
-        } else {
-            if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
-                front.open();
-            }
-            loop.after(LOOK, () -> readyFrom(from));
-        }
+    if (fault != null) {
+      throw new BadConfig("listen", fault);
     }
+  }
 
-    /** Clients are let in only now that they can be served; a newer process only now takes its address. */
-    private void openLate() {
-        try {
-            if (!front.isListening()) {
-                front.listen(group, config.listen);
-            }
-            front.open();
-        } catch (IOException e) {
-            fault = config.listen + " can't be had: " + e.getMessage();
-            loop.shutdown();
-        }
+  private void warmUp() {
+    boolean newer = seats.place() == Seats.Place.NEWER;
+    int reqs = new WarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
+    LOG.fine("warmed up with " + reqs + " reqs");
+    lookBeside();
+    readyFrom(loop.now());
+  }
+
+  private void readyFrom(long from) {
+    if (life.isLeaving()) {
+      return; // told to end before it was ready: nobody is let in
+    }
+    long waited = loop.now() - from;
+    boolean there = listing.isThere() && (feed == null || feed.isThere());
+    if (there || waited >= (listing.isThere() || !listing.isUnread() ? LIST_WAIT : UNREAD_WAIT)) {
+      listing.fallBack();
+      openLate();
+      life.enter(Phase.SERVING);
+    } else {
+      if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
+        front.open();
+      }
+      loop.after(LOOK, () -> readyFrom(from));
     }
+  }
 
-    /** Whether no req is open and no client connected; a look from another thread, a moment old. */
-    public boolean isQuiet() {
-        return proxy.open() == 0 && front.taken() == 0;
+  /**
+   * Clients are let in only now that they can be served; a newer process only now takes its
+   * address.
+   */
+  private void openLate() {
+    try {
+      if (!front.isListening()) {
+        front.listen(group, config.listen);
+      }
+      front.open();
+    } catch (IOException e) {
+      fault = config.listen + " can't be had: " + e.getMessage();
+      loop.shutdown();
     }
+  }
 
-    /** From another thread: ends in order, and returns when that is done. */
-    public void end() {
-        loop.execute(this::drain);
-        try {
-            ended.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+  /** Whether no req is open and no client connected; a look from another thread, a moment old. */
+  public boolean isQuiet() {
+    return proxy.open() == 0 && front.taken() == 0;
+  }
+
+  /** From another thread: ends in order, and returns when that is done. */
+  public void end() {
+    loop.execute(this::drain);
+    try {
+      ended.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 
-    /** From another thread: the file is read again, between two steps. */
-    public void reread(Path file) {
-        loop.execute(() -> {
-            try {
-                turnTo(Config.reread(file, config));
-                counts.reread++;
-            } catch (BadConfig e) {
-                counts.turnedDown++;
-                String name = e.getMessage().startsWith(file.toString()) ? null : file.toString();
-                Event.warning("configuration kept as it was", name, e.getMessage());
-            }
+  /** From another thread: the file is read again, between two steps. */
+  public void reread(Path file) {
+    loop.execute(
+        () -> {
+          try {
+            turnTo(Config.reread(file, config));
+            counts.reread++;
+          } catch (BadConfig e) {
+            counts.turnedDown++;
+            String name = e.getMessage().startsWith(file.toString()) ? null : file.toString();
+            Event.warning("configuration kept as it was", name, e.getMessage());
+          }
         });
-    }
+  }
 
-    /** From another thread: the operators' file names another source or scope of settings. */
-    public void resubscribe(InetSocketAddress source, String scope) {
-        loop.execute(() -> {
-            if (settingsWatch == null || source == null) {
-                Event.warning("settings' source kept as it was", null,
-                    "only a restart begins or ends a watch");
-            } else {
-                settingsWatch.turnTo(source, scope);
-                listing.turnTo(scope);
-            }
+  /** From another thread: the operators' file names another source or scope of settings. */
+  public void resubscribe(InetSocketAddress source, String scope) {
+    loop.execute(
+        () -> {
+          if (settingsWatch == null || source == null) {
+            Event.warning(
+                "settings' source kept as it was", null, "only a restart begins or ends a watch");
+          } else {
+            settingsWatch.turnTo(source, scope);
+            listing.turnTo(scope);
+          }
         });
-    }
+  }
 
-    /** Reqs, connections and what is learnt stay; what only a start can change is named. */
-    private void turnTo(Config next) {
-        List<String> fixed = next.fixedAgainst(config);
-        LOG.info("configuration read again, list from " + next.discovery
+  /** Reqs, connections and what is learnt stay; what only a start can change is named. */
+  private void turnTo(Config next) {
+    List<String> fixed = next.fixedAgainst(config);
+    LOG.info(
+        "configuration read again, list from "
+            + next.discovery
             + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
-        proxy.turnTo(next.settings, feed);
-        dial(feed == null ? next.settings : feed.over(next.settings));
-        longest = Math.max(longest, longest(next.settings));       // what is under way may still take as long
-        listing.moveTo(next.discovery);
-        config = next;
-    }
+    proxy.turnTo(next.settings, feed);
+    dial(feed == null ? next.settings : feed.over(next.settings));
+    longest = Math.max(longest, longest(next.settings)); // what is under way may still take as long
+    listing.moveTo(next.discovery);
+    config = next;
+  }
 
-    private void drain() {
-        if (life.enter(Phase.DRAINING)) {
-            if (seats.look() == Seats.Place.OLDER) {
-                front.shut();                       // new connections are the newer process's
-            } else if (front.isListening()) {
-                front.open();                       // before it was ready, too: who has connected is answered
-            }
-            loop.after(config.drain, () -> loop.execute(this::close));
-        }
+  private void drain() {
+    if (life.enter(Phase.DRAINING)) {
+      if (seats.look() == Seats.Place.OLDER) {
+        front.shut(); // new connections are the newer process's
+      } else if (front.isListening()) {
+        front.open(); // before it was ready, too: who has connected is answered
+      }
+      loop.after(config.drain, () -> loop.execute(this::close));
     }
+  }
 
-    private void close() {
-        life.enter(Phase.CLOSING);
-        front.shut();
-        long latest = loop.now() + longest;
-        proxy.endsAt(latest);
-        loop.execute(() -> endWhenAnswered(latest));
-    }
+  private void close() {
+    life.enter(Phase.CLOSING);
+    front.shut();
+    long latest = loop.now() + longest;
+    proxy.endsAt(latest);
+    loop.execute(() -> endWhenAnswered(latest));
+  }
 
-    private void endWhenAnswered(long latest) {
-        front.closeIdle();
-        boolean empty = !front.isListening() && front.taken() == 0 && proxy.open() == 0;
-        if (empty || loop.now() >= latest) {
-            dialler.closeAll();
-            if (settingsWatch != null) {
-                settingsWatch.close();
-            }
-            if (admin != null) {
-                admin.close();
-            }
-            loop.shutdown();
-        } else {
-            loop.after(LOOK, () -> loop.execute(() -> endWhenAnswered(latest)));
-        }
+  private void endWhenAnswered(long latest) {
+    front.closeIdle();
+    boolean empty = !front.isListening() && front.taken() == 0 && proxy.open() == 0;
+    if (empty || loop.now() >= latest) {
+      dialler.closeAll();
+      if (settingsWatch != null) {
+        settingsWatch.close();
+      }
+      if (admin != null) {
+        admin.close();
+      }
+      loop.shutdown();
+    } else {
+      loop.after(LOOK, () -> loop.execute(() -> endWhenAnswered(latest)));
     }
+  }
 }
--- a/proxy/src/main/java/wheattrack/net/Upstream.java
+++ b/proxy/src/main/java/wheattrack/net/Upstream.java
@@ -15,280 +15,295 @@
 
 /** One connection to a backend; it carries one dispatch at a time. */
 final class Upstream extends Link {
-    /** How long a long answer may pause at the backend, and a long body on the way there. */
-    static final long PAUSE = 100_000;
+  /** How long a long answer may pause at the backend, and a long body on the way there. */
+  static final long PAUSE = 100_000;
 
-    private final Backend backend;
-    private final Dialler dialler;
-    private final ResponseDecoder in;
-    /** Where it leads, and since when. */
-    final InetSocketAddress to;
-    final long since;
-    private Dispatch carried, writing;
-    /** Of a long body what is still to be written, and whether it goes in chunks. */
-    private Body body;
-    private boolean chunks;
-    /** A long answer that is being passed on, and whether the connection may serve after it. */
-    private Passing passing;
-    private boolean keep;
-    private boolean dialling;
-    private boolean resting;
-    private long restsSince, fitFrom;
-    private boolean broken, holding;
-    private Deadlines.Entry deadline;
-    int slot;
+  private final Backend backend;
+  private final Dialler dialler;
+  private final ResponseDecoder in;
 
-    Upstream(Backend backend, AsynchronousSocketChannel channel, Dialler dialler) {
-        super(backend.loop, channel);
-        this.backend = backend;
-        this.dialler = dialler;
-        in = new ResponseDecoder(dialler.mostBody);
-        to = backend.address;
-        since = loop.now();
-    }
+  /** Where it leads, and since when. */
+  final InetSocketAddress to;
 
-    Dispatch carried() {
-        return carried;
-    }
+  final long since;
+  private Dispatch carried, writing;
 
-    void dial(long timeout) {
-        dialling = true;
-        deadline = loop.after(timeout, this::dialFailed);
-        connect(to, this::dialled, this::dialFailed);
-    }
+  /** Of a long body what is still to be written, and whether it goes in chunks. */
+  private Body body;
 
-    private void dialled() {
-        if (dialling && !isClosed()) {
-            dialling = false;
-            loop.cancel(deadline);
-            read(in.room());
-            backend.dialled(this);
-        }
-    }
+  private boolean chunks;
 
-    private void dialFailed() {
-        if (dialling) {
-            close();
-        }
-    }
+  /** A long answer that is being passed on, and whether the connection may serve after it. */
+  private Passing passing;
 
-    void carry(Dispatch d) {
-        loop.cancel(deadline);
-        resting = false;
-        carried = writing = d;
-        d.on = this;
-        d.begun = loop.now();
-        Request request = d.request();
-        body = d.body();
-        chunks = request.more() == Decoder.CHUNKED;
-        in.bare(request.method().equals("HEAD"));
-        write(Encoder.request(request));
-    }
+  private boolean keep;
+  private boolean dialling;
+  private boolean resting;
+  private long restsSince, fitFrom;
+  private boolean broken, holding;
+  private Deadlines.Entry deadline;
+  int slot;
 
-    boolean isResting() {
-        return resting;
-    }
+  Upstream(Backend backend, AsynchronousSocketChannel channel, Dialler dialler) {
+    super(backend.loop, channel);
+    this.backend = backend;
+    this.dialler = dialler;
+    in = new ResponseDecoder(dialler.mostBody);
+    to = backend.address;
+    since = loop.now();
+  }
 
-    long restsSince() {
-        return restsSince;
-    }
+  Dispatch carried() {
+    return carried;
+  }
 
-    /** From when on it may carry a dispatch. */
-    long fitFrom() {
-        return fitFrom;
+  void dial(long timeout) {
+    dialling = true;
+    deadline = loop.after(timeout, this::dialFailed);
+    connect(to, this::dialled, this::dialFailed);
+  }
+
+  private void dialled() {
+    if (dialling && !isClosed()) {
+      dialling = false;
+      loop.cancel(deadline);
+      read(in.room());
+      backend.dialled(this);
     }
+  }
 
-    /** Whether it has rested so long that it should be closed by now, and its backend may have done so. */
-    boolean isOverdue() {
-        return dialler.idle > 0 && loop.now() - restsSince >= dialler.idle;
+  private void dialFailed() {
+    if (dialling) {
+      close();
     }
+  }
+
+  void carry(Dispatch d) {
+    loop.cancel(deadline);
+    resting = false;
+    carried = writing = d;
+    d.on = this;
+    d.begun = loop.now();
+    Request request = d.request();
+    body = d.body();
+    chunks = request.more() == Decoder.CHUNKED;
+    in.bare(request.method().equals("HEAD"));
+    write(Encoder.request(request));
+  }
+
+  boolean isResting() {
+    return resting;
+  }
 
-    /** Stands idle, for so long only to settle; closed well before the backend would do so. */
-    void rest(long settle) {
-        resting = true;
-        restsSince = loop.now();
-        fitFrom = restsSince + settle;
-        restOn();
+  long restsSince() {
+    return restsSince;
+  }
+
+  /** From when on it may carry a dispatch. */
+  long fitFrom() {
+    return fitFrom;
+  }
+
+  /**
+   * Whether it has rested so long that it should be closed by now, and its backend may have done
+   * so.
+   */
+  boolean isOverdue() {
+    return dialler.idle > 0 && loop.now() - restsSince >= dialler.idle;
+  }
+
+  /** Stands idle, for so long only to settle; closed well before the backend would do so. */
+  void rest(long settle) {
+    resting = true;
+    restsSince = loop.now();
+    fitFrom = restsSince + settle;
+    restOn();
+  }
+
+  /** Rests on, no longer than connections may rest now. */
+  void restOn() {
+    loop.cancel(deadline);
+    if (dialler.idle > 0) {
+      deadline = loop.after(restsSince + dialler.idle - loop.now(), this::close);
     }
+  }
 
-    /** Rests on, no longer than connections may rest now. */
-    void restOn() {
-        loop.cancel(deadline);
-        if (dialler.idle > 0) {
-            deadline = loop.after(restsSince + dialler.idle - loop.now(), this::close);
-        }
+  /** A further piece of a long body. */
+  void pass(ByteBuffer bytes, boolean last) {
+    if (last) {
+      body = null;
+    } else {
+      carried.waits(PAUSE);
     }
+    write(chunks ? Encoder.chunk(bytes, last) : bytes);
+  }
 
-    /** A further piece of a long body. */
-    void pass(ByteBuffer bytes, boolean last) {
-        if (last) {
-            body = null;
-        } else {
-            carried.waits(PAUSE);
-        }
-        write(chunks ? Encoder.chunk(bytes, last) : bytes);
+  @Override
+  protected void wrote(boolean whole) {
+    if (whole && writing != null && body == null) {
+      writing.written();
+      writing = null;
+    }
+    if (carried == null || passing != null) {
+      return;
+    }
+    if (broken || !whole) {
+      finish(whole && body == null ? Outcome.RESET : Outcome.NO_CONNECT);
+    } else if (body != null) {
+      body.pull(this);
     }
+  }
 
-    @Override
-    protected void wrote(boolean whole) {
-        if (whole && writing != null && body == null) {
-            writing.written();
-            writing = null;
-        }
-        if (carried == null || passing != null) {
-            return;
-        }
-        if (broken || !whole) {
-            finish(whole && body == null ? Outcome.RESET : Outcome.NO_CONNECT);
-        } else if (body != null) {
-            body.pull(this);
+  /**
+   * Cut-off backends: a break while the write is out says nothing yet of whether it was taken
+   * whole.
+   */
+  @Override
+  protected void came(int n) {
+    boolean ended = n == END && in.end();
+    if (passing != null) {
+      if (n < 0 && !ended) {
+        close();
+      } else {
+        passOn();
+      }
+      return;
+    }
+    if (n < 0 && !ended || carried == null) {
+      breakOff();
+      return;
+    }
+    try {
+      Response answer = in.next();
+      if (answer == null) {
+        if (in.isOpenEnded() && !holding) {
+          holding = true;
+          deadline = loop.after(carried.holds(), this::early);
         }
+        read(in.room());
+      } else if (answer.status() >= 200) {
+        answered(answer);
+      } else {
+        came(0);
+      }
+    } catch (BadMessage e) {
+      breakOff();
     }
+  }
 
-    /** Cut-off backends: a break while the write is out says nothing yet of whether it was taken whole. */
-    @Override
-    protected void came(int n) {
-        boolean ended = n == END && in.end();
-        if (passing != null) {
-            if (n < 0 && !ended) {
-                close();
-            } else {
-                passOn();
-            }
-            return;
-        }
-        if (n < 0 && !ended || carried == null) {
-            breakOff();
-            return;
-        }
-        try {
-            Response answer = in.next();
-            if (answer == null) {
-                if (in.isOpenEnded() && !holding) {
-                    holding = true;
-                    deadline = loop.after(carried.holds(), this::early);
-                }
-                read(in.room());
-            } else if (answer.status() >= 200) {
-                answered(answer);
-            } else {
-                came(0);
-            }
-        } catch (BadMessage e) {
-            breakOff();
-        }
+  /**
+   * An answer of unknown length comes slowly: it may be a long one, which is timed by its first
+   * bytes.
+   */
+  private void early() {
+    try {
+      if (holding && carried != null && in.isOpenEnded()) {
+        answered(in.early());
+      }
+    } catch (BadMessage e) {
+      breakOff();
     }
+  }
 
-    /** An answer of unknown length comes slowly: it may be a long one, which is timed by its first bytes. */
-    private void early() {
-        try {
-            if (holding && carried != null && in.isOpenEnded()) {
-                answered(in.early());
-            }
-        } catch (BadMessage e) {
-            breakOff();
-        }
+  private void answered(Response answer) {
+    holding = false;
+    loop.cancel(deadline);
+    keep = answer.keep() && !isWriting() && body == null;
+    Dispatch d = carried;
+    if (in.isPassing() && answer.status() == 200) {
+      carried = null;
+      passing = d.begin(answer);
+      if (passing == null) {
+        close();
+      } else {
+        stopBody();
+      }
+      return;
+    }
+    carried = null;
+    boolean free = keep && !in.isAmid();
+    if (free) {
+      read(in.room());
+      backend.free(this);
+    } else {
+      close();
     }
+    d.end(Wire.outcome(answer), answer);
+  }
 
-    private void answered(Response answer) {
-        holding = false;
-        loop.cancel(deadline);
-        keep = answer.keep() && !isWriting() && body == null;
-        Dispatch d = carried;
-        if (in.isPassing() && answer.status() == 200) {
-            carried = null;
-            passing = d.begin(answer);
-            if (passing == null) {
-                close();
-            } else {
-                stopBody();
-            }
-            return;
-        }
-        carried = null;
-        boolean free = keep && !in.isAmid();
-        if (free) {
-            read(in.room());
-            backend.free(this);
+  /** The client has taken what came before of a long answer. */
+  void passOn() {
+    if (isReading() || isClosed()) {
+      return; // what is being read comes first
+    }
+    try {
+      ByteBuffer piece = in.piece();
+      boolean last = !in.isPassing();
+      loop.cancel(deadline);
+      if (!piece.hasRemaining() && !last) {
+        deadline = loop.after(PAUSE, this::close);
+        read(in.room());
+        return;
+      }
+      Passing to = passing;
+      if (last) {
+        passing = null;
+        if (keep && !in.isAmid()) {
+          read(in.room());
+          backend.free(this);
         } else {
-            close();
+          close();
         }
-        d.end(Wire.outcome(answer), answer);
+      }
+      to.piece(piece, last);
+    } catch (BadMessage e) {
+      close();
     }
+  }
 
-    /** The client has taken what came before of a long answer. */
-    void passOn() {
-        if (isReading() || isClosed()) {
-            return;                                 // what is being read comes first
-        }
-        try {
-            ByteBuffer piece = in.piece();
-            boolean last = !in.isPassing();
-            loop.cancel(deadline);
-            if (!piece.hasRemaining() && !last) {
-                deadline = loop.after(PAUSE, this::close);
-                read(in.room());
-                return;
-            }
-            Passing to = passing;
-            if (last) {
-                passing = null;
-                if (keep && !in.isAmid()) {
-                    read(in.room());
-                    backend.free(this);
-                } else {
-                    close();
-                }
-            }
-            to.piece(piece, last);
-        } catch (BadMessage e) {
-            close();
-        }
+  private void breakOff() {
+    if (carried != null && isWriting()) {
+      broken = true;
+      close();
+    } else {
+      finish(body != null ? Outcome.NO_CONNECT : Outcome.RESET);
     }
+  }
 
-    private void breakOff() {
-        if (carried != null && isWriting()) {
-            broken = true;
-            close();
-        } else {
-            finish(body != null ? Outcome.NO_CONNECT : Outcome.RESET);
-        }
+  private void finish(Outcome how) {
+    Dispatch d = carried;
+    carried = null;
+    close();
+    if (d != null) {
+      d.end(how, null);
     }
+  }
 
-    private void finish(Outcome how) {
-        Dispatch d = carried;
-        carried = null;
-        close();
-        if (d != null) {
-            d.end(how, null);
-        }
+  private void stopBody() {
+    if (body != null) {
+      body.stop(this);
+      body = null;
     }
+  }
 
-    private void stopBody() {
-        if (body != null) {
-            body.stop(this);
-            body = null;
-        }
+  @Override
+  public void close() {
+    if (isClosed()) {
+      return;
     }
-
-    @Override
-    public void close() {
-        if (isClosed()) {
-            return;
-        }
-        super.close();
-        loop.cancel(deadline);
-        dialler.closed(this);
-        backend.closed(this);
-        if (body != null) {
-            body.stop(this);
-        }
-        if (passing != null) {
-            passing.broken();
-        }
-        if (dialling) {
-            dialling = false;
-            backend.dialFailed(this);
-        }
+    super.close();
+    loop.cancel(deadline);
+    dialler.closed(this);
+    backend.closed(this);
+    if (body != null) {
+      body.stop(this);
+    }
+    if (passing != null) {
+      passing.broken();
+    }
+    if (dialling) {
+      dialling = false;
+      backend.dialFailed(this);
     }
+  }
 }
--- a/proxy/src/test/java/wheattrack/AdminTest.java
+++ b/proxy/src/test/java/wheattrack/AdminTest.java
@@ -17,99 +17,113 @@
 import wheattrack.core.Counts;
 import wheattrack.net.Server;
 
-/** Where operators call: each answer, the figures against what clients saw, and callers that hold on. */
+/**
+ * Where operators call: each answer, the figures against what clients saw, and callers that hold
+ * on.
+ */
 class AdminTest extends Rig {
-    private void serveWithAdmin(int backends) throws Exception {
-        String[] entries = new String[backends];
-        for (int i = 0; i < backends; i++) {
-            entries[i] = ready("s" + i);
-        }
-        news.add(told(1, true, entries));
-        serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
+  private void serveWithAdmin(int backends) throws Exception {
+    String[] entries = new String[backends];
+    for (int i = 0; i < backends; i++) {
+      entries[i] = ready("s" + i);
     }
+    news.add(told(1, true, entries));
+    serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
+  }
 
-    private String ask(String text) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
-            socket.setSoTimeout(1000);
-            return call(socket, text);
-        }
+  private String ask(String text) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
+      socket.setSoTimeout(1000);
+      return call(socket, text);
     }
+  }
 
-    private String figures() throws IOException {
-        return ask("GET /status/metrics HTTP/1.1\r\n\r\n");
-    }
+  private String figures() throws IOException {
+    return ask("GET /status/metrics HTTP/1.1\r\n\r\n");
+  }
 
-    @Test
-    void calls() throws Exception {
-        serveWithAdmin(1);
-        for (String in : new String[] {"GET /status HTTP/1.1\r\n\r\n", "GET /status?x=1 HTTP/1.0\r\n\r\n",
-            "GET /ready HTTP/1.1\r\n\r\n", "PUT /status HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
-            "\u0001\r\n\r\n", "GET /status HTTP/1.1\r\nA: " + "1".repeat(20_000) + "\r\n\r\n"}) {
-            w.say(in.substring(0, Math.min(30, in.length())).replaceAll("[^ -~]+", "|") + " -> " + ask(in));
-        }
-        w.matches("admin-calls");
+  @Test
+  void calls() throws Exception {
+    serveWithAdmin(1);
+    for (String in :
+        new String[] {
+          "GET /status HTTP/1.1\r\n\r\n",
+          "GET /status?x=1 HTTP/1.0\r\n\r\n",
+          "GET /ready HTTP/1.1\r\n\r\n",
+          "PUT /status HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+          "\u0001\r\n\r\n",
+          "GET /status HTTP/1.1\r\nA: " + "1".repeat(20_000) + "\r\n\r\n"
+        }) {
+      w.say(
+          in.substring(0, Math.min(30, in.length())).replaceAll("[^ -~]+", "|") + " -> " + ask(in));
     }
+    w.matches("admin-calls");
+  }
 
-    /** Every ending of a req is counted once, under its rule set; dispatches are those written whole. */
-    @Test
-    void figuresAreWhatHappened() throws Exception {
-        serveWithAdmin(4);
-        for (String acts : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
-            script.addAll(List.of(acts.split(" ")));
-            call(request("buy"));
-        }
-        script.add("500");
-        call(request("pay"));
-        script.add("404");
-        call(request("mark"));
-        script.addAll(List.of("slow", "ok"));
-        try (Socket socket = connect()) {
-            send(socket, request("buy"));
-            Thread.sleep(100);
-            w.say("one out: " + figures().replace("\n", ", "));
-            answer(socket);
-        }
-        String end = figures();
-        w.say("none out: " + end.replace("\n", ", "));
-        assertTrue(end.contains("proxy.attempts:" + came.get() + "|c"), came.get() + " against " + end);
-        w.matches("admin-figures");
+  /**
+   * Every ending of a req is counted once, under its rule set; dispatches are those written whole.
+   */
+  @Test
+  void figuresAreWhatHappened() throws Exception {
+    serveWithAdmin(4);
+    for (String acts : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
+      script.addAll(List.of(acts.split(" ")));
+      call(request("buy"));
     }
-
-    /** Holders of places, more than there are, keep nobody's answer waiting; clients' crowds neither. */
-    @Test
-    void holders() throws Exception {
-        serveWithAdmin(1);
-        List<Socket> held = new ArrayList<>();
-        for (int i = 0; i < 3 * Admin.PLACES; i++) {
-            Socket socket = new Socket("127.0.0.1", server.adminPort());
-            send(socket, "GET /status HT");
-            held.add(socket);
-            assertEquals("200 SERVING close", ask("GET /status HTTP/1.1\r\n\r\n"));
-        }
-        for (Socket socket : held) {
-            socket.close();
-        }
+    script.add("500");
+    call(request("pay"));
+    script.add("404");
+    call(request("mark"));
+    script.addAll(List.of("slow", "ok"));
+    try (Socket socket = connect()) {
+      send(socket, request("buy"));
+      Thread.sleep(100);
+      w.say("one out: " + figures().replace("\n", ", "));
+      answer(socket);
     }
+    String end = figures();
+    w.say("none out: " + end.replace("\n", ", "));
+    assertTrue(end.contains("proxy.attempts:" + came.get() + "|c"), came.get() + " against " + end);
+    w.matches("admin-figures");
+  }
 
-    @Test
-    void namesAndBounds() {
-        Counts counts = new Counts();
-        counts.ended("a b:c|d\n", Counts.End.DONE);
-        for (int i = 0; i < 1000; i++) {
-            counts.ended("n" + i, Counts.End.DENIED);
-        }
-        String text = new Figures(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
-        assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
-        assertTrue(counts.ends().size() <= 257, "names kept: " + counts.ends().size());
-        assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
+  /**
+   * Holders of places, more than there are, keep nobody's answer waiting; clients' crowds neither.
+   */
+  @Test
+  void holders() throws Exception {
+    serveWithAdmin(1);
+    List<Socket> held = new ArrayList<>();
+    for (int i = 0; i < 3 * Admin.PLACES; i++) {
+      Socket socket = new Socket("127.0.0.1", server.adminPort());
+      send(socket, "GET /status HT");
+      held.add(socket);
+      assertEquals("200 SERVING close", ask("GET /status HTTP/1.1\r\n\r\n"));
     }
+    for (Socket socket : held) {
+      socket.close();
+    }
+  }
 
-    @Test
-    void addressInUse() throws Exception {
-        serveWithAdmin(1);
-        String again = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
-        BadConfig fault = assertThrows(BadConfig.class,
-            () -> new Server(new Config(Json.object(again))));
-        assertTrue(fault.getMessage().startsWith("admin: "), fault.getMessage());
+  @Test
+  void namesAndBounds() {
+    Counts counts = new Counts();
+    counts.ended("a b:c|d\n", Counts.End.DONE);
+    for (int i = 0; i < 1000; i++) {
+      counts.ended("n" + i, Counts.End.DENIED);
     }
+    String text = new Figures(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
+    assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
+    assertTrue(counts.ends().size() <= 257, "names kept: " + counts.ends().size());
+    assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
+  }
+
+  @Test
+  void addressInUse() throws Exception {
+    serveWithAdmin(1);
+    String again = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
+    BadConfig fault =
+        assertThrows(BadConfig.class, () -> new Server(new Config(Json.object(again))));
+    assertTrue(fault.getMessage().startsWith("admin: "), fault.getMessage());
+  }
 }
--- a/proxy/src/test/java/wheattrack/CoreTest.java
+++ b/proxy/src/test/java/wheattrack/CoreTest.java
@@ -23,149 +23,199 @@
 
 /** The parts without I/O, and the configuration. */
 class CoreTest {
-    private static final class Srv extends Fleet.Srv<String> {
-        boolean busy;
+  private static final class Srv extends Fleet.Srv<String> {
+    boolean busy;
 
-        Srv(String id, int at) {
-            super(id, at);
-        }
+    Srv(String id, int at) {
+      super(id, at);
+    }
 
-        @Override
-        protected boolean isBusy() {
-            return busy;
-        }
+    @Override
+    protected boolean isBusy() {
+      return busy;
     }
+  }
 
-    @Test
-    void deadlines() throws IOException {
-        World w = new World();
-        Deadlines d = new Deadlines();
-        List<Deadlines.Entry> all = new ArrayList<>();
-        for (int i = 0; i < 200; i++) {
-            int at = i * 37 % 50;
-            String name = at + "." + i;
-            all.add(d.add(at, () -> w.say(name)));
-        }
-        for (int i = 0; i < 200; i++) {
-            if (i % 9 != 0) {
-                d.cancel(all.get(i));
-                d.cancel(all.get(i));
-            }
-        }
-        d.cancel(null);
-        for (int now = 0; d.size() > 0; now += 10) {
-            w.say("by " + now + ", first " + d.first());
-            for (Runnable due = d.due(now); due != null; due = d.due(now)) {
-                due.run();
-            }
-        }
-        w.matches("deadlines");
+  @Test
+  void deadlines() throws IOException {
+    World w = new World();
+    Deadlines d = new Deadlines();
+    List<Deadlines.Entry> all = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      int at = i * 37 % 50;
+      String name = at + "." + i;
+      all.add(d.add(at, () -> w.say(name)));
+    }
+    for (int i = 0; i < 200; i++) {
+      if (i % 9 != 0) {
+        d.cancel(all.get(i));
+        d.cancel(all.get(i));
+      }
     }
+    d.cancel(null);
+    for (int now = 0; d.size() > 0; now += 10) {
+      w.say("by " + now + ", first " + d.first());
+      for (Runnable due = d.due(now); due != null; due = d.due(now)) {
+        due.run();
+      }
+    }
+    w.matches("deadlines");
+  }
 
-    @Test
-    void tables() throws IOException {
-        World w = new World();
-        Slots<String> slots = new Slots<>();
-        w.say("slots " + slots.add("a") + slots.add("b") + slots.add("c"));
-        slots.remove(1);
-        slots.remove(1);
-        slots.remove(7);
-        w.say(slots.size() + " left " + slots.all() + ", 1 is " + slots.get(1) + ", next " + slots.add("d")
+  @Test
+  void tables() throws IOException {
+    World w = new World();
+    Slots<String> slots = new Slots<>();
+    w.say("slots " + slots.add("a") + slots.add("b") + slots.add("c"));
+    slots.remove(1);
+    slots.remove(1);
+    slots.remove(7);
+    w.say(
+        slots.size()
+            + " left "
+            + slots.all()
+            + ", 1 is "
+            + slots.get(1)
+            + ", next "
+            + slots.add("d")
             + slots.add("e"));
-        Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
-        for (String id : List.of("x", "y", "z")) {
-            Srv srv = fleet.admit(id);
-            w.say(id + " at " + srv.at + (fleet.met(srv) ? " fresh" : " known"));
-        }
-        w.say("x again " + (fleet.met(fleet.admit("x")) ? "fresh" : "known"));
-        fleet.find("x").busy = true;
-        for (Srv srv : fleet.missing(Set.of("z"))) {
-            w.say(srv.id + " missing " + fleet.left(srv) + fleet.left(srv));
-        }
-        w.say("new ones at " + fleet.admit("v").at + " and " + fleet.admit("w").at);
-        w.say("y " + fleet.find("y") + ", x still at " + fleet.find("x").at + ", none left "
-            + fleet.left(null));
-        w.matches("tables");
+    Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
+    for (String id : List.of("x", "y", "z")) {
+      Srv srv = fleet.admit(id);
+      w.say(id + " at " + srv.at + (fleet.met(srv) ? " fresh" : " known"));
     }
+    w.say("x again " + (fleet.met(fleet.admit("x")) ? "fresh" : "known"));
+    fleet.find("x").busy = true;
+    for (Srv srv : fleet.missing(Set.of("z"))) {
+      w.say(srv.id + " missing " + fleet.left(srv) + fleet.left(srv));
+    }
+    w.say("new ones at " + fleet.admit("v").at + " and " + fleet.admit("w").at);
+    w.say(
+        "y "
+            + fleet.find("y")
+            + ", x still at "
+            + fleet.find("x").at
+            + ", none left "
+            + fleet.left(null));
+    w.matches("tables");
+  }
 
-    /** A fleet replaced again and again: 60 ids at a time, two of them busy for long, take few places. */
-    @Test
-    void replacedFleetTakesNoMorePlaces() {
-        Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
-        int most = 0;
-        for (int round = 0; round < 500; round++) {
-            Set<String> named = new HashSet<>();
-            for (int i = 0; i < 60; i++) {
-                Srv srv = fleet.admit("s" + round + "-" + i);
-                fleet.met(srv);
-                srv.busy = i == round % 60;
-                named.add(srv.id);
-                most = Math.max(most, srv.at);
-            }
-            fleet.missing(named).forEach(fleet::left);
-            if (round > 1) {
-                int old = round - 2;
-                fleet.find("s" + old + "-" + old % 60).busy = false;
-            }
-        }
-        assertTrue(most <= 122, most + " places");
-        assertNull(fleet.find("s0-0"));
+  /**
+   * A fleet replaced again and again: 60 ids at a time, two of them busy for long, take few places.
+   */
+  @Test
+  void replacedFleetTakesNoMorePlaces() {
+    Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
+    int most = 0;
+    for (int round = 0; round < 500; round++) {
+      Set<String> named = new HashSet<>();
+      for (int i = 0; i < 60; i++) {
+        Srv srv = fleet.admit("s" + round + "-" + i);
+        fleet.met(srv);
+        srv.busy = i == round % 60;
+        named.add(srv.id);
+        most = Math.max(most, srv.at);
+      }
+      fleet.missing(named).forEach(fleet::left);
+      if (round > 1) {
+        int old = round - 2;
+        fleet.find("s" + old + "-" + old % 60).busy = false;
+      }
     }
+    assertTrue(most <= 122, most + " places");
+    assertNull(fleet.find("s0-0"));
+  }
 
-    @Test
-    void phases() throws IOException {
-        World w = new World();
-        Life life = new Life(phase -> w.say("enters " + phase));
-        for (Phase phase : new Phase[] {Phase.WARMING, Phase.SERVING, Phase.WARMING, Phase.DRAINING,
-            Phase.SERVING, Phase.CLOSING, Phase.ENDED}) {
-            w.say(phase + " " + life.enter(phase) + (life.isReady() ? " ready" : "")
-                + (life.isLeaving() ? " leaving" : ""));
-        }
-        w.matches("phases");
+  @Test
+  void phases() throws IOException {
+    World w = new World();
+    Life life = new Life(phase -> w.say("enters " + phase));
+    for (Phase phase :
+        new Phase[] {
+          Phase.WARMING,
+          Phase.SERVING,
+          Phase.WARMING,
+          Phase.DRAINING,
+          Phase.SERVING,
+          Phase.CLOSING,
+          Phase.ENDED
+        }) {
+      w.say(
+          phase
+              + " "
+              + life.enter(phase)
+              + (life.isReady() ? " ready" : "")
+              + (life.isLeaving() ? " leaving" : ""));
     }
+    w.matches("phases");
+  }
 
-    /** A wrong value ends the start with one line that names its key. */
-    @Test
-    void namesTheFaultyKey() throws IOException {
-        World w = new World();
-        String good = "'listen':'127.0.0.1:8000','discovery':'[::1]:8500',"
+  /** A wrong value ends the start with one line that names its key. */
+  @Test
+  void namesTheFaultyKey() throws IOException {
+    World w = new World();
+    String good =
+        "'listen':'127.0.0.1:8000','discovery':'[::1]:8500',"
             + "'settings':{'ruleSets':[{'name':'buy','clientTimeout':1200000,'effect':'read_like'}]}";
-        for (String in : new String[] {good, "", good.replace("127.0.0.1:8000", "localhost:80"),
-            good.replace(":8000", ":80000"), good.replace(":8000", ""), good.replace("'[::1]:8500'", "7"),
-            good + ",'seed':'xyz'", good + ",'limits':{'sockets':'many'}", good + ",'limits':{'sockets':12}",
-            good + ",'limits':7", good + ",'known':[]", good.replace("1200000", "'soon'"),
-            good.replaceAll("\\[\\{.*\\]", "[3]"), good.replace("'ruleSets'", "'sets'"),
-            good.replace("1200000", "-1"), good.replace("1200000", "50"),
-            good.replace("read_like", "red_like"),
-            good.replace("'name'", "'nom'"), good.replace("'ruleSets'", "'zone':1,'ruleSets'"),
-            good.replace("'ruleSets'", "'me':2,'balancers':2,'ruleSets'"), good + ",'drain_ms':-1",
-            good.replaceAll("\\[(\\{.*)\\]", "[$1,$1]"),
-            good.replace("'ruleSets'", "'limits':{'maxDispatches':0},'ruleSets'")}) {
-            try {
-                Map<String, Object> all = Json.object(("{" + in + "}").replace('\'', '"'));
-                Config c = new Config(all);
-                w.say("good: " + c.listen + " " + c.discovery + " " + c.sockets);
-            } catch (BadConfig e) {
-                w.say(e.getMessage());
-            }
-        }
-        try {
-            Config.read(java.nio.file.Path.of("no-such-file.json"));
-        } catch (BadConfig e) {
-            w.say(e.getMessage());
-        }
-        w.matches("config");
+    for (String in :
+        new String[] {
+          good,
+          "",
+          good.replace("127.0.0.1:8000", "localhost:80"),
+          good.replace(":8000", ":80000"),
+          good.replace(":8000", ""),
+          good.replace("'[::1]:8500'", "7"),
+          good + ",'seed':'xyz'",
+          good + ",'limits':{'sockets':'many'}",
+          good + ",'limits':{'sockets':12}",
+          good + ",'limits':7",
+          good + ",'known':[]",
+          good.replace("1200000", "'soon'"),
+          good.replaceAll("\\[\\{.*\\]", "[3]"),
+          good.replace("'ruleSets'", "'sets'"),
+          good.replace("1200000", "-1"),
+          good.replace("1200000", "50"),
+          good.replace("read_like", "red_like"),
+          good.replace("'name'", "'nom'"),
+          good.replace("'ruleSets'", "'zone':1,'ruleSets'"),
+          good.replace("'ruleSets'", "'me':2,'balancers':2,'ruleSets'"),
+          good + ",'drain_ms':-1",
+          good.replaceAll("\\[(\\{.*)\\]", "[$1,$1]"),
+          good.replace("'ruleSets'", "'limits':{'maxDispatches':0},'ruleSets'")
+        }) {
+      try {
+        Map<String, Object> all = Json.object(("{" + in + "}").replace('\'', '"'));
+        Config c = new Config(all);
+        w.say("good: " + c.listen + " " + c.discovery + " " + c.sockets);
+      } catch (BadConfig e) {
+        w.say(e.getMessage());
+      }
     }
+    try {
+      Config.read(java.nio.file.Path.of("no-such-file.json"));
+    } catch (BadConfig e) {
+      w.say(e.getMessage());
+    }
+    w.matches("config");
+  }
 
-    /** Slow restarts: the build rehearses a start with the example's file, wherever its port is taken. */
-    @Test
-    void rehearsal() throws IOException {
-        World w = new World();
-        Path file = Files.createTempFile("wheattrack", ".json");
-        Files.writeString(file, "{\"listen\":\"10.0.0.4:8000\",\"discovery\":\"10.2.0.1:8500\",\"settings\":"
+  /**
+   * Slow restarts: the build rehearses a start with the example's file, wherever its port is taken.
+   */
+  @Test
+  void rehearsal() throws IOException {
+    World w = new World();
+    Path file = Files.createTempFile("wheattrack", ".json");
+    Files.writeString(
+        file,
+        "{\"listen\":\"10.0.0.4:8000\",\"discovery\":\"10.2.0.1:8500\",\"settings\":"
             + "{\"ruleSets\":[{\"name\":\"buy\",\"effect\":\"read_like\",\"clientTimeout\":1000}]}}");
-        w.say("served at " + Config.read(file).listen + ", rehearsed at " + Config.rehearsal(file, 9).listen);
-        Files.delete(file);
-        w.matches("rehearsal");
-    }
+    w.say(
+        "served at "
+            + Config.read(file).listen
+            + ", rehearsed at "
+            + Config.rehearsal(file, 9).listen);
+    Files.delete(file);
+    w.matches("rehearsal");
+  }
 }
--- a/proxy/src/test/java/wheattrack/net/WireTest.java
+++ b/proxy/src/test/java/wheattrack/net/WireTest.java
@@ -9,36 +9,56 @@
 import wheattrack.port.RuleSet;
 
 class WireTest {
-    /** Figures of clients, in tenths of a millisecond; one too large once wrapped round to another. */
-    @Test
-    void figures() {
-        RuleSet set = new RuleSet(0, 5000, 12_000, RuleSet.Effect.REPLAYABLE, RuleSet.Group.ALL, 0, 1, 0,
-            false);
-        StringBuilder trace = new StringBuilder();
-        for (String text : new String[] {"0", "1", "0.48", "1.", "99999999999999999999",
-            "18446744073709551617", "1e3", "-1", ".5", "", "123456789012345678901"}) {
-            Headers headers = new Headers().with("Request-Id", "7").with("Request-Timeout", text)
-                .with("Work-Hint", text);
-            try {
-                Wire.Call call = Wire.call(new Request("GET", "/buy/7?x", headers, true, new byte[0]),
-                    Map.of("buy", set));
-                trace.append(text + ": timeout " + call.timeout() + ", cost " + call.cost() + "\n");
-            } catch (Wire.Unfit e) {
-                trace.append(text + ": " + e.status + " " + e.getMessage() + "\n");
-            }
-        }
-        assertEquals("""
-            0: timeout 0, cost 0
-            1: timeout 10000, cost 1
-            0.48: timeout 4800, cost 0
-            1.: timeout 10000, cost 1
-            99999999999999999999: timeout 12000, cost 536870911
-            18446744073709551617: timeout 12000, cost 536870911
-            1e3: 400 bad Request-Timeout
-            -1: 400 bad Request-Timeout
-            .5: 400 bad Request-Timeout
-            : 400 bad Request-Timeout
-            123456789012345678901: 400 bad Request-Timeout
-            """, trace.toString());
+  /**
+   * Figures of clients, in tenths of a millisecond; one too large once wrapped round to another.
+   */
+  @Test
+  void figures() {
+    RuleSet set =
+        new RuleSet(0, 5000, 12_000, RuleSet.Effect.REPLAYABLE, RuleSet.Group.ALL, 0, 1, 0, false);
+    StringBuilder trace = new StringBuilder();
+    for (String text :
+        new String[] {
+          "0",
+          "1",
+          "0.48",
+          "1.",
+          "99999999999999999999",
+          "18446744073709551617",
+          "1e3",
+          "-1",
+          ".5",
+          "",
+          "123456789012345678901"
+        }) {
+      Headers headers =
+          new Headers()
+              .with("Request-Id", "7")
+              .with("Request-Timeout", text)
+              .with("Work-Hint", text);
+      try {
+        Wire.Call call =
+            Wire.call(
+                new Request("GET", "/buy/7?x", headers, true, new byte[0]), Map.of("buy", set));
+        trace.append(text + ": timeout " + call.timeout() + ", cost " + call.cost() + "\n");
+      } catch (Wire.Unfit e) {
+        trace.append(text + ": " + e.status + " " + e.getMessage() + "\n");
+      }
     }
+    assertEquals(
+        """
+        0: timeout 0, cost 0
+        1: timeout 10000, cost 1
+        0.48: timeout 4800, cost 0
+        1.: timeout 10000, cost 1
+        99999999999999999999: timeout 12000, cost 536870911
+        18446744073709551617: timeout 12000, cost 536870911
+        1e3: 400 bad Request-Timeout
+        -1: 400 bad Request-Timeout
+        .5: 400 bad Request-Timeout
+        : 400 bad Request-Timeout
+        123456789012345678901: 400 bad Request-Timeout
+        """,
+        trace.toString());
+  }
 }
