--- /dev/null
+++ b/decisions/src/main/java/wheattrack/api/AttemptCallback.java
@@ -0,0 +1,14 @@
+package wheattrack.api;
+
+/** Receives the outcome of one attempt, exactly once. */
+@FunctionalInterface
+public interface AttemptCallback {
+  /**
+   * The attempt has ended.
+   *
+   * @param outcome how it ended
+   * @param latency time from sending to the end, in tenths of a millisecond
+   * @param requestEnded whether the request got its final answer with this outcome or before it
+   */
+  void ended(AttemptOutcome outcome, long latency, boolean requestEnded);
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/api/EndpointUpdate.java
@@ -0,0 +1,25 @@
+package wheattrack.api;
+
+/**
+ * What the endpoint list says of one backend.
+ *
+ * @param index its dense index, kept for as long as it is listed
+ * @param id its identity; backends are ordered by it
+ * @param ready whether it takes new requests, that is, does not drain
+ * @param zone its zone
+ * @param cell its cell: backends that share one memory of idempotency keys
+ * @param kind its hardware or build kind; backends of one kind are taken to be equally fast
+ * @param weight its advertised capacity; values outside (0, 1e9) count as 1
+ * @param startedAt when it started, in tenths of a millisecond
+ * @param newlyListed whether it was not on the list before
+ */
+public record EndpointUpdate(
+    int index,
+    long id,
+    boolean ready,
+    int zone,
+    int cell,
+    int kind,
+    double weight,
+    long startedAt,
+    boolean newlyListed) {}
--- a/decisions/src/main/java/wheattrack/Rules.java
+++ b/decisions/src/main/java/wheattrack/policy/LoadBalancer.java
@@ -1,5 +1,6 @@
-package wheattrack;
+package wheattrack.policy;
 
+import wheattrack.api.RequestHandle;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -8,15 +9,19 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
-import wheattrack.figures.Chance;
-import wheattrack.figures.Fit;
-import wheattrack.figures.Tally;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet;
-import wheattrack.port.RuleSet.Effect;
-import wheattrack.port.RuleSet.Group;
+import wheattrack.statistics.SeededRandom;
+import wheattrack.statistics.DecayingLinearRegression;
+import wheattrack.statistics.LatenessCounters;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyEvent.Kind;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.PolicySettings;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.RequestClass;
+import wheattrack.api.Idempotency;
+import wheattrack.api.DeduplicationScope;
 
 /*
  * All decisions of one proxy. How to call: construct, hand each part its settings (limits, zones, cold,
@@ -24,11 +29,11 @@
  * arrive takes a req and returns what the port tells of it later. Called out through: wheattrack.port.Port.
  * Times are tenths of a millisecond, backends dense indexes. The ordinary path is EQUILOAD: docs/design.md.
  */
-public final class Rules {
+public final class LoadBalancer {
     private static final int HINTS = 2000;          // the design's window
     private static final int LEAST = 2, ASKED = 2;  // srvs met, connections priced; asked before a send
     private static final int TRAFFIC = 20, KINDS = 64;     // seconds of own traffic that tell a part; kinds
-    public static final int MOST = 1024;            // backends known at once
+    public static final int MAX_BACKENDS = 1024;    // backends known at once
     private static final long SECOND = 10_000, RECUT = SECOND;     // recompute period
     private static final double KEEP = 0.8, SLOWLY = 0.95;  // of learnt sums a second; of a kind's
     private static final double DEAR = 3;           // a crossing pays from this many times its price on
@@ -48,9 +53,9 @@
     private static final double ATONCE = 0.25;      // of a cold srv's bound: what may come at once
     private static final double FLOOR = 0.02;       // share kept by an ailing srv, its way back
 
-    private final Port port;
+    private final PolicyRuntime port;
     private final int me, balancers;
-    private final Chance chance;
+    private final SeededRandom chance;
     private int maxDispatches = 1, zone, asks;
     private boolean mayCancel, mayDuplicate, following, began;  // began: to get hints after reqs without
     private boolean reports, replayables;           // srvs tell their load; a rule set may run again
@@ -61,20 +66,20 @@
 
     // Backends, under their dense index.
     private int slots;
-    private long[] id = new long[MOST], upSince = new long[MOST];
-    private boolean[] ready = new boolean[MOST], shut = new boolean[MOST];
-    private int[] zoneOf = new int[MOST], packOf = new int[MOST], out = new int[MOST], kind = new int[MOST];
-    private double[] share = new double[MOST], weight = new double[MOST], tries = new double[MOST];
-    private double[] fails = new double[MOST], room = new double[MOST]; // room: as its full answers teach
+    private long[] id = new long[MAX_BACKENDS], upSince = new long[MAX_BACKENDS];
+    private boolean[] ready = new boolean[MAX_BACKENDS], shut = new boolean[MAX_BACKENDS];
+    private int[] zoneOf = new int[MAX_BACKENDS], packOf = new int[MAX_BACKENDS], out = new int[MAX_BACKENDS], kind = new int[MAX_BACKENDS];
+    private double[] share = new double[MAX_BACKENDS], weight = new double[MAX_BACKENDS], tries = new double[MAX_BACKENDS];
+    private double[] fails = new double[MAX_BACKENDS], room = new double[MAX_BACKENDS]; // room: as its full answers teach
     // Cost out, done, called off or timed out and maybe running on; of a cold srv's budget spent, leaking.
-    private double[] outCost = new double[MOST], costSum = new double[MOST];
-    private double[] ghost = new double[MOST], spent = new double[MOST];
+    private double[] outCost = new double[MAX_BACKENDS], costSum = new double[MAX_BACKENDS];
+    private double[] ghost = new double[MAX_BACKENDS], spent = new double[MAX_BACKENDS];
     // Time with something out there: decaying, since its last answer; mean wait over the last second.
-    private double[] busy = new double[MOST], silence = new double[MOST], stand = new double[MOST];
-    private long[] busyFrom = new long[MOST], spentAt = new long[MOST];
-    private long[] trialAt = new long[MOST], trialGap = new long[MOST];
-    private double[] held = new double[MOST];       // reqs there by its last report, and ours since
-    private long[] heardAt = new long[MOST], restAt = new long[MOST];   // of that; of our last outcome, or 0
+    private double[] busy = new double[MAX_BACKENDS], silence = new double[MAX_BACKENDS], stand = new double[MAX_BACKENDS];
+    private long[] busyFrom = new long[MAX_BACKENDS], spentAt = new long[MAX_BACKENDS];
+    private long[] trialAt = new long[MAX_BACKENDS], trialGap = new long[MAX_BACKENDS];
+    private double[] held = new double[MAX_BACKENDS];       // reqs there by its last report, and ours since
+    private long[] heardAt = new long[MAX_BACKENDS], restAt = new long[MAX_BACKENDS];   // of that; of our last outcome, or 0
     private final double[] wide = new double[KINDS];    // reqs that a srv of a kind works on at once
 
     // The cut: sorted hints, their running sum, and the order of ready srvs with the running sum of shares.
@@ -96,61 +101,46 @@
     private String why = "";
     private double trust = 0.5, scale = 1, flat;    // cost: flat + scale x hint to the power of trust
     private double refuse;                          // the part of reqs denied as too many sent ones are late
-    private final Fit fit = new Fit(HINTS);
-    private final Tally late = new Tally();
-    private final Set<Course> open = new LinkedHashSet<>();     // open reqs, oldest first
+    private final DecayingLinearRegression fit = new DecayingLinearRegression(HINTS);
+    private final LatenessCounters late = new LatenessCounters();
+    private final Set<SimulatedHistory> open = new LinkedHashSet<>();     // open reqs, oldest first
 
-    public Rules(Port port, long seed, int me, int balancers, RuleSet[] sets) {
+    public LoadBalancer(PolicyRuntime port, long seed, int me, int balancers, RequestClass[] sets) {
         this.port = port;
         this.me = me;
         this.balancers = Math.max(1, balancers);
-        chance = new Chance(seed);
+        chance = new SeededRandom(seed);
         Arrays.fill(speed, 1);
-        targets(sets);
-    }
-
-    public void targets(RuleSet[] sets) {
-        shortest = Arrays.stream(sets).mapToLong(RuleSet::target).min().orElse(SECOND);
-        replayables = Arrays.stream(sets).anyMatch(set -> set.effect() == Effect.REPLAYABLE);
-    }
-
-    public void limits(int most, boolean cancels, boolean duplicates, long longestWait) {
-        maxDispatches = most;
-        mayCancel = cancels;
-        mayDuplicate = duplicates;
-        maxWait = longestWait;
-    }
-
-    public void zones(int own, double price) {
-        zone = own;
-        crossPrice = price;
-        abroad = 1 / (1 + 100 * price);
-    }
-
-    public void cold(double least, long warmAfter, double multiple, long fallAfter) {
-        startCapacity = least;
-        cold = warmAfter;
-        fallMultiple = multiple;
-        fall = fallAfter;
-    }
-
-    /** Srvs report the load they hold; asked: only to who asks. */
-    public void reports(boolean come, boolean asked) {
-        trust = come && !reports ? FULLY : trust;
-        reports = come;
-        asks = come && asked ? ASKED : 0;
-    }
-
-    /** All proxies' reqs a second within the shares, and what connections cost. */
-    public void traffic(double all, double connection, double handshake) {
-        quota = all;
-        traffic = seconds > 1 ? traffic : all / balancers;      // new settings unlearn nothing
-        rest = connection > 0 ? 100 * SECOND * handshake / connection : 0;  // priced by 100 a srv
+        configure(PolicySettings.DEFAULTS, sets);
+    }
+
+    /** Takes all settings into use; what was learnt is kept. */
+    public void configure(PolicySettings settings, RequestClass[] sets) {
+        shortest = Arrays.stream(sets).mapToLong(RequestClass::latencyObjective).min().orElse(SECOND);
+        replayables = Arrays.stream(sets).anyMatch(set -> set.idempotency() == Idempotency.IDEMPOTENT);
+        maxDispatches = settings.attempts().maxAttempts();
+        mayCancel = settings.attempts().mayCancel();
+        mayDuplicate = settings.attempts().mayHedge();
+        maxWait = settings.attempts().maxRetryAfter();
+        zone = settings.zones().own();
+        crossPrice = settings.zones().crossingPrice();
+        abroad = 1 / (1 + 100 * crossPrice);
+        startCapacity = settings.slowStart().initialCapacity();
+        cold = settings.slowStart().warmUpTime();
+        fallMultiple = settings.slowStart().overloadMultiple();
+        fall = settings.slowStart().overloadTime();
+        trust = settings.loadReports().expected() && !reports ? FULLY : trust;
+        reports = settings.loadReports().expected();
+        asks = reports && settings.loadReports().probed() ? ASKED : 0;
+        quota = settings.traffic().totalQuota();
+        traffic = seconds > 1 ? traffic : quota / balancers;    // new settings unlearn nothing
+        double price = settings.traffic().connectionPrice();    // of a connection, reckoned at 100 a srv
+        rest = price > 0 ? 100 * SECOND * settings.traffic().handshakePrice() / price : 0;
     }
 
     /** A srv's report: the reqs it holds, and those of them that wait. */
-    public void load(int b, double holds, double waits) {
-        if (reports && b < MOST && holds >= 0) {
+    public void onLoadReport(int b, double holds, double waits) {
+        if (reports && b < MAX_BACKENDS && holds >= 0) {
             held[b] = holds;
             heardAt[b] = port.now();
             double works = holds - Math.max(0, waits), known = wide[kind[b]];
@@ -168,7 +158,7 @@
     public void start(boolean mustAsk, long ask) {
         askEvery = ask;
         if (mustAsk) {
-            port.follow();
+            port.watchEndpoints();
         }
         recutAndWait();
         sweepAndWait();
@@ -177,55 +167,55 @@
     // ---- the list
 
     /** Srvs on the list that are kept away from now. */
-    public int avoided() { return shuts; }
+    public int ejectedCount() { return shuts; }
 
     /** Another process of this proxy is there: of what may be sent to cold srvs, half is its. */
-    public void beside(boolean other) { twins = other ? 2 : 1; }
+    public void setOtherProcessPresent(boolean other) { twins = other ? 2 : 1; }
 
-    public void entry(int b, long name, boolean healthy, int inZone, int inPack, int ofKind, double size,
-            long up, boolean fresh) {
-        if (b >= MOST) {
-            port.log("left out " + name + ": " + MOST + " are known already");
+    public void updateBackend(EndpointUpdate e) {
+        int b = e.index();
+        if (b >= MAX_BACKENDS) {
+            port.report(new PolicyEvent(Kind.BACKEND_LEFT_OUT, e.id(), MAX_BACKENDS + " are known already"));
             return;
         }
         slots = Math.max(slots, b + 1);
-        boolean restarted = fresh || up > upSince[b];
-        id[b] = name;
-        zoneOf[b] = inZone;
-        packOf[b] = inPack;
-        kind[b] = Math.floorMod(ofKind, KINDS);
-        weight[b] = size > 0 && size < 1e9 ? size : 1;
-        upSince[b] = up;
-        ready[b] = healthy;
+        boolean restarted = e.newlyListed() || e.startedAt() > upSince[b];
+        id[b] = e.id();
+        zoneOf[b] = e.zone();
+        packOf[b] = e.cell();
+        kind[b] = Math.floorMod(e.kind(), KINDS);
+        weight[b] = e.weight() > 0 && e.weight() < 1e9 ? e.weight() : 1;
+        upSince[b] = e.startedAt();
+        ready[b] = e.ready();
         if (restarted) {
             heardAt[b] = 0;
             costSum[b] = busy[b] = held[b] = ghost[b] = stand[b] = tries[b] = fails[b] = silence[b] = 0;
             shut[b] = false;
-            room[b] = MOST;
+            room[b] = MAX_BACKENDS;
             spent[b] = meanCost * chance.draw();    // and not all of them at the same moment
             spentAt[b] = port.now();
         }
     }
 
-    public void gone(int b) {
-        if (b < MOST) {
+    public void removeBackend(int b) {
+        if (b < MAX_BACKENDS) {
             ready[b] = false;
         }
     }
 
     /** The list has been told; saved: it is only what this instance had last, no answer to a call. */
-    public void listed(boolean saved) {
+    public void endpointListUpdated(boolean saved) {
         following |= !saved;
         retryAsk = 0;
         order();
     }
 
-    public void listFailed(boolean spoke) {         // else callers are turned away, and thin out
+    public void endpointListFailed(boolean spoke) {         // else callers are turned away, and thin out
         following = false;
         retryAsk = spoke ? askEvery / 100 : Math.min(askEvery / 4, Math.max(askEvery / 40, 2 * retryAsk));
-        port.later((long) (retryAsk * (0.5 + chance.draw())), () -> {
+        port.schedule((long) (retryAsk * (0.5 + chance.draw())), () -> {
             if (!following) {
-                port.follow();
+                port.watchEndpoints();
             }
         });
     }
@@ -236,7 +226,7 @@
         learn();
         recut();
         order();
-        port.later(RECUT, this::recutAndWait);
+        port.schedule(RECUT, this::recutAndWait);
     }
 
     private void recut() {
@@ -283,7 +273,8 @@
         System.arraycopy(latest, 0, window, 0, LATELY);
         seen = LATELY;
         lately = Arrays.stream(latest).map(Math::log).sum() / LATELY;
-        port.log("hints moved " + Math.round(100 * Math.exp(lately - windowLog)) + ": per cent of before");
+        long perCent = Math.round(100 * Math.exp(lately - windowLog));
+        port.report(new PolicyEvent(Kind.HINT_UNIT_CHANGED, perCent, "per cent of before"));
     }
 
     // Hints that begin or change their unit: a mean req is as much work as before, all costs carried over so.
@@ -397,7 +388,8 @@
         refuse += (Math.max(0, Math.min(0.95, excess)) - refuse) / 2;
         refuse = refuse < TRACE ? 0 : refuse;       // halved for ever, it still denied what had little hope
         if (idleDenied > Math.max(4, (1 - KEEP * KEEP) * late.came / 2)) {
-            port.log("denied " + idleDenied + ": in a second, while nothing was out; " + why);
+            port.report(new PolicyEvent(Kind.REJECTED_WHILE_IDLE, idleDenied,
+                "in a second, while nothing was out; " + why));
         }
         idleDenied = 0;
         double missed = late.came > 0 ? late.missed / late.came : 0;
@@ -487,8 +479,8 @@
     }
 
     /** A shut srv is asked again now and then, by a light req that may move on; an answer opens it. */
-    private int trial(Course c, long now) {
-        if (replayables && c.req.ruleSet.effect() != Effect.REPLAYABLE || !c.legs.isEmpty()
+    private int trial(SimulatedHistory c, long now) {
+        if (replayables && c.req.requestClass().idempotency() != Idempotency.IDEMPOTENT || !c.legs.isEmpty()
                 || c.load() > meanCost || taken - triedAt < TRIALS) {
             return -1;
         }
@@ -507,7 +499,7 @@
     private double patience(int b) { return shortest / 2.0 + 6 * finish(b, (int) meanCost) / (1 + out[b]); }
 
     /** The srv for a req's next dispatch, or -1: its interval's, or the next in order not passed over. */
-    private int pick(Course c) {
+    private int pick(SimulatedHistory c) {
         int n = order.length;
         long now = port.now();
         int trial = shuts > 0 ? trial(c, now) : -1;
@@ -522,15 +514,15 @@
             int b = order[(from + k) % n];
             if (!ready[b] || shut[b] && shuts < n || !c.allows(b, now) || !ourTurn(b, now)
                     || !bears(b, c.load(), now) || out[b] >= Math.max(1, room[b])
-                    || k > 0 && health(b) <= FLOOR && c.req.ruleSet.effect() == Effect.NON_REPLAYABLE) {
+                    || k > 0 && health(b) <= FLOOR && c.req.requestClass().idempotency() == Idempotency.NON_IDEMPOTENT) {
                 continue;
             }
             looks--;
             boolean crowded = heardAt[b] > 0 && ahead(b) > meanCost / 4 || !isHeard(b)
                 && outCost[b] > 1.2 * allOut * share[b] / ends[n - 1] + meanCost / 4;
             boolean dear = zoneOf[b] != zone && (reports || c.worth() < DEAR * crossPrice * meanWorth);
-            double finish = finish(b, Math.max(c.load(), c.req.cost));
-            crowded |= finish + c.req.cost / pace(b) > left;
+            double finish = finish(b, Math.max(c.load(), c.req.costHint()));
+            crowded |= finish + c.req.costHint() / pace(b) > left;
             boolean vain = finish > left || k > 0 && health(b) <= FLOOR;    // idle for its errors: no refuge
             int rank = !takes(b, left) ? 4 : vain ? 3 : dear ? 2 : crowded ? 1 : 0;
             if (rank == 0) {
@@ -551,19 +543,19 @@
 
     // ---- a req's course
 
-    public Port.Held arrive(Req req) {
-        if (req.cost > 0) {
-            window[(int) (seen++ % HINTS)] = req.cost;
+    public RequestHandle accept(PendingRequest req) {
+        if (req.costHint() > 0) {
+            window[(int) (seen++ % HINTS)] = req.costHint();
             began |= seen == 1 && taken > 0;
-            if (!req.again || lately == 0) {        // grown overload: one heavy req, tried again and again
-                double log = Math.log(Math.min(req.cost, mostHint));
+            if (!req.isClientRetry() || lately == 0) {        // grown overload: one heavy req, tried again and again
+                double log = Math.log(Math.min(req.costHint(), mostHint));
                 lately = lately == 0 ? log : lately + (log - lately) / LATELY;
             }
             if ((seen & seen - 1) == 0 || moved()) {
                 recut();                            // a window that has doubled, or moved to another unit
             }
         }
-        Course c = new Course(req);
+        SimulatedHistory c = new SimulatedHistory(req);
         meanWorth += (c.worth() - meanWorth) * Math.max(1.0 / HINTS, 1.0 / ++taken);
         late.came++;
         c.ask();
@@ -582,10 +574,10 @@
         for (int b = 0; b < slots; b++) {
             if (out[b] == 0 && restAt[b] > 0 && now - restAt[b] >= keepOpen) {
                 restAt[b] = 0;
-                port.hangUp(b);
+                port.closeIdleConnections(b);
             }
         }
-        port.later(shortest / 10, this::sweepAndWait);
+        port.schedule(shortest / 10, this::sweepAndWait);
     }
 
     private void shut(int b, boolean now, String why) {
@@ -594,28 +586,28 @@
             shuts += !ready[b] ? 0 : now ? 1 : -1;
             trialGap[b] = shortest;
             trialAt[b] = port.now() + shortest;
-            port.log((now ? "shut " : "open ") + id[b] + ": " + why);
+            port.report(new PolicyEvent(now ? Kind.BACKEND_EJECTED : Kind.BACKEND_REINSTATED, id[b], why));
         }
     }
 
     /** One open req: its dispatches and what may still be done for it. */
-    private final class Course implements Port.Held {
-        final Req req;
+    private final class SimulatedHistory implements RequestHandle {
+        final PendingRequest req;
         private final double asked, unitThen = unit;
         private final int most = maxDispatches;
         private boolean over, streaming;
         private int live, unheard, from = -1;
         final List<Leg> legs = new ArrayList<>(2);
 
-        Course(Req req) {
+        SimulatedHistory(PendingRequest req) {
             this.req = req;
-            asked = (int) Math.max(1, req.cost > 0 ? expected(req.cost) : meanCost);
+            asked = (int) Math.max(1, req.costHint() > 0 ? expected(req.costHint()) : meanCost);
             open.add(this);
         }
 
         /** Its interval's place in the order: the one that was asked, later drawn anew. */
         int from(int n) {
-            from = from < 0 || !legs.isEmpty() ? place(req.cost) : from;
+            from = from < 0 || !legs.isEmpty() ? place(req.costHint()) : from;
             return from % n;
         }
 
@@ -625,11 +617,11 @@
                 int b = order[(from(n) + k) % n];
                 if (ready[b] && !shut[b]) {
                     unheard++;
-                    port.probe(b, (ok, lag) -> heard(1));
+                    port.probeLoad(b, (ok, lag) -> heard(1));
                 }
             }
             if (unheard > 0) {
-                port.later(shortest / 30, () -> heard(unheard));
+                port.schedule(shortest / 30, () -> heard(unheard));
             } else {
                 next();
             }
@@ -647,13 +639,13 @@
 
         /** Not where it was last. Rule two: once it may have run, only where a repeat does no harm. */
         boolean allows(int b, long now) {
-            RuleSet set = req.ruleSet;
+            RequestClass set = req.requestClass();
             for (Leg leg : legs) {
                 if (leg.b == b && leg.number == legs.size() - 1
-                        || leg.mayHaveRun && set.effect() != Effect.REPLAYABLE
-                        && (set.effect() == Effect.NON_REPLAYABLE || now >= leg.sent + set.window()
-                        || set.group() == Group.ZONE && leg.inZone != zoneOf[b]
-                        || set.group() == Group.CELL && leg.inPack != packOf[b])) {
+                        || leg.mayHaveRun && set.idempotency() != Idempotency.IDEMPOTENT
+                        && (set.idempotency() == Idempotency.NON_IDEMPOTENT || now >= leg.sent + set.deduplicationWindow()
+                        || set.deduplicationScope() == DeduplicationScope.ZONE && leg.inZone != zoneOf[b]
+                        || set.deduplicationScope() == DeduplicationScope.CELL && leg.inPack != packOf[b])) {
                     return false;
                 }
             }
@@ -661,18 +653,18 @@
         }
 
         boolean mayDeny() {
-            RuleSet set = req.ruleSet;
-            return set.effect() == Effect.REPLAYABLE || legs.stream().noneMatch(leg -> leg.mayHaveRun)
-                || set.effect() == Effect.UNIQUED && set.group() == Group.ALL;
+            RequestClass set = req.requestClass();
+            return set.idempotency() == Idempotency.IDEMPOTENT || legs.stream().noneMatch(leg -> leg.mayHaveRun)
+                || set.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY && set.deduplicationScope() == DeduplicationScope.ALL;
         }
 
         /** The next dispatch, or the final answer where none can help any more. */
         void next() {
             long now = port.now();
-            int b = order.length > 0 && legs.size() < most && now < req.due ? pick(this) : -1;
+            int b = order.length > 0 && legs.size() < most && now < req.deadline() ? pick(this) : -1;
             boolean shed = legs.isEmpty() && refuse > 0 && !isStill(now)
                 && chance.draw() < Math.pow(refuse, hope(now));
-            boolean hopeless = reports && b >= 0 && load() > 2 * meanCost && load() / pace(b) > req.due - now
+            boolean hopeless = reports && b >= 0 && load() > 2 * meanCost && load() / pace(b) > req.deadline() - now
                 && (vainSince == 0 || now - vainSince < shortest);      // the module may be wrong for so long
             vainSince = hopeless && vainSince == 0 ? now : vainSince;
             if (b >= 0 && !hopeless && !shed && takes(b, left(now))) {
@@ -690,12 +682,12 @@
         /** Its value for its cost against the mean, the less the surer it is to be late. */
         double hope(long now) {
             double inTime = left(now) * late.cost / (late.time * load() + 1);
-            return Math.min(2, inTime * inTime) * req.ruleSet.value() * meanCost / meanWorth;
+            return Math.min(2, inTime * inTime) * req.requestClass().priorityWeight() * meanCost / meanWorth;
         }
 
-        double worth() { return req.ruleSet.value() * load(); }
+        double worth() { return req.requestClass().priorityWeight() * load(); }
 
-        long left(long now) { return Math.min(req.due, req.arrived + req.ruleSet.target()) - now; }
+        long left(long now) { return Math.min(req.deadline(), req.arrivedAt() + req.requestClass().latencyObjective()) - now; }
 
         void send(int b) {
             Leg leg = new Leg(legs.size(), b);
@@ -710,13 +702,13 @@
             outCost[b] += load();
             allOut += load();
             spent[b] += Math.max(load(), meanCost);
-            port.dispatch(req, b, req.due - leg.sent, (how, lag, ended) -> result(leg, how, lag, ended));
+            port.sendAttempt(req, b, req.deadline() - leg.sent, (how, lag, ended) -> result(leg, how, lag, ended));
         }
 
-        void result(Leg leg, Outcome how, long lag, boolean ended) {
+        void result(Leg leg, AttemptOutcome how, long lag, boolean ended) {
             int b = leg.b;
             leg.isOut = false;
-            leg.mayHaveRun = !how.neverRan;
+            leg.mayHaveRun = !how.neverRan();
             live--;
             settle(b, port.now());
             out[b]--;
@@ -727,38 +719,38 @@
             outCost[b] -= load;
             allOut -= load;
             late.time += port.now() - leg.sent;
-            if (how == Outcome.CANCELLED || how == Outcome.TIMEOUT) {
+            if (how == AttemptOutcome.CANCELLED || how == AttemptOutcome.TIMEOUT) {
                 ghost[b] += load;
             }
-            if (how != Outcome.CANCELLED && how != Outcome.MOOT) {
+            if (how != AttemptOutcome.CANCELLED && how != AttemptOutcome.DISCARDED) {
                 tries[b]++;
-                fails[b] += how == Outcome.DONE ? 0 : 1;
+                fails[b] += how == AttemptOutcome.DONE ? 0 : 1;
             }
-            if (how == Outcome.FULL || how == Outcome.NO_CONNECT) {
+            if (how == AttemptOutcome.FULL || how == AttemptOutcome.NO_CONNECT) {
                 room[b] = Math.min(room[b], out[b]);
                 // Incident: 4 dispatches a req into closed doors. After a wait the srv only gave up on it.
                 if (out[b] == 0 && lag < CALM * shortest) {
                     shut(b, true, "turned away with nothing out");
                 }
             }
-            if (how == Outcome.DONE) {
-                if (leg.alone && req.cost > 0) {
-                    compare(req.cost, port.now() - leg.sent);
+            if (how == AttemptOutcome.DONE) {
+                if (leg.alone && req.costHint() > 0) {
+                    compare(req.costHint(), port.now() - leg.sent);
                 }
                 room[b] += 1 / Math.max(1, room[b]);
                 costSum[b] += load + leg.ahead;     // as the time it took holds the wait too
                 late.cost += load;
                 kindCost[kind[b]] += load + leg.ahead;
             }
-            if (how == Outcome.DONE || how == Outcome.ERROR) {
+            if (how == AttemptOutcome.DONE || how == AttemptOutcome.ERROR) {
                 silence[b] = 0;
                 shut(b, false, "it answers");
             }
             if (over) {
                 return;
             } else if (ended) {
-                close(how == Outcome.DONE && port.now() - req.arrived <= req.ruleSet.target());
-            } else if (live == 0 && (how == Outcome.TIMEOUT || port.now() >= req.due)) {
+                close(how == AttemptOutcome.DONE && port.now() - req.arrivedAt() <= req.requestClass().latencyObjective());
+            } else if (live == 0 && (how == AttemptOutcome.TIMEOUT || port.now() >= req.deadline())) {
                 giveUp();
             } else if (live == 0) {
                 next();
@@ -769,9 +761,9 @@
             close(false);
             if (mayDeny()) {
                 long left = left(port.now());
-                port.deny(req, left < req.ruleSet.target() / 4 ? maxWait : Math.min(maxWait, left / 4));
+                port.reject(req, left < req.requestClass().latencyObjective() / 4 ? maxWait : Math.min(maxWait, left / 4));
             } else {
-                port.abort(req);
+                port.fail(req);
             }
         }
 
@@ -785,14 +777,14 @@
         void callOff(Leg leg) {
             if (leg.isOut && !leg.called && mayCancel) {
                 leg.called = true;
-                port.cancel(req, leg.number);
+                port.cancelAttempt(req, leg.number);
             }
         }
 
         /** A req stuck at a shut srv moves on: by a copy, or else by calling the first off. */
         void look(long now) {
-            if (!streaming && req.ruleSet.overdue() == 0 && left(now) <= shortest / 10
-                    && (now + maxWait >= req.arrived + req.ruleSet.timeout() || chance.draw() < refuse)) {
+            if (!streaming && req.requestClass().lateWeight() == 0 && left(now) <= shortest / 10
+                    && (now + maxWait >= req.arrivedAt() + req.requestClass().clientTimeout() || chance.draw() < refuse)) {
                 giveUp();
                 return;
             }
@@ -800,10 +792,10 @@
                 return;
             }
             for (Leg leg : legs) {
-                boolean slow = mayDuplicate && refuse == 0 && out[leg.b] == 1 && req.ruleSet.overdue() == 0
-                    && now - req.arrived > req.ruleSet.target() / 3 * (1 + 3.0 / balancers);
+                boolean slow = mayDuplicate && refuse == 0 && out[leg.b] == 1 && req.requestClass().lateWeight() == 0
+                    && now - req.arrivedAt() > req.requestClass().latencyObjective() / 3 * (1 + 3.0 / balancers);
                 if (leg.isOut && (shut[leg.b] || slow) && !leg.called && now - leg.sent >= shortest / 4
-                        && req.ruleSet.effect() != Effect.NON_REPLAYABLE) {
+                        && req.requestClass().idempotency() != Idempotency.NON_IDEMPOTENT) {
                     if (mayDuplicate) {
                         next();
                     } else {
@@ -815,10 +807,10 @@
         }
 
         @Override
-        public void streams(int leg) { streaming = true; }
+        public void streamingStarted(int leg) { streaming = true; }
 
         @Override
-        public void left() {
+        public void clientDisconnected() {
             if (!over) {
                 close(false);
             }
--- a/decisions/src/main/java/wheattrack/figures/Fit.java
+++ b/decisions/src/main/java/wheattrack/statistics/DecayingLinearRegression.java
@@ -1,7 +1,7 @@
-package wheattrack.figures;
+package wheattrack.statistics;
 
 /** A straight line through weighted points, with a memory of so much weight. */
-public final class Fit {
+public final class DecayingLinearRegression {
   private static final double TINY = 1e-9;
 
   private final double memory;
@@ -11,7 +11,7 @@
   private double spread;
   private double slope;
 
-  public Fit(double memory) {
+  public DecayingLinearRegression(double memory) {
     this.memory = memory;
   }
 
--- a/decisions/src/main/java/wheattrack/figures/Tally.java
+++ b/decisions/src/main/java/wheattrack/statistics/LatenessCounters.java
@@ -1,7 +1,7 @@
-package wheattrack.figures;
+package wheattrack.statistics;
 
 /** Counts of late, fading. */
-public final class Tally {
+public final class LatenessCounters {
   /** All reqs that came, and those not done within their target. */
   public double came;
 
--- a/decisions/src/main/java/wheattrack/figures/Chance.java
+++ b/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
@@ -1,14 +1,14 @@
-package wheattrack.figures;
+package wheattrack.statistics;
 
 import java.util.zip.CRC32;
 
 /** Draws from 0 to under 1, by CRC32 over the instance's seed and a counter. */
-public final class Chance {
+public final class SeededRandom {
   private final CRC32 crc = new CRC32();
   private final byte[] salt = new byte[16];
   private long draws;
 
-  public Chance(long seed) {
+  public SeededRandom(long seed) {
     put(seed, 0);
   }
 
--- a/decisions/src/test/java/wheattrack/HistoriesTest.java
+++ b/decisions/src/test/java/wheattrack/policy/LoadBalancerPropertiesTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -13,11 +13,11 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import wheattrack.Course.Step;
-import wheattrack.Course.What;
+import wheattrack.policy.SimulatedHistory.Step;
+import wheattrack.policy.SimulatedHistory.What;
 
 /** What no history may lead to; a history that does is shrunk to the shortest one and printed. */
-class HistoriesTest {
+class LoadBalancerPropertiesTest {
   @Provide
   Arbitrary<Step> steps() {
     return Combinators.combine(
@@ -36,7 +36,8 @@
       @ForAll @IntRange(min = 1, max = 4) int servers,
       @ForAll boolean async,
       @ForAll boolean many) {
-    Course c = new Course(history.toString().hashCode(), servers, many ? 300 : 1, async, many);
+    SimulatedHistory c =
+        new SimulatedHistory(history.toString().hashCode(), servers, many ? 300 : 1, async, many);
     history.forEach(c::play);
     assertNull(c.fault);
   }
@@ -47,11 +48,12 @@
       @ForAll @Size(max = 6) List<@net.jqwik.api.From("steps") Step> history,
       @ForAll @IntRange(min = 2, max = 4) int servers,
       @ForAll boolean async) {
-    Course c = new Course(history.toString().hashCode(), servers, 1, async, false);
+    SimulatedHistory c =
+        new SimulatedHistory(history.toString().hashCode(), servers, 1, async, false);
     history.forEach(c::play);
     c.calm();
-    c.pass(20 * Course.SECOND);
+    c.pass(20 * SimulatedHistory.SECOND);
     assertNull(c.fault);
-    assertEquals(-1, c.starved(20 * Course.SECOND));
+    assertEquals(-1, c.starved(20 * SimulatedHistory.SECOND));
   }
 }
--- a/decisions/src/test/java/wheattrack/RulesTest.java
+++ b/decisions/src/test/java/wheattrack/policy/LoadBalancerTest.java
@@ -1,41 +1,47 @@
-package wheattrack;
+package wheattrack.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static wheattrack.World.SECOND;
+import static wheattrack.policy.RecordingRuntime.SECOND;
 
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import wheattrack.port.Outcome;
-import wheattrack.port.RuleSet.Effect;
-import wheattrack.port.RuleSet.Group;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PolicySettings;
 
-class RulesTest {
+class LoadBalancerTest {
   private static final int[] COSTS = {10, 20, 30, 40, 50, 60, 70, 80};
 
-  private static World replayable(int srvs, boolean duplicates) {
+  private static RecordingRuntime replayable(int srvs, boolean duplicates) {
     return replayable(srvs, 0, 3, duplicates);
   }
 
-  private static World replayable(int srvs, int me, int proxies, boolean duplicates) {
-    return World.of(
-        srvs, me, proxies, World.set(Effect.REPLAYABLE, Group.ALL, 0), duplicates, false);
+  private static RecordingRuntime replayable(int srvs, int me, int proxies, boolean duplicates) {
+    return RecordingRuntime.of(
+        srvs,
+        me,
+        proxies,
+        RecordingRuntime.set(Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0),
+        duplicates,
+        false);
   }
 
-  private static World reporting(boolean asked) {
-    World w = replayable(4, false);
-    w.rules.reports(true, asked);
+  private static RecordingRuntime reporting(boolean asked) {
+    RecordingRuntime w = replayable(4, false);
+    w.configure(w.settings.withLoadReports(new PolicySettings.LoadReports(true, asked)));
     return w;
   }
 
   /** Two are asked before the first dispatch; no answer holds a req for longer than a moment. */
   @Test
   void askedFirst() {
-    World w = reporting(true);
+    RecordingRuntime w = reporting(true);
     w.arrive("x", 100);
     assertEquals(
         List.of(2, 0), List.of(w.trace.toString().split("probe").length - 1, w.sent.size()));
@@ -51,14 +57,14 @@
    */
   @Test
   void crowdedByReport() {
-    World w = reporting(false);
+    RecordingRuntime w = reporting(false);
     for (int i = 0; i < 20; i++) {
       for (int b = 0; b < 4; b++) {
-        w.rules.load(b, b == 2 ? 0 : 9, b == 2 ? 0 : 7);
+        w.rules.onLoadReport(b, b == 2 ? 0 : 9, b == 2 ? 0 : 7);
       }
       w.arrive("x", COSTS[i % 8]);
       w.pass(100);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
     }
     assertEquals(20, Collections.frequency(w.where, 2));
   }
@@ -68,7 +74,7 @@
    */
   @Test
   void hopelessIsDeniedAtOnce() {
-    World w = reporting(false);
+    RecordingRuntime w = reporting(false);
     w.busy(2, COSTS);
     int before = w.sent.size();
     w.arrive("x", 200_000);
@@ -82,11 +88,11 @@
   /** An open connection costs a handshake in a second here: it is closed then, and no sooner. */
   @Test
   void restingConnectionsEnd() {
-    World w = replayable(4, false);
-    w.rules.traffic(400, 0.08, 0.08);
-    w.rules.listed(false);
+    RecordingRuntime w = replayable(4, false);
+    w.configure(w.settings.withTraffic(new PolicySettings.Traffic(400, 0.08, 0.08)));
+    w.rules.endpointListUpdated(false);
     w.arrive("x", 100);
-    w.end(Outcome.DONE);
+    w.end(AttemptOutcome.DONE);
     w.pass(SECOND - 1);
     assertFalse(w.trace.toString().contains("hang up"), w.trace.toString());
     w.pass(SECOND / 5);
@@ -100,7 +106,7 @@
    */
   @Test
   void cutsAndPassesOver() throws IOException {
-    World w = replayable(4, false);
+    RecordingRuntime w = replayable(4, false);
     w.busy(3, COSTS);
     for (int cost : COSTS) {
       int[] went = new int[4];
@@ -109,7 +115,7 @@
         w.arrive("x", cost);
         went[w.where.get(w.where.size() - 1)]++;
         w.pass(cost);
-        w.end(Outcome.DONE);
+        w.end(AttemptOutcome.DONE);
       }
       w.quiet = false;
       w.say(cost + ": " + Arrays.toString(went));
@@ -124,10 +130,16 @@
   /** No effect twice: after which outcome a non-replayable req goes on, is denied or is aborted. */
   @Test
   void nonReplayable() throws IOException {
-    World w = new World();
-    for (Outcome how : Outcome.values()) {
-      if (how != Outcome.DONE) {
-        World one = World.of(2, 0, World.set(Effect.NON_REPLAYABLE, Group.ALL, 0), true, false);
+    RecordingRuntime w = new RecordingRuntime();
+    for (AttemptOutcome how : AttemptOutcome.values()) {
+      if (how != AttemptOutcome.DONE) {
+        RecordingRuntime one =
+            RecordingRuntime.of(
+                2,
+                0,
+                RecordingRuntime.set(Idempotency.NON_IDEMPOTENT, DeduplicationScope.ALL, 0),
+                true,
+                false);
         one.arrive("pay", 100);
         one.end(how);
         w.say(how + ":\n" + one.trace);
@@ -142,15 +154,18 @@
    */
   @Test
   void ailingIsNoRefuge() throws IOException {
-    World w = new World();
-    for (Effect effect : new Effect[] {Effect.REPLAYABLE, Effect.NON_REPLAYABLE}) {
-      World one = World.of(4, 0, World.set(effect, Group.ALL, 0), false, false);
+    RecordingRuntime w = new RecordingRuntime();
+    for (Idempotency effect :
+        new Idempotency[] {Idempotency.IDEMPOTENT, Idempotency.NON_IDEMPOTENT}) {
+      RecordingRuntime one =
+          RecordingRuntime.of(
+              4, 0, RecordingRuntime.set(effect, DeduplicationScope.ALL, 0), false, false);
       one.quiet = true;
       for (int i = 0; i < 600; i++) {
         one.arrive("x", COSTS[i % 8]);
         one.pass(COSTS[i % 8]);
         for (int k = one.sent.size() - 1; k < one.sent.size(); k++) {
-          one.end(k, one.where.get(k) == 1 ? Outcome.ERROR : Outcome.DONE);
+          one.end(k, one.where.get(k) == 1 ? AttemptOutcome.ERROR : AttemptOutcome.DONE);
         }
       }
       int[] went = new int[4];
@@ -168,13 +183,19 @@
   /** A uniqued req that may have run is sent again inside its group and window only. */
   @Test
   void uniqued() throws IOException {
-    World w = new World();
-    for (Group group : Group.values()) {
+    RecordingRuntime w = new RecordingRuntime();
+    for (DeduplicationScope group : DeduplicationScope.values()) {
       for (long wait : new long[] {SECOND / 10 - 1, SECOND / 10}) {
-        World one = World.of(7, 0, World.set(Effect.UNIQUED, group, 0.5), true, false);
+        RecordingRuntime one =
+            RecordingRuntime.of(
+                7,
+                0,
+                RecordingRuntime.set(Idempotency.IDEMPOTENT_WITH_KEY, group, 0.5),
+                true,
+                false);
         one.arrive("mark", 100);
         one.pass(wait);
-        one.end(Outcome.RESET);
+        one.end(AttemptOutcome.RESET);
         w.say(group + " after " + wait + ":\n" + one.trace);
       }
     }
@@ -184,21 +205,27 @@
   /** Drained, gone, stale after a restart, one left, none: nothing new goes to who left. */
   @Test
   void listChanges() throws IOException {
-    World w = replayable(3, true);
+    RecordingRuntime w = replayable(3, true);
     w.list(0, false, Long.MIN_VALUE / 2);
-    w.rules.gone(1);
-    w.rules.listed(false);
+    w.rules.removeBackend(1);
+    w.rules.endpointListUpdated(false);
     w.arrive("a", 100);
     w.arrive("odd", Integer.MAX_VALUE / 4);
-    w.end(0, Outcome.DONE);
+    w.end(0, AttemptOutcome.DONE);
     w.list(2, false, Long.MIN_VALUE / 2);
     w.arrive("b", 0);
     w.say("restarted with the saved list");
-    World again = World.of(1, 0, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, true);
-    again.rules.listFailed(false);
-    again.rules.listFailed(false);
+    RecordingRuntime again =
+        RecordingRuntime.of(
+            1,
+            0,
+            RecordingRuntime.set(Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0),
+            true,
+            true);
+    again.rules.endpointListFailed(false);
+    again.rules.endpointListFailed(false);
     again.pass(2 * SECOND);
-    again.rules.listed(false);
+    again.rules.endpointListUpdated(false);
     again.pass(20 * SECOND);
     w.say(again.trace.toString());
     w.matches("list");
@@ -211,17 +238,24 @@
   void listAskedByMany() throws IOException {
     int[] calls = new int[30];
     for (int me = 0; me < 300; me++) {
-      World one = World.of(2, me, 300, World.set(Effect.REPLAYABLE, Group.ALL, 0), true, true);
+      RecordingRuntime one =
+          RecordingRuntime.of(
+              2,
+              me,
+              300,
+              RecordingRuntime.set(Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0),
+              true,
+              true);
       int answered = 0;
       for (int tenth = 0; tenth < 300; tenth++) {
         for (; answered < one.asked; answered++) {
           calls[tenth / 10]++;
-          one.rules.listFailed(false);
+          one.rules.endpointListFailed(false);
         }
         one.pass(SECOND / 10);
       }
     }
-    World w = new World();
+    RecordingRuntime w = new RecordingRuntime();
     w.say("calls of 300 proxies by second: " + Arrays.toString(calls));
     w.matches("list-many");
   }
@@ -232,15 +266,15 @@
    */
   @Test
   void oddSettings() throws IOException {
-    World all = new World();
+    RecordingRuntime all = new RecordingRuntime();
     for (int proxies : new int[] {0, 5000}) {
-      World w = replayable(1, 0, proxies, true);
+      RecordingRuntime w = replayable(1, 0, proxies, true);
       for (int cost : new int[] {Integer.MAX_VALUE / 4, 0, 1}) {
         w.arrive("hint " + cost, cost);
-        w.end(Outcome.DONE);
+        w.end(AttemptOutcome.DONE);
       }
-      w.rules.gone(0);
-      w.rules.listed(false);
+      w.rules.removeBackend(0);
+      w.rules.endpointListUpdated(false);
       w.arrive("no srv", 100);
       all.say("one of " + proxies + " proxies:\n" + w.trace);
     }
@@ -248,7 +282,7 @@
   }
 
   /** Where the reqs of a busy second went. */
-  private static List<Integer> inASecond(World w) {
+  private static List<Integer> inASecond(RecordingRuntime w) {
     int before = w.where.size();
     w.busy(1, COSTS);
     return w.where.subList(before, w.where.size());
@@ -260,14 +294,14 @@
    */
   @Test
   void freshSrvUnderAllProxies() throws IOException {
-    World w = new World();
+    RecordingRuntime w = new RecordingRuntime();
     for (int me = 0; me < 3; me++) {
-      World one = replayable(4, me, 3, false);
-      one.rules.gone(0);
-      one.rules.listed(false);
+      RecordingRuntime one = replayable(4, me, 3, false);
+      one.rules.removeBackend(0);
+      one.rules.endpointListUpdated(false);
       one.busy(4, COSTS);
       one.list(0, true, one.now());
-      one.rules.listed(false);
+      one.rules.endpointListUpdated(false);
       for (int s = 0; s < 9; s++) {
         List<Integer> went = inASecond(one);
         w.say(
@@ -284,13 +318,13 @@
    */
   @Test
   void freshSrvOfAPart() throws IOException {
-    World w = new World();
+    RecordingRuntime w = new RecordingRuntime();
     for (int me : new int[] {0, 1, 5}) {
-      World one = replayable(48, me, 8, false);
+      RecordingRuntime one = replayable(48, me, 8, false);
       one.busy(6, COSTS);
       int fresh = 24 * (me % 2) + 12;
       one.list(fresh, true, one.now());
-      one.rules.listed(false);
+      one.rules.endpointListUpdated(false);
       for (int s = 0; s < 8; s++) {
         List<Integer> went = inASecond(one);
         long met = went.stream().distinct().count();
@@ -315,20 +349,20 @@
    */
   @Test
   void freshSrvAfterAQuietTime() throws IOException {
-    World w = new World();
+    RecordingRuntime w = new RecordingRuntime();
     for (int proxies : new int[] {1, 3}) {
-      World one = replayable(2, 0, proxies, false);
-      one.rules.gone(1);
-      one.rules.listed(false);
+      RecordingRuntime one = replayable(2, 0, proxies, false);
+      one.rules.removeBackend(1);
+      one.rules.endpointListUpdated(false);
       one.quiet = true;
       for (int i = 0; i < 40; i++) {
         one.arrive("seldom", 40);
         one.pass(40);
-        one.end(Outcome.DONE);
+        one.end(AttemptOutcome.DONE);
         one.pass(SECOND / 5);
       }
       one.list(1, true, one.now());
-      one.rules.listed(false);
+      one.rules.endpointListUpdated(false);
       for (int s = 0; s < 3; s++) {
         List<Integer> went = inASecond(one);
         w.say(
@@ -351,11 +385,11 @@
    */
   @Test
   void freshSrvShowsItsPace() throws IOException {
-    World w = new World();
+    RecordingRuntime w = new RecordingRuntime();
     for (int slower : new int[] {1, 4}) { // times longer at the new one
-      World one = replayable(3, 0, 8, false);
-      one.rules.gone(2);
-      one.rules.listed(false);
+      RecordingRuntime one = replayable(3, 0, 8, false);
+      one.rules.removeBackend(2);
+      one.rules.endpointListUpdated(false);
       one.quiet = true;
       for (int s = 0; s < 8; s++) {
         int before = one.where.size();
@@ -367,7 +401,7 @@
           for (int time = 40; time <= 160; time += 40) {
             for (int k = first; k < one.sent.size(); k++) {
               if (time == (one.where.get(k) == 2 ? 40 * slower : 160)) {
-                one.end(k, Outcome.DONE);
+                one.end(k, AttemptOutcome.DONE);
               }
             }
             one.pass(40);
@@ -385,7 +419,7 @@
                 + went.size());
         if (s == 3) {
           one.list(2, true, one.now());
-          one.rules.listed(false);
+          one.rules.endpointListUpdated(false);
         }
       }
     }
@@ -397,9 +431,9 @@
    */
   @Test
   void allStartAtOnce() throws IOException {
-    World w = new World();
+    RecordingRuntime w = new RecordingRuntime();
     for (int proxies : new int[] {1, 14}) {
-      World one = replayable(60, 0, proxies, false);
+      RecordingRuntime one = replayable(60, 0, proxies, false);
       one.quiet = true;
       for (int i = 0; i < 300; i++) {
         one.arrive("r" + i, 600 + i % 7 * 100);
@@ -425,7 +459,7 @@
   @Test
   void hungSrv() throws IOException {
     for (boolean duplicates : new boolean[] {true, false}) {
-      World w = replayable(3, duplicates);
+      RecordingRuntime w = replayable(3, duplicates);
       w.busy(2, COSTS);
       int first = w.sent.size();
       for (int i = 0; i < 8; i++) {
@@ -433,14 +467,14 @@
         w.pass(300);
         for (int k = first; k < w.sent.size(); k++) {
           if (w.where.get(k) != 0) {
-            w.end(k, Outcome.DONE);
+            w.end(k, AttemptOutcome.DONE);
           }
         }
         first = w.sent.size();
       }
       w.pass(SECOND);
       w.arrive("trial", 10);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
       w.matches("hung-" + (duplicates ? "copies" : "moves"));
     }
   }
@@ -452,14 +486,15 @@
    */
   @Test
   void pastItsTarget() throws IOException {
-    World all = new World();
+    RecordingRuntime all = new RecordingRuntime();
     for (long longestWait : new long[] {SECOND, 2 * SECOND}) {
-      World w = replayable(1, false);
-      w.rules.limits(4, true, false, longestWait);
+      RecordingRuntime w = replayable(1, false);
+      w.configure(
+          w.settings.withAttempts(new PolicySettings.AttemptLimits(4, true, false, longestWait)));
       w.arrive("late", 100);
       w.pass(SECOND / 2);
       w.arrive("next", 4000);
-      w.end(0, Outcome.CANCELLED);
+      w.end(0, AttemptOutcome.CANCELLED);
       w.arrive("queued behind the ghost", 100);
       all.say("waits up to " + longestWait / 10 + " ms:\n" + w.trace);
     }
@@ -472,13 +507,13 @@
    */
   @Test
   void secondCopy() throws IOException {
-    World all = new World();
+    RecordingRuntime all = new RecordingRuntime();
     for (int proxies : new int[] {3, 300}) {
-      World w = replayable(4, 0, proxies, true);
+      RecordingRuntime w = replayable(4, 0, proxies, true);
       w.busy(3, COSTS);
       w.arrive("alone", 40);
       w.pass(2500);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
       all.say("one of " + proxies + " proxies, 250 ms later:\n" + w.trace);
     }
     all.matches("second-copy");
@@ -490,14 +525,14 @@
    */
   @Test
   void partOfTheFleet() throws IOException {
-    World all = new World();
+    RecordingRuntime all = new RecordingRuntime();
     for (int proxies : new int[] {3, 50, 300}) {
       int[] met = new int[40];
       for (int me = 0; me < proxies; me++) {
-        World w = replayable(40, me, proxies, true);
+        RecordingRuntime w = replayable(40, me, proxies, true);
         for (int i = 0; i < 400; i++) {
           w.arrive("r", 0);
-          w.end(Outcome.DONE);
+          w.end(AttemptOutcome.DONE);
         }
         w.where.stream().distinct().forEach(b -> met[b]++);
       }
@@ -511,18 +546,18 @@
    */
   @Test
   void partWidens() throws IOException {
-    World w = replayable(30, 0, 12, false);
+    RecordingRuntime w = replayable(30, 0, 12, false);
     w.quiet = true;
     w.arrive("r", 0);
     for (int k = 0; k < w.sent.size() && k < 40; k++) {
-      w.end(k, Outcome.NO_CONNECT);
+      w.end(k, AttemptOutcome.NO_CONNECT);
       w.arrive("r", 0);
     }
     long before = w.where.stream().distinct().count();
     w.pass(2 * SECOND);
     for (int i = 0; i < 100; i++) {
       w.arrive("r", 0);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
     }
     w.quiet = false;
     w.say(
@@ -537,12 +572,12 @@
    */
   @Test
   void slowSrvMetRarely() throws IOException {
-    World w = replayable(4, 0, 300, false);
+    RecordingRuntime w = replayable(4, 0, 300, false);
     w.quiet = true;
     for (int i = 0; i < 80; i++) {
       w.arrive("rare", COSTS[i % COSTS.length]);
       w.pass(w.where.get(i) == 0 ? 4000 : 100);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
       w.pass(2 * SECOND);
     }
     w.quiet = false;
@@ -555,21 +590,21 @@
   /** repas big-1, full srvs asked again and again: full answers teach the room. (Also i6d7f1e.) */
   @Test
   void roomLearnt() throws IOException {
-    World w = replayable(2, false);
+    RecordingRuntime w = replayable(2, false);
     w.busy(2, COSTS);
     for (int i = 0; i < 6; i++) {
       w.arrive("r" + i, 100);
       if (i % 3 == 2) {
-        w.end(Outcome.FULL);
+        w.end(AttemptOutcome.FULL);
       }
     }
-    World one = replayable(2, false);
+    RecordingRuntime one = replayable(2, false);
     one.arrive("first", 100);
-    one.end(Outcome.NO_CONNECT);
-    one.end(Outcome.DONE);
+    one.end(AttemptOutcome.NO_CONNECT);
+    one.end(AttemptOutcome.DONE);
     for (int i = 0; i < 4; i++) {
       one.arrive("s" + i, 100);
-      one.end(Outcome.DONE);
+      one.end(AttemptOutcome.DONE);
     }
     w.say("nothing out there and no connection:\n" + one.trace);
     w.matches("room");
@@ -580,13 +615,13 @@
    */
   @Test
   void gaveUpAfterAWait() throws IOException {
-    World w = replayable(2, false);
+    RecordingRuntime w = replayable(2, false);
     w.busy(2, COSTS);
     for (long wait : new long[] {SECOND / 10, SECOND / 100}) {
       w.arrive("given up on after " + wait / 10 + " ms", 100);
       w.pass(wait);
-      w.end(Outcome.FULL);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.FULL);
+      w.end(AttemptOutcome.DONE);
     }
     w.matches("gave-up");
   }
@@ -597,12 +632,12 @@
    */
   @Test
   void oneInWork() throws IOException {
-    World w = replayable(1, false);
+    RecordingRuntime w = replayable(1, false);
     w.quiet = true;
     for (int i = 0; i < 200; i++) { // one at a time, 83 ms each, the most of it on its way
       w.arrive("busy", 300);
       w.pass(SECOND / 12);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
     }
     w.quiet = false;
     w.arrive("in work", 300);
@@ -617,17 +652,17 @@
    */
   @Test
   void noHints() throws IOException {
-    World w = replayable(4, false);
-    w.rules.gone(3);
-    w.rules.listed(false);
+    RecordingRuntime w = replayable(4, false);
+    w.rules.removeBackend(3);
+    w.rules.endpointListUpdated(false);
     w.quiet = true;
     for (int i = 0; i < 120; i++) {
       w.arrive("plain", 0);
       w.pass(1000);
-      w.end(Outcome.DONE);
+      w.end(AttemptOutcome.DONE);
       if (i == 40) {
         w.list(3, true, w.now());
-        w.rules.listed(false);
+        w.rules.endpointListUpdated(false);
       }
     }
     w.quiet = false;
@@ -638,7 +673,7 @@
   }
 
   /** Reqs one after the other, 20 ms each; says how many were sent. */
-  private static void count(World w, String what, int reqs, int hint) {
+  private static void count(RecordingRuntime w, String what, int reqs, int hint) {
     int sent = w.sent.size();
     w.quiet = true;
     for (int i = 0; i < reqs; i++) {
@@ -646,7 +681,7 @@
       w.arrive("r", hint);
       w.pass(200);
       if (w.sent.size() > before) {
-        w.end(Outcome.DONE);
+        w.end(AttemptOutcome.DONE);
       }
     }
     w.quiet = false;
@@ -658,9 +693,9 @@
    */
   @Test
   void hintsBegin() throws IOException {
-    World all = new World();
+    RecordingRuntime all = new RecordingRuntime();
     for (int proxies : new int[] {1, 3, 300}) {
-      World w = replayable(3, 0, proxies, false);
+      RecordingRuntime w = replayable(3, 0, proxies, false);
       count(w, "without hints", 200, 0);
       count(w, "hints of 20 ms", 50, 200);
       count(w, "without again", 50, 0);
@@ -676,7 +711,7 @@
    */
   @Test
   void retriesMoveNothing() throws IOException {
-    World w = replayable(3, false);
+    RecordingRuntime w = replayable(3, false);
     w.busy(5, COSTS);
     for (int i = 0; i < 40; i++) {
       w.quiet = true;
@@ -695,10 +730,10 @@
   /** Much denied while nothing is out: one line a second says so, and why. */
   @Test
   void deniesWhileIdle() throws IOException {
-    World w = replayable(2, false);
-    w.rules.gone(0);
-    w.rules.gone(1);
-    w.rules.listed(false);
+    RecordingRuntime w = replayable(2, false);
+    w.rules.removeBackend(0);
+    w.rules.removeBackend(1);
+    w.rules.endpointListUpdated(false);
     for (int i = 0; i < 30; i++) {
       w.quiet = true;
       w.arrive("r", 100);
--- a/decisions/src/test/java/wheattrack/Course.java
+++ b/decisions/src/test/java/wheattrack/policy/SimulatedHistory.java
@@ -1,20 +1,25 @@
-package wheattrack;
+package wheattrack.policy;
 
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet;
-import wheattrack.port.RuleSet.Effect;
-import wheattrack.port.RuleSet.Group;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.PolicySettings;
+import wheattrack.api.ProbeCallback;
+import wheattrack.api.RequestClass;
 
 /**
  * A proxy's course through a history: servers that work in their own time, whatever hints say, and
  * clients that come at a rate. It holds what must never be: reqs denied for long while nothing is
  * out anywhere.
  */
-final class Course implements Port {
+final class SimulatedHistory implements PolicyRuntime {
   static final long SECOND = 10_000, TARGET = 3_000;
 
   /**
@@ -46,37 +51,39 @@
   private record Timer(long at, long turn, Runnable next) {}
 
   private static final int[] RATES = {5, 20, 60, 200};
-  private static final Outcome[] ENDS = {
-    Outcome.DONE,
-    Outcome.DONE,
-    Outcome.ERROR,
-    Outcome.FULL,
-    Outcome.RESET,
-    Outcome.NO_CONNECT,
-    Outcome.TIMEOUT
+  private static final AttemptOutcome[] ENDS = {
+    AttemptOutcome.DONE,
+    AttemptOutcome.DONE,
+    AttemptOutcome.ERROR,
+    AttemptOutcome.FULL,
+    AttemptOutcome.RESET,
+    AttemptOutcome.NO_CONNECT,
+    AttemptOutcome.TIMEOUT
   };
 
   private final SplittableRandom random;
-  private final RuleSet look =
-      new RuleSet(0, TARGET, 15_000, Effect.REPLAYABLE, Group.ALL, 0, 1, 0, false);
-  private final RuleSet pay =
-      new RuleSet(1, TARGET, 15_000, Effect.NON_REPLAYABLE, Group.ALL, 0, 3, 0, false);
+  private final RequestClass look =
+      new RequestClass(
+          0, TARGET, 15_000, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0, 1, 0, false);
+  private final RequestClass pay =
+      new RequestClass(
+          1, TARGET, 15_000, Idempotency.NON_IDEMPOTENT, DeduplicationScope.ALL, 0, 3, 0, false);
   private final PriorityQueue<Timer> timers =
       new PriorityQueue<>(
           (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.turn, b.turn));
-  private final Rules rules;
+  private final LoadBalancer rules;
   private final int n;
   private final boolean[] ready;
   private final long[] up, freeAt, lastSent;
   private final boolean async;
-  private long now = 100 * SECOND, turns, deniedSince = -1, reqs;
+  private long now = 100 * SECOND, turns, deniedSince = -1;
   private int out, hints, rate = 20;
   private double slow = 1;
-  private Outcome end = Outcome.DONE;
+  private AttemptOutcome end = AttemptOutcome.DONE;
   String fault;
   int denied, sent;
 
-  Course(long seed, int servers, int proxies, boolean async, boolean copies) {
+  SimulatedHistory(long seed, int servers, int proxies, boolean async, boolean copies) {
     random = new SplittableRandom(seed);
     n = servers;
     this.async = async;
@@ -84,22 +91,24 @@
     up = new long[n];
     freeAt = new long[n];
     lastSent = new long[n];
-    rules = new Rules(this, seed, 0, proxies, new RuleSet[] {look, pay});
-    rules.limits(3, true, copies, 2 * SECOND);
-    rules.zones(0, 0);
-    rules.cold(0.25, 4 * SECOND, 3, SECOND);
+    rules = new LoadBalancer(this, seed, 0, proxies, new RequestClass[] {look, pay});
+    PolicySettings settings =
+        PolicySettings.DEFAULTS
+            .withAttempts(new PolicySettings.AttemptLimits(3, true, copies, 2 * SECOND))
+            .withSlowStart(new PolicySettings.SlowStartLimits(0.25, 4 * SECOND, 3, SECOND));
+    rules.configure(settings, new RequestClass[] {look, pay});
     rules.start(false, 10 * SECOND);
     for (int b = 0; b < n; b++) {
       up[b] = Long.MIN_VALUE / 2;
       list(b, true, true);
     }
-    rules.listed(false);
+    rules.endpointListUpdated(false);
     come();
   }
 
   private void list(int b, boolean isReady, boolean fresh) {
     ready[b] = isReady;
-    rules.entry(b, 10 + b, isReady, 0, 0, 0, 1, up[b], fresh);
+    rules.updateBackend(new EndpointUpdate(b, 10 + b, isReady, 0, 0, 0, 1, up[b], fresh));
   }
 
   void play(Step s) {
@@ -116,19 +125,19 @@
       }
       default -> {}
     }
-    rules.listed(false);
+    rules.endpointListUpdated(false);
     pass(s.tenths * SECOND / 10);
   }
 
   /** All is well from now on; hints stay as they are. */
   void calm() {
     slow = 1;
-    end = Outcome.DONE;
+    end = AttemptOutcome.DONE;
     rate = 50;
     for (int b = 0; b < n; b++) {
       list(b, true, false);
     }
-    rules.listed(false);
+    rules.endpointListUpdated(false);
   }
 
   /** The first server that has got nothing for so long, or -1. */
@@ -152,11 +161,10 @@
   }
 
   private void come() {
-    later((long) Math.max(1, -Math.log(1 - random.nextDouble()) * SECOND / rate), this::come);
+    schedule((long) Math.max(1, -Math.log(1 - random.nextDouble()) * SECOND / rate), this::come);
     double work = 100 + random.nextDouble() * 200;
-    RuleSet set = random.nextInt(4) == 0 ? pay : look;
-    reqs++;
-    rules.arrive(new Req(set, 0, 0, now, now + 15_000, hint(work), false, work));
+    RequestClass set = random.nextInt(4) == 0 ? pay : look;
+    rules.accept(new PendingRequest(set, now, now + 15_000, hint(work), false, work));
   }
 
   private int hint(double work) {
@@ -179,7 +187,7 @@
   }
 
   @Override
-  public void dispatch(Req req, int b, long tryFor, Result next) {
+  public void sendAttempt(PendingRequest req, int b, long tryFor, AttemptCallback next) {
     out++;
     sent++;
     lastSent[b] = now;
@@ -187,38 +195,38 @@
     if (!ready[b]) {
       fault = "sent to a server that drains";
     }
-    double work = (Double) req.door;
-    long from = now, wait = tryFor == 0 ? req.due - now : tryFor;
+    double work = (Double) req.attachment();
+    long from = now, wait = tryFor == 0 ? req.deadline() - now : tryFor;
     long takes =
-        end != Outcome.DONE
-            ? end == Outcome.TIMEOUT ? wait : 10
+        end != AttemptOutcome.DONE
+            ? end == AttemptOutcome.TIMEOUT ? wait : 10
             : async ? (long) (work * slow) : (long) (Math.max(0, freeAt[b] - now) + work * slow);
-    if (end == Outcome.DONE) {
+    if (end == AttemptOutcome.DONE) {
       freeAt[b] = now + takes;
     }
     boolean late = takes >= wait;
-    Outcome how = late ? Outcome.TIMEOUT : end;
-    later(
+    AttemptOutcome how = late ? AttemptOutcome.TIMEOUT : end;
+    schedule(
         Math.max(1, Math.min(wait, takes)),
         () -> {
           out--;
-          next.ended(how, now - from, how == Outcome.DONE);
+          next.ended(how, now - from, how == AttemptOutcome.DONE);
         });
   }
 
   @Override
-  public void cancel(Req req, int leg) {
+  public void cancelAttempt(PendingRequest req, int leg) {
     // it ends as it would have ended
   }
 
   @Override
-  public void deny(Req req, long wait) {
+  public void reject(PendingRequest req, long wait) {
     denied++;
     boolean warm = false;
     for (int b = 0; b < n; b++) {
       warm |= ready[b] && now - up[b] >= 4 * SECOND;
     }
-    if (out > 0 || !warm || now - req.arrived >= TARGET) {
+    if (out > 0 || !warm || now - req.arrivedAt() >= TARGET) {
       deniedSince = -1;
     } else if (deniedSince < 0) {
       deniedSince = now;
@@ -228,37 +236,32 @@
   }
 
   @Override
-  public void abort(Req req) {
+  public void fail(PendingRequest req) {
     // only what may have run is aborted; that is no standstill
   }
 
   @Override
-  public void probe(int backend, Heard next) {
+  public void probeLoad(int backend, ProbeCallback next) {
     // never asked for
   }
 
   @Override
-  public void hangUp(int backend) {
+  public void closeIdleConnections(int backend) {
     // no price on connections is set here
   }
 
   @Override
-  public void later(long delay, Runnable next) {
+  public void schedule(long delay, Runnable next) {
     timers.add(new Timer(now + Math.max(1, delay), turns++, next));
   }
 
   @Override
-  public void follow() {
+  public void watchEndpoints() {
     // the list stands
   }
 
   @Override
-  public void fetch() {
-    // the list stands
-  }
-
-  @Override
-  public void log(String text) {
+  public void report(PolicyEvent event) {
     // judged by what it does
   }
 }
--- a/lab/src/main/java/wheattrack/lab/Bench.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -8,23 +8,23 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import wheattrack.lab.real.Sockets;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.world.World;
+import wheattrack.lab.sockets.SocketRun;
+import wheattrack.lab.virtual.VirtualRun;
 
 /**
  * What the lab costs and bears on this machine: the virtual world by size, and the sockets by rate.
  */
-final class Bench {
+final class BenchCommand {
   private static final int[][] SIZES = {
     {10, 70}, {100, 70}, {300, 70}, {1000, 70}, {300, 10}, {300, 100}, {300, 1000}, {1000, 1000}
   };
 
-  private Bench() {}
+  private BenchCommand() {}
 
-  static int run(Play.Job job) throws IOException {
+  static int run(ScenarioRunner.Job job) throws IOException {
     System.out.println("virtual: 2,300 reqs a second for 10 s, one thread");
     System.out.println("proxies servers  wall s  µs a req  steps a req  peak MB  service");
     for (int[] size : SIZES) {
@@ -33,11 +33,11 @@
     System.out.println(
         "sockets: light reqs of 1 ms at 12 servers, 6 s a rate; ms from intended send");
     System.out.println("                    rate   done/s  late p99      p50      p99    p99.9");
-    sockets("(warming up)", 3, Sockets.How.USUAL, 1000, job);
+    sockets("(warming up)", 3, SocketRun.How.USUAL, 1000, job);
     for (int rate : new int[] {1000, 4000, 8000}) {
-      sockets("direct", 12, new Sockets.How(List.of(), null, true), rate, job);
-      sockets("1 proxy, 1 core", 1, new Sockets.How(List.of(), "0", false), rate, job);
-      sockets("3 proxies", 3, Sockets.How.USUAL, rate, job);
+      sockets("direct", 12, new SocketRun.How(List.of(), null, true), rate, job);
+      sockets("1 proxy, 1 core", 1, new SocketRun.How(List.of(), "0", false), rate, job);
+      sockets("3 proxies", 3, SocketRun.How.USUAL, rate, job);
     }
     return 0;
   }
@@ -51,13 +51,13 @@
     set.put("server[0].count", Integer.toString(servers - 2 * each));
     set.put("server[1].count", Integer.toString(each));
     set.put("server[2].count", Integer.toString(each));
-    Scenario s = Scenario.read(Shelf.find("world/wide-300x70"), set);
+    Scenario s = Scenario.read(ScenarioCatalog.find("world/wide-300x70"), set);
     Referee referee = new Referee(s);
     System.gc();
     List<MemoryPoolMXBean> pools = ManagementFactory.getMemoryPoolMXBeans();
     pools.forEach(MemoryPoolMXBean::resetPeakUsage);
     long from = System.nanoTime();
-    World world = new World(s, seed, wheattrack.lab.world.Minds.Policy.RULES, referee);
+    VirtualRun world = new VirtualRun(s, seed, wheattrack.lab.virtual.Policies.Kind.RULES, referee);
     world.run();
     double wall = (System.nanoTime() - from) / 1e9;
     Verdict v = referee.verdict();
@@ -79,14 +79,17 @@
         v.figures().get("service"));
   }
 
-  private static void sockets(String name, int proxies, Sockets.How how, int rate, Play.Job job)
+  private static void sockets(
+      String name, int proxies, SocketRun.How how, int rate, ScenarioRunner.Job job)
       throws IOException {
     Map<String, String> set = new LinkedHashMap<>();
     set.put("load.rate", Integer.toString(rate));
     set.put("seconds", "6");
     set.put("fleet.proxies", Integer.toString(proxies));
-    Scenario s = Scenario.read(Shelf.find("long/rate"), set);
-    Play.Real real = Play.real(s, new Play.Job(job.seed(), null, job.policy(), job.jar()), how);
+    Scenario s = Scenario.read(ScenarioCatalog.find("long/rate"), set);
+    ScenarioRunner.Real real =
+        ScenarioRunner.real(
+            s, new ScenarioRunner.Job(job.seed(), null, job.policy(), job.jar()), how);
     Map<String, Double> f = real.verdict().figures();
     System.out.printf(
         Locale.ROOT,
--- a/lab/src/main/java/wheattrack/lab/Compare.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -21,21 +21,21 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.apache.commons.cli.CommandLine;
-import wheattrack.config.BadConfig;
-import wheattrack.lab.load.Draws;
+import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
-import wheattrack.lab.report.Page;
+import wheattrack.lab.report.HtmlReport;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.world.Minds;
-import wheattrack.lab.world.World;
+import wheattrack.lab.virtual.Policies;
+import wheattrack.lab.virtual.VirtualRun;
 
 /**
  * Two sides over the same seeds and a grid of settings, on the virtual clock: pair by pair, with a
  * bootstrap interval for the mean difference. A side is a policy of this build, or another build's
  * decisions, which then stand before this build's on the class path of a process of its own.
  */
-final class Compare {
+final class CompareCommand {
   private static final int RESAMPLES = 4000;
   private static final List<String> SHOWN =
       List.of("service", "worst-second", "broken", "denied", "aborted", "duplicate", "p50", "p99");
@@ -49,7 +49,7 @@
       for (int i = 0; i < n; i++) {
         diff[i] = cand[i] - base[i];
       }
-      Draws draws = new Draws(7, "bootstrap");
+      RandomStream draws = new RandomStream(7, "bootstrap");
       double[] means = new double[RESAMPLES];
       for (int r = 0; r < RESAMPLES; r++) {
         double sum = 0;
@@ -77,31 +77,33 @@
   private final String[] sides;
   private final Path out;
 
-  private Compare(Path file, CommandLine line) {
+  private CompareCommand(Path file, CommandLine line) {
     this.file = file;
     seeds = (int) LabMain.whole(line, "seeds", 20);
     if (seeds < 1 || seeds > 10_000) {
-      throw new BadConfig("--seeds", "not from 1 to 10000: " + seeds);
+      throw new InvalidConfigurationException("--seeds", "not from 1 to 10000: " + seeds);
     }
     sides =
         new String[] {line.getOptionValue("base", "random"), line.getOptionValue("cand", "rules")};
     for (String side : sides) {
       if (side.startsWith("jar:")
           ? !Files.isRegularFile(Path.of(side.substring(4)))
-          : !Minds.words().contains(side)) {
-        throw new BadConfig(side, "no such jar, and no policy of " + Minds.words());
+          : !Policies.words().contains(side)) {
+        throw new InvalidConfigurationException(
+            side, "no such jar, and no policy of " + Policies.words());
       }
     }
     out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
   }
 
   static int run(Path file, CommandLine line) throws IOException {
-    Compare compare = new Compare(file, line);
+    CompareCommand compare = new CompareCommand(file, line);
     List<Map<String, String>> grid =
         grid(line.hasOption("set") ? line.getOptionValues("set") : new String[0]);
     for (Map<String, String> point : grid) {
       if (!Scenario.read(file, point).virtual) {
-        throw new BadConfig("clock", "only scenarios on the virtual clock are compared");
+        throw new InvalidConfigurationException(
+            "clock", "only scenarios on the virtual clock are compared");
       }
     }
     ExecutorService pool =
@@ -122,7 +124,7 @@
     for (String set : sets) {
       int cut = set.indexOf('=');
       if (cut <= 0) {
-        throw new BadConfig("--set", "not KEY=VALUE,VALUE: " + set);
+        throw new InvalidConfigurationException("--set", "not KEY=VALUE,VALUE: " + set);
       }
       List<Map<String, String>> next = new ArrayList<>();
       for (Map<String, String> point : points) {
@@ -168,11 +170,11 @@
       Files.createDirectories(out);
       lines(point, found);
       if (Arrays.stream(sides).noneMatch(s -> s.startsWith("jar:"))) {
-        Page.write(
+        HtmlReport.write(
             out.resolve("compare.html"),
             List.of(
-                new Page.Run(sides[1], here(point, sides[1], 1)),
-                new Page.Run(sides[0], here(point, sides[0], 1))));
+                new HtmlReport.Run(sides[1], here(point, sides[1], 1)),
+                new HtmlReport.Run(sides[0], here(point, sides[0], 1))));
       }
     }
   }
@@ -189,7 +191,9 @@
   private Verdict here(Map<String, String> point, String policy, int seed) {
     Scenario scenario = Scenario.read(file, point);
     Referee referee = new Referee(scenario);
-    new World(scenario, seed, Minds.Policy.values()[Minds.words().indexOf(policy)], referee).run();
+    new VirtualRun(
+            scenario, seed, Policies.Kind.values()[Policies.words().indexOf(policy)], referee)
+        .run();
     return referee.verdict();
   }
 
--- a/lab/src/main/java/wheattrack/lab/Demo.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -3,20 +3,20 @@
 import java.io.IOException;
 import java.util.Locale;
 import java.util.Map;
-import wheattrack.lab.real.Sockets;
-import wheattrack.lab.referee.Entry.Answer;
+import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.sockets.SocketRun;
 
 /** Two proxies, six servers and load on loopback; a server is killed, and the referee judges. */
-final class Demo {
+final class DemoCommand {
   private static final int WIDE = 40;
 
-  private Demo() {}
+  private DemoCommand() {}
 
-  static int run(Play.Job job) throws IOException {
-    Scenario s = Scenario.read(Shelf.find("demo"));
+  static int run(ScenarioRunner.Job job) throws IOException {
+    Scenario s = Scenario.read(ScenarioCatalog.find("demo"));
     System.out.println(
         "two proxies, six servers, a list and clients on 127.0.0.1: "
             + Verdict.text(s.load.rate())
@@ -29,7 +29,7 @@
             + " s and comes back cold "
             + s.faults.get(0).lasts() / Scenario.SECOND
             + " s later");
-    Play.Real real = Play.real(s, job, Sockets.How.USUAL);
+    ScenarioRunner.Real real = ScenarioRunner.real(s, job, SocketRun.How.USUAL);
     Verdict v = real.verdict();
     System.out.println();
     System.out.println("value done in time, by second");
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -9,12 +9,12 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import wheattrack.config.BadConfig;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.Ledger;
-import wheattrack.lab.scale.Processes;
-import wheattrack.lab.scale.Scale;
+import wheattrack.lab.scale.ProcessGroup;
+import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.world.Minds;
+import wheattrack.lab.virtual.Policies;
 
 /**
  * The lab's command line. Exit codes: 0 good, 1 fell short, 2 bad input, 3 the run says nothing.
@@ -75,37 +75,37 @@
         return 0;
       }
       if (words.equals(List.of("list"))) {
-        for (String name : Shelf.names()) {
-          Scenario s = Scenario.read(Shelf.find(name));
+        for (String name : ScenarioCatalog.names()) {
+          Scenario s = Scenario.read(ScenarioCatalog.find(name));
           System.out.printf("%-24s %-7s %s%n", name, s.virtual ? "virtual" : "real", s.about);
         }
         return 0;
       }
       if (words.equals(List.of("demo"))) {
-        return Demo.run(job(line));
+        return DemoCommand.run(job(line));
       }
       if (words.equals(List.of("bench"))) {
-        return Bench.run(job(line));
+        return BenchCommand.run(job(line));
       }
       if (words.equals(List.of("scale"))) {
         return scale(line);
       }
       if (words.size() == 2 && words.get(0).equals("compare")) {
-        return Compare.run(Shelf.find(words.get(1)), line);
+        return CompareCommand.run(ScenarioCatalog.find(words.get(1)), line);
       }
       if (words.size() != 2) {
         return fault(USAGE);
       }
-      Scenario scenario = Scenario.read(Shelf.find(words.get(1)), settings(line));
+      Scenario scenario = Scenario.read(ScenarioCatalog.find(words.get(1)), settings(line));
       return switch (words.get(0)) {
         case "check" -> {
           System.out.println("good: " + scenario.name);
           yield 0;
         }
-        case "run" -> Play.run(scenario, job(line));
+        case "run" -> ScenarioRunner.run(scenario, job(line));
         default -> fault(USAGE);
       };
-    } catch (ParseException | BadConfig e) {
+    } catch (ParseException | InvalidConfigurationException e) {
       return fault("wheattrack lab: " + e.getMessage());
     } catch (Ledger.Void e) {
       System.err.println("wheattrack lab: void: " + e.getMessage());
@@ -118,12 +118,12 @@
   private static int scale(CommandLine line) throws IOException {
     long memory = whole(line, "memory-mb", 0) << 20;
     if (memory < 0) {
-      throw new BadConfig("--memory-mb", "negative");
+      throw new InvalidConfigurationException("--memory-mb", "negative");
     }
     try {
-      Scale.run(
-          new Scale.Job(
-              Shelf.home(),
+      ScaleCommand.run(
+          new ScaleCommand.Job(
+              ScenarioCatalog.home(),
               line.getOptionValue("axis"),
               line.getOptionValue("points"),
               whole(line, "seed", 1),
@@ -133,21 +133,24 @@
               true),
           System.out);
       return 0;
-    } catch (Processes.OverBound e) {
+    } catch (ProcessGroup.OverBound e) {
       System.err.println("wheattrack lab: void: " + e.getMessage());
       return 3;
     }
   }
 
-  static Play.Job job(CommandLine line) {
-    String policy = line.getOptionValue("policy", Minds.words().get(0));
-    if (!Minds.words().contains(policy)) {
-      throw new BadConfig("--policy", "'" + policy + "' is none of " + Minds.words());
+  static ScenarioRunner.Job job(CommandLine line) {
+    String policy = line.getOptionValue("policy", Policies.words().get(0));
+    if (!Policies.words().contains(policy)) {
+      throw new InvalidConfigurationException(
+          "--policy", "'" + policy + "' is none of " + Policies.words());
     }
     long seed = whole(line, "seed", 1);
     Path out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
-    Path jar = line.hasOption("jar") ? Path.of(line.getOptionValue("jar")) : Shelf.proxyJar();
-    return new Play.Job(seed, out, Minds.Policy.values()[Minds.words().indexOf(policy)], jar);
+    Path jar =
+        line.hasOption("jar") ? Path.of(line.getOptionValue("jar")) : ScenarioCatalog.proxyJar();
+    return new ScenarioRunner.Job(
+        seed, out, Policies.Kind.values()[Policies.words().indexOf(policy)], jar);
   }
 
   /** What --set says, each key with its one value. */
@@ -156,7 +159,7 @@
     for (String set : line.hasOption("set") ? line.getOptionValues("set") : new String[0]) {
       int cut = set.indexOf('=');
       if (cut <= 0) {
-        throw new BadConfig("--set", "not KEY=VALUE: " + set);
+        throw new InvalidConfigurationException("--set", "not KEY=VALUE: " + set);
       }
       out.put(set.substring(0, cut), set.substring(cut + 1));
     }
@@ -168,7 +171,7 @@
     try {
       return Long.parseLong(text);
     } catch (NumberFormatException e) {
-      throw new BadConfig("--" + option, "not a whole number: " + text);
+      throw new InvalidConfigurationException("--" + option, "not a whole number: " + text);
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/Shelf.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioCatalog.java
@@ -5,11 +5,11 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-import wheattrack.config.BadConfig;
+import wheattrack.config.InvalidConfigurationException;
 
 /** Where the scenarios that ship lie, and the jars. */
-public final class Shelf {
-  private Shelf() {}
+public final class ScenarioCatalog {
+  private ScenarioCatalog() {}
 
   /** The root of the tree: where the launcher lies. */
   static Path home() {
@@ -37,7 +37,7 @@
     Path named = home().resolve("lab/scenarios").resolve(nameOrFile + ".toml");
     Path file = Files.isRegularFile(named) ? named : Path.of(nameOrFile);
     if (!Files.isRegularFile(file)) {
-      throw new BadConfig(nameOrFile, "no such scenario, by name or by file");
+      throw new InvalidConfigurationException(nameOrFile, "no such scenario, by name or by file");
     }
     return file;
   }
--- a/lab/src/main/java/wheattrack/lab/Play.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -5,26 +5,26 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
-import wheattrack.lab.real.Sockets;
 import wheattrack.lab.referee.Ledger;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
-import wheattrack.lab.report.Lines;
-import wheattrack.lab.report.Page;
+import wheattrack.lab.report.HtmlReport;
+import wheattrack.lab.report.ResultLines;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.world.Minds;
-import wheattrack.lab.world.World;
+import wheattrack.lab.sockets.SocketRun;
+import wheattrack.lab.virtual.Policies;
+import wheattrack.lab.virtual.VirtualRun;
 
 /** Plays one scenario and says what came of it. */
-final class Play {
+final class ScenarioRunner {
   /** How to play it; out and jar may be null. */
-  record Job(long seed, Path out, Minds.Policy policy, Path jar) {
+  record Job(long seed, Path out, Policies.Kind policy, Path jar) {
     String policyWord() {
       return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
   }
 
-  private Play() {}
+  private ScenarioRunner() {}
 
   /** Plays it on the clock it names, prints the verdict and gives the exit code. */
   static int run(Scenario scenario, Job job) throws IOException {
@@ -36,7 +36,7 @@
       tell(verdict, job);
       return verdict.isGood() ? 0 : 1;
     }
-    Real real = real(scenario, job, Sockets.How.USUAL);
+    Real real = real(scenario, job, SocketRun.How.USUAL);
     tell(real.verdict, job);
     return real.quality.isTooLate() ? 3 : real.verdict.isGood() ? 0 : 1;
   }
@@ -44,30 +44,30 @@
   private static Verdict virtual(Scenario scenario, Job job) throws IOException {
     Referee referee = new Referee(scenario);
     if (job.out() == null) {
-      new World(scenario, job.seed(), job.policy(), referee).run();
+      new VirtualRun(scenario, job.seed(), job.policy(), referee).run();
       return referee.verdict();
     }
     Path file = job.out().resolve("world.ledger");
     Files.deleteIfExists(file);
     try (Ledger.Out out = new Ledger.Out(file, false)) {
-      new World(scenario, job.seed(), job.policy(), out).run();
+      new VirtualRun(scenario, job.seed(), job.policy(), out).run();
     }
     Ledger.merge(List.of(file)).forEach(referee);
     return referee.verdict();
   }
 
   /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
-  record Real(Verdict verdict, Sockets.Quality quality) {}
+  record Real(Verdict verdict, SocketRun.Quality quality) {}
 
   /** Plays on sockets, by ledgers on disk as ever. */
-  static Real real(Scenario scenario, Job job, Sockets.How how) throws IOException {
+  static Real real(Scenario scenario, Job job, SocketRun.How how) throws IOException {
     Path file =
         job.out() == null
             ? Files.createTempFile("wheattrack", ".ledger")
             : job.out().resolve("sockets.ledger");
     Files.deleteIfExists(file);
     try {
-      Sockets.Quality quality = sockets(scenario, job, how, file);
+      SocketRun.Quality quality = sockets(scenario, job, how, file);
       Referee referee = new Referee(scenario);
       Ledger.merge(List.of(file)).forEach(referee);
       System.out.printf(
@@ -90,11 +90,11 @@
     }
   }
 
-  private static Sockets.Quality sockets(Scenario scenario, Job job, Sockets.How how, Path file)
+  private static SocketRun.Quality sockets(Scenario scenario, Job job, SocketRun.How how, Path file)
       throws IOException {
     try (Ledger.Out out = new Ledger.Out(file, false);
-        Sockets sockets = new Sockets(scenario, job.seed(), job.jar(), how, out)) {
-      Sockets.Quality quality = sockets.run();
+        SocketRun sockets = new SocketRun(scenario, job.seed(), job.jar(), how, out)) {
+      SocketRun.Quality quality = sockets.run();
       if (job.out() != null) {
         sockets.keepLogs(job.out());
       }
@@ -102,7 +102,7 @@
     }
   }
 
-  private static double micros(Sockets.Quality quality, double percentile) {
+  private static double micros(SocketRun.Quality quality, double percentile) {
     return quality.lateMicros().getValueAtPercentile(percentile) / 1000.0;
   }
 
@@ -127,8 +127,9 @@
                         + " "
                         + Verdict.text(e.bound())));
     if (job.out() != null) {
-      Lines.write(job.out().resolve("result.jsonl"), v, job.seed(), job.policyWord());
-      Page.write(job.out().resolve("report.html"), List.of(new Page.Run(job.policyWord(), v)));
+      ResultLines.write(job.out().resolve("result.jsonl"), v, job.seed(), job.policyWord());
+      HtmlReport.write(
+          job.out().resolve("report.html"), List.of(new HtmlReport.Run(job.policyWord(), v)));
     }
     System.out.println(v.result(job.seed()));
   }
--- a/lab/src/main/java/wheattrack/lab/load/Arrivals.java
+++ b/lab/src/main/java/wheattrack/lab/load/ArrivalProcess.java
@@ -7,15 +7,15 @@
  * When clients want something: an open loop, so that the times do not depend on what is answered.
  * Times are tenths of a millisecond from the start of the run.
  */
-public final class Arrivals {
+public final class ArrivalProcess {
   private final Load load;
-  private final Draws draws;
+  private final RandomStream draws;
   private double at;
   private double burstUntil;
   private boolean burst;
   private double factor = 1;
 
-  public Arrivals(Load load, Draws draws) {
+  public ArrivalProcess(Load load, RandomStream draws) {
     this.load = load;
     this.draws = draws;
   }
--- a/lab/src/main/java/wheattrack/lab/load/Draws.java
+++ b/lab/src/main/java/wheattrack/lab/load/RandomStream.java
@@ -7,12 +7,12 @@
 /**
  * Chance of one part of a run: the same seed and part give the same draws, whatever other parts do.
  */
-public final class Draws {
+public final class RandomStream {
   private final UniformRandomProvider source;
   private final ZigguratSampler.NormalizedGaussian normal;
   private final ZigguratSampler.Exponential exponential;
 
-  public Draws(long seed, String part) {
+  public RandomStream(long seed, String part) {
     source =
         RandomSource.XO_SHI_RO_256_PP.create(
             new long[] {seed, part.hashCode(), 0x9E3779B97F4A7C15L, seed * 31 + part.length()});
--- a/lab/src/main/java/wheattrack/lab/load/Want.java
+++ b/lab/src/main/java/wheattrack/lab/load/RequestPlan.java
@@ -8,7 +8,7 @@
  * What one client wants: of which rule set, how much work it is in tenths of a millisecond at speed
  * 1, the hint it sends in tenths of a millisecond (0 for none) and what it is worth.
  */
-public record Want(Set1 set, double work, double hint, double value) {
+public record RequestPlan(Set1 set, double work, double hint, double value) {
 
   /** Draws wants by a scenario's shares; hints may change in the course of a run. */
   public static final class Source {
@@ -21,13 +21,13 @@
     }
 
     private final Scenario scenario;
-    private final Draws draws;
+    private final RandomStream draws;
     private final double total;
     private final double[] share;
     private double noise, scale, constant, once, mixed;
     private Sense sense = Sense.ROUGH;
 
-    public Source(Scenario scenario, Draws draws) {
+    public Source(Scenario scenario, RandomStream draws) {
       this.scenario = scenario;
       this.draws = draws;
       total = scenario.sets.stream().mapToDouble(Set1::share).sum();
@@ -68,7 +68,7 @@
       once = hint;
     }
 
-    public Want next() {
+    public RequestPlan next() {
       double at = draws.uniform() * total;
       Set1 set = scenario.sets.get(scenario.sets.size() - 1);
       for (Set1 s : scenario.sets) {
@@ -88,13 +88,13 @@
             case RANDOM -> any;
             case INVERTED -> set.work() * set.work() / work * off;
           };
-      double hint = draws.happens(share[set.rules().at()]) ? Math.max(1, says * scale) : 0;
+      double hint = draws.happens(share[set.rules().index()]) ? Math.max(1, says * scale) : 0;
       hint *= draws.happens(mixed) ? 1000 : 1;
       if (once > 0) {
         hint = once;
         once = 0;
       }
-      return new Want(set, work, hint, set.rules().value() * work);
+      return new RequestPlan(set, work, hint, set.rules().priorityWeight() * work);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/stage/Visitor.java
+++ b/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
@@ -1,9 +1,9 @@
-package wheattrack.lab.stage;
+package wheattrack.lab.model;
 
-import wheattrack.port.Outcome;
+import wheattrack.api.AttemptOutcome;
 
 /** A dispatch as a server sees it. */
-public interface Visitor {
+public interface BackendVisit {
   long req();
 
   /** The place of the proxy that sent it. */
@@ -16,7 +16,7 @@
   long due();
 
   /** What the server says, or that it can say nothing as it broke; once. */
-  void heard(Outcome how);
+  void heard(AttemptOutcome how);
 
   /** How the server is told that the connection was closed; null once it has answered. */
   void stops(Runnable how);
--- a/lab/src/main/java/wheattrack/lab/stage/Crowd.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
@@ -1,21 +1,21 @@
-package wheattrack.lab.stage;
+package wheattrack.lab.model;
 
 import java.util.ArrayList;
 import java.util.List;
-import wheattrack.lab.load.Arrivals;
-import wheattrack.lab.load.Draws;
-import wheattrack.lab.load.Want;
-import wheattrack.lab.referee.Entry;
-import wheattrack.lab.referee.Entry.Answer;
+import wheattrack.api.Idempotency;
+import wheattrack.lab.load.ArrivalProcess;
+import wheattrack.lab.load.RandomStream;
+import wheattrack.lab.load.RequestPlan;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.scenario.Scenario.Clients;
-import wheattrack.port.RuleSet.Effect;
 
 /**
  * The clients, and the front that deals them out among the proxies of their zone, on either clock.
  */
-public final class Crowd {
+public final class ClientPopulation {
   /** One try: a req on its way to a proxy. */
-  public record Ask(long req, Want want, long due, boolean again, Op op, int proxy) {
+  public record Ask(long req, RequestPlan want, long due, boolean again, Op op, int proxy) {
     /** Whether its client still waits for it. */
     public boolean isOpen() {
       return op.open == this;
@@ -25,13 +25,13 @@
   /** What a client wants, over all its tries. */
   public static final class Op {
     final long id, at;
-    final Want want;
+    final RequestPlan want;
     final int zone;
     int tries;
     boolean over, left;
     Ask open;
 
-    Op(long id, long at, Want want, int zone) {
+    Op(long id, long at, RequestPlan want, int zone) {
       this.id = id;
       this.at = at;
       this.want = want;
@@ -44,36 +44,36 @@
     }
   }
 
-  private final Stage stage;
-  private final Draws draws;
-  private final Want.Source wants;
-  private final Arrivals arrivals;
+  private final RunEnvironment stage;
+  private final RandomStream draws;
+  private final RequestPlan.Source wants;
+  private final ArrivalProcess arrivals;
   private final Clients clients;
-  private final List<List<Door>> believed = new ArrayList<>();
+  private final List<List<ProxyHandle>> believed = new ArrayList<>();
   private long ops, reqs;
 
-  Crowd(Stage stage) {
+  ClientPopulation(RunEnvironment stage) {
     this.stage = stage;
     draws = stage.draws("clients");
-    wants = new Want.Source(stage.scenario, stage.draws("wants"));
-    arrivals = new Arrivals(stage.scenario.load, stage.draws("arrivals"));
+    wants = new RequestPlan.Source(stage.scenario, stage.draws("wants"));
+    arrivals = new ArrivalProcess(stage.scenario.load, stage.draws("arrivals"));
     clients = stage.scenario.clients;
     for (int z = 0; z < stage.scenario.zones; z++) {
       believed.add(new ArrayList<>());
     }
   }
 
-  Want.Source wants() {
+  RequestPlan.Source wants() {
     return wants;
   }
 
-  Arrivals arrivals() {
+  ArrivalProcess arrivals() {
     return arrivals;
   }
 
   /** The front takes a proxy in, or has noticed that it is dead. */
-  public void sees(Door door, boolean up) {
-    List<Door> zone = believed.get(door.zone);
+  public void sees(ProxyHandle door, boolean up) {
+    List<ProxyHandle> zone = believed.get(door.zone);
     zone.remove(door);
     if (up) {
       zone.add(door);
@@ -88,16 +88,17 @@
           () -> {
             stage.wanted(at);
             Op op = new Op(++ops, (long) at, wants.next(), draws.below(believed.size()));
-            stage.say(Entry.asked(op.at, op.id, op.want.set().rules().at(), op.want.value()));
+            stage.say(
+                LedgerRecord.asked(op.at, op.id, op.want.set().rules().index(), op.want.value()));
             tries(op);
             open();
           });
     }
   }
 
-  private Door pick(int zone) {
+  private ProxyHandle pick(int zone) {
     for (int i = 0; i < believed.size(); i++) {
-      List<Door> there = believed.get((zone + i) % believed.size());
+      List<ProxyHandle> there = believed.get((zone + i) % believed.size());
       if (!there.isEmpty()) {
         return there.get(draws.below(there.size()));
       }
@@ -107,12 +108,12 @@
 
   private void tries(Op op) {
     op.tries++;
-    Door door = pick(op.zone);
+    ProxyHandle door = pick(op.zone);
     if (door == null) {
       again(op, 0);
       return;
     }
-    long timeout = op.want.set().rules().timeout();
+    long timeout = op.want.set().rules().clientTimeout();
     Ask ask = new Ask(++reqs, op.want, stage.now() + timeout, op.tries > 1, op, door.place);
     op.open = ask;
     door.take(ask);
@@ -121,12 +122,12 @@
     }
   }
 
-  private void leaves(Op op, Ask ask, Door door) {
+  private void leaves(Op op, Ask ask, ProxyHandle door) {
     if (op.open == ask) {
       op.over = true;
       op.left = true;
       op.open = null;
-      stage.say(Entry.left(stage.now(), ask.req));
+      stage.say(LedgerRecord.left(stage.now(), ask.req));
       door.left(ask);
     }
   }
@@ -144,7 +145,7 @@
     if (ask.op.left) {
       return;
     }
-    stage.say(Entry.answered(stage.now(), ask.req, how));
+    stage.say(LedgerRecord.answered(stage.now(), ask.req, how));
     Op op = ask.op;
     if (op.open != ask) {
       return; // a second answer; the referee has heard it
@@ -152,7 +153,8 @@
     op.open = null;
     if (how == Answer.DONE) {
       op.over = true;
-    } else if (how == Answer.DENIED || op.want.set().rules().effect() == Effect.REPLAYABLE) {
+    } else if (how == Answer.DENIED
+        || op.want.set().rules().idempotency() == Idempotency.IDEMPOTENT) {
       again(op, wait);
     }
   }
@@ -166,7 +168,7 @@
     }
     long own = Math.round(clients.backoff() * Math.pow(2, op.tries - 1) * (0.5 + draws.uniform()));
     long wait = advice > 0 && draws.happens(clients.honour()) ? advice : own;
-    if (stage.now() + wait < op.at + op.want.set().rules().timeout()) {
+    if (stage.now() + wait < op.at + op.want.set().rules().clientTimeout()) {
       stage.after(wait, () -> tries(op));
     }
   }
--- a/lab/src/main/java/wheattrack/lab/stage/Roster.java
+++ b/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
@@ -1,28 +1,28 @@
-package wheattrack.lab.stage;
+package wheattrack.lab.model;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wheattrack.core.Fleet;
-import wheattrack.lab.referee.Entry.State;
+import wheattrack.core.BackendIndex;
+import wheattrack.lab.referee.LedgerRecord.State;
 
 /**
  * The list, on either clock: late, and at times down, stale or empty. How it tells is the clock's.
  */
-public abstract class Roster {
+public abstract class EndpointRegistry {
   /** One entry as told. */
   public record News(int server, State state, long start) {}
 
   /** When a server started of which only "long ago" is told. */
-  public static final long LONG_AGO = Fleet.LONG_AGO;
+  public static final long LONG_AGO = BackendIndex.LONG_AGO;
 
-  protected final Stage stage;
+  protected final RunEnvironment stage;
   private final Map<Integer, News> truth = new LinkedHashMap<>();
   protected boolean down, stale, empty;
   private List<News> before = List.of();
 
-  protected Roster(Stage stage) {
+  protected EndpointRegistry(RunEnvironment stage) {
     this.stage = stage;
     stage.machines().forEach(m -> truth.put(m.place, new News(m.place, State.READY, LONG_AGO)));
   }
@@ -76,12 +76,12 @@
   }
 
   /** A process died: noticed after a while, unless it is back by then. */
-  public void noticesDeath(Machine machine) {
+  public void noticesDeath(SimulatedBackend machine) {
     int epoch = machine.epoch() + 1;
     stage.after(
         stage.scenario.roster.notice(),
         () -> {
-          if (machine.epoch() == epoch && machine.state() != Machine.State.UP) {
+          if (machine.epoch() == epoch && machine.state() != SimulatedBackend.State.UP) {
             changes(machine.place, State.GONE, 0);
           }
         });
--- a/lab/src/main/java/wheattrack/lab/stage/Timeline.java
+++ b/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
@@ -1,29 +1,29 @@
-package wheattrack.lab.stage;
+package wheattrack.lab.model;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntConsumer;
-import wheattrack.lab.load.Draws;
-import wheattrack.lab.load.Want.Source.Sense;
-import wheattrack.lab.referee.Entry;
-import wheattrack.lab.referee.Entry.State;
+import wheattrack.lab.load.RandomStream;
+import wheattrack.lab.load.RequestPlan.Source.Sense;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.LedgerRecord.State;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
 
 /** Plays a scenario's faults, on either clock. */
-public final class Timeline {
+public final class FaultTimeline {
   private static final long GONE_AFTER = 2 * Scenario.SECOND, ANEW_AFTER = Scenario.SECOND;
 
-  private final Stage stage;
+  private final RunEnvironment stage;
 
-  private Timeline(Stage stage) {
+  private FaultTimeline(RunEnvironment stage) {
     this.stage = stage;
   }
 
   /** Puts all faults of the scenario into the agenda. */
-  public static void schedule(Stage stage) {
-    Draws draws = stage.draws("faults");
-    Timeline t = new Timeline(stage);
+  public static void schedule(RunEnvironment stage) {
+    RandomStream draws = stage.draws("faults");
+    FaultTimeline t = new FaultTimeline(stage);
     for (int i = 0; i < stage.scenario.faults.size(); i++) {
       Fault f = stage.scenario.faults.get(i);
       int n = f.kind().hitsProxies() ? stage.doors().size() : stage.machines().size();
@@ -33,13 +33,13 @@
       stage.after(
           f.at(),
           () -> {
-            stage.say(Entry.fault(stage.now(), number, true));
+            stage.say(LedgerRecord.fault(stage.now(), number, true));
             t.begin(f, hit);
             if (f.lasts() > 0) {
               stage.after(
                   f.lasts(),
                   () -> {
-                    stage.say(Entry.fault(stage.now(), number, false));
+                    stage.say(LedgerRecord.fault(stage.now(), number, false));
                     t.end(f, hit);
                   });
             }
@@ -48,7 +48,7 @@
   }
 
   /** Which places a fault hits: the seed draws them without repeats. */
-  static List<Integer> hit(Fault f, int n, int zones, Draws draws) {
+  static List<Integer> hit(Fault f, int n, int zones, RandomStream draws) {
     if (f.what().place() >= 0) {
       return List.of(f.what().place());
     }
@@ -75,7 +75,7 @@
           each(
               hit,
               p -> {
-                Door door = stage.door(p);
+                ProxyHandle door = stage.door(p);
                 if (door.isUp()) {
                   door.kill();
                   int life = door.life();
@@ -102,7 +102,7 @@
           each(
               hit,
               s -> {
-                Machine m = stage.machine(s);
+                SimulatedBackend m = stage.machine(s);
                 stage.roster().noticesDeath(m);
                 if (f.kind() == Fault.Kind.CRASH) {
                   m.crash();
@@ -167,7 +167,7 @@
     }
   }
 
-  private void pauses(Machine m, Fault f, long until) {
+  private void pauses(SimulatedBackend m, Fault f, long until) {
     if (stage.now() < until) {
       m.stall(Math.round(f.size() * Scenario.MS));
       stage.after(f.every(), () -> pauses(m, f, until));
@@ -180,7 +180,7 @@
   }
 
   private void leave(int s) {
-    Machine m = stage.machine(s);
+    SimulatedBackend m = stage.machine(s);
     if (m.isDraining()) {
       m.crash();
       stage.roster().changes(s, State.GONE, 0);
@@ -210,8 +210,8 @@
    * seen.
    */
   private void start(int s, boolean asAnother) {
-    Machine m = stage.machine(s);
-    if (m.state() != Machine.State.UP && !m.isFallen()) {
+    SimulatedBackend m = stage.machine(s);
+    if (m.state() != SimulatedBackend.State.UP && !m.isFallen()) {
       if (asAnother) {
         m.renew();
       }
@@ -221,7 +221,7 @@
   }
 
   private long startOf(int s) {
-    Machine m = stage.machine(s);
-    return m.isCold() ? m.start() : Roster.LONG_AGO;
+    SimulatedBackend m = stage.machine(s);
+    return m.isCold() ? m.start() : EndpointRegistry.LONG_AGO;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/stage/Door.java
+++ b/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
@@ -1,13 +1,13 @@
-package wheattrack.lab.stage;
+package wheattrack.lab.model;
 
 /**
  * A proxy as clients and the timeline see it: a place to send reqs to, and a process that can be
  * killed.
  */
-public abstract class Door {
+public abstract class ProxyHandle {
   public final int place, zone;
 
-  protected Door(int place, int zones) {
+  protected ProxyHandle(int place, int zones) {
     this.place = place;
     zone = place % zones;
   }
@@ -29,8 +29,8 @@
   public abstract void skew(double millis);
 
   /** Sends a req; the crowd is told what comes of it. */
-  public abstract void take(Crowd.Ask ask);
+  public abstract void take(ClientPopulation.Ask ask);
 
   /** The client hangs up. */
-  public abstract void left(Crowd.Ask ask);
+  public abstract void left(ClientPopulation.Ask ask);
 }
--- a/lab/src/main/java/wheattrack/lab/stage/Machine.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -1,17 +1,17 @@
-package wheattrack.lab.stage;
+package wheattrack.lab.model;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import wheattrack.core.Deadlines;
-import wheattrack.lab.load.Draws;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.referee.ColdBudget;
-import wheattrack.lab.referee.Entry;
+import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.scenario.Scenario.Servers;
-import wheattrack.port.Outcome;
 
 /** One server, on either clock: cores, a waiting room, a cold start and all that can befall it. */
-public final class Machine {
+public final class SimulatedBackend {
   /** DEAD refuses connections, SILENT drops all that comes, HUNG takes reqs and answers none. */
   public enum State {
     UP,
@@ -25,13 +25,13 @@
 
   /** A dispatch at this server. */
   private final class Visit {
-    final Visitor who;
+    final BackendVisit who;
     final double work;
     final long came = stage.now();
-    Deadlines.Entry end;
+    TimerQueue.Entry end;
     long endsAt;
 
-    Visit(Visitor who, double work) {
+    Visit(BackendVisit who, double work) {
       this.who = who;
       this.work = work;
     }
@@ -39,8 +39,8 @@
 
   public final int place, zone;
   public final Servers kind;
-  private final Stage stage;
-  private final Draws draws;
+  private final RunEnvironment stage;
+  private final RandomStream draws;
   private final ArrayDeque<Visit> queue = new ArrayDeque<>();
   private final List<Visit> running = new ArrayList<>();
   private final ColdBudget budget;
@@ -51,7 +51,7 @@
   private int epoch, connections, renewals;
   private Runnable changed = () -> {};
 
-  Machine(Stage stage, int place, Servers kind) {
+  SimulatedBackend(RunEnvironment stage, int place, Servers kind) {
     this.stage = stage;
     this.place = place;
     this.kind = kind;
@@ -118,7 +118,7 @@
     start = stage.now();
     cold = asCold;
     budget.clear();
-    stage.say(Entry.started(stage.now(), place, kind.cores() * kind.speed(), asCold));
+    stage.say(LedgerRecord.started(stage.now(), place, kind.cores() * kind.speed(), asCold));
     turn(State.UP);
   }
 
@@ -142,22 +142,22 @@
   }
 
   /** A dispatch's first byte left at that time and has come; anew: on a connection of its own. */
-  public void arrive(Visitor who, long sent, boolean anew) {
+  public void arrive(BackendVisit who, long sent, boolean anew) {
     if (state == State.SILENT) {
       return;
     }
     if (state == State.DEAD) {
-      who.heard(Outcome.RESET);
+      who.heard(AttemptOutcome.RESET);
       return;
     }
     double work = who.work() * draws.factor(NOISE) + (anew ? kind.handshake() : 0);
-    stage.say(Entry.came(sent, who.req(), who.proxy(), place, work));
+    stage.say(LedgerRecord.came(sent, who.req(), who.proxy(), place, work));
     if (cold
         && warmth() < 1
         && budget.add(sent, work, kind.cores() * kind.speed() * warmth(), true)) {
       fallen = true;
-      stage.say(Entry.fell(stage.now(), place));
-      who.heard(Outcome.RESET);
+      stage.say(LedgerRecord.fell(stage.now(), place));
+      who.heard(AttemptOutcome.RESET);
       stage.roster().noticesDeath(this);
       crash();
       return;
@@ -167,9 +167,9 @@
     if (state == State.HUNG) {
       queue.add(v);
     } else if (draining || queue.size() >= kind.room() && running.size() >= kind.cores()) {
-      reply(who, Outcome.FULL);
+      reply(who, AttemptOutcome.FULL);
     } else if (draws.happens(failing)) {
-      stage.after(FAST, () -> reply(who, Outcome.ERROR));
+      stage.after(FAST, () -> reply(who, AttemptOutcome.ERROR));
     } else {
       queue.add(v);
       serve();
@@ -183,11 +183,11 @@
         && !queue.isEmpty()) {
       Visit v = queue.poll();
       if (stage.now() >= v.who.due()) {
-        reply(v.who, Outcome.FULL); // over already; not begun
+        reply(v.who, AttemptOutcome.FULL); // over already; not begun
         continue;
       }
       running.add(v);
-      stage.say(Entry.ran(stage.now(), v.who.req(), v.who.proxy(), place, v.came, v.work));
+      stage.say(LedgerRecord.ran(stage.now(), v.who.req(), v.who.proxy(), place, v.came, v.work));
       v.endsAt = stage.now() + Math.max(1, Math.round(v.work / (kind.speed() * warmth() / slow)));
       v.end = stage.after(v.endsAt - stage.now(), () -> finish(v));
     }
@@ -195,7 +195,7 @@
 
   private void finish(Visit v) {
     running.remove(v);
-    reply(v.who, Outcome.DONE);
+    reply(v.who, AttemptOutcome.DONE);
     serve();
   }
 
@@ -207,7 +207,7 @@
     }
   }
 
-  private void reply(Visitor who, Outcome how) {
+  private void reply(BackendVisit who, AttemptOutcome how) {
     who.stops(null);
     who.heard(how);
   }
@@ -238,7 +238,7 @@
     for (Visit v : all) {
       stage.cancel(v.end);
       if (heard) {
-        reply(v.who, Outcome.RESET);
+        reply(v.who, AttemptOutcome.RESET);
       } else {
         v.who.stops(null);
       }
@@ -258,7 +258,7 @@
       turn(State.UP);
       List<Visit> lost = List.copyOf(running);
       running.clear();
-      lost.forEach(v -> reply(v.who, Outcome.RESET));
+      lost.forEach(v -> reply(v.who, AttemptOutcome.RESET));
       serve();
     }
   }
--- a/lab/src/main/java/wheattrack/lab/referee/Ledger.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Ledger.java
@@ -30,7 +30,7 @@
   }
 
   /** Writes one file; each entry is written out at once where sure, else a block at a time. */
-  public static final class Out implements Consumer<Entry>, AutoCloseable {
+  public static final class Out implements Consumer<LedgerRecord>, AutoCloseable {
     private final Writer out;
     private final boolean sure;
 
@@ -44,7 +44,7 @@
     }
 
     @Override
-    public synchronized void accept(Entry e) {
+    public synchronized void accept(LedgerRecord e) {
       try {
         out.write(line(e));
         if (sure) {
@@ -63,7 +63,7 @@
 
   private Ledger() {}
 
-  static String line(Entry e) {
+  static String line(LedgerRecord e) {
     String text =
         e.kind().name()
             + ' '
@@ -91,8 +91,8 @@
   }
 
   /** One writer's entries by the conductor's clock; void where its last line is missing or torn. */
-  public static List<Entry> read(Path file) throws IOException {
-    List<Entry> out = new ArrayList<>();
+  public static List<LedgerRecord> read(Path file) throws IOException {
+    List<LedgerRecord> out = new ArrayList<>();
     long shift = 0;
     String text = Files.readString(file, StandardCharsets.US_ASCII);
     if (!text.isEmpty() && !text.endsWith("\n")) {
@@ -100,26 +100,26 @@
     }
     int number = 0;
     for (String line : text.isEmpty() ? new String[0] : text.split("\n")) {
-      Entry e = entry(file.getFileName() + ":" + ++number, line);
-      if (e.kind() == Entry.Kind.CLOCK) {
+      LedgerRecord e = entry(file.getFileName() + ":" + ++number, line);
+      if (e.kind() == LedgerRecord.Kind.CLOCK) {
         shift = e.at() - e.time();
       } else {
         out.add(e.shifted(shift));
       }
     }
-    if (out.isEmpty() || out.get(out.size() - 1).kind() != Entry.Kind.END) {
+    if (out.isEmpty() || out.get(out.size() - 1).kind() != LedgerRecord.Kind.END) {
       throw new Void(file.getFileName() + ": has no end");
     }
     return out;
   }
 
-  private static Entry entry(String where, String line) throws Void {
+  private static LedgerRecord entry(String where, String line) throws Void {
     int cut = line.lastIndexOf(' ');
     String[] f = line.split(" ");
     try {
       if (f.length == 9 && Long.toHexString(sum(line.substring(0, cut))).equals(f[8])) {
-        return new Entry(
-            Entry.Kind.valueOf(f[0]),
+        return new LedgerRecord(
+            LedgerRecord.Kind.valueOf(f[0]),
             Long.parseLong(f[1]),
             Long.parseLong(f[2]),
             Integer.parseInt(f[3]),
@@ -135,12 +135,12 @@
   }
 
   /** All writers' entries of a run in one order of time; those of one moment stay by writer. */
-  public static List<Entry> merge(List<Path> files) throws IOException {
-    List<Entry> all = new ArrayList<>();
+  public static List<LedgerRecord> merge(List<Path> files) throws IOException {
+    List<LedgerRecord> all = new ArrayList<>();
     for (Path file : files) {
       all.addAll(read(file));
     }
-    all.sort(Comparator.comparingLong(Entry::at));
+    all.sort(Comparator.comparingLong(LedgerRecord::at));
     return all;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -8,19 +8,19 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
-import wheattrack.lab.referee.Entry.Answer;
-import wheattrack.lab.referee.Entry.State;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
+import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.referee.LedgerRecord.State;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.port.RuleSet;
-import wheattrack.port.RuleSet.Effect;
-import wheattrack.port.RuleSet.Group;
 
 /**
  * Judges a run by its ledger alone: the four rules, and what service there was. Entries come in
  * order of time. It keeps something for each req and server of the run, and goes with it. One
  * thread.
  */
-public final class Referee implements Consumer<Entry> {
+public final class Referee implements Consumer<LedgerRecord> {
   private static final long MOST_WORK = 1_000_000;
   private static final int MOST_TOLD = 20; // breaks spelt out; the rest is counted
 
@@ -73,7 +73,7 @@
   }
 
   private final Scenario scenario;
-  private final RuleSet[] sets;
+  private final RequestClass[] sets;
   private final Map<Long, Op> ops = new HashMap<>();
   private final Map<Long, Try> tries = new HashMap<>();
   private final Map<Integer, Srv> servers = new HashMap<>();
@@ -85,14 +85,14 @@
   private final Map<Integer, Histogram> work = new TreeMap<>();
   private final Map<Integer, ByProxy> byProxy = new TreeMap<>();
   private final Histogram latency = new Histogram(10 * 60_000L * 10, 3);
-  private final List<Entry> faults = new ArrayList<>();
+  private final List<LedgerRecord> faults = new ArrayList<>();
   private long dispatches, crossings, runs, done, denied, aborted, lost, lateDrain, lastAt;
   private double workRun, workTwice, coldLoad;
   private int fallen;
 
   public Referee(Scenario scenario) {
     this.scenario = scenario;
-    sets = scenario.sets.stream().map(Scenario.Set1::rules).toArray(RuleSet[]::new);
+    sets = scenario.sets.stream().map(Scenario.Set1::rules).toArray(RequestClass[]::new);
     for (String rule : List.of("answers", "effects", "drains", "cold")) {
       broken.put(rule, 0);
     }
@@ -105,7 +105,7 @@
   }
 
   @Override
-  public void accept(Entry e) {
+  public void accept(LedgerRecord e) {
     lastAt = Math.max(lastAt, e.at());
     switch (e.kind()) {
       case ASKED -> asked(e);
@@ -135,7 +135,7 @@
     return seconds.get(i);
   }
 
-  private void asked(Entry e) {
+  private void asked(LedgerRecord e) {
     Op op = new Op();
     op.at = e.at();
     op.set = e.code();
@@ -144,7 +144,7 @@
     second(op.at).asked += op.value;
   }
 
-  private void taken(Entry e) {
+  private void taken(LedgerRecord e) {
     Try t = new Try();
     t.op = (long) e.figure();
     t.due = e.time();
@@ -155,7 +155,7 @@
     }
   }
 
-  private void answered(Entry e) {
+  private void answered(LedgerRecord e) {
     Try t = tries.get(e.req());
     if (t == null) {
       broke("answers", e.at(), "an answer to req " + e.req() + ", which was never taken");
@@ -193,10 +193,14 @@
         if (op != null && !op.done) {
           op.done = true;
           latency.recordValue(Math.min(latency.getHighestTrackableValue(), e.at() - op.at));
-          RuleSet set = sets[op.set];
-          boolean inTime = e.at() - op.at <= set.target();
+          RequestClass set = sets[op.set];
+          boolean inTime = e.at() - op.at <= set.latencyObjective();
           second(op.at).earned +=
-              inTime ? op.value : set.value() > 0 ? op.value * set.overdue() / set.value() : 0;
+              inTime
+                  ? op.value
+                  : set.priorityWeight() > 0
+                      ? op.value * set.lateWeight() / set.priorityWeight()
+                      : 0;
         }
       }
       case DENIED -> {
@@ -212,17 +216,18 @@
   }
 
   /** A deny says that a new try does no harm: not so where it ran and must not run again. */
-  private void deniedThough(Try t, Entry e) {
-    RuleSet set = set(t);
+  private void deniedThough(Try t, LedgerRecord e) {
+    RequestClass set = set(t);
     if (t.runs > 0
         && set != null
-        && (set.effect() == Effect.NON_REPLAYABLE
-            || set.effect() == Effect.UNIQUED && set.group() != Group.ALL)) {
+        && (set.idempotency() == Idempotency.NON_IDEMPOTENT
+            || set.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
+                && set.deduplicationScope() != DeduplicationScope.ALL)) {
       broke("effects", e.at(), "req " + e.req() + " was denied, though it has run");
     }
   }
 
-  private RuleSet set(Try t) {
+  private RequestClass set(Try t) {
     Op op = ops.get(t.op);
     return op == null ? null : sets[op.set];
   }
@@ -232,7 +237,7 @@
     return down != null && at >= down;
   }
 
-  private void came(Entry e) {
+  private void came(LedgerRecord e) {
     Try t = tries.get(e.req());
     dispatches++;
     Histogram h = work.computeIfAbsent(e.server(), n -> new Histogram(MOST_WORK, 2));
@@ -284,7 +289,7 @@
   }
 
   /** Every dispatch that reaches a cold server weighs, refused ones too. */
-  private void weigh(Srv s, Entry e) {
+  private void weigh(Srv s, LedgerRecord e) {
     if (!s.cold || s.budget == null) {
       return;
     }
@@ -309,21 +314,22 @@
     }
   }
 
-  private void ran(Entry e) {
+  private void ran(LedgerRecord e) {
     Try t = tries.get(e.req());
     runs++;
     workRun += e.figure();
     if (t == null) {
       return;
     }
-    RuleSet set = set(t);
+    RequestClass set = set(t);
     if (++t.runs > 1) {
       workTwice += e.figure();
-      if (set != null && set.effect() == Effect.NON_REPLAYABLE) {
+      if (set != null && set.idempotency() == Idempotency.NON_IDEMPOTENT) {
         broke("effects", e.at(), "req " + e.req() + " ran " + t.runs + " times and may only once");
       } else if (set != null
-          && set.effect() == Effect.UNIQUED
-          && (e.time() >= t.ranCame + set.window() || apart(set.group(), t.ranAt, e.server()))) {
+          && set.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
+          && (e.time() >= t.ranCame + set.deduplicationWindow()
+              || apart(set.deduplicationScope(), t.ranAt, e.server()))) {
         broke("effects", e.at(), "req " + e.req() + " ran again outside its group or window");
       }
     } else {
@@ -335,15 +341,15 @@
     }
   }
 
-  private boolean apart(Group group, int one, int other) {
-    return group == Group.ZONE && one % scenario.zones != other % scenario.zones
-        || group == Group.CELL && one / CELL != other / CELL;
+  private boolean apart(DeduplicationScope group, int one, int other) {
+    return group == DeduplicationScope.ZONE && one % scenario.zones != other % scenario.zones
+        || group == DeduplicationScope.CELL && one / CELL != other / CELL;
   }
 
   /** Servers of one cell in the lab's fleets. */
   public static final int CELL = 4;
 
-  private void told(Entry e) {
+  private void told(LedgerRecord e) {
     Srv s = servers.computeIfAbsent(e.server(), n -> new Srv());
     State was = s.state.put(e.proxy(), e.state());
     if (was != e.state()) {
@@ -354,7 +360,7 @@
     }
   }
 
-  private void started(Entry e) {
+  private void started(LedgerRecord e) {
     Srv s = servers.computeIfAbsent(e.server(), n -> new Srv());
     s.start = e.at();
     s.capacity = e.figure();
@@ -366,7 +372,7 @@
   /**
    * What a killed proxy held is lost by the fault; what it is told after its return it hears anew.
    */
-  private void proxy(Entry e) {
+  private void proxy(LedgerRecord e) {
     if (e.code() == 0) {
       downAt.put(e.proxy(), e.at());
       proxy(e.proxy()).kills++;
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -21,7 +21,7 @@
     Map<Integer, long[]> byServer,
     Map<Integer, double[]> work,
     Map<Integer, Referee.ByProxy> byProxy,
-    List<Entry> faults,
+    List<LedgerRecord> faults,
     Histogram latency) {
 
   /** The expectations that do not hold. */
--- a/lab/src/main/java/wheattrack/lab/report/Page.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import wheattrack.lab.referee.Entry;
+import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
 
 /** A run, or several of the same scenario, as one HTML file that needs nothing beside it. */
-public final class Page {
+public final class HtmlReport {
   /** One line of the plots: its name and what was found. */
   public record Run(String name, Verdict verdict) {}
 
@@ -27,14 +27,14 @@
   private final Scenario scenario;
   private final double seconds;
 
-  private Page(List<Run> runs) {
+  private HtmlReport(List<Run> runs) {
     this.runs = runs;
     scenario = runs.get(0).verdict().scenario();
     seconds = scenario.length / (double) Scenario.SECOND;
   }
 
   public static void write(Path file, List<Run> runs) throws IOException {
-    Files.writeString(file, new Page(runs).text());
+    Files.writeString(file, new HtmlReport(runs).text());
   }
 
   private String text() {
@@ -323,7 +323,7 @@
         add("</ul>");
       }
     }
-    List<Entry> faults = runs.get(0).verdict().faults();
+    List<LedgerRecord> faults = runs.get(0).verdict().faults();
     add("<h2>Faults as played</h2><ul>");
     faults.forEach(
         e ->
--- a/lab/src/main/java/wheattrack/lab/report/Lines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -12,8 +12,8 @@
 import wheattrack.lab.referee.Verdict;
 
 /** A run as JSON lines: its figures, each break of a rule, each second. */
-public final class Lines {
-  private Lines() {}
+public final class ResultLines {
+  private ResultLines() {}
 
   public static void write(Path file, Verdict v, long seed, String policy) throws IOException {
     try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
--- a/lab/src/main/java/wheattrack/lab/scale/Figures.java
+++ b/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 
 /** What was measured along one axis: a row of figures by name for each point. NaN: not had. */
-public final class Figures {
+public final class AxisMeasurements {
   /** One point. */
   public record Row(double point, Map<String, Double> figures) {}
 
@@ -21,7 +21,7 @@
   public final String axis, unit;
   public final List<Row> rows = new ArrayList<>();
 
-  Figures(String axis, String unit) {
+  AxisMeasurements(String axis, String unit) {
     this.axis = axis;
     this.unit = unit;
   }
--- a/lab/src/main/java/wheattrack/lab/scale/ScalePage.java
+++ b/lab/src/main/java/wheattrack/lab/scale/CapacityReport.java
@@ -4,19 +4,19 @@
 import java.util.Locale;
 
 /** The figures as one HTML page that needs nothing beside it: a curve each. */
-final class ScalePage {
+final class CapacityReport {
   private static final int WIDE = 300, HIGH = 120, EDGE = 8;
 
-  private ScalePage() {}
+  private CapacityReport() {}
 
-  static String of(List<Figures> all) {
+  static String of(List<AxisMeasurements> all) {
     StringBuilder out =
         new StringBuilder(
             "<!doctype html><meta charset=utf-8>"
                 + "<title>lab scale</title><style>body{font:14px sans-serif}"
                 + "figure{display:inline-block;margin:8px}svg{border:1px solid #ccc}"
                 + "</style><h1>lab scale</h1>\n");
-    for (Figures figures : all) {
+    for (AxisMeasurements figures : all) {
       out.append("<h2>").append(figures.axis).append(": ").append(figures.unit).append("</h2>\n");
       figures.names().forEach(name -> curve(out, figures, name));
       out.append("<pre>").append(figures.table()).append("</pre>\n");
@@ -24,7 +24,7 @@
     return out.toString();
   }
 
-  private static void curve(StringBuilder out, Figures figures, String name) {
+  private static void curve(StringBuilder out, AxisMeasurements figures, String name) {
     List<double[]> had =
         figures.rows.stream()
             .map(r -> new double[] {r.point(), r.figures().getOrDefault(name, Double.NaN)})
--- a/lab/src/main/java/wheattrack/lab/scale/HollowMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -13,27 +13,27 @@
 import java.util.function.LongConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import wheattrack.aio.Loop;
-import wheattrack.config.Config;
+import wheattrack.aio.EventLoop;
 import wheattrack.config.Json;
-import wheattrack.net.Hollow;
+import wheattrack.config.ProxyConfig;
+import wheattrack.net.ControlOnlyProxy;
 
 /**
  * A process of hollow proxies on one loop. Takes orders by the line on standard input and answers
  * each by one or more lines, the last of them `end`; its input's end is its own.
  */
-public final class HollowMain {
+public final class ControlOnlyMain {
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
-  private final Loop loop = new Loop();
-  private final List<Hollow> all = new ArrayList<>();
+  private final EventLoop loop = new EventLoop();
+  private final List<ControlOnlyProxy> all = new ArrayList<>();
 
   /** By revision: when it came into force at each proxy, in the clock that all processes share. */
   private final Map<Long, List<Long>> inForce = new java.util.TreeMap<>();
 
   private final long[] last;
 
-  private HollowMain(int count) {
+  private ControlOnlyMain(int count) {
     last = new long[count];
   }
 
@@ -43,11 +43,11 @@
    */
   public static void main(String[] args) throws Exception {
     LOG.setLevel(Level.SEVERE);
-    HollowMain main = new HollowMain(Integer.parseInt(args[0]));
+    ControlOnlyMain main = new ControlOnlyMain(Integer.parseInt(args[0]));
     main.run(
         Integer.parseInt(args[1]),
         Path.of(args[2]),
-        args.length > 3 ? Config.address("SOURCE", args[3]) : null);
+        args.length > 3 ? ProxyConfig.address("SOURCE", args[3]) : null);
   }
 
   private void run(int first, Path file, InetSocketAddress source) throws Exception {
@@ -55,7 +55,7 @@
     Thread thread = new Thread(loop::run, "loop");
     thread.setDaemon(true);
     thread.start();
-    Config config = Config.read(file);
+    ProxyConfig config = ProxyConfig.read(file);
     long heap = heap();
     long began = System.nanoTime();
     on(
@@ -64,7 +64,8 @@
             int number = i;
             long seed = config.seed + 31L * (first + i);
             LongConsumer told = rev -> force(number, rev);
-            Hollow one = new Hollow(loop, group, config, seed, source == null ? told : rev -> {});
+            ControlOnlyProxy one =
+                new ControlOnlyProxy(loop, group, config, seed, source == null ? told : rev -> {});
             all.add(one);
             if (source != null) {
               one.watch(source, "mean", seed, told);
@@ -81,7 +82,9 @@
             on(
                 () ->
                     System.out.println(
-                        listed() + " " + all.stream().mapToInt(Hollow::known).max().orElse(0)));
+                        listed()
+                            + " "
+                            + all.stream().mapToInt(ControlOnlyProxy::known).max().orElse(0)));
         case "heap" -> System.out.println(heap());
         case "forget" -> on(inForce::clear);
         case "force" -> on(this::tellForce);
@@ -116,9 +119,9 @@
   private void reload(Path file) throws InterruptedException {
     on(
         () -> {
-          for (Hollow one : all) {
+          for (ControlOnlyProxy one : all) {
             try {
-              one.turnTo(new Config(Json.object(java.nio.file.Files.readString(file))));
+              one.turnTo(new ProxyConfig(Json.object(java.nio.file.Files.readString(file))));
             } catch (IOException e) {
               throw new java.io.UncheckedIOException(e);
             }
--- a/lab/src/main/java/wheattrack/lab/scale/Processes.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -13,12 +13,12 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import wheattrack.config.BadConfig;
+import wheattrack.config.InvalidConfigurationException;
 
 /**
  * The processes of a run: started, watched for their memory, and ended by id however the run ends.
  */
-public final class Processes implements AutoCloseable {
+public final class ProcessGroup implements AutoCloseable {
   static final int MOST = 200;
   private static final long GIB = 1L << 30, MOST_MEMORY = 12 * GIB, LOOK_MILLIS = 200;
 
@@ -70,7 +70,7 @@
   private volatile long peak;
 
   /** bound: bytes that all of them may hold; at most 12 GiB and half of the machine's. */
-  Processes(long bound) {
+  ProcessGroup(long bound) {
     this.bound = bound;
     guard.setDaemon(true);
     guard.start();
@@ -83,11 +83,12 @@
       long half = Math.min(MOST_MEMORY, kib(info, "MemTotal:") * 512);
       long free = kib(info, "MemAvailable:") * 1024;
       if (free < GIB) {
-        throw new BadConfig("memory", free / 1_048_576 + " MiB are free, under 1024");
+        throw new InvalidConfigurationException(
+            "memory", free / 1_048_576 + " MiB are free, under 1024");
       }
       return Math.min(half, free);
     } catch (IOException e) {
-      throw new BadConfig("/proc/meminfo", "unreadable: " + e.getMessage());
+      throw new InvalidConfigurationException("/proc/meminfo", "unreadable: " + e.getMessage());
     }
   }
 
@@ -127,7 +128,7 @@
             "-XX:+UseSerialGC",
             "-cp",
             System.getProperty("java.class.path"),
-            HollowMain.class.getName(),
+            ControlOnlyMain.class.getName(),
             Integer.toString(count),
             Integer.toString(first),
             config.toString());
--- a/lab/src/main/java/wheattrack/lab/scale/Axes.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleAxes.java
@@ -16,13 +16,13 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import wheattrack.lab.scale.Processes.Hollows;
+import wheattrack.lab.scale.ProcessGroup.Hollows;
 
 /**
  * What is measured along each axis; one point at a time, its processes ended before the next
  * begins.
  */
-final class Axes implements AutoCloseable {
+final class ScaleAxes implements AutoCloseable {
   /** A point is measured into its row. */
   interface Point {
     void measure(int point, Map<String, Double> row) throws Exception;
@@ -42,7 +42,7 @@
   private static final long LIST_MILLIS = 12_000, DOWN_MILLIS = 6_000, READY_MILLIS = 45_000;
   private static final double MS = 1e6;
 
-  private final Processes processes;
+  private final ProcessGroup processes;
   private final Path home, folder;
   private final String run;
   private final long seed;
@@ -55,8 +55,8 @@
    * whole. witnesses: real ones stand beside; without them times say little, and little time is
    * given to them.
    */
-  Axes(
-      Processes processes,
+  ScaleAxes(
+      ProcessGroup processes,
       Path home,
       Path folder,
       String run,
@@ -160,7 +160,7 @@
 
   private void backends(int n, Map<String, Double> row) throws Exception {
     int hollow = n > USUAL ? 1 : FEW;
-    try (Source source = source(n);
+    try (SourceServer source = source(n);
         Witness witness = witness(source, 100, 0)) {
       long calls = source.sent();
       Fleet fleet = new Fleet(hollow, config(source.at(), null, 100, 0));
@@ -173,9 +173,9 @@
       if (witness != null) {
         row.put("w_ready_ms", witness.readyMillis);
         row.put("w_known", witness.figure("backends_known"));
-        row.put("w_start_cpu_ms", Processes.cpu(witness.process) / MS);
-        row.put("w_rss_mb", Processes.memory(witness.process, "VmHWM") / 1024.0);
-        row.put("w_rest_mb", Processes.memory(witness.process, "VmRSS") / 1024.0);
+        row.put("w_start_cpu_ms", ProcessGroup.cpu(witness.process) / MS);
+        row.put("w_rss_mb", ProcessGroup.memory(witness.process, "VmHWM") / 1024.0);
+        row.put("w_rest_mb", ProcessGroup.memory(witness.process, "VmRSS") / 1024.0);
       }
       if (Double.isFinite(listed)) {
         steady(source, fleet, witness, n, CHANGES, 100, row);
@@ -185,7 +185,7 @@
   }
 
   private void changes(int aSecond, Map<String, Double> row) throws Exception {
-    try (Source source = source(USUAL);
+    try (SourceServer source = source(USUAL);
         Witness witness = witness(source, 100, 0)) {
       Fleet fleet = new Fleet(FEW, config(source.at(), null, 100, 0));
       fleet.awaitListed(LIST_MILLIS);
@@ -195,7 +195,7 @@
   }
 
   private void watchers(int n, Map<String, Double> row) throws Exception {
-    try (Source source = source(SMALL);
+    try (SourceServer source = source(SMALL);
         Witness witness = witness(source, 100, 0)) {
       Fleet fleet = new Fleet(n, config(source.at(), null, 100, 0));
       row.put("list_ms", fleet.awaitListed(4 * LIST_MILLIS));
@@ -210,7 +210,7 @@
    * more.
    */
   private void steady(
-      Source source,
+      SourceServer source,
       Fleet fleet,
       Witness witness,
       int backends,
@@ -223,16 +223,17 @@
       change(source, backends, warm, warm);
       Thread.sleep(500);
     }
-    long idle = fleet.cpu(), idleWitness = witness == null ? 0 : Processes.cpu(witness.process);
+    long idle = fleet.cpu(), idleWitness = witness == null ? 0 : ProcessGroup.cpu(witness.process);
     long from = System.nanoTime();
     Thread.sleep(witnesses ? 2000 : 100);
     double rest = (fleet.cpu() - idle) / (double) (System.nanoTime() - from);
     double restWitness =
         witness == null
             ? 0
-            : (Processes.cpu(witness.process) - idleWitness) / (double) (System.nanoTime() - from);
+            : (ProcessGroup.cpu(witness.process) - idleWitness)
+                / (double) (System.nanoTime() - from);
     fleet.ask("forget");
-    long cpu = fleet.cpu(), cpuWitness = witness == null ? 0 : Processes.cpu(witness.process);
+    long cpu = fleet.cpu(), cpuWitness = witness == null ? 0 : ProcessGroup.cpu(witness.process);
     long bytes = source.sent(), start = System.nanoTime();
     long[] at = change(source, backends, count, aSecond);
     Thread.sleep(800);
@@ -245,7 +246,7 @@
     fleet.force(at, source, row);
     if (witness != null && Double.isFinite(witness.readyMillis)) {
       row.put("w_idle_us_s", restWitness * 1e6);
-      double spent = Processes.cpu(witness.process) - cpuWitness - restWitness * time;
+      double spent = ProcessGroup.cpu(witness.process) - cpuWitness - restWitness * time;
       row.put("w_change_us", spent / 1e3 / count);
       new Caller(witness.at).endAfter(1000);
       row.put("w_p99_ms", new Caller(witness.at).endAfter(2000));
@@ -256,7 +257,7 @@
   }
 
   /** So many changes of one entry each, evenly; when each was made. */
-  private long[] change(Source source, int backends, int count, int aSecond)
+  private long[] change(SourceServer source, int backends, int count, int aSecond)
       throws InterruptedException {
     long start = System.nanoTime();
     long[] at = new long[count];
@@ -270,7 +271,7 @@
   }
 
   private void settings(int sets, int tenants, Map<String, Double> row) throws Exception {
-    try (Source source = source(SMALL)) {
+    try (SourceServer source = source(SMALL)) {
       Path file = config(source.at(), null, sets, tenants);
       row.put("file_mb", Files.size(file) / 1048576.0);
       Fleet fleet = new Fleet(1, file);
@@ -284,8 +285,8 @@
       if (witnesses) {
         try (Witness witness = witness(source, sets, tenants)) {
           row.put("w_ready_ms", witness.readyMillis);
-          row.put("w_start_cpu_ms", Processes.cpu(witness.process) / MS);
-          row.put("w_rss_mb", Processes.memory(witness.process, "VmHWM") / 1024.0);
+          row.put("w_start_cpu_ms", ProcessGroup.cpu(witness.process) / MS);
+          row.put("w_rss_mb", ProcessGroup.memory(witness.process, "VmHWM") / 1024.0);
           row.put(
               "w_reload_cpu_ms",
               Double.isFinite(witness.readyMillis) ? witness.reload() : Double.NaN);
@@ -296,8 +297,8 @@
 
   /** Settings told by changes: what one costs, and when it is in force. */
   private void scope(int sets, int hollow, Map<String, Double> row) throws Exception {
-    try (Source list = source(SMALL);
-        Source told = new Source(new Told.Scope(sets), tellsWhole)) {
+    try (SourceServer list = source(SMALL);
+        SourceServer told = new SourceServer(new VersionedSource.Scope(sets), tellsWhole)) {
       Path file = config(list.at(), null, 1, 0);
       Witness witness = witnesses ? scoped(config(list.at(), address(0), 1, 0), told) : null;
       long bytes = told.sent();
@@ -307,7 +308,7 @@
       row.put("heap_kb", fleet.heapEach());
       if (witness != null) {
         row.put("w_ready_ms", witness.readyMillis);
-        row.put("w_rss_mb", Processes.memory(witness.process, "VmHWM") / 1024.0);
+        row.put("w_rss_mb", ProcessGroup.memory(witness.process, "VmHWM") / 1024.0);
       }
       boolean few = hollow <= FEW;
       steady(told, fleet, witness, sets, few ? CHANGES : 20, few ? 100 : 5, row);
@@ -319,7 +320,7 @@
     }
   }
 
-  private Witness scoped(Path config, Source told) throws Exception {
+  private Witness scoped(Path config, SourceServer told) throws Exception {
     Path operator =
         Files.writeString(
             folder.resolve("operator.toml"),
@@ -338,18 +339,18 @@
 
   /** settings: it is their source that is away, and not the list's. */
   private void outage(int n, boolean settings, Map<String, Double> row) throws Exception {
-    try (Source list = source(SMALL);
-        Source told = new Source(new Told.Scope(SCOPE), tellsWhole)) {
-      Source source = settings ? told : list;
+    try (SourceServer list = source(SMALL);
+        SourceServer told = new SourceServer(new VersionedSource.Scope(SCOPE), tellsWhole)) {
+      SourceServer source = settings ? told : list;
       Fleet fleet =
           new Fleet(n, config(list.at(), null, settings ? 1 : 100, 0), settings ? told.at() : null);
       row.put("list_ms", fleet.awaitListed(4 * LIST_MILLIS));
       fleet.ask("forget");
-      source.mode(Source.Mode.REFUSING);
+      source.mode(SourceServer.Mode.REFUSING);
       Thread.sleep(DOWN_MILLIS);
       long bytes = source.sent(), calls = source.calls(), cpu = fleet.cpu(), at = System.nanoTime();
       source.change(0, 1);
-      source.mode(Source.Mode.UP);
+      source.mode(SourceServer.Mode.UP);
       Thread.sleep(400);
       row.put("calls_first_400ms", (double) (source.calls() - calls));
       Thread.sleep(6_000);
@@ -363,9 +364,9 @@
   private void restart(int n, Map<String, Double> row) throws Exception {
     int cores = Math.max(1, Math.min(Runtime.getRuntime().availableProcessors(), (n + 1) / 2));
     row.put("core_each", Math.min(1, cores / (double) n));
-    for (Source.Mode mode : Source.Mode.values()) {
+    for (SourceServer.Mode mode : SourceServer.Mode.values()) {
       String name = mode.name().toLowerCase(java.util.Locale.ROOT);
-      try (Source source = source(SMALL)) {
+      try (SourceServer source = source(SMALL)) {
         source.mode(mode);
         List<Witness> all = new ArrayList<>();
         for (int i = 0; i < n; i++) {
@@ -390,7 +391,9 @@
         row.put(name + "_last_ms", ready[n - 1]);
         row.put(
             name + "_rss_mb",
-            all.stream().mapToLong(w -> Processes.memory(w.process, "VmRSS")).sum() / 1024.0 / n);
+            all.stream().mapToLong(w -> ProcessGroup.memory(w.process, "VmRSS")).sum()
+                / 1024.0
+                / n);
         all.forEach(Witness::close);
       }
     }
@@ -398,9 +401,9 @@
 
   // ---- what stands beside
 
-  private Source source(int backends) throws IOException {
-    return new Source(
-        new Told.Backends(backends, (InetSocketAddress) backend.getLocalSocketAddress()),
+  private SourceServer source(int backends) throws IOException {
+    return new SourceServer(
+        new VersionedSource.Backends(backends, (InetSocketAddress) backend.getLocalSocketAddress()),
         tellsWhole);
   }
 
@@ -526,11 +529,11 @@
     }
 
     long cpu() {
-      return parts.stream().mapToLong(part -> Processes.cpu(part.process)).sum();
+      return parts.stream().mapToLong(part -> ProcessGroup.cpu(part.process)).sum();
     }
 
     /** From the moment a change was made until it is in force, of all changes at all proxies. */
-    void force(long[] at, Source source, Map<String, Double> row) {
+    void force(long[] at, SourceServer source, Map<String, Double> row) {
       List<Double> took = new ArrayList<>();
       long latest = source.rev();
       for (Hollows part : parts) {
@@ -566,7 +569,7 @@
     return true;
   }
 
-  private Witness witness(Source source, int sets, int tenants) throws Exception {
+  private Witness witness(SourceServer source, int sets, int tenants) throws Exception {
     if (!witnesses) {
       return null;
     }
@@ -629,10 +632,10 @@
     /** Reads its file again at a signal: processor milliseconds, of which some are rest. */
     double reload() throws Exception {
       double before = figure("reloads_ok");
-      long cpu = Processes.cpu(process);
+      long cpu = ProcessGroup.cpu(process);
       new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
       boolean done = await(LIST_MILLIS, () -> figure("reloads_ok") > before);
-      return done ? (Processes.cpu(process) - cpu) / MS : Double.NaN;
+      return done ? (ProcessGroup.cpu(process) - cpu) / MS : Double.NaN;
     }
 
     @Override
--- a/lab/src/main/java/wheattrack/lab/scale/Scale.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -13,11 +13,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Table;
+import wheattrack.config.ConfigurationReader;
+import wheattrack.config.InvalidConfigurationException;
 
 /** `lab scale`: what control costs, along one axis at a time. See docs/operate/scale.md. */
-public final class Scale {
+public final class ScaleCommand {
   private static final long LONGEST_NANOS = 600_000_000_000L;
 
   /**
@@ -36,16 +36,16 @@
       boolean tellsWhole,
       boolean witnesses) {}
 
-  private Scale() {}
+  private ScaleCommand() {}
 
   /**
    * Plays it, prints each axis as it is done, and says what was had; throws BadConfig for bad
    * input.
    */
-  public static List<Figures> run(Job job, PrintStream say) throws IOException {
-    long allowed = Processes.allowed();
+  public static List<AxisMeasurements> run(Job job, PrintStream say) throws IOException {
+    long allowed = ProcessGroup.allowed();
     if (job.memory > allowed) {
-      throw new BadConfig(
+      throw new InvalidConfigurationException(
           "--memory-mb",
           job.memory / 1_048_576
               + " is over the "
@@ -53,15 +53,18 @@
               + " that may be used here");
     }
     String line =
-        job.witnesses ? Table.read(job.home.resolve("deploy/balancer.toml")).word("run") : "";
+        job.witnesses
+            ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).word("run")
+            : "";
     Path folder = Files.createTempDirectory("wheattrack-scale");
-    List<Figures> out = new ArrayList<>();
+    List<AxisMeasurements> out = new ArrayList<>();
     long until = System.nanoTime() + LONGEST_NANOS;
-    try (Processes processes = new Processes(job.memory > 0 ? job.memory : allowed);
-        Axes axes =
-            new Axes(processes, job.home, folder, line, job.seed, job.tellsWhole, job.witnesses)) {
-      for (Axes.Axis axis : chosen(axes.all(), job)) {
-        Figures figures = new Figures(axis.name(), axis.unit());
+    try (ProcessGroup processes = new ProcessGroup(job.memory > 0 ? job.memory : allowed);
+        ScaleAxes axes =
+            new ScaleAxes(
+                processes, job.home, folder, line, job.seed, job.tellsWhole, job.witnesses)) {
+      for (ScaleAxes.Axis axis : chosen(axes.all(), job)) {
+        AxisMeasurements figures = new AxisMeasurements(axis.name(), axis.unit());
         out.add(figures);
         for (int point : points(axis, job.points)) {
           if (System.nanoTime() > until) {
@@ -70,7 +73,7 @@
           }
           try {
             axis.how().measure(point, figures.at(point));
-          } catch (Processes.OverBound e) {
+          } catch (ProcessGroup.OverBound e) {
             throw e;
           } catch (Exception e) {
             processes.check();
@@ -87,27 +90,28 @@
     if (job.out != null) {
       Files.createDirectories(job.out);
       lines(job, out);
-      Files.writeString(job.out.resolve("scale.html"), ScalePage.of(out));
+      Files.writeString(job.out.resolve("scale.html"), CapacityReport.of(out));
     }
     return out;
   }
 
-  private static List<Axes.Axis> chosen(List<Axes.Axis> all, Job job) {
+  private static List<ScaleAxes.Axis> chosen(List<ScaleAxes.Axis> all, Job job) {
     if (job.axis == null) {
       if (job.points != null) {
-        throw new BadConfig("--points", "given without --axis");
+        throw new InvalidConfigurationException("--points", "given without --axis");
       }
       return all;
     }
-    List<Axes.Axis> one = all.stream().filter(a -> a.name().equals(job.axis)).toList();
+    List<ScaleAxes.Axis> one = all.stream().filter(a -> a.name().equals(job.axis)).toList();
     if (one.isEmpty()) {
-      throw new BadConfig(
-          "--axis", "'" + job.axis + "' is none of " + all.stream().map(Axes.Axis::name).toList());
+      throw new InvalidConfigurationException(
+          "--axis",
+          "'" + job.axis + "' is none of " + all.stream().map(ScaleAxes.Axis::name).toList());
     }
     return one;
   }
 
-  private static int[] points(Axes.Axis axis, String text) {
+  private static int[] points(ScaleAxes.Axis axis, String text) {
     if (text == null) {
       return axis.points();
     }
@@ -119,10 +123,11 @@
                   try {
                     point = Integer.parseInt(word.strip());
                   } catch (NumberFormatException e) {
-                    throw new BadConfig("--points", "not a whole number: '" + word + "'");
+                    throw new InvalidConfigurationException(
+                        "--points", "not a whole number: '" + word + "'");
                   }
                   if (point < axis.least() || point > axis.most()) {
-                    throw new BadConfig(
+                    throw new InvalidConfigurationException(
                         "--points", point + " is not from " + axis.least() + " to " + axis.most());
                   }
                   return point;
@@ -131,13 +136,13 @@
     return points;
   }
 
-  private static void lines(Job job, List<Figures> all) throws IOException {
+  private static void lines(Job job, List<AxisMeasurements> all) throws IOException {
     try (JsonGenerator json =
         new JsonFactory()
             .createGenerator(Files.newBufferedWriter(job.out.resolve("scale.jsonl")))) {
       json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
-      for (Figures figures : all) {
-        for (Figures.Row row : figures.rows) {
+      for (AxisMeasurements figures : all) {
+        for (AxisMeasurements.Row row : figures.rows) {
           json.writeStartObject();
           json.writeStringField("axis", figures.axis);
           json.writeNumberField("point", row.point());
--- a/lab/src/main/java/wheattrack/lab/scale/Source.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
@@ -24,7 +24,7 @@
  * chunks to each watch. It keeps a bounded course of changes; who asks for what lies before it gets
  * the whole list.
  */
-final class Source implements AutoCloseable {
+final class SourceServer implements AutoCloseable {
   /** REFUSING: nobody listens. SILENT: who connects hears nothing, then and later. */
   enum Mode {
     UP,
@@ -54,7 +54,7 @@
   private final boolean tellsWhole;
   private final ConcurrentLinkedQueue<Runnable> orders = new ConcurrentLinkedQueue<>();
   private final List<Watcher> watchers = new ArrayList<>();
-  private final Told told;
+  private final VersionedSource told;
   private final Deque<String> course = new ArrayDeque<>();
   private final Thread thread;
   private ServerSocketChannel door;
@@ -65,7 +65,7 @@
   private volatile long sent, came, calls;
 
   /** tellsWhole: each change is told by all there is (a twin that a test has to notice). */
-  Source(Told told, boolean tellsWhole) throws IOException {
+  SourceServer(VersionedSource told, boolean tellsWhole) throws IOException {
     this.told = told;
     this.tellsWhole = tellsWhole;
     selector = Selector.open();
--- a/lab/src/main/java/wheattrack/lab/scale/Told.java
+++ b/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
@@ -6,14 +6,14 @@
 /**
  * What a source holds and tells: entries by number, whole or those that changed. For one thread.
  */
-interface Told {
+interface VersionedSource {
   String whole(long revision);
 
   /** Changes so many entries, from this one on, and tells them. */
   String change(long revision, int first, int count);
 
   /** A list of backends, all at one address; a change turns SERVING and DRAINING round. */
-  final class Backends implements Told {
+  final class Backends implements VersionedSource {
     private final String[] entries;
     private final boolean[] draining;
 
@@ -62,7 +62,7 @@
   }
 
   /** Rule sets, each with ten tenants; a change turns a target between two figures. */
-  final class Scope implements Told {
+  final class Scope implements VersionedSource {
     private final boolean[] tight;
 
     Scope(int ruleSets) {
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -9,12 +9,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
+import wheattrack.config.ConfigurationReader;
 import wheattrack.config.Settings;
-import wheattrack.config.Table;
 import wheattrack.lab.referee.ColdBudget;
-import wheattrack.port.RuleSet;
-import wheattrack.port.RuleSet.Effect;
-import wheattrack.port.RuleSet.Group;
 
 /**
  * One scenario, read and checked: a fleet, its load, a timeline of faults and what is expected.
@@ -22,6 +22,8 @@
  * which names file, line and key.
  */
 public final class Scenario {
+  private static final List<String> EFFECTS = List.of("replayable", "uniqued", "non-replayable");
+
   /** Tenths of a millisecond in a second and in a millisecond. */
   public static final long SECOND = 10_000, MS = 10;
 
@@ -49,7 +51,7 @@
 
   /** A rule set with what its clients send. Work is in tenths of a millisecond at speed 1. */
   public record Set1(
-      String name, double share, double work, double cv, boolean heavyTail, RuleSet rules) {}
+      String name, double share, double work, double cv, boolean heavyTail, RequestClass rules) {}
 
   /**
    * How reqs come; rate is by second, of all clients. Trace holds the rate of each second in turn.
@@ -154,24 +156,24 @@
   private final boolean cancel, copies;
   private final long retryAfter;
 
-  private Scenario(String name, Table t) {
+  private Scenario(String name, ConfigurationReader t) {
     this.name = name;
     about = t.word("about", "");
     virtual = t.choice("clock", List.of("virtual", "real")).equals("virtual");
     length = seconds(t, "seconds", 20, 0.1, 3600);
-    Table fleet = t.part("fleet");
+    ConfigurationReader fleet = t.part("fleet");
     proxies = fleet.count("proxies", 3, 1, virtual ? 2000 : 16);
     zones = fleet.count("zones", 1, 1, 8);
     servers = servers(t);
     sets = sets(t);
     load = load(t.part("load"));
-    Table h = t.part("hints");
+    ConfigurationReader h = t.part("hints");
     hints =
         new Hints(
             h.number("share", 1, 0, 1),
             h.number("noise", 0.3, 0, 10),
             h.number("scale", 1, 1e-6, 1e9));
-    Table c = t.part("clients");
+    ConfigurationReader c = t.part("clients");
     clients =
         new Clients(
             c.count("retries", 1, 0, 20),
@@ -179,7 +181,7 @@
             c.number("honour", 1, 0, 1),
             c.number("impatient", 0, 0, 1));
     frontNotice = millis(t.part("front"), "notice-ms", 1000, 0);
-    Table l = t.part("list");
+    ConfigurationReader l = t.part("list");
     roster =
         new Roster(
             millis(l, "delay-ms", 100, 0),
@@ -188,21 +190,21 @@
     if (!virtual && roster.entries > 0) {
       throw l.fault("entries-per-second", "can't be played on the real clock");
     }
-    Table n = t.part("net");
+    ConfigurationReader n = t.part("net");
     net =
         new Net(
             millis(n, "same-ms", 0.3, 0),
             millis(n, "cross-ms", 10, 0),
             millis(n, "client-ms", 0.5, 0),
             n.number("jitter", 0.2, 0, 5));
-    Table r = t.part("rules");
+    ConfigurationReader r = t.part("rules");
     terms =
         new Terms(
             millis(r, "grace-ms", 500, 0),
             r.number("fall-multiple", 3, 1, 100),
             seconds(r, "fall-s", 3, 0.1, 600),
             millis(r, "slack-ms", virtual ? 10 : 50, 0));
-    Table a = t.part("allow");
+    ConfigurationReader a = t.part("allow");
     maxDispatches = a.count("dispatches", 3, 1, 16);
     cancel = a.flag("cancel", true);
     copies = a.flag("copies", true);
@@ -215,7 +217,7 @@
 
   /** Reads a file with some of its keys, by their paths, set to other values written as in TOML. */
   public static Scenario read(Path file, Map<String, String> other) {
-    Table t = Table.read(file);
+    ConfigurationReader t = ConfigurationReader.read(file);
     other.forEach(t::set);
     return new Scenario(nameOf(file), t);
   }
@@ -234,21 +236,22 @@
 
   /** Reads a text. */
   public static Scenario of(String name, String text) {
-    return new Scenario(name, Table.of(name, text));
+    return new Scenario(name, ConfigurationReader.of(name, text));
   }
 
-  private static long millis(Table t, String key, double otherwise, double least) {
+  private static long millis(ConfigurationReader t, String key, double otherwise, double least) {
     return Math.round(t.number(key, otherwise, least, 3_600_000) * MS);
   }
 
-  private static long seconds(Table t, String key, double otherwise, double least, double most) {
+  private static long seconds(
+      ConfigurationReader t, String key, double otherwise, double least, double most) {
     return Math.round(t.number(key, otherwise, least, most) * SECOND);
   }
 
-  private static List<Servers> servers(Table t) {
+  private static List<Servers> servers(ConfigurationReader t) {
     List<Servers> out = new ArrayList<>();
     int all = 0;
-    for (Table s : t.parts("server")) {
+    for (ConfigurationReader s : t.parts("server")) {
       out.add(
           new Servers(
               s.word("kind", "plain"),
@@ -271,10 +274,10 @@
     return List.copyOf(out);
   }
 
-  private static List<Set1> sets(Table t) {
+  private static List<Set1> sets(ConfigurationReader t) {
     List<Set1> out = new ArrayList<>();
     Set<String> names = new HashSet<>();
-    for (Table s : t.parts("rule-set")) {
+    for (ConfigurationReader s : t.parts("rule-set")) {
       String name = s.word("name");
       if (!names.add(name) || !name.matches("[a-z0-9-]+")) {
         throw s.fault("name", "twice, or not of a-z, 0-9 and -");
@@ -284,13 +287,10 @@
       if (target > timeout) {
         throw s.fault("target-ms", "past timeout-ms");
       }
-      Effect effect =
-          Effect.valueOf(
-              s.choice("effect", List.of("replayable", "uniqued", "non-replayable"))
-                  .toUpperCase(Locale.ROOT)
-                  .replace('-', '_'));
-      Group group =
-          Group.valueOf(s.choice("group", List.of("all", "zone", "cell")).toUpperCase(Locale.ROOT));
+      Idempotency effect = Idempotency.values()[EFFECTS.indexOf(s.choice("effect", EFFECTS))];
+      DeduplicationScope group =
+          DeduplicationScope.valueOf(
+              s.choice("group", List.of("all", "zone", "cell")).toUpperCase(Locale.ROOT));
       out.add(
           new Set1(
               name,
@@ -298,7 +298,7 @@
               s.number("work-ms", 20, 0.1, 60_000) * MS,
               s.number("cv", 1, 0, 20),
               s.choice("tail", List.of("light", "heavy")).equals("heavy"),
-              new RuleSet(
+              new RequestClass(
                   out.size(),
                   target,
                   timeout,
@@ -315,7 +315,7 @@
     return List.copyOf(out);
   }
 
-  private static Load load(Table l) {
+  private static Load load(ConfigurationReader l) {
     Load.Shape shape =
         Load.Shape.valueOf(
             l.choice("shape", List.of("poisson", "even", "bursty", "wave", "trace"))
@@ -335,10 +335,10 @@
         trace);
   }
 
-  private List<Fault> faults(Table t) {
+  private List<Fault> faults(ConfigurationReader t) {
     List<Fault> out = new ArrayList<>();
     List<String> words = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
-    for (Table f : t.parts("fault")) {
+    for (ConfigurationReader f : t.parts("fault")) {
       Fault.Kind kind = Fault.Kind.values()[words.indexOf(f.choice("kind", words))];
       if (!f.has("kind")) {
         throw f.fault("kind", "missing");
@@ -378,9 +378,9 @@
     return List.copyOf(out);
   }
 
-  private List<Window> windows(Table t) {
+  private List<Window> windows(ConfigurationReader t) {
     List<Window> out = new ArrayList<>();
-    for (Table w : t.parts("window")) {
+    for (ConfigurationReader w : t.parts("window")) {
       Window one =
           new Window(
               w.word("name"),
@@ -394,9 +394,9 @@
     return List.copyOf(out);
   }
 
-  private List<Expect> expects(Table t) {
+  private List<Expect> expects(ConfigurationReader t) {
     List<Expect> out = new ArrayList<>();
-    Table e = t.part("expect");
+    ConfigurationReader e = t.part("expect");
     for (String figure : e.keys()) {
       boolean window = windows.stream().anyMatch(w -> figure.equals("service-" + w.name));
       if (!window && !FIGURES.contains(figure)) {
@@ -449,18 +449,18 @@
     Map<String, Object> all = new LinkedHashMap<>();
     List<Object> ruleSets = new ArrayList<>();
     for (Set1 s : sets) {
-      RuleSet r = s.rules;
+      RequestClass r = s.rules;
       Map<String, Object> one = new LinkedHashMap<>();
       one.put("name", s.name);
       one.put(
           "effect",
-          List.of("read_like", "idempotency_key", "non_idempotent").get(r.effect().ordinal()));
-      one.put("group", r.group().name().toLowerCase(Locale.ROOT));
-      one.put("window", r.window() * Settings.UNIT);
-      one.put("responseTarget", r.target() * Settings.UNIT);
-      one.put("clientTimeout", r.timeout() * Settings.UNIT);
-      one.put("value", r.value());
-      one.put("overdueValue", r.overdue());
+          List.of("read_like", "idempotency_key", "non_idempotent").get(r.idempotency().ordinal()));
+      one.put("group", r.deduplicationScope().name().toLowerCase(Locale.ROOT));
+      one.put("window", r.deduplicationWindow() * Settings.UNIT);
+      one.put("responseTarget", r.latencyObjective() * Settings.UNIT);
+      one.put("clientTimeout", r.clientTimeout() * Settings.UNIT);
+      one.put("value", r.priorityWeight());
+      one.put("overdueValue", r.lateWeight());
       ruleSets.add(one);
     }
     List<String> names = new ArrayList<>();
--- a/lab/src/main/java/wheattrack/lab/real/Server.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -11,39 +11,39 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import wheattrack.aio.Link;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.TcpConnection;
+import wheattrack.api.AttemptOutcome;
 import wheattrack.http.Encoder;
 import wheattrack.http.Headers;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
+import wheattrack.lab.model.BackendVisit;
+import wheattrack.lab.model.SimulatedBackend;
 import wheattrack.lab.scenario.Fault;
-import wheattrack.lab.stage.Machine;
-import wheattrack.lab.stage.Visitor;
-import wheattrack.port.Outcome;
 
 /**
  * A stand-in server on sockets: what it does is its machine's; here is HTTP. It listens once for
  * each proxy, which tells it who sends, with a relay before it where links are to be spoilt.
  */
-final class Server {
-  private final Sockets stage;
-  private final Machine machine;
+final class BackendServer {
+  private final SocketRun stage;
+  private final SimulatedBackend machine;
   private final int[] ports;
-  private final List<Relay> relays = new ArrayList<>();
+  private final List<FaultyLink> relays = new ArrayList<>();
   private final List<AsynchronousServerSocketChannel> doors = new ArrayList<>();
   private final Set<Conn> conns = new LinkedHashSet<>();
   private boolean listening;
 
-  Server(Sockets stage, Machine machine, boolean withRelays) {
+  BackendServer(SocketRun stage, SimulatedBackend machine, boolean withRelays) {
     this.stage = stage;
     this.machine = machine;
     ports = new int[stage.scenario.proxies];
     machine.onChange(this::changed);
     listen();
     for (int p = 0; withRelays && p < ports.length; p++) {
-      relays.add(new Relay(stage, ports[p], stage.draws("relay" + machine.place + "-" + p)));
+      relays.add(new FaultyLink(stage, ports[p], stage.draws("relay" + machine.place + "-" + p)));
     }
   }
 
@@ -81,7 +81,7 @@
       for (int p = 0; p < ports.length; p++) {
         AsynchronousServerSocketChannel door = AsynchronousServerSocketChannel.open(stage.group);
         door.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        door.bind(new InetSocketAddress(Sockets.HOME, ports[p]), 1024);
+        door.bind(new InetSocketAddress(SocketRun.HOME, ports[p]), 1024);
         ports[p] = ((InetSocketAddress) door.getLocalAddress()).getPort();
         doors.add(door);
         accept(door, p);
@@ -110,7 +110,7 @@
             one -> {
               Conn conn = new Conn(one, proxy);
               conns.add(conn);
-              conn.mute = machine.state() == Machine.State.SILENT;
+              conn.mute = machine.state() == SimulatedBackend.State.SILENT;
               conn.open();
               accept(door, proxy);
             },
@@ -122,7 +122,7 @@
   }
 
   /** One connection from a proxy; it carries one dispatch at a time. */
-  private final class Conn extends Link {
+  private final class Conn extends TcpConnection {
     private final RequestDecoder in = new RequestDecoder();
     private final AsynchronousSocketChannel channel;
     private final int proxy;
@@ -161,7 +161,7 @@
           request(r);
         }
         read(in.room());
-      } catch (BadMessage e) {
+      } catch (MalformedMessageException e) {
         close();
       }
     }
@@ -223,7 +223,7 @@
     }
 
     /** A dispatch on this connection. */
-    private final class Call implements Visitor {
+    private final class Call implements BackendVisit {
       private final long req, work, due;
 
       Call(long req, long work, long due) {
@@ -258,7 +258,7 @@
       }
 
       @Override
-      public void heard(Outcome how) {
+      public void heard(AttemptOutcome how) {
         if (isClosed()) {
           return;
         }
--- a/lab/src/main/java/wheattrack/lab/real/Listing.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -12,40 +12,40 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.StringJoiner;
-import wheattrack.aio.Link;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.TcpConnection;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.RequestDecoder;
-import wheattrack.lab.load.Draws;
-import wheattrack.lab.referee.Entry;
-import wheattrack.lab.referee.Entry.State;
-import wheattrack.lab.stage.Machine;
-import wheattrack.lab.stage.Roster;
+import wheattrack.lab.load.RandomStream;
+import wheattrack.lab.model.EndpointRegistry;
+import wheattrack.lab.model.SimulatedBackend;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.LedgerRecord.State;
 
 /**
  * The list on sockets, in the proxies' own form: an address a proxy, so that it knows whom it
  * tells.
  */
-final class Listing extends Roster {
+final class DiscoveryServer extends EndpointRegistry {
   private static final long BEAT = 20_000;
   private static final String HEAD =
       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
           + "Transfer-Encoding: chunked\r\n\r\n";
 
-  private final Sockets sockets;
-  private final List<Server> servers;
+  private final SocketRun sockets;
+  private final List<BackendServer> servers;
   private final AsynchronousServerSocketChannel[] doors;
   private final Set<Watcher> watchers = new LinkedHashSet<>();
-  private final Draws draws;
+  private final RandomStream draws;
   private long rev = 1;
 
-  Listing(Sockets sockets, List<Server> servers) throws IOException {
+  DiscoveryServer(SocketRun sockets, List<BackendServer> servers) throws IOException {
     super(sockets);
     this.sockets = sockets;
     this.servers = servers;
     draws = sockets.draws("list");
     doors = new AsynchronousServerSocketChannel[sockets.scenario.proxies];
     for (int p = 0; p < doors.length; p++) {
-      doors[p] = AsynchronousServerSocketChannel.open(sockets.group).bind(Sockets.any());
+      doors[p] = AsynchronousServerSocketChannel.open(sockets.group).bind(SocketRun.any());
       accept(p);
     }
   }
@@ -91,7 +91,7 @@
   private String line(int proxy, List<News> entries, boolean all) {
     StringJoiner targets = new StringJoiner(",");
     for (News n : entries) {
-      Machine m = sockets.machine(n.server());
+      SimulatedBackend m = sockets.machine(n.server());
       targets.add(
           String.format(
               Locale.ROOT,
@@ -119,7 +119,7 @@
   }
 
   /** One watch of one proxy. */
-  private final class Watcher extends Link {
+  private final class Watcher extends TcpConnection {
     private final RequestDecoder in = new RequestDecoder();
     private final int proxy;
     private final Set<Integer> named = new LinkedHashSet<>();
@@ -148,7 +148,7 @@
           beat();
         }
         read(in.room());
-      } catch (BadMessage e) {
+      } catch (MalformedMessageException e) {
         close();
       }
     }
@@ -199,7 +199,7 @@
       } else {
         named.add(n.server());
       }
-      sockets.say(Entry.told(sockets.now(), proxy, n.server(), n.state(), n.start()));
+      sockets.say(LedgerRecord.told(sockets.now(), proxy, n.server(), n.state(), n.start()));
     }
 
     private void chunk(String text) {
--- a/lab/src/main/java/wheattrack/lab/real/Relay.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -12,8 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import wheattrack.aio.Link;
-import wheattrack.lab.load.Draws;
+import wheattrack.aio.TcpConnection;
+import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Fault.Kind;
 import wheattrack.lab.scenario.Scenario;
@@ -24,24 +24,24 @@
  * until it ends. CUT: a server's answer ends after so many bytes. RESET: connections break at once,
  * and new ones too. CORRUPT: a bit in each piece from the server is turned.
  */
-final class Relay {
+final class FaultyLink {
   private static final long RETRANSMIT = 2_000;
   private static final int PIECE = 8192, CUT_AFTER = 40;
 
-  private final Sockets stage;
+  private final SocketRun stage;
   private final int to;
-  private final Draws draws;
+  private final RandomStream draws;
   private final AsynchronousServerSocketChannel door;
   private final Set<Half> halves = new LinkedHashSet<>();
   private final Map<Integer, Half> byPort = new HashMap<>();
   private Fault spoilt;
 
-  Relay(Sockets stage, int to, Draws draws) {
+  FaultyLink(SocketRun stage, int to, RandomStream draws) {
     this.stage = stage;
     this.to = to;
     this.draws = draws;
     try {
-      door = AsynchronousServerSocketChannel.open(stage.group).bind(Sockets.any(), 1024);
+      door = AsynchronousServerSocketChannel.open(stage.group).bind(SocketRun.any(), 1024);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -101,7 +101,7 @@
       near.other = far;
       far.other = near;
       far.connect(
-          new InetSocketAddress(Sockets.HOME, to),
+          new InetSocketAddress(SocketRun.HOME, to),
           () -> {
             far.port = far.localPort();
             byPort.put(far.port, near);
@@ -115,7 +115,7 @@
   }
 
   /** One side of a connection; what comes here goes out at the other. */
-  private final class Half extends Link {
+  private final class Half extends TcpConnection {
     private final AsynchronousSocketChannel channel;
     private final boolean fromServer;
     private ByteBuffer in = ByteBuffer.allocate(PIECE);
--- a/lab/src/main/java/wheattrack/lab/real/Caller.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -1,35 +1,35 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.charset.StandardCharsets;
-import wheattrack.aio.Link;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.TcpConnection;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
-import wheattrack.lab.referee.Entry;
-import wheattrack.lab.referee.Entry.Answer;
-import wheattrack.lab.stage.Crowd;
+import wheattrack.lab.model.ClientPopulation;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.LedgerRecord.Answer;
 
 /** One client connection to a proxy; it carries one req at a time. */
-final class Caller extends Link {
+final class LoadConnection extends TcpConnection {
   private static final long REST = 15_000; // less than proxies let a connection rest
 
-  private final ProxyDoor to;
-  private final Sockets stage;
+  private final ProxyProcess to;
+  private final SocketRun stage;
   private final ResponseDecoder in = new ResponseDecoder();
-  private ProxyDoor.Call call, last;
+  private ProxyProcess.Call call, last;
   private ByteBuffer out;
   private boolean reused, anyByte;
   private int turns;
 
-  Caller(ProxyDoor to, Sockets stage, AsynchronousSocketChannel channel) {
+  LoadConnection(ProxyProcess to, SocketRun stage, AsynchronousSocketChannel channel) {
     super(stage.loop, channel);
     this.to = to;
     this.stage = stage;
   }
 
-  void dial(ProxyDoor.Call first) {
+  void dial(ProxyProcess.Call first) {
     call = first;
     connect(
         to.address(),
@@ -40,11 +40,11 @@
         });
   }
 
-  boolean carries(Crowd.Ask ask) {
+  boolean carries(ClientPopulation.Ask ask) {
     return call != null && call.ask == ask;
   }
 
-  void call(ProxyDoor.Call next, boolean again) {
+  void call(ProxyProcess.Call next, boolean again) {
     if (isClosed()) {
       return;
     }
@@ -64,16 +64,16 @@
     }
     if (whole && !call.taken && call.ask.isOpen()) {
       call.taken = true;
-      Crowd.Ask ask = call.ask;
+      ClientPopulation.Ask ask = call.ask;
       stage.say(
-          Entry.taken(
+          LedgerRecord.taken(
               stage.now(),
               ask.req(),
               ask.op().id(),
               to.place,
               stage.now() + call.timeout,
-              ask.want().set().rules().at()));
-      ProxyDoor.Call mine = call;
+              ask.want().set().rules().index()));
+      ProxyProcess.Call mine = call;
       stage.after(
           call.timeout + 5_000,
           () -> {
@@ -101,7 +101,7 @@
       } else {
         answered(answer);
       }
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       ended();
     }
   }
@@ -139,7 +139,7 @@
    * A proxy may close a connection as a req crosses on it: that one is sent once more on a new one.
    */
   private void ended() {
-    ProxyDoor.Call lost = call;
+    ProxyProcess.Call lost = call;
     call = null;
     close();
     if (lost != null && reused && !anyByte && to.isUp()) {
--- a/lab/src/main/java/wheattrack/lab/real/ProxyDoor.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.File;
@@ -21,13 +21,13 @@
 import wheattrack.http.Encoder;
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
-import wheattrack.lab.referee.Entry;
-import wheattrack.lab.referee.Entry.Answer;
-import wheattrack.lab.stage.Crowd;
-import wheattrack.lab.stage.Door;
+import wheattrack.lab.model.ClientPopulation;
+import wheattrack.lab.model.ProxyHandle;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.LedgerRecord.Answer;
 
 /** A proxy as a process of its own, and the clients' connections to it. */
-final class ProxyDoor extends Door {
+final class ProxyProcess extends ProxyHandle {
   private static final List<String> LEAN =
       List.of(
           "-Xms48m",
@@ -41,26 +41,27 @@
           "-XX:-UsePerfData");
   private static final long ASK_EVERY = 200;
 
-  private final Sockets stage;
+  private final SocketRun stage;
   private final int port;
   private final Path jar, config;
-  private final Sockets.How how;
-  private final Server server;
-  private final Deque<Caller> idle = new ArrayDeque<>();
-  private final Set<Caller> callers = new LinkedHashSet<>();
+  private final SocketRun.How how;
+  private final BackendServer server;
+  private final Deque<LoadConnection> idle = new ArrayDeque<>();
+  private final Set<LoadConnection> callers = new LinkedHashSet<>();
   private Process process;
   private boolean up;
   private int life;
   private double skew;
 
-  ProxyDoor(Sockets stage, int place, int list, Path jar, Sockets.How how, Server server)
+  ProxyProcess(
+      SocketRun stage, int place, int list, Path jar, SocketRun.How how, BackendServer server)
       throws IOException {
     super(place, stage.scenario.zones);
     this.stage = stage;
     this.jar = jar;
     this.how = how;
     this.server = server;
-    try (ServerSocket free = new ServerSocket(0, 1, Sockets.HOME)) {
+    try (ServerSocket free = new ServerSocket(0, 1, SocketRun.HOME)) {
       port = free.getLocalPort();
     }
     config = stage.folder.resolve("p" + place + ".json");
@@ -76,7 +77,7 @@
 
   /** Where clients connect. */
   InetSocketAddress address() {
-    return new InetSocketAddress(Sockets.HOME, how.direct() ? server.port(place) : port);
+    return new InetSocketAddress(SocketRun.HOME, how.direct() ? server.port(place) : port);
   }
 
   Path log() {
@@ -116,7 +117,7 @@
 
   private void ready() {
     up = true;
-    stage.say(Entry.proxy(stage.now(), place, true));
+    stage.say(LedgerRecord.proxy(stage.now(), place, true));
     stage.crowd().sees(this, true);
   }
 
@@ -125,7 +126,7 @@
       return;
     }
     try {
-      new Asker(
+      new ReadinessCheck(
               this,
               stage,
               ready -> {
@@ -148,7 +149,7 @@
   public void kill() {
     up = false;
     life++;
-    stage.say(Entry.proxy(stage.now(), place, false));
+    stage.say(LedgerRecord.proxy(stage.now(), place, false));
     process.destroyForcibly();
   }
 
@@ -192,10 +193,10 @@
   // ---- reqs
 
   @Override
-  public void take(Crowd.Ask ask) {
+  public void take(ClientPopulation.Ask ask) {
     long work = Math.max(1, Math.round(ask.want().work()));
     stage.open.put(ask.req(), work);
-    long timeout = ask.want().set().rules().timeout();
+    long timeout = ask.want().set().rules().clientTimeout();
     stage.after(timeout + 20_000, () -> stage.open.remove(ask.req()));
     Headers headers =
         new Headers()
@@ -220,12 +221,12 @@
 
   /** One req on its way. */
   static final class Call {
-    final Crowd.Ask ask;
+    final ClientPopulation.Ask ask;
     final java.nio.ByteBuffer bytes;
     final long timeout;
     boolean taken;
 
-    Call(Crowd.Ask ask, java.nio.ByteBuffer bytes, long timeout) {
+    Call(ClientPopulation.Ask ask, java.nio.ByteBuffer bytes, long timeout) {
       this.ask = ask;
       this.bytes = bytes;
       this.timeout = timeout;
@@ -233,14 +234,15 @@
   }
 
   void send(Call call) {
-    Caller free = idle.pollLast();
+    LoadConnection free = idle.pollLast();
     if (free != null) {
       free.call(call, true);
       return;
     }
     try {
       stage.connected++;
-      Caller one = new Caller(this, stage, AsynchronousSocketChannel.open(stage.group));
+      LoadConnection one =
+          new LoadConnection(this, stage, AsynchronousSocketChannel.open(stage.group));
       callers.add(one);
       one.dial(call);
     } catch (IOException e) {
@@ -248,18 +250,18 @@
     }
   }
 
-  void free(Caller caller) {
+  void free(LoadConnection caller) {
     idle.addLast(caller);
   }
 
-  void closed(Caller caller) {
+  void closed(LoadConnection caller) {
     idle.remove(caller);
     callers.remove(caller);
   }
 
   @Override
-  public void left(Crowd.Ask ask) {
-    List.copyOf(callers).stream().filter(c -> c.carries(ask)).forEach(Caller::close);
+  public void left(ClientPopulation.Ask ask) {
+    List.copyOf(callers).stream().filter(c -> c.carries(ask)).forEach(LoadConnection::close);
   }
 
   /** What becomes of a connection that ended without an answer. */
--- a/lab/src/main/java/wheattrack/lab/real/Asker.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
@@ -1,23 +1,23 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import wheattrack.aio.Link;
+import wheattrack.aio.TcpConnection;
 
 /** Asks a proxy once whether it is ready. */
-final class Asker extends Link {
+final class ReadinessCheck extends TcpConnection {
   private static final ByteBuffer ASK =
       ByteBuffer.wrap("GET /ready HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII))
           .asReadOnlyBuffer();
 
-  private final ProxyDoor of;
+  private final ProxyProcess of;
   private final Consumer<Boolean> then;
   private final ByteBuffer in = ByteBuffer.allocate(1024);
 
-  Asker(ProxyDoor of, Sockets stage, Consumer<Boolean> then) throws IOException {
+  ReadinessCheck(ProxyProcess of, SocketRun stage, Consumer<Boolean> then) throws IOException {
     super(stage.loop, AsynchronousSocketChannel.open(stage.group));
     this.of = of;
     this.then = then;
--- a/lab/src/main/java/wheattrack/lab/real/Sockets.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -15,21 +15,21 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
-import wheattrack.aio.Loop;
-import wheattrack.core.Deadlines;
-import wheattrack.lab.referee.Entry;
+import wheattrack.aio.EventLoop;
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.model.FaultTimeline;
+import wheattrack.lab.model.ProxyHandle;
+import wheattrack.lab.model.RunEnvironment;
+import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.stage.Door;
-import wheattrack.lab.stage.Stage;
-import wheattrack.lab.stage.Timeline;
 
 /**
  * A deployment on loopback sockets in real time: proxies as processes of their own, and in this one
  * the stand-ins of clients, front, servers, list and links. All of it ends with the run, also when
  * that is interrupted. Times are tenths of a millisecond from the start of the run.
  */
-public final class Sockets extends Stage implements AutoCloseable {
+public final class SocketRun extends RunEnvironment implements AutoCloseable {
   /** What the run itself was like. */
   public record Quality(Histogram lateMicros, long resent, long connected) {
     /** Whether the lab kept its own times so badly that the run says nothing. */
@@ -51,22 +51,22 @@
   private static final long READY = 300_000, SETTLE = 5_000;
   static final InetAddress HOME = InetAddress.getLoopbackAddress();
 
-  final Loop loop = new Loop();
+  final EventLoop loop = new EventLoop();
   final AsynchronousChannelGroup group;
   final Path folder;
   final Map<Long, Long> open =
       new HashMap<>(); // works by the number of each req that a client sent
-  private final Consumer<Entry> ledger;
+  private final Consumer<LedgerRecord> ledger;
   private final Histogram late = new Histogram(60_000_000L, 3);
-  private final List<Server> servers = new ArrayList<>();
-  private final Listing list;
+  private final List<BackendServer> servers = new ArrayList<>();
+  private final DiscoveryServer list;
   private final Thread hook = new Thread(this::killAll);
   private long zero;
   private long zeroNanos;
   long resent, connected;
 
   /** jar: the proxies' program. */
-  public Sockets(Scenario scenario, long seed, Path jar, How how, Consumer<Entry> ledger)
+  public SocketRun(Scenario scenario, long seed, Path jar, How how, Consumer<LedgerRecord> ledger)
       throws IOException {
     super(scenario, seed);
     this.ledger = ledger;
@@ -77,11 +77,11 @@
     group = AsynchronousChannelGroup.withThreadPool(loop);
     boolean relays = scenario.faults.stream().anyMatch(f -> f.kind().name().startsWith("LINK"));
     Runtime.getRuntime().addShutdownHook(hook);
-    machines().forEach(m -> servers.add(new Server(this, m, relays)));
-    list = new Listing(this, servers);
+    machines().forEach(m -> servers.add(new BackendServer(this, m, relays)));
+    list = new DiscoveryServer(this, servers);
     roster = list;
     for (int i = 0; i < scenario.proxies; i++) {
-      doors.add(new ProxyDoor(this, i, list.port(i), jar, how, servers.get(i % servers.size())));
+      doors.add(new ProxyProcess(this, i, list.port(i), jar, how, servers.get(i % servers.size())));
     }
   }
 
@@ -91,7 +91,7 @@
     String[] fault = {null};
     loop.execute(
         () -> {
-          doors().forEach(Door::start);
+          doors().forEach(ProxyHandle::start);
           awaitReady(loop.now() + READY, fault);
         });
     loop.run();
@@ -102,7 +102,7 @@
   }
 
   private void awaitReady(long latest, String[] fault) {
-    if (doors().stream().allMatch(Door::isUp)) {
+    if (doors().stream().allMatch(ProxyHandle::isUp)) {
       loop.after(SETTLE, this::begin);
     } else if (loop.now() >= latest) {
       fault[0] = "a proxy was not ready within " + READY / Scenario.SECOND + " s";
@@ -115,20 +115,20 @@
   private void begin() {
     zero = loop.now();
     zeroNanos = System.nanoTime();
-    Timeline.schedule(this);
+    FaultTimeline.schedule(this);
     crowd().open();
     after(
         end() + SETTLE,
         () -> {
-          say(Entry.end(now()));
+          say(LedgerRecord.end(now()));
           loop.shutdown();
         });
   }
 
   /** Copies what the proxies logged. */
   public void keepLogs(Path to) throws IOException {
-    for (Door d : doors()) {
-      Path log = ((ProxyDoor) d).log();
+    for (ProxyHandle d : doors()) {
+      Path log = ((ProxyProcess) d).log();
       if (Files.exists(log)) {
         Files.copy(log, to.resolve(log.getFileName()), StandardCopyOption.REPLACE_EXISTING);
       }
@@ -158,7 +158,7 @@
   }
 
   private void killAll() {
-    doors().forEach(d -> ((ProxyDoor) d).destroy());
+    doors().forEach(d -> ((ProxyProcess) d).destroy());
   }
 
   @Override
@@ -167,17 +167,17 @@
   }
 
   @Override
-  public Deadlines.Entry after(long delay, Runnable then) {
+  public TimerQueue.Entry after(long delay, Runnable then) {
     return loop.after(delay, then);
   }
 
   @Override
-  public void cancel(Deadlines.Entry entry) {
+  public void cancel(TimerQueue.Entry entry) {
     loop.cancel(entry);
   }
 
   @Override
-  public void say(Entry e) {
+  public void say(LedgerRecord e) {
     ledger.accept(e);
   }
 
--- a/lab/src/main/java/wheattrack/lab/world/Minds.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -1,24 +1,27 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import wheattrack.Rules;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.RequestHandle;
 import wheattrack.config.Settings;
-import wheattrack.lab.load.Draws;
+import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet.Effect;
+import wheattrack.policy.LoadBalancer;
 
 /**
  * The decision module as a mind, and the baselines it is measured against; these live in the lab
  * alone.
  */
-public final class Minds {
+public final class Policies {
   /** Who decides; RULES is the module. */
-  public enum Policy {
+  public enum Kind {
     RULES,
     RANDOM,
     ROUND_ROBIN,
@@ -26,83 +29,74 @@
     TWO_CHOICES
   }
 
-  private Minds() {}
+  private Policies() {}
 
   /** The words for policies. */
   public static List<String> words() {
     List<String> out = new ArrayList<>();
-    for (Policy p : Policy.values()) {
+    for (Kind p : Kind.values()) {
       out.add(p.name().toLowerCase(Locale.ROOT).replace('_', '-'));
     }
     return out;
   }
 
-  static Mind.Maker of(Policy policy, Scenario scenario) {
-    if (policy == Policy.RULES) {
+  static Policy.Maker of(Kind policy, Scenario scenario) {
+    if (policy == Kind.RULES) {
       return (port, seed, me) -> {
         Settings settings = new Settings(scenario.settings(me));
         return new Module(settings.rules(port, seed, settings.ruleSets(), true));
       };
     }
     return (port, seed, me) -> {
-      port.follow();
+      port.watchEndpoints();
       return new Baseline(
           policy,
           port,
-          new Draws(seed, "baseline" + me),
+          new RandomStream(seed, "baseline" + me),
           new Settings(scenario.settings(me)).count("limits.maxDispatches", 1));
     };
   }
 
-  private record Module(Rules rules) implements Mind {
+  private record Module(LoadBalancer rules) implements Policy {
     @Override
-    public void entry(
-        int at,
-        long name,
-        boolean ready,
-        int zone,
-        int pack,
-        int kind,
-        double weight,
-        long up,
-        boolean fresh) {
-      rules.entry(at, name, ready, zone, pack, kind, weight, up, fresh);
+    public void updateBackend(EndpointUpdate update) {
+      rules.updateBackend(update);
     }
 
     @Override
-    public void gone(int at) {
-      rules.gone(at);
+    public void removeBackend(int index) {
+      rules.removeBackend(index);
     }
 
     @Override
-    public void listed(boolean saved) {
-      rules.listed(saved);
+    public void endpointListUpdated(boolean cached) {
+      rules.endpointListUpdated(cached);
     }
 
     @Override
-    public void listFailed() {
-      rules.listFailed(false);
+    public void endpointListFailed() {
+      rules.endpointListFailed(false);
     }
 
     @Override
-    public Port.Held arrive(Req req) {
-      return rules.arrive(req);
+    public RequestHandle accept(PendingRequest req) {
+      return rules.accept(req);
     }
   }
 
   /**
    * Picks by a plain rule; sends again what never ran or may run again; keeps rules two and three.
    */
-  private static final class Baseline implements Mind {
-    private final Policy policy;
-    private final Port port;
-    private final Draws draws;
+  private static final class Baseline implements Policy {
+    private final Kind policy;
+    private final PolicyRuntime port;
+    private final RandomStream draws;
     private final int most;
     private final List<Integer> ready = new ArrayList<>();
     private int[] out = new int[16];
     private int turn;
 
-    Baseline(Policy policy, Port port, Draws draws, int most) {
+    Baseline(Kind policy, PolicyRuntime port, RandomStream draws, int most) {
       this.policy = policy;
       this.port = port;
       this.draws = draws;
@@ -110,38 +104,30 @@
     }
 
     @Override
-    public void entry(
-        int at,
-        long name,
-        boolean isReady,
-        int zone,
-        int pack,
-        int kind,
-        double weight,
-        long up,
-        boolean fresh) {
-      if (at >= out.length) {
-        out = java.util.Arrays.copyOf(out, 2 * at);
+    public void updateBackend(EndpointUpdate update) {
+      int index = update.index();
+      if (index >= out.length) {
+        out = Arrays.copyOf(out, 2 * index);
       }
-      ready.remove((Integer) at);
-      if (isReady) {
-        ready.add(at);
+      ready.remove((Integer) index);
+      if (update.ready()) {
+        ready.add(index);
       }
     }
 
     @Override
-    public void gone(int at) {
-      ready.remove((Integer) at);
+    public void removeBackend(int index) {
+      ready.remove((Integer) index);
     }
 
     @Override
-    public void listed(boolean saved) {
+    public void endpointListUpdated(boolean cached) {
       // nothing is worked out ahead
     }
 
     @Override
-    public void listFailed() {
-      port.later(Scenario.SECOND, port::follow);
+    public void endpointListFailed() {
+      port.schedule(Scenario.SECOND, port::watchEndpoints);
     }
 
     private int pick(int not) {
@@ -158,13 +144,13 @@
         if (b == not && n > 1) {
           continue;
         }
-        if (policy == Policy.RANDOM || policy == Policy.ROUND_ROBIN) {
+        if (policy == Kind.RANDOM || policy == Kind.ROUND_ROBIN) {
           return b;
         }
         if (best < 0 || out[b] < out[best]) {
           best = b;
         }
-        if (policy == Policy.TWO_CHOICES && i >= 1) {
+        if (policy == Kind.TWO_CHOICES && i >= 1) {
           return best;
         }
       }
@@ -172,57 +158,57 @@
     }
 
     @Override
-    public Port.Held arrive(Req req) {
+    public RequestHandle accept(PendingRequest req) {
       Course c = new Course(req);
       c.next(-1);
       return c;
     }
 
-    private final class Course implements Port.Held {
-      private final Req req;
+    private final class Course implements RequestHandle {
+      private final PendingRequest req;
       private int sent;
       private boolean over, mayHaveRun;
 
-      Course(Req req) {
+      Course(PendingRequest req) {
         this.req = req;
       }
 
       void next(int not) {
         int b = pick(not);
-        if (b < 0 || sent >= most || port.now() >= req.due) {
+        if (b < 0 || sent >= most || port.now() >= req.deadline()) {
           over = true;
-          if (!mayHaveRun || req.ruleSet.effect() == Effect.REPLAYABLE) {
-            port.deny(req, 0);
+          if (!mayHaveRun || req.requestClass().idempotency() == Idempotency.IDEMPOTENT) {
+            port.reject(req, 0);
           } else {
-            port.abort(req);
+            port.fail(req);
           }
           return;
         }
         sent++;
         out[b]++;
-        port.dispatch(req, b, 0, (how, lag, ended) -> result(b, how, ended));
+        port.sendAttempt(req, b, 0, (how, lag, ended) -> result(b, how, ended));
       }
 
-      private void result(int b, Outcome how, boolean ended) {
+      private void result(int b, AttemptOutcome how, boolean ended) {
         out[b]--;
-        mayHaveRun |= !how.neverRan;
+        mayHaveRun |= !how.neverRan();
         if (over || ended) {
           over = true;
-        } else if (req.ruleSet.effect() != Effect.REPLAYABLE && mayHaveRun) {
+        } else if (req.requestClass().idempotency() != Idempotency.IDEMPOTENT && mayHaveRun) {
           over = true;
-          port.abort(req);
+          port.fail(req);
         } else {
           next(b);
         }
       }
 
       @Override
-      public void streams(int leg) {
+      public void streamingStarted(int attempt) {
         // no stream is played
       }
 
       @Override
-      public void left() {
+      public void clientDisconnected() {
         over = true;
       }
     }
--- a/lab/src/main/java/wheattrack/lab/world/Listing.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualDiscovery.java
@@ -1,34 +1,34 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wheattrack.lab.load.Draws;
+import wheattrack.lab.load.RandomStream;
+import wheattrack.lab.model.EndpointRegistry;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.stage.Roster;
 
 /** The list as the virtual world tells it: each proxy hears after a while of its own, in order. */
-final class Listing extends Roster {
+final class VirtualDiscovery extends EndpointRegistry {
   private static final long NO_ANSWER = 5_000; // a call on a list that is down
 
-  private final Draws draws;
-  private final Map<Node, Long> lastAt = new LinkedHashMap<>();
+  private final RandomStream draws;
+  private final Map<VirtualProxy, Long> lastAt = new LinkedHashMap<>();
   private long busyUntil;
 
-  Listing(World world) {
+  VirtualDiscovery(VirtualRun world) {
     super(world);
     draws = world.draws("list");
   }
 
   /** A proxy asks for all changes from now on, and gets the whole list first. */
-  void follows(Node node) {
+  void follows(VirtualProxy node) {
     int life = node.life();
     if (down) {
       stage.after(
           NO_ANSWER,
           () -> {
             if (node.life() == life) {
-              node.listFailed();
+              node.endpointListFailed();
             }
           });
     } else {
@@ -43,10 +43,10 @@
 
   @Override
   protected void breakOff() {
-    lastAt.keySet().forEach(Node::listFailed);
+    lastAt.keySet().forEach(VirtualProxy::endpointListFailed);
   }
 
-  private void tell(Node node, News news) {
+  private void tell(VirtualProxy node, News news) {
     int life = node.life();
     double entries = stage.scenario.roster.entries();
     if (entries > 0 && stage.now() > 0) { // overbooked, it tells one after the other
