--- a/lab/src/main/java/wheattrack/lab/world/Node.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -6,40 +6,46 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import wheattrack.core.Deadlines;
-import wheattrack.core.Fleet;
-import wheattrack.lab.referee.Entry;
-import wheattrack.lab.referee.Entry.Answer;
-import wheattrack.lab.referee.Entry.State;
-import wheattrack.lab.stage.Crowd;
-import wheattrack.lab.stage.Door;
-import wheattrack.lab.stage.Machine;
-import wheattrack.lab.stage.Roster;
-import wheattrack.lab.stage.Visitor;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.ProbeCallback;
+import wheattrack.api.RequestClass;
+import wheattrack.api.RequestHandle;
+import wheattrack.core.BackendIndex;
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.model.BackendVisit;
+import wheattrack.lab.model.ClientPopulation;
+import wheattrack.lab.model.EndpointRegistry;
+import wheattrack.lab.model.ProxyHandle;
+import wheattrack.lab.model.SimulatedBackend;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.referee.LedgerRecord.State;
 
 /** One proxy of the virtual world: the module's port over virtual links. It decides nothing. */
-final class Node extends Door implements Port {
+final class VirtualProxy extends ProxyHandle implements PolicyRuntime {
   private static final long WRITE_PART = 200, GUARD = 50, DIAL = 2_500;
 
   /** A req at this proxy. */
   static final class Guest {
-    final Crowd.Ask ask;
+    final ClientPopulation.Ask ask;
     final List<Leg> legs = new ArrayList<>(2);
-    Req req;
-    Held held;
-    Deadlines.Entry guard;
+    PendingRequest req;
+    RequestHandle held;
+    TimerQueue.Entry guard;
     boolean over;
 
-    Guest(Crowd.Ask ask) {
+    Guest(ClientPopulation.Ask ask) {
       this.ask = ask;
     }
   }
 
-  private static final class Srv extends Fleet.Srv<Integer> {
+  private static final class Srv extends BackendIndex.Srv<Integer> {
     int out, idle, life;
 
     Srv(Integer id, int at) {
@@ -53,18 +59,18 @@
   }
 
   /** One dispatch. */
-  final class Leg implements Visitor {
+  final class Leg implements BackendVisit {
     private final Guest guest;
     private final Srv srv;
-    private final Result next;
+    private final AttemptCallback next;
     private final long sent = world.now();
     private final int lifeOfNode = life;
-    private Deadlines.Entry timer;
+    private TimerQueue.Entry timer;
     private boolean begun, over, holds;
     private int lifeOfServer;
     private Runnable at;
 
-    Leg(Guest guest, Srv srv, Result next) {
+    Leg(Guest guest, Srv srv, AttemptCallback next) {
       this.guest = guest;
       this.srv = srv;
       this.next = next;
@@ -81,7 +87,7 @@
     }
 
     @Override
-    public void heard(Outcome how) {
+    public void heard(AttemptOutcome how) {
       world.after(
           world.way(zone, world.machine(srv.id)),
           () -> {
@@ -106,19 +112,20 @@
       return guest.ask.due();
     }
 
-    private void giveUp(Outcome how) {
-      end(begun ? how : Outcome.MOOT);
+    private void giveUp(AttemptOutcome how) {
+      end(begun ? how : AttemptOutcome.DISCARDED);
     }
 
-    private void end(Outcome how) {
+    private void end(AttemptOutcome how) {
       if (over) {
         return;
       }
       over = true;
       srv.out--;
       world.cancel(timer);
-      Machine m = world.machine(srv.id);
-      boolean kept = how == Outcome.DONE || how == Outcome.ERROR || how == Outcome.FULL;
+      SimulatedBackend m = world.machine(srv.id);
+      boolean kept =
+          how == AttemptOutcome.DONE || how == AttemptOutcome.ERROR || how == AttemptOutcome.FULL;
       if (holds && kept && srv.life == m.epoch()) {
         srv.idle++;
       } else if (holds) {
@@ -134,7 +141,7 @@
             });
       }
       holds = false;
-      if (how == Outcome.DONE && !guest.over) {
+      if (how == AttemptOutcome.DONE && !guest.over) {
         close(guest);
         answer(guest, Answer.DONE, 0);
       }
@@ -148,18 +155,18 @@
     }
   }
 
-  private final World world;
-  private final Listing list;
-  private final Mind.Maker maker;
+  private final VirtualRun world;
+  private final VirtualDiscovery list;
+  private final Policy.Maker maker;
   private final long seed;
   private final Map<Long, Guest> guests = new LinkedHashMap<>();
-  private Fleet<Integer, Srv> fleet = new Fleet<>(Srv::new);
-  private List<Roster.News> saved = List.of();
-  private Mind mind;
+  private BackendIndex<Integer, Srv> fleet = new BackendIndex<>(Srv::new);
+  private List<EndpointRegistry.News> saved = List.of();
+  private Policy mind;
   private boolean up;
   private int life;
 
-  Node(World world, Listing list, int place, Mind.Maker maker, long seed) {
+  VirtualProxy(VirtualRun world, VirtualDiscovery list, int place, Policy.Maker maker, long seed) {
     super(place, world.scenario.zones);
     this.world = world;
     this.list = list;
@@ -182,11 +189,11 @@
   public void start() {
     up = true;
     life++;
-    fleet = new Fleet<>(Srv::new);
-    world.say(Entry.proxy(world.now(), place, true));
+    fleet = new BackendIndex<>(Srv::new);
+    world.say(LedgerRecord.proxy(world.now(), place, true));
     mind = maker.make(this, seed + life, place);
     if (!saved.isEmpty()) {
-      List<Roster.News> old = saved;
+      List<EndpointRegistry.News> old = saved;
       tell(old, true, true);
     }
     world.crowd().sees(this, true);
@@ -208,14 +215,14 @@
     up = false;
     life++;
     saved = new ArrayList<>(last.values());
-    world.say(Entry.proxy(world.now(), place, false));
+    world.say(LedgerRecord.proxy(world.now(), place, false));
     for (Guest g : guests.values()) {
       g.over = true;
       world.cancel(g.guard);
       for (Leg leg : g.legs) {
         leg.over = true;
         world.cancel(leg.timer);
-        Machine m = world.machine(leg.srv.id);
+        SimulatedBackend m = world.machine(leg.srv.id);
         if (leg.holds && leg.at != null && leg.lifeOfServer == m.epoch()) {
           world.after(world.way(zone, m), leg.at);
         }
@@ -223,7 +230,7 @@
       answer(g, Answer.BROKEN, 0);
     }
     guests.clear();
-    for (Machine m : world.machines()) {
+    for (SimulatedBackend m : world.machines()) {
       Srv srv = fleet.find(m.place);
       for (int i = 0; srv != null && i < srv.idle; i++) {
         m.hangsUp(srv.life);
@@ -233,22 +240,22 @@
 
   // ---- the list
 
-  private final Map<Integer, Roster.News> last = new LinkedHashMap<>();
+  private final Map<Integer, EndpointRegistry.News> last = new LinkedHashMap<>();
 
-  void told(List<Roster.News> news, boolean all) {
+  void told(List<EndpointRegistry.News> news, boolean all) {
     if (up) {
       tell(news, all, false);
     }
   }
 
-  private void tell(List<Roster.News> news, boolean all, boolean old) {
+  private void tell(List<EndpointRegistry.News> news, boolean all, boolean old) {
     if (all) {
       Set<Integer> named = new HashSet<>();
       news.forEach(n -> named.add(n.server()));
       fleet.missing(named).forEach(this::gone);
       last.clear();
     }
-    for (Roster.News n : news) {
+    for (EndpointRegistry.News n : news) {
       if (n.state() == State.GONE) {
         last.remove(n.server());
         gone(fleet.find(n.server()));
@@ -258,56 +265,54 @@
       Srv srv = fleet.admit(n.server());
       boolean fresh = fleet.met(srv);
       if (!old) {
-        world.say(Entry.told(world.now(), place, n.server(), n.state(), n.start()));
+        world.say(LedgerRecord.told(world.now(), place, n.server(), n.state(), n.start()));
       }
-      Machine m = world.machine(n.server());
+      SimulatedBackend m = world.machine(n.server());
       int kinds =
           world.scenario.servers.stream()
               .map(s -> s.kind())
               .distinct()
               .toList()
               .indexOf(m.kind.kind());
-      mind.entry(
-          srv.at,
-          m.id(),
-          n.state() == State.READY,
-          m.zone,
-          m.place / 4,
-          kinds,
-          m.kind.cores() * m.kind.speed(),
-          n.start() == Roster.LONG_AGO ? Roster.LONG_AGO : World.EPOCH + n.start(),
-          fresh);
+      mind.updateBackend(
+          new EndpointUpdate(
+              srv.at,
+              m.id(),
+              n.state() == State.READY,
+              m.zone,
+              m.place / 4,
+              kinds,
+              m.kind.cores() * m.kind.speed(),
+              n.start() == EndpointRegistry.LONG_AGO
+                  ? EndpointRegistry.LONG_AGO
+                  : VirtualRun.EPOCH + n.start(),
+              fresh));
     }
-    mind.listed(old);
+    mind.endpointListUpdated(old);
   }
 
   private void gone(Srv srv) {
     if (fleet.left(srv)) {
-      world.say(Entry.told(world.now(), place, srv.id, State.GONE, 0));
-      mind.gone(srv.at);
+      world.say(LedgerRecord.told(world.now(), place, srv.id, State.GONE, 0));
+      mind.removeBackend(srv.at);
     }
   }
 
-  void listFailed() {
+  void endpointListFailed() {
     if (up) {
-      mind.listFailed();
+      mind.endpointListFailed();
     }
   }
 
   @Override
-  public void follow() {
-    list.follows(this);
-  }
-
-  @Override
-  public void fetch() {
+  public void watchEndpoints() {
     list.follows(this);
   }
 
   // ---- reqs
 
   @Override
-  public void take(Crowd.Ask ask) {
+  public void take(ClientPopulation.Ask ask) {
     long sent = world.now();
     world.after(
         world.vary(world.scenario.net.client()),
@@ -317,13 +322,13 @@
           }
           if (up) {
             world.say(
-                Entry.taken(
+                LedgerRecord.taken(
                     sent,
                     ask.req(),
                     ask.op().id(),
                     place,
                     ask.due(),
-                    ask.want().set().rules().at()));
+                    ask.want().set().rules().index()));
             admit(ask);
           } else {
             world.after(world.vary(world.scenario.net.client()), () -> world.crowd().refused(ask));
@@ -331,30 +336,30 @@
         });
   }
 
-  private void admit(Crowd.Ask ask) {
+  private void admit(ClientPopulation.Ask ask) {
     Guest g = new Guest(ask);
     guests.put(ask.req(), g);
-    RuleSet set = ask.want().set().rules();
-    long due = now() + set.timeout() - Math.max(10, set.timeout() / WRITE_PART);
+    RequestClass set = ask.want().set().rules();
+    long due = now() + set.clientTimeout() - Math.max(10, set.clientTimeout() / WRITE_PART);
     int cost = (int) Math.min(Integer.MAX_VALUE / 4, Math.ceil(ask.want().hint()));
-    g.req = new Req(set, 0, 0, now(), due, cost, ask.again(), g);
+    g.req = new PendingRequest(set, now(), due, cost, ask.again(), g);
     g.guard =
         world.after(
             due + GUARD - now(),
             () -> {
               if (!g.over && world.guarded) {
-                abort(g.req);
+                fail(g.req);
               }
             });
-    g.held = mind.arrive(g.req);
+    g.held = mind.accept(g.req);
   }
 
   @Override
-  public void left(Crowd.Ask ask) {
+  public void left(ClientPopulation.Ask ask) {
     Guest g = guests.get(ask.req());
     if (g != null) {
       close(g);
-      g.held.left();
+      g.held.clientDisconnected();
     }
   }
 
@@ -362,19 +367,21 @@
     g.over = true;
     guests.remove(g.ask.req());
     world.cancel(g.guard);
-    List.copyOf(g.legs).stream().filter(leg -> !leg.begun).forEach(leg -> leg.end(Outcome.MOOT));
+    List.copyOf(g.legs).stream()
+        .filter(leg -> !leg.begun)
+        .forEach(leg -> leg.end(AttemptOutcome.DISCARDED));
   }
 
   @Override
-  public void dispatch(Req req, int backend, long tryFor, Result next) {
-    Guest g = (Guest) req.door;
+  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
+    Guest g = (Guest) req.attachment();
     Srv srv = fleet.at(backend);
     Leg leg = new Leg(g, srv, next);
     g.legs.add(leg);
     srv.out++;
-    long wait = tryFor == 0 ? req.due - now() : tryFor;
-    leg.timer = world.after(wait, () -> leg.giveUp(Outcome.TIMEOUT));
-    Machine m = world.machine(srv.id);
+    long wait = tryFor == 0 ? req.deadline() - now() : tryFor;
+    leg.timer = world.after(wait, () -> leg.giveUp(AttemptOutcome.TIMEOUT));
+    SimulatedBackend m = world.machine(srv.id);
     if (srv.life != m.epoch()) {
       srv.life = m.epoch();
       srv.idle = 0;
@@ -388,11 +395,11 @@
     }
   }
 
-  private void dial(Leg leg, Machine m, long way) {
-    if (m.state() == Machine.State.SILENT) {
-      world.after(DIAL, () -> leg.end(Outcome.NO_CONNECT));
-    } else if (m.state() == Machine.State.DEAD || !m.connects()) {
-      world.after(2 * way, () -> leg.end(Outcome.NO_CONNECT));
+  private void dial(Leg leg, SimulatedBackend m, long way) {
+    if (m.state() == SimulatedBackend.State.SILENT) {
+      world.after(DIAL, () -> leg.end(AttemptOutcome.NO_CONNECT));
+    } else if (m.state() == SimulatedBackend.State.DEAD || !m.connects()) {
+      world.after(2 * way, () -> leg.end(AttemptOutcome.NO_CONNECT));
     } else {
       leg.srv.life = m.epoch();
       int lived = m.epoch();
@@ -400,7 +407,7 @@
           2 * way,
           () -> {
             if (lived != m.epoch()) {
-              leg.end(Outcome.NO_CONNECT);
+              leg.end(AttemptOutcome.NO_CONNECT);
             } else if (leg.over || leg.lifeOfNode != life) {
               m.hangsUp(lived);
             } else {
@@ -411,19 +418,19 @@
   }
 
   /** Its bytes leave, unless it is a uniqued one whose window ran out while it waited. */
-  private void begin(Leg leg, Machine m, long way, boolean anew) {
+  private void begin(Leg leg, SimulatedBackend m, long way, boolean anew) {
     leg.holds = true;
     leg.lifeOfServer = m.epoch();
-    RuleSet set = leg.guest.req.ruleSet;
-    if (set.effect() == RuleSet.Effect.UNIQUED) {
+    RequestClass set = leg.guest.req.requestClass();
+    if (set.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY) {
       long first =
           leg.guest.legs.stream()
               .filter(l -> l.begun)
               .mapToLong(l -> l.sent)
               .min()
               .orElse(Long.MAX_VALUE / 2);
-      if (world.now() >= first + set.window()) {
-        leg.end(Outcome.MOOT);
+      if (world.now() >= first + set.deduplicationWindow()) {
+        leg.end(AttemptOutcome.DISCARDED);
         return;
       }
     }
@@ -432,38 +439,38 @@
     world.after(
         way,
         () -> {
-          if (!leg.over || m.state() != Machine.State.SILENT) {
+          if (!leg.over || m.state() != SimulatedBackend.State.SILENT) {
             arrives(leg, m, sent, anew);
           }
         });
   }
 
-  private void arrives(Leg leg, Machine m, long sent, boolean anew) {
+  private void arrives(Leg leg, SimulatedBackend m, long sent, boolean anew) {
     if (leg.lifeOfServer != m.epoch()) {
-      world.after(world.way(zone, m), () -> leg.end(Outcome.RESET));
+      world.after(world.way(zone, m), () -> leg.end(AttemptOutcome.RESET));
     } else {
       m.arrive(leg, sent, anew);
     }
   }
 
   @Override
-  public void cancel(Req req, int leg) {
-    ((Guest) req.door).legs.get(leg).giveUp(Outcome.CANCELLED);
+  public void cancelAttempt(PendingRequest req, int leg) {
+    ((Guest) req.attachment()).legs.get(leg).giveUp(AttemptOutcome.CANCELLED);
   }
 
   @Override
-  public void deny(Req req, long wait) {
+  public void reject(PendingRequest req, long wait) {
     answer(req, Answer.DENIED, wait);
   }
 
   @Override
-  public void abort(Req req) {
+  public void fail(PendingRequest req) {
     answer(req, Answer.ABORTED, 0);
   }
 
-  private void answer(Req req, Answer how, long wait) {
-    close((Guest) req.door);
-    answer((Guest) req.door, how, wait);
+  private void answer(PendingRequest req, Answer how, long wait) {
+    close((Guest) req.attachment());
+    answer((Guest) req.attachment(), how, wait);
   }
 
   private void answer(Guest g, Answer how, long wait) {
@@ -472,12 +479,12 @@
   }
 
   @Override
-  public void probe(int backend, Heard next) {
+  public void probeLoad(int backend, ProbeCallback next) {
     world.after(DIAL, () -> next.ended(false, DIAL));
   }
 
   @Override
-  public void hangUp(int backend) {
+  public void closeIdleConnections(int backend) {
     // the lab's deployments set no price on connections
   }
 
@@ -485,11 +492,11 @@
 
   @Override
   public long now() {
-    return World.EPOCH + world.now();
+    return VirtualRun.EPOCH + world.now();
   }
 
   @Override
-  public void later(long delay, Runnable next) {
+  public void schedule(long delay, Runnable next) {
     int lived = life;
     world.after(
         Math.max(1, delay),
@@ -501,7 +508,7 @@
   }
 
   @Override
-  public void log(String text) {
+  public void report(PolicyEvent event) {
     // the world's own ledger says what happened
   }
 }
--- a/lab/src/main/java/wheattrack/lab/world/World.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -1,61 +1,67 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import java.util.function.Consumer;
-import wheattrack.core.Deadlines;
-import wheattrack.lab.load.Draws;
-import wheattrack.lab.referee.Entry;
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.load.RandomStream;
+import wheattrack.lab.model.FaultTimeline;
+import wheattrack.lab.model.ProxyHandle;
+import wheattrack.lab.model.RunEnvironment;
+import wheattrack.lab.model.SimulatedBackend;
+import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.stage.Door;
-import wheattrack.lab.stage.Machine;
-import wheattrack.lab.stage.Stage;
-import wheattrack.lab.stage.Timeline;
 
 /**
  * A whole deployment in one thread under a virtual clock: proxies that decide by the module itself,
  * servers, list, links, front and clients. The same scenario, seed and policy give the same entries
  * on any machine. Times are tenths of a millisecond from the start of the run.
  */
-public final class World extends Stage {
+public final class VirtualRun extends RunEnvironment {
   /** What a proxy's clock shows at the start of the run. */
   static final long EPOCH = 1_000_000;
 
   private static final long AFTER = 4 * Scenario.SECOND, RETRANSMIT = 2_000;
 
-  final Draws links;
+  final RandomStream links;
   final boolean guarded;
   private final long[] linkDelay;
   private final double[] linkLoss;
-  private final Consumer<Entry> ledger;
-  private final Deadlines agenda = new Deadlines();
+  private final Consumer<LedgerRecord> ledger;
+  private final TimerQueue agenda = new TimerQueue();
   private long now;
   private long steps;
 
-  public World(Scenario scenario, long seed, Minds.Policy policy, Consumer<Entry> ledger) {
-    this(scenario, seed, Minds.of(policy, scenario), true, ledger);
+  public VirtualRun(
+      Scenario scenario, long seed, Policies.Kind policy, Consumer<LedgerRecord> ledger) {
+    this(scenario, seed, Policies.of(policy, scenario), true, ledger);
   }
 
   /** guarded: proxies abort what stands open past its due, as those on sockets do. */
-  World(Scenario scenario, long seed, Mind.Maker maker, boolean guarded, Consumer<Entry> ledger) {
+  VirtualRun(
+      Scenario scenario,
+      long seed,
+      Policy.Maker maker,
+      boolean guarded,
+      Consumer<LedgerRecord> ledger) {
     super(scenario, seed);
     this.guarded = guarded;
     this.ledger = ledger;
     links = draws("links");
     linkDelay = new long[scenario.serverCount()];
     linkLoss = new double[scenario.serverCount()];
-    Listing list = new Listing(this);
+    VirtualDiscovery list = new VirtualDiscovery(this);
     roster = list;
-    Draws seeds = draws("proxies");
+    RandomStream seeds = draws("proxies");
     for (int i = 0; i < scenario.proxies; i++) {
-      doors.add(new Node(this, list, i, maker, seeds.seed()));
+      doors.add(new VirtualProxy(this, list, i, maker, seeds.seed()));
     }
   }
 
   /** Plays the whole run. */
   public void run() {
     machines().forEach(m -> m.start(false));
-    doors().forEach(Door::start);
-    Timeline.schedule(this);
+    doors().forEach(ProxyHandle::start);
+    FaultTimeline.schedule(this);
     crowd().open();
     long end = end() + AFTER;
     for (Runnable next = null; agenda.first() <= end; ) {
@@ -65,7 +71,7 @@
       next.run();
     }
     now = end;
-    say(Entry.end(now));
+    say(LedgerRecord.end(now));
   }
 
   /** Steps of the world so far, for measurements. */
@@ -79,17 +85,17 @@
   }
 
   @Override
-  public Deadlines.Entry after(long delay, Runnable then) {
+  public TimerQueue.Entry after(long delay, Runnable then) {
     return agenda.add(now + Math.max(0, delay), then);
   }
 
   @Override
-  public void cancel(Deadlines.Entry entry) {
+  public void cancel(TimerQueue.Entry entry) {
     agenda.cancel(entry);
   }
 
   @Override
-  public void say(Entry e) {
+  public void say(LedgerRecord e) {
     ledger.accept(e);
   }
 
@@ -103,7 +109,7 @@
   }
 
   /** One way between a proxy's zone and a server, as its link is now. */
-  long way(int from, Machine to) {
+  long way(int from, SimulatedBackend to) {
     long mean = from == to.zone ? scenario.net.same() : scenario.net.cross();
     return vary(mean) + linkDelay[to.place] + (links.happens(linkLoss[to.place]) ? RETRANSMIT : 0);
   }
--- a/lab/src/test/java/wheattrack/lab/ScenarioTest.java
+++ b/lab/src/test/java/wheattrack/lab/ScenarioTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import org.junit.jupiter.api.Test;
-import wheattrack.config.BadConfig;
+import wheattrack.config.InvalidConfigurationException;
 
 class ScenarioTest {
   private static void fails(String more, String said) {
-    BadConfig e = assertThrows(BadConfig.class, () -> Texts.small("replayable", more));
+    InvalidConfigurationException e =
+        assertThrows(
+            InvalidConfigurationException.class, () -> ScenarioTexts.small("replayable", more));
     assertEquals(said, e.getMessage());
   }
 
--- a/lab/src/test/java/wheattrack/lab/Texts.java
+++ b/lab/src/test/java/wheattrack/lab/ScenarioTexts.java
@@ -3,8 +3,8 @@
 import wheattrack.lab.scenario.Scenario;
 
 /** Small scenarios for tests. */
-public final class Texts {
-  private Texts() {}
+public final class ScenarioTexts {
+  private ScenarioTexts() {}
 
   /** Three proxies before four servers and one rule set, with what else is said. */
   public static Scenario small(String effect, String more) {
--- a/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
@@ -8,33 +8,33 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import wheattrack.lab.Texts;
-import wheattrack.lab.referee.Entry.Answer;
-import wheattrack.lab.referee.Entry.State;
+import wheattrack.lab.ScenarioTexts;
+import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.referee.LedgerRecord.State;
 
 /** Single lines of a ledger, and what the referee makes of them. */
 class RefereeTest {
   @TempDir Path dir;
 
-  private static String judged(String effect, Entry... entries) {
-    Referee referee = new Referee(Texts.small(effect, ""));
-    referee.accept(Entry.asked(0, 1, 0, 10));
-    referee.accept(Entry.taken(0, 1, 1, 0, 9_000, 0));
+  private static String judged(String effect, LedgerRecord... entries) {
+    Referee referee = new Referee(ScenarioTexts.small(effect, ""));
+    referee.accept(LedgerRecord.asked(0, 1, 0, 10));
+    referee.accept(LedgerRecord.taken(0, 1, 1, 0, 9_000, 0));
     List.of(entries).forEach(referee);
-    referee.accept(Entry.end(60_000));
+    referee.accept(LedgerRecord.end(60_000));
     Verdict v = referee.verdict();
     return v.breaks().stream().map(b -> b.rule() + ": " + b.how()).toList().toString();
   }
 
-  private static Entry answered(long at, Answer how) {
-    return Entry.answered(at, 1, how);
+  private static LedgerRecord answered(long at, Answer how) {
+    return LedgerRecord.answered(at, 1, how);
   }
 
   @Test
   void oneFinalAnswerBeforeDue() {
     assertEquals("[]", judged("replayable", answered(8_000, Answer.DONE)));
     assertEquals("[answers: req 1 was never answered]", judged("replayable"));
-    assertEquals("[]", judged("replayable", Entry.left(500, 1)));
+    assertEquals("[]", judged("replayable", LedgerRecord.left(500, 1)));
     assertEquals(
         "[answers: req 1 was answered 2 times]",
         judged("replayable", answered(800, Answer.DENIED), answered(900, Answer.DONE)));
@@ -45,16 +45,18 @@
         "[answers: req 1: its connection ended without an answer]",
         judged("replayable", answered(700, Answer.BROKEN)));
     assertEquals(
-        "[]", judged("replayable", Entry.proxy(600, 0, false), answered(700, Answer.BROKEN)));
+        "[]",
+        judged("replayable", LedgerRecord.proxy(600, 0, false), answered(700, Answer.BROKEN)));
     assertEquals(
         "[answers: req 1 was sent on 30 ms after its answer or due]",
-        judged("replayable", answered(700, Answer.DENIED), Entry.came(1_000, 1, 0, 2, 100)));
+        judged("replayable", answered(700, Answer.DENIED), LedgerRecord.came(1_000, 1, 0, 2, 100)));
   }
 
   @Test
   void noEffectTwice() {
-    Entry first = Entry.ran(100, 1, 0, 2, 90, 200), again = Entry.ran(300, 1, 1, 3, 290, 200);
-    Entry done = answered(600, Answer.DONE);
+    LedgerRecord first = LedgerRecord.ran(100, 1, 0, 2, 90, 200),
+        again = LedgerRecord.ran(300, 1, 1, 3, 290, 200);
+    LedgerRecord done = answered(600, Answer.DONE);
     assertEquals("[]", judged("replayable", first, again, done));
     assertEquals(
         "[effects: req 1 ran 2 times and may only once]",
@@ -73,18 +75,19 @@
 
   @Test
   void drains() {
-    Entry told = Entry.told(100, 0, 2, State.DRAINING, 0), done = answered(7_900, Answer.DONE);
-    assertEquals("[]", judged("replayable", told, Entry.came(5_000, 1, 0, 2, 100), done));
+    LedgerRecord told = LedgerRecord.told(100, 0, 2, State.DRAINING, 0),
+        done = answered(7_900, Answer.DONE);
+    assertEquals("[]", judged("replayable", told, LedgerRecord.came(5_000, 1, 0, 2, 100), done));
     assertEquals(
         "[drains: proxy 0 sent req 1 to server 2 700 ms after it was told that it is DRAINING]",
-        judged("replayable", told, Entry.came(7_100, 1, 0, 2, 100), done));
+        judged("replayable", told, LedgerRecord.came(7_100, 1, 0, 2, 100), done));
     assertEquals(
         "[]",
         judged(
             "replayable",
             told,
-            Entry.told(6_000, 0, 2, State.READY, 50),
-            Entry.came(7_100, 1, 0, 2, 100),
+            LedgerRecord.told(6_000, 0, 2, State.READY, 50),
+            LedgerRecord.came(7_100, 1, 0, 2, 100),
             done));
   }
 
@@ -94,17 +97,17 @@
   @Test
   void coldServers() {
     for (boolean knew : new boolean[] {true, false}) {
-      Referee referee = new Referee(Texts.small("replayable", ""));
-      referee.accept(Entry.started(0, 2, 1, true));
+      Referee referee = new Referee(ScenarioTexts.small("replayable", ""));
+      referee.accept(LedgerRecord.started(0, 2, 1, true));
       if (knew) {
-        referee.accept(Entry.told(10, 0, 2, State.READY, 0));
-        referee.accept(Entry.told(10, 1, 2, State.READY, 0));
+        referee.accept(LedgerRecord.told(10, 0, 2, State.READY, 0));
+        referee.accept(LedgerRecord.told(10, 1, 2, State.READY, 0));
       }
       for (int i = 1; i <= 14; i++) {
-        referee.accept(Entry.asked(10, i, 0, 1));
-        referee.accept(Entry.taken(10, i, i, i % 2, 9_000, 0));
-        referee.accept(Entry.came(20 + i, i, i % 2, 2, 1_000));
-        referee.accept(Entry.answered(100, i, Answer.DONE));
+        referee.accept(LedgerRecord.asked(10, i, 0, 1));
+        referee.accept(LedgerRecord.taken(10, i, i, i % 2, 9_000, 0));
+        referee.accept(LedgerRecord.came(20 + i, i, i % 2, 2, 1_000));
+        referee.accept(LedgerRecord.answered(100, i, Answer.DONE));
       }
       Verdict v = referee.verdict();
       assertEquals(knew ? 1 : 0, v.figures().get("broken.cold"));
@@ -118,11 +121,12 @@
   void tornLedgersAreVoid() throws Exception {
     Path file = dir.resolve("one.ledger");
     try (Ledger.Out out = new Ledger.Out(file, true)) {
-      out.accept(Entry.clock(1_000, 3_000));
-      out.accept(Entry.asked(3_100, 1, 0, 2.5));
-      out.accept(Entry.end(3_200));
+      out.accept(LedgerRecord.clock(1_000, 3_000));
+      out.accept(LedgerRecord.asked(3_100, 1, 0, 2.5));
+      out.accept(LedgerRecord.end(3_200));
     }
-    assertEquals(List.of(Entry.asked(1_100, 1, 0, 2.5), Entry.end(1_200)), Ledger.read(file));
+    assertEquals(
+        List.of(LedgerRecord.asked(1_100, 1, 0, 2.5), LedgerRecord.end(1_200)), Ledger.read(file));
     String whole = Files.readString(file);
     for (String torn :
         List.of(
@@ -144,14 +148,14 @@
     Path ahead = dir.resolve("ahead.ledger"), right = dir.resolve("right.ledger");
     try (Ledger.Out a = new Ledger.Out(ahead, false);
         Ledger.Out r = new Ledger.Out(right, false)) {
-      a.accept(Entry.clock(0, 2_000));
-      a.accept(Entry.came(2_500, 1, 0, 2, 1));
-      a.accept(Entry.end(9_000));
-      r.accept(Entry.answered(600, 1, Answer.DONE));
-      r.accept(Entry.end(7_500));
+      a.accept(LedgerRecord.clock(0, 2_000));
+      a.accept(LedgerRecord.came(2_500, 1, 0, 2, 1));
+      a.accept(LedgerRecord.end(9_000));
+      r.accept(LedgerRecord.answered(600, 1, Answer.DONE));
+      r.accept(LedgerRecord.end(7_500));
     }
     assertEquals(
         List.of(500L, 600L, 7_000L, 7_500L),
-        Ledger.merge(List.of(right, ahead)).stream().map(Entry::at).toList());
+        Ledger.merge(List.of(right, ahead)).stream().map(LedgerRecord::at).toList());
   }
 }
--- a/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import wheattrack.config.BadConfig;
+import wheattrack.config.InvalidConfigurationException;
 
 /** The short form of `lab scale`: three axes, hollow proxies alone, judged by counts and bytes. */
 class ScaleTest {
@@ -27,14 +27,14 @@
 
   private final ByteArrayOutputStream said = new ByteArrayOutputStream();
 
-  private Figures play(String axis, String points, boolean tellsWhole) throws IOException {
-    return Scale.run(
-            new Scale.Job(Path.of(".."), axis, points, 1, folder, 0, tellsWhole, false),
+  private AxisMeasurements play(String axis, String points, boolean tellsWhole) throws IOException {
+    return ScaleCommand.run(
+            new ScaleCommand.Job(Path.of(".."), axis, points, 1, folder, 0, tellsWhole, false),
             new PrintStream(said))
         .get(0);
   }
 
-  private static double figure(Figures figures, int row, String name) {
+  private static double figure(AxisMeasurements figures, int row, String name) {
     return figures.rows.get(row).figures().get(name);
   }
 
@@ -42,14 +42,14 @@
    * One change costs each watcher one entry, whatever is known; twice as far over counts as no
    * slope.
    */
-  private static boolean isFlat(Figures figures) {
+  private static boolean isFlat(AxisMeasurements figures) {
     return figures.rows.stream()
         .allMatch(row -> row.figures().get("change_bytes") < ENTRY + AROUND + NOISE);
   }
 
   @Test
   void backends() throws Exception {
-    Figures figures = play("backends", "50,200,800", false);
+    AxisMeasurements figures = play("backends", "50,200,800", false);
     for (int i = 0; i < 3; i++) {
       double point = figures.rows.get(i).point();
       assertEquals(point, figure(figures, i, "known"), said.toString());
@@ -73,7 +73,7 @@
 
   @Test
   void watchers() throws Exception {
-    Figures figures = play("watchers", "20,60,180", false);
+    AxisMeasurements figures = play("watchers", "20,60,180", false);
     for (int i = 0; i < 3; i++) {
       assertEquals(0, figure(figures, i, "untold"), said.toString());
     }
@@ -82,7 +82,7 @@
 
   @Test
   void ruleSets() throws Exception {
-    Figures figures = play("rule-sets", "10,100,1000", false);
+    AxisMeasurements figures = play("rule-sets", "10,100,1000", false);
     double each = (figure(figures, 2, "file_mb") - figure(figures, 1, "file_mb")) * 1048576 / 900;
     assertTrue(each > 80 && each < 200, each + " bytes each");
   }
@@ -99,7 +99,8 @@
         "|5|--points"
       })
   void badInput(String axis, String points, String key) {
-    BadConfig bad = assertThrows(BadConfig.class, () -> play(axis, points, false));
+    InvalidConfigurationException bad =
+        assertThrows(InvalidConfigurationException.class, () -> play(axis, points, false));
     assertTrue(
         bad.getMessage().startsWith(key) && !bad.getMessage().contains("\n"), bad.getMessage());
   }
@@ -107,21 +108,25 @@
   /** Too much asked of the machine is bad input; over the bound ends the run and its processes. */
   @Test
   void memory() {
-    Scale.Job much =
-        new Scale.Job(Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
+    ScaleCommand.Job much =
+        new ScaleCommand.Job(Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
     assertTrue(
-        assertThrows(BadConfig.class, () -> Scale.run(much, new PrintStream(said)))
+        assertThrows(
+                InvalidConfigurationException.class,
+                () -> ScaleCommand.run(much, new PrintStream(said)))
             .getMessage()
             .startsWith("--memory-mb"));
-    Scale.Job little =
-        new Scale.Job(Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
-    assertThrows(Processes.OverBound.class, () -> Scale.run(little, new PrintStream(said)));
+    ScaleCommand.Job little =
+        new ScaleCommand.Job(Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
+    assertThrows(
+        ProcessGroup.OverBound.class, () -> ScaleCommand.run(little, new PrintStream(said)));
     assertEquals(
         0,
         ProcessHandle.current()
             .children()
             .filter(ProcessHandle::isAlive)
-            .filter(p -> p.info().commandLine().orElse("").contains(HollowMain.class.getName()))
+            .filter(
+                p -> p.info().commandLine().orElse("").contains(ControlOnlyMain.class.getName()))
             .count());
   }
 }
--- a/lab/src/test/java/wheattrack/lab/real/SocketsTest.java
+++ b/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.real;
+package wheattrack.lab.sockets;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -15,13 +15,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wheattrack.lab.LabMain;
-import wheattrack.lab.referee.Entry;
+import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
 
 /** Whole runs on loopback sockets, with proxies as processes. */
-class SocketsTest {
+class SocketRunTest {
   private static final Path JAR = Path.of("../proxy/target/wheattrack.jar");
 
   @TempDir Path dir;
@@ -87,7 +87,7 @@
                     + fault("kill-proxy", 6, 0.5, "place = 1")
                     + fault("clock-proxy", 0.2, 8, "place = 0\nsize = 3600000")));
     Referee referee = new Referee(s);
-    try (Sockets sockets = new Sockets(s, 3, JAR, Sockets.How.USUAL, referee)) {
+    try (SocketRun sockets = new SocketRun(s, 3, JAR, SocketRun.How.USUAL, referee)) {
       sockets.run();
       assertTrue(children() >= 2);
     }
@@ -102,7 +102,7 @@
   @Test
   void aLabThatRanLateSaysNothing() throws Exception {
     Scenario s = Scenario.of("late", text(2, ""));
-    try (Sockets sockets = new Sockets(s, 3, JAR, Sockets.How.USUAL, e -> {})) {
+    try (SocketRun sockets = new SocketRun(s, 3, JAR, SocketRun.How.USUAL, e -> {})) {
       Thread busy =
           new Thread(
               () -> {
@@ -132,7 +132,8 @@
   void aMissingJarStartsNothing() {
     Scenario s = Scenario.of("none", text(2, ""));
     assertThrows(
-        IOException.class, () -> new Sockets(s, 3, Path.of("no.jar"), Sockets.How.USUAL, e -> {}));
+        IOException.class,
+        () -> new SocketRun(s, 3, Path.of("no.jar"), SocketRun.How.USUAL, e -> {}));
     assertEquals(0, children());
   }
 
@@ -179,8 +180,8 @@
   @Test
   void drainsReachTheProxies() throws Exception {
     Scenario s = Scenario.of("drain", text(4, fault("drain", 1, 2, "place = 1")));
-    List<Entry> all = new ArrayList<>();
-    try (Sockets sockets = new Sockets(s, 3, JAR, Sockets.How.USUAL, all::add)) {
+    List<LedgerRecord> all = new ArrayList<>();
+    try (SocketRun sockets = new SocketRun(s, 3, JAR, SocketRun.How.USUAL, all::add)) {
       sockets.run();
     }
     Referee referee = new Referee(s);
@@ -190,8 +191,8 @@
         all.stream()
             .filter(
                 e ->
-                    e.kind() == Entry.Kind.TOLD
-                        && e.state() == Entry.State.DRAINING
+                    e.kind() == LedgerRecord.Kind.TOLD
+                        && e.state() == LedgerRecord.State.DRAINING
                         && e.server() == 1)
             .count();
     assertEquals(2, told);
@@ -199,7 +200,7 @@
         all.stream()
             .filter(
                 e ->
-                    e.kind() == Entry.Kind.CAME
+                    e.kind() == LedgerRecord.Kind.CAME
                         && e.server() == 1
                         && e.at() > 16_500
                         && e.at() < 30_000)
--- a/lab/src/test/java/wheattrack/lab/world/ColdFleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -35,7 +35,7 @@
   private static Verdict play(String name, int proxies, Scenario told, long seed) {
     Scenario s = file(name, proxies, 3);
     Referee referee = new Referee(s);
-    new World(s, seed, Minds.of(Minds.Policy.RULES, told), true, referee).run();
+    new VirtualRun(s, seed, Policies.of(Policies.Kind.RULES, told), true, referee).run();
     return referee.verdict();
   }
 
--- a/lab/src/test/java/wheattrack/lab/world/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,13 +15,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wheattrack.lab.Texts;
-import wheattrack.lab.referee.Entry;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.RequestHandle;
+import wheattrack.lab.ScenarioTexts;
+import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
 
 /**
  * The three days of a large fleet, as scenarios: the module holds what is expected, others fall
@@ -29,49 +31,40 @@
  */
 class FleetTest {
   /** Sends all it has to the server that started last, as each one alone might think right. */
-  private static class Eager implements Mind {
-    private final Port port;
+  private static class Eager implements Policy {
+    private final PolicyRuntime port;
     private final Map<Integer, Long> ready = new HashMap<>();
 
-    Eager(Port port) {
+    Eager(PolicyRuntime port) {
       this.port = port;
-      port.follow();
+      port.watchEndpoints();
     }
 
     @Override
-    public void entry(
-        int at,
-        long name,
-        boolean isReady,
-        int zone,
-        int pack,
-        int kind,
-        double weight,
-        long up,
-        boolean fresh) {
-      ready.remove(at);
-      if (isReady) {
-        ready.put(at, up);
+    public void updateBackend(EndpointUpdate update) {
+      ready.remove(update.index());
+      if (update.ready()) {
+        ready.put(update.index(), update.startedAt());
       }
     }
 
     @Override
-    public void gone(int at) {
-      ready.remove(at);
+    public void removeBackend(int index) {
+      ready.remove(index);
     }
 
     @Override
-    public void listed(boolean saved) {
+    public void endpointListUpdated(boolean cached) {
       // each entry was told
     }
 
     @Override
-    public void listFailed() {
-      port.later(1_000, port::follow);
+    public void endpointListFailed() {
+      port.schedule(1_000, port::watchEndpoints);
     }
 
     @Override
-    public Port.Held arrive(Req req) {
+    public RequestHandle accept(PendingRequest req) {
       long last = ready.values().stream().mapToLong(Long::longValue).max().orElse(0);
       int latest =
           ready.keySet().stream()
@@ -79,26 +72,26 @@
               .min(Integer::compare)
               .orElse(-1);
       if (latest < 0) {
-        port.deny(req, 0);
+        port.reject(req, 0);
       } else {
-        port.dispatch(
+        port.sendAttempt(
             req,
             latest,
             0,
             (how, lag, over) -> {
               if (!over) {
-                port.deny(req, 0);
+                port.reject(req, 0);
               }
             });
       }
-      return new Port.Held() {
+      return new RequestHandle() {
         @Override
-        public void streams(int leg) {
+        public void streamingStarted(int attempt) {
           // none does
         }
 
         @Override
-        public void left() {
+        public void clientDisconnected() {
           // nothing is held
         }
       };
@@ -109,10 +102,11 @@
     return Scenario.read(Path.of("scenarios", "fleet", name + ".toml"), other);
   }
 
-  private static Verdict play(String name, Mind.Maker maker) {
+  private static Verdict play(String name, Policy.Maker maker) {
     Scenario s = file(name, Map.of());
     Referee referee = new Referee(s);
-    new World(s, 2, maker == null ? Minds.of(Minds.Policy.RULES, s) : maker, true, referee).run();
+    new VirtualRun(s, 2, maker == null ? Policies.of(Policies.Kind.RULES, s) : maker, true, referee)
+        .run();
     return referee.verdict();
   }
 
@@ -122,7 +116,7 @@
     Verdict good = play(name, null);
     assertEquals(List.of(), good.shortfalls(), good.figures().toString());
     Scenario s = file(name, Map.of());
-    Verdict random = play(name, Minds.of(Minds.Policy.RANDOM, s));
+    Verdict random = play(name, Policies.of(Policies.Kind.RANDOM, s));
     Set<String> fell =
         random.shortfalls().stream().map(Scenario.Expect::figure).collect(Collectors.toSet());
     s.expects.stream()
@@ -140,30 +134,21 @@
   @Test
   void replacedServersAreNew() {
     Scenario s =
-        Texts.small(
+        ScenarioTexts.small(
             "replayable", "[[fault]]\nkind = \"replace\"\nat-s = 1\nfor-s = 1\nshare = 0.5\n");
     Set<Long> ids = new HashSet<>();
     StringBuilder told = new StringBuilder();
-    new World(
+    new VirtualRun(
             s,
             3,
             (port, seed, me) ->
                 new Eager(port) {
                   @Override
-                  public void entry(
-                      int at,
-                      long name,
-                      boolean isReady,
-                      int zone,
-                      int pack,
-                      int kind,
-                      double weight,
-                      long up,
-                      boolean fresh) {
-                    super.entry(at, name, isReady, zone, pack, kind, weight, up, fresh);
+                  public void updateBackend(EndpointUpdate update) {
+                    super.updateBackend(update);
                     if (me == 0) {
-                      told.append(ids.add(name) ? "new " : "old ")
-                          .append(isReady ? "ready " : "draining ");
+                      told.append(ids.add(update.id()) ? "new " : "old ")
+                          .append(update.ready() ? "ready " : "draining ");
                     }
                   }
                 },
@@ -179,16 +164,16 @@
   @Test
   void zoneFaultsHitTheZone() {
     Set<Integer> started = new TreeSet<>(), killed = new TreeSet<>();
-    World world =
-        new World(
+    VirtualRun world =
+        new VirtualRun(
             file("zone", Map.of()),
             3,
             (port, seed, me) -> new Eager(port),
             true,
             e -> {
-              if (e.kind() == Entry.Kind.STARTED && e.code() == 1) {
+              if (e.kind() == LedgerRecord.Kind.STARTED && e.code() == 1) {
                 started.add(e.server());
-              } else if (e.kind() == Entry.Kind.PROXY && e.code() == 0) {
+              } else if (e.kind() == LedgerRecord.Kind.PROXY && e.code() == 0) {
                 killed.add(e.proxy());
               }
             });
@@ -215,15 +200,15 @@
   private static long longestWait(String entriesPerSecond) {
     Map<Integer, Long> since = new HashMap<>();
     long[] longest = {0};
-    new World(
+    new VirtualRun(
             file("herd", Map.of("list.entries-per-second", entriesPerSecond)),
             2,
             (port, seed, me) -> new Eager(port),
             true,
             e -> {
-              if (e.kind() == Entry.Kind.PROXY && e.code() == 1 && e.at() > 0) {
+              if (e.kind() == LedgerRecord.Kind.PROXY && e.code() == 1 && e.at() > 0) {
                 since.put(e.proxy(), e.at());
-              } else if (e.kind() == Entry.Kind.TOLD && since.containsKey(e.proxy())) {
+              } else if (e.kind() == LedgerRecord.Kind.TOLD && since.containsKey(e.proxy())) {
                 longest[0] = Math.max(longest[0], e.at() - since.remove(e.proxy()));
               }
             })
--- a/lab/src/test/java/wheattrack/lab/world/WorldTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -1,4 +1,4 @@
-package wheattrack.lab.world;
+package wheattrack.lab.virtual;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -8,101 +8,95 @@
 import java.util.List;
 import java.util.zip.CRC32C;
 import org.junit.jupiter.api.Test;
-import wheattrack.lab.Texts;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.RequestHandle;
+import wheattrack.lab.ScenarioTexts;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
 
-class WorldTest {
+class VirtualRunTest {
   private static final String DRAIN = "[[fault]]\nkind = \"drain\"\nat-s = 1\nplace = 0\n";
   private static final String CRASH =
       "[[fault]]\nkind = \"crash\"\nat-s = 1\nfor-s = 1\nplace = 0\n";
 
   /** What a wrong proxy does with a req; how it comes to be wrong is up to the test. */
   private interface Wrong {
-    void arrive(Port port, Req req, List<Integer> ready, List<Integer> ever);
+    void arrive(PolicyRuntime port, PendingRequest req, List<Integer> ready, List<Integer> ever);
   }
 
   private static Verdict play(String effect, String more, Wrong wrong) {
-    Scenario s = Texts.small(effect, more);
+    Scenario s = ScenarioTexts.small(effect, more);
     Referee referee = new Referee(s);
-    Mind.Maker maker =
+    Policy.Maker maker =
         (port, seed, me) -> {
-          port.follow();
+          port.watchEndpoints();
           List<Integer> ready = new ArrayList<>(), ever = new ArrayList<>();
-          return new Mind() {
+          return new Policy() {
             @Override
-            public void entry(
-                int at,
-                long name,
-                boolean isReady,
-                int zone,
-                int pack,
-                int kind,
-                double weight,
-                long up,
-                boolean fresh) {
-              ready.remove((Integer) at);
-              ever.remove((Integer) at);
-              ever.add(at);
-              if (isReady) {
-                ready.add(at);
+            public void updateBackend(EndpointUpdate update) {
+              Integer index = update.index();
+              ready.remove(index);
+              ever.remove(index);
+              ever.add(index);
+              if (update.ready()) {
+                ready.add(index);
               }
             }
 
             @Override
-            public void gone(int at) {
-              ready.remove((Integer) at);
+            public void removeBackend(int index) {
+              ready.remove((Integer) index);
             }
 
             @Override
-            public void listed(boolean saved) {
+            public void endpointListUpdated(boolean cached) {
               ever.sort(null);
             }
 
             @Override
-            public void listFailed() {
-              port.later(1_000, port::follow);
+            public void endpointListFailed() {
+              port.schedule(1_000, port::watchEndpoints);
             }
 
             @Override
-            public Port.Held arrive(Req req) {
+            public RequestHandle accept(PendingRequest req) {
               wrong.arrive(port, req, ready, ever);
-              return new Port.Held() {
+              return new RequestHandle() {
                 @Override
-                public void streams(int leg) {
+                public void streamingStarted(int attempt) {
                   // none does
                 }
 
                 @Override
-                public void left() {
+                public void clientDisconnected() {
                   // nothing is held
                 }
               };
             }
           };
         };
-    new World(s, 5, maker, false, referee).run();
+    new VirtualRun(s, 5, maker, false, referee).run();
     return referee.verdict();
   }
 
-  private static void honest(Port port, Req req, List<Integer> ready) {
+  private static void honest(PolicyRuntime port, PendingRequest req, List<Integer> ready) {
     if (ready.isEmpty()) {
-      port.deny(req, 0);
+      port.reject(req, 0);
       return;
     }
-    port.dispatch(
+    port.sendAttempt(
         req,
-        ready.get((int) (req.arrived % ready.size())),
+        ready.get((int) (req.arrivedAt() % ready.size())),
         0,
         (how, lag, over) -> {
-          if (!over && how.neverRan) {
-            port.deny(req, 0);
+          if (!over && how.neverRan()) {
+            port.reject(req, 0);
           } else if (!over) {
-            port.abort(req);
+            port.fail(req);
           }
         });
   }
@@ -132,8 +126,8 @@
             "replayable",
             "",
             (port, req, ready, ever) -> {
-              port.deny(req, 0);
-              port.deny(req, 0);
+              port.reject(req, 0);
+              port.reject(req, 0);
             }));
     caught("answers", play("replayable", "", (port, req, ready, ever) -> {}));
     caught(
@@ -141,7 +135,7 @@
         play(
             "replayable",
             "",
-            (port, req, ready, ever) -> port.later(9_800, () -> port.abort(req))));
+            (port, req, ready, ever) -> port.schedule(9_800, () -> port.fail(req))));
     caught(
         "answers",
         play(
@@ -149,12 +143,12 @@
             "",
             (port, req, ready, ever) -> {
               if (ready.isEmpty()) {
-                port.deny(req, 0);
+                port.reject(req, 0);
                 return;
               }
-              port.deny(req, 0);
-              port.later(
-                  2_000, () -> port.dispatch(req, ready.get(0), 1_000, (how, lag, over) -> {}));
+              port.reject(req, 0);
+              port.schedule(
+                  2_000, () -> port.sendAttempt(req, ready.get(0), 1_000, (how, lag, over) -> {}));
             }));
   }
 
@@ -163,11 +157,11 @@
     Wrong twice =
         (port, req, ready, ever) -> {
           if (ready.size() < 2) {
-            port.deny(req, 0);
+            port.reject(req, 0);
             return;
           }
-          port.dispatch(req, ready.get(0), 0, (how, lag, over) -> {});
-          port.dispatch(req, ready.get(1), 0, (how, lag, over) -> {});
+          port.sendAttempt(req, ready.get(0), 0, (how, lag, over) -> {});
+          port.sendAttempt(req, ready.get(1), 0, (how, lag, over) -> {});
         };
     caught("effects", play("non-replayable", "", twice));
     assertEquals(0, play("replayable", "", twice).figures().get("broken.effects"));
@@ -178,10 +172,10 @@
             "",
             (port, req, ready, ever) -> {
               if (!ready.isEmpty()) {
-                port.dispatch(req, ready.get(0), 0, (how, lag, over) -> {});
-                port.later(100, () -> port.deny(req, 0));
+                port.sendAttempt(req, ready.get(0), 0, (how, lag, over) -> {});
+                port.schedule(100, () -> port.reject(req, 0));
               } else {
-                port.deny(req, 0);
+                port.reject(req, 0);
               }
             }));
   }
@@ -209,9 +203,10 @@
    */
   @Test
   void impatientClientsLoseNothing() {
-    Scenario s = Texts.small("non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
+    Scenario s =
+        ScenarioTexts.small("non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
     Referee referee = new Referee(s);
-    new World(s, 4, Minds.Policy.RULES, referee).run();
+    new VirtualRun(s, 4, Policies.Kind.RULES, referee).run();
     Verdict v = referee.verdict();
     assertEquals(0, v.figures().get("broken"), v.breaks().toString());
     assertTrue(v.figures().get("done") > 50, v.figures().toString());
@@ -221,7 +216,7 @@
   @Test
   void theSameSeedGivesTheSameBytes() {
     Scenario s =
-        Texts.small(
+        ScenarioTexts.small(
             "replayable",
             CRASH
                 + "[[fault]]\nkind = \"kill-proxy\"\nat-s = 2\n"
@@ -230,7 +225,8 @@
     long[] sums = new long[3];
     for (int i = 0; i < 3; i++) {
       CRC32C crc = new CRC32C();
-      new World(s, i < 2 ? 9 : 10, Minds.Policy.RULES, e -> crc.update(e.toString().getBytes()))
+      new VirtualRun(
+              s, i < 2 ? 9 : 10, Policies.Kind.RULES, e -> crc.update(e.toString().getBytes()))
           .run();
       sums[i] = crc.getValue();
     }
@@ -240,26 +236,26 @@
 
   @Test
   void hungServersAnswerNothing() {
-    List<Outcome> seen = new ArrayList<>();
+    List<AttemptOutcome> seen = new ArrayList<>();
     Verdict v =
         play(
             "non-replayable",
             "[[fault]]\nkind = \"hang\"\nat-s = 0\nshare = 1\n",
             (port, req, ready, ever) -> {
               if (ready.isEmpty()) {
-                port.deny(req, 0);
+                port.reject(req, 0);
                 return;
               }
-              port.dispatch(
+              port.sendAttempt(
                   req,
                   ready.get(0),
                   5_000,
                   (how, lag, over) -> {
                     seen.add(how);
-                    port.abort(req);
+                    port.fail(req);
                   });
             });
     assertEquals(0, v.figures().get("broken"));
-    assertEquals(List.of(Outcome.TIMEOUT), seen.stream().distinct().toList());
+    assertEquals(List.of(AttemptOutcome.TIMEOUT), seen.stream().distinct().toList());
   }
 }
--- a/proxy/src/main/java/wheattrack/Logs.java
+++ b/proxy/src/main/java/wheattrack/Logging.java
@@ -5,18 +5,18 @@
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
-import wheattrack.config.Operator;
-import wheattrack.log.Event;
-import wheattrack.log.JsonLines;
-import wheattrack.log.Limit;
-import wheattrack.log.PlainLines;
+import wheattrack.config.OperatorConfig;
+import wheattrack.log.EventLog;
+import wheattrack.log.JsonLineFormatter;
+import wheattrack.log.PlainLineFormatter;
+import wheattrack.log.RateLimitFilter;
 
 /**
  * Logs by java.util.logging, a line each on standard error, to the end: the exit resets no handler.
  */
-public final class Logs extends LogManager {
+public final class Logging extends LogManager {
   /** To be called once java.util.logging.manager names this class, before any logger is. */
-  static void open(Operator.Log log) {
+  static void open(OperatorConfig.Log log) {
     System.setProperty(
         "java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
     Logger root = Logger.getLogger("");
@@ -24,13 +24,13 @@
       root.removeHandler(old);
     }
     Handler console = new ConsoleHandler();
-    console.setFormatter(log.json() ? new JsonLines() : new PlainLines());
+    console.setFormatter(log.json() ? new JsonLineFormatter() : new PlainLineFormatter());
     if (log.linesPerSecond() > 0) {
-      console.setFilter(new Limit(log.linesPerSecond()));
+      console.setFilter(new RateLimitFilter(log.linesPerSecond()));
     }
     if (log.reqs()) {
       console.setLevel(Level.FINE);
-      Event.detailed();
+      EventLog.detailed();
     }
     root.addHandler(console);
   }
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -10,13 +10,13 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Config;
-import wheattrack.config.Migrate;
-import wheattrack.config.Operator;
-import wheattrack.drill.Drill;
-import wheattrack.net.Rehearsal;
-import wheattrack.net.Server;
+import wheattrack.config.InvalidConfigurationException;
+import wheattrack.config.MigrateCommand;
+import wheattrack.config.OperatorConfig;
+import wheattrack.config.ProxyConfig;
+import wheattrack.net.ClassArchiveTraining;
+import wheattrack.net.ProxyServer;
+import wheattrack.simulator.SimulatorAdapter;
 
 /** The command line. */
 public final class Main {
@@ -40,7 +40,7 @@
 
   private static int run(String[] args) throws IOException {
     if (args.length > 0 && args[0].equals("migrate")) {
-      return Migrate.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
+      return MigrateCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
     }
     CommandLine line;
     try {
@@ -67,7 +67,7 @@
       switch (line.getArgs()[0]) {
         case "serve" -> {
           Path own = line.hasOption("operator") ? Path.of(line.getOptionValue("operator")) : null;
-          serve(file(line), own, own == null ? null : Operator.read(own));
+          serve(file(line), own, own == null ? null : OperatorConfig.read(own));
         }
         case "rehearse" -> rehearse(file(line));
         case "check" -> check(line);
@@ -80,7 +80,7 @@
         }
       }
       return 0;
-    } catch (BadConfig | Drill.BadInput e) {
+    } catch (InvalidConfigurationException | SimulatorAdapter.BadInput e) {
       return fault("wheattrack " + line.getArgs()[0] + ": " + e.getMessage());
     }
   }
@@ -93,43 +93,44 @@
   private static Path file(CommandLine line) {
     String file = line.getOptionValue("config", System.getenv("GW_CONFIG"));
     if (file == null) {
-      throw new BadConfig("--config", "missing, and GW_CONFIG is not set");
+      throw new InvalidConfigurationException("--config", "missing, and GW_CONFIG is not set");
     }
     return Path.of(file);
   }
 
   private static void check(CommandLine line) {
     if (line.hasOption("print-defaults")) {
-      System.out.print(Operator.DEFAULTS);
+      System.out.print(OperatorConfig.DEFAULTS);
       return;
     }
     if (line.hasOption("operator")) {
       String operator = line.getOptionValue("operator");
-      Operator.read(Path.of(operator));
+      OperatorConfig.read(Path.of(operator));
       System.out.println("good: " + operator);
     }
     if (line.hasOption("config") || !line.hasOption("operator")) {
-      System.out.println("good: " + Config.read(file(line)).name);
+      System.out.println("good: " + ProxyConfig.read(file(line)).name);
     }
   }
 
-  private static void log(Operator.Log log) {
-    System.setProperty("java.util.logging.manager", Logs.class.getName());
-    Logs.open(log);
+  private static void log(OperatorConfig.Log log) {
+    System.setProperty("java.util.logging.manager", Logging.class.getName());
+    Logging.open(log);
   }
 
   /** own: what the operators' file says, null where there is none. */
-  private static void serve(Path file, Path operator, Operator own) throws IOException {
-    Config config = Config.read(file);
-    log(own == null ? Operator.plainLog() : own.log);
-    Server server;
+  private static void serve(Path file, Path operator, OperatorConfig own) throws IOException {
+    ProxyConfig config = ProxyConfig.read(file);
+    log(own == null ? OperatorConfig.plainLog() : own.log);
+    ProxyServer server;
     try {
       server =
           own == null
-              ? new Server(config)
-              : new Server(config, own.loadHeader, own.settingsSource, own.scope);
+              ? new ProxyServer(config)
+              : new ProxyServer(config, own.loadHeader, own.settingsSource, own.scope);
     } catch (IOException e) {
-      throw new BadConfig("listen", config.listen + " can't be had: " + e.getMessage());
+      throw new InvalidConfigurationException(
+          "listen", config.listen + " can't be had: " + e.getMessage());
     }
     Signals.onHangup(
         () -> {
@@ -144,11 +145,11 @@
     Runtime.getRuntime().halt(0);
   }
 
-  private static void resubscribe(Server server, Path operator) {
+  private static void resubscribe(ProxyServer server, Path operator) {
     try {
-      Operator next = Operator.read(operator);
+      OperatorConfig next = OperatorConfig.read(operator);
       server.resubscribe(next.settingsSource, next.scope);
-    } catch (BadConfig e) {
+    } catch (InvalidConfigurationException e) {
       java.util.logging.Logger.getLogger("wheattrack")
           .warning("operators' file kept as it was: " + e.getMessage());
     }
@@ -159,13 +160,13 @@
    * core.
    */
   private static void rehearse(Path file) throws IOException {
-    log(Operator.plainLog());
-    Rehearsal.run(file);
+    log(OperatorConfig.plainLog());
+    ClassArchiveTraining.run(file);
   }
 
   private static void drill() throws IOException {
     try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
-      new Drill(System.in, out).run();
+      new SimulatorAdapter(System.in, out).run();
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/Signals.java
+++ b/proxy/src/main/java/wheattrack/Signals.java
@@ -4,7 +4,7 @@
 import java.util.logging.Logger;
 
 /** Words from the system to the process that Java's own interfaces have no name for. */
-final class Signals {
+public final class Signals {
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
   private Signals() {}
@@ -14,7 +14,7 @@
    * signal over is met by name, as the compiler warns of it at any use and warnings are errors
    * here.
    */
-  static void onHangup(Runnable then) {
+  public static void onHangup(Runnable then) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/proxy/src/main/java/wheattrack/admin/Caller.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminConnection.java
@@ -1,26 +1,26 @@
 package wheattrack.admin;
 
 import java.nio.channels.AsynchronousSocketChannel;
-import wheattrack.aio.Link;
-import wheattrack.aio.Loop;
-import wheattrack.core.Deadlines;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.EventLoop;
+import wheattrack.aio.TcpConnection;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 
 /** One operator's connection: one call, one answer, and the end. */
-final class Caller extends Link {
+final class AdminConnection extends TcpConnection {
   /** For a whole call, and for the caller to close after its answer. */
   private static final long PATIENCE = 50_000, LINGER = 5_000;
 
-  private final Admin admin;
+  private final AdminServer admin;
   private final RequestDecoder in = new RequestDecoder();
-  private Deadlines.Entry end;
+  private TimerQueue.Entry end;
   private boolean answered;
 
-  Caller(Admin admin, Loop loop, AsynchronousSocketChannel channel) {
+  AdminConnection(AdminServer admin, EventLoop loop, AsynchronousSocketChannel channel) {
     super(loop, channel);
     this.admin = admin;
   }
@@ -52,8 +52,8 @@
       if (call != null) {
         answer(admin.answer(call));
       }
-    } catch (BadMessage e) {
-      answer(Admin.text(e.status, e.getMessage()));
+    } catch (MalformedMessageException e) {
+      answer(AdminServer.text(e.status, e.getMessage()));
     }
     read(in.room());
   }
--- a/proxy/src/main/java/wheattrack/admin/Admin.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminServer.java
@@ -8,34 +8,34 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Supplier;
-import wheattrack.aio.Loop;
-import wheattrack.core.Life;
+import wheattrack.aio.EventLoop;
+import wheattrack.core.Lifecycle;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
-import wheattrack.log.Event;
+import wheattrack.log.EventLog;
 
 /**
  * Where operators call: few places, apart from the clients' ones, one call to a connection. Whoever
  * holds a place with no whole call gives way to the next caller, so that nobody can shut the
  * operators out. On the loop's thread only.
  */
-public final class Admin {
+public final class AdminServer {
   /** Callers at once. */
   public static final int PLACES = 8;
 
   private static final int BACKLOG = 64;
   private static final long PAUSE = 200; // after a failed accept, tenths of a millisecond
 
-  private final Loop loop;
-  private final Life life;
+  private final EventLoop loop;
+  private final Lifecycle life;
   private final Supplier<String> figures;
   private final AsynchronousServerSocketChannel channel;
-  private final Deque<Caller> callers = new ArrayDeque<>(); // longest here first
+  private final Deque<AdminConnection> callers = new ArrayDeque<>(); // longest here first
 
-  public Admin(
-      Loop loop,
+  public AdminServer(
+      EventLoop loop,
       AsynchronousChannelGroup group,
-      Life life,
+      Lifecycle life,
       InetSocketAddress listen,
       Supplier<String> figures)
       throws IOException {
@@ -60,7 +60,7 @@
     if (callers.size() >= PLACES) {
       callers.stream().filter(c -> !c.isAnswered()).findFirst().orElse(callers.peekFirst()).close();
     }
-    Caller caller = new Caller(this, loop, one);
+    AdminConnection caller = new AdminConnection(this, loop, one);
     callers.addLast(caller);
     caller.open();
     accept();
@@ -68,12 +68,12 @@
 
   private void acceptFailed(Throwable why) {
     if (channel.isOpen()) {
-      Event.info("operator not accepted", null, why.toString());
+      EventLog.info("operator not accepted", null, why.toString());
       loop.after(PAUSE, this::accept);
     }
   }
 
-  void closed(Caller caller) {
+  void closed(AdminConnection caller) {
     callers.remove(caller);
   }
 
@@ -97,8 +97,8 @@
     try {
       channel.close();
     } catch (IOException e) {
-      Event.warning("the operators' listening socket", null, e.toString());
+      EventLog.warning("the operators' listening socket", null, e.toString());
     }
-    new ArrayDeque<>(callers).forEach(Caller::close);
+    new ArrayDeque<>(callers).forEach(AdminConnection::close);
   }
 }
--- a/proxy/src/main/java/wheattrack/admin/Figures.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -1,24 +1,24 @@
 package wheattrack.admin;
 
 import java.util.function.IntSupplier;
-import wheattrack.core.Counts;
+import wheattrack.core.RequestCounters;
 
 /**
  * The figures in the operators' form, a line each, as they are when asked for. On the loop's thread
  * only.
  */
-public final class Figures {
+public final class MetricsFormat {
   private static final String[] ENDS = {"served", "refused", "failed"};
 
-  private final Counts counts;
+  private final RequestCounters counts;
   private final IntSupplier open, listed, avoided, leftOut;
 
   /**
    * open: reqs taken and not ended; listed, avoided: backends on the list, and those kept away from
    * now; leftOut: those beyond the number that can be known at once.
    */
-  public Figures(
-      Counts counts,
+  public MetricsFormat(
+      RequestCounters counts,
       IntSupplier open,
       IntSupplier listed,
       IntSupplier avoided,
--- a/proxy/src/main/java/wheattrack/aio/Loop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -9,14 +9,14 @@
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import wheattrack.core.Deadlines;
+import wheattrack.core.TimerQueue;
 
 /**
  * The one thread that runs completion handlers, deadlines and the module, and its clock. The
  * channel group hands its handlers over as tasks; what a step leaves for later runs as a step of
  * its own, never nested.
  */
-public final class Loop extends AbstractExecutorService {
+public final class EventLoop extends AbstractExecutorService {
   private static final Logger LOG = Logger.getLogger("wheattrack");
   private static final long NANOS = 100_000; // in the project's unit of time
   private static final long LATE = 100, HEAR = 10, LONGEST = 10_000;
@@ -27,12 +27,12 @@
 
   private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
   private final ArrayDeque<Runnable> next = new ArrayDeque<>();
-  private final Deadlines deadlines = new Deadlines();
+  private final TimerQueue deadlines = new TimerQueue();
   private final long offset = (System.currentTimeMillis() + SKEW) * 1_000_000 - System.nanoTime();
   private long now;
   private volatile boolean stopped;
 
-  public Loop() {
+  public EventLoop() {
     tick();
   }
 
@@ -46,11 +46,11 @@
   }
 
   /** Runs then after so long, unless it is cancelled; on the loop's thread only. */
-  public Deadlines.Entry after(long delay, Runnable then) {
+  public TimerQueue.Entry after(long delay, Runnable then) {
     return deadlines.add(now + Math.max(0, delay), then);
   }
 
-  public void cancel(Deadlines.Entry entry) {
+  public void cancel(TimerQueue.Entry entry) {
     deadlines.cancel(entry);
   }
 
--- a/proxy/src/main/java/wheattrack/aio/Link.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -10,14 +10,14 @@
 /**
  * One TCP connection: at most one read and one write at a time, each ending as a step of the loop.
  */
-public abstract class Link {
-  protected final Loop loop;
+public abstract class TcpConnection {
+  protected final EventLoop loop;
   private final AsynchronousSocketChannel channel;
   private boolean closed;
   private boolean reading;
   private final ArrayDeque<ByteBuffer> writes = new ArrayDeque<>();
 
-  protected Link(Loop loop, AsynchronousSocketChannel channel) {
+  protected TcpConnection(EventLoop loop, AsynchronousSocketChannel channel) {
     this.loop = loop;
     this.channel = channel;
     try {
--- a/proxy/src/main/java/wheattrack/config/Table.java
+++ b/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
@@ -15,10 +15,10 @@
 
 /**
  * One table of a TOML file, read strictly: each key asked for is known, {@link #done} ends with an
- * error at any other. Errors are {@link BadConfig} and name file, line and key. Not for use by
- * several threads.
+ * error at any other. Errors are {@link InvalidConfigurationException} and name file, line and key.
+ * Not for use by several threads.
  */
-public final class Table {
+public final class ConfigurationReader {
   private static final String SEGMENT = "\\s*(\"[^\"]*\"|[A-Za-z0-9_-]+)\\s*";
 
   /** Where the keys of one file stand. */
@@ -69,42 +69,44 @@
   private final String path;
   private final Source source;
   private final Set<String> known = new HashSet<>();
-  private final List<Table> inner = new ArrayList<>();
+  private final List<ConfigurationReader> inner = new ArrayList<>();
 
-  private Table(Map<String, Object> all, String path, Source source) {
+  private ConfigurationReader(Map<String, Object> all, String path, Source source) {
     this.all = all;
     this.path = path;
     this.source = source;
   }
 
   /** Reads a whole file. */
-  public static Table read(Path file) {
+  public static ConfigurationReader read(Path file) {
     try {
       return of(file.toString(), Files.readString(file));
     } catch (NoSuchFileException e) {
-      throw new BadConfig(file.toString(), "no such file");
+      throw new InvalidConfigurationException(file.toString(), "no such file");
     } catch (IOException e) {
-      throw new BadConfig(file.toString(), "unreadable: " + e);
+      throw new InvalidConfigurationException(file.toString(), "unreadable: " + e);
     }
   }
 
   /** Reads a text; name stands for the file in errors. */
-  public static Table of(String name, String text) {
+  public static ConfigurationReader of(String name, String text) {
     Source source = new Source(name, Arrays.asList(text.split("\r?\n", -1)));
     try {
       @SuppressWarnings("unchecked")
       Map<String, Object> all = new TomlMapper().readValue(text, Map.class);
-      return new Table(all, "", source);
+      return new ConfigurationReader(all, "", source);
     } catch (JacksonException e) {
       int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
-      throw new BadConfig(name + ":" + line, "not TOML: " + e.getOriginalMessage().split("\n")[0]);
+      throw new InvalidConfigurationException(
+          name + ":" + line, "not TOML: " + e.getOriginalMessage().split("\n")[0]);
     }
   }
 
   /** The error that this key is at fault, to be thrown by who finds out. */
-  public BadConfig fault(String key, String what) {
+  public InvalidConfigurationException fault(String key, String what) {
     String whole = whole(key);
-    return new BadConfig(source.file + ":" + source.line(whole) + ": " + whole, what);
+    return new InvalidConfigurationException(
+        source.file + ":" + source.line(whole) + ": " + whole, what);
   }
 
   private String whole(String key) {
@@ -232,23 +234,25 @@
 
   /** The table under this key, empty where it is not there. */
   @SuppressWarnings("unchecked")
-  public Table part(String key) {
+  public ConfigurationReader part(String key) {
     Map<String, Object> found = at(key, Map.class, "a table");
-    Table part = new Table(found == null ? Map.of() : found, whole(key), source);
+    ConfigurationReader part =
+        new ConfigurationReader(found == null ? Map.of() : found, whole(key), source);
     inner.add(part);
     return part;
   }
 
   /** The tables under this key. */
   @SuppressWarnings("unchecked")
-  public List<Table> parts(String key) {
+  public List<ConfigurationReader> parts(String key) {
     List<?> found = at(key, List.class, "a list of tables");
-    List<Table> parts = new ArrayList<>();
+    List<ConfigurationReader> parts = new ArrayList<>();
     for (int i = 0; found != null && i < found.size(); i++) {
       if (!(found.get(i) instanceof Map<?, ?> map)) {
         throw fault(key, "not a list of tables");
       }
-      parts.add(new Table((Map<String, Object>) map, whole(key) + "[" + i + "]", source));
+      parts.add(
+          new ConfigurationReader((Map<String, Object>) map, whole(key) + "[" + i + "]", source));
     }
     inner.addAll(parts);
     return parts;
@@ -261,6 +265,6 @@
         throw fault(key, "unknown key");
       }
     }
-    inner.forEach(Table::done);
+    inner.forEach(ConfigurationReader::done);
   }
 }
--- a/proxy/src/main/java/wheattrack/config/SettingsFeed.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettings.java
@@ -5,16 +5,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import wheattrack.port.RuleSet;
-import wheattrack.port.RuleSet.Effect;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
 
 /**
  * Rule sets, tenants and limits by name as a watched source told them: whole once, then what
  * changed. Pure. News is checked as a whole before any of it holds; what it costs goes by what
- * changed. Bounded by {@link #MOST_SETS} and {@link #MOST_TENANTS}. Errors are {@link BadConfig}
- * and name the key.
+ * changed. Bounded by {@link #MOST_SETS} and {@link #MOST_TENANTS}. Errors are {@link
+ * InvalidConfigurationException} and name the key.
  */
-public final class SettingsFeed {
+public final class DynamicSettings {
   /** What becomes of news. */
   public enum Verdict {
     /** It holds from now on. */
@@ -30,7 +31,7 @@
   private long revision = -1;
 
   /** Every rule set by its name; the same map all the time, for who looks up requests in it. */
-  private final Map<String, RuleSet> sets = new HashMap<>();
+  private final Map<String, RequestClass> sets = new HashMap<>();
 
   private final Map<String, Double> quotas = new HashMap<>();
   private Map<String, Object> limits = Map.of();
@@ -46,7 +47,7 @@
 
   /** What one object of news would change, once it is known to be sound. */
   private record News(
-      Map<String, RuleSet> sets, Map<String, Double> quotas, Map<String, Object> limits) {}
+      Map<String, RequestClass> sets, Map<String, Double> quotas, Map<String, Object> limits) {}
 
   /**
    * News: `rev`, `source`, `all`, for changes `after` (the revision that they follow), and
@@ -57,7 +58,7 @@
     boolean all = news.flag("all");
     long rev = news.whole("rev", -1);
     if (rev < 0) {
-      throw new BadConfig("rev", "missing or negative");
+      throw new InvalidConfigurationException("rev", "missing or negative");
     }
     String from = news.word("source", "");
     boolean follows =
@@ -86,25 +87,25 @@
   }
 
   private News check(Settings news, boolean all) {
-    Map<String, RuleSet> changed = new LinkedHashMap<>();
+    Map<String, RequestClass> changed = new LinkedHashMap<>();
     int more = all ? 0 : sets.size(), number = numbered;
     for (Settings set : news.parts("ruleSets")) {
       String name = set.word("name");
       if (changed.containsKey(name)) {
-        throw new BadConfig(set.key("name"), "the same as another's");
+        throw new InvalidConfigurationException(set.key("name"), "the same as another's");
       }
       boolean known = !all && sets.containsKey(name);
       if (set.flag("gone")) {
         changed.put(name, null);
         more -= known ? 1 : 0;
       } else {
-        Config.checkRuleSet(set);
-        changed.put(name, set.ruleSet(known ? sets.get(name).at() : number++));
+        ProxyConfig.checkRuleSet(set);
+        changed.put(name, set.ruleSet(known ? sets.get(name).index() : number++));
         more += known ? 0 : 1;
       }
     }
     if (more == 0) {
-      throw new BadConfig(news.key("ruleSets"), "none would be left");
+      throw new InvalidConfigurationException(news.key("ruleSets"), "none would be left");
     }
     bound(news, "ruleSets", more, MOST_SETS);
     Map<String, Double> tenants = new LinkedHashMap<>();
@@ -114,10 +115,10 @@
       boolean gone = tenant.flag("gone"), known = !all && quotas.containsKey(name);
       double quotaPerS = tenant.number("quotaPerS", 0);
       if (quotaPerS < 0) {
-        throw new BadConfig(tenant.key("quotaPerS"), "negative");
+        throw new InvalidConfigurationException(tenant.key("quotaPerS"), "negative");
       }
       if (tenants.put(name, gone ? -1 : quotaPerS) != null) {
-        throw new BadConfig(tenant.key("name"), "the same as another's");
+        throw new InvalidConfigurationException(tenant.key("name"), "the same as another's");
       }
       more += gone ? known ? -1 : 0 : known ? 0 : 1;
     }
@@ -126,13 +127,14 @@
     Settings told = news.part("limits");
     told.keys().forEach(key -> next.put(key, told.any(key)));
     next.values().removeIf(java.util.Objects::isNull);
-    Config.checkLimits(new Settings(Map.of("limits", next)));
+    ProxyConfig.checkLimits(new Settings(Map.of("limits", next)));
     return new News(changed, tenants, Map.copyOf(next));
   }
 
   private static void bound(Settings news, String key, int count, int most) {
     if (count > most) {
-      throw new BadConfig(news.key(key), count + " are over the " + most + " that one proxy holds");
+      throw new InvalidConfigurationException(
+          news.key(key), count + " are over the " + most + " that one proxy holds");
     }
   }
 
@@ -144,17 +146,17 @@
     quota = 0;
   }
 
-  private void put(String name, RuleSet set) {
-    RuleSet was = set == null ? sets.remove(name) : sets.put(name, set);
+  private void put(String name, RequestClass set) {
+    RequestClass was = set == null ? sets.remove(name) : sets.put(name, set);
     if (was != null) {
-      targets.merge(was.target(), -1, (a, b) -> a + b == 0 ? null : a + b);
-      replayable -= was.effect() == Effect.REPLAYABLE ? 1 : 0;
+      targets.merge(was.latencyObjective(), -1, (a, b) -> a + b == 0 ? null : a + b);
+      replayable -= was.idempotency() == Idempotency.IDEMPOTENT ? 1 : 0;
     }
     if (set != null) {
-      targets.merge(set.target(), 1, Integer::sum);
-      replayable += set.effect() == Effect.REPLAYABLE ? 1 : 0;
-      longest = Math.max(longest, set.timeout());
-      numbered = Math.max(numbered, set.at() + 1);
+      targets.merge(set.latencyObjective(), 1, Integer::sum);
+      replayable += set.idempotency() == Idempotency.IDEMPOTENT ? 1 : 0;
+      longest = Math.max(longest, set.clientTimeout());
+      numbered = Math.max(numbered, set.index() + 1);
     }
   }
 
@@ -169,7 +171,7 @@
   }
 
   /** All rule sets by name, as they are at any moment. */
-  public Map<String, RuleSet> sets() {
+  public Map<String, RequestClass> sets() {
     return sets;
   }
 
@@ -180,13 +182,21 @@
   /**
    * What the decisions act on of all rule sets: the tightest target, and whether one may run again.
    */
-  public RuleSet[] summary() {
-    Effect effect = replayable > 0 ? Effect.REPLAYABLE : Effect.NON_REPLAYABLE;
+  public RequestClass[] summary() {
+    Idempotency effect = replayable > 0 ? Idempotency.IDEMPOTENT : Idempotency.NON_IDEMPOTENT;
     return targets.isEmpty()
-        ? new RuleSet[0]
-        : new RuleSet[] {
-          new RuleSet(
-              0, targets.firstKey(), targets.firstKey(), effect, RuleSet.Group.ALL, 0, 1, 0, false)
+        ? new RequestClass[0]
+        : new RequestClass[] {
+          new RequestClass(
+              0,
+              targets.firstKey(),
+              targets.firstKey(),
+              effect,
+              DeduplicationScope.ALL,
+              0,
+              1,
+              0,
+              false)
         };
   }
 
--- a/proxy/src/main/java/wheattrack/config/Migrate.java
+++ b/proxy/src/main/java/wheattrack/config/MigrateCommand.java
@@ -17,7 +17,7 @@
  * The command that turns a configuration of a bank of proxies into one of a proxy beside each
  * client.
  */
-public final class Migrate {
+public final class MigrateCommand {
   private static final String USAGE =
       """
       usage: wheattrack migrate OLD (--out NEW | --dry-run) [...]
@@ -32,7 +32,7 @@
       What could not be carried over is listed on the error output, a key a line.
       exit codes: 0 all carried over, or nothing to do; 1 something is left to you; 2 bad input""";
 
-  private Migrate() {}
+  private MigrateCommand() {}
 
   /** Runs the command; the exit code. */
   public static int run(String[] args, PrintStream out, PrintStream err) {
@@ -49,16 +49,18 @@
         return 0;
       }
       if (line.getArgs().length != 1) {
-        throw new BadConfig("OLD", line.getArgs().length == 0 ? "missing" : "more than one");
+        throw new InvalidConfigurationException(
+            "OLD", line.getArgs().length == 0 ? "missing" : "more than one");
       }
       if (line.hasOption("dry-run") == line.hasOption("out")) {
-        throw new BadConfig("--out", line.hasOption("out") ? "contradicts --dry-run" : "missing");
+        throw new InvalidConfigurationException(
+            "--out", line.hasOption("out") ? "contradicts --dry-run" : "missing");
       }
       file = line.getArgs()[0] + ": ";
       return run(line, Path.of(line.getArgs()[0]), out, err);
     } catch (ParseException e) {
       err.println("wheattrack migrate: " + e.getMessage());
-    } catch (BadConfig e) {
+    } catch (InvalidConfigurationException e) {
       String said = e.getMessage();
       err.println("wheattrack migrate: " + (said.startsWith(file) ? said : file + said));
     }
@@ -66,19 +68,19 @@
   }
 
   private static int run(CommandLine line, Path old, PrintStream out, PrintStream err) {
-    Map<String, Object> was = Config.map(old);
+    Map<String, Object> was = ProxyConfig.map(old);
     if (Migration.isNew(was)) {
-      new Config(was);
+      new ProxyConfig(was);
       err.println(old + ": is of the new shape already, nothing is written");
       return 0;
     }
     String reports = line.getOptionValue("reports");
     if (reports != null && !Settings.REPORTS.contains(reports)) {
-      throw new BadConfig("--reports", "none of " + Settings.REPORTS);
+      throw new InvalidConfigurationException("--reports", "none of " + Settings.REPORTS);
     }
     String listen = line.getOptionValue("listen");
     if (listen != null) {
-      Config.address("--listen", listen);
+      ProxyConfig.address("--listen", listen);
     }
     Migration made =
         new Migration(
@@ -97,7 +99,8 @@
                   .writeValueAsString(made.result)
               + "\n";
     } catch (IOException e) {
-      throw new BadConfig(old.toString(), "can't be written anew: " + e.getMessage());
+      throw new InvalidConfigurationException(
+          old.toString(), "can't be written anew: " + e.getMessage());
     }
     if (line.hasOption("dry-run")) {
       out.print(text);
@@ -113,7 +116,7 @@
     try {
       return value == null ? null : Integer.valueOf(value);
     } catch (NumberFormatException e) {
-      throw new BadConfig("--" + name, "not a whole number: " + value);
+      throw new InvalidConfigurationException("--" + name, "not a whole number: " + value);
     }
   }
 
@@ -128,9 +131,9 @@
         Files.delete(part);
       }
     } catch (FileAlreadyExistsException e) {
-      throw new BadConfig("--out", file + " is there already");
+      throw new InvalidConfigurationException("--out", file + " is there already");
     } catch (IOException e) {
-      throw new BadConfig("--out", file + " can't be written: " + e);
+      throw new InvalidConfigurationException("--out", file + " can't be written: " + e);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -9,8 +9,8 @@
 
 /**
  * What a configuration of a bank of proxies becomes where each client process has a proxy of its
- * own. No I/O. Errors are {@link BadConfig} and name the key or the option. Times stay as the file
- * has them.
+ * own. No I/O. Errors are {@link InvalidConfigurationException} and name the key or the option.
+ * Times stay as the file has them.
  */
 final class Migration {
   /** What the old file can't know; null where nobody said. */
@@ -80,7 +80,7 @@
     known(map(result, "limits"), LIMITS, "limits.");
     settings = map(result, "settings");
     known(settings, SETTINGS, "settings.");
-    result.put("shape", Config.SHAPES.get(1));
+    result.put("shape", ProxyConfig.SHAPES.get(1));
     drop(result, "", "seed", "each proxy draws its own at its start");
     drop(result, "", "known", "it is the list of the old servers");
     NO_MORE.forEach(
@@ -105,12 +105,12 @@
     if (new Settings(result).list("settings.tenants").isEmpty()) {
       left.add("settings.tenants: no quotaPerS is known, a proxy's part of it can't be told");
     }
-    new Config(result);
+    new ProxyConfig(result);
   }
 
   /** Whether the file is of the new shape already. */
   static boolean isNew(Map<String, Object> old) {
-    return Config.SHAPES.get(1).equals(old.get("shape"));
+    return ProxyConfig.SHAPES.get(1).equals(old.get("shape"));
   }
 
   private void who(Told told) {
@@ -127,7 +127,7 @@
     Settings s = new Settings(settings);
     int balancers = s.count("balancers", 1), me = s.count("me", 0);
     if (balancers < 1 || me < 0 || me >= balancers) {
-      throw new BadConfig(
+      throw new InvalidConfigurationException(
           told.me == null ? "--balancers" : "--me",
           me + " of " + balancers + " proxies contradicts settings.balancers and settings.me");
     }
@@ -143,7 +143,8 @@
     Settings old = new Settings(settings);
     boolean probe = how.equals("probe");
     if (probe && old.has("limits.probing") && !old.flag("limits.probing")) {
-      throw new BadConfig("--reports", "probe contradicts settings.limits.probing, which is false");
+      throw new InvalidConfigurationException(
+          "--reports", "probe contradicts settings.limits.probing, which is false");
     }
     Map<String, Object> report = made(settings, "report");
     if (new Settings(result).list("settings.report.fields").isEmpty()) {
@@ -162,7 +163,8 @@
   private void place(String place) {
     List<?> zones = new Settings(result).list("settings.zones");
     if (!zones.isEmpty() && !zones.contains(place)) {
-      throw new BadConfig("--place", "'" + place + "' contradicts settings.zones, " + zones);
+      throw new InvalidConfigurationException(
+          "--place", "'" + place + "' contradicts settings.zones, " + zones);
     }
     settings.put("zones", List.of(place));
     settings.put("zone", 0);
@@ -191,7 +193,7 @@
   private static void known(Map<String, Object> map, Set<String> keys, String where) {
     for (String key : map.keySet()) {
       if (!keys.contains(key)) {
-        throw new BadConfig(where + key, "unknown key");
+        throw new InvalidConfigurationException(where + key, "unknown key");
       }
     }
   }
@@ -201,7 +203,7 @@
   private static Map<String, Object> map(Map<String, Object> in, String key) {
     Object found = in.get(key);
     if (found != null && !(found instanceof Map<?, ?>)) {
-      throw new BadConfig(key, "not an object");
+      throw new InvalidConfigurationException(key, "not an object");
     }
     return found == null ? new LinkedHashMap<>() : (Map<String, Object>) found;
   }
--- a/proxy/src/main/java/wheattrack/config/Operator.java
+++ b/proxy/src/main/java/wheattrack/config/OperatorConfig.java
@@ -6,10 +6,10 @@
 
 /**
  * The operators' own file: what this installation switches on beside what the platform tells. All
- * of it is off by default; later parts add their tables here. Errors are {@link BadConfig} and name
- * file, line, key.
+ * of it is off by default; later parts add their tables here. Errors are {@link
+ * InvalidConfigurationException} and name file, line, key.
  */
-public final class Operator {
+public final class OperatorConfig {
   /**
    * The log's form, how many lines a second an event may have (0: all), whether reqs have lines.
    */
@@ -43,23 +43,23 @@
 
   public final String scope;
 
-  private Operator(Table t) {
-    Table l = t.part("log");
+  private OperatorConfig(ConfigurationReader t) {
+    ConfigurationReader l = t.part("log");
     log =
         new Log(
             l.choice("format", List.of("plain", "json")).equals("json"),
             l.count("lines-per-second", 0, 0, 1_000_000),
             l.flag("reqs", false));
-    Table r = t.part("reports");
+    ConfigurationReader r = t.part("reports");
     loadHeader = r.word("answers-header", "");
     if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
       throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
     }
-    Table s = t.part("settings");
+    ConfigurationReader s = t.part("settings");
     String at = s.word("source", "");
     try {
-      settingsSource = at.isEmpty() ? null : Config.address("source", at);
-    } catch (BadConfig e) {
+      settingsSource = at.isEmpty() ? null : ProxyConfig.address("source", at);
+    } catch (InvalidConfigurationException e) {
       throw s.fault("source", "not an address in figures with a port: " + at);
     }
     scope = s.word("scope", "");
@@ -69,13 +69,13 @@
     t.done();
   }
 
-  public static Operator read(Path file) {
-    return new Operator(Table.read(file));
+  public static OperatorConfig read(Path file) {
+    return new OperatorConfig(ConfigurationReader.read(file));
   }
 
   /** Reads a text; name stands for the file in errors. */
-  public static Operator of(String name, String text) {
-    return new Operator(Table.of(name, text));
+  public static OperatorConfig of(String name, String text) {
+    return new OperatorConfig(ConfigurationReader.of(name, text));
   }
 
   /** Without a file; no TOML is read, as a start has no time for it. */
--- a/proxy/src/main/java/wheattrack/config/Config.java
+++ b/proxy/src/main/java/wheattrack/config/ProxyConfig.java
@@ -17,7 +17,7 @@
 import java.util.stream.Stream;
 
 /** What one real proxy is told at its start. */
-public final class Config {
+public final class ProxyConfig {
   private static final Pattern
       HOST = Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}" + "|\\[[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]"),
       PORT = Pattern.compile("\\d{1,5}");
@@ -60,7 +60,7 @@
   public final Settings settings;
   private final Map<String, Object> all;
 
-  public Config(Map<String, Object> all) {
+  public ProxyConfig(Map<String, Object> all) {
     this.all = all;
     Settings s = new Settings(all);
     name = s.word("name", "wheattrack");
@@ -85,7 +85,7 @@
 
   private static void check(boolean good, String key, String fault) {
     if (!good) {
-      throw new BadConfig(key, fault);
+      throw new InvalidConfigurationException(key, fault);
     }
   }
 
@@ -100,7 +100,7 @@
       checkRuleSet(set);
     }
     settings.ruleSets();
-    settings.parts(settings.list("zones"));
+    settings.policySettings(settings.list("zones"));
     checkShape();
     int balancers = settings.count("balancers", 1);
     int me = settings.count("me", 0);
@@ -168,7 +168,7 @@
   }
 
   /** The keys that differ from the running configuration's and act at a start only. */
-  public List<String> fixedAgainst(Config running) {
+  public List<String> fixedAgainst(ProxyConfig running) {
     Settings mine = new Settings(all), its = new Settings(running.all);
     return Stream.of(
             "listen",
@@ -188,8 +188,8 @@
    * there, as a file short of one would quietly bring in its default; known and seed tell of a
    * start only.
    */
-  public static Config reread(Path file, Config running) {
-    Config next = read(file);
+  public static ProxyConfig reread(Path file, ProxyConfig running) {
+    ProxyConfig next = read(file);
     Map<String, Object> was = new HashMap<>(running.all);
     was.keySet().removeAll(ONCE);
     lacks(was, next.all, "");
@@ -220,33 +220,33 @@
         });
   }
 
-  public static Config read(Path file) {
-    return new Config(map(file));
+  public static ProxyConfig read(Path file) {
+    return new ProxyConfig(map(file));
   }
 
   /** The same at any free port of this machine, its list at the port that is given. */
-  public static Config rehearsal(Path file, int list) {
+  public static ProxyConfig rehearsal(Path file, int list) {
     Map<String, Object> all = map(file);
     all.put("listen", "127.0.0.1:0");
     all.put("discovery", "127.0.0.1:" + list);
     all.remove("known");
     all.put("admin", "");
-    return new Config(all);
+    return new ProxyConfig(all);
   }
 
   static Map<String, Object> map(Path file) {
     try {
       long size = Files.size(file), most = Runtime.getRuntime().maxMemory() / HEAP_PART;
       if (size > most) { // 430,000 tenants: out of memory, and a stack trace
-        throw new BadConfig(
+        throw new InvalidConfigurationException(
             file.toString(), size + " bytes, over the " + most + " that the heap allows");
       }
       return Json.object(Files.readString(file));
     } catch (NoSuchFileException e) {
-      throw new BadConfig(file.toString(), "no such file");
+      throw new InvalidConfigurationException(file.toString(), "no such file");
     } catch (IOException e) {
       String fault = e.getMessage() == null ? e.toString() : e.getMessage().split("\n")[0];
-      throw new BadConfig(file.toString(), "unreadable: " + fault);
+      throw new InvalidConfigurationException(file.toString(), "unreadable: " + fault);
     }
   }
 
@@ -255,7 +255,7 @@
     try {
       return seed.isEmpty() ? System.nanoTime() : Long.parseUnsignedLong(seed, 16);
     } catch (NumberFormatException e) {
-      throw new BadConfig("seed", "not up to 16 hex digits: " + seed);
+      throw new InvalidConfigurationException("seed", "not up to 16 hex digits: " + seed);
     }
   }
 
@@ -267,12 +267,13 @@
     if (!HOST.matcher(host).matches()
         || !PORT.matcher(port).matches()
         || Integer.parseInt(port) > 65535) {
-      throw new BadConfig(key, "not an address in figures with a port: " + text);
+      throw new InvalidConfigurationException(
+          key, "not an address in figures with a port: " + text);
     }
     try {
       return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(port));
     } catch (UnknownHostException e) {
-      throw new BadConfig(key, "not an address: " + text);
+      throw new InvalidConfigurationException(key, "not an address: " + text);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.stream.IntStream;
-import wheattrack.Rules;
-import wheattrack.port.Port;
-import wheattrack.port.RuleSet;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.PolicySettings;
+import wheattrack.api.RequestClass;
+import wheattrack.policy.LoadBalancer;
 
 /**
  * One object of a configuration, read by paths of keys. A key that is not there has its default;
@@ -54,7 +56,7 @@
     for (int dot = path.indexOf('.'); here != null && dot >= 0; dot = path.indexOf('.', from)) {
       here = ((Map<?, ?>) here).get(path.substring(from, dot));
       if (here != null && !(here instanceof Map<?, ?>)) {
-        throw new BadConfig(where + path.substring(0, dot), "not an object");
+        throw new InvalidConfigurationException(where + path.substring(0, dot), "not an object");
       }
       from = dot + 1;
     }
@@ -67,7 +69,7 @@
       return otherwise;
     }
     if (!kind.isInstance(value)) {
-      throw new BadConfig(
+      throw new InvalidConfigurationException(
           where + path,
           switch (kind.getSimpleName()) {
             case "Number" -> "not a number";
@@ -116,7 +118,7 @@
   public long time(String path, long otherwiseMicros) {
     double micros = number(path, otherwiseMicros);
     if (micros < 0) {
-      throw new BadConfig(where + path, "negative");
+      throw new InvalidConfigurationException(where + path, "negative");
     }
     return (long) micros / UNIT;
   }
@@ -138,7 +140,7 @@
   public String word(String path) {
     String word = word(path, null);
     if (word == null || word.isEmpty()) {
-      throw new BadConfig(where + path, "missing");
+      throw new InvalidConfigurationException(where + path, "missing");
     }
     return word;
   }
@@ -161,16 +163,16 @@
             i -> {
               String name = where + path + "[" + i + "]";
               if (!(list.get(i) instanceof Map<?, ?> map)) {
-                throw new BadConfig(name, "not an object");
+                throw new InvalidConfigurationException(name, "not an object");
               }
               return new Settings((Map<String, Object>) map, name + ".");
             })
         .toList();
   }
 
-  public RuleSet[] ruleSets() {
+  public RequestClass[] ruleSets() {
     List<Settings> sets = parts("ruleSets");
-    RuleSet[] out = new RuleSet[sets.size()];
+    RequestClass[] out = new RequestClass[sets.size()];
     for (int i = 0; i < out.length; i++) {
       out[i] = sets.get(i).ruleSet(i);
     }
@@ -178,12 +180,12 @@
   }
 
   /** This object as a rule set of that number. */
-  RuleSet ruleSet(int number) {
-    RuleSet.Effect effect = choice(word("effect", ""), EFFECTS, RuleSet.Effect.values());
-    RuleSet.Group group = choice(word("group", ""), GROUPS, RuleSet.Group.values());
+  RequestClass ruleSet(int number) {
+    Idempotency effect = choice(word("effect", ""), EFFECTS, Idempotency.values());
+    DeduplicationScope group = choice(word("group", ""), GROUPS, DeduplicationScope.values());
     long timeout = time("clientTimeout", 1_000_000);
     long target = Math.max(1, Math.min(timeout, time("responseTarget", 1_000_000)));
-    return new RuleSet(
+    return new RequestClass(
         number,
         target,
         timeout,
@@ -201,8 +203,8 @@
   }
 
   /** These rule sets of ours under their names. */
-  public Map<String, RuleSet> byName(RuleSet[] sets) {
-    Map<String, RuleSet> named = new HashMap<>();
+  public Map<String, RequestClass> byName(RequestClass[] sets) {
+    Map<String, RequestClass> named = new HashMap<>();
     List<Settings> parts = parts("ruleSets");
     for (int i = 0; i < sets.length; i++) {
       named.put(parts.get(i).word("name"), sets[i]);
@@ -218,16 +220,17 @@
   /**
    * The decisions under these settings, each part given its own; asks: the list must be asked for.
    */
-  public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks) {
+  public LoadBalancer rules(PolicyRuntime port, long seed, RequestClass[] sets, boolean asks) {
     return rules(port, seed, sets, asks, Long.MAX_VALUE);
   }
 
   /**
    * The same; calls to the list that fail are spaced as if it were asked this often, or oftener.
    */
-  public Rules rules(Port port, long seed, RuleSet[] sets, boolean asks, long askEveryAtMost) {
-    Rules rules = new Rules(port, seed, count("me", 0), count("balancers", 1), sets);
-    parts(list("zones")).accept(rules, sets);
+  public LoadBalancer rules(
+      PolicyRuntime port, long seed, RequestClass[] sets, boolean asks, long askEveryAtMost) {
+    LoadBalancer rules = new LoadBalancer(port, seed, count("me", 0), count("balancers", 1), sets);
+    rules.configure(policySettings(list("zones")), sets);
     rules.start(asks, Math.min(askEveryAtMost, time("rules.askEvery", 10_000_000)));
     return rules;
   }
@@ -239,17 +242,18 @@
   }
 
   /**
-   * Gives each part of the decisions its settings; all are read here and now, and then given as
-   * one. zones: those whose places the list's entries go by, which a later file may have in another
-   * order.
+   * What the policy acts on.
+   *
+   * @param zones the zones in the order in which the endpoint list numbers them, which a later file
+   *     may name in another order
    */
-  public BiConsumer<Rules, RuleSet[]> parts(List<?> zones) {
-    return parts(
+  public PolicySettings policySettings(List<?> zones) {
+    return policySettings(
         zones, parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum());
   }
 
   /** The same, with all tenants' shares known otherwise. */
-  public BiConsumer<Rules, RuleSet[]> parts(List<?> zones, double quota) {
+  public PolicySettings policySettings(List<?> zones, double quota) {
     int most = count("limits.maxDispatches", 1);
     boolean cancels = flag("limits.mayCancel"), duplicates = flag("limits.mayDuplicate");
     long longestWait = flag("limits.retryAfter") ? time("limits.maxRetryAfter", 0) : 0;
@@ -262,13 +266,11 @@
     double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
     boolean come = tellsLoad();
     boolean asked = !word("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
-    return (rules, sets) -> {
-      rules.targets(sets);
-      rules.limits(most, cancels, duplicates, longestWait);
-      rules.zones(zone, crossing);
-      rules.cold(start, cold, multiple, fall);
-      rules.reports(come, asked);
-      rules.traffic(quota, connection, handshake);
-    };
+    return new PolicySettings(
+        new PolicySettings.AttemptLimits(most, cancels, duplicates, longestWait),
+        new PolicySettings.Zones(zone, crossing),
+        new PolicySettings.SlowStartLimits(start, cold, multiple, fall),
+        new PolicySettings.LoadReports(come, asked),
+        new PolicySettings.Traffic(quota, connection, handshake));
   }
 }
--- a/proxy/src/main/java/wheattrack/core/Fleet.java
+++ b/proxy/src/main/java/wheattrack/core/BackendIndex.java
@@ -11,7 +11,7 @@
  * The list of backends as dense indexes; one is free again once its srv is gone and nothing is out
  * there.
  */
-public final class Fleet<K, S extends Fleet.Srv<K>> {
+public final class BackendIndex<K, S extends BackendIndex.Srv<K>> {
   /** When a srv started of which only "long ago" is known. */
   public static final long LONG_AGO = Long.MIN_VALUE / 2;
 
@@ -34,7 +34,7 @@
   private final Map<K, S> byId = new HashMap<>();
   private final List<S> byIndex = new ArrayList<>();
 
-  public Fleet(BiFunction<K, Integer, S> maker) {
+  public BackendIndex(BiFunction<K, Integer, S> maker) {
     this.maker = maker;
   }
 
--- a/proxy/src/main/java/wheattrack/core/Life.java
+++ b/proxy/src/main/java/wheattrack/core/Lifecycle.java
@@ -3,7 +3,7 @@
 import java.util.function.Consumer;
 
 /** The program's phases from start to exit; they only go forward. */
-public final class Life {
+public final class Lifecycle {
   /**
    * STARTING: configuration is read. WARMING: the code is run in, nothing is taken. SERVING: ready
    * for reqs. DRAINING: not ready, yet still taking what comes. CLOSING: what was taken is
@@ -22,7 +22,7 @@
   private Phase phase = Phase.STARTING;
 
   /** entered hears of each phase as it begins. */
-  public Life(Consumer<Phase> entered) {
+  public Lifecycle(Consumer<Phase> entered) {
     this.entered = entered;
   }
 
--- a/proxy/src/main/java/wheattrack/core/Pace.java
+++ b/proxy/src/main/java/wheattrack/core/MinimumTransferRate.java
@@ -5,7 +5,7 @@
  * so that a slow sender is served and one that stalls or drips is not. Times are tenths of a
  * millisecond.
  */
-public final class Pace {
+public final class MinimumTransferRate {
   /** To begin with, at the least when waiting goes on after a pause, and at most. */
   private static final long FIRST = 20_000, LEAST = 10_000, MOST = 50_000;
 
--- a/proxy/src/main/java/wheattrack/core/Counts.java
+++ b/proxy/src/main/java/wheattrack/core/RequestCounters.java
@@ -7,7 +7,7 @@
  * What has happened since the start: the one place that counts each event. On the loop's thread
  * only.
  */
-public final class Counts {
+public final class RequestCounters {
   /** How a req ended for its client. */
   public enum End {
     DONE,
--- a/proxy/src/main/java/wheattrack/core/Slots.java
+++ b/proxy/src/main/java/wheattrack/core/SlotTable.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** A table of numbered slots; a number that is given back is the next to be given out. */
-public final class Slots<T> {
+public final class SlotTable<T> {
   private final List<T> table = new ArrayList<>();
   private int[] free = new int[64];
   private int frees;
--- a/proxy/src/main/java/wheattrack/core/Deadlines.java
+++ b/proxy/src/main/java/wheattrack/core/TimerQueue.java
@@ -6,7 +6,7 @@
  * All deadlines of the process in one order: a heap whose entries know their place, so any can go
  * early.
  */
-public final class Deadlines {
+public final class TimerQueue {
   /** One deadline; what is to be done goes with it. */
   public static final class Entry {
     private final long at;
--- a/proxy/src/main/java/wheattrack/http/Bytes.java
+++ b/proxy/src/main/java/wheattrack/http/ByteStrings.java
@@ -4,15 +4,15 @@
 import java.util.Arrays;
 
 /** Bytes put one after another. */
-final class Bytes {
+final class ByteStrings {
   private byte[] bytes;
   private int size;
 
-  Bytes() {
+  ByteStrings() {
     this(256);
   }
 
-  Bytes(int room) {
+  ByteStrings(int room) {
     bytes = new byte[room];
   }
 
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -20,14 +20,14 @@
   /** The bytes of one read, and of one piece. */
   private static final int PIECE = 16 * 1024;
 
-  private final Inbox in = new Inbox();
+  private final ReceiveBuffer in = new ReceiveBuffer();
   private final long most;
   private boolean inBody, passing, ended;
   private long left; // of a body of known length
   private long size; // of the body so far
-  private Chunks chunks;
+  private ChunkedDecoder chunks;
   private boolean tillEnd;
-  private Bytes body;
+  private ByteStrings body;
 
   protected Decoder(long most) {
     this.most = most;
@@ -64,7 +64,7 @@
   }
 
   /** The next message, whole or as far as it is kept, or null while there is none. */
-  public M next() throws BadMessage {
+  public M next() throws MalformedMessageException {
     if (passing) {
       return null;
     }
@@ -80,7 +80,7 @@
     return give(whole);
   }
 
-  private M give(boolean whole) throws BadMessage {
+  private M give(boolean whole) throws MalformedMessageException {
     byte[] kept = body.all();
     body = null;
     passing = !whole;
@@ -97,18 +97,18 @@
   }
 
   /** Such a message as far as it has come; takes nothing further of what waits. */
-  public M early() throws BadMessage {
+  public M early() throws MalformedMessageException {
     return give(false);
   }
 
-  private boolean begin() throws BadMessage {
+  private boolean begin() throws MalformedMessageException {
     String[] lines = in.head();
     if (lines == null) {
       return false;
     }
-    Headers headers = Inbox.headers(lines);
+    Headers headers = ReceiveBuffer.headers(lines);
     long length = start(lines[0], headers);
-    chunks = length == CHUNKED ? new Chunks() : null;
+    chunks = length == CHUNKED ? new ChunkedDecoder() : null;
     tillEnd = length == TILL_END;
     left = Math.max(0, length);
     if (length > most) {
@@ -116,17 +116,17 @@
     }
     size = 0;
     ended = false;
-    body = new Bytes();
+    body = new ByteStrings();
     inBody = true;
     return true;
   }
 
-  private BadMessage tooLong() {
-    return new BadMessage(413, "body over " + most + " bytes");
+  private MalformedMessageException tooLong() {
+    return new MalformedMessageException(413, "body over " + most + " bytes");
   }
 
   /** Undoes the framing of what has come, until so many bytes are in out. */
-  private void fill(Bytes out, int full) throws BadMessage {
+  private void fill(ByteStrings out, int full) throws MalformedMessageException {
     int before = out.size();
     ByteBuffer came = in.open();
     try {
@@ -159,8 +159,8 @@
   }
 
   /** The next bytes of the body that is passed on, or none; isPassing() says whether it goes on. */
-  public ByteBuffer piece() throws BadMessage {
-    Bytes out = new Bytes(Math.min(PIECE, Math.max(16, in.waiting())));
+  public ByteBuffer piece() throws MalformedMessageException {
+    ByteStrings out = new ByteStrings(Math.min(PIECE, Math.max(16, in.waiting())));
     fill(out, PIECE);
     if (isWhole()) {
       over();
@@ -180,7 +180,7 @@
   protected abstract int enough();
 
   /** Takes the first line and the headers; gives the body's length, CHUNKED or TILL_END. */
-  protected abstract long start(String line, Headers headers) throws BadMessage;
+  protected abstract long start(String line, Headers headers) throws MalformedMessageException;
 
   /** more: bytes that follow the kept ones, or CHUNKED or TILL_END. */
   protected abstract M message(byte[] kept, long more);
@@ -189,9 +189,9 @@
     return version.equals("HTTP/1.1") && !headers.lists("Connection", "close");
   }
 
-  static void checkVersion(String version) throws BadMessage {
+  static void checkVersion(String version) throws MalformedMessageException {
     if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
-      throw new BadMessage(400, "unknown version");
+      throw new MalformedMessageException(400, "unknown version");
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -57,17 +57,17 @@
    * The one length these headers give, or -1; two that differ, or one beside chunks, are no
    * message.
    */
-  long length() throws BadMessage {
+  long length() throws MalformedMessageException {
     long length = -1;
     for (int i = 0; i < names.size(); i++) {
       if (names.get(i).equalsIgnoreCase("Content-Length")) {
         String value = values.get(i);
         if (!LENGTH.matcher(value).matches()) {
-          throw new BadMessage(400, "bad length " + value);
+          throw new MalformedMessageException(400, "bad length " + value);
         }
         long one = Long.parseLong(value);
         if (length >= 0 && length != one) {
-          throw new BadMessage(400, "lengths that differ");
+          throw new MalformedMessageException(400, "lengths that differ");
         }
         length = one;
       }
@@ -76,18 +76,18 @@
   }
 
   /** Whether the body comes in chunks; any other coding is no message we take. */
-  boolean chunked() throws BadMessage {
+  boolean chunked() throws MalformedMessageException {
     String coding = null;
     for (int i = 0; i < names.size(); i++) {
       if (names.get(i).equalsIgnoreCase("Transfer-Encoding")) {
         if (coding != null || !values.get(i).equalsIgnoreCase("chunked")) {
-          throw new BadMessage(400, "unknown transfer coding");
+          throw new MalformedMessageException(400, "unknown transfer coding");
         }
         coding = values.get(i);
       }
     }
     if (coding != null && first("Content-Length") != null) {
-      throw new BadMessage(400, "a length beside chunks");
+      throw new MalformedMessageException(400, "a length beside chunks");
     }
     return coding != null;
   }
--- a/proxy/src/main/java/wheattrack/http/LineDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/LineDecoder.java
@@ -11,10 +11,10 @@
   private static final int MOST_LINE = 4 << 20;
   private static final String OPEN = "{[", CLOSE = "}]";
 
-  private final Inbox in = new Inbox();
-  private final Bytes data = new Bytes();
+  private final ReceiveBuffer in = new ReceiveBuffer();
+  private final ByteStrings data = new ByteStrings();
   private boolean open;
-  private Chunks chunks;
+  private ChunkedDecoder chunks;
 
   /**
    * How far the data is scanned: brackets open, within a text, behind a backslash, behind an
@@ -44,7 +44,7 @@
   }
 
   /** The next whole object, or line that is none, stripped; null while there is none. */
-  public String next() throws BadMessage {
+  public String next() throws MalformedMessageException {
     if (!open) {
       String[] lines = in.head();
       if (lines == null) {
@@ -52,9 +52,9 @@
       }
       int status = ResponseDecoder.status(lines[0]);
       if (status != 200) {
-        throw new BadMessage(status, "answered " + status);
+        throw new MalformedMessageException(status, "answered " + status);
       }
-      chunks = Inbox.headers(lines).chunked() ? new Chunks() : null;
+      chunks = ReceiveBuffer.headers(lines).chunked() ? new ChunkedDecoder() : null;
       open = true;
     }
     ByteBuffer came = in.open();
@@ -78,7 +78,7 @@
       }
     }
     if (data.size() >= MOST_LINE) {
-      throw new BadMessage(502, "line over " + MOST_LINE + " bytes");
+      throw new MalformedMessageException(502, "line over " + MOST_LINE + " bytes");
     }
     return null;
   }
--- a/proxy/src/main/java/wheattrack/http/Inbox.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -6,7 +6,7 @@
 /**
  * Bytes that have come on a connection and are not yet taken, and the heads of messages among them.
  */
-final class Inbox {
+final class ReceiveBuffer {
   private static final int LEAST = 1024;
   static final int MOST_HEAD = 16 * 1024;
   private static final int MOST_LINES = 100;
@@ -69,17 +69,17 @@
   }
 
   /** The lines of a whole head, without the empty one at its end, or null while it is not whole. */
-  String[] head() throws BadMessage {
+  String[] head() throws MalformedMessageException {
     int end = headEnd();
     if (end < 0) {
       if (in.position() > MOST_HEAD) {
-        throw new BadMessage(431, "head over " + MOST_HEAD + " bytes");
+        throw new MalformedMessageException(431, "head over " + MOST_HEAD + " bytes");
       }
       return null;
     }
     String[] lines = new String(take(end), StandardCharsets.ISO_8859_1).strip().split("\r?\n");
     if (lines.length > MOST_LINES || end > MOST_HEAD) {
-      throw new BadMessage(431, "too many header lines");
+      throw new MalformedMessageException(431, "too many header lines");
     }
     return lines;
   }
@@ -109,17 +109,17 @@
     return -1;
   }
 
-  static Headers headers(String[] lines) throws BadMessage {
+  static Headers headers(String[] lines) throws MalformedMessageException {
     Headers headers = new Headers();
     for (int i = 1; i < lines.length; i++) {
       int colon = lines[i].indexOf(':');
       String name = lines[i].substring(0, Math.max(0, colon));
       if (!isToken(name)) {
-        throw new BadMessage(400, "bad header line");
+        throw new MalformedMessageException(400, "bad header line");
       }
       String value = lines[i].substring(colon + 1).strip();
       if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
-        throw new BadMessage(400, "bad header value");
+        throw new MalformedMessageException(400, "bad header value");
       }
       headers.with(name, value);
     }
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -28,14 +28,14 @@
   }
 
   @Override
-  protected long start(String line, Headers with) throws BadMessage {
+  protected long start(String line, Headers with) throws MalformedMessageException {
     String[] parts = line.split(" ", -1);
-    if (parts.length != 3 || !Inbox.isToken(parts[0]) || !isTarget(parts[1])) {
-      throw new BadMessage(400, "bad request line");
+    if (parts.length != 3 || !ReceiveBuffer.isToken(parts[0]) || !isTarget(parts[1])) {
+      throw new MalformedMessageException(400, "bad request line");
     }
     checkVersion(parts[2]);
     if (!METHODS.contains(parts[0])) {
-      throw new BadMessage(405, "method not taken");
+      throw new MalformedMessageException(405, "method not taken");
     }
     method = parts[0];
     target = parts[1];
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -30,7 +30,7 @@
   }
 
   @Override
-  protected long start(String line, Headers with) throws BadMessage {
+  protected long start(String line, Headers with) throws MalformedMessageException {
     status = status(line);
     headers = with;
     keep = keeps(line.substring(0, 8), with);
@@ -46,9 +46,9 @@
     return chunked ? CHUNKED : length;
   }
 
-  static int status(String line) throws BadMessage {
+  static int status(String line) throws MalformedMessageException {
     if (!LINE.matcher(line).matches()) {
-      throw new BadMessage(502, "bad status line");
+      throw new MalformedMessageException(502, "bad status line");
     }
     return Integer.parseInt(line.substring(9, 12));
   }
--- a/proxy/src/main/java/wheattrack/log/Event.java
+++ b/proxy/src/main/java/wheattrack/log/EventLog.java
@@ -9,13 +9,13 @@
  * A line of the log in its parts: what happened, to whom (or null) and why (or null). Its plain
  * text is "event id: cause". May be logged from any thread.
  */
-public final class Event extends LogRecord {
+public final class EventLog extends LogRecord {
   private static final long serialVersionUID = 1;
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
   final String event, id, cause;
 
-  private Event(Level level, String event, String id, String cause) {
+  private EventLog(Level level, String event, String id, String cause) {
     super(level, event + (id == null ? "" : " " + id) + (cause == null ? "" : ": " + cause));
     this.event = event;
     this.id = id;
@@ -25,7 +25,7 @@
 
   public static void log(Level level, String event, String id, String cause) {
     if (LOG.isLoggable(level)) {
-      LOG.log(new Event(level, event, id, cause));
+      LOG.log(new EventLog(level, event, id, cause));
     }
   }
 
--- a/proxy/src/main/java/wheattrack/log/JsonLines.java
+++ b/proxy/src/main/java/wheattrack/log/JsonLineFormatter.java
@@ -12,7 +12,7 @@
 /**
  * A log line as one JSON object: time, level, event, id, cause, and how many like it were left out.
  */
-public final class JsonLines extends Formatter {
+public final class JsonLineFormatter extends Formatter {
   private final JsonFactory json = new JsonFactory();
 
   @Override
@@ -22,7 +22,7 @@
       out.writeStartObject();
       out.writeStringField("time", r.getInstant().toString());
       out.writeStringField("level", r.getLevel().getName());
-      if (r instanceof Event e) {
+      if (r instanceof EventLog e) {
         out.writeStringField("event", e.event.replace(' ', '-'));
         field(out, "id", e.id);
         field(out, "cause", e.cause);
@@ -35,7 +35,7 @@
         r.getThrown().printStackTrace(new PrintWriter(trace));
         out.writeStringField("trace", trace.toString());
       }
-      int left = Limit.leftOut(r);
+      int left = RateLimitFilter.leftOut(r);
       if (left > 0) {
         out.writeNumberField("left_out", left);
       }
--- a/proxy/src/main/java/wheattrack/log/Limit.java
+++ b/proxy/src/main/java/wheattrack/log/RateLimitFilter.java
@@ -6,7 +6,7 @@
 import java.util.logging.LogRecord;
 
 /** Lets so many lines of an event through in a second; the next one says how many were left out. */
-public final class Limit implements Filter {
+public final class RateLimitFilter implements Filter {
   private static final int MOST_EVENTS = 256; // kept at once; beyond that all are forgotten
   private static final String LEFT = "left out ";
 
@@ -19,7 +19,7 @@
   private final Map<String, Count> counts = new HashMap<>();
 
   /** most: lines a second, or 0 for all. */
-  public Limit(int most) {
+  public RateLimitFilter(int most) {
     this.most = most;
   }
 
@@ -32,7 +32,8 @@
       counts.clear();
     }
     Count c =
-        counts.computeIfAbsent(r instanceof Event e ? e.event : r.getMessage(), k -> new Count());
+        counts.computeIfAbsent(
+            r instanceof EventLog e ? e.event : r.getMessage(), k -> new Count());
     long second = r.getMillis() / 1000;
     if (second != c.second) {
       c.second = second;
--- a/proxy/src/main/java/wheattrack/net/Dispatch.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -1,13 +1,13 @@
 package wheattrack.net;
 
-import wheattrack.core.Deadlines;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
-import wheattrack.port.Outcome;
 
 /** One dispatch of a req, or a probe, from its sending to its one outcome. */
-abstract class Dispatch {
-  final Backend backend;
+abstract class BackendAttempt {
+  final BackendConnectionPool backend;
   final long sent;
 
   /** When it got its connection, which is when its first byte left. */
@@ -16,12 +16,12 @@
   /** When its first byte must have left, or it never does. */
   long latest = Long.MAX_VALUE;
 
-  Deadlines.Entry timeout;
-  Upstream on;
+  TimerQueue.Entry timeout;
+  BackendConnection on;
   private boolean over;
-  private Outcome outcome;
+  private AttemptOutcome outcome;
 
-  Dispatch(Backend backend, long sent) {
+  BackendAttempt(BackendConnectionPool backend, long sent) {
     this.backend = backend;
     this.sent = sent;
   }
@@ -30,7 +30,7 @@
   final void waits(long time) {
     if (!over) {
       backend.loop.cancel(timeout);
-      timeout = backend.loop.after(time, () -> giveUp(Outcome.TIMEOUT));
+      timeout = backend.loop.after(time, () -> giveUp(AttemptOutcome.TIMEOUT));
     }
   }
 
@@ -41,16 +41,16 @@
 
   /** Whether it may have run, or may yet. */
   final boolean mayRun() {
-    return isBegun() && (outcome == null || !outcome.neverRan);
+    return isBegun() && (outcome == null || !outcome.neverRan());
   }
 
   /** Ends one that is not begun as never sent, and any other as said. */
-  final void giveUp(Outcome how) {
-    end(isBegun() ? how : Outcome.MOOT, null);
+  final void giveUp(AttemptOutcome how) {
+    end(isBegun() ? how : AttemptOutcome.DISCARDED, null);
   }
 
   /** Ends it, once; a connection that still carries it is closed. */
-  final void end(Outcome how, Response answer) {
+  final void end(AttemptOutcome how, Response answer) {
     if (over) {
       return;
     }
@@ -72,13 +72,13 @@
   /**
    * Its answer is too long to be kept: as an outcome that is its end, on its connection it is not.
    */
-  final Passing begin(Response head) {
+  final ResponseRelay begin(Response head) {
     if (over) {
       return null;
     }
     over = true;
     backend.loop.cancel(timeout);
-    Passing passing = begins(head);
+    ResponseRelay passing = begins(head);
     if (passing == null) {
       backend.out--;
     }
@@ -98,13 +98,13 @@
   }
 
   /** What is still to come of what is written, or null. */
-  protected Body body() {
+  protected RequestBodyRelay body() {
     return null;
   }
 
   /** Who takes the rest of a long answer, or null where nobody does. */
-  protected Passing begins(Response head) {
-    ended(Outcome.RESET, null);
+  protected ResponseRelay begins(Response head) {
+    ended(AttemptOutcome.RESET, null);
     return null;
   }
 
@@ -113,5 +113,5 @@
     // of a probe nothing is counted
   }
 
-  protected abstract void ended(Outcome how, Response answer);
+  protected abstract void ended(AttemptOutcome how, Response answer);
 }
--- a/proxy/src/main/java/wheattrack/net/Upstream.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -3,48 +3,49 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import wheattrack.aio.Link;
-import wheattrack.core.Deadlines;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.TcpConnection;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Decoder;
 import wheattrack.http.Encoder;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
-import wheattrack.port.Outcome;
 
 /** One connection to a backend; it carries one dispatch at a time. */
-final class Upstream extends Link {
+final class BackendConnection extends TcpConnection {
   /** How long a long answer may pause at the backend, and a long body on the way there. */
   static final long PAUSE = 100_000;
 
-  private final Backend backend;
-  private final Dialler dialler;
+  private final BackendConnectionPool backend;
+  private final Connector dialler;
   private final ResponseDecoder in;
 
   /** Where it leads, and since when. */
   final InetSocketAddress to;
 
   final long since;
-  private Dispatch carried, writing;
+  private BackendAttempt carried, writing;
 
   /** Of a long body what is still to be written, and whether it goes in chunks. */
-  private Body body;
+  private RequestBodyRelay body;
 
   private boolean chunks;
 
   /** A long answer that is being passed on, and whether the connection may serve after it. */
-  private Passing passing;
+  private ResponseRelay passing;
 
   private boolean keep;
   private boolean dialling;
   private boolean resting;
   private long restsSince, fitFrom;
   private boolean broken, holding;
-  private Deadlines.Entry deadline;
+  private TimerQueue.Entry deadline;
   int slot;
 
-  Upstream(Backend backend, AsynchronousSocketChannel channel, Dialler dialler) {
+  BackendConnection(
+      BackendConnectionPool backend, AsynchronousSocketChannel channel, Connector dialler) {
     super(backend.loop, channel);
     this.backend = backend;
     this.dialler = dialler;
@@ -53,7 +54,7 @@
     since = loop.now();
   }
 
-  Dispatch carried() {
+  BackendAttempt carried() {
     return carried;
   }
 
@@ -78,7 +79,7 @@
     }
   }
 
-  void carry(Dispatch d) {
+  void carry(BackendAttempt d) {
     loop.cancel(deadline);
     resting = false;
     carried = writing = d;
@@ -148,7 +149,7 @@
       return;
     }
     if (broken || !whole) {
-      finish(whole && body == null ? Outcome.RESET : Outcome.NO_CONNECT);
+      finish(whole && body == null ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
     } else if (body != null) {
       body.pull(this);
     }
@@ -186,7 +187,7 @@
       } else {
         came(0);
       }
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       breakOff();
     }
   }
@@ -200,7 +201,7 @@
       if (holding && carried != null && in.isOpenEnded()) {
         answered(in.early());
       }
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       breakOff();
     }
   }
@@ -209,7 +210,7 @@
     holding = false;
     loop.cancel(deadline);
     keep = answer.keep() && !isWriting() && body == null;
-    Dispatch d = carried;
+    BackendAttempt d = carried;
     if (in.isPassing() && answer.status() == 200) {
       carried = null;
       passing = d.begin(answer);
@@ -228,7 +229,7 @@
     } else {
       close();
     }
-    d.end(Wire.outcome(answer), answer);
+    d.end(ProtocolMapping.outcome(answer), answer);
   }
 
   /** The client has taken what came before of a long answer. */
@@ -245,7 +246,7 @@
         read(in.room());
         return;
       }
-      Passing to = passing;
+      ResponseRelay to = passing;
       if (last) {
         passing = null;
         if (keep && !in.isAmid()) {
@@ -256,7 +257,7 @@
         }
       }
       to.piece(piece, last);
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       close();
     }
   }
@@ -266,12 +267,12 @@
       broken = true;
       close();
     } else {
-      finish(body != null ? Outcome.NO_CONNECT : Outcome.RESET);
+      finish(body != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
     }
   }
 
-  private void finish(Outcome how) {
-    Dispatch d = carried;
+  private void finish(AttemptOutcome how) {
+    BackendAttempt d = carried;
     carried = null;
     close();
     if (d != null) {
--- a/proxy/src/main/java/wheattrack/net/Backend.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
@@ -6,30 +6,30 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import wheattrack.aio.Loop;
-import wheattrack.core.Deadlines;
-import wheattrack.core.Fleet;
-import wheattrack.port.Outcome;
+import wheattrack.aio.EventLoop;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.core.BackendIndex;
+import wheattrack.core.TimerQueue;
 
 /**
  * A backend at the door: its address, the connections to it and the dispatches that wait for one.
  */
-final class Backend extends Fleet.Srv<String> {
-  final Loop loop;
-  private final Dialler dialler;
+final class BackendConnectionPool extends BackendIndex.Srv<String> {
+  final EventLoop loop;
+  private final Connector dialler;
 
   /** At rest, the one used last at the end; coming up, to where it stands now. */
-  private final List<Upstream> idle = new ArrayList<>(), dials = new ArrayList<>();
+  private final List<BackendConnection> idle = new ArrayList<>(), dials = new ArrayList<>();
 
-  private final Deque<Dispatch> waiting = new ArrayDeque<>();
+  private final Deque<BackendAttempt> waiting = new ArrayDeque<>();
   private boolean matching;
-  private Deadlines.Entry settling;
+  private TimerQueue.Entry settling;
   InetSocketAddress address;
   int out;
   private boolean serving;
   private long up;
 
-  Backend(String id, int at, Dialler dialler) {
+  BackendConnectionPool(String id, int at, Connector dialler) {
     super(id, at);
     this.dialler = dialler;
     loop = dialler.loop;
@@ -45,15 +45,15 @@
     serving = true;
     up = since;
     address = at;
-    List.copyOf(idle).stream().filter(this::isOld).forEach(Upstream::close);
-    List<Upstream> old = dials.stream().filter(this::isOld).toList();
+    List.copyOf(idle).stream().filter(this::isOld).forEach(BackendConnection::close);
+    List<BackendConnection> old = dials.stream().filter(this::isOld).toList();
     dials.removeAll(old);
-    old.forEach(Upstream::close);
+    old.forEach(BackendConnection::close);
     arrange();
   }
 
   /** Whether it leads to where this backend was, or to an earlier life of it. */
-  private boolean isOld(Upstream link) {
+  private boolean isOld(BackendConnection link) {
     return !link.to.equals(address) || link.since < up;
   }
 
@@ -65,25 +65,25 @@
   /** It drains or is gone: what is not yet begun there never will be. */
   void leaves() {
     serving = false;
-    for (Dispatch d : List.copyOf(waiting)) {
-      loop.step(() -> d.giveUp(Outcome.MOOT));
+    for (BackendAttempt d : List.copyOf(waiting)) {
+      loop.step(() -> d.giveUp(AttemptOutcome.DISCARDED));
     }
     hangUp();
   }
 
   /** Closes what carries nothing now. */
   void hangUp() {
-    List.copyOf(idle).forEach(Upstream::close);
+    List.copyOf(idle).forEach(BackendConnection::close);
   }
 
   /** Carries it on the connection used last, or on the first that is free or up. */
-  void carry(Dispatch d) {
+  void carry(BackendAttempt d) {
     out++;
     waiting.add(d);
     arrange();
   }
 
-  void forget(Dispatch d) {
+  void forget(BackendAttempt d) {
     waiting.remove(d);
   }
 
@@ -95,7 +95,7 @@
     if (waiting.isEmpty() || matching) {
       return;
     }
-    long fit = idle.stream().mapToLong(Upstream::fitFrom).min().orElse(Long.MAX_VALUE);
+    long fit = idle.stream().mapToLong(BackendConnection::fitFrom).min().orElse(Long.MAX_VALUE);
     if (fit <= loop.now()) {
       matching = true;
       loop.execute(this::match);
@@ -117,8 +117,8 @@
 
   private void match() {
     matching = false;
-    for (Upstream free = fit(); free != null && !waiting.isEmpty(); free = fit()) {
-      Dispatch first = next();
+    for (BackendConnection free = fit(); free != null && !waiting.isEmpty(); free = fit()) {
+      BackendAttempt first = next();
       if (first != null) {
         idle.remove(free);
         free.carry(first);
@@ -128,9 +128,9 @@
   }
 
   /** The free connection used last; one that should have been closed by now is no more used. */
-  private Upstream fit() {
+  private BackendConnection fit() {
     for (int i = idle.size() - 1; i >= 0; i--) {
-      Upstream free = idle.get(i);
+      BackendConnection free = idle.get(i);
       if (free.isOverdue()) {
         free.close();
       } else if (free.fitFrom() <= loop.now()) {
@@ -141,32 +141,32 @@
   }
 
   /** What waits longest and may still begin; standstill: reqs were sent on after their due. */
-  private Dispatch next() {
-    Dispatch first = waiting.pollFirst();
+  private BackendAttempt next() {
+    BackendAttempt first = waiting.pollFirst();
     while (first != null && loop.now() >= first.latest) {
-      first.giveUp(Outcome.MOOT);
+      first.giveUp(AttemptOutcome.DISCARDED);
       first = waiting.pollFirst();
     }
     return first;
   }
 
-  private boolean dial(Dispatch d) {
+  private boolean dial(BackendAttempt d) {
     try {
       dials.add(dialler.dial(this));
       return true;
     } catch (IOException e) {
       loop.step(
           () -> {
-            d.giveUp(Outcome.MOOT);
+            d.giveUp(AttemptOutcome.DISCARDED);
             arrange();
           });
       return false;
     }
   }
 
-  void dialled(Upstream link) {
+  void dialled(BackendConnection link) {
     if (dials.remove(link)) {
-      Dispatch first = next();
+      BackendAttempt first = next();
       if (first != null) {
         link.carry(first);
       } else {
@@ -175,10 +175,10 @@
     }
   }
 
-  void dialFailed(Upstream link) {
+  void dialFailed(BackendConnection link) {
     if (dials.remove(link) && waiting.size() > dials.size()) {
       if (idle.isEmpty()) {
-        waiting.peekFirst().end(Outcome.NO_CONNECT, null);
+        waiting.peekFirst().end(AttemptOutcome.NO_CONNECT, null);
       } else {
         arrange();
       }
@@ -188,12 +188,12 @@
   /**
    * Its answer has come; it settles, as a second one may follow: that was taken for the next req's.
    */
-  void free(Upstream link) {
+  void free(BackendConnection link) {
     rest(link, dialler.settle());
     arrange();
   }
 
-  private void rest(Upstream link, long settle) {
+  private void rest(BackendConnection link, long settle) {
     if (serving && !isOld(link)) {
       idle.add(link);
       link.rest(settle);
@@ -202,7 +202,7 @@
     }
   }
 
-  void closed(Upstream link) {
+  void closed(BackendConnection link) {
     if (idle.remove(link) && !waiting.isEmpty()) {
       loop.step(this::arrange); // what waits may have counted on it
     }
--- a/proxy/src/main/java/wheattrack/net/Rehearsal.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -8,23 +8,23 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import wheattrack.config.Config;
+import wheattrack.config.ProxyConfig;
 
 /**
  * A start like a real one, for the build, whose JVM keeps the classes that a start needs: discovery
  * and the backends are played. Without a list and reqs, 60 srvs made a start half as long again.
  */
-public final class Rehearsal {
+public final class ClassArchiveTraining {
   private static final int SRVS = 8, REQS = 32;
 
-  private Rehearsal() {}
+  private ClassArchiveTraining() {}
 
   /** The file's settings at a free port of this machine; ends when the proxy has. */
   public static void run(Path file) throws IOException {
     try (ServerSocket door = new ServerSocket(0, REQS, InetAddress.getLoopbackAddress())) {
       helper(() -> takeAll(door));
-      Config config = Config.rehearsal(file, door.getLocalPort());
-      Server server = new Server(config);
+      ProxyConfig config = ProxyConfig.rehearsal(file, door.getLocalPort());
+      ProxyServer server = new ProxyServer(config);
       helper(server::run);
       ask(server.port(), "GET /ready HTTP/1.0\r\n\r\n");
       for (int i = 0; i < REQS; i++) {
--- a/proxy/src/main/java/wheattrack/net/Client.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -2,18 +2,18 @@
 
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import wheattrack.aio.Link;
-import wheattrack.aio.Loop;
-import wheattrack.core.Deadlines;
-import wheattrack.core.Pace;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.EventLoop;
+import wheattrack.aio.TcpConnection;
+import wheattrack.core.MinimumTransferRate;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 
 /** One client connection; it has one req open at a time. */
-final class Client extends Link {
+final class ClientConnection extends TcpConnection {
   /** How long a part of an answer may take to go, or a closing client to close. */
   private static final long STALL = 100_000, LINGER = 10_000;
 
@@ -43,10 +43,10 @@
     void piece(ByteBuffer bytes, boolean last);
   }
 
-  private final Front front;
+  private final ClientListener front;
   private final int slot;
   private final RequestDecoder in;
-  private final Pace pace = new Pace();
+  private final MinimumTransferRate pace = new MinimumTransferRate();
   private boolean busy;
   private boolean keep;
   private boolean unread;
@@ -56,8 +56,8 @@
   private boolean resting;
   private boolean inBody, pulled;
   private Taker taker;
-  private Passing passing;
-  private Deadlines.Entry stall;
+  private ResponseRelay passing;
+  private TimerQueue.Entry stall;
   private long idleSince, headSince;
   private long discarded;
   private boolean bare;
@@ -76,7 +76,7 @@
   /** The last piece of a long body, until what else has come is heard: its client may have left. */
   private ByteBuffer lastPiece;
 
-  Client(Front front, Loop loop, AsynchronousSocketChannel channel) {
+  ClientConnection(ClientListener front, EventLoop loop, AsynchronousSocketChannel channel) {
     super(loop, channel);
     this.front = front;
     in = new RequestDecoder(front.mostBody());
@@ -100,7 +100,7 @@
    * To be done after so long, unless calm() comes first or what has come by then says otherwise.
    */
   private void expire(long time, Runnable then) {
-    Deadlines.Entry[] mine = new Deadlines.Entry[1];
+    TimerQueue.Entry[] mine = new TimerQueue.Entry[1];
     mine[0] =
         loop.after(
             time,
@@ -265,7 +265,7 @@
         headSince = loop.now();
         waitFor(HEAD);
       }
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       refuse(e.status, e.getMessage());
     }
   }
@@ -295,7 +295,7 @@
     }
     busy = true;
     unread = true;
-    answer(Wire.plain(status, why, false));
+    answer(ProtocolMapping.plain(status, why, false));
   }
 
   /** What is to be done should the client leave before its answer, or end it by a broken body. */
@@ -357,7 +357,7 @@
       } else {
         waitFor(pace.left(loop.now()));
       }
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       taker = null;
       refuse(e.status, e.getMessage());
     }
@@ -383,7 +383,7 @@
   }
 
   /** The head and first bytes of a long answer; what follows comes by the passing. */
-  void begin(Response head, Passing rest) {
+  void begin(Response head, ResponseRelay rest) {
     answer(head);
     passing = rest;
   }
--- a/proxy/src/main/java/wheattrack/net/Front.java
+++ b/proxy/src/main/java/wheattrack/net/ClientListener.java
@@ -8,40 +8,40 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
 import java.util.function.Supplier;
-import wheattrack.aio.Loop;
-import wheattrack.core.Deadlines;
-import wheattrack.core.Life;
-import wheattrack.core.Slots;
+import wheattrack.aio.EventLoop;
+import wheattrack.core.Lifecycle;
+import wheattrack.core.SlotTable;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
-import wheattrack.log.Event;
+import wheattrack.log.EventLog;
 
 /**
  * Where clients connect: takes connections within a budget of descriptors and hands their requests
  * on.
  */
-final class Front {
+final class ClientListener {
   private static final int BACKLOG = 1024;
   private static final long PAUSE = 200; // after a failed accept, tenths of a millisecond
   private static final long LOG_EVERY = 10_000;
 
   /** What becomes of a request that is not one of the proxy's own. */
   interface Taker {
-    void take(Client client, Request request);
+    void take(ClientConnection client, Request request);
 
     /** Too many clients are here: it has been answered, unheard. */
     void denied(Request request);
   }
 
-  private final Loop loop;
-  private final Life life;
+  private final EventLoop loop;
+  private final Lifecycle life;
   private int most;
   private final long mostBody;
   private final Taker taker;
   private final Supplier<String> remark;
-  private final Slots<Client> clients = new Slots<>();
+  private final SlotTable<ClientConnection> clients = new SlotTable<>();
   private AsynchronousServerSocketChannel channel;
   private boolean accepting, opened;
-  private Deadlines.Entry pressing;
+  private TimerQueue.Entry pressing;
 
   /** Bytes that clients have sent ahead of what is asked for, and so many as may be. */
   private long ahead;
@@ -55,7 +55,13 @@
    * most: connections of clients; a few more are taken, so that those who come then are denied.
    * remark: said behind the phase to who asks whether this proxy is ready.
    */
-  Front(Loop loop, Life life, int most, long mostBody, Taker taker, Supplier<String> remark) {
+  ClientListener(
+      EventLoop loop,
+      Lifecycle life,
+      int most,
+      long mostBody,
+      Taker taker,
+      Supplier<String> remark) {
     this.remark = remark;
     this.mostBody = mostBody;
     this.loop = loop;
@@ -108,12 +114,12 @@
     if (pressing == null) {
       pressing =
           loop.after(
-              Client.HEAD_AMID_CROWD / 4,
+              ClientConnection.HEAD_AMID_CROWD / 4,
               () -> {
                 pressing = null;
                 clients.all().stream()
-                    .filter(c -> c.rank() == Client.SLOW)
-                    .forEach(Client::giveWay);
+                    .filter(c -> c.rank() == ClientConnection.SLOW)
+                    .forEach(ClientConnection::giveWay);
                 free(clients.size() - most);
                 accept();
               });
@@ -123,7 +129,7 @@
   private void accepted(AsynchronousSocketChannel one) {
     accepting = false;
     accepted++;
-    new Client(this, loop, one).open();
+    new ClientConnection(this, loop, one).open();
     free(clients.size() - most);
     accept();
   }
@@ -144,10 +150,12 @@
   private void free(int surplus) {
     if (surplus > 0) {
       clients.all().stream()
-          .filter(client -> client.rank() < Client.NOT_AT_ALL)
-          .sorted(Comparator.comparingInt(Client::rank).thenComparingLong(Client::idleSince))
+          .filter(client -> client.rank() < ClientConnection.NOT_AT_ALL)
+          .sorted(
+              Comparator.comparingInt(ClientConnection::rank)
+                  .thenComparingLong(ClientConnection::idleSince))
           .limit(surplus)
-          .forEach(Client::giveWay);
+          .forEach(ClientConnection::giveWay);
     }
   }
 
@@ -164,7 +172,7 @@
     return mostBody;
   }
 
-  int admitted(Client client) {
+  int admitted(ClientConnection client) {
     return clients.add(client);
   }
 
@@ -182,18 +190,18 @@
     return asked && !life.isLeaving() && clients.size() <= most / 2;
   }
 
-  void came(Client client, Request request) {
+  void came(ClientConnection client, Request request) {
     String path = request.target().split("\\?", 2)[0];
-    if (path.equals(Wire.READY)) {
+    if (path.equals(ProtocolMapping.READY)) {
       client.answer(
-          Wire.plain(
+          ProtocolMapping.plain(
               life.isReady() ? 200 : 503,
               life.phase().name() + remark.get(),
               keeps(request.keep())));
     } else if (clients.size() > most && served() > most) {
       note("denied", clients.size() + " clients are connected");
       taker.denied(request);
-      client.answer(Wire.denied(0, false));
+      client.answer(ProtocolMapping.denied(0, false));
     } else {
       taker.take(client, request);
     }
@@ -201,7 +209,7 @@
 
   /** Requests that are open; idle clients, of which some are to go, are none of them. */
   private long served() {
-    return clients.all().stream().filter(Client::isServed).count();
+    return clients.all().stream().filter(ClientConnection::isServed).count();
   }
 
   void refused(int status, String why) {
@@ -214,13 +222,13 @@
       unlogged++;
       return;
     }
-    Event.info(event, null, cause + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
+    EventLog.info(event, null, cause + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
     loggedAt = loop.now();
     unlogged = 0;
   }
 
   void closeIdle() {
-    clients.all().stream().filter(Client::isIdle).forEach(Client::close);
+    clients.all().stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
   }
 
   /**
@@ -248,7 +256,7 @@
     try {
       channel.close();
     } catch (IOException e) {
-      Event.warning("the listening socket", null, e.toString());
+      EventLog.warning("the listening socket", null, e.toString());
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/Dialler.java
+++ b/proxy/src/main/java/wheattrack/net/Connector.java
@@ -4,14 +4,14 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
-import wheattrack.aio.Loop;
-import wheattrack.core.Slots;
+import wheattrack.aio.EventLoop;
+import wheattrack.core.SlotTable;
 
 /**
  * Opens connections to backends, within the budget of descriptors; at its limit an idle one gives
  * way.
  */
-final class Dialler {
+final class Connector {
   /** Of the time after which a backend closes an idle connection: ours are closed by then. */
   private static final double IDLE_PART = 0.8;
 
@@ -21,7 +21,7 @@
    */
   private static final double SETTLE_PART = 0.04;
 
-  final Loop loop;
+  final EventLoop loop;
   private final AsynchronousChannelGroup group;
   private int most;
 
@@ -33,10 +33,10 @@
   /** How long a connection may rest, or 0 for ever. */
   long idle;
 
-  private final Slots<Upstream> table = new Slots<>();
+  private final SlotTable<BackendConnection> table = new SlotTable<>();
 
-  Dialler(
-      Loop loop,
+  Connector(
+      EventLoop loop,
       AsynchronousChannelGroup group,
       int most,
       long mostBody,
@@ -53,7 +53,7 @@
   void times(long timeout, long idleClose) {
     this.timeout = timeout;
     idle = (long) (IDLE_PART * idleClose);
-    table.all().stream().filter(Upstream::isResting).forEach(Upstream::restOn);
+    table.all().stream().filter(BackendConnection::isResting).forEach(BackendConnection::restOn);
   }
 
   /** After an answer, how long until a connection carries another req. */
@@ -72,31 +72,31 @@
   private boolean freeOne() {
     var first =
         table.all().stream()
-            .filter(Upstream::isResting)
-            .min(Comparator.comparingLong(Upstream::restsSince));
-    first.ifPresent(Upstream::close);
+            .filter(BackendConnection::isResting)
+            .min(Comparator.comparingLong(BackendConnection::restsSince));
+    first.ifPresent(BackendConnection::close);
     return first.isPresent();
   }
 
   /** Starts making a connection; not where descriptors have run out. */
-  Upstream dial(Backend to) throws IOException {
+  BackendConnection dial(BackendConnectionPool to) throws IOException {
     if (table.size() >= most) {
       freeOne();
     }
     if (table.size() >= most) {
       throw new IOException(most + " connections to backends are open");
     }
-    Upstream up = new Upstream(to, AsynchronousSocketChannel.open(group), this);
+    BackendConnection up = new BackendConnection(to, AsynchronousSocketChannel.open(group), this);
     up.slot = table.add(up);
     up.dial(timeout);
     return up;
   }
 
-  void closed(Upstream up) {
+  void closed(BackendConnection up) {
     table.remove(up.slot);
   }
 
   void closeAll() {
-    table.all().forEach(Upstream::close);
+    table.all().forEach(BackendConnection::close);
   }
 }
--- a/proxy/src/main/java/wheattrack/net/Hollow.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -3,35 +3,39 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.util.function.LongConsumer;
-import wheattrack.aio.Loop;
-import wheattrack.config.Config;
+import wheattrack.aio.EventLoop;
+import wheattrack.config.DynamicSettings;
+import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
-import wheattrack.config.SettingsFeed;
-import wheattrack.core.Counts;
+import wheattrack.core.RequestCounters;
 
 /**
  * What control costs a proxy, without its clients: the watch on the list, its decoding, the module
  * that is told of it with all its timers, new settings. Many share one loop, and all is done on its
  * thread. It ends with its loop.
  */
-public final class Hollow {
-  private final Loop loop;
+public final class ControlOnlyProxy {
+  private final EventLoop loop;
   private final AsynchronousChannelGroup group;
-  private final Config config;
-  private final Listing listing;
-  private final Proxy proxy;
+  private final ProxyConfig config;
+  private final EndpointDiscovery listing;
+  private final RequestHandler proxy;
 
   /**
    * seed: its own chance; inForce: hears of each revision of the list once the module acts on it.
    */
-  public Hollow(
-      Loop loop, AsynchronousChannelGroup group, Config config, long seed, LongConsumer inForce) {
+  public ControlOnlyProxy(
+      EventLoop loop,
+      AsynchronousChannelGroup group,
+      ProxyConfig config,
+      long seed,
+      LongConsumer inForce) {
     this.loop = loop;
     this.group = group;
     this.config = config;
     Settings settings = config.settings;
-    Dialler dialler =
-        new Dialler(
+    Connector dialler =
+        new Connector(
             loop,
             group,
             0,
@@ -39,7 +43,7 @@
             settings.time("limits.dialTimeout", 250_000),
             settings.time("limits.idleClose", 0));
     listing =
-        new Listing(
+        new EndpointDiscovery(
             loop,
             group,
             dialler,
@@ -49,28 +53,28 @@
             config.known,
             "");
     listing.onForce(inForce);
-    proxy = new Proxy(loop, listing, new Counts(), settings, seed, "");
+    proxy = new RequestHandler(loop, listing, new RequestCounters(), settings, seed, "");
   }
 
   /** Watches a source of settings besides; inForce: hears of each revision of those that holds. */
   public void watch(InetSocketAddress source, String scope, long seed, LongConsumer inForce) {
-    new SettingsWatch(
+    new SettingsSubscription(
             loop,
             group,
             source,
             scope,
             seed,
-            new Counts(),
-            new SettingsFeed(),
+            new RequestCounters(),
+            new DynamicSettings(),
             feed -> {
               proxy.turnTo(config.settings, feed);
               inForce.accept(feed.revision());
             })
-        .follow();
+        .watch();
   }
 
   /** New settings, as a whole. */
-  public void turnTo(Config next) {
+  public void turnTo(ProxyConfig next) {
     proxy.turnTo(next.settings, null);
     listing.moveTo(next.discovery);
   }
--- a/proxy/src/main/java/wheattrack/net/Listing.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -11,31 +11,32 @@
 import java.util.function.LongConsumer;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
-import wheattrack.Rules;
-import wheattrack.aio.Loop;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Config;
+import wheattrack.aio.EventLoop;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
+import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
-import wheattrack.core.Fleet;
-import wheattrack.log.Event;
+import wheattrack.core.BackendIndex;
+import wheattrack.log.EventLog;
+import wheattrack.policy.LoadBalancer;
 
 /**
  * The list of backends on the wire: the watch on it, and its entries turned into calls on the
  * module.
  */
-final class Listing {
+final class EndpointDiscovery {
   private static final String PATH = "/v1/endpoints";
   private static final Pattern NUMBER = Pattern.compile("[0-9a-f]{1,15}");
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final AsynchronousChannelGroup group;
   private InetSocketAddress discovery;
   private final List<?> zones;
   private final List<?> kinds;
-  private final Fleet<String, Backend> fleet;
-  private Rules rules;
-  private Watch watch;
+  private final BackendIndex<String, BackendConnectionPool> fleet;
+  private LoadBalancer rules;
+  private WatchConnection watch;
   private final List<String> met = new ArrayList<>();
   private int beyond;
   private String scope;
@@ -50,10 +51,10 @@
    * known: the list known of old, or one without entries. advice: a server that the list drops
    * without having drained may still be sent to.
    */
-  Listing(
-      Loop loop,
+  EndpointDiscovery(
+      EventLoop loop,
       AsynchronousChannelGroup group,
-      Dialler dialler,
+      Connector dialler,
       InetSocketAddress discovery,
       List<?> zones,
       List<?> kinds,
@@ -66,11 +67,11 @@
     this.zones = zones;
     this.kinds = kinds;
     this.known = known.has("targets") ? known : null;
-    fleet = new Fleet<>((id, at) -> new Backend(id, at, dialler));
+    fleet = new BackendIndex<>((id, at) -> new BackendConnectionPool(id, at, dialler));
   }
 
   /** Who hears of the list; to be called before anything is told. */
-  void tell(Rules module) {
+  void tell(LoadBalancer module) {
     rules = module;
   }
 
@@ -84,7 +85,7 @@
     return zones;
   }
 
-  Backend at(int index) {
+  BackendConnectionPool at(int index) {
     return fleet.at(index);
   }
 
@@ -104,7 +105,7 @@
 
   /** Listed backends beyond those that the module knows at once: nothing is sent to them. */
   int leftOut() {
-    return fleet.listedFrom(Rules.MOST);
+    return fleet.listedFrom(LoadBalancer.MAX_BACKENDS);
   }
 
   /** Discovery says nothing: the list known of old has to do, if there is one. */
@@ -120,17 +121,18 @@
    * Watches from the version on that is known, unless a watch is open. After one that has said
    * something the first word has to come sooner, so that one more silent one is noticed in time.
    */
-  void follow() {
+  void watchEndpoints() {
     if (watch != null && !watch.isClosed()) {
       return;
     }
-    long patience = watch != null && watch.hasSpoken() ? Watch.FIRST : Watch.SILENCE;
+    long patience =
+        watch != null && watch.hasSpoken() ? WatchConnection.FIRST : WatchConnection.SILENCE;
     try {
       watch =
-          Watch.open(
+          WatchConnection.open(
               loop,
               group,
-              new Watch.Target(discovery, PATH, version, scope),
+              new WatchConnection.Target(discovery, PATH, version, scope),
               patience,
               this::told,
               this::failed);
@@ -145,7 +147,7 @@
       watch.close();
     }
     version = -1;
-    follow();
+    watchEndpoints();
   }
 
   /** Another scope goes with its requests from now on; the whole list of it is asked for. */
@@ -172,12 +174,12 @@
    * has taken its time.
    */
   private void failed(String why, boolean silent, boolean spoke) {
-    Event.info("watch on the list", null, why);
+    EventLog.info("watch on the list", null, why);
     unread = watch != null && watch.isUnread();
     if (silent) {
-      follow();
+      watchEndpoints();
     } else {
-      rules.listFailed(spoke);
+      rules.endpointListFailed(spoke);
     }
   }
 
@@ -189,7 +191,7 @@
       }
       known = null;
       list(news, false);
-    } catch (IOException | BadConfig e) {
+    } catch (IOException | InvalidConfigurationException e) {
       String fault = String.valueOf(e.getMessage()).split("\n")[0];
       watch.unreadable("skipped news that can't be read: " + fault); // and asked for again
     }
@@ -206,7 +208,7 @@
     boolean old = rev < version;
     boolean all = news.flag("all");
     if (old) {
-      Event.warning("old news of the list", null, "revision " + rev + " after " + version);
+      EventLog.warning("old news of the list", null, "revision " + rev + " after " + version);
     }
     if (old && !all) {
       return;
@@ -223,33 +225,33 @@
     for (Settings entry : entries) {
       try {
         entry(entry, old);
-      } catch (BadConfig e) {
+      } catch (InvalidConfigurationException e) {
         why = skipped++ == 0 ? e.getMessage() : why;
       }
     }
     if (skipped > 0) { // one line, whatever the size of the fleet
-      Event.warning(
+      EventLog.warning(
           "skipped " + skipped + " of " + entries.size() + " entries of the list", null, why);
     }
     if (!met.isEmpty()) { // one line too: at a start a line each took 2 ms
-      Event.info("met srv", null, String.join(", ", met));
+      EventLog.info("met srv", null, String.join(", ", met));
     }
     if (beyond > 0) {
-      Event.warning(
+      EventLog.warning(
           "left out " + beyond + " of " + entries.size() + " entries of the list",
           null,
-          Rules.MOST + " backends are known at most");
+          LoadBalancer.MAX_BACKENDS + " backends are known at most");
     }
     version = rev;
     unread = false;
-    rules.listed(saved);
+    rules.endpointListUpdated(saved);
     inForce.accept(version);
   }
 
-  private void gone(Backend backend) {
+  private void gone(BackendConnectionPool backend) {
     if (fleet.left(backend)) {
-      Event.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
-      rules.gone(backend.at);
+      EventLog.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
+      rules.removeBackend(backend.at);
       backend.leaves();
     }
   }
@@ -262,37 +264,38 @@
       return;
     }
     if (!state.equals("SERVING") && !state.equals("DRAINING")) {
-      throw new BadConfig("state", "unknown: " + state);
+      throw new InvalidConfigurationException("state", "unknown: " + state);
     }
-    InetSocketAddress address = Config.address("endpoint", e.word("endpoint"));
+    InetSocketAddress address = ProxyConfig.address("endpoint", e.word("endpoint"));
     long up = (long) (e.number("boot_ms", 0) * 10);
     int zone = zones.indexOf(e.word("az", ""));
     int kind = Math.max(0, kinds.indexOf(e.word("model", "")));
     int pack = e.count("pod_group", 0);
     double weight = e.number("capacity_hint", 1);
-    Backend known = fleet.find(id);
+    BackendConnectionPool known = fleet.find(id);
     boolean left = old && known != null && known.hasLeft(up);
-    Backend backend = fleet.admit(id);
+    BackendConnectionPool backend = fleet.admit(id);
     boolean fresh = fleet.met(backend);
     if (fresh) {
       met.add(number(id) + ": " + id + " at " + e.word("endpoint"));
     }
     boolean ready = state.equals("SERVING") && !left;
-    Event.detail("srv", Long.toString(number(id)), () -> id + " " + state + ", up since " + up);
-    if (backend.at >= Rules.MOST) {
+    EventLog.detail("srv", Long.toString(number(id)), () -> id + " " + state + ", up since " + up);
+    if (backend.at >= LoadBalancer.MAX_BACKENDS) {
       beyond++;
       return;
     }
-    rules.entry(
-        backend.at,
-        number(id),
-        ready,
-        zone,
-        pack,
-        kind,
-        weight,
-        up <= 0 ? Fleet.LONG_AGO : up,
-        fresh);
+    rules.updateBackend(
+        new EndpointUpdate(
+            backend.at,
+            number(id),
+            ready,
+            zone,
+            pack,
+            kind,
+            weight,
+            up <= 0 ? BackendIndex.LONG_AGO : up,
+            fresh));
     backend.serves(address, up);
     if (!ready) {
       backend.leaves();
--- a/proxy/src/main/java/wheattrack/net/WarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -2,45 +2,49 @@
 
 import java.nio.ByteBuffer;
 import java.util.Map;
-import wheattrack.Rules;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.ProbeCallback;
+import wheattrack.api.RequestClass;
 import wheattrack.config.Settings;
-import wheattrack.core.Deadlines;
-import wheattrack.core.Fleet;
-import wheattrack.http.BadMessage;
+import wheattrack.core.BackendIndex;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
 import wheattrack.http.Headers;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet;
+import wheattrack.policy.LoadBalancer;
 
 /**
  * Runs the code in before the first req: canned messages go through parsers, a module of its own
  * and the encoder, with no socket and a clock of its own; each dispatch is done at the next tick.
  */
-final class WarmUp implements Port {
+final class JitWarmUp implements PolicyRuntime {
   private static final int SRVS = 8;
   private static final long TICK = 20;
 
-  private final Map<String, RuleSet> sets;
-  private final Deadlines deadlines = new Deadlines();
+  private final Map<String, RequestClass> sets;
+  private final TimerQueue deadlines = new TimerQueue();
   private final RequestDecoder in = new RequestDecoder();
   private final ResponseDecoder back = new ResponseDecoder();
-  private final Rules rules;
+  private final LoadBalancer rules;
   private long now = 1;
 
-  WarmUp(Settings settings) {
-    RuleSet[] all = settings.ruleSets();
+  JitWarmUp(Settings settings) {
+    RequestClass[] all = settings.ruleSets();
     sets = settings.byName(all);
     rules = settings.rules(this, 1, all, false);
     for (int b = 0; b < SRVS; b++) {
-      rules.entry(b, b, true, 0, 0, 0, 1, Fleet.LONG_AGO, true);
+      rules.updateBackend(new EndpointUpdate(b, b, true, 0, 0, 0, 1, BackendIndex.LONG_AGO, true));
     }
-    rules.listed(false);
+    rules.endpointListUpdated(false);
   }
 
   /**
@@ -60,13 +64,13 @@
           due.run();
         }
       } while (n < most && System.nanoTime() < until);
-    } catch (BadMessage | Wire.Unfit e) {
+    } catch (MalformedMessageException | ProtocolMapping.Unfit e) {
       throw new IllegalStateException("a canned message is not taken", e);
     }
     return n;
   }
 
-  private void one(String name, int n) throws BadMessage, Wire.Unfit {
+  private void one(String name, int n) throws MalformedMessageException, ProtocolMapping.Unfit {
     Headers headers =
         new Headers()
             .with("Host", "warm.up")
@@ -84,9 +88,10 @@
         room.put(bytes.get());
       }
     }
-    Wire.Call call = Wire.call(in.next(), sets);
-    rules.arrive(
-        new Req(call.ruleSet(), 0, 0, now, now + call.timeout(), call.cost(), call.again(), call));
+    ProtocolMapping.Call call = ProtocolMapping.call(in.next(), sets);
+    rules.accept(
+        new PendingRequest(
+            call.ruleSet(), now, now + call.timeout(), call.cost(), call.again(), call));
   }
 
   @Override
@@ -95,68 +100,63 @@
   }
 
   @Override
-  public void dispatch(Req req, int backend, long tryFor, Result next) {
-    Wire.Call call = (Wire.Call) req.door;
-    Encoder.request(Wire.onward(call.request(), tryFor));
+  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
+    ProtocolMapping.Call call = (ProtocolMapping.Call) req.attachment();
+    Encoder.request(ProtocolMapping.onward(call.request(), tryFor));
     long sent = now;
     deadlines.add(now + 1, () -> next.ended(answer(call.request().body()), now - sent, true));
   }
 
-  private Outcome answer(byte[] body) {
+  private AttemptOutcome answer(byte[] body) {
     Headers headers = new Headers().with("Content-Type", "application/json");
     back.room()
         .put(Encoder.response(new Response(200, headers, true, new byte[body.length % 200])));
     try {
       Response answer = back.next();
-      Encoder.response(Wire.done(answer, true, true));
-      return Wire.outcome(answer);
-    } catch (BadMessage e) {
-      return Outcome.ERROR;
+      Encoder.response(ProtocolMapping.done(answer, true, true));
+      return ProtocolMapping.outcome(answer);
+    } catch (MalformedMessageException e) {
+      return AttemptOutcome.ERROR;
     }
   }
 
   @Override
-  public void cancel(Req req, int leg) {
+  public void cancelAttempt(PendingRequest req, int leg) {
     // a dispatch that is called off here is done all the same
   }
 
   @Override
-  public void deny(Req req, long wait) {
-    Encoder.response(Wire.denied(wait, true));
+  public void reject(PendingRequest req, long wait) {
+    Encoder.response(ProtocolMapping.denied(wait, true));
   }
 
   @Override
-  public void abort(Req req) {
-    Encoder.response(Wire.plain(502, "given up", true));
+  public void fail(PendingRequest req) {
+    Encoder.response(ProtocolMapping.plain(502, "given up", true));
   }
 
   @Override
-  public void probe(int backend, Heard next) {
+  public void probeLoad(int backend, ProbeCallback next) {
     // no backend is there
   }
 
   @Override
-  public void hangUp(int backend) {
+  public void closeIdleConnections(int backend) {
     // no connection is there
   }
 
   @Override
-  public void later(long delay, Runnable next) {
+  public void schedule(long delay, Runnable next) {
     deadlines.add(now + delay, next);
   }
 
   @Override
-  public void follow() {
+  public void watchEndpoints() {
     // the list stands
   }
 
   @Override
-  public void fetch() {
-    // the list stands
-  }
-
-  @Override
-  public void log(String text) {
+  public void report(PolicyEvent event) {
     // what is judged of canned answers is no news
   }
 }
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import wheattrack.Rules;
-import wheattrack.config.BadConfig;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
 import wheattrack.http.Response;
-import wheattrack.log.Event;
+import wheattrack.log.EventLog;
+import wheattrack.policy.LoadBalancer;
 
 /**
  * Where load reports stand on the wire, a JSON object of figures: the body of a probe's answer, as
@@ -18,17 +18,17 @@
 final class LoadReports {
   private static final int LONGEST = 1024;
 
-  private final Rules rules;
+  private final LoadBalancer rules;
   private final String header;
 
   /** header: of answers to reqs; empty where they carry no report. */
-  LoadReports(Rules rules, String header) {
+  LoadReports(LoadBalancer rules, String header) {
     this.rules = rules;
     this.header = header;
   }
 
   /** Tells the module what came with an answer to a req, or to a probe. */
-  void read(Backend from, Response answer, boolean probe) {
+  void read(BackendConnectionPool from, Response answer, boolean probe) {
     if (answer == null || !probe && header.isEmpty()) {
       return;
     }
@@ -39,9 +39,10 @@
     }
     try {
       Settings figures = new Settings(Json.object(text));
-      rules.load(from.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
-    } catch (IOException | BadConfig e) {
-      Event.detail("load report", from.id, () -> "can't be read: " + text);
+      rules.onLoadReport(
+          from.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+    } catch (IOException | InvalidConfigurationException e) {
+      EventLog.detail("load report", from.id, () -> "can't be read: " + text);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/Seats.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessLock.java
@@ -6,14 +6,14 @@
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import wheattrack.log.Event;
+import wheattrack.log.EventLog;
 
 /**
  * Who of one proxy's processes runs beside this one: two seats, locks on a file that both can
  * reach. A lock dies with its holder, however it ends, so that leftovers hinder nobody. On the
  * loop's thread only.
  */
-final class Seats {
+final class ProcessLock {
   /**
    * ALONE: nobody is beside. OLDER: a newer process has begun. NEWER: an older one is not gone yet.
    */
@@ -34,7 +34,7 @@
    * alone, too, as at a free port, which is nobody's to share: two builds at once, and the second
    * rehearsal hung.
    */
-  Seats(Path folder, String proxy) {
+  ProcessLock(Path folder, String proxy) {
     file = folder == null ? null : open(folder, proxy);
     look();
   }
@@ -48,7 +48,7 @@
           StandardOpenOption.READ,
           StandardOpenOption.WRITE);
     } catch (IOException | RuntimeException e) {
-      Event.warning("no seat", null, "counts as the only process of this proxy: " + e);
+      EventLog.warning("no seat", null, "counts as the only process of this proxy: " + e);
       return null;
     }
   }
@@ -72,10 +72,10 @@
         place = other == null ? Place.OLDER : Place.ALONE;
       }
     } catch (IOException e) {
-      Event.warning("seats can't be read", null, e.toString());
+      EventLog.warning("seats can't be read", null, e.toString());
     }
     if (place != was) {
-      Event.info(
+      EventLog.info(
           "process",
           place.name(),
           switch (place) {
@@ -114,7 +114,7 @@
         file.close();
       }
     } catch (IOException e) {
-      Event.warning("the seat", null, e.toString());
+      EventLog.warning("the seat", null, e.toString());
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/Wire.java
+++ b/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
@@ -5,16 +5,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.RequestClass;
 import wheattrack.config.Settings;
 import wheattrack.http.Decoder;
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
-import wheattrack.port.Outcome;
-import wheattrack.port.RuleSet;
 
 /** The protocol's names, turned into ours and back. */
-final class Wire {
+final class ProtocolMapping {
   static final String READY = "/ready";
   private static final String HEALTH = "/health";
   private static final String LOAD = "/status/load";
@@ -48,7 +48,7 @@
       String id,
       Request request,
       String name,
-      RuleSet ruleSet,
+      RequestClass ruleSet,
       long timeout,
       int cost,
       boolean again) {}
@@ -64,20 +64,20 @@
     }
   }
 
-  private Wire() {}
+  private ProtocolMapping() {}
 
-  static Call call(Request r, Map<String, RuleSet> sets) throws Unfit {
+  static Call call(Request r, Map<String, RequestClass> sets) throws Unfit {
     Headers h = r.headers();
     String id = h.first(ID);
     if (id == null || id.isEmpty()) {
       throw new Unfit(400, "no " + ID);
     }
     String name = name(r);
-    RuleSet set = sets.get(name);
+    RequestClass set = sets.get(name);
     if (set == null) {
       throw new Unfit(404, "unknown " + RULE_SET + " " + name);
     }
-    long timeout = figure(h, TIMEOUT, 10_000, set.timeout(), set.timeout());
+    long timeout = figure(h, TIMEOUT, 10_000, set.clientTimeout(), set.clientTimeout());
     int cost = Settings.cost(figure(h, HINT, 1, MOST_HINT, 0));
     return new Call(id, r, name, set, timeout, cost, "1".equals(h.first(AGAIN)));
   }
@@ -128,12 +128,14 @@
         NOTHING);
   }
 
-  static Outcome outcome(Response r) {
+  static AttemptOutcome outcome(Response r) {
     if (r.status() == 200) {
-      return Outcome.DONE;
+      return AttemptOutcome.DONE;
     }
     boolean no = r.status() == 503 || r.status() == 504;
-    return no && "1".equals(r.headers().first(NOT_RUN)) ? Outcome.FULL : Outcome.ERROR;
+    return no && "1".equals(r.headers().first(NOT_RUN))
+        ? AttemptOutcome.FULL
+        : AttemptOutcome.ERROR;
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/Server.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -8,21 +8,21 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
-import wheattrack.admin.Admin;
-import wheattrack.admin.Figures;
-import wheattrack.aio.Loop;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Config;
+import wheattrack.admin.AdminServer;
+import wheattrack.admin.MetricsFormat;
+import wheattrack.aio.EventLoop;
+import wheattrack.api.RequestClass;
+import wheattrack.config.DynamicSettings;
+import wheattrack.config.InvalidConfigurationException;
+import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
-import wheattrack.config.SettingsFeed;
-import wheattrack.core.Counts;
-import wheattrack.core.Life;
-import wheattrack.core.Life.Phase;
-import wheattrack.log.Event;
-import wheattrack.port.RuleSet;
+import wheattrack.core.Lifecycle;
+import wheattrack.core.Lifecycle.Phase;
+import wheattrack.core.RequestCounters;
+import wheattrack.log.EventLog;
 
 /** One real proxy: puts the parts together and leads them from start to exit. */
-public final class Server {
+public final class ProxyServer {
   private static final Logger LOG = Logger.getLogger("wheattrack");
   // Of the descriptors: some for the program itself, parts of the rest, the last bit for surplus
   // clients.
@@ -38,49 +38,50 @@
   // For discovery's list before the one known of old is used: a watch silent so long is dead. Mass
   // restart: the known one named drained srvs. Clients wait as long as a dial may take, then are
   // denied.
-  private static final long LIST_WAIT = Watch.SILENCE;
+  private static final long LIST_WAIT = WatchConnection.SILENCE;
   // Where discovery answers and its list can't be read: a proxy that knows of no backend takes
   // clients from
   // those that do. Ready all the same in the time that a restart may take.
-  private static final long UNREAD_WAIT = 2 * Watch.SILENCE;
+  private static final long UNREAD_WAIT = 2 * WatchConnection.SILENCE;
 
-  private Config config;
-  private final Loop loop = new Loop();
-  private final Life life = new Life(phase -> Event.info("phase", phase.name(), null));
-  private final Counts counts = new Counts();
-  private final Front front;
-  private final Admin admin;
-  private final Listing listing;
-  private final Proxy proxy;
-  private final Dialler dialler;
-  private final SettingsFeed feed;
-  private final SettingsWatch settingsWatch;
+  private ProxyConfig config;
+  private final EventLoop loop = new EventLoop();
+  private final Lifecycle life = new Lifecycle(phase -> EventLog.info("phase", phase.name(), null));
+  private final RequestCounters counts = new RequestCounters();
+  private final ClientListener front;
+  private final AdminServer admin;
+  private final EndpointDiscovery listing;
+  private final RequestHandler proxy;
+  private final Connector dialler;
+  private final DynamicSettings feed;
+  private final SettingsSubscription settingsWatch;
   private long longest;
   private final AsynchronousChannelGroup group;
-  private final Seats seats;
+  private final ProcessLock seats;
   private String fault;
   private final CountDownLatch ended = new CountDownLatch(1);
 
-  public Server(Config config) throws IOException {
+  public ProxyServer(ProxyConfig config) throws IOException {
     this(config, "");
   }
 
   /** loadHeader: of backends' answers, where their load stands; empty where answers carry none. */
-  public Server(Config config, String loadHeader) throws IOException {
+  public ProxyServer(ProxyConfig config, String loadHeader) throws IOException {
     this(config, loadHeader, null, "");
   }
 
   /**
    * source: where settings are watched, or null; scope: goes with requests for them and the list.
    */
-  public Server(Config config, String loadHeader, InetSocketAddress source, String scope)
+  public ProxyServer(ProxyConfig config, String loadHeader, InetSocketAddress source, String scope)
       throws IOException {
     this.config = config;
     group = AsynchronousChannelGroup.withThreadPool(loop);
-    seats = new Seats(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
+    seats =
+        new ProcessLock(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
     Settings settings = config.settings;
     dialler =
-        new Dialler(
+        new Connector(
             loop,
             group,
             (int) (BACKENDS * free()),
@@ -88,7 +89,7 @@
             settings.time("limits.dialTimeout", 250_000),
             settings.time("limits.idleClose", 0));
     listing =
-        new Listing(
+        new EndpointDiscovery(
             loop,
             group,
             dialler,
@@ -97,9 +98,9 @@
             settings.list("kinds"),
             config.known,
             scope);
-    proxy = new Proxy(loop, listing, counts, settings, config.seed, loadHeader);
+    proxy = new RequestHandler(loop, listing, counts, settings, config.seed, loadHeader);
     front =
-        new Front(
+        new ClientListener(
             loop,
             life,
             (int) (CLIENTS * free()),
@@ -108,16 +109,16 @@
             () -> listing.isThere() ? "" : ", no list");
     proxy.from(front);
     proxy.beside(isBeside());
-    if (seats.place() != Seats.Place.NEWER) {
+    if (seats.place() != ProcessLock.Place.NEWER) {
       front.listen(group, config.listen);
     }
     admin = config.admin == null ? null : admin(group);
     longest = longest(settings);
-    feed = source == null ? null : new SettingsFeed();
+    feed = source == null ? null : new DynamicSettings();
     settingsWatch =
         source == null
             ? null
-            : new SettingsWatch(
+            : new SettingsSubscription(
                 loop, group, source, scope, config.seed, counts, feed, told -> turnToTold());
   }
 
@@ -136,7 +137,10 @@
   }
 
   private static long longest(Settings settings) {
-    return Arrays.stream(settings.ruleSets()).mapToLong(RuleSet::timeout).max().orElse(0);
+    return Arrays.stream(settings.ruleSets())
+        .mapToLong(RequestClass::clientTimeout)
+        .max()
+        .orElse(0);
   }
 
   /** The folder that all processes of this proxy can reach. */
@@ -147,14 +151,15 @@
   }
 
   private boolean isBeside() {
-    return seats.place() != Seats.Place.ALONE;
+    return seats.place() != ProcessLock.Place.ALONE;
   }
 
   /**
    * Descriptors for clients and backends; two processes beside each other have half of all each.
    */
   private int free() {
-    int own = Math.max(OWN, config.sockets / 16) + (config.admin == null ? 0 : 1 + Admin.PLACES);
+    int own =
+        Math.max(OWN, config.sockets / 16) + (config.admin == null ? 0 : 1 + AdminServer.PLACES);
     return Math.max(8, (isBeside() ? config.sockets / 2 : config.sockets) - own);
   }
 
@@ -169,13 +174,14 @@
     loop.after(LOOK_BESIDE, this::lookBeside);
   }
 
-  private Admin admin(AsynchronousChannelGroup group) {
-    Figures figures =
-        new Figures(counts, proxy::open, listing::listed, proxy::avoided, listing::leftOut);
+  private AdminServer admin(AsynchronousChannelGroup group) {
+    MetricsFormat figures =
+        new MetricsFormat(counts, proxy::open, listing::listed, proxy::avoided, listing::leftOut);
     try {
-      return new Admin(loop, group, life, config.admin, figures::text);
+      return new AdminServer(loop, group, life, config.admin, figures::text);
     } catch (IOException e) {
-      throw new BadConfig("admin", config.admin + " can't be had: " + e.getMessage());
+      throw new InvalidConfigurationException(
+          "admin", config.admin + " can't be had: " + e.getMessage());
     }
   }
 
@@ -195,7 +201,7 @@
     life.enter(Phase.WARMING);
     loop.execute(this::warmUp);
     if (settingsWatch != null) {
-      loop.execute(settingsWatch::follow);
+      loop.execute(settingsWatch::watch);
     }
     try {
       loop.run();
@@ -205,13 +211,13 @@
       ended.countDown();
     }
     if (fault != null) {
-      throw new BadConfig("listen", fault);
+      throw new InvalidConfigurationException("listen", fault);
     }
   }
 
   private void warmUp() {
-    boolean newer = seats.place() == Seats.Place.NEWER;
-    int reqs = new WarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
+    boolean newer = seats.place() == ProcessLock.Place.NEWER;
+    int reqs = new JitWarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
     LOG.fine("warmed up with " + reqs + " reqs");
     lookBeside();
     readyFrom(loop.now());
@@ -271,12 +277,12 @@
     loop.execute(
         () -> {
           try {
-            turnTo(Config.reread(file, config));
+            turnTo(ProxyConfig.reread(file, config));
             counts.reread++;
-          } catch (BadConfig e) {
+          } catch (InvalidConfigurationException e) {
             counts.turnedDown++;
             String name = e.getMessage().startsWith(file.toString()) ? null : file.toString();
-            Event.warning("configuration kept as it was", name, e.getMessage());
+            EventLog.warning("configuration kept as it was", name, e.getMessage());
           }
         });
   }
@@ -286,7 +292,7 @@
     loop.execute(
         () -> {
           if (settingsWatch == null || source == null) {
-            Event.warning(
+            EventLog.warning(
                 "settings' source kept as it was", null, "only a restart begins or ends a watch");
           } else {
             settingsWatch.turnTo(source, scope);
@@ -296,7 +302,7 @@
   }
 
   /** Reqs, connections and what is learnt stay; what only a start can change is named. */
-  private void turnTo(Config next) {
+  private void turnTo(ProxyConfig next) {
     List<String> fixed = next.fixedAgainst(config);
     LOG.info(
         "configuration read again, list from "
@@ -311,7 +317,7 @@
 
   private void drain() {
     if (life.enter(Phase.DRAINING)) {
-      if (seats.look() == Seats.Place.OLDER) {
+      if (seats.look() == ProcessLock.Place.OLDER) {
         front.shut(); // new connections are the newer process's
       } else if (front.isListening()) {
         front.open(); // before it was ready, too: who has connected is answered
--- a/proxy/src/main/java/wheattrack/net/Body.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -7,14 +7,14 @@
  * takes it. It may go to one backend after another until its first piece has gone; then never
  * again.
  */
-final class Body {
-  private final Client client;
+final class RequestBodyRelay {
+  private final ClientConnection client;
   private final Runnable whole;
-  private Upstream to;
+  private BackendConnection to;
   private boolean begun, ended;
 
   /** whole: to be done when its last byte has come. */
-  Body(Client client, Runnable whole) {
+  RequestBodyRelay(ClientConnection client, Runnable whole) {
     this.client = client;
     this.whole = whole;
   }
@@ -29,7 +29,7 @@
   }
 
   /** This connection has written all that it had, and waits for more. */
-  void pull(Upstream by) {
+  void pull(BackendConnection by) {
     to = by;
     client.pull(this::piece);
   }
@@ -46,7 +46,7 @@
   }
 
   /** This connection takes no more; what has come and was not asked for stays with the client. */
-  void stop(Upstream by) {
+  void stop(BackendConnection by) {
     if (to == by) {
       to = null;
       client.pull(null);
