--- a/proxy/src/main/java/wheattrack/net/Proxy.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -4,27 +4,27 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.logging.Level;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import wheattrack.Rules;
-import wheattrack.aio.Loop;
+import wheattrack.aio.EventLoop;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.ProbeCallback;
+import wheattrack.api.RequestClass;
+import wheattrack.config.DynamicSettings;
 import wheattrack.config.Settings;
-import wheattrack.config.SettingsFeed;
-import wheattrack.core.Counts;
-import wheattrack.core.Counts.End;
-import wheattrack.core.Slots;
+import wheattrack.core.RequestCounters;
+import wheattrack.core.RequestCounters.End;
+import wheattrack.core.SlotTable;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
-import wheattrack.log.Event;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet;
+import wheattrack.log.EventLog;
+import wheattrack.policy.LoadBalancer;
 
 /** The module's port on sockets: reqs, dispatches and the list; it decides nothing. */
-final class Proxy implements Port, Front.Taker {
-  /** What the module says of a srv: what happened, its number, why. */
-  private static final Pattern SAID = Pattern.compile("(\\D+) (\\d+): (.*)");
+final class RequestHandler implements PolicyRuntime, ClientListener.Taker {
 
   /** Of a req's time, kept back so that its answer is out before the client stops waiting. */
   private static final long WRITE_PART = 200;
@@ -34,29 +34,34 @@
   /** Of the response target: how long an answer of unknown length is kept back. */
   private static final long HOLD = 2;
 
-  private final Loop loop;
-  private final Listing listing;
-  private final Counts counts;
-  private Map<String, RuleSet> sets;
-  private final Slots<Guest> guests = new Slots<>();
+  private final EventLoop loop;
+  private final EndpointDiscovery listing;
+  private final RequestCounters counts;
+  private Map<String, RequestClass> sets;
+  private final SlotTable<InFlightRequest> guests = new SlotTable<>();
   private final Set<String> ids = new HashSet<>();
-  private final Rules rules;
+  private final LoadBalancer rules;
   private boolean reports;
   private final LoadReports loads;
   private long probeTimeout;
-  private Front front;
+  private ClientListener front;
 
   /** When this process ends: reqs that come late have their answer before. */
   private long until = Long.MAX_VALUE;
 
-  Proxy(
-      Loop loop, Listing listing, Counts counts, Settings settings, long seed, String loadHeader) {
+  RequestHandler(
+      EventLoop loop,
+      EndpointDiscovery listing,
+      RequestCounters counts,
+      Settings settings,
+      long seed,
+      String loadHeader) {
     this.loop = loop;
     this.listing = listing;
     this.counts = counts;
-    RuleSet[] all = settings.ruleSets();
+    RequestClass[] all = settings.ruleSets();
     name(settings, all);
-    rules = settings.rules(this, seed, all, true, Watch.ASK_EVERY_AT_MOST);
+    rules = settings.rules(this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
     loads = new LoadReports(rules, loadHeader);
     listing.tell(rules);
   }
@@ -66,20 +71,20 @@
    * feed: what a watched source has told, which goes before their rule sets, tenants and limits;
    * null or empty: nothing.
    */
-  void turnTo(Settings settings, SettingsFeed feed) {
+  void turnTo(Settings settings, DynamicSettings feed) {
     if (feed != null && feed.isThere()) {
       Settings held = feed.over(settings);
-      held.parts(listing.zones(), feed.quota()).accept(rules, feed.summary());
+      rules.configure(held.policySettings(listing.zones(), feed.quota()), feed.summary());
       sets = feed.sets();
       further(held);
       return;
     }
-    RuleSet[] all = settings.ruleSets();
-    settings.parts(listing.zones()).accept(rules, all);
+    RequestClass[] all = settings.ruleSets();
+    rules.configure(settings.policySettings(listing.zones()), all);
     name(settings, all);
   }
 
-  private void name(Settings settings, RuleSet[] all) {
+  private void name(Settings settings, RequestClass[] all) {
     sets = settings.byName(all);
     settings.names().forEach(counts::name); // in their order, which the figures keep
     further(settings);
@@ -90,7 +95,7 @@
     probeTimeout = settings.time("limits.dialTimeout", 250_000);
   }
 
-  void from(Front clients) {
+  void from(ClientListener clients) {
     front = clients;
   }
 
@@ -100,12 +105,12 @@
 
   /** Backends on the list that the module keeps away from now. */
   int avoided() {
-    return rules.avoided();
+    return rules.ejectedCount();
   }
 
   /** Another process of this proxy is there, or is no more. */
   void beside(boolean other) {
-    rules.beside(other);
+    rules.setOtherProcessPresent(other);
   }
 
   // ---- reqs
@@ -113,39 +118,40 @@
   /** A request that is turned away unheard, as too many clients are here. */
   @Override
   public void denied(Request request) {
-    String name = Wire.name(request);
+    String name = ProtocolMapping.name(request);
     if (sets.containsKey(name)) {
       counts.ended(name, End.DENIED);
     }
   }
 
   @Override
-  public void take(Client client, Request request) {
-    Wire.Call call;
+  public void take(ClientConnection client, Request request) {
+    ProtocolMapping.Call call;
     try {
-      call = Wire.call(request, sets);
+      call = ProtocolMapping.call(request, sets);
       if (!ids.add(call.id())) { // bad clients: copies reached srvs
-        throw new Wire.Unfit(409, "a req of this id is open");
+        throw new ProtocolMapping.Unfit(409, "a req of this id is open");
       }
-    } catch (Wire.Unfit e) {
+    } catch (ProtocolMapping.Unfit e) {
       front.refused(e.status, e.getMessage());
-      client.answer(Wire.plain(e.status, e.getMessage(), front.keeps(request.keep())));
+      client.answer(ProtocolMapping.plain(e.status, e.getMessage(), front.keeps(request.keep())));
       return;
     }
-    Guest guest = new Guest(client, call);
+    InFlightRequest guest = new InFlightRequest(client, call);
     guest.slot = guests.add(guest);
     client.onLeft(() -> left(guest));
     long due = due(loop.now() + call.timeout() - Math.max(10, call.timeout() / WRITE_PART));
     if (request.more() != 0) {
-      guest.body = new Body(client, () -> bodyWhole(guest));
+      guest.body = new RequestBodyRelay(client, () -> bodyWhole(guest));
     }
-    guest.req = new Req(call.ruleSet(), 0, 0, loop.now(), due, call.cost(), call.again(), guest);
+    guest.req =
+        new PendingRequest(call.ruleSet(), loop.now(), due, call.cost(), call.again(), guest);
     if (guest.body == null) {
       guard(guest);
     }
-    guest.held = rules.arrive(guest.req);
+    guest.held = rules.accept(guest.req);
     if (guest.body != null && !guest.over) {
-      guest.held.streams(0); // no copy can be made of it
+      guest.held.streamingStarted(0); // no copy can be made of it
     }
   }
 
@@ -158,43 +164,42 @@
     return Math.min(asked, until - 2 * GUARD);
   }
 
-  private void guard(Guest guest) {
-    guest.guard = loop.after(guest.req.due + GUARD - loop.now(), () -> forgotten(guest));
+  private void guard(InFlightRequest guest) {
+    guest.guard = loop.after(guest.req.deadline() + GUARD - loop.now(), () -> forgotten(guest));
   }
 
   /** The last byte of a long body has come: the client's time runs from now on. */
-  private void bodyWhole(Guest guest) {
+  private void bodyWhole(InFlightRequest guest) {
     if (guest.over) {
       return;
     }
-    guest.req.begins(loop.now());
-    guest.req.due = due(guest.req.due);
+    guest.req.restartClock(loop.now(), until - 2 * GUARD);
     guard(guest);
     if (!guest.dispatches.isEmpty()) { // else its servers are still being asked for their load
-      guest.dispatches.get(guest.dispatches.size() - 1).waits(guest.req.due - loop.now());
+      guest.dispatches.get(guest.dispatches.size() - 1).waits(guest.req.deadline() - loop.now());
     }
   }
 
   /** Only a failure of the program leaves a req open past its due; even then it has its answer. */
-  private void forgotten(Guest guest) {
-    Event.log(Level.SEVERE, "a req stood open past its due", guest.call.id(), null);
-    guest.dispatches.forEach(d -> d.giveUp(Outcome.TIMEOUT));
+  private void forgotten(InFlightRequest guest) {
+    EventLog.log(Level.SEVERE, "a req stood open past its due", guest.call.id(), null);
+    guest.dispatches.forEach(d -> d.giveUp(AttemptOutcome.TIMEOUT));
     if (!guest.over) {
-      abort(guest.req);
+      fail(guest.req);
     }
   }
 
-  private void left(Guest guest) {
+  private void left(InFlightRequest guest) {
     if (!guest.over) {
       note(guest, "LEFT");
       settled(guest);
       guests.remove(guest.slot);
       if (guest.body != null && !guest.body.isWhole()) {
-        guest.dispatches.forEach(d -> d.end(Outcome.MOOT, null)); // it never will be
+        guest.dispatches.forEach(d -> d.end(AttemptOutcome.DISCARDED, null)); // it never will be
       }
       forget(guest);
       if (guest.held != null) {
-        guest.held.left();
+        guest.held.clientDisconnected();
       }
     }
   }
@@ -202,62 +207,64 @@
   /**
    * Its client has left. One sent again under its id on a new connection must not run beside it.
    */
-  private void forget(Guest guest) {
-    boolean again = guest.call.ruleSet().effect() == RuleSet.Effect.REPLAYABLE;
-    if (!again && guest.dispatches.stream().anyMatch(Dispatch::mayRun)) {
-      loop.after(guest.req.due - loop.now(), () -> ids.remove(guest.call.id()));
+  private void forget(InFlightRequest guest) {
+    boolean again = guest.call.ruleSet().idempotency() == Idempotency.IDEMPOTENT;
+    if (!again && guest.dispatches.stream().anyMatch(BackendAttempt::mayRun)) {
+      loop.after(guest.req.deadline() - loop.now(), () -> ids.remove(guest.call.id()));
     } else {
       ids.remove(guest.call.id());
     }
   }
 
-  private void close(Guest guest) {
+  private void close(InFlightRequest guest) {
     settled(guest);
     gone(guest);
   }
 
-  private void gone(Guest guest) {
+  private void gone(InFlightRequest guest) {
     guests.remove(guest.slot);
     ids.remove(guest.call.id());
   }
 
-  private void settled(Guest guest) {
+  private void settled(InFlightRequest guest) {
     guest.over = true;
     loop.cancel(guest.guard);
-    guest.dispatches.stream().filter(d -> !d.isBegun()).forEach(d -> d.giveUp(Outcome.MOOT));
+    guest.dispatches.stream()
+        .filter(d -> !d.isBegun())
+        .forEach(d -> d.giveUp(AttemptOutcome.DISCARDED));
   }
 
-  private void answer(Guest guest, End how, Response response) {
+  private void answer(InFlightRequest guest, End how, Response response) {
     close(guest);
     counts.ended(guest.call.name(), how);
     note(guest, how.name());
     guest.client.answer(response);
   }
 
-  private void note(Guest guest, String end) {
-    Event.detail(
+  private void note(InFlightRequest guest, String end) {
+    EventLog.detail(
         "req",
         guest.call.id(),
         () ->
             end
                 + " after "
-                + (loop.now() - guest.req.arrived) / 10
+                + (loop.now() - guest.req.arrivedAt()) / 10
                 + " ms, "
                 + guest.dispatches.size()
                 + " dispatches");
   }
 
-  private boolean keeps(Guest guest) {
+  private boolean keeps(InFlightRequest guest) {
     return front.keeps(guest.call.request().keep());
   }
 
   /** One dispatch of a req; its outcome goes to the module as a step of its own. */
-  private final class Leg extends Dispatch {
-    private final Guest guest;
+  private final class Leg extends BackendAttempt {
+    private final InFlightRequest guest;
     private final long until;
-    private final Result next;
+    private final AttemptCallback next;
 
-    Leg(Guest guest, Backend backend, long until, Result next) {
+    Leg(InFlightRequest guest, BackendConnectionPool backend, long until, AttemptCallback next) {
       super(backend, loop.now());
       this.guest = guest;
       this.until = until;
@@ -266,16 +273,18 @@
 
     @Override
     protected Request request() {
-      return Wire.onward(guest.call.request(), until - loop.now());
+      return ProtocolMapping.onward(guest.call.request(), until - loop.now());
     }
 
     @Override
     protected long holds() {
-      return guest.req.arrived + guest.req.ruleSet.target() / HOLD - loop.now();
+      return guest.req.arrivedAt()
+          + guest.req.requestClass().latencyObjective() / HOLD
+          - loop.now();
     }
 
     @Override
-    protected Body body() {
+    protected RequestBodyRelay body() {
       return guest.body;
     }
 
@@ -288,20 +297,20 @@
      * Done by its first bytes, for the module and for the client's time; then it is only passed on.
      */
     @Override
-    protected Passing begins(Response head) {
+    protected ResponseRelay begins(Response head) {
       loads.read(backend, head, false);
       if (guest.over) {
-        loop.step(() -> next.ended(Outcome.DONE, loop.now() - sent, true));
+        loop.step(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
         return null;
       }
-      Response answer = Wire.done(head, keeps(guest), guest.call.request().chunks());
-      Event.detail(
+      Response answer = ProtocolMapping.done(head, keeps(guest), guest.call.request().chunks());
+      EventLog.detail(
           "dispatch",
           guest.call.id(),
           () ->
               "to " + backend.id + " at " + sent + ", a long answer after " + (loop.now() - sent));
-      Passing rest =
-          new Passing(
+      ResponseRelay rest =
+          new ResponseRelay(
               on,
               guest.client,
               answer.more(),
@@ -312,13 +321,13 @@
               });
       settled(guest);
       guest.client.begin(answer, rest);
-      loop.step(() -> next.ended(Outcome.DONE, loop.now() - sent, true));
+      loop.step(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
       return rest;
     }
 
     @Override
-    protected void ended(Outcome how, Response answer) {
-      Event.detail(
+    protected void ended(AttemptOutcome how, Response answer) {
+      EventLog.detail(
           "dispatch",
           guest.call.id(),
           () ->
@@ -332,96 +341,100 @@
                   + how
                   + " after "
                   + (loop.now() - sent));
-      if (how == Outcome.DONE && !guest.over) {
-        answer(guest, End.DONE, Wire.done(answer, keeps(guest), guest.call.request().chunks()));
+      if (how == AttemptOutcome.DONE && !guest.over) {
+        answer(
+            guest,
+            End.DONE,
+            ProtocolMapping.done(answer, keeps(guest), guest.call.request().chunks()));
       }
       loads.read(backend, answer, false);
-      boolean unfit = how == Outcome.ERROR && Wire.isUnfit(answer);
+      boolean unfit = how == AttemptOutcome.ERROR && ProtocolMapping.isUnfit(answer);
       if (unfit && !guest.over) { // bad clients: srvs were blamed for them
         answer(
             guest,
             End.ABORTED,
-            Wire.plain(answer.status(), "not taken by the backend", keeps(guest)));
+            ProtocolMapping.plain(answer.status(), "not taken by the backend", keeps(guest)));
       }
-      loop.step(() -> next.ended(unfit ? Outcome.MOOT : how, loop.now() - sent, guest.over));
+      loop.step(
+          () -> next.ended(unfit ? AttemptOutcome.DISCARDED : how, loop.now() - sent, guest.over));
     }
   }
 
   @Override
-  public void dispatch(Req req, int backend, long tryFor, Result next) {
-    Guest guest = (Guest) req.door;
-    long wait = tryFor == 0 ? req.due - loop.now() : tryFor;
+  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
+    InFlightRequest guest = (InFlightRequest) req.attachment();
+    long wait = tryFor == 0 ? req.deadline() - loop.now() : tryFor;
     Leg leg = new Leg(guest, listing.at(backend), loop.now() + wait, next);
-    leg.latest = guest.body == null ? Math.min(req.due, latest(guest)) : latest(guest);
+    leg.latest = guest.body == null ? Math.min(req.deadline(), latest(guest)) : latest(guest);
     guest.dispatches.add(leg);
     if (guest.body != null && !guest.body.isRepeatable()) {
       leg.backend.out++;
-      leg.giveUp(Outcome.MOOT); // a part of its body is gone: it can't be sent whole
+      leg.giveUp(AttemptOutcome.DISCARDED); // a part of its body is gone: it can't be sent whole
       return;
     }
-    leg.waits(guest.body == null ? wait : Math.max(wait, Upstream.PAUSE));
+    leg.waits(guest.body == null ? wait : Math.max(wait, BackendConnection.PAUSE));
     leg.backend.carry(leg);
   }
 
   /**
    * The module keeps to a uniqued req's window as it decides; a connection may take its time after.
    */
-  private static long latest(Guest guest) {
-    if (guest.req.ruleSet.effect() != RuleSet.Effect.UNIQUED) {
+  private static long latest(InFlightRequest guest) {
+    if (guest.req.requestClass().idempotency() != Idempotency.IDEMPOTENT_WITH_KEY) {
       return Long.MAX_VALUE;
     }
     return guest.dispatches.stream()
-            .filter(Dispatch::isBegun)
+            .filter(BackendAttempt::isBegun)
             .mapToLong(d -> d.sent)
             .min()
             .orElse(Long.MAX_VALUE / 2)
-        + guest.req.ruleSet.window();
+        + guest.req.requestClass().deduplicationWindow();
   }
 
   @Override
-  public void cancel(Req req, int leg) {
-    ((Guest) req.door).dispatches.get(leg).giveUp(Outcome.CANCELLED);
+  public void cancelAttempt(PendingRequest req, int leg) {
+    ((InFlightRequest) req.attachment()).dispatches.get(leg).giveUp(AttemptOutcome.CANCELLED);
   }
 
   @Override
-  public void deny(Req req, long wait) {
-    Guest guest = (Guest) req.door;
-    answer(guest, End.DENIED, Wire.denied(wait, keeps(guest)));
+  public void reject(PendingRequest req, long wait) {
+    InFlightRequest guest = (InFlightRequest) req.attachment();
+    answer(guest, End.DENIED, ProtocolMapping.denied(wait, keeps(guest)));
   }
 
   @Override
-  public void abort(Req req) {
-    Guest guest = (Guest) req.door;
+  public void fail(PendingRequest req) {
+    InFlightRequest guest = (InFlightRequest) req.attachment();
     answer(
         guest,
         End.ABORTED,
-        Wire.plain(loop.now() >= req.due ? 504 : 502, "given up", keeps(guest)));
+        ProtocolMapping.plain(loop.now() >= req.deadline() ? 504 : 502, "given up", keeps(guest)));
   }
 
   @Override
-  public void probe(int backend, Heard next) {
-    Dispatch probe =
-        new Dispatch(listing.at(backend), loop.now()) {
+  public void probeLoad(int backend, ProbeCallback next) {
+    BackendAttempt probe =
+        new BackendAttempt(listing.at(backend), loop.now()) {
           @Override
           protected Request request() {
-            return Wire.probe(reports);
+            return ProtocolMapping.probe(reports);
           }
 
           @Override
-          protected void ended(Outcome how, Response answer) {
+          protected void ended(AttemptOutcome how, Response answer) {
             loop.step(
                 () -> {
                   loads.read(backend, answer, true);
-                  next.ended(how == Outcome.DONE, loop.now() - sent);
+                  next.ended(how == AttemptOutcome.DONE, loop.now() - sent);
                 });
           }
         };
-    probe.timeout = loop.after(probeTimeout, () -> probe.giveUp(Outcome.TIMEOUT));
+    probe.timeout = loop.after(probeTimeout, () -> probe.giveUp(AttemptOutcome.TIMEOUT));
     probe.backend.carry(probe);
   }
 
   @Override
-  public void hangUp(int backend) {
+  public void closeIdleConnections(int backend) {
     listing.at(backend).hangUp();
   }
 
@@ -433,27 +446,17 @@
   }
 
   @Override
-  public void later(long delay, Runnable next) {
+  public void schedule(long delay, Runnable next) {
     loop.after(Math.max(1, delay), next); // one that asks for none still lets others have a turn
   }
 
   @Override
-  public void log(String text) {
-    Matcher said = SAID.matcher(text);
-    if (said.matches()) {
-      Event.info(said.group(1), said.group(2), said.group(3));
-    } else {
-      Event.info(text, null, null);
-    }
-  }
-
-  @Override
-  public void follow() {
-    listing.follow();
+  public void report(PolicyEvent event) {
+    EventLog.info(event.kind().logWord(), Long.toString(event.subject()), event.detail());
   }
 
   @Override
-  public void fetch() {
-    listing.fetch();
+  public void watchEndpoints() {
+    listing.watchEndpoints();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/Passing.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -9,15 +9,15 @@
  * A long answer on its way from a backend to a client, one piece at a time; it ends once, whole or
  * not.
  */
-final class Passing {
-  private final Upstream from;
-  private final Client to;
+final class ResponseRelay {
+  private final BackendConnection from;
+  private final ClientConnection to;
   private final boolean chunks;
   private final Consumer<Boolean> ended;
   private boolean last, over;
 
   /** more: how it is framed for the client. ended hears at last whether it was passed on whole. */
-  Passing(Upstream from, Client to, long more, Consumer<Boolean> ended) {
+  ResponseRelay(BackendConnection from, ClientConnection to, long more, Consumer<Boolean> ended) {
     this.from = from;
     this.to = to;
     chunks = more == Decoder.CHUNKED;
--- a/proxy/src/main/java/wheattrack/net/SettingsWatch.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -4,23 +4,23 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.util.function.Consumer;
-import wheattrack.aio.Loop;
-import wheattrack.config.BadConfig;
+import wheattrack.aio.EventLoop;
+import wheattrack.config.DynamicSettings;
+import wheattrack.config.DynamicSettings.Verdict;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
-import wheattrack.config.SettingsFeed;
-import wheattrack.config.SettingsFeed.Verdict;
-import wheattrack.core.Counts;
-import wheattrack.core.Deadlines;
-import wheattrack.figures.Chance;
-import wheattrack.log.Event;
+import wheattrack.core.RequestCounters;
+import wheattrack.core.TimerQueue;
+import wheattrack.log.EventLog;
+import wheattrack.statistics.SeededRandom;
 
 /**
  * The watch on a source of settings: keeps one open, feeds what it tells, asks for the whole where
  * that does not follow. What can't be used is one line of the log that names key and revision; what
  * holds goes on.
  */
-final class SettingsWatch {
+final class SettingsSubscription {
   static final String PATH = "/v1/settings";
 
   /**
@@ -30,29 +30,29 @@
    */
   private static final long FIRST = 2_500, LONGEST = 20_000;
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final AsynchronousChannelGroup group;
-  private final SettingsFeed feed;
-  private final Consumer<SettingsFeed> inForce;
-  private final Counts counts;
-  private final Chance chance;
+  private final DynamicSettings feed;
+  private final Consumer<DynamicSettings> inForce;
+  private final RequestCounters counts;
+  private final SeededRandom chance;
   private InetSocketAddress source;
   private String scope;
-  private Watch watch;
-  private Deadlines.Entry waits;
+  private WatchConnection watch;
+  private TimerQueue.Entry waits;
   private long pause;
   private boolean whole;
 
   /** inForce: hears each time, in the same step, that other settings hold. */
-  SettingsWatch(
-      Loop loop,
+  SettingsSubscription(
+      EventLoop loop,
       AsynchronousChannelGroup group,
       InetSocketAddress source,
       String scope,
       long seed,
-      Counts counts,
-      SettingsFeed feed,
-      Consumer<SettingsFeed> inForce) {
+      RequestCounters counts,
+      DynamicSettings feed,
+      Consumer<DynamicSettings> inForce) {
     this.loop = loop;
     this.group = group;
     this.source = source;
@@ -60,15 +60,18 @@
     this.counts = counts;
     this.feed = feed;
     this.inForce = inForce;
-    chance = new Chance(seed);
+    chance = new SeededRandom(seed);
   }
 
   /** Begins, or goes on after a pause. */
-  void follow() {
+  void watch() {
     waits = null;
     try {
-      Watch.Target target = new Watch.Target(source, PATH, whole ? -1 : feed.revision(), scope);
-      watch = Watch.open(loop, group, target, Watch.SILENCE, this::told, this::failed);
+      WatchConnection.Target target =
+          new WatchConnection.Target(source, PATH, whole ? -1 : feed.revision(), scope);
+      watch =
+          WatchConnection.open(
+              loop, group, target, WatchConnection.SILENCE, this::told, this::failed);
     } catch (IOException e) {
       failed(e.toString(), false, false);
     }
@@ -88,7 +91,7 @@
   }
 
   private void failed(String why, boolean silent, boolean spoke) {
-    Event.info("watch on settings", null, source + ": " + why);
+    EventLog.info("watch on settings", null, source + ": " + why);
     pause = spoke ? FIRST : Math.min(LONGEST, Math.max(FIRST, 2 * pause));
     again(silent ? 0 : (long) (pause * (1 + chance.draw()) / 2));
   }
@@ -98,7 +101,7 @@
       watch.close();
     }
     loop.cancel(waits);
-    waits = loop.after(after, this::follow);
+    waits = loop.after(after, this::watch);
   }
 
   private void told(String line) {
@@ -107,7 +110,7 @@
       Settings news = new Settings(Json.object(line));
       revision = news.whole("rev", -1);
       if (whole && !news.flag("all") || feed.take(news) == Verdict.WHOLE_WANTED) {
-        Event.info(
+        EventLog.info(
             "settings",
             null,
             "revision "
@@ -126,10 +129,10 @@
       pause = 0;
       counts.told++;
       inForce.accept(feed);
-    } catch (IOException | BadConfig e) {
+    } catch (IOException | InvalidConfigurationException e) {
       counts.turnedDown++;
       String fault = String.valueOf(e.getMessage()).split("\n")[0];
-      Event.warning(
+      EventLog.warning(
           "settings kept as they were",
           null,
           "revision " + revision + " of " + source + ": " + fault);
--- a/proxy/src/main/java/wheattrack/net/Watch.java
+++ b/proxy/src/main/java/wheattrack/net/WatchConnection.java
@@ -5,17 +5,17 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.function.Consumer;
-import wheattrack.aio.Link;
-import wheattrack.aio.Loop;
-import wheattrack.core.Deadlines;
-import wheattrack.http.BadMessage;
+import wheattrack.aio.EventLoop;
+import wheattrack.aio.TcpConnection;
+import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
 import wheattrack.http.Headers;
 import wheattrack.http.LineDecoder;
+import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 
 /** One watch on the list, or on settings, until it breaks or falls silent. */
-final class Watch extends Link {
+final class WatchConnection extends TcpConnection {
   /**
    * An object or an empty line comes whole every 2 s at least; half as much again without is a
    * break.
@@ -51,12 +51,12 @@
   private final LineDecoder in = new LineDecoder();
   private final Consumer<String> line;
   private final Failed failed;
-  private Deadlines.Entry silence;
+  private TimerQueue.Entry silence;
   private final long patience;
   private boolean began, spoke, unread;
 
-  private Watch(
-      Loop loop,
+  private WatchConnection(
+      EventLoop loop,
       AsynchronousSocketChannel channel,
       long patience,
       Consumer<String> line,
@@ -82,15 +82,16 @@
   }
 
   /** Opens a watch. */
-  static Watch open(
-      Loop loop,
+  static WatchConnection open(
+      EventLoop loop,
       AsynchronousChannelGroup group,
       Target target,
       long patience,
       Consumer<String> line,
       Failed failed)
       throws IOException {
-    Watch watch = new Watch(loop, AsynchronousSocketChannel.open(group), patience, line, failed);
+    WatchConnection watch =
+        new WatchConnection(loop, AsynchronousSocketChannel.open(group), patience, line, failed);
     watch.listen(patience);
     watch.connect(target.at, () -> watch.ask(target), () -> watch.fail("no connection", false));
     return watch;
@@ -145,7 +146,7 @@
         fail("ended", false);
       }
       read(in.room());
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       if (!in.isOpen()) { // turned away: that is no news
         spoke = false;
         fail(e.getMessage(), false);
--- a/proxy/src/main/java/wheattrack/drill/Line.java
+++ b/proxy/src/main/java/wheattrack/simulator/MessageFields.java
@@ -1,4 +1,4 @@
-package wheattrack.drill;
+package wheattrack.simulator;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -13,7 +13,7 @@
  * The fields of the message last read: scalars in reused slots, so that nothing is built for most
  * lines.
  */
-final class Line {
+final class MessageFields {
   private static final String[] NAMES = {
     "kind",
     "simTime",
@@ -98,22 +98,23 @@
     return there[SLOT.get(name)];
   }
 
-  long number(String name) throws Drill.BadInput {
+  long number(String name) throws SimulatorAdapter.BadInput {
     int slot = SLOT.get(name);
     if (!there[slot] || text[slot] != null) {
-      throw new Drill.BadInput((there[slot] ? "not a number: " : "missing field ") + name);
+      throw new SimulatorAdapter.BadInput(
+          (there[slot] ? "not a number: " : "missing field ") + name);
     }
     return number[slot];
   }
 
-  long number(String name, long otherwise) throws Drill.BadInput {
+  long number(String name, long otherwise) throws SimulatorAdapter.BadInput {
     return has(name) ? number(name) : otherwise;
   }
 
-  String text(String name) throws Drill.BadInput {
+  String text(String name) throws SimulatorAdapter.BadInput {
     int slot = SLOT.get(name);
     if (!there[slot] || text[slot] == null) {
-      throw new Drill.BadInput((there[slot] ? "not a text: " : "missing field ") + name);
+      throw new SimulatorAdapter.BadInput((there[slot] ? "not a text: " : "missing field ") + name);
     }
     return text[slot];
   }
--- a/proxy/src/main/java/wheattrack/drill/Door.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -1,4 +1,4 @@
-package wheattrack.drill;
+package wheattrack.simulator;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
@@ -9,27 +9,32 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import wheattrack.Rules;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.ProbeCallback;
+import wheattrack.api.RequestClass;
+import wheattrack.api.RequestHandle;
 import wheattrack.config.Settings;
-import wheattrack.core.Fleet;
-import wheattrack.port.Outcome;
-import wheattrack.port.Port;
-import wheattrack.port.Req;
-import wheattrack.port.RuleSet;
+import wheattrack.core.BackendIndex;
+import wheattrack.policy.LoadBalancer;
 
 /**
  * One instance at the door: turns its lines into calls and its answers into lines; ids live only
  * here.
  */
-final class Door implements Port {
+final class SimulatedProxy implements PolicyRuntime {
   /** A req at the door: its name, its dispatches' continuations and what the module left for it. */
   private static final class Guest {
     final String rid;
-    final List<Result> legs = new ArrayList<>(2);
+    final List<AttemptCallback> legs = new ArrayList<>(2);
     final List<Srv> where = new ArrayList<>(2);
     int out;
     boolean over;
-    Held held;
+    RequestHandle held;
 
     Guest(String rid) {
       this.rid = rid;
@@ -37,9 +42,9 @@
   }
 
   /** A backend at the door, with what is out there. */
-  private static final class Srv extends Fleet.Srv<Long> {
+  private static final class Srv extends BackendIndex.Srv<Long> {
     int out;
-    final List<Heard> probes = new ArrayList<>();
+    final List<ProbeCallback> probes = new ArrayList<>();
 
     Srv(Long id, int at) {
       super(id, at);
@@ -54,14 +59,14 @@
   private final long instance;
   private final JsonGenerator out;
   private final Map<String, Guest> guests = new HashMap<>();
-  private final Fleet<Long, Srv> fleet = new Fleet<>(Srv::new);
+  private final BackendIndex<Long, Srv> fleet = new BackendIndex<>(Srv::new);
   private final Map<Long, Runnable> timers = new HashMap<>();
   private long timer;
   private long now;
-  private Rules rules;
-  private RuleSet[] sets;
+  private LoadBalancer rules;
+  private RequestClass[] sets;
 
-  Door(long instance, JsonGenerator out) {
+  SimulatedProxy(long instance, JsonGenerator out) {
     this.instance = instance;
     this.out = out;
   }
@@ -71,7 +76,7 @@
     now = Math.floorDiv(micros + Settings.UNIT - 1, (long) Settings.UNIT);
   }
 
-  void read(String kind, Line line) throws IOException {
+  void read(String kind, MessageFields line) throws IOException {
     try {
       turn(kind, line);
     } catch (RuntimeException e) {
@@ -89,10 +94,12 @@
     end();
   }
 
-  private void turn(String kind, Line line) throws IOException {
+  private void turn(String kind, MessageFields line) throws IOException {
     switch (kind) {
       case "Configure" ->
-          configure(line.number("seed"), new Settings(Drill.needed(line.settings, "settings")));
+          configure(
+              line.number("seed"),
+              new Settings(SimulatorAdapter.needed(line.settings, "settings")));
       case "Shutdown" -> forget();
       case "Arrival" -> arrival(line);
       case "ReportBack" -> report(line);
@@ -100,14 +107,14 @@
         int leg = (int) line.number("leg");
         Guest guest = guests.get(line.text("rid"));
         if (guest != null && !guest.over) {
-          guest.held.streams(leg);
+          guest.held.streamingStarted(leg);
         }
       }
       case "Expired" -> {
         Guest guest = guests.get(line.text("rid"));
         if (guest != null && !guest.over) {
           close(guest);
-          guest.held.left();
+          guest.held.clientDisconnected();
         }
       }
       case "Due" -> {
@@ -118,7 +125,7 @@
       }
       case "ProbeDone" -> probed(line);
       case "NeighbourSays" -> line.number("neighbour");
-      default -> throw new Drill.BadInput("unknown event kind " + kind);
+      default -> throw new SimulatorAdapter.BadInput("unknown event kind " + kind);
     }
   }
 
@@ -135,46 +142,38 @@
     rules = s.rules(this, seed, sets, s.word("discovery", "").equals("subscribe"));
   }
 
-  private void arrival(Line line) throws Drill.BadInput {
+  private void arrival(MessageFields line) throws SimulatorAdapter.BadInput {
     int profile = (int) line.number("profile");
     if (profile < 0 || sets == null || profile >= sets.length) {
-      throw new Drill.BadInput("no such profile: " + profile);
+      throw new SimulatorAdapter.BadInput("no such profile: " + profile);
     }
-    long key = 0;
     if (line.has("targetKey")) {
       try {
-        key = Long.parseUnsignedLong(line.text("targetKey"), 16);
+        Long.parseUnsignedLong(line.text("targetKey"), 16);
       } catch (NumberFormatException e) {
-        throw new Drill.BadInput("not a key: " + line.text("targetKey"));
+        throw new SimulatorAdapter.BadInput("not a key: " + line.text("targetKey"));
       }
     }
+    line.number("tenant", 0);
     Guest guest = new Guest(line.text("rid"));
     guests.put(guest.rid, guest);
     int cost = Settings.cost(line.number("sizeHint", 0));
     long due = Math.floorDiv(line.number("due"), (long) Settings.UNIT);
-    Req req =
-        new Req(
-            sets[profile],
-            (int) line.number("tenant", 0),
-            key,
-            now,
-            due,
-            cost,
-            line.number("resent", 0) != 0,
-            guest);
-    guest.held = rules.arrive(req);
-  }
-
-  private void report(Line line) throws Drill.BadInput {
+    PendingRequest req =
+        new PendingRequest(sets[profile], now, due, cost, line.number("resent", 0) != 0, guest);
+    guest.held = rules.accept(req);
+  }
+
+  private void report(MessageFields line) throws SimulatorAdapter.BadInput {
     Guest guest = guests.get(line.text("rid"));
     int leg = (int) line.number("leg");
-    Outcome how = outcome((int) line.number("status"));
+    AttemptOutcome how = outcome((int) line.number("status"));
     long lag = line.number("lag") / Settings.UNIT;
     boolean ended = line.number("ended", 0) != 0;
     if (guest == null || leg < 0 || leg >= guest.legs.size() || guest.legs.get(leg) == null) {
       return;
     }
-    Result next = guest.legs.set(leg, null);
+    AttemptCallback next = guest.legs.set(leg, null);
     guest.where.get(leg).out--;
     guest.out--;
     if (ended) {
@@ -187,28 +186,29 @@
     next.ended(how, lag, ended);
   }
 
-  private static Outcome outcome(int status) throws Drill.BadInput {
+  private static AttemptOutcome outcome(int status) throws SimulatorAdapter.BadInput {
     return switch (status) {
-      case 0 -> Outcome.DONE;
-      case 255 -> Outcome.ERROR;
-      case 254 -> Outcome.FULL;
-      case 253 -> Outcome.TIMEOUT;
-      case 252 -> Outcome.NO_CONNECT;
-      case 251 -> Outcome.RESET;
-      case 250 -> Outcome.CANCELLED;
-      case 249 -> Outcome.MOOT;
-      default -> throw new Drill.BadInput("unknown status " + status);
+      case 0 -> AttemptOutcome.DONE;
+      case 255 -> AttemptOutcome.ERROR;
+      case 254 -> AttemptOutcome.FULL;
+      case 253 -> AttemptOutcome.TIMEOUT;
+      case 252 -> AttemptOutcome.NO_CONNECT;
+      case 251 -> AttemptOutcome.RESET;
+      case 250 -> AttemptOutcome.CANCELLED;
+      case 249 -> AttemptOutcome.DISCARDED;
+      default -> throw new SimulatorAdapter.BadInput("unknown status " + status);
     };
   }
 
-  private void load(Srv srv, Line line) {
+  private void load(Srv srv, MessageFields line) {
     if (srv != null && line.feedback != null) {
       Settings figures = new Settings(line.feedback);
-      rules.load(srv.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+      rules.onLoadReport(
+          srv.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
     }
   }
 
-  private void probed(Line line) throws Drill.BadInput {
+  private void probed(MessageFields line) throws SimulatorAdapter.BadInput {
     Srv srv = fleet.find(line.number("backend"));
     boolean ok = line.number("status") == 0;
     long lag = line.number("lag") / Settings.UNIT;
@@ -225,11 +225,11 @@
         return;
       }
       if (mode.equals("X")) {
-        rules.listFailed(false);
+        rules.endpointListFailed(false);
         return;
       }
       if (!mode.equals("D") && !mode.equals("F") && !mode.equals("C")) {
-        throw new Drill.BadInput("unknown list mode " + mode);
+        throw new SimulatorAdapter.BadInput("unknown list mode " + mode);
       }
       if (!mode.equals("D")) {
         missing(records);
@@ -237,13 +237,13 @@
       for (Object record : records) {
         entry(record);
       }
-      rules.listed(mode.equals("C"));
+      rules.endpointListUpdated(mode.equals("C"));
     } catch (RuntimeException e) {
       failed("PeersKnown", e);
     }
   }
 
-  private void missing(List<?> records) throws Drill.BadInput {
+  private void missing(List<?> records) throws SimulatorAdapter.BadInput {
     Set<Long> named = new HashSet<>();
     for (Object record : records) {
       named.add(id(record));
@@ -255,19 +255,19 @@
 
   private void gone(Srv srv) {
     if (fleet.left(srv)) {
-      rules.gone(srv.at);
+      rules.removeBackend(srv.at);
     }
   }
 
-  private static long id(Object record) throws Drill.BadInput {
+  private static long id(Object record) throws SimulatorAdapter.BadInput {
     if (record instanceof Map<?, ?> map && map.get("backend") instanceof Number n) {
       return n.longValue();
     }
-    throw new Drill.BadInput("missing field backend");
+    throw new SimulatorAdapter.BadInput("missing field backend");
   }
 
   @SuppressWarnings("unchecked")
-  private void entry(Object record) throws Drill.BadInput {
+  private void entry(Object record) throws SimulatorAdapter.BadInput {
     long id = id(record);
     Settings r = new Settings((Map<String, Object>) record);
     String readiness = r.word("readiness", "healthy");
@@ -279,16 +279,17 @@
     boolean fresh = fleet.met(srv);
     long up = (long) r.number("upSince", 0);
     double weight = r.number("weight", 1);
-    rules.entry(
-        srv.at,
-        id,
-        readiness.equals("healthy"),
-        r.count("rackZone", 0),
-        r.count("pack", 0),
-        r.count("familyType", 0),
-        weight,
-        up <= 0 ? Fleet.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT),
-        fresh);
+    rules.updateBackend(
+        new EndpointUpdate(
+            srv.at,
+            id,
+            readiness.equals("healthy"),
+            r.count("rackZone", 0),
+            r.count("pack", 0),
+            r.count("familyType", 0),
+            weight,
+            up <= 0 ? BackendIndex.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT),
+            fresh));
   }
 
   private void close(Guest guest) {
@@ -334,8 +335,8 @@
   }
 
   @Override
-  public void dispatch(Req req, int backend, long tryFor, Result next) {
-    Guest guest = (Guest) req.door;
+  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
+    Guest guest = (Guest) req.attachment();
     Srv srv = fleet.at(backend);
     guest.legs.add(next);
     guest.where.add(srv);
@@ -345,31 +346,31 @@
   }
 
   @Override
-  public void cancel(Req req, int leg) {
-    write("UndoSend", (Guest) req.door, "leg", leg, null, 0);
+  public void cancelAttempt(PendingRequest req, int leg) {
+    write("UndoSend", (Guest) req.attachment(), "leg", leg, null, 0);
   }
 
   @Override
-  public void deny(Req req, long wait) {
-    close((Guest) req.door);
-    write("Deny", (Guest) req.door, "wait", wait * Settings.UNIT, null, 0);
+  public void reject(PendingRequest req, long wait) {
+    close((Guest) req.attachment());
+    write("Deny", (Guest) req.attachment(), "wait", wait * Settings.UNIT, null, 0);
   }
 
   @Override
-  public void abort(Req req) {
-    close((Guest) req.door);
-    write("Error", (Guest) req.door, null, 0, null, 0);
+  public void fail(PendingRequest req) {
+    close((Guest) req.attachment());
+    write("Error", (Guest) req.attachment(), null, 0, null, 0);
   }
 
   @Override
-  public void probe(int backend, Heard next) {
+  public void probeLoad(int backend, ProbeCallback next) {
     Srv srv = fleet.at(backend);
     srv.probes.add(next);
     write("AskLoad", null, "backend", srv.id, null, 0);
   }
 
   @Override
-  public void hangUp(int backend) {
+  public void closeIdleConnections(int backend) {
     Srv srv = fleet.at(backend);
     if (srv != null) {
       write("HangUp", null, "backend", srv.id, null, 0);
@@ -377,13 +378,13 @@
   }
 
   @Override
-  public void later(long delay, Runnable next) {
+  public void schedule(long delay, Runnable next) {
     timers.put(++timer, next);
     write("Schedule", null, "delay", delay * Settings.UNIT, "nonce", timer);
   }
 
   @Override
-  public void follow() {
+  public void watchEndpoints() {
     try {
       open("Subscribe");
       out.writeBooleanField("on", true);
@@ -394,15 +395,10 @@
   }
 
   @Override
-  public void fetch() {
-    write("ListAll", null, null, 0, null, 0);
-  }
-
-  @Override
-  public void log(String text) {
+  public void report(PolicyEvent event) {
     try {
       open("SayLog");
-      out.writeStringField("msg", text);
+      out.writeStringField("msg", event.text());
       end();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- a/proxy/src/main/java/wheattrack/drill/Drill.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatorAdapter.java
@@ -1,4 +1,4 @@
-package wheattrack.drill;
+package wheattrack.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -16,7 +16,7 @@
 /**
  * Speaks the simulator's wire: reads batches, hands each line to its instance, writes the replies.
  */
-public final class Drill {
+public final class SimulatorAdapter {
   /** Input that is not the wire's; the message says what is wrong and where. */
   public static final class BadInput extends IOException {
     private static final long serialVersionUID = 1;
@@ -30,11 +30,11 @@
 
   private final JsonParser in;
   private final JsonGenerator out;
-  private final Line line = new Line();
-  private final Map<Long, Door> doors = new HashMap<>();
+  private final MessageFields line = new MessageFields();
+  private final Map<Long, SimulatedProxy> doors = new HashMap<>();
   private final List<?>[] sheets = new List<?>[SHEETS];
 
-  public Drill(InputStream in, OutputStream out) throws IOException {
+  public SimulatorAdapter(InputStream in, OutputStream out) throws IOException {
     JsonFactory json = new JsonFactory();
     this.in = json.createParser(in);
     this.out = json.createGenerator(out);
@@ -75,9 +75,9 @@
         continue;
       }
       long instance = line.number("proxyId");
-      Door door = doors.get(instance);
+      SimulatedProxy door = doors.get(instance);
       if (door == null) {
-        doors.put(instance, door = new Door(instance, out));
+        doors.put(instance, door = new SimulatedProxy(instance, out));
       }
       door.at(simTime);
       if (kind.equals("PeersKnown")) {
--- a/proxy/src/test/java/wheattrack/CoreTest.java
+++ b/proxy/src/test/java/wheattrack/CoreTest.java
@@ -12,18 +12,19 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Config;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
-import wheattrack.core.Deadlines;
-import wheattrack.core.Fleet;
-import wheattrack.core.Life;
-import wheattrack.core.Life.Phase;
-import wheattrack.core.Slots;
+import wheattrack.config.ProxyConfig;
+import wheattrack.core.BackendIndex;
+import wheattrack.core.Lifecycle;
+import wheattrack.core.Lifecycle.Phase;
+import wheattrack.core.SlotTable;
+import wheattrack.core.TimerQueue;
+import wheattrack.testing.TraceRecorder;
 
 /** The parts without I/O, and the configuration. */
 class CoreTest {
-  private static final class Srv extends Fleet.Srv<String> {
+  private static final class Srv extends BackendIndex.Srv<String> {
     boolean busy;
 
     Srv(String id, int at) {
@@ -38,9 +39,9 @@
 
   @Test
   void deadlines() throws IOException {
-    World w = new World();
-    Deadlines d = new Deadlines();
-    List<Deadlines.Entry> all = new ArrayList<>();
+    TraceRecorder w = new TraceRecorder();
+    TimerQueue d = new TimerQueue();
+    List<TimerQueue.Entry> all = new ArrayList<>();
     for (int i = 0; i < 200; i++) {
       int at = i * 37 % 50;
       String name = at + "." + i;
@@ -64,8 +65,8 @@
 
   @Test
   void tables() throws IOException {
-    World w = new World();
-    Slots<String> slots = new Slots<>();
+    TraceRecorder w = new TraceRecorder();
+    SlotTable<String> slots = new SlotTable<>();
     w.say("slots " + slots.add("a") + slots.add("b") + slots.add("c"));
     slots.remove(1);
     slots.remove(1);
@@ -79,7 +80,7 @@
             + ", next "
             + slots.add("d")
             + slots.add("e"));
-    Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
+    BackendIndex<String, Srv> fleet = new BackendIndex<>(Srv::new);
     for (String id : List.of("x", "y", "z")) {
       Srv srv = fleet.admit(id);
       w.say(id + " at " + srv.at + (fleet.met(srv) ? " fresh" : " known"));
@@ -105,7 +106,7 @@
    */
   @Test
   void replacedFleetTakesNoMorePlaces() {
-    Fleet<String, Srv> fleet = new Fleet<>(Srv::new);
+    BackendIndex<String, Srv> fleet = new BackendIndex<>(Srv::new);
     int most = 0;
     for (int round = 0; round < 500; round++) {
       Set<String> named = new HashSet<>();
@@ -128,8 +129,8 @@
 
   @Test
   void phases() throws IOException {
-    World w = new World();
-    Life life = new Life(phase -> w.say("enters " + phase));
+    TraceRecorder w = new TraceRecorder();
+    Lifecycle life = new Lifecycle(phase -> w.say("enters " + phase));
     for (Phase phase :
         new Phase[] {
           Phase.WARMING,
@@ -153,7 +154,7 @@
   /** A wrong value ends the start with one line that names its key. */
   @Test
   void namesTheFaultyKey() throws IOException {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     String good =
         "'listen':'127.0.0.1:8000','discovery':'[::1]:8500',"
             + "'settings':{'ruleSets':[{'name':'buy','clientTimeout':1200000,'effect':'read_like'}]}";
@@ -185,15 +186,15 @@
         }) {
       try {
         Map<String, Object> all = Json.object(("{" + in + "}").replace('\'', '"'));
-        Config c = new Config(all);
+        ProxyConfig c = new ProxyConfig(all);
         w.say("good: " + c.listen + " " + c.discovery + " " + c.sockets);
-      } catch (BadConfig e) {
+      } catch (InvalidConfigurationException e) {
         w.say(e.getMessage());
       }
     }
     try {
-      Config.read(java.nio.file.Path.of("no-such-file.json"));
-    } catch (BadConfig e) {
+      ProxyConfig.read(java.nio.file.Path.of("no-such-file.json"));
+    } catch (InvalidConfigurationException e) {
       w.say(e.getMessage());
     }
     w.matches("config");
@@ -204,7 +205,7 @@
    */
   @Test
   void rehearsal() throws IOException {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     Path file = Files.createTempFile("wheattrack", ".json");
     Files.writeString(
         file,
@@ -212,9 +213,9 @@
             + "{\"ruleSets\":[{\"name\":\"buy\",\"effect\":\"read_like\",\"clientTimeout\":1000}]}}");
     w.say(
         "served at "
-            + Config.read(file).listen
+            + ProxyConfig.read(file).listen
             + ", rehearsed at "
-            + Config.rehearsal(file, 9).listen);
+            + ProxyConfig.rehearsal(file, 9).listen);
     Files.delete(file);
     w.matches("rehearsal");
   }
--- a/proxy/src/test/java/wheattrack/aio/LoopTest.java
+++ b/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-class LoopTest {
+class EventLoopTest {
   private final StringBuilder trace = new StringBuilder();
 
   private int heard;
@@ -26,7 +26,7 @@
    */
   @Test
   void standstill() throws Exception {
-    Loop loop = new Loop();
+    EventLoop loop = new EventLoop();
     loop.execute(
         () -> {
           loop.after(300, () -> say("deadline of 30 ms, not all heard: " + (heard < 200)));
--- a/proxy/src/test/java/wheattrack/SettingsFeedTest.java
+++ b/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -13,26 +13,22 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Json;
-import wheattrack.config.Settings;
-import wheattrack.config.SettingsFeed;
-import wheattrack.config.SettingsFeed.Verdict;
-import wheattrack.port.RuleSet;
-import wheattrack.port.RuleSet.Effect;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
+import wheattrack.config.DynamicSettings.Verdict;
 
 /**
  * What a source of settings tells: whole, then by changes; nothing half, nothing that does not
  * follow.
  */
-class SettingsFeedTest {
-  private final SettingsFeed feed = new SettingsFeed();
+public class DynamicSettingsTest {
+  private final DynamicSettings feed = new DynamicSettings();
 
   private Verdict take(String news) throws IOException {
     return feed.take(new Settings(Json.object(news.replace('\'', '"'))));
   }
 
-  static String set(String name, long targetMillis, String effect) {
+  public static String set(String name, long targetMillis, String effect) {
     return "{'name':'"
         + name
         + "','effect':'"
@@ -81,7 +77,7 @@
     assertEquals(List.of("b", "c"), List.copyOf(new TreeMap<>(feed.sets()).keySet()));
     assertEquals(3, feed.quota());
     assertEquals(List.of(), feed.limited());
-    assertEquals(2000, feed.summary()[0].target());
+    assertEquals(2000, feed.summary()[0].latencyObjective());
     assertEquals(12_000, feed.longest()); // of a set that is gone, whose requests may be under way
   }
 
@@ -127,9 +123,10 @@
   void allOrNothing(String change, String key) throws Exception {
     whole();
     String was = state();
-    BadConfig bad =
+    InvalidConfigurationException bad =
         assertThrows(
-            BadConfig.class, () -> take("{'rev':6,'after':5,'source':'c1'," + change + "}"));
+            InvalidConfigurationException.class,
+            () -> take("{'rev':6,'after':5,'source':'c1'," + change + "}"));
     assertTrue(bad.getMessage().startsWith(key + ":"), bad.getMessage());
     assertEquals(was, state());
   }
@@ -139,12 +136,12 @@
     whole();
     String was = state();
     List<String> tenants = new ArrayList<>();
-    for (int i = 0; i <= SettingsFeed.MOST_TENANTS; i++) {
+    for (int i = 0; i <= DynamicSettings.MOST_TENANTS; i++) {
       tenants.add("{'name':'" + i + "'}");
     }
-    BadConfig bad =
+    InvalidConfigurationException bad =
         assertThrows(
-            BadConfig.class,
+            InvalidConfigurationException.class,
             () ->
                 take(
                     "{'rev':6,'all':true,'ruleSets':["
@@ -187,12 +184,13 @@
       if (!gone) {
         quotas.put(tenant, quota);
       }
-      RuleSet sum = feed.summary()[0];
+      RequestClass sum = feed.summary()[0];
       assertEquals(
-          feed.sets().values().stream().mapToLong(RuleSet::target).min().orElse(0), sum.target());
+          feed.sets().values().stream().mapToLong(RequestClass::latencyObjective).min().orElse(0),
+          sum.latencyObjective());
       assertEquals(
-          feed.sets().values().stream().anyMatch(s -> s.effect() == Effect.REPLAYABLE),
-          sum.effect() == Effect.REPLAYABLE);
+          feed.sets().values().stream().anyMatch(s -> s.idempotency() == Idempotency.IDEMPOTENT),
+          sum.idempotency() == Idempotency.IDEMPOTENT);
       assertEquals(quotas.values().stream().mapToInt(q -> q).sum(), feed.quota(), 1e-6);
       assertEquals(quotas.size(), feed.tenants());
     }
--- a/proxy/src/test/java/wheattrack/LargeConfigTest.java
+++ b/proxy/src/test/java/wheattrack/config/LargeConfigTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/proxy/src/test/java/wheattrack/MigrateTest.java
+++ b/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,10 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import wheattrack.config.Config;
-import wheattrack.config.Migrate;
 
-class MigrateTest {
+class MigrateCommandTest {
   private static final String OLD =
       """
 {"listen": "127.0.0.1:8000", "discovery": "127.0.0.1:9000", "seed": "ab", "settings": {
@@ -35,7 +33,7 @@
 
   private int migrate(String... args) {
     ByteArrayOutputStream out = new ByteArrayOutputStream(), err = new ByteArrayOutputStream();
-    int code = Migrate.run(args, new PrintStream(out), new PrintStream(err));
+    int code = MigrateCommand.run(args, new PrintStream(out), new PrintStream(err));
     printed = out.toString();
     said = err.toString().replace(dir + "/", "").strip();
     return code;
@@ -77,7 +75,7 @@
         settings.prices.crossZone: left out, nothing is crossed in one place
         settings.ruleSets[0].group: zone is all of the one place, see if that is meant""",
         said);
-    Config made = Config.read(next);
+    ProxyConfig made = ProxyConfig.read(next);
     assertEquals(400, made.settings.count("balancers", 0));
     assertEquals("answers", made.settings.word("report.how"));
     assertEquals(8001, made.listen.getPort());
@@ -104,7 +102,7 @@
   void probesWithoutLimits() throws Exception {
     Files.writeString(old, OLD.replace("\"limits\": {\"probing\": false},", ""));
     assertEquals(1, migrate(old.toString(), "--out", next.toString(), "--reports", "probe"));
-    assertTrue(Config.read(next).settings.flag("limits.probing"));
+    assertTrue(ProxyConfig.read(next).settings.flag("limits.probing"));
   }
 
   @Test
--- a/proxy/src/test/java/wheattrack/OperatorTest.java
+++ b/proxy/src/test/java/wheattrack/config/OperatorConfigTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,16 +11,16 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Operator;
-import wheattrack.log.Event;
-import wheattrack.log.JsonLines;
-import wheattrack.log.Limit;
+import wheattrack.log.EventLog;
+import wheattrack.log.JsonLineFormatter;
+import wheattrack.log.RateLimitFilter;
 
-class OperatorTest {
+class OperatorConfigTest {
   private static void fails(String text, String said) {
     assertEquals(
-        said, assertThrows(BadConfig.class, () -> Operator.of("o.toml", text)).getMessage());
+        said,
+        assertThrows(InvalidConfigurationException.class, () -> OperatorConfig.of("o.toml", text))
+            .getMessage());
   }
 
   /**
@@ -29,9 +29,9 @@
   @Test
   void defaults() throws Exception {
     String shipped = Files.readString(Path.of("../deploy/operator.toml"));
-    assertEquals(Operator.DEFAULTS, shipped);
+    assertEquals(OperatorConfig.DEFAULTS, shipped);
     for (String text : List.of(shipped, "")) {
-      assertEquals(Operator.plainLog(), Operator.of("o.toml", text).log);
+      assertEquals(OperatorConfig.plainLog(), OperatorConfig.of("o.toml", text).log);
     }
   }
 
@@ -59,8 +59,8 @@
   @Test
   void stormsAreCountedNotWritten() {
     List<String> lines = new ArrayList<>();
-    JsonLines form = new JsonLines();
-    Limit limit = new Limit(2);
+    JsonLineFormatter form = new JsonLineFormatter();
+    RateLimitFilter limit = new RateLimitFilter(2);
     Handler handler =
         new Handler() {
           @Override
@@ -87,11 +87,11 @@
     log.addHandler(handler);
     try {
       for (int i = 0; i < 50; i++) {
-        Event.info("shut", "7", "silent \"again\"");
+        EventLog.info("shut", "7", "silent \"again\"");
       }
-      Event.info("open", "7", null);
+      EventLog.info("open", "7", null);
       at = 1_000;
-      Event.info("shut", "8", "silent");
+      EventLog.info("shut", "8", "silent");
     } finally {
       log.removeHandler(handler);
       log.setLevel(before);
--- a/proxy/src/test/java/wheattrack/HttpTest.java
+++ b/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,25 +6,18 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import wheattrack.http.BadMessage;
-import wheattrack.http.Decoder;
-import wheattrack.http.Encoder;
-import wheattrack.http.Headers;
-import wheattrack.http.LineDecoder;
-import wheattrack.http.Request;
-import wheattrack.http.RequestDecoder;
-import wheattrack.http.Response;
-import wheattrack.http.ResponseDecoder;
+import wheattrack.testing.TraceRecorder;
 
 /** Messages from bytes that come one at a time, and back. */
-class HttpTest {
+class HttpCodecTest {
   private static String short80(String text) {
     String plain = text.replace("\r\n", "|").replace("\n", "!");
     return plain.length() > 80 ? plain.substring(0, 70) + "... (" + plain.length() + ")" : plain;
   }
 
   /** What is passed on of a long message, as a count. */
-  private static String rest(Decoder<?> in, String text, int from) throws BadMessage {
+  private static String rest(Decoder<?> in, String text, int from)
+      throws MalformedMessageException {
     int size = 0;
     int at = from;
     while (in.isPassing() && at < text.length()) {
@@ -69,7 +62,7 @@
   /** Long ones: the head with a first part, the rest in pieces, then the next message. */
   @Test
   void longOnes() throws Exception {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     String post = "POST /buy HTTP/1.1\r\n",
         ok = "HTTP/1.1 200 OK\r\n",
         next = "GET /n HTTP/1.1\r\n\r\n";
@@ -98,7 +91,7 @@
     w.matches("http-long");
   }
 
-  private static void longOne(World w, Decoder<?> in, String text) {
+  private static void longOne(TraceRecorder w, Decoder<?> in, String text) {
     w.say(short80(text));
     try {
       for (int at = 0; at < text.length(); at++) {
@@ -118,7 +111,7 @@
         w.say(
             "  till the end: " + in.piece().remaining() + (in.isPassing() ? " and on" : " whole"));
       }
-    } catch (BadMessage e) {
+    } catch (MalformedMessageException e) {
       w.say("  bad, " + e.status + ": " + e.getMessage());
     }
   }
@@ -149,7 +142,7 @@
     return s.toString();
   }
 
-  private static void feed(World w, Decoder<?> in, String text) {
+  private static void feed(TraceRecorder w, Decoder<?> in, String text) {
     w.say(short80(text));
     for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
       in.room().put(b);
@@ -158,7 +151,7 @@
         if (message != null) {
           w.say("  " + print(message));
         }
-      } catch (BadMessage e) {
+      } catch (MalformedMessageException e) {
         w.say("  bad, " + e.status + ": " + e.getMessage());
         return;
       }
@@ -170,7 +163,7 @@
 
   @Test
   void requests() throws IOException {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     String post = "POST /buy HTTP/1.1\r\nHost: a\r\n";
     for (String in :
         new String[] {
@@ -215,7 +208,7 @@
 
   @Test
   void answers() throws IOException {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     String ok = "HTTP/1.1 200 OK\r\n";
     for (String in :
         new String[] {
@@ -238,7 +231,7 @@
 
   @Test
   void lines() throws IOException {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     String plain = "HTTP/1.1 200 OK\r\n\r\n";
     for (String in :
@@ -259,7 +252,7 @@
             w.say("  [" + line + "]");
           }
         }
-      } catch (BadMessage e) {
+      } catch (MalformedMessageException e) {
         w.say("  bad: " + e.getMessage());
       }
     }
@@ -268,7 +261,7 @@
 
   @Test
   void encodes() throws IOException {
-    World w = new World();
+    TraceRecorder w = new TraceRecorder();
     byte[] hi = "hi".getBytes(StandardCharsets.ISO_8859_1);
     Headers one = new Headers().with("A", "1");
     for (var bytes :
--- a/proxy/src/test/java/wheattrack/AdminTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -9,19 +9,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import wheattrack.admin.Admin;
-import wheattrack.admin.Figures;
-import wheattrack.config.BadConfig;
-import wheattrack.config.Config;
+import wheattrack.admin.AdminServer;
+import wheattrack.admin.MetricsFormat;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
-import wheattrack.core.Counts;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
+import wheattrack.core.RequestCounters;
 
 /**
  * Where operators call: each answer, the figures against what clients saw, and callers that hold
  * on.
  */
-class AdminTest extends Rig {
+class AdminServerTest extends ProxyTestHarness {
   private void serveWithAdmin(int backends) throws Exception {
     String[] entries = new String[backends];
     for (int i = 0; i < backends; i++) {
@@ -94,7 +93,7 @@
   void holders() throws Exception {
     serveWithAdmin(1);
     List<Socket> held = new ArrayList<>();
-    for (int i = 0; i < 3 * Admin.PLACES; i++) {
+    for (int i = 0; i < 3 * AdminServer.PLACES; i++) {
       Socket socket = new Socket("127.0.0.1", server.adminPort());
       send(socket, "GET /status HT");
       held.add(socket);
@@ -107,12 +106,12 @@
 
   @Test
   void namesAndBounds() {
-    Counts counts = new Counts();
-    counts.ended("a b:c|d\n", Counts.End.DONE);
+    RequestCounters counts = new RequestCounters();
+    counts.ended("a b:c|d\n", RequestCounters.End.DONE);
     for (int i = 0; i < 1000; i++) {
-      counts.ended("n" + i, Counts.End.DENIED);
+      counts.ended("n" + i, RequestCounters.End.DENIED);
     }
-    String text = new Figures(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
+    String text = new MetricsFormat(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
     assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
     assertTrue(counts.ends().size() <= 257, "names kept: " + counts.ends().size());
     assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
@@ -122,8 +121,10 @@
   void addressInUse() throws Exception {
     serveWithAdmin(1);
     String again = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
-    BadConfig fault =
-        assertThrows(BadConfig.class, () -> new Server(new Config(Json.object(again))));
+    InvalidConfigurationException fault =
+        assertThrows(
+            InvalidConfigurationException.class,
+            () -> new ProxyServer(new ProxyConfig(Json.object(again))));
     assertTrue(fault.getMessage().startsWith("admin: "), fault.getMessage());
   }
 }
--- a/proxy/src/test/java/wheattrack/LeavingTest.java
+++ b/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -24,7 +24,7 @@
  * nothing is sent on once the wait is over. Bytes behind a req, or a long body held back, hid the
  * leaving.
  */
-class LeavingTest extends ByHand {
+class ClientDisconnectTest extends RawConnection {
   /**
    * For a connection that comes up late; a free one; between two dispatches; asked servers; the
    * body.
--- a/proxy/src/test/java/wheattrack/CrossingsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -20,15 +20,14 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wheattrack.config.Config;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
 
 /**
  * Two events that cross, each pair forced: what is held is let go once the other has been seen to
  * happen.
  */
-class CrossingsTest extends ByHand {
+class ConcurrentEventsTest extends RawConnection {
   @TempDir Path folder;
 
   private ServerSocket a, b;
@@ -445,7 +444,8 @@
   @Test
   void endBeforeReady() throws Exception {
     server =
-        new Server(new Config(Json.object(config(open(this::list).getLocalPort(), 1024, "{}"))));
+        new ProxyServer(
+            new ProxyConfig(Json.object(config(open(this::list).getLocalPort(), 1024, "{}"))));
     port = server.port();
     running = start(server::run);
     try (Socket client = connect()) {
--- a/proxy/src/test/java/wheattrack/DiscoveryReturnsTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,16 +12,15 @@
 import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import wheattrack.config.Config;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
 
 /**
  * Discovery fails in each way, then in each other, and returns at many points of the pauses between
  * calls: what it has then is acted on within the 6 s after which it counts as told, however long
  * askEvery is.
  */
-class DiscoveryReturnsTest extends Rig {
+class DiscoveryRecoveryTest extends ProxyTestHarness {
   /** Refuses to connect, answers 503, or 200 with nothing; says nothing; ends amid a line. */
   enum Fails {
     REFUSED,
@@ -134,9 +133,9 @@
             });
     there.start();
     Thread.sleep(20);
-    Server proxy =
-        new Server(
-            new Config(
+    ProxyServer proxy =
+        new ProxyServer(
+            new ProxyConfig(
                 Json.object(
                     config(0, 256, "{}")
                         .replace(
--- a/proxy/src/test/java/wheattrack/IdleCrowdTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -10,15 +10,14 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wheattrack.config.Config;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
 
 /**
  * Idle clients fill all places while discovery is down, before the first list and after one: at its
  * return the list is read in time, and requests are served within theirs.
  */
-class IdleCrowdTest extends Rig {
+class IdleConnectionsTest extends ProxyTestHarness {
   /** All at once, one after the other, again as soon as they are closed; with half a head each. */
   enum Comes {
     AT_ONCE,
@@ -72,9 +71,9 @@
       String entry = ready("s" + sockets);
       news = told(1, true, entry);
       down = !served;
-      Server proxy =
-          new Server(
-              new Config(
+      ProxyServer proxy =
+          new ProxyServer(
+              new ProxyConfig(
                   Json.object(
                       config(open(this::list).getLocalPort(), sockets, "{}")
                           .replace(
@@ -121,7 +120,8 @@
       }
     }
 
-    private void awaitKnown(Server proxy, int known, long time, String fault) throws Exception {
+    private void awaitKnown(ProxyServer proxy, int known, long time, String fault)
+        throws Exception {
       long until = System.nanoTime() + time * 1_000_000;
       while (!figures(proxy.adminPort()).contains("backends_known:" + known)) {
         if (System.nanoTime() > until) {
--- a/proxy/src/test/java/wheattrack/net/WarmUpTest.java
+++ b/proxy/src/test/java/wheattrack/net/JitWarmUpTest.java
@@ -7,7 +7,7 @@
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
 
-class WarmUpTest {
+class JitWarmUpTest {
   private static Settings settings() throws Exception {
     return new Settings(
         Json.object(
@@ -20,13 +20,13 @@
    */
   @Test
   void oncePerRuleSet() throws Exception {
-    assertEquals(2, new WarmUp(settings()).run(4000, 0));
+    assertEquals(2, new JitWarmUp(settings()).run(4000, 0));
   }
 
   /** With time it runs on, to the number of reqs that was asked for. */
   @Test
   void upToTheNumber() throws Exception {
-    int n = new WarmUp(settings()).run(50, 60_000_000_000L);
+    int n = new JitWarmUp(settings()).run(50, 60_000_000_000L);
     assertTrue(n >= 50 && n < 60, n + " reqs");
   }
 }
--- a/proxy/src/test/java/wheattrack/LongBodiesTest.java
+++ b/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Bodies and answers longer than what is kept, and peers that are slow, stall or leave. */
-class LongBodiesTest extends Rig {
+class LargeBodiesTest extends ProxyTestHarness {
   private static final int MANY = 40, MB = 1 << 20;
 
   /** By id: the body's length and sum as a backend got it. */
--- a/proxy/src/test/java/wheattrack/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Load reports on sockets, from stand-ins that say they are busy or idle, whatever they do. */
-class LoadReportsTest extends Rig {
+class LoadReportsTest extends ProxyTestHarness {
   private final AtomicInteger probes = new AtomicInteger();
 
   private String reporting(String name, int holds) throws Exception {
--- a/proxy/src/test/java/wheattrack/UpgradeTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,12 +15,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import wheattrack.config.Config;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
 
 /** A process replaced by another one beside it, at the same address of clients. */
-class UpgradeTest extends Rig {
+class ProcessHandoverTest extends ProxyTestHarness {
   private static final int CLIENTS = 6, REPLACEMENTS = 8, IN_A_ROW = 20;
 
   @TempDir Path folder;
@@ -28,8 +27,8 @@
   private final AtomicInteger done = new AtomicInteger(), broken = new AtomicInteger();
   private volatile boolean stop;
 
-  private Server begin(String text) throws Exception {
-    Server next = new Server(new Config(Json.object(text)));
+  private ProxyServer begin(String text) throws Exception {
+    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(text)));
     start(next::run);
     for (int i = 0; status(next) != 200; i++) {
       assertTrue(i < 600, "not ready within 6 s");
@@ -38,7 +37,7 @@
     return next;
   }
 
-  private static int status(Server of) throws IOException {
+  private static int status(ProxyServer of) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", of.adminPort())) {
       return Integer.parseInt(call(socket, "GET /status HTTP/1.1\r\n\r\n").substring(0, 3));
     }
@@ -89,7 +88,7 @@
       clients.add(start(this::client));
     }
     for (int i = 0; i < REPLACEMENTS; i++) {
-      Server next = begin(text);
+      ProxyServer next = begin(text);
       int before = done.get();
       server.end();
       server = next;
@@ -215,7 +214,7 @@
             .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"")
             .replace("\"drain_ms\":1000", "\"drain_ms\":0,\"admin\":\"127.0.0.1:0\"");
     server = begin(text);
-    Server next = new Server(new Config(Json.object(text)));
+    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(text)));
     start(next::run);
     next.end();
     for (int i = 0; i < 20; i++) {
--- a/proxy/src/test/java/wheattrack/net/WireTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProtocolMappingTest.java
@@ -4,18 +4,21 @@
 
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import wheattrack.api.DeduplicationScope;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
-import wheattrack.port.RuleSet;
 
-class WireTest {
+class ProtocolMappingTest {
   /**
    * Figures of clients, in tenths of a millisecond; one too large once wrapped round to another.
    */
   @Test
   void figures() {
-    RuleSet set =
-        new RuleSet(0, 5000, 12_000, RuleSet.Effect.REPLAYABLE, RuleSet.Group.ALL, 0, 1, 0, false);
+    RequestClass set =
+        new RequestClass(
+            0, 5000, 12_000, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0, 1, 0, false);
     StringBuilder trace = new StringBuilder();
     for (String text :
         new String[] {
@@ -37,11 +40,11 @@
               .with("Request-Timeout", text)
               .with("Work-Hint", text);
       try {
-        Wire.Call call =
-            Wire.call(
+        ProtocolMapping.Call call =
+            ProtocolMapping.call(
                 new Request("GET", "/buy/7?x", headers, true, new byte[0]), Map.of("buy", set));
         trace.append(text + ": timeout " + call.timeout() + ", cost " + call.cost() + "\n");
-      } catch (Wire.Unfit e) {
+      } catch (ProtocolMapping.Unfit e) {
         trace.append(text + ": " + e.status + " " + e.getMessage() + "\n");
       }
     }
--- a/proxy/src/test/java/wheattrack/ServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -11,12 +11,12 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
-import wheattrack.config.Config;
+import wheattrack.Signals;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
 
 /** One proxy on loopback sockets: what clients, backends and the list see of it. */
-class ServerTest extends Rig {
+class ProxyServerTest extends ProxyTestHarness {
   /** Each outcome under each effect: what the client is told and how often it may have run. */
   @Test
   void outcomes() throws Exception {
@@ -284,7 +284,7 @@
     String known = told(3, true, entry("s0", "SERVING", at[0]), entry("s1", "SERVING", at[1]));
     String now = told(7, true, entry("s0", "DRAINING", at[0]), entry("s1", "SERVING", at[1]));
     int list = open(this::list).getLocalPort();
-    server = new Server(new Config(Json.object(config(list, 1024, known))));
+    server = new ProxyServer(new ProxyConfig(Json.object(config(list, 1024, known))));
     port = server.port();
     running = start(server::run);
     try (Socket early = connect()) { // while it starts: waits, and is served by the news
@@ -295,7 +295,7 @@
     }
     server.end();
     news.clear();
-    server = new Server(new Config(Json.object(config(list, 1024, known))));
+    server = new ProxyServer(new ProxyConfig(Json.object(config(list, 1024, known))));
     port = server.port();
     running = start(server::run);
     w.say("discovery says nothing: " + call(request("buy")));
--- a/proxy/src/test/java/wheattrack/Rig.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -21,16 +21,16 @@
 import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
-import wheattrack.config.Config;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
+import wheattrack.testing.TraceRecorder;
 
 /** One proxy on loopback sockets between a client, a list and backends that the test plays. */
-abstract class Rig {
+abstract class ProxyTestHarness {
   static final int BACKLOG = 100;
   static final AtomicInteger IDS = new AtomicInteger();
 
-  final World w = new World();
+  final TraceRecorder w = new TraceRecorder();
   final List<ServerSocket> doors = new ArrayList<>();
 
   /** What the backends do with the next requests, whichever gets them. */
@@ -43,7 +43,7 @@
   final BlockingQueue<String> news = new LinkedBlockingQueue<>();
 
   final AtomicInteger watches = new AtomicInteger();
-  Server server;
+  ProxyServer server;
   int port;
   Thread running;
   private volatile boolean over;
@@ -203,7 +203,7 @@
   }
 
   void serve(String config, String loadHeader) throws Exception {
-    server = new Server(new Config(Json.object(config)), loadHeader);
+    server = new ProxyServer(new ProxyConfig(Json.object(config)), loadHeader);
     port = server.port();
     running = start(server::run);
     while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("200")) {
--- a/proxy/src/test/java/wheattrack/ByHand.java
+++ b/proxy/src/test/java/wheattrack/net/RawConnection.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -24,7 +24,7 @@
 /**
  * A rig whose backends are played by hand: an accept, an answer or an end is held until it is time.
  */
-abstract class ByHand extends Rig {
+abstract class RawConnection extends ProxyTestHarness {
   static final int SOON = 5000;
 
   /**
--- a/proxy/src/test/java/wheattrack/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Settings that change while the proxy serves: taken whole, or not at all. */
-class ReloadTest extends Rig {
+class ReloadTest extends ProxyTestHarness {
   private static final String SOLD =
       ",{\"name\":\"sell\",\"clientTimeout\":900000,"
           + "\"responseTarget\":500000,\"group\":\"all\",\"window\":5,\"effect\":\"non_idempotent\"}";
--- a/proxy/src/test/java/wheattrack/SettingsWatchTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -16,14 +16,14 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import wheattrack.config.Config;
+import wheattrack.config.DynamicSettingsTest;
 import wheattrack.config.Json;
-import wheattrack.net.Server;
+import wheattrack.config.ProxyConfig;
 
 /**
  * A proxy whose settings are told by a source that it watches, and all that can go wrong with that.
  */
-class SettingsWatchTest extends ByHand {
+class SettingsSubscriptionTest extends RawConnection {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 
   @TempDir Path folder;
@@ -49,8 +49,8 @@
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
     file = Files.writeString(folder.resolve("config.json"), config);
     server =
-        new Server(
-            new Config(Json.object(config)),
+        new ProxyServer(
+            new ProxyConfig(Json.object(config)),
             "",
             (InetSocketAddress) source.getLocalSocketAddress(),
             scope);
@@ -60,7 +60,7 @@
   }
 
   private static String set(String name, int millis) {
-    return SettingsFeedTest.set(name, millis, "read_like");
+    return DynamicSettingsTest.set(name, millis, "read_like");
   }
 
   private void tell(String news) throws IOException {
@@ -237,8 +237,8 @@
     away.close();
     news.add(told(1, true, ready("s0")));
     server =
-        new Server(
-            new Config(
+        new ProxyServer(
+            new ProxyConfig(
                 Json.object(
                     config(open(this::list).getLocalPort(), 1024, "{}")
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
@@ -288,7 +288,8 @@
               head(socket.getInputStream());
               send(socket, HEAD + "{\"rev\":1,\"targets\":3}\n");
             });
-    server = new Server(new Config(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
+    server =
+        new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
     port = server.port();
     long from = System.nanoTime();
     running = start(server::run);
--- a/proxy/src/test/java/wheattrack/DrillTest.java
+++ b/proxy/src/test/java/wheattrack/simulator/SimulatorAdapterTest.java
@@ -1,4 +1,4 @@
-package wheattrack;
+package wheattrack.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -10,12 +10,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
-import wheattrack.drill.Drill;
 
-class DrillTest {
+class SimulatorAdapterTest {
   private static String drill(String in) throws IOException {
     var out = new ByteArrayOutputStream();
-    new Drill(new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)), out).run();
+    new SimulatorAdapter(new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)), out).run();
     return out.toString(StandardCharsets.UTF_8);
   }
 
@@ -30,7 +29,7 @@
   }
 
   private static String fault(String in) {
-    return assertThrows(Drill.BadInput.class, () -> drill(in)).getMessage();
+    return assertThrows(SimulatorAdapter.BadInput.class, () -> drill(in)).getMessage();
   }
 
   @Test
