--- a/lab/src/main/java/wheattrack/lab/model/RunEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/model/RunEnvironment.java
@@ -32,9 +32,9 @@
 
   public abstract long now();
 
-  public abstract TimerQueue.Entry after(long delay, Runnable then);
+  public abstract TimerQueue.Timer after(long delay, Runnable then);
 
-  public abstract void cancel(TimerQueue.Entry entry);
+  public abstract void cancel(TimerQueue.Timer entry);
 
   /** Writes a line of the ledger. */
   public abstract void say(LedgerRecord e);
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -28,7 +28,7 @@
     final BackendVisit who;
     final double work;
     final long came = stage.now();
-    TimerQueue.Entry end;
+    TimerQueue.Timer end;
     long endsAt;
 
     Visit(BackendVisit who, double work) {
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -54,7 +54,7 @@
     }
     String line =
         job.witnesses
-            ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).word("run")
+            ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).text("run")
             : "";
     Path folder = Files.createTempDirectory("wheattrack-scale");
     List<AxisMeasurements> out = new ArrayList<>();
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -158,30 +158,30 @@
 
   private Scenario(String name, ConfigurationReader t) {
     this.name = name;
-    about = t.word("about", "");
+    about = t.text("about", "");
     virtual = t.choice("clock", List.of("virtual", "real")).equals("virtual");
     length = seconds(t, "seconds", 20, 0.1, 3600);
-    ConfigurationReader fleet = t.part("fleet");
-    proxies = fleet.count("proxies", 3, 1, virtual ? 2000 : 16);
-    zones = fleet.count("zones", 1, 1, 8);
+    ConfigurationReader fleet = t.section("fleet");
+    proxies = fleet.integer("proxies", 3, 1, virtual ? 2000 : 16);
+    zones = fleet.integer("zones", 1, 1, 8);
     servers = servers(t);
     sets = sets(t);
-    load = load(t.part("load"));
-    ConfigurationReader h = t.part("hints");
+    load = load(t.section("load"));
+    ConfigurationReader h = t.section("hints");
     hints =
         new Hints(
             h.number("share", 1, 0, 1),
             h.number("noise", 0.3, 0, 10),
             h.number("scale", 1, 1e-6, 1e9));
-    ConfigurationReader c = t.part("clients");
+    ConfigurationReader c = t.section("clients");
     clients =
         new Clients(
-            c.count("retries", 1, 0, 20),
+            c.integer("retries", 1, 0, 20),
             millis(c, "backoff-ms", 100, 0),
             c.number("honour", 1, 0, 1),
             c.number("impatient", 0, 0, 1));
-    frontNotice = millis(t.part("front"), "notice-ms", 1000, 0);
-    ConfigurationReader l = t.part("list");
+    frontNotice = millis(t.section("front"), "notice-ms", 1000, 0);
+    ConfigurationReader l = t.section("list");
     roster =
         new Roster(
             millis(l, "delay-ms", 100, 0),
@@ -190,29 +190,29 @@
     if (!virtual && roster.entries > 0) {
       throw l.fault("entries-per-second", "can't be played on the real clock");
     }
-    ConfigurationReader n = t.part("net");
+    ConfigurationReader n = t.section("net");
     net =
         new Net(
             millis(n, "same-ms", 0.3, 0),
             millis(n, "cross-ms", 10, 0),
             millis(n, "client-ms", 0.5, 0),
             n.number("jitter", 0.2, 0, 5));
-    ConfigurationReader r = t.part("rules");
+    ConfigurationReader r = t.section("rules");
     terms =
         new Terms(
             millis(r, "grace-ms", 500, 0),
             r.number("fall-multiple", 3, 1, 100),
             seconds(r, "fall-s", 3, 0.1, 600),
             millis(r, "slack-ms", virtual ? 10 : 50, 0));
-    ConfigurationReader a = t.part("allow");
-    maxDispatches = a.count("dispatches", 3, 1, 16);
+    ConfigurationReader a = t.section("allow");
+    maxDispatches = a.integer("dispatches", 3, 1, 16);
     cancel = a.flag("cancel", true);
     copies = a.flag("copies", true);
     retryAfter = millis(a, "retry-after-ms", 2000, 0);
     faults = faults(t);
     windows = windows(t);
     expects = expects(t);
-    t.done();
+    t.rejectUnknownKeys();
   }
 
   /** Reads a file with some of its keys, by their paths, set to other values written as in TOML. */
@@ -251,17 +251,17 @@
   private static List<Servers> servers(ConfigurationReader t) {
     List<Servers> out = new ArrayList<>();
     int all = 0;
-    for (ConfigurationReader s : t.parts("server")) {
+    for (ConfigurationReader s : t.sections("server")) {
       out.add(
           new Servers(
-              s.word("kind", "plain"),
-              s.count("count", 1, 1, 1000),
-              s.count("cores", 1, 1, 10_000),
+              s.text("kind", "plain"),
+              s.integer("count", 1, 1, 1000),
+              s.integer("cores", 1, 1, 10_000),
               s.number("speed", 1, 0.001, 1000),
-              s.count("room", 16, 0, 1_000_000),
+              s.integer("room", 16, 0, 1_000_000),
               s.number("cold-from", 0.35, 0.01, 1),
               seconds(s, "cold-s", 6, 0, 600),
-              s.count("connections", 700, 1, 1_000_000),
+              s.integer("connections", 700, 1, 1_000_000),
               s.number("handshake-ms", 1, 0, 1000) * MS));
       all += out.get(out.size() - 1).count;
       if (all > 1000) {
@@ -277,8 +277,8 @@
   private static List<Set1> sets(ConfigurationReader t) {
     List<Set1> out = new ArrayList<>();
     Set<String> names = new HashSet<>();
-    for (ConfigurationReader s : t.parts("rule-set")) {
-      String name = s.word("name");
+    for (ConfigurationReader s : t.sections("rule-set")) {
+      String name = s.text("name");
       if (!names.add(name) || !name.matches("[a-z0-9-]+")) {
         throw s.fault("name", "twice, or not of a-z, 0-9 and -");
       }
@@ -338,7 +338,7 @@
   private List<Fault> faults(ConfigurationReader t) {
     List<Fault> out = new ArrayList<>();
     List<String> words = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
-    for (ConfigurationReader f : t.parts("fault")) {
+    for (ConfigurationReader f : t.sections("fault")) {
       Fault.Kind kind = Fault.Kind.values()[words.indexOf(f.choice("kind", words))];
       if (!f.has("kind")) {
         throw f.fault("kind", "missing");
@@ -356,12 +356,12 @@
       int most = kind.hitsProxies() ? proxies : servers.stream().mapToInt(Servers::count).sum();
       Fault.Hits hits =
           new Fault.Hits(
-              kind.hitsRuleSets() ? f.count("rule-set", -1, -1, sets.size() - 1) : -1, 0, -1);
+              kind.hitsRuleSets() ? f.integer("rule-set", -1, -1, sets.size() - 1) : -1, 0, -1);
       if (kind.hitsProxies() || kind.hitsServers()) {
-        int zone = f.count("zone", -1, -1, zones - 1);
+        int zone = f.integer("zone", -1, -1, zones - 1);
         hits =
             new Fault.Hits(
-                f.count("place", -1, -1, most - 1),
+                f.integer("place", -1, -1, most - 1),
                 f.number("share", zone < 0 ? 0 : 1, 0, 1),
                 zone);
       }
@@ -380,10 +380,10 @@
 
   private List<Window> windows(ConfigurationReader t) {
     List<Window> out = new ArrayList<>();
-    for (ConfigurationReader w : t.parts("window")) {
+    for (ConfigurationReader w : t.sections("window")) {
       Window one =
           new Window(
-              w.word("name"),
+              w.text("name"),
               seconds(w, "from-s", 0, 0, 3600),
               seconds(w, "until-s", length / (double) SECOND, 0, 3600));
       if (one.until > length || one.from >= one.until) {
@@ -396,13 +396,13 @@
 
   private List<Expect> expects(ConfigurationReader t) {
     List<Expect> out = new ArrayList<>();
-    ConfigurationReader e = t.part("expect");
+    ConfigurationReader e = t.section("expect");
     for (String figure : e.keys()) {
       boolean window = windows.stream().anyMatch(w -> figure.equals("service-" + w.name));
       if (!window && !FIGURES.contains(figure)) {
         throw e.fault(figure, "unknown figure");
       }
-      String[] parts = e.word(figure).trim().split("\\s+");
+      String[] parts = e.text(figure).trim().split("\\s+");
       if (parts.length != 2 || !List.of(">=", "<=", ">", "<", "=").contains(parts[0])) {
         throw e.fault(figure, "not a sign (>=, <=, >, <, =) and a number");
       }
--- a/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -139,14 +139,14 @@
     void open() {
       held = mute || machine.connects();
       if (held) {
-        read(in.room());
+        read(in.writableBuffer());
       } else {
         reset();
       }
     }
 
     @Override
-    protected void came(int n) {
+    protected void onRead(int n) {
       if (n < 0) {
         Runnable stopping = stop;
         close();
@@ -160,7 +160,7 @@
         if (r != null && !mute) {
           request(r);
         }
-        read(in.room());
+        read(in.writableBuffer());
       } catch (MalformedMessageException e) {
         close();
       }
@@ -195,7 +195,7 @@
     }
 
     @Override
-    protected void wrote(boolean whole) {
+    protected void onWritten(boolean whole) {
       if (!whole) {
         close();
       }
--- a/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -131,11 +131,11 @@
     }
 
     void open() {
-      read(in.room());
+      read(in.writableBuffer());
     }
 
     @Override
-    protected void came(int n) {
+    protected void onRead(int n) {
       if (n < 0) {
         close();
         return;
@@ -147,7 +147,7 @@
           tell(null);
           beat();
         }
-        read(in.room());
+        read(in.writableBuffer());
       } catch (MalformedMessageException e) {
         close();
       }
@@ -212,7 +212,7 @@
     }
 
     @Override
-    protected void wrote(boolean whole) {
+    protected void onWritten(boolean whole) {
       if (!whole) {
         close();
       }
--- a/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
@@ -145,7 +145,7 @@
     }
 
     @Override
-    protected void came(int n) {
+    protected void onRead(int n) {
       if (n < 0) {
         pass(null);
         return;
@@ -163,7 +163,7 @@
     void goOn() {
       if (waits && !isClosed()) {
         waits = false;
-        came(0);
+        onRead(0);
       }
     }
 
@@ -191,7 +191,7 @@
         other.write(piece);
         passed += piece.limit();
         if (fromServer && is(Kind.LINK_CUT) && passed >= CUT_AFTER) {
-          other.endOutput();
+          other.shutdownOutput();
           reset();
         }
       }
@@ -207,7 +207,7 @@
     }
 
     @Override
-    protected void wrote(boolean whole) {
+    protected void onWritten(boolean whole) {
       if (!whole) {
         reset();
       }
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -54,11 +54,11 @@
     turns++;
     out = next.bytes.duplicate();
     write(out);
-    read(in.room());
+    read(in.writableBuffer());
   }
 
   @Override
-  protected void wrote(boolean whole) {
+  protected void onWritten(boolean whole) {
     if (call == null || out.hasRemaining()) {
       return;
     }
@@ -85,7 +85,7 @@
   }
 
   @Override
-  protected void came(int n) {
+  protected void onRead(int n) {
     if (n < 0) {
       ended();
       return;
@@ -94,7 +94,7 @@
     try {
       Response answer = in.next();
       if (answer == null) {
-        read(in.room());
+        read(in.writableBuffer());
       } else if (call == null) { // bytes that nobody asked for: a second answer
         stage.crowd().answers(last.ask, Answer.ABORTED, 0);
         close();
@@ -118,10 +118,10 @@
                 : body.equals(Long.toHexString(last.ask.req())) ? Answer.DONE : Answer.BROKEN;
     String advice = answer.headers().first("Retry-After");
     long wait = advice == null ? 0 : (long) (Double.parseDouble(advice) * 10_000);
-    if (answer.keep() && !isClosed()) {
+    if (answer.keepAlive() && !isClosed()) {
       int turn = turns;
       to.free(this);
-      read(in.room());
+      read(in.writableBuffer());
       stage.after(
           REST,
           () -> {
--- a/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
@@ -39,7 +39,7 @@
   }
 
   @Override
-  protected void came(int n) {
+  protected void onRead(int n) {
     String text = new String(in.array(), 0, in.position(), StandardCharsets.US_ASCII);
     if (n < 0 || text.contains("\r\n")) {
       end(text.startsWith("HTTP/1.1 200"));
@@ -49,7 +49,7 @@
   }
 
   @Override
-  protected void wrote(boolean whole) {
+  protected void onWritten(boolean whole) {
     // what comes tells
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -103,12 +103,12 @@
 
   private void awaitReady(long latest, String[] fault) {
     if (doors().stream().allMatch(ProxyHandle::isUp)) {
-      loop.after(SETTLE, this::begin);
+      loop.schedule(SETTLE, this::begin);
     } else if (loop.now() >= latest) {
       fault[0] = "a proxy was not ready within " + READY / Scenario.SECOND + " s";
       loop.shutdown();
     } else {
-      loop.after(100, () -> awaitReady(latest, fault));
+      loop.schedule(100, () -> awaitReady(latest, fault));
     }
   }
 
@@ -167,12 +167,12 @@
   }
 
   @Override
-  public TimerQueue.Entry after(long delay, Runnable then) {
-    return loop.after(delay, then);
+  public TimerQueue.Timer after(long delay, Runnable then) {
+    return loop.schedule(delay, then);
   }
 
   @Override
-  public void cancel(TimerQueue.Entry entry) {
+  public void cancel(TimerQueue.Timer entry) {
     loop.cancel(entry);
   }
 
--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -44,7 +44,7 @@
     if (policy == Kind.RULES) {
       return (port, seed, me) -> {
         Settings settings = new Settings(scenario.settings(me));
-        return new Module(settings.rules(port, seed, settings.ruleSets(), true));
+        return new Module(settings.newLoadBalancer(port, seed, settings.requestClasses(), true));
       };
     }
     return (port, seed, me) -> {
@@ -53,7 +53,7 @@
           policy,
           port,
           new RandomStream(seed, "baseline" + me),
-          new Settings(scenario.settings(me)).count("limits.maxDispatches", 1));
+          new Settings(scenario.settings(me)).integer("limits.maxDispatches", 1));
     };
   }
 
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
@@ -37,7 +37,7 @@
     final List<Leg> legs = new ArrayList<>(2);
     PendingRequest req;
     RequestHandle held;
-    TimerQueue.Entry guard;
+    TimerQueue.Timer guard;
     boolean over;
 
     Guest(ClientPopulation.Ask ask) {
@@ -45,7 +45,7 @@
     }
   }
 
-  private static final class Srv extends BackendIndex.Srv<Integer> {
+  private static final class Srv extends BackendIndex.Backend<Integer> {
     int out, idle, life;
 
     Srv(Integer id, int at) {
@@ -53,7 +53,7 @@
     }
 
     @Override
-    protected boolean isBusy() {
+    protected boolean hasWorkInFlight() {
       return out > 0;
     }
   }
@@ -65,7 +65,7 @@
     private final AttemptCallback next;
     private final long sent = world.now();
     private final int lifeOfNode = life;
-    private TimerQueue.Entry timer;
+    private TimerQueue.Timer timer;
     private boolean begun, over, holds;
     private int lifeOfServer;
     private Runnable at;
@@ -252,7 +252,7 @@
     if (all) {
       Set<Integer> named = new HashSet<>();
       news.forEach(n -> named.add(n.server()));
-      fleet.missing(named).forEach(this::gone);
+      fleet.listedExcept(named).forEach(this::gone);
       last.clear();
     }
     for (EndpointRegistry.News n : news) {
@@ -262,8 +262,8 @@
         continue;
       }
       last.put(n.server(), n);
-      Srv srv = fleet.admit(n.server());
-      boolean fresh = fleet.met(srv);
+      Srv srv = fleet.getOrAdd(n.server());
+      boolean fresh = fleet.markListed(srv);
       if (!old) {
         world.say(LedgerRecord.told(world.now(), place, n.server(), n.state(), n.start()));
       }
@@ -276,7 +276,7 @@
               .indexOf(m.kind.kind());
       mind.updateBackend(
           new EndpointUpdate(
-              srv.at,
+              srv.index,
               m.id(),
               n.state() == State.READY,
               m.zone,
@@ -292,9 +292,9 @@
   }
 
   private void gone(Srv srv) {
-    if (fleet.left(srv)) {
+    if (fleet.markUnlisted(srv)) {
       world.say(LedgerRecord.told(world.now(), place, srv.id, State.GONE, 0));
-      mind.removeBackend(srv.at);
+      mind.removeBackend(srv.index);
     }
   }
 
@@ -375,7 +375,7 @@
   @Override
   public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
     Guest g = (Guest) req.attachment();
-    Srv srv = fleet.at(backend);
+    Srv srv = fleet.get(backend);
     Leg leg = new Leg(g, srv, next);
     g.legs.add(leg);
     srv.out++;
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -64,9 +64,9 @@
     FaultTimeline.schedule(this);
     crowd().open();
     long end = end() + AFTER;
-    for (Runnable next = null; agenda.first() <= end; ) {
-      now = Math.max(now, agenda.first());
-      next = agenda.due(now);
+    for (Runnable next = null; agenda.nextDeadline() <= end; ) {
+      now = Math.max(now, agenda.nextDeadline());
+      next = agenda.pollDue(now);
       steps++;
       next.run();
     }
@@ -85,12 +85,12 @@
   }
 
   @Override
-  public TimerQueue.Entry after(long delay, Runnable then) {
+  public TimerQueue.Timer after(long delay, Runnable then) {
     return agenda.add(now + Math.max(0, delay), then);
   }
 
   @Override
-  public void cancel(TimerQueue.Entry entry) {
+  public void cancel(TimerQueue.Timer entry) {
     agenda.cancel(entry);
   }
 
--- a/proxy/src/main/java/wheattrack/Logging.java
+++ b/proxy/src/main/java/wheattrack/Logging.java
@@ -16,7 +16,7 @@
  */
 public final class Logging extends LogManager {
   /** To be called once java.util.logging.manager names this class, before any logger is. */
-  static void open(OperatorConfig.Log log) {
+  static void open(OperatorConfig.LogSettings log) {
     System.setProperty(
         "java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
     Logger root = Logger.getLogger("");
@@ -28,9 +28,9 @@
     if (log.linesPerSecond() > 0) {
       console.setFilter(new RateLimitFilter(log.linesPerSecond()));
     }
-    if (log.reqs()) {
+    if (log.requests()) {
       console.setLevel(Level.FINE);
-      EventLog.detailed();
+      EventLog.enableDetails();
     }
     root.addHandler(console);
   }
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -113,7 +113,7 @@
     }
   }
 
-  private static void log(OperatorConfig.Log log) {
+  private static void log(OperatorConfig.LogSettings log) {
     System.setProperty("java.util.logging.manager", Logging.class.getName());
     Logging.open(log);
   }
--- a/proxy/src/main/java/wheattrack/admin/AdminConnection.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminConnection.java
@@ -17,7 +17,7 @@
 
   private final AdminServer admin;
   private final RequestDecoder in = new RequestDecoder();
-  private TimerQueue.Entry end;
+  private TimerQueue.Timer end;
   private boolean answered;
 
   AdminConnection(AdminServer admin, EventLoop loop, AsynchronousSocketChannel channel) {
@@ -26,8 +26,8 @@
   }
 
   void open() {
-    end = loop.after(PATIENCE, this::close);
-    read(in.room());
+    end = loop.schedule(PATIENCE, this::close);
+    read(in.writableBuffer());
   }
 
   boolean isAnswered() {
@@ -35,12 +35,12 @@
   }
 
   @Override
-  protected void came(int n) {
+  protected void onRead(int n) {
     if (n < 0) {
       close();
     } else if (answered) {
-      in.room().clear();
-      read(in.room());
+      in.writableBuffer().clear();
+      read(in.writableBuffer());
     } else {
       next();
     }
@@ -55,22 +55,22 @@
     } catch (MalformedMessageException e) {
       answer(AdminServer.text(e.status, e.getMessage()));
     }
-    read(in.room());
+    read(in.writableBuffer());
   }
 
   private void answer(Response response) {
     answered = true;
     write(Encoder.response(response));
     loop.cancel(end);
-    end = loop.after(LINGER, this::close);
+    end = loop.schedule(LINGER, this::close);
   }
 
   @Override
-  protected void wrote(boolean whole) {
+  protected void onWritten(boolean whole) {
     if (!whole) {
       close();
     } else if (!isClosed()) {
-      endOutput();
+      shutdownOutput();
     }
   }
 
--- a/proxy/src/main/java/wheattrack/admin/AdminServer.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminServer.java
@@ -69,7 +69,7 @@
   private void acceptFailed(Throwable why) {
     if (channel.isOpen()) {
       EventLog.info("operator not accepted", null, why.toString());
-      loop.after(PAUSE, this::accept);
+      loop.schedule(PAUSE, this::accept);
     }
   }
 
--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -34,21 +34,21 @@
   public String text() {
     StringBuilder out = new StringBuilder(512);
     counts
-        .ends()
+        .answersByClass()
         .forEach(
             (name, ends) -> {
               for (int i = 0; i < ENDS.length; i++) {
                 line(out, ENDS[i] + "." + harmless(name), ends[i], 'c');
               }
             });
-    line(out, "attempts", counts.dispatches, 'c');
+    line(out, "attempts", counts.attempts, 'c');
     line(out, "in_flight", open.getAsInt(), 'g');
     line(out, "backends_known", listed.getAsInt(), 'g');
     line(out, "backends_excluded", avoided.getAsInt(), 'g');
     line(out, "backends_left_out", leftOut.getAsInt(), 'g');
-    line(out, "settings_told", counts.told, 'c');
-    line(out, "reloads_ok", counts.reread, 'c');
-    line(out, "reloads_failed", counts.turnedDown, 'c');
+    line(out, "settings_told", counts.dynamicSettingsApplied, 'c');
+    line(out, "reloads_ok", counts.reloadsApplied, 'c');
+    line(out, "reloads_failed", counts.reloadsRejected, 'c');
     return out.toString();
   }
 
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -25,9 +25,9 @@
   private static final long SKEW =
       (long) Double.parseDouble(System.getProperty("wheattrack.skew", "0"));
 
-  private final LinkedBlockingQueue<Runnable> come = new LinkedBlockingQueue<>();
-  private final ArrayDeque<Runnable> next = new ArrayDeque<>();
-  private final TimerQueue deadlines = new TimerQueue();
+  private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+  private final TimerQueue timers = new TimerQueue();
   private final long offset = (System.currentTimeMillis() + SKEW) * 1_000_000 - System.nanoTime();
   private long now;
   private volatile boolean stopped;
@@ -46,17 +46,17 @@
   }
 
   /** Runs then after so long, unless it is cancelled; on the loop's thread only. */
-  public TimerQueue.Entry after(long delay, Runnable then) {
-    return deadlines.add(now + Math.max(0, delay), then);
+  public TimerQueue.Timer schedule(long delay, Runnable then) {
+    return timers.add(now + Math.max(0, delay), then);
   }
 
-  public void cancel(TimerQueue.Entry entry) {
-    deadlines.cancel(entry);
+  public void cancel(TimerQueue.Timer entry) {
+    timers.cancel(entry);
   }
 
   /** To be run on the loop's thread after the present step; called on that thread only. */
-  public void step(Runnable then) {
-    next.add(then);
+  public void defer(Runnable then) {
+    deferred.add(then);
   }
 
   /** Hands what becomes of a channel's operation over as a step. */
@@ -64,12 +64,12 @@
     return new CompletionHandler<>() {
       @Override
       public void completed(R result, Void none) {
-        step(() -> then.accept(result));
+        defer(() -> then.accept(result));
       }
 
       @Override
       public void failed(Throwable why, Void none) {
-        step(() -> failed.accept(why));
+        defer(() -> failed.accept(why));
       }
     };
   }
@@ -78,13 +78,13 @@
   public void run() {
     while (!stopped) {
       tick();
-      if (now - deadlines.first() > LATE) {
+      if (now - timers.nextDeadline() > LATE) {
         catchUp();
       }
-      for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
+      for (Runnable due = timers.pollDue(now); due != null; due = timers.pollDue(now)) {
         perform(due);
       }
-      Runnable task = pause(deadlines.first() - now);
+      Runnable task = pause(timers.nextDeadline() - now);
       if (task != null) {
         perform(task);
       }
@@ -104,7 +104,7 @@
 
   private Runnable pause(long time) {
     try {
-      return come.poll(Math.min(LONGEST, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
+      return inbox.poll(Math.min(LONGEST, Math.max(0, time)) * NANOS, TimeUnit.NANOSECONDS);
     } catch (InterruptedException e) {
       stopped = true;
       return null;
@@ -112,7 +112,7 @@
   }
 
   private void perform(Runnable task) {
-    for (Runnable step = task; step != null; step = next.poll()) {
+    for (Runnable step = task; step != null; step = deferred.poll()) {
       tick();
       try {
         step.run();
@@ -124,13 +124,13 @@
 
   @Override
   public void execute(Runnable task) {
-    come.add(task);
+    inbox.add(task);
   }
 
   @Override
   public void shutdown() {
     stopped = true;
-    come.add(() -> {});
+    inbox.add(() -> {});
   }
 
   @Override
--- a/proxy/src/main/java/wheattrack/aio/TcpConnection.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -31,12 +31,12 @@
     try {
       channel.connect(to, null, loop.handler(none -> up.run(), why -> failed.run()));
     } catch (RuntimeException e) {
-      loop.step(failed);
+      loop.defer(failed);
     }
   }
 
   /** What came() is told when the other side ended in order, and when the connection broke. */
-  public static final int END = -1, BREAK = -2;
+  public static final int END_OF_STREAM = -1, CONNECTION_BROKEN = -2;
 
   /** Reads once into the room; came() follows, also with END or BREAK, but not after close(). */
   public final void read(ByteBuffer room) {
@@ -44,13 +44,13 @@
       return;
     }
     reading = true;
-    channel.read(room, null, loop.handler(n -> readDone(n), why -> readDone(BREAK)));
+    channel.read(room, null, loop.handler(n -> readDone(n), why -> readDone(CONNECTION_BROKEN)));
   }
 
   private void readDone(int n) {
     reading = false;
     if (!closed) {
-      came(n);
+      onRead(n);
     }
   }
 
@@ -78,7 +78,7 @@
     if (!writes.isEmpty() && !closed) {
       writeOn();
     }
-    wrote(n >= 0 && !bytes.hasRemaining());
+    onWritten(n >= 0 && !bytes.hasRemaining());
   }
 
   public final boolean isReading() {
@@ -93,7 +93,7 @@
     return closed;
   }
 
-  public final void endOutput() {
+  public final void shutdownOutput() {
     try {
       channel.shutdownOutput();
     } catch (IOException | RuntimeException e) {
@@ -113,7 +113,7 @@
     }
   }
 
-  protected abstract void came(int n);
+  protected abstract void onRead(int n);
 
-  protected abstract void wrote(boolean whole);
+  protected abstract void onWritten(boolean whole);
 }
--- a/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
+++ b/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
@@ -180,7 +180,7 @@
     return value;
   }
 
-  public int count(String key, int otherwise, int least, int most) {
+  public int integer(String key, int otherwise, int least, int most) {
     double value = number(key, otherwise, least, most);
     if (value != Math.rint(value)) {
       throw fault(key, value + " is not whole");
@@ -193,14 +193,14 @@
     return found == null ? otherwise : found;
   }
 
-  public String word(String key, String otherwise) {
+  public String text(String key, String otherwise) {
     String found = at(key, String.class, "a text");
     return found == null ? otherwise : found;
   }
 
   /** A text that must be there. */
-  public String word(String key) {
-    String found = word(key, null);
+  public String text(String key) {
+    String found = text(key, null);
     if (found == null || found.isEmpty()) {
       throw fault(key, "missing");
     }
@@ -209,7 +209,7 @@
 
   /** One of these words; the first is the default. */
   public String choice(String key, List<String> words) {
-    String found = word(key, words.get(0));
+    String found = text(key, words.get(0));
     if (!words.contains(found)) {
       throw fault(key, "'" + found + "' is none of " + words);
     }
@@ -234,7 +234,7 @@
 
   /** The table under this key, empty where it is not there. */
   @SuppressWarnings("unchecked")
-  public ConfigurationReader part(String key) {
+  public ConfigurationReader section(String key) {
     Map<String, Object> found = at(key, Map.class, "a table");
     ConfigurationReader part =
         new ConfigurationReader(found == null ? Map.of() : found, whole(key), source);
@@ -244,7 +244,7 @@
 
   /** The tables under this key. */
   @SuppressWarnings("unchecked")
-  public List<ConfigurationReader> parts(String key) {
+  public List<ConfigurationReader> sections(String key) {
     List<?> found = at(key, List.class, "a list of tables");
     List<ConfigurationReader> parts = new ArrayList<>();
     for (int i = 0; found != null && i < found.size(); i++) {
@@ -259,12 +259,12 @@
   }
 
   /** Ends with an error if the file holds a key here or further in that nobody asked for. */
-  public void done() {
+  public void rejectUnknownKeys() {
     for (String key : all.keySet()) {
       if (!known.contains(key)) {
         throw fault(key, "unknown key");
       }
     }
-    inner.forEach(ConfigurationReader::done);
+    inner.forEach(ConfigurationReader::rejectUnknownKeys);
   }
 }
--- a/proxy/src/main/java/wheattrack/config/DynamicSettings.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettings.java
@@ -25,13 +25,13 @@
   }
 
   /** Rule sets and tenants that one proxy holds at most: some 30 MB of them. */
-  public static final int MOST_SETS = 50_000, MOST_TENANTS = 100_000;
+  public static final int MAX_CLASSES = 50_000, MAX_TENANTS = 100_000;
 
   private String source = "";
   private long revision = -1;
 
   /** Every rule set by its name; the same map all the time, for who looks up requests in it. */
-  private final Map<String, RequestClass> sets = new HashMap<>();
+  private final Map<String, RequestClass> requestClasses = new HashMap<>();
 
   private final Map<String, Double> quotas = new HashMap<>();
   private Map<String, Object> limits = Map.of();
@@ -42,8 +42,8 @@
   private final TreeMap<Long, Integer> targets = new TreeMap<>();
 
   private int replayable, numbered;
-  private double quota;
-  private long longest;
+  private double totalQuota;
+  private long longestClientTimeout;
 
   /** What one object of news would change, once it is known to be sound. */
   private record News(
@@ -54,18 +54,18 @@
    * `ruleSets`, `tenants`, `limits`. An entry with `gone` is dropped. Where it throws, nothing has
    * changed.
    */
-  public Verdict take(Settings news) {
+  public Verdict apply(Settings news) {
     boolean all = news.flag("all");
-    long rev = news.whole("rev", -1);
+    long rev = news.wholeNumber("rev", -1);
     if (rev < 0) {
       throw new InvalidConfigurationException("rev", "missing or negative");
     }
-    String from = news.word("source", "");
+    String from = news.text("source", "");
     boolean follows =
         revision >= 0
             && from.equals(source)
             && rev > revision
-            && news.whole("after", -1) == revision;
+            && news.wholeNumber("after", -1) == revision;
     if (!all && !follows) {
       return Verdict.WHOLE_WANTED;
     }
@@ -77,9 +77,9 @@
     sound.quotas.forEach(
         (name, quotaPerS) -> {
           Double was = quotaPerS < 0 ? quotas.remove(name) : quotas.put(name, quotaPerS);
-          quota += Math.max(0, quotaPerS) - (was == null ? 0 : was);
+          totalQuota += Math.max(0, quotaPerS) - (was == null ? 0 : was);
         });
-    quota = quotas.isEmpty() ? 0 : quota;
+    totalQuota = quotas.isEmpty() ? 0 : totalQuota;
     limits = sound.limits;
     revision = rev;
     source = from;
@@ -88,30 +88,30 @@
 
   private News check(Settings news, boolean all) {
     Map<String, RequestClass> changed = new LinkedHashMap<>();
-    int more = all ? 0 : sets.size(), number = numbered;
-    for (Settings set : news.parts("ruleSets")) {
-      String name = set.word("name");
+    int more = all ? 0 : requestClasses.size(), number = numbered;
+    for (Settings set : news.sections("ruleSets")) {
+      String name = set.text("name");
       if (changed.containsKey(name)) {
         throw new InvalidConfigurationException(set.key("name"), "the same as another's");
       }
-      boolean known = !all && sets.containsKey(name);
+      boolean known = !all && requestClasses.containsKey(name);
       if (set.flag("gone")) {
         changed.put(name, null);
         more -= known ? 1 : 0;
       } else {
         ProxyConfig.checkRuleSet(set);
-        changed.put(name, set.ruleSet(known ? sets.get(name).index() : number++));
+        changed.put(name, set.ruleSet(known ? requestClasses.get(name).index() : number++));
         more += known ? 0 : 1;
       }
     }
     if (more == 0) {
       throw new InvalidConfigurationException(news.key("ruleSets"), "none would be left");
     }
-    bound(news, "ruleSets", more, MOST_SETS);
+    bound(news, "ruleSets", more, MAX_CLASSES);
     Map<String, Double> tenants = new LinkedHashMap<>();
     more = all ? 0 : quotas.size();
-    for (Settings tenant : news.parts("tenants")) {
-      String name = tenant.word("name");
+    for (Settings tenant : news.sections("tenants")) {
+      String name = tenant.text("name");
       boolean gone = tenant.flag("gone"), known = !all && quotas.containsKey(name);
       double quotaPerS = tenant.number("quotaPerS", 0);
       if (quotaPerS < 0) {
@@ -122,9 +122,9 @@
       }
       more += gone ? known ? -1 : 0 : known ? 0 : 1;
     }
-    bound(news, "tenants", more, MOST_TENANTS);
+    bound(news, "tenants", more, MAX_TENANTS);
     Map<String, Object> next = new HashMap<>(all ? Map.of() : limits);
-    Settings told = news.part("limits");
+    Settings told = news.section("limits");
     told.keys().forEach(key -> next.put(key, told.any(key)));
     next.values().removeIf(java.util.Objects::isNull);
     ProxyConfig.checkLimits(new Settings(Map.of("limits", next)));
@@ -139,15 +139,15 @@
   }
 
   private void clear() {
-    sets.clear();
+    requestClasses.clear();
     quotas.clear();
     targets.clear();
     replayable = 0;
-    quota = 0;
+    totalQuota = 0;
   }
 
   private void put(String name, RequestClass set) {
-    RequestClass was = set == null ? sets.remove(name) : sets.put(name, set);
+    RequestClass was = set == null ? requestClasses.remove(name) : requestClasses.put(name, set);
     if (was != null) {
       targets.merge(was.latencyObjective(), -1, (a, b) -> a + b == 0 ? null : a + b);
       replayable -= was.idempotency() == Idempotency.IDEMPOTENT ? 1 : 0;
@@ -155,13 +155,13 @@
     if (set != null) {
       targets.merge(set.latencyObjective(), 1, Integer::sum);
       replayable += set.idempotency() == Idempotency.IDEMPOTENT ? 1 : 0;
-      longest = Math.max(longest, set.clientTimeout());
+      longestClientTimeout = Math.max(longestClientTimeout, set.clientTimeout());
       numbered = Math.max(numbered, set.index() + 1);
     }
   }
 
   /** Whether the source has told a whole that holds. */
-  public boolean isThere() {
+  public boolean isPresent() {
     return revision >= 0;
   }
 
@@ -171,8 +171,8 @@
   }
 
   /** All rule sets by name, as they are at any moment. */
-  public Map<String, RequestClass> sets() {
-    return sets;
+  public Map<String, RequestClass> requestClasses() {
+    return requestClasses;
   }
 
   public int tenants() {
@@ -201,22 +201,22 @@
   }
 
   /** All tenants' shares, requests a second. */
-  public double quota() {
-    return quota;
+  public double totalQuota() {
+    return totalQuota;
   }
 
   /** The longest time-out that any rule set has had; a request under way may still take it. */
-  public long longest() {
-    return longest;
+  public long longestClientTimeout() {
+    return longestClientTimeout;
   }
 
   /** These settings with the limits that the source names in place of their own. */
-  public Settings over(Settings own) {
+  public Settings overlay(Settings own) {
     return own.with("limits", limits);
   }
 
   /** The names of the limits that the source has set. */
-  public List<String> limited() {
+  public List<String> limitNames() {
     return limits.keySet().stream().sorted().toList();
   }
 }
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -125,7 +125,7 @@
       settings.put("me", told.me);
     }
     Settings s = new Settings(settings);
-    int balancers = s.count("balancers", 1), me = s.count("me", 0);
+    int balancers = s.integer("balancers", 1), me = s.integer("me", 0);
     if (balancers < 1 || me < 0 || me >= balancers) {
       throw new InvalidConfigurationException(
           told.me == null ? "--balancers" : "--me",
@@ -149,7 +149,10 @@
     Map<String, Object> report = made(settings, "report");
     if (new Settings(result).list("settings.report.fields").isEmpty()) {
       report.put(
-          "fields", how.equals("none") ? List.of() : List.of(Settings.HOLDS, Settings.WAITS));
+          "fields",
+          how.equals("none")
+              ? List.of()
+              : List.of(Settings.IN_FLIGHT_FIELD, Settings.QUEUED_FIELD));
     }
     report.put("how", how);
     if (probe) {
@@ -173,9 +176,9 @@
         "settings.prices.",
         "crossZone",
         "nothing is crossed in one place");
-    List<Settings> sets = new Settings(settings).parts("ruleSets");
+    List<Settings> sets = new Settings(settings).sections("ruleSets");
     for (int i = 0; i < sets.size(); i++) {
-      if (sets.get(i).word("group", "all").equals("zone")) {
+      if (sets.get(i).text("group", "all").equals("zone")) {
         left.add(
             "settings.ruleSets["
                 + i
--- a/proxy/src/main/java/wheattrack/config/OperatorConfig.java
+++ b/proxy/src/main/java/wheattrack/config/OperatorConfig.java
@@ -13,7 +13,7 @@
   /**
    * The log's form, how many lines a second an event may have (0: all), whether reqs have lines.
    */
-  public record Log(boolean json, int linesPerSecond, boolean reqs) {}
+  public record LogSettings(boolean json, int linesPerSecond, boolean requests) {}
 
   /** What holds where there is no file, in the file's own form. */
   public static final String DEFAULTS =
@@ -33,7 +33,7 @@
 scope = ""                    # names that go with requests for settings and list, by commas; "": all
 """;
 
-  public final Log log;
+  public final LogSettings log;
 
   /** The header of answers that carries a backend's load report; empty where none does. */
   public final String loadHeader;
@@ -44,29 +44,29 @@
   public final String scope;
 
   private OperatorConfig(ConfigurationReader t) {
-    ConfigurationReader l = t.part("log");
+    ConfigurationReader l = t.section("log");
     log =
-        new Log(
+        new LogSettings(
             l.choice("format", List.of("plain", "json")).equals("json"),
-            l.count("lines-per-second", 0, 0, 1_000_000),
+            l.integer("lines-per-second", 0, 0, 1_000_000),
             l.flag("reqs", false));
-    ConfigurationReader r = t.part("reports");
-    loadHeader = r.word("answers-header", "");
+    ConfigurationReader r = t.section("reports");
+    loadHeader = r.text("answers-header", "");
     if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
       throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
     }
-    ConfigurationReader s = t.part("settings");
-    String at = s.word("source", "");
+    ConfigurationReader s = t.section("settings");
+    String at = s.text("source", "");
     try {
       settingsSource = at.isEmpty() ? null : ProxyConfig.address("source", at);
     } catch (InvalidConfigurationException e) {
       throw s.fault("source", "not an address in figures with a port: " + at);
     }
-    scope = s.word("scope", "");
+    scope = s.text("scope", "");
     if (!scope.matches("([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?")) {
       throw s.fault("scope", "no names of letters, figures, '.', '_', '-' by commas, 256 at most");
     }
-    t.done();
+    t.rejectUnknownKeys();
   }
 
   public static OperatorConfig read(Path file) {
@@ -79,7 +79,7 @@
   }
 
   /** Without a file; no TOML is read, as a start has no time for it. */
-  public static Log plainLog() {
-    return new Log(false, 0, false);
+  public static LogSettings plainLog() {
+    return new LogSettings(false, 0, false);
   }
 }
--- a/proxy/src/main/java/wheattrack/config/ProxyConfig.java
+++ b/proxy/src/main/java/wheattrack/config/ProxyConfig.java
@@ -44,18 +44,18 @@
   public final long seed;
 
   /** Descriptors that the process may hold. */
-  public final int sockets;
+  public final int maxDescriptors;
 
   /** Bytes of the longest body, either way. */
-  public final long mostBody;
+  public final long maxBodyBytes;
 
   /**
    * How long new connections may still come once the end is announced, in tenths of a millisecond.
    */
-  public final long drain;
+  public final long drainTime;
 
   /** The list of backends as this proxy last had it, in discovery's form. */
-  public final Settings known;
+  public final Settings cachedEndpoints;
 
   public final Settings settings;
   private final Map<String, Object> all;
@@ -63,23 +63,23 @@
   public ProxyConfig(Map<String, Object> all) {
     this.all = all;
     Settings s = new Settings(all);
-    name = s.word("name", "wheattrack");
-    listen = address("listen", s.word("listen"));
-    discovery = address("discovery", s.word("discovery"));
-    String calls = s.word("admin", System.getenv("GW_ADMIN"));
+    name = s.text("name", "wheattrack");
+    listen = address("listen", s.text("listen"));
+    discovery = address("discovery", s.text("discovery"));
+    String calls = s.text("admin", System.getenv("GW_ADMIN"));
     admin = calls == null || calls.isEmpty() ? null : address("admin", calls);
     seed = seed(s);
-    sockets = s.count("limits.sockets", 1024);
-    check(sockets >= LEAST_SOCKETS, "limits.sockets", "under " + LEAST_SOCKETS);
+    maxDescriptors = s.integer("limits.sockets", 1024);
+    check(maxDescriptors >= LEAST_SOCKETS, "limits.sockets", "under " + LEAST_SOCKETS);
     double megabytes = s.number("limits.body_mb", 32);
     check(megabytes >= 1, "limits.body_mb", "under 1");
-    mostBody = (long) (megabytes * (1 << 20));
-    drain = (long) (s.number("drain_ms", 500) * 10);
-    check(drain >= 0, "drain_ms", "negative");
-    String shape = s.word("shape", SHAPES.get(0));
+    maxBodyBytes = (long) (megabytes * (1 << 20));
+    drainTime = (long) (s.number("drain_ms", 500) * 10);
+    check(drainTime >= 0, "drain_ms", "negative");
+    String shape = s.text("shape", SHAPES.get(0));
     check(SHAPES.contains(shape), "shape", "none of " + SHAPES);
-    known = s.part("known");
-    settings = s.part("settings");
+    cachedEndpoints = s.section("known");
+    settings = s.section("settings");
     checkSettings();
   }
 
@@ -91,34 +91,34 @@
 
   /** What the decisions could not act on, or would silently take for something else. */
   private void checkSettings() {
-    List<Settings> sets = settings.parts("ruleSets");
+    List<Settings> sets = settings.sections("ruleSets");
     check(!sets.isEmpty(), "settings.ruleSets", "missing");
     Set<String> names = new HashSet<>();
     for (int i = 0; i < sets.size(); i++) {
       Settings set = sets.get(i);
-      check(names.add(set.word("name")), set.key("name"), "the same as another's");
+      check(names.add(set.text("name")), set.key("name"), "the same as another's");
       checkRuleSet(set);
     }
-    settings.ruleSets();
+    settings.requestClasses();
     settings.policySettings(settings.list("zones"));
     checkShape();
-    int balancers = settings.count("balancers", 1);
-    int me = settings.count("me", 0);
+    int balancers = settings.integer("balancers", 1);
+    int me = settings.integer("me", 0);
     check(balancers >= 1, "settings.balancers", "under 1");
     check(me >= 0 && me < balancers, "settings.me", "not from 0 to under balancers");
     checkLimits(settings);
     int zones = Math.max(1, settings.list("zones").size());
-    int zone = settings.count("zone", 0);
+    int zone = settings.integer("zone", 0);
     check(zone >= 0 && zone < zones, "settings.zone", "not a place in zones");
   }
 
   static void checkRuleSet(Settings set) {
     check(
-        Settings.EFFECTS.contains(set.word("effect")),
+        Settings.EFFECTS.contains(set.text("effect")),
         set.key("effect"),
         "none of " + Settings.EFFECTS);
     check(
-        Settings.GROUPS.contains(set.word("group", "all")),
+        Settings.GROUPS.contains(set.text("group", "all")),
         set.key("group"),
         "none of " + Settings.GROUPS);
     check(set.time("clientTimeout", 1_000_000) > 0, set.key("clientTimeout"), "not above 0");
@@ -128,7 +128,7 @@
 
   static void checkLimits(Settings settings) {
     check(
-        settings.count("limits.maxDispatches", 1) >= 1,
+        settings.integer("limits.maxDispatches", 1) >= 1,
         settings.key("limits.maxDispatches"),
         "under 1");
     for (String key : List.of("dialTimeout", "idleClose", "maxRetryAfter")) {
@@ -152,14 +152,14 @@
     for (String key : List.of("prices.connection", "prices.handshake", "prices.crossZone")) {
       check(settings.number(key, 0) >= 0, "settings." + key, "negative");
     }
-    List<Settings> tenants = settings.parts("tenants");
+    List<Settings> tenants = settings.sections("tenants");
     for (int i = 0; i < tenants.size(); i++) {
       check(
           tenants.get(i).number("quotaPerS", 0) >= 0,
           "settings.tenants[" + i + "].quotaPerS",
           "negative");
     }
-    String how = settings.word("report.how", Settings.REPORTS.get(0));
+    String how = settings.text("report.how", Settings.REPORTS.get(0));
     check(Settings.REPORTS.contains(how), "settings.report.how", "none of " + Settings.REPORTS);
     check(
         !how.equals("probe") || settings.flag("limits.probing"),
@@ -168,7 +168,7 @@
   }
 
   /** The keys that differ from the running configuration's and act at a start only. */
-  public List<String> fixedAgainst(ProxyConfig running) {
+  public List<String> changedFixedKeys(ProxyConfig running) {
     Settings mine = new Settings(all), its = new Settings(running.all);
     return Stream.of(
             "listen",
@@ -194,15 +194,15 @@
     was.keySet().removeAll(ONCE);
     lacks(was, next.all, "");
     Set<String> common = null;
-    for (Settings set : running.settings.parts("ruleSets")) {
+    for (Settings set : running.settings.sections("ruleSets")) {
       common = common == null ? new HashSet<>(set.keys()) : common;
       common.retainAll(set.keys());
     }
-    for (Settings set : next.settings.parts("ruleSets")) {
+    for (Settings set : next.settings.sections("ruleSets")) {
       for (String key : common) {
         check(
             set.has(key),
-            "settings.ruleSets." + set.word("name") + "." + key,
+            "settings.ruleSets." + set.text("name") + "." + key,
             "missing, all running ones have it");
       }
     }
@@ -225,7 +225,7 @@
   }
 
   /** The same at any free port of this machine, its list at the port that is given. */
-  public static ProxyConfig rehearsal(Path file, int list) {
+  public static ProxyConfig readForTraining(Path file, int list) {
     Map<String, Object> all = map(file);
     all.put("listen", "127.0.0.1:0");
     all.put("discovery", "127.0.0.1:" + list);
@@ -251,7 +251,7 @@
   }
 
   private static long seed(Settings s) {
-    String seed = s.word("seed", "");
+    String seed = s.text("seed", "");
     try {
       return seed.isEmpty() ? System.nanoTime() : Long.parseUnsignedLong(seed, 16);
     } catch (NumberFormatException e) {
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -30,7 +30,7 @@
   static final List<String> GROUPS = List.of("all", "zone", "cell");
 
   /** Of a load report: the reqs a backend holds, and those of them that wait. */
-  public static final String HOLDS = "rif", WAITS = "q";
+  public static final String IN_FLIGHT_FIELD = "rif", QUEUED_FIELD = "q";
 
   /** How load reports come. */
   static final List<String> REPORTS = List.of("none", "answers", "probe");
@@ -89,7 +89,7 @@
 
   /** The same with some keys of one of its objects in place of their own; the rest is shared. */
   Settings with(String part, Map<String, Object> other) {
-    Map<String, Object> all2 = new HashMap<>(all), inner = new HashMap<>(part(part).all);
+    Map<String, Object> all2 = new HashMap<>(all), inner = new HashMap<>(section(part).all);
     inner.putAll(other);
     all2.put(part, inner);
     return new Settings(all2, where);
@@ -107,11 +107,11 @@
     return at(path, Number.class, otherwise).doubleValue();
   }
 
-  public int count(String path, int otherwise) {
+  public int integer(String path, int otherwise) {
     return (int) number(path, otherwise);
   }
 
-  public long whole(String path, long otherwise) {
+  public long wholeNumber(String path, long otherwise) {
     return at(path, Number.class, otherwise).longValue();
   }
 
@@ -132,13 +132,13 @@
     return at(path, Boolean.class, false);
   }
 
-  public String word(String path, String otherwise) {
+  public String text(String path, String otherwise) {
     return at(path, String.class, otherwise);
   }
 
   /** A text that must be there. */
-  public String word(String path) {
-    String word = word(path, null);
+  public String text(String path) {
+    String word = text(path, null);
     if (word == null || word.isEmpty()) {
       throw new InvalidConfigurationException(where + path, "missing");
     }
@@ -150,13 +150,13 @@
   }
 
   @SuppressWarnings("unchecked")
-  public Settings part(String path) {
+  public Settings section(String path) {
     return new Settings((Map<String, Object>) at(path, Map.class, Map.of()), where + path + ".");
   }
 
   /** The list's entries, each an object. */
   @SuppressWarnings("unchecked")
-  public List<Settings> parts(String path) {
+  public List<Settings> sections(String path) {
     List<?> list = list(path);
     return IntStream.range(0, list.size())
         .mapToObj(
@@ -170,8 +170,8 @@
         .toList();
   }
 
-  public RequestClass[] ruleSets() {
-    List<Settings> sets = parts("ruleSets");
+  public RequestClass[] requestClasses() {
+    List<Settings> sets = sections("ruleSets");
     RequestClass[] out = new RequestClass[sets.size()];
     for (int i = 0; i < out.length; i++) {
       out[i] = sets.get(i).ruleSet(i);
@@ -181,8 +181,8 @@
 
   /** This object as a rule set of that number. */
   RequestClass ruleSet(int number) {
-    Idempotency effect = choice(word("effect", ""), EFFECTS, Idempotency.values());
-    DeduplicationScope group = choice(word("group", ""), GROUPS, DeduplicationScope.values());
+    Idempotency effect = choice(text("effect", ""), EFFECTS, Idempotency.values());
+    DeduplicationScope group = choice(text("group", ""), GROUPS, DeduplicationScope.values());
     long timeout = time("clientTimeout", 1_000_000);
     long target = Math.max(1, Math.min(timeout, time("responseTarget", 1_000_000)));
     return new RequestClass(
@@ -203,42 +203,44 @@
   }
 
   /** These rule sets of ours under their names. */
-  public Map<String, RequestClass> byName(RequestClass[] sets) {
+  public Map<String, RequestClass> classesByName(RequestClass[] sets) {
     Map<String, RequestClass> named = new HashMap<>();
-    List<Settings> parts = parts("ruleSets");
+    List<Settings> parts = sections("ruleSets");
     for (int i = 0; i < sets.length; i++) {
-      named.put(parts.get(i).word("name"), sets[i]);
+      named.put(parts.get(i).text("name"), sets[i]);
     }
     return named;
   }
 
   /** The names of the rule sets, in their order. */
-  public List<String> names() {
-    return parts("ruleSets").stream().map(set -> set.word("name")).toList();
+  public List<String> classNames() {
+    return sections("ruleSets").stream().map(set -> set.text("name")).toList();
   }
 
   /**
    * The decisions under these settings, each part given its own; asks: the list must be asked for.
    */
-  public LoadBalancer rules(PolicyRuntime port, long seed, RequestClass[] sets, boolean asks) {
-    return rules(port, seed, sets, asks, Long.MAX_VALUE);
+  public LoadBalancer newLoadBalancer(
+      PolicyRuntime port, long seed, RequestClass[] sets, boolean asks) {
+    return newLoadBalancer(port, seed, sets, asks, Long.MAX_VALUE);
   }
 
   /**
    * The same; calls to the list that fail are spaced as if it were asked this often, or oftener.
    */
-  public LoadBalancer rules(
+  public LoadBalancer newLoadBalancer(
       PolicyRuntime port, long seed, RequestClass[] sets, boolean asks, long askEveryAtMost) {
-    LoadBalancer rules = new LoadBalancer(port, seed, count("me", 0), count("balancers", 1), sets);
+    LoadBalancer rules =
+        new LoadBalancer(port, seed, integer("me", 0), integer("balancers", 1), sets);
     rules.configure(policySettings(list("zones")), sets);
     rules.start(asks, Math.min(askEveryAtMost, time("rules.askEvery", 10_000_000)));
     return rules;
   }
 
   /** Whether backends report what the decisions need of their load. */
-  public boolean tellsLoad() {
-    return !word("report.how", REPORTS.get(0)).equals(REPORTS.get(0))
-        && list("report.fields").contains(HOLDS);
+  public boolean expectsLoadReports() {
+    return !text("report.how", REPORTS.get(0)).equals(REPORTS.get(0))
+        && list("report.fields").contains(IN_FLIGHT_FIELD);
   }
 
   /**
@@ -249,23 +251,23 @@
    */
   public PolicySettings policySettings(List<?> zones) {
     return policySettings(
-        zones, parts("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum());
+        zones, sections("tenants").stream().mapToDouble(one -> one.number("quotaPerS", 0)).sum());
   }
 
   /** The same, with all tenants' shares known otherwise. */
   public PolicySettings policySettings(List<?> zones, double quota) {
-    int most = count("limits.maxDispatches", 1);
+    int most = integer("limits.maxDispatches", 1);
     boolean cancels = flag("limits.mayCancel"), duplicates = flag("limits.mayDuplicate");
     long longestWait = flag("limits.retryAfter") ? time("limits.maxRetryAfter", 0) : 0;
-    int own = count("zone", 0);
+    int own = integer("zone", 0);
     List<?> mine = list("zones");
     int zone = own >= 0 && own < mine.size() ? zones.indexOf(mine.get(own)) : own;
     double crossing = number("prices.crossZone", 0), start = number("rules.startCapacity", 1);
     long cold = time("rules.cold", 0), fall = time("rules.fall", 0);
     double multiple = number("rules.fallMultiple", 1);
     double connection = number("prices.connection", 0), handshake = number("prices.handshake", 0);
-    boolean come = tellsLoad();
-    boolean asked = !word("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
+    boolean come = expectsLoadReports();
+    boolean asked = !text("report.how", "").equals(REPORTS.get(1)) && flag("limits.probing");
     return new PolicySettings(
         new PolicySettings.AttemptLimits(most, cancels, duplicates, longestWait),
         new PolicySettings.Zones(zone, crossing),
--- a/proxy/src/main/java/wheattrack/core/BackendIndex.java
+++ b/proxy/src/main/java/wheattrack/core/BackendIndex.java
@@ -11,23 +11,23 @@
  * The list of backends as dense indexes; one is free again once its srv is gone and nothing is out
  * there.
  */
-public final class BackendIndex<K, S extends BackendIndex.Srv<K>> {
+public final class BackendIndex<K, S extends BackendIndex.Backend<K>> {
   /** When a srv started of which only "long ago" is known. */
   public static final long LONG_AGO = Long.MIN_VALUE / 2;
 
   /** A backend at the door. */
-  public abstract static class Srv<K> {
+  public abstract static class Backend<K> {
     public final K id;
-    public final int at;
-    private boolean gone = true;
+    public final int index;
+    private boolean unlisted = true;
 
-    protected Srv(K id, int at) {
+    protected Backend(K id, int at) {
       this.id = id;
-      this.at = at;
+      this.index = at;
     }
 
     /** Whether something is still out there. */
-    protected abstract boolean isBusy();
+    protected abstract boolean hasWorkInFlight();
   }
 
   private final BiFunction<K, Integer, S> maker;
@@ -38,7 +38,7 @@
     this.maker = maker;
   }
 
-  public S at(int index) {
+  public S get(int index) {
     return byIndex.get(index);
   }
 
@@ -48,15 +48,15 @@
   }
 
   /** The backend of this id, admitted if it is new; still gone until it is met. */
-  public S admit(K id) {
+  public S getOrAdd(K id) {
     S known = byId.get(id);
     if (known != null) {
       return known;
     }
     int index = byIndex.size();
     for (S old : byIndex) {
-      if (isGone(old) && !old.isBusy()) {
-        index = old.at;
+      if (isGone(old) && !old.hasWorkInFlight()) {
+        index = old.index;
         byId.remove(old.id);
         break;
       }
@@ -71,38 +71,38 @@
     return srv;
   }
 
-  private static boolean isGone(Srv<?> srv) {
-    return srv.gone;
+  private static boolean isGone(Backend<?> srv) {
+    return srv.unlisted;
   }
 
   /** The srv is on the list; says whether it was not before. */
-  public boolean met(S srv) {
+  public boolean markListed(S srv) {
     boolean fresh = isGone(srv);
-    ((Srv<K>) srv).gone = false;
+    ((Backend<K>) srv).unlisted = false;
     return fresh;
   }
 
   /** The srv has left the list; says whether it was on it. */
-  public boolean left(S srv) {
+  public boolean markUnlisted(S srv) {
     boolean was = srv != null && !isGone(srv);
     if (was) {
-      ((Srv<K>) srv).gone = true;
+      ((Backend<K>) srv).unlisted = true;
     }
     return was;
   }
 
   /** How many are on the list. */
-  public int listed() {
+  public int listedCount() {
     return (int) byIndex.stream().filter(srv -> !isGone(srv)).count();
   }
 
   /** How many of those on the list have this index or a greater one. */
-  public int listedFrom(int index) {
+  public int listedCountFrom(int index) {
     return (int) byIndex.stream().skip(index).filter(srv -> !isGone(srv)).count();
   }
 
   /** Those on the list that are not named. */
-  public List<S> missing(Set<?> named) {
+  public List<S> listedExcept(Set<?> named) {
     return byIndex.stream().filter(srv -> !isGone(srv) && !named.contains(srv.id)).toList();
   }
 
--- a/proxy/src/main/java/wheattrack/core/Lifecycle.java
+++ b/proxy/src/main/java/wheattrack/core/Lifecycle.java
@@ -18,12 +18,12 @@
     ENDED
   }
 
-  private final Consumer<Phase> entered;
+  private final Consumer<Phase> listener;
   private Phase phase = Phase.STARTING;
 
   /** entered hears of each phase as it begins. */
   public Lifecycle(Consumer<Phase> entered) {
-    this.entered = entered;
+    this.listener = entered;
   }
 
   public Phase phase() {
@@ -35,17 +35,17 @@
   }
 
   /** From draining on, connections are not kept. */
-  public boolean isLeaving() {
+  public boolean isShuttingDown() {
     return phase.compareTo(Phase.DRAINING) >= 0;
   }
 
   /** Goes on to a later phase; says false where it is reached or past already. */
-  public boolean enter(Phase next) {
+  public boolean advanceTo(Phase next) {
     if (next.compareTo(phase) <= 0) {
       return false;
     }
     phase = next;
-    entered.accept(next);
+    listener.accept(next);
     return true;
   }
 }
--- a/proxy/src/main/java/wheattrack/core/MinimumTransferRate.java
+++ b/proxy/src/main/java/wheattrack/core/MinimumTransferRate.java
@@ -14,36 +14,36 @@
 
   private static final long SECOND = 10_000;
 
-  private long left;
+  private long remaining;
   private long since;
   private boolean paused;
 
-  public void begin(long now) {
-    left = FIRST;
+  public void start(long now) {
+    remaining = FIRST;
     since = now;
     paused = false;
   }
 
   /** So many bytes have come. */
-  public void came(long now, long bytes) {
-    left = Math.min(MOST, left(now) + bytes * SECOND / RATE);
+  public void received(long now, long bytes) {
+    remaining = Math.min(MOST, remaining(now) + bytes * SECOND / RATE);
     since = now;
   }
 
   /** Nobody asks for bytes now: the sender is not to blame. */
   public void pause(long now) {
-    left = left(now);
+    remaining = remaining(now);
     paused = true;
   }
 
   public void resume(long now) {
-    left = Math.max(LEAST, left(now));
+    remaining = Math.max(LEAST, remaining(now));
     since = now;
     paused = false;
   }
 
   /** How long its next bytes may still take. */
-  public long left(long now) {
-    return paused ? left : Math.max(0, left - (now - since));
+  public long remaining(long now) {
+    return paused ? remaining : Math.max(0, remaining - (now - since));
   }
 }
--- a/proxy/src/main/java/wheattrack/core/RequestCounters.java
+++ b/proxy/src/main/java/wheattrack/core/RequestCounters.java
@@ -9,10 +9,10 @@
  */
 public final class RequestCounters {
   /** How a req ended for its client. */
-  public enum End {
+  public enum FinalAnswer {
     DONE,
-    DENIED,
-    ABORTED
+    REJECTED,
+    FAILED
   }
 
   /** Names counted apart; what comes under further ones stands under the last. */
@@ -26,25 +26,29 @@
    * Dispatches written whole to a backend; configurations read again and taken, and turned down,
    * those of a watched source among them; and news of such a source that holds.
    */
-  public long dispatches, reread, turnedDown, told;
+  public long attempts, reloadsApplied, reloadsRejected, dynamicSettingsApplied;
 
   /** The rule set of this name is in use, so that its counts are shown from now on, be they 0. */
-  public void name(String ruleSet) {
+  public void declare(String ruleSet) {
     of(ruleSet);
   }
 
   private long[] of(String ruleSet) {
     long[] known = byName.get(ruleSet);
     String name = known == null && byName.size() >= MOST ? FURTHER : ruleSet;
-    return known != null ? known : byName.computeIfAbsent(name, n -> new long[End.values().length]);
+    return known != null
+        ? known
+        : byName.computeIfAbsent(name, n -> new long[FinalAnswer.values().length]);
   }
 
-  public void ended(String ruleSet, End how) {
+  public void countAnswer(String ruleSet, FinalAnswer how) {
     of(ruleSet)[how.ordinal()]++;
   }
 
-  /** By rule set, in the order in which they were met: counts in the order of End. */
-  public Map<String, long[]> ends() {
+  /**
+   * By rule set, in the order in which they were met: counts in the order of {@link FinalAnswer}.
+   */
+  public Map<String, long[]> answersByClass() {
     return byName;
   }
 }
--- a/proxy/src/main/java/wheattrack/core/TimerQueue.java
+++ b/proxy/src/main/java/wheattrack/core/TimerQueue.java
@@ -8,29 +8,29 @@
  */
 public final class TimerQueue {
   /** One deadline; what is to be done goes with it. */
-  public static final class Entry {
-    private final long at;
-    private final long turn;
-    private final Runnable then;
-    private int place = -1;
+  public static final class Timer {
+    private final long deadline;
+    private final long sequence;
+    private final Runnable task;
+    private int heapIndex = -1;
 
-    private Entry(long at, long turn, Runnable then) {
-      this.at = at;
-      this.turn = turn;
-      this.then = then;
+    private Timer(long at, long turn, Runnable then) {
+      this.deadline = at;
+      this.sequence = turn;
+      this.task = then;
     }
 
-    private boolean isBefore(Entry other) {
-      return at != other.at ? at < other.at : turn < other.turn;
+    private boolean isBefore(Timer other) {
+      return deadline != other.deadline ? deadline < other.deadline : sequence < other.sequence;
     }
   }
 
-  private Entry[] heap = new Entry[64];
+  private Timer[] heap = new Timer[64];
   private int size;
   private long turns;
 
-  public Entry add(long at, Runnable then) {
-    Entry entry = new Entry(at, ++turns, then);
+  public Timer add(long at, Runnable then) {
+    Timer entry = new Timer(at, ++turns, then);
     if (size == heap.length) {
       heap = Arrays.copyOf(heap, 2 * size);
     }
@@ -40,13 +40,13 @@
   }
 
   /** Takes an entry out; none, or one that is past or out already, is no matter. */
-  public void cancel(Entry entry) {
-    if (entry == null || entry.place < 0) {
+  public void cancel(Timer entry) {
+    if (entry == null || entry.heapIndex < 0) {
       return;
     }
-    int hole = entry.place;
-    entry.place = -1;
-    Entry last = heap[--size];
+    int hole = entry.heapIndex;
+    entry.heapIndex = -1;
+    Timer last = heap[--size];
     heap[size] = null;
     if (last != entry) {
       put(last, hole);
@@ -56,32 +56,32 @@
   }
 
   /** When the first falls due, or never. */
-  public long first() {
-    return size == 0 ? Long.MAX_VALUE : heap[0].at;
+  public long nextDeadline() {
+    return size == 0 ? Long.MAX_VALUE : heap[0].deadline;
   }
 
   /** Takes out the first if it is due and gives what is to be done, else null. */
-  public Runnable due(long now) {
-    if (size == 0 || heap[0].at > now) {
+  public Runnable pollDue(long now) {
+    if (size == 0 || heap[0].deadline > now) {
       return null;
     }
-    Entry entry = heap[0];
+    Timer entry = heap[0];
     cancel(entry);
-    return entry.then;
+    return entry.task;
   }
 
   public int size() {
     return size;
   }
 
-  private void put(Entry entry, int place) {
+  private void put(Timer entry, int place) {
     heap[place] = entry;
-    entry.place = place;
+    entry.heapIndex = place;
   }
 
-  private void rise(Entry entry) {
-    while (entry.place > 0) {
-      Entry above = heap[(entry.place - 1) / 2];
+  private void rise(Timer entry) {
+    while (entry.heapIndex > 0) {
+      Timer above = heap[(entry.heapIndex - 1) / 2];
       if (!entry.isBefore(above)) {
         return;
       }
@@ -89,9 +89,9 @@
     }
   }
 
-  private void sink(Entry entry) {
-    while (2 * entry.place + 1 < size) {
-      int child = 2 * entry.place + 1;
+  private void sink(Timer entry) {
+    while (2 * entry.heapIndex + 1 < size) {
+      int child = 2 * entry.heapIndex + 1;
       if (child + 1 < size && heap[child + 1].isBefore(heap[child])) {
         child++;
       }
@@ -102,9 +102,9 @@
     }
   }
 
-  private void swap(Entry a, Entry b) {
-    int place = a.place;
-    put(a, b.place);
+  private void swap(Timer a, Timer b) {
+    int place = a.heapIndex;
+    put(a, b.heapIndex);
     put(b, place);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -9,13 +9,13 @@
  */
 public abstract class Decoder<M> {
   /** The longest body that is kept whole. */
-  public static final int KEPT = 64 * 1024;
+  public static final int MAX_BUFFERED_BODY = 64 * 1024;
 
   /** The longest body that is passed on, unless it is said otherwise. */
-  public static final long MOST_BODY = 32L << 20;
+  public static final long DEFAULT_MAX_BODY = 32L << 20;
 
   /** Of a body whose length is not known: pieces follow, chunked or until the connection's end. */
-  public static final long CHUNKED = -1, TILL_END = -2;
+  public static final long CHUNKED = -1, UNTIL_CLOSE = -2;
 
   /** The bytes of one read, and of one piece. */
   private static final int PIECE = 16 * 1024;
@@ -34,27 +34,29 @@
   }
 
   /** Room for what comes next; to be filled by one read. */
-  public ByteBuffer room() {
-    return inBody && (chunks != null || tillEnd || left > PIECE / 16) ? in.room(PIECE) : in.room();
+  public ByteBuffer writableBuffer() {
+    return inBody && (chunks != null || tillEnd || left > PIECE / 16)
+        ? in.writableBuffer(PIECE)
+        : in.writableBuffer();
   }
 
   /** Bytes that came next and were read elsewhere; not while a read fills the room. */
-  public void add(ByteBuffer more) {
+  public void append(ByteBuffer more) {
     in.add(more);
   }
 
   /** Bytes that wait to be made into a message. */
-  public int waiting() {
+  public int bufferedBytes() {
     return in.waiting();
   }
 
   /** Whether a message has begun that is not whole yet. */
-  public boolean isAmid() {
+  public boolean isMidMessage() {
     return inBody || in.waiting() > 0;
   }
 
   /** Whether a message was given whose further pieces are still to be asked for. */
-  public boolean isPassing() {
+  public boolean isStreamingBody() {
     return passing;
   }
 
@@ -71,10 +73,13 @@
     if (!inBody && !begin()) {
       return null;
     }
-    fill(body, KEPT);
+    fill(body, MAX_BUFFERED_BODY);
     boolean whole = isWhole();
     boolean measured = chunks == null && !tillEnd;
-    if (!whole && !(measured && size + left > KEPT ? size >= enough() : size >= KEPT)) {
+    if (!whole
+        && !(measured && size + left > MAX_BUFFERED_BODY
+            ? size >= maxLineBytes()
+            : size >= MAX_BUFFERED_BODY)) {
       return null;
     }
     return give(whole);
@@ -84,7 +89,7 @@
     byte[] kept = body.all();
     body = null;
     passing = !whole;
-    long more = whole ? 0 : chunks != null ? CHUNKED : tillEnd ? TILL_END : left;
+    long more = whole ? 0 : chunks != null ? CHUNKED : tillEnd ? UNTIL_CLOSE : left;
     if (whole) {
       over();
     }
@@ -97,7 +102,7 @@
   }
 
   /** Such a message as far as it has come; takes nothing further of what waits. */
-  public M early() throws MalformedMessageException {
+  public M nextWithPartialBody() throws MalformedMessageException {
     return give(false);
   }
 
@@ -107,9 +112,9 @@
       return false;
     }
     Headers headers = ReceiveBuffer.headers(lines);
-    long length = start(lines[0], headers);
+    long length = readHead(lines[0], headers);
     chunks = length == CHUNKED ? new ChunkedDecoder() : null;
-    tillEnd = length == TILL_END;
+    tillEnd = length == UNTIL_CLOSE;
     left = Math.max(0, length);
     if (length > most) {
       throw tooLong();
@@ -159,7 +164,7 @@
   }
 
   /** The next bytes of the body that is passed on, or none; isPassing() says whether it goes on. */
-  public ByteBuffer piece() throws MalformedMessageException {
+  public ByteBuffer nextBodyPart() throws MalformedMessageException {
     ByteStrings out = new ByteStrings(Math.min(PIECE, Math.max(16, in.waiting())));
     fill(out, PIECE);
     if (isWhole()) {
@@ -171,22 +176,22 @@
   /**
    * The connection has ended in order; says whether that is the end of the body that was to come.
    */
-  public boolean end() {
+  public boolean endOfStream() {
     ended = inBody && tillEnd;
     return ended;
   }
 
   /** Of a long body of known length: bytes that must be there before its message is given. */
-  protected abstract int enough();
+  protected abstract int maxLineBytes();
 
   /** Takes the first line and the headers; gives the body's length, CHUNKED or TILL_END. */
-  protected abstract long start(String line, Headers headers) throws MalformedMessageException;
+  protected abstract long readHead(String line, Headers headers) throws MalformedMessageException;
 
   /** more: bytes that follow the kept ones, or CHUNKED or TILL_END. */
   protected abstract M message(byte[] kept, long more);
 
-  static boolean keeps(String version, Headers headers) {
-    return version.equals("HTTP/1.1") && !headers.lists("Connection", "close");
+  static boolean keepsAlive(String version, Headers headers) {
+    return version.equals("HTTP/1.1") && !headers.containsToken("Connection", "close");
   }
 
   static void checkVersion(String version) throws MalformedMessageException {
--- a/proxy/src/main/java/wheattrack/http/Encoder.java
+++ b/proxy/src/main/java/wheattrack/http/Encoder.java
@@ -12,7 +12,7 @@
     head.append(r.method()).append(' ').append(r.target()).append(" HTTP/1.1\r\n");
     boolean measured =
         r.body().length > 0 || !r.method().equals("GET") && !r.method().equals("HEAD");
-    return message(head, r.headers(), r.keep(), r.body(), r.more(), measured);
+    return message(head, r.headers(), r.keepAlive(), r.body(), r.remainingBody(), measured);
   }
 
   public static ByteBuffer response(Response r) {
@@ -22,11 +22,17 @@
         .append(' ')
         .append(reason(r.status()))
         .append("\r\n");
-    return message(head, r.headers(), r.keep(), r.body(), r.more(), r.more() != Response.BARE);
+    return message(
+        head,
+        r.headers(),
+        r.keepAlive(),
+        r.body(),
+        r.remainingBody(),
+        r.remainingBody() != Response.NO_BODY);
   }
 
   /** The interim word that a body is wanted. */
-  public static ByteBuffer goOn() {
+  public static ByteBuffer continueResponse() {
     return ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
   }
 
@@ -50,7 +56,7 @@
     }
     if (chunked) {
       head.append("Transfer-Encoding: chunked\r\n");
-    } else if (measured && more != Decoder.TILL_END) {
+    } else if (measured && more != Decoder.UNTIL_CLOSE) {
       head.append("Content-Length: ").append(body.length + Math.max(0, more)).append("\r\n");
     }
     if (!keep) {
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -40,7 +40,7 @@
   }
 
   /** Whether a list-valued header holds this word. */
-  public boolean lists(String name, String word) {
+  public boolean containsToken(String name, String word) {
     for (int i = 0; i < names.size(); i++) {
       if (names.get(i).equalsIgnoreCase(name)) {
         for (String part : values.get(i).split(",")) {
--- a/proxy/src/main/java/wheattrack/http/LineDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/LineDecoder.java
@@ -24,8 +24,8 @@
 
   private boolean quoted, escaped, behind;
 
-  public ByteBuffer room() {
-    return in.room();
+  public ByteBuffer writableBuffer() {
+    return in.writableBuffer();
   }
 
   /** Whether the answer itself has ended, though its connection has not. */
@@ -39,7 +39,7 @@
   }
 
   /** Whether an object has begun that is not whole. */
-  public boolean isAmid() {
+  public boolean isMidLine() {
     return depth > 0;
   }
 
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -15,7 +15,7 @@
   private int scanned;
 
   /** Room for what comes next; to be filled by one read. */
-  ByteBuffer room() {
+  ByteBuffer writableBuffer() {
     if (in.remaining() < LEAST / 4) {
       in = ByteBuffer.allocate(2 * in.capacity()).put(in.flip());
     }
@@ -23,11 +23,11 @@
   }
 
   /** Wide room, for a long body. */
-  ByteBuffer room(int wide) {
+  ByteBuffer writableBuffer(int wide) {
     if (in.capacity() < wide) {
       in = ByteBuffer.allocate(wide).put(in.flip());
     }
-    return room();
+    return writableBuffer();
   }
 
   /** Puts bytes behind those that wait; not while a read fills the room. */
--- a/proxy/src/main/java/wheattrack/http/Request.java
+++ b/proxy/src/main/java/wheattrack/http/Request.java
@@ -8,9 +8,9 @@
     String method,
     String target,
     Headers headers,
-    boolean keep,
+    boolean keepAlive,
     byte[] body,
-    long more,
+    long remainingBody,
     boolean chunks) {
   /** A whole one. */
   public Request(String method, String target, Headers headers, boolean keep, byte[] body) {
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -14,7 +14,7 @@
   private boolean expects;
 
   public RequestDecoder() {
-    this(MOST_BODY);
+    this(DEFAULT_MAX_BODY);
   }
 
   /** most: bytes of the longest body. */
@@ -23,12 +23,12 @@
   }
 
   @Override
-  protected int enough() {
-    return KEPT / 4; // from then on it is passed on, repeatable until more is
+  protected int maxLineBytes() {
+    return MAX_BUFFERED_BODY / 4; // from then on it is passed on, repeatable until more is
   }
 
   @Override
-  protected long start(String line, Headers with) throws MalformedMessageException {
+  protected long readHead(String line, Headers with) throws MalformedMessageException {
     String[] parts = line.split(" ", -1);
     if (parts.length != 3 || !ReceiveBuffer.isToken(parts[0]) || !isTarget(parts[1])) {
       throw new MalformedMessageException(400, "bad request line");
@@ -40,9 +40,9 @@
     method = parts[0];
     target = parts[1];
     headers = with;
-    keep = keeps(parts[2], with);
+    keep = keepsAlive(parts[2], with);
     chunks = parts[2].equals("HTTP/1.1");
-    expects = with.lists("Expect", "100-continue");
+    expects = with.containsToken("Expect", "100-continue");
     return with.chunked() ? CHUNKED : Math.max(0, with.length());
   }
 
@@ -51,7 +51,7 @@
   }
 
   /** Whether the client waits to be told that its body is wanted; says so once. */
-  public boolean expectsWord() {
+  public boolean expectsContinue() {
     boolean was = expects;
     expects = false;
     return was;
--- a/proxy/src/main/java/wheattrack/http/Response.java
+++ b/proxy/src/main/java/wheattrack/http/Response.java
@@ -7,9 +7,10 @@
  * to come, 0 for none, or Decoder.CHUNKED or TILL_END; BARE for an answer that says its length and
  * has no body.
  */
-public record Response(int status, Headers headers, boolean keep, byte[] body, long more) {
+public record Response(
+    int status, Headers headers, boolean keepAlive, byte[] body, long remainingBody) {
   /** Of an answer to HEAD: its headers are as they are. */
-  public static final long BARE = -3;
+  public static final long NO_BODY = -3;
 
   /** A whole one. */
   public Response(int status, Headers headers, boolean keep, byte[] body) {
@@ -24,19 +25,19 @@
   }
 
   /** The same to HEAD: with its length, and without its body. */
-  public Response bare() {
-    return more == BARE
+  public Response withoutBody() {
+    return remainingBody == NO_BODY
         ? this
         : new Response(
             status,
             headers.with("Content-Length", Integer.toString(body.length)),
-            keep,
+            keepAlive,
             new byte[0],
-            BARE);
+            NO_BODY);
   }
 
   /** The same, and the connection ends with it. */
-  public Response last() {
-    return new Response(status, headers, false, body, more);
+  public Response closingConnection() {
+    return new Response(status, headers, false, body, remainingBody);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -8,10 +8,10 @@
 
   private int status;
   private Headers headers;
-  private boolean keep, bare;
+  private boolean keep, expectNoBody;
 
   public ResponseDecoder() {
-    this(MOST_BODY);
+    this(DEFAULT_MAX_BODY);
   }
 
   /** most: bytes of the longest body. */
@@ -20,28 +20,28 @@
   }
 
   /** Whether the next answer is one to HEAD, which has no body whatever it says. */
-  public void bare(boolean asked) {
-    bare = asked;
+  public void expectNoBody(boolean asked) {
+    expectNoBody = asked;
   }
 
   @Override
-  protected int enough() {
+  protected int maxLineBytes() {
     return 1; // a long answer is timed by its first bytes
   }
 
   @Override
-  protected long start(String line, Headers with) throws MalformedMessageException {
+  protected long readHead(String line, Headers with) throws MalformedMessageException {
     status = status(line);
     headers = with;
-    keep = keeps(line.substring(0, 8), with);
+    keep = keepsAlive(line.substring(0, 8), with);
     long length = with.length();
     boolean chunked = with.chunked();
-    if (status < 200 || status == 204 || status == 304 || bare) {
+    if (status < 200 || status == 204 || status == 304 || expectNoBody) {
       return 0;
     }
     if (!chunked && length < 0) {
       keep = false;
-      return TILL_END;
+      return UNTIL_CLOSE;
     }
     return chunked ? CHUNKED : length;
   }
@@ -55,6 +55,6 @@
 
   @Override
   protected Response message(byte[] kept, long more) {
-    return new Response(status, headers, keep, kept, bare ? Response.BARE : more);
+    return new Response(status, headers, keep, kept, expectNoBody ? Response.NO_BODY : more);
   }
 }
--- a/proxy/src/main/java/wheattrack/log/EventLog.java
+++ b/proxy/src/main/java/wheattrack/log/EventLog.java
@@ -30,7 +30,7 @@
   }
 
   /** Lines of single reqs are written from now on. */
-  public static void detailed() {
+  public static void enableDetails() {
     LOG.setLevel(Level.FINE);
   }
 
--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -16,7 +16,7 @@
   /** When its first byte must have left, or it never does. */
   long latest = Long.MAX_VALUE;
 
-  TimerQueue.Entry timeout;
+  TimerQueue.Timer timeout;
   BackendConnection on;
   private boolean over;
   private AttemptOutcome outcome;
@@ -30,7 +30,7 @@
   final void waits(long time) {
     if (!over) {
       backend.loop.cancel(timeout);
-      timeout = backend.loop.after(time, () -> giveUp(AttemptOutcome.TIMEOUT));
+      timeout = backend.loop.schedule(time, () -> giveUp(AttemptOutcome.TIMEOUT));
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -41,7 +41,7 @@
   private boolean resting;
   private long restsSince, fitFrom;
   private boolean broken, holding;
-  private TimerQueue.Entry deadline;
+  private TimerQueue.Timer deadline;
   int slot;
 
   BackendConnection(
@@ -60,7 +60,7 @@
 
   void dial(long timeout) {
     dialling = true;
-    deadline = loop.after(timeout, this::dialFailed);
+    deadline = loop.schedule(timeout, this::dialFailed);
     connect(to, this::dialled, this::dialFailed);
   }
 
@@ -68,7 +68,7 @@
     if (dialling && !isClosed()) {
       dialling = false;
       loop.cancel(deadline);
-      read(in.room());
+      read(in.writableBuffer());
       backend.dialled(this);
     }
   }
@@ -87,8 +87,8 @@
     d.begun = loop.now();
     Request request = d.request();
     body = d.body();
-    chunks = request.more() == Decoder.CHUNKED;
-    in.bare(request.method().equals("HEAD"));
+    chunks = request.remainingBody() == Decoder.CHUNKED;
+    in.expectNoBody(request.method().equals("HEAD"));
     write(Encoder.request(request));
   }
 
@@ -125,7 +125,7 @@
   void restOn() {
     loop.cancel(deadline);
     if (dialler.idle > 0) {
-      deadline = loop.after(restsSince + dialler.idle - loop.now(), this::close);
+      deadline = loop.schedule(restsSince + dialler.idle - loop.now(), this::close);
     }
   }
 
@@ -140,7 +140,7 @@
   }
 
   @Override
-  protected void wrote(boolean whole) {
+  protected void onWritten(boolean whole) {
     if (whole && writing != null && body == null) {
       writing.written();
       writing = null;
@@ -160,8 +160,8 @@
    * whole.
    */
   @Override
-  protected void came(int n) {
-    boolean ended = n == END && in.end();
+  protected void onRead(int n) {
+    boolean ended = n == END_OF_STREAM && in.endOfStream();
     if (passing != null) {
       if (n < 0 && !ended) {
         close();
@@ -179,13 +179,13 @@
       if (answer == null) {
         if (in.isOpenEnded() && !holding) {
           holding = true;
-          deadline = loop.after(carried.holds(), this::early);
+          deadline = loop.schedule(carried.holds(), this::early);
         }
-        read(in.room());
+        read(in.writableBuffer());
       } else if (answer.status() >= 200) {
         answered(answer);
       } else {
-        came(0);
+        onRead(0);
       }
     } catch (MalformedMessageException e) {
       breakOff();
@@ -199,7 +199,7 @@
   private void early() {
     try {
       if (holding && carried != null && in.isOpenEnded()) {
-        answered(in.early());
+        answered(in.nextWithPartialBody());
       }
     } catch (MalformedMessageException e) {
       breakOff();
@@ -209,9 +209,9 @@
   private void answered(Response answer) {
     holding = false;
     loop.cancel(deadline);
-    keep = answer.keep() && !isWriting() && body == null;
+    keep = answer.keepAlive() && !isWriting() && body == null;
     BackendAttempt d = carried;
-    if (in.isPassing() && answer.status() == 200) {
+    if (in.isStreamingBody() && answer.status() == 200) {
       carried = null;
       passing = d.begin(answer);
       if (passing == null) {
@@ -222,9 +222,9 @@
       return;
     }
     carried = null;
-    boolean free = keep && !in.isAmid();
+    boolean free = keep && !in.isMidMessage();
     if (free) {
-      read(in.room());
+      read(in.writableBuffer());
       backend.free(this);
     } else {
       close();
@@ -238,19 +238,19 @@
       return; // what is being read comes first
     }
     try {
-      ByteBuffer piece = in.piece();
-      boolean last = !in.isPassing();
+      ByteBuffer piece = in.nextBodyPart();
+      boolean last = !in.isStreamingBody();
       loop.cancel(deadline);
       if (!piece.hasRemaining() && !last) {
-        deadline = loop.after(PAUSE, this::close);
-        read(in.room());
+        deadline = loop.schedule(PAUSE, this::close);
+        read(in.writableBuffer());
         return;
       }
       ResponseRelay to = passing;
       if (last) {
         passing = null;
-        if (keep && !in.isAmid()) {
-          read(in.room());
+        if (keep && !in.isMidMessage()) {
+          read(in.writableBuffer());
           backend.free(this);
         } else {
           close();
--- a/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
@@ -14,7 +14,7 @@
 /**
  * A backend at the door: its address, the connections to it and the dispatches that wait for one.
  */
-final class BackendConnectionPool extends BackendIndex.Srv<String> {
+final class BackendConnectionPool extends BackendIndex.Backend<String> {
   final EventLoop loop;
   private final Connector dialler;
 
@@ -23,7 +23,7 @@
 
   private final Deque<BackendAttempt> waiting = new ArrayDeque<>();
   private boolean matching;
-  private TimerQueue.Entry settling;
+  private TimerQueue.Timer settling;
   InetSocketAddress address;
   int out;
   private boolean serving;
@@ -36,7 +36,7 @@
   }
 
   @Override
-  protected boolean isBusy() {
+  protected boolean hasWorkInFlight() {
     return out > 0;
   }
 
@@ -66,7 +66,7 @@
   void leaves() {
     serving = false;
     for (BackendAttempt d : List.copyOf(waiting)) {
-      loop.step(() -> d.giveUp(AttemptOutcome.DISCARDED));
+      loop.defer(() -> d.giveUp(AttemptOutcome.DISCARDED));
     }
     hangUp();
   }
@@ -106,7 +106,7 @@
     }
     if (fit < Long.MAX_VALUE && settling == null) {
       settling =
-          loop.after(
+          loop.schedule(
               fit - loop.now(),
               () -> {
                 settling = null;
@@ -155,7 +155,7 @@
       dials.add(dialler.dial(this));
       return true;
     } catch (IOException e) {
-      loop.step(
+      loop.defer(
           () -> {
             d.giveUp(AttemptOutcome.DISCARDED);
             arrange();
@@ -204,7 +204,7 @@
 
   void closed(BackendConnection link) {
     if (idle.remove(link) && !waiting.isEmpty()) {
-      loop.step(this::arrange); // what waits may have counted on it
+      loop.defer(this::arrange); // what waits may have counted on it
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -23,12 +23,12 @@
   public static void run(Path file) throws IOException {
     try (ServerSocket door = new ServerSocket(0, REQS, InetAddress.getLoopbackAddress())) {
       helper(() -> takeAll(door));
-      ProxyConfig config = ProxyConfig.rehearsal(file, door.getLocalPort());
+      ProxyConfig config = ProxyConfig.readForTraining(file, door.getLocalPort());
       ProxyServer server = new ProxyServer(config);
       helper(server::run);
       ask(server.port(), "GET /ready HTTP/1.0\r\n\r\n");
       for (int i = 0; i < REQS; i++) {
-        String name = config.settings.names().get(i % config.settings.names().size());
+        String name = config.settings.classNames().get(i % config.settings.classNames().size());
         ask(
             server.port(),
             "POST /"
--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -57,7 +57,7 @@
   private boolean inBody, pulled;
   private Taker taker;
   private ResponseRelay passing;
-  private TimerQueue.Entry stall;
+  private TimerQueue.Timer stall;
   private long idleSince, headSince;
   private long discarded;
   private boolean bare;
@@ -93,16 +93,16 @@
    */
   void open() {
     expire(HEAD, this::tooLate);
-    read(in.room());
+    read(in.writableBuffer());
   }
 
   /**
    * To be done after so long, unless calm() comes first or what has come by then says otherwise.
    */
   private void expire(long time, Runnable then) {
-    TimerQueue.Entry[] mine = new TimerQueue.Entry[1];
+    TimerQueue.Timer[] mine = new TimerQueue.Timer[1];
     mine[0] =
-        loop.after(
+        loop.schedule(
             time,
             () ->
                 loop.execute(
@@ -125,7 +125,7 @@
   }
 
   private void tooLate() {
-    if (in.isAmid()) {
+    if (in.isMidMessage()) {
       refuse(408, "the request did not come whole");
     } else {
       close();
@@ -134,7 +134,7 @@
 
   /** At rest; one that has just connected is about to ask. */
   boolean isIdle() {
-    return !busy && !lingering && !in.isAmid() && (asked || loop.now() - idleSince > FRESH);
+    return !busy && !lingering && !in.isMidMessage() && (asked || loop.now() - idleSince > FRESH);
   }
 
   /**
@@ -147,7 +147,7 @@
         ? 0
         : busy
             ? NOT_AT_ALL
-            : isSlow() ? SLOW : mute && !in.isAmid() ? 1 : in.isAmid() ? NOT_AT_ALL : 2;
+            : isSlow() ? SLOW : mute && !in.isMidMessage() ? 1 : in.isMidMessage() ? NOT_AT_ALL : 2;
   }
 
   /**
@@ -155,7 +155,7 @@
    * s.
    */
   private boolean isSlow() {
-    return in.isAmid() && !in.isInBody() && loop.now() - headSince > HEAD_AMID_CROWD;
+    return in.isMidMessage() && !in.isInBody() && loop.now() - headSince > HEAD_AMID_CROWD;
   }
 
   /** Whether a request of it is open. */
@@ -164,19 +164,19 @@
   }
 
   @Override
-  protected void came(int n) {
+  protected void onRead(int n) {
     if (n < 0) {
       close();
       return;
     }
     if (inBody) {
-      pace.came(loop.now(), n);
+      pace.received(loop.now(), n);
     }
     takeAside();
     if (lingering) {
-      in.room().clear();
+      in.writableBuffer().clear();
       discarded += n;
-      if (in.isPassing() && discarded < front.mostBody()) {
+      if (in.isStreamingBody() && discarded < front.mostBody()) {
         waitFor(LINGER); // a long body still comes: its client reads only after it
       }
     } else if (taker != null && lastPiece == null) {
@@ -193,16 +193,17 @@
     }
     ByteBuffer bytes = aside.flip();
     aside = null;
-    spilt |= onLeft != null && !in.isPassing() && in.waiting() + bytes.remaining() > AHEAD;
+    spilt |=
+        onLeft != null && !in.isStreamingBody() && in.bufferedBytes() + bytes.remaining() > AHEAD;
     if (!lingering && !spilt) {
-      in.add(bytes);
+      in.append(bytes);
       count();
     }
   }
 
   private void count() {
-    front.readAhead(in.waiting() - counted);
-    counted = in.waiting();
+    front.readAhead(in.bufferedBytes() - counted);
+    counted = in.bufferedBytes();
   }
 
   /**
@@ -214,13 +215,15 @@
     if (isClosed() || isReading()) {
       return;
     }
-    boolean held = busy && !lingering && taker == null && (in.waiting() > 0 || in.isPassing());
+    boolean held =
+        busy && !lingering && taker == null && (in.bufferedBytes() > 0 || in.isStreamingBody());
     if (!held) {
-      read(in.room());
-    } else if (in.waiting() < AHEAD
+      read(in.writableBuffer());
+    } else if (in.bufferedBytes() < AHEAD
         || onLeft != null
-            && (!in.isPassing() || !pulled && in.waiting() < BODY_AHEAD && front.mayReadAhead())) {
-      aside = ByteBuffer.allocate(in.isPassing() ? WIDE : ASIDE);
+            && (!in.isStreamingBody()
+                || !pulled && in.bufferedBytes() < BODY_AHEAD && front.mayReadAhead())) {
+      aside = ByteBuffer.allocate(in.isStreamingBody() ? WIDE : ASIDE);
       read(aside);
     }
   }
@@ -237,10 +240,10 @@
         busy = true;
         asked = true;
         bare = request.method().equals("HEAD");
-        if (in.isPassing() && !inBody) {
-          pace.begin(loop.now());
+        if (in.isStreamingBody() && !inBody) {
+          pace.start(loop.now());
         }
-        inBody = in.isPassing();
+        inBody = in.isStreamingBody();
         pulled = false;
         pace.pause(loop.now());
         calm();
@@ -255,13 +258,13 @@
       } else if (in.isInBody()) {
         if (!inBody) {
           inBody = true;
-          pace.begin(loop.now());
+          pace.start(loop.now());
         }
-        waitFor(pace.left(loop.now()));
-        if (in.expectsWord()) {
+        waitFor(pace.remaining(loop.now()));
+        if (in.expectsContinue()) {
           goOn();
         }
-      } else if (in.isAmid() && (stall == null || resting)) {
+      } else if (in.isMidMessage() && (stall == null || resting)) {
         headSince = loop.now();
         waitFor(HEAD);
       }
@@ -272,7 +275,7 @@
 
   private void goOn() {
     interim = true;
-    write(Encoder.goOn());
+    write(Encoder.continueResponse());
   }
 
   private void waitFor(long time) {
@@ -309,7 +312,7 @@
   void pull(Taker by) {
     if (by == null) {
       taker = null;
-      if (in.isPassing() && passing == null) {
+      if (in.isStreamingBody() && passing == null) {
         pace.pause(loop.now());
         calm();
       }
@@ -318,7 +321,7 @@
     taker = by;
     pulled = true;
     pace.resume(loop.now());
-    waitFor(pace.left(loop.now()));
+    waitFor(pace.remaining(loop.now()));
     if (lastPiece != null) {
       loop.execute(this::giveLast);
     } else if (mayTake()) { // else it comes, with what that read brings
@@ -345,9 +348,9 @@
 
   private void deliver() {
     try {
-      ByteBuffer piece = in.piece();
+      ByteBuffer piece = in.nextBodyPart();
       count();
-      inBody = in.isPassing();
+      inBody = in.isStreamingBody();
       if (!inBody) {
         lastPiece = piece;
         readOn();
@@ -355,7 +358,7 @@
       } else if (piece.hasRemaining()) {
         give(piece, false);
       } else {
-        waitFor(pace.left(loop.now()));
+        waitFor(pace.remaining(loop.now()));
       }
     } catch (MalformedMessageException e) {
       taker = null;
@@ -371,14 +374,14 @@
     if (isClosed()) {
       return;
     }
-    Response last = bare ? response.bare() : response;
-    if (in.isPassing() || spilt) { // what is still to come of its body nobody will read
+    Response last = bare ? response.withoutBody() : response;
+    if (in.isStreamingBody() || spilt) { // what is still to come of its body nobody will read
       unread = true;
-      last = last.last();
+      last = last.closingConnection();
     }
-    keep = last.keep();
+    keep = last.keepAlive();
     calm();
-    stall = loop.after(STALL, this::close);
+    stall = loop.schedule(STALL, this::close);
     write(Encoder.response(last));
   }
 
@@ -392,13 +395,13 @@
   void pass(ByteBuffer bytes) {
     if (!isClosed()) {
       calm();
-      stall = loop.after(STALL, this::close);
+      stall = loop.schedule(STALL, this::close);
       write(bytes);
     }
   }
 
   @Override
-  protected void wrote(boolean whole) {
+  protected void onWritten(boolean whole) {
     if (isClosed()) {
       return;
     }
@@ -427,8 +430,8 @@
       }
     } else { // what it goes on sending would reset the answer
       lingering = true;
-      stall = loop.after(LINGER, this::close);
-      endOutput();
+      stall = loop.schedule(LINGER, this::close);
+      shutdownOutput();
       readOn();
     }
   }
--- a/proxy/src/main/java/wheattrack/net/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/ClientListener.java
@@ -41,7 +41,7 @@
   private final SlotTable<ClientConnection> clients = new SlotTable<>();
   private AsynchronousServerSocketChannel channel;
   private boolean accepting, opened;
-  private TimerQueue.Entry pressing;
+  private TimerQueue.Timer pressing;
 
   /** Bytes that clients have sent ahead of what is asked for, and so many as may be. */
   private long ahead;
@@ -113,7 +113,7 @@
   private void press() {
     if (pressing == null) {
       pressing =
-          loop.after(
+          loop.schedule(
               ClientConnection.HEAD_AMID_CROWD / 4,
               () -> {
                 pressing = null;
@@ -143,7 +143,7 @@
     if (isListening()) {
       note("not accepted", why.toString());
       free(1);
-      loop.after(PAUSE, this::accept);
+      loop.schedule(PAUSE, this::accept);
     }
   }
 
@@ -187,7 +187,7 @@
    * left for requests.
    */
   boolean keeps(boolean asked) {
-    return asked && !life.isLeaving() && clients.size() <= most / 2;
+    return asked && !life.isShuttingDown() && clients.size() <= most / 2;
   }
 
   void came(ClientConnection client, Request request) {
@@ -197,7 +197,7 @@
           ProtocolMapping.plain(
               life.isReady() ? 200 : 503,
               life.phase().name() + remark.get(),
-              keeps(request.keep())));
+              keeps(request.keepAlive())));
     } else if (clients.size() > most && served() > most) {
       note("denied", clients.size() + " clients are connected");
       taker.denied(request);
@@ -245,7 +245,7 @@
           if (accepted > before) {
             shut();
           } else if (!accepting) { // its places are all taken: as they come free
-            loop.after(PAUSE, this::shut);
+            loop.schedule(PAUSE, this::shut);
           } else {
             closeDoor();
           }
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -39,7 +39,7 @@
             loop,
             group,
             0,
-            config.mostBody,
+            config.maxBodyBytes,
             settings.time("limits.dialTimeout", 250_000),
             settings.time("limits.idleClose", 0));
     listing =
@@ -50,7 +50,7 @@
             config.discovery,
             settings.list("zones"),
             settings.list("kinds"),
-            config.known,
+            config.cachedEndpoints,
             "");
     listing.onForce(inForce);
     proxy = new RequestHandler(loop, listing, new RequestCounters(), settings, seed, "");
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -86,11 +86,11 @@
   }
 
   BackendConnectionPool at(int index) {
-    return fleet.at(index);
+    return fleet.get(index);
   }
 
   int listed() {
-    return fleet.listed();
+    return fleet.listedCount();
   }
 
   /** Whether a list is there to serve by. */
@@ -105,7 +105,7 @@
 
   /** Listed backends beyond those that the module knows at once: nothing is sent to them. */
   int leftOut() {
-    return fleet.listedFrom(LoadBalancer.MAX_BACKENDS);
+    return fleet.listedCountFrom(LoadBalancer.MAX_BACKENDS);
   }
 
   /** Discovery says nothing: the list known of old has to do, if there is one. */
@@ -186,7 +186,8 @@
   private void told(String line) {
     try {
       Settings news = new Settings(Json.object(line));
-      if (known != null && (!news.flag("all") || news.whole("rev", -1) < known.whole("rev", -1))) {
+      if (known != null
+          && (!news.flag("all") || news.wholeNumber("rev", -1) < known.wholeNumber("rev", -1))) {
         fallBack(); // what it changes, or what it must bring nothing back to
       }
       known = null;
@@ -203,8 +204,8 @@
    * none back either.
    */
   void list(Settings news, boolean saved) {
-    List<Settings> entries = news.parts("targets");
-    long rev = news.whole("rev", version);
+    List<Settings> entries = news.sections("targets");
+    long rev = news.wholeNumber("rev", version);
     boolean old = rev < version;
     boolean all = news.flag("all");
     if (old) {
@@ -216,7 +217,7 @@
     if (all) {
       Set<Object> named = new HashSet<>();
       entries.forEach(entry -> named.add(entry.any("uid")));
-      fleet.missing(named).forEach(this::gone);
+      fleet.listedExcept(named).forEach(this::gone);
     }
     met.clear();
     beyond = 0;
@@ -249,16 +250,16 @@
   }
 
   private void gone(BackendConnectionPool backend) {
-    if (fleet.left(backend)) {
+    if (fleet.markUnlisted(backend)) {
       EventLog.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
-      rules.removeBackend(backend.at);
+      rules.removeBackend(backend.index);
       backend.leaves();
     }
   }
 
   private void entry(Settings e, boolean old) {
-    String id = e.word("uid");
-    String state = e.word("state");
+    String id = e.text("uid");
+    String state = e.text("state");
     if (state.equals("DELETED")) {
       gone(fleet.find(id));
       return;
@@ -266,28 +267,28 @@
     if (!state.equals("SERVING") && !state.equals("DRAINING")) {
       throw new InvalidConfigurationException("state", "unknown: " + state);
     }
-    InetSocketAddress address = ProxyConfig.address("endpoint", e.word("endpoint"));
+    InetSocketAddress address = ProxyConfig.address("endpoint", e.text("endpoint"));
     long up = (long) (e.number("boot_ms", 0) * 10);
-    int zone = zones.indexOf(e.word("az", ""));
-    int kind = Math.max(0, kinds.indexOf(e.word("model", "")));
-    int pack = e.count("pod_group", 0);
+    int zone = zones.indexOf(e.text("az", ""));
+    int kind = Math.max(0, kinds.indexOf(e.text("model", "")));
+    int pack = e.integer("pod_group", 0);
     double weight = e.number("capacity_hint", 1);
     BackendConnectionPool known = fleet.find(id);
     boolean left = old && known != null && known.hasLeft(up);
-    BackendConnectionPool backend = fleet.admit(id);
-    boolean fresh = fleet.met(backend);
+    BackendConnectionPool backend = fleet.getOrAdd(id);
+    boolean fresh = fleet.markListed(backend);
     if (fresh) {
-      met.add(number(id) + ": " + id + " at " + e.word("endpoint"));
+      met.add(number(id) + ": " + id + " at " + e.text("endpoint"));
     }
     boolean ready = state.equals("SERVING") && !left;
     EventLog.detail("srv", Long.toString(number(id)), () -> id + " " + state + ", up since " + up);
-    if (backend.at >= LoadBalancer.MAX_BACKENDS) {
+    if (backend.index >= LoadBalancer.MAX_BACKENDS) {
       beyond++;
       return;
     }
     rules.updateBackend(
         new EndpointUpdate(
-            backend.at,
+            backend.index,
             number(id),
             ready,
             zone,
--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/InFlightRequest.java
@@ -13,7 +13,7 @@
   final List<BackendAttempt> dispatches = new ArrayList<>(2);
   int slot;
   PendingRequest req;
-  TimerQueue.Entry guard;
+  TimerQueue.Timer guard;
   RequestHandle held;
 
   /** Of a long req, what of its body is still to come when it is taken; else null. */
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -38,9 +38,9 @@
   private long now = 1;
 
   JitWarmUp(Settings settings) {
-    RequestClass[] all = settings.ruleSets();
-    sets = settings.byName(all);
-    rules = settings.rules(this, 1, all, false);
+    RequestClass[] all = settings.requestClasses();
+    sets = settings.classesByName(all);
+    rules = settings.newLoadBalancer(this, 1, all, false);
     for (int b = 0; b < SRVS; b++) {
       rules.updateBackend(new EndpointUpdate(b, b, true, 0, 0, 0, 1, BackendIndex.LONG_AGO, true));
     }
@@ -60,7 +60,7 @@
           one(name, n++);
         }
         now += TICK;
-        for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
+        for (Runnable due = deadlines.pollDue(now); due != null; due = deadlines.pollDue(now)) {
           due.run();
         }
       } while (n < most && System.nanoTime() < until);
@@ -83,7 +83,7 @@
         Encoder.request(
             new Request(n % 2 == 0 ? "POST" : "GET", "/" + name, headers, true, new byte[n % 512]));
     while (bytes.hasRemaining()) {
-      ByteBuffer room = in.room();
+      ByteBuffer room = in.writableBuffer();
       while (bytes.hasRemaining() && room.hasRemaining()) {
         room.put(bytes.get());
       }
@@ -109,7 +109,7 @@
 
   private AttemptOutcome answer(byte[] body) {
     Headers headers = new Headers().with("Content-Type", "application/json");
-    back.room()
+    back.writableBuffer()
         .put(Encoder.response(new Response(200, headers, true, new byte[body.length % 200])));
     try {
       Response answer = back.next();
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -40,7 +40,9 @@
     try {
       Settings figures = new Settings(Json.object(text));
       rules.onLoadReport(
-          from.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+          from.index,
+          figures.number(Settings.IN_FLIGHT_FIELD, -1),
+          figures.number(Settings.QUEUED_FIELD, 0));
     } catch (IOException | InvalidConfigurationException e) {
       EventLog.detail("load report", from.id, () -> "can't be read: " + text);
     }
--- a/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
@@ -104,7 +104,7 @@
   /** The request as a backend gets it, told how long the proxy will wait. */
   static Request onward(Request r, long wait) {
     Headers out = passedOn(r.headers()).with(TIMEOUT, seconds(wait));
-    return new Request(r.method(), r.target(), out, true, r.body(), r.more(), true);
+    return new Request(r.method(), r.target(), out, true, r.body(), r.remainingBody(), true);
   }
 
   /** All but what speaks of one connection only, or is said anew. */
@@ -112,7 +112,7 @@
     Headers out = new Headers();
     for (int i = 0; i < from.size(); i++) {
       String name = from.name(i);
-      if (!HOP.contains(name.toLowerCase(Locale.ROOT)) && !from.lists("Connection", name)) {
+      if (!HOP.contains(name.toLowerCase(Locale.ROOT)) && !from.containsToken("Connection", name)) {
         out.with(name, from.value(i));
       }
     }
@@ -149,12 +149,14 @@
   /** The answer as a client gets it; where its length is not known, in chunks or until the end. */
   static Response done(Response from, boolean keep, boolean chunks) {
     Headers out = passedOn(from.headers());
-    if (from.more() == Response.BARE && from.headers().first("Content-Length") != null) {
+    if (from.remainingBody() == Response.NO_BODY
+        && from.headers().first("Content-Length") != null) {
       out.with("Content-Length", from.headers().first("Content-Length"));
     }
-    boolean open = from.more() == Decoder.CHUNKED || from.more() == Decoder.TILL_END;
-    long more = !open ? from.more() : chunks ? Decoder.CHUNKED : Decoder.TILL_END;
-    return new Response(200, out, keep && more != Decoder.TILL_END, from.body(), more);
+    boolean open =
+        from.remainingBody() == Decoder.CHUNKED || from.remainingBody() == Decoder.UNTIL_CLOSE;
+    long more = !open ? from.remainingBody() : chunks ? Decoder.CHUNKED : Decoder.UNTIL_CLOSE;
+    return new Response(200, out, keep && more != Decoder.UNTIL_CLOSE, from.body(), more);
   }
 
   static Response denied(long wait, boolean keep) {
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -85,7 +85,7 @@
             loop,
             group,
             (int) (BACKENDS * free()),
-            config.mostBody,
+            config.maxBodyBytes,
             settings.time("limits.dialTimeout", 250_000),
             settings.time("limits.idleClose", 0));
     listing =
@@ -96,7 +96,7 @@
             config.discovery,
             settings.list("zones"),
             settings.list("kinds"),
-            config.known,
+            config.cachedEndpoints,
             scope);
     proxy = new RequestHandler(loop, listing, counts, settings, config.seed, loadHeader);
     front =
@@ -104,7 +104,7 @@
             loop,
             life,
             (int) (CLIENTS * free()),
-            config.mostBody,
+            config.maxBodyBytes,
             proxy,
             () -> listing.isThere() ? "" : ", no list");
     proxy.from(front);
@@ -125,9 +125,9 @@
   /** Other settings of the watched source hold. */
   private void turnToTold() {
     proxy.turnTo(config.settings, feed);
-    longest = Math.max(longest, feed.longest());
-    if (!feed.limited().isEmpty()) {
-      dial(feed.over(config.settings));
+    longest = Math.max(longest, feed.longestClientTimeout());
+    if (!feed.limitNames().isEmpty()) {
+      dial(feed.overlay(config.settings));
     }
   }
 
@@ -137,7 +137,7 @@
   }
 
   private static long longest(Settings settings) {
-    return Arrays.stream(settings.ruleSets())
+    return Arrays.stream(settings.requestClasses())
         .mapToLong(RequestClass::clientTimeout)
         .max()
         .orElse(0);
@@ -159,8 +159,9 @@
    */
   private int free() {
     int own =
-        Math.max(OWN, config.sockets / 16) + (config.admin == null ? 0 : 1 + AdminServer.PLACES);
-    return Math.max(8, (isBeside() ? config.sockets / 2 : config.sockets) - own);
+        Math.max(OWN, config.maxDescriptors / 16)
+            + (config.admin == null ? 0 : 1 + AdminServer.PLACES);
+    return Math.max(8, (isBeside() ? config.maxDescriptors / 2 : config.maxDescriptors) - own);
   }
 
   private void lookBeside() {
@@ -171,7 +172,7 @@
       dialler.limit((int) (BACKENDS * free()));
       proxy.beside(isBeside());
     }
-    loop.after(LOOK_BESIDE, this::lookBeside);
+    loop.schedule(LOOK_BESIDE, this::lookBeside);
   }
 
   private AdminServer admin(AsynchronousChannelGroup group) {
@@ -198,7 +199,7 @@
   /** Serves until it is told to end and has ended in order. */
   public void run() {
     LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
-    life.enter(Phase.WARMING);
+    life.advanceTo(Phase.WARMING);
     loop.execute(this::warmUp);
     if (settingsWatch != null) {
       loop.execute(settingsWatch::watch);
@@ -206,7 +207,7 @@
     try {
       loop.run();
       seats.close();
-      life.enter(Phase.ENDED);
+      life.advanceTo(Phase.ENDED);
     } finally {
       ended.countDown();
     }
@@ -224,20 +225,20 @@
   }
 
   private void readyFrom(long from) {
-    if (life.isLeaving()) {
+    if (life.isShuttingDown()) {
       return; // told to end before it was ready: nobody is let in
     }
     long waited = loop.now() - from;
-    boolean there = listing.isThere() && (feed == null || feed.isThere());
+    boolean there = listing.isThere() && (feed == null || feed.isPresent());
     if (there || waited >= (listing.isThere() || !listing.isUnread() ? LIST_WAIT : UNREAD_WAIT)) {
       listing.fallBack();
       openLate();
-      life.enter(Phase.SERVING);
+      life.advanceTo(Phase.SERVING);
     } else {
       if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
         front.open();
       }
-      loop.after(LOOK, () -> readyFrom(from));
+      loop.schedule(LOOK, () -> readyFrom(from));
     }
   }
 
@@ -278,9 +279,9 @@
         () -> {
           try {
             turnTo(ProxyConfig.reread(file, config));
-            counts.reread++;
+            counts.reloadsApplied++;
           } catch (InvalidConfigurationException e) {
-            counts.turnedDown++;
+            counts.reloadsRejected++;
             String name = e.getMessage().startsWith(file.toString()) ? null : file.toString();
             EventLog.warning("configuration kept as it was", name, e.getMessage());
           }
@@ -303,31 +304,31 @@
 
   /** Reqs, connections and what is learnt stay; what only a start can change is named. */
   private void turnTo(ProxyConfig next) {
-    List<String> fixed = next.fixedAgainst(config);
+    List<String> fixed = next.changedFixedKeys(config);
     LOG.info(
         "configuration read again, list from "
             + next.discovery
             + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
     proxy.turnTo(next.settings, feed);
-    dial(feed == null ? next.settings : feed.over(next.settings));
+    dial(feed == null ? next.settings : feed.overlay(next.settings));
     longest = Math.max(longest, longest(next.settings)); // what is under way may still take as long
     listing.moveTo(next.discovery);
     config = next;
   }
 
   private void drain() {
-    if (life.enter(Phase.DRAINING)) {
+    if (life.advanceTo(Phase.DRAINING)) {
       if (seats.look() == ProcessLock.Place.OLDER) {
         front.shut(); // new connections are the newer process's
       } else if (front.isListening()) {
         front.open(); // before it was ready, too: who has connected is answered
       }
-      loop.after(config.drain, () -> loop.execute(this::close));
+      loop.schedule(config.drainTime, () -> loop.execute(this::close));
     }
   }
 
   private void close() {
-    life.enter(Phase.CLOSING);
+    life.advanceTo(Phase.CLOSING);
     front.shut();
     long latest = loop.now() + longest;
     proxy.endsAt(latest);
@@ -347,7 +348,7 @@
       }
       loop.shutdown();
     } else {
-      loop.after(LOOK, () -> loop.execute(() -> endWhenAnswered(latest)));
+      loop.schedule(LOOK, () -> loop.execute(() -> endWhenAnswered(latest)));
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -16,7 +16,7 @@
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
-import wheattrack.core.RequestCounters.End;
+import wheattrack.core.RequestCounters.FinalAnswer;
 import wheattrack.core.SlotTable;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
@@ -59,9 +59,9 @@
     this.loop = loop;
     this.listing = listing;
     this.counts = counts;
-    RequestClass[] all = settings.ruleSets();
+    RequestClass[] all = settings.requestClasses();
     name(settings, all);
-    rules = settings.rules(this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
+    rules = settings.newLoadBalancer(this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
     loads = new LoadReports(rules, loadHeader);
     listing.tell(rules);
   }
@@ -72,26 +72,26 @@
    * null or empty: nothing.
    */
   void turnTo(Settings settings, DynamicSettings feed) {
-    if (feed != null && feed.isThere()) {
-      Settings held = feed.over(settings);
-      rules.configure(held.policySettings(listing.zones(), feed.quota()), feed.summary());
-      sets = feed.sets();
+    if (feed != null && feed.isPresent()) {
+      Settings held = feed.overlay(settings);
+      rules.configure(held.policySettings(listing.zones(), feed.totalQuota()), feed.summary());
+      sets = feed.requestClasses();
       further(held);
       return;
     }
-    RequestClass[] all = settings.ruleSets();
+    RequestClass[] all = settings.requestClasses();
     rules.configure(settings.policySettings(listing.zones()), all);
     name(settings, all);
   }
 
   private void name(Settings settings, RequestClass[] all) {
-    sets = settings.byName(all);
-    settings.names().forEach(counts::name); // in their order, which the figures keep
+    sets = settings.classesByName(all);
+    settings.classNames().forEach(counts::declare); // in their order, which the figures keep
     further(settings);
   }
 
   private void further(Settings settings) {
-    reports = settings.tellsLoad();
+    reports = settings.expectsLoadReports();
     probeTimeout = settings.time("limits.dialTimeout", 250_000);
   }
 
@@ -120,7 +120,7 @@
   public void denied(Request request) {
     String name = ProtocolMapping.name(request);
     if (sets.containsKey(name)) {
-      counts.ended(name, End.DENIED);
+      counts.countAnswer(name, FinalAnswer.REJECTED);
     }
   }
 
@@ -134,14 +134,15 @@
       }
     } catch (ProtocolMapping.Unfit e) {
       front.refused(e.status, e.getMessage());
-      client.answer(ProtocolMapping.plain(e.status, e.getMessage(), front.keeps(request.keep())));
+      client.answer(
+          ProtocolMapping.plain(e.status, e.getMessage(), front.keeps(request.keepAlive())));
       return;
     }
     InFlightRequest guest = new InFlightRequest(client, call);
     guest.slot = guests.add(guest);
     client.onLeft(() -> left(guest));
     long due = due(loop.now() + call.timeout() - Math.max(10, call.timeout() / WRITE_PART));
-    if (request.more() != 0) {
+    if (request.remainingBody() != 0) {
       guest.body = new RequestBodyRelay(client, () -> bodyWhole(guest));
     }
     guest.req =
@@ -165,7 +166,7 @@
   }
 
   private void guard(InFlightRequest guest) {
-    guest.guard = loop.after(guest.req.deadline() + GUARD - loop.now(), () -> forgotten(guest));
+    guest.guard = loop.schedule(guest.req.deadline() + GUARD - loop.now(), () -> forgotten(guest));
   }
 
   /** The last byte of a long body has come: the client's time runs from now on. */
@@ -210,7 +211,7 @@
   private void forget(InFlightRequest guest) {
     boolean again = guest.call.ruleSet().idempotency() == Idempotency.IDEMPOTENT;
     if (!again && guest.dispatches.stream().anyMatch(BackendAttempt::mayRun)) {
-      loop.after(guest.req.deadline() - loop.now(), () -> ids.remove(guest.call.id()));
+      loop.schedule(guest.req.deadline() - loop.now(), () -> ids.remove(guest.call.id()));
     } else {
       ids.remove(guest.call.id());
     }
@@ -234,9 +235,9 @@
         .forEach(d -> d.giveUp(AttemptOutcome.DISCARDED));
   }
 
-  private void answer(InFlightRequest guest, End how, Response response) {
+  private void answer(InFlightRequest guest, FinalAnswer how, Response response) {
     close(guest);
-    counts.ended(guest.call.name(), how);
+    counts.countAnswer(guest.call.name(), how);
     note(guest, how.name());
     guest.client.answer(response);
   }
@@ -255,7 +256,7 @@
   }
 
   private boolean keeps(InFlightRequest guest) {
-    return front.keeps(guest.call.request().keep());
+    return front.keeps(guest.call.request().keepAlive());
   }
 
   /** One dispatch of a req; its outcome goes to the module as a step of its own. */
@@ -290,7 +291,7 @@
 
     @Override
     protected void written() {
-      counts.dispatches++;
+      counts.attempts++;
     }
 
     /**
@@ -300,7 +301,7 @@
     protected ResponseRelay begins(Response head) {
       loads.read(backend, head, false);
       if (guest.over) {
-        loop.step(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
+        loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
         return null;
       }
       Response answer = ProtocolMapping.done(head, keeps(guest), guest.call.request().chunks());
@@ -313,15 +314,16 @@
           new ResponseRelay(
               on,
               guest.client,
-              answer.more(),
+              answer.remainingBody(),
               whole -> {
                 passed();
                 gone(guest);
-                counts.ended(guest.call.name(), whole ? End.DONE : End.ABORTED);
+                counts.countAnswer(
+                    guest.call.name(), whole ? FinalAnswer.DONE : FinalAnswer.FAILED);
               });
       settled(guest);
       guest.client.begin(answer, rest);
-      loop.step(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
+      loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
       return rest;
     }
 
@@ -344,7 +346,7 @@
       if (how == AttemptOutcome.DONE && !guest.over) {
         answer(
             guest,
-            End.DONE,
+            FinalAnswer.DONE,
             ProtocolMapping.done(answer, keeps(guest), guest.call.request().chunks()));
       }
       loads.read(backend, answer, false);
@@ -352,10 +354,10 @@
       if (unfit && !guest.over) { // bad clients: srvs were blamed for them
         answer(
             guest,
-            End.ABORTED,
+            FinalAnswer.FAILED,
             ProtocolMapping.plain(answer.status(), "not taken by the backend", keeps(guest)));
       }
-      loop.step(
+      loop.defer(
           () -> next.ended(unfit ? AttemptOutcome.DISCARDED : how, loop.now() - sent, guest.over));
     }
   }
@@ -399,7 +401,7 @@
   @Override
   public void reject(PendingRequest req, long wait) {
     InFlightRequest guest = (InFlightRequest) req.attachment();
-    answer(guest, End.DENIED, ProtocolMapping.denied(wait, keeps(guest)));
+    answer(guest, FinalAnswer.REJECTED, ProtocolMapping.denied(wait, keeps(guest)));
   }
 
   @Override
@@ -407,7 +409,7 @@
     InFlightRequest guest = (InFlightRequest) req.attachment();
     answer(
         guest,
-        End.ABORTED,
+        FinalAnswer.FAILED,
         ProtocolMapping.plain(loop.now() >= req.deadline() ? 504 : 502, "given up", keeps(guest)));
   }
 
@@ -422,14 +424,14 @@
 
           @Override
           protected void ended(AttemptOutcome how, Response answer) {
-            loop.step(
+            loop.defer(
                 () -> {
                   loads.read(backend, answer, true);
                   next.ended(how == AttemptOutcome.DONE, loop.now() - sent);
                 });
           }
         };
-    probe.timeout = loop.after(probeTimeout, () -> probe.giveUp(AttemptOutcome.TIMEOUT));
+    probe.timeout = loop.schedule(probeTimeout, () -> probe.giveUp(AttemptOutcome.TIMEOUT));
     probe.backend.carry(probe);
   }
 
@@ -447,7 +449,7 @@
 
   @Override
   public void schedule(long delay, Runnable next) {
-    loop.after(Math.max(1, delay), next); // one that asks for none still lets others have a turn
+    loop.schedule(Math.max(1, delay), next); // one that asks for none still lets others have a turn
   }
 
   @Override
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -39,7 +39,7 @@
   private InetSocketAddress source;
   private String scope;
   private WatchConnection watch;
-  private TimerQueue.Entry waits;
+  private TimerQueue.Timer waits;
   private long pause;
   private boolean whole;
 
@@ -101,15 +101,15 @@
       watch.close();
     }
     loop.cancel(waits);
-    waits = loop.after(after, this::watch);
+    waits = loop.schedule(after, this::watch);
   }
 
   private void told(String line) {
     long revision = -1;
     try {
       Settings news = new Settings(Json.object(line));
-      revision = news.whole("rev", -1);
-      if (whole && !news.flag("all") || feed.take(news) == Verdict.WHOLE_WANTED) {
+      revision = news.wholeNumber("rev", -1);
+      if (whole && !news.flag("all") || feed.apply(news) == Verdict.WHOLE_WANTED) {
         EventLog.info(
             "settings",
             null,
@@ -127,10 +127,10 @@
       }
       whole = false;
       pause = 0;
-      counts.told++;
+      counts.dynamicSettingsApplied++;
       inForce.accept(feed);
     } catch (IOException | InvalidConfigurationException e) {
-      counts.turnedDown++;
+      counts.reloadsRejected++;
       String fault = String.valueOf(e.getMessage()).split("\n")[0];
       EventLog.warning(
           "settings kept as they were",
--- a/proxy/src/main/java/wheattrack/net/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/WatchConnection.java
@@ -51,7 +51,7 @@
   private final LineDecoder in = new LineDecoder();
   private final Consumer<String> line;
   private final Failed failed;
-  private TimerQueue.Entry silence;
+  private TimerQueue.Timer silence;
   private final long patience;
   private boolean began, spoke, unread;
 
@@ -106,12 +106,13 @@
     Headers headers =
         new Headers().with("Host", to.getAddress().getHostAddress() + ":" + to.getPort());
     write(Encoder.request(new Request("GET", target, headers, true, new byte[0])));
-    read(in.room());
+    read(in.writableBuffer());
   }
 
   private void listen(long time) {
     loop.cancel(silence);
-    silence = loop.after(time, () -> fail(in.isAmid() ? "news that does not end" : "silent", true));
+    silence =
+        loop.schedule(time, () -> fail(in.isMidLine() ? "news that does not end" : "silent", true));
   }
 
   /** Whether it has said anything that was whole. */
@@ -125,7 +126,7 @@
   }
 
   @Override
-  protected void came(int n) {
+  protected void onRead(int n) {
     if (n < 0) {
       fail("ended", false);
       return;
@@ -145,7 +146,7 @@
       if (in.isEnded()) {
         fail("ended", false);
       }
-      read(in.room());
+      read(in.writableBuffer());
     } catch (MalformedMessageException e) {
       if (!in.isOpen()) { // turned away: that is no news
         spoke = false;
@@ -157,7 +158,7 @@
   }
 
   @Override
-  protected void wrote(boolean whole) {
+  protected void onWritten(boolean whole) {
     if (!whole) {
       fail("broken", false);
     }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -42,7 +42,7 @@
   }
 
   /** A backend at the door, with what is out there. */
-  private static final class Srv extends BackendIndex.Srv<Long> {
+  private static final class Srv extends BackendIndex.Backend<Long> {
     int out;
     final List<ProbeCallback> probes = new ArrayList<>();
 
@@ -51,7 +51,7 @@
     }
 
     @Override
-    protected boolean isBusy() {
+    protected boolean hasWorkInFlight() {
       return out > 0 || !probes.isEmpty();
     }
   }
@@ -138,8 +138,8 @@
 
   private void configure(long seed, Settings s) {
     forget();
-    sets = s.ruleSets();
-    rules = s.rules(this, seed, sets, s.word("discovery", "").equals("subscribe"));
+    sets = s.requestClasses();
+    rules = s.newLoadBalancer(this, seed, sets, s.text("discovery", "").equals("subscribe"));
   }
 
   private void arrival(MessageFields line) throws SimulatorAdapter.BadInput {
@@ -204,7 +204,9 @@
     if (srv != null && line.feedback != null) {
       Settings figures = new Settings(line.feedback);
       rules.onLoadReport(
-          srv.at, figures.number(Settings.HOLDS, -1), figures.number(Settings.WAITS, 0));
+          srv.index,
+          figures.number(Settings.IN_FLIGHT_FIELD, -1),
+          figures.number(Settings.QUEUED_FIELD, 0));
     }
   }
 
@@ -248,14 +250,14 @@
     for (Object record : records) {
       named.add(id(record));
     }
-    for (Srv srv : fleet.missing(named)) {
+    for (Srv srv : fleet.listedExcept(named)) {
       gone(srv);
     }
   }
 
   private void gone(Srv srv) {
-    if (fleet.left(srv)) {
-      rules.removeBackend(srv.at);
+    if (fleet.markUnlisted(srv)) {
+      rules.removeBackend(srv.index);
     }
   }
 
@@ -270,23 +272,23 @@
   private void entry(Object record) throws SimulatorAdapter.BadInput {
     long id = id(record);
     Settings r = new Settings((Map<String, Object>) record);
-    String readiness = r.word("readiness", "healthy");
+    String readiness = r.text("readiness", "healthy");
     if (readiness.equals("deregistered")) {
       gone(fleet.find(id));
       return;
     }
-    Srv srv = fleet.admit(id);
-    boolean fresh = fleet.met(srv);
+    Srv srv = fleet.getOrAdd(id);
+    boolean fresh = fleet.markListed(srv);
     long up = (long) r.number("upSince", 0);
     double weight = r.number("weight", 1);
     rules.updateBackend(
         new EndpointUpdate(
-            srv.at,
+            srv.index,
             id,
             readiness.equals("healthy"),
-            r.count("rackZone", 0),
-            r.count("pack", 0),
-            r.count("familyType", 0),
+            r.integer("rackZone", 0),
+            r.integer("pack", 0),
+            r.integer("familyType", 0),
             weight,
             up <= 0 ? BackendIndex.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT),
             fresh));
@@ -337,7 +339,7 @@
   @Override
   public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
     Guest guest = (Guest) req.attachment();
-    Srv srv = fleet.at(backend);
+    Srv srv = fleet.get(backend);
     guest.legs.add(next);
     guest.where.add(srv);
     guest.out++;
@@ -364,14 +366,14 @@
 
   @Override
   public void probeLoad(int backend, ProbeCallback next) {
-    Srv srv = fleet.at(backend);
+    Srv srv = fleet.get(backend);
     srv.probes.add(next);
     write("AskLoad", null, "backend", srv.id, null, 0);
   }
 
   @Override
   public void closeIdleConnections(int backend) {
-    Srv srv = fleet.at(backend);
+    Srv srv = fleet.get(backend);
     if (srv != null) {
       write("HangUp", null, "backend", srv.id, null, 0);
     }
--- a/proxy/src/test/java/wheattrack/CoreTest.java
+++ b/proxy/src/test/java/wheattrack/CoreTest.java
@@ -24,7 +24,7 @@
 
 /** The parts without I/O, and the configuration. */
 class CoreTest {
-  private static final class Srv extends BackendIndex.Srv<String> {
+  private static final class Srv extends BackendIndex.Backend<String> {
     boolean busy;
 
     Srv(String id, int at) {
@@ -32,7 +32,7 @@
     }
 
     @Override
-    protected boolean isBusy() {
+    protected boolean hasWorkInFlight() {
       return busy;
     }
   }
@@ -41,7 +41,7 @@
   void deadlines() throws IOException {
     TraceRecorder w = new TraceRecorder();
     TimerQueue d = new TimerQueue();
-    List<TimerQueue.Entry> all = new ArrayList<>();
+    List<TimerQueue.Timer> all = new ArrayList<>();
     for (int i = 0; i < 200; i++) {
       int at = i * 37 % 50;
       String name = at + "." + i;
@@ -55,8 +55,8 @@
     }
     d.cancel(null);
     for (int now = 0; d.size() > 0; now += 10) {
-      w.say("by " + now + ", first " + d.first());
-      for (Runnable due = d.due(now); due != null; due = d.due(now)) {
+      w.say("by " + now + ", first " + d.nextDeadline());
+      for (Runnable due = d.pollDue(now); due != null; due = d.pollDue(now)) {
         due.run();
       }
     }
@@ -82,22 +82,22 @@
             + slots.add("e"));
     BackendIndex<String, Srv> fleet = new BackendIndex<>(Srv::new);
     for (String id : List.of("x", "y", "z")) {
-      Srv srv = fleet.admit(id);
-      w.say(id + " at " + srv.at + (fleet.met(srv) ? " fresh" : " known"));
+      Srv srv = fleet.getOrAdd(id);
+      w.say(id + " at " + srv.index + (fleet.markListed(srv) ? " fresh" : " known"));
     }
-    w.say("x again " + (fleet.met(fleet.admit("x")) ? "fresh" : "known"));
+    w.say("x again " + (fleet.markListed(fleet.getOrAdd("x")) ? "fresh" : "known"));
     fleet.find("x").busy = true;
-    for (Srv srv : fleet.missing(Set.of("z"))) {
-      w.say(srv.id + " missing " + fleet.left(srv) + fleet.left(srv));
+    for (Srv srv : fleet.listedExcept(Set.of("z"))) {
+      w.say(srv.id + " missing " + fleet.markUnlisted(srv) + fleet.markUnlisted(srv));
     }
-    w.say("new ones at " + fleet.admit("v").at + " and " + fleet.admit("w").at);
+    w.say("new ones at " + fleet.getOrAdd("v").index + " and " + fleet.getOrAdd("w").index);
     w.say(
         "y "
             + fleet.find("y")
             + ", x still at "
-            + fleet.find("x").at
+            + fleet.find("x").index
             + ", none left "
-            + fleet.left(null));
+            + fleet.markUnlisted(null));
     w.matches("tables");
   }
 
@@ -111,13 +111,13 @@
     for (int round = 0; round < 500; round++) {
       Set<String> named = new HashSet<>();
       for (int i = 0; i < 60; i++) {
-        Srv srv = fleet.admit("s" + round + "-" + i);
-        fleet.met(srv);
+        Srv srv = fleet.getOrAdd("s" + round + "-" + i);
+        fleet.markListed(srv);
         srv.busy = i == round % 60;
         named.add(srv.id);
-        most = Math.max(most, srv.at);
+        most = Math.max(most, srv.index);
       }
-      fleet.missing(named).forEach(fleet::left);
+      fleet.listedExcept(named).forEach(fleet::markUnlisted);
       if (round > 1) {
         int old = round - 2;
         fleet.find("s" + old + "-" + old % 60).busy = false;
@@ -144,9 +144,9 @@
       w.say(
           phase
               + " "
-              + life.enter(phase)
+              + life.advanceTo(phase)
               + (life.isReady() ? " ready" : "")
-              + (life.isLeaving() ? " leaving" : ""));
+              + (life.isShuttingDown() ? " leaving" : ""));
     }
     w.matches("phases");
   }
@@ -187,7 +187,7 @@
       try {
         Map<String, Object> all = Json.object(("{" + in + "}").replace('\'', '"'));
         ProxyConfig c = new ProxyConfig(all);
-        w.say("good: " + c.listen + " " + c.discovery + " " + c.sockets);
+        w.say("good: " + c.listen + " " + c.discovery + " " + c.maxDescriptors);
       } catch (InvalidConfigurationException e) {
         w.say(e.getMessage());
       }
@@ -215,7 +215,7 @@
         "served at "
             + ProxyConfig.read(file).listen
             + ", rehearsed at "
-            + ProxyConfig.rehearsal(file, 9).listen);
+            + ProxyConfig.readForTraining(file, 9).listen);
     Files.delete(file);
     w.matches("rehearsal");
   }
--- a/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
+++ b/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
@@ -29,14 +29,14 @@
     EventLoop loop = new EventLoop();
     loop.execute(
         () -> {
-          loop.after(300, () -> say("deadline of 30 ms, not all heard: " + (heard < 200)));
-          loop.after(
+          loop.schedule(300, () -> say("deadline of 30 ms, not all heard: " + (heard < 200)));
+          loop.schedule(
               5000,
               () -> {
                 say("deadline of 500 ms, heard " + heard);
                 loop.shutdown();
               });
-          loop.step(() -> say("step left behind, before any task"));
+          loop.defer(() -> say("step left behind, before any task"));
           loop.execute(
               () -> {
                 say("stands still for 100 ms");
--- a/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
+++ b/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
@@ -25,7 +25,7 @@
   private final DynamicSettings feed = new DynamicSettings();
 
   private Verdict take(String news) throws IOException {
-    return feed.take(new Settings(Json.object(news.replace('\'', '"'))));
+    return feed.apply(new Settings(Json.object(news.replace('\'', '"'))));
   }
 
   public static String set(String name, long targetMillis, String effect) {
@@ -43,13 +43,13 @@
   private String state() {
     return feed.revision()
         + " "
-        + new TreeMap<>(feed.sets())
+        + new TreeMap<>(feed.requestClasses())
         + " "
         + feed.tenants()
         + " "
-        + feed.quota()
+        + feed.totalQuota()
         + " "
-        + feed.limited();
+        + feed.limitNames();
   }
 
   private void whole() throws IOException {
@@ -74,11 +74,13 @@
                 + set("c", 200, "read_like")
                 + ",{'name':'a','gone':true}],'tenants':[{'name':'t','quotaPerS':1},{'name':'u',"
                 + "'quotaPerS':2}],'limits':{'maxDispatches':null}}"));
-    assertEquals(List.of("b", "c"), List.copyOf(new TreeMap<>(feed.sets()).keySet()));
-    assertEquals(3, feed.quota());
-    assertEquals(List.of(), feed.limited());
+    assertEquals(List.of("b", "c"), List.copyOf(new TreeMap<>(feed.requestClasses()).keySet()));
+    assertEquals(3, feed.totalQuota());
+    assertEquals(List.of(), feed.limitNames());
     assertEquals(2000, feed.summary()[0].latencyObjective());
-    assertEquals(12_000, feed.longest()); // of a set that is gone, whose requests may be under way
+    assertEquals(
+        12_000,
+        feed.longestClientTimeout()); // of a set that is gone, whose requests may be under way
   }
 
   /** A gap, an older revision, the same one again, another source, changes before any whole. */
@@ -136,7 +138,7 @@
     whole();
     String was = state();
     List<String> tenants = new ArrayList<>();
-    for (int i = 0; i <= DynamicSettings.MOST_TENANTS; i++) {
+    for (int i = 0; i <= DynamicSettings.MAX_TENANTS; i++) {
       tenants.add("{'name':'" + i + "'}");
     }
     InvalidConfigurationException bad =
@@ -186,12 +188,16 @@
       }
       RequestClass sum = feed.summary()[0];
       assertEquals(
-          feed.sets().values().stream().mapToLong(RequestClass::latencyObjective).min().orElse(0),
+          feed.requestClasses().values().stream()
+              .mapToLong(RequestClass::latencyObjective)
+              .min()
+              .orElse(0),
           sum.latencyObjective());
       assertEquals(
-          feed.sets().values().stream().anyMatch(s -> s.idempotency() == Idempotency.IDEMPOTENT),
+          feed.requestClasses().values().stream()
+              .anyMatch(s -> s.idempotency() == Idempotency.IDEMPOTENT),
           sum.idempotency() == Idempotency.IDEMPOTENT);
-      assertEquals(quotas.values().stream().mapToInt(q -> q).sum(), feed.quota(), 1e-6);
+      assertEquals(quotas.values().stream().mapToInt(q -> q).sum(), feed.totalQuota(), 1e-6);
       assertEquals(quotas.size(), feed.tenants());
     }
   }
--- a/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
+++ b/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
@@ -76,8 +76,8 @@
         settings.ruleSets[0].group: zone is all of the one place, see if that is meant""",
         said);
     ProxyConfig made = ProxyConfig.read(next);
-    assertEquals(400, made.settings.count("balancers", 0));
-    assertEquals("answers", made.settings.word("report.how"));
+    assertEquals(400, made.settings.integer("balancers", 0));
+    assertEquals("answers", made.settings.text("report.how"));
     assertEquals(8001, made.listen.getPort());
     assertEquals(OLD, Files.readString(old));
     assertEquals(2, migrate(args));
--- a/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
+++ b/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
@@ -20,11 +20,11 @@
       throws MalformedMessageException {
     int size = 0;
     int at = from;
-    while (in.isPassing() && at < text.length()) {
-      in.room().put((byte) text.charAt(at++));
-      size += in.piece().remaining();
+    while (in.isStreamingBody() && at < text.length()) {
+      in.writableBuffer().put((byte) text.charAt(at++));
+      size += in.nextBodyPart().remaining();
     }
-    return at + "/" + size + (in.isPassing() ? " not whole" : " whole");
+    return at + "/" + size + (in.isStreamingBody() ? " not whole" : " whole");
   }
 
   /**
@@ -47,14 +47,15 @@
         Request got = null;
         String both = text + text;
         for (int from = 0, n = 0; from < both.length(); from += n) {
-          n = Math.min(in.room().remaining(), (from < cut ? cut : both.length()) - from);
-          in.room().put(both.substring(from, from + n).getBytes(StandardCharsets.ISO_8859_1));
+          n = Math.min(in.writableBuffer().remaining(), (from < cut ? cut : both.length()) - from);
+          in.writableBuffer()
+              .put(both.substring(from, from + n).getBytes(StandardCharsets.ISO_8859_1));
           for (Request next = in.next(); next != null; next = in.next()) {
             got = next;
             assertEquals(body, new String(next.body(), StandardCharsets.ISO_8859_1));
           }
         }
-        assertTrue(got != null && got.more() == 0 && !in.isAmid(), "cut at " + cut);
+        assertTrue(got != null && got.remainingBody() == 0 && !in.isMidMessage(), "cut at " + cut);
       }
     }
   }
@@ -86,7 +87,7 @@
       longOne(w, new ResponseDecoder(150_000), text);
     }
     ResponseDecoder in = new ResponseDecoder();
-    in.bare(true);
+    in.expectNoBody(true);
     feed(w, in, ok + "Content-Length: 5\r\n\r\n");
     w.matches("http-long");
   }
@@ -95,21 +96,24 @@
     w.say(short80(text));
     try {
       for (int at = 0; at < text.length(); at++) {
-        in.room().put((byte) text.charAt(at));
+        in.writableBuffer().put((byte) text.charAt(at));
         Object got = in.next();
         if (got != null) {
-          long more = got instanceof Request r ? r.more() : ((Response) got).more();
+          long more =
+              got instanceof Request r ? r.remainingBody() : ((Response) got).remainingBody();
           w.say("  " + print(got).replaceAll("body=.*\\(", "body of (") + ", more " + more);
-          if (in.isPassing()) {
+          if (in.isStreamingBody()) {
             String rest = rest(in, text, at + 1);
             at = Integer.parseInt(rest.split("/")[0]) - 1;
             w.say("  and " + rest.split("/")[1]);
           }
         }
       }
-      if (in.end()) {
+      if (in.endOfStream()) {
         w.say(
-            "  till the end: " + in.piece().remaining() + (in.isPassing() ? " and on" : " whole"));
+            "  till the end: "
+                + in.nextBodyPart().remaining()
+                + (in.isStreamingBody() ? " and on" : " whole"));
       }
     } catch (MalformedMessageException e) {
       w.say("  bad, " + e.status + ": " + e.getMessage());
@@ -122,14 +126,14 @@
           + " "
           + r.target()
           + headers(r.headers())
-          + (r.keep() ? " keep" : " close")
+          + (r.keepAlive() ? " keep" : " close")
           + " body="
           + short80(new String(r.body(), StandardCharsets.ISO_8859_1));
     }
     Response r = (Response) message;
     return r.status()
         + headers(r.headers())
-        + (r.keep() ? " keep" : " close")
+        + (r.keepAlive() ? " keep" : " close")
         + " body="
         + short80(new String(r.body(), StandardCharsets.ISO_8859_1));
   }
@@ -145,7 +149,7 @@
   private static void feed(TraceRecorder w, Decoder<?> in, String text) {
     w.say(short80(text));
     for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
-      in.room().put(b);
+      in.writableBuffer().put(b);
       try {
         Object message = in.next();
         if (message != null) {
@@ -156,7 +160,7 @@
         return;
       }
     }
-    if (in.isAmid()) {
+    if (in.isMidMessage()) {
       w.say("  not whole");
     }
   }
@@ -247,7 +251,7 @@
       w.say(short80(in));
       try {
         for (byte b : in.getBytes(StandardCharsets.ISO_8859_1)) {
-          lines.room().put(b);
+          lines.writableBuffer().put(b);
           for (String line = lines.next(); line != null; line = lines.next()) {
             w.say("  [" + line + "]");
           }
@@ -271,7 +275,7 @@
           Encoder.request(new Request("PUT", "/a?b", new Headers(), false, hi)),
           Encoder.response(new Response(200, one, true, hi)),
           Encoder.response(new Response(503, new Headers(), false, new byte[0])),
-          Encoder.goOn()
+          Encoder.continueResponse()
         }) {
       w.say(StandardCharsets.ISO_8859_1.decode(bytes).toString().replace("\r\n", "|"));
     }
--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -107,13 +107,14 @@
   @Test
   void namesAndBounds() {
     RequestCounters counts = new RequestCounters();
-    counts.ended("a b:c|d\n", RequestCounters.End.DONE);
+    counts.countAnswer("a b:c|d\n", RequestCounters.FinalAnswer.DONE);
     for (int i = 0; i < 1000; i++) {
-      counts.ended("n" + i, RequestCounters.End.DENIED);
+      counts.countAnswer("n" + i, RequestCounters.FinalAnswer.REJECTED);
     }
     String text = new MetricsFormat(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
     assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
-    assertTrue(counts.ends().size() <= 257, "names kept: " + counts.ends().size());
+    assertTrue(
+        counts.answersByClass().size() <= 257, "names kept: " + counts.answersByClass().size());
     assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
   }
 
