--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -254,11 +254,11 @@
                 Locale.ROOT,
                 "%-16s %12s %12s %10s   %s to %s%s%n",
                 figure,
-                Verdict.text(d.base),
-                Verdict.text(d.cand),
-                Verdict.text(d.mean),
-                Verdict.text(d.low),
-                Verdict.text(d.high),
+                Verdict.format(d.base),
+                Verdict.format(d.cand),
+                Verdict.format(d.mean),
+                Verdict.format(d.low),
+                Verdict.format(d.high),
                 d.isClear() ? "" : "  (no clear difference)");
           }
         });
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -4,7 +4,8 @@
 import java.util.Locale;
 import java.util.Map;
 import wheattrack.lab.referee.LedgerRecord.Answer;
-import wheattrack.lab.referee.Referee;
+import wheattrack.lab.referee.ProxyTotals;
+import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.sockets.SocketRun;
@@ -19,7 +20,7 @@
     Scenario s = Scenario.read(ScenarioCatalog.find("demo"));
     System.out.println(
         "two proxies, six servers, a list and clients on 127.0.0.1: "
-            + Verdict.text(s.load.rate())
+            + Verdict.format(s.load.rate())
             + " reqs a second for "
             + s.length / Scenario.SECOND
             + " s;");
@@ -34,8 +35,8 @@
     System.out.println();
     System.out.println("value done in time, by second");
     for (int i = 0; i < Math.min(v.seconds().size(), s.length / Scenario.SECOND); i++) {
-      Referee.Second one = v.seconds().get(i);
-      double part = one.asked > 0 ? one.earned / one.asked : 1;
+      ServiceSecond one = v.seconds().get(i);
+      double part = one.hasShare() ? one.earnedShare() : 1;
       System.out.printf(
           Locale.ROOT,
           "%4d s %-" + WIDE + "s %3.0f%%%s%n",
@@ -45,33 +46,33 @@
           mark(s, i));
     }
     System.out.println();
-    for (Map.Entry<Integer, Referee.ByProxy> e : v.byProxy().entrySet()) {
-      Referee.ByProxy p = e.getValue();
+    for (Map.Entry<Integer, ProxyTotals> e : v.totalsByProxy().entrySet()) {
+      ProxyTotals p = e.getValue();
       System.out.printf(
           Locale.ROOT,
           "proxy %d took %d reqs: %d done, %d denied, %d aborted; sent to "
               + "servers (by place) %s%n",
           e.getKey(),
-          p.taken,
-          p.ended[Answer.DONE.ordinal()],
-          p.ended[Answer.DENIED.ordinal()],
-          p.ended[Answer.ABORTED.ordinal()],
-          p.sent);
+          p.accepted(),
+          p.answers(Answer.DONE),
+          p.answers(Answer.REJECTED),
+          p.answers(Answer.FAILED),
+          p.attemptsByBackend());
     }
-    v.breaks().forEach(b -> System.out.println("broken, " + b.rule() + ": " + b.how()));
+    v.violations().forEach(b -> System.out.println("broken, " + b.rule() + ": " + b.description()));
     System.out.println(
         "the referee: "
             + (v.figures().get("broken") == 0
                 ? "no rule was broken"
-                : Verdict.text(v.figures().get("broken")) + " rules were broken")
+                : Verdict.format(v.figures().get("broken")) + " rules were broken")
             + "; "
             + String.format(Locale.ROOT, "%.1f", 100 * v.figures().get("service"))
             + "% of the value was done in time, half within "
-            + Verdict.text(v.figures().get("p50"))
+            + Verdict.format(v.figures().get("p50"))
             + " ms, all but 1% within "
-            + Verdict.text(v.figures().get("p99"))
+            + Verdict.format(v.figures().get("p99"))
             + " ms");
-    System.out.println(v.result(job.seed()));
+    System.out.println(v.resultLine(job.seed()));
     return real.quality().isTooLate() ? 3 : v.isGood() ? 0 : 1;
   }
 
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -10,7 +10,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import wheattrack.config.InvalidConfigurationException;
-import wheattrack.lab.referee.Ledger;
+import wheattrack.lab.referee.InvalidLedgerException;
 import wheattrack.lab.scale.ProcessGroup;
 import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
@@ -107,7 +107,7 @@
       };
     } catch (ParseException | InvalidConfigurationException e) {
       return fault("wheattrack lab: " + e.getMessage());
-    } catch (Ledger.Void e) {
+    } catch (InvalidLedgerException e) {
       System.err.println("wheattrack lab: void: " + e.getMessage());
       return 3;
     } catch (IOException e) {
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import wheattrack.lab.referee.Ledger;
+import wheattrack.lab.referee.LedgerWriter;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport;
@@ -49,7 +50,7 @@
     }
     Path file = job.out().resolve("world.ledger");
     Files.deleteIfExists(file);
-    try (Ledger.Out out = new Ledger.Out(file, false)) {
+    try (LedgerWriter out = new LedgerWriter(file, false)) {
       new VirtualRun(scenario, job.seed(), job.policy(), out).run();
     }
     Ledger.merge(List.of(file)).forEach(referee);
@@ -92,7 +93,7 @@
 
   private static SocketRun.Quality sockets(Scenario scenario, Job job, SocketRun.How how, Path file)
       throws IOException {
-    try (Ledger.Out out = new Ledger.Out(file, false);
+    try (LedgerWriter out = new LedgerWriter(file, false);
         SocketRun sockets = new SocketRun(scenario, job.seed(), job.jar(), how, out)) {
       SocketRun.Quality quality = sockets.run();
       if (job.out() != null) {
@@ -107,12 +108,16 @@
   }
 
   private static void tell(Verdict v, Job job) throws IOException {
-    v.breaks()
+    v.violations()
         .forEach(
             b ->
                 System.out.printf(
-                    Locale.ROOT, "broken %8.3f s %s: %s%n", b.at() / 10_000.0, b.rule(), b.how()));
-    v.shortfalls()
+                    Locale.ROOT,
+                    "broken %8.3f s %s: %s%n",
+                    b.at() / 10_000.0,
+                    b.rule(),
+                    b.description()));
+    v.unmetExpectations()
         .forEach(
             e ->
                 System.out.println(
@@ -120,17 +125,17 @@
                         + e.figure()
                         + " "
                         + (v.figures().containsKey(e.figure())
-                            ? Verdict.text(v.figures().get(e.figure()))
+                            ? Verdict.format(v.figures().get(e.figure()))
                             : "unknown")
                         + ", expected "
                         + e.sign()
                         + " "
-                        + Verdict.text(e.bound())));
+                        + Verdict.format(e.bound())));
     if (job.out() != null) {
       ResultLines.write(job.out().resolve("result.jsonl"), v, job.seed(), job.policyWord());
       HtmlReport.write(
           job.out().resolve("report.html"), List.of(new HtmlReport.Run(job.policyWord(), v)));
     }
-    System.out.println(v.result(job.seed()));
+    System.out.println(v.resultLine(job.seed()));
   }
 }
--- a/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
@@ -89,7 +89,8 @@
             stage.wanted(at);
             Op op = new Op(++ops, (long) at, wants.next(), draws.below(believed.size()));
             stage.say(
-                LedgerRecord.asked(op.at, op.id, op.want.set().rules().index(), op.want.value()));
+                LedgerRecord.operationStarted(
+                    op.at, op.id, op.want.set().rules().index(), op.want.value()));
             tries(op);
             open();
           });
@@ -127,7 +128,7 @@
       op.over = true;
       op.left = true;
       op.open = null;
-      stage.say(LedgerRecord.left(stage.now(), ask.req));
+      stage.say(LedgerRecord.clientDisconnected(stage.now(), ask.req));
       door.left(ask);
     }
   }
@@ -153,7 +154,7 @@
     op.open = null;
     if (how == Answer.DONE) {
       op.over = true;
-    } else if (how == Answer.DENIED
+    } else if (how == Answer.REJECTED
         || op.want.set().rules().idempotency() == Idempotency.IDEMPOTENT) {
       again(op, wait);
     }
--- a/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
+++ b/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
@@ -33,13 +33,13 @@
       stage.after(
           f.at(),
           () -> {
-            stage.say(LedgerRecord.fault(stage.now(), number, true));
+            stage.say(LedgerRecord.faultChanged(stage.now(), number, true));
             t.begin(f, hit);
             if (f.lasts() > 0) {
               stage.after(
                   f.lasts(),
                   () -> {
-                    stage.say(LedgerRecord.fault(stage.now(), number, false));
+                    stage.say(LedgerRecord.faultChanged(stage.now(), number, false));
                     t.end(f, hit);
                   });
             }
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -118,7 +118,7 @@
     start = stage.now();
     cold = asCold;
     budget.clear();
-    stage.say(LedgerRecord.started(stage.now(), place, kind.cores() * kind.speed(), asCold));
+    stage.say(LedgerRecord.backendStarted(stage.now(), place, kind.cores() * kind.speed(), asCold));
     turn(State.UP);
   }
 
@@ -151,12 +151,12 @@
       return;
     }
     double work = who.work() * draws.factor(NOISE) + (anew ? kind.handshake() : 0);
-    stage.say(LedgerRecord.came(sent, who.req(), who.proxy(), place, work));
+    stage.say(LedgerRecord.attemptArrived(sent, who.req(), who.proxy(), place, work));
     if (cold
         && warmth() < 1
         && budget.add(sent, work, kind.cores() * kind.speed() * warmth(), true)) {
       fallen = true;
-      stage.say(LedgerRecord.fell(stage.now(), place));
+      stage.say(LedgerRecord.backendCollapsed(stage.now(), place));
       who.heard(AttemptOutcome.RESET);
       stage.roster().noticesDeath(this);
       crash();
@@ -187,7 +187,9 @@
         continue;
       }
       running.add(v);
-      stage.say(LedgerRecord.ran(stage.now(), v.who.req(), v.who.proxy(), place, v.came, v.work));
+      stage.say(
+          LedgerRecord.executionStarted(
+              stage.now(), v.who.req(), v.who.proxy(), place, v.came, v.work));
       v.endsAt = stage.now() + Math.max(1, Math.round(v.work / (kind.speed() * warmth() / slow)));
       v.end = stage.after(v.endsAt - stage.now(), () -> finish(v));
     }
--- a/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
@@ -3,58 +3,77 @@
 import java.util.ArrayDeque;
 
 /**
- * What a server that has just started bears from all proxies together: within any window of the
- * fall time N requests of mean work, by the fall multiple of what it can do at that moment, and
- * what is put down to chance beyond them, 2 x root of N + 2. Pure; times in tenths of a
- * millisecond.
+ * The load that a backend which has just started bears from all proxies together. Let N be the
+ * requests of mean work that make up a given multiple of its momentary capacity over a window of
+ * time; it collapses when a window holds more than N + 2 * sqrt(N) + 2, the excess over N being put
+ * down to chance. Times are in tenths of a millisecond. Not thread-safe.
  */
 public final class ColdBudget {
-  private record Load(long at, double work, boolean knowing) {}
+  private record Arrival(long at, double work, boolean isInformed) {}
 
-  private final double multiple, mean;
+  private final double multiple;
   private final long window;
-  private final ArrayDeque<Load> loads = new ArrayDeque<>();
-  private double sum, knowing, most;
+  private final double meanWork;
+  private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
+  private double windowWork;
+  private double informedWork;
+  private double peakLoad;
 
-  /** mean: the work of a mean request. */
-  public ColdBudget(double multiple, long window, double mean) {
+  /**
+   * Creates an empty budget.
+   *
+   * @param multiple how many times its capacity the backend bears
+   * @param window length of the window
+   * @param meanWork the work of a mean request
+   */
+  public ColdBudget(double multiple, long window, double meanWork) {
     this.multiple = multiple;
     this.window = window;
-    this.mean = mean;
+    this.meanWork = meanWork;
   }
 
-  /** It has started anew: what came before no longer weighs. */
+  /** Forgets the load so far: the backend has started anew. */
   public void clear() {
-    loads.clear();
-    sum = knowing = 0;
+    arrivals.clear();
+    windowWork = 0;
+    informedWork = 0;
   }
 
   /**
-   * Work comes while it can do so much a unit of time; known: the sender had been told of the
-   * start. Says whether the server falls over; one request alone never does that, however heavy.
+   * Adds an arrival and says whether the backend collapses under it. One request alone never makes
+   * it collapse, however heavy.
+   *
+   * @param capacity the work per unit of time that it can do now
+   * @param isInformed whether the sender had been notified of the start
    */
-  public boolean add(long at, double work, double capacity, boolean known) {
-    while (!loads.isEmpty() && loads.peek().at <= at - window) {
-      Load old = loads.poll();
-      sum -= old.work;
-      knowing -= old.knowing ? old.work : 0;
+  public boolean add(long at, double work, double capacity, boolean isInformed) {
+    expire(at);
+    double bearable = multiple * capacity * window / meanWork;
+    boolean isFirst = arrivals.isEmpty();
+    if (!isFirst) {
+      peakLoad = Math.max(peakLoad, windowWork / meanWork / bearable);
+    }
+    arrivals.add(new Arrival(at, work, isInformed));
+    windowWork += work;
+    informedWork += isInformed ? work : 0;
+    return !isFirst && windowWork / meanWork > bearable + 2 * Math.sqrt(bearable) + 2;
+  }
+
+  private void expire(long now) {
+    while (!arrivals.isEmpty() && arrivals.peek().at <= now - window) {
+      Arrival expired = arrivals.poll();
+      windowWork -= expired.work;
+      informedWork -= expired.isInformed ? expired.work : 0;
     }
-    double n = multiple * capacity * window / mean;
-    most = loads.isEmpty() ? most : Math.max(most, sum / mean / n);
-    boolean first = loads.isEmpty();
-    loads.add(new Load(at, work, known));
-    sum += work;
-    knowing += known ? work : 0;
-    return !first && sum / mean > n + 2 * Math.sqrt(n) + 2;
   }
 
-  /** Whether over two thirds of the load came from senders that knew: then it is their fault. */
-  public boolean isBreak() {
-    return knowing > sum * 2 / 3;
+  /** Whether over two thirds of the load came from informed senders: then it is their fault. */
+  public boolean isSendersFault() {
+    return informedWork > windowWork * 2 / 3;
   }
 
   /** The most that lay in a window as one request more came, in parts of N. */
-  public double most() {
-    return most;
+  public double peakLoad() {
+    return peakLoad;
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/referee/DrainRule.java
@@ -0,0 +1,50 @@
+package wheattrack.lab.referee;
+
+import wheattrack.lab.referee.LedgerRecord.State;
+
+/** Judges {@link Rule#DRAINS}: no attempt to a backend that its proxy knows to drain or be gone. */
+final class DrainRule {
+  private final RunState run;
+  private final RuleViolations violations;
+
+  /** How long after the notification an attempt may still arrive. */
+  private final long grace;
+
+  private long latestArrival;
+
+  DrainRule(RunState run, RuleViolations violations, long grace) {
+    this.run = run;
+    this.violations = violations;
+    this.grace = grace;
+  }
+
+  void judgeAttempt(LedgerRecord entry) {
+    TrackedBackend backend = run.backend(entry.backend());
+    State state = backend.stateAt(entry.proxy());
+    if (state == null || state == State.READY) {
+      return;
+    }
+    long late = entry.at() - backend.stateSince(entry.proxy());
+    latestArrival = Math.max(latestArrival, late);
+    if (late > grace) {
+      violations.add(
+          Rule.DRAINS,
+          entry.at(),
+          "proxy "
+              + entry.proxy()
+              + " sent req "
+              + entry.request()
+              + " to server "
+              + entry.backend()
+              + " "
+              + late / 10
+              + " ms after it was told that it is "
+              + state);
+    }
+  }
+
+  /** The longest time between a notification and an attempt that went against it. */
+  long latestArrival() {
+    return latestArrival;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/referee/Ledger.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Ledger.java
@@ -1,146 +1,106 @@
 package wheattrack.lab.referee;
 
-import java.io.BufferedWriter;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
 /**
- * Ledgers on disk: a line an entry, ended by the CRC32C of what stands before it, so that a line
- * that was not written whole shows. Append only. A writer belongs to one thread, or to callers that
- * take turns.
+ * The form of ledgers on disk: a line for each record, ended by the CRC32C of what stands before
+ * it, so that an incomplete line shows. {@link LedgerWriter} writes them.
  */
 public final class Ledger {
-  /** A ledger that can't be judged: cut off, torn or not ours. The run it is of says nothing. */
-  public static final class Void extends IOException {
-    private static final long serialVersionUID = 1;
-
-    Void(String message) {
-      super(message);
-    }
-  }
-
-  /** Writes one file; each entry is written out at once where sure, else a block at a time. */
-  public static final class Out implements Consumer<LedgerRecord>, AutoCloseable {
-    private final Writer out;
-    private final boolean sure;
-
-    public Out(Path file, boolean sure) throws IOException {
-      out =
-          new BufferedWriter(
-              Files.newBufferedWriter(
-                  file, StandardCharsets.US_ASCII, StandardOpenOption.CREATE_NEW),
-              1 << 16);
-      this.sure = sure;
-    }
-
-    @Override
-    public synchronized void accept(LedgerRecord e) {
-      try {
-        out.write(line(e));
-        if (sure) {
-          out.flush();
-        }
-      } catch (IOException failed) {
-        throw new UncheckedIOException(failed);
-      }
-    }
-
-    @Override
-    public synchronized void close() throws IOException {
-      out.close();
-    }
-  }
+  private static final int FIELDS = 9;
 
   private Ledger() {}
 
-  static String line(LedgerRecord e) {
+  /** One record as a line of the ledger, its newline included. */
+  static String format(LedgerRecord entry) {
     String text =
-        e.kind().name()
+        entry.kind().word()
             + ' '
-            + e.at()
+            + entry.at()
             + ' '
-            + e.req()
+            + entry.request()
             + ' '
-            + e.proxy()
+            + entry.proxy()
             + ' '
-            + e.server()
+            + entry.backend()
             + ' '
-            + e.time()
+            + entry.time()
             + ' '
-            + e.figure()
+            + entry.amount()
             + ' '
-            + e.code();
-    return text + ' ' + Long.toHexString(sum(text)) + '\n';
+            + entry.code();
+    return text + ' ' + checksum(text) + '\n';
   }
 
-  private static long sum(String text) {
+  private static String checksum(String text) {
     CRC32C crc = new CRC32C();
     byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
     crc.update(bytes, 0, bytes.length);
-    return crc.getValue();
+    return Long.toHexString(crc.getValue());
   }
 
-  /** One writer's entries by the conductor's clock; void where its last line is missing or torn. */
+  /**
+   * One writer's records, their times by the run's clock. Throws InvalidLedgerException where a
+   * line is torn or the last one is missing, and IOException if the file can't be read.
+   */
   public static List<LedgerRecord> read(Path file) throws IOException {
-    List<LedgerRecord> out = new ArrayList<>();
-    long shift = 0;
     String text = Files.readString(file, StandardCharsets.US_ASCII);
     if (!text.isEmpty() && !text.endsWith("\n")) {
-      throw new Void(file.getFileName() + ": torn at its end");
+      throw new InvalidLedgerException(file.getFileName() + ": torn at its end");
     }
-    int number = 0;
+    List<LedgerRecord> records = new ArrayList<>();
+    long clockOffset = 0;
+    int lineNumber = 0;
     for (String line : text.isEmpty() ? new String[0] : text.split("\n")) {
-      LedgerRecord e = entry(file.getFileName() + ":" + ++number, line);
-      if (e.kind() == LedgerRecord.Kind.CLOCK) {
-        shift = e.at() - e.time();
+      lineNumber++;
+      LedgerRecord entry = parse(file.getFileName() + ":" + lineNumber, line);
+      if (entry.kind() == LedgerRecord.Kind.CLOCK) {
+        clockOffset = entry.at() - entry.writerTime();
       } else {
-        out.add(e.shifted(shift));
+        records.add(entry.shifted(clockOffset));
       }
     }
-    if (out.isEmpty() || out.get(out.size() - 1).kind() != LedgerRecord.Kind.END) {
-      throw new Void(file.getFileName() + ": has no end");
+    if (records.isEmpty() || records.get(records.size() - 1).kind() != LedgerRecord.Kind.END) {
+      throw new InvalidLedgerException(file.getFileName() + ": has no end");
     }
-    return out;
+    return records;
   }
 
-  private static LedgerRecord entry(String where, String line) throws Void {
-    int cut = line.lastIndexOf(' ');
-    String[] f = line.split(" ");
+  private static LedgerRecord parse(String place, String line) throws InvalidLedgerException {
+    String[] fields = line.split(" ");
+    String checked = line.substring(0, Math.max(0, line.lastIndexOf(' ')));
+    if (fields.length != FIELDS || !checksum(checked).equals(fields[FIELDS - 1])) {
+      throw new InvalidLedgerException(place + ": torn");
+    }
     try {
-      if (f.length == 9 && Long.toHexString(sum(line.substring(0, cut))).equals(f[8])) {
-        return new LedgerRecord(
-            LedgerRecord.Kind.valueOf(f[0]),
-            Long.parseLong(f[1]),
-            Long.parseLong(f[2]),
-            Integer.parseInt(f[3]),
-            Integer.parseInt(f[4]),
-            Long.parseLong(f[5]),
-            Double.parseDouble(f[6]),
-            Integer.parseInt(f[7]));
-      }
-    } catch (IllegalArgumentException bad) {
-      // said below
+      return new LedgerRecord(
+          LedgerRecord.Kind.of(fields[0]),
+          Long.parseLong(fields[1]),
+          Long.parseLong(fields[2]),
+          Integer.parseInt(fields[3]),
+          Integer.parseInt(fields[4]),
+          Long.parseLong(fields[5]),
+          Double.parseDouble(fields[6]),
+          Integer.parseInt(fields[7]));
+    } catch (IllegalArgumentException e) {
+      throw new InvalidLedgerException(place + ": torn");
     }
-    throw new Void(where + ": torn");
   }
 
-  /** All writers' entries of a run in one order of time; those of one moment stay by writer. */
+  /** All writers' records of a run in order of time; those of one moment stay in file order. */
   public static List<LedgerRecord> merge(List<Path> files) throws IOException {
-    List<LedgerRecord> all = new ArrayList<>();
+    List<LedgerRecord> records = new ArrayList<>();
     for (Path file : files) {
-      all.addAll(read(file));
+      records.addAll(read(file));
     }
-    all.sort(Comparator.comparingLong(LedgerRecord::at));
-    return all;
+    records.sort(Comparator.comparingLong(LedgerRecord::at));
+    return records;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/LedgerRecord.java
+++ b/lab/src/main/java/wheattrack/lab/referee/LedgerRecord.java
@@ -1,138 +1,256 @@
 package wheattrack.lab.referee;
 
 /**
- * One line of the ledger, written by a stand-in or a client, never by a proxy. What the fields mean
- * depends on the kind; at is in tenths of a millisecond from the start of the run, by the writer's
- * clock.
+ * One line of the ledger, written by a simulated backend, a client or the run itself, never by a
+ * proxy. The factory of each kind names the fields it uses; the typed accessors ({@link
+ * #operation}, {@link #deadline}, {@link #work}, ...) read them back. The plain components are the
+ * columns of the line.
+ *
+ * @param kind what happened
+ * @param at when, in tenths of a millisecond from the start of the run, by the writer's clock
+ * @param request the request's id, or the operation's for {@link Kind#OPERATION_STARTED}; else 0
+ * @param proxy the proxy's index, or -1
+ * @param backend the backend's index, or -1
+ * @param time a second time or number whose meaning depends on the kind
+ * @param amount a quantity whose meaning depends on the kind
+ * @param code an enum's ordinal, a flag or a request class's index, by the kind
  */
 public record LedgerRecord(
-    Kind kind, long at, long req, int proxy, int server, long time, double figure, int code) {
-  /** Which fields each kind uses, in the words of its factory. */
+    Kind kind, long at, long request, int proxy, int backend, long time, double amount, int code) {
+  /** What happened. Each kind has a word of its own in the ledger's lines. */
   public enum Kind {
-    ASKED,
-    TAKEN,
-    ANSWERED,
-    LEFT,
-    CAME,
-    RAN,
-    TOLD,
-    STARTED,
-    FELL,
-    PROXY,
-    FAULT,
-    CLOCK,
-    END
-  }
-
-  /** Final answers; BROKEN is a connection that ended without one. */
+    OPERATION_STARTED("ASKED"),
+    REQUEST_ACCEPTED("TAKEN"),
+    ANSWERED("ANSWERED"),
+    CLIENT_DISCONNECTED("LEFT"),
+    ATTEMPT_ARRIVED("CAME"),
+    EXECUTION_STARTED("RAN"),
+    ENDPOINT_NOTIFIED("TOLD"),
+    BACKEND_STARTED("STARTED"),
+    BACKEND_COLLAPSED("FELL"),
+    PROXY_CHANGED("PROXY"),
+    FAULT_CHANGED("FAULT"),
+    CLOCK("CLOCK"),
+    END("END");
+
+    private final String word;
+
+    Kind(String word) {
+      this.word = word;
+    }
+
+    /** The first word of such a line. */
+    String word() {
+      return word;
+    }
+
+    /** The kind that a line begins with; throws IllegalArgumentException for an unknown word. */
+    static Kind of(String word) {
+      for (Kind kind : values()) {
+        if (kind.word.equals(word)) {
+          return kind;
+        }
+      }
+      throw new IllegalArgumentException(word);
+    }
+  }
+
+  /** Final answers; the ledger holds the ordinal, so the order is fixed. */
   public enum Answer {
     DONE,
-    DENIED,
-    ABORTED,
-    BROKEN
+    REJECTED,
+    FAILED,
+    /** The connection ended without an answer. */
+    CONNECTION_LOST
   }
 
-  /** What the list says of a server. */
+  /**
+   * A backend's state in the endpoint list; the ledger holds the ordinal, so the order is fixed.
+   */
   public enum State {
     READY,
     DRAINING,
     GONE
   }
 
+  private static final int NONE = -1;
   private static final Answer[] ANSWERS = Answer.values();
   private static final State[] STATES = State.values();
 
   /**
-   * A client wants something of a rule set (code) and value; it may take several tries, each a req.
+   * A client starts an operation of a request class that is worth this value. It may take several
+   * requests, the client's own retries included.
    */
-  public static LedgerRecord asked(long at, long op, int set, double value) {
-    return new LedgerRecord(Kind.ASKED, at, op, -1, -1, 0, value, set);
+  public static LedgerRecord operationStarted(
+      long at, long operation, int requestClass, double value) {
+    return new LedgerRecord(
+        Kind.OPERATION_STARTED, at, operation, NONE, NONE, 0, value, requestClass);
   }
 
-  /** A try's last byte was written to a connection that the proxy's machine accepted. */
-  public static LedgerRecord taken(long at, long req, long op, int proxy, long due, int set) {
-    return new LedgerRecord(Kind.TAKEN, at, req, proxy, -1, due, op, set);
+  /** A request's last byte was written to a connection that the proxy's machine had accepted. */
+  public static LedgerRecord requestAccepted(
+      long at, long request, long operation, int proxy, long deadline, int requestClass) {
+    return new LedgerRecord(
+        Kind.REQUEST_ACCEPTED, at, request, proxy, NONE, deadline, operation, requestClass);
   }
 
   /** A final answer's last byte has come, or the connection ended without one. */
-  public static LedgerRecord answered(long at, long req, Answer how) {
-    return new LedgerRecord(Kind.ANSWERED, at, req, -1, -1, 0, 0, how.ordinal());
+  public static LedgerRecord answered(long at, long request, Answer answer) {
+    return new LedgerRecord(Kind.ANSWERED, at, request, NONE, NONE, 0, 0, answer.ordinal());
   }
 
-  /** The client hung up before it had an answer. */
-  public static LedgerRecord left(long at, long req) {
-    return new LedgerRecord(Kind.LEFT, at, req, -1, -1, 0, 0, 0);
+  /** The client closed its connection before it had an answer. */
+  public static LedgerRecord clientDisconnected(long at, long request) {
+    return new LedgerRecord(Kind.CLIENT_DISCONNECTED, at, request, NONE, NONE, 0, 0, 0);
   }
 
-  /** The first byte of a dispatch reached a server's machine; work: what it asks for. */
-  public static LedgerRecord came(long at, long req, int proxy, int server, double work) {
-    return new LedgerRecord(Kind.CAME, at, req, proxy, server, 0, work, 0);
+  /** The first byte of an attempt reached a backend's machine; work: what the request asks for. */
+  public static LedgerRecord attemptArrived(
+      long at, long request, int proxy, int backend, double work) {
+    return new LedgerRecord(Kind.ATTEMPT_ARRIVED, at, request, proxy, backend, 0, work, 0);
   }
 
   /**
-   * A server began the work of a dispatch that came at that time: from here on it has had an
-   * effect.
+   * A backend began to execute an attempt that had arrived at that time; from here on the request
+   * has had an effect.
    */
-  public static LedgerRecord ran(long at, long req, int proxy, int server, long came, double work) {
-    return new LedgerRecord(Kind.RAN, at, req, proxy, server, came, work, 0);
+  public static LedgerRecord executionStarted(
+      long at, long request, int proxy, int backend, long arrivedAt, double work) {
+    return new LedgerRecord(
+        Kind.EXECUTION_STARTED, at, request, proxy, backend, arrivedAt, work, 0);
   }
 
-  /** The list has told a proxy of a server's state and last start. */
-  public static LedgerRecord told(long at, int proxy, int server, State state, long start) {
-    return new LedgerRecord(Kind.TOLD, at, 0, proxy, server, start, 0, state.ordinal());
+  /** A proxy was notified of a backend's state and of when it last started. */
+  public static LedgerRecord endpointNotified(
+      long at, int proxy, int backend, State state, long startedAt) {
+    return new LedgerRecord(
+        Kind.ENDPOINT_NOTIFIED, at, 0, proxy, backend, startedAt, 0, state.ordinal());
   }
 
-  /** A server started; capacity: work a unit of time once it is warm. */
-  public static LedgerRecord started(long at, int server, double capacity, boolean cold) {
-    return new LedgerRecord(Kind.STARTED, at, 0, -1, server, 0, capacity, cold ? 1 : 0);
+  /** A backend started; capacity: work per unit of time once it is warm. */
+  public static LedgerRecord backendStarted(long at, int backend, double capacity, boolean isCold) {
+    return new LedgerRecord(
+        Kind.BACKEND_STARTED, at, 0, NONE, backend, 0, capacity, isCold ? 1 : 0);
   }
 
-  /** A cold server fell over. */
-  public static LedgerRecord fell(long at, int server) {
-    return new LedgerRecord(Kind.FELL, at, 0, -1, server, 0, 0, 0);
+  /** A backend that was still warming up collapsed under its load. */
+  public static LedgerRecord backendCollapsed(long at, int backend) {
+    return new LedgerRecord(Kind.BACKEND_COLLAPSED, at, 0, NONE, backend, 0, 0, 0);
   }
 
   /** A proxy's process is up, or was killed. */
-  public static LedgerRecord proxy(long at, int proxy, boolean up) {
-    return new LedgerRecord(Kind.PROXY, at, 0, proxy, -1, 0, 0, up ? 1 : 0);
+  public static LedgerRecord proxyChanged(long at, int proxy, boolean isUp) {
+    return new LedgerRecord(Kind.PROXY_CHANGED, at, 0, proxy, NONE, 0, 0, isUp ? 1 : 0);
   }
 
-  /** A fault of the timeline begins (code 1) or ends (0); place: its number in the scenario. */
-  public static LedgerRecord fault(long at, int place, boolean begins) {
-    return new LedgerRecord(Kind.FAULT, at, 0, -1, -1, place, 0, begins ? 1 : 0);
+  /** A fault of the timeline begins or ends; faultIndex: its index in the scenario. */
+  public static LedgerRecord faultChanged(long at, int faultIndex, boolean isBeginning) {
+    return new LedgerRecord(
+        Kind.FAULT_CHANGED, at, 0, NONE, NONE, faultIndex, 0, isBeginning ? 1 : 0);
   }
 
   /**
-   * By the conductor's clock it is at while the writer's shows time: what follows is put right by
-   * that.
+   * The run's clock shows at while the writer's clock shows writerTime: the writer's later lines
+   * are corrected by the difference.
    */
-  public static LedgerRecord clock(long at, long writers) {
-    return new LedgerRecord(Kind.CLOCK, at, 0, -1, -1, writers, 0, 0);
+  public static LedgerRecord clockReading(long at, long writerTime) {
+    return new LedgerRecord(Kind.CLOCK, at, 0, NONE, NONE, writerTime, 0, 0);
   }
 
   /** The writer's last line; a ledger without it was cut off. */
   public static LedgerRecord end(long at) {
-    return new LedgerRecord(Kind.END, at, 0, -1, -1, 0, 0, 0);
+    return new LedgerRecord(Kind.END, at, 0, NONE, NONE, 0, 0, 0);
+  }
+
+  /** The operation that a client started, or that an accepted request belongs to. */
+  public long operation() {
+    return kind == Kind.OPERATION_STARTED ? request : (long) amount;
+  }
+
+  /** Index of the request class of an operation or an accepted request. */
+  public int requestClass() {
+    return code;
+  }
+
+  /** What an operation is worth. */
+  public double value() {
+    return amount;
   }
 
+  /** When an accepted request has to be answered. */
+  public long deadline() {
+    return time;
+  }
+
+  /** The final answer. */
   public Answer answer() {
     return ANSWERS[code];
   }
 
+  /** The work that an attempt asks for, as it arrives or is executed. */
+  public double work() {
+    return amount;
+  }
+
+  /** When the attempt that is now executed had arrived. */
+  public long arrivedAt() {
+    return time;
+  }
+
+  /** The state that a proxy was notified of. */
   public State state() {
     return STATES[code];
   }
 
-  /** The same by another clock. */
-  LedgerRecord shifted(long by) {
+  /** When the backend that a proxy was notified of had last started. */
+  public long startedAt() {
+    return time;
+  }
+
+  /** What a started backend can do per unit of time once it is warm. */
+  public double capacity() {
+    return amount;
+  }
+
+  /** Whether a started backend is cold. */
+  public boolean isCold() {
+    return code == 1;
+  }
+
+  /** Whether a proxy came up, rather than was killed. */
+  public boolean isUp() {
+    return code == 1;
+  }
+
+  /** Whether a fault begins, rather than ends. */
+  public boolean isBeginning() {
+    return code == 1;
+  }
+
+  /** The index in the scenario of a fault that begins or ends. */
+  public int faultIndex() {
+    return (int) time;
+  }
+
+  /** What the writer's clock showed at a {@link Kind#CLOCK} line. */
+  long writerTime() {
+    return time;
+  }
+
+  /** The same record by a clock that is ahead by this much. */
+  LedgerRecord shifted(long offset) {
+    boolean hasSecondTime =
+        kind == Kind.REQUEST_ACCEPTED
+            || kind == Kind.EXECUTION_STARTED
+            || kind == Kind.ENDPOINT_NOTIFIED;
     return new LedgerRecord(
         kind,
-        at + by,
-        req,
+        at + offset,
+        request,
         proxy,
-        server,
-        kind == Kind.TAKEN || kind == Kind.RAN || kind == Kind.TOLD ? time + by : time,
-        figure,
+        backend,
+        hasSecondTime ? time + offset : time,
+        amount,
         code);
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/referee/RunState.java
@@ -0,0 +1,92 @@
+package wheattrack.lab.referee;
+
+import java.util.HashMap;
+import java.util.Map;
+import wheattrack.api.RequestClass;
+import wheattrack.lab.scenario.Scenario;
+
+/** What the ledger has shown so far of operations, requests, backends and proxies. */
+final class RunState {
+  private final Scenario scenario;
+  private final RequestClass[] requestClasses;
+  private final Map<Long, TrackedOperation> operations = new HashMap<>();
+  private final Map<Long, TrackedRequest> requests = new HashMap<>();
+  private final Map<Integer, TrackedBackend> backends = new HashMap<>();
+  private final Map<Integer, Long> killedAtByProxy = new HashMap<>();
+
+  RunState(Scenario scenario) {
+    this.scenario = scenario;
+    requestClasses = scenario.sets.stream().map(Scenario.Set1::rules).toArray(RequestClass[]::new);
+  }
+
+  void startOperation(LedgerRecord entry) {
+    operations.put(
+        entry.operation(), new TrackedOperation(entry.at(), entry.requestClass(), entry.value()));
+  }
+
+  int operationCount() {
+    return operations.size();
+  }
+
+  /** The operation that a request belongs to, or null. */
+  TrackedOperation operationOf(TrackedRequest request) {
+    return operations.get(request.operation());
+  }
+
+  /** The class of the operation that a request belongs to, or null. */
+  RequestClass requestClassOf(TrackedRequest request) {
+    TrackedOperation operation = operationOf(request);
+    return operation == null ? null : requestClassOf(operation);
+  }
+
+  RequestClass requestClassOf(TrackedOperation operation) {
+    return requestClasses[operation.requestClass()];
+  }
+
+  /** Takes in an accepted request; returns the earlier one of the same id, or null. */
+  TrackedRequest acceptRequest(LedgerRecord entry) {
+    return requests.put(
+        entry.request(), new TrackedRequest(entry.operation(), entry.proxy(), entry.deadline()));
+  }
+
+  /** The request of this id, or null. */
+  TrackedRequest request(long id) {
+    return requests.get(id);
+  }
+
+  /** All requests by id. */
+  Map<Long, TrackedRequest> requests() {
+    return requests;
+  }
+
+  /** The backend of this index, met now for the first time or known. */
+  TrackedBackend backend(int index) {
+    return backends.computeIfAbsent(index, i -> new TrackedBackend());
+  }
+
+  void startBackend(LedgerRecord entry) {
+    backend(entry.backend())
+        .start(entry.at(), entry.capacity(), entry.isCold(), scenario.coldBudget());
+  }
+
+  /** A proxy was killed: its unanswered requests are lost by the fault, not by the proxy. */
+  void killProxy(LedgerRecord entry) {
+    killedAtByProxy.put(entry.proxy(), entry.at());
+    for (TrackedRequest request : requests.values()) {
+      if (request.proxy() == entry.proxy() && !request.isAnswered()) {
+        request.excuse();
+      }
+    }
+  }
+
+  /** A proxy is up: it learns the endpoint list anew. */
+  void startProxy(LedgerRecord entry) {
+    killedAtByProxy.remove(entry.proxy());
+    backends.values().forEach(backend -> backend.forgetProxy(entry.proxy()));
+  }
+
+  boolean isProxyDown(int proxy, long at) {
+    Long killedAt = killedAtByProxy.get(proxy);
+    return killedAt != null && at >= killedAt;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceFigures.java
@@ -0,0 +1,194 @@
+package wheattrack.lab.referee;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import wheattrack.api.RequestClass;
+import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.Scenario;
+
+/** Measures the service of a run: values, answers, latency, and who sent how much to whom. */
+final class ServiceFigures {
+  /** The most work of an attempt that is told apart, in tenths of a millisecond at speed 1. */
+  private static final long MAX_WORK = 1_000_000;
+
+  /** The highest latency that is told apart: ten minutes. */
+  private static final long MAX_LATENCY = 10 * 60_000L * 10;
+
+  private final Scenario scenario;
+  private final RunState run;
+  private final List<ServiceSecond> seconds = new ArrayList<>();
+  private final Map<Integer, long[]> attemptsByBackend = new TreeMap<>();
+  private final Map<Integer, Histogram> workByBackend = new TreeMap<>();
+  private final Map<Integer, ProxyTotals> totalsByProxy = new TreeMap<>();
+  private final Histogram latency = new Histogram(MAX_LATENCY, 3);
+  private long attempts;
+  private long crossings;
+  private long done;
+  private long rejected;
+  private long failed;
+
+  ServiceFigures(Scenario scenario, RunState run) {
+    this.scenario = scenario;
+    this.run = run;
+  }
+
+  void countOperation(LedgerRecord entry) {
+    second(entry.at()).addAsked(entry.value());
+  }
+
+  void countAccepted(int proxy) {
+    proxy(proxy).countAccepted();
+  }
+
+  /** Counts how a request ended at its proxy, each answer and each lost connection. */
+  void countEnding(TrackedRequest request, Answer answer) {
+    proxy(request.proxy()).countAnswer(answer);
+  }
+
+  /** Counts a request's first final answer. */
+  void countAnswer(TrackedRequest request, LedgerRecord entry) {
+    second(entry.at()).countAnswer(entry.answer());
+    switch (entry.answer()) {
+      case DONE -> {
+        done++;
+        countDone(run.operationOf(request), entry.at());
+      }
+      case REJECTED -> rejected++;
+      default -> failed++;
+    }
+  }
+
+  private void countDone(TrackedOperation operation, long at) {
+    if (operation == null || operation.isDone()) {
+      return;
+    }
+    operation.markDone();
+    long took = at - operation.startedAt();
+    latency.recordValue(Math.min(latency.getHighestTrackableValue(), took));
+    second(operation.startedAt()).addEarned(earned(operation, took));
+  }
+
+  private double earned(TrackedOperation operation, long took) {
+    RequestClass requestClass = run.requestClassOf(operation);
+    if (took <= requestClass.latencyObjective()) {
+      return operation.value();
+    }
+    if (requestClass.priorityWeight() > 0) {
+      return operation.value() * requestClass.lateWeight() / requestClass.priorityWeight();
+    }
+    return 0;
+  }
+
+  void countAttempt(LedgerRecord entry) {
+    attempts++;
+    workByBackend
+        .computeIfAbsent(entry.backend(), backend -> new Histogram(MAX_WORK, 2))
+        .recordValue(Math.max(0, Math.min(MAX_WORK, Math.round(entry.work()))));
+    proxy(entry.proxy()).countAttempt(entry.backend());
+    second(entry.at()).countAttempt();
+    if (entry.proxy() % scenario.zones != entry.backend() % scenario.zones) {
+      crossings++;
+    }
+    long[] bySecond =
+        attemptsByBackend.computeIfAbsent(
+            entry.backend(), backend -> new long[(int) (scenario.length / Scenario.SECOND) + 2]);
+    bySecond[(int) Math.min(bySecond.length - 1, Math.max(0, entry.at() / Scenario.SECOND))]++;
+  }
+
+  private ServiceSecond second(long at) {
+    int index = (int) Math.max(0, at / Scenario.SECOND);
+    while (seconds.size() <= index) {
+      seconds.add(new ServiceSecond());
+    }
+    return seconds.get(index);
+  }
+
+  private ProxyTotals proxy(int index) {
+    return totalsByProxy.computeIfAbsent(index, proxy -> new ProxyTotals());
+  }
+
+  /** Value earned over value asked for in the seconds that begin in this stretch; 1 if none was. */
+  double service(long from, long until) {
+    double asked = 0;
+    double earned = 0;
+    for (int i = 0; i < seconds.size(); i++) {
+      long start = i * Scenario.SECOND;
+      if (start >= from && start < until) {
+        asked += seconds.get(i).valueAsked();
+        earned += seconds.get(i).valueEarned();
+      }
+    }
+    return asked > 0 ? earned / asked : 1;
+  }
+
+  /** The lowest share of the complete seconds of the run; 1 if nothing was asked for. */
+  double worstSecond() {
+    int completeSeconds = (int) (scenario.length / Scenario.SECOND);
+    return seconds.stream()
+        .limit(Math.max(1, completeSeconds))
+        .filter(ServiceSecond::hasShare)
+        .mapToDouble(ServiceSecond::earnedShare)
+        .min()
+        .orElse(1);
+  }
+
+  long attempts() {
+    return attempts;
+  }
+
+  /** The part of the attempts that left the proxy's zone. */
+  double crossingShare() {
+    return attempts > 0 ? (double) crossings / attempts : 0;
+  }
+
+  long done() {
+    return done;
+  }
+
+  long rejected() {
+    return rejected;
+  }
+
+  long failed() {
+    return failed;
+  }
+
+  /** From the start of an operation to its success, in tenths of a millisecond. */
+  Histogram latency() {
+    return latency;
+  }
+
+  /** The latency in milliseconds that this percentage of the operations did not exceed. */
+  double latencyMillis(double percentile) {
+    return latency.getValueAtPercentile(percentile) / 10.0;
+  }
+
+  List<ServiceSecond> seconds() {
+    return List.copyOf(seconds);
+  }
+
+  Map<Integer, long[]> attemptsByBackend() {
+    return Collections.unmodifiableMap(attemptsByBackend);
+  }
+
+  Map<Integer, ProxyTotals> totalsByProxy() {
+    return Collections.unmodifiableMap(totalsByProxy);
+  }
+
+  Map<Integer, WorkQuantiles> workByBackend() {
+    Map<Integer, WorkQuantiles> quantiles = new TreeMap<>();
+    workByBackend.forEach(
+        (backend, work) ->
+            quantiles.put(
+                backend,
+                new WorkQuantiles(
+                    work.getValueAtPercentile(10) / 10.0,
+                    work.getValueAtPercentile(50) / 10.0,
+                    work.getValueAtPercentile(90) / 10.0)));
+    return quantiles;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceSecond.java
@@ -0,0 +1,74 @@
+package wheattrack.lab.referee;
+
+/**
+ * Service in one second of the run. Values count in the second in which the operation started,
+ * answers and attempts in the second in which they came.
+ */
+public final class ServiceSecond {
+  private double valueAsked;
+  private double valueEarned;
+  private int done;
+  private int rejected;
+  private int failed;
+  private int attempts;
+
+  void addAsked(double value) {
+    valueAsked += value;
+  }
+
+  void addEarned(double value) {
+    valueEarned += value;
+  }
+
+  void countAnswer(LedgerRecord.Answer answer) {
+    switch (answer) {
+      case DONE -> done++;
+      case REJECTED -> rejected++;
+      default -> failed++;
+    }
+  }
+
+  void countAttempt() {
+    attempts++;
+  }
+
+  /** Value of the operations that started. */
+  public double valueAsked() {
+    return valueAsked;
+  }
+
+  /** Value of those of them that were done, less where they were late. */
+  public double valueEarned() {
+    return valueEarned;
+  }
+
+  /** Whether an operation of any value started, so that there is a share. */
+  public boolean hasShare() {
+    return valueAsked > 0;
+  }
+
+  /** Value earned in parts of the value asked for. */
+  public double earnedShare() {
+    return valueEarned / valueAsked;
+  }
+
+  /** Requests answered with success. */
+  public int done() {
+    return done;
+  }
+
+  /** Requests rejected. */
+  public int rejected() {
+    return rejected;
+  }
+
+  /** Requests that failed. */
+  public int failed() {
+    return failed;
+  }
+
+  /** Attempts that arrived at backends. */
+  public int attempts() {
+    return attempts;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -3,59 +3,66 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.Scenario.Expect;
 
 /**
- * What the referee found of one run. Figures by name; byServer: dispatches by second and server's
- * place; work: ms at speed 1 of what each server got, a tenth lies below, half, nine tenths;
- * latency in tenths of a millisecond from a client's first try.
+ * What the referee found of one run.
+ *
+ * @param figures the figures of the result line by name, in its order
+ * @param violations the rule violations that are described, in order of finding
+ * @param seconds the service of each second
+ * @param attemptsByBackend attempts in each second, by the backend's index
+ * @param workByBackend the work of the attempts that each backend got
+ * @param totalsByProxy what each proxy did, by its index
+ * @param faults the records of faults that began or ended
+ * @param latency tenths of a millisecond from an operation's start to its success
  */
 public record Verdict(
     Scenario scenario,
     Map<String, Double> figures,
-    List<Referee.Break> breaks,
-    List<Referee.Second> seconds,
-    Map<Integer, long[]> byServer,
-    Map<Integer, double[]> work,
-    Map<Integer, Referee.ByProxy> byProxy,
+    List<RuleViolation> violations,
+    List<ServiceSecond> seconds,
+    Map<Integer, long[]> attemptsByBackend,
+    Map<Integer, WorkQuantiles> workByBackend,
+    Map<Integer, ProxyTotals> totalsByProxy,
     List<LedgerRecord> faults,
     Histogram latency) {
+  /** Above this a figure is not shown as a whole number. */
+  private static final double MAX_WHOLE_NUMBER = 1e12;
 
-  /** The expectations that do not hold. */
-  public List<Expect> shortfalls() {
-    return scenario.expects.stream().filter(e -> !e.holds(figures.get(e.figure()))).toList();
+  /** The scenario's expectations that are not met. */
+  public List<Expect> unmetExpectations() {
+    return scenario.expects.stream()
+        .filter(expectation -> !expectation.holds(figures.get(expectation.figure())))
+        .toList();
   }
 
+  /** Whether all expectations are met. */
   public boolean isGood() {
-    return shortfalls().isEmpty();
+    return unmetExpectations().isEmpty();
   }
 
-  /** The line a run ends with. */
-  public String result(long seed) {
-    StringBuilder out =
+  /** The line that a run with this seed ends with. */
+  public String resultLine(long seed) {
+    StringBuilder line =
         new StringBuilder("RESULT ")
             .append(scenario.name)
             .append(" seed=")
             .append(seed)
             .append(" ok=")
             .append(isGood());
-    figures.forEach((name, value) -> out.append(' ').append(name).append('=').append(text(value)));
-    return out.toString();
+    figures.forEach(
+        (name, value) -> line.append(' ').append(name).append('=').append(format(value)));
+    return line.toString();
   }
 
   /** A figure without more digits than it has meaning. */
-  public static String text(double value) {
-    if (value == Math.rint(value) && Math.abs(value) < 1e12) {
+  public static String format(double value) {
+    if (value == Math.rint(value) && Math.abs(value) < MAX_WHOLE_NUMBER) {
       return Long.toString((long) value);
     }
     return String.format(Locale.ROOT, "%.4f", value);
   }
-
-  /** Dispatches by second, in order of the servers' places. */
-  public Map<Integer, long[]> servers() {
-    return new TreeMap<>(byServer);
-  }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
@@ -0,0 +1,108 @@
+package wheattrack.lab.report;
+
+import static wheattrack.lab.report.HtmlWriter.escaped;
+import static wheattrack.lab.report.PlotArea.LEFT;
+import static wheattrack.lab.report.PlotArea.WIDTH;
+
+import java.util.Arrays;
+import java.util.Map;
+import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.referee.WorkQuantiles;
+import wheattrack.lab.report.HtmlReport.Run;
+
+/** The plots of one run that have a row for each backend. */
+final class BackendPlots {
+  /** The least work that the logarithmic axis shows, in milliseconds. */
+  private static final double MIN_WORK = 0.1;
+
+  private static final int AXIS_LENGTH = WIDTH - LEFT - 30;
+
+  private final HtmlWriter html;
+  private final Run run;
+  private final PlotArea area;
+
+  BackendPlots(HtmlWriter html, Run run, PlotArea area) {
+    this.html = html;
+    this.run = run;
+    this.area = area;
+  }
+
+  /** A cell for each second: the darker the more attempts came. */
+  void addAttempts() {
+    Map<Integer, long[]> rows = run.verdict().attemptsByBackend();
+    long max = rows.values().stream().flatMapToLong(Arrays::stream).max().orElse(1);
+    int rowHeight = PlotArea.rowHeight(rows.size());
+    html.add("<h2>Dispatches by server (%s); darkest: %d a second</h2>", escaped(run.name()), max);
+    html.openDrawing(WIDTH, PlotArea.rowsHeight(rows.size()));
+    int row = 0;
+    for (Map.Entry<Integer, long[]> entry : rows.entrySet()) {
+      PlotArea.addRowLabel(html, row, rowHeight, entry.getKey());
+      addCells(entry.getValue(), PlotArea.rowTop(row, rowHeight), rowHeight, Math.max(1, max));
+      row++;
+    }
+    html.closeDrawing();
+  }
+
+  private void addCells(long[] attempts, int top, int rowHeight, long max) {
+    for (int s = 0; s < Math.min(attempts.length, area.seconds()); s++) {
+      if (attempts[s] > 0) {
+        html.add(
+            "<rect x='%.1f' y='%d' width='%.1f' height='%d' fill='#1b6ca8' fill-opacity='%.2f'/>",
+            area.x(s),
+            top,
+            area.x(s + 1) - area.x(s) - 0.5,
+            rowHeight - 1,
+            0.08 + 0.92 * attempts[s] / (double) max);
+      }
+    }
+  }
+
+  /** The work of the middle eight tenths of the attempts of each backend, the median marked. */
+  void addWork() {
+    Map<Integer, WorkQuantiles> rows = run.verdict().workByBackend();
+    double low = Double.MAX_VALUE;
+    double high = 1;
+    for (WorkQuantiles work : rows.values()) {
+      low = Math.min(low, work.low());
+      high = Math.max(high, work.high());
+    }
+    double logLow = Math.log(Math.max(MIN_WORK, low));
+    double logRange = Math.max(0.1, Math.log(high) - logLow);
+    int rowHeight = PlotArea.rowHeight(rows.size());
+    int height = PlotArea.rowsHeight(rows.size());
+    html.add(
+        "<h2>Work of what each server got (%s), ms, logarithmic: a tenth below, the median, a tenth"
+            + " above</h2>",
+        escaped(run.name()));
+    html.openDrawing(WIDTH, height);
+    int row = 0;
+    for (Map.Entry<Integer, WorkQuantiles> entry : rows.entrySet()) {
+      PlotArea.addRowLabel(html, row, rowHeight, entry.getKey());
+      WorkQuantiles work = entry.getValue();
+      int top = PlotArea.rowTop(row, rowHeight);
+      double left = workX(work.low(), logLow, logRange);
+      double right = workX(work.high(), logLow, logRange);
+      html.add(
+          "<rect x='%.1f' y='%d' width='%.1f' height='%d' fill='#1b6ca8' fill-opacity='.45'/>",
+          left, top, Math.max(1, right - left), rowHeight - 1);
+      html.add(
+          "<rect x='%.1f' y='%d' width='2' height='%d' fill='#0b3a5e'/>",
+          workX(work.median(), logLow, logRange), top, rowHeight - 1);
+      row++;
+    }
+    for (double work = MIN_WORK; work <= high; work *= 10) {
+      if (Math.log(work) >= logLow) {
+        html.add(
+            "<text x='%.1f' y='%d' text-anchor='middle'>%s ms</text>",
+            LEFT + (double) AXIS_LENGTH * (Math.log(work) - logLow) / logRange,
+            height - 6,
+            Verdict.format(work));
+      }
+    }
+    html.closeDrawing();
+  }
+
+  private static double workX(double work, double logLow, double logRange) {
+    return LEFT + (double) AXIS_LENGTH * (Math.log(Math.max(MIN_WORK, work)) - logLow) / logRange;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlWriter.java
@@ -0,0 +1,45 @@
+package wheattrack.lab.report;
+
+import java.util.List;
+import java.util.Locale;
+
+/** Collects the text of an HTML page; numbers are formatted without regard to the locale. */
+final class HtmlWriter {
+  private final StringBuilder html = new StringBuilder();
+
+  /** Adds formatted text; values that are not markup have to be escaped by the caller. */
+  void add(String format, Object... values) {
+    html.append(String.format(Locale.ROOT, format, values));
+  }
+
+  /** Adds a curve through points of the plot, each x and y. */
+  void addCurve(String colour, List<double[]> points) {
+    add("<polyline fill='none' stroke='%s' stroke-width='1.8' points='", colour);
+    points.forEach(point -> add("%.1f,%.1f ", point[0], point[1]));
+    add("'/>");
+  }
+
+  /** Opens a drawing of this size in pixels. */
+  void openDrawing(int width, int height) {
+    add(
+        "<svg viewBox='0 0 %d %d' width='%d' height='%d' role='img'>",
+        width, height, width, height);
+  }
+
+  void closeDrawing() {
+    add("</svg>");
+  }
+
+  /** The text with the characters replaced that are markup. */
+  static String escaped(String text) {
+    return text.replace("&", "&amp;")
+        .replace("<", "&lt;")
+        .replace(">", "&gt;")
+        .replace("'", "&#39;");
+  }
+
+  @Override
+  public String toString() {
+    return html.toString();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/report/ReportTables.java
@@ -0,0 +1,86 @@
+package wheattrack.lab.report;
+
+import static wheattrack.lab.report.HtmlWriter.escaped;
+
+import java.util.List;
+import wheattrack.lab.referee.LedgerRecord;
+import wheattrack.lab.referee.RuleViolation;
+import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.scenario.Scenario;
+
+/** The parts of a report that are text: figures, rule violations and faults. */
+final class ReportTables {
+  /** Tenths of a millisecond in a second. */
+  private static final double SECOND = 10_000.0;
+
+  private final HtmlWriter html;
+  private final List<Run> runs;
+  private final Scenario scenario;
+
+  ReportTables(HtmlWriter html, List<Run> runs, Scenario scenario) {
+    this.html = html;
+    this.runs = runs;
+    this.scenario = scenario;
+  }
+
+  void addFigures() {
+    html.add("<h2>Figures</h2><table><tr><th>figure</th>");
+    runs.forEach(run -> html.add("<th>%s</th>", escaped(run.name())));
+    html.add("<th>expected</th></tr>");
+    for (String name : runs.get(0).verdict().figures().keySet()) {
+      html.add("<tr><td>%s</td>", escaped(name));
+      runs.forEach(run -> addFigure(run.verdict(), name));
+      html.add("<td>%s</td></tr>", escaped(expectation(name)));
+    }
+    html.add("</table>");
+  }
+
+  private void addFigure(Verdict verdict, String name) {
+    Double value = verdict.figures().get(name);
+    boolean isUnmet =
+        verdict.unmetExpectations().stream()
+            .anyMatch(expectation -> expectation.figure().equals(name));
+    html.add(
+        "<td%s>%s</td>", isUnmet ? " class='bad'" : "", value == null ? "" : Verdict.format(value));
+  }
+
+  private String expectation(String name) {
+    StringBuilder text = new StringBuilder();
+    for (Scenario.Expect expectation : scenario.expects) {
+      if (expectation.figure().equals(name)) {
+        text.append(expectation.sign()).append(' ').append(Verdict.format(expectation.bound()));
+      }
+    }
+    return text.toString();
+  }
+
+  void addViolations() {
+    for (Run run : runs) {
+      List<RuleViolation> violations = run.verdict().violations();
+      if (!violations.isEmpty()) {
+        html.add("<h2>Rules broken (%s)</h2><ul>", escaped(run.name()));
+        for (RuleViolation violation : violations) {
+          html.add(
+              "<li>%.3f s, %s: %s</li>",
+              violation.at() / SECOND,
+              escaped(violation.rule().toString()),
+              escaped(violation.description()));
+        }
+        html.add("</ul>");
+      }
+    }
+  }
+
+  void addFaults() {
+    html.add("<h2>Faults as played</h2><ul>");
+    for (LedgerRecord fault : runs.get(0).verdict().faults()) {
+      html.add(
+          "<li>%.3f s: %s %s</li>",
+          fault.at() / SECOND,
+          scenario.faults.get(fault.faultIndex()).kind().word(),
+          fault.isBeginning() ? "begins" : "ends");
+    }
+    html.add("</ul>");
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -8,50 +8,67 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import wheattrack.lab.referee.Referee;
+import wheattrack.lab.referee.RuleViolation;
+import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 
-/** A run as JSON lines: its figures, each break of a rule, each second. */
+/** A run as JSON lines: its figures, each rule violation, each second. */
 public final class ResultLines {
   private ResultLines() {}
 
-  public static void write(Path file, Verdict v, long seed, String policy) throws IOException {
-    try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
-      out.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
-      out.writeStartObject();
-      out.writeStringField("what", "run");
-      out.writeStringField("scenario", v.scenario().name);
-      out.writeNumberField("seed", seed);
-      out.writeStringField("policy", policy);
-      out.writeBooleanField("ok", v.isGood());
-      out.writeObjectFieldStart("figures");
-      for (Map.Entry<String, Double> f : v.figures().entrySet()) {
-        out.writeNumberField(f.getKey(), f.getValue());
+  /** Writes the lines of a run; throws IOException if the file can't be written. */
+  public static void write(Path file, Verdict verdict, long seed, String policy)
+      throws IOException {
+    try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
+      json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
+      writeRun(json, verdict, seed, policy);
+      for (RuleViolation violation : verdict.violations()) {
+        writeViolation(json, violation);
       }
-      out.writeEndObject();
-      out.writeEndObject();
-      for (Referee.Break b : v.breaks()) {
-        out.writeStartObject();
-        out.writeStringField("what", "break");
-        out.writeStringField("rule", b.rule());
-        out.writeNumberField("at_ms", b.at() / 10.0);
-        out.writeStringField("how", b.how());
-        out.writeEndObject();
-      }
-      List<Referee.Second> seconds = v.seconds();
+      List<ServiceSecond> seconds = verdict.seconds();
       for (int i = 0; i < seconds.size(); i++) {
-        Referee.Second s = seconds.get(i);
-        out.writeStartObject();
-        out.writeStringField("what", "second");
-        out.writeNumberField("at_s", i);
-        out.writeNumberField("asked", s.asked);
-        out.writeNumberField("earned", s.earned);
-        out.writeNumberField("done", s.done);
-        out.writeNumberField("denied", s.denied);
-        out.writeNumberField("aborted", s.aborted);
-        out.writeNumberField("dispatches", s.dispatches);
-        out.writeEndObject();
+        writeSecond(json, i, seconds.get(i));
       }
     }
   }
+
+  private static void writeRun(JsonGenerator json, Verdict verdict, long seed, String policy)
+      throws IOException {
+    json.writeStartObject();
+    json.writeStringField("what", "run");
+    json.writeStringField("scenario", verdict.scenario().name);
+    json.writeNumberField("seed", seed);
+    json.writeStringField("policy", policy);
+    json.writeBooleanField("ok", verdict.isGood());
+    json.writeObjectFieldStart("figures");
+    for (Map.Entry<String, Double> figure : verdict.figures().entrySet()) {
+      json.writeNumberField(figure.getKey(), figure.getValue());
+    }
+    json.writeEndObject();
+    json.writeEndObject();
+  }
+
+  private static void writeViolation(JsonGenerator json, RuleViolation violation)
+      throws IOException {
+    json.writeStartObject();
+    json.writeStringField("what", "break");
+    json.writeStringField("rule", violation.rule().toString());
+    json.writeNumberField("at_ms", violation.at() / 10.0);
+    json.writeStringField("how", violation.description());
+    json.writeEndObject();
+  }
+
+  private static void writeSecond(JsonGenerator json, int index, ServiceSecond second)
+      throws IOException {
+    json.writeStartObject();
+    json.writeStringField("what", "second");
+    json.writeNumberField("at_s", index);
+    json.writeNumberField("asked", second.valueAsked());
+    json.writeNumberField("earned", second.valueEarned());
+    json.writeNumberField("done", second.done());
+    json.writeNumberField("denied", second.rejected());
+    json.writeNumberField("aborted", second.failed());
+    json.writeNumberField("dispatches", second.attempts());
+    json.writeEndObject();
+  }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -0,0 +1,122 @@
+package wheattrack.lab.report;
+
+import static wheattrack.lab.report.HtmlWriter.escaped;
+import static wheattrack.lab.report.PlotArea.HEIGHT;
+import static wheattrack.lab.report.PlotArea.LEFT;
+import static wheattrack.lab.report.PlotArea.RIGHT;
+import static wheattrack.lab.report.PlotArea.WIDTH;
+import static wheattrack.lab.report.PlotArea.y;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import wheattrack.lab.referee.ServiceSecond;
+import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.scenario.Fault;
+import wheattrack.lab.scenario.Scenario;
+
+/** The plots over the time of the run: a curve for each run, the faults behind them. */
+final class TimePlots {
+  private final HtmlWriter html;
+  private final List<Run> runs;
+  private final Scenario scenario;
+  private final PlotArea area;
+
+  TimePlots(HtmlWriter html, List<Run> runs, Scenario scenario, PlotArea area) {
+    this.html = html;
+    this.runs = runs;
+    this.scenario = scenario;
+    this.area = area;
+  }
+
+  void addService() {
+    open(
+        "Service: value done within the target over value asked for",
+        Map.of(0.0, "0", 0.5, "50%", 1.0, "100%"));
+    addCurves(ServiceSecond::hasShare, ServiceSecond::earnedShare);
+    html.closeDrawing();
+  }
+
+  void addOutcomes() {
+    double max = 1;
+    for (Run run : runs) {
+      int most = run.verdict().seconds().stream().mapToInt(TimePlots::unsuccessful).max().orElse(0);
+      max = Math.max(max, most);
+    }
+    double top = max;
+    open("Denied and aborted by second", Map.of(0.0, "0", 1.0, Verdict.format(top)));
+    addCurves(second -> true, second -> unsuccessful(second) / top);
+    html.closeDrawing();
+  }
+
+  private static int unsuccessful(ServiceSecond second) {
+    return second.rejected() + second.failed();
+  }
+
+  /** Adds each run's curve through the seconds that are shown, at these parts of the height. */
+  private void addCurves(
+      Predicate<ServiceSecond> isShown, ToDoubleFunction<ServiceSecond> partOfHeight) {
+    for (int i = 0; i < runs.size(); i++) {
+      List<ServiceSecond> all = runs.get(i).verdict().seconds();
+      List<double[]> points = new ArrayList<>();
+      for (int s = 0; s < Math.min(all.size(), Math.ceil(area.seconds())); s++) {
+        ServiceSecond second = all.get(s);
+        if (isShown.test(second)) {
+          points.add(new double[] {area.x(s + 0.5), y(partOfHeight.applyAsDouble(second))});
+        }
+      }
+      html.addCurve(PlotArea.colour(i), points);
+    }
+  }
+
+  /** Opens a plot; labels: those of its vertical axis by the part of its height. */
+  private void open(String title, Map<Double, String> labels) {
+    html.add("<h2>%s</h2>", escaped(title));
+    html.openDrawing(WIDTH, HEIGHT);
+    addFaults();
+    labels.forEach(
+        (part, label) ->
+            html.add(
+                "<line x1='%d' x2='%d' y1='%.1f' y2='%.1f' stroke='#ddd'/>"
+                    + "<text x='%d' y='%.1f' text-anchor='end'>%s</text>",
+                LEFT, RIGHT, y(part), y(part), LEFT - 6, y(part) + 4, label));
+    addTimeAxis();
+  }
+
+  private void addFaults() {
+    for (int i = 0; i < scenario.faults.size(); i++) {
+      Fault fault = scenario.faults.get(i);
+      double from = fault.at() / (double) Scenario.SECOND;
+      double length = Math.max(0.1, fault.lasts() / (double) Scenario.SECOND);
+      double until = Math.min(area.seconds(), from + length);
+      double x = area.x(from);
+      html.add(
+          "<rect x='%.1f' y='10' width='%.1f' height='%d' fill='#f3d9a6' fill-opacity='.55'/>",
+          x, Math.max(2, area.x(until) - x), PlotArea.CURVE_HEIGHT);
+      html.add("<text x='%.1f' y='%d'>%s</text>", x + 2, 21 + 12 * (i % 4), fault.kind().word());
+    }
+  }
+
+  private void addTimeAxis() {
+    double step = labelStep(area.seconds());
+    for (double second = 0; second <= area.seconds(); second += step) {
+      boolean isLast = second + step > area.seconds();
+      html.add(
+          "<text x='%.1f' y='%d' text-anchor='%s'>%s s</text>",
+          area.x(second), HEIGHT - 6, isLast ? "end" : "middle", Verdict.format(second));
+    }
+  }
+
+  private static double labelStep(double seconds) {
+    if (seconds > 60) {
+      return 10;
+    }
+    if (seconds > 20) {
+      return 5;
+    }
+    return seconds > 5 ? 2 : 1;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -199,7 +199,8 @@
       } else {
         named.add(n.server());
       }
-      sockets.say(LedgerRecord.told(sockets.now(), proxy, n.server(), n.state(), n.start()));
+      sockets.say(
+          LedgerRecord.endpointNotified(sockets.now(), proxy, n.server(), n.state(), n.start()));
     }
 
     private void chunk(String text) {
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -66,7 +66,7 @@
       call.taken = true;
       ClientPopulation.Ask ask = call.ask;
       stage.say(
-          LedgerRecord.taken(
+          LedgerRecord.requestAccepted(
               stage.now(),
               ask.req(),
               ask.op().id(),
@@ -96,7 +96,7 @@
       if (answer == null) {
         read(in.writableBuffer());
       } else if (call == null) { // bytes that nobody asked for: a second answer
-        stage.crowd().answers(last.ask, Answer.ABORTED, 0);
+        stage.crowd().answers(last.ask, Answer.FAILED, 0);
         close();
       } else {
         answered(answer);
@@ -112,10 +112,12 @@
     String body = new String(answer.body(), StandardCharsets.US_ASCII);
     Answer how =
         answer.status() == 503 || answer.status() == 429
-            ? Answer.DENIED
+            ? Answer.REJECTED
             : answer.status() != 200
-                ? Answer.ABORTED
-                : body.equals(Long.toHexString(last.ask.req())) ? Answer.DONE : Answer.BROKEN;
+                ? Answer.FAILED
+                : body.equals(Long.toHexString(last.ask.req()))
+                    ? Answer.DONE
+                    : Answer.CONNECTION_LOST;
     String advice = answer.headers().first("Retry-After");
     long wait = advice == null ? 0 : (long) (Double.parseDouble(advice) * 10_000);
     if (answer.keepAlive() && !isClosed()) {
--- a/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
@@ -117,7 +117,7 @@
 
   private void ready() {
     up = true;
-    stage.say(LedgerRecord.proxy(stage.now(), place, true));
+    stage.say(LedgerRecord.proxyChanged(stage.now(), place, true));
     stage.crowd().sees(this, true);
   }
 
@@ -149,7 +149,7 @@
   public void kill() {
     up = false;
     life++;
-    stage.say(LedgerRecord.proxy(stage.now(), place, false));
+    stage.say(LedgerRecord.proxyChanged(stage.now(), place, false));
     process.destroyForcibly();
   }
 
@@ -267,7 +267,7 @@
   /** What becomes of a connection that ended without an answer. */
   void broke(Call call) {
     if (call.taken) {
-      stage.crowd().answers(call.ask, Answer.BROKEN, 0);
+      stage.crowd().answers(call.ask, Answer.CONNECTION_LOST, 0);
     } else {
       stage.crowd().refused(call.ask);
     }
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
@@ -190,7 +190,7 @@
     up = true;
     life++;
     fleet = new BackendIndex<>(Srv::new);
-    world.say(LedgerRecord.proxy(world.now(), place, true));
+    world.say(LedgerRecord.proxyChanged(world.now(), place, true));
     mind = maker.make(this, seed + life, place);
     if (!saved.isEmpty()) {
       List<EndpointRegistry.News> old = saved;
@@ -215,7 +215,7 @@
     up = false;
     life++;
     saved = new ArrayList<>(last.values());
-    world.say(LedgerRecord.proxy(world.now(), place, false));
+    world.say(LedgerRecord.proxyChanged(world.now(), place, false));
     for (Guest g : guests.values()) {
       g.over = true;
       world.cancel(g.guard);
@@ -227,7 +227,7 @@
           world.after(world.way(zone, m), leg.at);
         }
       }
-      answer(g, Answer.BROKEN, 0);
+      answer(g, Answer.CONNECTION_LOST, 0);
     }
     guests.clear();
     for (SimulatedBackend m : world.machines()) {
@@ -265,7 +265,8 @@
       Srv srv = fleet.getOrAdd(n.server());
       boolean fresh = fleet.markListed(srv);
       if (!old) {
-        world.say(LedgerRecord.told(world.now(), place, n.server(), n.state(), n.start()));
+        world.say(
+            LedgerRecord.endpointNotified(world.now(), place, n.server(), n.state(), n.start()));
       }
       SimulatedBackend m = world.machine(n.server());
       int kinds =
@@ -293,7 +294,7 @@
 
   private void gone(Srv srv) {
     if (fleet.markUnlisted(srv)) {
-      world.say(LedgerRecord.told(world.now(), place, srv.id, State.GONE, 0));
+      world.say(LedgerRecord.endpointNotified(world.now(), place, srv.id, State.GONE, 0));
       mind.removeBackend(srv.index);
     }
   }
@@ -322,7 +323,7 @@
           }
           if (up) {
             world.say(
-                LedgerRecord.taken(
+                LedgerRecord.requestAccepted(
                     sent,
                     ask.req(),
                     ask.op().id(),
@@ -460,12 +461,12 @@
 
   @Override
   public void reject(PendingRequest req, long wait) {
-    answer(req, Answer.DENIED, wait);
+    answer(req, Answer.REJECTED, wait);
   }
 
   @Override
   public void fail(PendingRequest req) {
-    answer(req, Answer.ABORTED, 0);
+    answer(req, Answer.FAILED, 0);
   }
 
   private void answer(PendingRequest req, Answer how, long wait) {
--- a/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
@@ -93,7 +93,7 @@
     }
     assertEquals(0, children());
     Verdict v = referee.verdict();
-    assertEquals(0, v.figures().get("broken"), v.breaks().toString());
+    assertEquals(0, v.figures().get("broken"), v.violations().toString());
     assertTrue(v.figures().get("done") > 300, v.figures().toString());
     assertTrue(v.figures().get("aborted") > 0, "no answer was cut off: " + v.figures());
   }
@@ -170,7 +170,7 @@
       assertFalse(proxy.isAlive());
     }
     assertThrows(
-        wheattrack.lab.referee.Ledger.Void.class,
+        wheattrack.lab.referee.InvalidLedgerException.class,
         () -> wheattrack.lab.referee.Ledger.read(dir.resolve("out/sockets.ledger")));
   }
 
@@ -191,17 +191,17 @@
         all.stream()
             .filter(
                 e ->
-                    e.kind() == LedgerRecord.Kind.TOLD
+                    e.kind() == LedgerRecord.Kind.ENDPOINT_NOTIFIED
                         && e.state() == LedgerRecord.State.DRAINING
-                        && e.server() == 1)
+                        && e.backend() == 1)
             .count();
     assertEquals(2, told);
     long after =
         all.stream()
             .filter(
                 e ->
-                    e.kind() == LedgerRecord.Kind.CAME
-                        && e.server() == 1
+                    e.kind() == LedgerRecord.Kind.ATTEMPT_ARRIVED
+                        && e.backend() == 1
                         && e.at() > 16_500
                         && e.at() < 30_000)
             .count();
--- a/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
@@ -64,7 +64,8 @@
         .forEach(
             seed -> {
               Verdict v = play(name, proxies, file(name, proxies, 3), seed);
-              assertEquals(List.of(), v.shortfalls(), name + ", seed " + seed + ": " + v.figures());
+              assertEquals(
+                  List.of(), v.unmetExpectations(), name + ", seed " + seed + ": " + v.figures());
               assertEquals(0, v.figures().get("fallen"));
             });
   }
@@ -92,10 +93,10 @@
       assertFalse(budget.add(i, 100, 0.01, i % 3 != 0), "fell at " + i);
     }
     assertTrue(budget.add(18, 100, 0.01, false));
-    assertFalse(budget.isBreak()); // 12 of 18 from senders that knew: not over two thirds
+    assertFalse(budget.isSendersFault()); // 12 of 18 from senders that knew: not over two thirds
     assertTrue(budget.add(19, 100, 0.01, true));
-    assertTrue(budget.isBreak());
+    assertTrue(budget.isSendersFault());
     assertFalse(budget.add(30_020, 10_000, 0.01, true)); // one alone never does it
-    assertEquals(18 / 9.0, budget.most(), 1e-9);
+    assertEquals(18 / 9.0, budget.peakLoad(), 1e-9);
   }
 }
--- a/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -114,11 +114,13 @@
   @ValueSource(strings = {"herd", "herd-48", "zone", "join"})
   void moduleHoldsAndOthersFallShort(String name) {
     Verdict good = play(name, null);
-    assertEquals(List.of(), good.shortfalls(), good.figures().toString());
+    assertEquals(List.of(), good.unmetExpectations(), good.figures().toString());
     Scenario s = file(name, Map.of());
     Verdict random = play(name, Policies.of(Policies.Kind.RANDOM, s));
     Set<String> fell =
-        random.shortfalls().stream().map(Scenario.Expect::figure).collect(Collectors.toSet());
+        random.unmetExpectations().stream()
+            .map(Scenario.Expect::figure)
+            .collect(Collectors.toSet());
     s.expects.stream()
         .map(Scenario.Expect::figure)
         .filter(f -> f.startsWith("service"))
@@ -171,9 +173,9 @@
             (port, seed, me) -> new Eager(port),
             true,
             e -> {
-              if (e.kind() == LedgerRecord.Kind.STARTED && e.code() == 1) {
-                started.add(e.server());
-              } else if (e.kind() == LedgerRecord.Kind.PROXY && e.code() == 0) {
+              if (e.kind() == LedgerRecord.Kind.BACKEND_STARTED && e.code() == 1) {
+                started.add(e.backend());
+              } else if (e.kind() == LedgerRecord.Kind.PROXY_CHANGED && e.code() == 0) {
                 killed.add(e.proxy());
               }
             });
@@ -206,9 +208,10 @@
             (port, seed, me) -> new Eager(port),
             true,
             e -> {
-              if (e.kind() == LedgerRecord.Kind.PROXY && e.code() == 1 && e.at() > 0) {
+              if (e.kind() == LedgerRecord.Kind.PROXY_CHANGED && e.code() == 1 && e.at() > 0) {
                 since.put(e.proxy(), e.at());
-              } else if (e.kind() == LedgerRecord.Kind.TOLD && since.containsKey(e.proxy())) {
+              } else if (e.kind() == LedgerRecord.Kind.ENDPOINT_NOTIFIED
+                  && since.containsKey(e.proxy())) {
                 longest[0] = Math.max(longest[0], e.at() - since.remove(e.proxy()));
               }
             })
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -113,7 +113,7 @@
               effect,
               DRAIN + CRASH.replace("place = 0", "place = 1"),
               (port, req, ready, ever) -> honest(port, req, ready));
-      assertEquals(0, v.figures().get("broken"), v.breaks().toString());
+      assertEquals(0, v.figures().get("broken"), v.violations().toString());
       assertTrue(v.figures().get("done") > 200);
     }
   }
@@ -208,7 +208,7 @@
     Referee referee = new Referee(s);
     new VirtualRun(s, 4, Policies.Kind.RULES, referee).run();
     Verdict v = referee.verdict();
-    assertEquals(0, v.figures().get("broken"), v.breaks().toString());
+    assertEquals(0, v.figures().get("broken"), v.violations().toString());
     assertTrue(v.figures().get("done") > 50, v.figures().toString());
   }
 
