--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -11,7 +11,7 @@
 import org.apache.commons.cli.ParseException;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.InvalidLedgerException;
-import wheattrack.lab.scale.ProcessGroup;
+import wheattrack.lab.scale.ResourceLimitException;
 import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.virtual.Policies;
@@ -133,7 +133,7 @@
               true),
           System.out);
       return 0;
-    } catch (ProcessGroup.OverBound e) {
+    } catch (ResourceLimitException e) {
       System.err.println("wheattrack lab: void: " + e.getMessage());
       return 3;
     }
--- a/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
@@ -1,125 +1,171 @@
 package wheattrack.lab.scale;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.DoubleSummaryStatistics;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
-/** What was measured along one axis: a row of figures by name for each point. NaN: not had. */
+/**
+ * What was measured along one axis: a row of figures by name for each point. A figure that could
+ * not be measured is NaN. Not thread-safe.
+ */
 public final class AxisMeasurements {
-  /** One point. */
-  public record Row(double point, Map<String, Double> figures) {}
+  /** The figures of one point, in the order in which they were measured. */
+  public record Row(double point, Map<String, Double> figures) {
+    /** The figure of this name; NaN if it was not measured. */
+    public double figure(String name) {
+      return figures.getOrDefault(name, Double.NaN);
+    }
+  }
+
+  /** A point at which a figure was measured, and its value there. */
+  record Sample(double point, double value) {}
 
   /**
-   * Through the points: its slope with the standard error, and the last piece's slope to the
-   * first's.
+   * A straight line through the samples by least squares.
+   *
+   * @param slope value by point
+   * @param error the slope's standard error
+   * @param bend the slope between the last two samples in parts of that between the first two
    */
   public record Line(double slope, double error, double bend) {}
 
-  public final String axis, unit;
-  public final List<Row> rows = new ArrayList<>();
+  /** Prefix of the figures of the complete proxy that stands beside. */
+  private static final String REFERENCE_PREFIX = "w_";
+
+  private static final int MIN_COLUMN_WIDTH = 8;
+
+  private final String axis;
+  private final String unit;
+  private final List<Row> rows = new ArrayList<>();
 
   AxisMeasurements(String axis, String unit) {
     this.axis = axis;
     this.unit = unit;
   }
 
-  /** A point's row, to be filled. */
-  Map<String, Double> at(double point) {
+  /** The axis's name. */
+  public String axis() {
+    return axis;
+  }
+
+  /** What the points count. */
+  public String unit() {
+    return unit;
+  }
+
+  /** The points measured so far, in order. */
+  public List<Row> rows() {
+    return Collections.unmodifiableList(rows);
+  }
+
+  /** Adds a point and returns its figures, to be filled. */
+  Map<String, Double> addRow(double point) {
     Map<String, Double> figures = new LinkedHashMap<>();
     rows.add(new Row(point, figures));
     return figures;
   }
 
-  /** The names, in the order in which they were first met. */
+  /** The figures' names in the order in which they were first measured. */
   public List<String> names() {
-    return rows.stream().flatMap(r -> r.figures.keySet().stream()).distinct().toList();
+    return rows.stream().flatMap(row -> row.figures.keySet().stream()).distinct().toList();
+  }
+
+  /** The points at which this figure was measured. */
+  List<Sample> samples(String name) {
+    return rows.stream()
+        .map(row -> new Sample(row.point, row.figure(name)))
+        .filter(sample -> Double.isFinite(sample.value))
+        .toList();
   }
 
-  /** Through the points at which the figure was had; null with fewer than three. */
+  /** The line through the samples of a figure; null with fewer than three. */
   public Line line(String name) {
-    List<double[]> had =
-        rows.stream()
-            .map(r -> new double[] {r.point, r.figures.getOrDefault(name, Double.NaN)})
-            .filter(xy -> Double.isFinite(xy[1]))
-            .toList();
-    int n = had.size();
-    if (n < 3) {
+    List<Sample> samples = samples(name);
+    int count = samples.size();
+    if (count < 3) {
       return null;
     }
-    double mx = had.stream().mapToDouble(p -> p[0]).average().orElse(0);
-    double my = had.stream().mapToDouble(p -> p[1]).average().orElse(0);
-    double xx = had.stream().mapToDouble(p -> (p[0] - mx) * (p[0] - mx)).sum();
-    double xy = had.stream().mapToDouble(p -> (p[0] - mx) * (p[1] - my)).sum();
-    double slope = xy / xx;
-    double rest = had.stream().mapToDouble(p -> Math.pow(p[1] - my - slope * (p[0] - mx), 2)).sum();
-    double[] a = had.get(0), b = had.get(1), y = had.get(n - 2), z = had.get(n - 1);
-    double first = (b[1] - a[1]) / (b[0] - a[0]), last = (z[1] - y[1]) / (z[0] - y[0]);
-    return new Line(slope, Math.sqrt(rest / Math.max(1, n - 2) / xx), last / first);
-  }
-
-  /** As a table, with each figure's line below. */
+    double meanX = samples.stream().mapToDouble(Sample::point).average().orElse(0);
+    double meanY = samples.stream().mapToDouble(Sample::value).average().orElse(0);
+    double sumXx = samples.stream().mapToDouble(s -> (s.point - meanX) * (s.point - meanX)).sum();
+    double sumXy = samples.stream().mapToDouble(s -> (s.point - meanX) * (s.value - meanY)).sum();
+    double slope = sumXy / sumXx;
+    double squaredErrors =
+        samples.stream()
+            .mapToDouble(s -> Math.pow(s.value - meanY - slope * (s.point - meanX), 2))
+            .sum();
+    double error = Math.sqrt(squaredErrors / Math.max(1, count - 2) / sumXx);
+    double firstSlope = slope(samples.get(0), samples.get(1));
+    double lastSlope = slope(samples.get(count - 2), samples.get(count - 1));
+    return new Line(slope, error, lastSlope / firstSlope);
+  }
+
+  private static double slope(Sample from, Sample to) {
+    return (to.value - from.value) / (to.point - from.point);
+  }
+
+  /** As a table, the line of each figure and its ratio to the reference below. */
   public String table() {
+    StringBuilder table = new StringBuilder();
     List<String> names = names();
-    StringBuilder out =
-        new StringBuilder(String.format(Locale.ROOT, "%n%s (%s)%n%12s", axis, unit, "point"));
-    names.forEach(name -> out.append(String.format(Locale.ROOT, " %" + width(name) + "s", name)));
+    append(table, "%n%s (%s)%n%12s", axis, unit, "point");
+    names.forEach(name -> append(table, " %" + columnWidth(name) + "s", name));
     for (Row row : rows) {
-      out.append(String.format(Locale.ROOT, "%n%12s", number(row.point)));
+      append(table, "%n%12s", format(row.point));
       names.forEach(
-          name ->
-              out.append(
-                  String.format(
-                      Locale.ROOT,
-                      " %" + width(name) + "s",
-                      number(row.figures.getOrDefault(name, Double.NaN)))));
+          name -> append(table, " %" + columnWidth(name) + "s", format(row.figure(name))));
     }
-    for (String name : names) {
-      Line line = line(name);
-      if (line != null) {
-        out.append(
-            String.format(
-                Locale.ROOT,
-                "%n  %-18s slope %.4g ± %.2g by %s, last to first %.2f",
-                name,
-                line.slope,
-                line.error,
-                axis,
-                line.bend));
-      }
+    names.forEach(name -> appendLine(table, name));
+    names.forEach(name -> appendRatio(table, name));
+    return table.append('\n').toString();
+  }
+
+  private void appendLine(StringBuilder table, String name) {
+    Line line = line(name);
+    if (line != null) {
+      append(
+          table,
+          "%n  %-18s slope %.4g ± %.2g by %s, last to first %.2f",
+          name,
+          line.slope,
+          line.error,
+          axis,
+          line.bend);
     }
-    for (String name : names) {
-      DoubleSummaryStatistics part =
-          rows.stream()
-              .map(Row::figures)
-              .mapToDouble(
-                  f -> f.getOrDefault(name, Double.NaN) / f.getOrDefault("w_" + name, Double.NaN))
-              .filter(Double::isFinite)
-              .summaryStatistics();
-      if (part.getCount() > 0) {
-        out.append(
-            String.format(
-                Locale.ROOT,
-                "%n  %-18s %.2f to %.2f of the real one's",
-                name,
-                part.getMin(),
-                part.getMax()));
-      }
+  }
+
+  private void appendRatio(StringBuilder table, String name) {
+    DoubleSummaryStatistics ratios =
+        rows.stream()
+            .mapToDouble(row -> row.figure(name) / row.figure(REFERENCE_PREFIX + name))
+            .filter(Double::isFinite)
+            .summaryStatistics();
+    if (ratios.getCount() > 0) {
+      append(
+          table,
+          "%n  %-18s %.2f to %.2f of the real one's",
+          name,
+          ratios.getMin(),
+          ratios.getMax());
     }
-    return out.append('\n').toString();
   }
 
-  private static int width(String name) {
-    return Math.max(8, name.length());
+  private static void append(StringBuilder table, String format, Object... values) {
+    table.append(String.format(Locale.ROOT, format, values));
   }
 
-  private static String number(double value) {
-    return !Double.isFinite(value)
-        ? "-"
-        : Math.abs(value) >= 100
-            ? String.format(Locale.ROOT, "%.0f", value)
-            : String.format(Locale.ROOT, "%.3g", value);
+  private static int columnWidth(String name) {
+    return Math.max(MIN_COLUMN_WIDTH, name.length());
+  }
+
+  private static String format(double value) {
+    if (!Double.isFinite(value)) {
+      return "-";
+    }
+    return String.format(Locale.ROOT, Math.abs(value) >= 100 ? "%.0f" : "%.3g", value);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/CapacityReport.java
+++ b/lab/src/main/java/wheattrack/lab/scale/CapacityReport.java
@@ -3,55 +3,53 @@
 import java.util.List;
 import java.util.Locale;
 
-/** The figures as one HTML page that needs nothing beside it: a curve each. */
+/** The measurements as one HTML page that needs nothing beside it: a curve for each figure. */
 final class CapacityReport {
-  private static final int WIDE = 300, HIGH = 120, EDGE = 8;
+  private static final int WIDTH = 300;
+  private static final int HEIGHT = 120;
+  private static final int MARGIN = 8;
 
   private CapacityReport() {}
 
-  static String of(List<AxisMeasurements> all) {
-    StringBuilder out =
+  /** The page's text. */
+  static String html(List<AxisMeasurements> axes) {
+    StringBuilder html =
         new StringBuilder(
             "<!doctype html><meta charset=utf-8>"
                 + "<title>lab scale</title><style>body{font:14px sans-serif}"
                 + "figure{display:inline-block;margin:8px}svg{border:1px solid #ccc}"
                 + "</style><h1>lab scale</h1>\n");
-    for (AxisMeasurements figures : all) {
-      out.append("<h2>").append(figures.axis).append(": ").append(figures.unit).append("</h2>\n");
-      figures.names().forEach(name -> curve(out, figures, name));
-      out.append("<pre>").append(figures.table()).append("</pre>\n");
+    for (AxisMeasurements axis : axes) {
+      html.append("<h2>").append(axis.axis()).append(": ").append(axis.unit()).append("</h2>\n");
+      axis.names().forEach(name -> appendCurve(html, name, axis.samples(name)));
+      html.append("<pre>").append(axis.table()).append("</pre>\n");
     }
-    return out.toString();
+    return html.toString();
   }
 
-  private static void curve(StringBuilder out, AxisMeasurements figures, String name) {
-    List<double[]> had =
-        figures.rows.stream()
-            .map(r -> new double[] {r.point(), r.figures().getOrDefault(name, Double.NaN)})
-            .filter(p -> Double.isFinite(p[1]))
-            .toList();
-    double mostX = had.stream().mapToDouble(p -> p[0]).max().orElse(1);
-    double mostY = Math.max(1e-9, had.stream().mapToDouble(p -> p[1]).max().orElse(1));
-    StringBuilder line = new StringBuilder();
-    had.forEach(
-        p ->
-            line.append(
-                String.format(
-                    Locale.ROOT,
-                    "%.1f,%.1f ",
-                    EDGE + p[0] / mostX * WIDE,
-                    EDGE + HIGH - Math.max(0, p[1]) / mostY * HIGH)));
-    out.append(
+  private static void appendCurve(
+      StringBuilder html, String name, List<AxisMeasurements.Sample> samples) {
+    double maxX = samples.stream().mapToDouble(AxisMeasurements.Sample::point).max().orElse(1);
+    double maxY =
+        Math.max(
+            1e-9, samples.stream().mapToDouble(AxisMeasurements.Sample::value).max().orElse(1));
+    StringBuilder points = new StringBuilder();
+    for (AxisMeasurements.Sample sample : samples) {
+      double x = MARGIN + sample.point() / maxX * WIDTH;
+      double y = MARGIN + HEIGHT - Math.max(0, sample.value()) / maxY * HEIGHT;
+      points.append(String.format(Locale.ROOT, "%.1f,%.1f ", x, y));
+    }
+    html.append(
         String.format(
             Locale.ROOT,
             "<figure><svg width=%d height=%d>"
                 + "<polyline points='%s' fill=none stroke=#06c stroke-width=2 /></svg>"
                 + "<figcaption>%s, up to %.4g at %.0f</figcaption></figure>%n",
-            WIDE + 2 * EDGE,
-            HIGH + 2 * EDGE,
-            line,
+            WIDTH + 2 * MARGIN,
+            HEIGHT + 2 * MARGIN,
+            points,
             name,
-            mostY,
-            mostX));
+            maxY,
+            maxX));
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -0,0 +1,128 @@
+package wheattrack.lab.scale;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The control-only proxies of a point, in as many processes as they need. Not thread-safe. */
+final class ControlOnlyFleet implements AutoCloseable {
+  private static final int MAX_PROXIES_PER_PROCESS = 600;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final ProcessGroup group;
+  private final int size;
+  private final List<ControlOnlyProcess> processes = new ArrayList<>();
+  private final double emptyHeapBytes;
+  private final long startedAtNanos;
+
+  /**
+   * Starts the proxies and waits until they run.
+   *
+   * @param settingsSource the source of settings that they watch, or null
+   */
+  ControlOnlyFleet(ProcessGroup group, int size, Path config, InetSocketAddress settingsSource)
+      throws IOException {
+    this.group = group;
+    this.size = size;
+    int count = (size + MAX_PROXIES_PER_PROCESS - 1) / MAX_PROXIES_PER_PROCESS;
+    for (int i = 0; i < count; i++) {
+      int first = size * i / count;
+      int next = size * (i + 1) / count;
+      processes.add(group.startControlOnly(next - first, first, config, settingsSource));
+    }
+    double heapBytes = 0;
+    long startedAt = Long.MAX_VALUE;
+    for (ControlOnlyProcess process : processes) {
+      ControlOnlyProcess.Start start = process.awaitStart();
+      startedAt = Math.min(startedAt, start.startedAtNanos());
+      heapBytes += start.heapBytes();
+    }
+    emptyHeapBytes = heapBytes;
+    startedAtNanos = startedAt;
+  }
+
+  int size() {
+    return size;
+  }
+
+  int processCount() {
+    return processes.size();
+  }
+
+  /** Milliseconds from their start until all have an endpoint list, or NaN after the timeout. */
+  double awaitLists(long timeoutMillis) throws InterruptedException {
+    boolean haveLists = Polling.await(timeoutMillis, () -> proxiesWithList() >= size);
+    return haveLists ? (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI : Double.NaN;
+  }
+
+  private int proxiesWithList() {
+    return processes.stream().mapToInt(process -> process.known().proxiesWithList()).sum();
+  }
+
+  /** The most backends that one of them knows. */
+  double maxKnownBackends() {
+    return processes.stream().mapToDouble(process -> process.known().maxBackends()).max().orElse(0);
+  }
+
+  /** KiB of heap that each has taken since its start. */
+  double heapKibEach() {
+    double heapBytes = processes.stream().mapToDouble(ControlOnlyProcess::heapBytes).sum();
+    return (heapBytes - emptyHeapBytes) / 1024 / size;
+  }
+
+  /** Nanoseconds of processor time of all. */
+  long cpuNanos() {
+    return processes.stream()
+        .mapToLong(process -> ProcessStatistics.cpuNanos(process.process()))
+        .sum();
+  }
+
+  /** Has all read their configuration anew; returns once they have. */
+  void reload(Path config) {
+    processes.forEach(process -> process.reload(config));
+  }
+
+  /** Forgets when revisions took effect so far. */
+  void forgetRevisions() {
+    processes.forEach(ControlOnlyProcess::forgetRevisions);
+  }
+
+  /**
+   * Puts how long changes took from when they were made until they were in force, of all changes at
+   * all proxies.
+   *
+   * @param changedAtNanos when each was made; the last of them is the source's latest revision
+   */
+  void putTimesInForce(long[] changedAtNanos, SourceServer source, Map<String, Double> figures) {
+    List<Double> latencies = new ArrayList<>();
+    long latest = source.revision();
+    for (ControlOnlyProcess process : processes) {
+      process
+          .revisionTimes()
+          .forEach(
+              (revision, times) -> {
+                int change = (int) (changedAtNanos.length - 1 - (latest - revision));
+                if (change >= 0) {
+                  for (long time : times) {
+                    latencies.add((time - changedAtNanos[change]) / NANOS_PER_MILLI);
+                  }
+                }
+              });
+    }
+    latencies.sort(null);
+    int count = latencies.size();
+    figures.put("untold", (double) changedAtNanos.length * size - count);
+    figures.put("force_p50_ms", count == 0 ? Double.NaN : latencies.get(count / 2));
+    figures.put(
+        "force_p99_ms", count == 0 ? Double.NaN : latencies.get((int) (0.99 * (count - 1))));
+    figures.put("force_last_ms", count == 0 ? Double.NaN : latencies.get(count - 1));
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(process -> group.end(process.process()));
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -3,12 +3,16 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.LongConsumer;
 import java.util.logging.Level;
@@ -19,35 +23,43 @@
 import wheattrack.net.ControlOnlyProxy;
 
 /**
- * A process of hollow proxies on one loop. Takes orders by the line on standard input and answers
- * each by one or more lines, the last of them `end`; its input's end is its own.
+ * A process of control-only proxies on one event loop. It takes commands by the line on standard
+ * input and answers each by lines of which the last is {@code end}; it ends with its input. {@link
+ * ControlOnlyProcess} is the other side.
  */
 public final class ControlOnlyMain {
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
+  /** Distance between the seeds of two proxies. */
+  private static final long SEED_STEP = 31L;
+
+  /** The scope of settings that the proxies watch. */
+  private static final String SETTINGS_SCOPE = "mean";
+
   private final EventLoop loop = new EventLoop();
-  private final List<ControlOnlyProxy> all = new ArrayList<>();
+  private final List<ControlOnlyProxy> proxies = new ArrayList<>();
 
-  /** By revision: when it came into force at each proxy, in the clock that all processes share. */
-  private final Map<Long, List<Long>> inForce = new java.util.TreeMap<>();
+  /** By revision: when it took effect at each proxy, in nanoseconds of the shared clock. */
+  private final Map<Long, List<Long>> timesInForce = new TreeMap<>();
 
-  private final long[] last;
+  /** The latest revision at each proxy; 0 before the first. */
+  private final long[] latestRevisions;
 
   private ControlOnlyMain(int count) {
-    last = new long[count];
+    latestRevisions = new long[count];
   }
 
   /**
-   * COUNT FIRST CONFIG [SOURCE]: so many proxies of that configuration, numbered from FIRST on;
-   * with a source of settings they watch it, and it is its revisions that are reported.
+   * Runs with the arguments COUNT FIRST CONFIG [SOURCE]: so many proxies of that configuration,
+   * numbered from FIRST on; with a source of settings they watch it, and it is its revisions that
+   * are reported, else those of the endpoint list.
    */
   public static void main(String[] args) throws Exception {
     LOG.setLevel(Level.SEVERE);
     ControlOnlyMain main = new ControlOnlyMain(Integer.parseInt(args[0]));
-    main.run(
-        Integer.parseInt(args[1]),
-        Path.of(args[2]),
-        args.length > 3 ? ProxyConfig.address("SOURCE", args[3]) : null);
+    int first = Integer.parseInt(args[1]);
+    InetSocketAddress source = args.length > 3 ? ProxyConfig.address("SOURCE", args[3]) : null;
+    main.run(first, Path.of(args[2]), source);
   }
 
   private void run(int first, Path file, InetSocketAddress source) throws Exception {
@@ -56,91 +68,100 @@
     thread.setDaemon(true);
     thread.start();
     ProxyConfig config = ProxyConfig.read(file);
-    long heap = heap();
-    long began = System.nanoTime();
-    on(
+    long emptyHeapBytes = heapBytes();
+    long startedAt = System.nanoTime();
+    executeOnLoop(
         () -> {
-          for (int i = 0; i < last.length; i++) {
-            int number = i;
-            long seed = config.seed + 31L * (first + i);
-            LongConsumer told = rev -> force(number, rev);
-            ControlOnlyProxy one =
-                new ControlOnlyProxy(loop, group, config, seed, source == null ? told : rev -> {});
-            all.add(one);
-            if (source != null) {
-              one.watch(source, "mean", seed, told);
-            }
+          for (int i = 0; i < latestRevisions.length; i++) {
+            start(i, group, config, config.seed + SEED_STEP * (first + i), source);
           }
         });
-    System.out.println("began " + began + " " + heap);
+    System.out.println("began " + startedAt + " " + emptyHeapBytes);
     System.out.println("end");
     BufferedReader in = new BufferedReader(new InputStreamReader(System.in));
     for (String line = in.readLine(); line != null; line = in.readLine()) {
-      String[] words = line.split(" ");
-      switch (words[0]) {
-        case "known" ->
-            on(
-                () ->
-                    System.out.println(
-                        listed()
-                            + " "
-                            + all.stream().mapToInt(ControlOnlyProxy::known).max().orElse(0)));
-        case "heap" -> System.out.println(heap());
-        case "forget" -> on(inForce::clear);
-        case "force" -> on(this::tellForce);
-        case "reload" -> reload(Path.of(words[1]));
-        default -> System.out.println("unknown order: " + line);
-      }
+      answer(line);
       System.out.println("end");
     }
   }
 
-  private long listed() {
-    return java.util.Arrays.stream(last).filter(rev -> rev > 0).count();
+  private void start(
+      int index,
+      AsynchronousChannelGroup group,
+      ProxyConfig config,
+      long seed,
+      InetSocketAddress source) {
+    LongConsumer listener = revision -> noteRevision(index, revision);
+    LongConsumer listListener = source == null ? listener : revision -> {};
+    ControlOnlyProxy proxy = new ControlOnlyProxy(loop, group, config, seed, listListener);
+    proxies.add(proxy);
+    if (source != null) {
+      proxy.watch(source, SETTINGS_SCOPE, seed, listener);
+    }
+  }
+
+  private void answer(String command) throws InterruptedException {
+    String[] words = command.split(" ");
+    switch (words[0]) {
+      case "known" -> executeOnLoop(this::printKnown);
+      case "heap" -> System.out.println(heapBytes());
+      case "forget" -> executeOnLoop(timesInForce::clear);
+      case "force" -> executeOnLoop(this::printTimesInForce);
+      case "reload" -> reload(Path.of(words[1]));
+      default -> System.out.println("unknown order: " + command);
+    }
+  }
+
+  private void printKnown() {
+    long proxiesWithList = Arrays.stream(latestRevisions).filter(revision -> revision > 0).count();
+    int maxBackends = proxies.stream().mapToInt(ControlOnlyProxy::known).max().orElse(0);
+    System.out.println(proxiesWithList + " " + maxBackends);
   }
 
-  private void force(int number, long rev) {
-    last[number] = rev;
-    inForce.computeIfAbsent(rev, r -> new ArrayList<>()).add(System.nanoTime());
+  private void noteRevision(int index, long revision) {
+    latestRevisions[index] = revision;
+    timesInForce.computeIfAbsent(revision, r -> new ArrayList<>()).add(System.nanoTime());
   }
 
-  private void tellForce() {
-    StringBuilder out = new StringBuilder();
-    inForce.forEach(
-        (rev, times) -> {
-          out.append(rev);
-          times.forEach(t -> out.append(' ').append(t));
-          out.append('\n');
+  private void printTimesInForce() {
+    StringBuilder lines = new StringBuilder();
+    timesInForce.forEach(
+        (revision, times) -> {
+          lines.append(revision);
+          times.forEach(time -> lines.append(' ').append(time));
+          lines.append('\n');
         });
-    System.out.print(out);
+    System.out.print(lines);
   }
 
-  /** Each reads and checks the file by itself, as each process would. */
+  /** Each proxy reads and checks the file by itself, as each process would. */
   private void reload(Path file) throws InterruptedException {
-    on(
+    executeOnLoop(
         () -> {
-          for (ControlOnlyProxy one : all) {
+          for (ControlOnlyProxy proxy : proxies) {
             try {
-              one.turnTo(new ProxyConfig(Json.object(java.nio.file.Files.readString(file))));
+              proxy.turnTo(new ProxyConfig(Json.object(Files.readString(file))));
             } catch (IOException e) {
-              throw new java.io.UncheckedIOException(e);
+              throw new UncheckedIOException(e);
             }
           }
         });
   }
 
-  private static long heap() {
+  /** Bytes of heap in use after a collection. */
+  private static long heapBytes() {
     System.gc();
-    Runtime r = Runtime.getRuntime();
-    return r.totalMemory() - r.freeMemory();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
   }
 
-  private void on(Runnable what) throws InterruptedException {
+  /** Runs the task on the event loop's thread and waits for its end. */
+  private void executeOnLoop(Runnable task) throws InterruptedException {
     CountDownLatch done = new CountDownLatch(1);
     loop.execute(
         () -> {
           try {
-            what.run();
+            task.run();
           } finally {
             done.countDown();
           }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/HttpMessages.java
@@ -0,0 +1,36 @@
+package wheattrack.lab.scale;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Locale;
+
+/** The little of HTTP/1.1 that the measurements read themselves. */
+final class HttpMessages {
+  private static final String END_OF_HEAD = "\r\n\r\n";
+  private static final String CONTENT_LENGTH = "content-length: ";
+
+  private HttpMessages() {}
+
+  /** The head of the next message with its empty line, or null at the end of the stream. */
+  static String readHead(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    for (int next = in.read(); next >= 0; next = in.read()) {
+      head.append((char) next);
+      if (next == '\n' && head.toString().endsWith(END_OF_HEAD)) {
+        return head.toString();
+      }
+    }
+    return null;
+  }
+
+  /** The Content-Length of a head; 0 without one. */
+  static int contentLength(String head) {
+    String lowerCase = head.toLowerCase(Locale.ROOT);
+    int start = lowerCase.indexOf(CONTENT_LENGTH);
+    if (start < 0) {
+      return 0;
+    }
+    int end = lowerCase.indexOf("\r\n", start);
+    return Integer.parseInt(lowerCase.substring(start + CONTENT_LENGTH.length(), end));
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
@@ -0,0 +1,61 @@
+package wheattrack.lab.scale;
+
+import static wheattrack.lab.scale.ScaleEnvironment.FLEET_LIST_TIMEOUT_MILLIS;
+import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
+import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
+
+import java.util.Map;
+
+/** The axes about a source that is away for a while: what its watchers do when it is back. */
+final class OutageMeasurements {
+  private static final long OUTAGE_MILLIS = 6_000;
+  private static final long FIRST_CALLS_MILLIS = 400;
+  private static final long RECOVERY_MILLIS = 6_000;
+
+  private final ScaleEnvironment environment;
+
+  OutageMeasurements(ScaleEnvironment environment) {
+    this.environment = environment;
+  }
+
+  /** By control-only proxies whose source of endpoints is away. */
+  void measureEndpointOutage(int fleetSize, Map<String, Double> figures) throws Exception {
+    try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
+        ControlOnlyFleet fleet =
+            environment.startFleet(
+                fleetSize, environment.writeConfig(endpoints, USUAL_RULE_SETS, 0))) {
+      measure(fleet, endpoints, figures);
+    }
+  }
+
+  /** By control-only proxies whose source of settings is away. */
+  void measureSettingsOutage(int fleetSize, Map<String, Double> figures) throws Exception {
+    try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
+        SourceServer settings = environment.startSettingsSource(SettingsMeasurements.USUAL_SCOPE);
+        ControlOnlyFleet fleet =
+            environment.startFleet(fleetSize, environment.writeConfig(endpoints, 1, 0), settings)) {
+      measure(fleet, settings, figures);
+    }
+  }
+
+  private void measure(ControlOnlyFleet fleet, SourceServer source, Map<String, Double> figures)
+      throws InterruptedException {
+    figures.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+    fleet.forgetRevisions();
+    source.setMode(SourceServer.Mode.REFUSING);
+    Thread.sleep(OUTAGE_MILLIS);
+    long bytesBefore = source.bytesSent();
+    long callsBefore = source.calls();
+    long cpuBefore = fleet.cpuNanos();
+    long changedAt = System.nanoTime();
+    source.change(0, 1);
+    source.setMode(SourceServer.Mode.UP);
+    Thread.sleep(FIRST_CALLS_MILLIS);
+    figures.put("calls_first_400ms", (double) (source.calls() - callsBefore));
+    Thread.sleep(RECOVERY_MILLIS);
+    double size = fleet.size();
+    figures.put("return_bytes", (source.bytesSent() - bytesBefore) / size);
+    figures.put("return_us", (fleet.cpuNanos() - cpuBefore) / 1e3 / size);
+    fleet.putTimesInForce(new long[] {changedAt}, source, figures);
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/Polling.java
@@ -0,0 +1,22 @@
+package wheattrack.lab.scale;
+
+import java.util.function.BooleanSupplier;
+
+/** Waits for a condition by asking for it now and then. */
+final class Polling {
+  private static final long INTERVAL_MILLIS = 20;
+
+  private Polling() {}
+
+  /** Waits until the condition holds, or for so long; returns whether it holds. */
+  static boolean await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
+    long deadline = System.nanoTime() + timeoutMillis * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        return false;
+      }
+      Thread.sleep(INTERVAL_MILLIS);
+    }
+    return true;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -1,124 +1,64 @@
 package wheattrack.lab.scale;
 
-import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
-import wheattrack.config.InvalidConfigurationException;
 
 /**
- * The processes of a run: started, watched for their memory, and ended by id however the run ends.
+ * The processes of a run: started, watched for their memory by a thread of its own, and ended by id
+ * however the run ends. Started and ended by one thread.
  */
-public final class ProcessGroup implements AutoCloseable {
-  static final int MOST = 200;
-  private static final long GIB = 1L << 30, MOST_MEMORY = 12 * GIB, LOOK_MILLIS = 200;
-
-  /** The run has gone over its bound of memory, and was ended. */
-  public static final class OverBound extends RuntimeException {
-    private static final long serialVersionUID = 1;
-
-    OverBound(String what) {
-      super(what);
-    }
-  }
-
-  /** One process of hollow proxies, ordered by the line. */
-  static final class Hollows {
-    final Process process;
-    private final BufferedReader in;
-
-    Hollows(Process process) {
-      this.process = process;
-      in = process.inputReader(StandardCharsets.US_ASCII);
-    }
-
-    /** The lines that answer an order. */
-    List<String> ask(String order) {
-      try {
-        process.outputWriter(StandardCharsets.US_ASCII).append(order).append('\n').flush();
-        return answer();
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
-      }
-    }
-
-    List<String> answer() throws IOException {
-      List<String> out = new ArrayList<>();
-      for (String line = in.readLine(); !"end".equals(line); line = in.readLine()) {
-        if (line == null) {
-          throw new IOException("a process of hollow proxies has ended");
-        }
-        out.add(line);
-      }
-      return out;
-    }
-  }
-
-  private final List<Process> all = Collections.synchronizedList(new ArrayList<>());
-  private final long bound;
-  private final Thread guard = new Thread(this::watch, "memory");
-  private volatile boolean over, broken;
-  private volatile long peak;
-
-  /** bound: bytes that all of them may hold; at most 12 GiB and half of the machine's. */
-  ProcessGroup(long bound) {
-    this.bound = bound;
-    guard.setDaemon(true);
-    guard.start();
-  }
-
-  /** What this machine allows: half of its memory, or one line that says why it is too little. */
-  static long allowed() {
-    try (Stream<String> lines = Files.lines(Path.of("/proc/meminfo"))) {
-      List<String> info = lines.toList();
-      long half = Math.min(MOST_MEMORY, kib(info, "MemTotal:") * 512);
-      long free = kib(info, "MemAvailable:") * 1024;
-      if (free < GIB) {
-        throw new InvalidConfigurationException(
-            "memory", free / 1_048_576 + " MiB are free, under 1024");
-      }
-      return Math.min(half, free);
-    } catch (IOException e) {
-      throw new InvalidConfigurationException("/proc/meminfo", "unreadable: " + e.getMessage());
-    }
-  }
-
-  private static long kib(List<String> info, String key) {
-    return info.stream()
-        .filter(line -> line.startsWith(key))
-        .map(line -> line.replaceAll("\\D", ""))
-        .mapToLong(Long::parseLong)
-        .findFirst()
-        .orElse(0);
+final class ProcessGroup implements AutoCloseable {
+  private static final int MAX_PROCESSES = 200;
+  private static final long WATCH_INTERVAL_MILLIS = 200;
+  private static final long END_TIMEOUT_SECONDS = 5;
+
+  private final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
+  private final long maxMemoryBytes;
+  private final Thread watcher = new Thread(this::watchMemory, "memory");
+  private volatile boolean isClosed;
+  private volatile boolean isLimitExceeded;
+  private volatile long peakMemoryBytes;
+
+  /** maxMemoryBytes: what all of them may hold; past it all are ended. */
+  ProcessGroup(long maxMemoryBytes) {
+    this.maxMemoryBytes = maxMemoryBytes;
+    watcher.setDaemon(true);
+    watcher.start();
   }
 
-  private Process start(ProcessBuilder how) {
-    check();
-    all.removeIf(p -> !p.isAlive());
-    if (all.size() >= MOST) {
-      throw new OverBound(MOST + " processes run already");
+  private Process start(ProcessBuilder builder) {
+    checkLimit();
+    processes.removeIf(process -> !process.isAlive());
+    if (processes.size() >= MAX_PROCESSES) {
+      throw new ResourceLimitException(MAX_PROCESSES + " processes run already");
     }
     try {
-      Process one = how.redirectError(new File("/dev/null")).start();
-      all.add(one);
-      return one;
+      Process process = builder.redirectError(new File("/dev/null")).start();
+      processes.add(process);
+      return process;
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
-  Hollows hollows(int count, int first, Path config, InetSocketAddress settings) {
+  /**
+   * Starts a process of control-only proxies.
+   *
+   * @param count how many proxies it holds
+   * @param first the number of the first of them
+   * @param settingsSource the source of settings that they watch, or null
+   */
+  ControlOnlyProcess startControlOnly(
+      int count, int first, Path config, InetSocketAddress settingsSource) {
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-    ProcessBuilder how =
+    ProcessBuilder builder =
         new ProcessBuilder(
             java,
             "-Djava.net.preferIPv4Stack=true",
@@ -132,95 +72,80 @@
             Integer.toString(count),
             Integer.toString(first),
             config.toString());
-    if (settings != null) {
-      how.command().add(settings.getHostString() + ":" + settings.getPort());
+    if (settingsSource != null) {
+      builder.command().add(settingsSource.getHostString() + ":" + settingsSource.getPort());
     }
-    return new Hollows(start(how));
+    return new ControlOnlyProcess(start(builder));
   }
 
-  /** A real proxy by the operators' own line; cpus: where it may run, or null. */
-  Process real(Path home, String run, Path config, Path folder, String cpus) {
-    String line = cpus == null ? run : run.replaceFirst("^exec ", "exec taskset -c " + cpus + " ");
-    ProcessBuilder how =
-        new ProcessBuilder("/bin/sh", "-c", line)
+  /**
+   * Starts a complete proxy by the operators' own command line.
+   *
+   * @param directory for its log and temporary files
+   * @param cpus the processors it may use, as taskset takes them, or null for all
+   */
+  Process startProxy(Path home, String commandLine, Path config, Path directory, String cpus) {
+    String pinned =
+        cpus == null
+            ? commandLine
+            : commandLine.replaceFirst("^exec ", "exec taskset -c " + cpus + " ");
+    ProcessBuilder builder =
+        new ProcessBuilder("/bin/sh", "-c", pinned)
             .directory(home.toFile())
-            .redirectOutput(folder.resolve(config.getFileName() + ".log").toFile());
-    how.environment().put("GW_CONFIG", config.toString());
-    how.environment().put("TMPDIR", folder.toString());
-    how.environment().remove("GW_ADMIN");
-    return start(how);
-  }
-
-  /** Nanoseconds of processor time of its threads, those aside that compile, which come and go. */
-  static long cpu(Process one) {
-    File[] threads = new File("/proc/" + one.pid() + "/task").listFiles();
-    long sum = 0;
-    for (File thread : threads == null ? new File[0] : threads) {
-      try {
-        String name = Files.readString(thread.toPath().resolve("comm"));
-        String times = Files.readString(thread.toPath().resolve("schedstat"));
-        sum += name.matches("(?s)C[12] Comp.*") ? 0 : Long.parseLong(times.split(" ")[0]);
-      } catch (IOException e) {
-        continue; // it has just ended
-      }
-    }
-    return sum;
-  }
-
-  /** Kilobytes under this key of its status: VmRSS now, VmHWM at most so far. */
-  static long memory(Process one, String key) {
-    try (Stream<String> lines = Files.lines(Path.of("/proc/" + one.pid() + "/status"))) {
-      return kib(lines.toList(), key + ":");
-    } catch (IOException | UncheckedIOException e) {
-      return 0;
-    }
+            .redirectOutput(directory.resolve(config.getFileName() + ".log").toFile());
+    builder.environment().put("GW_CONFIG", config.toString());
+    builder.environment().put("TMPDIR", directory.toString());
+    builder.environment().remove("GW_ADMIN");
+    return start(builder);
   }
 
-  private void watch() {
-    while (!over) {
+  private void watchMemory() {
+    while (!isClosed) {
       long sum = 0;
-      for (Process one : List.copyOf(all)) {
-        sum += one.isAlive() ? memory(one, "VmRSS") * 1024 : 0;
+      for (Process process : List.copyOf(processes)) {
+        sum += process.isAlive() ? ProcessStatistics.residentKib(process) * 1024 : 0;
       }
-      peak = Math.max(peak, sum);
-      if (sum > bound) {
-        broken = true;
-        List.copyOf(all).forEach(Process::destroyForcibly);
+      peakMemoryBytes = Math.max(peakMemoryBytes, sum);
+      if (sum > maxMemoryBytes) {
+        isLimitExceeded = true;
+        List.copyOf(processes).forEach(Process::destroyForcibly);
       }
       try {
-        Thread.sleep(LOOK_MILLIS);
+        Thread.sleep(WATCH_INTERVAL_MILLIS);
       } catch (InterruptedException e) {
-        return;
+        return; // closed
       }
     }
   }
 
-  /** Throws if the bound of memory was passed. */
-  void check() {
-    if (broken) {
-      throw new OverBound("memory over " + bound / 1_048_576 + " MiB: all processes were ended");
+  /** Throws ResourceLimitException if the processes held more memory than they may. */
+  void checkLimit() {
+    if (isLimitExceeded) {
+      throw new ResourceLimitException(
+          "memory over " + maxMemoryBytes / 1_048_576 + " MiB: all processes were ended");
     }
   }
 
-  /** Bytes that all together held at most, as seen now and then. */
-  long peak() {
-    return peak;
+  /** The most bytes that all processes held together at one of the looks at them. */
+  long peakMemoryBytes() {
+    return peakMemoryBytes;
   }
 
-  void end(Process one) {
-    one.destroyForcibly();
+  /** Ends a process and waits for its end, 5 s at most. */
+  void end(Process process) {
+    process.destroyForcibly();
     try {
-      one.waitFor(5, TimeUnit.SECONDS);
+      process.waitFor(END_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    all.remove(one);
+    processes.remove(process);
   }
 
   @Override
   public void close() {
-    over = true;
-    guard.interrupt();
-    List.copyOf(all).forEach(this::end);
+    isClosed = true;
+    watcher.interrupt();
+    List.copyOf(processes).forEach(this::end);
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
@@ -0,0 +1,128 @@
+package wheattrack.lab.scale;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** A complete proxy, started by the operators' command line, to compare control-only ones with. */
+final class ReferenceProxy implements AutoCloseable {
+  private static final int READY_TIMEOUT_MILLIS = 200;
+  private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+  private static final int READ_TIMEOUT_MILLIS = 2000;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final ProcessGroup group;
+  private final InetSocketAddress address;
+  private final Process process;
+  private final long startedAtNanos;
+  private double readyMillis = Double.NaN;
+
+  /** A process that has just been started, to be ended in its group; address: its clients' port. */
+  ReferenceProxy(
+      ProcessGroup group, InetSocketAddress address, Process process, long startedAtNanos) {
+    this.group = group;
+    this.address = address;
+    this.process = process;
+    this.startedAtNanos = startedAtNanos;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Waits until it is ready; {@link #readyMillis} tells afterwards how long that took. */
+  void awaitReady(long timeoutMillis) throws InterruptedException {
+    boolean isReady = Polling.await(timeoutMillis, this::isReady);
+    readyMillis = isReady ? millisSinceStart() : Double.NaN;
+  }
+
+  /** Milliseconds from its start until it was ready; NaN if it was not in time. */
+  double readyMillis() {
+    return readyMillis;
+  }
+
+  boolean wasReady() {
+    return Double.isFinite(readyMillis);
+  }
+
+  double millisSinceStart() {
+    return (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI;
+  }
+
+  /** Asks it whether it is ready. */
+  boolean isReady() {
+    try (Socket connection = new Socket()) {
+      connection.connect(address, READY_TIMEOUT_MILLIS);
+      connection.setSoTimeout(READY_TIMEOUT_MILLIS);
+      send(connection, "GET /ready HTTP/1.1\r\n\r\n");
+      byte[] statusLine = connection.getInputStream().readNBytes(12);
+      return new String(statusLine, StandardCharsets.US_ASCII).endsWith("200");
+    } catch (IOException e) {
+      return false; // it does not listen yet
+    }
+  }
+
+  /** A figure of its admin address by name; NaN if there is none or it does not answer. */
+  double metric(String name) {
+    try (Socket connection = new Socket()) {
+      connection.connect(
+          new InetSocketAddress(address.getHostString(), address.getPort() + 1),
+          CONNECT_TIMEOUT_MILLIS);
+      connection.setSoTimeout(READ_TIMEOUT_MILLIS);
+      send(connection, "GET /status/metrics HTTP/1.1\r\n\r\n");
+      String text =
+          new String(connection.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      int start = text.indexOf("proxy." + name + ":");
+      if (start < 0) {
+        return Double.NaN;
+      }
+      return Double.parseDouble(
+          text.substring(text.indexOf(':', start) + 1, text.indexOf('|', start)));
+    } catch (IOException e) {
+      return Double.NaN; // it does not listen, or no longer
+    }
+  }
+
+  private static void send(Socket connection, String request) throws IOException {
+    connection.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /**
+   * Has it read its configuration anew by a signal: milliseconds of processor time until it has,
+   * which include those at rest; NaN after the timeout.
+   */
+  double reloadCpuMillis(long timeoutMillis) throws IOException, InterruptedException {
+    double reloadsBefore = metric("reloads_ok");
+    long cpuBefore = cpuNanos();
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    boolean isReloaded = Polling.await(timeoutMillis, () -> metric("reloads_ok") > reloadsBefore);
+    return isReloaded ? (cpuNanos() - cpuBefore) / NANOS_PER_MILLI : Double.NaN;
+  }
+
+  /** Nanoseconds of processor time so far. */
+  long cpuNanos() {
+    return ProcessStatistics.cpuNanos(process);
+  }
+
+  double peakResidentMib() {
+    return ProcessStatistics.peakResidentKib(process) / 1024.0;
+  }
+
+  long residentKib() {
+    return ProcessStatistics.residentKib(process);
+  }
+
+  /** Puts when it was ready and what its start cost. */
+  void putStart(Map<String, Double> figures) {
+    figures.put("w_ready_ms", readyMillis);
+    figures.put("w_start_cpu_ms", cpuNanos() / NANOS_PER_MILLI);
+    figures.put("w_rss_mb", peakResidentMib());
+  }
+
+  @Override
+  public void close() {
+    group.end(process);
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
@@ -0,0 +1,79 @@
+package wheattrack.lab.scale;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** The axis of complete proxies that start at once, whatever their source does meanwhile. */
+final class RestartMeasurement {
+  private static final long READY_TIMEOUT_NANOS = 45_000_000_000L;
+  private static final long POLL_INTERVAL_MILLIS = 5;
+
+  private final ScaleEnvironment environment;
+
+  RestartMeasurement(ScaleEnvironment environment) {
+    this.environment = environment;
+  }
+
+  /** By proxies. */
+  void measure(int count, Map<String, Double> figures) throws Exception {
+    int processors = Runtime.getRuntime().availableProcessors();
+    int cores = Math.max(1, Math.min(processors, (count + 1) / 2));
+    figures.put("core_each", Math.min(1, cores / (double) count));
+    for (SourceServer.Mode mode : SourceServer.Mode.values()) {
+      try (SourceServer source = environment.startEndpointSource(ScaleEnvironment.SMALL_LIST)) {
+        source.setMode(mode);
+        List<ReferenceProxy> proxies = start(count, source, "0-" + (cores - 1));
+        double[] readyMillis = awaitReady(proxies);
+        putFigures(mode.name().toLowerCase(Locale.ROOT), proxies, readyMillis, figures);
+        proxies.forEach(ReferenceProxy::close);
+      }
+    }
+  }
+
+  private List<ReferenceProxy> start(int count, SourceServer source, String cpus)
+      throws IOException {
+    List<ReferenceProxy> proxies = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      proxies.add(environment.startPinnedReference(i, source, cpus));
+    }
+    return proxies;
+  }
+
+  /** Milliseconds until each was ready, in rising order; NaN, last, for those that were not. */
+  private double[] awaitReady(List<ReferenceProxy> proxies) throws InterruptedException {
+    double[] readyMillis = new double[proxies.size()];
+    Arrays.fill(readyMillis, Double.NaN);
+    long deadline = System.nanoTime() + READY_TIMEOUT_NANOS;
+    int missing = proxies.size();
+    while (missing > 0 && System.nanoTime() < deadline) {
+      for (int i = 0; i < readyMillis.length; i++) {
+        if (!Double.isFinite(readyMillis[i]) && proxies.get(i).isReady()) {
+          readyMillis[i] = proxies.get(i).millisSinceStart();
+          missing--;
+        }
+      }
+      environment.checkLimit();
+      Thread.sleep(POLL_INTERVAL_MILLIS);
+    }
+    Arrays.sort(readyMillis);
+    return readyMillis;
+  }
+
+  private static void putFigures(
+      String mode,
+      List<ReferenceProxy> proxies,
+      double[] readyMillis,
+      Map<String, Double> figures) {
+    int count = readyMillis.length;
+    int rank90 = Math.max(0, (int) Math.ceil(0.9 * count) - 1);
+    long residentKib = proxies.stream().mapToLong(ReferenceProxy::residentKib).sum();
+    figures.put(mode + "_p50_ms", readyMillis[count / 2]);
+    figures.put(mode + "_p90_ms", readyMillis[rank90]);
+    figures.put(mode + "_last_ms", readyMillis[count - 1]);
+    figures.put(mode + "_rss_mb", residentKib / 1024.0 / count);
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -16,152 +16,177 @@
 import wheattrack.config.ConfigurationReader;
 import wheattrack.config.InvalidConfigurationException;
 
-/** `lab scale`: what control costs, along one axis at a time. See docs/operate/scale.md. */
+/**
+ * The command {@code lab scale}: what control costs, along one axis at a time. See
+ * docs/operate/scale.md.
+ */
 public final class ScaleCommand {
-  private static final long LONGEST_NANOS = 600_000_000_000L;
+  /** No point begins later than this. */
+  private static final long MAX_RUN_NANOS = 600_000_000_000L;
 
   /**
-   * What to play. axis: one, or null for all; points: its points, or null for those that ship;
-   * memory: bytes that all processes may hold, 0 for what the machine allows; tellsWhole: a twin
-   * whose source tells each change by the whole list, which a test is to notice; witnesses: whether
-   * real proxies stand beside.
+   * What to measure.
+   *
+   * @param home the root of the tree, where the operators' command line is run
+   * @param axis the one axis to measure, or null for all
+   * @param points its points, divided by commas, or null for those of a full run
+   * @param outputDirectory where the figures and the report go, or null
+   * @param memoryBytes what all processes may hold, 0 for what the machine allows
+   * @param sendsSnapshots whether the sources send each change as a complete snapshot, a fault that
+   *     a test has to notice
+   * @param hasReferences whether complete proxies run beside the control-only ones
    */
   public record Job(
       Path home,
       String axis,
       String points,
       long seed,
-      Path out,
-      long memory,
-      boolean tellsWhole,
-      boolean witnesses) {}
+      Path outputDirectory,
+      long memoryBytes,
+      boolean sendsSnapshots,
+      boolean hasReferences) {}
 
   private ScaleCommand() {}
 
   /**
-   * Plays it, prints each axis as it is done, and says what was had; throws BadConfig for bad
-   * input.
+   * Measures, prints each axis as it is done, and returns the figures. Throws
+   * InvalidConfigurationException for bad input and ResourceLimitException if the run needed more
+   * than it may have.
    */
-  public static List<AxisMeasurements> run(Job job, PrintStream say) throws IOException {
-    long allowed = ProcessGroup.allowed();
-    if (job.memory > allowed) {
+  public static List<AxisMeasurements> run(Job job, PrintStream output) throws IOException {
+    long allowed = ProcessStatistics.allowedMemoryBytes();
+    if (job.memoryBytes > allowed) {
       throw new InvalidConfigurationException(
           "--memory-mb",
-          job.memory / 1_048_576
+          job.memoryBytes / 1_048_576
               + " is over the "
               + allowed / 1_048_576
               + " that may be used here");
     }
-    String line =
-        job.witnesses
+    String commandLine =
+        job.hasReferences
             ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).text("run")
             : "";
-    Path folder = Files.createTempDirectory("wheattrack-scale");
-    List<AxisMeasurements> out = new ArrayList<>();
-    long until = System.nanoTime() + LONGEST_NANOS;
-    try (ProcessGroup processes = new ProcessGroup(job.memory > 0 ? job.memory : allowed);
-        ScaleAxes axes =
-            new ScaleAxes(
-                processes, job.home, folder, line, job.seed, job.tellsWhole, job.witnesses)) {
-      for (ScaleAxes.Axis axis : chosen(axes.all(), job)) {
-        AxisMeasurements figures = new AxisMeasurements(axis.name(), axis.unit());
-        out.add(figures);
+    Path directory = Files.createTempDirectory("wheattrack-scale");
+    List<AxisMeasurements> measurements = new ArrayList<>();
+    long deadline = System.nanoTime() + MAX_RUN_NANOS;
+    try (ProcessGroup processes =
+            new ProcessGroup(job.memoryBytes > 0 ? job.memoryBytes : allowed);
+        ScaleEnvironment environment =
+            new ScaleEnvironment(processes, job, directory, commandLine)) {
+      for (ScaleAxis axis : chosen(ScaleAxes.of(environment), job)) {
+        AxisMeasurements axisMeasurements = new AxisMeasurements(axis.name(), axis.unit());
+        measurements.add(axisMeasurements);
         for (int point : points(axis, job.points)) {
-          if (System.nanoTime() > until) {
-            say.println("not run, as ten minutes are over: " + axis.name() + " " + point);
-            continue;
-          }
-          try {
-            axis.how().measure(point, figures.at(point));
-          } catch (ProcessGroup.OverBound e) {
-            throw e;
-          } catch (Exception e) {
-            processes.check();
-            say.println(axis.name() + " " + point + " fell short: " + e);
+          if (System.nanoTime() > deadline) {
+            output.println("not run, as ten minutes are over: " + axis.name() + " " + point);
+          } else {
+            measure(axis, point, axisMeasurements, environment, output);
           }
         }
-        say.print(figures.table());
-        say.flush();
+        output.print(axisMeasurements.table());
+        output.flush();
       }
-      say.printf("memory of all processes, at most: %d MB%n", processes.peak() / 1_048_576);
+      output.printf(
+          "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / 1_048_576);
     } finally {
-      clear(folder);
+      delete(directory);
+    }
+    if (job.outputDirectory != null) {
+      Files.createDirectories(job.outputDirectory);
+      writeLines(job, measurements);
+      Files.writeString(
+          job.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
     }
-    if (job.out != null) {
-      Files.createDirectories(job.out);
-      lines(job, out);
-      Files.writeString(job.out.resolve("scale.html"), CapacityReport.of(out));
+    return measurements;
+  }
+
+  /**
+   * Measures a point; what keeps it from being measured is printed, and its figures are missing.
+   */
+  private static void measure(
+      ScaleAxis axis,
+      int point,
+      AxisMeasurements measurements,
+      ScaleEnvironment environment,
+      PrintStream output) {
+    try {
+      axis.measurement().measure(point, measurements.addRow(point));
+    } catch (ResourceLimitException e) {
+      throw e;
+    } catch (Exception e) {
+      environment.checkLimit(); // it may have failed because its processes were ended
+      output.println(axis.name() + " " + point + " fell short: " + e);
     }
-    return out;
   }
 
-  private static List<ScaleAxes.Axis> chosen(List<ScaleAxes.Axis> all, Job job) {
+  private static List<ScaleAxis> chosen(List<ScaleAxis> all, Job job) {
     if (job.axis == null) {
       if (job.points != null) {
         throw new InvalidConfigurationException("--points", "given without --axis");
       }
       return all;
     }
-    List<ScaleAxes.Axis> one = all.stream().filter(a -> a.name().equals(job.axis)).toList();
-    if (one.isEmpty()) {
+    List<ScaleAxis> chosen = all.stream().filter(axis -> axis.name().equals(job.axis)).toList();
+    if (chosen.isEmpty()) {
       throw new InvalidConfigurationException(
-          "--axis",
-          "'" + job.axis + "' is none of " + all.stream().map(ScaleAxes.Axis::name).toList());
+          "--axis", "'" + job.axis + "' is none of " + all.stream().map(ScaleAxis::name).toList());
     }
-    return one;
+    return chosen;
   }
 
-  private static int[] points(ScaleAxes.Axis axis, String text) {
+  private static int[] points(ScaleAxis axis, String text) {
     if (text == null) {
       return axis.points();
     }
-    int[] points =
-        Arrays.stream(text.split(",", -1))
-            .mapToInt(
-                word -> {
-                  int point;
-                  try {
-                    point = Integer.parseInt(word.strip());
-                  } catch (NumberFormatException e) {
-                    throw new InvalidConfigurationException(
-                        "--points", "not a whole number: '" + word + "'");
-                  }
-                  if (point < axis.least() || point > axis.most()) {
-                    throw new InvalidConfigurationException(
-                        "--points", point + " is not from " + axis.least() + " to " + axis.most());
-                  }
-                  return point;
-                })
-            .toArray();
-    return points;
+    return Arrays.stream(text.split(",", -1)).mapToInt(word -> point(axis, word)).toArray();
+  }
+
+  private static int point(ScaleAxis axis, String word) {
+    int point;
+    try {
+      point = Integer.parseInt(word.strip());
+    } catch (NumberFormatException e) {
+      throw new InvalidConfigurationException("--points", "not a whole number: '" + word + "'");
+    }
+    if (point < axis.min() || point > axis.max()) {
+      throw new InvalidConfigurationException(
+          "--points", point + " is not from " + axis.min() + " to " + axis.max());
+    }
+    return point;
   }
 
-  private static void lines(Job job, List<AxisMeasurements> all) throws IOException {
-    try (JsonGenerator json =
-        new JsonFactory()
-            .createGenerator(Files.newBufferedWriter(job.out.resolve("scale.jsonl")))) {
+  private static void writeLines(Job job, List<AxisMeasurements> measurements) throws IOException {
+    Path file = job.outputDirectory.resolve("scale.jsonl");
+    try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
       json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
-      for (AxisMeasurements figures : all) {
-        for (AxisMeasurements.Row row : figures.rows) {
-          json.writeStartObject();
-          json.writeStringField("axis", figures.axis);
-          json.writeNumberField("point", row.point());
-          json.writeNumberField("seed", job.seed);
-          for (Map.Entry<String, Double> f : row.figures().entrySet()) {
-            if (Double.isFinite(f.getValue())) {
-              json.writeNumberField(f.getKey(), f.getValue());
-            } else {
-              json.writeNullField(f.getKey());
-            }
-          }
-          json.writeEndObject();
+      for (AxisMeasurements axis : measurements) {
+        for (AxisMeasurements.Row row : axis.rows()) {
+          writeLine(json, job, axis, row);
         }
       }
     }
   }
 
-  private static void clear(Path folder) throws IOException {
-    try (Stream<Path> files = Files.walk(folder)) {
+  private static void writeLine(
+      JsonGenerator json, Job job, AxisMeasurements axis, AxisMeasurements.Row row)
+      throws IOException {
+    json.writeStartObject();
+    json.writeStringField("axis", axis.axis());
+    json.writeNumberField("point", row.point());
+    json.writeNumberField("seed", job.seed);
+    for (Map.Entry<String, Double> figure : row.figures().entrySet()) {
+      if (Double.isFinite(figure.getValue())) {
+        json.writeNumberField(figure.getKey(), figure.getValue());
+      } else {
+        json.writeNullField(figure.getKey());
+      }
+    }
+    json.writeEndObject();
+  }
+
+  private static void delete(Path directory) throws IOException {
+    try (Stream<Path> files = Files.walk(directory)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.deleteIfExists(file);
       }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
@@ -0,0 +1,106 @@
+package wheattrack.lab.scale;
+
+import static wheattrack.lab.scale.ScaleEnvironment.FLEET_LIST_TIMEOUT_MILLIS;
+import static wheattrack.lab.scale.ScaleEnvironment.LIST_TIMEOUT_MILLIS;
+import static wheattrack.lab.scale.ScaleEnvironment.SMALL_FLEET;
+import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
+import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** The axes about settings: their size in a file, and in a source that is watched. */
+final class SettingsMeasurements {
+  /** Rule sets of 18 services, docs/CAPACITY.md. */
+  static final int USUAL_SCOPE = 146;
+
+  /** How long a proxy may take to read a large configuration and learn its list. */
+  private static final long READY_TIMEOUT_MILLIS = 45_000;
+
+  private static final int CHANGES = 200;
+  private static final int CHANGES_PER_SECOND = 100;
+  private static final int WATCHERS_CHANGES = 20;
+  private static final int WATCHERS_CHANGES_PER_SECOND = 5;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final ScaleEnvironment environment;
+
+  SettingsMeasurements(ScaleEnvironment environment) {
+    this.environment = environment;
+  }
+
+  /** By rule sets in the configuration file. */
+  void measureRuleSets(int ruleSets, Map<String, Double> figures) throws Exception {
+    measureFile(ruleSets, 0, figures);
+  }
+
+  /** By tenants in the configuration file. */
+  void measureTenants(int tenants, Map<String, Double> figures) throws Exception {
+    measureFile(USUAL_RULE_SETS, tenants, figures);
+  }
+
+  /** By rule sets in the source that a few proxies watch. */
+  void measureScope(int ruleSets, Map<String, Double> figures) throws Exception {
+    measureSource(ruleSets, SMALL_FLEET, figures);
+  }
+
+  /** By control-only proxies that watch a source of the usual size. */
+  void measureScopeWatchers(int fleetSize, Map<String, Double> figures) throws Exception {
+    measureSource(USUAL_SCOPE, fleetSize, figures);
+  }
+
+  private void measureFile(int ruleSets, int tenants, Map<String, Double> figures)
+      throws Exception {
+    try (SourceServer source = environment.startEndpointSource(SMALL_LIST)) {
+      Path config = environment.writeConfig(source, ruleSets, tenants);
+      figures.put("file_mb", Files.size(config) / 1048576.0);
+      try (ControlOnlyFleet fleet = environment.startFleet(1, config)) {
+        fleet.awaitLists(READY_TIMEOUT_MILLIS);
+        long cpuBefore = fleet.cpuNanos();
+        long start = System.nanoTime();
+        fleet.reload(config);
+        figures.put("reload_ms", (System.nanoTime() - start) / NANOS_PER_MILLI);
+        figures.put("reload_cpu_ms", (fleet.cpuNanos() - cpuBefore) / NANOS_PER_MILLI);
+        figures.put("heap_kb", fleet.heapKibEach());
+      }
+      if (environment.hasReferences()) {
+        try (ReferenceProxy reference = environment.startReference(source, ruleSets, tenants)) {
+          reference.putStart(figures);
+          figures.put(
+              "w_reload_cpu_ms",
+              reference.wasReady() ? reference.reloadCpuMillis(LIST_TIMEOUT_MILLIS) : Double.NaN);
+        }
+      }
+    }
+  }
+
+  /** Settings from a watched source: what a change costs, and when it is in force. */
+  private void measureSource(int ruleSets, int fleetSize, Map<String, Double> figures)
+      throws Exception {
+    try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
+        SourceServer settings = environment.startSettingsSource(ruleSets)) {
+      Path config = environment.writeConfig(endpoints, 1, 0);
+      try (ReferenceProxy reference = environment.startReference(endpoints, settings)) {
+        long bytesBefore = settings.bytesSent();
+        try (ControlOnlyFleet fleet = environment.startFleet(fleetSize, config, settings)) {
+          figures.put("whole_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+          figures.put("whole_kb", (settings.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
+          figures.put("heap_kb", fleet.heapKibEach());
+          if (reference != null) {
+            figures.put("w_ready_ms", reference.readyMillis());
+            figures.put("w_rss_mb", reference.peakResidentMib());
+          }
+          boolean isSmall = fleetSize <= SMALL_FLEET;
+          int changes = isSmall ? CHANGES : WATCHERS_CHANGES;
+          int perSecond = isSmall ? CHANGES_PER_SECOND : WATCHERS_CHANGES_PER_SECOND;
+          new SteadyChanges(environment, settings, ruleSets)
+              .measure(fleet, reference, changes, perSecond, figures);
+          if (reference != null) {
+            figures.put("w_told", reference.metric("settings_told"));
+          }
+        }
+      }
+    }
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -20,198 +21,218 @@
 import java.util.regex.Pattern;
 
 /**
- * Discovery for thousands of watchers: a list of any length that changes, one thread, an answer in
- * chunks to each watch. It keeps a bounded course of changes; who asks for what lies before it gets
- * the whole list.
+ * A discovery or settings server for thousands of watches: one thread, an answer in chunks to each
+ * watch. It keeps a bounded history of changes; who asks for what lies before it gets a complete
+ * snapshot. Its methods may be called by any thread.
  */
 final class SourceServer implements AutoCloseable {
-  /** REFUSING: nobody listens. SILENT: who connects hears nothing, then and later. */
+  /** How the server meets its clients. */
   enum Mode {
+    /** Serves. */
     UP,
+    /** Does not listen. */
     REFUSING,
+    /** Accepts connections and never answers them, then or later. */
     SILENT
   }
 
-  private static final int COURSE = 20_000, BACKLOG = 8192, LIFE_NANOS = 2_000_000_000;
+  private static final int MAX_HISTORY = 20_000;
+  private static final int BACKLOG = 8192;
+  private static final int READ_BUFFER_BYTES = 1 << 16;
+  private static final long SELECT_TIMEOUT_MILLIS = 50;
+
+  /** An empty line goes to each watch this often, as a sign of life. */
+  private static final long HEARTBEAT_NANOS = 2_000_000_000;
+
+  private static final long EXECUTE_TIMEOUT_SECONDS = 5;
+  private static final long END_TIMEOUT_MILLIS = 2000;
   private static final Pattern AFTER = Pattern.compile("after=(\\d+)");
   private static final byte[] HEAD =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-  /** One watch. */
-  private static final class Watcher {
-    final SocketChannel channel;
-    final StringBuilder head = new StringBuilder();
-    final Deque<ByteBuffer> pending = new ArrayDeque<>();
-    boolean asked, mute;
+  /** One connection of a client. */
+  private static final class Watch {
+    private final SocketChannel channel;
+    private final StringBuilder head = new StringBuilder();
+    private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+    private boolean isRequested;
+    private boolean isMuted;
 
-    Watcher(SocketChannel channel) {
+    private Watch(SocketChannel channel) {
       this.channel = channel;
     }
+
+    private boolean isNotified() {
+      return isRequested && !isMuted;
+    }
   }
 
   private final Selector selector;
-  private final InetSocketAddress at;
-  private final boolean tellsWhole;
-  private final ConcurrentLinkedQueue<Runnable> orders = new ConcurrentLinkedQueue<>();
-  private final List<Watcher> watchers = new ArrayList<>();
-  private final VersionedSource told;
-  private final Deque<String> course = new ArrayDeque<>();
+  private final InetSocketAddress address;
+  private final boolean sendsSnapshots;
+  private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final VersionedSource source;
+  private final Deque<String> history = new ArrayDeque<>();
   private final Thread thread;
-  private ServerSocketChannel door;
+  private ServerSocketChannel listener;
   private Mode mode = Mode.REFUSING;
-  private long rev = 1;
-  private String whole;
-  private volatile boolean over;
-  private volatile long sent, came, calls;
-
-  /** tellsWhole: each change is told by all there is (a twin that a test has to notice). */
-  SourceServer(VersionedSource told, boolean tellsWhole) throws IOException {
-    this.told = told;
-    this.tellsWhole = tellsWhole;
+  private long revision = 1;
+  private String snapshot;
+  private volatile boolean isClosed;
+  private volatile long bytesSent;
+  private volatile long bytesReceived;
+  private volatile long calls;
+
+  /**
+   * Starts to serve at a free port.
+   *
+   * @param sendsSnapshots whether each change is sent as a complete snapshot: a faulty server that
+   *     a test has to notice
+   */
+  SourceServer(VersionedSource source, boolean sendsSnapshots) throws IOException {
+    this.source = source;
+    this.sendsSnapshots = sendsSnapshots;
     selector = Selector.open();
     try (ServerSocketChannel free = ServerSocketChannel.open()) {
       free.bind(new InetSocketAddress("127.0.7.1", 0));
-      at = (InetSocketAddress) free.getLocalAddress();
+      address = (InetSocketAddress) free.getLocalAddress();
     }
     thread = new Thread(this::run, "source");
     thread.setDaemon(true);
     thread.start();
-    mode(Mode.UP);
+    setMode(Mode.UP);
   }
 
-  InetSocketAddress at() {
-    return at;
+  InetSocketAddress address() {
+    return address;
   }
 
-  /** Bytes told, and heard. */
-  long sent() {
-    return sent;
+  long bytesSent() {
+    return bytesSent;
   }
 
-  long came() {
-    return came;
+  long bytesReceived() {
+    return bytesReceived;
   }
 
+  /** Connections accepted so far. */
   long calls() {
     return calls;
   }
 
   /** The latest revision, once all changes asked for until now are made. */
-  long rev() {
-    long[] now = new long[1];
-    synchronously(() -> now[0] = rev);
-    return now[0];
+  long revision() {
+    long[] latest = new long[1];
+    executeAndWait(() -> latest[0] = revision);
+    return latest[0];
   }
 
-  private void order(Runnable what) {
-    orders.add(what);
-    selector.wakeup();
-  }
-
-  /**
-   * From now on; watches that are open go on in REFUSING's and SILENT's time but hear nothing any
-   * more.
-   */
-  void mode(Mode next) {
-    synchronously(
+  /** Changes the mode and returns once that is done; any mode but UP ends the watches there are. */
+  void setMode(Mode next) {
+    executeAndWait(
         () -> {
           mode = next;
           try {
-            if (next == Mode.REFUSING && door != null) {
-              door.close();
-              door = null;
-            } else if (next != Mode.REFUSING && door == null) {
-              door = ServerSocketChannel.open();
-              door.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
-              door.bind(at, BACKLOG).configureBlocking(false);
-              door.register(selector, SelectionKey.OP_ACCEPT);
-            }
-            if (next != Mode.UP) {
-              for (Watcher w : List.copyOf(watchers)) {
-                drop(w);
-              }
+            if (next == Mode.REFUSING) {
+              stopListening();
+            } else if (listener == null) {
+              listen();
             }
           } catch (IOException e) {
             throw new IllegalStateException(e);
           }
+          if (next != Mode.UP) {
+            List.copyOf(watches).forEach(this::drop);
+          }
         });
   }
 
-  private void synchronously(Runnable what) {
-    CountDownLatch done = new CountDownLatch(1);
-    order(
-        () -> {
-          what.run();
-          done.countDown();
-        });
-    try {
-      done.await(5, TimeUnit.SECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+  private void listen() throws IOException {
+    listener = ServerSocketChannel.open();
+    listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    listener.bind(address, BACKLOG).configureBlocking(false);
+    listener.register(selector, SelectionKey.OP_ACCEPT);
+  }
+
+  private void stopListening() throws IOException {
+    if (listener != null) {
+      listener.close();
+      listener = null;
     }
   }
 
-  /** Some entries change their state; what then counts as this revision. */
+  /** Changes so many entries from this one on, as one revision; does not wait for it. */
   void change(int first, int count) {
-    order(
+    execute(
         () -> {
-          String line = told.change(++rev, first, count);
-          whole = null;
-          course.add(line);
-          if (course.size() > COURSE) {
-            course.remove();
+          revision++;
+          String line = source.change(revision, first, count);
+          snapshot = null;
+          history.add(line);
+          if (history.size() > MAX_HISTORY) {
+            history.remove();
           }
           if (mode == Mode.UP) {
-            byte[] chunk = chunk(tellsWhole ? whole() : line);
-            watchers.stream().filter(w -> w.asked && !w.mute).toList().forEach(w -> tell(w, chunk));
+            sendToAll(chunk(sendsSnapshots ? snapshot() : line));
           }
         });
   }
 
-  private String whole() {
-    if (whole == null) {
-      whole = told.whole(rev);
+  private void execute(Runnable task) {
+    tasks.add(task);
+    selector.wakeup();
+  }
+
+  private void executeAndWait(Runnable task) {
+    CountDownLatch done = new CountDownLatch(1);
+    execute(
+        () -> {
+          task.run();
+          done.countDown();
+        });
+    try {
+      done.await(EXECUTE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  // What follows runs on the server's thread only.
+
+  private String snapshot() {
+    if (snapshot == null) {
+      snapshot = source.snapshot(revision);
     }
-    return whole;
+    return snapshot;
   }
 
   private static byte[] chunk(String text) {
     byte[] body = text.getBytes(StandardCharsets.US_ASCII);
     byte[] size = (Integer.toHexString(body.length) + "\r\n").getBytes(StandardCharsets.US_ASCII);
-    byte[] out = Arrays.copyOf(size, size.length + body.length + 2);
-    System.arraycopy(body, 0, out, size.length, body.length);
-    out[out.length - 2] = '\r';
-    out[out.length - 1] = '\n';
-    return out;
+    byte[] chunk = Arrays.copyOf(size, size.length + body.length + 2);
+    System.arraycopy(body, 0, chunk, size.length, body.length);
+    chunk[chunk.length - 2] = '\r';
+    chunk[chunk.length - 1] = '\n';
+    return chunk;
   }
 
   private void run() {
-    long life = System.nanoTime();
-    ByteBuffer room = ByteBuffer.allocateDirect(1 << 16);
-    while (!over) {
+    long heartbeatAt = System.nanoTime();
+    ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+    while (!isClosed) {
       try {
-        selector.select(50);
-        for (Runnable order = orders.poll(); order != null; order = orders.poll()) {
-          order.run();
+        selector.select(SELECT_TIMEOUT_MILLIS);
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+          task.run();
         }
         for (SelectionKey key : selector.selectedKeys()) {
-          if (key.isValid() && key.isAcceptable()) {
-            accept();
-          } else if (key.isValid()) {
-            Watcher w = (Watcher) key.attachment();
-            if (key.isReadable()) {
-              hear(w, room);
-            }
-            if (key.isValid() && key.isWritable()) {
-              writeOn(w);
-            }
-          }
+          handle(key, buffer);
         }
         selector.selectedKeys().clear();
-        if (System.nanoTime() - life > LIFE_NANOS) {
-          life = System.nanoTime();
-          byte[] empty = chunk("\n");
-          watchers.stream().filter(w -> w.asked && !w.mute).toList().forEach(w -> tell(w, empty));
+        if (System.nanoTime() - heartbeatAt > HEARTBEAT_NANOS) {
+          heartbeatAt = System.nanoTime();
+          sendToAll(chunk("\n"));
         }
       } catch (IOException e) {
         throw new IllegalStateException(e);
@@ -219,84 +240,108 @@
     }
   }
 
+  private void handle(SelectionKey key, ByteBuffer buffer) throws IOException {
+    if (!key.isValid()) {
+      return;
+    }
+    if (key.isAcceptable()) {
+      accept();
+      return;
+    }
+    Watch watch = (Watch) key.attachment();
+    if (key.isReadable()) {
+      read(watch, buffer);
+    }
+    if (key.isValid() && key.isWritable()) {
+      flush(watch);
+    }
+  }
+
   private void accept() throws IOException {
-    for (SocketChannel one = door == null ? null : door.accept();
-        one != null;
-        one = door.accept()) {
-      one.configureBlocking(false);
-      Watcher w = new Watcher(one);
-      watchers.add(w);
+    if (listener == null) {
+      return;
+    }
+    for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+      channel.configureBlocking(false);
+      Watch watch = new Watch(channel);
+      watches.add(watch);
       calls++;
-      one.register(selector, SelectionKey.OP_READ, w);
+      channel.register(selector, SelectionKey.OP_READ, watch);
     }
   }
 
-  private void hear(Watcher w, ByteBuffer room) {
+  private void read(Watch watch, ByteBuffer buffer) {
     try {
-      room.clear();
-      int n = w.channel.read(room);
-      if (n < 0) {
-        drop(w);
+      buffer.clear();
+      int count = watch.channel.read(buffer);
+      if (count < 0) {
+        drop(watch);
         return;
       }
-      came += n;
-      if (!w.asked) {
-        w.head.append(StandardCharsets.US_ASCII.decode(room.flip()));
-        if (w.head.indexOf("\r\n\r\n") >= 0) {
-          w.asked = true;
-          w.mute = mode != Mode.UP;
-          answer(w);
-        }
+      bytesReceived += count;
+      if (watch.isRequested) {
+        return;
+      }
+      watch.head.append(StandardCharsets.US_ASCII.decode(buffer.flip()));
+      if (watch.head.indexOf("\r\n\r\n") >= 0) {
+        watch.isRequested = true;
+        watch.isMuted = mode != Mode.UP;
+        answer(watch);
       }
     } catch (IOException e) {
-      drop(w);
+      drop(watch);
     }
   }
 
-  private void answer(Watcher w) {
-    if (w.mute) {
+  private void answer(Watch watch) {
+    if (watch.isMuted) {
       return;
     }
-    Matcher after = AFTER.matcher(w.head);
+    Matcher after = AFTER.matcher(watch.head);
     long known = after.find() ? Long.parseLong(after.group(1)) : -1;
-    tell(w, HEAD);
-    if (known < 0 || known < rev - course.size() || known > rev) {
-      tell(w, chunk(whole()));
-    } else if (known < rev) {
-      course.stream().skip(course.size() - (rev - known)).forEach(line -> tell(w, chunk(line)));
+    send(watch, HEAD);
+    if (known < 0 || known < revision - history.size() || known > revision) {
+      send(watch, chunk(snapshot()));
+    } else if (known < revision) {
+      long missing = revision - known;
+      history.stream().skip(history.size() - missing).forEach(line -> send(watch, chunk(line)));
     }
   }
 
-  private void tell(Watcher w, byte[] bytes) {
-    boolean first = w.pending.isEmpty();
-    w.pending.add(ByteBuffer.wrap(bytes));
-    if (first) {
-      writeOn(w);
+  /** Sends to each watch; a copy of the list is made, as a failed one is dropped from it. */
+  private void sendToAll(byte[] chunk) {
+    watches.stream().filter(Watch::isNotified).toList().forEach(watch -> send(watch, chunk));
+  }
+
+  private void send(Watch watch, byte[] bytes) {
+    boolean isIdle = watch.pending.isEmpty();
+    watch.pending.add(ByteBuffer.wrap(bytes));
+    if (isIdle) {
+      flush(watch);
     }
   }
 
-  private void writeOn(Watcher w) {
+  private void flush(Watch watch) {
     try {
-      while (!w.pending.isEmpty()) {
-        ByteBuffer next = w.pending.peek();
-        sent += w.channel.write(next);
+      while (!watch.pending.isEmpty()) {
+        ByteBuffer next = watch.pending.peek();
+        bytesSent += watch.channel.write(next);
         if (next.hasRemaining()) {
           break;
         }
-        w.pending.remove();
+        watch.pending.remove();
       }
-      w.channel
-          .keyFor(selector)
-          .interestOps(SelectionKey.OP_READ | (w.pending.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+      int writeInterest = watch.pending.isEmpty() ? 0 : SelectionKey.OP_WRITE;
+      watch.channel.keyFor(selector).interestOps(SelectionKey.OP_READ | writeInterest);
     } catch (IOException e) {
-      drop(w);
+      drop(watch);
     }
   }
 
-  private void drop(Watcher w) {
-    watchers.remove(w);
+  private void drop(Watch watch) {
+    watches.remove(watch);
     try {
-      w.channel.close();
+      watch.channel.close();
     } catch (IOException e) {
       // it is gone either way
     }
@@ -304,19 +349,15 @@
 
   @Override
   public void close() throws IOException {
-    over = true;
+    isClosed = true;
     selector.wakeup();
     try {
-      thread.join(2000);
+      thread.join(END_TIMEOUT_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    for (Watcher w : List.copyOf(watchers)) {
-      drop(w);
-    }
-    if (door != null) {
-      door.close();
-    }
+    List.copyOf(watches).forEach(this::drop);
+    stopListening();
     selector.close();
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -0,0 +1,115 @@
+package wheattrack.lab.scale;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Measures changes of a source at an even pace: what each costs beyond rest, when it is in force,
+ * and how much longer requests take meanwhile.
+ */
+final class SteadyChanges {
+  /** Changes before the measurement, so that code is compiled as in a proxy that has run on. */
+  private static final int MAX_WARM_UP_CHANGES = 200;
+
+  /** Bounds the notifications that a fleet gets in the second of warm-up. */
+  private static final int MAX_WARM_UP_NOTIFICATIONS = 30_000;
+
+  private static final long WARM_UP_PAUSE_MILLIS = 500;
+
+  /** How long rest is measured; briefly without references, as times say little then. */
+  private static final long REST_MILLIS = 2000;
+
+  private static final long SHORT_REST_MILLIS = 100;
+
+  /** Time for the last change to be in force everywhere. */
+  private static final long SETTLE_MILLIS = 800;
+
+  private static final long PROBE_WARM_UP_MILLIS = 1000;
+  private static final long PROBE_MILLIS = 2000;
+
+  private final ScaleEnvironment environment;
+  private final SourceServer source;
+  private final int entries;
+
+  /** entries: how many the source has, of which the changes take their turns. */
+  SteadyChanges(ScaleEnvironment environment, SourceServer source, int entries) {
+    this.environment = environment;
+    this.source = source;
+    this.entries = entries;
+  }
+
+  /**
+   * Makes so many changes at a fleet and, unless it is null, a reference proxy that watch the
+   * source, and puts the figures.
+   */
+  void measure(
+      ControlOnlyFleet fleet,
+      ReferenceProxy reference,
+      int count,
+      int perSecond,
+      Map<String, Double> figures)
+      throws InterruptedException {
+    if (environment.hasReferences()) {
+      int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
+      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(perSecond, notifications));
+      change(warmUp, warmUp);
+      Thread.sleep(WARM_UP_PAUSE_MILLIS);
+    }
+    long fleetBefore = fleet.cpuNanos();
+    long referenceBefore = cpuNanos(reference);
+    long restStart = System.nanoTime();
+    Thread.sleep(environment.hasReferences() ? REST_MILLIS : SHORT_REST_MILLIS);
+    double fleetRest = (fleet.cpuNanos() - fleetBefore) / (double) (System.nanoTime() - restStart);
+    double referenceRest =
+        (cpuNanos(reference) - referenceBefore) / (double) (System.nanoTime() - restStart);
+
+    fleet.forgetRevisions();
+    fleetBefore = fleet.cpuNanos();
+    referenceBefore = cpuNanos(reference);
+    long bytesBefore = source.bytesSent();
+    long start = System.nanoTime();
+    long[] changedAt = change(count, perSecond);
+    Thread.sleep(SETTLE_MILLIS);
+    environment.checkLimit();
+    double elapsed = System.nanoTime() - start;
+    double watchers = fleet.size() + (reference == null ? 0 : 1);
+    double fleetSpent = fleet.cpuNanos() - fleetBefore - fleetRest * elapsed;
+    figures.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / count);
+    figures.put("idle_us_s", fleetRest * 1e6 / fleet.size());
+    figures.put("change_us", fleetSpent / 1e3 / fleet.size() / count);
+    fleet.putTimesInForce(changedAt, source, figures);
+    if (reference != null && reference.wasReady()) {
+      double spent = cpuNanos(reference) - referenceBefore - referenceRest * elapsed;
+      figures.put("w_idle_us_s", referenceRest * 1e6);
+      figures.put("w_change_us", spent / 1e3 / count);
+      measureLatency(reference, perSecond, figures);
+    }
+  }
+
+  private static long cpuNanos(ReferenceProxy reference) {
+    return reference == null ? 0 : reference.cpuNanos();
+  }
+
+  /** Puts the latency of requests at rest and while there are changes. */
+  private void measureLatency(ReferenceProxy reference, int perSecond, Map<String, Double> figures)
+      throws InterruptedException {
+    new LatencyProbe(reference.address()).endAfter(PROBE_WARM_UP_MILLIS);
+    figures.put("w_p99_ms", new LatencyProbe(reference.address()).endAfter(PROBE_MILLIS));
+    LatencyProbe probe = new LatencyProbe(reference.address());
+    change(2 * perSecond, perSecond);
+    figures.put("w_p99_beside_ms", probe.endAfter(0));
+  }
+
+  /** Makes so many changes of one entry each, evenly; returns when each was made. */
+  private long[] change(int count, int perSecond) throws InterruptedException {
+    long start = System.nanoTime();
+    long[] changedAt = new long[count];
+    for (int i = 0; i < count; i++) {
+      long changeAt = start + i * 1_000_000_000L / perSecond;
+      TimeUnit.NANOSECONDS.sleep(Math.max(0, changeAt - System.nanoTime()));
+      changedAt[i] = System.nanoTime();
+      source.change((int) ((environment.seed() * 31 + i * 7L) % entries), 1);
+    }
+    return changedAt;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
+++ b/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
@@ -4,40 +4,48 @@
 import java.util.StringJoiner;
 
 /**
- * What a source holds and tells: entries by number, whole or those that changed. For one thread.
+ * What a source holds and sends: entries by number, as a complete snapshot or as those that
+ * changed, a line of JSON each. Not thread-safe.
  */
 interface VersionedSource {
-  String whole(long revision);
+  /** All entries, as of this revision. */
+  String snapshot(long revision);
 
-  /** Changes so many entries, from this one on, and tells them. */
+  /** Changes so many entries from this one on, and returns them as this revision. */
   String change(long revision, int first, int count);
 
   /** A list of backends, all at one address; a change turns SERVING and DRAINING round. */
   final class Backends implements VersionedSource {
+    private static final int FIRST_UID = 0x1000_0000;
+    private static final int BACKENDS_PER_POD_GROUP = 4;
+
     private final String[] entries;
-    private final boolean[] draining;
+    private final boolean[] isDraining;
 
     Backends(int count, InetSocketAddress endpoint) {
       entries = new String[count];
-      draining = new boolean[count];
+      isDraining = new boolean[count];
       for (int i = 0; i < count; i++) {
-        entries[i] =
-            "{\"uid\":\"s-"
-                + Integer.toHexString(0x1000_0000 + i)
-                + "\",\"endpoint\":\""
-                + endpoint.getHostString()
-                + ":"
-                + endpoint.getPort()
-                + "\",\"az\":\""
-                + (char) ('a' + i % 2)
-                + "\",\"model\":\"m1\",\"pod_group\":"
-                + i / 4
-                + ",\"state\":\"SERVING\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+        entries[i] = entry(i, endpoint);
       }
     }
 
+    private static String entry(int index, InetSocketAddress endpoint) {
+      return "{\"uid\":\"s-"
+          + Integer.toHexString(FIRST_UID + index)
+          + "\",\"endpoint\":\""
+          + endpoint.getHostString()
+          + ":"
+          + endpoint.getPort()
+          + "\",\"az\":\""
+          + (char) ('a' + index % 2)
+          + "\",\"model\":\"m1\",\"pod_group\":"
+          + index / BACKENDS_PER_POD_GROUP
+          + ",\"state\":\"SERVING\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
     @Override
-    public String whole(long revision) {
+    public String snapshot(long revision) {
       return "{\"rev\":"
           + revision
           + ",\"all\":true,\"targets\":["
@@ -49,48 +57,53 @@
     public String change(long revision, int first, int count) {
       StringJoiner changed = new StringJoiner(",");
       for (int i = 0; i < count; i++) {
-        int k = (first + i) % entries.length;
-        draining[k] = !draining[k];
-        entries[k] =
-            draining[k]
-                ? entries[k].replace("SERVING", "DRAINING")
-                : entries[k].replace("DRAINING", "SERVING");
-        changed.add(entries[k]);
+        int index = (first + i) % entries.length;
+        isDraining[index] = !isDraining[index];
+        entries[index] =
+            isDraining[index]
+                ? entries[index].replace("SERVING", "DRAINING")
+                : entries[index].replace("DRAINING", "SERVING");
+        changed.add(entries[index]);
       }
       return "{\"rev\":" + revision + ",\"all\":false,\"targets\":[" + changed + "]}\n";
     }
   }
 
-  /** Rule sets, each with ten tenants; a change turns a target between two figures. */
+  /** Rule sets, each with ten tenants; a change turns a latency objective between two values. */
   final class Scope implements VersionedSource {
-    private final boolean[] tight;
+    private static final int TENANTS_PER_RULE_SET = 10;
+    private static final int TIGHT_OBJECTIVE = 600_000;
+    private static final int LOOSE_OBJECTIVE = 700_000;
+
+    private final boolean[] isTight;
 
     Scope(int ruleSets) {
-      tight = new boolean[ruleSets];
+      isTight = new boolean[ruleSets];
     }
 
-    private String set(int i) {
+    private String ruleSet(int index) {
       return "{\"name\":\"route-"
-          + i
+          + index
           + "\",\"effect\":\"read_like\",\"group\":\"all\",\"window\":0,"
           + "\"responseTarget\":"
-          + (tight[i] ? 600_000 : 700_000)
+          + (isTight[index] ? TIGHT_OBJECTIVE : LOOSE_OBJECTIVE)
           + ",\"clientTimeout\":1200000}";
     }
 
     @Override
-    public String whole(long revision) {
-      StringJoiner sets = new StringJoiner(","), tenants = new StringJoiner(",");
-      for (int i = 0; i < tight.length; i++) {
-        sets.add(set(i));
-        for (int t = 0; t < 10; t++) {
-          tenants.add("{\"name\":\"t-" + i + "-" + t + "\",\"quotaPerS\":1}");
+    public String snapshot(long revision) {
+      StringJoiner ruleSets = new StringJoiner(",");
+      StringJoiner tenants = new StringJoiner(",");
+      for (int i = 0; i < isTight.length; i++) {
+        ruleSets.add(ruleSet(i));
+        for (int tenant = 0; tenant < TENANTS_PER_RULE_SET; tenant++) {
+          tenants.add("{\"name\":\"t-" + i + "-" + tenant + "\",\"quotaPerS\":1}");
         }
       }
       return "{\"rev\":"
           + revision
           + ",\"all\":true,\"ruleSets\":["
-          + sets
+          + ruleSets
           + "],\"tenants\":["
           + tenants
           + "]}\n";
@@ -98,18 +111,18 @@
 
     @Override
     public String change(long revision, int first, int count) {
-      StringJoiner sets = new StringJoiner(",");
+      StringJoiner ruleSets = new StringJoiner(",");
       for (int i = 0; i < count; i++) {
-        int k = (first + i) % tight.length;
-        tight[k] = !tight[k];
-        sets.add(set(k));
+        int index = (first + i) % isTight.length;
+        isTight[index] = !isTight[index];
+        ruleSets.add(ruleSet(index));
       }
       return "{\"rev\":"
           + revision
           + ",\"after\":"
           + (revision - 1)
           + ",\"all\":false,\"ruleSets\":["
-          + sets
+          + ruleSets
           + "]}\n";
     }
   }
--- a/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
@@ -12,18 +12,21 @@
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.referee.LedgerRecord.State;
 
-/** Single lines of a ledger, and what the referee makes of them. */
+/** Judges single records, and reads ledgers that are torn or of clocks that differ. */
 class RefereeTest {
   @TempDir Path dir;
 
-  private static String judged(String effect, LedgerRecord... entries) {
-    Referee referee = new Referee(ScenarioTexts.small(effect, ""));
+  private static String judge(String idempotency, LedgerRecord... entries) {
+    Referee referee = new Referee(ScenarioTexts.small(idempotency, ""));
     referee.accept(LedgerRecord.operationStarted(0, 1, 0, 10));
     referee.accept(LedgerRecord.requestAccepted(0, 1, 1, 0, 9_000, 0));
     List.of(entries).forEach(referee);
     referee.accept(LedgerRecord.end(60_000));
-    Verdict v = referee.verdict();
-    return v.violations().stream().map(b -> b.rule() + ": " + b.description()).toList().toString();
+    Verdict verdict = referee.verdict();
+    return verdict.violations().stream()
+        .map(violation -> violation.rule() + ": " + violation.description())
+        .toList()
+        .toString();
   }
 
   private static LedgerRecord answered(long at, Answer how) {
@@ -31,82 +34,84 @@
   }
 
   @Test
-  void oneFinalAnswerBeforeDue() {
-    assertEquals("[]", judged("replayable", answered(8_000, Answer.DONE)));
-    assertEquals("[answers: req 1 was never answered]", judged("replayable"));
-    assertEquals("[]", judged("replayable", LedgerRecord.clientDisconnected(500, 1)));
+  void eachRequestHasOneFinalAnswerByItsDeadline() {
+    assertEquals("[]", judge("replayable", answered(8_000, Answer.DONE)));
+    assertEquals("[answers: req 1 was never answered]", judge("replayable"));
+    assertEquals("[]", judge("replayable", LedgerRecord.clientDisconnected(500, 1)));
     assertEquals(
         "[answers: req 1 was answered 2 times]",
-        judged("replayable", answered(800, Answer.REJECTED), answered(900, Answer.DONE)));
+        judge("replayable", answered(800, Answer.REJECTED), answered(900, Answer.DONE)));
     assertEquals(
         "[answers: req 1 was answered 150 ms past its due]",
-        judged("replayable", answered(10_500, Answer.DONE)));
+        judge("replayable", answered(10_500, Answer.DONE)));
     assertEquals(
         "[answers: req 1: its connection ended without an answer]",
-        judged("replayable", answered(700, Answer.CONNECTION_LOST)));
+        judge("replayable", answered(700, Answer.CONNECTION_LOST)));
     assertEquals(
         "[]",
-        judged(
+        judge(
             "replayable",
             LedgerRecord.proxyChanged(600, 0, false),
             answered(700, Answer.CONNECTION_LOST)));
     assertEquals(
         "[answers: req 1 was sent on 30 ms after its answer or due]",
-        judged(
+        judge(
             "replayable",
             answered(700, Answer.REJECTED),
             LedgerRecord.attemptArrived(1_000, 1, 0, 2, 100)));
   }
 
   @Test
-  void noEffectTwice() {
-    LedgerRecord first = LedgerRecord.executionStarted(100, 1, 0, 2, 90, 200),
-        again = LedgerRecord.executionStarted(300, 1, 1, 3, 290, 200);
+  void noForbiddenEffectTwice() {
+    LedgerRecord first = LedgerRecord.executionStarted(100, 1, 0, 2, 90, 200);
+    LedgerRecord again = LedgerRecord.executionStarted(300, 1, 1, 3, 290, 200);
     LedgerRecord done = answered(600, Answer.DONE);
-    assertEquals("[]", judged("replayable", first, again, done));
+    assertEquals("[]", judge("replayable", first, again, done));
     assertEquals(
         "[effects: req 1 ran 2 times and may only once]",
-        judged("non-replayable", first, again, done));
+        judge("non-replayable", first, again, done));
     assertEquals(
         "[effects: req 1 was denied, though it has run]",
-        judged("non-replayable", first, answered(600, Answer.REJECTED)));
+        judge("non-replayable", first, answered(600, Answer.REJECTED)));
     assertEquals(
         "[effects: req 1 was denied, though it has run]",
-        judged("non-replayable", answered(60, Answer.REJECTED), first));
-    assertEquals("[]", judged("non-replayable", first, answered(600, Answer.FAILED)));
+        judge("non-replayable", answered(60, Answer.REJECTED), first));
+    assertEquals("[]", judge("non-replayable", first, answered(600, Answer.FAILED)));
     assertEquals(
         "[effects: req 1 ran again outside its group or window]",
-        judged("uniqued\"\nwindow-ms = 10\ngroup = \"all", first, again, done));
+        judge("uniqued\"\nwindow-ms = 10\ngroup = \"all", first, again, done));
   }
 
   @Test
-  void drains() {
-    LedgerRecord told = LedgerRecord.endpointNotified(100, 0, 2, State.DRAINING, 0),
-        done = answered(7_900, Answer.DONE);
+  void noAttemptsToDrainingBackends() {
+    LedgerRecord draining = LedgerRecord.endpointNotified(100, 0, 2, State.DRAINING, 0);
+    LedgerRecord done = answered(7_900, Answer.DONE);
     assertEquals(
-        "[]", judged("replayable", told, LedgerRecord.attemptArrived(5_000, 1, 0, 2, 100), done));
+        "[]",
+        judge("replayable", draining, LedgerRecord.attemptArrived(5_000, 1, 0, 2, 100), done));
     assertEquals(
         "[drains: proxy 0 sent req 1 to server 2 700 ms after it was told that it is DRAINING]",
-        judged("replayable", told, LedgerRecord.attemptArrived(7_100, 1, 0, 2, 100), done));
+        judge("replayable", draining, LedgerRecord.attemptArrived(7_100, 1, 0, 2, 100), done));
     assertEquals(
         "[]",
-        judged(
+        judge(
             "replayable",
-            told,
+            draining,
             LedgerRecord.endpointNotified(6_000, 0, 2, State.READY, 50),
             LedgerRecord.attemptArrived(7_100, 1, 0, 2, 100),
             done));
   }
 
   /**
-   * Capacity 0.1 cold, fall at thrice that over 3 s: 9,000 units; and the sender has to have known.
+   * A cold capacity of 0.1 collapses at three times that over 3 s, 9,000 units of work; it is a
+   * violation only if the senders had been notified of the start.
    */
   @Test
-  void coldServers() {
-    for (boolean knew : new boolean[] {true, false}) {
+  void coldBackendsCollapseOnlyUnderInformedLoad() {
+    for (boolean isNotified : new boolean[] {true, false}) {
       Referee referee = new Referee(ScenarioTexts.small("replayable", ""));
       referee.accept(LedgerRecord.backendStarted(0, 2, 1, true));
-      if (knew) {
+      if (isNotified) {
         referee.accept(LedgerRecord.endpointNotified(10, 0, 2, State.READY, 0));
         referee.accept(LedgerRecord.endpointNotified(10, 1, 2, State.READY, 0));
       }
@@ -116,8 +121,8 @@
         referee.accept(LedgerRecord.attemptArrived(20 + i, i, i % 2, 2, 1_000));
         referee.accept(LedgerRecord.answered(100, i, Answer.DONE));
       }
-      Verdict v = referee.verdict();
-      assertEquals(knew ? 1 : 0, v.figures().get("broken.cold"));
+      Verdict verdict = referee.verdict();
+      assertEquals(isNotified ? 1 : 0, verdict.figures().get("broken.cold"));
     }
   }
 
@@ -125,22 +130,22 @@
    * A writer killed in the middle of a line, a line that lost a digit, a writer that never ended.
    */
   @Test
-  void tornLedgersAreVoid() throws Exception {
+  void tornLedgersAreInvalid() throws Exception {
     Path file = dir.resolve("one.ledger");
-    try (LedgerWriter out = new LedgerWriter(file, true)) {
-      out.accept(LedgerRecord.clockReading(1_000, 3_000));
-      out.accept(LedgerRecord.operationStarted(3_100, 1, 0, 2.5));
-      out.accept(LedgerRecord.end(3_200));
+    try (LedgerWriter writer = new LedgerWriter(file, true)) {
+      writer.accept(LedgerRecord.clockReading(1_000, 3_000));
+      writer.accept(LedgerRecord.operationStarted(3_100, 1, 0, 2.5));
+      writer.accept(LedgerRecord.end(3_200));
     }
     assertEquals(
         List.of(LedgerRecord.operationStarted(1_100, 1, 0, 2.5), LedgerRecord.end(1_200)),
         Ledger.read(file));
-    String whole = Files.readString(file);
+    String complete = Files.readString(file);
     for (String torn :
         List.of(
-            whole.substring(0, whole.length() - 3),
-            whole.replace("3100", "310"),
-            whole.substring(0, whole.indexOf("END")),
+            complete.substring(0, complete.length() - 3),
+            complete.replace("3100", "310"),
+            complete.substring(0, complete.indexOf("END")),
             "")) {
       Files.writeString(file, torn);
       assertThrows(InvalidLedgerException.class, () -> Ledger.read(file));
@@ -148,19 +153,19 @@
   }
 
   /**
-   * Clocks 200 ms apart: the order of what happened is by the conductor's clock, not by the
-   * writers'.
+   * Two writers' clocks are 200 ms apart: records are ordered by the run's clock, not by theirs.
    */
   @Test
-  void clocksApart() throws Exception {
-    Path ahead = dir.resolve("ahead.ledger"), right = dir.resolve("right.ledger");
-    try (LedgerWriter a = new LedgerWriter(ahead, false);
-        LedgerWriter r = new LedgerWriter(right, false)) {
-      a.accept(LedgerRecord.clockReading(0, 2_000));
-      a.accept(LedgerRecord.attemptArrived(2_500, 1, 0, 2, 1));
-      a.accept(LedgerRecord.end(9_000));
-      r.accept(LedgerRecord.answered(600, 1, Answer.DONE));
-      r.accept(LedgerRecord.end(7_500));
+  void recordsAreOrderedByTheRunsClock() throws Exception {
+    Path ahead = dir.resolve("ahead.ledger");
+    Path right = dir.resolve("right.ledger");
+    try (LedgerWriter aheadWriter = new LedgerWriter(ahead, false);
+        LedgerWriter rightWriter = new LedgerWriter(right, false)) {
+      aheadWriter.accept(LedgerRecord.clockReading(0, 2_000));
+      aheadWriter.accept(LedgerRecord.attemptArrived(2_500, 1, 0, 2, 1));
+      aheadWriter.accept(LedgerRecord.end(9_000));
+      rightWriter.accept(LedgerRecord.answered(600, 1, Answer.DONE));
+      rightWriter.accept(LedgerRecord.end(7_500));
     }
     assertEquals(
         List.of(500L, 600L, 7_000L, 7_500L),
--- a/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
@@ -15,76 +15,88 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import wheattrack.config.InvalidConfigurationException;
 
-/** The short form of `lab scale`: three axes, hollow proxies alone, judged by counts and bytes. */
+/**
+ * The short form of {@code lab scale}: three axes, control-only proxies alone, judged by counts and
+ * bytes.
+ */
 class ScaleTest {
-  /**
-   * Bytes of one entry, and of what stands around it in a change; and so much more for signs of
-   * life.
-   */
-  private static final double ENTRY = 160, AROUND = 60, NOISE = 60;
+  /** Most bytes of one entry of a list. */
+  private static final double ENTRY_BYTES = 160;
+
+  /** Most bytes of what stands around the entries of a change. */
+  private static final double FRAME_BYTES = 60;
+
+  /** Most bytes of signs of life that go to the account of a change. */
+  private static final double HEARTBEAT_BYTES = 60;
 
-  @TempDir Path folder;
+  @TempDir Path directory;
 
-  private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
-  private AxisMeasurements play(String axis, String points, boolean tellsWhole) throws IOException {
+  private AxisMeasurements measure(String axis, String points, boolean sendsSnapshots)
+      throws IOException {
     return ScaleCommand.run(
-            new ScaleCommand.Job(Path.of(".."), axis, points, 1, folder, 0, tellsWhole, false),
-            new PrintStream(said))
+            new ScaleCommand.Job(
+                Path.of(".."), axis, points, 1, directory, 0, sendsSnapshots, false),
+            new PrintStream(output))
         .get(0);
   }
 
-  private static double figure(AxisMeasurements figures, int row, String name) {
-    return figures.rows.get(row).figures().get(name);
+  private static double figure(AxisMeasurements measurements, int row, String name) {
+    return measurements.rows().get(row).figures().get(name);
   }
 
   /**
-   * One change costs each watcher one entry, whatever is known; twice as far over counts as no
-   * slope.
+   * Whether one change costs each watcher one entry however long the list is; up to twice the bytes
+   * count as that.
    */
-  private static boolean isFlat(AxisMeasurements figures) {
-    return figures.rows.stream()
-        .allMatch(row -> row.figures().get("change_bytes") < ENTRY + AROUND + NOISE);
+  private static boolean isFlat(AxisMeasurements measurements) {
+    return measurements.rows().stream()
+        .allMatch(
+            row -> row.figures().get("change_bytes") < ENTRY_BYTES + FRAME_BYTES + HEARTBEAT_BYTES);
   }
 
   @Test
-  void backends() throws Exception {
-    AxisMeasurements figures = play("backends", "50,200,800", false);
+  void listsAndChangesCostByTheirEntries() throws Exception {
+    AxisMeasurements measurements = measure("backends", "50,200,800", false);
     for (int i = 0; i < 3; i++) {
-      double point = figures.rows.get(i).point();
-      assertEquals(point, figure(figures, i, "known"), said.toString());
-      assertEquals(0, figure(figures, i, "untold"), said.toString());
-      double list = figure(figures, i, "list_kb") * 1024;
-      assertTrue(list > 0.5 * ENTRY * point && list < ENTRY * point + 1000, said.toString());
+      double point = measurements.rows().get(i).point();
+      assertEquals(point, figure(measurements, i, "known"), output.toString());
+      assertEquals(0, figure(measurements, i, "untold"), output.toString());
+      double listBytes = figure(measurements, i, "list_kb") * 1024;
+      assertTrue(
+          listBytes > 0.5 * ENTRY_BYTES * point && listBytes < ENTRY_BYTES * point + 1000,
+          output.toString());
     }
-    assertTrue(isFlat(figures), said.toString());
-    assertTrue(Files.readString(folder.resolve("scale.html")).contains("polyline"));
-    assertEquals(3, Files.readAllLines(folder.resolve("scale.jsonl")).size());
+    assertTrue(isFlat(measurements), output.toString());
+    assertTrue(Files.readString(directory.resolve("scale.html")).contains("polyline"));
+    assertEquals(3, Files.readAllLines(directory.resolve("scale.jsonl")).size());
   }
 
   /**
-   * The twin: its source tells each change by the whole list, so that bytes go with the square of
-   * size.
+   * The source sends each change as a complete snapshot, so that bytes grow with the square of the
+   * list's length.
    */
   @Test
-  void twinIsNoticed() throws Exception {
-    assertTrue(!isFlat(play("backends", "50,200,800", true)), said.toString());
+  void sourceThatSendsSnapshotsIsNoticed() throws Exception {
+    assertTrue(!isFlat(measure("backends", "50,200,800", true)), output.toString());
   }
 
   @Test
-  void watchers() throws Exception {
-    AxisMeasurements figures = play("watchers", "20,60,180", false);
+  void changesCostTheSameForAnyNumberOfWatchers() throws Exception {
+    AxisMeasurements measurements = measure("watchers", "20,60,180", false);
     for (int i = 0; i < 3; i++) {
-      assertEquals(0, figure(figures, i, "untold"), said.toString());
+      assertEquals(0, figure(measurements, i, "untold"), output.toString());
     }
-    assertTrue(isFlat(figures), said.toString());
+    assertTrue(isFlat(measurements), output.toString());
   }
 
   @Test
-  void ruleSets() throws Exception {
-    AxisMeasurements figures = play("rule-sets", "10,100,1000", false);
-    double each = (figure(figures, 2, "file_mb") - figure(figures, 1, "file_mb")) * 1048576 / 900;
-    assertTrue(each > 80 && each < 200, each + " bytes each");
+  void ruleSetsCostByTheirNumber() throws Exception {
+    AxisMeasurements measurements = measure("rule-sets", "10,100,1000", false);
+    double bytesEach =
+        (figure(measurements, 2, "file_mb") - figure(measurements, 1, "file_mb")) * 1048576 / 900;
+    assertTrue(bytesEach > 80 && bytesEach < 200, bytesEach + " bytes each");
   }
 
   @ParameterizedTest
@@ -98,28 +110,29 @@
         "backends|5,|--points",
         "|5|--points"
       })
-  void badInput(String axis, String points, String key) {
-    InvalidConfigurationException bad =
-        assertThrows(InvalidConfigurationException.class, () -> play(axis, points, false));
+  void badInputIsNamedByItsOption(String axis, String points, String key) {
+    InvalidConfigurationException error =
+        assertThrows(InvalidConfigurationException.class, () -> measure(axis, points, false));
     assertTrue(
-        bad.getMessage().startsWith(key) && !bad.getMessage().contains("\n"), bad.getMessage());
+        error.getMessage().startsWith(key) && !error.getMessage().contains("\n"),
+        error.getMessage());
   }
 
-  /** Too much asked of the machine is bad input; over the bound ends the run and its processes. */
+  /** A bound over the machine's is bad input; a run over its bound is ended with its processes. */
   @Test
-  void memory() {
-    ScaleCommand.Job much =
+  void memoryIsBounded() {
+    ScaleCommand.Job excessive =
         new ScaleCommand.Job(Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
     assertTrue(
         assertThrows(
                 InvalidConfigurationException.class,
-                () -> ScaleCommand.run(much, new PrintStream(said)))
+                () -> ScaleCommand.run(excessive, new PrintStream(output)))
             .getMessage()
             .startsWith("--memory-mb"));
-    ScaleCommand.Job little =
+    ScaleCommand.Job limited =
         new ScaleCommand.Job(Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
     assertThrows(
-        ProcessGroup.OverBound.class, () -> ScaleCommand.run(little, new PrintStream(said)));
+        ResourceLimitException.class, () -> ScaleCommand.run(limited, new PrintStream(output)));
     assertEquals(
         0,
         ProcessHandle.current()
