--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -12,94 +12,114 @@
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.sockets.SocketRun;
+import wheattrack.lab.virtual.Policies;
 import wheattrack.lab.virtual.VirtualRun;
 
 /**
  * What the lab costs and bears on this machine: the virtual world by size, and the sockets by rate.
  */
 final class BenchCommand {
-  private static final int[][] SIZES = {
-    {10, 70}, {100, 70}, {300, 70}, {1000, 70}, {300, 10}, {300, 100}, {300, 1000}, {1000, 1000}
-  };
+  /** Size of a virtual fleet. */
+  private record FleetSize(int proxies, int backends) {}
+
+  private static final List<FleetSize> SIZES =
+      List.of(
+          new FleetSize(10, 70),
+          new FleetSize(100, 70),
+          new FleetSize(300, 70),
+          new FleetSize(1000, 70),
+          new FleetSize(300, 10),
+          new FleetSize(300, 100),
+          new FleetSize(300, 1000),
+          new FleetSize(1000, 1000));
+
+  /** Requests a second on sockets. */
+  private static final int[] RATES = {1000, 4000, 8000};
+
+  private static final SocketRun.How DIRECT = new SocketRun.How(List.of(), null, true);
+  private static final SocketRun.How ONE_CORE = new SocketRun.How(List.of(), "0", false);
 
   private BenchCommand() {}
 
-  static int run(ScenarioRunner.Job job) throws IOException {
+  /** Measures and prints all; takes minutes. */
+  static ExitCode run(ScenarioRunner.Job job) throws IOException {
     System.out.println("virtual: 2,300 reqs a second for 10 s, one thread");
     System.out.println("proxies servers  wall s  µs a req  steps a req  peak MB  service");
-    for (int[] size : SIZES) {
-      virtual(size[0], size[1], job.seed());
+    for (FleetSize size : SIZES) {
+      measureVirtual(size, job.seed());
     }
     System.out.println(
         "sockets: light reqs of 1 ms at 12 servers, 6 s a rate; ms from intended send");
     System.out.println("                    rate   done/s  late p99      p50      p99    p99.9");
-    sockets("(warming up)", 3, SocketRun.How.USUAL, 1000, job);
-    for (int rate : new int[] {1000, 4000, 8000}) {
-      sockets("direct", 12, new SocketRun.How(List.of(), null, true), rate, job);
-      sockets("1 proxy, 1 core", 1, new SocketRun.How(List.of(), "0", false), rate, job);
-      sockets("3 proxies", 3, SocketRun.How.USUAL, rate, job);
+    measureSockets("(warming up)", 3, SocketRun.How.USUAL, 1000, job);
+    for (int rate : RATES) {
+      measureSockets("direct", 12, DIRECT, rate, job);
+      measureSockets("1 proxy, 1 core", 1, ONE_CORE, rate, job);
+      measureSockets("3 proxies", 3, SocketRun.How.USUAL, rate, job);
     }
-    return 0;
+    return ExitCode.GOOD;
   }
 
-  private static void virtual(int proxies, int servers, long seed) throws IOException {
-    Map<String, String> set = new LinkedHashMap<>();
-    set.put("fleet.proxies", Integer.toString(proxies));
-    set.put("seconds", "10");
-    set.put("fault", "[]");
-    int each = Math.max(1, servers / 3);
-    set.put("server[0].count", Integer.toString(servers - 2 * each));
-    set.put("server[1].count", Integer.toString(each));
-    set.put("server[2].count", Integer.toString(each));
-    Scenario s = Scenario.read(ScenarioCatalog.find("world/wide-300x70"), set);
-    Referee referee = new Referee(s);
+  private static void measureVirtual(FleetSize size, long seed) throws IOException {
+    Map<String, String> settings = new LinkedHashMap<>();
+    settings.put("fleet.proxies", Integer.toString(size.proxies));
+    settings.put("seconds", "10");
+    settings.put("fault", "[]");
+    int third = Math.max(1, size.backends / 3);
+    settings.put("server[0].count", Integer.toString(size.backends - 2 * third));
+    settings.put("server[1].count", Integer.toString(third));
+    settings.put("server[2].count", Integer.toString(third));
+    Scenario scenario = Scenario.read(ScenarioCatalog.find("world/wide-300x70"), settings);
+    Referee referee = new Referee(scenario);
     System.gc();
     List<MemoryPoolMXBean> pools = ManagementFactory.getMemoryPoolMXBeans();
     pools.forEach(MemoryPoolMXBean::resetPeakUsage);
-    long from = System.nanoTime();
-    VirtualRun world = new VirtualRun(s, seed, wheattrack.lab.virtual.Policies.Kind.RULES, referee);
-    world.run();
-    double wall = (System.nanoTime() - from) / 1e9;
-    Verdict v = referee.verdict();
-    double reqs = v.figures().get("asked");
-    long peak =
-        pools.stream()
-            .filter(p -> p.getType() == MemoryType.HEAP)
-            .mapToLong(p -> p.getPeakUsage().getUsed())
-            .sum();
+    long start = System.nanoTime();
+    VirtualRun run = new VirtualRun(scenario, seed, Policies.Kind.RULES, referee);
+    run.run();
+    double seconds = (System.nanoTime() - start) / 1e9;
+    Verdict verdict = referee.verdict();
+    double requests = verdict.figures().get("asked");
     System.out.printf(
         Locale.ROOT,
         "%7d %7d %7.2f %9.1f %12.1f %8d %8.3f%n",
-        proxies,
-        servers,
-        wall,
-        wall * 1e6 / reqs,
-        world.steps() / reqs,
-        peak >> 20,
-        v.figures().get("service"));
+        size.proxies,
+        size.backends,
+        seconds,
+        seconds * 1e6 / requests,
+        run.steps() / requests,
+        peakHeapBytes(pools) >> 20,
+        verdict.figures().get("service"));
+  }
+
+  private static long peakHeapBytes(List<MemoryPoolMXBean> pools) {
+    return pools.stream()
+        .filter(pool -> pool.getType() == MemoryType.HEAP)
+        .mapToLong(pool -> pool.getPeakUsage().getUsed())
+        .sum();
   }
 
-  private static void sockets(
+  private static void measureSockets(
       String name, int proxies, SocketRun.How how, int rate, ScenarioRunner.Job job)
       throws IOException {
-    Map<String, String> set = new LinkedHashMap<>();
-    set.put("load.rate", Integer.toString(rate));
-    set.put("seconds", "6");
-    set.put("fleet.proxies", Integer.toString(proxies));
-    Scenario s = Scenario.read(ScenarioCatalog.find("long/rate"), set);
-    ScenarioRunner.Real real =
-        ScenarioRunner.real(
-            s, new ScenarioRunner.Job(job.seed(), null, job.policy(), job.jar()), how);
-    Map<String, Double> f = real.verdict().figures();
+    Map<String, String> settings = new LinkedHashMap<>();
+    settings.put("load.rate", Integer.toString(rate));
+    settings.put("seconds", "6");
+    settings.put("fleet.proxies", Integer.toString(proxies));
+    Scenario scenario = Scenario.read(ScenarioCatalog.find("long/rate"), settings);
+    ScenarioRunner.Job withoutOutput =
+        new ScenarioRunner.Job(job.seed(), null, job.policy(), job.proxyJar());
+    ScenarioRunner.SocketResult result = ScenarioRunner.runOnSockets(scenario, withoutOutput, how);
+    Map<String, Double> figures = result.verdict().figures();
     System.out.printf(
         Locale.ROOT,
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        f.get("done") / (s.length / (double) Scenario.SECOND),
-        real.quality().lateMicros().getValueAtPercentile(99) / 1000.0,
-        f.get("p50"),
-        f.get("p99"),
-        f.get("p999"));
+        figures.get("done") / (scenario.length / (double) Scenario.SECOND),
+        ScenarioRunner.lateMillis(result.quality(), 99),
+        figures.get("p50"),
+        figures.get("p99"),
+        figures.get("p999"));
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -0,0 +1,116 @@
+package wheattrack.lab;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.virtual.Policies;
+
+/** One side of a comparison, which plays a scenario on the virtual clock. Safe for any thread. */
+sealed interface ComparisonSide {
+  /** What a side begins with that is another build's jar. */
+  String JAR_PREFIX = "jar:";
+
+  /** The side as it stands on the command line. */
+  String name();
+
+  /** The figures of a run by name; throws IOException if it could not be played. */
+  Map<String, Double> play(Path scenario, Map<String, String> settings, int seed)
+      throws IOException;
+
+  /** Reads a side; throws InvalidConfigurationException if there is no such jar or policy. */
+  static ComparisonSide of(String name) {
+    if (name.startsWith(JAR_PREFIX)) {
+      Path jar = Path.of(name.substring(JAR_PREFIX.length()));
+      if (Files.isRegularFile(jar)) {
+        return new OtherBuild(name, jar);
+      }
+    } else if (Policies.words().contains(name)) {
+      return new OwnPolicy(name, LabOptions.policy(name));
+    }
+    throw new InvalidConfigurationException(
+        name, "no such jar, and no policy of " + Policies.words());
+  }
+
+  /** A policy of this build. */
+  record OwnPolicy(String name, Policies.Kind policy) implements ComparisonSide {
+    @Override
+    public Map<String, Double> play(Path scenario, Map<String, String> settings, int seed) {
+      return judge(scenario, settings, seed).figures();
+    }
+
+    /** The whole verdict of a run. */
+    Verdict judge(Path scenario, Map<String, String> settings, int seed) {
+      return ScenarioRunner.judgeVirtual(Scenario.read(scenario, settings), seed, policy);
+    }
+  }
+
+  /**
+   * Another build's decisions: its jar stands before this build's on the class path of a process of
+   * its own.
+   */
+  record OtherBuild(String name, Path jar) implements ComparisonSide {
+    private static final String RESULT = "RESULT ";
+
+    @Override
+    public Map<String, Double> play(Path scenario, Map<String, String> settings, int seed)
+        throws IOException {
+      String line = lastLine(command(scenario, settings, seed));
+      if (!line.startsWith(RESULT)) {
+        throw new UncheckedIOException(
+            new IOException(jar + " did not play seed " + seed + ": " + line));
+      }
+      return figures(line);
+    }
+
+    private List<String> command(Path scenario, Map<String, String> settings, int seed) {
+      String classPath =
+          jar + System.getProperty("path.separator") + System.getProperty("java.class.path");
+      List<String> command = new ArrayList<>();
+      command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+      command.add("-XX:+UseSerialGC");
+      command.addAll(List.of("-cp", classPath));
+      command.add(LabMain.class.getName());
+      command.addAll(List.of("run", scenario.toString(), "--seed", Integer.toString(seed)));
+      settings.forEach((key, value) -> command.addAll(List.of("--set", key + "=" + value)));
+      return command;
+    }
+
+    private static String lastLine(List<String> command) throws IOException {
+      Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+      String last = "";
+      try (BufferedReader output =
+          new BufferedReader(
+              new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+        for (String line = output.readLine(); line != null; line = output.readLine()) {
+          last = line;
+        }
+      } finally {
+        process.destroyForcibly();
+      }
+      return last;
+    }
+
+    private static Map<String, Double> figures(String resultLine) {
+      Map<String, Double> figures = new LinkedHashMap<>();
+      for (String word : resultLine.split(" ")) {
+        int equalsSign = word.indexOf('=');
+        if (equalsSign > 0 && !word.startsWith("ok=") && !word.startsWith("seed=")) {
+          String value = word.substring(equalsSign + 1);
+          figures.put(word.substring(0, equalsSign), Double.parseDouble(value));
+        }
+      }
+      return figures;
+    }
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -1,86 +1,109 @@
 package wheattrack.lab;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.referee.ProxyTotals;
+import wheattrack.lab.referee.RuleViolation;
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.sockets.SocketRun;
 
-/** Two proxies, six servers and load on loopback; a server is killed, and the referee judges. */
+/**
+ * The demo: two proxies, six servers and load on loopback; a server is killed, and it is judged.
+ */
 final class DemoCommand {
-  private static final int WIDE = 40;
+  private static final int BAR_WIDTH = 40;
 
   private DemoCommand() {}
 
-  static int run(ScenarioRunner.Job job) throws IOException {
-    Scenario s = Scenario.read(ScenarioCatalog.find("demo"));
+  /** Plays the demo and prints what comes of it. */
+  static ExitCode run(ScenarioRunner.Job job) throws IOException {
+    Scenario scenario = Scenario.read(ScenarioCatalog.find("demo"));
+    printIntroduction(scenario);
+    ScenarioRunner.SocketResult result =
+        ScenarioRunner.runOnSockets(scenario, job, SocketRun.How.USUAL);
+    Verdict verdict = result.verdict();
+    System.out.println();
+    printSeconds(scenario, verdict.seconds());
+    System.out.println();
+    verdict.totalsByProxy().forEach(DemoCommand::printProxy);
+    for (RuleViolation violation : verdict.violations()) {
+      System.out.println("broken, " + violation.rule() + ": " + violation.description());
+    }
+    printVerdict(verdict.figures());
+    System.out.println(verdict.resultLine(job.seed()));
+    return result.exitCode();
+  }
+
+  private static void printIntroduction(Scenario scenario) {
+    Fault kill = scenario.faults.get(0);
     System.out.println(
         "two proxies, six servers, a list and clients on 127.0.0.1: "
-            + Verdict.format(s.load.rate())
+            + Verdict.format(scenario.load.rate())
             + " reqs a second for "
-            + s.length / Scenario.SECOND
+            + scenario.length / Scenario.SECOND
             + " s;");
     System.out.println(
         "server 0 is killed at "
-            + s.faults.get(0).at() / Scenario.SECOND
+            + kill.at() / Scenario.SECOND
             + " s and comes back cold "
-            + s.faults.get(0).lasts() / Scenario.SECOND
+            + kill.lasts() / Scenario.SECOND
             + " s later");
-    ScenarioRunner.Real real = ScenarioRunner.real(s, job, SocketRun.How.USUAL);
-    Verdict v = real.verdict();
-    System.out.println();
+  }
+
+  private static void printSeconds(Scenario scenario, List<ServiceSecond> seconds) {
     System.out.println("value done in time, by second");
-    for (int i = 0; i < Math.min(v.seconds().size(), s.length / Scenario.SECOND); i++) {
-      ServiceSecond one = v.seconds().get(i);
-      double part = one.hasShare() ? one.earnedShare() : 1;
+    for (int i = 0; i < Math.min(seconds.size(), scenario.length / Scenario.SECOND); i++) {
+      ServiceSecond second = seconds.get(i);
+      double share = second.hasShare() ? second.earnedShare() : 1;
       System.out.printf(
           Locale.ROOT,
-          "%4d s %-" + WIDE + "s %3.0f%%%s%n",
+          "%4d s %-" + BAR_WIDTH + "s %3.0f%%%s%n",
           i,
-          "#".repeat((int) Math.round(WIDE * part)),
-          100 * part,
-          mark(s, i));
+          "#".repeat((int) Math.round(BAR_WIDTH * share)),
+          100 * share,
+          remark(scenario.faults.get(0), i));
     }
-    System.out.println();
-    for (Map.Entry<Integer, ProxyTotals> e : v.totalsByProxy().entrySet()) {
-      ProxyTotals p = e.getValue();
-      System.out.printf(
-          Locale.ROOT,
-          "proxy %d took %d reqs: %d done, %d denied, %d aborted; sent to "
-              + "servers (by place) %s%n",
-          e.getKey(),
-          p.accepted(),
-          p.answers(Answer.DONE),
-          p.answers(Answer.REJECTED),
-          p.answers(Answer.FAILED),
-          p.attemptsByBackend());
+  }
+
+  private static String remark(Fault kill, int second) {
+    long killedAt = kill.at() / Scenario.SECOND;
+    if (second == killedAt) {
+      return "  server 0 is killed";
     }
-    v.violations().forEach(b -> System.out.println("broken, " + b.rule() + ": " + b.description()));
+    boolean isBack = second == killedAt + kill.lasts() / Scenario.SECOND;
+    return isBack ? "  server 0 is back, cold" : "";
+  }
+
+  private static void printProxy(int index, ProxyTotals totals) {
+    System.out.printf(
+        Locale.ROOT,
+        "proxy %d took %d reqs: %d done, %d denied, %d aborted; sent to "
+            + "servers (by place) %s%n",
+        index,
+        totals.accepted(),
+        totals.answers(Answer.DONE),
+        totals.answers(Answer.REJECTED),
+        totals.answers(Answer.FAILED),
+        totals.attemptsByBackend());
+  }
+
+  private static void printVerdict(Map<String, Double> figures) {
+    double broken = figures.get("broken");
     System.out.println(
         "the referee: "
-            + (v.figures().get("broken") == 0
-                ? "no rule was broken"
-                : Verdict.format(v.figures().get("broken")) + " rules were broken")
+            + (broken == 0 ? "no rule was broken" : Verdict.format(broken) + " rules were broken")
             + "; "
-            + String.format(Locale.ROOT, "%.1f", 100 * v.figures().get("service"))
+            + String.format(Locale.ROOT, "%.1f", 100 * figures.get("service"))
             + "% of the value was done in time, half within "
-            + Verdict.format(v.figures().get("p50"))
+            + Verdict.format(figures.get("p50"))
             + " ms, all but 1% within "
-            + Verdict.format(v.figures().get("p99"))
+            + Verdict.format(figures.get("p99"))
             + " ms");
-    System.out.println(v.resultLine(job.seed()));
-    return real.quality().isTooLate() ? 3 : v.isGood() ? 0 : 1;
-  }
-
-  private static String mark(Scenario s, int second) {
-    long from = s.faults.get(0).at() / Scenario.SECOND;
-    long until = from + s.faults.get(0).lasts() / Scenario.SECOND;
-    return second == from
-        ? "  server 0 is killed"
-        : second == until ? "  server 0 is back, cold" : "";
   }
 }
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -1,24 +1,16 @@
 package wheattrack.lab;
 
 import java.io.IOException;
-import java.nio.file.Path;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.InvalidLedgerException;
 import wheattrack.lab.scale.ResourceLimitException;
 import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.virtual.Policies;
 
-/**
- * The lab's command line. Exit codes: 0 good, 1 fell short, 2 bad input, 3 the run says nothing.
- */
+/** The lab's command line; {@link ExitCode} names what it ends with. */
 public final class LabMain {
   private static final String USAGE =
       """
@@ -48,135 +40,90 @@
 
   private LabMain() {}
 
+  /** Runs a command and ends the process with its exit code. */
   public static void main(String[] args) {
-    System.exit(run(args));
+    System.exit(run(args).status());
   }
 
-  private static int run(String[] args) {
-    Options options =
-        new Options()
-            .addOption(null, "seed", true, "")
-            .addOption(null, "out", true, "")
-            .addOption(null, "policy", true, "")
-            .addOption(null, "jar", true, "")
-            .addOption(null, "seeds", true, "")
-            .addOption(null, "base", true, "")
-            .addOption(null, "cand", true, "")
-            .addOption(null, "set", true, "")
-            .addOption(null, "axis", true, "")
-            .addOption(null, "points", true, "")
-            .addOption(null, "memory-mb", true, "")
-            .addOption(null, "help", false, "");
+  private static ExitCode run(String[] args) {
     try {
-      CommandLine line = new DefaultParser().parse(options, args);
+      CommandLine line = LabOptions.parse(args);
       List<String> words = line.getArgList();
       if (line.hasOption("help") || words.equals(List.of("help"))) {
         System.out.println(USAGE);
-        return 0;
+        return ExitCode.GOOD;
       }
-      if (words.equals(List.of("list"))) {
-        for (String name : ScenarioCatalog.names()) {
-          Scenario s = Scenario.read(ScenarioCatalog.find(name));
-          System.out.printf("%-24s %-7s %s%n", name, s.virtual ? "virtual" : "real", s.about);
-        }
-        return 0;
-      }
-      if (words.equals(List.of("demo"))) {
-        return DemoCommand.run(job(line));
-      }
-      if (words.equals(List.of("bench"))) {
-        return BenchCommand.run(job(line));
-      }
-      if (words.equals(List.of("scale"))) {
-        return scale(line);
-      }
-      if (words.size() == 2 && words.get(0).equals("compare")) {
-        return CompareCommand.run(ScenarioCatalog.find(words.get(1)), line);
-      }
-      if (words.size() != 2) {
-        return fault(USAGE);
-      }
-      Scenario scenario = Scenario.read(ScenarioCatalog.find(words.get(1)), settings(line));
-      return switch (words.get(0)) {
-        case "check" -> {
-          System.out.println("good: " + scenario.name);
-          yield 0;
-        }
-        case "run" -> ScenarioRunner.run(scenario, job(line));
-        default -> fault(USAGE);
+      return switch (words.size()) {
+        case 1 -> runCommand(words.get(0), line);
+        case 2 -> runCommand(words.get(0), words.get(1), line);
+        default -> badInput(USAGE);
       };
     } catch (ParseException | InvalidConfigurationException e) {
-      return fault("wheattrack lab: " + e.getMessage());
-    } catch (InvalidLedgerException e) {
+      return badInput("wheattrack lab: " + e.getMessage());
+    } catch (InvalidLedgerException | ResourceLimitException e) {
       System.err.println("wheattrack lab: void: " + e.getMessage());
-      return 3;
+      return ExitCode.INCONCLUSIVE;
     } catch (IOException e) {
-      return fault("wheattrack lab: " + e);
+      return badInput("wheattrack lab: " + e);
     }
   }
 
-  private static int scale(CommandLine line) throws IOException {
-    long memory = whole(line, "memory-mb", 0) << 20;
-    if (memory < 0) {
-      throw new InvalidConfigurationException("--memory-mb", "negative");
-    }
-    try {
-      ScaleCommand.run(
-          new ScaleCommand.Job(
-              ScenarioCatalog.home(),
-              line.getOptionValue("axis"),
-              line.getOptionValue("points"),
-              whole(line, "seed", 1),
-              line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null,
-              memory,
-              false,
-              true),
-          System.out);
-      return 0;
-    } catch (ResourceLimitException e) {
-      System.err.println("wheattrack lab: void: " + e.getMessage());
-      return 3;
-    }
+  private static ExitCode runCommand(String command, CommandLine line) throws IOException {
+    return switch (command) {
+      case "list" -> list();
+      case "demo" -> DemoCommand.run(LabOptions.job(line));
+      case "bench" -> BenchCommand.run(LabOptions.job(line));
+      case "scale" -> scale(line);
+      default -> badInput(USAGE);
+    };
   }
 
-  static ScenarioRunner.Job job(CommandLine line) {
-    String policy = line.getOptionValue("policy", Policies.words().get(0));
-    if (!Policies.words().contains(policy)) {
-      throw new InvalidConfigurationException(
-          "--policy", "'" + policy + "' is none of " + Policies.words());
+  private static ExitCode runCommand(String command, String nameOrFile, CommandLine line)
+      throws IOException {
+    if (command.equals("compare")) {
+      return CompareCommand.run(ScenarioCatalog.find(nameOrFile), line);
     }
-    long seed = whole(line, "seed", 1);
-    Path out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
-    Path jar =
-        line.hasOption("jar") ? Path.of(line.getOptionValue("jar")) : ScenarioCatalog.proxyJar();
-    return new ScenarioRunner.Job(
-        seed, out, Policies.Kind.values()[Policies.words().indexOf(policy)], jar);
+    Scenario scenario = Scenario.read(ScenarioCatalog.find(nameOrFile), LabOptions.settings(line));
+    return switch (command) {
+      case "check" -> {
+        System.out.println("good: " + scenario.name);
+        yield ExitCode.GOOD;
+      }
+      case "run" -> ScenarioRunner.run(scenario, LabOptions.job(line));
+      default -> badInput(USAGE);
+    };
   }
 
-  /** What --set says, each key with its one value. */
-  private static Map<String, String> settings(CommandLine line) {
-    Map<String, String> out = new LinkedHashMap<>();
-    for (String set : line.hasOption("set") ? line.getOptionValues("set") : new String[0]) {
-      int cut = set.indexOf('=');
-      if (cut <= 0) {
-        throw new InvalidConfigurationException("--set", "not KEY=VALUE: " + set);
-      }
-      out.put(set.substring(0, cut), set.substring(cut + 1));
+  private static ExitCode list() throws IOException {
+    for (String name : ScenarioCatalog.names()) {
+      Scenario scenario = Scenario.read(ScenarioCatalog.find(name));
+      String clock = scenario.virtual ? "virtual" : "real";
+      System.out.printf("%-24s %-7s %s%n", name, clock, scenario.about);
     }
-    return out;
+    return ExitCode.GOOD;
   }
 
-  static long whole(CommandLine line, String option, long otherwise) {
-    String text = line.getOptionValue(option, Long.toString(otherwise));
-    try {
-      return Long.parseLong(text);
-    } catch (NumberFormatException e) {
-      throw new InvalidConfigurationException("--" + option, "not a whole number: " + text);
+  private static ExitCode scale(CommandLine line) throws IOException {
+    long memoryBytes = LabOptions.wholeNumber(line, "memory-mb", 0) << 20;
+    if (memoryBytes < 0) {
+      throw new InvalidConfigurationException("--memory-mb", "negative");
     }
+    ScaleCommand.Job job =
+        new ScaleCommand.Job(
+            ScenarioCatalog.home(),
+            line.getOptionValue("axis"),
+            line.getOptionValue("points"),
+            LabOptions.seed(line),
+            LabOptions.outputDirectory(line),
+            memoryBytes,
+            false,
+            true);
+    ScaleCommand.run(job, System.out);
+    return ExitCode.GOOD;
   }
 
-  private static int fault(String text) {
-    System.err.println(text);
-    return 2;
+  private static ExitCode badInput(String message) {
+    System.err.println(message);
+    return ExitCode.BAD_INPUT;
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -0,0 +1,98 @@
+package wheattrack.lab;
+
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.virtual.Policies;
+
+/**
+ * The options of the lab's command line. What reads one throws InvalidConfigurationException, with
+ * the option's name, if its value is not valid.
+ */
+final class LabOptions {
+  private LabOptions() {}
+
+  static CommandLine parse(String[] args) throws ParseException {
+    Options options =
+        new Options()
+            .addOption(null, "seed", true, "")
+            .addOption(null, "out", true, "")
+            .addOption(null, "policy", true, "")
+            .addOption(null, "jar", true, "")
+            .addOption(null, "seeds", true, "")
+            .addOption(null, "base", true, "")
+            .addOption(null, "cand", true, "")
+            .addOption(null, "set", true, "")
+            .addOption(null, "axis", true, "")
+            .addOption(null, "points", true, "")
+            .addOption(null, "memory-mb", true, "")
+            .addOption(null, "help", false, "");
+    return new DefaultParser().parse(options, args);
+  }
+
+  /** How to play a scenario. */
+  static ScenarioRunner.Job job(CommandLine line) {
+    String policy = line.getOptionValue("policy", Policies.words().get(0));
+    if (!Policies.words().contains(policy)) {
+      throw new InvalidConfigurationException(
+          "--policy", "'" + policy + "' is none of " + Policies.words());
+    }
+    long seed = seed(line);
+    Path proxyJar = path(line, "jar");
+    return new ScenarioRunner.Job(
+        seed,
+        outputDirectory(line),
+        policy(policy),
+        proxyJar == null ? ScenarioCatalog.proxyJar() : proxyJar);
+  }
+
+  static long seed(CommandLine line) {
+    return wholeNumber(line, "seed", 1);
+  }
+
+  /** Where files are to be left, or null. */
+  static Path outputDirectory(CommandLine line) {
+    return path(line, "out");
+  }
+
+  private static Path path(CommandLine line, String option) {
+    return line.hasOption(option) ? Path.of(line.getOptionValue(option)) : null;
+  }
+
+  /** The policy of one of the words for them. */
+  static Policies.Kind policy(String word) {
+    return Policies.Kind.values()[Policies.words().indexOf(word)];
+  }
+
+  /** The keys of the scenario that are set, each with its one value. */
+  static Map<String, String> settings(CommandLine line) {
+    Map<String, String> settings = new LinkedHashMap<>();
+    for (String setting : settingTexts(line)) {
+      int equalsSign = setting.indexOf('=');
+      if (equalsSign <= 0) {
+        throw new InvalidConfigurationException("--set", "not KEY=VALUE: " + setting);
+      }
+      settings.put(setting.substring(0, equalsSign), setting.substring(equalsSign + 1));
+    }
+    return settings;
+  }
+
+  /** The values of --set as they stand. */
+  static String[] settingTexts(CommandLine line) {
+    return line.hasOption("set") ? line.getOptionValues("set") : new String[0];
+  }
+
+  static long wholeNumber(CommandLine line, String option, long defaultValue) {
+    String text = line.getOptionValue(option, Long.toString(defaultValue));
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      throw new InvalidConfigurationException("--" + option, "not a whole number: " + text);
+    }
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/ScenarioCatalog.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioCatalog.java
@@ -7,7 +7,7 @@
 import java.util.stream.Stream;
 import wheattrack.config.InvalidConfigurationException;
 
-/** Where the scenarios that ship lie, and the jars. */
+/** Finds the scenarios that ship, and the jars. */
 public final class ScenarioCatalog {
   private ScenarioCatalog() {}
 
@@ -16,25 +16,34 @@
     return Path.of(System.getProperty("wheattrack.home", "."));
   }
 
+  /** The proxies' program. */
   static Path proxyJar() {
     return home().resolve("proxy/target/wheattrack.jar");
   }
 
   /** The names of the scenarios that ship, in order. */
   public static List<String> names() throws IOException {
-    Path shelf = home().resolve("lab/scenarios");
-    try (Stream<Path> files = Files.walk(shelf)) {
+    Path directory = scenarioDirectory();
+    try (Stream<Path> files = Files.walk(directory)) {
       return files
-          .filter(f -> f.toString().endsWith(".toml"))
-          .map(f -> shelf.relativize(f).toString().replace('\\', '/').replaceAll("\\.toml$", ""))
+          .filter(file -> file.toString().endsWith(".toml"))
+          .map(file -> name(directory.relativize(file)))
           .sorted()
           .toList();
     }
   }
 
-  /** A scenario by its name or its file. */
+  private static Path scenarioDirectory() {
+    return home().resolve("lab/scenarios");
+  }
+
+  private static String name(Path file) {
+    return file.toString().replace('\\', '/').replaceAll("\\.toml$", "");
+  }
+
+  /** A scenario's file by its name or path; throws InvalidConfigurationException without one. */
   public static Path find(String nameOrFile) {
-    Path named = home().resolve("lab/scenarios").resolve(nameOrFile + ".toml");
+    Path named = scenarioDirectory().resolve(nameOrFile + ".toml");
     Path file = Files.isRegularFile(named) ? named : Path.of(nameOrFile);
     if (!Files.isRegularFile(file)) {
       throw new InvalidConfigurationException(nameOrFile, "no such scenario, by name or by file");
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -8,134 +8,160 @@
 import wheattrack.lab.referee.Ledger;
 import wheattrack.lab.referee.LedgerWriter;
 import wheattrack.lab.referee.Referee;
+import wheattrack.lab.referee.RuleViolation;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport;
 import wheattrack.lab.report.ResultLines;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.Scenario.Expect;
 import wheattrack.lab.sockets.SocketRun;
 import wheattrack.lab.virtual.Policies;
 import wheattrack.lab.virtual.VirtualRun;
 
-/** Plays one scenario and says what came of it. */
+/** Plays one scenario, has it judged, and reports the verdict. */
 final class ScenarioRunner {
-  /** How to play it; out and jar may be null. */
-  record Job(long seed, Path out, Policies.Kind policy, Path jar) {
+  /**
+   * How to play it.
+   *
+   * @param outputDirectory where ledgers and reports are left, or null
+   * @param policy who decides on the virtual clock
+   * @param proxyJar the proxies' program on the real clock; may be null on the virtual one
+   */
+  record Job(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {
     String policyWord() {
       return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
   }
 
+  /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
+  record SocketResult(Verdict verdict, SocketRun.Quality quality) {
+    ExitCode exitCode() {
+      return quality.isTooLate() ? ExitCode.INCONCLUSIVE : ScenarioRunner.exitCode(verdict);
+    }
+  }
+
   private ScenarioRunner() {}
 
-  /** Plays it on the clock it names, prints the verdict and gives the exit code. */
-  static int run(Scenario scenario, Job job) throws IOException {
-    if (job.out() != null) {
-      Files.createDirectories(job.out());
+  /** Plays it on the clock it names and prints the verdict. */
+  static ExitCode run(Scenario scenario, Job job) throws IOException {
+    if (job.outputDirectory != null) {
+      Files.createDirectories(job.outputDirectory);
     }
     if (scenario.virtual) {
-      Verdict verdict = virtual(scenario, job);
-      tell(verdict, job);
-      return verdict.isGood() ? 0 : 1;
+      Verdict verdict = runVirtual(scenario, job);
+      report(verdict, job);
+      return exitCode(verdict);
     }
-    Real real = real(scenario, job, SocketRun.How.USUAL);
-    tell(real.verdict, job);
-    return real.quality.isTooLate() ? 3 : real.verdict.isGood() ? 0 : 1;
+    SocketResult result = runOnSockets(scenario, job, SocketRun.How.USUAL);
+    report(result.verdict, job);
+    return result.exitCode();
   }
 
-  private static Verdict virtual(Scenario scenario, Job job) throws IOException {
-    Referee referee = new Referee(scenario);
-    if (job.out() == null) {
-      new VirtualRun(scenario, job.seed(), job.policy(), referee).run();
-      return referee.verdict();
+  private static ExitCode exitCode(Verdict verdict) {
+    return verdict.isGood() ? ExitCode.GOOD : ExitCode.FELL_SHORT;
+  }
+
+  private static Verdict runVirtual(Scenario scenario, Job job) throws IOException {
+    if (job.outputDirectory == null) {
+      return judgeVirtual(scenario, job.seed, job.policy);
     }
-    Path file = job.out().resolve("world.ledger");
-    Files.deleteIfExists(file);
-    try (LedgerWriter out = new LedgerWriter(file, false)) {
-      new VirtualRun(scenario, job.seed(), job.policy(), out).run();
+    Path ledger = job.outputDirectory.resolve("world.ledger");
+    Files.deleteIfExists(ledger);
+    try (LedgerWriter writer = new LedgerWriter(ledger, false)) {
+      new VirtualRun(scenario, job.seed, job.policy, writer).run();
     }
-    Ledger.merge(List.of(file)).forEach(referee);
+    return judge(scenario, ledger);
+  }
+
+  /** Plays on the virtual clock and judges at once, without a ledger on disk. */
+  static Verdict judgeVirtual(Scenario scenario, long seed, Policies.Kind policy) {
+    Referee referee = new Referee(scenario);
+    new VirtualRun(scenario, seed, policy, referee).run();
     return referee.verdict();
   }
 
-  /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
-  record Real(Verdict verdict, SocketRun.Quality quality) {}
+  private static Verdict judge(Scenario scenario, Path ledger) throws IOException {
+    Referee referee = new Referee(scenario);
+    Ledger.merge(List.of(ledger)).forEach(referee);
+    return referee.verdict();
+  }
 
-  /** Plays on sockets, by ledgers on disk as ever. */
-  static Real real(Scenario scenario, Job job, SocketRun.How how) throws IOException {
-    Path file =
-        job.out() == null
+  /** Plays on sockets, with a ledger on disk, and prints how well the lab kept its own times. */
+  static SocketResult runOnSockets(Scenario scenario, Job job, SocketRun.How how)
+      throws IOException {
+    Path ledger =
+        job.outputDirectory == null
             ? Files.createTempFile("wheattrack", ".ledger")
-            : job.out().resolve("sockets.ledger");
-    Files.deleteIfExists(file);
+            : job.outputDirectory.resolve("sockets.ledger");
+    Files.deleteIfExists(ledger);
     try {
-      SocketRun.Quality quality = sockets(scenario, job, how, file);
-      Referee referee = new Referee(scenario);
-      Ledger.merge(List.of(file)).forEach(referee);
+      SocketRun.Quality quality = writeLedger(scenario, job, how, ledger);
+      Verdict verdict = judge(scenario, ledger);
       System.out.printf(
           Locale.ROOT,
           "the lab: late by %.2f ms at p50, %.2f at p99, %.2f at most; %d "
               + "connections of clients, %d reqs sent once more%n",
-          micros(quality, 50),
-          micros(quality, 99),
-          micros(quality, 100),
+          lateMillis(quality, 50),
+          lateMillis(quality, 99),
+          lateMillis(quality, 100),
           quality.connected(),
           quality.resent());
       if (quality.isTooLate()) {
         System.err.println("wheattrack lab: the machine was too busy; the run says nothing");
       }
-      return new Real(referee.verdict(), quality);
+      return new SocketResult(verdict, quality);
     } finally {
-      if (job.out() == null) {
-        Files.deleteIfExists(file);
+      if (job.outputDirectory == null) {
+        Files.deleteIfExists(ledger);
       }
     }
   }
 
-  private static SocketRun.Quality sockets(Scenario scenario, Job job, SocketRun.How how, Path file)
-      throws IOException {
-    try (LedgerWriter out = new LedgerWriter(file, false);
-        SocketRun sockets = new SocketRun(scenario, job.seed(), job.jar(), how, out)) {
-      SocketRun.Quality quality = sockets.run();
-      if (job.out() != null) {
-        sockets.keepLogs(job.out());
+  private static SocketRun.Quality writeLedger(
+      Scenario scenario, Job job, SocketRun.How how, Path ledger) throws IOException {
+    try (LedgerWriter writer = new LedgerWriter(ledger, false);
+        SocketRun run = new SocketRun(scenario, job.seed, job.proxyJar, how, writer)) {
+      SocketRun.Quality quality = run.run();
+      if (job.outputDirectory != null) {
+        run.keepLogs(job.outputDirectory);
       }
       return quality;
     }
   }
 
-  private static double micros(SocketRun.Quality quality, double percentile) {
+  /** By how many milliseconds the lab's own sends were late, at this percentile. */
+  static double lateMillis(SocketRun.Quality quality, double percentile) {
     return quality.lateMicros().getValueAtPercentile(percentile) / 1000.0;
   }
 
-  private static void tell(Verdict v, Job job) throws IOException {
-    v.violations()
-        .forEach(
-            b ->
-                System.out.printf(
-                    Locale.ROOT,
-                    "broken %8.3f s %s: %s%n",
-                    b.at() / 10_000.0,
-                    b.rule(),
-                    b.description()));
-    v.unmetExpectations()
-        .forEach(
-            e ->
-                System.out.println(
-                    "fell short: "
-                        + e.figure()
-                        + " "
-                        + (v.figures().containsKey(e.figure())
-                            ? Verdict.format(v.figures().get(e.figure()))
-                            : "unknown")
-                        + ", expected "
-                        + e.sign()
-                        + " "
-                        + Verdict.format(e.bound())));
-    if (job.out() != null) {
-      ResultLines.write(job.out().resolve("result.jsonl"), v, job.seed(), job.policyWord());
+  private static void report(Verdict verdict, Job job) throws IOException {
+    for (RuleViolation violation : verdict.violations()) {
+      System.out.printf(
+          Locale.ROOT,
+          "broken %8.3f s %s: %s%n",
+          violation.at() / 10_000.0,
+          violation.rule(),
+          violation.description());
+    }
+    for (Expect expectation : verdict.unmetExpectations()) {
+      Double value = verdict.figures().get(expectation.figure());
+      System.out.println(
+          "fell short: "
+              + expectation.figure()
+              + " "
+              + (value == null ? "unknown" : Verdict.format(value))
+              + ", expected "
+              + expectation.sign()
+              + " "
+              + Verdict.format(expectation.bound()));
+    }
+    if (job.outputDirectory != null) {
+      ResultLines.write(
+          job.outputDirectory.resolve("result.jsonl"), verdict, job.seed, job.policyWord());
       HtmlReport.write(
-          job.out().resolve("report.html"), List.of(new HtmlReport.Run(job.policyWord(), v)));
+          job.outputDirectory.resolve("report.html"),
+          List.of(new HtmlReport.Run(job.policyWord(), verdict)));
     }
-    System.out.println(v.resultLine(job.seed()));
+    System.out.println(verdict.resultLine(job.seed));
   }
 }
