Lab scale: the pace of changes is a type, units stand once

The two paces of changes and the nanoseconds in a millisecond stood in several classes. Now Pace and one constant; the numbers are the same. ScaleTest (11) passes.

--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -10,7 +10,6 @@
 /** The control-only proxies of a point, in as many processes as they need. Not thread-safe. */
 final class ControlOnlyFleet implements AutoCloseable {
   private static final int MAX_PROXIES_PER_PROCESS = 600;
-  private static final double NANOS_PER_MILLI = 1e6;
 
   private final ProcessGroup group;
   private final int size;
@@ -55,7 +54,9 @@
   /** Milliseconds from their start until all have an endpoint list, or NaN after the timeout. */
   double awaitLists(long timeoutMillis) throws InterruptedException {
     boolean haveLists = Polling.await(timeoutMillis, () -> proxiesWithList() >= size);
-    return haveLists ? (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI : Double.NaN;
+    return haveLists
+        ? (System.nanoTime() - startedAtNanos) / ScaleEnvironment.NANOS_PER_MILLI
+        : Double.NaN;
   }
 
   private int proxiesWithList() {
@@ -107,7 +108,8 @@
                 int change = (int) (changedAtNanos.length - 1 - (latest - revision));
                 if (change >= 0) {
                   for (long time : times) {
-                    latencies.add((time - changedAtNanos[change]) / NANOS_PER_MILLI);
+                    latencies.add(
+                        (time - changedAtNanos[change]) / ScaleEnvironment.NANOS_PER_MILLI);
                   }
                 }
               });
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -7,17 +7,14 @@
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
 import java.util.Map;
+import wheattrack.lab.scale.SteadyChanges.Pace;
 
 /** The axes about the endpoint list: its size, its changes, and who watches it. */
 final class EndpointMeasurements {
   /** Backends in a usual list. */
   static final int USUAL_LIST = 1000;
 
-  private static final int CHANGES = 200;
-  private static final int CHANGES_PER_SECOND = 100;
   private static final int CHANGE_SECONDS = 3;
-  private static final int WATCHERS_CHANGES = 20;
-  private static final int WATCHERS_CHANGES_PER_SECOND = 5;
 
   private final ScaleEnvironment environment;
 
@@ -48,7 +45,7 @@
         }
         if (Double.isFinite(listMillis)) {
           new SteadyChanges(environment, source, backends)
-              .measure(fleet, reference, CHANGES, CHANGES_PER_SECOND, figures);
+              .measure(fleet, reference, Pace.FAST, figures);
         }
       }
     }
@@ -63,7 +60,7 @@
                 SMALL_FLEET, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
       fleet.awaitLists(LIST_TIMEOUT_MILLIS);
       new SteadyChanges(environment, source, USUAL_LIST)
-          .measure(fleet, reference, CHANGE_SECONDS * perSecond, perSecond, figures);
+          .measure(fleet, reference, new Pace(CHANGE_SECONDS * perSecond, perSecond), figures);
     }
   }
 
@@ -77,7 +74,7 @@
       figures.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
       figures.put("processes", (double) fleet.processCount());
       new SteadyChanges(environment, source, SMALL_LIST)
-          .measure(fleet, reference, WATCHERS_CHANGES, WATCHERS_CHANGES_PER_SECOND, figures);
+          .measure(fleet, reference, Pace.GENTLE, figures);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
+++ b/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
@@ -17,7 +17,6 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
   private static final int READ_TIMEOUT_MILLIS = 2000;
   private static final long END_TIMEOUT_MILLIS = 3000;
-  private static final double NANOS_PER_MILLI = 1e6;
 
   private final InetSocketAddress proxy;
   private final List<Double> latencies = new ArrayList<>();
@@ -60,7 +59,7 @@
     }
     connection.getInputStream().readNBytes(HttpMessages.contentLength(head));
     synchronized (latencies) {
-      latencies.add((System.nanoTime() - sentAt) / NANOS_PER_MILLI);
+      latencies.add((System.nanoTime() - sentAt) / ScaleEnvironment.NANOS_PER_MILLI);
     }
     return true;
   }
--- a/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
@@ -11,7 +11,6 @@
   private static final int READY_TIMEOUT_MILLIS = 200;
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
   private static final int READ_TIMEOUT_MILLIS = 2000;
-  private static final double NANOS_PER_MILLI = 1e6;
 
   private final ProcessGroup group;
   private final InetSocketAddress address;
@@ -48,7 +47,7 @@
   }
 
   double millisSinceStart() {
-    return (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI;
+    return (System.nanoTime() - startedAtNanos) / ScaleEnvironment.NANOS_PER_MILLI;
   }
 
   /** Asks it whether it is ready. */
@@ -98,7 +97,7 @@
     long cpuBefore = cpuNanos();
     new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
     boolean isReloaded = Polling.await(timeoutMillis, () -> metric("reloads_ok") > reloadsBefore);
-    return isReloaded ? (cpuNanos() - cpuBefore) / NANOS_PER_MILLI : Double.NaN;
+    return isReloaded ? (cpuNanos() - cpuBefore) / ScaleEnvironment.NANOS_PER_MILLI : Double.NaN;
   }
 
   /** Nanoseconds of processor time so far. */
@@ -117,7 +116,7 @@
   /** Puts when it was ready and what its start cost. */
   void putStart(Map<String, Double> figures) {
     figures.put("w_ready_ms", readyMillis);
-    figures.put("w_start_cpu_ms", cpuNanos() / NANOS_PER_MILLI);
+    figures.put("w_start_cpu_ms", cpuNanos() / ScaleEnvironment.NANOS_PER_MILLI);
     figures.put("w_rss_mb", peakResidentMib());
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
@@ -7,6 +7,9 @@
 
 /** What the measurements of a run share: its processes, sources, configurations and settings. */
 final class ScaleEnvironment implements AutoCloseable {
+  /** Nanoseconds in a millisecond. */
+  static final double NANOS_PER_MILLI = 1e6;
+
   /** How long a few proxies may take to learn an endpoint list, or a proxy to be ready. */
   static final long LIST_TIMEOUT_MILLIS = 12_000;
 
--- a/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import wheattrack.lab.scale.SteadyChanges.Pace;
 
 /** The axes about settings: their size in a file, and in a source that is watched. */
 final class SettingsMeasurements {
@@ -18,12 +19,6 @@
   /** How long a proxy may take to read a large configuration and learn its list. */
   private static final long READY_TIMEOUT_MILLIS = 45_000;
 
-  private static final int CHANGES = 200;
-  private static final int CHANGES_PER_SECOND = 100;
-  private static final int WATCHERS_CHANGES = 20;
-  private static final int WATCHERS_CHANGES_PER_SECOND = 5;
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private final ScaleEnvironment environment;
 
   SettingsMeasurements(ScaleEnvironment environment) {
@@ -60,8 +55,9 @@
         long cpuBefore = fleet.cpuNanos();
         long start = System.nanoTime();
         fleet.reload(config);
-        figures.put("reload_ms", (System.nanoTime() - start) / NANOS_PER_MILLI);
-        figures.put("reload_cpu_ms", (fleet.cpuNanos() - cpuBefore) / NANOS_PER_MILLI);
+        figures.put("reload_ms", (System.nanoTime() - start) / ScaleEnvironment.NANOS_PER_MILLI);
+        figures.put(
+            "reload_cpu_ms", (fleet.cpuNanos() - cpuBefore) / ScaleEnvironment.NANOS_PER_MILLI);
         figures.put("heap_kb", fleet.heapKibEach());
       }
       if (environment.hasReferences()) {
@@ -91,11 +87,9 @@
             figures.put("w_ready_ms", reference.readyMillis());
             figures.put("w_rss_mb", reference.peakResidentMib());
           }
-          boolean isSmall = fleetSize <= SMALL_FLEET;
-          int changes = isSmall ? CHANGES : WATCHERS_CHANGES;
-          int perSecond = isSmall ? CHANGES_PER_SECOND : WATCHERS_CHANGES_PER_SECOND;
+          Pace pace = fleetSize <= SMALL_FLEET ? Pace.FAST : Pace.GENTLE;
           new SteadyChanges(environment, settings, ruleSets)
-              .measure(fleet, reference, changes, perSecond, figures);
+              .measure(fleet, reference, pace, figures);
           if (reference != null) {
             figures.put("w_told", reference.metric("settings_told"));
           }
--- a/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -8,6 +8,15 @@
  * and how much longer requests take meanwhile.
  */
 final class SteadyChanges {
+  /** How many changes are made, and at what rate. */
+  record Pace(int count, int perSecond) {
+    /** For a few watchers. */
+    static final Pace FAST = new Pace(200, 100);
+
+    /** For thousands of watchers. */
+    static final Pace GENTLE = new Pace(20, 5);
+  }
+
   /** Changes before the measurement, so that code is compiled as in a proxy that has run on. */
   private static final int MAX_WARM_UP_CHANGES = 200;
 
@@ -39,19 +48,15 @@
   }
 
   /**
-   * Makes so many changes at a fleet and, unless it is null, a reference proxy that watch the
+   * Makes changes at this pace while a fleet and, unless it is null, a reference proxy watch the
    * source, and puts the figures.
    */
   void measure(
-      ControlOnlyFleet fleet,
-      ReferenceProxy reference,
-      int count,
-      int perSecond,
-      Map<String, Double> figures)
+      ControlOnlyFleet fleet, ReferenceProxy reference, Pace pace, Map<String, Double> figures)
       throws InterruptedException {
     if (environment.hasReferences()) {
       int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
-      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(perSecond, notifications));
+      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(pace.perSecond, notifications));
       change(warmUp, warmUp);
       Thread.sleep(WARM_UP_PAUSE_MILLIS);
     }
@@ -68,21 +73,21 @@
     referenceBefore = cpuNanos(reference);
     long bytesBefore = source.bytesSent();
     long start = System.nanoTime();
-    long[] changedAt = change(count, perSecond);
+    long[] changedAt = change(pace.count, pace.perSecond);
     Thread.sleep(SETTLE_MILLIS);
     environment.checkLimit();
     double elapsed = System.nanoTime() - start;
     double watchers = fleet.size() + (reference == null ? 0 : 1);
     double fleetSpent = fleet.cpuNanos() - fleetBefore - fleetRest * elapsed;
-    figures.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / count);
+    figures.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / pace.count);
     figures.put("idle_us_s", fleetRest * 1e6 / fleet.size());
-    figures.put("change_us", fleetSpent / 1e3 / fleet.size() / count);
+    figures.put("change_us", fleetSpent / 1e3 / fleet.size() / pace.count);
     fleet.putTimesInForce(changedAt, source, figures);
     if (reference != null && reference.wasReady()) {
       double spent = cpuNanos(reference) - referenceBefore - referenceRest * elapsed;
       figures.put("w_idle_us_s", referenceRest * 1e6);
-      figures.put("w_change_us", spent / 1e3 / count);
-      measureLatency(reference, perSecond, figures);
+      figures.put("w_change_us", spent / 1e3 / pace.count);
+      measureLatency(reference, pace.perSecond, figures);
     }
   }
 
