--- a/decisions/src/main/java/wheattrack/api/AttemptOutcome.java
+++ b/decisions/src/main/java/wheattrack/api/AttemptOutcome.java
@@ -25,6 +25,11 @@
     this.neverRan = neverRan;
   }
 
+  /** Whether the backend did not take the attempt. */
+  public boolean isRejection() {
+    return this == FULL || this == NO_CONNECT;
+  }
+
   /** Whether the request surely did not run. */
   public boolean neverRan() {
     return neverRan;
--- a/decisions/src/main/java/wheattrack/api/PolicyEvent.java
+++ b/decisions/src/main/java/wheattrack/api/PolicyEvent.java
@@ -33,6 +33,12 @@
     }
   }
 
+  /** A backend was ejected, or reinstated. */
+  public static PolicyEvent ejection(boolean ejected, long backend, String cause) {
+    return new PolicyEvent(
+        ejected ? Kind.BACKEND_EJECTED : Kind.BACKEND_REINSTATED, backend, cause);
+  }
+
   /** The event as one line of text. */
   public String text() {
     return kind.logWord() + " " + subject + ": " + detail;
--- a/decisions/src/main/java/wheattrack/api/PolicySettings.java
+++ b/decisions/src/main/java/wheattrack/api/PolicySettings.java
@@ -61,7 +61,12 @@
    * @param expected whether backends report the load that they hold
    * @param probed whether they do so only when probed
    */
-  public record LoadReports(boolean expected, boolean probed) {}
+  public record LoadReports(boolean expected, boolean probed) {
+    /** Whether a request's first attempt waits for load probes. */
+    public boolean areProbedFor() {
+      return expected && probed;
+    }
+  }
 
   /**
    * Traffic and connections.
--- a/decisions/src/main/java/wheattrack/api/RequestClass.java
+++ b/decisions/src/main/java/wheattrack/api/RequestClass.java
@@ -22,4 +22,38 @@
     long deduplicationWindow,
     double priorityWeight,
     double lateWeight,
-    boolean streaming) {}
+    boolean streaming) {
+
+  /** Whether a request may run any number of times. */
+  public boolean isIdempotent() {
+    return idempotency == Idempotency.IDEMPOTENT;
+  }
+
+  /** Whether a request that may have run must never be sent again. */
+  public boolean isNonIdempotent() {
+    return idempotency == Idempotency.NON_IDEMPOTENT;
+  }
+
+  /** Whether a client may retry a request that may have run: its retry may reach any backend. */
+  public boolean isClientRetrySafe() {
+    return idempotency == Idempotency.IDEMPOTENT
+        || idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+            && deduplicationScope == DeduplicationScope.ALL;
+  }
+
+  /**
+   * Whether a repeat of a request that may have run has no second effect.
+   *
+   * @param elapsed time since the earlier attempt was sent, in ticks
+   * @param sameZone whether the repeat goes to the earlier attempt's zone
+   * @param sameCell whether it goes to the earlier attempt's cell
+   */
+  public boolean isRepeatSafe(long elapsed, boolean sameZone, boolean sameCell) {
+    if (idempotency != Idempotency.IDEMPOTENT_WITH_KEY) {
+      return idempotency == Idempotency.IDEMPOTENT;
+    }
+    return elapsed < deduplicationWindow
+        && (deduplicationScope != DeduplicationScope.ZONE || sameZone)
+        && (deduplicationScope != DeduplicationScope.CELL || sameCell);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/policy/EquiloadBalancer.java
@@ -0,0 +1,126 @@
+package wheattrack.policy;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.LoadBalancer;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.PolicySettings;
+import wheattrack.api.RequestClass;
+import wheattrack.api.RequestHandle;
+import wheattrack.discovery.DiscoveryBackoff;
+import wheattrack.state.BackendState;
+import wheattrack.state.IdleConnections;
+import wheattrack.state.PolicyState;
+import wheattrack.state.Ticks;
+
+/** The policy by EQUILOAD (docs/design.md): its entry points and its periodic work. */
+public final class EquiloadBalancer implements LoadBalancer {
+  final PolicyState state;
+  final SlowStart slowStart;
+  final OutlierDetector outliers;
+  final IntervalPartition partition;
+  final AdmissionControl admission;
+  final BackendSelector selector;
+  private final DiscoveryBackoff discovery;
+  private final Set<RequestLifecycle> openRequests = new LinkedHashSet<>(); // oldest first
+
+  /** Creates the policy of the proxy of this index among proxyCount; the seed is for its draws. */
+  public EquiloadBalancer(
+      PolicyRuntime runtime, long seed, int proxyIndex, int proxyCount, RequestClass[] classes) {
+    state = new PolicyState(runtime, seed, proxyIndex, proxyCount);
+    slowStart = new SlowStart(state);
+    outliers = new OutlierDetector(state);
+    partition = new IntervalPartition(state, outliers);
+    admission = new AdmissionControl(state);
+    selector = new BackendSelector(this);
+    discovery = new DiscoveryBackoff(runtime, state.random());
+    configure(PolicySettings.DEFAULTS, classes);
+  }
+
+  @Override
+  public void configure(PolicySettings settings, RequestClass[] classes) {
+    state.configure(settings, classes);
+  }
+
+  @Override
+  public void start(boolean watch, long pollInterval) {
+    discovery.setPollInterval(pollInterval);
+    if (watch) {
+      state.runtime().watchEndpoints();
+    }
+    foldSecond();
+    checkPeriodically();
+  }
+
+  @Override
+  public int ejectedCount() {
+    return outliers.ejectedCount();
+  }
+
+  @Override
+  public void setOtherProcessPresent(boolean present) {
+    state.setOtherProcessPresent(present);
+  }
+
+  @Override
+  public void onLoadReport(int backend, double requestsInFlight, double queued) {
+    state.addLoadReport(backend, requestsInFlight, queued);
+  }
+
+  @Override
+  public void updateBackend(EndpointUpdate update) {
+    BackendState restarted = state.updateBackend(update);
+    if (restarted != null) {
+      slowStart.restart(restarted);
+    }
+  }
+
+  @Override
+  public void removeBackend(int backend) {
+    state.removeBackend(backend);
+  }
+
+  @Override
+  public void endpointListUpdated(boolean cached) {
+    discovery.onList(cached);
+    partition.rebuild();
+  }
+
+  @Override
+  public void endpointListFailed(boolean answered) {
+    discovery.onFailure(answered);
+  }
+
+  @Override
+  public RequestHandle accept(PendingRequest request) {
+    RequestLifecycle lifecycle = new RequestLifecycle(this, state.open(request));
+    openRequests.add(lifecycle);
+    lifecycle.start();
+    return lifecycle;
+  }
+
+  private void foldSecond() {
+    state.foldSecond(partition.backends());
+    admission.foldSecond();
+    state.endSecond();
+    partition.rebuild();
+    state.runtime().schedule(Ticks.SECOND, this::foldSecond);
+  }
+
+  private void checkPeriodically() {
+    for (BackendState backend : partition.backends()) {
+      state.waits().averageWait(backend);
+      outliers.checkSilence(backend);
+    }
+    List.copyOf(openRequests).forEach(RequestLifecycle::check);
+    IdleConnections.close(state);
+    state.runtime().schedule(state.tightestObjective() / 10, this::checkPeriodically);
+  }
+
+  void onClosed(RequestLifecycle request) {
+    openRequests.remove(request);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
@@ -0,0 +1,120 @@
+package wheattrack.policy;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.stream.IntStream;
+import wheattrack.state.BackendState;
+import wheattrack.state.CostModel;
+import wheattrack.state.PolicyState;
+
+/**
+ * The EQUILOAD partition: the range of recent cost hints, cut into one contiguous interval for each
+ * ready backend in id order, at equal shares of summed cost (docs/design.md). Where there are many
+ * proxies, each takes its turn of the backends.
+ */
+final class IntervalPartition {
+  private static final int PROXIES_PER_BACKEND = 4;
+  private static final int MIN_BACKENDS = 8;
+  // with load reports, and connections that are priced, fewer backends are worth their connections
+  private static final int MIN_BACKENDS_WITH_REPORTS = 2;
+  private static final int MAX_MIN_BACKENDS_WITH_REPORTS = 6;
+
+  private final PolicyState state;
+  private final OutlierDetector outliers;
+  private BackendState[] backends = {};
+  private double[] cumulativeShares = {};
+
+  IntervalPartition(PolicyState state, OutlierDetector outliers) {
+    this.state = state;
+    this.outliers = outliers;
+  }
+
+  /** The backends that this proxy sends to, in id order; not to be changed. */
+  BackendState[] backends() {
+    return backends;
+  }
+
+  /** The backend at a place, counted on from the start past the end. */
+  BackendState at(int place) {
+    return backends[place % backends.length];
+  }
+
+  int size() {
+    return backends.length;
+  }
+
+  /** The sum of all shares; there must be a backend. */
+  double totalShare() {
+    return cumulativeShares[backends.length - 1];
+  }
+
+  /** Chooses this proxy's backends among the ready ones, and gives each its share. */
+  void rebuild() {
+    BackendState[] ready =
+        state.backends().all().stream()
+            .filter(BackendState::isReady)
+            .sorted(Comparator.comparingLong(BackendState::id))
+            .toArray(BackendState[]::new);
+    state.traffic().setReadyBackends(ready.length);
+    int part = partSize(ready.length);
+    // incident: with many ejected, the rest of a small part could not bear its traffic
+    int size = Math.min(ready.length, part + Math.max(0, 4 * outliers.ejectedCount() - 2 * part));
+    long start = (long) state.proxyIndex() * part;
+    backends =
+        IntStream.range(0, ready.length)
+            .filter(i -> Math.floorMod(i - start, ready.length) < size)
+            .mapToObj(i -> ready[i])
+            .toArray(BackendState[]::new);
+    state.setProxiesPerBackend((double) state.proxyCount() * size / Math.max(1, ready.length));
+    state.failureRates().compareAmong(backends);
+    outliers.recount(backends);
+    sumShares();
+  }
+
+  private int partSize(int readyCount) {
+    int least = MIN_BACKENDS;
+    if (state.loadReports().areExpected()) {
+      double connections = state.traffic().idleConnections();
+      double bounded = Math.min(MAX_MIN_BACKENDS_WITH_REPORTS, connections);
+      least = (int) Math.max(MIN_BACKENDS_WITH_REPORTS, bounded);
+    }
+    return (int) Math.max(least, PROXIES_PER_BACKEND * readyCount * state.traffic().ownShare());
+  }
+
+  private void sumShares() {
+    cumulativeShares = new double[backends.length];
+    double sum = 0;
+    for (int i = 0; i < backends.length; i++) {
+      BackendState backend = backends[i];
+      double pace = state.throughput().paceOf(backend) / state.throughput().paceOfKind(backend);
+      backend.setShare(
+          backend.weight()
+              * state.throughput().speedOfKind(backend)
+              * Math.sqrt(pace)
+              * state.failureRates().healthOf(backend)
+              * state.warmUp().warmth(backend)
+              * state.zoneFactor().of(backend));
+      sum += backend.share();
+      cumulativeShares[i] = sum;
+    }
+  }
+
+  /**
+   * The place of the backend whose interval holds a hint; there must be a backend. A hint on a cut
+   * falls to either side by covered share. It counts as one more in the window: a thin window cuts
+   * nearly at random, a full one sharply. Without a hint each backend is as likely.
+   */
+  int place(int hint) {
+    double draw = state.random().draw();
+    if (hint <= 0) {
+      return (int) (draw * backends.length);
+    }
+    CostModel costs = state.costs();
+    double own = costs.costOf(hint);
+    double low = costs.costOfSmallest(costs.hintsBelow(hint - 0.5));
+    double high = costs.costOfSmallest(costs.hintsBelow(hint + 0.5)) + own;
+    double at = (low + draw * (high - low)) / (costs.totalCost() + own) * totalShare();
+    int i = Arrays.binarySearch(cumulativeShares, at);
+    return Math.min(backends.length - 1, i < 0 ? -i - 1 : i + 1);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
@@ -0,0 +1,211 @@
+package wheattrack.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.RequestHandle;
+import wheattrack.state.Attempt;
+import wheattrack.state.BackendState;
+import wheattrack.state.LoadProbeRound;
+import wheattrack.state.OpenRequest;
+import wheattrack.state.PolicyState;
+
+/** One request from its arrival to its final answer: attempts, retries, hedging, rejection. */
+final class RequestLifecycle implements RequestHandle {
+  private static final int LOAD_PROBES = 2;
+
+  private final EquiloadBalancer balancer;
+  private final PolicyState state;
+  private final IntervalPartition partition;
+  private final AdmissionControl admission;
+  private final OpenRequest open;
+  private final int maxAttempts;
+  private int place = -1;
+
+  RequestLifecycle(EquiloadBalancer balancer, OpenRequest open) {
+    this.balancer = balancer;
+    this.open = open;
+    state = balancer.state;
+    partition = balancer.partition;
+    admission = balancer.admission;
+    maxAttempts = state.settings().attempts().maxAttempts();
+  }
+
+  /** Its interval's place in the partition: the one that was probed, for retries drawn anew. */
+  private int firstPlace() {
+    if (place < 0 || !open.attempts().isEmpty()) {
+      place = partition.place(open.request().costHint());
+    }
+    return place % partition.size();
+  }
+
+  /** Has its interval's backend and the next probed for their load, and waits a moment for that. */
+  void start() {
+    int wanted = state.settings().loadReports().areProbedFor() ? LOAD_PROBES : 0;
+    List<BackendState> probed = new ArrayList<>(wanted);
+    for (int k = 0; k < partition.size() && probed.size() < wanted; k++) {
+      BackendState backend = partition.at(firstPlace() + k);
+      if (backend.isReady() && !backend.isEjected()) {
+        probed.add(backend);
+      }
+    }
+    long timeout = state.tightestObjective() / 30;
+    LoadProbeRound.start(state.runtime(), probed, timeout, this::sendOrGiveUp);
+  }
+
+  /** The next attempt, or the final answer where none can help any more. */
+  private void sendOrGiveUp() {
+    if (open.isClosed()) {
+      return;
+    }
+    long now = state.now();
+    BackendState backend = null;
+    if (partition.size() > 0
+        && open.attempts().size() < maxAttempts
+        && now < open.request().deadline()) {
+      backend = balancer.selector.selectForProbe(open);
+      backend = backend != null ? backend : balancer.selector.select(open, firstPlace());
+    }
+    boolean shed = admission.sheds(open);
+    boolean hopeless = admission.isHopeless(open, backend);
+    if (backend != null && !hopeless && !shed && admission.admits(backend, open.timeLeft(now))) {
+      send(backend);
+    } else if (open.attemptsInFlight() == 0) {
+      if (open.attempts().isEmpty()) {
+        state.idleRejections().onRejected(rejectionCause(backend, shed));
+      }
+      giveUp();
+    }
+  }
+
+  private String rejectionCause(BackendState backend, boolean shed) {
+    if (partition.size() == 0) {
+      return "no srv is ready";
+    }
+    if (backend == null) {
+      return "all are cold, shut or full";
+    }
+    return shed ? "a part is denied, as too many ended late" : "each wait is judged too long";
+  }
+
+  private void send(BackendState backend) {
+    Attempt attempt = open.startAttempt(backend);
+    balancer.slowStart.spend(backend, open.cost());
+    admission.onSent();
+    long timeout = open.request().deadline() - attempt.sentAt();
+    AttemptCallback callback = (how, latency, ended) -> onOutcome(attempt, how, latency, ended);
+    state.runtime().sendAttempt(open.request(), backend.index(), timeout, callback);
+  }
+
+  private void onOutcome(
+      Attempt attempt, AttemptOutcome outcome, long latency, boolean requestEnded) {
+    open.endAttempt(attempt, outcome);
+    balancer.outliers.onOutcome(attempt, outcome, latency);
+    if (open.isClosed()) {
+      return;
+    }
+    if (requestEnded) {
+      close(outcome == AttemptOutcome.DONE);
+    } else if (open.attemptsInFlight() == 0) {
+      if (outcome == AttemptOutcome.TIMEOUT) {
+        giveUp();
+      } else {
+        sendOrGiveUp();
+      }
+    }
+  }
+
+  /** Rejects the request if a retry by its client does no harm, else fails it. */
+  private void giveUp() {
+    close(false);
+    // rule two: what may have run is rejected only if its client's retry has no second effect
+    if (open.mayHaveRun() && !open.requestClass().isClientRetrySafe()) {
+      state.runtime().fail(open.request());
+      return;
+    }
+    long timeLeft = open.timeLeft(state.now());
+    long retryAfter = state.settings().attempts().maxRetryAfter();
+    if (timeLeft >= open.requestClass().latencyObjective() / 4) {
+      retryAfter = Math.min(retryAfter, timeLeft / 4);
+    }
+    state.runtime().reject(open.request(), retryAfter);
+  }
+
+  private void close(boolean answered) {
+    open.close(answered);
+    balancer.onClosed(this);
+    open.attempts().forEach(this::cancel);
+  }
+
+  private void cancel(Attempt attempt) {
+    if (attempt.isCancellable() && state.settings().attempts().mayCancel()) {
+      attempt.requestCancel();
+      state.runtime().cancelAttempt(open.request(), attempt.number());
+    }
+  }
+
+  /** Gives up in time; a request that is stuck is hedged, or sent elsewhere. */
+  void check() {
+    if (isOutOfTime()) {
+      giveUp();
+      return;
+    }
+    if (open.attemptsInFlight() != 1
+        || open.isStreaming()
+        || open.attempts().size() >= maxAttempts
+        || open.requestClass().isNonIdempotent()) {
+      return;
+    }
+    for (Attempt attempt : open.attempts()) {
+      if (isStuck(attempt)) {
+        if (state.settings().attempts().mayHedge()) {
+          sendOrGiveUp();
+        } else {
+          cancel(attempt);
+        }
+        return;
+      }
+    }
+  }
+
+  /** Almost past an objective after which nothing is earned: given up early enough for a retry. */
+  private boolean isOutOfTime() {
+    if (open.isStreaming()
+        || !open.isWorthlessWhenLate()
+        || open.timeLeft(state.now()) > state.tightestObjective() / 10) {
+      return false;
+    }
+    long maxRetryAfter = state.settings().attempts().maxRetryAfter();
+    return open.age() + maxRetryAfter >= open.requestClass().clientTimeout()
+        || state.random().draw() < admission.shedShare();
+  }
+
+  private boolean isStuck(Attempt attempt) {
+    return attempt.isCancellable()
+        && (attempt.backend().isEjected() || isWorthHedging(attempt))
+        && state.now() - attempt.sentAt() >= state.tightestObjective() / 4;
+  }
+
+  private boolean isWorthHedging(Attempt attempt) {
+    long objective = open.requestClass().latencyObjective();
+    double patience = objective / 3 * (1 + 3.0 / state.proxyCount());
+    return state.settings().attempts().mayHedge()
+        && admission.shedShare() == 0
+        && attempt.backend().inFlight() == 1
+        && open.isWorthlessWhenLate()
+        && open.age() > patience;
+  }
+
+  @Override
+  public void streamingStarted(int attempt) {
+    open.markStreaming();
+  }
+
+  @Override
+  public void clientDisconnected() {
+    if (!open.isClosed()) {
+      close(false);
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/state/BackendState.java
@@ -0,0 +1,351 @@
+package wheattrack.state;
+
+import wheattrack.api.EndpointUpdate;
+
+/**
+ * One backend: what the endpoint list says of it, and what this proxy has measured of it. It holds
+ * figures and decides nothing. Costs are in units of the cost model, times in ticks. Not
+ * thread-safe.
+ */
+public final class BackendState {
+  /** Backends of more kinds than this share their figures. */
+  public static final int MAX_KINDS = 64;
+
+  /** Capacity of a backend that has rejected nothing yet, in requests in flight. */
+  private static final double UNLIMITED_CAPACITY = 1024;
+
+  private static final double MAX_WEIGHT = 1e9;
+
+  private final int index;
+  private long id;
+  private int zone;
+  private int cell;
+  private int kind;
+  private double weight;
+  private long startedAt;
+  private boolean ready;
+
+  private boolean ejected;
+  private long nextProbeRequestAt;
+  private long probeRequestInterval;
+  private double attempts;
+  private double failures;
+
+  private int inFlight;
+  private double inFlightCost;
+  private double abandonedCost;
+  private double capacity;
+  private double reportedInFlight;
+  private long reportedAt;
+
+  private double costDone;
+  private double busyTime;
+  private long settledAt;
+  private double timeWithoutAnswer;
+  private double meanWait;
+  private long lastOutcomeAt;
+
+  private double slowStartSpent;
+  private long slowStartSpentAt;
+  private double share;
+
+  /** Creates a backend that no list has named yet. */
+  BackendState(int index) {
+    this.index = index;
+  }
+
+  /** Takes over what the endpoint list says; returns whether the backend has started anew. */
+  public boolean update(EndpointUpdate update) {
+    boolean restarted = update.newlyListed() || update.startedAt() > startedAt;
+    id = update.id();
+    zone = update.zone();
+    cell = update.cell();
+    kind = Math.floorMod(update.kind(), MAX_KINDS);
+    weight = update.weight() > 0 && update.weight() < MAX_WEIGHT ? update.weight() : 1;
+    startedAt = update.startedAt();
+    ready = update.ready();
+    return restarted;
+  }
+
+  /** Forgets what was measured before a restart. */
+  public void forgetMeasurements() {
+    reportedAt = 0;
+    reportedInFlight = 0;
+    costDone = 0;
+    busyTime = 0;
+    abandonedCost = 0;
+    meanWait = 0;
+    attempts = 0;
+    failures = 0;
+    timeWithoutAnswer = 0;
+    ejected = false;
+    capacity = UNLIMITED_CAPACITY;
+  }
+
+  /** The backend has left the list: nothing new is sent to it. */
+  public void markRemoved() {
+    ready = false;
+  }
+
+  /** Its dense index. */
+  public int index() {
+    return index;
+  }
+
+  /** Its identity, by which backends are ordered. */
+  public long id() {
+    return id;
+  }
+
+  /** Its zone. */
+  public int zone() {
+    return zone;
+  }
+
+  /** Its cell: backends of a cell remember the same idempotency keys. */
+  public int cell() {
+    return cell;
+  }
+
+  /** Its kind, below {@link #MAX_KINDS}. */
+  public int kind() {
+    return kind;
+  }
+
+  /** Its advertised capacity, relative to others. */
+  public double weight() {
+    return weight;
+  }
+
+  /** Whether the list says that it takes new requests. */
+  public boolean isReady() {
+    return ready;
+  }
+
+  /** How long it has been running. */
+  public long age(long now) {
+    return now - startedAt;
+  }
+
+  // ---- health
+
+  /** Whether it is kept away from, but for probe requests. */
+  public boolean isEjected() {
+    return ejected;
+  }
+
+  /** Ejects or reinstates it; from now on a probe request is due after each interval. */
+  public void setEjected(boolean eject, long now, long interval) {
+    ejected = eject;
+    probeRequestInterval = interval;
+    nextProbeRequestAt = now + interval;
+  }
+
+  /** When the next probe request may be sent. */
+  public long nextProbeRequestAt() {
+    return nextProbeRequestAt;
+  }
+
+  /**
+   * A probe request is sent: the next one waits, and those after it twice as long up to a limit.
+   */
+  public void backOffProbeRequests(long now, long maxInterval) {
+    nextProbeRequestAt = now + probeRequestInterval;
+    probeRequestInterval = Math.min(maxInterval, 2 * probeRequestInterval);
+  }
+
+  /** Counts an attempt that ended, and whether it failed; both decay. */
+  public void countOutcome(boolean failed) {
+    attempts++;
+    failures += failed ? 1 : 0;
+  }
+
+  /** Share of its recent attempts that failed; a backend hardly tried counts as good. */
+  public double failureRate() {
+    return failures / (attempts + 2);
+  }
+
+  /** How long it has had attempts in flight since its last answer. */
+  public double timeWithoutAnswer() {
+    return timeWithoutAnswer;
+  }
+
+  /** It has answered. */
+  public void markAnswered() {
+    timeWithoutAnswer = 0;
+  }
+
+  // ---- load by this proxy's own attempts
+
+  /** This proxy's attempts in flight there. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** Their cost. */
+  public double inFlightCost() {
+    return inFlightCost;
+  }
+
+  /** Cost of attempts that were cancelled or timed out and may still be running there. */
+  public double abandonedCost() {
+    return abandonedCost;
+  }
+
+  /** How many attempts in flight it bears, as its own rejections teach. */
+  public double capacity() {
+    return capacity;
+  }
+
+  /** An attempt of this cost is sent. */
+  public void attemptStarted(double cost) {
+    reportedInFlight++;
+    inFlight++;
+    inFlightCost += cost;
+  }
+
+  /** An attempt of this cost has ended. */
+  public void attemptEnded(double cost, long now) {
+    inFlight--;
+    reportedInFlight = Math.max(0, reportedInFlight - 1);
+    lastOutcomeAt = now;
+    inFlightCost -= cost;
+  }
+
+  /** An attempt that ended without an answer may still be running. */
+  public void addAbandonedCost(double cost) {
+    abandonedCost += cost;
+  }
+
+  /** The backend has rejected an attempt beside those in flight now. */
+  public void lowerCapacity() {
+    capacity = Math.min(capacity, inFlight);
+  }
+
+  /** The backend has answered: its capacity may be larger than known. */
+  public void raiseCapacity() {
+    capacity += 1 / Math.max(1, capacity);
+  }
+
+  /** Whether an attempt has ended there, and nothing was in flight since for this long. */
+  public boolean areConnectionsIdleFor(long duration, long now) {
+    return inFlight == 0 && lastOutcomeAt > 0 && now - lastOutcomeAt >= duration;
+  }
+
+  /** Its idle connections have been closed. */
+  public void markConnectionsClosed() {
+    lastOutcomeAt = 0;
+  }
+
+  // ---- load by its own report
+
+  /** Takes over a load report. */
+  void setReport(double requestsInFlight, long now) {
+    reportedInFlight = requestsInFlight;
+    reportedAt = now;
+  }
+
+  /** Requests in flight there by its last report, adjusted by this proxy's attempts since. */
+  public double reportedInFlight() {
+    return reportedInFlight;
+  }
+
+  /** When it last reported, or 0. */
+  public long reportedAt() {
+    return reportedAt;
+  }
+
+  // ---- throughput
+
+  /** Cost that it has done for this proxy; decays. */
+  public double costDone() {
+    return costDone;
+  }
+
+  /** Time that it had something of this proxy's to do; decays. */
+  public double busyTime() {
+    return busyTime;
+  }
+
+  /** It has done this cost. */
+  void addCostDone(double cost) {
+    costDone += cost;
+  }
+
+  /** Accounts for the time since the last call; returns that time. */
+  long settle(long now) {
+    long elapsed = now - settledAt;
+    settledAt = now;
+    return elapsed;
+  }
+
+  /** Time passed with attempts in flight. */
+  void addBusyTime(double work, long elapsed) {
+    busyTime += work;
+    timeWithoutAnswer += elapsed;
+  }
+
+  /** Abandoned work is taken to be done at the backend's pace. */
+  void drainAbandonedCost(double cost) {
+    abandonedCost = Math.max(0, abandonedCost - cost);
+  }
+
+  /** Mean wait there over the last second. */
+  public double meanWait() {
+    return meanWait;
+  }
+
+  /** Moves the mean wait towards the present one, by a tenth of the objective in a second. */
+  void averageWait(double wait, long objective) {
+    meanWait += (wait - meanWait) * objective / 10 / Ticks.SECOND;
+  }
+
+  /** What was measured fades. */
+  void decay(double keep) {
+    costDone *= keep;
+    busyTime *= keep;
+    attempts *= keep;
+    failures *= keep;
+  }
+
+  /** The unit of costs has changed. */
+  void scaleCosts(double factor) {
+    costDone *= factor;
+    inFlightCost *= factor;
+    abandonedCost *= factor;
+    slowStartSpent *= factor;
+  }
+
+  // ---- slow start and partition
+
+  /** The part of its slow-start budget that is used, as of the last call of the setter. */
+  public double slowStartSpent() {
+    return slowStartSpent;
+  }
+
+  /** When the used budget was last set. */
+  public long slowStartSpentAt() {
+    return slowStartSpentAt;
+  }
+
+  /** Sets the used slow-start budget as of now. */
+  public void setSlowStartSpent(double cost, long now) {
+    slowStartSpent = cost;
+    slowStartSpentAt = now;
+  }
+
+  /** Uses some of the slow-start budget. */
+  public void spendSlowStart(double cost) {
+    slowStartSpent += cost;
+  }
+
+  /** Its share of the partition, relative to others. */
+  public double share() {
+    return share;
+  }
+
+  /** Sets its share of the partition. */
+  public void setShare(double newShare) {
+    share = newShare;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/state/CostModel.java
@@ -0,0 +1,227 @@
+package wheattrack.state;
+
+import java.util.Arrays;
+import java.util.stream.LongStream;
+import wheattrack.statistics.DecayingLinearRegression;
+
+/**
+ * What a request costs, by the hint that it carries: {@code baseCost + scale * hint ^ exponent}.
+ * The constants are fitted to a window of recent hints such that the mean cost is the mean hint;
+ * the exponent follows how steeply latencies rise with hints. A sudden move of the recent hints
+ * against the window is taken as a change of their unit: older hints are dropped, and all costs are
+ * rescaled so that a mean request stays as much work as before.
+ *
+ * <p>Refitting sorts the window, O(n log n) for its 2000 hints, once a second and while the window
+ * doubles. Not thread-safe.
+ */
+public final class CostModel {
+  /** Hints in the window. */
+  public static final int WINDOW = 2000;
+
+  /** Hints that tell whether their unit has changed. */
+  private static final int RECENT = 16;
+
+  /** Smallest change of the mean logarithm that is taken as a change of unit. */
+  private static final double MIN_UNIT_CHANGE = Math.log(8);
+
+  /** The same in standard errors of the recent hints' mean logarithm. */
+  private static final double UNIT_CHANGE_ERRORS = 5;
+
+  /** Hints over this many times the median count as that. */
+  private static final double OUTLIER_MULTIPLE = 1000;
+
+  /** Part of the mean cost that every request costs at least. */
+  private static final double BASE_SHARE = 0.25;
+
+  /** Weight of a latency above the fit: such latencies hold the queues of others. */
+  private static final double WEIGHT_ABOVE_FIT = 0.1;
+
+  /** Weight of the prior in requests, and its exponent, where no load is reported. */
+  private static final double PRIOR_WEIGHT = 8;
+
+  private static final double PRIOR_EXPONENT = 0.5;
+
+  /** Exponent of the prior where backends report load; it has twice the weight. */
+  private static final double PRIOR_EXPONENT_WITH_REPORTS = 0.8;
+
+  private static final double MIN_EXPONENT = 0.1;
+
+  /** Hears of changes that concern all costs. */
+  public interface Listener {
+    /** The unit of hints has changed; the recent ones are so many per cent of those before. */
+    void hintUnitChanged(long perCent);
+
+    /** All costs known so far are to be multiplied by this factor. */
+    void costsRescaled(double factor);
+  }
+
+  private final Listener listener;
+  private final DecayingLinearRegression latencyFit = new DecayingLinearRegression(WINDOW);
+  private final double[] window = new double[WINDOW];
+  private long hintsSeen;
+  private boolean hintsBeganLate;
+  private double[] sortedHints = {};
+  private double[] cumulativeCosts = {0};
+  private double maxHint = Integer.MAX_VALUE;
+  private double recentLogMean;
+  private double windowLogMean;
+  private double unitChangeThreshold = MIN_UNIT_CHANGE;
+  private boolean loadReported;
+  private double exponent = PRIOR_EXPONENT;
+  private double scale = 1;
+  private double baseCost;
+  private double meanCost = 1;
+  private double unit = 1;
+
+  /** Creates a model without hints; the listener is called from within {@link #addHint}. */
+  CostModel(Listener listener) {
+    this.listener = listener;
+  }
+
+  /** Whether backends report their load; from then on hints are trusted more. */
+  void setLoadReported(boolean reported) {
+    if (reported && !loadReported) {
+      exponent = PRIOR_EXPONENT_WITH_REPORTS;
+    }
+    loadReported = reported;
+  }
+
+  /**
+   * Takes a request's hint into the window.
+   *
+   * @param hint the hint, above 0
+   * @param clientRetry whether a client sends it again: in overload one heavy request comes again
+   *     and again, which is no change of unit
+   * @param requestsBefore requests accepted before this one, with or without hints
+   */
+  void addHint(int hint, boolean clientRetry, long requestsBefore) {
+    window[(int) (hintsSeen++ % WINDOW)] = hint;
+    hintsBeganLate |= hintsSeen == 1 && requestsBefore > 0;
+    if (!clientRetry || recentLogMean == 0) {
+      double log = Math.log(Math.min(hint, maxHint));
+      recentLogMean = recentLogMean == 0 ? log : recentLogMean + (log - recentLogMean) / RECENT;
+    }
+    boolean windowDoubled = (hintsSeen & hintsSeen - 1) == 0;
+    if (windowDoubled || hasUnitChanged()) {
+      refit();
+    }
+  }
+
+  /** Fits the model to the window. */
+  void refit() {
+    if (hintsSeen == 0) {
+      return;
+    }
+    boolean unitChanged = hasUnitChanged();
+    if (unitChanged) {
+      dropOldHints();
+    }
+    double before = meanCost;
+    int n = (int) Math.min(hintsSeen, WINDOW);
+    sortedHints = Arrays.copyOf(window, n);
+    Arrays.sort(sortedHints);
+    maxHint = OUTLIER_MULTIPLE * sortedHints[n / 2];
+    fitConstants(n);
+    sumCosts(n);
+    if (unitChanged || hintsBeganLate && n <= RECENT) {
+      rescale(meanCost / before);
+    }
+  }
+
+  private boolean hasUnitChanged() {
+    return hintsSeen > RECENT && Math.abs(recentLogMean - windowLogMean) > unitChangeThreshold;
+  }
+
+  private void dropOldHints() {
+    double[] latest =
+        LongStream.range(hintsSeen - RECENT, hintsSeen)
+            .mapToDouble(i -> window[(int) (i % WINDOW)])
+            .toArray();
+    System.arraycopy(latest, 0, window, 0, RECENT);
+    hintsSeen = RECENT;
+    recentLogMean = Arrays.stream(latest).map(Math::log).sum() / RECENT;
+    listener.hintUnitChanged(Math.round(100 * Math.exp(recentLogMean - windowLogMean)));
+  }
+
+  private void fitConstants(int n) {
+    double sum = 0;
+    double powers = 0;
+    double logs = 0;
+    double squares = 0;
+    for (double value : sortedHints) {
+      double hint = Math.min(value, maxHint);
+      sum += hint;
+      powers += Math.pow(hint, exponent);
+      double log = Math.log(hint);
+      logs += log;
+      squares += log * log;
+    }
+    windowLogMean = logs / n;
+    double deviation = Math.sqrt(Math.max(0, squares / n - windowLogMean * windowLogMean));
+    unitChangeThreshold =
+        Math.max(MIN_UNIT_CHANGE, UNIT_CHANGE_ERRORS * deviation / Math.sqrt(2 * RECENT - 1));
+    baseCost = BASE_SHARE * sum / n;
+    scale = (1 - BASE_SHARE) * sum / powers;
+  }
+
+  private void sumCosts(int n) {
+    cumulativeCosts = new double[n + 1];
+    for (int i = 0; i < n; i++) {
+      cumulativeCosts[i + 1] = cumulativeCosts[i] + costOf(sortedHints[i]);
+    }
+    meanCost = cumulativeCosts[n] / n;
+  }
+
+  private void rescale(double factor) {
+    unit *= factor;
+    latencyFit.shift(Math.log(factor));
+    listener.costsRescaled(factor);
+  }
+
+  /** An attempt that found its backend idle took this long: how latencies follow hints. */
+  void observeLatency(int hint, long latency) {
+    double x = Math.log(hint);
+    double y = Math.log(Math.max(1, latency));
+    latencyFit.add(x, y, latencyFit.isAbove(x, y) ? WEIGHT_ABOVE_FIT : 1);
+    double slope =
+        loadReported
+            ? latencyFit.slope(2 * PRIOR_WEIGHT, PRIOR_EXPONENT_WITH_REPORTS)
+            : latencyFit.slope(PRIOR_WEIGHT, PRIOR_EXPONENT);
+    exponent = Math.max(MIN_EXPONENT, Math.min(1, slope));
+  }
+
+  /** The cost that a hint stands for. */
+  public double costOf(double hint) {
+    return baseCost + scale * Math.pow(Math.min(hint, maxHint), exponent);
+  }
+
+  /** The mean cost of a request. */
+  public double meanCost() {
+    return meanCost;
+  }
+
+  /** Present costs in one of the start: grows with each rescaling. */
+  double unit() {
+    return unit;
+  }
+
+  /** Whether the window holds any hint. */
+  boolean hasHints() {
+    return hintsSeen > 0;
+  }
+
+  /** How many hints of the window lie below a value; asked for halves, which no hint equals. */
+  public int hintsBelow(double value) {
+    return -Arrays.binarySearch(sortedHints, value) - 1;
+  }
+
+  /** The summed cost of so many of the window's smallest hints. */
+  public double costOfSmallest(int count) {
+    return cumulativeCosts[count];
+  }
+
+  /** The summed cost of all hints of the window. */
+  public double totalCost() {
+    return cumulativeCosts[sortedHints.length];
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/state/OpenRequest.java
@@ -0,0 +1,187 @@
+package wheattrack.state;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.RequestClass;
+import wheattrack.statistics.LatenessCounters;
+
+/** A request that has no final answer yet: its cost, its time and its attempts. Not thread-safe. */
+public final class OpenRequest {
+  private final PolicyState state;
+  private final PendingRequest request;
+  private final double costAtArrival;
+  private final double unitAtArrival;
+  private final List<Attempt> attempts = new ArrayList<>(2);
+  private int attemptsInFlight;
+  private boolean streaming;
+  private boolean closed;
+
+  OpenRequest(PolicyState state, PendingRequest request) {
+    this.state = state;
+    this.request = request;
+    CostModel costs = state.costs();
+    double expected = request.costHint() > 0 ? costs.costOf(request.costHint()) : costs.meanCost();
+    costAtArrival = (int) Math.max(1, expected);
+    unitAtArrival = costs.unit();
+  }
+
+  /** The request as its client sent it. */
+  public PendingRequest request() {
+    return request;
+  }
+
+  /** Its class. */
+  public RequestClass requestClass() {
+    return request.requestClass();
+  }
+
+  /** Its expected cost, in the present unit of costs. */
+  public double cost() {
+    return costAtArrival * state.costs().unit() / unitAtArrival;
+  }
+
+  /** What its answer is worth: its class's weight for its cost. */
+  public double worth() {
+    return requestClass().priorityWeight() * cost();
+  }
+
+  /** Time left until its objective or its deadline, whichever is first. */
+  public long timeLeft(long now) {
+    long objectiveAt = request.arrivedAt() + requestClass().latencyObjective();
+    return Math.min(request.deadline(), objectiveAt) - now;
+  }
+
+  /**
+   * What it is worth to try: its worth for its cost against the mean, the less the surer it is to
+   * be late by what recent attempts took for their cost.
+   */
+  public double hope() {
+    LatenessCounters recent = state.lateness();
+    double timeLeft = timeLeft(state.now());
+    double inTime = timeLeft * recent.costDone() / (recent.attemptTime() * cost() + 1);
+    return Math.min(2, inTime * inTime)
+        * requestClass().priorityWeight()
+        * state.costs().meanCost()
+        / state.meanWorth();
+  }
+
+  /** Whether it may have run, or may yet run, by any of its attempts. */
+  public boolean mayHaveRun() {
+    return attempts.stream().anyMatch(Attempt::mayHaveRun);
+  }
+
+  /** How long ago it arrived. */
+  public long age() {
+    return state.now() - request.arrivedAt();
+  }
+
+  /** Whether an answer after its objective is worth nothing. */
+  public boolean isWorthlessWhenLate() {
+    return requestClass().lateWeight() == 0;
+  }
+
+  /**
+   * Whether an attempt may be sent to a backend with no second effect, for all earlier attempts.
+   */
+  public boolean mayRepeatAt(BackendState backend) {
+    long now = state.now();
+    for (Attempt attempt : attempts) {
+      if (!attempt.allowsRepeatAt(backend, requestClass(), now)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Where its last attempt went, or null. */
+  public BackendState lastBackend() {
+    return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1).backend();
+  }
+
+  /** Its attempts so far, by number. */
+  public List<Attempt> attempts() {
+    return Collections.unmodifiableList(attempts);
+  }
+
+  /** How many of them are in flight. */
+  public int attemptsInFlight() {
+    return attemptsInFlight;
+  }
+
+  /** Whether an answer streams, or its body can't be sent twice: it has no further attempts. */
+  public boolean isStreaming() {
+    return streaming;
+  }
+
+  /** An answer streams, or its body can't be sent twice. */
+  public void markStreaming() {
+    streaming = true;
+  }
+
+  /** Whether it has its final answer, or nobody waits for one. */
+  public boolean isClosed() {
+    return closed;
+  }
+
+  /** It has ended; answered: with an answer, be it late. */
+  public void close(boolean answered) {
+    boolean inTime = answered && age() <= requestClass().latencyObjective();
+    closed = true;
+    state.lateness().countEnd(!attempts.isEmpty(), inTime);
+  }
+
+  /** Accounts for an attempt that is sent to a backend now. */
+  public Attempt startAttempt(BackendState backend) {
+    long now = state.now();
+    LoadReports reports = state.loadReports();
+    double costAhead =
+        reports.isFresh(backend, now) ? reports.costAhead(backend, state.costs().meanCost()) : 0;
+    Attempt attempt = new Attempt(attempts.size(), backend, now, costAhead);
+    attempts.add(attempt);
+    attemptsInFlight++;
+    state.throughput().settle(backend, now);
+    backend.attemptStarted(cost());
+    state.inFlight().attemptStarted(cost(), now);
+    return attempt;
+  }
+
+  /** Accounts for an attempt that has ended. */
+  public void endAttempt(Attempt attempt, AttemptOutcome outcome) {
+    long now = state.now();
+    double cost = cost();
+    BackendState backend = attempt.backend();
+    attempt.end(outcome);
+    attemptsInFlight--;
+    state.throughput().settle(backend, now);
+    backend.attemptEnded(cost, now);
+    state.inFlight().attemptEnded(cost);
+    state.lateness().addAttemptTime(now - attempt.sentAt());
+    if (outcome == AttemptOutcome.CANCELLED || outcome == AttemptOutcome.TIMEOUT) {
+      backend.addAbandonedCost(cost);
+    }
+    if (outcome != AttemptOutcome.CANCELLED && outcome != AttemptOutcome.DISCARDED) {
+      backend.countOutcome(outcome != AttemptOutcome.DONE);
+    }
+    if (outcome.isRejection()) {
+      backend.lowerCapacity();
+    }
+    if (outcome == AttemptOutcome.DONE) {
+      learnFromAnswer(attempt, cost, now);
+    }
+    if (outcome == AttemptOutcome.DONE || outcome == AttemptOutcome.ERROR) {
+      backend.markAnswered();
+    }
+  }
+
+  private void learnFromAnswer(Attempt attempt, double cost, long now) {
+    if (attempt.foundIdle() && request.costHint() > 0) {
+      state.costs().observeLatency(request.costHint(), now - attempt.sentAt());
+    }
+    attempt.backend().raiseCapacity();
+    state.throughput().addCostDone(attempt.backend(), cost + attempt.costAhead());
+    state.lateness().addCostDone(cost);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/wheattrack/state/PolicyState.java
@@ -0,0 +1,279 @@
+package wheattrack.state;
+
+import java.util.Arrays;
+import java.util.List;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.LoadBalancer;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.PolicySettings;
+import wheattrack.api.RequestClass;
+import wheattrack.statistics.LatenessCounters;
+import wheattrack.statistics.SeededRandom;
+
+/**
+ * All that one proxy's policy knows: its settings, its backends and what it measures. The classes
+ * of the policy share one object of this kind and decide by it. Not thread-safe.
+ */
+public final class PolicyState implements CostModel.Listener {
+  private static final double KEEP_PER_SECOND = ThroughputEstimator.KEEP_PER_SECOND;
+
+  private final PolicyRuntime runtime;
+  private final SeededRandom random;
+  private final int proxyIndex;
+  private final int proxyCount;
+  private final BackendTable backends = new BackendTable();
+  private final CostModel costs = new CostModel(this);
+  private final ThroughputEstimator throughput = new ThroughputEstimator(backends);
+  private final LoadReports loadReports = new LoadReports();
+  private final InFlightTotals inFlight = new InFlightTotals();
+  private final LatenessCounters lateness = new LatenessCounters();
+  private final TrafficShare traffic;
+  private final WaitEstimator waits = new WaitEstimator(this);
+  private final WarmUpModel warmUp = new WarmUpModel(this);
+  private final FailureRates failureRates = new FailureRates();
+  private final ZoneFactor zoneFactor = new ZoneFactor();
+  private final IdleRejections idleRejections = new IdleRejections(this);
+  private PolicySettings settings = PolicySettings.DEFAULTS;
+  private long tightestObjective;
+  private boolean hasIdempotentClass;
+  private int processCount = 1;
+  private double proxiesPerBackend = 1;
+  private double meanWorth = 1;
+
+  /**
+   * Creates the state of a proxy that has just started.
+   *
+   * @param runtime the clock and the log
+   * @param seed for all draws
+   * @param proxyIndex which of the proxies this is, from 0
+   * @param proxyCount how many proxies there are
+   */
+  public PolicyState(PolicyRuntime runtime, long seed, int proxyIndex, int proxyCount) {
+    this.runtime = runtime;
+    this.proxyIndex = proxyIndex;
+    this.proxyCount = Math.max(1, proxyCount);
+    random = new SeededRandom(seed);
+    traffic = new TrafficShare(this.proxyCount);
+  }
+
+  /** Takes settings into use; what was measured is kept. */
+  public void configure(PolicySettings newSettings, RequestClass[] classes) {
+    settings = newSettings;
+    tightestObjective =
+        Arrays.stream(classes).mapToLong(RequestClass::latencyObjective).min().orElse(Ticks.SECOND);
+    hasIdempotentClass = Arrays.stream(classes).anyMatch(RequestClass::isIdempotent);
+    boolean reported = settings.loadReports().expected();
+    costs.setLoadReported(reported);
+    throughput.setLoadReported(reported);
+    loadReports.configure(reported, tightestObjective / 2);
+    traffic.configure(settings.traffic());
+    zoneFactor.configure(settings.zones().own(), settings.zones().crossingPrice());
+  }
+
+  /** Takes an accepted request into the measurements; to be called before anything is sent. */
+  public OpenRequest open(PendingRequest request) {
+    if (request.costHint() > 0) {
+      costs.addHint(request.costHint(), request.isClientRetry(), traffic.requests());
+    }
+    OpenRequest open = new OpenRequest(this, request);
+    double gain = Math.max(1.0 / CostModel.WINDOW, 1.0 / traffic.countRequest());
+    meanWorth += (open.worth() - meanWorth) * gain;
+    lateness.countArrival();
+    return open;
+  }
+
+  /** Takes what the endpoint list says; returns the backend if it has started anew, else null. */
+  public BackendState updateBackend(EndpointUpdate update) {
+    if (update.index() >= LoadBalancer.MAX_BACKENDS) {
+      String cause = LoadBalancer.MAX_BACKENDS + " are known already";
+      runtime.report(new PolicyEvent(PolicyEvent.Kind.BACKEND_LEFT_OUT, update.id(), cause));
+      return null;
+    }
+    BackendState backend = backends.at(update.index());
+    boolean restarted = backend.update(update);
+    if (restarted) {
+      backend.forgetMeasurements();
+    }
+    return restarted ? backend : null;
+  }
+
+  /** A backend has left the endpoint list. */
+  public void removeBackend(int backend) {
+    if (backend < LoadBalancer.MAX_BACKENDS) {
+      backends.at(backend).markRemoved();
+    }
+  }
+
+  /** Takes a backend's load report: requests that it holds, and those of them that wait. */
+  public void addLoadReport(int backend, double requestsInFlight, double queued) {
+    if (backend < LoadBalancer.MAX_BACKENDS) {
+      loadReports.add(backends.at(backend), requestsInFlight, queued, now());
+    }
+  }
+
+  /**
+   * Folds in the last second; to be followed by {@link #endSecond} once all have read it.
+   *
+   * @param partition the backends that this proxy sends to
+   */
+  public void foldSecond(BackendState[] partition) {
+    List<BackendState> warm =
+        Arrays.stream(partition)
+            .filter(b -> b.isReady() && !b.isEjected() && warmUp.isWarm(b))
+            .toList();
+    throughput.foldSecond(warm, lateness.arrived(), partition.length, now());
+    traffic.foldSecond();
+    idleRejections.foldSecond((1 - KEEP_PER_SECOND * KEEP_PER_SECOND) * lateness.arrived());
+  }
+
+  /** Lets the counts of late requests fade, and fits the cost model to the present hints. */
+  public void endSecond() {
+    zoneFactor.foldSecond(lateness.missedShare());
+    lateness.decay(KEEP_PER_SECOND * KEEP_PER_SECOND);
+    costs.refit();
+  }
+
+  @Override
+  public void hintUnitChanged(long perCent) {
+    runtime.report(
+        new PolicyEvent(PolicyEvent.Kind.HINT_UNIT_CHANGED, perCent, "per cent of before"));
+  }
+
+  @Override
+  public void costsRescaled(double factor) {
+    backends.all().forEach(backend -> backend.scaleCosts(factor));
+    throughput.scaleCosts(factor);
+    inFlight.scaleCosts(factor);
+    lateness.scaleCosts(factor);
+    meanWorth *= factor;
+  }
+
+  /** The current time in ticks. */
+  public long now() {
+    return runtime.now();
+  }
+
+  /** What the policy may do. */
+  public PolicyRuntime runtime() {
+    return runtime;
+  }
+
+  /** The one source of draws. */
+  public SeededRandom random() {
+    return random;
+  }
+
+  /** The settings in use. */
+  public PolicySettings settings() {
+    return settings;
+  }
+
+  /** The tightest latency objective of all classes, in ticks: the policy's natural unit of time. */
+  public long tightestObjective() {
+    return tightestObjective;
+  }
+
+  /** Whether any class of requests may simply be repeated. */
+  public boolean hasIdempotentClass() {
+    return hasIdempotentClass;
+  }
+
+  /** Which of the proxies this is. */
+  public int proxyIndex() {
+    return proxyIndex;
+  }
+
+  /** How many proxies there are, 1 at least. */
+  public int proxyCount() {
+    return proxyCount;
+  }
+
+  /** Whether a second process of this proxy runs beside this one, as in a handover. */
+  public void setOtherProcessPresent(boolean present) {
+    processCount = present ? 2 : 1;
+  }
+
+  /** How many proxy processes send to one backend. */
+  public double proxiesPerBackend() {
+    return proxiesPerBackend;
+  }
+
+  /**
+   * Sets how many proxies send to one backend, 1 at least; processes of one proxy are counted in.
+   */
+  public void setProxiesPerBackend(double proxies) {
+    proxiesPerBackend = processCount * Math.max(1, proxies);
+  }
+
+  /** Mean of priority weight times cost over recent requests. */
+  public double meanWorth() {
+    return meanWorth;
+  }
+
+  /** All backends. */
+  public BackendTable backends() {
+    return backends;
+  }
+
+  /** What requests cost. */
+  public CostModel costs() {
+    return costs;
+  }
+
+  /** What backends do for this proxy. */
+  public ThroughputEstimator throughput() {
+    return throughput;
+  }
+
+  /** What backends report of their load. */
+  public LoadReports loadReports() {
+    return loadReports;
+  }
+
+  /** How long requests wait at backends. */
+  public WaitEstimator waits() {
+    return waits;
+  }
+
+  /** What backends that have just started can do. */
+  public WarmUpModel warmUp() {
+    return warmUp;
+  }
+
+  /** How much backends fail. */
+  public FailureRates failureRates() {
+    return failureRates;
+  }
+
+  /** How much other zones count. */
+  public ZoneFactor zoneFactor() {
+    return zoneFactor;
+  }
+
+  /** Rejections while nothing was in flight. */
+  public IdleRejections idleRejections() {
+    return idleRejections;
+  }
+
+  /** Attempts in flight anywhere. */
+  public InFlightTotals inFlight() {
+    return inFlight;
+  }
+
+  /** Recent requests, and those that were late. */
+  public LatenessCounters lateness() {
+    return lateness;
+  }
+
+  /** This proxy's part of the traffic. */
+  public TrafficShare traffic() {
+    return traffic;
+  }
+
+  /** Whether nothing is in flight and nothing was sent for the tightest objective. */
+  public boolean isIdle() {
+    return inFlight.isIdle(now(), tightestObjective);
+  }
+}
--- a/decisions/src/main/java/wheattrack/statistics/LatenessCounters.java
+++ b/decisions/src/main/java/wheattrack/statistics/LatenessCounters.java
@@ -1,35 +1,79 @@
 package wheattrack.statistics;
 
-/** Counts of late, fading. */
+/** Decaying counts of requests and of how many missed their latency objective. Not thread-safe. */
 public final class LatenessCounters {
-  /** All reqs that came, and those not done within their target. */
-  public double came;
+  private double arrived;
+  private double missed;
+  private double sent;
+  private double sentAndMissed;
+  private double costDone;
+  private double attemptTime;
 
-  public double missed;
+  /** A request has been accepted. */
+  public void countArrival() {
+    arrived++;
+  }
 
-  /** Those sent at least once, and of them those not done within their target. */
-  public double sent;
+  /**
+   * A request has ended.
+   *
+   * @param wasSent whether it had any attempt
+   * @param inTime whether it was answered within its objective
+   */
+  public void countEnd(boolean wasSent, boolean inTime) {
+    int late = inTime ? 0 : 1;
+    missed += late;
+    sent += wasSent ? 1 : 0;
+    sentAndMissed += wasSent ? late : 0;
+  }
 
-  public double sentLate;
+  /** An attempt has ended after this time. */
+  public void addAttemptTime(long time) {
+    attemptTime += time;
+  }
 
-  /** Cost done, and the time that all ended dispatches took. */
-  public double cost;
+  /** An attempt has been answered; this was its cost. */
+  public void addCostDone(double cost) {
+    costDone += cost;
+  }
 
-  public double time;
+  /** Requests accepted. */
+  public double arrived() {
+    return arrived;
+  }
 
-  public void closed(boolean wasSent, boolean good) {
-    int bad = good ? 0 : 1;
-    missed += bad;
-    sent += wasSent ? 1 : 0;
-    sentLate += wasSent ? bad : 0;
+  /** Share of all requests that missed their objective; 0 where there are none. */
+  public double missedShare() {
+    return arrived > 0 ? missed / arrived : 0;
+  }
+
+  /** Requests sent and late, beyond a tolerated share of those sent, as a share of all accepted. */
+  public double excessLateShare(double toleratedShare) {
+    return (sentAndMissed - toleratedShare * sent) / (arrived + 2);
+  }
+
+  /** Cost that attempts have done. */
+  public double costDone() {
+    return costDone;
+  }
+
+  /** Time that all ended attempts took. */
+  public double attemptTime() {
+    return attemptTime;
+  }
+
+  /** The unit of costs has changed. */
+  public void scaleCosts(double factor) {
+    costDone *= factor;
   }
 
-  public void fade(double keep) {
-    came *= keep;
+  /** All counts fade to this part. */
+  public void decay(double keep) {
+    arrived *= keep;
     missed *= keep;
     sent *= keep;
-    sentLate *= keep;
-    cost *= keep;
-    time *= keep;
+    sentAndMissed *= keep;
+    costDone *= keep;
+    attemptTime *= keep;
   }
 }
--- a/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
+++ b/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
@@ -2,26 +2,33 @@
 
 import java.util.zip.CRC32;
 
-/** Draws from 0 to under 1, by CRC32 over the instance's seed and a counter. */
+/**
+ * Reproducible draws from 0 to below 1: the CRC-32 of the seed and a counter. The same seed gives
+ * the same draws in every version. Not thread-safe.
+ */
 public final class SeededRandom {
+  private static final double RANGE = 4294967296.0;
+
   private final CRC32 crc = new CRC32();
-  private final byte[] salt = new byte[16];
+  private final byte[] seedAndCounter = new byte[2 * Long.BYTES];
   private long draws;
 
+  /** Creates a generator of this seed. */
   public SeededRandom(long seed) {
     put(seed, 0);
   }
 
-  private void put(long value, int at) {
-    for (int i = 0; i < 8; i++) {
-      salt[at + i] = (byte) (value >> 8 * i);
-    }
-  }
-
+  /** The next draw, uniform over [0, 1). */
   public double draw() {
-    put(++draws, 8);
+    put(++draws, Long.BYTES);
     crc.reset();
-    crc.update(salt, 0, 16);
-    return crc.getValue() / 4294967296.0;
+    crc.update(seedAndCounter, 0, seedAndCounter.length);
+    return crc.getValue() / RANGE;
+  }
+
+  private void put(long value, int offset) {
+    for (int i = 0; i < Long.BYTES; i++) {
+      seedAndCounter[offset + i] = (byte) (value >> 8 * i);
+    }
   }
 }
--- a/decisions/src/test/java/wheattrack/policy/RecordingRuntime.java
+++ b/decisions/src/test/java/wheattrack/policy/RecordingRuntime.java
@@ -10,6 +10,7 @@
 import wheattrack.api.DeduplicationScope;
 import wheattrack.api.EndpointUpdate;
 import wheattrack.api.Idempotency;
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PendingRequest;
 import wheattrack.api.PolicyEvent;
 import wheattrack.api.PolicyRuntime;
@@ -55,7 +56,7 @@
       int srvs, int me, int proxies, RequestClass set, boolean duplicates, boolean asks) {
     RecordingRuntime w = new RecordingRuntime();
     w.set0 = set;
-    w.rules = new LoadBalancer(w, 7 + me, me, proxies, new RequestClass[] {set});
+    w.rules = new EquiloadBalancer(w, 7 + me, me, proxies, new RequestClass[] {set});
     w.configure(
         PolicySettings.DEFAULTS
             .withAttempts(new PolicySettings.AttemptLimits(4, true, duplicates, SECOND))
--- a/decisions/src/test/java/wheattrack/policy/SimulatedHistory.java
+++ b/decisions/src/test/java/wheattrack/policy/SimulatedHistory.java
@@ -7,6 +7,7 @@
 import wheattrack.api.DeduplicationScope;
 import wheattrack.api.EndpointUpdate;
 import wheattrack.api.Idempotency;
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PendingRequest;
 import wheattrack.api.PolicyEvent;
 import wheattrack.api.PolicyRuntime;
@@ -91,7 +92,7 @@
     up = new long[n];
     freeAt = new long[n];
     lastSent = new long[n];
-    rules = new LoadBalancer(this, seed, 0, proxies, new RequestClass[] {look, pay});
+    rules = new EquiloadBalancer(this, seed, 0, proxies, new RequestClass[] {look, pay});
     PolicySettings settings =
         PolicySettings.DEFAULTS
             .withAttempts(new PolicySettings.AttemptLimits(3, true, copies, 2 * SECOND))
--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -13,7 +13,7 @@
 import wheattrack.config.Settings;
 import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /**
  * The decision module as a mind, and the baselines it is measured against; these live in the lab
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -10,7 +10,7 @@
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.PolicySettings;
 import wheattrack.api.RequestClass;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /**
  * One object of a configuration, read by paths of keys. A key that is not there has its default;
@@ -231,7 +231,7 @@
   public LoadBalancer newLoadBalancer(
       PolicyRuntime port, long seed, RequestClass[] sets, boolean asks, long askEveryAtMost) {
     LoadBalancer rules =
-        new LoadBalancer(port, seed, integer("me", 0), integer("balancers", 1), sets);
+        new wheattrack.policy.EquiloadBalancer(port, seed, integer("me", 0), integer("balancers", 1), sets);
     rules.configure(policySettings(list("zones")), sets);
     rules.start(asks, Math.min(askEveryAtMost, time("rules.askEvery", 10_000_000)));
     return rules;
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -19,7 +19,7 @@
 import wheattrack.config.Settings;
 import wheattrack.core.BackendIndex;
 import wheattrack.log.EventLog;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /**
  * The list of backends on the wire: the watch on it, and its entries turned into calls on the
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -20,7 +20,7 @@
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /**
  * Runs the code in before the first req: canned messages go through parsers, a module of its own
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -7,7 +7,7 @@
 import wheattrack.config.Settings;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /**
  * Where load reports stand on the wire, a JSON object of figures: the body of a probe's answer, as
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -21,7 +21,7 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /** The module's port on sockets: reqs, dispatches and the list; it decides nothing. */
 final class RequestHandler implements PolicyRuntime, ClientListener.Taker {
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -20,7 +20,7 @@
 import wheattrack.api.RequestHandle;
 import wheattrack.config.Settings;
 import wheattrack.core.BackendIndex;
-import wheattrack.policy.LoadBalancer;
+import wheattrack.api.LoadBalancer;
 
 /**
  * One instance at the door: turns its lines into calls and its answers into lines; ids live only
