--- a/decisions/src/main/java/wheattrack/policy/AdmissionControl.java
+++ b/decisions/src/main/java/wheattrack/policy/AdmissionControl.java
@@ -45,7 +45,7 @@
   boolean isHopeless(OpenRequest request, BackendState backend) {
     long now = state.now();
     boolean hopeless =
-        state.loadReports().areExpected()
+        state.reportedLoad().isExpected()
             && backend != null
             && request.cost() > 2 * state.costs().meanCost()
             && request.cost() / state.throughput().paceOf(backend)
@@ -63,7 +63,7 @@
    */
   boolean admits(BackendState backend, long timeLeft) {
     long now = state.now();
-    if (state.isIdle() && !state.loadReports().isFresh(backend, now)) {
+    if (state.isIdle() && !state.reportedLoad().isFresh(backend, now)) {
       return true; // whatever is learnt, one request may find out
     }
     double meanTime = state.costs().meanCost() / state.throughput().paceOf(backend);
--- a/decisions/src/main/java/wheattrack/policy/BackendSelector.java
+++ b/decisions/src/main/java/wheattrack/policy/BackendSelector.java
@@ -76,7 +76,7 @@
         return backend;
       }
       boolean comparesTimes =
-          preference.compareTo(Preference.TOO_LATE) >= 0 || state.loadReports().areExpected();
+          preference.compareTo(Preference.TOO_LATE) >= 0 || state.reportedLoad().isExpected();
       if (best == null
           || preference.compareTo(bestPreference) < 0
           || preference == bestPreference && comparesTimes && finish < soonest) {
@@ -119,19 +119,19 @@
 
   private boolean isWorthCrossing(OpenRequest request) {
     double price = state.settings().zones().crossingPrice();
-    return !state.loadReports().areExpected()
+    return !state.reportedLoad().isExpected()
         && request.worth() >= CROSSING_WORTH * price * state.meanWorth();
   }
 
   private boolean isCrowded(BackendState backend) {
     double meanCost = state.costs().meanCost();
     if (backend.reportedAt() > 0
-        && state.loadReports().costAhead(backend, meanCost) > meanCost / 4) {
+        && state.reportedLoad().costAhead(backend, meanCost) > meanCost / 4) {
       return true;
     }
     double fairCost =
         1.2 * state.inFlight().cost() * backend.share() / partition.totalShare() + meanCost / 4;
-    return !state.loadReports().isFresh(backend, state.now()) && backend.inFlightCost() > fairCost;
+    return !state.reportedLoad().isFresh(backend, state.now()) && backend.inFlightCost() > fairCost;
   }
 
   /** The others are warming up: one that is ejected may be well again. */
--- a/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
+++ b/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
@@ -73,7 +73,7 @@
 
   private int partSize(int readyCount) {
     int least = MIN_BACKENDS;
-    if (state.loadReports().areExpected()) {
+    if (state.reportedLoad().isExpected()) {
       double connections = state.traffic().idleConnections();
       double bounded = Math.min(MAX_MIN_BACKENDS_WITH_REPORTS, connections);
       least = (int) Math.max(MIN_BACKENDS_WITH_REPORTS, bounded);
--- a/decisions/src/main/java/wheattrack/state/OpenRequest.java
+++ b/decisions/src/main/java/wheattrack/state/OpenRequest.java
@@ -136,7 +136,7 @@
   /** Accounts for an attempt that is sent to a backend now. */
   public Attempt startAttempt(BackendState backend) {
     long now = state.now();
-    LoadReports reports = state.loadReports();
+    ReportedLoad reports = state.reportedLoad();
     double costAhead =
         reports.isFresh(backend, now) ? reports.costAhead(backend, state.costs().meanCost()) : 0;
     Attempt attempt = new Attempt(attempts.size(), backend, now, costAhead);
--- a/decisions/src/main/java/wheattrack/state/PolicyState.java
+++ b/decisions/src/main/java/wheattrack/state/PolicyState.java
@@ -26,7 +26,7 @@
   private final BackendTable backends = new BackendTable();
   private final CostModel costs = new CostModel(this);
   private final ThroughputEstimator throughput = new ThroughputEstimator(backends);
-  private final LoadReports loadReports = new LoadReports();
+  private final ReportedLoad reportedLoad = new ReportedLoad();
   private final InFlightTotals inFlight = new InFlightTotals();
   private final LatenessCounters lateness = new LatenessCounters();
   private final TrafficShare traffic;
@@ -67,7 +67,7 @@
     boolean reported = settings.loadReports().expected();
     costs.setLoadReported(reported);
     throughput.setLoadReported(reported);
-    loadReports.configure(reported, tightestObjective / 2);
+    reportedLoad.configure(reported, tightestObjective / 2);
     traffic.configure(settings.traffic());
     zoneFactor.configure(settings.zones().own(), settings.zones().crossingPrice());
   }
@@ -109,7 +109,7 @@
   /** Takes a backend's load report: requests that it holds, and those of them that wait. */
   public void addLoadReport(int backend, double requestsInFlight, double queued) {
     if (backend < LoadBalancer.MAX_BACKENDS) {
-      loadReports.add(backends.at(backend), requestsInFlight, queued, now());
+      reportedLoad.add(backends.at(backend), requestsInFlight, queued, now());
     }
   }
 
@@ -228,8 +228,8 @@
   }
 
   /** What backends report of their load. */
-  public LoadReports loadReports() {
-    return loadReports;
+  public ReportedLoad reportedLoad() {
+    return reportedLoad;
   }
 
   /** How long requests wait at backends. */
--- a/decisions/src/main/java/wheattrack/state/LoadReports.java
+++ b/decisions/src/main/java/wheattrack/state/ReportedLoad.java
@@ -4,7 +4,7 @@
  * What backends report of their load, and what a request sent there now would have to wait for. How
  * many requests a backend works on at once is learnt by kind. Not thread-safe.
  */
-public final class LoadReports {
+public final class ReportedLoad {
   /** Weight of a new report that shows a backend full, against those before. */
   private static final double CONCURRENCY_GAIN = 1.0 / 8;
 
@@ -19,7 +19,7 @@
   }
 
   /** Whether backends report their load. */
-  public boolean areExpected() {
+  public boolean isExpected() {
     return expected;
   }
 
--- a/decisions/src/main/java/wheattrack/state/WaitEstimator.java
+++ b/decisions/src/main/java/wheattrack/state/WaitEstimator.java
@@ -17,8 +17,8 @@
     long now = state.now();
     state.throughput().settle(backend, now);
     double ahead =
-        state.loadReports().isFresh(backend, now)
-            ? state.loadReports().costAhead(backend, state.costs().meanCost())
+        state.reportedLoad().isFresh(backend, now)
+            ? state.reportedLoad().costAhead(backend, state.costs().meanCost())
             : backend.inFlightCost() + backend.abandonedCost();
     return (ahead + cost) / state.throughput().paceOf(backend);
   }
@@ -26,13 +26,13 @@
   /** The wait of a request sent there now. */
   public double waitAt(BackendState backend) {
     double meanCost = state.costs().meanCost();
-    if (state.loadReports().isFresh(backend, state.now())) {
-      return state.loadReports().costAhead(backend, meanCost) / state.throughput().paceOf(backend);
+    if (state.reportedLoad().isFresh(backend, state.now())) {
+      return state.reportedLoad().costAhead(backend, meanCost) / state.throughput().paceOf(backend);
     }
     // incident: idle backends were held for busy by a mean request of this proxy itself
     double byOwnLoad = Math.max(0, timeToFinish(backend, (int) (-meanCost / state.proxyCount())));
     if (!state.costs().hasHints() || backend.busyTime() < Ticks.SECOND / 2) {
-      boolean reported = state.loadReports().areExpected();
+      boolean reported = state.reportedLoad().isExpected();
       return reported ? byOwnLoad : byOwnLoad * state.proxiesPerBackend();
     }
     double explained = (1 + 6.0 / state.proxyCount()) * meanCost;
