RequestCounters gets methods; core's internals and docs take the field's terms

RequestCounters had public mutable fields: it now counts by methods (countAttempt and others) and is read by accessors, which MetricsFormat, ProxyServer, RequestHandler and SettingsSubscription use. BackendIndex kept the listed flag private to the nested type and so had to cast; the flag has package-private accessors now. Field lists are split, names and doc comments are plain. answersByClass is a read-only view.

--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -41,14 +41,14 @@
                 line(out, ENDS[i] + "." + harmless(name), ends[i], 'c');
               }
             });
-    line(out, "attempts", counts.attempts, 'c');
+    line(out, "attempts", counts.attempts(), 'c');
     line(out, "in_flight", open.getAsInt(), 'g');
     line(out, "backends_known", listed.getAsInt(), 'g');
     line(out, "backends_excluded", avoided.getAsInt(), 'g');
     line(out, "backends_left_out", leftOut.getAsInt(), 'g');
-    line(out, "settings_told", counts.dynamicSettingsApplied, 'c');
-    line(out, "reloads_ok", counts.reloadsApplied, 'c');
-    line(out, "reloads_failed", counts.reloadsRejected, 'c');
+    line(out, "settings_told", counts.dynamicSettingsApplied(), 'c');
+    line(out, "reloads_ok", counts.reloadsApplied(), 'c');
+    line(out, "reloads_failed", counts.reloadsRejected(), 'c');
     return out.toString();
   }
 
--- a/proxy/src/main/java/wheattrack/core/BackendIndex.java
+++ b/proxy/src/main/java/wheattrack/core/BackendIndex.java
@@ -8,104 +8,136 @@
 import java.util.function.BiFunction;
 
 /**
- * The list of backends as dense indexes; one is free again once its srv is gone and nothing is out
- * there.
+ * Gives each known backend a small dense index. An index is used again for a new backend once its
+ * backend has left the endpoint list and has no work in flight. Not thread-safe.
+ *
+ * @param <K> the type of a backend's id
+ * @param <S> the type of a backend
  */
 public final class BackendIndex<K, S extends BackendIndex.Backend<K>> {
-  /** When a srv started of which only "long ago" is known. */
+  /** The start time of a backend of which only "long ago" is known. */
   public static final long LONG_AGO = Long.MIN_VALUE / 2;
 
-  /** A backend at the door. */
+  /**
+   * One known backend, listed or not.
+   *
+   * @param <K> the type of its id
+   */
   public abstract static class Backend<K> {
+    /** The id by which the endpoint list names it. */
     public final K id;
+
+    /** Its index; unique among the backends known at one time. */
     public final int index;
-    private boolean unlisted = true;
 
-    protected Backend(K id, int at) {
+    private boolean isListed;
+
+    /** Creates a backend that is not listed yet. */
+    protected Backend(K id, int index) {
       this.id = id;
-      this.index = at;
+      this.index = index;
     }
 
-    /** Whether something is still out there. */
+    /** Whether work is still in flight at this backend, so that its index must not be reused. */
     protected abstract boolean hasWorkInFlight();
+
+    final boolean isListed() {
+      return isListed;
+    }
+
+    final void setListed(boolean listed) {
+      isListed = listed;
+    }
   }
 
-  private final BiFunction<K, Integer, S> maker;
+  private final BiFunction<K, Integer, S> factory;
   private final Map<K, S> byId = new HashMap<>();
   private final List<S> byIndex = new ArrayList<>();
 
-  public BackendIndex(BiFunction<K, Integer, S> maker) {
-    this.maker = maker;
+  /** Creates an empty index; the factory makes a backend of its id and index. */
+  public BackendIndex(BiFunction<K, Integer, S> factory) {
+    this.factory = factory;
   }
 
+  /**
+   * The backend with this index.
+   *
+   * @throws IndexOutOfBoundsException if the index was never given out
+   */
   public S get(int index) {
     return byIndex.get(index);
   }
 
-  /** The backend of this id, or null. */
+  /** The backend with this id, or null. */
   public S find(K id) {
     return byId.get(id);
   }
 
-  /** The backend of this id, admitted if it is new; still gone until it is met. */
+  /** The backend with this id, added if it is new; a new one is unlisted until it is marked. */
   public S getOrAdd(K id) {
     S known = byId.get(id);
     if (known != null) {
       return known;
     }
-    int index = byIndex.size();
-    for (S old : byIndex) {
-      if (isGone(old) && !old.hasWorkInFlight()) {
-        index = old.index;
-        byId.remove(old.id);
-        break;
-      }
-    }
-    S srv = maker.apply(id, index);
+    int index = releaseIndex();
+    S backend = factory.apply(id, index);
     if (index == byIndex.size()) {
-      byIndex.add(srv);
+      byIndex.add(backend);
     } else {
-      byIndex.set(index, srv);
+      byIndex.set(index, backend);
     }
-    byId.put(id, srv);
-    return srv;
+    byId.put(id, backend);
+    return backend;
   }
 
-  private static boolean isGone(Backend<?> srv) {
-    return srv.unlisted;
+  /** The lowest index whose backend can be forgotten, which it then is; else the next new one. */
+  private int releaseIndex() {
+    for (S backend : byIndex) {
+      if (!backend.isListed() && !backend.hasWorkInFlight()) {
+        byId.remove(backend.id);
+        return backend.index;
+      }
+    }
+    return byIndex.size();
   }
 
-  /** The srv is on the list; says whether it was not before. */
-  public boolean markListed(S srv) {
-    boolean fresh = isGone(srv);
-    ((Backend<K>) srv).unlisted = false;
-    return fresh;
+  /** Notes that the backend is on the endpoint list; returns whether it was not before. */
+  public boolean markListed(S backend) {
+    boolean isNew = !backend.isListed();
+    backend.setListed(true);
+    return isNew;
   }
 
-  /** The srv has left the list; says whether it was on it. */
-  public boolean markUnlisted(S srv) {
-    boolean was = srv != null && !isGone(srv);
-    if (was) {
-      ((Backend<K>) srv).unlisted = true;
+  /**
+   * Notes that the backend has left the endpoint list; returns whether it was on it. A null backend
+   * was not.
+   */
+  public boolean markUnlisted(S backend) {
+    boolean wasListed = backend != null && backend.isListed();
+    if (wasListed) {
+      backend.setListed(false);
     }
-    return was;
+    return wasListed;
   }
 
-  /** How many are on the list. */
+  /** How many backends are on the endpoint list. */
   public int listedCount() {
-    return (int) byIndex.stream().filter(srv -> !isGone(srv)).count();
+    return listedCountFrom(0);
   }
 
-  /** How many of those on the list have this index or a greater one. */
+  /** How many of the listed backends have this index or a greater one. */
   public int listedCountFrom(int index) {
-    return (int) byIndex.stream().skip(index).filter(srv -> !isGone(srv)).count();
+    return (int) byIndex.stream().skip(index).filter(Backend::isListed).count();
   }
 
-  /** Those on the list that are not named. */
-  public List<S> listedExcept(Set<?> named) {
-    return byIndex.stream().filter(srv -> !isGone(srv) && !named.contains(srv.id)).toList();
+  /** The listed backends whose ids are not among these, by index. */
+  public List<S> listedExcept(Set<?> ids) {
+    return byIndex.stream()
+        .filter(backend -> backend.isListed() && !ids.contains(backend.id))
+        .toList();
   }
 
+  /** Forgets all backends. */
   public void clear() {
     byId.clear();
     byIndex.clear();
--- a/proxy/src/main/java/wheattrack/core/Lifecycle.java
+++ b/proxy/src/main/java/wheattrack/core/Lifecycle.java
@@ -2,44 +2,56 @@
 
 import java.util.function.Consumer;
 
-/** The program's phases from start to exit; they only go forward. */
+/**
+ * The phases of the process from start to exit; they only go forward, and may be skipped. Not
+ * thread-safe.
+ */
 public final class Lifecycle {
-  /**
-   * STARTING: configuration is read. WARMING: the code is run in, nothing is taken. SERVING: ready
-   * for reqs. DRAINING: not ready, yet still taking what comes. CLOSING: what was taken is
-   * answered, nothing more is accepted. ENDED: all is closed.
-   */
+  /** A phase of the process, in the order in which they follow each other. */
   public enum Phase {
+    /** The configuration is being read. */
     STARTING,
+
+    /** The JIT compiler is being warmed up; no requests are accepted. */
     WARMING,
+
+    /** Ready for requests. */
     SERVING,
+
+    /** No longer ready, but requests that still arrive are accepted. */
     DRAINING,
+
+    /** Accepted requests are being answered; no more are accepted. */
     CLOSING,
+
+    /** Everything is closed. */
     ENDED
   }
 
   private final Consumer<Phase> listener;
   private Phase phase = Phase.STARTING;
 
-  /** entered hears of each phase as it begins. */
-  public Lifecycle(Consumer<Phase> entered) {
-    this.listener = entered;
+  /** Creates a lifecycle in {@link Phase#STARTING}; the listener hears of each phase it enters. */
+  public Lifecycle(Consumer<Phase> listener) {
+    this.listener = listener;
   }
 
+  /** The current phase. */
   public Phase phase() {
     return phase;
   }
 
+  /** Whether the process should be sent requests. */
   public boolean isReady() {
     return phase == Phase.SERVING;
   }
 
-  /** From draining on, connections are not kept. */
+  /** Whether shutdown has begun; from draining on, client connections are not kept alive. */
   public boolean isShuttingDown() {
     return phase.compareTo(Phase.DRAINING) >= 0;
   }
 
-  /** Goes on to a later phase; says false where it is reached or past already. */
+  /** Enters a later phase; returns false if that phase is already reached or past. */
   public boolean advanceTo(Phase next) {
     if (next.compareTo(phase) <= 0) {
       return false;
--- a/proxy/src/main/java/wheattrack/core/MinimumTransferRate.java
+++ b/proxy/src/main/java/wheattrack/core/MinimumTransferRate.java
@@ -1,49 +1,60 @@
 package wheattrack.core;
 
 /**
- * How long a body may keep us waiting: some time to begin with, and more for each byte that comes,
- * so that a slow sender is served and one that stalls or drips is not. Times are tenths of a
- * millisecond.
+ * The time that the sender of a body is still allowed: an initial allowance, and more for each byte
+ * received, so that a slow sender is served and one that stalls or drips is not. Times are tenths
+ * of a millisecond. Not thread-safe.
  */
 public final class MinimumTransferRate {
-  /** To begin with, at the least when waiting goes on after a pause, and at most. */
-  private static final long FIRST = 20_000, LEAST = 10_000, MOST = 50_000;
+  /** The time a sender has for its first bytes. */
+  private static final long INITIAL_ALLOWANCE = 20_000;
 
-  /** Bytes a second that hold the time left as it is; half of the slowest sender that is served. */
-  private static final long RATE = 32_000;
+  /** The least time a sender has once reading goes on after a pause. */
+  private static final long MIN_ALLOWANCE_AFTER_PAUSE = 10_000;
 
-  private static final long SECOND = 10_000;
+  /** The most time a sender can save up by being fast. */
+  private static final long MAX_ALLOWANCE = 50_000;
 
-  private long remaining;
-  private long since;
-  private boolean paused;
+  /**
+   * The rate, in bytes per second, at which the allowance neither grows nor shrinks; half of the
+   * slowest sender that is served.
+   */
+  private static final long BREAK_EVEN_RATE = 32_000;
 
+  private static final long ONE_SECOND = 10_000;
+
+  private long allowance; // as of lastUpdate
+  private long lastUpdate;
+  private boolean isPaused;
+
+  /** Starts with the initial allowance. */
   public void start(long now) {
-    remaining = FIRST;
-    since = now;
-    paused = false;
+    allowance = INITIAL_ALLOWANCE;
+    lastUpdate = now;
+    isPaused = false;
   }
 
-  /** So many bytes have come. */
+  /** Notes that this many bytes were received. */
   public void received(long now, long bytes) {
-    remaining = Math.min(MOST, remaining(now) + bytes * SECOND / RATE);
-    since = now;
+    allowance = Math.min(MAX_ALLOWANCE, remaining(now) + bytes * ONE_SECOND / BREAK_EVEN_RATE);
+    lastUpdate = now;
   }
 
-  /** Nobody asks for bytes now: the sender is not to blame. */
+  /** Stops the time: nothing is read from the sender now, so it is not to blame. */
   public void pause(long now) {
-    remaining = remaining(now);
-    paused = true;
+    allowance = remaining(now);
+    isPaused = true;
   }
 
+  /** Lets the time run again. */
   public void resume(long now) {
-    remaining = Math.max(LEAST, remaining(now));
-    since = now;
-    paused = false;
+    allowance = Math.max(MIN_ALLOWANCE_AFTER_PAUSE, remaining(now));
+    lastUpdate = now;
+    isPaused = false;
   }
 
-  /** How long its next bytes may still take. */
+  /** How long the next bytes may still take; 0 if the sender is too slow. */
   public long remaining(long now) {
-    return paused ? remaining : Math.max(0, remaining - (now - since));
+    return isPaused ? allowance : Math.max(0, allowance - (now - lastUpdate));
   }
 }
--- a/proxy/src/main/java/wheattrack/core/RequestCounters.java
+++ b/proxy/src/main/java/wheattrack/core/RequestCounters.java
@@ -1,54 +1,101 @@
 package wheattrack.core;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * What has happened since the start: the one place that counts each event. On the loop's thread
- * only.
+ * Counts events since the start of the process: the one place that counts each of them. Used on the
+ * event loop's thread only.
  */
 public final class RequestCounters {
-  /** How a req ended for its client. */
+  /** How a request ended for its client. */
   public enum FinalAnswer {
+    /** It got a backend's answer. */
     DONE,
+
+    /** It was rejected. */
     REJECTED,
+
+    /** It was aborted after it had been admitted. */
     FAILED
   }
 
-  /** Names counted apart; what comes under further ones stands under the last. */
-  private static final int MOST = 256;
-
-  private static final String FURTHER = "further";
+  /** Request classes counted apart; all beyond these are counted under {@link #OVERFLOW_NAME}. */
+  private static final int MAX_CLASSES = 256;
 
-  private final Map<String, long[]> byName = new LinkedHashMap<>();
+  private static final String OVERFLOW_NAME = "further";
 
-  /**
-   * Dispatches written whole to a backend; configurations read again and taken, and turned down,
-   * those of a watched source among them; and news of such a source that holds.
-   */
-  public long attempts, reloadsApplied, reloadsRejected, dynamicSettingsApplied;
+  private final Map<String, long[]> answersByClass = new LinkedHashMap<>();
+  private long attempts;
+  private long reloadsApplied;
+  private long reloadsRejected;
+  private long dynamicSettingsApplied;
 
-  /** The rule set of this name is in use, so that its counts are shown from now on, be they 0. */
-  public void declare(String ruleSet) {
-    of(ruleSet);
+  /** Notes that a request class is in use, so that its counts are shown even while they are 0. */
+  public void declare(String requestClass) {
+    countsOf(requestClass);
   }
 
-  private long[] of(String ruleSet) {
-    long[] known = byName.get(ruleSet);
-    String name = known == null && byName.size() >= MOST ? FURTHER : ruleSet;
-    return known != null
-        ? known
-        : byName.computeIfAbsent(name, n -> new long[FinalAnswer.values().length]);
+  /** Counts a final answer to a request of this class. */
+  public void countAnswer(String requestClass, FinalAnswer answer) {
+    countsOf(requestClass)[answer.ordinal()]++;
   }
 
-  public void countAnswer(String ruleSet, FinalAnswer how) {
-    of(ruleSet)[how.ordinal()]++;
+  private long[] countsOf(String requestClass) {
+    long[] known = answersByClass.get(requestClass);
+    if (known != null) {
+      return known;
+    }
+    String name = answersByClass.size() < MAX_CLASSES ? requestClass : OVERFLOW_NAME;
+    return answersByClass.computeIfAbsent(name, key -> new long[FinalAnswer.values().length]);
   }
 
   /**
-   * By rule set, in the order in which they were met: counts in the order of {@link FinalAnswer}.
+   * The answers by request class, in the order in which the classes were first met: counts in the
+   * order of {@link FinalAnswer}.
    */
   public Map<String, long[]> answersByClass() {
-    return byName;
+    return Collections.unmodifiableMap(answersByClass);
+  }
+
+  /** Counts an attempt whose request was completely written to a backend. */
+  public void countAttempt() {
+    attempts++;
+  }
+
+  /** Attempts whose request was completely written to a backend. */
+  public long attempts() {
+    return attempts;
+  }
+
+  /** Counts a configuration that was read again and applied. */
+  public void countReloadApplied() {
+    reloadsApplied++;
+  }
+
+  /** Configurations that were read again and applied. */
+  public long reloadsApplied() {
+    return reloadsApplied;
+  }
+
+  /** Counts a configuration, read again or from a watched source, that was rejected as invalid. */
+  public void countReloadRejected() {
+    reloadsRejected++;
+  }
+
+  /** Configurations, read again or from a watched source, that were rejected as invalid. */
+  public long reloadsRejected() {
+    return reloadsRejected;
+  }
+
+  /** Counts a valid change of the settings from a watched source. */
+  public void countDynamicSettingsApplied() {
+    dynamicSettingsApplied++;
+  }
+
+  /** Valid changes of the settings from a watched source. */
+  public long dynamicSettingsApplied() {
+    return dynamicSettingsApplied;
   }
 }
--- a/proxy/src/main/java/wheattrack/core/SlotTable.java
+++ b/proxy/src/main/java/wheattrack/core/SlotTable.java
@@ -4,51 +4,61 @@
 import java.util.Arrays;
 import java.util.List;
 
-/** A table of numbered slots; a number that is given back is the next to be given out. */
+/**
+ * A table of numbered slots; the slot that was released last is the next to be used. Not
+ * thread-safe.
+ *
+ * @param <T> the type of an entry
+ */
 public final class SlotTable<T> {
-  private final List<T> table = new ArrayList<>();
-  private int[] free = new int[64];
-  private int frees;
+  private static final int INITIAL_FREE_SLOTS = 64;
+
+  private final List<T> entries = new ArrayList<>();
+  private int[] freeSlots = new int[INITIAL_FREE_SLOTS]; // a stack
+  private int freeSlotCount;
   private int size;
 
-  public int add(T thing) {
+  /** Adds an entry, which must not be null, and returns its slot. */
+  public int add(T entry) {
     size++;
-    if (frees > 0) {
-      int slot = free[--frees];
-      table.set(slot, thing);
+    if (freeSlotCount > 0) {
+      int slot = freeSlots[--freeSlotCount];
+      entries.set(slot, entry);
       return slot;
     }
-    table.add(thing);
-    return table.size() - 1;
+    entries.add(entry);
+    return entries.size() - 1;
   }
 
-  /** What stands in the slot, or null. */
+  /** The entry in the slot, or null if it is free or was never used. */
   public T get(int slot) {
-    return slot >= 0 && slot < table.size() ? table.get(slot) : null;
+    return slot >= 0 && slot < entries.size() ? entries.get(slot) : null;
   }
 
+  /** Releases a slot; does nothing if it is free or was never used. */
   public void remove(int slot) {
     if (get(slot) == null) {
       return;
     }
-    table.set(slot, null);
+    entries.set(slot, null);
     size--;
-    if (frees == free.length) {
-      free = Arrays.copyOf(free, 2 * frees);
+    if (freeSlotCount == freeSlots.length) {
+      freeSlots = Arrays.copyOf(freeSlots, 2 * freeSlotCount);
     }
-    free[frees++] = slot;
+    freeSlots[freeSlotCount++] = slot;
   }
 
+  /** The number of entries. */
   public int size() {
     return size;
   }
 
-  /** What stands in the table now, by slot. */
+  /** A copy of the present entries, by slot. */
   public List<T> all() {
     List<T> all = new ArrayList<>(size);
-    for (T thing : table) {
-      if (thing != null) {
-        all.add(thing);
+    for (T entry : entries) {
+      if (entry != null) {
+        all.add(entry);
       }
     }
     return all;
--- a/proxy/src/main/java/wheattrack/core/TimerQueue.java
+++ b/proxy/src/main/java/wheattrack/core/TimerQueue.java
@@ -3,21 +3,25 @@
 import java.util.Arrays;
 
 /**
- * All deadlines of the process in one order: a heap whose entries know their place, so any can go
- * early.
+ * All timers of the process, ordered by deadline: a binary heap whose entries know their place, so
+ * that any of them can be cancelled at a logarithmic cost. Timers with the same deadline run in the
+ * order in which they were added. Not thread-safe.
  */
 public final class TimerQueue {
-  /** One deadline; what is to be done goes with it. */
+  private static final int INITIAL_CAPACITY = 64;
+  private static final int NOT_QUEUED = -1;
+
+  /** One timer: a deadline and the task that runs when it is reached. */
   public static final class Timer {
     private final long deadline;
     private final long sequence;
     private final Runnable task;
-    private int heapIndex = -1;
+    private int heapIndex = NOT_QUEUED;
 
-    private Timer(long at, long turn, Runnable then) {
-      this.deadline = at;
-      this.sequence = turn;
-      this.task = then;
+    private Timer(long deadline, long sequence, Runnable task) {
+      this.deadline = deadline;
+      this.sequence = sequence;
+      this.task = task;
     }
 
     private boolean isBefore(Timer other) {
@@ -25,86 +29,88 @@
     }
   }
 
-  private Timer[] heap = new Timer[64];
+  private Timer[] heap = new Timer[INITIAL_CAPACITY];
   private int size;
-  private long turns;
+  private long lastSequence;
 
-  public Timer add(long at, Runnable then) {
-    Timer entry = new Timer(at, ++turns, then);
+  /** Adds a timer; the deadline is in the unit and on the clock of {@link #pollDue}'s now. */
+  public Timer add(long deadline, Runnable task) {
+    Timer timer = new Timer(deadline, ++lastSequence, task);
     if (size == heap.length) {
       heap = Arrays.copyOf(heap, 2 * size);
     }
-    put(entry, size++);
-    rise(entry);
-    return entry;
+    place(timer, size++);
+    siftUp(timer);
+    return timer;
   }
 
-  /** Takes an entry out; none, or one that is past or out already, is no matter. */
-  public void cancel(Timer entry) {
-    if (entry == null || entry.heapIndex < 0) {
+  /** Removes a timer; does nothing if it is null, has run or was cancelled before. */
+  public void cancel(Timer timer) {
+    if (timer == null || timer.heapIndex == NOT_QUEUED) {
       return;
     }
-    int hole = entry.heapIndex;
-    entry.heapIndex = -1;
+    int hole = timer.heapIndex;
+    timer.heapIndex = NOT_QUEUED;
     Timer last = heap[--size];
     heap[size] = null;
-    if (last != entry) {
-      put(last, hole);
-      rise(last);
-      sink(last);
+    if (last != timer) {
+      place(last, hole);
+      siftUp(last);
+      siftDown(last);
     }
   }
 
-  /** When the first falls due, or never. */
+  /** The earliest deadline, or {@link Long#MAX_VALUE} if there is none. */
   public long nextDeadline() {
     return size == 0 ? Long.MAX_VALUE : heap[0].deadline;
   }
 
-  /** Takes out the first if it is due and gives what is to be done, else null. */
+  /** Removes the first timer if it is due and returns its task, else null. */
   public Runnable pollDue(long now) {
     if (size == 0 || heap[0].deadline > now) {
       return null;
     }
-    Timer entry = heap[0];
-    cancel(entry);
-    return entry.task;
+    Timer first = heap[0];
+    cancel(first);
+    return first.task;
   }
 
+  /** The number of timers. */
   public int size() {
     return size;
   }
 
-  private void put(Timer entry, int place) {
-    heap[place] = entry;
-    entry.heapIndex = place;
+  private void place(Timer timer, int heapIndex) {
+    heap[heapIndex] = timer;
+    timer.heapIndex = heapIndex;
   }
 
-  private void rise(Timer entry) {
-    while (entry.heapIndex > 0) {
-      Timer above = heap[(entry.heapIndex - 1) / 2];
-      if (!entry.isBefore(above)) {
+  private void siftUp(Timer timer) {
+    while (timer.heapIndex > 0) {
+      Timer parent = heap[(timer.heapIndex - 1) / 2];
+      if (!timer.isBefore(parent)) {
         return;
       }
-      swap(entry, above);
+      swap(timer, parent);
     }
   }
 
-  private void sink(Timer entry) {
-    while (2 * entry.heapIndex + 1 < size) {
-      int child = 2 * entry.heapIndex + 1;
+  private void siftDown(Timer timer) {
+    while (2 * timer.heapIndex + 1 < size) {
+      int child = 2 * timer.heapIndex + 1;
       if (child + 1 < size && heap[child + 1].isBefore(heap[child])) {
         child++;
       }
-      if (!heap[child].isBefore(entry)) {
+      if (!heap[child].isBefore(timer)) {
         return;
       }
-      swap(entry, heap[child]);
+      swap(timer, heap[child]);
     }
   }
 
   private void swap(Timer a, Timer b) {
-    int place = a.heapIndex;
-    put(a, b.heapIndex);
-    put(b, place);
+    int heapIndex = a.heapIndex;
+    place(a, b.heapIndex);
+    place(b, heapIndex);
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -279,9 +279,9 @@
         () -> {
           try {
             turnTo(ProxyConfig.reread(file, config));
-            counts.reloadsApplied++;
+            counts.countReloadApplied();
           } catch (InvalidConfigurationException e) {
-            counts.reloadsRejected++;
+            counts.countReloadRejected();
             String name = e.getMessage().startsWith(file.toString()) ? null : file.toString();
             EventLog.warning("configuration kept as it was", name, e.getMessage());
           }
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -291,7 +291,7 @@
 
     @Override
     protected void written() {
-      counts.attempts++;
+      counts.countAttempt();
     }
 
     /**
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -127,10 +127,10 @@
       }
       whole = false;
       pause = 0;
-      counts.dynamicSettingsApplied++;
+      counts.countDynamicSettingsApplied();
       inForce.accept(feed);
     } catch (IOException | InvalidConfigurationException e) {
-      counts.reloadsRejected++;
+      counts.countReloadRejected();
       String fault = String.valueOf(e.getMessage()).split("\n")[0];
       EventLog.warning(
           "settings kept as they were",
