--- /dev/null
+++ b/proxy/src/test/java/wheattrack/core/IndexTablesTest.java
@@ -0,0 +1,100 @@
+package wheattrack.core;
+
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import wheattrack.testing.TraceRecorder;
+
+/** {@link SlotTable} and {@link BackendIndex}: which numbers they give out, and give out again. */
+class IndexTablesTest {
+  private static final class TestBackend extends BackendIndex.Backend<String> {
+    private boolean isBusy;
+
+    TestBackend(String id, int index) {
+      super(id, index);
+    }
+
+    @Override
+    protected boolean hasWorkInFlight() {
+      return isBusy;
+    }
+  }
+
+  @Test
+  void reusesReleasedNumbers() throws IOException {
+    TraceRecorder recorder = new TraceRecorder();
+    recordSlotTable(recorder);
+    recordBackendIndex(recorder);
+    recorder.matches("tables");
+  }
+
+  private static void recordSlotTable(TraceRecorder recorder) {
+    SlotTable<String> slots = new SlotTable<>();
+    recorder.say("slots " + slots.add("a") + slots.add("b") + slots.add("c"));
+    slots.remove(1);
+    slots.remove(1);
+    slots.remove(7);
+    recorder.say(
+        slots.size()
+            + " left "
+            + slots.all()
+            + ", 1 is "
+            + slots.get(1)
+            + ", next "
+            + slots.add("d")
+            + slots.add("e"));
+  }
+
+  private static void recordBackendIndex(TraceRecorder recorder) {
+    BackendIndex<String, TestBackend> backends = new BackendIndex<>(TestBackend::new);
+    for (String id : List.of("x", "y", "z")) {
+      TestBackend backend = backends.getOrAdd(id);
+      String novelty = backends.markListed(backend) ? " fresh" : " known";
+      recorder.say(id + " at " + backend.index + novelty);
+    }
+    recorder.say("x again " + (backends.markListed(backends.getOrAdd("x")) ? "fresh" : "known"));
+    backends.find("x").isBusy = true;
+    for (TestBackend backend : backends.listedExcept(Set.of("z"))) {
+      boolean wasListed = backends.markUnlisted(backend);
+      recorder.say(backend.id + " missing " + wasListed + backends.markUnlisted(backend));
+    }
+    recorder.say(
+        "new ones at " + backends.getOrAdd("v").index + " and " + backends.getOrAdd("w").index);
+    recorder.say(
+        "y "
+            + backends.find("y")
+            + ", x still at "
+            + backends.find("x").index
+            + ", none left "
+            + backends.markUnlisted(null));
+  }
+
+  /** All 60 backends are replaced 500 times, with two old ones busy; few indexes are needed. */
+  @Test
+  void replacedBackendsTakeNoMoreIndexes() {
+    BackendIndex<String, TestBackend> backends = new BackendIndex<>(TestBackend::new);
+    int maxIndex = 0;
+    for (int round = 0; round < 500; round++) {
+      Set<String> ids = new HashSet<>();
+      for (int i = 0; i < 60; i++) {
+        TestBackend backend = backends.getOrAdd("s" + round + "-" + i);
+        backends.markListed(backend);
+        backend.isBusy = i == round % 60;
+        ids.add(backend.id);
+        maxIndex = Math.max(maxIndex, backend.index);
+      }
+      backends.listedExcept(ids).forEach(backends::markUnlisted);
+      if (round > 1) {
+        int oldRound = round - 2;
+        backends.find("s" + oldRound + "-" + oldRound % 60).isBusy = false;
+      }
+    }
+    assertTrue(maxIndex <= 122, maxIndex + " places");
+    assertNull(backends.find("s0-0"));
+  }
+}
