aio: named limits of the event loop, plain docs, one step a line

EventLoop and TcpConnection carried themed locals (room, came, whole), bare limits on one line and doc comments in riddles. EventLoopTest is cut into methods; its assertion is the same.

--- a/proxy/src/main/java/wheattrack/aio/TcpConnection.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -8,91 +8,115 @@
 import java.util.ArrayDeque;
 
 /**
- * One TCP connection: at most one read and one write at a time, each ending as a step of the loop.
+ * One TCP connection with at most one read and one write pending, each of which completes in a step
+ * of the event loop. All methods run on the event loop's thread only.
  */
 public abstract class TcpConnection {
+  /** Passed to {@link #onRead} when the peer has ended its side of the connection in order. */
+  public static final int END_OF_STREAM = -1;
+
+  /** Passed to {@link #onRead} when the connection has broken. */
+  public static final int CONNECTION_BROKEN = -2;
+
+  /** The loop on which this connection's operations complete. */
   protected final EventLoop loop;
+
   private final AsynchronousSocketChannel channel;
-  private boolean closed;
-  private boolean reading;
-  private final ArrayDeque<ByteBuffer> writes = new ArrayDeque<>();
+  private final ArrayDeque<ByteBuffer> pendingWrites = new ArrayDeque<>();
+  private boolean isClosed;
+  private boolean isReading;
 
+  /** Wraps a channel, connected or not, whose group runs on this loop. */
   protected TcpConnection(EventLoop loop, AsynchronousSocketChannel channel) {
     this.loop = loop;
     this.channel = channel;
     try {
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException | RuntimeException e) {
-      // a connection that is broken already shows so at its first read
+      // a connection that is already broken shows it at its first read
     }
   }
 
-  public final void connect(SocketAddress to, Runnable up, Runnable failed) {
+  /** Connects to the address; one of the two tasks runs in a later step, once. */
+  public final void connect(SocketAddress address, Runnable onConnected, Runnable onFailed) {
     try {
-      channel.connect(to, null, loop.handler(none -> up.run(), why -> failed.run()));
+      channel.connect(
+          address, null, loop.handler(none -> onConnected.run(), cause -> onFailed.run()));
     } catch (RuntimeException e) {
-      loop.defer(failed);
+      loop.defer(onFailed);
     }
   }
 
-  /** What came() is told when the other side ended in order, and when the connection broke. */
-  public static final int END_OF_STREAM = -1, CONNECTION_BROKEN = -2;
-
-  /** Reads once into the room; came() follows, also with END or BREAK, but not after close(). */
-  public final void read(ByteBuffer room) {
-    if (closed || reading) {
+  /**
+   * Starts one read into the buffer, which belongs to the read until {@link #onRead} is called;
+   * that happens in a later step, unless the connection is closed before. Does nothing while a read
+   * is pending, and on a closed connection.
+   */
+  public final void read(ByteBuffer buffer) {
+    if (isClosed || isReading) {
       return;
     }
-    reading = true;
-    channel.read(room, null, loop.handler(n -> readDone(n), why -> readDone(CONNECTION_BROKEN)));
+    isReading = true;
+    channel.read(
+        buffer,
+        null,
+        loop.handler(count -> completeRead(count), cause -> completeRead(CONNECTION_BROKEN)));
   }
 
-  private void readDone(int n) {
-    reading = false;
-    if (!closed) {
-      onRead(n);
+  private void completeRead(int count) {
+    isReading = false;
+    if (!isClosed) {
+      onRead(count);
     }
   }
 
   /**
-   * Writes all, after what is being written; wrote() follows, with whether the last byte was taken.
+   * Writes all of the buffer, after the writes that are pending; {@link #onWritten} is called in a
+   * later step, also if the connection is closed before.
    */
-  public final void write(ByteBuffer bytes) {
-    writes.add(bytes);
-    if (writes.size() == 1) {
-      writeOn();
+  public final void write(ByteBuffer buffer) {
+    pendingWrites.add(buffer);
+    if (pendingWrites.size() == 1) {
+      continueWriting();
     }
   }
 
-  private void writeOn() {
-    ByteBuffer bytes = writes.peek();
-    channel.write(bytes, null, loop.handler(n -> writeDone(bytes, n), why -> writeDone(bytes, -1)));
+  private void continueWriting() {
+    ByteBuffer buffer = pendingWrites.peek();
+    channel.write(
+        buffer,
+        null,
+        loop.handler(count -> completeWrite(buffer, true), cause -> completeWrite(buffer, false)));
   }
 
-  private void writeDone(ByteBuffer bytes, int n) {
-    if (n >= 0 && bytes.hasRemaining() && !closed) {
-      writeOn();
+  private void completeWrite(ByteBuffer buffer, boolean succeeded) {
+    if (succeeded && buffer.hasRemaining() && !isClosed) {
+      continueWriting();
       return;
     }
-    writes.remove();
-    if (!writes.isEmpty() && !closed) {
-      writeOn();
+    pendingWrites.remove();
+    if (!pendingWrites.isEmpty() && !isClosed) {
+      continueWriting();
     }
-    onWritten(n >= 0 && !bytes.hasRemaining());
+    onWritten(succeeded && !buffer.hasRemaining());
   }
 
+  /** Whether a read is pending. */
   public final boolean isReading() {
-    return reading;
+    return isReading;
   }
 
+  /** Whether a write is pending. */
   public final boolean isWriting() {
-    return !writes.isEmpty();
+    return !pendingWrites.isEmpty();
   }
 
+  /** Whether {@link #close} was called. */
   public final boolean isClosed() {
-    return closed;
+    return isClosed;
   }
 
+  /** Ends this side of the connection in order; closes the connection if that fails. */
   public final void shutdownOutput() {
     try {
       channel.shutdownOutput();
@@ -101,19 +125,30 @@
     }
   }
 
+  /** Closes the connection; a pending read is dropped and a pending write fails. */
   public void close() {
-    if (closed) {
+    if (isClosed) {
       return;
     }
-    closed = true;
+    isClosed = true;
     try {
       channel.close();
     } catch (IOException e) {
-      // it is gone either way
+      // nothing is left to do: the descriptor is released either way
     }
   }
 
-  protected abstract void onRead(int n);
+  /**
+   * A read has completed.
+   *
+   * @param count the bytes read, {@link #END_OF_STREAM} or {@link #CONNECTION_BROKEN}
+   */
+  protected abstract void onRead(int count);
 
-  protected abstract void onWritten(boolean whole);
+  /**
+   * A write has completed.
+   *
+   * @param isComplete whether all of its bytes were written; if not, the connection has failed
+   */
+  protected abstract void onWritten(boolean isComplete);
 }
--- a/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
+++ b/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
@@ -2,57 +2,62 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
+/** The order of steps on the event loop. */
 class EventLoopTest {
+  private static final int SLOW_TASKS = 200;
+
   private final StringBuilder trace = new StringBuilder();
+  private final EventLoop loop = new EventLoop();
+  private int slowTasksRun;
 
-  private int heard;
+  private void record(String line) {
+    trace.append(line).append('\n');
+  }
 
-  private void dawdle() {
-    heard++;
-    long until = System.nanoTime() + 100_000;
-    while (System.nanoTime() < until) {
+  private void runSlowTask() {
+    slowTasksRun++;
+    long end = System.nanoTime() + 100_000;
+    while (System.nanoTime() < end) {
       Thread.onSpinWait();
     }
   }
 
-  private void say(String line) {
-    trace.append(line).append('\n');
+  private void standStill() {
+    record("stands still for 100 ms");
+    try {
+      Thread.sleep(100);
+    } catch (InterruptedException e) {
+      record("interrupted");
+    }
+    loop.execute(() -> record("an answer that came meanwhile"));
+    for (int i = 0; i < SLOW_TASKS; i++) { // none is lost where running them takes long
+      loop.execute(this::runSlowTask);
+    }
+    throw new IllegalStateException("and fails");
   }
 
-  /**
-   * A process that stood still hears what came meanwhile before it holds anything for timed out.
-   */
-  @Test
-  void standstill() throws Exception {
-    EventLoop loop = new EventLoop();
-    loop.execute(
+  private void start() {
+    loop.schedule(
+        300, () -> record("deadline of 30 ms, not all heard: " + (slowTasksRun < SLOW_TASKS)));
+    loop.schedule(
+        5000,
         () -> {
-          loop.schedule(300, () -> say("deadline of 30 ms, not all heard: " + (heard < 200)));
-          loop.schedule(
-              5000,
-              () -> {
-                say("deadline of 500 ms, heard " + heard);
-                loop.shutdown();
-              });
-          loop.defer(() -> say("step left behind, before any task"));
-          loop.execute(
-              () -> {
-                say("stands still for 100 ms");
-                try {
-                  Thread.sleep(100);
-                } catch (InterruptedException e) {
-                  say("interrupted");
-                }
-                loop.execute(() -> say("an answer that came meanwhile"));
-                for (int i = 0; i < 200; i++) { // none is lost where hearing them takes long
-                  loop.execute(this::dawdle);
-                }
-                throw new IllegalStateException("and fails");
-              });
+          record("deadline of 500 ms, heard " + slowTasksRun);
+          loop.shutdown();
         });
-    java.util.logging.Logger.getLogger("wheattrack").setLevel(java.util.logging.Level.OFF);
+    loop.defer(() -> record("step left behind, before any task"));
+    loop.execute(this::standStill);
+  }
+
+  /** After a standstill, what arrived meanwhile is handled before anything is timed out. */
+  @Test
+  void runsTasksBeforeLateTimersAfterStandstill() {
+    loop.execute(this::start);
+    Logger.getLogger("wheattrack").setLevel(Level.OFF);
     loop.run();
     assertEquals(
         """
