--- a/proxy/src/main/java/wheattrack/http/ChunkedDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ChunkedDecoder.java
@@ -2,81 +2,111 @@
 
 import java.nio.ByteBuffer;
 
-/** Undoes the chunked coding, byte by byte as it comes. */
+/** Decodes one body in the chunked transfer coding, byte by byte as it arrives. */
 final class ChunkedDecoder {
-  private static final int MOST_TRAILERS = 4096;
+  /** The most hexadecimal digits of a chunk's size. */
+  private static final int MAX_SIZE_DIGITS = 8;
 
-  private enum At {
+  /** The most bytes of a chunk's extension, and of the trailers. */
+  private static final int MAX_EXTRA_BYTES = 4096;
+
+  /** What the next byte belongs to. */
+  private enum State {
     SIZE,
     EXTENSION,
     DATA,
+    /** The line break after a chunk's data. */
     DATA_END,
-    TRAILER,
+    /** The start of a trailer line, or of the empty line that ends the body. */
+    TRAILER_START,
     TRAILER_LINE,
     ENDED
   }
 
-  private At at = At.SIZE;
-  private long left;
-  private int digits;
-  private int trailers;
+  private State state = State.SIZE;
+  private long remainingInChunk;
+  private int sizeDigits;
+  private int extraBytes;
 
-  boolean ended() {
-    return at == At.ENDED;
+  /** Whether the whole body was decoded. */
+  boolean isEnded() {
+    return state == State.ENDED;
   }
 
   /**
-   * Takes in's bytes up to its limit or the body's end and puts the data into out until it is full.
+   * Consumes bytes up to the buffer's limit or the end of the body, and appends the data among them
+   * to {@code data}; stops early where data follows that would make it longer than {@code maxSize}.
    */
-  void decode(ByteBuffer in, ByteStrings out, int most) throws MalformedMessageException {
-    while (in.hasRemaining() && at != At.ENDED) {
-      if (at == At.DATA) {
-        int n = (int) Math.min(Math.min(left, in.remaining()), most - out.size());
-        if (n == 0) {
-          return;
-        }
-        out.add(in, n);
-        left -= n;
-        at = left == 0 ? At.DATA_END : At.DATA;
+  void decode(ByteBuffer buffer, ByteAccumulator data, int maxSize)
+      throws MalformedMessageException {
+    while (buffer.hasRemaining() && state != State.ENDED) {
+      if (state != State.DATA) {
+        decodeFraming(buffer.get() & 0xff);
         continue;
       }
-      int c = in.get() & 0xff;
-      switch (at) {
-        case SIZE -> size(c);
-        case EXTENSION -> lineEnd(c);
-        case DATA_END -> {
-          if (c == '\n') {
-            at = At.SIZE;
-            digits = 0;
-            trailers = 0;
-          } else if (c != '\r') {
-            throw new MalformedMessageException(400, "a chunk longer than its size");
-          }
-        }
-        case TRAILER -> at = c == '\n' ? At.ENDED : c == '\r' ? At.TRAILER : At.TRAILER_LINE;
-        default -> at = c == '\n' ? At.TRAILER : At.TRAILER_LINE;
+      int count =
+          (int) Math.min(Math.min(remainingInChunk, buffer.remaining()), maxSize - data.size());
+      if (count == 0) {
+        return;
       }
-      if ((at == At.TRAILER_LINE || at == At.EXTENSION) && ++trailers > MOST_TRAILERS) {
-        throw new MalformedMessageException(400, "too much beside the chunks");
+      data.append(buffer, count);
+      remainingInChunk -= count;
+      if (remainingInChunk == 0) {
+        state = State.DATA_END;
       }
     }
   }
 
-  private void size(int c) throws MalformedMessageException {
+  private void decodeFraming(int c) throws MalformedMessageException {
+    switch (state) {
+      case SIZE -> decodeSize(c);
+      case EXTENSION -> decodeExtension(c);
+      case DATA_END -> decodeDataEnd(c);
+      case TRAILER_START -> decodeTrailerStart(c);
+      case TRAILER_LINE -> state = c == '\n' ? State.TRAILER_START : State.TRAILER_LINE;
+      default -> throw new IllegalStateException("no framing in state " + state);
+    }
+    boolean isExtra = state == State.TRAILER_LINE || state == State.EXTENSION;
+    if (isExtra && ++extraBytes > MAX_EXTRA_BYTES) {
+      throw new MalformedMessageException(400, "too much beside the chunks");
+    }
+  }
+
+  private void decodeSize(int c) throws MalformedMessageException {
     int digit = Character.digit(c, 16);
-    if (digit >= 0 && ++digits <= 8) {
-      left = 16 * left + digit;
-    } else if (digits == 0 || digits > 8 || c != ';' && c != '\r' && c != '\n' && c != ' ') {
+    if (digit >= 0 && ++sizeDigits <= MAX_SIZE_DIGITS) {
+      remainingInChunk = 16 * remainingInChunk + digit;
+      return;
+    }
+    boolean isAfterSize = c == ';' || c == '\r' || c == '\n' || c == ' ';
+    if (sizeDigits == 0 || sizeDigits > MAX_SIZE_DIGITS || !isAfterSize) {
       throw new MalformedMessageException(400, "bad chunk size");
-    } else {
-      at = At.EXTENSION;
-      lineEnd(c);
+    }
+    state = State.EXTENSION;
+    decodeExtension(c);
+  }
+
+  private void decodeExtension(int c) {
+    if (c == '\n') {
+      state = remainingInChunk == 0 ? State.TRAILER_START : State.DATA;
+    }
+  }
+
+  private void decodeDataEnd(int c) throws MalformedMessageException {
+    if (c == '\n') {
+      state = State.SIZE;
+      sizeDigits = 0;
+      extraBytes = 0;
+    } else if (c != '\r') {
+      throw new MalformedMessageException(400, "a chunk longer than its size");
     }
   }
 
-  private void lineEnd(int c) {
+  private void decodeTrailerStart(int c) {
     if (c == '\n') {
-      at = left == 0 ? At.TRAILER : At.DATA;
+      state = State.ENDED;
+    } else if (c != '\r') {
+      state = State.TRAILER_LINE;
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -3,193 +3,268 @@
 import java.nio.ByteBuffer;
 
 /**
- * Makes messages of the bytes of one connection, as they come. One with a body of up to KEPT bytes
- * comes whole; of a longer one comes the head with the first bytes, and the rest in pieces for who
- * asks for them.
+ * Decodes messages from the bytes of one connection as they arrive.
+ *
+ * <p>A message with a body of up to {@link #MAX_BUFFERED_BODY} bytes is returned complete. Of one
+ * with a longer body the head is returned with the first bytes, and the rest is streamed: it is
+ * fetched part by part with {@link #nextBodyPart}. Runs on the event loop's thread only.
+ *
+ * @param <M> the type of a message
  */
 public abstract class Decoder<M> {
-  /** The longest body that is kept whole. */
+  /** Bytes of the longest body that is returned complete with its message. */
   public static final int MAX_BUFFERED_BODY = 64 * 1024;
 
-  /** The longest body that is passed on, unless it is said otherwise. */
+  /** Bytes of the longest body that is accepted, unless another limit is given. */
   public static final long DEFAULT_MAX_BODY = 32L << 20;
 
-  /** Of a body whose length is not known: pieces follow, chunked or until the connection's end. */
-  public static final long CHUNKED = -1, UNTIL_CLOSE = -2;
+  /** Stands for the number of bytes of a body, or of its rest, where it comes in chunks. */
+  public static final long CHUNKED = -1;
 
-  /** The bytes of one read, and of one piece. */
-  private static final int PIECE = 16 * 1024;
+  /** Stands for the number of bytes of a body, or of its rest, that ends with its connection. */
+  public static final long UNTIL_CLOSE = -2;
 
-  private final ReceiveBuffer in = new ReceiveBuffer();
-  private final long most;
-  private boolean inBody, passing, ended;
-  private long left; // of a body of known length
-  private long size; // of the body so far
-  private ChunkedDecoder chunks;
-  private boolean tillEnd;
-  private ByteStrings body;
+  /** The most bytes of one read of a long body, and of one part of it. */
+  private static final int MAX_PART = 16 * 1024;
 
-  protected Decoder(long most) {
-    this.most = most;
+  /** Bytes of the longest rest of a body that is read into a small buffer. */
+  private static final int MAX_SMALL_REST = MAX_PART / 16;
+
+  /** The least capacity of the buffer for one part. */
+  private static final int MIN_PART_CAPACITY = 16;
+
+  private final ReceiveBuffer received = new ReceiveBuffer();
+  private final long maxBody;
+
+  private boolean isInBody;
+  private boolean isStreamingBody;
+
+  // The framing of the current body: chunked, until the connection's end, or else of known length.
+  private ChunkedDecoder chunkedDecoder;
+  private boolean isUntilClose;
+  private boolean hasStreamEnded; // matters to a body until the connection's end only
+  private long remaining; // bytes, of a body of known length only
+
+  private long bodySize; // the bytes of the body decoded so far
+  private ByteAccumulator bufferedBody;
+
+  /** Creates a decoder that accepts bodies of up to so many bytes. */
+  protected Decoder(long maxBody) {
+    this.maxBody = maxBody;
   }
 
-  /** Room for what comes next; to be filled by one read. */
+  /** The buffer for the next bytes received, to be filled by one read. */
   public ByteBuffer writableBuffer() {
-    return inBody && (chunks != null || tillEnd || left > PIECE / 16)
-        ? in.writableBuffer(PIECE)
-        : in.writableBuffer();
+    boolean isLargeRestExpected = isInBody && (!hasKnownLength() || remaining > MAX_SMALL_REST);
+    return isLargeRestExpected ? received.writableBuffer(MAX_PART) : received.writableBuffer();
   }
 
-  /** Bytes that came next and were read elsewhere; not while a read fills the room. */
-  public void append(ByteBuffer more) {
-    in.add(more);
+  /**
+   * Appends bytes that were read into another buffer. Must not be called while a read into {@link
+   * #writableBuffer} is pending.
+   */
+  public void append(ByteBuffer bytes) {
+    received.append(bytes);
   }
 
-  /** Bytes that wait to be made into a message. */
+  /** The number of bytes received and not decoded yet. */
   public int bufferedBytes() {
-    return in.waiting();
+    return received.size();
   }
 
-  /** Whether a message has begun that is not whole yet. */
+  /** Whether a message has begun that is not complete yet. */
   public boolean isMidMessage() {
-    return inBody || in.waiting() > 0;
+    return isInBody || received.size() > 0;
   }
 
-  /** Whether a message was given whose further pieces are still to be asked for. */
+  /** Whether a message was returned of whose body further parts are still to be fetched. */
   public boolean isStreamingBody() {
-    return passing;
+    return isStreamingBody;
   }
 
-  /** Whether the head has come and the body has not. */
+  /** Whether the head of a message was decoded and its body is not complete. */
   public boolean isInBody() {
-    return inBody;
+    return isInBody;
   }
 
-  /** The next message, whole or as far as it is kept, or null while there is none. */
+  /**
+   * The next message, complete or with the start of its body, or null if more bytes must be
+   * received first or the current body is still being streamed.
+   *
+   * @throws MalformedMessageException if the bytes are no valid message, or one over a limit; the
+   *     decoder must not be used any more
+   */
   public M next() throws MalformedMessageException {
-    if (passing) {
+    if (isStreamingBody) {
       return null;
     }
-    if (!inBody && !begin()) {
+    if (!isInBody && !startMessage()) {
       return null;
     }
-    fill(body, MAX_BUFFERED_BODY);
-    boolean whole = isWhole();
-    boolean measured = chunks == null && !tillEnd;
-    if (!whole
-        && !(measured && size + left > MAX_BUFFERED_BODY
-            ? size >= maxLineBytes()
-            : size >= MAX_BUFFERED_BODY)) {
+    decodeBody(bufferedBody, MAX_BUFFERED_BODY);
+    boolean isComplete = isBodyComplete();
+    if (!isComplete && bodySize < bytesBeforeStreaming()) {
       return null;
     }
-    return give(whole);
+    return finishMessage(isComplete);
+  }
+
+  /** How many bytes of an incomplete body must have been decoded before its message is returned. */
+  private int bytesBeforeStreaming() {
+    boolean isKnownToBeLong = hasKnownLength() && bodySize + remaining > MAX_BUFFERED_BODY;
+    return isKnownToBeLong ? minBytesOfLongBody() : MAX_BUFFERED_BODY;
+  }
+
+  private M finishMessage(boolean isComplete) throws MalformedMessageException {
+    byte[] body = bufferedBody.toByteArray();
+    bufferedBody = null;
+    isStreamingBody = !isComplete;
+    long remainingBody = isComplete ? 0 : remainingBody();
+    if (isComplete) {
+      endBody();
+    }
+    return message(body, remainingBody);
   }
 
-  private M give(boolean whole) throws MalformedMessageException {
-    byte[] kept = body.all();
-    body = null;
-    passing = !whole;
-    long more = whole ? 0 : chunks != null ? CHUNKED : tillEnd ? UNTIL_CLOSE : left;
-    if (whole) {
-      over();
+  private long remainingBody() {
+    if (chunkedDecoder != null) {
+      return CHUNKED;
     }
-    return message(kept, more);
+    return isUntilClose ? UNTIL_CLOSE : remaining;
   }
 
-  /** Whether a message has begun whose length nobody knows before its end. */
+  private boolean hasKnownLength() {
+    return chunkedDecoder == null && !isUntilClose;
+  }
+
+  /** Whether a message has begun whose length shows only at its end, and was not returned yet. */
   public boolean isOpenEnded() {
-    return inBody && !passing && (chunks != null || tillEnd);
+    return isInBody && !isStreamingBody && !hasKnownLength();
   }
 
-  /** Such a message as far as it has come; takes nothing further of what waits. */
+  /**
+   * The message for which {@link #isOpenEnded} holds, with the part of its body decoded so far; the
+   * rest is streamed.
+   */
   public M nextWithPartialBody() throws MalformedMessageException {
-    return give(false);
+    return finishMessage(false);
   }
 
-  private boolean begin() throws MalformedMessageException {
-    String[] lines = in.head();
+  private boolean startMessage() throws MalformedMessageException {
+    String[] lines = received.pollHead();
     if (lines == null) {
       return false;
     }
-    Headers headers = ReceiveBuffer.headers(lines);
+    Headers headers = ReceiveBuffer.parseHeaders(lines);
     long length = readHead(lines[0], headers);
-    chunks = length == CHUNKED ? new ChunkedDecoder() : null;
-    tillEnd = length == UNTIL_CLOSE;
-    left = Math.max(0, length);
-    if (length > most) {
-      throw tooLong();
+    chunkedDecoder = length == CHUNKED ? new ChunkedDecoder() : null;
+    isUntilClose = length == UNTIL_CLOSE;
+    remaining = Math.max(0, length);
+    if (length > maxBody) {
+      throw bodyTooLong();
     }
-    size = 0;
-    ended = false;
-    body = new ByteStrings();
-    inBody = true;
+    bodySize = 0;
+    hasStreamEnded = false;
+    bufferedBody = new ByteAccumulator();
+    isInBody = true;
     return true;
   }
 
-  private MalformedMessageException tooLong() {
-    return new MalformedMessageException(413, "body over " + most + " bytes");
+  private MalformedMessageException bodyTooLong() {
+    return new MalformedMessageException(413, "body over " + maxBody + " bytes");
   }
 
-  /** Undoes the framing of what has come, until so many bytes are in out. */
-  private void fill(ByteStrings out, int full) throws MalformedMessageException {
-    int before = out.size();
-    ByteBuffer came = in.open();
+  /** Decodes received bytes of the body until {@code data} holds {@code maxSize} bytes. */
+  private void decodeBody(ByteAccumulator data, int maxSize) throws MalformedMessageException {
+    int sizeBefore = data.size();
+    ByteBuffer bytes = received.startReading();
     try {
-      if (chunks != null) {
-        chunks.decode(came, out, full);
+      if (chunkedDecoder != null) {
+        chunkedDecoder.decode(bytes, data, maxSize);
       } else {
-        long n = Math.min(came.remaining(), full - before);
-        n = tillEnd ? n : Math.min(n, left);
-        out.add(came, (int) n);
-        left -= n;
+        copyBody(bytes, data, maxSize);
       }
     } finally {
-      in.taken();
+      received.endReading();
+    }
+    bodySize += data.size() - sizeBefore;
+    if (bodySize > maxBody) {
+      throw bodyTooLong();
     }
-    size += out.size() - before;
-    if (size > most) {
-      throw tooLong();
+  }
+
+  private void copyBody(ByteBuffer bytes, ByteAccumulator data, int maxSize) {
+    long count = Math.min(bytes.remaining(), maxSize - data.size());
+    if (!isUntilClose) {
+      count = Math.min(count, remaining);
     }
+    data.append(bytes, (int) count);
+    remaining -= count;
   }
 
-  private boolean isWhole() {
-    return chunks != null ? chunks.ended() : tillEnd ? ended && in.waiting() == 0 : left == 0;
+  private boolean isBodyComplete() {
+    if (chunkedDecoder != null) {
+      return chunkedDecoder.isEnded();
+    }
+    return isUntilClose ? hasStreamEnded && received.size() == 0 : remaining == 0;
   }
 
-  private void over() {
-    inBody = false;
-    passing = false;
-    chunks = null;
-    in.narrow();
+  private void endBody() {
+    isInBody = false;
+    isStreamingBody = false;
+    chunkedDecoder = null;
+    received.shrink();
   }
 
-  /** The next bytes of the body that is passed on, or none; isPassing() says whether it goes on. */
+  /**
+   * The next received bytes of the body that is streamed, which may be none. Afterwards {@link
+   * #isStreamingBody} says whether more of it follows.
+   *
+   * @throws MalformedMessageException if the bytes are no valid body, or one over the limit
+   */
   public ByteBuffer nextBodyPart() throws MalformedMessageException {
-    ByteStrings out = new ByteStrings(Math.min(PIECE, Math.max(16, in.waiting())));
-    fill(out, PIECE);
-    if (isWhole()) {
-      over();
+    int capacity = Math.min(MAX_PART, Math.max(MIN_PART_CAPACITY, received.size()));
+    ByteAccumulator part = new ByteAccumulator(capacity);
+    decodeBody(part, MAX_PART);
+    if (isBodyComplete()) {
+      endBody();
     }
-    return out.buffer();
+    return part.asBuffer();
   }
 
   /**
-   * The connection has ended in order; says whether that is the end of the body that was to come.
+   * Notes that the connection has ended in order; returns whether that is the proper end of the
+   * current body.
    */
   public boolean endOfStream() {
-    ended = inBody && tillEnd;
-    return ended;
+    hasStreamEnded = isInBody && isUntilClose;
+    return hasStreamEnded;
   }
 
-  /** Of a long body of known length: bytes that must be there before its message is given. */
-  protected abstract int maxLineBytes();
+  /**
+   * How many bytes of a body known to be over {@link #MAX_BUFFERED_BODY} must have been decoded
+   * before its message is returned.
+   */
+  protected abstract int minBytesOfLongBody();
 
-  /** Takes the first line and the headers; gives the body's length, CHUNKED or TILL_END. */
-  protected abstract long readHead(String line, Headers headers) throws MalformedMessageException;
+  /**
+   * Parses the first line and keeps what {@link #message} needs.
+   *
+   * @return the number of bytes of the body, {@link #CHUNKED} or {@link #UNTIL_CLOSE}
+   * @throws MalformedMessageException if the line or the headers are not valid
+   */
+  protected abstract long readHead(String firstLine, Headers headers)
+      throws MalformedMessageException;
 
-  /** more: bytes that follow the kept ones, or CHUNKED or TILL_END. */
-  protected abstract M message(byte[] kept, long more);
+  /**
+   * Creates the message of the last head read.
+   *
+   * @param body the body, or its start
+   * @param remainingBody the number of bytes that follow, {@link #CHUNKED} or {@link #UNTIL_CLOSE}
+   */
+  protected abstract M message(byte[] body, long remainingBody);
 
+  /** Whether the connection of a message may carry a further one. */
   static boolean keepsAlive(String version, Headers headers) {
     return version.equals("HTTP/1.1") && !headers.containsToken("Connection", "close");
   }
--- a/proxy/src/main/java/wheattrack/http/Encoder.java
+++ b/proxy/src/main/java/wheattrack/http/Encoder.java
@@ -3,68 +3,91 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
-/** Messages as bytes, each with its length. */
+/** Encodes messages, each with the framing that its body needs. */
 public final class Encoder {
+  private static final int USUAL_REQUEST_HEAD = 256;
+  private static final int USUAL_RESPONSE_HEAD = 128;
+
   private Encoder() {}
 
-  public static ByteBuffer request(Request r) {
-    StringBuilder head = new StringBuilder(256);
-    head.append(r.method()).append(' ').append(r.target()).append(" HTTP/1.1\r\n");
-    boolean measured =
-        r.body().length > 0 || !r.method().equals("GET") && !r.method().equals("HEAD");
-    return message(head, r.headers(), r.keepAlive(), r.body(), r.remainingBody(), measured);
+  /** Encodes a request with as much of its body as it holds. */
+  public static ByteBuffer request(Request request) {
+    StringBuilder head = new StringBuilder(USUAL_REQUEST_HEAD);
+    head.append(request.method()).append(' ').append(request.target()).append(" HTTP/1.1\r\n");
+    boolean mayLackBody = request.method().equals("GET") || request.method().equals("HEAD");
+    boolean hasLength = request.body().length > 0 || !mayLackBody;
+    return message(
+        head,
+        request.headers(),
+        request.keepAlive(),
+        request.body(),
+        request.remainingBody(),
+        hasLength);
   }
 
-  public static ByteBuffer response(Response r) {
-    StringBuilder head = new StringBuilder(128);
+  /** Encodes a response with as much of its body as it holds. */
+  public static ByteBuffer response(Response response) {
+    StringBuilder head = new StringBuilder(USUAL_RESPONSE_HEAD);
     head.append("HTTP/1.1 ")
-        .append(r.status())
+        .append(response.status())
         .append(' ')
-        .append(reason(r.status()))
+        .append(reason(response.status()))
         .append("\r\n");
+    boolean hasLength = response.remainingBody() != Response.NO_BODY;
     return message(
         head,
-        r.headers(),
-        r.keepAlive(),
-        r.body(),
-        r.remainingBody(),
-        r.remainingBody() != Response.NO_BODY);
+        response.headers(),
+        response.keepAlive(),
+        response.body(),
+        response.remainingBody(),
+        hasLength);
   }
 
-  /** The interim word that a body is wanted. */
+  /** Encodes the interim response that asks the client to send its body. */
   public static ByteBuffer continueResponse() {
     return ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
   }
 
-  /** A piece of a body in chunks; last: nothing follows it. */
-  public static ByteBuffer chunk(ByteBuffer piece, boolean last) {
-    int size = piece.remaining();
-    String before = size > 0 ? Integer.toHexString(size) + "\r\n" : "";
-    String after = (size > 0 ? "\r\n" : "") + (last ? "0\r\n\r\n" : "");
-    return ByteBuffer.allocate(before.length() + size + after.length())
-        .put(before.getBytes(StandardCharsets.ISO_8859_1))
-        .put(piece)
-        .put(after.getBytes(StandardCharsets.ISO_8859_1))
+  /** Encodes a part of a chunked body, which may be empty, and its end if this is the last part. */
+  public static ByteBuffer chunk(ByteBuffer part, boolean isLast) {
+    int size = part.remaining();
+    String prefix = size > 0 ? Integer.toHexString(size) + "\r\n" : "";
+    String suffix = (size > 0 ? "\r\n" : "") + (isLast ? "0\r\n\r\n" : "");
+    return ByteBuffer.allocate(prefix.length() + size + suffix.length())
+        .put(prefix.getBytes(StandardCharsets.ISO_8859_1))
+        .put(part)
+        .put(suffix.getBytes(StandardCharsets.ISO_8859_1))
         .flip();
   }
 
+  /** Appends headers and framing to the first line in {@code head}, and the body to these. */
   private static ByteBuffer message(
-      StringBuilder head, Headers headers, boolean keep, byte[] body, long more, boolean measured) {
-    boolean chunked = more == Decoder.CHUNKED;
+      StringBuilder head,
+      Headers headers,
+      boolean keepAlive,
+      byte[] body,
+      long remainingBody,
+      boolean hasLength) {
+    boolean isChunked = remainingBody == Decoder.CHUNKED;
     for (int i = 0; i < headers.size(); i++) {
       head.append(headers.name(i)).append(": ").append(headers.value(i)).append("\r\n");
     }
-    if (chunked) {
+    if (isChunked) {
       head.append("Transfer-Encoding: chunked\r\n");
-    } else if (measured && more != Decoder.UNTIL_CLOSE) {
-      head.append("Content-Length: ").append(body.length + Math.max(0, more)).append("\r\n");
+    } else if (hasLength && remainingBody != Decoder.UNTIL_CLOSE) {
+      long length = body.length + Math.max(0, remainingBody);
+      head.append("Content-Length: ").append(length).append("\r\n");
     }
-    if (!keep) {
+    if (!keepAlive) {
       head.append("Connection: close\r\n");
     }
-    byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-    ByteBuffer first = chunked ? chunk(ByteBuffer.wrap(body), false) : ByteBuffer.wrap(body);
-    return ByteBuffer.allocate(bytes.length + first.remaining()).put(bytes).put(first).flip();
+    byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+    ByteBuffer bodyBytes = ByteBuffer.wrap(body);
+    ByteBuffer content = isChunked ? chunk(bodyBytes, false) : bodyBytes;
+    return ByteBuffer.allocate(headBytes.length + content.remaining())
+        .put(headBytes)
+        .put(content)
+        .flip();
   }
 
   private static String reason(int status) {
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -4,47 +4,57 @@
 import java.util.List;
 import java.util.regex.Pattern;
 
-/** Header lines in their order; names in any case. */
+/** The header lines of a message, in their order. Names are compared without regard to case. */
 public final class Headers {
+  /** What {@link #contentLength} returns where no length is given. */
+  static final long NO_LENGTH = -1;
+
+  private static final int USUAL_SIZE = 8;
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
+  private static final String CONTENT_LENGTH = "Content-Length";
+  private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
-  private final List<String> names = new ArrayList<>(8);
-  private final List<String> values = new ArrayList<>(8);
+  private final List<String> names = new ArrayList<>(USUAL_SIZE);
+  private final List<String> values = new ArrayList<>(USUAL_SIZE);
 
+  /** Appends a line to these headers, and returns them. */
   public Headers with(String name, String value) {
     names.add(name);
     values.add(value);
     return this;
   }
 
+  /** The number of lines. */
   public int size() {
     return names.size();
   }
 
-  public String name(int i) {
-    return names.get(i);
+  /** The name on the line with this index, as it was written. */
+  public String name(int index) {
+    return names.get(index);
   }
 
-  public String value(int i) {
-    return values.get(i);
+  /** The value on the line with this index. */
+  public String value(int index) {
+    return values.get(index);
   }
 
-  /** The first of this name, or null. */
+  /** The value of the first line with this name, or null. */
   public String first(String name) {
     for (int i = 0; i < names.size(); i++) {
-      if (names.get(i).equalsIgnoreCase(name)) {
+      if (isNamed(i, name)) {
         return values.get(i);
       }
     }
     return null;
   }
 
-  /** Whether a list-valued header holds this word. */
-  public boolean containsToken(String name, String word) {
+  /** Whether a header whose value is a comma-separated list contains this token, in any case. */
+  public boolean containsToken(String name, String token) {
     for (int i = 0; i < names.size(); i++) {
-      if (names.get(i).equalsIgnoreCase(name)) {
+      if (isNamed(i, name)) {
         for (String part : values.get(i).split(",")) {
-          if (part.trim().equalsIgnoreCase(word)) {
+          if (part.trim().equalsIgnoreCase(token)) {
             return true;
           }
         }
@@ -53,42 +63,55 @@
     return false;
   }
 
+  private boolean isNamed(int index, String name) {
+    return names.get(index).equalsIgnoreCase(name);
+  }
+
   /**
-   * The one length these headers give, or -1; two that differ, or one beside chunks, are no
-   * message.
+   * The length of the body that these headers give, or {@link #NO_LENGTH}.
+   *
+   * @throws MalformedMessageException if a length is no number, or two of them differ
    */
-  long length() throws MalformedMessageException {
-    long length = -1;
+  long contentLength() throws MalformedMessageException {
+    long length = NO_LENGTH;
     for (int i = 0; i < names.size(); i++) {
-      if (names.get(i).equalsIgnoreCase("Content-Length")) {
-        String value = values.get(i);
-        if (!LENGTH.matcher(value).matches()) {
-          throw new MalformedMessageException(400, "bad length " + value);
-        }
-        long one = Long.parseLong(value);
-        if (length >= 0 && length != one) {
+      if (isNamed(i, CONTENT_LENGTH)) {
+        long lineLength = parseLength(values.get(i));
+        if (length != NO_LENGTH && length != lineLength) {
           throw new MalformedMessageException(400, "lengths that differ");
         }
-        length = one;
+        length = lineLength;
       }
     }
     return length;
   }
 
-  /** Whether the body comes in chunks; any other coding is no message we take. */
-  boolean chunked() throws MalformedMessageException {
-    String coding = null;
+  private static long parseLength(String value) throws MalformedMessageException {
+    if (!LENGTH.matcher(value).matches()) {
+      throw new MalformedMessageException(400, "bad length " + value);
+    }
+    return Long.parseLong(value);
+  }
+
+  /**
+   * Whether the body is chunked.
+   *
+   * @throws MalformedMessageException if it has another transfer coding, or a length besides: two
+   *     readers could take such a message apart at different places
+   */
+  boolean isChunked() throws MalformedMessageException {
+    boolean isChunked = false;
     for (int i = 0; i < names.size(); i++) {
-      if (names.get(i).equalsIgnoreCase("Transfer-Encoding")) {
-        if (coding != null || !values.get(i).equalsIgnoreCase("chunked")) {
+      if (isNamed(i, TRANSFER_ENCODING)) {
+        if (isChunked || !values.get(i).equalsIgnoreCase("chunked")) {
           throw new MalformedMessageException(400, "unknown transfer coding");
         }
-        coding = values.get(i);
+        isChunked = true;
       }
     }
-    if (coding != null && first("Content-Length") != null) {
+    if (isChunked && first(CONTENT_LENGTH) != null) {
       throw new MalformedMessageException(400, "a length beside chunks");
     }
-    return coding != null;
+    return isChunked;
   }
 }
--- a/proxy/src/main/java/wheattrack/http/LineDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/LineDecoder.java
@@ -4,102 +4,133 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * One answer that stays open and brings one JSON object after another, in chunks or plain. Usually
- * each is a line; an indented one is several, and counts as one. An empty line is a sign of life.
+ * Decodes a response that stays open and brings one JSON object after another, chunked or until the
+ * connection's end.
+ *
+ * <p>Usually each object is a line; an indented one takes several lines and is returned as one.
+ * Text that is no object is returned line by line. An empty line shows that the sender is alive.
+ * Runs on the event loop's thread only.
  */
 public final class LineDecoder {
-  private static final int MOST_LINE = 4 << 20;
-  private static final String OPEN = "{[", CLOSE = "}]";
+  /** Bytes of the longest object or line. */
+  private static final int MAX_LINE = 4 << 20;
 
-  private final ReceiveBuffer in = new ReceiveBuffer();
-  private final ByteStrings data = new ByteStrings();
-  private boolean open;
-  private ChunkedDecoder chunks;
+  private static final String OPENING_BRACKETS = "{[";
+  private static final String CLOSING_BRACKETS = "}]";
 
-  /**
-   * How far the data is scanned: brackets open, within a text, behind a backslash, behind an
-   * object.
-   */
-  private int seen, depth;
+  private final ReceiveBuffer received = new ReceiveBuffer();
+  private final ByteAccumulator data = new ByteAccumulator();
+  private boolean isOpen;
+  private ChunkedDecoder chunkedDecoder;
 
-  private boolean quoted, escaped, behind;
+  // The state of the scan for the end of an object.
+  private int scanned; // bytes of data
+  private int depth; // brackets open
+  private boolean isInString;
+  private boolean isEscaped; // the next character of the string
+  private boolean isAfterObject; // on the line on which an object ended
 
+  /** The buffer for the next bytes received, to be filled by one read. */
   public ByteBuffer writableBuffer() {
-    return in.writableBuffer();
+    return received.writableBuffer();
   }
 
-  /** Whether the answer itself has ended, though its connection has not. */
+  /** Whether the response itself has ended, though its connection has not. */
   public boolean isEnded() {
-    return chunks != null && chunks.ended();
+    return chunkedDecoder != null && chunkedDecoder.isEnded();
   }
 
-  /** Whether its head has come, with a 200. */
+  /** Whether the head of the response was received, with status 200. */
   public boolean isOpen() {
-    return open;
+    return isOpen;
   }
 
-  /** Whether an object has begun that is not whole. */
+  /** Whether an object has begun that is not complete. */
   public boolean isMidLine() {
     return depth > 0;
   }
 
-  /** The next whole object, or line that is none, stripped; null while there is none. */
+  /**
+   * The next complete object, or line that is none, without white space around it; null if more
+   * bytes must be received first.
+   *
+   * @throws MalformedMessageException if the response has another status than 200, is malformed or
+   *     has a line over the limit
+   */
   public String next() throws MalformedMessageException {
-    if (!open) {
-      String[] lines = in.head();
-      if (lines == null) {
-        return null;
-      }
-      int status = ResponseDecoder.status(lines[0]);
-      if (status != 200) {
-        throw new MalformedMessageException(status, "answered " + status);
+    if (!isOpen && !readHead()) {
+      return null;
+    }
+    decodeData();
+    while (scanned < data.size()) {
+      if (isEnd(data.get(scanned++))) {
+        return removeScanned();
       }
-      chunks = ReceiveBuffer.headers(lines).chunked() ? new ChunkedDecoder() : null;
-      open = true;
     }
-    ByteBuffer came = in.open();
+    if (data.size() >= MAX_LINE) {
+      throw new MalformedMessageException(502, "line over " + MAX_LINE + " bytes");
+    }
+    return null;
+  }
+
+  private boolean readHead() throws MalformedMessageException {
+    String[] lines = received.pollHead();
+    if (lines == null) {
+      return false;
+    }
+    int status = ResponseDecoder.parseStatus(lines[0]);
+    if (status != 200) {
+      throw new MalformedMessageException(status, "answered " + status);
+    }
+    chunkedDecoder = ReceiveBuffer.parseHeaders(lines).isChunked() ? new ChunkedDecoder() : null;
+    isOpen = true;
+    return true;
+  }
+
+  private void decodeData() throws MalformedMessageException {
+    ByteBuffer bytes = received.startReading();
     try {
-      if (chunks != null) {
-        chunks.decode(came, data, MOST_LINE);
+      if (chunkedDecoder != null) {
+        chunkedDecoder.decode(bytes, data, MAX_LINE);
       } else {
-        data.add(came, Math.min(came.remaining(), MOST_LINE - data.size()));
+        data.append(bytes, Math.min(bytes.remaining(), MAX_LINE - data.size()));
       }
     } finally {
-      in.taken();
-    }
-    while (seen < data.size()) {
-      if (isEnd(data.at(seen++))) {
-        byte[] whole = data.take(seen);
-        seen = 0;
-        depth = 0;
-        quoted = false;
-        escaped = false;
-        return new String(whole, StandardCharsets.UTF_8).strip();
-      }
-    }
-    if (data.size() >= MOST_LINE) {
-      throw new MalformedMessageException(502, "line over " + MOST_LINE + " bytes");
+      received.endReading();
     }
-    return null;
   }
 
-  /** Takes one more byte. A line feed ends what is no object, or a text cut off. */
+  private String removeScanned() {
+    byte[] line = data.removeFirst(scanned);
+    scanned = 0;
+    depth = 0;
+    isInString = false;
+    isEscaped = false;
+    return new String(line, StandardCharsets.UTF_8).strip();
+  }
+
+  /**
+   * Scans one more byte; returns whether it ends an object or line. A line feed ends text that is
+   * no object, and also a string, in which JSON allows none: so an object that was cut off does not
+   * swallow those after it.
+   */
   private boolean isEnd(byte c) {
-    boolean feed = c == '\n';
-    if (quoted) {
-      quoted = escaped || c != '"';
-      escaped = !escaped && c == '\\';
-      return feed;
+    boolean isLineFeed = c == '\n';
+    if (isInString) {
+      isInString = isEscaped || c != '"';
+      isEscaped = !isEscaped && c == '\\';
+      return isLineFeed;
     }
-    if (OPEN.indexOf(c) >= 0) {
+    if (OPENING_BRACKETS.indexOf(c) >= 0) {
       depth++;
-    } else if (CLOSE.indexOf(c) >= 0) {
-      behind = --depth <= 0;
-      return behind;
+    } else if (CLOSING_BRACKETS.indexOf(c) >= 0) {
+      depth--;
+      isAfterObject = depth <= 0;
+      return isAfterObject;
     }
-    quoted = depth > 0 && c == '"';
-    boolean line = depth == 0 && feed && !behind;
-    behind &= !feed;
-    return line;
+    isInString = depth > 0 && c == '"';
+    boolean endsPlainLine = depth == 0 && isLineFeed && !isAfterObject;
+    isAfterObject &= !isLineFeed;
+    return endsPlainLine;
   }
 }
--- a/proxy/src/main/java/wheattrack/http/MalformedMessageException.java
+++ b/proxy/src/main/java/wheattrack/http/MalformedMessageException.java
@@ -1,13 +1,14 @@
 package wheattrack.http;
 
-/** Bytes that are no message we take; status is what a client is told. */
+/** Received bytes are no valid HTTP message, or one that is not accepted. */
 public final class MalformedMessageException extends Exception {
   private static final long serialVersionUID = 1;
 
+  /** The status code with which a server answers such bytes. */
   public final int status;
 
-  MalformedMessageException(int status, String fault) {
-    super(fault);
+  MalformedMessageException(int status, String message) {
+    super(message);
     this.status = status;
   }
 }
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -3,113 +3,146 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
-/**
- * Bytes that have come on a connection and are not yet taken, and the heads of messages among them.
- */
+/** The bytes received on a connection and not decoded yet, and the parser of message heads. */
 final class ReceiveBuffer {
-  private static final int LEAST = 1024;
-  static final int MOST_HEAD = 16 * 1024;
-  private static final int MOST_LINES = 100;
+  /** Bytes of the longest head. */
+  private static final int MAX_HEAD = 16 * 1024;
 
-  private ByteBuffer in = ByteBuffer.allocate(LEAST); // from 0 to position: not yet taken
+  /** The most lines of a head, the first line among them. */
+  private static final int MAX_HEAD_LINES = 100;
+
+  private static final int MIN_CAPACITY = 1024;
+
+  /** With less space than this, the buffer grows before a read. */
+  private static final int MIN_SPACE = MIN_CAPACITY / 4;
+
+  /** The bytes from 0 to the position are received and not consumed. */
+  private ByteBuffer buffer = ByteBuffer.allocate(MIN_CAPACITY);
+
+  /** Up to here the buffer was searched for the end of a head in vain. */
   private int scanned;
 
-  /** Room for what comes next; to be filled by one read. */
+  /** The buffer for the next bytes received, to be filled by one read. */
   ByteBuffer writableBuffer() {
-    if (in.remaining() < LEAST / 4) {
-      in = ByteBuffer.allocate(2 * in.capacity()).put(in.flip());
+    if (buffer.remaining() < MIN_SPACE) {
+      reallocate(2 * buffer.capacity());
     }
-    return in;
+    return buffer;
   }
 
-  /** Wide room, for a long body. */
-  ByteBuffer writableBuffer(int wide) {
-    if (in.capacity() < wide) {
-      in = ByteBuffer.allocate(wide).put(in.flip());
+  /** The same with at least this capacity, for a long body. */
+  ByteBuffer writableBuffer(int minCapacity) {
+    if (buffer.capacity() < minCapacity) {
+      reallocate(minCapacity);
     }
     return writableBuffer();
   }
 
-  /** Puts bytes behind those that wait; not while a read fills the room. */
-  void add(ByteBuffer more) {
-    if (in.remaining() < more.remaining()) {
-      int needed = in.position() + more.remaining();
-      in = ByteBuffer.allocate(Math.max(needed, 2 * in.capacity())).put(in.flip());
+  /**
+   * Appends bytes that were read into another buffer. Must not be called while a read into {@link
+   * #writableBuffer} is pending.
+   */
+  void append(ByteBuffer bytes) {
+    if (buffer.remaining() < bytes.remaining()) {
+      int needed = buffer.position() + bytes.remaining();
+      reallocate(Math.max(needed, 2 * buffer.capacity()));
     }
-    in.put(more);
+    buffer.put(bytes);
   }
 
-  /** Gives wide room back, where nothing waits in it. */
-  void narrow() {
-    if (in.position() == 0 && in.capacity() > LEAST) {
-      in = ByteBuffer.allocate(LEAST);
+  private void reallocate(int capacity) {
+    buffer = ByteBuffer.allocate(capacity).put(buffer.flip());
+  }
+
+  /** Releases the memory of a grown buffer, if it is empty. */
+  void shrink() {
+    if (buffer.position() == 0 && buffer.capacity() > MIN_CAPACITY) {
+      buffer = ByteBuffer.allocate(MIN_CAPACITY);
     }
   }
 
-  int waiting() {
-    return in.position();
+  /** The number of bytes received and not consumed. */
+  int size() {
+    return buffer.position();
   }
 
-  /** The bytes not yet taken, to read from; taken() must follow. */
-  ByteBuffer open() {
-    return in.flip();
+  /** The bytes not consumed yet, to be read; {@link #endReading} must follow. */
+  ByteBuffer startReading() {
+    return buffer.flip();
   }
 
-  /** Keeps what open() left unread. */
-  void taken() {
-    in.compact();
+  /** Keeps the bytes left unread since {@link #startReading}. */
+  void endReading() {
+    buffer.compact();
     scanned = 0;
   }
 
-  byte[] take(int n) {
-    byte[] bytes = new byte[n];
-    open().get(bytes);
-    taken();
+  private byte[] removeFirst(int count) {
+    byte[] bytes = new byte[count];
+    startReading().get(bytes);
+    endReading();
     return bytes;
   }
 
-  /** The lines of a whole head, without the empty one at its end, or null while it is not whole. */
-  String[] head() throws MalformedMessageException {
-    int end = headEnd();
+  /**
+   * Consumes a complete head and returns its lines without the empty line at its end, or returns
+   * null if the head is not complete.
+   *
+   * @throws MalformedMessageException if the head is over a limit
+   */
+  String[] pollHead() throws MalformedMessageException {
+    int end = findHeadEnd();
     if (end < 0) {
-      if (in.position() > MOST_HEAD) {
-        throw new MalformedMessageException(431, "head over " + MOST_HEAD + " bytes");
+      if (buffer.position() > MAX_HEAD) {
+        throw new MalformedMessageException(431, "head over " + MAX_HEAD + " bytes");
       }
       return null;
     }
-    String[] lines = new String(take(end), StandardCharsets.ISO_8859_1).strip().split("\r?\n");
-    if (lines.length > MOST_LINES || end > MOST_HEAD) {
+    String head = new String(removeFirst(end), StandardCharsets.ISO_8859_1);
+    String[] lines = head.strip().split("\r?\n");
+    if (lines.length > MAX_HEAD_LINES || end > MAX_HEAD) {
       throw new MalformedMessageException(431, "too many header lines");
     }
     return lines;
   }
 
-  /** Where the empty line after the head ends; empty lines before the head are passed over. */
-  private int headEnd() {
-    byte[] bytes = in.array();
-    boolean begun = false;
-    for (int i = 0; i < scanned; i++) {
-      if (bytes[i] != '\r' && bytes[i] != '\n') {
-        begun = true;
-        break;
-      }
-    }
-    for (int i = scanned; i < in.position(); i++) {
+  /**
+   * The index after the empty line that ends the head, or -1; empty lines before it are skipped.
+   */
+  private int findHeadEnd() {
+    byte[] bytes = buffer.array();
+    boolean hasBegun = hasText(bytes, scanned);
+    for (int i = scanned; i < buffer.position(); i++) {
       if (bytes[i] == '\n') {
-        if (begun
-            && (i > 0 && bytes[i - 1] == '\n'
-                || i > 1 && bytes[i - 1] == '\r' && bytes[i - 2] == '\n')) {
+        if (hasBegun && endsEmptyLine(bytes, i)) {
           return i + 1;
         }
       } else if (bytes[i] != '\r') {
-        begun = true;
+        hasBegun = true;
       }
     }
-    scanned = in.position();
+    scanned = buffer.position();
     return -1;
   }
 
-  static Headers headers(String[] lines) throws MalformedMessageException {
+  /** Whether any of the first bytes is not part of a line break. */
+  private static boolean hasText(byte[] bytes, int count) {
+    for (int i = 0; i < count; i++) {
+      if (bytes[i] != '\r' && bytes[i] != '\n') {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether the line feed at the index follows another one, with or without a carriage return. */
+  private static boolean endsEmptyLine(byte[] bytes, int index) {
+    return index > 0 && bytes[index - 1] == '\n'
+        || index > 1 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n';
+  }
+
+  /** Parses the header lines of a head, which stand after its first line. */
+  static Headers parseHeaders(String[] lines) throws MalformedMessageException {
     Headers headers = new Headers();
     for (int i = 1; i < lines.length; i++) {
       int colon = lines[i].indexOf(':');
@@ -126,8 +159,9 @@
     return headers;
   }
 
-  static boolean isToken(String word) {
-    return !word.isEmpty()
-        && word.chars().allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+  /** Whether the text is a token as HTTP defines it. */
+  static boolean isToken(String text) {
+    return !text.isEmpty()
+        && text.chars().allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Request.java
+++ b/proxy/src/main/java/wheattrack/http/Request.java
@@ -1,8 +1,16 @@
 package wheattrack.http;
 
 /**
- * One request. keep: its connection may carry a further one. more: bytes of the body that are still
- * to come, 0 for none, or Decoder.CHUNKED. chunks: who asked understands chunks.
+ * One request.
+ *
+ * @param method the method, in upper case
+ * @param target the target, from its first slash
+ * @param headers all headers, those of the framing among them where the request was received
+ * @param keepAlive whether the connection may carry further requests after this one
+ * @param body the body, or the part of it that is sent with the head
+ * @param remainingBody the number of bytes of the body that follow, 0 for none, or {@link
+ *     Decoder#CHUNKED}
+ * @param chunks whether the client understands chunked responses
  */
 public record Request(
     String method,
@@ -12,8 +20,8 @@
     byte[] body,
     long remainingBody,
     boolean chunks) {
-  /** A whole one. */
-  public Request(String method, String target, Headers headers, boolean keep, byte[] body) {
-    this(method, target, headers, keep, body, 0, true);
+  /** A request with its complete body, whose client understands chunked responses. */
+  public Request(String method, String target, Headers headers, boolean keepAlive, byte[] body) {
+    this(method, target, headers, keepAlive, body, 0, true);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -2,7 +2,7 @@
 
 import java.util.Set;
 
-/** Requests, as a server reads them. */
+/** Decodes requests, as a server receives them. Runs on the event loop's thread only. */
 public final class RequestDecoder extends Decoder<Request> {
   private static final Set<String> METHODS =
       Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
@@ -10,56 +10,64 @@
   private String method;
   private String target;
   private Headers headers;
-  private boolean keep, chunks;
-  private boolean expects;
+  private boolean keepAlive;
+  private boolean acceptsChunks;
+  private boolean expectsContinue;
 
+  /** Creates a decoder with the default limit on bodies. */
   public RequestDecoder() {
     this(DEFAULT_MAX_BODY);
   }
 
-  /** most: bytes of the longest body. */
-  public RequestDecoder(long most) {
-    super(most);
+  /** Creates a decoder that accepts bodies of up to so many bytes. */
+  public RequestDecoder(long maxBody) {
+    super(maxBody);
   }
 
+  /** From there on a long request is streamed, and can be retried until more of it is sent. */
   @Override
-  protected int maxLineBytes() {
-    return MAX_BUFFERED_BODY / 4; // from then on it is passed on, repeatable until more is
+  protected int minBytesOfLongBody() {
+    return MAX_BUFFERED_BODY / 4;
   }
 
   @Override
-  protected long readHead(String line, Headers with) throws MalformedMessageException {
-    String[] parts = line.split(" ", -1);
+  protected long readHead(String requestLine, Headers requestHeaders)
+      throws MalformedMessageException {
+    String[] parts = requestLine.split(" ", -1);
     if (parts.length != 3 || !ReceiveBuffer.isToken(parts[0]) || !isTarget(parts[1])) {
       throw new MalformedMessageException(400, "bad request line");
     }
-    checkVersion(parts[2]);
+    String version = parts[2];
+    checkVersion(version);
     if (!METHODS.contains(parts[0])) {
       throw new MalformedMessageException(405, "method not taken");
     }
     method = parts[0];
     target = parts[1];
-    headers = with;
-    keep = keepsAlive(parts[2], with);
-    chunks = parts[2].equals("HTTP/1.1");
-    expects = with.containsToken("Expect", "100-continue");
-    return with.chunked() ? CHUNKED : Math.max(0, with.length());
+    headers = requestHeaders;
+    keepAlive = keepsAlive(version, requestHeaders);
+    acceptsChunks = version.equals("HTTP/1.1");
+    expectsContinue = requestHeaders.containsToken("Expect", "100-continue");
+    return requestHeaders.isChunked() ? CHUNKED : Math.max(0, requestHeaders.contentLength());
   }
 
-  private static boolean isTarget(String word) {
-    return word.startsWith("/") && word.chars().allMatch(c -> c > ' ' && c != 127);
+  private static boolean isTarget(String text) {
+    return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c != 127);
   }
 
-  /** Whether the client waits to be told that its body is wanted; says so once. */
+  /**
+   * Whether the client waits for an interim response before it sends the body. Returns true once
+   * per request.
+   */
   public boolean expectsContinue() {
-    boolean was = expects;
-    expects = false;
-    return was;
+    boolean isExpected = expectsContinue;
+    expectsContinue = false;
+    return isExpected;
   }
 
   @Override
-  protected Request message(byte[] kept, long more) {
-    expects &= more != 0;
-    return new Request(method, target, headers, keep, kept, more, chunks);
+  protected Request message(byte[] body, long remainingBody) {
+    expectsContinue &= remainingBody != 0;
+    return new Request(method, target, headers, keepAlive, body, remainingBody, acceptsChunks);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Response.java
+++ b/proxy/src/main/java/wheattrack/http/Response.java
@@ -3,40 +3,48 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * One answer. keep: its connection may carry a further one. more: bytes of the body that are still
- * to come, 0 for none, or Decoder.CHUNKED or TILL_END; BARE for an answer that says its length and
- * has no body.
+ * One response.
+ *
+ * @param status the status code
+ * @param headers all headers, those of the framing among them where the response was received
+ * @param keepAlive whether the connection may carry further requests after this response
+ * @param body the body, or the part of it that is sent with the head
+ * @param remainingBody the number of bytes of the body that follow, 0 for none, {@link
+ *     Decoder#CHUNKED}, {@link Decoder#UNTIL_CLOSE} or {@link #NO_BODY}
  */
 public record Response(
     int status, Headers headers, boolean keepAlive, byte[] body, long remainingBody) {
-  /** Of an answer to HEAD: its headers are as they are. */
+  /**
+   * Stands for the number of bytes that follow in a response to HEAD, which has no body though its
+   * headers may give a length.
+   */
   public static final long NO_BODY = -3;
 
-  /** A whole one. */
-  public Response(int status, Headers headers, boolean keep, byte[] body) {
-    this(status, headers, keep, body, 0);
+  /** A response with its complete body. */
+  public Response(int status, Headers headers, boolean keepAlive, byte[] body) {
+    this(status, headers, keepAlive, body, 0);
   }
 
-  /** A line of our own. */
-  public static Response text(int status, String text, boolean keep) {
+  /** A response of plain text, to which a line feed is added unless it ends in one. */
+  public static Response text(int status, String text, boolean keepAlive) {
     byte[] body = (text.endsWith("\n") ? text : text + "\n").getBytes(StandardCharsets.UTF_8);
     Headers headers = new Headers().with("Content-Type", "text/plain; charset=utf-8");
-    return new Response(status, headers, keep, body);
+    return new Response(status, headers, keepAlive, body);
   }
 
-  /** The same to HEAD: with its length, and without its body. */
+  /**
+   * This response as one to HEAD: with its length and without its body. The length is added to this
+   * response's own headers.
+   */
   public Response withoutBody() {
-    return remainingBody == NO_BODY
-        ? this
-        : new Response(
-            status,
-            headers.with("Content-Length", Integer.toString(body.length)),
-            keepAlive,
-            new byte[0],
-            NO_BODY);
+    if (remainingBody == NO_BODY) {
+      return this;
+    }
+    Headers withLength = headers.with("Content-Length", Integer.toString(body.length));
+    return new Response(status, withLength, keepAlive, new byte[0], NO_BODY);
   }
 
-  /** The same, and the connection ends with it. */
+  /** This response as the last one on its connection. */
   public Response closingConnection() {
     return new Response(status, headers, false, body, remainingBody);
   }
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -2,59 +2,77 @@
 
 import java.util.regex.Pattern;
 
-/** Answers, as a client reads them; one without a length ends in order with its connection. */
+/**
+ * Decodes responses, as a client receives them. A body without a length ends in order with its
+ * connection. Runs on the event loop's thread only.
+ */
 public final class ResponseDecoder extends Decoder<Response> {
-  private static final Pattern LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
+  private static final int VERSION_END = "HTTP/1.1".length();
+  private static final int STATUS_START = VERSION_END + 1;
+  private static final int STATUS_END = STATUS_START + 3;
 
   private int status;
   private Headers headers;
-  private boolean keep, expectNoBody;
+  private boolean keepAlive;
+  private boolean expectNoBody;
 
+  /** Creates a decoder with the default limit on bodies. */
   public ResponseDecoder() {
     this(DEFAULT_MAX_BODY);
   }
 
-  /** most: bytes of the longest body. */
-  public ResponseDecoder(long most) {
-    super(most);
+  /** Creates a decoder that accepts bodies of up to so many bytes. */
+  public ResponseDecoder(long maxBody) {
+    super(maxBody);
   }
 
-  /** Whether the next answer is one to HEAD, which has no body whatever it says. */
-  public void expectNoBody(boolean asked) {
-    expectNoBody = asked;
+  /**
+   * Says whether the next responses are to HEAD requests, which have no body whatever their headers
+   * say.
+   */
+  public void expectNoBody(boolean isExpected) {
+    expectNoBody = isExpected;
   }
 
+  /** A long response is streamed from its first byte, whose time counts as its latency. */
   @Override
-  protected int maxLineBytes() {
-    return 1; // a long answer is timed by its first bytes
+  protected int minBytesOfLongBody() {
+    return 1;
   }
 
   @Override
-  protected long readHead(String line, Headers with) throws MalformedMessageException {
-    status = status(line);
-    headers = with;
-    keep = keepsAlive(line.substring(0, 8), with);
-    long length = with.length();
-    boolean chunked = with.chunked();
+  protected long readHead(String statusLine, Headers responseHeaders)
+      throws MalformedMessageException {
+    status = parseStatus(statusLine);
+    headers = responseHeaders;
+    keepAlive = keepsAlive(statusLine.substring(0, VERSION_END), responseHeaders);
+    long length = responseHeaders.contentLength();
+    boolean isChunked = responseHeaders.isChunked();
     if (status < 200 || status == 204 || status == 304 || expectNoBody) {
       return 0;
     }
-    if (!chunked && length < 0) {
-      keep = false;
+    if (isChunked) {
+      return CHUNKED;
+    }
+    if (length == Headers.NO_LENGTH) {
+      keepAlive = false;
       return UNTIL_CLOSE;
     }
-    return chunked ? CHUNKED : length;
+    return length;
   }
 
-  static int status(String line) throws MalformedMessageException {
-    if (!LINE.matcher(line).matches()) {
+  /** The status code on a status line. */
+  static int parseStatus(String statusLine) throws MalformedMessageException {
+    if (!STATUS_LINE.matcher(statusLine).matches()) {
       throw new MalformedMessageException(502, "bad status line");
     }
-    return Integer.parseInt(line.substring(9, 12));
+    return Integer.parseInt(statusLine.substring(STATUS_START, STATUS_END));
   }
 
   @Override
-  protected Response message(byte[] kept, long more) {
-    return new Response(status, headers, keep, kept, expectNoBody ? Response.NO_BODY : more);
+  protected Response message(byte[] body, long remainingBody) {
+    long shownRemainingBody = expectNoBody ? Response.NO_BODY : remainingBody;
+    return new Response(status, headers, keepAlive, body, shownRemainingBody);
   }
 }
--- a/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
+++ b/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
@@ -4,172 +4,187 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import wheattrack.testing.TraceRecorder;
 
-/** Messages from bytes that come one at a time, and back. */
+/** Decoding of messages from bytes that arrive one at a time, and encoding. */
 class HttpCodecTest {
-  private static String short80(String text) {
+  private static String abbreviate(String text) {
     String plain = text.replace("\r\n", "|").replace("\n", "!");
     return plain.length() > 80 ? plain.substring(0, 70) + "... (" + plain.length() + ")" : plain;
   }
 
-  /** What is passed on of a long message, as a count. */
-  private static String rest(Decoder<?> in, String text, int from)
+  /** How far a long body was streamed: the index after it, and what was read of it. */
+  private record StreamedBody(int end, String summary) {}
+
+  private static StreamedBody readStreamedBody(Decoder<?> decoder, String text, int start)
       throws MalformedMessageException {
     int size = 0;
-    int at = from;
-    while (in.isStreamingBody() && at < text.length()) {
-      in.writableBuffer().put((byte) text.charAt(at++));
-      size += in.nextBodyPart().remaining();
+    int index = start;
+    while (decoder.isStreamingBody() && index < text.length()) {
+      decoder.writableBuffer().put((byte) text.charAt(index++));
+      size += decoder.nextBodyPart().remaining();
     }
-    return at + "/" + size + (in.isStreamingBody() ? " not whole" : " whole");
+    return new StreamedBody(index, size + (decoder.isStreamingBody() ? " not whole" : " whole"));
   }
 
   /**
-   * Every message, cut at every point and fed byte by byte or as two packets, is the same message.
+   * A message is decoded to the same body wherever it is cut into two packets, and twice in a row.
    */
   @Test
-  void everySplit() throws Exception {
+  void decodesSameMessageForEverySplit() throws Exception {
     String body = "0123456789abcdef".repeat(70);
     String head = "POST /buy HTTP/1.1\r\nHost: a\r\n";
-    for (String text :
-        new String[] {
-          head + "Content-Length: 1120\r\n\r\n" + body,
-          head
-              + "Transfer-Encoding: chunked\r\n\r\n460;a=\"b\"\r\n"
-              + body
-              + "\r\n0\r\nT: 1\r\nU: 2\r\n\r\n"
-        }) {
+    String measured = head + "Content-Length: 1120\r\n\r\n" + body;
+    String chunked =
+        head
+            + "Transfer-Encoding: chunked\r\n\r\n460;a=\"b\"\r\n"
+            + body
+            + "\r\n0\r\nT: 1\r\nU: 2\r\n\r\n";
+    for (String text : List.of(measured, chunked)) {
       for (int cut = 0; cut <= text.length(); cut++) {
-        RequestDecoder in = new RequestDecoder();
-        Request got = null;
-        String both = text + text;
-        for (int from = 0, n = 0; from < both.length(); from += n) {
-          n = Math.min(in.writableBuffer().remaining(), (from < cut ? cut : both.length()) - from);
-          in.writableBuffer()
-              .put(both.substring(from, from + n).getBytes(StandardCharsets.ISO_8859_1));
-          for (Request next = in.next(); next != null; next = in.next()) {
-            got = next;
-            assertEquals(body, new String(next.body(), StandardCharsets.ISO_8859_1));
-          }
-        }
-        assertTrue(got != null && got.remainingBody() == 0 && !in.isMidMessage(), "cut at " + cut);
+        decodeTwice(text, cut, body);
       }
     }
   }
 
-  /** Long ones: the head with a first part, the rest in pieces, then the next message. */
+  private static void decodeTwice(String text, int cut, String expectedBody)
+      throws MalformedMessageException {
+    RequestDecoder decoder = new RequestDecoder();
+    Request last = null;
+    String both = text + text;
+    int start = 0;
+    while (start < both.length()) {
+      int packetEnd = start < cut ? cut : both.length();
+      int count = Math.min(decoder.writableBuffer().remaining(), packetEnd - start);
+      byte[] bytes = both.substring(start, start + count).getBytes(StandardCharsets.ISO_8859_1);
+      decoder.writableBuffer().put(bytes);
+      start += count;
+      for (Request next = decoder.next(); next != null; next = decoder.next()) {
+        last = next;
+        assertEquals(expectedBody, new String(next.body(), StandardCharsets.ISO_8859_1));
+      }
+    }
+    assertTrue(
+        last != null && last.remainingBody() == 0 && !decoder.isMidMessage(), "cut at " + cut);
+  }
+
+  /** Of a long message the head comes with a first part, then the rest, then the next message. */
   @Test
-  void longOnes() throws Exception {
-    TraceRecorder w = new TraceRecorder();
-    String post = "POST /buy HTTP/1.1\r\n",
-        ok = "HTTP/1.1 200 OK\r\n",
-        next = "GET /n HTTP/1.1\r\n\r\n";
+  void streamsLongBodies() throws Exception {
+    TraceRecorder recorder = new TraceRecorder();
+    String post = "POST /buy HTTP/1.1\r\n";
+    String ok = "HTTP/1.1 200 OK\r\n";
+    String next = "GET /n HTTP/1.1\r\n\r\n";
     String chunk = "8000;e=" + "x".repeat(50) + "\r\n" + "z".repeat(32_768) + "\r\n";
     for (String text :
-        new String[] {
-          post + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000) + next,
-          post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n" + next,
-          post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(2) + "xyz",
-          post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(5)
-        }) {
-      longOne(w, new RequestDecoder(150_000), text);
+        List.of(
+            post + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000) + next,
+            post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n" + next,
+            post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(2) + "xyz",
+            post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(5))) {
+      recordLongMessage(recorder, new RequestDecoder(150_000), text);
     }
     for (String text :
-        new String[] {
-          ok + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000),
-          ok + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n",
-          ok + "Content-Length: 3000000000\r\n\r\n",
-          ok + "\r\n" + "z".repeat(70_000)
-        }) {
-      longOne(w, new ResponseDecoder(150_000), text);
+        List.of(
+            ok + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000),
+            ok + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n",
+            ok + "Content-Length: 3000000000\r\n\r\n",
+            ok + "\r\n" + "z".repeat(70_000))) {
+      recordLongMessage(recorder, new ResponseDecoder(150_000), text);
     }
-    ResponseDecoder in = new ResponseDecoder();
-    in.expectNoBody(true);
-    feed(w, in, ok + "Content-Length: 5\r\n\r\n");
-    w.matches("http-long");
+    ResponseDecoder decoder = new ResponseDecoder();
+    decoder.expectNoBody(true);
+    recordMessages(recorder, decoder, ok + "Content-Length: 5\r\n\r\n");
+    recorder.matches("http-long");
   }
 
-  private static void longOne(TraceRecorder w, Decoder<?> in, String text) {
-    w.say(short80(text));
+  private static void recordLongMessage(TraceRecorder recorder, Decoder<?> decoder, String text) {
+    recorder.say(abbreviate(text));
     try {
-      for (int at = 0; at < text.length(); at++) {
-        in.writableBuffer().put((byte) text.charAt(at));
-        Object got = in.next();
-        if (got != null) {
-          long more =
-              got instanceof Request r ? r.remainingBody() : ((Response) got).remainingBody();
-          w.say("  " + print(got).replaceAll("body=.*\\(", "body of (") + ", more " + more);
-          if (in.isStreamingBody()) {
-            String rest = rest(in, text, at + 1);
-            at = Integer.parseInt(rest.split("/")[0]) - 1;
-            w.say("  and " + rest.split("/")[1]);
-          }
+      int index = 0;
+      while (index < text.length()) {
+        decoder.writableBuffer().put((byte) text.charAt(index++));
+        Object message = decoder.next();
+        if (message == null) {
+          continue;
+        }
+        recorder.say(
+            "  "
+                + print(message).replaceAll("body=.*\\(", "body of (")
+                + ", more "
+                + remainingBody(message));
+        if (decoder.isStreamingBody()) {
+          StreamedBody streamed = readStreamedBody(decoder, text, index);
+          index = streamed.end();
+          recorder.say("  and " + streamed.summary());
         }
       }
-      if (in.endOfStream()) {
-        w.say(
+      if (decoder.endOfStream()) {
+        recorder.say(
             "  till the end: "
-                + in.nextBodyPart().remaining()
-                + (in.isStreamingBody() ? " and on" : " whole"));
+                + decoder.nextBodyPart().remaining()
+                + (decoder.isStreamingBody() ? " and on" : " whole"));
       }
     } catch (MalformedMessageException e) {
-      w.say("  bad, " + e.status + ": " + e.getMessage());
+      recorder.say("  bad, " + e.status + ": " + e.getMessage());
     }
   }
 
+  private static long remainingBody(Object message) {
+    return message instanceof Request request
+        ? request.remainingBody()
+        : ((Response) message).remainingBody();
+  }
+
   private static String print(Object message) {
-    if (message instanceof Request r) {
-      return r.method()
+    if (message instanceof Request request) {
+      return request.method()
           + " "
-          + r.target()
-          + headers(r.headers())
-          + (r.keepAlive() ? " keep" : " close")
-          + " body="
-          + short80(new String(r.body(), StandardCharsets.ISO_8859_1));
+          + request.target()
+          + print(request.headers(), request.keepAlive(), request.body());
     }
-    Response r = (Response) message;
-    return r.status()
-        + headers(r.headers())
-        + (r.keepAlive() ? " keep" : " close")
-        + " body="
-        + short80(new String(r.body(), StandardCharsets.ISO_8859_1));
+    Response response = (Response) message;
+    return response.status() + print(response.headers(), response.keepAlive(), response.body());
   }
 
-  private static String headers(Headers h) {
-    StringBuilder s = new StringBuilder();
-    for (int i = 0; i < h.size(); i++) {
-      s.append(' ').append(h.name(i)).append('=').append(h.value(i));
+  private static String print(Headers headers, boolean keepAlive, byte[] body) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < headers.size(); i++) {
+      text.append(' ').append(headers.name(i)).append('=').append(headers.value(i));
     }
-    return s.toString();
+    text.append(keepAlive ? " keep" : " close");
+    text.append(" body=").append(abbreviate(new String(body, StandardCharsets.ISO_8859_1)));
+    return text.toString();
   }
 
-  private static void feed(TraceRecorder w, Decoder<?> in, String text) {
-    w.say(short80(text));
+  private static void recordMessages(TraceRecorder recorder, Decoder<?> decoder, String text) {
+    recorder.say(abbreviate(text));
     for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
-      in.writableBuffer().put(b);
+      decoder.writableBuffer().put(b);
       try {
-        Object message = in.next();
+        Object message = decoder.next();
         if (message != null) {
-          w.say("  " + print(message));
+          recorder.say("  " + print(message));
         }
       } catch (MalformedMessageException e) {
-        w.say("  bad, " + e.status + ": " + e.getMessage());
+        recorder.say("  bad, " + e.status + ": " + e.getMessage());
         return;
       }
     }
-    if (in.isMidMessage()) {
-      w.say("  not whole");
+    if (decoder.isMidMessage()) {
+      recorder.say("  not whole");
     }
   }
 
   @Test
-  void requests() throws IOException {
-    TraceRecorder w = new TraceRecorder();
+  void decodesRequests() throws IOException {
+    TraceRecorder recorder = new TraceRecorder();
     String post = "POST /buy HTTP/1.1\r\nHost: a\r\n";
-    for (String in :
+    for (String text :
         new String[] {
           "GET /buy?x=1 HTTP/1.1\r\nHost: a\r\nRequest-Id: 7\r\n\r\n",
           "\r\nGET / HTTP/1.0\r\n\r\nGET /2 HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n",
@@ -205,16 +220,16 @@
           "\u0016\u0003\u0001\n\n",
           "GET /a\r\n\r\n"
         }) {
-      feed(w, new RequestDecoder(), in);
+      recordMessages(recorder, new RequestDecoder(), text);
     }
-    w.matches("http-requests");
+    recorder.matches("http-requests");
   }
 
   @Test
-  void answers() throws IOException {
-    TraceRecorder w = new TraceRecorder();
+  void decodesResponses() throws IOException {
+    TraceRecorder recorder = new TraceRecorder();
     String ok = "HTTP/1.1 200 OK\r\n";
-    for (String in :
+    for (String text :
         new String[] {
           ok + "Content-Length: 2\r\n\r\nhi" + ok + "Content-Length: 0\r\n\r\n",
           "HTTP/1.1 100 Continue\r\n\r\n"
@@ -228,17 +243,17 @@
           "SSH-2.0-x\r\n\r\n",
           ok + "Content-Length: 99999\r\n\r\n"
         }) {
-      feed(w, new ResponseDecoder(), in);
+      recordMessages(recorder, new ResponseDecoder(), text);
     }
-    w.matches("http-answers");
+    recorder.matches("http-answers");
   }
 
   @Test
-  void lines() throws IOException {
-    TraceRecorder w = new TraceRecorder();
+  void decodesLines() throws IOException {
+    TraceRecorder recorder = new TraceRecorder();
     String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     String plain = "HTTP/1.1 200 OK\r\n\r\n";
-    for (String in :
+    for (String text :
         new String[] {
           head + "4\r\n{\"a\"\r\n6\r\n:1}\n\n{\r\n2\r\n}\n\r\n1\r\n\n\r\n",
           plain + "{}\n\n",
@@ -247,38 +262,38 @@
           "HTTP/1.1 503 No\r\n\r\n",
           head + "q"
         }) {
-      LineDecoder lines = new LineDecoder();
-      w.say(short80(in));
+      LineDecoder decoder = new LineDecoder();
+      recorder.say(abbreviate(text));
       try {
-        for (byte b : in.getBytes(StandardCharsets.ISO_8859_1)) {
-          lines.writableBuffer().put(b);
-          for (String line = lines.next(); line != null; line = lines.next()) {
-            w.say("  [" + line + "]");
+        for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
+          decoder.writableBuffer().put(b);
+          for (String line = decoder.next(); line != null; line = decoder.next()) {
+            recorder.say("  [" + line + "]");
           }
         }
       } catch (MalformedMessageException e) {
-        w.say("  bad: " + e.getMessage());
+        recorder.say("  bad: " + e.getMessage());
       }
     }
-    w.matches("http-lines");
+    recorder.matches("http-lines");
   }
 
   @Test
-  void encodes() throws IOException {
-    TraceRecorder w = new TraceRecorder();
-    byte[] hi = "hi".getBytes(StandardCharsets.ISO_8859_1);
-    Headers one = new Headers().with("A", "1");
-    for (var bytes :
-        new java.nio.ByteBuffer[] {
-          Encoder.request(new Request("GET", "/a", one, true, new byte[0])),
-          Encoder.request(new Request("POST", "/a", one, true, new byte[0])),
-          Encoder.request(new Request("PUT", "/a?b", new Headers(), false, hi)),
-          Encoder.response(new Response(200, one, true, hi)),
+  void encodesMessages() throws IOException {
+    TraceRecorder recorder = new TraceRecorder();
+    byte[] body = "hi".getBytes(StandardCharsets.ISO_8859_1);
+    Headers headers = new Headers().with("A", "1");
+    for (ByteBuffer bytes :
+        new ByteBuffer[] {
+          Encoder.request(new Request("GET", "/a", headers, true, new byte[0])),
+          Encoder.request(new Request("POST", "/a", headers, true, new byte[0])),
+          Encoder.request(new Request("PUT", "/a?b", new Headers(), false, body)),
+          Encoder.response(new Response(200, headers, true, body)),
           Encoder.response(new Response(503, new Headers(), false, new byte[0])),
           Encoder.continueResponse()
         }) {
-      w.say(StandardCharsets.ISO_8859_1.decode(bytes).toString().replace("\r\n", "|"));
+      recorder.say(StandardCharsets.ISO_8859_1.decode(bytes).toString().replace("\r\n", "|"));
     }
-    w.matches("http-encoded");
+    recorder.matches("http-encoded");
   }
 }
