--- a/proxy/src/main/java/wheattrack/log/EventLog.java
+++ b/proxy/src/main/java/wheattrack/log/EventLog.java
@@ -6,14 +6,16 @@
 import java.util.logging.Logger;
 
 /**
- * A line of the log in its parts: what happened, to whom (or null) and why (or null). Its plain
- * text is "event id: cause". May be logged from any thread.
+ * One line of the log in its parts: what happened, to whom and why. Its plain text is "event id:
+ * cause". The static methods write such lines; any thread may call them.
  */
 public final class EventLog extends LogRecord {
   private static final long serialVersionUID = 1;
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
-  final String event, id, cause;
+  private final String event;
+  private final String id;
+  private final String cause;
 
   private EventLog(Level level, String event, String id, String cause) {
     super(level, event + (id == null ? "" : " " + id) + (cause == null ? "" : ": " + cause));
@@ -23,28 +25,49 @@
     setLoggerName(LOG.getName());
   }
 
+  /** What happened. */
+  String event() {
+    return event;
+  }
+
+  /** To whom it happened, or null. */
+  String id() {
+    return id;
+  }
+
+  /** Why it happened, or null. */
+  String cause() {
+    return cause;
+  }
+
+  /** Writes a line at this level; the id and the cause may be null. */
   public static void log(Level level, String event, String id, String cause) {
     if (LOG.isLoggable(level)) {
       LOG.log(new EventLog(level, event, id, cause));
     }
   }
 
-  /** Lines of single reqs are written from now on. */
+  /** Switches the lines of single requests on, for the rest of the process's life. */
   public static void enableDetails() {
     LOG.setLevel(Level.FINE);
   }
 
-  /** A line of a single req or of one entry of the list; of no cost unless they are switched on. */
+  /**
+   * Writes a line about a single request or endpoint, if these are switched on; else the cause is
+   * not computed.
+   */
   public static void detail(String event, String id, Supplier<String> cause) {
     if (LOG.isLoggable(Level.FINE)) {
       log(Level.FINE, event, id, cause.get());
     }
   }
 
+  /** Writes a line about a normal event; the id and the cause may be null. */
   public static void info(String event, String id, String cause) {
     log(Level.INFO, event, id, cause);
   }
 
+  /** Writes a line about an event that an operator should look at; id and cause may be null. */
   public static void warning(String event, String id, String cause) {
     log(Level.WARNING, event, id, cause);
   }
--- a/proxy/src/main/java/wheattrack/log/JsonLineFormatter.java
+++ b/proxy/src/main/java/wheattrack/log/JsonLineFormatter.java
@@ -10,45 +10,57 @@
 import java.util.logging.LogRecord;
 
 /**
- * A log line as one JSON object: time, level, event, id, cause, and how many like it were left out.
+ * Formats a log line as one JSON object: time, level, event, id, cause, stack trace, and how many
+ * like it were left out before it.
  */
 public final class JsonLineFormatter extends Formatter {
-  private final JsonFactory json = new JsonFactory();
+  private static final int USUAL_LINE_LENGTH = 128;
+
+  private final JsonFactory jsonFactory = new JsonFactory();
 
   @Override
-  public String format(LogRecord r) {
-    StringWriter text = new StringWriter(128);
-    try (JsonGenerator out = json.createGenerator(text)) {
-      out.writeStartObject();
-      out.writeStringField("time", r.getInstant().toString());
-      out.writeStringField("level", r.getLevel().getName());
-      if (r instanceof EventLog e) {
-        out.writeStringField("event", e.event.replace(' ', '-'));
-        field(out, "id", e.id);
-        field(out, "cause", e.cause);
-      } else {
-        out.writeStringField("event", "note");
-        out.writeStringField("cause", formatMessage(r));
-      }
-      if (r.getThrown() != null) {
-        StringWriter trace = new StringWriter();
-        r.getThrown().printStackTrace(new PrintWriter(trace));
-        out.writeStringField("trace", trace.toString());
+  public String format(LogRecord line) {
+    StringWriter text = new StringWriter(USUAL_LINE_LENGTH);
+    try (JsonGenerator json = jsonFactory.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeStringField("time", line.getInstant().toString());
+      json.writeStringField("level", line.getLevel().getName());
+      writeEvent(json, line);
+      if (line.getThrown() != null) {
+        json.writeStringField("trace", stackTrace(line.getThrown()));
       }
-      int left = RateLimitFilter.leftOut(r);
-      if (left > 0) {
-        out.writeNumberField("left_out", left);
+      int leftOut = RateLimitFilter.leftOutBefore(line);
+      if (leftOut > 0) {
+        json.writeNumberField("left_out", leftOut);
       }
-      out.writeEndObject();
-    } catch (IOException e) {
+      json.writeEndObject();
+    } catch (IOException e) { // a string writer throws none
       throw new UncheckedIOException(e);
     }
     return text.append('\n').toString();
   }
 
-  private static void field(JsonGenerator out, String name, String value) throws IOException {
+  private void writeEvent(JsonGenerator json, LogRecord line) throws IOException {
+    if (line instanceof EventLog event) {
+      json.writeStringField("event", event.event().replace(' ', '-'));
+      writeUnlessNull(json, "id", event.id());
+      writeUnlessNull(json, "cause", event.cause());
+    } else {
+      json.writeStringField("event", "note");
+      json.writeStringField("cause", formatMessage(line));
+    }
+  }
+
+  private static void writeUnlessNull(JsonGenerator json, String name, String value)
+      throws IOException {
     if (value != null) {
-      out.writeStringField(name, value);
+      json.writeStringField(name, value);
     }
   }
+
+  private static String stackTrace(Throwable thrown) {
+    StringWriter trace = new StringWriter();
+    thrown.printStackTrace(new PrintWriter(trace));
+    return trace.toString();
+  }
 }
