--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -8,62 +8,62 @@
 /** One dispatch of a req, or a probe, from its sending to its one outcome. */
 abstract class BackendAttempt {
   final BackendConnectionPool backend;
-  final long sent;
+  final long sentAt;
 
   /** When it got its connection, which is when its first byte left. */
-  long begun;
+  long startedAt;
 
   /** When its first byte must have left, or it never does. */
-  long latest = Long.MAX_VALUE;
+  long latestStart = Long.MAX_VALUE;
 
-  TimerQueue.Timer timeout;
-  BackendConnection on;
-  private boolean over;
+  TimerQueue.Timer timer;
+  BackendConnection connection;
+  private boolean hasEnded;
   private AttemptOutcome outcome;
 
   BackendAttempt(BackendConnectionPool backend, long sent) {
     this.backend = backend;
-    this.sent = sent;
+    this.sentAt = sent;
   }
 
   /** From now on it may take so long. */
-  final void waits(long time) {
-    if (!over) {
-      backend.loop.cancel(timeout);
-      timeout = backend.loop.schedule(time, () -> giveUp(AttemptOutcome.TIMEOUT));
+  final void setTimeout(long time) {
+    if (!hasEnded) {
+      backend.loop.cancel(timer);
+      timer = backend.loop.schedule(time, () -> abandon(AttemptOutcome.TIMEOUT));
     }
   }
 
   /** Whether any of its bytes may have left. */
-  final boolean isBegun() {
-    return on != null;
+  final boolean isStarted() {
+    return connection != null;
   }
 
   /** Whether it may have run, or may yet. */
-  final boolean mayRun() {
-    return isBegun() && (outcome == null || !outcome.neverRan());
+  final boolean mayHaveRun() {
+    return isStarted() && (outcome == null || !outcome.neverRan());
   }
 
   /** Ends one that is not begun as never sent, and any other as said. */
-  final void giveUp(AttemptOutcome how) {
-    end(isBegun() ? how : AttemptOutcome.DISCARDED, null);
+  final void abandon(AttemptOutcome how) {
+    end(isStarted() ? how : AttemptOutcome.DISCARDED, null);
   }
 
   /** Ends it, once; a connection that still carries it is closed. */
   final void end(AttemptOutcome how, Response answer) {
-    if (over) {
+    if (hasEnded) {
       return;
     }
-    over = true;
+    hasEnded = true;
     outcome = how;
-    backend.loop.cancel(timeout);
+    backend.loop.cancel(timer);
     backend.out--;
-    if (on != null && on.carried() == this) {
-      on.close();
+    if (connection != null && connection.carried() == this) {
+      connection.close();
     } else {
       backend.forget(this);
     }
-    ended(how, answer);
+    onEnd(how, answer);
   }
 
   /** What is written for it, made as it begins. */
@@ -72,13 +72,13 @@
   /**
    * Its answer is too long to be kept: as an outcome that is its end, on its connection it is not.
    */
-  final ResponseRelay begin(Response head) {
-    if (over) {
+  final ResponseRelay beginStreaming(Response head) {
+    if (hasEnded) {
       return null;
     }
-    over = true;
-    backend.loop.cancel(timeout);
-    ResponseRelay passing = begins(head);
+    hasEnded = true;
+    backend.loop.cancel(timer);
+    ResponseRelay passing = onStreamingAnswer(head);
     if (passing == null) {
       backend.out--;
     }
@@ -86,14 +86,14 @@
   }
 
   /** The long answer is through, or broken off. */
-  final void passed() {
+  final void streamingEnded() {
     backend.out--;
   }
 
   /**
    * How long an answer of unknown length may still be kept back, to be had anew should it break.
    */
-  protected long holds() {
+  protected long remainingBufferingTime() {
     return Long.MAX_VALUE / 4;
   }
 
@@ -103,15 +103,15 @@
   }
 
   /** Who takes the rest of a long answer, or null where nobody does. */
-  protected ResponseRelay begins(Response head) {
-    ended(AttemptOutcome.RESET, null);
+  protected ResponseRelay onStreamingAnswer(Response head) {
+    onEnd(AttemptOutcome.RESET, null);
     return null;
   }
 
   /** Its last byte is written. */
-  protected void written() {
+  protected void onRequestWritten() {
     // of a probe nothing is counted
   }
 
-  protected abstract void ended(AttemptOutcome how, Response answer);
+  protected abstract void onEnd(AttemptOutcome how, Response answer);
 }
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -83,8 +83,8 @@
     loop.cancel(deadline);
     resting = false;
     carried = writing = d;
-    d.on = this;
-    d.begun = loop.now();
+    d.connection = this;
+    d.startedAt = loop.now();
     Request request = d.request();
     body = d.body();
     chunks = request.remainingBody() == Decoder.CHUNKED;
@@ -134,7 +134,7 @@
     if (last) {
       body = null;
     } else {
-      carried.waits(PAUSE);
+      carried.setTimeout(PAUSE);
     }
     write(chunks ? Encoder.chunk(bytes, last) : bytes);
   }
@@ -142,7 +142,7 @@
   @Override
   protected void onWritten(boolean whole) {
     if (whole && writing != null && body == null) {
-      writing.written();
+      writing.onRequestWritten();
       writing = null;
     }
     if (carried == null || passing != null) {
@@ -151,7 +151,7 @@
     if (broken || !whole) {
       finish(whole && body == null ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
     } else if (body != null) {
-      body.pull(this);
+      body.requestNext(this);
     }
   }
 
@@ -179,7 +179,7 @@
       if (answer == null) {
         if (in.isOpenEnded() && !holding) {
           holding = true;
-          deadline = loop.schedule(carried.holds(), this::early);
+          deadline = loop.schedule(carried.remainingBufferingTime(), this::early);
         }
         read(in.writableBuffer());
       } else if (answer.status() >= 200) {
@@ -213,7 +213,7 @@
     BackendAttempt d = carried;
     if (in.isStreamingBody() && answer.status() == 200) {
       carried = null;
-      passing = d.begin(answer);
+      passing = d.beginStreaming(answer);
       if (passing == null) {
         close();
       } else {
@@ -229,7 +229,7 @@
     } else {
       close();
     }
-    d.end(ProtocolMapping.outcome(answer), answer);
+    d.end(ProtocolMapping.attemptOutcome(answer), answer);
   }
 
   /** The client has taken what came before of a long answer. */
@@ -256,7 +256,7 @@
           close();
         }
       }
-      to.piece(piece, last);
+      to.forward(piece, last);
     } catch (MalformedMessageException e) {
       close();
     }
@@ -282,7 +282,7 @@
 
   private void stopBody() {
     if (body != null) {
-      body.stop(this);
+      body.detach(this);
       body = null;
     }
   }
@@ -297,10 +297,10 @@
     dialler.closed(this);
     backend.closed(this);
     if (body != null) {
-      body.stop(this);
+      body.detach(this);
     }
     if (passing != null) {
-      passing.broken();
+      passing.onBackendClosed();
     }
     if (dialling) {
       dialling = false;
--- a/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
@@ -66,7 +66,7 @@
   void leaves() {
     serving = false;
     for (BackendAttempt d : List.copyOf(waiting)) {
-      loop.defer(() -> d.giveUp(AttemptOutcome.DISCARDED));
+      loop.defer(() -> d.abandon(AttemptOutcome.DISCARDED));
     }
     hangUp();
   }
@@ -143,8 +143,8 @@
   /** What waits longest and may still begin; standstill: reqs were sent on after their due. */
   private BackendAttempt next() {
     BackendAttempt first = waiting.pollFirst();
-    while (first != null && loop.now() >= first.latest) {
-      first.giveUp(AttemptOutcome.DISCARDED);
+    while (first != null && loop.now() >= first.latestStart) {
+      first.abandon(AttemptOutcome.DISCARDED);
       first = waiting.pollFirst();
     }
     return first;
@@ -157,7 +157,7 @@
     } catch (IOException e) {
       loop.defer(
           () -> {
-            d.giveUp(AttemptOutcome.DISCARDED);
+            d.abandon(AttemptOutcome.DISCARDED);
             arrange();
           });
       return false;
--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -298,7 +298,7 @@
     }
     busy = true;
     unread = true;
-    answer(ProtocolMapping.plain(status, why, false));
+    answer(ProtocolMapping.textAnswer(status, why, false));
   }
 
   /** What is to be done should the client leave before its answer, or end it by a broken body. */
@@ -411,7 +411,7 @@
     }
     calm();
     if (whole && passing != null) {
-      if (!passing.taken()) {
+      if (!passing.onClientDrained()) {
         return;
       }
       passing = null;
@@ -448,7 +448,7 @@
     taker = null;
     lastPiece = null;
     if (passing != null) {
-      passing.left();
+      passing.onClientClosed();
     } else if (onLeft != null) {
       onLeft.run();
     }
--- a/proxy/src/main/java/wheattrack/net/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/ClientListener.java
@@ -192,16 +192,16 @@
 
   void came(ClientConnection client, Request request) {
     String path = request.target().split("\\?", 2)[0];
-    if (path.equals(ProtocolMapping.READY)) {
+    if (path.equals(ProtocolMapping.READY_PATH)) {
       client.answer(
-          ProtocolMapping.plain(
+          ProtocolMapping.textAnswer(
               life.isReady() ? 200 : 503,
               life.phase().name() + remark.get(),
               keeps(request.keepAlive())));
     } else if (clients.size() > most && served() > most) {
       note("denied", clients.size() + " clients are connected");
       taker.denied(request);
-      client.answer(ProtocolMapping.denied(0, false));
+      client.answer(ProtocolMapping.rejection(0, false));
     } else {
       taker.take(client, request);
     }
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -67,7 +67,7 @@
             new RequestCounters(),
             new DynamicSettings(),
             feed -> {
-              proxy.turnTo(config.settings, feed);
+              proxy.applySettings(config.settings, feed);
               inForce.accept(feed.revision());
             })
         .watch();
@@ -75,7 +75,7 @@
 
   /** New settings, as a whole. */
   public void turnTo(ProxyConfig next) {
-    proxy.turnTo(next.settings, null);
+    proxy.applySettings(next.settings, null);
     listing.moveTo(next.discovery);
   }
 
--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/InFlightRequest.java
@@ -9,7 +9,7 @@
 /** A req at the door: who asked, what was sent for it and what the module left for it. */
 final class InFlightRequest {
   final ClientConnection client;
-  final ProtocolMapping.Call call;
+  final ParsedRequest call;
   final List<BackendAttempt> dispatches = new ArrayList<>(2);
   int slot;
   PendingRequest req;
@@ -21,7 +21,7 @@
 
   boolean over;
 
-  InFlightRequest(ClientConnection client, ProtocolMapping.Call call) {
+  InFlightRequest(ClientConnection client, ParsedRequest call) {
     this.client = client;
     this.call = call;
   }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/InvalidRequestException.java
@@ -0,0 +1,24 @@
+package wheattrack.net;
+
+/** A request that cannot be accepted; its message is the text of the answer to the client. */
+final class InvalidRequestException extends Exception {
+  private static final long serialVersionUID = 1;
+
+  private final int status;
+
+  /**
+   * Creates the exception.
+   *
+   * @param status the HTTP status of the answer
+   * @param message the text of the answer
+   */
+  InvalidRequestException(int status, String message) {
+    super(message);
+    this.status = status;
+  }
+
+  /** The HTTP status of the answer to the client. */
+  int status() {
+    return status;
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -23,75 +23,100 @@
 import wheattrack.policy.LoadBalancer;
 
 /**
- * Runs the code in before the first req: canned messages go through parsers, a module of its own
- * and the encoder, with no socket and a clock of its own; each dispatch is done at the next tick.
+ * Has the JVM compile the code of a request's path before the first real request: synthetic
+ * messages pass the decoders, a policy of their own and the encoder, with no socket and a simulated
+ * clock; each attempt is done at the next tick. Not thread-safe: create and run it on one thread.
  */
 final class JitWarmUp implements PolicyRuntime {
-  private static final int SRVS = 8;
+  private static final int BACKENDS = 8;
+
+  /** Simulated time between two rounds over the classes, in tenths of a millisecond. */
   private static final long TICK = 20;
 
-  private final Map<String, RequestClass> sets;
-  private final TimerQueue deadlines = new TimerQueue();
-  private final RequestDecoder in = new RequestDecoder();
-  private final ResponseDecoder back = new ResponseDecoder();
-  private final LoadBalancer rules;
+  private final Map<String, RequestClass> classes;
+  private final TimerQueue timers = new TimerQueue();
+  private final RequestDecoder requestDecoder = new RequestDecoder();
+  private final ResponseDecoder responseDecoder = new ResponseDecoder();
+  private final LoadBalancer loadBalancer;
   private long now = 1;
 
+  /** Creates a policy under these settings, with backends of its own. */
   JitWarmUp(Settings settings) {
-    RequestClass[] all = settings.requestClasses();
-    sets = settings.classesByName(all);
-    rules = settings.newLoadBalancer(this, 1, all, false);
-    for (int b = 0; b < SRVS; b++) {
-      rules.updateBackend(new EndpointUpdate(b, b, true, 0, 0, 0, 1, BackendIndex.LONG_AGO, true));
+    RequestClass[] requestClasses = settings.requestClasses();
+    classes = settings.classesByName(requestClasses);
+    loadBalancer = settings.newLoadBalancer(this, 1, requestClasses, false);
+    for (int backend = 0; backend < BACKENDS; backend++) {
+      loadBalancer.updateBackend(
+          new EndpointUpdate(backend, backend, true, 0, 0, 0, 1, BackendIndex.LONG_AGO, true));
     }
-    rules.endpointListUpdated(false);
+    loadBalancer.endpointListUpdated(false);
   }
 
   /**
-   * Runs each rule set once, and on until so many reqs are through or the time, in nanoseconds, is
-   * over; says how many were.
+   * Runs one request of each class, and further rounds until a number of requests or a time is
+   * reached.
+   *
+   * @param maxRequests no round begins after so many requests
+   * @param maxNanos no round begins after so long, in nanoseconds
+   * @return the number of requests that were run
    */
-  int run(int most, long nanos) {
-    long until = System.nanoTime() + nanos;
-    int n = 0;
+  int run(int maxRequests, long maxNanos) {
+    long deadline = System.nanoTime() + maxNanos;
+    int requests = 0;
     try {
       do {
-        for (String name : sets.keySet()) {
-          one(name, n++);
+        for (String className : classes.keySet()) {
+          runRequest(className, requests);
+          requests++;
         }
         now += TICK;
-        for (Runnable due = deadlines.pollDue(now); due != null; due = deadlines.pollDue(now)) {
-          due.run();
-        }
-      } while (n < most && System.nanoTime() < until);
-    } catch (MalformedMessageException | ProtocolMapping.Unfit e) {
+        runDueTasks();
+      } while (requests < maxRequests && System.nanoTime() < deadline);
+    } catch (MalformedMessageException | InvalidRequestException e) {
       throw new IllegalStateException("a canned message is not taken", e);
     }
-    return n;
+    return requests;
+  }
+
+  private void runDueTasks() {
+    Runnable task = timers.pollDue(now);
+    while (task != null) {
+      task.run();
+      task = timers.pollDue(now);
+    }
   }
 
-  private void one(String name, int n) throws MalformedMessageException, ProtocolMapping.Unfit {
+  private void runRequest(String className, int number)
+      throws MalformedMessageException, InvalidRequestException {
+    ByteBuffer bytes = Encoder.request(syntheticRequest(className, number));
+    while (bytes.hasRemaining()) {
+      ByteBuffer buffer = requestDecoder.writableBuffer();
+      while (bytes.hasRemaining() && buffer.hasRemaining()) {
+        buffer.put(bytes.get());
+      }
+    }
+    ParsedRequest request = ProtocolMapping.parse(requestDecoder.next(), classes);
+    loadBalancer.accept(
+        new PendingRequest(
+            request.requestClass(),
+            now,
+            now + request.timeout(),
+            request.costHint(),
+            request.clientRetry(),
+            request));
+  }
+
+  private static Request syntheticRequest(String className, int number) {
     Headers headers =
         new Headers()
             .with("Host", "warm.up")
-            .with("Request-Id", Integer.toHexString(n))
-            .with("Request-Class", name)
+            .with("Request-Id", Integer.toHexString(number))
+            .with("Request-Class", className)
             .with("Request-Timeout", "1.000")
-            .with("Work-Hint", Integer.toString(1000 + n * 7919 % 50_000))
+            .with("Work-Hint", Integer.toString(1000 + number * 7919 % 50_000))
             .with("Request-Info", "a=1,b=2");
-    ByteBuffer bytes =
-        Encoder.request(
-            new Request(n % 2 == 0 ? "POST" : "GET", "/" + name, headers, true, new byte[n % 512]));
-    while (bytes.hasRemaining()) {
-      ByteBuffer room = in.writableBuffer();
-      while (bytes.hasRemaining() && room.hasRemaining()) {
-        room.put(bytes.get());
-      }
-    }
-    ProtocolMapping.Call call = ProtocolMapping.call(in.next(), sets);
-    rules.accept(
-        new PendingRequest(
-            call.ruleSet(), now, now + call.timeout(), call.cost(), call.again(), call));
+    String method = number % 2 == 0 ? "POST" : "GET";
+    return new Request(method, "/" + className, headers, true, new byte[number % 512]);
   }
 
   @Override
@@ -100,63 +125,64 @@
   }
 
   @Override
-  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
-    ProtocolMapping.Call call = (ProtocolMapping.Call) req.attachment();
-    Encoder.request(ProtocolMapping.onward(call.request(), tryFor));
-    long sent = now;
-    deadlines.add(now + 1, () -> next.ended(answer(call.request().body()), now - sent, true));
+  public void sendAttempt(
+      PendingRequest request, int backend, long timeout, AttemptCallback callback) {
+    Request message = ((ParsedRequest) request.attachment()).message();
+    Encoder.request(ProtocolMapping.forwardedRequest(message, timeout));
+    long sentAt = now;
+    timers.add(now + 1, () -> callback.ended(answer(message.body()), now - sentAt, true));
   }
 
-  private AttemptOutcome answer(byte[] body) {
+  private AttemptOutcome answer(byte[] requestBody) {
     Headers headers = new Headers().with("Content-Type", "application/json");
-    back.writableBuffer()
-        .put(Encoder.response(new Response(200, headers, true, new byte[body.length % 200])));
+    byte[] body = new byte[requestBody.length % 200];
+    responseDecoder.writableBuffer().put(Encoder.response(new Response(200, headers, true, body)));
     try {
-      Response answer = back.next();
-      Encoder.response(ProtocolMapping.done(answer, true, true));
-      return ProtocolMapping.outcome(answer);
+      Response answer = responseDecoder.next();
+      Encoder.response(ProtocolMapping.forwardedAnswer(answer, true, true));
+      return ProtocolMapping.attemptOutcome(answer);
     } catch (MalformedMessageException e) {
-      return AttemptOutcome.ERROR;
+      return AttemptOutcome.ERROR; // the policy's path of errors is run in as well
     }
   }
 
   @Override
-  public void cancelAttempt(PendingRequest req, int leg) {
-    // a dispatch that is called off here is done all the same
+  public void cancelAttempt(PendingRequest request, int attempt) {
+    // a cancelled attempt ends at the next tick like any other
   }
 
   @Override
-  public void reject(PendingRequest req, long wait) {
-    Encoder.response(ProtocolMapping.denied(wait, true));
+  public void reject(PendingRequest request, long retryAfter) {
+    Encoder.response(ProtocolMapping.rejection(retryAfter, true));
   }
 
   @Override
-  public void fail(PendingRequest req) {
-    Encoder.response(ProtocolMapping.plain(502, "given up", true));
+  public void fail(PendingRequest request) {
+    Encoder.response(ProtocolMapping.textAnswer(502, "given up", true));
   }
 
   @Override
-  public void probeLoad(int backend, ProbeCallback next) {
-    // no backend is there
+  public void probeLoad(int backend, ProbeCallback callback) {
+    // there is no backend to ask
   }
 
   @Override
   public void closeIdleConnections(int backend) {
-    // no connection is there
+    // there are no connections
   }
 
   @Override
-  public void schedule(long delay, Runnable next) {
-    deadlines.add(now + delay, next);
+  public void schedule(long delay, Runnable task) {
+    timers.add(now + delay, task);
   }
 
   @Override
   public void watchEndpoints() {
-    // the list stands
+    // the endpoint list never changes
   }
 
   @Override
   public void report(PolicyEvent event) {
-    // what is judged of canned answers is no news
+    // what the policy finds out about synthetic answers is of no interest
   }
 }
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -10,41 +10,62 @@
 import wheattrack.policy.LoadBalancer;
 
 /**
- * Where load reports stand on the wire, a JSON object of figures: the body of a probe's answer, as
- * the operators' protocol has it, or a header of a req's answer, which is this project's own
- * carriage and off unless a header is named. What can't be read tells nothing. For the loop's
- * thread alone.
+ * Reads load reports from backends' answers and passes them to the policy. A report is a JSON
+ * object of numbers: the body of a probe's answer, as the operators' protocol has it, or a header
+ * of an answer to a request, which is this project's own extension and off unless a header is
+ * named. A report that cannot be read is ignored. Runs on the event loop's thread only.
  */
 final class LoadReports {
-  private static final int LONGEST = 1024;
+  /** Bounds the text of a report, in characters. */
+  private static final int MAX_LENGTH = 1024;
 
-  private final LoadBalancer rules;
+  private final LoadBalancer loadBalancer;
   private final String header;
 
-  /** header: of answers to reqs; empty where they carry no report. */
-  LoadReports(LoadBalancer rules, String header) {
-    this.rules = rules;
+  /**
+   * Creates the reader.
+   *
+   * @param header the header of answers to requests that holds a report; empty: none does
+   */
+  LoadReports(LoadBalancer loadBalancer, String header) {
+    this.loadBalancer = loadBalancer;
     this.header = header;
   }
 
-  /** Tells the module what came with an answer to a req, or to a probe. */
-  void read(BackendConnectionPool from, Response answer, boolean probe) {
-    if (answer == null || !probe && header.isEmpty()) {
-      return;
+  /**
+   * An attempt of a request has received this answer.
+   *
+   * @param answer the answer or its head; null: none came
+   */
+  void onAnswer(BackendConnectionPool backend, Response answer) {
+    if (answer != null && !header.isEmpty()) {
+      report(backend, answer.headers().first(header));
+    }
+  }
+
+  /**
+   * A probe has received this answer.
+   *
+   * @param answer the answer; null: none came
+   */
+  void onProbeAnswer(BackendConnectionPool backend, Response answer) {
+    if (answer != null) {
+      report(backend, new String(answer.body(), StandardCharsets.UTF_8));
     }
-    String text =
-        probe ? new String(answer.body(), StandardCharsets.UTF_8) : answer.headers().first(header);
-    if (text == null || text.isEmpty() || text.length() > LONGEST) {
+  }
+
+  private void report(BackendConnectionPool backend, String text) {
+    if (text == null || text.isEmpty() || text.length() > MAX_LENGTH) {
       return;
     }
     try {
-      Settings figures = new Settings(Json.object(text));
-      rules.onLoadReport(
-          from.index,
-          figures.number(Settings.IN_FLIGHT_FIELD, -1),
-          figures.number(Settings.QUEUED_FIELD, 0));
+      Settings fields = new Settings(Json.object(text));
+      loadBalancer.onLoadReport(
+          backend.index,
+          fields.number(Settings.IN_FLIGHT_FIELD, -1),
+          fields.number(Settings.QUEUED_FIELD, 0));
     } catch (IOException | InvalidConfigurationException e) {
-      EventLog.detail("load report", from.id, () -> "can't be read: " + text);
+      EventLog.detail("load report", backend.id, () -> "can't be read: " + text);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
@@ -13,18 +13,29 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 
-/** The protocol's names, turned into ours and back. */
+/**
+ * Maps the operators' protocol (paths, headers, statuses) to the proxy's own types and back.
+ * Stateless and safe for use by any thread. Times are tenths of a millisecond, on the wire decimal
+ * seconds.
+ */
 final class ProtocolMapping {
-  static final String READY = "/ready";
-  private static final String HEALTH = "/health";
-  private static final String LOAD = "/status/load";
-  private static final String ID = "Request-Id";
-  private static final String RULE_SET = "Request-Class";
-  private static final String TIMEOUT = "Request-Timeout";
-  private static final String AGAIN = "Client-Retry";
-  private static final String HINT = "Work-Hint";
-  private static final String NOT_RUN = "Not-Started";
-  private static final Set<String> HOP =
+  /** Path at which a proxy says whether it is ready. */
+  static final String READY_PATH = "/ready";
+
+  private static final String HEALTH_PATH = "/health";
+  private static final String LOAD_PATH = "/status/load";
+
+  private static final String REQUEST_ID = "Request-Id";
+  private static final String REQUEST_CLASS = "Request-Class";
+  private static final String REQUEST_TIMEOUT = "Request-Timeout";
+  private static final String CLIENT_RETRY = "Client-Retry";
+  private static final String WORK_HINT = "Work-Hint";
+  private static final String NOT_STARTED = "Not-Started";
+  private static final String CONTENT_LENGTH = "Content-Length";
+  private static final String RETRY_AFTER = "Retry-After";
+
+  /** Headers that concern one connection only, or that are written anew; in lower case. */
+  private static final Set<String> HOP_BY_HOP_HEADERS =
       Set.of(
           "connection",
           "keep-alive",
@@ -37,141 +48,175 @@
           "proxy-connection",
           "proxy-authorization",
           "request-timeout");
-  private static final byte[] NOTHING = {};
-  private static final Pattern FIGURE = Pattern.compile("[0-9]+(\\.[0-9]*)?");
-  private static final Pattern AFTER_NAME = Pattern.compile("[/?]");
-  private static final long MOST_HINT = (long) Integer.MAX_VALUE * Settings.UNIT;
-  private static final int MOST_FIGURE = 20; // digits, and a point
-
-  /** What a client asks, in our words. */
-  record Call(
-      String id,
-      Request request,
-      String name,
-      RequestClass ruleSet,
-      long timeout,
-      int cost,
-      boolean again) {}
-
-  /** A request that cannot be taken; status tells the client. */
-  static final class Unfit extends Exception {
-    private static final long serialVersionUID = 1;
-    final int status;
-
-    Unfit(int status, String fault) {
-      super(fault);
-      this.status = status;
-    }
-  }
+
+  private static final byte[] EMPTY_BODY = {};
+  private static final Pattern NON_NEGATIVE_DECIMAL = Pattern.compile("[0-9]+(\\.[0-9]*)?");
+  private static final Pattern END_OF_FIRST_SEGMENT = Pattern.compile("[/?]");
+
+  /** Bounds a cost hint, in microseconds. */
+  private static final long MAX_HINT = (long) Integer.MAX_VALUE * Settings.UNIT;
+
+  /** Bounds a number in a header, in characters: its digits and a point. */
+  private static final int MAX_NUMBER_LENGTH = 20;
+
+  private static final long UNITS_PER_SECOND = 10_000;
 
   private ProtocolMapping() {}
 
-  static Call call(Request r, Map<String, RequestClass> sets) throws Unfit {
-    Headers h = r.headers();
-    String id = h.first(ID);
+  /**
+   * Reads what a client's request asks for.
+   *
+   * @param classes the request classes by name
+   * @throws InvalidRequestException if a header is missing or malformed, or the class is unknown
+   */
+  static ParsedRequest parse(Request request, Map<String, RequestClass> classes)
+      throws InvalidRequestException {
+    Headers headers = request.headers();
+    String id = headers.first(REQUEST_ID);
     if (id == null || id.isEmpty()) {
-      throw new Unfit(400, "no " + ID);
+      throw new InvalidRequestException(400, "no " + REQUEST_ID);
     }
-    String name = name(r);
-    RequestClass set = sets.get(name);
-    if (set == null) {
-      throw new Unfit(404, "unknown " + RULE_SET + " " + name);
+    String className = className(request);
+    RequestClass requestClass = classes.get(className);
+    if (requestClass == null) {
+      throw new InvalidRequestException(404, "unknown " + REQUEST_CLASS + " " + className);
     }
-    long timeout = figure(h, TIMEOUT, 10_000, set.clientTimeout(), set.clientTimeout());
-    int cost = Settings.cost(figure(h, HINT, 1, MOST_HINT, 0));
-    return new Call(id, r, name, set, timeout, cost, "1".equals(h.first(AGAIN)));
+    long clientTimeout = requestClass.clientTimeout();
+    long timeout = number(headers, REQUEST_TIMEOUT, UNITS_PER_SECOND, clientTimeout, clientTimeout);
+    int costHint = Settings.cost(number(headers, WORK_HINT, 1, MAX_HINT, 0));
+    boolean clientRetry = "1".equals(headers.first(CLIENT_RETRY));
+    return new ParsedRequest(id, request, className, requestClass, timeout, costHint, clientRetry);
   }
 
-  /** The rule set that the request names. */
-  static String name(Request r) {
-    String name = r.headers().first(RULE_SET);
-    return name != null ? name : AFTER_NAME.split(r.target().substring(1), 2)[0];
+  /** The name of the class that the request names in its header, else by its path. */
+  static String className(Request request) {
+    String name = request.headers().first(REQUEST_CLASS);
+    if (name != null) {
+      return name;
+    }
+    return END_OF_FIRST_SEGMENT.split(request.target().substring(1), 2)[0];
   }
 
-  private static long figure(Headers h, String name, long times, long most, long otherwise)
-      throws Unfit {
-    String text = h.first(name);
+  /** The number in a header times a factor, at most the maximum; the default if it is absent. */
+  private static long number(
+      Headers headers, String name, long factor, long maximum, long defaultValue)
+      throws InvalidRequestException {
+    String text = headers.first(name);
     if (text == null) {
-      return otherwise;
+      return defaultValue;
     }
-    if (text.length() > MOST_FIGURE || !FIGURE.matcher(text).matches()) {
-      throw new Unfit(400, "bad " + name);
+    if (text.length() > MAX_NUMBER_LENGTH || !NON_NEGATIVE_DECIMAL.matcher(text).matches()) {
+      throw new InvalidRequestException(400, "bad " + name);
     }
-    BigDecimal figure = new BigDecimal(text).multiply(BigDecimal.valueOf(times));
-    return figure.min(BigDecimal.valueOf(most)).longValue();
+    BigDecimal number = new BigDecimal(text).multiply(BigDecimal.valueOf(factor));
+    return number.min(BigDecimal.valueOf(maximum)).longValue();
   }
 
-  /** The request as a backend gets it, told how long the proxy will wait. */
-  static Request onward(Request r, long wait) {
-    Headers out = passedOn(r.headers()).with(TIMEOUT, seconds(wait));
-    return new Request(r.method(), r.target(), out, true, r.body(), r.remainingBody(), true);
+  /**
+   * The request as a backend receives it.
+   *
+   * @param timeout how long the proxy will wait for the answer, which the backend is told
+   */
+  static Request forwardedRequest(Request request, long timeout) {
+    Headers headers = endToEndHeaders(request.headers()).with(REQUEST_TIMEOUT, seconds(timeout));
+    return new Request(
+        request.method(),
+        request.target(),
+        headers,
+        true,
+        request.body(),
+        request.remainingBody(),
+        true);
   }
 
-  /** All but what speaks of one connection only, or is said anew. */
-  private static Headers passedOn(Headers from) {
-    Headers out = new Headers();
-    for (int i = 0; i < from.size(); i++) {
-      String name = from.name(i);
-      if (!HOP.contains(name.toLowerCase(Locale.ROOT)) && !from.containsToken("Connection", name)) {
-        out.with(name, from.value(i));
+  /** All headers but those that concern one connection only or are written anew. */
+  private static Headers endToEndHeaders(Headers received) {
+    Headers kept = new Headers();
+    for (int i = 0; i < received.size(); i++) {
+      String name = received.name(i);
+      if (!HOP_BY_HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))
+          && !received.containsToken("Connection", name)) {
+        kept.with(name, received.value(i));
       }
     }
-    return out;
+    return kept;
   }
 
-  static Request probe(boolean reports) {
-    return new Request(
-        "GET",
-        reports ? LOAD : HEALTH,
-        new Headers().with("Host", "service.internal"),
-        true,
-        NOTHING);
+  /**
+   * The request of a probe.
+   *
+   * @param asksForLoad whether it asks the backend for its load, else only whether it is healthy
+   */
+  static Request probeRequest(boolean asksForLoad) {
+    String path = asksForLoad ? LOAD_PATH : HEALTH_PATH;
+    Headers headers = new Headers().with("Host", "service.internal");
+    return new Request("GET", path, headers, true, EMPTY_BODY);
   }
 
-  static AttemptOutcome outcome(Response r) {
-    if (r.status() == 200) {
+  /** How an attempt ended, by the complete answer that it received. */
+  static AttemptOutcome attemptOutcome(Response answer) {
+    if (answer.status() == 200) {
       return AttemptOutcome.DONE;
     }
-    boolean no = r.status() == 503 || r.status() == 504;
-    return no && "1".equals(r.headers().first(NOT_RUN))
-        ? AttemptOutcome.FULL
-        : AttemptOutcome.ERROR;
+    boolean mayBeFull = answer.status() == 503 || answer.status() == 504;
+    if (mayBeFull && "1".equals(answer.headers().first(NOT_STARTED))) {
+      return AttemptOutcome.FULL;
+    }
+    return AttemptOutcome.ERROR;
   }
 
   /**
-   * Whether a backend says that the request itself is at fault, so that no other could use it
-   * either.
+   * Whether a backend says that the request itself is at fault, so that no other backend could
+   * serve it either.
+   *
+   * @param answer the answer; null: none came
    */
-  static boolean isUnfit(Response r) {
-    return r != null && r.status() >= 400 && r.status() < 500;
+  static boolean isClientError(Response answer) {
+    return answer != null && answer.status() >= 400 && answer.status() < 500;
   }
 
-  /** The answer as a client gets it; where its length is not known, in chunks or until the end. */
-  static Response done(Response from, boolean keep, boolean chunks) {
-    Headers out = passedOn(from.headers());
-    if (from.remainingBody() == Response.NO_BODY
-        && from.headers().first("Content-Length") != null) {
-      out.with("Content-Length", from.headers().first("Content-Length"));
+  /**
+   * A backend's answer as the client receives it.
+   *
+   * @param keepAlive whether the client's connection may stay open after it
+   * @param clientTakesChunks whether an answer of unknown length may be sent in chunks; else it
+   *     ends with the connection
+   */
+  static Response forwardedAnswer(Response answer, boolean keepAlive, boolean clientTakesChunks) {
+    Headers headers = endToEndHeaders(answer.headers());
+    if (answer.remainingBody() == Response.NO_BODY) {
+      String contentLength = answer.headers().first(CONTENT_LENGTH);
+      if (contentLength != null) {
+        headers.with(CONTENT_LENGTH, contentLength);
+      }
     }
-    boolean open =
-        from.remainingBody() == Decoder.CHUNKED || from.remainingBody() == Decoder.UNTIL_CLOSE;
-    long more = !open ? from.remainingBody() : chunks ? Decoder.CHUNKED : Decoder.UNTIL_CLOSE;
-    return new Response(200, out, keep && more != Decoder.UNTIL_CLOSE, from.body(), more);
+    long remainingBody = answer.remainingBody();
+    if (remainingBody == Decoder.CHUNKED || remainingBody == Decoder.UNTIL_CLOSE) {
+      remainingBody = clientTakesChunks ? Decoder.CHUNKED : Decoder.UNTIL_CLOSE;
+    }
+    boolean staysOpen = keepAlive && remainingBody != Decoder.UNTIL_CLOSE;
+    return new Response(200, headers, staysOpen, answer.body(), remainingBody);
   }
 
-  static Response denied(long wait, boolean keep) {
-    Headers out = new Headers();
-    if (wait > 0) {
-      out.with("Retry-After", seconds(wait));
+  /**
+   * The answer to a rejected request.
+   *
+   * @param retryAfter advice to the client how long to wait; 0 gives none
+   */
+  static Response rejection(long retryAfter, boolean keepAlive) {
+    Headers headers = new Headers();
+    if (retryAfter > 0) {
+      headers.with(RETRY_AFTER, seconds(retryAfter));
     }
-    return new Response(503, out, keep, NOTHING);
+    return new Response(503, headers, keepAlive, EMPTY_BODY);
   }
 
-  static Response plain(int status, String text, boolean keep) {
-    return Response.text(status, text, keep);
+  /** An answer of the proxy's own with a line of text. */
+  static Response textAnswer(int status, String text, boolean keepAlive) {
+    return Response.text(status, text, keepAlive);
   }
 
-  private static String seconds(long tenths) {
-    return BigDecimal.valueOf(Math.max(0, tenths), 4).toPlainString();
+  private static String seconds(long time) {
+    return BigDecimal.valueOf(Math.max(0, time), 4).toPlainString();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -107,8 +107,8 @@
             config.maxBodyBytes,
             proxy,
             () -> listing.isThere() ? "" : ", no list");
-    proxy.from(front);
-    proxy.beside(isBeside());
+    proxy.setListener(front);
+    proxy.setOtherProcessPresent(isBeside());
     if (seats.place() != ProcessLock.Place.NEWER) {
       front.listen(group, config.listen);
     }
@@ -124,7 +124,7 @@
 
   /** Other settings of the watched source hold. */
   private void turnToTold() {
-    proxy.turnTo(config.settings, feed);
+    proxy.applySettings(config.settings, feed);
     longest = Math.max(longest, feed.longestClientTimeout());
     if (!feed.limitNames().isEmpty()) {
       dial(feed.overlay(config.settings));
@@ -170,14 +170,15 @@
     if (was != isBeside()) {
       front.limit((int) (CLIENTS * free()));
       dialler.limit((int) (BACKENDS * free()));
-      proxy.beside(isBeside());
+      proxy.setOtherProcessPresent(isBeside());
     }
     loop.schedule(LOOK_BESIDE, this::lookBeside);
   }
 
   private AdminServer admin(AsynchronousChannelGroup group) {
     MetricsFormat figures =
-        new MetricsFormat(counts, proxy::open, listing::listed, proxy::avoided, listing::leftOut);
+        new MetricsFormat(
+            counts, proxy::openRequests, listing::listed, proxy::ejectedBackends, listing::leftOut);
     try {
       return new AdminServer(loop, group, life, config.admin, figures::text);
     } catch (IOException e) {
@@ -260,7 +261,7 @@
 
   /** Whether no req is open and no client connected; a look from another thread, a moment old. */
   public boolean isQuiet() {
-    return proxy.open() == 0 && front.taken() == 0;
+    return proxy.openRequests() == 0 && front.taken() == 0;
   }
 
   /** From another thread: ends in order, and returns when that is done. */
@@ -309,7 +310,7 @@
         "configuration read again, list from "
             + next.discovery
             + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
-    proxy.turnTo(next.settings, feed);
+    proxy.applySettings(next.settings, feed);
     dial(feed == null ? next.settings : feed.overlay(next.settings));
     longest = Math.max(longest, longest(next.settings)); // what is under way may still take as long
     listing.moveTo(next.discovery);
@@ -331,13 +332,13 @@
     life.advanceTo(Phase.CLOSING);
     front.shut();
     long latest = loop.now() + longest;
-    proxy.endsAt(latest);
+    proxy.setShutdownTime(latest);
     loop.execute(() -> endWhenAnswered(latest));
   }
 
   private void endWhenAnswered(long latest) {
     front.closeIdle();
-    boolean empty = !front.isListening() && front.taken() == 0 && proxy.open() == 0;
+    boolean empty = !front.isListening() && front.taken() == 0 && proxy.openRequests() == 0;
     if (empty || loop.now() >= latest) {
       dialler.closeAll();
       if (settingsWatch != null) {
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -20,21 +20,21 @@
   }
 
   /** Whether a further dispatch would bring all of it. */
-  boolean isRepeatable() {
+  boolean isReplayable() {
     return !begun;
   }
 
-  boolean isWhole() {
+  boolean isComplete() {
     return ended;
   }
 
   /** This connection has written all that it had, and waits for more. */
-  void pull(BackendConnection by) {
+  void requestNext(BackendConnection by) {
     to = by;
-    client.pull(this::piece);
+    client.pull(this::forward);
   }
 
-  private void piece(ByteBuffer bytes, boolean last) {
+  private void forward(ByteBuffer bytes, boolean last) {
     begun = true;
     if (last) {
       ended = true;
@@ -46,7 +46,7 @@
   }
 
   /** This connection takes no more; what has come and was not asked for stays with the client. */
-  void stop(BackendConnection by) {
+  void detach(BackendConnection by) {
     if (to == by) {
       to = null;
       client.pull(null);
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -71,7 +71,7 @@
    * feed: what a watched source has told, which goes before their rule sets, tenants and limits;
    * null or empty: nothing.
    */
-  void turnTo(Settings settings, DynamicSettings feed) {
+  void applySettings(Settings settings, DynamicSettings feed) {
     if (feed != null && feed.isPresent()) {
       Settings held = feed.overlay(settings);
       rules.configure(held.policySettings(listing.zones(), feed.totalQuota()), feed.summary());
@@ -95,21 +95,21 @@
     probeTimeout = settings.time("limits.dialTimeout", 250_000);
   }
 
-  void from(ClientListener clients) {
+  void setListener(ClientListener clients) {
     front = clients;
   }
 
-  int open() {
+  int openRequests() {
     return guests.size();
   }
 
   /** Backends on the list that the module keeps away from now. */
-  int avoided() {
+  int ejectedBackends() {
     return rules.ejectedCount();
   }
 
   /** Another process of this proxy is there, or is no more. */
-  void beside(boolean other) {
+  void setOtherProcessPresent(boolean other) {
     rules.setOtherProcessPresent(other);
   }
 
@@ -118,7 +118,7 @@
   /** A request that is turned away unheard, as too many clients are here. */
   @Override
   public void denied(Request request) {
-    String name = ProtocolMapping.name(request);
+    String name = ProtocolMapping.className(request);
     if (sets.containsKey(name)) {
       counts.countAnswer(name, FinalAnswer.REJECTED);
     }
@@ -126,16 +126,16 @@
 
   @Override
   public void take(ClientConnection client, Request request) {
-    ProtocolMapping.Call call;
+    ParsedRequest call;
     try {
-      call = ProtocolMapping.call(request, sets);
+      call = ProtocolMapping.parse(request, sets);
       if (!ids.add(call.id())) { // bad clients: copies reached srvs
-        throw new ProtocolMapping.Unfit(409, "a req of this id is open");
+        throw new InvalidRequestException(409, "a req of this id is open");
       }
-    } catch (ProtocolMapping.Unfit e) {
-      front.refused(e.status, e.getMessage());
+    } catch (InvalidRequestException e) {
+      front.refused(e.status(), e.getMessage());
       client.answer(
-          ProtocolMapping.plain(e.status, e.getMessage(), front.keeps(request.keepAlive())));
+          ProtocolMapping.textAnswer(e.status(), e.getMessage(), front.keeps(request.keepAlive())));
       return;
     }
     InFlightRequest guest = new InFlightRequest(client, call);
@@ -146,7 +146,8 @@
       guest.body = new RequestBodyRelay(client, () -> bodyWhole(guest));
     }
     guest.req =
-        new PendingRequest(call.ruleSet(), loop.now(), due, call.cost(), call.again(), guest);
+        new PendingRequest(
+            call.requestClass(), loop.now(), due, call.costHint(), call.clientRetry(), guest);
     if (guest.body == null) {
       guard(guest);
     }
@@ -157,7 +158,7 @@
   }
 
   /** This process ends then: no req may wait for longer. */
-  void endsAt(long time) {
+  void setShutdownTime(long time) {
     until = time;
   }
 
@@ -177,14 +178,17 @@
     guest.req.restartClock(loop.now(), until - 2 * GUARD);
     guard(guest);
     if (!guest.dispatches.isEmpty()) { // else its servers are still being asked for their load
-      guest.dispatches.get(guest.dispatches.size() - 1).waits(guest.req.deadline() - loop.now());
+      guest
+          .dispatches
+          .get(guest.dispatches.size() - 1)
+          .setTimeout(guest.req.deadline() - loop.now());
     }
   }
 
   /** Only a failure of the program leaves a req open past its due; even then it has its answer. */
   private void forgotten(InFlightRequest guest) {
     EventLog.log(Level.SEVERE, "a req stood open past its due", guest.call.id(), null);
-    guest.dispatches.forEach(d -> d.giveUp(AttemptOutcome.TIMEOUT));
+    guest.dispatches.forEach(d -> d.abandon(AttemptOutcome.TIMEOUT));
     if (!guest.over) {
       fail(guest.req);
     }
@@ -195,7 +199,7 @@
       note(guest, "LEFT");
       settled(guest);
       guests.remove(guest.slot);
-      if (guest.body != null && !guest.body.isWhole()) {
+      if (guest.body != null && !guest.body.isComplete()) {
         guest.dispatches.forEach(d -> d.end(AttemptOutcome.DISCARDED, null)); // it never will be
       }
       forget(guest);
@@ -209,8 +213,8 @@
    * Its client has left. One sent again under its id on a new connection must not run beside it.
    */
   private void forget(InFlightRequest guest) {
-    boolean again = guest.call.ruleSet().idempotency() == Idempotency.IDEMPOTENT;
-    if (!again && guest.dispatches.stream().anyMatch(BackendAttempt::mayRun)) {
+    boolean again = guest.call.requestClass().idempotency() == Idempotency.IDEMPOTENT;
+    if (!again && guest.dispatches.stream().anyMatch(BackendAttempt::mayHaveRun)) {
       loop.schedule(guest.req.deadline() - loop.now(), () -> ids.remove(guest.call.id()));
     } else {
       ids.remove(guest.call.id());
@@ -231,13 +235,13 @@
     guest.over = true;
     loop.cancel(guest.guard);
     guest.dispatches.stream()
-        .filter(d -> !d.isBegun())
-        .forEach(d -> d.giveUp(AttemptOutcome.DISCARDED));
+        .filter(d -> !d.isStarted())
+        .forEach(d -> d.abandon(AttemptOutcome.DISCARDED));
   }
 
   private void answer(InFlightRequest guest, FinalAnswer how, Response response) {
     close(guest);
-    counts.countAnswer(guest.call.name(), how);
+    counts.countAnswer(guest.call.className(), how);
     note(guest, how.name());
     guest.client.answer(response);
   }
@@ -256,7 +260,7 @@
   }
 
   private boolean keeps(InFlightRequest guest) {
-    return front.keeps(guest.call.request().keepAlive());
+    return front.keeps(guest.call.message().keepAlive());
   }
 
   /** One dispatch of a req; its outcome goes to the module as a step of its own. */
@@ -274,11 +278,11 @@
 
     @Override
     protected Request request() {
-      return ProtocolMapping.onward(guest.call.request(), until - loop.now());
+      return ProtocolMapping.forwardedRequest(guest.call.message(), until - loop.now());
     }
 
     @Override
-    protected long holds() {
+    protected long remainingBufferingTime() {
       return guest.req.arrivedAt()
           + guest.req.requestClass().latencyObjective() / HOLD
           - loop.now();
@@ -290,7 +294,7 @@
     }
 
     @Override
-    protected void written() {
+    protected void onRequestWritten() {
       counts.attempts++;
     }
 
@@ -298,37 +302,43 @@
      * Done by its first bytes, for the module and for the client's time; then it is only passed on.
      */
     @Override
-    protected ResponseRelay begins(Response head) {
-      loads.read(backend, head, false);
+    protected ResponseRelay onStreamingAnswer(Response head) {
+      loads.onAnswer(backend, head);
       if (guest.over) {
-        loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
+        loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sentAt, true));
         return null;
       }
-      Response answer = ProtocolMapping.done(head, keeps(guest), guest.call.request().chunks());
+      Response answer =
+          ProtocolMapping.forwardedAnswer(head, keeps(guest), guest.call.message().chunks());
       EventLog.detail(
           "dispatch",
           guest.call.id(),
           () ->
-              "to " + backend.id + " at " + sent + ", a long answer after " + (loop.now() - sent));
+              "to "
+                  + backend.id
+                  + " at "
+                  + sentAt
+                  + ", a long answer after "
+                  + (loop.now() - sentAt));
       ResponseRelay rest =
           new ResponseRelay(
-              on,
+              connection,
               guest.client,
               answer.remainingBody(),
               whole -> {
-                passed();
+                streamingEnded();
                 gone(guest);
                 counts.countAnswer(
-                    guest.call.name(), whole ? FinalAnswer.DONE : FinalAnswer.FAILED);
+                    guest.call.className(), whole ? FinalAnswer.DONE : FinalAnswer.FAILED);
               });
       settled(guest);
       guest.client.begin(answer, rest);
-      loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
+      loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sentAt, true));
       return rest;
     }
 
     @Override
-    protected void ended(AttemptOutcome how, Response answer) {
+    protected void onEnd(AttemptOutcome how, Response answer) {
       EventLog.detail(
           "dispatch",
           guest.call.id(),
@@ -336,29 +346,30 @@
               "to "
                   + backend.id
                   + " at "
-                  + sent
+                  + sentAt
                   + ", begun "
-                  + (on == null ? "never" : "after " + (begun - sent))
+                  + (connection == null ? "never" : "after " + (startedAt - sentAt))
                   + ", "
                   + how
                   + " after "
-                  + (loop.now() - sent));
+                  + (loop.now() - sentAt));
       if (how == AttemptOutcome.DONE && !guest.over) {
         answer(
             guest,
             FinalAnswer.DONE,
-            ProtocolMapping.done(answer, keeps(guest), guest.call.request().chunks()));
+            ProtocolMapping.forwardedAnswer(answer, keeps(guest), guest.call.message().chunks()));
       }
-      loads.read(backend, answer, false);
-      boolean unfit = how == AttemptOutcome.ERROR && ProtocolMapping.isUnfit(answer);
+      loads.onAnswer(backend, answer);
+      boolean unfit = how == AttemptOutcome.ERROR && ProtocolMapping.isClientError(answer);
       if (unfit && !guest.over) { // bad clients: srvs were blamed for them
         answer(
             guest,
             FinalAnswer.FAILED,
-            ProtocolMapping.plain(answer.status(), "not taken by the backend", keeps(guest)));
+            ProtocolMapping.textAnswer(answer.status(), "not taken by the backend", keeps(guest)));
       }
       loop.defer(
-          () -> next.ended(unfit ? AttemptOutcome.DISCARDED : how, loop.now() - sent, guest.over));
+          () ->
+              next.ended(unfit ? AttemptOutcome.DISCARDED : how, loop.now() - sentAt, guest.over));
     }
   }
 
@@ -367,14 +378,14 @@
     InFlightRequest guest = (InFlightRequest) req.attachment();
     long wait = tryFor == 0 ? req.deadline() - loop.now() : tryFor;
     Leg leg = new Leg(guest, listing.at(backend), loop.now() + wait, next);
-    leg.latest = guest.body == null ? Math.min(req.deadline(), latest(guest)) : latest(guest);
+    leg.latestStart = guest.body == null ? Math.min(req.deadline(), latest(guest)) : latest(guest);
     guest.dispatches.add(leg);
-    if (guest.body != null && !guest.body.isRepeatable()) {
+    if (guest.body != null && !guest.body.isReplayable()) {
       leg.backend.out++;
-      leg.giveUp(AttemptOutcome.DISCARDED); // a part of its body is gone: it can't be sent whole
+      leg.abandon(AttemptOutcome.DISCARDED); // a part of its body is gone: it can't be sent whole
       return;
     }
-    leg.waits(guest.body == null ? wait : Math.max(wait, BackendConnection.PAUSE));
+    leg.setTimeout(guest.body == null ? wait : Math.max(wait, BackendConnection.PAUSE));
     leg.backend.carry(leg);
   }
 
@@ -386,8 +397,8 @@
       return Long.MAX_VALUE;
     }
     return guest.dispatches.stream()
-            .filter(BackendAttempt::isBegun)
-            .mapToLong(d -> d.sent)
+            .filter(BackendAttempt::isStarted)
+            .mapToLong(d -> d.sentAt)
             .min()
             .orElse(Long.MAX_VALUE / 2)
         + guest.req.requestClass().deduplicationWindow();
@@ -395,13 +406,13 @@
 
   @Override
   public void cancelAttempt(PendingRequest req, int leg) {
-    ((InFlightRequest) req.attachment()).dispatches.get(leg).giveUp(AttemptOutcome.CANCELLED);
+    ((InFlightRequest) req.attachment()).dispatches.get(leg).abandon(AttemptOutcome.CANCELLED);
   }
 
   @Override
   public void reject(PendingRequest req, long wait) {
     InFlightRequest guest = (InFlightRequest) req.attachment();
-    answer(guest, FinalAnswer.REJECTED, ProtocolMapping.denied(wait, keeps(guest)));
+    answer(guest, FinalAnswer.REJECTED, ProtocolMapping.rejection(wait, keeps(guest)));
   }
 
   @Override
@@ -410,7 +421,8 @@
     answer(
         guest,
         FinalAnswer.FAILED,
-        ProtocolMapping.plain(loop.now() >= req.deadline() ? 504 : 502, "given up", keeps(guest)));
+        ProtocolMapping.textAnswer(
+            loop.now() >= req.deadline() ? 504 : 502, "given up", keeps(guest)));
   }
 
   @Override
@@ -419,19 +431,19 @@
         new BackendAttempt(listing.at(backend), loop.now()) {
           @Override
           protected Request request() {
-            return ProtocolMapping.probe(reports);
+            return ProtocolMapping.probeRequest(reports);
           }
 
           @Override
-          protected void ended(AttemptOutcome how, Response answer) {
+          protected void onEnd(AttemptOutcome how, Response answer) {
             loop.defer(
                 () -> {
-                  loads.read(backend, answer, true);
-                  next.ended(how == AttemptOutcome.DONE, loop.now() - sent);
+                  loads.onProbeAnswer(backend, answer);
+                  next.ended(how == AttemptOutcome.DONE, loop.now() - sentAt);
                 });
           }
         };
-    probe.timeout = loop.schedule(probeTimeout, () -> probe.giveUp(AttemptOutcome.TIMEOUT));
+    probe.timer = loop.schedule(probeTimeout, () -> probe.abandon(AttemptOutcome.TIMEOUT));
     probe.backend.carry(probe);
   }
 
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -25,7 +25,7 @@
   }
 
   /** The client has taken all so far; says whether that was all there is. */
-  boolean taken() {
+  boolean onClientDrained() {
     if (last) {
       end(true);
     } else {
@@ -35,7 +35,7 @@
   }
 
   /** Pieces from the backend; the next is asked for when this one is taken. */
-  void piece(ByteBuffer bytes, boolean isLast) {
+  void forward(ByteBuffer bytes, boolean isLast) {
     if (!over) {
       last = isLast;
       to.pass(chunks ? Encoder.chunk(bytes, isLast) : bytes);
@@ -43,7 +43,7 @@
   }
 
   /** The backend broke off: the client is shown that it has not got all. */
-  void broken() {
+  void onBackendClosed() {
     if (!over && !last) {
       end(false);
       to.close();
@@ -51,7 +51,7 @@
   }
 
   /** The client has gone, or does not read on. */
-  void left() {
+  void onClientClosed() {
     if (!over) {
       end(false);
       if (!last) { // else it may carry another dispatch by now
--- a/proxy/src/test/java/wheattrack/net/JitWarmUpTest.java
+++ b/proxy/src/test/java/wheattrack/net/JitWarmUpTest.java
@@ -7,6 +7,7 @@
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
 
+/** Checks how many requests a warm-up runs. */
 class JitWarmUpTest {
   private static Settings settings() throws Exception {
     return new Settings(
@@ -15,18 +16,16 @@
                 + "{\"name\":\"pay\",\"effect\":\"non_idempotent\"}],\"balancers\":14}"));
   }
 
-  /**
-   * Mass restart: a start that has no time left still runs each rule set once, and then is ready.
-   */
+  /** Mass restart: a start that has no time left still runs each class once, then is ready. */
   @Test
-  void oncePerRuleSet() throws Exception {
+  void eachClassRunsOnceWithoutTime() throws Exception {
     assertEquals(2, new JitWarmUp(settings()).run(4000, 0));
   }
 
-  /** With time it runs on, to the number of reqs that was asked for. */
+  /** With time left it runs on, up to the number of requests that was asked for. */
   @Test
-  void upToTheNumber() throws Exception {
-    int n = new JitWarmUp(settings()).run(50, 60_000_000_000L);
-    assertTrue(n >= 50 && n < 60, n + " reqs");
+  void runsUpToTheNumberOfRequests() throws Exception {
+    int requests = new JitWarmUp(settings()).run(50, 60_000_000_000L);
+    assertTrue(requests >= 50 && requests < 60, requests + " requests");
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProtocolMappingTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProtocolMappingTest.java
@@ -10,16 +10,18 @@
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
 
+/** Checks what {@link ProtocolMapping} reads from a client's headers. */
 class ProtocolMappingTest {
   /**
-   * Figures of clients, in tenths of a millisecond; one too large once wrapped round to another.
+   * Timeouts and cost hints of clients, in tenths of a millisecond. A number too large once
+   * overflowed into another one.
    */
   @Test
-  void figures() {
-    RequestClass set =
+  void timeoutsAndCostHintsAreCheckedAndBounded() {
+    RequestClass requestClass =
         new RequestClass(
             0, 5000, 12_000, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0, 1, 0, false);
-    StringBuilder trace = new StringBuilder();
+    StringBuilder results = new StringBuilder();
     for (String text :
         new String[] {
           "0",
@@ -40,12 +42,14 @@
               .with("Request-Timeout", text)
               .with("Work-Hint", text);
       try {
-        ProtocolMapping.Call call =
-            ProtocolMapping.call(
-                new Request("GET", "/buy/7?x", headers, true, new byte[0]), Map.of("buy", set));
-        trace.append(text + ": timeout " + call.timeout() + ", cost " + call.cost() + "\n");
-      } catch (ProtocolMapping.Unfit e) {
-        trace.append(text + ": " + e.status + " " + e.getMessage() + "\n");
+        ParsedRequest request =
+            ProtocolMapping.parse(
+                new Request("GET", "/buy/7?x", headers, true, new byte[0]),
+                Map.of("buy", requestClass));
+        results.append(
+            text + ": timeout " + request.timeout() + ", cost " + request.costHint() + "\n");
+      } catch (InvalidRequestException e) {
+        results.append(text + ": " + e.status() + " " + e.getMessage() + "\n");
       }
     }
     assertEquals(
@@ -62,6 +66,6 @@
         : 400 bad Request-Timeout
         123456789012345678901: 400 bad Request-Timeout
         """,
-        trace.toString());
+        results.toString());
   }
 }
