RequestHandler is split: requests, the policy's runtime on sockets, and settings

Cause: one class was the policy's runtime, the life of requests, the settings and the log lines. Change: RequestHandler keeps the request from the client's side; SocketPolicyRuntime implements PolicyRuntime; SettingsApplier puts settings into the policy and keeps the classes by name; RequestAttempt and LoadProbe are top-level. Fields of InFlightRequest and BackendAttempt are private; sending a probe uses the same setTimeout as an attempt; streams over a request's attempts are loops; the relays tell an interface how they ended. Order of calls and steps of the loop as before.

--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -1,117 +1,173 @@
 package wheattrack.net;
 
+import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 
-/** One dispatch of a req, or a probe, from its sending to its one outcome. */
+/**
+ * One exchange with a backend, an attempt of a request or a probe, from the moment it is sent to
+ * its one outcome. It waits in its backend's pool until a connection carries it. Times are tenths
+ * of a millisecond. Runs on the event loop's thread only.
+ */
 abstract class BackendAttempt {
-  final BackendConnectionPool backend;
-  final long sentAt;
-
-  /** When it got its connection, which is when its first byte left. */
-  long startedAt;
-
-  /** When its first byte must have left, or it never does. */
-  long latestStart = Long.MAX_VALUE;
-
-  TimerQueue.Timer timer;
-  BackendConnection connection;
+  private final BackendConnectionPool backend;
+  private final long sentAt;
+  private long startedAt;
+  private long latestStart = Long.MAX_VALUE;
+  private TimerQueue.Timer timer;
+  private BackendConnection connection;
   private boolean hasEnded;
   private AttemptOutcome outcome;
 
-  BackendAttempt(BackendConnectionPool backend, long sent) {
+  /** Creates an attempt that is sent now; it has no timeout and no connection yet. */
+  BackendAttempt(BackendConnectionPool backend) {
     this.backend = backend;
-    this.sentAt = sent;
+    sentAt = backend.loop.now();
+  }
+
+  /** The backend it is sent to. */
+  final BackendConnectionPool backend() {
+    return backend;
+  }
+
+  /** The event loop that runs it. */
+  protected final EventLoop loop() {
+    return backend.loop;
+  }
+
+  /** When it was sent; it may have waited for a connection from then on. */
+  final long sentAt() {
+    return sentAt;
+  }
+
+  /** When a connection began to carry it, that is when its first byte left. */
+  final long startedAt() {
+    return startedAt;
+  }
+
+  /** The connection that carries or carried it; null: not started. */
+  protected final BackendConnection connection() {
+    return connection;
   }
 
-  /** From now on it may take so long. */
+  /** The time from which on it must not start any more. */
+  final long latestStart() {
+    return latestStart;
+  }
+
+  /** Sets the time from which on it must not start any more; without this it may always start. */
+  final void setLatestStart(long time) {
+    latestStart = time;
+  }
+
+  /** Starts its timeout anew: it is abandoned after this time from now, unless it ends before. */
   final void setTimeout(long time) {
     if (!hasEnded) {
-      backend.loop.cancel(timer);
-      timer = backend.loop.schedule(time, () -> abandon(AttemptOutcome.TIMEOUT));
+      loop().cancel(timer);
+      timer = loop().schedule(time, () -> abandon(AttemptOutcome.TIMEOUT));
     }
   }
 
+  /** A connection carries it from now on. */
+  final void startOn(BackendConnection carrier) {
+    connection = carrier;
+    startedAt = loop().now();
+  }
+
   /** Whether any of its bytes may have left. */
   final boolean isStarted() {
     return connection != null;
   }
 
-  /** Whether it may have run, or may yet. */
+  /** Whether the backend may have run it, or may do so yet. */
   final boolean mayHaveRun() {
     return isStarted() && (outcome == null || !outcome.neverRan());
   }
 
-  /** Ends one that is not begun as never sent, and any other as said. */
-  final void abandon(AttemptOutcome how) {
-    end(isStarted() ? how : AttemptOutcome.DISCARDED, null);
+  /** Ends it with this outcome, or, if it has not started, as discarded. */
+  final void abandon(AttemptOutcome outcomeIfStarted) {
+    end(isStarted() ? outcomeIfStarted : AttemptOutcome.DISCARDED, null);
   }
 
-  /** Ends it, once; a connection that still carries it is closed. */
-  final void end(AttemptOutcome how, Response answer) {
+  /**
+   * Ends it; further calls do nothing. A connection that still carries it is closed.
+   *
+   * @param answer the complete answer; null: none came
+   */
+  final void end(AttemptOutcome finalOutcome, Response answer) {
     if (hasEnded) {
       return;
     }
     hasEnded = true;
-    outcome = how;
-    backend.loop.cancel(timer);
+    outcome = finalOutcome;
+    loop().cancel(timer);
     backend.out--;
     if (connection != null && connection.carried() == this) {
       connection.close();
     } else {
       backend.forget(this);
     }
-    onEnd(how, answer);
+    onEnd(finalOutcome, answer);
   }
 
-  /** What is written for it, made as it begins. */
-  protected abstract Request request();
-
   /**
-   * Its answer is too long to be kept: as an outcome that is its end, on its connection it is not.
+   * Its answer is too long to be buffered. It ends here as far as its outcome goes, while its
+   * connection goes on with the rest of the answer.
+   *
+   * @param head the head and the first bytes of the answer
+   * @return what takes the rest of the answer; null: nobody wants it
    */
   final ResponseRelay beginStreaming(Response head) {
     if (hasEnded) {
       return null;
     }
     hasEnded = true;
-    backend.loop.cancel(timer);
-    ResponseRelay passing = onStreamingAnswer(head);
-    if (passing == null) {
+    loop().cancel(timer);
+    ResponseRelay relay = onStreamingAnswer(head);
+    if (relay == null) {
       backend.out--;
     }
-    return passing;
+    return relay;
   }
 
-  /** The long answer is through, or broken off. */
-  final void streamingEnded() {
+  /** The rest of the long answer has been passed on, completely or not. */
+  protected final void streamingEnded() {
     backend.out--;
   }
 
+  /** Builds the message to write; called once, when a connection begins to carry it. */
+  protected abstract Request buildRequest();
+
   /**
-   * How long an answer of unknown length may still be kept back, to be had anew should it break.
+   * How much longer an answer of unknown length may be buffered, so that it can be had again from
+   * another backend if it breaks off.
    */
   protected long remainingBufferingTime() {
     return Long.MAX_VALUE / 4;
   }
 
-  /** What is still to come of what is written, or null. */
+  /** The part of the request's body that is not in the message; null: none. */
   protected RequestBodyRelay body() {
     return null;
   }
 
-  /** Who takes the rest of a long answer, or null where nobody does. */
+  /** See {@link #beginStreaming}. Here nobody takes long answers: it ends as if it broke off. */
   protected ResponseRelay onStreamingAnswer(Response head) {
     onEnd(AttemptOutcome.RESET, null);
     return null;
   }
 
-  /** Its last byte is written. */
+  /** The last byte of the request has been written. */
   protected void onRequestWritten() {
-    // of a probe nothing is counted
+    // probes are not counted
   }
 
-  protected abstract void onEnd(AttemptOutcome how, Response answer);
+  /**
+   * It has ended; called once.
+   *
+   * @param answer the complete answer; null: none came
+   */
+  protected abstract void onEnd(AttemptOutcome finalOutcome, Response answer);
 }
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -83,9 +83,8 @@
     loop.cancel(deadline);
     resting = false;
     carried = writing = d;
-    d.connection = this;
-    d.startedAt = loop.now();
-    Request request = d.request();
+    d.startOn(this);
+    Request request = d.buildRequest();
     body = d.body();
     chunks = request.remainingBody() == Decoder.CHUNKED;
     in.expectNoBody(request.method().equals("HEAD"));
--- a/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
@@ -143,7 +143,7 @@
   /** What waits longest and may still begin; standstill: reqs were sent on after their due. */
   private BackendAttempt next() {
     BackendAttempt first = waiting.pollFirst();
-    while (first != null && loop.now() >= first.latestStart) {
+    while (first != null && loop.now() >= first.latestStart()) {
       first.abandon(AttemptOutcome.DISCARDED);
       first = waiting.pollFirst();
     }
--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/InFlightRequest.java
@@ -2,27 +2,170 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.Idempotency;
 import wheattrack.api.PendingRequest;
+import wheattrack.api.RequestClass;
 import wheattrack.api.RequestHandle;
 import wheattrack.core.TimerQueue;
 
-/** A req at the door: who asked, what was sent for it and what the module left for it. */
+/**
+ * The state of an accepted request: its client, its attempts and the policy's handle for it. Times
+ * are tenths of a millisecond. Runs on the event loop's thread only.
+ */
 final class InFlightRequest {
-  final ClientConnection client;
-  final ParsedRequest call;
-  final List<BackendAttempt> dispatches = new ArrayList<>(2);
-  int slot;
-  PendingRequest req;
-  TimerQueue.Timer guard;
-  RequestHandle held;
+  private final ClientConnection client;
+  private final ParsedRequest parsed;
+  private final List<BackendAttempt> attempts = new ArrayList<>(2);
+  private int slot;
+  private PendingRequest pending;
+  private TimerQueue.Timer deadlineGuard;
+  private RequestHandle handle;
+  private RequestBodyRelay body;
+  private boolean isSettled;
 
-  /** Of a long req, what of its body is still to come when it is taken; else null. */
-  RequestBodyRelay body;
+  /** Creates the state of a request that the policy does not know yet. */
+  InFlightRequest(ClientConnection client, ParsedRequest parsed) {
+    this.client = client;
+    this.parsed = parsed;
+  }
+
+  /** The connection it came on. */
+  ClientConnection client() {
+    return client;
+  }
 
-  boolean over;
+  /** What the client asked for. */
+  ParsedRequest parsed() {
+    return parsed;
+  }
 
-  InFlightRequest(ClientConnection client, ParsedRequest call) {
-    this.client = client;
-    this.call = call;
+  /** The client's identifier of the request. */
+  String id() {
+    return parsed.id();
+  }
+
+  /** Its number in the table of open requests. */
+  int slot() {
+    return slot;
+  }
+
+  void setSlot(int number) {
+    slot = number;
+  }
+
+  /** The request as the policy sees it. */
+  PendingRequest pending() {
+    return pending;
+  }
+
+  void setPending(PendingRequest request) {
+    pending = request;
+  }
+
+  /** The timer that answers should the policy fail to; null: not set yet. */
+  TimerQueue.Timer deadlineGuard() {
+    return deadlineGuard;
+  }
+
+  void setDeadlineGuard(TimerQueue.Timer timer) {
+    deadlineGuard = timer;
+  }
+
+  /** Where the policy is told what happens; null while it is still being handed the request. */
+  RequestHandle handle() {
+    return handle;
+  }
+
+  void setHandle(RequestHandle policyHandle) {
+    handle = policyHandle;
+  }
+
+  /** The part of a long body that had not come when the request was accepted; null: none. */
+  RequestBodyRelay body() {
+    return body;
+  }
+
+  void setBody(RequestBodyRelay relay) {
+    body = relay;
+  }
+
+  /**
+   * Whether nothing more is to be decided: it is answered, its long answer has begun, or its client
+   * has disconnected.
+   */
+  boolean isSettled() {
+    return isSettled;
+  }
+
+  void markSettled() {
+    isSettled = true;
+  }
+
+  /** Its attempts so far, in the order in which they were sent. */
+  List<BackendAttempt> attempts() {
+    return attempts;
+  }
+
+  /** Whether a further attempt could not send the complete body any more. */
+  boolean isBodyConsumed() {
+    return body != null && !body.isReplayable();
+  }
+
+  /** Abandons all attempts; those not started yet count as discarded. */
+  void abandonAttempts(AttemptOutcome outcomeIfStarted) {
+    for (BackendAttempt attempt : attempts) {
+      attempt.abandon(outcomeIfStarted);
+    }
+  }
+
+  /** Discards the attempts that have not started yet. */
+  void discardUnstartedAttempts() {
+    for (BackendAttempt attempt : attempts) {
+      if (!attempt.isStarted()) {
+        attempt.abandon(AttemptOutcome.DISCARDED);
+      }
+    }
+  }
+
+  /** Discards all attempts, also those that have started. */
+  void discardAttempts() {
+    for (BackendAttempt attempt : attempts) {
+      attempt.end(AttemptOutcome.DISCARDED, null);
+    }
+  }
+
+  /** Whether a backend may have run it, or may do so yet. */
+  boolean mayHaveRun() {
+    for (BackendAttempt attempt : attempts) {
+      if (attempt.mayHaveRun()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** The time from which on a new attempt must not start any more. */
+  long latestAttemptStart() {
+    long endOfDeduplication = endOfDeduplication();
+    return body == null ? Math.min(pending.deadline(), endOfDeduplication) : endOfDeduplication;
+  }
+
+  /**
+   * Until when backends recognize the request's idempotency key. The policy keeps to this when it
+   * decides, but the connection of an attempt may take its time after that.
+   */
+  private long endOfDeduplication() {
+    RequestClass requestClass = pending.requestClass();
+    if (requestClass.idempotency() != Idempotency.IDEMPOTENT_WITH_KEY) {
+      return Long.MAX_VALUE;
+    }
+    long firstSent = Long.MAX_VALUE / 2;
+    for (BackendAttempt attempt : attempts) {
+      if (attempt.isStarted()) {
+        firstSent = Math.min(firstSent, attempt.sentAt());
+      }
+    }
+    return firstSent + requestClass.deduplicationWindow();
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/LoadProbe.java
@@ -0,0 +1,43 @@
+package wheattrack.net;
+
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.ProbeCallback;
+import wheattrack.http.Request;
+import wheattrack.http.Response;
+
+/**
+ * A probe of a backend: asks for its load, or, where backends report none, for its health. Its
+ * outcome reaches the policy in a step of its own. Runs on the event loop's thread only.
+ */
+final class LoadProbe extends BackendAttempt {
+  private final SettingsApplier settings;
+  private final LoadReports loadReports;
+  private final ProbeCallback callback;
+
+  /** Creates a probe that is sent now. */
+  LoadProbe(
+      BackendConnectionPool backend,
+      SettingsApplier settings,
+      LoadReports loadReports,
+      ProbeCallback callback) {
+    super(backend);
+    this.settings = settings;
+    this.loadReports = loadReports;
+    this.callback = callback;
+  }
+
+  @Override
+  protected Request buildRequest() {
+    return ProtocolMapping.probeRequest(settings.expectsLoadReports());
+  }
+
+  @Override
+  protected void onEnd(AttemptOutcome finalOutcome, Response answer) {
+    loop()
+        .defer(
+            () -> {
+              loadReports.onProbeAnswer(backend(), answer);
+              callback.ended(finalOutcome == AttemptOutcome.DONE, loop().now() - sentAt());
+            });
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -3,52 +3,59 @@
 import java.nio.ByteBuffer;
 
 /**
- * The body of a long req beyond what is kept of it: read from its client only as fast as a backend
- * takes it. It may go to one backend after another until its first piece has gone; then never
- * again.
+ * Passes on the part of a long request body that is not buffered, read from the client only as fast
+ * as a backend takes it. It may be offered to one backend after another until its first piece has
+ * been forwarded; from then on no other attempt can send the complete body. Runs on the event
+ * loop's thread only.
  */
 final class RequestBodyRelay {
   private final ClientConnection client;
-  private final Runnable whole;
-  private BackendConnection to;
-  private boolean begun, ended;
-
-  /** whole: to be done when its last byte has come. */
-  RequestBodyRelay(ClientConnection client, Runnable whole) {
+  private final Runnable onComplete;
+  private BackendConnection target;
+  private boolean hasStarted;
+  private boolean isComplete;
+
+  /**
+   * Creates a relay that has no target yet.
+   *
+   * @param onComplete run when the last byte has come from the client
+   */
+  RequestBodyRelay(ClientConnection client, Runnable onComplete) {
     this.client = client;
-    this.whole = whole;
+    this.onComplete = onComplete;
   }
 
-  /** Whether a further dispatch would bring all of it. */
+  /** Whether a further attempt could still send the complete body. */
   boolean isReplayable() {
-    return !begun;
+    return !hasStarted;
   }
 
+  /** Whether the last byte has come from the client. */
   boolean isComplete() {
-    return ended;
+    return isComplete;
   }
 
-  /** This connection has written all that it had, and waits for more. */
-  void requestNext(BackendConnection by) {
-    to = by;
+  /** This connection has written all it had and waits for the next piece. */
+  void requestNext(BackendConnection connection) {
+    target = connection;
     client.pull(this::forward);
   }
 
-  private void forward(ByteBuffer bytes, boolean last) {
-    begun = true;
-    if (last) {
-      ended = true;
-      whole.run();
+  private void forward(ByteBuffer bytes, boolean isLast) {
+    hasStarted = true;
+    if (isLast) {
+      isComplete = true;
+      onComplete.run();
     }
-    if (to != null) {
-      to.pass(bytes, last);
+    if (target != null) {
+      target.pass(bytes, isLast);
     }
   }
 
   /** This connection takes no more; what has come and was not asked for stays with the client. */
-  void detach(BackendConnection by) {
-    if (to == by) {
-      to = null;
+  void detach(BackendConnection connection) {
+    if (target == connection) {
+      target = null;
       client.pull(null);
     }
   }
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -1,18 +1,13 @@
 package wheattrack.net;
 
 import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.Set;
 import java.util.logging.Level;
 import wheattrack.aio.EventLoop;
-import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.Idempotency;
 import wheattrack.api.PendingRequest;
-import wheattrack.api.PolicyEvent;
-import wheattrack.api.PolicyRuntime;
-import wheattrack.api.ProbeCallback;
-import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
@@ -23,454 +18,322 @@
 import wheattrack.log.EventLog;
 import wheattrack.policy.LoadBalancer;
 
-/** The module's port on sockets: reqs, dispatches and the list; it decides nothing. */
-final class RequestHandler implements PolicyRuntime, ClientListener.Taker {
-
-  /** Of a req's time, kept back so that its answer is out before the client stops waiting. */
-  private static final long WRITE_PART = 200;
+/**
+ * The life of requests from the client's side: accepts them and hands them to the policy, guards
+ * their deadlines, notices clients that disconnect, and gives each request its one final answer.
+ * Times are tenths of a millisecond. Runs on the event loop's thread only, but for its creation
+ * before the loop runs and for {@link #openRequests}.
+ */
+final class RequestHandler implements ClientListener.Taker {
+  /**
+   * Part of a client's timeout, as a divisor, that is kept back so that the answer arrives before
+   * the client stops waiting.
+   */
+  private static final long ANSWER_MARGIN_DIVISOR = 200;
 
-  private static final long GUARD = 50;
+  /** Least time kept back of a client's timeout. */
+  private static final long MIN_ANSWER_MARGIN = 10;
 
-  /** Of the response target: how long an answer of unknown length is kept back. */
-  private static final long HOLD = 2;
+  /** Time that the policy has after a deadline until the request is answered without it. */
+  private static final long DEADLINE_GRACE = 50;
 
   private final EventLoop loop;
-  private final EndpointDiscovery listing;
-  private final RequestCounters counts;
-  private Map<String, RequestClass> sets;
-  private final SlotTable<InFlightRequest> guests = new SlotTable<>();
-  private final Set<String> ids = new HashSet<>();
-  private final LoadBalancer rules;
-  private boolean reports;
-  private final LoadReports loads;
-  private long probeTimeout;
-  private ClientListener front;
-
-  /** When this process ends: reqs that come late have their answer before. */
-  private long until = Long.MAX_VALUE;
+  private final RequestCounters counters;
+  private final SettingsApplier settingsApplier;
+  private final LoadBalancer loadBalancer;
+  private final SlotTable<InFlightRequest> openRequests = new SlotTable<>();
+
+  /** Identifiers under which no further request is accepted now. */
+  private final Set<String> reservedIds = new HashSet<>();
+
+  private ClientListener listener;
 
+  /** When this process ends; requests are answered before. */
+  private long shutdownTime = Long.MAX_VALUE;
+
+  /**
+   * Creates a handler together with its policy, which starts at once; {@link #setListener} must
+   * follow before the first request.
+   *
+   * @param endpoints notifies the policy of the endpoint list from now on
+   * @param seed of the policy's random numbers
+   * @param loadHeader header of backends' answers that holds a load report; empty: none does
+   */
   RequestHandler(
       EventLoop loop,
-      EndpointDiscovery listing,
-      RequestCounters counts,
+      EndpointDiscovery endpoints,
+      RequestCounters counters,
       Settings settings,
       long seed,
       String loadHeader) {
     this.loop = loop;
-    this.listing = listing;
-    this.counts = counts;
-    RequestClass[] all = settings.requestClasses();
-    name(settings, all);
-    rules = settings.newLoadBalancer(this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
-    loads = new LoadReports(rules, loadHeader);
-    listing.tell(rules);
+    this.counters = counters;
+    settingsApplier = new SettingsApplier(endpoints, counters);
+    SocketPolicyRuntime runtime = new SocketPolicyRuntime(loop, endpoints, this, settingsApplier);
+    loadBalancer = settingsApplier.createLoadBalancer(settings, runtime, seed);
+    runtime.setLoadReports(new LoadReports(loadBalancer, loadHeader));
+    endpoints.tell(loadBalancer);
   }
 
-  /**
-   * Takes new settings into use, whole; reqs under way keep the rule set that they came under.
-   * feed: what a watched source has told, which goes before their rule sets, tenants and limits;
-   * null or empty: nothing.
-   */
-  void applySettings(Settings settings, DynamicSettings feed) {
-    if (feed != null && feed.isPresent()) {
-      Settings held = feed.overlay(settings);
-      rules.configure(held.policySettings(listing.zones(), feed.totalQuota()), feed.summary());
-      sets = feed.requestClasses();
-      further(held);
-      return;
-    }
-    RequestClass[] all = settings.requestClasses();
-    rules.configure(settings.policySettings(listing.zones()), all);
-    name(settings, all);
+  /** Sets the listener whose clients' requests come here. */
+  void setListener(ClientListener clientListener) {
+    listener = clientListener;
   }
 
-  private void name(Settings settings, RequestClass[] all) {
-    sets = settings.classesByName(all);
-    settings.classNames().forEach(counts::declare); // in their order, which the figures keep
-    further(settings);
+  /**
+   * Applies new settings as a whole; open requests keep the class that they came under.
+   *
+   * @param settings the configuration file's
+   * @param dynamicSettings the watched source's, which take precedence; null or empty: none
+   */
+  void applySettings(Settings settings, DynamicSettings dynamicSettings) {
+    settingsApplier.apply(settings, dynamicSettings);
   }
 
-  private void further(Settings settings) {
-    reports = settings.expectsLoadReports();
-    probeTimeout = settings.time("limits.dialTimeout", 250_000);
+  /** Sets when this process ends: no request may wait for longer. */
+  void setShutdownTime(long time) {
+    shutdownTime = time;
   }
 
-  void setListener(ClientListener clients) {
-    front = clients;
+  /** Sets whether another process of this proxy is present. */
+  void setOtherProcessPresent(boolean isPresent) {
+    loadBalancer.setOtherProcessPresent(isPresent);
   }
 
+  /** The number of open requests; to another thread a value that may be a moment old. */
   int openRequests() {
-    return guests.size();
+    return openRequests.size();
   }
 
-  /** Backends on the list that the module keeps away from now. */
+  /** The number of listed backends that the policy has ejected. */
   int ejectedBackends() {
-    return rules.ejectedCount();
+    return loadBalancer.ejectedCount();
   }
 
-  /** Another process of this proxy is there, or is no more. */
-  void setOtherProcessPresent(boolean other) {
-    rules.setOtherProcessPresent(other);
-  }
-
-  // ---- reqs
+  // ---- requests from clients
 
-  /** A request that is turned away unheard, as too many clients are here. */
+  /** Counts a request that the listener rejects as too many clients are connected. */
   @Override
-  public void denied(Request request) {
-    String name = ProtocolMapping.className(request);
-    if (sets.containsKey(name)) {
-      counts.countAnswer(name, FinalAnswer.REJECTED);
+  public void denied(Request message) {
+    String className = ProtocolMapping.className(message);
+    if (settingsApplier.classes().containsKey(className)) {
+      counters.countAnswer(className, FinalAnswer.REJECTED);
     }
   }
 
   @Override
-  public void take(ClientConnection client, Request request) {
-    ParsedRequest call;
+  public void take(ClientConnection client, Request message) {
+    ParsedRequest parsed;
     try {
-      call = ProtocolMapping.parse(request, sets);
-      if (!ids.add(call.id())) { // bad clients: copies reached srvs
-        throw new InvalidRequestException(409, "a req of this id is open");
-      }
+      parsed = ProtocolMapping.parse(message, settingsApplier.classes());
+      reserveId(parsed.id());
     } catch (InvalidRequestException e) {
-      front.refused(e.status(), e.getMessage());
-      client.answer(
-          ProtocolMapping.textAnswer(e.status(), e.getMessage(), front.keeps(request.keepAlive())));
+      refuse(client, message, e);
       return;
     }
-    InFlightRequest guest = new InFlightRequest(client, call);
-    guest.slot = guests.add(guest);
-    client.onLeft(() -> left(guest));
-    long due = due(loop.now() + call.timeout() - Math.max(10, call.timeout() / WRITE_PART));
-    if (request.remainingBody() != 0) {
-      guest.body = new RequestBodyRelay(client, () -> bodyWhole(guest));
+    accept(new InFlightRequest(client, parsed));
+  }
+
+  /** Incident "bad clients": copies of a request that was still open reached backends. */
+  private void reserveId(String id) throws InvalidRequestException {
+    if (!reservedIds.add(id)) {
+      throw new InvalidRequestException(409, "a req of this id is open");
     }
-    guest.req =
+  }
+
+  private void refuse(ClientConnection client, Request message, InvalidRequestException reason) {
+    listener.refused(reason.status(), reason.getMessage());
+    boolean keepAlive = listener.keeps(message.keepAlive());
+    client.answer(ProtocolMapping.textAnswer(reason.status(), reason.getMessage(), keepAlive));
+  }
+
+  private void accept(InFlightRequest request) {
+    ClientConnection client = request.client();
+    ParsedRequest parsed = request.parsed();
+    request.setSlot(openRequests.add(request));
+    client.onLeft(() -> onClientDisconnected(request));
+    long deadline = deadline(parsed.timeout());
+    boolean hasLongBody = parsed.message().remainingBody() != 0;
+    if (hasLongBody) {
+      request.setBody(new RequestBodyRelay(client, () -> onBodyComplete(request)));
+    }
+    request.setPending(
         new PendingRequest(
-            call.requestClass(), loop.now(), due, call.costHint(), call.clientRetry(), guest);
-    if (guest.body == null) {
-      guard(guest);
+            parsed.requestClass(),
+            loop.now(),
+            deadline,
+            parsed.costHint(),
+            parsed.clientRetry(),
+            request));
+    if (!hasLongBody) {
+      startDeadlineGuard(request);
     }
-    guest.held = rules.accept(guest.req);
-    if (guest.body != null && !guest.over) {
-      guest.held.streamingStarted(0); // no copy can be made of it
+    request.setHandle(loadBalancer.accept(request.pending()));
+    if (hasLongBody && !request.isSettled()) {
+      request.handle().streamingStarted(0); // no second attempt could send its body
     }
   }
 
-  /** This process ends then: no req may wait for longer. */
-  void setShutdownTime(long time) {
-    until = time;
+  private long deadline(long clientTimeout) {
+    long margin = Math.max(MIN_ANSWER_MARGIN, clientTimeout / ANSWER_MARGIN_DIVISOR);
+    return Math.min(loop.now() + clientTimeout - margin, latestDeadline());
   }
 
-  private long due(long asked) {
-    return Math.min(asked, until - 2 * GUARD);
+  private long latestDeadline() {
+    return shutdownTime - 2 * DEADLINE_GRACE;
   }
 
-  private void guard(InFlightRequest guest) {
-    guest.guard = loop.schedule(guest.req.deadline() + GUARD - loop.now(), () -> forgotten(guest));
+  private void startDeadlineGuard(InFlightRequest request) {
+    long delay = request.pending().deadline() + DEADLINE_GRACE - loop.now();
+    request.setDeadlineGuard(loop.schedule(delay, () -> onDeadlineMissed(request)));
   }
 
-  /** The last byte of a long body has come: the client's time runs from now on. */
-  private void bodyWhole(InFlightRequest guest) {
-    if (guest.over) {
-      return;
-    }
-    guest.req.restartClock(loop.now(), until - 2 * GUARD);
-    guard(guest);
-    if (!guest.dispatches.isEmpty()) { // else its servers are still being asked for their load
-      guest
-          .dispatches
-          .get(guest.dispatches.size() - 1)
-          .setTimeout(guest.req.deadline() - loop.now());
+  /**
+   * Only a fault of the program leaves a request open past its deadline; it is answered even then.
+   */
+  private void onDeadlineMissed(InFlightRequest request) {
+    EventLog.log(Level.SEVERE, "a req stood open past its due", request.id(), null);
+    request.abandonAttempts(AttemptOutcome.TIMEOUT);
+    if (!request.isSettled()) {
+      fail(request);
     }
   }
 
-  /** Only a failure of the program leaves a req open past its due; even then it has its answer. */
-  private void forgotten(InFlightRequest guest) {
-    EventLog.log(Level.SEVERE, "a req stood open past its due", guest.call.id(), null);
-    guest.dispatches.forEach(d -> d.abandon(AttemptOutcome.TIMEOUT));
-    if (!guest.over) {
-      fail(guest.req);
+  /** The last byte of a long body has come: the client's timeout runs from now on. */
+  private void onBodyComplete(InFlightRequest request) {
+    if (request.isSettled()) {
+      return;
+    }
+    request.pending().restartClock(loop.now(), latestDeadline());
+    startDeadlineGuard(request);
+    List<BackendAttempt> attempts = request.attempts();
+    if (!attempts.isEmpty()) { // else backends are still being probed for their load
+      BackendAttempt latest = attempts.get(attempts.size() - 1);
+      latest.setTimeout(request.pending().deadline() - loop.now());
     }
   }
 
-  private void left(InFlightRequest guest) {
-    if (!guest.over) {
-      note(guest, "LEFT");
-      settled(guest);
-      guests.remove(guest.slot);
-      if (guest.body != null && !guest.body.isComplete()) {
-        guest.dispatches.forEach(d -> d.end(AttemptOutcome.DISCARDED, null)); // it never will be
-      }
-      forget(guest);
-      if (guest.held != null) {
-        guest.held.clientDisconnected();
-      }
+  private void onClientDisconnected(InFlightRequest request) {
+    if (request.isSettled()) {
+      return;
+    }
+    logEnd(request, "LEFT");
+    settle(request);
+    openRequests.remove(request.slot());
+    if (request.body() != null && !request.body().isComplete()) {
+      request.discardAttempts(); // the rest of the body will never come
+    }
+    releaseIdOfDisconnected(request);
+    if (request.handle() != null) {
+      request.handle().clientDisconnected();
     }
   }
 
   /**
-   * Its client has left. One sent again under its id on a new connection must not run beside it.
+   * A client that has disconnected may send its request again under the same identifier. It must
+   * not run beside the first one, unless it is idempotent.
    */
-  private void forget(InFlightRequest guest) {
-    boolean again = guest.call.requestClass().idempotency() == Idempotency.IDEMPOTENT;
-    if (!again && guest.dispatches.stream().anyMatch(BackendAttempt::mayHaveRun)) {
-      loop.schedule(guest.req.deadline() - loop.now(), () -> ids.remove(guest.call.id()));
+  private void releaseIdOfDisconnected(InFlightRequest request) {
+    boolean isIdempotent = request.parsed().requestClass().idempotency() == Idempotency.IDEMPOTENT;
+    if (!isIdempotent && request.mayHaveRun()) {
+      long delay = request.pending().deadline() - loop.now();
+      loop.schedule(delay, () -> reservedIds.remove(request.id()));
     } else {
-      ids.remove(guest.call.id());
+      reservedIds.remove(request.id());
     }
   }
 
-  private void close(InFlightRequest guest) {
-    settled(guest);
-    gone(guest);
-  }
-
-  private void gone(InFlightRequest guest) {
-    guests.remove(guest.slot);
-    ids.remove(guest.call.id());
-  }
+  // ---- final answers
 
-  private void settled(InFlightRequest guest) {
-    guest.over = true;
-    loop.cancel(guest.guard);
-    guest.dispatches.stream()
-        .filter(d -> !d.isStarted())
-        .forEach(d -> d.abandon(AttemptOutcome.DISCARDED));
+  /**
+   * Gives the final answer to an open request.
+   *
+   * @param kind under which it is counted and logged
+   */
+  void answer(InFlightRequest request, FinalAnswer kind, Response response) {
+    settle(request);
+    remove(request);
+    counters.countAnswer(request.parsed().className(), kind);
+    logEnd(request, kind.name());
+    request.client().answer(response);
   }
 
-  private void answer(InFlightRequest guest, FinalAnswer how, Response response) {
-    close(guest);
-    counts.countAnswer(guest.call.className(), how);
-    note(guest, how.name());
-    guest.client.answer(response);
+  /**
+   * Rejects an open request.
+   *
+   * @param retryAfter advice to the client how long to wait; 0 gives none
+   */
+  void reject(InFlightRequest request, long retryAfter) {
+    Response response = ProtocolMapping.rejection(retryAfter, mayKeepAlive(request));
+    answer(request, FinalAnswer.REJECTED, response);
   }
 
-  private void note(InFlightRequest guest, String end) {
-    EventLog.detail(
-        "req",
-        guest.call.id(),
-        () ->
-            end
-                + " after "
-                + (loop.now() - guest.req.arrivedAt()) / 10
-                + " ms, "
-                + guest.dispatches.size()
-                + " dispatches");
+  /** Answers that an open request has failed, with no promise about its effects. */
+  void fail(InFlightRequest request) {
+    int status = loop.now() >= request.pending().deadline() ? 504 : 502;
+    failWith(request, status, "given up");
   }
 
-  private boolean keeps(InFlightRequest guest) {
-    return front.keeps(guest.call.message().keepAlive());
+  /** Answers that a backend found an open request itself at fault. */
+  void failWithClientError(InFlightRequest request, int status) {
+    failWith(request, status, "not taken by the backend");
   }
 
-  /** One dispatch of a req; its outcome goes to the module as a step of its own. */
-  private final class Leg extends BackendAttempt {
-    private final InFlightRequest guest;
-    private final long until;
-    private final AttemptCallback next;
-
-    Leg(InFlightRequest guest, BackendConnectionPool backend, long until, AttemptCallback next) {
-      super(backend, loop.now());
-      this.guest = guest;
-      this.until = until;
-      this.next = next;
-    }
-
-    @Override
-    protected Request request() {
-      return ProtocolMapping.forwardedRequest(guest.call.message(), until - loop.now());
-    }
-
-    @Override
-    protected long remainingBufferingTime() {
-      return guest.req.arrivedAt()
-          + guest.req.requestClass().latencyObjective() / HOLD
-          - loop.now();
-    }
-
-    @Override
-    protected RequestBodyRelay body() {
-      return guest.body;
-    }
-
-    @Override
-    protected void onRequestWritten() {
-      counts.attempts++;
-    }
-
-    /**
-     * Done by its first bytes, for the module and for the client's time; then it is only passed on.
-     */
-    @Override
-    protected ResponseRelay onStreamingAnswer(Response head) {
-      loads.onAnswer(backend, head);
-      if (guest.over) {
-        loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sentAt, true));
-        return null;
-      }
-      Response answer =
-          ProtocolMapping.forwardedAnswer(head, keeps(guest), guest.call.message().chunks());
-      EventLog.detail(
-          "dispatch",
-          guest.call.id(),
-          () ->
-              "to "
-                  + backend.id
-                  + " at "
-                  + sentAt
-                  + ", a long answer after "
-                  + (loop.now() - sentAt));
-      ResponseRelay rest =
-          new ResponseRelay(
-              connection,
-              guest.client,
-              answer.remainingBody(),
-              whole -> {
-                streamingEnded();
-                gone(guest);
-                counts.countAnswer(
-                    guest.call.className(), whole ? FinalAnswer.DONE : FinalAnswer.FAILED);
-              });
-      settled(guest);
-      guest.client.begin(answer, rest);
-      loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sentAt, true));
-      return rest;
-    }
-
-    @Override
-    protected void onEnd(AttemptOutcome how, Response answer) {
-      EventLog.detail(
-          "dispatch",
-          guest.call.id(),
-          () ->
-              "to "
-                  + backend.id
-                  + " at "
-                  + sentAt
-                  + ", begun "
-                  + (connection == null ? "never" : "after " + (startedAt - sentAt))
-                  + ", "
-                  + how
-                  + " after "
-                  + (loop.now() - sentAt));
-      if (how == AttemptOutcome.DONE && !guest.over) {
-        answer(
-            guest,
-            FinalAnswer.DONE,
-            ProtocolMapping.forwardedAnswer(answer, keeps(guest), guest.call.message().chunks()));
-      }
-      loads.onAnswer(backend, answer);
-      boolean unfit = how == AttemptOutcome.ERROR && ProtocolMapping.isClientError(answer);
-      if (unfit && !guest.over) { // bad clients: srvs were blamed for them
-        answer(
-            guest,
-            FinalAnswer.FAILED,
-            ProtocolMapping.textAnswer(answer.status(), "not taken by the backend", keeps(guest)));
-      }
-      loop.defer(
-          () ->
-              next.ended(unfit ? AttemptOutcome.DISCARDED : how, loop.now() - sentAt, guest.over));
-    }
+  private void failWith(InFlightRequest request, int status, String text) {
+    Response response = ProtocolMapping.textAnswer(status, text, mayKeepAlive(request));
+    answer(request, FinalAnswer.FAILED, response);
   }
 
-  @Override
-  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
-    InFlightRequest guest = (InFlightRequest) req.attachment();
-    long wait = tryFor == 0 ? req.deadline() - loop.now() : tryFor;
-    Leg leg = new Leg(guest, listing.at(backend), loop.now() + wait, next);
-    leg.latestStart = guest.body == null ? Math.min(req.deadline(), latest(guest)) : latest(guest);
-    guest.dispatches.add(leg);
-    if (guest.body != null && !guest.body.isReplayable()) {
-      leg.backend.out++;
-      leg.abandon(AttemptOutcome.DISCARDED); // a part of its body is gone: it can't be sent whole
-      return;
-    }
-    leg.setTimeout(guest.body == null ? wait : Math.max(wait, BackendConnection.PAUSE));
-    leg.backend.carry(leg);
+  /** A backend's answer as the client of this request receives it. */
+  Response toClientAnswer(InFlightRequest request, Response backendAnswer) {
+    return ProtocolMapping.forwardedAnswer(
+        backendAnswer, mayKeepAlive(request), request.parsed().message().chunks());
   }
 
   /**
-   * The module keeps to a uniqued req's window as it decides; a connection may take its time after.
+   * Begins the long answer to an open request; {@link #endStreaming} must follow once.
+   *
+   * @param head the head and the first bytes of the answer
+   * @param relay brings the rest
    */
-  private static long latest(InFlightRequest guest) {
-    if (guest.req.requestClass().idempotency() != Idempotency.IDEMPOTENT_WITH_KEY) {
-      return Long.MAX_VALUE;
-    }
-    return guest.dispatches.stream()
-            .filter(BackendAttempt::isStarted)
-            .mapToLong(d -> d.sentAt)
-            .min()
-            .orElse(Long.MAX_VALUE / 2)
-        + guest.req.requestClass().deduplicationWindow();
-  }
-
-  @Override
-  public void cancelAttempt(PendingRequest req, int leg) {
-    ((InFlightRequest) req.attachment()).dispatches.get(leg).abandon(AttemptOutcome.CANCELLED);
-  }
-
-  @Override
-  public void reject(PendingRequest req, long wait) {
-    InFlightRequest guest = (InFlightRequest) req.attachment();
-    answer(guest, FinalAnswer.REJECTED, ProtocolMapping.rejection(wait, keeps(guest)));
+  void beginStreaming(InFlightRequest request, Response head, ResponseRelay relay) {
+    settle(request);
+    request.client().begin(head, relay);
   }
 
-  @Override
-  public void fail(PendingRequest req) {
-    InFlightRequest guest = (InFlightRequest) req.attachment();
-    answer(
-        guest,
-        FinalAnswer.FAILED,
-        ProtocolMapping.textAnswer(
-            loop.now() >= req.deadline() ? 504 : 502, "given up", keeps(guest)));
+  /** A long answer has ended; it counts as failed unless it was passed on completely. */
+  void endStreaming(InFlightRequest request, boolean complete) {
+    remove(request);
+    FinalAnswer kind = complete ? FinalAnswer.DONE : FinalAnswer.FAILED;
+    counters.countAnswer(request.parsed().className(), kind);
   }
 
-  @Override
-  public void probeLoad(int backend, ProbeCallback next) {
-    BackendAttempt probe =
-        new BackendAttempt(listing.at(backend), loop.now()) {
-          @Override
-          protected Request request() {
-            return ProtocolMapping.probeRequest(reports);
-          }
-
-          @Override
-          protected void onEnd(AttemptOutcome how, Response answer) {
-            loop.defer(
-                () -> {
-                  loads.onProbeAnswer(backend, answer);
-                  next.ended(how == AttemptOutcome.DONE, loop.now() - sentAt);
-                });
-          }
-        };
-    probe.timer = loop.schedule(probeTimeout, () -> probe.abandon(AttemptOutcome.TIMEOUT));
-    probe.backend.carry(probe);
+  /** Counts an attempt whose last byte has been written. */
+  void onAttemptWritten() {
+    counters.attempts++;
   }
 
-  @Override
-  public void closeIdleConnections(int backend) {
-    listing.at(backend).hangUp();
+  private boolean mayKeepAlive(InFlightRequest request) {
+    return listener.keeps(request.parsed().message().keepAlive());
   }
 
-  // ---- clock and log
-
-  @Override
-  public long now() {
-    return loop.now();
+  private void settle(InFlightRequest request) {
+    request.markSettled();
+    loop.cancel(request.deadlineGuard());
+    request.discardUnstartedAttempts();
   }
 
-  @Override
-  public void schedule(long delay, Runnable next) {
-    loop.schedule(Math.max(1, delay), next); // one that asks for none still lets others have a turn
+  private void remove(InFlightRequest request) {
+    openRequests.remove(request.slot());
+    reservedIds.remove(request.id());
   }
 
-  @Override
-  public void report(PolicyEvent event) {
-    EventLog.info(event.kind().logWord(), Long.toString(event.subject()), event.detail());
+  private void logEnd(InFlightRequest request, String end) {
+    EventLog.detail("req", request.id(), () -> describeEnd(request, end));
   }
 
-  @Override
-  public void watchEndpoints() {
-    listing.watchEndpoints();
+  private String describeEnd(InFlightRequest request, String end) {
+    long millis = (loop.now() - request.pending().arrivedAt()) / 10;
+    return end + " after " + millis + " ms, " + request.attempts().size() + " dispatches";
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -1,67 +1,87 @@
 package wheattrack.net;
 
 import java.nio.ByteBuffer;
-import java.util.function.Consumer;
 import wheattrack.http.Decoder;
 import wheattrack.http.Encoder;
 
 /**
- * A long answer on its way from a backend to a client, one piece at a time; it ends once, whole or
- * not.
+ * Passes a long answer on from a backend to a client, one piece at a time. It ends once, whether
+ * the answer was passed on completely or not. Runs on the event loop's thread only.
  */
 final class ResponseRelay {
-  private final BackendConnection from;
-  private final ClientConnection to;
-  private final boolean chunks;
-  private final Consumer<Boolean> ended;
-  private boolean last, over;
+  /** Told once how a relay ended. */
+  @FunctionalInterface
+  interface EndListener {
+    /**
+     * The relay has ended.
+     *
+     * @param complete whether the client has received the complete answer
+     */
+    void onEnd(boolean complete);
+  }
+
+  private final BackendConnection source;
+  private final ClientConnection client;
+  private final boolean isChunked;
+  private final EndListener listener;
+  private boolean lastPieceForwarded;
+  private boolean hasEnded;
 
-  /** more: how it is framed for the client. ended hears at last whether it was passed on whole. */
-  ResponseRelay(BackendConnection from, ClientConnection to, long more, Consumer<Boolean> ended) {
-    this.from = from;
-    this.to = to;
-    chunks = more == Decoder.CHUNKED;
-    this.ended = ended;
+  /**
+   * Creates a relay between two connections.
+   *
+   * @param remainingBody how the rest is framed for the client, as in the answer's head
+   */
+  ResponseRelay(
+      BackendConnection source, ClientConnection client, long remainingBody, EndListener listener) {
+    this.source = source;
+    this.client = client;
+    isChunked = remainingBody == Decoder.CHUNKED;
+    this.listener = listener;
   }
 
-  /** The client has taken all so far; says whether that was all there is. */
+  /**
+   * The client's connection has sent all bytes so far; asks the backend for more.
+   *
+   * @return whether these were the last ones
+   */
   boolean onClientDrained() {
-    if (last) {
+    if (lastPieceForwarded) {
       end(true);
     } else {
-      from.passOn();
+      source.passOn();
     }
-    return last;
+    return lastPieceForwarded;
   }
 
-  /** Pieces from the backend; the next is asked for when this one is taken. */
+  /** Forwards a piece to the client; the next is asked for once this one has been sent. */
   void forward(ByteBuffer bytes, boolean isLast) {
-    if (!over) {
-      last = isLast;
-      to.pass(chunks ? Encoder.chunk(bytes, isLast) : bytes);
+    if (!hasEnded) {
+      lastPieceForwarded = isLast;
+      client.pass(isChunked ? Encoder.chunk(bytes, isLast) : bytes);
     }
   }
 
-  /** The backend broke off: the client is shown that it has not got all. */
+  /** The backend's connection is closed: the client must see that its answer is incomplete. */
   void onBackendClosed() {
-    if (!over && !last) {
+    if (!hasEnded && !lastPieceForwarded) {
       end(false);
-      to.close();
+      client.close();
     }
   }
 
-  /** The client has gone, or does not read on. */
+  /** The client has disconnected, or has not read for too long. */
   void onClientClosed() {
-    if (!over) {
+    if (!hasEnded) {
       end(false);
-      if (!last) { // else it may carry another dispatch by now
-        from.close();
+      if (!lastPieceForwarded) { // else the connection may carry another attempt by now
+        source.close();
       }
     }
   }
 
-  private void end(boolean whole) {
-    over = true;
-    ended.accept(whole);
+  private void end(boolean complete) {
+    hasEnded = true;
+    listener.onEnd(complete);
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/SettingsApplier.java
@@ -0,0 +1,103 @@
+package wheattrack.net;
+
+import java.util.Map;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.RequestClass;
+import wheattrack.config.DynamicSettings;
+import wheattrack.config.Settings;
+import wheattrack.core.RequestCounters;
+import wheattrack.policy.LoadBalancer;
+
+/**
+ * Puts settings, of the configuration file or of a watched source, into the policy, and keeps the
+ * part that the proxy itself looks up: the request classes by name and how to probe. Times are
+ * tenths of a millisecond. Runs on the event loop's thread only, but for the creation of the policy
+ * before the loop runs.
+ */
+final class SettingsApplier {
+  /** Time limit of a dial and of a probe where the settings name none, in microseconds. */
+  private static final long DEFAULT_DIAL_TIMEOUT_MICROS = 250_000;
+
+  private final EndpointDiscovery endpoints;
+  private final RequestCounters counters;
+  private LoadBalancer loadBalancer;
+  private Map<String, RequestClass> classes = Map.of();
+  private boolean expectsLoadReports;
+  private long probeTimeout;
+
+  /** Creates an applier; the policy is created next, by {@link #createLoadBalancer}. */
+  SettingsApplier(EndpointDiscovery endpoints, RequestCounters counters) {
+    this.endpoints = endpoints;
+    this.counters = counters;
+  }
+
+  /**
+   * Creates the policy under the configuration file's settings and starts it; called once.
+   *
+   * @param seed of the policy's random numbers
+   */
+  LoadBalancer createLoadBalancer(Settings settings, PolicyRuntime runtime, long seed) {
+    RequestClass[] requestClasses = settings.requestClasses();
+    nameClasses(settings, requestClasses);
+    loadBalancer =
+        settings.newLoadBalancer(
+            runtime, seed, requestClasses, true, WatchConnection.ASK_EVERY_AT_MOST);
+    return loadBalancer;
+  }
+
+  /**
+   * Applies new settings as a whole; open requests keep the class that they came under.
+   *
+   * @param settings the configuration file's
+   * @param dynamicSettings the watched source's, whose classes, tenants and limits take precedence;
+   *     null or empty: there are none
+   */
+  void apply(Settings settings, DynamicSettings dynamicSettings) {
+    if (dynamicSettings != null && dynamicSettings.isPresent()) {
+      applyDynamic(settings, dynamicSettings);
+    } else {
+      applyStatic(settings);
+    }
+  }
+
+  private void applyDynamic(Settings settings, DynamicSettings dynamicSettings) {
+    Settings merged = dynamicSettings.overlay(settings);
+    loadBalancer.configure(
+        merged.policySettings(endpoints.zones(), dynamicSettings.totalQuota()),
+        dynamicSettings.summary());
+    classes = dynamicSettings.requestClasses();
+    readProbing(merged);
+  }
+
+  private void applyStatic(Settings settings) {
+    RequestClass[] requestClasses = settings.requestClasses();
+    loadBalancer.configure(settings.policySettings(endpoints.zones()), requestClasses);
+    nameClasses(settings, requestClasses);
+  }
+
+  private void nameClasses(Settings settings, RequestClass[] requestClasses) {
+    classes = settings.classesByName(requestClasses);
+    settings.classNames().forEach(counters::declare); // in their order, which the metrics keep
+    readProbing(settings);
+  }
+
+  private void readProbing(Settings settings) {
+    expectsLoadReports = settings.expectsLoadReports();
+    probeTimeout = settings.time("limits.dialTimeout", DEFAULT_DIAL_TIMEOUT_MICROS);
+  }
+
+  /** The request classes by name, as they are now. */
+  Map<String, RequestClass> classes() {
+    return classes;
+  }
+
+  /** Whether backends report their load. */
+  boolean expectsLoadReports() {
+    return expectsLoadReports;
+  }
+
+  /** How long a probe may take. */
+  long probeTimeout() {
+    return probeTimeout;
+  }
+}
