Load report tests take the field's names; attempts of a request are reached by methods

Cause: LoadReportsTest had private words; InFlightRequest gave away its list of attempts. Change: names and comments of LoadReportsTest, assertions kept; InFlightRequest has addAttempt, attempt, latestAttempt.

--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/InFlightRequest.java
@@ -102,9 +102,24 @@
     isSettled = true;
   }
 
-  /** Its attempts so far, in the order in which they were sent. */
-  List<BackendAttempt> attempts() {
-    return attempts;
+  /** Adds an attempt that is sent now; attempts are numbered from 0 in this order. */
+  void addAttempt(BackendAttempt attempt) {
+    attempts.add(attempt);
+  }
+
+  /** The attempt of this number. */
+  BackendAttempt attempt(int number) {
+    return attempts.get(number);
+  }
+
+  /** The attempt sent last; null: there is none. */
+  BackendAttempt latestAttempt() {
+    return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
+  }
+
+  /** How many attempts have been sent. */
+  int attemptCount() {
+    return attempts.size();
   }
 
   /** Whether a further attempt could not send the complete body any more. */
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -1,7 +1,6 @@
 package wheattrack.net;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.logging.Level;
 import wheattrack.aio.EventLoop;
@@ -206,10 +205,9 @@
     }
     request.pending().restartClock(loop.now(), latestDeadline());
     startDeadlineGuard(request);
-    List<BackendAttempt> attempts = request.attempts();
-    if (!attempts.isEmpty()) { // else backends are still being probed for their load
-      BackendAttempt latest = attempts.get(attempts.size() - 1);
-      latest.setTimeout(request.pending().deadline() - loop.now());
+    BackendAttempt attempt = request.latestAttempt();
+    if (attempt != null) { // else backends are still being probed for their load
+      attempt.setTimeout(request.pending().deadline() - loop.now());
     }
   }
 
@@ -334,6 +332,6 @@
 
   private String describeEnd(InFlightRequest request, String end) {
     long millis = (loop.now() - request.pending().arrivedAt()) / 10;
-    return end + " after " + millis + " ms, " + request.attempts().size() + " dispatches";
+    return end + " after " + millis + " ms, " + request.attemptCount() + " dispatches";
   }
 }
--- a/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
+++ b/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
@@ -68,7 +68,7 @@
             loop.now() + allowedTime,
             callback);
     attempt.setLatestStart(request.latestAttemptStart());
-    request.attempts().add(attempt);
+    request.addAttempt(attempt);
     if (request.isBodyConsumed()) {
       attempt.backend().out++;
       attempt.abandon(AttemptOutcome.DISCARDED);
@@ -81,7 +81,7 @@
 
   @Override
   public void cancelAttempt(PendingRequest pending, int attempt) {
-    inFlight(pending).attempts().get(attempt).abandon(AttemptOutcome.CANCELLED);
+    inFlight(pending).attempt(attempt).abandon(AttemptOutcome.CANCELLED);
   }
 
   @Override
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -12,26 +12,29 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Load reports on sockets, from stand-ins that say they are busy or idle, whatever they do. */
+/** Load reports over sockets, from backends that report a fixed load whatever they do. */
 class LoadReportsTest extends ProxyTestHarness {
-  private final AtomicInteger probes = new AtomicInteger();
+  private final AtomicInteger loadProbes = new AtomicInteger();
 
-  private String reporting(String name, int holds) throws Exception {
-    return entry(name, "SERVING", open(socket -> report(name, holds, socket)).getLocalPort());
+  private String startReportingBackend(String name, int reportedInFlight) throws Exception {
+    int port = open(socket -> answerWithReports(name, reportedInFlight, socket)).getLocalPort();
+    return entry(name, "SERVING", port);
   }
 
-  private void report(String name, int holds, Socket socket) throws Exception {
+  private void answerWithReports(String name, int reportedInFlight, Socket socket)
+      throws Exception {
     InputStream in = new BufferedInputStream(socket.getInputStream());
-    String load = "{\"rif\":" + holds + ",\"q\":" + Math.max(0, holds - 1) + "}";
+    String load =
+        "{\"rif\":" + reportedInFlight + ",\"q\":" + Math.max(0, reportedInFlight - 1) + "}";
     for (String head = head(in); head != null; head = head(in)) {
       in.readNBytes(length(head));
-      boolean probe = head.startsWith("GET /status/load ");
-      probes.addAndGet(probe ? 1 : 0);
-      String body = probe ? load : name;
+      boolean isLoadProbe = head.startsWith("GET /status/load ");
+      loadProbes.addAndGet(isLoadProbe ? 1 : 0);
+      String body = isLoadProbe ? load : name;
       send(
           socket,
           "HTTP/1.1 200 OK\r\nServer-Load: "
-              + (holds > 30 ? "{no JSON" : load)
+              + (reportedInFlight > 30 ? "{no JSON" : load)
               + "\r\nContent-Length: "
               + body.length()
               + "\r\n\r\n"
@@ -39,71 +42,72 @@
     }
   }
 
-  private String how(String how, int list) {
-    return config(list, 1024, "{}")
+  private String configuration(String reportMode, int discoveryPort) {
+    return config(discoveryPort, 1024, "{}")
         .replace(
             "\"limits\":{\"maxD",
             "\"report\":{\"how\":\""
-                + how
+                + reportMode
                 + "\",\"fields\":[\"rif\",\"q\"]},"
                 + "\"limits\":{\"probing\":true,\"maxD");
   }
 
-  private int serve(String how, String header, int... holds) throws Exception {
-    String[] entries = new String[holds.length];
-    for (int i = 0; i < holds.length; i++) {
-      entries[i] = reporting("s" + i, holds[i]);
+  /** Starts backends s0, s1, … that report these loads, and a proxy; says discovery's port. */
+  private int serve(String reportMode, String loadHeader, int... reportedInFlight)
+      throws Exception {
+    String[] entries = new String[reportedInFlight.length];
+    for (int i = 0; i < reportedInFlight.length; i++) {
+      entries[i] = startReportingBackend("s" + i, reportedInFlight[i]);
     }
     news.add(told(1, true, entries));
-    int list = open(this::list).getLocalPort();
-    serve(how(how, list), header);
-    return list;
+    int discoveryPort = open(this::list).getLocalPort();
+    serve(configuration(reportMode, discoveryPort), loadHeader);
+    return discoveryPort;
   }
 
-  /**
-   * Reports switched on by SIGHUP: servers are asked for their load from then on, not for their
-   * health.
-   */
+  /** Reports are switched on by a reload: from then on probes ask for load, not for health. */
   @Test
-  void switchedOn(@TempDir Path dir) throws Exception {
-    int list = serve("none", "", 20, 0);
-    at("s1", 5);
-    assertEquals(0, probes.get());
-    server.reread(Files.writeString(dir.resolve("proxy.json"), how("probe", list)));
-    at("s1", 5);
-    assertEquals(20, at("s1", 20));
-    assertTrue(probes.get() >= 20, probes + " probes");
+  void reloadSwitchesLoadProbesOn(@TempDir Path dir) throws Exception {
+    int discoveryPort = serve("none", "", 20, 0);
+    countAnswersFrom("s1", 5);
+    assertEquals(0, loadProbes.get());
+    server.reread(
+        Files.writeString(dir.resolve("proxy.json"), configuration("probe", discoveryPort)));
+    countAnswersFrom("s1", 5);
+    assertEquals(20, countAnswersFrom("s1", 20));
+    assertTrue(loadProbes.get() >= 20, loadProbes + " probes");
   }
 
-  private int at(String name, int reqs) throws Exception {
-    int there = 0;
-    for (int i = 0; i < reqs; i++) {
-      there += call(request("buy")).equals("200 " + name) ? 1 : 0;
+  /** Sends requests one after another and counts those that this backend has answered. */
+  private int countAnswersFrom(String backend, int requests) throws Exception {
+    int answers = 0;
+    for (int i = 0; i < requests; i++) {
+      answers += call(request("buy")).equals("200 " + backend) ? 1 : 0;
     }
-    return there;
+    return answers;
   }
 
-  /** Asked before each req, the busy one is passed over; a report with garbage tells nothing. */
+  /** Backends are probed before each request, and the busy one is passed over. */
   @Test
-  void probesTell() throws Exception {
+  void probedLoadSteersRequests() throws Exception {
     serve("probe", "", 20, 0);
-    assertEquals(20, at("s1", 20));
-    assertTrue(probes.get() >= 20, probes + " probes");
+    assertEquals(20, countAnswersFrom("s1", 20));
+    assertTrue(loadProbes.get() >= 20, loadProbes + " probes");
   }
 
-  /** The header is the operators' to name; nothing is asked. */
+  /** Reports in the header that the operators name steer requests without any probe. */
   @Test
-  void answersTell() throws Exception {
+  void headerReportsSteerRequests() throws Exception {
     serve("answers", "Server-Load", 20, 0, 0);
-    int there = at("s0", 30);
-    assertTrue(there <= 3, there + " of 30 went to the busy one");
-    assertEquals(0, probes.get());
+    int answers = countAnswersFrom("s0", 30);
+    assertTrue(answers <= 3, answers + " of 30 went to the busy one");
+    assertEquals(0, loadProbes.get());
   }
 
-  /** Garbage in the header is no report and harms no answer. */
+  /** A malformed header is ignored, and its answer is passed on. */
   @Test
-  void garbageTellsNothing() throws Exception {
+  void malformedHeaderIsIgnored() throws Exception {
     serve("answers", "Server-Load", 40);
-    assertEquals(10, at("s0", 10));
+    assertEquals(10, countAnswersFrom("s0", 10));
   }
 }
