--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -83,9 +83,8 @@
     loop.cancel(deadline);
     resting = false;
     carried = writing = d;
-    d.on = this;
-    d.begun = loop.now();
-    Request request = d.request();
+    d.startOn(this);
+    Request request = d.buildRequest();
     body = d.body();
     chunks = request.remainingBody() == Decoder.CHUNKED;
     in.expectNoBody(request.method().equals("HEAD"));
@@ -134,7 +133,7 @@
     if (last) {
       body = null;
     } else {
-      carried.waits(PAUSE);
+      carried.setTimeout(PAUSE);
     }
     write(chunks ? Encoder.chunk(bytes, last) : bytes);
   }
@@ -142,7 +141,7 @@
   @Override
   protected void onWritten(boolean whole) {
     if (whole && writing != null && body == null) {
-      writing.written();
+      writing.onRequestWritten();
       writing = null;
     }
     if (carried == null || passing != null) {
@@ -151,7 +150,7 @@
     if (broken || !whole) {
       finish(whole && body == null ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
     } else if (body != null) {
-      body.pull(this);
+      body.requestNext(this);
     }
   }
 
@@ -179,7 +178,7 @@
       if (answer == null) {
         if (in.isOpenEnded() && !holding) {
           holding = true;
-          deadline = loop.schedule(carried.holds(), this::early);
+          deadline = loop.schedule(carried.remainingBufferingTime(), this::early);
         }
         read(in.writableBuffer());
       } else if (answer.status() >= 200) {
@@ -213,7 +212,7 @@
     BackendAttempt d = carried;
     if (in.isStreamingBody() && answer.status() == 200) {
       carried = null;
-      passing = d.begin(answer);
+      passing = d.beginStreaming(answer);
       if (passing == null) {
         close();
       } else {
@@ -229,7 +228,7 @@
     } else {
       close();
     }
-    d.end(ProtocolMapping.outcome(answer), answer);
+    d.end(ProtocolMapping.attemptOutcome(answer), answer);
   }
 
   /** The client has taken what came before of a long answer. */
@@ -256,7 +255,7 @@
           close();
         }
       }
-      to.piece(piece, last);
+      to.forward(piece, last);
     } catch (MalformedMessageException e) {
       close();
     }
@@ -282,7 +281,7 @@
 
   private void stopBody() {
     if (body != null) {
-      body.stop(this);
+      body.detach(this);
       body = null;
     }
   }
@@ -297,10 +296,10 @@
     dialler.closed(this);
     backend.closed(this);
     if (body != null) {
-      body.stop(this);
+      body.detach(this);
     }
     if (passing != null) {
-      passing.broken();
+      passing.onBackendClosed();
     }
     if (dialling) {
       dialling = false;
