--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -68,7 +68,7 @@
                 new ControlOnlyProxy(loop, group, config, seed, source == null ? told : rev -> {});
             all.add(one);
             if (source != null) {
-              one.watch(source, "mean", seed, told);
+              one.watchSettings(source, "mean", seed, told);
             }
           }
         });
@@ -84,7 +84,10 @@
                     System.out.println(
                         listed()
                             + " "
-                            + all.stream().mapToInt(ControlOnlyProxy::known).max().orElse(0)));
+                            + all.stream()
+                                .mapToInt(ControlOnlyProxy::listedBackendCount)
+                                .max()
+                                .orElse(0)));
         case "heap" -> System.out.println(heap());
         case "forget" -> on(inForce::clear);
         case "force" -> on(this::tellForce);
@@ -121,7 +124,7 @@
         () -> {
           for (ControlOnlyProxy one : all) {
             try {
-              one.turnTo(new ProxyConfig(Json.object(java.nio.file.Files.readString(file))));
+              one.reconfigure(new ProxyConfig(Json.object(java.nio.file.Files.readString(file))));
             } catch (IOException e) {
               throw new java.io.UncheckedIOException(e);
             }
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -134,12 +134,12 @@
     }
     Signals.onHangup(
         () -> {
-          server.reread(file);
+          server.reload(file);
           if (own != null && own.settingsSource != null) {
             resubscribe(server, operator);
           }
         });
-    Thread end = new Thread(server::end, "end");
+    Thread end = new Thread(server::shutdown, "end");
     Runtime.getRuntime().addShutdownHook(end);
     server.run();
     Runtime.getRuntime().halt(0);
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -39,7 +39,7 @@
                 + (1000 + 997 * i)
                 + "\r\nContent-Length: 2\r\n\r\nhi");
       }
-      server.end();
+      server.shutdown();
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -57,7 +57,8 @@
   }
 
   /** Watches a source of settings besides; inForce: hears of each revision of those that holds. */
-  public void watch(InetSocketAddress source, String scope, long seed, LongConsumer inForce) {
+  public void watchSettings(
+      InetSocketAddress source, String scope, long seed, LongConsumer inForce) {
     new SettingsSubscription(
             loop,
             group,
@@ -74,13 +75,13 @@
   }
 
   /** New settings, as a whole. */
-  public void turnTo(ProxyConfig next) {
+  public void reconfigure(ProxyConfig next) {
     proxy.turnTo(next.settings, null);
     listing.moveTo(next.discovery);
   }
 
   /** Backends that it knows. */
-  public int known() {
-    return listing.listed();
+  public int listedBackendCount() {
+    return listing.listedCount();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -71,7 +71,7 @@
   }
 
   /** Who hears of the list; to be called before anything is told. */
-  void tell(LoadBalancer module) {
+  void setLoadBalancer(LoadBalancer module) {
     rules = module;
   }
 
@@ -85,11 +85,11 @@
     return zones;
   }
 
-  BackendConnectionPool at(int index) {
+  BackendConnectionPool pool(int index) {
     return fleet.get(index);
   }
 
-  int listed() {
+  int listedCount() {
     return fleet.listedCount();
   }
 
@@ -251,7 +251,7 @@
 
   private void gone(BackendConnectionPool backend) {
     if (fleet.markUnlisted(backend)) {
-      EventLog.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
+      EventLog.detail("srv", Long.toString(backendNumber(backend.id)), () -> backend.id + " gone");
       rules.removeBackend(backend.index);
       backend.leaves();
     }
@@ -278,10 +278,11 @@
     BackendConnectionPool backend = fleet.getOrAdd(id);
     boolean fresh = fleet.markListed(backend);
     if (fresh) {
-      met.add(number(id) + ": " + id + " at " + e.text("endpoint"));
+      met.add(backendNumber(id) + ": " + id + " at " + e.text("endpoint"));
     }
     boolean ready = state.equals("SERVING") && !left;
-    EventLog.detail("srv", Long.toString(number(id)), () -> id + " " + state + ", up since " + up);
+    EventLog.detail(
+        "srv", Long.toString(backendNumber(id)), () -> id + " " + state + ", up since " + up);
     if (backend.index >= LoadBalancer.MAX_BACKENDS) {
       beyond++;
       return;
@@ -289,7 +290,7 @@
     rules.updateBackend(
         new EndpointUpdate(
             backend.index,
-            number(id),
+            backendNumber(id),
             ready,
             zone,
             pack,
@@ -306,7 +307,7 @@
   /**
    * A number for the id, the same at every proxy: the module orders srvs by it and names them so.
    */
-  static long number(String id) {
+  static long backendNumber(String id) {
     String tail = id.substring(id.lastIndexOf('-') + 1);
     if (NUMBER.matcher(tail).matches()) {
       return Long.parseLong(tail, 16);
--- a/proxy/src/main/java/wheattrack/net/ProcessLock.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessLock.java
@@ -17,7 +17,7 @@
   /**
    * ALONE: nobody is beside. OLDER: a newer process has begun. NEWER: an older one is not gone yet.
    */
-  enum Place {
+  enum Role {
     ALONE,
     OLDER,
     NEWER
@@ -27,7 +27,7 @@
 
   private final FileChannel file;
   private FileLock first, second;
-  private Place place = Place.ALONE;
+  private Role role = Role.ALONE;
 
   /**
    * folder: shared by both; where no file can be had there, this process is alone. null: it is
@@ -36,7 +36,7 @@
    */
   ProcessLock(Path folder, String proxy) {
     file = folder == null ? null : open(folder, proxy);
-    look();
+    refresh();
   }
 
   private static FileChannel open(Path folder, String proxy) {
@@ -54,41 +54,41 @@
   }
 
   /** How things stand now; to be called now and then. */
-  Place look() {
+  Role refresh() {
     if (file == null) {
-      return place;
+      return role;
     }
-    Place was = place;
+    Role was = role;
     try {
       first = first == null ? lock(FIRST) : first;
       if (first == null) {
         second = second == null ? lock(SECOND) : second;
-        place = Place.NEWER;
+        role = Role.NEWER;
       } else {
         release(second);
         second = null;
         FileLock other = lock(SECOND);
         release(other);
-        place = other == null ? Place.OLDER : Place.ALONE;
+        role = other == null ? Role.OLDER : Role.ALONE;
       }
     } catch (IOException e) {
       EventLog.warning("seats can't be read", null, e.toString());
     }
-    if (place != was) {
+    if (role != was) {
       EventLog.info(
           "process",
-          place.name(),
-          switch (place) {
+          role.name(),
+          switch (role) {
             case ALONE -> "no other process of this proxy";
             case OLDER -> "a newer process has begun";
             case NEWER -> "an older process is not gone yet";
           });
     }
-    return place;
+    return role;
   }
 
-  Place place() {
-    return place;
+  Role role() {
+    return role;
   }
 
   private FileLock lock(int seat) throws IOException {
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -109,7 +109,7 @@
             () -> listing.isThere() ? "" : ", no list");
     proxy.from(front);
     proxy.beside(isBeside());
-    if (seats.place() != ProcessLock.Place.NEWER) {
+    if (seats.role() != ProcessLock.Role.NEWER) {
       front.listen(group, config.listen);
     }
     admin = config.admin == null ? null : admin(group);
@@ -151,7 +151,7 @@
   }
 
   private boolean isBeside() {
-    return seats.place() != ProcessLock.Place.ALONE;
+    return seats.role() != ProcessLock.Role.ALONE;
   }
 
   /**
@@ -166,7 +166,7 @@
 
   private void lookBeside() {
     boolean was = isBeside();
-    seats.look();
+    seats.refresh();
     if (was != isBeside()) {
       front.limit((int) (CLIENTS * free()));
       dialler.limit((int) (BACKENDS * free()));
@@ -177,7 +177,8 @@
 
   private AdminServer admin(AsynchronousChannelGroup group) {
     MetricsFormat figures =
-        new MetricsFormat(counts, proxy::open, listing::listed, proxy::avoided, listing::leftOut);
+        new MetricsFormat(
+            counts, proxy::open, listing::listedCount, proxy::avoided, listing::leftOut);
     try {
       return new AdminServer(loop, group, life, config.admin, figures::text);
     } catch (IOException e) {
@@ -217,7 +218,7 @@
   }
 
   private void warmUp() {
-    boolean newer = seats.place() == ProcessLock.Place.NEWER;
+    boolean newer = seats.role() == ProcessLock.Role.NEWER;
     int reqs = new JitWarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
     LOG.fine("warmed up with " + reqs + " reqs");
     lookBeside();
@@ -259,12 +260,12 @@
   }
 
   /** Whether no req is open and no client connected; a look from another thread, a moment old. */
-  public boolean isQuiet() {
+  public boolean isIdle() {
     return proxy.open() == 0 && front.taken() == 0;
   }
 
   /** From another thread: ends in order, and returns when that is done. */
-  public void end() {
+  public void shutdown() {
     loop.execute(this::drain);
     try {
       ended.await();
@@ -274,7 +275,7 @@
   }
 
   /** From another thread: the file is read again, between two steps. */
-  public void reread(Path file) {
+  public void reload(Path file) {
     loop.execute(
         () -> {
           try {
@@ -318,7 +319,7 @@
 
   private void drain() {
     if (life.advanceTo(Phase.DRAINING)) {
-      if (seats.look() == ProcessLock.Place.OLDER) {
+      if (seats.refresh() == ProcessLock.Role.OLDER) {
         front.shut(); // new connections are the newer process's
       } else if (front.isListening()) {
         front.open(); // before it was ready, too: who has connected is answered
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -61,9 +61,9 @@
     this.counts = counts;
     RequestClass[] all = settings.requestClasses();
     name(settings, all);
-    rules = settings.newLoadBalancer(this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
+    rules = settings.newLoadBalancer(this, seed, all, true, WatchConnection.MAX_POLL_INTERVAL);
     loads = new LoadReports(rules, loadHeader);
-    listing.tell(rules);
+    listing.setLoadBalancer(rules);
   }
 
   /**
@@ -366,7 +366,7 @@
   public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
     InFlightRequest guest = (InFlightRequest) req.attachment();
     long wait = tryFor == 0 ? req.deadline() - loop.now() : tryFor;
-    Leg leg = new Leg(guest, listing.at(backend), loop.now() + wait, next);
+    Leg leg = new Leg(guest, listing.pool(backend), loop.now() + wait, next);
     leg.latest = guest.body == null ? Math.min(req.deadline(), latest(guest)) : latest(guest);
     guest.dispatches.add(leg);
     if (guest.body != null && !guest.body.isRepeatable()) {
@@ -416,7 +416,7 @@
   @Override
   public void probeLoad(int backend, ProbeCallback next) {
     BackendAttempt probe =
-        new BackendAttempt(listing.at(backend), loop.now()) {
+        new BackendAttempt(listing.pool(backend), loop.now()) {
           @Override
           protected Request request() {
             return ProtocolMapping.probe(reports);
@@ -437,7 +437,7 @@
 
   @Override
   public void closeIdleConnections(int backend) {
-    listing.at(backend).hangUp();
+    listing.pool(backend).hangUp();
   }
 
   // ---- clock and log
--- a/proxy/src/main/java/wheattrack/net/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/WatchConnection.java
@@ -39,7 +39,7 @@
   /**
    * The module pauses for three eighths of this at most; a longer setting held calls back for 22 s.
    */
-  static final long ASK_EVERY_AT_MOST = WORST_PAUSE * 8 / 3;
+  static final long MAX_POLL_INTERVAL = WORST_PAUSE * 8 / 3;
 
   /**
    * Hears why it is over: by its silence or not, and whether it had said anything that was whole.
--- a/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
@@ -54,7 +54,7 @@
   private Standstill standStill(String text) throws Exception {
     Path file = Files.writeString(folder.resolve("config.json"), text);
     Standstill still = standstill("configuration read again");
-    server.reread(file);
+    server.reload(file);
     still.reached();
     return still;
   }
@@ -127,7 +127,7 @@
         Files.writeString(
             folder.resolve("config.json"),
             config.replace("\"idleClose\":30000000", "\"idleClose\":50000"));
-    server.reread(file);
+    server.reload(file);
     assertEquals("end", read(first));
     assertEquals("200 played", call(played(request("buy"))));
     assertNotEquals(first, held);
@@ -431,7 +431,7 @@
     for (int i = 0; i < 20; i++) {
       clients.add(ask(connect(), request("buy")));
     }
-    start(server::end);
+    start(server::shutdown);
     Thread.sleep(50); // either order holds: the end stands behind in the queue
     still.go();
     for (Socket client : clients) {
@@ -450,7 +450,7 @@
     running = start(server::run);
     try (Socket client = connect()) {
       send(client, request("buy"));
-      start(server::end);
+      start(server::shutdown);
       assertTrue(answer(client).startsWith("503"));
     }
   }
@@ -463,7 +463,7 @@
     try (Socket client = connect()) {
       assertEquals("200 played", call(client, request("buy")));
       Standstill still = standstill("CLOSING");
-      start(server::end);
+      start(server::shutdown);
       still.reached();
       send(client, request("buy"));
       Thread.sleep(100); // the channel has read it, the loop has not
@@ -487,7 +487,7 @@
       String text = request("pay");
       send(client, text.substring(0, 30));
       Thread.sleep(50);
-      start(server::end);
+      start(server::shutdown);
       until(
           "closing",
           () -> {
@@ -515,9 +515,9 @@
       Socket held = take(a);
       read(held);
       Standstill still = standstill("CLOSING");
-      Thread ends = start(server::end), again = start(server::end);
+      Thread ends = start(server::shutdown), again = start(server::shutdown);
       still.reached();
-      server.reread(Files.writeString(folder.resolve("config.json"), config));
+      server.reload(Files.writeString(folder.resolve("config.json"), config));
       still.go();
       until("read again", () -> figure("reloads_ok") == 1);
       answer(held, "200", "", "answered");
@@ -540,7 +540,7 @@
     news.add(
         told(2, false, entry("s1", "SERVING", b.getLocalPort()).replace("'az':'a'", "'az':'b'")));
     until("heard", () -> figure("backends_known") == 2);
-    server.reread(
+    server.reload(
         Files.writeString(
             folder.resolve("config.json"),
             config.replace("[\"a\",\"b\"]", "[\"b\",\"a\"]").replace("\"zone\":0", "\"zone\":1")));
--- a/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -22,116 +22,121 @@
  */
 class DiscoveryRecoveryTest extends ProxyTestHarness {
   /** Refuses to connect, answers 503, or 200 with nothing; says nothing; ends amid a line. */
-  enum Fails {
+  enum FailureMode {
     REFUSED,
-    TURNED_AWAY,
+    REJECTED,
     EMPTY,
     SILENT,
-    CUT
+    TRUNCATED
   }
 
-  private static final long TOLD = 6000, SECOND_WAY = 3000, RETURN = 6000, SPREAD = 2200;
+  private static final long NOTIFICATION_LIMIT_MS = 6000,
+      SECOND_FAILURE_MS = 3000,
+      FIRST_RECOVERY_MS = 6000,
+      RECOVERY_SPREAD_MS = 2200;
 
-  private final long from = System.nanoTime();
-  private final List<String> late = Collections.synchronizedList(new ArrayList<>());
+  private final long startNanos = System.nanoTime();
+  private final List<String> lateCases = Collections.synchronizedList(new ArrayList<>());
   private final List<Throwable> faults = Collections.synchronizedList(new ArrayList<>());
 
-  private long passed() {
-    return (System.nanoTime() - from) / 1_000_000;
+  private long elapsedMillis() {
+    return (System.nanoTime() - startNanos) / 1_000_000;
   }
 
-  private void sleepUntil(long time) throws InterruptedException {
-    Thread.sleep(Math.max(0, time - passed()));
+  private void sleepUntil(long millis) throws InterruptedException {
+    Thread.sleep(Math.max(0, millis - elapsedMillis()));
   }
 
   /**
    * One discovery at a host of its own, as a port that is let go may be somebody else's meanwhile.
    */
   private final class Discovery {
-    private final Fails first, second;
-    private final InetSocketAddress at;
-    private ServerSocket door;
-    private volatile Fails ways;
+    private final FailureMode first, second;
+    private final InetSocketAddress address;
+    private ServerSocket listener;
+    private volatile FailureMode failureMode;
 
-    Discovery(int number, Fails first, Fails second) throws IOException {
+    Discovery(int number, FailureMode first, FailureMode second) throws IOException {
       this.first = first;
       this.second = second;
       InetAddress host = InetAddress.getByName("127.0.43." + (1 + number));
       try (ServerSocket free = new ServerSocket(0, BACKLOG, host)) {
-        at = (InetSocketAddress) free.getLocalSocketAddress();
+        address = (InetSocketAddress) free.getLocalSocketAddress();
       }
     }
 
-    void run(long returns) throws Exception {
-      during(first);
-      sleepUntil(SECOND_WAY);
-      during(second);
-      sleepUntil(returns);
-      during(null);
+    void run(long recoveryMillis) throws Exception {
+      switchTo(first);
+      sleepUntil(SECOND_FAILURE_MS);
+      switchTo(second);
+      sleepUntil(recoveryMillis);
+      switchTo(null);
     }
 
     /** Who connects now meets this; null: it is back. Who is connected goes on hearing nothing. */
-    private void during(Fails how) throws IOException {
-      if (how == Fails.REFUSED) {
-        if (door != null) {
-          door.close();
+    private void switchTo(FailureMode mode) throws IOException {
+      if (mode == FailureMode.REFUSED) {
+        if (listener != null) {
+          listener.close();
         }
         return;
       }
-      ServerSocket mine = door == null || door.isClosed() ? new ServerSocket() : door;
-      ways = how;
-      if (mine != door) {
-        mine.setReuseAddress(true);
-        mine.bind(at, BACKLOG);
-        doors.add(mine);
-        door = mine;
+      ServerSocket openListener =
+          listener == null || listener.isClosed() ? new ServerSocket() : listener;
+      failureMode = mode;
+      if (openListener != listener) {
+        openListener.setReuseAddress(true);
+        openListener.bind(address, BACKLOG);
+        doors.add(openListener);
+        listener = openListener;
         start(
             () -> {
               while (true) {
-                Socket one = mine.accept();
-                start(() -> meet(one, ways));
+                Socket socket = openListener.accept();
+                start(() -> answer(socket, failureMode));
               }
             });
       }
     }
 
-    private void meet(Socket one, Fails how) throws IOException {
-      head(one.getInputStream());
-      if (how == Fails.SILENT) {
+    private void answer(Socket socket, FailureMode mode) throws IOException {
+      head(socket.getInputStream());
+      if (mode == FailureMode.SILENT) {
         return;
       }
       send(
-          one,
-          how == Fails.TURNED_AWAY
+          socket,
+          mode == FailureMode.REJECTED
               ? "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
               : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      if (how == Fails.CUT) {
-        send(one, "9\r\n{\"rev\":1,\r\n");
-      } else if (how == Fails.EMPTY) {
-        send(one, "0\r\n\r\n");
-      } else if (how == null) {
+      if (mode == FailureMode.TRUNCATED) {
+        send(socket, "9\r\n{\"rev\":1,\r\n");
+      } else if (mode == FailureMode.EMPTY) {
+        send(socket, "0\r\n\r\n");
+      } else if (mode == null) {
         String line = told(2, true, entry("s0", "SERVING", 1)) + "\n";
-        send(one, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+        send(socket, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
         return;
       }
-      one.close();
+      socket.close();
     }
   }
 
   /** From its start on; how long after the return its one backend is known. */
-  private void meets(int number, Fails first, Fails second, long askEvery, long returns)
+  private void checkRecovery(
+      int number, FailureMode first, FailureMode second, long askEvery, long recoveryMillis)
       throws Exception {
     Discovery discovery = new Discovery(number, first, second);
-    Thread there =
+    Thread discoveryThread =
         new Thread(
             () -> {
               try {
-                discovery.run(returns);
+                discovery.run(recoveryMillis);
               } catch (Exception e) {
                 faults.add(e);
               }
             });
-    there.start();
+    discoveryThread.start();
     Thread.sleep(20);
     ProxyServer proxy =
         new ProxyServer(
@@ -140,61 +145,69 @@
                     config(0, 256, "{}")
                         .replace(
                             "127.0.0.1:0\",\"seed",
-                            discovery.at.getHostString()
+                            discovery.address.getHostString()
                                 + ":"
-                                + discovery.at.getPort()
+                                + discovery.address.getPort()
                                 + "\",\"seed")
                         .replace("\"askEvery\":1000000", "\"askEvery\":" + askEvery * 1000)
                         .replace(
                             "\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))),
             "");
-    Thread loop = start(proxy::run);
-    sleepUntil(returns);
-    while (passed() < returns + TOLD && !isKnown(proxy.adminPort())) {
+    Thread proxyThread = start(proxy::run);
+    sleepUntil(recoveryMillis);
+    while (elapsedMillis() < recoveryMillis + NOTIFICATION_LIMIT_MS
+        && !isBackendKnown(proxy.adminPort())) {
       Thread.sleep(20);
     }
-    if (passed() >= returns + TOLD) {
-      late.add(
-          first + ", " + second + ", every " + askEvery + " ms, back after " + returns + " ms");
+    if (elapsedMillis() >= recoveryMillis + NOTIFICATION_LIMIT_MS) {
+      lateCases.add(
+          first
+              + ", "
+              + second
+              + ", every "
+              + askEvery
+              + " ms, back after "
+              + recoveryMillis
+              + " ms");
     }
-    proxy.end();
-    loop.join();
-    there.join();
+    proxy.shutdown();
+    proxyThread.join();
+    discoveryThread.join();
   }
 
-  private static boolean isKnown(int admin) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", admin)) {
+  private static boolean isBackendKnown(int adminPort) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", adminPort)) {
       return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n").contains("backends_known:1");
     }
   }
 
   @Test
-  void actedOnWithinSixSeconds() throws Exception {
-    List<Thread> all = new ArrayList<>();
-    for (Fails first : Fails.values()) {
-      for (Fails second : Fails.values()) {
+  void listIsAppliedWithinSixSeconds() throws Exception {
+    List<Thread> cases = new ArrayList<>();
+    for (FailureMode first : FailureMode.values()) {
+      for (FailureMode second : FailureMode.values()) {
         for (long askEvery : new long[] {10_000, 60_000}) {
-          int number = all.size();
-          long returns = RETURN + SPREAD * (number * 7 % 50) / 50;
-          Thread one =
+          int number = cases.size();
+          long recoveryMillis = FIRST_RECOVERY_MS + RECOVERY_SPREAD_MS * (number * 7 % 50) / 50;
+          Thread thread =
               new Thread(
                   () -> {
                     try {
-                      meets(number, first, second, askEvery, returns);
+                      checkRecovery(number, first, second, askEvery, recoveryMillis);
                     } catch (Exception e) {
                       faults.add(e);
                     }
                   });
-          one.start();
-          all.add(one);
+          thread.start();
+          cases.add(thread);
         }
       }
     }
-    for (Thread one : all) {
-      one.join();
+    for (Thread thread : cases) {
+      thread.join();
     }
     assertEquals(List.of(), faults);
-    assertEquals(50, all.size());
-    assertTrue(late.isEmpty(), late.size() + " of 50: " + late);
+    assertEquals(50, cases.size());
+    assertTrue(lateCases.isEmpty(), lateCases.size() + " of 50: " + lateCases);
   }
 }
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -103,7 +103,7 @@
       }
       over = true;
       comers.interrupt();
-      proxy.end();
+      proxy.shutdown();
       loop.join();
     }
 
--- a/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
+++ b/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
@@ -320,10 +320,10 @@
     }
     assertTrue(whole.size() > 10 && !whole.containsValue(false), whole.toString());
     whole.keySet().forEach(id -> assertTrue(!got.get(id).contains("and"), id + " " + got.get(id)));
-    for (int i = 0; i < 100 && !server.isQuiet(); i++) {
+    for (int i = 0; i < 100 && !server.isIdle(); i++) {
       Thread.sleep(50);
     }
-    assertTrue(server.isQuiet(), "reqs or clients are left over");
+    assertTrue(server.isIdle(), "reqs or clients are left over");
     assertEquals("200", call(head("buy", "plain,0", "last", 0)).strip());
   }
 }
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -69,7 +69,7 @@
     int list = serve("none", "", 20, 0);
     at("s1", 5);
     assertEquals(0, probes.get());
-    server.reread(Files.writeString(dir.resolve("proxy.json"), how("probe", list)));
+    server.reload(Files.writeString(dir.resolve("proxy.json"), how("probe", list)));
     at("s1", 5);
     assertEquals(20, at("s1", 20));
     assertTrue(probes.get() >= 20, probes + " probes");
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -20,25 +20,26 @@
 
 /** A process replaced by another one beside it, at the same address of clients. */
 class ProcessHandoverTest extends ProxyTestHarness {
-  private static final int CLIENTS = 6, REPLACEMENTS = 8, IN_A_ROW = 20;
+  private static final int CLIENT_COUNT = 6, SERVER_REPLACEMENTS = 8, PROCESS_REPLACEMENTS = 20;
 
   @TempDir Path folder;
 
-  private final AtomicInteger done = new AtomicInteger(), broken = new AtomicInteger();
-  private volatile boolean stop;
+  private final AtomicInteger answeredRequests = new AtomicInteger(),
+      failedRequests = new AtomicInteger();
+  private volatile boolean isStopped;
 
-  private ProxyServer begin(String text) throws Exception {
-    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(text)));
-    start(next::run);
-    for (int i = 0; status(next) != 200; i++) {
+  private ProxyServer startReady(String config) throws Exception {
+    ProxyServer proxy = new ProxyServer(new ProxyConfig(Json.object(config)));
+    start(proxy::run);
+    for (int i = 0; status(proxy) != 200; i++) {
       assertTrue(i < 600, "not ready within 6 s");
       Thread.sleep(10);
     }
-    return next;
+    return proxy;
   }
 
-  private static int status(ProxyServer of) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", of.adminPort())) {
+  private static int status(ProxyServer proxy) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", proxy.adminPort())) {
       return Integer.parseInt(call(socket, "GET /status HTTP/1.1\r\n\r\n").substring(0, 3));
     }
   }
@@ -46,23 +47,24 @@
   /**
    * A configuration with three backends and a list, at a clients' address that was free just now.
    */
-  private String textOfThree(int sockets) throws Exception {
+  private String configWithThreeBackends(int maxDescriptors) throws Exception {
     news.add(told(1, true, ready("s0"), ready("s1"), ready("s2")));
-    int list = open(this::list).getLocalPort();
+    int discoveryPort = open(this::list).getLocalPort();
     port = freePort();
-    String known = told(1, true, ready("s0"), ready("s1"), ready("s2"));
-    return config(list, sockets, known).replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
+    String cachedList = told(1, true, ready("s0"), ready("s1"), ready("s2"));
+    return config(discoveryPort, maxDescriptors, cachedList)
+        .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
   }
 
-  private void client() throws Exception {
+  private void runClient() throws Exception {
     Socket socket = null;
-    while (!stop) {
+    while (!isStopped) {
       try {
         socket = socket == null ? connect() : socket;
         String answer = call(socket, request("buy"));
-        done.incrementAndGet();
+        answeredRequests.incrementAndGet();
         if (!answer.startsWith("200")) {
-          broken.incrementAndGet();
+          failedRequests.incrementAndGet();
         }
         if (answer.endsWith(" close")) {
           socket.close();
@@ -70,7 +72,7 @@
         }
         Thread.sleep(1);
       } catch (IOException e) {
-        broken.incrementAndGet();
+        failedRequests.incrementAndGet();
         socket = null;
       }
     }
@@ -78,82 +80,90 @@
 
   /** Under load, one replacement after another: no connection refused, reset or left unread. */
   @Test
-  void replacements() throws Exception {
-    String text =
-        textOfThree(1024)
+  void replacementsUnderLoadKeepConnections() throws Exception {
+    String config =
+        configWithThreeBackends(1024)
             .replace("\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:0\"");
-    server = begin(text);
+    server = startReady(config);
     List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < CLIENTS; i++) {
-      clients.add(start(this::client));
+    for (int i = 0; i < CLIENT_COUNT; i++) {
+      clients.add(start(this::runClient));
     }
-    for (int i = 0; i < REPLACEMENTS; i++) {
-      ProxyServer next = begin(text);
-      int before = done.get();
-      server.end();
+    for (int i = 0; i < SERVER_REPLACEMENTS; i++) {
+      ProxyServer next = startReady(config);
+      int answeredBefore = answeredRequests.get();
+      server.shutdown();
       server = next;
       Thread.sleep(50);
-      assertTrue(done.get() > before, "nobody was served by the newer process alone");
+      assertTrue(
+          answeredRequests.get() > answeredBefore, "nobody was served by the newer process alone");
     }
-    stop = true;
+    isStopped = true;
     for (Thread client : clients) {
       client.join(2000);
     }
-    assertTrue(broken.get() <= REPLACEMENTS / 2, broken + " of " + done + " reqs");
+    assertTrue(
+        failedRequests.get() <= SERVER_REPLACEMENTS / 2,
+        failedRequests + " of " + answeredRequests + " reqs");
   }
 
   /** The same with processes of their own; memory and descriptors of both together. */
   @Test
-  void processes() throws Exception {
-    String text = textOfThree(256);
-    Process old = process(text);
+  void processReplacementsStayWithinBounds() throws Exception {
+    String config = configWithThreeBackends(256);
+    Process current = startProcess(config);
     List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < CLIENTS; i++) {
-      clients.add(start(this::client));
+    for (int i = 0; i < CLIENT_COUNT; i++) {
+      clients.add(start(this::runClient));
     }
-    long memory = 0, files = 0;
+    long maxMemoryKilobytes = 0, maxDescriptors = 0;
     try {
-      for (int i = 0; i < IN_A_ROW; i++) {
-        Process next = process(text);
-        int before = done.get();
-        memory = Math.max(memory, kilobytes(old) + kilobytes(next));
-        files = Math.max(files, descriptors(old) + descriptors(next));
-        old.destroy();
-        assertTrue(old.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
-        old = next;
+      for (int i = 0; i < PROCESS_REPLACEMENTS; i++) {
+        Process next = startProcess(config);
+        int answeredBefore = answeredRequests.get();
+        maxMemoryKilobytes =
+            Math.max(maxMemoryKilobytes, residentKilobytes(current) + residentKilobytes(next));
+        maxDescriptors = Math.max(maxDescriptors, openDescriptors(current) + openDescriptors(next));
+        current.destroy();
+        assertTrue(current.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
+        current = next;
         Thread.sleep(30);
-        assertTrue(done.get() > before, "nobody was served by the newer process alone");
+        assertTrue(
+            answeredRequests.get() > answeredBefore,
+            "nobody was served by the newer process alone");
       }
     } finally {
-      stop = true;
+      isStopped = true;
       for (Thread client : clients) {
         client.join(2000);
       }
-      old.destroyForcibly();
+      current.destroyForcibly();
     }
     System.out.println(
-        IN_A_ROW
+        PROCESS_REPLACEMENTS
             + " processes replaced: "
-            + broken
+            + failedRequests
             + " of "
-            + done
+            + answeredRequests
             + " reqs met a broken"
             + " connection, at most "
-            + memory / 1024
+            + maxMemoryKilobytes / 1024
             + " MB and "
-            + files
+            + maxDescriptors
             + " descriptors in both");
-    assertTrue(broken.get() <= IN_A_ROW / 2, broken + " of " + done);
-    assertTrue(files <= 256, files + " descriptors");
+    assertTrue(
+        failedRequests.get() <= PROCESS_REPLACEMENTS / 2,
+        failedRequests + " of " + answeredRequests);
+    assertTrue(maxDescriptors <= 256, maxDescriptors + " descriptors");
   }
 
-  private Process process(String text) throws Exception {
-    int calls = freePort();
-    Path file = folder.resolve("proxy" + calls + ".json");
+  private Process startProcess(String config) throws Exception {
+    int adminPort = freePort();
+    Path configFile = folder.resolve("proxy" + adminPort + ".json");
     Files.writeString(
-        file,
-        text.replace(
-            "\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:" + calls + "\""));
+        configFile,
+        config.replace(
+            "\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:" + adminPort + "\""));
     ProcessBuilder builder =
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -166,14 +176,14 @@
                 "wheattrack.Main",
                 "serve",
                 "--config",
-                file.toString())
+                configFile.toString())
             .redirectErrorStream(true)
             .redirectOutput(folder.resolve("log").toFile());
     builder.environment().put("TMPDIR", folder.toString());
     Process process = builder.start();
     for (int i = 0; i < 600; i++) {
       Thread.sleep(10);
-      try (Socket socket = new Socket("127.0.0.1", calls)) {
+      try (Socket socket = new Socket("127.0.0.1", adminPort)) {
         if (call(socket, "GET /status HTTP/1.1\r\n\r\n").startsWith("200")) {
           return process;
         }
@@ -184,15 +194,15 @@
     throw new AssertionError("not ready within 6 s: " + Files.readString(folder.resolve("log")));
   }
 
-  private static long kilobytes(Process of) throws IOException {
-    return Files.readAllLines(Path.of("/proc", of.pid() + "", "status")).stream()
+  private static long residentKilobytes(Process process) throws IOException {
+    return Files.readAllLines(Path.of("/proc", process.pid() + "", "status")).stream()
         .filter(line -> line.startsWith("VmRSS"))
         .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
         .sum();
   }
 
-  private static long descriptors(Process of) throws IOException {
-    try (var files = Files.list(Path.of("/proc", of.pid() + "", "fd"))) {
+  private static long openDescriptors(Process process) throws IOException {
+    try (var files = Files.list(Path.of("/proc", process.pid() + "", "fd"))) {
       return files.count();
     }
   }
@@ -205,22 +215,22 @@
 
   /** The newer process, told to end before it is ready, leaves the older one as it was. */
   @Test
-  void newerDiesFirst() throws Exception {
+  void newerProcessEndingFirstLeavesOlderServing() throws Exception {
     news.add(told(1, true, ready("s0")));
-    int list = open(this::list).getLocalPort();
+    int discoveryPort = open(this::list).getLocalPort();
     port = freePort();
-    String text =
-        config(list, 1024, "{}")
+    String config =
+        config(discoveryPort, 1024, "{}")
             .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"")
             .replace("\"drain_ms\":1000", "\"drain_ms\":0,\"admin\":\"127.0.0.1:0\"");
-    server = begin(text);
-    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(text)));
-    start(next::run);
-    next.end();
+    server = startReady(config);
+    ProxyServer newer = new ProxyServer(new ProxyConfig(Json.object(config)));
+    start(newer::run);
+    newer.shutdown();
     for (int i = 0; i < 20; i++) {
       assertEquals("200 s0", call(request("buy")));
     }
     assertEquals(200, status(server));
-    server = begin(text); // and a third one finds its seat
+    server = startReady(config); // and a third one finds its seat
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProcessLockTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessLockTest.java
@@ -12,26 +12,26 @@
 
   /** Who is beside whom through two replacements, and with leftovers of a dead holder. */
   @Test
-  void places() throws Exception {
+  void roleThroughTwoReplacementsAndLeftovers() throws Exception {
     Files.writeString(folder.resolve("wheattrack-a_8000.seats"), "left over");
-    ProcessLock a = new ProcessLock(folder, "a:8000");
-    StringBuilder trace = new StringBuilder("a " + a.look());
-    ProcessLock b = new ProcessLock(folder, "a:8000");
-    trace.append(", b comes: a " + a.look() + " b " + b.look());
-    a.close();
-    trace.append(", a ends: b " + b.look());
-    ProcessLock c = new ProcessLock(folder, "a:8000");
-    trace.append(", c comes: b " + b.look() + " c " + c.look());
-    c.close();
-    trace.append(", c ends: b " + b.look());
-    ProcessLock other = new ProcessLock(folder, "a:8001");
-    trace.append(", another proxy: " + other.look());
-    trace.append(", no folder: " + new ProcessLock(folder.resolve("none"), "a:8000").look());
+    ProcessLock first = new ProcessLock(folder, "a:8000");
+    StringBuilder trace = new StringBuilder("a " + first.refresh());
+    ProcessLock second = new ProcessLock(folder, "a:8000");
+    trace.append(", b comes: a " + first.refresh() + " b " + second.refresh());
+    first.close();
+    trace.append(", a ends: b " + second.refresh());
+    ProcessLock third = new ProcessLock(folder, "a:8000");
+    trace.append(", c comes: b " + second.refresh() + " c " + third.refresh());
+    third.close();
+    trace.append(", c ends: b " + second.refresh());
+    ProcessLock otherProxy = new ProcessLock(folder, "a:8001");
+    trace.append(", another proxy: " + otherProxy.refresh());
+    trace.append(", no folder: " + new ProcessLock(folder.resolve("none"), "a:8000").refresh());
     assertEquals(
         "a ALONE, b comes: a OLDER b NEWER, a ends: b ALONE, c comes: b OLDER c NEWER, "
             + "c ends: b ALONE, another proxy: ALONE, no folder: ALONE",
         trace.toString());
-    b.close();
-    other.close();
+    second.close();
+    otherProxy.close();
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -19,10 +19,10 @@
 class ProxyServerTest extends ProxyTestHarness {
   /** Each outcome under each effect: what the client is told and how often it may have run. */
   @Test
-  void outcomes() throws Exception {
+  void outcomesPerRequestClass() throws Exception {
     serveBy(8);
-    for (String set : new String[] {"buy", "mark", "pay"}) {
-      for (String acts :
+    for (String requestClass : new String[] {"buy", "mark", "pay"}) {
+      for (String backendActions :
           new String[] {
             "ok",
             "chunks",
@@ -38,10 +38,17 @@
             "full 500 ok",
             "500 500 500"
           }) {
-        script.addAll(List.of(acts.split(" ")));
-        int before = came.get();
-        String answer = call(request(set)).replaceAll("s\\d", "ok");
-        w.say(set + " [" + acts + "] " + answer + ", sent " + (came.get() - before));
+        script.addAll(List.of(backendActions.split(" ")));
+        int attemptsBefore = came.get();
+        String answer = call(request(requestClass)).replaceAll("s\\d", "ok");
+        w.say(
+            requestClass
+                + " ["
+                + backendActions
+                + "] "
+                + answer
+                + ", sent "
+                + (came.get() - attemptsBefore));
         script.clear();
       }
       Thread.sleep(1100); // then shut ones are tried again
@@ -54,7 +61,7 @@
 
   /** What goes on to a backend and back, and how long a silent one is waited for. */
   @Test
-  void passesOn() throws Exception {
+  void forwardsRequestAndTimesOut() throws Exception {
     serveBy(2);
     script.add("echo");
     w.say(
@@ -71,16 +78,16 @@
                 + "hi\r\n"
                 + "0\r\n\r\n"));
     script.add("none");
-    long from = System.nanoTime();
+    long startNanos = System.nanoTime();
     String answer =
         call(request("pay").replace("Work-Hint", "Request-Timeout: 1.000\r\nWork-Hint"));
-    long took = (System.nanoTime() - from) / 1_000_000;
-    boolean inTime = took > 700 && took <= 1000;
+    long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000;
+    boolean isInTime = elapsedMillis > 700 && elapsedMillis <= 1000;
     w.say(
         "silent: "
             + answer.replaceAll("50[24]", "502 or 504")
             + ", in time "
-            + inTime
+            + isInTime
             + ", sent "
             + came.get());
     w.matches("server-passes-on");
@@ -88,10 +95,10 @@
 
   /** Bad input of clients: a clear 4xx and the connection closed, and the next client is served. */
   @Test
-  void badClients() throws Exception {
+  void malformedRequestsAreRejected() throws Exception {
     serveBy(3);
     String post = "POST /buy HTTP/1.1\r\nRequest-Id: 7\r\n";
-    for (String in :
+    for (String input :
         new String[] {
           "GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n",
           "POST /buy HTTP/1.1\r\n\r\n",
@@ -108,9 +115,10 @@
           post + "Work-Hint: 99999999999999999999\r\n\r\n"
         }) {
       try (Socket socket = connect()) {
-        send(socket, in);
-        String short70 = in.substring(0, Math.min(70, in.length())).replaceAll("[^ -~]+", "|");
-        w.say(short70 + " -> " + answer(socket));
+        send(socket, input);
+        String inputStart =
+            input.substring(0, Math.min(70, input.length())).replaceAll("[^ -~]+", "|");
+        w.say(inputStart + " -> " + answer(socket));
       }
     }
     try (Socket socket = connect()) {
@@ -133,36 +141,36 @@
    * connecting.
    */
   @Test
-  void badClientsInTime() throws Exception {
+  void slowClientsAreRejectedInTime() throws Exception {
     serveBy(3);
-    String half = "GET /buy HTTP/1.1\r\nRequest-Id: 9\r\n";
-    long from = System.nanoTime();
+    String partialHead = "GET /buy HTTP/1.1\r\nRequest-Id: 9\r\n";
+    long startNanos = System.nanoTime();
     try (Socket silent = connect();
-        Socket drips = connect();
-        Socket halved = connect();
-        Socket once = connect()) {
-      w.say("asks once and stays: " + call(once, request("buy")).replaceAll("s\\d", "ok"));
-      send(halved, half);
+        Socket dripping = connect();
+        Socket partial = connect();
+        Socket single = connect()) {
+      w.say("asks once and stays: " + call(single, request("buy")).replaceAll("s\\d", "ok"));
+      send(partial, partialHead);
       for (int i = 0; i < 20; i++) {
-        send(drips, "X");
+        send(dripping, "X");
         Thread.sleep(100);
       }
       w.say(
           "silent "
               + answer(silent)
               + ", dripping "
-              + answer(drips)
+              + answer(dripping)
               + ", half-said "
-              + answer(halved)
+              + answer(partial)
               + ", at rest "
-              + answer(once)
+              + answer(single)
               + ", in time "
-              + (System.nanoTime() - from < 3_000_000_000L));
+              + (System.nanoTime() - startNanos < 3_000_000_000L));
     }
     try (Socket slow = connect()) {
       w.say("usual: " + call(slow, request("buy")).replaceAll("s\\d", "ok"));
       Thread.sleep(1000);
-      send(slow, half);
+      send(slow, partialHead);
       Thread.sleep(1500);
       w.say("rests and writes slowly: " + call(slow, "\r\n").replaceAll("s\\d", "ok"));
     }
@@ -171,22 +179,22 @@
 
   /** Bad clients: a second copy of a req that is open reached the backends. */
   @Test
-  void openId() throws Exception {
+  void openRequestIdIsNotForwardedTwice() throws Exception {
     serveBy(3);
     try (Socket first = connect()) {
       script.add("slow");
-      String same = request("buy");
-      send(first, same);
+      String request = request("buy");
+      send(first, request);
       untilOneCame();
-      w.say("id open: " + call(same) + ", sent " + came);
-      w.say("first: " + answer(first) + ", id free: " + call(same).replaceAll("s\\d", "ok"));
+      w.say("id open: " + call(request) + ", sent " + came);
+      w.say("first: " + answer(first) + ", id free: " + call(request).replaceAll("s\\d", "ok"));
     }
     w.matches("server-open-id");
   }
 
   /** Incident to be: nothing more runs for a client that has left. */
   @Test
-  void clientLeaves() throws Exception {
+  void clientDisconnectCancelsAttempt() throws Exception {
     serveBy(3);
     seen.clear();
     script.add("none");
@@ -194,8 +202,8 @@
     send(socket, request("pay"));
     untilOneCame();
     socket.close();
-    String ends = seen.poll(2000, TimeUnit.MILLISECONDS);
-    w.say("client left, backend's connection " + ends + ", sent " + came.get());
+    String closed = seen.poll(2000, TimeUnit.MILLISECONDS);
+    w.say("client left, backend's connection " + closed + ", sent " + came.get());
     w.matches("server-client-leaves");
   }
 
@@ -204,14 +212,14 @@
    * listens.
    */
   @Test
-  void endsInOrder() throws Exception {
+  void gracefulShutdown() throws Exception {
     serveBy(3);
     try (Socket slow = connect();
         Socket idle = connect()) {
       script.add("slow");
       send(idle, "GET /ready HTTP/1.1\r\n\r\n");
       w.say("before: " + answer(idle));
-      Thread ending = start(server::end);
+      Thread shutdownThread = start(server::shutdown);
       while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("503")) {
         Thread.sleep(5);
       }
@@ -222,7 +230,7 @@
       w.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
       w.say("one more: " + call(request("buy")).replaceAll("s[012]", "ok"));
       w.say("open: " + answer(slow) + ", idle: " + answer(idle));
-      ending.join(5000);
+      shutdownThread.join(5000);
       w.say("ended: " + !running.isAlive());
       try (Socket late = connect()) {
         w.say("late: accepted " + late.isConnected());
@@ -237,34 +245,35 @@
    * The list: an old one at the start, bad entries and lines, a srv that drains, moves and goes.
    */
   @Test
-  void followsTheList() throws Exception {
-    int[] at = new int[3];
+  void followsEndpointList() throws Exception {
+    int[] ports = new int[3];
     for (int i = 0; i < 3; i++) {
       String name = "s" + i;
-      at[i] = open(socket -> backend(name, socket)).getLocalPort();
+      ports[i] = open(socket -> backend(name, socket)).getLocalPort();
     }
-    int shut = open(socket -> {}).getLocalPort();
+    int closedPort = open(socket -> {}).getLocalPort();
     doors.get(doors.size() - 1).close();
     news.add(told(4, false));
-    serve(1024, told(3, true, entry("s0", "SERVING", at[0]), entry("s9", "SERVING", shut)));
-    w.say("known of old: " + who());
-    step(
+    serve(
+        1024, told(3, true, entry("s0", "SERVING", ports[0]), entry("s9", "SERVING", closedPort)));
+    w.say("known of old: " + servingBackends());
+    applyListLine(
         told(
             5,
             false,
-            entry("s1", "SERVING", at[1]),
+            entry("s1", "SERVING", ports[1]),
             "{'uid':'s7'}",
             entry("s8", "ASLEEP", 1),
             "{'uid':'s6','endpoint':'localhost:1','state':'SERVING'}",
             "{'uid':6}"));
-    step(told(6, false, entry("s0", "DRAINING", at[0])));
-    step("no json");
-    step(told(7, false, entry("s1", "SERVING", at[2])));
-    step("[]");
-    step(told(8, true, entry("s0", "SERVING", at[0])));
-    step(told(9, false, entry("s0", "DELETED", at[0])));
+    applyListLine(told(6, false, entry("s0", "DRAINING", ports[0])));
+    applyListLine("no json");
+    applyListLine(told(7, false, entry("s1", "SERVING", ports[2])));
+    applyListLine("[]");
+    applyListLine(told(8, true, entry("s0", "SERVING", ports[0])));
+    applyListLine(told(9, false, entry("s0", "DELETED", ports[0])));
     news.add("end");
-    step(told(10, true, entry("s1", "SERVING", at[1])));
+    applyListLine(told(10, true, entry("s1", "SERVING", ports[1])));
     Thread.sleep(3300); // no line comes: the watch counts as broken
     seen.removeIf("closed"::equals);
     w.say("asked " + seen);
@@ -275,35 +284,37 @@
    * Mass restart: reqs went to srvs that drain, as the list known of old was used until news came.
    */
   @Test
-  void startsByWhatDiscoverySays() throws Exception {
-    int[] at = new int[2];
+  void startsWithDiscoverysList() throws Exception {
+    int[] ports = new int[2];
     for (int i = 0; i < 2; i++) {
       String name = "s" + i;
-      at[i] = open(socket -> backend(name, socket)).getLocalPort();
+      ports[i] = open(socket -> backend(name, socket)).getLocalPort();
     }
-    String known = told(3, true, entry("s0", "SERVING", at[0]), entry("s1", "SERVING", at[1]));
-    String now = told(7, true, entry("s0", "DRAINING", at[0]), entry("s1", "SERVING", at[1]));
-    int list = open(this::list).getLocalPort();
-    server = new ProxyServer(new ProxyConfig(Json.object(config(list, 1024, known))));
+    String cachedList =
+        told(3, true, entry("s0", "SERVING", ports[0]), entry("s1", "SERVING", ports[1]));
+    String currentList =
+        told(7, true, entry("s0", "DRAINING", ports[0]), entry("s1", "SERVING", ports[1]));
+    int discoveryPort = open(this::list).getLocalPort();
+    server = new ProxyServer(new ProxyConfig(Json.object(config(discoveryPort, 1024, cachedList))));
     port = server.port();
     running = start(server::run);
     try (Socket early = connect()) { // while it starts: waits, and is served by the news
       send(early, request("buy"));
       Thread.sleep(100);
-      news.add(now);
-      w.say("came early: " + answer(early) + ", then " + who() + ", asked " + seen);
+      news.add(currentList);
+      w.say("came early: " + answer(early) + ", then " + servingBackends() + ", asked " + seen);
     }
-    server.end();
+    server.shutdown();
     news.clear();
-    server = new ProxyServer(new ProxyConfig(Json.object(config(list, 1024, known))));
+    server = new ProxyServer(new ProxyConfig(Json.object(config(discoveryPort, 1024, cachedList))));
     port = server.port();
     running = start(server::run);
     w.say("discovery says nothing: " + call(request("buy")));
     Thread.sleep(3300);
-    w.say("for 3 s: " + who());
-    news.add(now);
+    w.say("for 3 s: " + servingBackends());
+    news.add(currentList);
     Thread.sleep(300);
-    w.say("and then: " + who());
+    w.say("and then: " + servingBackends());
     w.matches("server-starts");
   }
 
@@ -313,38 +324,38 @@
    * off amid a line, or refused, the last good list is kept.
    */
   @Test
-  void listInTrouble() throws Exception {
-    String[] s = {ready("s0"), ready("s1")};
-    String drains = s[0].replace("SERVING", "DRAINING");
+  void faultyEndpointLists() throws Exception {
+    String[] entries = {ready("s0"), ready("s1")};
+    String drainingEntry = entries[0].replace("SERVING", "DRAINING");
     Logger log = Logger.getLogger("wheattrack");
-    Handler ear = ear();
-    log.addHandler(ear);
+    Handler logHandler = ear();
+    log.addHandler(logHandler);
     log.setLevel(Level.WARNING);
     try {
-      news.add(told(5, true, s));
+      news.add(told(5, true, entries));
       serve(1024, "{}");
-      step(told(6, false, drains));
-      step(told(4, false, s[0]));
+      applyListLine(told(6, false, drainingEntry));
+      applyListLine(told(4, false, entries[0]));
       news.add("end");
-      step(told(3, true, s));
-      step(told(7, false, s[0]));
-      step(told(8, true, s[0], s[1], drains));
-      String[] many = new String[60];
+      applyListLine(told(3, true, entries));
+      applyListLine(told(7, false, entries[0]));
+      applyListLine(told(8, true, entries[0], entries[1], drainingEntry));
+      String[] manyEntries = new String[60];
       for (int i = 0; i < 60; i++) {
-        many[i] = i % 3 == 0 ? s[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
+        manyEntries[i] = i % 3 == 0 ? entries[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
       }
-      news.add(told(9, true, many));
+      news.add(told(9, true, manyEntries));
       Thread.sleep(300);
-      w.say("60 entries, 40 broken: " + who());
-      news.add("half " + told(10, true, s[0]));
+      w.say("60 entries, 40 broken: " + servingBackends());
+      news.add("half " + told(10, true, entries[0]));
       Thread.sleep(600);
-      w.say("cut off: " + who());
+      w.say("cut off: " + servingBackends());
       doors.get(doors.size() - 1).close(); // the list's
       news.add("end");
       Thread.sleep(1000);
-      w.say("refuses: " + who());
+      w.say("refuses: " + servingBackends());
     } finally {
-      log.removeHandler(ear);
+      log.removeHandler(logHandler);
       log.setLevel(Level.SEVERE);
     }
     w.matches("server-list-trouble");
@@ -355,58 +366,59 @@
    * too.
    */
   @Test
-  void rereads() throws Exception {
+  void reloadsOnHangup() throws Exception {
     serveBy(2);
     Path file = Files.createTempFile("wheattrack", ".json");
-    Signals.onHangup(() -> server.reread(file));
+    Signals.onHangup(() -> server.reload(file));
     Logger log = Logger.getLogger("wheattrack");
-    Handler ear = ear();
-    log.addHandler(ear);
+    Handler logHandler = ear();
+    log.addHandler(logHandler);
     log.setLevel(Level.INFO);
     try (Socket slow = connect()) {
       script.add("slow");
       send(slow, request("pay"));
       untilOneCame();
-      int second =
+      int secondDiscoveryPort =
           open(socket -> {
                 seen.add("second list");
                 list(socket);
               })
               .getLocalPort();
-      String s2 = ready("s2");
-      for (String text :
+      String thirdBackend = ready("s2");
+      for (String config :
           new String[] {
-            config(second, 512, "{}"),
+            config(secondDiscoveryPort, 512, "{}"),
             "{'discovery'",
             "",
-            config(second, 1024, "{}").replace("127.0.0.1:" + second, "list:1"),
-            config(second, 1024, "{}").replace("read_like", "any")
+            config(secondDiscoveryPort, 1024, "{}")
+                .replace("127.0.0.1:" + secondDiscoveryPort, "list:1"),
+            config(secondDiscoveryPort, 1024, "{}").replace("read_like", "any")
           }) {
-        Files.writeString(file, text);
+        Files.writeString(file, config);
         new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start().waitFor();
         Thread.sleep(200);
       }
       w.say("open meanwhile: " + answer(slow));
-      news.add(told(1, true, s2));
+      news.add(told(1, true, thirdBackend));
       Thread.sleep(200);
       seen.removeIf("closed"::equals);
-      w.say("asked " + seen + ", now " + who());
+      w.say("asked " + seen + ", now " + servingBackends());
     } finally {
-      log.removeHandler(ear);
+      log.removeHandler(logHandler);
       log.setLevel(Level.SEVERE);
       Files.delete(file);
     }
     w.matches("server-rereads");
   }
 
-  private void step(String line) throws Exception {
+  private void applyListLine(String line) throws Exception {
     news.add(line);
     Thread.sleep(300);
-    w.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + who());
+    w.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + servingBackends());
   }
 
   /** Which backends serve ten calls. */
-  private String who() throws IOException {
+  private String servingBackends() throws IOException {
     var names = new java.util.TreeSet<String>();
     for (int i = 0; i < 10; i++) {
       names.add(call(request("buy")));
@@ -416,12 +428,12 @@
 
   /** Few descriptors: idle connections give way, and who comes beyond is denied at once. */
   @Test
-  void fewSockets() throws Exception {
+  void fewDescriptors() throws Exception {
     news.add(told(1, true, ready("s0")));
     serve(64, "{}");
     List<Socket> open = new ArrayList<>();
-    Socket usual = connect();
-    w.say("usual: " + call(usual, request("buy")));
+    Socket regularClient = connect();
+    w.say("usual: " + call(regularClient, request("buy")));
     for (int i = 0; i < 27; i++) {
       open.add(connect());
       Thread.sleep(i == 14 ? 300 : 0);
@@ -430,8 +442,8 @@
         "beside 27 that say nothing: "
             + call(request("buy"))
             + ", usual: "
-            + call(usual, request("buy")));
-    usual.close();
+            + call(regularClient, request("buy")));
+    regularClient.close();
     int[] answers = new int[2];
     for (int i = 0; i < 30; i++) {
       script.add("slow");
--- a/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
@@ -249,7 +249,7 @@
   void end() throws Exception {
     over = true;
     if (server != null) {
-      server.end();
+      server.shutdown();
     }
     for (ServerSocket door : doors) {
       door.close();
--- a/proxy/src/test/java/wheattrack/net/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -38,7 +38,7 @@
 
   private void reload(String text) throws Exception {
     Files.writeString(file, text);
-    server.reread(file);
+    server.reload(file);
   }
 
   private String figure(String name) throws Exception {
@@ -89,7 +89,7 @@
     }
     w.say("failed " + figure("reloads_failed") + ", ok " + figure("reloads_ok"));
     Files.delete(file);
-    server.reread(file);
+    server.reload(file);
     String failed =
         figure("reloads_failed"); // asked for behind it, so that it has looked for the file
     reload(good);
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -29,25 +29,25 @@
   @TempDir Path folder;
 
   /** What each call asked for, and the connection of the latest. */
-  private final List<String> asked = Collections.synchronizedList(new ArrayList<>());
+  private final List<String> requestTargets = Collections.synchronizedList(new ArrayList<>());
 
-  private volatile Socket latest;
+  private volatile Socket latestConnection;
   private ServerSocket source;
-  private Path file;
+  private Path configFile;
 
-  private void serveWatching(String scope) throws Exception {
+  private void serveWithSource(String scope) throws Exception {
     source =
         open(
             socket -> {
-              asked.add(head(socket.getInputStream()).split(" ")[1]);
+              requestTargets.add(head(socket.getInputStream()).split(" ")[1]);
               send(socket, HEAD);
-              latest = socket;
+              latestConnection = socket;
             });
     news.add(told(1, true, ready("s0")));
     String config =
         config(open(this::list).getLocalPort(), 1024, "{}")
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
-    file = Files.writeString(folder.resolve("config.json"), config);
+    configFile = Files.writeString(folder.resolve("config.json"), config);
     server =
         new ProxyServer(
             new ProxyConfig(Json.object(config)),
@@ -56,20 +56,25 @@
             scope);
     port = server.port();
     running = start(server::run);
-    until("the source is called", () -> latest != null);
+    until("the source is called", () -> latestConnection != null);
   }
 
-  private static String set(String name, int millis) {
+  private static String requestClass(String name, int millis) {
     return DynamicSettingsTest.set(name, millis, "read_like");
   }
 
-  private void tell(String news) throws IOException {
-    send(latest, news.replace('\'', '"') + "\n");
+  private void notifySubscriber(String event) throws IOException {
+    send(latestConnection, event.replace('\'', '"') + "\n");
   }
 
   /** The whole of revision 3 holds: sets a and b. */
-  private void whole() throws Exception {
-    tell("{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "," + set("b", 900) + "]}");
+  private void sendSnapshot() throws Exception {
+    notifySubscriber(
+        "{'rev':3,'all':true,'ruleSets':["
+            + requestClass("a", 900)
+            + ","
+            + requestClass("b", 900)
+            + "]}");
     until("the whole is in force", () -> figure("settings_told") > 0);
     until("ready", this::isReady);
   }
@@ -83,42 +88,43 @@
   }
 
   private void awaitCall(int number) throws InterruptedException {
-    until("call " + number + " of " + asked, () -> asked.size() >= number);
-    until("its connection", () -> latest != null);
+    until("call " + number + " of " + requestTargets, () -> requestTargets.size() >= number);
+    until("its connection", () -> latestConnection != null);
   }
 
-  private void ends() throws IOException {
-    Socket was = latest;
-    latest = null;
-    was.close();
+  private void closeConnection() throws IOException {
+    Socket previous = latestConnection;
+    latestConnection = null;
+    previous.close();
   }
 
-  private String status(String set) throws IOException {
-    return call(request(set)).substring(0, 3);
+  private String status(String requestClass) throws IOException {
+    return call(request(requestClass)).substring(0, 3);
   }
 
   @Test
-  void wholeThenChanges() throws Exception {
-    serveWatching("");
-    whole();
-    assertEquals(List.of("/v1/settings?watch=1"), asked);
+  void snapshotThenChanges() throws Exception {
+    serveWithSource("");
+    sendSnapshot();
+    assertEquals(List.of("/v1/settings?watch=1"), requestTargets);
     assertEquals("200 404 404", status("a") + " " + status("c") + " " + status("buy"));
-    tell("{'rev':4,'after':3,'ruleSets':[" + set("c", 500) + ",{'name':'a','gone':true}]}");
+    notifySubscriber(
+        "{'rev':4,'after':3,'ruleSets':[" + requestClass("c", 500) + ",{'name':'a','gone':true}]}");
     until("the change is in force", () -> figure("settings_told") == 2);
     assertEquals("404 200 200", status("a") + " " + status("b") + " " + status("c"));
   }
 
   /** Its source ends amid a line: what holds goes on, and what came since is asked for. */
   @Test
-  void endsAmidLine() throws Exception {
-    serveWatching("");
-    whole();
-    send(latest, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
-    ends();
+  void sourceEndsMidLine() throws Exception {
+    serveWithSource("");
+    sendSnapshot();
+    send(latestConnection, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
+    closeConnection();
     awaitCall(2);
-    assertEquals("/v1/settings?watch=1&after=3", asked.get(1));
+    assertEquals("/v1/settings?watch=1&after=3", requestTargets.get(1));
     assertEquals("200", status("a"));
-    tell("{'rev':4,'after':3,'ruleSets':[{'name':'a','gone':true}]}");
+    notifySubscriber("{'rev':4,'after':3,'ruleSets':[{'name':'a','gone':true}]}");
     until("the change is in force", () -> figure("settings_told") == 2);
     assertEquals("404", status("a"));
   }
@@ -128,43 +134,49 @@
    * holds.
    */
   @Test
-  void whatDoesNotFollow() throws Exception {
-    serveWatching("");
-    whole();
+  void gapAsksForSnapshot() throws Exception {
+    serveWithSource("");
+    sendSnapshot();
     int calls = 1;
-    for (String how :
+    for (String revisionFields :
         List.of("'rev':6,'after':5", "'rev':2,'after':3", "'rev':4,'after':3,'source':'x'")) {
-      Socket was = latest;
-      latest = null;
-      send(was, ("{" + how + ",'ruleSets':[" + set("c", 500) + "]}").replace('\'', '"') + "\n");
+      Socket previous = latestConnection;
+      latestConnection = null;
+      send(
+          previous,
+          ("{" + revisionFields + ",'ruleSets':[" + requestClass("c", 500) + "]}")
+                  .replace('\'', '"')
+              + "\n");
       awaitCall(++calls);
-      assertEquals("/v1/settings?watch=1", asked.get(calls - 1));
+      assertEquals("/v1/settings?watch=1", requestTargets.get(calls - 1));
       assertEquals("200 404", status("a") + " " + status("c"));
-      tell("{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "]}");
-      int told = calls;
-      until("the whole is in force", () -> figure("settings_told") == told);
+      notifySubscriber("{'rev':3,'all':true,'ruleSets':[" + requestClass("a", 900) + "]}");
+      int snapshots = calls;
+      until("the whole is in force", () -> figure("settings_told") == snapshots);
       assertEquals("200 404", status("a") + " " + status("b"));
     }
   }
 
   /** What is broken, endless or over a bound is one count, and what holds goes on. */
   @Test
-  void brokenNews() throws Exception {
-    serveWatching("");
-    whole();
-    tell("{'rev':4,'after':3,'ruleSets':[{'name':'c','effect':'twice'}]}");
+  void malformedEventsAreCounted() throws Exception {
+    serveWithSource("");
+    sendSnapshot();
+    notifySubscriber("{'rev':4,'after':3,'ruleSets':[{'name':'c','effect':'twice'}]}");
     until("it is turned down", () -> figure("reloads_failed") == 1);
-    tell("no object");
+    notifySubscriber("no object");
     until("it is turned down", () -> figure("reloads_failed") == 2);
     assertEquals("200 404", status("a") + " " + status("c"));
-    Socket was = latest;
-    latest = null;
+    Socket previous = latestConnection;
+    latestConnection = null;
     start(
         () ->
-            was.getOutputStream().write(("{\"rev\":4,\"x\":\"" + "x".repeat(5 << 20)).getBytes()));
+            previous
+                .getOutputStream()
+                .write(("{\"rev\":4,\"x\":\"" + "x".repeat(5 << 20)).getBytes()));
     awaitCall(2);
     assertEquals("200", status("b"));
-    tell("{'rev':5,'after':3,'ruleSets':[" + set("c", 500) + "]}");
+    notifySubscriber("{'rev':5,'after':3,'ruleSets':[" + requestClass("c", 500) + "]}");
     until("the change is in force", () -> figure("settings_told") == 2);
     assertEquals("200", status("c"));
   }
@@ -174,17 +186,18 @@
    * stay.
    */
   @Test
-  void hangupAmidChange() throws Exception {
-    serveWatching("");
-    whole();
+  void reloadDuringSettingsChange() throws Exception {
+    serveWithSource("");
+    sendSnapshot();
     Files.writeString(
-        file, Files.readString(file).replace("\"maxDispatches\":3", "\"maxDispatches\":1"));
-    Standstill still = standstill("configuration read again");
-    server.reread(file);
-    still.reached();
-    tell("{'rev':4,'after':3,'ruleSets':[" + set("c", 900) + "]}");
+        configFile,
+        Files.readString(configFile).replace("\"maxDispatches\":3", "\"maxDispatches\":1"));
+    Standstill standstill = standstill("configuration read again");
+    server.reload(configFile);
+    standstill.reached();
+    notifySubscriber("{'rev':4,'after':3,'ruleSets':[" + requestClass("c", 900) + "]}");
     Thread.sleep(50);
-    still.go();
+    standstill.go();
     until("both are in force", () -> figure("settings_told") == 2 && figure("reloads_ok") == 1);
     assertEquals("200 200 404", status("a") + " " + status("c") + " " + status("buy"));
     script.add("full");
@@ -196,32 +209,39 @@
    * under.
    */
   @Test
-  void scopeChanges() throws Exception {
-    serveWatching("x,y");
-    assertEquals("/v1/settings?watch=1&scope=x,y", asked.get(0));
-    whole();
+  void scopeShrinksAndGrows() throws Exception {
+    serveWithSource("x,y");
+    assertEquals("/v1/settings?watch=1&scope=x,y", requestTargets.get(0));
+    sendSnapshot();
     assertTrue(seen.contains("/v1/endpoints?watch=1&scope=x,y"), seen.toString());
     script.add("slow");
     try (Socket client = connect()) {
       send(client, request("b"));
       untilOneCame();
-      latest = null;
+      latestConnection = null;
       server.resubscribe((InetSocketAddress) source.getLocalSocketAddress(), "x");
       awaitCall(2);
-      assertEquals("/v1/settings?watch=1&scope=x", asked.get(1));
-      tell("{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "]}");
+      assertEquals("/v1/settings?watch=1&scope=x", requestTargets.get(1));
+      notifySubscriber("{'rev':3,'all':true,'ruleSets':[" + requestClass("a", 900) + "]}");
       until("the smaller scope is in force", () -> figure("settings_told") == 2);
       assertEquals("404", status("b"));
       assertEquals("200 slow", answer(client));
     }
-    latest = null;
+    latestConnection = null;
     server.resubscribe((InetSocketAddress) source.getLocalSocketAddress(), "x,y,z");
     awaitCall(3);
-    Socket was = latest;
-    latest = null;
-    send(was, ("{'rev':4,'after':3,'ruleSets':[" + set("c", 900) + "]}\n").replace('\'', '"'));
+    Socket previous = latestConnection;
+    latestConnection = null;
+    send(
+        previous,
+        ("{'rev':4,'after':3,'ruleSets':[" + requestClass("c", 900) + "]}\n").replace('\'', '"'));
     awaitCall(4);
-    tell("{'rev':4,'all':true,'ruleSets':[" + set("a", 900) + "," + set("z", 900) + "]}");
+    notifySubscriber(
+        "{'rev':4,'all':true,'ruleSets':["
+            + requestClass("a", 900)
+            + ","
+            + requestClass("z", 900)
+            + "]}");
     until("the greater scope is in force", () -> figure("settings_told") == 3);
     assertEquals("200 404 200", status("a") + " " + status("c") + " " + status("z"));
   }
@@ -232,9 +252,9 @@
    */
   @Test
   void startsWithoutSource() throws Exception {
-    ServerSocket away = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
-    InetSocketAddress at = (InetSocketAddress) away.getLocalSocketAddress();
-    away.close();
+    ServerSocket reservedSocket = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
+    InetSocketAddress sourceAddress = (InetSocketAddress) reservedSocket.getLocalSocketAddress();
+    reservedSocket.close();
     news.add(told(1, true, ready("s0")));
     server =
         new ProxyServer(
@@ -243,33 +263,33 @@
                     config(open(this::list).getLocalPort(), 1024, "{}")
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
             "",
-            at,
+            sourceAddress,
             "");
     port = server.port();
     running = start(server::run);
     until("ready", this::isReady);
     assertEquals("200 404", status("buy") + " " + status("a"));
     Thread.sleep(2500);
-    ServerSocket back = new ServerSocket();
-    back.setReuseAddress(true);
-    back.bind(at, BACKLOG);
-    doors.add(back);
-    long from = System.nanoTime();
+    ServerSocket returnedSource = new ServerSocket();
+    returnedSource.setReuseAddress(true);
+    returnedSource.bind(sourceAddress, BACKLOG);
+    doors.add(returnedSource);
+    long startNanos = System.nanoTime();
     start(
         () -> {
-          Socket one = back.accept();
-          head(one.getInputStream());
-          String told = "{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "]}\n";
-          send(one, HEAD + told.replace('\'', '"'));
+          Socket socket = returnedSource.accept();
+          head(socket.getInputStream());
+          String snapshot = "{'rev':3,'all':true,'ruleSets':[" + requestClass("a", 900) + "]}\n";
+          send(socket, HEAD + snapshot.replace('\'', '"'));
         });
     until("in force", () -> figure("settings_told") == 1);
-    assertTrue(System.nanoTime() - from < 8e9);
+    assertTrue(System.nanoTime() - startNanos < 8e9);
     assertEquals("404 200", status("buy") + " " + status("a"));
   }
 
   /** Without a source nothing is asked for, and no scope goes with the list. */
   @Test
-  void off() throws Exception {
+  void noSourceNoSubscription() throws Exception {
     serveBy(1);
     assertEquals("200", status("buy"));
     assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(seen));
@@ -281,7 +301,7 @@
    * over.
    */
   @Test
-  void listThatCantBeRead() throws Exception {
+  void unreadableListDelaysReadiness() throws Exception {
     ServerSocket discovery =
         open(
             socket -> {
@@ -291,15 +311,15 @@
     server =
         new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
     port = server.port();
-    long from = System.nanoTime();
+    long startNanos = System.nanoTime();
     running = start(server::run);
     Thread.sleep(4000);
     assertEquals("503 WARMING, no list", call("GET /ready HTTP/1.1\r\n\r\n").replace(" close", ""));
     while (!isReady()) {
       Thread.sleep(20);
     }
-    double took = (System.nanoTime() - from) / 1e9;
-    assertTrue(took > 5.5 && took < 9, "ready after " + took + " s");
+    double elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
+    assertTrue(elapsedSeconds > 5.5 && elapsedSeconds < 9, "ready after " + elapsedSeconds + " s");
     assertEquals("200 SERVING, no list", call("GET /ready HTTP/1.1\r\n\r\n").replace(" close", ""));
   }
 }
