--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
@@ -0,0 +1,138 @@
+package wheattrack.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.core.BackendIndex;
+import wheattrack.log.EventLog;
+import wheattrack.net.EndpointListParser.Deleted;
+import wheattrack.net.EndpointListParser.Entry;
+import wheattrack.net.EndpointListParser.Listed;
+import wheattrack.net.EndpointListParser.State;
+import wheattrack.policy.LoadBalancer;
+
+/**
+ * The connection pools of the listed backends, by id and by the policy's index. Entries of the
+ * endpoint list are applied to the pools and passed on to the policy. Runs on the event loop's
+ * thread only.
+ */
+final class BackendPoolTable {
+  private final BackendIndex<String, BackendConnectionPool> index;
+  private final List<String> newlyListed = new ArrayList<>();
+  private int overLimitCount;
+  private LoadBalancer loadBalancer;
+
+  /** An empty table whose pools connect by this connector. */
+  BackendPoolTable(Connector connector) {
+    index = new BackendIndex<>((id, at) -> new BackendConnectionPool(id, at, connector));
+  }
+
+  /** Sets the policy that hears of each entry; to be called before any is applied. */
+  void setLoadBalancer(LoadBalancer loadBalancer) {
+    this.loadBalancer = loadBalancer;
+  }
+
+  /** The pool of the backend at this index. */
+  BackendConnectionPool pool(int backendIndex) {
+    return index.get(backendIndex);
+  }
+
+  /** Number of listed backends. */
+  int listedCount() {
+    return index.listedCount();
+  }
+
+  /** Number of listed backends beyond those that the policy knows at once; they get no requests. */
+  int unusedCount() {
+    return index.listedCountFrom(LoadBalancer.MAX_BACKENDS);
+  }
+
+  /** Starts counting anew what {@link #logChanges} logs. */
+  void beginUpdate() {
+    newlyListed.clear();
+    overLimitCount = 0;
+  }
+
+  /** Removes all listed backends whose ids are not among these. */
+  void removeAllExcept(Set<?> ids) {
+    index.listedExcept(ids).forEach(this::remove);
+  }
+
+  /**
+   * Applies an entry.
+   *
+   * @param isStale whether the entry is of an older revision than the table: it adds and changes
+   *     backends, but brings none back that drains or is gone
+   */
+  void apply(Entry entry, boolean isStale) {
+    if (entry instanceof Listed listed) {
+      update(listed, isStale);
+    } else if (entry instanceof Deleted deleted) {
+      remove(index.find(deleted.id()));
+    }
+  }
+
+  private void remove(BackendConnectionPool pool) {
+    if (index.markUnlisted(pool)) {
+      long number = EndpointListParser.backendNumber(pool.id);
+      EventLog.detail("srv", Long.toString(number), () -> pool.id + " gone");
+      loadBalancer.removeBackend(pool.index);
+      pool.leaves();
+    }
+  }
+
+  private void update(Listed entry, boolean isStale) {
+    String id = entry.id();
+    long number = EndpointListParser.backendNumber(id);
+    BackendConnectionPool known = index.find(id);
+    boolean hasLeft = isStale && known != null && known.hasLeft(entry.startedAt());
+    BackendConnectionPool pool = index.getOrAdd(id);
+    boolean isNewlyListed = index.markListed(pool);
+    if (isNewlyListed) {
+      newlyListed.add(number + ": " + id + " at " + entry.endpoint());
+    }
+    EventLog.detail(
+        "srv",
+        Long.toString(number),
+        () -> id + " " + entry.state() + ", up since " + entry.startedAt());
+    if (pool.index >= LoadBalancer.MAX_BACKENDS) {
+      overLimitCount++;
+      return;
+    }
+    boolean isReady = entry.state() == State.SERVING && !hasLeft;
+    loadBalancer.updateBackend(
+        new EndpointUpdate(
+            pool.index,
+            number,
+            isReady,
+            entry.zone(),
+            entry.cell(),
+            entry.kind(),
+            entry.weight(),
+            entry.startedAt() <= 0 ? BackendIndex.LONG_AGO : entry.startedAt(),
+            isNewlyListed));
+    pool.serves(entry.address(), entry.startedAt());
+    if (!isReady) {
+      pool.leaves();
+    }
+  }
+
+  /**
+   * Logs what has changed since {@link #beginUpdate}, a line for each kind of change whatever the
+   * number of backends: a line for each backend took 2 ms at a start.
+   *
+   * @param entryCount number of entries in the event
+   */
+  void logChanges(int entryCount) {
+    if (!newlyListed.isEmpty()) {
+      EventLog.info("met srv", null, String.join(", ", newlyListed));
+    }
+    if (overLimitCount > 0) {
+      EventLog.warning(
+          "left out " + overLimitCount + " of " + entryCount + " entries of the list",
+          null,
+          LoadBalancer.MAX_BACKENDS + " backends are known at most");
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/BackendTimeouts.java
@@ -0,0 +1,20 @@
+package wheattrack.net;
+
+import wheattrack.config.Settings;
+
+/**
+ * Limits on the time of connections to backends, in tenths of a millisecond.
+ *
+ * @param connect how long connecting may take
+ * @param idleClose time after which a backend closes an idle connection; 0: never
+ */
+record BackendTimeouts(long connect, long idleClose) {
+  private static final long DEFAULT_CONNECT_MICROS = 250_000;
+
+  /** The limits that these settings name. */
+  static BackendTimeouts of(Settings settings) {
+    return new BackendTimeouts(
+        settings.time("limits.dialTimeout", DEFAULT_CONNECT_MICROS),
+        settings.time("limits.idleClose", 0));
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -11,86 +11,109 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * A start like a real one, for the build, whose JVM keeps the classes that a start needs: discovery
- * and the backends are played. Without a list and reqs, 60 srvs made a start half as long again.
+ * A training run for the class archive that the build makes: a start like a real one, whose JVM
+ * records the classes that a start needs. Discovery and the backends are simulated. Without a list
+ * and requests in it, a start with 60 backends took half as long again.
  */
 public final class ClassArchiveTraining {
-  private static final int SRVS = 8, REQS = 32;
+  private static final int BACKEND_COUNT = 8;
+  private static final int REQUEST_COUNT = 32;
+  private static final String REQUEST_BODY = "hi";
+  private static final String RESPONSE_BODY = "ok";
 
   private ClassArchiveTraining() {}
 
-  /** The file's settings at a free port of this machine; ends when the proxy has. */
+  /**
+   * Runs a proxy by the file's settings at a free port of this machine, and returns when it has
+   * shut down.
+   *
+   * @throws IOException if a socket can't be had or breaks
+   */
   public static void run(Path file) throws IOException {
-    try (ServerSocket door = new ServerSocket(0, REQS, InetAddress.getLoopbackAddress())) {
-      helper(() -> takeAll(door));
-      ProxyConfig config = ProxyConfig.readForTraining(file, door.getLocalPort());
-      ProxyServer server = new ProxyServer(config);
-      helper(server::run);
-      ask(server.port(), "GET /ready HTTP/1.0\r\n\r\n");
-      for (int i = 0; i < REQS; i++) {
-        String name = config.settings.classNames().get(i % config.settings.classNames().size());
-        ask(
-            server.port(),
-            "POST /"
-                + name
-                + " HTTP/1.1\r\nConnection: close\r\nRequest-Id: "
-                + i
-                + "\r\nWork-Hint: "
-                + (1000 + 997 * i)
-                + "\r\nContent-Length: 2\r\n\r\nhi");
+    try (ServerSocket listener =
+        new ServerSocket(0, REQUEST_COUNT, InetAddress.getLoopbackAddress())) {
+      startDaemon(() -> acceptAll(listener));
+      ProxyConfig config = ProxyConfig.readForTraining(file, listener.getLocalPort());
+      ProxyServer proxy = new ProxyServer(config);
+      startDaemon(proxy::run);
+      call(proxy.port(), "GET /ready HTTP/1.0\r\n\r\n");
+      for (int i = 0; i < REQUEST_COUNT; i++) {
+        String className =
+            config.settings.classNames().get(i % config.settings.classNames().size());
+        call(proxy.port(), request(className, i));
       }
-      server.shutdown();
+      proxy.shutdown();
     }
   }
 
-  private static void helper(Runnable work) {
-    Thread thread = new Thread(work, "rehearsal");
+  private static String request(String className, int number) {
+    return "POST /"
+        + className
+        + " HTTP/1.1\r\nConnection: close\r\nRequest-Id: "
+        + number
+        + "\r\nWork-Hint: "
+        + (1000 + 997 * number)
+        + "\r\nContent-Length: "
+        + REQUEST_BODY.length()
+        + "\r\n\r\n"
+        + REQUEST_BODY;
+  }
+
+  private static void startDaemon(Runnable work) {
+    Thread thread = new Thread(work, "class-archive-training");
     thread.setDaemon(true);
     thread.start();
   }
 
-  private static void ask(int port, String text) throws IOException {
-    try (Socket proxy = new Socket(InetAddress.getLoopbackAddress(), port)) {
-      proxy.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-      proxy.getInputStream().readAllBytes();
+  /** Sends a request, and reads until the proxy closes the connection. */
+  private static void call(int port, String request) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      socket.getInputStream().readAllBytes();
     }
   }
 
-  private static void takeAll(ServerSocket door) {
+  /** Serves discovery and the backends, until the listener is closed. */
+  private static void acceptAll(ServerSocket listener) {
     try {
       while (true) {
-        Socket one = door.accept();
-        helper(() -> answer(one, door.getLocalPort()));
+        Socket socket = listener.accept();
+        startDaemon(() -> answerAll(socket, listener.getLocalPort()));
       }
     } catch (IOException e) {
-      return; // the rehearsal is over
+      return; // the training is over
     }
   }
 
-  private static void answer(Socket one, int port) {
-    try (one) {
-      InputStream in = new BufferedInputStream(one.getInputStream());
-      for (String head = head(in); head != null; head = head(in)) {
-        String body = head.startsWith("GET /v1/endpoints") ? list(port) : "ok";
-        in.skipNBytes(head.startsWith("POST") ? 2 : 0);
-        one.getOutputStream()
-            .write(
-                ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + Integer.toHexString(body.length())
-                        + "\r\n"
-                        + body
-                        + "\r\n"
-                        + (body.equals("ok") ? "0\r\n\r\n" : ""))
-                    .getBytes(StandardCharsets.US_ASCII));
+  private static void answerAll(Socket socket, int backendPort) {
+    try (socket) {
+      InputStream input = new BufferedInputStream(socket.getInputStream());
+      for (String head = readHead(input); head != null; head = readHead(input)) {
+        input.skipNBytes(head.startsWith("POST") ? REQUEST_BODY.length() : 0);
+        String response =
+            head.startsWith("GET /v1/endpoints")
+                ? responseStart(endpointList(backendPort)) // a watch: its answer has no end
+                : responseStart(RESPONSE_BODY) + "0\r\n\r\n";
+        socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
       }
     } catch (IOException e) {
-      return; // the proxy has ended it
+      return; // the proxy has closed the connection
     }
   }
 
-  private static String head(InputStream in) throws IOException {
+  /** A response's head and its first chunk. */
+  private static String responseStart(String body) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + Integer.toHexString(body.length())
+        + "\r\n"
+        + body
+        + "\r\n";
+  }
+
+  /** The next request's head, or null at the end of the input. */
+  private static String readHead(InputStream input) throws IOException {
     StringBuilder head = new StringBuilder();
-    for (int c = in.read(); c >= 0; c = in.read()) {
+    for (int c = input.read(); c >= 0; c = input.read()) {
       head.append((char) c);
       if (c == '\n' && head.indexOf("\r\n\r\n") >= 0) {
         return head.toString();
@@ -99,15 +122,15 @@
     return null;
   }
 
-  private static String list(int port) {
+  private static String endpointList(int backendPort) {
     StringBuilder entries = new StringBuilder();
-    for (int i = 0; i < SRVS; i++) {
+    for (int i = 0; i < BACKEND_COUNT; i++) {
       entries
           .append(i == 0 ? "" : ",")
           .append("{'uid':'s-")
           .append(i)
           .append("','endpoint':'127.0.0.1:")
-          .append(port)
+          .append(backendPort)
           .append("','az':'a','model':'m','state':'SERVING','capacity_hint':1.5,")
           .append("'boot_ms':0}");
     }
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -6,60 +6,56 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.ProxyConfig;
-import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
 
 /**
- * What control costs a proxy, without its clients: the watch on the list, its decoding, the module
- * that is told of it with all its timers, new settings. Many share one loop, and all is done on its
- * thread. It ends with its loop.
+ * The control plane of a proxy without its clients: the watch on the endpoint list, its parsing,
+ * the policy with all its timers, and new settings. It serves to measure what these cost. Many
+ * share one event loop; all methods run on its thread only. It ends with its loop.
  */
 public final class ControlOnlyProxy {
   private final EventLoop loop;
   private final AsynchronousChannelGroup group;
   private final ProxyConfig config;
-  private final EndpointDiscovery listing;
-  private final RequestHandler proxy;
+  private final EndpointDiscovery discovery;
+  private final RequestHandler requestHandler;
 
   /**
-   * seed: its own chance; inForce: hears of each revision of the list once the module acts on it.
+   * A proxy that begins to watch its list at once.
+   *
+   * @param seed of its own random draws
+   * @param revisionListener hears of each revision of the list once the policy acts on it
    */
   public ControlOnlyProxy(
       EventLoop loop,
       AsynchronousChannelGroup group,
       ProxyConfig config,
       long seed,
-      LongConsumer inForce) {
+      LongConsumer revisionListener) {
     this.loop = loop;
     this.group = group;
     this.config = config;
-    Settings settings = config.settings;
-    Connector dialler =
+    BackendTimeouts timeouts = BackendTimeouts.of(config.settings);
+    Connector connector =
         new Connector(
-            loop,
-            group,
-            0,
-            config.maxBodyBytes,
-            settings.time("limits.dialTimeout", 250_000),
-            settings.time("limits.idleClose", 0));
-    listing =
-        new EndpointDiscovery(
-            loop,
-            group,
-            dialler,
-            config.discovery,
-            settings.list("zones"),
-            settings.list("kinds"),
-            config.cachedEndpoints,
-            "");
-    listing.onForce(inForce);
-    proxy = new RequestHandler(loop, listing, new RequestCounters(), settings, seed, "");
+            loop, group, 0, config.maxBodyBytes, timeouts.connect(), timeouts.idleClose());
+    discovery = new EndpointDiscovery(loop, group, connector, config, "");
+    discovery.setRevisionListener(revisionListener);
+    requestHandler =
+        new RequestHandler(loop, discovery, new RequestCounters(), config.settings, seed, "");
   }
 
-  /** Watches a source of settings besides; inForce: hears of each revision of those that holds. */
+  /**
+   * Watches a source of settings, too.
+   *
+   * @param scope the scope asked for; empty: none
+   * @param seed of the random part of the pauses
+   * @param revisionListener hears of each revision of the settings once it is in force
+   */
   public void watchSettings(
-      InetSocketAddress source, String scope, long seed, LongConsumer inForce) {
-    new SettingsSubscription(
+      InetSocketAddress source, String scope, long seed, LongConsumer revisionListener) {
+    SettingsSubscription subscription =
+        new SettingsSubscription(
             loop,
             group,
             source,
@@ -67,21 +63,21 @@
             seed,
             new RequestCounters(),
             new DynamicSettings(),
-            feed -> {
-              proxy.turnTo(config.settings, feed);
-              inForce.accept(feed.revision());
-            })
-        .watch();
+            settings -> {
+              requestHandler.turnTo(config.settings, settings);
+              revisionListener.accept(settings.revision());
+            });
+    subscription.watch();
   }
 
-  /** New settings, as a whole. */
+  /** Puts a new configuration in force. */
   public void reconfigure(ProxyConfig next) {
-    proxy.turnTo(next.settings, null);
-    listing.moveTo(next.discovery);
+    requestHandler.turnTo(next.settings, null);
+    discovery.changeAddress(next.discovery);
   }
 
-  /** Backends that it knows. */
+  /** Number of listed backends. */
   public int listedBackendCount() {
-    return listing.listedCount();
+    return discovery.listedCount();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -3,317 +3,253 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongConsumer;
-import java.util.regex.Pattern;
-import java.util.zip.CRC32;
 import wheattrack.aio.EventLoop;
-import wheattrack.api.EndpointUpdate;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
-import wheattrack.core.BackendIndex;
 import wheattrack.log.EventLog;
 import wheattrack.policy.LoadBalancer;
 
 /**
- * The list of backends on the wire: the watch on it, and its entries turned into calls on the
- * module.
+ * The endpoint list: keeps a watch on discovery and applies its events. The policy decides how long
+ * to wait after a failed watch, and calls {@link #watchEndpoints} then. Runs on the event loop's
+ * thread only.
  */
 final class EndpointDiscovery {
   private static final String PATH = "/v1/endpoints";
-  private static final Pattern NUMBER = Pattern.compile("[0-9a-f]{1,15}");
 
   private final EventLoop loop;
   private final AsynchronousChannelGroup group;
-  private InetSocketAddress discovery;
-  private final List<?> zones;
-  private final List<?> kinds;
-  private final BackendIndex<String, BackendConnectionPool> fleet;
-  private LoadBalancer rules;
-  private WatchConnection watch;
-  private final List<String> met = new ArrayList<>();
-  private int beyond;
+  private final EndpointListParser parser;
+  private final BackendPoolTable pools;
+  private InetSocketAddress address;
   private String scope;
-  private long version = -1;
-  private boolean unread;
-  private LongConsumer inForce = rev -> {};
+  private LoadBalancer loadBalancer;
+  private LongConsumer revisionListener = revision -> {};
+  private WatchConnection watch;
+
+  /** Revision of the list in use; negative: none. */
+  private long revision = -1;
 
-  /** The list known of old, until it is used or one has come from discovery. */
-  private Settings known;
+  /** Whether discovery answers and what it says can't be read or is over a bound. */
+  private boolean isUnreadable;
+
+  /** The cached list, until it is used or discovery has sent one; null afterwards, or if empty. */
+  private Settings cachedList;
 
   /**
-   * known: the list known of old, or one without entries. advice: a server that the list drops
-   * without having drained may still be sent to.
+   * A discovery whose watch is not open yet.
+   *
+   * @param connector by which the backends' pools connect
+   * @param config names discovery's address, the zones and kinds, and the cached list
+   * @param scope goes with each request for the list; empty: none
    */
   EndpointDiscovery(
       EventLoop loop,
       AsynchronousChannelGroup group,
-      Connector dialler,
-      InetSocketAddress discovery,
-      List<?> zones,
-      List<?> kinds,
-      Settings known,
+      Connector connector,
+      ProxyConfig config,
       String scope) {
-    this.scope = scope;
     this.loop = loop;
     this.group = group;
-    this.discovery = discovery;
-    this.zones = zones;
-    this.kinds = kinds;
-    this.known = known.has("targets") ? known : null;
-    fleet = new BackendIndex<>((id, at) -> new BackendConnectionPool(id, at, dialler));
+    this.scope = scope;
+    address = config.discovery;
+    parser = new EndpointListParser(config.settings.list("zones"), config.settings.list("kinds"));
+    cachedList = config.cachedEndpoints.has("targets") ? config.cachedEndpoints : null;
+    pools = new BackendPoolTable(connector);
   }
 
-  /** Who hears of the list; to be called before anything is told. */
-  void setLoadBalancer(LoadBalancer module) {
-    rules = module;
+  /** Sets the policy that hears of the list; to be called before the watch is opened. */
+  void setLoadBalancer(LoadBalancer loadBalancer) {
+    this.loadBalancer = loadBalancer;
+    pools.setLoadBalancer(loadBalancer);
   }
 
-  /** Who hears of each revision once the module acts on it. */
-  void onForce(LongConsumer then) {
-    inForce = then;
+  /** Sets who hears of each revision once the policy acts on it. */
+  void setRevisionListener(LongConsumer revisionListener) {
+    this.revisionListener = revisionListener;
   }
 
-  /** The names of zones; entries go by their places. */
+  /** The names of zones, in the order of their indexes. */
   List<?> zones() {
-    return zones;
+    return parser.zones();
   }
 
-  BackendConnectionPool pool(int index) {
-    return fleet.get(index);
+  /** The pool of the backend at this index. */
+  BackendConnectionPool pool(int backendIndex) {
+    return pools.pool(backendIndex);
   }
 
+  /** Number of listed backends. */
   int listedCount() {
-    return fleet.listedCount();
+    return pools.listedCount();
   }
 
-  /** Whether a list is there to serve by. */
-  boolean isThere() {
-    return version >= 0;
+  /** Number of listed backends beyond those that the policy knows at once; they get no requests. */
+  int unusedCount() {
+    return pools.unusedCount();
   }
 
-  /** Discovery answers, and what it tells can't be read or is over a bound. */
-  boolean isUnread() {
-    return unread;
+  /** Whether there is a list to serve by. */
+  boolean hasList() {
+    return revision >= 0;
   }
 
-  /** Listed backends beyond those that the module knows at once: nothing is sent to them. */
-  int leftOut() {
-    return fleet.listedCountFrom(LoadBalancer.MAX_BACKENDS);
+  /** Whether discovery answers, and what it sends can't be read or is over a bound. */
+  boolean isUnreadable() {
+    return isUnreadable;
   }
 
-  /** Discovery says nothing: the list known of old has to do, if there is one. */
-  void fallBack() {
-    if (known != null) {
-      Settings old = known;
-      known = null;
-      list(old, true);
+  /** Uses the cached list, if there is one and discovery has sent none. */
+  void useCachedList() {
+    if (cachedList != null) {
+      Settings cached = cachedList;
+      cachedList = null;
+      apply(cached, true);
     }
   }
 
   /**
-   * Watches from the version on that is known, unless a watch is open. After one that has said
-   * something the first word has to come sooner, so that one more silent one is noticed in time.
+   * Opens a watch from the revision in use on, unless one is open. After a watch that has brought
+   * something the first line is due sooner, so that a second silent one is noticed in time.
    */
   void watchEndpoints() {
     if (watch != null && !watch.isClosed()) {
       return;
     }
-    long patience =
-        watch != null && watch.hasSpoken() ? WatchConnection.FIRST : WatchConnection.SILENCE;
+    long firstLineTimeout =
+        watch != null && watch.hasSpoken()
+            ? WatchConnection.FIRST_LINE_TIMEOUT
+            : WatchConnection.SILENCE_TIMEOUT;
     try {
       watch =
           WatchConnection.open(
               loop,
               group,
-              new WatchConnection.Target(discovery, PATH, version, scope),
-              patience,
-              this::told,
+              new WatchConnection.Target(address, PATH, revision, scope),
+              firstLineTimeout,
+              this::received,
               this::failed);
     } catch (IOException e) {
       failed(e.toString(), false, false);
     }
   }
 
-  /** Watches anew, from the whole list on. */
-  void fetch() {
-    if (watch != null) {
-      watch.close();
+  /** Sends this scope with requests from now on, and asks for the complete list of it. */
+  void changeScope(String newScope) {
+    if (!newScope.equals(scope)) {
+      scope = newScope;
+      watchFromSnapshot();
     }
-    version = -1;
-    watchEndpoints();
   }
 
-  /** Another scope goes with its requests from now on; the whole list of it is asked for. */
-  void turnTo(String otherScope) {
-    if (!otherScope.equals(scope)) {
-      scope = otherScope;
-      fetch();
+  /**
+   * Watches at this address from now on, beginning with the complete list, as the revisions there
+   * may be a series of their own.
+   */
+  void changeAddress(InetSocketAddress newAddress) {
+    if (!newAddress.equals(address)) {
+      address = newAddress;
+      watchFromSnapshot();
     }
   }
 
-  /**
-   * Watches at another address from now on; the whole list, as the versions there may be its own.
-   */
-  void moveTo(InetSocketAddress to) {
-    if (!to.equals(discovery)) {
-      discovery = to;
-      fetch();
+  private void watchFromSnapshot() {
+    if (watch != null) {
+      watch.close();
     }
+    revision = -1;
+    watchEndpoints();
   }
 
   /**
-   * Discovery was down, silent, longer than one watch lasts: what it had to tell at its return
-   * counted as told while the next watch was still held back for up to 1.5 s. One that was silent
-   * has taken its time.
+   * A silent watch is replaced at once, as it has taken its time. Discovery was down and silent for
+   * longer than one watch lasts, and what it had to say when it recovered counted as notified while
+   * the next watch was still held back for up to 1.5 s.
    */
-  private void failed(String why, boolean silent, boolean spoke) {
-    EventLog.info("watch on the list", null, why);
-    unread = watch != null && watch.isUnread();
-    if (silent) {
+  private void failed(String reason, boolean isSilent, boolean hasSpoken) {
+    EventLog.info("watch on the list", null, reason);
+    isUnreadable = watch != null && watch.isUnreadable();
+    if (isSilent) {
       watchEndpoints();
     } else {
-      rules.endpointListFailed(spoke);
+      loadBalancer.endpointListFailed(hasSpoken);
     }
   }
 
-  private void told(String line) {
+  private void received(String line) {
     try {
-      Settings news = new Settings(Json.object(line));
-      if (known != null
-          && (!news.flag("all") || news.wholeNumber("rev", -1) < known.wholeNumber("rev", -1))) {
-        fallBack(); // what it changes, or what it must bring nothing back to
+      Settings event = new Settings(Json.object(line));
+      if (cachedList != null && needsCachedList(event)) {
+        useCachedList();
       }
-      known = null;
-      list(news, false);
+      cachedList = null;
+      apply(event, false);
     } catch (IOException | InvalidConfigurationException e) {
-      String fault = String.valueOf(e.getMessage()).split("\n")[0];
-      watch.unreadable("skipped news that can't be read: " + fault); // and asked for again
+      // The list is asked for again.
+      watch.failUnreadable("skipped news that can't be read: " + WatchConnection.firstLine(e));
     }
   }
 
+  /** Whether an event changes the cached list, or is older and must bring nothing back in it. */
+  private boolean needsCachedList(Settings event) {
+    return !event.flag("all") || event.wholeNumber("rev", -1) < cachedList.wholeNumber("rev", -1);
+  }
+
   /**
-   * saved: it is the list known of old. Changes of an old revision are skipped: they could bring a
-   * drained srv back. A whole list of one is taken, as its source may have begun anew, but brings
-   * none back either.
+   * Applies an event. Changes of an older revision are skipped: they could bring a drained backend
+   * back. A complete list of one is taken, as its source may have started anew, but brings none
+   * back either.
+   *
+   * @param isCached whether it is the cached list
    */
-  void list(Settings news, boolean saved) {
-    List<Settings> entries = news.sections("targets");
-    long rev = news.wholeNumber("rev", version);
-    boolean old = rev < version;
-    boolean all = news.flag("all");
-    if (old) {
-      EventLog.warning("old news of the list", null, "revision " + rev + " after " + version);
-    }
-    if (old && !all) {
-      return;
+  private void apply(Settings eventFields, boolean isCached) {
+    EndpointListParser.Event event = EndpointListParser.event(eventFields, revision);
+    boolean isStale = event.revision() < revision;
+    if (isStale) {
+      EventLog.warning(
+          "old news of the list", null, "revision " + event.revision() + " after " + revision);
+      if (!event.isSnapshot()) {
+        return;
+      }
     }
-    if (all) {
-      Set<Object> named = new HashSet<>();
-      entries.forEach(entry -> named.add(entry.any("uid")));
-      fleet.listedExcept(named).forEach(this::gone);
+    if (event.isSnapshot()) {
+      Set<Object> ids = new HashSet<>();
+      event.entries().forEach(entry -> ids.add(EndpointListParser.rawId(entry)));
+      pools.removeAllExcept(ids);
     }
-    met.clear();
-    beyond = 0;
-    int skipped = 0;
-    String why = null;
+    applyEntries(event.entries(), isStale);
+    revision = event.revision();
+    isUnreadable = false;
+    loadBalancer.endpointListUpdated(isCached);
+    revisionListener.accept(revision);
+  }
+
+  private void applyEntries(List<Settings> entries, boolean isStale) {
+    pools.beginUpdate();
+    int skippedCount = 0;
+    String firstFault = null;
     for (Settings entry : entries) {
       try {
-        entry(entry, old);
+        pools.apply(parser.entry(entry), isStale);
       } catch (InvalidConfigurationException e) {
-        why = skipped++ == 0 ? e.getMessage() : why;
+        if (skippedCount == 0) {
+          firstFault = e.getMessage();
+        }
+        skippedCount++;
       }
     }
-    if (skipped > 0) { // one line, whatever the size of the fleet
-      EventLog.warning(
-          "skipped " + skipped + " of " + entries.size() + " entries of the list", null, why);
-    }
-    if (!met.isEmpty()) { // one line too: at a start a line each took 2 ms
-      EventLog.info("met srv", null, String.join(", ", met));
-    }
-    if (beyond > 0) {
+    if (skippedCount > 0) { // one line, whatever the number of entries
       EventLog.warning(
-          "left out " + beyond + " of " + entries.size() + " entries of the list",
+          "skipped " + skippedCount + " of " + entries.size() + " entries of the list",
           null,
-          LoadBalancer.MAX_BACKENDS + " backends are known at most");
-    }
-    version = rev;
-    unread = false;
-    rules.endpointListUpdated(saved);
-    inForce.accept(version);
-  }
-
-  private void gone(BackendConnectionPool backend) {
-    if (fleet.markUnlisted(backend)) {
-      EventLog.detail("srv", Long.toString(backendNumber(backend.id)), () -> backend.id + " gone");
-      rules.removeBackend(backend.index);
-      backend.leaves();
-    }
-  }
-
-  private void entry(Settings e, boolean old) {
-    String id = e.text("uid");
-    String state = e.text("state");
-    if (state.equals("DELETED")) {
-      gone(fleet.find(id));
-      return;
-    }
-    if (!state.equals("SERVING") && !state.equals("DRAINING")) {
-      throw new InvalidConfigurationException("state", "unknown: " + state);
-    }
-    InetSocketAddress address = ProxyConfig.address("endpoint", e.text("endpoint"));
-    long up = (long) (e.number("boot_ms", 0) * 10);
-    int zone = zones.indexOf(e.text("az", ""));
-    int kind = Math.max(0, kinds.indexOf(e.text("model", "")));
-    int pack = e.integer("pod_group", 0);
-    double weight = e.number("capacity_hint", 1);
-    BackendConnectionPool known = fleet.find(id);
-    boolean left = old && known != null && known.hasLeft(up);
-    BackendConnectionPool backend = fleet.getOrAdd(id);
-    boolean fresh = fleet.markListed(backend);
-    if (fresh) {
-      met.add(backendNumber(id) + ": " + id + " at " + e.text("endpoint"));
-    }
-    boolean ready = state.equals("SERVING") && !left;
-    EventLog.detail(
-        "srv", Long.toString(backendNumber(id)), () -> id + " " + state + ", up since " + up);
-    if (backend.index >= LoadBalancer.MAX_BACKENDS) {
-      beyond++;
-      return;
-    }
-    rules.updateBackend(
-        new EndpointUpdate(
-            backend.index,
-            backendNumber(id),
-            ready,
-            zone,
-            pack,
-            kind,
-            weight,
-            up <= 0 ? BackendIndex.LONG_AGO : up,
-            fresh));
-    backend.serves(address, up);
-    if (!ready) {
-      backend.leaves();
-    }
-  }
-
-  /**
-   * A number for the id, the same at every proxy: the module orders srvs by it and names them so.
-   */
-  static long backendNumber(String id) {
-    String tail = id.substring(id.lastIndexOf('-') + 1);
-    if (NUMBER.matcher(tail).matches()) {
-      return Long.parseLong(tail, 16);
+          firstFault);
     }
-    CRC32 crc = new CRC32();
-    crc.update(id.getBytes(StandardCharsets.UTF_8));
-    return crc.getValue();
+    pools.logChanges(entries.size());
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/ProcessHandover.java
@@ -0,0 +1,105 @@
+package wheattrack.net;
+
+import wheattrack.aio.EventLoop;
+import wheattrack.config.ProxyConfig;
+import wheattrack.core.Lifecycle;
+import wheattrack.core.Lifecycle.Phase;
+
+/**
+ * The handover of the listening address from an older process of this proxy to a newer one: watches
+ * for the other process, shares the descriptors with it, and shuts this process down gracefully.
+ * Runs on the event loop's thread only. Times are tenths of a millisecond.
+ */
+final class ProcessHandover {
+  /** How often the end of the last request is looked for while closing. */
+  private static final long CLOSE_CHECK_INTERVAL = 100;
+
+  /** How often the other process is looked for. */
+  private static final long OTHER_PROCESS_CHECK_INTERVAL = 1000;
+
+  private final EventLoop loop;
+  private final Lifecycle lifecycle;
+  private final ProcessLock processLock;
+  private final ConfigurationReloader reloader;
+  private final ClientListener clientListener;
+  private final Connector connector;
+  private final RequestHandler requestHandler;
+  private final Runnable controlCloser;
+
+  /**
+   * A handover that has not begun.
+   *
+   * @param controlCloser closes, at the end, what belongs neither to clients nor to backends
+   */
+  ProcessHandover(
+      EventLoop loop,
+      Lifecycle lifecycle,
+      ProcessLock processLock,
+      ConfigurationReloader reloader,
+      ClientListener clientListener,
+      Connector connector,
+      RequestHandler requestHandler,
+      Runnable controlCloser) {
+    this.loop = loop;
+    this.lifecycle = lifecycle;
+    this.processLock = processLock;
+    this.reloader = reloader;
+    this.clientListener = clientListener;
+    this.connector = connector;
+    this.requestHandler = requestHandler;
+    this.controlCloser = controlCloser;
+  }
+
+  /** Looks for another process of this proxy, now and from now on. */
+  void watchOtherProcess() {
+    boolean wasPresent = processLock.isOtherProcessPresent();
+    processLock.refresh();
+    boolean isPresent = processLock.isOtherProcessPresent();
+    if (wasPresent != isPresent) {
+      DescriptorBudget budget = DescriptorBudget.of(reloader.config(), isPresent);
+      clientListener.limit(budget.clients());
+      connector.limit(budget.backends());
+      requestHandler.beside(isPresent);
+    }
+    loop.schedule(OTHER_PROCESS_CHECK_INTERVAL, this::watchOtherProcess);
+  }
+
+  /**
+   * Begins the graceful shutdown, unless it has begun: serves what comes for the configured time,
+   * unless a newer process takes the new connections; then answers what it has accepted, closes all
+   * and stops the loop.
+   */
+  void drain() {
+    if (!lifecycle.advanceTo(Phase.DRAINING)) {
+      return;
+    }
+    if (processLock.refresh() == ProcessLock.Role.OLDER) {
+      clientListener.shut(); // new connections are the newer process's
+    } else if (clientListener.isListening()) {
+      clientListener.open(); // before it was ready, too: who has connected is answered
+    }
+    ProxyConfig config = reloader.config();
+    loop.schedule(config.drainTime, () -> loop.execute(this::close));
+  }
+
+  private void close() {
+    lifecycle.advanceTo(Phase.CLOSING);
+    clientListener.shut();
+    long deadline = loop.now() + reloader.longestClientTimeout();
+    requestHandler.endsAt(deadline);
+    loop.execute(() -> stopWhenAnswered(deadline));
+  }
+
+  private void stopWhenAnswered(long deadline) {
+    clientListener.closeIdle();
+    boolean isAnswered =
+        !clientListener.isListening() && clientListener.taken() == 0 && requestHandler.open() == 0;
+    if (isAnswered || loop.now() >= deadline) {
+      connector.closeAll();
+      controlCloser.run();
+      loop.shutdown();
+    } else {
+      loop.schedule(CLOSE_CHECK_INTERVAL, () -> loop.execute(() -> stopWhenAnswered(deadline)));
+    }
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/ProcessLock.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessLock.java
@@ -9,39 +9,47 @@
 import wheattrack.log.EventLog;
 
 /**
- * Who of one proxy's processes runs beside this one: two seats, locks on a file that both can
- * reach. A lock dies with its holder, however it ends, so that leftovers hinder nobody. On the
- * loop's thread only.
+ * Tells which processes of one proxy run beside each other. There are two places, each a lock on
+ * one byte of a file that both processes can reach: the older process holds the first, the newer
+ * one the second. The system releases a lock when its holder ends, however it ends, so a file that
+ * a dead process left is no hindrance. Runs on the event loop's thread only.
  */
 final class ProcessLock {
-  /**
-   * ALONE: nobody is beside. OLDER: a newer process has begun. NEWER: an older one is not gone yet.
-   */
+  /** This process's part beside other processes of the same proxy. */
   enum Role {
+    /** No other process of this proxy runs. */
     ALONE,
+    /** A newer process has started and is to replace this one. */
     OLDER,
+    /** An older process, which this one replaces, has not ended yet. */
     NEWER
   }
 
-  private static final int FIRST = 0, SECOND = 1;
+  private static final int FIRST_PLACE = 0;
+  private static final int SECOND_PLACE = 1;
 
   private final FileChannel file;
-  private FileLock first, second;
+  private FileLock firstLock;
+  private FileLock secondLock;
   private Role role = Role.ALONE;
 
   /**
-   * folder: shared by both; where no file can be had there, this process is alone. null: it is
-   * alone, too, as at a free port, which is nobody's to share: two builds at once, and the second
-   * rehearsal hung.
+   * Takes a place.
+   *
+   * @param folder folder that both processes can reach; where the file can't be opened there, this
+   *     process counts as alone. null: no lock is used and the process is alone, as at a port that
+   *     the system chooses, which no two processes share: two builds at once shared the lock, and
+   *     the second class archive training hung
+   * @param proxyAddress the proxy's listening address, which names the file
    */
-  ProcessLock(Path folder, String proxy) {
-    file = folder == null ? null : open(folder, proxy);
+  ProcessLock(Path folder, String proxyAddress) {
+    file = folder == null ? null : open(folder, proxyAddress);
     refresh();
   }
 
-  private static FileChannel open(Path folder, String proxy) {
+  private static FileChannel open(Path folder, String proxyAddress) {
     try {
-      String name = "wheattrack-" + proxy.replaceAll("[^A-Za-z0-9.]", "_") + ".seats";
+      String name = "wheattrack-" + proxyAddress.replaceAll("[^A-Za-z0-9.]", "_") + ".seats";
       return FileChannel.open(
           folder.resolve(name),
           StandardOpenOption.CREATE,
@@ -53,48 +61,63 @@
     }
   }
 
-  /** How things stand now; to be called now and then. */
+  /** Looks again who else runs, and returns the role that follows; to be called periodically. */
   Role refresh() {
     if (file == null) {
       return role;
     }
-    Role was = role;
+    Role previous = role;
     try {
-      first = first == null ? lock(FIRST) : first;
-      if (first == null) {
-        second = second == null ? lock(SECOND) : second;
-        role = Role.NEWER;
-      } else {
-        release(second);
-        second = null;
-        FileLock other = lock(SECOND);
-        release(other);
-        role = other == null ? Role.OLDER : Role.ALONE;
-      }
+      role = takePlace();
     } catch (IOException e) {
       EventLog.warning("seats can't be read", null, e.toString());
     }
-    if (role != was) {
-      EventLog.info(
-          "process",
-          role.name(),
-          switch (role) {
-            case ALONE -> "no other process of this proxy";
-            case OLDER -> "a newer process has begun";
-            case NEWER -> "an older process is not gone yet";
-          });
+    if (role != previous) {
+      EventLog.info("process", role.name(), description(role));
     }
     return role;
   }
 
+  private Role takePlace() throws IOException {
+    if (firstLock == null) {
+      firstLock = tryLock(FIRST_PLACE);
+    }
+    if (firstLock == null) {
+      if (secondLock == null) {
+        secondLock = tryLock(SECOND_PLACE);
+      }
+      return Role.NEWER;
+    }
+    release(secondLock);
+    secondLock = null;
+    FileLock trial = tryLock(SECOND_PLACE);
+    release(trial);
+    return trial == null ? Role.OLDER : Role.ALONE;
+  }
+
+  private static String description(Role role) {
+    return switch (role) {
+      case ALONE -> "no other process of this proxy";
+      case OLDER -> "a newer process has begun";
+      case NEWER -> "an older process is not gone yet";
+    };
+  }
+
+  /** The role as of the last refresh. */
   Role role() {
     return role;
   }
 
-  private FileLock lock(int seat) throws IOException {
+  /** Whether another process of this proxy ran at the last refresh. */
+  boolean isOtherProcessPresent() {
+    return role != Role.ALONE;
+  }
+
+  /** Returns null if another holder has the place. */
+  private FileLock tryLock(int place) throws IOException {
     try {
-      return file.tryLock(seat, 1, false);
-    } catch (OverlappingFileLockException e) { // another of this JVM's, as in tests
+      return file.tryLock(place, 1, false);
+    } catch (OverlappingFileLockException e) { // another holder within this JVM, as in tests
       return null;
     }
   }
@@ -105,12 +128,12 @@
     }
   }
 
-  /** Leaves; the locks go with the file. */
+  /** Gives up this process's places and closes the file. */
   void close() {
     try {
       if (file != null) {
-        release(first);
-        release(second);
+        release(firstLock);
+        release(secondLock);
         file.close();
       }
     } catch (IOException e) {
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -4,14 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.file.Path;
-import java.util.Arrays;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
 import wheattrack.admin.AdminServer;
 import wheattrack.admin.MetricsFormat;
 import wheattrack.aio.EventLoop;
-import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.ProxyConfig;
@@ -21,335 +18,323 @@
 import wheattrack.core.RequestCounters;
 import wheattrack.log.EventLog;
 
-/** One real proxy: puts the parts together and leads them from start to exit. */
+/**
+ * One proxy on real sockets: builds its parts and leads them through the phases from start to exit.
+ * Its public methods may be called from any thread; what they begin runs on the event loop's
+ * thread, which is the one that calls {@link #run}. Times are tenths of a millisecond unless said
+ * otherwise.
+ */
 public final class ProxyServer {
   private static final Logger LOG = Logger.getLogger("wheattrack");
-  // Of the descriptors: some for the program itself, parts of the rest, the last bit for surplus
-  // clients.
-  private static final int OWN = 32;
-  private static final double CLIENTS = 0.58, BACKENDS = 0.36;
-  private static final long LOOK = 100; // how often an end is looked for, tenths of a millisecond
-  private static final int WARM_REQS = 4000;
-  // Mass restart: with 400 ms, the clients of ten killed proxies waited so much longer or were
-  // turned away.
-  private static final long WARM_NANOS = 20_000_000;
-  private static final long WARM_BESIDE = 400_000_000; // while an older process still serves
-  private static final long LOOK_BESIDE = 1000; // how often a process beside this one is looked for
-  // For discovery's list before the one known of old is used: a watch silent so long is dead. Mass
-  // restart: the known one named drained srvs. Clients wait as long as a dial may take, then are
-  // denied.
-  private static final long LIST_WAIT = WatchConnection.SILENCE;
-  // Where discovery answers and its list can't be read: a proxy that knows of no backend takes
-  // clients from
-  // those that do. Ready all the same in the time that a restart may take.
-  private static final long UNREAD_WAIT = 2 * WatchConnection.SILENCE;
-
-  private ProxyConfig config;
+
+  /** How often readiness is looked at while warming up. */
+  private static final long READINESS_CHECK_INTERVAL = 100;
+
+  /** Requests that the warm-up simulates, at most. */
+  private static final int MAX_WARM_UP_REQUESTS = 4000;
+
+  /**
+   * Time limit of the warm-up, in nanoseconds. With 400 ms, clients of ten proxies killed in a mass
+   * restart waited so much longer or were rejected.
+   */
+  private static final long WARM_UP_TIMEOUT_NANOS = 20_000_000;
+
+  /** The same, in nanoseconds, while an older process still serves. */
+  private static final long HANDOVER_WARM_UP_TIMEOUT_NANOS = 400_000_000;
+
+  /**
+   * How long discovery's list is waited for before the cached one is used: a watch silent so long
+   * is dead. In a mass restart the cached list named drained backends. Clients wait as long as
+   * connecting to a backend may take, then are rejected.
+   */
+  private static final long LIST_TIMEOUT = WatchConnection.SILENCE_TIMEOUT;
+
+  /**
+   * The same where discovery answers and its list can't be read: a proxy that knows no backend
+   * would take clients from those that do. It becomes ready all the same in the time that a restart
+   * may take.
+   */
+  private static final long UNREADABLE_LIST_TIMEOUT = 2 * WatchConnection.SILENCE_TIMEOUT;
+
   private final EventLoop loop = new EventLoop();
-  private final Lifecycle life = new Lifecycle(phase -> EventLog.info("phase", phase.name(), null));
-  private final RequestCounters counts = new RequestCounters();
-  private final ClientListener front;
-  private final AdminServer admin;
-  private final EndpointDiscovery listing;
-  private final RequestHandler proxy;
-  private final Connector dialler;
-  private final DynamicSettings feed;
-  private final SettingsSubscription settingsWatch;
-  private long longest;
+  private final Lifecycle lifecycle =
+      new Lifecycle(phase -> EventLog.info("phase", phase.name(), null));
+  private final RequestCounters counters = new RequestCounters();
   private final AsynchronousChannelGroup group;
-  private final ProcessLock seats;
-  private String fault;
-  private final CountDownLatch ended = new CountDownLatch(1);
+  private final ProcessLock processLock;
+  private final EndpointDiscovery discovery;
+  private final RequestHandler requestHandler;
+  private final ClientListener clientListener;
+
+  /** Null: operators have no address. */
+  private final AdminServer admin;
+
+  private final ConfigurationReloader reloader;
+
+  /** Null: no source of settings is watched. */
+  private final SettingsSubscription settingsSubscription;
+
+  private final ProcessHandover handover;
+  private final CountDownLatch endedLatch = new CountDownLatch(1);
+
+  /** Why the listening address could not be had, or null. */
+  private String listenFault;
 
+  /**
+   * A proxy that reads no load from backends' answers and watches no source of settings.
+   *
+   * @throws IOException if its sockets can't be had
+   * @throws InvalidConfigurationException if the admin address can't be had
+   */
   public ProxyServer(ProxyConfig config) throws IOException {
     this(config, "");
   }
 
-  /** loadHeader: of backends' answers, where their load stands; empty where answers carry none. */
+  /**
+   * A proxy that watches no source of settings.
+   *
+   * @param loadHeader header of backends' answers that holds their load; empty: answers hold none
+   * @throws IOException if its sockets can't be had
+   * @throws InvalidConfigurationException if the admin address can't be had
+   */
   public ProxyServer(ProxyConfig config, String loadHeader) throws IOException {
     this(config, loadHeader, null, "");
   }
 
   /**
-   * source: where settings are watched, or null; scope: goes with requests for them and the list.
+   * A proxy. It listens at once, unless an older process still has the address, and accepts once it
+   * runs.
+   *
+   * @param loadHeader header of backends' answers that holds their load; empty: answers hold none
+   * @param settingsSource where settings are watched, or null
+   * @param scope goes with requests for settings and for the endpoint list; empty: none
+   * @throws IOException if its sockets can't be had
+   * @throws InvalidConfigurationException if the admin address can't be had
    */
-  public ProxyServer(ProxyConfig config, String loadHeader, InetSocketAddress source, String scope)
+  public ProxyServer(
+      ProxyConfig config, String loadHeader, InetSocketAddress settingsSource, String scope)
       throws IOException {
-    this.config = config;
     group = AsynchronousChannelGroup.withThreadPool(loop);
-    seats =
-        new ProcessLock(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
+    processLock =
+        new ProcessLock(
+            config.listen.getPort() == 0 ? null : sharedFolder(), config.listen.toString());
+    DescriptorBudget budget = DescriptorBudget.of(config, processLock.isOtherProcessPresent());
     Settings settings = config.settings;
-    dialler =
+    BackendTimeouts timeouts = BackendTimeouts.of(settings);
+    Connector connector =
         new Connector(
             loop,
             group,
-            (int) (BACKENDS * free()),
+            budget.backends(),
             config.maxBodyBytes,
-            settings.time("limits.dialTimeout", 250_000),
-            settings.time("limits.idleClose", 0));
-    listing =
-        new EndpointDiscovery(
-            loop,
-            group,
-            dialler,
-            config.discovery,
-            settings.list("zones"),
-            settings.list("kinds"),
-            config.cachedEndpoints,
-            scope);
-    proxy = new RequestHandler(loop, listing, counts, settings, config.seed, loadHeader);
-    front =
+            timeouts.connect(),
+            timeouts.idleClose());
+    discovery = new EndpointDiscovery(loop, group, connector, config, scope);
+    requestHandler =
+        new RequestHandler(loop, discovery, counters, settings, config.seed, loadHeader);
+    clientListener =
         new ClientListener(
             loop,
-            life,
-            (int) (CLIENTS * free()),
+            lifecycle,
+            budget.clients(),
             config.maxBodyBytes,
-            proxy,
-            () -> listing.isThere() ? "" : ", no list");
-    proxy.from(front);
-    proxy.beside(isBeside());
-    if (seats.role() != ProcessLock.Role.NEWER) {
-      front.listen(group, config.listen);
+            requestHandler,
+            () -> discovery.hasList() ? "" : ", no list");
+    requestHandler.from(clientListener);
+    requestHandler.beside(processLock.isOtherProcessPresent());
+    if (processLock.role() != ProcessLock.Role.NEWER) {
+      clientListener.listen(group, config.listen);
     }
-    admin = config.admin == null ? null : admin(group);
-    longest = longest(settings);
-    feed = source == null ? null : new DynamicSettings();
-    settingsWatch =
-        source == null
+    admin = config.admin == null ? null : openAdmin(config.admin);
+    DynamicSettings dynamicSettings = settingsSource == null ? null : new DynamicSettings();
+    reloader =
+        new ConfigurationReloader(
+            config, requestHandler, connector, discovery, counters, dynamicSettings);
+    settingsSubscription =
+        settingsSource == null
             ? null
             : new SettingsSubscription(
-                loop, group, source, scope, config.seed, counts, feed, told -> turnToTold());
-  }
-
-  /** Other settings of the watched source hold. */
-  private void turnToTold() {
-    proxy.turnTo(config.settings, feed);
-    longest = Math.max(longest, feed.longestClientTimeout());
-    if (!feed.limitNames().isEmpty()) {
-      dial(feed.overlay(config.settings));
-    }
-  }
-
-  private void dial(Settings settings) {
-    dialler.times(
-        settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
-  }
-
-  private static long longest(Settings settings) {
-    return Arrays.stream(settings.requestClasses())
-        .mapToLong(RequestClass::clientTimeout)
-        .max()
-        .orElse(0);
+                loop,
+                group,
+                settingsSource,
+                scope,
+                config.seed,
+                counters,
+                dynamicSettings,
+                changed -> reloader.applyDynamicSettings());
+    handover =
+        new ProcessHandover(
+            loop,
+            lifecycle,
+            processLock,
+            reloader,
+            clientListener,
+            connector,
+            requestHandler,
+            this::closeControl);
   }
 
   /** The folder that all processes of this proxy can reach. */
-  private static Path shared() {
+  private static Path sharedFolder() {
     String folder = System.getenv("TMPDIR");
     return Path.of(
         folder == null || folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder);
   }
 
-  private boolean isBeside() {
-    return seats.role() != ProcessLock.Role.ALONE;
-  }
-
-  /**
-   * Descriptors for clients and backends; two processes beside each other have half of all each.
-   */
-  private int free() {
-    int own =
-        Math.max(OWN, config.maxDescriptors / 16)
-            + (config.admin == null ? 0 : 1 + AdminServer.PLACES);
-    return Math.max(8, (isBeside() ? config.maxDescriptors / 2 : config.maxDescriptors) - own);
-  }
-
-  private void lookBeside() {
-    boolean was = isBeside();
-    seats.refresh();
-    if (was != isBeside()) {
-      front.limit((int) (CLIENTS * free()));
-      dialler.limit((int) (BACKENDS * free()));
-      proxy.beside(isBeside());
-    }
-    loop.schedule(LOOK_BESIDE, this::lookBeside);
-  }
-
-  private AdminServer admin(AsynchronousChannelGroup group) {
-    MetricsFormat figures =
+  private AdminServer openAdmin(InetSocketAddress address) {
+    MetricsFormat metrics =
         new MetricsFormat(
-            counts, proxy::open, listing::listedCount, proxy::avoided, listing::leftOut);
+            counters,
+            requestHandler::open,
+            discovery::listedCount,
+            requestHandler::avoided,
+            discovery::unusedCount);
     try {
-      return new AdminServer(loop, group, life, config.admin, figures::text);
+      return new AdminServer(loop, group, lifecycle, address, metrics::text);
     } catch (IOException e) {
       throw new InvalidConfigurationException(
-          "admin", config.admin + " can't be had: " + e.getMessage());
+          "admin", address + " can't be had: " + e.getMessage());
     }
   }
 
-  /** The port that operators call at. */
+  /**
+   * The port of the admin address; of use where the configuration leaves the choice to the system.
+   *
+   * @throws IOException if it is closed
+   */
   public int adminPort() throws IOException {
     return admin.port();
   }
 
-  /** The port it listens at; of use where the configuration leaves the choice to the system. */
+  /**
+   * The port it listens at; of use where the configuration leaves the choice to the system.
+   *
+   * @throws IOException if it is closed
+   */
   public int port() throws IOException {
-    return front.port();
+    return clientListener.port();
+  }
+
+  /** Whether no request is open and no client connected, as another thread saw it a moment ago. */
+  public boolean isIdle() {
+    return requestHandler.open() == 0 && clientListener.taken() == 0;
   }
 
-  /** Serves until it is told to end and has ended in order. */
+  /**
+   * Serves on the calling thread until the shutdown is complete.
+   *
+   * @throws InvalidConfigurationException if the listening address can't be had
+   */
   public void run() {
+    ProxyConfig config = reloader.config();
     LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
-    life.advanceTo(Phase.WARMING);
+    lifecycle.advanceTo(Phase.WARMING);
     loop.execute(this::warmUp);
-    if (settingsWatch != null) {
-      loop.execute(settingsWatch::watch);
+    if (settingsSubscription != null) {
+      loop.execute(settingsSubscription::watch);
     }
     try {
       loop.run();
-      seats.close();
-      life.advanceTo(Phase.ENDED);
+      processLock.close();
+      lifecycle.advanceTo(Phase.ENDED);
     } finally {
-      ended.countDown();
+      endedLatch.countDown();
     }
-    if (fault != null) {
-      throw new InvalidConfigurationException("listen", fault);
+    if (listenFault != null) {
+      throw new InvalidConfigurationException("listen", listenFault);
     }
   }
 
   private void warmUp() {
-    boolean newer = seats.role() == ProcessLock.Role.NEWER;
-    int reqs = new JitWarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
-    LOG.fine("warmed up with " + reqs + " reqs");
-    lookBeside();
-    readyFrom(loop.now());
+    boolean isNewer = processLock.role() == ProcessLock.Role.NEWER;
+    int requests =
+        new JitWarmUp(reloader.config().settings)
+            .run(
+                MAX_WARM_UP_REQUESTS,
+                isNewer ? HANDOVER_WARM_UP_TIMEOUT_NANOS : WARM_UP_TIMEOUT_NANOS);
+    LOG.fine("warmed up with " + requests + " reqs");
+    handover.watchOtherProcess();
+    serveWhenReady(loop.now());
   }
 
-  private void readyFrom(long from) {
-    if (life.isShuttingDown()) {
+  /** Looks whether there is what it takes to serve, or it has been waited for long enough. */
+  private void serveWhenReady(long waitingSince) {
+    if (lifecycle.isShuttingDown()) {
       return; // told to end before it was ready: nobody is let in
     }
-    long waited = loop.now() - from;
-    boolean there = listing.isThere() && (feed == null || feed.isPresent());
-    if (there || waited >= (listing.isThere() || !listing.isUnread() ? LIST_WAIT : UNREAD_WAIT)) {
-      listing.fallBack();
-      openLate();
-      life.advanceTo(Phase.SERVING);
+    long waited = loop.now() - waitingSince;
+    boolean isReady = discovery.hasList() && !reloader.isWaitingForSource();
+    if (isReady || waited >= readinessTimeout()) {
+      discovery.useCachedList();
+      openToClients();
+      lifecycle.advanceTo(Phase.SERVING);
     } else {
-      if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
-        front.open();
+      if (clientListener.isListening() && waited >= connectTimeout()) {
+        clientListener.open(); // who has connected is rejected rather than left to wait
       }
-      loop.schedule(LOOK, () -> readyFrom(from));
+      loop.schedule(READINESS_CHECK_INTERVAL, () -> serveWhenReady(waitingSince));
     }
   }
 
+  private long readinessTimeout() {
+    return discovery.hasList() || !discovery.isUnreadable()
+        ? LIST_TIMEOUT
+        : UNREADABLE_LIST_TIMEOUT;
+  }
+
+  private long connectTimeout() {
+    return BackendTimeouts.of(reloader.config().settings).connect();
+  }
+
   /**
-   * Clients are let in only now that they can be served; a newer process only now takes its
-   * address.
+   * Lets clients in, which happens only once they can be served. A newer process takes its address
+   * only now.
    */
-  private void openLate() {
+  private void openToClients() {
+    InetSocketAddress address = reloader.config().listen;
     try {
-      if (!front.isListening()) {
-        front.listen(group, config.listen);
+      if (!clientListener.isListening()) {
+        clientListener.listen(group, address);
       }
-      front.open();
+      clientListener.open();
     } catch (IOException e) {
-      fault = config.listen + " can't be had: " + e.getMessage();
+      listenFault = address + " can't be had: " + e.getMessage();
       loop.shutdown();
     }
   }
 
-  /** Whether no req is open and no client connected; a look from another thread, a moment old. */
-  public boolean isIdle() {
-    return proxy.open() == 0 && front.taken() == 0;
+  private void closeControl() {
+    if (settingsSubscription != null) {
+      settingsSubscription.close();
+    }
+    if (admin != null) {
+      admin.close();
+    }
   }
 
-  /** From another thread: ends in order, and returns when that is done. */
+  /**
+   * Shuts down gracefully, and returns when that is complete. To be called from another thread than
+   * the event loop's.
+   */
   public void shutdown() {
-    loop.execute(this::drain);
+    loop.execute(handover::drain);
     try {
-      ended.await();
+      endedLatch.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  /** From another thread: the file is read again, between two steps. */
+  /** Has the configuration file read again, as a step of the event loop; a bad file is logged. */
   public void reload(Path file) {
-    loop.execute(
-        () -> {
-          try {
-            turnTo(ProxyConfig.reread(file, config));
-            counts.reloadsApplied++;
-          } catch (InvalidConfigurationException e) {
-            counts.reloadsRejected++;
-            String name = e.getMessage().startsWith(file.toString()) ? null : file.toString();
-            EventLog.warning("configuration kept as it was", name, e.getMessage());
-          }
-        });
+    loop.execute(() -> reloader.reload(file));
   }
 
-  /** From another thread: the operators' file names another source or scope of settings. */
+  /**
+   * Has another source or scope of settings watched, as a step of the event loop; only a restart
+   * begins or ends a watch.
+   */
   public void resubscribe(InetSocketAddress source, String scope) {
-    loop.execute(
-        () -> {
-          if (settingsWatch == null || source == null) {
-            EventLog.warning(
-                "settings' source kept as it was", null, "only a restart begins or ends a watch");
-          } else {
-            settingsWatch.turnTo(source, scope);
-            listing.turnTo(scope);
-          }
-        });
-  }
-
-  /** Reqs, connections and what is learnt stay; what only a start can change is named. */
-  private void turnTo(ProxyConfig next) {
-    List<String> fixed = next.changedFixedKeys(config);
-    LOG.info(
-        "configuration read again, list from "
-            + next.discovery
-            + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
-    proxy.turnTo(next.settings, feed);
-    dial(feed == null ? next.settings : feed.overlay(next.settings));
-    longest = Math.max(longest, longest(next.settings)); // what is under way may still take as long
-    listing.moveTo(next.discovery);
-    config = next;
-  }
-
-  private void drain() {
-    if (life.advanceTo(Phase.DRAINING)) {
-      if (seats.refresh() == ProcessLock.Role.OLDER) {
-        front.shut(); // new connections are the newer process's
-      } else if (front.isListening()) {
-        front.open(); // before it was ready, too: who has connected is answered
-      }
-      loop.schedule(config.drainTime, () -> loop.execute(this::close));
-    }
-  }
-
-  private void close() {
-    life.advanceTo(Phase.CLOSING);
-    front.shut();
-    long latest = loop.now() + longest;
-    proxy.endsAt(latest);
-    loop.execute(() -> endWhenAnswered(latest));
-  }
-
-  private void endWhenAnswered(long latest) {
-    front.closeIdle();
-    boolean empty = !front.isListening() && front.taken() == 0 && proxy.open() == 0;
-    if (empty || loop.now() >= latest) {
-      dialler.closeAll();
-      if (settingsWatch != null) {
-        settingsWatch.close();
-      }
-      if (admin != null) {
-        admin.close();
-      }
-      loop.shutdown();
-    } else {
-      loop.schedule(LOOK, () -> loop.execute(() -> endWhenAnswered(latest)));
-    }
+    loop.execute(() -> reloader.resubscribe(settingsSubscription, source, scope));
   }
 }
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -13,134 +13,156 @@
 import wheattrack.core.RequestCounters;
 import wheattrack.core.TimerQueue;
 import wheattrack.log.EventLog;
-import wheattrack.statistics.SeededRandom;
 
 /**
- * The watch on a source of settings: keeps one open, feeds what it tells, asks for the whole where
- * that does not follow. What can't be used is one line of the log that names key and revision; what
- * holds goes on.
+ * The subscription to a source of settings: keeps one watch open, feeds its events to the dynamic
+ * settings, and asks for a complete snapshot where an event does not follow the revision in force.
+ * An event that can't be used becomes one log line that names the key and the revision; the
+ * settings in force stay. Runs on the event loop's thread only.
  */
 final class SettingsSubscription {
+  /** The resource at the source. */
   static final String PATH = "/v1/settings";
 
   /**
-   * Between two calls, half of it to all of it by chance, doubling while they fail. A change is to
-   * be in force 8 s after its source can be reached again: a silent call (3 s) leaves 3 s for the
-   * whole.
+   * Bounds of the pause between two calls, in tenths of a millisecond. A change has to be in force
+   * 8 s after its source can be reached again: a silent call takes 3 s, which leaves 3 s for the
+   * complete snapshot.
    */
-  private static final long FIRST = 2_500, LONGEST = 20_000;
+  private static final long SHORTEST_PAUSE = 2_500;
+
+  private static final long LONGEST_PAUSE = 20_000;
 
   private final EventLoop loop;
   private final AsynchronousChannelGroup group;
-  private final DynamicSettings feed;
-  private final Consumer<DynamicSettings> inForce;
-  private final RequestCounters counts;
-  private final SeededRandom chance;
+  private final DynamicSettings dynamicSettings;
+  private final Consumer<DynamicSettings> changeListener;
+  private final RequestCounters counters;
+  private final JitteredBackoff backoff;
   private InetSocketAddress source;
   private String scope;
   private WatchConnection watch;
-  private TimerQueue.Timer waits;
-  private long pause;
-  private boolean whole;
+  private TimerQueue.Timer reopenTimer;
+  private boolean needsSnapshot;
 
-  /** inForce: hears each time, in the same step, that other settings hold. */
+  /**
+   * A subscription that is not open yet.
+   *
+   * @param scope the scope asked for; empty: none
+   * @param seed of the random part of the pauses
+   * @param dynamicSettings where the events are applied
+   * @param changeListener hears, in the same step, each time that other settings are in force
+   */
   SettingsSubscription(
       EventLoop loop,
       AsynchronousChannelGroup group,
       InetSocketAddress source,
       String scope,
       long seed,
-      RequestCounters counts,
-      DynamicSettings feed,
-      Consumer<DynamicSettings> inForce) {
+      RequestCounters counters,
+      DynamicSettings dynamicSettings,
+      Consumer<DynamicSettings> changeListener) {
     this.loop = loop;
     this.group = group;
     this.source = source;
     this.scope = scope;
-    this.counts = counts;
-    this.feed = feed;
-    this.inForce = inForce;
-    chance = new SeededRandom(seed);
+    this.counters = counters;
+    this.dynamicSettings = dynamicSettings;
+    this.changeListener = changeListener;
+    backoff = new JitteredBackoff(SHORTEST_PAUSE, LONGEST_PAUSE, seed);
   }
 
-  /** Begins, or goes on after a pause. */
+  /** Opens the watch, at first or after a pause. */
   void watch() {
-    waits = null;
+    reopenTimer = null;
     try {
-      WatchConnection.Target target =
-          new WatchConnection.Target(source, PATH, whole ? -1 : feed.revision(), scope);
+      long afterRevision = needsSnapshot ? -1 : dynamicSettings.revision();
       watch =
           WatchConnection.open(
-              loop, group, target, WatchConnection.SILENCE, this::told, this::failed);
+              loop,
+              group,
+              new WatchConnection.Target(source, PATH, afterRevision, scope),
+              WatchConnection.SILENCE_TIMEOUT,
+              this::received,
+              this::failed);
     } catch (IOException e) {
       failed(e.toString(), false, false);
     }
   }
 
   /**
-   * Another source or scope holds from now on: all of it is asked for, and till it comes the old
-   * holds.
+   * Watches another source or scope from now on. A complete snapshot of it is asked for; until that
+   * comes, the settings in force stay.
    */
-  void turnTo(InetSocketAddress other, String otherScope) {
-    if (!other.equals(source) || !otherScope.equals(scope)) {
-      source = other;
-      scope = otherScope;
-      whole = true;
-      again(0);
+  void changeSource(InetSocketAddress newSource, String newScope) {
+    if (!newSource.equals(source) || !newScope.equals(scope)) {
+      source = newSource;
+      scope = newScope;
+      needsSnapshot = true;
+      reopenAfter(0);
     }
   }
 
-  private void failed(String why, boolean silent, boolean spoke) {
-    EventLog.info("watch on settings", null, source + ": " + why);
-    pause = spoke ? FIRST : Math.min(LONGEST, Math.max(FIRST, 2 * pause));
-    again(silent ? 0 : (long) (pause * (1 + chance.draw()) / 2));
+  private void failed(String reason, boolean isSilent, boolean hasSpoken) {
+    EventLog.info("watch on settings", null, source + ": " + reason);
+    if (hasSpoken) {
+      backoff.restart();
+    } else {
+      backoff.increase();
+    }
+    reopenAfter(isSilent ? 0 : backoff.nextDelay()); // a silent watch has taken its time already
   }
 
-  private void again(long after) {
+  private void reopenAfter(long delay) {
     if (watch != null) {
       watch.close();
     }
-    loop.cancel(waits);
-    waits = loop.schedule(after, this::watch);
+    loop.cancel(reopenTimer);
+    reopenTimer = loop.schedule(delay, this::watch);
   }
 
-  private void told(String line) {
+  private void received(String line) {
     long revision = -1;
     try {
-      Settings news = new Settings(Json.object(line));
-      revision = news.wholeNumber("rev", -1);
-      if (whole && !news.flag("all") || feed.apply(news) == Verdict.WHOLE_WANTED) {
-        EventLog.info(
-            "settings",
-            null,
-            "revision "
-                + revision
-                + " of "
-                + source
-                + " does not follow "
-                + feed.revision()
-                + ": the whole is asked for");
-        whole = true;
-        pause = Math.min(LONGEST, Math.max(FIRST, 2 * pause));
-        again((long) (pause * (1 + chance.draw()) / 2));
+      Settings event = new Settings(Json.object(line));
+      revision = event.wholeNumber("rev", -1);
+      boolean isGap = needsSnapshot && !event.flag("all");
+      if (isGap || dynamicSettings.apply(event) == Verdict.WHOLE_WANTED) {
+        requestSnapshot(revision);
         return;
       }
-      whole = false;
-      pause = 0;
-      counts.dynamicSettingsApplied++;
-      inForce.accept(feed);
+      needsSnapshot = false;
+      backoff.reset();
+      counters.dynamicSettingsApplied++;
+      changeListener.accept(dynamicSettings);
     } catch (IOException | InvalidConfigurationException e) {
-      counts.reloadsRejected++;
-      String fault = String.valueOf(e.getMessage()).split("\n")[0];
+      counters.reloadsRejected++;
       EventLog.warning(
           "settings kept as they were",
           null,
-          "revision " + revision + " of " + source + ": " + fault);
+          "revision " + revision + " of " + source + ": " + WatchConnection.firstLine(e));
     }
   }
 
+  private void requestSnapshot(long revision) {
+    EventLog.info(
+        "settings",
+        null,
+        "revision "
+            + revision
+            + " of "
+            + source
+            + " does not follow "
+            + dynamicSettings.revision()
+            + ": the whole is asked for");
+    needsSnapshot = true;
+    backoff.increase();
+    reopenAfter(backoff.nextDelay());
+  }
+
+  /** Ends the subscription. */
   void close() {
-    loop.cancel(waits);
+    loop.cancel(reopenTimer);
     if (watch != null) {
       watch.close();
     }
--- a/proxy/src/main/java/wheattrack/net/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/WatchConnection.java
@@ -14,115 +14,158 @@
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 
-/** One watch on the list, or on settings, until it breaks or falls silent. */
+/**
+ * One watch on the endpoint list or on the settings: a request whose answer brings an event a line,
+ * until the connection breaks or falls silent. Runs on the event loop's thread only. Times are
+ * tenths of a millisecond.
+ */
 final class WatchConnection extends TcpConnection {
   /**
-   * An object or an empty line comes whole every 2 s at least; half as much again without is a
-   * break.
+   * Time without a complete line after which a watch counts as broken: an event or an empty line
+   * comes every 2 s at least, and half as much again is allowed.
    */
-  static final long SILENCE = 30_000;
+  static final long SILENCE_TIMEOUT = 30_000;
 
   /**
-   * For the first word after a break. Discovery answers at once, and what a silent watch misses
-   * counts as told 6 s after it fell silent: a second silent one must not use up the rest of that.
+   * The same for the first line after a silent watch. Discovery answers at once, and an event that
+   * a silent watch misses counts as notified 6 s after the silence began: a second silent watch
+   * must not use up the rest of that time.
    */
-  static final long FIRST = SILENCE / 2;
+  static final long FIRST_LINE_TIMEOUT = SILENCE_TIMEOUT / 2;
 
   /**
-   * After a failed call a change counts as told so long after discovery had it and could be reached
-   * (STANDING.md). Of that a call which is open at the return and hears nothing uses up a silence,
-   * and the good one's connection and whole list a sixth; the rest is the longest pause between two
-   * calls.
+   * After a failed call, a change counts as notified so long after discovery had it and could be
+   * reached (STANDING.md).
    */
-  private static final long TOLD = 60_000, WORST_PAUSE = TOLD - SILENCE - TOLD / 6;
+  private static final long NOTIFICATION_LIMIT = 60_000;
 
   /**
-   * The module pauses for three eighths of this at most; a longer setting held calls back for 22 s.
+   * The longest pause between two calls that keeps to that limit. A call that is open when
+   * discovery recovers and hears nothing uses up one silence timeout; connecting again and reading
+   * the complete list takes a sixth of the limit; the rest is left for the pause.
    */
-  static final long MAX_POLL_INTERVAL = WORST_PAUSE * 8 / 3;
+  private static final long MAX_PAUSE =
+      NOTIFICATION_LIMIT - SILENCE_TIMEOUT - NOTIFICATION_LIMIT / 6;
 
   /**
-   * Hears why it is over: by its silence or not, and whether it had said anything that was whole.
+   * The greatest poll interval that the policy may use. It pauses for three eighths of the interval
+   * at most; with a longer setting it held calls back for 22 s.
    */
-  interface Failed {
-    void of(String why, boolean silent, boolean spoke);
-  }
-
-  private final LineDecoder in = new LineDecoder();
-  private final Consumer<String> line;
-  private final Failed failed;
-  private TimerQueue.Timer silence;
-  private final long patience;
-  private boolean began, spoke, unread;
-
-  private WatchConnection(
-      EventLoop loop,
-      AsynchronousSocketChannel channel,
-      long patience,
-      Consumer<String> line,
-      Failed failed) {
-    super(loop, channel);
-    this.patience = patience;
-    this.line = line;
-    this.failed = failed;
+  static final long MAX_POLL_INTERVAL = MAX_PAUSE * 8 / 3;
+
+  /** Told once, when a watch is over. */
+  @FunctionalInterface
+  interface FailureListener {
+    /**
+     * The watch is over.
+     *
+     * @param reason for the log
+     * @param isSilent whether it ended for want of a complete line
+     * @param hasSpoken whether it had brought a complete line that could be read
+     */
+    void watchFailed(String reason, boolean isSilent, boolean hasSpoken);
   }
 
   /**
-   * What is asked for: a path, what comes after a version or with a negative one all, a scope or
-   * "".
+   * What is watched.
+   *
+   * @param address where the source listens
+   * @param path the resource
+   * @param afterRevision the revision whose successors are asked for; negative: a complete snapshot
+   * @param scope the scope asked for; empty: none
    */
-  record Target(InetSocketAddress at, String path, long after, String scope) {
+  record Target(InetSocketAddress address, String path, long afterRevision, String scope) {
+    /** The request target, as it stands on the wire. */
     @Override
     public String toString() {
       return path
           + "?watch=1"
-          + (after < 0 ? "" : "&after=" + after)
+          + (afterRevision < 0 ? "" : "&after=" + afterRevision)
           + (scope.isEmpty() ? "" : "&scope=" + scope);
     }
   }
 
-  /** Opens a watch. */
+  private final LineDecoder decoder = new LineDecoder();
+  private final Consumer<String> lineListener;
+  private final FailureListener failureListener;
+  private final long firstLineTimeout;
+  private TimerQueue.Timer silenceTimer;
+  private boolean hasReceivedBytes;
+  private boolean hasSpoken;
+  private boolean isUnreadable;
+
+  private WatchConnection(
+      EventLoop loop,
+      AsynchronousSocketChannel channel,
+      long firstLineTimeout,
+      Consumer<String> lineListener,
+      FailureListener failureListener) {
+    super(loop, channel);
+    this.firstLineTimeout = firstLineTimeout;
+    this.lineListener = lineListener;
+    this.failureListener = failureListener;
+  }
+
+  /**
+   * Opens a watch.
+   *
+   * @param firstLineTimeout time allowed until the first complete line, from the call and again
+   *     from the first byte
+   * @param lineListener hears each line that is not empty
+   * @throws IOException if no socket can be had; the failure listener is not told then
+   */
   static WatchConnection open(
       EventLoop loop,
       AsynchronousChannelGroup group,
       Target target,
-      long patience,
-      Consumer<String> line,
-      Failed failed)
+      long firstLineTimeout,
+      Consumer<String> lineListener,
+      FailureListener failureListener)
       throws IOException {
     WatchConnection watch =
-        new WatchConnection(loop, AsynchronousSocketChannel.open(group), patience, line, failed);
-    watch.listen(patience);
-    watch.connect(target.at, () -> watch.ask(target), () -> watch.fail("no connection", false));
+        new WatchConnection(
+            loop,
+            AsynchronousSocketChannel.open(group),
+            firstLineTimeout,
+            lineListener,
+            failureListener);
+    watch.restartSilenceTimer(firstLineTimeout);
+    watch.connect(
+        target.address, () -> watch.send(target), () -> watch.fail("no connection", false));
     return watch;
   }
 
-  private void ask(Target asked) {
+  /** The first line of an error's message, for the log. */
+  static String firstLine(Exception error) {
+    return String.valueOf(error.getMessage()).split("\n")[0];
+  }
+
+  private void send(Target target) {
     if (isClosed()) {
       return;
     }
-    InetSocketAddress to = asked.at;
-    String target = asked.toString();
+    InetSocketAddress address = target.address;
     Headers headers =
-        new Headers().with("Host", to.getAddress().getHostAddress() + ":" + to.getPort());
-    write(Encoder.request(new Request("GET", target, headers, true, new byte[0])));
-    read(in.writableBuffer());
+        new Headers().with("Host", address.getAddress().getHostAddress() + ":" + address.getPort());
+    write(Encoder.request(new Request("GET", target.toString(), headers, true, new byte[0])));
+    read(decoder.writableBuffer());
   }
 
-  private void listen(long time) {
-    loop.cancel(silence);
-    silence =
-        loop.schedule(time, () -> fail(in.isMidLine() ? "news that does not end" : "silent", true));
+  private void restartSilenceTimer(long timeout) {
+    loop.cancel(silenceTimer);
+    silenceTimer =
+        loop.schedule(
+            timeout, () -> fail(decoder.isMidLine() ? "news that does not end" : "silent", true));
   }
 
-  /** Whether it has said anything that was whole. */
+  /** Whether it has brought a complete line, and none that could not be read. */
   boolean hasSpoken() {
-    return spoke;
+    return hasSpoken;
   }
 
-  /** Whether it has brought what could not be read. */
-  boolean isUnread() {
-    return unread;
+  /** Whether it has brought something that could not be read. */
+  boolean isUnreadable() {
+    return isUnreadable;
   }
 
   @Override
@@ -131,59 +174,63 @@
       fail("ended", false);
       return;
     }
-    if (!began) {
-      began = true;
-      listen(patience); // a long list may take its time to come whole
+    if (!hasReceivedBytes) {
+      hasReceivedBytes = true;
+      restartSilenceTimer(firstLineTimeout); // a long list may take a while to be complete
     }
     try {
-      for (String text = in.next(); text != null && !isClosed(); text = in.next()) {
-        spoke = true;
-        listen(SILENCE); // bytes alone are no word: half a line may drip for ever
-        if (!text.isEmpty()) {
-          line.accept(text);
-        }
-      }
-      if (in.isEnded()) {
-        fail("ended", false);
-      }
-      read(in.writableBuffer());
+      readLines();
     } catch (MalformedMessageException e) {
-      if (!in.isOpen()) { // turned away: that is no news
-        spoke = false;
+      if (!decoder.isOpen()) { // rejected by its status: that is no event
+        hasSpoken = false;
         fail(e.getMessage(), false);
         return;
       }
-      unreadable(e.getMessage());
+      failUnreadable(e.getMessage());
+    }
+  }
+
+  private void readLines() throws MalformedMessageException {
+    for (String line = decoder.next(); line != null && !isClosed(); line = decoder.next()) {
+      hasSpoken = true;
+      restartSilenceTimer(SILENCE_TIMEOUT); // bytes alone don't count: half a line may drip forever
+      if (!line.isEmpty()) {
+        lineListener.accept(line);
+      }
+    }
+    if (decoder.isEnded()) {
+      fail("ended", false);
     }
+    read(decoder.writableBuffer());
   }
 
   @Override
-  protected void onWritten(boolean whole) {
-    if (!whole) {
+  protected void onWritten(boolean isComplete) {
+    if (!isComplete) {
       fail("broken", false);
     }
   }
 
   /**
-   * What it brings can't be read: as if it had said nothing, so that it is not asked again and
-   * again.
+   * Ends the watch because what it brings can't be read. It counts as one that has brought nothing,
+   * so that the source is not called again and again without a growing pause.
    */
-  void unreadable(String why) {
-    unread = true;
-    spoke = false;
-    fail(why, false);
+  void failUnreadable(String reason) {
+    isUnreadable = true;
+    hasSpoken = false;
+    fail(reason, false);
   }
 
-  private void fail(String why, boolean silent) {
+  private void fail(String reason, boolean isSilent) {
     if (!isClosed()) {
       close();
-      failed.of(why, silent, spoke);
+      failureListener.watchFailed(reason, isSilent, hasSpoken);
     }
   }
 
   @Override
   public void close() {
     super.close();
-    loop.cancel(silence);
+    loop.cancel(silenceTimer);
   }
 }
--- a/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -16,12 +16,12 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * Discovery fails in each way, then in each other, and returns at many points of the pauses between
- * calls: what it has then is acted on within the 6 s after which it counts as told, however long
- * askEvery is.
+ * Discovery fails in each way, then in each other way, and recovers at many points of the pauses
+ * between calls. The list that it has then is applied within the 6 s after which it counts as
+ * notified, however long askEvery is.
  */
 class DiscoveryRecoveryTest extends ProxyTestHarness {
-  /** Refuses to connect, answers 503, or 200 with nothing; says nothing; ends amid a line. */
+  /** Refuses connections; answers 503; 200 without a line; nothing; or ends within a line. */
   enum FailureMode {
     REFUSED,
     REJECTED,
@@ -30,10 +30,10 @@
     TRUNCATED
   }
 
-  private static final long NOTIFICATION_LIMIT_MS = 6000,
-      SECOND_FAILURE_MS = 3000,
-      FIRST_RECOVERY_MS = 6000,
-      RECOVERY_SPREAD_MS = 2200;
+  private static final long NOTIFICATION_LIMIT_MS = 6000;
+  private static final long SECOND_FAILURE_MS = 3000;
+  private static final long FIRST_RECOVERY_MS = 6000;
+  private static final long RECOVERY_SPREAD_MS = 2200;
 
   private final long startNanos = System.nanoTime();
   private final List<String> lateCases = Collections.synchronizedList(new ArrayList<>());
@@ -48,10 +48,11 @@
   }
 
   /**
-   * One discovery at a host of its own, as a port that is let go may be somebody else's meanwhile.
+   * One discovery service at a host of its own: another process may take a port that was released.
    */
   private final class Discovery {
-    private final FailureMode first, second;
+    private final FailureMode first;
+    private final FailureMode second;
     private final InetSocketAddress address;
     private ServerSocket listener;
     private volatile FailureMode failureMode;
@@ -73,7 +74,7 @@
       switchTo(null);
     }
 
-    /** Who connects now meets this; null: it is back. Who is connected goes on hearing nothing. */
+    /** Fails new connections in this way; null: it has recovered. Open ones stay silent. */
     private void switchTo(FailureMode mode) throws IOException {
       if (mode == FailureMode.REFUSED) {
         if (listener != null) {
@@ -122,7 +123,7 @@
     }
   }
 
-  /** From its start on; how long after the return its one backend is known. */
+  /** Starts a proxy, and notes the case if its backend is not known in time after the recovery. */
   private void checkRecovery(
       int number, FailureMode first, FailureMode second, long askEvery, long recoveryMillis)
       throws Exception {
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -18,14 +18,16 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** A process replaced by another one beside it, at the same address of clients. */
+/** A process is replaced by a newer one that starts beside it, at the same listening address. */
 class ProcessHandoverTest extends ProxyTestHarness {
-  private static final int CLIENT_COUNT = 6, SERVER_REPLACEMENTS = 8, PROCESS_REPLACEMENTS = 20;
+  private static final int CLIENT_COUNT = 6;
+  private static final int SERVER_REPLACEMENTS = 8;
+  private static final int PROCESS_REPLACEMENTS = 20;
 
   @TempDir Path folder;
 
-  private final AtomicInteger answeredRequests = new AtomicInteger(),
-      failedRequests = new AtomicInteger();
+  private final AtomicInteger answeredRequests = new AtomicInteger();
+  private final AtomicInteger failedRequests = new AtomicInteger();
   private volatile boolean isStopped;
 
   private ProxyServer startReady(String config) throws Exception {
@@ -45,7 +47,7 @@
   }
 
   /**
-   * A configuration with three backends and a list, at a clients' address that was free just now.
+   * A configuration with three backends and a list, at a listening address that was free just now.
    */
   private String configWithThreeBackends(int maxDescriptors) throws Exception {
     news.add(told(1, true, ready("s0"), ready("s1"), ready("s2")));
@@ -78,7 +80,10 @@
     }
   }
 
-  /** Under load, one replacement after another: no connection refused, reset or left unread. */
+  /**
+   * Replacements one after another while clients send requests: connections are not refused, reset
+   * or left unread, but for a few.
+   */
   @Test
   void replacementsUnderLoadKeepConnections() throws Exception {
     String config =
@@ -107,7 +112,7 @@
         failedRequests + " of " + answeredRequests + " reqs");
   }
 
-  /** The same with processes of their own; memory and descriptors of both together. */
+  /** The same with real processes; bounds the descriptors of both together, prints their memory. */
   @Test
   void processReplacementsStayWithinBounds() throws Exception {
     String config = configWithThreeBackends(256);
@@ -116,7 +121,8 @@
     for (int i = 0; i < CLIENT_COUNT; i++) {
       clients.add(start(this::runClient));
     }
-    long maxMemoryKilobytes = 0, maxDescriptors = 0;
+    long maxMemoryKilobytes = 0;
+    long maxDescriptors = 0;
     try {
       for (int i = 0; i < PROCESS_REPLACEMENTS; i++) {
         Process next = startProcess(config);
@@ -213,7 +219,7 @@
     }
   }
 
-  /** The newer process, told to end before it is ready, leaves the older one as it was. */
+  /** A newer process that is shut down before it is ready leaves the older one as it was. */
   @Test
   void newerProcessEndingFirstLeavesOlderServing() throws Exception {
     news.add(told(1, true, ready("s0")));
@@ -231,6 +237,6 @@
       assertEquals("200 s0", call(request("buy")));
     }
     assertEquals(200, status(server));
-    server = startReady(config); // and a third one finds its seat
+    server = startReady(config); // and a third process can take the newer one's place
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProcessLockTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessLockTest.java
@@ -7,10 +7,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+/** The roles of processes of one proxy beside each other. */
 class ProcessLockTest {
   @TempDir Path folder;
 
-  /** Who is beside whom through two replacements, and with leftovers of a dead holder. */
+  /** Two replacements, one after the other, with a file that a dead process left. */
   @Test
   void roleThroughTwoReplacementsAndLeftovers() throws Exception {
     Files.writeString(folder.resolve("wheattrack-a_8000.seats"), "left over");
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -15,9 +15,9 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** One proxy on loopback sockets: what clients, backends and the list see of it. */
+/** One proxy on loopback sockets, as clients, backends and discovery see it. */
 class ProxyServerTest extends ProxyTestHarness {
-  /** Each outcome under each effect: what the client is told and how often it may have run. */
+  /** Each outcome for each kind of idempotency: the client's answer and the number of attempts. */
   @Test
   void outcomesPerRequestClass() throws Exception {
     serveBy(8);
@@ -51,7 +51,7 @@
                 + (came.get() - attemptsBefore));
         script.clear();
       }
-      Thread.sleep(1100); // then shut ones are tried again
+      Thread.sleep(1100); // then ejected backends are probed
       for (int i = 0; i < 100; i++) {
         call(request("buy"));
       }
@@ -59,7 +59,7 @@
     w.matches("server-outcomes");
   }
 
-  /** What goes on to a backend and back, and how long a silent one is waited for. */
+  /** What is forwarded to a backend and back, and how long a silent backend is waited for. */
   @Test
   void forwardsRequestAndTimesOut() throws Exception {
     serveBy(2);
@@ -137,8 +137,8 @@
   }
 
   /**
-   * Bad clients: the silent, the dripping and the half-said are turned away within 3 s of
-   * connecting.
+   * Bad clients: a silent one, one that drips bytes and one that sends half a head are rejected
+   * within 3 s of connecting.
    */
   @Test
   void slowClientsAreRejectedInTime() throws Exception {
@@ -177,7 +177,7 @@
     w.matches("server-in-time");
   }
 
-  /** Bad clients: a second copy of a req that is open reached the backends. */
+  /** Incident with bad clients: a second copy of a request in flight reached the backends. */
   @Test
   void openRequestIdIsNotForwardedTwice() throws Exception {
     serveBy(3);
@@ -192,7 +192,7 @@
     w.matches("server-open-id");
   }
 
-  /** Incident to be: nothing more runs for a client that has left. */
+  /** Nothing more runs for a client that has disconnected. */
   @Test
   void clientDisconnectCancelsAttempt() throws Exception {
     serveBy(3);
@@ -208,8 +208,8 @@
   }
 
   /**
-   * An end in order: what comes while draining is served, what is open answered, then nothing
-   * listens.
+   * Graceful shutdown: requests that come while draining are served, those in flight answered, then
+   * nothing listens.
    */
   @Test
   void gracefulShutdown() throws Exception {
@@ -242,7 +242,8 @@
   }
 
   /**
-   * The list: an old one at the start, bad entries and lines, a srv that drains, moves and goes.
+   * The endpoint list: a cached one at the start, bad entries and lines, a backend that drains,
+   * moves and leaves.
    */
   @Test
   void followsEndpointList() throws Exception {
@@ -281,7 +282,8 @@
   }
 
   /**
-   * Mass restart: reqs went to srvs that drain, as the list known of old was used until news came.
+   * Incident in a mass restart: requests went to draining backends, as the cached list was used
+   * until discovery answered.
    */
   @Test
   void startsWithDiscoverysList() throws Exception {
@@ -298,7 +300,7 @@
     server = new ProxyServer(new ProxyConfig(Json.object(config(discoveryPort, 1024, cachedList))));
     port = server.port();
     running = start(server::run);
-    try (Socket early = connect()) { // while it starts: waits, and is served by the news
+    try (Socket early = connect()) { // while it starts: waits, and is served by discovery's list
       send(early, request("buy"));
       Thread.sleep(100);
       news.add(currentList);
@@ -319,9 +321,9 @@
   }
 
   /**
-   * A large fleet's list in trouble: changes of an old revision, and a whole list of one, bring no
-   * drained srv back; of repeated entries the last counts; 40 broken ones of 60 are one line; cut
-   * off amid a line, or refused, the last good list is kept.
+   * Faults of a large fleet's list: changes of an old revision, and a complete list of one, bring
+   * no drained backend back; of repeated entries the last counts; 40 malformed ones of 60 are one
+   * log line; if the list is cut off within a line, or refused, the last good one is kept.
    */
   @Test
   void faultyEndpointLists() throws Exception {
@@ -362,8 +364,8 @@
   }
 
   /**
-   * Day of new configurations: SIGHUP ended the process. What is open and learnt stays; a bad file
-   * too.
+   * Incident with new configurations: SIGHUP ended the process. Requests in flight and measurements
+   * stay, also with a bad file.
    */
   @Test
   void reloadsOnHangup() throws Exception {
@@ -426,7 +428,10 @@
     return names.toString();
   }
 
-  /** Few descriptors: idle connections give way, and who comes beyond is denied at once. */
+  /**
+   * Few descriptors: idle connections are closed, and clients beyond the limit are rejected at
+   * once.
+   */
   @Test
   void fewDescriptors() throws Exception {
     news.add(told(1, true, ready("s0")));
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -20,15 +20,13 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/**
- * A proxy whose settings are told by a source that it watches, and all that can go wrong with that.
- */
+/** A proxy that watches a source of settings, and the faults of that source. */
 class SettingsSubscriptionTest extends RawConnection {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 
   @TempDir Path folder;
 
-  /** What each call asked for, and the connection of the latest. */
+  /** The request target of each call. */
   private final List<String> requestTargets = Collections.synchronizedList(new ArrayList<>());
 
   private volatile Socket latestConnection;
@@ -67,7 +65,7 @@
     send(latestConnection, event.replace('\'', '"') + "\n");
   }
 
-  /** The whole of revision 3 holds: sets a and b. */
+  /** Puts a complete snapshot in force, of revision 3 with classes a and b. */
   private void sendSnapshot() throws Exception {
     notifySubscriber(
         "{'rev':3,'all':true,'ruleSets':["
@@ -114,7 +112,7 @@
     assertEquals("404 200 200", status("a") + " " + status("b") + " " + status("c"));
   }
 
-  /** Its source ends amid a line: what holds goes on, and what came since is asked for. */
+  /** The source ends within a line: settings in force stay, and later changes are asked for. */
   @Test
   void sourceEndsMidLine() throws Exception {
     serveWithSource("");
@@ -130,8 +128,8 @@
   }
 
   /**
-   * Out of order, back, of another source: the whole is asked for, and until it comes the old
-   * holds.
+   * A gap, a step back, another source: a snapshot is asked for, and until it comes the settings in
+   * force stay.
    */
   @Test
   void gapAsksForSnapshot() throws Exception {
@@ -157,7 +155,7 @@
     }
   }
 
-  /** What is broken, endless or over a bound is one count, and what holds goes on. */
+  /** Malformed and endless events are counted, and the settings in force stay. */
   @Test
   void malformedEventsAreCounted() throws Exception {
     serveWithSource("");
@@ -182,8 +180,8 @@
   }
 
   /**
-   * SIGHUP while the loop stands amid a change: the file's limits hold, the source's rule sets
-   * stay.
+   * SIGHUP while the loop stands still within a change: the file's limits are in force, the
+   * source's classes stay.
    */
   @Test
   void reloadDuringSettingsChange() throws Exception {
@@ -201,12 +199,12 @@
     until("both are in force", () -> figure("settings_told") == 2 && figure("reloads_ok") == 1);
     assertEquals("200 200 404", status("a") + " " + status("c") + " " + status("buy"));
     script.add("full");
-    assertEquals("503", status("c")); // one dispatch, as the file has it now
+    assertEquals("503", status("c")); // one attempt, as the file has it now
   }
 
   /**
-   * A scope that shrinks and grows, a request under way in what it loses: it keeps what it came
-   * under.
+   * A scope shrinks and grows while a request of a lost class is in flight: the request keeps its
+   * class.
    */
   @Test
   void scopeShrinksAndGrows() throws Exception {
@@ -247,8 +245,8 @@
   }
 
   /**
-   * Started while the source is away: by the file's settings, by the source's within 8 s of its
-   * return.
+   * Started while the source is down: serves by the file's settings, and by the source's within 8 s
+   * of its recovery.
    */
   @Test
   void startsWithoutSource() throws Exception {
@@ -287,7 +285,7 @@
     assertEquals("404 200", status("buy") + " " + status("a"));
   }
 
-  /** Without a source nothing is asked for, and no scope goes with the list. */
+  /** Without a source nothing is asked for, and no scope goes with requests for the list. */
   @Test
   void noSourceNoSubscription() throws Exception {
     serveBy(1);
@@ -297,8 +295,8 @@
   }
 
   /**
-   * Discovery answers, and its list can't be read: not ready, until a restart's time is nearly
-   * over.
+   * Discovery answers and its list can't be read: the proxy is not ready until the time that a
+   * restart may take is nearly over.
    */
   @Test
   void unreadableListDelaysReadiness() throws Exception {
