--- a/proxy/src/main/java/wheattrack/net/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointListParser.java
@@ -14,6 +14,9 @@
   private static final Pattern HEXADECIMAL = Pattern.compile("[0-9a-f]{1,15}");
   private static final int TENTHS_PER_MILLISECOND = 10;
 
+  /** The state of an entry that has left the list. */
+  private static final String DELETED = "DELETED";
+
   /**
    * One event of the list.
    *
@@ -63,8 +66,6 @@
     DRAINING
   }
 
-  private static final String DELETED = "DELETED";
-
   private final List<?> zones;
   private final List<?> kinds;
 
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -12,7 +12,6 @@
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.ProxyConfig;
-import wheattrack.config.Settings;
 import wheattrack.core.Lifecycle;
 import wheattrack.core.Lifecycle.Phase;
 import wheattrack.core.RequestCounters;
@@ -119,19 +118,10 @@
         new ProcessLock(
             config.listen.getPort() == 0 ? null : sharedFolder(), config.listen.toString());
     DescriptorBudget budget = DescriptorBudget.of(config, processLock.isOtherProcessPresent());
-    Settings settings = config.settings;
-    BackendTimeouts timeouts = BackendTimeouts.of(settings);
-    Connector connector =
-        new Connector(
-            loop,
-            group,
-            budget.backends(),
-            config.maxBodyBytes,
-            timeouts.connect(),
-            timeouts.idleClose());
+    Connector connector = newConnector(config, budget);
     discovery = new EndpointDiscovery(loop, group, connector, config, scope);
     requestHandler =
-        new RequestHandler(loop, discovery, counters, settings, config.seed, loadHeader);
+        new RequestHandler(loop, discovery, counters, config.settings, config.seed, loadHeader);
     clientListener =
         new ClientListener(
             loop,
@@ -151,17 +141,7 @@
         new ConfigurationReloader(
             config, requestHandler, connector, discovery, counters, dynamicSettings);
     settingsSubscription =
-        settingsSource == null
-            ? null
-            : new SettingsSubscription(
-                loop,
-                group,
-                settingsSource,
-                scope,
-                config.seed,
-                counters,
-                dynamicSettings,
-                changed -> reloader.applyDynamicSettings());
+        settingsSource == null ? null : newSubscription(settingsSource, scope, dynamicSettings);
     handover =
         new ProcessHandover(
             loop,
@@ -181,6 +161,30 @@
         folder == null || folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder);
   }
 
+  private Connector newConnector(ProxyConfig config, DescriptorBudget budget) {
+    BackendTimeouts timeouts = BackendTimeouts.of(config.settings);
+    return new Connector(
+        loop,
+        group,
+        budget.backends(),
+        config.maxBodyBytes,
+        timeouts.connect(),
+        timeouts.idleClose());
+  }
+
+  private SettingsSubscription newSubscription(
+      InetSocketAddress source, String scope, DynamicSettings dynamicSettings) {
+    return new SettingsSubscription(
+        loop,
+        group,
+        source,
+        scope,
+        reloader.config().seed,
+        counters,
+        dynamicSettings,
+        changed -> reloader.applyDynamicSettings());
+  }
+
   private AdminServer openAdmin(InetSocketAddress address) {
     MetricsFormat metrics =
         new MetricsFormat(
