--- a/proxy/src/main/java/wheattrack/net/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointListParser.java
@@ -60,7 +60,7 @@
       double weight)
       implements Entry {}
 
-  /** States of a listed backend; their names are the words on the wire. */
+  /** States of a listed backend; log lines name them as on the wire. */
   enum State {
     SERVING,
     DRAINING
@@ -127,12 +127,11 @@
   }
 
   private static State state(String name) {
-    for (State state : State.values()) {
-      if (state.name().equals(name)) {
-        return state;
-      }
-    }
-    throw new InvalidConfigurationException("state", "unknown: " + name);
+    return switch (name) {
+      case "SERVING" -> State.SERVING;
+      case "DRAINING" -> State.DRAINING;
+      default -> throw new InvalidConfigurationException("state", "unknown: " + name);
+    };
   }
 
   /**
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -421,7 +423,7 @@
 
   /** Which backends serve ten calls. */
   private String servingBackends() throws IOException {
-    var names = new java.util.TreeSet<String>();
+    Set<String> names = new TreeSet<>();
     for (int i = 0; i < 10; i++) {
       names.add(call(request("buy")));
     }
