--- a/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Set;
 import wheattrack.api.EndpointUpdate;
+import wheattrack.api.LoadBalancer;
 import wheattrack.core.BackendIndex;
 import wheattrack.log.EventLog;
 import wheattrack.net.EndpointListParser.Deleted;
 import wheattrack.net.EndpointListParser.Entry;
 import wheattrack.net.EndpointListParser.Listed;
 import wheattrack.net.EndpointListParser.State;
-import wheattrack.policy.LoadBalancer;
 
 /**
  * The connection pools of the listed backends, by id and by the policy's index. Entries of the
--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -80,9 +80,9 @@
   void reload(Path file) {
     try {
       apply(ProxyConfig.reread(file, config));
-      counters.reloadsApplied++;
+      counters.countReloadApplied();
     } catch (InvalidConfigurationException e) {
-      counters.reloadsRejected++;
+      counters.countReloadRejected();
       String fileName = e.getMessage().startsWith(file.toString()) ? null : file.toString();
       EventLog.warning("configuration kept as it was", fileName, e.getMessage());
     }
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -8,12 +8,12 @@
 import java.util.Set;
 import java.util.function.LongConsumer;
 import wheattrack.aio.EventLoop;
+import wheattrack.api.LoadBalancer;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
 import wheattrack.log.EventLog;
-import wheattrack.policy.LoadBalancer;
 
 /**
  * The endpoint list: keeps a watch on discovery and applies its events. The policy decides how long
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -133,10 +133,10 @@
       }
       needsSnapshot = false;
       backoff.reset();
-      counters.dynamicSettingsApplied++;
+      counters.countDynamicSettingsApplied();
       changeListener.accept(dynamicSettings);
     } catch (IOException | InvalidConfigurationException e) {
-      counters.reloadsRejected++;
+      counters.countReloadRejected();
       EventLog.warning(
           "settings kept as they were",
           null,
