--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -71,7 +71,7 @@
     SocketPolicyRuntime runtime = new SocketPolicyRuntime(loop, endpoints, this, settingsApplier);
     loadBalancer = settingsApplier.createLoadBalancer(settings, runtime, seed);
     runtime.setLoadReports(new LoadReports(loadBalancer, loadHeader));
-    endpoints.tell(loadBalancer);
+    endpoints.setLoadBalancer(loadBalancer);
   }
 
   /** Sets the listener whose clients' requests come here. */
--- a/proxy/src/main/java/wheattrack/net/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsApplier.java
@@ -41,7 +41,7 @@
     nameClasses(settings, requestClasses);
     loadBalancer =
         settings.newLoadBalancer(
-            runtime, seed, requestClasses, true, WatchConnection.ASK_EVERY_AT_MOST);
+            runtime, seed, requestClasses, true, WatchConnection.MAX_POLL_INTERVAL);
     return loadBalancer;
   }
 
--- a/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
+++ b/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
@@ -64,7 +64,7 @@
             requestHandler,
             loadReports,
             request,
-            endpoints.at(backend),
+            endpoints.pool(backend),
             loop.now() + allowedTime,
             callback);
     attempt.setLatestStart(request.latestAttemptStart());
@@ -100,14 +100,14 @@
 
   @Override
   public void probeLoad(int backend, ProbeCallback callback) {
-    LoadProbe probe = new LoadProbe(endpoints.at(backend), settings, loadReports, callback);
+    LoadProbe probe = new LoadProbe(endpoints.pool(backend), settings, loadReports, callback);
     probe.setTimeout(settings.probeTimeout());
     probe.backend().carry(probe);
   }
 
   @Override
   public void closeIdleConnections(int backend) {
-    endpoints.at(backend).hangUp();
+    endpoints.pool(backend).hangUp();
   }
 
   @Override
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -71,7 +71,7 @@
     int discoveryPort = serve("none", "", 20, 0);
     countAnswersFrom("s1", 5);
     assertEquals(0, loadProbes.get());
-    server.reread(
+    server.reload(
         Files.writeString(dir.resolve("proxy.json"), configuration("probe", discoveryPort)));
     countAnswersFrom("s1", 5);
     assertEquals(20, countAnswersFrom("s1", 20));
