Connections to clients and backends: the shared interface takes the field's names

The methods that other classes call on ClientConnection, ClientListener, BackendConnection, BackendConnectionPool and Connector are named by what they do. Names only; the count of attempts in flight is private to the pool.

--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -57,11 +57,11 @@
     over = true;
     outcome = how;
     backend.loop.cancel(timeout);
-    backend.out--;
-    if (on != null && on.carried() == this) {
+    backend.attemptEnded();
+    if (on != null && on.currentAttempt() == this) {
       on.close();
     } else {
-      backend.forget(this);
+      backend.removeWaiting(this);
     }
     ended(how, answer);
   }
@@ -80,14 +80,14 @@
     backend.loop.cancel(timeout);
     ResponseRelay passing = begins(head);
     if (passing == null) {
-      backend.out--;
+      backend.attemptEnded();
     }
     return passing;
   }
 
   /** The long answer is through, or broken off. */
   final void passed() {
-    backend.out--;
+    backend.attemptEnded();
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -16,17 +16,17 @@
 /** One connection to a backend; it carries one dispatch at a time. */
 final class BackendConnection extends TcpConnection {
   /** How long a long answer may pause at the backend, and a long body on the way there. */
-  static final long PAUSE = 100_000;
+  static final long STALL_TIMEOUT = 100_000;
 
   private final BackendConnectionPool backend;
   private final Connector dialler;
   private final ResponseDecoder in;
 
   /** Where it leads, and since when. */
-  final InetSocketAddress to;
+  final InetSocketAddress remoteAddress;
 
-  final long since;
-  private BackendAttempt carried, writing;
+  final long openedAt;
+  private BackendAttempt currentAttempt, writing;
 
   /** Of a long body what is still to be written, and whether it goes in chunks. */
   private RequestBodyRelay body;
@@ -39,7 +39,7 @@
   private boolean keep;
   private boolean dialling;
   private boolean resting;
-  private long restsSince, fitFrom;
+  private long idleSince, usableFrom;
   private boolean broken, holding;
   private TimerQueue.Timer deadline;
   int slot;
@@ -49,40 +49,40 @@
     super(backend.loop, channel);
     this.backend = backend;
     this.dialler = dialler;
-    in = new ResponseDecoder(dialler.mostBody);
-    to = backend.address;
-    since = loop.now();
+    in = new ResponseDecoder(dialler.maxBodyBytes);
+    remoteAddress = backend.address;
+    openedAt = loop.now();
   }
 
-  BackendAttempt carried() {
-    return carried;
+  BackendAttempt currentAttempt() {
+    return currentAttempt;
   }
 
-  void dial(long timeout) {
+  void startConnecting(long timeout) {
     dialling = true;
-    deadline = loop.schedule(timeout, this::dialFailed);
-    connect(to, this::dialled, this::dialFailed);
+    deadline = loop.schedule(timeout, this::onConnectFailed);
+    connect(remoteAddress, this::onConnected, this::onConnectFailed);
   }
 
-  private void dialled() {
+  private void onConnected() {
     if (dialling && !isClosed()) {
       dialling = false;
       loop.cancel(deadline);
       read(in.writableBuffer());
-      backend.dialled(this);
+      backend.onConnected(this);
     }
   }
 
-  private void dialFailed() {
+  private void onConnectFailed() {
     if (dialling) {
       close();
     }
   }
 
-  void carry(BackendAttempt d) {
+  void send(BackendAttempt d) {
     loop.cancel(deadline);
     resting = false;
-    carried = writing = d;
+    currentAttempt = writing = d;
     d.on = this;
     d.begun = loop.now();
     Request request = d.request();
@@ -92,49 +92,49 @@
     write(Encoder.request(request));
   }
 
-  boolean isResting() {
+  boolean isIdle() {
     return resting;
   }
 
-  long restsSince() {
-    return restsSince;
+  long idleSince() {
+    return idleSince;
   }
 
   /** From when on it may carry a dispatch. */
-  long fitFrom() {
-    return fitFrom;
+  long usableFrom() {
+    return usableFrom;
   }
 
   /**
    * Whether it has rested so long that it should be closed by now, and its backend may have done
    * so.
    */
-  boolean isOverdue() {
-    return dialler.idle > 0 && loop.now() - restsSince >= dialler.idle;
+  boolean hasExceededIdleTimeout() {
+    return dialler.idleTimeout > 0 && loop.now() - idleSince >= dialler.idleTimeout;
   }
 
   /** Stands idle, for so long only to settle; closed well before the backend would do so. */
-  void rest(long settle) {
+  void becomeIdle(long settle) {
     resting = true;
-    restsSince = loop.now();
-    fitFrom = restsSince + settle;
-    restOn();
+    idleSince = loop.now();
+    usableFrom = idleSince + settle;
+    restartIdleTimeout();
   }
 
   /** Rests on, no longer than connections may rest now. */
-  void restOn() {
+  void restartIdleTimeout() {
     loop.cancel(deadline);
-    if (dialler.idle > 0) {
-      deadline = loop.schedule(restsSince + dialler.idle - loop.now(), this::close);
+    if (dialler.idleTimeout > 0) {
+      deadline = loop.schedule(idleSince + dialler.idleTimeout - loop.now(), this::close);
     }
   }
 
   /** A further piece of a long body. */
-  void pass(ByteBuffer bytes, boolean last) {
+  void sendBodyPart(ByteBuffer bytes, boolean last) {
     if (last) {
       body = null;
     } else {
-      carried.waits(PAUSE);
+      currentAttempt.waits(STALL_TIMEOUT);
     }
     write(chunks ? Encoder.chunk(bytes, last) : bytes);
   }
@@ -145,7 +145,7 @@
       writing.written();
       writing = null;
     }
-    if (carried == null || passing != null) {
+    if (currentAttempt == null || passing != null) {
       return;
     }
     if (broken || !whole) {
@@ -166,11 +166,11 @@
       if (n < 0 && !ended) {
         close();
       } else {
-        passOn();
+        relayNextPart();
       }
       return;
     }
-    if (n < 0 && !ended || carried == null) {
+    if (n < 0 && !ended || currentAttempt == null) {
       breakOff();
       return;
     }
@@ -179,7 +179,7 @@
       if (answer == null) {
         if (in.isOpenEnded() && !holding) {
           holding = true;
-          deadline = loop.schedule(carried.holds(), this::early);
+          deadline = loop.schedule(currentAttempt.holds(), this::early);
         }
         read(in.writableBuffer());
       } else if (answer.status() >= 200) {
@@ -198,7 +198,7 @@
    */
   private void early() {
     try {
-      if (holding && carried != null && in.isOpenEnded()) {
+      if (holding && currentAttempt != null && in.isOpenEnded()) {
         answered(in.nextWithPartialBody());
       }
     } catch (MalformedMessageException e) {
@@ -210,9 +210,9 @@
     holding = false;
     loop.cancel(deadline);
     keep = answer.keepAlive() && !isWriting() && body == null;
-    BackendAttempt d = carried;
+    BackendAttempt d = currentAttempt;
     if (in.isStreamingBody() && answer.status() == 200) {
-      carried = null;
+      currentAttempt = null;
       passing = d.begin(answer);
       if (passing == null) {
         close();
@@ -221,11 +221,11 @@
       }
       return;
     }
-    carried = null;
+    currentAttempt = null;
     boolean free = keep && !in.isMidMessage();
     if (free) {
       read(in.writableBuffer());
-      backend.free(this);
+      backend.release(this);
     } else {
       close();
     }
@@ -233,7 +233,7 @@
   }
 
   /** The client has taken what came before of a long answer. */
-  void passOn() {
+  void relayNextPart() {
     if (isReading() || isClosed()) {
       return; // what is being read comes first
     }
@@ -242,7 +242,7 @@
       boolean last = !in.isStreamingBody();
       loop.cancel(deadline);
       if (!piece.hasRemaining() && !last) {
-        deadline = loop.schedule(PAUSE, this::close);
+        deadline = loop.schedule(STALL_TIMEOUT, this::close);
         read(in.writableBuffer());
         return;
       }
@@ -251,7 +251,7 @@
         passing = null;
         if (keep && !in.isMidMessage()) {
           read(in.writableBuffer());
-          backend.free(this);
+          backend.release(this);
         } else {
           close();
         }
@@ -263,7 +263,7 @@
   }
 
   private void breakOff() {
-    if (carried != null && isWriting()) {
+    if (currentAttempt != null && isWriting()) {
       broken = true;
       close();
     } else {
@@ -272,8 +272,8 @@
   }
 
   private void finish(AttemptOutcome how) {
-    BackendAttempt d = carried;
-    carried = null;
+    BackendAttempt d = currentAttempt;
+    currentAttempt = null;
     close();
     if (d != null) {
       d.end(how, null);
@@ -294,8 +294,8 @@
     }
     super.close();
     loop.cancel(deadline);
-    dialler.closed(this);
-    backend.closed(this);
+    dialler.onClosed(this);
+    backend.onClosed(this);
     if (body != null) {
       body.stop(this);
     }
@@ -304,7 +304,7 @@
     }
     if (dialling) {
       dialling = false;
-      backend.dialFailed(this);
+      backend.onConnectFailed(this);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
@@ -25,7 +25,7 @@
   private boolean matching;
   private TimerQueue.Timer settling;
   InetSocketAddress address;
-  int out;
+  private int attemptsInFlight;
   private boolean serving;
   private long up;
 
@@ -37,11 +37,21 @@
 
   @Override
   protected boolean hasWorkInFlight() {
-    return out > 0;
+    return attemptsInFlight > 0;
+  }
+
+  /** Counts an attempt that is on its way to this backend; {@link #attemptEnded} must follow. */
+  void attemptStarted() {
+    attemptsInFlight++;
+  }
+
+  /** Counts an attempt as over: its outcome is known, or its long response is through. */
+  void attemptEnded() {
+    attemptsInFlight--;
   }
 
   /** It stands on the list, at this address since then; what leads to an earlier life is closed. */
-  void serves(InetSocketAddress at, long since) {
+  void onServing(InetSocketAddress at, long since) {
     serving = true;
     up = since;
     address = at;
@@ -54,36 +64,36 @@
 
   /** Whether it leads to where this backend was, or to an earlier life of it. */
   private boolean isOld(BackendConnection link) {
-    return !link.to.equals(address) || link.since < up;
+    return !link.remoteAddress.equals(address) || link.openedAt < up;
   }
 
   /** Whether this life of it, begun then, drains or is gone by what was told. */
-  boolean hasLeft(long since) {
+  boolean hasLeftSince(long since) {
     return !serving && since <= up;
   }
 
   /** It drains or is gone: what is not yet begun there never will be. */
-  void leaves() {
+  void onDraining() {
     serving = false;
     for (BackendAttempt d : List.copyOf(waiting)) {
       loop.defer(() -> d.giveUp(AttemptOutcome.DISCARDED));
     }
-    hangUp();
+    closeIdleConnections();
   }
 
   /** Closes what carries nothing now. */
-  void hangUp() {
+  void closeIdleConnections() {
     List.copyOf(idle).forEach(BackendConnection::close);
   }
 
   /** Carries it on the connection used last, or on the first that is free or up. */
-  void carry(BackendAttempt d) {
-    out++;
+  void send(BackendAttempt d) {
+    attemptStarted();
     waiting.add(d);
     arrange();
   }
 
-  void forget(BackendAttempt d) {
+  void removeWaiting(BackendAttempt d) {
     waiting.remove(d);
   }
 
@@ -95,7 +105,7 @@
     if (waiting.isEmpty() || matching) {
       return;
     }
-    long fit = idle.stream().mapToLong(BackendConnection::fitFrom).min().orElse(Long.MAX_VALUE);
+    long fit = idle.stream().mapToLong(BackendConnection::usableFrom).min().orElse(Long.MAX_VALUE);
     if (fit <= loop.now()) {
       matching = true;
       loop.execute(this::match);
@@ -121,7 +131,7 @@
       BackendAttempt first = next();
       if (first != null) {
         idle.remove(free);
-        free.carry(first);
+        free.send(first);
       }
     }
     arrange();
@@ -131,9 +141,9 @@
   private BackendConnection fit() {
     for (int i = idle.size() - 1; i >= 0; i--) {
       BackendConnection free = idle.get(i);
-      if (free.isOverdue()) {
+      if (free.hasExceededIdleTimeout()) {
         free.close();
-      } else if (free.fitFrom() <= loop.now()) {
+      } else if (free.usableFrom() <= loop.now()) {
         return free;
       }
     }
@@ -152,7 +162,7 @@
 
   private boolean dial(BackendAttempt d) {
     try {
-      dials.add(dialler.dial(this));
+      dials.add(dialler.connect(this));
       return true;
     } catch (IOException e) {
       loop.defer(
@@ -164,18 +174,18 @@
     }
   }
 
-  void dialled(BackendConnection link) {
+  void onConnected(BackendConnection link) {
     if (dials.remove(link)) {
       BackendAttempt first = next();
       if (first != null) {
-        link.carry(first);
+        link.send(first);
       } else {
         rest(link, 0);
       }
     }
   }
 
-  void dialFailed(BackendConnection link) {
+  void onConnectFailed(BackendConnection link) {
     if (dials.remove(link) && waiting.size() > dials.size()) {
       if (idle.isEmpty()) {
         waiting.peekFirst().end(AttemptOutcome.NO_CONNECT, null);
@@ -188,21 +198,21 @@
   /**
    * Its answer has come; it settles, as a second one may follow: that was taken for the next req's.
    */
-  void free(BackendConnection link) {
-    rest(link, dialler.settle());
+  void release(BackendConnection link) {
+    rest(link, dialler.quarantineTime());
     arrange();
   }
 
   private void rest(BackendConnection link, long settle) {
     if (serving && !isOld(link)) {
       idle.add(link);
-      link.rest(settle);
+      link.becomeIdle(settle);
     } else {
       link.close();
     }
   }
 
-  void closed(BackendConnection link) {
+  void onClosed(BackendConnection link) {
     if (idle.remove(link) && !waiting.isEmpty()) {
       loop.defer(this::arrange); // what waits may have counted on it
     }
--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -61,7 +61,7 @@
   private long idleSince, headSince;
   private long discarded;
   private boolean bare;
-  private Runnable onLeft;
+  private Runnable onDisconnect;
 
   /** What a read fills while the inbox is taken from, or null. */
   private ByteBuffer aside;
@@ -79,8 +79,8 @@
   ClientConnection(ClientListener front, EventLoop loop, AsynchronousSocketChannel channel) {
     super(loop, channel);
     this.front = front;
-    in = new RequestDecoder(front.mostBody());
-    slot = front.admitted(this);
+    in = new RequestDecoder(front.maxBodyBytes());
+    slot = front.register(this);
     idleSince = headSince = loop.now();
   }
 
@@ -91,7 +91,7 @@
   /**
    * Bad clients, silent, dripping or half-said, held a place for 10 s or for good: this ends them.
    */
-  void open() {
+  void start() {
     expire(HEAD, this::tooLate);
     read(in.writableBuffer());
   }
@@ -115,7 +115,7 @@
   }
 
   /** Makes room for another, unless it has asked something by now. */
-  void giveWay() {
+  void evict() {
     loop.execute(
         () -> {
           if (rank() < NOT_AT_ALL) {
@@ -159,7 +159,7 @@
   }
 
   /** Whether a request of it is open. */
-  boolean isServed() {
+  boolean hasOpenRequest() {
     return busy && !lingering;
   }
 
@@ -176,7 +176,7 @@
     if (lingering) {
       in.writableBuffer().clear();
       discarded += n;
-      if (in.isStreamingBody() && discarded < front.mostBody()) {
+      if (in.isStreamingBody() && discarded < front.maxBodyBytes()) {
         waitFor(LINGER); // a long body still comes: its client reads only after it
       }
     } else if (taker != null && lastPiece == null) {
@@ -194,7 +194,9 @@
     ByteBuffer bytes = aside.flip();
     aside = null;
     spilt |=
-        onLeft != null && !in.isStreamingBody() && in.bufferedBytes() + bytes.remaining() > AHEAD;
+        onDisconnect != null
+            && !in.isStreamingBody()
+            && in.bufferedBytes() + bytes.remaining() > AHEAD;
     if (!lingering && !spilt) {
       in.append(bytes);
       count();
@@ -202,7 +204,7 @@
   }
 
   private void count() {
-    front.readAhead(in.bufferedBytes() - counted);
+    front.addReadAheadBytes(in.bufferedBytes() - counted);
     counted = in.bufferedBytes();
   }
 
@@ -220,7 +222,7 @@
     if (!held) {
       read(in.writableBuffer());
     } else if (in.bufferedBytes() < AHEAD
-        || onLeft != null
+        || onDisconnect != null
             && (!in.isStreamingBody()
                 || !pulled && in.bufferedBytes() < BODY_AHEAD && front.mayReadAhead())) {
       aside = ByteBuffer.allocate(in.isStreamingBody() ? WIDE : ASIDE);
@@ -251,7 +253,7 @@
         loop.execute(
             () -> { // if its client has left by now, that is heard first
               if (!isClosed()) {
-                front.came(this, request);
+                front.onRequest(this, request);
                 readOn();
               }
             });
@@ -290,26 +292,26 @@
   }
 
   private void refuse(int status, String why) {
-    front.refused(status, why);
-    Runnable left = onLeft;
-    onLeft = null;
+    front.logErrorResponse(status, why);
+    Runnable left = onDisconnect;
+    onDisconnect = null;
     if (left != null) { // the req that its body was to belong to
       left.run();
     }
     busy = true;
     unread = true;
-    answer(ProtocolMapping.plain(status, why, false));
+    sendResponse(ProtocolMapping.plain(status, why, false));
   }
 
   /** What is to be done should the client leave before its answer, or end it by a broken body. */
-  void onLeft(Runnable then) {
-    onLeft = then;
+  void onDisconnect(Runnable then) {
+    onDisconnect = then;
   }
 
   // ---- a long body
 
   /** Asks for the next piece of the body, or, with null, for none any more. */
-  void pull(Taker by) {
+  void requestBodyPart(Taker by) {
     if (by == null) {
       taker = null;
       if (in.isStreamingBody() && passing == null) {
@@ -369,8 +371,8 @@
   // ---- the answer
 
   /** The one answer to the request that is open; more of it may follow by begin(). */
-  void answer(Response response) {
-    onLeft = null;
+  void sendResponse(Response response) {
+    onDisconnect = null;
     if (isClosed()) {
       return;
     }
@@ -386,13 +388,13 @@
   }
 
   /** The head and first bytes of a long answer; what follows comes by the passing. */
-  void begin(Response head, ResponseRelay rest) {
-    answer(head);
+  void sendStreamedResponse(Response head, ResponseRelay rest) {
+    sendResponse(head);
     passing = rest;
   }
 
   /** A further part of a long answer. */
-  void pass(ByteBuffer bytes) {
+  void sendResponsePart(ByteBuffer bytes) {
     if (!isClosed()) {
       calm();
       stall = loop.schedule(STALL, this::close);
@@ -443,14 +445,14 @@
     }
     super.close();
     calm();
-    front.closed(slot);
-    front.readAhead(-counted);
+    front.onClosed(slot);
+    front.addReadAheadBytes(-counted);
     taker = null;
     lastPiece = null;
     if (passing != null) {
       passing.left();
-    } else if (onLeft != null) {
-      onLeft.run();
+    } else if (onDisconnect != null) {
+      onDisconnect.run();
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/ClientListener.java
@@ -25,18 +25,18 @@
   private static final long LOG_EVERY = 10_000;
 
   /** What becomes of a request that is not one of the proxy's own. */
-  interface Taker {
-    void take(ClientConnection client, Request request);
+  interface RequestReceiver {
+    void onRequest(ClientConnection client, Request request);
 
     /** Too many clients are here: it has been answered, unheard. */
-    void denied(Request request);
+    void onRejectedUnheard(Request request);
   }
 
   private final EventLoop loop;
   private final Lifecycle life;
   private int most;
-  private final long mostBody;
-  private final Taker taker;
+  private final long maxBodyBytes;
+  private final RequestReceiver taker;
   private final Supplier<String> remark;
   private final SlotTable<ClientConnection> clients = new SlotTable<>();
   private AsynchronousServerSocketChannel channel;
@@ -60,10 +60,10 @@
       Lifecycle life,
       int most,
       long mostBody,
-      Taker taker,
+      RequestReceiver taker,
       Supplier<String> remark) {
     this.remark = remark;
-    this.mostBody = mostBody;
+    this.maxBodyBytes = mostBody;
     this.loop = loop;
     this.life = life;
     this.most = most;
@@ -81,13 +81,13 @@
   }
 
   /** Takes who has connected and who does from now on. */
-  void open() {
+  void startAccepting() {
     opened = true;
     accept();
   }
 
   /** So many connections may be had from now on; surplus ones go as they come to rest. */
-  void limit(int most) {
+  void setMaxClients(int most) {
     this.most = most;
     free(clients.size() - most);
     accept();
@@ -119,7 +119,7 @@
                 pressing = null;
                 clients.all().stream()
                     .filter(c -> c.rank() == ClientConnection.SLOW)
-                    .forEach(ClientConnection::giveWay);
+                    .forEach(ClientConnection::evict);
                 free(clients.size() - most);
                 accept();
               });
@@ -129,7 +129,7 @@
   private void accepted(AsynchronousSocketChannel one) {
     accepting = false;
     accepted++;
-    new ClientConnection(this, loop, one).open();
+    new ClientConnection(this, loop, one).start();
     free(clients.size() - most);
     accept();
   }
@@ -155,12 +155,12 @@
               Comparator.comparingInt(ClientConnection::rank)
                   .thenComparingLong(ClientConnection::idleSince))
           .limit(surplus)
-          .forEach(ClientConnection::giveWay);
+          .forEach(ClientConnection::evict);
     }
   }
 
   /** So many more bytes of clients are held, or fewer. */
-  void readAhead(long more) {
+  void addReadAheadBytes(long more) {
     ahead += more;
   }
 
@@ -168,15 +168,15 @@
     return ahead < mostAhead;
   }
 
-  long mostBody() {
-    return mostBody;
+  long maxBodyBytes() {
+    return maxBodyBytes;
   }
 
-  int admitted(ClientConnection client) {
+  int register(ClientConnection client) {
     return clients.add(client);
   }
 
-  void closed(int slot) {
+  void onClosed(int slot) {
     clients.remove(slot);
     accept();
   }
@@ -186,33 +186,33 @@
    * Incident rde3a99: connections that ask once and stay used up what clients may hold; none was
    * left for requests.
    */
-  boolean keeps(boolean asked) {
+  boolean mayKeepAlive(boolean asked) {
     return asked && !life.isShuttingDown() && clients.size() <= most / 2;
   }
 
-  void came(ClientConnection client, Request request) {
+  void onRequest(ClientConnection client, Request request) {
     String path = request.target().split("\\?", 2)[0];
     if (path.equals(ProtocolMapping.READY)) {
-      client.answer(
+      client.sendResponse(
           ProtocolMapping.plain(
               life.isReady() ? 200 : 503,
               life.phase().name() + remark.get(),
-              keeps(request.keepAlive())));
+              mayKeepAlive(request.keepAlive())));
     } else if (clients.size() > most && served() > most) {
       note("denied", clients.size() + " clients are connected");
-      taker.denied(request);
-      client.answer(ProtocolMapping.denied(0, false));
+      taker.onRejectedUnheard(request);
+      client.sendResponse(ProtocolMapping.denied(0, false));
     } else {
-      taker.take(client, request);
+      taker.onRequest(client, request);
     }
   }
 
   /** Requests that are open; idle clients, of which some are to go, are none of them. */
   private long served() {
-    return clients.all().stream().filter(ClientConnection::isServed).count();
+    return clients.all().stream().filter(ClientConnection::hasOpenRequest).count();
   }
 
-  void refused(int status, String why) {
+  void logErrorResponse(int status, String why) {
     note("answered " + status, why);
   }
 
@@ -227,25 +227,25 @@
     unlogged = 0;
   }
 
-  void closeIdle() {
+  void closeIdleConnections() {
     clients.all().stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
   }
 
   /**
    * Nothing more is accepted but who has connected by now: they would be reset with what they sent.
    */
-  void shut() {
+  void stopAccepting() {
     if (!isListening()) {
       return;
     }
     long before = accepted;
-    open();
+    startAccepting();
     loop.execute(
         () -> {
           if (accepted > before) {
-            shut();
+            stopAccepting();
           } else if (!accepting) { // its places are all taken: as they come free
-            loop.schedule(PAUSE, this::shut);
+            loop.schedule(PAUSE, this::stopAccepting);
           } else {
             closeDoor();
           }
@@ -264,7 +264,7 @@
     return ((InetSocketAddress) channel.getLocalAddress()).getPort();
   }
 
-  int taken() {
+  int connectionCount() {
     return clients.size();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/Connector.java
@@ -26,12 +26,12 @@
   private int most;
 
   /** Bytes of the longest answer. */
-  final long mostBody;
+  final long maxBodyBytes;
 
   private long timeout;
 
   /** How long a connection may rest, or 0 for ever. */
-  long idle;
+  long idleTimeout;
 
   private final SlotTable<BackendConnection> table = new SlotTable<>();
 
@@ -42,27 +42,29 @@
       long mostBody,
       long timeout,
       long idleClose) {
-    this.mostBody = mostBody;
+    this.maxBodyBytes = mostBody;
     this.loop = loop;
     this.group = group;
     this.most = most;
-    times(timeout, idleClose);
+    setTimeouts(timeout, idleClose);
   }
 
   /** From now on; what rests already is closed by the new time too. */
-  void times(long timeout, long idleClose) {
+  void setTimeouts(long timeout, long idleClose) {
     this.timeout = timeout;
-    idle = (long) (IDLE_PART * idleClose);
-    table.all().stream().filter(BackendConnection::isResting).forEach(BackendConnection::restOn);
+    idleTimeout = (long) (IDLE_PART * idleClose);
+    table.all().stream()
+        .filter(BackendConnection::isIdle)
+        .forEach(BackendConnection::restartIdleTimeout);
   }
 
   /** After an answer, how long until a connection carries another req. */
-  long settle() {
+  long quarantineTime() {
     return (long) (SETTLE_PART * timeout);
   }
 
   /** So many connections may be had from now on; surplus ones at rest are closed. */
-  void limit(int most) {
+  void setMaxConnections(int most) {
     this.most = most;
     while (table.size() > most && freeOne()) {
       continue;
@@ -72,14 +74,14 @@
   private boolean freeOne() {
     var first =
         table.all().stream()
-            .filter(BackendConnection::isResting)
-            .min(Comparator.comparingLong(BackendConnection::restsSince));
+            .filter(BackendConnection::isIdle)
+            .min(Comparator.comparingLong(BackendConnection::idleSince));
     first.ifPresent(BackendConnection::close);
     return first.isPresent();
   }
 
   /** Starts making a connection; not where descriptors have run out. */
-  BackendConnection dial(BackendConnectionPool to) throws IOException {
+  BackendConnection connect(BackendConnectionPool to) throws IOException {
     if (table.size() >= most) {
       freeOne();
     }
@@ -88,11 +90,11 @@
     }
     BackendConnection up = new BackendConnection(to, AsynchronousSocketChannel.open(group), this);
     up.slot = table.add(up);
-    up.dial(timeout);
+    up.startConnecting(timeout);
     return up;
   }
 
-  void closed(BackendConnection up) {
+  void onClosed(BackendConnection up) {
     table.remove(up.slot);
   }
 
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -253,7 +253,7 @@
     if (fleet.markUnlisted(backend)) {
       EventLog.detail("srv", Long.toString(number(backend.id)), () -> backend.id + " gone");
       rules.removeBackend(backend.index);
-      backend.leaves();
+      backend.onDraining();
     }
   }
 
@@ -274,7 +274,7 @@
     int pack = e.integer("pod_group", 0);
     double weight = e.number("capacity_hint", 1);
     BackendConnectionPool known = fleet.find(id);
-    boolean left = old && known != null && known.hasLeft(up);
+    boolean left = old && known != null && known.hasLeftSince(up);
     BackendConnectionPool backend = fleet.getOrAdd(id);
     boolean fresh = fleet.markListed(backend);
     if (fresh) {
@@ -297,9 +297,9 @@
             weight,
             up <= 0 ? BackendIndex.LONG_AGO : up,
             fresh));
-    backend.serves(address, up);
+    backend.onServing(address, up);
     if (!ready) {
-      backend.leaves();
+      backend.onDraining();
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -132,7 +132,7 @@
   }
 
   private void dial(Settings settings) {
-    dialler.times(
+    dialler.setTimeouts(
         settings.time("limits.dialTimeout", 250_000), settings.time("limits.idleClose", 0));
   }
 
@@ -168,8 +168,8 @@
     boolean was = isBeside();
     seats.look();
     if (was != isBeside()) {
-      front.limit((int) (CLIENTS * free()));
-      dialler.limit((int) (BACKENDS * free()));
+      front.setMaxClients((int) (CLIENTS * free()));
+      dialler.setMaxConnections((int) (BACKENDS * free()));
       proxy.beside(isBeside());
     }
     loop.schedule(LOOK_BESIDE, this::lookBeside);
@@ -236,7 +236,7 @@
       life.advanceTo(Phase.SERVING);
     } else {
       if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
-        front.open();
+        front.startAccepting();
       }
       loop.schedule(LOOK, () -> readyFrom(from));
     }
@@ -251,7 +251,7 @@
       if (!front.isListening()) {
         front.listen(group, config.listen);
       }
-      front.open();
+      front.startAccepting();
     } catch (IOException e) {
       fault = config.listen + " can't be had: " + e.getMessage();
       loop.shutdown();
@@ -260,7 +260,7 @@
 
   /** Whether no req is open and no client connected; a look from another thread, a moment old. */
   public boolean isQuiet() {
-    return proxy.open() == 0 && front.taken() == 0;
+    return proxy.open() == 0 && front.connectionCount() == 0;
   }
 
   /** From another thread: ends in order, and returns when that is done. */
@@ -319,9 +319,9 @@
   private void drain() {
     if (life.advanceTo(Phase.DRAINING)) {
       if (seats.look() == ProcessLock.Place.OLDER) {
-        front.shut(); // new connections are the newer process's
+        front.stopAccepting(); // new connections are the newer process's
       } else if (front.isListening()) {
-        front.open(); // before it was ready, too: who has connected is answered
+        front.startAccepting(); // before it was ready, too: who has connected is answered
       }
       loop.schedule(config.drainTime, () -> loop.execute(this::close));
     }
@@ -329,15 +329,15 @@
 
   private void close() {
     life.advanceTo(Phase.CLOSING);
-    front.shut();
+    front.stopAccepting();
     long latest = loop.now() + longest;
     proxy.endsAt(latest);
     loop.execute(() -> endWhenAnswered(latest));
   }
 
   private void endWhenAnswered(long latest) {
-    front.closeIdle();
-    boolean empty = !front.isListening() && front.taken() == 0 && proxy.open() == 0;
+    front.closeIdleConnections();
+    boolean empty = !front.isListening() && front.connectionCount() == 0 && proxy.open() == 0;
     if (empty || loop.now() >= latest) {
       dialler.closeAll();
       if (settingsWatch != null) {
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -31,7 +31,7 @@
   /** This connection has written all that it had, and waits for more. */
   void pull(BackendConnection by) {
     to = by;
-    client.pull(this::piece);
+    client.requestBodyPart(this::piece);
   }
 
   private void piece(ByteBuffer bytes, boolean last) {
@@ -41,7 +41,7 @@
       whole.run();
     }
     if (to != null) {
-      to.pass(bytes, last);
+      to.sendBodyPart(bytes, last);
     }
   }
 
@@ -49,7 +49,7 @@
   void stop(BackendConnection by) {
     if (to == by) {
       to = null;
-      client.pull(null);
+      client.requestBodyPart(null);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -24,7 +24,7 @@
 import wheattrack.policy.LoadBalancer;
 
 /** The module's port on sockets: reqs, dispatches and the list; it decides nothing. */
-final class RequestHandler implements PolicyRuntime, ClientListener.Taker {
+final class RequestHandler implements PolicyRuntime, ClientListener.RequestReceiver {
 
   /** Of a req's time, kept back so that its answer is out before the client stops waiting. */
   private static final long WRITE_PART = 200;
@@ -117,7 +117,7 @@
 
   /** A request that is turned away unheard, as too many clients are here. */
   @Override
-  public void denied(Request request) {
+  public void onRejectedUnheard(Request request) {
     String name = ProtocolMapping.name(request);
     if (sets.containsKey(name)) {
       counts.countAnswer(name, FinalAnswer.REJECTED);
@@ -125,7 +125,7 @@
   }
 
   @Override
-  public void take(ClientConnection client, Request request) {
+  public void onRequest(ClientConnection client, Request request) {
     ProtocolMapping.Call call;
     try {
       call = ProtocolMapping.call(request, sets);
@@ -133,14 +133,14 @@
         throw new ProtocolMapping.Unfit(409, "a req of this id is open");
       }
     } catch (ProtocolMapping.Unfit e) {
-      front.refused(e.status, e.getMessage());
-      client.answer(
-          ProtocolMapping.plain(e.status, e.getMessage(), front.keeps(request.keepAlive())));
+      front.logErrorResponse(e.status, e.getMessage());
+      client.sendResponse(
+          ProtocolMapping.plain(e.status, e.getMessage(), front.mayKeepAlive(request.keepAlive())));
       return;
     }
     InFlightRequest guest = new InFlightRequest(client, call);
     guest.slot = guests.add(guest);
-    client.onLeft(() -> left(guest));
+    client.onDisconnect(() -> left(guest));
     long due = due(loop.now() + call.timeout() - Math.max(10, call.timeout() / WRITE_PART));
     if (request.remainingBody() != 0) {
       guest.body = new RequestBodyRelay(client, () -> bodyWhole(guest));
@@ -239,7 +239,7 @@
     close(guest);
     counts.countAnswer(guest.call.name(), how);
     note(guest, how.name());
-    guest.client.answer(response);
+    guest.client.sendResponse(response);
   }
 
   private void note(InFlightRequest guest, String end) {
@@ -256,7 +256,7 @@
   }
 
   private boolean keeps(InFlightRequest guest) {
-    return front.keeps(guest.call.request().keepAlive());
+    return front.mayKeepAlive(guest.call.request().keepAlive());
   }
 
   /** One dispatch of a req; its outcome goes to the module as a step of its own. */
@@ -322,7 +322,7 @@
                     guest.call.name(), whole ? FinalAnswer.DONE : FinalAnswer.FAILED);
               });
       settled(guest);
-      guest.client.begin(answer, rest);
+      guest.client.sendStreamedResponse(answer, rest);
       loop.defer(() -> next.ended(AttemptOutcome.DONE, loop.now() - sent, true));
       return rest;
     }
@@ -370,12 +370,12 @@
     leg.latest = guest.body == null ? Math.min(req.deadline(), latest(guest)) : latest(guest);
     guest.dispatches.add(leg);
     if (guest.body != null && !guest.body.isRepeatable()) {
-      leg.backend.out++;
+      leg.backend.attemptStarted();
       leg.giveUp(AttemptOutcome.DISCARDED); // a part of its body is gone: it can't be sent whole
       return;
     }
-    leg.waits(guest.body == null ? wait : Math.max(wait, BackendConnection.PAUSE));
-    leg.backend.carry(leg);
+    leg.waits(guest.body == null ? wait : Math.max(wait, BackendConnection.STALL_TIMEOUT));
+    leg.backend.send(leg);
   }
 
   /**
@@ -432,12 +432,12 @@
           }
         };
     probe.timeout = loop.schedule(probeTimeout, () -> probe.giveUp(AttemptOutcome.TIMEOUT));
-    probe.backend.carry(probe);
+    probe.backend.send(probe);
   }
 
   @Override
   public void closeIdleConnections(int backend) {
-    listing.at(backend).hangUp();
+    listing.at(backend).closeIdleConnections();
   }
 
   // ---- clock and log
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -29,7 +29,7 @@
     if (last) {
       end(true);
     } else {
-      from.passOn();
+      from.relayNextPart();
     }
     return last;
   }
@@ -38,7 +38,7 @@
   void piece(ByteBuffer bytes, boolean isLast) {
     if (!over) {
       last = isLast;
-      to.pass(chunks ? Encoder.chunk(bytes, isLast) : bytes);
+      to.sendResponsePart(chunks ? Encoder.chunk(bytes, isLast) : bytes);
     }
   }
 
