Client connections split by concern: body reading, time-outs, places, eviction

ClientConnection did reading, read-ahead, bodies and time-outs in one; ClientListener the socket, the places, eviction and refusals. Now RequestBodyReader reads long bodies and ahead, ConnectionTimeouts holds the one timer, EvictionPriority names the ranks 0 to 4, ClientConnectionTable holds the places and evicts, ReadAheadBudget and ClientErrorLog the rest. Calls keep their order, and each step of the event loop, bound and time-out stays.

--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -4,455 +4,355 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import wheattrack.aio.EventLoop;
 import wheattrack.aio.TcpConnection;
-import wheattrack.core.MinimumTransferRate;
-import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 
-/** One client connection; it has one req open at a time. */
+/**
+ * One client's connection; it has one request open at a time. {@link RequestBodyReader} does the
+ * reading, {@link ConnectionTimeouts} bounds each wait for the client. Runs on the event loop's
+ * thread only.
+ */
 final class ClientConnection extends TcpConnection {
-  /** How long a part of an answer may take to go, or a closing client to close. */
-  private static final long STALL = 100_000, LINGER = 10_000;
+  /**
+   * How long a connection without any request yet counts as just connected, and is not evicted
+   * first; tenths of a millisecond.
+   */
+  private static final long FIRST_REQUEST_GRACE = 2_560;
 
-  /** For a whole head, from connecting or from its first byte; and for resting. */
-  private static final long HEAD = 24_000, REST = 20_500;
+  private final ClientListener listener;
+  private final int slot;
+  private final RequestDecoder decoder;
+  private final ConnectionTimeouts timeouts;
+  private final RequestBodyReader bodyReader;
 
-  /** For a whole head while all places are taken and others wait to come in. */
-  static final long HEAD_AMID_CROWD = HEAD / 3;
+  /** Whether a request is open, or the connection only waits to be closed. */
+  private boolean isBusy;
 
-  /**
-   * Bytes read ahead while a req is open, so that its client's leaving is seen: in general, of its
-   * own long body until that is first asked for, and by one read, usually and of a body.
-   */
-  private static final int AHEAD = 32 * 1024,
-      BODY_AHEAD = 1 << 20,
-      ASIDE = 4 * 1024,
-      WIDE = 16 * 1024;
+  private boolean hasHadRequest;
+  private boolean isHeadRequest;
 
-  /** Ranks of those who give way only where nobody else does, and who do not. */
-  static final int SLOW = 3, NOT_AT_ALL = 4;
+  /** When it connected, or had its last response; tenths of a millisecond. */
+  private long idleSince;
 
-  /** How long a connection that has asked nothing yet is no first choice to give way. */
-  private static final long FRESH = 2_560;
+  /** When the first byte of the present head came; tenths of a millisecond. */
+  private long headSince;
 
-  /** Who takes the pieces of a long body, one for each time it asks. */
-  interface Taker {
-    void piece(ByteBuffer bytes, boolean last);
-  }
+  /** Whether the present response lets the connection serve on. */
+  private boolean isKeptAlive;
 
-  private final ClientListener front;
-  private final int slot;
-  private final RequestDecoder in;
-  private final MinimumTransferRate pace = new MinimumTransferRate();
-  private boolean busy;
-  private boolean keep;
-  private boolean unread;
-  private boolean lingering;
-  private boolean interim;
-  private boolean asked;
-  private boolean resting;
-  private boolean inBody, pulled;
-  private Taker taker;
-  private ResponseRelay passing;
-  private TimerQueue.Timer stall;
-  private long idleSince, headSince;
-  private long discarded;
-  private boolean bare;
-  private Runnable onDisconnect;
-
-  /** What a read fills while the inbox is taken from, or null. */
-  private ByteBuffer aside;
+  /** Whether the client may still send what nobody will read. */
+  private boolean hasUnreadRequest;
 
-  /**
-   * Of what is read ahead, so much is counted with the front's; and whether some of it was dropped.
-   */
-  private int counted;
+  /** Whether all that the client sends is discarded until it closes. */
+  private boolean isLingering;
+
+  private long discardedBytes;
 
-  private boolean spilt;
+  /** Whether what is being written is an interim response. */
+  private boolean isWritingInterim;
 
-  /** The last piece of a long body, until what else has come is heard: its client may have left. */
-  private ByteBuffer lastPiece;
+  /** The long response that is under way, or null. */
+  private ResponseRelay responseRelay;
 
-  ClientConnection(ClientListener front, EventLoop loop, AsynchronousSocketChannel channel) {
+  private Runnable disconnectCallback;
+
+  /** Takes a connection that was accepted, and a place of the listener's. */
+  ClientConnection(ClientListener listener, EventLoop loop, AsynchronousSocketChannel channel) {
     super(loop, channel);
-    this.front = front;
-    in = new RequestDecoder(front.maxBodyBytes());
-    slot = front.register(this);
-    idleSince = headSince = loop.now();
+    this.listener = listener;
+    decoder = new RequestDecoder(listener.maxBodyBytes());
+    timeouts = new ConnectionTimeouts(loop, this::onRequestTimeout, this::close);
+    bodyReader = new RequestBodyReader(this, listener.readAheadBudget(), loop, decoder, timeouts);
+    slot = listener.register(this);
+    idleSince = loop.now();
+    headSince = idleSince;
   }
 
+  /** Begins to read. */
+  void start() {
+    timeouts.awaitHead();
+    read(decoder.writableBuffer());
+  }
+
+  // ---- what the connection is doing
+
+  /** When it connected, or had its last response; tenths of a millisecond. */
   long idleSince() {
     return idleSince;
   }
 
-  /**
-   * Bad clients, silent, dripping or half-said, held a place for 10 s or for good: this ends them.
-   */
-  void start() {
-    expire(HEAD, this::tooLate);
-    read(in.writableBuffer());
+  /** Whether it is between two requests; one that has just connected is about to send one. */
+  boolean isIdle() {
+    return !isBusy
+        && !isLingering
+        && !decoder.isMidMessage()
+        && (hasHadRequest || !isJustConnected());
   }
 
-  /**
-   * To be done after so long, unless calm() comes first or what has come by then says otherwise.
-   */
-  private void expire(long time, Runnable then) {
-    TimerQueue.Timer[] mine = new TimerQueue.Timer[1];
-    mine[0] =
-        loop.schedule(
-            time,
-            () ->
-                loop.execute(
-                    () -> {
-                      if (stall == mine[0]) {
-                        then.run();
-                      }
-                    }));
-    stall = mine[0];
+  private boolean isJustConnected() {
+    return loop.now() - idleSince <= FIRST_REQUEST_GRACE;
   }
 
-  /** Makes room for another, unless it has asked something by now. */
-  void evict() {
-    loop.execute(
-        () -> {
-          if (rank() < NOT_AT_ALL) {
-            close();
-          }
-        });
+  /** Whether a request of it is open. */
+  boolean hasOpenRequest() {
+    return isBusy && !isLingering;
   }
 
-  private void tooLate() {
-    if (in.isMidMessage()) {
-      refuse(408, "the request did not come whole");
-    } else {
-      close();
-    }
+  /** Whether it only waits for the client to close, and discards what that still sends. */
+  boolean isLingering() {
+    return isLingering;
   }
 
-  /** At rest; one that has just connected is about to ask. */
-  boolean isIdle() {
-    return !busy && !lingering && !in.isMidMessage() && (asked || loop.now() - idleSince > FRESH);
+  /** Whether a long response is under way. */
+  boolean isRelayingResponse() {
+    return responseRelay != null;
   }
 
-  /**
-   * How soon it gives way: 0 turned away, 1 still asks nothing, 2 at rest, 3 slow with a head, or
-   * not.
-   */
-  int rank() {
-    boolean mute = !asked && loop.now() - idleSince > FRESH;
-    return lingering
-        ? 0
-        : busy
-            ? NOT_AT_ALL
-            : isSlow() ? SLOW : mute && !in.isMidMessage() ? 1 : in.isMidMessage() ? NOT_AT_ALL : 2;
+  /** Whether somebody wants to know of the client's disconnecting before its response. */
+  boolean hasDisconnectCallback() {
+    return disconnectCallback != null;
+  }
+
+  // ---- eviction
+
+  /** How soon it is closed to make room for another. */
+  EvictionPriority evictionPriority() {
+    if (isLingering) {
+      return EvictionPriority.LINGERING;
+    }
+    if (isBusy) {
+      return EvictionPriority.NEVER;
+    }
+    if (isHeadSlow()) {
+      return EvictionPriority.SLOW_HEAD;
+    }
+    if (decoder.isMidMessage()) {
+      return EvictionPriority.NEVER;
+    }
+    return hasHadRequest || isJustConnected() ? EvictionPriority.IDLE : EvictionPriority.SILENT;
   }
 
   /**
-   * Half a head for longer than may be while others wait: a crowd of such held all places for 2.4
-   * s.
+   * Whether its head takes longer than it may while others wait. Incident: a crowd of clients with
+   * half a head each held all places for 2.4 s.
    */
-  private boolean isSlow() {
-    return in.isMidMessage() && !in.isInBody() && loop.now() - headSince > HEAD_AMID_CROWD;
+  private boolean isHeadSlow() {
+    return decoder.isMidMessage()
+        && !decoder.isInBody()
+        && loop.now() - headSince > ConnectionTimeouts.HEAD_TIMEOUT_WHEN_FULL;
   }
 
-  /** Whether a request of it is open. */
-  boolean hasOpenRequest() {
-    return busy && !lingering;
+  /** Closes it in a later step, unless a request has come by then. */
+  void evict() {
+    loop.execute(
+        () -> {
+          if (evictionPriority() != EvictionPriority.NEVER) {
+            close();
+          }
+        });
   }
 
+  // ---- the request
+
   @Override
   protected void onRead(int n) {
     if (n < 0) {
       close();
       return;
     }
-    if (inBody) {
-      pace.received(loop.now(), n);
-    }
-    takeAside();
-    if (lingering) {
-      in.writableBuffer().clear();
-      discarded += n;
-      if (in.isStreamingBody() && discarded < front.maxBodyBytes()) {
-        waitFor(LINGER); // a long body still comes: its client reads only after it
-      }
-    } else if (taker != null && lastPiece == null) {
-      deliver();
-    } else if (!busy) {
-      advance();
+    bodyReader.onRead(n);
+    if (isLingering) {
+      discard(n);
+    } else if (bodyReader.isPartAwaited()) {
+      bodyReader.deliverPart();
+    } else if (!isBusy) {
+      decodeRequest();
     }
-    readOn();
+    bodyReader.readMore();
   }
 
-  private void takeAside() {
-    if (aside == null) {
-      return;
+  private void discard(int count) {
+    decoder.writableBuffer().clear();
+    discardedBytes += count;
+    if (decoder.isStreamingBody() && discardedBytes < listener.maxBodyBytes()) {
+      timeouts.extendClose(); // a long body still comes: its client reads only after it
     }
-    ByteBuffer bytes = aside.flip();
-    aside = null;
-    spilt |=
-        onDisconnect != null
-            && !in.isStreamingBody()
-            && in.bufferedBytes() + bytes.remaining() > AHEAD;
-    if (!lingering && !spilt) {
-      in.append(bytes);
-      count();
-    }
-  }
-
-  private void count() {
-    front.addReadAheadBytes(in.bufferedBytes() - counted);
-    counted = in.bufferedBytes();
   }
 
-  /**
-   * Reads on, for the next bytes or the client's leaving. While bytes wait that nobody asks for
-   * yet, others are read ahead, apart from them: clients that left with bytes behind their req were
-   * not seen to leave.
-   */
-  private void readOn() {
-    if (isClosed() || isReading()) {
+  private void decodeRequest() {
+    Request request;
+    try {
+      request = decoder.next();
+    } catch (MalformedMessageException e) {
+      rejectMalformed(e.status, e.getMessage());
       return;
     }
-    boolean held =
-        busy && !lingering && taker == null && (in.bufferedBytes() > 0 || in.isStreamingBody());
-    if (!held) {
-      read(in.writableBuffer());
-    } else if (in.bufferedBytes() < AHEAD
-        || onDisconnect != null
-            && (!in.isStreamingBody()
-                || !pulled && in.bufferedBytes() < BODY_AHEAD && front.mayReadAhead())) {
-      aside = ByteBuffer.allocate(in.isStreamingBody() ? WIDE : ASIDE);
-      read(aside);
-    }
-  }
-
-  /** Whether the inbox may be taken from: no read fills it. */
-  private boolean mayTake() {
-    return !isReading() || aside != null;
-  }
-
-  private void advance() {
-    try {
-      Request request = in.next();
-      if (request != null) {
-        busy = true;
-        asked = true;
-        bare = request.method().equals("HEAD");
-        if (in.isStreamingBody() && !inBody) {
-          pace.start(loop.now());
-        }
-        inBody = in.isStreamingBody();
-        pulled = false;
-        pace.pause(loop.now());
-        calm();
-        readOn();
-        loop.execute(
-            () -> { // if its client has left by now, that is heard first
-              if (!isClosed()) {
-                front.onRequest(this, request);
-                readOn();
-              }
-            });
-      } else if (in.isInBody()) {
-        if (!inBody) {
-          inBody = true;
-          pace.start(loop.now());
-        }
-        waitFor(pace.remaining(loop.now()));
-        if (in.expectsContinue()) {
-          goOn();
-        }
-      } else if (in.isMidMessage() && (stall == null || resting)) {
-        headSince = loop.now();
-        waitFor(HEAD);
+    if (request != null) {
+      onRequest(request);
+    } else if (decoder.isInBody()) {
+      bodyReader.awaitRestOfRequest();
+      if (decoder.expectsContinue()) {
+        isWritingInterim = true;
+        write(Encoder.continueResponse());
       }
-    } catch (MalformedMessageException e) {
-      refuse(e.status, e.getMessage());
+    } else if (decoder.isMidMessage() && timeouts.isHeadUntimed()) {
+      headSince = loop.now();
+      timeouts.awaitHead();
     }
   }
 
-  private void goOn() {
-    interim = true;
-    write(Encoder.continueResponse());
-  }
-
-  private void waitFor(long time) {
-    calm();
-    expire(time, lingering ? this::close : this::tooLate);
-  }
-
-  private void calm() {
-    loop.cancel(stall);
-    stall = null;
-    resting = false;
+  private void onRequest(Request request) {
+    isBusy = true;
+    hasHadRequest = true;
+    isHeadRequest = request.method().equals("HEAD");
+    bodyReader.onRequest();
+    timeouts.cancel();
+    bodyReader.readMore();
+    loop.execute(
+        () -> { // if its client has disconnected by now, that is handled first
+          if (!isClosed()) {
+            listener.onRequest(this, request);
+            bodyReader.readMore();
+          }
+        });
   }
 
-  private void refuse(int status, String why) {
-    front.logErrorResponse(status, why);
-    Runnable left = onDisconnect;
-    onDisconnect = null;
-    if (left != null) { // the req that its body was to belong to
-      left.run();
+  private void onRequestTimeout() {
+    if (decoder.isMidMessage() && !isLingering) {
+      rejectMalformed(408, "the request did not come whole");
+    } else {
+      close();
     }
-    busy = true;
-    unread = true;
-    sendResponse(ProtocolMapping.plain(status, why, false));
-  }
-
-  /** What is to be done should the client leave before its answer, or end it by a broken body. */
-  void onDisconnect(Runnable then) {
-    onDisconnect = then;
   }
 
-  // ---- a long body
-
-  /** Asks for the next piece of the body, or, with null, for none any more. */
-  void requestBodyPart(Taker by) {
-    if (by == null) {
-      taker = null;
-      if (in.isStreamingBody() && passing == null) {
-        pace.pause(loop.now());
-        calm();
-      }
-      return;
-    }
-    taker = by;
-    pulled = true;
-    pace.resume(loop.now());
-    waitFor(pace.remaining(loop.now()));
-    if (lastPiece != null) {
-      loop.execute(this::giveLast);
-    } else if (mayTake()) { // else it comes, with what that read brings
-      deliver();
-      readOn();
+  /**
+   * Responds to what is no request, or not a complete one, and closes the connection after it. A
+   * request that the body was to belong to counts as abandoned by its client.
+   */
+  void rejectMalformed(int status, String reason) {
+    listener.logErrorResponse(status, reason);
+    Runnable callback = disconnectCallback;
+    disconnectCallback = null;
+    if (callback != null) {
+      callback.run();
     }
+    isBusy = true;
+    hasUnreadRequest = true;
+    sendResponse(ProtocolMapping.plain(status, reason, false));
   }
 
-  private void giveLast() {
-    if (lastPiece != null && taker != null) { // else it has left, or nobody asks just now
-      ByteBuffer piece = lastPiece;
-      lastPiece = null;
-      give(piece, true);
-    }
+  /**
+   * Sets what is to be done should the client disconnect before its response, or end its request by
+   * a malformed body.
+   */
+  void onDisconnect(Runnable callback) {
+    disconnectCallback = callback;
   }
 
-  private void give(ByteBuffer piece, boolean last) {
-    Taker to = taker;
-    taker = null;
-    pace.pause(loop.now());
-    calm();
-    to.piece(piece, last);
+  /** Asks for the next part of the long body of the request that is open. */
+  void requestBodyPart(RequestBodyReader.BodyPartConsumer consumer) {
+    bodyReader.requestPart(consumer);
   }
 
-  private void deliver() {
-    try {
-      ByteBuffer piece = in.nextBodyPart();
-      count();
-      inBody = in.isStreamingBody();
-      if (!inBody) {
-        lastPiece = piece;
-        readOn();
-        loop.execute(this::giveLast);
-      } else if (piece.hasRemaining()) {
-        give(piece, false);
-      } else {
-        waitFor(pace.remaining(loop.now()));
-      }
-    } catch (MalformedMessageException e) {
-      taker = null;
-      refuse(e.status, e.getMessage());
-    }
+  /** Asks for no part of the body any more; what has come and was not asked for is kept. */
+  void cancelBodyRequest() {
+    bodyReader.cancelRequest();
   }
 
-  // ---- the answer
+  // ---- the response
 
-  /** The one answer to the request that is open; more of it may follow by begin(). */
+  /** Sends the one response to the open request, or the first part of a long one. */
   void sendResponse(Response response) {
-    onDisconnect = null;
+    disconnectCallback = null;
     if (isClosed()) {
       return;
     }
-    Response last = bare ? response.withoutBody() : response;
-    if (in.isStreamingBody() || spilt) { // what is still to come of its body nobody will read
-      unread = true;
-      last = last.closingConnection();
+    Response sent = isHeadRequest ? response.withoutBody() : response;
+    if (bodyReader.hasUnreadableBytes()) {
+      hasUnreadRequest = true;
+      sent = sent.closingConnection();
     }
-    keep = last.keepAlive();
-    calm();
-    stall = loop.schedule(STALL, this::close);
-    write(Encoder.response(last));
+    isKeptAlive = sent.keepAlive();
+    timeouts.awaitWrite();
+    write(Encoder.response(sent));
   }
 
-  /** The head and first bytes of a long answer; what follows comes by the passing. */
-  void sendStreamedResponse(Response head, ResponseRelay rest) {
+  /** Sends the head and first bytes of a long response; the relay brings what follows. */
+  void sendStreamedResponse(Response head, ResponseRelay relay) {
     sendResponse(head);
-    passing = rest;
+    responseRelay = relay;
   }
 
-  /** A further part of a long answer. */
+  /** Sends a further part of a long response, framed for the client. */
   void sendResponsePart(ByteBuffer bytes) {
     if (!isClosed()) {
-      calm();
-      stall = loop.schedule(STALL, this::close);
+      timeouts.awaitWrite();
       write(bytes);
     }
   }
 
   @Override
-  protected void onWritten(boolean whole) {
+  protected void onWritten(boolean isComplete) {
     if (isClosed()) {
       return;
     }
-    if (interim) {
-      interim = false;
+    if (isWritingInterim) {
+      isWritingInterim = false;
       return;
     }
-    calm();
-    if (whole && passing != null) {
-      if (!passing.taken()) {
+    timeouts.cancel();
+    if (isComplete && responseRelay != null) {
+      if (!responseRelay.taken()) {
         return;
       }
-      passing = null;
+      responseRelay = null;
     }
-    if (!whole || !keep && !unread) {
+    if (!isComplete) {
       close();
-    } else if (keep) {
-      busy = false;
-      inBody = false;
-      idleSince = loop.now();
-      expire(REST, this::close);
-      resting = true;
-      if (mayTake()) {
-        advance();
-        readOn();
-      }
-    } else { // what it goes on sending would reset the answer
-      lingering = true;
-      stall = loop.schedule(LINGER, this::close);
-      shutdownOutput();
-      readOn();
+    } else if (isKeptAlive) {
+      awaitNextRequest();
+    } else if (hasUnreadRequest) {
+      linger();
+    } else {
+      close();
+    }
+  }
+
+  private void awaitNextRequest() {
+    isBusy = false;
+    bodyReader.onResponseComplete();
+    idleSince = loop.now();
+    timeouts.awaitNextRequest();
+    if (bodyReader.isDecoderAvailable()) {
+      decodeRequest();
+      bodyReader.readMore();
     }
   }
 
+  /** Waits for the client to close: what it goes on sending would reset the response. */
+  private void linger() {
+    isLingering = true;
+    timeouts.awaitClose();
+    shutdownOutput();
+    bodyReader.readMore();
+  }
+
   @Override
   public void close() {
     if (isClosed()) {
       return;
     }
     super.close();
-    calm();
-    front.onClosed(slot);
-    front.addReadAheadBytes(-counted);
-    taker = null;
-    lastPiece = null;
-    if (passing != null) {
-      passing.left();
-    } else if (onDisconnect != null) {
-      onDisconnect.run();
+    timeouts.cancel();
+    listener.onClosed(slot);
+    bodyReader.close();
+    if (responseRelay != null) {
+      responseRelay.left();
+    } else if (disconnectCallback != null) {
+      disconnectCallback.run();
     }
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/ClientConnectionTable.java
@@ -0,0 +1,99 @@
+package wheattrack.net;
+
+import java.util.Comparator;
+import wheattrack.core.SlotTable;
+
+/**
+ * The clients' connections and the bound on their number: says when a place is free, and evicts
+ * connections where there are too many. Runs on the event loop's thread only.
+ */
+final class ClientConnectionTable {
+  private static final Comparator<ClientConnection> EVICTION_ORDER =
+      Comparator.comparing(ClientConnection::evictionPriority)
+          .thenComparingLong(ClientConnection::idleSince);
+
+  private final SlotTable<ClientConnection> connections = new SlotTable<>();
+  private int maxConnections;
+
+  /**
+   * Makes the table.
+   *
+   * @param maxConnections connections that may stay open; a few more are taken, see {@link #isFull}
+   */
+  ClientConnectionTable(int maxConnections) {
+    this.maxConnections = maxConnections;
+  }
+
+  /** Bounds the connections from now on; nothing is evicted yet. */
+  void setMaxConnections(int maxConnections) {
+    this.maxConnections = maxConnections;
+  }
+
+  /** Adds a connection, and returns its slot. */
+  int add(ClientConnection connection) {
+    return connections.add(connection);
+  }
+
+  /** Removes the connection in this slot. */
+  void remove(int slot) {
+    connections.remove(slot);
+  }
+
+  /** The number of connections. */
+  int size() {
+    return connections.size();
+  }
+
+  /**
+   * Whether no further connection may be accepted. Some are taken beyond the bound, so that their
+   * requests are rejected rather than left waiting.
+   */
+  boolean isFull() {
+    return connections.size() >= maxConnections + 1 + maxConnections / 16;
+  }
+
+  /** Whether at most half of the places are taken. */
+  boolean hasAmplePlaces() {
+    return connections.size() <= maxConnections / 2;
+  }
+
+  /**
+   * Whether more requests are open than there may be connections. Idle clients, of which some are
+   * about to be evicted, do not count.
+   */
+  boolean hasTooManyRequests() {
+    return connections.size() > maxConnections && openRequests() > maxConnections;
+  }
+
+  private long openRequests() {
+    return connections.all().stream().filter(ClientConnection::hasOpenRequest).count();
+  }
+
+  /** Evicts as many connections as there are beyond the bound, where that many may be evicted. */
+  void evictSurplus() {
+    evict(connections.size() - maxConnections);
+  }
+
+  /** Evicts so many connections, where that many may be evicted. */
+  void evict(int count) {
+    if (count > 0) {
+      connections.all().stream()
+          .filter(connection -> connection.evictionPriority() != EvictionPriority.NEVER)
+          .sorted(EVICTION_ORDER)
+          .limit(count)
+          .forEach(ClientConnection::evict);
+    }
+  }
+
+  /** Evicts all clients that take too long with the head of a request. */
+  void evictSlowHeads() {
+    connections.all().stream()
+        .filter(connection -> connection.evictionPriority() == EvictionPriority.SLOW_HEAD)
+        .forEach(ClientConnection::evict);
+  }
+
+  /** Closes all connections that are between two requests. */
+  void closeIdle() {
+    connections.all().stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/ClientErrorLog.java
@@ -0,0 +1,33 @@
+package wheattrack.net;
+
+import wheattrack.aio.EventLoop;
+import wheattrack.log.EventLog;
+
+/**
+ * Logs what clients are denied, a line a second at most: malformed input may come in floods. Runs
+ * on the event loop's thread only.
+ */
+final class ClientErrorLog {
+  /** The shortest time between two lines, in tenths of a millisecond. */
+  private static final long MIN_LOG_INTERVAL = 10_000;
+
+  private final EventLoop loop;
+  private long lastLoggedAt;
+  private long suppressedLines;
+
+  ClientErrorLog(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  /** Logs the event, or counts it to be told of with the next line. */
+  void log(String event, String cause) {
+    if (loop.now() - lastLoggedAt < MIN_LOG_INTERVAL) {
+      suppressedLines++;
+      return;
+    }
+    String suppressed = suppressedLines > 0 ? ", and " + suppressedLines + " more like it" : "";
+    EventLog.info(event, null, cause + suppressed);
+    lastLoggedAt = loop.now();
+    suppressedLines = 0;
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/ClientListener.java
@@ -6,265 +6,258 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.util.Comparator;
 import java.util.function.Supplier;
 import wheattrack.aio.EventLoop;
 import wheattrack.core.Lifecycle;
-import wheattrack.core.SlotTable;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
 import wheattrack.log.EventLog;
 
 /**
- * Where clients connect: takes connections within a budget of descriptors and hands their requests
- * on.
+ * Listens for clients: accepts connections within a budget of descriptors, and gives their requests
+ * to the receiver. Runs on the event loop's thread only.
  */
 final class ClientListener {
+  /** Connections that the system may hold for us until they are accepted. */
   private static final int BACKLOG = 1024;
-  private static final long PAUSE = 200; // after a failed accept, tenths of a millisecond
-  private static final long LOG_EVERY = 10_000;
 
-  /** What becomes of a request that is not one of the proxy's own. */
+  /** How long to wait after a failed accept, in tenths of a millisecond. */
+  private static final long RETRY_PAUSE = 200;
+
+  /** How often slow clients are looked for while all places are taken; tenths of a millisecond. */
+  private static final long EVICTION_INTERVAL = ConnectionTimeouts.HEAD_TIMEOUT_WHEN_FULL / 4;
+
+  /** Takes the requests that the proxy does not respond to itself. */
   interface RequestReceiver {
+    /** A request has come; the connection waits for its one response. */
     void onRequest(ClientConnection client, Request request);
 
-    /** Too many clients are here: it has been answered, unheard. */
-    void onRejectedUnheard(Request request);
+    /** A request is rejected without being looked at, as too many clients are connected. */
+    void onRejected(Request request);
   }
 
   private final EventLoop loop;
-  private final Lifecycle life;
-  private int most;
+  private final Lifecycle lifecycle;
   private final long maxBodyBytes;
-  private final RequestReceiver taker;
-  private final Supplier<String> remark;
-  private final SlotTable<ClientConnection> clients = new SlotTable<>();
+  private final RequestReceiver receiver;
+  private final Supplier<String> readinessRemark;
+  private final ClientConnectionTable connections;
+  private final ReadAheadBudget readAheadBudget = new ReadAheadBudget();
+  private final ClientErrorLog errorLog;
   private AsynchronousServerSocketChannel channel;
-  private boolean accepting, opened;
-  private TimerQueue.Timer pressing;
-
-  /** Bytes that clients have sent ahead of what is asked for, and so many as may be. */
-  private long ahead;
-
-  private final long mostAhead = Runtime.getRuntime().maxMemory() / 8;
-  private long accepted;
-  private long loggedAt;
-  private long unlogged;
+  private boolean isStarted;
+  private boolean isAccepting;
+  private TimerQueue.Timer evictionTimer;
+  private long acceptedConnections;
 
   /**
-   * most: connections of clients; a few more are taken, so that those who come then are denied.
-   * remark: said behind the phase to who asks whether this proxy is ready.
+   * Makes a listener that does not listen yet.
+   *
+   * @param maxClients connections of clients; a few more are accepted, to have their requests
+   *     rejected
+   * @param maxBodyBytes bytes of the longest request body
+   * @param readinessRemark said behind the phase to who asks whether this proxy is ready
    */
   ClientListener(
       EventLoop loop,
-      Lifecycle life,
-      int most,
-      long mostBody,
-      RequestReceiver taker,
-      Supplier<String> remark) {
-    this.remark = remark;
-    this.maxBodyBytes = mostBody;
+      Lifecycle lifecycle,
+      int maxClients,
+      long maxBodyBytes,
+      RequestReceiver receiver,
+      Supplier<String> readinessRemark) {
     this.loop = loop;
-    this.life = life;
-    this.most = most;
-    this.taker = taker;
+    this.lifecycle = lifecycle;
+    this.maxBodyBytes = maxBodyBytes;
+    this.receiver = receiver;
+    this.readinessRemark = readinessRemark;
+    connections = new ClientConnectionTable(maxClients);
+    errorLog = new ClientErrorLog(loop);
   }
 
+  // ---- the listening socket
+
   /**
-   * Has the address from now on, as another process of this proxy may; who connects waits till
-   * open().
+   * Binds the address, which another process of this proxy may have bound too. Clients that connect
+   * wait until {@link #startAccepting}.
+   *
+   * @throws IOException if the address cannot be bound
    */
-  void listen(AsynchronousChannelGroup group, InetSocketAddress at) throws IOException {
+  void listen(AsynchronousChannelGroup group, InetSocketAddress address) throws IOException {
     channel = AsynchronousServerSocketChannel.open(group);
     channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-    channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(at, BACKLOG);
+    channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(address, BACKLOG);
   }
 
-  /** Takes who has connected and who does from now on. */
-  void startAccepting() {
-    opened = true;
-    accept();
+  /** Whether the address is bound and not given up. */
+  boolean isListening() {
+    return channel != null && channel.isOpen();
   }
 
-  /** So many connections may be had from now on; surplus ones go as they come to rest. */
-  void setMaxClients(int most) {
-    this.most = most;
-    free(clients.size() - most);
-    accept();
+  /**
+   * The port it listens at.
+   *
+   * @throws IOException if the socket is closed
+   */
+  int port() throws IOException {
+    return ((InetSocketAddress) channel.getLocalAddress()).getPort();
   }
 
-  boolean isListening() {
-    return channel != null && channel.isOpen();
+  /** Accepts the clients that have connected, and those that do from now on. */
+  void startAccepting() {
+    isStarted = true;
+    accept();
   }
 
   private void accept() {
-    if (accepting || !opened || !isListening()) {
+    if (isAccepting || !isStarted || !isListening()) {
       return;
     }
-    if (clients.size() >= most + 1 + most / 16) {
-      press();
+    if (connections.isFull()) {
+      scheduleEviction();
       return;
     }
-    accepting = true;
-    channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
+    isAccepting = true;
+    channel.accept(null, loop.handler(this::onAccepted, this::onAcceptFailed));
   }
 
-  /** All places are taken: who is slow with its head, or comes to be, makes room for who waits. */
-  private void press() {
-    if (pressing == null) {
-      pressing =
-          loop.schedule(
-              ClientConnection.HEAD_AMID_CROWD / 4,
-              () -> {
-                pressing = null;
-                clients.all().stream()
-                    .filter(c -> c.rank() == ClientConnection.SLOW)
-                    .forEach(ClientConnection::evict);
-                free(clients.size() - most);
-                accept();
-              });
-    }
-  }
-
-  private void accepted(AsynchronousSocketChannel one) {
-    accepting = false;
-    accepted++;
-    new ClientConnection(this, loop, one).start();
-    free(clients.size() - most);
+  private void onAccepted(AsynchronousSocketChannel client) {
+    isAccepting = false;
+    acceptedConnections++;
+    new ClientConnection(this, loop, client).start();
+    connections.evictSurplus();
     accept();
   }
 
-  /**
-   * Descriptors have run out, most likely: an idle connection makes room, and the rest waits a
-   * moment.
-   */
-  private void acceptFailed(Throwable why) {
-    accepting = false;
+  /** Most likely descriptors have run out: one connection is evicted, and accepting pauses. */
+  private void onAcceptFailed(Throwable cause) {
+    isAccepting = false;
     if (isListening()) {
-      note("not accepted", why.toString());
-      free(1);
-      loop.schedule(PAUSE, this::accept);
+      errorLog.log("not accepted", cause.toString());
+      connections.evict(1);
+      loop.schedule(RETRY_PAUSE, this::accept);
     }
   }
 
-  private void free(int surplus) {
-    if (surplus > 0) {
-      clients.all().stream()
-          .filter(client -> client.rank() < ClientConnection.NOT_AT_ALL)
-          .sorted(
-              Comparator.comparingInt(ClientConnection::rank)
-                  .thenComparingLong(ClientConnection::idleSince))
-          .limit(surplus)
-          .forEach(ClientConnection::evict);
+  /** All places are taken: clients that are or become slow with a head make room for others. */
+  private void scheduleEviction() {
+    if (evictionTimer == null) {
+      evictionTimer = loop.schedule(EVICTION_INTERVAL, this::evictAndAccept);
     }
   }
 
-  /** So many more bytes of clients are held, or fewer. */
-  void addReadAheadBytes(long more) {
-    ahead += more;
+  private void evictAndAccept() {
+    evictionTimer = null;
+    connections.evictSlowHeads();
+    connections.evictSurplus();
+    accept();
   }
 
-  boolean mayReadAhead() {
-    return ahead < mostAhead;
+  /**
+   * Gives the address up once all clients that have connected by now are accepted: they would be
+   * reset with what they sent.
+   */
+  void stopAccepting() {
+    if (!isListening()) {
+      return;
+    }
+    long acceptedBefore = acceptedConnections;
+    startAccepting();
+    loop.execute(
+        () -> {
+          if (acceptedConnections > acceptedBefore) {
+            stopAccepting();
+          } else if (!isAccepting) { // all places are taken: again as they come free
+            loop.schedule(RETRY_PAUSE, this::stopAccepting);
+          } else {
+            closeListeningSocket();
+          }
+        });
   }
 
-  long maxBodyBytes() {
-    return maxBodyBytes;
+  private void closeListeningSocket() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      EventLog.warning("the listening socket", null, e.toString());
+    }
   }
 
-  int register(ClientConnection client) {
-    return clients.add(client);
-  }
+  // ---- the connections
 
-  void onClosed(int slot) {
-    clients.remove(slot);
+  /** Bounds the connections from now on; surplus ones are closed as they become idle. */
+  void setMaxClients(int maxClients) {
+    connections.setMaxConnections(maxClients);
+    connections.evictSurplus();
     accept();
   }
 
-  /**
-   * Whether a connection may stay open for a further request: only while places are plenty.
-   * Incident rde3a99: connections that ask once and stay used up what clients may hold; none was
-   * left for requests.
-   */
-  boolean mayKeepAlive(boolean asked) {
-    return asked && !life.isShuttingDown() && clients.size() <= most / 2;
+  /** Enters a connection that was accepted, and returns its slot. */
+  int register(ClientConnection client) {
+    return connections.add(client);
   }
 
-  void onRequest(ClientConnection client, Request request) {
-    String path = request.target().split("\\?", 2)[0];
-    if (path.equals(ProtocolMapping.READY)) {
-      client.sendResponse(
-          ProtocolMapping.plain(
-              life.isReady() ? 200 : 503,
-              life.phase().name() + remark.get(),
-              mayKeepAlive(request.keepAlive())));
-    } else if (clients.size() > most && served() > most) {
-      note("denied", clients.size() + " clients are connected");
-      taker.onRejectedUnheard(request);
-      client.sendResponse(ProtocolMapping.denied(0, false));
-    } else {
-      taker.onRequest(client, request);
-    }
+  /** The connection in this slot has closed: its place is free. */
+  void onClosed(int slot) {
+    connections.remove(slot);
+    accept();
   }
 
-  /** Requests that are open; idle clients, of which some are to go, are none of them. */
-  private long served() {
-    return clients.all().stream().filter(ClientConnection::hasOpenRequest).count();
+  /** The number of connections. */
+  int connectionCount() {
+    return connections.size();
   }
 
-  void logErrorResponse(int status, String why) {
-    note("answered " + status, why);
+  /** Closes the connections that are between two requests. */
+  void closeIdleConnections() {
+    connections.closeIdle();
   }
 
-  /** Bad input may come in floods: a line a second. */
-  private void note(String event, String cause) {
-    if (loop.now() - loggedAt < LOG_EVERY) {
-      unlogged++;
-      return;
-    }
-    EventLog.info(event, null, cause + (unlogged > 0 ? ", and " + unlogged + " more like it" : ""));
-    loggedAt = loop.now();
-    unlogged = 0;
+  /** What the connections may read ahead together. */
+  ReadAheadBudget readAheadBudget() {
+    return readAheadBudget;
   }
 
-  void closeIdleConnections() {
-    clients.all().stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+  /** Bytes of the longest request body. */
+  long maxBodyBytes() {
+    return maxBodyBytes;
   }
 
   /**
-   * Nothing more is accepted but who has connected by now: they would be reset with what they sent.
+   * Whether a connection may stay open for a further request: only while places are plenty.
+   * Incident rde3a99: connections that ask once and stay used up what clients may hold; none was
+   * left for requests.
+   *
+   * @param isRequested whether the client wants it so
    */
-  void stopAccepting() {
-    if (!isListening()) {
-      return;
-    }
-    long before = accepted;
-    startAccepting();
-    loop.execute(
-        () -> {
-          if (accepted > before) {
-            stopAccepting();
-          } else if (!accepting) { // its places are all taken: as they come free
-            loop.schedule(PAUSE, this::stopAccepting);
-          } else {
-            closeDoor();
-          }
-        });
+  boolean mayKeepAlive(boolean isRequested) {
+    return isRequested && !lifecycle.isShuttingDown() && connections.hasAmplePlaces();
   }
 
-  private void closeDoor() {
-    try {
-      channel.close();
-    } catch (IOException e) {
-      EventLog.warning("the listening socket", null, e.toString());
+  // ---- the requests
+
+  /** A request has come: responds to readiness checks and on overload, and passes on the others. */
+  void onRequest(ClientConnection client, Request request) {
+    String path = request.target().split("\\?", 2)[0];
+    if (path.equals(ProtocolMapping.READY)) {
+      respondToReadinessCheck(client, request);
+    } else if (connections.hasTooManyRequests()) {
+      errorLog.log("denied", connections.size() + " clients are connected");
+      receiver.onRejected(request);
+      client.sendResponse(ProtocolMapping.denied(0, false));
+    } else {
+      receiver.onRequest(client, request);
     }
   }
 
-  int port() throws IOException {
-    return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+  private void respondToReadinessCheck(ClientConnection client, Request request) {
+    int status = lifecycle.isReady() ? 200 : 503;
+    String text = lifecycle.phase().name() + readinessRemark.get();
+    boolean keepsAlive = mayKeepAlive(request.keepAlive());
+    client.sendResponse(ProtocolMapping.plain(status, text, keepsAlive));
   }
 
-  int connectionCount() {
-    return clients.size();
+  /** Logs that a client's request is answered by the proxy itself with an error. */
+  void logErrorResponse(int status, String reason) {
+    errorLog.log("answered " + status, reason);
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/ConnectionTimeouts.java
@@ -0,0 +1,117 @@
+package wheattrack.net;
+
+import wheattrack.aio.EventLoop;
+import wheattrack.core.TimerQueue;
+
+/**
+ * The one timer of a client's connection: at any time it bounds the head of a request, its body,
+ * the wait for the next request, the write of a response, or the client's closing. Starting one
+ * time-out ends the one before. Times are tenths of a millisecond. Runs on the event loop's thread
+ * only.
+ *
+ * <p>Incident: bad clients, silent, dripping or with half a request, held a place for 10 s or for
+ * good.
+ */
+final class ConnectionTimeouts {
+  /** The longest time for a complete head, from connecting or from its first byte. */
+  private static final long HEAD_TIMEOUT = 24_000;
+
+  /** The longest time for a complete head while all places are taken and others wait for one. */
+  static final long HEAD_TIMEOUT_WHEN_FULL = HEAD_TIMEOUT / 3;
+
+  /** The longest time between two requests. */
+  private static final long IDLE_TIMEOUT = 20_500;
+
+  /** The longest time that the client may take to accept one part of a response. */
+  private static final long STALL_TIMEOUT = 100_000;
+
+  /** The longest time that the client may take to close once it has its last response. */
+  private static final long LINGER_TIMEOUT = 10_000;
+
+  private final EventLoop loop;
+  private final Runnable onRequestTimeout;
+  private final Runnable onConnectionTimeout;
+  private TimerQueue.Timer timer;
+
+  /** Changes with each start and cancellation, so that an expiry can tell that it is outdated. */
+  private long generation;
+
+  private boolean isIdleTimeout;
+
+  /**
+   * Makes the timer; it does not run yet.
+   *
+   * @param onRequestTimeout run when a head or a body has not come in time
+   * @param onConnectionTimeout run when the client was idle, stalled or did not close in time
+   */
+  ConnectionTimeouts(EventLoop loop, Runnable onRequestTimeout, Runnable onConnectionTimeout) {
+    this.loop = loop;
+    this.onRequestTimeout = onRequestTimeout;
+    this.onConnectionTimeout = onConnectionTimeout;
+  }
+
+  /** Bounds the time until the head of a request is complete. */
+  void awaitHead() {
+    startDeferred(HEAD_TIMEOUT, onRequestTimeout);
+  }
+
+  /** Bounds the time until further bytes of the request's body come. */
+  void awaitBody(long time) {
+    startDeferred(time, onRequestTimeout);
+  }
+
+  /** Bounds the time until the first byte of the next request. */
+  void awaitNextRequest() {
+    startDeferred(IDLE_TIMEOUT, onConnectionTimeout);
+    isIdleTimeout = true;
+  }
+
+  /** Bounds the time for writing a response or a part of one. */
+  void awaitWrite() {
+    cancel();
+    timer = loop.schedule(STALL_TIMEOUT, onConnectionTimeout);
+  }
+
+  /** Bounds the time until the client closes. */
+  void awaitClose() {
+    cancel();
+    timer = loop.schedule(LINGER_TIMEOUT, onConnectionTimeout);
+  }
+
+  /** Bounds the time until the client closes anew, as it still sends what is to be discarded. */
+  void extendClose() {
+    startDeferred(LINGER_TIMEOUT, onConnectionTimeout);
+  }
+
+  /** Whether no request is being waited for yet, so that the first byte of one starts its time. */
+  boolean isHeadUntimed() {
+    return timer == null || isIdleTimeout;
+  }
+
+  /** Ends the time-out that runs, if any. */
+  void cancel() {
+    loop.cancel(timer);
+    timer = null;
+    isIdleTimeout = false;
+    generation++;
+  }
+
+  /**
+   * Starts a time-out for input. Its expiry takes effect in a later step, unless what has come by
+   * then has ended the time-out.
+   */
+  private void startDeferred(long time, Runnable onExpiry) {
+    cancel();
+    long started = generation;
+    timer =
+        loop.schedule(
+            time,
+            () ->
+                loop.execute(
+                    () -> {
+                      if (generation == started) {
+                        onExpiry.run();
+                      }
+                    }));
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -49,7 +49,7 @@
   void stop(BackendConnection by) {
     if (to == by) {
       to = null;
-      client.requestBodyPart(null);
+      client.cancelBodyRequest();
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -117,7 +117,7 @@
 
   /** A request that is turned away unheard, as too many clients are here. */
   @Override
-  public void onRejectedUnheard(Request request) {
+  public void onRejected(Request request) {
     String name = ProtocolMapping.name(request);
     if (sets.containsKey(name)) {
       counts.countAnswer(name, FinalAnswer.REJECTED);
