Backend connections: named states, the pool's quarantine and assignment, private fields

BackendConnection says CONNECTING, IN_USE, IDLE or CLOSED in place of two flags; pool and connector speak of connecting, idle, quarantine and assignment; fields that other classes set are private; releasing a connection after its response stands once. Calls keep their order, and each step of the event loop, bound and time-out stays.

--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -13,277 +13,343 @@
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
 
-/** One connection to a backend; it carries one dispatch at a time. */
+/**
+ * One connection to a backend; it carries one attempt at a time. Runs on the event loop's thread
+ * only.
+ */
 final class BackendConnection extends TcpConnection {
-  /** How long a long answer may pause at the backend, and a long body on the way there. */
+  /**
+   * How long a long response may pause at the backend, and a long body on the way there; tenths of
+   * a millisecond.
+   */
   static final long STALL_TIMEOUT = 100_000;
 
-  private final BackendConnectionPool backend;
-  private final Connector dialler;
-  private final ResponseDecoder in;
+  /** The lowest status of a final response; what is below is interim. */
+  private static final int MIN_FINAL_STATUS = 200;
+
+  private enum State {
+    /** The connection is being made. */
+    CONNECTING,
+    /** It carries an attempt, or relays the rest of a long response. */
+    IN_USE,
+    /** It carries nothing and stands in its pool. */
+    IDLE,
+    /** It is closed. */
+    CLOSED
+  }
+
+  private final BackendConnectionPool pool;
+  private final Connector connector;
+  private final ResponseDecoder decoder;
+  private final InetSocketAddress remoteAddress;
+  private final long openedAt;
+  private final int slot;
+  private State state = State.CONNECTING;
+
+  /** The attempt whose response is awaited, or null. */
+  private BackendAttempt currentAttempt;
+
+  /** The attempt whose request is not completely written, or null. */
+  private BackendAttempt attemptBeingWritten;
 
-  /** Where it leads, and since when. */
-  final InetSocketAddress remoteAddress;
+  /** What is still to be written of a long request body, or null. */
+  private RequestBodyRelay bodyRelay;
 
-  final long openedAt;
-  private BackendAttempt currentAttempt, writing;
+  private boolean isBodyChunked;
 
-  /** Of a long body what is still to be written, and whether it goes in chunks. */
-  private RequestBodyRelay body;
+  /** The long response that is being relayed, or null. */
+  private ResponseRelay responseRelay;
 
-  private boolean chunks;
+  /** Whether the connection may serve on after the response that is being relayed. */
+  private boolean isReusable;
 
-  /** A long answer that is being passed on, and whether the connection may serve after it. */
-  private ResponseRelay passing;
+  /** Whether a response of unknown length is kept back, as it may be a short one. */
+  private boolean isHoldingResponse;
 
-  private boolean keep;
-  private boolean dialling;
-  private boolean resting;
-  private long idleSince, usableFrom;
-  private boolean broken, holding;
-  private TimerQueue.Timer deadline;
-  int slot;
+  /** Whether the connection broke while the request was being written. */
+  private boolean isBroken;
 
+  /** When it became idle, and from when on it may be used again; tenths of a millisecond. */
+  private long idleSince;
+
+  private long usableFrom;
+
+  /** For connecting, for being idle, for a response kept back, or for a response that stalls. */
+  private TimerQueue.Timer timer;
+
+  /** Takes a place in the connector's budget; {@link #startConnecting} must follow. */
   BackendConnection(
-      BackendConnectionPool backend, AsynchronousSocketChannel channel, Connector dialler) {
-    super(backend.loop, channel);
-    this.backend = backend;
-    this.dialler = dialler;
-    in = new ResponseDecoder(dialler.maxBodyBytes);
-    remoteAddress = backend.address;
+      BackendConnectionPool pool, AsynchronousSocketChannel channel, Connector connector) {
+    super(pool.loop, channel);
+    this.pool = pool;
+    this.connector = connector;
+    decoder = new ResponseDecoder(connector.maxBodyBytes());
+    remoteAddress = pool.address();
     openedAt = loop.now();
+    slot = connector.register(this);
   }
 
+  /** The attempt whose response is awaited, or null. */
   BackendAttempt currentAttempt() {
     return currentAttempt;
   }
 
+  /** The backend's address. */
+  InetSocketAddress remoteAddress() {
+    return remoteAddress;
+  }
+
+  /** When connecting began; tenths of a millisecond. */
+  long openedAt() {
+    return openedAt;
+  }
+
+  // ---- connecting
+
+  /** Connects; the pool is told of success or failure, at the latest after this time. */
   void startConnecting(long timeout) {
-    dialling = true;
-    deadline = loop.schedule(timeout, this::onConnectFailed);
+    timer = loop.schedule(timeout, this::onConnectFailed);
     connect(remoteAddress, this::onConnected, this::onConnectFailed);
   }
 
   private void onConnected() {
-    if (dialling && !isClosed()) {
-      dialling = false;
-      loop.cancel(deadline);
-      read(in.writableBuffer());
-      backend.onConnected(this);
+    if (state == State.CONNECTING && !isClosed()) {
+      state = State.IN_USE;
+      loop.cancel(timer);
+      read(decoder.writableBuffer());
+      pool.onConnected(this);
     }
   }
 
   private void onConnectFailed() {
-    if (dialling) {
+    if (state == State.CONNECTING) {
       close();
     }
   }
 
-  void send(BackendAttempt d) {
-    loop.cancel(deadline);
-    resting = false;
-    currentAttempt = writing = d;
-    d.on = this;
-    d.begun = loop.now();
-    Request request = d.request();
-    body = d.body();
-    chunks = request.remainingBody() == Decoder.CHUNKED;
-    in.expectNoBody(request.method().equals("HEAD"));
-    write(Encoder.request(request));
-  }
+  // ---- idle
 
+  /** Whether it carries nothing and stands in its pool. */
   boolean isIdle() {
-    return resting;
+    return state == State.IDLE;
   }
 
+  /** When it became idle; tenths of a millisecond. */
   long idleSince() {
     return idleSince;
   }
 
-  /** From when on it may carry a dispatch. */
+  /** From when on it may carry an attempt; tenths of a millisecond. */
   long usableFrom() {
     return usableFrom;
   }
 
   /**
-   * Whether it has rested so long that it should be closed by now, and its backend may have done
-   * so.
+   * Whether it has been idle for so long that it should be closed by now, and its backend may have
+   * done so.
    */
   boolean hasExceededIdleTimeout() {
-    return dialler.idleTimeout > 0 && loop.now() - idleSince >= dialler.idleTimeout;
+    return connector.idleTimeout() > 0 && loop.now() - idleSince >= connector.idleTimeout();
   }
 
-  /** Stands idle, for so long only to settle; closed well before the backend would do so. */
-  void becomeIdle(long settle) {
-    resting = true;
+  /**
+   * Becomes idle, and usable after the quarantine; it is closed well before its backend does so.
+   */
+  void becomeIdle(long quarantine) {
+    state = State.IDLE;
     idleSince = loop.now();
-    usableFrom = idleSince + settle;
+    usableFrom = idleSince + quarantine;
     restartIdleTimeout();
   }
 
-  /** Rests on, no longer than connections may rest now. */
+  /** Bounds its idle time by the time-out that holds now. */
   void restartIdleTimeout() {
-    loop.cancel(deadline);
-    if (dialler.idleTimeout > 0) {
-      deadline = loop.schedule(idleSince + dialler.idleTimeout - loop.now(), this::close);
+    loop.cancel(timer);
+    if (connector.idleTimeout() > 0) {
+      timer = loop.schedule(idleSince + connector.idleTimeout() - loop.now(), this::close);
     }
   }
 
-  /** A further piece of a long body. */
-  void sendBodyPart(ByteBuffer bytes, boolean last) {
-    if (last) {
-      body = null;
+  // ---- the request
+
+  /** Sends the attempt's request, and gives the attempt its response or its failure. */
+  void send(BackendAttempt attempt) {
+    loop.cancel(timer);
+    state = State.IN_USE;
+    currentAttempt = attempt;
+    attemptBeingWritten = attempt;
+    attempt.on = this;
+    attempt.begun = loop.now();
+    Request request = attempt.request();
+    bodyRelay = attempt.body();
+    isBodyChunked = request.remainingBody() == Decoder.CHUNKED;
+    decoder.expectNoBody(request.method().equals("HEAD"));
+    write(Encoder.request(request));
+  }
+
+  /** Sends a further part of a long body. */
+  void sendBodyPart(ByteBuffer bytes, boolean isLast) {
+    if (isLast) {
+      bodyRelay = null;
     } else {
       currentAttempt.waits(STALL_TIMEOUT);
     }
-    write(chunks ? Encoder.chunk(bytes, last) : bytes);
+    write(isBodyChunked ? Encoder.chunk(bytes, isLast) : bytes);
   }
 
   @Override
-  protected void onWritten(boolean whole) {
-    if (whole && writing != null && body == null) {
-      writing.written();
-      writing = null;
+  protected void onWritten(boolean isComplete) {
+    boolean isRequestWritten = isComplete && bodyRelay == null;
+    if (isRequestWritten && attemptBeingWritten != null) {
+      attemptBeingWritten.written();
+      attemptBeingWritten = null;
     }
-    if (currentAttempt == null || passing != null) {
+    if (currentAttempt == null || responseRelay != null) {
       return;
     }
-    if (broken || !whole) {
-      finish(whole && body == null ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
-    } else if (body != null) {
-      body.pull(this);
+    if (isBroken || !isComplete) {
+      fail(isRequestWritten ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
+    } else if (bodyRelay != null) {
+      bodyRelay.pull(this);
     }
   }
 
-  /**
-   * Cut-off backends: a break while the write is out says nothing yet of whether it was taken
-   * whole.
-   */
+  // ---- the response
+
   @Override
   protected void onRead(int n) {
-    boolean ended = n == END_OF_STREAM && in.endOfStream();
-    if (passing != null) {
-      if (n < 0 && !ended) {
+    boolean isEndOfBody = n == END_OF_STREAM && decoder.endOfStream();
+    boolean isBreak = n < 0 && !isEndOfBody;
+    if (responseRelay != null) {
+      if (isBreak) {
         close();
       } else {
         relayNextPart();
       }
-      return;
-    }
-    if (n < 0 && !ended || currentAttempt == null) {
-      breakOff();
-      return;
+    } else if (isBreak || currentAttempt == null) {
+      onBreak();
+    } else {
+      decodeResponse();
     }
+  }
+
+  private void decodeResponse() {
     try {
-      Response answer = in.next();
-      if (answer == null) {
-        if (in.isOpenEnded() && !holding) {
-          holding = true;
-          deadline = loop.schedule(currentAttempt.holds(), this::early);
-        }
-        read(in.writableBuffer());
-      } else if (answer.status() >= 200) {
-        answered(answer);
-      } else {
-        onRead(0);
+      Response response = decoder.next();
+      while (response != null && response.status() < MIN_FINAL_STATUS) {
+        response = decoder.next();
+      }
+      if (response != null) {
+        onResponse(response);
+        return;
+      }
+      if (decoder.isOpenEnded() && !isHoldingResponse) {
+        isHoldingResponse = true;
+        timer = loop.schedule(currentAttempt.holds(), this::onHoldExpired);
       }
+      read(decoder.writableBuffer());
     } catch (MalformedMessageException e) {
-      breakOff();
+      onBreak();
     }
   }
 
   /**
-   * An answer of unknown length comes slowly: it may be a long one, which is timed by its first
+   * A response of unknown length comes slowly: it may be a long one, which is timed by its first
    * bytes.
    */
-  private void early() {
+  private void onHoldExpired() {
     try {
-      if (holding && currentAttempt != null && in.isOpenEnded()) {
-        answered(in.nextWithPartialBody());
+      if (isHoldingResponse && currentAttempt != null && decoder.isOpenEnded()) {
+        onResponse(decoder.nextWithPartialBody());
       }
     } catch (MalformedMessageException e) {
-      breakOff();
+      onBreak();
     }
   }
 
-  private void answered(Response answer) {
-    holding = false;
-    loop.cancel(deadline);
-    keep = answer.keepAlive() && !isWriting() && body == null;
-    BackendAttempt d = currentAttempt;
-    if (in.isStreamingBody() && answer.status() == 200) {
-      currentAttempt = null;
-      passing = d.begin(answer);
-      if (passing == null) {
+  private void onResponse(Response response) {
+    isHoldingResponse = false;
+    loop.cancel(timer);
+    isReusable = response.keepAlive() && !isWriting() && bodyRelay == null;
+    BackendAttempt attempt = currentAttempt;
+    currentAttempt = null;
+    if (decoder.isStreamingBody() && response.status() == 200) {
+      responseRelay = attempt.begin(response);
+      if (responseRelay == null) {
         close();
       } else {
         stopBody();
       }
       return;
     }
-    currentAttempt = null;
-    boolean free = keep && !in.isMidMessage();
-    if (free) {
-      read(in.writableBuffer());
-      backend.release(this);
-    } else {
-      close();
-    }
-    d.end(ProtocolMapping.outcome(answer), answer);
+    releaseOrClose();
+    attempt.end(ProtocolMapping.outcome(response), response);
   }
 
-  /** The client has taken what came before of a long answer. */
+  /** Relays the next part of a long response, as the client has taken the one before. */
   void relayNextPart() {
     if (isReading() || isClosed()) {
       return; // what is being read comes first
     }
     try {
-      ByteBuffer piece = in.nextBodyPart();
-      boolean last = !in.isStreamingBody();
-      loop.cancel(deadline);
-      if (!piece.hasRemaining() && !last) {
-        deadline = loop.schedule(STALL_TIMEOUT, this::close);
-        read(in.writableBuffer());
+      ByteBuffer part = decoder.nextBodyPart();
+      boolean isLast = !decoder.isStreamingBody();
+      loop.cancel(timer);
+      if (!part.hasRemaining() && !isLast) {
+        timer = loop.schedule(STALL_TIMEOUT, this::close);
+        read(decoder.writableBuffer());
         return;
       }
-      ResponseRelay to = passing;
-      if (last) {
-        passing = null;
-        if (keep && !in.isMidMessage()) {
-          read(in.writableBuffer());
-          backend.release(this);
-        } else {
-          close();
-        }
+      ResponseRelay relay = responseRelay;
+      if (isLast) {
+        responseRelay = null;
+        releaseOrClose();
       }
-      to.piece(piece, last);
+      relay.piece(part, isLast);
     } catch (MalformedMessageException e) {
       close();
     }
   }
 
-  private void breakOff() {
+  /** Its response has come: it goes back to its pool, unless it may not serve on. */
+  private void releaseOrClose() {
+    if (isReusable && !decoder.isMidMessage()) {
+      read(decoder.writableBuffer());
+      pool.release(this);
+    } else {
+      close();
+    }
+  }
+
+  // ---- its end
+
+  /**
+   * The connection broke, or what came is no response. Incident of cut-off backends: a break while
+   * the request is being written says nothing yet of whether it was taken completely; the end of
+   * the write does.
+   */
+  private void onBreak() {
     if (currentAttempt != null && isWriting()) {
-      broken = true;
+      isBroken = true;
       close();
     } else {
-      finish(body != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
+      fail(bodyRelay != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
     }
   }
 
-  private void finish(AttemptOutcome how) {
-    BackendAttempt d = currentAttempt;
+  private void fail(AttemptOutcome outcome) {
+    BackendAttempt attempt = currentAttempt;
     currentAttempt = null;
     close();
-    if (d != null) {
-      d.end(how, null);
+    if (attempt != null) {
+      attempt.end(outcome, null);
     }
   }
 
   private void stopBody() {
-    if (body != null) {
-      body.stop(this);
-      body = null;
+    if (bodyRelay != null) {
+      bodyRelay.stop(this);
+      bodyRelay = null;
     }
   }
 
@@ -293,18 +359,19 @@
       return;
     }
     super.close();
-    loop.cancel(deadline);
-    dialler.onClosed(this);
-    backend.onClosed(this);
-    if (body != null) {
-      body.stop(this);
+    loop.cancel(timer);
+    connector.onClosed(slot);
+    pool.onClosed(this);
+    if (bodyRelay != null) { // it stays: the outcome depends on whether all of it was written
+      bodyRelay.stop(this);
     }
-    if (passing != null) {
-      passing.broken();
+    if (responseRelay != null) {
+      responseRelay.broken();
     }
-    if (dialling) {
-      dialling = false;
-      backend.onConnectFailed(this);
+    boolean hasNeverConnected = state == State.CONNECTING;
+    state = State.CLOSED;
+    if (hasNeverConnected) {
+      pool.onConnectFailed(this);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
@@ -12,209 +12,263 @@
 import wheattrack.core.TimerQueue;
 
 /**
- * A backend at the door: its address, the connections to it and the dispatches that wait for one.
+ * The connections to one backend, and the attempts that wait for one. Runs on the event loop's
+ * thread only.
  */
 final class BackendConnectionPool extends BackendIndex.Backend<String> {
   final EventLoop loop;
-  private final Connector dialler;
+  private final Connector connector;
 
-  /** At rest, the one used last at the end; coming up, to where it stands now. */
-  private final List<BackendConnection> idle = new ArrayList<>(), dials = new ArrayList<>();
+  /** Idle connections, the one used last at the end. */
+  private final List<BackendConnection> idle = new ArrayList<>();
 
+  /** Connections that are being made, to the present address. */
+  private final List<BackendConnection> connecting = new ArrayList<>();
+
+  /** Attempts without a connection, the one that waits longest first. */
   private final Deque<BackendAttempt> waiting = new ArrayDeque<>();
-  private boolean matching;
-  private TimerQueue.Timer settling;
-  InetSocketAddress address;
+
   private int attemptsInFlight;
-  private boolean serving;
-  private long up;
 
-  BackendConnectionPool(String id, int at, Connector dialler) {
-    super(id, at);
-    this.dialler = dialler;
-    loop = dialler.loop;
-  }
+  /** Whether a step that gives idle connections to waiting attempts is scheduled. */
+  private boolean isAssignmentScheduled;
 
-  @Override
-  protected boolean hasWorkInFlight() {
-    return attemptsInFlight > 0;
-  }
+  /** Runs until the first idle connection leaves its quarantine, or null. */
+  private TimerQueue.Timer quarantineTimer;
 
-  /** Counts an attempt that is on its way to this backend; {@link #attemptEnded} must follow. */
-  void attemptStarted() {
-    attemptsInFlight++;
+  private InetSocketAddress address;
+  private boolean isServing;
+
+  /** When the backend, as it is listed now, started; tenths of a millisecond. */
+  private long startedAt;
+
+  /** Makes an empty pool for a backend of which no address is known yet. */
+  BackendConnectionPool(String id, int index, Connector connector) {
+    super(id, index);
+    this.connector = connector;
+    loop = connector.loop();
   }
 
-  /** Counts an attempt as over: its outcome is known, or its long response is through. */
-  void attemptEnded() {
-    attemptsInFlight--;
+  /** The backend's address, as listed last. */
+  InetSocketAddress address() {
+    return address;
   }
 
-  /** It stands on the list, at this address since then; what leads to an earlier life is closed. */
-  void onServing(InetSocketAddress at, long since) {
-    serving = true;
-    up = since;
-    address = at;
-    List.copyOf(idle).stream().filter(this::isOld).forEach(BackendConnection::close);
-    List<BackendConnection> old = dials.stream().filter(this::isOld).toList();
-    dials.removeAll(old);
-    old.forEach(BackendConnection::close);
-    arrange();
+  // ---- the backend's state in the endpoint list
+
+  /**
+   * The backend is listed as serving at this address. Connections to another address, or to an
+   * earlier life of the backend, are closed.
+   *
+   * @param startedAt when the backend started, in tenths of a millisecond
+   */
+  void onServing(InetSocketAddress address, long startedAt) {
+    isServing = true;
+    this.startedAt = startedAt;
+    this.address = address;
+    List.copyOf(idle).stream().filter(this::isOutdated).forEach(BackendConnection::close);
+    List<BackendConnection> outdated = connecting.stream().filter(this::isOutdated).toList();
+    connecting.removeAll(outdated);
+    outdated.forEach(BackendConnection::close);
+    assignConnections();
   }
 
-  /** Whether it leads to where this backend was, or to an earlier life of it. */
-  private boolean isOld(BackendConnection link) {
-    return !link.remoteAddress.equals(address) || link.openedAt < up;
+  /** Whether it leads to another address, or to an earlier life of this backend. */
+  private boolean isOutdated(BackendConnection connection) {
+    return !connection.remoteAddress().equals(address) || connection.openedAt() < startedAt;
   }
 
-  /** Whether this life of it, begun then, drains or is gone by what was told. */
-  boolean hasLeftSince(long since) {
-    return !serving && since <= up;
+  /**
+   * Whether the backend that started then is known to be draining or gone.
+   *
+   * @param startedAt in tenths of a millisecond
+   */
+  boolean hasLeftSince(long startedAt) {
+    return !isServing && startedAt <= this.startedAt;
   }
 
-  /** It drains or is gone: what is not yet begun there never will be. */
+  /** The backend is draining or gone: attempts that have not begun are discarded. */
   void onDraining() {
-    serving = false;
-    for (BackendAttempt d : List.copyOf(waiting)) {
-      loop.defer(() -> d.giveUp(AttemptOutcome.DISCARDED));
+    isServing = false;
+    for (BackendAttempt attempt : List.copyOf(waiting)) {
+      loop.defer(() -> attempt.giveUp(AttemptOutcome.DISCARDED));
     }
     closeIdleConnections();
   }
 
-  /** Closes what carries nothing now. */
+  /** Closes the connections that carry nothing now. */
   void closeIdleConnections() {
     List.copyOf(idle).forEach(BackendConnection::close);
   }
 
-  /** Carries it on the connection used last, or on the first that is free or up. */
-  void send(BackendAttempt d) {
+  // ---- attempts
+
+  @Override
+  protected boolean hasWorkInFlight() {
+    return attemptsInFlight > 0;
+  }
+
+  /** Counts an attempt that is on its way to this backend; {@link #attemptEnded} must follow. */
+  void attemptStarted() {
+    attemptsInFlight++;
+  }
+
+  /** Counts an attempt as over: its outcome is known, or its long response is through. */
+  void attemptEnded() {
+    attemptsInFlight--;
+  }
+
+  /** Sends the attempt on the connection used last, or on the first that is free or made. */
+  void send(BackendAttempt attempt) {
     attemptStarted();
-    waiting.add(d);
-    arrange();
+    waiting.add(attempt);
+    assignConnections();
+  }
+
+  /** The attempt is over: it waits no longer. */
+  void removeWaiting(BackendAttempt attempt) {
+    waiting.remove(attempt);
   }
 
-  void removeWaiting(BackendAttempt d) {
-    waiting.remove(d);
+  /** Takes the attempt that waits longest and may still begin, or null. */
+  private BackendAttempt pollWaiting() {
+    BackendAttempt attempt = waiting.pollFirst();
+    // Incident of a process at a standstill: requests were sent after their deadline.
+    while (attempt != null && loop.now() >= attempt.latest) {
+      attempt.giveUp(AttemptOutcome.DISCARDED);
+      attempt = waiting.pollFirst();
+    }
+    return attempt;
   }
 
+  // ---- assignment of connections to attempts
+
   /**
-   * Sees to what waits: by a connection that is free, once what has come on it by now is heard, as
-   * its end may be among that; by one that settles, which is soon; or by a new one.
+   * Sees to the waiting attempts: by an idle connection, once what has come on it by now is
+   * handled, as its end may be among that; by one in quarantine, which is usable soon; or by a new
+   * one.
    */
-  private void arrange() {
-    if (waiting.isEmpty() || matching) {
+  private void assignConnections() {
+    if (waiting.isEmpty() || isAssignmentScheduled) {
       return;
     }
-    long fit = idle.stream().mapToLong(BackendConnection::usableFrom).min().orElse(Long.MAX_VALUE);
-    if (fit <= loop.now()) {
-      matching = true;
-      loop.execute(this::match);
+    long usableFrom =
+        idle.stream().mapToLong(BackendConnection::usableFrom).min().orElse(Long.MAX_VALUE);
+    if (usableFrom <= loop.now()) {
+      isAssignmentScheduled = true;
+      loop.execute(this::assignIdleConnections);
       return;
     }
-    while (dials.size() + idle.size() < waiting.size() && dial(waiting.peekLast())) {
-      continue;
-    }
-    if (fit < Long.MAX_VALUE && settling == null) {
-      settling =
-          loop.schedule(
-              fit - loop.now(),
-              () -> {
-                settling = null;
-                arrange();
-              });
+    connectForWaiting();
+    if (usableFrom < Long.MAX_VALUE && quarantineTimer == null) {
+      quarantineTimer = loop.schedule(usableFrom - loop.now(), this::onQuarantineEnded);
     }
   }
 
-  private void match() {
-    matching = false;
-    for (BackendConnection free = fit(); free != null && !waiting.isEmpty(); free = fit()) {
-      BackendAttempt first = next();
-      if (first != null) {
-        idle.remove(free);
-        free.send(first);
+  private void onQuarantineEnded() {
+    quarantineTimer = null;
+    assignConnections();
+  }
+
+  private void assignIdleConnections() {
+    isAssignmentScheduled = false;
+    BackendConnection connection = usableConnection();
+    while (connection != null && !waiting.isEmpty()) {
+      BackendAttempt attempt = pollWaiting();
+      if (attempt != null) {
+        idle.remove(connection);
+        connection.send(attempt);
       }
+      connection = usableConnection();
     }
-    arrange();
+    assignConnections();
   }
 
-  /** The free connection used last; one that should have been closed by now is no more used. */
-  private BackendConnection fit() {
+  /**
+   * The usable connection used last, or null. Those that should have been closed by now are closed.
+   */
+  private BackendConnection usableConnection() {
     for (int i = idle.size() - 1; i >= 0; i--) {
-      BackendConnection free = idle.get(i);
-      if (free.hasExceededIdleTimeout()) {
-        free.close();
-      } else if (free.usableFrom() <= loop.now()) {
-        return free;
+      BackendConnection connection = idle.get(i);
+      if (connection.hasExceededIdleTimeout()) {
+        connection.close();
+      } else if (connection.usableFrom() <= loop.now()) {
+        return connection;
       }
     }
     return null;
   }
 
-  /** What waits longest and may still begin; standstill: reqs were sent on after their due. */
-  private BackendAttempt next() {
-    BackendAttempt first = waiting.pollFirst();
-    while (first != null && loop.now() >= first.latest) {
-      first.giveUp(AttemptOutcome.DISCARDED);
-      first = waiting.pollFirst();
+  /** Makes connections until there is one, usable or not yet, for each waiting attempt. */
+  private void connectForWaiting() {
+    boolean mayConnect = true;
+    while (mayConnect && connecting.size() + idle.size() < waiting.size()) {
+      mayConnect = connectFor(waiting.peekLast());
     }
-    return first;
   }
 
-  private boolean dial(BackendAttempt d) {
+  /** Starts to connect, or discards the attempt in a later step where that cannot be done. */
+  private boolean connectFor(BackendAttempt attempt) {
     try {
-      dials.add(dialler.connect(this));
+      connecting.add(connector.connect(this));
       return true;
-    } catch (IOException e) {
+    } catch (IOException e) { // descriptors have run out: a discarded attempt may go elsewhere
       loop.defer(
           () -> {
-            d.giveUp(AttemptOutcome.DISCARDED);
-            arrange();
+            attempt.giveUp(AttemptOutcome.DISCARDED);
+            assignConnections();
           });
       return false;
     }
   }
 
-  void onConnected(BackendConnection link) {
-    if (dials.remove(link)) {
-      BackendAttempt first = next();
-      if (first != null) {
-        link.send(first);
+  // ---- what becomes of connections
+
+  /** The connection is made. */
+  void onConnected(BackendConnection connection) {
+    if (connecting.remove(connection)) {
+      BackendAttempt attempt = pollWaiting();
+      if (attempt != null) {
+        connection.send(attempt);
       } else {
-        rest(link, 0);
+        addIdle(connection, 0);
       }
     }
   }
 
-  void onConnectFailed(BackendConnection link) {
-    if (dials.remove(link) && waiting.size() > dials.size()) {
+  /** The connection could not be made in time or at all. */
+  void onConnectFailed(BackendConnection connection) {
+    if (connecting.remove(connection) && waiting.size() > connecting.size()) {
       if (idle.isEmpty()) {
         waiting.peekFirst().end(AttemptOutcome.NO_CONNECT, null);
       } else {
-        arrange();
+        assignConnections();
       }
     }
   }
 
   /**
-   * Its answer has come; it settles, as a second one may follow: that was taken for the next req's.
+   * The response on this connection is complete. The connection is in quarantine for a while: a
+   * second response may follow, which once was taken for that to the next request.
    */
-  void release(BackendConnection link) {
-    rest(link, dialler.quarantineTime());
-    arrange();
+  void release(BackendConnection connection) {
+    addIdle(connection, connector.quarantineTime());
+    assignConnections();
   }
 
-  private void rest(BackendConnection link, long settle) {
-    if (serving && !isOld(link)) {
-      idle.add(link);
-      link.becomeIdle(settle);
+  private void addIdle(BackendConnection connection, long quarantine) {
+    if (isServing && !isOutdated(connection)) {
+      idle.add(connection);
+      connection.becomeIdle(quarantine);
     } else {
-      link.close();
+      connection.close();
     }
   }
 
-  void onClosed(BackendConnection link) {
-    if (idle.remove(link) && !waiting.isEmpty()) {
-      loop.defer(this::arrange); // what waits may have counted on it
+  /** The connection is closed. */
+  void onClosed(BackendConnection connection) {
+    if (idle.remove(connection) && !waiting.isEmpty()) {
+      loop.defer(this::assignConnections); // a waiting attempt may have counted on it
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/Connector.java
@@ -4,101 +4,136 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Comparator;
+import java.util.Optional;
 import wheattrack.aio.EventLoop;
 import wheattrack.core.SlotTable;
 
 /**
- * Opens connections to backends, within the budget of descriptors; at its limit an idle one gives
- * way.
+ * Opens connections to backends within the budget of descriptors; at its limit an idle one is
+ * closed for a new one. Times are tenths of a millisecond. Runs on the event loop's thread only.
  */
 final class Connector {
-  /** Of the time after which a backend closes an idle connection: ours are closed by then. */
-  private static final double IDLE_PART = 0.8;
+  /** Part of the time after which a backend closes an idle connection: ours are closed by then. */
+  private static final double IDLE_TIMEOUT_PART = 0.8;
 
   /**
-   * Of the time that a dial may take: within it a spoilt second answer shows, some milliseconds
-   * late.
+   * Part of the connect time-out that a connection is in quarantine after a response: within it a
+   * malformed second response shows, some milliseconds late.
    */
-  private static final double SETTLE_PART = 0.04;
+  private static final double QUARANTINE_PART = 0.04;
 
-  final EventLoop loop;
+  private final EventLoop loop;
   private final AsynchronousChannelGroup group;
-  private int most;
-
-  /** Bytes of the longest answer. */
-  final long maxBodyBytes;
-
-  private long timeout;
-
-  /** How long a connection may rest, or 0 for ever. */
-  long idleTimeout;
-
-  private final SlotTable<BackendConnection> table = new SlotTable<>();
+  private final long maxBodyBytes;
+  private final SlotTable<BackendConnection> connections = new SlotTable<>();
+  private int maxConnections;
+  private long connectTimeout;
+  private long idleTimeout;
 
+  /**
+   * Makes a connector without connections.
+   *
+   * @param maxConnections connections to all backends
+   * @param maxBodyBytes bytes of the longest response body
+   * @param connectTimeout how long connecting may take
+   * @param backendIdleTimeout after which time a backend closes an idle connection, or 0 for never
+   */
   Connector(
       EventLoop loop,
       AsynchronousChannelGroup group,
-      int most,
-      long mostBody,
-      long timeout,
-      long idleClose) {
-    this.maxBodyBytes = mostBody;
+      int maxConnections,
+      long maxBodyBytes,
+      long connectTimeout,
+      long backendIdleTimeout) {
     this.loop = loop;
     this.group = group;
-    this.most = most;
-    setTimeouts(timeout, idleClose);
+    this.maxConnections = maxConnections;
+    this.maxBodyBytes = maxBodyBytes;
+    setTimeouts(connectTimeout, backendIdleTimeout);
   }
 
-  /** From now on; what rests already is closed by the new time too. */
-  void setTimeouts(long timeout, long idleClose) {
-    this.timeout = timeout;
-    idleTimeout = (long) (IDLE_PART * idleClose);
-    table.all().stream()
-        .filter(BackendConnection::isIdle)
-        .forEach(BackendConnection::restartIdleTimeout);
+  /** The loop on which all connections run. */
+  EventLoop loop() {
+    return loop;
+  }
+
+  /** Bytes of the longest response body. */
+  long maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  /** How long a connection may be idle, or 0 for ever. */
+  long idleTimeout() {
+    return idleTimeout;
   }
 
-  /** After an answer, how long until a connection carries another req. */
+  /** How long a connection is in quarantine after a response, before it carries another request. */
   long quarantineTime() {
-    return (long) (SETTLE_PART * timeout);
+    return (long) (QUARANTINE_PART * connectTimeout);
   }
 
-  /** So many connections may be had from now on; surplus ones at rest are closed. */
-  void setMaxConnections(int most) {
-    this.most = most;
-    while (table.size() > most && freeOne()) {
-      continue;
+  /**
+   * Sets the times that hold from now on, also for connections that are idle already.
+   *
+   * @param connectTimeout how long connecting may take
+   * @param backendIdleTimeout after which time a backend closes an idle connection, or 0 for never
+   */
+  void setTimeouts(long connectTimeout, long backendIdleTimeout) {
+    this.connectTimeout = connectTimeout;
+    idleTimeout = (long) (IDLE_TIMEOUT_PART * backendIdleTimeout);
+    connections.all().stream()
+        .filter(BackendConnection::isIdle)
+        .forEach(BackendConnection::restartIdleTimeout);
+  }
+
+  /** Bounds the connections from now on; surplus idle ones are closed. */
+  void setMaxConnections(int maxConnections) {
+    this.maxConnections = maxConnections;
+    boolean mayClose = true;
+    while (mayClose && connections.size() > maxConnections) {
+      mayClose = closeLongestIdle();
     }
   }
 
-  private boolean freeOne() {
-    var first =
-        table.all().stream()
+  private boolean closeLongestIdle() {
+    Optional<BackendConnection> longestIdle =
+        connections.all().stream()
             .filter(BackendConnection::isIdle)
             .min(Comparator.comparingLong(BackendConnection::idleSince));
-    first.ifPresent(BackendConnection::close);
-    return first.isPresent();
+    longestIdle.ifPresent(BackendConnection::close);
+    return longestIdle.isPresent();
   }
 
-  /** Starts making a connection; not where descriptors have run out. */
-  BackendConnection connect(BackendConnectionPool to) throws IOException {
-    if (table.size() >= most) {
-      freeOne();
+  /**
+   * Starts to connect to the pool's backend.
+   *
+   * @throws IOException if descriptors or the budget of them have run out
+   */
+  BackendConnection connect(BackendConnectionPool pool) throws IOException {
+    if (connections.size() >= maxConnections) {
+      closeLongestIdle();
     }
-    if (table.size() >= most) {
-      throw new IOException(most + " connections to backends are open");
+    if (connections.size() >= maxConnections) {
+      throw new IOException(maxConnections + " connections to backends are open");
     }
-    BackendConnection up = new BackendConnection(to, AsynchronousSocketChannel.open(group), this);
-    up.slot = table.add(up);
-    up.startConnecting(timeout);
-    return up;
+    BackendConnection connection =
+        new BackendConnection(pool, AsynchronousSocketChannel.open(group), this);
+    connection.startConnecting(connectTimeout);
+    return connection;
+  }
+
+  /** Enters a new connection, and returns its slot. */
+  int register(BackendConnection connection) {
+    return connections.add(connection);
   }
 
-  void onClosed(BackendConnection up) {
-    table.remove(up.slot);
+  /** The connection in this slot has closed. */
+  void onClosed(int slot) {
+    connections.remove(slot);
   }
 
+  /** Closes all connections. */
   void closeAll() {
-    table.all().forEach(BackendConnection::close);
+    connections.all().forEach(BackendConnection::close);
   }
 }
