--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -18,113 +18,127 @@
  * return the list is read in time, and requests are served within theirs.
  */
 class IdleConnectionsTest extends ProxyTestHarness {
-  /** All at once, one after the other, again as soon as they are closed; with half a head each. */
-  enum Comes {
+  /**
+   * How idle clients connect: all at once, one after the other, again as soon as they are closed,
+   * or again with half a head each.
+   */
+  enum Arrival {
     AT_ONCE,
-    DRIPPING,
-    AGAIN,
-    WITH_HALF_A_HEAD
+    GRADUALLY,
+    RECONNECTING,
+    WITH_PARTIAL_HEAD
   }
 
-  private static final long TOLD = 6000, TIME = 1500, DOWN = 4000;
-  private static final int ASKED = 10, SERVED = 9;
+  private static final long NOTIFICATION_TIMEOUT_MILLIS = 6000;
+  private static final long REQUEST_TIMEOUT_MILLIS = 1500;
+  private static final long OUTAGE_MILLIS = 4000;
+  private static final int REQUESTS = 10;
+  private static final int MIN_SERVED_REQUESTS = 9;
 
   private final List<String> faults = Collections.synchronizedList(new ArrayList<>());
-  private final List<Socket> crowd = Collections.synchronizedList(new ArrayList<>());
+  private final List<Socket> idleClients = Collections.synchronizedList(new ArrayList<>());
 
-  /** One proxy before one backend, with its discovery and its crowd. */
+  /** One proxy before one backend, with its discovery and its idle clients. */
   private final class Case {
-    private final Comes how;
-    private final boolean served;
-    private final int sockets;
-    private final List<Socket> watching = Collections.synchronizedList(new ArrayList<>());
-    private volatile boolean down, over;
-    private volatile String news;
+    private final Arrival arrival;
+    private final boolean isListKnown;
+    private final int maxDescriptors;
+    private final List<Socket> watches = Collections.synchronizedList(new ArrayList<>());
+    private volatile boolean isDiscoveryDown;
+    private volatile boolean isOver;
+    private volatile String endpointList;
     private int port;
 
-    Case(Comes how, boolean served, int sockets) {
-      this.how = how;
-      this.served = served;
-      this.sockets = sockets;
+    Case(Arrival arrival, boolean isListKnown, int maxDescriptors) {
+      this.arrival = arrival;
+      this.isListKnown = isListKnown;
+      this.maxDescriptors = maxDescriptors;
     }
 
     @Override
     public String toString() {
-      return how + " of " + sockets + (served ? ", after a list" : ", before a list");
+      return arrival
+          + " of "
+          + maxDescriptors
+          + (isListKnown ? ", after a list" : ", before a list");
     }
 
-    private void list(Socket one) throws IOException {
-      head(one.getInputStream());
-      if (!down) {
-        tell(one);
+    private void serveWatch(Socket watch) throws IOException {
+      head(watch.getInputStream());
+      if (!isDiscoveryDown) {
+        sendEndpointList(watch);
       }
-      watching.add(one); // else silent, as an agent is that learns nothing
+      watches.add(watch); // else silent, as an agent is that learns nothing
     }
 
-    private void tell(Socket one) throws IOException {
-      send(one, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      String line = news + "\n";
-      send(one, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+    private void sendEndpointList(Socket watch) throws IOException {
+      send(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      String line = endpointList + "\n";
+      send(watch, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
     }
 
-    void play() throws Exception {
-      String entry = ready("s" + sockets);
-      news = told(1, true, entry);
-      down = !served;
+    void run() throws Exception {
+      String entry = ready("s" + maxDescriptors);
+      endpointList = told(1, true, entry);
+      isDiscoveryDown = !isListKnown;
       ProxyServer proxy =
           new ProxyServer(
               new ProxyConfig(
                   Json.object(
-                      config(open(this::list).getLocalPort(), sockets, "{}")
+                      config(open(this::serveWatch).getLocalPort(), maxDescriptors, "{}")
                           .replace(
                               "\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))),
               "");
       Thread loop = start(proxy::run);
       port = proxy.port();
-      if (served) {
-        awaitKnown(proxy, 1, TOLD, "never served");
-        down = true;
+      if (isListKnown) {
+        awaitKnown(proxy, 1, NOTIFICATION_TIMEOUT_MILLIS, "never served");
+        isDiscoveryDown = true;
       }
-      Thread comers = start(this::come);
-      Thread.sleep(DOWN);
-      news = told(2, true, entry, entry("other", "DRAINING", 1));
-      down = false;
-      awaitKnown(proxy, 2, TOLD, "not told within " + TOLD + " ms");
-      int good = 0;
-      for (int i = 0; i < ASKED; i++) {
-        String answer = ask();
-        good += answer.startsWith("200") ? 1 : 0;
+      Thread connecting = start(this::connectIdleClients);
+      Thread.sleep(OUTAGE_MILLIS);
+      endpointList = told(2, true, entry, entry("other", "DRAINING", 1));
+      isDiscoveryDown = false;
+      awaitKnown(
+          proxy,
+          2,
+          NOTIFICATION_TIMEOUT_MILLIS,
+          "not told within " + NOTIFICATION_TIMEOUT_MILLIS + " ms");
+      int servedRequests = 0;
+      for (int i = 0; i < REQUESTS; i++) {
+        String answer = sendRequest();
+        servedRequests += answer.startsWith("200") ? 1 : 0;
         if (i == 0 && !answer.startsWith("200")) {
           faults.add(this + ": the first request got " + answer);
         }
       }
-      if (good < SERVED) {
-        faults.add(this + ": " + good + " of " + ASKED + " served");
+      if (servedRequests < MIN_SERVED_REQUESTS) {
+        faults.add(this + ": " + servedRequests + " of " + REQUESTS + " served");
       }
-      over = true;
-      comers.interrupt();
+      isOver = true;
+      connecting.interrupt();
       proxy.end();
       loop.join();
     }
 
-    private String ask() {
+    private String sendRequest() {
       try (Socket socket = new Socket()) {
-        long from = System.nanoTime();
-        socket.connect(new InetSocketAddress("127.0.0.1", port), (int) TIME);
-        socket.setSoTimeout((int) TIME);
+        long startedAt = System.nanoTime();
+        socket.connect(new InetSocketAddress("127.0.0.1", port), (int) REQUEST_TIMEOUT_MILLIS);
+        socket.setSoTimeout((int) REQUEST_TIMEOUT_MILLIS);
         String answer = call(socket, request("buy"));
-        long took = (System.nanoTime() - from) / 1_000_000;
-        return took <= TIME ? answer : "its answer after " + took + " ms";
+        long latency = (System.nanoTime() - startedAt) / 1_000_000;
+        return latency <= REQUEST_TIMEOUT_MILLIS ? answer : "its answer after " + latency + " ms";
       } catch (IOException e) {
         return e.toString();
       }
     }
 
-    private void awaitKnown(ProxyServer proxy, int known, long time, String fault)
+    private void awaitKnown(ProxyServer proxy, int known, long timeoutMillis, String fault)
         throws Exception {
-      long until = System.nanoTime() + time * 1_000_000;
-      while (!figures(proxy.adminPort()).contains("backends_known:" + known)) {
-        if (System.nanoTime() > until) {
+      long deadline = System.nanoTime() + timeoutMillis * 1_000_000;
+      while (!metrics(proxy.adminPort()).contains("backends_known:" + known)) {
+        if (System.nanoTime() > deadline) {
           faults.add(this + ": " + fault);
           return;
         }
@@ -132,20 +146,21 @@
       }
     }
 
-    private void come() throws Exception {
-      int most = how == Comes.WITH_HALF_A_HEAD ? places() * 3 / 2 : sockets * 3 / 2;
-      List<Socket> mine = new ArrayList<>();
-      for (int i = 0; !over && i < most; i++) {
-        mine.add(comer());
-        if (how == Comes.DRIPPING) {
-          Thread.sleep(DOWN / most);
+    private void connectIdleClients() throws Exception {
+      int clientCount =
+          arrival == Arrival.WITH_PARTIAL_HEAD ? clientPlaces() * 3 / 2 : maxDescriptors * 3 / 2;
+      List<Socket> clients = new ArrayList<>();
+      for (int i = 0; !isOver && i < clientCount; i++) {
+        clients.add(connectIdleClient());
+        if (arrival == Arrival.GRADUALLY) {
+          Thread.sleep(OUTAGE_MILLIS / clientCount);
         }
       }
-      while (!over && how != Comes.DRIPPING && how != Comes.AT_ONCE) {
-        for (int i = 0; i < most; i++) {
-          if (isClosed(mine.get(i))) {
-            mine.get(i).close();
-            mine.set(i, comer());
+      while (!isOver && arrival != Arrival.GRADUALLY && arrival != Arrival.AT_ONCE) {
+        for (int i = 0; i < clientCount; i++) {
+          if (isClosed(clients.get(i))) {
+            clients.get(i).close();
+            clients.set(i, connectIdleClient());
           }
         }
         Thread.sleep(5);
@@ -155,30 +170,30 @@
     /**
      * Of clients, as docs/design.md has them; half a head holds one for 0.8 s where others wait.
      */
-    private int places() {
-      return (int) (0.58 * (sockets - Math.max(32, sockets / 16) - 9));
+    private int clientPlaces() {
+      return (int) (0.58 * (maxDescriptors - Math.max(32, maxDescriptors / 16) - 9));
     }
 
-    private Socket comer() throws IOException {
-      Socket one = new Socket();
-      crowd.add(one);
+    private Socket connectIdleClient() throws IOException {
+      Socket client = new Socket();
+      idleClients.add(client);
       try {
-        one.connect(new InetSocketAddress("127.0.0.1", port), 200);
-        one.setSoTimeout(1);
-        if (how == Comes.WITH_HALF_A_HEAD) {
-          send(one, "GET /");
+        client.connect(new InetSocketAddress("127.0.0.1", port), 200);
+        client.setSoTimeout(1);
+        if (arrival == Arrival.WITH_PARTIAL_HEAD) {
+          send(client, "GET /");
         }
       } catch (IOException e) {
-        one.close(); // its queue is full, too: it comes again
+        client.close(); // its queue is full, too: it comes again
       }
-      return one;
+      return client;
     }
 
-    private boolean isClosed(Socket one) {
+    private boolean isClosed(Socket client) {
       try {
-        return one.isClosed()
-            || one.getInputStream().available() > 0
-            || one.getInputStream().read() < 0;
+        return client.isClosed()
+            || client.getInputStream().available() > 0
+            || client.getInputStream().read() < 0;
       } catch (java.net.SocketTimeoutException e) {
         return false;
       } catch (IOException e) {
@@ -187,35 +202,38 @@
     }
   }
 
-  private static String figures(int admin) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", admin)) {
+  private static String metrics(int adminPort) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", adminPort)) {
       return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
     }
   }
 
   @ParameterizedTest
   @ValueSource(ints = {64, 256, 1024})
-  void listIsReadAndRequestsAreServed(int sockets) throws Exception {
-    List<Thread> all = new ArrayList<>();
-    for (Comes how : sockets < 1024 ? Comes.values() : new Comes[] {Comes.AT_ONCE, Comes.AGAIN}) {
-      for (boolean served : new boolean[] {false, true}) {
+  void listIsReadAndRequestsAreServed(int maxDescriptors) throws Exception {
+    List<Thread> threads = new ArrayList<>();
+    for (Arrival arrival :
+        maxDescriptors < 1024
+            ? Arrival.values()
+            : new Arrival[] {Arrival.AT_ONCE, Arrival.RECONNECTING}) {
+      for (boolean isListKnown : new boolean[] {false, true}) {
         Thread one =
             new Thread(
                 () -> {
                   try {
-                    new Case(how, served, sockets).play();
+                    new Case(arrival, isListKnown, maxDescriptors).run();
                   } catch (Exception e) {
-                    faults.add(how + ": " + e);
+                    faults.add(arrival + ": " + e);
                   }
                 });
         one.start();
-        all.add(one);
+        threads.add(one);
       }
     }
-    for (Thread one : all) {
+    for (Thread one : threads) {
       one.join();
     }
-    for (Socket one : List.copyOf(crowd)) {
+    for (Socket one : List.copyOf(idleClients)) {
       one.close();
     }
     assertEquals(List.of(), faults);
