--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -103,11 +103,11 @@
     hasEnded = true;
     outcome = finalOutcome;
     loop().cancel(timer);
-    backend.out--;
-    if (connection != null && connection.carried() == this) {
+    backend.attemptEnded();
+    if (connection != null && connection.currentAttempt() == this) {
       connection.close();
     } else {
-      backend.forget(this);
+      backend.removeWaiting(this);
     }
     onEnd(finalOutcome, answer);
   }
@@ -127,14 +127,14 @@
     loop().cancel(timer);
     ResponseRelay relay = onStreamingAnswer(head);
     if (relay == null) {
-      backend.out--;
+      backend.attemptEnded();
     }
     return relay;
   }
 
   /** The rest of the long answer has been passed on, completely or not. */
   protected final void streamingEnded() {
-    backend.out--;
+    backend.attemptEnded();
   }
 
   /** Builds the message to write; called once, when a connection begins to carry it. */
--- a/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
@@ -78,7 +78,7 @@
       long number = EndpointListParser.backendNumber(pool.id);
       EventLog.detail("srv", Long.toString(number), () -> pool.id + " gone");
       loadBalancer.removeBackend(pool.index);
-      pool.leaves();
+      pool.onDraining();
     }
   }
 
@@ -86,7 +86,7 @@
     String id = entry.id();
     long number = EndpointListParser.backendNumber(id);
     BackendConnectionPool known = index.find(id);
-    boolean hasLeft = isStale && known != null && known.hasLeft(entry.startedAt());
+    boolean hasLeft = isStale && known != null && known.hasLeftSince(entry.startedAt());
     BackendConnectionPool pool = index.getOrAdd(id);
     boolean isNewlyListed = index.markListed(pool);
     if (isNewlyListed) {
@@ -112,9 +112,9 @@
             entry.weight(),
             entry.startedAt() <= 0 ? BackendIndex.LONG_AGO : entry.startedAt(),
             isNewlyListed));
-    pool.serves(entry.address(), entry.startedAt());
+    pool.onServing(entry.address(), entry.startedAt());
     if (!isReady) {
-      pool.leaves();
+      pool.onDraining();
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -113,7 +113,7 @@
 
   private void applyTimeouts(Settings settings) {
     BackendTimeouts timeouts = BackendTimeouts.of(settings);
-    connector.times(timeouts.connect(), timeouts.idleClose());
+    connector.setTimeouts(timeouts.connect(), timeouts.idleClose());
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -5,6 +5,7 @@
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.EndpointUpdate;
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PendingRequest;
 import wheattrack.api.PolicyEvent;
 import wheattrack.api.PolicyRuntime;
@@ -20,7 +21,6 @@
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
-import wheattrack.api.LoadBalancer;
 
 /**
  * Has the JVM compile the code of a request's path before the first real request: synthetic
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import wheattrack.api.LoadBalancer;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
-import wheattrack.api.LoadBalancer;
 
 /**
  * Reads load reports from backends' answers and passes them to the policy. A report is a JSON
--- a/proxy/src/main/java/wheattrack/net/ProcessHandover.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessHandover.java
@@ -57,8 +57,8 @@
     boolean isPresent = processLock.isOtherProcessPresent();
     if (wasPresent != isPresent) {
       DescriptorBudget budget = DescriptorBudget.of(reloader.config(), isPresent);
-      clientListener.limit(budget.clients());
-      connector.limit(budget.backends());
+      clientListener.setMaxClients(budget.clients());
+      connector.setMaxConnections(budget.backends());
       requestHandler.setOtherProcessPresent(isPresent);
     }
     loop.schedule(OTHER_PROCESS_CHECK_INTERVAL, this::watchOtherProcess);
@@ -74,9 +74,9 @@
       return;
     }
     if (processLock.refresh() == ProcessLock.Role.OLDER) {
-      clientListener.shut(); // new connections are the newer process's
+      clientListener.stopAccepting(); // new connections are the newer process's
     } else if (clientListener.isListening()) {
-      clientListener.open(); // before it was ready, too: who has connected is answered
+      clientListener.startAccepting(); // before it was ready, too: who has connected is answered
     }
     ProxyConfig config = reloader.config();
     loop.schedule(config.drainTime, () -> loop.execute(this::close));
@@ -84,16 +84,18 @@
 
   private void close() {
     lifecycle.advanceTo(Phase.CLOSING);
-    clientListener.shut();
+    clientListener.stopAccepting();
     long deadline = loop.now() + reloader.longestClientTimeout();
     requestHandler.setShutdownTime(deadline);
     loop.execute(() -> stopWhenAnswered(deadline));
   }
 
   private void stopWhenAnswered(long deadline) {
-    clientListener.closeIdle();
+    clientListener.closeIdleConnections();
     boolean isAnswered =
-        !clientListener.isListening() && clientListener.taken() == 0 && requestHandler.openRequests() == 0;
+        !clientListener.isListening()
+            && clientListener.connectionCount() == 0
+            && requestHandler.openRequests() == 0;
     if (isAnswered || loop.now() >= deadline) {
       connector.closeAll();
       controlCloser.run();
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -221,7 +221,7 @@
 
   /** Whether no request is open and no client connected, as another thread saw it a moment ago. */
   public boolean isIdle() {
-    return requestHandler.openRequests() == 0 && clientListener.taken() == 0;
+    return requestHandler.openRequests() == 0 && clientListener.connectionCount() == 0;
   }
 
   /**
@@ -274,7 +274,7 @@
       lifecycle.advanceTo(Phase.SERVING);
     } else {
       if (clientListener.isListening() && waited >= connectTimeout()) {
-        clientListener.open(); // who has connected is rejected rather than left to wait
+        clientListener.startAccepting(); // who has connected is rejected rather than left to wait
       }
       loop.schedule(READINESS_CHECK_INTERVAL, () -> serveWhenReady(waitingSince));
     }
@@ -300,7 +300,7 @@
       if (!clientListener.isListening()) {
         clientListener.listen(group, address);
       }
-      clientListener.open();
+      clientListener.startAccepting();
     } catch (IOException e) {
       listenFault = address + " can't be had: " + e.getMessage();
       loop.shutdown();
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -38,7 +38,7 @@
   /** This connection has written all it had and waits for the next piece. */
   void requestNext(BackendConnection connection) {
     target = connection;
-    client.pull(this::forward);
+    client.requestBodyPart(this::forward);
   }
 
   private void forward(ByteBuffer bytes, boolean isLast) {
@@ -48,7 +48,7 @@
       onComplete.run();
     }
     if (target != null) {
-      target.pass(bytes, isLast);
+      target.sendBodyPart(bytes, isLast);
     }
   }
 
@@ -56,7 +56,7 @@
   void detach(BackendConnection connection) {
     if (target == connection) {
       target = null;
-      client.pull(null);
+      client.cancelBodyRequest();
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -6,6 +6,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.Idempotency;
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PendingRequest;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.Settings;
@@ -15,7 +16,6 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
-import wheattrack.api.LoadBalancer;
 
 /**
  * The life of requests from the client's side: accepts them and hands them to the policy, guards
@@ -23,7 +23,7 @@
  * Times are tenths of a millisecond. Runs on the event loop's thread only, but for its creation
  * before the loop runs and for {@link #openRequests}.
  */
-final class RequestHandler implements ClientListener.Taker {
+final class RequestHandler implements ClientListener.RequestReceiver {
   /**
    * Part of a client's timeout, as a divisor, that is kept back so that the answer arrives before
    * the client stops waiting.
@@ -113,7 +113,7 @@
 
   /** Counts a request that the listener rejects as too many clients are connected. */
   @Override
-  public void denied(Request message) {
+  public void onRejected(Request message) {
     String className = ProtocolMapping.className(message);
     if (settingsApplier.classes().containsKey(className)) {
       counters.countAnswer(className, FinalAnswer.REJECTED);
@@ -121,7 +121,7 @@
   }
 
   @Override
-  public void take(ClientConnection client, Request message) {
+  public void onRequest(ClientConnection client, Request message) {
     ParsedRequest parsed;
     try {
       parsed = ProtocolMapping.parse(message, settingsApplier.classes());
@@ -141,16 +141,17 @@
   }
 
   private void refuse(ClientConnection client, Request message, InvalidRequestException reason) {
-    listener.refused(reason.status(), reason.getMessage());
-    boolean keepAlive = listener.keeps(message.keepAlive());
-    client.answer(ProtocolMapping.textAnswer(reason.status(), reason.getMessage(), keepAlive));
+    listener.logErrorResponse(reason.status(), reason.getMessage());
+    boolean keepAlive = listener.mayKeepAlive(message.keepAlive());
+    client.sendResponse(
+        ProtocolMapping.textAnswer(reason.status(), reason.getMessage(), keepAlive));
   }
 
   private void accept(InFlightRequest request) {
     ClientConnection client = request.client();
     ParsedRequest parsed = request.parsed();
     request.setSlot(openRequests.add(request));
-    client.onLeft(() -> onClientDisconnected(request));
+    client.onDisconnect(() -> onClientDisconnected(request));
     long deadline = deadline(parsed.timeout());
     boolean hasLongBody = parsed.message().remainingBody() != 0;
     if (hasLongBody) {
@@ -253,7 +254,7 @@
     remove(request);
     counters.countAnswer(request.parsed().className(), kind);
     logEnd(request, kind.name());
-    request.client().answer(response);
+    request.client().sendResponse(response);
   }
 
   /**
@@ -296,7 +297,7 @@
    */
   void beginStreaming(InFlightRequest request, Response head, ResponseRelay relay) {
     settle(request);
-    request.client().begin(head, relay);
+    request.client().sendStreamedResponse(head, relay);
   }
 
   /** A long answer has ended; it counts as failed unless it was passed on completely. */
@@ -312,7 +313,7 @@
   }
 
   private boolean mayKeepAlive(InFlightRequest request) {
-    return listener.keeps(request.parsed().message().keepAlive());
+    return listener.mayKeepAlive(request.parsed().message().keepAlive());
   }
 
   private void settle(InFlightRequest request) {
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -49,7 +49,7 @@
     if (lastPieceForwarded) {
       end(true);
     } else {
-      source.passOn();
+      source.relayNextPart();
     }
     return lastPieceForwarded;
   }
@@ -58,7 +58,7 @@
   void forward(ByteBuffer bytes, boolean isLast) {
     if (!hasEnded) {
       lastPieceForwarded = isLast;
-      client.pass(isChunked ? Encoder.chunk(bytes, isLast) : bytes);
+      client.sendResponsePart(isChunked ? Encoder.chunk(bytes, isLast) : bytes);
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsApplier.java
@@ -1,12 +1,12 @@
 package wheattrack.net;
 
 import java.util.Map;
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
-import wheattrack.api.LoadBalancer;
 
 /**
  * Puts settings, of the configuration file or of a watched source, into the policy, and keeps the
--- a/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
+++ b/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
@@ -70,13 +70,14 @@
     attempt.setLatestStart(request.latestAttemptStart());
     request.addAttempt(attempt);
     if (request.isBodyConsumed()) {
-      attempt.backend().out++;
+      attempt.backend().attemptStarted();
       attempt.abandon(AttemptOutcome.DISCARDED);
       return;
     }
     boolean hasLongBody = request.body() != null;
-    attempt.setTimeout(hasLongBody ? Math.max(allowedTime, BackendConnection.PAUSE) : allowedTime);
-    attempt.backend().carry(attempt);
+    attempt.setTimeout(
+        hasLongBody ? Math.max(allowedTime, BackendConnection.STALL_TIMEOUT) : allowedTime);
+    attempt.backend().send(attempt);
   }
 
   @Override
@@ -102,12 +103,12 @@
   public void probeLoad(int backend, ProbeCallback callback) {
     LoadProbe probe = new LoadProbe(endpoints.pool(backend), settings, loadReports, callback);
     probe.setTimeout(settings.probeTimeout());
-    probe.backend().carry(probe);
+    probe.backend().send(probe);
   }
 
   @Override
   public void closeIdleConnections(int backend) {
-    endpoints.pool(backend).hangUp();
+    endpoints.pool(backend).closeIdleConnections();
   }
 
   @Override
