Configuration: reading, words, mapping and validation are classes of their own

Settings read JSON, held the words of the wire and built the policy's settings; ProxyConfig also parsed addresses, read files and checked settings; both had their fields open.

Settings is now typed reading alone. SettingsWords holds the words of effect, group and report.how; PolicySettingsMapper builds request classes and PolicySettings; LoadBalancerFactory makes the load balancer; SettingsValidator checks; ConfigurationFile, SocketAddressParser and DeploymentShape come out of ProxyConfig, whose fields have accessors. DynamicSettings validates in DynamicSettingsUpdate and counts in RequestClassSummary; its verdicts are APPLIED and SNAPSHOT_REQUIRED. Keys, texts and the order of checks are as before.

Run: DynamicSettingsTest, LargeConfigTest, MigrateCommandTest, OperatorConfigTest, AdminServerTest, ReloadTest, CoreTest, SettingsSubscriptionTest: 50 tests, none failed or skipped. Tests changed in names of accessors, enum constants and tenantCount only.

--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -16,6 +16,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
+import wheattrack.config.SocketAddressParser;
 import wheattrack.net.ControlOnlyProxy;
 
 /**
@@ -47,7 +48,7 @@
     main.run(
         Integer.parseInt(args[1]),
         Path.of(args[2]),
-        args.length > 3 ? ProxyConfig.address("SOURCE", args[3]) : null);
+        args.length > 3 ? SocketAddressParser.parse("SOURCE", args[3]) : null);
   }
 
   private void run(int first, Path file, InetSocketAddress source) throws Exception {
@@ -62,7 +63,7 @@
         () -> {
           for (int i = 0; i < last.length; i++) {
             int number = i;
-            long seed = config.seed + 31L * (first + i);
+            long seed = config.seed() + 31L * (first + i);
             LongConsumer told = rev -> force(number, rev);
             ControlOnlyProxy one =
                 new ControlOnlyProxy(loop, group, config, seed, source == null ? told : rev -> {});
--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -10,6 +10,8 @@
 import wheattrack.api.PendingRequest;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.RequestHandle;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.scenario.Scenario;
@@ -44,7 +46,9 @@
     if (policy == Kind.RULES) {
       return (port, seed, me) -> {
         Settings settings = new Settings(scenario.settings(me));
-        return new Module(settings.newLoadBalancer(port, seed, settings.requestClasses(), true));
+        return new Module(
+            LoadBalancerFactory.create(
+                settings, port, seed, PolicySettingsMapper.requestClasses(settings), true));
       };
     }
     return (port, seed, me) -> {
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -109,7 +109,7 @@
       System.out.println("good: " + operator);
     }
     if (line.hasOption("config") || !line.hasOption("operator")) {
-      System.out.println("good: " + ProxyConfig.read(file(line)).name);
+      System.out.println("good: " + ProxyConfig.read(file(line)).name());
     }
   }
 
@@ -130,7 +130,7 @@
               : new ProxyServer(config, own.loadHeader, own.settingsSource, own.scope);
     } catch (IOException e) {
       throw new InvalidConfigurationException(
-          "listen", config.listen + " can't be had: " + e.getMessage());
+          "listen", config.listen() + " can't be had: " + e.getMessage());
     }
     Signals.onHangup(
         () -> {
--- a/proxy/src/main/java/wheattrack/config/MigrateCommand.java
+++ b/proxy/src/main/java/wheattrack/config/MigrateCommand.java
@@ -68,19 +68,19 @@
   }
 
   private static int run(CommandLine line, Path old, PrintStream out, PrintStream err) {
-    Map<String, Object> was = ProxyConfig.map(old);
+    Map<String, Object> was = ConfigurationFile.read(old);
     if (Migration.isNew(was)) {
       new ProxyConfig(was);
       err.println(old + ": is of the new shape already, nothing is written");
       return 0;
     }
     String reports = line.getOptionValue("reports");
-    if (reports != null && !Settings.REPORTS.contains(reports)) {
-      throw new InvalidConfigurationException("--reports", "none of " + Settings.REPORTS);
+    if (reports != null && !SettingsWords.REPORTS.contains(reports)) {
+      throw new InvalidConfigurationException("--reports", "none of " + SettingsWords.REPORTS);
     }
     String listen = line.getOptionValue("listen");
     if (listen != null) {
-      ProxyConfig.address("--listen", listen);
+      SocketAddressParser.parse("--listen", listen);
     }
     Migration made =
         new Migration(
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -80,7 +80,7 @@
     known(map(result, "limits"), LIMITS, "limits.");
     settings = map(result, "settings");
     known(settings, SETTINGS, "settings.");
-    result.put("shape", ProxyConfig.SHAPES.get(1));
+    result.put("shape", DeploymentShape.PER_CLIENT);
     drop(result, "", "seed", "each proxy draws its own at its start");
     drop(result, "", "known", "it is the list of the old servers");
     NO_MORE.forEach(
@@ -110,7 +110,7 @@
 
   /** Whether the file is of the new shape already. */
   static boolean isNew(Map<String, Object> old) {
-    return ProxyConfig.SHAPES.get(1).equals(old.get("shape"));
+    return DeploymentShape.PER_CLIENT.equals(old.get("shape"));
   }
 
   private void who(Told told) {
--- a/proxy/src/main/java/wheattrack/config/OperatorConfig.java
+++ b/proxy/src/main/java/wheattrack/config/OperatorConfig.java
@@ -58,7 +58,7 @@
     ConfigurationReader s = t.section("settings");
     String at = s.text("source", "");
     try {
-      settingsSource = at.isEmpty() ? null : ProxyConfig.address("source", at);
+      settingsSource = at.isEmpty() ? null : SocketAddressParser.parse("source", at);
     } catch (InvalidConfigurationException e) {
       throw s.fault("source", "not an address in figures with a port: " + at);
     }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -0,0 +1,115 @@
+package wheattrack.config;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Rejects settings that the policy could not act on, or would silently take for something else.
+ * Errors are {@link InvalidConfigurationException} and name the key.
+ */
+final class SettingsValidator {
+  private SettingsValidator() {}
+
+  /** Throws if the condition does not hold. */
+  static void check(boolean condition, String key, String fault) {
+    if (!condition) {
+      throw new InvalidConfigurationException(key, fault);
+    }
+  }
+
+  /** Checks the section `settings` of a configuration. */
+  static void checkSettings(Settings settings) {
+    checkRequestClasses(settings);
+    PolicySettingsMapper.requestClasses(settings);
+    PolicySettingsMapper.policySettings(settings, settings.list("zones"));
+    checkRemovedRules(settings);
+    checkPrices(settings);
+    checkTenants(settings);
+    checkLoadReports(settings);
+    int proxyCount = settings.integer("balancers", 1);
+    int proxyIndex = settings.integer("me", 0);
+    check(proxyCount >= 1, "settings.balancers", "under 1");
+    check(
+        proxyIndex >= 0 && proxyIndex < proxyCount, "settings.me", "not from 0 to under balancers");
+    checkLimits(settings);
+    int zoneCount = Math.max(1, settings.list("zones").size());
+    int zone = settings.integer("zone", 0);
+    check(zone >= 0 && zone < zoneCount, "settings.zone", "not a place in zones");
+  }
+
+  private static void checkRequestClasses(Settings settings) {
+    List<Settings> entries = settings.sections("ruleSets");
+    check(!entries.isEmpty(), "settings.ruleSets", "missing");
+    Set<String> names = new HashSet<>();
+    for (Settings entry : entries) {
+      check(names.add(entry.text("name")), entry.key("name"), "the same as another's");
+      checkRequestClass(entry);
+    }
+  }
+
+  /** Checks one entry of `ruleSets`, except for its name. */
+  static void checkRequestClass(Settings entry) {
+    check(
+        SettingsWords.IDEMPOTENCY.contains(entry.text("effect")),
+        entry.key("effect"),
+        "none of " + SettingsWords.IDEMPOTENCY);
+    check(
+        SettingsWords.DEDUPLICATION_SCOPE.contains(entry.text("group", SettingsWords.SCOPE_ALL)),
+        entry.key("group"),
+        "none of " + SettingsWords.DEDUPLICATION_SCOPE);
+    check(entry.time("clientTimeout", 1_000_000) > 0, entry.key("clientTimeout"), "not above 0");
+    check(entry.time("responseTarget", 1_000_000) > 0, entry.key("responseTarget"), "not above 0");
+    PolicySettingsMapper.requestClass(entry, 0); // throws if another key has the wrong type
+  }
+
+  /** Checks the section `limits` of the given settings. */
+  static void checkLimits(Settings settings) {
+    check(
+        settings.integer("limits.maxDispatches", 1) >= 1,
+        settings.key("limits.maxDispatches"),
+        "under 1");
+    for (String key : List.of("dialTimeout", "idleClose", "maxRetryAfter")) {
+      settings.time("limits." + key, 0);
+    }
+    for (String key : List.of("mayCancel", "mayDuplicate", "retryAfter", "probing")) {
+      settings.flag("limits." + key);
+    }
+  }
+
+  /** Rejects rules that are no longer supported, rather than ignoring them. */
+  private static void checkRemovedRules(Settings settings) {
+    check(
+        settings.number("rules.budgetSpan", 0) == 0,
+        "settings.rules.budgetSpan",
+        "further dispatches are held to no budget any more");
+    check(
+        !settings.flag("rules.goneIsAdvice"),
+        "settings.rules.goneIsAdvice",
+        "what the list drops is gone, nothing else is known any more");
+  }
+
+  private static void checkPrices(Settings settings) {
+    for (String key : List.of("prices.connection", "prices.handshake", "prices.crossZone")) {
+      check(settings.number(key, 0) >= 0, "settings." + key, "negative");
+    }
+  }
+
+  private static void checkTenants(Settings settings) {
+    for (Settings tenant : settings.sections("tenants")) {
+      check(tenant.number("quotaPerS", 0) >= 0, tenant.key("quotaPerS"), "negative");
+    }
+  }
+
+  private static void checkLoadReports(Settings settings) {
+    String mode = settings.text("report.how", SettingsWords.REPORTS_NONE);
+    check(
+        SettingsWords.REPORTS.contains(mode),
+        "settings.report.how",
+        "none of " + SettingsWords.REPORTS);
+    check(
+        !mode.equals(SettingsWords.REPORTS_BY_PROBE) || settings.flag("limits.probing"),
+        "settings.limits.probing",
+        "not true, yet reports come with probes alone");
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.ProxyConfig;
 
 /**
@@ -28,7 +29,9 @@
       helper(server::run);
       ask(server.port(), "GET /ready HTTP/1.0\r\n\r\n");
       for (int i = 0; i < REQS; i++) {
-        String name = config.settings.classNames().get(i % config.settings.classNames().size());
+        String name =
+            PolicySettingsMapper.classNames(config.settings())
+                .get(i % PolicySettingsMapper.classNames(config.settings()).size());
         ask(
             server.port(),
             "POST /"
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -33,13 +33,13 @@
     this.loop = loop;
     this.group = group;
     this.config = config;
-    Settings settings = config.settings;
+    Settings settings = config.settings();
     Connector dialler =
         new Connector(
             loop,
             group,
             0,
-            config.maxBodyBytes,
+            config.maxBodyBytes(),
             settings.time("limits.dialTimeout", 250_000),
             settings.time("limits.idleClose", 0));
     listing =
@@ -47,10 +47,10 @@
             loop,
             group,
             dialler,
-            config.discovery,
+            config.discovery(),
             settings.list("zones"),
             settings.list("kinds"),
-            config.cachedEndpoints,
+            config.cachedEndpoints(),
             "");
     listing.onForce(inForce);
     proxy = new RequestHandler(loop, listing, new RequestCounters(), settings, seed, "");
@@ -67,7 +67,7 @@
             new RequestCounters(),
             new DynamicSettings(),
             feed -> {
-              proxy.turnTo(config.settings, feed);
+              proxy.turnTo(config.settings(), feed);
               inForce.accept(feed.revision());
             })
         .watch();
@@ -75,8 +75,8 @@
 
   /** New settings, as a whole. */
   public void turnTo(ProxyConfig next) {
-    proxy.turnTo(next.settings, null);
-    listing.moveTo(next.discovery);
+    proxy.turnTo(next.settings(), null);
+    listing.moveTo(next.discovery());
   }
 
   /** Backends that it knows. */
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -15,8 +15,8 @@
 import wheattrack.api.EndpointUpdate;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
-import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
+import wheattrack.config.SocketAddressParser;
 import wheattrack.core.BackendIndex;
 import wheattrack.log.EventLog;
 import wheattrack.policy.LoadBalancer;
@@ -267,7 +267,7 @@
     if (!state.equals("SERVING") && !state.equals("DRAINING")) {
       throw new InvalidConfigurationException("state", "unknown: " + state);
     }
-    InetSocketAddress address = ProxyConfig.address("endpoint", e.text("endpoint"));
+    InetSocketAddress address = SocketAddressParser.parse("endpoint", e.text("endpoint"));
     long up = (long) (e.number("boot_ms", 0) * 10);
     int zone = zones.indexOf(e.text("az", ""));
     int kind = Math.max(0, kinds.indexOf(e.text("model", "")));
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -10,6 +10,8 @@
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.ProbeCallback;
 import wheattrack.api.RequestClass;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.core.BackendIndex;
 import wheattrack.core.TimerQueue;
@@ -38,9 +40,9 @@
   private long now = 1;
 
   JitWarmUp(Settings settings) {
-    RequestClass[] all = settings.requestClasses();
-    sets = settings.classesByName(all);
-    rules = settings.newLoadBalancer(this, 1, all, false);
+    RequestClass[] all = PolicySettingsMapper.requestClasses(settings);
+    sets = PolicySettingsMapper.classesByName(settings, all);
+    rules = LoadBalancerFactory.create(settings, this, 1, all, false);
     for (int b = 0; b < SRVS; b++) {
       rules.updateBackend(new EndpointUpdate(b, b, true, 0, 0, 0, 1, BackendIndex.LONG_AGO, true));
     }
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -14,6 +14,7 @@
 import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
 import wheattrack.core.Lifecycle;
@@ -78,14 +79,15 @@
     this.config = config;
     group = AsynchronousChannelGroup.withThreadPool(loop);
     seats =
-        new ProcessLock(config.listen.getPort() == 0 ? null : shared(), config.listen.toString());
-    Settings settings = config.settings;
+        new ProcessLock(
+            config.listen().getPort() == 0 ? null : shared(), config.listen().toString());
+    Settings settings = config.settings();
     dialler =
         new Connector(
             loop,
             group,
             (int) (BACKENDS * free()),
-            config.maxBodyBytes,
+            config.maxBodyBytes(),
             settings.time("limits.dialTimeout", 250_000),
             settings.time("limits.idleClose", 0));
     listing =
@@ -93,41 +95,41 @@
             loop,
             group,
             dialler,
-            config.discovery,
+            config.discovery(),
             settings.list("zones"),
             settings.list("kinds"),
-            config.cachedEndpoints,
+            config.cachedEndpoints(),
             scope);
-    proxy = new RequestHandler(loop, listing, counts, settings, config.seed, loadHeader);
+    proxy = new RequestHandler(loop, listing, counts, settings, config.seed(), loadHeader);
     front =
         new ClientListener(
             loop,
             life,
             (int) (CLIENTS * free()),
-            config.maxBodyBytes,
+            config.maxBodyBytes(),
             proxy,
             () -> listing.isThere() ? "" : ", no list");
     proxy.from(front);
     proxy.beside(isBeside());
     if (seats.place() != ProcessLock.Place.NEWER) {
-      front.listen(group, config.listen);
+      front.listen(group, config.listen());
     }
-    admin = config.admin == null ? null : admin(group);
+    admin = config.admin() == null ? null : admin(group);
     longest = longest(settings);
     feed = source == null ? null : new DynamicSettings();
     settingsWatch =
         source == null
             ? null
             : new SettingsSubscription(
-                loop, group, source, scope, config.seed, counts, feed, told -> turnToTold());
+                loop, group, source, scope, config.seed(), counts, feed, told -> turnToTold());
   }
 
   /** Other settings of the watched source hold. */
   private void turnToTold() {
-    proxy.turnTo(config.settings, feed);
+    proxy.turnTo(config.settings(), feed);
     longest = Math.max(longest, feed.longestClientTimeout());
     if (!feed.limitNames().isEmpty()) {
-      dial(feed.overlay(config.settings));
+      dial(feed.overlay(config.settings()));
     }
   }
 
@@ -137,7 +139,7 @@
   }
 
   private static long longest(Settings settings) {
-    return Arrays.stream(settings.requestClasses())
+    return Arrays.stream(PolicySettingsMapper.requestClasses(settings))
         .mapToLong(RequestClass::clientTimeout)
         .max()
         .orElse(0);
@@ -159,9 +161,9 @@
    */
   private int free() {
     int own =
-        Math.max(OWN, config.maxDescriptors / 16)
-            + (config.admin == null ? 0 : 1 + AdminServer.PLACES);
-    return Math.max(8, (isBeside() ? config.maxDescriptors / 2 : config.maxDescriptors) - own);
+        Math.max(OWN, config.maxDescriptors() / 16)
+            + (config.admin() == null ? 0 : 1 + AdminServer.PLACES);
+    return Math.max(8, (isBeside() ? config.maxDescriptors() / 2 : config.maxDescriptors()) - own);
   }
 
   private void lookBeside() {
@@ -179,10 +181,10 @@
     MetricsFormat figures =
         new MetricsFormat(counts, proxy::open, listing::listed, proxy::avoided, listing::leftOut);
     try {
-      return new AdminServer(loop, group, life, config.admin, figures::text);
+      return new AdminServer(loop, group, life, config.admin(), figures::text);
     } catch (IOException e) {
       throw new InvalidConfigurationException(
-          "admin", config.admin + " can't be had: " + e.getMessage());
+          "admin", config.admin() + " can't be had: " + e.getMessage());
     }
   }
 
@@ -198,7 +200,7 @@
 
   /** Serves until it is told to end and has ended in order. */
   public void run() {
-    LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
+    LOG.info(config.name() + " at " + config.listen() + ", list from " + config.discovery());
     life.advanceTo(Phase.WARMING);
     loop.execute(this::warmUp);
     if (settingsWatch != null) {
@@ -218,7 +220,7 @@
 
   private void warmUp() {
     boolean newer = seats.place() == ProcessLock.Place.NEWER;
-    int reqs = new JitWarmUp(config.settings).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
+    int reqs = new JitWarmUp(config.settings()).run(WARM_REQS, newer ? WARM_BESIDE : WARM_NANOS);
     LOG.fine("warmed up with " + reqs + " reqs");
     lookBeside();
     readyFrom(loop.now());
@@ -235,7 +237,7 @@
       openLate();
       life.advanceTo(Phase.SERVING);
     } else {
-      if (front.isListening() && waited >= config.settings.time("limits.dialTimeout", 250_000)) {
+      if (front.isListening() && waited >= config.settings().time("limits.dialTimeout", 250_000)) {
         front.open();
       }
       loop.schedule(LOOK, () -> readyFrom(from));
@@ -249,11 +251,11 @@
   private void openLate() {
     try {
       if (!front.isListening()) {
-        front.listen(group, config.listen);
+        front.listen(group, config.listen());
       }
       front.open();
     } catch (IOException e) {
-      fault = config.listen + " can't be had: " + e.getMessage();
+      fault = config.listen() + " can't be had: " + e.getMessage();
       loop.shutdown();
     }
   }
@@ -307,12 +309,13 @@
     List<String> fixed = next.changedFixedKeys(config);
     LOG.info(
         "configuration read again, list from "
-            + next.discovery
+            + next.discovery()
             + (fixed.isEmpty() ? "" : "; only a restart brings in " + fixed));
-    proxy.turnTo(next.settings, feed);
-    dial(feed == null ? next.settings : feed.overlay(next.settings));
-    longest = Math.max(longest, longest(next.settings)); // what is under way may still take as long
-    listing.moveTo(next.discovery);
+    proxy.turnTo(next.settings(), feed);
+    dial(feed == null ? next.settings() : feed.overlay(next.settings()));
+    longest =
+        Math.max(longest, longest(next.settings())); // what is under way may still take as long
+    listing.moveTo(next.discovery());
     config = next;
   }
 
@@ -323,7 +326,7 @@
       } else if (front.isListening()) {
         front.open(); // before it was ready, too: who has connected is answered
       }
-      loop.schedule(config.drainTime, () -> loop.execute(this::close));
+      loop.schedule(config.drainTime(), () -> loop.execute(this::close));
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -14,6 +14,8 @@
 import wheattrack.api.ProbeCallback;
 import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
 import wheattrack.core.RequestCounters.FinalAnswer;
@@ -59,9 +61,11 @@
     this.loop = loop;
     this.listing = listing;
     this.counts = counts;
-    RequestClass[] all = settings.requestClasses();
+    RequestClass[] all = PolicySettingsMapper.requestClasses(settings);
     name(settings, all);
-    rules = settings.newLoadBalancer(this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
+    rules =
+        LoadBalancerFactory.create(
+            settings, this, seed, all, true, WatchConnection.ASK_EVERY_AT_MOST);
     loads = new LoadReports(rules, loadHeader);
     listing.tell(rules);
   }
@@ -74,24 +78,27 @@
   void turnTo(Settings settings, DynamicSettings feed) {
     if (feed != null && feed.isPresent()) {
       Settings held = feed.overlay(settings);
-      rules.configure(held.policySettings(listing.zones(), feed.totalQuota()), feed.summary());
+      rules.configure(
+          PolicySettingsMapper.policySettings(held, listing.zones(), feed.totalQuota()),
+          feed.summary());
       sets = feed.requestClasses();
       further(held);
       return;
     }
-    RequestClass[] all = settings.requestClasses();
-    rules.configure(settings.policySettings(listing.zones()), all);
+    RequestClass[] all = PolicySettingsMapper.requestClasses(settings);
+    rules.configure(PolicySettingsMapper.policySettings(settings, listing.zones()), all);
     name(settings, all);
   }
 
   private void name(Settings settings, RequestClass[] all) {
-    sets = settings.classesByName(all);
-    settings.classNames().forEach(counts::declare); // in their order, which the figures keep
+    sets = PolicySettingsMapper.classesByName(settings, all);
+    PolicySettingsMapper.classNames(settings)
+        .forEach(counts::declare); // in their order, which the figures keep
     further(settings);
   }
 
   private void further(Settings settings) {
-    reports = settings.expectsLoadReports();
+    reports = PolicySettingsMapper.expectsLoadReports(settings);
     probeTimeout = settings.time("limits.dialTimeout", 250_000);
   }
 
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -109,7 +109,7 @@
     try {
       Settings news = new Settings(Json.object(line));
       revision = news.wholeNumber("rev", -1);
-      if (whole && !news.flag("all") || feed.apply(news) == Verdict.WHOLE_WANTED) {
+      if (whole && !news.flag("all") || feed.apply(news) == Verdict.SNAPSHOT_REQUIRED) {
         EventLog.info(
             "settings",
             null,
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -18,6 +18,8 @@
 import wheattrack.api.ProbeCallback;
 import wheattrack.api.RequestClass;
 import wheattrack.api.RequestHandle;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.core.BackendIndex;
 import wheattrack.policy.LoadBalancer;
@@ -138,8 +140,10 @@
 
   private void configure(long seed, Settings s) {
     forget();
-    sets = s.requestClasses();
-    rules = s.newLoadBalancer(this, seed, sets, s.text("discovery", "").equals("subscribe"));
+    sets = PolicySettingsMapper.requestClasses(s);
+    rules =
+        LoadBalancerFactory.create(
+            s, this, seed, sets, s.text("discovery", "").equals("subscribe"));
   }
 
   private void arrival(MessageFields line) throws SimulatorAdapter.BadInput {
--- a/proxy/src/test/java/wheattrack/CoreTest.java
+++ b/proxy/src/test/java/wheattrack/CoreTest.java
@@ -187,7 +187,7 @@
       try {
         Map<String, Object> all = Json.object(("{" + in + "}").replace('\'', '"'));
         ProxyConfig c = new ProxyConfig(all);
-        w.say("good: " + c.listen + " " + c.discovery + " " + c.maxDescriptors);
+        w.say("good: " + c.listen() + " " + c.discovery() + " " + c.maxDescriptors());
       } catch (InvalidConfigurationException e) {
         w.say(e.getMessage());
       }
@@ -213,9 +213,9 @@
             + "{\"ruleSets\":[{\"name\":\"buy\",\"effect\":\"read_like\",\"clientTimeout\":1000}]}}");
     w.say(
         "served at "
-            + ProxyConfig.read(file).listen
+            + ProxyConfig.read(file).listen()
             + ", rehearsed at "
-            + ProxyConfig.readForTraining(file, 9).listen);
+            + ProxyConfig.readForTraining(file, 9).listen());
     Files.delete(file);
     w.matches("rehearsal");
   }
--- a/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
+++ b/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
@@ -45,7 +45,7 @@
         + " "
         + new TreeMap<>(feed.requestClasses())
         + " "
-        + feed.tenants()
+        + feed.tenantCount()
         + " "
         + feed.totalQuota()
         + " "
@@ -54,7 +54,7 @@
 
   private void whole() throws IOException {
     assertEquals(
-        Verdict.IN_FORCE,
+        Verdict.APPLIED,
         take(
             "{'rev':5,'source':'c1','all':true,'ruleSets':["
                 + set("a", 300, "read_like")
@@ -68,7 +68,7 @@
   void changes() throws Exception {
     whole();
     assertEquals(
-        Verdict.IN_FORCE,
+        Verdict.APPLIED,
         take(
             "{'rev':9,'after':5,'source':'c1','ruleSets':["
                 + set("c", 200, "read_like")
@@ -98,10 +98,10 @@
       quoteCharacter = '~')
   void whatDoesNotFollow(String how) throws Exception {
     String news = "{" + how + ",'ruleSets':[" + set("a", 1, "read_like") + "]}";
-    assertEquals(Verdict.WHOLE_WANTED, take(news));
+    assertEquals(Verdict.SNAPSHOT_REQUIRED, take(news));
     whole();
     String was = state();
-    assertEquals(Verdict.WHOLE_WANTED, take(news));
+    assertEquals(Verdict.SNAPSHOT_REQUIRED, take(news));
     assertEquals(was, state());
   }
 
@@ -198,7 +198,7 @@
               .anyMatch(s -> s.idempotency() == Idempotency.IDEMPOTENT),
           sum.idempotency() == Idempotency.IDEMPOTENT);
       assertEquals(quotas.values().stream().mapToInt(q -> q).sum(), feed.totalQuota(), 1e-6);
-      assertEquals(quotas.size(), feed.tenants());
+      assertEquals(quotas.size(), feed.tenantCount());
     }
   }
 }
--- a/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
+++ b/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
@@ -76,9 +76,9 @@
         settings.ruleSets[0].group: zone is all of the one place, see if that is meant""",
         said);
     ProxyConfig made = ProxyConfig.read(next);
-    assertEquals(400, made.settings.integer("balancers", 0));
-    assertEquals("answers", made.settings.text("report.how"));
-    assertEquals(8001, made.listen.getPort());
+    assertEquals(400, made.settings().integer("balancers", 0));
+    assertEquals("answers", made.settings().text("report.how"));
+    assertEquals(8001, made.listen().getPort());
     assertEquals(OLD, Files.readString(old));
     assertEquals(2, migrate(args));
     assertEquals("wheattrack migrate: old.json: --out: new.json is there already", said);
@@ -102,7 +102,7 @@
   void probesWithoutLimits() throws Exception {
     Files.writeString(old, OLD.replace("\"limits\": {\"probing\": false},", ""));
     assertEquals(1, migrate(old.toString(), "--out", next.toString(), "--reports", "probe"));
-    assertTrue(ProxyConfig.read(next).settings.flag("limits.probing"));
+    assertTrue(ProxyConfig.read(next).settings().flag("limits.probing"));
   }
 
   @Test
