--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -10,15 +10,15 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import wheattrack.config.ExitCode;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.MigrateCommand;
 import wheattrack.config.OperatorConfig;
 import wheattrack.config.ProxyConfig;
 import wheattrack.net.ClassArchiveTraining;
-import wheattrack.net.ProxyServer;
 import wheattrack.simulator.SimulatorAdapter;
 
-/** The command line. */
+/** The command line: picks the command, and turns errors in its input into exit codes. */
 public final class Main {
   private static final String USAGE =
       """
@@ -32,141 +32,122 @@
   version  prints the version
   help     prints this""";
 
+  private static final int OUTPUT_BUFFER_BYTES = 1 << 16;
+
   private Main() {}
 
+  /** Runs the command that the arguments name, and exits with its {@link ExitCode}. */
   public static void main(String[] args) throws IOException {
-    System.exit(run(args));
+    System.exit(run(args).code());
   }
 
-  private static int run(String[] args) throws IOException {
+  private static ExitCode run(String[] args) throws IOException {
     if (args.length > 0 && args[0].equals("migrate")) {
-      return MigrateCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
+      String[] migrateArgs = Arrays.copyOfRange(args, 1, args.length);
+      return MigrateCommand.run(migrateArgs, System.out, System.err);
     }
-    CommandLine line;
+    CommandLine commandLine;
     try {
-      line =
-          new DefaultParser()
-              .parse(
-                  new Options()
-                      .addOption("c", "config", true, "")
-                      .addOption("o", "operator", true, "")
-                      .addOption(null, "print-defaults", false, "")
-                      .addOption("h", "help", false, ""),
-                  args);
+      commandLine = new DefaultParser().parse(options(), args);
     } catch (ParseException e) {
-      return fault("wheattrack: " + e.getMessage());
+      return badInput("wheattrack: " + e.getMessage());
     }
-    if (line.hasOption("help")) {
-      System.out.println(USAGE);
-      return 0;
+    if (commandLine.hasOption("help")) {
+      return printUsage();
     }
-    if (line.getArgs().length != 1) {
-      return fault(USAGE);
+    if (commandLine.getArgs().length != 1) {
+      return badInput(USAGE);
     }
+    String command = commandLine.getArgs()[0];
     try {
-      switch (line.getArgs()[0]) {
-        case "serve" -> {
-          Path own = line.hasOption("operator") ? Path.of(line.getOptionValue("operator")) : null;
-          serve(file(line), own, own == null ? null : OperatorConfig.read(own));
-        }
-        case "rehearse" -> rehearse(file(line));
-        case "check" -> check(line);
-        case "drill" -> drill();
-        case "version" ->
-            System.out.println("wheattrack " + Main.class.getPackage().getImplementationVersion());
-        case "help" -> System.out.println(USAGE);
-        default -> {
-          return fault(USAGE);
-        }
-      }
-      return 0;
+      return run(command, commandLine);
     } catch (InvalidConfigurationException | SimulatorAdapter.BadInput e) {
-      return fault("wheattrack " + line.getArgs()[0] + ": " + e.getMessage());
+      return badInput("wheattrack " + command + ": " + e.getMessage());
     }
   }
 
-  private static int fault(String text) {
-    System.err.println(text);
-    return 2;
+  private static Options options() {
+    return new Options()
+        .addOption("c", "config", true, "")
+        .addOption("o", "operator", true, "")
+        .addOption(null, "print-defaults", false, "")
+        .addOption("h", "help", false, "");
   }
 
-  private static Path file(CommandLine line) {
-    String file = line.getOptionValue("config", System.getenv("GW_CONFIG"));
-    if (file == null) {
-      throw new InvalidConfigurationException("--config", "missing, and GW_CONFIG is not set");
-    }
-    return Path.of(file);
+  private static ExitCode run(String command, CommandLine commandLine) throws IOException {
+    return switch (command) {
+      case "serve" -> serve(commandLine);
+      case "rehearse" -> trainClassArchive(commandLine);
+      case "check" -> check(commandLine);
+      case "drill" -> simulate();
+      case "version" -> printVersion();
+      case "help" -> printUsage();
+      default -> badInput(USAGE);
+    };
   }
 
-  private static void check(CommandLine line) {
-    if (line.hasOption("print-defaults")) {
-      System.out.print(OperatorConfig.DEFAULTS);
-      return;
-    }
-    if (line.hasOption("operator")) {
-      String operator = line.getOptionValue("operator");
-      OperatorConfig.read(Path.of(operator));
-      System.out.println("good: " + operator);
-    }
-    if (line.hasOption("config") || !line.hasOption("operator")) {
-      System.out.println("good: " + ProxyConfig.read(file(line)).name());
-    }
+  private static ExitCode badInput(String message) {
+    System.err.println(message);
+    return ExitCode.BAD_INPUT;
   }
 
-  private static void log(OperatorConfig.LogSettings log) {
-    System.setProperty("java.util.logging.manager", Logging.class.getName());
-    Logging.open(log);
+  private static ExitCode printUsage() {
+    System.out.println(USAGE);
+    return ExitCode.SUCCESS;
   }
 
-  /** own: what the operators' file says, null where there is none. */
-  private static void serve(Path file, Path operator, OperatorConfig own) throws IOException {
-    ProxyConfig config = ProxyConfig.read(file);
-    log(own == null ? OperatorConfig.plainLog() : own.log);
-    ProxyServer server;
-    try {
-      server =
-          own == null
-              ? new ProxyServer(config)
-              : new ProxyServer(config, own.loadHeader, own.settingsSource, own.scope);
-    } catch (IOException e) {
-      throw new InvalidConfigurationException(
-          "listen", config.listen() + " can't be had: " + e.getMessage());
+  private static ExitCode printVersion() {
+    System.out.println("wheattrack " + Main.class.getPackage().getImplementationVersion());
+    return ExitCode.SUCCESS;
+  }
+
+  private static Path configFile(CommandLine commandLine) {
+    String file = commandLine.getOptionValue("config", System.getenv("GW_CONFIG"));
+    if (file == null) {
+      throw new InvalidConfigurationException("--config", "missing, and GW_CONFIG is not set");
     }
-    Signals.onHangup(
-        () -> {
-          server.reread(file);
-          if (own != null && own.settingsSource != null) {
-            resubscribe(server, operator);
-          }
-        });
-    Thread end = new Thread(server::end, "end");
-    Runtime.getRuntime().addShutdownHook(end);
-    server.run();
-    Runtime.getRuntime().halt(0);
+    return Path.of(file);
   }
 
-  private static void resubscribe(ProxyServer server, Path operator) {
-    try {
-      OperatorConfig next = OperatorConfig.read(operator);
-      server.resubscribe(next.settingsSource, next.scope);
-    } catch (InvalidConfigurationException e) {
-      java.util.logging.Logger.getLogger("wheattrack")
-          .warning("operators' file kept as it was: " + e.getMessage());
+  private static ExitCode serve(CommandLine commandLine) throws IOException {
+    Path operatorFile =
+        commandLine.hasOption("operator") ? Path.of(commandLine.getOptionValue("operator")) : null;
+    new ServeCommand(configFile(commandLine), operatorFile).run();
+    return ExitCode.SUCCESS;
+  }
+
+  private static ExitCode check(CommandLine commandLine) {
+    if (commandLine.hasOption("print-defaults")) {
+      System.out.print(OperatorConfig.DEFAULTS);
+      return ExitCode.SUCCESS;
+    }
+    if (commandLine.hasOption("operator")) {
+      String operatorFile = commandLine.getOptionValue("operator");
+      OperatorConfig.read(Path.of(operatorFile));
+      System.out.println("good: " + operatorFile);
+    }
+    if (commandLine.hasOption("config") || !commandLine.hasOption("operator")) {
+      System.out.println("good: " + ProxyConfig.read(configFile(commandLine)).name());
     }
+    return ExitCode.SUCCESS;
   }
 
   /**
-   * For the build, whose JVM keeps the classes that a start needs: restarts took 1.9 s of half a
-   * core.
+   * Runs a proxy for the build, whose JVM archives the classes that a start needs: without the
+   * archive, a restart took 1.9 s of half a core.
    */
-  private static void rehearse(Path file) throws IOException {
-    log(OperatorConfig.plainLog());
-    ClassArchiveTraining.run(file);
+  private static ExitCode trainClassArchive(CommandLine commandLine) throws IOException {
+    Path configFile = configFile(commandLine);
+    LoggingSetup.install(OperatorConfig.LogSettings.DEFAULTS);
+    ClassArchiveTraining.run(configFile);
+    return ExitCode.SUCCESS;
   }
 
-  private static void drill() throws IOException {
-    try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
-      new SimulatorAdapter(System.in, out).run();
+  private static ExitCode simulate() throws IOException {
+    FileOutputStream standardOutput = new FileOutputStream(FileDescriptor.out);
+    try (var output = new BufferedOutputStream(standardOutput, OUTPUT_BUFFER_BYTES)) {
+      new SimulatorAdapter(System.in, output).run();
     }
+    return ExitCode.SUCCESS;
   }
 }
--- a/proxy/src/main/java/wheattrack/Signals.java
+++ b/proxy/src/main/java/wheattrack/Signals.java
@@ -3,38 +3,40 @@
 import java.lang.reflect.Proxy;
 import java.util.logging.Logger;
 
-/** Words from the system to the process that Java's own interfaces have no name for. */
+/** Signals that the Java platform has no supported interface for. */
 public final class Signals {
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
   private Signals() {}
 
   /**
-   * Day of new configurations: the JVM's own answer to SIGHUP is its end. The class that takes the
-   * signal over is met by name, as the compiler warns of it at any use and warnings are errors
-   * here.
+   * Runs an action at each SIGHUP, on a thread of the JVM's, in place of the JVM's default of
+   * ending. If that can't be arranged, a warning is logged.
+   *
+   * <p>The class that handles signals is used by reflection: the compiler warns of any direct use,
+   * and warnings are errors here.
    */
-  public static void onHangup(Runnable then) {
+  public static void onHangup(Runnable action) {
     try {
-      Class<?> signal = Class.forName("sun.misc.Signal");
-      Class<?> handler = Class.forName("sun.misc.SignalHandler");
-      Object ours =
+      Class<?> signalClass = Class.forName("sun.misc.Signal");
+      Class<?> handlerClass = Class.forName("sun.misc.SignalHandler");
+      Object handler =
           Proxy.newProxyInstance(
-              handler.getClassLoader(),
-              new Class<?>[] {handler},
-              (self, method, args) -> {
+              handlerClass.getClassLoader(),
+              new Class<?>[] {handlerClass},
+              (proxy, method, args) -> {
                 if (method.getDeclaringClass() == Object.class) {
-                  return method.invoke(then, args);
+                  return method.invoke(action, args);
                 }
-                then.run();
+                action.run();
                 return null;
               });
-      Object was =
-          signal
-              .getMethod("handle", signal, handler)
-              .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
-      if (was == handler.getField("SIG_IGN").get(null)) {
-        // rolling day: a bench under nohup, and the list's old address was asked until the restart
+      Object hangup = signalClass.getConstructor(String.class).newInstance("HUP");
+      Object previousHandler =
+          signalClass.getMethod("handle", signalClass, handlerClass).invoke(null, hangup, handler);
+      if (previousHandler == handlerClass.getField("SIG_IGN").get(null)) {
+        // the JVM leaves an ignored SIGHUP ignored: proxies of a benchmark under nohup did not
+        // reload, and polled the endpoint list's old address until they were restarted
         LOG.warning("SIGHUP is not heard, as whoever started this process ignores it (nohup does)");
       }
     } catch (ReflectiveOperationException | RuntimeException e) {
--- a/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
+++ b/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
@@ -7,77 +7,39 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * One table of a TOML file, read strictly: each key asked for is known, {@link #done} ends with an
- * error at any other. Errors are {@link InvalidConfigurationException} and name file, line and key.
- * Not for use by several threads.
+ * Strict reading of one table of a TOML file: every key that is read counts as known, and {@link
+ * #rejectUnknownKeys} fails if the file has any other. Errors are {@link
+ * InvalidConfigurationException} and name file, line and key. Not for use by several threads.
  */
 public final class ConfigurationReader {
-  private static final String SEGMENT = "\\s*(\"[^\"]*\"|[A-Za-z0-9_-]+)\\s*";
+  private final Map<String, Object> values;
 
-  /** Where the keys of one file stand. */
-  private record Source(String file, List<String> lines) {
-    /** The line, from 1, on which this key stands, or the nearest that holds it. */
-    int line(String path) {
-      for (String wanted = path;
-          !wanted.isEmpty();
-          wanted = wanted.contains(".") ? wanted.substring(0, wanted.lastIndexOf('.')) : "") {
-        int at = exactly(wanted);
-        if (at > 0) {
-          return at;
-        }
-      }
-      return 1;
-    }
+  /** The table's path in the file; "" at the root. */
+  private final String tablePath;
 
-    private int exactly(String path) {
-      Map<String, Integer> seen = new java.util.HashMap<>();
-      String table = "";
-      for (int i = 0; i < lines.size(); i++) {
-        String line = lines.get(i).strip();
-        if (line.startsWith("[[")) {
-          String name = plain(line.substring(2, Math.max(2, line.indexOf(']'))));
-          table = name + "[" + (seen.merge(name, 1, Integer::sum) - 1) + "]";
-        } else if (line.startsWith("[")) {
-          table = plain(line.substring(1, Math.max(1, line.indexOf(']'))));
-        } else if (!line.startsWith("#") && line.indexOf('=') > 0) {
-          String key = plain(line.substring(0, line.indexOf('=')));
-          if (path.equals(table.isEmpty() ? key : table + "." + key)) {
-            return i + 1;
-          }
-          continue;
-        }
-        if (path.equals(table)) {
-          return i + 1;
-        }
-      }
-      return 0;
-    }
+  private final TomlKeyLocator locator;
+  private final Set<String> knownKeys = new HashSet<>();
+  private final List<ConfigurationReader> sections = new ArrayList<>();
 
-    private static String plain(String key) {
-      return key.replaceAll(SEGMENT, "$1").replace("\"", "");
-    }
+  private ConfigurationReader(
+      Map<String, Object> values, String tablePath, TomlKeyLocator locator) {
+    this.values = values;
+    this.tablePath = tablePath;
+    this.locator = locator;
   }
 
-  private final Map<String, Object> all;
-  private final String path;
-  private final Source source;
-  private final Set<String> known = new HashSet<>();
-  private final List<ConfigurationReader> inner = new ArrayList<>();
-
-  private ConfigurationReader(Map<String, Object> all, String path, Source source) {
-    this.all = all;
-    this.path = path;
-    this.source = source;
-  }
-
-  /** Reads a whole file. */
+  /**
+   * Reads a file.
+   *
+   * @throws InvalidConfigurationException if it can't be read or is not TOML
+   */
   public static ConfigurationReader read(Path file) {
     try {
       return of(file.toString(), Files.readString(file));
@@ -88,117 +50,138 @@
     }
   }
 
-  /** Reads a text; name stands for the file in errors. */
-  public static ConfigurationReader of(String name, String text) {
-    Source source = new Source(name, Arrays.asList(text.split("\r?\n", -1)));
+  /**
+   * Reads a text.
+   *
+   * @param fileName stands for the file in errors
+   * @throws InvalidConfigurationException if it is not TOML
+   */
+  public static ConfigurationReader of(String fileName, String text) {
+    TomlKeyLocator locator = new TomlKeyLocator(fileName, text);
     try {
       @SuppressWarnings("unchecked")
-      Map<String, Object> all = new TomlMapper().readValue(text, Map.class);
-      return new ConfigurationReader(all, "", source);
+      Map<String, Object> values = new TomlMapper().readValue(text, Map.class);
+      return new ConfigurationReader(values, "", locator);
     } catch (JacksonException e) {
       int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
       throw new InvalidConfigurationException(
-          name + ":" + line, "not TOML: " + e.getOriginalMessage().split("\n")[0]);
+          fileName + ":" + line, "not TOML: " + e.getOriginalMessage().split("\n")[0]);
     }
   }
 
-  /** The error that this key is at fault, to be thrown by who finds out. */
-  public InvalidConfigurationException fault(String key, String what) {
-    String whole = whole(key);
+  /** The error that a key of this table is invalid, for the caller to throw. */
+  public InvalidConfigurationException fault(String key, String problem) {
+    String path = pathOf(key);
     return new InvalidConfigurationException(
-        source.file + ":" + source.line(whole) + ": " + whole, what);
+        locator.fileName() + ":" + locator.lineOf(path) + ": " + path, problem);
   }
 
-  private String whole(String key) {
-    return path.isEmpty() ? key : key.isEmpty() ? path : path + "." + key;
+  private String pathOf(String key) {
+    if (tablePath.isEmpty()) {
+      return key;
+    }
+    return key.isEmpty() ? tablePath : tablePath + "." + key;
   }
 
   /**
-   * Sets a key, by its path of tables and list places (as in fault[0].size), to a value as TOML has
-   * it.
+   * Sets a key.
+   *
+   * @param keyPath tables and list places on the way to the key, as in {@code fault[0].size}
+   * @param value the value in TOML's syntax
    */
   public void set(String keyPath, String value) {
-    Object parsed;
+    Object parsedValue;
     try {
-      parsed = new TomlMapper().readValue("v = " + value, Map.class).get("v");
+      parsedValue = new TomlMapper().readValue("v = " + value, Map.class).get("v");
     } catch (JacksonException e) {
       throw fault(keyPath, "can't be set to " + value);
     }
-    Object here = all;
-    String[] parts = keyPath.replace("[", ".[").split("\\.");
-    for (int i = 0; i < parts.length; i++) {
-      here = step(here, parts[i], keyPath, i == parts.length - 1 ? parsed : null);
+    String[] segments = keyPath.replace("[", ".[").split("\\.");
+    Object container = values;
+    for (int i = 0; i < segments.length; i++) {
+      boolean isLast = i == segments.length - 1;
+      container = descend(container, segments[i], keyPath, isLast ? parsedValue : null);
     }
   }
 
+  /** Goes from a container to one inside it, or puts a value that is not null into it. */
   @SuppressWarnings("unchecked")
-  private Object step(Object here, String part, String keyPath, Object last) {
-    if (part.matches("\\[\\d+\\]") && here instanceof List<?> list) {
-      int i = Integer.parseInt(part.substring(1, part.length() - 1));
-      if (i < list.size()) {
-        return list.get(i);
+  private Object descend(Object container, String segment, String keyPath, Object newValue) {
+    boolean isIndex = segment.matches("\\[\\d+\\]");
+    if (isIndex && container instanceof List<?> list) {
+      int index = Integer.parseInt(segment.substring(1, segment.length() - 1));
+      if (index < list.size()) {
+        return list.get(index);
       }
-    } else if (here instanceof Map<?, ?> map && !part.startsWith("[")) {
-      if (last != null) {
-        ((Map<String, Object>) map).put(part, last);
-        return last;
+    } else if (container instanceof Map<?, ?> map && !segment.startsWith("[")) {
+      Map<String, Object> table = (Map<String, Object>) map;
+      if (newValue != null) {
+        table.put(segment, newValue);
+        return newValue;
       }
-      return ((Map<String, Object>) map)
-          .computeIfAbsent(part, k -> new java.util.LinkedHashMap<>());
+      return table.computeIfAbsent(segment, key -> new LinkedHashMap<>());
     }
     throw fault(keyPath, "names nothing that is there");
   }
 
+  /** Whether the table has this key. The key does not count as known by this. */
   public boolean has(String key) {
-    return all.get(key) != null;
+    return values.get(key) != null;
   }
 
-  /**
-   * The keys of this table, for one whose keys are names of the writer's own; all count as known.
-   */
+  /** All keys of a table whose keys are names that its writer chose; all count as known. */
   public List<String> keys() {
-    known.addAll(all.keySet());
-    return List.copyOf(all.keySet());
+    knownKeys.addAll(values.keySet());
+    return List.copyOf(values.keySet());
   }
 
-  private <T> T at(String key, Class<T> kind, String word) {
-    known.add(key);
-    Object value = all.get(key);
-    if (value != null && !kind.isInstance(value)) {
-      throw fault(key, "not " + word);
+  /** The value of a key, or null; typeName names the type in the error. */
+  private <T> T get(String key, Class<T> type, String typeName) {
+    knownKeys.add(key);
+    Object value = values.get(key);
+    if (value != null && !type.isInstance(value)) {
+      throw fault(key, "not " + typeName);
     }
-    return kind.cast(value);
+    return type.cast(value);
   }
 
-  /** A figure within bounds, both included. */
-  public double number(String key, double otherwise, double least, double most) {
-    Number found = at(key, Number.class, "a number");
-    double value = found == null ? otherwise : found.doubleValue();
-    if (!(value >= least && value <= most)) {
-      throw fault(key, value + " is not from " + least + " to " + most);
+  /** A number from minimum to maximum, both included. */
+  public double number(String key, double defaultValue, double minimum, double maximum) {
+    Number found = get(key, Number.class, "a number");
+    double value = found == null ? defaultValue : found.doubleValue();
+    boolean isInRange = value >= minimum && value <= maximum; // false for NaN
+    if (!isInRange) {
+      throw fault(key, value + " is not from " + minimum + " to " + maximum);
     }
     return value;
   }
 
-  public int integer(String key, int otherwise, int least, int most) {
-    double value = number(key, otherwise, least, most);
+  /** A whole number from minimum to maximum, both included. */
+  public int integer(String key, int defaultValue, int minimum, int maximum) {
+    double value = number(key, defaultValue, minimum, maximum);
     if (value != Math.rint(value)) {
       throw fault(key, value + " is not whole");
     }
     return (int) value;
   }
 
-  public boolean flag(String key, boolean otherwise) {
-    Boolean found = at(key, Boolean.class, "true or false");
-    return found == null ? otherwise : found;
+  /** A boolean. */
+  public boolean flag(String key, boolean defaultValue) {
+    Boolean found = get(key, Boolean.class, "true or false");
+    return found == null ? defaultValue : found;
   }
 
-  public String text(String key, String otherwise) {
-    String found = at(key, String.class, "a text");
-    return found == null ? otherwise : found;
+  /** A string. */
+  public String text(String key, String defaultValue) {
+    String found = get(key, String.class, "a text");
+    return found == null ? defaultValue : found;
   }
 
-  /** A text that must be there. */
+  /**
+   * A string that must be present.
+   *
+   * @throws InvalidConfigurationException if it is missing or empty
+   */
   public String text(String key) {
     String found = text(key, null);
     if (found == null || found.isEmpty()) {
@@ -207,7 +190,7 @@
     return found;
   }
 
-  /** One of these words; the first is the default. */
+  /** One of the given words; the first is the default. */
   public String choice(String key, List<String> words) {
     String found = text(key, words.get(0));
     if (!words.contains(found)) {
@@ -216,55 +199,58 @@
     return found;
   }
 
-  /** Figures in a list; empty where the key is not there. */
+  /** A list of numbers, empty by default. */
   public double[] numbers(String key) {
-    List<?> found = at(key, List.class, "a list");
-    return found == null
-        ? new double[0]
-        : found.stream()
-            .mapToDouble(
-                one -> {
-                  if (one instanceof Number n) {
-                    return n.doubleValue();
-                  }
-                  throw fault(key, "not a list of numbers");
-                })
-            .toArray();
+    List<?> found = get(key, List.class, "a list");
+    if (found == null) {
+      return new double[0];
+    }
+    double[] numbers = new double[found.size()];
+    for (int i = 0; i < numbers.length; i++) {
+      if (!(found.get(i) instanceof Number number)) {
+        throw fault(key, "not a list of numbers");
+      }
+      numbers[i] = number.doubleValue();
+    }
+    return numbers;
   }
 
-  /** The table under this key, empty where it is not there. */
+  /** A nested table, empty by default. */
   @SuppressWarnings("unchecked")
   public ConfigurationReader section(String key) {
-    Map<String, Object> found = at(key, Map.class, "a table");
-    ConfigurationReader part =
-        new ConfigurationReader(found == null ? Map.of() : found, whole(key), source);
-    inner.add(part);
-    return part;
+    Map<String, Object> found = get(key, Map.class, "a table");
+    ConfigurationReader section =
+        new ConfigurationReader(found == null ? Map.of() : found, pathOf(key), locator);
+    sections.add(section);
+    return section;
   }
 
-  /** The tables under this key. */
+  /** A list of tables, empty by default. */
   @SuppressWarnings("unchecked")
   public List<ConfigurationReader> sections(String key) {
-    List<?> found = at(key, List.class, "a list of tables");
-    List<ConfigurationReader> parts = new ArrayList<>();
-    for (int i = 0; found != null && i < found.size(); i++) {
+    List<?> found = get(key, List.class, "a list of tables");
+    List<ConfigurationReader> tables = new ArrayList<>();
+    if (found == null) {
+      return tables;
+    }
+    for (int i = 0; i < found.size(); i++) {
       if (!(found.get(i) instanceof Map<?, ?> map)) {
         throw fault(key, "not a list of tables");
       }
-      parts.add(
-          new ConfigurationReader((Map<String, Object>) map, whole(key) + "[" + i + "]", source));
+      String path = pathOf(key) + "[" + i + "]";
+      tables.add(new ConfigurationReader((Map<String, Object>) map, path, locator));
     }
-    inner.addAll(parts);
-    return parts;
+    sections.addAll(tables);
+    return tables;
   }
 
-  /** Ends with an error if the file holds a key here or further in that nobody asked for. */
+  /** Fails if this table, or a section that was read from it, has a key that was never read. */
   public void rejectUnknownKeys() {
-    for (String key : all.keySet()) {
-      if (!known.contains(key)) {
+    for (String key : values.keySet()) {
+      if (!knownKeys.contains(key)) {
         throw fault(key, "unknown key");
       }
     }
-    inner.forEach(ConfigurationReader::rejectUnknownKeys);
+    sections.forEach(ConfigurationReader::rejectUnknownKeys);
   }
 }
--- a/proxy/src/main/java/wheattrack/config/InvalidConfigurationException.java
+++ b/proxy/src/main/java/wheattrack/config/InvalidConfigurationException.java
@@ -1,9 +1,15 @@
 package wheattrack.config;
 
-/** A configuration that cannot be used; the message names the faulty key. */
+/** A configuration that can't be used. The message names the key at fault. */
 public final class InvalidConfigurationException extends RuntimeException {
   private static final long serialVersionUID = 1;
 
+  /**
+   * An error with the message {@code key: fault}.
+   *
+   * @param key the key, option or file at fault
+   * @param fault what is wrong with it
+   */
   public InvalidConfigurationException(String key, String fault) {
     super(key + ": " + fault);
   }
--- a/proxy/src/main/java/wheattrack/config/Json.java
+++ b/proxy/src/main/java/wheattrack/config/Json.java
@@ -10,58 +10,63 @@
 import java.util.List;
 import java.util.Map;
 
-/** JSON as plain maps, lists, texts, numbers and marks. */
+/** Parses JSON into maps, lists, strings, {@link BigDecimal}s, booleans and null. */
 public final class Json {
   private static final JsonFactory FACTORY = new JsonFactory();
 
   private Json() {}
 
-  /** The one object that the text holds. */
+  /**
+   * The one object that a text consists of.
+   *
+   * @throws IOException if the text is anything else
+   */
   public static Map<String, Object> object(String text) throws IOException {
-    try (JsonParser in = FACTORY.createParser(text)) {
-      if (in.nextToken() != JsonToken.START_OBJECT) {
+    try (JsonParser parser = FACTORY.createParser(text)) {
+      if (parser.nextToken() != JsonToken.START_OBJECT) {
         throw new IOException("not an object");
       }
-      Map<String, Object> map = map(in);
-      if (in.nextToken() != null) {
+      Map<String, Object> object = map(parser);
+      if (parser.nextToken() != null) {
         throw new IOException("something follows the object");
       }
-      return map;
+      return object;
     }
   }
 
-  /** The object whose opening brace is the parser's present token. */
-  public static Map<String, Object> map(JsonParser in) throws IOException {
+  /** The object whose opening brace is the parser's current token. */
+  public static Map<String, Object> map(JsonParser parser) throws IOException {
     Map<String, Object> map = new HashMap<>();
-    while (in.nextToken() != JsonToken.END_OBJECT) {
-      String name = in.currentName();
-      in.nextToken();
-      map.put(name, any(in));
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String key = parser.currentName();
+      parser.nextToken();
+      map.put(key, value(parser));
     }
     return map;
   }
 
-  /** The array whose opening bracket is the parser's present token. */
-  public static List<Object> list(JsonParser in) throws IOException {
+  /** The array whose opening bracket is the parser's current token. */
+  public static List<Object> list(JsonParser parser) throws IOException {
     List<Object> list = new ArrayList<>();
-    while (in.nextToken() != JsonToken.END_ARRAY) {
-      list.add(any(in));
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      list.add(value(parser));
     }
     return list;
   }
 
-  private static Object any(JsonParser in) throws IOException {
-    if (in.currentToken() == null) {
+  /** The value whose first token is the parser's current one. */
+  private static Object value(JsonParser parser) throws IOException {
+    if (parser.currentToken() == null) {
       throw new IOException("it ends too early");
     }
-    return switch (in.currentToken()) {
-      case START_OBJECT -> map(in);
-      case START_ARRAY -> list(in);
+    return switch (parser.currentToken()) {
+      case START_OBJECT -> map(parser);
+      case START_ARRAY -> list(parser);
       case VALUE_NULL -> null;
       case VALUE_TRUE -> Boolean.TRUE;
       case VALUE_FALSE -> Boolean.FALSE;
-      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new BigDecimal(in.getText());
-      default -> in.getText();
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new BigDecimal(parser.getText());
+      default -> parser.getText();
     };
   }
 }
--- a/proxy/src/main/java/wheattrack/config/MigrateCommand.java
+++ b/proxy/src/main/java/wheattrack/config/MigrateCommand.java
@@ -14,8 +14,8 @@
 import org.apache.commons.cli.ParseException;
 
 /**
- * The command that turns a configuration of a bank of proxies into one of a proxy beside each
- * client.
+ * The command {@code migrate}: turns a configuration of a pool of proxies into one of a proxy
+ * beside each client process.
  */
 public final class MigrateCommand {
   private static final String USAGE =
@@ -32,87 +32,103 @@
       What could not be carried over is listed on the error output, a key a line.
       exit codes: 0 all carried over, or nothing to do; 1 something is left to you; 2 bad input""";
 
+  private static final String[] VALUE_OPTIONS = {
+    "out", "balancers", "me", "reports", "place", "listen"
+  };
+
   private MigrateCommand() {}
 
-  /** Runs the command; the exit code. */
-  public static int run(String[] args, PrintStream out, PrintStream err) {
-    Options options =
-        new Options().addOption("h", "help", false, "").addOption(null, "dry-run", false, "");
-    for (String name : new String[] {"out", "balancers", "me", "reports", "place", "listen"}) {
-      options.addOption(null, name, true, "");
-    }
-    String file = "";
+  /**
+   * Runs the command.
+   *
+   * @param args the arguments after the command's name
+   * @param out where help and the result of a dry run are printed
+   * @param err where errors, and what is left to the operator, are printed
+   */
+  public static ExitCode run(String[] args, PrintStream out, PrintStream err) {
+    String filePrefix = "";
     try {
-      CommandLine line = new DefaultParser().parse(options, args);
-      if (line.hasOption("help")) {
+      CommandLine commandLine = new DefaultParser().parse(options(), args);
+      if (commandLine.hasOption("help")) {
         out.println(USAGE);
-        return 0;
+        return ExitCode.SUCCESS;
       }
-      if (line.getArgs().length != 1) {
-        throw new InvalidConfigurationException(
-            "OLD", line.getArgs().length == 0 ? "missing" : "more than one");
-      }
-      if (line.hasOption("dry-run") == line.hasOption("out")) {
-        throw new InvalidConfigurationException(
-            "--out", line.hasOption("out") ? "contradicts --dry-run" : "missing");
-      }
-      file = line.getArgs()[0] + ": ";
-      return run(line, Path.of(line.getArgs()[0]), out, err);
+      String oldFile = checkArguments(commandLine);
+      filePrefix = oldFile + ": ";
+      return migrate(commandLine, Path.of(oldFile), out, err);
     } catch (ParseException e) {
       err.println("wheattrack migrate: " + e.getMessage());
     } catch (InvalidConfigurationException e) {
-      String said = e.getMessage();
-      err.println("wheattrack migrate: " + (said.startsWith(file) ? said : file + said));
+      String message = e.getMessage();
+      String prefix = message.startsWith(filePrefix) ? "" : filePrefix;
+      err.println("wheattrack migrate: " + prefix + message);
     }
-    return 2;
+    return ExitCode.BAD_INPUT;
   }
 
-  private static int run(CommandLine line, Path old, PrintStream out, PrintStream err) {
-    Map<String, Object> was = ConfigurationFile.read(old);
-    if (Migration.isNew(was)) {
-      new ProxyConfig(was);
-      err.println(old + ": is of the new shape already, nothing is written");
-      return 0;
-    }
-    String reports = line.getOptionValue("reports");
-    if (reports != null && !SettingsWords.REPORTS.contains(reports)) {
-      throw new InvalidConfigurationException("--reports", "none of " + SettingsWords.REPORTS);
+  private static Options options() {
+    Options options =
+        new Options().addOption("h", "help", false, "").addOption(null, "dry-run", false, "");
+    for (String name : VALUE_OPTIONS) {
+      options.addOption(null, name, true, "");
     }
-    String listen = line.getOptionValue("listen");
-    if (listen != null) {
-      SocketAddressParser.parse("--listen", listen);
+    return options;
+  }
+
+  /** The old configuration's file, if the arguments name just one and one place for the result. */
+  private static String checkArguments(CommandLine commandLine) {
+    String[] files = commandLine.getArgs();
+    if (files.length != 1) {
+      throw new InvalidConfigurationException(
+          "OLD", files.length == 0 ? "missing" : "more than one");
     }
-    Migration made =
-        new Migration(
-            was,
-            new Migration.Told(
-                whole(line, "balancers"),
-                whole(line, "me"),
-                reports,
-                line.getOptionValue("place"),
-                listen));
-    String text;
-    try {
-      text =
-          new ObjectMapper()
-                  .enable(SerializationFeature.INDENT_OUTPUT)
-                  .writeValueAsString(made.result)
-              + "\n";
-    } catch (IOException e) {
+    boolean hasOut = commandLine.hasOption("out");
+    if (commandLine.hasOption("dry-run") == hasOut) {
       throw new InvalidConfigurationException(
-          old.toString(), "can't be written anew: " + e.getMessage());
+          "--out", hasOut ? "contradicts --dry-run" : "missing");
     }
-    if (line.hasOption("dry-run")) {
+    return files[0];
+  }
+
+  private static ExitCode migrate(
+      CommandLine commandLine, Path oldFile, PrintStream out, PrintStream err) {
+    Map<String, Object> old = ConfigurationFile.read(oldFile);
+    if (Migration.isMigrated(old)) {
+      new ProxyConfig(old); // throws if it can't be used
+      err.println(oldFile + ": is of the new shape already, nothing is written");
+      return ExitCode.SUCCESS;
+    }
+    Migration migration = Migration.of(old, migrationOptions(commandLine));
+    String text = toJson(migration.result(), oldFile);
+    if (commandLine.hasOption("dry-run")) {
       out.print(text);
     } else {
-      write(Path.of(line.getOptionValue("out")), text);
+      writeNewFile(Path.of(commandLine.getOptionValue("out")), text);
+    }
+    migration.remarks().forEach(err::println);
+    return migration.remarks().isEmpty() ? ExitCode.SUCCESS : ExitCode.ACTION_REQUIRED;
+  }
+
+  private static Migration.Options migrationOptions(CommandLine commandLine) {
+    String reports = commandLine.getOptionValue("reports");
+    if (reports != null && !SettingsWords.REPORTS.contains(reports)) {
+      throw new InvalidConfigurationException("--reports", "none of " + SettingsWords.REPORTS);
     }
-    made.left.forEach(err::println);
-    return made.left.isEmpty() ? 0 : 1;
+    String listen = commandLine.getOptionValue("listen");
+    if (listen != null) {
+      SocketAddressParser.parse("--listen", listen);
+    }
+    return new Migration.Options(
+        integerOption(commandLine, "balancers"),
+        integerOption(commandLine, "me"),
+        reports,
+        commandLine.getOptionValue("place"),
+        listen);
   }
 
-  private static Integer whole(CommandLine line, String name) {
-    String value = line.getOptionValue(name);
+  /** An option's value, or null if it is not given. */
+  private static Integer integerOption(CommandLine commandLine, String name) {
+    String value = commandLine.getOptionValue(name);
     try {
       return value == null ? null : Integer.valueOf(value);
     } catch (NumberFormatException e) {
@@ -120,15 +136,28 @@
     }
   }
 
-  /** Whole or not at all: under another name first, then linked to its own, which must be free. */
-  private static void write(Path file, String text) {
+  private static String toJson(Map<String, Object> configuration, Path oldFile) {
+    ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    try {
+      return mapper.writeValueAsString(configuration) + "\n";
+    } catch (IOException e) {
+      throw new InvalidConfigurationException(
+          oldFile.toString(), "can't be written anew: " + e.getMessage());
+    }
+  }
+
+  /**
+   * Writes a file completely or not at all, and never over another: it is written under a temporary
+   * name and then linked to its own, which fails if that is taken.
+   */
+  private static void writeNewFile(Path file, String text) {
     try {
-      Path part = Files.createTempFile(file.toAbsolutePath().getParent(), ".migrate", ".part");
+      Path temporary = Files.createTempFile(file.toAbsolutePath().getParent(), ".migrate", ".part");
       try {
-        Files.writeString(part, text);
-        Files.createLink(file, part);
+        Files.writeString(temporary, text);
+        Files.createLink(file, temporary);
       } finally {
-        Files.delete(part);
+        Files.delete(temporary);
       }
     } catch (FileAlreadyExistsException e) {
       throw new InvalidConfigurationException("--out", file + " is there already");
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -8,15 +8,24 @@
 import java.util.TreeMap;
 
 /**
- * What a configuration of a bank of proxies becomes where each client process has a proxy of its
- * own. No I/O. Errors are {@link InvalidConfigurationException} and name the key or the option.
- * Times stay as the file has them.
+ * The counterpart of a pool's configuration for a deployment where each client process has a proxy
+ * of its own. Does no I/O. Errors are {@link InvalidConfigurationException} and name the key or the
+ * option. Times stay as the file has them, in microseconds.
  */
 final class Migration {
-  /** What the old file can't know; null where nobody said. */
-  record Told(Integer balancers, Integer me, String reports, String place, String listen) {}
+  /**
+   * What the old file can't know; null where the operator did not say.
+   *
+   * @param proxyCount how many proxies there will be
+   * @param proxyIndex which of them this one is, from 0
+   * @param reports how backends report their load, one of {@link SettingsWords#REPORTS}
+   * @param zone the one zone that remains of the old ones
+   * @param listen where the proxy's client connects
+   */
+  record Options(
+      Integer proxyCount, Integer proxyIndex, String reports, String zone, String listen) {}
 
-  private static final Set<String> ROOT =
+  private static final Set<String> ROOT_KEYS =
       Set.of(
           "name",
           "listen",
@@ -28,8 +37,8 @@
           "drain_ms",
           "settings",
           "shape");
-  private static final Set<String> LIMITS = Set.of("cores", "memory_mb", "sockets", "body_mb");
-  private static final Set<String> SETTINGS =
+  private static final Set<String> LIMIT_KEYS = Set.of("cores", "memory_mb", "sockets", "body_mb");
+  private static final Set<String> SETTINGS_KEYS =
       Set.of(
           "balancers",
           "callers",
@@ -54,8 +63,8 @@
           "zone",
           "zones");
 
-  /** Keys that asked for what is done no more, and why they are left out. */
-  private static final Map<String, String> NO_MORE =
+  /** Keys of features that were removed, in sorted order, and why they are left out. */
+  private static final Map<String, String> REMOVED_KEYS =
       new TreeMap<>(
           Map.of(
               "rules.goneIsAdvice", "what the list drops is gone now",
@@ -67,119 +76,146 @@
               "goal.logLossPart", "late answers are not counted by nines now",
               "goal.fullAtNines", "late answers are not counted by nines now"));
 
-  final Map<String, Object> result;
+  private final Map<String, Object> result;
+  private final Map<String, Object> settings;
+  private final List<String> remarks = new ArrayList<>();
 
-  /** One line each: the key, and why it is left to the operator. */
-  final List<String> left = new ArrayList<>();
+  /** Starts from a copy of the old configuration, whose keys must all be known. */
+  private Migration(Map<String, Object> old) {
+    checkKeys(old, ROOT_KEYS, "");
+    result = deepCopy(old);
+    checkKeys(section(result, "limits"), LIMIT_KEYS, "limits.");
+    settings = section(result, "settings");
+    checkKeys(settings, SETTINGS_KEYS, "settings.");
+  }
 
-  private final Map<String, Object> settings;
+  /**
+   * Migrates a pool's configuration.
+   *
+   * @throws InvalidConfigurationException if the old configuration or an option can't be used, or
+   *     they contradict each other
+   */
+  static Migration of(Map<String, Object> old, Options options) {
+    Migration migration = new Migration(old);
+    migration.run(options);
+    return migration;
+  }
+
+  /** Whether a configuration is one of a proxy beside each client process already. */
+  static boolean isMigrated(Map<String, Object> configuration) {
+    return DeploymentShape.PER_CLIENT.equals(configuration.get("shape"));
+  }
 
-  Migration(Map<String, Object> old, Told told) {
-    known(old, ROOT, "");
-    result = copy(old);
-    known(map(result, "limits"), LIMITS, "limits.");
-    settings = map(result, "settings");
-    known(settings, SETTINGS, "settings.");
+  /** The new configuration, which has been validated. */
+  Map<String, Object> result() {
+    return result;
+  }
+
+  /** What is left to the operator: one line each, the key and why. */
+  List<String> remarks() {
+    return remarks;
+  }
+
+  private void run(Options options) {
     result.put("shape", DeploymentShape.PER_CLIENT);
-    drop(result, "", "seed", "each proxy draws its own at its start");
-    drop(result, "", "known", "it is the list of the old servers");
-    NO_MORE.forEach(
-        (key, why) -> {
-          int dot = key.indexOf('.');
-          drop(
-              map(settings, key.substring(0, dot)),
-              "settings." + key.substring(0, dot + 1),
-              key.substring(dot + 1),
-              why);
-        });
-    who(told);
-    reports(told.reports);
-    if (told.place != null) {
-      place(told.place);
+    remove(result, "", "seed", "each proxy draws its own at its start");
+    remove(result, "", "known", "it is the list of the old servers");
+    REMOVED_KEYS.forEach(this::removeSetting);
+    setProxyPosition(options);
+    setReports(options.reports);
+    if (options.zone != null) {
+      setOnlyZone(options.zone);
     }
-    if (told.listen == null) {
-      left.add("listen: as it was, name the address beside this proxy's client by --listen");
+    if (options.listen == null) {
+      remarks.add("listen: as it was, name the address beside this proxy's client by --listen");
     } else {
-      result.put("listen", told.listen);
+      result.put("listen", options.listen);
     }
     if (new Settings(result).list("settings.tenants").isEmpty()) {
-      left.add("settings.tenants: no quotaPerS is known, a proxy's part of it can't be told");
+      remarks.add("settings.tenants: no quotaPerS is known, a proxy's part of it can't be told");
     }
-    new ProxyConfig(result);
+    new ProxyConfig(result); // throws if it can't be used
   }
 
-  /** Whether the file is of the new shape already. */
-  static boolean isNew(Map<String, Object> old) {
-    return DeploymentShape.PER_CLIENT.equals(old.get("shape"));
+  private void removeSetting(String path, String reason) {
+    int dot = path.indexOf('.');
+    Map<String, Object> section = section(settings, path.substring(0, dot));
+    remove(section, "settings." + path.substring(0, dot + 1), path.substring(dot + 1), reason);
   }
 
-  private void who(Told told) {
-    if (told.balancers == null) {
-      left.add("settings.balancers: as it was, say how many proxies there are by --balancers");
+  private void setProxyPosition(Options options) {
+    if (options.proxyCount == null) {
+      remarks.add("settings.balancers: as it was, say how many proxies there are by --balancers");
     } else {
-      settings.put("balancers", told.balancers);
+      settings.put("balancers", options.proxyCount);
     }
-    if (told.me == null) {
-      left.add("settings.me: as it was, say which of them this is by --me");
+    if (options.proxyIndex == null) {
+      remarks.add("settings.me: as it was, say which of them this is by --me");
     } else {
-      settings.put("me", told.me);
+      settings.put("me", options.proxyIndex);
     }
-    Settings s = new Settings(settings);
-    int balancers = s.integer("balancers", 1), me = s.integer("me", 0);
-    if (balancers < 1 || me < 0 || me >= balancers) {
+    Settings reader = new Settings(settings);
+    int proxyCount = reader.integer("balancers", 1);
+    int proxyIndex = reader.integer("me", 0);
+    if (proxyCount < 1 || proxyIndex < 0 || proxyIndex >= proxyCount) {
       throw new InvalidConfigurationException(
-          told.me == null ? "--balancers" : "--me",
-          me + " of " + balancers + " proxies contradicts settings.balancers and settings.me");
+          options.proxyIndex == null ? "--balancers" : "--me",
+          proxyIndex
+              + " of "
+              + proxyCount
+              + " proxies contradicts settings.balancers and settings.me");
     }
   }
 
-  private void reports(String how) {
-    if (how == null) {
+  private void setReports(String reports) {
+    if (reports == null) {
       if (!settings.containsKey("report")) {
-        left.add("settings.report: none known, say how backends report their load by --reports");
+        remarks.add("settings.report: none known, say how backends report their load by --reports");
       }
       return;
     }
     Settings old = new Settings(settings);
-    boolean probe = how.equals("probe");
-    if (probe && old.has("limits.probing") && !old.flag("limits.probing")) {
+    boolean isByProbe = reports.equals(SettingsWords.REPORTS_BY_PROBE);
+    if (isByProbe && old.has("limits.probing") && !old.flag("limits.probing")) {
       throw new InvalidConfigurationException(
           "--reports", "probe contradicts settings.limits.probing, which is false");
     }
-    Map<String, Object> report = made(settings, "report");
+    Map<String, Object> section = sectionForWriting(settings, "report");
     if (new Settings(result).list("settings.report.fields").isEmpty()) {
-      report.put(
+      section.put(
           "fields",
-          how.equals("none")
+          reports.equals(SettingsWords.REPORTS_NONE)
               ? List.of()
               : List.of(Settings.IN_FLIGHT_FIELD, Settings.QUEUED_FIELD));
     }
-    report.put("how", how);
-    if (probe) {
-      made(settings, "limits").put("probing", true);
+    section.put("how", reports);
+    if (isByProbe) {
+      sectionForWriting(settings, "limits").put("probing", true);
     }
-    if (how.equals("answers")) {
-      left.add("settings.report: name the answers' header in the operators' file, answers-header");
+    if (reports.equals(SettingsWords.REPORTS_IN_ANSWERS)) {
+      remarks.add(
+          "settings.report: name the answers' header in the operators' file, answers-header");
     }
   }
 
-  private void place(String place) {
+  private void setOnlyZone(String zone) {
     List<?> zones = new Settings(result).list("settings.zones");
-    if (!zones.isEmpty() && !zones.contains(place)) {
+    if (!zones.isEmpty() && !zones.contains(zone)) {
       throw new InvalidConfigurationException(
-          "--place", "'" + place + "' contradicts settings.zones, " + zones);
+          "--place", "'" + zone + "' contradicts settings.zones, " + zones);
     }
-    settings.put("zones", List.of(place));
+    settings.put("zones", List.of(zone));
     settings.put("zone", 0);
-    drop(
-        map(settings, "prices"),
+    remove(
+        section(settings, "prices"),
         "settings.prices.",
         "crossZone",
         "nothing is crossed in one place");
-    List<Settings> sets = new Settings(settings).sections("ruleSets");
-    for (int i = 0; i < sets.size(); i++) {
-      if (sets.get(i).text("group", "all").equals("zone")) {
-        left.add(
+    List<Settings> classes = new Settings(settings).sections("ruleSets");
+    for (int i = 0; i < classes.size(); i++) {
+      String scope = classes.get(i).text("group", SettingsWords.SCOPE_ALL);
+      if (scope.equals(SettingsWords.SCOPE_ZONE)) {
+        remarks.add(
             "settings.ruleSets["
                 + i
                 + "].group: zone is all of the one place, see if that is meant");
@@ -187,45 +223,47 @@
     }
   }
 
-  private void drop(Map<String, Object> from, String where, String key, String why) {
-    if (from.remove(key) != null) {
-      left.add(where + key + ": left out, " + why);
+  /** Removes a key, with a remark if it was there. */
+  private void remove(Map<String, Object> section, String prefix, String key, String reason) {
+    if (section.remove(key) != null) {
+      remarks.add(prefix + key + ": left out, " + reason);
     }
   }
 
-  private static void known(Map<String, Object> map, Set<String> keys, String where) {
-    for (String key : map.keySet()) {
-      if (!keys.contains(key)) {
-        throw new InvalidConfigurationException(where + key, "unknown key");
+  private static void checkKeys(Map<String, Object> section, Set<String> known, String prefix) {
+    for (String key : section.keySet()) {
+      if (!known.contains(key)) {
+        throw new InvalidConfigurationException(prefix + key, "unknown key");
       }
     }
   }
 
-  /** The object there to read or take from, an empty one where it is missing. */
+  /** A nested object to read or remove from; a detached empty one if it is missing. */
   @SuppressWarnings("unchecked")
-  private static Map<String, Object> map(Map<String, Object> in, String key) {
-    Object found = in.get(key);
+  private static Map<String, Object> section(Map<String, Object> parent, String key) {
+    Object found = parent.get(key);
     if (found != null && !(found instanceof Map<?, ?>)) {
       throw new InvalidConfigurationException(key, "not an object");
     }
     return found == null ? new LinkedHashMap<>() : (Map<String, Object>) found;
   }
 
-  /** The object there to put into, made where it is missing. */
-  private static Map<String, Object> made(Map<String, Object> in, String key) {
-    Map<String, Object> made = map(in, key);
-    in.put(key, made);
-    return made;
+  /** A nested object to put into, made if it is missing. */
+  private static Map<String, Object> sectionForWriting(Map<String, Object> parent, String key) {
+    Map<String, Object> section = section(parent, key);
+    parent.put(key, section);
+    return section;
   }
 
-  /** Maps copied through and through, their keys in order. */
+  /** A copy with sorted keys, in which nested objects are copied too. */
   @SuppressWarnings("unchecked")
-  private static Map<String, Object> copy(Map<String, Object> old) {
-    Map<String, Object> out = new TreeMap<>();
-    old.forEach(
-        (key, value) ->
-            out.put(
-                key, value instanceof Map<?, ?> inner ? copy((Map<String, Object>) inner) : value));
-    return out;
+  private static Map<String, Object> deepCopy(Map<String, Object> original) {
+    Map<String, Object> copy = new TreeMap<>();
+    original.forEach(
+        (key, value) -> {
+          boolean isSection = value instanceof Map<?, ?>;
+          copy.put(key, isSection ? deepCopy((Map<String, Object>) value) : value);
+        });
+    return copy;
   }
 }
--- a/proxy/src/main/java/wheattrack/config/OperatorConfig.java
+++ b/proxy/src/main/java/wheattrack/config/OperatorConfig.java
@@ -5,17 +5,24 @@
 import java.util.List;
 
 /**
- * The operators' own file: what this installation switches on beside what the platform tells. All
- * of it is off by default; later parts add their tables here. Errors are {@link
- * InvalidConfigurationException} and name file, line, key.
+ * The operators' own TOML file: what an installation switches on beside its proxy configuration.
+ * Everything is off by default. Immutable. Errors are {@link InvalidConfigurationException} and
+ * name file, line and key.
  */
 public final class OperatorConfig {
   /**
-   * The log's form, how many lines a second an event may have (0: all), whether reqs have lines.
+   * How the log is written.
+   *
+   * @param isJson whether lines are JSON objects rather than plain text
+   * @param maxLinesPerSecond how many lines a second one event may have; 0: any number
+   * @param logsRequests whether attempts and requests have lines of their own
    */
-  public record LogSettings(boolean json, int linesPerSecond, boolean requests) {}
+  public record LogSettings(boolean isJson, int maxLinesPerSecond, boolean logsRequests) {
+    /** The settings without an operators' file; for a start that has no time to parse TOML. */
+    public static final LogSettings DEFAULTS = new LogSettings(false, 0, false);
+  }
 
-  /** What holds where there is no file, in the file's own form. */
+  /** The defaults, as the text of an operators' file. */
   public static final String DEFAULTS =
       """
 # What the operators of an installation switch on. Each key stands here with its default.
@@ -33,53 +40,93 @@
 scope = ""                    # names that go with requests for settings and list, by commas; "": all
 """;
 
-  public final LogSettings log;
+  private static final String HEADER_NAME = "[A-Za-z0-9-]{0,64}";
+  private static final String SCOPE_NAMES = "([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?";
 
-  /** The header of answers that carries a backend's load report; empty where none does. */
-  public final String loadHeader;
+  private final LogSettings log;
+  private final String loadReportHeader;
+  private final InetSocketAddress settingsSource;
+  private final String settingsScope;
 
-  /** Where settings are watched, or null; and the scope that goes with requests, empty for all. */
-  public final InetSocketAddress settingsSource;
+  private OperatorConfig(ConfigurationReader root) {
+    log = readLog(root.section("log"));
+    loadReportHeader = readLoadReportHeader(root.section("reports"));
+    ConfigurationReader settings = root.section("settings");
+    settingsSource = readSettingsSource(settings);
+    settingsScope = readSettingsScope(settings);
+    root.rejectUnknownKeys();
+  }
 
-  public final String scope;
+  private static LogSettings readLog(ConfigurationReader section) {
+    return new LogSettings(
+        section.choice("format", List.of("plain", "json")).equals("json"),
+        section.integer("lines-per-second", 0, 0, 1_000_000),
+        section.flag("reqs", false));
+  }
 
-  private OperatorConfig(ConfigurationReader t) {
-    ConfigurationReader l = t.section("log");
-    log =
-        new LogSettings(
-            l.choice("format", List.of("plain", "json")).equals("json"),
-            l.integer("lines-per-second", 0, 0, 1_000_000),
-            l.flag("reqs", false));
-    ConfigurationReader r = t.section("reports");
-    loadHeader = r.text("answers-header", "");
-    if (!loadHeader.matches("[A-Za-z0-9-]{0,64}")) {
-      throw r.fault("answers-header", "'" + loadHeader + "' is no header's name");
+  private static String readLoadReportHeader(ConfigurationReader section) {
+    String header = section.text("answers-header", "");
+    if (!header.matches(HEADER_NAME)) {
+      throw section.fault("answers-header", "'" + header + "' is no header's name");
     }
-    ConfigurationReader s = t.section("settings");
-    String at = s.text("source", "");
+    return header;
+  }
+
+  private static InetSocketAddress readSettingsSource(ConfigurationReader section) {
+    String source = section.text("source", "");
     try {
-      settingsSource = at.isEmpty() ? null : SocketAddressParser.parse("source", at);
+      return source.isEmpty() ? null : SocketAddressParser.parse("source", source);
     } catch (InvalidConfigurationException e) {
-      throw s.fault("source", "not an address in figures with a port: " + at);
+      // thrown anew to name file and line
+      throw section.fault("source", "not an address in figures with a port: " + source);
     }
-    scope = s.text("scope", "");
-    if (!scope.matches("([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?")) {
-      throw s.fault("scope", "no names of letters, figures, '.', '_', '-' by commas, 256 at most");
+  }
+
+  private static String readSettingsScope(ConfigurationReader section) {
+    String scope = section.text("scope", "");
+    if (!scope.matches(SCOPE_NAMES)) {
+      throw section.fault(
+          "scope", "no names of letters, figures, '.', '_', '-' by commas, 256 at most");
     }
-    t.rejectUnknownKeys();
+    return scope;
   }
 
+  /**
+   * Reads an operators' file.
+   *
+   * @throws InvalidConfigurationException if it can't be read or used
+   */
   public static OperatorConfig read(Path file) {
     return new OperatorConfig(ConfigurationReader.read(file));
   }
 
-  /** Reads a text; name stands for the file in errors. */
-  public static OperatorConfig of(String name, String text) {
-    return new OperatorConfig(ConfigurationReader.of(name, text));
+  /**
+   * Reads a text.
+   *
+   * @param fileName stands for the file in errors
+   * @throws InvalidConfigurationException if it can't be used
+   */
+  public static OperatorConfig of(String fileName, String text) {
+    return new OperatorConfig(ConfigurationReader.of(fileName, text));
+  }
+
+  /** How the log is written. */
+  public LogSettings log() {
+    return log;
+  }
+
+  /** The header of responses that carries a backend's load report; empty if none does. */
+  public String loadReportHeader() {
+    return loadReportHeader;
+  }
+
+  /** The source whose settings are watched, or null. */
+  public InetSocketAddress settingsSource() {
+    return settingsSource;
   }
 
-  /** Without a file; no TOML is read, as a start has no time for it. */
-  public static LogSettings plainLog() {
-    return new LogSettings(false, 0, false);
+  /** The scope sent with requests for settings and endpoints, names by commas; empty for all. */
+  public String settingsScope() {
+    return settingsScope;
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/config/TomlKeyLocator.java
@@ -0,0 +1,74 @@
+package wheattrack.config;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Finds the lines of a TOML file on which its keys stand, for error messages. */
+final class TomlKeyLocator {
+  private static final String KEY_SEGMENT = "\\s*(\"[^\"]*\"|[A-Za-z0-9_-]+)\\s*";
+
+  private final String fileName;
+  private final List<String> lines;
+
+  TomlKeyLocator(String fileName, String text) {
+    this.fileName = fileName;
+    lines = Arrays.asList(text.split("\r?\n", -1));
+  }
+
+  String fileName() {
+    return fileName;
+  }
+
+  /**
+   * The line, from 1, on which a key stands. If the file does not have it, the line of the nearest
+   * table around it; 1 if there is none.
+   */
+  int lineOf(String path) {
+    String candidate = path;
+    while (!candidate.isEmpty()) {
+      int line = exactLineOf(candidate);
+      if (line > 0) {
+        return line;
+      }
+      candidate = candidate.contains(".") ? candidate.substring(0, candidate.lastIndexOf('.')) : "";
+    }
+    return 1;
+  }
+
+  /** The line of a table or a key, or 0. */
+  private int exactLineOf(String path) {
+    Map<String, Integer> arrayTableCounts = new HashMap<>();
+    String table = "";
+    for (int i = 0; i < lines.size(); i++) {
+      String line = lines.get(i).strip();
+      if (isKeyValue(line)) {
+        String key = unquoted(line.substring(0, line.indexOf('=')));
+        if (path.equals(table.isEmpty() ? key : table + "." + key)) {
+          return i + 1;
+        }
+        continue;
+      }
+      if (line.startsWith("[[")) {
+        String name = unquoted(line.substring(2, Math.max(2, line.indexOf(']'))));
+        int index = arrayTableCounts.merge(name, 1, Integer::sum) - 1;
+        table = name + "[" + index + "]";
+      } else if (line.startsWith("[")) {
+        table = unquoted(line.substring(1, Math.max(1, line.indexOf(']'))));
+      }
+      if (path.equals(table)) {
+        return i + 1;
+      }
+    }
+    return 0;
+  }
+
+  private static boolean isKeyValue(String line) {
+    return !line.startsWith("[") && !line.startsWith("#") && line.indexOf('=') > 0;
+  }
+
+  private static String unquoted(String key) {
+    return key.replaceAll(KEY_SEGMENT, "$1").replace("\"", "");
+  }
+}
--- a/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
+++ b/proxy/src/test/java/wheattrack/config/MigrateCommandTest.java
@@ -33,7 +33,7 @@
 
   private int migrate(String... args) {
     ByteArrayOutputStream out = new ByteArrayOutputStream(), err = new ByteArrayOutputStream();
-    int code = MigrateCommand.run(args, new PrintStream(out), new PrintStream(err));
+    int code = MigrateCommand.run(args, new PrintStream(out), new PrintStream(err)).code();
     printed = out.toString();
     said = err.toString().replace(dir + "/", "").strip();
     return code;
--- a/proxy/src/test/java/wheattrack/config/OperatorConfigTest.java
+++ b/proxy/src/test/java/wheattrack/config/OperatorConfigTest.java
@@ -31,7 +31,7 @@
     String shipped = Files.readString(Path.of("../deploy/operator.toml"));
     assertEquals(OperatorConfig.DEFAULTS, shipped);
     for (String text : List.of(shipped, "")) {
-      assertEquals(OperatorConfig.plainLog(), OperatorConfig.of("o.toml", text).log);
+      assertEquals(OperatorConfig.LogSettings.DEFAULTS, OperatorConfig.of("o.toml", text).log());
     }
   }
 
