Admin server: connections, requests and metrics under the field's names

Callers, places and figures become connections, MAX_CONNECTIONS and metrics; timeouts name what they bound and their unit; two listings of fields on one line are split. Paths, names of metrics and texts are as before.

AdminServerTest changed in names and docs only.

--- a/proxy/src/main/java/wheattrack/admin/AdminConnection.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminConnection.java
@@ -10,64 +10,72 @@
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 
-/** One operator's connection: one call, one answer, and the end. */
+/**
+ * An operator's connection: one request, one response, then it is closed. Runs on the event loop's
+ * thread only.
+ */
 final class AdminConnection extends TcpConnection {
-  /** For a whole call, and for the caller to close after its answer. */
-  private static final long PATIENCE = 50_000, LINGER = 5_000;
+  /** The time for a complete request, in tenths of a millisecond. */
+  private static final long REQUEST_TIMEOUT = 50_000;
 
-  private final AdminServer admin;
-  private final RequestDecoder in = new RequestDecoder();
-  private TimerQueue.Timer end;
-  private boolean answered;
+  /** The time for the operator's end to close after the response, in tenths of a millisecond. */
+  private static final long CLOSE_TIMEOUT = 5_000;
 
-  AdminConnection(AdminServer admin, EventLoop loop, AsynchronousSocketChannel channel) {
+  private final AdminServer server;
+  private final RequestDecoder decoder = new RequestDecoder();
+  private TimerQueue.Timer timeout;
+  private boolean isAnswered;
+
+  AdminConnection(AdminServer server, EventLoop loop, AsynchronousSocketChannel channel) {
     super(loop, channel);
-    this.admin = admin;
+    this.server = server;
   }
 
+  /** Starts to read the request. */
   void open() {
-    end = loop.schedule(PATIENCE, this::close);
-    read(in.writableBuffer());
+    timeout = loop.schedule(REQUEST_TIMEOUT, this::close);
+    read(decoder.writableBuffer());
   }
 
+  /** Whether the response has been given out. */
   boolean isAnswered() {
-    return answered;
+    return isAnswered;
   }
 
   @Override
-  protected void onRead(int n) {
-    if (n < 0) {
+  protected void onRead(int byteCount) {
+    if (byteCount < 0) {
       close();
-    } else if (answered) {
-      in.writableBuffer().clear();
-      read(in.writableBuffer());
+    } else if (isAnswered) {
+      decoder.writableBuffer().clear(); // whatever follows the request is discarded
+      read(decoder.writableBuffer());
     } else {
-      next();
+      decode();
     }
   }
 
-  private void next() {
+  private void decode() {
     try {
-      Request call = in.next();
-      if (call != null) {
-        answer(admin.answer(call));
+      Request request = decoder.next();
+      if (request != null) {
+        respond(server.respond(request));
       }
     } catch (MalformedMessageException e) {
-      answer(AdminServer.text(e.status, e.getMessage()));
+      respond(AdminServer.text(e.status, e.getMessage()));
     }
-    read(in.writableBuffer());
+    read(decoder.writableBuffer());
   }
 
-  private void answer(Response response) {
-    answered = true;
+  private void respond(Response response) {
+    isAnswered = true;
     write(Encoder.response(response));
-    loop.cancel(end);
-    end = loop.schedule(LINGER, this::close);
+    loop.cancel(timeout);
+    timeout = loop.schedule(CLOSE_TIMEOUT, this::close);
   }
 
   @Override
-  protected void onWritten(boolean whole) {
-    if (!whole) {
+  protected void onWritten(boolean isComplete) {
+    if (!isComplete) {
       close();
     } else if (!isClosed()) {
       shutdownOutput();
@@ -78,8 +86,8 @@
   public void close() {
     if (!isClosed()) {
       super.close();
-      loop.cancel(end);
-      admin.closed(this);
+      loop.cancel(timeout);
+      server.onClosed(this);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/admin/AdminServer.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminServer.java
@@ -15,90 +15,115 @@
 import wheattrack.log.EventLog;
 
 /**
- * Where operators call: few places, apart from the clients' ones, one call to a connection. Whoever
- * holds a place with no whole call gives way to the next caller, so that nobody can shut the
- * operators out. On the loop's thread only.
+ * The HTTP server for operators: status and metrics, one request a connection, apart from the
+ * clients' connections. It holds few connections; when they are all taken, the oldest one without a
+ * complete request is closed for the next, so that nobody can lock the operators out. Runs on the
+ * event loop's thread only.
  */
 public final class AdminServer {
-  /** Callers at once. */
-  public static final int PLACES = 8;
+  /** Connections at once. */
+  public static final int MAX_CONNECTIONS = 8;
 
-  private static final int BACKLOG = 64;
-  private static final long PAUSE = 200; // after a failed accept, tenths of a millisecond
+  private static final int ACCEPT_BACKLOG = 64;
+
+  /** The pause after a failed accept, in tenths of a millisecond. */
+  private static final long ACCEPT_RETRY_DELAY = 200;
 
   private final EventLoop loop;
-  private final Lifecycle life;
-  private final Supplier<String> figures;
+  private final Lifecycle lifecycle;
+  private final Supplier<String> metrics;
   private final AsynchronousServerSocketChannel channel;
-  private final Deque<AdminConnection> callers = new ArrayDeque<>(); // longest here first
 
+  /** The open connections, the oldest first. */
+  private final Deque<AdminConnection> connections = new ArrayDeque<>();
+
+  /**
+   * Binds the address and starts to accept connections.
+   *
+   * @param metrics the text of the metrics at the time of the call
+   * @throws IOException if the address can't be bound
+   */
   public AdminServer(
       EventLoop loop,
       AsynchronousChannelGroup group,
-      Lifecycle life,
-      InetSocketAddress listen,
-      Supplier<String> figures)
+      Lifecycle lifecycle,
+      InetSocketAddress address,
+      Supplier<String> metrics)
       throws IOException {
     this.loop = loop;
-    this.life = life;
-    this.figures = figures;
-    channel = AsynchronousServerSocketChannel.open(group).bind(listen, BACKLOG);
+    this.lifecycle = lifecycle;
+    this.metrics = metrics;
+    channel = AsynchronousServerSocketChannel.open(group).bind(address, ACCEPT_BACKLOG);
     accept();
   }
 
+  /** The port that is bound. */
   public int port() throws IOException {
     return ((InetSocketAddress) channel.getLocalAddress()).getPort();
   }
 
   private void accept() {
     if (channel.isOpen()) {
-      channel.accept(null, loop.handler(this::accepted, this::acceptFailed));
+      channel.accept(null, loop.handler(this::onAccepted, this::onAcceptFailed));
     }
   }
 
-  private void accepted(AsynchronousSocketChannel one) {
-    if (callers.size() >= PLACES) {
-      callers.stream().filter(c -> !c.isAnswered()).findFirst().orElse(callers.peekFirst()).close();
+  private void onAccepted(AsynchronousSocketChannel accepted) {
+    if (connections.size() >= MAX_CONNECTIONS) {
+      connectionToGiveUp().close();
     }
-    AdminConnection caller = new AdminConnection(this, loop, one);
-    callers.addLast(caller);
-    caller.open();
+    AdminConnection connection = new AdminConnection(this, loop, accepted);
+    connections.addLast(connection);
+    connection.open();
     accept();
   }
 
-  private void acceptFailed(Throwable why) {
+  private AdminConnection connectionToGiveUp() {
+    for (AdminConnection connection : connections) {
+      if (!connection.isAnswered()) {
+        return connection;
+      }
+    }
+    return connections.peekFirst();
+  }
+
+  private void onAcceptFailed(Throwable cause) {
     if (channel.isOpen()) {
-      EventLog.info("operator not accepted", null, why.toString());
-      loop.schedule(PAUSE, this::accept);
+      EventLog.info("operator not accepted", null, cause.toString());
+      loop.schedule(ACCEPT_RETRY_DELAY, this::accept);
     }
   }
 
-  void closed(AdminConnection caller) {
-    callers.remove(caller);
+  /** Called by a connection that has closed. */
+  void onClosed(AdminConnection connection) {
+    connections.remove(connection);
   }
 
-  Response answer(Request call) {
-    if (!call.method().equals("GET")) {
+  /** The response to a request. */
+  Response respond(Request request) {
+    if (!request.method().equals("GET")) {
       return text(405, "only GET is taken here");
     }
-    return switch (call.target().split("\\?", 2)[0]) {
-      case "/status" -> text(life.isReady() ? 200 : 503, life.phase().name());
-      case "/status/metrics" -> text(200, figures.get());
+    String path = request.target().split("\\?", 2)[0];
+    return switch (path) {
+      case "/status" -> text(lifecycle.isReady() ? 200 : 503, lifecycle.phase().name());
+      case "/status/metrics" -> text(200, metrics.get());
       default -> text(404, "no such call; there are /status and /status/metrics");
     };
   }
 
+  /** A text response, after which the connection is closed. */
   static Response text(int status, String text) {
     return Response.text(status, text, false);
   }
 
-  /** Nothing more is accepted, and who is here is sent away. */
+  /** Stops accepting, and closes all connections. */
   public void close() {
     try {
       channel.close();
     } catch (IOException e) {
       EventLog.warning("the operators' listening socket", null, e.toString());
     }
-    new ArrayDeque<>(callers).forEach(AdminConnection::close);
+    new ArrayDeque<>(connections).forEach(AdminConnection::close); // each removes itself
   }
 }
--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -4,66 +4,77 @@
 import wheattrack.core.RequestCounters;
 
 /**
- * The figures in the operators' form, a line each, as they are when asked for. On the loop's thread
- * only.
+ * The metrics in the operators' format, one line each, with their values at the time of the call.
+ * Runs on the event loop's thread only.
  */
 public final class MetricsFormat {
-  private static final String[] ENDS = {"served", "refused", "failed"};
+  /** The names of the counts by class, in the order of {@link RequestCounters.FinalAnswer}. */
+  private static final String[] FINAL_ANSWERS = {"served", "refused", "failed"};
 
-  private final RequestCounters counts;
-  private final IntSupplier open, listed, avoided, leftOut;
+  private static final int INITIAL_CAPACITY_CHARS = 512;
+  private static final char COUNTER = 'c';
+  private static final char GAUGE = 'g';
+
+  private final RequestCounters counters;
+  private final IntSupplier inFlight;
+  private final IntSupplier backends;
+  private final IntSupplier ejectedBackends;
+  private final IntSupplier leftOutBackends;
 
   /**
-   * open: reqs taken and not ended; listed, avoided: backends on the list, and those kept away from
-   * now; leftOut: those beyond the number that can be known at once.
+   * Metrics from their sources.
+   *
+   * @param inFlight requests taken and not yet answered
+   * @param backends backends on the endpoint list
+   * @param ejectedBackends those of them that are ejected now
+   * @param leftOutBackends backends beyond the number that can be known at once
    */
   public MetricsFormat(
-      RequestCounters counts,
-      IntSupplier open,
-      IntSupplier listed,
-      IntSupplier avoided,
-      IntSupplier leftOut) {
-    this.leftOut = leftOut;
-    this.counts = counts;
-    this.open = open;
-    this.listed = listed;
-    this.avoided = avoided;
+      RequestCounters counters,
+      IntSupplier inFlight,
+      IntSupplier backends,
+      IntSupplier ejectedBackends,
+      IntSupplier leftOutBackends) {
+    this.counters = counters;
+    this.inFlight = inFlight;
+    this.backends = backends;
+    this.ejectedBackends = ejectedBackends;
+    this.leftOutBackends = leftOutBackends;
   }
 
-  /** The whole text. */
+  /** All metrics. */
   public String text() {
-    StringBuilder out = new StringBuilder(512);
-    counts
-        .answersByClass()
-        .forEach(
-            (name, ends) -> {
-              for (int i = 0; i < ENDS.length; i++) {
-                line(out, ENDS[i] + "." + harmless(name), ends[i], 'c');
-              }
-            });
-    line(out, "attempts", counts.attempts, 'c');
-    line(out, "in_flight", open.getAsInt(), 'g');
-    line(out, "backends_known", listed.getAsInt(), 'g');
-    line(out, "backends_excluded", avoided.getAsInt(), 'g');
-    line(out, "backends_left_out", leftOut.getAsInt(), 'g');
-    line(out, "settings_told", counts.dynamicSettingsApplied, 'c');
-    line(out, "reloads_ok", counts.reloadsApplied, 'c');
-    line(out, "reloads_failed", counts.reloadsRejected, 'c');
-    return out.toString();
+    StringBuilder text = new StringBuilder(INITIAL_CAPACITY_CHARS);
+    counters.answersByClass().forEach((name, counts) -> appendClass(text, name, counts));
+    append(text, "attempts", counters.attempts, COUNTER);
+    append(text, "in_flight", inFlight.getAsInt(), GAUGE);
+    append(text, "backends_known", backends.getAsInt(), GAUGE);
+    append(text, "backends_excluded", ejectedBackends.getAsInt(), GAUGE);
+    append(text, "backends_left_out", leftOutBackends.getAsInt(), GAUGE);
+    append(text, "settings_told", counters.dynamicSettingsApplied, COUNTER);
+    append(text, "reloads_ok", counters.reloadsApplied, COUNTER);
+    append(text, "reloads_failed", counters.reloadsRejected, COUNTER);
+    return text.toString();
+  }
+
+  private static void appendClass(StringBuilder text, String className, long[] counts) {
+    for (int i = 0; i < FINAL_ANSWERS.length; i++) {
+      append(text, FINAL_ANSWERS[i] + "." + escaped(className), counts[i], COUNTER);
+    }
   }
 
-  private static void line(StringBuilder out, String name, long value, char kind) {
-    out.append("proxy.")
+  private static void append(StringBuilder text, String name, long value, char type) {
+    text.append("proxy.")
         .append(name)
         .append(':')
         .append(value)
         .append('|')
-        .append(kind)
+        .append(type)
         .append('\n');
   }
 
-  /** A name that can't end or split its line. */
-  private static String harmless(String name) {
+  /** The name without characters that would end or split its line. */
+  private static String escaped(String name) {
     return name.replaceAll("[^!-~]|[:|@#]", "_");
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -162,7 +162,7 @@
   private int free() {
     int own =
         Math.max(OWN, config.maxDescriptors() / 16)
-            + (config.admin() == null ? 0 : 1 + AdminServer.PLACES);
+            + (config.admin() == null ? 0 : 1 + AdminServer.MAX_CONNECTIONS);
     return Math.max(8, (isBeside() ? config.maxDescriptors() / 2 : config.maxDescriptors()) - own);
   }
 
--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -17,34 +17,35 @@
 import wheattrack.core.RequestCounters;
 
 /**
- * Where operators call: each answer, the figures against what clients saw, and callers that hold
- * on.
+ * The operators' HTTP server: its responses, its metrics against what clients saw, and connections
+ * that are held open.
  */
 class AdminServerTest extends ProxyTestHarness {
-  private void serveWithAdmin(int backends) throws Exception {
-    String[] entries = new String[backends];
-    for (int i = 0; i < backends; i++) {
+  private void serveWithAdmin(int backendCount) throws Exception {
+    String[] entries = new String[backendCount];
+    for (int i = 0; i < backendCount; i++) {
       entries[i] = ready("s" + i);
     }
     news.add(told(1, true, entries));
     serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
   }
 
-  private String ask(String text) throws IOException {
+  /** Sends a request to the admin address; the response as the harness prints it. */
+  private String callAdmin(String request) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
       socket.setSoTimeout(1000);
-      return call(socket, text);
+      return call(socket, request);
     }
   }
 
-  private String figures() throws IOException {
-    return ask("GET /status/metrics HTTP/1.1\r\n\r\n");
+  private String metrics() throws IOException {
+    return callAdmin("GET /status/metrics HTTP/1.1\r\n\r\n");
   }
 
   @Test
-  void calls() throws Exception {
+  void responses() throws Exception {
     serveWithAdmin(1);
-    for (String in :
+    for (String request :
         new String[] {
           "GET /status HTTP/1.1\r\n\r\n",
           "GET /status?x=1 HTTP/1.0\r\n\r\n",
@@ -54,19 +55,22 @@
           "GET /status HTTP/1.1\r\nA: " + "1".repeat(20_000) + "\r\n\r\n"
         }) {
       w.say(
-          in.substring(0, Math.min(30, in.length())).replaceAll("[^ -~]+", "|") + " -> " + ask(in));
+          request.substring(0, Math.min(30, request.length())).replaceAll("[^ -~]+", "|")
+              + " -> "
+              + callAdmin(request));
     }
     w.matches("admin-calls");
   }
 
   /**
-   * Every ending of a req is counted once, under its rule set; dispatches are those written whole.
+   * Every final answer to a request is counted once, under its class; attempts count if they were
+   * written completely.
    */
   @Test
-  void figuresAreWhatHappened() throws Exception {
+  void metricsAreWhatHappened() throws Exception {
     serveWithAdmin(4);
-    for (String acts : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
-      script.addAll(List.of(acts.split(" ")));
+    for (String backendActions : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
+      script.addAll(List.of(backendActions.split(" ")));
       call(request("buy"));
     }
     script.add("500");
@@ -77,55 +81,58 @@
     try (Socket socket = connect()) {
       send(socket, request("buy"));
       Thread.sleep(100);
-      w.say("one out: " + figures().replace("\n", ", "));
+      w.say("one out: " + metrics().replace("\n", ", "));
       answer(socket);
     }
-    String end = figures();
-    w.say("none out: " + end.replace("\n", ", "));
-    assertTrue(end.contains("proxy.attempts:" + came.get() + "|c"), came.get() + " against " + end);
+    String finalMetrics = metrics();
+    w.say("none out: " + finalMetrics.replace("\n", ", "));
+    assertTrue(
+        finalMetrics.contains("proxy.attempts:" + came.get() + "|c"),
+        came.get() + " against " + finalMetrics);
     w.matches("admin-figures");
   }
 
   /**
-   * Holders of places, more than there are, keep nobody's answer waiting; clients' crowds neither.
+   * Connections that are held open without a complete request, more than may be open at once, keep
+   * no other request from its response.
    */
   @Test
-  void holders() throws Exception {
+  void heldConnectionsGiveWay() throws Exception {
     serveWithAdmin(1);
-    List<Socket> held = new ArrayList<>();
-    for (int i = 0; i < 3 * AdminServer.PLACES; i++) {
+    List<Socket> heldSockets = new ArrayList<>();
+    for (int i = 0; i < 3 * AdminServer.MAX_CONNECTIONS; i++) {
       Socket socket = new Socket("127.0.0.1", server.adminPort());
       send(socket, "GET /status HT");
-      held.add(socket);
-      assertEquals("200 SERVING close", ask("GET /status HTTP/1.1\r\n\r\n"));
+      heldSockets.add(socket);
+      assertEquals("200 SERVING close", callAdmin("GET /status HTTP/1.1\r\n\r\n"));
     }
-    for (Socket socket : held) {
+    for (Socket socket : heldSockets) {
       socket.close();
     }
   }
 
   @Test
-  void namesAndBounds() {
-    RequestCounters counts = new RequestCounters();
-    counts.countAnswer("a b:c|d\n", RequestCounters.FinalAnswer.DONE);
+  void classNamesAreEscapedAndBounded() {
+    RequestCounters counters = new RequestCounters();
+    counters.countAnswer("a b:c|d\n", RequestCounters.FinalAnswer.DONE);
     for (int i = 0; i < 1000; i++) {
-      counts.countAnswer("n" + i, RequestCounters.FinalAnswer.REJECTED);
+      counters.countAnswer("n" + i, RequestCounters.FinalAnswer.REJECTED);
     }
-    String text = new MetricsFormat(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
+    String text = new MetricsFormat(counters, () -> 0, () -> 0, () -> 0, () -> 0).text();
     assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
     assertTrue(
-        counts.answersByClass().size() <= 257, "names kept: " + counts.answersByClass().size());
+        counters.answersByClass().size() <= 257, "names kept: " + counters.answersByClass().size());
     assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
   }
 
   @Test
-  void addressInUse() throws Exception {
+  void addressInUseIsInvalidConfiguration() throws Exception {
     serveWithAdmin(1);
-    String again = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
-    InvalidConfigurationException fault =
+    String secondConfig = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
+    InvalidConfigurationException exception =
         assertThrows(
             InvalidConfigurationException.class,
-            () -> new ProxyServer(new ProxyConfig(Json.object(again))));
-    assertTrue(fault.getMessage().startsWith("admin: "), fault.getMessage());
+            () -> new ProxyServer(new ProxyConfig(Json.object(secondConfig))));
+    assertTrue(exception.getMessage().startsWith("admin: "), exception.getMessage());
   }
 }
