--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.ProxyConfig;
 
 /**
@@ -39,7 +40,7 @@
       call(proxy.port(), "GET /ready HTTP/1.0\r\n\r\n");
       for (int i = 0; i < REQUEST_COUNT; i++) {
         String className =
-            config.settings.classNames().get(i % config.settings.classNames().size());
+            PolicySettingsMapper.classNames(config.settings()).get(i % PolicySettingsMapper.classNames(config.settings()).size());
         call(proxy.port(), request(className, i));
       }
       proxy.shutdown();
--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.logging.Logger;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
@@ -48,11 +49,11 @@
     this.discovery = discovery;
     this.counters = counters;
     this.dynamicSettings = dynamicSettings;
-    longestClientTimeout = longestClientTimeout(config.settings);
+    longestClientTimeout = longestClientTimeout(config.settings());
   }
 
   private static long longestClientTimeout(Settings settings) {
-    return Arrays.stream(settings.requestClasses())
+    return Arrays.stream(PolicySettingsMapper.requestClasses(settings))
         .mapToLong(RequestClass::clientTimeout)
         .max()
         .orElse(0);
@@ -93,21 +94,21 @@
     List<String> fixedKeys = next.changedFixedKeys(config);
     LOG.info(
         "configuration read again, list from "
-            + next.discovery
+            + next.discovery()
             + (fixedKeys.isEmpty() ? "" : "; only a restart brings in " + fixedKeys));
-    requestHandler.applySettings(next.settings, dynamicSettings);
-    applyTimeouts(dynamicSettings == null ? next.settings : dynamicSettings.overlay(next.settings));
-    longestClientTimeout = Math.max(longestClientTimeout, longestClientTimeout(next.settings));
-    discovery.changeAddress(next.discovery);
+    requestHandler.applySettings(next.settings(), dynamicSettings);
+    applyTimeouts(dynamicSettings == null ? next.settings() : dynamicSettings.overlay(next.settings()));
+    longestClientTimeout = Math.max(longestClientTimeout, longestClientTimeout(next.settings()));
+    discovery.changeAddress(next.discovery());
     config = next;
   }
 
   /** Puts the watched source's settings in force, after they have changed. */
   void applyDynamicSettings() {
-    requestHandler.applySettings(config.settings, dynamicSettings);
+    requestHandler.applySettings(config.settings(), dynamicSettings);
     longestClientTimeout = Math.max(longestClientTimeout, dynamicSettings.longestClientTimeout());
     if (!dynamicSettings.limitNames().isEmpty()) {
-      applyTimeouts(dynamicSettings.overlay(config.settings));
+      applyTimeouts(dynamicSettings.overlay(config.settings()));
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -35,14 +35,14 @@
     this.loop = loop;
     this.group = group;
     this.config = config;
-    BackendTimeouts timeouts = BackendTimeouts.of(config.settings);
+    BackendTimeouts timeouts = BackendTimeouts.of(config.settings());
     Connector connector =
         new Connector(
-            loop, group, 0, config.maxBodyBytes, timeouts.connect(), timeouts.idleClose());
+            loop, group, 0, config.maxBodyBytes(), timeouts.connect(), timeouts.idleClose());
     discovery = new EndpointDiscovery(loop, group, connector, config, "");
     discovery.setRevisionListener(revisionListener);
     requestHandler =
-        new RequestHandler(loop, discovery, new RequestCounters(), config.settings, seed, "");
+        new RequestHandler(loop, discovery, new RequestCounters(), config.settings(), seed, "");
   }
 
   /**
@@ -64,7 +64,7 @@
             new RequestCounters(),
             new DynamicSettings(),
             settings -> {
-              requestHandler.applySettings(config.settings, settings);
+              requestHandler.applySettings(config.settings(), settings);
               revisionListener.accept(settings.revision());
             });
     subscription.watch();
@@ -72,8 +72,8 @@
 
   /** Puts a new configuration in force. */
   public void reconfigure(ProxyConfig next) {
-    requestHandler.applySettings(next.settings, null);
-    discovery.changeAddress(next.discovery);
+    requestHandler.applySettings(next.settings(), null);
+    discovery.changeAddress(next.discovery());
   }
 
   /** Number of listed backends. */
--- a/proxy/src/main/java/wheattrack/net/DescriptorBudget.java
+++ b/proxy/src/main/java/wheattrack/net/DescriptorBudget.java
@@ -30,10 +30,10 @@
    *     has half of all descriptors then
    */
   static DescriptorBudget of(ProxyConfig config, boolean isOtherProcessPresent) {
-    int adminDescriptors = config.admin == null ? 0 : 1 + AdminServer.PLACES;
+    int adminDescriptors = config.admin() == null ? 0 : 1 + AdminServer.MAX_CONNECTIONS;
     int reserved =
-        Math.max(MIN_RESERVED, config.maxDescriptors / RESERVED_DIVISOR) + adminDescriptors;
-    int total = isOtherProcessPresent ? config.maxDescriptors / 2 : config.maxDescriptors;
+        Math.max(MIN_RESERVED, config.maxDescriptors() / RESERVED_DIVISOR) + adminDescriptors;
+    int total = isOtherProcessPresent ? config.maxDescriptors() / 2 : config.maxDescriptors();
     int shared = Math.max(MIN_SHARED, total - reserved);
     return new DescriptorBudget((int) (CLIENT_SHARE * shared), (int) (BACKEND_SHARE * shared));
   }
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -58,9 +58,9 @@
     this.loop = loop;
     this.group = group;
     this.scope = scope;
-    address = config.discovery;
-    parser = new EndpointListParser(config.settings.list("zones"), config.settings.list("kinds"));
-    cachedList = config.cachedEndpoints.has("targets") ? config.cachedEndpoints : null;
+    address = config.discovery();
+    parser = new EndpointListParser(config.settings().list("zones"), config.settings().list("kinds"));
+    cachedList = config.cachedEndpoints().has("targets") ? config.cachedEndpoints() : null;
     pools = new BackendPoolTable(connector);
   }
 
--- a/proxy/src/main/java/wheattrack/net/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointListParser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
+import wheattrack.config.SocketAddressParser;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
@@ -118,7 +119,7 @@
         id,
         state,
         endpoint,
-        ProxyConfig.address("endpoint", endpoint),
+        SocketAddressParser.parse("endpoint", endpoint),
         (long) (entry.number("boot_ms", 0) * TENTHS_PER_MILLISECOND),
         zones.indexOf(entry.text("az", "")),
         Math.max(0, kinds.indexOf(entry.text("model", ""))),
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -2,6 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.util.Map;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.EndpointUpdate;
@@ -42,9 +44,9 @@
 
   /** Creates a policy under these settings, with backends of its own. */
   JitWarmUp(Settings settings) {
-    RequestClass[] requestClasses = settings.requestClasses();
-    classes = settings.classesByName(requestClasses);
-    loadBalancer = settings.newLoadBalancer(this, 1, requestClasses, false);
+    RequestClass[] requestClasses = PolicySettingsMapper.requestClasses(settings);
+    classes = PolicySettingsMapper.classesByName(settings, requestClasses);
+    loadBalancer = LoadBalancerFactory.create(settings, this, 1, requestClasses, false);
     for (int backend = 0; backend < BACKENDS; backend++) {
       loadBalancer.updateBackend(
           new EndpointUpdate(backend, backend, true, 0, 0, 0, 1, BackendIndex.LONG_AGO, true));
--- a/proxy/src/main/java/wheattrack/net/ProcessHandover.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessHandover.java
@@ -79,7 +79,7 @@
       clientListener.startAccepting(); // before it was ready, too: who has connected is answered
     }
     ProxyConfig config = reloader.config();
-    loop.schedule(config.drainTime, () -> loop.execute(this::close));
+    loop.schedule(config.drainTime(), () -> loop.execute(this::close));
   }
 
   private void close() {
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -116,26 +116,26 @@
     group = AsynchronousChannelGroup.withThreadPool(loop);
     processLock =
         new ProcessLock(
-            config.listen.getPort() == 0 ? null : sharedFolder(), config.listen.toString());
+            config.listen().getPort() == 0 ? null : sharedFolder(), config.listen().toString());
     DescriptorBudget budget = DescriptorBudget.of(config, processLock.isOtherProcessPresent());
     Connector connector = newConnector(config, budget);
     discovery = new EndpointDiscovery(loop, group, connector, config, scope);
     requestHandler =
-        new RequestHandler(loop, discovery, counters, config.settings, config.seed, loadHeader);
+        new RequestHandler(loop, discovery, counters, config.settings(), config.seed(), loadHeader);
     clientListener =
         new ClientListener(
             loop,
             lifecycle,
             budget.clients(),
-            config.maxBodyBytes,
+            config.maxBodyBytes(),
             requestHandler,
             () -> discovery.hasList() ? "" : ", no list");
     requestHandler.setListener(clientListener);
     requestHandler.setOtherProcessPresent(processLock.isOtherProcessPresent());
     if (processLock.role() != ProcessLock.Role.NEWER) {
-      clientListener.listen(group, config.listen);
+      clientListener.listen(group, config.listen());
     }
-    admin = config.admin == null ? null : openAdmin(config.admin);
+    admin = config.admin() == null ? null : openAdmin(config.admin());
     DynamicSettings dynamicSettings = settingsSource == null ? null : new DynamicSettings();
     reloader =
         new ConfigurationReloader(
@@ -162,12 +162,12 @@
   }
 
   private Connector newConnector(ProxyConfig config, DescriptorBudget budget) {
-    BackendTimeouts timeouts = BackendTimeouts.of(config.settings);
+    BackendTimeouts timeouts = BackendTimeouts.of(config.settings());
     return new Connector(
         loop,
         group,
         budget.backends(),
-        config.maxBodyBytes,
+        config.maxBodyBytes(),
         timeouts.connect(),
         timeouts.idleClose());
   }
@@ -179,7 +179,7 @@
         group,
         source,
         scope,
-        reloader.config().seed,
+        reloader.config().seed(),
         counters,
         dynamicSettings,
         changed -> reloader.applyDynamicSettings());
@@ -231,7 +231,7 @@
    */
   public void run() {
     ProxyConfig config = reloader.config();
-    LOG.info(config.name + " at " + config.listen + ", list from " + config.discovery);
+    LOG.info(config.name() + " at " + config.listen() + ", list from " + config.discovery());
     lifecycle.advanceTo(Phase.WARMING);
     loop.execute(this::warmUp);
     if (settingsSubscription != null) {
@@ -252,7 +252,7 @@
   private void warmUp() {
     boolean isNewer = processLock.role() == ProcessLock.Role.NEWER;
     int requests =
-        new JitWarmUp(reloader.config().settings)
+        new JitWarmUp(reloader.config().settings())
             .run(
                 MAX_WARM_UP_REQUESTS,
                 isNewer ? HANDOVER_WARM_UP_TIMEOUT_NANOS : WARM_UP_TIMEOUT_NANOS);
@@ -287,7 +287,7 @@
   }
 
   private long connectTimeout() {
-    return BackendTimeouts.of(reloader.config().settings).connect();
+    return BackendTimeouts.of(reloader.config().settings()).connect();
   }
 
   /**
@@ -295,7 +295,7 @@
    * only now.
    */
   private void openToClients() {
-    InetSocketAddress address = reloader.config().listen;
+    InetSocketAddress address = reloader.config().listen();
     try {
       if (!clientListener.isListening()) {
         clientListener.listen(group, address);
--- a/proxy/src/main/java/wheattrack/net/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsApplier.java
@@ -1,6 +1,8 @@
 package wheattrack.net;
 
 import java.util.Map;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.api.LoadBalancer;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.RequestClass;
@@ -37,10 +39,10 @@
    * @param seed of the policy's random numbers
    */
   LoadBalancer createLoadBalancer(Settings settings, PolicyRuntime runtime, long seed) {
-    RequestClass[] requestClasses = settings.requestClasses();
+    RequestClass[] requestClasses = PolicySettingsMapper.requestClasses(settings);
     nameClasses(settings, requestClasses);
     loadBalancer =
-        settings.newLoadBalancer(
+        LoadBalancerFactory.create(settings, 
             runtime, seed, requestClasses, true, WatchConnection.MAX_POLL_INTERVAL);
     return loadBalancer;
   }
@@ -63,26 +65,26 @@
   private void applyDynamic(Settings settings, DynamicSettings dynamicSettings) {
     Settings merged = dynamicSettings.overlay(settings);
     loadBalancer.configure(
-        merged.policySettings(endpoints.zones(), dynamicSettings.totalQuota()),
+        PolicySettingsMapper.policySettings(merged, endpoints.zones(), dynamicSettings.totalQuota()),
         dynamicSettings.summary());
     classes = dynamicSettings.requestClasses();
     readProbing(merged);
   }
 
   private void applyStatic(Settings settings) {
-    RequestClass[] requestClasses = settings.requestClasses();
-    loadBalancer.configure(settings.policySettings(endpoints.zones()), requestClasses);
+    RequestClass[] requestClasses = PolicySettingsMapper.requestClasses(settings);
+    loadBalancer.configure(PolicySettingsMapper.policySettings(settings, endpoints.zones()), requestClasses);
     nameClasses(settings, requestClasses);
   }
 
   private void nameClasses(Settings settings, RequestClass[] requestClasses) {
-    classes = settings.classesByName(requestClasses);
-    settings.classNames().forEach(counters::declare); // in their order, which the metrics keep
+    classes = PolicySettingsMapper.classesByName(settings, requestClasses);
+    PolicySettingsMapper.classNames(settings).forEach(counters::declare); // in their order, which the metrics keep
     readProbing(settings);
   }
 
   private void readProbing(Settings settings) {
-    expectsLoadReports = settings.expectsLoadReports();
+    expectsLoadReports = PolicySettingsMapper.expectsLoadReports(settings);
     probeTimeout = settings.time("limits.dialTimeout", DEFAULT_DIAL_TIMEOUT_MICROS);
   }
 
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -127,7 +127,7 @@
       Settings event = new Settings(Json.object(line));
       revision = event.wholeNumber("rev", -1);
       boolean isGap = needsSnapshot && !event.flag("all");
-      if (isGap || dynamicSettings.apply(event) == Verdict.WHOLE_WANTED) {
+      if (isGap || dynamicSettings.apply(event) == Verdict.SNAPSHOT_REQUIRED) {
         requestSnapshot(revision);
         return;
       }
--- a/proxy/src/test/java/wheattrack/config/ProxyConfigTest.java
+++ b/proxy/src/test/java/wheattrack/config/ProxyConfigTest.java
@@ -48,7 +48,7 @@
         Map<String, Object> keys = Json.object(("{" + file + "}").replace('\'', '"'));
         ProxyConfig config = new ProxyConfig(keys);
         recorder.say(
-            "good: " + config.listen + " " + config.discovery + " " + config.maxDescriptors);
+            "good: " + config.listen() + " " + config.discovery() + " " + config.maxDescriptors());
       } catch (InvalidConfigurationException e) {
         recorder.say(e.getMessage());
       }
@@ -72,9 +72,9 @@
             + "{\"ruleSets\":[{\"name\":\"buy\",\"effect\":\"read_like\",\"clientTimeout\":1000}]}}");
     recorder.say(
         "served at "
-            + ProxyConfig.read(file).listen
+            + ProxyConfig.read(file).listen()
             + ", rehearsed at "
-            + ProxyConfig.readForTraining(file, 9).listen);
+            + ProxyConfig.readForTraining(file, 9).listen());
     Files.delete(file);
     recorder.matches("rehearsal");
   }
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -58,7 +58,7 @@
   }
 
   private static String requestClass(String name, int millis) {
-    return DynamicSettingsTest.set(name, millis, "read_like");
+    return DynamicSettingsTest.requestClass(name, millis, "read_like");
   }
 
   private void notifySubscriber(String event) throws IOException {
