The state of a request is opened in one call

Cause: five setters of InFlightRequest were called one by one as a request was accepted. Change: open(slot, pending, body) sets what belongs together; nothing runs between where the parts were set before and now.

--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/InFlightRequest.java
@@ -30,6 +30,19 @@
     this.parsed = parsed;
   }
 
+  /**
+   * Completes the state before the policy is handed the request.
+   *
+   * @param slotNumber its number in the table of open requests
+   * @param pendingRequest the request as the policy sees it
+   * @param bodyRelay the part of a long body that has not come yet; null: none
+   */
+  void open(int slotNumber, PendingRequest pendingRequest, RequestBodyRelay bodyRelay) {
+    slot = slotNumber;
+    pending = pendingRequest;
+    body = bodyRelay;
+  }
+
   /** The connection it came on. */
   ClientConnection client() {
     return client;
@@ -50,19 +63,11 @@
     return slot;
   }
 
-  void setSlot(int number) {
-    slot = number;
-  }
-
   /** The request as the policy sees it. */
   PendingRequest pending() {
     return pending;
   }
 
-  void setPending(PendingRequest request) {
-    pending = request;
-  }
-
   /** The timer that answers should the policy fail to; null: not set yet. */
   TimerQueue.Timer deadlineGuard() {
     return deadlineGuard;
@@ -86,10 +91,6 @@
     return body;
   }
 
-  void setBody(RequestBodyRelay relay) {
-    body = relay;
-  }
-
   /**
    * Whether nothing more is to be decided: it is answered, its long answer has begun, or its client
    * has disconnected.
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -149,25 +149,24 @@
   private void accept(InFlightRequest request) {
     ClientConnection client = request.client();
     ParsedRequest parsed = request.parsed();
-    request.setSlot(openRequests.add(request));
+    int slot = openRequests.add(request);
     client.onLeft(() -> onClientDisconnected(request));
-    long deadline = deadline(parsed.timeout());
-    boolean hasLongBody = parsed.message().remainingBody() != 0;
-    if (hasLongBody) {
-      request.setBody(new RequestBodyRelay(client, () -> onBodyComplete(request)));
-    }
-    request.setPending(
+    PendingRequest pending =
         new PendingRequest(
             parsed.requestClass(),
             loop.now(),
-            deadline,
+            deadline(parsed.timeout()),
             parsed.costHint(),
             parsed.clientRetry(),
-            request));
+            request);
+    boolean hasLongBody = parsed.message().remainingBody() != 0;
+    RequestBodyRelay body =
+        hasLongBody ? new RequestBodyRelay(client, () -> onBodyComplete(request)) : null;
+    request.open(slot, pending, body);
     if (!hasLongBody) {
       startDeadlineGuard(request);
     }
-    request.setHandle(loadBalancer.accept(request.pending()));
+    request.setHandle(loadBalancer.accept(pending));
     if (hasLongBody && !request.isSettled()) {
       request.handle().streamingStarted(0); // no second attempt could send its body
     }
