--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -142,7 +142,7 @@
       Encoder.response(ProtocolMapping.forwardedAnswer(answer, true, true));
       return ProtocolMapping.attemptOutcome(answer);
     } catch (MalformedMessageException e) {
-      return AttemptOutcome.ERROR; // the policy's path of errors is run in as well
+      return AttemptOutcome.ERROR; // not reached: synthetic answers are well-formed
     }
   }
 
