Settings: one default for client timeouts and latency objectives

The validator and the mapper each had the number. Errors and defaults are as before.

Run: DynamicSettingsTest 18, MigrateCommandTest 4, OperatorConfigTest 3, CoreTest 6 tests, none failed or skipped.

--- a/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
+++ b/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
@@ -13,7 +13,8 @@
  * {@link InvalidConfigurationException} and name the key.
  */
 public final class PolicySettingsMapper {
-  private static final long DEFAULT_LATENCY_MICROS = 1_000_000;
+  /** The default of client timeouts and latency objectives, in microseconds. */
+  static final long DEFAULT_LATENCY_MICROS = 1_000_000;
 
   private PolicySettingsMapper() {}
 
--- a/proxy/src/main/java/wheattrack/config/SettingsValidator.java
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -58,11 +58,16 @@
         SettingsWords.DEDUPLICATION_SCOPE.contains(entry.text("group", SettingsWords.SCOPE_ALL)),
         entry.key("group"),
         "none of " + SettingsWords.DEDUPLICATION_SCOPE);
-    check(entry.time("clientTimeout", 1_000_000) > 0, entry.key("clientTimeout"), "not above 0");
-    check(entry.time("responseTarget", 1_000_000) > 0, entry.key("responseTarget"), "not above 0");
+    checkPositiveTime(entry, "clientTimeout");
+    checkPositiveTime(entry, "responseTarget");
     PolicySettingsMapper.requestClass(entry, 0); // throws if another key has the wrong type
   }
 
+  private static void checkPositiveTime(Settings entry, String key) {
+    long time = entry.time(key, PolicySettingsMapper.DEFAULT_LATENCY_MICROS);
+    check(time > 0, entry.key(key), "not above 0");
+  }
+
   /** Checks the section `limits` of the given settings. */
   static void checkLimits(Settings settings) {
     check(
