The simulator's adapter is split by concern, its wire words in one class

SimulatedProxy read events, kept state and wrote messages in one class. Now SimulatedProxy reads events, EndpointListEvents the lists, SimulatedRuntime is the policy's runtime, MessageWriter writes, SimulatorProtocol holds the words and status codes of the wire, and InvalidInputException is a type of its own.

--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -16,6 +16,7 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.net.ClassArchiveTraining;
 import wheattrack.net.ProxyServer;
+import wheattrack.simulator.InvalidInputException;
 import wheattrack.simulator.SimulatorAdapter;
 
 /** The command line. */
@@ -80,7 +81,7 @@
         }
       }
       return 0;
-    } catch (InvalidConfigurationException | SimulatorAdapter.BadInput e) {
+    } catch (InvalidConfigurationException | InvalidInputException e) {
       return fault("wheattrack " + line.getArgs()[0] + ": " + e.getMessage());
     }
   }
--- a/proxy/src/main/java/wheattrack/simulator/MessageFields.java
+++ b/proxy/src/main/java/wheattrack/simulator/MessageFields.java
@@ -4,118 +4,155 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import wheattrack.config.Json;
+import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
- * The fields of the message last read: scalars in reused slots, so that nothing is built for most
- * lines.
+ * The fields of the event that was read last. Scalars are kept in arrays that are used again for
+ * each event, so that nothing is allocated for most events.
  */
 final class MessageFields {
-  private static final String[] NAMES = {
-    "kind",
-    "simTime",
-    "proxyId",
-    "rid",
-    "profile",
-    "tenant",
-    "targetKey",
-    "due",
-    "sizeHint",
-    "resent",
-    "write",
-    "leg",
-    "backend",
-    "status",
-    "lag",
-    "ended",
-    "nonce",
-    "seed",
-    "mode",
-    "rev",
-    "sheet",
-    "neighbour",
-    "contents"
-  };
-  private static final Map<String, Integer> SLOT = new HashMap<>();
+  private static final int FIELD_COUNT = Field.values().length;
 
-  static {
-    for (int i = 0; i < NAMES.length; i++) {
-      SLOT.put(NAMES[i], i);
-    }
-  }
-
-  private final String[] text = new String[NAMES.length];
-  private final long[] number = new long[NAMES.length];
-  private final boolean[] there = new boolean[NAMES.length];
-  Map<String, Object> settings;
-  Map<String, Object> feedback;
-  List<Object> records;
+  private final String[] texts = new String[FIELD_COUNT];
+  private final long[] numbers = new long[FIELD_COUNT];
+  private final boolean[] present = new boolean[FIELD_COUNT];
+  private Map<String, Object> settings;
+  private Map<String, Object> loadReport;
+  private List<Object> records;
 
-  /** Reads one object whose opening brace is the parser's present token. */
-  void read(JsonParser in) throws IOException {
-    Arrays.fill(there, false);
+  /** Reads one object whose opening brace is the parser's current token. */
+  void read(JsonParser parser) throws IOException {
+    Arrays.fill(present, false);
     settings = null;
-    feedback = null;
+    loadReport = null;
     records = null;
-    while (in.nextToken() != JsonToken.END_OBJECT) {
-      String name = in.currentName();
-      JsonToken value = in.nextToken();
-      Integer slot = SLOT.get(name);
-      if (slot != null && value.isScalarValue()) {
-        take(in, value, slot);
-      } else if (value == JsonToken.START_OBJECT && name.equals("settings")) {
-        settings = Json.map(in);
-      } else if (value == JsonToken.START_OBJECT && name.equals("feedback")) {
-        feedback = Json.map(in);
-      } else if (value == JsonToken.START_ARRAY && name.equals("records")) {
-        records = Json.list(in);
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String name = parser.currentName();
+      JsonToken value = parser.nextToken();
+      Field field = Field.of(name);
+      if (field != null && value.isScalarValue()) {
+        readScalar(parser, value, field.ordinal());
+      } else if (value == JsonToken.START_OBJECT && name.equals(SimulatorProtocol.SETTINGS)) {
+        settings = Json.map(parser);
+      } else if (value == JsonToken.START_OBJECT && name.equals(SimulatorProtocol.LOAD_REPORT)) {
+        loadReport = Json.map(parser);
+      } else if (value == JsonToken.START_ARRAY && name.equals(SimulatorProtocol.RECORDS)) {
+        records = Json.list(parser);
       } else {
-        in.skipChildren();
+        parser.skipChildren();
       }
     }
   }
 
-  private void take(JsonParser in, JsonToken value, int slot) throws IOException {
-    there[slot] = value != JsonToken.VALUE_NULL;
-    text[slot] = null;
+  private void readScalar(JsonParser parser, JsonToken value, int slot) throws IOException {
+    present[slot] = value != JsonToken.VALUE_NULL;
+    texts[slot] = null;
     switch (value) {
-      case VALUE_NUMBER_INT ->
-          number[slot] =
-              in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                  ? in.getBigIntegerValue().longValue()
-                  : in.getLongValue();
-      case VALUE_NUMBER_FLOAT -> number[slot] = (long) in.getDoubleValue();
-      case VALUE_TRUE -> number[slot] = 1;
-      case VALUE_FALSE -> number[slot] = 0;
-      default -> text[slot] = in.getText();
+      case VALUE_NUMBER_INT -> numbers[slot] = readInteger(parser);
+      case VALUE_NUMBER_FLOAT -> numbers[slot] = (long) parser.getDoubleValue();
+      case VALUE_TRUE -> numbers[slot] = 1;
+      case VALUE_FALSE -> numbers[slot] = 0;
+      default -> texts[slot] = parser.getText();
+    }
+  }
+
+  /** Numbers above the range of a long, such as unsigned seeds, keep their low 64 bits. */
+  private static long readInteger(JsonParser parser) throws IOException {
+    if (parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+      return parser.getBigIntegerValue().longValue();
+    }
+    return parser.getLongValue();
+  }
+
+  /** Whether the event has this field, with a value other than null. */
+  boolean has(Field field) {
+    return present[field.ordinal()];
+  }
+
+  /**
+   * The number in this field; true counts as 1, false as 0.
+   *
+   * @throws InvalidInputException if it is missing or no number
+   */
+  long number(Field field) throws InvalidInputException {
+    int slot = field.ordinal();
+    if (!present[slot]) {
+      throw missing(field.wireName());
+    }
+    if (texts[slot] != null) {
+      throw new InvalidInputException("not a number: " + field.wireName());
     }
+    return numbers[slot];
   }
 
-  boolean has(String name) {
-    return there[SLOT.get(name)];
+  /**
+   * The number in this field, or a default if it is missing.
+   *
+   * @throws InvalidInputException if it is no number
+   */
+  long number(Field field, long defaultValue) throws InvalidInputException {
+    return has(field) ? number(field) : defaultValue;
   }
 
-  long number(String name) throws SimulatorAdapter.BadInput {
-    int slot = SLOT.get(name);
-    if (!there[slot] || text[slot] != null) {
-      throw new SimulatorAdapter.BadInput(
-          (there[slot] ? "not a number: " : "missing field ") + name);
+  /**
+   * The flag in this field; a missing one is false.
+   *
+   * @throws InvalidInputException if it is neither a flag nor a number
+   */
+  boolean flag(Field field) throws InvalidInputException {
+    return number(field, 0) != 0;
+  }
+
+  /**
+   * The text in this field.
+   *
+   * @throws InvalidInputException if it is missing or no text
+   */
+  String text(Field field) throws InvalidInputException {
+    int slot = field.ordinal();
+    if (!present[slot]) {
+      throw missing(field.wireName());
+    }
+    if (texts[slot] == null) {
+      throw new InvalidInputException("not a text: " + field.wireName());
     }
-    return number[slot];
+    return texts[slot];
   }
 
-  long number(String name, long otherwise) throws SimulatorAdapter.BadInput {
-    return has(name) ? number(name) : otherwise;
+  /**
+   * The settings of the event.
+   *
+   * @throws InvalidInputException if it has none
+   */
+  Map<String, Object> settings() throws InvalidInputException {
+    if (settings == null) {
+      throw missing(SimulatorProtocol.SETTINGS);
+    }
+    return settings;
   }
 
-  String text(String name) throws SimulatorAdapter.BadInput {
-    int slot = SLOT.get(name);
-    if (!there[slot] || text[slot] == null) {
-      throw new SimulatorAdapter.BadInput((there[slot] ? "not a text: " : "missing field ") + name);
+  /**
+   * The records of backends of the event.
+   *
+   * @throws InvalidInputException if it has none
+   */
+  List<Object> records() throws InvalidInputException {
+    if (records == null) {
+      throw missing(SimulatorProtocol.RECORDS);
     }
-    return text[slot];
+    return records;
+  }
+
+  /** The load report that came with the event, or null. */
+  Map<String, Object> loadReport() {
+    return loadReport;
+  }
+
+  /** The error for a field that an event must have and has not. */
+  static InvalidInputException missing(String wireName) {
+    return new InvalidInputException("missing field " + wireName);
   }
 }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -1,409 +1,206 @@
 package wheattrack.simulator;
 
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
-import wheattrack.api.EndpointUpdate;
 import wheattrack.api.PendingRequest;
-import wheattrack.api.PolicyEvent;
-import wheattrack.api.PolicyRuntime;
-import wheattrack.api.ProbeCallback;
 import wheattrack.api.RequestClass;
-import wheattrack.api.RequestHandle;
 import wheattrack.config.Settings;
-import wheattrack.core.BackendIndex;
 import wheattrack.policy.LoadBalancer;
+import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
- * One instance at the door: turns its lines into calls and its answers into lines; ids live only
- * here.
+ * One proxy of the simulator: turns its events into calls of its policy. What the policy asks for
+ * goes through {@link SimulatedRuntime}.
  */
-final class SimulatedProxy implements PolicyRuntime {
-  /** A req at the door: its name, its dispatches' continuations and what the module left for it. */
-  private static final class Guest {
-    final String rid;
-    final List<AttemptCallback> legs = new ArrayList<>(2);
-    final List<Srv> where = new ArrayList<>(2);
-    int out;
-    boolean over;
-    RequestHandle held;
-
-    Guest(String rid) {
-      this.rid = rid;
-    }
-  }
-
-  /** A backend at the door, with what is out there. */
-  private static final class Srv extends BackendIndex.Backend<Long> {
-    int out;
-    final List<ProbeCallback> probes = new ArrayList<>();
-
-    Srv(Long id, int at) {
-      super(id, at);
-    }
-
-    @Override
-    protected boolean hasWorkInFlight() {
-      return out > 0 || !probes.isEmpty();
-    }
-  }
-
-  private final long instance;
-  private final JsonGenerator out;
-  private final Map<String, Guest> guests = new HashMap<>();
-  private final BackendIndex<Long, Srv> fleet = new BackendIndex<>(Srv::new);
-  private final Map<Long, Runnable> timers = new HashMap<>();
-  private long timer;
-  private long now;
-  private LoadBalancer rules;
-  private RequestClass[] sets;
-
-  SimulatedProxy(long instance, JsonGenerator out) {
-    this.instance = instance;
-    this.out = out;
-  }
-
-  /** The clock rounds up and each due rounds down, so that no limit is passed in between. */
-  void at(long micros) {
-    now = Math.floorDiv(micros + Settings.UNIT - 1, (long) Settings.UNIT);
-  }
-
-  void read(String kind, MessageFields line) throws IOException {
+final class SimulatedProxy {
+  private static final int KEY_RADIX = 16;
+
+  private final MessageWriter writer;
+  private final SimulatedRuntime runtime;
+  private LoadBalancer loadBalancer;
+  private EndpointListEvents endpointList;
+  private RequestClass[] requestClasses;
+
+  SimulatedProxy(MessageWriter writer) {
+    this.writer = writer;
+    this.runtime = new SimulatedRuntime(writer);
+  }
+
+  /**
+   * Sets the clock. It rounds up and deadlines round down, so that no limit is passed in between.
+   *
+   * @param time in microseconds
+   */
+  void setTime(long time) {
+    runtime.setNow(Math.floorDiv(time + Settings.UNIT - 1, (long) Settings.UNIT));
+  }
+
+  /**
+   * Handles one event. An error within the policy is written as a message, and the proxy goes on.
+   *
+   * @throws InvalidInputException if the event is not the simulator's
+   * @throws UncheckedIOException if the messages cannot be written
+   */
+  void handleEvent(String kind, MessageFields event) throws InvalidInputException {
     try {
-      turn(kind, line);
+      dispatch(kind, event);
+    } catch (UncheckedIOException e) {
+      throw e; // no message could say so
     } catch (RuntimeException e) {
-      failed(kind, e);
+      reportFailure(kind, e);
     }
   }
 
-  private void failed(String what, RuntimeException e) throws IOException {
-    if (e instanceof UncheckedIOException io) {
-      throw io.getCause();
-    }
-    StackTraceElement[] trace = e.getStackTrace();
-    open("InternalError");
-    out.writeStringField("msg", what + ": " + e + (trace.length > 0 ? " at " + trace[0] : ""));
-    end();
-  }
-
-  private void turn(String kind, MessageFields line) throws IOException {
-    switch (kind) {
-      case "Configure" ->
-          configure(
-              line.number("seed"),
-              new Settings(SimulatorAdapter.needed(line.settings, "settings")));
-      case "Shutdown" -> forget();
-      case "Arrival" -> arrival(line);
-      case "ReportBack" -> report(line);
-      case "First" -> {
-        int leg = (int) line.number("leg");
-        Guest guest = guests.get(line.text("rid"));
-        if (guest != null && !guest.over) {
-          guest.held.streamingStarted(leg);
-        }
-      }
-      case "Expired" -> {
-        Guest guest = guests.get(line.text("rid"));
-        if (guest != null && !guest.over) {
-          close(guest);
-          guest.held.clientDisconnected();
-        }
-      }
-      case "Due" -> {
-        Runnable next = timers.remove(line.number("nonce"));
-        if (next != null) {
-          next.run();
-        }
+  /**
+   * Handles an endpoint list; before the first configuration it is dropped.
+   *
+   * @throws InvalidInputException if the list is not the simulator's
+   * @throws UncheckedIOException if the messages cannot be written
+   */
+  void handleEndpointList(String mode, List<?> records) throws InvalidInputException {
+    try {
+      if (loadBalancer != null) {
+        endpointList.update(mode, records);
       }
-      case "ProbeDone" -> probed(line);
-      case "NeighbourSays" -> line.number("neighbour");
-      default -> throw new SimulatorAdapter.BadInput("unknown event kind " + kind);
+    } catch (UncheckedIOException e) {
+      throw e; // no message could say so
+    } catch (RuntimeException e) {
+      reportFailure(SimulatorProtocol.ENDPOINT_LIST, e);
     }
   }
 
-  private void forget() {
-    guests.clear();
-    fleet.clear();
-    timers.clear();
-    rules = null;
-  }
-
-  private void configure(long seed, Settings s) {
-    forget();
-    sets = s.requestClasses();
-    rules = s.newLoadBalancer(this, seed, sets, s.text("discovery", "").equals("subscribe"));
+  private void reportFailure(String kind, RuntimeException failure) {
+    StackTraceElement[] trace = failure.getStackTrace();
+    String place = trace.length > 0 ? " at " + trace[0] : "";
+    writer.writeInternalError(kind + ": " + failure + place);
   }
 
-  private void arrival(MessageFields line) throws SimulatorAdapter.BadInput {
-    int profile = (int) line.number("profile");
-    if (profile < 0 || sets == null || profile >= sets.length) {
-      throw new SimulatorAdapter.BadInput("no such profile: " + profile);
-    }
-    if (line.has("targetKey")) {
-      try {
-        Long.parseUnsignedLong(line.text("targetKey"), 16);
-      } catch (NumberFormatException e) {
-        throw new SimulatorAdapter.BadInput("not a key: " + line.text("targetKey"));
-      }
-    }
-    line.number("tenant", 0);
-    Guest guest = new Guest(line.text("rid"));
-    guests.put(guest.rid, guest);
-    int cost = Settings.cost(line.number("sizeHint", 0));
-    long due = Math.floorDiv(line.number("due"), (long) Settings.UNIT);
-    PendingRequest req =
-        new PendingRequest(sets[profile], now, due, cost, line.number("resent", 0) != 0, guest);
-    guest.held = rules.accept(req);
-  }
-
-  private void report(MessageFields line) throws SimulatorAdapter.BadInput {
-    Guest guest = guests.get(line.text("rid"));
-    int leg = (int) line.number("leg");
-    AttemptOutcome how = outcome((int) line.number("status"));
-    long lag = line.number("lag") / Settings.UNIT;
-    boolean ended = line.number("ended", 0) != 0;
-    if (guest == null || leg < 0 || leg >= guest.legs.size() || guest.legs.get(leg) == null) {
+  private void dispatch(String kind, MessageFields event) throws InvalidInputException {
+    switch (kind) {
+      case SimulatorProtocol.CONFIGURE -> configure(event);
+      case SimulatorProtocol.SHUTDOWN -> shutDown();
+      case SimulatorProtocol.REQUEST_ARRIVED -> requestArrived(event);
+      case SimulatorProtocol.ATTEMPT_ENDED -> attemptEnded(event);
+      case SimulatorProtocol.STREAMING_STARTED -> streamingStarted(event);
+      case SimulatorProtocol.CLIENT_DISCONNECTED -> clientDisconnected(event);
+      case SimulatorProtocol.TIMER_FIRED -> timerFired(event);
+      case SimulatorProtocol.PROBE_ENDED -> probeEnded(event);
+      case SimulatorProtocol.GOSSIP -> event.number(Field.PEER); // checked, but not used
+      default -> throw new InvalidInputException("unknown event kind " + kind);
+    }
+  }
+
+  private void configure(MessageFields event) throws InvalidInputException {
+    long seed = event.number(Field.SEED);
+    Settings settings = new Settings(event.settings());
+    shutDown();
+    requestClasses = settings.requestClasses();
+    boolean isWatching =
+        settings.text(SimulatorProtocol.DISCOVERY, "").equals(SimulatorProtocol.DISCOVERY_BY_WATCH);
+    loadBalancer = settings.newLoadBalancer(runtime, seed, requestClasses, isWatching);
+    endpointList = new EndpointListEvents(runtime.backends(), loadBalancer);
+  }
+
+  private void shutDown() {
+    runtime.clear();
+    loadBalancer = null;
+  }
+
+  private void requestArrived(MessageFields event) throws InvalidInputException {
+    int classIndex = (int) event.number(Field.REQUEST_CLASS);
+    if (classIndex < 0 || requestClasses == null || classIndex >= requestClasses.length) {
+      throw new InvalidInputException("no such profile: " + classIndex);
+    }
+    checkStickyKey(event);
+    event.number(Field.TENANT, 0); // checked, but not used
+    SimulatedRequest simulated = runtime.addRequest(event.text(Field.REQUEST_ID));
+    int costHint = Settings.cost(event.number(Field.COST_HINT, 0));
+    long deadline = Math.floorDiv(event.number(Field.DEADLINE), (long) Settings.UNIT);
+    PendingRequest request =
+        new PendingRequest(
+            requestClasses[classIndex],
+            runtime.now(),
+            deadline,
+            costHint,
+            event.flag(Field.CLIENT_RETRY),
+            simulated);
+    simulated.setHandle(loadBalancer.accept(request));
+  }
+
+  private static void checkStickyKey(MessageFields event) throws InvalidInputException {
+    if (!event.has(Field.STICKY_KEY)) {
       return;
     }
-    AttemptCallback next = guest.legs.set(leg, null);
-    guest.where.get(leg).out--;
-    guest.out--;
-    if (ended) {
-      guest.over = true;
-    }
-    if (guest.over && guest.out == 0) {
-      guests.remove(guest.rid);
-    }
-    load(fleet.find(line.number("backend")), line);
-    next.ended(how, lag, ended);
-  }
-
-  private static AttemptOutcome outcome(int status) throws SimulatorAdapter.BadInput {
-    return switch (status) {
-      case 0 -> AttemptOutcome.DONE;
-      case 255 -> AttemptOutcome.ERROR;
-      case 254 -> AttemptOutcome.FULL;
-      case 253 -> AttemptOutcome.TIMEOUT;
-      case 252 -> AttemptOutcome.NO_CONNECT;
-      case 251 -> AttemptOutcome.RESET;
-      case 250 -> AttemptOutcome.CANCELLED;
-      case 249 -> AttemptOutcome.DISCARDED;
-      default -> throw new SimulatorAdapter.BadInput("unknown status " + status);
-    };
-  }
-
-  private void load(Srv srv, MessageFields line) {
-    if (srv != null && line.feedback != null) {
-      Settings figures = new Settings(line.feedback);
-      rules.onLoadReport(
-          srv.index,
-          figures.number(Settings.IN_FLIGHT_FIELD, -1),
-          figures.number(Settings.QUEUED_FIELD, 0));
+    String key = event.text(Field.STICKY_KEY);
+    try {
+      Long.parseUnsignedLong(key, KEY_RADIX);
+    } catch (NumberFormatException e) {
+      throw new InvalidInputException("not a key: " + key);
     }
   }
 
-  private void probed(MessageFields line) throws SimulatorAdapter.BadInput {
-    Srv srv = fleet.find(line.number("backend"));
-    boolean ok = line.number("status") == 0;
-    long lag = line.number("lag") / Settings.UNIT;
-    if (srv == null || srv.probes.isEmpty()) {
+  private void attemptEnded(MessageFields event) throws InvalidInputException {
+    SimulatedRequest request = runtime.findRequest(event.text(Field.REQUEST_ID));
+    int attempt = (int) event.number(Field.ATTEMPT);
+    AttemptOutcome outcome = SimulatorProtocol.outcome((int) event.number(Field.STATUS));
+    long latency = event.number(Field.LATENCY) / Settings.UNIT;
+    boolean isRequestEnded = event.flag(Field.REQUEST_ENDED);
+    if (request == null || !request.isInFlight(attempt)) {
       return;
     }
-    load(srv, line);
-    srv.probes.remove(0).ended(ok, lag);
-  }
-
-  void list(String mode, List<?> records) throws IOException {
-    try {
-      if (rules == null) {
-        return;
-      }
-      if (mode.equals("X")) {
-        rules.endpointListFailed(false);
-        return;
-      }
-      if (!mode.equals("D") && !mode.equals("F") && !mode.equals("C")) {
-        throw new SimulatorAdapter.BadInput("unknown list mode " + mode);
-      }
-      if (!mode.equals("D")) {
-        missing(records);
-      }
-      for (Object record : records) {
-        entry(record);
-      }
-      rules.endpointListUpdated(mode.equals("C"));
-    } catch (RuntimeException e) {
-      failed("PeersKnown", e);
+    AttemptCallback callback = request.removeAttempt(attempt);
+    if (isRequestEnded) {
+      request.markAnswered();
     }
+    runtime.removeIfFinished(request);
+    handleLoadReport(runtime.backends().find(event.number(Field.BACKEND)), event);
+    callback.ended(outcome, latency, isRequestEnded);
   }
 
-  private void missing(List<?> records) throws SimulatorAdapter.BadInput {
-    Set<Long> named = new HashSet<>();
-    for (Object record : records) {
-      named.add(id(record));
-    }
-    for (Srv srv : fleet.listedExcept(named)) {
-      gone(srv);
+  private void streamingStarted(MessageFields event) throws InvalidInputException {
+    int attempt = (int) event.number(Field.ATTEMPT);
+    SimulatedRequest request = runtime.findRequest(event.text(Field.REQUEST_ID));
+    if (request != null && !request.isAnswered()) {
+      request.handle().streamingStarted(attempt);
     }
   }
 
-  private void gone(Srv srv) {
-    if (fleet.markUnlisted(srv)) {
-      rules.removeBackend(srv.index);
+  private void clientDisconnected(MessageFields event) throws InvalidInputException {
+    SimulatedRequest request = runtime.findRequest(event.text(Field.REQUEST_ID));
+    if (request != null && !request.isAnswered()) {
+      runtime.markAnswered(request);
+      request.handle().clientDisconnected();
     }
   }
 
-  private static long id(Object record) throws SimulatorAdapter.BadInput {
-    if (record instanceof Map<?, ?> map && map.get("backend") instanceof Number n) {
-      return n.longValue();
+  private void timerFired(MessageFields event) throws InvalidInputException {
+    Runnable task = runtime.removeTimer(event.number(Field.TIMER_ID));
+    if (task != null) {
+      task.run();
     }
-    throw new SimulatorAdapter.BadInput("missing field backend");
   }
 
-  @SuppressWarnings("unchecked")
-  private void entry(Object record) throws SimulatorAdapter.BadInput {
-    long id = id(record);
-    Settings r = new Settings((Map<String, Object>) record);
-    String readiness = r.text("readiness", "healthy");
-    if (readiness.equals("deregistered")) {
-      gone(fleet.find(id));
+  private void probeEnded(MessageFields event) throws InvalidInputException {
+    ListedBackend backend = runtime.backends().find(event.number(Field.BACKEND));
+    boolean isAnswered = event.number(Field.STATUS) == SimulatorProtocol.STATUS_DONE;
+    long latency = event.number(Field.LATENCY) / Settings.UNIT;
+    if (backend == null || !backend.hasProbeInFlight()) {
       return;
     }
-    Srv srv = fleet.getOrAdd(id);
-    boolean fresh = fleet.markListed(srv);
-    long up = (long) r.number("upSince", 0);
-    double weight = r.number("weight", 1);
-    rules.updateBackend(
-        new EndpointUpdate(
-            srv.index,
-            id,
-            readiness.equals("healthy"),
-            r.integer("rackZone", 0),
-            r.integer("pack", 0),
-            r.integer("familyType", 0),
-            weight,
-            up <= 0 ? BackendIndex.LONG_AGO : Math.floorDiv(up, (long) Settings.UNIT),
-            fresh));
-  }
-
-  private void close(Guest guest) {
-    guest.over = true;
-    if (guest.out == 0) {
-      guests.remove(guest.rid);
-    }
-  }
-
-  private void open(String kind) throws IOException {
-    out.writeStartObject();
-    out.writeStringField("kind", kind);
-    out.writeNumberField("proxyId", instance);
-  }
-
-  private void end() throws IOException {
-    out.writeEndObject();
-    out.writeRaw('\n');
-  }
-
-  /** One line out: a kind, at most a rid, and up to two numbers. */
-  private void write(String kind, Guest guest, String name, long value, String name2, long value2) {
-    try {
-      open(kind);
-      if (guest != null) {
-        out.writeStringField("rid", guest.rid);
-      }
-      if (name != null) {
-        out.writeNumberField(name, value);
-      }
-      if (name2 != null) {
-        out.writeNumberField(name2, value2);
-      }
-      end();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  @Override
-  public long now() {
-    return now;
-  }
-
-  @Override
-  public void sendAttempt(PendingRequest req, int backend, long tryFor, AttemptCallback next) {
-    Guest guest = (Guest) req.attachment();
-    Srv srv = fleet.get(backend);
-    guest.legs.add(next);
-    guest.where.add(srv);
-    guest.out++;
-    srv.out++;
-    write("Place", guest, "backend", srv.id, "tryFor", tryFor * Settings.UNIT);
-  }
-
-  @Override
-  public void cancelAttempt(PendingRequest req, int leg) {
-    write("UndoSend", (Guest) req.attachment(), "leg", leg, null, 0);
-  }
-
-  @Override
-  public void reject(PendingRequest req, long wait) {
-    close((Guest) req.attachment());
-    write("Deny", (Guest) req.attachment(), "wait", wait * Settings.UNIT, null, 0);
-  }
-
-  @Override
-  public void fail(PendingRequest req) {
-    close((Guest) req.attachment());
-    write("Error", (Guest) req.attachment(), null, 0, null, 0);
-  }
-
-  @Override
-  public void probeLoad(int backend, ProbeCallback next) {
-    Srv srv = fleet.get(backend);
-    srv.probes.add(next);
-    write("AskLoad", null, "backend", srv.id, null, 0);
-  }
-
-  @Override
-  public void closeIdleConnections(int backend) {
-    Srv srv = fleet.get(backend);
-    if (srv != null) {
-      write("HangUp", null, "backend", srv.id, null, 0);
-    }
-  }
-
-  @Override
-  public void schedule(long delay, Runnable next) {
-    timers.put(++timer, next);
-    write("Schedule", null, "delay", delay * Settings.UNIT, "nonce", timer);
-  }
-
-  @Override
-  public void watchEndpoints() {
-    try {
-      open("Subscribe");
-      out.writeBooleanField("on", true);
-      end();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    handleLoadReport(backend, event);
+    backend.removeOldestProbe().ended(isAnswered, latency);
   }
 
-  @Override
-  public void report(PolicyEvent event) {
-    try {
-      open("SayLog");
-      out.writeStringField("msg", event.text());
-      end();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+  private void handleLoadReport(ListedBackend backend, MessageFields event) {
+    if (backend == null || event.loadReport() == null) {
+      return;
     }
+    Settings report = new Settings(event.loadReport());
+    loadBalancer.onLoadReport(
+        backend.index,
+        report.number(Settings.IN_FLIGHT_FIELD, -1),
+        report.number(Settings.QUEUED_FIELD, 0));
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
@@ -0,0 +1,141 @@
+package wheattrack.simulator;
+
+import java.util.HashMap;
+import java.util.Map;
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyEvent;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.ProbeCallback;
+import wheattrack.config.Settings;
+import wheattrack.core.BackendIndex;
+
+/**
+ * The policy's runtime in the simulator: what the policy asks for is written as messages, and the
+ * requests, backends and timers are kept under the simulator's ids.
+ */
+final class SimulatedRuntime implements PolicyRuntime {
+  private final MessageWriter writer;
+  private final Map<String, SimulatedRequest> requests = new HashMap<>();
+  private final BackendIndex<Long, ListedBackend> backends = new BackendIndex<>(ListedBackend::new);
+  private final Map<Long, Runnable> timers = new HashMap<>();
+  private long lastTimerId;
+  private long now;
+
+  SimulatedRuntime(MessageWriter writer) {
+    this.writer = writer;
+  }
+
+  /** Sets the clock, in tenths of a millisecond. */
+  void setNow(long time) {
+    now = time;
+  }
+
+  /** Forgets all requests, backends and timers; timer ids are not used again. */
+  void clear() {
+    requests.clear();
+    backends.clear();
+    timers.clear();
+  }
+
+  /** The backends by id and index. */
+  BackendIndex<Long, ListedBackend> backends() {
+    return backends;
+  }
+
+  /** A new request of this id. */
+  SimulatedRequest addRequest(String id) {
+    SimulatedRequest request = new SimulatedRequest(id);
+    requests.put(id, request);
+    return request;
+  }
+
+  /** The request of this id, or null if it is finished or never came. */
+  SimulatedRequest findRequest(String id) {
+    return requests.get(id);
+  }
+
+  /** The request has its final answer; it is kept while attempts are in flight. */
+  void markAnswered(SimulatedRequest request) {
+    request.markAnswered();
+    removeIfFinished(request);
+  }
+
+  /** Forgets the request if nothing more can happen to it. */
+  void removeIfFinished(SimulatedRequest request) {
+    if (request.isFinished()) {
+      requests.remove(request.id());
+    }
+  }
+
+  /** Takes out the task of a timer; null if there is none. */
+  Runnable removeTimer(long timerId) {
+    return timers.remove(timerId);
+  }
+
+  @Override
+  public long now() {
+    return now;
+  }
+
+  @Override
+  public void sendAttempt(
+      PendingRequest request, int backend, long timeout, AttemptCallback callback) {
+    SimulatedRequest simulated = simulated(request);
+    ListedBackend listed = backends.get(backend);
+    simulated.addAttempt(listed, callback);
+    writer.writeSendAttempt(simulated.id(), listed.id, timeout * Settings.UNIT);
+  }
+
+  @Override
+  public void cancelAttempt(PendingRequest request, int attempt) {
+    writer.writeCancelAttempt(simulated(request).id(), attempt);
+  }
+
+  @Override
+  public void reject(PendingRequest request, long retryAfter) {
+    SimulatedRequest simulated = simulated(request);
+    markAnswered(simulated);
+    writer.writeReject(simulated.id(), retryAfter * Settings.UNIT);
+  }
+
+  @Override
+  public void fail(PendingRequest request) {
+    SimulatedRequest simulated = simulated(request);
+    markAnswered(simulated);
+    writer.writeFail(simulated.id());
+  }
+
+  @Override
+  public void probeLoad(int backend, ProbeCallback callback) {
+    ListedBackend listed = backends.get(backend);
+    listed.addProbe(callback);
+    writer.writeProbeLoad(listed.id);
+  }
+
+  @Override
+  public void closeIdleConnections(int backend) {
+    writer.writeCloseIdleConnections(backends.get(backend).id);
+  }
+
+  @Override
+  public void schedule(long delay, Runnable task) {
+    lastTimerId++;
+    timers.put(lastTimerId, task);
+    writer.writeSchedule(delay * Settings.UNIT, lastTimerId);
+  }
+
+  @Override
+  public void watchEndpoints() {
+    writer.writeWatchEndpoints();
+  }
+
+  @Override
+  public void report(PolicyEvent event) {
+    writer.writeLog(event.text());
+  }
+
+  private static SimulatedRequest simulated(PendingRequest request) {
+    return (SimulatedRequest) request.attachment();
+  }
+}
--- a/proxy/src/main/java/wheattrack/simulator/SimulatorAdapter.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatorAdapter.java
@@ -9,115 +9,144 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
- * Speaks the simulator's wire: reads batches, hands each line to its instance, writes the replies.
+ * Connects the policy to the operators' simulator: reads batches of events, hands each event to its
+ * proxy and writes the messages that answer it.
  */
 public final class SimulatorAdapter {
-  /** Input that is not the wire's; the message says what is wrong and where. */
-  public static final class BadInput extends IOException {
-    private static final long serialVersionUID = 1;
+  private final JsonParser parser;
+  private final JsonGenerator generator;
+  private final MessageFields event = new MessageFields();
+  private final Map<Long, SimulatedProxy> proxies = new HashMap<>();
+  private final List<?>[] recordLists = new List<?>[SimulatorProtocol.MAX_RECORD_LISTS];
 
-    BadInput(String message) {
-      super(message);
-    }
-  }
-
-  private static final int SHEETS = 16;
-
-  private final JsonParser in;
-  private final JsonGenerator out;
-  private final MessageFields line = new MessageFields();
-  private final Map<Long, SimulatedProxy> doors = new HashMap<>();
-  private final List<?>[] sheets = new List<?>[SHEETS];
-
-  public SimulatorAdapter(InputStream in, OutputStream out) throws IOException {
+  /**
+   * Creates an adapter; it does not close the streams.
+   *
+   * @throws IOException if the input cannot be read
+   */
+  public SimulatorAdapter(InputStream input, OutputStream output) throws IOException {
     JsonFactory json = new JsonFactory();
-    this.in = json.createParser(in);
-    this.out = json.createGenerator(out);
-    this.out.setRootValueSeparator(new SerializedString(""));
+    parser = json.createParser(input);
+    generator = json.createGenerator(output);
+    generator.setRootValueSeparator(new SerializedString(""));
   }
 
-  /** Runs until the input ends. */
+  /**
+   * Runs until the input ends.
+   *
+   * @throws InvalidInputException if the input is not the simulator's; the message names the line
+   * @throws IOException if reading or writing fails
+   */
   public void run() throws IOException {
     try {
-      while (next("Turn")) {
-        batch(line.number("simTime"));
+      while (readBatchStart()) {
+        runBatch(event.number(Field.TIME));
       }
-    } catch (BadInput e) {
-      throw new BadInput("line " + in.currentLocation().getLineNr() + ": " + e.getMessage());
+    } catch (InvalidInputException e) {
+      throw atLine(parser.currentLocation().getLineNr(), e.getMessage());
     } catch (JsonProcessingException e) {
-      throw new BadInput(
-          "line "
-              + e.getLocation().getLineNr()
-              + ": malformed JSON: "
-              + e.getOriginalMessage().split("\n")[0].replaceAll("[ :]*\\(.*", ""));
+      throw atLine(e.getLocation().getLineNr(), "malformed JSON: " + shortMessage(e));
+    } catch (UncheckedIOException e) {
+      throw e.getCause();
     }
-    out.flush();
+    generator.flush();
   }
 
-  private void batch(long simTime) throws IOException {
-    while (next(null)) {
-      String kind = line.text("kind");
-      if (kind.equals("End")) {
-        out.writeStartObject();
-        out.writeStringField("kind", "Yield");
-        out.writeEndObject();
-        out.writeRaw('\n');
-        out.flush();
-        return;
-      }
-      if (kind.equals("Sheet")) {
-        sheets[sheet()] = needed(line.records, "records");
-        continue;
-      }
-      long instance = line.number("proxyId");
-      SimulatedProxy door = doors.get(instance);
-      if (door == null) {
-        doors.put(instance, door = new SimulatedProxy(instance, out));
-      }
-      door.at(simTime);
-      if (kind.equals("PeersKnown")) {
-        String mode = line.text("mode");
-        door.list(mode, mode.equals("X") ? List.of() : needed(sheets[sheet()], "sheet"));
-      } else {
-        door.read(kind, line);
+  private static InvalidInputException atLine(int line, String message) {
+    return new InvalidInputException("line " + line + ": " + message);
+  }
+
+  /** The parser's message without its advice to programmers, which stands in brackets. */
+  private static String shortMessage(JsonProcessingException malformed) {
+    return malformed.getOriginalMessage().split("\n")[0].replaceAll("[ :]*\\(.*", "");
+  }
+
+  private void runBatch(long time) throws IOException {
+    while (readEvent()) {
+      String kind = event.text(Field.KIND);
+      switch (kind) {
+        case SimulatorProtocol.BATCH_START ->
+            throw new InvalidInputException("a batch is not closed");
+        case SimulatorProtocol.BATCH_END -> {
+          MessageWriter.writeBatchDone(generator);
+          return;
+        }
+        case SimulatorProtocol.ENDPOINT_RECORDS ->
+            recordLists[recordListNumber()] = event.records();
+        default -> handleEvent(kind, time);
       }
     }
-    throw new BadInput("the input ends inside a batch");
+    throw new InvalidInputException("the input ends inside a batch");
+  }
+
+  private void handleEvent(String kind, long time) throws InvalidInputException {
+    SimulatedProxy proxy = proxy(event.number(Field.PROXY_ID));
+    proxy.setTime(time);
+    if (kind.equals(SimulatorProtocol.ENDPOINT_LIST)) {
+      String mode = event.text(Field.LIST_MODE);
+      proxy.handleEndpointList(mode, recordsFor(mode));
+    } else {
+      proxy.handleEvent(kind, event);
+    }
   }
 
-  private int sheet() throws BadInput {
-    long number = line.number("sheet");
-    if (number < 0 || number >= SHEETS) {
-      throw new BadInput("no such sheet: " + number);
+  private SimulatedProxy proxy(long proxyId) {
+    SimulatedProxy proxy = proxies.get(proxyId);
+    if (proxy == null) {
+      proxy = new SimulatedProxy(new MessageWriter(generator, proxyId));
+      proxies.put(proxyId, proxy);
+    }
+    return proxy;
+  }
+
+  private List<?> recordsFor(String mode) throws InvalidInputException {
+    if (mode.equals(SimulatorProtocol.LIST_FAILED)) {
+      return List.of();
+    }
+    List<?> records = recordLists[recordListNumber()];
+    if (records == null) {
+      throw MessageFields.missing(Field.RECORD_LIST.wireName());
+    }
+    return records;
+  }
+
+  private int recordListNumber() throws InvalidInputException {
+    long number = event.number(Field.RECORD_LIST);
+    if (number < 0 || number >= SimulatorProtocol.MAX_RECORD_LISTS) {
+      throw new InvalidInputException("no such sheet: " + number);
     }
     return (int) number;
   }
 
-  static <T> T needed(T value, String name) throws BadInput {
-    if (value == null) {
-      throw new BadInput("missing field " + name);
+  /** Reads the event that opens a batch; false: the input has ended. */
+  private boolean readBatchStart() throws IOException {
+    if (!readEvent()) {
+      return false;
     }
-    return value;
+    String kind = event.text(Field.KIND);
+    if (!kind.equals(SimulatorProtocol.BATCH_START)) {
+      throw new InvalidInputException("a batch opens with " + kind);
+    }
+    return true;
   }
 
-  private boolean next(String wanted) throws IOException {
-    JsonToken token = in.nextToken();
+  /** Reads one event; false: the input has ended. */
+  private boolean readEvent() throws IOException {
+    JsonToken token = parser.nextToken();
     if (token == null) {
       return false;
     }
     if (token != JsonToken.START_OBJECT) {
-      throw new BadInput("not an object");
-    }
-    line.read(in);
-    String kind = line.text("kind");
-    if (wanted != null && !kind.equals(wanted) || wanted == null && kind.equals("Turn")) {
-      throw new BadInput("a batch " + (wanted == null ? "is not closed" : "opens with " + kind));
+      throw new InvalidInputException("not an object");
     }
+    event.read(parser);
     return true;
   }
 }
--- a/proxy/src/test/java/wheattrack/simulator/SimulatorAdapterTest.java
+++ b/proxy/src/test/java/wheattrack/simulator/SimulatorAdapterTest.java
@@ -6,37 +6,45 @@
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 
+/** The simulator's wire: what is written for a recorded input, and what bad input is told. */
 class SimulatorAdapterTest {
-  private static String drill(String in) throws IOException {
-    var out = new ByteArrayOutputStream();
-    new SimulatorAdapter(new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)), out).run();
-    return out.toString(StandardCharsets.UTF_8);
+  private static final Path EXPECTED = Path.of("src/test/resources/traces");
+  private static final Path PRINTED = Path.of("target/traces");
+
+  private static String run(String input) throws IOException {
+    InputStream bytes = new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8));
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    new SimulatorAdapter(bytes, output).run();
+    return output.toString(StandardCharsets.UTF_8);
   }
 
-  /** Two instances, a sheet used again within a batch, a restart, and what is no longer held. */
-  @Test
-  void speaksTheWire() throws IOException {
-    Path here = Path.of("src/test/resources/traces");
-    String printed = drill(Files.readString(here.resolve("wire-in.txt")));
-    Files.createDirectories(Path.of("target/traces"));
-    Files.writeString(Path.of("target/traces/wire-out.txt"), printed);
-    assertEquals(Files.readString(here.resolve("wire-out.txt")), printed);
+  private static String errorMessage(String input) {
+    return assertThrows(InvalidInputException.class, () -> run(input)).getMessage();
   }
 
-  private static String fault(String in) {
-    return assertThrows(SimulatorAdapter.BadInput.class, () -> drill(in)).getMessage();
+  /**
+   * Two proxies, a list of records used twice within a batch, a restart, and events about requests
+   * that are finished.
+   */
+  @Test
+  void recordedInputGivesRecordedOutput() throws IOException {
+    String printed = run(Files.readString(EXPECTED.resolve("wire-in.txt")));
+    Files.createDirectories(PRINTED);
+    Files.writeString(PRINTED.resolve("wire-out.txt"), printed);
+    assertEquals(Files.readString(EXPECTED.resolve("wire-out.txt")), printed);
   }
 
   @Test
-  void badInput() {
+  void badInputIsNamedWithItsLine() {
     String turn = "{\"kind\":\"Turn\",\"simTime\":5}\n";
-    StringBuilder s = new StringBuilder();
-    for (String in :
+    StringBuilder messages = new StringBuilder();
+    for (String input :
         new String[] {
           "{\"kind\":\"End\"}\n",
           turn,
@@ -47,7 +55,7 @@
           turn + "{\"kind\":\"PeersKnown\",\"proxyId\":0,\"mode\":\"D\",\"sheet\":3}\n",
           "[]\n"
         }) {
-      s.append(fault(in).replaceAll("oops.*", "oops")).append('\n');
+      messages.append(errorMessage(input).replaceAll("oops.*", "oops")).append('\n');
     }
     assertEquals(
         """
@@ -60,6 +68,6 @@
         line 2: missing field sheet
         line 1: not an object
         """,
-        s.toString());
+        messages.toString());
   }
 }
