--- a/example/ToyServer.java
+++ b/example/ToyServer.java
@@ -9,80 +9,111 @@
 import java.util.concurrent.Executors;
 
 /**
- * What a proxy needs around it, to try it at home: some toy backends and the list that names them,
- * all on 127.0.0.1. Start it with: java example/ToyServer.java [backends]. Backends listen from
- * port 9001 on, the list at 9000. Kill or start it again at will and watch what the proxy does.
+ * What a proxy needs around it to be tried at home: some toy backends and the endpoint list that
+ * names them, all on 127.0.0.1. Start it with: java example/ToyServer.java [backends]. Backends
+ * listen from port 9001 on, the list at 9000. Stop and start it at will, and watch what the proxy
+ * does.
  */
 public final class ToyServer {
-  private static final int LIST = 9000;
+  private static final int LIST_PORT = 9000;
+  private static final int DEFAULT_BACKENDS = 3;
+  private static final int BACKLOG = 64;
 
+  /** Time that a request without a cost hint takes, in milliseconds. */
+  private static final long DEFAULT_WORK_MILLIS = 20;
+
+  /** Pause between two empty lines of a watch, in milliseconds. */
+  private static final long KEEP_ALIVE_MILLIS = 2000;
+
+  private ToyServer() {}
+
+  /**
+   * Starts the backends and the list.
+   *
+   * @param args the number of backends, 3 if absent
+   * @throws IOException if a port is taken
+   */
   public static void main(String[] args) throws IOException {
-    int backends = args.length > 0 ? Integer.parseInt(args[0]) : 3;
-    StringJoiner targets = new StringJoiner(",");
-    for (int i = 1; i <= backends; i++) {
+    int backendCount = args.length > 0 ? Integer.parseInt(args[0]) : DEFAULT_BACKENDS;
+    StringJoiner endpoints = new StringJoiner(",");
+    for (int i = 1; i <= backendCount; i++) {
       String name = "toy-" + i;
-      int port = LIST + i;
-      HttpServer server = open(port);
-      server.createContext("/health", e -> answer(e, "well\n"));
-      server.createContext(
-          "/",
-          e -> {
-            work(e);
-            answer(e, name + " answers " + e.getRequestMethod() + " " + e.getRequestURI() + "\n");
-          });
-      targets.add(
-          "{\"uid\":\""
-              + name
-              + "\",\"endpoint\":\"127.0.0.1:"
-              + port
-              + "\",\"az\":\"home\","
-              + "\"model\":\"toy\",\"pod_group\":0,\"state\":\"SERVING\",\"capacity_hint\":1,"
-              + "\"boot_ms\":0}");
+      int port = LIST_PORT + i;
+      startBackend(name, port);
+      endpoints.add(endpoint(name, port));
     }
-    HttpServer list = open(LIST);
-    String whole = "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}\n";
-    list.createContext("/v1/endpoints", e -> watch(e, whole));
+    String snapshot = "{\"rev\":1,\"all\":true,\"targets\":[" + endpoints + "]}\n";
+    HttpServer list = startServer(LIST_PORT);
+    list.createContext("/v1/endpoints", exchange -> serveWatch(exchange, snapshot));
     System.out.println(
-        backends + " backends from port " + (LIST + 1) + " on, their list at " + LIST);
+        backendCount
+            + " backends from port "
+            + (LIST_PORT + 1)
+            + " on, their list at "
+            + LIST_PORT);
+  }
+
+  private static void startBackend(String name, int port) throws IOException {
+    HttpServer server = startServer(port);
+    server.createContext("/health", exchange -> answer(exchange, "well\n"));
+    server.createContext(
+        "/",
+        exchange -> {
+          work(exchange);
+          String request = exchange.getRequestMethod() + " " + exchange.getRequestURI();
+          answer(exchange, name + " answers " + request + "\n");
+        });
+  }
+
+  private static String endpoint(String name, int port) {
+    return "{\"uid\":\""
+        + name
+        + "\",\"endpoint\":\"127.0.0.1:"
+        + port
+        + "\",\"az\":\"home\","
+        + "\"model\":\"toy\",\"pod_group\":0,\"state\":\"SERVING\",\"capacity_hint\":1,"
+        + "\"boot_ms\":0}";
   }
 
-  private static HttpServer open(int port) throws IOException {
-    InetAddress home = InetAddress.getByName("127.0.0.1");
-    HttpServer server = HttpServer.create(new InetSocketAddress(home, port), 64);
+  private static HttpServer startServer(int port) throws IOException {
+    InetAddress loopback = InetAddress.getByName("127.0.0.1");
+    HttpServer server = HttpServer.create(new InetSocketAddress(loopback, port), BACKLOG);
     server.setExecutor(Executors.newCachedThreadPool());
     server.start();
     return server;
   }
 
-  private static void answer(HttpExchange e, String text) throws IOException {
+  private static void answer(HttpExchange exchange, String text) throws IOException {
     byte[] body = text.getBytes(StandardCharsets.UTF_8);
-    e.getRequestBody().readAllBytes();
-    e.sendResponseHeaders(200, body.length);
-    try (OutputStream out = e.getResponseBody()) {
-      out.write(body);
+    exchange.getRequestBody().readAllBytes();
+    exchange.sendResponseHeaders(200, body.length);
+    try (OutputStream output = exchange.getResponseBody()) {
+      output.write(body);
     }
   }
 
-  /** As long as the hint says, in microseconds, or 20 ms. */
-  private static void work(HttpExchange e) {
-    String hint = e.getRequestHeaders().getFirst("Work-Hint");
+  /** Takes as long as the cost hint says, which is in microseconds. */
+  private static void work(HttpExchange exchange) {
+    String hint = exchange.getRequestHeaders().getFirst("Work-Hint");
     try {
-      Thread.sleep(hint == null ? 20 : Long.parseLong(hint) / 1000);
-    } catch (InterruptedException | NumberFormatException skipped) {
-      Thread.currentThread().interrupt();
+      Thread.sleep(hint == null ? DEFAULT_WORK_MILLIS : Long.parseLong(hint) / 1000);
+    } catch (InterruptedException | NumberFormatException e) {
+      Thread.currentThread().interrupt(); // a malformed hint, too, ends without an answer
     }
   }
 
-  /** The whole list at once, then an empty line every 2 s until the proxy hangs up. */
-  private static void watch(HttpExchange e, String whole) throws IOException {
-    e.sendResponseHeaders(200, 0);
-    try (OutputStream out = e.getResponseBody()) {
-      for (String line = whole; ; line = "\n") {
-        out.write(line.getBytes(StandardCharsets.UTF_8));
-        out.flush();
-        Thread.sleep(2000);
+  /** Sends a snapshot of the list, then empty lines until the proxy closes the connection. */
+  private static void serveWatch(HttpExchange exchange, String snapshot) throws IOException {
+    exchange.sendResponseHeaders(200, 0);
+    try (OutputStream output = exchange.getResponseBody()) {
+      String line = snapshot;
+      while (true) {
+        output.write(line.getBytes(StandardCharsets.UTF_8));
+        output.flush();
+        Thread.sleep(KEEP_ALIVE_MILLIS);
+        line = "\n";
       }
-    } catch (InterruptedException ended) {
+    } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
