--- a/decisions/src/test/java/wheattrack/policy/OutlierDetectionTest.java
+++ b/decisions/src/test/java/wheattrack/policy/OutlierDetectionTest.java
@@ -43,10 +43,12 @@
         }
       }
       int[] attemptsByBackend = new int[4];
-      for (int i = 0, attempt = runtime.callbacks.size(); i < 20; i++) {
+      int attempt = runtime.callbacks.size();
+      for (int i = 0; i < 20; i++) {
         runtime.arrive("burst", 80);
-        for (; attempt < runtime.callbacks.size(); attempt++) {
+        while (attempt < runtime.callbacks.size()) {
           attemptsByBackend[runtime.attemptBackends.get(attempt)]++;
+          attempt++;
         }
       }
       recorder.say(idempotency + ": " + Arrays.toString(attemptsByBackend));
