--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -16,6 +16,7 @@
 import wheattrack.config.OperatorConfig;
 import wheattrack.config.ProxyConfig;
 import wheattrack.net.ClassArchiveTraining;
+import wheattrack.simulator.InvalidInputException;
 import wheattrack.simulator.SimulatorAdapter;
 
 /** The command line: picks the command, and turns errors in its input into exit codes. */
@@ -61,7 +62,7 @@
     String command = commandLine.getArgs()[0];
     try {
       return run(command, commandLine);
-    } catch (InvalidConfigurationException | SimulatorAdapter.BadInput e) {
+    } catch (InvalidConfigurationException | InvalidInputException e) {
       return badInput("wheattrack " + command + ": " + e.getMessage());
     }
   }
