--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -11,6 +11,7 @@
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
 import wheattrack.lab.virtual.VirtualRun;
 
@@ -33,11 +34,11 @@
     System.out.println(
         "sockets: light reqs of 1 ms at 12 servers, 6 s a rate; ms from intended send");
     System.out.println("                    rate   done/s  late p99      p50      p99    p99.9");
-    sockets("(warming up)", 3, SocketRun.How.USUAL, 1000, job);
+    sockets("(warming up)", 3, SocketRun.ProxyOptions.DEFAULT, 1000, job);
     for (int rate : new int[] {1000, 4000, 8000}) {
-      sockets("direct", 12, new SocketRun.How(List.of(), null, true), rate, job);
-      sockets("1 proxy, 1 core", 1, new SocketRun.How(List.of(), "0", false), rate, job);
-      sockets("3 proxies", 3, SocketRun.How.USUAL, rate, job);
+      sockets("direct", 12, new SocketRun.ProxyOptions(List.of(), null, true), rate, job);
+      sockets("1 proxy, 1 core", 1, new SocketRun.ProxyOptions(List.of(), "0", false), rate, job);
+      sockets("3 proxies", 3, SocketRun.ProxyOptions.DEFAULT, rate, job);
     }
     return 0;
   }
@@ -51,7 +52,7 @@
     set.put("server[0].count", Integer.toString(servers - 2 * each));
     set.put("server[1].count", Integer.toString(each));
     set.put("server[2].count", Integer.toString(each));
-    Scenario s = Scenario.read(ScenarioCatalog.find("world/wide-300x70"), set);
+    Scenario s = ScenarioReader.read(ScenarioCatalog.find("world/wide-300x70"), set);
     Referee referee = new Referee(s);
     System.gc();
     List<MemoryPoolMXBean> pools = ManagementFactory.getMemoryPoolMXBeans();
@@ -80,13 +81,13 @@
   }
 
   private static void sockets(
-      String name, int proxies, SocketRun.How how, int rate, ScenarioRunner.Job job)
+      String name, int proxies, SocketRun.ProxyOptions how, int rate, ScenarioRunner.Job job)
       throws IOException {
     Map<String, String> set = new LinkedHashMap<>();
     set.put("load.rate", Integer.toString(rate));
     set.put("seconds", "6");
     set.put("fleet.proxies", Integer.toString(proxies));
-    Scenario s = Scenario.read(ScenarioCatalog.find("long/rate"), set);
+    Scenario s = ScenarioReader.read(ScenarioCatalog.find("long/rate"), set);
     ScenarioRunner.Real real =
         ScenarioRunner.real(
             s, new ScenarioRunner.Job(job.seed(), null, job.policy(), job.jar()), how);
@@ -96,8 +97,8 @@
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        f.get("done") / (s.length / (double) Scenario.SECOND),
-        real.quality().lateMicros().getValueAtPercentile(99) / 1000.0,
+        f.get("done") / (s.duration() / (double) Scenario.SECOND),
+        real.quality().latenessMicros().getValueAtPercentile(99) / 1000.0,
         f.get("p50"),
         f.get("p99"),
         f.get("p999"));
--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -27,6 +27,7 @@
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.virtual.Policies;
 import wheattrack.lab.virtual.VirtualRun;
 
@@ -54,7 +55,7 @@
       for (int r = 0; r < RESAMPLES; r++) {
         double sum = 0;
         for (int i = 0; i < n; i++) {
-          sum += diff[draws.below(n)];
+          sum += diff[draws.nextInt(n)];
         }
         means[r] = sum / n;
       }
@@ -88,9 +89,9 @@
     for (String side : sides) {
       if (side.startsWith("jar:")
           ? !Files.isRegularFile(Path.of(side.substring(4)))
-          : !Policies.words().contains(side)) {
+          : !Policies.names().contains(side)) {
         throw new InvalidConfigurationException(
-            side, "no such jar, and no policy of " + Policies.words());
+            side, "no such jar, and no policy of " + Policies.names());
       }
     }
     out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
@@ -101,7 +102,7 @@
     List<Map<String, String>> grid =
         grid(line.hasOption("set") ? line.getOptionValues("set") : new String[0]);
     for (Map<String, String> point : grid) {
-      if (!Scenario.read(file, point).virtual) {
+      if (!ScenarioReader.read(file, point).isVirtual()) {
         throw new InvalidConfigurationException(
             "clock", "only scenarios on the virtual clock are compared");
       }
@@ -189,10 +190,10 @@
   }
 
   private Verdict here(Map<String, String> point, String policy, int seed) {
-    Scenario scenario = Scenario.read(file, point);
+    Scenario scenario = ScenarioReader.read(file, point);
     Referee referee = new Referee(scenario);
     new VirtualRun(
-            scenario, seed, Policies.Kind.values()[Policies.words().indexOf(policy)], referee)
+            scenario, seed, Policies.Kind.values()[Policies.names().indexOf(policy)], referee)
         .run();
     return referee.verdict();
   }
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -7,6 +7,7 @@
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
 
 /** Two proxies, six servers and load on loopback; a server is killed, and the referee judges. */
@@ -16,24 +17,24 @@
   private DemoCommand() {}
 
   static int run(ScenarioRunner.Job job) throws IOException {
-    Scenario s = Scenario.read(ScenarioCatalog.find("demo"));
+    Scenario s = ScenarioReader.read(ScenarioCatalog.find("demo"));
     System.out.println(
         "two proxies, six servers, a list and clients on 127.0.0.1: "
-            + Verdict.text(s.load.rate())
+            + Verdict.text(s.load().rate())
             + " reqs a second for "
-            + s.length / Scenario.SECOND
+            + s.duration() / Scenario.SECOND
             + " s;");
     System.out.println(
         "server 0 is killed at "
-            + s.faults.get(0).at() / Scenario.SECOND
+            + s.faults().get(0).startsAt() / Scenario.SECOND
             + " s and comes back cold "
-            + s.faults.get(0).lasts() / Scenario.SECOND
+            + s.faults().get(0).duration() / Scenario.SECOND
             + " s later");
-    ScenarioRunner.Real real = ScenarioRunner.real(s, job, SocketRun.How.USUAL);
+    ScenarioRunner.Real real = ScenarioRunner.real(s, job, SocketRun.ProxyOptions.DEFAULT);
     Verdict v = real.verdict();
     System.out.println();
     System.out.println("value done in time, by second");
-    for (int i = 0; i < Math.min(v.seconds().size(), s.length / Scenario.SECOND); i++) {
+    for (int i = 0; i < Math.min(v.seconds().size(), s.duration() / Scenario.SECOND); i++) {
       Referee.Second one = v.seconds().get(i);
       double part = one.asked > 0 ? one.earned / one.asked : 1;
       System.out.printf(
@@ -76,8 +77,8 @@
   }
 
   private static String mark(Scenario s, int second) {
-    long from = s.faults.get(0).at() / Scenario.SECOND;
-    long until = from + s.faults.get(0).lasts() / Scenario.SECOND;
+    long from = s.faults().get(0).startsAt() / Scenario.SECOND;
+    long until = from + s.faults().get(0).duration() / Scenario.SECOND;
     return second == from
         ? "  server 0 is killed"
         : second == until ? "  server 0 is back, cold" : "";
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -14,6 +14,7 @@
 import wheattrack.lab.scale.ProcessGroup;
 import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.virtual.Policies;
 
 /**
@@ -76,8 +77,9 @@
       }
       if (words.equals(List.of("list"))) {
         for (String name : ScenarioCatalog.names()) {
-          Scenario s = Scenario.read(ScenarioCatalog.find(name));
-          System.out.printf("%-24s %-7s %s%n", name, s.virtual ? "virtual" : "real", s.about);
+          Scenario s = ScenarioReader.read(ScenarioCatalog.find(name));
+          System.out.printf(
+              "%-24s %-7s %s%n", name, s.isVirtual() ? "virtual" : "real", s.description());
         }
         return 0;
       }
@@ -96,10 +98,10 @@
       if (words.size() != 2) {
         return fault(USAGE);
       }
-      Scenario scenario = Scenario.read(ScenarioCatalog.find(words.get(1)), settings(line));
+      Scenario scenario = ScenarioReader.read(ScenarioCatalog.find(words.get(1)), settings(line));
       return switch (words.get(0)) {
         case "check" -> {
-          System.out.println("good: " + scenario.name);
+          System.out.println("good: " + scenario.name());
           yield 0;
         }
         case "run" -> ScenarioRunner.run(scenario, job(line));
@@ -140,17 +142,17 @@
   }
 
   static ScenarioRunner.Job job(CommandLine line) {
-    String policy = line.getOptionValue("policy", Policies.words().get(0));
-    if (!Policies.words().contains(policy)) {
+    String policy = line.getOptionValue("policy", Policies.names().get(0));
+    if (!Policies.names().contains(policy)) {
       throw new InvalidConfigurationException(
-          "--policy", "'" + policy + "' is none of " + Policies.words());
+          "--policy", "'" + policy + "' is none of " + Policies.names());
     }
     long seed = whole(line, "seed", 1);
     Path out = line.hasOption("out") ? Path.of(line.getOptionValue("out")) : null;
     Path jar =
         line.hasOption("jar") ? Path.of(line.getOptionValue("jar")) : ScenarioCatalog.proxyJar();
     return new ScenarioRunner.Job(
-        seed, out, Policies.Kind.values()[Policies.words().indexOf(policy)], jar);
+        seed, out, Policies.Kind.values()[Policies.names().indexOf(policy)], jar);
   }
 
   /** What --set says, each key with its one value. */
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -31,12 +31,12 @@
     if (job.out() != null) {
       Files.createDirectories(job.out());
     }
-    if (scenario.virtual) {
+    if (scenario.isVirtual()) {
       Verdict verdict = virtual(scenario, job);
       tell(verdict, job);
       return verdict.isGood() ? 0 : 1;
     }
-    Real real = real(scenario, job, SocketRun.How.USUAL);
+    Real real = real(scenario, job, SocketRun.ProxyOptions.DEFAULT);
     tell(real.verdict, job);
     return real.quality.isTooLate() ? 3 : real.verdict.isGood() ? 0 : 1;
   }
@@ -60,7 +60,7 @@
   record Real(Verdict verdict, SocketRun.Quality quality) {}
 
   /** Plays on sockets, by ledgers on disk as ever. */
-  static Real real(Scenario scenario, Job job, SocketRun.How how) throws IOException {
+  static Real real(Scenario scenario, Job job, SocketRun.ProxyOptions how) throws IOException {
     Path file =
         job.out() == null
             ? Files.createTempFile("wheattrack", ".ledger")
@@ -77,8 +77,8 @@
           micros(quality, 50),
           micros(quality, 99),
           micros(quality, 100),
-          quality.connected(),
-          quality.resent());
+          quality.openedConnections(),
+          quality.resentRequests());
       if (quality.isTooLate()) {
         System.err.println("wheattrack lab: the machine was too busy; the run says nothing");
       }
@@ -90,8 +90,8 @@
     }
   }
 
-  private static SocketRun.Quality sockets(Scenario scenario, Job job, SocketRun.How how, Path file)
-      throws IOException {
+  private static SocketRun.Quality sockets(
+      Scenario scenario, Job job, SocketRun.ProxyOptions how, Path file) throws IOException {
     try (Ledger.Out out = new Ledger.Out(file, false);
         SocketRun sockets = new SocketRun(scenario, job.seed(), job.jar(), how, out)) {
       SocketRun.Quality quality = sockets.run();
@@ -103,7 +103,7 @@
   }
 
   private static double micros(SocketRun.Quality quality, double percentile) {
-    return quality.lateMicros().getValueAtPercentile(percentile) / 1000.0;
+    return quality.latenessMicros().getValueAtPercentile(percentile) / 1000.0;
   }
 
   private static void tell(Verdict v, Job job) throws IOException {
--- a/lab/src/main/java/wheattrack/lab/load/ArrivalProcess.java
+++ b/lab/src/main/java/wheattrack/lab/load/ArrivalProcess.java
@@ -1,81 +1,86 @@
 package wheattrack.lab.load;
 
+import java.util.Arrays;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.Scenario.Load;
 
 /**
- * When clients want something: an open loop, so that the times do not depend on what is answered.
- * Times are tenths of a millisecond from the start of the run.
+ * The times at which clients start operations: an open loop, which does not depend on the answers.
+ * Times are tenths of a millisecond from the start of the run, rates are by the second.
  */
 public final class ArrivalProcess {
+  /** The part of the time that is in bursts. */
+  private static final double BURST_SHARE = 0.25;
+
   private final Load load;
-  private final RandomStream draws;
-  private double at;
-  private double burstUntil;
-  private boolean burst;
-  private double factor = 1;
+  private final RandomStream random;
+
+  /** The highest rate of the scenario, before any rate factor. */
+  private final double scenarioPeakRate;
+
+  private double lastArrival;
+  private double phaseEnd;
+  private boolean inBurst;
+  private double rateFactor = 1;
 
-  public ArrivalProcess(Load load, RandomStream draws) {
+  /** Creates a process that starts at time 0. */
+  public ArrivalProcess(Load load, RandomStream random) {
     this.load = load;
-    this.draws = draws;
+    this.random = random;
+    scenarioPeakRate = peakRate(load);
   }
 
-  /** From now on so many times the scenario's rate come. */
-  public void times(double by) {
-    factor = by;
+  /** Multiplies the scenario's rate by a factor from now on. */
+  public void setRateFactor(double factor) {
+    rateFactor = factor;
   }
 
-  /** The next one's time, or a time past all ends where none comes any more. */
-  public double next() {
-    double peak = peak();
-    if (peak <= 0) {
-      return at = Double.MAX_VALUE;
+  /** The time of the next arrival; {@link Double#MAX_VALUE} where there are none any more. */
+  public double nextArrival() {
+    double peakRate = rateFactor * scenarioPeakRate;
+    if (peakRate <= 0) {
+      lastArrival = Double.MAX_VALUE;
+      return lastArrival;
     }
-    do { // thinned from the highest rate there is
-      at +=
-          load.shape() == Load.Shape.EVEN
-              ? Scenario.SECOND / peak
-              : draws.exponential(Scenario.SECOND / peak);
-    } while (load.shape() != Load.Shape.EVEN && draws.uniform() * peak > rate(at));
-    return at;
+    double meanGap = Scenario.SECOND / peakRate;
+    if (load.shape() == Load.Shape.EVEN) {
+      lastArrival += meanGap;
+      return lastArrival;
+    }
+    // a Poisson process of the peak rate, thinned out to the rate of the moment
+    do {
+      lastArrival += random.nextExponential(meanGap);
+    } while (random.nextDouble() * peakRate > rateFactor * scenarioRateAt(lastArrival));
+    return lastArrival;
+  }
+
+  private static double peakRate(Load load) {
+    return switch (load.shape()) {
+      case WAVE, BURSTY -> load.rate() * (1 + load.swing());
+      case TRACE -> Math.max(0, Arrays.stream(load.trace()).max().orElse(0));
+      case POISSON, EVEN -> load.rate();
+    };
   }
 
-  private double peak() {
-    return factor
-        * switch (load.shape()) {
-          case WAVE -> load.rate() * (1 + load.swing());
-          case BURSTY -> load.rate() * (1 + load.swing());
-          case TRACE -> {
-            double most = 0;
-            for (double r : load.trace()) {
-              most = Math.max(most, r);
-            }
-            yield most;
-          }
-          default -> load.rate();
-        };
+  private double scenarioRateAt(double time) {
+    return switch (load.shape()) {
+      case WAVE -> load.rate() * (1 + load.swing() * Math.sin(2 * Math.PI * time / load.period()));
+      case BURSTY -> load.rate() * burstFactorAt(time);
+      case TRACE -> load.trace()[(int) Math.min(load.trace().length - 1, time / Scenario.SECOND)];
+      case POISSON, EVEN -> load.rate();
+    };
   }
 
-  /** Reqs a second at a moment. */
-  private double rate(double time) {
-    return factor
-        * switch (load.shape()) {
-          case WAVE ->
-              load.rate() * (1 + load.swing() * Math.sin(2 * Math.PI * time / load.period()));
-          case BURSTY ->
-              load.rate() * (inBurst(time) ? 1 + load.swing() : Math.max(0, 1 - load.swing() / 3));
-          case TRACE ->
-              load.trace()[(int) Math.min(load.trace().length - 1, time / Scenario.SECOND)];
-          default -> load.rate();
-        };
+  private double burstFactorAt(double time) {
+    return isBurstAt(time) ? 1 + load.swing() : Math.max(0, 1 - load.swing() / 3);
   }
 
-  /** A quarter of the time, in stretches whose mean is a quarter of the period. */
-  private boolean inBurst(double time) {
-    while (time >= burstUntil) {
-      burst = !burst;
-      burstUntil += draws.exponential(load.period() * (burst ? 0.25 : 0.75));
+  /** Whether a time, which never goes back, lies in a burst; bursts have random lengths. */
+  private boolean isBurstAt(double time) {
+    while (time >= phaseEnd) {
+      inBurst = !inBurst;
+      phaseEnd += random.nextExponential(load.period() * (inBurst ? BURST_SHARE : 1 - BURST_SHARE));
     }
-    return burst;
+    return inBurst;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/load/RandomStream.java
+++ b/lab/src/main/java/wheattrack/lab/load/RandomStream.java
@@ -5,60 +5,75 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Chance of one part of a run: the same seed and part give the same draws, whatever other parts do.
+ * The random draws of one part of a run: the same seed and name give the same draws, however many
+ * other parts make. Not thread-safe.
  */
 public final class RandomStream {
-  private final UniformRandomProvider source;
-  private final ZigguratSampler.NormalizedGaussian normal;
+  /** Draws that are discarded, as streams of similar seeds start alike. */
+  private static final int WARM_UP_DRAWS = 16;
+
+  private final UniformRandomProvider generator;
+  private final ZigguratSampler.NormalizedGaussian gaussian;
   private final ZigguratSampler.Exponential exponential;
 
-  public RandomStream(long seed, String part) {
-    source =
+  /** Creates the stream of the part of this name. */
+  public RandomStream(long seed, String name) {
+    generator =
         RandomSource.XO_SHI_RO_256_PP.create(
-            new long[] {seed, part.hashCode(), 0x9E3779B97F4A7C15L, seed * 31 + part.length()});
-    normal = ZigguratSampler.NormalizedGaussian.of(source);
-    exponential = ZigguratSampler.Exponential.of(source);
-    for (int i = 0; i < 16; i++) {
-      source.nextLong(); // near seeds start alike
+            new long[] {seed, name.hashCode(), 0x9E3779B97F4A7C15L, seed * 31 + name.length()});
+    gaussian = ZigguratSampler.NormalizedGaussian.of(generator);
+    exponential = ZigguratSampler.Exponential.of(generator);
+    for (int i = 0; i < WARM_UP_DRAWS; i++) {
+      generator.nextLong();
     }
   }
 
-  public double uniform() {
-    return source.nextDouble();
+  /** Uniform from 0 to under 1. */
+  public double nextDouble() {
+    return generator.nextDouble();
   }
 
-  /** From 0 to under n. */
-  public int below(int n) {
-    return source.nextInt(n);
+  /** Uniform from 0 to under the bound. */
+  public int nextInt(int bound) {
+    return generator.nextInt(bound);
   }
 
-  public boolean happens(double share) {
-    return share > 0 && (share >= 1 || source.nextDouble() < share);
+  /** True with this probability; makes no draw where it is 0 or less, or 1 or more. */
+  public boolean nextBoolean(double probability) {
+    return probability > 0 && (probability >= 1 || generator.nextDouble() < probability);
   }
 
-  public double exponential(double mean) {
+  /** Exponential of this mean. */
+  public double nextExponential(double mean) {
     return mean * exponential.sample();
   }
 
-  /** Lognormal, or with a Pareto tail, of this mean; cv: its deviation over its mean. */
-  public double spread(double mean, double cv, boolean heavyTail) {
-    if (cv <= 0) {
+  /**
+   * Lognormal, or with a Pareto tail, of this mean.
+   *
+   * @param coefficientOfVariation the standard deviation over the mean
+   */
+  public double nextSkewed(double mean, double coefficientOfVariation, boolean heavyTail) {
+    if (coefficientOfVariation <= 0) {
       return mean;
     }
-    if (heavyTail) { // deviation over mean of a Pareto is 1 / sqrt(a (a - 2))
-      double a = 1 + Math.sqrt(1 + 1 / (cv * cv));
-      return Math.min(50 * mean, mean * (a - 1) / a * Math.pow(1 - source.nextDouble(), -1 / a));
+    if (heavyTail) {
+      // the coefficient of variation of a Pareto distribution is 1 / sqrt(shape (shape - 2))
+      double shape = 1 + Math.sqrt(1 + 1 / (coefficientOfVariation * coefficientOfVariation));
+      return Math.min(
+          50 * mean, mean * (shape - 1) / shape * Math.pow(1 - generator.nextDouble(), -1 / shape));
     }
-    return mean * factor(Math.sqrt(Math.log(1 + cv * cv)));
+    return mean
+        * nextLogNormal(Math.sqrt(Math.log(1 + coefficientOfVariation * coefficientOfVariation)));
   }
 
-  /** Lognormal of mean 1. */
-  public double factor(double sigma) {
-    return sigma == 0 ? 1 : Math.exp(sigma * normal.sample() - sigma * sigma / 2);
+  /** Lognormal of mean 1; sigma is the standard deviation of its logarithm. */
+  public double nextLogNormal(double sigma) {
+    return sigma == 0 ? 1 : Math.exp(sigma * gaussian.sample() - sigma * sigma / 2);
   }
 
-  /** The seed of a further part. */
-  public long seed() {
-    return source.nextLong();
+  /** A seed for something else. */
+  public long nextSeed() {
+    return generator.nextLong();
   }
 }
--- a/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
+++ b/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
@@ -2,22 +2,27 @@
 
 import wheattrack.api.AttemptOutcome;
 
-/** A dispatch as a server sees it. */
+/** An attempt as the backend sees it that receives it. */
 public interface BackendVisit {
-  long req();
+  /** The number of the request in the ledger. */
+  long requestId();
 
-  /** The place of the proxy that sent it. */
+  /** The index of the proxy that sent it. */
   int proxy();
 
   /** Work, in tenths of a millisecond at speed 1. */
   double work();
 
-  /** When nobody waits for it any more. */
-  long due();
+  /** When nobody waits for it any more, in tenths of a millisecond of the run. */
+  long deadline();
 
-  /** What the server says, or that it can say nothing as it broke; once. */
-  void heard(AttemptOutcome how);
+  /** The backend answers, or it breaks down and can't; called once. */
+  void completed(AttemptOutcome outcome);
 
-  /** How the server is told that the connection was closed; null once it has answered. */
-  void stops(Runnable how);
+  /**
+   * Sets what is to be called once the proxy closes the connection.
+   *
+   * @param handler the backend's reaction, or null once it has answered
+   */
+  void onConnectionClosed(Runnable handler);
 }
--- a/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
@@ -5,171 +5,174 @@
 import wheattrack.api.Idempotency;
 import wheattrack.lab.load.ArrivalProcess;
 import wheattrack.lab.load.RandomStream;
-import wheattrack.lab.load.RequestPlan;
+import wheattrack.lab.load.RequestGenerator;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.Scenario.Clients;
 
 /**
- * The clients, and the front that deals them out among the proxies of their zone, on either clock.
+ * The clients, and the front that distributes their requests over the proxies of their zone, on
+ * either clock. Runs on the run's thread only.
  */
 public final class ClientPopulation {
-  /** One try: a req on its way to a proxy. */
-  public record Ask(long req, RequestPlan want, long due, boolean again, Op op, int proxy) {
-    /** Whether its client still waits for it. */
-    public boolean isOpen() {
-      return op.open == this;
-    }
-  }
+  private final RunEnvironment environment;
+  private final RandomStream random;
+  private final RequestGenerator requestGenerator;
+  private final ArrivalProcess arrivals;
+  private final Clients behaviour;
 
-  /** What a client wants, over all its tries. */
-  public static final class Op {
-    final long id, at;
-    final RequestPlan want;
-    final int zone;
-    int tries;
-    boolean over, left;
-    Ask open;
-
-    Op(long id, long at, RequestPlan want, int zone) {
-      this.id = id;
-      this.at = at;
-      this.want = want;
-      this.zone = zone;
-    }
+  /** For each zone the proxies that the front takes to be up. */
+  private final List<List<ProxyHandle>> proxiesByZone = new ArrayList<>();
 
-    /** Its number in the ledger. */
-    public long id() {
-      return id;
-    }
-  }
+  private long operationCount;
+  private long requestCount;
 
-  private final RunEnvironment stage;
-  private final RandomStream draws;
-  private final RequestPlan.Source wants;
-  private final ArrivalProcess arrivals;
-  private final Clients clients;
-  private final List<List<ProxyHandle>> believed = new ArrayList<>();
-  private long ops, reqs;
-
-  ClientPopulation(RunEnvironment stage) {
-    this.stage = stage;
-    draws = stage.draws("clients");
-    wants = new RequestPlan.Source(stage.scenario, stage.draws("wants"));
-    arrivals = new ArrivalProcess(stage.scenario.load, stage.draws("arrivals"));
-    clients = stage.scenario.clients;
-    for (int z = 0; z < stage.scenario.zones; z++) {
-      believed.add(new ArrayList<>());
+  ClientPopulation(RunEnvironment environment) {
+    this.environment = environment;
+    Scenario scenario = environment.scenario();
+    random = environment.randomStream("clients");
+    requestGenerator = new RequestGenerator(scenario, environment.randomStream("wants"));
+    arrivals = new ArrivalProcess(scenario.load(), environment.randomStream("arrivals"));
+    behaviour = scenario.clients();
+    for (int zone = 0; zone < scenario.zoneCount(); zone++) {
+      proxiesByZone.add(new ArrayList<>());
     }
   }
 
-  RequestPlan.Source wants() {
-    return wants;
+  RequestGenerator requestGenerator() {
+    return requestGenerator;
   }
 
   ArrivalProcess arrivals() {
     return arrivals;
   }
 
-  /** The front takes a proxy in, or has noticed that it is dead. */
-  public void sees(ProxyHandle door, boolean up) {
-    List<ProxyHandle> zone = believed.get(door.zone);
-    zone.remove(door);
-    if (up) {
-      zone.add(door);
+  /** Tells the front that a proxy can be sent to, or that it is dead. */
+  public void setProxyAvailable(ProxyHandle proxy, boolean available) {
+    List<ProxyHandle> proxies = proxiesByZone.get(proxy.zone());
+    proxies.remove(proxy);
+    if (available) {
+      proxies.add(proxy);
     }
   }
 
-  public void open() {
-    double at = arrivals.next();
-    if (at < stage.scenario.length) {
-      stage.after(
-          (long) at - stage.now(),
-          () -> {
-            stage.wanted(at);
-            Op op = new Op(++ops, (long) at, wants.next(), draws.below(believed.size()));
-            stage.say(
-                LedgerRecord.asked(op.at, op.id, op.want.set().rules().index(), op.want.value()));
-            tries(op);
-            open();
-          });
+  /** Schedules the next operation, which schedules the one after it, until the scenario ends. */
+  public void scheduleNextArrival() {
+    double arrival = arrivals.nextArrival();
+    if (arrival < environment.scenario().duration()) {
+      environment.schedule((long) arrival - environment.now(), () -> startOperation(arrival));
     }
   }
 
-  private ProxyHandle pick(int zone) {
-    for (int i = 0; i < believed.size(); i++) {
-      List<ProxyHandle> there = believed.get((zone + i) % believed.size());
-      if (!there.isEmpty()) {
-        return there.get(draws.below(there.size()));
+  private void startOperation(double arrival) {
+    environment.arrivalStarted(arrival);
+    ClientOperation operation =
+        new ClientOperation(
+            ++operationCount,
+            (long) arrival,
+            requestGenerator.next(),
+            random.nextInt(proxiesByZone.size()));
+    environment.record(
+        LedgerRecord.asked(
+            operation.startedAt(),
+            operation.id(),
+            operation.requestClass().index(),
+            operation.plan().weight()));
+    sendRequest(operation);
+    scheduleNextArrival();
+  }
+
+  /** A proxy of the zone, or of the next one that has any; null where there is none at all. */
+  private ProxyHandle pickProxy(int zone) {
+    for (int offset = 0; offset < proxiesByZone.size(); offset++) {
+      List<ProxyHandle> available = proxiesByZone.get((zone + offset) % proxiesByZone.size());
+      if (!available.isEmpty()) {
+        return available.get(random.nextInt(available.size()));
       }
     }
     return null;
   }
 
-  private void tries(Op op) {
-    op.tries++;
-    ProxyHandle door = pick(op.zone);
-    if (door == null) {
-      again(op, 0);
+  private void sendRequest(ClientOperation operation) {
+    operation.countAttempt();
+    ProxyHandle proxy = pickProxy(operation.zone());
+    if (proxy == null) {
+      scheduleRetry(operation, 0);
       return;
     }
-    long timeout = op.want.set().rules().clientTimeout();
-    Ask ask = new Ask(++reqs, op.want, stage.now() + timeout, op.tries > 1, op, door.place);
-    op.open = ask;
-    door.take(ask);
-    if (draws.happens(clients.impatient())) {
-      stage.after((long) (draws.uniform() * timeout), () -> leaves(op, ask, door));
+    long timeout = operation.requestClass().clientTimeout();
+    ClientRequest request =
+        new ClientRequest(
+            ++requestCount,
+            operation.plan(),
+            environment.now() + timeout,
+            operation.attempts() > 1,
+            operation,
+            proxy.index());
+    operation.waitFor(request);
+    proxy.submit(request);
+    if (random.nextBoolean(behaviour.impatientShare())) {
+      long patience = (long) (random.nextDouble() * timeout);
+      environment.schedule(patience, () -> disconnect(operation, request, proxy));
     }
   }
 
-  private void leaves(Op op, Ask ask, ProxyHandle door) {
-    if (op.open == ask) {
-      op.over = true;
-      op.left = true;
-      op.open = null;
-      stage.say(LedgerRecord.left(stage.now(), ask.req));
-      door.left(ask);
+  private void disconnect(ClientOperation operation, ClientRequest request, ProxyHandle proxy) {
+    if (request.isOpen()) {
+      operation.disconnect();
+      environment.record(LedgerRecord.left(environment.now(), request.requestId()));
+      proxy.clientDisconnected(request);
     }
   }
 
-  /** No proxy took it: nothing was there to connect to. */
-  public void refused(Ask ask) {
-    if (ask.op.open == ask) {
-      ask.op.open = null;
-      again(ask.op, 0);
+  /** A request reached no proxy: there was nothing to connect to. */
+  public void connectionRefused(ClientRequest request) {
+    if (request.isOpen()) {
+      request.operation().stopWaiting();
+      scheduleRetry(request.operation(), 0);
     }
   }
 
-  /** A client has a final answer, or its connection ended without one. */
-  public void answers(Ask ask, Answer how, long wait) {
-    if (ask.op.left) {
+  /**
+   * A client has received a final answer, or its connection ended without one.
+   *
+   * @param retryAfter the proxy's advice how long to wait, 0 for none
+   */
+  public void answered(ClientRequest request, Answer answer, long retryAfter) {
+    ClientOperation operation = request.operation();
+    if (operation.isDisconnected()) {
       return;
     }
-    stage.say(LedgerRecord.answered(stage.now(), ask.req, how));
-    Op op = ask.op;
-    if (op.open != ask) {
-      return; // a second answer; the referee has heard it
+    environment.record(LedgerRecord.answered(environment.now(), request.requestId(), answer));
+    if (!request.isOpen()) {
+      return; // a second answer; the referee learns of it from the ledger
     }
-    op.open = null;
-    if (how == Answer.DONE) {
-      op.over = true;
-    } else if (how == Answer.DENIED
-        || op.want.set().rules().idempotency() == Idempotency.IDEMPOTENT) {
-      again(op, wait);
+    operation.stopWaiting();
+    if (answer == Answer.DONE) {
+      operation.succeed();
+    } else if (answer == Answer.DENIED
+        || operation.requestClass().idempotency() == Idempotency.IDEMPOTENT) {
+      scheduleRetry(operation, retryAfter);
     }
   }
 
   /**
-   * Tries again after the advice, if it follows it, or a wait that doubles; not past its patience.
+   * Retries after the advised delay, if this client follows the advice, or else after an
+   * exponential backoff; not past the operation's timeout.
    */
-  private void again(Op op, long advice) {
-    if (op.tries > clients.retries() || op.over) {
+  private void scheduleRetry(ClientOperation operation, long retryAfter) {
+    if (operation.attempts() > behaviour.retries() || operation.hasEnded()) {
       return;
     }
-    long own = Math.round(clients.backoff() * Math.pow(2, op.tries - 1) * (0.5 + draws.uniform()));
-    long wait = advice > 0 && draws.happens(clients.honour()) ? advice : own;
-    if (stage.now() + wait < op.at + op.want.set().rules().clientTimeout()) {
-      stage.after(wait, () -> tries(op));
+    double backoff = behaviour.backoff() * Math.pow(2, operation.attempts() - 1);
+    long delay = Math.round(backoff * (0.5 + random.nextDouble()));
+    if (retryAfter > 0 && random.nextBoolean(behaviour.retryAfterShare())) {
+      delay = retryAfter;
+    }
+    long patienceEnd = operation.startedAt() + operation.requestClass().clientTimeout();
+    if (environment.now() + delay < patienceEnd) {
+      environment.schedule(delay, () -> sendRequest(operation));
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
+++ b/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
@@ -8,81 +8,111 @@
 import wheattrack.lab.referee.LedgerRecord.State;
 
 /**
- * The list, on either clock: late, and at times down, stale or empty. How it tells is the clock's.
+ * The endpoint list, on either clock: its events reach proxies late, and it may be down, stale or
+ * empty. How events are delivered is left to the clock's own subclass. Runs on the run's thread
+ * only.
  */
 public abstract class EndpointRegistry {
-  /** One entry as told. */
-  public record News(int server, State state, long start) {}
+  /** One entry of the list, or a change of it. */
+  public record EndpointEvent(int backend, State state, long startedAt) {}
 
-  /** When a server started of which only "long ago" is told. */
+  /** The start time of a backend of which the list says only that it started long ago. */
   public static final long LONG_AGO = BackendIndex.LONG_AGO;
 
-  protected final RunEnvironment stage;
-  private final Map<Integer, News> truth = new LinkedHashMap<>();
-  protected boolean down, stale, empty;
-  private List<News> before = List.of();
+  /** Backends of consecutive indexes that share a cell (pod group). */
+  public static final int BACKENDS_PER_CELL = 4;
 
-  protected EndpointRegistry(RunEnvironment stage) {
-    this.stage = stage;
-    stage.machines().forEach(m -> truth.put(m.place, new News(m.place, State.READY, LONG_AGO)));
+  private final RunEnvironment environment;
+  private final Map<Integer, EndpointEvent> endpoints = new LinkedHashMap<>();
+  private List<EndpointEvent> staleEndpoints = List.of();
+  private boolean down;
+  private boolean stale;
+  private boolean empty;
+
+  /** Creates a list of all backends of the run, as ready and started long ago. */
+  protected EndpointRegistry(RunEnvironment environment) {
+    this.environment = environment;
+    for (SimulatedBackend backend : environment.backends()) {
+      int index = backend.index();
+      endpoints.put(index, new EndpointEvent(index, State.READY, LONG_AGO));
+    }
+  }
+
+  /** The complete list as it would be sent now. */
+  protected final List<EndpointEvent> snapshot() {
+    if (empty) {
+      return List.of();
+    }
+    return stale ? staleEndpoints : new ArrayList<>(endpoints.values());
   }
 
-  /** The whole list as it would be told now. */
-  protected final List<News> all() {
-    return empty ? List.of() : stale ? before : new ArrayList<>(truth.values());
+  /** Whether nothing is sent at present. */
+  protected final boolean isDown() {
+    return down;
   }
 
-  /** Tells all that follow, of one change or with null of the whole list. */
-  protected abstract void tellAll(News news);
+  /** Sends one change to all who watch the list. */
+  protected abstract void publishChange(EndpointEvent event);
+
+  /** Sends the complete list to all who watch it. */
+  protected abstract void publishSnapshot();
 
-  /** The list is down: who follows loses it. */
-  protected abstract void breakOff();
+  /** The list goes down: all watches are lost. */
+  protected abstract void interruptWatches();
 
-  /** The list learns of it. */
-  public void changes(int server, State state, long start) {
-    News news = new News(server, state, start);
+  /** The list learns of a backend's new state. */
+  public void update(int backend, State state, long startedAt) {
+    EndpointEvent event = new EndpointEvent(backend, state, startedAt);
     if (state == State.GONE) {
-      truth.remove(server);
+      endpoints.remove(backend);
     } else {
-      truth.put(server, news);
+      endpoints.put(backend, event);
     }
     if (!down && !stale && !empty) {
-      tellAll(news);
+      publishChange(event);
     }
   }
 
-  /** While it is down nothing is told; what it missed to say comes as a whole list after. */
-  public final void down(boolean is) {
-    down = is;
-    if (is) {
-      breakOff();
+  /**
+   * Takes the list down or up again. While it is down nothing is sent; proxies that watch it anew
+   * afterwards receive a snapshot.
+   */
+  public final void setDown(boolean isDown) {
+    down = isDown;
+    if (isDown) {
+      interruptWatches();
     }
   }
 
-  /** While it is stale what it tells is what it knew before. */
-  public final void stale(boolean is) {
-    stale = is;
-    before = new ArrayList<>(truth.values());
-    if (!is && !down) {
-      tellAll(null);
+  /** Freezes the list: while it is stale it sends what it knew when that began. */
+  public final void setStale(boolean isStale) {
+    stale = isStale;
+    staleEndpoints = new ArrayList<>(endpoints.values());
+    if (!isStale && !down) {
+      publishSnapshot();
     }
   }
 
-  public final void empty(boolean is) {
-    empty = is;
+  /** Makes the list send no entries at all, or all of them again. */
+  public final void setEmpty(boolean isEmpty) {
+    empty = isEmpty;
     if (!down) {
-      tellAll(null);
+      publishSnapshot();
     }
   }
 
-  /** A process died: noticed after a while, unless it is back by then. */
-  public void noticesDeath(SimulatedBackend machine) {
-    int epoch = machine.epoch() + 1;
-    stage.after(
-        stage.scenario.roster.notice(),
+  /**
+   * To be called right before a backend's process dies: the list notices that after a while, unless
+   * the backend is up again by then.
+   */
+  public void scheduleDeathNotice(SimulatedBackend backend) {
+    int incarnation = backend.incarnation() + 1;
+    environment.schedule(
+        environment.scenario().discovery().deathNotice(),
         () -> {
-          if (machine.epoch() == epoch && machine.state() != SimulatedBackend.State.UP) {
-            changes(machine.place, State.GONE, 0);
+          boolean isSame = backend.incarnation() == incarnation;
+          if (isSame && backend.state() != SimulatedBackend.State.UP) {
+            update(backend.index(), State.GONE, 0);
           }
         });
   }
--- a/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
+++ b/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
@@ -2,226 +2,269 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import wheattrack.lab.load.RandomStream;
-import wheattrack.lab.load.RequestPlan.Source.Sense;
+import wheattrack.lab.load.RequestGenerator;
+import wheattrack.lab.load.RequestGenerator.HintModel;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.LedgerRecord.State;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.Scenario.Hints;
 
-/** Plays a scenario's faults, on either clock. */
+/** Plays a scenario's faults, on either clock. Runs on the run's thread only. */
 public final class FaultTimeline {
-  private static final long GONE_AFTER = 2 * Scenario.SECOND, ANEW_AFTER = Scenario.SECOND;
-
-  private final RunEnvironment stage;
-
-  private FaultTimeline(RunEnvironment stage) {
-    this.stage = stage;
-  }
-
-  /** Puts all faults of the scenario into the agenda. */
-  public static void schedule(RunEnvironment stage) {
-    RandomStream draws = stage.draws("faults");
-    FaultTimeline t = new FaultTimeline(stage);
-    for (int i = 0; i < stage.scenario.faults.size(); i++) {
-      Fault f = stage.scenario.faults.get(i);
-      int n = f.kind().hitsProxies() ? stage.doors().size() : stage.machines().size();
-      boolean hits = f.kind().hitsProxies() || f.kind().hitsServers();
-      List<Integer> hit = hits ? hit(f, n, stage.scenario.zones, draws) : List.of();
-      int number = i;
-      stage.after(
-          f.at(),
-          () -> {
-            stage.say(LedgerRecord.fault(stage.now(), number, true));
-            t.begin(f, hit);
-            if (f.lasts() > 0) {
-              stage.after(
-                  f.lasts(),
-                  () -> {
-                    stage.say(LedgerRecord.fault(stage.now(), number, false));
-                    t.end(f, hit);
-                  });
-            }
-          });
+  /** Time from the start of a backend's drain until its process ends. */
+  private static final long DRAIN_TIME = 2 * Scenario.SECOND;
+
+  /** Time from the end of a backend's process until another one takes its place. */
+  private static final long REPLACEMENT_DELAY = Scenario.SECOND;
+
+  private final RunEnvironment environment;
+
+  private FaultTimeline(RunEnvironment environment) {
+    this.environment = environment;
+  }
+
+  /** Schedules all faults of the scenario. */
+  public static void schedule(RunEnvironment environment) {
+    RandomStream random = environment.randomStream("faults");
+    FaultTimeline timeline = new FaultTimeline(environment);
+    List<Fault> faults = environment.scenario().faults();
+    for (int index = 0; index < faults.size(); index++) {
+      Fault fault = faults.get(index);
+      timeline.scheduleFault(index, fault, timeline.targets(fault, random));
     }
   }
 
-  /** Which places a fault hits: the seed draws them without repeats. */
-  static List<Integer> hit(Fault f, int n, int zones, RandomStream draws) {
-    if (f.what().place() >= 0) {
-      return List.of(f.what().place());
+  private void scheduleFault(int index, Fault fault, List<Integer> targets) {
+    environment.schedule(
+        fault.startsAt(),
+        () -> {
+          environment.record(LedgerRecord.fault(environment.now(), index, true));
+          begin(fault, targets);
+          if (fault.duration() > 0) {
+            environment.schedule(
+                fault.duration(),
+                () -> {
+                  environment.record(LedgerRecord.fault(environment.now(), index, false));
+                  end(fault, targets);
+                });
+          }
+        });
+  }
+
+  private List<Integer> targets(Fault fault, RandomStream random) {
+    int zoneCount = environment.scenario().zoneCount();
+    if (fault.kind().hitsProxies()) {
+      return chooseTargets(fault, environment.proxies().size(), zoneCount, random);
+    }
+    if (fault.kind().hitsBackends()) {
+      return chooseTargets(fault, environment.backends().size(), zoneCount, random);
     }
-    List<Integer> left = new ArrayList<>();
-    for (int i = 0; i < n; i++) {
-      if (f.what().zone() < 0 || i % zones == f.what().zone()) {
-        left.add(i);
+    return List.of();
+  }
+
+  /** The indexes that a fault hits; they are drawn without repeats. */
+  private static List<Integer> chooseTargets(
+      Fault fault, int population, int zoneCount, RandomStream random) {
+    Fault.Target target = fault.target();
+    if (target.index() >= 0) {
+      return List.of(target.index());
+    }
+    List<Integer> candidates = new ArrayList<>();
+    for (int index = 0; index < population; index++) {
+      if (target.zone() < 0 || index % zoneCount == target.zone()) {
+        candidates.add(index);
       }
     }
-    List<Integer> out = new ArrayList<>();
-    for (int k = f.what().count(left.size()); k > 0; k--) {
-      out.add(left.remove(draws.below(left.size())));
-    }
-    return out;
-  }
-
-  private void each(List<Integer> hit, IntConsumer what) {
-    hit.forEach(what::accept);
-  }
-
-  private void begin(Fault f, List<Integer> hit) {
-    switch (f.kind()) {
-      case KILL_PROXY ->
-          each(
-              hit,
-              p -> {
-                ProxyHandle door = stage.door(p);
-                if (door.isUp()) {
-                  door.kill();
-                  int life = door.life();
-                  stage.after(
-                      stage.scenario.frontNotice,
-                      () -> {
-                        if (door.life() == life) {
-                          stage.crowd().sees(door, false);
-                        }
-                      });
-                }
-              });
-      case STOP_PROXY -> each(hit, p -> stage.door(p).halt(true));
-      case CLOCK_PROXY ->
-          each(
-              hit,
-              p -> {
-                stage.door(p).kill();
-                stage.crowd().sees(stage.door(p), false);
-                stage.door(p).skew(f.size());
-                stage.door(p).start();
-              });
-      case CRASH, VANISH ->
-          each(
-              hit,
-              s -> {
-                SimulatedBackend m = stage.machine(s);
-                stage.roster().noticesDeath(m);
-                if (f.kind() == Fault.Kind.CRASH) {
-                  m.crash();
-                } else {
-                  m.vanish();
-                }
-              });
-      case HANG -> each(hit, s -> stage.machine(s).hang());
-      case SLOW -> each(hit, s -> stage.machine(s).slow(f.size()));
-      case FAIL -> each(hit, s -> stage.machine(s).fails(f.size()));
-      case PAUSE -> each(hit, s -> pauses(stage.machine(s), f, stage.now() + f.lasts()));
-      case DRAIN -> each(hit, this::drain);
-      case SHRINK -> leaveInTurn(f, hit, s -> {});
-      case REPLACE -> leaveInTurn(f, hit, s -> stage.after(ANEW_AFTER, () -> start(s, true)));
-      case LIST_DOWN -> stage.roster().down(true);
-      case LIST_STALE -> stage.roster().stale(true);
-      case LIST_EMPTY -> stage.roster().empty(true);
+    List<Integer> targets = new ArrayList<>();
+    int count = target.count(candidates.size());
+    while (targets.size() < count) {
+      targets.add(candidates.remove(random.nextInt(candidates.size())));
+    }
+    return targets;
+  }
+
+  private void forEachProxy(List<Integer> targets, Consumer<ProxyHandle> action) {
+    targets.forEach(index -> action.accept(environment.proxy(index)));
+  }
+
+  private void forEachBackend(List<Integer> targets, Consumer<SimulatedBackend> action) {
+    targets.forEach(index -> action.accept(environment.backend(index)));
+  }
+
+  private void begin(Fault fault, List<Integer> targets) {
+    double magnitude = fault.magnitude();
+    switch (fault.kind()) {
+      case KILL_PROXY -> forEachProxy(targets, this::killProxy);
+      case STOP_PROXY -> forEachProxy(targets, proxy -> proxy.setPaused(true));
+      case CLOCK_PROXY -> forEachProxy(targets, proxy -> restartWithSkew(proxy, magnitude));
+      case CRASH -> forEachBackend(targets, this::crash);
+      case VANISH -> forEachBackend(targets, this::vanish);
+      case HANG -> forEachBackend(targets, SimulatedBackend::hang);
+      case SLOW -> forEachBackend(targets, backend -> backend.setSlowdown(magnitude));
+      case FAIL -> forEachBackend(targets, backend -> backend.setFailureShare(magnitude));
+      case PAUSE -> {
+        long until = environment.now() + fault.duration();
+        forEachBackend(targets, backend -> pauseRepeatedly(backend, fault, until));
+      }
+      case DRAIN -> targets.forEach(this::drain);
+      case SHRINK -> terminateInTurn(fault, targets, index -> {});
+      case REPLACE -> terminateInTurn(fault, targets, this::scheduleReplacement);
+      case LIST_DOWN -> environment.registry().setDown(true);
+      case LIST_STALE -> environment.registry().setStale(true);
+      case LIST_EMPTY -> environment.registry().setEmpty(true);
       case LINK_DELAY, LINK_DROP, LINK_HOLD, LINK_CUT, LINK_RESET, LINK_CORRUPT ->
-          each(hit, s -> stage.link(f, s, true));
-      case BURST -> stage.crowd().arrivals().times(f.size());
-      case HINT_SHARE -> stage.crowd().wants().share(f.what().place(), f.size());
-      case HINT_SCALE -> stage.crowd().wants().scale(f.size());
-      case HINT_NOISE -> stage.crowd().wants().noise(f.size());
-      case HINT_CONSTANT -> stage.crowd().wants().sense(Sense.CONSTANT, f.size() * Scenario.MS);
-      case HINT_RANDOM -> stage.crowd().wants().sense(Sense.RANDOM, 0);
-      case HINT_INVERTED -> stage.crowd().wants().sense(Sense.INVERTED, 0);
-      case HINT_MIXED -> stage.crowd().wants().mixed(f.size());
-      case HINT_ABSURD -> stage.crowd().wants().once(f.size() * Scenario.MS);
-      default -> throw new IllegalStateException("unknown fault " + f.kind());
-    }
-  }
-
-  private void end(Fault f, List<Integer> hit) {
-    switch (f.kind()) {
-      case KILL_PROXY ->
-          each(
-              hit,
-              p -> {
-                if (!stage.door(p).isUp()) {
-                  stage.door(p).start();
-                }
-              });
-      case STOP_PROXY -> each(hit, p -> stage.door(p).halt(false));
-      case CLOCK_PROXY -> each(hit, p -> stage.door(p).skew(0));
-      case CRASH, VANISH -> each(hit, s -> start(s, false));
-      case HANG -> each(hit, s -> stage.machine(s).unhang());
-      case SLOW -> each(hit, s -> stage.machine(s).slow(1));
-      case FAIL -> each(hit, s -> stage.machine(s).fails(0));
-      case DRAIN -> each(hit, this::leave);
-      case LIST_DOWN -> stage.roster().down(false);
-      case LIST_STALE -> stage.roster().stale(false);
-      case LIST_EMPTY -> stage.roster().empty(false);
+          targets.forEach(index -> environment.setLinkFault(fault, index, true));
+      case BURST -> environment.clients().arrivals().setRateFactor(magnitude);
+      default -> beginHintFault(fault);
+    }
+  }
+
+  private void beginHintFault(Fault fault) {
+    RequestGenerator generator = environment.clients().requestGenerator();
+    double magnitude = fault.magnitude();
+    switch (fault.kind()) {
+      case HINT_SHARE -> generator.setHintShare(fault.target().index(), magnitude);
+      case HINT_SCALE -> generator.setHintScale(magnitude);
+      case HINT_NOISE -> generator.setHintNoise(magnitude);
+      case HINT_CONSTANT -> generator.useConstantHints(magnitude * Scenario.MILLISECOND);
+      case HINT_RANDOM -> generator.setHintModel(HintModel.RANDOM);
+      case HINT_INVERTED -> generator.setHintModel(HintModel.INVERTED);
+      case HINT_MIXED -> generator.setMixedUnitShare(magnitude);
+      case HINT_ABSURD -> generator.setNextHint(magnitude * Scenario.MILLISECOND);
+      default -> throw new IllegalStateException("unknown fault " + fault.kind());
+    }
+  }
+
+  private void end(Fault fault, List<Integer> targets) {
+    switch (fault.kind()) {
+      case KILL_PROXY -> forEachProxy(targets, FaultTimeline::startIfDown);
+      case STOP_PROXY -> forEachProxy(targets, proxy -> proxy.setPaused(false));
+      case CLOCK_PROXY -> forEachProxy(targets, proxy -> proxy.setClockSkew(0));
+      case CRASH, VANISH -> targets.forEach(index -> start(index, false));
+      case HANG -> forEachBackend(targets, SimulatedBackend::resume);
+      case SLOW -> forEachBackend(targets, backend -> backend.setSlowdown(1));
+      case FAIL -> forEachBackend(targets, backend -> backend.setFailureShare(0));
+      case DRAIN -> targets.forEach(this::terminate);
+      case LIST_DOWN -> environment.registry().setDown(false);
+      case LIST_STALE -> environment.registry().setStale(false);
+      case LIST_EMPTY -> environment.registry().setEmpty(false);
       case LINK_DELAY, LINK_DROP, LINK_HOLD, LINK_CUT, LINK_RESET, LINK_CORRUPT ->
-          each(hit, s -> stage.link(f, s, false));
-      case BURST -> stage.crowd().arrivals().times(1);
-      case HINT_SHARE -> stage.crowd().wants().share(-1, stage.scenario.hints.share());
-      case HINT_SCALE -> stage.crowd().wants().scale(stage.scenario.hints.scale());
-      case HINT_NOISE -> stage.crowd().wants().noise(stage.scenario.hints.noise());
-      case HINT_MIXED -> stage.crowd().wants().mixed(0);
-      case HINT_CONSTANT, HINT_RANDOM, HINT_INVERTED -> stage.crowd().wants().sense(Sense.ROUGH, 0);
-      default -> {}
+          targets.forEach(index -> environment.setLinkFault(fault, index, false));
+      case BURST -> environment.clients().arrivals().setRateFactor(1);
+      default -> endHintFault(fault);
+    }
+  }
+
+  /** Puts the scenario's own hints back; faults that end by themselves need nothing. */
+  private void endHintFault(Fault fault) {
+    RequestGenerator generator = environment.clients().requestGenerator();
+    Hints hints = environment.scenario().hints();
+    switch (fault.kind()) {
+      case HINT_SHARE -> generator.setHintShare(-1, hints.share());
+      case HINT_SCALE -> generator.setHintScale(hints.scale());
+      case HINT_NOISE -> generator.setHintNoise(hints.noise());
+      case HINT_MIXED -> generator.setMixedUnitShare(0);
+      case HINT_CONSTANT, HINT_RANDOM, HINT_INVERTED ->
+          generator.setHintModel(HintModel.PROPORTIONAL);
+      default -> {
+        // pauses, shrinking, replacement and the single absurd hint end by themselves
+      }
+    }
+  }
+
+  /** Kills a proxy; the clients' front notices that later, unless it is up again by then. */
+  private void killProxy(ProxyHandle proxy) {
+    if (proxy.isUp()) {
+      proxy.kill();
+      proxy.scheduleInIncarnation(
+          environment.scenario().frontNotice(),
+          () -> environment.clients().setProxyAvailable(proxy, false));
+    }
+  }
+
+  private static void startIfDown(ProxyHandle proxy) {
+    if (!proxy.isUp()) {
+      proxy.start();
     }
   }
 
-  private void pauses(SimulatedBackend m, Fault f, long until) {
-    if (stage.now() < until) {
-      m.stall(Math.round(f.size() * Scenario.MS));
-      stage.after(f.every(), () -> pauses(m, f, until));
+  private void restartWithSkew(ProxyHandle proxy, double millis) {
+    proxy.kill();
+    environment.clients().setProxyAvailable(proxy, false);
+    proxy.setClockSkew(millis);
+    proxy.start();
+  }
+
+  private void crash(SimulatedBackend backend) {
+    environment.registry().scheduleDeathNotice(backend);
+    backend.crash();
+  }
+
+  private void vanish(SimulatedBackend backend) {
+    environment.registry().scheduleDeathNotice(backend);
+    backend.vanish();
+  }
+
+  private void pauseRepeatedly(SimulatedBackend backend, Fault fault, long until) {
+    if (environment.now() < until) {
+      backend.pauseFor(Math.round(fault.magnitude() * Scenario.MILLISECOND));
+      environment.schedule(fault.interval(), () -> pauseRepeatedly(backend, fault, until));
     }
   }
 
-  private void drain(int s) {
-    stage.machine(s).drain();
-    stage.roster().changes(s, State.DRAINING, startOf(s));
+  private void drain(int backendIndex) {
+    SimulatedBackend backend = environment.backend(backendIndex);
+    backend.drain();
+    long startedAt = backend.isColdStarted() ? backend.startedAt() : EndpointRegistry.LONG_AGO;
+    environment.registry().update(backendIndex, State.DRAINING, startedAt);
   }
 
-  private void leave(int s) {
-    SimulatedBackend m = stage.machine(s);
-    if (m.isDraining()) {
-      m.crash();
-      stage.roster().changes(s, State.GONE, 0);
+  private void terminate(int backendIndex) {
+    SimulatedBackend backend = environment.backend(backendIndex);
+    if (backend.isDraining()) {
+      backend.crash();
+      environment.registry().update(backendIndex, State.GONE, 0);
     }
   }
 
-  /** They drain one after the other, and each is gone a while later. */
-  private void leaveInTurn(Fault f, List<Integer> hit, IntConsumer then) {
-    for (int i = 0; i < hit.size(); i++) {
-      int s = hit.get(i);
-      stage.after(
-          f.lasts() * i / hit.size(),
+  /** Backends drain one after the other over the fault's duration, and each ends a while later. */
+  private void terminateInTurn(Fault fault, List<Integer> targets, IntConsumer afterwards) {
+    for (int position = 0; position < targets.size(); position++) {
+      int backendIndex = targets.get(position);
+      environment.schedule(
+          fault.duration() * position / targets.size(),
           () -> {
-            drain(s);
-            stage.after(
-                GONE_AFTER,
+            drain(backendIndex);
+            environment.schedule(
+                DRAIN_TIME,
                 () -> {
-                  leave(s);
-                  then.accept(s);
+                  terminate(backendIndex);
+                  afterwards.accept(backendIndex);
                 });
           });
     }
   }
 
+  private void scheduleReplacement(int backendIndex) {
+    environment.schedule(REPLACEMENT_DELAY, () -> start(backendIndex, true));
+  }
+
   /**
-   * Cold: under its old id with a later start, or as another server under an id that nobody has
-   * seen.
+   * Starts a backend cold: under its old id with a later start time, or as a replacement under an
+   * id that no proxy has seen.
    */
-  private void start(int s, boolean asAnother) {
-    SimulatedBackend m = stage.machine(s);
-    if (m.state() != SimulatedBackend.State.UP && !m.isFallen()) {
-      if (asAnother) {
-        m.renew();
+  private void start(int backendIndex, boolean asReplacement) {
+    SimulatedBackend backend = environment.backend(backendIndex);
+    if (backend.state() != SimulatedBackend.State.UP && !backend.isCollapsed()) {
+      if (asReplacement) {
+        backend.replace();
       }
-      m.start(true);
-      stage.roster().changes(s, State.READY, m.start());
+      backend.start(true);
+      environment.registry().update(backendIndex, State.READY, backend.startedAt());
     }
   }
-
-  private long startOf(int s) {
-    SimulatedBackend m = stage.machine(s);
-    return m.isCold() ? m.start() : EndpointRegistry.LONG_AGO;
-  }
 }
--- a/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
+++ b/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
@@ -1,36 +1,92 @@
 package wheattrack.lab.model;
 
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.referee.LedgerRecord;
+
 /**
- * A proxy as clients and the timeline see it: a place to send reqs to, and a process that can be
- * killed.
+ * A proxy as clients and the fault timeline see it: an address to send requests to, and a process
+ * that can be killed. Runs on the run's thread only.
  */
 public abstract class ProxyHandle {
-  public final int place, zone;
+  private final RunEnvironment environment;
+  private final int index;
+  private final int zone;
+  private boolean up;
+  private int incarnation;
 
-  protected ProxyHandle(int place, int zones) {
-    this.place = place;
-    zone = place % zones;
+  /** Creates a proxy that has not been started; the zone follows from the index. */
+  protected ProxyHandle(RunEnvironment environment, int index) {
+    this.environment = environment;
+    this.index = index;
+    zone = index % environment.scenario().zoneCount();
   }
 
-  /** Starts it; it tells the crowd once it can be sent to. */
-  public abstract void start();
+  /** Its number among the proxies, from 0. */
+  public final int index() {
+    return index;
+  }
 
-  public abstract void kill();
+  /** The number of its zone, from 0. */
+  public final int zone() {
+    return zone;
+  }
 
-  public abstract boolean isUp();
+  /** Whether its process can be sent to. */
+  public final boolean isUp() {
+    return up;
+  }
 
   /** Changes with each start and kill. */
-  public abstract int life();
+  public final int incarnation() {
+    return incarnation;
+  }
+
+  /** Starts its process; the clients' front is told once it can be sent to. */
+  public abstract void start();
+
+  /** Kills its process. */
+  public final void kill() {
+    up = false;
+    incarnation++;
+    environment.record(LedgerRecord.proxy(environment.now(), index, false));
+    stopProcess();
+  }
+
+  /** Ends its process at once; it is down already, in an incarnation of its own. */
+  protected abstract void stopProcess();
+
+  /** To be called as its process starts. */
+  protected final void beginIncarnation() {
+    incarnation++;
+  }
+
+  /** To be called once it can be sent to. */
+  protected final void becomeUp() {
+    up = true;
+    environment.record(LedgerRecord.proxy(environment.now(), index, true));
+  }
+
+  /** Runs an action after a delay, unless the proxy was killed or started anew by then. */
+  public final TimerQueue.Timer scheduleInIncarnation(long delay, Runnable action) {
+    int scheduledIn = incarnation;
+    return environment.schedule(
+        delay,
+        () -> {
+          if (scheduledIn == incarnation) {
+            action.run();
+          }
+        });
+  }
 
-  /** Stops the process where it stands, or lets it go on. */
-  public abstract void halt(boolean still);
+  /** Stops its process where it stands, or lets it go on. */
+  public abstract void setPaused(boolean paused);
 
-  /** From its next start on its clock is off by this, in milliseconds. */
-  public abstract void skew(double millis);
+  /** Lets its clock be off by this from its next start on, in milliseconds. */
+  public abstract void setClockSkew(double millis);
 
-  /** Sends a req; the crowd is told what comes of it. */
-  public abstract void take(ClientPopulation.Ask ask);
+  /** Sends it a request; the clients are told the answer, or that the connection was refused. */
+  public abstract void submit(ClientRequest request);
 
-  /** The client hangs up. */
-  public abstract void left(ClientPopulation.Ask ask);
+  /** The client of a request hangs up. */
+  public abstract void clientDisconnected(ClientRequest request);
 }
--- a/lab/src/main/java/wheattrack/lab/model/RunEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/model/RunEnvironment.java
@@ -1,7 +1,9 @@
 package wheattrack.lab.model;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.function.Consumer;
 import wheattrack.core.TimerQueue;
 import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.referee.LedgerRecord;
@@ -9,75 +11,109 @@
 import wheattrack.lab.scenario.Scenario;
 
 /**
- * What a run needs of its clock and its links, whichever clock that is: servers, list, clients and
- * timeline are the same on both. Times are tenths of a millisecond from the start of the run. One
- * thread.
+ * One run of a scenario: the backends, endpoint list, clients and proxies, and what they need of
+ * the run's clock and links. Models of backends, clients and faults are the same on the virtual
+ * clock and on sockets. Times are tenths of a millisecond from the start of the run. One thread.
  */
 public abstract class RunEnvironment {
-  public final Scenario scenario;
+  private final Scenario scenario;
   private final long seed;
-  private final List<SimulatedBackend> machines = new ArrayList<>();
-  protected final List<ProxyHandle> doors = new ArrayList<>();
-  protected EndpointRegistry roster;
-  private final ClientPopulation crowd;
-
-  protected RunEnvironment(Scenario scenario, long seed) {
+  private final Consumer<LedgerRecord> ledger;
+  private final List<SimulatedBackend> backends = new ArrayList<>();
+  private final List<ProxyHandle> proxies = new ArrayList<>();
+  private final ClientPopulation clients;
+  private EndpointRegistry registry;
+
+  /** Creates the backends and clients; registry and proxies are the subclass's to add. */
+  protected RunEnvironment(Scenario scenario, long seed, Consumer<LedgerRecord> ledger) {
     this.scenario = scenario;
     this.seed = seed;
-    for (int i = 0; i < scenario.serverCount(); i++) {
-      machines.add(new SimulatedBackend(this, i, scenario.kindOf(i)));
+    this.ledger = ledger;
+    for (int index = 0; index < scenario.backendCount(); index++) {
+      backends.add(new SimulatedBackend(this, index, scenario.groupOf(index)));
     }
-    crowd = new ClientPopulation(this);
+    clients = new ClientPopulation(this);
+  }
+
+  /** Sets the endpoint list, once, while the run is set up. */
+  protected final void setRegistry(EndpointRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Adds the proxy of the next index, while the run is set up. */
+  protected final void addProxy(ProxyHandle proxy) {
+    proxies.add(proxy);
+  }
+
+  /** What is played. */
+  public final Scenario scenario() {
+    return scenario;
   }
 
+  /** The time of the run. */
   public abstract long now();
 
-  public abstract TimerQueue.Timer after(long delay, Runnable then);
+  /** Runs an action once, after a delay; at once but not within this call where it is 0 or less. */
+  public abstract TimerQueue.Timer schedule(long delay, Runnable action);
 
-  public abstract void cancel(TimerQueue.Timer entry);
+  /** Cancels an action; no effect on one that has run or was cancelled, or on null. */
+  public abstract void cancel(TimerQueue.Timer timer);
 
   /** Writes a line of the ledger. */
-  public abstract void say(LedgerRecord e);
+  public final void record(LedgerRecord entry) {
+    ledger.accept(entry);
+  }
 
-  /** A fault of the links to this server begins or ends. */
-  public abstract void link(Fault fault, int server, boolean on);
+  /** A fault of the links to this backend begins (active) or ends. */
+  public abstract void setLinkFault(Fault fault, int backend, boolean active);
 
-  /** A client was to want something at that moment and does so now. */
-  public void wanted(double at) {
-    // on a virtual clock there is no lateness
+  /** An operation that was due at a moment starts now; for runs that measure their lateness. */
+  public void arrivalStarted(double plannedAt) {
+    // on the virtual clock nothing is late
   }
 
-  public final RandomStream draws(String part) {
-    return new RandomStream(seed, part);
+  /** The random draws of one part of the run, from the run's seed. */
+  public final RandomStream randomStream(String name) {
+    return new RandomStream(seed, name);
   }
 
-  public final SimulatedBackend machine(int place) {
-    return machines.get(place);
+  /** The backend of this index. */
+  public final SimulatedBackend backend(int index) {
+    return backends.get(index);
   }
 
-  public final List<SimulatedBackend> machines() {
-    return machines;
+  /** All backends, by index. */
+  public final List<SimulatedBackend> backends() {
+    return Collections.unmodifiableList(backends);
   }
 
-  public final ProxyHandle door(int place) {
-    return doors.get(place);
+  /** The proxy of this index. */
+  public final ProxyHandle proxy(int index) {
+    return proxies.get(index);
   }
 
-  public final List<ProxyHandle> doors() {
-    return doors;
+  /** All proxies, by index. */
+  public final List<ProxyHandle> proxies() {
+    return Collections.unmodifiableList(proxies);
   }
 
-  public final EndpointRegistry roster() {
-    return roster;
+  /** The endpoint list. */
+  public final EndpointRegistry registry() {
+    return registry;
   }
 
-  public final ClientPopulation crowd() {
-    return crowd;
+  /** The clients. */
+  public final ClientPopulation clients() {
+    return clients;
   }
 
-  /** When all that was taken must have ended. */
-  protected final long end() {
-    return scenario.length
-        + scenario.sets.stream().mapToLong(s -> s.rules().clientTimeout()).max().orElse(0);
+  /** The latest time at which a client of the scenario may still wait for an answer. */
+  protected final long lastDeadline() {
+    long longestTimeout =
+        scenario.workloads().stream()
+            .mapToLong(workload -> workload.requestClass().clientTimeout())
+            .max()
+            .orElse(0);
+    return scenario.duration() + longestTimeout;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -8,11 +8,17 @@
 import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.referee.ColdBudget;
 import wheattrack.lab.referee.LedgerRecord;
-import wheattrack.lab.scenario.Scenario.Servers;
+import wheattrack.lab.scenario.Scenario.BackendGroup;
 
-/** One server, on either clock: cores, a waiting room, a cold start and all that can befall it. */
+/**
+ * One backend, on either clock: cores, a queue, a cold start, and the faults that may hit it. Times
+ * are tenths of a millisecond of the run. Runs on the run's thread only.
+ */
 public final class SimulatedBackend {
-  /** DEAD refuses connections, SILENT drops all that comes, HUNG takes reqs and answers none. */
+  /**
+   * What it does with what arrives: DEAD refuses connections, SILENT drops everything, HUNG accepts
+   * requests and answers none.
+   */
   public enum State {
     UP,
     DEAD,
@@ -20,270 +26,346 @@
     HUNG
   }
 
-  private static final double NOISE = 0.2; // how much the same work varies from run to run
-  private static final long FAST = 10; // an error's time
+  /** Standard deviation of the logarithm of the work of equal requests. */
+  private static final double WORK_NOISE = 0.2;
 
-  /** A dispatch at this server. */
-  private final class Visit {
-    final BackendVisit who;
-    final double work;
-    final long came = stage.now();
-    TimerQueue.Timer end;
-    long endsAt;
+  /** Time that a request takes which fails. */
+  private static final long ERROR_TIME = 10;
 
-    Visit(BackendVisit who, double work) {
-      this.who = who;
+  /** An attempt that is queued or in progress. */
+  private static final class Job {
+    private final BackendVisit attempt;
+    private final double work;
+    private final long arrivedAt;
+    private TimerQueue.Timer completionTimer;
+    private long completesAt;
+
+    Job(BackendVisit attempt, double work, long arrivedAt) {
+      this.attempt = attempt;
       this.work = work;
+      this.arrivedAt = arrivedAt;
     }
   }
 
-  public final int place, zone;
-  public final Servers kind;
-  private final RunEnvironment stage;
-  private final RandomStream draws;
-  private final ArrayDeque<Visit> queue = new ArrayDeque<>();
-  private final List<Visit> running = new ArrayList<>();
-  private final ColdBudget budget;
+  private final RunEnvironment environment;
+  private final int index;
+  private final int zone;
+  private final BackendGroup group;
+  private final RandomStream random;
+  private final ArrayDeque<Job> queue = new ArrayDeque<>();
+  private final List<Job> running = new ArrayList<>();
+  private final ColdBudget coldBudget;
   private State state = State.DEAD;
-  private boolean draining, cold, fallen;
-  private long start, stalledUntil;
-  private double slow = 1, failing;
-  private int epoch, connections, renewals;
-  private Runnable changed = () -> {};
-
-  SimulatedBackend(RunEnvironment stage, int place, Servers kind) {
-    this.stage = stage;
-    this.place = place;
-    this.kind = kind;
-    zone = place % stage.scenario.zones;
-    draws = stage.draws("server" + place);
-    budget = stage.scenario.coldBudget();
+  private boolean draining;
+  private boolean coldStarted;
+  private boolean collapsed;
+  private long startedAt;
+  private long pausedUntil;
+  private double slowdown = 1;
+  private double failureShare;
+  private int incarnation;
+  private int connectionCount;
+  private int replacements;
+  private Runnable stateListener = () -> {};
+
+  SimulatedBackend(RunEnvironment environment, int index, BackendGroup group) {
+    this.environment = environment;
+    this.index = index;
+    this.group = group;
+    zone = index % environment.scenario().zoneCount();
+    random = environment.randomStream("server" + index);
+    coldBudget = environment.scenario().coldBudget();
   }
 
-  /** Runs whenever the state changes; one listener. */
-  public void onChange(Runnable then) {
-    changed = then;
+  /** Sets the one listener that runs after each change of state. */
+  public void onStateChange(Runnable listener) {
+    stateListener = listener;
   }
 
-  private void turn(State next) {
+  private void transitionTo(State next) {
     state = next;
-    changed.run();
+    stateListener.run();
+  }
+
+  /** Its number among the backends, from 0; a replacement keeps it. */
+  public int index() {
+    return index;
+  }
+
+  /** The number of its zone, from 0. */
+  public int zone() {
+    return zone;
   }
 
+  /** What it shares with others of its kind. */
+  public BackendGroup group() {
+    return group;
+  }
+
+  /** What it does with what arrives. */
   public State state() {
     return state;
   }
 
+  /** Whether it refuses new requests because it is to end. */
   public boolean isDraining() {
     return draining;
   }
 
-  public boolean isFallen() {
-    return fallen;
+  /** Whether load pushed it over while it was cold; it does not start again. */
+  public boolean isCollapsed() {
+    return collapsed;
   }
 
-  public long start() {
-    return start;
+  /** When it last started. */
+  public long startedAt() {
+    return startedAt;
   }
 
-  public boolean isCold() {
-    return cold;
+  /** Whether its last start was a cold one, be it long ago. */
+  public boolean isColdStarted() {
+    return coldStarted;
   }
 
   /**
-   * Its id, larger than 0: another one each time it was replaced, and elsewhere in the order of
-   * ids.
+   * The id under which the endpoint list names it, greater than 0; a replacement has another one,
+   * elsewhere in the order of ids.
    */
   public long id() {
-    int n = stage.scenario.serverCount();
-    long rank = renewals == 0 ? place : (place * 31L + renewals * 17L) % n;
-    return (rank * n + renewals) * n + place + 1;
+    int backendCount = environment.scenario().backendCount();
+    long rank = replacements == 0 ? index : (index * 31L + replacements * 17L) % backendCount;
+    return (rank * backendCount + replacements) * backendCount + index + 1;
   }
 
-  /** The next life is that of another server. */
-  public void renew() {
-    renewals++;
+  /** Makes its next start that of another backend in its place. */
+  public void replace() {
+    replacements++;
   }
 
-  /** Changes with each life; connections of an earlier one are broken. */
-  public int epoch() {
-    return epoch;
+  /** Changes each time its process or machine fails; connections of earlier ones are broken. */
+  public int incarnation() {
+    return incarnation;
   }
 
-  public void start(boolean asCold) {
-    if (fallen) {
+  /** Starts its process, unless it has collapsed; cold, it is slow at first. */
+  public void start(boolean cold) {
+    if (collapsed) {
       return;
     }
     draining = false;
-    start = stage.now();
-    cold = asCold;
-    budget.clear();
-    stage.say(LedgerRecord.started(stage.now(), place, kind.cores() * kind.speed(), asCold));
-    turn(State.UP);
+    startedAt = environment.now();
+    coldStarted = cold;
+    coldBudget.clear();
+    environment.record(LedgerRecord.started(environment.now(), index, fullCapacity(), cold));
+    transitionTo(State.UP);
   }
 
-  private double warmth() {
-    double age = stage.now() - start;
-    return !cold || age >= kind.coldFor()
-        ? 1
-        : kind.coldFrom() + (1 - kind.coldFrom()) * age / kind.coldFor();
+  private double fullCapacity() {
+    return group.cores() * group.speed();
   }
 
-  public boolean connects() {
-    if (connections >= kind.connections()) {
+  /** The part of its speed that it has now, up to 1. */
+  private double speedFactor() {
+    double age = environment.now() - startedAt;
+    if (!coldStarted || age >= group.coldDuration()) {
+      return 1;
+    }
+    return group.coldSpeed() + (1 - group.coldSpeed()) * age / group.coldDuration();
+  }
+
+  /** Accepts one connection more, or refuses it where it has as many as it bears. */
+  public boolean tryConnect() {
+    if (connectionCount >= group.maxConnections()) {
       return false;
     }
-    connections++;
+    connectionCount++;
     return true;
   }
 
-  public void hangsUp(int life) {
-    connections -= life == epoch ? 1 : 0;
+  /** A connection that it accepted in that incarnation is closed. */
+  public void connectionClosed(int ofIncarnation) {
+    if (ofIncarnation == incarnation) {
+      connectionCount--;
+    }
   }
 
-  /** A dispatch's first byte left at that time and has come; anew: on a connection of its own. */
-  public void arrive(BackendVisit who, long sent, boolean anew) {
+  /**
+   * An attempt arrives.
+   *
+   * @param sentAt when its first byte left the proxy
+   * @param onNewConnection whether it is the first one on its connection
+   */
+  public void receive(BackendVisit attempt, long sentAt, boolean onNewConnection) {
     if (state == State.SILENT) {
       return;
     }
     if (state == State.DEAD) {
-      who.heard(AttemptOutcome.RESET);
+      attempt.completed(AttemptOutcome.RESET);
       return;
     }
-    double work = who.work() * draws.factor(NOISE) + (anew ? kind.handshake() : 0);
-    stage.say(LedgerRecord.came(sent, who.req(), who.proxy(), place, work));
-    if (cold
-        && warmth() < 1
-        && budget.add(sent, work, kind.cores() * kind.speed() * warmth(), true)) {
-      fallen = true;
-      stage.say(LedgerRecord.fell(stage.now(), place));
-      who.heard(AttemptOutcome.RESET);
-      stage.roster().noticesDeath(this);
-      crash();
+    double handshake = onNewConnection ? group.handshakeWork() : 0;
+    double work = attempt.work() * random.nextLogNormal(WORK_NOISE) + handshake;
+    environment.record(
+        LedgerRecord.came(sentAt, attempt.requestId(), attempt.proxy(), index, work));
+    if (collapsesUnder(work, sentAt)) {
+      collapse(attempt);
       return;
     }
-    Visit v = new Visit(who, work);
-    who.stops(() -> callOff(v));
+    Job job = new Job(attempt, work, environment.now());
+    attempt.onConnectionClosed(() -> cancel(job));
+    boolean isFull = queue.size() >= group.queueCapacity() && running.size() >= group.cores();
     if (state == State.HUNG) {
-      queue.add(v);
-    } else if (draining || queue.size() >= kind.room() && running.size() >= kind.cores()) {
-      reply(who, AttemptOutcome.FULL);
-    } else if (draws.happens(failing)) {
-      stage.after(FAST, () -> reply(who, AttemptOutcome.ERROR));
+      queue.add(job);
+    } else if (draining || isFull) {
+      reply(attempt, AttemptOutcome.FULL);
+    } else if (random.nextBoolean(failureShare)) {
+      environment.schedule(ERROR_TIME, () -> reply(attempt, AttemptOutcome.ERROR));
     } else {
-      queue.add(v);
-      serve();
+      queue.add(job);
+      startQueued();
     }
   }
 
-  private void serve() {
+  private boolean collapsesUnder(double work, long sentAt) {
+    double speedFactor = speedFactor();
+    return coldStarted
+        && speedFactor < 1
+        && coldBudget.add(sentAt, work, fullCapacity() * speedFactor, true);
+  }
+
+  private void collapse(BackendVisit lastAttempt) {
+    collapsed = true;
+    environment.record(LedgerRecord.fell(environment.now(), index));
+    lastAttempt.completed(AttemptOutcome.RESET);
+    environment.registry().scheduleDeathNotice(this);
+    crash();
+  }
+
+  private void startQueued() {
     while (state == State.UP
-        && stage.now() >= stalledUntil
-        && running.size() < kind.cores()
+        && environment.now() >= pausedUntil
+        && running.size() < group.cores()
         && !queue.isEmpty()) {
-      Visit v = queue.poll();
-      if (stage.now() >= v.who.due()) {
-        reply(v.who, AttemptOutcome.FULL); // over already; not begun
-        continue;
+      Job job = queue.poll();
+      if (environment.now() >= job.attempt.deadline()) {
+        reply(job.attempt, AttemptOutcome.FULL); // too late already, and not started
+      } else {
+        startJob(job);
       }
-      running.add(v);
-      stage.say(LedgerRecord.ran(stage.now(), v.who.req(), v.who.proxy(), place, v.came, v.work));
-      v.endsAt = stage.now() + Math.max(1, Math.round(v.work / (kind.speed() * warmth() / slow)));
-      v.end = stage.after(v.endsAt - stage.now(), () -> finish(v));
     }
   }
 
-  private void finish(Visit v) {
-    running.remove(v);
-    reply(v.who, AttemptOutcome.DONE);
-    serve();
+  private void startJob(Job job) {
+    long now = environment.now();
+    running.add(job);
+    environment.record(
+        LedgerRecord.ran(
+            now, job.attempt.requestId(), job.attempt.proxy(), index, job.arrivedAt, job.work));
+    double speed = group.speed() * speedFactor() / slowdown;
+    job.completesAt = now + Math.max(1, Math.round(job.work / speed));
+    scheduleCompletion(job);
+  }
+
+  private void scheduleCompletion(Job job) {
+    job.completionTimer =
+        environment.schedule(job.completesAt - environment.now(), () -> finish(job));
   }
 
-  /** Its connection was closed: what waits or runs for it stops. */
-  private void callOff(Visit v) {
-    if (!queue.remove(v) && running.remove(v)) {
-      stage.cancel(v.end);
-      serve();
+  private void finish(Job job) {
+    running.remove(job);
+    reply(job.attempt, AttemptOutcome.DONE);
+    startQueued();
+  }
+
+  /** The connection of a job was closed: it does not wait or run any longer. */
+  private void cancel(Job job) {
+    if (!queue.remove(job) && running.remove(job)) {
+      environment.cancel(job.completionTimer);
+      startQueued();
     }
   }
 
-  private void reply(BackendVisit who, AttemptOutcome how) {
-    who.stops(null);
-    who.heard(how);
+  private static void reply(BackendVisit attempt, AttemptOutcome outcome) {
+    attempt.onConnectionClosed(null);
+    attempt.completed(outcome);
   }
 
-  // ---- what befalls it
+  // ---- faults
 
-  /** The process dies: what it had breaks. */
+  /** The process dies: connections break. */
   public void crash() {
-    epoch++;
-    connections = 0;
-    drop(true);
-    turn(State.DEAD);
+    incarnation++;
+    connectionCount = 0;
+    for (Job job : removeAllJobs()) {
+      environment.cancel(job.completionTimer);
+      reply(job.attempt, AttemptOutcome.RESET);
+    }
+    transitionTo(State.DEAD);
   }
 
-  /** The machine is cut off: nobody hears of it again. */
+  /** The machine is cut off: nothing more is heard from it, and nothing reaches it. */
   public void vanish() {
-    epoch++;
-    connections = 0;
-    drop(false);
-    turn(State.SILENT);
+    incarnation++;
+    connectionCount = 0;
+    for (Job job : removeAllJobs()) {
+      environment.cancel(job.completionTimer);
+      job.attempt.onConnectionClosed(null);
+    }
+    transitionTo(State.SILENT);
   }
 
-  private void drop(boolean heard) {
-    List<Visit> all = new ArrayList<>(running);
-    all.addAll(queue);
+  private List<Job> removeAllJobs() {
+    List<Job> jobs = new ArrayList<>(running);
+    jobs.addAll(queue);
     running.clear();
     queue.clear();
-    for (Visit v : all) {
-      stage.cancel(v.end);
-      if (heard) {
-        reply(v.who, AttemptOutcome.RESET);
-      } else {
-        v.who.stops(null);
-      }
-    }
+    return jobs;
   }
 
+  /** The process stands still, until {@link #resume}. */
   public void hang() {
     if (state == State.UP) {
-      turn(State.HUNG);
-      running.forEach(v -> stage.cancel(v.end));
+      transitionTo(State.HUNG);
+      running.forEach(job -> environment.cancel(job.completionTimer));
     }
   }
 
-  /** What was in work when it hung is lost; what waited goes on. */
-  public void unhang() {
+  /** The process goes on: what was in progress as it hung is lost, what was queued is served. */
+  public void resume() {
     if (state == State.HUNG) {
-      turn(State.UP);
-      List<Visit> lost = List.copyOf(running);
+      transitionTo(State.UP);
+      List<Job> lostJobs = List.copyOf(running);
       running.clear();
-      lost.forEach(v -> reply(v.who, AttemptOutcome.RESET));
-      serve();
+      lostJobs.forEach(job -> reply(job.attempt, AttemptOutcome.RESET));
+      startQueued();
     }
   }
 
-  public void stall(long time) {
+  /** The process pauses for a time, as in a garbage collection; all of its work ends later. */
+  public void pauseFor(long duration) {
     if (state != State.UP) {
       return;
     }
-    stalledUntil = Math.max(stalledUntil, stage.now() + time);
-    for (Visit v : running) {
-      stage.cancel(v.end);
-      v.endsAt += time;
-      v.end = stage.after(v.endsAt - stage.now(), () -> finish(v));
+    pausedUntil = Math.max(pausedUntil, environment.now() + duration);
+    for (Job job : running) {
+      environment.cancel(job.completionTimer);
+      job.completesAt += duration;
+      scheduleCompletion(job);
     }
-    stage.after(time, this::serve);
+    environment.schedule(duration, this::startQueued);
   }
 
-  public void slow(double times) {
-    slow = times;
+  /** Divides its speed by a factor, for work that starts from now on. */
+  public void setSlowdown(double factor) {
+    slowdown = factor;
   }
 
-  public void fails(double share) {
-    failing = share;
+  /** Lets this share of requests fail. */
+  public void setFailureShare(double share) {
+    failureShare = share;
   }
 
+  /** Refuses new requests from now on. */
   public void drain() {
     draining = true;
   }
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -92,7 +92,10 @@
 
   public Referee(Scenario scenario) {
     this.scenario = scenario;
-    sets = scenario.sets.stream().map(Scenario.Set1::rules).toArray(RequestClass[]::new);
+    sets =
+        scenario.workloads().stream()
+            .map(Scenario.Workload::requestClass)
+            .toArray(RequestClass[]::new);
     for (String rule : List.of("answers", "effects", "drains", "cold")) {
       broken.put(rule, 0);
     }
@@ -178,7 +181,7 @@
     }
     t.answer = how;
     t.answeredAt = e.at();
-    if (e.at() > t.due + scenario.terms.slack()) {
+    if (e.at() > t.due + scenario.terms().clockSlack()) {
       broke(
           "answers",
           e.at(),
@@ -244,9 +247,9 @@
     h.recordValue(Math.max(0, Math.min(MOST_WORK, Math.round(e.figure()))));
     proxy(e.proxy()).sent.merge(e.server(), 1, Integer::sum);
     second(e.at()).dispatches++;
-    crossings += e.proxy() % scenario.zones != e.server() % scenario.zones ? 1 : 0;
+    crossings += e.proxy() % scenario.zoneCount() != e.server() % scenario.zoneCount() ? 1 : 0;
     byServer.computeIfAbsent(
-        e.server(), s -> new long[(int) (scenario.length / Scenario.SECOND) + 2]);
+        e.server(), s -> new long[(int) (scenario.duration() / Scenario.SECOND) + 2]);
     long[] counts = byServer.get(e.server());
     counts[(int) Math.min(counts.length - 1, Math.max(0, e.at() / Scenario.SECOND))]++;
     if (t == null) {
@@ -254,7 +257,7 @@
           "effects",
           e.at(),
           "server " + e.server() + " got req " + e.req() + ", which no client sent in this form");
-    } else if (e.at() > Math.min(t.answeredAt, t.due) + scenario.terms.slack()) {
+    } else if (e.at() > Math.min(t.answeredAt, t.due) + scenario.terms().clockSlack()) {
       broke(
           "answers",
           e.at(),
@@ -269,7 +272,9 @@
     if (state != null && state != State.READY) {
       long late = e.at() - s.toldAt.get(e.proxy());
       lateDrain = Math.max(lateDrain, late);
-      if (late > scenario.terms.grace() + (scenario.virtual ? 0 : scenario.terms.slack())) {
+      if (late
+          > scenario.terms().drainGrace()
+              + (scenario.isVirtual() ? 0 : scenario.terms().clockSlack())) {
         broke(
             "drains",
             e.at(),
@@ -293,12 +298,13 @@
     if (!s.cold || s.budget == null) {
       return;
     }
-    Scenario.Servers kind = scenario.kindOf(e.server());
+    Scenario.BackendGroup kind = scenario.groupOf(e.server());
     double age = e.at() - s.start;
-    if (age >= kind.coldFor()) {
+    if (age >= kind.coldDuration()) {
       return;
     }
-    double warmth = kind.coldFrom() + (1 - kind.coldFrom()) * Math.max(0, age) / kind.coldFor();
+    double warmth =
+        kind.coldSpeed() + (1 - kind.coldSpeed()) * Math.max(0, age) / kind.coldDuration();
     boolean knows = s.toldStart.getOrDefault(e.proxy(), Long.MIN_VALUE) >= s.start;
     boolean falls = s.budget.add(e.at(), e.figure(), s.capacity * warmth, knows);
     coldLoad = Math.max(coldLoad, s.budget.most());
@@ -342,7 +348,8 @@
   }
 
   private boolean apart(DeduplicationScope group, int one, int other) {
-    return group == DeduplicationScope.ZONE && one % scenario.zones != other % scenario.zones
+    return group == DeduplicationScope.ZONE
+            && one % scenario.zoneCount() != other % scenario.zoneCount()
         || group == DeduplicationScope.CELL && one / CELL != other / CELL;
   }
 
@@ -396,7 +403,10 @@
   public Verdict verdict() {
     for (Map.Entry<Long, Try> one : tries.entrySet()) {
       Try t = one.getValue();
-      if (t.answers == 0 && !t.left && !t.excused && t.due + scenario.terms.slack() < lastAt) {
+      if (t.answers == 0
+          && !t.left
+          && !t.excused
+          && t.due + scenario.terms().clockSlack() < lastAt) {
         lost++;
         broke("answers", t.due, "req " + one.getKey() + " was never answered");
       }
@@ -405,7 +415,7 @@
     f.put("broken", (double) broken.values().stream().mapToInt(n -> n).sum());
     broken.forEach((rule, n) -> f.put("broken." + rule, (double) n));
     f.put("service", service(0, Long.MAX_VALUE));
-    scenario.windows.forEach(w -> f.put("service-" + w.name(), service(w.from(), w.until())));
+    scenario.windows().forEach(w -> f.put("service-" + w.name(), service(w.from(), w.until())));
     f.put("worst-second", worst());
     f.put("asked", (double) ops.size());
     f.put("done", (double) done);
@@ -458,7 +468,7 @@
   }
 
   private double worst() {
-    int whole = (int) (scenario.length / Scenario.SECOND);
+    int whole = (int) (scenario.duration() / Scenario.SECOND);
     return seconds.stream()
         .limit(Math.max(1, whole))
         .filter(s -> s.asked > 0)
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -6,7 +6,7 @@
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.scenario.Scenario.Expect;
+import wheattrack.lab.scenario.Scenario.Expectation;
 
 /**
  * What the referee found of one run. Figures by name; byServer: dispatches by second and server's
@@ -25,8 +25,10 @@
     Histogram latency) {
 
   /** The expectations that do not hold. */
-  public List<Expect> shortfalls() {
-    return scenario.expects.stream().filter(e -> !e.holds(figures.get(e.figure()))).toList();
+  public List<Expectation> shortfalls() {
+    return scenario.expectations().stream()
+        .filter(e -> !e.isMetBy(figures.get(e.figure())))
+        .toList();
   }
 
   public boolean isGood() {
@@ -37,7 +39,7 @@
   public String result(long seed) {
     StringBuilder out =
         new StringBuilder("RESULT ")
-            .append(scenario.name)
+            .append(scenario.name())
             .append(" seed=")
             .append(seed)
             .append(" ok=")
--- a/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -30,7 +30,7 @@
   private HtmlReport(List<Run> runs) {
     this.runs = runs;
     scenario = runs.get(0).verdict().scenario();
-    seconds = scenario.length / (double) Scenario.SECOND;
+    seconds = scenario.duration() / (double) Scenario.SECOND;
   }
 
   public static void write(Path file, List<Run> runs) throws IOException {
@@ -40,7 +40,7 @@
   private String text() {
     add(
         "<!DOCTYPE html><html lang='en'><meta charset='utf-8'><title>%s</title>",
-        escaped(scenario.name));
+        escaped(scenario.name()));
     add(
         "<style>body{font:14px/1.45 system-ui,sans-serif;margin:2em"
             + " auto;max-width:960px;color:#222}h2{margin:1.6em 0"
@@ -51,11 +51,11 @@
             + ".bad{color:#b00020;font-weight:600}</style>");
     add(
         "<h1>%s</h1><p>%s. %s clock, %d proxies, %d servers, %s s.</p>",
-        escaped(scenario.name),
-        escaped(scenario.about),
-        scenario.virtual ? "Simulated on a virtual" : "On sockets by a real",
-        scenario.proxies,
-        scenario.serverCount(),
+        escaped(scenario.name()),
+        escaped(scenario.description()),
+        scenario.isVirtual() ? "Simulated on a virtual" : "On sockets by a real",
+        scenario.proxyCount(),
+        scenario.backendCount(),
         Verdict.text(seconds));
     legend();
     service();
@@ -106,10 +106,11 @@
     add(
         "<h2>%s</h2><svg viewBox='0 0 %d %d' width='%d' height='%d' role='img'>",
         escaped(title), WIDE, HIGH, WIDE, HIGH);
-    for (int i = 0; i < scenario.faults.size(); i++) {
-      Fault f = scenario.faults.get(i);
-      double from = f.at() / (double) Scenario.SECOND;
-      double until = Math.min(seconds, from + Math.max(0.1, f.lasts() / (double) Scenario.SECOND));
+    for (int i = 0; i < scenario.faults().size(); i++) {
+      Fault f = scenario.faults().get(i);
+      double from = f.startsAt() / (double) Scenario.SECOND;
+      double until =
+          Math.min(seconds, from + Math.max(0.1, f.duration() / (double) Scenario.SECOND));
       add(
           "<rect x='%.1f' y='10' width='%.1f' height='%d' fill='#f3d9a6' fill-opacity='.55'/>",
           x(from), Math.max(2, x(until) - x(from)), HIGH - BASE - 10);
@@ -295,7 +296,7 @@
     add("<th>expected</th></tr>");
     for (String name : runs.get(0).verdict().figures().keySet()) {
       String wanted = "";
-      for (Scenario.Expect e : scenario.expects) {
+      for (Scenario.Expectation e : scenario.expectations()) {
         wanted += e.figure().equals(name) ? e.sign() + " " + Verdict.text(e.bound()) : "";
       }
       add("<tr><td>%s</td>", escaped(name));
@@ -330,7 +331,7 @@
             add(
                 "<li>%.3f s: %s %s</li>",
                 e.at() / 10_000.0,
-                scenario.faults.get((int) e.time()).kind().word(),
+                scenario.faults().get((int) e.time()).kind().word(),
                 e.code() == 1 ? "begins" : "ends"));
     add("</ul>");
   }
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -20,7 +20,7 @@
       out.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
       out.writeStartObject();
       out.writeStringField("what", "run");
-      out.writeStringField("scenario", v.scenario().name);
+      out.writeStringField("scenario", v.scenario().name());
       out.writeNumberField("seed", seed);
       out.writeStringField("policy", policy);
       out.writeBooleanField("ok", v.isGood());
--- a/lab/src/main/java/wheattrack/lab/scenario/Fault.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Fault.java
@@ -1,119 +1,141 @@
 package wheattrack.lab.scenario;
 
-import java.util.EnumMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
+import java.util.Locale;
 
 /**
  * One fault of a scenario's timeline. Times are tenths of a millisecond from the start of the run.
  *
- * @param at when it begins
- * @param lasts how long it lasts, 0 where it only happens
- * @param what what it hits: so many servers or proxies, chosen by the seed, or the one of that
- *     place
- * @param size how strong it is, in the kind's own measure
- * @param every for what comes again and again: how often
+ * @param startsAt when it begins
+ * @param duration how long it lasts, 0 where it only happens
+ * @param target what it hits: a number of backends or proxies, chosen by the seed, or one of them
+ * @param magnitude how strong it is, in the kind's own measure
+ * @param interval for a fault that recurs while it lasts: the time between two occurrences
  */
-public record Fault(Kind kind, long at, long lasts, Hits what, double size, long every) {
+public record Fault(
+    Kind kind, long startsAt, long duration, Target target, double magnitude, long interval) {
+  /** What a fault disturbs. */
+  private enum Subject {
+    PROXIES,
+    BACKENDS,
+    LINKS,
+    DISCOVERY,
+    LOAD,
+    HINTS
+  }
+
+  /** The clocks on which a fault can be played. */
+  private enum Clocks {
+    VIRTUAL,
+    REAL,
+    BOTH
+  }
+
+  /**
+   * The bounds of a kind's magnitude.
+   *
+   * @param standard the magnitude where the scenario names none
+   * @param min the least allowed
+   * @param max the greatest allowed
+   */
+  public record MagnitudeRange(double standard, double min, double max) {}
+
   /** What the timeline can do, and on which clocks it can be played. */
   public enum Kind {
-    KILL_PROXY(true, true),
-    STOP_PROXY(false, true),
-    CLOCK_PROXY(false, true),
-    CRASH(true, true),
-    VANISH(true, true),
-    HANG(true, true),
-    SLOW(true, true),
-    FAIL(true, true),
-    PAUSE(true, true),
-    SHRINK(true, true),
-    DRAIN(true, true),
-    REPLACE(true, false),
-    LIST_DOWN(true, true),
-    LIST_STALE(true, true),
-    LIST_EMPTY(true, true),
-    LINK_DELAY(true, true),
-    LINK_HOLD(false, true),
-    LINK_DROP(true, true),
-    LINK_CUT(false, true),
-    LINK_RESET(false, true),
-    LINK_CORRUPT(false, true),
-    BURST(true, true),
-    HINT_SHARE(true, true),
-    HINT_SCALE(true, true),
-    HINT_NOISE(true, true),
-    HINT_CONSTANT(true, true),
-    HINT_RANDOM(true, true),
-    HINT_INVERTED(true, true),
-    HINT_ABSURD(true, true),
-    HINT_MIXED(true, true);
-    public final boolean virtual, real;
-
-    Kind(boolean virtual, boolean real) {
-      this.virtual = virtual;
-      this.real = real;
+    KILL_PROXY(Subject.PROXIES, Clocks.BOTH),
+    STOP_PROXY(Subject.PROXIES, Clocks.REAL),
+    CLOCK_PROXY(Subject.PROXIES, Clocks.REAL, new MagnitudeRange(200.0, -3_600_000.0, 3_600_000.0)),
+    CRASH(Subject.BACKENDS, Clocks.BOTH),
+    VANISH(Subject.BACKENDS, Clocks.BOTH),
+    HANG(Subject.BACKENDS, Clocks.BOTH),
+    SLOW(Subject.BACKENDS, Clocks.BOTH, new MagnitudeRange(4.0, 0.001, 1000.0)),
+    FAIL(Subject.BACKENDS, Clocks.BOTH, new MagnitudeRange(0.5, 0.0, 1.0)),
+    PAUSE(Subject.BACKENDS, Clocks.BOTH, new MagnitudeRange(200.0, 1.0, 60_000.0)),
+    SHRINK(Subject.BACKENDS, Clocks.BOTH),
+    DRAIN(Subject.BACKENDS, Clocks.BOTH),
+    REPLACE(Subject.BACKENDS, Clocks.VIRTUAL),
+    LIST_DOWN(Subject.DISCOVERY, Clocks.BOTH),
+    LIST_STALE(Subject.DISCOVERY, Clocks.BOTH),
+    LIST_EMPTY(Subject.DISCOVERY, Clocks.BOTH),
+    LINK_DELAY(Subject.LINKS, Clocks.BOTH, new MagnitudeRange(50.0, 0.0, 60_000.0)),
+    LINK_HOLD(Subject.LINKS, Clocks.REAL),
+    LINK_DROP(Subject.LINKS, Clocks.BOTH, new MagnitudeRange(0.02, 0.0, 1.0)),
+    LINK_CUT(Subject.LINKS, Clocks.REAL),
+    LINK_RESET(Subject.LINKS, Clocks.REAL),
+    LINK_CORRUPT(Subject.LINKS, Clocks.REAL),
+    BURST(Subject.LOAD, Clocks.BOTH, new MagnitudeRange(2.0, 0.01, 100.0)),
+    HINT_SHARE(Subject.HINTS, Clocks.BOTH, new MagnitudeRange(1.0, 0.0, 1.0)),
+    HINT_SCALE(Subject.HINTS, Clocks.BOTH, new MagnitudeRange(1000.0, 1e-6, 1e9)),
+    HINT_NOISE(Subject.HINTS, Clocks.BOTH, new MagnitudeRange(1.0, 0.0, 10.0)),
+    HINT_CONSTANT(Subject.HINTS, Clocks.BOTH, new MagnitudeRange(20.0, 0.001, 1e9)),
+    HINT_RANDOM(Subject.HINTS, Clocks.BOTH),
+    HINT_INVERTED(Subject.HINTS, Clocks.BOTH),
+    HINT_ABSURD(Subject.HINTS, Clocks.BOTH, new MagnitudeRange(214_748_364.7, 0.0001, 1e9)),
+    HINT_MIXED(Subject.HINTS, Clocks.BOTH, new MagnitudeRange(0.5, 0.0, 1.0));
+
+    private final Subject subject;
+    private final Clocks clocks;
+    private final MagnitudeRange magnitudeRange;
+
+    Kind(Subject subject, Clocks clocks) {
+      this(subject, clocks, null);
     }
 
-    /** As it stands in a scenario. */
+    Kind(Subject subject, Clocks clocks, MagnitudeRange magnitudeRange) {
+      this.subject = subject;
+      this.clocks = clocks;
+      this.magnitudeRange = magnitudeRange;
+    }
+
+    /** The name of this kind in a scenario file. */
     public String word() {
-      return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+      return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Whether it can be played on the virtual clock, or on the real one. */
+    public boolean isPlayable(boolean onVirtualClock) {
+      return clocks == Clocks.BOTH || clocks == (onVirtualClock ? Clocks.VIRTUAL : Clocks.REAL);
     }
 
+    /** Whether its target is one or more proxies. */
     public boolean hitsProxies() {
-      return Set.of(KILL_PROXY, STOP_PROXY, CLOCK_PROXY).contains(this);
+      return subject == Subject.PROXIES;
+    }
+
+    /** Whether it may be confined to one request class. */
+    public boolean mayHitOneRequestClass() {
+      return subject == Subject.HINTS;
     }
 
-    /** Whether it may be of one rule set only. */
-    public boolean hitsRuleSets() {
-      return name().startsWith("HINT");
+    /** Whether its target is one or more backends, or the links to them. */
+    public boolean hitsBackends() {
+      return subject == Subject.BACKENDS || subject == Subject.LINKS;
     }
 
-    public boolean hitsServers() {
-      return Set.of(CRASH, VANISH, HANG, SLOW, FAIL, PAUSE, SHRINK, DRAIN, REPLACE).contains(this)
-          || name().startsWith("LINK");
+    /** Whether it disturbs the links between proxies and backends. */
+    public boolean hitsLinks() {
+      return subject == Subject.LINKS;
+    }
+
+    /** The bounds of its magnitude, or null for a kind that has none. */
+    MagnitudeRange magnitudeRange() {
+      return magnitudeRange;
     }
   }
 
   /**
-   * Of the servers or proxies: this one where place is 0 or more, else a share, one at least, of
-   * those in the zone, or of all where zone is below 0.
+   * Which backends or proxies a fault hits.
+   *
+   * @param index the one it hits, or for a fault of hints the request class; below 0 where the seed
+   *     chooses
+   * @param share the share of the candidates that is hit, at least one of them
+   * @param zone the zone of the candidates, or below 0 for all zones
    */
-  public record Hits(int place, double share, int zone) {
-    /** So many of n. */
-    public int count(int n) {
-      return place >= 0 ? 1 : Math.min(n, Math.max(1, (int) Math.round(share * n)));
+  public record Target(int index, double share, int zone) {
+    /** How many of this number of candidates are hit. */
+    public int count(int population) {
+      return index >= 0
+          ? 1
+          : Math.min(population, Math.max(1, (int) Math.round(share * population)));
     }
   }
-
-  /** What size means to a kind, its default and its bounds; kinds that are not here have none. */
-  static final Map<Kind, List<Double>> SIZES =
-      new EnumMap<>(
-          Map.of(
-              Kind.SLOW,
-              List.of(4.0, 0.001, 1000.0),
-              Kind.FAIL,
-              List.of(0.5, 0.0, 1.0),
-              Kind.PAUSE,
-              List.of(200.0, 1.0, 60_000.0),
-              Kind.BURST,
-              List.of(2.0, 0.01, 100.0),
-              Kind.LINK_DELAY,
-              List.of(50.0, 0.0, 60_000.0),
-              Kind.LINK_DROP,
-              List.of(0.02, 0.0, 1.0),
-              Kind.HINT_SHARE,
-              List.of(1.0, 0.0, 1.0),
-              Kind.HINT_SCALE,
-              List.of(1000.0, 1e-6, 1e9),
-              Kind.HINT_NOISE,
-              List.of(1.0, 0.0, 10.0),
-              Kind.CLOCK_PROXY,
-              List.of(200.0, -3_600_000.0, 3_600_000.0)));
-
-  static {
-    SIZES.put(Kind.HINT_MIXED, List.of(0.5, 0.0, 1.0));
-    SIZES.put(Kind.HINT_CONSTANT, List.of(20.0, 0.001, 1e9));
-    SIZES.put(Kind.HINT_ABSURD, List.of(214_748_364.7, 0.0001, 1e9));
-  }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
@@ -0,0 +1,103 @@
+package wheattrack.lab.scenario;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
+import wheattrack.config.Settings;
+import wheattrack.lab.scenario.Scenario.BackendGroup;
+import wheattrack.lab.scenario.Scenario.Workload;
+
+/**
+ * The settings that a scenario gives its proxies, in the form of the proxies' own configuration.
+ */
+public final class ProxySettings {
+  /** Microseconds, as the settings have them. */
+  private static final int CONNECT_TIMEOUT = 250_000;
+
+  private static final int IDLE_TIMEOUT = 30_000_000;
+  private static final int LOAD_PROBE_INTERVAL = 10_000_000;
+
+  private ProxySettings() {}
+
+  /** The settings of the proxy of this index, as a tree of maps, lists and plain values. */
+  public static Map<String, Object> of(Scenario scenario, int proxyIndex) {
+    List<Object> requestClasses = new ArrayList<>();
+    for (Workload workload : scenario.workloads()) {
+      requestClasses.add(requestClass(workload.name(), workload.requestClass()));
+    }
+    List<String> zones = new ArrayList<>();
+    for (int zone = 0; zone < scenario.zoneCount(); zone++) {
+      zones.add("z" + zone);
+    }
+    Map<String, Object> settings = new LinkedHashMap<>();
+    settings.put("me", proxyIndex);
+    settings.put("balancers", scenario.proxyCount());
+    settings.put("zones", zones);
+    settings.put("zone", proxyIndex % scenario.zoneCount());
+    settings.put("kinds", scenario.backendKinds());
+    settings.put("ruleSets", requestClasses);
+    settings.put("limits", limits(scenario.limits()));
+    settings.put("rules", rules(scenario));
+    return settings;
+  }
+
+  private static Map<String, Object> requestClass(String name, RequestClass requestClass) {
+    Map<String, Object> settings = new LinkedHashMap<>();
+    settings.put("name", name);
+    settings.put("effect", effectWord(requestClass.idempotency()));
+    settings.put("group", requestClass.deduplicationScope().name().toLowerCase(Locale.ROOT));
+    settings.put("window", requestClass.deduplicationWindow() * Settings.UNIT);
+    settings.put("responseTarget", requestClass.latencyObjective() * Settings.UNIT);
+    settings.put("clientTimeout", requestClass.clientTimeout() * Settings.UNIT);
+    settings.put("value", requestClass.priorityWeight());
+    settings.put("overdueValue", requestClass.lateWeight());
+    return settings;
+  }
+
+  private static String effectWord(Idempotency idempotency) {
+    return switch (idempotency) {
+      case IDEMPOTENT -> "read_like";
+      case IDEMPOTENT_WITH_KEY -> "idempotency_key";
+      case NON_IDEMPOTENT -> "non_idempotent";
+    };
+  }
+
+  private static Map<String, Object> limits(Scenario.AttemptLimits limits) {
+    return Map.of(
+        "maxDispatches",
+        limits.maxAttempts(),
+        "mayCancel",
+        limits.mayCancel(),
+        "mayDuplicate",
+        limits.mayHedge(),
+        "retryAfter",
+        limits.maxRetryAfter() > 0,
+        "maxRetryAfter",
+        limits.maxRetryAfter() * Settings.UNIT,
+        "dialTimeout",
+        CONNECT_TIMEOUT,
+        "idleClose",
+        IDLE_TIMEOUT);
+  }
+
+  private static Map<String, Object> rules(Scenario scenario) {
+    List<BackendGroup> groups = scenario.backendGroups();
+    long coldDuration = groups.stream().mapToLong(BackendGroup::coldDuration).max().orElse(0);
+    double coldSpeed = groups.stream().mapToDouble(BackendGroup::coldSpeed).min().orElse(1);
+    return Map.of(
+        "askEvery",
+        LOAD_PROBE_INTERVAL,
+        "cold",
+        coldDuration * Settings.UNIT,
+        "startCapacity",
+        coldSpeed,
+        "fall",
+        scenario.terms().collapseWindow() * Settings.UNIT,
+        "fallMultiple",
+        scenario.terms().collapseMultiple());
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -1,10 +1,7 @@
 package wheattrack.lab.sockets;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
-import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -22,192 +19,183 @@
 import wheattrack.lab.model.BackendVisit;
 import wheattrack.lab.model.SimulatedBackend;
 import wheattrack.lab.scenario.Fault;
+import wheattrack.lab.scenario.Scenario;
 
 /**
- * A stand-in server on sockets: what it does is its machine's; here is HTTP. It listens once for
- * each proxy, which tells it who sends, with a relay before it where links are to be spoilt.
+ * A backend on sockets: the model decides what it does, here is HTTP. It has a port for each proxy,
+ * which says who sends, behind a link of its own where the scenario has faults of links. Runs on
+ * the run's thread only.
  */
 final class BackendServer {
-  private final SocketRun stage;
-  private final SimulatedBackend machine;
+  private final SocketRun run;
+  private final SimulatedBackend backend;
   private final int[] ports;
-  private final List<FaultyLink> relays = new ArrayList<>();
-  private final List<AsynchronousServerSocketChannel> doors = new ArrayList<>();
-  private final Set<Conn> conns = new LinkedHashSet<>();
-  private boolean listening;
+  private final List<FaultyLink> faultyLinks = new ArrayList<>();
+  private final List<LoopbackListener> listeners = new ArrayList<>();
+  private final Set<Connection> connections = new LinkedHashSet<>();
 
-  BackendServer(SocketRun stage, SimulatedBackend machine, boolean withRelays) {
-    this.stage = stage;
-    this.machine = machine;
-    ports = new int[stage.scenario.proxies];
-    machine.onChange(this::changed);
+  BackendServer(SocketRun run, SimulatedBackend backend, boolean withFaultyLinks) {
+    this.run = run;
+    this.backend = backend;
+    ports = new int[run.scenario().proxyCount()];
+    backend.onStateChange(this::backendStateChanged);
     listen();
-    for (int p = 0; withRelays && p < ports.length; p++) {
-      relays.add(new FaultyLink(stage, ports[p], stage.draws("relay" + machine.place + "-" + p)));
+    for (int proxy = 0; withFaultyLinks && proxy < ports.length; proxy++) {
+      String linkName = "relay" + backend.index() + "-" + proxy;
+      faultyLinks.add(new FaultyLink(run, ports[proxy], run.randomStream(linkName)));
     }
   }
 
-  /** Where this proxy finds the server. */
+  /** The port at which this proxy finds the backend. */
   int port(int proxy) {
-    return relays.isEmpty() ? ports[proxy] : relays.get(proxy).port();
+    return faultyLinks.isEmpty() ? ports[proxy] : faultyLinks.get(proxy).port();
   }
 
-  /** All links to it are spoilt like this, or well again with null. */
-  void link(Fault fault) {
-    relays.forEach(r -> r.spoil(fault));
+  /** Puts a fault on all links to the backend, or none with null. */
+  void setLinkFault(Fault fault) {
+    faultyLinks.forEach(link -> link.setFault(fault));
   }
 
-  private void changed() {
-    switch (machine.state()) {
+  private void backendStateChanged() {
+    switch (backend.state()) {
       case DEAD -> {
-        shut();
-        List.copyOf(conns).forEach(Conn::reset);
+        stopListening();
+        List.copyOf(connections).forEach(Connection::reset);
       }
-      case SILENT -> List.copyOf(conns).forEach(c -> c.mute = true);
+      case SILENT -> List.copyOf(connections).forEach(connection -> connection.silent = true);
       case UP -> {
-        List.copyOf(conns).stream().filter(c -> c.mute).forEach(Conn::reset);
+        List.copyOf(connections).stream()
+            .filter(connection -> connection.silent)
+            .forEach(Connection::reset);
         listen();
       }
-      default -> {}
+      default -> {
+        // a hung process keeps its connections
+      }
     }
   }
 
+  /** Listens, if it does not yet; the ports stay the same from the first time on. */
   private void listen() {
-    if (listening) {
+    if (!listeners.isEmpty()) {
       return;
     }
-    listening = true;
-    try {
-      for (int p = 0; p < ports.length; p++) {
-        AsynchronousServerSocketChannel door = AsynchronousServerSocketChannel.open(stage.group);
-        door.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        door.bind(new InetSocketAddress(SocketRun.HOME, ports[p]), 1024);
-        ports[p] = ((InetSocketAddress) door.getLocalAddress()).getPort();
-        doors.add(door);
-        accept(door, p);
-      }
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+    for (int index = 0; index < ports.length; index++) {
+      int proxy = index;
+      LoopbackListener listener =
+          new LoopbackListener(
+              run,
+              ports[proxy],
+              LoopbackListener.LARGE_BACKLOG,
+              channel -> accepted(channel, proxy));
+      ports[proxy] = listener.port();
+      listeners.add(listener);
     }
   }
 
-  private void shut() {
-    listening = false;
-    for (AsynchronousServerSocketChannel door : doors) {
-      try {
-        door.close();
-      } catch (IOException e) {
-        // it is closed either way
-      }
-    }
-    doors.clear();
+  private void stopListening() {
+    listeners.forEach(LoopbackListener::close);
+    listeners.clear();
   }
 
-  private void accept(AsynchronousServerSocketChannel door, int proxy) {
-    door.accept(
-        null,
-        stage.loop.handler(
-            one -> {
-              Conn conn = new Conn(one, proxy);
-              conns.add(conn);
-              conn.mute = machine.state() == SimulatedBackend.State.SILENT;
-              conn.open();
-              accept(door, proxy);
-            },
-            why -> {
-              if (door.isOpen()) {
-                stage.after(100, () -> accept(door, proxy));
-              }
-            }));
+  private void accepted(AsynchronousSocketChannel channel, int proxy) {
+    Connection connection = new Connection(channel, proxy);
+    connections.add(connection);
+    connection.silent = backend.state() == SimulatedBackend.State.SILENT;
+    connection.open();
   }
 
-  /** One connection from a proxy; it carries one dispatch at a time. */
-  private final class Conn extends TcpConnection {
-    private final RequestDecoder in = new RequestDecoder();
+  /** One connection from a proxy; it carries one attempt at a time. */
+  private final class Connection extends TcpConnection {
+    private final RequestDecoder decoder = new RequestDecoder();
     private final AsynchronousSocketChannel channel;
     private final int proxy;
-    private final int life = machine.epoch();
-    private boolean mute, held, anew = true;
-    private Runnable stop;
+    private final int incarnation = backend.incarnation();
+    private boolean silent;
+    private boolean counted;
+    private boolean unused = true;
+    private Runnable closeHandler;
 
-    Conn(AsynchronousSocketChannel channel, int proxy) {
-      super(stage.loop, channel);
+    Connection(AsynchronousSocketChannel channel, int proxy) {
+      super(run.loop(), channel);
       this.channel = channel;
       this.proxy = proxy;
     }
 
     void open() {
-      held = mute || machine.connects();
-      if (held) {
-        read(in.writableBuffer());
+      counted = silent || backend.tryConnect();
+      if (counted) {
+        read(decoder.writableBuffer());
       } else {
         reset();
       }
     }
 
     @Override
-    protected void onRead(int n) {
-      if (n < 0) {
-        Runnable stopping = stop;
+    protected void onRead(int byteCount) {
+      if (byteCount < 0) {
+        Runnable handler = closeHandler;
         close();
-        if (stopping != null) {
-          stopping.run();
+        if (handler != null) {
+          handler.run();
         }
         return;
       }
       try {
-        Request r = in.next();
-        if (r != null && !mute) {
-          request(r);
+        Request request = decoder.next();
+        if (request != null && !silent) {
+          receive(request);
         }
-        read(in.writableBuffer());
+        read(decoder.writableBuffer());
       } catch (MalformedMessageException e) {
         close();
       }
     }
 
-    private void request(Request r) {
-      String id = r.headers().first("Request-Id");
-      Long work =
-          id == null || !id.matches("[0-9a-f]{1,16}")
-              ? null
-              : stage.open.get(Long.parseLong(id, 16));
-      if (work == null || stop != null) {
-        write(Encoder.response(answer(400, "no client sent this", false)));
+    private void receive(Request request) {
+      String id = request.headers().first("Request-Id");
+      boolean isValid = id != null && id.matches("[0-9a-f]{1,16}");
+      Long work = isValid ? run.workOf(Long.parseLong(id, 16)) : null;
+      if (work == null || closeHandler != null) {
+        write(Encoder.response(response(400, "no client sent this", false)));
         return;
       }
-      String timeout = r.headers().first("Request-Timeout");
-      long wait =
-          timeout == null ? Integer.MAX_VALUE : (long) (Double.parseDouble(timeout) * 10_000);
-      boolean first = anew;
-      anew = false;
-      machine.arrive(new Call(Long.parseLong(id, 16), work, stage.now() + wait), sentAt(), first);
+      boolean isFirst = unused;
+      unused = false;
+      long deadline = run.now() + timeoutOf(request);
+      Attempt attempt = new Attempt(Long.parseLong(id, 16), work, deadline);
+      backend.receive(attempt, firstByteSentAt(), isFirst);
     }
 
-    private long sentAt() {
+    private long timeoutOf(Request request) {
+      String seconds = request.headers().first("Request-Timeout");
+      return seconds == null
+          ? Integer.MAX_VALUE
+          : (long) (Double.parseDouble(seconds) * Scenario.SECOND);
+    }
+
+    private long firstByteSentAt() {
+      if (faultyLinks.isEmpty()) {
+        return run.now();
+      }
       try {
-        return relays.isEmpty()
-            ? stage.now()
-            : relays.get(proxy).sentAt(((InetSocketAddress) channel.getRemoteAddress()).getPort());
+        int linkPort = ((InetSocketAddress) channel.getRemoteAddress()).getPort();
+        return faultyLinks.get(proxy).sentAt(linkPort);
       } catch (IOException e) {
-        return stage.now();
+        return run.now(); // closed by now: no better time is known
       }
     }
 
     @Override
-    protected void onWritten(boolean whole) {
-      if (!whole) {
+    protected void onWritten(boolean complete) {
+      if (!complete) {
         close();
       }
     }
 
-    /** Breaks it so that the other side hears of it at once. */
+    /** Breaks it so that the proxy learns of it at once. */
     void reset() {
-      try {
-        channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-      } catch (IOException | RuntimeException e) {
-        // closed without it
-      }
+      LoopbackListener.resetOnClose(channel);
       close();
     }
 
@@ -215,26 +203,28 @@
     public void close() {
       if (!isClosed()) {
         super.close();
-        conns.remove(this);
-        if (held) {
-          machine.hangsUp(life);
+        connections.remove(this);
+        if (counted) {
+          backend.connectionClosed(incarnation);
         }
       }
     }
 
-    /** A dispatch on this connection. */
-    private final class Call implements BackendVisit {
-      private final long req, work, due;
+    /** An attempt on this connection. */
+    private final class Attempt implements BackendVisit {
+      private final long requestId;
+      private final long work;
+      private final long deadline;
 
-      Call(long req, long work, long due) {
-        this.req = req;
+      Attempt(long requestId, long work, long deadline) {
+        this.requestId = requestId;
         this.work = work;
-        this.due = due;
+        this.deadline = deadline;
       }
 
       @Override
-      public long req() {
-        return req;
+      public long requestId() {
+        return requestId;
       }
 
       @Override
@@ -248,27 +238,27 @@
       }
 
       @Override
-      public long due() {
-        return due;
+      public long deadline() {
+        return deadline;
       }
 
       @Override
-      public void stops(Runnable how) {
-        stop = how;
+      public void onConnectionClosed(Runnable handler) {
+        closeHandler = handler;
       }
 
       @Override
-      public void heard(AttemptOutcome how) {
+      public void completed(AttemptOutcome outcome) {
         if (isClosed()) {
           return;
         }
-        switch (how) {
-          case DONE -> write(Encoder.response(answer(200, Long.toHexString(req), true)));
-          case ERROR -> write(Encoder.response(answer(500, "failed", true)));
+        switch (outcome) {
+          case DONE -> write(Encoder.response(response(200, Long.toHexString(requestId), true)));
+          case ERROR -> write(Encoder.response(response(500, "failed", true)));
           case FULL -> {
-            Response no = answer(503, "full", true);
-            no.headers().with("Not-Started", "1");
-            write(Encoder.response(no));
+            Response response = response(503, "full", true);
+            response.headers().with("Not-Started", "1");
+            write(Encoder.response(response));
           }
           default -> reset();
         }
@@ -276,11 +266,11 @@
     }
   }
 
-  private static Response answer(int status, String text, boolean keep) {
+  private static Response response(int status, String text, boolean keepAlive) {
     return new Response(
         status,
         new Headers().with("Content-Type", "text/plain"),
-        keep,
+        keepAlive,
         text.getBytes(StandardCharsets.US_ASCII));
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -1,12 +1,9 @@
 package wheattrack.lab.sockets;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -22,95 +19,90 @@
 import wheattrack.lab.referee.LedgerRecord.State;
 
 /**
- * The list on sockets, in the proxies' own form: an address a proxy, so that it knows whom it
- * tells.
+ * The endpoint list on sockets, in the form that the proxies expect. It has a port for each proxy,
+ * which says who watches. Runs on the run's thread only.
  */
 final class DiscoveryServer extends EndpointRegistry {
-  private static final long BEAT = 20_000;
-  private static final String HEAD =
+  private static final long HEARTBEAT_INTERVAL = 20_000;
+  private static final String RESPONSE_HEAD =
       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
           + "Transfer-Encoding: chunked\r\n\r\n";
-
-  private final SocketRun sockets;
-  private final List<BackendServer> servers;
-  private final AsynchronousServerSocketChannel[] doors;
+  private static final String ENTRY_FORMAT =
+      "{\"uid\":\"s-%x\",\"endpoint\":\"127.0.0.1:%d\","
+          + "\"az\":\"z%d\",\"model\":\"%s\",\"pod_group\":%d,\"state\":\"%s\","
+          + "\"capacity_hint\":%s,\"boot_ms\":%.1f}";
+
+  private final SocketRun run;
+  private final List<BackendServer> backendServers;
+  private final List<LoopbackListener> listeners = new ArrayList<>();
   private final Set<Watcher> watchers = new LinkedHashSet<>();
-  private final RandomStream draws;
-  private long rev = 1;
-
-  DiscoveryServer(SocketRun sockets, List<BackendServer> servers) throws IOException {
-    super(sockets);
-    this.sockets = sockets;
-    this.servers = servers;
-    draws = sockets.draws("list");
-    doors = new AsynchronousServerSocketChannel[sockets.scenario.proxies];
-    for (int p = 0; p < doors.length; p++) {
-      doors[p] = AsynchronousServerSocketChannel.open(sockets.group).bind(SocketRun.any());
-      accept(p);
+  private final RandomStream random;
+  private long revision = 1;
+
+  DiscoveryServer(SocketRun run, List<BackendServer> backendServers) {
+    super(run);
+    this.run = run;
+    this.backendServers = backendServers;
+    random = run.randomStream("list");
+    for (int index = 0; index < run.scenario().proxyCount(); index++) {
+      int proxy = index;
+      listeners.add(
+          new LoopbackListener(
+              run,
+              LoopbackListener.ANY_PORT,
+              LoopbackListener.DEFAULT_BACKLOG,
+              channel -> new Watcher(channel, proxy).open()));
     }
   }
 
+  /** The port at which this proxy watches the list. */
   int port(int proxy) {
-    try {
-      return ((InetSocketAddress) doors[proxy].getLocalAddress()).getPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    return listeners.get(proxy).port();
   }
 
-  private void accept(int proxy) {
-    doors[proxy].accept(
-        null,
-        sockets.loop.handler(
-            one -> {
-              new Watcher(one, proxy).open();
-              accept(proxy);
-            },
-            why -> {
-              if (doors[proxy].isOpen()) {
-                sockets.after(100, () -> accept(proxy));
-              }
-            }));
+  @Override
+  protected void publishChange(EndpointEvent event) {
+    revision++;
+    watchers.forEach(watcher -> watcher.deliverLater(() -> watcher.sendChange(event)));
   }
 
   @Override
-  protected void tellAll(News news) {
-    rev++;
-    watchers.forEach(w -> w.tellLater(news));
+  protected void publishSnapshot() {
+    revision++;
+    watchers.forEach(watcher -> watcher.deliverLater(watcher::sendSnapshot));
   }
 
   /**
-   * Open watches stay open and silent, new ones are not answered: so a machine that is cut off
-   * looks.
+   * Open watches stay open and silent, and new ones are not answered: a machine that is cut off
+   * looks like that.
    */
   @Override
-  protected void breakOff() {
+  protected void interruptWatches() {
     // silence is all there is
   }
 
-  private String line(int proxy, List<News> entries, boolean all) {
-    StringJoiner targets = new StringJoiner(",");
-    for (News n : entries) {
-      SimulatedBackend m = sockets.machine(n.server());
-      targets.add(
-          String.format(
-              Locale.ROOT,
-              "{\"uid\":\"s-%x\",\"endpoint\":\"127.0.0.1:%d\","
-                  + "\"az\":\"z%d\",\"model\":\"%s\",\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%s,"
-                  + "\"boot_ms\":%.1f}",
-              n.server() + 1,
-              servers.get(n.server()).port(proxy),
-              m.zone,
-              m.kind.kind(),
-              n.server() / 4,
-              word(n.state()),
-              m.kind.cores() * m.kind.speed(),
-              n.start() == LONG_AGO ? 0 : sockets.unixMillis(n.start())));
-    }
-    return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + targets + "]}\n";
+  private String line(int proxy, List<EndpointEvent> events, boolean complete) {
+    StringJoiner entries = new StringJoiner(",");
+    events.forEach(event -> entries.add(entry(proxy, event)));
+    return "{\"rev\":" + revision + ",\"all\":" + complete + ",\"targets\":[" + entries + "]}\n";
+  }
+
+  private String entry(int proxy, EndpointEvent event) {
+    SimulatedBackend backend = run.backend(event.backend());
+    return String.format(
+        Locale.ROOT,
+        ENTRY_FORMAT,
+        event.backend() + 1,
+        backendServers.get(event.backend()).port(proxy),
+        backend.zone(),
+        backend.group().kind(),
+        event.backend() / BACKENDS_PER_CELL,
+        stateWord(event.state()),
+        backend.group().cores() * backend.group().speed(),
+        event.startedAt() == LONG_AGO ? 0 : run.unixMillis(event.startedAt()));
   }
 
-  private static String word(State state) {
+  private static String stateWord(State state) {
     return switch (state) {
       case READY -> "SERVING";
       case DRAINING -> "DRAINING";
@@ -120,91 +112,96 @@
 
   /** One watch of one proxy. */
   private final class Watcher extends TcpConnection {
-    private final RequestDecoder in = new RequestDecoder();
+    private final RequestDecoder decoder = new RequestDecoder();
     private final int proxy;
-    private final Set<Integer> named = new LinkedHashSet<>();
-    private long lastAt = Long.MIN_VALUE;
+    private final Set<Integer> listedBackends = new LinkedHashSet<>();
+    private long lastDelivery = Long.MIN_VALUE;
 
     Watcher(AsynchronousSocketChannel channel, int proxy) {
-      super(sockets.loop, channel);
+      super(run.loop(), channel);
       this.proxy = proxy;
     }
 
     void open() {
-      read(in.writableBuffer());
+      read(decoder.writableBuffer());
     }
 
     @Override
-    protected void onRead(int n) {
-      if (n < 0) {
+    protected void onRead(int byteCount) {
+      if (byteCount < 0) {
         close();
         return;
       }
       try {
-        if (in.next() != null && !down) {
+        if (decoder.next() != null && !isDown()) {
           watchers.add(this);
-          write(bytes(HEAD));
-          tell(null);
-          beat();
+          write(bytes(RESPONSE_HEAD));
+          sendSnapshot();
+          scheduleHeartbeat();
         }
-        read(in.writableBuffer());
+        read(decoder.writableBuffer());
       } catch (MalformedMessageException e) {
         close();
       }
     }
 
-    private void beat() {
-      sockets.after(
-          BEAT,
+    private void scheduleHeartbeat() {
+      run.schedule(
+          HEARTBEAT_INTERVAL,
           () -> {
             if (!isClosed()) {
-              if (!down) {
-                chunk("\n");
+              if (!isDown()) {
+                writeChunk("\n");
               }
-              beat();
+              scheduleHeartbeat();
             }
           });
     }
 
-    void tellLater(News news) {
-      long at =
-          Math.max(
-              lastAt,
-              sockets.now()
-                  + Math.round(sockets.scenario.roster.delay() * (0.5 + draws.uniform())));
-      lastAt = at;
-      sockets.after(
-          at - sockets.now(),
+    /** Delivers something after a random delay, but not before what was published earlier. */
+    void deliverLater(Runnable delivery) {
+      double meanDelay = run.scenario().discovery().delay();
+      long delay = Math.round(meanDelay * (0.5 + random.nextDouble()));
+      lastDelivery = Math.max(lastDelivery, run.now() + delay);
+      run.schedule(
+          lastDelivery - run.now(),
           () -> {
-            if (!isClosed() && !down) {
-              tell(news);
+            if (!isClosed() && !isDown()) {
+              delivery.run();
             }
           });
     }
 
-    private void tell(News news) {
-      List<News> entries = news == null ? all() : List.of(news);
-      if (news == null) {
-        Set<Integer> left = new LinkedHashSet<>(named);
-        entries.forEach(e -> left.remove(e.server()));
-        left.forEach(s -> said(new News(s, State.GONE, 0)));
-      }
-      chunk(line(proxy, entries, news == null));
-      entries.forEach(this::said);
+    void sendSnapshot() {
+      List<EndpointEvent> events = snapshot();
+      Set<Integer> unlisted = new LinkedHashSet<>(listedBackends);
+      events.forEach(event -> unlisted.remove(event.backend()));
+      unlisted.forEach(backend -> recordSent(new EndpointEvent(backend, State.GONE, 0)));
+      send(events, true);
+    }
+
+    void sendChange(EndpointEvent event) {
+      send(List.of(event), false);
+    }
+
+    private void send(List<EndpointEvent> events, boolean complete) {
+      writeChunk(line(proxy, events, complete));
+      events.forEach(this::recordSent);
     }
 
-    private void said(News n) {
-      if (n.state() == State.GONE) {
-        named.remove(n.server());
+    private void recordSent(EndpointEvent event) {
+      if (event.state() == State.GONE) {
+        listedBackends.remove(event.backend());
       } else {
-        named.add(n.server());
+        listedBackends.add(event.backend());
       }
-      sockets.say(LedgerRecord.told(sockets.now(), proxy, n.server(), n.state(), n.start()));
+      run.record(
+          LedgerRecord.told(run.now(), proxy, event.backend(), event.state(), event.startedAt()));
     }
 
-    private void chunk(String text) {
-      int n = text.getBytes(StandardCharsets.UTF_8).length;
-      write(bytes(Integer.toHexString(n) + "\r\n" + text + "\r\n"));
+    private void writeChunk(String text) {
+      int length = text.getBytes(StandardCharsets.UTF_8).length;
+      write(bytes(Integer.toHexString(length) + "\r\n" + text + "\r\n"));
     }
 
     private ByteBuffer bytes(String text) {
@@ -212,8 +209,8 @@
     }
 
     @Override
-    protected void onWritten(boolean whole) {
-      if (!whole) {
+    protected void onWritten(boolean complete) {
+      if (!complete) {
         close();
       }
     }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
@@ -0,0 +1,72 @@
+package wheattrack.lab.sockets;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import wheattrack.http.Encoder;
+import wheattrack.http.Headers;
+import wheattrack.http.Request;
+import wheattrack.lab.load.RequestPlan;
+import wheattrack.lab.model.ClientRequest;
+import wheattrack.lab.scenario.Scenario;
+
+/** A client's request in its form on the wire. */
+final class EncodedRequest {
+  /** Microseconds, in which hints are sent, in a tenth of a millisecond. */
+  private static final int HINT_UNIT = 100;
+
+  private final ClientRequest clientRequest;
+  private final ByteBuffer bytes;
+  private boolean taken;
+
+  EncodedRequest(ClientRequest clientRequest) {
+    this.clientRequest = clientRequest;
+    bytes = Encoder.request(httpRequest(clientRequest));
+  }
+
+  private static Request httpRequest(ClientRequest clientRequest) {
+    RequestPlan plan = clientRequest.plan();
+    double timeout = plan.workload().requestClass().clientTimeout();
+    Headers headers =
+        new Headers()
+            .with("Host", "lab")
+            .with("Request-Id", Long.toHexString(clientRequest.requestId()))
+            .with("Request-Timeout", Double.toString(timeout / Scenario.SECOND));
+    if (plan.hint() > 0) {
+      long hint = Math.max(1, Math.round(plan.hint() * HINT_UNIT));
+      headers.with("Work-Hint", Long.toString(hint));
+    }
+    if (clientRequest.isRetry()) {
+      headers.with("Client-Retry", "1");
+    }
+    String body = "req " + clientRequest.requestId();
+    return new Request(
+        "POST",
+        "/" + plan.workload().name(),
+        headers,
+        true,
+        body.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  ClientRequest clientRequest() {
+    return clientRequest;
+  }
+
+  /** The whole request, to be written once; each call starts at its first byte. */
+  ByteBuffer bytes() {
+    return bytes.duplicate();
+  }
+
+  /** How long the client waits for the answer. */
+  long timeout() {
+    return clientRequest.plan().workload().requestClass().clientTimeout();
+  }
+
+  /** Whether its last byte was written, on this or an earlier connection. */
+  boolean isTaken() {
+    return taken;
+  }
+
+  void markTaken() {
+    taken = true;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
@@ -1,11 +1,8 @@
 package wheattrack.lab.sockets;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -19,117 +16,111 @@
 import wheattrack.lab.scenario.Scenario;
 
 /**
- * The link between one proxy and one server: passes bytes on, and spoils them as told. DELAY: each
- * piece is late. DROP: a share of pieces comes as late as a packet sent again. HOLD: nothing passes
- * until it ends. CUT: a server's answer ends after so many bytes. RESET: connections break at once,
- * and new ones too. CORRUPT: a bit in each piece from the server is turned.
+ * The link between one proxy and one backend: passes bytes on, and disturbs them while it has a
+ * fault. DELAY: each piece is late. DROP: a share of pieces is as late as a packet sent again.
+ * HOLD: nothing passes until it ends. CUT: a backend's answer ends after so many bytes. RESET:
+ * connections break at once, and new ones too. CORRUPT: a bit in each piece from the backend is
+ * flipped. Runs on the run's thread only.
  */
 final class FaultyLink {
-  private static final long RETRANSMIT = 2_000;
-  private static final int PIECE = 8192, CUT_AFTER = 40;
-
-  private final SocketRun stage;
-  private final int to;
-  private final RandomStream draws;
-  private final AsynchronousServerSocketChannel door;
-  private final Set<Half> halves = new LinkedHashSet<>();
-  private final Map<Integer, Half> byPort = new HashMap<>();
-  private Fault spoilt;
-
-  FaultyLink(SocketRun stage, int to, RandomStream draws) {
-    this.stage = stage;
-    this.to = to;
-    this.draws = draws;
-    try {
-      door = AsynchronousServerSocketChannel.open(stage.group).bind(SocketRun.any(), 1024);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    accept();
+  /** The delay of a packet that was lost and sent again. */
+  private static final long RETRANSMIT_DELAY = 2_000;
+
+  /** The most bytes that pass in one piece. */
+  private static final int BUFFER_SIZE = 8192;
+
+  /** Bytes of an answer that pass before it is cut. */
+  private static final int CUT_AFTER_BYTES = 40;
+
+  /** How long it is known when a closed connection's last bytes were sent. */
+  private static final long SENT_TIME_KEPT = Scenario.SECOND;
+
+  private final SocketRun run;
+  private final int backendPort;
+  private final RandomStream random;
+  private final LoopbackListener listener;
+  private final Set<Side> sides = new LinkedHashSet<>();
+
+  /** The sides towards the proxy, by the port that the backend sees. */
+  private final Map<Integer, Side> proxySideByPort = new HashMap<>();
+
+  private Fault activeFault;
+
+  FaultyLink(SocketRun run, int backendPort, RandomStream random) {
+    this.run = run;
+    this.backendPort = backendPort;
+    this.random = random;
+    listener =
+        new LoopbackListener(
+            run, LoopbackListener.ANY_PORT, LoopbackListener.LARGE_BACKLOG, this::openConnection);
   }
 
+  /** The port at which the proxy finds the backend. */
   int port() {
-    try {
-      return ((InetSocketAddress) door.getLocalAddress()).getPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    return listener.port();
   }
 
-  void spoil(Fault fault) {
-    spoilt = fault;
-    if (is(Kind.LINK_RESET)) {
-      List.copyOf(halves).forEach(Half::reset);
+  /** Puts a fault on the link, or none with null. */
+  void setFault(Fault fault) {
+    activeFault = fault;
+    if (hasFault(Kind.LINK_RESET)) {
+      List.copyOf(sides).forEach(Side::reset);
     } else if (fault == null) {
-      List.copyOf(halves).forEach(Half::goOn);
+      List.copyOf(sides).forEach(Side::release);
     }
   }
 
-  /** When the link was given what the server has now got from this port of the relay's. */
+  /** When the proxy sent what the backend has now received from this port of the link's. */
   long sentAt(int port) {
-    Half near = byPort.get(port);
-    return near == null ? stage.now() : near.cameAt;
+    Side proxySide = proxySideByPort.get(port);
+    return proxySide == null ? run.now() : proxySide.receivedAt;
   }
 
-  private boolean is(Kind kind) {
-    return spoilt != null && spoilt.kind() == kind;
+  private boolean hasFault(Kind kind) {
+    return activeFault != null && activeFault.kind() == kind;
   }
 
-  private void accept() {
-    door.accept(
-        null,
-        stage.loop.handler(
-            one -> {
-              open(one);
-              accept();
-            },
-            why -> {
-              if (door.isOpen()) {
-                stage.after(100, this::accept);
-              }
-            }));
-  }
-
-  private void open(AsynchronousSocketChannel one) {
-    Half near = new Half(one, false);
-    if (is(Kind.LINK_RESET)) {
-      near.reset();
+  private void openConnection(AsynchronousSocketChannel channel) {
+    Side proxySide = new Side(channel, false);
+    if (hasFault(Kind.LINK_RESET)) {
+      proxySide.reset();
       return;
     }
     try {
-      Half far = new Half(AsynchronousSocketChannel.open(stage.group), true);
-      near.other = far;
-      far.other = near;
-      far.connect(
-          new InetSocketAddress(SocketRun.HOME, to),
+      Side backendSide = new Side(AsynchronousSocketChannel.open(run.group()), true);
+      proxySide.peer = backendSide;
+      backendSide.peer = proxySide;
+      backendSide.connect(
+          new InetSocketAddress(SocketRun.LOOPBACK, backendPort),
           () -> {
-            far.port = far.localPort();
-            byPort.put(far.port, near);
-            near.open();
-            far.open();
+            backendSide.port = backendSide.localPort();
+            proxySideByPort.put(backendSide.port, proxySide);
+            proxySide.open();
+            backendSide.open();
           },
-          near::reset);
+          proxySide::reset);
     } catch (IOException e) {
-      near.reset();
+      proxySide.reset();
     }
   }
 
-  /** One side of a connection; what comes here goes out at the other. */
-  private final class Half extends TcpConnection {
+  /** One side of a connection; what arrives here leaves at the peer. */
+  private final class Side extends TcpConnection {
     private final AsynchronousSocketChannel channel;
-    private final boolean fromServer;
-    private ByteBuffer in = ByteBuffer.allocate(PIECE);
-    private Half other;
-    private long lastAt, cameAt;
+    private final boolean fromBackend;
+    private ByteBuffer buffer = ByteBuffer.allocate(BUFFER_SIZE);
+    private Side peer;
+    private long lastDelivery;
+    private long receivedAt;
     private int port;
-    private int passed;
-    private boolean waits;
+    private int bytesPassed;
+    private boolean held;
 
-    Half(AsynchronousSocketChannel channel, boolean fromServer) {
-      super(stage.loop, channel);
+    Side(AsynchronousSocketChannel channel, boolean fromBackend) {
+      super(run.loop(), channel);
       this.channel = channel;
-      this.fromServer = fromServer;
-      halves.add(this);
+      this.fromBackend = fromBackend;
+      sides.add(this);
     }
 
     int localPort() {
@@ -141,94 +132,111 @@
     }
 
     void open() {
-      read(in);
+      read(buffer);
     }
 
     @Override
-    protected void onRead(int n) {
-      if (n < 0) {
+    protected void onRead(int byteCount) {
+      if (byteCount < 0) {
         pass(null);
         return;
       }
-      cameAt = n > 0 ? stage.now() : cameAt;
-      if (is(Kind.LINK_HOLD)) {
-        waits = true;
+      if (byteCount > 0) {
+        receivedAt = run.now();
+      }
+      if (hasFault(Kind.LINK_HOLD)) {
+        held = true;
         return;
       }
-      pass(in.flip());
-      in = ByteBuffer.allocate(PIECE);
-      read(in);
+      passBuffer();
     }
 
-    void goOn() {
-      if (waits && !isClosed()) {
-        waits = false;
-        onRead(0);
+    /** Passes on what a fault has held, if any. */
+    void release() {
+      if (held && !isClosed()) {
+        held = false;
+        passBuffer();
       }
     }
 
-    /** In order, as late as the link is now; null is the end. */
+    private void passBuffer() {
+      pass(buffer.flip());
+      buffer = ByteBuffer.allocate(BUFFER_SIZE);
+      read(buffer);
+    }
+
+    /** Passes a piece on, or the end with null: in order, and as late as the link is now. */
     private void pass(ByteBuffer piece) {
-      long late =
-          is(Kind.LINK_DELAY)
-              ? Math.round(spoilt.size() * Scenario.MS)
-              : is(Kind.LINK_DROP) && draws.happens(spoilt.size()) ? RETRANSMIT : 0;
-      long at = Math.max(lastAt, stage.now() + late);
-      lastAt = at;
-      if (at > stage.now()) {
-        stage.after(at - stage.now(), () -> goesOut(piece));
+      lastDelivery = Math.max(lastDelivery, run.now() + addedDelay());
+      if (lastDelivery > run.now()) {
+        run.schedule(lastDelivery - run.now(), () -> deliver(piece));
       } else {
-        goesOut(piece);
+        deliver(piece);
+      }
+    }
+
+    private long addedDelay() {
+      if (hasFault(Kind.LINK_DELAY)) {
+        return Math.round(activeFault.magnitude() * Scenario.MILLISECOND);
+      }
+      if (hasFault(Kind.LINK_DROP) && random.nextBoolean(activeFault.magnitude())) {
+        return RETRANSMIT_DELAY;
       }
+      return 0;
     }
 
-    private void goesOut(ByteBuffer piece) {
+    private void deliver(ByteBuffer piece) {
       if (piece == null) {
-        other.close();
+        peer.close();
         close();
-      } else if (!other.isClosed()) {
-        spoils(piece);
-        other.write(piece);
-        passed += piece.limit();
-        if (fromServer && is(Kind.LINK_CUT) && passed >= CUT_AFTER) {
-          other.shutdownOutput();
+      } else if (!peer.isClosed()) {
+        disturb(piece);
+        peer.write(piece);
+        bytesPassed += piece.limit();
+        if (fromBackend && hasFault(Kind.LINK_CUT) && bytesPassed >= CUT_AFTER_BYTES) {
+          peer.shutdownOutput();
           reset();
         }
       }
     }
 
-    private void spoils(ByteBuffer piece) {
-      if (fromServer && is(Kind.LINK_CUT)) {
-        piece.limit(Math.min(piece.limit(), Math.max(0, CUT_AFTER - passed)));
-      } else if (fromServer && is(Kind.LINK_CORRUPT) && piece.limit() > 0) {
-        int at = draws.below(piece.limit());
-        piece.put(at, (byte) (piece.get(at) ^ 1 << draws.below(8)));
+    private void disturb(ByteBuffer piece) {
+      if (fromBackend && hasFault(Kind.LINK_CUT)) {
+        int remaining = Math.max(0, CUT_AFTER_BYTES - bytesPassed);
+        piece.limit(Math.min(piece.limit(), remaining));
+      } else if (fromBackend && hasFault(Kind.LINK_CORRUPT) && piece.limit() > 0) {
+        int position = random.nextInt(piece.limit());
+        int flippedBit = 1 << random.nextInt(Byte.SIZE);
+        piece.put(position, (byte) (piece.get(position) ^ flippedBit));
       }
     }
 
     @Override
-    protected void onWritten(boolean whole) {
-      if (!whole) {
+    protected void onWritten(boolean complete) {
+      if (!complete) {
         reset();
       }
     }
 
+    /** Breaks the connection on both sides so that both ends learn of it at once. */
     void reset() {
-      for (Half half : other == null ? List.of(this) : List.of(this, other)) {
-        try {
-          half.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-        } catch (IOException | RuntimeException e) {
-          // closed without it
-        }
-        half.close();
+      resetThisSide();
+      if (peer != null) {
+        peer.resetThisSide();
       }
     }
 
+    private void resetThisSide() {
+      LoopbackListener.resetOnClose(channel);
+      close();
+    }
+
     @Override
     public void close() {
       super.close();
-      if (halves.remove(this) && port > 0) {
-        stage.after(Scenario.SECOND, () -> byPort.remove(port)); // the server may still be reading
+      if (sides.remove(this) && port > 0) {
+        // the backend may still be reading
+        run.schedule(SENT_TIME_KEPT, () -> proxySideByPort.remove(port));
       }
     }
   }
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -7,152 +7,182 @@
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
-import wheattrack.lab.model.ClientPopulation;
+import wheattrack.lab.model.ClientRequest;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.Scenario;
 
-/** One client connection to a proxy; it carries one req at a time. */
+/**
+ * One connection of a client to a proxy; it carries one request at a time. Runs on the run's thread
+ * only.
+ */
 final class LoadConnection extends TcpConnection {
-  private static final long REST = 15_000; // less than proxies let a connection rest
-
-  private final ProxyProcess to;
-  private final SocketRun stage;
-  private final ResponseDecoder in = new ResponseDecoder();
-  private ProxyProcess.Call call, last;
-  private ByteBuffer out;
-  private boolean reused, anyByte;
-  private int turns;
-
-  LoadConnection(ProxyProcess to, SocketRun stage, AsynchronousSocketChannel channel) {
-    super(stage.loop, channel);
-    this.to = to;
-    this.stage = stage;
+  /** How long it may be idle: shorter than the proxies allow. */
+  private static final long IDLE_TIMEOUT = 15_000;
+
+  /** How long after the client's timeout an answer may still arrive. */
+  private static final long ANSWER_GRACE = 5_000;
+
+  private final LoadConnectionPool pool;
+  private final SocketRun run;
+  private final ResponseDecoder decoder = new ResponseDecoder();
+  private EncodedRequest current;
+  private EncodedRequest lastRequest;
+  private ByteBuffer output;
+  private boolean reused;
+  private boolean hasResponseBytes;
+  private int exchanges;
+
+  LoadConnection(LoadConnectionPool pool, SocketRun run, AsynchronousSocketChannel channel) {
+    super(run.loop(), channel);
+    this.pool = pool;
+    this.run = run;
   }
 
-  void dial(ProxyProcess.Call first) {
-    call = first;
+  /** Connects and then sends a first request. */
+  void connectAndSend(EncodedRequest request) {
+    current = request;
     connect(
-        to.address(),
-        () -> call(first, false),
+        pool.address(),
+        () -> send(request, false),
         () -> {
           close();
-          to.broke(first);
+          pool.requestBroken(request);
         });
   }
 
-  boolean carries(ClientPopulation.Ask ask) {
-    return call != null && call.ask == ask;
+  /** Whether it waits for the answer to this request. */
+  boolean carries(ClientRequest request) {
+    return current != null && current.clientRequest() == request;
   }
 
-  void call(ProxyProcess.Call next, boolean again) {
+  /** Sends a request, on a connection that was used before or on a new one. */
+  void send(EncodedRequest request, boolean isReused) {
     if (isClosed()) {
       return;
     }
-    call = next;
-    reused = again;
-    anyByte = false;
-    turns++;
-    out = next.bytes.duplicate();
-    write(out);
-    read(in.writableBuffer());
+    current = request;
+    reused = isReused;
+    hasResponseBytes = false;
+    exchanges++;
+    output = request.bytes();
+    write(output);
+    read(decoder.writableBuffer());
   }
 
   @Override
-  protected void onWritten(boolean whole) {
-    if (call == null || out.hasRemaining()) {
+  protected void onWritten(boolean complete) {
+    if (current == null || output.hasRemaining()) {
       return;
     }
-    if (whole && !call.taken && call.ask.isOpen()) {
-      call.taken = true;
-      ClientPopulation.Ask ask = call.ask;
-      stage.say(
-          LedgerRecord.taken(
-              stage.now(),
-              ask.req(),
-              ask.op().id(),
-              to.place,
-              stage.now() + call.timeout,
-              ask.want().set().rules().index()));
-      ProxyProcess.Call mine = call;
-      stage.after(
-          call.timeout + 5_000,
+    if (complete && !current.isTaken() && current.clientRequest().isOpen()) {
+      current.markTaken();
+      recordTaken(current);
+      EncodedRequest sent = current;
+      run.schedule(
+          sent.timeout() + ANSWER_GRACE,
           () -> {
-            if (call == mine) { // no answer is to come any more; the referee knows
+            if (current == sent) { // the referee knows that there was no answer in time
               close();
             }
           });
     }
   }
 
+  private void recordTaken(EncodedRequest request) {
+    ClientRequest clientRequest = request.clientRequest();
+    run.record(
+        LedgerRecord.taken(
+            run.now(),
+            clientRequest.requestId(),
+            clientRequest.operation().id(),
+            pool.proxy().index(),
+            run.now() + request.timeout(),
+            clientRequest.plan().workload().requestClass().index()));
+  }
+
   @Override
-  protected void onRead(int n) {
-    if (n < 0) {
-      ended();
+  protected void onRead(int byteCount) {
+    if (byteCount < 0) {
+      connectionEnded();
       return;
     }
-    anyByte |= n > 0;
+    hasResponseBytes |= byteCount > 0;
     try {
-      Response answer = in.next();
-      if (answer == null) {
-        read(in.writableBuffer());
-      } else if (call == null) { // bytes that nobody asked for: a second answer
-        stage.crowd().answers(last.ask, Answer.ABORTED, 0);
+      Response response = decoder.next();
+      if (response == null) {
+        read(decoder.writableBuffer());
+      } else if (current == null) { // a second answer to the last request
+        run.clients().answered(lastRequest.clientRequest(), Answer.ABORTED, 0);
         close();
       } else {
-        answered(answer);
+        answered(response);
       }
     } catch (MalformedMessageException e) {
-      ended();
+      connectionEnded();
     }
   }
 
-  private void answered(Response answer) {
-    last = call;
-    call = null;
-    String body = new String(answer.body(), StandardCharsets.US_ASCII);
-    Answer how =
-        answer.status() == 503 || answer.status() == 429
-            ? Answer.DENIED
-            : answer.status() != 200
-                ? Answer.ABORTED
-                : body.equals(Long.toHexString(last.ask.req())) ? Answer.DONE : Answer.BROKEN;
-    String advice = answer.headers().first("Retry-After");
-    long wait = advice == null ? 0 : (long) (Double.parseDouble(advice) * 10_000);
-    if (answer.keepAlive() && !isClosed()) {
-      int turn = turns;
-      to.free(this);
-      read(in.writableBuffer());
-      stage.after(
-          REST,
-          () -> {
-            if (turns == turn) {
-              close();
-            }
-          });
+  private void answered(Response response) {
+    lastRequest = current;
+    current = null;
+    Answer answer = answerOf(response, lastRequest.clientRequest());
+    String header = response.headers().first("Retry-After");
+    long retryAfter = header == null ? 0 : (long) (Double.parseDouble(header) * Scenario.SECOND);
+    if (response.keepAlive() && !isClosed()) {
+      pool.connectionIdle(this);
+      read(decoder.writableBuffer());
+      closeWhenIdleFor(IDLE_TIMEOUT);
     } else {
       close();
     }
-    stage.crowd().answers(last.ask, how, wait);
+    run.clients().answered(lastRequest.clientRequest(), answer, retryAfter);
+  }
+
+  private static Answer answerOf(Response response, ClientRequest request) {
+    if (response.status() == 503 || response.status() == 429) {
+      return Answer.DENIED;
+    }
+    if (response.status() != 200) {
+      return Answer.ABORTED;
+    }
+    String body = new String(response.body(), StandardCharsets.US_ASCII);
+    return body.equals(Long.toHexString(request.requestId())) ? Answer.DONE : Answer.BROKEN;
+  }
+
+  private void closeWhenIdleFor(long time) {
+    int exchange = exchanges;
+    run.schedule(
+        time,
+        () -> {
+          if (exchanges == exchange) {
+            close();
+          }
+        });
   }
 
   /**
-   * A proxy may close a connection as a req crosses on it: that one is sent once more on a new one.
+   * The other side has closed the connection. A proxy may do so while a request is on its way: that
+   * one is sent again on another connection.
    */
-  private void ended() {
-    ProxyProcess.Call lost = call;
-    call = null;
+  private void connectionEnded() {
+    EncodedRequest lostRequest = current;
+    current = null;
     close();
-    if (lost != null && reused && !anyByte && to.isUp()) {
-      stage.resent++;
-      to.send(lost);
-    } else if (lost != null) {
-      to.broke(lost);
+    if (lostRequest == null) {
+      return;
+    }
+    if (reused && !hasResponseBytes && pool.proxy().isUp()) {
+      run.countResentRequest();
+      pool.send(lostRequest);
+    } else {
+      pool.requestBroken(lostRequest);
     }
   }
 
   @Override
   public void close() {
     super.close();
-    to.closed(this);
+    pool.connectionClosed(this);
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoopbackListener.java
@@ -0,0 +1,85 @@
+package wheattrack.lab.sockets;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.function.Consumer;
+
+/** Accepts connections at a port of the loopback address. Runs on the run's thread only. */
+final class LoopbackListener {
+  /** Any free port. */
+  static final int ANY_PORT = 0;
+
+  /** A backlog for many connections at once, and the system's own. */
+  static final int LARGE_BACKLOG = 1024;
+
+  static final int DEFAULT_BACKLOG = 0;
+
+  /** Delay before the next attempt after one to accept has failed. */
+  private static final long RETRY_DELAY = 100;
+
+  private final SocketRun run;
+  private final AsynchronousServerSocketChannel channel;
+  private final Consumer<AsynchronousSocketChannel> acceptor;
+
+  /** Listens from now on and passes each new connection to the acceptor. */
+  LoopbackListener(
+      SocketRun run, int port, int backlog, Consumer<AsynchronousSocketChannel> acceptor) {
+    this.run = run;
+    this.acceptor = acceptor;
+    try {
+      channel = AsynchronousServerSocketChannel.open(run.group());
+      channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      channel.bind(new InetSocketAddress(SocketRun.LOOPBACK, port), backlog);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    acceptNext();
+  }
+
+  /** The port that it listens at. */
+  int port() {
+    try {
+      return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Stops to listen; connections stay. */
+  void close() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // it is closed either way
+    }
+  }
+
+  private void acceptNext() {
+    channel.accept(
+        null,
+        run.loop()
+            .handler(
+                connection -> {
+                  acceptor.accept(connection);
+                  acceptNext();
+                },
+                failure -> {
+                  if (channel.isOpen()) {
+                    run.schedule(RETRY_DELAY, this::acceptNext);
+                  }
+                }));
+  }
+
+  /** Lets a connection break as it is closed, so that the other side learns of it at once. */
+  static void resetOnClose(AsynchronousSocketChannel connection) {
+    try {
+      connection.setOption(StandardSocketOptions.SO_LINGER, 0);
+    } catch (IOException | RuntimeException e) {
+      // it is closed without
+    }
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
@@ -6,29 +6,21 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import wheattrack.http.Encoder;
-import wheattrack.http.Headers;
-import wheattrack.http.Request;
-import wheattrack.lab.model.ClientPopulation;
+import wheattrack.lab.model.ClientRequest;
 import wheattrack.lab.model.ProxyHandle;
-import wheattrack.lab.referee.LedgerRecord;
-import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.ProxySettings;
 
-/** A proxy as a process of its own, and the clients' connections to it. */
+/** A proxy as a process of its own. Runs on the run's thread only. */
 final class ProxyProcess extends ProxyHandle {
-  private static final List<String> LEAN =
+  /** Options that keep a proxy's JVM small, so that many fit on one machine. */
+  private static final List<String> JVM_OPTIONS =
       List.of(
           "-Xms48m",
           "-Xmx72m",
@@ -39,72 +31,77 @@
           "-XX:TieredStopAtLevel=1",
           "-XX:+UseSerialGC",
           "-XX:-UsePerfData");
-  private static final long ASK_EVERY = 200;
 
-  private final SocketRun stage;
-  private final int port;
-  private final Path jar, config;
-  private final SocketRun.How how;
-  private final BackendServer server;
-  private final Deque<LoadConnection> idle = new ArrayDeque<>();
-  private final Set<LoadConnection> callers = new LinkedHashSet<>();
-  private Process process;
-  private boolean up;
-  private int life;
-  private double skew;
+  private static final long READINESS_INTERVAL = 200;
+  private static final int MAX_SOCKETS = 1024;
+
+  /** How long after a client's timeout the work of its request is still known. */
+  private static final long REQUEST_MEMORY = 20_000;
+
+  private static final long EXIT_TIMEOUT_SECONDS = 5;
 
+  private final SocketRun run;
+  private final Path jar;
+  private final Path configFile;
+  private final SocketRun.ProxyOptions options;
+  private final LoadConnectionPool clientConnections;
+  private Process process;
+  private double clockSkewMillis;
+
+  /**
+   * Writes the configuration of a proxy that is started later.
+   *
+   * @param discoveryPort where it watches the endpoint list
+   * @param directBackend the backend to which clients connect where there are no proxies
+   */
   ProxyProcess(
-      SocketRun stage, int place, int list, Path jar, SocketRun.How how, BackendServer server)
+      SocketRun run,
+      int index,
+      int discoveryPort,
+      Path jar,
+      SocketRun.ProxyOptions options,
+      BackendServer directBackend)
       throws IOException {
-    super(place, stage.scenario.zones);
-    this.stage = stage;
+    super(run, index);
+    this.run = run;
     this.jar = jar;
-    this.how = how;
-    this.server = server;
-    try (ServerSocket free = new ServerSocket(0, 1, SocketRun.HOME)) {
-      port = free.getLocalPort();
-    }
-    config = stage.folder.resolve("p" + place + ".json");
-    Map<String, Object> all = new LinkedHashMap<>();
-    all.put("name", "p" + place);
-    all.put("listen", "127.0.0.1:" + port);
-    all.put("discovery", "127.0.0.1:" + list);
-    all.put("seed", Long.toHexString(stage.draws("proxy" + place).seed()));
-    all.put("limits", Map.of("sockets", 1024));
-    all.put("settings", stage.scenario.settings(place));
-    Files.writeString(config, new ObjectMapper().writeValueAsString(all));
+    this.options = options;
+    int port = freePort();
+    int clientPort = options.direct() ? directBackend.port(index) : port;
+    clientConnections =
+        new LoadConnectionPool(run, this, new InetSocketAddress(SocketRun.LOOPBACK, clientPort));
+    configFile = run.folder().resolve("p" + index + ".json");
+    Map<String, Object> configuration = new LinkedHashMap<>();
+    configuration.put("name", "p" + index);
+    configuration.put("listen", "127.0.0.1:" + port);
+    configuration.put("discovery", "127.0.0.1:" + discoveryPort);
+    configuration.put("seed", Long.toHexString(run.randomStream("proxy" + index).nextSeed()));
+    configuration.put("limits", Map.of("sockets", MAX_SOCKETS));
+    configuration.put("settings", ProxySettings.of(run.scenario(), index));
+    Files.writeString(configFile, new ObjectMapper().writeValueAsString(configuration));
   }
 
-  /** Where clients connect. */
-  InetSocketAddress address() {
-    return new InetSocketAddress(SocketRun.HOME, how.direct() ? server.port(place) : port);
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, SocketRun.LOOPBACK)) {
+      return socket.getLocalPort();
+    }
   }
 
+  /** The file to which the process logs. */
   Path log() {
-    return stage.folder.resolve("p" + place + ".log");
+    return run.folder().resolve("p" + index() + ".log");
   }
 
   @Override
   public void start() {
-    life++;
-    if (how.direct()) {
+    beginIncarnation();
+    if (options.direct()) {
       ready();
       return;
     }
-    List<String> command = new ArrayList<>();
-    if (how.cores() != null) {
-      command.addAll(List.of("taskset", "-c", how.cores()));
-    }
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(LEAN);
-    command.addAll(how.options());
-    if (skew != 0) {
-      command.add("-Dwheattrack.skew=" + skew);
-    }
-    command.addAll(List.of("-jar", jar.toString(), "serve", "--config", config.toString()));
     try {
       process =
-          new ProcessBuilder(command)
+          new ProcessBuilder(command())
               .redirectErrorStream(true)
               .redirectInput(new File("/dev/null"))
               .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
@@ -112,164 +109,96 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    awaitReady(life);
+    checkReadiness();
+  }
+
+  private List<String> command() {
+    List<String> command = new ArrayList<>();
+    if (options.cores() != null) {
+      command.addAll(List.of("taskset", "-c", options.cores()));
+    }
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(JVM_OPTIONS);
+    command.addAll(options.jvmOptions());
+    if (clockSkewMillis != 0) {
+      command.add("-Dwheattrack.skew=" + clockSkewMillis);
+    }
+    command.addAll(List.of("-jar", jar.toString(), "serve", "--config", configFile.toString()));
+    return command;
   }
 
   private void ready() {
-    up = true;
-    stage.say(LedgerRecord.proxy(stage.now(), place, true));
-    stage.crowd().sees(this, true);
+    becomeUp();
+    run.clients().setProxyAvailable(this, true);
   }
 
-  private void awaitReady(int lived) {
-    if (lived != life) {
-      return;
-    }
+  /** Asks the process whether it is ready, again and again until it is or was killed. */
+  private void checkReadiness() {
+    int checkedIncarnation = incarnation();
     try {
       new ReadinessCheck(
-              this,
-              stage,
-              ready -> {
-                if (lived != life) {
+              run,
+              clientConnections.address(),
+              isReady -> {
+                if (checkedIncarnation != incarnation()) {
                   return;
                 }
-                if (ready) {
+                if (isReady) {
                   ready();
                 } else {
-                  stage.after(ASK_EVERY, () -> awaitReady(lived));
+                  scheduleInIncarnation(READINESS_INTERVAL, this::checkReadiness);
                 }
               })
-          .open();
+          .start();
     } catch (IOException e) {
-      stage.after(ASK_EVERY, () -> awaitReady(lived));
+      scheduleInIncarnation(READINESS_INTERVAL, this::checkReadiness);
     }
   }
 
   @Override
-  public void kill() {
-    up = false;
-    life++;
-    stage.say(LedgerRecord.proxy(stage.now(), place, false));
+  protected void stopProcess() {
     process.destroyForcibly();
   }
 
-  /** For the end of the run, however that comes: the process is gone when this returns. */
+  /** Ends the process, however the run ends: it is gone when this returns. Any thread. */
   void destroy() {
     if (process == null) {
       return;
     }
     process.destroyForcibly();
     try {
-      process.waitFor(5, TimeUnit.SECONDS);
+      process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
   @Override
-  public boolean isUp() {
-    return up;
-  }
-
-  @Override
-  public int life() {
-    return life;
-  }
-
-  @Override
-  public void halt(boolean still) {
+  public void setPaused(boolean paused) {
+    String signal = paused ? "-STOP" : "-CONT";
     try {
-      new ProcessBuilder("kill", still ? "-STOP" : "-CONT", Long.toString(process.pid())).start();
+      new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
   @Override
-  public void skew(double millis) {
-    skew = millis;
+  public void setClockSkew(double millis) {
+    clockSkewMillis = millis;
   }
 
-  // ---- reqs
-
   @Override
-  public void take(ClientPopulation.Ask ask) {
-    long work = Math.max(1, Math.round(ask.want().work()));
-    stage.open.put(ask.req(), work);
-    long timeout = ask.want().set().rules().clientTimeout();
-    stage.after(timeout + 20_000, () -> stage.open.remove(ask.req()));
-    Headers headers =
-        new Headers()
-            .with("Host", "lab")
-            .with("Request-Id", Long.toHexString(ask.req()))
-            .with("Request-Timeout", Double.toString(timeout / 10_000.0));
-    if (ask.want().hint() > 0) {
-      headers.with("Work-Hint", Long.toString(Math.max(1, Math.round(ask.want().hint() * 100))));
-    }
-    if (ask.again()) {
-      headers.with("Client-Retry", "1");
-    }
-    Request request =
-        new Request(
-            "POST",
-            "/" + ask.want().set().name(),
-            headers,
-            true,
-            ("req " + ask.req()).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-    send(new Call(ask, Encoder.request(request), timeout));
-  }
-
-  /** One req on its way. */
-  static final class Call {
-    final ClientPopulation.Ask ask;
-    final java.nio.ByteBuffer bytes;
-    final long timeout;
-    boolean taken;
-
-    Call(ClientPopulation.Ask ask, java.nio.ByteBuffer bytes, long timeout) {
-      this.ask = ask;
-      this.bytes = bytes;
-      this.timeout = timeout;
-    }
-  }
-
-  void send(Call call) {
-    LoadConnection free = idle.pollLast();
-    if (free != null) {
-      free.call(call, true);
-      return;
-    }
-    try {
-      stage.connected++;
-      LoadConnection one =
-          new LoadConnection(this, stage, AsynchronousSocketChannel.open(stage.group));
-      callers.add(one);
-      one.dial(call);
-    } catch (IOException e) {
-      stage.crowd().refused(call.ask);
-    }
-  }
-
-  void free(LoadConnection caller) {
-    idle.addLast(caller);
-  }
-
-  void closed(LoadConnection caller) {
-    idle.remove(caller);
-    callers.remove(caller);
+  public void submit(ClientRequest request) {
+    EncodedRequest encoded = new EncodedRequest(request);
+    long requestId = request.requestId();
+    run.expectRequest(requestId, Math.max(1, Math.round(request.plan().work())));
+    run.schedule(encoded.timeout() + REQUEST_MEMORY, () -> run.forgetRequest(requestId));
+    clientConnections.send(encoded);
   }
 
   @Override
-  public void left(ClientPopulation.Ask ask) {
-    List.copyOf(callers).stream().filter(c -> c.carries(ask)).forEach(LoadConnection::close);
-  }
-
-  /** What becomes of a connection that ended without an answer. */
-  void broke(Call call) {
-    if (call.taken) {
-      stage.crowd().answers(call.ask, Answer.BROKEN, 0);
-    } else {
-      stage.crowd().refused(call.ask);
-    }
+  public void clientDisconnected(ClientRequest request) {
+    clientConnections.disconnect(request);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
@@ -1,55 +1,60 @@
 package wheattrack.lab.sockets;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import wheattrack.aio.TcpConnection;
 
-/** Asks a proxy once whether it is ready. */
+/** Asks a proxy once whether it is ready. Runs on the run's thread only. */
 final class ReadinessCheck extends TcpConnection {
-  private static final ByteBuffer ASK =
+  private static final ByteBuffer REQUEST =
       ByteBuffer.wrap("GET /ready HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII))
           .asReadOnlyBuffer();
-
-  private final ProxyProcess of;
-  private final Consumer<Boolean> then;
-  private final ByteBuffer in = ByteBuffer.allocate(1024);
-
-  ReadinessCheck(ProxyProcess of, SocketRun stage, Consumer<Boolean> then) throws IOException {
-    super(stage.loop, AsynchronousSocketChannel.open(stage.group));
-    this.of = of;
-    this.then = then;
+  private static final int BUFFER_SIZE = 1024;
+
+  private final InetSocketAddress address;
+  private final Consumer<Boolean> callback;
+  private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_SIZE);
+
+  /** Creates a check that tells the callback whether the proxy at an address is ready. */
+  ReadinessCheck(SocketRun run, InetSocketAddress address, Consumer<Boolean> callback)
+      throws IOException {
+    super(run.loop(), AsynchronousSocketChannel.open(run.group()));
+    this.address = address;
+    this.callback = callback;
   }
 
-  void open() {
+  /** Connects and asks. */
+  void start() {
     connect(
-        of.address(),
+        address,
         () -> {
-          write(ASK.duplicate());
-          read(in);
+          write(REQUEST.duplicate());
+          read(buffer);
         },
-        () -> end(false));
+        () -> finish(false));
   }
 
-  private void end(boolean ready) {
+  private void finish(boolean isReady) {
     close();
-    then.accept(ready);
+    callback.accept(isReady);
   }
 
   @Override
-  protected void onRead(int n) {
-    String text = new String(in.array(), 0, in.position(), StandardCharsets.US_ASCII);
-    if (n < 0 || text.contains("\r\n")) {
-      end(text.startsWith("HTTP/1.1 200"));
+  protected void onRead(int byteCount) {
+    String text = new String(buffer.array(), 0, buffer.position(), StandardCharsets.US_ASCII);
+    if (byteCount < 0 || text.contains("\r\n")) {
+      finish(text.startsWith("HTTP/1.1 200"));
     } else {
-      read(in);
+      read(buffer);
     }
   }
 
   @Override
-  protected void onWritten(boolean whole) {
-    // what comes tells
+  protected void onWritten(boolean complete) {
+    // the answer says all there is to know
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,179 +26,237 @@
 
 /**
  * A deployment on loopback sockets in real time: proxies as processes of their own, and in this one
- * the stand-ins of clients, front, servers, list and links. All of it ends with the run, also when
- * that is interrupted. Times are tenths of a millisecond from the start of the run.
+ * the models of clients, front, backends, endpoint list and links. All of it ends with the run,
+ * also when that is interrupted. Times are tenths of a millisecond from the start of the run.
  */
 public final class SocketRun extends RunEnvironment implements AutoCloseable {
-  /** What the run itself was like. */
-  public record Quality(Histogram lateMicros, long resent, long connected) {
-    /** Whether the lab kept its own times so badly that the run says nothing. */
+  /**
+   * How well the lab itself kept up.
+   *
+   * @param latenessMicros how late operations started, in microseconds
+   * @param resentRequests requests sent again as their connection was closed under them
+   * @param openedConnections connections that clients opened
+   */
+  public record Quality(Histogram latenessMicros, long resentRequests, long openedConnections) {
+    /** Whether the lab was so late that the run says nothing. */
     public boolean isTooLate() {
-      return lateMicros.getTotalCount() > 0 && lateMicros.getValueAtPercentile(99) > MOST_LATE;
+      return latenessMicros.getTotalCount() > 0
+          && latenessMicros.getValueAtPercentile(99) > MAX_LATENESS_MICROS;
     }
   }
 
   /**
-   * How the proxies run: further options of their JVM, the cores they may use (as taskset has it,
-   * or null for all), and whether there are none: then clients ask the server of each proxy's place
-   * directly.
+   * How the proxies run.
+   *
+   * @param jvmOptions further options of their JVM
+   * @param cores the cores that they may use, in the form of taskset, or null for all
+   * @param direct whether there are none: then clients ask the backend of each proxy's index
+   */
+  public record ProxyOptions(List<String> jvmOptions, String cores, boolean direct) {
+    /** No further options, on all cores. */
+    public static final ProxyOptions DEFAULT = new ProxyOptions(List.of(), null, false);
+  }
+
+  static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+
+  /** The lateness, in microseconds, that one operation in a hundred may reach. */
+  private static final long MAX_LATENESS_MICROS = 20_000;
+
+  /** The greatest lateness that is told apart, in microseconds. */
+  private static final long MAX_RECORDED_MICROS = 60_000_000;
+
+  /** How long the proxies may take until all are ready. */
+  private static final long READY_TIMEOUT = 300_000;
+
+  private static final long READINESS_INTERVAL = 100;
+
+  /** Quiet time between the proxies' start and the run, and after the last deadline. */
+  private static final long SETTLE_TIME = 5_000;
+
+  private static final long GROUP_TIMEOUT_SECONDS = 1;
+
+  private final EventLoop loop = new EventLoop();
+  private final AsynchronousChannelGroup group;
+  private final Path folder;
+  private final Map<Long, Long> workByRequest = new HashMap<>();
+  private final Histogram lateness = new Histogram(MAX_RECORDED_MICROS, 3);
+  private final List<BackendServer> backendServers = new ArrayList<>();
+  private final Thread shutdownHook = new Thread(this::killAll);
+  private String startFailure;
+  private long startedAt;
+  private long startedNanos;
+  private long resentRequests;
+  private long openedConnections;
+
+  /**
+   * Sets up a run; the proxies start with {@link #run}.
+   *
+   * @param jar the proxies' program
    */
-  public record How(List<String> options, String cores, boolean direct) {
-    public static final How USUAL = new How(List.of(), null, false);
-  }
-
-  private static final long MOST_LATE = 20_000; // microseconds, of one in a hundred
-  private static final long READY = 300_000, SETTLE = 5_000;
-  static final InetAddress HOME = InetAddress.getLoopbackAddress();
-
-  final EventLoop loop = new EventLoop();
-  final AsynchronousChannelGroup group;
-  final Path folder;
-  final Map<Long, Long> open =
-      new HashMap<>(); // works by the number of each req that a client sent
-  private final Consumer<LedgerRecord> ledger;
-  private final Histogram late = new Histogram(60_000_000L, 3);
-  private final List<BackendServer> servers = new ArrayList<>();
-  private final DiscoveryServer list;
-  private final Thread hook = new Thread(this::killAll);
-  private long zero;
-  private long zeroNanos;
-  long resent, connected;
-
-  /** jar: the proxies' program. */
-  public SocketRun(Scenario scenario, long seed, Path jar, How how, Consumer<LedgerRecord> ledger)
+  public SocketRun(
+      Scenario scenario, long seed, Path jar, ProxyOptions options, Consumer<LedgerRecord> ledger)
       throws IOException {
-    super(scenario, seed);
-    this.ledger = ledger;
+    super(scenario, seed, ledger);
     if (!Files.isRegularFile(jar)) {
       throw new IOException("no such jar: " + jar);
     }
     folder = Files.createTempDirectory("wheattrack-lab");
     group = AsynchronousChannelGroup.withThreadPool(loop);
-    boolean relays = scenario.faults.stream().anyMatch(f -> f.kind().name().startsWith("LINK"));
-    Runtime.getRuntime().addShutdownHook(hook);
-    machines().forEach(m -> servers.add(new BackendServer(this, m, relays)));
-    list = new DiscoveryServer(this, servers);
-    roster = list;
-    for (int i = 0; i < scenario.proxies; i++) {
-      doors.add(new ProxyProcess(this, i, list.port(i), jar, how, servers.get(i % servers.size())));
+    boolean withFaultyLinks =
+        scenario.faults().stream().anyMatch(fault -> fault.kind().hitsLinks());
+    Runtime.getRuntime().addShutdownHook(shutdownHook);
+    backends()
+        .forEach(backend -> backendServers.add(new BackendServer(this, backend, withFaultyLinks)));
+    DiscoveryServer discovery = new DiscoveryServer(this, backendServers);
+    setRegistry(discovery);
+    for (int index = 0; index < scenario.proxyCount(); index++) {
+      BackendServer directBackend = backendServers.get(index % backendServers.size());
+      addProxy(new ProxyProcess(this, index, discovery.port(index), jar, options, directBackend));
     }
   }
 
-  /** Plays the whole run; fails where a proxy does not come up. */
+  /** Plays the complete run; fails where a proxy does not become ready. */
   public Quality run() throws IOException {
-    machines().forEach(m -> m.start(false));
-    String[] fault = {null};
+    backends().forEach(backend -> backend.start(false));
     loop.execute(
         () -> {
-          doors().forEach(ProxyHandle::start);
-          awaitReady(loop.now() + READY, fault);
+          proxies().forEach(ProxyHandle::start);
+          awaitReady(loop.now() + READY_TIMEOUT);
         });
     loop.run();
-    if (fault[0] != null) {
-      throw new IOException(fault[0]);
+    if (startFailure != null) {
+      throw new IOException(startFailure);
     }
-    return new Quality(late, resent, connected);
+    return new Quality(lateness, resentRequests, openedConnections);
   }
 
-  private void awaitReady(long latest, String[] fault) {
-    if (doors().stream().allMatch(ProxyHandle::isUp)) {
-      loop.schedule(SETTLE, this::begin);
-    } else if (loop.now() >= latest) {
-      fault[0] = "a proxy was not ready within " + READY / Scenario.SECOND + " s";
+  private void awaitReady(long deadline) {
+    if (proxies().stream().allMatch(ProxyHandle::isUp)) {
+      loop.schedule(SETTLE_TIME, this::begin);
+    } else if (loop.now() >= deadline) {
+      startFailure = "a proxy was not ready within " + READY_TIMEOUT / Scenario.SECOND + " s";
       loop.shutdown();
     } else {
-      loop.schedule(100, () -> awaitReady(latest, fault));
+      loop.schedule(READINESS_INTERVAL, () -> awaitReady(deadline));
     }
   }
 
   private void begin() {
-    zero = loop.now();
-    zeroNanos = System.nanoTime();
+    startedAt = loop.now();
+    startedNanos = System.nanoTime();
     FaultTimeline.schedule(this);
-    crowd().open();
-    after(
-        end() + SETTLE,
+    clients().scheduleNextArrival();
+    schedule(
+        lastDeadline() + SETTLE_TIME,
         () -> {
-          say(LedgerRecord.end(now()));
+          record(LedgerRecord.end(now()));
           loop.shutdown();
         });
   }
 
-  /** Copies what the proxies logged. */
-  public void keepLogs(Path to) throws IOException {
-    for (ProxyHandle d : doors()) {
-      Path log = ((ProxyProcess) d).log();
+  /** Copies the proxies' logs into a directory. */
+  public void keepLogs(Path directory) throws IOException {
+    for (ProxyHandle proxy : proxies()) {
+      Path log = ((ProxyProcess) proxy).log();
       if (Files.exists(log)) {
-        Files.copy(log, to.resolve(log.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+        Files.copy(log, directory.resolve(log.getFileName()), StandardCopyOption.REPLACE_EXISTING);
       }
     }
   }
 
-  /** Ends all that is left of the run. */
+  /** Ends the processes and deletes the files that are left of the run. */
   @Override
   public void close() throws IOException {
     killAll();
     try {
-      Runtime.getRuntime().removeShutdownHook(hook);
+      Runtime.getRuntime().removeShutdownHook(shutdownHook);
     } catch (IllegalStateException e) {
-      // the hook is what runs this
+      // the hook itself runs this
     }
     group.shutdownNow();
     try {
-      group.awaitTermination(1, TimeUnit.SECONDS);
+      group.awaitTermination(GROUP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    try (Stream<Path> left = Files.walk(folder)) {
-      for (Path p : left.sorted((a, b) -> b.compareTo(a)).toList()) {
-        Files.delete(p);
+    try (Stream<Path> files = Files.walk(folder)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
       }
     }
   }
 
   private void killAll() {
-    doors().forEach(d -> ((ProxyProcess) d).destroy());
+    proxies().forEach(proxy -> ((ProxyProcess) proxy).destroy());
   }
 
-  @Override
-  public long now() {
-    return loop.now() - zero;
+  /** The one thread of the run. */
+  EventLoop loop() {
+    return loop;
   }
 
-  @Override
-  public TimerQueue.Timer after(long delay, Runnable then) {
-    return loop.schedule(delay, then);
+  /** The channels of the run; their handlers run on the loop's thread. */
+  AsynchronousChannelGroup group() {
+    return group;
+  }
+
+  /** The directory of the proxies' configuration and logs, deleted with the run. */
+  Path folder() {
+    return folder;
+  }
+
+  /** A client sends a request of this work. */
+  void expectRequest(long requestId, long work) {
+    workByRequest.put(requestId, work);
+  }
+
+  /** No answer to this request can come any more. */
+  void forgetRequest(long requestId) {
+    workByRequest.remove(requestId);
+  }
+
+  /** The work of a request, or null where no client has sent it. */
+  Long workOf(long requestId) {
+    return workByRequest.get(requestId);
+  }
+
+  void countResentRequest() {
+    resentRequests++;
+  }
+
+  void countOpenedConnection() {
+    openedConnections++;
   }
 
   @Override
-  public void cancel(TimerQueue.Timer entry) {
-    loop.cancel(entry);
+  public long now() {
+    return loop.now() - startedAt;
   }
 
   @Override
-  public void say(LedgerRecord e) {
-    ledger.accept(e);
+  public TimerQueue.Timer schedule(long delay, Runnable action) {
+    return loop.schedule(delay, action);
   }
 
   @Override
-  public void wanted(double at) {
-    long micros = (System.nanoTime() - zeroNanos) / 1000 - (long) (at * 100);
-    late.recordValue(Math.max(0, Math.min(late.getHighestTrackableValue(), micros)));
+  public void cancel(TimerQueue.Timer timer) {
+    loop.cancel(timer);
   }
 
   @Override
-  public void link(Fault fault, int server, boolean on) {
-    servers.get(server).link(on ? fault : null);
+  public void arrivalStarted(double plannedAt) {
+    long plannedMicros = (long) (plannedAt * 100);
+    long micros = (System.nanoTime() - startedNanos) / 1000 - plannedMicros;
+    lateness.recordValue(Math.max(0, Math.min(lateness.getHighestTrackableValue(), micros)));
   }
 
-  /** The list's own clock, Unix time in milliseconds, for a start at that time of the run. */
-  double unixMillis(long at) {
-    return (zero + at) / 10.0;
+  @Override
+  public void setLinkFault(Fault fault, int backend, boolean active) {
+    backendServers.get(backend).setLinkFault(active ? fault : null);
   }
 
-  /** Any free port of this machine's loopback. */
-  static InetSocketAddress any() {
-    return new InetSocketAddress(HOME, 0);
+  /** The time on the endpoint list's clock, Unix milliseconds, at a time of the run. */
+  double unixMillis(long time) {
+    return (startedAt + time) / 10.0;
   }
 }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/virtual/BaselinePolicy.java
@@ -0,0 +1,166 @@
+package wheattrack.lab.virtual;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.EndpointUpdate;
+import wheattrack.api.Idempotency;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.PolicyRuntime;
+import wheattrack.api.RequestHandle;
+import wheattrack.lab.load.RandomStream;
+import wheattrack.lab.scenario.Scenario;
+
+/**
+ * A plain algorithm to compare the proxies' policy with. It retries what never ran or may run
+ * again, so that it keeps the rules on effects and on draining backends.
+ */
+final class BaselinePolicy implements Policy {
+  private static final int NONE = -1;
+
+  /** Delay before the endpoint list is watched again. */
+  private static final long WATCH_BACKOFF = Scenario.SECOND;
+
+  private final Policies.Kind kind;
+  private final PolicyRuntime runtime;
+  private final RandomStream random;
+  private final int maxAttempts;
+  private final List<Integer> readyBackends = new ArrayList<>();
+  private int[] attemptsInFlight = new int[16];
+  private int turn;
+
+  BaselinePolicy(Policies.Kind kind, PolicyRuntime runtime, RandomStream random, int maxAttempts) {
+    this.kind = kind;
+    this.runtime = runtime;
+    this.random = random;
+    this.maxAttempts = maxAttempts;
+  }
+
+  @Override
+  public void updateBackend(EndpointUpdate update) {
+    int index = update.index();
+    if (index >= attemptsInFlight.length) {
+      attemptsInFlight = Arrays.copyOf(attemptsInFlight, 2 * index);
+    }
+    removeBackend(index);
+    if (update.ready()) {
+      readyBackends.add(index);
+    }
+  }
+
+  @Override
+  public void removeBackend(int index) {
+    readyBackends.remove((Integer) index);
+  }
+
+  @Override
+  public void endpointListUpdated(boolean cached) {
+    // nothing is computed ahead
+  }
+
+  @Override
+  public void endpointListFailed() {
+    runtime.schedule(WATCH_BACKOFF, runtime::watchEndpoints);
+  }
+
+  @Override
+  public RequestHandle accept(PendingRequest request) {
+    BaselineRequest accepted = new BaselineRequest(request);
+    accepted.sendNext(NONE);
+    return accepted;
+  }
+
+  /** Picks a ready backend, the avoided one only where it is the only one; NONE without any. */
+  private int pick(int avoided) {
+    int best = NONE;
+    int count = readyBackends.size();
+    for (int i = 0; i < count; i++) {
+      int candidate = readyBackends.get(candidatePosition(i, count));
+      if (candidate == avoided && count > 1) {
+        continue;
+      }
+      if (kind == Policies.Kind.RANDOM || kind == Policies.Kind.ROUND_ROBIN) {
+        return candidate;
+      }
+      if (best == NONE || attemptsInFlight[candidate] < attemptsInFlight[best]) {
+        best = candidate;
+      }
+      if (kind == Policies.Kind.TWO_CHOICES && i >= 1) {
+        return best;
+      }
+    }
+    return best;
+  }
+
+  private int candidatePosition(int trial, int count) {
+    return switch (kind) {
+      case ROUND_ROBIN -> turn++ % count;
+      case LEAST_OUT -> trial;
+      default -> random.nextInt(count);
+    };
+  }
+
+  /** One request with its attempts, one after the other. */
+  private final class BaselineRequest implements RequestHandle {
+    private final PendingRequest request;
+    private int attempts;
+    private boolean ended;
+    private boolean mayHaveRun;
+
+    BaselineRequest(PendingRequest request) {
+      this.request = request;
+    }
+
+    void sendNext(int avoided) {
+      int backend = pick(avoided);
+      if (backend == NONE || attempts >= maxAttempts || runtime.now() >= request.deadline()) {
+        giveUp();
+        return;
+      }
+      attempts++;
+      attemptsInFlight[backend]++;
+      runtime.sendAttempt(
+          request,
+          backend,
+          0,
+          (outcome, latency, requestEnded) -> attemptEnded(backend, outcome, requestEnded));
+    }
+
+    private void giveUp() {
+      ended = true;
+      if (!mayHaveRun || isIdempotent()) {
+        runtime.reject(request, 0);
+      } else {
+        runtime.fail(request);
+      }
+    }
+
+    private void attemptEnded(int backend, AttemptOutcome outcome, boolean requestEnded) {
+      attemptsInFlight[backend]--;
+      mayHaveRun |= !outcome.neverRan();
+      if (ended || requestEnded) {
+        ended = true;
+      } else if (!isIdempotent() && mayHaveRun) {
+        ended = true;
+        runtime.fail(request);
+      } else {
+        sendNext(backend);
+      }
+    }
+
+    private boolean isIdempotent() {
+      return request.requestClass().idempotency() == Idempotency.IDEMPOTENT;
+    }
+
+    @Override
+    public void streamingStarted(int attempt) {
+      // virtual backends do not stream
+    }
+
+    @Override
+    public void clientDisconnected() {
+      ended = true;
+    }
+  }
+}
