--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualAttempt.java
@@ -0,0 +1,230 @@
+package wheattrack.lab.virtual;
+
+import wheattrack.api.AttemptCallback;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.Idempotency;
+import wheattrack.api.RequestClass;
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.model.BackendVisit;
+import wheattrack.lab.model.SimulatedBackend;
+
+/**
+ * One attempt of a proxy of the virtual run: takes or opens a connection, sends the request and
+ * passes the outcome to the policy, each with the delays of the link.
+ */
+final class VirtualAttempt implements BackendVisit {
+  private final VirtualRun run;
+  private final VirtualProxy proxy;
+  private final VirtualRequest request;
+  private final VirtualConnections connections;
+  private final SimulatedBackend backend;
+  private final AttemptCallback callback;
+  private final long createdAt;
+  private final int proxyIncarnation;
+  private TimerQueue.Timer timeoutTimer;
+  private boolean sent;
+  private boolean ended;
+  private boolean holdsConnection;
+  private int backendIncarnation;
+  private Runnable closeHandler;
+
+  VirtualAttempt(
+      VirtualRun run,
+      VirtualProxy proxy,
+      VirtualRequest request,
+      VirtualConnections connections,
+      AttemptCallback callback) {
+    this.run = run;
+    this.proxy = proxy;
+    this.request = request;
+    this.connections = connections;
+    this.callback = callback;
+    backend = run.backend(connections.id);
+    createdAt = run.now();
+    proxyIncarnation = proxy.incarnation();
+  }
+
+  @Override
+  public long requestId() {
+    return request.clientRequest().requestId();
+  }
+
+  @Override
+  public int proxy() {
+    return proxy.index();
+  }
+
+  @Override
+  public double work() {
+    return request.clientRequest().plan().work();
+  }
+
+  @Override
+  public long deadline() {
+    return request.clientRequest().deadline();
+  }
+
+  @Override
+  public void onConnectionClosed(Runnable handler) {
+    closeHandler = handler;
+  }
+
+  @Override
+  public void completed(AttemptOutcome outcome) {
+    run.schedule(
+        linkDelay(),
+        () -> {
+          if (isOfCurrentProxyProcess()) {
+            end(outcome);
+          }
+        });
+  }
+
+  /** Whether its first byte has left. */
+  boolean isSent() {
+    return sent;
+  }
+
+  long createdAt() {
+    return createdAt;
+  }
+
+  /** Starts it; it ends with TIMEOUT after the timeout unless it has ended before. */
+  void start(long timeout) {
+    connections.attemptStarted();
+    timeoutTimer = run.schedule(timeout, () -> abandon(AttemptOutcome.TIMEOUT));
+    connections.dropBroken(backend.incarnation());
+    long delay = linkDelay();
+    if (connections.takeIdle()) {
+      send(delay, false);
+    } else {
+      connect(delay);
+    }
+  }
+
+  private void connect(long delay) {
+    if (backend.state() == SimulatedBackend.State.SILENT) {
+      run.schedule(VirtualProxy.CONNECT_TIMEOUT, () -> end(AttemptOutcome.NO_CONNECT));
+      return;
+    }
+    boolean isRefused = backend.state() == SimulatedBackend.State.DEAD || !backend.tryConnect();
+    if (isRefused) {
+      run.schedule(2 * delay, () -> end(AttemptOutcome.NO_CONNECT));
+      return;
+    }
+    int incarnation = backend.incarnation();
+    connections.connecting(incarnation);
+    run.schedule(2 * delay, () -> connected(incarnation, delay));
+  }
+
+  private void connected(int incarnation, long delay) {
+    if (incarnation != backend.incarnation()) {
+      end(AttemptOutcome.NO_CONNECT);
+    } else if (ended || !isOfCurrentProxyProcess()) {
+      backend.connectionClosed(incarnation);
+    } else {
+      send(delay, true);
+    }
+  }
+
+  /** Sends the request, unless its key may be forgotten by the time it arrives. */
+  private void send(long delay, boolean onNewConnection) {
+    holdsConnection = true;
+    backendIncarnation = backend.incarnation();
+    if (isPastDeduplicationWindow()) {
+      end(AttemptOutcome.DISCARDED);
+      return;
+    }
+    sent = true;
+    long sentAt = run.now();
+    run.schedule(delay, () -> arrive(sentAt, onNewConnection));
+  }
+
+  private boolean isPastDeduplicationWindow() {
+    RequestClass requestClass = request.pending().requestClass();
+    return requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
+        && run.now() >= request.firstAttemptAt() + requestClass.deduplicationWindow();
+  }
+
+  private void arrive(long sentAt, boolean onNewConnection) {
+    if (ended && backend.state() == SimulatedBackend.State.SILENT) {
+      return;
+    }
+    if (backendIncarnation != backend.incarnation()) {
+      run.schedule(linkDelay(), () -> end(AttemptOutcome.RESET));
+    } else {
+      backend.receive(this, sentAt, onNewConnection);
+    }
+  }
+
+  /** Ends it for a reason of the proxy's own; without a byte sent it never ran. */
+  void abandon(AttemptOutcome outcome) {
+    end(sent ? outcome : AttemptOutcome.DISCARDED);
+  }
+
+  /** Ends it, once; further calls have no effect. */
+  void end(AttemptOutcome outcome) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    connections.attemptEnded();
+    run.cancel(timeoutTimer);
+    releaseConnection(outcome);
+    if (outcome == AttemptOutcome.DONE && !request.hasEnded()) {
+      proxy.succeed(request);
+    }
+    run.schedule(
+        0,
+        () -> {
+          if (isOfCurrentProxyProcess()) {
+            callback.ended(outcome, run.now() - createdAt, request.hasEnded());
+          }
+        });
+  }
+
+  /** Keeps the connection after a complete answer, and closes it after anything else. */
+  private void releaseConnection(AttemptOutcome outcome) {
+    if (!holdsConnection) {
+      return;
+    }
+    holdsConnection = false;
+    boolean isAnswered =
+        switch (outcome) {
+          case DONE, ERROR, FULL -> true;
+          default -> false;
+        };
+    if (isAnswered && connections.incarnation() == backend.incarnation()) {
+      connections.returnIdle();
+      return;
+    }
+    int incarnation = backendIncarnation;
+    Runnable handler = closeHandler;
+    run.schedule(
+        linkDelay(),
+        () -> {
+          backend.connectionClosed(incarnation);
+          if (handler != null && incarnation == backend.incarnation()) {
+            handler.run();
+          }
+        });
+  }
+
+  /** The proxy's process was killed: the attempt ends without an outcome, its connection breaks. */
+  void proxyKilled() {
+    ended = true;
+    run.cancel(timeoutTimer);
+    boolean isConnected = holdsConnection && backendIncarnation == backend.incarnation();
+    if (isConnected && closeHandler != null) {
+      run.schedule(linkDelay(), closeHandler);
+    }
+  }
+
+  private boolean isOfCurrentProxyProcess() {
+    return proxyIncarnation == proxy.incarnation();
+  }
+
+  private long linkDelay() {
+    return run.oneWayDelay(proxy.zone(), backend);
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualDiscovery.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualDiscovery.java
@@ -6,61 +6,76 @@
 import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.model.EndpointRegistry;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.Scenario.Discovery;
 
-/** The list as the virtual world tells it: each proxy hears after a while of its own, in order. */
+/** The endpoint list on the virtual clock: each proxy receives events after delays, in order. */
 final class VirtualDiscovery extends EndpointRegistry {
-  private static final long NO_ANSWER = 5_000; // a call on a list that is down
+  /** Time after which a watch of a list that is down fails. */
+  private static final long WATCH_TIMEOUT = 5_000;
 
-  private final RandomStream draws;
-  private final Map<VirtualProxy, Long> lastAt = new LinkedHashMap<>();
+  private final VirtualRun run;
+  private final Discovery settings;
+  private final RandomStream random;
+
+  /** When the last event for each proxy arrives there. */
+  private final Map<VirtualProxy, Long> lastDeliveries = new LinkedHashMap<>();
+
+  /** When a list of limited rate has sent what it has to send so far. */
   private long busyUntil;
 
-  VirtualDiscovery(VirtualRun world) {
-    super(world);
-    draws = world.draws("list");
+  VirtualDiscovery(VirtualRun run) {
+    super(run);
+    this.run = run;
+    settings = run.scenario().discovery();
+    random = run.randomStream("list");
   }
 
-  /** A proxy asks for all changes from now on, and gets the whole list first. */
-  void follows(VirtualProxy node) {
-    int life = node.life();
-    if (down) {
-      stage.after(
-          NO_ANSWER,
-          () -> {
-            if (node.life() == life) {
-              node.endpointListFailed();
-            }
-          });
+  /** A proxy watches the list: it receives a snapshot first, and all changes from now on. */
+  void watch(VirtualProxy proxy) {
+    if (isDown()) {
+      proxy.scheduleInIncarnation(WATCH_TIMEOUT, proxy::endpointListFailed);
     } else {
-      tell(node, null);
+      sendSnapshot(proxy);
+    }
+  }
+
+  @Override
+  protected void publishChange(EndpointEvent event) {
+    for (VirtualProxy proxy : lastDeliveries.keySet()) {
+      scheduleDelivery(proxy, 1, () -> proxy.endpointsChanged(List.of(event), false));
     }
   }
 
   @Override
-  protected void tellAll(News news) {
-    lastAt.keySet().forEach(node -> tell(node, news));
+  protected void publishSnapshot() {
+    lastDeliveries.keySet().forEach(this::sendSnapshot);
   }
 
   @Override
-  protected void breakOff() {
-    lastAt.keySet().forEach(VirtualProxy::endpointListFailed);
+  protected void interruptWatches() {
+    lastDeliveries.keySet().forEach(VirtualProxy::endpointListFailed);
+  }
+
+  /** Sends the list as it is when it arrives. */
+  private void sendSnapshot(VirtualProxy proxy) {
+    scheduleDelivery(proxy, snapshot().size(), () -> proxy.endpointsChanged(snapshot(), true));
   }
 
-  private void tell(VirtualProxy node, News news) {
-    int life = node.life();
-    double entries = stage.scenario.roster.entries();
-    if (entries > 0 && stage.now() > 0) { // overbooked, it tells one after the other
-      double lines = news == null ? all().size() : 1;
-      busyUntil = Math.max(stage.now(), busyUntil) + Math.round(lines * Scenario.SECOND / entries);
+  private void scheduleDelivery(VirtualProxy proxy, int entryCount, Runnable delivery) {
+    long now = run.now();
+    if (settings.entriesPerSecond() > 0 && now > 0) {
+      double sendTime = (double) entryCount * Scenario.SECOND / settings.entriesPerSecond();
+      busyUntil = Math.max(now, busyUntil) + Math.round(sendTime);
     }
-    long way = Math.round(stage.scenario.roster.delay() * (0.5 + draws.uniform()));
-    long at = Math.max(Math.max(stage.now(), busyUntil) + way, lastAt.getOrDefault(node, 0L));
-    lastAt.put(node, at);
-    stage.after(
-        at - stage.now(),
+    long delay = Math.round(settings.delay() * (0.5 + random.nextDouble()));
+    long arrival = Math.max(now, busyUntil) + delay;
+    long deliverAt = Math.max(arrival, lastDeliveries.getOrDefault(proxy, 0L));
+    lastDeliveries.put(proxy, deliverAt);
+    proxy.scheduleInIncarnation(
+        deliverAt - now,
         () -> {
-          if (node.life() == life && !down) {
-            node.told(news == null ? all() : List.of(news), news == null);
+          if (!isDown()) {
+            delivery.run();
           }
         });
   }
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRequest.java
@@ -0,0 +1,87 @@
+package wheattrack.lab.virtual;
+
+import java.util.ArrayList;
+import java.util.List;
+import wheattrack.api.AttemptOutcome;
+import wheattrack.api.PendingRequest;
+import wheattrack.api.RequestHandle;
+import wheattrack.core.TimerQueue;
+import wheattrack.lab.model.ClientRequest;
+
+/** A request in flight at a proxy of the virtual run. */
+final class VirtualRequest {
+  private final ClientRequest clientRequest;
+  private final List<VirtualAttempt> attempts = new ArrayList<>(2);
+  private PendingRequest pending;
+  private RequestHandle handle;
+  private TimerQueue.Timer deadlineTimer;
+  private boolean ended;
+
+  VirtualRequest(ClientRequest clientRequest) {
+    this.clientRequest = clientRequest;
+  }
+
+  ClientRequest clientRequest() {
+    return clientRequest;
+  }
+
+  /** The request as the policy sees it. */
+  PendingRequest pending() {
+    return pending;
+  }
+
+  void setPending(PendingRequest pending) {
+    this.pending = pending;
+  }
+
+  /** What the policy gave back for it. */
+  RequestHandle handle() {
+    return handle;
+  }
+
+  void setHandle(RequestHandle handle) {
+    this.handle = handle;
+  }
+
+  TimerQueue.Timer deadlineTimer() {
+    return deadlineTimer;
+  }
+
+  void setDeadlineTimer(TimerQueue.Timer timer) {
+    deadlineTimer = timer;
+  }
+
+  /** Whether it has its final answer, or its client or proxy has gone. */
+  boolean hasEnded() {
+    return ended;
+  }
+
+  void end() {
+    ended = true;
+  }
+
+  /** Its attempts, by number. */
+  List<VirtualAttempt> attempts() {
+    return attempts;
+  }
+
+  /** Ends the attempts of which no byte has been sent. */
+  void discardUnsentAttempts() {
+    for (VirtualAttempt attempt : List.copyOf(attempts)) {
+      if (!attempt.isSent()) {
+        attempt.end(AttemptOutcome.DISCARDED);
+      }
+    }
+  }
+
+  /** When the first attempt was made of those that were sent, or a time past all ends. */
+  long firstAttemptAt() {
+    long first = Long.MAX_VALUE / 2;
+    for (VirtualAttempt attempt : attempts) {
+      if (attempt.isSent()) {
+        first = Math.min(first, attempt.createdAt());
+      }
+    }
+    return first;
+  }
+}
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -10,111 +10,134 @@
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.Scenario.Network;
 
 /**
- * A whole deployment in one thread under a virtual clock: proxies that decide by the module itself,
- * servers, list, links, front and clients. The same scenario, seed and policy give the same entries
- * on any machine. Times are tenths of a millisecond from the start of the run.
+ * A complete deployment in one thread on a virtual clock: proxies with the real policy, and models
+ * of backends, endpoint list, links, front and clients. Equal scenarios, seeds and policies give
+ * equal ledgers on any machine. Times are tenths of a millisecond from the start of the run.
  */
 public final class VirtualRun extends RunEnvironment {
-  /** What a proxy's clock shows at the start of the run. */
-  static final long EPOCH = 1_000_000;
+  /** The time on a proxy's clock at the start of the run. */
+  static final long CLOCK_START = 1_000_000;
 
-  private static final long AFTER = 4 * Scenario.SECOND, RETRANSMIT = 2_000;
+  /** How long a run goes on after the last deadline. */
+  private static final long SETTLE_TIME = 4 * Scenario.SECOND;
 
-  final RandomStream links;
-  final boolean guarded;
-  private final long[] linkDelay;
-  private final double[] linkLoss;
-  private final Consumer<LedgerRecord> ledger;
-  private final TimerQueue agenda = new TimerQueue();
+  /** The delay of a packet that was lost and sent again. */
+  private static final long RETRANSMIT_DELAY = 2_000;
+
+  private final RandomStream linkRandom;
+  private final boolean enforcesDeadlines;
+
+  /** By backend: what faults add to the delay of its links, and the share of packets they lose. */
+  private final long[] addedDelays;
+
+  private final double[] lossShares;
+  private final TimerQueue timers = new TimerQueue();
   private long now;
   private long steps;
 
+  /** Sets up a run of a policy. */
   public VirtualRun(
       Scenario scenario, long seed, Policies.Kind policy, Consumer<LedgerRecord> ledger) {
-    this(scenario, seed, Policies.of(policy, scenario), true, ledger);
+    this(scenario, seed, Policies.factory(policy, scenario), true, ledger);
   }
 
-  /** guarded: proxies abort what stands open past its due, as those on sockets do. */
+  /**
+   * Sets up a run of any policy.
+   *
+   * @param enforcesDeadlines whether proxies fail requests that are open past their deadline, as
+   *     proxies on sockets do
+   */
   VirtualRun(
       Scenario scenario,
       long seed,
-      Policy.Maker maker,
-      boolean guarded,
+      Policy.Factory policyFactory,
+      boolean enforcesDeadlines,
       Consumer<LedgerRecord> ledger) {
-    super(scenario, seed);
-    this.guarded = guarded;
-    this.ledger = ledger;
-    links = draws("links");
-    linkDelay = new long[scenario.serverCount()];
-    linkLoss = new double[scenario.serverCount()];
-    VirtualDiscovery list = new VirtualDiscovery(this);
-    roster = list;
-    RandomStream seeds = draws("proxies");
-    for (int i = 0; i < scenario.proxies; i++) {
-      doors.add(new VirtualProxy(this, list, i, maker, seeds.seed()));
+    super(scenario, seed, ledger);
+    this.enforcesDeadlines = enforcesDeadlines;
+    linkRandom = randomStream("links");
+    addedDelays = new long[scenario.backendCount()];
+    lossShares = new double[scenario.backendCount()];
+    VirtualDiscovery discovery = new VirtualDiscovery(this);
+    setRegistry(discovery);
+    RandomStream proxySeeds = randomStream("proxies");
+    for (int index = 0; index < scenario.proxyCount(); index++) {
+      addProxy(new VirtualProxy(this, discovery, index, policyFactory, proxySeeds.nextSeed()));
     }
   }
 
-  /** Plays the whole run. */
+  /** Plays the complete run. */
   public void run() {
-    machines().forEach(m -> m.start(false));
-    doors().forEach(ProxyHandle::start);
+    backends().forEach(backend -> backend.start(false));
+    proxies().forEach(ProxyHandle::start);
     FaultTimeline.schedule(this);
-    crowd().open();
-    long end = end() + AFTER;
-    for (Runnable next = null; agenda.nextDeadline() <= end; ) {
-      now = Math.max(now, agenda.nextDeadline());
-      next = agenda.pollDue(now);
+    clients().scheduleNextArrival();
+    long end = lastDeadline() + SETTLE_TIME;
+    while (timers.nextDeadline() <= end) {
+      now = Math.max(now, timers.nextDeadline());
+      Runnable action = timers.pollDue(now);
       steps++;
-      next.run();
+      action.run();
     }
     now = end;
-    say(LedgerRecord.end(now));
+    record(LedgerRecord.end(now));
   }
 
-  /** Steps of the world so far, for measurements. */
+  /** The number of actions run so far, for measurements. */
   public long steps() {
     return steps;
   }
 
-  @Override
-  public long now() {
-    return now;
+  /** Whether proxies fail requests that are open past their deadline. */
+  boolean enforcesDeadlines() {
+    return enforcesDeadlines;
   }
 
   @Override
-  public TimerQueue.Timer after(long delay, Runnable then) {
-    return agenda.add(now + Math.max(0, delay), then);
+  public long now() {
+    return now;
   }
 
   @Override
-  public void cancel(TimerQueue.Timer entry) {
-    agenda.cancel(entry);
+  public TimerQueue.Timer schedule(long delay, Runnable action) {
+    return timers.add(now + Math.max(0, delay), action);
   }
 
   @Override
-  public void say(LedgerRecord e) {
-    ledger.accept(e);
+  public void cancel(TimerQueue.Timer timer) {
+    timers.cancel(timer);
   }
 
   @Override
-  public void link(Fault fault, int server, boolean on) {
+  public void setLinkFault(Fault fault, int backend, boolean active) {
     if (fault.kind() == Fault.Kind.LINK_DELAY) {
-      linkDelay[server] = on ? Math.round(fault.size() * Scenario.MS) : 0;
+      addedDelays[backend] = active ? Math.round(fault.magnitude() * Scenario.MILLISECOND) : 0;
     } else {
-      linkLoss[server] = on ? fault.size() : 0;
+      lossShares[backend] = active ? fault.magnitude() : 0;
+    }
+  }
+
+  /** Draws the delay of one packet between a proxy's zone and a backend, as its link is now. */
+  long oneWayDelay(int proxyZone, SimulatedBackend backend) {
+    Network network = scenario().network();
+    boolean isSameZone = proxyZone == backend.zone();
+    long delay = withJitter(isSameZone ? network.sameZone() : network.crossZone());
+    delay += addedDelays[backend.index()];
+    if (linkRandom.nextBoolean(lossShares[backend.index()])) {
+      delay += RETRANSMIT_DELAY;
     }
+    return delay;
   }
 
-  /** One way between a proxy's zone and a server, as its link is now. */
-  long way(int from, SimulatedBackend to) {
-    long mean = from == to.zone ? scenario.net.same() : scenario.net.cross();
-    return vary(mean) + linkDelay[to.place] + (links.happens(linkLoss[to.place]) ? RETRANSMIT : 0);
+  /** Draws the delay of one packet between a client and a proxy. */
+  long clientDelay() {
+    return withJitter(scenario().network().client());
   }
 
-  long vary(long mean) {
-    return Math.round(mean * links.factor(scenario.net.jitter()));
+  private long withJitter(long mean) {
+    return Math.round(mean * linkRandom.nextLogNormal(scenario().network().jitter()));
   }
 }
--- a/lab/src/test/java/wheattrack/lab/ScenarioTest.java
+++ b/lab/src/test/java/wheattrack/lab/ScenarioTest.java
@@ -3,54 +3,53 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.scenario.Fault;
 
+/** Faults of a scenario's text. */
 class ScenarioTest {
-  private static void fails(String more, String said) {
+  private static void assertFails(String extraText, String message) {
     InvalidConfigurationException e =
         assertThrows(
-            InvalidConfigurationException.class, () -> ScenarioTexts.small("replayable", more));
-    assertEquals(said, e.getMessage());
+            InvalidConfigurationException.class,
+            () -> ScenarioTexts.smallScenario("replayable", extraText));
+    assertEquals(message, e.getMessage());
   }
 
-  /**
-   * Each fault of a file is one line that names file, line and key; the first 16 lines are the
-   * same.
-   */
+  /** Each message is one line that names file, line and key; the first 16 lines are the same. */
   @Test
-  void namesFileLineAndKey() {
-    fails("[front]\nnotice = 3\n", "small.toml:18: front.notice: unknown key");
-    fails(
+  void messagesNameFileLineAndKey() {
+    assertFails("[front]\nnotice = 3\n", "small.toml:18: front.notice: unknown key");
+    assertFails(
         "[front]\nnotice-ms = -3\n",
         "small.toml:18: front.notice-ms: -3.0 is not from 0.0 to 3600000.0");
-    fails(
+    assertFails(
         "[[fault]]\nkind = \"hang\"\nat-s = 1\n[[fault]]\nkind = \"flood\"\n",
         "small.toml:21: fault[1].kind: 'flood' is none of "
-            + java.util.Arrays.stream(wheattrack.lab.scenario.Fault.Kind.values())
-                .map(k -> k.word())
-                .toList());
-    fails(
+            + Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList());
+    assertFails(
         "[[fault]]\nkind = \"hang\"\nat-s = 6\n",
         "small.toml:19: fault[0].at-s: 6.0 is past the end");
-    fails("[[fault]]\nat-s = 2\n", "small.toml:17: fault[0].kind: missing");
-    fails(
+    assertFails("[[fault]]\nat-s = 2\n", "small.toml:17: fault[0].kind: missing");
+    assertFails(
         "[[fault]]\nkind = \"stop-proxy\"\nat-s = 2\n",
         "small.toml:18: fault[0].kind: stop-proxy can't be played on the virtual clock");
-    fails(
+    assertFails(
         "[[fault]]\nkind = \"hang\"\nplace = 4\n",
         "small.toml:19: fault[0].place: 4.0 is not from -1.0 to 3.0");
-    fails("[expect]\nservce = \">= 1\"\n", "small.toml:18: expect.servce: unknown figure");
-    fails(
+    assertFails("[expect]\nservce = \">= 1\"\n", "small.toml:18: expect.servce: unknown figure");
+    assertFails(
         "[expect]\nservice = \"about 1\"\n",
         "small.toml:18: expect.service: not a sign (>=, <=, >, <, =) and a number");
-    fails(
+    assertFails(
         "[list]\nentries-per-second = -1\n",
         "small.toml:18: list.entries-per-second: -1.0 is not from 0.0 to 1.0E9");
-    fails(
+    assertFails(
         "[[fault]]\nkind = \"crash\"\nzone = 1\n",
         "small.toml:19: fault[0].zone: 1.0 is not from -1.0 to 0.0");
-    fails("[hints]\nshare = \"all\"\n", "small.toml:18: hints.share: not a number");
-    fails("[hints\n", "small.toml:17: not TOML: Newline not permitted here");
+    assertFails("[hints]\nshare = \"all\"\n", "small.toml:18: hints.share: not a number");
+    assertFails("[hints\n", "small.toml:17: not TOML: Newline not permitted here");
   }
 }
--- a/lab/src/test/java/wheattrack/lab/ScenarioTexts.java
+++ b/lab/src/test/java/wheattrack/lab/ScenarioTexts.java
@@ -1,14 +1,15 @@
 package wheattrack.lab;
 
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 
 /** Small scenarios for tests. */
 public final class ScenarioTexts {
   private ScenarioTexts() {}
 
-  /** Three proxies before four servers and one rule set, with what else is said. */
-  public static Scenario small(String effect, String more) {
-    return Scenario.of(
+  /** Three proxies, four backends and one request class, with further sections as TOML. */
+  public static Scenario smallScenario(String effect, String extraText) {
+    return ScenarioReader.parse(
         "small.toml",
         """
         clock = "virtual"
@@ -29,6 +30,6 @@
         rate = 60
         """
                 .formatted(effect)
-            + more);
+            + extraText);
   }
 }
--- a/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
@@ -17,7 +17,7 @@
   @TempDir Path dir;
 
   private static String judged(String effect, LedgerRecord... entries) {
-    Referee referee = new Referee(ScenarioTexts.small(effect, ""));
+    Referee referee = new Referee(ScenarioTexts.smallScenario(effect, ""));
     referee.accept(LedgerRecord.asked(0, 1, 0, 10));
     referee.accept(LedgerRecord.taken(0, 1, 1, 0, 9_000, 0));
     List.of(entries).forEach(referee);
@@ -97,7 +97,7 @@
   @Test
   void coldServers() {
     for (boolean knew : new boolean[] {true, false}) {
-      Referee referee = new Referee(ScenarioTexts.small("replayable", ""));
+      Referee referee = new Referee(ScenarioTexts.smallScenario("replayable", ""));
       referee.accept(LedgerRecord.started(0, 2, 1, true));
       if (knew) {
         referee.accept(LedgerRecord.told(10, 0, 2, State.READY, 0));
--- a/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
@@ -15,18 +15,20 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wheattrack.lab.LabMain;
+import wheattrack.lab.referee.Ledger;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 
-/** Whole runs on loopback sockets, with proxies as processes. */
+/** Complete runs on loopback sockets, with proxies as processes. */
 class SocketRunTest {
   private static final Path JAR = Path.of("../proxy/target/wheattrack.jar");
 
-  @TempDir Path dir;
+  @TempDir Path directory;
 
-  private static String text(int seconds, String faults) {
+  private static String scenarioText(int seconds, String faults) {
     return """
            clock = "real"
            seconds = %d
@@ -52,68 +54,71 @@
         + faults;
   }
 
-  private static String fault(String kind, double at, double lasts, String more) {
+  private static String faultText(
+      String kind, double startSeconds, double durationSeconds, String otherKeys) {
     return "[[fault]]\nkind = \""
         + kind
         + "\"\nat-s = "
-        + at
+        + startSeconds
         + "\nfor-s = "
-        + lasts
+        + durationSeconds
         + "\n"
-        + more
+        + otherKeys
         + "\n";
   }
 
-  private static long children() {
+  private static long liveChildProcesses() {
     return ProcessHandle.current().descendants().filter(ProcessHandle::isAlive).count();
   }
 
   /**
-   * Links that break, cut answers off, hold and delay; a proxy stopped, killed, and one an hour
-   * ahead.
+   * Links that break, cut answers off, hold and delay; a proxy that is stopped, one that is killed,
+   * and one whose clock is an hour ahead.
    */
   @Test
-  void rulesHoldThroughSpoiltLinksAndKilledProxies() throws Exception {
-    Scenario s =
-        Scenario.of(
+  void rulesHoldThroughLinkFaultsAndKilledProxies() throws Exception {
+    Scenario scenario =
+        ScenarioReader.parse(
             "spoilt",
-            text(
+            scenarioText(
                 9,
-                fault("link-reset", 1, 0.7, "share = 0.5")
-                    + fault("link-cut", 2, 0.7, "share = 0.5")
-                    + fault("link-hold", 3, 0.5, "share = 0.5")
-                    + fault("link-delay", 4, 0.5, "size = 60\nshare = 1")
-                    + fault("stop-proxy", 5, 0.2, "place = 0")
-                    + fault("kill-proxy", 6, 0.5, "place = 1")
-                    + fault("clock-proxy", 0.2, 8, "place = 0\nsize = 3600000")));
-    Referee referee = new Referee(s);
-    try (SocketRun sockets = new SocketRun(s, 3, JAR, SocketRun.How.USUAL, referee)) {
-      sockets.run();
-      assertTrue(children() >= 2);
+                faultText("link-reset", 1, 0.7, "share = 0.5")
+                    + faultText("link-cut", 2, 0.7, "share = 0.5")
+                    + faultText("link-hold", 3, 0.5, "share = 0.5")
+                    + faultText("link-delay", 4, 0.5, "size = 60\nshare = 1")
+                    + faultText("stop-proxy", 5, 0.2, "place = 0")
+                    + faultText("kill-proxy", 6, 0.5, "place = 1")
+                    + faultText("clock-proxy", 0.2, 8, "place = 0\nsize = 3600000")));
+    Referee referee = new Referee(scenario);
+    try (SocketRun run = new SocketRun(scenario, 3, JAR, SocketRun.ProxyOptions.DEFAULT, referee)) {
+      run.run();
+      assertTrue(liveChildProcesses() >= 2);
     }
-    assertEquals(0, children());
-    Verdict v = referee.verdict();
-    assertEquals(0, v.figures().get("broken"), v.breaks().toString());
-    assertTrue(v.figures().get("done") > 300, v.figures().toString());
-    assertTrue(v.figures().get("aborted") > 0, "no answer was cut off: " + v.figures());
+    assertEquals(0, liveChildProcesses());
+    Verdict verdict = referee.verdict();
+    assertEquals(0, verdict.figures().get("broken"), verdict.breaks().toString());
+    assertTrue(verdict.figures().get("done") > 300, verdict.figures().toString());
+    assertTrue(verdict.figures().get("aborted") > 0, "no answer was cut off: " + verdict.figures());
   }
 
-  /** A lab that stands still for long again and again has measured nothing. */
+  /** A run whose lab is blocked again and again for a long time counts as too late. */
   @Test
-  void aLabThatRanLateSaysNothing() throws Exception {
-    Scenario s = Scenario.of("late", text(2, ""));
-    try (SocketRun sockets = new SocketRun(s, 3, JAR, SocketRun.How.USUAL, e -> {})) {
-      Thread busy =
+  void lateLabInvalidatesTheRun() throws Exception {
+    Scenario scenario = ScenarioReader.parse("late", scenarioText(2, ""));
+    try (SocketRun run =
+        new SocketRun(scenario, 3, JAR, SocketRun.ProxyOptions.DEFAULT, entry -> {})) {
+      Thread blocker =
           new Thread(
               () -> {
                 while (!Thread.interrupted()) {
-                  sockets.loop.execute(
-                      () -> {
-                        long until = System.nanoTime() + 60_000_000;
-                        while (System.nanoTime() < until) {
-                          Thread.onSpinWait();
-                        }
-                      });
+                  run.loop()
+                      .execute(
+                          () -> {
+                            long end = System.nanoTime() + 60_000_000;
+                            while (System.nanoTime() < end) {
+                              Thread.onSpinWait();
+                            }
+                          });
                   try {
                     Thread.sleep(70);
                   } catch (InterruptedException e) {
@@ -121,27 +126,29 @@
                   }
                 }
               });
-      busy.start();
-      assertTrue(sockets.run().isTooLate());
-      busy.interrupt();
+      blocker.start();
+      assertTrue(run.run().isTooLate());
+      blocker.interrupt();
     }
-    assertEquals(0, children());
+    assertEquals(0, liveChildProcesses());
   }
 
   @Test
-  void aMissingJarStartsNothing() {
-    Scenario s = Scenario.of("none", text(2, ""));
+  void missingJarStartsNoProcess() {
+    Scenario scenario = ScenarioReader.parse("none", scenarioText(2, ""));
     assertThrows(
         IOException.class,
-        () -> new SocketRun(s, 3, Path.of("no.jar"), SocketRun.How.USUAL, e -> {}));
-    assertEquals(0, children());
+        () ->
+            new SocketRun(
+                scenario, 3, Path.of("no.jar"), SocketRun.ProxyOptions.DEFAULT, entry -> {}));
+    assertEquals(0, liveChildProcesses());
   }
 
   /** The lab's process is told to end in the middle of a run: no proxy outlives it. */
   @Test
-  void nothingOutlivesAnInterrupt() throws Exception {
-    Path file = dir.resolve("long.toml");
-    Files.writeString(file, text(30, ""));
+  void noProxyOutlivesATerminatedLab() throws Exception {
+    Path file = directory.resolve("long.toml");
+    Files.writeString(file, scenarioText(30, ""));
     Process lab =
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -153,7 +160,7 @@
                 "--jar",
                 JAR.toString(),
                 "--out",
-                dir.resolve("out").toString())
+                directory.resolve("out").toString())
             .inheritIO()
             .start();
     List<ProcessHandle> proxies = new ArrayList<>();
@@ -169,42 +176,42 @@
       proxy.onExit().get(5, TimeUnit.SECONDS);
       assertFalse(proxy.isAlive());
     }
-    assertThrows(
-        wheattrack.lab.referee.Ledger.Void.class,
-        () -> wheattrack.lab.referee.Ledger.read(dir.resolve("out/sockets.ledger")));
+    assertThrows(Ledger.Void.class, () -> Ledger.read(directory.resolve("out/sockets.ledger")));
   }
 
   /**
-   * What the clients and servers saw of a drain is in the ledger in the order in which it happened.
+   * Both proxies are notified of a drain, and the ledger has no attempt at that backend afterwards.
    */
   @Test
-  void drainsReachTheProxies() throws Exception {
-    Scenario s = Scenario.of("drain", text(4, fault("drain", 1, 2, "place = 1")));
-    List<LedgerRecord> all = new ArrayList<>();
-    try (SocketRun sockets = new SocketRun(s, 3, JAR, SocketRun.How.USUAL, all::add)) {
-      sockets.run();
+  void drainedBackendsReceiveNoAttempts() throws Exception {
+    Scenario scenario =
+        ScenarioReader.parse("drain", scenarioText(4, faultText("drain", 1, 2, "place = 1")));
+    List<LedgerRecord> entries = new ArrayList<>();
+    try (SocketRun run =
+        new SocketRun(scenario, 3, JAR, SocketRun.ProxyOptions.DEFAULT, entries::add)) {
+      run.run();
     }
-    Referee referee = new Referee(s);
-    all.forEach(referee);
+    Referee referee = new Referee(scenario);
+    entries.forEach(referee);
     assertEquals(0, referee.verdict().figures().get("broken"));
-    long told =
-        all.stream()
+    long drainEvents =
+        entries.stream()
             .filter(
-                e ->
-                    e.kind() == LedgerRecord.Kind.TOLD
-                        && e.state() == LedgerRecord.State.DRAINING
-                        && e.server() == 1)
+                entry ->
+                    entry.kind() == LedgerRecord.Kind.TOLD
+                        && entry.state() == LedgerRecord.State.DRAINING
+                        && entry.server() == 1)
             .count();
-    assertEquals(2, told);
-    long after =
-        all.stream()
+    assertEquals(2, drainEvents);
+    long lateAttempts =
+        entries.stream()
             .filter(
-                e ->
-                    e.kind() == LedgerRecord.Kind.CAME
-                        && e.server() == 1
-                        && e.at() > 16_500
-                        && e.at() < 30_000)
+                entry ->
+                    entry.kind() == LedgerRecord.Kind.CAME
+                        && entry.server() == 1
+                        && entry.at() > 16_500
+                        && entry.at() < 30_000)
             .count();
-    assertEquals(0, after);
+    assertEquals(0, lateAttempts);
   }
 }
--- a/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
@@ -15,27 +15,33 @@
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 
-/**
- * What all proxies of a fleet send to a cold server together stays within what it bears, chance
- * included.
- */
+/** All proxies of a fleet together send a cold backend no more than it bears, chance included. */
 class ColdFleetTest {
   private static final int SEEDS = 3;
 
-  private static Scenario file(String name, int proxies, int multiple) {
-    return Scenario.read(
+  private static Scenario scenario(String name, int proxies, int collapseMultiple) {
+    return ScenarioReader.read(
         Path.of("scenarios", "fleet", name + ".toml"),
-        Map.of("fleet.proxies", Integer.toString(proxies), "rules.fall-multiple", multiple + ""));
+        Map.of(
+            "fleet.proxies",
+            Integer.toString(proxies),
+            "rules.fall-multiple",
+            collapseMultiple + ""));
   }
 
   /**
-   * told: what the proxies themselves are told, which may be another fleet and another multiple.
+   * Plays a scenario.
+   *
+   * @param proxyView the scenario that the proxies' settings are of, which may have another fleet
+   *     and another multiple
    */
-  private static Verdict play(String name, int proxies, Scenario told, long seed) {
-    Scenario s = file(name, proxies, 3);
-    Referee referee = new Referee(s);
-    new VirtualRun(s, seed, Policies.of(Policies.Kind.RULES, told), true, referee).run();
+  private static Verdict play(String name, int proxies, Scenario proxyView, long seed) {
+    Scenario scenario = scenario(name, proxies, 3);
+    Referee referee = new Referee(scenario);
+    new VirtualRun(scenario, seed, Policies.factory(Policies.Kind.RULES, proxyView), true, referee)
+        .run();
     return referee.verdict();
   }
 
@@ -58,38 +64,40 @@
     "cold-few,30",
     "cold-few,100"
   })
-  void noneFalls(String name, int proxies) {
+  void noBackendCollapses(String name, int proxies) {
     IntStream.rangeClosed(1, SEEDS)
         .parallel()
         .forEach(
             seed -> {
-              Verdict v = play(name, proxies, file(name, proxies, 3), seed);
-              assertEquals(List.of(), v.shortfalls(), name + ", seed " + seed + ": " + v.figures());
-              assertEquals(0, v.figures().get("fallen"));
+              Verdict verdict = play(name, proxies, scenario(name, proxies, 3), seed);
+              assertEquals(
+                  List.of(),
+                  verdict.shortfalls(),
+                  name + ", seed " + seed + ": " + verdict.figures());
+              assertEquals(0, verdict.figures().get("fallen"));
             });
   }
 
-  /** A hundred, each as if it were alone (and told of a greater multiple), push servers over. */
+  /** A hundred proxies that each act as if alone, or by a greater multiple, overload backends. */
   @ParameterizedTest
   @CsvSource({"cold-ones,3", "cold-all,3", "cold-zone,3", "cold-few,30"})
-  void eachAsIfAlone(String name, int multiple) {
-    Scenario alone = file(name, 1, multiple);
-    double fallen =
+  void proxiesUnawareOfEachOtherMakeBackendsCollapse(String name, int collapseMultiple) {
+    Scenario singleProxyView = scenario(name, 1, collapseMultiple);
+    double collapses =
         IntStream.rangeClosed(1, SEEDS)
             .parallel()
-            .mapToDouble(seed -> play(name, 100, alone, seed).figures().get("broken.cold"))
+            .mapToDouble(
+                seed -> play(name, 100, singleProxyView, seed).figures().get("broken.cold"))
             .sum();
-    assertTrue(fallen > 0, "none was pushed over");
+    assertTrue(collapses > 0, "none was pushed over");
   }
 
-  /**
-   * N is 9 here: 9 + 2 x 3 + 2 = 17 are borne, from one process or from seventeen, and 18 are not.
-   */
+  /** N is 9 here: 9 + 2 x 3 + 2 = 17 requests are borne, from any proxies, and 18 are not. */
   @Test
-  void bound() {
+  void budgetBound() {
     ColdBudget budget = new ColdBudget(3, 30_000, 100);
-    for (int i = 1; i <= 17; i++) {
-      assertFalse(budget.add(i, 100, 0.01, i % 3 != 0), "fell at " + i);
+    for (int requests = 1; requests <= 17; requests++) {
+      assertFalse(budget.add(requests, 100, 0.01, requests % 3 != 0), "fell at " + requests);
     }
     assertTrue(budget.add(18, 100, 0.01, false));
     assertFalse(budget.isBreak()); // 12 of 18 from senders that knew: not over two thirds
--- a/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -24,192 +24,203 @@
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 
 /**
- * The three days of a large fleet, as scenarios: the module holds what is expected, others fall
- * short.
+ * The scenarios of a large fleet: the proxies' policy meets their expectations, and others do not.
  */
 class FleetTest {
-  /** Sends all it has to the server that started last, as each one alone might think right. */
-  private static class Eager implements Policy {
-    private final PolicyRuntime port;
-    private final Map<Integer, Long> ready = new HashMap<>();
-
-    Eager(PolicyRuntime port) {
-      this.port = port;
-      port.watchEndpoints();
+  /** Sends all requests to the backend that started last, which is right for a lone proxy only. */
+  private static class GreedyPolicy implements Policy {
+    private final PolicyRuntime runtime;
+    private final Map<Integer, Long> startTimes = new HashMap<>();
+
+    GreedyPolicy(PolicyRuntime runtime) {
+      this.runtime = runtime;
+      runtime.watchEndpoints();
     }
 
     @Override
     public void updateBackend(EndpointUpdate update) {
-      ready.remove(update.index());
+      startTimes.remove(update.index());
       if (update.ready()) {
-        ready.put(update.index(), update.startedAt());
+        startTimes.put(update.index(), update.startedAt());
       }
     }
 
     @Override
     public void removeBackend(int index) {
-      ready.remove(index);
+      startTimes.remove(index);
     }
 
     @Override
     public void endpointListUpdated(boolean cached) {
-      // each entry was told
+      // each entry was an update of its own
     }
 
     @Override
     public void endpointListFailed() {
-      port.schedule(1_000, port::watchEndpoints);
+      runtime.schedule(1_000, runtime::watchEndpoints);
     }
 
     @Override
-    public RequestHandle accept(PendingRequest req) {
-      long last = ready.values().stream().mapToLong(Long::longValue).max().orElse(0);
+    public RequestHandle accept(PendingRequest request) {
+      long latestStart = startTimes.values().stream().mapToLong(Long::longValue).max().orElse(0);
       int latest =
-          ready.keySet().stream()
-              .filter(b -> ready.get(b) == last)
+          startTimes.keySet().stream()
+              .filter(backend -> startTimes.get(backend) == latestStart)
               .min(Integer::compare)
               .orElse(-1);
       if (latest < 0) {
-        port.reject(req, 0);
+        runtime.reject(request, 0);
       } else {
-        port.sendAttempt(
-            req,
+        runtime.sendAttempt(
+            request,
             latest,
             0,
-            (how, lag, over) -> {
-              if (!over) {
-                port.reject(req, 0);
+            (outcome, latency, ended) -> {
+              if (!ended) {
+                runtime.reject(request, 0);
               }
             });
       }
       return new RequestHandle() {
         @Override
         public void streamingStarted(int attempt) {
-          // none does
+          // virtual backends do not stream
         }
 
         @Override
         public void clientDisconnected() {
-          // nothing is held
+          // it keeps no state
         }
       };
     }
   }
 
-  private static Scenario file(String name, Map<String, String> other) {
-    return Scenario.read(Path.of("scenarios", "fleet", name + ".toml"), other);
+  private static Scenario scenario(String name, Map<String, String> overrides) {
+    return ScenarioReader.read(Path.of("scenarios", "fleet", name + ".toml"), overrides);
   }
 
-  private static Verdict play(String name, Policy.Maker maker) {
-    Scenario s = file(name, Map.of());
-    Referee referee = new Referee(s);
-    new VirtualRun(s, 2, maker == null ? Policies.of(Policies.Kind.RULES, s) : maker, true, referee)
+  private static Verdict play(String name, Policy.Factory factory) {
+    Scenario scenario = scenario(name, Map.of());
+    Referee referee = new Referee(scenario);
+    new VirtualRun(
+            scenario,
+            2,
+            factory == null ? Policies.factory(Policies.Kind.RULES, scenario) : factory,
+            true,
+            referee)
         .run();
     return referee.verdict();
   }
 
   @ParameterizedTest
   @ValueSource(strings = {"herd", "herd-48", "zone", "join"})
-  void moduleHoldsAndOthersFallShort(String name) {
-    Verdict good = play(name, null);
-    assertEquals(List.of(), good.shortfalls(), good.figures().toString());
-    Scenario s = file(name, Map.of());
-    Verdict random = play(name, Policies.of(Policies.Kind.RANDOM, s));
-    Set<String> fell =
-        random.shortfalls().stream().map(Scenario.Expect::figure).collect(Collectors.toSet());
-    s.expects.stream()
-        .map(Scenario.Expect::figure)
-        .filter(f -> f.startsWith("service"))
-        .forEach(f -> assertTrue(fell.contains(f), f + " of " + random.figures()));
-    Verdict eager = play(name, (port, seed, me) -> new Eager(port));
-    assertTrue(eager.figures().get("broken.cold") > 0, eager.figures().toString());
+  void policyMeetsExpectationsAndBaselinesDoNot(String name) {
+    Verdict verdict = play(name, null);
+    assertEquals(List.of(), verdict.shortfalls(), verdict.figures().toString());
+    Scenario scenario = scenario(name, Map.of());
+    Verdict random = play(name, Policies.factory(Policies.Kind.RANDOM, scenario));
+    Set<String> missedFigures =
+        random.shortfalls().stream().map(Scenario.Expectation::figure).collect(Collectors.toSet());
+    scenario.expectations().stream()
+        .map(Scenario.Expectation::figure)
+        .filter(figure -> figure.startsWith("service"))
+        .forEach(
+            figure ->
+                assertTrue(missedFigures.contains(figure), figure + " of " + random.figures()));
+    Verdict greedy = play(name, (runtime, seed, proxyIndex) -> new GreedyPolicy(runtime));
+    assertTrue(greedy.figures().get("broken.cold") > 0, greedy.figures().toString());
   }
 
   /**
-   * A replaced server drains and goes; a cold one under an id that no proxy has seen is in its
-   * place.
+   * A replaced backend drains and leaves the list; a cold one under an id that no proxy has seen
+   * takes its place.
    */
   @Test
-  void replacedServersAreNew() {
-    Scenario s =
-        ScenarioTexts.small(
+  void replacedBackendsHaveNewIds() {
+    Scenario scenario =
+        ScenarioTexts.smallScenario(
             "replayable", "[[fault]]\nkind = \"replace\"\nat-s = 1\nfor-s = 1\nshare = 0.5\n");
     Set<Long> ids = new HashSet<>();
-    StringBuilder told = new StringBuilder();
+    StringBuilder events = new StringBuilder();
     new VirtualRun(
-            s,
+            scenario,
             3,
-            (port, seed, me) ->
-                new Eager(port) {
+            (runtime, seed, proxyIndex) ->
+                new GreedyPolicy(runtime) {
                   @Override
                   public void updateBackend(EndpointUpdate update) {
                     super.updateBackend(update);
-                    if (me == 0) {
-                      told.append(ids.add(update.id()) ? "new " : "old ")
+                    if (proxyIndex == 0) {
+                      events
+                          .append(ids.add(update.id()) ? "new " : "old ")
                           .append(update.ready() ? "ready " : "draining ");
                     }
                   }
                 },
             true,
-            e -> {})
+            entry -> {})
         .run();
     assertEquals(
         "new ready new ready new ready new ready old draining old draining new ready new ready ",
-        told.toString());
+        events.toString());
   }
 
-  /** A zone's fault hits all servers, and all proxies, of that zone and no others. */
+  /** A zone's faults hit all backends and proxies of that zone, and no others. */
   @Test
-  void zoneFaultsHitTheZone() {
-    Set<Integer> started = new TreeSet<>(), killed = new TreeSet<>();
-    VirtualRun world =
+  void zoneFaultsHitOneZone() {
+    Set<Integer> coldBackends = new TreeSet<>();
+    Set<Integer> killedProxies = new TreeSet<>();
+    VirtualRun run =
         new VirtualRun(
-            file("zone", Map.of()),
+            scenario("zone", Map.of()),
             3,
-            (port, seed, me) -> new Eager(port),
+            (runtime, seed, proxyIndex) -> new GreedyPolicy(runtime),
             true,
-            e -> {
-              if (e.kind() == LedgerRecord.Kind.STARTED && e.code() == 1) {
-                started.add(e.server());
-              } else if (e.kind() == LedgerRecord.Kind.PROXY && e.code() == 0) {
-                killed.add(e.proxy());
+            entry -> {
+              if (entry.kind() == LedgerRecord.Kind.STARTED && entry.code() == 1) {
+                coldBackends.add(entry.server());
+              } else if (entry.kind() == LedgerRecord.Kind.PROXY && entry.code() == 0) {
+                killedProxies.add(entry.proxy());
               }
             });
-    world.run();
-    assertEquals(odd(60), started);
-    assertEquals(odd(14), killed);
+    run.run();
+    assertEquals(oddNumbersBelow(60), coldBackends);
+    assertEquals(oddNumbersBelow(14), killedProxies);
   }
 
-  private static Set<Integer> odd(int n) {
-    return IntStream.range(0, n)
-        .filter(i -> i % 2 == 1)
+  private static Set<Integer> oddNumbersBelow(int bound) {
+    return IntStream.range(0, bound)
+        .filter(number -> number % 2 == 1)
         .boxed()
         .collect(Collectors.toCollection(TreeSet::new));
   }
 
-  /** Ten proxies ask an overbooked list for all of it: the last one waits for the other nine. */
+  /** Ten proxies watch a list of limited rate at once: the last one waits for the other nine. */
   @Test
-  void overbookedListTellsInTurn() {
-    long overbooked = longestWait("250"), free = longestWait("0");
-    assertTrue(overbooked > 15_000, overbooked + "");
-    assertTrue(free < 7_000, free + "");
+  void rateLimitedDiscoveryServesProxiesInTurn() {
+    long limited = longestWait("250");
+    long unlimited = longestWait("0");
+    assertTrue(limited > 15_000, limited + "");
+    assertTrue(unlimited < 7_000, unlimited + "");
   }
 
   private static long longestWait(String entriesPerSecond) {
-    Map<Integer, Long> since = new HashMap<>();
+    Map<Integer, Long> startedAt = new HashMap<>();
     long[] longest = {0};
     new VirtualRun(
-            file("herd", Map.of("list.entries-per-second", entriesPerSecond)),
+            scenario("herd", Map.of("list.entries-per-second", entriesPerSecond)),
             2,
-            (port, seed, me) -> new Eager(port),
+            (runtime, seed, proxyIndex) -> new GreedyPolicy(runtime),
             true,
-            e -> {
-              if (e.kind() == LedgerRecord.Kind.PROXY && e.code() == 1 && e.at() > 0) {
-                since.put(e.proxy(), e.at());
-              } else if (e.kind() == LedgerRecord.Kind.TOLD && since.containsKey(e.proxy())) {
-                longest[0] = Math.max(longest[0], e.at() - since.remove(e.proxy()));
+            entry -> {
+              if (entry.kind() == LedgerRecord.Kind.PROXY && entry.code() == 1 && entry.at() > 0) {
+                startedAt.put(entry.proxy(), entry.at());
+              } else if (entry.kind() == LedgerRecord.Kind.TOLD
+                  && startedAt.containsKey(entry.proxy())) {
+                longest[0] = Math.max(longest[0], entry.at() - startedAt.remove(entry.proxy()));
               }
             })
         .run();
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -18,30 +18,36 @@
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
 
+/** Virtual runs: the referee finds policies that break a rule, and runs are repeatable. */
 class VirtualRunTest {
   private static final String DRAIN = "[[fault]]\nkind = \"drain\"\nat-s = 1\nplace = 0\n";
   private static final String CRASH =
       "[[fault]]\nkind = \"crash\"\nat-s = 1\nfor-s = 1\nplace = 0\n";
 
-  /** What a wrong proxy does with a req; how it comes to be wrong is up to the test. */
-  private interface Wrong {
-    void arrive(PolicyRuntime port, PendingRequest req, List<Integer> ready, List<Integer> ever);
+  /** What a proxy does with a request that arrives; each test has its own way to be wrong. */
+  private interface FaultyPolicy {
+    void onRequest(
+        PolicyRuntime runtime,
+        PendingRequest request,
+        List<Integer> ready,
+        List<Integer> everListed);
   }
 
-  private static Verdict play(String effect, String more, Wrong wrong) {
-    Scenario s = ScenarioTexts.small(effect, more);
-    Referee referee = new Referee(s);
-    Policy.Maker maker =
-        (port, seed, me) -> {
-          port.watchEndpoints();
-          List<Integer> ready = new ArrayList<>(), ever = new ArrayList<>();
+  private static Verdict play(String effect, String faults, FaultyPolicy faultyPolicy) {
+    Scenario scenario = ScenarioTexts.smallScenario(effect, faults);
+    Referee referee = new Referee(scenario);
+    Policy.Factory factory =
+        (runtime, seed, proxyIndex) -> {
+          runtime.watchEndpoints();
+          List<Integer> ready = new ArrayList<>();
+          List<Integer> everListed = new ArrayList<>();
           return new Policy() {
             @Override
             public void updateBackend(EndpointUpdate update) {
               Integer index = update.index();
               ready.remove(index);
-              ever.remove(index);
-              ever.add(index);
+              everListed.remove(index);
+              everListed.add(index);
               if (update.ready()) {
                 ready.add(index);
               }
@@ -54,208 +60,216 @@
 
             @Override
             public void endpointListUpdated(boolean cached) {
-              ever.sort(null);
+              everListed.sort(null);
             }
 
             @Override
             public void endpointListFailed() {
-              port.schedule(1_000, port::watchEndpoints);
+              runtime.schedule(1_000, runtime::watchEndpoints);
             }
 
             @Override
-            public RequestHandle accept(PendingRequest req) {
-              wrong.arrive(port, req, ready, ever);
+            public RequestHandle accept(PendingRequest request) {
+              faultyPolicy.onRequest(runtime, request, ready, everListed);
               return new RequestHandle() {
                 @Override
                 public void streamingStarted(int attempt) {
-                  // none does
+                  // virtual backends do not stream
                 }
 
                 @Override
                 public void clientDisconnected() {
-                  // nothing is held
+                  // it keeps no state
                 }
               };
             }
           };
         };
-    new VirtualRun(s, 5, maker, false, referee).run();
+    new VirtualRun(scenario, 5, factory, false, referee).run();
     return referee.verdict();
   }
 
-  private static void honest(PolicyRuntime port, PendingRequest req, List<Integer> ready) {
+  private static void forwardToReady(
+      PolicyRuntime runtime, PendingRequest request, List<Integer> ready) {
     if (ready.isEmpty()) {
-      port.reject(req, 0);
+      runtime.reject(request, 0);
       return;
     }
-    port.sendAttempt(
-        req,
-        ready.get((int) (req.arrivedAt() % ready.size())),
+    runtime.sendAttempt(
+        request,
+        ready.get((int) (request.arrivedAt() % ready.size())),
         0,
-        (how, lag, over) -> {
-          if (!over && how.neverRan()) {
-            port.reject(req, 0);
-          } else if (!over) {
-            port.fail(req);
+        (outcome, latency, ended) -> {
+          if (!ended && outcome.neverRan()) {
+            runtime.reject(request, 0);
+          } else if (!ended) {
+            runtime.fail(request);
           }
         });
   }
 
-  private static void caught(String rule, Verdict v) {
-    assertTrue(v.figures().get("broken." + rule) > 0, v.figures().toString());
+  private static void assertBroken(String rule, Verdict verdict) {
+    assertTrue(verdict.figures().get("broken." + rule) > 0, verdict.figures().toString());
   }
 
   @Test
-  void anHonestStubIsNotCaught() {
+  void correctPolicyBreaksNoRule() {
     for (String effect : List.of("replayable", "non-replayable")) {
-      Verdict v =
+      Verdict verdict =
           play(
               effect,
               DRAIN + CRASH.replace("place = 0", "place = 1"),
-              (port, req, ready, ever) -> honest(port, req, ready));
-      assertEquals(0, v.figures().get("broken"), v.breaks().toString());
-      assertTrue(v.figures().get("done") > 200);
+              (runtime, request, ready, everListed) -> forwardToReady(runtime, request, ready));
+      assertEquals(0, verdict.figures().get("broken"), verdict.breaks().toString());
+      assertTrue(verdict.figures().get("done") > 200);
     }
   }
 
   @Test
-  void wrongAnswersAreCaught() {
-    caught(
+  void wrongAnswersBreakTheAnswerRule() {
+    assertBroken(
         "answers",
         play(
             "replayable",
             "",
-            (port, req, ready, ever) -> {
-              port.reject(req, 0);
-              port.reject(req, 0);
+            (runtime, request, ready, everListed) -> {
+              runtime.reject(request, 0);
+              runtime.reject(request, 0);
             }));
-    caught("answers", play("replayable", "", (port, req, ready, ever) -> {}));
-    caught(
+    assertBroken("answers", play("replayable", "", (runtime, request, ready, everListed) -> {}));
+    assertBroken(
         "answers",
         play(
             "replayable",
             "",
-            (port, req, ready, ever) -> port.schedule(9_800, () -> port.fail(req))));
-    caught(
+            (runtime, request, ready, everListed) ->
+                runtime.schedule(9_800, () -> runtime.fail(request))));
+    assertBroken(
         "answers",
         play(
             "replayable",
             "",
-            (port, req, ready, ever) -> {
+            (runtime, request, ready, everListed) -> {
               if (ready.isEmpty()) {
-                port.reject(req, 0);
+                runtime.reject(request, 0);
                 return;
               }
-              port.reject(req, 0);
-              port.schedule(
-                  2_000, () -> port.sendAttempt(req, ready.get(0), 1_000, (how, lag, over) -> {}));
+              runtime.reject(request, 0);
+              runtime.schedule(
+                  2_000,
+                  () ->
+                      runtime.sendAttempt(
+                          request, ready.get(0), 1_000, (outcome, latency, ended) -> {}));
             }));
   }
 
   @Test
-  void wrongEffectsAreCaught() {
-    Wrong twice =
-        (port, req, ready, ever) -> {
+  void repeatedEffectsBreakTheEffectRule() {
+    FaultyPolicy sendsTwice =
+        (runtime, request, ready, everListed) -> {
           if (ready.size() < 2) {
-            port.reject(req, 0);
+            runtime.reject(request, 0);
             return;
           }
-          port.sendAttempt(req, ready.get(0), 0, (how, lag, over) -> {});
-          port.sendAttempt(req, ready.get(1), 0, (how, lag, over) -> {});
+          runtime.sendAttempt(request, ready.get(0), 0, (outcome, latency, ended) -> {});
+          runtime.sendAttempt(request, ready.get(1), 0, (outcome, latency, ended) -> {});
         };
-    caught("effects", play("non-replayable", "", twice));
-    assertEquals(0, play("replayable", "", twice).figures().get("broken.effects"));
-    caught(
+    assertBroken("effects", play("non-replayable", "", sendsTwice));
+    assertEquals(0, play("replayable", "", sendsTwice).figures().get("broken.effects"));
+    assertBroken(
         "effects",
         play(
             "non-replayable",
             "",
-            (port, req, ready, ever) -> {
+            (runtime, request, ready, everListed) -> {
               if (!ready.isEmpty()) {
-                port.sendAttempt(req, ready.get(0), 0, (how, lag, over) -> {});
-                port.schedule(100, () -> port.reject(req, 0));
+                runtime.sendAttempt(request, ready.get(0), 0, (outcome, latency, ended) -> {});
+                runtime.schedule(100, () -> runtime.reject(request, 0));
               } else {
-                port.reject(req, 0);
+                runtime.reject(request, 0);
               }
             }));
   }
 
-  /** One that goes on to send to a server of which it was told 700 ms ago that it drains. */
+  /** The policy sends to a backend 700 ms and longer after it was notified of its drain. */
   @Test
-  void lateSendsToDrainedServersAreCaught() {
-    Wrong deaf = (port, req, ready, ever) -> honest(port, req, ever);
-    Verdict v = play("replayable", DRAIN, deaf);
-    caught("drains", v);
-    assertTrue(v.figures().get("late-drain") > 700);
+  void attemptsAtDrainedBackendsBreakTheDrainRule() {
+    FaultyPolicy ignoresDrains =
+        (runtime, request, ready, everListed) -> forwardToReady(runtime, request, everListed);
+    Verdict verdict = play("replayable", DRAIN, ignoresDrains);
+    assertBroken("drains", verdict);
+    assertTrue(verdict.figures().get("late-drain") > 700);
   }
 
-  /** All proxies together send all they have to the one that has just come back. */
+  /** All proxies send all requests to the backend that has just started again. */
   @Test
-  void coldServersPushedOverAreCaught() {
-    Wrong herd =
-        (port, req, ready, ever) -> honest(port, req, ready.contains(0) ? List.of(0) : ready);
-    caught("cold", play("replayable", CRASH, herd));
+  void collapsedColdBackendsBreakTheColdRule() {
+    FaultyPolicy prefersTheColdOne =
+        (runtime, request, ready, everListed) ->
+            forwardToReady(runtime, request, ready.contains(0) ? List.of(0) : ready);
+    assertBroken("cold", play("replayable", CRASH, prefersTheColdOne));
   }
 
-  /**
-   * Clients that hang up at any moment, also with the req still on its way: nothing is lost by
-   * that.
-   */
+  /** Clients hang up at any moment, also while the request is on its way: no request is lost. */
   @Test
-  void impatientClientsLoseNothing() {
-    Scenario s =
-        ScenarioTexts.small("non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
-    Referee referee = new Referee(s);
-    new VirtualRun(s, 4, Policies.Kind.RULES, referee).run();
-    Verdict v = referee.verdict();
-    assertEquals(0, v.figures().get("broken"), v.breaks().toString());
-    assertTrue(v.figures().get("done") > 50, v.figures().toString());
+  void impatientClientsBreakNoRule() {
+    Scenario scenario =
+        ScenarioTexts.smallScenario(
+            "non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
+    Referee referee = new Referee(scenario);
+    new VirtualRun(scenario, 4, Policies.Kind.RULES, referee).run();
+    Verdict verdict = referee.verdict();
+    assertEquals(0, verdict.figures().get("broken"), verdict.breaks().toString());
+    assertTrue(verdict.figures().get("done") > 50, verdict.figures().toString());
   }
 
-  /** The same seed gives the same entries to the last; another seed others. */
+  /** Equal seeds give equal ledgers to the last entry, another seed gives another one. */
   @Test
-  void theSameSeedGivesTheSameBytes() {
-    Scenario s =
-        ScenarioTexts.small(
+  void equalSeedsGiveEqualLedgers() {
+    Scenario scenario =
+        ScenarioTexts.smallScenario(
             "replayable",
             CRASH
                 + "[[fault]]\nkind = \"kill-proxy\"\nat-s = 2\n"
                 + "for-s = 1\n"
                 + "share = 0.5\n[[fault]]\nkind = \"list-down\"\nat-s = 3\nfor-s = 1\n");
-    long[] sums = new long[3];
+    long[] checksums = new long[3];
     for (int i = 0; i < 3; i++) {
       CRC32C crc = new CRC32C();
       new VirtualRun(
-              s, i < 2 ? 9 : 10, Policies.Kind.RULES, e -> crc.update(e.toString().getBytes()))
+              scenario,
+              i < 2 ? 9 : 10,
+              Policies.Kind.RULES,
+              entry -> crc.update(entry.toString().getBytes()))
           .run();
-      sums[i] = crc.getValue();
+      checksums[i] = crc.getValue();
     }
-    assertEquals(sums[0], sums[1]);
-    assertNotEquals(sums[0], sums[2]);
+    assertEquals(checksums[0], checksums[1]);
+    assertNotEquals(checksums[0], checksums[2]);
   }
 
   @Test
-  void hungServersAnswerNothing() {
-    List<AttemptOutcome> seen = new ArrayList<>();
-    Verdict v =
+  void hungBackendsTimeOut() {
+    List<AttemptOutcome> outcomes = new ArrayList<>();
+    Verdict verdict =
         play(
             "non-replayable",
             "[[fault]]\nkind = \"hang\"\nat-s = 0\nshare = 1\n",
-            (port, req, ready, ever) -> {
+            (runtime, request, ready, everListed) -> {
               if (ready.isEmpty()) {
-                port.reject(req, 0);
+                runtime.reject(request, 0);
                 return;
               }
-              port.sendAttempt(
-                  req,
+              runtime.sendAttempt(
+                  request,
                   ready.get(0),
                   5_000,
-                  (how, lag, over) -> {
-                    seen.add(how);
-                    port.fail(req);
+                  (outcome, latency, ended) -> {
+                    outcomes.add(outcome);
+                    runtime.fail(request);
                   });
             });
-    assertEquals(0, v.figures().get("broken"));
-    assertEquals(List.of(AttemptOutcome.TIMEOUT), seen.stream().distinct().toList());
+    assertEquals(0, verdict.figures().get("broken"));
+    assertEquals(List.of(AttemptOutcome.TIMEOUT), outcomes.stream().distinct().toList());
   }
 }
