One stub policy for the lab's tests; a policy's kind knows its word

Cause: FleetTest and VirtualRunTest each spelt out the same empty request handle and the same watch of a failed list.

Change: StubPolicy has both; the tests' policies fill in what they do with a request. Policies.Kind gives its own word for the command line. Assertions are unchanged.

--- a/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
+++ b/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
@@ -41,7 +41,7 @@
     return incarnation;
   }
 
-  /** Starts its process; the clients' front is told once it can be sent to. */
+  /** Starts its process; the clients' front learns once it can be sent to. */
   public abstract void start();
 
   /** Kills its process. */
@@ -84,7 +84,7 @@
   /** Lets its clock be off by this from its next start on, in milliseconds. */
   public abstract void setClockSkew(double millis);
 
-  /** Sends it a request; the clients are told the answer, or that the connection was refused. */
+  /** Sends it a request; the clients receive the answer, or a refused connection. */
   public abstract void submit(ClientRequest request);
 
   /** The client of a request hangs up. */
--- a/lab/src/main/java/wheattrack/lab/model/RunEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/model/RunEnvironment.java
@@ -67,7 +67,7 @@
   /** A fault of the links to this backend begins (active) or ends. */
   public abstract void setLinkFault(Fault fault, int backend, boolean active);
 
-  /** An operation that was due at a moment starts now; for runs that measure their lateness. */
+  /** An operation starts that was planned for a moment; for runs that measure their lateness. */
   public void arrivalStarted(double plannedAt) {
     // on the virtual clock nothing is late
   }
--- a/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
@@ -51,7 +51,7 @@
     return clientRequest;
   }
 
-  /** The whole request, to be written once; each call starts at its first byte. */
+  /** The complete request, to be written once; each call starts at its first byte. */
   ByteBuffer bytes() {
     return bytes.duplicate();
   }
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -62,7 +62,7 @@
   /** The lateness, in microseconds, that one operation in a hundred may reach. */
   private static final long MAX_LATENESS_MICROS = 20_000;
 
-  /** The greatest lateness that is told apart, in microseconds. */
+  /** The greatest lateness that is recorded as such, in microseconds. */
   private static final long MAX_RECORDED_MICROS = 60_000_000;
 
   /** How long the proxies may take until all are ready. */
--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -20,16 +20,19 @@
     RANDOM,
     ROUND_ROBIN,
     LEAST_OUT,
-    TWO_CHOICES
+    TWO_CHOICES;
+
+    /** Its name on the command line. */
+    public String word() {
+      return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
   }
 
   private Policies() {}
 
   /** The names of all policies as the command line has them. */
   public static List<String> names() {
-    return Arrays.stream(Kind.values())
-        .map(kind -> kind.name().toLowerCase(Locale.ROOT).replace('_', '-'))
-        .toList();
+    return Arrays.stream(Kind.values()).map(Kind::word).toList();
   }
 
   /** A factory of policies with the settings that a scenario gives its proxies. */
--- a/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -18,7 +18,6 @@
 import wheattrack.api.EndpointUpdate;
 import wheattrack.api.PendingRequest;
 import wheattrack.api.PolicyRuntime;
-import wheattrack.api.RequestHandle;
 import wheattrack.lab.ScenarioTexts;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.Referee;
@@ -31,13 +30,11 @@
  */
 class FleetTest {
   /** Sends all requests to the backend that started last, which is right for a lone proxy only. */
-  private static class GreedyPolicy implements Policy {
-    private final PolicyRuntime runtime;
+  private static class GreedyPolicy extends StubPolicy {
     private final Map<Integer, Long> startTimes = new HashMap<>();
 
     GreedyPolicy(PolicyRuntime runtime) {
-      this.runtime = runtime;
-      runtime.watchEndpoints();
+      super(runtime);
     }
 
     @Override
@@ -54,17 +51,7 @@
     }
 
     @Override
-    public void endpointListUpdated(boolean cached) {
-      // each entry was an update of its own
-    }
-
-    @Override
-    public void endpointListFailed() {
-      runtime.schedule(1_000, runtime::watchEndpoints);
-    }
-
-    @Override
-    public RequestHandle accept(PendingRequest request) {
+    void onRequest(PendingRequest request) {
       long latestStart = startTimes.values().stream().mapToLong(Long::longValue).max().orElse(0);
       int latest =
           startTimes.keySet().stream()
@@ -72,29 +59,19 @@
               .min(Integer::compare)
               .orElse(-1);
       if (latest < 0) {
-        runtime.reject(request, 0);
+        runtime().reject(request, 0);
       } else {
-        runtime.sendAttempt(
-            request,
-            latest,
-            0,
-            (outcome, latency, ended) -> {
-              if (!ended) {
-                runtime.reject(request, 0);
-              }
-            });
+        runtime()
+            .sendAttempt(
+                request,
+                latest,
+                0,
+                (outcome, latency, ended) -> {
+                  if (!ended) {
+                    runtime().reject(request, 0);
+                  }
+                });
       }
-      return new RequestHandle() {
-        @Override
-        public void streamingStarted(int attempt) {
-          // virtual backends do not stream
-        }
-
-        @Override
-        public void clientDisconnected() {
-          // it keeps no state
-        }
-      };
     }
   }
 
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -12,7 +12,6 @@
 import wheattrack.api.EndpointUpdate;
 import wheattrack.api.PendingRequest;
 import wheattrack.api.PolicyRuntime;
-import wheattrack.api.RequestHandle;
 import wheattrack.lab.ScenarioTexts;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
@@ -38,10 +37,9 @@
     Referee referee = new Referee(scenario);
     Policy.Factory factory =
         (runtime, seed, proxyIndex) -> {
-          runtime.watchEndpoints();
           List<Integer> ready = new ArrayList<>();
           List<Integer> everListed = new ArrayList<>();
-          return new Policy() {
+          return new StubPolicy(runtime) {
             @Override
             public void updateBackend(EndpointUpdate update) {
               Integer index = update.index();
@@ -64,24 +62,8 @@
             }
 
             @Override
-            public void endpointListFailed() {
-              runtime.schedule(1_000, runtime::watchEndpoints);
-            }
-
-            @Override
-            public RequestHandle accept(PendingRequest request) {
+            void onRequest(PendingRequest request) {
               faultyPolicy.onRequest(runtime, request, ready, everListed);
-              return new RequestHandle() {
-                @Override
-                public void streamingStarted(int attempt) {
-                  // virtual backends do not stream
-                }
-
-                @Override
-                public void clientDisconnected() {
-                  // it keeps no state
-                }
-              };
             }
           };
         };
