--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -11,6 +11,7 @@
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
 import wheattrack.lab.virtual.Policies;
 import wheattrack.lab.virtual.VirtualRun;
@@ -36,8 +37,10 @@
   /** Requests a second on sockets. */
   private static final int[] RATES = {1000, 4000, 8000};
 
-  private static final SocketRun.How DIRECT = new SocketRun.How(List.of(), null, true);
-  private static final SocketRun.How ONE_CORE = new SocketRun.How(List.of(), "0", false);
+  private static final SocketRun.ProxyOptions DIRECT =
+      new SocketRun.ProxyOptions(List.of(), null, true);
+  private static final SocketRun.ProxyOptions ONE_CORE =
+      new SocketRun.ProxyOptions(List.of(), "0", false);
 
   private BenchCommand() {}
 
@@ -51,11 +54,11 @@
     System.out.println(
         "sockets: light reqs of 1 ms at 12 servers, 6 s a rate; ms from intended send");
     System.out.println("                    rate   done/s  late p99      p50      p99    p99.9");
-    measureSockets("(warming up)", 3, SocketRun.How.USUAL, 1000, job);
+    measureSockets("(warming up)", 3, SocketRun.ProxyOptions.DEFAULT, 1000, job);
     for (int rate : RATES) {
       measureSockets("direct", 12, DIRECT, rate, job);
       measureSockets("1 proxy, 1 core", 1, ONE_CORE, rate, job);
-      measureSockets("3 proxies", 3, SocketRun.How.USUAL, rate, job);
+      measureSockets("3 proxies", 3, SocketRun.ProxyOptions.DEFAULT, rate, job);
     }
     return ExitCode.GOOD;
   }
@@ -69,7 +72,7 @@
     settings.put("server[0].count", Integer.toString(size.backends - 2 * third));
     settings.put("server[1].count", Integer.toString(third));
     settings.put("server[2].count", Integer.toString(third));
-    Scenario scenario = Scenario.read(ScenarioCatalog.find("world/wide-300x70"), settings);
+    Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("world/wide-300x70"), settings);
     Referee referee = new Referee(scenario);
     System.gc();
     List<MemoryPoolMXBean> pools = ManagementFactory.getMemoryPoolMXBeans();
@@ -100,23 +103,24 @@
   }
 
   private static void measureSockets(
-      String name, int proxies, SocketRun.How how, int rate, ScenarioRunner.Job job)
+      String name, int proxies, SocketRun.ProxyOptions options, int rate, ScenarioRunner.Job job)
       throws IOException {
     Map<String, String> settings = new LinkedHashMap<>();
     settings.put("load.rate", Integer.toString(rate));
     settings.put("seconds", "6");
     settings.put("fleet.proxies", Integer.toString(proxies));
-    Scenario scenario = Scenario.read(ScenarioCatalog.find("long/rate"), settings);
+    Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("long/rate"), settings);
     ScenarioRunner.Job withoutOutput =
         new ScenarioRunner.Job(job.seed(), null, job.policy(), job.proxyJar());
-    ScenarioRunner.SocketResult result = ScenarioRunner.runOnSockets(scenario, withoutOutput, how);
+    ScenarioRunner.SocketResult result =
+        ScenarioRunner.runOnSockets(scenario, withoutOutput, options);
     Map<String, Double> figures = result.verdict().figures();
     System.out.printf(
         Locale.ROOT,
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        figures.get("done") / (scenario.length / (double) Scenario.SECOND),
+        figures.get("done") / (scenario.duration() / (double) Scenario.SECOND),
         ScenarioRunner.lateMillis(result.quality(), 99),
         figures.get("p50"),
         figures.get("p99"),
--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -20,7 +20,7 @@
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport;
-import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 
 /**
  * Compares two sides over the same seeds and a grid of settings, on the virtual clock: pair by
@@ -55,7 +55,7 @@
     CompareCommand command = new CompareCommand(scenario, line);
     List<Map<String, String>> grid = grid(LabOptions.settingTexts(line));
     for (Map<String, String> point : grid) {
-      if (!Scenario.read(scenario, point).virtual) {
+      if (!ScenarioReader.read(scenario, point).isVirtual()) {
         throw new InvalidConfigurationException(
             "clock", "only scenarios on the virtual clock are compared");
       }
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -13,7 +13,7 @@
 import java.util.Map;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.Verdict;
-import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.virtual.Policies;
 
 /** One side of a comparison, which plays a scenario on the virtual clock. Safe for any thread. */
@@ -35,11 +35,11 @@
       if (Files.isRegularFile(jar)) {
         return new OtherBuild(name, jar);
       }
-    } else if (Policies.words().contains(name)) {
+    } else if (Policies.names().contains(name)) {
       return new OwnPolicy(name, LabOptions.policy(name));
     }
     throw new InvalidConfigurationException(
-        name, "no such jar, and no policy of " + Policies.words());
+        name, "no such jar, and no policy of " + Policies.names());
   }
 
   /** A policy of this build. */
@@ -51,7 +51,7 @@
 
     /** The whole verdict of a run. */
     Verdict judge(Path scenario, Map<String, String> settings, int seed) {
-      return ScenarioRunner.judgeVirtual(Scenario.read(scenario, settings), seed, policy);
+      return ScenarioRunner.judgeVirtual(ScenarioReader.read(scenario, settings), seed, policy);
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -11,6 +11,7 @@
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
 
 /**
@@ -23,10 +24,10 @@
 
   /** Plays the demo and prints what comes of it. */
   static ExitCode run(ScenarioRunner.Job job) throws IOException {
-    Scenario scenario = Scenario.read(ScenarioCatalog.find("demo"));
+    Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("demo"));
     printIntroduction(scenario);
     ScenarioRunner.SocketResult result =
-        ScenarioRunner.runOnSockets(scenario, job, SocketRun.How.USUAL);
+        ScenarioRunner.runOnSockets(scenario, job, SocketRun.ProxyOptions.DEFAULT);
     Verdict verdict = result.verdict();
     System.out.println();
     printSeconds(scenario, verdict.seconds());
@@ -41,24 +42,24 @@
   }
 
   private static void printIntroduction(Scenario scenario) {
-    Fault kill = scenario.faults.get(0);
+    Fault kill = scenario.faults().get(0);
     System.out.println(
         "two proxies, six servers, a list and clients on 127.0.0.1: "
-            + Verdict.format(scenario.load.rate())
+            + Verdict.format(scenario.load().rate())
             + " reqs a second for "
-            + scenario.length / Scenario.SECOND
+            + scenario.duration() / Scenario.SECOND
             + " s;");
     System.out.println(
         "server 0 is killed at "
-            + kill.at() / Scenario.SECOND
+            + kill.startsAt() / Scenario.SECOND
             + " s and comes back cold "
-            + kill.lasts() / Scenario.SECOND
+            + kill.duration() / Scenario.SECOND
             + " s later");
   }
 
   private static void printSeconds(Scenario scenario, List<ServiceSecond> seconds) {
     System.out.println("value done in time, by second");
-    for (int i = 0; i < Math.min(seconds.size(), scenario.length / Scenario.SECOND); i++) {
+    for (int i = 0; i < Math.min(seconds.size(), scenario.duration() / Scenario.SECOND); i++) {
       ServiceSecond second = seconds.get(i);
       double share = second.hasShare() ? second.earnedShare() : 1;
       System.out.printf(
@@ -67,16 +68,16 @@
           i,
           "#".repeat((int) Math.round(BAR_WIDTH * share)),
           100 * share,
-          remark(scenario.faults.get(0), i));
+          remark(scenario.faults().get(0), i));
     }
   }
 
   private static String remark(Fault kill, int second) {
-    long killedAt = kill.at() / Scenario.SECOND;
+    long killedAt = kill.startsAt() / Scenario.SECOND;
     if (second == killedAt) {
       return "  server 0 is killed";
     }
-    boolean isBack = second == killedAt + kill.lasts() / Scenario.SECOND;
+    boolean isBack = second == killedAt + kill.duration() / Scenario.SECOND;
     return isBack ? "  server 0 is back, cold" : "";
   }
 
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -9,6 +9,7 @@
 import wheattrack.lab.scale.ResourceLimitException;
 import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
+import wheattrack.lab.scenario.ScenarioReader;
 
 /** The lab's command line; {@link ExitCode} names what it ends with. */
 public final class LabMain {
@@ -83,10 +84,11 @@
     if (command.equals("compare")) {
       return CompareCommand.run(ScenarioCatalog.find(nameOrFile), line);
     }
-    Scenario scenario = Scenario.read(ScenarioCatalog.find(nameOrFile), LabOptions.settings(line));
+    Scenario scenario =
+        ScenarioReader.read(ScenarioCatalog.find(nameOrFile), LabOptions.settings(line));
     return switch (command) {
       case "check" -> {
-        System.out.println("good: " + scenario.name);
+        System.out.println("good: " + scenario.name());
         yield ExitCode.GOOD;
       }
       case "run" -> ScenarioRunner.run(scenario, LabOptions.job(line));
@@ -96,9 +98,9 @@
 
   private static ExitCode list() throws IOException {
     for (String name : ScenarioCatalog.names()) {
-      Scenario scenario = Scenario.read(ScenarioCatalog.find(name));
-      String clock = scenario.virtual ? "virtual" : "real";
-      System.out.printf("%-24s %-7s %s%n", name, clock, scenario.about);
+      Scenario scenario = ScenarioReader.read(ScenarioCatalog.find(name));
+      String clock = scenario.isVirtual() ? "virtual" : "real";
+      System.out.printf("%-24s %-7s %s%n", name, clock, scenario.description());
     }
     return ExitCode.GOOD;
   }
--- a/lab/src/main/java/wheattrack/lab/LabOptions.java
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -37,10 +37,10 @@
 
   /** How to play a scenario. */
   static ScenarioRunner.Job job(CommandLine line) {
-    String policy = line.getOptionValue("policy", Policies.words().get(0));
-    if (!Policies.words().contains(policy)) {
+    String policy = line.getOptionValue("policy", Policies.names().get(0));
+    if (!Policies.names().contains(policy)) {
       throw new InvalidConfigurationException(
-          "--policy", "'" + policy + "' is none of " + Policies.words());
+          "--policy", "'" + policy + "' is none of " + Policies.names());
     }
     long seed = seed(line);
     Path proxyJar = path(line, "jar");
@@ -66,7 +66,7 @@
 
   /** The policy of one of the words for them. */
   static Policies.Kind policy(String word) {
-    return Policies.Kind.values()[Policies.words().indexOf(word)];
+    return Policies.Kind.values()[Policies.names().indexOf(word)];
   }
 
   /** The keys of the scenario that are set, each with its one value. */
--- a/lab/src/main/java/wheattrack/lab/PairedDifference.java
+++ b/lab/src/main/java/wheattrack/lab/PairedDifference.java
@@ -38,7 +38,7 @@
     for (int resample = 0; resample < RESAMPLES; resample++) {
       double sum = 0;
       for (int i = 0; i < differences.length; i++) {
-        sum += differences[random.below(differences.length)];
+        sum += differences[random.nextInt(differences.length)];
       }
       means[resample] = sum / differences.length;
     }
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -13,7 +13,7 @@
 import wheattrack.lab.report.HtmlReport;
 import wheattrack.lab.report.ResultLines;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.scenario.Scenario.Expect;
+import wheattrack.lab.scenario.Scenario.Expectation;
 import wheattrack.lab.sockets.SocketRun;
 import wheattrack.lab.virtual.Policies;
 import wheattrack.lab.virtual.VirtualRun;
@@ -27,11 +27,7 @@
    * @param policy who decides on the virtual clock
    * @param proxyJar the proxies' program on the real clock; may be null on the virtual one
    */
-  record Job(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {
-    String policyWord() {
-      return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
-  }
+  record Job(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {}
 
   /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
   record SocketResult(Verdict verdict, SocketRun.Quality quality) {
@@ -47,12 +43,12 @@
     if (job.outputDirectory != null) {
       Files.createDirectories(job.outputDirectory);
     }
-    if (scenario.virtual) {
+    if (scenario.isVirtual()) {
       Verdict verdict = runVirtual(scenario, job);
       report(verdict, job);
       return exitCode(verdict);
     }
-    SocketResult result = runOnSockets(scenario, job, SocketRun.How.USUAL);
+    SocketResult result = runOnSockets(scenario, job, SocketRun.ProxyOptions.DEFAULT);
     report(result.verdict, job);
     return result.exitCode();
   }
@@ -87,7 +83,7 @@
   }
 
   /** Plays on sockets, with a ledger on disk, and prints how well the lab kept its own times. */
-  static SocketResult runOnSockets(Scenario scenario, Job job, SocketRun.How how)
+  static SocketResult runOnSockets(Scenario scenario, Job job, SocketRun.ProxyOptions options)
       throws IOException {
     Path ledger =
         job.outputDirectory == null
@@ -95,7 +91,7 @@
             : job.outputDirectory.resolve("sockets.ledger");
     Files.deleteIfExists(ledger);
     try {
-      SocketRun.Quality quality = writeLedger(scenario, job, how, ledger);
+      SocketRun.Quality quality = writeLedger(scenario, job, options, ledger);
       Verdict verdict = judge(scenario, ledger);
       System.out.printf(
           Locale.ROOT,
@@ -104,8 +100,8 @@
           lateMillis(quality, 50),
           lateMillis(quality, 99),
           lateMillis(quality, 100),
-          quality.connected(),
-          quality.resent());
+          quality.openedConnections(),
+          quality.resentRequests());
       if (quality.isTooLate()) {
         System.err.println("wheattrack lab: the machine was too busy; the run says nothing");
       }
@@ -118,9 +114,9 @@
   }
 
   private static SocketRun.Quality writeLedger(
-      Scenario scenario, Job job, SocketRun.How how, Path ledger) throws IOException {
+      Scenario scenario, Job job, SocketRun.ProxyOptions options, Path ledger) throws IOException {
     try (LedgerWriter writer = new LedgerWriter(ledger, false);
-        SocketRun run = new SocketRun(scenario, job.seed, job.proxyJar, how, writer)) {
+        SocketRun run = new SocketRun(scenario, job.seed, job.proxyJar, options, writer)) {
       SocketRun.Quality quality = run.run();
       if (job.outputDirectory != null) {
         run.keepLogs(job.outputDirectory);
@@ -131,7 +127,7 @@
 
   /** By how many milliseconds the lab's own sends were late, at this percentile. */
   static double lateMillis(SocketRun.Quality quality, double percentile) {
-    return quality.lateMicros().getValueAtPercentile(percentile) / 1000.0;
+    return quality.latenessMicros().getValueAtPercentile(percentile) / 1000.0;
   }
 
   private static void report(Verdict verdict, Job job) throws IOException {
@@ -143,7 +139,7 @@
           violation.rule(),
           violation.description());
     }
-    for (Expect expectation : verdict.unmetExpectations()) {
+    for (Expectation expectation : verdict.unmetExpectations()) {
       Double value = verdict.figures().get(expectation.figure());
       System.out.println(
           "fell short: "
@@ -157,10 +153,10 @@
     }
     if (job.outputDirectory != null) {
       ResultLines.write(
-          job.outputDirectory.resolve("result.jsonl"), verdict, job.seed, job.policyWord());
+          job.outputDirectory.resolve("result.jsonl"), verdict, job.seed, job.policy.word());
       HtmlReport.write(
           job.outputDirectory.resolve("report.html"),
-          List.of(new HtmlReport.Run(job.policyWord(), verdict)));
+          List.of(new HtmlReport.Run(job.policy.word(), verdict)));
     }
     System.out.println(verdict.resultLine(job.seed));
   }
--- a/lab/src/main/java/wheattrack/lab/referee/ColdStartRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdStartRule.java
@@ -22,12 +22,13 @@
     if (!backend.hasColdBudget()) {
       return;
     }
-    Scenario.Servers kind = scenario.kindOf(entry.backend());
+    Scenario.BackendGroup kind = scenario.groupOf(entry.backend());
     double age = entry.at() - backend.startedAt();
-    if (age >= kind.coldFor()) {
+    if (age >= kind.coldDuration()) {
       return;
     }
-    double warmth = kind.coldFrom() + (1 - kind.coldFrom()) * Math.max(0, age) / kind.coldFor();
+    double warmth =
+        kind.coldSpeed() + (1 - kind.coldSpeed()) * Math.max(0, age) / kind.coldDuration();
     ColdBudget budget = backend.coldBudget();
     boolean collapses =
         budget.add(
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -28,11 +28,11 @@
   /** Begins to judge a run of this scenario. */
   public Referee(Scenario scenario) {
     this.scenario = scenario;
-    long tolerance = scenario.terms.slack();
-    long drainGrace = scenario.terms.grace() + (scenario.virtual ? 0 : tolerance);
+    long tolerance = scenario.terms().clockSlack();
+    long drainGrace = scenario.terms().drainGrace() + (scenario.isVirtual() ? 0 : tolerance);
     run = new RunState(scenario);
     answerRule = new AnswerRule(run, violations, tolerance);
-    effectRule = new EffectRule(run, violations, scenario.zones);
+    effectRule = new EffectRule(run, violations, scenario.zoneCount());
     drainRule = new DrainRule(run, violations, drainGrace);
     coldStartRule = new ColdStartRule(scenario, run, violations);
     service = new ServiceFigures(scenario, run);
@@ -136,7 +136,7 @@
     figures.put("broken", (double) broken);
     violations.counts().forEach((rule, count) -> figures.put("broken." + rule, (double) count));
     figures.put("service", service.service(0, Long.MAX_VALUE));
-    for (Scenario.Window window : scenario.windows) {
+    for (Scenario.Window window : scenario.windows()) {
       figures.put("service-" + window.name(), service.service(window.from(), window.until()));
     }
     figures.put("worst-second", service.worstSecond());
--- a/lab/src/main/java/wheattrack/lab/referee/RunState.java
+++ b/lab/src/main/java/wheattrack/lab/referee/RunState.java
@@ -16,7 +16,10 @@
 
   RunState(Scenario scenario) {
     this.scenario = scenario;
-    requestClasses = scenario.sets.stream().map(Scenario.Set1::rules).toArray(RequestClass[]::new);
+    requestClasses =
+        scenario.workloads().stream()
+            .map(Scenario.Workload::requestClass)
+            .toArray(RequestClass[]::new);
   }
 
   void startOperation(LedgerRecord entry) {
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceFigures.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceFigures.java
@@ -90,12 +90,13 @@
         .recordValue(Math.max(0, Math.min(MAX_WORK, Math.round(entry.work()))));
     proxy(entry.proxy()).countAttempt(entry.backend());
     second(entry.at()).countAttempt();
-    if (entry.proxy() % scenario.zones != entry.backend() % scenario.zones) {
+    if (entry.proxy() % scenario.zoneCount() != entry.backend() % scenario.zoneCount()) {
       crossings++;
     }
     long[] bySecond =
         attemptsByBackend.computeIfAbsent(
-            entry.backend(), backend -> new long[(int) (scenario.length / Scenario.SECOND) + 2]);
+            entry.backend(),
+            backend -> new long[(int) (scenario.duration() / Scenario.SECOND) + 2]);
     bySecond[(int) Math.min(bySecond.length - 1, Math.max(0, entry.at() / Scenario.SECOND))]++;
   }
 
@@ -127,7 +128,7 @@
 
   /** The lowest share of the complete seconds of the run; 1 if nothing was asked for. */
   double worstSecond() {
-    int completeSeconds = (int) (scenario.length / Scenario.SECOND);
+    int completeSeconds = (int) (scenario.duration() / Scenario.SECOND);
     return seconds.stream()
         .limit(Math.max(1, completeSeconds))
         .filter(ServiceSecond::hasShare)
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.scenario.Scenario;
-import wheattrack.lab.scenario.Scenario.Expect;
+import wheattrack.lab.scenario.Scenario.Expectation;
 
 /**
  * What the referee found of one run.
@@ -33,9 +33,9 @@
   private static final double MAX_WHOLE_NUMBER = 1e12;
 
   /** The scenario's expectations that are not met. */
-  public List<Expect> unmetExpectations() {
-    return scenario.expects.stream()
-        .filter(expectation -> !expectation.holds(figures.get(expectation.figure())))
+  public List<Expectation> unmetExpectations() {
+    return scenario.expectations().stream()
+        .filter(expectation -> !expectation.isMetBy(figures.get(expectation.figure())))
         .toList();
   }
 
@@ -48,7 +48,7 @@
   public String resultLine(long seed) {
     StringBuilder line =
         new StringBuilder("RESULT ")
-            .append(scenario.name)
+            .append(scenario.name())
             .append(" seed=")
             .append(seed)
             .append(" ok=")
--- a/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -31,7 +31,7 @@
   private HtmlReport(List<Run> runs) {
     this.runs = runs;
     scenario = runs.get(0).verdict().scenario();
-    seconds = scenario.length / (double) Scenario.SECOND;
+    seconds = scenario.duration() / (double) Scenario.SECOND;
   }
 
   /** Writes the report of these runs, at least one; throws IOException if the file can't be. */
@@ -61,15 +61,15 @@
   private void addHead() {
     html.add(
         "<!DOCTYPE html><html lang='en'><meta charset='utf-8'><title>%s</title>",
-        escaped(scenario.name));
+        escaped(scenario.name()));
     html.add(STYLE);
     html.add(
         "<h1>%s</h1><p>%s. %s clock, %d proxies, %d servers, %s s.</p>",
-        escaped(scenario.name),
-        escaped(scenario.about),
-        scenario.virtual ? "Simulated on a virtual" : "On sockets by a real",
-        scenario.proxies,
-        scenario.serverCount(),
+        escaped(scenario.name()),
+        escaped(scenario.description()),
+        scenario.isVirtual() ? "Simulated on a virtual" : "On sockets by a real",
+        scenario.proxyCount(),
+        scenario.backendCount(),
         Verdict.format(seconds));
   }
 
--- a/lab/src/main/java/wheattrack/lab/report/ReportTables.java
+++ b/lab/src/main/java/wheattrack/lab/report/ReportTables.java
@@ -47,7 +47,7 @@
 
   private String expectation(String name) {
     StringBuilder text = new StringBuilder();
-    for (Scenario.Expect expectation : scenario.expects) {
+    for (Scenario.Expectation expectation : scenario.expectations()) {
       if (expectation.figure().equals(name)) {
         text.append(expectation.sign()).append(' ').append(Verdict.format(expectation.bound()));
       }
@@ -78,7 +78,7 @@
       html.add(
           "<li>%.3f s: %s %s</li>",
           fault.at() / SECOND,
-          scenario.faults.get(fault.faultIndex()).kind().word(),
+          scenario.faults().get(fault.faultIndex()).kind().word(),
           fault.isBeginning() ? "begins" : "ends");
     }
     html.add("</ul>");
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -36,7 +36,7 @@
       throws IOException {
     json.writeStartObject();
     json.writeStringField("what", "run");
-    json.writeStringField("scenario", verdict.scenario().name);
+    json.writeStringField("scenario", verdict.scenario().name());
     json.writeNumberField("seed", seed);
     json.writeStringField("policy", policy);
     json.writeBooleanField("ok", verdict.isGood());
--- a/lab/src/main/java/wheattrack/lab/report/TimePlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -87,10 +87,10 @@
   }
 
   private void addFaults() {
-    for (int i = 0; i < scenario.faults.size(); i++) {
-      Fault fault = scenario.faults.get(i);
-      double from = fault.at() / (double) Scenario.SECOND;
-      double length = Math.max(0.1, fault.lasts() / (double) Scenario.SECOND);
+    for (int i = 0; i < scenario.faults().size(); i++) {
+      Fault fault = scenario.faults().get(i);
+      double from = fault.startsAt() / (double) Scenario.SECOND;
+      double length = Math.max(0.1, fault.duration() / (double) Scenario.SECOND);
       double until = Math.min(area.seconds(), from + length);
       double x = area.x(from);
       html.add(
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -20,6 +20,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
+import wheattrack.config.SocketAddressParser;
 import wheattrack.net.ControlOnlyProxy;
 
 /**
@@ -58,7 +59,8 @@
     LOG.setLevel(Level.SEVERE);
     ControlOnlyMain main = new ControlOnlyMain(Integer.parseInt(args[0]));
     int first = Integer.parseInt(args[1]);
-    InetSocketAddress source = args.length > 3 ? ProxyConfig.address("SOURCE", args[3]) : null;
+    InetSocketAddress source =
+        args.length > 3 ? SocketAddressParser.parse("SOURCE", args[3]) : null;
     main.run(first, Path.of(args[2]), source);
   }
 
@@ -73,7 +75,7 @@
     executeOnLoop(
         () -> {
           for (int i = 0; i < latestRevisions.length; i++) {
-            start(i, group, config, config.seed + SEED_STEP * (first + i), source);
+            start(i, group, config, config.seed() + SEED_STEP * (first + i), source);
           }
         });
     System.out.println("began " + startedAt + " " + emptyHeapBytes);
@@ -96,7 +98,7 @@
     ControlOnlyProxy proxy = new ControlOnlyProxy(loop, group, config, seed, listListener);
     proxies.add(proxy);
     if (source != null) {
-      proxy.watch(source, SETTINGS_SCOPE, seed, listener);
+      proxy.watchSettings(source, SETTINGS_SCOPE, seed, listener);
     }
   }
 
@@ -114,7 +116,8 @@
 
   private void printKnown() {
     long proxiesWithList = Arrays.stream(latestRevisions).filter(revision -> revision > 0).count();
-    int maxBackends = proxies.stream().mapToInt(ControlOnlyProxy::known).max().orElse(0);
+    int maxBackends =
+        proxies.stream().mapToInt(ControlOnlyProxy::listedBackendCount).max().orElse(0);
     System.out.println(proxiesWithList + " " + maxBackends);
   }
 
@@ -140,7 +143,7 @@
         () -> {
           for (ControlOnlyProxy proxy : proxies) {
             try {
-              proxy.turnTo(new ProxyConfig(Json.object(Files.readString(file))));
+              proxy.reconfigure(new ProxyConfig(Json.object(Files.readString(file))));
             } catch (IOException e) {
               throw new UncheckedIOException(e);
             }
--- a/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
@@ -17,7 +17,7 @@
   @TempDir Path dir;
 
   private static String judge(String idempotency, LedgerRecord... entries) {
-    Referee referee = new Referee(ScenarioTexts.small(idempotency, ""));
+    Referee referee = new Referee(ScenarioTexts.smallScenario(idempotency, ""));
     referee.accept(LedgerRecord.operationStarted(0, 1, 0, 10));
     referee.accept(LedgerRecord.requestAccepted(0, 1, 1, 0, 9_000, 0));
     List.of(entries).forEach(referee);
@@ -109,7 +109,7 @@
   @Test
   void coldBackendsCollapseOnlyUnderInformedLoad() {
     for (boolean isNotified : new boolean[] {true, false}) {
-      Referee referee = new Referee(ScenarioTexts.small("replayable", ""));
+      Referee referee = new Referee(ScenarioTexts.smallScenario("replayable", ""));
       referee.accept(LedgerRecord.backendStarted(0, 2, 1, true));
       if (isNotified) {
         referee.accept(LedgerRecord.endpointNotified(10, 0, 2, State.READY, 0));
