--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -16,35 +16,24 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.RequestCounters;
 
-/**
- * Where operators call: each answer, the figures against what clients saw, and callers that hold
- * on.
- */
+/** The admin address: each answer, the metrics against what clients saw, and idle callers. */
 class AdminServerTest extends ProxyTestHarness {
-  private void serveWithAdmin(int backends) throws Exception {
-    String[] entries = new String[backends];
-    for (int i = 0; i < backends; i++) {
-      entries[i] = ready("s" + i);
-    }
-    news.add(told(1, true, entries));
-    serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
-  }
-
-  private String ask(String text) throws IOException {
+  /** The answer to this request at the admin address, within a second. */
+  private String callAdmin(String text) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
       socket.setSoTimeout(1000);
       return call(socket, text);
     }
   }
 
-  private String figures() throws IOException {
-    return ask("GET /status/metrics HTTP/1.1\r\n\r\n");
+  private String callAdminForMetrics() throws IOException {
+    return callAdmin("GET /status/metrics HTTP/1.1\r\n\r\n");
   }
 
   @Test
-  void calls() throws Exception {
-    serveWithAdmin(1);
-    for (String in :
+  void eachCallIsAnswered() throws Exception {
+    startProxyWithAdmin(1);
+    for (String request :
         new String[] {
           "GET /status HTTP/1.1\r\n\r\n",
           "GET /status?x=1 HTTP/1.0\r\n\r\n",
@@ -53,79 +42,79 @@
           "\u0001\r\n\r\n",
           "GET /status HTTP/1.1\r\nA: " + "1".repeat(20_000) + "\r\n\r\n"
         }) {
-      w.say(
-          in.substring(0, Math.min(30, in.length())).replaceAll("[^ -~]+", "|") + " -> " + ask(in));
+      recorder.say(
+          request.substring(0, Math.min(30, request.length())).replaceAll("[^ -~]+", "|")
+              + " -> "
+              + callAdmin(request));
     }
-    w.matches("admin-calls");
+    recorder.matches("admin-calls");
   }
 
-  /**
-   * Every ending of a req is counted once, under its rule set; dispatches are those written whole.
-   */
+  /** Each final answer is counted once, under its class; attempts are those written completely. */
   @Test
-  void figuresAreWhatHappened() throws Exception {
-    serveWithAdmin(4);
-    for (String acts : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
-      script.addAll(List.of(acts.split(" ")));
+  void metricsMatchWhatClientsSaw() throws Exception {
+    startProxyWithAdmin(4);
+    for (String actions : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
+      backendActions.addAll(List.of(actions.split(" ")));
       call(request("buy"));
     }
-    script.add("500");
+    backendActions.add("500");
     call(request("pay"));
-    script.add("404");
+    backendActions.add("404");
     call(request("mark"));
-    script.addAll(List.of("slow", "ok"));
+    backendActions.addAll(List.of("slow", "ok"));
     try (Socket socket = connect()) {
       send(socket, request("buy"));
       Thread.sleep(100);
-      w.say("one out: " + figures().replace("\n", ", "));
-      answer(socket);
+      recorder.say("one out: " + callAdminForMetrics().replace("\n", ", "));
+      readAnswer(socket);
     }
-    String end = figures();
-    w.say("none out: " + end.replace("\n", ", "));
-    assertTrue(end.contains("proxy.attempts:" + came.get() + "|c"), came.get() + " against " + end);
-    w.matches("admin-figures");
+    String finalMetrics = callAdminForMetrics();
+    recorder.say("none out: " + finalMetrics.replace("\n", ", "));
+    assertTrue(
+        finalMetrics.contains("proxy.attempts:" + requestsReceived.get() + "|c"),
+        requestsReceived.get() + " against " + finalMetrics);
+    recorder.matches("admin-figures");
   }
 
-  /**
-   * Holders of places, more than there are, keep nobody's answer waiting; clients' crowds neither.
-   */
+  /** Idle admin connections, more than there are places, delay no answer. */
   @Test
-  void holders() throws Exception {
-    serveWithAdmin(1);
-    List<Socket> held = new ArrayList<>();
+  void idleConnectionsDelayNobody() throws Exception {
+    startProxyWithAdmin(1);
+    List<Socket> idleSockets = new ArrayList<>();
     for (int i = 0; i < 3 * AdminServer.PLACES; i++) {
       Socket socket = new Socket("127.0.0.1", server.adminPort());
       send(socket, "GET /status HT");
-      held.add(socket);
-      assertEquals("200 SERVING close", ask("GET /status HTTP/1.1\r\n\r\n"));
+      idleSockets.add(socket);
+      assertEquals("200 SERVING close", callAdmin("GET /status HTTP/1.1\r\n\r\n"));
     }
-    for (Socket socket : held) {
+    for (Socket socket : idleSockets) {
       socket.close();
     }
   }
 
   @Test
-  void namesAndBounds() {
-    RequestCounters counts = new RequestCounters();
-    counts.countAnswer("a b:c|d\n", RequestCounters.FinalAnswer.DONE);
+  void classNamesAreEscapedAndBounded() {
+    RequestCounters counters = new RequestCounters();
+    counters.countAnswer("a b:c|d\n", RequestCounters.FinalAnswer.DONE);
     for (int i = 0; i < 1000; i++) {
-      counts.countAnswer("n" + i, RequestCounters.FinalAnswer.REJECTED);
+      counters.countAnswer("n" + i, RequestCounters.FinalAnswer.REJECTED);
     }
-    String text = new MetricsFormat(counts, () -> 0, () -> 0, () -> 0, () -> 0).text();
+    String text = new MetricsFormat(counters, () -> 0, () -> 0, () -> 0, () -> 0).text();
     assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
     assertTrue(
-        counts.answersByClass().size() <= 257, "names kept: " + counts.answersByClass().size());
+        counters.answersByClass().size() <= 257, "names kept: " + counters.answersByClass().size());
     assertTrue(text.contains("proxy.refused.further:745|c"), text.substring(text.length() - 400));
   }
 
   @Test
-  void addressInUse() throws Exception {
-    serveWithAdmin(1);
-    String again = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
-    InvalidConfigurationException fault =
+  void addressInUseIsAConfigurationError() throws Exception {
+    startProxyWithAdmin(1);
+    String sameAddress = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
+    InvalidConfigurationException error =
         assertThrows(
             InvalidConfigurationException.class,
-            () -> new ProxyServer(new ProxyConfig(Json.object(again))));
-    assertTrue(fault.getMessage().startsWith("admin: "), fault.getMessage());
+            () -> new ProxyServer(new ProxyConfig(Json.object(sameAddress))));
+    assertTrue(error.getMessage().startsWith("admin: "), error.getMessage());
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
+++ b/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
@@ -1,11 +1,11 @@
 package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -20,246 +20,263 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A client that leaves while its req waits: it is seen to leave while the wait still lasts, and
- * nothing is sent on once the wait is over. Bytes behind a req, or a long body held back, hid the
- * leaving.
+ * A client that disconnects while its request waits: that is seen while the wait still lasts, and
+ * nothing is forwarded once the wait is over. Bytes behind a request, or a long body that was not
+ * read, once hid the disconnect.
  */
 class ClientDisconnectTest extends RawConnection {
-  /**
-   * For a connection that comes up late; a free one; between two dispatches; asked servers; the
-   * body.
-   */
+  /** What the request waits for when its client disconnects. */
   enum Wait {
-    LATE,
-    FREE,
-    BETWEEN,
-    ASKED,
+    CONNECTION_COMES_UP,
+    CONNECTION_IS_FREED,
+    BETWEEN_ATTEMPTS,
+    LOAD_PROBE,
     BODY
   }
 
-  /**
-   * What the client has sent beside its req as it goes: nothing, a req, much; its body, part or
-   * whole.
-   */
-  enum With {
-    NOTHING,
-    BEHIND,
+  /** What the client has sent behind its request's head or small body when it disconnects. */
+  enum ExtraBytes {
+    NONE,
+    SECOND_REQUEST,
     FLOOD,
-    PART,
-    WHOLE
+    PART_OF_BODY,
+    COMPLETE_BODY
   }
 
-  private static final int FLOOD = 300_000, LONG = 200_000, HUGE = 1_700_000;
+  private static final int FLOOD_BYTES = 300_000;
+
+  /** More than is kept of a body, in bytes. */
+  private static final int LONG_BODY_BYTES = 200_000;
+
+  /** More of a body than is read ahead, in bytes. */
+  private static final int HUGE_BODY_BYTES = 1_700_000;
+
+  /** So long after a client has left no attempt begins any more. */
+  private static final int GRACE_MILLIS = 100;
+
+  /** A connection that was not accepted is tried again by the kernel within this time. */
+  private static final int SYN_RETRY_MILLIS = 1500;
 
-  private ServerSocket door;
-  private Socket held;
+  private ServerSocket listener;
+  private Socket heldSocket;
 
-  static Stream<Arguments> ways() {
+  static Stream<Arguments> waitsAndExtraBytes() {
     return Arrays.stream(Wait.values())
         .flatMap(
             wait ->
-                Arrays.stream(With.values())
-                    .filter(with -> wait != Wait.BODY || with == With.NOTHING || with == With.PART)
+                Arrays.stream(ExtraBytes.values())
+                    .filter(
+                        with ->
+                            wait != Wait.BODY
+                                || with == ExtraBytes.NONE
+                                || with == ExtraBytes.PART_OF_BODY)
                     .flatMap(
                         with ->
                             Stream.of(false, true).map(reset -> Arguments.of(wait, with, reset))));
   }
 
   @ParameterizedTest(name = "{0}, with {1}, reset {2}")
-  @MethodSource("ways")
-  void leaves(Wait wait, With with, boolean reset) throws Exception {
-    door = door(1);
+  @MethodSource("waitsAndExtraBytes")
+  void disconnectDuringAWaitIsSeen(Wait wait, ExtraBytes extraBytes, boolean isReset)
+      throws Exception {
+    listener = listenByHand(1);
     String config =
-        configFor(entry("s0", "SERVING", door.getLocalPort()))
+        configWithEndpoints(endpoint("s0", "SERVING", listener.getLocalPort()))
             .replace("\"dialTimeout\":250000", "\"dialTimeout\":9000000")
             .replace(":1500000", ":90000000")
             .replace(":1000000,\"group", ":90000000,\"group");
-    serve(
-        wait == Wait.ASKED ? probing(config) : config,
+    startProxy(
+        wait == Wait.LOAD_PROBE ? withLoadProbes(config) : config,
         ""); // for a thirtieth of the response target
-    Socket other = wait == Wait.FREE ? connect() : null;
-    if (other != null) {
-      send(other, request("pay")); // nothing calls it off
-      held = take(door);
-      read(held);
-    }
-    if (wait == Wait.LATE || wait == Wait.FREE) {
-      fill(door);
+    Socket otherClient = wait == Wait.CONNECTION_IS_FREED ? holdOtherRequest() : null;
+    if (wait == Wait.CONNECTION_COMES_UP || wait == Wait.CONNECTION_IS_FREED) {
+      fillAcceptQueue(listener);
     }
     Socket client = connect();
     String text = request("buy");
-    byte[] bytes =
-        (with == With.PART || with == With.WHOLE || wait == Wait.BODY
-                ? text.replace(
-                    "Content-Length: 2\r\n\r\nhi", "Content-Length: " + LONG + "\r\n\r\n")
-                : text)
-            .getBytes();
-    client.getOutputStream().write(bytes);
-    int more =
-        switch (with) {
-          case NOTHING -> wait == Wait.BODY ? 10 : 0;
-          case BEHIND -> text.length();
-          case FLOOD -> FLOOD;
-          case PART -> LONG / 2;
-          case WHOLE -> LONG;
-        };
-    client.getOutputStream().write(with == With.BEHIND ? text.getBytes() : new byte[more]);
-    if (wait != Wait.BODY || with == With.PART) {
-      until("in flight", () -> figure("in_flight") == (other == null ? 1 : 2));
+    sendWithExtraBytes(client, text, wait, extraBytes);
+    if (wait != Wait.BODY || extraBytes == ExtraBytes.PART_OF_BODY) {
+      await("in flight", () -> metric("in_flight") == (otherClient == null ? 1 : 2));
     }
-    waitOn(wait, with);
-    if (reset) {
+    holdRequest(wait, extraBytes);
+    if (isReset) {
       client.setSoLinger(true, 0);
     }
     client.close();
-    until("the client is seen to leave", () -> figure("in_flight") == (other == null ? 0 : 1));
-    goOn(wait);
-    if (other != null) {
-      assertEquals("200 first", answer(other));
-      other.close();
-    }
-    String after = request("buy");
-    while (!call(after).equals("200 played")) { // its backend counts as silent for a while
-      after = request("buy");
+    await(
+        "the client is seen to leave", () -> metric("in_flight") == (otherClient == null ? 0 : 1));
+    endWait(wait);
+    if (otherClient != null) {
+      assertEquals("200 first", readAnswer(otherClient));
+      otherClient.close();
     }
-    assertFalse(had.contains(id(text)), had + " after " + id(text));
+    callUntilPlayed(); // the backend counts as silent for a while
+    assertNotReceived(text);
   }
 
-  /** What has to be held is held until the client has left. */
-  private void waitOn(Wait wait, With with) throws IOException, InterruptedException {
-    if (wait == Wait.BETWEEN) {
-      held = take(door);
-      if (with != With.PART && with != With.WHOLE) {
-        read(held); // else its body has not all been asked for
+  /** Another client's request, which nothing cancels, is held at the backend. */
+  private Socket holdOtherRequest() throws IOException {
+    Socket otherClient = connect();
+    send(otherClient, request("pay"));
+    heldSocket = accept(listener);
+    readRequest(heldSocket);
+    return otherClient;
+  }
+
+  private static void sendWithExtraBytes(
+      Socket client, String text, Wait wait, ExtraBytes extraBytes) throws IOException {
+    boolean hasLongBody =
+        extraBytes == ExtraBytes.PART_OF_BODY
+            || extraBytes == ExtraBytes.COMPLETE_BODY
+            || wait == Wait.BODY;
+    send(client, hasLongBody ? withLongBody(text, LONG_BODY_BYTES) : text);
+    byte[] extra =
+        switch (extraBytes) {
+          case NONE -> new byte[wait == Wait.BODY ? 10 : 0];
+          case SECOND_REQUEST -> text.getBytes(StandardCharsets.ISO_8859_1);
+          case FLOOD -> new byte[FLOOD_BYTES];
+          case PART_OF_BODY -> new byte[LONG_BODY_BYTES / 2];
+          case COMPLETE_BODY -> new byte[LONG_BODY_BYTES];
+        };
+    client.getOutputStream().write(extra);
+  }
+
+  /** The head of this request, with a longer body announced. */
+  private static String withLongBody(String request, int length) {
+    return request.replace("Content-Length: 2\r\n\r\nhi", "Content-Length: " + length + "\r\n\r\n");
+  }
+
+  /** Holds at the backend what the wait needs until the client has left. */
+  private void holdRequest(Wait wait, ExtraBytes extraBytes)
+      throws IOException, InterruptedException {
+    if (wait == Wait.BETWEEN_ATTEMPTS) {
+      heldSocket = accept(listener);
+      if (extraBytes != ExtraBytes.PART_OF_BODY && extraBytes != ExtraBytes.COMPLETE_BODY) {
+        readRequest(heldSocket); // else its body has not all been asked for
       }
-      ServerSocket second = door(1);
-      fill(second);
-      news.add(told(2, false, entry("s1", "SERVING", second.getLocalPort())));
-      until("a second backend is known", () -> figure("backends_known") == 2);
-      answer(held, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
-      play(door);
-      door = second;
-    } else if (wait == Wait.ASKED || wait == Wait.BODY && with == With.PART) {
-      held = take(door);
+      ServerSocket second = listenByHand(1);
+      fillAcceptQueue(second);
+      listLines.add(listLine(2, false, endpoint("s1", "SERVING", second.getLocalPort())));
+      await("a second backend is known", () -> metric("backends_known") == 2);
+      writeAnswer(heldSocket, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+      answerAll(listener);
+      listener = second;
+    } else if (wait == Wait.LOAD_PROBE
+        || wait == Wait.BODY && extraBytes == ExtraBytes.PART_OF_BODY) {
+      heldSocket = accept(listener);
     }
   }
 
-  private void goOn(Wait wait) throws IOException {
-    play(door);
-    if (wait == Wait.FREE) {
-      answer(held, "200", "", "first");
+  private void endWait(Wait wait) throws IOException {
+    answerAll(listener);
+    if (wait == Wait.CONNECTION_IS_FREED) {
+      writeAnswer(heldSocket, "200", "", "first");
     }
-    if (held != null && wait != Wait.BETWEEN) {
-      start(() -> play(held));
+    if (heldSocket != null && wait != Wait.BETWEEN_ATTEMPTS) {
+      startThread(() -> answerAll(heldSocket));
     }
   }
 
-  /**
-   * What an attempt waits for: its connection, the first, second or third time, or as a second
-   * copy.
-   */
-  enum Attempt {
+  /** Which attempt of the request waits when its client disconnects, and for what. */
+  enum AttemptKind {
     FIRST,
     SECOND,
     THIRD,
-    COPY,
-    ON_FREE,
-    ASKED
+    HEDGED,
+    ON_FREED_CONNECTION,
+    AFTER_LOAD_PROBE
   }
 
   /**
-   * How a client goes, or that it stays: then the same attempt is made, so that the test can fail.
+   * How the client disconnects. If it stays, the attempt is made: so the test is known to be able
+   * to fail.
    */
-  enum Goes {
+  enum Departure {
     FIN,
     RST,
     HALF_CLOSED,
     STAYS
   }
 
-  private static final int TENTH = 100, LATE_DIAL = 1500;
-
-  static Stream<Arguments> attempts() {
-    return Arrays.stream(Attempt.values())
+  static Stream<Arguments> attemptsAndDepartures() {
+    return Arrays.stream(AttemptKind.values())
         .flatMap(
             attempt ->
-                Arrays.stream(Goes.values())
-                    .filter(goes -> attempt.ordinal() < 2 || goes == Goes.FIN || goes == Goes.STAYS)
+                Arrays.stream(Departure.values())
+                    .filter(
+                        goes ->
+                            attempt.ordinal() < 2
+                                || goes == Departure.FIN
+                                || goes == Departure.STAYS)
                     .map(goes -> Arguments.of(attempt, goes)));
   }
 
-  /**
-   * A tenth of a second after the client has gone the wait ends: no attempt begins, first or
-   * further.
-   */
+  /** The wait ends a tenth of a second after the client has left: no attempt begins then. */
   @ParameterizedTest(name = "{0}, {1}")
-  @MethodSource("attempts")
-  void goneATenthBefore(Attempt attempt, Goes goes) throws Exception {
-    door = door(1);
-    serve(configWithLongTimes(attempt), "");
-    Socket other = attempt == Attempt.ON_FREE ? connect() : null;
-    if (other != null) {
-      send(other, request("pay")); // nothing calls it off
-      held = take(door);
-      read(held);
-    }
-    if (attempt == Attempt.FIRST || attempt == Attempt.ON_FREE) {
-      fill(door);
+  @MethodSource("attemptsAndDepartures")
+  void noAttemptBeginsATenthOfASecondAfterTheClientLeft(AttemptKind attempt, Departure departure)
+      throws Exception {
+    listener = listenByHand(1);
+    startProxy(configWithLongTimes(attempt), "");
+    Socket otherClient = attempt == AttemptKind.ON_FREED_CONNECTION ? holdOtherRequest() : null;
+    if (attempt == AttemptKind.FIRST || attempt == AttemptKind.ON_FREED_CONNECTION) {
+      fillAcceptQueue(listener);
     }
     Socket client = connect();
     String text = request("buy");
     send(client, text);
-    until("in flight", () -> figure("in_flight") == (other == null ? 1 : 2));
+    await("in flight", () -> metric("in_flight") == (otherClient == null ? 1 : 2));
     switch (attempt) {
-      case SECOND -> door = turnedAway(true);
+      case SECOND -> listener = rejectFirstAttempt(true);
       case THIRD -> {
-        ServerSocket second = turnedAway(false);
-        Socket two = take(second);
-        read(two);
-        fill(door);
-        answer(two, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
-        until("two attempts", () -> figure("attempts") == 2);
-        Thread.sleep(TENTH);
+        ServerSocket second = rejectFirstAttempt(false);
+        Socket secondSocket = accept(second);
+        readRequest(secondSocket);
+        fillAcceptQueue(listener);
+        writeAnswer(secondSocket, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+        await("two attempts", () -> metric("attempts") == 2);
+        Thread.sleep(GRACE_MILLIS);
       }
-      case COPY, ASKED -> held = take(door);
+      case HEDGED, AFTER_LOAD_PROBE -> heldSocket = accept(listener);
       default -> {}
     }
-    if (attempt == Attempt.COPY) {
-      read(held);
-      door = another(true);
+    if (attempt == AttemptKind.HEDGED) {
+      readRequest(heldSocket);
+      listener = addSecondBackend(true);
       Thread.sleep(1200); // past five sixths of the target: a copy waits there
     }
-    leave(client, goes);
-    Thread.sleep(TENTH);
-    play(door);
-    if (attempt == Attempt.ON_FREE) {
-      answer(held, "200", "", "first");
+    leave(client, departure);
+    Thread.sleep(GRACE_MILLIS);
+    answerAll(listener);
+    if (attempt == AttemptKind.ON_FREED_CONNECTION) {
+      writeAnswer(heldSocket, "200", "", "first");
     }
-    if (attempt == Attempt.ON_FREE || attempt == Attempt.ASKED) {
-      start(() -> play(held));
+    if (attempt == AttemptKind.ON_FREED_CONNECTION || attempt == AttemptKind.AFTER_LOAD_PROBE) {
+      startThread(() -> answerAll(heldSocket));
     }
-    if (goes == Goes.STAYS) {
-      until("sent on", () -> had.contains(id(text)));
+    if (departure == Departure.STAYS) {
+      await("forwarded", () -> receivedIds.contains(requestId(text)));
     } else {
-      Thread.sleep(LATE_DIAL); // a connection that comes up late is tried again in 1 s
-      assertFalse(had.contains(id(text)), had + " after " + id(text));
+      Thread.sleep(SYN_RETRY_MILLIS); // a connection that comes up late is tried again in 1 s
+      assertNotReceived(text);
     }
     client.close();
   }
 
-  private String configWithLongTimes(Attempt attempt) throws IOException {
+  private String configWithLongTimes(AttemptKind attempt) throws IOException {
     String config =
-        configFor(entry("s0", "SERVING", door.getLocalPort()))
+        configWithEndpoints(endpoint("s0", "SERVING", listener.getLocalPort()))
             .replace("\"dialTimeout\":250000", "\"dialTimeout\":9000000")
             .replace(":1500000", ":90000000");
     return switch (attempt) {
-      case COPY -> config.replace("\"mayCancel\"", "\"mayDuplicate\":true,\"mayCancel\"");
-      case ASKED -> probing(config.replace(":1000000,\"group", ":90000000,\"group"));
+      case HEDGED -> config.replace("\"mayCancel\"", "\"mayDuplicate\":true,\"mayCancel\"");
+      case AFTER_LOAD_PROBE ->
+          withLoadProbes(config.replace(":1000000,\"group", ":90000000,\"group"));
       default -> config.replace(":1000000,\"group", ":90000000,\"group");
     };
   }
 
-  private static String probing(String config) {
+  private static String withLoadProbes(String config) {
     return config
         .replace("\"maxDispatches\"", "\"probing\":true,\"maxDispatches\"")
         .replace(
@@ -267,28 +284,28 @@
             "{\"report\":{\"how\":\"probe\",\"fields\":[\"rif\",\"q\"]}," + "\"balancers\"");
   }
 
-  /** A second backend that has its door full, or takes who comes. */
-  private ServerSocket another(boolean full) throws Exception {
-    ServerSocket second = door(full ? 1 : BACKLOG);
-    if (full) {
-      fill(second);
+  /** Lists a second backend, whose accept queue is full or has room. */
+  private ServerSocket addSecondBackend(boolean isQueueFull) throws Exception {
+    ServerSocket second = listenByHand(isQueueFull ? 1 : BACKLOG);
+    if (isQueueFull) {
+      fillAcceptQueue(second);
     }
-    news.add(told(2, false, entry("s1", "SERVING", second.getLocalPort())));
-    until("a second backend is known", () -> figure("backends_known") == 2);
+    listLines.add(listLine(2, false, endpoint("s1", "SERVING", second.getLocalPort())));
+    await("a second backend is known", () -> metric("backends_known") == 2);
     return second;
   }
 
-  /** The first attempt has come, and is turned away once there is another backend to go to. */
-  private ServerSocket turnedAway(boolean full) throws Exception {
-    held = take(door);
-    read(held);
-    ServerSocket second = another(full);
-    answer(held, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+  /** Rejects the first attempt, once there is a second backend to retry at. */
+  private ServerSocket rejectFirstAttempt(boolean isQueueFull) throws Exception {
+    heldSocket = accept(listener);
+    readRequest(heldSocket);
+    ServerSocket second = addSecondBackend(isQueueFull);
+    writeAnswer(heldSocket, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
     return second;
   }
 
-  private static void leave(Socket client, Goes how) throws IOException {
-    switch (how) {
+  private static void leave(Socket client, Departure departure) throws IOException {
+    switch (departure) {
       case FIN -> client.close();
       case RST -> {
         client.setSoLinger(true, 0);
@@ -299,63 +316,65 @@
     }
   }
 
-  /**
-   * Two hundred clients leave in one burst, fifty stay: the backend gets those of the fifty alone.
-   */
+  /** Two hundred clients leave in one burst and fifty stay: only their requests are forwarded. */
   @Test
-  void burst() throws Exception {
-    door = door(1);
-    serve(configWithLongTimes(Attempt.FIRST), "");
-    fill(door);
-    List<Socket> leavers = new ArrayList<>();
-    Set<String> gone = new HashSet<>(), stay = new HashSet<>();
+  void ofABurstOnlyThoseThatStayedAreForwarded() throws Exception {
+    listener = listenByHand(1);
+    startProxy(configWithLongTimes(AttemptKind.FIRST), "");
+    fillAcceptQueue(listener);
+    List<Socket> leavingClients = new ArrayList<>();
+    Set<String> idsGone = new HashSet<>();
+    Set<String> idsStaying = new HashSet<>();
     for (int i = 0; i < 250; i++) {
       Socket client = connect();
       String text = request("buy");
       send(client, text);
       if (i % 5 == 0) {
-        stay.add(id(text));
+        idsStaying.add(requestId(text));
       } else {
-        leavers.add(client);
-        gone.add(id(text));
+        leavingClients.add(client);
+        idsGone.add(requestId(text));
       }
     }
-    until("in flight", () -> figure("in_flight") > 0);
-    for (Socket client : leavers) {
-      leave(client, leavers.indexOf(client) % 2 == 0 ? Goes.FIN : Goes.RST);
+    await("in flight", () -> metric("in_flight") > 0);
+    for (Socket client : leavingClients) {
+      leave(client, leavingClients.indexOf(client) % 2 == 0 ? Departure.FIN : Departure.RST);
     }
-    Thread.sleep(TENTH);
-    play(door);
-    until("one that stayed is sent on", () -> had.stream().anyMatch(stay::contains));
-    Thread.sleep(LATE_DIAL);
-    assertEquals(Set.of(), had.stream().filter(gone::contains).collect(Collectors.toSet()));
+    Thread.sleep(GRACE_MILLIS);
+    answerAll(listener);
+    await(
+        "one that stayed is forwarded", () -> receivedIds.stream().anyMatch(idsStaying::contains));
+    Thread.sleep(SYN_RETRY_MILLIS);
+    assertEquals(
+        Set.of(), receivedIds.stream().filter(idsGone::contains).collect(Collectors.toSet()));
   }
 
-  /** More of a body than is read ahead hides the leaving: it is sent on, and never whole. */
+  /**
+   * A body longer than what is read ahead hides the disconnect: it is forwarded, but never
+   * completely.
+   */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
-  void neverWhole(boolean goes) throws Exception {
-    door = door(1);
-    serve(configWithLongTimes(Attempt.FIRST), "");
-    fill(door);
+  void longBodyOfAClientThatLeftIsNeverComplete(boolean isLeaving) throws Exception {
+    listener = listenByHand(1);
+    startProxy(configWithLongTimes(AttemptKind.FIRST), "");
+    fillAcceptQueue(listener);
     Socket client = connect();
-    String text =
-        request("buy")
-            .replace("Content-Length: 2\r\n\r\nhi", "Content-Length: " + HUGE + "\r\n\r\n");
+    String text = withLongBody(request("buy"), HUGE_BODY_BYTES);
     send(client, text);
-    Thread writer = start(() -> client.getOutputStream().write(new byte[HUGE]));
-    until("in flight", () -> figure("in_flight") == 1);
-    if (goes) {
-      writer.join(SOON);
+    Thread writer = startThread(() -> client.getOutputStream().write(new byte[HUGE_BODY_BYTES]));
+    await("in flight", () -> metric("in_flight") == 1);
+    if (isLeaving) {
+      writer.join(TIMEOUT_MILLIS);
       client.close();
     }
-    Thread.sleep(TENTH);
-    play(door);
-    if (goes) {
-      Thread.sleep(LATE_DIAL);
-      assertFalse(had.contains(id(text)), had + " after " + id(text));
+    Thread.sleep(GRACE_MILLIS);
+    answerAll(listener);
+    if (isLeaving) {
+      Thread.sleep(SYN_RETRY_MILLIS);
+      assertNotReceived(text);
     } else {
-      until("it is had whole", () -> had.contains(id(text)));
+      await("received completely", () -> receivedIds.contains(requestId(text)));
     }
   }
 }
--- a/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -16,122 +16,138 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * Discovery fails in each way, then in each other, and returns at many points of the pauses between
- * calls: what it has then is acted on within the 6 s after which it counts as told, however long
- * askEvery is.
+ * Discovery fails in one way, then in another, and returns at many points of the pauses between
+ * polls: its list is acted on within 6 s, however long askEvery is.
  */
 class DiscoveryRecoveryTest extends ProxyTestHarness {
-  /** Refuses to connect, answers 503, or 200 with nothing; says nothing; ends amid a line. */
-  enum Fails {
+  /**
+   * How discovery fails: it refuses to connect, answers 503, answers 200 with an empty body, says
+   * nothing, or ends amid a line.
+   */
+  enum Failure {
     REFUSED,
-    TURNED_AWAY,
+    REJECTED,
     EMPTY,
     SILENT,
     CUT
   }
 
-  private static final long TOLD = 6000, SECOND_WAY = 3000, RETURN = 6000, SPREAD = 2200;
+  /** Within this time after discovery's return its list is known. */
+  private static final long LIST_TIMEOUT_MILLIS = 6000;
+
+  /** When the second way to fail begins. */
+  private static final long SECOND_FAILURE_MILLIS = 3000;
 
-  private final long from = System.nanoTime();
-  private final List<String> late = Collections.synchronizedList(new ArrayList<>());
-  private final List<Throwable> faults = Collections.synchronizedList(new ArrayList<>());
+  /** When discovery returns at the earliest, and over how long the cases' returns are spread. */
+  private static final long FIRST_RETURN_MILLIS = 6000;
 
-  private long passed() {
-    return (System.nanoTime() - from) / 1_000_000;
+  private static final long RETURN_SPREAD_MILLIS = 2200;
+
+  private final long startedAt = System.nanoTime();
+  private final List<String> lateCases = Collections.synchronizedList(new ArrayList<>());
+  private final List<Throwable> errors = Collections.synchronizedList(new ArrayList<>());
+
+  private long elapsedMillis() {
+    return (System.nanoTime() - startedAt) / 1_000_000;
   }
 
   private void sleepUntil(long time) throws InterruptedException {
-    Thread.sleep(Math.max(0, time - passed()));
+    Thread.sleep(Math.max(0, time - elapsedMillis()));
   }
 
   /**
-   * One discovery at a host of its own, as a port that is let go may be somebody else's meanwhile.
+   * One discovery at a loopback address of its own: a port that is closed for a while may be taken
+   * by somebody else at a shared one.
    */
   private final class Discovery {
-    private final Fails first, second;
-    private final InetSocketAddress at;
-    private ServerSocket door;
-    private volatile Fails ways;
+    private final Failure first;
+    private final Failure second;
+    private final InetSocketAddress address;
+    private ServerSocket listener;
+    private volatile Failure currentFailure;
 
-    Discovery(int number, Fails first, Fails second) throws IOException {
+    Discovery(int number, Failure first, Failure second) throws IOException {
       this.first = first;
       this.second = second;
       InetAddress host = InetAddress.getByName("127.0.43." + (1 + number));
       try (ServerSocket free = new ServerSocket(0, BACKLOG, host)) {
-        at = (InetSocketAddress) free.getLocalSocketAddress();
+        address = (InetSocketAddress) free.getLocalSocketAddress();
       }
     }
 
-    void run(long returns) throws Exception {
-      during(first);
-      sleepUntil(SECOND_WAY);
-      during(second);
-      sleepUntil(returns);
-      during(null);
+    void run(long returnTime) throws Exception {
+      behave(first);
+      sleepUntil(SECOND_FAILURE_MILLIS);
+      behave(second);
+      sleepUntil(returnTime);
+      behave(null);
     }
 
-    /** Who connects now meets this; null: it is back. Who is connected goes on hearing nothing. */
-    private void during(Fails how) throws IOException {
-      if (how == Fails.REFUSED) {
-        if (door != null) {
-          door.close();
+    /**
+     * Serves new connections so from now on; null: discovery is back. Connections that are open
+     * hear nothing more.
+     */
+    private void behave(Failure failure) throws IOException {
+      if (failure == Failure.REFUSED) {
+        if (listener != null) {
+          listener.close();
         }
         return;
       }
-      ServerSocket mine = door == null || door.isClosed() ? new ServerSocket() : door;
-      ways = how;
-      if (mine != door) {
-        mine.setReuseAddress(true);
-        mine.bind(at, BACKLOG);
-        doors.add(mine);
-        door = mine;
-        start(
+      ServerSocket openListener =
+          listener == null || listener.isClosed() ? new ServerSocket() : listener;
+      currentFailure = failure;
+      if (openListener != listener) {
+        openListener.setReuseAddress(true);
+        openListener.bind(address, BACKLOG);
+        listeners.add(openListener);
+        listener = openListener;
+        startThread(
             () -> {
               while (true) {
-                Socket one = mine.accept();
-                start(() -> meet(one, ways));
+                Socket socket = openListener.accept();
+                startThread(() -> serveWatch(socket, currentFailure));
               }
             });
       }
     }
 
-    private void meet(Socket one, Fails how) throws IOException {
-      head(one.getInputStream());
-      if (how == Fails.SILENT) {
+    private void serveWatch(Socket socket, Failure failure) throws IOException {
+      readHead(socket.getInputStream());
+      if (failure == Failure.SILENT) {
         return;
       }
       send(
-          one,
-          how == Fails.TURNED_AWAY
+          socket,
+          failure == Failure.REJECTED
               ? "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
               : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      if (how == Fails.CUT) {
-        send(one, "9\r\n{\"rev\":1,\r\n");
-      } else if (how == Fails.EMPTY) {
-        send(one, "0\r\n\r\n");
-      } else if (how == null) {
-        String line = told(2, true, entry("s0", "SERVING", 1)) + "\n";
-        send(one, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+      if (failure == Failure.CUT) {
+        send(socket, "9\r\n{\"rev\":1,\r\n");
+      } else if (failure == Failure.EMPTY) {
+        send(socket, "0\r\n\r\n");
+      } else if (failure == null) {
+        sendChunk(socket, listLine(2, true, endpoint("s0", "SERVING", 1)) + "\n");
         return;
       }
-      one.close();
+      socket.close();
     }
   }
 
-  /** From its start on; how long after the return its one backend is known. */
-  private void meets(int number, Fails first, Fails second, long askEvery, long returns)
+  /** Runs one proxy, and records it if its one backend is not known in time after the return. */
+  private void runCase(int number, Failure first, Failure second, long askEvery, long returnTime)
       throws Exception {
     Discovery discovery = new Discovery(number, first, second);
-    Thread there =
+    Thread discoveryThread =
         new Thread(
             () -> {
               try {
-                discovery.run(returns);
+                discovery.run(returnTime);
               } catch (Exception e) {
-                faults.add(e);
+                errors.add(e);
               }
             });
-    there.start();
+    discoveryThread.start();
     Thread.sleep(20);
     ProxyServer proxy =
         new ProxyServer(
@@ -140,61 +156,59 @@
                     config(0, 256, "{}")
                         .replace(
                             "127.0.0.1:0\",\"seed",
-                            discovery.at.getHostString()
+                            discovery.address.getHostString()
                                 + ":"
-                                + discovery.at.getPort()
+                                + discovery.address.getPort()
                                 + "\",\"seed")
                         .replace("\"askEvery\":1000000", "\"askEvery\":" + askEvery * 1000)
                         .replace(
                             "\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))),
             "");
-    Thread loop = start(proxy::run);
-    sleepUntil(returns);
-    while (passed() < returns + TOLD && !isKnown(proxy.adminPort())) {
+    Thread loop = startThread(proxy::run);
+    sleepUntil(returnTime);
+    while (elapsedMillis() < returnTime + LIST_TIMEOUT_MILLIS && !isKnown(proxy.adminPort())) {
       Thread.sleep(20);
     }
-    if (passed() >= returns + TOLD) {
-      late.add(
-          first + ", " + second + ", every " + askEvery + " ms, back after " + returns + " ms");
+    if (elapsedMillis() >= returnTime + LIST_TIMEOUT_MILLIS) {
+      lateCases.add(
+          first + ", " + second + ", every " + askEvery + " ms, back after " + returnTime + " ms");
     }
     proxy.end();
     loop.join();
-    there.join();
+    discoveryThread.join();
   }
 
-  private static boolean isKnown(int admin) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", admin)) {
-      return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n").contains("backends_known:1");
-    }
+  private static boolean isKnown(int adminPort) throws IOException {
+    return readMetrics(adminPort).contains("backends_known:1");
   }
 
   @Test
   void actedOnWithinSixSeconds() throws Exception {
-    List<Thread> all = new ArrayList<>();
-    for (Fails first : Fails.values()) {
-      for (Fails second : Fails.values()) {
+    List<Thread> cases = new ArrayList<>();
+    for (Failure first : Failure.values()) {
+      for (Failure second : Failure.values()) {
         for (long askEvery : new long[] {10_000, 60_000}) {
-          int number = all.size();
-          long returns = RETURN + SPREAD * (number * 7 % 50) / 50;
-          Thread one =
+          int number = cases.size();
+          long returnTime = FIRST_RETURN_MILLIS + RETURN_SPREAD_MILLIS * (number * 7 % 50) / 50;
+          Thread thread =
               new Thread(
                   () -> {
                     try {
-                      meets(number, first, second, askEvery, returns);
+                      runCase(number, first, second, askEvery, returnTime);
                     } catch (Exception e) {
-                      faults.add(e);
+                      errors.add(e);
                     }
                   });
-          one.start();
-          all.add(one);
+          thread.start();
+          cases.add(thread);
         }
       }
     }
-    for (Thread one : all) {
-      one.join();
+    for (Thread thread : cases) {
+      thread.join();
     }
-    assertEquals(List.of(), faults);
-    assertEquals(50, all.size());
-    assertTrue(late.isEmpty(), late.size() + " of 50: " + late);
+    assertEquals(List.of(), errors);
+    assertEquals(50, cases.size());
+    assertTrue(lateCases.isEmpty(), lateCases.size() + " of 50: " + lateCases);
   }
 }
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -14,138 +15,153 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * Idle clients fill all places while discovery is down, before the first list and after one: at its
- * return the list is read in time, and requests are served within theirs.
+ * Idle clients fill the proxy while discovery is down, before the first list or after one: when it
+ * returns, the list is read in time and requests are served within their timeout.
  */
 class IdleConnectionsTest extends ProxyTestHarness {
-  /** All at once, one after the other, again as soon as they are closed; with half a head each. */
-  enum Comes {
+  /**
+   * How idle clients connect: all at once, one after the other, again as soon as they are closed,
+   * or with half a head each.
+   */
+  enum Pattern {
     AT_ONCE,
     DRIPPING,
-    AGAIN,
-    WITH_HALF_A_HEAD
+    RECONNECTING,
+    HALF_A_HEAD
   }
 
-  private static final long TOLD = 6000, TIME = 1500, DOWN = 4000;
-  private static final int ASKED = 10, SERVED = 9;
+  /** Within this time after discovery's return its list is known. */
+  private static final long LIST_TIMEOUT_MILLIS = 6000;
 
-  private final List<String> faults = Collections.synchronizedList(new ArrayList<>());
-  private final List<Socket> crowd = Collections.synchronizedList(new ArrayList<>());
+  private static final int CLIENT_TIMEOUT_MILLIS = 1500;
+  private static final int OUTAGE_MILLIS = 4000;
+  private static final int REQUESTS = 10;
 
-  /** One proxy before one backend, with its discovery and its crowd. */
+  /** How many of the requests have to be served. */
+  private static final int MIN_SERVED = 9;
+
+  private final List<String> failures = Collections.synchronizedList(new ArrayList<>());
+  private final List<Socket> idleSockets = Collections.synchronizedList(new ArrayList<>());
+
+  /** One proxy before one backend, with its discovery and its idle clients. */
   private final class Case {
-    private final Comes how;
-    private final boolean served;
-    private final int sockets;
-    private final List<Socket> watching = Collections.synchronizedList(new ArrayList<>());
-    private volatile boolean down, over;
-    private volatile String news;
+    private final Pattern pattern;
+    private final boolean isServedBefore;
+    private final int maxSockets;
+    private final List<Socket> watches = Collections.synchronizedList(new ArrayList<>());
+    private volatile boolean isDiscoveryDown;
+    private volatile boolean isOver;
+    private volatile String listLine;
     private int port;
 
-    Case(Comes how, boolean served, int sockets) {
-      this.how = how;
-      this.served = served;
-      this.sockets = sockets;
+    Case(Pattern pattern, boolean isServedBefore, int maxSockets) {
+      this.pattern = pattern;
+      this.isServedBefore = isServedBefore;
+      this.maxSockets = maxSockets;
     }
 
     @Override
     public String toString() {
-      return how + " of " + sockets + (served ? ", after a list" : ", before a list");
+      return pattern
+          + " of "
+          + maxSockets
+          + (isServedBefore ? ", after a list" : ", before a list");
     }
 
-    private void list(Socket one) throws IOException {
-      head(one.getInputStream());
-      if (!down) {
-        tell(one);
+    private void serveWatch(Socket socket) throws IOException {
+      readHead(socket.getInputStream());
+      if (!isDiscoveryDown) {
+        sendList(socket);
       }
-      watching.add(one); // else silent, as an agent is that learns nothing
+      watches.add(socket); // while discovery is down the watch stays silent
     }
 
-    private void tell(Socket one) throws IOException {
-      send(one, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      String line = news + "\n";
-      send(one, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+    private void sendList(Socket socket) throws IOException {
+      send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      sendChunk(socket, listLine + "\n");
     }
 
-    void play() throws Exception {
-      String entry = ready("s" + sockets);
-      news = told(1, true, entry);
-      down = !served;
+    void run() throws Exception {
+      String endpoint = startBackend("s" + maxSockets);
+      listLine = listLine(1, true, endpoint);
+      isDiscoveryDown = !isServedBefore;
       ProxyServer proxy =
           new ProxyServer(
               new ProxyConfig(
                   Json.object(
-                      config(open(this::list).getLocalPort(), sockets, "{}")
+                      config(listen(this::serveWatch).getLocalPort(), maxSockets, "{}")
                           .replace(
                               "\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))),
               "");
-      Thread loop = start(proxy::run);
+      Thread loop = startThread(proxy::run);
       port = proxy.port();
-      if (served) {
-        awaitKnown(proxy, 1, TOLD, "never served");
-        down = true;
+      if (isServedBefore) {
+        awaitBackendsKnown(proxy, 1, LIST_TIMEOUT_MILLIS, "never served");
+        isDiscoveryDown = true;
       }
-      Thread comers = start(this::come);
-      Thread.sleep(DOWN);
-      news = told(2, true, entry, entry("other", "DRAINING", 1));
-      down = false;
-      awaitKnown(proxy, 2, TOLD, "not told within " + TOLD + " ms");
-      int good = 0;
-      for (int i = 0; i < ASKED; i++) {
-        String answer = ask();
-        good += answer.startsWith("200") ? 1 : 0;
+      Thread crowd = startThread(this::connectCrowd);
+      Thread.sleep(OUTAGE_MILLIS);
+      listLine = listLine(2, true, endpoint, endpoint("other", "DRAINING", 1));
+      isDiscoveryDown = false;
+      awaitBackendsKnown(
+          proxy, 2, LIST_TIMEOUT_MILLIS, "list not known within " + LIST_TIMEOUT_MILLIS + " ms");
+      int served = 0;
+      for (int i = 0; i < REQUESTS; i++) {
+        String answer = sendRequest();
+        served += answer.startsWith("200") ? 1 : 0;
         if (i == 0 && !answer.startsWith("200")) {
-          faults.add(this + ": the first request got " + answer);
+          failures.add(this + ": the first request got " + answer);
         }
       }
-      if (good < SERVED) {
-        faults.add(this + ": " + good + " of " + ASKED + " served");
+      if (served < MIN_SERVED) {
+        failures.add(this + ": " + served + " of " + REQUESTS + " served");
       }
-      over = true;
-      comers.interrupt();
+      isOver = true;
+      crowd.interrupt();
       proxy.end();
       loop.join();
     }
 
-    private String ask() {
+    private String sendRequest() {
       try (Socket socket = new Socket()) {
-        long from = System.nanoTime();
-        socket.connect(new InetSocketAddress("127.0.0.1", port), (int) TIME);
-        socket.setSoTimeout((int) TIME);
+        long startedAt = System.nanoTime();
+        socket.connect(new InetSocketAddress("127.0.0.1", port), CLIENT_TIMEOUT_MILLIS);
+        socket.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
         String answer = call(socket, request("buy"));
-        long took = (System.nanoTime() - from) / 1_000_000;
-        return took <= TIME ? answer : "its answer after " + took + " ms";
+        long elapsed = (System.nanoTime() - startedAt) / 1_000_000;
+        return elapsed <= CLIENT_TIMEOUT_MILLIS ? answer : "its answer after " + elapsed + " ms";
       } catch (IOException e) {
         return e.toString();
       }
     }
 
-    private void awaitKnown(ProxyServer proxy, int known, long time, String fault)
+    private void awaitBackendsKnown(ProxyServer proxy, int count, long timeout, String failure)
         throws Exception {
-      long until = System.nanoTime() + time * 1_000_000;
-      while (!figures(proxy.adminPort()).contains("backends_known:" + known)) {
-        if (System.nanoTime() > until) {
-          faults.add(this + ": " + fault);
+      long deadline = System.nanoTime() + timeout * 1_000_000;
+      while (!readMetrics(proxy.adminPort()).contains("backends_known:" + count)) {
+        if (System.nanoTime() > deadline) {
+          failures.add(this + ": " + failure);
           return;
         }
         Thread.sleep(20);
       }
     }
 
-    private void come() throws Exception {
-      int most = how == Comes.WITH_HALF_A_HEAD ? places() * 3 / 2 : sockets * 3 / 2;
-      List<Socket> mine = new ArrayList<>();
-      for (int i = 0; !over && i < most; i++) {
-        mine.add(comer());
-        if (how == Comes.DRIPPING) {
-          Thread.sleep(DOWN / most);
+    private void connectCrowd() throws Exception {
+      int crowdSize =
+          pattern == Pattern.HALF_A_HEAD ? clientCapacity() * 3 / 2 : maxSockets * 3 / 2;
+      List<Socket> sockets = new ArrayList<>();
+      for (int i = 0; !isOver && i < crowdSize; i++) {
+        sockets.add(connectIdle());
+        if (pattern == Pattern.DRIPPING) {
+          Thread.sleep(OUTAGE_MILLIS / crowdSize);
         }
       }
-      while (!over && how != Comes.DRIPPING && how != Comes.AT_ONCE) {
-        for (int i = 0; i < most; i++) {
-          if (isClosed(mine.get(i))) {
-            mine.get(i).close();
-            mine.set(i, comer());
+      while (!isOver && pattern != Pattern.DRIPPING && pattern != Pattern.AT_ONCE) {
+        for (int i = 0; i < crowdSize; i++) {
+          if (isClosed(sockets.get(i))) {
+            sockets.get(i).close();
+            sockets.set(i, connectIdle());
           }
         }
         Thread.sleep(5);
@@ -153,33 +169,34 @@
     }
 
     /**
-     * Of clients, as docs/design.md has them; half a head holds one for 0.8 s where others wait.
+     * How many clients the proxy holds, by docs/design.md; half a head holds a place for 0.8 s
+     * where others wait.
      */
-    private int places() {
-      return (int) (0.58 * (sockets - Math.max(32, sockets / 16) - 9));
+    private int clientCapacity() {
+      return (int) (0.58 * (maxSockets - Math.max(32, maxSockets / 16) - 9));
     }
 
-    private Socket comer() throws IOException {
-      Socket one = new Socket();
-      crowd.add(one);
+    private Socket connectIdle() throws IOException {
+      Socket socket = new Socket();
+      idleSockets.add(socket);
       try {
-        one.connect(new InetSocketAddress("127.0.0.1", port), 200);
-        one.setSoTimeout(1);
-        if (how == Comes.WITH_HALF_A_HEAD) {
-          send(one, "GET /");
+        socket.connect(new InetSocketAddress("127.0.0.1", port), 200);
+        socket.setSoTimeout(1);
+        if (pattern == Pattern.HALF_A_HEAD) {
+          send(socket, "GET /");
         }
       } catch (IOException e) {
-        one.close(); // its queue is full, too: it comes again
+        socket.close(); // the accept queue is full, too: it connects again
       }
-      return one;
+      return socket;
     }
 
-    private boolean isClosed(Socket one) {
+    private boolean isClosed(Socket socket) {
       try {
-        return one.isClosed()
-            || one.getInputStream().available() > 0
-            || one.getInputStream().read() < 0;
-      } catch (java.net.SocketTimeoutException e) {
+        return socket.isClosed()
+            || socket.getInputStream().available() > 0
+            || socket.getInputStream().read() < 0;
+      } catch (SocketTimeoutException e) {
         return false;
       } catch (IOException e) {
         return true;
@@ -187,37 +204,34 @@
     }
   }
 
-  private static String figures(int admin) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", admin)) {
-      return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
-    }
-  }
-
   @ParameterizedTest
   @ValueSource(ints = {64, 256, 1024})
-  void listIsReadAndRequestsAreServed(int sockets) throws Exception {
-    List<Thread> all = new ArrayList<>();
-    for (Comes how : sockets < 1024 ? Comes.values() : new Comes[] {Comes.AT_ONCE, Comes.AGAIN}) {
-      for (boolean served : new boolean[] {false, true}) {
-        Thread one =
+  void listIsReadAndRequestsAreServed(int maxSockets) throws Exception {
+    List<Thread> cases = new ArrayList<>();
+    for (Pattern pattern :
+        maxSockets < 1024
+            ? Pattern.values()
+            : new Pattern[] {Pattern.AT_ONCE, Pattern.RECONNECTING}) {
+      for (boolean isServedBefore : new boolean[] {false, true}) {
+        Thread thread =
             new Thread(
                 () -> {
                   try {
-                    new Case(how, served, sockets).play();
+                    new Case(pattern, isServedBefore, maxSockets).run();
                   } catch (Exception e) {
-                    faults.add(how + ": " + e);
+                    failures.add(pattern + ": " + e);
                   }
                 });
-        one.start();
-        all.add(one);
+        thread.start();
+        cases.add(thread);
       }
     }
-    for (Thread one : all) {
-      one.join();
+    for (Thread thread : cases) {
+      thread.join();
     }
-    for (Socket one : List.copyOf(crowd)) {
-      one.close();
+    for (Socket socket : List.copyOf(idleSockets)) {
+      socket.close();
     }
-    assertEquals(List.of(), faults);
+    assertEquals(List.of(), failures);
   }
 }
--- a/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
+++ b/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
@@ -17,22 +17,23 @@
 import java.util.zip.CRC32;
 import org.junit.jupiter.api.Test;
 
-/** Bodies and answers longer than what is kept, and peers that are slow, stall or leave. */
+/** Bodies and answers longer than what is kept of them, and peers that are slow, stall or leave. */
 class LargeBodiesTest extends ProxyTestHarness {
-  private static final int MANY = 40, MB = 1 << 20;
+  private static final int CLIENTS = 40;
+  private static final int MEGABYTE = 1 << 20;
 
-  /** By id: the body's length and sum as a backend got it. */
-  private final Map<String, String> got = new ConcurrentHashMap<>();
+  /** By request id: length and checksum of the body that a backend has received. */
+  private final Map<String, String> receivedBodies = new ConcurrentHashMap<>();
 
-  private final AtomicInteger turn = new AtomicInteger();
+  private final AtomicInteger brokenAttempts = new AtomicInteger();
 
-  private static byte[] bytes(int seed, int size) {
+  private static byte[] randomBytes(int seed, int size) {
     byte[] bytes = new byte[size];
     new Random(seed).nextBytes(bytes);
     return bytes;
   }
 
-  private static String sum(byte[] part, int times) {
+  private static String checksum(byte[] part, int times) {
     CRC32 crc = new CRC32();
     for (int i = 0; i < times; i++) {
       crc.update(part);
@@ -40,81 +41,94 @@
     return (long) part.length * times + "/" + crc.getValue();
   }
 
-  private static String readSum(InputStream in, long length) throws IOException {
+  private static String readChecksum(InputStream input, long length) throws IOException {
     CRC32 crc = new CRC32();
-    byte[] room = new byte[1 << 16];
+    byte[] buffer = new byte[1 << 16];
     long left = length;
-    for (int n = 0; left > 0 && n >= 0; left -= Math.max(0, n)) {
-      n = in.read(room, 0, (int) Math.min(room.length, left));
-      crc.update(room, 0, Math.max(0, n));
+    for (int count = 0; left > 0 && count >= 0; left -= Math.max(0, count)) {
+      count = input.read(buffer, 0, (int) Math.min(buffer.length, left));
+      crc.update(buffer, 0, Math.max(0, count));
     }
     return length - left + "/" + crc.getValue();
   }
 
-  /** Takes bodies of any length; the target says what it answers: so many bytes, and how. */
-  private void longBackend(Socket socket) throws Exception {
-    InputStream in = new BufferedInputStream(socket.getInputStream());
-    OutputStream out = socket.getOutputStream();
-    for (String head = head(in); head != null; head = head(in)) {
+  /** Plays a backend; the request's target says how many bytes it answers with, and how. */
+  private void serveLargeBodies(Socket socket) throws Exception {
+    InputStream input = new BufferedInputStream(socket.getInputStream());
+    OutputStream output = socket.getOutputStream();
+    for (String head = readHead(input); head != null; head = readHead(input)) {
       String[] target = head.split(" ")[1].split("[?,]");
-      String how = target.length > 1 ? target[1] : "";
-      String id = head.replaceAll("(?s).*Request-Id: (\\w+).*", "$1");
-      came.incrementAndGet();
-      if (how.equals("early")) {
+      String mode = target.length > 1 ? target[1] : "";
+      String id = requestId(head);
+      requestsReceived.incrementAndGet();
+      if (mode.equals("early")) {
         send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
         Thread.sleep(300);
         socket.close();
         return;
       }
-      if (how.equals("breaks") && turn.getAndIncrement() == 0) {
+      if (mode.equals("breaks") && brokenAttempts.getAndIncrement() == 0) {
         socket.close();
         return;
       }
-      got.merge(id, readSum(in, length(head)), (a, b) -> a + " and " + b);
+      receivedBodies.merge(id, readChecksum(input, contentLength(head)), (a, b) -> a + " and " + b);
       int size = target.length > 2 ? Integer.parseInt(target[2]) : 0;
-      byte[] part = bytes(size, Math.min(size, MB));
-      if (how.equals("chunks") || how.equals("drips")) {
-        send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int at = 0, n; at < size; at += n) {
-          n = Math.min(size - at, how.equals("drips") ? 10_000 : 65_000);
-          send(socket, Integer.toHexString(n) + ";x=1\r\n");
-          out.write(part, at, n);
-          send(socket, "\r\n");
-          Thread.sleep(how.equals("drips") ? 200 : 0);
+      byte[] part = randomBytes(size, Math.min(size, MEGABYTE));
+      switch (mode) {
+        case "chunks" -> sendInChunks(socket, part, 65_000, 0);
+        case "drips" -> sendInChunks(socket, part, 10_000, 200);
+        case "end" -> {
+          send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+          output.write(part);
+          socket.close();
+          return;
         }
-        send(socket, "0\r\nT: 1\r\n\r\n");
-      } else if (how.equals("end")) {
-        send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
-        out.write(part);
-        socket.close();
-        return;
-      } else {
-        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
-        for (int at = 0; at < size; at += part.length) {
-          out.write(part);
-          if (how.equals("cut")) {
-            socket.close();
-            return;
+        case "cut" -> {
+          send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
+          output.write(part);
+          socket.close();
+          return;
+        }
+        default -> {
+          send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
+          for (int offset = 0; offset < size; offset += part.length) {
+            output.write(part);
           }
         }
       }
     }
   }
 
-  private void serveLong(int backends) throws Exception {
-    String[] entries = new String[backends];
-    for (int i = 0; i < backends; i++) {
-      entries[i] = entry("s" + i, "SERVING", open(this::longBackend).getLocalPort());
+  /** Sends an answer in chunks of this many bytes, with a pause in milliseconds after each. */
+  private static void sendInChunks(Socket socket, byte[] body, int chunkSize, int pauseMillis)
+      throws Exception {
+    send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    int offset = 0;
+    while (offset < body.length) {
+      int count = Math.min(body.length - offset, chunkSize);
+      send(socket, Integer.toHexString(count) + ";x=1\r\n");
+      socket.getOutputStream().write(body, offset, count);
+      send(socket, "\r\n");
+      Thread.sleep(pauseMillis);
+      offset += count;
+    }
+    send(socket, "0\r\nT: 1\r\n\r\n");
+  }
+
+  private void startProxyWithLargeBodies(int backendCount) throws Exception {
+    String[] endpoints = new String[backendCount];
+    for (int i = 0; i < backendCount; i++) {
+      endpoints[i] = endpoint("s" + i, "SERVING", listen(this::serveLargeBodies).getLocalPort());
     }
-    news.add(told(1, true, entries));
-    serve(1024, "{}");
+    listLines.add(listLine(1, true, endpoints));
+    startProxy(1024, "{}");
   }
 
-  private static String head(String set, String how, String id, long length) {
+  private static String requestHead(String className, String mode, String id, long length) {
     return "POST /"
-        + set
+        + className
         + "?"
-        + how
+        + mode
         + " HTTP/1.1\r\nRequest-Id: "
         + id
         + "\r\nContent-Length: "
@@ -122,63 +136,62 @@
         + "\r\n\r\n";
   }
 
-  /** The answer's status and the sum of its body, in whatever framing. */
-  private static String answerSum(Socket socket) throws IOException {
-    InputStream in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
-    String head = head(in);
+  /** Reads an answer in any framing: its status, and the checksum of its body. */
+  private static String readAnswerChecksum(Socket socket) throws IOException {
+    InputStream input = new BufferedInputStream(socket.getInputStream(), 1 << 16);
+    String head = readHead(input);
     if (head == null) {
       return "closed";
     }
     String status = head.substring(9, 12) + " ";
     if (!head.contains("chunked")) {
-      String sum = readSum(in, length(head));
-      return status + (sum.startsWith(length(head) + "/") ? sum : "cut off");
+      String checksum = readChecksum(input, contentLength(head));
+      return status + (checksum.startsWith(contentLength(head) + "/") ? checksum : "cut off");
     }
     CRC32 crc = new CRC32();
     long size = 0;
     while (true) {
       StringBuilder line = new StringBuilder();
-      for (int c = in.read(); c != '\n'; c = in.read()) {
-        if (c < 0) {
+      for (int next = input.read(); next != '\n'; next = input.read()) {
+        if (next < 0) {
           return status + "cut off";
         }
-        line.append((char) c);
+        line.append((char) next);
       }
-      int n = Integer.parseInt(line.toString().strip(), 16);
-      byte[] bytes = in.readNBytes(n + 2);
-      if (n == 0) {
+      int count = Integer.parseInt(line.toString().strip(), 16);
+      byte[] bytes = input.readNBytes(count + 2);
+      if (count == 0) {
         return status + size + "/" + crc.getValue();
       }
-      crc.update(bytes, 0, Math.min(n, bytes.length));
-      size += n;
+      crc.update(bytes, 0, Math.min(count, bytes.length));
+      size += count;
     }
   }
 
-  /**
-   * 40 bodies of 32 MB at once, there and back, with the heap of this JVM far smaller than they
-   * are.
-   */
+  /** 40 bodies of 32 MB at once, there and back, in a heap far smaller than they are. */
   @Test
-  void manyAtOnce() throws Exception {
-    serveLong(4);
-    byte[] part = bytes(1, MB);
-    String sum = sum(part, 32), back = sum(bytes(32 * MB, MB), 32);
+  void manyLargeBodiesAtOnceFitTheHeap() throws Exception {
+    startProxyWithLargeBodies(4);
+    byte[] part = randomBytes(1, MEGABYTE);
+    String sentChecksum = checksum(part, 32);
+    String answerChecksum = checksum(randomBytes(32 * MEGABYTE, MEGABYTE), 32);
     List<Thread> clients = new ArrayList<>();
-    AtomicInteger right = new AtomicInteger();
-    for (int i = 0; i < MANY; i++) {
+    AtomicInteger correctAnswers = new AtomicInteger();
+    for (int i = 0; i < CLIENTS; i++) {
       String id = "a" + i;
       clients.add(
-          start(
+          startThread(
               () -> {
                 try (Socket socket = connect()) {
                   socket.setSoTimeout(60_000);
-                  send(socket, head("buy", "plain," + 32 * MB, id, 32L * MB));
-                  for (int n = 0; n < 32; n++) {
+                  send(socket, requestHead("buy", "plain," + 32 * MEGABYTE, id, 32L * MEGABYTE));
+                  for (int count = 0; count < 32; count++) {
                     socket.getOutputStream().write(part);
                   }
-                  String answer = answerSum(socket);
-                  if (answer.equals("200 " + back) && sum.equals(got.get(id))) {
-                    right.incrementAndGet();
+                  String answer = readAnswerChecksum(socket);
+                  if (answer.equals("200 " + answerChecksum)
+                      && sentChecksum.equals(receivedBodies.get(id))) {
+                    correctAnswers.incrementAndGet();
                   }
                 }
               }));
@@ -186,15 +199,15 @@
     for (Thread client : clients) {
       client.join(90_000);
     }
-    assertEquals(MANY, right.get());
+    assertEquals(CLIENTS, correctAnswers.get());
   }
 
-  /** Each framing and each way to fail: what the client is told, and what ran. */
+  /** For each framing and each failure: what the client is answered, and what has run. */
   @Test
-  void ways() throws Exception {
-    serveLong(3);
-    byte[] body = bytes(2, 300_000);
-    for (String how :
+  void eachFramingAndFailure() throws Exception {
+    startProxyWithLargeBodies(3);
+    byte[] body = randomBytes(2, 300_000);
+    for (String mode :
         new String[] {
           "plain,0",
           "plain,200000",
@@ -206,111 +219,128 @@
           "breaks,0",
           "early,0"
         }) {
-      for (String set : new String[] {"buy", "pay"}) {
-        turn.set(0);
-        int before = came.get();
-        String id = (how + set).replaceAll("\\W", "");
-        int times = how.startsWith("breaks") ? 50 : 1; // more than lies between two sockets
+      for (String className : new String[] {"buy", "pay"}) {
+        brokenAttempts.set(0);
+        int requestsBefore = requestsReceived.get();
+        String id = (mode + className).replaceAll("\\W", "");
+        int times = mode.startsWith("breaks") ? 50 : 1; // more than lies between two sockets
         try (Socket socket = connect()) {
-          send(socket, head(set, how, id, (long) times * body.length));
+          send(socket, requestHead(className, mode, id, (long) times * body.length));
           for (int i = 0; i < times; i++) {
             socket.getOutputStream().write(body);
           }
           String answer;
           try {
-            answer = answerSum(socket);
+            answer = readAnswerChecksum(socket);
           } catch (IOException e) {
             answer = "reset";
           }
-          int size = Integer.parseInt(how.split(",")[1]);
-          boolean same = answer.equals("200 " + sum(bytes(size, Math.min(size, MB)), 1));
-          boolean once = sum(body, 1).equals(got.get(id));
-          String told = same ? "200 as sent" : answer.replaceAll("(?s)/.*", "");
-          if (how.startsWith("breaks")) { // a piece beyond what is kept may have gone by then
-            told = told.matches("200 as sent|503 0") ? "done or denied" : told;
-            got.remove(id);
+          int size = Integer.parseInt(mode.split(",")[1]);
+          boolean isAsSent =
+              answer.equals("200 " + checksum(randomBytes(size, Math.min(size, MEGABYTE)), 1));
+          boolean isBodyReceivedOnce = checksum(body, 1).equals(receivedBodies.get(id));
+          String result = isAsSent ? "200 as sent" : answer.replaceAll("(?s)/.*", "");
+          if (mode.startsWith("breaks")) { // a piece beyond what is kept may have gone by then
+            result = result.matches("200 as sent|503 0") ? "done or denied" : result;
+            receivedBodies.remove(id);
           }
-          w.say(
-              how
+          recorder.say(
+              mode
                   + " to "
-                  + set
+                  + className
                   + ": "
-                  + told
-                  + (once ? ", body whole, once" : ", body " + got.getOrDefault(id, "none")));
+                  + result
+                  + (isBodyReceivedOnce
+                      ? ", body whole, once"
+                      : ", body " + receivedBodies.getOrDefault(id, "none")));
         }
-        assertTrue(came.get() - before <= 3, how);
+        assertTrue(requestsReceived.get() - requestsBefore <= 3, mode);
       }
     }
-    w.matches("long-ways");
+    recorder.matches("long-ways");
   }
 
-  /** Taking 2 s for a head and a second for 64 kB of a body is served; one that stalls is not. */
+  /**
+   * A client with 2 s for its head and 1 s for 64 kB of its body is served; a stalled one is not.
+   */
   @Test
-  void slowClients() throws Exception {
-    serveLong(2);
-    byte[] body = bytes(3, 160_000);
+  void slowClientsAreServedAndStalledOnesAreNot() throws Exception {
+    startProxyWithLargeBodies(2);
+    byte[] body = randomBytes(3, 160_000);
     try (Socket slow = connect();
-        Socket stalls = connect()) {
-      send(stalls, head("buy", "plain,5", "b1", 90_000) + "x".repeat(30_000));
-      long from = System.nanoTime();
-      String head = head("buy", "plain,100000", "b2", body.length);
+        Socket stalled = connect()) {
+      send(stalled, requestHead("buy", "plain,5", "b1", 90_000) + "x".repeat(30_000));
+      long startedAt = System.nanoTime();
+      String head = requestHead("buy", "plain,100000", "b2", body.length);
       for (int i = 0; i < 20; i++) {
         send(slow, head.substring(head.length() * i / 20, head.length() * (i + 1) / 20));
         Thread.sleep(100);
       }
-      for (int at = 0; at < body.length; at += 6400) {
-        slow.getOutputStream().write(body, at, 6400);
+      for (int offset = 0; offset < body.length; offset += 6400) {
+        slow.getOutputStream().write(body, offset, 6400);
         Thread.sleep(100);
       }
-      w.say(
+      recorder.say(
           "slow: "
-              + answerSum(slow).equals("200 " + sum(bytes(100_000, 100_000), 1))
+              + readAnswerChecksum(slow).equals("200 " + checksum(randomBytes(100_000, 100_000), 1))
               + ", body "
-              + sum(body, 1).equals(got.get("b2")));
-      w.say(
+              + checksum(body, 1).equals(receivedBodies.get("b2")));
+      recorder.say(
           "stalls: "
-              + answerSum(stalls).substring(0, 3)
+              + readAnswerChecksum(stalled).substring(0, 3)
               + ", in time "
-              + ((System.nanoTime() - from) / 1_000_000_000 < 6)
+              + ((System.nanoTime() - startedAt) / 1_000_000_000 < 6)
               + ", ran "
-              + got.getOrDefault("b1", "").startsWith("90000/"));
+              + receivedBodies.getOrDefault("b1", "").startsWith("90000/"));
     }
-    try (Socket expects = connect()) {
+    try (Socket expecting = connect()) {
       send(
-          expects,
-          head("pay", "plain,3", "b3", 70_000)
+          expecting,
+          requestHead("pay", "plain,3", "b3", 70_000)
               .replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n"));
-      w.say("expects: " + answer(expects));
-      expects.getOutputStream().write(bytes(4, 70_000));
-      w.say(
-          "then: " + answerSum(expects).substring(0, 5) + " " + got.get("b3").startsWith("70000/"));
+      recorder.say("expects: " + readAnswer(expecting));
+      expecting.getOutputStream().write(randomBytes(4, 70_000));
+      recorder.say(
+          "then: "
+              + readAnswerChecksum(expecting).substring(0, 5)
+              + " "
+              + receivedBodies.get("b3").startsWith("70000/"));
     }
-    w.matches("long-slow");
+    recorder.matches("long-slow");
   }
 
-  /** Clients of any pace that leave at any moment: each body that came whole ran once. */
+  /** Clients of any speed leave at any moment: each body that came completely has run once. */
   @Test
-  void leavers() throws Exception {
-    serveLong(3);
-    Random draws = new Random(5);
+  void completeBodiesOfLeavingClientsRunOnce() throws Exception {
+    startProxyWithLargeBodies(3);
+    Random random = new Random(5);
     List<Thread> clients = new ArrayList<>();
-    Map<String, Boolean> whole = new ConcurrentHashMap<>();
+    Map<String, Boolean> isAnswerComplete = new ConcurrentHashMap<>();
     for (int i = 0; i < 60; i++) {
       String id = "c" + i;
-      byte[] body = bytes(i, 65_537 + draws.nextInt(2 * MB));
-      int until = draws.nextInt(3) == 0 ? draws.nextInt(body.length) : body.length;
-      int reads = draws.nextInt(3) == 0 ? draws.nextInt(MB) : Integer.MAX_VALUE;
-      boolean uniqued = draws.nextBoolean();
+      byte[] body = randomBytes(i, 65_537 + random.nextInt(2 * MEGABYTE));
+      int bytesSent = random.nextInt(3) == 0 ? random.nextInt(body.length) : body.length;
+      int bytesRead = random.nextInt(3) == 0 ? random.nextInt(MEGABYTE) : Integer.MAX_VALUE;
+      boolean hasIdempotencyKey = random.nextBoolean();
       clients.add(
-          start(
+          startThread(
               () -> {
                 try (Socket socket = connect()) {
-                  send(socket, head(uniqued ? "mark" : "pay", "plain," + 2 * MB, id, body.length));
-                  socket.getOutputStream().write(body, 0, until);
-                  if (until == body.length && reads == Integer.MAX_VALUE) {
-                    whole.put(id, answerSum(socket).equals("200 " + sum(bytes(2 * MB, MB), 2)));
-                  } else if (until == body.length) {
-                    socket.getInputStream().readNBytes(reads);
+                  send(
+                      socket,
+                      requestHead(
+                          hasIdempotencyKey ? "mark" : "pay",
+                          "plain," + 2 * MEGABYTE,
+                          id,
+                          body.length));
+                  socket.getOutputStream().write(body, 0, bytesSent);
+                  if (bytesSent == body.length && bytesRead == Integer.MAX_VALUE) {
+                    isAnswerComplete.put(
+                        id,
+                        readAnswerChecksum(socket)
+                            .equals("200 " + checksum(randomBytes(2 * MEGABYTE, MEGABYTE), 2)));
+                  } else if (bytesSent == body.length) {
+                    socket.getInputStream().readNBytes(bytesRead);
                   }
                 }
               }));
@@ -318,12 +348,19 @@
     for (Thread client : clients) {
       client.join(20_000);
     }
-    assertTrue(whole.size() > 10 && !whole.containsValue(false), whole.toString());
-    whole.keySet().forEach(id -> assertTrue(!got.get(id).contains("and"), id + " " + got.get(id)));
+    assertTrue(
+        isAnswerComplete.size() > 10 && !isAnswerComplete.containsValue(false),
+        isAnswerComplete.toString());
+    isAnswerComplete
+        .keySet()
+        .forEach(
+            id ->
+                assertTrue(
+                    !receivedBodies.get(id).contains("and"), id + " " + receivedBodies.get(id)));
     for (int i = 0; i < 100 && !server.isQuiet(); i++) {
       Thread.sleep(50);
     }
-    assertTrue(server.isQuiet(), "reqs or clients are left over");
-    assertEquals("200", call(head("buy", "plain,0", "last", 0)).strip());
+    assertTrue(server.isQuiet(), "requests or clients are left over");
+    assertEquals("200", call(requestHead("buy", "plain,0", "last", 0)).strip());
   }
 }
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -12,26 +12,29 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Load reports on sockets, from stand-ins that say they are busy or idle, whatever they do. */
+/** Load reports on sockets, from backends that report a load whatever they do. */
 class LoadReportsTest extends ProxyTestHarness {
-  private final AtomicInteger probes = new AtomicInteger();
+  private final AtomicInteger probesReceived = new AtomicInteger();
 
-  private String reporting(String name, int holds) throws Exception {
-    return entry(name, "SERVING", open(socket -> report(name, holds, socket)).getLocalPort());
+  private String startReportingBackend(String name, int inFlight) throws Exception {
+    return endpoint(
+        name,
+        "SERVING",
+        listen(socket -> serveReportingBackend(name, inFlight, socket)).getLocalPort());
   }
 
-  private void report(String name, int holds, Socket socket) throws Exception {
-    InputStream in = new BufferedInputStream(socket.getInputStream());
-    String load = "{\"rif\":" + holds + ",\"q\":" + Math.max(0, holds - 1) + "}";
-    for (String head = head(in); head != null; head = head(in)) {
-      in.readNBytes(length(head));
-      boolean probe = head.startsWith("GET /status/load ");
-      probes.addAndGet(probe ? 1 : 0);
-      String body = probe ? load : name;
+  private void serveReportingBackend(String name, int inFlight, Socket socket) throws Exception {
+    InputStream input = new BufferedInputStream(socket.getInputStream());
+    String loadReport = "{\"rif\":" + inFlight + ",\"q\":" + Math.max(0, inFlight - 1) + "}";
+    for (String head = readHead(input); head != null; head = readHead(input)) {
+      input.readNBytes(contentLength(head));
+      boolean isProbe = head.startsWith("GET /status/load ");
+      probesReceived.addAndGet(isProbe ? 1 : 0);
+      String body = isProbe ? loadReport : name;
       send(
           socket,
           "HTTP/1.1 200 OK\r\nServer-Load: "
-              + (holds > 30 ? "{no JSON" : load)
+              + (inFlight > 30 ? "{no JSON" : loadReport)
               + "\r\nContent-Length: "
               + body.length()
               + "\r\n\r\n"
@@ -39,71 +42,70 @@
     }
   }
 
-  private String how(String how, int list) {
-    return config(list, 1024, "{}")
+  private String configWithReports(String reportMode, int listPort) {
+    return config(listPort, 1024, "{}")
         .replace(
             "\"limits\":{\"maxD",
             "\"report\":{\"how\":\""
-                + how
+                + reportMode
                 + "\",\"fields\":[\"rif\",\"q\"]},"
                 + "\"limits\":{\"probing\":true,\"maxD");
   }
 
-  private int serve(String how, String header, int... holds) throws Exception {
-    String[] entries = new String[holds.length];
-    for (int i = 0; i < holds.length; i++) {
-      entries[i] = reporting("s" + i, holds[i]);
+  private int startReportingProxy(String reportMode, String loadHeader, int... inFlight)
+      throws Exception {
+    String[] endpoints = new String[inFlight.length];
+    for (int i = 0; i < inFlight.length; i++) {
+      endpoints[i] = startReportingBackend("s" + i, inFlight[i]);
     }
-    news.add(told(1, true, entries));
-    int list = open(this::list).getLocalPort();
-    serve(how(how, list), header);
-    return list;
+    listLines.add(listLine(1, true, endpoints));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
+    startProxy(configWithReports(reportMode, listPort), loadHeader);
+    return listPort;
   }
 
-  /**
-   * Reports switched on by SIGHUP: servers are asked for their load from then on, not for their
-   * health.
-   */
+  /** Once a reload switches reports on, backends are asked for their load, not for their health. */
   @Test
-  void switchedOn(@TempDir Path dir) throws Exception {
-    int list = serve("none", "", 20, 0);
-    at("s1", 5);
-    assertEquals(0, probes.get());
-    server.reread(Files.writeString(dir.resolve("proxy.json"), how("probe", list)));
-    at("s1", 5);
-    assertEquals(20, at("s1", 20));
-    assertTrue(probes.get() >= 20, probes + " probes");
+  void reloadSwitchesProbesOn(@TempDir Path folder) throws Exception {
+    int listPort = startReportingProxy("none", "", 20, 0);
+    countAnswersOf("s1", 5);
+    assertEquals(0, probesReceived.get());
+    server.reread(
+        Files.writeString(folder.resolve("proxy.json"), configWithReports("probe", listPort)));
+    countAnswersOf("s1", 5);
+    assertEquals(20, countAnswersOf("s1", 20));
+    assertTrue(probesReceived.get() >= 20, probesReceived + " probes");
   }
 
-  private int at(String name, int reqs) throws Exception {
-    int there = 0;
-    for (int i = 0; i < reqs; i++) {
-      there += call(request("buy")).equals("200 " + name) ? 1 : 0;
+  private int countAnswersOf(String name, int requests) throws Exception {
+    int count = 0;
+    for (int i = 0; i < requests; i++) {
+      count += call(request("buy")).equals("200 " + name) ? 1 : 0;
     }
-    return there;
+    return count;
   }
 
-  /** Asked before each req, the busy one is passed over; a report with garbage tells nothing. */
+  /** Load is probed before each request, and the busy backend gets none. */
   @Test
-  void probesTell() throws Exception {
-    serve("probe", "", 20, 0);
-    assertEquals(20, at("s1", 20));
-    assertTrue(probes.get() >= 20, probes + " probes");
+  void probedLoadKeepsRequestsOffTheBusyBackend() throws Exception {
+    startReportingProxy("probe", "", 20, 0);
+    assertEquals(20, countAnswersOf("s1", 20));
+    assertTrue(probesReceived.get() >= 20, probesReceived + " probes");
   }
 
-  /** The header is the operators' to name; nothing is asked. */
+  /** The operators name the header; nothing is probed. */
   @Test
-  void answersTell() throws Exception {
-    serve("answers", "Server-Load", 20, 0, 0);
-    int there = at("s0", 30);
-    assertTrue(there <= 3, there + " of 30 went to the busy one");
-    assertEquals(0, probes.get());
+  void loadHeaderKeepsRequestsOffTheBusyBackend() throws Exception {
+    startReportingProxy("answers", "Server-Load", 20, 0, 0);
+    int atBusyBackend = countAnswersOf("s0", 30);
+    assertTrue(atBusyBackend <= 3, atBusyBackend + " of 30 went to the busy one");
+    assertEquals(0, probesReceived.get());
   }
 
-  /** Garbage in the header is no report and harms no answer. */
+  /** A malformed header is no report, and its answer is passed on. */
   @Test
-  void garbageTellsNothing() throws Exception {
-    serve("answers", "Server-Load", 40);
-    assertEquals(10, at("s0", 10));
+  void malformedLoadHeaderIsIgnored() throws Exception {
+    startReportingProxy("answers", "Server-Load", 40);
+    assertEquals(10, countAnswersOf("s0", 10));
   }
 }
--- /dev/null
+++ b/proxy/src/test/java/wheattrack/net/OneBackendHarness.java
@@ -0,0 +1,46 @@
+package wheattrack.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A harness for pairs of events that cross, each pair forced: the event loop, or a backend, is held
+ * until the other event has been seen.
+ */
+abstract class OneBackendHarness extends RawConnection {
+  @TempDir Path folder;
+
+  /** Where the backend s0 listens, and another address, which is not listed at first. */
+  ServerSocket firstListener;
+
+  ServerSocket secondListener;
+  String config;
+
+  /**
+   * Starts a proxy with one backend, s0; the changes are pairs of a text of its configuration and
+   * what replaces it.
+   */
+  void startProxyWithOneBackend(String... changes) throws Exception {
+    firstListener = listenByHand(BACKLOG);
+    secondListener = listenByHand(BACKLOG);
+    config = configWithEndpoints(endpoint("s0", "SERVING", firstListener.getLocalPort()));
+    for (int i = 0; i < changes.length; i += 2) {
+      assertTrue(config.contains(changes[i]), changes[i]);
+      config = config.replace(changes[i], changes[i + 1]);
+    }
+    startProxy(config, "");
+  }
+
+  /** Has this configuration read, and pauses the event loop amid that. */
+  LoopPause pauseLoopInReload(String text) throws Exception {
+    Path file = Files.writeString(folder.resolve("config.json"), text);
+    LoopPause pause = pauseLoopAt("configuration read again");
+    server.reread(file);
+    pause.awaitReached();
+    return pause;
+  }
+}
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -18,27 +18,33 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** A process replaced by another one beside it, at the same address of clients. */
+/** Handover: a process is replaced by another one beside it, at the same client address. */
 class ProcessHandoverTest extends ProxyTestHarness {
-  private static final int CLIENTS = 6, REPLACEMENTS = 8, IN_A_ROW = 20;
+  private static final int CLIENTS = 6;
+
+  /** How many proxies within this JVM replace each other, and how many processes do. */
+  private static final int REPLACEMENTS = 8;
+
+  private static final int PROCESS_REPLACEMENTS = 20;
 
   @TempDir Path folder;
 
-  private final AtomicInteger done = new AtomicInteger(), broken = new AtomicInteger();
-  private volatile boolean stop;
+  private final AtomicInteger requestsDone = new AtomicInteger();
+  private final AtomicInteger requestsBroken = new AtomicInteger();
+  private volatile boolean isStopping;
 
-  private ProxyServer begin(String text) throws Exception {
-    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(text)));
-    start(next::run);
-    for (int i = 0; status(next) != 200; i++) {
+  private ProxyServer startUntilReady(String config) throws Exception {
+    ProxyServer proxy = new ProxyServer(new ProxyConfig(Json.object(config)));
+    startThread(proxy::run);
+    for (int i = 0; readAdminStatus(proxy) != 200; i++) {
       assertTrue(i < 600, "not ready within 6 s");
       Thread.sleep(10);
     }
-    return next;
+    return proxy;
   }
 
-  private static int status(ProxyServer of) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", of.adminPort())) {
+  private static int readAdminStatus(ProxyServer proxy) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", proxy.adminPort())) {
       return Integer.parseInt(call(socket, "GET /status HTTP/1.1\r\n\r\n").substring(0, 3));
     }
   }
@@ -46,23 +52,25 @@
   /**
    * A configuration with three backends and a list, at a clients' address that was free just now.
    */
-  private String textOfThree(int sockets) throws Exception {
-    news.add(told(1, true, ready("s0"), ready("s1"), ready("s2")));
-    int list = open(this::list).getLocalPort();
+  private String configWithThreeBackends(int maxSockets) throws Exception {
+    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
     port = freePort();
-    String known = told(1, true, ready("s0"), ready("s1"), ready("s2"));
-    return config(list, sockets, known).replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
+    String knownList =
+        listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2"));
+    return config(listPort, maxSockets, knownList)
+        .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
   }
 
-  private void client() throws Exception {
+  private void runClient() throws Exception {
     Socket socket = null;
-    while (!stop) {
+    while (!isStopping) {
       try {
         socket = socket == null ? connect() : socket;
         String answer = call(socket, request("buy"));
-        done.incrementAndGet();
+        requestsDone.incrementAndGet();
         if (!answer.startsWith("200")) {
-          broken.incrementAndGet();
+          requestsBroken.incrementAndGet();
         }
         if (answer.endsWith(" close")) {
           socket.close();
@@ -70,7 +78,7 @@
         }
         Thread.sleep(1);
       } catch (IOException e) {
-        broken.incrementAndGet();
+        requestsBroken.incrementAndGet();
         socket = null;
       }
     }
@@ -78,82 +86,88 @@
 
   /** Under load, one replacement after another: no connection refused, reset or left unread. */
   @Test
-  void replacements() throws Exception {
-    String text =
-        textOfThree(1024)
+  void replacedProxiesBreakFewConnections() throws Exception {
+    String config =
+        configWithThreeBackends(1024)
             .replace("\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:0\"");
-    server = begin(text);
+    server = startUntilReady(config);
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < CLIENTS; i++) {
-      clients.add(start(this::client));
+      clients.add(startThread(this::runClient));
     }
     for (int i = 0; i < REPLACEMENTS; i++) {
-      ProxyServer next = begin(text);
-      int before = done.get();
+      ProxyServer next = startUntilReady(config);
+      int doneBefore = requestsDone.get();
       server.end();
       server = next;
       Thread.sleep(50);
-      assertTrue(done.get() > before, "nobody was served by the newer process alone");
+      assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
     }
-    stop = true;
+    isStopping = true;
     for (Thread client : clients) {
       client.join(2000);
     }
-    assertTrue(broken.get() <= REPLACEMENTS / 2, broken + " of " + done + " reqs");
+    assertTrue(
+        requestsBroken.get() <= REPLACEMENTS / 2,
+        requestsBroken + " of " + requestsDone + " requests");
   }
 
-  /** The same with processes of their own; memory and descriptors of both together. */
+  /** The same with separate processes, whose memory and descriptors are added. */
   @Test
-  void processes() throws Exception {
-    String text = textOfThree(256);
-    Process old = process(text);
+  void replacedProcessesBreakFewConnections() throws Exception {
+    String config = configWithThreeBackends(256);
+    Process current = startProcess(config);
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < CLIENTS; i++) {
-      clients.add(start(this::client));
+      clients.add(startThread(this::runClient));
     }
-    long memory = 0, files = 0;
+    long peakKilobytes = 0;
+    long peakDescriptors = 0;
     try {
-      for (int i = 0; i < IN_A_ROW; i++) {
-        Process next = process(text);
-        int before = done.get();
-        memory = Math.max(memory, kilobytes(old) + kilobytes(next));
-        files = Math.max(files, descriptors(old) + descriptors(next));
-        old.destroy();
-        assertTrue(old.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
-        old = next;
+      for (int i = 0; i < PROCESS_REPLACEMENTS; i++) {
+        Process next = startProcess(config);
+        int doneBefore = requestsDone.get();
+        peakKilobytes =
+            Math.max(peakKilobytes, residentKilobytes(current) + residentKilobytes(next));
+        peakDescriptors =
+            Math.max(peakDescriptors, openDescriptors(current) + openDescriptors(next));
+        current.destroy();
+        assertTrue(current.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
+        current = next;
         Thread.sleep(30);
-        assertTrue(done.get() > before, "nobody was served by the newer process alone");
+        assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
       }
     } finally {
-      stop = true;
+      isStopping = true;
       for (Thread client : clients) {
         client.join(2000);
       }
-      old.destroyForcibly();
+      current.destroyForcibly();
     }
     System.out.println(
-        IN_A_ROW
+        PROCESS_REPLACEMENTS
             + " processes replaced: "
-            + broken
+            + requestsBroken
             + " of "
-            + done
-            + " reqs met a broken"
+            + requestsDone
+            + " requests met a broken"
             + " connection, at most "
-            + memory / 1024
+            + peakKilobytes / 1024
             + " MB and "
-            + files
+            + peakDescriptors
             + " descriptors in both");
-    assertTrue(broken.get() <= IN_A_ROW / 2, broken + " of " + done);
-    assertTrue(files <= 256, files + " descriptors");
+    assertTrue(
+        requestsBroken.get() <= PROCESS_REPLACEMENTS / 2, requestsBroken + " of " + requestsDone);
+    assertTrue(peakDescriptors <= 256, peakDescriptors + " descriptors");
   }
 
-  private Process process(String text) throws Exception {
-    int calls = freePort();
-    Path file = folder.resolve("proxy" + calls + ".json");
+  private Process startProcess(String config) throws Exception {
+    int adminPort = freePort();
+    Path file = folder.resolve("proxy" + adminPort + ".json");
     Files.writeString(
         file,
-        text.replace(
-            "\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:" + calls + "\""));
+        config.replace(
+            "\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:" + adminPort + "\""));
     ProcessBuilder builder =
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -173,7 +187,7 @@
     Process process = builder.start();
     for (int i = 0; i < 600; i++) {
       Thread.sleep(10);
-      try (Socket socket = new Socket("127.0.0.1", calls)) {
+      try (Socket socket = new Socket("127.0.0.1", adminPort)) {
         if (call(socket, "GET /status HTTP/1.1\r\n\r\n").startsWith("200")) {
           return process;
         }
@@ -184,15 +198,15 @@
     throw new AssertionError("not ready within 6 s: " + Files.readString(folder.resolve("log")));
   }
 
-  private static long kilobytes(Process of) throws IOException {
-    return Files.readAllLines(Path.of("/proc", of.pid() + "", "status")).stream()
+  private static long residentKilobytes(Process process) throws IOException {
+    return Files.readAllLines(Path.of("/proc", process.pid() + "", "status")).stream()
         .filter(line -> line.startsWith("VmRSS"))
         .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
         .sum();
   }
 
-  private static long descriptors(Process of) throws IOException {
-    try (var files = Files.list(Path.of("/proc", of.pid() + "", "fd"))) {
+  private static long openDescriptors(Process process) throws IOException {
+    try (var files = Files.list(Path.of("/proc", process.pid() + "", "fd"))) {
       return files.count();
     }
   }
@@ -203,24 +217,24 @@
     }
   }
 
-  /** The newer process, told to end before it is ready, leaves the older one as it was. */
+  /** A newer proxy that ends before it is ready leaves the older one serving. */
   @Test
-  void newerDiesFirst() throws Exception {
-    news.add(told(1, true, ready("s0")));
-    int list = open(this::list).getLocalPort();
+  void newerProxyEndedBeforeReadyLeavesTheOlderServing() throws Exception {
+    listLines.add(listLine(1, true, startBackend("s0")));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
     port = freePort();
-    String text =
-        config(list, 1024, "{}")
+    String config =
+        config(listPort, 1024, "{}")
             .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"")
             .replace("\"drain_ms\":1000", "\"drain_ms\":0,\"admin\":\"127.0.0.1:0\"");
-    server = begin(text);
-    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(text)));
-    start(next::run);
+    server = startUntilReady(config);
+    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(config)));
+    startThread(next::run);
     next.end();
     for (int i = 0; i < 20; i++) {
       assertEquals("200 s0", call(request("buy")));
     }
-    assertEquals(200, status(server));
-    server = begin(text); // and a third one finds its seat
+    assertEquals(200, readAdminStatus(server));
+    server = startUntilReady(config); // and a third one finds a free lock
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -6,10 +6,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 import wheattrack.Signals;
 import wheattrack.config.Json;
@@ -17,12 +17,12 @@
 
 /** One proxy on loopback sockets: what clients, backends and the list see of it. */
 class ProxyServerTest extends ProxyTestHarness {
-  /** Each outcome under each effect: what the client is told and how often it may have run. */
+  /** For each outcome in each class: what the client is answered, and how often it may have run. */
   @Test
-  void outcomes() throws Exception {
-    serveBy(8);
-    for (String set : new String[] {"buy", "mark", "pay"}) {
-      for (String acts :
+  void eachOutcomeForEachClass() throws Exception {
+    startProxyWithBackends(8);
+    for (String className : new String[] {"buy", "mark", "pay"}) {
+      for (String actions :
           new String[] {
             "ok",
             "chunks",
@@ -38,26 +38,33 @@
             "full 500 ok",
             "500 500 500"
           }) {
-        script.addAll(List.of(acts.split(" ")));
-        int before = came.get();
-        String answer = call(request(set)).replaceAll("s\\d", "ok");
-        w.say(set + " [" + acts + "] " + answer + ", sent " + (came.get() - before));
-        script.clear();
+        backendActions.addAll(List.of(actions.split(" ")));
+        int requestsBefore = requestsReceived.get();
+        String answer = call(request(className)).replaceAll("s\\d", "ok");
+        recorder.say(
+            className
+                + " ["
+                + actions
+                + "] "
+                + answer
+                + ", sent "
+                + (requestsReceived.get() - requestsBefore));
+        backendActions.clear();
       }
-      Thread.sleep(1100); // then shut ones are tried again
+      Thread.sleep(1100); // then ejected backends are probed again
       for (int i = 0; i < 100; i++) {
         call(request("buy"));
       }
     }
-    w.matches("server-outcomes");
+    recorder.matches("server-outcomes");
   }
 
-  /** What goes on to a backend and back, and how long a silent one is waited for. */
+  /** What is forwarded to a backend and back, and how long a silent backend is waited for. */
   @Test
-  void passesOn() throws Exception {
-    serveBy(2);
-    script.add("echo");
-    w.say(
+  void headersAreForwardedAndSilenceIsBounded() throws Exception {
+    startProxyWithBackends(2);
+    backendActions.add("echo");
+    recorder.say(
         call(
             "PUT /buy/7?x=%20y HTTP/1.1\r\n"
                 + "Host: shop\r\n"
@@ -70,28 +77,28 @@
                 + "2\r\n"
                 + "hi\r\n"
                 + "0\r\n\r\n"));
-    script.add("none");
-    long from = System.nanoTime();
+    backendActions.add("none");
+    long startedAt = System.nanoTime();
     String answer =
         call(request("pay").replace("Work-Hint", "Request-Timeout: 1.000\r\nWork-Hint"));
-    long took = (System.nanoTime() - from) / 1_000_000;
-    boolean inTime = took > 700 && took <= 1000;
-    w.say(
+    long elapsed = (System.nanoTime() - startedAt) / 1_000_000;
+    boolean isInTime = elapsed > 700 && elapsed <= 1000;
+    recorder.say(
         "silent: "
             + answer.replaceAll("50[24]", "502 or 504")
             + ", in time "
-            + inTime
+            + isInTime
             + ", sent "
-            + came.get());
-    w.matches("server-passes-on");
+            + requestsReceived.get());
+    recorder.matches("server-passes-on");
   }
 
-  /** Bad input of clients: a clear 4xx and the connection closed, and the next client is served. */
+  /** Malformed requests get a 4xx and a closed connection, and the next client is served. */
   @Test
-  void badClients() throws Exception {
-    serveBy(3);
+  void malformedRequestsAreRejected() throws Exception {
+    startProxyWithBackends(3);
     String post = "POST /buy HTTP/1.1\r\nRequest-Id: 7\r\n";
-    for (String in :
+    for (String request :
         new String[] {
           "GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n",
           "POST /buy HTTP/1.1\r\n\r\n",
@@ -108,345 +115,351 @@
           post + "Work-Hint: 99999999999999999999\r\n\r\n"
         }) {
       try (Socket socket = connect()) {
-        send(socket, in);
-        String short70 = in.substring(0, Math.min(70, in.length())).replaceAll("[^ -~]+", "|");
-        w.say(short70 + " -> " + answer(socket));
+        send(socket, request);
+        String excerpt =
+            request.substring(0, Math.min(70, request.length())).replaceAll("[^ -~]+", "|");
+        recorder.say(excerpt + " -> " + readAnswer(socket));
       }
     }
     try (Socket socket = connect()) {
       send(socket, post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
-      w.say("expecting -> " + answer(socket));
+      recorder.say("expecting -> " + readAnswer(socket));
       send(socket, "hi" + request("buy") + request("buy"));
-      w.say(
+      recorder.say(
           "whole, and two more at once -> "
-              + answer(socket).substring(0, 3)
+              + readAnswer(socket).substring(0, 3)
               + " "
-              + answer(socket).substring(0, 3)
+              + readAnswer(socket).substring(0, 3)
               + " "
-              + answer(socket).substring(0, 3));
+              + readAnswer(socket).substring(0, 3));
     }
-    w.matches("server-bad-clients");
+    recorder.matches("server-bad-clients");
   }
 
   /**
-   * Bad clients: the silent, the dripping and the half-said are turned away within 3 s of
-   * connecting.
+   * Clients that are silent, drip bytes or send half a head are rejected within 3 s of connecting.
    */
   @Test
-  void badClientsInTime() throws Exception {
-    serveBy(3);
-    String half = "GET /buy HTTP/1.1\r\nRequest-Id: 9\r\n";
-    long from = System.nanoTime();
+  void slowClientsAreRejectedInTime() throws Exception {
+    startProxyWithBackends(3);
+    String halfHead = "GET /buy HTTP/1.1\r\nRequest-Id: 9\r\n";
+    long startedAt = System.nanoTime();
     try (Socket silent = connect();
-        Socket drips = connect();
+        Socket dripping = connect();
         Socket halved = connect();
-        Socket once = connect()) {
-      w.say("asks once and stays: " + call(once, request("buy")).replaceAll("s\\d", "ok"));
-      send(halved, half);
+        Socket idle = connect()) {
+      recorder.say("asks once and stays: " + call(idle, request("buy")).replaceAll("s\\d", "ok"));
+      send(halved, halfHead);
       for (int i = 0; i < 20; i++) {
-        send(drips, "X");
+        send(dripping, "X");
         Thread.sleep(100);
       }
-      w.say(
+      recorder.say(
           "silent "
-              + answer(silent)
+              + readAnswer(silent)
               + ", dripping "
-              + answer(drips)
+              + readAnswer(dripping)
               + ", half-said "
-              + answer(halved)
+              + readAnswer(halved)
               + ", at rest "
-              + answer(once)
+              + readAnswer(idle)
               + ", in time "
-              + (System.nanoTime() - from < 3_000_000_000L));
+              + (System.nanoTime() - startedAt < 3_000_000_000L));
     }
     try (Socket slow = connect()) {
-      w.say("usual: " + call(slow, request("buy")).replaceAll("s\\d", "ok"));
+      recorder.say("usual: " + call(slow, request("buy")).replaceAll("s\\d", "ok"));
       Thread.sleep(1000);
-      send(slow, half);
+      send(slow, halfHead);
       Thread.sleep(1500);
-      w.say("rests and writes slowly: " + call(slow, "\r\n").replaceAll("s\\d", "ok"));
+      recorder.say("rests and writes slowly: " + call(slow, "\r\n").replaceAll("s\\d", "ok"));
     }
-    w.matches("server-in-time");
+    recorder.matches("server-in-time");
   }
 
-  /** Bad clients: a second copy of a req that is open reached the backends. */
+  /** A second copy of a request in flight once reached the backends. */
   @Test
-  void openId() throws Exception {
-    serveBy(3);
+  void sameIdIsRejectedWhileInFlight() throws Exception {
+    startProxyWithBackends(3);
     try (Socket first = connect()) {
-      script.add("slow");
-      String same = request("buy");
-      send(first, same);
-      untilOneCame();
-      w.say("id open: " + call(same) + ", sent " + came);
-      w.say("first: " + answer(first) + ", id free: " + call(same).replaceAll("s\\d", "ok"));
+      backendActions.add("slow");
+      String sameRequest = request("buy");
+      send(first, sameRequest);
+      awaitFirstRequest();
+      recorder.say("id open: " + call(sameRequest) + ", sent " + requestsReceived);
+      recorder.say(
+          "first: "
+              + readAnswer(first)
+              + ", id free: "
+              + call(sameRequest).replaceAll("s\\d", "ok"));
     }
-    w.matches("server-open-id");
+    recorder.matches("server-open-id");
   }
 
-  /** Incident to be: nothing more runs for a client that has left. */
+  /** Nothing more runs for a client that has left. */
   @Test
-  void clientLeaves() throws Exception {
-    serveBy(3);
-    seen.clear();
-    script.add("none");
+  void disconnectClosesTheBackendConnection() throws Exception {
+    startProxyWithBackends(3);
+    observations.clear();
+    backendActions.add("none");
     Socket socket = connect();
     send(socket, request("pay"));
-    untilOneCame();
+    awaitFirstRequest();
     socket.close();
-    String ends = seen.poll(2000, TimeUnit.MILLISECONDS);
-    w.say("client left, backend's connection " + ends + ", sent " + came.get());
-    w.matches("server-client-leaves");
+    String closing = observations.poll(2000, TimeUnit.MILLISECONDS);
+    recorder.say(
+        "client left, backend's connection " + closing + ", sent " + requestsReceived.get());
+    recorder.matches("server-client-leaves");
   }
 
   /**
-   * An end in order: what comes while draining is served, what is open answered, then nothing
-   * listens.
+   * Shutdown: requests while draining are served, those in flight answered; then nothing listens.
    */
   @Test
-  void endsInOrder() throws Exception {
-    serveBy(3);
+  void shutdownDrainsBeforeItEnds() throws Exception {
+    startProxyWithBackends(3);
     try (Socket slow = connect();
         Socket idle = connect()) {
-      script.add("slow");
+      backendActions.add("slow");
       send(idle, "GET /ready HTTP/1.1\r\n\r\n");
-      w.say("before: " + answer(idle));
-      Thread ending = start(server::end);
+      recorder.say("before: " + readAnswer(idle));
+      Thread ending = startThread(server::end);
       while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("503")) {
         Thread.sleep(5);
       }
       send(slow, request("pay"));
-      while (!script.isEmpty()) {
+      while (!backendActions.isEmpty()) {
         Thread.sleep(5);
       }
-      w.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
-      w.say("one more: " + call(request("buy")).replaceAll("s[012]", "ok"));
-      w.say("open: " + answer(slow) + ", idle: " + answer(idle));
+      recorder.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
+      recorder.say("one more: " + call(request("buy")).replaceAll("s[012]", "ok"));
+      recorder.say("open: " + readAnswer(slow) + ", idle: " + readAnswer(idle));
       ending.join(5000);
-      w.say("ended: " + !running.isAlive());
+      recorder.say("ended: " + !serverThread.isAlive());
       try (Socket late = connect()) {
-        w.say("late: accepted " + late.isConnected());
+        recorder.say("late: accepted " + late.isConnected());
       } catch (IOException e) {
-        w.say("late: " + e.getMessage());
+        recorder.say("late: " + e.getMessage());
       }
     }
-    w.matches("server-ends");
+    recorder.matches("server-ends");
   }
 
-  /**
-   * The list: an old one at the start, bad entries and lines, a srv that drains, moves and goes.
-   */
+  /** An old list at the start, bad entries and lines, a backend that drains, moves and goes. */
   @Test
-  void followsTheList() throws Exception {
-    int[] at = new int[3];
+  void endpointListChangesAreFollowed() throws Exception {
+    int[] ports = new int[3];
     for (int i = 0; i < 3; i++) {
       String name = "s" + i;
-      at[i] = open(socket -> backend(name, socket)).getLocalPort();
+      ports[i] = listen(socket -> serveBackend(name, socket)).getLocalPort();
     }
-    int shut = open(socket -> {}).getLocalPort();
-    doors.get(doors.size() - 1).close();
-    news.add(told(4, false));
-    serve(1024, told(3, true, entry("s0", "SERVING", at[0]), entry("s9", "SERVING", shut)));
-    w.say("known of old: " + who());
-    step(
-        told(
+    int closedPort = listen(socket -> {}).getLocalPort();
+    listeners.get(listeners.size() - 1).close();
+    listLines.add(listLine(4, false));
+    startProxy(
+        1024,
+        listLine(
+            3, true, endpoint("s0", "SERVING", ports[0]), endpoint("s9", "SERVING", closedPort)));
+    recorder.say("known of old: " + servingBackends());
+    sendListLine(
+        listLine(
             5,
             false,
-            entry("s1", "SERVING", at[1]),
+            endpoint("s1", "SERVING", ports[1]),
             "{'uid':'s7'}",
-            entry("s8", "ASLEEP", 1),
+            endpoint("s8", "ASLEEP", 1),
             "{'uid':'s6','endpoint':'localhost:1','state':'SERVING'}",
             "{'uid':6}"));
-    step(told(6, false, entry("s0", "DRAINING", at[0])));
-    step("no json");
-    step(told(7, false, entry("s1", "SERVING", at[2])));
-    step("[]");
-    step(told(8, true, entry("s0", "SERVING", at[0])));
-    step(told(9, false, entry("s0", "DELETED", at[0])));
-    news.add("end");
-    step(told(10, true, entry("s1", "SERVING", at[1])));
+    sendListLine(listLine(6, false, endpoint("s0", "DRAINING", ports[0])));
+    sendListLine("no json");
+    sendListLine(listLine(7, false, endpoint("s1", "SERVING", ports[2])));
+    sendListLine("[]");
+    sendListLine(listLine(8, true, endpoint("s0", "SERVING", ports[0])));
+    sendListLine(listLine(9, false, endpoint("s0", "DELETED", ports[0])));
+    listLines.add("end");
+    sendListLine(listLine(10, true, endpoint("s1", "SERVING", ports[1])));
     Thread.sleep(3300); // no line comes: the watch counts as broken
-    seen.removeIf("closed"::equals);
-    w.say("asked " + seen);
-    w.matches("server-list");
+    observations.removeIf("closed"::equals);
+    recorder.say("asked " + observations);
+    recorder.matches("server-list");
   }
 
   /**
-   * Mass restart: reqs went to srvs that drain, as the list known of old was used until news came.
+   * After a mass restart requests went to backends that drain: the stored list was used too early.
    */
   @Test
-  void startsByWhatDiscoverySays() throws Exception {
-    int[] at = new int[2];
+  void startWaitsForTheCurrentList() throws Exception {
+    int[] ports = new int[2];
     for (int i = 0; i < 2; i++) {
       String name = "s" + i;
-      at[i] = open(socket -> backend(name, socket)).getLocalPort();
+      ports[i] = listen(socket -> serveBackend(name, socket)).getLocalPort();
     }
-    String known = told(3, true, entry("s0", "SERVING", at[0]), entry("s1", "SERVING", at[1]));
-    String now = told(7, true, entry("s0", "DRAINING", at[0]), entry("s1", "SERVING", at[1]));
-    int list = open(this::list).getLocalPort();
-    server = new ProxyServer(new ProxyConfig(Json.object(config(list, 1024, known))));
-    port = server.port();
-    running = start(server::run);
-    try (Socket early = connect()) { // while it starts: waits, and is served by the news
+    String knownList =
+        listLine(3, true, endpoint("s0", "SERVING", ports[0]), endpoint("s1", "SERVING", ports[1]));
+    String currentList =
+        listLine(
+            7, true, endpoint("s0", "DRAINING", ports[0]), endpoint("s1", "SERVING", ports[1]));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, knownList)))));
+    try (Socket early = connect()) { // waits for the current list
       send(early, request("buy"));
       Thread.sleep(100);
-      news.add(now);
-      w.say("came early: " + answer(early) + ", then " + who() + ", asked " + seen);
+      listLines.add(currentList);
+      recorder.say(
+          "came early: "
+              + readAnswer(early)
+              + ", then "
+              + servingBackends()
+              + ", asked "
+              + observations);
     }
     server.end();
-    news.clear();
-    server = new ProxyServer(new ProxyConfig(Json.object(config(list, 1024, known))));
-    port = server.port();
-    running = start(server::run);
-    w.say("discovery says nothing: " + call(request("buy")));
+    listLines.clear();
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, knownList)))));
+    recorder.say("discovery says nothing: " + call(request("buy")));
     Thread.sleep(3300);
-    w.say("for 3 s: " + who());
-    news.add(now);
+    recorder.say("for 3 s: " + servingBackends());
+    listLines.add(currentList);
     Thread.sleep(300);
-    w.say("and then: " + who());
-    w.matches("server-starts");
+    recorder.say("and then: " + servingBackends());
+    recorder.matches("server-starts");
   }
 
   /**
-   * A large fleet's list in trouble: changes of an old revision, and a whole list of one, bring no
-   * drained srv back; of repeated entries the last counts; 40 broken ones of 60 are one line; cut
-   * off amid a line, or refused, the last good list is kept.
+   * Changes of an old revision, or an old snapshot, bring no drained backend back; of repeated
+   * entries the last counts; 40 malformed ones of 60 are one line of the log; and if the list is
+   * cut off amid a line or refuses connections, the last good one is kept.
    */
   @Test
-  void listInTrouble() throws Exception {
-    String[] s = {ready("s0"), ready("s1")};
-    String drains = s[0].replace("SERVING", "DRAINING");
-    Logger log = Logger.getLogger("wheattrack");
-    Handler ear = ear();
-    log.addHandler(ear);
-    log.setLevel(Level.WARNING);
-    try {
-      news.add(told(5, true, s));
-      serve(1024, "{}");
-      step(told(6, false, drains));
-      step(told(4, false, s[0]));
-      news.add("end");
-      step(told(3, true, s));
-      step(told(7, false, s[0]));
-      step(told(8, true, s[0], s[1], drains));
-      String[] many = new String[60];
+  void lastGoodListOutlastsABrokenOne() throws Exception {
+    String[] endpoints = {startBackend("s0"), startBackend("s1")};
+    String draining = endpoints[0].replace("SERVING", "DRAINING");
+    LogRecording log = recordLog(Level.WARNING);
+    try (log) {
+      listLines.add(listLine(5, true, endpoints));
+      startProxy(1024, "{}");
+      sendListLine(listLine(6, false, draining));
+      sendListLine(listLine(4, false, endpoints[0]));
+      listLines.add("end");
+      sendListLine(listLine(3, true, endpoints));
+      sendListLine(listLine(7, false, endpoints[0]));
+      sendListLine(listLine(8, true, endpoints[0], endpoints[1], draining));
+      String[] manyEndpoints = new String[60];
       for (int i = 0; i < 60; i++) {
-        many[i] = i % 3 == 0 ? s[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
+        manyEndpoints[i] = i % 3 == 0 ? endpoints[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
       }
-      news.add(told(9, true, many));
+      listLines.add(listLine(9, true, manyEndpoints));
       Thread.sleep(300);
-      w.say("60 entries, 40 broken: " + who());
-      news.add("half " + told(10, true, s[0]));
+      recorder.say("60 entries, 40 broken: " + servingBackends());
+      listLines.add("half " + listLine(10, true, endpoints[0]));
       Thread.sleep(600);
-      w.say("cut off: " + who());
-      doors.get(doors.size() - 1).close(); // the list's
-      news.add("end");
+      recorder.say("cut off: " + servingBackends());
+      listeners.get(listeners.size() - 1).close(); // that of the list
+      listLines.add("end");
       Thread.sleep(1000);
-      w.say("refuses: " + who());
-    } finally {
-      log.removeHandler(ear);
-      log.setLevel(Level.SEVERE);
+      recorder.say("refuses: " + servingBackends());
     }
-    w.matches("server-list-trouble");
+    recorder.matches("server-list-trouble");
   }
 
   /**
-   * Day of new configurations: SIGHUP ended the process. What is open and learnt stays; a bad file
-   * too.
+   * SIGHUP once ended the process. Requests in flight and what was learnt outlast it, also if the
+   * file is bad.
    */
   @Test
-  void rereads() throws Exception {
-    serveBy(2);
+  void hangupReloadsTheConfiguration() throws Exception {
+    startProxyWithBackends(2);
     Path file = Files.createTempFile("wheattrack", ".json");
     Signals.onHangup(() -> server.reread(file));
-    Logger log = Logger.getLogger("wheattrack");
-    Handler ear = ear();
-    log.addHandler(ear);
-    log.setLevel(Level.INFO);
-    try (Socket slow = connect()) {
-      script.add("slow");
+    LogRecording log = recordLog(Level.INFO);
+    try (log;
+        Socket slow = connect()) {
+      backendActions.add("slow");
       send(slow, request("pay"));
-      untilOneCame();
-      int second =
-          open(socket -> {
-                seen.add("second list");
-                list(socket);
-              })
+      awaitFirstRequest();
+      int secondListPort =
+          listen(
+                  socket -> {
+                    observations.add("second list");
+                    serveEndpointList(socket);
+                  })
               .getLocalPort();
-      String s2 = ready("s2");
+      String newEndpoint = startBackend("s2");
       for (String text :
           new String[] {
-            config(second, 512, "{}"),
+            config(secondListPort, 512, "{}"),
             "{'discovery'",
             "",
-            config(second, 1024, "{}").replace("127.0.0.1:" + second, "list:1"),
-            config(second, 1024, "{}").replace("read_like", "any")
+            config(secondListPort, 1024, "{}").replace("127.0.0.1:" + secondListPort, "list:1"),
+            config(secondListPort, 1024, "{}").replace("read_like", "any")
           }) {
         Files.writeString(file, text);
         new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start().waitFor();
         Thread.sleep(200);
       }
-      w.say("open meanwhile: " + answer(slow));
-      news.add(told(1, true, s2));
+      recorder.say("open meanwhile: " + readAnswer(slow));
+      listLines.add(listLine(1, true, newEndpoint));
       Thread.sleep(200);
-      seen.removeIf("closed"::equals);
-      w.say("asked " + seen + ", now " + who());
+      observations.removeIf("closed"::equals);
+      recorder.say("asked " + observations + ", now " + servingBackends());
     } finally {
-      log.removeHandler(ear);
-      log.setLevel(Level.SEVERE);
       Files.delete(file);
     }
-    w.matches("server-rereads");
+    recorder.matches("server-rereads");
   }
 
-  private void step(String line) throws Exception {
-    news.add(line);
+  private void sendListLine(String line) throws Exception {
+    listLines.add(line);
     Thread.sleep(300);
-    w.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + who());
+    recorder.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + servingBackends());
   }
 
-  /** Which backends serve ten calls. */
-  private String who() throws IOException {
-    var names = new java.util.TreeSet<String>();
+  /** The backends that serve ten requests. */
+  private String servingBackends() throws IOException {
+    Set<String> names = new TreeSet<>();
     for (int i = 0; i < 10; i++) {
       names.add(call(request("buy")));
     }
     return names.toString();
   }
 
-  /** Few descriptors: idle connections give way, and who comes beyond is denied at once. */
+  /** With few descriptors idle connections are closed, and surplus clients are rejected at once. */
   @Test
-  void fewSockets() throws Exception {
-    news.add(told(1, true, ready("s0")));
-    serve(64, "{}");
+  void fewDescriptorsRejectSurplusClients() throws Exception {
+    listLines.add(listLine(1, true, startBackend("s0")));
+    startProxy(64, "{}");
     List<Socket> open = new ArrayList<>();
-    Socket usual = connect();
-    w.say("usual: " + call(usual, request("buy")));
+    Socket regularClient = connect();
+    recorder.say("usual: " + call(regularClient, request("buy")));
     for (int i = 0; i < 27; i++) {
       open.add(connect());
       Thread.sleep(i == 14 ? 300 : 0);
     }
-    w.say(
+    recorder.say(
         "beside 27 that say nothing: "
             + call(request("buy"))
             + ", usual: "
-            + call(usual, request("buy")));
-    usual.close();
-    int[] answers = new int[2];
+            + call(regularClient, request("buy")));
+    regularClient.close();
+    int served = 0;
+    int rejected = 0;
     for (int i = 0; i < 30; i++) {
-      script.add("slow");
+      backendActions.add("slow");
       open.add(connect());
       send(open.get(27 + i), request("buy"));
     }
     for (Socket socket : open.subList(27, 57)) {
-      answers[answer(socket).startsWith("200") ? 0 : 1]++;
+      if (readAnswer(socket).startsWith("200")) {
+        served++;
+      } else {
+        rejected++;
+      }
     }
-    script.clear();
-    w.say("of 30 at once all answered, some denied: " + (answers[0] > 0 && answers[1] > 0));
+    backendActions.clear();
+    recorder.say("of 30 at once all answered, some denied: " + (served > 0 && rejected > 0));
     for (Socket socket : open) {
       socket.close();
     }
-    w.say("after: " + call(request("buy")));
-    w.matches("server-few-sockets");
+    recorder.say("after: " + call(request("buy")));
+    recorder.matches("server-few-sockets");
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
@@ -25,61 +25,89 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.testing.TraceRecorder;
 
-/** One proxy on loopback sockets between a client, a list and backends that the test plays. */
+/**
+ * One proxy on loopback sockets between clients, an endpoint list and backends that the test plays.
+ */
 abstract class ProxyTestHarness {
+  /** Length of the accept queue of listeners. */
   static final int BACKLOG = 100;
-  static final AtomicInteger IDS = new AtomicInteger();
 
-  final TraceRecorder w = new TraceRecorder();
-  final List<ServerSocket> doors = new ArrayList<>();
+  private static final AtomicInteger LAST_REQUEST_ID = new AtomicInteger();
+  private static final String LOGGER_NAME = "wheattrack";
+  private static final String CONTENT_LENGTH = "content-length: ";
+  private static final String EMPTY_BODY = "Content-Length: 0\r\n\r\n";
+
+  /** Actions after which a backend closes its connection. */
+  private static final List<String> CLOSING_ACTIONS =
+      List.of("cut", "half", "unmeasured", "garbage");
+
+  /** Marks a line of the list after a part of which the connection is closed. */
+  private static final String HALF_LINE = "half ";
+
+  final TraceRecorder recorder = new TraceRecorder();
+
+  /** All that listens, closed at the end of the test. */
+  final List<ServerSocket> listeners = new ArrayList<>();
 
   /** What the backends do with the next requests, whichever gets them. */
-  final BlockingQueue<String> script = new LinkedBlockingQueue<>();
+  final BlockingQueue<String> backendActions = new LinkedBlockingQueue<>();
 
-  final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-  final AtomicInteger came = new AtomicInteger();
+  /** What the list was asked for, and "closed" for each connection that a backend saw close. */
+  final BlockingQueue<String> observations = new LinkedBlockingQueue<>();
 
-  /** The list's answers, a watch each: lines, and at last what becomes of the connection. */
-  final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+  /** How many requests the backends have received. */
+  final AtomicInteger requestsReceived = new AtomicInteger();
+
+  /**
+   * Lines that the list sends to the latest watch. "end" closes its connection, and so does a line
+   * after "half ", of which a part is sent before.
+   */
+  final BlockingQueue<String> listLines = new LinkedBlockingQueue<>();
+
+  /** How many watches of the list there have been. */
+  final AtomicInteger watchCount = new AtomicInteger();
 
-  final AtomicInteger watches = new AtomicInteger();
   ProxyServer server;
   int port;
-  Thread running;
-  private volatile boolean over;
+  Thread serverThread;
+  private volatile boolean isTestOver;
 
   @BeforeAll
-  static void quiet() {
-    Logger.getLogger("wheattrack").setLevel(Level.SEVERE);
+  static void silenceLog() {
+    Logger.getLogger(LOGGER_NAME).setLevel(Level.SEVERE);
   }
 
-  interface Talk {
-    void with(Socket socket) throws Exception;
+  /** Plays the other end of one accepted connection. */
+  interface ConnectionHandler {
+    void handle(Socket socket) throws Exception;
   }
 
-  ServerSocket open(Talk talk) throws IOException {
-    ServerSocket door = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-    doors.add(door);
-    start(
+  /** Listens at a free port; each connection is handled in a thread of its own. */
+  ServerSocket listen(ConnectionHandler handler) throws IOException {
+    ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+    listeners.add(listener);
+    startThread(
         () -> {
           while (true) {
-            Socket socket = door.accept();
-            start(() -> talk.with(socket));
+            Socket socket = listener.accept();
+            startThread(() -> handler.handle(socket));
           }
         });
-    return door;
+    return listener;
   }
 
-  interface Work {
+  /** What a thread of the test does. */
+  interface ThrowingRunnable {
     void run() throws Exception;
   }
 
-  static Thread start(Work work) {
+  /** Starts a daemon thread that ends at the first error. */
+  static Thread startThread(ThrowingRunnable task) {
     Thread thread =
         new Thread(
             () -> {
               try {
-                work.run();
+                task.run();
               } catch (Exception e) {
                 // the other side has gone, or the test is over
                 Thread.currentThread().interrupt();
@@ -90,10 +118,11 @@
     return thread;
   }
 
-  static String head(InputStream in) throws IOException {
+  /** Reads a head up to its empty line; null: the connection ended before. */
+  static String readHead(InputStream input) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
-    for (int c = in.read(); c >= 0; c = in.read()) {
-      head.write(c);
+    for (int next = input.read(); next >= 0; next = input.read()) {
+      head.write(next);
       if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
         return head.toString(StandardCharsets.ISO_8859_1);
       }
@@ -101,86 +130,120 @@
     return null;
   }
 
-  static int length(String head) {
-    int at = head.toLowerCase().indexOf("content-length: ");
-    return at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
-  }
-
-  static void send(Socket to, String text) throws IOException {
-    to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  void backend(String name, Socket socket) throws Exception {
-    InputStream in = new BufferedInputStream(socket.getInputStream());
-    String answer = "HTTP/1.1 200 OK\r\nContent-Length: ";
-    String nothing = "Content-Length: 0\r\n\r\n";
-    for (String head = head(in); head != null; head = head(in)) {
-      in.readNBytes(length(head));
-      came.incrementAndGet();
-      String act = script.isEmpty() ? "ok" : script.take();
-      switch (act) {
-        case "ok" -> send(socket, answer + name.length() + "\r\n\r\n" + name);
-        case "chunks" ->
-            send(
-                socket,
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"
-                    + name
-                    + "\r\n0\r\n\r\n");
-        case "echo" -> {
-          String body = head.strip().replaceAll("out: [0-9.]+", "out: T").replace("\r\n", "|");
+  /** The length of the body behind this head; 0 if it says none. */
+  static int contentLength(String head) {
+    int start = head.toLowerCase().indexOf(CONTENT_LENGTH);
+    if (start < 0) {
+      return 0;
+    }
+    int end = head.indexOf("\r\n", start);
+    return Integer.parseInt(head.substring(start + CONTENT_LENGTH.length(), end));
+  }
+
+  /** The id of the request with this head. */
+  static String requestId(String head) {
+    return head.replaceAll("(?s).*Request-Id: (\\w+).*", "$1");
+  }
+
+  static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Plays a backend: each request is answered by the next action, or with the backend's name. */
+  void serveBackend(String name, Socket socket) throws Exception {
+    InputStream input = new BufferedInputStream(socket.getInputStream());
+    for (String head = readHead(input); head != null; head = readHead(input)) {
+      input.readNBytes(contentLength(head));
+      requestsReceived.incrementAndGet();
+      String action = backendActions.isEmpty() ? "ok" : backendActions.take();
+      answerRequest(socket, name, head, action);
+      if (CLOSING_ACTIONS.contains(action)) {
+        socket.close();
+      }
+    }
+    observations.add("closed");
+  }
+
+  private static void answerRequest(Socket socket, String name, String head, String action)
+      throws Exception {
+    switch (action) {
+      case "ok" -> sendOk(socket, name);
+      case "chunks" ->
           send(
               socket,
-              "HTTP/1.1 200 OK\r\nX-Back: 3\r\nKeep-Alive: 9\r\nContent-Length: "
-                  + body.length()
-                  + "\r\n\r\n"
-                  + body);
-        }
-        case "slow" -> {
-          Thread.sleep(400);
-          send(socket, answer + "4\r\n\r\nslow");
-        }
-        case "slow 500" -> {
-          Thread.sleep(200);
-          send(socket, "HTTP/1.1 500 X\r\n" + nothing);
-        }
-        case "full" -> send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\n" + nothing);
-        case "late" -> send(socket, "HTTP/1.1 504 Late\r\nNot-Started: 1\r\n" + nothing);
-        case "half" -> send(socket, answer + "9\r\n\r\nhalf");
-        case "unmeasured" -> send(socket, "HTTP/1.1 200 OK\r\n\r\nwhole or not?");
-        case "garbage" -> send(socket, "SSH-2.0-OpenSSH\r\n\r\n");
-        case "cut", "none" -> {}
-        default -> send(socket, "HTTP/1.1 " + act + " X\r\n" + nothing);
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"
+                  + name
+                  + "\r\n0\r\n\r\n");
+      case "echo" -> sendEcho(socket, head);
+      case "slow" -> {
+        Thread.sleep(400);
+        sendOk(socket, "slow");
       }
-      if (List.of("cut", "half", "unmeasured", "garbage").contains(act)) {
-        socket.close();
+      case "slow 500" -> {
+        Thread.sleep(200);
+        send(socket, "HTTP/1.1 500 X\r\n" + EMPTY_BODY);
       }
+      case "full" -> send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\n" + EMPTY_BODY);
+      case "late" -> send(socket, "HTTP/1.1 504 Late\r\nNot-Started: 1\r\n" + EMPTY_BODY);
+      case "half" -> send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+      case "unmeasured" -> send(socket, "HTTP/1.1 200 OK\r\n\r\nwhole or not?");
+      case "garbage" -> send(socket, "SSH-2.0-OpenSSH\r\n\r\n");
+      case "cut", "none" -> {
+        // no answer
+      }
+      default -> send(socket, "HTTP/1.1 " + action + " X\r\n" + EMPTY_BODY);
     }
-    seen.add("closed");
   }
 
-  void list(Socket socket) throws Exception {
-    InputStream in = new BufferedInputStream(socket.getInputStream());
-    seen.add(head(in).split(" ")[1]);
-    int mine = watches.incrementAndGet();
+  private static void sendOk(Socket socket, String body) throws IOException {
+    send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+  }
+
+  /** Answers with the head of the request, without the times that differ from run to run. */
+  private static void sendEcho(Socket socket, String head) throws IOException {
+    String body = head.strip().replaceAll("out: [0-9.]+", "out: T").replace("\r\n", "|");
+    send(
+        socket,
+        "HTTP/1.1 200 OK\r\nX-Back: 3\r\nKeep-Alive: 9\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+  }
+
+  /** Plays the endpoint list for one watch, until there is a later one. */
+  void serveEndpointList(Socket socket) throws Exception {
+    InputStream input = new BufferedInputStream(socket.getInputStream());
+    observations.add(readHead(input).split(" ")[1]);
+    int watchNumber = watchCount.incrementAndGet();
     send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    while (!over && mine == watches.get()) {
-      String line = news.poll(5, TimeUnit.MILLISECONDS);
-      if ("end".equals(line)) {
+    while (!isTestOver && watchNumber == watchCount.get()) {
+      String line = listLines.poll(5, TimeUnit.MILLISECONDS);
+      if (line == null) {
+        continue;
+      }
+      if (line.equals("end")) {
         socket.close();
         return;
-      } else if (line != null && line.startsWith("half ")) {
-        send(socket, Integer.toHexString(line.length()) + "\r\n" + line.substring(5, 40));
+      }
+      if (line.startsWith(HALF_LINE)) {
+        String part = line.substring(HALF_LINE.length(), 40);
+        send(socket, Integer.toHexString(line.length()) + "\r\n" + part);
         socket.close();
         return;
-      } else if (line != null) {
-        send(socket, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
       }
+      sendChunk(socket, line + "\n");
     }
   }
 
-  static String entry(String uid, String state, int port) {
+  /** Sends one chunk of a chunked body. */
+  static void sendChunk(Socket socket, String text) throws IOException {
+    send(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  /** An entry of the list; its quotes are still single ones. */
+  static String endpoint(String id, String state, int port) {
     return "{'uid':'"
-        + uid
+        + id
         + "','endpoint':'127.0.0.1:"
         + port
         + "','az':'a','state':'"
@@ -188,74 +251,104 @@
         + "'}";
   }
 
-  /** A backend of this name that listens, as an entry of the list. */
-  String ready(String name) throws IOException {
-    return entry(name, "SERVING", open(socket -> backend(name, socket)).getLocalPort());
+  /** Starts a backend of this name and returns its entry of the list. */
+  String startBackend(String name) throws IOException {
+    return endpoint(name, "SERVING", listen(socket -> serveBackend(name, socket)).getLocalPort());
   }
 
-  static String told(int rev, boolean all, String... entries) {
-    return ("{'rev':" + rev + ",'all':" + all + ",'targets':[" + String.join(",", entries) + "]}")
+  /** Starts that many backends, named s0, s1 and so on, and returns their entries of the list. */
+  String[] startBackends(int count) throws IOException {
+    String[] endpoints = new String[count];
+    for (int i = 0; i < count; i++) {
+      endpoints[i] = startBackend("s" + i);
+    }
+    return endpoints;
+  }
+
+  /** A line of the list: a snapshot or changes. */
+  static String listLine(int revision, boolean isSnapshot, String... endpoints) {
+    return ("{'rev':"
+            + revision
+            + ",'all':"
+            + isSnapshot
+            + ",'targets':["
+            + String.join(",", endpoints)
+            + "]}")
         .replace('\'', '"');
   }
 
-  void serve(int sockets, String known) throws Exception {
-    serve(config(open(this::list).getLocalPort(), sockets, known), "");
+  /** Starts a proxy that watches {@link #serveEndpointList}; returns once it is ready. */
+  void startProxy(int maxSockets, String knownList) throws Exception {
+    startProxy(config(listen(this::serveEndpointList).getLocalPort(), maxSockets, knownList), "");
   }
 
-  void serve(String config, String loadHeader) throws Exception {
-    server = new ProxyServer(new ProxyConfig(Json.object(config)), loadHeader);
-    port = server.port();
-    running = start(server::run);
+  /** Starts a proxy with this configuration; returns once it is ready. */
+  void startProxy(String config, String loadHeader) throws Exception {
+    run(new ProxyServer(new ProxyConfig(Json.object(config)), loadHeader));
     while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("200")) {
       Thread.sleep(10);
     }
   }
 
-  static String config(int list, int sockets, String known) {
-    String set =
+  /** Runs this proxy as the one under test, and does not wait until it is ready. */
+  void run(ProxyServer proxy) throws IOException {
+    server = proxy;
+    port = proxy.port();
+    serverThread = startThread(proxy::run);
+  }
+
+  /** A configuration; further keys may follow the known list. */
+  static String config(int listPort, int maxSockets, String knownList) {
+    String classSettings =
         "','clientTimeout':1500000,'responseTarget':1000000,'group':'all','window':5000000,"
             + "'effect':'";
     return ("{'listen':'127.0.0.1:0','discovery':'127.0.0.1:"
-            + list
+            + listPort
             + "','seed':'1','drain_ms':1000,"
             + "'limits':{'sockets':"
-            + sockets
+            + maxSockets
             + "},'known':"
-            + known
+            + knownList
             + ",'settings':{'balancers':2,'zones':['a'],"
             + "'limits':{'maxDispatches':3,'mayCancel':true,"
             + "'retryAfter':true,'maxRetryAfter':2000000,'dialTimeout':250000,'idleClose':30000000},"
             + "'rules':{'askEvery':1000000},'ruleSets':[{'name':'buy"
-            + set
+            + classSettings
             + "read_like'},{'name':'mark"
-            + set
+            + classSettings
             + "idempotency_key'},{'name':'pay"
-            + set
+            + classSettings
             + "non_idempotent'}]}}")
         .replace('\'', '"');
   }
 
-  /** Backends on the list, and nothing else told. */
-  void serveBy(int backends) throws Exception {
-    String[] entries = new String[backends];
-    for (int i = 0; i < backends; i++) {
-      entries[i] = ready("s" + i);
-    }
-    news.add(told(1, true, entries));
-    serve(1024, "{}");
+  /** Starts a proxy with backends s0, s1 and so on on its list. */
+  void startProxyWithBackends(int backendCount) throws Exception {
+    startProxyWithBackends(backendCount, "{}");
+  }
+
+  /** The same with an admin address. */
+  void startProxyWithAdmin(int backendCount) throws Exception {
+    startProxyWithBackends(backendCount, "{},\"admin\":\"127.0.0.1:0\"");
+  }
+
+  private void startProxyWithBackends(int backendCount, String knownList) throws Exception {
+    listLines.add(listLine(1, true, startBackends(backendCount)));
+    startProxy(1024, knownList);
   }
 
   @AfterEach
-  void end() throws Exception {
-    over = true;
+  void stopProxyAndListeners() throws Exception {
+    isTestOver = true;
     if (server != null) {
       server.end();
     }
-    for (ServerSocket door : doors) {
-      door.close();
+    for (ServerSocket listener : listeners) {
+      listener.close();
     }
   }
 
+  /** A client's connection to the proxy. */
   Socket connect() throws IOException {
     Socket socket = new Socket();
     socket.connect(new InetSocketAddress("127.0.0.1", port), 1000);
@@ -263,70 +356,106 @@
     return socket;
   }
 
-  /** A first request is at a backend. */
-  void untilOneCame() throws InterruptedException {
-    while (came.get() == 0) {
+  /** Waits until a first request has reached a backend. */
+  void awaitFirstRequest() throws InterruptedException {
+    while (requestsReceived.get() == 0) {
       Thread.sleep(5);
     }
   }
 
-  static String request(String set) {
+  /** A request of this class with an id of its own. */
+  static String request(String className) {
     return "POST /"
-        + set
+        + className
         + " HTTP/1.1\r\nRequest-Id: "
-        + IDS.incrementAndGet()
+        + LAST_REQUEST_ID.incrementAndGet()
         + "\r\nRequest-Class: "
-        + set
+        + className
         + "\r\nWork-Hint: 5000\r\nContent-Length: 2\r\n\r\nhi";
   }
 
-  /** The answer: status, whether to come again later, the body, whether the connection ends. */
-  static String answer(Socket socket) throws IOException {
-    InputStream in = socket.getInputStream();
-    String head = head(in);
+  /**
+   * Reads an answer: its status, " wait" if it names a Retry-After, the body, and " close" if the
+   * connection ends.
+   */
+  static String readAnswer(Socket socket) throws IOException {
+    InputStream input = socket.getInputStream();
+    String head = readHead(input);
     if (head == null) {
       return "closed";
     }
-    String body = new String(in.readNBytes(length(head)), StandardCharsets.ISO_8859_1).strip();
-    return (head.substring(9, 12)
-            + (head.contains("Retry-After: ") ? " wait" : "")
-            + " "
-            + body
-            + (head.contains("Connection: close") ? " close" : ""))
-        .strip();
+    byte[] body = input.readNBytes(contentLength(head));
+    String retryAfter = head.contains("Retry-After: ") ? " wait" : "";
+    String text = new String(body, StandardCharsets.ISO_8859_1).strip();
+    String close = head.contains("Connection: close") ? " close" : "";
+    return (head.substring(9, 12) + retryAfter + " " + text + close).strip();
   }
 
+  /** The answer to this request on a connection of its own. */
   String call(String text) throws IOException {
     try (Socket socket = connect()) {
       return call(socket, text);
     }
   }
 
+  /** The answer to this request on this connection. */
   static String call(Socket socket, String text) throws IOException {
     send(socket, text);
-    return answer(socket);
-  }
-
-  Handler ear() {
-    return new Handler() {
-      @Override
-      public void publish(LogRecord line) {
-        w.say(
-            "log: "
-                + line.getMessage()
-                    .replaceAll("127.0.0.1:\\d+", "PORT")
-                    .replaceAll("/\\S*/(wheattrack\\d+|proxy)\\.", "FILE."));
-      }
+    return readAnswer(socket);
+  }
 
-      @Override
-      public void flush() {
-        // nothing is held back
-      }
+  /** All metrics at this admin port. */
+  static String readMetrics(int adminPort) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", adminPort)) {
+      return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
+    }
+  }
 
-      @Override
-      public void close() {
-        // nothing is open
-      }
-    };
+  /** One metric of the proxy, which needs an admin address; the name is without its prefix. */
+  int metric(String name) {
+    try {
+      String metrics = readMetrics(server.adminPort());
+      return Integer.parseInt(metrics.replaceAll("(?s).*proxy\\." + name + ":(\\d+).*", "$1"));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Records what is logged from this level on, until it is closed. */
+  LogRecording recordLog(Level level) {
+    return new LogRecording(recorder, level);
+  }
+
+  /** Puts the log into the trace, without ports and paths, which differ from run to run. */
+  static final class LogRecording extends Handler implements AutoCloseable {
+    private final Logger logger = Logger.getLogger(LOGGER_NAME);
+    private final TraceRecorder recorder;
+
+    private LogRecording(TraceRecorder recorder, Level level) {
+      this.recorder = recorder;
+      logger.addHandler(this);
+      logger.setLevel(level);
+    }
+
+    @Override
+    public void publish(LogRecord entry) {
+      recorder.say(
+          "log: "
+              + entry
+                  .getMessage()
+                  .replaceAll("127.0.0.1:\\d+", "PORT")
+                  .replaceAll("/\\S*/(wheattrack\\d+|proxy)\\.", "FILE."));
+    }
+
+    @Override
+    public void flush() {
+      // nothing is buffered
+    }
+
+    @Override
+    public void close() {
+      logger.removeHandler(this);
+      logger.setLevel(Level.SEVERE);
+    }
   }
 }
--- a/proxy/src/test/java/wheattrack/net/RawConnection.java
+++ b/proxy/src/test/java/wheattrack/net/RawConnection.java
@@ -1,5 +1,6 @@
 package wheattrack.net;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -22,41 +23,43 @@
 import org.junit.jupiter.api.AfterEach;
 
 /**
- * A rig whose backends are played by hand: an accept, an answer or an end is held until it is time.
+ * A harness whose backends are played by hand: an accept, an answer or a close waits until the test
+ * makes it.
  */
 abstract class RawConnection extends ProxyTestHarness {
-  static final int SOON = 5000;
+  /** How long anything is waited for, in milliseconds. */
+  static final int TIMEOUT_MILLIS = 5000;
 
-  /**
-   * Ids of reqs in the order in which backends had them whole, once they are played by themselves.
-   */
-  final List<String> had = Collections.synchronizedList(new ArrayList<>());
+  /** Ids of the requests that {@link #answerAll} has received completely, in their order. */
+  final List<String> receivedIds = Collections.synchronizedList(new ArrayList<>());
 
   private final List<Socket> fillers = new ArrayList<>();
-  private Standstill standstill;
+  private LoopPause loopPause;
 
-  static void until(String what, BooleanSupplier is) throws InterruptedException {
-    long latest = System.nanoTime() + SOON * 1_000_000L;
-    while (!is.getAsBoolean()) {
-      assertTrue(System.nanoTime() < latest, "in vain: " + what);
+  /** Waits until the condition is met. */
+  static void await(String condition, BooleanSupplier isMet) throws InterruptedException {
+    long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L;
+    while (!isMet.getAsBoolean()) {
+      assertTrue(System.nanoTime() < deadline, "waited in vain: " + condition);
       Thread.sleep(1);
     }
   }
 
-  ServerSocket door(int backlog) throws IOException {
-    ServerSocket door = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
-    door.setSoTimeout(SOON);
-    doors.add(door);
-    return door;
+  /** Listens at a free port, where the test accepts. */
+  ServerSocket listenByHand(int backlog) throws IOException {
+    ServerSocket listener = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
+    listener.setSoTimeout(TIMEOUT_MILLIS);
+    listeners.add(listener);
+    return listener;
   }
 
-  /** Fills the door's queue, so that who dials from now on gets no answer until it is played. */
-  void fill(ServerSocket door) throws IOException {
+  /** Fills the accept queue, so that connecting waits from now on until the test accepts. */
+  void fillAcceptQueue(ServerSocket listener) throws IOException {
     while (true) {
       Socket filler = new Socket();
       fillers.add(filler);
       try {
-        filler.connect(new InetSocketAddress("127.0.0.1", door.getLocalPort()), 100);
+        filler.connect(new InetSocketAddress("127.0.0.1", listener.getLocalPort()), 100);
       } catch (SocketTimeoutException full) {
         filler.close();
         return;
@@ -64,25 +67,25 @@
     }
   }
 
-  static Socket take(ServerSocket door) throws IOException {
-    Socket one = door.accept();
-    one.setSoTimeout(SOON);
-    return one;
-  }
-
-  static String id(String head) {
-    return head.replaceAll("(?s).*Request-Id: (\\w+).*", "$1");
+  /** Accepts one connection. */
+  static Socket accept(ServerSocket listener) throws IOException {
+    Socket socket = listener.accept();
+    socket.setSoTimeout(TIMEOUT_MILLIS);
+    return socket;
   }
 
-  /** Reads one request whole: its id, its target where it has none, or how the connection ended. */
-  static String read(Socket at) {
+  /**
+   * Reads one complete request: its id, or its target if it has none, or "end", "nothing" or
+   * "reset" if none came.
+   */
+  static String readRequest(Socket socket) {
     try {
-      InputStream in = at.getInputStream();
-      String head = head(in);
-      if (head == null || in.readNBytes(length(head)).length < length(head)) {
+      InputStream input = socket.getInputStream();
+      String head = readHead(input);
+      if (head == null || input.readNBytes(contentLength(head)).length < contentLength(head)) {
         return "end";
       }
-      return head.contains("Request-Id: ") ? id(head) : head.split(" ")[1];
+      return head.contains("Request-Id: ") ? requestId(head) : head.split(" ")[1];
     } catch (SocketTimeoutException e) {
       return "nothing";
     } catch (IOException e) {
@@ -90,9 +93,11 @@
     }
   }
 
-  static void answer(Socket at, String status, String headers, String body) throws IOException {
+  /** Answers a request; each of the headers ends with a line break. */
+  static void writeAnswer(Socket socket, String status, String headers, String body)
+      throws IOException {
     send(
-        at,
+        socket,
         "HTTP/1.1 "
             + status
             + " X\r\n"
@@ -103,93 +108,104 @@
             + body);
   }
 
-  /** From now on whoever connects is answered. */
-  void play(ServerSocket door) {
-    start(
+  /** Answers all requests on all connections from now on. */
+  void answerAll(ServerSocket listener) {
+    startThread(
         () -> {
-          door.setSoTimeout(0);
+          listener.setSoTimeout(0);
           while (true) {
-            Socket one = door.accept();
-            start(() -> play(one));
+            Socket socket = listener.accept();
+            startThread(() -> answerAll(socket));
           }
         });
   }
 
-  void play(Socket one) throws IOException {
-    one.setSoTimeout(0);
-    for (String id = read(one); !id.equals("end") && !id.equals("reset"); id = read(one)) {
+  /** Answers all requests on this connection until it ends. */
+  void answerAll(Socket socket) throws IOException {
+    socket.setSoTimeout(0);
+    for (String id = readRequest(socket);
+        !id.equals("end") && !id.equals("reset");
+        id = readRequest(socket)) {
       if (id.startsWith("/")) {
-        answer(one, "200", "", "{\"rif\":0,\"q\":0}");
+        writeAnswer(socket, "200", "", "{\"rif\":0,\"q\":0}");
       } else {
-        had.add(id);
-        answer(one, "200", "", "played");
+        receivedIds.add(id);
+        writeAnswer(socket, "200", "", "played");
       }
     }
   }
 
-  int figure(String name) {
-    try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
-      String text = call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
-      return Integer.parseInt(text.replaceAll("(?s).*proxy\\." + name + ":(\\d+).*", "$1"));
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+  /** Sends requests until one is answered by {@link #answerAll}; others may be rejected before. */
+  void callUntilPlayed() throws IOException {
+    String answer = call(request("buy"));
+    while (!answer.equals("200 played")) {
+      answer = call(request("buy"));
     }
   }
 
-  String configFor(String... entries) throws IOException {
-    news.add(told(1, true, entries));
-    return config(open(this::list).getLocalPort(), 1024, "{}")
+  /** No backend that answers all has received this request. */
+  void assertNotReceived(String request) {
+    String id = requestId(request);
+    assertFalse(receivedIds.contains(id), receivedIds + " after " + id);
+  }
+
+  /** A configuration with an admin address, and with these entries on the list. */
+  String configWithEndpoints(String... endpoints) throws IOException {
+    listLines.add(listLine(1, true, endpoints));
+    return config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
   }
 
-  /**
-   * The next line of the log that holds this text keeps the loop where it is until go() is called.
-   */
-  Standstill standstill(String text) {
-    standstill = new Standstill(text);
-    Logger log = Logger.getLogger("wheattrack");
-    log.setLevel(Level.INFO);
-    log.setUseParentHandlers(false);
-    log.addHandler(standstill);
-    return standstill;
+  /** The next line of the log with this text pauses the event loop until it is released. */
+  LoopPause pauseLoopAt(String text) {
+    loopPause = new LoopPause(text);
+    Logger logger = Logger.getLogger("wheattrack");
+    logger.setLevel(Level.INFO);
+    logger.setUseParentHandlers(false);
+    logger.addHandler(loopPause);
+    return loopPause;
   }
 
   @AfterEach
-  void release() throws IOException {
-    if (standstill != null) {
-      standstill.go();
-      Logger log = Logger.getLogger("wheattrack");
-      log.removeHandler(standstill);
-      log.setUseParentHandlers(true);
-      log.setLevel(Level.SEVERE);
+  void releasePause() throws IOException {
+    if (loopPause != null) {
+      loopPause.release();
+      Logger logger = Logger.getLogger("wheattrack");
+      logger.removeHandler(loopPause);
+      logger.setUseParentHandlers(true);
+      logger.setLevel(Level.SEVERE);
     }
     for (Socket filler : fillers) {
       filler.close();
     }
   }
 
-  static final class Standstill extends Handler {
+  /** Pauses the event loop, on whose thread the log is written. */
+  static final class LoopPause extends Handler {
     private final String text;
-    private final CountDownLatch there = new CountDownLatch(1), on = new CountDownLatch(1);
+    private final CountDownLatch reached = new CountDownLatch(1);
+    private final CountDownLatch released = new CountDownLatch(1);
 
-    Standstill(String text) {
+    LoopPause(String text) {
       this.text = text;
     }
 
-    void reached() throws InterruptedException {
-      assertTrue(there.await(SOON, TimeUnit.MILLISECONDS), "never said: " + text);
+    /** Waits until the event loop is paused. */
+    void awaitReached() throws InterruptedException {
+      assertTrue(reached.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "never said: " + text);
     }
 
-    void go() {
-      on.countDown();
+    /** Lets the event loop go on. */
+    void release() {
+      released.countDown();
     }
 
     @Override
-    public void publish(LogRecord line) {
-      if (line.getMessage().contains(text) && there.getCount() > 0) {
-        there.countDown();
+    public void publish(LogRecord entry) {
+      if (entry.getMessage().contains(text) && reached.getCount() > 0) {
+        reached.countDown();
         try {
-          on.await(2 * SOON, TimeUnit.MILLISECONDS);
+          released.await(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
           Thread.currentThread().interrupt();
         }
@@ -198,7 +214,7 @@
 
     @Override
     public void flush() {
-      // nothing is held back
+      // nothing is buffered
     }
 
     @Override
--- a/proxy/src/test/java/wheattrack/net/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -9,31 +9,32 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Settings that change while the proxy serves: taken whole, or not at all. */
+/** Settings that change while the proxy serves: all of a file is taken, or nothing. */
 class ReloadTest extends ProxyTestHarness {
-  private static final String SOLD =
+  private static final String SELL_CLASS =
       ",{\"name\":\"sell\",\"clientTimeout\":900000,"
           + "\"responseTarget\":500000,\"group\":\"all\",\"window\":5,\"effect\":\"non_idempotent\"}";
   private static final int RELOADS = 150;
 
   @TempDir Path folder;
   private Path file;
-  private String running;
+  private String currentConfig;
 
   @BeforeEach
-  void begin() throws Exception {
+  void startProxyWithThreeBackends() throws Exception {
     file = folder.resolve("proxy.json");
-    news.add(told(1, true, ready("s0"), ready("s1"), ready("s2")));
-    serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
-    running = config(doors.get(doors.size() - 1).getLocalPort(), 1024, "{},'admin':'127.0.0.1:0'");
+    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    startProxy(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
+    currentConfig =
+        config(
+            listeners.get(listeners.size() - 1).getLocalPort(), 1024, "{},'admin':'127.0.0.1:0'");
   }
 
   private void reload(String text) throws Exception {
@@ -41,181 +42,169 @@
     server.reread(file);
   }
 
-  private String figure(String name) throws Exception {
-    try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
-      String all = call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
-      return all.replaceAll("(?s).*" + name + ":(\\d+).*", "$1");
-    }
-  }
-
-  private String status(String set) throws Exception {
-    return call(request(set)).substring(0, 3);
+  private String statusFor(String className) throws Exception {
+    return call(request(className)).substring(0, 3);
   }
 
-  /** Files that are broken, each in one way: the old settings stay whole, and one line says why. */
+  /** Each broken file leaves the settings as they were, and one line of the log says why. */
   @Test
-  void broken() throws Exception {
-    String good = running.replace("]}}", SOLD + "]}}");
-    Logger log = Logger.getLogger("wheattrack");
-    Handler ear = ear();
-    log.addHandler(ear);
-    log.setLevel(Level.WARNING);
-    try {
-      String moved = good.replaceFirst("\"discovery\":\"[^\"]*\"", "\"discovery\":\"127.0.0.1:1\"");
+  void brokenFilesChangeNothing() throws Exception {
+    String goodConfig = currentConfig.replace("]}}", SELL_CLASS + "]}}");
+    LogRecording log = recordLog(Level.WARNING);
+    try (log) {
+      String movedConfig =
+          goodConfig.replaceFirst("\"discovery\":\"[^\"]*\"", "\"discovery\":\"127.0.0.1:1\"");
       for (String text :
           new String[] {
             "",
             "{",
             "[]",
-            moved.substring(0, moved.length() / 2),
-            moved.substring(0, moved.length() - 1),
-            moved.replace("\"clientTimeout\":900000,", ""),
-            moved.replace("\"clientTimeout\":900000", "\"clientTimeout\":0"),
-            moved.replace("900000", "-5"),
-            moved.replace("500000,\"group", "0,\"group"),
-            moved.replace("\"maxDispatches\":3", "\"maxDispatches\":0"),
-            moved.replace("\"maxDispatches\":3,", ""),
-            moved.replace("true", "\"yes\""),
-            moved.replaceFirst("\"discovery\":\"[^\"]*\",", ""),
-            moved.replace("\"seed\":\"1\",", "").replace("\"settings\"", "\"set\""),
-            moved.replace("sell", "buy")
+            movedConfig.substring(0, movedConfig.length() / 2),
+            movedConfig.substring(0, movedConfig.length() - 1),
+            movedConfig.replace("\"clientTimeout\":900000,", ""),
+            movedConfig.replace("\"clientTimeout\":900000", "\"clientTimeout\":0"),
+            movedConfig.replace("900000", "-5"),
+            movedConfig.replace("500000,\"group", "0,\"group"),
+            movedConfig.replace("\"maxDispatches\":3", "\"maxDispatches\":0"),
+            movedConfig.replace("\"maxDispatches\":3,", ""),
+            movedConfig.replace("true", "\"yes\""),
+            movedConfig.replaceFirst("\"discovery\":\"[^\"]*\",", ""),
+            movedConfig.replace("\"seed\":\"1\",", "").replace("\"settings\"", "\"set\""),
+            movedConfig.replace("sell", "buy")
           }) {
         reload(text);
-        w.say("sell " + status("sell") + ", buy " + status("buy"));
+        recorder.say("sell " + statusFor("sell") + ", buy " + statusFor("buy"));
       }
-    } finally {
-      log.removeHandler(ear);
-      log.setLevel(Level.SEVERE);
     }
-    w.say("failed " + figure("reloads_failed") + ", ok " + figure("reloads_ok"));
+    recorder.say("failed " + metric("reloads_failed") + ", ok " + metric("reloads_ok"));
     Files.delete(file);
     server.reread(file);
-    String failed =
-        figure("reloads_failed"); // asked for behind it, so that it has looked for the file
-    reload(good);
-    w.say(
+    int failed = metric("reloads_failed"); // answered after the reload
+    reload(goodConfig);
+    recorder.say(
         "no file, then a good one: sell "
-            + status("sell")
+            + statusFor("sell")
             + ", failed "
             + failed
             + ", ok "
-            + figure("reloads_ok")
+            + metric("reloads_ok")
             + ", lists asked for "
-            + watches.get());
-    w.matches("reload-broken");
+            + watchCount.get());
+    recorder.matches("reload-broken");
   }
 
   /**
-   * A rule set turns stricter or goes, fewer dispatches are allowed; what is open keeps its own.
+   * A class becomes stricter or goes, or fewer attempts are allowed: requests in flight keep the
+   * settings that they came under.
    */
   @Test
-  void moves() throws Exception {
-    List<Socket> open = new ArrayList<>();
-    String stricter = running.replace("read_like", "non_idempotent");
+  void requestsInFlightKeepTheirClass() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    String stricter = currentConfig.replace("read_like", "non_idempotent");
     for (String text :
         new String[] {
-          running,
+          currentConfig,
           stricter,
-          running.replace("\"maxDispatches\":3", "\"maxDispatches\":1"),
-          running.replace("\"name\":\"buy\"", "\"name\":\"let\"")
+          currentConfig.replace("\"maxDispatches\":3", "\"maxDispatches\":1"),
+          currentConfig.replace("\"name\":\"buy\"", "\"name\":\"let\"")
         }) {
-      Socket socket = connect(); // its first dispatch fails only after the change
-      script.addAll(List.of("slow 500", "ok"));
-      int before = came.get();
+      Socket socket = connect(); // its first attempt fails only after the change
+      backendActions.addAll(List.of("slow 500", "ok"));
+      int requestsBefore = requestsReceived.get();
       send(socket, request("buy"));
-      while (came.get() == before) {
+      while (requestsReceived.get() == requestsBefore) {
         Thread.sleep(1);
       }
       reload(text);
-      w.say(
+      recorder.say(
           "open through the change: "
-              + answer(socket).replaceAll("s\\d", "ok")
+              + readAnswer(socket).replaceAll("s\\d", "ok")
               + ", sent "
-              + (came.get() - before));
-      script.addAll(List.of("500", "ok"));
-      before = came.get();
-      w.say(
+              + (requestsReceived.get() - requestsBefore));
+      backendActions.addAll(List.of("500", "ok"));
+      requestsBefore = requestsReceived.get();
+      recorder.say(
           "  then: "
-              + status("buy")
+              + statusFor("buy")
               + ", let "
-              + status("let")
+              + statusFor("let")
               + ", sent "
-              + (came.get() - before));
-      script.clear();
-      reload(running);
-      open.add(socket);
+              + (requestsReceived.get() - requestsBefore));
+      backendActions.clear();
+      reload(currentConfig);
+      sockets.add(socket);
     }
-    w.say("buy served " + figure("served.buy") + ", failed " + figure("failed.buy"));
-    for (Socket socket : open) {
+    recorder.say("buy served " + metric("served.buy") + ", failed " + metric("failed.buy"));
+    for (Socket socket : sockets) {
       socket.close();
     }
-    w.matches("reload-moves");
+    recorder.matches("reload-moves");
   }
 
-  /**
-   * Any files at any moment under traffic: every file is counted, and every req has an answer in
-   * time.
-   */
+  /** Any files at any moment under traffic: each is counted, and each request is answered. */
   @Test
-  void randomReloads() throws Exception {
-    AtomicInteger asked = new AtomicInteger(), odd = new AtomicInteger();
+  void everyReloadIsCountedAndEveryRequestAnswered() throws Exception {
+    AtomicInteger requestsSent = new AtomicInteger();
+    AtomicInteger oddAnswers = new AtomicInteger();
     List<Thread> clients = new ArrayList<>();
-    boolean[] stop = {false};
+    AtomicBoolean isStopping = new AtomicBoolean();
     for (int i = 0; i < 4; i++) {
       clients.add(
-          start(
+          startThread(
               () -> {
-                while (!stop[0]) {
-                  String answer = call(request(asked.incrementAndGet() % 2 == 0 ? "pay" : "sell"));
+                while (!isStopping.get()) {
+                  String answer =
+                      call(request(requestsSent.incrementAndGet() % 2 == 0 ? "pay" : "sell"));
                   if (!answer.matches("200 s\\d.*|404 .*sell.*")) {
-                    odd.incrementAndGet();
+                    oddAnswers.incrementAndGet();
                   }
                 }
               }));
     }
-    Random draws = new Random(1);
+    Random random = new Random(1);
     for (int i = 0; i < RELOADS; i++) {
-      String text = draws.nextBoolean() ? running : running.replace("]}}", SOLD + "]}}");
-      text = text.replace("1500000", Integer.toString(1_000_000 + draws.nextInt(500_000)));
-      boolean whole = draws.nextInt(3) > 0;
-      reload(whole ? text : text.substring(0, draws.nextInt(text.length())));
-      Thread.sleep(draws.nextInt(10));
+      String text =
+          random.nextBoolean() ? currentConfig : currentConfig.replace("]}}", SELL_CLASS + "]}}");
+      text = text.replace("1500000", Integer.toString(1_000_000 + random.nextInt(500_000)));
+      boolean isComplete = random.nextInt(3) > 0;
+      reload(isComplete ? text : text.substring(0, random.nextInt(text.length())));
+      Thread.sleep(random.nextInt(10));
     }
     Thread.sleep(100);
-    stop[0] = true;
+    isStopping.set(true);
     for (Thread client : clients) {
       client.join(2000);
     }
-    assertEquals(0, odd.get(), "of " + asked);
-    assertTrue(asked.get() > RELOADS, "too few reqs: " + asked);
-    int taken = Integer.parseInt(figure("reloads_ok"));
-    assertEquals(RELOADS, taken + Integer.parseInt(figure("reloads_failed")));
-    assertTrue(taken > RELOADS / 3, "taken: " + taken);
+    assertEquals(0, oddAnswers.get(), "of " + requestsSent);
+    assertTrue(requestsSent.get() > RELOADS, "too few requests: " + requestsSent);
+    int reloadsTaken = metric("reloads_ok");
+    assertEquals(RELOADS, reloadsTaken + metric("reloads_failed"));
+    assertTrue(reloadsTaken > RELOADS / 3, "taken: " + reloadsTaken);
   }
 
   /**
-   * A fleet under nohup kept its old list: no JVM hears SIGHUP where its parent ignores it; it says
-   * so.
+   * No JVM receives SIGHUP if its parent ignores it, as nohup does: a fleet kept its old settings.
+   * The log says so.
    */
   @Test
-  void hangupIgnored() throws Exception {
+  void ignoredHangupIsLogged() throws Exception {
     Path file = Files.createTempFile("wheattrack", ".json");
     Files.writeString(file, config(9, 1024, "{}"));
-    String start = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
+    String script = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     Process proxy =
         new ProcessBuilder(
-                "sh", "-c", start, java, System.getProperty("java.class.path"), file.toString())
+                "sh", "-c", script, java, System.getProperty("java.class.path"), file.toString())
             .redirectErrorStream(true)
             .start();
     try (var lines = proxy.inputReader()) {
-      String said =
+      String logLine =
           lines
               .lines()
               .filter(line -> line.matches(".*SIGHUP is not heard.*|.*SERVING.*"))
               .findFirst()
               .orElse("nothing");
-      assertTrue(said.contains("SIGHUP is not heard"), said);
+      assertTrue(logLine.contains("SIGHUP is not heard"), logLine);
     } finally {
       proxy.destroyForcibly().waitFor();
       Files.delete(file);
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -21,57 +21,60 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * A proxy whose settings are told by a source that it watches, and all that can go wrong with that.
+ * A proxy that takes its settings from a source that it watches, and what can go wrong with that.
  */
 class SettingsSubscriptionTest extends RawConnection {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 
   @TempDir Path folder;
 
-  /** What each call asked for, and the connection of the latest. */
-  private final List<String> asked = Collections.synchronizedList(new ArrayList<>());
+  /** The target of each watch of the source, in their order. */
+  private final List<String> requestedTargets = Collections.synchronizedList(new ArrayList<>());
 
-  private volatile Socket latest;
+  private volatile Socket latestSocket;
   private ServerSocket source;
   private Path file;
 
-  private void serveWatching(String scope) throws Exception {
+  private void startProxyWithSource(String scope) throws Exception {
     source =
-        open(
+        listen(
             socket -> {
-              asked.add(head(socket.getInputStream()).split(" ")[1]);
+              requestedTargets.add(readHead(socket.getInputStream()).split(" ")[1]);
               send(socket, HEAD);
-              latest = socket;
+              latestSocket = socket;
             });
-    news.add(told(1, true, ready("s0")));
+    listLines.add(listLine(1, true, startBackend("s0")));
     String config =
-        config(open(this::list).getLocalPort(), 1024, "{}")
+        config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
     file = Files.writeString(folder.resolve("config.json"), config);
-    server =
+    run(
         new ProxyServer(
             new ProxyConfig(Json.object(config)),
             "",
             (InetSocketAddress) source.getLocalSocketAddress(),
-            scope);
-    port = server.port();
-    running = start(server::run);
-    until("the source is called", () -> latest != null);
+            scope));
+    await("the source is called", () -> latestSocket != null);
   }
 
-  private static String set(String name, int millis) {
+  private static String classSettings(String name, int millis) {
     return DynamicSettingsTest.set(name, millis, "read_like");
   }
 
-  private void tell(String news) throws IOException {
-    send(latest, news.replace('\'', '"') + "\n");
+  private void sendSettings(String line) throws IOException {
+    send(latestSocket, line.replace('\'', '"') + "\n");
   }
 
-  /** The whole of revision 3 holds: sets a and b. */
-  private void whole() throws Exception {
-    tell("{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "," + set("b", 900) + "]}");
-    until("the whole is in force", () -> figure("settings_told") > 0);
-    until("ready", this::isReady);
+  /** Sends a snapshot of revision 3 with the classes a and b, and waits until it is in force. */
+  private void sendSnapshot() throws Exception {
+    sendSettings(
+        "{'rev':3,'all':true,'ruleSets':["
+            + classSettings("a", 900)
+            + ","
+            + classSettings("b", 900)
+            + "]}");
+    await("the whole is in force", () -> metric("settings_told") > 0);
+    await("ready", this::isReady);
   }
 
   private boolean isReady() {
@@ -82,224 +85,231 @@
     }
   }
 
-  private void awaitCall(int number) throws InterruptedException {
-    until("call " + number + " of " + asked, () -> asked.size() >= number);
-    until("its connection", () -> latest != null);
+  private void awaitCall(int count) throws InterruptedException {
+    await("call " + count + " of " + requestedTargets, () -> requestedTargets.size() >= count);
+    await("its connection", () -> latestSocket != null);
   }
 
-  private void ends() throws IOException {
-    Socket was = latest;
-    latest = null;
-    was.close();
+  private void endWatch() throws IOException {
+    Socket previousSocket = latestSocket;
+    latestSocket = null;
+    previousSocket.close();
   }
 
-  private String status(String set) throws IOException {
-    return call(request(set)).substring(0, 3);
+  private String statusFor(String className) throws IOException {
+    return call(request(className)).substring(0, 3);
   }
 
   @Test
-  void wholeThenChanges() throws Exception {
-    serveWatching("");
-    whole();
-    assertEquals(List.of("/v1/settings?watch=1"), asked);
-    assertEquals("200 404 404", status("a") + " " + status("c") + " " + status("buy"));
-    tell("{'rev':4,'after':3,'ruleSets':[" + set("c", 500) + ",{'name':'a','gone':true}]}");
-    until("the change is in force", () -> figure("settings_told") == 2);
-    assertEquals("404 200 200", status("a") + " " + status("b") + " " + status("c"));
+  void snapshotAndChangesAreTaken() throws Exception {
+    startProxyWithSource("");
+    sendSnapshot();
+    assertEquals(List.of("/v1/settings?watch=1"), requestedTargets);
+    assertEquals("200 404 404", statusFor("a") + " " + statusFor("c") + " " + statusFor("buy"));
+    sendSettings(
+        "{'rev':4,'after':3,'ruleSets':["
+            + classSettings("c", 500)
+            + ",{'name':'a','gone':true}]}");
+    await("the change is in force", () -> metric("settings_told") == 2);
+    assertEquals("404 200 200", statusFor("a") + " " + statusFor("b") + " " + statusFor("c"));
   }
 
-  /** Its source ends amid a line: what holds goes on, and what came since is asked for. */
+  /** The source ends amid a line: the settings stay in force, and the rest is asked for. */
   @Test
-  void endsAmidLine() throws Exception {
-    serveWatching("");
-    whole();
-    send(latest, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
-    ends();
+  void watchThatEndsAmidALineIsResumed() throws Exception {
+    startProxyWithSource("");
+    sendSnapshot();
+    send(latestSocket, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
+    endWatch();
     awaitCall(2);
-    assertEquals("/v1/settings?watch=1&after=3", asked.get(1));
-    assertEquals("200", status("a"));
-    tell("{'rev':4,'after':3,'ruleSets':[{'name':'a','gone':true}]}");
-    until("the change is in force", () -> figure("settings_told") == 2);
-    assertEquals("404", status("a"));
+    assertEquals("/v1/settings?watch=1&after=3", requestedTargets.get(1));
+    assertEquals("200", statusFor("a"));
+    sendSettings("{'rev':4,'after':3,'ruleSets':[{'name':'a','gone':true}]}");
+    await("the change is in force", () -> metric("settings_told") == 2);
+    assertEquals("404", statusFor("a"));
   }
 
   /**
-   * Out of order, back, of another source: the whole is asked for, and until it comes the old
-   * holds.
+   * After changes that are out of order, old or from another source, a snapshot is asked for; until
+   * it comes the settings stay in force.
    */
   @Test
-  void whatDoesNotFollow() throws Exception {
-    serveWatching("");
-    whole();
+  void changesOutOfOrderAreDropped() throws Exception {
+    startProxyWithSource("");
+    sendSnapshot();
     int calls = 1;
-    for (String how :
+    for (String revision :
         List.of("'rev':6,'after':5", "'rev':2,'after':3", "'rev':4,'after':3,'source':'x'")) {
-      Socket was = latest;
-      latest = null;
-      send(was, ("{" + how + ",'ruleSets':[" + set("c", 500) + "]}").replace('\'', '"') + "\n");
+      Socket previousSocket = latestSocket;
+      latestSocket = null;
+      send(
+          previousSocket,
+          ("{" + revision + ",'ruleSets':[" + classSettings("c", 500) + "]}").replace('\'', '"')
+              + "\n");
       awaitCall(++calls);
-      assertEquals("/v1/settings?watch=1", asked.get(calls - 1));
-      assertEquals("200 404", status("a") + " " + status("c"));
-      tell("{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "]}");
-      int told = calls;
-      until("the whole is in force", () -> figure("settings_told") == told);
-      assertEquals("200 404", status("a") + " " + status("b"));
+      assertEquals("/v1/settings?watch=1", requestedTargets.get(calls - 1));
+      assertEquals("200 404", statusFor("a") + " " + statusFor("c"));
+      sendSettings("{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}");
+      int settingsTaken = calls;
+      await("the whole is in force", () -> metric("settings_told") == settingsTaken);
+      assertEquals("200 404", statusFor("a") + " " + statusFor("b"));
     }
   }
 
-  /** What is broken, endless or over a bound is one count, and what holds goes on. */
+  /**
+   * Settings that are malformed, endless or too large are counted, and the others stay in force.
+   */
   @Test
-  void brokenNews() throws Exception {
-    serveWatching("");
-    whole();
-    tell("{'rev':4,'after':3,'ruleSets':[{'name':'c','effect':'twice'}]}");
-    until("it is turned down", () -> figure("reloads_failed") == 1);
-    tell("no object");
-    until("it is turned down", () -> figure("reloads_failed") == 2);
-    assertEquals("200 404", status("a") + " " + status("c"));
-    Socket was = latest;
-    latest = null;
-    start(
+  void malformedSettingsAreCountedAndDropped() throws Exception {
+    startProxyWithSource("");
+    sendSnapshot();
+    sendSettings("{'rev':4,'after':3,'ruleSets':[{'name':'c','effect':'twice'}]}");
+    await("it is turned down", () -> metric("reloads_failed") == 1);
+    sendSettings("no object");
+    await("it is turned down", () -> metric("reloads_failed") == 2);
+    assertEquals("200 404", statusFor("a") + " " + statusFor("c"));
+    Socket previousSocket = latestSocket;
+    latestSocket = null;
+    startThread(
         () ->
-            was.getOutputStream().write(("{\"rev\":4,\"x\":\"" + "x".repeat(5 << 20)).getBytes()));
+            previousSocket
+                .getOutputStream()
+                .write(("{\"rev\":4,\"x\":\"" + "x".repeat(5 << 20)).getBytes()));
     awaitCall(2);
-    assertEquals("200", status("b"));
-    tell("{'rev':5,'after':3,'ruleSets':[" + set("c", 500) + "]}");
-    until("the change is in force", () -> figure("settings_told") == 2);
-    assertEquals("200", status("c"));
+    assertEquals("200", statusFor("b"));
+    sendSettings("{'rev':5,'after':3,'ruleSets':[" + classSettings("c", 500) + "]}");
+    await("the change is in force", () -> metric("settings_told") == 2);
+    assertEquals("200", statusFor("c"));
   }
 
-  /**
-   * SIGHUP while the loop stands amid a change: the file's limits hold, the source's rule sets
-   * stay.
-   */
+  /** SIGHUP amid a change: the file's limits are taken, and the source's classes stay. */
   @Test
-  void hangupAmidChange() throws Exception {
-    serveWatching("");
-    whole();
+  void reloadAmidAChangeTakesBoth() throws Exception {
+    startProxyWithSource("");
+    sendSnapshot();
     Files.writeString(
         file, Files.readString(file).replace("\"maxDispatches\":3", "\"maxDispatches\":1"));
-    Standstill still = standstill("configuration read again");
+    LoopPause pause = pauseLoopAt("configuration read again");
     server.reread(file);
-    still.reached();
-    tell("{'rev':4,'after':3,'ruleSets':[" + set("c", 900) + "]}");
+    pause.awaitReached();
+    sendSettings("{'rev':4,'after':3,'ruleSets':[" + classSettings("c", 900) + "]}");
     Thread.sleep(50);
-    still.go();
-    until("both are in force", () -> figure("settings_told") == 2 && figure("reloads_ok") == 1);
-    assertEquals("200 200 404", status("a") + " " + status("c") + " " + status("buy"));
-    script.add("full");
-    assertEquals("503", status("c")); // one dispatch, as the file has it now
+    pause.release();
+    await("both are in force", () -> metric("settings_told") == 2 && metric("reloads_ok") == 1);
+    assertEquals("200 200 404", statusFor("a") + " " + statusFor("c") + " " + statusFor("buy"));
+    backendActions.add("full");
+    assertEquals("503", statusFor("c")); // one attempt, by the file as it is now
   }
 
-  /**
-   * A scope that shrinks and grows, a request under way in what it loses: it keeps what it came
-   * under.
-   */
+  /** A scope shrinks and grows; a request in flight in the part it loses keeps its settings. */
   @Test
-  void scopeChanges() throws Exception {
-    serveWatching("x,y");
-    assertEquals("/v1/settings?watch=1&scope=x,y", asked.get(0));
-    whole();
-    assertTrue(seen.contains("/v1/endpoints?watch=1&scope=x,y"), seen.toString());
-    script.add("slow");
+  void scopeChangesWhileARequestIsInFlight() throws Exception {
+    startProxyWithSource("x,y");
+    assertEquals("/v1/settings?watch=1&scope=x,y", requestedTargets.get(0));
+    sendSnapshot();
+    assertTrue(observations.contains("/v1/endpoints?watch=1&scope=x,y"), observations.toString());
+    backendActions.add("slow");
     try (Socket client = connect()) {
       send(client, request("b"));
-      untilOneCame();
-      latest = null;
+      awaitFirstRequest();
+      latestSocket = null;
       server.resubscribe((InetSocketAddress) source.getLocalSocketAddress(), "x");
       awaitCall(2);
-      assertEquals("/v1/settings?watch=1&scope=x", asked.get(1));
-      tell("{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "]}");
-      until("the smaller scope is in force", () -> figure("settings_told") == 2);
-      assertEquals("404", status("b"));
-      assertEquals("200 slow", answer(client));
+      assertEquals("/v1/settings?watch=1&scope=x", requestedTargets.get(1));
+      sendSettings("{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}");
+      await("the smaller scope is in force", () -> metric("settings_told") == 2);
+      assertEquals("404", statusFor("b"));
+      assertEquals("200 slow", readAnswer(client));
     }
-    latest = null;
+    latestSocket = null;
     server.resubscribe((InetSocketAddress) source.getLocalSocketAddress(), "x,y,z");
     awaitCall(3);
-    Socket was = latest;
-    latest = null;
-    send(was, ("{'rev':4,'after':3,'ruleSets':[" + set("c", 900) + "]}\n").replace('\'', '"'));
+    Socket previousSocket = latestSocket;
+    latestSocket = null;
+    send(
+        previousSocket,
+        ("{'rev':4,'after':3,'ruleSets':[" + classSettings("c", 900) + "]}\n").replace('\'', '"'));
     awaitCall(4);
-    tell("{'rev':4,'all':true,'ruleSets':[" + set("a", 900) + "," + set("z", 900) + "]}");
-    until("the greater scope is in force", () -> figure("settings_told") == 3);
-    assertEquals("200 404 200", status("a") + " " + status("c") + " " + status("z"));
+    sendSettings(
+        "{'rev':4,'all':true,'ruleSets':["
+            + classSettings("a", 900)
+            + ","
+            + classSettings("z", 900)
+            + "]}");
+    await("the greater scope is in force", () -> metric("settings_told") == 3);
+    assertEquals("200 404 200", statusFor("a") + " " + statusFor("c") + " " + statusFor("z"));
   }
 
   /**
-   * Started while the source is away: by the file's settings, by the source's within 8 s of its
-   * return.
+   * Started without its source, a proxy uses the file's settings, and the source's within 8 s of
+   * its return.
    */
   @Test
-  void startsWithoutSource() throws Exception {
-    ServerSocket away = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
-    InetSocketAddress at = (InetSocketAddress) away.getLocalSocketAddress();
-    away.close();
-    news.add(told(1, true, ready("s0")));
-    server =
+  void startWithoutSourceUsesTheFile() throws Exception {
+    ServerSocket freedListener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
+    InetSocketAddress address = (InetSocketAddress) freedListener.getLocalSocketAddress();
+    freedListener.close();
+    listLines.add(listLine(1, true, startBackend("s0")));
+    run(
         new ProxyServer(
             new ProxyConfig(
                 Json.object(
-                    config(open(this::list).getLocalPort(), 1024, "{}")
+                    config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
             "",
-            at,
-            "");
-    port = server.port();
-    running = start(server::run);
-    until("ready", this::isReady);
-    assertEquals("200 404", status("buy") + " " + status("a"));
+            address,
+            ""));
+    await("ready", this::isReady);
+    assertEquals("200 404", statusFor("buy") + " " + statusFor("a"));
     Thread.sleep(2500);
-    ServerSocket back = new ServerSocket();
-    back.setReuseAddress(true);
-    back.bind(at, BACKLOG);
-    doors.add(back);
-    long from = System.nanoTime();
-    start(
+    ServerSocket listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(address, BACKLOG);
+    listeners.add(listener);
+    long returnedAt = System.nanoTime();
+    startThread(
         () -> {
-          Socket one = back.accept();
-          head(one.getInputStream());
-          String told = "{'rev':3,'all':true,'ruleSets':[" + set("a", 900) + "]}\n";
-          send(one, HEAD + told.replace('\'', '"'));
+          Socket socket = listener.accept();
+          readHead(socket.getInputStream());
+          String settings = "{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}\n";
+          send(socket, HEAD + settings.replace('\'', '"'));
         });
-    until("in force", () -> figure("settings_told") == 1);
-    assertTrue(System.nanoTime() - from < 8e9);
-    assertEquals("404 200", status("buy") + " " + status("a"));
+    await("in force", () -> metric("settings_told") == 1);
+    assertTrue(System.nanoTime() - returnedAt < 8e9);
+    assertEquals("404 200", statusFor("buy") + " " + statusFor("a"));
   }
 
-  /** Without a source nothing is asked for, and no scope goes with the list. */
+  /** Without a source nothing is asked for, and no scope is sent for the list. */
   @Test
-  void off() throws Exception {
-    serveBy(1);
-    assertEquals("200", status("buy"));
-    assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(seen));
-    assertFalse(seen.stream().anyMatch(target -> target.contains("settings")));
+  void withoutSourceNothingIsAskedFor() throws Exception {
+    startProxyWithBackends(1);
+    assertEquals("200", statusFor("buy"));
+    assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(observations));
+    assertFalse(observations.stream().anyMatch(target -> target.contains("settings")));
   }
 
   /**
-   * Discovery answers, and its list can't be read: not ready, until a restart's time is nearly
-   * over.
+   * The list cannot be parsed: the proxy is not ready until the time of a restart is nearly over.
    */
   @Test
-  void listThatCantBeRead() throws Exception {
+  void unreadableListDelaysReadiness() throws Exception {
     ServerSocket discovery =
-        open(
+        listen(
             socket -> {
-              head(socket.getInputStream());
+              readHead(socket.getInputStream());
               send(socket, HEAD + "{\"rev\":1,\"targets\":3}\n");
             });
-    server =
+    ProxyServer proxy =
         new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
-    port = server.port();
-    long from = System.nanoTime();
-    running = start(server::run);
+    long startedAt = System.nanoTime();
+    run(proxy);
     Thread.sleep(4000);
     assertEquals("503 WARMING, no list", call("GET /ready HTTP/1.1\r\n\r\n").replace(" close", ""));
     while (!isReady()) {
       Thread.sleep(20);
     }
-    double took = (System.nanoTime() - from) / 1e9;
-    assertTrue(took > 5.5 && took < 9, "ready after " + took + " s");
+    double elapsedSeconds = (System.nanoTime() - startedAt) / 1e9;
+    assertTrue(elapsedSeconds > 5.5 && elapsedSeconds < 9, "ready after " + elapsedSeconds + " s");
     assertEquals("200 SERVING, no list", call("GET /ready HTTP/1.1\r\n\r\n").replace(" close", ""));
   }
 }
--- /dev/null
+++ b/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
@@ -0,0 +1,125 @@
+package wheattrack.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wheattrack.config.Json;
+import wheattrack.config.ProxyConfig;
+
+/** Events that cross the shutdown of the proxy, each pair forced. */
+class ShutdownEventsTest extends OneBackendHarness {
+  /** SIGTERM while clients with requests are in the accept queue: they were reset. */
+  @Test
+  void clientsInTheAcceptQueueAreAnsweredAtTheEnd() throws Exception {
+    startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
+    answerAll(firstListener);
+    LoopPause pause = pauseLoopInReload(config);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      clients.add(sendRequest(connect(), request("buy")));
+    }
+    startThread(server::end);
+    Thread.sleep(50); // in either order the end is queued behind
+    pause.release();
+    for (Socket client : clients) {
+      assertTrue(readAnswer(client).matches("(200|503).*"));
+      client.close();
+    }
+  }
+
+  /** SIGTERM before there is a list: clients that have connected are rejected, not reset. */
+  @Test
+  void endBeforeReadyRejectsThoseConnected() throws Exception {
+    int listPort = listen(this::serveEndpointList).getLocalPort();
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, "{}")))));
+    try (Socket client = connect()) {
+      send(client, request("buy"));
+      startThread(server::end);
+      assertTrue(readAnswer(client).startsWith("503"));
+    }
+  }
+
+  /** A connection is closed as idle at the end, while a request on it has not been read yet. */
+  @Test
+  void requestThatArrivesAtTheEndIsAnswered() throws Exception {
+    startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
+    answerAll(firstListener);
+    try (Socket client = connect()) {
+      assertEquals("200 played", call(client, request("buy")));
+      LoopPause pause = pauseLoopAt("CLOSING");
+      startThread(server::end);
+      pause.awaitReached();
+      send(client, request("buy"));
+      Thread.sleep(100); // the channel has read it, the loop has not
+      pause.release();
+      assertEquals("200 played close", readAnswer(client));
+    }
+  }
+
+  /** A request is complete only shortly before the end: it is answered before the process ends. */
+  @Test
+  void lateRequestIsAnsweredBeforeTheEnd() throws Exception {
+    startProxyWithOneBackend(
+        "\"drain_ms\":1000",
+        "\"drain_ms\":0",
+        "\"responseTarget\":1000000",
+        "\"responseTarget\":1500000");
+    try (Socket client = connect()) {
+      String text = request("pay");
+      send(client, text.substring(0, 30));
+      Thread.sleep(50);
+      startThread(server::end);
+      await(
+          "closing",
+          () -> {
+            try {
+              connect().close();
+              return false;
+            } catch (IOException refused) {
+              return true;
+            }
+          });
+      Thread.sleep(500);
+      send(client, text.substring(30));
+      Socket unanswered = accept(firstListener);
+      readRequest(unanswered);
+      assertTrue(readAnswer(client).matches("50[24].*"));
+    }
+  }
+
+  /** SIGHUP and a second SIGTERM during shutdown: requests are answered, and it ends once. */
+  @Test
+  void furtherSignalsAtTheEndChangeNothing() throws Exception {
+    startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
+    try (Socket client = connect()) {
+      send(client, request("pay"));
+      Socket heldSocket = accept(firstListener);
+      readRequest(heldSocket);
+      LoopPause pause = pauseLoopAt("CLOSING");
+      Thread firstEnd = startThread(server::end);
+      Thread secondEnd = startThread(server::end);
+      pause.awaitReached();
+      server.reread(Files.writeString(folder.resolve("config.json"), config));
+      pause.release();
+      await("read again", () -> metric("reloads_ok") == 1);
+      writeAnswer(heldSocket, "200", "", "answered");
+      assertEquals("200 answered close", readAnswer(client));
+      firstEnd.join(TIMEOUT_MILLIS);
+      secondEnd.join(TIMEOUT_MILLIS);
+      serverThread.join(TIMEOUT_MILLIS);
+      assertFalse(serverThread.isAlive() || firstEnd.isAlive() || secondEnd.isAlive());
+    }
+  }
+
+  private static Socket sendRequest(Socket client, String text) throws IOException {
+    send(client, text);
+    return client;
+  }
+}
