--- a/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
+++ b/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
@@ -1,8 +1,8 @@
 package wheattrack.config;
 
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.RequestClass;
-import wheattrack.api.LoadBalancer;
 import wheattrack.policy.EquiloadBalancer;
 
 /** Makes load balancers that are configured from settings and started. */
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -40,7 +40,8 @@
       call(proxy.port(), "GET /ready HTTP/1.0\r\n\r\n");
       for (int i = 0; i < REQUEST_COUNT; i++) {
         String className =
-            PolicySettingsMapper.classNames(config.settings()).get(i % PolicySettingsMapper.classNames(config.settings()).size());
+            PolicySettingsMapper.classNames(config.settings())
+                .get(i % PolicySettingsMapper.classNames(config.settings()).size());
         call(proxy.port(), request(className, i));
       }
       proxy.shutdown();
--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -5,10 +5,10 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.logging.Logger;
-import wheattrack.config.PolicySettingsMapper;
 import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
@@ -97,7 +97,8 @@
             + next.discovery()
             + (fixedKeys.isEmpty() ? "" : "; only a restart brings in " + fixedKeys));
     requestHandler.applySettings(next.settings(), dynamicSettings);
-    applyTimeouts(dynamicSettings == null ? next.settings() : dynamicSettings.overlay(next.settings()));
+    applyTimeouts(
+        dynamicSettings == null ? next.settings() : dynamicSettings.overlay(next.settings()));
     longestClientTimeout = Math.max(longestClientTimeout, longestClientTimeout(next.settings()));
     discovery.changeAddress(next.discovery());
     config = next;
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -59,7 +59,8 @@
     this.group = group;
     this.scope = scope;
     address = config.discovery();
-    parser = new EndpointListParser(config.settings().list("zones"), config.settings().list("kinds"));
+    parser =
+        new EndpointListParser(config.settings().list("zones"), config.settings().list("kinds"));
     cachedList = config.cachedEndpoints().has("targets") ? config.cachedEndpoints() : null;
     pools = new BackendPoolTable(connector);
   }
--- a/proxy/src/main/java/wheattrack/net/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointListParser.java
@@ -5,10 +5,9 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
-import wheattrack.config.SocketAddressParser;
 import wheattrack.config.InvalidConfigurationException;
-import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
+import wheattrack.config.SocketAddressParser;
 
 /** Reads events of the endpoint list, in discovery's form, into typed entries. Stateless. */
 final class EndpointListParser {
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -2,8 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.Map;
-import wheattrack.config.LoadBalancerFactory;
-import wheattrack.config.PolicySettingsMapper;
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.EndpointUpdate;
@@ -13,6 +11,8 @@
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.ProbeCallback;
 import wheattrack.api.RequestClass;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.core.BackendIndex;
 import wheattrack.core.TimerQueue;
--- a/proxy/src/main/java/wheattrack/net/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsApplier.java
@@ -1,12 +1,12 @@
 package wheattrack.net;
 
 import java.util.Map;
-import wheattrack.config.LoadBalancerFactory;
-import wheattrack.config.PolicySettingsMapper;
 import wheattrack.api.LoadBalancer;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.RequestClass;
 import wheattrack.config.DynamicSettings;
+import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
 
@@ -42,8 +42,8 @@
     RequestClass[] requestClasses = PolicySettingsMapper.requestClasses(settings);
     nameClasses(settings, requestClasses);
     loadBalancer =
-        LoadBalancerFactory.create(settings, 
-            runtime, seed, requestClasses, true, WatchConnection.MAX_POLL_INTERVAL);
+        LoadBalancerFactory.create(
+            settings, runtime, seed, requestClasses, true, WatchConnection.MAX_POLL_INTERVAL);
     return loadBalancer;
   }
 
@@ -65,7 +65,8 @@
   private void applyDynamic(Settings settings, DynamicSettings dynamicSettings) {
     Settings merged = dynamicSettings.overlay(settings);
     loadBalancer.configure(
-        PolicySettingsMapper.policySettings(merged, endpoints.zones(), dynamicSettings.totalQuota()),
+        PolicySettingsMapper.policySettings(
+            merged, endpoints.zones(), dynamicSettings.totalQuota()),
         dynamicSettings.summary());
     classes = dynamicSettings.requestClasses();
     readProbing(merged);
@@ -73,13 +74,15 @@
 
   private void applyStatic(Settings settings) {
     RequestClass[] requestClasses = PolicySettingsMapper.requestClasses(settings);
-    loadBalancer.configure(PolicySettingsMapper.policySettings(settings, endpoints.zones()), requestClasses);
+    loadBalancer.configure(
+        PolicySettingsMapper.policySettings(settings, endpoints.zones()), requestClasses);
     nameClasses(settings, requestClasses);
   }
 
   private void nameClasses(Settings settings, RequestClass[] requestClasses) {
     classes = PolicySettingsMapper.classesByName(settings, requestClasses);
-    PolicySettingsMapper.classNames(settings).forEach(counters::declare); // in their order, which the metrics keep
+    PolicySettingsMapper.classNames(settings)
+        .forEach(counters::declare); // in their order, which the metrics keep
     readProbing(settings);
   }
 
--- a/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
+++ b/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.Set;
 import wheattrack.api.EndpointUpdate;
+import wheattrack.api.LoadBalancer;
 import wheattrack.config.Settings;
 import wheattrack.core.BackendIndex;
-import wheattrack.api.LoadBalancer;
 
 /** Brings endpoint lists of the simulator to the policy. */
 final class EndpointListEvents {
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -4,12 +4,12 @@
 import java.util.List;
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
+import wheattrack.api.LoadBalancer;
 import wheattrack.api.PendingRequest;
 import wheattrack.api.RequestClass;
 import wheattrack.config.LoadBalancerFactory;
 import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
-import wheattrack.api.LoadBalancer;
 import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -16,35 +16,23 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.RequestCounters;
 
-/**
- * The operators' HTTP server: its responses, its metrics against what clients saw, and connections
- * that are held open.
- */
+/** The admin address: each answer, the metrics against what clients saw, and idle callers. */
 class AdminServerTest extends ProxyTestHarness {
-  private void serveWithAdmin(int backendCount) throws Exception {
-    String[] entries = new String[backendCount];
-    for (int i = 0; i < backendCount; i++) {
-      entries[i] = ready("s" + i);
-    }
-    news.add(told(1, true, entries));
-    serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
-  }
-
-  /** Sends a request to the admin address; the response as the harness prints it. */
-  private String callAdmin(String request) throws IOException {
+  /** The answer to this request at the admin address, within a second. */
+  private String callAdmin(String text) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
       socket.setSoTimeout(1000);
-      return call(socket, request);
+      return call(socket, text);
     }
   }
 
-  private String metrics() throws IOException {
+  private String callAdminForMetrics() throws IOException {
     return callAdmin("GET /status/metrics HTTP/1.1\r\n\r\n");
   }
 
   @Test
-  void responses() throws Exception {
-    serveWithAdmin(1);
+  void eachCallIsAnswered() throws Exception {
+    startProxyWithAdmin(1);
     for (String request :
         new String[] {
           "GET /status HTTP/1.1\r\n\r\n",
@@ -54,59 +42,53 @@
           "\u0001\r\n\r\n",
           "GET /status HTTP/1.1\r\nA: " + "1".repeat(20_000) + "\r\n\r\n"
         }) {
-      w.say(
+      recorder.say(
           request.substring(0, Math.min(30, request.length())).replaceAll("[^ -~]+", "|")
               + " -> "
               + callAdmin(request));
     }
-    w.matches("admin-calls");
+    recorder.matches("admin-calls");
   }
 
-  /**
-   * Every final answer to a request is counted once, under its class; attempts count if they were
-   * written completely.
-   */
+  /** Each final answer is counted once, under its class; attempts are those written completely. */
   @Test
-  void metricsAreWhatHappened() throws Exception {
-    serveWithAdmin(4);
-    for (String backendActions : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
-      script.addAll(List.of(backendActions.split(" ")));
+  void metricsMatchWhatClientsSaw() throws Exception {
+    startProxyWithAdmin(4);
+    for (String actions : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
+      backendActions.addAll(List.of(actions.split(" ")));
       call(request("buy"));
     }
-    script.add("500");
+    backendActions.add("500");
     call(request("pay"));
-    script.add("404");
+    backendActions.add("404");
     call(request("mark"));
-    script.addAll(List.of("slow", "ok"));
+    backendActions.addAll(List.of("slow", "ok"));
     try (Socket socket = connect()) {
       send(socket, request("buy"));
       Thread.sleep(100);
-      w.say("one out: " + metrics().replace("\n", ", "));
-      answer(socket);
+      recorder.say("one out: " + callAdminForMetrics().replace("\n", ", "));
+      readAnswer(socket);
     }
-    String finalMetrics = metrics();
-    w.say("none out: " + finalMetrics.replace("\n", ", "));
+    String finalMetrics = callAdminForMetrics();
+    recorder.say("none out: " + finalMetrics.replace("\n", ", "));
     assertTrue(
-        finalMetrics.contains("proxy.attempts:" + came.get() + "|c"),
-        came.get() + " against " + finalMetrics);
-    w.matches("admin-figures");
+        finalMetrics.contains("proxy.attempts:" + requestsReceived.get() + "|c"),
+        requestsReceived.get() + " against " + finalMetrics);
+    recorder.matches("admin-figures");
   }
 
-  /**
-   * Connections that are held open without a complete request, more than may be open at once, keep
-   * no other request from its response.
-   */
+  /** Idle admin connections, more than there are places, delay no answer. */
   @Test
-  void heldConnectionsGiveWay() throws Exception {
-    serveWithAdmin(1);
-    List<Socket> heldSockets = new ArrayList<>();
+  void idleConnectionsDelayNobody() throws Exception {
+    startProxyWithAdmin(1);
+    List<Socket> idleSockets = new ArrayList<>();
     for (int i = 0; i < 3 * AdminServer.MAX_CONNECTIONS; i++) {
       Socket socket = new Socket("127.0.0.1", server.adminPort());
       send(socket, "GET /status HT");
-      heldSockets.add(socket);
+      idleSockets.add(socket);
       assertEquals("200 SERVING close", callAdmin("GET /status HTTP/1.1\r\n\r\n"));
     }
-    for (Socket socket : heldSockets) {
+    for (Socket socket : idleSockets) {
       socket.close();
     }
   }
@@ -126,13 +108,13 @@
   }
 
   @Test
-  void addressInUseIsInvalidConfiguration() throws Exception {
-    serveWithAdmin(1);
-    String secondConfig = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
-    InvalidConfigurationException exception =
+  void addressInUseIsAConfigurationError() throws Exception {
+    startProxyWithAdmin(1);
+    String sameAddress = config(1, 1024, "{},'admin':'127.0.0.1:" + server.adminPort() + "'");
+    InvalidConfigurationException error =
         assertThrows(
             InvalidConfigurationException.class,
-            () -> new ProxyServer(new ProxyConfig(Json.object(secondConfig))));
-    assertTrue(exception.getMessage().startsWith("admin: "), exception.getMessage());
+            () -> new ProxyServer(new ProxyConfig(Json.object(sameAddress))));
+    assertTrue(error.getMessage().startsWith("admin: "), error.getMessage());
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
+++ b/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
@@ -1,11 +1,11 @@
 package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -20,171 +20,176 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A client that disconnects while its request waits: the proxy notices it while the wait lasts, and
- * forwards nothing once the wait is over. Incident: bytes behind a request, or a long body that was
- * not read on, hid the disconnect.
+ * A client that disconnects while its request waits: that is seen while the wait still lasts, and
+ * nothing is forwarded once the wait is over. Bytes behind a request, or a long body that was not
+ * read, once hid the disconnect.
  */
 class ClientDisconnectTest extends RawConnection {
-  /**
-   * What the request waits for: a connection that is slow to be made, a free connection, the next
-   * attempt, the response to a load probe, or its own body.
-   */
-  enum RequestWait {
-    SLOW_CONNECT,
-    FREE_CONNECTION,
+  /** What the request waits for when its client disconnects. */
+  enum Wait {
+    CONNECTION_COMES_UP,
+    CONNECTION_IS_FREED,
     BETWEEN_ATTEMPTS,
     LOAD_PROBE,
     BODY
   }
 
-  /**
-   * What the client has sent besides its request when it disconnects: nothing, another request,
-   * many bytes, or its long body in part or completely.
-   */
-  enum AlsoSent {
-    NOTHING,
-    PIPELINED_REQUEST,
+  /** What the client has sent behind its request's head or small body when it disconnects. */
+  enum ExtraBytes {
+    NONE,
+    SECOND_REQUEST,
     FLOOD,
-    PARTIAL_BODY,
+    PART_OF_BODY,
     COMPLETE_BODY
   }
 
   private static final int FLOOD_BYTES = 300_000;
+
+  /** More than is kept of a body, in bytes. */
   private static final int LONG_BODY_BYTES = 200_000;
+
+  /** More of a body than is read ahead, in bytes. */
   private static final int HUGE_BODY_BYTES = 1_700_000;
 
-  private ServerSocket backendSocket;
-  private Socket heldConnection;
+  /** So long after a client has left no attempt begins any more. */
+  private static final int GRACE_MILLIS = 100;
+
+  /** A connection that was not accepted is tried again by the kernel within this time. */
+  private static final int SYN_RETRY_MILLIS = 1500;
 
-  static Stream<Arguments> disconnectCases() {
-    return Arrays.stream(RequestWait.values())
+  private ServerSocket listener;
+  private Socket heldSocket;
+
+  static Stream<Arguments> waitsAndExtraBytes() {
+    return Arrays.stream(Wait.values())
         .flatMap(
             wait ->
-                Arrays.stream(AlsoSent.values())
+                Arrays.stream(ExtraBytes.values())
                     .filter(
                         with ->
-                            wait != RequestWait.BODY
-                                || with == AlsoSent.NOTHING
-                                || with == AlsoSent.PARTIAL_BODY)
+                            wait != Wait.BODY
+                                || with == ExtraBytes.NONE
+                                || with == ExtraBytes.PART_OF_BODY)
                     .flatMap(
                         with ->
                             Stream.of(false, true).map(reset -> Arguments.of(wait, with, reset))));
   }
 
   @ParameterizedTest(name = "{0}, with {1}, reset {2}")
-  @MethodSource("disconnectCases")
-  void disconnectWhileWaiting(RequestWait wait, AlsoSent alsoSent, boolean reset) throws Exception {
-    backendSocket = door(1);
+  @MethodSource("waitsAndExtraBytes")
+  void disconnectDuringAWaitIsSeen(Wait wait, ExtraBytes extraBytes, boolean isReset)
+      throws Exception {
+    listener = listenByHand(1);
     String config =
-        configFor(entry("s0", "SERVING", backendSocket.getLocalPort()))
+        configWithEndpoints(endpoint("s0", "SERVING", listener.getLocalPort()))
             .replace("\"dialTimeout\":250000", "\"dialTimeout\":9000000")
             .replace(":1500000", ":90000000")
             .replace(":1000000,\"group", ":90000000,\"group");
-    serve(
-        wait == RequestWait.LOAD_PROBE ? probing(config) : config,
+    startProxy(
+        wait == Wait.LOAD_PROBE ? withLoadProbes(config) : config,
         ""); // for a thirtieth of the response target
-    Socket busyClient = wait == RequestWait.FREE_CONNECTION ? connect() : null;
-    if (busyClient != null) {
-      send(busyClient, request("pay")); // nothing calls it off
-      heldConnection = take(backendSocket);
-      read(heldConnection);
-    }
-    if (wait == RequestWait.SLOW_CONNECT || wait == RequestWait.FREE_CONNECTION) {
-      fill(backendSocket);
+    Socket otherClient = wait == Wait.CONNECTION_IS_FREED ? holdOtherRequest() : null;
+    if (wait == Wait.CONNECTION_COMES_UP || wait == Wait.CONNECTION_IS_FREED) {
+      fillAcceptQueue(listener);
     }
     Socket client = connect();
     String text = request("buy");
-    sendWithExtraBytes(client, text, wait, alsoSent);
-    if (wait != RequestWait.BODY || alsoSent == AlsoSent.PARTIAL_BODY) {
-      until("in flight", () -> figure("in_flight") == (busyClient == null ? 1 : 2));
+    sendWithExtraBytes(client, text, wait, extraBytes);
+    if (wait != Wait.BODY || extraBytes == ExtraBytes.PART_OF_BODY) {
+      await("in flight", () -> metric("in_flight") == (otherClient == null ? 1 : 2));
     }
-    beginWait(wait, alsoSent);
-    if (reset) {
+    holdRequest(wait, extraBytes);
+    if (isReset) {
       client.setSoLinger(true, 0);
     }
     client.close();
-    until("the client is seen to leave", () -> figure("in_flight") == (busyClient == null ? 0 : 1));
+    await(
+        "the client is seen to leave", () -> metric("in_flight") == (otherClient == null ? 0 : 1));
     endWait(wait);
-    if (busyClient != null) {
-      assertEquals("200 first", answer(busyClient));
-      busyClient.close();
-    }
-    String after = request("buy");
-    while (!call(after).equals("200 played")) { // its backend counts as silent for a while
-      after = request("buy");
+    if (otherClient != null) {
+      assertEquals("200 first", readAnswer(otherClient));
+      otherClient.close();
     }
-    assertFalse(had.contains(id(text)), had + " after " + id(text));
+    callUntilPlayed(); // the backend counts as silent for a while
+    assertNotReceived(text);
+  }
+
+  /** Another client's request, which nothing cancels, is held at the backend. */
+  private Socket holdOtherRequest() throws IOException {
+    Socket otherClient = connect();
+    send(otherClient, request("pay"));
+    heldSocket = accept(listener);
+    readRequest(heldSocket);
+    return otherClient;
   }
 
-  /**
-   * Sends the request, with the head of a long body where one belongs to the case, and the rest.
-   */
   private static void sendWithExtraBytes(
-      Socket client, String text, RequestWait wait, AlsoSent alsoSent) throws IOException {
+      Socket client, String text, Wait wait, ExtraBytes extraBytes) throws IOException {
     boolean hasLongBody =
-        alsoSent == AlsoSent.PARTIAL_BODY
-            || alsoSent == AlsoSent.COMPLETE_BODY
-            || wait == RequestWait.BODY;
-    String longBodyHead = "Content-Length: " + LONG_BODY_BYTES + "\r\n\r\n";
-    String sent = hasLongBody ? text.replace("Content-Length: 2\r\n\r\nhi", longBodyHead) : text;
-    client.getOutputStream().write(sent.getBytes());
-    byte[] extraBytes =
-        switch (alsoSent) {
-          case NOTHING -> new byte[wait == RequestWait.BODY ? 10 : 0];
-          case PIPELINED_REQUEST -> text.getBytes();
+        extraBytes == ExtraBytes.PART_OF_BODY
+            || extraBytes == ExtraBytes.COMPLETE_BODY
+            || wait == Wait.BODY;
+    send(client, hasLongBody ? withLongBody(text, LONG_BODY_BYTES) : text);
+    byte[] extra =
+        switch (extraBytes) {
+          case NONE -> new byte[wait == Wait.BODY ? 10 : 0];
+          case SECOND_REQUEST -> text.getBytes(StandardCharsets.ISO_8859_1);
           case FLOOD -> new byte[FLOOD_BYTES];
-          case PARTIAL_BODY -> new byte[LONG_BODY_BYTES / 2];
+          case PART_OF_BODY -> new byte[LONG_BODY_BYTES / 2];
           case COMPLETE_BODY -> new byte[LONG_BODY_BYTES];
         };
-    client.getOutputStream().write(extraBytes);
+    client.getOutputStream().write(extra);
+  }
+
+  /** The head of this request, with a longer body announced. */
+  private static String withLongBody(String request, int length) {
+    return request.replace("Content-Length: 2\r\n\r\nhi", "Content-Length: " + length + "\r\n\r\n");
   }
 
-  /** Holds back what the request waits for, until the client has disconnected. */
-  private void beginWait(RequestWait wait, AlsoSent alsoSent)
+  /** Holds at the backend what the wait needs until the client has left. */
+  private void holdRequest(Wait wait, ExtraBytes extraBytes)
       throws IOException, InterruptedException {
-    if (wait == RequestWait.BETWEEN_ATTEMPTS) {
-      heldConnection = take(backendSocket);
-      if (alsoSent != AlsoSent.PARTIAL_BODY && alsoSent != AlsoSent.COMPLETE_BODY) {
-        read(heldConnection); // else its body has not all been asked for
+    if (wait == Wait.BETWEEN_ATTEMPTS) {
+      heldSocket = accept(listener);
+      if (extraBytes != ExtraBytes.PART_OF_BODY && extraBytes != ExtraBytes.COMPLETE_BODY) {
+        readRequest(heldSocket); // else its body has not all been asked for
       }
-      ServerSocket second = door(1);
-      fill(second);
-      news.add(told(2, false, entry("s1", "SERVING", second.getLocalPort())));
-      until("a second backend is known", () -> figure("backends_known") == 2);
-      answer(heldConnection, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
-      play(backendSocket);
-      backendSocket = second;
-    } else if (wait == RequestWait.LOAD_PROBE
-        || wait == RequestWait.BODY && alsoSent == AlsoSent.PARTIAL_BODY) {
-      heldConnection = take(backendSocket);
+      ServerSocket second = listenByHand(1);
+      fillAcceptQueue(second);
+      listLines.add(listLine(2, false, endpoint("s1", "SERVING", second.getLocalPort())));
+      await("a second backend is known", () -> metric("backends_known") == 2);
+      writeAnswer(heldSocket, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+      answerAll(listener);
+      listener = second;
+    } else if (wait == Wait.LOAD_PROBE
+        || wait == Wait.BODY && extraBytes == ExtraBytes.PART_OF_BODY) {
+      heldSocket = accept(listener);
     }
   }
 
-  private void endWait(RequestWait wait) throws IOException {
-    play(backendSocket);
-    if (wait == RequestWait.FREE_CONNECTION) {
-      answer(heldConnection, "200", "", "first");
+  private void endWait(Wait wait) throws IOException {
+    answerAll(listener);
+    if (wait == Wait.CONNECTION_IS_FREED) {
+      writeAnswer(heldSocket, "200", "", "first");
     }
-    if (heldConnection != null && wait != RequestWait.BETWEEN_ATTEMPTS) {
-      start(() -> play(heldConnection));
+    if (heldSocket != null && wait != Wait.BETWEEN_ATTEMPTS) {
+      startThread(() -> answerAll(heldSocket));
     }
   }
 
-  /**
-   * What an attempt waits for: its connection, the first, second or third time, or as a second
-   * copy.
-   */
-  enum Attempt {
+  /** Which attempt of the request waits when its client disconnects, and for what. */
+  enum AttemptKind {
     FIRST,
     SECOND,
     THIRD,
     HEDGED,
-    ON_FREE_CONNECTION,
-    LOAD_PROBE
+    ON_FREED_CONNECTION,
+    AFTER_LOAD_PROBE
   }
 
   /**
-   * How a client goes, or that it stays: then the same attempt is made, so that the test can fail.
+   * How the client disconnects. If it stays, the attempt is made: so the test is known to be able
+   * to fail.
    */
   enum Departure {
     FIN,
@@ -193,11 +198,8 @@
     STAYS
   }
 
-  private static final int PAUSE_MILLIS = 100;
-  private static final int CONNECT_RETRY_MILLIS = 1500;
-
-  static Stream<Arguments> attemptCases() {
-    return Arrays.stream(Attempt.values())
+  static Stream<Arguments> attemptsAndDepartures() {
+    return Arrays.stream(AttemptKind.values())
         .flatMap(
             attempt ->
                 Arrays.stream(Departure.values())
@@ -209,78 +211,72 @@
                     .map(goes -> Arguments.of(attempt, goes)));
   }
 
-  /**
-   * A tenth of a second after the client has gone the wait ends: no attempt begins, first or
-   * further.
-   */
+  /** The wait ends a tenth of a second after the client has left: no attempt begins then. */
   @ParameterizedTest(name = "{0}, {1}")
-  @MethodSource("attemptCases")
-  void noAttemptAfterDisconnect(Attempt attempt, Departure departure) throws Exception {
-    backendSocket = door(1);
-    serve(configWithLongTimes(attempt), "");
-    Socket busyClient = attempt == Attempt.ON_FREE_CONNECTION ? connect() : null;
-    if (busyClient != null) {
-      send(busyClient, request("pay")); // nothing calls it off
-      heldConnection = take(backendSocket);
-      read(heldConnection);
-    }
-    if (attempt == Attempt.FIRST || attempt == Attempt.ON_FREE_CONNECTION) {
-      fill(backendSocket);
+  @MethodSource("attemptsAndDepartures")
+  void noAttemptBeginsATenthOfASecondAfterTheClientLeft(AttemptKind attempt, Departure departure)
+      throws Exception {
+    listener = listenByHand(1);
+    startProxy(configWithLongTimes(attempt), "");
+    Socket otherClient = attempt == AttemptKind.ON_FREED_CONNECTION ? holdOtherRequest() : null;
+    if (attempt == AttemptKind.FIRST || attempt == AttemptKind.ON_FREED_CONNECTION) {
+      fillAcceptQueue(listener);
     }
     Socket client = connect();
     String text = request("buy");
     send(client, text);
-    until("in flight", () -> figure("in_flight") == (busyClient == null ? 1 : 2));
+    await("in flight", () -> metric("in_flight") == (otherClient == null ? 1 : 2));
     switch (attempt) {
-      case SECOND -> backendSocket = rejectFirstAttempt(true);
+      case SECOND -> listener = rejectFirstAttempt(true);
       case THIRD -> {
         ServerSocket second = rejectFirstAttempt(false);
-        Socket secondConnection = take(second);
-        read(secondConnection);
-        fill(backendSocket);
-        answer(secondConnection, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
-        until("two attempts", () -> figure("attempts") == 2);
-        Thread.sleep(PAUSE_MILLIS);
+        Socket secondSocket = accept(second);
+        readRequest(secondSocket);
+        fillAcceptQueue(listener);
+        writeAnswer(secondSocket, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+        await("two attempts", () -> metric("attempts") == 2);
+        Thread.sleep(GRACE_MILLIS);
       }
-      case HEDGED, LOAD_PROBE -> heldConnection = take(backendSocket);
+      case HEDGED, AFTER_LOAD_PROBE -> heldSocket = accept(listener);
       default -> {}
     }
-    if (attempt == Attempt.HEDGED) {
-      read(heldConnection);
-      backendSocket = addBackend(true);
+    if (attempt == AttemptKind.HEDGED) {
+      readRequest(heldSocket);
+      listener = addSecondBackend(true);
       Thread.sleep(1200); // past five sixths of the target: a copy waits there
     }
-    depart(client, departure);
-    Thread.sleep(PAUSE_MILLIS);
-    play(backendSocket);
-    if (attempt == Attempt.ON_FREE_CONNECTION) {
-      answer(heldConnection, "200", "", "first");
+    leave(client, departure);
+    Thread.sleep(GRACE_MILLIS);
+    answerAll(listener);
+    if (attempt == AttemptKind.ON_FREED_CONNECTION) {
+      writeAnswer(heldSocket, "200", "", "first");
     }
-    if (attempt == Attempt.ON_FREE_CONNECTION || attempt == Attempt.LOAD_PROBE) {
-      start(() -> play(heldConnection));
+    if (attempt == AttemptKind.ON_FREED_CONNECTION || attempt == AttemptKind.AFTER_LOAD_PROBE) {
+      startThread(() -> answerAll(heldSocket));
     }
     if (departure == Departure.STAYS) {
-      until("sent on", () -> had.contains(id(text)));
+      await("forwarded", () -> receivedIds.contains(requestId(text)));
     } else {
-      Thread.sleep(CONNECT_RETRY_MILLIS); // a connection that comes up late is tried again in 1 s
-      assertFalse(had.contains(id(text)), had + " after " + id(text));
+      Thread.sleep(SYN_RETRY_MILLIS); // a connection that comes up late is tried again in 1 s
+      assertNotReceived(text);
     }
     client.close();
   }
 
-  private String configWithLongTimes(Attempt attempt) throws IOException {
+  private String configWithLongTimes(AttemptKind attempt) throws IOException {
     String config =
-        configFor(entry("s0", "SERVING", backendSocket.getLocalPort()))
+        configWithEndpoints(endpoint("s0", "SERVING", listener.getLocalPort()))
             .replace("\"dialTimeout\":250000", "\"dialTimeout\":9000000")
             .replace(":1500000", ":90000000");
     return switch (attempt) {
       case HEDGED -> config.replace("\"mayCancel\"", "\"mayDuplicate\":true,\"mayCancel\"");
-      case LOAD_PROBE -> probing(config.replace(":1000000,\"group", ":90000000,\"group"));
+      case AFTER_LOAD_PROBE ->
+          withLoadProbes(config.replace(":1000000,\"group", ":90000000,\"group"));
       default -> config.replace(":1000000,\"group", ":90000000,\"group");
     };
   }
 
-  private static String probing(String config) {
+  private static String withLoadProbes(String config) {
     return config
         .replace("\"maxDispatches\"", "\"probing\":true,\"maxDispatches\"")
         .replace(
@@ -288,27 +284,27 @@
             "{\"report\":{\"how\":\"probe\",\"fields\":[\"rif\",\"q\"]}," + "\"balancers\"");
   }
 
-  /** A second backend that has its door full, or takes who comes. */
-  private ServerSocket addBackend(boolean isQueueFull) throws Exception {
-    ServerSocket second = door(isQueueFull ? 1 : BACKLOG);
+  /** Lists a second backend, whose accept queue is full or has room. */
+  private ServerSocket addSecondBackend(boolean isQueueFull) throws Exception {
+    ServerSocket second = listenByHand(isQueueFull ? 1 : BACKLOG);
     if (isQueueFull) {
-      fill(second);
+      fillAcceptQueue(second);
     }
-    news.add(told(2, false, entry("s1", "SERVING", second.getLocalPort())));
-    until("a second backend is known", () -> figure("backends_known") == 2);
+    listLines.add(listLine(2, false, endpoint("s1", "SERVING", second.getLocalPort())));
+    await("a second backend is known", () -> metric("backends_known") == 2);
     return second;
   }
 
-  /** The first attempt has come, and is turned away once there is another backend to go to. */
+  /** Rejects the first attempt, once there is a second backend to retry at. */
   private ServerSocket rejectFirstAttempt(boolean isQueueFull) throws Exception {
-    heldConnection = take(backendSocket);
-    read(heldConnection);
-    ServerSocket second = addBackend(isQueueFull);
-    answer(heldConnection, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
+    heldSocket = accept(listener);
+    readRequest(heldSocket);
+    ServerSocket second = addSecondBackend(isQueueFull);
+    writeAnswer(heldSocket, "503", "Not-Started: 1\r\nConnection: close\r\n", "");
     return second;
   }
 
-  private static void depart(Socket client, Departure departure) throws IOException {
+  private static void leave(Socket client, Departure departure) throws IOException {
     switch (departure) {
       case FIN -> client.close();
       case RST -> {
@@ -320,65 +316,65 @@
     }
   }
 
-  /**
-   * Two hundred clients leave in one burst, fifty stay: the backend gets those of the fifty alone.
-   */
+  /** Two hundred clients leave in one burst and fifty stay: only their requests are forwarded. */
   @Test
-  void burstOfDisconnects() throws Exception {
-    backendSocket = door(1);
-    serve(configWithLongTimes(Attempt.FIRST), "");
-    fill(backendSocket);
+  void ofABurstOnlyThoseThatStayedAreForwarded() throws Exception {
+    listener = listenByHand(1);
+    startProxy(configWithLongTimes(AttemptKind.FIRST), "");
+    fillAcceptQueue(listener);
     List<Socket> leavingClients = new ArrayList<>();
-    Set<String> idsThatLeave = new HashSet<>();
-    Set<String> idsThatStay = new HashSet<>();
+    Set<String> idsGone = new HashSet<>();
+    Set<String> idsStaying = new HashSet<>();
     for (int i = 0; i < 250; i++) {
       Socket client = connect();
       String text = request("buy");
       send(client, text);
       if (i % 5 == 0) {
-        idsThatStay.add(id(text));
+        idsStaying.add(requestId(text));
       } else {
         leavingClients.add(client);
-        idsThatLeave.add(id(text));
+        idsGone.add(requestId(text));
       }
     }
-    until("in flight", () -> figure("in_flight") > 0);
+    await("in flight", () -> metric("in_flight") > 0);
     for (Socket client : leavingClients) {
-      depart(client, leavingClients.indexOf(client) % 2 == 0 ? Departure.FIN : Departure.RST);
+      leave(client, leavingClients.indexOf(client) % 2 == 0 ? Departure.FIN : Departure.RST);
     }
-    Thread.sleep(PAUSE_MILLIS);
-    play(backendSocket);
-    until("one that stayed is sent on", () -> had.stream().anyMatch(idsThatStay::contains));
-    Thread.sleep(CONNECT_RETRY_MILLIS);
-    assertEquals(Set.of(), had.stream().filter(idsThatLeave::contains).collect(Collectors.toSet()));
+    Thread.sleep(GRACE_MILLIS);
+    answerAll(listener);
+    await(
+        "one that stayed is forwarded", () -> receivedIds.stream().anyMatch(idsStaying::contains));
+    Thread.sleep(SYN_RETRY_MILLIS);
+    assertEquals(
+        Set.of(), receivedIds.stream().filter(idsGone::contains).collect(Collectors.toSet()));
   }
 
-  /** More of a body than is read ahead hides the leaving: it is sent on, and never whole. */
+  /**
+   * A body longer than what is read ahead hides the disconnect: it is forwarded, but never
+   * completely.
+   */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
-  void disconnectBeforeBodyIsComplete(boolean disconnects) throws Exception {
-    backendSocket = door(1);
-    serve(configWithLongTimes(Attempt.FIRST), "");
-    fill(backendSocket);
+  void longBodyOfAClientThatLeftIsNeverComplete(boolean isLeaving) throws Exception {
+    listener = listenByHand(1);
+    startProxy(configWithLongTimes(AttemptKind.FIRST), "");
+    fillAcceptQueue(listener);
     Socket client = connect();
-    String text =
-        request("buy")
-            .replace(
-                "Content-Length: 2\r\n\r\nhi", "Content-Length: " + HUGE_BODY_BYTES + "\r\n\r\n");
+    String text = withLongBody(request("buy"), HUGE_BODY_BYTES);
     send(client, text);
-    Thread writer = start(() -> client.getOutputStream().write(new byte[HUGE_BODY_BYTES]));
-    until("in flight", () -> figure("in_flight") == 1);
-    if (disconnects) {
-      writer.join(SOON);
+    Thread writer = startThread(() -> client.getOutputStream().write(new byte[HUGE_BODY_BYTES]));
+    await("in flight", () -> metric("in_flight") == 1);
+    if (isLeaving) {
+      writer.join(TIMEOUT_MILLIS);
       client.close();
     }
-    Thread.sleep(PAUSE_MILLIS);
-    play(backendSocket);
-    if (disconnects) {
-      Thread.sleep(CONNECT_RETRY_MILLIS);
-      assertFalse(had.contains(id(text)), had + " after " + id(text));
+    Thread.sleep(GRACE_MILLIS);
+    answerAll(listener);
+    if (isLeaving) {
+      Thread.sleep(SYN_RETRY_MILLIS);
+      assertNotReceived(text);
     } else {
-      until("it is had whole", () -> had.contains(id(text)));
+      await("received completely", () -> receivedIds.contains(requestId(text)));
     }
   }
 }
--- a/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -16,48 +16,57 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * Discovery fails in each way, then in each other way, and recovers at many points of the pauses
- * between calls. The list that it has then is applied within the 6 s after which it counts as
- * notified, however long askEvery is.
+ * Discovery fails in one way, then in another, and returns at many points of the pauses between
+ * polls: its list is acted on within 6 s, however long askEvery is.
  */
 class DiscoveryRecoveryTest extends ProxyTestHarness {
-  /** Refuses connections; answers 503; 200 without a line; nothing; or ends within a line. */
-  enum FailureMode {
+  /**
+   * How discovery fails: it refuses to connect, answers 503, answers 200 with an empty body, says
+   * nothing, or ends amid a line.
+   */
+  enum Failure {
     REFUSED,
     REJECTED,
     EMPTY,
     SILENT,
-    TRUNCATED
+    CUT
   }
 
-  private static final long NOTIFICATION_LIMIT_MS = 6000;
-  private static final long SECOND_FAILURE_MS = 3000;
-  private static final long FIRST_RECOVERY_MS = 6000;
-  private static final long RECOVERY_SPREAD_MS = 2200;
+  /** Within this time after discovery's return its list is known. */
+  private static final long LIST_TIMEOUT_MILLIS = 6000;
+
+  /** When the second way to fail begins. */
+  private static final long SECOND_FAILURE_MILLIS = 3000;
 
-  private final long startNanos = System.nanoTime();
+  /** When discovery returns at the earliest, and over how long the cases' returns are spread. */
+  private static final long FIRST_RETURN_MILLIS = 6000;
+
+  private static final long RETURN_SPREAD_MILLIS = 2200;
+
+  private final long startedAt = System.nanoTime();
   private final List<String> lateCases = Collections.synchronizedList(new ArrayList<>());
-  private final List<Throwable> faults = Collections.synchronizedList(new ArrayList<>());
+  private final List<Throwable> errors = Collections.synchronizedList(new ArrayList<>());
 
   private long elapsedMillis() {
-    return (System.nanoTime() - startNanos) / 1_000_000;
+    return (System.nanoTime() - startedAt) / 1_000_000;
   }
 
-  private void sleepUntil(long millis) throws InterruptedException {
-    Thread.sleep(Math.max(0, millis - elapsedMillis()));
+  private void sleepUntil(long time) throws InterruptedException {
+    Thread.sleep(Math.max(0, time - elapsedMillis()));
   }
 
   /**
-   * One discovery service at a host of its own: another process may take a port that was released.
+   * One discovery at a loopback address of its own: a port that is closed for a while may be taken
+   * by somebody else at a shared one.
    */
   private final class Discovery {
-    private final FailureMode first;
-    private final FailureMode second;
+    private final Failure first;
+    private final Failure second;
     private final InetSocketAddress address;
     private ServerSocket listener;
-    private volatile FailureMode failureMode;
+    private volatile Failure currentFailure;
 
-    Discovery(int number, FailureMode first, FailureMode second) throws IOException {
+    Discovery(int number, Failure first, Failure second) throws IOException {
       this.first = first;
       this.second = second;
       InetAddress host = InetAddress.getByName("127.0.43." + (1 + number));
@@ -66,17 +75,20 @@
       }
     }
 
-    void run(long recoveryMillis) throws Exception {
-      switchTo(first);
-      sleepUntil(SECOND_FAILURE_MS);
-      switchTo(second);
-      sleepUntil(recoveryMillis);
-      switchTo(null);
+    void run(long returnTime) throws Exception {
+      behave(first);
+      sleepUntil(SECOND_FAILURE_MILLIS);
+      behave(second);
+      sleepUntil(returnTime);
+      behave(null);
     }
 
-    /** Fails new connections in this way; null: it has recovered. Open ones stay silent. */
-    private void switchTo(FailureMode mode) throws IOException {
-      if (mode == FailureMode.REFUSED) {
+    /**
+     * Serves new connections so from now on; null: discovery is back. Connections that are open
+     * hear nothing more.
+     */
+    private void behave(Failure failure) throws IOException {
+      if (failure == Failure.REFUSED) {
         if (listener != null) {
           listener.close();
         }
@@ -84,57 +96,55 @@
       }
       ServerSocket openListener =
           listener == null || listener.isClosed() ? new ServerSocket() : listener;
-      failureMode = mode;
+      currentFailure = failure;
       if (openListener != listener) {
         openListener.setReuseAddress(true);
         openListener.bind(address, BACKLOG);
-        doors.add(openListener);
+        listeners.add(openListener);
         listener = openListener;
-        start(
+        startThread(
             () -> {
               while (true) {
                 Socket socket = openListener.accept();
-                start(() -> answer(socket, failureMode));
+                startThread(() -> serveWatch(socket, currentFailure));
               }
             });
       }
     }
 
-    private void answer(Socket socket, FailureMode mode) throws IOException {
-      head(socket.getInputStream());
-      if (mode == FailureMode.SILENT) {
+    private void serveWatch(Socket socket, Failure failure) throws IOException {
+      readHead(socket.getInputStream());
+      if (failure == Failure.SILENT) {
         return;
       }
       send(
           socket,
-          mode == FailureMode.REJECTED
+          failure == Failure.REJECTED
               ? "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
               : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      if (mode == FailureMode.TRUNCATED) {
+      if (failure == Failure.CUT) {
         send(socket, "9\r\n{\"rev\":1,\r\n");
-      } else if (mode == FailureMode.EMPTY) {
+      } else if (failure == Failure.EMPTY) {
         send(socket, "0\r\n\r\n");
-      } else if (mode == null) {
-        String line = told(2, true, entry("s0", "SERVING", 1)) + "\n";
-        send(socket, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+      } else if (failure == null) {
+        sendChunk(socket, listLine(2, true, endpoint("s0", "SERVING", 1)) + "\n");
         return;
       }
       socket.close();
     }
   }
 
-  /** Starts a proxy, and notes the case if its backend is not known in time after the recovery. */
-  private void checkRecovery(
-      int number, FailureMode first, FailureMode second, long askEvery, long recoveryMillis)
+  /** Runs one proxy, and records it if its one backend is not known in time after the return. */
+  private void runCase(int number, Failure first, Failure second, long askEvery, long returnTime)
       throws Exception {
     Discovery discovery = new Discovery(number, first, second);
     Thread discoveryThread =
         new Thread(
             () -> {
               try {
-                discovery.run(recoveryMillis);
+                discovery.run(returnTime);
               } catch (Exception e) {
-                faults.add(e);
+                errors.add(e);
               }
             });
     discoveryThread.start();
@@ -154,49 +164,39 @@
                         .replace(
                             "\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))),
             "");
-    Thread proxyThread = start(proxy::run);
-    sleepUntil(recoveryMillis);
-    while (elapsedMillis() < recoveryMillis + NOTIFICATION_LIMIT_MS
-        && !isBackendKnown(proxy.adminPort())) {
+    Thread loop = startThread(proxy::run);
+    sleepUntil(returnTime);
+    while (elapsedMillis() < returnTime + LIST_TIMEOUT_MILLIS && !isKnown(proxy.adminPort())) {
       Thread.sleep(20);
     }
-    if (elapsedMillis() >= recoveryMillis + NOTIFICATION_LIMIT_MS) {
+    if (elapsedMillis() >= returnTime + LIST_TIMEOUT_MILLIS) {
       lateCases.add(
-          first
-              + ", "
-              + second
-              + ", every "
-              + askEvery
-              + " ms, back after "
-              + recoveryMillis
-              + " ms");
+          first + ", " + second + ", every " + askEvery + " ms, back after " + returnTime + " ms");
     }
     proxy.shutdown();
-    proxyThread.join();
+    loop.join();
     discoveryThread.join();
   }
 
-  private static boolean isBackendKnown(int adminPort) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", adminPort)) {
-      return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n").contains("backends_known:1");
-    }
+  private static boolean isKnown(int adminPort) throws IOException {
+    return readMetrics(adminPort).contains("backends_known:1");
   }
 
   @Test
-  void listIsAppliedWithinSixSeconds() throws Exception {
+  void actedOnWithinSixSeconds() throws Exception {
     List<Thread> cases = new ArrayList<>();
-    for (FailureMode first : FailureMode.values()) {
-      for (FailureMode second : FailureMode.values()) {
+    for (Failure first : Failure.values()) {
+      for (Failure second : Failure.values()) {
         for (long askEvery : new long[] {10_000, 60_000}) {
           int number = cases.size();
-          long recoveryMillis = FIRST_RECOVERY_MS + RECOVERY_SPREAD_MS * (number * 7 % 50) / 50;
+          long returnTime = FIRST_RETURN_MILLIS + RETURN_SPREAD_MILLIS * (number * 7 % 50) / 50;
           Thread thread =
               new Thread(
                   () -> {
                     try {
-                      checkRecovery(number, first, second, askEvery, recoveryMillis);
+                      runCase(number, first, second, askEvery, returnTime);
                     } catch (Exception e) {
-                      faults.add(e);
+                      errors.add(e);
                     }
                   });
           thread.start();
@@ -207,7 +207,7 @@
     for (Thread thread : cases) {
       thread.join();
     }
-    assertEquals(List.of(), faults);
+    assertEquals(List.of(), errors);
     assertEquals(50, cases.size());
     assertTrue(lateCases.isEmpty(), lateCases.size() + " of 50: " + lateCases);
   }
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -14,109 +15,109 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * Idle clients fill all places while discovery is down, before the first list and after one: at its
- * return the list is read in time, and requests are served within theirs.
+ * Idle clients fill the proxy while discovery is down, before the first list or after one: when it
+ * returns, the list is read in time and requests are served within their timeout.
  */
 class IdleConnectionsTest extends ProxyTestHarness {
   /**
    * How idle clients connect: all at once, one after the other, again as soon as they are closed,
-   * or again with half a head each.
+   * or with half a head each.
    */
-  enum Arrival {
+  enum Pattern {
     AT_ONCE,
-    GRADUALLY,
+    DRIPPING,
     RECONNECTING,
-    WITH_PARTIAL_HEAD
+    HALF_A_HEAD
   }
 
-  private static final long NOTIFICATION_TIMEOUT_MILLIS = 6000;
-  private static final long REQUEST_TIMEOUT_MILLIS = 1500;
-  private static final long OUTAGE_MILLIS = 4000;
+  /** Within this time after discovery's return its list is known. */
+  private static final long LIST_TIMEOUT_MILLIS = 6000;
+
+  private static final int CLIENT_TIMEOUT_MILLIS = 1500;
+  private static final int OUTAGE_MILLIS = 4000;
   private static final int REQUESTS = 10;
-  private static final int MIN_SERVED_REQUESTS = 9;
 
-  private final List<String> faults = Collections.synchronizedList(new ArrayList<>());
-  private final List<Socket> idleClients = Collections.synchronizedList(new ArrayList<>());
+  /** How many of the requests have to be served. */
+  private static final int MIN_SERVED = 9;
+
+  private final List<String> failures = Collections.synchronizedList(new ArrayList<>());
+  private final List<Socket> idleSockets = Collections.synchronizedList(new ArrayList<>());
 
   /** One proxy before one backend, with its discovery and its idle clients. */
   private final class Case {
-    private final Arrival arrival;
-    private final boolean isListKnown;
-    private final int maxDescriptors;
+    private final Pattern pattern;
+    private final boolean isServedBefore;
+    private final int maxSockets;
     private final List<Socket> watches = Collections.synchronizedList(new ArrayList<>());
     private volatile boolean isDiscoveryDown;
     private volatile boolean isOver;
-    private volatile String endpointList;
+    private volatile String listLine;
     private int port;
 
-    Case(Arrival arrival, boolean isListKnown, int maxDescriptors) {
-      this.arrival = arrival;
-      this.isListKnown = isListKnown;
-      this.maxDescriptors = maxDescriptors;
+    Case(Pattern pattern, boolean isServedBefore, int maxSockets) {
+      this.pattern = pattern;
+      this.isServedBefore = isServedBefore;
+      this.maxSockets = maxSockets;
     }
 
     @Override
     public String toString() {
-      return arrival
+      return pattern
           + " of "
-          + maxDescriptors
-          + (isListKnown ? ", after a list" : ", before a list");
+          + maxSockets
+          + (isServedBefore ? ", after a list" : ", before a list");
     }
 
-    private void serveWatch(Socket watch) throws IOException {
-      head(watch.getInputStream());
+    private void serveWatch(Socket socket) throws IOException {
+      readHead(socket.getInputStream());
       if (!isDiscoveryDown) {
-        sendEndpointList(watch);
+        sendList(socket);
       }
-      watches.add(watch); // else silent, as an agent is that learns nothing
+      watches.add(socket); // while discovery is down the watch stays silent
     }
 
-    private void sendEndpointList(Socket watch) throws IOException {
-      send(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      String line = endpointList + "\n";
-      send(watch, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+    private void sendList(Socket socket) throws IOException {
+      send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      sendChunk(socket, listLine + "\n");
     }
 
     void run() throws Exception {
-      String entry = ready("s" + maxDescriptors);
-      endpointList = told(1, true, entry);
-      isDiscoveryDown = !isListKnown;
+      String endpoint = startBackend("s" + maxSockets);
+      listLine = listLine(1, true, endpoint);
+      isDiscoveryDown = !isServedBefore;
       ProxyServer proxy =
           new ProxyServer(
               new ProxyConfig(
                   Json.object(
-                      config(open(this::serveWatch).getLocalPort(), maxDescriptors, "{}")
+                      config(listen(this::serveWatch).getLocalPort(), maxSockets, "{}")
                           .replace(
                               "\"drain_ms\":1000", "\"drain_ms\":10,\"admin\":\"127.0.0.1:0\""))),
               "");
-      Thread loop = start(proxy::run);
+      Thread loop = startThread(proxy::run);
       port = proxy.port();
-      if (isListKnown) {
-        awaitKnown(proxy, 1, NOTIFICATION_TIMEOUT_MILLIS, "never served");
+      if (isServedBefore) {
+        awaitBackendsKnown(proxy, 1, LIST_TIMEOUT_MILLIS, "never served");
         isDiscoveryDown = true;
       }
-      Thread connecting = start(this::connectIdleClients);
+      Thread crowd = startThread(this::connectCrowd);
       Thread.sleep(OUTAGE_MILLIS);
-      endpointList = told(2, true, entry, entry("other", "DRAINING", 1));
+      listLine = listLine(2, true, endpoint, endpoint("other", "DRAINING", 1));
       isDiscoveryDown = false;
-      awaitKnown(
-          proxy,
-          2,
-          NOTIFICATION_TIMEOUT_MILLIS,
-          "not told within " + NOTIFICATION_TIMEOUT_MILLIS + " ms");
-      int servedRequests = 0;
+      awaitBackendsKnown(
+          proxy, 2, LIST_TIMEOUT_MILLIS, "list not known within " + LIST_TIMEOUT_MILLIS + " ms");
+      int served = 0;
       for (int i = 0; i < REQUESTS; i++) {
         String answer = sendRequest();
-        servedRequests += answer.startsWith("200") ? 1 : 0;
+        served += answer.startsWith("200") ? 1 : 0;
         if (i == 0 && !answer.startsWith("200")) {
-          faults.add(this + ": the first request got " + answer);
+          failures.add(this + ": the first request got " + answer);
         }
       }
-      if (servedRequests < MIN_SERVED_REQUESTS) {
-        faults.add(this + ": " + servedRequests + " of " + REQUESTS + " served");
+      if (served < MIN_SERVED) {
+        failures.add(this + ": " + served + " of " + REQUESTS + " served");
       }
       isOver = true;
-      connecting.interrupt();
+      crowd.interrupt();
       proxy.shutdown();
       loop.join();
     }
@@ -124,43 +125,43 @@
     private String sendRequest() {
       try (Socket socket = new Socket()) {
         long startedAt = System.nanoTime();
-        socket.connect(new InetSocketAddress("127.0.0.1", port), (int) REQUEST_TIMEOUT_MILLIS);
-        socket.setSoTimeout((int) REQUEST_TIMEOUT_MILLIS);
+        socket.connect(new InetSocketAddress("127.0.0.1", port), CLIENT_TIMEOUT_MILLIS);
+        socket.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
         String answer = call(socket, request("buy"));
-        long latency = (System.nanoTime() - startedAt) / 1_000_000;
-        return latency <= REQUEST_TIMEOUT_MILLIS ? answer : "its answer after " + latency + " ms";
+        long elapsed = (System.nanoTime() - startedAt) / 1_000_000;
+        return elapsed <= CLIENT_TIMEOUT_MILLIS ? answer : "its answer after " + elapsed + " ms";
       } catch (IOException e) {
         return e.toString();
       }
     }
 
-    private void awaitKnown(ProxyServer proxy, int known, long timeoutMillis, String fault)
+    private void awaitBackendsKnown(ProxyServer proxy, int count, long timeout, String failure)
         throws Exception {
-      long deadline = System.nanoTime() + timeoutMillis * 1_000_000;
-      while (!metrics(proxy.adminPort()).contains("backends_known:" + known)) {
+      long deadline = System.nanoTime() + timeout * 1_000_000;
+      while (!readMetrics(proxy.adminPort()).contains("backends_known:" + count)) {
         if (System.nanoTime() > deadline) {
-          faults.add(this + ": " + fault);
+          failures.add(this + ": " + failure);
           return;
         }
         Thread.sleep(20);
       }
     }
 
-    private void connectIdleClients() throws Exception {
-      int clientCount =
-          arrival == Arrival.WITH_PARTIAL_HEAD ? clientPlaces() * 3 / 2 : maxDescriptors * 3 / 2;
-      List<Socket> clients = new ArrayList<>();
-      for (int i = 0; !isOver && i < clientCount; i++) {
-        clients.add(connectIdleClient());
-        if (arrival == Arrival.GRADUALLY) {
-          Thread.sleep(OUTAGE_MILLIS / clientCount);
+    private void connectCrowd() throws Exception {
+      int crowdSize =
+          pattern == Pattern.HALF_A_HEAD ? clientCapacity() * 3 / 2 : maxSockets * 3 / 2;
+      List<Socket> sockets = new ArrayList<>();
+      for (int i = 0; !isOver && i < crowdSize; i++) {
+        sockets.add(connectIdle());
+        if (pattern == Pattern.DRIPPING) {
+          Thread.sleep(OUTAGE_MILLIS / crowdSize);
         }
       }
-      while (!isOver && arrival != Arrival.GRADUALLY && arrival != Arrival.AT_ONCE) {
-        for (int i = 0; i < clientCount; i++) {
-          if (isClosed(clients.get(i))) {
-            clients.get(i).close();
-            clients.set(i, connectIdleClient());
+      while (!isOver && pattern != Pattern.DRIPPING && pattern != Pattern.AT_ONCE) {
+        for (int i = 0; i < crowdSize; i++) {
+          if (isClosed(sockets.get(i))) {
+            sockets.get(i).close();
+            sockets.set(i, connectIdle());
           }
         }
         Thread.sleep(5);
@@ -168,33 +169,34 @@
     }
 
     /**
-     * Of clients, as docs/design.md has them; half a head holds one for 0.8 s where others wait.
+     * How many clients the proxy holds, by docs/design.md; half a head holds a place for 0.8 s
+     * where others wait.
      */
-    private int clientPlaces() {
-      return (int) (0.58 * (maxDescriptors - Math.max(32, maxDescriptors / 16) - 9));
+    private int clientCapacity() {
+      return (int) (0.58 * (maxSockets - Math.max(32, maxSockets / 16) - 9));
     }
 
-    private Socket connectIdleClient() throws IOException {
-      Socket client = new Socket();
-      idleClients.add(client);
+    private Socket connectIdle() throws IOException {
+      Socket socket = new Socket();
+      idleSockets.add(socket);
       try {
-        client.connect(new InetSocketAddress("127.0.0.1", port), 200);
-        client.setSoTimeout(1);
-        if (arrival == Arrival.WITH_PARTIAL_HEAD) {
-          send(client, "GET /");
+        socket.connect(new InetSocketAddress("127.0.0.1", port), 200);
+        socket.setSoTimeout(1);
+        if (pattern == Pattern.HALF_A_HEAD) {
+          send(socket, "GET /");
         }
       } catch (IOException e) {
-        client.close(); // its queue is full, too: it comes again
+        socket.close(); // the accept queue is full, too: it connects again
       }
-      return client;
+      return socket;
     }
 
-    private boolean isClosed(Socket client) {
+    private boolean isClosed(Socket socket) {
       try {
-        return client.isClosed()
-            || client.getInputStream().available() > 0
-            || client.getInputStream().read() < 0;
-      } catch (java.net.SocketTimeoutException e) {
+        return socket.isClosed()
+            || socket.getInputStream().available() > 0
+            || socket.getInputStream().read() < 0;
+      } catch (SocketTimeoutException e) {
         return false;
       } catch (IOException e) {
         return true;
@@ -202,40 +204,34 @@
     }
   }
 
-  private static String metrics(int adminPort) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", adminPort)) {
-      return call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
-    }
-  }
-
   @ParameterizedTest
   @ValueSource(ints = {64, 256, 1024})
-  void listIsReadAndRequestsAreServed(int maxDescriptors) throws Exception {
-    List<Thread> threads = new ArrayList<>();
-    for (Arrival arrival :
-        maxDescriptors < 1024
-            ? Arrival.values()
-            : new Arrival[] {Arrival.AT_ONCE, Arrival.RECONNECTING}) {
-      for (boolean isListKnown : new boolean[] {false, true}) {
-        Thread one =
+  void listIsReadAndRequestsAreServed(int maxSockets) throws Exception {
+    List<Thread> cases = new ArrayList<>();
+    for (Pattern pattern :
+        maxSockets < 1024
+            ? Pattern.values()
+            : new Pattern[] {Pattern.AT_ONCE, Pattern.RECONNECTING}) {
+      for (boolean isServedBefore : new boolean[] {false, true}) {
+        Thread thread =
             new Thread(
                 () -> {
                   try {
-                    new Case(arrival, isListKnown, maxDescriptors).run();
+                    new Case(pattern, isServedBefore, maxSockets).run();
                   } catch (Exception e) {
-                    faults.add(arrival + ": " + e);
+                    failures.add(pattern + ": " + e);
                   }
                 });
-        one.start();
-        threads.add(one);
+        thread.start();
+        cases.add(thread);
       }
     }
-    for (Thread one : threads) {
-      one.join();
+    for (Thread thread : cases) {
+      thread.join();
     }
-    for (Socket one : List.copyOf(idleClients)) {
-      one.close();
+    for (Socket socket : List.copyOf(idleSockets)) {
+      socket.close();
     }
-    assertEquals(List.of(), faults);
+    assertEquals(List.of(), failures);
   }
 }
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -12,29 +12,29 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Load reports over sockets, from backends that report a fixed load whatever they do. */
+/** Load reports on sockets, from backends that report a load whatever they do. */
 class LoadReportsTest extends ProxyTestHarness {
-  private final AtomicInteger loadProbes = new AtomicInteger();
+  private final AtomicInteger probesReceived = new AtomicInteger();
 
-  private String startReportingBackend(String name, int reportedInFlight) throws Exception {
-    int port = open(socket -> answerWithReports(name, reportedInFlight, socket)).getLocalPort();
-    return entry(name, "SERVING", port);
+  private String startReportingBackend(String name, int inFlight) throws Exception {
+    return endpoint(
+        name,
+        "SERVING",
+        listen(socket -> serveReportingBackend(name, inFlight, socket)).getLocalPort());
   }
 
-  private void answerWithReports(String name, int reportedInFlight, Socket socket)
-      throws Exception {
-    InputStream in = new BufferedInputStream(socket.getInputStream());
-    String load =
-        "{\"rif\":" + reportedInFlight + ",\"q\":" + Math.max(0, reportedInFlight - 1) + "}";
-    for (String head = head(in); head != null; head = head(in)) {
-      in.readNBytes(length(head));
-      boolean isLoadProbe = head.startsWith("GET /status/load ");
-      loadProbes.addAndGet(isLoadProbe ? 1 : 0);
-      String body = isLoadProbe ? load : name;
+  private void serveReportingBackend(String name, int inFlight, Socket socket) throws Exception {
+    InputStream input = new BufferedInputStream(socket.getInputStream());
+    String loadReport = "{\"rif\":" + inFlight + ",\"q\":" + Math.max(0, inFlight - 1) + "}";
+    for (String head = readHead(input); head != null; head = readHead(input)) {
+      input.readNBytes(contentLength(head));
+      boolean isProbe = head.startsWith("GET /status/load ");
+      probesReceived.addAndGet(isProbe ? 1 : 0);
+      String body = isProbe ? loadReport : name;
       send(
           socket,
           "HTTP/1.1 200 OK\r\nServer-Load: "
-              + (reportedInFlight > 30 ? "{no JSON" : load)
+              + (inFlight > 30 ? "{no JSON" : loadReport)
               + "\r\nContent-Length: "
               + body.length()
               + "\r\n\r\n"
@@ -42,8 +42,8 @@
     }
   }
 
-  private String configuration(String reportMode, int discoveryPort) {
-    return config(discoveryPort, 1024, "{}")
+  private String configWithReports(String reportMode, int listPort) {
+    return config(listPort, 1024, "{}")
         .replace(
             "\"limits\":{\"maxD",
             "\"report\":{\"how\":\""
@@ -52,62 +52,60 @@
                 + "\"limits\":{\"probing\":true,\"maxD");
   }
 
-  /** Starts backends s0, s1, … that report these loads, and a proxy; says discovery's port. */
-  private int serve(String reportMode, String loadHeader, int... reportedInFlight)
+  private int startReportingProxy(String reportMode, String loadHeader, int... inFlight)
       throws Exception {
-    String[] entries = new String[reportedInFlight.length];
-    for (int i = 0; i < reportedInFlight.length; i++) {
-      entries[i] = startReportingBackend("s" + i, reportedInFlight[i]);
+    String[] endpoints = new String[inFlight.length];
+    for (int i = 0; i < inFlight.length; i++) {
+      endpoints[i] = startReportingBackend("s" + i, inFlight[i]);
     }
-    news.add(told(1, true, entries));
-    int discoveryPort = open(this::list).getLocalPort();
-    serve(configuration(reportMode, discoveryPort), loadHeader);
-    return discoveryPort;
+    listLines.add(listLine(1, true, endpoints));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
+    startProxy(configWithReports(reportMode, listPort), loadHeader);
+    return listPort;
   }
 
-  /** Reports are switched on by a reload: from then on probes ask for load, not for health. */
+  /** Once a reload switches reports on, backends are asked for their load, not for their health. */
   @Test
-  void reloadSwitchesLoadProbesOn(@TempDir Path dir) throws Exception {
-    int discoveryPort = serve("none", "", 20, 0);
-    countAnswersFrom("s1", 5);
-    assertEquals(0, loadProbes.get());
+  void reloadSwitchesProbesOn(@TempDir Path folder) throws Exception {
+    int listPort = startReportingProxy("none", "", 20, 0);
+    countAnswersOf("s1", 5);
+    assertEquals(0, probesReceived.get());
     server.reload(
-        Files.writeString(dir.resolve("proxy.json"), configuration("probe", discoveryPort)));
-    countAnswersFrom("s1", 5);
-    assertEquals(20, countAnswersFrom("s1", 20));
-    assertTrue(loadProbes.get() >= 20, loadProbes + " probes");
+        Files.writeString(folder.resolve("proxy.json"), configWithReports("probe", listPort)));
+    countAnswersOf("s1", 5);
+    assertEquals(20, countAnswersOf("s1", 20));
+    assertTrue(probesReceived.get() >= 20, probesReceived + " probes");
   }
 
-  /** Sends requests one after another and counts those that this backend has answered. */
-  private int countAnswersFrom(String backend, int requests) throws Exception {
-    int answers = 0;
+  private int countAnswersOf(String name, int requests) throws Exception {
+    int count = 0;
     for (int i = 0; i < requests; i++) {
-      answers += call(request("buy")).equals("200 " + backend) ? 1 : 0;
+      count += call(request("buy")).equals("200 " + name) ? 1 : 0;
     }
-    return answers;
+    return count;
   }
 
-  /** Backends are probed before each request, and the busy one is passed over. */
+  /** Load is probed before each request, and the busy backend gets none. */
   @Test
-  void probedLoadSteersRequests() throws Exception {
-    serve("probe", "", 20, 0);
-    assertEquals(20, countAnswersFrom("s1", 20));
-    assertTrue(loadProbes.get() >= 20, loadProbes + " probes");
+  void probedLoadKeepsRequestsOffTheBusyBackend() throws Exception {
+    startReportingProxy("probe", "", 20, 0);
+    assertEquals(20, countAnswersOf("s1", 20));
+    assertTrue(probesReceived.get() >= 20, probesReceived + " probes");
   }
 
-  /** Reports in the header that the operators name steer requests without any probe. */
+  /** The operators name the header; nothing is probed. */
   @Test
-  void headerReportsSteerRequests() throws Exception {
-    serve("answers", "Server-Load", 20, 0, 0);
-    int answers = countAnswersFrom("s0", 30);
-    assertTrue(answers <= 3, answers + " of 30 went to the busy one");
-    assertEquals(0, loadProbes.get());
+  void loadHeaderKeepsRequestsOffTheBusyBackend() throws Exception {
+    startReportingProxy("answers", "Server-Load", 20, 0, 0);
+    int atBusyBackend = countAnswersOf("s0", 30);
+    assertTrue(atBusyBackend <= 3, atBusyBackend + " of 30 went to the busy one");
+    assertEquals(0, probesReceived.get());
   }
 
-  /** A malformed header is ignored, and its answer is passed on. */
+  /** A malformed header is no report, and its answer is passed on. */
   @Test
-  void malformedHeaderIsIgnored() throws Exception {
-    serve("answers", "Server-Load", 40);
-    assertEquals(10, countAnswersFrom("s0", 10));
+  void malformedLoadHeaderIsIgnored() throws Exception {
+    startReportingProxy("answers", "Server-Load", 40);
+    assertEquals(10, countAnswersOf("s0", 10));
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -18,55 +18,59 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** A process is replaced by a newer one that starts beside it, at the same listening address. */
+/** Handover: a process is replaced by another one beside it, at the same client address. */
 class ProcessHandoverTest extends ProxyTestHarness {
-  private static final int CLIENT_COUNT = 6;
-  private static final int SERVER_REPLACEMENTS = 8;
+  private static final int CLIENTS = 6;
+
+  /** How many proxies within this JVM replace each other, and how many processes do. */
+  private static final int REPLACEMENTS = 8;
+
   private static final int PROCESS_REPLACEMENTS = 20;
 
   @TempDir Path folder;
 
-  private final AtomicInteger answeredRequests = new AtomicInteger();
-  private final AtomicInteger failedRequests = new AtomicInteger();
-  private volatile boolean isStopped;
+  private final AtomicInteger requestsDone = new AtomicInteger();
+  private final AtomicInteger requestsBroken = new AtomicInteger();
+  private volatile boolean isStopping;
 
-  private ProxyServer startReady(String config) throws Exception {
+  private ProxyServer startUntilReady(String config) throws Exception {
     ProxyServer proxy = new ProxyServer(new ProxyConfig(Json.object(config)));
-    start(proxy::run);
-    for (int i = 0; status(proxy) != 200; i++) {
+    startThread(proxy::run);
+    for (int i = 0; readAdminStatus(proxy) != 200; i++) {
       assertTrue(i < 600, "not ready within 6 s");
       Thread.sleep(10);
     }
     return proxy;
   }
 
-  private static int status(ProxyServer proxy) throws IOException {
+  private static int readAdminStatus(ProxyServer proxy) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", proxy.adminPort())) {
       return Integer.parseInt(call(socket, "GET /status HTTP/1.1\r\n\r\n").substring(0, 3));
     }
   }
 
   /**
-   * A configuration with three backends and a list, at a listening address that was free just now.
+   * A configuration with three backends and a list, at a clients' address that was free just now.
    */
-  private String configWithThreeBackends(int maxDescriptors) throws Exception {
-    news.add(told(1, true, ready("s0"), ready("s1"), ready("s2")));
-    int discoveryPort = open(this::list).getLocalPort();
+  private String configWithThreeBackends(int maxSockets) throws Exception {
+    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
     port = freePort();
-    String cachedList = told(1, true, ready("s0"), ready("s1"), ready("s2"));
-    return config(discoveryPort, maxDescriptors, cachedList)
+    String knownList =
+        listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2"));
+    return config(listPort, maxSockets, knownList)
         .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"");
   }
 
   private void runClient() throws Exception {
     Socket socket = null;
-    while (!isStopped) {
+    while (!isStopping) {
       try {
         socket = socket == null ? connect() : socket;
         String answer = call(socket, request("buy"));
-        answeredRequests.incrementAndGet();
+        requestsDone.incrementAndGet();
         if (!answer.startsWith("200")) {
-          failedRequests.incrementAndGet();
+          requestsBroken.incrementAndGet();
         }
         if (answer.endsWith(" close")) {
           socket.close();
@@ -74,72 +78,67 @@
         }
         Thread.sleep(1);
       } catch (IOException e) {
-        failedRequests.incrementAndGet();
+        requestsBroken.incrementAndGet();
         socket = null;
       }
     }
   }
 
-  /**
-   * Replacements one after another while clients send requests: connections are not refused, reset
-   * or left unread, but for a few.
-   */
+  /** Under load, one replacement after another: no connection refused, reset or left unread. */
   @Test
-  void replacementsUnderLoadKeepConnections() throws Exception {
+  void replacedProxiesBreakFewConnections() throws Exception {
     String config =
         configWithThreeBackends(1024)
             .replace("\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:0\"");
-    server = startReady(config);
+    server = startUntilReady(config);
     List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < CLIENT_COUNT; i++) {
-      clients.add(start(this::runClient));
+    for (int i = 0; i < CLIENTS; i++) {
+      clients.add(startThread(this::runClient));
     }
-    for (int i = 0; i < SERVER_REPLACEMENTS; i++) {
-      ProxyServer next = startReady(config);
-      int answeredBefore = answeredRequests.get();
+    for (int i = 0; i < REPLACEMENTS; i++) {
+      ProxyServer next = startUntilReady(config);
+      int doneBefore = requestsDone.get();
       server.shutdown();
       server = next;
       Thread.sleep(50);
-      assertTrue(
-          answeredRequests.get() > answeredBefore, "nobody was served by the newer process alone");
+      assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
     }
-    isStopped = true;
+    isStopping = true;
     for (Thread client : clients) {
       client.join(2000);
     }
     assertTrue(
-        failedRequests.get() <= SERVER_REPLACEMENTS / 2,
-        failedRequests + " of " + answeredRequests + " reqs");
+        requestsBroken.get() <= REPLACEMENTS / 2,
+        requestsBroken + " of " + requestsDone + " requests");
   }
 
-  /** The same with real processes; bounds the descriptors of both together, prints their memory. */
+  /** The same with separate processes, whose memory and descriptors are added. */
   @Test
-  void processReplacementsStayWithinBounds() throws Exception {
+  void replacedProcessesBreakFewConnections() throws Exception {
     String config = configWithThreeBackends(256);
     Process current = startProcess(config);
     List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < CLIENT_COUNT; i++) {
-      clients.add(start(this::runClient));
+    for (int i = 0; i < CLIENTS; i++) {
+      clients.add(startThread(this::runClient));
     }
-    long maxMemoryKilobytes = 0;
-    long maxDescriptors = 0;
+    long peakKilobytes = 0;
+    long peakDescriptors = 0;
     try {
       for (int i = 0; i < PROCESS_REPLACEMENTS; i++) {
         Process next = startProcess(config);
-        int answeredBefore = answeredRequests.get();
-        maxMemoryKilobytes =
-            Math.max(maxMemoryKilobytes, residentKilobytes(current) + residentKilobytes(next));
-        maxDescriptors = Math.max(maxDescriptors, openDescriptors(current) + openDescriptors(next));
+        int doneBefore = requestsDone.get();
+        peakKilobytes =
+            Math.max(peakKilobytes, residentKilobytes(current) + residentKilobytes(next));
+        peakDescriptors =
+            Math.max(peakDescriptors, openDescriptors(current) + openDescriptors(next));
         current.destroy();
         assertTrue(current.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
         current = next;
         Thread.sleep(30);
-        assertTrue(
-            answeredRequests.get() > answeredBefore,
-            "nobody was served by the newer process alone");
+        assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
       }
     } finally {
-      isStopped = true;
+      isStopping = true;
       for (Thread client : clients) {
         client.join(2000);
       }
@@ -148,26 +147,25 @@
     System.out.println(
         PROCESS_REPLACEMENTS
             + " processes replaced: "
-            + failedRequests
+            + requestsBroken
             + " of "
-            + answeredRequests
-            + " reqs met a broken"
+            + requestsDone
+            + " requests met a broken"
             + " connection, at most "
-            + maxMemoryKilobytes / 1024
+            + peakKilobytes / 1024
             + " MB and "
-            + maxDescriptors
+            + peakDescriptors
             + " descriptors in both");
     assertTrue(
-        failedRequests.get() <= PROCESS_REPLACEMENTS / 2,
-        failedRequests + " of " + answeredRequests);
-    assertTrue(maxDescriptors <= 256, maxDescriptors + " descriptors");
+        requestsBroken.get() <= PROCESS_REPLACEMENTS / 2, requestsBroken + " of " + requestsDone);
+    assertTrue(peakDescriptors <= 256, peakDescriptors + " descriptors");
   }
 
   private Process startProcess(String config) throws Exception {
     int adminPort = freePort();
-    Path configFile = folder.resolve("proxy" + adminPort + ".json");
+    Path file = folder.resolve("proxy" + adminPort + ".json");
     Files.writeString(
-        configFile,
+        file,
         config.replace(
             "\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:" + adminPort + "\""));
     ProcessBuilder builder =
@@ -182,7 +180,7 @@
                 "wheattrack.Main",
                 "serve",
                 "--config",
-                configFile.toString())
+                file.toString())
             .redirectErrorStream(true)
             .redirectOutput(folder.resolve("log").toFile());
     builder.environment().put("TMPDIR", folder.toString());
@@ -219,24 +217,24 @@
     }
   }
 
-  /** A newer process that is shut down before it is ready leaves the older one as it was. */
+  /** A newer proxy that ends before it is ready leaves the older one serving. */
   @Test
-  void newerProcessEndingFirstLeavesOlderServing() throws Exception {
-    news.add(told(1, true, ready("s0")));
-    int discoveryPort = open(this::list).getLocalPort();
+  void newerProxyEndedBeforeReadyLeavesTheOlderServing() throws Exception {
+    listLines.add(listLine(1, true, startBackend("s0")));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
     port = freePort();
     String config =
-        config(discoveryPort, 1024, "{}")
+        config(listPort, 1024, "{}")
             .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"")
             .replace("\"drain_ms\":1000", "\"drain_ms\":0,\"admin\":\"127.0.0.1:0\"");
-    server = startReady(config);
-    ProxyServer newer = new ProxyServer(new ProxyConfig(Json.object(config)));
-    start(newer::run);
-    newer.shutdown();
+    server = startUntilReady(config);
+    ProxyServer next = new ProxyServer(new ProxyConfig(Json.object(config)));
+    startThread(next::run);
+    next.shutdown();
     for (int i = 0; i < 20; i++) {
       assertEquals("200 s0", call(request("buy")));
     }
-    assertEquals(200, status(server));
-    server = startReady(config); // and a third process can take the newer one's place
+    assertEquals(200, readAdminStatus(server));
+    server = startUntilReady(config); // and a third one finds a free lock
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -9,22 +9,20 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 import wheattrack.Signals;
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** One proxy on loopback sockets, as clients, backends and discovery see it. */
+/** One proxy on loopback sockets: what clients, backends and the list see of it. */
 class ProxyServerTest extends ProxyTestHarness {
-  /** Each outcome for each kind of idempotency: the client's answer and the number of attempts. */
+  /** For each outcome in each class: what the client is answered, and how often it may have run. */
   @Test
-  void outcomesPerRequestClass() throws Exception {
-    serveBy(8);
-    for (String requestClass : new String[] {"buy", "mark", "pay"}) {
-      for (String backendActions :
+  void eachOutcomeForEachClass() throws Exception {
+    startProxyWithBackends(8);
+    for (String className : new String[] {"buy", "mark", "pay"}) {
+      for (String actions :
           new String[] {
             "ok",
             "chunks",
@@ -40,33 +38,33 @@
             "full 500 ok",
             "500 500 500"
           }) {
-        script.addAll(List.of(backendActions.split(" ")));
-        int attemptsBefore = came.get();
-        String answer = call(request(requestClass)).replaceAll("s\\d", "ok");
-        w.say(
-            requestClass
+        backendActions.addAll(List.of(actions.split(" ")));
+        int requestsBefore = requestsReceived.get();
+        String answer = call(request(className)).replaceAll("s\\d", "ok");
+        recorder.say(
+            className
                 + " ["
-                + backendActions
+                + actions
                 + "] "
                 + answer
                 + ", sent "
-                + (came.get() - attemptsBefore));
-        script.clear();
+                + (requestsReceived.get() - requestsBefore));
+        backendActions.clear();
       }
-      Thread.sleep(1100); // then ejected backends are probed
+      Thread.sleep(1100); // then ejected backends are probed again
       for (int i = 0; i < 100; i++) {
         call(request("buy"));
       }
     }
-    w.matches("server-outcomes");
+    recorder.matches("server-outcomes");
   }
 
   /** What is forwarded to a backend and back, and how long a silent backend is waited for. */
   @Test
-  void forwardsRequestAndTimesOut() throws Exception {
-    serveBy(2);
-    script.add("echo");
-    w.say(
+  void headersAreForwardedAndSilenceIsBounded() throws Exception {
+    startProxyWithBackends(2);
+    backendActions.add("echo");
+    recorder.say(
         call(
             "PUT /buy/7?x=%20y HTTP/1.1\r\n"
                 + "Host: shop\r\n"
@@ -79,28 +77,28 @@
                 + "2\r\n"
                 + "hi\r\n"
                 + "0\r\n\r\n"));
-    script.add("none");
-    long startNanos = System.nanoTime();
+    backendActions.add("none");
+    long startedAt = System.nanoTime();
     String answer =
         call(request("pay").replace("Work-Hint", "Request-Timeout: 1.000\r\nWork-Hint"));
-    long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000;
-    boolean isInTime = elapsedMillis > 700 && elapsedMillis <= 1000;
-    w.say(
+    long elapsed = (System.nanoTime() - startedAt) / 1_000_000;
+    boolean isInTime = elapsed > 700 && elapsed <= 1000;
+    recorder.say(
         "silent: "
             + answer.replaceAll("50[24]", "502 or 504")
             + ", in time "
             + isInTime
             + ", sent "
-            + came.get());
-    w.matches("server-passes-on");
+            + requestsReceived.get());
+    recorder.matches("server-passes-on");
   }
 
-  /** Bad input of clients: a clear 4xx and the connection closed, and the next client is served. */
+  /** Malformed requests get a 4xx and a closed connection, and the next client is served. */
   @Test
   void malformedRequestsAreRejected() throws Exception {
-    serveBy(3);
+    startProxyWithBackends(3);
     String post = "POST /buy HTTP/1.1\r\nRequest-Id: 7\r\n";
-    for (String input :
+    for (String request :
         new String[] {
           "GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n",
           "POST /buy HTTP/1.1\r\n\r\n",
@@ -117,311 +115,306 @@
           post + "Work-Hint: 99999999999999999999\r\n\r\n"
         }) {
       try (Socket socket = connect()) {
-        send(socket, input);
-        String inputStart =
-            input.substring(0, Math.min(70, input.length())).replaceAll("[^ -~]+", "|");
-        w.say(inputStart + " -> " + answer(socket));
+        send(socket, request);
+        String excerpt =
+            request.substring(0, Math.min(70, request.length())).replaceAll("[^ -~]+", "|");
+        recorder.say(excerpt + " -> " + readAnswer(socket));
       }
     }
     try (Socket socket = connect()) {
       send(socket, post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
-      w.say("expecting -> " + answer(socket));
+      recorder.say("expecting -> " + readAnswer(socket));
       send(socket, "hi" + request("buy") + request("buy"));
-      w.say(
+      recorder.say(
           "whole, and two more at once -> "
-              + answer(socket).substring(0, 3)
+              + readAnswer(socket).substring(0, 3)
               + " "
-              + answer(socket).substring(0, 3)
+              + readAnswer(socket).substring(0, 3)
               + " "
-              + answer(socket).substring(0, 3));
+              + readAnswer(socket).substring(0, 3));
     }
-    w.matches("server-bad-clients");
+    recorder.matches("server-bad-clients");
   }
 
   /**
-   * Bad clients: a silent one, one that drips bytes and one that sends half a head are rejected
-   * within 3 s of connecting.
+   * Clients that are silent, drip bytes or send half a head are rejected within 3 s of connecting.
    */
   @Test
   void slowClientsAreRejectedInTime() throws Exception {
-    serveBy(3);
-    String partialHead = "GET /buy HTTP/1.1\r\nRequest-Id: 9\r\n";
-    long startNanos = System.nanoTime();
+    startProxyWithBackends(3);
+    String halfHead = "GET /buy HTTP/1.1\r\nRequest-Id: 9\r\n";
+    long startedAt = System.nanoTime();
     try (Socket silent = connect();
         Socket dripping = connect();
-        Socket partial = connect();
-        Socket single = connect()) {
-      w.say("asks once and stays: " + call(single, request("buy")).replaceAll("s\\d", "ok"));
-      send(partial, partialHead);
+        Socket halved = connect();
+        Socket idle = connect()) {
+      recorder.say("asks once and stays: " + call(idle, request("buy")).replaceAll("s\\d", "ok"));
+      send(halved, halfHead);
       for (int i = 0; i < 20; i++) {
         send(dripping, "X");
         Thread.sleep(100);
       }
-      w.say(
+      recorder.say(
           "silent "
-              + answer(silent)
+              + readAnswer(silent)
               + ", dripping "
-              + answer(dripping)
+              + readAnswer(dripping)
               + ", half-said "
-              + answer(partial)
+              + readAnswer(halved)
               + ", at rest "
-              + answer(single)
+              + readAnswer(idle)
               + ", in time "
-              + (System.nanoTime() - startNanos < 3_000_000_000L));
+              + (System.nanoTime() - startedAt < 3_000_000_000L));
     }
     try (Socket slow = connect()) {
-      w.say("usual: " + call(slow, request("buy")).replaceAll("s\\d", "ok"));
+      recorder.say("usual: " + call(slow, request("buy")).replaceAll("s\\d", "ok"));
       Thread.sleep(1000);
-      send(slow, partialHead);
+      send(slow, halfHead);
       Thread.sleep(1500);
-      w.say("rests and writes slowly: " + call(slow, "\r\n").replaceAll("s\\d", "ok"));
+      recorder.say("rests and writes slowly: " + call(slow, "\r\n").replaceAll("s\\d", "ok"));
     }
-    w.matches("server-in-time");
+    recorder.matches("server-in-time");
   }
 
-  /** Incident with bad clients: a second copy of a request in flight reached the backends. */
+  /** A second copy of a request in flight once reached the backends. */
   @Test
-  void openRequestIdIsNotForwardedTwice() throws Exception {
-    serveBy(3);
+  void sameIdIsRejectedWhileInFlight() throws Exception {
+    startProxyWithBackends(3);
     try (Socket first = connect()) {
-      script.add("slow");
-      String request = request("buy");
-      send(first, request);
-      untilOneCame();
-      w.say("id open: " + call(request) + ", sent " + came);
-      w.say("first: " + answer(first) + ", id free: " + call(request).replaceAll("s\\d", "ok"));
+      backendActions.add("slow");
+      String sameRequest = request("buy");
+      send(first, sameRequest);
+      awaitFirstRequest();
+      recorder.say("id open: " + call(sameRequest) + ", sent " + requestsReceived);
+      recorder.say(
+          "first: "
+              + readAnswer(first)
+              + ", id free: "
+              + call(sameRequest).replaceAll("s\\d", "ok"));
     }
-    w.matches("server-open-id");
+    recorder.matches("server-open-id");
   }
 
-  /** Nothing more runs for a client that has disconnected. */
+  /** Nothing more runs for a client that has left. */
   @Test
-  void clientDisconnectCancelsAttempt() throws Exception {
-    serveBy(3);
-    seen.clear();
-    script.add("none");
+  void disconnectClosesTheBackendConnection() throws Exception {
+    startProxyWithBackends(3);
+    observations.clear();
+    backendActions.add("none");
     Socket socket = connect();
     send(socket, request("pay"));
-    untilOneCame();
+    awaitFirstRequest();
     socket.close();
-    String closed = seen.poll(2000, TimeUnit.MILLISECONDS);
-    w.say("client left, backend's connection " + closed + ", sent " + came.get());
-    w.matches("server-client-leaves");
+    String closing = observations.poll(2000, TimeUnit.MILLISECONDS);
+    recorder.say(
+        "client left, backend's connection " + closing + ", sent " + requestsReceived.get());
+    recorder.matches("server-client-leaves");
   }
 
   /**
-   * Graceful shutdown: requests that come while draining are served, those in flight answered, then
-   * nothing listens.
+   * Shutdown: requests while draining are served, those in flight answered; then nothing listens.
    */
   @Test
-  void gracefulShutdown() throws Exception {
-    serveBy(3);
+  void shutdownDrainsBeforeItEnds() throws Exception {
+    startProxyWithBackends(3);
     try (Socket slow = connect();
         Socket idle = connect()) {
-      script.add("slow");
+      backendActions.add("slow");
       send(idle, "GET /ready HTTP/1.1\r\n\r\n");
-      w.say("before: " + answer(idle));
-      Thread shutdownThread = start(server::shutdown);
+      recorder.say("before: " + readAnswer(idle));
+      Thread ending = startThread(server::shutdown);
       while (!call("GET /ready HTTP/1.1\r\n\r\n").startsWith("503")) {
         Thread.sleep(5);
       }
       send(slow, request("pay"));
-      while (!script.isEmpty()) {
+      while (!backendActions.isEmpty()) {
         Thread.sleep(5);
       }
-      w.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
-      w.say("one more: " + call(request("buy")).replaceAll("s[012]", "ok"));
-      w.say("open: " + answer(slow) + ", idle: " + answer(idle));
-      shutdownThread.join(5000);
-      w.say("ended: " + !running.isAlive());
+      recorder.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
+      recorder.say("one more: " + call(request("buy")).replaceAll("s[012]", "ok"));
+      recorder.say("open: " + readAnswer(slow) + ", idle: " + readAnswer(idle));
+      ending.join(5000);
+      serverThread.join(5000); // shutdown() may return just before the serving thread ends
+      recorder.say("ended: " + !serverThread.isAlive());
       try (Socket late = connect()) {
-        w.say("late: accepted " + late.isConnected());
+        recorder.say("late: accepted " + late.isConnected());
       } catch (IOException e) {
-        w.say("late: " + e.getMessage());
+        recorder.say("late: " + e.getMessage());
       }
     }
-    w.matches("server-ends");
+    recorder.matches("server-ends");
   }
 
-  /**
-   * The endpoint list: a cached one at the start, bad entries and lines, a backend that drains,
-   * moves and leaves.
-   */
+  /** An old list at the start, bad entries and lines, a backend that drains, moves and goes. */
   @Test
-  void followsEndpointList() throws Exception {
+  void endpointListChangesAreFollowed() throws Exception {
     int[] ports = new int[3];
     for (int i = 0; i < 3; i++) {
       String name = "s" + i;
-      ports[i] = open(socket -> backend(name, socket)).getLocalPort();
+      ports[i] = listen(socket -> serveBackend(name, socket)).getLocalPort();
     }
-    int closedPort = open(socket -> {}).getLocalPort();
-    doors.get(doors.size() - 1).close();
-    news.add(told(4, false));
-    serve(
-        1024, told(3, true, entry("s0", "SERVING", ports[0]), entry("s9", "SERVING", closedPort)));
-    w.say("known of old: " + servingBackends());
-    applyListLine(
-        told(
+    int closedPort = listen(socket -> {}).getLocalPort();
+    listeners.get(listeners.size() - 1).close();
+    listLines.add(listLine(4, false));
+    startProxy(
+        1024,
+        listLine(
+            3, true, endpoint("s0", "SERVING", ports[0]), endpoint("s9", "SERVING", closedPort)));
+    recorder.say("known of old: " + servingBackends());
+    sendListLine(
+        listLine(
             5,
             false,
-            entry("s1", "SERVING", ports[1]),
+            endpoint("s1", "SERVING", ports[1]),
             "{'uid':'s7'}",
-            entry("s8", "ASLEEP", 1),
+            endpoint("s8", "ASLEEP", 1),
             "{'uid':'s6','endpoint':'localhost:1','state':'SERVING'}",
             "{'uid':6}"));
-    applyListLine(told(6, false, entry("s0", "DRAINING", ports[0])));
-    applyListLine("no json");
-    applyListLine(told(7, false, entry("s1", "SERVING", ports[2])));
-    applyListLine("[]");
-    applyListLine(told(8, true, entry("s0", "SERVING", ports[0])));
-    applyListLine(told(9, false, entry("s0", "DELETED", ports[0])));
-    news.add("end");
-    applyListLine(told(10, true, entry("s1", "SERVING", ports[1])));
+    sendListLine(listLine(6, false, endpoint("s0", "DRAINING", ports[0])));
+    sendListLine("no json");
+    sendListLine(listLine(7, false, endpoint("s1", "SERVING", ports[2])));
+    sendListLine("[]");
+    sendListLine(listLine(8, true, endpoint("s0", "SERVING", ports[0])));
+    sendListLine(listLine(9, false, endpoint("s0", "DELETED", ports[0])));
+    listLines.add("end");
+    sendListLine(listLine(10, true, endpoint("s1", "SERVING", ports[1])));
     Thread.sleep(3300); // no line comes: the watch counts as broken
-    seen.removeIf("closed"::equals);
-    w.say("asked " + seen);
-    w.matches("server-list");
+    observations.removeIf("closed"::equals);
+    recorder.say("asked " + observations);
+    recorder.matches("server-list");
   }
 
   /**
-   * Incident in a mass restart: requests went to draining backends, as the cached list was used
-   * until discovery answered.
+   * After a mass restart requests went to backends that drain: the stored list was used too early.
    */
   @Test
-  void startsWithDiscoverysList() throws Exception {
+  void startWaitsForTheCurrentList() throws Exception {
     int[] ports = new int[2];
     for (int i = 0; i < 2; i++) {
       String name = "s" + i;
-      ports[i] = open(socket -> backend(name, socket)).getLocalPort();
+      ports[i] = listen(socket -> serveBackend(name, socket)).getLocalPort();
     }
-    String cachedList =
-        told(3, true, entry("s0", "SERVING", ports[0]), entry("s1", "SERVING", ports[1]));
+    String knownList =
+        listLine(3, true, endpoint("s0", "SERVING", ports[0]), endpoint("s1", "SERVING", ports[1]));
     String currentList =
-        told(7, true, entry("s0", "DRAINING", ports[0]), entry("s1", "SERVING", ports[1]));
-    int discoveryPort = open(this::list).getLocalPort();
-    server = new ProxyServer(new ProxyConfig(Json.object(config(discoveryPort, 1024, cachedList))));
-    port = server.port();
-    running = start(server::run);
-    try (Socket early = connect()) { // while it starts: waits, and is served by discovery's list
+        listLine(
+            7, true, endpoint("s0", "DRAINING", ports[0]), endpoint("s1", "SERVING", ports[1]));
+    int listPort = listen(this::serveEndpointList).getLocalPort();
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, knownList)))));
+    try (Socket early = connect()) { // waits for the current list
       send(early, request("buy"));
       Thread.sleep(100);
-      news.add(currentList);
-      w.say("came early: " + answer(early) + ", then " + servingBackends() + ", asked " + seen);
+      listLines.add(currentList);
+      recorder.say(
+          "came early: "
+              + readAnswer(early)
+              + ", then "
+              + servingBackends()
+              + ", asked "
+              + observations);
     }
     server.shutdown();
-    news.clear();
-    server = new ProxyServer(new ProxyConfig(Json.object(config(discoveryPort, 1024, cachedList))));
-    port = server.port();
-    running = start(server::run);
-    w.say("discovery says nothing: " + call(request("buy")));
+    listLines.clear();
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, knownList)))));
+    recorder.say("discovery says nothing: " + call(request("buy")));
     Thread.sleep(3300);
-    w.say("for 3 s: " + servingBackends());
-    news.add(currentList);
+    recorder.say("for 3 s: " + servingBackends());
+    listLines.add(currentList);
     Thread.sleep(300);
-    w.say("and then: " + servingBackends());
-    w.matches("server-starts");
+    recorder.say("and then: " + servingBackends());
+    recorder.matches("server-starts");
   }
 
   /**
-   * Faults of a large fleet's list: changes of an old revision, and a complete list of one, bring
-   * no drained backend back; of repeated entries the last counts; 40 malformed ones of 60 are one
-   * log line; if the list is cut off within a line, or refused, the last good one is kept.
+   * Changes of an old revision, or an old snapshot, bring no drained backend back; of repeated
+   * entries the last counts; 40 malformed ones of 60 are one line of the log; and if the list is
+   * cut off amid a line or refuses connections, the last good one is kept.
    */
   @Test
-  void faultyEndpointLists() throws Exception {
-    String[] entries = {ready("s0"), ready("s1")};
-    String drainingEntry = entries[0].replace("SERVING", "DRAINING");
-    Logger log = Logger.getLogger("wheattrack");
-    Handler logHandler = ear();
-    log.addHandler(logHandler);
-    log.setLevel(Level.WARNING);
-    try {
-      news.add(told(5, true, entries));
-      serve(1024, "{}");
-      applyListLine(told(6, false, drainingEntry));
-      applyListLine(told(4, false, entries[0]));
-      news.add("end");
-      applyListLine(told(3, true, entries));
-      applyListLine(told(7, false, entries[0]));
-      applyListLine(told(8, true, entries[0], entries[1], drainingEntry));
-      String[] manyEntries = new String[60];
+  void lastGoodListOutlastsABrokenOne() throws Exception {
+    String[] endpoints = {startBackend("s0"), startBackend("s1")};
+    String draining = endpoints[0].replace("SERVING", "DRAINING");
+    LogRecording log = recordLog(Level.WARNING);
+    try (log) {
+      listLines.add(listLine(5, true, endpoints));
+      startProxy(1024, "{}");
+      sendListLine(listLine(6, false, draining));
+      sendListLine(listLine(4, false, endpoints[0]));
+      listLines.add("end");
+      sendListLine(listLine(3, true, endpoints));
+      sendListLine(listLine(7, false, endpoints[0]));
+      sendListLine(listLine(8, true, endpoints[0], endpoints[1], draining));
+      String[] manyEndpoints = new String[60];
       for (int i = 0; i < 60; i++) {
-        manyEntries[i] = i % 3 == 0 ? entries[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
+        manyEndpoints[i] = i % 3 == 0 ? endpoints[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
       }
-      news.add(told(9, true, manyEntries));
+      listLines.add(listLine(9, true, manyEndpoints));
       Thread.sleep(300);
-      w.say("60 entries, 40 broken: " + servingBackends());
-      news.add("half " + told(10, true, entries[0]));
+      recorder.say("60 entries, 40 broken: " + servingBackends());
+      listLines.add("half " + listLine(10, true, endpoints[0]));
       Thread.sleep(600);
-      w.say("cut off: " + servingBackends());
-      doors.get(doors.size() - 1).close(); // the list's
-      news.add("end");
+      recorder.say("cut off: " + servingBackends());
+      listeners.get(listeners.size() - 1).close(); // that of the list
+      listLines.add("end");
       Thread.sleep(1000);
-      w.say("refuses: " + servingBackends());
-    } finally {
-      log.removeHandler(logHandler);
-      log.setLevel(Level.SEVERE);
+      recorder.say("refuses: " + servingBackends());
     }
-    w.matches("server-list-trouble");
+    recorder.matches("server-list-trouble");
   }
 
   /**
-   * Incident with new configurations: SIGHUP ended the process. Requests in flight and measurements
-   * stay, also with a bad file.
+   * SIGHUP once ended the process. Requests in flight and what was learnt outlast it, also if the
+   * file is bad.
    */
   @Test
-  void reloadsOnHangup() throws Exception {
-    serveBy(2);
+  void hangupReloadsTheConfiguration() throws Exception {
+    startProxyWithBackends(2);
     Path file = Files.createTempFile("wheattrack", ".json");
     Signals.onHangup(() -> server.reload(file));
-    Logger log = Logger.getLogger("wheattrack");
-    Handler logHandler = ear();
-    log.addHandler(logHandler);
-    log.setLevel(Level.INFO);
-    try (Socket slow = connect()) {
-      script.add("slow");
+    LogRecording log = recordLog(Level.INFO);
+    try (log;
+        Socket slow = connect()) {
+      backendActions.add("slow");
       send(slow, request("pay"));
-      untilOneCame();
-      int secondDiscoveryPort =
-          open(socket -> {
-                seen.add("second list");
-                list(socket);
-              })
+      awaitFirstRequest();
+      int secondListPort =
+          listen(
+                  socket -> {
+                    observations.add("second list");
+                    serveEndpointList(socket);
+                  })
               .getLocalPort();
-      String thirdBackend = ready("s2");
-      for (String config :
+      String newEndpoint = startBackend("s2");
+      for (String text :
           new String[] {
-            config(secondDiscoveryPort, 512, "{}"),
+            config(secondListPort, 512, "{}"),
             "{'discovery'",
             "",
-            config(secondDiscoveryPort, 1024, "{}")
-                .replace("127.0.0.1:" + secondDiscoveryPort, "list:1"),
-            config(secondDiscoveryPort, 1024, "{}").replace("read_like", "any")
+            config(secondListPort, 1024, "{}").replace("127.0.0.1:" + secondListPort, "list:1"),
+            config(secondListPort, 1024, "{}").replace("read_like", "any")
           }) {
-        Files.writeString(file, config);
+        Files.writeString(file, text);
         new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start().waitFor();
         Thread.sleep(200);
       }
-      w.say("open meanwhile: " + answer(slow));
-      news.add(told(1, true, thirdBackend));
+      recorder.say("open meanwhile: " + readAnswer(slow));
+      listLines.add(listLine(1, true, newEndpoint));
       Thread.sleep(200);
-      seen.removeIf("closed"::equals);
-      w.say("asked " + seen + ", now " + servingBackends());
+      observations.removeIf("closed"::equals);
+      recorder.say("asked " + observations + ", now " + servingBackends());
     } finally {
-      log.removeHandler(logHandler);
-      log.setLevel(Level.SEVERE);
       Files.delete(file);
     }
-    w.matches("server-rereads");
+    recorder.matches("server-rereads");
   }
 
-  private void applyListLine(String line) throws Exception {
-    news.add(line);
+  private void sendListLine(String line) throws Exception {
+    listLines.add(line);
     Thread.sleep(300);
-    w.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + servingBackends());
+    recorder.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + servingBackends());
   }
 
-  /** Which backends serve ten calls. */
+  /** The backends that serve ten requests. */
   private String servingBackends() throws IOException {
     Set<String> names = new TreeSet<>();
     for (int i = 0; i < 10; i++) {
@@ -430,42 +423,44 @@
     return names.toString();
   }
 
-  /**
-   * Few descriptors: idle connections are closed, and clients beyond the limit are rejected at
-   * once.
-   */
+  /** With few descriptors idle connections are closed, and surplus clients are rejected at once. */
   @Test
-  void fewDescriptors() throws Exception {
-    news.add(told(1, true, ready("s0")));
-    serve(64, "{}");
+  void fewDescriptorsRejectSurplusClients() throws Exception {
+    listLines.add(listLine(1, true, startBackend("s0")));
+    startProxy(64, "{}");
     List<Socket> open = new ArrayList<>();
     Socket regularClient = connect();
-    w.say("usual: " + call(regularClient, request("buy")));
+    recorder.say("usual: " + call(regularClient, request("buy")));
     for (int i = 0; i < 27; i++) {
       open.add(connect());
       Thread.sleep(i == 14 ? 300 : 0);
     }
-    w.say(
+    recorder.say(
         "beside 27 that say nothing: "
             + call(request("buy"))
             + ", usual: "
             + call(regularClient, request("buy")));
     regularClient.close();
-    int[] answers = new int[2];
+    int served = 0;
+    int rejected = 0;
     for (int i = 0; i < 30; i++) {
-      script.add("slow");
+      backendActions.add("slow");
       open.add(connect());
       send(open.get(27 + i), request("buy"));
     }
     for (Socket socket : open.subList(27, 57)) {
-      answers[answer(socket).startsWith("200") ? 0 : 1]++;
+      if (readAnswer(socket).startsWith("200")) {
+        served++;
+      } else {
+        rejected++;
+      }
     }
-    script.clear();
-    w.say("of 30 at once all answered, some denied: " + (answers[0] > 0 && answers[1] > 0));
+    backendActions.clear();
+    recorder.say("of 30 at once all answered, some denied: " + (served > 0 && rejected > 0));
     for (Socket socket : open) {
       socket.close();
     }
-    w.say("after: " + call(request("buy")));
-    w.matches("server-few-sockets");
+    recorder.say("after: " + call(request("buy")));
+    recorder.matches("server-few-sockets");
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -9,32 +9,32 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Reloads of the configuration while the proxy serves: applied completely or not at all. */
+/** Settings that change while the proxy serves: all of a file is taken, or nothing. */
 class ReloadTest extends ProxyTestHarness {
   private static final String SELL_CLASS =
       ",{\"name\":\"sell\",\"clientTimeout\":900000,"
           + "\"responseTarget\":500000,\"group\":\"all\",\"window\":5,\"effect\":\"non_idempotent\"}";
-  private static final int RELOAD_COUNT = 150;
+  private static final int RELOADS = 150;
 
   @TempDir Path folder;
   private Path file;
-  private String runningConfig;
+  private String currentConfig;
 
   @BeforeEach
-  void serveOneProxy() throws Exception {
+  void startProxyWithThreeBackends() throws Exception {
     file = folder.resolve("proxy.json");
-    news.add(told(1, true, ready("s0"), ready("s1"), ready("s2")));
-    serve(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
-    runningConfig =
-        config(doors.get(doors.size() - 1).getLocalPort(), 1024, "{},'admin':'127.0.0.1:0'");
+    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    startProxy(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
+    currentConfig =
+        config(
+            listeners.get(listeners.size() - 1).getLocalPort(), 1024, "{},'admin':'127.0.0.1:0'");
   }
 
   private void reload(String text) throws Exception {
@@ -42,30 +42,18 @@
     server.reload(file);
   }
 
-  /** One metric's value from the admin address. */
-  private String metric(String name) throws Exception {
-    try (Socket socket = new Socket("127.0.0.1", server.adminPort())) {
-      String metrics = call(socket, "GET /status/metrics HTTP/1.1\r\n\r\n");
-      return metrics.replaceAll("(?s).*" + name + ":(\\d+).*", "$1");
-    }
-  }
-
-  /** The status that a request of this class is answered with. */
-  private String status(String requestClass) throws Exception {
-    return call(request(requestClass)).substring(0, 3);
+  private String statusFor(String className) throws Exception {
+    return call(request(className)).substring(0, 3);
   }
 
-  /** Files that are invalid, each in one way: the old settings stay, and one log line says why. */
+  /** Each broken file leaves the settings as they were, and one line of the log says why. */
   @Test
-  void invalidFilesChangeNothing() throws Exception {
-    String validConfig = runningConfig.replace("]}}", SELL_CLASS + "]}}");
-    Logger logger = Logger.getLogger("wheattrack");
-    Handler handler = ear();
-    logger.addHandler(handler);
-    logger.setLevel(Level.WARNING);
-    try {
+  void brokenFilesChangeNothing() throws Exception {
+    String goodConfig = currentConfig.replace("]}}", SELL_CLASS + "]}}");
+    LogRecording log = recordLog(Level.WARNING);
+    try (log) {
       String movedConfig =
-          validConfig.replaceFirst("\"discovery\":\"[^\"]*\"", "\"discovery\":\"127.0.0.1:1\"");
+          goodConfig.replaceFirst("\"discovery\":\"[^\"]*\"", "\"discovery\":\"127.0.0.1:1\"");
       for (String text :
           new String[] {
             "",
@@ -85,141 +73,128 @@
             movedConfig.replace("sell", "buy")
           }) {
         reload(text);
-        w.say("sell " + status("sell") + ", buy " + status("buy"));
+        recorder.say("sell " + statusFor("sell") + ", buy " + statusFor("buy"));
       }
-    } finally {
-      logger.removeHandler(handler);
-      logger.setLevel(Level.SEVERE);
     }
-    w.say("failed " + metric("reloads_failed") + ", ok " + metric("reloads_ok"));
+    recorder.say("failed " + metric("reloads_failed") + ", ok " + metric("reloads_ok"));
     Files.delete(file);
     server.reload(file);
-    String failed =
-        metric("reloads_failed"); // asked for after the reload, so that it has looked for the file
-    reload(validConfig);
-    w.say(
+    int failed = metric("reloads_failed"); // answered after the reload
+    reload(goodConfig);
+    recorder.say(
         "no file, then a good one: sell "
-            + status("sell")
+            + statusFor("sell")
             + ", failed "
             + failed
             + ", ok "
             + metric("reloads_ok")
             + ", lists asked for "
-            + watches.get());
-    w.matches("reload-broken");
+            + watchCount.get());
+    recorder.matches("reload-broken");
   }
 
   /**
-   * A class turns stricter or is removed, fewer attempts are allowed: requests in flight keep the
-   * settings that they started with.
+   * A class becomes stricter or goes, or fewer attempts are allowed: requests in flight keep the
+   * settings that they came under.
    */
   @Test
-  void requestsInFlightKeepTheirSettings() throws Exception {
-    List<Socket> openSockets = new ArrayList<>();
-    String stricter = runningConfig.replace("read_like", "non_idempotent");
+  void requestsInFlightKeepTheirClass() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    String stricter = currentConfig.replace("read_like", "non_idempotent");
     for (String text :
         new String[] {
-          runningConfig,
+          currentConfig,
           stricter,
-          runningConfig.replace("\"maxDispatches\":3", "\"maxDispatches\":1"),
-          runningConfig.replace("\"name\":\"buy\"", "\"name\":\"let\"")
+          currentConfig.replace("\"maxDispatches\":3", "\"maxDispatches\":1"),
+          currentConfig.replace("\"name\":\"buy\"", "\"name\":\"let\"")
         }) {
-      Socket socket = connect(); // its first attempt fails only after the reload
-      script.addAll(List.of("slow 500", "ok"));
-      int before = came.get();
+      Socket socket = connect(); // its first attempt fails only after the change
+      backendActions.addAll(List.of("slow 500", "ok"));
+      int requestsBefore = requestsReceived.get();
       send(socket, request("buy"));
-      while (came.get() == before) {
+      while (requestsReceived.get() == requestsBefore) {
         Thread.sleep(1);
       }
       reload(text);
-      w.say(
+      recorder.say(
           "open through the change: "
-              + answer(socket).replaceAll("s\\d", "ok")
+              + readAnswer(socket).replaceAll("s\\d", "ok")
               + ", sent "
-              + (came.get() - before));
-      script.addAll(List.of("500", "ok"));
-      before = came.get();
-      w.say(
+              + (requestsReceived.get() - requestsBefore));
+      backendActions.addAll(List.of("500", "ok"));
+      requestsBefore = requestsReceived.get();
+      recorder.say(
           "  then: "
-              + status("buy")
+              + statusFor("buy")
               + ", let "
-              + status("let")
+              + statusFor("let")
               + ", sent "
-              + (came.get() - before));
-      script.clear();
-      reload(runningConfig);
-      openSockets.add(socket);
+              + (requestsReceived.get() - requestsBefore));
+      backendActions.clear();
+      reload(currentConfig);
+      sockets.add(socket);
     }
-    w.say("buy served " + metric("served.buy") + ", failed " + metric("failed.buy"));
-    for (Socket socket : openSockets) {
+    recorder.say("buy served " + metric("served.buy") + ", failed " + metric("failed.buy"));
+    for (Socket socket : sockets) {
       socket.close();
     }
-    w.matches("reload-moves");
+    recorder.matches("reload-moves");
   }
 
-  /**
-   * Valid and truncated files at random times under traffic: every file is counted, and every
-   * request is answered in time.
-   */
+  /** Any files at any moment under traffic: each is counted, and each request is answered. */
   @Test
-  void randomReloads() throws Exception {
-    AtomicInteger requestCount = new AtomicInteger();
-    AtomicInteger unexpectedAnswers = new AtomicInteger();
+  void everyReloadIsCountedAndEveryRequestAnswered() throws Exception {
+    AtomicInteger requestsSent = new AtomicInteger();
+    AtomicInteger oddAnswers = new AtomicInteger();
     List<Thread> clients = new ArrayList<>();
-    boolean[] isStopped = {false};
+    AtomicBoolean isStopping = new AtomicBoolean();
     for (int i = 0; i < 4; i++) {
       clients.add(
-          start(
+          startThread(
               () -> {
-                while (!isStopped[0]) {
+                while (!isStopping.get()) {
                   String answer =
-                      call(request(requestCount.incrementAndGet() % 2 == 0 ? "pay" : "sell"));
+                      call(request(requestsSent.incrementAndGet() % 2 == 0 ? "pay" : "sell"));
                   if (!answer.matches("200 s\\d.*|404 .*sell.*")) {
-                    unexpectedAnswers.incrementAndGet();
+                    oddAnswers.incrementAndGet();
                   }
                 }
               }));
     }
     Random random = new Random(1);
-    for (int i = 0; i < RELOAD_COUNT; i++) {
+    for (int i = 0; i < RELOADS; i++) {
       String text =
-          random.nextBoolean() ? runningConfig : runningConfig.replace("]}}", SELL_CLASS + "]}}");
+          random.nextBoolean() ? currentConfig : currentConfig.replace("]}}", SELL_CLASS + "]}}");
       text = text.replace("1500000", Integer.toString(1_000_000 + random.nextInt(500_000)));
       boolean isComplete = random.nextInt(3) > 0;
       reload(isComplete ? text : text.substring(0, random.nextInt(text.length())));
       Thread.sleep(random.nextInt(10));
     }
     Thread.sleep(100);
-    isStopped[0] = true;
+    isStopping.set(true);
     for (Thread client : clients) {
       client.join(2000);
     }
-    assertEquals(0, unexpectedAnswers.get(), "of " + requestCount);
-    assertTrue(requestCount.get() > RELOAD_COUNT, "too few requests: " + requestCount);
-    int applied = Integer.parseInt(metric("reloads_ok"));
-    assertEquals(RELOAD_COUNT, applied + Integer.parseInt(metric("reloads_failed")));
-    assertTrue(applied > RELOAD_COUNT / 3, "applied: " + applied);
+    assertEquals(0, oddAnswers.get(), "of " + requestsSent);
+    assertTrue(requestsSent.get() > RELOADS, "too few requests: " + requestsSent);
+    int reloadsTaken = metric("reloads_ok");
+    assertEquals(RELOADS, reloadsTaken + metric("reloads_failed"));
+    assertTrue(reloadsTaken > RELOADS / 3, "taken: " + reloadsTaken);
   }
 
   /**
-   * A JVM gets no SIGHUP if its parent ignores the signal; the log says so. Proxies under nohup
-   * once kept their old endpoint list.
+   * No JVM receives SIGHUP if its parent ignores it, as nohup does: a fleet kept its old settings.
+   * The log says so.
    */
   @Test
   void ignoredHangupIsLogged() throws Exception {
     Path file = Files.createTempFile("wheattrack", ".json");
     Files.writeString(file, config(9, 1024, "{}"));
-    String shellScript =
-        "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
+    String script = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     Process proxy =
         new ProcessBuilder(
-                "sh",
-                "-c",
-                shellScript,
-                java,
-                System.getProperty("java.class.path"),
-                file.toString())
+                "sh", "-c", script, java, System.getProperty("java.class.path"), file.toString())
             .redirectErrorStream(true)
             .start();
     try (var lines = proxy.inputReader()) {
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -20,61 +20,61 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** A proxy that watches a source of settings, and the faults of that source. */
+/**
+ * A proxy that takes its settings from a source that it watches, and what can go wrong with that.
+ */
 class SettingsSubscriptionTest extends RawConnection {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 
   @TempDir Path folder;
 
-  /** The request target of each call. */
-  private final List<String> requestTargets = Collections.synchronizedList(new ArrayList<>());
+  /** The target of each watch of the source, in their order. */
+  private final List<String> requestedTargets = Collections.synchronizedList(new ArrayList<>());
 
-  private volatile Socket latestConnection;
+  private volatile Socket latestSocket;
   private ServerSocket source;
-  private Path configFile;
+  private Path file;
 
-  private void serveWithSource(String scope) throws Exception {
+  private void startProxyWithSource(String scope) throws Exception {
     source =
-        open(
+        listen(
             socket -> {
-              requestTargets.add(head(socket.getInputStream()).split(" ")[1]);
+              requestedTargets.add(readHead(socket.getInputStream()).split(" ")[1]);
               send(socket, HEAD);
-              latestConnection = socket;
+              latestSocket = socket;
             });
-    news.add(told(1, true, ready("s0")));
+    listLines.add(listLine(1, true, startBackend("s0")));
     String config =
-        config(open(this::list).getLocalPort(), 1024, "{}")
+        config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
-    configFile = Files.writeString(folder.resolve("config.json"), config);
-    server =
+    file = Files.writeString(folder.resolve("config.json"), config);
+    run(
         new ProxyServer(
             new ProxyConfig(Json.object(config)),
             "",
             (InetSocketAddress) source.getLocalSocketAddress(),
-            scope);
-    port = server.port();
-    running = start(server::run);
-    until("the source is called", () -> latestConnection != null);
+            scope));
+    await("the source is called", () -> latestSocket != null);
   }
 
-  private static String requestClass(String name, int millis) {
+  private static String classSettings(String name, int millis) {
     return DynamicSettingsTest.requestClass(name, millis, "read_like");
   }
 
-  private void notifySubscriber(String event) throws IOException {
-    send(latestConnection, event.replace('\'', '"') + "\n");
+  private void sendSettings(String line) throws IOException {
+    send(latestSocket, line.replace('\'', '"') + "\n");
   }
 
-  /** Puts a complete snapshot in force, of revision 3 with classes a and b. */
+  /** Sends a snapshot of revision 3 with the classes a and b, and waits until it is in force. */
   private void sendSnapshot() throws Exception {
-    notifySubscriber(
+    sendSettings(
         "{'rev':3,'all':true,'ruleSets':["
-            + requestClass("a", 900)
+            + classSettings("a", 900)
             + ","
-            + requestClass("b", 900)
+            + classSettings("b", 900)
             + "]}");
-    until("the whole is in force", () -> figure("settings_told") > 0);
-    until("ready", this::isReady);
+    await("the whole is in force", () -> metric("settings_told") > 0);
+    await("ready", this::isReady);
   }
 
   private boolean isReady() {
@@ -85,238 +85,230 @@
     }
   }
 
-  private void awaitCall(int number) throws InterruptedException {
-    until("call " + number + " of " + requestTargets, () -> requestTargets.size() >= number);
-    until("its connection", () -> latestConnection != null);
+  private void awaitCall(int count) throws InterruptedException {
+    await("call " + count + " of " + requestedTargets, () -> requestedTargets.size() >= count);
+    await("its connection", () -> latestSocket != null);
   }
 
-  private void closeConnection() throws IOException {
-    Socket previous = latestConnection;
-    latestConnection = null;
-    previous.close();
+  private void endWatch() throws IOException {
+    Socket previousSocket = latestSocket;
+    latestSocket = null;
+    previousSocket.close();
   }
 
-  private String status(String requestClass) throws IOException {
-    return call(request(requestClass)).substring(0, 3);
+  private String statusFor(String className) throws IOException {
+    return call(request(className)).substring(0, 3);
   }
 
   @Test
-  void snapshotThenChanges() throws Exception {
-    serveWithSource("");
+  void snapshotAndChangesAreTaken() throws Exception {
+    startProxyWithSource("");
     sendSnapshot();
-    assertEquals(List.of("/v1/settings?watch=1"), requestTargets);
-    assertEquals("200 404 404", status("a") + " " + status("c") + " " + status("buy"));
-    notifySubscriber(
-        "{'rev':4,'after':3,'ruleSets':[" + requestClass("c", 500) + ",{'name':'a','gone':true}]}");
-    until("the change is in force", () -> figure("settings_told") == 2);
-    assertEquals("404 200 200", status("a") + " " + status("b") + " " + status("c"));
+    assertEquals(List.of("/v1/settings?watch=1"), requestedTargets);
+    assertEquals("200 404 404", statusFor("a") + " " + statusFor("c") + " " + statusFor("buy"));
+    sendSettings(
+        "{'rev':4,'after':3,'ruleSets':["
+            + classSettings("c", 500)
+            + ",{'name':'a','gone':true}]}");
+    await("the change is in force", () -> metric("settings_told") == 2);
+    assertEquals("404 200 200", statusFor("a") + " " + statusFor("b") + " " + statusFor("c"));
   }
 
-  /** The source ends within a line: settings in force stay, and later changes are asked for. */
+  /** The source ends amid a line: the settings stay in force, and the rest is asked for. */
   @Test
-  void sourceEndsMidLine() throws Exception {
-    serveWithSource("");
+  void watchThatEndsAmidALineIsResumed() throws Exception {
+    startProxyWithSource("");
     sendSnapshot();
-    send(latestConnection, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
-    closeConnection();
+    send(latestSocket, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
+    endWatch();
     awaitCall(2);
-    assertEquals("/v1/settings?watch=1&after=3", requestTargets.get(1));
-    assertEquals("200", status("a"));
-    notifySubscriber("{'rev':4,'after':3,'ruleSets':[{'name':'a','gone':true}]}");
-    until("the change is in force", () -> figure("settings_told") == 2);
-    assertEquals("404", status("a"));
+    assertEquals("/v1/settings?watch=1&after=3", requestedTargets.get(1));
+    assertEquals("200", statusFor("a"));
+    sendSettings("{'rev':4,'after':3,'ruleSets':[{'name':'a','gone':true}]}");
+    await("the change is in force", () -> metric("settings_told") == 2);
+    assertEquals("404", statusFor("a"));
   }
 
   /**
-   * A gap, a step back, another source: a snapshot is asked for, and until it comes the settings in
-   * force stay.
+   * After changes that are out of order, old or from another source, a snapshot is asked for; until
+   * it comes the settings stay in force.
    */
   @Test
-  void gapAsksForSnapshot() throws Exception {
-    serveWithSource("");
+  void changesOutOfOrderAreDropped() throws Exception {
+    startProxyWithSource("");
     sendSnapshot();
     int calls = 1;
-    for (String revisionFields :
+    for (String revision :
         List.of("'rev':6,'after':5", "'rev':2,'after':3", "'rev':4,'after':3,'source':'x'")) {
-      Socket previous = latestConnection;
-      latestConnection = null;
+      Socket previousSocket = latestSocket;
+      latestSocket = null;
       send(
-          previous,
-          ("{" + revisionFields + ",'ruleSets':[" + requestClass("c", 500) + "]}")
-                  .replace('\'', '"')
+          previousSocket,
+          ("{" + revision + ",'ruleSets':[" + classSettings("c", 500) + "]}").replace('\'', '"')
               + "\n");
       awaitCall(++calls);
-      assertEquals("/v1/settings?watch=1", requestTargets.get(calls - 1));
-      assertEquals("200 404", status("a") + " " + status("c"));
-      notifySubscriber("{'rev':3,'all':true,'ruleSets':[" + requestClass("a", 900) + "]}");
-      int snapshots = calls;
-      until("the whole is in force", () -> figure("settings_told") == snapshots);
-      assertEquals("200 404", status("a") + " " + status("b"));
+      assertEquals("/v1/settings?watch=1", requestedTargets.get(calls - 1));
+      assertEquals("200 404", statusFor("a") + " " + statusFor("c"));
+      sendSettings("{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}");
+      int settingsTaken = calls;
+      await("the whole is in force", () -> metric("settings_told") == settingsTaken);
+      assertEquals("200 404", statusFor("a") + " " + statusFor("b"));
     }
   }
 
-  /** Malformed and endless events are counted, and the settings in force stay. */
+  /**
+   * Settings that are malformed, endless or too large are counted, and the others stay in force.
+   */
   @Test
-  void malformedEventsAreCounted() throws Exception {
-    serveWithSource("");
+  void malformedSettingsAreCountedAndDropped() throws Exception {
+    startProxyWithSource("");
     sendSnapshot();
-    notifySubscriber("{'rev':4,'after':3,'ruleSets':[{'name':'c','effect':'twice'}]}");
-    until("it is turned down", () -> figure("reloads_failed") == 1);
-    notifySubscriber("no object");
-    until("it is turned down", () -> figure("reloads_failed") == 2);
-    assertEquals("200 404", status("a") + " " + status("c"));
-    Socket previous = latestConnection;
-    latestConnection = null;
-    start(
+    sendSettings("{'rev':4,'after':3,'ruleSets':[{'name':'c','effect':'twice'}]}");
+    await("it is turned down", () -> metric("reloads_failed") == 1);
+    sendSettings("no object");
+    await("it is turned down", () -> metric("reloads_failed") == 2);
+    assertEquals("200 404", statusFor("a") + " " + statusFor("c"));
+    Socket previousSocket = latestSocket;
+    latestSocket = null;
+    startThread(
         () ->
-            previous
+            previousSocket
                 .getOutputStream()
                 .write(("{\"rev\":4,\"x\":\"" + "x".repeat(5 << 20)).getBytes()));
     awaitCall(2);
-    assertEquals("200", status("b"));
-    notifySubscriber("{'rev':5,'after':3,'ruleSets':[" + requestClass("c", 500) + "]}");
-    until("the change is in force", () -> figure("settings_told") == 2);
-    assertEquals("200", status("c"));
+    assertEquals("200", statusFor("b"));
+    sendSettings("{'rev':5,'after':3,'ruleSets':[" + classSettings("c", 500) + "]}");
+    await("the change is in force", () -> metric("settings_told") == 2);
+    assertEquals("200", statusFor("c"));
   }
 
-  /**
-   * SIGHUP while the loop stands still within a change: the file's limits are in force, the
-   * source's classes stay.
-   */
+  /** SIGHUP amid a change: the file's limits are taken, and the source's classes stay. */
   @Test
-  void reloadDuringSettingsChange() throws Exception {
-    serveWithSource("");
+  void reloadAmidAChangeTakesBoth() throws Exception {
+    startProxyWithSource("");
     sendSnapshot();
     Files.writeString(
-        configFile,
-        Files.readString(configFile).replace("\"maxDispatches\":3", "\"maxDispatches\":1"));
-    Standstill standstill = standstill("configuration read again");
-    server.reload(configFile);
-    standstill.reached();
-    notifySubscriber("{'rev':4,'after':3,'ruleSets':[" + requestClass("c", 900) + "]}");
+        file, Files.readString(file).replace("\"maxDispatches\":3", "\"maxDispatches\":1"));
+    LoopPause pause = pauseLoopAt("configuration read again");
+    server.reload(file);
+    pause.awaitReached();
+    sendSettings("{'rev':4,'after':3,'ruleSets':[" + classSettings("c", 900) + "]}");
     Thread.sleep(50);
-    standstill.go();
-    until("both are in force", () -> figure("settings_told") == 2 && figure("reloads_ok") == 1);
-    assertEquals("200 200 404", status("a") + " " + status("c") + " " + status("buy"));
-    script.add("full");
-    assertEquals("503", status("c")); // one attempt, as the file has it now
+    pause.release();
+    await("both are in force", () -> metric("settings_told") == 2 && metric("reloads_ok") == 1);
+    assertEquals("200 200 404", statusFor("a") + " " + statusFor("c") + " " + statusFor("buy"));
+    backendActions.add("full");
+    assertEquals("503", statusFor("c")); // one attempt, by the file as it is now
   }
 
-  /**
-   * A scope shrinks and grows while a request of a lost class is in flight: the request keeps its
-   * class.
-   */
+  /** A scope shrinks and grows; a request in flight in the part it loses keeps its settings. */
   @Test
-  void scopeShrinksAndGrows() throws Exception {
-    serveWithSource("x,y");
-    assertEquals("/v1/settings?watch=1&scope=x,y", requestTargets.get(0));
+  void scopeChangesWhileARequestIsInFlight() throws Exception {
+    startProxyWithSource("x,y");
+    assertEquals("/v1/settings?watch=1&scope=x,y", requestedTargets.get(0));
     sendSnapshot();
-    assertTrue(seen.contains("/v1/endpoints?watch=1&scope=x,y"), seen.toString());
-    script.add("slow");
+    assertTrue(observations.contains("/v1/endpoints?watch=1&scope=x,y"), observations.toString());
+    backendActions.add("slow");
     try (Socket client = connect()) {
       send(client, request("b"));
-      untilOneCame();
-      latestConnection = null;
+      awaitFirstRequest();
+      latestSocket = null;
       server.resubscribe((InetSocketAddress) source.getLocalSocketAddress(), "x");
       awaitCall(2);
-      assertEquals("/v1/settings?watch=1&scope=x", requestTargets.get(1));
-      notifySubscriber("{'rev':3,'all':true,'ruleSets':[" + requestClass("a", 900) + "]}");
-      until("the smaller scope is in force", () -> figure("settings_told") == 2);
-      assertEquals("404", status("b"));
-      assertEquals("200 slow", answer(client));
+      assertEquals("/v1/settings?watch=1&scope=x", requestedTargets.get(1));
+      sendSettings("{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}");
+      await("the smaller scope is in force", () -> metric("settings_told") == 2);
+      assertEquals("404", statusFor("b"));
+      assertEquals("200 slow", readAnswer(client));
     }
-    latestConnection = null;
+    latestSocket = null;
     server.resubscribe((InetSocketAddress) source.getLocalSocketAddress(), "x,y,z");
     awaitCall(3);
-    Socket previous = latestConnection;
-    latestConnection = null;
+    Socket previousSocket = latestSocket;
+    latestSocket = null;
     send(
-        previous,
-        ("{'rev':4,'after':3,'ruleSets':[" + requestClass("c", 900) + "]}\n").replace('\'', '"'));
+        previousSocket,
+        ("{'rev':4,'after':3,'ruleSets':[" + classSettings("c", 900) + "]}\n").replace('\'', '"'));
     awaitCall(4);
-    notifySubscriber(
+    sendSettings(
         "{'rev':4,'all':true,'ruleSets':["
-            + requestClass("a", 900)
+            + classSettings("a", 900)
             + ","
-            + requestClass("z", 900)
+            + classSettings("z", 900)
             + "]}");
-    until("the greater scope is in force", () -> figure("settings_told") == 3);
-    assertEquals("200 404 200", status("a") + " " + status("c") + " " + status("z"));
+    await("the greater scope is in force", () -> metric("settings_told") == 3);
+    assertEquals("200 404 200", statusFor("a") + " " + statusFor("c") + " " + statusFor("z"));
   }
 
   /**
-   * Started while the source is down: serves by the file's settings, and by the source's within 8 s
-   * of its recovery.
+   * Started without its source, a proxy uses the file's settings, and the source's within 8 s of
+   * its return.
    */
   @Test
-  void startsWithoutSource() throws Exception {
-    ServerSocket reservedSocket = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
-    InetSocketAddress sourceAddress = (InetSocketAddress) reservedSocket.getLocalSocketAddress();
-    reservedSocket.close();
-    news.add(told(1, true, ready("s0")));
-    server =
+  void startWithoutSourceUsesTheFile() throws Exception {
+    ServerSocket freedListener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
+    InetSocketAddress address = (InetSocketAddress) freedListener.getLocalSocketAddress();
+    freedListener.close();
+    listLines.add(listLine(1, true, startBackend("s0")));
+    run(
         new ProxyServer(
             new ProxyConfig(
                 Json.object(
-                    config(open(this::list).getLocalPort(), 1024, "{}")
+                    config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
             "",
-            sourceAddress,
-            "");
-    port = server.port();
-    running = start(server::run);
-    until("ready", this::isReady);
-    assertEquals("200 404", status("buy") + " " + status("a"));
+            address,
+            ""));
+    await("ready", this::isReady);
+    assertEquals("200 404", statusFor("buy") + " " + statusFor("a"));
     Thread.sleep(2500);
-    ServerSocket returnedSource = new ServerSocket();
-    returnedSource.setReuseAddress(true);
-    returnedSource.bind(sourceAddress, BACKLOG);
-    doors.add(returnedSource);
-    long startNanos = System.nanoTime();
-    start(
+    ServerSocket listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(address, BACKLOG);
+    listeners.add(listener);
+    long returnedAt = System.nanoTime();
+    startThread(
         () -> {
-          Socket socket = returnedSource.accept();
-          head(socket.getInputStream());
-          String snapshot = "{'rev':3,'all':true,'ruleSets':[" + requestClass("a", 900) + "]}\n";
-          send(socket, HEAD + snapshot.replace('\'', '"'));
+          Socket socket = listener.accept();
+          readHead(socket.getInputStream());
+          String settings = "{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}\n";
+          send(socket, HEAD + settings.replace('\'', '"'));
         });
-    until("in force", () -> figure("settings_told") == 1);
-    assertTrue(System.nanoTime() - startNanos < 8e9);
-    assertEquals("404 200", status("buy") + " " + status("a"));
+    await("in force", () -> metric("settings_told") == 1);
+    assertTrue(System.nanoTime() - returnedAt < 8e9);
+    assertEquals("404 200", statusFor("buy") + " " + statusFor("a"));
   }
 
-  /** Without a source nothing is asked for, and no scope goes with requests for the list. */
+  /** Without a source nothing is asked for, and no scope is sent for the list. */
   @Test
-  void noSourceNoSubscription() throws Exception {
-    serveBy(1);
-    assertEquals("200", status("buy"));
-    assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(seen));
-    assertFalse(seen.stream().anyMatch(target -> target.contains("settings")));
+  void withoutSourceNothingIsAskedFor() throws Exception {
+    startProxyWithBackends(1);
+    assertEquals("200", statusFor("buy"));
+    assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(observations));
+    assertFalse(observations.stream().anyMatch(target -> target.contains("settings")));
   }
 
   /**
-   * Discovery answers and its list can't be read: the proxy is not ready until the time that a
-   * restart may take is nearly over.
+   * The list cannot be parsed: the proxy is not ready until the time of a restart is nearly over.
    */
   @Test
   void unreadableListDelaysReadiness() throws Exception {
     ServerSocket discovery =
-        open(
+        listen(
             socket -> {
-              head(socket.getInputStream());
+              readHead(socket.getInputStream());
               send(socket, HEAD + "{\"rev\":1,\"targets\":3}\n");
             });
-    server =
+    ProxyServer proxy =
         new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
-    port = server.port();
-    long startNanos = System.nanoTime();
-    running = start(server::run);
+    long startedAt = System.nanoTime();
+    run(proxy);
     Thread.sleep(4000);
     assertEquals("503 WARMING, no list", call("GET /ready HTTP/1.1\r\n\r\n").replace(" close", ""));
     while (!isReady()) {
       Thread.sleep(20);
     }
-    double elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
+    double elapsedSeconds = (System.nanoTime() - startedAt) / 1e9;
     assertTrue(elapsedSeconds > 5.5 && elapsedSeconds < 9, "ready after " + elapsedSeconds + " s");
     assertEquals("200 SERVING, no list", call("GET /ready HTTP/1.1\r\n\r\n").replace(" close", ""));
   }
