--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import wheattrack.api.LoadBalancer;
 import wheattrack.api.PolicyRuntime;
+import wheattrack.config.LoadBalancerFactory;
 import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.lab.load.RandomStream;
@@ -38,7 +39,7 @@
   }
 
   /** A factory of policies with the settings that a scenario gives its proxies. */
-  static LoadBalancerFactory factory(Kind kind, Scenario scenario) {
+  static PolicyFactory factory(Kind kind, Scenario scenario) {
     return (runtime, seed, proxyIndex) -> {
       Settings settings = new Settings(ProxySettings.of(scenario, proxyIndex));
       return kind == Kind.RULES
@@ -48,7 +49,7 @@
   }
 
   private static LoadBalancer loadBalancer(Settings settings, PolicyRuntime runtime, long seed) {
-    return wheattrack.config.LoadBalancerFactory.create(
+    return LoadBalancerFactory.create(
         settings, runtime, seed, PolicySettingsMapper.requestClasses(settings), true);
   }
 
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
@@ -33,7 +33,7 @@
   private static final long DEADLINE_GRACE = 50;
 
   private final VirtualRun run;
-  private final LoadBalancerFactory policyFactory;
+  private final PolicyFactory policyFactory;
   private final long seed;
   private final PolicyRuntime runtime;
   private final VirtualEndpointList endpoints;
@@ -44,7 +44,7 @@
       VirtualRun run,
       VirtualDiscovery discovery,
       int index,
-      LoadBalancerFactory policyFactory,
+      PolicyFactory policyFactory,
       long seed) {
     super(run, index);
     this.run = run;
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -53,7 +53,7 @@
   VirtualRun(
       Scenario scenario,
       long seed,
-      LoadBalancerFactory policyFactory,
+      PolicyFactory policyFactory,
       boolean enforcesDeadlines,
       Consumer<LedgerRecord> ledger) {
     super(scenario, seed, ledger);
--- a/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -79,7 +79,7 @@
     return ScenarioReader.read(Path.of("scenarios", "fleet", name + ".toml"), overrides);
   }
 
-  private static Verdict play(String name, LoadBalancerFactory factory) {
+  private static Verdict play(String name, PolicyFactory factory) {
     Scenario scenario = scenario(name, Map.of());
     Referee referee = new Referee(scenario);
     new VirtualRun(
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -35,7 +35,7 @@
   private static Verdict play(String effect, String faults, FaultyPolicy faultyPolicy) {
     Scenario scenario = ScenarioTexts.smallScenario(effect, faults);
     Referee referee = new Referee(scenario);
-    LoadBalancerFactory factory =
+    PolicyFactory factory =
         (runtime, seed, proxyIndex) -> {
           List<Integer> ready = new ArrayList<>();
           List<Integer> everListed = new ArrayList<>();
