--- a/decisions/src/main/java/wheattrack/api/LoadBalancer.java
+++ b/decisions/src/main/java/wheattrack/api/LoadBalancer.java
@@ -2,55 +2,56 @@
 
 /**
  * Decides for one proxy which backend a request goes to, and whether it is retried, hedged or
- * rejected. Whoever carries a protocol reports here what it learns, and is called back through
- * {@link PolicyRuntime}. All times are in ticks of a tenth of a millisecond, backends go by the
- * dense index of the endpoint list. Not thread-safe: all calls come on one thread.
+ * rejected. The caller (the proxy on sockets, a simulator) reports events here and is called back
+ * through {@link PolicyRuntime}. All times are in ticks of a tenth of a millisecond; backends are
+ * identified by the dense index of the endpoint list. Not thread-safe: all calls must come on one
+ * thread.
  */
 public interface LoadBalancer {
-  /** Backends known at once; what is listed beyond them is left out and reported. */
+  /** The most backends known at a time; further ones are left out and reported. */
   int MAX_BACKENDS = 1024;
 
-  /** Takes all settings into use at once; what was measured is kept. */
+  /** Applies all settings at once; measurements are kept. */
   default void configure(PolicySettings settings, RequestClass[] classes) {}
 
   /**
-   * Begins the periodic work.
+   * Starts the periodic work.
    *
-   * @param watch whether the endpoint list has to be asked for
-   * @param pollInterval how often it may be asked for
+   * @param watch whether the endpoint list must be requested from discovery
+   * @param pollInterval the shortest time between requests to discovery
    */
   default void start(boolean watch, long pollInterval) {}
 
-  /** Takes what the endpoint list says of a backend. */
+  /** Applies one entry of the endpoint list. */
   void updateBackend(EndpointUpdate update);
 
   /** A backend has left the endpoint list. */
   void removeBackend(int backend);
 
   /**
-   * All changes of one message of the list have been told.
+   * All changes of one message of the endpoint list have been applied.
    *
-   * @param cached whether it is only what this proxy had last, and no answer to a call
+   * @param cached whether the list is the cached one and not an answer of discovery
    */
   void endpointListUpdated(boolean cached);
 
   /**
-   * The endpoint list could not be had.
+   * The endpoint list could not be fetched.
    *
-   * @param answered whether discovery answered, but not with a list
+   * @param answered whether discovery answered, though not with a list
    */
   void endpointListFailed(boolean answered);
 
-  /** Takes a backend's load report: requests that it holds, and those of them that wait. */
+  /** Applies a backend's load report: its requests in flight, and how many of them are queued. */
   default void onLoadReport(int backend, double requestsInFlight, double queued) {}
 
-  /** Takes a request; the runtime reports to the handle what happens to it. */
+  /** Accepts a request; later events of the request are reported to the returned handle. */
   RequestHandle accept(PendingRequest request);
 
-  /** Whether a second process of this proxy runs beside this one, as in a handover. */
+  /** Sets whether a second process of this proxy is running, as during a handover. */
   default void setOtherProcessPresent(boolean present) {}
 
-  /** Backends on the list that are kept away from now. */
+  /** The number of backends in use that are ejected. */
   default int ejectedCount() {
     return 0;
   }
--- a/decisions/src/main/java/wheattrack/policy/AdmissionControl.java
+++ b/decisions/src/main/java/wheattrack/policy/AdmissionControl.java
@@ -5,16 +5,16 @@
 import wheattrack.state.PolicyState;
 
 /**
- * Which requests are rejected before they are sent: a share of them while too many end late, those
- * without hope, and those for which each backend has too long a wait.
+ * Rejects requests before they are sent: a share of all while too many end late, heavy ones that
+ * cannot finish in time, and those for which every backend has too long a queue.
  */
 final class AdmissionControl {
-  /** Part of a time limit that a wait may stand at before it counts as overload. */
+  /** Fraction of a time limit that the mean wait at a backend may reach before it is overloaded. */
   static final double TOLERATED_WAIT = 0.125;
 
   private static final double TOLERATED_LATE_SHARE = 0.1;
   private static final double MAX_SHED_SHARE = 0.95;
-  // halved for ever, a tiny share still rejected requests with little hope
+  // incident: a share that was only halved each second never ended, and still rejected requests
   private static final double MIN_SHED_SHARE = 0.01;
 
   private final PolicyState state;
@@ -25,12 +25,12 @@
     this.state = state;
   }
 
-  /** The share of requests that is rejected as too many sent ones end late. */
+  /** The share of requests to be shed because too many of those sent end late. */
   double shedShare() {
     return shedShare;
   }
 
-  /** Draws whether a request without attempts is shed, the likelier the less its hope. */
+  /** Draws whether a new request is shed; less promising ones are shed more often. */
   boolean sheds(OpenRequest request) {
     return request.attempts().isEmpty()
         && shedShare > 0
@@ -39,8 +39,8 @@
   }
 
   /**
-   * Whether a heavy request can't be done in its client's time even by this backend alone. The
-   * estimate may be wrong: after an objective's time of such rejections one is sent.
+   * Whether a heavy request cannot finish before its deadline even on an idle backend. As this may
+   * be wrong, one is sent after such rejections have lasted one objective.
    */
   boolean isHopeless(OpenRequest request, BackendState backend) {
     long now = state.now();
@@ -58,13 +58,13 @@
   }
 
   /**
-   * Whether the wait at a backend is short enough for a request with so much time left. Incident:
-   * backends were overdriven for 20 s, so no wait may stand; one mean request in work is none.
+   * Whether the wait at a backend is short enough for a request with this much time left. Incident:
+   * standing queues overloaded backends for 20 s; the limit is tighter while the mean wait is high.
    */
   boolean admits(BackendState backend, long timeLeft) {
     long now = state.now();
     if (state.isIdle() && !state.reportedLoad().isFresh(backend, now)) {
-      return true; // whatever is learnt, one request may find out
+      return true; // estimates may be wrong: a single request finds out
     }
     double meanTime = state.costs().meanCost() / state.throughput().paceOf(backend);
     double tolerated = Math.max(TOLERATED_WAIT * state.tightestObjective(), meanTime);
@@ -75,12 +75,12 @@
     return state.waits().waitAt(backend) <= limit;
   }
 
-  /** An attempt was sent: no heavy request is rejected without a break any more. */
+  /** An attempt was sent: the series of rejected heavy requests is over. */
   void onSent() {
     hopelessSince = 0;
   }
 
-  /** Adapts the shed share to the last second. */
+  /** Adapts the shed share to the late requests of the last second. */
   void foldSecond() {
     double excess = state.lateness().excessLateShare(TOLERATED_LATE_SHARE);
     shedShare += (Math.max(0, Math.min(MAX_SHED_SHARE, excess)) - shedShare) / 2;
--- a/decisions/src/main/java/wheattrack/policy/BackendSelector.java
+++ b/decisions/src/main/java/wheattrack/policy/BackendSelector.java
@@ -5,14 +5,14 @@
 import wheattrack.state.PolicyState;
 
 /**
- * Chooses the backend of an attempt: the one whose interval holds the request's hint, or the next
- * in id order that is better placed.
+ * Selects the backend of an attempt: the one whose interval contains the request's cost hint, or
+ * the next one in id order that suits better.
  */
 final class BackendSelector {
   /**
    * How well a backend suits a request, best first. CROWDED: it has more than its share in flight.
-   * OTHER_ZONE: the request isn't worth the price. TOO_LATE: it would miss its time there, or the
-   * backend is idle for its errors. OVERLOADED: the wait there is too long to be admitted.
+   * OTHER_ZONE: the request is not worth the crossing. TOO_LATE: it would miss its objective, or
+   * the backend is idle only because it fails. OVERLOADED: the wait is too long to be admitted.
    */
   private enum Preference {
     GOOD,
@@ -22,11 +22,13 @@
     OVERLOADED
   }
 
-  // a request's backends are looked for among so many: no cost grows with the fleet
+  // bounds the work per request, whatever the number of backends
   private static final int MAX_CANDIDATES = 16;
-  // a crossing pays for requests worth this many times its price
+  // a request may cross zones if it is worth this many times the price
   private static final double CROSSING_WORTH = 3;
 
+  private static final double FAIR_SHARE_TOLERANCE = 1.2;
+
   private final PolicyState state;
   private final EquiloadBalancer balancer;
   private final IntervalPartition partition;
@@ -37,7 +39,7 @@
     partition = balancer.partition;
   }
 
-  /** The ejected backend that a request is to probe, or null. */
+  /** The ejected backend that the request shall probe, or null. */
   BackendState selectForProbe(OpenRequest request) {
     if (!balancer.outliers.mayProbe(request)) {
       return null;
@@ -52,7 +54,7 @@
     return null;
   }
 
-  /** The backend for the next attempt, or null; first: the place of the request's interval. */
+  /** The backend for the next attempt, or null; first is the position of the request's interval. */
   BackendState select(OpenRequest request, int first) {
     BackendState best = selectByPreference(request, first);
     return best == null && state.isIdle() ? selectLastResort(request, first) : best;
@@ -105,7 +107,7 @@
     if (!balancer.admission.admits(backend, timeLeft)) {
       return Preference.OVERLOADED;
     }
-    // one that is idle for its errors is no refuge
+    // a failing backend is often idle: requests must not gather there
     if (finish > timeLeft || !own && state.failureRates().isFailing(backend)) {
       return Preference.TOO_LATE;
     }
@@ -130,11 +132,12 @@
       return true;
     }
     double fairCost =
-        1.2 * state.inFlight().cost() * backend.share() / partition.totalShare() + meanCost / 4;
+        FAIR_SHARE_TOLERANCE * state.inFlight().cost() * backend.share() / partition.totalShare()
+            + meanCost / 4;
     return !state.reportedLoad().isFresh(backend, state.now()) && backend.inFlightCost() > fairCost;
   }
 
-  /** The others are warming up: one that is ejected may be well again. */
+  /** All others are warming up or ejected: an ejected one may have recovered. */
   private BackendState selectLastResort(OpenRequest request, int first) {
     for (int k = 0; k < partition.size(); k++) {
       BackendState backend = partition.at(first + k);
@@ -146,7 +149,7 @@
     return null;
   }
 
-  /** Rule two: no second effect. Nor does a retry go where the last attempt went. */
+  /** Rule two: no effect twice. Nor is a retry sent to the backend of the last attempt. */
   private boolean mayRunAt(BackendState backend, OpenRequest request) {
     return backend != request.lastBackend() && request.mayRepeatAt(backend);
   }
--- a/decisions/src/main/java/wheattrack/policy/EquiloadBalancer.java
+++ b/decisions/src/main/java/wheattrack/policy/EquiloadBalancer.java
@@ -16,7 +16,7 @@
 import wheattrack.state.PolicyState;
 import wheattrack.state.Ticks;
 
-/** The policy by EQUILOAD (docs/design.md): its entry points and its periodic work. */
+/** Load balancing by EQUILOAD (docs/design.md): entry points and periodic work. */
 public final class EquiloadBalancer implements LoadBalancer {
   final PolicyState state;
   final SlowStart slowStart;
@@ -24,10 +24,10 @@
   final IntervalPartition partition;
   final AdmissionControl admission;
   final BackendSelector selector;
+  final Set<RequestLifecycle> openRequests = new LinkedHashSet<>(); // oldest first
   private final DiscoveryBackoff discovery;
-  private final Set<RequestLifecycle> openRequests = new LinkedHashSet<>(); // oldest first
 
-  /** Creates the policy of the proxy of this index among proxyCount; the seed is for its draws. */
+  /** Creates the policy of proxy proxyIndex out of proxyCount; its draws follow from the seed. */
   public EquiloadBalancer(
       PolicyRuntime runtime, long seed, int proxyIndex, int proxyCount, RequestClass[] classes) {
     state = new PolicyState(runtime, seed, proxyIndex, proxyCount);
@@ -119,8 +119,4 @@
     IdleConnections.close(state);
     state.runtime().schedule(state.tightestObjective() / 10, this::checkPeriodically);
   }
-
-  void onClosed(RequestLifecycle request) {
-    openRequests.remove(request);
-  }
 }
--- a/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
+++ b/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
@@ -8,14 +8,14 @@
 import wheattrack.state.PolicyState;
 
 /**
- * The EQUILOAD partition: the range of recent cost hints, cut into one contiguous interval for each
- * ready backend in id order, at equal shares of summed cost (docs/design.md). Where there are many
- * proxies, each takes its turn of the backends.
+ * The EQUILOAD partition (docs/design.md): the range of recent cost hints is divided into one
+ * contiguous interval per ready backend, in id order, such that the summed costs are proportional
+ * to the backends' shares. If there are many proxies, each uses a subset of the backends.
  */
 final class IntervalPartition {
   private static final int PROXIES_PER_BACKEND = 4;
   private static final int MIN_BACKENDS = 8;
-  // with load reports, and connections that are priced, fewer backends are worth their connections
+  // with load reports a smaller subset suffices, bounded by the connections that traffic is worth
   private static final int MIN_BACKENDS_WITH_REPORTS = 2;
   private static final int MAX_MIN_BACKENDS_WITH_REPORTS = 6;
 
@@ -29,12 +29,12 @@
     this.outliers = outliers;
   }
 
-  /** The backends that this proxy sends to, in id order; not to be changed. */
+  /** The backends that this proxy uses, in id order; must not be modified. */
   BackendState[] backends() {
     return backends;
   }
 
-  /** The backend at a place, counted on from the start past the end. */
+  /** The backend at a position; positions past the end wrap around. */
   BackendState at(int place) {
     return backends[place % backends.length];
   }
@@ -43,12 +43,12 @@
     return backends.length;
   }
 
-  /** The sum of all shares; there must be a backend. */
+  /** The sum of all shares; the partition must not be empty. */
   double totalShare() {
     return cumulativeShares[backends.length - 1];
   }
 
-  /** Chooses this proxy's backends among the ready ones, and gives each its share. */
+  /** Chooses this proxy's subset of the ready backends and computes their shares. */
   void rebuild() {
     BackendState[] ready =
         state.backends().all().stream()
@@ -57,7 +57,7 @@
             .toArray(BackendState[]::new);
     state.traffic().setReadyBackends(ready.length);
     int part = partSize(ready.length);
-    // incident: with many ejected, the rest of a small part could not bear its traffic
+    // incident: with many backends ejected, the rest of a small subset could not bear its traffic
     int size = Math.min(ready.length, part + Math.max(0, 4 * outliers.ejectedCount() - 2 * part));
     long start = (long) state.proxyIndex() * part;
     backends =
@@ -100,9 +100,10 @@
   }
 
   /**
-   * The place of the backend whose interval holds a hint; there must be a backend. A hint on a cut
-   * falls to either side by covered share. It counts as one more in the window: a thin window cuts
-   * nearly at random, a full one sharply. Without a hint each backend is as likely.
+   * The position of the backend whose interval contains a hint; the partition must not be empty. A
+   * hint at a boundary goes to either side in proportion to the costs covered. It counts as one
+   * more sample, so that few samples give a nearly random choice. Without a hint the choice is
+   * uniform.
    */
   int place(int hint) {
     double draw = state.random().draw();
--- a/decisions/src/main/java/wheattrack/policy/OutlierDetector.java
+++ b/decisions/src/main/java/wheattrack/policy/OutlierDetector.java
@@ -10,12 +10,13 @@
 import wheattrack.state.Ticks;
 
 /**
- * Ejects backends that stay silent or reject at once, and reinstates them at their next answer;
- * until then now and then a probe request goes there.
+ * Ejects backends that do not answer or reject immediately, and reinstates them at their next
+ * answer. An ejected backend receives only a probe request from time to time.
  */
 final class OutlierDetector {
-  // requests from one probe request to the next, so that few are risked
+  // least number of requests between two probe requests, so that few are put at risk
   private static final int REQUESTS_PER_PROBE = 8;
+  private static final double MEAN_TIMES_TO_WAIT = 6;
   private static final long MAX_PROBE_INTERVAL = 4 * Ticks.SECOND;
 
   private final PolicyState state;
@@ -26,34 +27,35 @@
     this.state = state;
   }
 
-  /** Ejected backends among those that this proxy sends to. */
+  /** Ejected backends among those that this proxy uses. */
   int ejectedCount() {
     return ejectedCount;
   }
 
-  /** Takes up the backends that this proxy sends to. */
+  /** Counts the ejected ones among the backends that this proxy now uses. */
   void recount(BackendState[] backends) {
     ejectedCount = (int) Arrays.stream(backends).filter(BackendState::isEjected).count();
   }
 
-  /** Ejects a backend that was silent for too long: longer where it has little, or much work. */
+  /** Ejects a backend that has not answered for too long, judged by the work it has in flight. */
   void checkSilence(BackendState backend) {
     if (backend.inFlight() == 0) {
       return;
     }
     double silence = backend.timeWithoutAnswer();
     double meanTime = state.waits().timeToFinish(backend, (int) state.costs().meanCost());
-    double patience = state.tightestObjective() / 2.0 + 6 * meanTime / (1 + backend.inFlight());
+    double byWork = MEAN_TIMES_TO_WAIT * meanTime / (1 + backend.inFlight());
+    double patience = state.tightestObjective() / 2.0 + byWork;
     if (silence > patience) {
       long millis = (long) backend.timeWithoutAnswer() / 10;
       setEjected(backend, true, backend.inFlight() + " out, silent for " + millis + " ms");
     }
   }
 
-  /** Judges a backend by the outcome of an attempt, which is accounted for already. */
+  /** Ejects or reinstates a backend by the outcome of an attempt that is accounted for. */
   void onOutcome(Attempt attempt, AttemptOutcome outcome, long latency) {
     BackendState backend = attempt.backend();
-    // incident: four attempts a request at closed ports; a late rejection is another matter
+    // incident: up to four attempts per request went to closed ports; a late rejection is not meant
     boolean atOnce = latency < AdmissionControl.TOLERATED_WAIT * state.tightestObjective();
     if (outcome.isRejection() && backend.inFlight() == 0 && atOnce) {
       setEjected(backend, true, "turned away with nothing out");
@@ -74,7 +76,7 @@
     state.runtime().report(PolicyEvent.ejection(eject, backend.id(), cause));
   }
 
-  /** Whether a request may probe an ejected backend: a light one that may be retried elsewhere. */
+  /** Whether a request may probe an ejected backend: it is light and can be retried elsewhere. */
   boolean mayProbe(OpenRequest request) {
     return ejectedCount > 0
         && (request.requestClass().isIdempotent() || !state.hasIdempotentClass())
--- a/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
+++ b/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
@@ -11,7 +11,7 @@
 import wheattrack.state.OpenRequest;
 import wheattrack.state.PolicyState;
 
-/** One request from its arrival to its final answer: attempts, retries, hedging, rejection. */
+/** One request from arrival to final answer: its attempts, retries, hedging and rejection. */
 final class RequestLifecycle implements RequestHandle {
   private static final int LOAD_PROBES = 2;
 
@@ -32,7 +32,7 @@
     maxAttempts = state.settings().attempts().maxAttempts();
   }
 
-  /** Its interval's place in the partition: the one that was probed, for retries drawn anew. */
+  /** The position of its interval; for the first attempt the one probed, for retries a new draw. */
   private int firstPlace() {
     if (place < 0 || !open.attempts().isEmpty()) {
       place = partition.place(open.request().costHint());
@@ -40,7 +40,7 @@
     return place % partition.size();
   }
 
-  /** Has its interval's backend and the next probed for their load, and waits a moment for that. */
+  /** Sends the first attempt, after load probes to the first backends of its interval if in use. */
   void start() {
     int wanted = state.settings().loadReports().areProbedFor() ? LOAD_PROBES : 0;
     List<BackendState> probed = new ArrayList<>(wanted);
@@ -54,7 +54,7 @@
     LoadProbeRound.start(state.runtime(), probed, timeout, this::sendOrGiveUp);
   }
 
-  /** The next attempt, or the final answer where none can help any more. */
+  /** Sends the next attempt, or gives the final answer if no further attempt can help. */
   private void sendOrGiveUp() {
     if (open.isClosed()) {
       return;
@@ -116,10 +116,10 @@
     }
   }
 
-  /** Rejects the request if a retry by its client does no harm, else fails it. */
+  /** Rejects the request if a retry by the client is safe, else fails it. */
   private void giveUp() {
     close(false);
-    // rule two: what may have run is rejected only if its client's retry has no second effect
+    // rule two: what may have run is rejected only if a client's retry has no second effect
     if (open.mayHaveRun() && !open.requestClass().isClientRetrySafe()) {
       state.runtime().fail(open.request());
       return;
@@ -134,7 +134,7 @@
 
   private void close(boolean answered) {
     open.close(answered);
-    balancer.onClosed(this);
+    balancer.openRequests.remove(this);
     open.attempts().forEach(this::cancel);
   }
 
@@ -145,7 +145,7 @@
     }
   }
 
-  /** Gives up in time; a request that is stuck is hedged, or sent elsewhere. */
+  /** Gives up a hopeless request early; hedges a stuck one, or cancels its attempt to retry it. */
   void check() {
     if (isOutOfTime()) {
       giveUp();
@@ -169,7 +169,7 @@
     }
   }
 
-  /** Almost past an objective after which nothing is earned: given up early enough for a retry. */
+  /** Whether the objective is nearly over, late answers are worthless, and giving up is better. */
   private boolean isOutOfTime() {
     if (open.isStreaming()
         || !open.isWorthlessWhenLate()
--- a/decisions/src/main/java/wheattrack/policy/SlowStart.java
+++ b/decisions/src/main/java/wheattrack/policy/SlowStart.java
@@ -4,11 +4,12 @@
 import wheattrack.state.PolicyState;
 
 /**
- * Rule four: backends that have just started, which warm up, are not pushed over by all proxies
- * together. Each proxy takes its turn, and spends a budget that refills by what the backend can do.
+ * Rule four: backends that warm up are not overloaded by all proxies together. Proxies begin to
+ * send one after the other, each within a budget that refills at the rate that the backend can
+ * sustain.
  */
 final class SlowStart {
-  // part of what a warming backend bears that may come at once
+  // fraction of the bearable load that may arrive at once
   private static final double BURST_PART = 0.25;
 
   private final PolicyState state;
@@ -17,17 +18,17 @@
     this.state = state;
   }
 
-  /** Restarted: a random part of the budget is used, lest all proxies send at the same moment. */
+  /** After a restart a random part of the budget is spent, so that proxies do not send in step. */
   void restart(BackendState backend) {
     backend.setSlowStartSpent(state.costs().meanCost() * state.random().draw(), state.now());
   }
 
-  /** An attempt of this cost is sent: a light request weighs as a mean one. */
+  /** Charges an attempt of this cost; light requests are charged as mean ones. */
   void spend(BackendState backend, double cost) {
     backend.spendSlowStart(Math.max(cost, state.costs().meanCost()));
   }
 
-  /** A just started backend is met in turns by proxy index, by one proxy more with each turn. */
+  /** Proxies begin to use a new backend in turns by index, one more proxy with each turn. */
   private boolean isOurTurn(BackendState backend) {
     long turn = Math.max(1, state.settings().slowStart().overloadTime() / 4);
     long warmUpTurns = state.settings().slowStart().warmUpTime() / 2 / turn;
@@ -36,8 +37,8 @@
   }
 
   /**
-   * Whether a warming backend bears a request of this cost from this proxy: by what warm backends
-   * do for it, or by what this one has shown. Incident: backends that had just started fell over.
+   * Whether a backend can take a request of this cost from this proxy now. Incident: backends that
+   * had just started were overloaded and failed.
    */
   boolean bears(BackendState backend, double cost, int partitionSize) {
     if (!isOurTurn(backend)) {
@@ -58,7 +59,7 @@
     double meanCost = state.costs().meanCost();
     double needed = Math.max(cost, meanCost);
     double window = rate * state.settings().slowStart().overloadTime();
-    // a part of the window's budget at once; or one request, but not a heavy one
+    // a third of the window's budget at once; or a single request that is not heavy
     double atOnce = Math.max(window / 3, Math.min(needed, Math.max(window, meanCost)));
     return backend.slowStartSpent() + needed <= atOnce;
   }
--- a/decisions/src/main/java/wheattrack/state/BackendState.java
+++ b/decisions/src/main/java/wheattrack/state/BackendState.java
@@ -3,12 +3,11 @@
 import wheattrack.api.EndpointUpdate;
 
 /**
- * One backend: what the endpoint list says of it, and what this proxy has measured of it. It holds
- * figures and decides nothing. Costs are in units of the cost model, times in ticks. Not
- * thread-safe.
+ * State of one backend: its entry in the endpoint list and this proxy's measurements. It contains
+ * no decisions. Costs are in units of the cost model, times in ticks. Not thread-safe.
  */
 public final class BackendState {
-  /** Backends of more kinds than this share their figures. */
+  /** Number of kinds that are told apart; further ones share their measurements with others. */
   public static final int MAX_KINDS = 64;
 
   /** Capacity of a backend that has rejected nothing yet, in requests in flight. */
@@ -54,7 +53,7 @@
     this.index = index;
   }
 
-  /** Takes over what the endpoint list says; returns whether the backend has started anew. */
+  /** Applies an entry of the endpoint list; returns whether the backend was restarted. */
   public boolean update(EndpointUpdate update) {
     boolean restarted = update.newlyListed() || update.startedAt() > startedAt;
     id = update.id();
@@ -129,7 +128,7 @@
 
   // ---- health
 
-  /** Whether it is kept away from, but for probe requests. */
+  /** Whether it receives only probe requests. */
   public boolean isEjected() {
     return ejected;
   }
@@ -160,7 +159,7 @@
     failures += failed ? 1 : 0;
   }
 
-  /** Share of its recent attempts that failed; a backend hardly tried counts as good. */
+  /** Share of recent attempts that failed; near 0 for a backend with few attempts. */
   public double failureRate() {
     return failures / (attempts + 2);
   }
@@ -192,7 +191,7 @@
     return abandonedCost;
   }
 
-  /** How many attempts in flight it bears, as its own rejections teach. */
+  /** Estimated number of attempts in flight that it accepts, learnt from its rejections. */
   public double capacity() {
     return capacity;
   }
@@ -262,7 +261,7 @@
     return costDone;
   }
 
-  /** Time that it had something of this proxy's to do; decays. */
+  /** Time during which it had attempts of this proxy in flight; decays. */
   public double busyTime() {
     return busyTime;
   }
@@ -300,7 +299,7 @@
     meanWait += (wait - meanWait) * objective / 10 / Ticks.SECOND;
   }
 
-  /** What was measured fades. */
+  /** Applies the decay of one period to all measurements. */
   void decay(double keep) {
     costDone *= keep;
     busyTime *= keep;
--- a/decisions/src/main/java/wheattrack/state/CostModel.java
+++ b/decisions/src/main/java/wheattrack/state/CostModel.java
@@ -46,7 +46,7 @@
 
   private static final double MIN_EXPONENT = 0.1;
 
-  /** Hears of changes that concern all costs. */
+  /** Notified of changes that concern all costs. */
   public interface Listener {
     /** The unit of hints has changed; the recent ones are so many per cent of those before. */
     void hintUnitChanged(long perCent);
--- a/decisions/src/main/java/wheattrack/state/OpenRequest.java
+++ b/decisions/src/main/java/wheattrack/state/OpenRequest.java
@@ -43,7 +43,7 @@
     return costAtArrival * state.costs().unit() / unitAtArrival;
   }
 
-  /** What its answer is worth: its class's weight for its cost. */
+  /** Worth of its answer: priority weight of its class times its cost. */
   public double worth() {
     return requestClass().priorityWeight() * cost();
   }
@@ -55,8 +55,8 @@
   }
 
   /**
-   * What it is worth to try: its worth for its cost against the mean, the less the surer it is to
-   * be late by what recent attempts took for their cost.
+   * How promising it is to send the request: its weight relative to the mean, reduced the more
+   * likely it is to be late, judged by the time that recent attempts took for their cost.
    */
   public double hope() {
     LatenessCounters recent = state.lateness();
--- a/decisions/src/main/java/wheattrack/state/PolicyState.java
+++ b/decisions/src/main/java/wheattrack/state/PolicyState.java
@@ -13,8 +13,8 @@
 import wheattrack.statistics.SeededRandom;
 
 /**
- * All that one proxy's policy knows: its settings, its backends and what it measures. The classes
- * of the policy share one object of this kind and decide by it. Not thread-safe.
+ * State of one proxy's policy: settings, backends and measurements. It is shared by the classes of
+ * the policy, which make the decisions. Not thread-safe.
  */
 public final class PolicyState implements CostModel.Listener {
   private static final double KEEP_PER_SECOND = ThroughputEstimator.KEEP_PER_SECOND;
@@ -58,7 +58,7 @@
     traffic = new TrafficShare(this.proxyCount);
   }
 
-  /** Takes settings into use; what was measured is kept. */
+  /** Applies settings; measurements are kept. */
   public void configure(PolicySettings newSettings, RequestClass[] classes) {
     settings = newSettings;
     tightestObjective =
@@ -72,7 +72,7 @@
     zoneFactor.configure(settings.zones().own(), settings.zones().crossingPrice());
   }
 
-  /** Takes an accepted request into the measurements; to be called before anything is sent. */
+  /** Accounts for an accepted request; must be called before its first attempt. */
   public OpenRequest open(PendingRequest request) {
     if (request.costHint() > 0) {
       costs.addHint(request.costHint(), request.isClientRetry(), traffic.requests());
@@ -84,7 +84,7 @@
     return open;
   }
 
-  /** Takes what the endpoint list says; returns the backend if it has started anew, else null. */
+  /** Applies an entry of the endpoint list; returns the backend if it was restarted, else null. */
   public BackendState updateBackend(EndpointUpdate update) {
     if (update.index() >= LoadBalancer.MAX_BACKENDS) {
       String cause = LoadBalancer.MAX_BACKENDS + " are known already";
@@ -106,7 +106,7 @@
     }
   }
 
-  /** Takes a backend's load report: requests that it holds, and those of them that wait. */
+  /** Applies a load report: requests in flight at a backend, and how many of them are queued. */
   public void addLoadReport(int backend, double requestsInFlight, double queued) {
     if (backend < LoadBalancer.MAX_BACKENDS) {
       reportedLoad.add(backends.at(backend), requestsInFlight, queued, now());
@@ -128,7 +128,7 @@
     idleRejections.foldSecond((1 - KEEP_PER_SECOND * KEEP_PER_SECOND) * lateness.arrived());
   }
 
-  /** Lets the counts of late requests fade, and fits the cost model to the present hints. */
+  /** Decays the counts of late requests, and fits the cost model to the current hints. */
   public void endSecond() {
     zoneFactor.foldSecond(lateness.missedShare());
     lateness.decay(KEEP_PER_SECOND * KEEP_PER_SECOND);
@@ -155,7 +155,7 @@
     return runtime.now();
   }
 
-  /** What the policy may do. */
+  /** The runtime that the policy runs in. */
   public PolicyRuntime runtime() {
     return runtime;
   }
@@ -217,37 +217,37 @@
     return backends;
   }
 
-  /** What requests cost. */
+  /** Expected cost of requests. */
   public CostModel costs() {
     return costs;
   }
 
-  /** What backends do for this proxy. */
+  /** Throughput of backends. */
   public ThroughputEstimator throughput() {
     return throughput;
   }
 
-  /** What backends report of their load. */
+  /** Load reported by backends. */
   public ReportedLoad reportedLoad() {
     return reportedLoad;
   }
 
-  /** How long requests wait at backends. */
+  /** Estimated waits at backends. */
   public WaitEstimator waits() {
     return waits;
   }
 
-  /** What backends that have just started can do. */
+  /** Capacity of backends that warm up. */
   public WarmUpModel warmUp() {
     return warmUp;
   }
 
-  /** How much backends fail. */
+  /** Failure rates of backends. */
   public FailureRates failureRates() {
     return failureRates;
   }
 
-  /** How much other zones count. */
+  /** Weight of other zones. */
   public ZoneFactor zoneFactor() {
     return zoneFactor;
   }
--- a/decisions/src/main/java/wheattrack/state/ReportedLoad.java
+++ b/decisions/src/main/java/wheattrack/state/ReportedLoad.java
@@ -1,8 +1,8 @@
 package wheattrack.state;
 
 /**
- * What backends report of their load, and what a request sent there now would have to wait for. How
- * many requests a backend works on at once is learnt by kind. Not thread-safe.
+ * Load reported by backends, and the cost that a new request would have to wait for. The number of
+ * requests that a backend processes concurrently is learnt per kind. Not thread-safe.
  */
 public final class ReportedLoad {
   /** Weight of a new report that shows a backend full, against those before. */
--- a/decisions/src/main/java/wheattrack/state/ThroughputEstimator.java
+++ b/decisions/src/main/java/wheattrack/state/ThroughputEstimator.java
@@ -5,10 +5,10 @@
 import java.util.function.DoubleUnaryOperator;
 
 /**
- * How much cost backends do for this proxy in a tick in which it has attempts in flight there. A
- * proxy among hundreds hardly sees a single backend, so its estimate starts from the backend's
- * kind, and that from all backends. Sums decay by the second, those of a kind more slowly. Not
- * thread-safe.
+ * Estimates the cost that a backend completes per tick while this proxy has attempts in flight
+ * there. One proxy of many sends little to a single backend, so the estimate of a backend is shrunk
+ * towards that of its kind, and that of a kind towards the mean of all. Sums decay every second,
+ * those of a kind more slowly. Not thread-safe.
  */
 public final class ThroughputEstimator {
   /** Sums of a backend kept from one second to the next, where it is visited often. */
--- a/decisions/src/main/java/wheattrack/state/TrafficShare.java
+++ b/decisions/src/main/java/wheattrack/state/TrafficShare.java
@@ -3,7 +3,8 @@
 import wheattrack.api.PolicySettings;
 
 /**
- * This proxy's part of all proxies' traffic, and what follows for its connections. Not thread-safe.
+ * This proxy's share of the total traffic, and how long idle connections are worth keeping. Not
+ * thread-safe.
  */
 public final class TrafficShare {
   /** Seconds over which the own traffic is averaged. */
--- a/decisions/src/main/java/wheattrack/state/WarmUpModel.java
+++ b/decisions/src/main/java/wheattrack/state/WarmUpModel.java
@@ -1,8 +1,7 @@
 package wheattrack.state;
 
 /**
- * What a backend that has just started can do by its age, and by what it has shown. Not
- * thread-safe.
+ * Capacity of a backend that warms up, by its age and its own throughput so far. Not thread-safe.
  */
 public final class WarmUpModel {
   private final PolicyState state;
--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/InFlightRequest.java
@@ -125,7 +125,7 @@
 
   /** Whether a further attempt could not send the complete body any more. */
   boolean isBodyConsumed() {
-    return body != null && !body.isReplayable();
+    return body != null && !body.isRepeatable();
   }
 
   /** Abandons all attempts; those not started yet count as discarded. */
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -26,7 +26,7 @@
   }
 
   /** Whether a further attempt could still send the complete body. */
-  boolean isReplayable() {
+  boolean isRepeatable() {
     return !hasStarted;
   }
 
