One reading of the connect timeout; the view of a request's attempts is made once

Cause: limits.dialTimeout was read in two places, each with a default of its own; a request's attempts were wrapped anew at each look, which the policy does several times for a request; the class-archive training built its list of names twice a turn. Change: SettingsApplier asks BackendTimeouts; the view is a field; the list is built once.

--- a/decisions/src/main/java/wheattrack/state/OpenRequest.java
+++ b/decisions/src/main/java/wheattrack/state/OpenRequest.java
@@ -15,6 +15,7 @@
   private final double costAtArrival;
   private final double unitAtArrival;
   private final List<Attempt> attempts = new ArrayList<>(2);
+  private final List<Attempt> attemptsView = Collections.unmodifiableList(attempts);
   private int attemptsInFlight;
   private boolean streaming;
   private boolean closed;
@@ -103,7 +104,7 @@
 
   /** Its attempts so far, by number. */
   public List<Attempt> attempts() {
-    return Collections.unmodifiableList(attempts);
+    return attemptsView;
   }
 
   /** How many of them are in flight. */
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.ProxyConfig;
 
@@ -38,11 +39,9 @@
       ProxyServer proxy = new ProxyServer(config);
       startDaemon(proxy::run);
       call(proxy.port(), "GET /ready HTTP/1.0\r\n\r\n");
+      List<String> classNames = PolicySettingsMapper.classNames(config.settings());
       for (int i = 0; i < REQUEST_COUNT; i++) {
-        String className =
-            PolicySettingsMapper.classNames(config.settings())
-                .get(i % PolicySettingsMapper.classNames(config.settings()).size());
-        call(proxy.port(), request(className, i));
+        call(proxy.port(), request(classNames.get(i % classNames.size()), i));
       }
       proxy.shutdown();
     }
--- a/proxy/src/main/java/wheattrack/net/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsApplier.java
@@ -17,9 +17,6 @@
  * before the loop runs.
  */
 final class SettingsApplier {
-  /** Time limit of a dial and of a probe where the settings name none, in microseconds. */
-  private static final long DEFAULT_DIAL_TIMEOUT_MICROS = 250_000;
-
   private final EndpointDiscovery endpoints;
   private final RequestCounters counters;
   private LoadBalancer loadBalancer;
@@ -88,7 +85,7 @@
 
   private void readProbing(Settings settings) {
     expectsLoadReports = PolicySettingsMapper.expectsLoadReports(settings);
-    probeTimeout = settings.time("limits.dialTimeout", DEFAULT_DIAL_TIMEOUT_MICROS);
+    probeTimeout = BackendTimeouts.of(settings).connect();
   }
 
   /** The request classes by name, as they are now. */
@@ -101,7 +98,7 @@
     return expectsLoadReports;
   }
 
-  /** How long a probe may take. */
+  /** How long a probe may take: as long as connecting to a backend. */
   long probeTimeout() {
     return probeTimeout;
   }
