--- a/decisions/src/main/java/wheattrack/api/AttemptOutcome.java
+++ b/decisions/src/main/java/wheattrack/api/AttemptOutcome.java
@@ -16,7 +16,7 @@
   RESET(false),
   /** Cancelled by the balancer. */
   CANCELLED(false),
-  /** Did not run, for reasons that say nothing about the backend. */
+  /** Did not run, for a reason that is unrelated to the backend. */
   DISCARDED(true);
 
   private final boolean neverRan;
@@ -25,12 +25,12 @@
     this.neverRan = neverRan;
   }
 
-  /** Whether the backend did not take the attempt. */
+  /** Whether the backend did not accept the attempt. */
   public boolean isRejection() {
     return this == FULL || this == NO_CONNECT;
   }
 
-  /** Whether the request surely did not run. */
+  /** Whether it is certain that the request did not run. */
   public boolean neverRan() {
     return neverRan;
   }
--- a/decisions/src/main/java/wheattrack/api/EndpointUpdate.java
+++ b/decisions/src/main/java/wheattrack/api/EndpointUpdate.java
@@ -1,17 +1,17 @@
 package wheattrack.api;
 
 /**
- * What the endpoint list says of one backend.
+ * One entry of the endpoint list: a backend as discovery describes it.
  *
  * @param index its dense index, kept for as long as it is listed
  * @param id its identity; backends are ordered by it
- * @param ready whether it takes new requests, that is, does not drain
+ * @param ready whether it accepts new requests, that is, is not draining
  * @param zone its zone
  * @param cell its cell: backends that share one memory of idempotency keys
- * @param kind its hardware or build kind; backends of one kind are taken to be equally fast
+ * @param kind its hardware or build kind; backends of one kind are assumed to be equally fast
  * @param weight its advertised capacity; values outside (0, 1e9) count as 1
  * @param startedAt when it started, in tenths of a millisecond
- * @param newlyListed whether it was not on the list before
+ * @param newlyListed whether the previous list did not contain it
  */
 public record EndpointUpdate(
     int index,
--- a/decisions/src/main/java/wheattrack/api/PendingRequest.java
+++ b/decisions/src/main/java/wheattrack/api/PendingRequest.java
@@ -16,11 +16,11 @@
    * Creates a request.
    *
    * @param requestClass its class
-   * @param arrivedAt when its last byte came
+   * @param arrivedAt when its last byte was received
    * @param deadline when its client stops waiting
-   * @param costHint the cost that its client expects; 0: it gave no hint
-   * @param clientRetry whether its client says that it is a retry
-   * @param attachment an object of the runtime's own
+   * @param costHint the cost that its client expects; 0 if it sent no hint
+   * @param clientRetry whether its client marked it as a retry
+   * @param attachment an object of the runtime, which the policy does not use
    */
   public PendingRequest(
       RequestClass requestClass,
@@ -42,7 +42,7 @@
     return requestClass;
   }
 
-  /** When its last byte came. */
+  /** When its last byte was received. */
   public long arrivedAt() {
     return arrivedAt;
   }
@@ -52,24 +52,26 @@
     return deadline;
   }
 
-  /** The cost that its client expects, or 0 if it gave no hint. */
+  /** The cost that its client expects, or 0 if it sent no hint. */
   public int costHint() {
     return costHint;
   }
 
-  /** Whether its client says that it is a retry. */
+  /** Whether its client marked it as a retry. */
   public boolean isClientRetry() {
     return clientRetry;
   }
 
-  /** The runtime's own object. */
+  /** The object that the runtime attached. */
   public Object attachment() {
     return attachment;
   }
 
   /**
-   * The last byte of a long body has come: all of the request's time runs from now on, but not past
-   * the latest deadline.
+   * Restarts the request's time when the last byte of a long body has been received.
+   *
+   * @param now the new time of arrival
+   * @param latestDeadline bound on the new deadline
    */
   public void restartClock(long now, long latestDeadline) {
     deadline = Math.min(deadline + now - arrivedAt, latestDeadline);
--- a/decisions/src/main/java/wheattrack/api/PolicyEvent.java
+++ b/decisions/src/main/java/wheattrack/api/PolicyEvent.java
@@ -1,24 +1,24 @@
 package wheattrack.api;
 
 /**
- * Something that operators should know, reported by the policy.
+ * An event that the policy reports to the operators.
  *
  * @param kind what happened
- * @param subject the id of the backend that it happened to, or the figure that it is about
- * @param detail the cause, or what the figure means
+ * @param subject the id of the backend concerned, or the number that the event is about
+ * @param detail the cause, or the meaning of the number
  */
 public record PolicyEvent(Kind kind, long subject, String detail) {
-  /** What can happen. */
+  /** The kinds of events. */
   public enum Kind {
-    /** A backend of the list has no place in the policy's tables. */
+    /** A listed backend is ignored, as the policy's tables are full. */
     BACKEND_LEFT_OUT("left out"),
-    /** A backend gets no requests but probes. */
+    /** A backend was ejected: it receives only probe requests. */
     BACKEND_EJECTED("shut"),
-    /** An ejected backend gets requests again. */
+    /** An ejected backend was reinstated: it receives requests again. */
     BACKEND_REINSTATED("open"),
-    /** Cost hints have changed their unit. */
+    /** The cost hints of requests have changed their unit. */
     HINT_UNIT_CHANGED("hints moved"),
-    /** Many requests were rejected while no attempt was in flight. */
+    /** Many requests were rejected within a second while no attempt was in flight. */
     REJECTED_WHILE_IDLE("denied");
 
     private final String logWord;
@@ -33,7 +33,7 @@
     }
   }
 
-  /** A backend was ejected, or reinstated. */
+  /** Creates the event of an ejection or reinstatement. */
   public static PolicyEvent ejection(boolean ejected, long backend, String cause) {
     return new PolicyEvent(
         ejected ? Kind.BACKEND_EJECTED : Kind.BACKEND_REINSTATED, backend, cause);
--- a/decisions/src/main/java/wheattrack/api/PolicyRuntime.java
+++ b/decisions/src/main/java/wheattrack/api/PolicyRuntime.java
@@ -1,10 +1,10 @@
 package wheattrack.api;
 
 /**
- * What the policy may do to the world: a clock, timers, sending and answering. Whoever carries a
- * protocol implements it. Backends go by the dense index under which they were listed, requests by
- * their object, times are in tenths of a millisecond. All calls come on the thread that called the
- * policy.
+ * The services that a load-balancing policy runs on: a clock, timers, sending of attempts and
+ * probes, final answers, discovery and event reports. Each adapter of the policy implements it.
+ * Backends are identified by the dense index of the endpoint list; times are in tenths of a
+ * millisecond. The policy calls it on the thread on which it was called itself.
  */
 public interface PolicyRuntime {
   /** The current time; it never goes back and stands still within a call into the policy. */
@@ -30,18 +30,22 @@
   /** Final answer: the request has failed, with no promise about its effects. */
   void fail(PendingRequest request);
 
-  /** Asks a backend for its load. */
+  /**
+   * Sends a load probe to a backend.
+   *
+   * @param callback receives the result once, in a later step
+   */
   void probeLoad(int backend, ProbeCallback callback);
 
-  /** Closes the connections to a backend that carry nothing now. */
+  /** Closes the idle connections to a backend. */
   void closeIdleConnections(int backend);
 
-  /** Runs a task once, after a delay. */
+  /** Runs a task once after a delay, as a step of its own. */
   void schedule(long delay, Runnable task);
 
-  /** Asks discovery for the endpoint list and for all changes from now on. */
+  /** Opens a watch on the endpoint list: discovery sends the list and all later changes. */
   void watchEndpoints();
 
-  /** Reports what operators should know. */
+  /** Reports an event to the operators, normally as a line of the log. */
   void report(PolicyEvent event);
 }
--- a/decisions/src/main/java/wheattrack/api/RequestClass.java
+++ b/decisions/src/main/java/wheattrack/api/RequestClass.java
@@ -9,8 +9,8 @@
  * @param idempotency whether a request may run more than once
  * @param deduplicationScope which backends recognize a repeated idempotency key
  * @param deduplicationWindow how long they recognize it after the first attempt
- * @param priorityWeight worth of an answer within the objective, for a mean request's cost
- * @param lateWeight worth of an answer after the objective
+ * @param priorityWeight weight of an answer within the objective, per mean request cost
+ * @param lateWeight weight of an answer after the objective
  * @param streaming whether answers are streamed
  */
 public record RequestClass(
@@ -34,7 +34,7 @@
     return idempotency == Idempotency.NON_IDEMPOTENT;
   }
 
-  /** Whether a client may retry a request that may have run: its retry may reach any backend. */
+  /** Whether a client may retry a request that may have run; its retry can reach any backend. */
   public boolean isClientRetrySafe() {
     return idempotency == Idempotency.IDEMPOTENT
         || idempotency == Idempotency.IDEMPOTENT_WITH_KEY
--- a/decisions/src/main/java/wheattrack/api/RequestHandle.java
+++ b/decisions/src/main/java/wheattrack/api/RequestHandle.java
@@ -1,10 +1,13 @@
 package wheattrack.api;
 
-/** An open request as the policy keeps it; the runtime reports here what happens to the request. */
+/** The policy's handle of an open request, to which the runtime reports the request's events. */
 public interface RequestHandle {
-  /** The answer of this attempt has begun to stream, or the request can no longer be copied. */
+  /**
+   * The answer of this attempt has begun to stream, or the request's body cannot be sent a second
+   * time: no further attempt is possible.
+   */
   void streamingStarted(int attempt);
 
-  /** The client has disconnected: nobody waits for an answer any more. */
+  /** The client has disconnected: the request needs no answer any more. */
   void clientDisconnected();
 }
--- a/decisions/src/main/java/wheattrack/discovery/DiscoveryBackoff.java
+++ b/decisions/src/main/java/wheattrack/discovery/DiscoveryBackoff.java
@@ -4,8 +4,8 @@
 import wheattrack.statistics.SeededRandom;
 
 /**
- * When discovery is asked again after a failure: by a backoff with jitter. Without it all proxies
- * would ask in the moment in which discovery is back. Not thread-safe.
+ * Backoff with jitter between failed calls to discovery, so that the proxies do not all reconnect
+ * at the moment discovery recovers. Not thread-safe.
  */
 public final class DiscoveryBackoff {
   private final PolicyRuntime runtime;
@@ -14,24 +14,28 @@
   private long backoff;
   private boolean watching;
 
-  /** Creates a backoff that has seen no failure yet. */
+  /** Creates a backoff in its initial state. */
   public DiscoveryBackoff(PolicyRuntime runtime, SeededRandom random) {
     this.runtime = runtime;
     this.random = random;
   }
 
-  /** Sets how often discovery may be asked, in ticks. */
+  /** Sets the shortest interval between calls to discovery, in ticks. */
   public void setPollInterval(long interval) {
     pollInterval = interval;
   }
 
-  /** The list has come; cached: it is only what this proxy had last, no answer to a call. */
+  /** A list was received; {@code cached} says that it is the last known one, not an answer. */
   public void onList(boolean cached) {
     watching |= !cached;
     backoff = 0;
   }
 
-  /** The list could not be had: it is asked for again after a wait. */
+  /**
+   * A call failed: schedules the next one.
+   *
+   * @param answered whether discovery answered, though not with a list
+   */
   public void onFailure(boolean answered) {
     watching = false;
     backoff =
--- a/decisions/src/main/java/wheattrack/policy/AdmissionControl.java
+++ b/decisions/src/main/java/wheattrack/policy/AdmissionControl.java
@@ -16,6 +16,7 @@
   private static final double MAX_SHED_SHARE = 0.95;
   // incident: a share that was only halved each second never ended, and still rejected requests
   private static final double MIN_SHED_SHARE = 0.01;
+  private static final int HEAVY_COST_MULTIPLE = 2;
 
   private final PolicyState state;
   private double shedShare;
@@ -47,9 +48,8 @@
     boolean hopeless =
         state.reportedLoad().isExpected()
             && backend != null
-            && request.cost() > 2 * state.costs().meanCost()
-            && request.cost() / state.throughput().paceOf(backend)
-                > request.request().deadline() - now
+            && request.cost() > HEAVY_COST_MULTIPLE * state.costs().meanCost()
+            && request.missesDeadlineAt(backend)
             && (hopelessSince == 0 || now - hopelessSince < state.tightestObjective());
     if (hopeless && hopelessSince == 0) {
       hopelessSince = now;
--- a/decisions/src/main/java/wheattrack/policy/EquiloadBalancer.java
+++ b/decisions/src/main/java/wheattrack/policy/EquiloadBalancer.java
@@ -18,6 +18,8 @@
 
 /** Load balancing by EQUILOAD (docs/design.md): entry points and periodic work. */
 public final class EquiloadBalancer implements LoadBalancer {
+  private static final int CHECKS_PER_OBJECTIVE = 10;
+
   final PolicyState state;
   final SlowStart slowStart;
   final OutlierDetector outliers;
@@ -117,6 +119,7 @@
     }
     List.copyOf(openRequests).forEach(RequestLifecycle::check);
     IdleConnections.close(state);
-    state.runtime().schedule(state.tightestObjective() / 10, this::checkPeriodically);
+    long interval = state.tightestObjective() / CHECKS_PER_OBJECTIVE;
+    state.runtime().schedule(interval, this::checkPeriodically);
   }
 }
--- a/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
+++ b/decisions/src/main/java/wheattrack/policy/IntervalPartition.java
@@ -1,7 +1,6 @@
 package wheattrack.policy;
 
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.stream.IntStream;
 import wheattrack.state.BackendState;
 import wheattrack.state.CostModel;
@@ -50,11 +49,7 @@
 
   /** Chooses this proxy's subset of the ready backends and computes their shares. */
   void rebuild() {
-    BackendState[] ready =
-        state.backends().all().stream()
-            .filter(BackendState::isReady)
-            .sorted(Comparator.comparingLong(BackendState::id))
-            .toArray(BackendState[]::new);
+    BackendState[] ready = state.backends().readyInIdOrder();
     state.traffic().setReadyBackends(ready.length);
     int part = partSize(ready.length);
     // incident: with many backends ejected, the rest of a small subset could not bear its traffic
@@ -74,8 +69,7 @@
   private int partSize(int readyCount) {
     int least = MIN_BACKENDS;
     if (state.reportedLoad().isExpected()) {
-      double connections = state.traffic().idleConnections();
-      double bounded = Math.min(MAX_MIN_BACKENDS_WITH_REPORTS, connections);
+      double bounded = Math.min(MAX_MIN_BACKENDS_WITH_REPORTS, state.traffic().idleConnections());
       least = (int) Math.max(MIN_BACKENDS_WITH_REPORTS, bounded);
     }
     return (int) Math.max(least, PROXIES_PER_BACKEND * readyCount * state.traffic().ownShare());
--- a/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
+++ b/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
@@ -10,11 +10,19 @@
 import wheattrack.state.LoadProbeRound;
 import wheattrack.state.OpenRequest;
 import wheattrack.state.PolicyState;
+import wheattrack.state.RejectionCause;
 
 /** One request from arrival to final answer: its attempts, retries, hedging and rejection. */
 final class RequestLifecycle implements RequestHandle {
   private static final int LOAD_PROBES = 2;
 
+  // fractions of a latency objective or of the time left, as divisors
+  private static final int LOAD_PROBE_TIMEOUT_DIVISOR = 30;
+  private static final int GIVE_UP_MARGIN_DIVISOR = 10;
+  private static final int STUCK_AFTER_DIVISOR = 4;
+  private static final int HEDGE_AFTER_DIVISOR = 3;
+  private static final int RETRY_AFTER_DIVISOR = 4;
+
   private final EquiloadBalancer balancer;
   private final PolicyState state;
   private final IntervalPartition partition;
@@ -50,7 +58,7 @@
         probed.add(backend);
       }
     }
-    long timeout = state.tightestObjective() / 30;
+    long timeout = state.tightestObjective() / LOAD_PROBE_TIMEOUT_DIVISOR;
     LoadProbeRound.start(state.runtime(), probed, timeout, this::sendOrGiveUp);
   }
 
@@ -79,14 +87,14 @@
     }
   }
 
-  private String rejectionCause(BackendState backend, boolean shed) {
+  private RejectionCause rejectionCause(BackendState backend, boolean shed) {
     if (partition.size() == 0) {
-      return "no srv is ready";
+      return RejectionCause.NO_BACKEND_READY;
     }
     if (backend == null) {
-      return "all are cold, shut or full";
+      return RejectionCause.NO_BACKEND_AVAILABLE;
     }
-    return shed ? "a part is denied, as too many ended late" : "each wait is judged too long";
+    return shed ? RejectionCause.LOAD_SHED : RejectionCause.WAIT_TOO_LONG;
   }
 
   private void send(BackendState backend) {
@@ -126,8 +134,8 @@
     }
     long timeLeft = open.timeLeft(state.now());
     long retryAfter = state.settings().attempts().maxRetryAfter();
-    if (timeLeft >= open.requestClass().latencyObjective() / 4) {
-      retryAfter = Math.min(retryAfter, timeLeft / 4);
+    if (timeLeft >= open.requestClass().latencyObjective() / RETRY_AFTER_DIVISOR) {
+      retryAfter = Math.min(retryAfter, timeLeft / RETRY_AFTER_DIVISOR);
     }
     state.runtime().reject(open.request(), retryAfter);
   }
@@ -173,7 +181,7 @@
   private boolean isOutOfTime() {
     if (open.isStreaming()
         || !open.isWorthlessWhenLate()
-        || open.timeLeft(state.now()) > state.tightestObjective() / 10) {
+        || open.timeLeft(state.now()) > state.tightestObjective() / GIVE_UP_MARGIN_DIVISOR) {
       return false;
     }
     long maxRetryAfter = state.settings().attempts().maxRetryAfter();
@@ -184,12 +192,12 @@
   private boolean isStuck(Attempt attempt) {
     return attempt.isCancellable()
         && (attempt.backend().isEjected() || isWorthHedging(attempt))
-        && state.now() - attempt.sentAt() >= state.tightestObjective() / 4;
+        && state.now() - attempt.sentAt() >= state.tightestObjective() / STUCK_AFTER_DIVISOR;
   }
 
   private boolean isWorthHedging(Attempt attempt) {
     long objective = open.requestClass().latencyObjective();
-    double patience = objective / 3 * (1 + 3.0 / state.proxyCount());
+    double patience = objective / HEDGE_AFTER_DIVISOR * (1 + 3.0 / state.proxyCount());
     return state.settings().attempts().mayHedge()
         && admission.shedShare() == 0
         && attempt.backend().inFlight() == 1
--- a/decisions/src/main/java/wheattrack/policy/SlowStart.java
+++ b/decisions/src/main/java/wheattrack/policy/SlowStart.java
@@ -50,12 +50,10 @@
     if (state.throughput().warmRate() == 0) {
       return backend.inFlight() == 0 && (partitionSize <= 1 || state.isIdle());
     }
-    long now = state.now();
     double safePart = 1 - BURST_PART / state.proxiesPerBackend();
     double multiple = state.settings().slowStart().overloadMultiple();
     double rate = multiple * state.warmUp().rate(backend, safePart);
-    double refilled = rate * (now - backend.slowStartSpentAt());
-    backend.setSlowStartSpent(Math.max(0, backend.slowStartSpent() - refilled), now);
+    backend.refillSlowStart(rate, state.now());
     double meanCost = state.costs().meanCost();
     double needed = Math.max(cost, meanCost);
     double window = rate * state.settings().slowStart().overloadTime();
--- a/decisions/src/main/java/wheattrack/state/Attempt.java
+++ b/decisions/src/main/java/wheattrack/state/Attempt.java
@@ -3,7 +3,7 @@
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.RequestClass;
 
-/** One attempt of a request, with what it found at its backend when it was sent. */
+/** One attempt of a request, with the state of its backend when it was sent. Not thread-safe. */
 public final class Attempt {
   private final int number;
   private final BackendState backend;
@@ -16,7 +16,11 @@
   private boolean mayHaveRun = true;
   private boolean cancelRequested;
 
-  /** Creates the attempt of this number, sent now; costAhead is what waited there by its report. */
+  /**
+   * Creates an attempt that is sent now.
+   *
+   * @param costAhead cost that the backend's fresh load report shows ahead of it; 0 without one
+   */
   Attempt(int number, BackendState backend, long sentAt, double costAhead) {
     this.number = number;
     this.backend = backend;
@@ -32,48 +36,48 @@
     return number;
   }
 
-  /** Where it was sent. */
+  /** The backend that it was sent to. */
   public BackendState backend() {
     return backend;
   }
 
-  /** When it was sent. */
+  /** When it was sent, in ticks. */
   public long sentAt() {
     return sentAt;
   }
 
-  /** Whether nothing of this proxy's was in flight at its backend when it was sent. */
+  /** Whether this proxy had no other attempt in flight at the backend when it was sent. */
   public boolean foundIdle() {
     return foundIdle;
   }
 
-  /** Cost that waited before it, by the backend's last report; 0 if there was none. */
+  /** Cost ahead of it by the backend's load report; 0 if there was no fresh report. */
   public double costAhead() {
     return costAhead;
   }
 
-  /** Whether the request may have run, or may yet run, by this attempt. */
+  /** Whether this attempt may have run or may still run. */
   public boolean mayHaveRun() {
     return mayHaveRun;
   }
 
-  /** Whether the request may be sent to a backend now with no second effect, for this attempt. */
+  /** Whether a further attempt at another backend now can have no second effect beside this one. */
   public boolean allowsRepeatAt(BackendState other, RequestClass requestClass, long now) {
     return !mayHaveRun
         || requestClass.isRepeatSafe(now - sentAt, zone == other.zone(), cell == other.cell());
   }
 
-  /** Whether it is in flight and not being cancelled. */
+  /** Whether it is in flight and its cancellation was not requested. */
   public boolean isCancellable() {
     return inFlight && !cancelRequested;
   }
 
-  /** It is being cancelled. */
+  /** Records that its cancellation was requested. */
   public void requestCancel() {
     cancelRequested = true;
   }
 
-  /** Its outcome is known. */
+  /** Records its outcome. */
   void end(AttemptOutcome outcome) {
     inFlight = false;
     mayHaveRun = !outcome.neverRan();
--- a/decisions/src/main/java/wheattrack/state/BackendState.java
+++ b/decisions/src/main/java/wheattrack/state/BackendState.java
@@ -7,7 +7,7 @@
  * no decisions. Costs are in units of the cost model, times in ticks. Not thread-safe.
  */
 public final class BackendState {
-  /** Number of kinds that are told apart; further ones share their measurements with others. */
+  /** Number of kinds that are measured separately; further kinds share the slots of others. */
   public static final int MAX_KINDS = 64;
 
   /** Capacity of a backend that has rejected nothing yet, in requests in flight. */
@@ -48,7 +48,7 @@
   private long slowStartSpentAt;
   private double share;
 
-  /** Creates a backend that no list has named yet. */
+  /** Creates a backend that no endpoint list has contained yet. */
   BackendState(int index) {
     this.index = index;
   }
@@ -81,7 +81,7 @@
     capacity = UNLIMITED_CAPACITY;
   }
 
-  /** The backend has left the list: nothing new is sent to it. */
+  /** Marks that the backend has left the list: nothing new is sent to it. */
   public void markRemoved() {
     ready = false;
   }
@@ -91,7 +91,7 @@
     return index;
   }
 
-  /** Its identity, by which backends are ordered. */
+  /** Its id, by which backends are ordered. */
   public long id() {
     return id;
   }
@@ -116,12 +116,12 @@
     return weight;
   }
 
-  /** Whether the list says that it takes new requests. */
+  /** Whether it accepts new requests according to the endpoint list. */
   public boolean isReady() {
     return ready;
   }
 
-  /** How long it has been running. */
+  /** The time since its start. */
   public long age(long now) {
     return now - startedAt;
   }
@@ -145,9 +145,7 @@
     return nextProbeRequestAt;
   }
 
-  /**
-   * A probe request is sent: the next one waits, and those after it twice as long up to a limit.
-   */
+  /** Records that a probe request is sent: the interval to the next one doubles up to a limit. */
   public void backOffProbeRequests(long now, long maxInterval) {
     nextProbeRequestAt = now + probeRequestInterval;
     probeRequestInterval = Math.min(maxInterval, 2 * probeRequestInterval);
@@ -164,29 +162,29 @@
     return failures / (attempts + 2);
   }
 
-  /** How long it has had attempts in flight since its last answer. */
+  /** The time with attempts in flight since its last answer. */
   public double timeWithoutAnswer() {
     return timeWithoutAnswer;
   }
 
-  /** It has answered. */
+  /** Records an answer. */
   public void markAnswered() {
     timeWithoutAnswer = 0;
   }
 
   // ---- load by this proxy's own attempts
 
-  /** This proxy's attempts in flight there. */
+  /** The number of this proxy's attempts in flight at the backend. */
   public int inFlight() {
     return inFlight;
   }
 
-  /** Their cost. */
+  /** The summed cost of these attempts. */
   public double inFlightCost() {
     return inFlightCost;
   }
 
-  /** Cost of attempts that were cancelled or timed out and may still be running there. */
+  /** Cost of attempts that were cancelled or timed out and may still be running. */
   public double abandonedCost() {
     return abandonedCost;
   }
@@ -196,14 +194,14 @@
     return capacity;
   }
 
-  /** An attempt of this cost is sent. */
+  /** Records that an attempt of this cost is sent. */
   public void attemptStarted(double cost) {
     reportedInFlight++;
     inFlight++;
     inFlightCost += cost;
   }
 
-  /** An attempt of this cost has ended. */
+  /** Records that an attempt of this cost has ended. */
   public void attemptEnded(double cost, long now) {
     inFlight--;
     reportedInFlight = Math.max(0, reportedInFlight - 1);
@@ -211,40 +209,40 @@
     inFlightCost -= cost;
   }
 
-  /** An attempt that ended without an answer may still be running. */
+  /** Records the cost of an attempt that ended without an answer and may still be running. */
   public void addAbandonedCost(double cost) {
     abandonedCost += cost;
   }
 
-  /** The backend has rejected an attempt beside those in flight now. */
+  /** Lowers the capacity after a rejection to the attempts in flight now. */
   public void lowerCapacity() {
     capacity = Math.min(capacity, inFlight);
   }
 
-  /** The backend has answered: its capacity may be larger than known. */
+  /** Raises the capacity after an answer, as it may be larger than estimated. */
   public void raiseCapacity() {
     capacity += 1 / Math.max(1, capacity);
   }
 
-  /** Whether an attempt has ended there, and nothing was in flight since for this long. */
+  /** Whether an attempt has ended, and nothing has been in flight since for this duration. */
   public boolean areConnectionsIdleFor(long duration, long now) {
     return inFlight == 0 && lastOutcomeAt > 0 && now - lastOutcomeAt >= duration;
   }
 
-  /** Its idle connections have been closed. */
+  /** Records that its idle connections were closed. */
   public void markConnectionsClosed() {
     lastOutcomeAt = 0;
   }
 
   // ---- load by its own report
 
-  /** Takes over a load report. */
+  /** Records a load report. */
   void setReport(double requestsInFlight, long now) {
     reportedInFlight = requestsInFlight;
     reportedAt = now;
   }
 
-  /** Requests in flight there by its last report, adjusted by this proxy's attempts since. */
+  /** Requests in flight by its last report, adjusted by this proxy's attempts since. */
   public double reportedInFlight() {
     return reportedInFlight;
   }
@@ -256,7 +254,7 @@
 
   // ---- throughput
 
-  /** Cost that it has done for this proxy; decays. */
+  /** Cost that it has completed for this proxy; decays. */
   public double costDone() {
     return costDone;
   }
@@ -266,35 +264,35 @@
     return busyTime;
   }
 
-  /** It has done this cost. */
+  /** Records completed cost. */
   void addCostDone(double cost) {
     costDone += cost;
   }
 
-  /** Accounts for the time since the last call; returns that time. */
+  /** Returns the time since the last call. */
   long settle(long now) {
     long elapsed = now - settledAt;
     settledAt = now;
     return elapsed;
   }
 
-  /** Time passed with attempts in flight. */
+  /** Records time with attempts in flight. */
   void addBusyTime(double work, long elapsed) {
     busyTime += work;
     timeWithoutAnswer += elapsed;
   }
 
-  /** Abandoned work is taken to be done at the backend's pace. */
+  /** Reduces the abandoned cost by what the backend is estimated to have completed of it. */
   void drainAbandonedCost(double cost) {
     abandonedCost = Math.max(0, abandonedCost - cost);
   }
 
-  /** Mean wait there over the last second. */
+  /** Mean wait over about the last second. */
   public double meanWait() {
     return meanWait;
   }
 
-  /** Moves the mean wait towards the present one, by a tenth of the objective in a second. */
+  /** Updates the mean wait; the present one weighs a tenth of the objective against a second. */
   void averageWait(double wait, long objective) {
     meanWait += (wait - meanWait) * objective / 10 / Ticks.SECOND;
   }
@@ -307,7 +305,7 @@
     failures *= keep;
   }
 
-  /** The unit of costs has changed. */
+  /** Converts all costs to a new unit. */
   void scaleCosts(double factor) {
     costDone *= factor;
     inFlightCost *= factor;
@@ -317,14 +315,17 @@
 
   // ---- slow start and partition
 
-  /** The part of its slow-start budget that is used, as of the last call of the setter. */
+  /** The part of its slow-start budget that is used, as of the last set or refill. */
   public double slowStartSpent() {
     return slowStartSpent;
   }
 
-  /** When the used budget was last set. */
-  public long slowStartSpentAt() {
-    return slowStartSpentAt;
+  /**
+   * Refills the slow-start budget for the time since the last set or refill, at a cost per tick.
+   */
+  public void refillSlowStart(double rate, long now) {
+    double refilled = rate * (now - slowStartSpentAt);
+    setSlowStartSpent(Math.max(0, slowStartSpent - refilled), now);
   }
 
   /** Sets the used slow-start budget as of now. */
@@ -333,7 +334,7 @@
     slowStartSpentAt = now;
   }
 
-  /** Uses some of the slow-start budget. */
+  /** Uses part of the slow-start budget. */
   public void spendSlowStart(double cost) {
     slowStartSpent += cost;
   }
--- a/decisions/src/main/java/wheattrack/state/CostModel.java
+++ b/decisions/src/main/java/wheattrack/state/CostModel.java
@@ -5,11 +5,11 @@
 import wheattrack.statistics.DecayingLinearRegression;
 
 /**
- * What a request costs, by the hint that it carries: {@code baseCost + scale * hint ^ exponent}.
- * The constants are fitted to a window of recent hints such that the mean cost is the mean hint;
- * the exponent follows how steeply latencies rise with hints. A sudden move of the recent hints
- * against the window is taken as a change of their unit: older hints are dropped, and all costs are
- * rescaled so that a mean request stays as much work as before.
+ * The expected cost of a request as a function of its cost hint: {@code baseCost + scale * hint ^
+ * exponent}. The constants are fitted to a window of recent hints such that the mean cost is the
+ * mean hint; the exponent follows how steeply latencies rise with hints. A sudden move of the
+ * recent hints against the window is interpreted as a change of their unit: older hints are
+ * dropped, and all costs are rescaled so that a mean request stays as much work as before.
  *
  * <p>Refitting sorts the window, O(n log n) for its 2000 hints, once a second and while the window
  * doubles. Not thread-safe.
@@ -21,7 +21,7 @@
   /** Hints that tell whether their unit has changed. */
   private static final int RECENT = 16;
 
-  /** Smallest change of the mean logarithm that is taken as a change of unit. */
+  /** Smallest change of the mean logarithm that counts as a change of unit. */
   private static final double MIN_UNIT_CHANGE = Math.log(8);
 
   /** The same in standard errors of the recent hints' mean logarithm. */
@@ -48,7 +48,7 @@
 
   /** Notified of changes that concern all costs. */
   public interface Listener {
-    /** The unit of hints has changed; the recent ones are so many per cent of those before. */
+    /** The unit of hints has changed: recent hints are this percentage of earlier ones. */
     void hintUnitChanged(long perCent);
 
     /** All costs known so far are to be multiplied by this factor. */
@@ -78,7 +78,7 @@
     this.listener = listener;
   }
 
-  /** Whether backends report their load; from then on hints are trusted more. */
+  /** Sets whether backends report their load; if so, hints are trusted more. */
   void setLoadReported(boolean reported) {
     if (reported && !loadReported) {
       exponent = PRIOR_EXPONENT_WITH_REPORTS;
@@ -87,11 +87,11 @@
   }
 
   /**
-   * Takes a request's hint into the window.
+   * Adds the hint of a request to the window.
    *
    * @param hint the hint, above 0
-   * @param clientRetry whether a client sends it again: in overload one heavy request comes again
-   *     and again, which is no change of unit
+   * @param clientRetry whether the request is a client's retry: under overload one heavy request is
+   *     retried many times, which is no change of unit
    * @param requestsBefore requests accepted before this one, with or without hints
    */
   void addHint(int hint, boolean clientRetry, long requestsBefore) {
@@ -178,7 +178,7 @@
     listener.costsRescaled(factor);
   }
 
-  /** An attempt that found its backend idle took this long: how latencies follow hints. */
+  /** Learns from the latency, in ticks, of an attempt that found its backend idle. */
   void observeLatency(int hint, long latency) {
     double x = Math.log(hint);
     double y = Math.log(Math.max(1, latency));
@@ -190,7 +190,7 @@
     exponent = Math.max(MIN_EXPONENT, Math.min(1, slope));
   }
 
-  /** The cost that a hint stands for. */
+  /** The expected cost of a request with this hint. */
   public double costOf(double hint) {
     return baseCost + scale * Math.pow(Math.min(hint, maxHint), exponent);
   }
@@ -200,7 +200,7 @@
     return meanCost;
   }
 
-  /** Present costs in one of the start: grows with each rescaling. */
+  /** The present unit of costs relative to the initial one; changes with each rescaling. */
   double unit() {
     return unit;
   }
@@ -210,12 +210,12 @@
     return hintsSeen > 0;
   }
 
-  /** How many hints of the window lie below a value; asked for halves, which no hint equals. */
+  /** The number of hints in the window below a value, which must not be an integer. */
   public int hintsBelow(double value) {
     return -Arrays.binarySearch(sortedHints, value) - 1;
   }
 
-  /** The summed cost of so many of the window's smallest hints. */
+  /** The summed cost of the window's smallest hints, of this count. */
   public double costOfSmallest(int count) {
     return cumulativeCosts[count];
   }
--- a/decisions/src/main/java/wheattrack/state/IdleConnections.java
+++ b/decisions/src/main/java/wheattrack/state/IdleConnections.java
@@ -1,10 +1,10 @@
 package wheattrack.state;
 
-/** Closes connections to backends that have idled for longer than they are worth. */
+/** Closes connections to backends that have been idle for longer than they are worth keeping. */
 public final class IdleConnections {
   private IdleConnections() {}
 
-  /** Closes them at all backends; to be called periodically. */
+  /** Closes such connections at all backends; must be called periodically. */
   public static void close(PolicyState state) {
     long worthTime = state.traffic().idleConnectionTime();
     for (BackendState backend : state.backends().all()) {
--- a/decisions/src/main/java/wheattrack/state/IdleRejections.java
+++ b/decisions/src/main/java/wheattrack/state/IdleRejections.java
@@ -2,30 +2,37 @@
 
 import wheattrack.api.PolicyEvent;
 
-/** Rejections while no attempt was in flight anywhere: many in a second are reported. */
+/**
+ * Counts the rejections of each second that happened while this proxy had no attempt in flight at
+ * any backend, and reports a second with many of them. Not thread-safe.
+ */
 public final class IdleRejections {
   private static final int MIN_REPORTED = 4;
 
   private final PolicyState state;
   private int count;
-  private String lastCause = "";
+  private RejectionCause lastCause;
 
   IdleRejections(PolicyState state) {
     this.state = state;
   }
 
-  /** A request without attempts is rejected; it counts if nothing is in flight. */
-  public void onRejected(String cause) {
+  /** Records that a request without attempts is rejected; it counts if nothing is in flight. */
+  public void onRejected(RejectionCause cause) {
     if (state.inFlight().attempts() == 0) {
       count++;
       lastCause = cause;
     }
   }
 
-  /** Reports the last second's, if they were over half of what arrives in a second. */
+  /**
+   * Ends the present second: reports its rejections if they exceed half of the arrivals.
+   *
+   * @param arrivals mean number of requests that arrive in a second
+   */
   void foldSecond(double arrivals) {
     if (count > Math.max(MIN_REPORTED, arrivals / 2)) {
-      String detail = "in a second, while nothing was out; " + lastCause;
+      String detail = "in a second, while nothing was out; " + lastCause.logText();
       PolicyEvent.Kind kind = PolicyEvent.Kind.REJECTED_WHILE_IDLE;
       state.runtime().report(new PolicyEvent(kind, count, detail));
     }
--- a/decisions/src/main/java/wheattrack/state/InFlightTotals.java
+++ b/decisions/src/main/java/wheattrack/state/InFlightTotals.java
@@ -1,22 +1,22 @@
 package wheattrack.state;
 
-/** This proxy's attempts in flight at all backends together. Not thread-safe. */
+/** Totals over this proxy's attempts in flight at all backends. Not thread-safe. */
 public final class InFlightTotals {
   private int attempts;
   private double cost;
   private long lastSentAt;
 
-  /** Attempts in flight. */
+  /** The number of attempts in flight. */
   public int attempts() {
     return attempts;
   }
 
-  /** Their cost. */
+  /** The summed cost of the attempts in flight. */
   public double cost() {
     return cost;
   }
 
-  /** Whether nothing is in flight, and nothing was sent for this long. */
+  /** Whether nothing is in flight and nothing was sent for this duration, in ticks. */
   public boolean isIdle(long now, long duration) {
     return attempts == 0 && now - lastSentAt >= duration;
   }
--- a/decisions/src/main/java/wheattrack/state/LoadProbeRound.java
+++ b/decisions/src/main/java/wheattrack/state/LoadProbeRound.java
@@ -3,7 +3,10 @@
 import java.util.List;
 import wheattrack.api.PolicyRuntime;
 
-/** Load probes of one request; the request goes on when all are answered, or after a moment. */
+/**
+ * The load probes of one request; the request continues when all are answered or the timeout has
+ * expired. Not thread-safe.
+ */
 public final class LoadProbeRound {
   private final Runnable whenDone;
   private int outstanding;
@@ -14,13 +17,13 @@
   }
 
   /**
-   * Probes some backends.
+   * Probes backends.
    *
-   * @param longest how long their answers are waited for, in ticks
-   * @param whenDone runs once; at once if there are no backends
+   * @param timeout longest time to wait for their answers, in ticks
+   * @param whenDone run once; immediately if there are no backends
    */
   public static void start(
-      PolicyRuntime runtime, List<BackendState> backends, long longest, Runnable whenDone) {
+      PolicyRuntime runtime, List<BackendState> backends, long timeout, Runnable whenDone) {
     if (backends.isEmpty()) {
       whenDone.run();
       return;
@@ -29,7 +32,7 @@
     for (BackendState backend : backends) {
       runtime.probeLoad(backend.index(), (answered, latency) -> round.end(1));
     }
-    runtime.schedule(longest, () -> round.end(round.outstanding));
+    runtime.schedule(timeout, () -> round.end(round.outstanding));
   }
 
   private void end(int probes) {
--- a/decisions/src/main/java/wheattrack/state/OpenRequest.java
+++ b/decisions/src/main/java/wheattrack/state/OpenRequest.java
@@ -44,7 +44,7 @@
     return costAtArrival * state.costs().unit() / unitAtArrival;
   }
 
-  /** Worth of its answer: priority weight of its class times its cost. */
+  /** The worth of its answer: the priority weight of its class times its cost. */
   public double worth() {
     return requestClass().priorityWeight() * cost();
   }
@@ -56,8 +56,8 @@
   }
 
   /**
-   * How promising it is to send the request: its weight relative to the mean, reduced the more
-   * likely it is to be late, judged by the time that recent attempts took for their cost.
+   * How much sending the request is expected to earn: its weight relative to the mean, reduced by
+   * the likelihood that it ends late, as estimated from the time and cost of recent attempts.
    */
   public double hope() {
     LatenessCounters recent = state.lateness();
@@ -69,12 +69,12 @@
         / state.meanWorth();
   }
 
-  /** Whether it may have run, or may yet run, by any of its attempts. */
+  /** Whether any of its attempts may have run or may still run. */
   public boolean mayHaveRun() {
     return attempts.stream().anyMatch(Attempt::mayHaveRun);
   }
 
-  /** How long ago it arrived. */
+  /** The time since its arrival, in ticks. */
   public long age() {
     return state.now() - request.arrivedAt();
   }
@@ -84,6 +84,11 @@
     return requestClass().lateWeight() == 0;
   }
 
+  /** Whether even an idle backend is expected to finish it only after its deadline. */
+  public boolean missesDeadlineAt(BackendState backend) {
+    return cost() / state.throughput().paceOf(backend) > request.deadline() - state.now();
+  }
+
   /**
    * Whether an attempt may be sent to a backend with no second effect, for all earlier attempts.
    */
@@ -97,44 +102,48 @@
     return true;
   }
 
-  /** Where its last attempt went, or null. */
+  /** The backend of its last attempt, or null if it has none. */
   public BackendState lastBackend() {
     return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1).backend();
   }
 
-  /** Its attempts so far, by number. */
+  /** Its attempts so far, by number; unmodifiable. */
   public List<Attempt> attempts() {
     return attemptsView;
   }
 
-  /** How many of them are in flight. */
+  /** The number of attempts in flight. */
   public int attemptsInFlight() {
     return attemptsInFlight;
   }
 
-  /** Whether an answer streams, or its body can't be sent twice: it has no further attempts. */
+  /** Whether no further attempt is possible: an answer streams, or the body can't be sent again. */
   public boolean isStreaming() {
     return streaming;
   }
 
-  /** An answer streams, or its body can't be sent twice. */
+  /** Records that an answer streams, or that the body can't be sent again. */
   public void markStreaming() {
     streaming = true;
   }
 
-  /** Whether it has its final answer, or nobody waits for one. */
+  /** Whether it has its final answer, or its client has disconnected. */
   public boolean isClosed() {
     return closed;
   }
 
-  /** It has ended; answered: with an answer, be it late. */
+  /**
+   * Closes the request.
+   *
+   * @param answered whether a backend answered it, in time or late
+   */
   public void close(boolean answered) {
     boolean inTime = answered && age() <= requestClass().latencyObjective();
     closed = true;
     state.lateness().countEnd(!attempts.isEmpty(), inTime);
   }
 
-  /** Accounts for an attempt that is sent to a backend now. */
+  /** Records an attempt that is sent to a backend now. */
   public Attempt startAttempt(BackendState backend) {
     long now = state.now();
     ReportedLoad reports = state.reportedLoad();
@@ -149,7 +158,7 @@
     return attempt;
   }
 
-  /** Accounts for an attempt that has ended. */
+  /** Records that an attempt has ended. */
   public void endAttempt(Attempt attempt, AttemptOutcome outcome) {
     long now = state.now();
     double cost = cost();
--- a/decisions/src/main/java/wheattrack/state/PolicyState.java
+++ b/decisions/src/main/java/wheattrack/state/PolicyState.java
@@ -13,8 +13,8 @@
 import wheattrack.statistics.SeededRandom;
 
 /**
- * State of one proxy's policy: settings, backends and measurements. It is shared by the classes of
- * the policy, which make the decisions. Not thread-safe.
+ * The state of one proxy's policy: settings, backends and measurements, shared by the classes of
+ * the policy. It takes no decisions. Not thread-safe.
  */
 public final class PolicyState implements CostModel.Listener {
   private static final double KEEP_PER_SECOND = ThroughputEstimator.KEEP_PER_SECOND;
@@ -46,9 +46,9 @@
    * Creates the state of a proxy that has just started.
    *
    * @param runtime the clock and the log
-   * @param seed for all draws
-   * @param proxyIndex which of the proxies this is, from 0
-   * @param proxyCount how many proxies there are
+   * @param seed seed of all random numbers
+   * @param proxyIndex index of this proxy, from 0
+   * @param proxyCount number of proxies
    */
   public PolicyState(PolicyRuntime runtime, long seed, int proxyIndex, int proxyCount) {
     this.runtime = runtime;
@@ -72,7 +72,7 @@
     zoneFactor.configure(settings.zones().own(), settings.zones().crossingPrice());
   }
 
-  /** Accounts for an accepted request; must be called before its first attempt. */
+  /** Records an accepted request; must be called before its first attempt. */
   public OpenRequest open(PendingRequest request) {
     if (request.costHint() > 0) {
       costs.addHint(request.costHint(), request.isClientRetry(), traffic.requests());
@@ -84,7 +84,11 @@
     return open;
   }
 
-  /** Applies an entry of the endpoint list; returns the backend if it was restarted, else null. */
+  /**
+   * Applies an entry of the endpoint list.
+   *
+   * @return the backend if it has restarted, else null
+   */
   public BackendState updateBackend(EndpointUpdate update) {
     if (update.index() >= LoadBalancer.MAX_BACKENDS) {
       String cause = LoadBalancer.MAX_BACKENDS + " are known already";
@@ -99,7 +103,7 @@
     return restarted ? backend : null;
   }
 
-  /** A backend has left the endpoint list. */
+  /** Marks a backend that has left the endpoint list. */
   public void removeBackend(int backend) {
     if (backend < LoadBalancer.MAX_BACKENDS) {
       backends.at(backend).markRemoved();
@@ -114,7 +118,8 @@
   }
 
   /**
-   * Folds in the last second; to be followed by {@link #endSecond} once all have read it.
+   * Updates the estimates with the measurements of the last second; {@link #endSecond} must follow
+   * once all readers have used the counts.
    *
    * @param partition the backends that this proxy sends to
    */
@@ -160,7 +165,7 @@
     return runtime;
   }
 
-  /** The one source of draws. */
+  /** The source of all random numbers. */
   public SeededRandom random() {
     return random;
   }
@@ -175,39 +180,39 @@
     return tightestObjective;
   }
 
-  /** Whether any class of requests may simply be repeated. */
+  /** Whether any class of requests is idempotent. */
   public boolean hasIdempotentClass() {
     return hasIdempotentClass;
   }
 
-  /** Which of the proxies this is. */
+  /** The index of this proxy, from 0. */
   public int proxyIndex() {
     return proxyIndex;
   }
 
-  /** How many proxies there are, 1 at least. */
+  /** The number of proxies, at least 1. */
   public int proxyCount() {
     return proxyCount;
   }
 
-  /** Whether a second process of this proxy runs beside this one, as in a handover. */
+  /** Sets whether a second process of this proxy is running, as during a handover. */
   public void setOtherProcessPresent(boolean present) {
     processCount = present ? 2 : 1;
   }
 
-  /** How many proxy processes send to one backend. */
+  /** The number of proxy processes that send to one backend. */
   public double proxiesPerBackend() {
     return proxiesPerBackend;
   }
 
   /**
-   * Sets how many proxies send to one backend, 1 at least; processes of one proxy are counted in.
+   * Sets how many proxies send to one backend, at least 1; two processes of a proxy count as two.
    */
   public void setProxiesPerBackend(double proxies) {
     proxiesPerBackend = processCount * Math.max(1, proxies);
   }
 
-  /** Mean of priority weight times cost over recent requests. */
+  /** Mean worth of recent requests, see {@link OpenRequest#worth}. */
   public double meanWorth() {
     return meanWorth;
   }
@@ -267,7 +272,7 @@
     return lateness;
   }
 
-  /** This proxy's part of the traffic. */
+  /** This proxy's share of the traffic. */
   public TrafficShare traffic() {
     return traffic;
   }
--- a/decisions/src/main/java/wheattrack/state/ReportedLoad.java
+++ b/decisions/src/main/java/wheattrack/state/ReportedLoad.java
@@ -12,7 +12,11 @@
   private boolean expected;
   private long maxAge;
 
-  /** Whether reports are expected, and how long one counts. */
+  /**
+   * Applies settings.
+   *
+   * @param reportMaxAge how long a report stays fresh, in ticks
+   */
   void configure(boolean reportsExpected, long reportMaxAge) {
     expected = reportsExpected;
     maxAge = reportMaxAge;
@@ -23,7 +27,7 @@
     return expected;
   }
 
-  /** Takes a report: requests that a backend holds, and those of them that wait. */
+  /** Records a report: the requests in flight at a backend, and how many of them are queued. */
   void add(BackendState backend, double inFlight, double queued, long now) {
     if (!expected || inFlight < 0) {
       return;
@@ -36,12 +40,12 @@
     kindConcurrency[backend.kind()] = Math.max(1, learnt);
   }
 
-  /** Whether a backend's last report is still new enough to go by. */
+  /** Whether a backend's last report is recent enough to be used. */
   public boolean isFresh(BackendState backend, long now) {
     return backend.reportedAt() > 0 && now - backend.reportedAt() < maxAge;
   }
 
-  /** Cost ahead of a request sent there now, for each that it works on at once. */
+  /** Cost ahead of a request sent now, divided by the number processed concurrently. */
   public double costAhead(BackendState backend, double meanCost) {
     double concurrency = kindConcurrency[backend.kind()];
     return Math.max(0, backend.reportedInFlight() + 1 - concurrency)
--- a/decisions/src/main/java/wheattrack/state/ThroughputEstimator.java
+++ b/decisions/src/main/java/wheattrack/state/ThroughputEstimator.java
@@ -33,13 +33,14 @@
   }
 
   /**
-   * Whether backends report their load: then what waits there is known, and attempts count singly.
+   * Sets whether backends report their load. If so, the cost ahead of an attempt is known, and busy
+   * time is counted once for each attempt in flight.
    */
   void setLoadReported(boolean reported) {
     loadReported = reported;
   }
 
-  /** Accounts for a backend's time up to now. */
+  /** Updates a backend's busy time up to now. */
   public void settle(BackendState backend, long now) {
     long elapsed = backend.settle(now);
     if (backend.inFlight() > 0) {
@@ -52,20 +53,21 @@
   }
 
   /**
-   * A backend has done this cost, what waited before it included, as its time holds the wait too.
+   * Records cost that a backend has completed; it includes the cost ahead of the attempt, since the
+   * measured time includes that wait.
    */
   void addCostDone(BackendState backend, double cost) {
     backend.addCostDone(cost);
     kindCost[backend.kind()] += cost;
   }
 
-  /** Cost that a backend does for this proxy in a tick with attempts in flight. */
+  /** Cost that a backend completes for this proxy per tick with attempts in flight. */
   public double paceOf(BackendState backend) {
     double prior = Ticks.SECOND / 2.0;
     return (backend.costDone() + prior * paceOfKind(backend)) / (backend.busyTime() + prior);
   }
 
-  /** The same by the backend's kind and weight alone. */
+  /** The same estimate from the backend's kind and weight alone. */
   public double paceOfKind(BackendState backend) {
     int kind = backend.kind();
     return backend.weight()
@@ -73,22 +75,23 @@
         / (kindBusyTime[kind] + 2 * Ticks.SECOND);
   }
 
-  /** The speed of a backend's kind against all backends. */
+  /** The speed of a backend's kind relative to all backends. */
   public double speedOfKind(BackendState backend) {
     return kindSpeed[backend.kind()];
   }
 
   /**
-   * Cost that a warm backend of weight 1 does for this proxy in a tick, idle or not; 0: unknown.
+   * Cost that a warm backend of weight 1 completes for this proxy per tick, idle or not; 0 if
+   * unknown.
    */
   public double warmRate() {
     return warmRate;
   }
 
   /**
-   * Folds in the last second.
+   * Updates the estimates with the last second.
    *
-   * @param warm backends that this proxy sends to and that are warm and well
+   * @param warm backends of the partition that are warm and not ejected
    * @param arrivals decayed count of requests accepted
    * @param partitionSize backends that this proxy sends to
    */
@@ -128,7 +131,7 @@
     replaceAll(kindBusyTime, decay);
   }
 
-  /** The unit of costs has changed. */
+  /** Converts all costs to a new unit. */
   void scaleCosts(double factor) {
     replaceAll(kindCost, cost -> cost * factor);
     fleetPace *= factor;
--- a/decisions/src/main/java/wheattrack/state/TrafficShare.java
+++ b/decisions/src/main/java/wheattrack/state/TrafficShare.java
@@ -10,7 +10,7 @@
   /** Seconds over which the own traffic is averaged. */
   private static final int AVERAGED_SECONDS = 20;
 
-  /** Backends at which the price of an open connection is reckoned. */
+  /** Number of backends to which the price of an open connection refers. */
   private static final int PRICED_BACKENDS = 100;
 
   private final int proxyCount;
@@ -26,7 +26,7 @@
     this.proxyCount = proxyCount;
   }
 
-  /** Takes new settings into use; a rate that was measured is kept. */
+  /** Applies settings; a measured rate is kept. */
   void configure(PolicySettings.Traffic settings) {
     totalQuota = settings.totalQuota();
     ownRate = seconds > 1 ? ownRate : totalQuota / proxyCount;
@@ -35,7 +35,7 @@
         price > 0 ? PRICED_BACKENDS * Ticks.SECOND * settings.handshakePrice() / price : 0;
   }
 
-  /** Counts a request; returns how many were accepted by now. */
+  /** Counts an accepted request, and returns the number accepted so far. */
   long countRequest() {
     return ++requests;
   }
@@ -45,18 +45,18 @@
     return requests;
   }
 
-  /** Folds the last second into the own rate. */
+  /** Updates this proxy's rate with the last second. */
   void foldSecond() {
     ownRate += (requests - requestsAtLastFold - ownRate) / Math.min(AVERAGED_SECONDS, ++seconds);
     requestsAtLastFold = requests;
   }
 
-  /** This proxy's part of the traffic of all, an equal one at least. */
+  /** This proxy's share of the total traffic, at least an equal share. */
   public double ownShare() {
     return Math.max(1.0 / proxyCount, totalQuota > 0 ? ownRate / totalQuota : 0);
   }
 
-  /** Sets how many backends are ready, over which idle connections are spread. */
+  /** Sets the number of ready backends, over which idle connections are spread. */
   public void setReadyBackends(int count) {
     idleConnectionTime =
         idleTimePerRate > 0 && totalQuota > 0
@@ -64,12 +64,12 @@
             : Long.MAX_VALUE;
   }
 
-  /** How long an idle connection is worth its price. */
+  /** How long an idle connection is worth keeping, in ticks. */
   public long idleConnectionTime() {
     return idleConnectionTime;
   }
 
-  /** Connections that idle at this rate of traffic, if each request opens one. */
+  /** Expected number of idle connections at the present rate, if each request opens one. */
   public double idleConnections() {
     return ownRate * idleConnectionTime / Ticks.SECOND;
   }
--- a/decisions/src/main/java/wheattrack/state/WaitEstimator.java
+++ b/decisions/src/main/java/wheattrack/state/WaitEstimator.java
@@ -1,9 +1,9 @@
 package wheattrack.state;
 
 /**
- * How long a request would wait at a backend: by its load report where there is a fresh one, else
- * by this proxy's own attempts in flight there and by how far latencies exceed what hints explain,
- * which shows the traffic of other proxies. Not thread-safe.
+ * Estimates how long a request would wait at a backend: from its load report if there is a fresh
+ * one, else from this proxy's attempts in flight there and from how far latencies exceed what the
+ * cost hints explain, which shows the traffic of other proxies. Not thread-safe.
  */
 public final class WaitEstimator {
   private final PolicyState state;
@@ -12,7 +12,7 @@
     this.state = state;
   }
 
-  /** How long a cost sent there now would take, by what is known to be there. */
+  /** The time that work of this cost would take if it were sent now, in ticks. */
   public double timeToFinish(BackendState backend, double cost) {
     long now = state.now();
     state.throughput().settle(backend, now);
@@ -23,13 +23,13 @@
     return (ahead + cost) / state.throughput().paceOf(backend);
   }
 
-  /** The wait of a request sent there now. */
+  /** The wait of a request if it were sent now, in ticks. */
   public double waitAt(BackendState backend) {
     double meanCost = state.costs().meanCost();
     if (state.reportedLoad().isFresh(backend, state.now())) {
       return state.reportedLoad().costAhead(backend, meanCost) / state.throughput().paceOf(backend);
     }
-    // incident: idle backends were held for busy by a mean request of this proxy itself
+    // incident: a single mean request of this proxy made idle backends count as busy
     double byOwnLoad = Math.max(0, timeToFinish(backend, (int) (-meanCost / state.proxyCount())));
     if (!state.costs().hasHints() || backend.busyTime() < Ticks.SECOND / 2) {
       boolean reported = state.reportedLoad().isExpected();
@@ -40,7 +40,8 @@
   }
 
   /**
-   * Averages the wait at a backend over about a second; to be called each tenth of the objective.
+   * Updates the mean wait at a backend over about a second; must be called once for each tenth of
+   * the tightest objective.
    */
   public void averageWait(BackendState backend) {
     backend.averageWait(waitAt(backend), state.tightestObjective());
--- a/decisions/src/main/java/wheattrack/state/WarmUpModel.java
+++ b/decisions/src/main/java/wheattrack/state/WarmUpModel.java
@@ -15,7 +15,7 @@
     return backend.age(state.now()) >= state.settings().slowStart().warmUpTime();
   }
 
-  /** The part of its capacity that a backend has by its age; 1 if it is warm. */
+  /** The fraction of its capacity that a backend has at its age; 1 if it is warm. */
   public double warmth(BackendState backend) {
     if (isWarm(backend)) {
       return 1;
@@ -26,10 +26,10 @@
   }
 
   /**
-   * This proxy's part of the cost that a backend can do in a tick: by its warmth and what warm
-   * backends or its kind do, or by what it has shown.
+   * This proxy's part of the cost that a backend can complete per tick: estimated from its warmth
+   * and the throughput of warm backends or of its kind, or from its own measured throughput.
    *
-   * @param safePart the part that is counted on where other proxies send there too
+   * @param safePart the fraction to rely on, as other proxies send to the backend too
    */
   public double rate(BackendState backend, double safePart) {
     double proxies = state.proxiesPerBackend();
--- a/decisions/src/main/java/wheattrack/state/ZoneFactor.java
+++ b/decisions/src/main/java/wheattrack/state/ZoneFactor.java
@@ -1,29 +1,30 @@
 package wheattrack.state;
 
 /**
- * How much backends of other zones count against those of the own: by the price of sending there
- * until it shows whether requests miss their objective. Not thread-safe.
+ * The weight of backends in other zones relative to those in this proxy's zone. It starts from the
+ * price of crossing zones and adapts to the share of requests that miss their objective. Not
+ * thread-safe.
  */
 public final class ZoneFactor {
   private static final double MIN_FACTOR = 0.02;
   private static final double SHRINK_PER_SECOND = 0.9;
   private static final double GROWTH_BY_MISSES = 5;
 
-  /** Requests to a backend by which the crossing price is reckoned at first. */
+  /** Number of requests whose crossing price determines the initial weight. */
   private static final double PRICED_REQUESTS = 100;
 
   private int ownZone;
   private double crossingPrice;
   private double otherZones = 1;
 
-  /** Takes new settings into use, and forgets what was learnt under the old price. */
+  /** Applies settings, and resets the weight to its initial value. */
   void configure(int zone, double price) {
     ownZone = zone;
     crossingPrice = price;
     otherZones = 1 / (1 + PRICED_REQUESTS * price);
   }
 
-  /** Other zones count for more while many requests miss their objective, else for less. */
+  /** Raises the weight of other zones while many requests miss their objective, else lowers it. */
   void foldSecond(double missedShare) {
     boolean worthCrossing = missedShare >= crossingPrice / 4;
     double change = worthCrossing ? 1 + GROWTH_BY_MISSES * missedShare : SHRINK_PER_SECOND;
@@ -35,7 +36,7 @@
     return backend.zone() == ownZone;
   }
 
-  /** 1 for a backend of the own zone, and less for others. */
+  /** The weight of a backend: 1 in this proxy's zone, at most 1 in others. */
   public double of(BackendState backend) {
     return isOwn(backend) ? 1 : otherZones;
   }
--- a/decisions/src/main/java/wheattrack/statistics/DecayingLinearRegression.java
+++ b/decisions/src/main/java/wheattrack/statistics/DecayingLinearRegression.java
@@ -1,8 +1,8 @@
 package wheattrack.statistics;
 
 /**
- * A straight line through weighted points, by running means and moments. Once the summed weight has
- * reached a bound, new points push old ones out exponentially. Not thread-safe.
+ * Weighted linear regression by running means and moments. Once the summed weight has reached a
+ * bound, older points decay exponentially as new ones are added. Not thread-safe.
  */
 public final class DecayingLinearRegression {
   private static final double TINY = 1e-9;
@@ -14,7 +14,11 @@
   private double varianceX;
   private double covariance;
 
-  /** Creates a regression without points; maxWeight is how much weight of points it remembers. */
+  /**
+   * Creates a regression without points.
+   *
+   * @param maxWeight bound on the summed weight of the points that count
+   */
   public DecayingLinearRegression(double maxWeight) {
     this.maxWeight = maxWeight;
   }
@@ -31,7 +35,7 @@
     covariance += step * ((1 - step) * dx * dy - covariance);
   }
 
-  /** Moves all points so far along x. */
+  /** Shifts all points added so far along the x axis. */
   public void shift(double dx) {
     meanX += dx;
   }
@@ -41,7 +45,7 @@
     return weight > 0 && y - meanY > covariance / (varianceX + TINY) * (x - meanX);
   }
 
-  /** The slope, drawn towards a prior slope that counts as so much weight of points. */
+  /** The slope, shrunk towards a prior slope that has the given weight. */
   public double slope(double priorWeight, double priorSlope) {
     double pull = priorWeight / Math.max(TINY, weight);
     return (covariance + pull * priorSlope) / (varianceX + pull);
--- a/decisions/src/main/java/wheattrack/statistics/LatenessCounters.java
+++ b/decisions/src/main/java/wheattrack/statistics/LatenessCounters.java
@@ -27,17 +27,17 @@
     sentAndMissed += wasSent ? late : 0;
   }
 
-  /** An attempt has ended after this time. */
+  /** An attempt has ended after this time, in ticks. */
   public void addAttemptTime(long time) {
     attemptTime += time;
   }
 
-  /** An attempt has been answered; this was its cost. */
+  /** An attempt of this cost has been answered. */
   public void addCostDone(double cost) {
     costDone += cost;
   }
 
-  /** Requests accepted. */
+  /** Decayed number of requests accepted. */
   public double arrived() {
     return arrived;
   }
@@ -52,12 +52,12 @@
     return (sentAndMissed - toleratedShare * sent) / (arrived + 2);
   }
 
-  /** Cost that attempts have done. */
+  /** Decayed cost of answered attempts. */
   public double costDone() {
     return costDone;
   }
 
-  /** Time that all ended attempts took. */
+  /** Decayed sum of the durations of ended attempts, in ticks. */
   public double attemptTime() {
     return attemptTime;
   }
@@ -67,7 +67,7 @@
     costDone *= factor;
   }
 
-  /** All counts fade to this part. */
+  /** Multiplies all sums by a decay factor. */
   public void decay(double keep) {
     arrived *= keep;
     missed *= keep;
--- a/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
+++ b/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
@@ -3,8 +3,8 @@
 import java.util.zip.CRC32;
 
 /**
- * Reproducible draws from 0 to below 1: the CRC-32 of the seed and a counter. The same seed gives
- * the same draws in every version. Not thread-safe.
+ * Reproducible random numbers: the CRC-32 of the seed and a counter. The same seed gives the same
+ * sequence in every version of the program. Not thread-safe.
  */
 public final class SeededRandom {
   private static final double RANGE = 4294967296.0;
@@ -13,12 +13,12 @@
   private final byte[] seedAndCounter = new byte[2 * Long.BYTES];
   private long draws;
 
-  /** Creates a generator of this seed. */
+  /** Creates a generator for a seed. */
   public SeededRandom(long seed) {
     put(seed, 0);
   }
 
-  /** The next draw, uniform over [0, 1). */
+  /** The next number, uniformly distributed over [0, 1). */
   public double draw() {
     put(++draws, Long.BYTES);
     crc.reset();
