Connections know the relays of long bodies by interfaces of their own

ClientConnection and BackendConnection named RequestBodyRelay and ResponseRelay, which name both connections: a cycle between the client's side, the backend's side and requests.

The client's side now defines StreamedResponse, the backend's side RequestBodySource and ResponseBodyReceiver; the relays implement them. Calls and their order are as before.

--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/BackendAttempt.java
@@ -117,19 +117,19 @@
    * connection goes on with the rest of the answer.
    *
    * @param head the head and the first bytes of the answer
-   * @return what takes the rest of the answer; null: nobody wants it
+   * @return receives the rest of the answer; null: it is not wanted
    */
-  final ResponseRelay beginStreaming(Response head) {
+  final ResponseBodyReceiver beginStreaming(Response head) {
     if (hasEnded) {
       return null;
     }
     hasEnded = true;
     loop().cancel(timer);
-    ResponseRelay relay = onStreamingAnswer(head);
-    if (relay == null) {
+    ResponseBodyReceiver receiver = onStreamingAnswer(head);
+    if (receiver == null) {
       backend.attemptEnded();
     }
-    return relay;
+    return receiver;
   }
 
   /** The rest of the long answer has been passed on, completely or not. */
@@ -148,13 +148,13 @@
     return Long.MAX_VALUE / 4;
   }
 
-  /** The part of the request's body that is not in the message; null: none. */
-  protected RequestBodyRelay body() {
+  /** Provides the part of the request's body that is not in the message; null: there is none. */
+  protected RequestBodySource body() {
     return null;
   }
 
   /** See {@link #beginStreaming}. Here nobody takes long answers: it ends as if it broke off. */
-  protected ResponseRelay onStreamingAnswer(Response head) {
+  protected ResponseBodyReceiver onStreamingAnswer(Response head) {
     onEnd(AttemptOutcome.RESET, null);
     return null;
   }
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -30,7 +30,7 @@
   private enum State {
     /** The connection is being made. */
     CONNECTING,
-    /** It carries an attempt, or relays the rest of a long response. */
+    /** It carries an attempt, or delivers the rest of a long response. */
     IN_USE,
     /** It carries nothing and stands in its pool. */
     IDLE,
@@ -52,15 +52,15 @@
   /** The attempt whose request is not completely written, or null. */
   private BackendAttempt attemptBeingWritten;
 
-  /** What is still to be written of a long request body, or null. */
-  private RequestBodyRelay bodyRelay;
+  /** Provides what is still to be written of a long request body, or null. */
+  private RequestBodySource bodySource;
 
   private boolean isBodyChunked;
 
-  /** The long response that is being relayed, or null. */
-  private ResponseRelay responseRelay;
+  /** Receives the rest of the long response that is being read, or null. */
+  private ResponseBodyReceiver responseReceiver;
 
-  /** Whether the connection may serve on after the response that is being relayed. */
+  /** Whether the connection may carry another attempt after the response that is being read. */
   private boolean isReusable;
 
   /** Whether a response of unknown length is kept back, as it may be a short one. */
@@ -180,7 +180,7 @@
     attemptBeingWritten = attempt;
     attempt.startOn(this);
     Request request = attempt.buildRequest();
-    bodyRelay = attempt.body();
+    bodySource = attempt.body();
     isBodyChunked = request.remainingBody() == Decoder.CHUNKED;
     decoder.expectNoBody(request.method().equals("HEAD"));
     write(Encoder.request(request));
@@ -189,7 +189,7 @@
   /** Sends a further part of a long body. */
   void sendBodyPart(ByteBuffer bytes, boolean isLast) {
     if (isLast) {
-      bodyRelay = null;
+      bodySource = null;
     } else {
       currentAttempt.setTimeout(STALL_TIMEOUT);
     }
@@ -198,18 +198,18 @@
 
   @Override
   protected void onWritten(boolean isComplete) {
-    boolean isRequestWritten = isComplete && bodyRelay == null;
+    boolean isRequestWritten = isComplete && bodySource == null;
     if (isRequestWritten && attemptBeingWritten != null) {
       attemptBeingWritten.onRequestWritten();
       attemptBeingWritten = null;
     }
-    if (currentAttempt == null || responseRelay != null) {
+    if (currentAttempt == null || responseReceiver != null) {
       return;
     }
     if (isBroken || !isComplete) {
       fail(isRequestWritten ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
-    } else if (bodyRelay != null) {
-      bodyRelay.requestNext(this);
+    } else if (bodySource != null) {
+      bodySource.requestNext(this);
     }
   }
 
@@ -219,11 +219,11 @@
   protected void onRead(int n) {
     boolean isEndOfBody = n == END_OF_STREAM && decoder.endOfStream();
     boolean isBreak = n < 0 && !isEndOfBody;
-    if (responseRelay != null) {
+    if (responseReceiver != null) {
       if (isBreak) {
         close();
       } else {
-        relayNextPart();
+        deliverNextPart();
       }
     } else if (isBreak || currentAttempt == null) {
       onBreak();
@@ -269,12 +269,12 @@
   private void onResponse(Response response) {
     isHoldingResponse = false;
     loop.cancel(timer);
-    isReusable = response.keepAlive() && !isWriting() && bodyRelay == null;
+    isReusable = response.keepAlive() && !isWriting() && bodySource == null;
     BackendAttempt attempt = currentAttempt;
     currentAttempt = null;
     if (decoder.isStreamingBody() && response.status() == 200) {
-      responseRelay = attempt.beginStreaming(response);
-      if (responseRelay == null) {
+      responseReceiver = attempt.beginStreaming(response);
+      if (responseReceiver == null) {
         close();
       } else {
         stopBody();
@@ -285,8 +285,8 @@
     attempt.end(ProtocolMapping.attemptOutcome(response), response);
   }
 
-  /** Relays the next part of a long response, as the client has taken the one before. */
-  void relayNextPart() {
+  /** Delivers the next part of a long response, as the client has taken the one before. */
+  void deliverNextPart() {
     if (isReading() || isClosed()) {
       return; // what is being read comes first
     }
@@ -299,12 +299,12 @@
         read(decoder.writableBuffer());
         return;
       }
-      ResponseRelay relay = responseRelay;
+      ResponseBodyReceiver receiver = responseReceiver;
       if (isLast) {
-        responseRelay = null;
+        responseReceiver = null;
         releaseOrClose();
       }
-      relay.forward(part, isLast);
+      receiver.forward(part, isLast);
     } catch (MalformedMessageException e) {
       close();
     }
@@ -332,7 +332,7 @@
       isBroken = true;
       close();
     } else {
-      fail(bodyRelay != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
+      fail(bodySource != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
     }
   }
 
@@ -346,9 +346,9 @@
   }
 
   private void stopBody() {
-    if (bodyRelay != null) {
-      bodyRelay.detach(this);
-      bodyRelay = null;
+    if (bodySource != null) {
+      bodySource.detach(this);
+      bodySource = null;
     }
   }
 
@@ -361,11 +361,11 @@
     loop.cancel(timer);
     connector.onClosed(slot);
     pool.onClosed(this);
-    if (bodyRelay != null) { // it stays: the outcome depends on whether all of it was written
-      bodyRelay.detach(this);
+    if (bodySource != null) { // it stays: the outcome depends on whether all of it was written
+      bodySource.detach(this);
     }
-    if (responseRelay != null) {
-      responseRelay.onBackendClosed();
+    if (responseReceiver != null) {
+      responseReceiver.onBackendClosed();
     }
     boolean hasNeverConnected = state == State.CONNECTING;
     state = State.CLOSED;
--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -54,8 +54,8 @@
   /** Whether what is being written is an interim response. */
   private boolean isWritingInterim;
 
-  /** The long response that is under way, or null. */
-  private ResponseRelay responseRelay;
+  /** The long response whose parts are being sent, or null. */
+  private StreamedResponse streamedResponse;
 
   private Runnable disconnectCallback;
 
@@ -107,8 +107,8 @@
   }
 
   /** Whether a long response is under way. */
-  boolean isRelayingResponse() {
-    return responseRelay != null;
+  boolean isStreamingResponse() {
+    return streamedResponse != null;
   }
 
   /** Whether somebody wants to know of the client's disconnecting before its response. */
@@ -280,10 +280,12 @@
     write(Encoder.response(sent));
   }
 
-  /** Sends the head and first bytes of a long response; the relay brings what follows. */
-  void sendStreamedResponse(Response head, ResponseRelay relay) {
+  /**
+   * Sends the head and first bytes of a long response; the rest is given to the connection later.
+   */
+  void sendStreamedResponse(Response head, StreamedResponse rest) {
     sendResponse(head);
-    responseRelay = relay;
+    streamedResponse = rest;
   }
 
   /** Sends a further part of a long response, framed for the client. */
@@ -304,11 +306,11 @@
       return;
     }
     timeouts.cancel();
-    if (isComplete && responseRelay != null) {
-      if (!responseRelay.onClientDrained()) {
+    if (isComplete && streamedResponse != null) {
+      if (!streamedResponse.onClientDrained()) {
         return;
       }
-      responseRelay = null;
+      streamedResponse = null;
     }
     if (!isComplete) {
       close();
@@ -349,8 +351,8 @@
     timeouts.cancel();
     listener.onClosed(slot);
     bodyReader.close();
-    if (responseRelay != null) {
-      responseRelay.onClientClosed();
+    if (streamedResponse != null) {
+      streamedResponse.onClientClosed();
     } else if (disconnectCallback != null) {
       disconnectCallback.run();
     }
--- a/proxy/src/main/java/wheattrack/net/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/RequestAttempt.java
@@ -57,7 +57,7 @@
   }
 
   @Override
-  protected RequestBodyRelay body() {
+  protected RequestBodySource body() {
     return request.body();
   }
 
@@ -71,7 +71,7 @@
    * deadline; the rest is only passed on.
    */
   @Override
-  protected ResponseRelay onStreamingAnswer(Response head) {
+  protected ResponseBodyReceiver onStreamingAnswer(Response head) {
     loadReports.onAnswer(backend(), head);
     if (request.isSettled()) {
       deferStreamedOutcome();
--- a/proxy/src/main/java/wheattrack/net/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyReader.java
@@ -204,7 +204,7 @@
   /** No part is asked for any more; what has come stays for who asks next. */
   void cancelRequest() {
     consumer = null;
-    if (decoder.isStreamingBody() && !connection.isRelayingResponse()) {
+    if (decoder.isStreamingBody() && !connection.isStreamingResponse()) {
       transferRate.pause(loop.now());
       timeouts.cancel();
     }
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
@@ -8,7 +8,7 @@
  * been forwarded; from then on no other attempt can send the complete body. Runs on the event
  * loop's thread only.
  */
-final class RequestBodyRelay {
+final class RequestBodyRelay implements RequestBodySource {
   private final ClientConnection client;
   private final Runnable onComplete;
   private BackendConnection target;
@@ -35,8 +35,8 @@
     return isComplete;
   }
 
-  /** This connection has written all it had and waits for the next piece. */
-  void requestNext(BackendConnection connection) {
+  @Override
+  public void requestNext(BackendConnection connection) {
     target = connection;
     client.requestBodyPart(this::forward);
   }
@@ -52,8 +52,9 @@
     }
   }
 
-  /** This connection takes no more; what has come and was not asked for stays with the client. */
-  void detach(BackendConnection connection) {
+  /** What has come from the client and was not asked for stays with the client's connection. */
+  @Override
+  public void detach(BackendConnection connection) {
     if (target == connection) {
       target = null;
       client.cancelBodyRequest();
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -8,7 +8,7 @@
  * Passes a long answer on from a backend to a client, one piece at a time. It ends once, whether
  * the answer was passed on completely or not. Runs on the event loop's thread only.
  */
-final class ResponseRelay {
+final class ResponseRelay implements StreamedResponse, ResponseBodyReceiver {
   /** Told once how a relay ended. */
   @FunctionalInterface
   interface EndListener {
@@ -40,38 +40,38 @@
     this.listener = listener;
   }
 
-  /**
-   * The client's connection has sent all bytes so far; asks the backend for more.
-   *
-   * @return whether these were the last ones
-   */
-  boolean onClientDrained() {
+  /** Asks the backend for the next piece, unless the last one has been sent. */
+  @Override
+  public boolean onClientDrained() {
     if (lastPieceForwarded) {
       end(true);
     } else {
-      source.relayNextPart();
+      source.deliverNextPart();
     }
     return lastPieceForwarded;
   }
 
   /** Forwards a piece to the client; the next is asked for once this one has been sent. */
-  void forward(ByteBuffer bytes, boolean isLast) {
+  @Override
+  public void forward(ByteBuffer bytes, boolean isLast) {
     if (!hasEnded) {
       lastPieceForwarded = isLast;
       client.sendResponsePart(isChunked ? Encoder.chunk(bytes, isLast) : bytes);
     }
   }
 
-  /** The backend's connection is closed: the client must see that its answer is incomplete. */
-  void onBackendClosed() {
+  /** Closes the client's connection, so that the client sees that its answer is incomplete. */
+  @Override
+  public void onBackendClosed() {
     if (!hasEnded && !lastPieceForwarded) {
       end(false);
       client.close();
     }
   }
 
-  /** The client has disconnected, or has not read for too long. */
-  void onClientClosed() {
+  /** Closes the backend's connection, unless the last piece has been read from it. */
+  @Override
+  public void onClientClosed() {
     if (!hasEnded) {
       end(false);
       if (!lastPieceForwarded) { // else the connection may carry another attempt by now
