Package net becomes seven packages with one-way dependencies

39 classes stood in one flat package, in which each could call each.

They now stand in net.protocol, net.client, net.backend, net.discovery, net.settings, net.request and net itself, which starts and ends a process. Only what another package calls is public. BackendPoolTable went to discovery, as it applies entries of the list; JitteredBackoff to settings, its only user; ConfigurationReloader stays in net, as it knows requests and the subscription. BodyPartConsumer is a file of its own. Tests of single classes moved with their class. Nothing but package lines, imports, visibility and doc comments changes.

--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -13,6 +13,11 @@
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendTimeouts;
+import wheattrack.net.backend.Connector;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.request.RequestHandler;
+import wheattrack.net.settings.SettingsSubscription;
 
 /**
  * Puts new configurations in force while the proxy serves: the file read again, and the settings of
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -7,6 +7,11 @@
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.RequestCounters;
+import wheattrack.net.backend.BackendTimeouts;
+import wheattrack.net.backend.Connector;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.request.RequestHandler;
+import wheattrack.net.settings.SettingsSubscription;
 
 /**
  * The control plane of a proxy without its clients: the watch on the endpoint list, its parsing,
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -23,6 +23,9 @@
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
+import wheattrack.net.protocol.InvalidRequestException;
+import wheattrack.net.protocol.ParsedRequest;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * Has the JVM compile the code of a request's path before the first real request: synthetic
--- a/proxy/src/main/java/wheattrack/net/ProcessHandover.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessHandover.java
@@ -4,6 +4,9 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.Lifecycle;
 import wheattrack.core.Lifecycle.Phase;
+import wheattrack.net.backend.Connector;
+import wheattrack.net.client.ClientListener;
+import wheattrack.net.request.RequestHandler;
 
 /**
  * The handover of the listening address from an older process of this proxy to a newer one: watches
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -16,6 +16,13 @@
 import wheattrack.core.Lifecycle.Phase;
 import wheattrack.core.RequestCounters;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendTimeouts;
+import wheattrack.net.backend.Connector;
+import wheattrack.net.client.ClientListener;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.discovery.WatchConnection;
+import wheattrack.net.request.RequestHandler;
+import wheattrack.net.settings.SettingsSubscription;
 
 /**
  * One proxy on real sockets: builds its parts and leads them through the phases from start to exit.
--- a/proxy/src/main/java/wheattrack/net/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptOutcome;
@@ -11,7 +11,7 @@
  * its one outcome. It waits in its backend's pool until a connection carries it. Times are tenths
  * of a millisecond. Runs on the event loop's thread only.
  */
-abstract class BackendAttempt {
+public abstract class BackendAttempt {
   private final BackendConnectionPool backend;
   private final long sentAt;
   private long startedAt;
@@ -22,13 +22,13 @@
   private AttemptOutcome outcome;
 
   /** Creates an attempt that is sent now; it has no timeout and no connection yet. */
-  BackendAttempt(BackendConnectionPool backend) {
+  protected BackendAttempt(BackendConnectionPool backend) {
     this.backend = backend;
     sentAt = backend.loop.now();
   }
 
   /** The backend it is sent to. */
-  final BackendConnectionPool backend() {
+  public final BackendConnectionPool backend() {
     return backend;
   }
 
@@ -38,12 +38,12 @@
   }
 
   /** When it was sent; it may have waited for a connection from then on. */
-  final long sentAt() {
+  public final long sentAt() {
     return sentAt;
   }
 
   /** When a connection began to carry it, that is when its first byte left. */
-  final long startedAt() {
+  protected final long startedAt() {
     return startedAt;
   }
 
@@ -58,12 +58,12 @@
   }
 
   /** Sets the time from which on it must not start any more; without this it may always start. */
-  final void setLatestStart(long time) {
+  public final void setLatestStart(long time) {
     latestStart = time;
   }
 
   /** Starts its timeout anew: it is abandoned after this time from now, unless it ends before. */
-  final void setTimeout(long time) {
+  public final void setTimeout(long time) {
     if (!hasEnded) {
       loop().cancel(timer);
       timer = loop().schedule(time, () -> abandon(AttemptOutcome.TIMEOUT));
@@ -77,17 +77,17 @@
   }
 
   /** Whether any of its bytes may have left. */
-  final boolean isStarted() {
+  public final boolean isStarted() {
     return connection != null;
   }
 
   /** Whether the backend may have run it, or may do so yet. */
-  final boolean mayHaveRun() {
+  public final boolean mayHaveRun() {
     return isStarted() && (outcome == null || !outcome.neverRan());
   }
 
   /** Ends it with this outcome, or, if it has not started, as discarded. */
-  final void abandon(AttemptOutcome outcomeIfStarted) {
+  public final void abandon(AttemptOutcome outcomeIfStarted) {
     end(isStarted() ? outcomeIfStarted : AttemptOutcome.DISCARDED, null);
   }
 
@@ -96,7 +96,7 @@
    *
    * @param answer the complete answer; null: none came
    */
-  final void end(AttemptOutcome finalOutcome, Response answer) {
+  public final void end(AttemptOutcome finalOutcome, Response answer) {
     if (hasEnded) {
       return;
     }
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -12,17 +12,18 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * One connection to a backend; it carries one attempt at a time. Runs on the event loop's thread
  * only.
  */
-final class BackendConnection extends TcpConnection {
+public final class BackendConnection extends TcpConnection {
   /**
    * How long a long response may pause at the backend, and a long body on the way there; tenths of
    * a millisecond.
    */
-  static final long STALL_TIMEOUT = 100_000;
+  public static final long STALL_TIMEOUT = 100_000;
 
   /** The lowest status of a final response; what is below is interim. */
   private static final int MIN_FINAL_STATUS = 200;
@@ -187,7 +188,7 @@
   }
 
   /** Sends a further part of a long body. */
-  void sendBodyPart(ByteBuffer bytes, boolean isLast) {
+  public void sendBodyPart(ByteBuffer bytes, boolean isLast) {
     if (isLast) {
       bodySource = null;
     } else {
@@ -286,7 +287,7 @@
   }
 
   /** Delivers the next part of a long response, as the client has taken the one before. */
-  void deliverNextPart() {
+  public void deliverNextPart() {
     if (isReading() || isClosed()) {
       return; // what is being read comes first
     }
--- a/proxy/src/main/java/wheattrack/net/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,7 +15,7 @@
  * The connections to one backend, and the attempts that wait for one. Runs on the event loop's
  * thread only.
  */
-final class BackendConnectionPool extends BackendIndex.Backend<String> {
+public final class BackendConnectionPool extends BackendIndex.Backend<String> {
   final EventLoop loop;
   private final Connector connector;
 
@@ -43,7 +43,7 @@
   private long startedAt;
 
   /** Makes an empty pool for a backend of which no address is known yet. */
-  BackendConnectionPool(String id, int index, Connector connector) {
+  public BackendConnectionPool(String id, int index, Connector connector) {
     super(id, index);
     this.connector = connector;
     loop = connector.loop();
@@ -62,7 +62,7 @@
    *
    * @param startedAt when the backend started, in tenths of a millisecond
    */
-  void onServing(InetSocketAddress address, long startedAt) {
+  public void onServing(InetSocketAddress address, long startedAt) {
     isServing = true;
     this.startedAt = startedAt;
     this.address = address;
@@ -83,12 +83,12 @@
    *
    * @param startedAt in tenths of a millisecond
    */
-  boolean hasLeftSince(long startedAt) {
+  public boolean hasLeftSince(long startedAt) {
     return !isServing && startedAt <= this.startedAt;
   }
 
   /** The backend is draining or gone: attempts that have not begun are discarded. */
-  void onDraining() {
+  public void onDraining() {
     isServing = false;
     for (BackendAttempt attempt : List.copyOf(waiting)) {
       loop.defer(() -> attempt.abandon(AttemptOutcome.DISCARDED));
@@ -97,7 +97,7 @@
   }
 
   /** Closes the connections that carry nothing now. */
-  void closeIdleConnections() {
+  public void closeIdleConnections() {
     List.copyOf(idle).forEach(BackendConnection::close);
   }
 
@@ -109,7 +109,7 @@
   }
 
   /** Counts an attempt that is on its way to this backend; {@link #attemptEnded} must follow. */
-  void attemptStarted() {
+  public void attemptStarted() {
     attemptsInFlight++;
   }
 
@@ -119,7 +119,7 @@
   }
 
   /** Sends the attempt on the connection used last, or on the first that is free or made. */
-  void send(BackendAttempt attempt) {
+  public void send(BackendAttempt attempt) {
     attemptStarted();
     waiting.add(attempt);
     assignConnections();
--- a/proxy/src/main/java/wheattrack/net/BackendTimeouts.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendTimeouts.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import wheattrack.config.Settings;
 
@@ -8,11 +8,11 @@
  * @param connect how long connecting may take
  * @param idleClose time after which a backend closes an idle connection; 0: never
  */
-record BackendTimeouts(long connect, long idleClose) {
+public record BackendTimeouts(long connect, long idleClose) {
   private static final long DEFAULT_CONNECT_MICROS = 250_000;
 
   /** The limits that these settings name. */
-  static BackendTimeouts of(Settings settings) {
+  public static BackendTimeouts of(Settings settings) {
     return new BackendTimeouts(
         settings.time("limits.dialTimeout", DEFAULT_CONNECT_MICROS),
         settings.time("limits.idleClose", 0));
--- a/proxy/src/main/java/wheattrack/net/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/backend/Connector.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
@@ -12,7 +12,7 @@
  * Opens connections to backends within the budget of descriptors; at its limit an idle one is
  * closed for a new one. Times are tenths of a millisecond. Runs on the event loop's thread only.
  */
-final class Connector {
+public final class Connector {
   /** Part of the time after which a backend closes an idle connection: ours are closed by then. */
   private static final double IDLE_TIMEOUT_PART = 0.8;
 
@@ -38,7 +38,7 @@
    * @param connectTimeout how long connecting may take
    * @param backendIdleTimeout after which time a backend closes an idle connection, or 0 for never
    */
-  Connector(
+  public Connector(
       EventLoop loop,
       AsynchronousChannelGroup group,
       int maxConnections,
@@ -78,7 +78,7 @@
    * @param connectTimeout how long connecting may take
    * @param backendIdleTimeout after which time a backend closes an idle connection, or 0 for never
    */
-  void setTimeouts(long connectTimeout, long backendIdleTimeout) {
+  public void setTimeouts(long connectTimeout, long backendIdleTimeout) {
     this.connectTimeout = connectTimeout;
     idleTimeout = (long) (IDLE_TIMEOUT_PART * backendIdleTimeout);
     connections.all().stream()
@@ -87,7 +87,7 @@
   }
 
   /** Bounds the connections from now on; surplus idle ones are closed. */
-  void setMaxConnections(int maxConnections) {
+  public void setMaxConnections(int maxConnections) {
     this.maxConnections = maxConnections;
     boolean mayClose = true;
     while (mayClose && connections.size() > maxConnections) {
@@ -133,7 +133,7 @@
   }
 
   /** Closes all connections. */
-  void closeAll() {
+  public void closeAll() {
     connections.all().forEach(BackendConnection::close);
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ResponseBodyReceiver.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseBodyReceiver.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import java.nio.ByteBuffer;
 
@@ -7,7 +7,7 @@
  * call of {@link BackendConnection#deliverNextPart}. All methods are called on the event loop's
  * thread.
  */
-interface ResponseBodyReceiver {
+public interface ResponseBodyReceiver {
   /**
    * A piece has come from the backend.
    *
--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
@@ -9,13 +9,14 @@
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * One client's connection; it has one request open at a time. {@link RequestBodyReader} does the
  * reading, {@link ConnectionTimeouts} bounds each wait for the client. Runs on the event loop's
  * thread only.
  */
-final class ClientConnection extends TcpConnection {
+public final class ClientConnection extends TcpConnection {
   /**
    * How long a connection without any request yet counts as just connected, and is not evicted
    * first; tenths of a millisecond.
@@ -248,24 +249,24 @@
    * Sets what is to be done should the client disconnect before its response, or end its request by
    * a malformed body.
    */
-  void onDisconnect(Runnable callback) {
+  public void onDisconnect(Runnable callback) {
     disconnectCallback = callback;
   }
 
   /** Asks for the next part of the long body of the request that is open. */
-  void requestBodyPart(RequestBodyReader.BodyPartConsumer consumer) {
+  public void requestBodyPart(BodyPartConsumer consumer) {
     bodyReader.requestPart(consumer);
   }
 
   /** Asks for no part of the body any more; what has come and was not asked for is kept. */
-  void cancelBodyRequest() {
+  public void cancelBodyRequest() {
     bodyReader.cancelRequest();
   }
 
   // ---- the response
 
   /** Sends the one response to the open request, or the first part of a long one. */
-  void sendResponse(Response response) {
+  public void sendResponse(Response response) {
     disconnectCallback = null;
     if (isClosed()) {
       return;
@@ -283,13 +284,13 @@
   /**
    * Sends the head and first bytes of a long response; the rest is given to the connection later.
    */
-  void sendStreamedResponse(Response head, StreamedResponse rest) {
+  public void sendStreamedResponse(Response head, StreamedResponse rest) {
     sendResponse(head);
     streamedResponse = rest;
   }
 
   /** Sends a further part of a long response, framed for the client. */
-  void sendResponsePart(ByteBuffer bytes) {
+  public void sendResponsePart(ByteBuffer bytes) {
     if (!isClosed()) {
       timeouts.awaitWrite();
       write(bytes);
--- a/proxy/src/main/java/wheattrack/net/ClientConnectionTable.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnectionTable.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 import java.util.Comparator;
 import wheattrack.core.SlotTable;
--- a/proxy/src/main/java/wheattrack/net/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientListener.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,12 +12,13 @@
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
 import wheattrack.log.EventLog;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * Listens for clients: accepts connections within a budget of descriptors, and gives their requests
  * to the receiver. Runs on the event loop's thread only.
  */
-final class ClientListener {
+public final class ClientListener {
   /** Connections that the system may hold for us until they are accepted. */
   private static final int BACKLOG = 1024;
 
@@ -28,7 +29,7 @@
   private static final long EVICTION_INTERVAL = ConnectionTimeouts.HEAD_TIMEOUT_WHEN_FULL / 4;
 
   /** Takes the requests that the proxy does not respond to itself. */
-  interface RequestReceiver {
+  public interface RequestReceiver {
     /** A request has come; the connection waits for its one response. */
     void onRequest(ClientConnection client, Request request);
 
@@ -58,7 +59,7 @@
    * @param maxBodyBytes bytes of the longest request body
    * @param readinessRemark said behind the phase to who asks whether this proxy is ready
    */
-  ClientListener(
+  public ClientListener(
       EventLoop loop,
       Lifecycle lifecycle,
       int maxClients,
@@ -82,14 +83,14 @@
    *
    * @throws IOException if the address cannot be bound
    */
-  void listen(AsynchronousChannelGroup group, InetSocketAddress address) throws IOException {
+  public void listen(AsynchronousChannelGroup group, InetSocketAddress address) throws IOException {
     channel = AsynchronousServerSocketChannel.open(group);
     channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
     channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(address, BACKLOG);
   }
 
   /** Whether the address is bound and not given up. */
-  boolean isListening() {
+  public boolean isListening() {
     return channel != null && channel.isOpen();
   }
 
@@ -98,12 +99,12 @@
    *
    * @throws IOException if the socket is closed
    */
-  int port() throws IOException {
+  public int port() throws IOException {
     return ((InetSocketAddress) channel.getLocalAddress()).getPort();
   }
 
   /** Accepts the clients that have connected, and those that do from now on. */
-  void startAccepting() {
+  public void startAccepting() {
     isStarted = true;
     accept();
   }
@@ -156,7 +157,7 @@
    * Gives the address up once all clients that have connected by now are accepted: they would be
    * reset with what they sent.
    */
-  void stopAccepting() {
+  public void stopAccepting() {
     if (!isListening()) {
       return;
     }
@@ -185,7 +186,7 @@
   // ---- the connections
 
   /** Bounds the connections from now on; surplus ones are closed as they become idle. */
-  void setMaxClients(int maxClients) {
+  public void setMaxClients(int maxClients) {
     connections.setMaxConnections(maxClients);
     connections.evictSurplus();
     accept();
@@ -203,12 +204,12 @@
   }
 
   /** The number of connections. */
-  int connectionCount() {
+  public int connectionCount() {
     return connections.size();
   }
 
   /** Closes the connections that are between two requests. */
-  void closeIdleConnections() {
+  public void closeIdleConnections() {
     connections.closeIdle();
   }
 
@@ -229,7 +230,7 @@
    *
    * @param isRequested whether the client wants it so
    */
-  boolean mayKeepAlive(boolean isRequested) {
+  public boolean mayKeepAlive(boolean isRequested) {
     return isRequested && !lifecycle.isShuttingDown() && connections.hasAmplePlaces();
   }
 
@@ -257,7 +258,7 @@
   }
 
   /** Logs that a client's request is answered by the proxy itself with an error. */
-  void logErrorResponse(int status, String reason) {
+  public void logErrorResponse(int status, String reason) {
     errorLog.log("answered " + status, reason);
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ConnectionTimeouts.java
+++ b/proxy/src/main/java/wheattrack/net/client/ConnectionTimeouts.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 import wheattrack.aio.EventLoop;
 import wheattrack.core.TimerQueue;
--- a/proxy/src/main/java/wheattrack/net/EvictionPriority.java
+++ b/proxy/src/main/java/wheattrack/net/client/EvictionPriority.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 /**
  * How soon a client's connection is closed to make room for another, where all places are taken.
--- a/proxy/src/main/java/wheattrack/net/ReadAheadBudget.java
+++ b/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 /**
  * The bytes that clients have sent ahead of what is asked for, over all connections, and their
--- a/proxy/src/main/java/wheattrack/net/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 import java.nio.ByteBuffer;
 import wheattrack.aio.EventLoop;
@@ -27,17 +27,6 @@
   /** Bytes of one read ahead of a long body. */
   private static final int BODY_READ_SIZE = 16 * 1024;
 
-  /** Takes the parts of a long body, one for each time that it asks for one. */
-  interface BodyPartConsumer {
-    /**
-     * Takes a part.
-     *
-     * @param part the bytes; may be empty if it is the last one
-     * @param isLast whether the body ends with it
-     */
-    void accept(ByteBuffer part, boolean isLast);
-  }
-
   private final ClientConnection connection;
   private final ReadAheadBudget readAheadBudget;
   private final EventLoop loop;
--- a/proxy/src/main/java/wheattrack/net/StreamedResponse.java
+++ b/proxy/src/main/java/wheattrack/net/client/StreamedResponse.java
@@ -1,11 +1,11 @@
-package wheattrack.net;
+package wheattrack.net.client;
 
 /**
  * A long response that reaches a client's connection in parts. The connection calls it when it is
  * ready for the next part, and when it is closed before the last one has been written. All methods
  * are called on the event loop's thread.
  */
-interface StreamedResponse {
+public interface StreamedResponse {
   /**
    * The connection has written all parts that it was given so far.
    *
--- a/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,10 +7,12 @@
 import wheattrack.api.LoadBalancer;
 import wheattrack.core.BackendIndex;
 import wheattrack.log.EventLog;
-import wheattrack.net.EndpointListParser.Deleted;
-import wheattrack.net.EndpointListParser.Entry;
-import wheattrack.net.EndpointListParser.Listed;
-import wheattrack.net.EndpointListParser.State;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.backend.Connector;
+import wheattrack.net.discovery.EndpointListParser.Deleted;
+import wheattrack.net.discovery.EndpointListParser.Entry;
+import wheattrack.net.discovery.EndpointListParser.Listed;
+import wheattrack.net.discovery.EndpointListParser.State;
 
 /**
  * The connection pools of the listed backends, by id and by the policy's index. Entries of the
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,13 +14,15 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.backend.Connector;
 
 /**
  * The endpoint list: keeps a watch on discovery and applies its events. The policy decides how long
  * to wait after a failed watch, and calls {@link #watchEndpoints} then. Runs on the event loop's
  * thread only.
  */
-final class EndpointDiscovery {
+public final class EndpointDiscovery {
   private static final String PATH = "/v1/endpoints";
 
   private final EventLoop loop;
@@ -49,7 +51,7 @@
    * @param config names discovery's address, the zones and kinds, and the cached list
    * @param scope goes with each request for the list; empty: none
    */
-  EndpointDiscovery(
+  public EndpointDiscovery(
       EventLoop loop,
       AsynchronousChannelGroup group,
       Connector connector,
@@ -66,48 +68,48 @@
   }
 
   /** Sets the policy that hears of the list; to be called before the watch is opened. */
-  void setLoadBalancer(LoadBalancer loadBalancer) {
+  public void setLoadBalancer(LoadBalancer loadBalancer) {
     this.loadBalancer = loadBalancer;
     pools.setLoadBalancer(loadBalancer);
   }
 
   /** Sets who hears of each revision once the policy acts on it. */
-  void setRevisionListener(LongConsumer revisionListener) {
+  public void setRevisionListener(LongConsumer revisionListener) {
     this.revisionListener = revisionListener;
   }
 
   /** The names of zones, in the order of their indexes. */
-  List<?> zones() {
+  public List<?> zones() {
     return parser.zones();
   }
 
   /** The pool of the backend at this index. */
-  BackendConnectionPool pool(int backendIndex) {
+  public BackendConnectionPool pool(int backendIndex) {
     return pools.pool(backendIndex);
   }
 
   /** Number of listed backends. */
-  int listedCount() {
+  public int listedCount() {
     return pools.listedCount();
   }
 
   /** Number of listed backends beyond those that the policy knows at once; they get no requests. */
-  int unusedCount() {
+  public int unusedCount() {
     return pools.unusedCount();
   }
 
   /** Whether there is a list to serve by. */
-  boolean hasList() {
+  public boolean hasList() {
     return revision >= 0;
   }
 
   /** Whether discovery answers, and what it sends can't be read or is over a bound. */
-  boolean isUnreadable() {
+  public boolean isUnreadable() {
     return isUnreadable;
   }
 
   /** Uses the cached list, if there is one and discovery has sent none. */
-  void useCachedList() {
+  public void useCachedList() {
     if (cachedList != null) {
       Settings cached = cachedList;
       cachedList = null;
@@ -119,7 +121,7 @@
    * Opens a watch from the revision in use on, unless one is open. After a watch that has brought
    * something the first line is due sooner, so that a second silent one is noticed in time.
    */
-  void watchEndpoints() {
+  public void watchEndpoints() {
     if (watch != null && !watch.isClosed()) {
       return;
     }
@@ -142,7 +144,7 @@
   }
 
   /** Sends this scope with requests from now on, and asks for the complete list of it. */
-  void changeScope(String newScope) {
+  public void changeScope(String newScope) {
     if (!newScope.equals(scope)) {
       scope = newScope;
       watchFromSnapshot();
@@ -153,7 +155,7 @@
    * Watches at this address from now on, beginning with the complete list, as the revisions there
    * may be a series of their own.
    */
-  void changeAddress(InetSocketAddress newAddress) {
+  public void changeAddress(InetSocketAddress newAddress) {
     if (!newAddress.equals(address)) {
       address = newAddress;
       watchFromSnapshot();
--- a/proxy/src/main/java/wheattrack/net/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointListParser.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
--- a/proxy/src/main/java/wheattrack/net/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/WatchConnection.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -19,12 +19,12 @@
  * until the connection breaks or falls silent. Runs on the event loop's thread only. Times are
  * tenths of a millisecond.
  */
-final class WatchConnection extends TcpConnection {
+public final class WatchConnection extends TcpConnection {
   /**
    * Time without a complete line after which a watch counts as broken: an event or an empty line
    * comes every 2 s at least, and half as much again is allowed.
    */
-  static final long SILENCE_TIMEOUT = 30_000;
+  public static final long SILENCE_TIMEOUT = 30_000;
 
   /**
    * The same for the first line after a silent watch. Discovery answers at once, and an event that
@@ -51,11 +51,11 @@
    * The greatest poll interval that the policy may use. It pauses for three eighths of the interval
    * at most; with a longer setting it held calls back for 22 s.
    */
-  static final long MAX_POLL_INTERVAL = MAX_PAUSE * 8 / 3;
+  public static final long MAX_POLL_INTERVAL = MAX_PAUSE * 8 / 3;
 
   /** Told once, when a watch is over. */
   @FunctionalInterface
-  interface FailureListener {
+  public interface FailureListener {
     /**
      * The watch is over.
      *
@@ -74,7 +74,7 @@
    * @param afterRevision the revision whose successors are asked for; negative: a complete snapshot
    * @param scope the scope asked for; empty: none
    */
-  record Target(InetSocketAddress address, String path, long afterRevision, String scope) {
+  public record Target(InetSocketAddress address, String path, long afterRevision, String scope) {
     /** The request target, as it stands on the wire. */
     @Override
     public String toString() {
@@ -114,7 +114,7 @@
    * @param lineListener hears each line that is not empty
    * @throws IOException if no socket can be had; the failure listener is not told then
    */
-  static WatchConnection open(
+  public static WatchConnection open(
       EventLoop loop,
       AsynchronousChannelGroup group,
       Target target,
@@ -136,7 +136,7 @@
   }
 
   /** The first line of an error's message, for the log. */
-  static String firstLine(Exception error) {
+  public static String firstLine(Exception error) {
     return String.valueOf(error.getMessage()).split("\n")[0];
   }
 
--- a/proxy/src/main/java/wheattrack/net/InvalidRequestException.java
+++ b/proxy/src/main/java/wheattrack/net/protocol/InvalidRequestException.java
@@ -1,7 +1,7 @@
-package wheattrack.net;
+package wheattrack.net.protocol;
 
 /** A request that cannot be accepted; its message is the text of the answer to the client. */
-final class InvalidRequestException extends Exception {
+public final class InvalidRequestException extends Exception {
   private static final long serialVersionUID = 1;
 
   private final int status;
@@ -12,13 +12,13 @@
    * @param status the HTTP status of the answer
    * @param message the text of the answer
    */
-  InvalidRequestException(int status, String message) {
+  public InvalidRequestException(int status, String message) {
     super(message);
     this.status = status;
   }
 
   /** The HTTP status of the answer to the client. */
-  int status() {
+  public int status() {
     return status;
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ParsedRequest.java
+++ b/proxy/src/main/java/wheattrack/net/protocol/ParsedRequest.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.protocol;
 
 import wheattrack.api.RequestClass;
 import wheattrack.http.Request;
@@ -14,7 +14,7 @@
  * @param costHint the cost that its client expects; 0: no hint
  * @param clientRetry whether its client says that it is a retry
  */
-record ParsedRequest(
+public record ParsedRequest(
     String id,
     Request message,
     String className,
--- a/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/protocol/ProtocolMapping.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.protocol;
 
 import java.math.BigDecimal;
 import java.util.Locale;
@@ -18,9 +18,9 @@
  * Stateless and safe for use by any thread. Times are tenths of a millisecond, on the wire decimal
  * seconds.
  */
-final class ProtocolMapping {
+public final class ProtocolMapping {
   /** Path at which a proxy says whether it is ready. */
-  static final String READY_PATH = "/ready";
+  public static final String READY_PATH = "/ready";
 
   private static final String HEALTH_PATH = "/health";
   private static final String LOAD_PATH = "/status/load";
@@ -69,7 +69,7 @@
    * @param classes the request classes by name
    * @throws InvalidRequestException if a header is missing or malformed, or the class is unknown
    */
-  static ParsedRequest parse(Request request, Map<String, RequestClass> classes)
+  public static ParsedRequest parse(Request request, Map<String, RequestClass> classes)
       throws InvalidRequestException {
     Headers headers = request.headers();
     String id = headers.first(REQUEST_ID);
@@ -89,7 +89,7 @@
   }
 
   /** The name of the class that the request names in its header, else by its path. */
-  static String className(Request request) {
+  public static String className(Request request) {
     String name = request.headers().first(REQUEST_CLASS);
     if (name != null) {
       return name;
@@ -117,7 +117,7 @@
    *
    * @param timeout how long the proxy will wait for the answer, which the backend is told
    */
-  static Request forwardedRequest(Request request, long timeout) {
+  public static Request forwardedRequest(Request request, long timeout) {
     Headers headers = endToEndHeaders(request.headers()).with(REQUEST_TIMEOUT, seconds(timeout));
     return new Request(
         request.method(),
@@ -147,14 +147,14 @@
    *
    * @param asksForLoad whether it asks the backend for its load, else only whether it is healthy
    */
-  static Request probeRequest(boolean asksForLoad) {
+  public static Request probeRequest(boolean asksForLoad) {
     String path = asksForLoad ? LOAD_PATH : HEALTH_PATH;
     Headers headers = new Headers().with("Host", "service.internal");
     return new Request("GET", path, headers, true, EMPTY_BODY);
   }
 
   /** How an attempt ended, by the complete answer that it received. */
-  static AttemptOutcome attemptOutcome(Response answer) {
+  public static AttemptOutcome attemptOutcome(Response answer) {
     if (answer.status() == 200) {
       return AttemptOutcome.DONE;
     }
@@ -171,7 +171,7 @@
    *
    * @param answer the answer; null: none came
    */
-  static boolean isClientError(Response answer) {
+  public static boolean isClientError(Response answer) {
     return answer != null && answer.status() >= 400 && answer.status() < 500;
   }
 
@@ -182,7 +182,8 @@
    * @param clientTakesChunks whether an answer of unknown length may be sent in chunks; else it
    *     ends with the connection
    */
-  static Response forwardedAnswer(Response answer, boolean keepAlive, boolean clientTakesChunks) {
+  public static Response forwardedAnswer(
+      Response answer, boolean keepAlive, boolean clientTakesChunks) {
     Headers headers = endToEndHeaders(answer.headers());
     if (answer.remainingBody() == Response.NO_BODY) {
       String contentLength = answer.headers().first(CONTENT_LENGTH);
@@ -203,7 +204,7 @@
    *
    * @param retryAfter advice to the client how long to wait; 0 gives none
    */
-  static Response rejection(long retryAfter, boolean keepAlive) {
+  public static Response rejection(long retryAfter, boolean keepAlive) {
     Headers headers = new Headers();
     if (retryAfter > 0) {
       headers.with(RETRY_AFTER, seconds(retryAfter));
@@ -212,7 +213,7 @@
   }
 
   /** An answer of the proxy's own with a line of text. */
-  static Response textAnswer(int status, String text, boolean keepAlive) {
+  public static Response textAnswer(int status, String text, boolean keepAlive) {
     return Response.text(status, text, keepAlive);
   }
 
--- a/proxy/src/main/java/wheattrack/net/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +8,9 @@
 import wheattrack.api.RequestClass;
 import wheattrack.api.RequestHandle;
 import wheattrack.core.TimerQueue;
+import wheattrack.net.backend.BackendAttempt;
+import wheattrack.net.client.ClientConnection;
+import wheattrack.net.protocol.ParsedRequest;
 
 /**
  * The state of an accepted request: its client, its attempts and the policy's handle for it. Times
--- a/proxy/src/main/java/wheattrack/net/LoadProbe.java
+++ b/proxy/src/main/java/wheattrack/net/request/LoadProbe.java
@@ -1,9 +1,13 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.ProbeCallback;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
+import wheattrack.net.backend.BackendAttempt;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.protocol.ProtocolMapping;
+import wheattrack.net.settings.SettingsApplier;
 
 /**
  * A probe of a backend: asks for its load, or, where backends report none, for its health. Its
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/request/LoadReports.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +8,7 @@
 import wheattrack.config.Settings;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendConnectionPool;
 
 /**
  * Reads load reports from backends' answers and passes them to the policy. A report is a JSON
--- a/proxy/src/main/java/wheattrack/net/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
@@ -6,6 +6,11 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendAttempt;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.backend.RequestBodySource;
+import wheattrack.net.backend.ResponseBodyReceiver;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * One attempt of a request. Its answer goes to the client at once if the request is still open; its
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
@@ -1,6 +1,9 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.nio.ByteBuffer;
+import wheattrack.net.backend.BackendConnection;
+import wheattrack.net.backend.RequestBodySource;
+import wheattrack.net.client.ClientConnection;
 
 /**
  * Passes on the part of a long request body that is not buffered, read from the client only as fast
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.util.HashSet;
 import java.util.Set;
@@ -16,6 +16,14 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendAttempt;
+import wheattrack.net.client.ClientConnection;
+import wheattrack.net.client.ClientListener;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.protocol.InvalidRequestException;
+import wheattrack.net.protocol.ParsedRequest;
+import wheattrack.net.protocol.ProtocolMapping;
+import wheattrack.net.settings.SettingsApplier;
 
 /**
  * The life of requests from the client's side: accepts them and hands them to the policy, guards
@@ -23,7 +31,7 @@
  * Times are tenths of a millisecond. Runs on the event loop's thread only, but for its creation
  * before the loop runs and for {@link #openRequests}.
  */
-final class RequestHandler implements ClientListener.RequestReceiver {
+public final class RequestHandler implements ClientListener.RequestReceiver {
   /**
    * Part of a client's timeout, as a divisor, that is kept back so that the answer arrives before
    * the client stops waiting.
@@ -58,7 +66,7 @@
    * @param seed of the policy's random numbers
    * @param loadHeader header of backends' answers that holds a load report; empty: none does
    */
-  RequestHandler(
+  public RequestHandler(
       EventLoop loop,
       EndpointDiscovery endpoints,
       RequestCounters counters,
@@ -75,7 +83,7 @@
   }
 
   /** Sets the listener whose clients' requests come here. */
-  void setListener(ClientListener clientListener) {
+  public void setListener(ClientListener clientListener) {
     listener = clientListener;
   }
 
@@ -85,27 +93,27 @@
    * @param settings the configuration file's
    * @param dynamicSettings the watched source's, which take precedence; null or empty: none
    */
-  void applySettings(Settings settings, DynamicSettings dynamicSettings) {
+  public void applySettings(Settings settings, DynamicSettings dynamicSettings) {
     settingsApplier.apply(settings, dynamicSettings);
   }
 
   /** Sets when this process ends: no request may wait for longer. */
-  void setShutdownTime(long time) {
+  public void setShutdownTime(long time) {
     shutdownTime = time;
   }
 
   /** Sets whether another process of this proxy is present. */
-  void setOtherProcessPresent(boolean isPresent) {
+  public void setOtherProcessPresent(boolean isPresent) {
     loadBalancer.setOtherProcessPresent(isPresent);
   }
 
   /** The number of open requests; to another thread a value that may be a moment old. */
-  int openRequests() {
+  public int openRequests() {
     return openRequests.size();
   }
 
   /** The number of listed backends that the policy has ejected. */
-  int ejectedBackends() {
+  public int ejectedBackends() {
     return loadBalancer.ejectedCount();
   }
 
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
@@ -1,8 +1,12 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.nio.ByteBuffer;
 import wheattrack.http.Decoder;
 import wheattrack.http.Encoder;
+import wheattrack.net.backend.BackendConnection;
+import wheattrack.net.backend.ResponseBodyReceiver;
+import wheattrack.net.client.ClientConnection;
+import wheattrack.net.client.StreamedResponse;
 
 /**
  * Passes a long answer on from a backend to a client, one piece at a time. It ends once, whether
--- a/proxy/src/main/java/wheattrack/net/SocketPolicyRuntime.java
+++ b/proxy/src/main/java/wheattrack/net/request/SocketPolicyRuntime.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptCallback;
@@ -8,6 +8,9 @@
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.ProbeCallback;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendConnection;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.settings.SettingsApplier;
 
 /**
  * The policy's runtime on sockets: the event loop's clock and timers, attempts and probes on
--- a/proxy/src/main/java/wheattrack/net/JitteredBackoff.java
+++ b/proxy/src/main/java/wheattrack/net/settings/JitteredBackoff.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.settings;
 
 import wheattrack.statistics.SeededRandom;
 
--- a/proxy/src/main/java/wheattrack/net/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/settings/SettingsApplier.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.settings;
 
 import java.util.Map;
 import wheattrack.api.LoadBalancer;
@@ -9,6 +9,9 @@
 import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
 import wheattrack.core.RequestCounters;
+import wheattrack.net.backend.BackendTimeouts;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.discovery.WatchConnection;
 
 /**
  * Puts settings, of the configuration file or of a watched source, into the policy, and keeps the
@@ -16,7 +19,7 @@
  * tenths of a millisecond. Runs on the event loop's thread only, but for the creation of the policy
  * before the loop runs.
  */
-final class SettingsApplier {
+public final class SettingsApplier {
   private final EndpointDiscovery endpoints;
   private final RequestCounters counters;
   private LoadBalancer loadBalancer;
@@ -25,7 +28,7 @@
   private long probeTimeout;
 
   /** Creates an applier; the policy is created next, by {@link #createLoadBalancer}. */
-  SettingsApplier(EndpointDiscovery endpoints, RequestCounters counters) {
+  public SettingsApplier(EndpointDiscovery endpoints, RequestCounters counters) {
     this.endpoints = endpoints;
     this.counters = counters;
   }
@@ -35,7 +38,7 @@
    *
    * @param seed of the policy's random numbers
    */
-  LoadBalancer createLoadBalancer(Settings settings, PolicyRuntime runtime, long seed) {
+  public LoadBalancer createLoadBalancer(Settings settings, PolicyRuntime runtime, long seed) {
     RequestClass[] requestClasses = PolicySettingsMapper.requestClasses(settings);
     nameClasses(settings, requestClasses);
     loadBalancer =
@@ -51,7 +54,7 @@
    * @param dynamicSettings the watched source's, whose classes, tenants and limits take precedence;
    *     null or empty: there are none
    */
-  void apply(Settings settings, DynamicSettings dynamicSettings) {
+  public void apply(Settings settings, DynamicSettings dynamicSettings) {
     if (dynamicSettings != null && dynamicSettings.isPresent()) {
       applyDynamic(settings, dynamicSettings);
     } else {
@@ -89,17 +92,17 @@
   }
 
   /** The request classes by name, as they are now. */
-  Map<String, RequestClass> classes() {
+  public Map<String, RequestClass> classes() {
     return classes;
   }
 
   /** Whether backends report their load. */
-  boolean expectsLoadReports() {
+  public boolean expectsLoadReports() {
     return expectsLoadReports;
   }
 
   /** How long a probe may take: as long as connecting to a backend. */
-  long probeTimeout() {
+  public long probeTimeout() {
     return probeTimeout;
   }
 }
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/settings/SettingsSubscription.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.settings;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,6 +13,7 @@
 import wheattrack.core.RequestCounters;
 import wheattrack.core.TimerQueue;
 import wheattrack.log.EventLog;
+import wheattrack.net.discovery.WatchConnection;
 
 /**
  * The subscription to a source of settings: keeps one watch open, feeds its events to the dynamic
@@ -20,7 +21,7 @@
  * An event that can't be used becomes one log line that names the key and the revision; the
  * settings in force stay. Runs on the event loop's thread only.
  */
-final class SettingsSubscription {
+public final class SettingsSubscription {
   /** The resource at the source. */
   static final String PATH = "/v1/settings";
 
@@ -53,7 +54,7 @@
    * @param dynamicSettings where the events are applied
    * @param changeListener hears, in the same step, each time that other settings are in force
    */
-  SettingsSubscription(
+  public SettingsSubscription(
       EventLoop loop,
       AsynchronousChannelGroup group,
       InetSocketAddress source,
@@ -73,7 +74,7 @@
   }
 
   /** Opens the watch, at first or after a pause. */
-  void watch() {
+  public void watch() {
     reopenTimer = null;
     try {
       long afterRevision = needsSnapshot ? -1 : dynamicSettings.revision();
@@ -94,7 +95,7 @@
    * Watches another source or scope from now on. A complete snapshot of it is asked for; until that
    * comes, the settings in force stay.
    */
-  void changeSource(InetSocketAddress newSource, String newScope) {
+  public void changeSource(InetSocketAddress newSource, String newScope) {
     if (!newSource.equals(source) || !newScope.equals(scope)) {
       source = newSource;
       scope = newScope;
@@ -161,7 +162,7 @@
   }
 
   /** Ends the subscription. */
-  void close() {
+  public void close() {
     loop.cancel(reopenTimer);
     if (watch != null) {
       watch.close();
--- a/proxy/src/test/java/wheattrack/net/EndpointListParserTest.java
+++ b/proxy/src/test/java/wheattrack/net/discovery/EndpointListParserTest.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -10,9 +10,9 @@
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.Settings;
-import wheattrack.net.EndpointListParser.Deleted;
-import wheattrack.net.EndpointListParser.Listed;
-import wheattrack.net.EndpointListParser.State;
+import wheattrack.net.discovery.EndpointListParser.Deleted;
+import wheattrack.net.discovery.EndpointListParser.Listed;
+import wheattrack.net.discovery.EndpointListParser.State;
 
 /** Events of the endpoint list, and their entries, in discovery's form. */
 class EndpointListParserTest {
--- a/proxy/src/test/java/wheattrack/net/ProtocolMappingTest.java
+++ b/proxy/src/test/java/wheattrack/net/protocol/ProtocolMappingTest.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/proxy/src/test/java/wheattrack/net/JitteredBackoffTest.java
+++ b/proxy/src/test/java/wheattrack/net/settings/JitteredBackoffTest.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
