--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -29,7 +29,7 @@
    * Runs a proxy by the file's settings at a free port of this machine, and returns when it has
    * shut down.
    *
-   * @throws IOException if a socket can't be had or breaks
+   * @throws IOException if a socket cannot be opened or breaks
    */
   public static void run(Path file) throws IOException {
     try (ServerSocket listener =
--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -20,9 +20,9 @@
 import wheattrack.net.settings.SettingsSubscription;
 
 /**
- * Puts new configurations in force while the proxy serves: the file read again, and the settings of
- * a watched source. Requests, connections and measurements stay. Runs on the event loop's thread
- * only.
+ * Applies new configurations while the proxy serves: the file when it is read again, and the
+ * settings of a watched source. Requests, connections and measurements stay. Runs on the event
+ * loop's thread only.
  */
 final class ConfigurationReloader {
   private static final Logger LOG = Logger.getLogger("wheattrack");
@@ -38,8 +38,8 @@
   /**
    * A reloader of a proxy that was built by this configuration.
    *
-   * @param dynamicSettings the settings of a watched source, which go before the file's; null: none
-   *     is watched
+   * @param dynamicSettings the settings of a watched source, which take precedence over the file's;
+   *     null: none is watched
    */
   ConfigurationReloader(
       ProxyConfig config,
@@ -71,7 +71,7 @@
 
   /**
    * The longest time that a client may wait, in tenths of a millisecond, by any configuration so
-   * far: requests in flight keep the class that they came under.
+   * far: requests in flight keep the class that they were accepted with.
    */
   long longestClientTimeout() {
     return longestClientTimeout;
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -29,7 +29,7 @@
    * A proxy that begins to watch its list at once.
    *
    * @param seed of its own random draws
-   * @param revisionListener hears of each revision of the list once the policy acts on it
+   * @param revisionListener called with each revision of the list once the policy uses it
    */
   public ControlOnlyProxy(
       EventLoop loop,
@@ -55,7 +55,7 @@
    *
    * @param scope the scope asked for; empty: none
    * @param seed of the random part of the pauses
-   * @param revisionListener hears of each revision of the settings once it is in force
+   * @param revisionListener called with each revision of the settings once it is in force
    */
   public void watchSettings(
       InetSocketAddress source, String scope, long seed, LongConsumer revisionListener) {
--- a/proxy/src/main/java/wheattrack/net/DescriptorBudget.java
+++ b/proxy/src/main/java/wheattrack/net/DescriptorBudget.java
@@ -4,15 +4,15 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * How many of the process's file descriptors go to whom. Some are kept for the program itself; of
- * the rest, each side of the proxy has a part, and the remainder is for surplus clients, which are
+ * How the process's file descriptors are divided. Some are reserved for the program itself; clients
+ * and backends each get a share of the rest, and the remainder is for surplus clients, which are
  * accepted only to be rejected.
  *
  * @param clients connections of clients
  * @param backends connections to backends
  */
 record DescriptorBudget(int clients, int backends) {
-  /** Descriptors kept for the program itself: so many at least, and this part of all. */
+  /** Descriptors reserved for the program itself: at least this number, and this part of all. */
   private static final int MIN_RESERVED = 32;
 
   private static final int RESERVED_DIVISOR = 16;
@@ -20,7 +20,7 @@
   private static final double CLIENT_SHARE = 0.58;
   private static final double BACKEND_SHARE = 0.36;
 
-  /** Descriptors that are shared out, at least. */
+  /** Lower bound of the descriptors for clients and backends together. */
   private static final int MIN_SHARED = 8;
 
   /**
--- a/proxy/src/main/java/wheattrack/net/JitWarmUp.java
+++ b/proxy/src/main/java/wheattrack/net/JitWarmUp.java
@@ -61,8 +61,8 @@
    * Runs one request of each class, and further rounds until a number of requests or a time is
    * reached.
    *
-   * @param maxRequests no round begins after so many requests
-   * @param maxNanos no round begins after so long, in nanoseconds
+   * @param maxRequests no round begins after this number of requests
+   * @param maxNanos no round begins after this time, in nanoseconds
    * @return the number of requests that were run
    */
   int run(int maxRequests, long maxNanos) {
@@ -188,6 +188,6 @@
 
   @Override
   public void report(PolicyEvent event) {
-    // what the policy finds out about synthetic answers is of no interest
+    // events of synthetic requests are not reported
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ProcessHandover.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessHandover.java
@@ -14,10 +14,10 @@
  * Runs on the event loop's thread only. Times are tenths of a millisecond.
  */
 final class ProcessHandover {
-  /** How often the end of the last request is looked for while closing. */
+  /** How often to check for the end of the last request while closing. */
   private static final long CLOSE_CHECK_INTERVAL = 100;
 
-  /** How often the other process is looked for. */
+  /** How often to check for the other process. */
   private static final long OTHER_PROCESS_CHECK_INTERVAL = 1000;
 
   private final EventLoop loop;
@@ -53,7 +53,7 @@
     this.controlCloser = controlCloser;
   }
 
-  /** Looks for another process of this proxy, now and from now on. */
+  /** Checks for another process of this proxy, now and periodically from now on. */
   void watchOtherProcess() {
     boolean wasPresent = processLock.isOtherProcessPresent();
     processLock.refresh();
@@ -68,9 +68,9 @@
   }
 
   /**
-   * Begins the graceful shutdown, unless it has begun: serves what comes for the configured time,
-   * unless a newer process takes the new connections; then answers what it has accepted, closes all
-   * and stops the loop.
+   * Begins the graceful shutdown, unless it has begun: keeps accepting requests for the configured
+   * time, unless a newer process takes the new connections; then answers all accepted requests,
+   * closes all connections and stops the loop.
    */
   void drain() {
     if (!lifecycle.advanceTo(Phase.DRAINING)) {
@@ -79,7 +79,7 @@
     if (processLock.refresh() == ProcessLock.Role.OLDER) {
       clientListener.stopAccepting(); // new connections are the newer process's
     } else if (clientListener.isListening()) {
-      clientListener.startAccepting(); // before it was ready, too: who has connected is answered
+      clientListener.startAccepting(); // clients in the accept queue must get an answer
     }
     ProxyConfig config = reloader.config();
     loop.schedule(config.drainTime(), () -> loop.execute(this::close));
--- a/proxy/src/main/java/wheattrack/net/ProcessLock.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessLock.java
@@ -9,13 +9,13 @@
 import wheattrack.log.EventLog;
 
 /**
- * Tells which processes of one proxy run beside each other. There are two places, each a lock on
- * one byte of a file that both processes can reach: the older process holds the first, the newer
- * one the second. The system releases a lock when its holder ends, however it ends, so a file that
- * a dead process left is no hindrance. Runs on the event loop's thread only.
+ * Detects whether two processes of one proxy run at the same time. Each locks one byte of a file
+ * that both can reach: the older process the first, the newer one the second. The system releases a
+ * lock when its holder ends, however it ends, so a file that a dead process left is no hindrance.
+ * Runs on the event loop's thread only.
  */
 final class ProcessLock {
-  /** This process's part beside other processes of the same proxy. */
+  /** This process's role among the processes of the same proxy. */
   enum Role {
     /** No other process of this proxy runs. */
     ALONE,
@@ -25,8 +25,8 @@
     NEWER
   }
 
-  private static final int FIRST_PLACE = 0;
-  private static final int SECOND_PLACE = 1;
+  private static final int FIRST_BYTE = 0;
+  private static final int SECOND_BYTE = 1;
 
   private final FileChannel file;
   private FileLock firstLock;
@@ -34,7 +34,7 @@
   private Role role = Role.ALONE;
 
   /**
-   * Takes a place.
+   * Opens the lock file and determines the role.
    *
    * @param folder folder that both processes can reach; where the file can't be opened there, this
    *     process counts as alone. null: no lock is used and the process is alone, as at a port that
@@ -61,14 +61,14 @@
     }
   }
 
-  /** Looks again who else runs, and returns the role that follows; to be called periodically. */
+  /** Checks the locks again, and returns the resulting role; to be called periodically. */
   Role refresh() {
     if (file == null) {
       return role;
     }
     Role previous = role;
     try {
-      role = takePlace();
+      role = acquireLocks();
     } catch (IOException e) {
       EventLog.warning("seats can't be read", null, e.toString());
     }
@@ -78,19 +78,19 @@
     return role;
   }
 
-  private Role takePlace() throws IOException {
+  private Role acquireLocks() throws IOException {
     if (firstLock == null) {
-      firstLock = tryLock(FIRST_PLACE);
+      firstLock = tryLock(FIRST_BYTE);
     }
     if (firstLock == null) {
       if (secondLock == null) {
-        secondLock = tryLock(SECOND_PLACE);
+        secondLock = tryLock(SECOND_BYTE);
       }
       return Role.NEWER;
     }
     release(secondLock);
     secondLock = null;
-    FileLock trial = tryLock(SECOND_PLACE);
+    FileLock trial = tryLock(SECOND_BYTE);
     release(trial);
     return trial == null ? Role.OLDER : Role.ALONE;
   }
@@ -113,10 +113,10 @@
     return role != Role.ALONE;
   }
 
-  /** Returns null if another holder has the place. */
-  private FileLock tryLock(int place) throws IOException {
+  /** Tries to lock the byte at this position; null: another process holds it. */
+  private FileLock tryLock(int position) throws IOException {
     try {
-      return file.tryLock(place, 1, false);
+      return file.tryLock(position, 1, false);
     } catch (OverlappingFileLockException e) { // another holder within this JVM, as in tests
       return null;
     }
@@ -128,7 +128,7 @@
     }
   }
 
-  /** Gives up this process's places and closes the file. */
+  /** Releases this process's locks and closes the file. */
   void close() {
     try {
       if (file != null) {
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -25,7 +25,7 @@
 import wheattrack.net.settings.SettingsSubscription;
 
 /**
- * One proxy on real sockets: builds its parts and leads them through the phases from start to exit.
+ * One proxy on real sockets: builds its parts and takes them through the phases from start to exit.
  * Its public methods may be called from any thread; what they begin runs on the event loop's
  * thread, which is the one that calls {@link #run}. Times are tenths of a millisecond unless said
  * otherwise.
@@ -33,7 +33,7 @@
 public final class ProxyServer {
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
-  /** How often readiness is looked at while warming up. */
+  /** How often readiness is checked while warming up. */
   private static final long READINESS_CHECK_INTERVAL = 100;
 
   /** Requests that the warm-up simulates, at most. */
@@ -72,7 +72,7 @@
   private final RequestHandler requestHandler;
   private final ClientListener clientListener;
 
-  /** Null: operators have no address. */
+  /** Null: no admin address is configured. */
   private final AdminServer admin;
 
   private final ConfigurationReloader reloader;
@@ -83,14 +83,14 @@
   private final ProcessHandover handover;
   private final CountDownLatch endedLatch = new CountDownLatch(1);
 
-  /** Why the listening address could not be had, or null. */
+  /** Why the listening address could not be bound, or null. */
   private String listenFault;
 
   /**
    * A proxy that reads no load from backends' answers and watches no source of settings.
    *
-   * @throws IOException if its sockets can't be had
-   * @throws InvalidConfigurationException if the admin address can't be had
+   * @throws IOException if its sockets cannot be opened
+   * @throws InvalidConfigurationException if the admin address cannot be bound
    */
   public ProxyServer(ProxyConfig config) throws IOException {
     this(config, "");
@@ -100,8 +100,8 @@
    * A proxy that watches no source of settings.
    *
    * @param loadHeader header of backends' answers that holds their load; empty: answers hold none
-   * @throws IOException if its sockets can't be had
-   * @throws InvalidConfigurationException if the admin address can't be had
+   * @throws IOException if its sockets cannot be opened
+   * @throws InvalidConfigurationException if the admin address cannot be bound
    */
   public ProxyServer(ProxyConfig config, String loadHeader) throws IOException {
     this(config, loadHeader, null, "");
@@ -114,8 +114,8 @@
    * @param loadHeader header of backends' answers that holds their load; empty: answers hold none
    * @param settingsSource where settings are watched, or null
    * @param scope goes with requests for settings and for the endpoint list; empty: none
-   * @throws IOException if its sockets can't be had
-   * @throws InvalidConfigurationException if the admin address can't be had
+   * @throws IOException if its sockets cannot be opened
+   * @throws InvalidConfigurationException if the admin address cannot be bound
    */
   public ProxyServer(
       ProxyConfig config, String loadHeader, InetSocketAddress settingsSource, String scope)
@@ -226,7 +226,7 @@
     return clientListener.port();
   }
 
-  /** Whether no request is open and no client connected, as another thread saw it a moment ago. */
+  /** Whether no request is open and no client connected; the value may be a moment old. */
   public boolean isIdle() {
     return requestHandler.openRequests() == 0 && clientListener.connectionCount() == 0;
   }
@@ -234,7 +234,7 @@
   /**
    * Serves on the calling thread until the shutdown is complete.
    *
-   * @throws InvalidConfigurationException if the listening address can't be had
+   * @throws InvalidConfigurationException if the listening address cannot be bound
    */
   public void run() {
     ProxyConfig config = reloader.config();
@@ -268,10 +268,13 @@
     serveWhenReady(loop.now());
   }
 
-  /** Looks whether there is what it takes to serve, or it has been waited for long enough. */
+  /**
+   * Starts to serve once the list and the settings are there or have been awaited for long enough;
+   * else checks again later.
+   */
   private void serveWhenReady(long waitingSince) {
     if (lifecycle.isShuttingDown()) {
-      return; // told to end before it was ready: nobody is let in
+      return; // shut down before it was ready: no client is accepted
     }
     long waited = loop.now() - waitingSince;
     boolean isReady = discovery.hasList() && !reloader.isWaitingForSource();
@@ -281,7 +284,7 @@
       lifecycle.advanceTo(Phase.SERVING);
     } else {
       if (clientListener.isListening() && waited >= connectTimeout()) {
-        clientListener.startAccepting(); // who has connected is rejected rather than left to wait
+        clientListener.startAccepting(); // clients are rejected rather than left waiting
       }
       loop.schedule(READINESS_CHECK_INTERVAL, () -> serveWhenReady(waitingSince));
     }
@@ -298,8 +301,7 @@
   }
 
   /**
-   * Lets clients in, which happens only once they can be served. A newer process takes its address
-   * only now.
+   * Accepts clients from now on, as they can be served. A newer process binds its address only now.
    */
   private void openToClients() {
     InetSocketAddress address = reloader.config().listen();
@@ -336,14 +338,17 @@
     }
   }
 
-  /** Has the configuration file read again, as a step of the event loop; a bad file is logged. */
+  /**
+   * Reads the configuration file again, in a step of the event loop; an invalid file is logged and
+   * changes nothing.
+   */
   public void reload(Path file) {
     loop.execute(() -> reloader.reload(file));
   }
 
   /**
-   * Has another source or scope of settings watched, as a step of the event loop; only a restart
-   * begins or ends a watch.
+   * Watches another source or scope of settings, in a step of the event loop; only a restart begins
+   * or ends a watch.
    */
   public void resubscribe(InetSocketAddress source, String scope) {
     loop.execute(() -> reloader.resubscribe(settingsSubscription, source, scope));
--- a/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
@@ -7,7 +7,7 @@
 import wheattrack.http.Response;
 
 /**
- * One exchange with a backend, an attempt of a request or a probe, from the moment it is sent to
+ * One exchange with a backend, an attempt of a request or a probe, from the time it is sent until
  * its one outcome. It waits in its backend's pool until a connection carries it. Times are tenths
  * of a millisecond. Runs on the event loop's thread only.
  */
@@ -62,7 +62,7 @@
     latestStart = time;
   }
 
-  /** Starts its timeout anew: it is abandoned after this time from now, unless it ends before. */
+  /** Restarts its timeout: it is abandoned after this time from now, unless it ends before. */
   public final void setTimeout(long time) {
     if (!hasEnded) {
       loop().cancel(timer);
@@ -141,8 +141,8 @@
   protected abstract Request buildRequest();
 
   /**
-   * How much longer an answer of unknown length may be buffered, so that it can be had again from
-   * another backend if it breaks off.
+   * How much longer an answer of unknown length may be buffered, so that another backend can be
+   * asked if the connection breaks.
    */
   protected long remainingBufferingTime() {
     return Long.MAX_VALUE / 4;
@@ -153,7 +153,10 @@
     return null;
   }
 
-  /** See {@link #beginStreaming}. Here nobody takes long answers: it ends as if it broke off. */
+  /**
+   * See {@link #beginStreaming}. By default long answers are not accepted: the attempt ends as if
+   * its connection broke.
+   */
   protected ResponseBodyReceiver onStreamingAnswer(Response head) {
     onEnd(AttemptOutcome.RESET, null);
     return null;
@@ -165,7 +168,7 @@
   }
 
   /**
-   * It has ended; called once.
+   * The attempt has ended; called once.
    *
    * @param answer the complete answer; null: none came
    */
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -25,7 +25,7 @@
    */
   public static final long STALL_TIMEOUT = 100_000;
 
-  /** The lowest status of a final response; what is below is interim. */
+  /** The lowest status of a final response; lower ones are interim. */
   private static final int MIN_FINAL_STATUS = 200;
 
   private enum State {
@@ -33,7 +33,7 @@
     CONNECTING,
     /** It carries an attempt, or delivers the rest of a long response. */
     IN_USE,
-    /** It carries nothing and stands in its pool. */
+    /** It carries nothing and is idle in its pool. */
     IDLE,
     /** It is closed. */
     CLOSED
@@ -64,21 +64,25 @@
   /** Whether the connection may carry another attempt after the response that is being read. */
   private boolean isReusable;
 
-  /** Whether a response of unknown length is kept back, as it may be a short one. */
+  /** Whether a response of unknown length is being buffered, as it may be a short one. */
   private boolean isHoldingResponse;
 
   /** Whether the connection broke while the request was being written. */
   private boolean isBroken;
 
-  /** When it became idle, and from when on it may be used again; tenths of a millisecond. */
+  /** When it became idle; tenths of a millisecond. */
   private long idleSince;
 
+  /** From when on it may be used again; tenths of a millisecond. */
   private long usableFrom;
 
-  /** For connecting, for being idle, for a response kept back, or for a response that stalls. */
+  /** Bounds connecting, idle time, the buffering of a response, or a stall of a response. */
   private TimerQueue.Timer timer;
 
-  /** Takes a place in the connector's budget; {@link #startConnecting} must follow. */
+  /**
+   * Registers itself with the connector, which bounds the number; {@link #startConnecting} must
+   * follow.
+   */
   BackendConnection(
       BackendConnectionPool pool, AsynchronousSocketChannel channel, Connector connector) {
     super(pool.loop, channel);
@@ -107,7 +111,7 @@
 
   // ---- connecting
 
-  /** Connects; the pool is told of success or failure, at the latest after this time. */
+  /** Connects; the pool is notified of success or failure, at the latest after this time. */
   void startConnecting(long timeout) {
     timer = loop.schedule(timeout, this::onConnectFailed);
     connect(remoteAddress, this::onConnected, this::onConnectFailed);
@@ -163,7 +167,7 @@
     restartIdleTimeout();
   }
 
-  /** Bounds its idle time by the time-out that holds now. */
+  /** Restarts its idle timeout with the value that is in force now. */
   void restartIdleTimeout() {
     loop.cancel(timer);
     if (connector.idleTimeout() > 0) {
@@ -187,7 +191,7 @@
     write(Encoder.request(request));
   }
 
-  /** Sends a further part of a long body. */
+  /** Sends a further part of a long request body. */
   public void sendBodyPart(ByteBuffer bytes, boolean isLast) {
     if (isLast) {
       bodySource = null;
@@ -254,8 +258,8 @@
   }
 
   /**
-   * A response of unknown length comes slowly: it may be a long one, which is timed by its first
-   * bytes.
+   * A response of unknown length has not ended within its buffering time: it may be a long one,
+   * which counts as answered with its first bytes.
    */
   private void onHoldExpired() {
     try {
@@ -289,7 +293,7 @@
   /** Delivers the next part of a long response, as the client has taken the one before. */
   public void deliverNextPart() {
     if (isReading() || isClosed()) {
-      return; // what is being read comes first
+      return; // the pending read completes first
     }
     try {
       ByteBuffer part = decoder.nextBodyPart();
@@ -311,7 +315,9 @@
     }
   }
 
-  /** Its response has come: it goes back to its pool, unless it may not serve on. */
+  /**
+   * Its response is complete: it returns to its pool if it may be used again, else it is closed.
+   */
   private void releaseOrClose() {
     if (isReusable && !decoder.isMidMessage()) {
       read(decoder.writableBuffer());
@@ -324,9 +330,9 @@
   // ---- its end
 
   /**
-   * The connection broke, or what came is no response. Incident of cut-off backends: a break while
-   * the request is being written says nothing yet of whether it was taken completely; the end of
-   * the write does.
+   * The connection broke, or the backend sent no valid response. Incident with disconnected
+   * backends: a break during the write of the request does not tell whether the request was sent
+   * completely; the completion of the write does.
    */
   private void onBreak() {
     if (currentAttempt != null && isWriting()) {
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -22,7 +22,7 @@
   /** Idle connections, the one used last at the end. */
   private final List<BackendConnection> idle = new ArrayList<>();
 
-  /** Connections that are being made, to the present address. */
+  /** Connections that are being opened, to the current address. */
   private final List<BackendConnection> connecting = new ArrayList<>();
 
   /** Attempts without a connection, the one that waits longest first. */
@@ -42,7 +42,7 @@
   /** When the backend, as it is listed now, started; tenths of a millisecond. */
   private long startedAt;
 
-  /** Makes an empty pool for a backend of which no address is known yet. */
+  /** Creates an empty pool for a backend of which no address is known yet. */
   public BackendConnectionPool(String id, int index, Connector connector) {
     super(id, index);
     this.connector = connector;
@@ -57,8 +57,8 @@
   // ---- the backend's state in the endpoint list
 
   /**
-   * The backend is listed as serving at this address. Connections to another address, or to an
-   * earlier life of the backend, are closed.
+   * The backend is listed as serving at this address. Idle and opening connections to another
+   * address, or to an earlier incarnation of the backend, are closed.
    *
    * @param startedAt when the backend started, in tenths of a millisecond
    */
@@ -73,13 +73,13 @@
     assignConnections();
   }
 
-  /** Whether it leads to another address, or to an earlier life of this backend. */
+  /** Whether it leads to another address, or to an earlier incarnation of this backend. */
   private boolean isOutdated(BackendConnection connection) {
     return !connection.remoteAddress().equals(address) || connection.openedAt() < startedAt;
   }
 
   /**
-   * Whether the backend that started then is known to be draining or gone.
+   * Whether the backend that started then is known to be draining or removed.
    *
    * @param startedAt in tenths of a millisecond
    */
@@ -87,7 +87,7 @@
     return !isServing && startedAt <= this.startedAt;
   }
 
-  /** The backend is draining or gone: attempts that have not begun are discarded. */
+  /** The backend is draining or removed: attempts that have not started are discarded. */
   public void onDraining() {
     isServing = false;
     for (BackendAttempt attempt : List.copyOf(waiting)) {
@@ -113,27 +113,30 @@
     attemptsInFlight++;
   }
 
-  /** Counts an attempt as over: its outcome is known, or its long response is through. */
+  /** Counts an attempt as ended: its outcome is known, or its long response has been passed on. */
   void attemptEnded() {
     attemptsInFlight--;
   }
 
-  /** Sends the attempt on the connection used last, or on the first that is free or made. */
+  /**
+   * Sends the attempt on the idle connection used last, else on the first that becomes idle or is
+   * opened.
+   */
   public void send(BackendAttempt attempt) {
     attemptStarted();
     waiting.add(attempt);
     assignConnections();
   }
 
-  /** The attempt is over: it waits no longer. */
+  /** The attempt has ended: it waits no longer. */
   void removeWaiting(BackendAttempt attempt) {
     waiting.remove(attempt);
   }
 
-  /** Takes the attempt that waits longest and may still begin, or null. */
+  /** Takes the attempt that waits longest and may still start, or null. */
   private BackendAttempt pollWaiting() {
     BackendAttempt attempt = waiting.pollFirst();
-    // Incident of a process at a standstill: requests were sent after their deadline.
+    // Incident: after a standstill of the process, requests were sent after their deadline.
     while (attempt != null && loop.now() >= attempt.latestStart()) {
       attempt.abandon(AttemptOutcome.DISCARDED);
       attempt = waiting.pollFirst();
@@ -144,9 +147,8 @@
   // ---- assignment of connections to attempts
 
   /**
-   * Sees to the waiting attempts: by an idle connection, once what has come on it by now is
-   * handled, as its end may be among that; by one in quarantine, which is usable soon; or by a new
-   * one.
+   * Finds connections for the waiting attempts: idle ones, in a later step, so that a pending end
+   * of one is handled first; ones in quarantine, as soon as that is over; or new ones.
    */
   private void assignConnections() {
     if (waiting.isEmpty() || isAssignmentScheduled) {
@@ -199,7 +201,7 @@
     return null;
   }
 
-  /** Makes connections until there is one, usable or not yet, for each waiting attempt. */
+  /** Opens connections until there is one, usable or not yet, for each waiting attempt. */
   private void connectForWaiting() {
     boolean mayConnect = true;
     while (mayConnect && connecting.size() + idle.size() < waiting.size()) {
@@ -207,12 +209,12 @@
     }
   }
 
-  /** Starts to connect, or discards the attempt in a later step where that cannot be done. */
+  /** Starts to connect, or discards the attempt in a later step if that is not possible. */
   private boolean connectFor(BackendAttempt attempt) {
     try {
       connecting.add(connector.connect(this));
       return true;
-    } catch (IOException e) { // descriptors have run out: a discarded attempt may go elsewhere
+    } catch (IOException e) { // no descriptor is left: the policy may send the attempt elsewhere
       loop.defer(
           () -> {
             attempt.abandon(AttemptOutcome.DISCARDED);
@@ -224,7 +226,7 @@
 
   // ---- what becomes of connections
 
-  /** The connection is made. */
+  /** The connection is open. */
   void onConnected(BackendConnection connection) {
     if (connecting.remove(connection)) {
       BackendAttempt attempt = pollWaiting();
@@ -236,7 +238,7 @@
     }
   }
 
-  /** The connection could not be made in time or at all. */
+  /** The connection could not be opened in time or at all. */
   void onConnectFailed(BackendConnection connection) {
     if (connecting.remove(connection) && waiting.size() > connecting.size()) {
       if (idle.isEmpty()) {
@@ -249,7 +251,7 @@
 
   /**
    * The response on this connection is complete. The connection is in quarantine for a while: a
-   * second response may follow, which once was taken for that to the next request.
+   * surplus response may follow, which was once taken for the response to the next request.
    */
   void release(BackendConnection connection) {
     addIdle(connection, connector.quarantineTime());
@@ -268,7 +270,7 @@
   /** The connection is closed. */
   void onClosed(BackendConnection connection) {
     if (idle.remove(connection) && !waiting.isEmpty()) {
-      loop.defer(this::assignConnections); // a waiting attempt may have counted on it
+      loop.defer(this::assignConnections); // an attempt may have been waiting for it
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/backend/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/backend/Connector.java
@@ -9,15 +9,15 @@
 import wheattrack.core.SlotTable;
 
 /**
- * Opens connections to backends within the budget of descriptors; at its limit an idle one is
- * closed for a new one. Times are tenths of a millisecond. Runs on the event loop's thread only.
+ * Opens connections to backends up to a limit; when it is reached, an idle one is closed for a new
+ * one. Times are tenths of a millisecond. Runs on the event loop's thread only.
  */
 public final class Connector {
   /** Part of the time after which a backend closes an idle connection: ours are closed by then. */
   private static final double IDLE_TIMEOUT_PART = 0.8;
 
   /**
-   * Part of the connect time-out that a connection is in quarantine after a response: within it a
+   * Part of the connect timeout that a connection is in quarantine after a response: within it a
    * malformed second response shows, some milliseconds late.
    */
   private static final double QUARANTINE_PART = 0.04;
@@ -31,9 +31,9 @@
   private long idleTimeout;
 
   /**
-   * Makes a connector without connections.
+   * Creates a connector without connections.
    *
-   * @param maxConnections connections to all backends
+   * @param maxConnections limit on the number of connections to all backends
    * @param maxBodyBytes bytes of the longest response body
    * @param connectTimeout how long connecting may take
    * @param backendIdleTimeout after which time a backend closes an idle connection, or 0 for never
@@ -73,7 +73,7 @@
   }
 
   /**
-   * Sets the times that hold from now on, also for connections that are idle already.
+   * Sets the timeouts in force from now on, also for connections that are already idle.
    *
    * @param connectTimeout how long connecting may take
    * @param backendIdleTimeout after which time a backend closes an idle connection, or 0 for never
@@ -86,7 +86,7 @@
         .forEach(BackendConnection::restartIdleTimeout);
   }
 
-  /** Bounds the connections from now on; surplus idle ones are closed. */
+  /** Sets the limit on connections from now on; surplus idle ones are closed. */
   public void setMaxConnections(int maxConnections) {
     this.maxConnections = maxConnections;
     boolean mayClose = true;
@@ -107,7 +107,7 @@
   /**
    * Starts to connect to the pool's backend.
    *
-   * @throws IOException if descriptors or the budget of them have run out
+   * @throws IOException if no descriptor is left or the limit is reached
    */
   BackendConnection connect(BackendConnectionPool pool) throws IOException {
     if (connections.size() >= maxConnections) {
@@ -122,7 +122,7 @@
     return connection;
   }
 
-  /** Enters a new connection, and returns its slot. */
+  /** Registers a new connection, and returns its slot. */
   int register(BackendConnection connection) {
     return connections.add(connection);
   }
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -38,13 +38,13 @@
   /** When it connected, or had its last response; tenths of a millisecond. */
   private long idleSince;
 
-  /** When the first byte of the present head came; tenths of a millisecond. */
+  /** When the first byte of the current head was received; tenths of a millisecond. */
   private long headSince;
 
-  /** Whether the present response lets the connection serve on. */
+  /** Whether the connection stays open after the current response. */
   private boolean isKeptAlive;
 
-  /** Whether the client may still send what nobody will read. */
+  /** Whether the client may still send bytes of a request that will not be read. */
   private boolean hasUnreadRequest;
 
   /** Whether all that the client sends is discarded until it closes. */
@@ -52,7 +52,7 @@
 
   private long discardedBytes;
 
-  /** Whether what is being written is an interim response. */
+  /** Whether the response being written is an interim one. */
   private boolean isWritingInterim;
 
   /** The long response whose parts are being sent, or null. */
@@ -60,7 +60,7 @@
 
   private Runnable disconnectCallback;
 
-  /** Takes a connection that was accepted, and a place of the listener's. */
+  /** Wraps an accepted connection and registers it with the listener. */
   ClientConnection(ClientListener listener, EventLoop loop, AsynchronousSocketChannel channel) {
     super(loop, channel);
     this.listener = listener;
@@ -72,7 +72,7 @@
     headSince = idleSince;
   }
 
-  /** Begins to read. */
+  /** Starts to read the first request. */
   void start() {
     timeouts.awaitHead();
     read(decoder.writableBuffer());
@@ -97,29 +97,29 @@
     return loop.now() - idleSince <= FIRST_REQUEST_GRACE;
   }
 
-  /** Whether a request of it is open. */
+  /** Whether a request is open on it. */
   boolean hasOpenRequest() {
     return isBusy && !isLingering;
   }
 
-  /** Whether it only waits for the client to close, and discards what that still sends. */
+  /** Whether it only waits for the client to close, and discards what the client still sends. */
   boolean isLingering() {
     return isLingering;
   }
 
-  /** Whether a long response is under way. */
+  /** Whether a long response is being sent. */
   boolean isStreamingResponse() {
     return streamedResponse != null;
   }
 
-  /** Whether somebody wants to know of the client's disconnecting before its response. */
+  /** Whether a callback is set for the client's disconnect before its response. */
   boolean hasDisconnectCallback() {
     return disconnectCallback != null;
   }
 
   // ---- eviction
 
-  /** How soon it is closed to make room for another. */
+  /** Its rank in the order of eviction. */
   EvictionPriority evictionPriority() {
     if (isLingering) {
       return EvictionPriority.LINGERING;
@@ -137,8 +137,8 @@
   }
 
   /**
-   * Whether its head takes longer than it may while others wait. Incident: a crowd of clients with
-   * half a head each held all places for 2.4 s.
+   * Whether its client takes longer to send a head than is allowed while others wait. Incident:
+   * many clients that each sent half a head held all connections for 2.4 s.
    */
   private boolean isHeadSlow() {
     return decoder.isMidMessage()
@@ -146,7 +146,7 @@
         && loop.now() - headSince > ConnectionTimeouts.HEAD_TIMEOUT_WHEN_FULL;
   }
 
-  /** Closes it in a later step, unless a request has come by then. */
+  /** Closes it in a later step, unless a request has been received by then. */
   void evict() {
     loop.execute(
         () -> {
@@ -179,7 +179,7 @@
     decoder.writableBuffer().clear();
     discardedBytes += count;
     if (decoder.isStreamingBody() && discardedBytes < listener.maxBodyBytes()) {
-      timeouts.extendClose(); // a long body still comes: its client reads only after it
+      timeouts.extendClose(); // a client may read the response only after sending its long body
     }
   }
 
@@ -213,7 +213,7 @@
     timeouts.cancel();
     bodyReader.readMore();
     loop.execute(
-        () -> { // if its client has disconnected by now, that is handled first
+        () -> { // a disconnect that is pending is handled first
           if (!isClosed()) {
             listener.onRequest(this, request);
             bodyReader.readMore();
@@ -230,8 +230,8 @@
   }
 
   /**
-   * Responds to what is no request, or not a complete one, and closes the connection after it. A
-   * request that the body was to belong to counts as abandoned by its client.
+   * Responds to a malformed or incomplete request, and closes the connection after that. If the
+   * fault is in the body of the open request, that request counts as abandoned by its client.
    */
   void rejectMalformed(int status, String reason) {
     listener.logErrorResponse(status, reason);
@@ -246,26 +246,29 @@
   }
 
   /**
-   * Sets what is to be done should the client disconnect before its response, or end its request by
-   * a malformed body.
+   * Sets the callback that runs once if the client disconnects before its response, or sends a
+   * malformed body.
    */
   public void onDisconnect(Runnable callback) {
     disconnectCallback = callback;
   }
 
-  /** Asks for the next part of the long body of the request that is open. */
+  /** Requests the next part of the long body of the open request; the consumer is called once. */
   public void requestBodyPart(BodyPartConsumer consumer) {
     bodyReader.requestPart(consumer);
   }
 
-  /** Asks for no part of the body any more; what has come and was not asked for is kept. */
+  /** Withdraws the request for the next part of the body; bytes already received are kept. */
   public void cancelBodyRequest() {
     bodyReader.cancelRequest();
   }
 
   // ---- the response
 
-  /** Sends the one response to the open request, or the first part of a long one. */
+  /**
+   * Sends the one response to the open request, or the first part of a long one; does nothing on a
+   * closed connection.
+   */
   public void sendResponse(Response response) {
     disconnectCallback = null;
     if (isClosed()) {
@@ -335,7 +338,10 @@
     }
   }
 
-  /** Waits for the client to close: what it goes on sending would reset the response. */
+  /**
+   * Waits for the client to close: to close first, while it still sends, would reset the connection
+   * and could lose the response.
+   */
   private void linger() {
     isLingering = true;
     timeouts.awaitClose();
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnectionTable.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnectionTable.java
@@ -4,8 +4,8 @@
 import wheattrack.core.SlotTable;
 
 /**
- * The clients' connections and the bound on their number: says when a place is free, and evicts
- * connections where there are too many. Runs on the event loop's thread only.
+ * The clients' connections and the limit on their number: knows whether a further one may be
+ * accepted, and evicts connections above the limit. Runs on the event loop's thread only.
  */
 final class ClientConnectionTable {
   private static final Comparator<ClientConnection> EVICTION_ORDER =
@@ -18,7 +18,8 @@
   /**
    * Makes the table.
    *
-   * @param maxConnections connections that may stay open; a few more are taken, see {@link #isFull}
+   * @param maxConnections connections that may stay open; a few more are accepted, see {@link
+   *     #isFull}
    */
   ClientConnectionTable(int maxConnections) {
     this.maxConnections = maxConnections;
@@ -45,15 +46,15 @@
   }
 
   /**
-   * Whether no further connection may be accepted. Some are taken beyond the bound, so that their
+   * Whether no further connection may be accepted. Some are accepted above the limit, so that their
    * requests are rejected rather than left waiting.
    */
   boolean isFull() {
     return connections.size() >= maxConnections + 1 + maxConnections / 16;
   }
 
-  /** Whether at most half of the places are taken. */
-  boolean hasAmplePlaces() {
+  /** Whether at most half of the limit is in use. */
+  boolean hasSpareCapacity() {
     return connections.size() <= maxConnections / 2;
   }
 
@@ -69,12 +70,15 @@
     return connections.all().stream().filter(ClientConnection::hasOpenRequest).count();
   }
 
-  /** Evicts as many connections as there are beyond the bound, where that many may be evicted. */
+  /**
+   * Evicts as many connections as there are above the limit, or fewer if not as many may be
+   * evicted.
+   */
   void evictSurplus() {
     evict(connections.size() - maxConnections);
   }
 
-  /** Evicts so many connections, where that many may be evicted. */
+  /** Evicts this many connections, or fewer if not as many may be evicted. */
   void evict(int count) {
     if (count > 0) {
       connections.all().stream()
@@ -85,7 +89,7 @@
     }
   }
 
-  /** Evicts all clients that take too long with the head of a request. */
+  /** Evicts all connections whose client takes too long to send the head of a request. */
   void evictSlowHeads() {
     connections.all().stream()
         .filter(connection -> connection.evictionPriority() == EvictionPriority.SLOW_HEAD)
--- a/proxy/src/main/java/wheattrack/net/client/ClientErrorLog.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientErrorLog.java
@@ -4,8 +4,8 @@
 import wheattrack.log.EventLog;
 
 /**
- * Logs what clients are denied, a line a second at most: malformed input may come in floods. Runs
- * on the event loop's thread only.
+ * Logs requests and connections that are rejected, at most one line a second: malformed input may
+ * arrive in floods. Runs on the event loop's thread only.
  */
 final class ClientErrorLog {
   /** The shortest time between two lines, in tenths of a millisecond. */
@@ -19,7 +19,7 @@
     this.loop = loop;
   }
 
-  /** Logs the event, or counts it to be told of with the next line. */
+  /** Logs the event, or only counts it; the next line gives the number of events without a line. */
   void log(String event, String cause) {
     if (loop.now() - lastLoggedAt < MIN_LOG_INTERVAL) {
       suppressedLines++;
--- a/proxy/src/main/java/wheattrack/net/client/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientListener.java
@@ -15,22 +15,25 @@
 import wheattrack.net.protocol.ProtocolMapping;
 
 /**
- * Listens for clients: accepts connections within a budget of descriptors, and gives their requests
- * to the receiver. Runs on the event loop's thread only.
+ * Listens for clients: accepts connections up to a limit, and passes their requests to the
+ * receiver. Runs on the event loop's thread only.
  */
 public final class ClientListener {
-  /** Connections that the system may hold for us until they are accepted. */
+  /** Length of the accept queue: connections that the system holds until they are accepted. */
   private static final int BACKLOG = 1024;
 
   /** How long to wait after a failed accept, in tenths of a millisecond. */
   private static final long RETRY_PAUSE = 200;
 
-  /** How often slow clients are looked for while all places are taken; tenths of a millisecond. */
+  /**
+   * How often connections with a slow head are looked for while no more may be accepted; tenths of
+   * a millisecond.
+   */
   private static final long EVICTION_INTERVAL = ConnectionTimeouts.HEAD_TIMEOUT_WHEN_FULL / 4;
 
-  /** Takes the requests that the proxy does not respond to itself. */
+  /** Receives the requests that the listener does not respond to itself. */
   public interface RequestReceiver {
-    /** A request has come; the connection waits for its one response. */
+    /** A request has been received; the connection waits for its one response. */
     void onRequest(ClientConnection client, Request request);
 
     /** A request is rejected without being looked at, as too many clients are connected. */
@@ -54,10 +57,10 @@
   /**
    * Makes a listener that does not listen yet.
    *
-   * @param maxClients connections of clients; a few more are accepted, to have their requests
-   *     rejected
+   * @param maxClients limit on connections of clients; a few more are accepted, to have their
+   *     requests rejected
    * @param maxBodyBytes bytes of the longest request body
-   * @param readinessRemark said behind the phase to who asks whether this proxy is ready
+   * @param readinessRemark appended to the phase in the response to a readiness check
    */
   public ClientListener(
       EventLoop loop,
@@ -89,7 +92,7 @@
     channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(address, BACKLOG);
   }
 
-  /** Whether the address is bound and not given up. */
+  /** Whether the listening socket is bound and open. */
   public boolean isListening() {
     return channel != null && channel.isOpen();
   }
@@ -139,7 +142,7 @@
     }
   }
 
-  /** All places are taken: clients that are or become slow with a head make room for others. */
+  /** The connection limit is reached: clients that are slow with a head are evicted for others. */
   private void scheduleEviction() {
     if (evictionTimer == null) {
       evictionTimer = loop.schedule(EVICTION_INTERVAL, this::evictAndAccept);
@@ -154,8 +157,8 @@
   }
 
   /**
-   * Gives the address up once all clients that have connected by now are accepted: they would be
-   * reset with what they sent.
+   * Closes the listening socket once all clients that have connected by now are accepted; before
+   * that, closing it would reset their connections.
    */
   public void stopAccepting() {
     if (!isListening()) {
@@ -167,7 +170,7 @@
         () -> {
           if (acceptedConnections > acceptedBefore) {
             stopAccepting();
-          } else if (!isAccepting) { // all places are taken: again as they come free
+          } else if (!isAccepting) { // the connection limit is reached: retry as connections close
             loop.schedule(RETRY_PAUSE, this::stopAccepting);
           } else {
             closeListeningSocket();
@@ -192,12 +195,12 @@
     accept();
   }
 
-  /** Enters a connection that was accepted, and returns its slot. */
+  /** Registers an accepted connection, and returns its slot. */
   int register(ClientConnection client) {
     return connections.add(client);
   }
 
-  /** The connection in this slot has closed: its place is free. */
+  /** The connection in this slot has closed: another one may be accepted. */
   void onClosed(int slot) {
     connections.remove(slot);
     accept();
@@ -213,7 +216,7 @@
     connections.closeIdle();
   }
 
-  /** What the connections may read ahead together. */
+  /** The budget of bytes read ahead, which all connections share. */
   ReadAheadBudget readAheadBudget() {
     return readAheadBudget;
   }
@@ -224,19 +227,22 @@
   }
 
   /**
-   * Whether a connection may stay open for a further request: only while places are plenty.
-   * Incident rde3a99: connections that ask once and stay used up what clients may hold; none was
-   * left for requests.
+   * Whether a connection may stay open for a further request: only while few connections are open.
+   * Incident rde3a99: clients that sent one request and stayed connected used up the limit, and
+   * others could not connect.
    *
-   * @param isRequested whether the client wants it so
+   * @param isRequested whether the client asks for it
    */
   public boolean mayKeepAlive(boolean isRequested) {
-    return isRequested && !lifecycle.isShuttingDown() && connections.hasAmplePlaces();
+    return isRequested && !lifecycle.isShuttingDown() && connections.hasSpareCapacity();
   }
 
   // ---- the requests
 
-  /** A request has come: responds to readiness checks and on overload, and passes on the others. */
+  /**
+   * A request has been received: responds to it if it is a readiness check or if too many requests
+   * are open, else passes it to the receiver.
+   */
   void onRequest(ClientConnection client, Request request) {
     String path = request.target().split("\\?", 2)[0];
     if (path.equals(ProtocolMapping.READY_PATH)) {
@@ -257,7 +263,7 @@
     client.sendResponse(ProtocolMapping.textAnswer(status, text, keepsAlive));
   }
 
-  /** Logs that a client's request is answered by the proxy itself with an error. */
+  /** Logs that the proxy itself responds to a request with an error. */
   public void logErrorResponse(int status, String reason) {
     errorLog.log("answered " + status, reason);
   }
--- a/proxy/src/main/java/wheattrack/net/client/ConnectionTimeouts.java
+++ b/proxy/src/main/java/wheattrack/net/client/ConnectionTimeouts.java
@@ -6,17 +6,17 @@
 /**
  * The one timer of a client's connection: at any time it bounds the head of a request, its body,
  * the wait for the next request, the write of a response, or the client's closing. Starting one
- * time-out ends the one before. Times are tenths of a millisecond. Runs on the event loop's thread
+ * timeout ends the one before. Times are tenths of a millisecond. Runs on the event loop's thread
  * only.
  *
- * <p>Incident: bad clients, silent, dripping or with half a request, held a place for 10 s or for
- * good.
+ * <p>Incident: clients that were silent, sent single bytes or stopped after half a request held a
+ * connection for 10 s or forever.
  */
 final class ConnectionTimeouts {
   /** The longest time for a complete head, from connecting or from its first byte. */
   private static final long HEAD_TIMEOUT = 24_000;
 
-  /** The longest time for a complete head while all places are taken and others wait for one. */
+  /** The longest time for a complete head while the connection limit is reached and others wait. */
   static final long HEAD_TIMEOUT_WHEN_FULL = HEAD_TIMEOUT / 3;
 
   /** The longest time between two requests. */
@@ -25,7 +25,7 @@
   /** The longest time that the client may take to accept one part of a response. */
   private static final long STALL_TIMEOUT = 100_000;
 
-  /** The longest time that the client may take to close once it has its last response. */
+  /** The longest time that the client may take to close after its last response. */
   private static final long LINGER_TIMEOUT = 10_000;
 
   private final EventLoop loop;
@@ -41,7 +41,7 @@
   /**
    * Makes the timer; it does not run yet.
    *
-   * @param onRequestTimeout run when a head or a body has not come in time
+   * @param onRequestTimeout run when a head or a body has not been received in time
    * @param onConnectionTimeout run when the client was idle, stalled or did not close in time
    */
   ConnectionTimeouts(EventLoop loop, Runnable onRequestTimeout, Runnable onConnectionTimeout) {
@@ -55,7 +55,7 @@
     startDeferred(HEAD_TIMEOUT, onRequestTimeout);
   }
 
-  /** Bounds the time until further bytes of the request's body come. */
+  /** Bounds the time until further bytes of the request's body are received. */
   void awaitBody(long time) {
     startDeferred(time, onRequestTimeout);
   }
@@ -78,17 +78,17 @@
     timer = loop.schedule(LINGER_TIMEOUT, onConnectionTimeout);
   }
 
-  /** Bounds the time until the client closes anew, as it still sends what is to be discarded. */
+  /** Starts the time until the client closes again, as it still sends bytes that are discarded. */
   void extendClose() {
     startDeferred(LINGER_TIMEOUT, onConnectionTimeout);
   }
 
-  /** Whether no request is being waited for yet, so that the first byte of one starts its time. */
+  /** Whether no head is being timed, so that the first byte of one starts its timeout. */
   boolean isHeadUntimed() {
     return timer == null || isIdleTimeout;
   }
 
-  /** Ends the time-out that runs, if any. */
+  /** Cancels the timeout that runs, if any. */
   void cancel() {
     loop.cancel(timer);
     timer = null;
@@ -97,8 +97,8 @@
   }
 
   /**
-   * Starts a time-out for input. Its expiry takes effect in a later step, unless what has come by
-   * then has ended the time-out.
+   * Starts a timeout for input. Its expiry takes effect in a later step, unless input that is
+   * handled before then has ended the timeout.
    */
   private void startDeferred(long time, Runnable onExpiry) {
     cancel();
--- a/proxy/src/main/java/wheattrack/net/client/EvictionPriority.java
+++ b/proxy/src/main/java/wheattrack/net/client/EvictionPriority.java
@@ -1,8 +1,8 @@
 package wheattrack.net.client;
 
 /**
- * How soon a client's connection is closed to make room for another, where all places are taken.
- * The constants stand in the order in which connections are evicted.
+ * How soon a client's connection is closed to make room for another when the limit is reached. The
+ * constants stand in the order in which connections are evicted.
  */
 enum EvictionPriority {
   /** Its request was rejected and its response is written; it only has to close. */
@@ -11,8 +11,8 @@
   SILENT,
   /** It is between two requests. */
   IDLE,
-  /** It takes longer with the head of a request than it may while others wait. */
+  /** Its client takes longer to send the head of a request than is allowed while others wait. */
   SLOW_HEAD,
-  /** It is not evicted: a request of it is open or on its way. */
+  /** It is not evicted: a request is open on it or being received. */
   NEVER
 }
--- a/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
+++ b/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
@@ -1,16 +1,16 @@
 package wheattrack.net.client;
 
 /**
- * The bytes that clients have sent ahead of what is asked for, over all connections, and their
- * bound. Runs on the event loop's thread only.
+ * The number of bytes that were read from clients before they were requested, over all connections,
+ * and the limit on it. Runs on the event loop's thread only.
  */
 final class ReadAheadBudget {
-  /** Bytes at most, after which long bodies are no longer read ahead. */
+  /** The limit, in bytes, from which on long bodies are not read ahead. */
   private final long maxBytes = Runtime.getRuntime().maxMemory() / 8;
 
   private long usedBytes;
 
-  /** Counts so many more bytes, or fewer where the number is negative. */
+  /** Adds this number of bytes, which may be negative. */
   void add(long bytes) {
     usedBytes += bytes;
   }
--- a/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
@@ -7,10 +7,10 @@
 import wheattrack.http.RequestDecoder;
 
 /**
- * Reads what a client sends: the rest of a long body, one part for each time it is asked for, and
- * ahead of that a bounded number of bytes, so that the client is seen to disconnect while its
- * request is open. Bytes read ahead are counted in the listener's budget. Runs on the event loop's
- * thread only.
+ * Reads what a client sends: the rest of a long body, one part for each request for one, and ahead
+ * of that a bounded number of bytes, so that the client is seen to disconnect while its request is
+ * open. Bytes read ahead are counted in the listener's budget. Runs on the event loop's thread
+ * only.
  *
  * <p>Incident: clients that disconnected with bytes behind their request were not seen to do so.
  */
@@ -18,7 +18,7 @@
   /** Bytes at most that are read ahead while a request is open, in general. */
   private static final int MAX_READ_AHEAD = 32 * 1024;
 
-  /** Bytes at most that are read ahead of a long body until its first part is asked for. */
+  /** Bytes at most that are read ahead of a long body until its first part is requested. */
   private static final int MAX_BODY_READ_AHEAD = 1 << 20;
 
   /** Bytes of one read ahead, usually. */
@@ -34,22 +34,25 @@
   private final ConnectionTimeouts timeouts;
   private final MinimumTransferRate transferRate = new MinimumTransferRate();
 
-  /** Whether the body of a request is under way, for which the minimum rate holds. */
+  /** Whether the body of a request is being received, for which the minimum rate holds. */
   private boolean isInBody;
 
-  /** Whether a part of the present long body was asked for yet. */
+  /** Whether a part of the current long body has been requested yet. */
   private boolean isBodyRequested;
 
-  /** Who has asked for the next part, or null. */
+  /** Receives the next part; null: no part is requested. */
   private BodyPartConsumer consumer;
 
   /**
-   * The last part of a long body, kept until all else that has come is handled: its client may have
-   * disconnected.
+   * The last part of a long body, kept until all other pending events are handled: the client's
+   * disconnect may be among them.
    */
   private ByteBuffer lastPart;
 
-  /** What a read fills apart from the decoder's buffer, which is decoded meanwhile; or null. */
+  /**
+   * The buffer of a read ahead, apart from the decoder's buffer, which is decoded meanwhile; or
+   * null.
+   */
   private ByteBuffer readAheadBuffer;
 
   /** Bytes that are counted in the budget as read ahead. */
@@ -71,7 +74,7 @@
     this.timeouts = timeouts;
   }
 
-  /** Takes note of the bytes of one read, and gives those that were read ahead to the decoder. */
+  /** Counts the bytes of one read, and passes those that were read ahead to the decoder. */
   void onRead(int count) {
     if (isInBody) {
       transferRate.received(loop.now(), count);
@@ -101,8 +104,8 @@
   }
 
   /**
-   * Reads on, for the next bytes or the client's disconnecting. While bytes wait that nobody asks
-   * for yet, others are read ahead, apart from them.
+   * Starts the next read, for further bytes or the client's disconnect. While the decoder holds
+   * bytes that are not requested yet, further bytes are read ahead into a buffer of their own.
    */
   void readMore() {
     if (connection.isClosed() || connection.isReading()) {
@@ -147,12 +150,12 @@
     return decoder.isStreamingBody() || hasDroppedBytes;
   }
 
-  /** Whether the next part of a long body is asked for and has not come yet. */
+  /** Whether the next part of a long body is requested and has not been received yet. */
   boolean isPartAwaited() {
     return consumer != null && lastPart == null;
   }
 
-  /** A request has come, complete or with its body's first bytes. */
+  /** A request has been received, complete or with its body's first bytes. */
   void onRequest() {
     if (decoder.isStreamingBody() && !isInBody) {
       transferRate.start(loop.now());
@@ -162,7 +165,7 @@
     transferRate.pause(loop.now());
   }
 
-  /** The head of a request has come, but not as much of its body as must be there. */
+  /** The head of a request has been received, but less of its body than the decoder needs. */
   void awaitRestOfRequest() {
     if (!isInBody) {
       isInBody = true;
@@ -176,7 +179,7 @@
     isInBody = false;
   }
 
-  /** Asks for the next part of the long body. */
+  /** Requests the next part of the long body. */
   void requestPart(BodyPartConsumer next) {
     consumer = next;
     isBodyRequested = true;
@@ -190,7 +193,7 @@
     }
   }
 
-  /** No part is asked for any more; what has come stays for who asks next. */
+  /** Withdraws the request for a part; bytes that were received are kept for the next request. */
   void cancelRequest() {
     consumer = null;
     if (decoder.isStreamingBody() && !connection.isStreamingResponse()) {
@@ -221,7 +224,7 @@
   }
 
   private void deliverLastPart() {
-    if (lastPart != null && consumer != null) { // else it has disconnected, or nobody asks now
+    if (lastPart != null && consumer != null) { // else it is not requested, or nothing is left
       ByteBuffer part = lastPart;
       lastPart = null;
       deliver(part, true);
@@ -236,7 +239,7 @@
     receiver.accept(part, isLast);
   }
 
-  /** The connection is closed: nothing is delivered any more, and nothing counted as read ahead. */
+  /** The connection is closed: nothing more is delivered, and its bytes leave the budget. */
   void close() {
     readAheadBudget.add(-countedBytes);
     consumer = null;
--- a/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
@@ -30,7 +30,7 @@
     index = new BackendIndex<>((id, at) -> new BackendConnectionPool(id, at, connector));
   }
 
-  /** Sets the policy that hears of each entry; to be called before any is applied. */
+  /** Sets the policy that is notified of each entry; to be called before any is applied. */
   void setLoadBalancer(LoadBalancer loadBalancer) {
     this.loadBalancer = loadBalancer;
   }
@@ -50,7 +50,7 @@
     return index.listedCountFrom(LoadBalancer.MAX_BACKENDS);
   }
 
-  /** Starts counting anew what {@link #logChanges} logs. */
+  /** Resets what {@link #logChanges} logs. */
   void beginUpdate() {
     newlyListed.clear();
     overLimitCount = 0;
@@ -65,7 +65,7 @@
    * Applies an entry.
    *
    * @param isStale whether the entry is of an older revision than the table: it adds and changes
-   *     backends, but brings none back that drains or is gone
+   *     backends, but does not reinstate one that is draining or removed
    */
   void apply(Entry entry, boolean isStale) {
     if (entry instanceof Listed listed) {
--- a/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
@@ -38,7 +38,7 @@
   /** Revision of the list in use; negative: none. */
   private long revision = -1;
 
-  /** Whether discovery answers and what it says can't be read or is over a bound. */
+  /** Whether discovery answers, but with events that cannot be parsed or exceed a limit. */
   private boolean isUnreadable;
 
   /** The cached list, until it is used or discovery has sent one; null afterwards, or if empty. */
@@ -67,13 +67,13 @@
     pools = new BackendPoolTable(connector);
   }
 
-  /** Sets the policy that hears of the list; to be called before the watch is opened. */
+  /** Sets the policy that is notified of the list; to be called before the watch is opened. */
   public void setLoadBalancer(LoadBalancer loadBalancer) {
     this.loadBalancer = loadBalancer;
     pools.setLoadBalancer(loadBalancer);
   }
 
-  /** Sets who hears of each revision once the policy acts on it. */
+  /** Sets the listener that is called with each revision once the policy uses it. */
   public void setRevisionListener(LongConsumer revisionListener) {
     this.revisionListener = revisionListener;
   }
@@ -98,12 +98,12 @@
     return pools.unusedCount();
   }
 
-  /** Whether there is a list to serve by. */
+  /** Whether an endpoint list is in use, cached or from discovery. */
   public boolean hasList() {
     return revision >= 0;
   }
 
-  /** Whether discovery answers, and what it sends can't be read or is over a bound. */
+  /** Whether discovery answers, but with events that cannot be parsed or exceed a limit. */
   public boolean isUnreadable() {
     return isUnreadable;
   }
@@ -118,15 +118,15 @@
   }
 
   /**
-   * Opens a watch from the revision in use on, unless one is open. After a watch that has brought
-   * something the first line is due sooner, so that a second silent one is noticed in time.
+   * Opens a watch from the revision in use on, unless one is open. After a useful watch, the first
+   * line is due sooner, so that a second silent watch is detected in time.
    */
   public void watchEndpoints() {
     if (watch != null && !watch.isClosed()) {
       return;
     }
     long firstLineTimeout =
-        watch != null && watch.hasSpoken()
+        watch != null && watch.wasUseful()
             ? WatchConnection.FIRST_LINE_TIMEOUT
             : WatchConnection.SILENCE_TIMEOUT;
     try {
@@ -171,17 +171,17 @@
   }
 
   /**
-   * A silent watch is replaced at once, as it has taken its time. Discovery was down and silent for
-   * longer than one watch lasts, and what it had to say when it recovered counted as notified while
-   * the next watch was still held back for up to 1.5 s.
+   * A silent watch is replaced at once: its timeout was pause enough. Incident: discovery was
+   * silent for longer than one watch timeout, and its changes already counted as notified while the
+   * next watch was still held back for up to 1.5 s.
    */
-  private void failed(String reason, boolean isSilent, boolean hasSpoken) {
+  private void failed(String reason, boolean isSilent, boolean wasUseful) {
     EventLog.info("watch on the list", null, reason);
     isUnreadable = watch != null && watch.isUnreadable();
     if (isSilent) {
       watchEndpoints();
     } else {
-      loadBalancer.endpointListFailed(hasSpoken);
+      loadBalancer.endpointListFailed(wasUseful);
     }
   }
 
@@ -194,20 +194,22 @@
       cachedList = null;
       apply(event, false);
     } catch (IOException | InvalidConfigurationException e) {
-      // The list is asked for again.
+      // The list is requested again.
       watch.failUnreadable("skipped news that can't be read: " + WatchConnection.firstLine(e));
     }
   }
 
-  /** Whether an event changes the cached list, or is older and must bring nothing back in it. */
+  /**
+   * Whether an event changes the cached list, or is older and must not reinstate backends in it.
+   */
   private boolean needsCachedList(Settings event) {
     return !event.flag("all") || event.wholeNumber("rev", -1) < cachedList.wholeNumber("rev", -1);
   }
 
   /**
-   * Applies an event. Changes of an older revision are skipped: they could bring a drained backend
-   * back. A complete list of one is taken, as its source may have started anew, but brings none
-   * back either.
+   * Applies an event. Changes of an older revision are skipped: they could reinstate a drained
+   * backend. A complete list of an older revision is applied, as its source may have restarted, but
+   * reinstates none either.
    *
    * @param isCached whether it is the cached list
    */
--- a/proxy/src/main/java/wheattrack/net/discovery/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/WatchConnection.java
@@ -15,14 +15,14 @@
 import wheattrack.http.Request;
 
 /**
- * One watch on the endpoint list or on the settings: a request whose answer brings an event a line,
- * until the connection breaks or falls silent. Runs on the event loop's thread only. Times are
- * tenths of a millisecond.
+ * One watch on the endpoint list or on the settings: a request whose answer delivers one event a
+ * line, until the connection breaks or stays silent for too long. Runs on the event loop's thread
+ * only. Times are tenths of a millisecond.
  */
 public final class WatchConnection extends TcpConnection {
   /**
-   * Time without a complete line after which a watch counts as broken: an event or an empty line
-   * comes every 2 s at least, and half as much again is allowed.
+   * Time without a complete line after which a watch counts as broken: the source sends an event or
+   * an empty line at least every 2 s, and half as much again is allowed.
    */
   public static final long SILENCE_TIMEOUT = 30_000;
 
@@ -34,15 +34,15 @@
   static final long FIRST_LINE_TIMEOUT = SILENCE_TIMEOUT / 2;
 
   /**
-   * After a failed call, a change counts as notified so long after discovery had it and could be
-   * reached (STANDING.md).
+   * A rule of the operators: after a failed call, a change counts as notified this long after
+   * discovery had it and could be reached.
    */
   private static final long NOTIFICATION_LIMIT = 60_000;
 
   /**
    * The longest pause between two calls that keeps to that limit. A call that is open when
-   * discovery recovers and hears nothing uses up one silence timeout; connecting again and reading
-   * the complete list takes a sixth of the limit; the rest is left for the pause.
+   * discovery recovers and receives nothing uses up one silence timeout; connecting again and
+   * reading the complete list takes a sixth of the limit; the rest is left for the pause.
    */
   private static final long MAX_PAUSE =
       NOTIFICATION_LIMIT - SILENCE_TIMEOUT - NOTIFICATION_LIMIT / 6;
@@ -53,17 +53,17 @@
    */
   public static final long MAX_POLL_INTERVAL = MAX_PAUSE * 8 / 3;
 
-  /** Told once, when a watch is over. */
+  /** Notified once, when a watch ends. */
   @FunctionalInterface
   public interface FailureListener {
     /**
-     * The watch is over.
+     * The watch has ended.
      *
      * @param reason for the log
-     * @param isSilent whether it ended for want of a complete line
-     * @param hasSpoken whether it had brought a complete line that could be read
+     * @param isSilent whether it ended because no complete line was received in time
+     * @param wasUseful whether it had delivered a complete line that could be parsed
      */
-    void watchFailed(String reason, boolean isSilent, boolean hasSpoken);
+    void watchFailed(String reason, boolean isSilent, boolean wasUseful);
   }
 
   /**
@@ -91,7 +91,7 @@
   private final long firstLineTimeout;
   private TimerQueue.Timer silenceTimer;
   private boolean hasReceivedBytes;
-  private boolean hasSpoken;
+  private boolean wasUseful;
   private boolean isUnreadable;
 
   private WatchConnection(
@@ -111,8 +111,8 @@
    *
    * @param firstLineTimeout time allowed until the first complete line, from the call and again
    *     from the first byte
-   * @param lineListener hears each line that is not empty
-   * @throws IOException if no socket can be had; the failure listener is not told then
+   * @param lineListener receives each line that is not empty
+   * @throws IOException if no socket can be opened; the failure listener is not notified then
    */
   public static WatchConnection open(
       EventLoop loop,
@@ -158,12 +158,12 @@
             timeout, () -> fail(decoder.isMidLine() ? "news that does not end" : "silent", true));
   }
 
-  /** Whether it has brought a complete line, and none that could not be read. */
-  boolean hasSpoken() {
-    return hasSpoken;
+  /** Whether it has delivered a complete line, and none that could not be parsed. */
+  boolean wasUseful() {
+    return wasUseful;
   }
 
-  /** Whether it has brought something that could not be read. */
+  /** Whether it has delivered something that could not be parsed. */
   boolean isUnreadable() {
     return isUnreadable;
   }
@@ -182,7 +182,7 @@
       readLines();
     } catch (MalformedMessageException e) {
       if (!decoder.isOpen()) { // rejected by its status: that is no event
-        hasSpoken = false;
+        wasUseful = false;
         fail(e.getMessage(), false);
         return;
       }
@@ -192,7 +192,7 @@
 
   private void readLines() throws MalformedMessageException {
     for (String line = decoder.next(); line != null && !isClosed(); line = decoder.next()) {
-      hasSpoken = true;
+      wasUseful = true;
       restartSilenceTimer(SILENCE_TIMEOUT); // bytes alone don't count: half a line may drip forever
       if (!line.isEmpty()) {
         lineListener.accept(line);
@@ -212,19 +212,19 @@
   }
 
   /**
-   * Ends the watch because what it brings can't be read. It counts as one that has brought nothing,
-   * so that the source is not called again and again without a growing pause.
+   * Ends the watch because what it delivers cannot be parsed. It counts as one that has delivered
+   * nothing, so that the pause before the next call to the source grows.
    */
   void failUnreadable(String reason) {
     isUnreadable = true;
-    hasSpoken = false;
+    wasUseful = false;
     fail(reason, false);
   }
 
   private void fail(String reason, boolean isSilent) {
     if (!isClosed()) {
       close();
-      failureListener.watchFailed(reason, isSilent, hasSpoken);
+      failureListener.watchFailed(reason, isSilent, wasUseful);
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/protocol/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/protocol/ProtocolMapping.java
@@ -19,7 +19,7 @@
  * seconds.
  */
 public final class ProtocolMapping {
-  /** Path at which a proxy says whether it is ready. */
+  /** Path of the readiness check. */
   public static final String READY_PATH = "/ready";
 
   private static final String HEALTH_PATH = "/health";
@@ -115,7 +115,7 @@
   /**
    * The request as a backend receives it.
    *
-   * @param timeout how long the proxy will wait for the answer, which the backend is told
+   * @param timeout how long the proxy will wait for the answer; sent to the backend in a header
    */
   public static Request forwardedRequest(Request request, long timeout) {
     Headers headers = endToEndHeaders(request.headers()).with(REQUEST_TIMEOUT, seconds(timeout));
--- a/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
@@ -34,11 +34,11 @@
   }
 
   /**
-   * Completes the state before the policy is handed the request.
+   * Completes the state before the request is passed to the policy.
    *
    * @param slotNumber its number in the table of open requests
    * @param pendingRequest the request as the policy sees it
-   * @param bodyRelay the part of a long body that has not come yet; null: none
+   * @param bodyRelay relays the part of a long body that has not been received yet; null: none
    */
   void open(int slotNumber, PendingRequest pendingRequest, RequestBodyRelay bodyRelay) {
     slot = slotNumber;
@@ -46,7 +46,7 @@
     body = bodyRelay;
   }
 
-  /** The connection it came on. */
+  /** The client's connection on which it was received. */
   ClientConnection client() {
     return client;
   }
@@ -71,7 +71,7 @@
     return pending;
   }
 
-  /** The timer that answers should the policy fail to; null: not set yet. */
+  /** The timer that answers the request if the policy fails to; null: not set yet. */
   TimerQueue.Timer deadlineGuard() {
     return deadlineGuard;
   }
@@ -80,7 +80,10 @@
     deadlineGuard = timer;
   }
 
-  /** Where the policy is told what happens; null while it is still being handed the request. */
+  /**
+   * The policy's handle, which is notified of events; null until the policy has accepted the
+   * request.
+   */
   RequestHandle handle() {
     return handle;
   }
@@ -89,13 +92,16 @@
     handle = policyHandle;
   }
 
-  /** The part of a long body that had not come when the request was accepted; null: none. */
+  /**
+   * Relays the part of a long body that had not been received when the request was accepted; null:
+   * none.
+   */
   RequestBodyRelay body() {
     return body;
   }
 
   /**
-   * Whether nothing more is to be decided: it is answered, its long answer has begun, or its client
+   * Whether no decision is left to make: it is answered, its long answer has begun, or its client
    * has disconnected.
    */
   boolean isSettled() {
--- a/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
@@ -32,7 +32,8 @@
   /**
    * Creates an attempt that is sent now.
    *
-   * @param deadline until when the proxy waits for its answer, which the backend is told
+   * @param deadline until when the proxy waits for its answer; sent to the backend as the time that
+   *     is left
    */
   RequestAttempt(
       RequestHandler requestHandler,
--- a/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
@@ -7,9 +7,9 @@
 
 /**
  * Passes on the part of a long request body that is not buffered, read from the client only as fast
- * as a backend takes it. It may be offered to one backend after another until its first piece has
- * been forwarded; from then on no other attempt can send the complete body. Runs on the event
- * loop's thread only.
+ * as a backend takes it. One backend after another may be the target until the first piece has been
+ * forwarded; from then on no other attempt can send the complete body. Runs on the event loop's
+ * thread only.
  */
 final class RequestBodyRelay implements RequestBodySource {
   private final ClientConnection client;
@@ -21,7 +21,7 @@
   /**
    * Creates a relay that has no target yet.
    *
-   * @param onComplete run when the last byte has come from the client
+   * @param onComplete run when the last byte has been received from the client
    */
   RequestBodyRelay(ClientConnection client, Runnable onComplete) {
     this.client = client;
@@ -33,7 +33,7 @@
     return !hasStarted;
   }
 
-  /** Whether the last byte has come from the client. */
+  /** Whether the last byte has been received from the client. */
   boolean isComplete() {
     return isComplete;
   }
@@ -55,7 +55,7 @@
     }
   }
 
-  /** What has come from the client and was not asked for stays with the client's connection. */
+  /** Bytes received from the client that were not requested stay with the client's connection. */
   @Override
   public void detach(BackendConnection connection) {
     if (target == connection) {
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -88,7 +88,8 @@
   }
 
   /**
-   * Applies new settings as a whole; open requests keep the class that they came under.
+   * Applies new settings, all in one step; open requests keep the class that they were accepted
+   * with.
    *
    * @param settings the configuration file's
    * @param dynamicSettings the watched source's, which take precedence; null or empty: none
@@ -135,7 +136,7 @@
       parsed = ProtocolMapping.parse(message, settingsApplier.classes());
       reserveId(parsed.id());
     } catch (InvalidRequestException e) {
-      refuse(client, message, e);
+      rejectInvalid(client, message, e);
       return;
     }
     accept(new InFlightRequest(client, parsed));
@@ -148,7 +149,8 @@
     }
   }
 
-  private void refuse(ClientConnection client, Request message, InvalidRequestException reason) {
+  private void rejectInvalid(
+      ClientConnection client, Request message, InvalidRequestException reason) {
     listener.logErrorResponse(reason.status(), reason.getMessage());
     boolean keepAlive = listener.mayKeepAlive(message.keepAlive());
     client.sendResponse(
@@ -195,9 +197,7 @@
     request.setDeadlineGuard(loop.schedule(delay, () -> onDeadlineMissed(request)));
   }
 
-  /**
-   * Only a fault of the program leaves a request open past its deadline; it is answered even then.
-   */
+  /** Only a bug leaves a request open past its deadline; it is answered even then. */
   private void onDeadlineMissed(InFlightRequest request) {
     EventLog.log(Level.SEVERE, "a req stood open past its due", request.id(), null);
     request.abandonAttempts(AttemptOutcome.TIMEOUT);
@@ -206,7 +206,7 @@
     }
   }
 
-  /** The last byte of a long body has come: the client's timeout runs from now on. */
+  /** The last byte of a long body has been received: the client's timeout runs from now on. */
   private void onBodyComplete(InFlightRequest request) {
     if (request.isSettled()) {
       return;
@@ -237,7 +237,7 @@
 
   /**
    * A client that has disconnected may send its request again under the same identifier. It must
-   * not run beside the first one, unless it is idempotent.
+   * not run at the same time as the first one, unless it is idempotent.
    */
   private void releaseIdOfDisconnected(InFlightRequest request) {
     boolean isIdempotent = request.parsed().requestClass().idempotency() == Idempotency.IDEMPOTENT;
@@ -267,7 +267,7 @@
   /**
    * Rejects an open request.
    *
-   * @param retryAfter advice to the client how long to wait; 0 gives none
+   * @param retryAfter how long the client should wait before it retries; 0: no advice
    */
   void reject(InFlightRequest request, long retryAfter) {
     Response response = ProtocolMapping.rejection(retryAfter, mayKeepAlive(request));
--- a/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
@@ -13,7 +13,7 @@
  * the answer was passed on completely or not. Runs on the event loop's thread only.
  */
 final class ResponseRelay implements StreamedResponse, ResponseBodyReceiver {
-  /** Told once how a relay ended. */
+  /** Notified once, when a relay ends. */
   @FunctionalInterface
   interface EndListener {
     /**
--- a/proxy/src/main/java/wheattrack/net/request/SocketPolicyRuntime.java
+++ b/proxy/src/main/java/wheattrack/net/request/SocketPolicyRuntime.java
@@ -28,7 +28,7 @@
   /**
    * Creates a runtime; {@link #setLoadReports} must follow before the loop runs.
    *
-   * @param requestHandler whom requests and their final answers go through
+   * @param requestHandler performs the final answers that the policy decides on
    */
   SocketPolicyRuntime(
       EventLoop loop,
@@ -51,7 +51,7 @@
     return loop.now();
   }
 
-  /** A task never runs within the call that asks for it: other steps have their turn first. */
+  /** A task never runs within the call that schedules it: other pending steps run first. */
   @Override
   public void schedule(long delay, Runnable task) {
     loop.schedule(Math.max(1, delay), task);
--- a/proxy/src/main/java/wheattrack/net/settings/SettingsApplier.java
+++ b/proxy/src/main/java/wheattrack/net/settings/SettingsApplier.java
@@ -14,7 +14,7 @@
 import wheattrack.net.discovery.WatchConnection;
 
 /**
- * Puts settings, of the configuration file or of a watched source, into the policy, and keeps the
+ * Applies settings, of the configuration file or of a watched source, to the policy, and keeps the
  * part that the proxy itself looks up: the request classes by name and how to probe. Times are
  * tenths of a millisecond. Runs on the event loop's thread only, but for the creation of the policy
  * before the loop runs.
@@ -48,7 +48,8 @@
   }
 
   /**
-   * Applies new settings as a whole; open requests keep the class that they came under.
+   * Applies new settings, all in one step; open requests keep the class that they were accepted
+   * with.
    *
    * @param settings the configuration file's
    * @param dynamicSettings the watched source's, whose classes, tenants and limits take precedence;
--- a/proxy/src/main/java/wheattrack/net/settings/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/settings/SettingsSubscription.java
@@ -18,8 +18,8 @@
 /**
  * The subscription to a source of settings: keeps one watch open, feeds its events to the dynamic
  * settings, and asks for a complete snapshot where an event does not follow the revision in force.
- * An event that can't be used becomes one log line that names the key and the revision; the
- * settings in force stay. Runs on the event loop's thread only.
+ * An event that is invalid becomes one log line that names the key and the revision; the settings
+ * in force stay. Runs on the event loop's thread only.
  */
 public final class SettingsSubscription {
   /** The resource at the source. */
@@ -52,7 +52,8 @@
    * @param scope the scope asked for; empty: none
    * @param seed of the random part of the pauses
    * @param dynamicSettings where the events are applied
-   * @param changeListener hears, in the same step, each time that other settings are in force
+   * @param changeListener called, in the same step, each time that other settings have come into
+   *     force
    */
   public SettingsSubscription(
       EventLoop loop,
@@ -92,8 +93,8 @@
   }
 
   /**
-   * Watches another source or scope from now on. A complete snapshot of it is asked for; until that
-   * comes, the settings in force stay.
+   * Watches another source or scope from now on. A complete snapshot of it is asked for; until it
+   * arrives, the settings in force stay.
    */
   public void changeSource(InetSocketAddress newSource, String newScope) {
     if (!newSource.equals(source) || !newScope.equals(scope)) {
@@ -104,14 +105,14 @@
     }
   }
 
-  private void failed(String reason, boolean isSilent, boolean hasSpoken) {
+  private void failed(String reason, boolean isSilent, boolean wasUseful) {
     EventLog.info("watch on settings", null, source + ": " + reason);
-    if (hasSpoken) {
+    if (wasUseful) {
       backoff.restart();
     } else {
       backoff.increase();
     }
-    reopenAfter(isSilent ? 0 : backoff.nextDelay()); // a silent watch has taken its time already
+    reopenAfter(isSilent ? 0 : backoff.nextDelay()); // a silent watch has lasted long enough
   }
 
   private void reopenAfter(long delay) {
