--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.backend;
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -12,27 +12,28 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * One connection to a backend; it carries one attempt at a time. Runs on the event loop's thread
  * only.
  */
-final class BackendConnection extends TcpConnection {
+public final class BackendConnection extends TcpConnection {
   /**
    * How long a long response may pause at the backend, and a long body on the way there; tenths of
    * a millisecond.
    */
-  static final long STALL_TIMEOUT = 100_000;
+  public static final long STALL_TIMEOUT = 100_000;
 
-  /** The lowest status of a final response; what is below is interim. */
+  /** The lowest status of a final response; lower ones are interim. */
   private static final int MIN_FINAL_STATUS = 200;
 
   private enum State {
     /** The connection is being made. */
     CONNECTING,
-    /** It carries an attempt, or relays the rest of a long response. */
+    /** It carries an attempt, or delivers the rest of a long response. */
     IN_USE,
-    /** It carries nothing and stands in its pool. */
+    /** It carries nothing and is idle in its pool. */
     IDLE,
     /** It is closed. */
     CLOSED
@@ -52,32 +53,36 @@
   /** The attempt whose request is not completely written, or null. */
   private BackendAttempt attemptBeingWritten;
 
-  /** What is still to be written of a long request body, or null. */
-  private RequestBodyRelay bodyRelay;
+  /** Provides what is still to be written of a long request body, or null. */
+  private RequestBodySource bodySource;
 
   private boolean isBodyChunked;
 
-  /** The long response that is being relayed, or null. */
-  private ResponseRelay responseRelay;
+  /** Receives the rest of the long response that is being read, or null. */
+  private ResponseBodyReceiver responseReceiver;
 
-  /** Whether the connection may serve on after the response that is being relayed. */
+  /** Whether the connection may carry another attempt after the response that is being read. */
   private boolean isReusable;
 
-  /** Whether a response of unknown length is kept back, as it may be a short one. */
+  /** Whether a response of unknown length is being buffered, as it may be a short one. */
   private boolean isHoldingResponse;
 
   /** Whether the connection broke while the request was being written. */
   private boolean isBroken;
 
-  /** When it became idle, and from when on it may be used again; tenths of a millisecond. */
+  /** When it became idle; tenths of a millisecond. */
   private long idleSince;
 
+  /** From when on it may be used again; tenths of a millisecond. */
   private long usableFrom;
 
-  /** For connecting, for being idle, for a response kept back, or for a response that stalls. */
+  /** Bounds connecting, idle time, the buffering of a response, or a stall of a response. */
   private TimerQueue.Timer timer;
 
-  /** Takes a place in the connector's budget; {@link #startConnecting} must follow. */
+  /**
+   * Registers itself with the connector, which bounds the number; {@link #startConnecting} must
+   * follow.
+   */
   BackendConnection(
       BackendConnectionPool pool, AsynchronousSocketChannel channel, Connector connector) {
     super(pool.loop, channel);
@@ -106,7 +111,7 @@
 
   // ---- connecting
 
-  /** Connects; the pool is told of success or failure, at the latest after this time. */
+  /** Connects; the pool is notified of success or failure, at the latest after this time. */
   void startConnecting(long timeout) {
     timer = loop.schedule(timeout, this::onConnectFailed);
     connect(remoteAddress, this::onConnected, this::onConnectFailed);
@@ -162,7 +167,7 @@
     restartIdleTimeout();
   }
 
-  /** Bounds its idle time by the time-out that holds now. */
+  /** Restarts its idle timeout with the value that is in force now. */
   void restartIdleTimeout() {
     loop.cancel(timer);
     if (connector.idleTimeout() > 0) {
@@ -180,16 +185,16 @@
     attemptBeingWritten = attempt;
     attempt.startOn(this);
     Request request = attempt.buildRequest();
-    bodyRelay = attempt.body();
+    bodySource = attempt.body();
     isBodyChunked = request.remainingBody() == Decoder.CHUNKED;
     decoder.expectNoBody(request.method().equals("HEAD"));
     write(Encoder.request(request));
   }
 
-  /** Sends a further part of a long body. */
-  void sendBodyPart(ByteBuffer bytes, boolean isLast) {
+  /** Sends a further part of a long request body. */
+  public void sendBodyPart(ByteBuffer bytes, boolean isLast) {
     if (isLast) {
-      bodyRelay = null;
+      bodySource = null;
     } else {
       currentAttempt.setTimeout(STALL_TIMEOUT);
     }
@@ -198,18 +203,18 @@
 
   @Override
   protected void onWritten(boolean isComplete) {
-    boolean isRequestWritten = isComplete && bodyRelay == null;
+    boolean isRequestWritten = isComplete && bodySource == null;
     if (isRequestWritten && attemptBeingWritten != null) {
       attemptBeingWritten.onRequestWritten();
       attemptBeingWritten = null;
     }
-    if (currentAttempt == null || responseRelay != null) {
+    if (currentAttempt == null || responseReceiver != null) {
       return;
     }
     if (isBroken || !isComplete) {
       fail(isRequestWritten ? AttemptOutcome.RESET : AttemptOutcome.NO_CONNECT);
-    } else if (bodyRelay != null) {
-      bodyRelay.requestNext(this);
+    } else if (bodySource != null) {
+      bodySource.requestNext(this);
     }
   }
 
@@ -219,11 +224,11 @@
   protected void onRead(int n) {
     boolean isEndOfBody = n == END_OF_STREAM && decoder.endOfStream();
     boolean isBreak = n < 0 && !isEndOfBody;
-    if (responseRelay != null) {
+    if (responseReceiver != null) {
       if (isBreak) {
         close();
       } else {
-        relayNextPart();
+        deliverNextPart();
       }
     } else if (isBreak || currentAttempt == null) {
       onBreak();
@@ -253,8 +258,8 @@
   }
 
   /**
-   * A response of unknown length comes slowly: it may be a long one, which is timed by its first
-   * bytes.
+   * A response of unknown length has not ended within its buffering time: it may be a long one,
+   * which counts as answered with its first bytes.
    */
   private void onHoldExpired() {
     try {
@@ -269,12 +274,12 @@
   private void onResponse(Response response) {
     isHoldingResponse = false;
     loop.cancel(timer);
-    isReusable = response.keepAlive() && !isWriting() && bodyRelay == null;
+    isReusable = response.keepAlive() && !isWriting() && bodySource == null;
     BackendAttempt attempt = currentAttempt;
     currentAttempt = null;
     if (decoder.isStreamingBody() && response.status() == 200) {
-      responseRelay = attempt.beginStreaming(response);
-      if (responseRelay == null) {
+      responseReceiver = attempt.beginStreaming(response);
+      if (responseReceiver == null) {
         close();
       } else {
         stopBody();
@@ -285,10 +290,10 @@
     attempt.end(ProtocolMapping.attemptOutcome(response), response);
   }
 
-  /** Relays the next part of a long response, as the client has taken the one before. */
-  void relayNextPart() {
+  /** Delivers the next part of a long response, as the client has taken the one before. */
+  public void deliverNextPart() {
     if (isReading() || isClosed()) {
-      return; // what is being read comes first
+      return; // the pending read completes first
     }
     try {
       ByteBuffer part = decoder.nextBodyPart();
@@ -299,18 +304,20 @@
         read(decoder.writableBuffer());
         return;
       }
-      ResponseRelay relay = responseRelay;
+      ResponseBodyReceiver receiver = responseReceiver;
       if (isLast) {
-        responseRelay = null;
+        responseReceiver = null;
         releaseOrClose();
       }
-      relay.forward(part, isLast);
+      receiver.forward(part, isLast);
     } catch (MalformedMessageException e) {
       close();
     }
   }
 
-  /** Its response has come: it goes back to its pool, unless it may not serve on. */
+  /**
+   * Its response is complete: it returns to its pool if it may be used again, else it is closed.
+   */
   private void releaseOrClose() {
     if (isReusable && !decoder.isMidMessage()) {
       read(decoder.writableBuffer());
@@ -323,16 +330,16 @@
   // ---- its end
 
   /**
-   * The connection broke, or what came is no response. Incident of cut-off backends: a break while
-   * the request is being written says nothing yet of whether it was taken completely; the end of
-   * the write does.
+   * The connection broke, or the backend sent no valid response. Incident with disconnected
+   * backends: a break during the write of the request does not tell whether the request was sent
+   * completely; the completion of the write does.
    */
   private void onBreak() {
     if (currentAttempt != null && isWriting()) {
       isBroken = true;
       close();
     } else {
-      fail(bodyRelay != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
+      fail(bodySource != null ? AttemptOutcome.NO_CONNECT : AttemptOutcome.RESET);
     }
   }
 
@@ -346,9 +353,9 @@
   }
 
   private void stopBody() {
-    if (bodyRelay != null) {
-      bodyRelay.detach(this);
-      bodyRelay = null;
+    if (bodySource != null) {
+      bodySource.detach(this);
+      bodySource = null;
     }
   }
 
@@ -361,11 +368,11 @@
     loop.cancel(timer);
     connector.onClosed(slot);
     pool.onClosed(this);
-    if (bodyRelay != null) { // it stays: the outcome depends on whether all of it was written
-      bodyRelay.detach(this);
+    if (bodySource != null) { // it stays: the outcome depends on whether all of it was written
+      bodySource.detach(this);
     }
-    if (responseRelay != null) {
-      responseRelay.onBackendClosed();
+    if (responseReceiver != null) {
+      responseReceiver.onBackendClosed();
     }
     boolean hasNeverConnected = state == State.CONNECTING;
     state = State.CLOSED;
--- a/proxy/src/main/java/wheattrack/net/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,10 +7,12 @@
 import wheattrack.api.LoadBalancer;
 import wheattrack.core.BackendIndex;
 import wheattrack.log.EventLog;
-import wheattrack.net.EndpointListParser.Deleted;
-import wheattrack.net.EndpointListParser.Entry;
-import wheattrack.net.EndpointListParser.Listed;
-import wheattrack.net.EndpointListParser.State;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.backend.Connector;
+import wheattrack.net.discovery.EndpointListParser.Deleted;
+import wheattrack.net.discovery.EndpointListParser.Entry;
+import wheattrack.net.discovery.EndpointListParser.Listed;
+import wheattrack.net.discovery.EndpointListParser.State;
 
 /**
  * The connection pools of the listed backends, by id and by the policy's index. Entries of the
@@ -28,7 +30,7 @@
     index = new BackendIndex<>((id, at) -> new BackendConnectionPool(id, at, connector));
   }
 
-  /** Sets the policy that hears of each entry; to be called before any is applied. */
+  /** Sets the policy that is notified of each entry; to be called before any is applied. */
   void setLoadBalancer(LoadBalancer loadBalancer) {
     this.loadBalancer = loadBalancer;
   }
@@ -48,7 +50,7 @@
     return index.listedCountFrom(LoadBalancer.MAX_BACKENDS);
   }
 
-  /** Starts counting anew what {@link #logChanges} logs. */
+  /** Resets what {@link #logChanges} logs. */
   void beginUpdate() {
     newlyListed.clear();
     overLimitCount = 0;
@@ -63,7 +65,7 @@
    * Applies an entry.
    *
    * @param isStale whether the entry is of an older revision than the table: it adds and changes
-   *     backends, but brings none back that drains or is gone
+   *     backends, but does not reinstate one that is draining or removed
    */
   void apply(Entry entry, boolean isStale) {
     if (entry instanceof Listed listed) {
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,13 +14,15 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.config.Settings;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.backend.Connector;
 
 /**
  * The endpoint list: keeps a watch on discovery and applies its events. The policy decides how long
  * to wait after a failed watch, and calls {@link #watchEndpoints} then. Runs on the event loop's
  * thread only.
  */
-final class EndpointDiscovery {
+public final class EndpointDiscovery {
   private static final String PATH = "/v1/endpoints";
 
   private final EventLoop loop;
@@ -36,7 +38,7 @@
   /** Revision of the list in use; negative: none. */
   private long revision = -1;
 
-  /** Whether discovery answers and what it says can't be read or is over a bound. */
+  /** Whether discovery answers, but with events that cannot be parsed or exceed a limit. */
   private boolean isUnreadable;
 
   /** The cached list, until it is used or discovery has sent one; null afterwards, or if empty. */
@@ -49,7 +51,7 @@
    * @param config names discovery's address, the zones and kinds, and the cached list
    * @param scope goes with each request for the list; empty: none
    */
-  EndpointDiscovery(
+  public EndpointDiscovery(
       EventLoop loop,
       AsynchronousChannelGroup group,
       Connector connector,
@@ -65,49 +67,49 @@
     pools = new BackendPoolTable(connector);
   }
 
-  /** Sets the policy that hears of the list; to be called before the watch is opened. */
-  void setLoadBalancer(LoadBalancer loadBalancer) {
+  /** Sets the policy that is notified of the list; to be called before the watch is opened. */
+  public void setLoadBalancer(LoadBalancer loadBalancer) {
     this.loadBalancer = loadBalancer;
     pools.setLoadBalancer(loadBalancer);
   }
 
-  /** Sets who hears of each revision once the policy acts on it. */
-  void setRevisionListener(LongConsumer revisionListener) {
+  /** Sets the listener that is called with each revision once the policy uses it. */
+  public void setRevisionListener(LongConsumer revisionListener) {
     this.revisionListener = revisionListener;
   }
 
   /** The names of zones, in the order of their indexes. */
-  List<?> zones() {
+  public List<?> zones() {
     return parser.zones();
   }
 
   /** The pool of the backend at this index. */
-  BackendConnectionPool pool(int backendIndex) {
+  public BackendConnectionPool pool(int backendIndex) {
     return pools.pool(backendIndex);
   }
 
   /** Number of listed backends. */
-  int listedCount() {
+  public int listedCount() {
     return pools.listedCount();
   }
 
   /** Number of listed backends beyond those that the policy knows at once; they get no requests. */
-  int unusedCount() {
+  public int unusedCount() {
     return pools.unusedCount();
   }
 
-  /** Whether there is a list to serve by. */
-  boolean hasList() {
+  /** Whether an endpoint list is in use, cached or from discovery. */
+  public boolean hasList() {
     return revision >= 0;
   }
 
-  /** Whether discovery answers, and what it sends can't be read or is over a bound. */
-  boolean isUnreadable() {
+  /** Whether discovery answers, but with events that cannot be parsed or exceed a limit. */
+  public boolean isUnreadable() {
     return isUnreadable;
   }
 
   /** Uses the cached list, if there is one and discovery has sent none. */
-  void useCachedList() {
+  public void useCachedList() {
     if (cachedList != null) {
       Settings cached = cachedList;
       cachedList = null;
@@ -116,15 +118,15 @@
   }
 
   /**
-   * Opens a watch from the revision in use on, unless one is open. After a watch that has brought
-   * something the first line is due sooner, so that a second silent one is noticed in time.
+   * Opens a watch from the revision in use on, unless one is open. After a useful watch, the first
+   * line is due sooner, so that a second silent watch is detected in time.
    */
-  void watchEndpoints() {
+  public void watchEndpoints() {
     if (watch != null && !watch.isClosed()) {
       return;
     }
     long firstLineTimeout =
-        watch != null && watch.hasSpoken()
+        watch != null && watch.wasUseful()
             ? WatchConnection.FIRST_LINE_TIMEOUT
             : WatchConnection.SILENCE_TIMEOUT;
     try {
@@ -142,7 +144,7 @@
   }
 
   /** Sends this scope with requests from now on, and asks for the complete list of it. */
-  void changeScope(String newScope) {
+  public void changeScope(String newScope) {
     if (!newScope.equals(scope)) {
       scope = newScope;
       watchFromSnapshot();
@@ -153,7 +155,7 @@
    * Watches at this address from now on, beginning with the complete list, as the revisions there
    * may be a series of their own.
    */
-  void changeAddress(InetSocketAddress newAddress) {
+  public void changeAddress(InetSocketAddress newAddress) {
     if (!newAddress.equals(address)) {
       address = newAddress;
       watchFromSnapshot();
@@ -169,17 +171,17 @@
   }
 
   /**
-   * A silent watch is replaced at once, as it has taken its time. Discovery was down and silent for
-   * longer than one watch lasts, and what it had to say when it recovered counted as notified while
-   * the next watch was still held back for up to 1.5 s.
+   * A silent watch is replaced at once: its timeout was pause enough. Incident: discovery was
+   * silent for longer than one watch timeout, and its changes already counted as notified while the
+   * next watch was still held back for up to 1.5 s.
    */
-  private void failed(String reason, boolean isSilent, boolean hasSpoken) {
+  private void failed(String reason, boolean isSilent, boolean wasUseful) {
     EventLog.info("watch on the list", null, reason);
     isUnreadable = watch != null && watch.isUnreadable();
     if (isSilent) {
       watchEndpoints();
     } else {
-      loadBalancer.endpointListFailed(hasSpoken);
+      loadBalancer.endpointListFailed(wasUseful);
     }
   }
 
@@ -192,20 +194,22 @@
       cachedList = null;
       apply(event, false);
     } catch (IOException | InvalidConfigurationException e) {
-      // The list is asked for again.
+      // The list is requested again.
       watch.failUnreadable("skipped news that can't be read: " + WatchConnection.firstLine(e));
     }
   }
 
-  /** Whether an event changes the cached list, or is older and must bring nothing back in it. */
+  /**
+   * Whether an event changes the cached list, or is older and must not reinstate backends in it.
+   */
   private boolean needsCachedList(Settings event) {
     return !event.flag("all") || event.wholeNumber("rev", -1) < cachedList.wholeNumber("rev", -1);
   }
 
   /**
-   * Applies an event. Changes of an older revision are skipped: they could bring a drained backend
-   * back. A complete list of one is taken, as its source may have started anew, but brings none
-   * back either.
+   * Applies an event. Changes of an older revision are skipped: they could reinstate a drained
+   * backend. A complete list of an older revision is applied, as its source may have restarted, but
+   * reinstates none either.
    *
    * @param isCached whether it is the cached list
    */
--- a/proxy/src/main/java/wheattrack/net/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/WatchConnection.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,16 +15,16 @@
 import wheattrack.http.Request;
 
 /**
- * One watch on the endpoint list or on the settings: a request whose answer brings an event a line,
- * until the connection breaks or falls silent. Runs on the event loop's thread only. Times are
- * tenths of a millisecond.
+ * One watch on the endpoint list or on the settings: a request whose answer delivers one event a
+ * line, until the connection breaks or stays silent for too long. Runs on the event loop's thread
+ * only. Times are tenths of a millisecond.
  */
-final class WatchConnection extends TcpConnection {
+public final class WatchConnection extends TcpConnection {
   /**
-   * Time without a complete line after which a watch counts as broken: an event or an empty line
-   * comes every 2 s at least, and half as much again is allowed.
+   * Time without a complete line after which a watch counts as broken: the source sends an event or
+   * an empty line at least every 2 s, and half as much again is allowed.
    */
-  static final long SILENCE_TIMEOUT = 30_000;
+  public static final long SILENCE_TIMEOUT = 30_000;
 
   /**
    * The same for the first line after a silent watch. Discovery answers at once, and an event that
@@ -34,15 +34,15 @@
   static final long FIRST_LINE_TIMEOUT = SILENCE_TIMEOUT / 2;
 
   /**
-   * After a failed call, a change counts as notified so long after discovery had it and could be
-   * reached (STANDING.md).
+   * A rule of the operators: after a failed call, a change counts as notified this long after
+   * discovery had it and could be reached.
    */
   private static final long NOTIFICATION_LIMIT = 60_000;
 
   /**
    * The longest pause between two calls that keeps to that limit. A call that is open when
-   * discovery recovers and hears nothing uses up one silence timeout; connecting again and reading
-   * the complete list takes a sixth of the limit; the rest is left for the pause.
+   * discovery recovers and receives nothing uses up one silence timeout; connecting again and
+   * reading the complete list takes a sixth of the limit; the rest is left for the pause.
    */
   private static final long MAX_PAUSE =
       NOTIFICATION_LIMIT - SILENCE_TIMEOUT - NOTIFICATION_LIMIT / 6;
@@ -51,19 +51,19 @@
    * The greatest poll interval that the policy may use. It pauses for three eighths of the interval
    * at most; with a longer setting it held calls back for 22 s.
    */
-  static final long MAX_POLL_INTERVAL = MAX_PAUSE * 8 / 3;
+  public static final long MAX_POLL_INTERVAL = MAX_PAUSE * 8 / 3;
 
-  /** Told once, when a watch is over. */
+  /** Notified once, when a watch ends. */
   @FunctionalInterface
-  interface FailureListener {
+  public interface FailureListener {
     /**
-     * The watch is over.
+     * The watch has ended.
      *
      * @param reason for the log
-     * @param isSilent whether it ended for want of a complete line
-     * @param hasSpoken whether it had brought a complete line that could be read
+     * @param isSilent whether it ended because no complete line was received in time
+     * @param wasUseful whether it had delivered a complete line that could be parsed
      */
-    void watchFailed(String reason, boolean isSilent, boolean hasSpoken);
+    void watchFailed(String reason, boolean isSilent, boolean wasUseful);
   }
 
   /**
@@ -74,7 +74,7 @@
    * @param afterRevision the revision whose successors are asked for; negative: a complete snapshot
    * @param scope the scope asked for; empty: none
    */
-  record Target(InetSocketAddress address, String path, long afterRevision, String scope) {
+  public record Target(InetSocketAddress address, String path, long afterRevision, String scope) {
     /** The request target, as it stands on the wire. */
     @Override
     public String toString() {
@@ -91,7 +91,7 @@
   private final long firstLineTimeout;
   private TimerQueue.Timer silenceTimer;
   private boolean hasReceivedBytes;
-  private boolean hasSpoken;
+  private boolean wasUseful;
   private boolean isUnreadable;
 
   private WatchConnection(
@@ -111,10 +111,10 @@
    *
    * @param firstLineTimeout time allowed until the first complete line, from the call and again
    *     from the first byte
-   * @param lineListener hears each line that is not empty
-   * @throws IOException if no socket can be had; the failure listener is not told then
+   * @param lineListener receives each line that is not empty
+   * @throws IOException if no socket can be opened; the failure listener is not notified then
    */
-  static WatchConnection open(
+  public static WatchConnection open(
       EventLoop loop,
       AsynchronousChannelGroup group,
       Target target,
@@ -136,7 +136,7 @@
   }
 
   /** The first line of an error's message, for the log. */
-  static String firstLine(Exception error) {
+  public static String firstLine(Exception error) {
     return String.valueOf(error.getMessage()).split("\n")[0];
   }
 
@@ -158,12 +158,12 @@
             timeout, () -> fail(decoder.isMidLine() ? "news that does not end" : "silent", true));
   }
 
-  /** Whether it has brought a complete line, and none that could not be read. */
-  boolean hasSpoken() {
-    return hasSpoken;
+  /** Whether it has delivered a complete line, and none that could not be parsed. */
+  boolean wasUseful() {
+    return wasUseful;
   }
 
-  /** Whether it has brought something that could not be read. */
+  /** Whether it has delivered something that could not be parsed. */
   boolean isUnreadable() {
     return isUnreadable;
   }
@@ -182,7 +182,7 @@
       readLines();
     } catch (MalformedMessageException e) {
       if (!decoder.isOpen()) { // rejected by its status: that is no event
-        hasSpoken = false;
+        wasUseful = false;
         fail(e.getMessage(), false);
         return;
       }
@@ -192,7 +192,7 @@
 
   private void readLines() throws MalformedMessageException {
     for (String line = decoder.next(); line != null && !isClosed(); line = decoder.next()) {
-      hasSpoken = true;
+      wasUseful = true;
       restartSilenceTimer(SILENCE_TIMEOUT); // bytes alone don't count: half a line may drip forever
       if (!line.isEmpty()) {
         lineListener.accept(line);
@@ -212,19 +212,19 @@
   }
 
   /**
-   * Ends the watch because what it brings can't be read. It counts as one that has brought nothing,
-   * so that the source is not called again and again without a growing pause.
+   * Ends the watch because what it delivers cannot be parsed. It counts as one that has delivered
+   * nothing, so that the pause before the next call to the source grows.
    */
   void failUnreadable(String reason) {
     isUnreadable = true;
-    hasSpoken = false;
+    wasUseful = false;
     fail(reason, false);
   }
 
   private void fail(String reason, boolean isSilent) {
     if (!isClosed()) {
       close();
-      failureListener.watchFailed(reason, isSilent, hasSpoken);
+      failureListener.watchFailed(reason, isSilent, wasUseful);
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
@@ -6,6 +6,11 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendAttempt;
+import wheattrack.net.backend.BackendConnectionPool;
+import wheattrack.net.backend.RequestBodySource;
+import wheattrack.net.backend.ResponseBodyReceiver;
+import wheattrack.net.protocol.ProtocolMapping;
 
 /**
  * One attempt of a request. Its answer goes to the client at once if the request is still open; its
@@ -27,7 +32,8 @@
   /**
    * Creates an attempt that is sent now.
    *
-   * @param deadline until when the proxy waits for its answer, which the backend is told
+   * @param deadline until when the proxy waits for its answer; sent to the backend as the time that
+   *     is left
    */
   RequestAttempt(
       RequestHandler requestHandler,
@@ -57,7 +63,7 @@
   }
 
   @Override
-  protected RequestBodyRelay body() {
+  protected RequestBodySource body() {
     return request.body();
   }
 
@@ -71,7 +77,7 @@
    * deadline; the rest is only passed on.
    */
   @Override
-  protected ResponseRelay onStreamingAnswer(Response head) {
+  protected ResponseBodyReceiver onStreamingAnswer(Response head) {
     loadReports.onAnswer(backend(), head);
     if (request.isSettled()) {
       deferStreamedOutcome();
--- a/proxy/src/main/java/wheattrack/net/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
@@ -1,14 +1,17 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.nio.ByteBuffer;
+import wheattrack.net.backend.BackendConnection;
+import wheattrack.net.backend.RequestBodySource;
+import wheattrack.net.client.ClientConnection;
 
 /**
  * Passes on the part of a long request body that is not buffered, read from the client only as fast
- * as a backend takes it. It may be offered to one backend after another until its first piece has
- * been forwarded; from then on no other attempt can send the complete body. Runs on the event
- * loop's thread only.
+ * as a backend takes it. One backend after another may be the target until the first piece has been
+ * forwarded; from then on no other attempt can send the complete body. Runs on the event loop's
+ * thread only.
  */
-final class RequestBodyRelay {
+final class RequestBodyRelay implements RequestBodySource {
   private final ClientConnection client;
   private final Runnable onComplete;
   private BackendConnection target;
@@ -18,7 +21,7 @@
   /**
    * Creates a relay that has no target yet.
    *
-   * @param onComplete run when the last byte has come from the client
+   * @param onComplete run when the last byte has been received from the client
    */
   RequestBodyRelay(ClientConnection client, Runnable onComplete) {
     this.client = client;
@@ -30,13 +33,13 @@
     return !hasStarted;
   }
 
-  /** Whether the last byte has come from the client. */
+  /** Whether the last byte has been received from the client. */
   boolean isComplete() {
     return isComplete;
   }
 
-  /** This connection has written all it had and waits for the next piece. */
-  void requestNext(BackendConnection connection) {
+  @Override
+  public void requestNext(BackendConnection connection) {
     target = connection;
     client.requestBodyPart(this::forward);
   }
@@ -52,8 +55,9 @@
     }
   }
 
-  /** This connection takes no more; what has come and was not asked for stays with the client. */
-  void detach(BackendConnection connection) {
+  /** Bytes received from the client that were not requested stay with the client's connection. */
+  @Override
+  public void detach(BackendConnection connection) {
     if (target == connection) {
       target = null;
       client.cancelBodyRequest();
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.request;
 
 import java.util.HashSet;
 import java.util.Set;
@@ -16,6 +16,14 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
+import wheattrack.net.backend.BackendAttempt;
+import wheattrack.net.client.ClientConnection;
+import wheattrack.net.client.ClientListener;
+import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.protocol.InvalidRequestException;
+import wheattrack.net.protocol.ParsedRequest;
+import wheattrack.net.protocol.ProtocolMapping;
+import wheattrack.net.settings.SettingsApplier;
 
 /**
  * The life of requests from the client's side: accepts them and hands them to the policy, guards
@@ -23,7 +31,7 @@
  * Times are tenths of a millisecond. Runs on the event loop's thread only, but for its creation
  * before the loop runs and for {@link #openRequests}.
  */
-final class RequestHandler implements ClientListener.RequestReceiver {
+public final class RequestHandler implements ClientListener.RequestReceiver {
   /**
    * Part of a client's timeout, as a divisor, that is kept back so that the answer arrives before
    * the client stops waiting.
@@ -58,7 +66,7 @@
    * @param seed of the policy's random numbers
    * @param loadHeader header of backends' answers that holds a load report; empty: none does
    */
-  RequestHandler(
+  public RequestHandler(
       EventLoop loop,
       EndpointDiscovery endpoints,
       RequestCounters counters,
@@ -75,37 +83,38 @@
   }
 
   /** Sets the listener whose clients' requests come here. */
-  void setListener(ClientListener clientListener) {
+  public void setListener(ClientListener clientListener) {
     listener = clientListener;
   }
 
   /**
-   * Applies new settings as a whole; open requests keep the class that they came under.
+   * Applies new settings, all in one step; open requests keep the class that they were accepted
+   * with.
    *
    * @param settings the configuration file's
    * @param dynamicSettings the watched source's, which take precedence; null or empty: none
    */
-  void applySettings(Settings settings, DynamicSettings dynamicSettings) {
+  public void applySettings(Settings settings, DynamicSettings dynamicSettings) {
     settingsApplier.apply(settings, dynamicSettings);
   }
 
   /** Sets when this process ends: no request may wait for longer. */
-  void setShutdownTime(long time) {
+  public void setShutdownTime(long time) {
     shutdownTime = time;
   }
 
   /** Sets whether another process of this proxy is present. */
-  void setOtherProcessPresent(boolean isPresent) {
+  public void setOtherProcessPresent(boolean isPresent) {
     loadBalancer.setOtherProcessPresent(isPresent);
   }
 
   /** The number of open requests; to another thread a value that may be a moment old. */
-  int openRequests() {
+  public int openRequests() {
     return openRequests.size();
   }
 
   /** The number of listed backends that the policy has ejected. */
-  int ejectedBackends() {
+  public int ejectedBackends() {
     return loadBalancer.ejectedCount();
   }
 
@@ -127,7 +136,7 @@
       parsed = ProtocolMapping.parse(message, settingsApplier.classes());
       reserveId(parsed.id());
     } catch (InvalidRequestException e) {
-      refuse(client, message, e);
+      rejectInvalid(client, message, e);
       return;
     }
     accept(new InFlightRequest(client, parsed));
@@ -140,7 +149,8 @@
     }
   }
 
-  private void refuse(ClientConnection client, Request message, InvalidRequestException reason) {
+  private void rejectInvalid(
+      ClientConnection client, Request message, InvalidRequestException reason) {
     listener.logErrorResponse(reason.status(), reason.getMessage());
     boolean keepAlive = listener.mayKeepAlive(message.keepAlive());
     client.sendResponse(
@@ -187,9 +197,7 @@
     request.setDeadlineGuard(loop.schedule(delay, () -> onDeadlineMissed(request)));
   }
 
-  /**
-   * Only a fault of the program leaves a request open past its deadline; it is answered even then.
-   */
+  /** Only a bug leaves a request open past its deadline; it is answered even then. */
   private void onDeadlineMissed(InFlightRequest request) {
     EventLog.log(Level.SEVERE, "a req stood open past its due", request.id(), null);
     request.abandonAttempts(AttemptOutcome.TIMEOUT);
@@ -198,7 +206,7 @@
     }
   }
 
-  /** The last byte of a long body has come: the client's timeout runs from now on. */
+  /** The last byte of a long body has been received: the client's timeout runs from now on. */
   private void onBodyComplete(InFlightRequest request) {
     if (request.isSettled()) {
       return;
@@ -229,7 +237,7 @@
 
   /**
    * A client that has disconnected may send its request again under the same identifier. It must
-   * not run beside the first one, unless it is idempotent.
+   * not run at the same time as the first one, unless it is idempotent.
    */
   private void releaseIdOfDisconnected(InFlightRequest request) {
     boolean isIdempotent = request.parsed().requestClass().idempotency() == Idempotency.IDEMPOTENT;
@@ -259,7 +267,7 @@
   /**
    * Rejects an open request.
    *
-   * @param retryAfter advice to the client how long to wait; 0 gives none
+   * @param retryAfter how long the client should wait before it retries; 0: no advice
    */
   void reject(InFlightRequest request, long retryAfter) {
     Response response = ProtocolMapping.rejection(retryAfter, mayKeepAlive(request));
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/settings/SettingsSubscription.java
@@ -1,4 +1,4 @@
-package wheattrack.net;
+package wheattrack.net.settings;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,14 +13,15 @@
 import wheattrack.core.RequestCounters;
 import wheattrack.core.TimerQueue;
 import wheattrack.log.EventLog;
+import wheattrack.net.discovery.WatchConnection;
 
 /**
  * The subscription to a source of settings: keeps one watch open, feeds its events to the dynamic
  * settings, and asks for a complete snapshot where an event does not follow the revision in force.
- * An event that can't be used becomes one log line that names the key and the revision; the
- * settings in force stay. Runs on the event loop's thread only.
+ * An event that is invalid becomes one log line that names the key and the revision; the settings
+ * in force stay. Runs on the event loop's thread only.
  */
-final class SettingsSubscription {
+public final class SettingsSubscription {
   /** The resource at the source. */
   static final String PATH = "/v1/settings";
 
@@ -51,9 +52,10 @@
    * @param scope the scope asked for; empty: none
    * @param seed of the random part of the pauses
    * @param dynamicSettings where the events are applied
-   * @param changeListener hears, in the same step, each time that other settings are in force
+   * @param changeListener called, in the same step, each time that other settings have come into
+   *     force
    */
-  SettingsSubscription(
+  public SettingsSubscription(
       EventLoop loop,
       AsynchronousChannelGroup group,
       InetSocketAddress source,
@@ -73,7 +75,7 @@
   }
 
   /** Opens the watch, at first or after a pause. */
-  void watch() {
+  public void watch() {
     reopenTimer = null;
     try {
       long afterRevision = needsSnapshot ? -1 : dynamicSettings.revision();
@@ -91,10 +93,10 @@
   }
 
   /**
-   * Watches another source or scope from now on. A complete snapshot of it is asked for; until that
-   * comes, the settings in force stay.
+   * Watches another source or scope from now on. A complete snapshot of it is asked for; until it
+   * arrives, the settings in force stay.
    */
-  void changeSource(InetSocketAddress newSource, String newScope) {
+  public void changeSource(InetSocketAddress newSource, String newScope) {
     if (!newSource.equals(source) || !newScope.equals(scope)) {
       source = newSource;
       scope = newScope;
@@ -103,14 +105,14 @@
     }
   }
 
-  private void failed(String reason, boolean isSilent, boolean hasSpoken) {
+  private void failed(String reason, boolean isSilent, boolean wasUseful) {
     EventLog.info("watch on settings", null, source + ": " + reason);
-    if (hasSpoken) {
+    if (wasUseful) {
       backoff.restart();
     } else {
       backoff.increase();
     }
-    reopenAfter(isSilent ? 0 : backoff.nextDelay()); // a silent watch has taken its time already
+    reopenAfter(isSilent ? 0 : backoff.nextDelay()); // a silent watch has lasted long enough
   }
 
   private void reopenAfter(long delay) {
@@ -161,7 +163,7 @@
   }
 
   /** Ends the subscription. */
-  void close() {
+  public void close() {
     loop.cancel(reopenTimer);
     if (watch != null) {
       watch.close();
