Test that the pages name packages, classes, members and pages that exist

Cause: names on the pages were compared with the sources by hand, so each rename could leave the pages behind. Change: wheattrack.docs in the lab's tests. Results, incidents, change log and roadmap are left out, as they may name what is gone.

--- /dev/null
+++ b/lab/src/test/java/wheattrack/docs/PageReferencesTest.java
@@ -0,0 +1,143 @@
+package wheattrack.docs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What the pages about the program as it is now refer to exists: classes, members, test methods and
+ * other pages. Pages about the past (results, incidents, change log, roadmap) may name what is
+ * gone.
+ */
+class PageReferencesTest {
+  private static final String CONCURRENT_EVENTS = "docs/crossings.md";
+
+  private static final List<String> PAGES =
+      List.of(
+          "README.md",
+          "DEVELOPERS.md",
+          "docs/architecture.md",
+          "docs/design.md",
+          "docs/on-call.md",
+          "docs/operations.md",
+          CONCURRENT_EVENTS,
+          "docs/CAPACITY.md");
+
+  /** At least two humps; an acronym counts as one: {@code EventLoop}, {@code HttpCodecTest}. */
+  private static final String CAMEL_CASE = "[A-Z][a-z0-9]+(?:[A-Z][a-z0-9]*)+";
+
+  /** Where a package or a member stands with it, one hump is enough: {@code core.Lifecycle}. */
+  private static final String CAPITALIZED = "[A-Z][a-z0-9]+(?:[A-Z][a-z0-9]*)*";
+
+  private static final String PACKAGE = "(?:[a-z][a-z0-9]*\\.)+";
+  private static final String ARGUMENTS = "(?:\\([^()]*\\))?";
+
+  private static final Pattern TYPE =
+      Pattern.compile(
+          "(?<type>" + CAMEL_CASE + "|" + PACKAGE + CAPITALIZED + "(?:\\." + CAPITALIZED + ")*)");
+
+  private static final Pattern MEMBER =
+      Pattern.compile(
+          "(?<type>(?:"
+              + PACKAGE
+              + ")?"
+              + CAPITALIZED
+              + "(?:\\."
+              + CAPITALIZED
+              + ")*)"
+              + "[.#](?<member>[a-z][A-Za-z0-9]*|[A-Z][A-Z0-9_]+)"
+              + ARGUMENTS);
+
+  private static final Pattern NESTED_TYPE =
+      Pattern.compile("(?<type>" + CAPITALIZED + "(?:[.#]" + CAPITALIZED + ")+)");
+
+  private static final Pattern JAVA_FILE = Pattern.compile("(?<type>" + CAPITALIZED + ")\\.java");
+
+  private static final Pattern PAGE_PATH = Pattern.compile("docs/[A-Za-z0-9_/.-]+\\.md");
+
+  private final Repository repository = Repository.find();
+  private final SourceIndex sources = SourceIndex.of(repository.allSources());
+
+  @Test
+  void namedClassesAndMembersExist() {
+    List<String> unknown = new ArrayList<>();
+    for (Page page : currentPages()) {
+      for (String span : page.codeSpans()) {
+        if (!refersToCode(span)) {
+          unknown.add(page.name() + ": " + span);
+        }
+      }
+    }
+    assertEquals(List.of(), unknown, "names on the pages that the sources do not declare");
+  }
+
+  /**
+   * The last column of the tables of concurrent events names test methods, with or without class.
+   */
+  @Test
+  void testMethodsOfConcurrentEventsExist() {
+    List<String> named = new ArrayList<>();
+    for (Page.TableRow row : Page.read(repository, CONCURRENT_EVENTS).tableRows()) {
+      if (row.header().get(row.header().size() - 1).equals("test")) {
+        Page.codeSpans(row.lastCell()).stream()
+            .filter(span -> span.matches("[a-z][A-Za-z0-9]+"))
+            .forEach(named::add);
+      }
+    }
+    assertFalse(named.isEmpty(), "the tables name no test");
+    List<String> unknown =
+        named.stream().filter(method -> !sources.hasMemberAnywhere(method)).toList();
+    assertEquals(List.of(), unknown, "test methods on the page that no source declares");
+  }
+
+  @Test
+  void namedPagesExist() {
+    List<String> missing = new ArrayList<>();
+    for (Page page : currentPages()) {
+      missing.addAll(missingPages(page.name(), page.text()));
+    }
+    repository
+        .allSources()
+        .forEach(
+            source -> missing.addAll(missingPages(source.toString(), Repository.read(source))));
+    assertEquals(List.of(), missing, "pages that are referred to and do not exist");
+  }
+
+  private List<Page> currentPages() {
+    return Stream.concat(PAGES.stream(), repository.pagesIn("docs/operate").stream())
+        .map(name -> Page.read(repository, name))
+        .toList();
+  }
+
+  private List<String> missingPages(String name, String text) {
+    return PAGE_PATH
+        .matcher(text)
+        .results()
+        .map(path -> path.group())
+        .filter(path -> !Files.isRegularFile(repository.resolve(path)))
+        .map(path -> name + ": " + path)
+        .toList();
+  }
+
+  /** Whether a code span is no name of a class or member, or is one that the sources declare. */
+  private boolean refersToCode(String span) {
+    for (Pattern form : List.of(TYPE, JAVA_FILE, NESTED_TYPE)) {
+      Matcher type = form.matcher(span);
+      if (type.matches()) {
+        return sources.hasType(type.group("type").replace('#', '.'));
+      }
+    }
+    Matcher member = MEMBER.matcher(span);
+    if (member.matches()) {
+      return sources.hasMember(member.group("type"), member.group("member"));
+    }
+    return true;
+  }
+}
