--- a/lab/src/test/java/wheattrack/docs/PageReferencesTest.java
+++ b/lab/src/test/java/wheattrack/docs/PageReferencesTest.java
@@ -17,7 +17,7 @@
  * gone.
  */
 class PageReferencesTest {
-  private static final String CONCURRENT_EVENTS = "docs/crossings.md";
+  private static final String CONCURRENT_EVENTS = "docs/concurrent-events.md";
 
   private static final List<String> PAGES =
       List.of(
