--- /dev/null
+++ b/lab/src/test/java/wheattrack/docs/KnownRedTestsTest.java
@@ -0,0 +1,62 @@
+package wheattrack.docs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** KNOWN-RED.txt lists the tests that CI passes over: those tagged known-red, and no others. */
+class KnownRedTestsTest {
+  private static final String LIST = "KNOWN-RED.txt";
+  private static final int MAX_TESTS = 3;
+
+  /** A line of the list: test, cause and issue. */
+  private static final Pattern LINE = Pattern.compile("(?<test>\\w+\\.\\w+): .+; issue \\d+");
+
+  private static final Pattern TAGGED_METHOD =
+      Pattern.compile("(?s)@Tag\\(\"known-red\"\\).*?void (?<method>\\w+)\\(");
+
+  private final Repository repository = Repository.find();
+
+  @Test
+  void listNamesExactlyTheTaggedTests() {
+    assertEquals(taggedTests(), listedTests());
+  }
+
+  @Test
+  void listIsShort() {
+    assertTrue(listedTests().size() <= MAX_TESTS, LIST + " may list " + MAX_TESTS + " tests");
+  }
+
+  private Set<String> listedTests() {
+    Set<String> tests = new TreeSet<>();
+    if (Files.exists(repository.resolve(LIST))) {
+      repository.read(LIST).lines().forEach(line -> tests.add(testOf(line)));
+    }
+    return tests;
+  }
+
+  private static String testOf(String line) {
+    Matcher matcher = LINE.matcher(line);
+    assertTrue(matcher.matches(), "not of the form 'Class.method: cause; issue N': " + line);
+    return matcher.group("test");
+  }
+
+  private Set<String> taggedTests() {
+    Set<String> tests = new TreeSet<>();
+    for (Path source : repository.allSources()) {
+      String className = source.getFileName().toString().replace(".java", "");
+      Matcher matcher = TAGGED_METHOD.matcher(Repository.read(source));
+      while (matcher.find()) {
+        tests.add(className + "." + matcher.group("method"));
+      }
+    }
+    return tests;
+  }
+}
