--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -41,7 +41,7 @@
 
   /**
    * Time limit of the warm-up, in nanoseconds. With 400 ms, clients of ten proxies killed in a mass
-   * restart waited so much longer or were rejected.
+   * restart waited that much longer or were rejected.
    */
   private static final long WARM_UP_TIMEOUT_NANOS = 20_000_000;
 
@@ -49,9 +49,9 @@
   private static final long HANDOVER_WARM_UP_TIMEOUT_NANOS = 400_000_000;
 
   /**
-   * How long discovery's list is waited for before the cached one is used: a watch silent so long
-   * is dead. In a mass restart the cached list named drained backends. Clients wait as long as
-   * connecting to a backend may take, then are rejected.
+   * How long to wait for discovery's list before the cached one is used: a watch that is silent for
+   * this long is dead. Incident: in a mass restart the cached list named drained backends. Clients
+   * wait as long as connecting to a backend may take, then are rejected.
    */
   private static final long LIST_TIMEOUT = WatchConnection.SILENCE_TIMEOUT;
 
--- a/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
@@ -81,7 +81,7 @@
     return connection != null;
   }
 
-  /** Whether the backend may have run it, or may do so yet. */
+  /** Whether the backend may have run it, or may still run it. */
   public final boolean mayHaveRun() {
     return isStarted() && (outcome == null || !outcome.neverRan());
   }
--- a/proxy/src/main/java/wheattrack/net/discovery/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointListParser.java
@@ -20,7 +20,8 @@
   /**
    * One event of the list.
    *
-   * @param entries what it says of single backends, not yet parsed: a faulty one spoils no other
+   * @param entries its entries, one for each backend, not yet parsed: an invalid one does not
+   *     affect the others
    * @param revision the revision that it leads to
    * @param isSnapshot whether it is the complete list; else it names what has changed
    */
--- a/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
@@ -160,7 +160,7 @@
     }
   }
 
-  /** Whether a backend may have run it, or may do so yet. */
+  /** Whether a backend may have run it, or may still run it. */
   boolean mayHaveRun() {
     for (BackendAttempt attempt : attempts) {
       if (attempt.mayHaveRun()) {
--- a/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
@@ -7,7 +7,7 @@
 
 /**
  * Passes on the part of a long request body that is not buffered, read from the client only as fast
- * as a backend takes it. One backend after another may be the target until the first piece has been
+ * as a backend takes it. One backend after another may be the target until the first part has been
  * forwarded; from then on no other attempt can send the complete body. Runs on the event loop's
  * thread only.
  */
--- a/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
@@ -9,8 +9,8 @@
 import wheattrack.net.client.StreamedResponse;
 
 /**
- * Passes a long answer on from a backend to a client, one piece at a time. It ends once, whether
- * the answer was passed on completely or not. Runs on the event loop's thread only.
+ * Passes a long answer on from a backend to a client, one part at a time. It ends once, whether the
+ * answer was passed on completely or not. Runs on the event loop's thread only.
  */
 final class ResponseRelay implements StreamedResponse, ResponseBodyReceiver {
   /** Notified once, when a relay ends. */
@@ -28,7 +28,7 @@
   private final ClientConnection client;
   private final boolean isChunked;
   private final EndListener listener;
-  private boolean lastPieceForwarded;
+  private boolean lastPartForwarded;
   private boolean hasEnded;
 
   /**
@@ -44,22 +44,22 @@
     this.listener = listener;
   }
 
-  /** Asks the backend for the next piece, unless the last one has been sent. */
+  /** Asks the backend for the next part, unless the last one has been sent. */
   @Override
   public boolean onClientDrained() {
-    if (lastPieceForwarded) {
+    if (lastPartForwarded) {
       end(true);
     } else {
       source.deliverNextPart();
     }
-    return lastPieceForwarded;
+    return lastPartForwarded;
   }
 
-  /** Forwards a piece to the client; the next is asked for once this one has been sent. */
+  /** Forwards a part to the client; the next is asked for once this one has been sent. */
   @Override
   public void forward(ByteBuffer bytes, boolean isLast) {
     if (!hasEnded) {
-      lastPieceForwarded = isLast;
+      lastPartForwarded = isLast;
       client.sendResponsePart(isChunked ? Encoder.chunk(bytes, isLast) : bytes);
     }
   }
@@ -67,18 +67,18 @@
   /** Closes the client's connection, so that the client sees that its answer is incomplete. */
   @Override
   public void onBackendClosed() {
-    if (!hasEnded && !lastPieceForwarded) {
+    if (!hasEnded && !lastPartForwarded) {
       end(false);
       client.close();
     }
   }
 
-  /** Closes the backend's connection, unless the last piece has been read from it. */
+  /** Closes the backend's connection, unless the last part has been read from it. */
   @Override
   public void onClientClosed() {
     if (!hasEnded) {
       end(false);
-      if (!lastPieceForwarded) { // else the connection may carry another attempt by now
+      if (!lastPartForwarded) { // else the connection may carry another attempt by now
         source.close();
       }
     }
