--- a/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
@@ -199,9 +199,7 @@
     }
   }
 
-  /**
-   * Whether an event changes the cached list, or is older and must not reinstate backends in it.
-   */
+  /** Whether an event changes the cached list, or is older and must bring nothing back in it. */
   private boolean needsCachedList(Settings event) {
     return !event.flag("all") || event.wholeNumber("rev", -1) < cachedList.wholeNumber("rev", -1);
   }
