--- a/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
@@ -64,7 +64,7 @@
     }
   }
 
-  /** Closes the client's connection, so that the client sees that its answer is incomplete. */
+  /** The backend's connection is closed: the client must see that its answer is incomplete. */
   @Override
   public void onBackendClosed() {
     if (!hasEnded && !lastPartForwarded) {
@@ -73,7 +73,7 @@
     }
   }
 
-  /** Closes the backend's connection, unless the last part has been read from it. */
+  /** The client has disconnected, or has not read for too long. */
   @Override
   public void onClientClosed() {
     if (!hasEnded) {
