Body framing is a type instead of coded longs

Cause: Decoder.CHUNKED, UNTIL_CLOSE and Response.NO_BODY were negative lengths, so each reader had to know which longs were codes. MalformedMessageException.status was a public field.

Change: BodyFraming (none, fixed length, chunked, until close) is the type of remainingBody in Request and Response and the result of readHead. MalformedMessageException.status() is a method. HttpCodecTest maps the framing to the numbers that its expected trace names; the trace itself is unchanged.

--- a/proxy/src/main/java/wheattrack/admin/AdminConnection.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminConnection.java
@@ -61,7 +61,7 @@
         respond(server.respond(request));
       }
     } catch (MalformedMessageException e) {
-      respond(AdminServer.text(e.status, e.getMessage()));
+      respond(AdminServer.text(e.status(), e.getMessage()));
     }
     read(decoder.writableBuffer());
   }
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -18,12 +18,6 @@
   /** Bytes of the longest body that is accepted, unless another limit is given. */
   public static final long DEFAULT_MAX_BODY = 32L << 20;
 
-  /** Stands for the number of bytes of a body, or of its rest, where it comes in chunks. */
-  public static final long CHUNKED = -1;
-
-  /** Stands for the number of bytes of a body, or of its rest, that ends with its connection. */
-  public static final long UNTIL_CLOSE = -2;
-
   /** The most bytes of one read of a long body, and of one part of it. */
   private static final int MAX_PART = 16 * 1024;
 
@@ -39,9 +33,8 @@
   private boolean isInBody;
   private boolean isStreamingBody;
 
-  // The framing of the current body: chunked, until the connection's end, or else of known length.
-  private ChunkedDecoder chunkedDecoder;
-  private boolean isUntilClose;
+  private BodyFraming framing = BodyFraming.EMPTY; // of the current body
+  private ChunkedDecoder chunkedDecoder; // of a chunked body only
   private boolean hasStreamEnded; // matters to a body until the connection's end only
   private long remaining; // bytes, of a body of known length only
 
@@ -55,7 +48,8 @@
 
   /** The buffer for the next bytes received, to be filled by one read. */
   public ByteBuffer writableBuffer() {
-    boolean isLargeRestExpected = isInBody && (!hasKnownLength() || remaining > MAX_SMALL_REST);
+    boolean isLargeRestExpected =
+        isInBody && (!framing.hasKnownLength() || remaining > MAX_SMALL_REST);
     return isLargeRestExpected ? received.writableBuffer(MAX_PART) : received.writableBuffer();
   }
 
@@ -111,7 +105,7 @@
 
   /** How many bytes of an incomplete body must have been decoded before its message is returned. */
   private int bytesBeforeStreaming() {
-    boolean isKnownToBeLong = hasKnownLength() && bodySize + remaining > MAX_BUFFERED_BODY;
+    boolean isKnownToBeLong = framing.hasKnownLength() && bodySize + remaining > MAX_BUFFERED_BODY;
     return isKnownToBeLong ? minBytesOfLongBody() : MAX_BUFFERED_BODY;
   }
 
@@ -119,27 +113,26 @@
     byte[] body = bufferedBody.toByteArray();
     bufferedBody = null;
     isStreamingBody = !isComplete;
-    long remainingBody = isComplete ? 0 : remainingBody();
+    BodyFraming remainingBody = remainingBody(isComplete);
     if (isComplete) {
       endBody();
     }
     return message(body, remainingBody);
   }
 
-  private long remainingBody() {
-    if (chunkedDecoder != null) {
-      return CHUNKED;
+  private BodyFraming remainingBody(boolean isComplete) {
+    if (framing.isNone()) {
+      return BodyFraming.NONE;
     }
-    return isUntilClose ? UNTIL_CLOSE : remaining;
-  }
-
-  private boolean hasKnownLength() {
-    return chunkedDecoder == null && !isUntilClose;
+    if (isComplete) {
+      return BodyFraming.EMPTY;
+    }
+    return framing.hasKnownLength() ? BodyFraming.fixedLength(remaining) : framing;
   }
 
   /** Whether a message has begun whose length shows only at its end, and was not returned yet. */
   public boolean isOpenEnded() {
-    return isInBody && !isStreamingBody && !hasKnownLength();
+    return isInBody && !isStreamingBody && !framing.hasKnownLength();
   }
 
   /**
@@ -156,11 +149,10 @@
       return false;
     }
     Headers headers = ReceiveBuffer.parseHeaders(lines);
-    long length = readHead(lines[0], headers);
-    chunkedDecoder = length == CHUNKED ? new ChunkedDecoder() : null;
-    isUntilClose = length == UNTIL_CLOSE;
-    remaining = Math.max(0, length);
-    if (length > maxBody) {
+    framing = readHead(lines[0], headers);
+    chunkedDecoder = framing.isChunked() ? new ChunkedDecoder() : null;
+    remaining = framing.length();
+    if (remaining > maxBody) {
       throw bodyTooLong();
     }
     bodySize = 0;
@@ -195,7 +187,7 @@
 
   private void copyBody(ByteBuffer bytes, ByteAccumulator data, int maxSize) {
     long count = Math.min(bytes.remaining(), maxSize - data.size());
-    if (!isUntilClose) {
+    if (framing.hasKnownLength()) {
       count = Math.min(count, remaining);
     }
     data.append(bytes, (int) count);
@@ -206,7 +198,7 @@
     if (chunkedDecoder != null) {
       return chunkedDecoder.isEnded();
     }
-    return isUntilClose ? hasStreamEnded && received.size() == 0 : remaining == 0;
+    return framing.isUntilClose() ? hasStreamEnded && received.size() == 0 : remaining == 0;
   }
 
   private void endBody() {
@@ -237,7 +229,7 @@
    * current body.
    */
   public boolean endOfStream() {
-    hasStreamEnded = isInBody && isUntilClose;
+    hasStreamEnded = isInBody && framing.isUntilClose();
     return hasStreamEnded;
   }
 
@@ -250,19 +242,19 @@
   /**
    * Parses the first line and keeps what {@link #message} needs.
    *
-   * @return the number of bytes of the body, {@link #CHUNKED} or {@link #UNTIL_CLOSE}
+   * @return the framing of the body
    * @throws MalformedMessageException if the line or the headers are not valid
    */
-  protected abstract long readHead(String firstLine, Headers headers)
+  protected abstract BodyFraming readHead(String firstLine, Headers headers)
       throws MalformedMessageException;
 
   /**
    * Creates the message of the last head read.
    *
    * @param body the body, or its start
-   * @param remainingBody the number of bytes that follow, {@link #CHUNKED} or {@link #UNTIL_CLOSE}
+   * @param remainingBody the framing of the part of the body that follows
    */
-  protected abstract M message(byte[] body, long remainingBody);
+  protected abstract M message(byte[] body, BodyFraming remainingBody);
 
   /** Whether the connection of a message may carry a further one. */
   static boolean keepsAlive(String version, Headers headers) {
--- a/proxy/src/main/java/wheattrack/http/Encoder.java
+++ b/proxy/src/main/java/wheattrack/http/Encoder.java
@@ -33,7 +33,7 @@
         .append(' ')
         .append(reason(response.status()))
         .append("\r\n");
-    boolean hasLength = response.remainingBody() != Response.NO_BODY;
+    boolean hasLength = !response.remainingBody().isNone();
     return message(
         head,
         response.headers(),
@@ -66,16 +66,15 @@
       Headers headers,
       boolean keepAlive,
       byte[] body,
-      long remainingBody,
+      BodyFraming remainingBody,
       boolean hasLength) {
-    boolean isChunked = remainingBody == Decoder.CHUNKED;
     for (int i = 0; i < headers.size(); i++) {
       head.append(headers.name(i)).append(": ").append(headers.value(i)).append("\r\n");
     }
-    if (isChunked) {
+    if (remainingBody.isChunked()) {
       head.append("Transfer-Encoding: chunked\r\n");
-    } else if (hasLength && remainingBody != Decoder.UNTIL_CLOSE) {
-      long length = body.length + Math.max(0, remainingBody);
+    } else if (hasLength && !remainingBody.isUntilClose()) {
+      long length = body.length + remainingBody.length();
       head.append("Content-Length: ").append(length).append("\r\n");
     }
     if (!keepAlive) {
@@ -83,7 +82,7 @@
     }
     byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
     ByteBuffer bodyBytes = ByteBuffer.wrap(body);
-    ByteBuffer content = isChunked ? chunk(bodyBytes, false) : bodyBytes;
+    ByteBuffer content = remainingBody.isChunked() ? chunk(bodyBytes, false) : bodyBytes;
     return ByteBuffer.allocate(headBytes.length + content.remaining())
         .put(headBytes)
         .put(content)
--- a/proxy/src/main/java/wheattrack/http/MalformedMessageException.java
+++ b/proxy/src/main/java/wheattrack/http/MalformedMessageException.java
@@ -4,11 +4,15 @@
 public final class MalformedMessageException extends Exception {
   private static final long serialVersionUID = 1;
 
-  /** The status code with which a server answers such bytes. */
-  public final int status;
+  private final int status;
 
   MalformedMessageException(int status, String message) {
     super(message);
     this.status = status;
   }
+
+  /** The HTTP status code with which a server answers such bytes. */
+  public int status() {
+    return status;
+  }
 }
--- a/proxy/src/main/java/wheattrack/http/Request.java
+++ b/proxy/src/main/java/wheattrack/http/Request.java
@@ -8,8 +8,8 @@
  * @param headers all headers, those of the framing among them where the request was received
  * @param keepAlive whether the connection may carry further requests after this one
  * @param body the body, or the part of it that is sent with the head
- * @param remainingBody the number of bytes of the body that follow, 0 for none, or {@link
- *     Decoder#CHUNKED}
+ * @param remainingBody the framing of the part of the body that follows; {@link BodyFraming#EMPTY}
+ *     if none follows
  * @param chunks whether the client understands chunked responses
  */
 public record Request(
@@ -18,10 +18,10 @@
     Headers headers,
     boolean keepAlive,
     byte[] body,
-    long remainingBody,
+    BodyFraming remainingBody,
     boolean chunks) {
   /** A request with its complete body, whose client understands chunked responses. */
   public Request(String method, String target, Headers headers, boolean keepAlive, byte[] body) {
-    this(method, target, headers, keepAlive, body, 0, true);
+    this(method, target, headers, keepAlive, body, BodyFraming.EMPTY, true);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -31,7 +31,7 @@
   }
 
   @Override
-  protected long readHead(String requestLine, Headers requestHeaders)
+  protected BodyFraming readHead(String requestLine, Headers requestHeaders)
       throws MalformedMessageException {
     String[] parts = requestLine.split(" ", -1);
     if (parts.length != 3 || !ReceiveBuffer.isToken(parts[0]) || !isTarget(parts[1])) {
@@ -48,7 +48,10 @@
     keepAlive = keepsAlive(version, requestHeaders);
     acceptsChunks = version.equals("HTTP/1.1");
     expectsContinue = requestHeaders.containsToken("Expect", "100-continue");
-    return requestHeaders.isChunked() ? CHUNKED : Math.max(0, requestHeaders.contentLength());
+    if (requestHeaders.isChunked()) {
+      return BodyFraming.CHUNKED;
+    }
+    return BodyFraming.fixedLength(Math.max(0, requestHeaders.contentLength()));
   }
 
   private static boolean isTarget(String text) {
@@ -66,8 +69,8 @@
   }
 
   @Override
-  protected Request message(byte[] body, long remainingBody) {
-    expectsContinue &= remainingBody != 0;
+  protected Request message(byte[] body, BodyFraming remainingBody) {
+    expectsContinue &= !remainingBody.isEmpty();
     return new Request(method, target, headers, keepAlive, body, remainingBody, acceptsChunks);
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Response.java
+++ b/proxy/src/main/java/wheattrack/http/Response.java
@@ -9,20 +9,14 @@
  * @param headers all headers, those of the framing among them where the response was received
  * @param keepAlive whether the connection may carry further requests after this response
  * @param body the body, or the part of it that is sent with the head
- * @param remainingBody the number of bytes of the body that follow, 0 for none, {@link
- *     Decoder#CHUNKED}, {@link Decoder#UNTIL_CLOSE} or {@link #NO_BODY}
+ * @param remainingBody the framing of the part of the body that follows; {@link BodyFraming#EMPTY}
+ *     if none follows, {@link BodyFraming#NONE} in a response to HEAD
  */
 public record Response(
-    int status, Headers headers, boolean keepAlive, byte[] body, long remainingBody) {
-  /**
-   * Stands for the number of bytes that follow in a response to HEAD, which has no body though its
-   * headers may give a length.
-   */
-  public static final long NO_BODY = -3;
-
+    int status, Headers headers, boolean keepAlive, byte[] body, BodyFraming remainingBody) {
   /** A response with its complete body. */
   public Response(int status, Headers headers, boolean keepAlive, byte[] body) {
-    this(status, headers, keepAlive, body, 0);
+    this(status, headers, keepAlive, body, BodyFraming.EMPTY);
   }
 
   /** A response of plain text, to which a line feed is added unless it ends in one. */
@@ -37,11 +31,11 @@
    * response's own headers.
    */
   public Response withoutBody() {
-    if (remainingBody == NO_BODY) {
+    if (remainingBody.isNone()) {
       return this;
     }
     Headers withLength = headers.with("Content-Length", Integer.toString(body.length));
-    return new Response(status, withLength, keepAlive, new byte[0], NO_BODY);
+    return new Response(status, withLength, keepAlive, new byte[0], BodyFraming.NONE);
   }
 
   /** This response as the last one on its connection. */
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -42,24 +42,27 @@
   }
 
   @Override
-  protected long readHead(String statusLine, Headers responseHeaders)
+  protected BodyFraming readHead(String statusLine, Headers responseHeaders)
       throws MalformedMessageException {
     status = parseStatus(statusLine);
     headers = responseHeaders;
     keepAlive = keepsAlive(statusLine.substring(0, VERSION_END), responseHeaders);
     long length = responseHeaders.contentLength();
     boolean isChunked = responseHeaders.isChunked();
-    if (status < 200 || status == 204 || status == 304 || expectNoBody) {
-      return 0;
+    if (expectNoBody) {
+      return BodyFraming.NONE;
+    }
+    if (status < 200 || status == 204 || status == 304) {
+      return BodyFraming.EMPTY;
     }
     if (isChunked) {
-      return CHUNKED;
+      return BodyFraming.CHUNKED;
     }
     if (length == Headers.NO_LENGTH) {
       keepAlive = false;
-      return UNTIL_CLOSE;
+      return BodyFraming.UNTIL_CLOSE;
     }
-    return length;
+    return BodyFraming.fixedLength(length);
   }
 
   /** The status code on a status line. */
@@ -71,8 +74,7 @@
   }
 
   @Override
-  protected Response message(byte[] body, long remainingBody) {
-    long shownRemainingBody = expectNoBody ? Response.NO_BODY : remainingBody;
-    return new Response(status, headers, keepAlive, body, shownRemainingBody);
+  protected Response message(byte[] body, BodyFraming remainingBody) {
+    return new Response(status, headers, keepAlive, body, remainingBody);
   }
 }
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -6,7 +6,6 @@
 import wheattrack.aio.TcpConnection;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.TimerQueue;
-import wheattrack.http.Decoder;
 import wheattrack.http.Encoder;
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
@@ -181,7 +180,7 @@
     attempt.startOn(this);
     Request request = attempt.buildRequest();
     bodyRelay = attempt.body();
-    isBodyChunked = request.remainingBody() == Decoder.CHUNKED;
+    isBodyChunked = request.remainingBody().isChunked();
     decoder.expectNoBody(request.method().equals("HEAD"));
     write(Encoder.request(request));
   }
--- a/proxy/src/main/java/wheattrack/net/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/ClientConnection.java
@@ -187,7 +187,7 @@
     try {
       request = decoder.next();
     } catch (MalformedMessageException e) {
-      rejectMalformed(e.status, e.getMessage());
+      rejectMalformed(e.status(), e.getMessage());
       return;
     }
     if (request != null) {
--- a/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
@@ -8,7 +8,7 @@
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.RequestClass;
 import wheattrack.config.Settings;
-import wheattrack.http.Decoder;
+import wheattrack.http.BodyFraming;
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
@@ -184,17 +184,17 @@
    */
   static Response forwardedAnswer(Response answer, boolean keepAlive, boolean clientTakesChunks) {
     Headers headers = endToEndHeaders(answer.headers());
-    if (answer.remainingBody() == Response.NO_BODY) {
+    if (answer.remainingBody().isNone()) {
       String contentLength = answer.headers().first(CONTENT_LENGTH);
       if (contentLength != null) {
         headers.with(CONTENT_LENGTH, contentLength);
       }
     }
-    long remainingBody = answer.remainingBody();
-    if (remainingBody == Decoder.CHUNKED || remainingBody == Decoder.UNTIL_CLOSE) {
-      remainingBody = clientTakesChunks ? Decoder.CHUNKED : Decoder.UNTIL_CLOSE;
+    BodyFraming remainingBody = answer.remainingBody();
+    if (!remainingBody.hasKnownLength()) {
+      remainingBody = clientTakesChunks ? BodyFraming.CHUNKED : BodyFraming.UNTIL_CLOSE;
     }
-    boolean staysOpen = keepAlive && remainingBody != Decoder.UNTIL_CLOSE;
+    boolean staysOpen = keepAlive && !remainingBody.isUntilClose();
     return new Response(200, headers, staysOpen, answer.body(), remainingBody);
   }
 
--- a/proxy/src/main/java/wheattrack/net/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/RequestBodyReader.java
@@ -227,7 +227,7 @@
       }
     } catch (MalformedMessageException e) {
       consumer = null;
-      connection.rejectMalformed(e.status, e.getMessage());
+      connection.rejectMalformed(e.status(), e.getMessage());
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -160,7 +160,7 @@
             parsed.costHint(),
             parsed.clientRetry(),
             request);
-    boolean hasLongBody = parsed.message().remainingBody() != 0;
+    boolean hasLongBody = !parsed.message().remainingBody().isEmpty();
     RequestBodyRelay body =
         hasLongBody ? new RequestBodyRelay(client, () -> onBodyComplete(request)) : null;
     request.open(slot, pending, body);
--- a/proxy/src/main/java/wheattrack/net/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/ResponseRelay.java
@@ -1,7 +1,7 @@
 package wheattrack.net;
 
 import java.nio.ByteBuffer;
-import wheattrack.http.Decoder;
+import wheattrack.http.BodyFraming;
 import wheattrack.http.Encoder;
 
 /**
@@ -30,13 +30,16 @@
   /**
    * Creates a relay between two connections.
    *
-   * @param remainingBody how the rest is framed for the client, as in the answer's head
+   * @param remainingBody the framing of the rest for the client, as in the answer's head
    */
   ResponseRelay(
-      BackendConnection source, ClientConnection client, long remainingBody, EndListener listener) {
+      BackendConnection source,
+      ClientConnection client,
+      BodyFraming remainingBody,
+      EndListener listener) {
     this.source = source;
     this.client = client;
-    isChunked = remainingBody == Decoder.CHUNKED;
+    isChunked = remainingBody.isChunked();
     this.listener = listener;
   }
 
--- a/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
+++ b/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
@@ -69,7 +69,7 @@
       }
     }
     assertTrue(
-        last != null && last.remainingBody() == 0 && !decoder.isMidMessage(), "cut at " + cut);
+        last != null && last.remainingBody().isEmpty() && !decoder.isMidMessage(), "cut at " + cut);
   }
 
   /** Of a long message the head comes with a first part, then the rest, then the next message. */
@@ -130,14 +130,22 @@
                 + (decoder.isStreamingBody() ? " and on" : " whole"));
       }
     } catch (MalformedMessageException e) {
-      recorder.say("  bad, " + e.status + ": " + e.getMessage());
+      recorder.say("  bad, " + e.status() + ": " + e.getMessage());
     }
   }
 
+  /** The part of a body that follows, as traces name it: the bytes, or a code of the framing. */
   private static long remainingBody(Object message) {
-    return message instanceof Request request
-        ? request.remainingBody()
-        : ((Response) message).remainingBody();
+    BodyFraming framing =
+        message instanceof Request request
+            ? request.remainingBody()
+            : ((Response) message).remainingBody();
+    return switch (framing.kind()) {
+      case FIXED_LENGTH -> framing.length();
+      case CHUNKED -> -1;
+      case UNTIL_CLOSE -> -2;
+      case NONE -> -3;
+    };
   }
 
   private static String print(Object message) {
@@ -171,7 +179,7 @@
           recorder.say("  " + print(message));
         }
       } catch (MalformedMessageException e) {
-        recorder.say("  bad, " + e.status + ": " + e.getMessage());
+        recorder.say("  bad, " + e.status() + ": " + e.getMessage());
         return;
       }
     }
