Name the states of the decoders; status codes and bodies in classes

Cause: Decoder kept its state in booleans and mixed messages with the framings of their bodies; LineDecoder mixed the response with the scan for the end of an object, also in booleans; status codes were bare numbers.

Change: Decoder has an enum of three states and leaves bodies to BodyDecoder. JsonObjectScanner finds the end of an object for LineDecoder, its string states are an enum. StatusCode names the codes and holds the reason phrases. nextWithPartialBody no longer declares an exception that nothing throws, so the catch block in BackendConnection goes.

--- a/proxy/src/main/java/wheattrack/http/ChunkedDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ChunkedDecoder.java
@@ -4,6 +4,8 @@
 
 /** Decodes one body in the chunked transfer coding, byte by byte as it arrives. */
 final class ChunkedDecoder {
+  private static final int HEXADECIMAL = 16;
+
   /** The most hexadecimal digits of a chunk's size. */
   private static final int MAX_SIZE_DIGITS = 8;
 
@@ -24,9 +26,9 @@
   }
 
   private State state = State.SIZE;
-  private long remainingInChunk;
-  private int sizeDigits;
-  private int extraBytes;
+  private long remainingInChunk; // bytes of data
+  private int sizeDigits; // of the current chunk
+  private int extraBytes; // of the current chunk's extension, or of the trailers
 
   /** Whether the whole body was decoded. */
   boolean isEnded() {
@@ -68,19 +70,19 @@
     }
     boolean isExtra = state == State.TRAILER_LINE || state == State.EXTENSION;
     if (isExtra && ++extraBytes > MAX_EXTRA_BYTES) {
-      throw new MalformedMessageException(400, "too much beside the chunks");
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "too much beside the chunks");
     }
   }
 
   private void decodeSize(int c) throws MalformedMessageException {
-    int digit = Character.digit(c, 16);
+    int digit = Character.digit(c, HEXADECIMAL);
     if (digit >= 0 && ++sizeDigits <= MAX_SIZE_DIGITS) {
-      remainingInChunk = 16 * remainingInChunk + digit;
+      remainingInChunk = HEXADECIMAL * remainingInChunk + digit;
       return;
     }
     boolean isAfterSize = c == ';' || c == '\r' || c == '\n' || c == ' ';
     if (sizeDigits == 0 || sizeDigits > MAX_SIZE_DIGITS || !isAfterSize) {
-      throw new MalformedMessageException(400, "bad chunk size");
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "bad chunk size");
     }
     state = State.EXTENSION;
     decodeExtension(c);
@@ -98,7 +100,7 @@
       sizeDigits = 0;
       extraBytes = 0;
     } else if (c != '\r') {
-      throw new MalformedMessageException(400, "a chunk longer than its size");
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "a chunk longer than its size");
     }
   }
 
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -18,39 +18,60 @@
   /** Bytes of the longest body that is accepted, unless another limit is given. */
   public static final long DEFAULT_MAX_BODY = 32L << 20;
 
+  /** The version of messages that this program sends. */
+  static final String HTTP_1_1 = "HTTP/1.1";
+
+  /** The older version that is accepted too; its connections carry one message each. */
+  static final String HTTP_1_0 = "HTTP/1.0";
+
   /** The most bytes of one read of a long body, and of one part of it. */
   private static final int MAX_PART = 16 * 1024;
 
   /** Bytes of the longest rest of a body that is read into a small buffer. */
   private static final int MAX_SMALL_REST = MAX_PART / 16;
 
-  /** The least capacity of the buffer for one part. */
+  /** The least capacity, in bytes, of the buffer for one part. */
   private static final int MIN_PART_CAPACITY = 16;
 
-  private final ReceiveBuffer received = new ReceiveBuffer();
-  private final long maxBody;
+  /** How far the current message was decoded. */
+  private enum State {
+    /** The head of the next message is not complete. */
+    AWAITING_HEAD,
+
+    /** The head was decoded; its body is collected until the message can be returned. */
+    BUFFERING_BODY,
 
-  private boolean isInBody;
-  private boolean isStreamingBody;
+    /** The message was returned with the start of its body; the rest is fetched part by part. */
+    STREAMING_BODY
+  }
 
-  private BodyFraming framing = BodyFraming.EMPTY; // of the current body
-  private ChunkedDecoder chunkedDecoder; // of a chunked body only
-  private boolean hasStreamEnded; // matters to a body until the connection's end only
-  private long remaining; // bytes, of a body of known length only
+  private final ReceiveBuffer received = new ReceiveBuffer();
+  private final BodyDecoder bodyDecoder = new BodyDecoder();
+  private final long maxBody;
 
-  private long bodySize; // the bytes of the body decoded so far
-  private ByteAccumulator bufferedBody;
+  private State state = State.AWAITING_HEAD;
+  private ByteAccumulator bufferedBody; // in BUFFERING_BODY only
 
-  /** Creates a decoder that accepts bodies of up to so many bytes. */
+  /**
+   * Creates a decoder.
+   *
+   * @param maxBody bytes of the longest body that is accepted
+   */
   protected Decoder(long maxBody) {
     this.maxBody = maxBody;
   }
 
   /** The buffer for the next bytes received, to be filled by one read. */
   public ByteBuffer writableBuffer() {
-    boolean isLargeRestExpected =
-        isInBody && (!framing.hasKnownLength() || remaining > MAX_SMALL_REST);
-    return isLargeRestExpected ? received.writableBuffer(MAX_PART) : received.writableBuffer();
+    return isLargeRestExpected() ? received.writableBuffer(MAX_PART) : received.writableBuffer();
+  }
+
+  private boolean isLargeRestExpected() {
+    if (!isInBody()) {
+      return false;
+    }
+    boolean hasKnownLength = bodyDecoder.framing().hasKnownLength();
+    return !hasKnownLength || bodyDecoder.remainingBytes() > MAX_SMALL_REST;
   }
 
   /**
@@ -68,17 +89,22 @@
 
   /** Whether a message has begun that is not complete yet. */
   public boolean isMidMessage() {
-    return isInBody || received.size() > 0;
+    return isInBody() || received.size() > 0;
   }
 
   /** Whether a message was returned of whose body further parts are still to be fetched. */
   public boolean isStreamingBody() {
-    return isStreamingBody;
+    return state == State.STREAMING_BODY;
   }
 
   /** Whether the head of a message was decoded and its body is not complete. */
   public boolean isInBody() {
-    return isInBody;
+    return state != State.AWAITING_HEAD;
+  }
+
+  /** Whether a message of unknown length has begun and was not returned yet. */
+  public boolean isOpenEnded() {
+    return state == State.BUFFERING_BODY && !bodyDecoder.framing().hasKnownLength();
   }
 
   /**
@@ -89,58 +115,52 @@
    *     decoder must not be used any more
    */
   public M next() throws MalformedMessageException {
-    if (isStreamingBody) {
+    if (state == State.STREAMING_BODY) {
       return null;
     }
-    if (!isInBody && !startMessage()) {
+    if (state == State.AWAITING_HEAD && !startMessage()) {
       return null;
     }
     decodeBody(bufferedBody, MAX_BUFFERED_BODY);
-    boolean isComplete = isBodyComplete();
-    if (!isComplete && bodySize < bytesBeforeStreaming()) {
+    if (isBodyComplete()) {
+      return finishCompleteMessage();
+    }
+    if (bodyDecoder.decodedBytes() < bytesBeforeStreaming()) {
       return null;
     }
-    return finishMessage(isComplete);
+    return startStreaming();
   }
 
-  /** How many bytes of an incomplete body must have been decoded before its message is returned. */
-  private int bytesBeforeStreaming() {
-    boolean isKnownToBeLong = framing.hasKnownLength() && bodySize + remaining > MAX_BUFFERED_BODY;
-    return isKnownToBeLong ? minBytesOfLongBody() : MAX_BUFFERED_BODY;
-  }
-
-  private M finishMessage(boolean isComplete) throws MalformedMessageException {
-    byte[] body = bufferedBody.toByteArray();
-    bufferedBody = null;
-    isStreamingBody = !isComplete;
-    BodyFraming remainingBody = remainingBody(isComplete);
-    if (isComplete) {
-      endBody();
-    }
-    return message(body, remainingBody);
+  /**
+   * The message for which {@link #isOpenEnded} holds, with the part of its body decoded so far; the
+   * rest is streamed.
+   */
+  public M nextWithPartialBody() {
+    return startStreaming();
   }
 
-  private BodyFraming remainingBody(boolean isComplete) {
-    if (framing.isNone()) {
-      return BodyFraming.NONE;
-    }
-    if (isComplete) {
-      return BodyFraming.EMPTY;
+  /**
+   * The next received bytes of the body that is streamed, which may be none. Afterwards {@link
+   * #isStreamingBody} shows whether more of it follows.
+   *
+   * @throws MalformedMessageException if the bytes are no valid body, or one over the limit
+   */
+  public ByteBuffer nextBodyPart() throws MalformedMessageException {
+    int capacity = Math.min(MAX_PART, Math.max(MIN_PART_CAPACITY, received.size()));
+    ByteAccumulator part = new ByteAccumulator(capacity);
+    decodeBody(part, MAX_PART);
+    if (isBodyComplete()) {
+      endMessage();
     }
-    return framing.hasKnownLength() ? BodyFraming.fixedLength(remaining) : framing;
-  }
-
-  /** Whether a message has begun whose length shows only at its end, and was not returned yet. */
-  public boolean isOpenEnded() {
-    return isInBody && !isStreamingBody && !framing.hasKnownLength();
+    return part.asBuffer();
   }
 
   /**
-   * The message for which {@link #isOpenEnded} holds, with the part of its body decoded so far; the
-   * rest is streamed.
+   * Notes that the peer has ended the connection in order; returns whether that is the proper end
+   * of the current body.
    */
-  public M nextWithPartialBody() throws MalformedMessageException {
-    return finishMessage(false);
+  public boolean endOfStream() {
+    return isInBody() && bodyDecoder.endOfStream();
   }
 
   private boolean startMessage() throws MalformedMessageException {
@@ -149,88 +169,69 @@
       return false;
     }
     Headers headers = ReceiveBuffer.parseHeaders(lines);
-    framing = readHead(lines[0], headers);
-    chunkedDecoder = framing.isChunked() ? new ChunkedDecoder() : null;
-    remaining = framing.length();
-    if (remaining > maxBody) {
+    BodyFraming framing = readHead(lines[0], headers);
+    if (framing.length() > maxBody) {
       throw bodyTooLong();
     }
-    bodySize = 0;
-    hasStreamEnded = false;
+    bodyDecoder.start(framing);
     bufferedBody = new ByteAccumulator();
-    isInBody = true;
+    state = State.BUFFERING_BODY;
     return true;
   }
 
   private MalformedMessageException bodyTooLong() {
-    return new MalformedMessageException(413, "body over " + maxBody + " bytes");
+    return new MalformedMessageException(
+        StatusCode.CONTENT_TOO_LARGE, "body over " + maxBody + " bytes");
   }
 
   /** Decodes received bytes of the body until {@code data} holds {@code maxSize} bytes. */
   private void decodeBody(ByteAccumulator data, int maxSize) throws MalformedMessageException {
-    int sizeBefore = data.size();
     ByteBuffer bytes = received.startReading();
     try {
-      if (chunkedDecoder != null) {
-        chunkedDecoder.decode(bytes, data, maxSize);
-      } else {
-        copyBody(bytes, data, maxSize);
-      }
+      bodyDecoder.decode(bytes, data, maxSize);
     } finally {
       received.endReading();
     }
-    bodySize += data.size() - sizeBefore;
-    if (bodySize > maxBody) {
+    if (bodyDecoder.decodedBytes() > maxBody) {
       throw bodyTooLong();
     }
   }
 
-  private void copyBody(ByteBuffer bytes, ByteAccumulator data, int maxSize) {
-    long count = Math.min(bytes.remaining(), maxSize - data.size());
-    if (framing.hasKnownLength()) {
-      count = Math.min(count, remaining);
-    }
-    data.append(bytes, (int) count);
-    remaining -= count;
+  private boolean isBodyComplete() {
+    return bodyDecoder.isComplete(received.size());
   }
 
-  private boolean isBodyComplete() {
-    if (chunkedDecoder != null) {
-      return chunkedDecoder.isEnded();
-    }
-    return framing.isUntilClose() ? hasStreamEnded && received.size() == 0 : remaining == 0;
+  /** How many bytes of an incomplete body must have been decoded before its message is returned. */
+  private int bytesBeforeStreaming() {
+    long knownLength = bodyDecoder.decodedBytes() + bodyDecoder.remainingBytes();
+    boolean isKnownToBeLong =
+        bodyDecoder.framing().hasKnownLength() && knownLength > MAX_BUFFERED_BODY;
+    return isKnownToBeLong ? minBytesOfLongBody() : MAX_BUFFERED_BODY;
   }
 
-  private void endBody() {
-    isInBody = false;
-    isStreamingBody = false;
-    chunkedDecoder = null;
-    received.shrink();
+  private M finishCompleteMessage() {
+    byte[] body = removeBufferedBody();
+    boolean hasNoBody = bodyDecoder.framing().isNone();
+    endMessage();
+    return message(body, hasNoBody ? BodyFraming.NONE : BodyFraming.EMPTY);
   }
 
-  /**
-   * The next received bytes of the body that is streamed, which may be none. Afterwards {@link
-   * #isStreamingBody} says whether more of it follows.
-   *
-   * @throws MalformedMessageException if the bytes are no valid body, or one over the limit
-   */
-  public ByteBuffer nextBodyPart() throws MalformedMessageException {
-    int capacity = Math.min(MAX_PART, Math.max(MIN_PART_CAPACITY, received.size()));
-    ByteAccumulator part = new ByteAccumulator(capacity);
-    decodeBody(part, MAX_PART);
-    if (isBodyComplete()) {
-      endBody();
-    }
-    return part.asBuffer();
+  private M startStreaming() {
+    byte[] startOfBody = removeBufferedBody();
+    state = State.STREAMING_BODY;
+    return message(startOfBody, bodyDecoder.remaining());
   }
 
-  /**
-   * Notes that the connection has ended in order; returns whether that is the proper end of the
-   * current body.
-   */
-  public boolean endOfStream() {
-    hasStreamEnded = isInBody && framing.isUntilClose();
-    return hasStreamEnded;
+  private byte[] removeBufferedBody() {
+    byte[] body = bufferedBody.toByteArray();
+    bufferedBody = null;
+    return body;
+  }
+
+  private void endMessage() {
+    state = State.AWAITING_HEAD;
+    bodyDecoder.end();
+    received.shrink();
   }
 
   /**
@@ -258,12 +259,12 @@
 
   /** Whether the connection of a message may carry a further one. */
   static boolean keepsAlive(String version, Headers headers) {
-    return version.equals("HTTP/1.1") && !headers.containsToken("Connection", "close");
+    return version.equals(HTTP_1_1) && !headers.containsToken("Connection", "close");
   }
 
   static void checkVersion(String version) throws MalformedMessageException {
-    if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
-      throw new MalformedMessageException(400, "unknown version");
+    if (!version.equals(HTTP_1_1) && !version.equals(HTTP_1_0)) {
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "unknown version");
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -6,16 +6,18 @@
 
 /** The header lines of a message, in their order. Names are compared without regard to case. */
 public final class Headers {
-  /** What {@link #contentLength} returns where no length is given. */
+  /** Returned by {@link #contentLength} where no length is given. */
   static final long NO_LENGTH = -1;
 
-  private static final int USUAL_SIZE = 8;
+  /** The initial capacity, in lines. */
+  private static final int INITIAL_CAPACITY = 8;
+
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
   private static final String CONTENT_LENGTH = "Content-Length";
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
-  private final List<String> names = new ArrayList<>(USUAL_SIZE);
-  private final List<String> values = new ArrayList<>(USUAL_SIZE);
+  private final List<String> names = new ArrayList<>(INITIAL_CAPACITY);
+  private final List<String> values = new ArrayList<>(INITIAL_CAPACITY);
 
   /** Appends a line to these headers, and returns them. */
   public Headers with(String name, String value) {
@@ -70,7 +72,7 @@
   /**
    * The length of the body that these headers give, or {@link #NO_LENGTH}.
    *
-   * @throws MalformedMessageException if a length is no number, or two of them differ
+   * @throws MalformedMessageException if a length is not a number, or two of them differ
    */
   long contentLength() throws MalformedMessageException {
     long length = NO_LENGTH;
@@ -78,7 +80,7 @@
       if (isNamed(i, CONTENT_LENGTH)) {
         long lineLength = parseLength(values.get(i));
         if (length != NO_LENGTH && length != lineLength) {
-          throw new MalformedMessageException(400, "lengths that differ");
+          throw new MalformedMessageException(StatusCode.BAD_REQUEST, "lengths that differ");
         }
         length = lineLength;
       }
@@ -88,29 +90,29 @@
 
   private static long parseLength(String value) throws MalformedMessageException {
     if (!LENGTH.matcher(value).matches()) {
-      throw new MalformedMessageException(400, "bad length " + value);
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "bad length " + value);
     }
     return Long.parseLong(value);
   }
 
   /**
-   * Whether the body is chunked.
+   * Whether the body is in the chunked transfer coding.
    *
-   * @throws MalformedMessageException if it has another transfer coding, or a length besides: two
-   *     readers could take such a message apart at different places
+   * @throws MalformedMessageException if it has another transfer coding, or a length as well: two
+   *     readers of such a message could disagree on where it ends (request smuggling)
    */
   boolean isChunked() throws MalformedMessageException {
     boolean isChunked = false;
     for (int i = 0; i < names.size(); i++) {
       if (isNamed(i, TRANSFER_ENCODING)) {
         if (isChunked || !values.get(i).equalsIgnoreCase("chunked")) {
-          throw new MalformedMessageException(400, "unknown transfer coding");
+          throw new MalformedMessageException(StatusCode.BAD_REQUEST, "unknown transfer coding");
         }
         isChunked = true;
       }
     }
     if (isChunked && first(CONTENT_LENGTH) != null) {
-      throw new MalformedMessageException(400, "a length beside chunks");
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "a length beside chunks");
     }
     return isChunked;
   }
--- a/proxy/src/main/java/wheattrack/http/LineDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/LineDecoder.java
@@ -4,8 +4,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Decodes a response that stays open and brings one JSON object after another, chunked or until the
- * connection's end.
+ * Decodes a response that stays open and carries one JSON object after another, chunked or until
+ * the connection is closed.
  *
  * <p>Usually each object is a line; an indented one takes several lines and is returned as one.
  * Text that is no object is returned line by line. An empty line shows that the sender is alive.
@@ -15,20 +15,12 @@
   /** Bytes of the longest object or line. */
   private static final int MAX_LINE = 4 << 20;
 
-  private static final String OPENING_BRACKETS = "{[";
-  private static final String CLOSING_BRACKETS = "}]";
-
   private final ReceiveBuffer received = new ReceiveBuffer();
   private final ByteAccumulator data = new ByteAccumulator();
+  private final JsonObjectScanner scanner = new JsonObjectScanner();
+  private int scannedBytes; // at the start of data
   private boolean isOpen;
-  private ChunkedDecoder chunkedDecoder;
-
-  // The state of the scan for the end of an object.
-  private int scanned; // bytes of data
-  private int depth; // brackets open
-  private boolean isInString;
-  private boolean isEscaped; // the next character of the string
-  private boolean isAfterObject; // on the line on which an object ended
+  private ChunkedDecoder chunkedDecoder; // of a chunked response only
 
   /** The buffer for the next bytes received, to be filled by one read. */
   public ByteBuffer writableBuffer() {
@@ -47,7 +39,7 @@
 
   /** Whether an object has begun that is not complete. */
   public boolean isMidLine() {
-    return depth > 0;
+    return scanner.isInObject();
   }
 
   /**
@@ -62,13 +54,16 @@
       return null;
     }
     decodeData();
-    while (scanned < data.size()) {
-      if (isEnd(data.get(scanned++))) {
+    while (scannedBytes < data.size()) {
+      byte scanned = data.get(scannedBytes);
+      scannedBytes++;
+      if (scanner.isEnd(scanned)) {
         return removeScanned();
       }
     }
     if (data.size() >= MAX_LINE) {
-      throw new MalformedMessageException(502, "line over " + MAX_LINE + " bytes");
+      throw new MalformedMessageException(
+          StatusCode.BAD_GATEWAY, "line over " + MAX_LINE + " bytes");
     }
     return null;
   }
@@ -79,7 +74,7 @@
       return false;
     }
     int status = ResponseDecoder.parseStatus(lines[0]);
-    if (status != 200) {
+    if (status != StatusCode.OK) {
       throw new MalformedMessageException(status, "answered " + status);
     }
     chunkedDecoder = ReceiveBuffer.parseHeaders(lines).isChunked() ? new ChunkedDecoder() : null;
@@ -101,36 +96,8 @@
   }
 
   private String removeScanned() {
-    byte[] line = data.removeFirst(scanned);
-    scanned = 0;
-    depth = 0;
-    isInString = false;
-    isEscaped = false;
+    byte[] line = data.removeFirst(scannedBytes);
+    scannedBytes = 0;
     return new String(line, StandardCharsets.UTF_8).strip();
   }
-
-  /**
-   * Scans one more byte; returns whether it ends an object or line. A line feed ends text that is
-   * no object, and also a string, in which JSON allows none: so an object that was cut off does not
-   * swallow those after it.
-   */
-  private boolean isEnd(byte c) {
-    boolean isLineFeed = c == '\n';
-    if (isInString) {
-      isInString = isEscaped || c != '"';
-      isEscaped = !isEscaped && c == '\\';
-      return isLineFeed;
-    }
-    if (OPENING_BRACKETS.indexOf(c) >= 0) {
-      depth++;
-    } else if (CLOSING_BRACKETS.indexOf(c) >= 0) {
-      depth--;
-      isAfterObject = depth <= 0;
-      return isAfterObject;
-    }
-    isInString = depth > 0 && c == '"';
-    boolean endsPlainLine = depth == 0 && isLineFeed && !isAfterObject;
-    isAfterObject &= !isLineFeed;
-    return endsPlainLine;
-  }
 }
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -11,15 +11,22 @@
   /** The most lines of a head, the first line among them. */
   private static final int MAX_HEAD_LINES = 100;
 
+  /** Bytes of the buffer of a connection on which no long message is received. */
   private static final int MIN_CAPACITY = 1024;
 
-  /** With less space than this, the buffer grows before a read. */
+  /** With less space than this, in bytes, the buffer grows before a read. */
   private static final int MIN_SPACE = MIN_CAPACITY / 4;
 
+  private static final int FIRST_PRINTABLE = ' ';
+  private static final int DELETE = 127;
+
+  /** The visible characters that must not be part of a token. */
+  private static final String TOKEN_SEPARATORS = "\"(),/:;<=>?@[\\]{}";
+
   /** The bytes from 0 to the position are received and not consumed. */
   private ByteBuffer buffer = ByteBuffer.allocate(MIN_CAPACITY);
 
-  /** Up to here the buffer was searched for the end of a head in vain. */
+  /** The number of bytes at the start of the buffer that contain no end of a head. */
   private int scanned;
 
   /** The buffer for the next bytes received, to be filled by one read. */
@@ -30,7 +37,7 @@
     return buffer;
   }
 
-  /** The same with at least this capacity, for a long body. */
+  /** The buffer for the next bytes received, with at least this capacity in bytes. */
   ByteBuffer writableBuffer(int minCapacity) {
     if (buffer.capacity() < minCapacity) {
       reallocate(minCapacity);
@@ -94,14 +101,16 @@
     int end = findHeadEnd();
     if (end < 0) {
       if (buffer.position() > MAX_HEAD) {
-        throw new MalformedMessageException(431, "head over " + MAX_HEAD + " bytes");
+        throw new MalformedMessageException(
+            StatusCode.HEADER_FIELDS_TOO_LARGE, "head over " + MAX_HEAD + " bytes");
       }
       return null;
     }
     String head = new String(removeFirst(end), StandardCharsets.ISO_8859_1);
     String[] lines = head.strip().split("\r?\n");
     if (lines.length > MAX_HEAD_LINES || end > MAX_HEAD) {
-      throw new MalformedMessageException(431, "too many header lines");
+      throw new MalformedMessageException(
+          StatusCode.HEADER_FIELDS_TOO_LARGE, "too many header lines");
     }
     return lines;
   }
@@ -125,7 +134,7 @@
     return -1;
   }
 
-  /** Whether any of the first bytes is not part of a line break. */
+  /** Whether any of the first {@code count} bytes is not part of a line break. */
   private static boolean hasText(byte[] bytes, int count) {
     for (int i = 0; i < count; i++) {
       if (bytes[i] != '\r' && bytes[i] != '\n') {
@@ -141,27 +150,39 @@
         || index > 1 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n';
   }
 
-  /** Parses the header lines of a head, which stand after its first line. */
+  /**
+   * Parses the header lines of a head, which follow its first line.
+   *
+   * @throws MalformedMessageException if a line has no valid name, or a value with control
+   *     characters
+   */
   static Headers parseHeaders(String[] lines) throws MalformedMessageException {
     Headers headers = new Headers();
     for (int i = 1; i < lines.length; i++) {
       int colon = lines[i].indexOf(':');
       String name = lines[i].substring(0, Math.max(0, colon));
       if (!isToken(name)) {
-        throw new MalformedMessageException(400, "bad header line");
+        throw new MalformedMessageException(StatusCode.BAD_REQUEST, "bad header line");
       }
       String value = lines[i].substring(colon + 1).strip();
-      if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
-        throw new MalformedMessageException(400, "bad header value");
+      if (value.chars().anyMatch(ReceiveBuffer::isForbiddenInValue)) {
+        throw new MalformedMessageException(StatusCode.BAD_REQUEST, "bad header value");
       }
       headers.with(name, value);
     }
     return headers;
   }
 
-  /** Whether the text is a token as HTTP defines it. */
+  private static boolean isForbiddenInValue(int c) {
+    return c < FIRST_PRINTABLE && c != '\t' || c == DELETE;
+  }
+
+  /** Whether the text is a token as HTTP defines it, such as a method or a header's name. */
   static boolean isToken(String text) {
-    return !text.isEmpty()
-        && text.chars().allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+    return !text.isEmpty() && text.chars().allMatch(ReceiveBuffer::isTokenCharacter);
+  }
+
+  private static boolean isTokenCharacter(int c) {
+    return c > ' ' && c < DELETE && TOKEN_SEPARATORS.indexOf(c) < 0;
   }
 }
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -7,6 +7,9 @@
   private static final Set<String> METHODS =
       Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
 
+  /** Bytes of a long body that are decoded before the request is returned. */
+  private static final int MIN_BYTES_OF_LONG_BODY = MAX_BUFFERED_BODY / 4;
+
   private String method;
   private String target;
   private Headers headers;
@@ -19,15 +22,19 @@
     this(DEFAULT_MAX_BODY);
   }
 
-  /** Creates a decoder that accepts bodies of up to so many bytes. */
+  /**
+   * Creates a decoder.
+   *
+   * @param maxBody bytes of the longest body that is accepted
+   */
   public RequestDecoder(long maxBody) {
     super(maxBody);
   }
 
-  /** From there on a long request is streamed, and can be retried until more of it is sent. */
+  /** More than one byte, so that the start of a long request can be sent again on a retry. */
   @Override
   protected int minBytesOfLongBody() {
-    return MAX_BUFFERED_BODY / 4;
+    return MIN_BYTES_OF_LONG_BODY;
   }
 
   @Override
@@ -35,18 +42,18 @@
       throws MalformedMessageException {
     String[] parts = requestLine.split(" ", -1);
     if (parts.length != 3 || !ReceiveBuffer.isToken(parts[0]) || !isTarget(parts[1])) {
-      throw new MalformedMessageException(400, "bad request line");
+      throw new MalformedMessageException(StatusCode.BAD_REQUEST, "bad request line");
     }
     String version = parts[2];
     checkVersion(version);
     if (!METHODS.contains(parts[0])) {
-      throw new MalformedMessageException(405, "method not taken");
+      throw new MalformedMessageException(StatusCode.METHOD_NOT_ALLOWED, "method not taken");
     }
     method = parts[0];
     target = parts[1];
     headers = requestHeaders;
     keepAlive = keepsAlive(version, requestHeaders);
-    acceptsChunks = version.equals("HTTP/1.1");
+    acceptsChunks = version.equals(HTTP_1_1);
     expectsContinue = requestHeaders.containsToken("Expect", "100-continue");
     if (requestHeaders.isChunked()) {
       return BodyFraming.CHUNKED;
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -3,14 +3,15 @@
 import java.util.regex.Pattern;
 
 /**
- * Decodes responses, as a client receives them. A body without a length ends in order with its
- * connection. Runs on the event loop's thread only.
+ * Decodes responses, as a client receives them. A body without a length ends when its connection is
+ * closed in order. Runs on the event loop's thread only.
  */
 public final class ResponseDecoder extends Decoder<Response> {
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
-  private static final int VERSION_END = "HTTP/1.1".length();
+  private static final int VERSION_END = HTTP_1_1.length();
+  private static final int STATUS_DIGITS = 3;
   private static final int STATUS_START = VERSION_END + 1;
-  private static final int STATUS_END = STATUS_START + 3;
+  private static final int STATUS_END = STATUS_START + STATUS_DIGITS;
 
   private int status;
   private Headers headers;
@@ -22,20 +23,24 @@
     this(DEFAULT_MAX_BODY);
   }
 
-  /** Creates a decoder that accepts bodies of up to so many bytes. */
+  /**
+   * Creates a decoder.
+   *
+   * @param maxBody bytes of the longest body that is accepted
+   */
   public ResponseDecoder(long maxBody) {
     super(maxBody);
   }
 
   /**
-   * Says whether the next responses are to HEAD requests, which have no body whatever their headers
-   * say.
+   * Sets whether the next responses are to HEAD requests, which have no body whatever their headers
+   * give as its length.
    */
   public void expectNoBody(boolean isExpected) {
     expectNoBody = isExpected;
   }
 
-  /** A long response is streamed from its first byte, whose time counts as its latency. */
+  /** One: the latency of a long response is measured up to its first byte. */
   @Override
   protected int minBytesOfLongBody() {
     return 1;
@@ -52,7 +57,7 @@
     if (expectNoBody) {
       return BodyFraming.NONE;
     }
-    if (status < 200 || status == 204 || status == 304) {
+    if (StatusCode.hasNoBody(status)) {
       return BodyFraming.EMPTY;
     }
     if (isChunked) {
@@ -65,10 +70,14 @@
     return BodyFraming.fixedLength(length);
   }
 
-  /** The status code on a status line. */
+  /**
+   * The status code on a status line.
+   *
+   * @throws MalformedMessageException if the line is not a status line
+   */
   static int parseStatus(String statusLine) throws MalformedMessageException {
     if (!STATUS_LINE.matcher(statusLine).matches()) {
-      throw new MalformedMessageException(502, "bad status line");
+      throw new MalformedMessageException(StatusCode.BAD_GATEWAY, "bad status line");
     }
     return Integer.parseInt(statusLine.substring(STATUS_START, STATUS_END));
   }
--- a/proxy/src/main/java/wheattrack/net/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/BackendConnection.java
@@ -256,12 +256,8 @@
    * bytes.
    */
   private void onHoldExpired() {
-    try {
-      if (isHoldingResponse && currentAttempt != null && decoder.isOpenEnded()) {
-        onResponse(decoder.nextWithPartialBody());
-      }
-    } catch (MalformedMessageException e) {
-      onBreak();
+    if (isHoldingResponse && currentAttempt != null && decoder.isOpenEnded()) {
+      onResponse(decoder.nextWithPartialBody());
     }
   }
 
