--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -17,39 +17,44 @@
  *
  * <p>It is the executor of the asynchronous channel group, which hands its completion handlers over
  * as tasks. A task or timer is one step; what a step defers runs as a further step right after it,
- * never nested in it. Times are tenths of a millisecond. Only {@link #execute} and the shutdown
- * methods may be called from other threads.
+ * never nested in it. Times are ticks of a tenth of a millisecond. Only {@link #execute} and the
+ * shutdown methods may be called from other threads.
  */
 public final class EventLoop extends AbstractExecutorService {
   private static final Logger LOG = Logger.getLogger("wheattrack");
-  private static final long NANOS_PER_UNIT = 100_000;
+
+  /** Nanoseconds of a tick, the unit of the loop's clock: a tenth of a millisecond. */
+  private static final long NANOS_PER_TICK = 100_000;
+
   private static final long NANOS_PER_MILLISECOND = 1_000_000;
 
-  /** How late the first timer must be for the process to count as having stood still. */
-  private static final long STANDSTILL_THRESHOLD = 100;
+  /** How late the first timer must be for the process to count as having been stalled; in ticks. */
+  private static final long STALL_THRESHOLD = 100;
 
-  /** The longest time for which tasks go before late timers after a standstill. */
+  /** The longest time for which tasks run before late timers after a stall; in ticks. */
   private static final long MAX_CATCH_UP_TIME = 100;
 
-  /** How long a further task is waited for after a standstill. */
+  /** The longest wait for a further task after a stall; in ticks. */
   private static final long CATCH_UP_POLL_TIMEOUT = 10;
 
-  /** The longest wait for a task. */
+  /** The longest wait for a task; in ticks. */
   private static final long MAX_POLL_TIMEOUT = 10_000;
 
-  /** Milliseconds by which this process's clock is wrong, for trials of clocks that disagree. */
-  private static final long CLOCK_SKEW =
-      (long) Double.parseDouble(System.getProperty("wheattrack.skew", "0"));
+  /** Sets the clock of this process wrong by a number of milliseconds, for tests of clock skew. */
+  private static final String CLOCK_SKEW_PROPERTY = "wheattrack.skew";
+
+  private static final long CLOCK_SKEW_MILLIS =
+      (long) Double.parseDouble(System.getProperty(CLOCK_SKEW_PROPERTY, "0"));
 
   private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
   private final TimerQueue timers = new TimerQueue();
 
-  /** What added to {@link System#nanoTime} gives the nanoseconds since 1970. */
+  /** The nanoseconds between 1970 and the origin of {@link System#nanoTime}. */
   private final long nanoTimeOffset =
-      (System.currentTimeMillis() + CLOCK_SKEW) * NANOS_PER_MILLISECOND - System.nanoTime();
+      (System.currentTimeMillis() + CLOCK_SKEW_MILLIS) * NANOS_PER_MILLISECOND - System.nanoTime();
 
-  private long now;
+  private long now; // ticks since 1970
   private volatile boolean isStopped;
 
   /** Creates a loop whose clock shows the current time; it runs nothing until {@link #run}. */
@@ -57,19 +62,23 @@
     updateClock();
   }
 
-  /** The time of the current step in tenths of a millisecond since 1970, rounded up. */
+  /**
+   * The time of the current step in ticks of a tenth of a millisecond since 1970, rounded up. Runs
+   * on the event loop's thread only.
+   */
   public long now() {
     return now;
   }
 
   private void updateClock() {
     long nanos = System.nanoTime() + nanoTimeOffset;
-    now = Math.max(now, Math.floorDiv(nanos + NANOS_PER_UNIT - 1, NANOS_PER_UNIT));
+    now = Math.max(now, Math.floorDiv(nanos + NANOS_PER_TICK - 1, NANOS_PER_TICK));
   }
 
   /**
-   * Runs the task after this delay, unless it is cancelled; a negative delay counts as 0. Runs on
-   * the event loop's thread only.
+   * Runs the task after a delay, unless it is cancelled. Runs on the event loop's thread only.
+   *
+   * @param delay the delay in ticks; a negative one counts as 0
    */
   public TimerQueue.Timer schedule(long delay, Runnable task) {
     return timers.add(now + Math.max(0, delay), task);
@@ -92,7 +101,7 @@
   }
 
   /**
-   * A handler that passes the outcome of a channel's operation on in a step of its own. One of the
+   * A handler that passes on the outcome of a channel's operation in a step of its own. One of the
    * two consumers is called, once per operation.
    */
   public <R> CompletionHandler<R, Void> handler(
@@ -114,7 +123,7 @@
   public void run() {
     while (!isStopped) {
       updateClock();
-      if (now - timers.nextDeadline() > STANDSTILL_THRESHOLD) {
+      if (now - timers.nextDeadline() > STALL_THRESHOLD) {
         catchUp();
       }
       for (Runnable task = timers.pollDue(now); task != null; task = timers.pollDue(now)) {
@@ -128,10 +137,10 @@
   }
 
   /**
-   * Runs tasks before the timers, for a short time. When timers are very late, this process stood
-   * still (it was paused or got no CPU), and what arrived meanwhile must be handled first:
-   * otherwise answers that already lie in the sockets would count as timed out, and their backends
-   * as silent.
+   * Runs tasks before the timers, for a short time. When timers are very late, this process was
+   * stalled (suspended, or without CPU time), and what arrived in the meantime must be handled
+   * first: otherwise responses that are already in the sockets' buffers would count as timed out,
+   * and their backends as unresponsive.
    */
   private void catchUp() {
     long end = now + MAX_CATCH_UP_TIME;
@@ -145,11 +154,11 @@
     }
   }
 
-  /** The next task, waited for at most so long, or null. */
+  /** The next task, or null if there is none within the timeout, which is in ticks. */
   private Runnable pollTask(long timeout) {
     long boundedTimeout = Math.min(MAX_POLL_TIMEOUT, Math.max(0, timeout));
     try {
-      return tasks.poll(boundedTimeout * NANOS_PER_UNIT, TimeUnit.NANOSECONDS);
+      return tasks.poll(boundedTimeout * NANOS_PER_TICK, TimeUnit.NANOSECONDS);
     } catch (InterruptedException e) {
       isStopped = true;
       return null;
@@ -167,14 +176,15 @@
     }
   }
 
+  /** Queues a task, to be run as a step of its own. Any thread may call it. */
   @Override
   public void execute(Runnable task) {
     tasks.add(task);
   }
 
   /**
-   * Makes {@link #run} return soon; timers that are due may still run, other timers and tasks that
-   * wait do not.
+   * Makes {@link #run} return soon; timers that are due may still run, other timers and queued
+   * tasks do not. Any thread may call it.
    */
   @Override
   public void shutdown() {
@@ -198,7 +208,7 @@
     return isStopped;
   }
 
-  /** Does not wait: returns whether the loop was told to stop. */
+  /** Does not wait: returns whether the loop was shut down. */
   @Override
   public boolean awaitTermination(long timeout, TimeUnit unit) {
     return isStopped;
--- a/proxy/src/main/java/wheattrack/aio/TcpConnection.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -22,7 +22,10 @@
   protected final EventLoop loop;
 
   private final AsynchronousSocketChannel channel;
+
+  /** What is still to be written; the first buffer is being written. */
   private final ArrayDeque<ByteBuffer> pendingWrites = new ArrayDeque<>();
+
   private boolean isClosed;
   private boolean isReading;
 
@@ -33,7 +36,7 @@
     try {
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException | RuntimeException e) {
-      // a connection that is already broken shows it at its first read
+      // a connection that is already broken fails at its first read
     }
   }
 
@@ -58,9 +61,7 @@
     }
     isReading = true;
     channel.read(
-        buffer,
-        null,
-        loop.handler(count -> completeRead(count), cause -> completeRead(CONNECTION_BROKEN)));
+        buffer, null, loop.handler(this::completeRead, cause -> completeRead(CONNECTION_BROKEN)));
   }
 
   private void completeRead(int count) {
@@ -71,8 +72,9 @@
   }
 
   /**
-   * Writes all of the buffer, after the writes that are pending; {@link #onWritten} is called in a
-   * later step, also if the connection is closed before.
+   * Writes all of the buffer, after the writes that are pending. {@link #onWritten} is called in a
+   * later step, also if the connection is closed during this write; a write that is still queued
+   * when the connection is closed is dropped.
    */
   public final void write(ByteBuffer buffer) {
     pendingWrites.add(buffer);
@@ -106,7 +108,7 @@
     return isReading;
   }
 
-  /** Whether a write is pending. */
+  /** Whether a write is pending or queued. */
   public final boolean isWriting() {
     return !pendingWrites.isEmpty();
   }
