Typed counts of final answers; plain wording in core and admin

Cause: counts of answers by class were arrays indexed by an enum's ordinal, which MetricsFormat had to match by the order of its names; paths and status codes of the admin server were bare strings and numbers.

Change: RequestCounters.AnswerCounts, read by FinalAnswer; MetricsFormat maps each FinalAnswer to its name. Paths are constants.

Result: metrics and responses are unchanged byte for byte (AdminServerTest against its expected traces); tests of core passed.

--- a/proxy/src/main/java/wheattrack/admin/AdminConnection.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminConnection.java
@@ -11,14 +11,14 @@
 import wheattrack.http.Response;
 
 /**
- * An operator's connection: one request, one response, then it is closed. Runs on the event loop's
- * thread only.
+ * An operator's connection, which carries one request and one response and is then closed. Runs on
+ * the event loop's thread only.
  */
 final class AdminConnection extends TcpConnection {
-  /** The time for a complete request, in tenths of a millisecond. */
+  /** The longest time until the request is complete, in tenths of a millisecond. */
   private static final long REQUEST_TIMEOUT = 50_000;
 
-  /** The time for the operator's end to close after the response, in tenths of a millisecond. */
+  /** The longest time until the operator closes after the response, in tenths of a millisecond. */
   private static final long CLOSE_TIMEOUT = 5_000;
 
   private final AdminServer server;
@@ -37,7 +37,7 @@
     read(decoder.writableBuffer());
   }
 
-  /** Whether the response has been given out. */
+  /** Whether the request was answered; the response may not be written yet. */
   boolean isAnswered() {
     return isAnswered;
   }
--- a/proxy/src/main/java/wheattrack/admin/AdminServer.java
+++ b/proxy/src/main/java/wheattrack/admin/AdminServer.java
@@ -12,18 +12,23 @@
 import wheattrack.core.Lifecycle;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
+import wheattrack.http.StatusCode;
 import wheattrack.log.EventLog;
 
 /**
- * The HTTP server for operators: status and metrics, one request a connection, apart from the
- * clients' connections. It holds few connections; when they are all taken, the oldest one without a
- * complete request is closed for the next, so that nobody can lock the operators out. Runs on the
- * event loop's thread only.
+ * The HTTP server for operators: status and metrics, one request per connection, on an address
+ * separate from the clients'. It holds few connections; when all are in use, the oldest one without
+ * a complete request is closed in favour of a new one, so that idle connections cannot lock out the
+ * operators. Runs on the event loop's thread only.
  */
 public final class AdminServer {
-  /** Connections at once. */
+  /** The most connections open at once. */
   public static final int MAX_CONNECTIONS = 8;
 
+  private static final String STATUS_PATH = "/status";
+  private static final String METRICS_PATH = "/status/metrics";
+
+  /** The most connections that wait to be accepted. */
   private static final int ACCEPT_BACKLOG = 64;
 
   /** The pause after a failed accept, in tenths of a millisecond. */
@@ -40,8 +45,8 @@
   /**
    * Binds the address and starts to accept connections.
    *
-   * @param metrics the text of the metrics at the time of the call
-   * @throws IOException if the address can't be bound
+   * @param metrics supplies the text of the metrics at the time of the call
+   * @throws IOException if the address cannot be bound
    */
   public AdminServer(
       EventLoop loop,
@@ -57,7 +62,11 @@
     accept();
   }
 
-  /** The port that is bound. */
+  /**
+   * The port that is bound.
+   *
+   * @throws IOException if the server is closed
+   */
   public int port() throws IOException {
     return ((InetSocketAddress) channel.getLocalAddress()).getPort();
   }
@@ -70,7 +79,7 @@
 
   private void onAccepted(AsynchronousSocketChannel accepted) {
     if (connections.size() >= MAX_CONNECTIONS) {
-      connectionToGiveUp().close();
+      connectionToEvict().close();
     }
     AdminConnection connection = new AdminConnection(this, loop, accepted);
     connections.addLast(connection);
@@ -78,7 +87,8 @@
     accept();
   }
 
-  private AdminConnection connectionToGiveUp() {
+  /** The oldest connection that is not answered yet, or the oldest one if all are. */
+  private AdminConnection connectionToEvict() {
     for (AdminConnection connection : connections) {
       if (!connection.isAnswered()) {
         return connection;
@@ -102,19 +112,24 @@
   /** The response to a request. */
   Response respond(Request request) {
     if (!request.method().equals("GET")) {
-      return text(405, "only GET is taken here");
+      return text(StatusCode.METHOD_NOT_ALLOWED, "only GET is taken here");
     }
     String path = request.target().split("\\?", 2)[0];
     return switch (path) {
-      case "/status" -> text(lifecycle.isReady() ? 200 : 503, lifecycle.phase().name());
-      case "/status/metrics" -> text(200, metrics.get());
-      default -> text(404, "no such call; there are /status and /status/metrics");
+      case STATUS_PATH -> status();
+      case METRICS_PATH -> text(StatusCode.OK, metrics.get());
+      default -> text(StatusCode.NOT_FOUND, "no such call; there are /status and /status/metrics");
     };
   }
 
+  private Response status() {
+    int statusCode = lifecycle.isReady() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE;
+    return text(statusCode, lifecycle.phase().name());
+  }
+
   /** A text response, after which the connection is closed. */
-  static Response text(int status, String text) {
-    return Response.text(status, text, false);
+  static Response text(int statusCode, String text) {
+    return Response.text(statusCode, text, false);
   }
 
   /** Stops accepting, and closes all connections. */
--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -1,20 +1,27 @@
 package wheattrack.admin;
 
 import java.util.function.IntSupplier;
+import java.util.regex.Pattern;
 import wheattrack.core.RequestCounters;
+import wheattrack.core.RequestCounters.AnswerCounts;
+import wheattrack.core.RequestCounters.FinalAnswer;
 
 /**
  * The metrics in the operators' format, one line each, with their values at the time of the call.
  * Runs on the event loop's thread only.
  */
 public final class MetricsFormat {
-  /** The names of the counts by class, in the order of {@link RequestCounters.FinalAnswer}. */
-  private static final String[] FINAL_ANSWERS = {"served", "refused", "failed"};
-
   private static final int INITIAL_CAPACITY_CHARS = 512;
+
+  /** The type of a metric that only grows. */
   private static final char COUNTER = 'c';
+
+  /** The type of a metric that grows and shrinks. */
   private static final char GAUGE = 'g';
 
+  /** Characters that would end or split the line of a metric. */
+  private static final Pattern RESERVED_CHARACTERS = Pattern.compile("[^!-~]|[:|@#]");
+
   private final RequestCounters counters;
   private final IntSupplier inFlight;
   private final IntSupplier backends;
@@ -22,12 +29,12 @@
   private final IntSupplier leftOutBackends;
 
   /**
-   * Metrics from their sources.
+   * Creates metrics that are read from these sources.
    *
-   * @param inFlight requests taken and not yet answered
+   * @param inFlight requests accepted and not answered yet
    * @param backends backends on the endpoint list
    * @param ejectedBackends those of them that are ejected now
-   * @param leftOutBackends backends beyond the number that can be known at once
+   * @param leftOutBackends backends on the list that are not used, as there are too many
    */
   public MetricsFormat(
       RequestCounters counters,
@@ -57,12 +64,21 @@
     return text.toString();
   }
 
-  private static void appendClass(StringBuilder text, String className, long[] counts) {
-    for (int i = 0; i < FINAL_ANSWERS.length; i++) {
-      append(text, FINAL_ANSWERS[i] + "." + escaped(className), counts[i], COUNTER);
+  private static void appendClass(StringBuilder text, String className, AnswerCounts counts) {
+    for (FinalAnswer answer : FinalAnswer.values()) {
+      String name = metricName(answer) + "." + withoutReservedCharacters(className);
+      append(text, name, counts.get(answer), COUNTER);
     }
   }
 
+  private static String metricName(FinalAnswer answer) {
+    return switch (answer) {
+      case DONE -> "served";
+      case REJECTED -> "refused";
+      case FAILED -> "failed";
+    };
+  }
+
   private static void append(StringBuilder text, String name, long value, char type) {
     text.append("proxy.")
         .append(name)
@@ -73,8 +89,7 @@
         .append('\n');
   }
 
-  /** The name without characters that would end or split its line. */
-  private static String escaped(String name) {
-    return name.replaceAll("[^!-~]|[:|@#]", "_");
+  private static String withoutReservedCharacters(String name) {
+    return RESERVED_CHARACTERS.matcher(name).replaceAll("_");
   }
 }
--- a/proxy/src/main/java/wheattrack/core/BackendIndex.java
+++ b/proxy/src/main/java/wheattrack/core/BackendIndex.java
@@ -8,14 +8,14 @@
 import java.util.function.BiFunction;
 
 /**
- * Gives each known backend a small dense index. An index is used again for a new backend once its
- * backend has left the endpoint list and has no work in flight. Not thread-safe.
+ * Gives each known backend an index from a small dense range. An index is reused for a new backend
+ * once its backend has left the endpoint list and has no work in flight. Not thread-safe.
  *
  * @param <K> the type of a backend's id
- * @param <S> the type of a backend
+ * @param <B> the type of a backend
  */
-public final class BackendIndex<K, S extends BackendIndex.Backend<K>> {
-  /** The start time of a backend of which only "long ago" is known. */
+public final class BackendIndex<K, B extends BackendIndex.Backend<K>> {
+  /** The start time, in ticks, of a backend that started long ago at an unknown time. */
   public static final long LONG_AGO = Long.MIN_VALUE / 2;
 
   /**
@@ -50,37 +50,39 @@
     }
   }
 
-  private final BiFunction<K, Integer, S> factory;
-  private final Map<K, S> byId = new HashMap<>();
-  private final List<S> byIndex = new ArrayList<>();
+  private final BiFunction<K, Integer, B> factory;
+  private final Map<K, B> byId = new HashMap<>();
+  private final List<B> byIndex = new ArrayList<>();
 
   /** Creates an empty index; the factory makes a backend of its id and index. */
-  public BackendIndex(BiFunction<K, Integer, S> factory) {
+  public BackendIndex(BiFunction<K, Integer, B> factory) {
     this.factory = factory;
   }
 
   /**
    * The backend with this index.
    *
-   * @throws IndexOutOfBoundsException if the index was never given out
+   * @throws IndexOutOfBoundsException if the index was never assigned
    */
-  public S get(int index) {
+  public B get(int index) {
     return byIndex.get(index);
   }
 
   /** The backend with this id, or null. */
-  public S find(K id) {
+  public B find(K id) {
     return byId.get(id);
   }
 
-  /** The backend with this id, added if it is new; a new one is unlisted until it is marked. */
-  public S getOrAdd(K id) {
-    S known = byId.get(id);
+  /**
+   * The backend with this id, added if it is new; a new one is unlisted until {@link #markListed}.
+   */
+  public B getOrAdd(K id) {
+    B known = byId.get(id);
     if (known != null) {
       return known;
     }
     int index = releaseIndex();
-    S backend = factory.apply(id, index);
+    B backend = factory.apply(id, index);
     if (index == byIndex.size()) {
       byIndex.add(backend);
     } else {
@@ -90,9 +92,12 @@
     return backend;
   }
 
-  /** The lowest index whose backend can be forgotten, which it then is; else the next new one. */
+  /**
+   * The lowest index whose backend is unlisted and idle, after removing that backend; if there is
+   * none, the first index that was never assigned.
+   */
   private int releaseIndex() {
-    for (S backend : byIndex) {
+    for (B backend : byIndex) {
       if (!backend.isListed() && !backend.hasWorkInFlight()) {
         byId.remove(backend.id);
         return backend.index;
@@ -102,17 +107,18 @@
   }
 
   /** Notes that the backend is on the endpoint list; returns whether it was not before. */
-  public boolean markListed(S backend) {
+  public boolean markListed(B backend) {
     boolean isNew = !backend.isListed();
     backend.setListed(true);
     return isNew;
   }
 
   /**
-   * Notes that the backend has left the endpoint list; returns whether it was on it. A null backend
-   * was not.
+   * Notes that the backend has left the endpoint list; returns whether it was on it.
+   *
+   * @param backend the backend, or null for an unknown one
    */
-  public boolean markUnlisted(S backend) {
+  public boolean markUnlisted(B backend) {
     boolean wasListed = backend != null && backend.isListed();
     if (wasListed) {
       backend.setListed(false);
@@ -131,13 +137,13 @@
   }
 
   /** The listed backends whose ids are not among these, by index. */
-  public List<S> listedExcept(Set<?> ids) {
+  public List<B> listedExcept(Set<?> ids) {
     return byIndex.stream()
         .filter(backend -> backend.isListed() && !ids.contains(backend.id))
         .toList();
   }
 
-  /** Forgets all backends. */
+  /** Removes all backends. */
   public void clear() {
     byId.clear();
     byIndex.clear();
--- a/proxy/src/main/java/wheattrack/core/Lifecycle.java
+++ b/proxy/src/main/java/wheattrack/core/Lifecycle.java
@@ -31,7 +31,11 @@
   private final Consumer<Phase> listener;
   private Phase phase = Phase.STARTING;
 
-  /** Creates a lifecycle in {@link Phase#STARTING}; the listener hears of each phase it enters. */
+  /**
+   * Creates a lifecycle in {@link Phase#STARTING}.
+   *
+   * @param listener notified of each later phase when it is entered
+   */
   public Lifecycle(Consumer<Phase> listener) {
     this.listener = listener;
   }
--- a/proxy/src/main/java/wheattrack/core/RequestCounters.java
+++ b/proxy/src/main/java/wheattrack/core/RequestCounters.java
@@ -5,28 +5,42 @@
 import java.util.Map;
 
 /**
- * Counts events since the start of the process: the one place that counts each of them. Used on the
- * event loop's thread only.
+ * Counts events since the start of the process; each event is counted here only. Runs on the event
+ * loop's thread only.
  */
 public final class RequestCounters {
   /** How a request ended for its client. */
   public enum FinalAnswer {
-    /** It got a backend's answer. */
+    /** The client received a backend's answer. */
     DONE,
 
-    /** It was rejected. */
+    /** The request was rejected. */
     REJECTED,
 
-    /** It was aborted after it had been admitted. */
+    /** The request was aborted after it had been admitted. */
     FAILED
   }
 
-  /** Request classes counted apart; all beyond these are counted under {@link #OVERFLOW_NAME}. */
+  /** The counts of the final answers to the requests of one class. */
+  public static final class AnswerCounts {
+    private final long[] counts = new long[FinalAnswer.values().length];
+
+    private void increment(FinalAnswer answer) {
+      counts[answer.ordinal()]++;
+    }
+
+    /** How many requests got this answer. */
+    public long get(FinalAnswer answer) {
+      return counts[answer.ordinal()];
+    }
+  }
+
+  /** The most classes counted separately; others are counted as {@link #OVERFLOW_NAME}. */
   private static final int MAX_CLASSES = 256;
 
   private static final String OVERFLOW_NAME = "further";
 
-  private final Map<String, long[]> answersByClass = new LinkedHashMap<>();
+  private final Map<String, AnswerCounts> answersByClass = new LinkedHashMap<>();
   private long attempts;
   private long reloadsApplied;
   private long reloadsRejected;
@@ -39,23 +53,20 @@
 
   /** Counts a final answer to a request of this class. */
   public void countAnswer(String requestClass, FinalAnswer answer) {
-    countsOf(requestClass)[answer.ordinal()]++;
+    countsOf(requestClass).increment(answer);
   }
 
-  private long[] countsOf(String requestClass) {
-    long[] known = answersByClass.get(requestClass);
+  private AnswerCounts countsOf(String requestClass) {
+    AnswerCounts known = answersByClass.get(requestClass);
     if (known != null) {
       return known;
     }
     String name = answersByClass.size() < MAX_CLASSES ? requestClass : OVERFLOW_NAME;
-    return answersByClass.computeIfAbsent(name, key -> new long[FinalAnswer.values().length]);
+    return answersByClass.computeIfAbsent(name, key -> new AnswerCounts());
   }
 
-  /**
-   * The answers by request class, in the order in which the classes were first met: counts in the
-   * order of {@link FinalAnswer}.
-   */
-  public Map<String, long[]> answersByClass() {
+  /** The answers by request class, in the order in which the classes were first counted. */
+  public Map<String, AnswerCounts> answersByClass() {
     return Collections.unmodifiableMap(answersByClass);
   }
 
--- a/proxy/src/main/java/wheattrack/core/SlotTable.java
+++ b/proxy/src/main/java/wheattrack/core/SlotTable.java
@@ -14,7 +14,7 @@
   private static final int INITIAL_FREE_SLOTS = 64;
 
   private final List<T> entries = new ArrayList<>();
-  private int[] freeSlots = new int[INITIAL_FREE_SLOTS]; // a stack
+  private int[] freeSlots = new int[INITIAL_FREE_SLOTS]; // a stack of freeSlotCount slots
   private int freeSlotCount;
   private int size;
 
@@ -53,7 +53,7 @@
     return size;
   }
 
-  /** A copy of the present entries, by slot. */
+  /** A copy of the current entries, ordered by slot. */
   public List<T> all() {
     List<T> all = new ArrayList<>(size);
     for (T entry : entries) {
--- a/proxy/src/main/java/wheattrack/core/TimerQueue.java
+++ b/proxy/src/main/java/wheattrack/core/TimerQueue.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 
 /**
- * All timers of the process, ordered by deadline: a binary heap whose entries know their place, so
- * that any of them can be cancelled at a logarithmic cost. Timers with the same deadline run in the
+ * All timers of the process, ordered by deadline: a binary heap whose entries hold their index, so
+ * that any of them can be cancelled in logarithmic time. Timers with the same deadline run in the
  * order in which they were added. Not thread-safe.
  */
 public final class TimerQueue {
@@ -33,7 +33,11 @@
   private int size;
   private long lastSequence;
 
-  /** Adds a timer; the deadline is in the unit and on the clock of {@link #pollDue}'s now. */
+  /**
+   * Adds a timer.
+   *
+   * @param deadline the time from which it is due, in the unit and on the clock of {@link #pollDue}
+   */
   public Timer add(long deadline, Runnable task) {
     Timer timer = new Timer(deadline, ++lastSequence, task);
     if (size == heap.length) {
@@ -49,12 +53,12 @@
     if (timer == null || timer.heapIndex == NOT_QUEUED) {
       return;
     }
-    int hole = timer.heapIndex;
+    int freedIndex = timer.heapIndex;
     timer.heapIndex = NOT_QUEUED;
     Timer last = heap[--size];
     heap[size] = null;
     if (last != timer) {
-      place(last, hole);
+      place(last, freedIndex);
       siftUp(last);
       siftDown(last);
     }
@@ -65,7 +69,7 @@
     return size == 0 ? Long.MAX_VALUE : heap[0].deadline;
   }
 
-  /** Removes the first timer if it is due and returns its task, else null. */
+  /** Removes the first timer and returns its task if it is due at this time, else returns null. */
   public Runnable pollDue(long now) {
     if (size == 0 || heap[0].deadline > now) {
       return null;
