--- a/proxy/src/main/java/wheattrack/log/EventLog.java
+++ b/proxy/src/main/java/wheattrack/log/EventLog.java
@@ -6,8 +6,9 @@
 import java.util.logging.Logger;
 
 /**
- * One line of the log in its parts: what happened, to whom and why. Its plain text is "event id:
- * cause". The static methods write such lines; any thread may call them.
+ * One line of the log in its parts: the event, the id of the request or endpoint concerned, and the
+ * cause. Its plain text is "event id: cause". The static methods write such lines; any thread may
+ * call them.
  */
 public final class EventLog extends LogRecord {
   private static final long serialVersionUID = 1;
@@ -30,7 +31,7 @@
     return event;
   }
 
-  /** To whom it happened, or null. */
+  /** The id of the request or endpoint concerned, or null. */
   String id() {
     return id;
   }
@@ -47,14 +48,14 @@
     }
   }
 
-  /** Switches the lines of single requests on, for the rest of the process's life. */
+  /** Enables lines about single requests and endpoints until the process exits. */
   public static void enableDetails() {
     LOG.setLevel(Level.FINE);
   }
 
   /**
-   * Writes a line about a single request or endpoint, if these are switched on; else the cause is
-   * not computed.
+   * Writes a line about a single request or endpoint if {@link #enableDetails} was called;
+   * otherwise the cause is not computed.
    */
   public static void detail(String event, String id, Supplier<String> cause) {
     if (LOG.isLoggable(Level.FINE)) {
--- a/proxy/src/main/java/wheattrack/log/JsonLineFormatter.java
+++ b/proxy/src/main/java/wheattrack/log/JsonLineFormatter.java
@@ -11,16 +11,20 @@
 
 /**
  * Formats a log line as one JSON object: time, level, event, id, cause, stack trace, and how many
- * like it were left out before it.
+ * lines of the same event were suppressed before it. Thread-safe.
  */
 public final class JsonLineFormatter extends Formatter {
-  private static final int USUAL_LINE_LENGTH = 128;
+  /** The initial capacity, in characters, for one line. */
+  private static final int INITIAL_CAPACITY = 128;
+
+  /** The event of lines that were not written through {@link EventLog}. */
+  private static final String OTHER_EVENT = "note";
 
   private final JsonFactory jsonFactory = new JsonFactory();
 
   @Override
   public String format(LogRecord line) {
-    StringWriter text = new StringWriter(USUAL_LINE_LENGTH);
+    StringWriter text = new StringWriter(INITIAL_CAPACITY);
     try (JsonGenerator json = jsonFactory.createGenerator(text)) {
       json.writeStartObject();
       json.writeStringField("time", line.getInstant().toString());
@@ -29,9 +33,9 @@
       if (line.getThrown() != null) {
         json.writeStringField("trace", stackTrace(line.getThrown()));
       }
-      int leftOut = RateLimitFilter.leftOutBefore(line);
-      if (leftOut > 0) {
-        json.writeNumberField("left_out", leftOut);
+      int suppressed = RateLimitFilter.suppressedBefore(line);
+      if (suppressed > 0) {
+        json.writeNumberField("left_out", suppressed);
       }
       json.writeEndObject();
     } catch (IOException e) { // a string writer throws none
@@ -46,7 +50,7 @@
       writeUnlessNull(json, "id", event.id());
       writeUnlessNull(json, "cause", event.cause());
     } else {
-      json.writeStringField("event", "note");
+      json.writeStringField("event", OTHER_EVENT);
       json.writeStringField("cause", formatMessage(line));
     }
   }
--- a/proxy/src/main/java/wheattrack/log/PlainLineFormatter.java
+++ b/proxy/src/main/java/wheattrack/log/PlainLineFormatter.java
@@ -3,12 +3,17 @@
 import java.util.logging.LogRecord;
 import java.util.logging.SimpleFormatter;
 
-/** Formats a log line as text, with how many like it were left out before it. */
+/**
+ * Formats a log line as text, with the number of lines of the same event that were suppressed
+ * before it. Thread-safe.
+ */
 public final class PlainLineFormatter extends SimpleFormatter {
   @Override
   public synchronized String format(LogRecord line) {
-    int leftOut = RateLimitFilter.leftOutBefore(line);
+    int suppressed = RateLimitFilter.suppressedBefore(line);
     String text = super.format(line);
-    return leftOut == 0 ? text : text.stripTrailing() + " (" + leftOut + " like it left out)\n";
+    return suppressed == 0
+        ? text
+        : text.stripTrailing() + " (" + suppressed + " like it left out)\n";
   }
 }
--- a/proxy/src/main/java/wheattrack/log/RateLimitFilter.java
+++ b/proxy/src/main/java/wheattrack/log/RateLimitFilter.java
@@ -6,11 +6,12 @@
 import java.util.logging.LogRecord;
 
 /**
- * Lets a limited number of lines of each event through per second. The next line that passes
- * carries the number of lines left out before it, for the formatters. Thread-safe.
+ * Passes a limited number of lines of each event per second and suppresses the others. The next
+ * line that passes carries the number of lines suppressed before it, for the formatters.
+ * Thread-safe.
  */
 public final class RateLimitFilter implements Filter {
-  /** The most events whose lines are counted at once; beyond it all counts are dropped. */
+  /** The most events whose lines are counted; before one more is added, all counts are dropped. */
   private static final int MAX_EVENTS = 256;
 
   private static final int MILLIS_PER_SECOND = 1000;
@@ -19,11 +20,11 @@
   private static final class EventCount {
     private long second; // since 1970
     private int passedInSecond;
-    private int leftOut; // since the last line that passed
+    private int suppressed; // since the last line that passed
   }
 
-  /** The parameter of a line that stands for others that were left out before it. */
-  private record LeftOut(int count) {
+  /** The parameter of a line that follows suppressed ones: their number. */
+  private record SuppressedLines(int count) {
     /** The text that a placeholder in the message would show. */
     @Override
     public String toString() {
@@ -34,7 +35,11 @@
   private final int maxLinesPerSecond;
   private final Map<String, EventCount> counts = new HashMap<>();
 
-  /** Creates a filter for so many lines of each event per second, or 0 to let all through. */
+  /**
+   * Creates a filter.
+   *
+   * @param maxLinesPerSecond the most lines of each event that pass per second; 0 passes all lines
+   */
   public RateLimitFilter(int maxLinesPerSecond) {
     this.maxLinesPerSecond = maxLinesPerSecond;
   }
@@ -54,13 +59,13 @@
       count.passedInSecond = 0;
     }
     if (count.passedInSecond >= maxLinesPerSecond) {
-      count.leftOut++;
+      count.suppressed++;
       return false;
     }
     count.passedInSecond++;
-    if (count.leftOut > 0) {
-      line.setParameters(new Object[] {new LeftOut(count.leftOut)});
-      count.leftOut = 0;
+    if (count.suppressed > 0) {
+      line.setParameters(new Object[] {new SuppressedLines(count.suppressed)});
+      count.suppressed = 0;
     }
     return true;
   }
@@ -69,11 +74,11 @@
     return line instanceof EventLog event ? event.event() : line.getMessage();
   }
 
-  /** How many lines like this one were left out before it. */
-  static int leftOutBefore(LogRecord line) {
+  /** How many lines of the same event were suppressed before this one. */
+  static int suppressedBefore(LogRecord line) {
     Object[] parameters = line.getParameters();
     boolean isMarked =
-        parameters != null && parameters.length == 1 && parameters[0] instanceof LeftOut;
-    return isMarked ? ((LeftOut) parameters[0]).count() : 0;
+        parameters != null && parameters.length == 1 && parameters[0] instanceof SuppressedLines;
+    return isMarked ? ((SuppressedLines) parameters[0]).count() : 0;
   }
 }
