--- a/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
+++ b/proxy/src/test/java/wheattrack/aio/EventLoopTest.java
@@ -26,46 +26,47 @@
     }
   }
 
-  private void standStill() {
-    record("stands still for 100 ms");
+  /** Blocks the loop for longer than the delay of a timer, while tasks are queued behind it. */
+  private void stallThenFail() {
+    record("stalls for 100 ms");
     try {
       Thread.sleep(100);
     } catch (InterruptedException e) {
       record("interrupted");
     }
-    loop.execute(() -> record("an answer that came meanwhile"));
-    for (int i = 0; i < SLOW_TASKS; i++) { // none is lost where running them takes long
+    loop.execute(() -> record("response that arrived during the stall"));
+    for (int i = 0; i < SLOW_TASKS; i++) { // together they take longer than catching up may
       loop.execute(this::runSlowTask);
     }
-    throw new IllegalStateException("and fails");
+    throw new IllegalStateException("a failed step must not end the loop");
   }
 
   private void start() {
     loop.schedule(
-        300, () -> record("deadline of 30 ms, not all heard: " + (slowTasksRun < SLOW_TASKS)));
+        300, () -> record("timer at 30 ms, before the last tasks: " + (slowTasksRun < SLOW_TASKS)));
     loop.schedule(
         5000,
         () -> {
-          record("deadline of 500 ms, heard " + slowTasksRun);
+          record("timer at 500 ms, tasks run: " + slowTasksRun);
           loop.shutdown();
         });
-    loop.defer(() -> record("step left behind, before any task"));
-    loop.execute(this::standStill);
+    loop.defer(() -> record("deferred step, before any task"));
+    loop.execute(this::stallThenFail);
   }
 
-  /** After a standstill, what arrived meanwhile is handled before anything is timed out. */
+  /** After a stall, what has arrived is handled, for a limited time, before any timer runs. */
   @Test
-  void runsTasksBeforeLateTimersAfterStandstill() {
+  void runsTasksBeforeLateTimersAfterStall() {
     loop.execute(this::start);
     Logger.getLogger("wheattrack").setLevel(Level.OFF);
     loop.run();
     assertEquals(
         """
-        step left behind, before any task
-        stands still for 100 ms
-        an answer that came meanwhile
-        deadline of 30 ms, not all heard: true
-        deadline of 500 ms, heard 200
+        deferred step, before any task
+        stalls for 100 ms
+        response that arrived during the stall
+        timer at 30 ms, before the last tasks: true
+        timer at 500 ms, tasks run: 200
         """,
         trace.toString());
   }
--- a/proxy/src/test/java/wheattrack/core/IndexTablesTest.java
+++ b/proxy/src/test/java/wheattrack/core/IndexTablesTest.java
@@ -10,7 +10,9 @@
 import org.junit.jupiter.api.Test;
 import wheattrack.testing.TraceRecorder;
 
-/** {@link SlotTable} and {@link BackendIndex}: which numbers they give out, and give out again. */
+/**
+ * {@link SlotTable} and {@link BackendIndex}: which indexes they assign, and when they reuse them.
+ */
 class IndexTablesTest {
   private static final class TestBackend extends BackendIndex.Backend<String> {
     private boolean isBusy;
@@ -26,7 +28,7 @@
   }
 
   @Test
-  void reusesReleasedNumbers() throws IOException {
+  void reusesReleasedIndexes() throws IOException {
     TraceRecorder recorder = new TraceRecorder();
     recordSlotTable(recorder);
     recordBackendIndex(recorder);
@@ -74,7 +76,7 @@
             + backends.markUnlisted(null));
   }
 
-  /** All 60 backends are replaced 500 times, with two old ones busy; few indexes are needed. */
+  /** All 60 backends are replaced 500 times while two old ones are busy; few indexes are needed. */
   @Test
   void replacedBackendsTakeNoMoreIndexes() {
     BackendIndex<String, TestBackend> backends = new BackendIndex<>(TestBackend::new);
@@ -94,7 +96,7 @@
         backends.find("s" + oldRound + "-" + oldRound % 60).isBusy = false;
       }
     }
-    assertTrue(maxIndex <= 122, maxIndex + " places");
+    assertTrue(maxIndex <= 122, "highest index " + maxIndex);
     assertNull(backends.find("s0-0"));
   }
 }
--- a/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
+++ b/proxy/src/test/java/wheattrack/http/HttpCodecTest.java
@@ -1,26 +1,58 @@
 package wheattrack.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import wheattrack.testing.TraceRecorder;
 
 /** Decoding of messages from bytes that arrive one at a time, and encoding. */
 class HttpCodecTest {
+  private static final String POST_LINE = "POST /buy HTTP/1.1\r\n";
+  private static final String POST_WITH_HOST = POST_LINE + "Host: a\r\n";
+  private static final String OK_LINE = "HTTP/1.1 200 OK\r\n";
+  private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+  private static final byte[] NO_BYTES = {};
+
+  /** The limit on bodies, in bytes, where long ones are tested. */
+  private static final long MAX_BODY = 150_000;
+
+  private final TraceRecorder recorder = new TraceRecorder();
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.ISO_8859_1);
+  }
+
+  /** The text on one line, cut off where it is long, with its full length. */
   private static String abbreviate(String text) {
     String plain = text.replace("\r\n", "|").replace("\n", "!");
     return plain.length() > 80 ? plain.substring(0, 70) + "... (" + plain.length() + ")" : plain;
   }
 
-  /** How far a long body was streamed: the index after it, and what was read of it. */
+  /**
+   * How far a long body was streamed.
+   *
+   * @param end the index after its last character in the text
+   * @param summary the number of bytes, and whether the body is complete
+   */
   private record StreamedBody(int end, String summary) {}
 
-  private static StreamedBody readStreamedBody(Decoder<?> decoder, String text, int start)
+  private static StreamedBody streamBody(Decoder<?> decoder, String text, int start)
       throws MalformedMessageException {
     int size = 0;
     int index = start;
@@ -31,110 +63,124 @@
     return new StreamedBody(index, size + (decoder.isStreamingBody() ? " not whole" : " whole"));
   }
 
-  /**
-   * A message is decoded to the same body wherever it is cut into two packets, and twice in a row.
-   */
-  @Test
-  void decodesSameMessageForEverySplit() throws Exception {
+  /** Two equal messages in a row have the same body wherever they are split into two packets. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 1120\r\n\r\n%s",
+        CHUNKED + "460;a=\"b\"\r\n%s\r\n0\r\nT: 1\r\nU: 2\r\n\r\n"
+      })
+  void decodesSameBodyForEverySplit(String framedBody) throws Exception {
     String body = "0123456789abcdef".repeat(70);
-    String head = "POST /buy HTTP/1.1\r\nHost: a\r\n";
-    String measured = head + "Content-Length: 1120\r\n\r\n" + body;
-    String chunked =
-        head
-            + "Transfer-Encoding: chunked\r\n\r\n460;a=\"b\"\r\n"
-            + body
-            + "\r\n0\r\nT: 1\r\nU: 2\r\n\r\n";
-    for (String text : List.of(measured, chunked)) {
-      for (int cut = 0; cut <= text.length(); cut++) {
-        decodeTwice(text, cut, body);
-      }
+    String message = POST_WITH_HOST + framedBody.formatted(body);
+    for (int cut = 0; cut <= message.length(); cut++) {
+      decodeTwice(message, cut, body);
     }
   }
 
-  private static void decodeTwice(String text, int cut, String expectedBody)
+  private static void decodeTwice(String message, int cut, String expectedBody)
       throws MalformedMessageException {
     RequestDecoder decoder = new RequestDecoder();
     Request last = null;
-    String both = text + text;
+    String both = message + message;
     int start = 0;
     while (start < both.length()) {
       int packetEnd = start < cut ? cut : both.length();
       int count = Math.min(decoder.writableBuffer().remaining(), packetEnd - start);
-      byte[] bytes = both.substring(start, start + count).getBytes(StandardCharsets.ISO_8859_1);
-      decoder.writableBuffer().put(bytes);
+      decoder.writableBuffer().put(bytes(both.substring(start, start + count)));
       start += count;
       for (Request next = decoder.next(); next != null; next = decoder.next()) {
         last = next;
-        assertEquals(expectedBody, new String(next.body(), StandardCharsets.ISO_8859_1));
+        assertEquals(expectedBody, text(next.body()));
       }
     }
     assertTrue(
         last != null && last.remainingBody().isEmpty() && !decoder.isMidMessage(), "cut at " + cut);
   }
 
-  /** Of a long message the head comes with a first part, then the rest, then the next message. */
+  /**
+   * A long message is returned with the first part of its body; the rest is streamed, and the next
+   * message follows.
+   */
   @Test
-  void streamsLongBodies() throws Exception {
-    TraceRecorder recorder = new TraceRecorder();
-    String post = "POST /buy HTTP/1.1\r\n";
-    String ok = "HTTP/1.1 200 OK\r\n";
+  void streamsLongBodies() throws IOException {
     String next = "GET /n HTTP/1.1\r\n\r\n";
     String chunk = "8000;e=" + "x".repeat(50) + "\r\n" + "z".repeat(32_768) + "\r\n";
     for (String text :
         List.of(
-            post + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000) + next,
-            post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n" + next,
-            post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(2) + "xyz",
-            post + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(5))) {
-      recordLongMessage(recorder, new RequestDecoder(150_000), text);
+            POST_LINE + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000) + next,
+            POST_LINE + CHUNKED + chunk.repeat(3) + "0\r\n\r\n" + next,
+            POST_LINE + CHUNKED + chunk.repeat(2) + "xyz",
+            POST_LINE + CHUNKED + chunk.repeat(5))) {
+      recordLongMessage(new RequestDecoder(MAX_BODY), text);
     }
     for (String text :
         List.of(
-            ok + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000),
-            ok + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n",
-            ok + "Content-Length: 3000000000\r\n\r\n",
-            ok + "\r\n" + "z".repeat(70_000))) {
-      recordLongMessage(recorder, new ResponseDecoder(150_000), text);
+            OK_LINE + "Content-Length: 100000\r\n\r\n" + "z".repeat(100_000),
+            OK_LINE + CHUNKED + chunk.repeat(3) + "0\r\n\r\n",
+            OK_LINE + "Content-Length: 3000000000\r\n\r\n",
+            OK_LINE + "\r\n" + "z".repeat(70_000))) {
+      recordLongMessage(new ResponseDecoder(MAX_BODY), text);
     }
     ResponseDecoder decoder = new ResponseDecoder();
     decoder.expectNoBody(true);
-    recordMessages(recorder, decoder, ok + "Content-Length: 5\r\n\r\n");
+    recordMessages(decoder, OK_LINE + "Content-Length: 5\r\n\r\n");
     recorder.matches("http-long");
   }
 
-  private static void recordLongMessage(TraceRecorder recorder, Decoder<?> decoder, String text) {
+  @Test
+  void decodesResponseToHeadWithoutBody() throws MalformedMessageException {
+    ResponseDecoder decoder = new ResponseDecoder();
+    decoder.expectNoBody(true);
+    decoder.writableBuffer().put(bytes(OK_LINE + "Content-Length: 5\r\n\r\n"));
+    Response response = decoder.next();
+    assertEquals(BodyFraming.NONE, response.remainingBody());
+    assertEquals("5", response.headers().first("Content-Length"));
+    assertFalse(decoder.isMidMessage());
+  }
+
+  private void recordLongMessage(Decoder<?> decoder, String text) {
     recorder.say(abbreviate(text));
     try {
-      int index = 0;
-      while (index < text.length()) {
-        decoder.writableBuffer().put((byte) text.charAt(index++));
-        Object message = decoder.next();
-        if (message == null) {
-          continue;
-        }
-        recorder.say(
-            "  "
-                + print(message).replaceAll("body=.*\\(", "body of (")
-                + ", more "
-                + remainingBody(message));
-        if (decoder.isStreamingBody()) {
-          StreamedBody streamed = readStreamedBody(decoder, text, index);
-          index = streamed.end();
-          recorder.say("  and " + streamed.summary());
-        }
-      }
+      decodeLongMessages(decoder, text);
       if (decoder.endOfStream()) {
-        recorder.say(
-            "  till the end: "
-                + decoder.nextBodyPart().remaining()
-                + (decoder.isStreamingBody() ? " and on" : " whole"));
+        recordLastBodyPart(decoder);
       }
     } catch (MalformedMessageException e) {
-      recorder.say("  bad, " + e.status() + ": " + e.getMessage());
+      recordRejection(e);
+    }
+  }
+
+  private void decodeLongMessages(Decoder<?> decoder, String text)
+      throws MalformedMessageException {
+    int index = 0;
+    while (index < text.length()) {
+      decoder.writableBuffer().put((byte) text.charAt(index++));
+      Object message = decoder.next();
+      if (message == null) {
+        continue;
+      }
+      String description = describe(message).replaceAll("body=.*\\(", "body of (");
+      recorder.say("  " + description + ", more " + remainingBody(message));
+      if (decoder.isStreamingBody()) {
+        StreamedBody streamed = streamBody(decoder, text, index);
+        index = streamed.end();
+        recorder.say("  and " + streamed.summary());
+      }
     }
   }
 
-  /** The part of a body that follows, as traces name it: the bytes, or a code of the framing. */
+  private void recordLastBodyPart(Decoder<?> decoder) throws MalformedMessageException {
+    int size = decoder.nextBodyPart().remaining();
+    String completeness = decoder.isStreamingBody() ? " and on" : " whole";
+    recorder.say("  till the end: " + size + completeness);
+  }
+
+  private void recordRejection(MalformedMessageException e) {
+    recorder.say("  bad, " + e.status() + ": " + e.getMessage());
+  }
+
+  /** The rest of a body as the expected traces show it: its length, or a code of its framing. */
   private static long remainingBody(Object message) {
     BodyFraming framing =
         message instanceof Request request
@@ -148,38 +194,38 @@
     };
   }
 
-  private static String print(Object message) {
+  private static String describe(Object message) {
     if (message instanceof Request request) {
       return request.method()
           + " "
           + request.target()
-          + print(request.headers(), request.keepAlive(), request.body());
+          + describe(request.headers(), request.keepAlive(), request.body());
     }
     Response response = (Response) message;
-    return response.status() + print(response.headers(), response.keepAlive(), response.body());
+    return response.status() + describe(response.headers(), response.keepAlive(), response.body());
   }
 
-  private static String print(Headers headers, boolean keepAlive, byte[] body) {
+  private static String describe(Headers headers, boolean keepAlive, byte[] body) {
     StringBuilder text = new StringBuilder();
     for (int i = 0; i < headers.size(); i++) {
       text.append(' ').append(headers.name(i)).append('=').append(headers.value(i));
     }
     text.append(keepAlive ? " keep" : " close");
-    text.append(" body=").append(abbreviate(new String(body, StandardCharsets.ISO_8859_1)));
+    text.append(" body=").append(abbreviate(text(body)));
     return text.toString();
   }
 
-  private static void recordMessages(TraceRecorder recorder, Decoder<?> decoder, String text) {
+  private void recordMessages(Decoder<?> decoder, String text) {
     recorder.say(abbreviate(text));
-    for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
+    for (byte b : bytes(text)) {
       decoder.writableBuffer().put(b);
       try {
         Object message = decoder.next();
         if (message != null) {
-          recorder.say("  " + print(message));
+          recorder.say("  " + describe(message));
         }
       } catch (MalformedMessageException e) {
-        recorder.say("  bad, " + e.status() + ": " + e.getMessage());
+        recordRejection(e);
         return;
       }
     }
@@ -188,97 +234,89 @@
     }
   }
 
-  @Test
-  void decodesRequests() throws IOException {
-    TraceRecorder recorder = new TraceRecorder();
-    String post = "POST /buy HTTP/1.1\r\nHost: a\r\n";
-    for (String text :
-        new String[] {
-          "GET /buy?x=1 HTTP/1.1\r\nHost: a\r\nRequest-Id: 7\r\n\r\n",
-          "\r\nGET / HTTP/1.0\r\n\r\nGET /2 HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n",
-          post + "Connection: x, Close\r\nContent-Length: 3\r\n\r\nabc",
-          post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nab",
-          post
-              + "transfer-encoding: chunked\r\n\r\n"
-              + "3;x=y\r\n"
-              + "abc\r\n"
-              + "0a\r\n"
-              + "0123456789\r\n"
-              + "0\r\n"
-              + "T: 1\r\n\r\n",
-          post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
-          post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
-          post + "Content-Length: -3\r\n\r\n",
-          post + "Content-Length: 65537\r\n\r\n",
-          post + "Transfer-Encoding: gzip\r\n\r\n",
-          post + "Transfer-Encoding: chunked\r\n\r\nxyz",
-          post + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc",
-          post + "Transfer-Encoding: chunked\r\n\r\n\r\n",
-          post + "Transfer-Encoding: chunked\r\n\r\n1ffff\r\n" + "z".repeat(70_000),
-          post + "A : 1\r\n\r\n",
-          post + "A: 1\r\n folded\r\n\r\n",
-          post + "A: 1\u0001\r\n\r\n",
-          post + "A\r\n\r\n",
-          post + "A: 1\r\n".repeat(101) + "\r\n",
-          post + "A: " + "1".repeat(20_000),
-          "GET http://a/ HTTP/1.1\r\n\r\n",
-          "GET  /a HTTP/1.1\r\n\r\n",
-          "GET /a HTTP/2.0\r\n\r\n",
-          "BREW /a HTTP/1.1\r\n\r\n",
-          "\u0016\u0003\u0001\n\n",
-          "GET /a\r\n\r\n"
-        }) {
-      recordMessages(recorder, new RequestDecoder(), text);
+  /** Records how each text is decoded, by a decoder of its own. */
+  private void decodesAsInTrace(
+      String traceName, Supplier<Decoder<?>> newDecoder, List<String> texts) throws IOException {
+    for (String text : texts) {
+      recordMessages(newDecoder.get(), text);
     }
-    recorder.matches("http-requests");
+    recorder.matches(traceName);
   }
 
   @Test
-  void decodesResponses() throws IOException {
-    TraceRecorder recorder = new TraceRecorder();
-    String ok = "HTTP/1.1 200 OK\r\n";
-    for (String text :
-        new String[] {
-          ok + "Content-Length: 2\r\n\r\nhi" + ok + "Content-Length: 0\r\n\r\n",
-          "HTTP/1.1 100 Continue\r\n\r\n"
-              + ok
-              + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
-          ok + "Content-Length: 5\r\n\r\nhi",
-          ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhi",
-          "HTTP/1.1 204 No Content\r\n\r\n",
-          ok + "\r\nno length, till the end",
-          "HTTP/1.1 2000 OK\r\n\r\n",
-          "SSH-2.0-x\r\n\r\n",
-          ok + "Content-Length: 99999\r\n\r\n"
-        }) {
-      recordMessages(recorder, new ResponseDecoder(), text);
-    }
-    recorder.matches("http-answers");
+  void decodesValidRequestsAndRejectsOthers() throws IOException {
+    decodesAsInTrace(
+        "http-requests",
+        RequestDecoder::new,
+        List.of(
+            "GET /buy?x=1 HTTP/1.1\r\nHost: a\r\nRequest-Id: 7\r\n\r\n",
+            "\r\nGET / HTTP/1.0\r\n\r\nGET /2 HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n",
+            POST_WITH_HOST + "Connection: x, Close\r\nContent-Length: 3\r\n\r\nabc",
+            POST_WITH_HOST + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nab",
+            POST_WITH_HOST
+                + "transfer-encoding: chunked\r\n\r\n"
+                + "3;x=y\r\n"
+                + "abc\r\n"
+                + "0a\r\n"
+                + "0123456789\r\n"
+                + "0\r\n"
+                + "T: 1\r\n\r\n",
+            POST_WITH_HOST + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+            POST_WITH_HOST + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            POST_WITH_HOST + "Content-Length: -3\r\n\r\n",
+            POST_WITH_HOST + "Content-Length: 65537\r\n\r\n",
+            POST_WITH_HOST + "Transfer-Encoding: gzip\r\n\r\n",
+            POST_WITH_HOST + CHUNKED + "xyz",
+            POST_WITH_HOST + CHUNKED + "2\r\nabc",
+            POST_WITH_HOST + CHUNKED + "\r\n",
+            POST_WITH_HOST + CHUNKED + "1ffff\r\n" + "z".repeat(70_000),
+            POST_WITH_HOST + "A : 1\r\n\r\n",
+            POST_WITH_HOST + "A: 1\r\n folded\r\n\r\n",
+            POST_WITH_HOST + "A: 1\u0001\r\n\r\n",
+            POST_WITH_HOST + "A\r\n\r\n",
+            POST_WITH_HOST + "A: 1\r\n".repeat(101) + "\r\n",
+            POST_WITH_HOST + "A: " + "1".repeat(20_000),
+            "GET http://a/ HTTP/1.1\r\n\r\n",
+            "GET  /a HTTP/1.1\r\n\r\n",
+            "GET /a HTTP/2.0\r\n\r\n",
+            "BREW /a HTTP/1.1\r\n\r\n",
+            "\u0016\u0003\u0001\n\n",
+            "GET /a\r\n\r\n"));
   }
 
+  @Test
+  void decodesValidResponsesAndRejectsOthers() throws IOException {
+    decodesAsInTrace(
+        "http-answers",
+        ResponseDecoder::new,
+        List.of(
+            OK_LINE + "Content-Length: 2\r\n\r\nhi" + OK_LINE + "Content-Length: 0\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\n" + OK_LINE + CHUNKED + "2\r\nhi\r\n0\r\n\r\n",
+            OK_LINE + "Content-Length: 5\r\n\r\nhi",
+            OK_LINE + CHUNKED + "5\r\nhi",
+            "HTTP/1.1 204 No Content\r\n\r\n",
+            OK_LINE + "\r\nno length, till the end",
+            "HTTP/1.1 2000 OK\r\n\r\n",
+            "SSH-2.0-x\r\n\r\n",
+            OK_LINE + "Content-Length: 99999\r\n\r\n"));
+  }
+
+  /** Each JSON object is returned as one text, other text line by line. */
   @Test
   void decodesLines() throws IOException {
-    TraceRecorder recorder = new TraceRecorder();
-    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    String plain = "HTTP/1.1 200 OK\r\n\r\n";
+    String chunked = OK_LINE + CHUNKED;
+    String untilClose = OK_LINE + "\r\n";
     for (String text :
-        new String[] {
-          head + "4\r\n{\"a\"\r\n6\r\n:1}\n\n{\r\n2\r\n}\n\r\n1\r\n\n\r\n",
-          plain + "{}\n\n",
-          plain + "{\r\n  \"a\": [\n    {\"b\": \"}\\\"{\"}\n  ]\n}\n\n{}\n",
-          plain + "no object\n[]\n{\"cut off\n{}\n",
-          "HTTP/1.1 503 No\r\n\r\n",
-          head + "q"
-        }) {
-      LineDecoder decoder = new LineDecoder();
+        List.of(
+            chunked + "4\r\n{\"a\"\r\n6\r\n:1}\n\n{\r\n2\r\n}\n\r\n1\r\n\n\r\n",
+            untilClose + "{}\n\n",
+            untilClose + "{\r\n  \"a\": [\n    {\"b\": \"}\\\"{\"}\n  ]\n}\n\n{}\n",
+            untilClose + "no object\n[]\n{\"cut off\n{}\n",
+            "HTTP/1.1 503 No\r\n\r\n",
+            chunked + "q")) {
       recorder.say(abbreviate(text));
       try {
-        for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
-          decoder.writableBuffer().put(b);
-          for (String line = decoder.next(); line != null; line = decoder.next()) {
-            recorder.say("  [" + line + "]");
-          }
-        }
+        recordLines(text);
       } catch (MalformedMessageException e) {
         recorder.say("  bad: " + e.getMessage());
       }
@@ -286,22 +324,60 @@
     recorder.matches("http-lines");
   }
 
+  private void recordLines(String text) throws MalformedMessageException {
+    LineDecoder decoder = new LineDecoder();
+    for (byte b : bytes(text)) {
+      decoder.writableBuffer().put(b);
+      for (String line = decoder.next(); line != null; line = decoder.next()) {
+        recorder.say("  [" + line + "]");
+      }
+    }
+  }
+
   @Test
   void encodesMessages() throws IOException {
-    TraceRecorder recorder = new TraceRecorder();
-    byte[] body = "hi".getBytes(StandardCharsets.ISO_8859_1);
+    byte[] body = bytes("hi");
     Headers headers = new Headers().with("A", "1");
-    for (ByteBuffer bytes :
-        new ByteBuffer[] {
-          Encoder.request(new Request("GET", "/a", headers, true, new byte[0])),
-          Encoder.request(new Request("POST", "/a", headers, true, new byte[0])),
-          Encoder.request(new Request("PUT", "/a?b", new Headers(), false, body)),
-          Encoder.response(new Response(200, headers, true, body)),
-          Encoder.response(new Response(503, new Headers(), false, new byte[0])),
-          Encoder.continueResponse()
-        }) {
-      recorder.say(StandardCharsets.ISO_8859_1.decode(bytes).toString().replace("\r\n", "|"));
+    for (ByteBuffer message :
+        List.of(
+            Encoder.request(new Request("GET", "/a", headers, true, NO_BYTES)),
+            Encoder.request(new Request("POST", "/a", headers, true, NO_BYTES)),
+            Encoder.request(new Request("PUT", "/a?b", new Headers(), false, body)),
+            Encoder.response(new Response(200, headers, true, body)),
+            Encoder.response(new Response(503, new Headers(), false, NO_BYTES)),
+            Encoder.continueResponse())) {
+      recorder.say(onOneLine(message));
     }
     recorder.matches("http-encoded");
   }
+
+  private static String onOneLine(ByteBuffer bytes) {
+    return StandardCharsets.ISO_8859_1.decode(bytes).toString().replace("\r\n", "|");
+  }
+
+  private static Stream<Arguments> framingsOfRest() {
+    return Stream.of(
+        Arguments.of(BodyFraming.EMPTY, "Content-Length: 2||hi"),
+        Arguments.of(BodyFraming.fixedLength(5), "Content-Length: 7||hi"),
+        Arguments.of(BodyFraming.CHUNKED, "Transfer-Encoding: chunked||2|hi|"),
+        Arguments.of(BodyFraming.UNTIL_CLOSE, "|hi"));
+  }
+
+  /** The head of a message gives the framing of its complete body, of which the rest follows. */
+  @ParameterizedTest
+  @MethodSource("framingsOfRest")
+  void encodesFramingOfCompleteBody(BodyFraming remainingBody, String expectedEnd) {
+    Response response =
+        new Response(StatusCode.OK, new Headers(), true, bytes("hi"), remainingBody);
+    assertEquals("HTTP/1.1 200 OK|" + expectedEnd, onOneLine(Encoder.response(response)));
+  }
+
+  /** A response to HEAD has the length of the body that GET would return, and no body. */
+  @Test
+  void encodesResponseToHeadWithLengthAndWithoutBody() {
+    Response response = new Response(StatusCode.OK, new Headers(), true, bytes("hi"));
+    assertEquals(
+        "HTTP/1.1 200 OK|Content-Length: 2||",
+        onOneLine(Encoder.response(response.withoutBody().withoutBody())));
+  }
 }
