Codecs: standard terms in comments, shorter methods

Cause: a few comments of the codecs and of TcpConnection still used loose wording ("in order" for an orderly close), Headers.containsToken was nested four deep, and Request.chunks did not say that the client accepts chunks.

Change: Request.acceptsChunks, Headers.listContains, named constants in Encoder and ReceiveBuffer; comments. Encoded bytes are the same.

--- a/proxy/src/main/java/wheattrack/aio/TcpConnection.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -12,7 +12,7 @@
  * of the event loop. All methods run on the event loop's thread only.
  */
 public abstract class TcpConnection {
-  /** Passed to {@link #onRead} when the peer has ended its side of the connection in order. */
+  /** Passed to {@link #onRead} when the peer has closed its side of the connection. */
   public static final int END_OF_STREAM = -1;
 
   /** Passed to {@link #onRead} when the connection has broken. */
@@ -118,7 +118,7 @@
     return isClosed;
   }
 
-  /** Ends this side of the connection in order; closes the connection if that fails. */
+  /** Closes this side of the connection for writing; closes all of it if that fails. */
   public final void shutdownOutput() {
     try {
       channel.shutdownOutput();
--- a/proxy/src/main/java/wheattrack/http/BodyDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/BodyDecoder.java
@@ -11,7 +11,7 @@
   private ChunkedDecoder chunkedDecoder; // of a chunked body only
   private long remainingBytes; // of a body of known length only
   private long decodedBytes;
-  private boolean hasConnectionEnded; // noted for a body that lasts until then only
+  private boolean hasConnectionEnded; // of a body that lasts until the connection is closed only
 
   /** Begins the next body. */
   void start(BodyFraming bodyFraming) {
@@ -62,8 +62,8 @@
   }
 
   /**
-   * Notes that the peer has ended the connection in order; returns whether that is the proper end
-   * of the body.
+   * Notes that the peer has closed its side of the connection; returns whether that is the proper
+   * end of the body.
    */
   boolean endOfStream() {
     hasConnectionEnded = framing.isUntilClose();
--- a/proxy/src/main/java/wheattrack/http/ChunkedDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ChunkedDecoder.java
@@ -2,7 +2,10 @@
 
 import java.nio.ByteBuffer;
 
-/** Decodes one body in the chunked transfer coding, byte by byte as it arrives. */
+/**
+ * Decodes one body in the chunked transfer coding as its bytes arrive. Extensions of chunks and
+ * trailers are discarded. Runs on the event loop's thread only.
+ */
 final class ChunkedDecoder {
   private static final int HEXADECIMAL = 16;
 
@@ -30,7 +33,7 @@
   private int sizeDigits; // of the current chunk
   private int extraBytes; // of the current chunk's extension, or of the trailers
 
-  /** Whether the whole body was decoded. */
+  /** Whether the body was decoded to its end. */
   boolean isEnded() {
     return state == State.ENDED;
   }
@@ -38,6 +41,9 @@
   /**
    * Consumes bytes up to the buffer's limit or the end of the body, and appends the data among them
    * to {@code data}; stops early where data follows that would make it longer than {@code maxSize}.
+   *
+   * @throws MalformedMessageException if the bytes are no chunked body, or one with extensions or
+   *     trailers over the limit
    */
   void decode(ByteBuffer buffer, ByteAccumulator data, int maxSize)
       throws MalformedMessageException {
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -156,8 +156,8 @@
   }
 
   /**
-   * Notes that the peer has ended the connection in order; returns whether that is the proper end
-   * of the current body.
+   * Notes that the peer has closed its side of the connection; returns whether that is the proper
+   * end of the current body.
    */
   public boolean endOfStream() {
     return isInBody() && bodyDecoder.endOfStream();
--- a/proxy/src/main/java/wheattrack/http/Encoder.java
+++ b/proxy/src/main/java/wheattrack/http/Encoder.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 
 /** Encodes messages, each with the framing that its body needs. */
 public final class Encoder {
@@ -11,6 +12,10 @@
   /** The initial capacity, in characters, for the head of a response. */
   private static final int RESPONSE_HEAD_CAPACITY = 128;
 
+  /** The methods whose requests usually have no body, so that an empty one needs no length. */
+  private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
+
+  private static final String CONTINUE_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n";
   private static final String LINE_END = "\r\n";
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
@@ -19,9 +24,14 @@
   /** Encodes a request with as much of its body as it holds. */
   public static ByteBuffer request(Request request) {
     StringBuilder head = new StringBuilder(REQUEST_HEAD_CAPACITY);
-    head.append(request.method()).append(' ').append(request.target()).append(" HTTP/1.1\r\n");
-    boolean mayLackBody = request.method().equals("GET") || request.method().equals("HEAD");
-    boolean hasLength = request.body().length > 0 || !mayLackBody;
+    head.append(request.method())
+        .append(' ')
+        .append(request.target())
+        .append(' ')
+        .append(Decoder.HTTP_1_1)
+        .append(LINE_END);
+    boolean hasLength =
+        request.body().length > 0 || !METHODS_WITHOUT_BODY.contains(request.method());
     return message(
         head,
         request.headers(),
@@ -34,7 +44,8 @@
   /** Encodes a response with as much of its body as it holds. */
   public static ByteBuffer response(Response response) {
     StringBuilder head = new StringBuilder(RESPONSE_HEAD_CAPACITY);
-    head.append("HTTP/1.1 ")
+    head.append(Decoder.HTTP_1_1)
+        .append(' ')
         .append(response.status())
         .append(' ')
         .append(StatusCode.reasonPhrase(response.status()))
@@ -51,7 +62,7 @@
 
   /** Encodes the interim response that asks the client to send its body. */
   public static ByteBuffer continueResponse() {
-    return ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+    return ByteBuffer.wrap(CONTINUE_RESPONSE.getBytes(StandardCharsets.ISO_8859_1));
   }
 
   /** Encodes a part of a chunked body, which may be empty, and its end if this is the last part. */
@@ -66,7 +77,14 @@
         .flip();
   }
 
-  /** Appends headers and framing to the first line in {@code head}, and the body to these. */
+  /**
+   * Completes a message.
+   *
+   * @param head the first line, to which the headers and those of the framing are appended
+   * @param body the body, or its start
+   * @param remainingBody the framing of the part of the body that follows
+   * @param hasLength whether the length of the body is sent if it is known
+   */
   private static ByteBuffer message(
       StringBuilder head,
       Headers headers,
@@ -78,13 +96,13 @@
       head.append(headers.name(i)).append(": ").append(headers.value(i)).append(LINE_END);
     }
     if (remainingBody.isChunked()) {
-      head.append("Transfer-Encoding: chunked\r\n");
-    } else if (hasLength && !remainingBody.isUntilClose()) {
+      head.append("Transfer-Encoding: chunked").append(LINE_END);
+    } else if (hasLength && remainingBody.hasKnownLength()) {
       long length = body.length + remainingBody.length();
       head.append("Content-Length: ").append(length).append(LINE_END);
     }
     if (!keepAlive) {
-      head.append("Connection: close\r\n");
+      head.append("Connection: close").append(LINE_END);
     }
     byte[] headBytes = head.append(LINE_END).toString().getBytes(StandardCharsets.ISO_8859_1);
     ByteBuffer bodyBytes = ByteBuffer.wrap(body);
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.regex.Pattern;
 
-/** The header lines of a message, in their order. Names are compared without regard to case. */
+/**
+ * The header lines of a message, in their order. Names are compared without regard to case. Mutable
+ * and not thread-safe.
+ */
 public final class Headers {
   /** Returned by {@link #contentLength} where no length is given. */
   static final long NO_LENGTH = -1;
@@ -12,7 +15,9 @@
   /** The initial capacity, in lines. */
   private static final int INITIAL_CAPACITY = 8;
 
+  /** A length in bytes, with as many digits as a long can hold in any case. */
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
+
   private static final String CONTENT_LENGTH = "Content-Length";
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
@@ -54,12 +59,17 @@
   /** Whether a header whose value is a comma-separated list contains this token, in any case. */
   public boolean containsToken(String name, String token) {
     for (int i = 0; i < names.size(); i++) {
-      if (isNamed(i, name)) {
-        for (String part : values.get(i).split(",")) {
-          if (part.trim().equalsIgnoreCase(token)) {
-            return true;
-          }
-        }
+      if (isNamed(i, name) && listContains(values.get(i), token)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean listContains(String commaSeparatedList, String token) {
+    for (String element : commaSeparatedList.split(",")) {
+      if (element.trim().equalsIgnoreCase(token)) {
+        return true;
       }
     }
     return false;
--- a/proxy/src/main/java/wheattrack/http/JsonObjectScanner.java
+++ b/proxy/src/main/java/wheattrack/http/JsonObjectScanner.java
@@ -36,8 +36,8 @@
   }
 
   /**
-   * A line feed, which JSON does not allow in a string, ends the string and the object: so an
-   * object that was cut off does not swallow those after it.
+   * A line feed, which JSON does not allow in a string, ends the string and the object: otherwise
+   * an object that was cut off would be merged with those after it.
    */
   private boolean scanString(byte c) {
     if (state == State.IN_ESCAPE) {
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -17,8 +17,10 @@
   /** With less space than this, in bytes, the buffer grows before a read. */
   private static final int MIN_SPACE = MIN_CAPACITY / 4;
 
+  /** The control character with the greatest code. */
+  static final int DELETE = 127;
+
   private static final int FIRST_PRINTABLE = ' ';
-  private static final int DELETE = 127;
 
   /** The visible characters that must not be part of a token. */
   private static final String TOKEN_SEPARATORS = "\"(),/:;<=>?@[\\]{}";
--- a/proxy/src/main/java/wheattrack/http/Request.java
+++ b/proxy/src/main/java/wheattrack/http/Request.java
@@ -10,7 +10,7 @@
  * @param body the body, or the part of it that is sent with the head
  * @param remainingBody the framing of the part of the body that follows; {@link BodyFraming#EMPTY}
  *     if none follows
- * @param chunks whether the client understands chunked responses
+ * @param acceptsChunks whether the client understands chunked responses
  */
 public record Request(
     String method,
@@ -19,7 +19,7 @@
     boolean keepAlive,
     byte[] body,
     BodyFraming remainingBody,
-    boolean chunks) {
+    boolean acceptsChunks) {
   /** A request with its complete body, whose client understands chunked responses. */
   public Request(String method, String target, Headers headers, boolean keepAlive, byte[] body) {
     this(method, target, headers, keepAlive, body, BodyFraming.EMPTY, true);
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -62,7 +62,7 @@
   }
 
   private static boolean isTarget(String text) {
-    return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c != 127);
+    return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c != ReceiveBuffer.DELETE);
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -3,8 +3,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Decodes responses, as a client receives them. A body without a length ends when its connection is
- * closed in order. Runs on the event loop's thread only.
+ * Decodes responses, as a client receives them. A body without a length ends when the sender closes
+ * its side of the connection. Runs on the event loop's thread only.
  */
 public final class ResponseDecoder extends Decoder<Response> {
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
--- a/proxy/src/main/java/wheattrack/net/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/RequestHandler.java
@@ -285,7 +285,7 @@
   /** A backend's answer as the client of this request receives it. */
   Response toClientAnswer(InFlightRequest request, Response backendAnswer) {
     return ProtocolMapping.forwardedAnswer(
-        backendAnswer, mayKeepAlive(request), request.parsed().message().chunks());
+        backendAnswer, mayKeepAlive(request), request.parsed().message().acceptsChunks());
   }
 
   /**
