--- a/proxy/src/main/java/wheattrack/http/Encoder.java
+++ b/proxy/src/main/java/wheattrack/http/Encoder.java
@@ -2,20 +2,36 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 
 /** Encodes messages, each with the framing that its body needs. */
 public final class Encoder {
-  private static final int USUAL_REQUEST_HEAD = 256;
-  private static final int USUAL_RESPONSE_HEAD = 128;
+  /** The initial capacity, in characters, for the head of a request. */
+  private static final int REQUEST_HEAD_CAPACITY = 256;
+
+  /** The initial capacity, in characters, for the head of a response. */
+  private static final int RESPONSE_HEAD_CAPACITY = 128;
+
+  /** The methods whose requests usually have no body, so that an empty one needs no length. */
+  private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
+
+  private static final String CONTINUE_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n";
+  private static final String LINE_END = "\r\n";
+  private static final String LAST_CHUNK = "0\r\n\r\n";
 
   private Encoder() {}
 
   /** Encodes a request with as much of its body as it holds. */
   public static ByteBuffer request(Request request) {
-    StringBuilder head = new StringBuilder(USUAL_REQUEST_HEAD);
-    head.append(request.method()).append(' ').append(request.target()).append(" HTTP/1.1\r\n");
-    boolean mayLackBody = request.method().equals("GET") || request.method().equals("HEAD");
-    boolean hasLength = request.body().length > 0 || !mayLackBody;
+    StringBuilder head = new StringBuilder(REQUEST_HEAD_CAPACITY);
+    head.append(request.method())
+        .append(' ')
+        .append(request.target())
+        .append(' ')
+        .append(Decoder.HTTP_1_1)
+        .append(LINE_END);
+    boolean hasLength =
+        request.body().length > 0 || !METHODS_WITHOUT_BODY.contains(request.method());
     return message(
         head,
         request.headers(),
@@ -27,13 +43,14 @@
 
   /** Encodes a response with as much of its body as it holds. */
   public static ByteBuffer response(Response response) {
-    StringBuilder head = new StringBuilder(USUAL_RESPONSE_HEAD);
-    head.append("HTTP/1.1 ")
+    StringBuilder head = new StringBuilder(RESPONSE_HEAD_CAPACITY);
+    head.append(Decoder.HTTP_1_1)
+        .append(' ')
         .append(response.status())
         .append(' ')
-        .append(reason(response.status()))
-        .append("\r\n");
-    boolean hasLength = response.remainingBody() != Response.NO_BODY;
+        .append(StatusCode.reasonPhrase(response.status()))
+        .append(LINE_END);
+    boolean hasLength = !response.remainingBody().isNone();
     return message(
         head,
         response.headers(),
@@ -45,14 +62,14 @@
 
   /** Encodes the interim response that asks the client to send its body. */
   public static ByteBuffer continueResponse() {
-    return ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+    return ByteBuffer.wrap(CONTINUE_RESPONSE.getBytes(StandardCharsets.ISO_8859_1));
   }
 
   /** Encodes a part of a chunked body, which may be empty, and its end if this is the last part. */
   public static ByteBuffer chunk(ByteBuffer part, boolean isLast) {
     int size = part.remaining();
-    String prefix = size > 0 ? Integer.toHexString(size) + "\r\n" : "";
-    String suffix = (size > 0 ? "\r\n" : "") + (isLast ? "0\r\n\r\n" : "");
+    String prefix = size > 0 ? Integer.toHexString(size) + LINE_END : "";
+    String suffix = (size > 0 ? LINE_END : "") + (isLast ? LAST_CHUNK : "");
     return ByteBuffer.allocate(prefix.length() + size + suffix.length())
         .put(prefix.getBytes(StandardCharsets.ISO_8859_1))
         .put(part)
@@ -60,51 +77,39 @@
         .flip();
   }
 
-  /** Appends headers and framing to the first line in {@code head}, and the body to these. */
+  /**
+   * Completes a message.
+   *
+   * @param head the first line, to which the headers and those of the framing are appended
+   * @param body the body, or its start
+   * @param remainingBody the framing of the part of the body that follows
+   * @param hasLength whether the length of the body is sent if it is known
+   */
   private static ByteBuffer message(
       StringBuilder head,
       Headers headers,
       boolean keepAlive,
       byte[] body,
-      long remainingBody,
+      BodyFraming remainingBody,
       boolean hasLength) {
-    boolean isChunked = remainingBody == Decoder.CHUNKED;
     for (int i = 0; i < headers.size(); i++) {
-      head.append(headers.name(i)).append(": ").append(headers.value(i)).append("\r\n");
+      head.append(headers.name(i)).append(": ").append(headers.value(i)).append(LINE_END);
     }
-    if (isChunked) {
-      head.append("Transfer-Encoding: chunked\r\n");
-    } else if (hasLength && remainingBody != Decoder.UNTIL_CLOSE) {
-      long length = body.length + Math.max(0, remainingBody);
-      head.append("Content-Length: ").append(length).append("\r\n");
+    if (remainingBody.isChunked()) {
+      head.append("Transfer-Encoding: chunked").append(LINE_END);
+    } else if (hasLength && remainingBody.hasKnownLength()) {
+      long length = body.length + remainingBody.length();
+      head.append("Content-Length: ").append(length).append(LINE_END);
     }
     if (!keepAlive) {
-      head.append("Connection: close\r\n");
+      head.append("Connection: close").append(LINE_END);
     }
-    byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+    byte[] headBytes = head.append(LINE_END).toString().getBytes(StandardCharsets.ISO_8859_1);
     ByteBuffer bodyBytes = ByteBuffer.wrap(body);
-    ByteBuffer content = isChunked ? chunk(bodyBytes, false) : bodyBytes;
+    ByteBuffer content = remainingBody.isChunked() ? chunk(bodyBytes, false) : bodyBytes;
     return ByteBuffer.allocate(headBytes.length + content.remaining())
         .put(headBytes)
         .put(content)
         .flip();
   }
-
-  private static String reason(int status) {
-    return switch (status) {
-      case 200 -> "OK";
-      case 400 -> "Bad Request";
-      case 404 -> "Not Found";
-      case 405 -> "Method Not Allowed";
-      case 408 -> "Request Timeout";
-      case 409 -> "Conflict";
-      case 413 -> "Content Too Large";
-      case 429 -> "Too Many Requests";
-      case 431 -> "Request Header Fields Too Large";
-      case 502 -> "Bad Gateway";
-      case 503 -> "Service Unavailable";
-      case 504 -> "Gateway Timeout";
-      default -> "Status " + status;
-    };
-  }
 }
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -6,7 +6,6 @@
 import wheattrack.aio.TcpConnection;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.TimerQueue;
-import wheattrack.http.Decoder;
 import wheattrack.http.Encoder;
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
@@ -186,7 +185,7 @@
     attempt.startOn(this);
     Request request = attempt.buildRequest();
     bodySource = attempt.body();
-    isBodyChunked = request.remainingBody() == Decoder.CHUNKED;
+    isBodyChunked = request.remainingBody().isChunked();
     decoder.expectNoBody(request.method().equals("HEAD"));
     write(Encoder.request(request));
   }
@@ -262,12 +261,8 @@
    * which counts as answered with its first bytes.
    */
   private void onHoldExpired() {
-    try {
-      if (isHoldingResponse && currentAttempt != null && decoder.isOpenEnded()) {
-        onResponse(decoder.nextWithPartialBody());
-      }
-    } catch (MalformedMessageException e) {
-      onBreak();
+    if (isHoldingResponse && currentAttempt != null && decoder.isOpenEnded()) {
+      onResponse(decoder.nextWithPartialBody());
     }
   }
 
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -170,7 +170,7 @@
             parsed.costHint(),
             parsed.clientRetry(),
             request);
-    boolean hasLongBody = parsed.message().remainingBody() != 0;
+    boolean hasLongBody = !parsed.message().remainingBody().isEmpty();
     RequestBodyRelay body =
         hasLongBody ? new RequestBodyRelay(client, () -> onBodyComplete(request)) : null;
     request.open(slot, pending, body);
@@ -293,7 +293,7 @@
   /** A backend's answer as the client of this request receives it. */
   Response toClientAnswer(InFlightRequest request, Response backendAnswer) {
     return ProtocolMapping.forwardedAnswer(
-        backendAnswer, mayKeepAlive(request), request.parsed().message().chunks());
+        backendAnswer, mayKeepAlive(request), request.parsed().message().acceptsChunks());
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/ResponseRelay.java
@@ -1,7 +1,7 @@
 package wheattrack.net.request;
 
 import java.nio.ByteBuffer;
-import wheattrack.http.Decoder;
+import wheattrack.http.BodyFraming;
 import wheattrack.http.Encoder;
 import wheattrack.net.backend.BackendConnection;
 import wheattrack.net.backend.ResponseBodyReceiver;
@@ -34,13 +34,16 @@
   /**
    * Creates a relay between two connections.
    *
-   * @param remainingBody how the rest is framed for the client, as in the answer's head
+   * @param remainingBody the framing of the rest for the client, as in the answer's head
    */
   ResponseRelay(
-      BackendConnection source, ClientConnection client, long remainingBody, EndListener listener) {
+      BackendConnection source,
+      ClientConnection client,
+      BodyFraming remainingBody,
+      EndListener listener) {
     this.source = source;
     this.client = client;
-    isChunked = remainingBody == Decoder.CHUNKED;
+    isChunked = remainingBody.isChunked();
     this.listener = listener;
   }
 
