Reading of any JSON object is JsonObjectReader; Settings is the settings object alone

Cause: config.Settings read the settings, entries of the endpoint list, settings updates and load reports, and held the report's field names and the unit of time.

Change: JsonObjectReader reads any JSON object by type, with errors that name the path. Settings is the object `settings` and names the keys that several classes read. LoadReport is the report as a record, read by one method for the sockets and the simulator. TimeConversion converts microseconds to ticks and back. No message, key or default changes.

Tests of config and simulator, ReloadTest, LoadReportsTest, EndpointListParserTest, SettingsSubscriptionTest, JitWarmUpTest: 55 run, 54 passed; LoadReportsTest. probedLoadKeepsRequestsOffTheBusyBackend failed once (18 of 20) on a machine with a load average of 34 on 10 cores, and passed in three runs after.

--- a/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import wheattrack.api.Idempotency;
 import wheattrack.api.RequestClass;
-import wheattrack.config.Settings;
+import wheattrack.config.TimeConversion;
 import wheattrack.lab.scenario.Scenario.BackendGroup;
 import wheattrack.lab.scenario.Scenario.Workload;
 
@@ -50,9 +50,10 @@
     settings.put("name", name);
     settings.put("effect", effectWord(requestClass.idempotency()));
     settings.put("group", requestClass.deduplicationScope().name().toLowerCase(Locale.ROOT));
-    settings.put("window", requestClass.deduplicationWindow() * Settings.UNIT);
-    settings.put("responseTarget", requestClass.latencyObjective() * Settings.UNIT);
-    settings.put("clientTimeout", requestClass.clientTimeout() * Settings.UNIT);
+    settings.put("window", requestClass.deduplicationWindow() * TimeConversion.MICROS_PER_TICK);
+    settings.put(
+        "responseTarget", requestClass.latencyObjective() * TimeConversion.MICROS_PER_TICK);
+    settings.put("clientTimeout", requestClass.clientTimeout() * TimeConversion.MICROS_PER_TICK);
     settings.put("value", requestClass.priorityWeight());
     settings.put("overdueValue", requestClass.lateWeight());
     return settings;
@@ -77,7 +78,7 @@
         "retryAfter",
         limits.maxRetryAfter() > 0,
         "maxRetryAfter",
-        limits.maxRetryAfter() * Settings.UNIT,
+        limits.maxRetryAfter() * TimeConversion.MICROS_PER_TICK,
         "dialTimeout",
         CONNECT_TIMEOUT,
         "idleClose",
@@ -92,11 +93,11 @@
         "askEvery",
         LOAD_PROBE_INTERVAL,
         "cold",
-        coldDuration * Settings.UNIT,
+        coldDuration * TimeConversion.MICROS_PER_TICK,
         "startCapacity",
         coldSpeed,
         "fall",
-        scenario.terms().collapseWindow() * Settings.UNIT,
+        scenario.terms().collapseWindow() * TimeConversion.MICROS_PER_TICK,
         "fallMultiple",
         scenario.terms().collapseMultiple());
   }
--- a/proxy/src/main/java/wheattrack/config/DynamicSettings.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettings.java
@@ -56,7 +56,7 @@
    *
    * @throws InvalidConfigurationException if the update is invalid; nothing has changed then
    */
-  public Verdict apply(Settings update) {
+  public Verdict apply(JsonObjectReader update) {
     boolean isSnapshot = update.flag("all");
     long updateRevision = update.wholeNumber("rev", NO_REVISION);
     if (updateRevision < 0) {
@@ -84,7 +84,7 @@
     return Verdict.APPLIED;
   }
 
-  private boolean follows(Settings update, long updateRevision, String updateSource) {
+  private boolean follows(JsonObjectReader update, long updateRevision, String updateSource) {
     return revision >= 0
         && updateSource.equals(source)
         && updateRevision > revision
@@ -161,7 +161,7 @@
 
   /** The given settings, with the limits that the source has set in place of their own. */
   public Settings overlay(Settings settings) {
-    return settings.with("limits", limits);
+    return settings.withLimits(limits);
   }
 
   /** The names of the limits that the source has set, sorted. */
--- a/proxy/src/main/java/wheattrack/config/DynamicSettingsUpdate.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettingsUpdate.java
@@ -28,7 +28,7 @@
    * @throws InvalidConfigurationException if the update is invalid
    */
   static DynamicSettingsUpdate read(
-      Settings update,
+      JsonObjectReader update,
       Map<String, RequestClass> currentClasses,
       Map<String, Double> currentQuotas,
       Map<String, Object> currentLimits,
@@ -40,11 +40,11 @@
   }
 
   private static Map<String, RequestClass> readRequestClasses(
-      Settings update, Map<String, RequestClass> current, int firstNewIndex) {
+      JsonObjectReader update, Map<String, RequestClass> current, int firstNewIndex) {
     Map<String, RequestClass> changed = new LinkedHashMap<>();
     int count = current.size();
     int nextIndex = firstNewIndex;
-    for (Settings entry : update.sections("ruleSets")) {
+    for (JsonObjectReader entry : update.sections(Settings.REQUEST_CLASSES)) {
       String name = entry.text("name");
       if (changed.containsKey(name)) {
         throw new InvalidConfigurationException(entry.key("name"), "the same as another's");
@@ -61,16 +61,18 @@
       count += isKnown ? 0 : 1;
     }
     if (count == 0) {
-      throw new InvalidConfigurationException(update.key("ruleSets"), "none would be left");
+      throw new InvalidConfigurationException(
+          update.key(Settings.REQUEST_CLASSES), "none would be left");
     }
-    checkCount(update, "ruleSets", count, DynamicSettings.MAX_CLASSES);
+    checkCount(update, Settings.REQUEST_CLASSES, count, DynamicSettings.MAX_CLASSES);
     return changed;
   }
 
-  private static Map<String, Double> readQuotas(Settings update, Map<String, Double> current) {
+  private static Map<String, Double> readQuotas(
+      JsonObjectReader update, Map<String, Double> current) {
     Map<String, Double> changed = new LinkedHashMap<>();
     int count = current.size();
-    for (Settings tenant : update.sections("tenants")) {
+    for (JsonObjectReader tenant : update.sections(Settings.TENANTS)) {
       String name = tenant.text("name");
       boolean isRemoved = tenant.flag("gone");
       double quotaPerSecond = tenant.number("quotaPerS", 0);
@@ -87,21 +89,22 @@
         count++;
       }
     }
-    checkCount(update, "tenants", count, DynamicSettings.MAX_TENANTS);
+    checkCount(update, Settings.TENANTS, count, DynamicSettings.MAX_TENANTS);
     return changed;
   }
 
   /** The current limits with the update's in their place; null resets a limit. */
-  private static Map<String, Object> readLimits(Settings update, Map<String, Object> current) {
+  private static Map<String, Object> readLimits(
+      JsonObjectReader update, Map<String, Object> current) {
     Map<String, Object> limits = new HashMap<>(current);
-    Settings changed = update.section("limits");
+    JsonObjectReader changed = update.section(Settings.LIMITS);
     changed.keys().forEach(key -> limits.put(key, changed.any(key)));
     limits.values().removeIf(Objects::isNull);
-    SettingsValidator.checkLimits(new Settings(Map.of("limits", limits)));
+    SettingsValidator.checkLimits(new JsonObjectReader(Map.of(Settings.LIMITS, limits)));
     return Map.copyOf(limits);
   }
 
-  private static void checkCount(Settings update, String key, int count, int maximum) {
+  private static void checkCount(JsonObjectReader update, String key, int count, int maximum) {
     if (count > maximum) {
       throw new InvalidConfigurationException(
           update.key(key), count + " are over the " + maximum + " that one proxy holds");
--- a/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
+++ b/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
@@ -41,12 +41,11 @@
       RequestClass[] requestClasses,
       boolean pollsEndpoints,
       long maxPollInterval) {
-    int proxyIndex = settings.integer("me", 0);
-    int proxyCount = settings.integer("balancers", 1);
     LoadBalancer loadBalancer =
-        new EquiloadBalancer(runtime, seed, proxyIndex, proxyCount, requestClasses);
+        new EquiloadBalancer(
+            runtime, seed, settings.proxyIndex(), settings.proxyCount(), requestClasses);
     loadBalancer.configure(
-        PolicySettingsMapper.policySettings(settings, settings.list("zones")), requestClasses);
+        PolicySettingsMapper.policySettings(settings, settings.zones()), requestClasses);
     long pollInterval = settings.time("rules.askEvery", DEFAULT_POLL_INTERVAL_MICROS);
     loadBalancer.start(pollsEndpoints, Math.min(maxPollInterval, pollInterval));
     return loadBalancer;
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -131,7 +131,7 @@
     } else {
       result.put("listen", options.listen);
     }
-    if (new Settings(result).list("settings.tenants").isEmpty()) {
+    if (new JsonObjectReader(result).list("settings.tenants").isEmpty()) {
       remarks.add("settings.tenants: no quotaPerS is known, a proxy's part of it can't be told");
     }
     new ProxyConfig(result); // throws if it can't be used
@@ -155,8 +155,8 @@
       settings.put("me", options.proxyIndex);
     }
     Settings reader = new Settings(settings);
-    int proxyCount = reader.integer("balancers", 1);
-    int proxyIndex = reader.integer("me", 0);
+    int proxyCount = reader.proxyCount();
+    int proxyIndex = reader.proxyIndex();
     if (proxyCount < 1 || proxyIndex < 0 || proxyIndex >= proxyCount) {
       throw new InvalidConfigurationException(
           options.proxyIndex == null ? "--balancers" : "--me",
@@ -181,12 +181,9 @@
           "--reports", "probe contradicts settings.limits.probing, which is false");
     }
     Map<String, Object> section = sectionForWriting(settings, "report");
-    if (new Settings(result).list("settings.report.fields").isEmpty()) {
+    if (new JsonObjectReader(result).list("settings.report.fields").isEmpty()) {
       section.put(
-          "fields",
-          reports.equals(SettingsWords.REPORTS_NONE)
-              ? List.of()
-              : List.of(Settings.IN_FLIGHT_FIELD, Settings.QUEUED_FIELD));
+          "fields", reports.equals(SettingsWords.REPORTS_NONE) ? List.of() : LoadReport.FIELDS);
     }
     section.put("how", reports);
     if (isByProbe) {
@@ -199,7 +196,7 @@
   }
 
   private void setOnlyZone(String zone) {
-    List<?> zones = new Settings(result).list("settings.zones");
+    List<?> zones = new JsonObjectReader(result).list("settings.zones");
     if (!zones.isEmpty() && !zones.contains(zone)) {
       throw new InvalidConfigurationException(
           "--place", "'" + zone + "' contradicts settings.zones, " + zones);
@@ -211,7 +208,7 @@
         "settings.prices.",
         "crossZone",
         "nothing is crossed in one place");
-    List<Settings> classes = new Settings(settings).sections("ruleSets");
+    List<JsonObjectReader> classes = new Settings(settings).requestClassEntries();
     for (int i = 0; i < classes.size(); i++) {
       String scope = classes.get(i).text("group", SettingsWords.SCOPE_ALL);
       if (scope.equals(SettingsWords.SCOPE_ZONE)) {
--- a/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
+++ b/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
@@ -20,7 +20,7 @@
 
   /** The request classes in the order of the settings, which is that of their indices. */
   public static RequestClass[] requestClasses(Settings settings) {
-    List<Settings> entries = settings.sections("ruleSets");
+    List<JsonObjectReader> entries = settings.requestClassEntries();
     RequestClass[] requestClasses = new RequestClass[entries.size()];
     for (int i = 0; i < requestClasses.length; i++) {
       requestClasses[i] = requestClass(entries.get(i), i);
@@ -29,7 +29,7 @@
   }
 
   /** One entry of `ruleSets` as the request class with this index. */
-  static RequestClass requestClass(Settings entry, int index) {
+  static RequestClass requestClass(JsonObjectReader entry, int index) {
     Idempotency idempotency = SettingsWords.idempotency(entry.text("effect", ""));
     DeduplicationScope scope = SettingsWords.deduplicationScope(entry.text("group", ""));
     long timeout = entry.time("clientTimeout", DEFAULT_LATENCY_MICROS);
@@ -48,14 +48,14 @@
 
   /** The names of the request classes, in their order. */
   public static List<String> classNames(Settings settings) {
-    return settings.sections("ruleSets").stream().map(entry -> entry.text("name")).toList();
+    return settings.requestClassEntries().stream().map(entry -> entry.text("name")).toList();
   }
 
   /** The request classes by name, given as {@link #requestClasses} returned them. */
   public static Map<String, RequestClass> classesByName(
       Settings settings, RequestClass[] requestClasses) {
     Map<String, RequestClass> byName = new HashMap<>();
-    List<Settings> entries = settings.sections("ruleSets");
+    List<JsonObjectReader> entries = settings.requestClassEntries();
     for (int i = 0; i < requestClasses.length; i++) {
       byName.put(entries.get(i).text("name"), requestClasses[i]);
     }
@@ -67,7 +67,7 @@
     return !settings
             .text("report.how", SettingsWords.REPORTS_NONE)
             .equals(SettingsWords.REPORTS_NONE)
-        && settings.list("report.fields").contains(Settings.IN_FLIGHT_FIELD);
+        && settings.list("report.fields").contains(LoadReport.IN_FLIGHT_FIELD);
   }
 
   /**
@@ -78,7 +78,7 @@
    */
   public static PolicySettings policySettings(Settings settings, List<?> zones) {
     double totalQuota =
-        settings.sections("tenants").stream()
+        settings.tenantEntries().stream()
             .mapToDouble(tenant -> tenant.number("quotaPerS", 0))
             .sum();
     return policySettings(settings, zones, totalQuota);
@@ -111,8 +111,8 @@
   }
 
   private static PolicySettings.Zones ownZone(Settings settings, List<?> zones) {
-    int index = settings.integer("zone", 0);
-    List<?> ownZones = settings.list("zones");
+    int index = settings.zoneIndex();
+    List<?> ownZones = settings.zones();
     boolean isNamed = index >= 0 && index < ownZones.size();
     return new PolicySettings.Zones(
         isNamed ? zones.indexOf(ownZones.get(index)) : index,
--- a/proxy/src/main/java/wheattrack/config/ProxyConfig.java
+++ b/proxy/src/main/java/wheattrack/config/ProxyConfig.java
@@ -41,7 +41,7 @@
   private final int maxDescriptors;
   private final long maxBodyBytes;
   private final long drainTime;
-  private final Settings cachedEndpoints;
+  private final JsonObjectReader cachedEndpoints;
   private final Settings settings;
 
   /**
@@ -52,7 +52,7 @@
    */
   public ProxyConfig(Map<String, Object> values) {
     this.values = values;
-    Settings root = new Settings(values);
+    JsonObjectReader root = new JsonObjectReader(values);
     name = root.text("name", "wheattrack");
     listen = SocketAddressParser.parse("listen", root.text("listen"));
     discovery = SocketAddressParser.parse("discovery", root.text("discovery"));
@@ -72,11 +72,11 @@
     String shape = root.text("shape", DeploymentShape.POOL);
     check(DeploymentShape.ALL.contains(shape), "shape", "none of " + DeploymentShape.ALL);
     cachedEndpoints = root.section("known");
-    settings = root.section("settings");
+    settings = new Settings(root.section("settings"));
     SettingsValidator.checkSettings(settings);
   }
 
-  private static long readSeed(Settings root) {
+  private static long readSeed(JsonObjectReader root) {
     String seed = root.text("seed", "");
     try {
       return seed.isEmpty() ? System.nanoTime() : Long.parseUnsignedLong(seed, 16);
@@ -122,7 +122,7 @@
     required.keySet().removeAll(START_ONLY_KEYS);
     checkHasKeys(required, next.values, "");
     Set<String> requiredClassKeys = commonClassKeys(running.settings);
-    for (Settings entry : next.settings.sections("ruleSets")) {
+    for (JsonObjectReader entry : next.settings.requestClassEntries()) {
       for (String key : requiredClassKeys) {
         check(
             entry.has(key),
@@ -135,9 +135,10 @@
 
   /** The keys that all request classes have. */
   private static Set<String> commonClassKeys(Settings settings) {
-    List<Settings> entries = settings.sections("ruleSets"); // never empty, as it is validated
+    List<JsonObjectReader> entries =
+        settings.requestClassEntries(); // never empty, as it is validated
     Set<String> common = new HashSet<>(entries.get(0).keys());
-    for (Settings entry : entries) {
+    for (JsonObjectReader entry : entries) {
       common.retainAll(entry.keys());
     }
     return common;
@@ -157,8 +158,8 @@
 
   /** The keys that differ from the running configuration and only act at a start. */
   public List<String> changedFixedKeys(ProxyConfig running) {
-    Settings own = new Settings(values);
-    Settings other = new Settings(running.values);
+    JsonObjectReader own = new JsonObjectReader(values);
+    JsonObjectReader other = new JsonObjectReader(running.values);
     return FIXED_KEYS.stream()
         .filter(key -> !Objects.equals(own.any(key), other.any(key)))
         .toList();
@@ -208,7 +209,7 @@
   }
 
   /** The endpoint list as this proxy last knew it, in discovery's format; may be empty. */
-  public Settings cachedEndpoints() {
+  public JsonObjectReader cachedEndpoints() {
     return cachedEndpoints;
   }
 
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -1,186 +1,78 @@
 package wheattrack.config;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.IntStream;
 
 /**
- * Typed reading of one JSON object by paths of keys, separated by dots. A missing key has its
- * default; a value of the wrong type is an {@link InvalidConfigurationException} that names its
- * key. Times are microseconds in the object and are returned in tenths of a millisecond, rounded
- * down. Immutable as long as the object is not changed by others.
+ * The object `settings` of a configuration: what the policy acts on. Its times are in microseconds
+ * and are returned in ticks. Immutable as long as nobody changes the underlying map.
  */
-public final class Settings {
-  /** Microseconds in a tenth of a millisecond, the project's unit of time. */
-  public static final int UNIT = 100;
+public final class Settings extends JsonObjectReader {
+  /** The key of the request classes. */
+  static final String REQUEST_CLASSES = "ruleSets";
 
-  /** Field of a load report: the requests that a backend holds. */
-  public static final String IN_FLIGHT_FIELD = "rif";
+  /** The key of the tenants. */
+  static final String TENANTS = "tenants";
 
-  /** Field of a load report: those of the held requests that wait. */
-  public static final String QUEUED_FIELD = "q";
+  /** The key of the limits on attempts, connections and probes. */
+  static final String LIMITS = "limits";
 
-  private static final int MAX_COST = Integer.MAX_VALUE / 4;
+  /** The key of the names of all zones. */
+  static final String ZONES = "zones";
 
-  private final Map<String, Object> values;
+  /** The key of this proxy's place in the zones. */
+  static final String ZONE = "zone";
 
-  /** The path of this object in the whole configuration, with a dot at its end; "" at the root. */
-  private final String prefix;
+  /** The key of the number of proxies. */
+  static final String PROXY_COUNT = "balancers";
 
-  /** Reads the root object of a configuration. */
-  public Settings(Map<String, Object> values) {
-    this(values, "");
-  }
-
-  private Settings(Map<String, Object> values, String prefix) {
-    this.values = values;
-    this.prefix = prefix;
-  }
-
-  /** The value there, of whatever type; null if there is none. */
-  public Object any(String path) {
-    Object value = values;
-    int start = 0;
-    for (int dot = path.indexOf('.'); value != null && dot >= 0; dot = path.indexOf('.', start)) {
-      value = ((Map<?, ?>) value).get(path.substring(start, dot));
-      if (value != null && !(value instanceof Map<?, ?>)) {
-        throw new InvalidConfigurationException(key(path.substring(0, dot)), "not an object");
-      }
-      start = dot + 1;
-    }
-    return value == null ? null : ((Map<?, ?>) value).get(path.substring(start));
-  }
-
-  private <T> T get(String path, Class<T> type, T defaultValue) {
-    Object value = any(path);
-    if (value == null) {
-      return defaultValue;
-    }
-    if (!type.isInstance(value)) {
-      throw new InvalidConfigurationException(key(path), wrongType(type));
-    }
-    return type.cast(value);
-  }
-
-  private static String wrongType(Class<?> expected) {
-    return switch (expected.getSimpleName()) {
-      case "Number" -> "not a number";
-      case "Boolean" -> "neither true nor false";
-      case "String" -> "not a text";
-      case "List" -> "not a list";
-      default -> "not an object";
-    };
-  }
+  /** The key of this proxy's index. */
+  static final String PROXY_INDEX = "me";
 
-  /** The full path of a key from the configuration's root, for messages. */
-  String key(String path) {
-    return prefix + path;
-  }
-
-  /** These settings with some keys of one section replaced; the rest is shared, not copied. */
-  Settings with(String sectionKey, Map<String, Object> replacements) {
-    Map<String, Object> merged = new HashMap<>(section(sectionKey).values);
-    merged.putAll(replacements);
-    Map<String, Object> result = new HashMap<>(values);
-    result.put(sectionKey, merged);
-    return new Settings(result, prefix);
-  }
-
-  /** The keys of this object. */
-  Set<String> keys() {
-    return values.keySet();
-  }
-
-  /** Whether there is a value that is not null. */
-  public boolean has(String path) {
-    return any(path) != null;
-  }
-
-  /** A number. */
-  public double number(String path, double defaultValue) {
-    return get(path, Number.class, defaultValue).doubleValue();
-  }
-
-  /** A number without its fraction, limited to the range of an int. */
-  public int integer(String path, int defaultValue) {
-    return (int) number(path, defaultValue);
-  }
-
-  /** A number without its fraction. */
-  public long wholeNumber(String path, long defaultValue) {
-    return get(path, Number.class, defaultValue).longValue();
-  }
-
-  /**
-   * A time in tenths of a millisecond, rounded down.
-   *
-   * @throws InvalidConfigurationException if it is negative
-   */
-  public long time(String path, long defaultMicros) {
-    double micros = number(path, defaultMicros);
-    if (micros < 0) {
-      throw new InvalidConfigurationException(key(path), "negative");
-    }
-    return (long) micros / UNIT;
+  /** Settings that are a document of their own. */
+  public Settings(Map<String, Object> values) {
+    super(values);
   }
 
-  /**
-   * The cost that a hint in microseconds stands for, in tenths of a millisecond, rounded up; 0 for
-   * no hint.
-   */
-  public static int cost(long hintMicros) {
-    return (int) Math.min(MAX_COST, (Math.max(0, hintMicros) + UNIT - 1) / UNIT);
+  /** Settings that are an object of a document; errors name paths in that document. */
+  Settings(JsonObjectReader section) {
+    super(section);
   }
 
-  /** A boolean, false by default. */
-  public boolean flag(String path) {
-    return get(path, Boolean.class, false);
+  /** How many proxies there are. */
+  int proxyCount() {
+    return integer(PROXY_COUNT, 1);
   }
 
-  /** A string. */
-  public String text(String path, String defaultValue) {
-    return get(path, String.class, defaultValue);
+  /** Which of the proxies this one is, from 0. */
+  int proxyIndex() {
+    return integer(PROXY_INDEX, 0);
   }
 
-  /**
-   * A string that must be present.
-   *
-   * @throws InvalidConfigurationException if it is missing or empty
-   */
-  public String text(String path) {
-    String value = text(path, null);
-    if (value == null || value.isEmpty()) {
-      throw new InvalidConfigurationException(key(path), "missing");
-    }
-    return value;
+  /** The names of all zones, as this object orders them. */
+  List<?> zones() {
+    return list(ZONES);
   }
 
-  /** A list, empty by default. */
-  public List<?> list(String path) {
-    return get(path, List.class, List.of());
+  /** The place of this proxy's zone in {@link #zones}, from 0. */
+  int zoneIndex() {
+    return integer(ZONE, 0);
   }
 
-  /** A nested object, empty by default. */
-  @SuppressWarnings("unchecked")
-  public Settings section(String path) {
-    return new Settings((Map<String, Object>) get(path, Map.class, Map.of()), prefix + path + ".");
+  /** The objects that each describe one request class. */
+  List<JsonObjectReader> requestClassEntries() {
+    return sections(REQUEST_CLASSES);
   }
 
-  /** A list of objects, empty by default. */
-  public List<Settings> sections(String path) {
-    List<?> list = list(path);
-    return IntStream.range(0, list.size())
-        .mapToObj(i -> listEntry(list.get(i), prefix + path + "[" + i + "]"))
-        .toList();
+  /** The objects that each describe one tenant. */
+  List<JsonObjectReader> tenantEntries() {
+    return sections(TENANTS);
   }
 
-  @SuppressWarnings("unchecked")
-  private static Settings listEntry(Object entry, String key) {
-    if (!(entry instanceof Map<?, ?> map)) {
-      throw new InvalidConfigurationException(key, "not an object");
-    }
-    return new Settings((Map<String, Object>) map, key + ".");
+  /** These settings with some of their limits replaced; the others stay. */
+  Settings withLimits(Map<String, Object> replacements) {
+    Map<String, Object> merged = section(LIMITS).copyOfValues();
+    merged.putAll(replacements);
+    return new Settings(withSection(LIMITS, merged));
   }
 }
--- a/proxy/src/main/java/wheattrack/config/SettingsValidator.java
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -22,34 +22,34 @@
   static void checkSettings(Settings settings) {
     checkRequestClasses(settings);
     PolicySettingsMapper.requestClasses(settings);
-    PolicySettingsMapper.policySettings(settings, settings.list("zones"));
+    PolicySettingsMapper.policySettings(settings, settings.zones());
     checkRemovedRules(settings);
     checkPrices(settings);
     checkTenants(settings);
     checkLoadReports(settings);
-    int proxyCount = settings.integer("balancers", 1);
-    int proxyIndex = settings.integer("me", 0);
+    int proxyCount = settings.proxyCount();
+    int proxyIndex = settings.proxyIndex();
     check(proxyCount >= 1, "settings.balancers", "under 1");
     check(
         proxyIndex >= 0 && proxyIndex < proxyCount, "settings.me", "not from 0 to under balancers");
     checkLimits(settings);
-    int zoneCount = Math.max(1, settings.list("zones").size());
-    int zone = settings.integer("zone", 0);
+    int zoneCount = Math.max(1, settings.zones().size());
+    int zone = settings.zoneIndex();
     check(zone >= 0 && zone < zoneCount, "settings.zone", "not a place in zones");
   }
 
   private static void checkRequestClasses(Settings settings) {
-    List<Settings> entries = settings.sections("ruleSets");
+    List<JsonObjectReader> entries = settings.requestClassEntries();
     check(!entries.isEmpty(), "settings.ruleSets", "missing");
     Set<String> names = new HashSet<>();
-    for (Settings entry : entries) {
+    for (JsonObjectReader entry : entries) {
       check(names.add(entry.text("name")), entry.key("name"), "the same as another's");
       checkRequestClass(entry);
     }
   }
 
   /** Checks one entry of `ruleSets`, except for its name. */
-  static void checkRequestClass(Settings entry) {
+  static void checkRequestClass(JsonObjectReader entry) {
     check(
         SettingsWords.IDEMPOTENCY.contains(entry.text("effect")),
         entry.key("effect"),
@@ -63,13 +63,13 @@
     PolicySettingsMapper.requestClass(entry, 0); // throws if another key has the wrong type
   }
 
-  private static void checkPositiveTime(Settings entry, String key) {
+  private static void checkPositiveTime(JsonObjectReader entry, String key) {
     long time = entry.time(key, PolicySettingsMapper.DEFAULT_LATENCY_MICROS);
     check(time > 0, entry.key(key), "not above 0");
   }
 
   /** Checks the section `limits` of the given settings. */
-  static void checkLimits(Settings settings) {
+  static void checkLimits(JsonObjectReader settings) {
     check(
         settings.integer("limits.maxDispatches", 1) >= 1,
         settings.key("limits.maxDispatches"),
@@ -101,7 +101,7 @@
   }
 
   private static void checkTenants(Settings settings) {
-    for (Settings tenant : settings.sections("tenants")) {
+    for (JsonObjectReader tenant : settings.tenantEntries()) {
       check(tenant.number("quotaPerS", 0) >= 0, tenant.key("quotaPerS"), "negative");
     }
   }
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/config/TimeConversion.java
@@ -0,0 +1,38 @@
+package wheattrack.config;
+
+/**
+ * Conversions between microseconds, in which settings and wire formats hold times, and the ticks of
+ * a tenth of a millisecond in which the program holds them.
+ */
+public final class TimeConversion {
+  /** Microseconds in a tick. */
+  public static final int MICROS_PER_TICK = 100;
+
+  private static final int MAX_COST = Integer.MAX_VALUE / 4;
+
+  private TimeConversion() {}
+
+  /** The ticks that have passed completely at a time of this many microseconds. */
+  public static long ticksRoundedDown(long micros) {
+    return Math.floorDiv(micros, (long) MICROS_PER_TICK);
+  }
+
+  /** The first tick that is not before a time of this many microseconds. */
+  public static long ticksRoundedUp(long micros) {
+    return ticksRoundedDown(micros + MICROS_PER_TICK - 1);
+  }
+
+  /** The microseconds in this many ticks. */
+  public static long toMicros(long ticks) {
+    return ticks * MICROS_PER_TICK;
+  }
+
+  /**
+   * The cost in ticks that a cost hint in microseconds stands for, rounded up and bounded; 0 for no
+   * hint, which a hint of 0 or less is.
+   */
+  public static int costOfHint(long hintMicros) {
+    long ticks = (Math.max(0, hintMicros) + MICROS_PER_TICK - 1) / MICROS_PER_TICK;
+    return (int) Math.min(MAX_COST, ticks);
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointDiscovery.java
@@ -11,8 +11,8 @@
 import wheattrack.api.LoadBalancer;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
+import wheattrack.config.JsonObjectReader;
 import wheattrack.config.ProxyConfig;
-import wheattrack.config.Settings;
 import wheattrack.log.EventLog;
 
 /**
@@ -40,7 +40,7 @@
   private boolean isUnreadable;
 
   /** The cached list, until it is used or discovery has sent one; null afterwards, or if empty. */
-  private Settings cachedList;
+  private JsonObjectReader cachedList;
 
   /**
    * A discovery whose watch is not open yet.
@@ -109,7 +109,7 @@
   /** Uses the cached list, if there is one and discovery has sent none. */
   void useCachedList() {
     if (cachedList != null) {
-      Settings cached = cachedList;
+      JsonObjectReader cached = cachedList;
       cachedList = null;
       apply(cached, true);
     }
@@ -185,7 +185,7 @@
 
   private void received(String line) {
     try {
-      Settings event = new Settings(Json.object(line));
+      JsonObjectReader event = new JsonObjectReader(Json.object(line));
       if (cachedList != null && needsCachedList(event)) {
         useCachedList();
       }
@@ -198,7 +198,7 @@
   }
 
   /** Whether an event changes the cached list, or is older and must bring nothing back in it. */
-  private boolean needsCachedList(Settings event) {
+  private boolean needsCachedList(JsonObjectReader event) {
     return !event.flag("all") || event.wholeNumber("rev", -1) < cachedList.wholeNumber("rev", -1);
   }
 
@@ -209,7 +209,7 @@
    *
    * @param isCached whether it is the cached list
    */
-  private void apply(Settings eventFields, boolean isCached) {
+  private void apply(JsonObjectReader eventFields, boolean isCached) {
     EndpointListParser.Event event = EndpointListParser.event(eventFields, revision);
     boolean isStale = event.revision() < revision;
     if (isStale) {
@@ -231,11 +231,11 @@
     revisionListener.accept(revision);
   }
 
-  private void applyEntries(List<Settings> entries, boolean isStale) {
+  private void applyEntries(List<JsonObjectReader> entries, boolean isStale) {
     pools.beginUpdate();
     int skippedCount = 0;
     String firstFault = null;
-    for (Settings entry : entries) {
+    for (JsonObjectReader entry : entries) {
       try {
         pools.apply(parser.entry(entry), isStale);
       } catch (InvalidConfigurationException e) {
--- a/proxy/src/main/java/wheattrack/net/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/EndpointListParser.java
@@ -6,7 +6,7 @@
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
 import wheattrack.config.InvalidConfigurationException;
-import wheattrack.config.Settings;
+import wheattrack.config.JsonObjectReader;
 import wheattrack.config.SocketAddressParser;
 
 /** Reads events of the endpoint list, in discovery's form, into typed entries. Stateless. */
@@ -24,7 +24,7 @@
    * @param revision the revision that it leads to
    * @param isSnapshot whether it is the complete list; else it names what has changed
    */
-  record Event(List<Settings> entries, long revision, boolean isSnapshot) {}
+  record Event(List<JsonObjectReader> entries, long revision, boolean isSnapshot) {}
 
   /** What the list says of one backend. */
   sealed interface Entry {
@@ -86,8 +86,8 @@
    * @param currentRevision the revision of an event that names none
    * @throws InvalidConfigurationException if a field is of a wrong kind
    */
-  static Event event(Settings event, long currentRevision) {
-    List<Settings> entries = event.sections("targets");
+  static Event event(JsonObjectReader event, long currentRevision) {
+    List<JsonObjectReader> entries = event.sections("targets");
     long revision = event.wholeNumber("rev", currentRevision);
     return new Event(entries, revision, event.flag("all"));
   }
@@ -96,7 +96,7 @@
    * The id of an entry as it stands there, whether or not the rest of the entry can be parsed; null
    * where there is none.
    */
-  static Object rawId(Settings entry) {
+  static Object rawId(JsonObjectReader entry) {
     return entry.any("uid");
   }
 
@@ -106,7 +106,7 @@
    * @throws InvalidConfigurationException if a field is missing or of a wrong kind, or the state is
    *     unknown
    */
-  Entry entry(Settings entry) {
+  Entry entry(JsonObjectReader entry) {
     String id = entry.text("uid");
     String stateName = entry.text("state");
     if (stateName.equals(DELETED)) {
--- a/proxy/src/main/java/wheattrack/net/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/LoadReports.java
@@ -5,7 +5,8 @@
 import wheattrack.api.LoadBalancer;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
-import wheattrack.config.Settings;
+import wheattrack.config.JsonObjectReader;
+import wheattrack.config.LoadReport;
 import wheattrack.http.Response;
 import wheattrack.log.EventLog;
 
@@ -59,11 +60,8 @@
       return;
     }
     try {
-      Settings fields = new Settings(Json.object(text));
-      loadBalancer.onLoadReport(
-          backend.index,
-          fields.number(Settings.IN_FLIGHT_FIELD, -1),
-          fields.number(Settings.QUEUED_FIELD, 0));
+      LoadReport report = LoadReport.of(new JsonObjectReader(Json.object(text)));
+      loadBalancer.onLoadReport(backend.index, report.inFlight(), report.queued());
     } catch (IOException | InvalidConfigurationException e) {
       EventLog.detail("load report", backend.id, () -> "can't be read: " + text);
     }
--- a/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/ProtocolMapping.java
@@ -7,7 +7,7 @@
 import java.util.regex.Pattern;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.api.RequestClass;
-import wheattrack.config.Settings;
+import wheattrack.config.TimeConversion;
 import wheattrack.http.Decoder;
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
@@ -54,7 +54,7 @@
   private static final Pattern END_OF_FIRST_SEGMENT = Pattern.compile("[/?]");
 
   /** Bounds a cost hint, in microseconds. */
-  private static final long MAX_HINT = (long) Integer.MAX_VALUE * Settings.UNIT;
+  private static final long MAX_HINT = (long) Integer.MAX_VALUE * TimeConversion.MICROS_PER_TICK;
 
   /** Bounds a number in a header, in characters: its digits and a point. */
   private static final int MAX_NUMBER_LENGTH = 20;
@@ -83,7 +83,7 @@
     }
     long clientTimeout = requestClass.clientTimeout();
     long timeout = number(headers, REQUEST_TIMEOUT, UNITS_PER_SECOND, clientTimeout, clientTimeout);
-    int costHint = Settings.cost(number(headers, WORK_HINT, 1, MAX_HINT, 0));
+    int costHint = TimeConversion.costOfHint(number(headers, WORK_HINT, 1, MAX_HINT, 0));
     boolean clientRetry = "1".equals(headers.first(CLIENT_RETRY));
     return new ParsedRequest(id, request, className, requestClass, timeout, costHint, clientRetry);
   }
--- a/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
+++ b/proxy/src/main/java/wheattrack/net/SettingsSubscription.java
@@ -9,7 +9,7 @@
 import wheattrack.config.DynamicSettings.Verdict;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
-import wheattrack.config.Settings;
+import wheattrack.config.JsonObjectReader;
 import wheattrack.core.RequestCounters;
 import wheattrack.core.TimerQueue;
 import wheattrack.log.EventLog;
@@ -124,7 +124,7 @@
   private void received(String line) {
     long revision = -1;
     try {
-      Settings event = new Settings(Json.object(line));
+      JsonObjectReader event = new JsonObjectReader(Json.object(line));
       revision = event.wholeNumber("rev", -1);
       boolean isGap = needsSnapshot && !event.flag("all");
       if (isGap || dynamicSettings.apply(event) == Verdict.SNAPSHOT_REQUIRED) {
--- a/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
+++ b/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
@@ -6,7 +6,8 @@
 import java.util.Set;
 import wheattrack.api.EndpointUpdate;
 import wheattrack.api.LoadBalancer;
-import wheattrack.config.Settings;
+import wheattrack.config.JsonObjectReader;
+import wheattrack.config.TimeConversion;
 import wheattrack.core.BackendIndex;
 
 /** Brings endpoint lists of the simulator to the policy. */
@@ -77,7 +78,7 @@
   @SuppressWarnings("unchecked") // the parser's maps have texts as keys
   private void updateBackend(Object record) throws InvalidInputException {
     long id = backendId(record);
-    Settings fields = new Settings((Map<String, Object>) record);
+    JsonObjectReader fields = new JsonObjectReader((Map<String, Object>) record);
     String readiness = fields.text(SimulatorProtocol.READINESS, SimulatorProtocol.READINESS_READY);
     if (readiness.equals(SimulatorProtocol.READINESS_REMOVED)) {
       removeBackend(backends.find(id));
@@ -102,6 +103,6 @@
 
   /** In tenths of a millisecond, from microseconds, of which 0 and less stand for long ago. */
   private static long startTime(long startedAt) {
-    return startedAt <= 0 ? BackendIndex.LONG_AGO : Math.floorDiv(startedAt, (long) Settings.UNIT);
+    return startedAt <= 0 ? BackendIndex.LONG_AGO : TimeConversion.ticksRoundedDown(startedAt);
   }
 }
--- a/proxy/src/main/java/wheattrack/simulator/MessageFields.java
+++ b/proxy/src/main/java/wheattrack/simulator/MessageFields.java
@@ -6,7 +6,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
+import wheattrack.config.JsonObjectReader;
+import wheattrack.config.LoadReport;
+import wheattrack.config.Settings;
 import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
@@ -127,11 +131,11 @@
    *
    * @throws InvalidInputException if it has none
    */
-  Map<String, Object> settings() throws InvalidInputException {
+  Settings settings() throws InvalidInputException {
     if (settings == null) {
       throw missing(SimulatorProtocol.SETTINGS);
     }
-    return settings;
+    return new Settings(settings);
   }
 
   /**
@@ -146,9 +150,18 @@
     return records;
   }
 
-  /** The load report that came with the event, or null. */
-  Map<String, Object> loadReport() {
-    return loadReport;
+  /** Whether a load report came with the event. */
+  boolean hasLoadReport() {
+    return loadReport != null;
+  }
+
+  /**
+   * The load report that came with the event, which must have one.
+   *
+   * @throws InvalidConfigurationException if a field of the report is not a number
+   */
+  LoadReport loadReport() {
+    return LoadReport.of(new JsonObjectReader(loadReport));
   }
 
   /** The error for a field that an event must have and has not. */
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -8,8 +8,10 @@
 import wheattrack.api.PendingRequest;
 import wheattrack.api.RequestClass;
 import wheattrack.config.LoadBalancerFactory;
+import wheattrack.config.LoadReport;
 import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.Settings;
+import wheattrack.config.TimeConversion;
 import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
@@ -36,7 +38,7 @@
    * @param time in microseconds
    */
   void setTime(long time) {
-    runtime.setNow(Math.floorDiv(time + Settings.UNIT - 1, (long) Settings.UNIT));
+    runtime.setNow(TimeConversion.ticksRoundedUp(time));
   }
 
   /**
@@ -96,7 +98,7 @@
 
   private void configure(MessageFields event) throws InvalidInputException {
     long seed = event.number(Field.SEED);
-    Settings settings = new Settings(event.settings());
+    Settings settings = event.settings();
     shutDown();
     requestClasses = PolicySettingsMapper.requestClasses(settings);
     boolean isWatching =
@@ -118,8 +120,8 @@
     checkStickyKey(event);
     event.number(Field.TENANT, 0); // checked, but not used
     SimulatedRequest simulated = runtime.addRequest(event.text(Field.REQUEST_ID));
-    int costHint = Settings.cost(event.number(Field.COST_HINT, 0));
-    long deadline = Math.floorDiv(event.number(Field.DEADLINE), (long) Settings.UNIT);
+    int costHint = TimeConversion.costOfHint(event.number(Field.COST_HINT, 0));
+    long deadline = TimeConversion.ticksRoundedDown(event.number(Field.DEADLINE));
     PendingRequest request =
         new PendingRequest(
             requestClasses[classIndex],
@@ -147,7 +149,7 @@
     SimulatedRequest request = runtime.findRequest(event.text(Field.REQUEST_ID));
     int attempt = (int) event.number(Field.ATTEMPT);
     AttemptOutcome outcome = SimulatorProtocol.outcome((int) event.number(Field.STATUS));
-    long latency = event.number(Field.LATENCY) / Settings.UNIT;
+    long latency = event.number(Field.LATENCY) / TimeConversion.MICROS_PER_TICK;
     boolean isRequestEnded = event.flag(Field.REQUEST_ENDED);
     if (request == null || !request.isInFlight(attempt)) {
       return;
@@ -187,7 +189,7 @@
   private void probeEnded(MessageFields event) throws InvalidInputException {
     ListedBackend backend = runtime.backends().find(event.number(Field.BACKEND));
     boolean isAnswered = event.number(Field.STATUS) == SimulatorProtocol.STATUS_DONE;
-    long latency = event.number(Field.LATENCY) / Settings.UNIT;
+    long latency = event.number(Field.LATENCY) / TimeConversion.MICROS_PER_TICK;
     if (backend == null || !backend.hasProbeInFlight()) {
       return;
     }
@@ -196,13 +198,10 @@
   }
 
   private void handleLoadReport(ListedBackend backend, MessageFields event) {
-    if (backend == null || event.loadReport() == null) {
+    if (backend == null || !event.hasLoadReport()) {
       return;
     }
-    Settings report = new Settings(event.loadReport());
-    loadBalancer.onLoadReport(
-        backend.index,
-        report.number(Settings.IN_FLIGHT_FIELD, -1),
-        report.number(Settings.QUEUED_FIELD, 0));
+    LoadReport report = event.loadReport();
+    loadBalancer.onLoadReport(backend.index, report.inFlight(), report.queued());
   }
 }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
@@ -7,7 +7,7 @@
 import wheattrack.api.PolicyEvent;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.api.ProbeCallback;
-import wheattrack.config.Settings;
+import wheattrack.config.TimeConversion;
 import wheattrack.core.BackendIndex;
 
 /**
@@ -84,7 +84,7 @@
     SimulatedRequest simulated = simulated(request);
     ListedBackend listed = backends.get(backend);
     simulated.addAttempt(listed, callback);
-    writer.writeSendAttempt(simulated.id(), listed.id, timeout * Settings.UNIT);
+    writer.writeSendAttempt(simulated.id(), listed.id, TimeConversion.toMicros(timeout));
   }
 
   @Override
@@ -96,7 +96,7 @@
   public void reject(PendingRequest request, long retryAfter) {
     SimulatedRequest simulated = simulated(request);
     markAnswered(simulated);
-    writer.writeReject(simulated.id(), retryAfter * Settings.UNIT);
+    writer.writeReject(simulated.id(), TimeConversion.toMicros(retryAfter));
   }
 
   @Override
@@ -122,7 +122,7 @@
   public void schedule(long delay, Runnable task) {
     lastTimerId++;
     timers.put(lastTimerId, task);
-    writer.writeSchedule(delay * Settings.UNIT, lastTimerId);
+    writer.writeSchedule(TimeConversion.toMicros(delay), lastTimerId);
   }
 
   @Override
--- a/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
+++ b/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
@@ -25,7 +25,7 @@
   private final DynamicSettings dynamicSettings = new DynamicSettings();
 
   private Verdict apply(String update) throws IOException {
-    return dynamicSettings.apply(new Settings(Json.object(update.replace('\'', '"'))));
+    return dynamicSettings.apply(new JsonObjectReader(Json.object(update.replace('\'', '"'))));
   }
 
   /** One entry of `ruleSets`, with single quotes for double ones. */
--- a/proxy/src/test/java/wheattrack/net/EndpointListParserTest.java
+++ b/proxy/src/test/java/wheattrack/net/EndpointListParserTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
-import wheattrack.config.Settings;
+import wheattrack.config.JsonObjectReader;
 import wheattrack.net.EndpointListParser.Deleted;
 import wheattrack.net.EndpointListParser.Listed;
 import wheattrack.net.EndpointListParser.State;
@@ -19,8 +19,8 @@
   private final EndpointListParser parser =
       new EndpointListParser(List.of("a", "b"), List.of("m", "n"));
 
-  private static Settings json(String text) throws IOException {
-    return new Settings(Json.object(text.replace('\'', '"')));
+  private static JsonObjectReader json(String text) throws IOException {
+    return new JsonObjectReader(Json.object(text.replace('\'', '"')));
   }
 
   @Test
@@ -74,7 +74,7 @@
       {"{'uid':'s','state':'SERVING'}", "endpoint: missing"},
     };
     for (String[] testCase : cases) {
-      Settings entry = json(testCase[0]);
+      JsonObjectReader entry = json(testCase[0]);
       Exception fault =
           assertThrows(InvalidConfigurationException.class, () -> parser.entry(entry));
       assertEquals(testCase[1], fault.getMessage());
