MessageWriter writes every message through one method

Cause: framing of a message and the conversion of output errors stood five times, and four kinds of messages had the same body.

Change: writeMessage opens and ends each message and converts errors; a kind gives only its own fields. Bytes written are the same.

Measured: tests of config and simulator: 30 run, 30 passed (SimulatorAdapterTest compares the recorded output byte for byte).

--- a/proxy/src/main/java/wheattrack/simulator/MessageWriter.java
+++ b/proxy/src/main/java/wheattrack/simulator/MessageWriter.java
@@ -5,11 +5,17 @@
 import java.io.UncheckedIOException;
 
 /**
- * Writes the messages of one proxy to the simulator, one a line. Times are in microseconds. The
- * policy, through which most calls come, knows no I/O: errors of the output come as {@link
- * UncheckedIOException}.
+ * Writes the messages of one proxy to the simulator, one a line. Times are in microseconds. Most
+ * calls come through the policy, which knows no I/O: an error of the output is therefore thrown as
+ * an {@link UncheckedIOException}. Not thread-safe.
  */
 final class MessageWriter {
+  /** Writes the fields of one message that follow its kind and its proxy. */
+  @FunctionalInterface
+  private interface FieldWriter {
+    void writeFields(JsonGenerator json) throws IOException;
+  }
+
   private final JsonGenerator generator;
   private final long proxyId;
 
@@ -18,7 +24,7 @@
     this.proxyId = proxyId;
   }
 
-  /** Ends the answer to a batch, and sends what was written. */
+  /** Writes the message that ends the answer to a batch, and flushes the output. */
   static void writeBatchDone(JsonGenerator generator) throws IOException {
     generator.writeStartObject();
     generator.writeStringField(SimulatorProtocol.KIND, SimulatorProtocol.BATCH_DONE);
@@ -29,120 +35,97 @@
 
   /** Sends an attempt; a timeout of 0 leaves it until the request's deadline. */
   void writeSendAttempt(String requestId, long backendId, long timeout) {
-    startMessage(SimulatorProtocol.SEND_ATTEMPT, requestId);
-    writeNumber(SimulatorProtocol.BACKEND, backendId);
-    writeNumber(SimulatorProtocol.ATTEMPT_TIMEOUT, timeout);
-    endMessage();
+    writeMessage(
+        SimulatorProtocol.SEND_ATTEMPT,
+        json -> {
+          json.writeStringField(SimulatorProtocol.REQUEST_ID, requestId);
+          json.writeNumberField(SimulatorProtocol.BACKEND, backendId);
+          json.writeNumberField(SimulatorProtocol.ATTEMPT_TIMEOUT, timeout);
+        });
   }
 
   /** Cancels an attempt in flight. */
   void writeCancelAttempt(String requestId, int attempt) {
-    startMessage(SimulatorProtocol.CANCEL_ATTEMPT, requestId);
-    writeNumber(SimulatorProtocol.ATTEMPT, attempt);
-    endMessage();
+    writeMessage(
+        SimulatorProtocol.CANCEL_ATTEMPT,
+        json -> {
+          json.writeStringField(SimulatorProtocol.REQUEST_ID, requestId);
+          json.writeNumberField(SimulatorProtocol.ATTEMPT, attempt);
+        });
   }
 
   /** Rejects a request; a wait of 0 advises none. */
   void writeReject(String requestId, long retryAfter) {
-    startMessage(SimulatorProtocol.REJECT, requestId);
-    writeNumber(SimulatorProtocol.RETRY_AFTER, retryAfter);
-    endMessage();
+    writeMessage(
+        SimulatorProtocol.REJECT,
+        json -> {
+          json.writeStringField(SimulatorProtocol.REQUEST_ID, requestId);
+          json.writeNumberField(SimulatorProtocol.RETRY_AFTER, retryAfter);
+        });
   }
 
   /** Fails a request. */
   void writeFail(String requestId) {
-    startMessage(SimulatorProtocol.FAIL, requestId);
-    endMessage();
+    writeMessage(
+        SimulatorProtocol.FAIL,
+        json -> json.writeStringField(SimulatorProtocol.REQUEST_ID, requestId));
   }
 
   /** Asks a backend for its load. */
   void writeProbeLoad(long backendId) {
-    startMessage(SimulatorProtocol.PROBE_LOAD);
-    writeNumber(SimulatorProtocol.BACKEND, backendId);
-    endMessage();
+    writeBackendMessage(SimulatorProtocol.PROBE_LOAD, backendId);
   }
 
   /** Closes the idle connections to a backend. */
   void writeCloseIdleConnections(long backendId) {
-    startMessage(SimulatorProtocol.CLOSE_IDLE_CONNECTIONS);
-    writeNumber(SimulatorProtocol.BACKEND, backendId);
-    endMessage();
+    writeBackendMessage(SimulatorProtocol.CLOSE_IDLE_CONNECTIONS, backendId);
   }
 
-  /** Asks to be told of this timer after a delay. */
+  /** Schedules a timer, whose expiry the simulator sends as an event. */
   void writeSchedule(long delay, long timerId) {
-    startMessage(SimulatorProtocol.SCHEDULE);
-    writeNumber(SimulatorProtocol.TIMER_DELAY, delay);
-    writeNumber(SimulatorProtocol.TIMER_ID, timerId);
-    endMessage();
+    writeMessage(
+        SimulatorProtocol.SCHEDULE,
+        json -> {
+          json.writeNumberField(SimulatorProtocol.TIMER_DELAY, delay);
+          json.writeNumberField(SimulatorProtocol.TIMER_ID, timerId);
+        });
   }
 
   /** Asks for the endpoint list and its changes. */
   void writeWatchEndpoints() {
-    startMessage(SimulatorProtocol.WATCH_ENDPOINTS);
-    writeFlag(SimulatorProtocol.WATCH_ON, true);
-    endMessage();
+    writeMessage(
+        SimulatorProtocol.WATCH_ENDPOINTS,
+        json -> json.writeBooleanField(SimulatorProtocol.WATCH_ON, true));
   }
 
   /** Writes a line of the log. */
   void writeLog(String text) {
-    startMessage(SimulatorProtocol.LOG);
-    writeText(SimulatorProtocol.TEXT, text);
-    endMessage();
+    writeTextMessage(SimulatorProtocol.LOG, text);
   }
 
-  /** Says that an event could not be handled. */
+  /** Reports that an event could not be handled. */
   void writeInternalError(String text) {
-    startMessage(SimulatorProtocol.INTERNAL_ERROR);
-    writeText(SimulatorProtocol.TEXT, text);
-    endMessage();
+    writeTextMessage(SimulatorProtocol.INTERNAL_ERROR, text);
   }
 
-  private void startMessage(String kind, String requestId) {
-    startMessage(kind);
-    writeText(SimulatorProtocol.REQUEST_ID, requestId);
+  private void writeBackendMessage(String kind, long backendId) {
+    writeMessage(kind, json -> json.writeNumberField(SimulatorProtocol.BACKEND, backendId));
   }
 
-  private void startMessage(String kind) {
-    try {
-      generator.writeStartObject();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    writeText(SimulatorProtocol.KIND, kind);
-    writeNumber(SimulatorProtocol.PROXY_ID, proxyId);
+  private void writeTextMessage(String kind, String text) {
+    writeMessage(kind, json -> json.writeStringField(SimulatorProtocol.TEXT, text));
   }
 
-  private void endMessage() {
+  private void writeMessage(String kind, FieldWriter fieldWriter) {
     try {
+      generator.writeStartObject();
+      generator.writeStringField(SimulatorProtocol.KIND, kind);
+      generator.writeNumberField(SimulatorProtocol.PROXY_ID, proxyId);
+      fieldWriter.writeFields(generator);
       generator.writeEndObject();
       generator.writeRaw('\n');
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
-
-  private void writeText(String field, String value) {
-    try {
-      generator.writeStringField(field, value);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private void writeNumber(String field, long value) {
-    try {
-      generator.writeNumberField(field, value);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private void writeFlag(String field, boolean value) {
-    try {
-      generator.writeBooleanField(field, value);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
 }
