Load report mode and deployment shape are enums; keywords of request classes by name

Cause: SettingsWords held the keywords of three unrelated keys as strings, which four classes compared one by one, and named `all` the default of `group`, though a class without `group` is deduplicated within its cell.

Change: LoadReportMode and DeploymentShape are enums with their keyword; RequestClassKeywords maps `effect` and `group`. Error paths come from the reader of the object instead of being written out. Defaults and messages are the same.

--- a/proxy/src/main/java/wheattrack/config/DeploymentShape.java
+++ b/proxy/src/main/java/wheattrack/config/DeploymentShape.java
@@ -1,17 +1,27 @@
 package wheattrack.config;
 
+import java.util.Arrays;
 import java.util.List;
 
-/** The values of the key `shape`: how proxies stand towards the clients. */
-final class DeploymentShape {
+/** How proxies are deployed for the clients: the key `shape` of a configuration. */
+enum DeploymentShape {
   /** Clients share a pool of proxies: the default. */
-  static final String POOL = "pool";
+  POOL("pool"),
+  /** Each client process has a proxy of its own on its machine. */
+  PER_CLIENT("per-client");
 
-  /** Each client process has a proxy of its own beside it. */
-  static final String PER_CLIENT = "per-client";
+  /** The keywords of all shapes. */
+  static final List<String> KEYWORDS =
+      Arrays.stream(values()).map(DeploymentShape::keyword).toList();
 
-  /** All shapes. */
-  static final List<String> ALL = List.of(POOL, PER_CLIENT);
+  private final String keyword;
 
-  private DeploymentShape() {}
+  DeploymentShape(String keyword) {
+    this.keyword = keyword;
+  }
+
+  /** The shape as a configuration has it. */
+  String keyword() {
+    return keyword;
+  }
 }
--- a/proxy/src/main/java/wheattrack/config/MigrateCommand.java
+++ b/proxy/src/main/java/wheattrack/config/MigrateCommand.java
@@ -110,10 +110,7 @@
   }
 
   private static Migration.Options migrationOptions(CommandLine commandLine) {
-    String reports = commandLine.getOptionValue("reports");
-    if (reports != null && !SettingsWords.REPORTS.contains(reports)) {
-      throw new InvalidConfigurationException("--reports", "none of " + SettingsWords.REPORTS);
-    }
+    LoadReportMode reportMode = loadReportModeOption(commandLine);
     String listen = commandLine.getOptionValue("listen");
     if (listen != null) {
       SocketAddressParser.parse("--listen", listen);
@@ -121,7 +118,7 @@
     return new Migration.Options(
         integerOption(commandLine, "balancers"),
         integerOption(commandLine, "me"),
-        reports,
+        reportMode,
         commandLine.getOptionValue("place"),
         listen);
   }
@@ -136,6 +133,19 @@
     }
   }
 
+  /** How backends report their load, or null if the option is not given. */
+  private static LoadReportMode loadReportModeOption(CommandLine commandLine) {
+    String keyword = commandLine.getOptionValue("reports");
+    if (keyword == null) {
+      return null;
+    }
+    return LoadReportMode.find(keyword)
+        .orElseThrow(
+            () ->
+                new InvalidConfigurationException(
+                    "--reports", "none of " + LoadReportMode.KEYWORDS));
+  }
+
   private static String toJson(Map<String, Object> configuration, Path oldFile) {
     ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
     try {
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import wheattrack.api.DeduplicationScope;
 
 /**
  * The counterpart of a pool's configuration for a deployment where each client process has a proxy
@@ -14,16 +15,16 @@
  */
 final class Migration {
   /**
-   * What the old file can't know; null where the operator did not say.
+   * Values that the old file does not hold; null where the operator gave none.
    *
    * @param proxyCount how many proxies there will be
    * @param proxyIndex which of them this one is, from 0
-   * @param reports how backends report their load, one of {@link SettingsWords#REPORTS}
+   * @param reports how backends report their load
    * @param zone the one zone that remains of the old ones
    * @param listen where the proxy's client connects
    */
   record Options(
-      Integer proxyCount, Integer proxyIndex, String reports, String zone, String listen) {}
+      Integer proxyCount, Integer proxyIndex, LoadReportMode reports, String zone, String listen) {}
 
   private static final Set<String> ROOT_KEYS =
       Set.of(
@@ -103,7 +104,7 @@
 
   /** Whether a configuration is one of a proxy beside each client process already. */
   static boolean isMigrated(Map<String, Object> configuration) {
-    return DeploymentShape.PER_CLIENT.equals(configuration.get("shape"));
+    return DeploymentShape.PER_CLIENT.keyword().equals(configuration.get("shape"));
   }
 
   /** The new configuration, which has been validated. */
@@ -117,7 +118,7 @@
   }
 
   private void run(Options options) {
-    result.put("shape", DeploymentShape.PER_CLIENT);
+    result.put("shape", DeploymentShape.PER_CLIENT.keyword());
     remove(result, "", "seed", "each proxy draws its own at its start");
     remove(result, "", "known", "it is the list of the old servers");
     REMOVED_KEYS.forEach(this::removeSetting);
@@ -167,34 +168,38 @@
     }
   }
 
-  private void setReports(String reports) {
-    if (reports == null) {
+  private void setReports(LoadReportMode mode) {
+    if (mode == null) {
       if (!settings.containsKey("report")) {
         remarks.add("settings.report: none known, say how backends report their load by --reports");
       }
       return;
     }
-    Settings old = new Settings(settings);
-    boolean isByProbe = reports.equals(SettingsWords.REPORTS_BY_PROBE);
-    if (isByProbe && old.has("limits.probing") && !old.flag("limits.probing")) {
-      throw new InvalidConfigurationException(
-          "--reports", "probe contradicts settings.limits.probing, which is false");
+    if (mode == LoadReportMode.BY_PROBE) {
+      checkProbingIsNotForbidden();
     }
     Map<String, Object> section = sectionForWriting(settings, "report");
     if (new JsonObjectReader(result).list("settings.report.fields").isEmpty()) {
-      section.put(
-          "fields", reports.equals(SettingsWords.REPORTS_NONE) ? List.of() : LoadReport.FIELDS);
+      section.put("fields", mode == LoadReportMode.NONE ? List.of() : LoadReport.FIELDS);
     }
-    section.put("how", reports);
-    if (isByProbe) {
+    section.put("how", mode.keyword());
+    if (mode == LoadReportMode.BY_PROBE) {
       sectionForWriting(settings, "limits").put("probing", true);
     }
-    if (reports.equals(SettingsWords.REPORTS_IN_ANSWERS)) {
+    if (mode == LoadReportMode.IN_RESPONSES) {
       remarks.add(
           "settings.report: name the answers' header in the operators' file, answers-header");
     }
   }
 
+  private void checkProbingIsNotForbidden() {
+    Settings old = new Settings(settings);
+    if (old.has("limits.probing") && !old.flag("limits.probing")) {
+      throw new InvalidConfigurationException(
+          "--reports", "probe contradicts settings.limits.probing, which is false");
+    }
+  }
+
   private void setOnlyZone(String zone) {
     List<?> zones = new JsonObjectReader(result).list("settings.zones");
     if (!zones.isEmpty() && !zones.contains(zone)) {
@@ -208,10 +213,15 @@
         "settings.prices.",
         "crossZone",
         "nothing is crossed in one place");
+    remarkZoneScopes();
+  }
+
+  /** Adds a remark for each request class that is deduplicated within a zone. */
+  private void remarkZoneScopes() {
     List<JsonObjectReader> classes = new Settings(settings).requestClassEntries();
     for (int i = 0; i < classes.size(); i++) {
-      String scope = classes.get(i).text("group", SettingsWords.SCOPE_ALL);
-      if (scope.equals(SettingsWords.SCOPE_ZONE)) {
+      String keyword = classes.get(i).text("group", "");
+      if (RequestClassKeywords.deduplicationScope(keyword) == DeduplicationScope.ZONE) {
         remarks.add(
             "settings.ruleSets["
                 + i
--- a/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
+++ b/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
@@ -30,8 +30,8 @@
 
   /** One entry of `ruleSets` as the request class with this index. */
   static RequestClass requestClass(JsonObjectReader entry, int index) {
-    Idempotency idempotency = SettingsWords.idempotency(entry.text("effect", ""));
-    DeduplicationScope scope = SettingsWords.deduplicationScope(entry.text("group", ""));
+    Idempotency idempotency = RequestClassKeywords.idempotency(entry.text("effect", ""));
+    DeduplicationScope scope = RequestClassKeywords.deduplicationScope(entry.text("group", ""));
     long timeout = entry.time("clientTimeout", DEFAULT_LATENCY_MICROS);
     long objective = entry.time("responseTarget", DEFAULT_LATENCY_MICROS);
     return new RequestClass(
@@ -64,9 +64,7 @@
 
   /** Whether backends report the part of their load that the policy needs. */
   public static boolean expectsLoadReports(Settings settings) {
-    return !settings
-            .text("report.how", SettingsWords.REPORTS_NONE)
-            .equals(SettingsWords.REPORTS_NONE)
+    return settings.loadReportMode() != LoadReportMode.NONE
         && settings.list("report.fields").contains(LoadReport.IN_FLIGHT_FIELD);
   }
 
@@ -131,8 +129,7 @@
   private static PolicySettings.LoadReports loadReports(Settings settings) {
     boolean isExpected = expectsLoadReports(settings);
     boolean isProbed =
-        !settings.text("report.how", "").equals(SettingsWords.REPORTS_IN_ANSWERS)
-            && settings.flag("limits.probing");
+        settings.loadReportMode() != LoadReportMode.IN_RESPONSES && settings.flag("limits.probing");
     return new PolicySettings.LoadReports(isExpected, isProbed);
   }
 }
--- a/proxy/src/main/java/wheattrack/config/ProxyConfig.java
+++ b/proxy/src/main/java/wheattrack/config/ProxyConfig.java
@@ -69,8 +69,8 @@
     maxBodyBytes = (long) (maxBodyMegabytes * (1 << 20));
     drainTime = (long) (root.number("drain_ms", 500) * 10);
     check(drainTime >= 0, "drain_ms", "negative");
-    String shape = root.text("shape", DeploymentShape.POOL);
-    check(DeploymentShape.ALL.contains(shape), "shape", "none of " + DeploymentShape.ALL);
+    String shape = root.text("shape", DeploymentShape.POOL.keyword());
+    check(DeploymentShape.KEYWORDS.contains(shape), "shape", "none of " + DeploymentShape.KEYWORDS);
     cachedEndpoints = root.section("known");
     settings = new Settings(root.section("settings"));
     SettingsValidator.checkSettings(settings);
--- a/proxy/src/main/java/wheattrack/config/Settings.java
+++ b/proxy/src/main/java/wheattrack/config/Settings.java
@@ -23,6 +23,9 @@
   /** The key of this proxy's place in the zones. */
   static final String ZONE = "zone";
 
+  /** The path of the keyword for how backends report their load. */
+  static final String LOAD_REPORT_MODE = "report.how";
+
   /** The key of the number of proxies. */
   static final String PROXY_COUNT = "balancers";
 
@@ -69,6 +72,15 @@
     return sections(TENANTS);
   }
 
+  /**
+   * How backends report their load. A keyword that no mode has counts as {@link
+   * LoadReportMode#BY_PROBE}: only {@link SettingsValidator} rejects it.
+   */
+  LoadReportMode loadReportMode() {
+    String keyword = text(LOAD_REPORT_MODE, LoadReportMode.NONE.keyword());
+    return LoadReportMode.find(keyword).orElse(LoadReportMode.BY_PROBE);
+  }
+
   /** These settings with some of their limits replaced; the others stay. */
   Settings withLimits(Map<String, Object> replacements) {
     Map<String, Object> merged = section(LIMITS).copyOfValues();
--- a/proxy/src/main/java/wheattrack/config/SettingsValidator.java
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -29,18 +29,20 @@
     checkLoadReports(settings);
     int proxyCount = settings.proxyCount();
     int proxyIndex = settings.proxyIndex();
-    check(proxyCount >= 1, "settings.balancers", "under 1");
+    check(proxyCount >= 1, settings.key(Settings.PROXY_COUNT), "under 1");
     check(
-        proxyIndex >= 0 && proxyIndex < proxyCount, "settings.me", "not from 0 to under balancers");
+        proxyIndex >= 0 && proxyIndex < proxyCount,
+        settings.key(Settings.PROXY_INDEX),
+        "not from 0 to under balancers");
     checkLimits(settings);
     int zoneCount = Math.max(1, settings.zones().size());
     int zone = settings.zoneIndex();
-    check(zone >= 0 && zone < zoneCount, "settings.zone", "not a place in zones");
+    check(zone >= 0 && zone < zoneCount, settings.key(Settings.ZONE), "not a place in zones");
   }
 
   private static void checkRequestClasses(Settings settings) {
     List<JsonObjectReader> entries = settings.requestClassEntries();
-    check(!entries.isEmpty(), "settings.ruleSets", "missing");
+    check(!entries.isEmpty(), settings.key(Settings.REQUEST_CLASSES), "missing");
     Set<String> names = new HashSet<>();
     for (JsonObjectReader entry : entries) {
       check(names.add(entry.text("name")), entry.key("name"), "the same as another's");
@@ -50,19 +52,21 @@
 
   /** Checks one entry of `ruleSets`, except for its name. */
   static void checkRequestClass(JsonObjectReader entry) {
-    check(
-        SettingsWords.IDEMPOTENCY.contains(entry.text("effect")),
-        entry.key("effect"),
-        "none of " + SettingsWords.IDEMPOTENCY);
-    check(
-        SettingsWords.DEDUPLICATION_SCOPE.contains(entry.text("group", SettingsWords.SCOPE_ALL)),
-        entry.key("group"),
-        "none of " + SettingsWords.DEDUPLICATION_SCOPE);
+    checkKeyword(entry, "effect", entry.text("effect"), RequestClassKeywords.IDEMPOTENCY);
+    String scope = entry.text("group", null);
+    if (scope != null) {
+      checkKeyword(entry, "group", scope, RequestClassKeywords.DEDUPLICATION_SCOPE);
+    }
     checkPositiveTime(entry, "clientTimeout");
     checkPositiveTime(entry, "responseTarget");
     PolicySettingsMapper.requestClass(entry, 0); // throws if another key has the wrong type
   }
 
+  private static void checkKeyword(
+      JsonObjectReader object, String path, String keyword, List<String> allowed) {
+    check(allowed.contains(keyword), object.key(path), "none of " + allowed);
+  }
+
   private static void checkPositiveTime(JsonObjectReader entry, String key) {
     long time = entry.time(key, PolicySettingsMapper.DEFAULT_LATENCY_MICROS);
     check(time > 0, entry.key(key), "not above 0");
@@ -86,17 +90,17 @@
   private static void checkRemovedRules(Settings settings) {
     check(
         settings.number("rules.budgetSpan", 0) == 0,
-        "settings.rules.budgetSpan",
+        settings.key("rules.budgetSpan"),
         "further dispatches are held to no budget any more");
     check(
         !settings.flag("rules.goneIsAdvice"),
-        "settings.rules.goneIsAdvice",
+        settings.key("rules.goneIsAdvice"),
         "what the list drops is gone, nothing else is known any more");
   }
 
   private static void checkPrices(Settings settings) {
     for (String key : List.of("prices.connection", "prices.handshake", "prices.crossZone")) {
-      check(settings.number(key, 0) >= 0, "settings." + key, "negative");
+      check(settings.number(key, 0) >= 0, settings.key(key), "negative");
     }
   }
 
@@ -107,14 +111,11 @@
   }
 
   private static void checkLoadReports(Settings settings) {
-    String mode = settings.text("report.how", SettingsWords.REPORTS_NONE);
-    check(
-        SettingsWords.REPORTS.contains(mode),
-        "settings.report.how",
-        "none of " + SettingsWords.REPORTS);
+    String keyword = settings.text(Settings.LOAD_REPORT_MODE, LoadReportMode.NONE.keyword());
+    checkKeyword(settings, Settings.LOAD_REPORT_MODE, keyword, LoadReportMode.KEYWORDS);
     check(
-        !mode.equals(SettingsWords.REPORTS_BY_PROBE) || settings.flag("limits.probing"),
-        "settings.limits.probing",
+        settings.loadReportMode() != LoadReportMode.BY_PROBE || settings.flag("limits.probing"),
+        settings.key("limits.probing"),
         "not true, yet reports come with probes alone");
   }
 }
