OperatorConfig is a record; defaults and units of ProxyConfig have names

Cause: OperatorConfig spelled out a record's accessors; ProxyConfig's constructor held bare defaults and factors, and its re-read checks stood in one method.

Change: a record, named constants with units, small methods. Order of checks, messages and defaults stay.

--- a/proxy/src/main/java/wheattrack/config/OperatorConfig.java
+++ b/proxy/src/main/java/wheattrack/config/OperatorConfig.java
@@ -5,11 +5,21 @@
 import java.util.List;
 
 /**
- * The operators' own TOML file: what an installation switches on beside its proxy configuration.
- * Everything is off by default. Immutable. Errors are {@link InvalidConfigurationException} and
- * name file, line and key.
+ * The operators' own TOML file: optional features that an installation switches on. All are off by
+ * default. Errors are {@link InvalidConfigurationException} and name file, line and key.
+ *
+ * @param log how the log is written
+ * @param loadReportHeader the header of responses that carries a backend's load report; empty if
+ *     none does
+ * @param settingsSource the source whose settings are watched, or null
+ * @param settingsScope the scope sent with requests for settings and endpoints: names separated by
+ *     commas; empty for all
  */
-public final class OperatorConfig {
+public record OperatorConfig(
+    LogSettings log,
+    String loadReportHeader,
+    InetSocketAddress settingsSource,
+    String settingsScope) {
   /**
    * How the log is written.
    *
@@ -18,7 +28,7 @@
    * @param logsRequests whether attempts and requests have lines of their own
    */
   public record LogSettings(boolean isJson, int maxLinesPerSecond, boolean logsRequests) {
-    /** The settings without an operators' file; for a start that has no time to parse TOML. */
+    /** The settings without an operators' file, at hand without parsing any TOML at the start. */
     public static final LogSettings DEFAULTS = new LogSettings(false, 0, false);
   }
 
@@ -43,24 +53,41 @@
   private static final String HEADER_NAME = "[A-Za-z0-9-]{0,64}";
   private static final String SCOPE_NAMES = "([A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64}){0,255})?";
 
-  private final LogSettings log;
-  private final String loadReportHeader;
-  private final InetSocketAddress settingsSource;
-  private final String settingsScope;
+  private static final int MAX_LINES_PER_SECOND = 1_000_000;
 
-  private OperatorConfig(ConfigurationReader root) {
-    log = readLog(root.section("log"));
-    loadReportHeader = readLoadReportHeader(root.section("reports"));
+  /**
+   * Reads an operators' file.
+   *
+   * @throws InvalidConfigurationException if it can't be read or used
+   */
+  public static OperatorConfig read(Path file) {
+    return of(ConfigurationReader.read(file));
+  }
+
+  /**
+   * Reads a text.
+   *
+   * @param fileName stands for the file in errors
+   * @throws InvalidConfigurationException if it can't be used
+   */
+  public static OperatorConfig of(String fileName, String text) {
+    return of(ConfigurationReader.of(fileName, text));
+  }
+
+  private static OperatorConfig of(ConfigurationReader root) {
+    LogSettings log = readLog(root.section("log"));
+    String loadReportHeader = readLoadReportHeader(root.section("reports"));
     ConfigurationReader settings = root.section("settings");
-    settingsSource = readSettingsSource(settings);
-    settingsScope = readSettingsScope(settings);
+    InetSocketAddress settingsSource = readSettingsSource(settings);
+    String settingsScope = readSettingsScope(settings);
     root.rejectUnknownKeys();
+    return new OperatorConfig(log, loadReportHeader, settingsSource, settingsScope);
   }
 
   private static LogSettings readLog(ConfigurationReader section) {
     return new LogSettings(
         section.choice("format", List.of("plain", "json")).equals("json"),
-        section.integer("lines-per-second", 0, 0, 1_000_000),
+        section.integer("lines-per-second", 0, 0, MAX_LINES_PER_SECOND),
         section.flag("reqs", false));
   }
 
@@ -90,43 +117,4 @@
     }
     return scope;
   }
-
-  /**
-   * Reads an operators' file.
-   *
-   * @throws InvalidConfigurationException if it can't be read or used
-   */
-  public static OperatorConfig read(Path file) {
-    return new OperatorConfig(ConfigurationReader.read(file));
-  }
-
-  /**
-   * Reads a text.
-   *
-   * @param fileName stands for the file in errors
-   * @throws InvalidConfigurationException if it can't be used
-   */
-  public static OperatorConfig of(String fileName, String text) {
-    return new OperatorConfig(ConfigurationReader.of(fileName, text));
-  }
-
-  /** How the log is written. */
-  public LogSettings log() {
-    return log;
-  }
-
-  /** The header of responses that carries a backend's load report; empty if none does. */
-  public String loadReportHeader() {
-    return loadReportHeader;
-  }
-
-  /** The source whose settings are watched, or null. */
-  public InetSocketAddress settingsSource() {
-    return settingsSource;
-  }
-
-  /** The scope sent with requests for settings and endpoints, names by commas; empty for all. */
-  public String settingsScope() {
-    return settingsScope;
-  }
 }
--- a/proxy/src/main/java/wheattrack/config/ProxyConfig.java
+++ b/proxy/src/main/java/wheattrack/config/ProxyConfig.java
@@ -16,11 +16,22 @@
  * InvalidConfigurationException} and name the key.
  */
 public final class ProxyConfig {
+  private static final String DEFAULT_NAME = "wheattrack";
+  private static final int DEFAULT_DESCRIPTORS = 1024;
   private static final int MIN_DESCRIPTORS = 64;
+  private static final double DEFAULT_BODY_LIMIT_MEGABYTES = 32;
+  private static final double MIN_BODY_LIMIT_MEGABYTES = 1;
+  private static final int BYTES_PER_MEGABYTE = 1 << 20;
+  private static final double DEFAULT_DRAIN_MILLIS = 500;
+  private static final int SEED_RADIX = 16;
 
-  /** Keys that only act at a start, so that a file read again may lack them. */
+  /** The environment variable that gives the admin address if the file does not. */
+  private static final String ADMIN_VARIABLE = "GW_ADMIN";
+
+  /** Keys that take effect only at a start, so that a file read again may lack them. */
   private static final Set<String> START_ONLY_KEYS = Set.of("known", "seed");
 
+  /** Keys whose values a running proxy cannot change. */
   private static final List<String> FIXED_KEYS =
       List.of(
           "listen",
@@ -53,33 +64,43 @@
   public ProxyConfig(Map<String, Object> values) {
     this.values = values;
     JsonObjectReader root = new JsonObjectReader(values);
-    name = root.text("name", "wheattrack");
+    name = root.text("name", DEFAULT_NAME);
     listen = SocketAddressParser.parse("listen", root.text("listen"));
     discovery = SocketAddressParser.parse("discovery", root.text("discovery"));
-    String adminText = root.text("admin", System.getenv("GW_ADMIN"));
-    admin =
-        adminText == null || adminText.isEmpty()
-            ? null
-            : SocketAddressParser.parse("admin", adminText);
+    admin = readAdmin(root);
     seed = readSeed(root);
-    maxDescriptors = root.integer("limits.sockets", 1024);
+    maxDescriptors = root.integer("limits.sockets", DEFAULT_DESCRIPTORS);
     check(maxDescriptors >= MIN_DESCRIPTORS, "limits.sockets", "under " + MIN_DESCRIPTORS);
-    double maxBodyMegabytes = root.number("limits.body_mb", 32);
-    check(maxBodyMegabytes >= 1, "limits.body_mb", "under 1");
-    maxBodyBytes = (long) (maxBodyMegabytes * (1 << 20));
-    drainTime = (long) (root.number("drain_ms", 500) * 10);
+    double bodyLimitMegabytes = root.number("limits.body_mb", DEFAULT_BODY_LIMIT_MEGABYTES);
+    check(bodyLimitMegabytes >= MIN_BODY_LIMIT_MEGABYTES, "limits.body_mb", "under 1");
+    maxBodyBytes = (long) (bodyLimitMegabytes * BYTES_PER_MEGABYTE);
+    double drainMillis = root.number("drain_ms", DEFAULT_DRAIN_MILLIS);
+    drainTime = (long) (drainMillis * TimeConversion.TICKS_PER_MILLISECOND);
     check(drainTime >= 0, "drain_ms", "negative");
-    String shape = root.text("shape", DeploymentShape.POOL.keyword());
-    check(DeploymentShape.KEYWORDS.contains(shape), "shape", "none of " + DeploymentShape.KEYWORDS);
+    checkShape(root);
     cachedEndpoints = root.section("known");
     settings = new Settings(root.section("settings"));
     SettingsValidator.checkSettings(settings);
   }
 
+  /** The admin address, or null if there is none. */
+  private static InetSocketAddress readAdmin(JsonObjectReader root) {
+    String text = root.text("admin", System.getenv(ADMIN_VARIABLE));
+    if (text == null || text.isEmpty()) {
+      return null;
+    }
+    return SocketAddressParser.parse("admin", text);
+  }
+
+  private static void checkShape(JsonObjectReader root) {
+    String shape = root.text("shape", DeploymentShape.POOL.keyword());
+    check(DeploymentShape.KEYWORDS.contains(shape), "shape", "none of " + DeploymentShape.KEYWORDS);
+  }
+
   private static long readSeed(JsonObjectReader root) {
     String seed = root.text("seed", "");
     try {
-      return seed.isEmpty() ? System.nanoTime() : Long.parseUnsignedLong(seed, 16);
+      return seed.isEmpty() ? System.nanoTime() : Long.parseUnsignedLong(seed, SEED_RADIX);
     } catch (NumberFormatException e) {
       throw new InvalidConfigurationException("seed", "not up to 16 hex digits: " + seed);
     }
@@ -111,8 +132,8 @@
 
   /**
    * Reads a configuration file again for a running proxy. A key that the running configuration has
-   * must be in the file, as a file without it would silently bring in its default; exempt are keys
-   * that only act at a start.
+   * must be in the file, as its default would silently replace the running value otherwise; exempt
+   * are keys that take effect only at a start.
    *
    * @throws InvalidConfigurationException if the file can't be read or used, or lacks a key
    */
@@ -121,16 +142,19 @@
     Map<String, Object> required = new HashMap<>(running.values);
     required.keySet().removeAll(START_ONLY_KEYS);
     checkHasKeys(required, next.values, "");
-    Set<String> requiredClassKeys = commonClassKeys(running.settings);
-    for (JsonObjectReader entry : next.settings.requestClassEntries()) {
-      for (String key : requiredClassKeys) {
+    checkHasClassKeys(commonClassKeys(running.settings), next.settings);
+    return next;
+  }
+
+  private static void checkHasClassKeys(Set<String> requiredKeys, Settings settings) {
+    for (JsonObjectReader entry : settings.requestClassEntries()) {
+      for (String key : requiredKeys) {
         check(
             entry.has(key),
             "settings.ruleSets." + entry.text("name") + "." + key,
             "missing, all running ones have it");
       }
     }
-    return next;
   }
 
   /** The keys that all request classes have. */
@@ -156,7 +180,7 @@
         });
   }
 
-  /** The keys that differ from the running configuration and only act at a start. */
+  /** The keys that differ from the running configuration and take effect only at a start. */
   public List<String> changedFixedKeys(ProxyConfig running) {
     JsonObjectReader own = new JsonObjectReader(values);
     JsonObjectReader other = new JsonObjectReader(running.values);
@@ -208,7 +232,7 @@
     return drainTime;
   }
 
-  /** The endpoint list as this proxy last knew it, in discovery's format; may be empty. */
+  /** The endpoint list that the file caches for this proxy, in discovery's format; may be empty. */
   public JsonObjectReader cachedEndpoints() {
     return cachedEndpoints;
   }
--- a/proxy/src/main/java/wheattrack/config/TimeConversion.java
+++ b/proxy/src/main/java/wheattrack/config/TimeConversion.java
@@ -8,6 +8,9 @@
   /** Microseconds in a tick. */
   public static final int MICROS_PER_TICK = 100;
 
+  /** Ticks in a millisecond. */
+  static final int TICKS_PER_MILLISECOND = 10;
+
   private static final int MAX_COST = Integer.MAX_VALUE / 4;
 
   private TimeConversion() {}
