Simulator: an endpoint record is a type, failure statuses have names

Cause: EndpointListEvents cast raw JSON values, and the statuses of failed attempts were bare numbers; doc comments spoke of who is told and what comes.

Status constants; doc comments in plain technical English.

--- a/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
+++ b/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
@@ -2,15 +2,12 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import wheattrack.api.EndpointUpdate;
 import wheattrack.api.LoadBalancer;
-import wheattrack.config.JsonObjectReader;
-import wheattrack.config.TimeConversion;
 import wheattrack.core.BackendIndex;
 
-/** Brings endpoint lists of the simulator to the policy. */
+/** Passes endpoint lists of the simulator to the policy. */
 final class EndpointListEvents {
   private final BackendIndex<Long, ListedBackend> backends;
   private final LoadBalancer loadBalancer;
@@ -21,11 +18,11 @@
   }
 
   /**
-   * Hands over one list.
+   * Passes one list to the policy.
    *
-   * @param mode what the records are: changes, a snapshot, a snapshot that is surely current, or
-   *     nothing, as discovery has failed
-   * @param records the records of backends
+   * @param mode what the records are: changes, a snapshot, a snapshot that is known to be current,
+   *     or nothing, as discovery has failed
+   * @param records the records as parsed from JSON
    * @throws InvalidInputException if the mode is unknown or a record names no backend
    */
   void update(String mode, List<?> records) throws InvalidInputException {
@@ -46,7 +43,7 @@
 
   private void updateAll(List<?> records, boolean isCurrent) throws InvalidInputException {
     for (Object record : records) {
-      updateBackend(record);
+      updateBackend(BackendRecord.of(record));
     }
     loadBalancer.endpointListUpdated(isCurrent);
   }
@@ -54,7 +51,7 @@
   private void removeUnnamed(List<?> records) throws InvalidInputException {
     Set<Long> namedIds = new HashSet<>();
     for (Object record : records) {
-      namedIds.add(backendId(record));
+      namedIds.add(BackendRecord.of(record).id());
     }
     for (ListedBackend backend : backends.listedExcept(namedIds)) {
       removeBackend(backend);
@@ -67,42 +64,25 @@
     }
   }
 
-  private static long backendId(Object record) throws InvalidInputException {
-    if (record instanceof Map<?, ?> fields
-        && fields.get(SimulatorProtocol.BACKEND) instanceof Number id) {
-      return id.longValue();
-    }
-    throw MessageFields.missing(SimulatorProtocol.BACKEND);
-  }
-
-  @SuppressWarnings("unchecked") // the parser's maps have texts as keys
-  private void updateBackend(Object record) throws InvalidInputException {
-    long id = backendId(record);
-    JsonObjectReader fields = new JsonObjectReader((Map<String, Object>) record);
-    String readiness = fields.text(SimulatorProtocol.READINESS, SimulatorProtocol.READINESS_READY);
-    if (readiness.equals(SimulatorProtocol.READINESS_REMOVED)) {
-      removeBackend(backends.find(id));
+  private void updateBackend(BackendRecord listed) {
+    if (listed.isRemoved()) {
+      removeBackend(backends.find(listed.id()));
       return;
     }
-    ListedBackend backend = backends.getOrAdd(id);
+    ListedBackend backend = backends.getOrAdd(listed.id());
     boolean isNewlyListed = backends.markListed(backend);
-    long startedAt = (long) fields.number(SimulatorProtocol.STARTED_AT, 0);
-    double weight = fields.number(SimulatorProtocol.WEIGHT, 1);
+    long startTime = listed.startTime();
+    double weight = listed.weight();
     loadBalancer.updateBackend(
         new EndpointUpdate(
             backend.index,
-            id,
-            readiness.equals(SimulatorProtocol.READINESS_READY),
-            fields.integer(SimulatorProtocol.ZONE, 0),
-            fields.integer(SimulatorProtocol.CELL, 0),
-            fields.integer(SimulatorProtocol.BACKEND_KIND, 0),
+            listed.id(),
+            listed.isReady(),
+            listed.zone(),
+            listed.cell(),
+            listed.kind(),
             weight,
-            startTime(startedAt),
+            startTime,
             isNewlyListed));
   }
-
-  /** In tenths of a millisecond, from microseconds, of which 0 and less stand for long ago. */
-  private static long startTime(long startedAt) {
-    return startedAt <= 0 ? BackendIndex.LONG_AGO : TimeConversion.ticksRoundedDown(startedAt);
-  }
 }
--- a/proxy/src/main/java/wheattrack/simulator/InvalidInputException.java
+++ b/proxy/src/main/java/wheattrack/simulator/InvalidInputException.java
@@ -3,7 +3,8 @@
 import java.io.IOException;
 
 /**
- * Input that is not the simulator's; the message says what is wrong and, at last, in which line.
+ * Input that does not follow the simulator's wire format. The message names the fault; {@link
+ * SimulatorAdapter} puts the line in front of it.
  */
 public final class InvalidInputException extends IOException {
   private static final long serialVersionUID = 1;
--- a/proxy/src/main/java/wheattrack/simulator/ListedBackend.java
+++ b/proxy/src/main/java/wheattrack/simulator/ListedBackend.java
@@ -35,7 +35,7 @@
     return !probes.isEmpty();
   }
 
-  /** The oldest load probe has ended; returns who is to be told. */
+  /** Removes the oldest load probe, as it has ended, and returns its callback. */
   ProbeCallback removeOldestProbe() {
     return probes.remove(0);
   }
--- a/proxy/src/main/java/wheattrack/simulator/MessageFields.java
+++ b/proxy/src/main/java/wheattrack/simulator/MessageFields.java
@@ -14,8 +14,8 @@
 import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
- * The fields of the event that was read last. Scalars are kept in arrays that are used again for
- * each event, so that nothing is allocated for most events.
+ * The fields of the event that was read last. Scalars are kept in arrays that are reused for each
+ * event, so that most events allocate nothing. Not thread-safe.
  */
 final class MessageFields {
   private static final int FIELD_COUNT = Field.values().length;
@@ -164,7 +164,7 @@
     return LoadReport.of(new JsonObjectReader(loadReport));
   }
 
-  /** The error for a field that an event must have and has not. */
+  /** The error for a required field that an event does not have. */
   static InvalidInputException missing(String wireName) {
     return new InvalidInputException("missing field " + wireName);
   }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -15,8 +15,8 @@
 import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
- * One proxy of the simulator: turns its events into calls of its policy. What the policy asks for
- * goes through {@link SimulatedRuntime}.
+ * One proxy of the simulator: turns its events into calls of its policy. The policy acts through
+ * {@link SimulatedRuntime}. Not thread-safe.
  */
 final class SimulatedProxy {
   private static final int KEY_RADIX = 16;
@@ -33,34 +33,35 @@
   }
 
   /**
-   * Sets the clock. It rounds up and deadlines round down, so that no limit is passed in between.
+   * Sets the clock. It is rounded up and deadlines are rounded down, so that rounding never lets an
+   * attempt outlast its deadline.
    *
-   * @param time in microseconds
+   * @param timeMicros the time in microseconds
    */
-  void setTime(long time) {
-    runtime.setNow(TimeConversion.ticksRoundedUp(time));
+  void setTime(long timeMicros) {
+    runtime.setNow(TimeConversion.ticksRoundedUp(timeMicros));
   }
 
   /**
    * Handles one event. An error within the policy is written as a message, and the proxy goes on.
    *
-   * @throws InvalidInputException if the event is not the simulator's
+   * @throws InvalidInputException if the event does not follow the wire format
    * @throws UncheckedIOException if the messages cannot be written
    */
   void handleEvent(String kind, MessageFields event) throws InvalidInputException {
     try {
       dispatch(kind, event);
     } catch (UncheckedIOException e) {
-      throw e; // no message could say so
+      throw e; // the output fails, so no message can report it
     } catch (RuntimeException e) {
       reportFailure(kind, e);
     }
   }
 
   /**
-   * Handles an endpoint list; before the first configuration it is dropped.
+   * Handles an endpoint list, which is ignored before the first configuration.
    *
-   * @throws InvalidInputException if the list is not the simulator's
+   * @throws InvalidInputException if the list does not follow the wire format
    * @throws UncheckedIOException if the messages cannot be written
    */
   void handleEndpointList(String mode, List<?> records) throws InvalidInputException {
@@ -69,7 +70,7 @@
         endpointList.update(mode, records);
       }
     } catch (UncheckedIOException e) {
-      throw e; // no message could say so
+      throw e; // the output fails, so no message can report it
     } catch (RuntimeException e) {
       reportFailure(SimulatorProtocol.ENDPOINT_LIST, e);
     }
@@ -91,7 +92,7 @@
       case SimulatorProtocol.CLIENT_DISCONNECTED -> clientDisconnected(event);
       case SimulatorProtocol.TIMER_FIRED -> timerFired(event);
       case SimulatorProtocol.PROBE_ENDED -> probeEnded(event);
-      case SimulatorProtocol.GOSSIP -> event.number(Field.PEER); // checked, but not used
+      case SimulatorProtocol.GOSSIP -> event.number(Field.PEER); // validated, but not used
       default -> throw new InvalidInputException("unknown event kind " + kind);
     }
   }
@@ -118,7 +119,7 @@
       throw new InvalidInputException("no such profile: " + classIndex);
     }
     checkStickyKey(event);
-    event.number(Field.TENANT, 0); // checked, but not used
+    event.number(Field.TENANT, 0); // validated, but not used
     SimulatedRequest simulated = runtime.addRequest(event.text(Field.REQUEST_ID));
     int costHint = TimeConversion.costOfHint(event.number(Field.COST_HINT, 0));
     long deadline = TimeConversion.ticksRoundedDown(event.number(Field.DEADLINE));
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedRequest.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRequest.java
@@ -5,7 +5,7 @@
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.RequestHandle;
 
-/** One request of the simulator: its id, its attempts and the policy's handle of it. */
+/** One request of the simulator: its id, its attempts and the policy's handle to it. */
 final class SimulatedRequest {
   private final String id;
   private final List<AttemptCallback> callbacks = new ArrayList<>(2);
@@ -30,7 +30,7 @@
     this.handle = handle;
   }
 
-  /** Whether it has its final answer, or nobody waits for one any more. */
+  /** Whether it has its final answer, or its client has disconnected. */
   boolean isAnswered() {
     return isAnswered;
   }
@@ -44,7 +44,7 @@
     return isAnswered && attemptsInFlight == 0;
   }
 
-  /** An attempt is sent to this backend; attempts are numbered from 0. */
+  /** Adds an attempt that is sent to this backend; attempts are numbered from 0. */
   void addAttempt(ListedBackend backend, AttemptCallback callback) {
     callbacks.add(callback);
     backends.add(backend);
@@ -52,12 +52,12 @@
     backend.attemptStarted();
   }
 
-  /** Whether it has an attempt of this number in flight. */
+  /** Whether the attempt with this number is in flight. */
   boolean isInFlight(int attempt) {
     return attempt >= 0 && attempt < callbacks.size() && callbacks.get(attempt) != null;
   }
 
-  /** An attempt in flight has ended; returns who is to be told. */
+  /** Removes an attempt in flight, as it has ended, and returns its callback. */
   AttemptCallback removeAttempt(int attempt) {
     backends.get(attempt).attemptEnded();
     attemptsInFlight--;
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
@@ -11,8 +11,8 @@
 import wheattrack.core.BackendIndex;
 
 /**
- * The policy's runtime in the simulator: what the policy asks for is written as messages, and the
- * requests, backends and timers are kept under the simulator's ids.
+ * The policy's runtime in the simulator: writes each action of the policy as a message, and maps
+ * the simulator's ids to requests, backends and timers. Not thread-safe.
  */
 final class SimulatedRuntime implements PolicyRuntime {
   private final MessageWriter writer;
@@ -31,7 +31,7 @@
     now = time;
   }
 
-  /** Forgets all requests, backends and timers; timer ids are not used again. */
+  /** Removes all requests, backends and timers; timer ids are not reused. */
   void clear() {
     requests.clear();
     backends.clear();
@@ -43,32 +43,32 @@
     return backends;
   }
 
-  /** A new request of this id. */
+  /** Adds a new request with this id. */
   SimulatedRequest addRequest(String id) {
     SimulatedRequest request = new SimulatedRequest(id);
     requests.put(id, request);
     return request;
   }
 
-  /** The request of this id, or null if it is finished or never came. */
+  /** The request with this id, or null if it is finished or unknown. */
   SimulatedRequest findRequest(String id) {
     return requests.get(id);
   }
 
-  /** The request has its final answer; it is kept while attempts are in flight. */
+  /** Marks a request as answered; it is kept while attempts are in flight. */
   void markAnswered(SimulatedRequest request) {
     request.markAnswered();
     removeIfFinished(request);
   }
 
-  /** Forgets the request if nothing more can happen to it. */
+  /** Removes a request if no event can concern it any more. */
   void removeIfFinished(SimulatedRequest request) {
     if (request.isFinished()) {
       requests.remove(request.id());
     }
   }
 
-  /** Takes out the task of a timer; null if there is none. */
+  /** Removes a timer and returns its task; null if there is none. */
   Runnable removeTimer(long timerId) {
     return timers.remove(timerId);
   }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatorAdapter.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatorAdapter.java
@@ -41,7 +41,8 @@
   /**
    * Runs until the input ends.
    *
-   * @throws InvalidInputException if the input is not the simulator's; the message names the line
+   * @throws InvalidInputException if the input does not follow the wire format; the message names
+   *     the line
    * @throws IOException if reading or writing fails
    */
   public void run() throws IOException {
@@ -63,7 +64,7 @@
     return new InvalidInputException("line " + line + ": " + message);
   }
 
-  /** The parser's message without its advice to programmers, which stands in brackets. */
+  /** The parser's message without its advice to programmers, which is in parentheses. */
   private static String shortMessage(JsonProcessingException malformed) {
     return malformed.getOriginalMessage().split("\n")[0].replaceAll("[ :]*\\(.*", "");
   }
@@ -125,7 +126,7 @@
     return (int) number;
   }
 
-  /** Reads the event that opens a batch; false: the input has ended. */
+  /** Reads the event that opens a batch; returns false at the end of the input. */
   private boolean readBatchStart() throws IOException {
     if (!readEvent()) {
       return false;
@@ -137,7 +138,7 @@
     return true;
   }
 
-  /** Reads one event; false: the input has ended. */
+  /** Reads one event; returns false at the end of the input. */
   private boolean readEvent() throws IOException {
     JsonToken token = parser.nextToken();
     if (token == null) {
--- a/proxy/src/main/java/wheattrack/simulator/SimulatorProtocol.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatorProtocol.java
@@ -5,12 +5,12 @@
 import wheattrack.api.AttemptOutcome;
 
 /**
- * The simulator's words and codes as they stand on the wire, and what they are called elsewhere.
- * Input is a row of batches, each from a {@link #BATCH_START} to a {@link #BATCH_END}; every batch
- * is answered by messages and a {@link #BATCH_DONE}. Times on the wire are in microseconds.
+ * The names and codes of the simulator's wire format, under the names that the code uses. Input is
+ * a sequence of batches, each from a {@link #BATCH_START} to a {@link #BATCH_END}; every batch is
+ * answered by messages and a {@link #BATCH_DONE}. Times on the wire are in microseconds.
  */
 final class SimulatorProtocol {
-  /** The field that says of what kind an event or a message is. */
+  /** The field that holds the kind of an event or a message. */
   static final String KIND = "kind";
 
   // Kinds of events that belong to no proxy.
@@ -76,14 +76,23 @@
   static final String WEIGHT = "weight";
   static final String STARTED_AT = "upSince";
 
-  // Settings that are read here.
+  // The setting that this package reads itself.
   static final String DISCOVERY = "discovery";
   static final String DISCOVERY_BY_WATCH = "subscribe";
 
-  /** The status of a load probe that was answered, and of an attempt that was. */
+  /** The status of an attempt or a load probe that was answered. */
   static final int STATUS_DONE = 0;
 
-  /** How many lists of backend records are kept; their numbers count from 0. */
+  // Statuses of an attempt that failed.
+  private static final int STATUS_ERROR = 255;
+  private static final int STATUS_FULL = 254;
+  private static final int STATUS_TIMEOUT = 253;
+  private static final int STATUS_NO_CONNECT = 252;
+  private static final int STATUS_RESET = 251;
+  private static final int STATUS_CANCELLED = 250;
+  private static final int STATUS_DISCARDED = 249;
+
+  /** How many lists of backend records are kept; they are numbered from 0. */
   static final int MAX_RECORD_LISTS = 16;
 
   /** The scalar fields of events that are read. */
@@ -144,13 +153,13 @@
   static AttemptOutcome outcome(int status) throws InvalidInputException {
     return switch (status) {
       case STATUS_DONE -> AttemptOutcome.DONE;
-      case 255 -> AttemptOutcome.ERROR;
-      case 254 -> AttemptOutcome.FULL;
-      case 253 -> AttemptOutcome.TIMEOUT;
-      case 252 -> AttemptOutcome.NO_CONNECT;
-      case 251 -> AttemptOutcome.RESET;
-      case 250 -> AttemptOutcome.CANCELLED;
-      case 249 -> AttemptOutcome.DISCARDED;
+      case STATUS_ERROR -> AttemptOutcome.ERROR;
+      case STATUS_FULL -> AttemptOutcome.FULL;
+      case STATUS_TIMEOUT -> AttemptOutcome.TIMEOUT;
+      case STATUS_NO_CONNECT -> AttemptOutcome.NO_CONNECT;
+      case STATUS_RESET -> AttemptOutcome.RESET;
+      case STATUS_CANCELLED -> AttemptOutcome.CANCELLED;
+      case STATUS_DISCARDED -> AttemptOutcome.DISCARDED;
       default -> throw new InvalidInputException("unknown status " + status);
     };
   }
