--- a/proxy/src/main/java/wheattrack/Logging.java
+++ b/proxy/src/main/java/wheattrack/Logging.java
@@ -3,13 +3,13 @@
 import java.util.logging.LogManager;
 
 /**
- * The log manager of the process, which logs up to its very end: the exit does not reset the
- * handlers.
+ * The log manager of the process. It keeps its handlers when the JVM exits, so that the proxy can
+ * log until its shutdown is complete.
  */
 public final class Logging extends LogManager {
-  /** Does nothing: the JVM calls it at the exit, beside the drain that still has lines to log. */
+  /** Does nothing. The JVM calls it at its exit, while the proxy is draining and still logs. */
   @Override
   public void reset() {
-    // see above
+    // the handlers stay
   }
 }
--- a/proxy/src/main/java/wheattrack/LoggingSetup.java
+++ b/proxy/src/main/java/wheattrack/LoggingSetup.java
@@ -10,15 +10,15 @@
 import wheattrack.log.PlainLineFormatter;
 import wheattrack.log.RateLimitFilter;
 
-/** Sets java.util.logging up for a process: one line a record, on standard error. */
+/** Sets up java.util.logging for the process: one line for each record, on standard error. */
 final class LoggingSetup {
   private static final String PLAIN_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
 
   private LoggingSetup() {}
 
   /**
-   * Installs {@link Logging} and the handler. Must run before anything initializes a class of
-   * java.util.logging, {@link Logging} included, as the log manager is chosen then.
+   * Installs {@link Logging} and the handler. Must run before any class of java.util.logging is
+   * initialized, {@link Logging} included, as the JVM chooses its log manager at that moment.
    */
   static void install(OperatorConfig.LogSettings settings) {
     System.setProperty("java.util.logging.manager", Logging.class.getName());
--- a/proxy/src/main/java/wheattrack/Main.java
+++ b/proxy/src/main/java/wheattrack/Main.java
@@ -19,7 +19,7 @@
 import wheattrack.simulator.InvalidInputException;
 import wheattrack.simulator.SimulatorAdapter;
 
-/** The command line: picks the command, and turns errors in its input into exit codes. */
+/** The command line: runs the named command, and turns invalid input into an exit code. */
 public final class Main {
   private static final String USAGE =
       """
@@ -33,6 +33,7 @@
   version  prints the version
   help     prints this""";
 
+  private static final String CONFIG_VARIABLE = "GW_CONFIG";
   private static final int OUTPUT_BUFFER_BYTES = 1 << 16;
 
   private Main() {}
@@ -103,9 +104,10 @@
   }
 
   private static Path configFile(CommandLine commandLine) {
-    String file = commandLine.getOptionValue("config", System.getenv("GW_CONFIG"));
+    String file = commandLine.getOptionValue("config", System.getenv(CONFIG_VARIABLE));
     if (file == null) {
-      throw new InvalidConfigurationException("--config", "missing, and GW_CONFIG is not set");
+      throw new InvalidConfigurationException(
+          "--config", "missing, and " + CONFIG_VARIABLE + " is not set");
     }
     return Path.of(file);
   }
@@ -134,8 +136,8 @@
   }
 
   /**
-   * Runs a proxy for the build, whose JVM archives the classes that a start needs: without the
-   * archive, a restart took 1.9 s of half a core.
+   * Runs a proxy for the build, whose JVM archives the classes that a start loads. Without the
+   * archive, a restart took 1.9 s on half a core.
    */
   private static ExitCode trainClassArchive(CommandLine commandLine) throws IOException {
     Path configFile = configFile(commandLine);
--- a/proxy/src/main/java/wheattrack/ServeCommand.java
+++ b/proxy/src/main/java/wheattrack/ServeCommand.java
@@ -9,8 +9,10 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.net.ProxyServer;
 
-/** The command {@code serve}: one proxy on sockets, until the process is told to end. */
+/** The command {@code serve}: runs one proxy on sockets until the process is shut down. */
 final class ServeCommand {
+  private static final String SHUTDOWN_THREAD_NAME = "end";
+
   private final Path configFile;
 
   /** Null if there is no operators' file; so is {@link #operatorConfig} then. */
@@ -31,24 +33,27 @@
   }
 
   /**
-   * Serves. Does not return: the process halts once the proxy has ended in order.
+   * Serves. Does not return: the process halts when the proxy has completed its shutdown.
    *
    * @throws InvalidConfigurationException if the configuration or its address can't be used
    */
   void run() throws IOException {
     ProxyConfig config = ProxyConfig.read(configFile);
-    LoggingSetup.install(
-        operatorConfig == null ? OperatorConfig.LogSettings.DEFAULTS : operatorConfig.log());
+    LoggingSetup.install(logSettings());
     ProxyServer server = openServer(config);
     Signals.onHangup(() -> reload(server));
-    Runtime.getRuntime().addShutdownHook(new Thread(server::shutdown, "end"));
-    // loaded before the end: once it has come, the JVM's own exit with the signal's code is a step
-    // away
+    Runtime.getRuntime().addShutdownHook(new Thread(server::shutdown, SHUTDOWN_THREAD_NAME));
+    // ExitCode is loaded now: after the shutdown, the time to load it could let the JVM exit first,
+    // with the signal's code
     int exitCode = ExitCode.SUCCESS.code();
     server.run();
     Runtime.getRuntime().halt(exitCode);
   }
 
+  private OperatorConfig.LogSettings logSettings() {
+    return operatorConfig == null ? OperatorConfig.LogSettings.DEFAULTS : operatorConfig.log();
+  }
+
   private ProxyServer openServer(ProxyConfig config) {
     try {
       if (operatorConfig == null) {
@@ -65,7 +70,7 @@
     }
   }
 
-  /** Reads the files again. Runs on the signal's thread. */
+  /** Reads both files again. Runs on the JVM's signal thread. */
   private void reload(ProxyServer server) {
     server.reload(configFile);
     if (operatorConfig != null && operatorConfig.settingsSource() != null) {
@@ -73,6 +78,7 @@
     }
   }
 
+  /** Gets its logger late: no logging class may be initialized before {@link LoggingSetup}. */
   private void resubscribe(ProxyServer server) {
     try {
       OperatorConfig next = OperatorConfig.read(operatorFile);
--- a/proxy/src/main/java/wheattrack/Signals.java
+++ b/proxy/src/main/java/wheattrack/Signals.java
@@ -10,8 +10,8 @@
   private Signals() {}
 
   /**
-   * Runs an action at each SIGHUP, on a thread of the JVM's, in place of the JVM's default of
-   * ending. If that can't be arranged, a warning is logged.
+   * Runs an action at each SIGHUP, on a thread of the JVM, in place of the JVM's default, which is
+   * to exit. If the signal can't be handled, a warning is logged.
    *
    * <p>The class that handles signals is used by reflection: the compiler warns of any direct use,
    * and warnings are errors here.
@@ -20,20 +20,11 @@
     try {
       Class<?> signalClass = Class.forName("sun.misc.Signal");
       Class<?> handlerClass = Class.forName("sun.misc.SignalHandler");
-      Object handler =
-          Proxy.newProxyInstance(
-              handlerClass.getClassLoader(),
-              new Class<?>[] {handlerClass},
-              (proxy, method, args) -> {
-                if (method.getDeclaringClass() == Object.class) {
-                  return method.invoke(action, args);
-                }
-                action.run();
-                return null;
-              });
       Object hangup = signalClass.getConstructor(String.class).newInstance("HUP");
       Object previousHandler =
-          signalClass.getMethod("handle", signalClass, handlerClass).invoke(null, hangup, handler);
+          signalClass
+              .getMethod("handle", signalClass, handlerClass)
+              .invoke(null, hangup, handler(handlerClass, action));
       if (previousHandler == handlerClass.getField("SIG_IGN").get(null)) {
         // the JVM leaves an ignored SIGHUP ignored: proxies of a benchmark under nohup did not
         // reload, and polled the endpoint list's old address until they were restarted
@@ -43,4 +34,18 @@
       LOG.warning("SIGHUP will end this process: " + e);
     }
   }
+
+  /** A signal handler that runs the action. */
+  private static Object handler(Class<?> handlerClass, Runnable action) {
+    return Proxy.newProxyInstance(
+        handlerClass.getClassLoader(),
+        new Class<?>[] {handlerClass},
+        (proxy, method, args) -> {
+          if (method.getDeclaringClass() == Object.class) {
+            return method.invoke(action, args);
+          }
+          action.run();
+          return null;
+        });
+  }
 }
--- a/proxy/src/main/java/wheattrack/config/ConfigurationFile.java
+++ b/proxy/src/main/java/wheattrack/config/ConfigurationFile.java
@@ -8,7 +8,9 @@
 
 /** Reads a JSON configuration file that fits into the heap. */
 final class ConfigurationFile {
-  /** A file may be as large as the heap divided by this: its objects take some five times more. */
+  /**
+   * A file may be as large as the heap divided by this; its parsed objects take five times more.
+   */
   private static final int HEAP_DIVISOR = 12;
 
   private ConfigurationFile() {}
@@ -23,7 +25,7 @@
       long size = Files.size(file);
       long maxSize = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
       if (size > maxSize) {
-        // a file of 430,000 tenants ended in an OutOfMemoryError with a stack trace
+        // a file of 430,000 tenants caused an OutOfMemoryError with a stack trace
         throw new InvalidConfigurationException(
             file.toString(), size + " bytes, over the " + maxSize + " that the heap allows");
       }
--- a/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
+++ b/proxy/src/main/java/wheattrack/config/ConfigurationReader.java
@@ -16,7 +16,7 @@
 /**
  * Strict reading of one table of a TOML file: every key that is read counts as known, and {@link
  * #rejectUnknownKeys} fails if the file has any other. Errors are {@link
- * InvalidConfigurationException} and name file, line and key. Not for use by several threads.
+ * InvalidConfigurationException} and name file, line and key. Not thread-safe.
  */
 public final class ConfigurationReader {
   private final Map<String, Object> values;
--- a/proxy/src/main/java/wheattrack/config/DynamicSettings.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettings.java
@@ -10,7 +10,7 @@
  * snapshot first, then incremental updates. Does no I/O. An update is validated completely before
  * any of it is applied, and costs time in proportion to what it changes. Bounded by {@link
  * #MAX_CLASSES} and {@link #MAX_TENANTS}. Errors are {@link InvalidConfigurationException} and name
- * the key. Not for use by several threads.
+ * the key. Not thread-safe.
  */
 public final class DynamicSettings {
   /** The result of an update that is valid. */
@@ -76,7 +76,7 @@
     valid.requestClasses().forEach(this::putRequestClass);
     valid.quotas().forEach(this::putQuota);
     if (quotas.isEmpty()) {
-      totalQuota = 0; // without what rounding has left of it
+      totalQuota = 0; // drops the rounding error of the running total
     }
     limits = valid.limits();
     revision = updateRevision;
--- a/proxy/src/main/java/wheattrack/config/ExitCode.java
+++ b/proxy/src/main/java/wheattrack/config/ExitCode.java
@@ -1,12 +1,12 @@
 package wheattrack.config;
 
-/** How a command ends, as the code that its process exits with. */
+/** The result of a command, as the code with which its process exits. */
 public enum ExitCode {
-  /** The command did what it was asked to. */
+  /** The command succeeded. */
   SUCCESS(0),
-  /** The command is done, but leaves something to the operator. */
+  /** The command succeeded, but the operator has something left to do. */
   ACTION_REQUIRED(1),
-  /** The command line or a file can't be used; a message says why. */
+  /** The command line or a file is invalid; a message names the fault. */
   BAD_INPUT(2);
 
   private final int code;
--- a/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
+++ b/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
@@ -5,7 +5,7 @@
 import wheattrack.api.RequestClass;
 import wheattrack.policy.EquiloadBalancer;
 
-/** Makes load balancers that are configured from settings and started. */
+/** Creates load balancers that are configured from settings and started. */
 public final class LoadBalancerFactory {
   private static final long DEFAULT_POLL_INTERVAL_MICROS = 10_000_000;
 
@@ -14,7 +14,7 @@
   /**
    * A started load balancer.
    *
-   * @param runtime where the load balancer's clock, timers and actions come from
+   * @param runtime the load balancer's clock, timers and actions
    * @param seed the seed of its random draws
    * @param requestClasses the request classes of the settings
    * @param pollsEndpoints whether the endpoint list has to be polled
--- a/proxy/src/main/java/wheattrack/config/MigrateCommand.java
+++ b/proxy/src/main/java/wheattrack/config/MigrateCommand.java
@@ -14,8 +14,8 @@
 import org.apache.commons.cli.ParseException;
 
 /**
- * The command {@code migrate}: turns a configuration of a pool of proxies into one of a proxy
- * beside each client process.
+ * The command {@code migrate}: turns the configuration of a pool of proxies into one for a proxy on
+ * the machine of each client process.
  */
 public final class MigrateCommand {
   private static final String USAGE =
@@ -75,7 +75,7 @@
     return options;
   }
 
-  /** The old configuration's file, if the arguments name just one and one place for the result. */
+  /** The old configuration's file; checks that the arguments name one file and one output. */
   private static String checkArguments(CommandLine commandLine) {
     String[] files = commandLine.getArgs();
     if (files.length != 1) {
@@ -157,8 +157,8 @@
   }
 
   /**
-   * Writes a file completely or not at all, and never over another: it is written under a temporary
-   * name and then linked to its own, which fails if that is taken.
+   * Writes a file completely or not at all, and never overwrites one: the text goes to a temporary
+   * file, which is then linked to the name. The link fails if the name exists.
    */
   private static void writeNewFile(Path file, String text) {
     try {
--- a/proxy/src/main/java/wheattrack/config/Migration.java
+++ b/proxy/src/main/java/wheattrack/config/Migration.java
@@ -102,7 +102,7 @@
     return migration;
   }
 
-  /** Whether a configuration is one of a proxy beside each client process already. */
+  /** Whether a configuration already has a proxy for each client process. */
   static boolean isMigrated(Map<String, Object> configuration) {
     return DeploymentShape.PER_CLIENT.keyword().equals(configuration.get("shape"));
   }
@@ -112,7 +112,7 @@
     return result;
   }
 
-  /** What is left to the operator: one line each, the key and why. */
+  /** What the operator still has to do: one line each, with the key and the reason. */
   List<String> remarks() {
     return remarks;
   }
--- a/proxy/src/main/java/wheattrack/config/RequestClassSummary.java
+++ b/proxy/src/main/java/wheattrack/config/RequestClassSummary.java
@@ -6,8 +6,8 @@
 import wheattrack.api.RequestClass;
 
 /**
- * What the policy needs to know of a set of request classes, kept up to date as classes are added
- * and removed, so that no change is computed over all of them.
+ * What the policy needs to know of a set of request classes. It is updated as classes are added and
+ * removed, so that no change costs a pass over all of them. Not thread-safe.
  */
 final class RequestClassSummary {
   /** How many classes have each latency objective. */
--- a/proxy/src/main/java/wheattrack/config/SettingsValidator.java
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * Rejects settings that the policy could not act on, or would silently take for something else.
- * Errors are {@link InvalidConfigurationException} and name the key.
+ * Rejects settings that the policy could not act on, or would silently misread. Errors are {@link
+ * InvalidConfigurationException} and name the key.
  */
 final class SettingsValidator {
   private SettingsValidator() {}
--- a/proxy/src/main/java/wheattrack/config/SocketAddressParser.java
+++ b/proxy/src/main/java/wheattrack/config/SocketAddressParser.java
@@ -5,7 +5,7 @@
 import java.net.UnknownHostException;
 import java.util.regex.Pattern;
 
-/** Parses numeric IPv4 and IPv6 addresses with a port. Never looks up a name. */
+/** Parses numeric IPv4 and IPv6 addresses with a port. Never resolves a name. */
 public final class SocketAddressParser {
   private static final Pattern HOST =
       Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}|\\[[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]");
@@ -15,7 +15,7 @@
   private SocketAddressParser() {}
 
   /**
-   * The address that the text holds.
+   * Parses an address.
    *
    * @param key the key that the text was read from, for the error
    * @throws InvalidConfigurationException if the text is no numeric address with a port
--- a/proxy/src/main/java/wheattrack/config/TomlKeyLocator.java
+++ b/proxy/src/main/java/wheattrack/config/TomlKeyLocator.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Finds the lines of a TOML file on which its keys stand, for error messages. */
+/** Finds the line of a key in a TOML file, for error messages. */
 final class TomlKeyLocator {
   private static final String KEY_SEGMENT = "\\s*(\"[^\"]*\"|[A-Za-z0-9_-]+)\\s*";
 
@@ -22,7 +22,7 @@
   }
 
   /**
-   * The line, from 1, on which a key stands. If the file does not have it, the line of the nearest
+   * The line of a key, counted from 1. If the file does not have the key, the line of the nearest
    * table around it; 1 if there is none.
    */
   int lineOf(String path) {
