--- a/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
+++ b/proxy/src/test/java/wheattrack/config/DynamicSettingsTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -167,45 +168,9 @@
     Random random = new Random(7);
     applySnapshot();
     Map<String, Integer> quotas = new TreeMap<>(Map.of("t", 4));
-    for (int rev = 6; rev < 1000; rev++) {
-      String name = "r" + random.nextInt(30);
-      String tenant = "t" + random.nextInt(30);
-      boolean isRemoved = random.nextInt(3) == 0;
-      int quota = random.nextInt(9);
-      String entry =
-          isRemoved
-              ? "{'name':'" + name + "','gone':true}"
-              : requestClass(
-                  name,
-                  1 + random.nextInt(9),
-                  random.nextBoolean() ? "read_like" : "non_idempotent");
-      apply(
-          "{'rev':"
-              + rev
-              + ",'after':"
-              + (rev - 1)
-              + ",'source':'c1','ruleSets':["
-              + entry
-              + "],'tenants':[{'name':'"
-              + tenant
-              + "',"
-              + (isRemoved ? "'gone':true" : "'quotaPerS':" + quota)
-              + "}]}");
-      quotas.remove(tenant);
-      if (!isRemoved) {
-        quotas.put(tenant, quota);
-      }
-      RequestClass summary = dynamicSettings.summary()[0];
-      assertEquals(
-          dynamicSettings.requestClasses().values().stream()
-              .mapToLong(RequestClass::latencyObjective)
-              .min()
-              .orElse(0),
-          summary.latencyObjective());
-      assertEquals(
-          dynamicSettings.requestClasses().values().stream()
-              .anyMatch(requestClass -> requestClass.idempotency() == Idempotency.IDEMPOTENT),
-          summary.idempotency() == Idempotency.IDEMPOTENT);
+    for (int revision = 6; revision < 1000; revision++) {
+      apply(randomUpdate(random, revision, quotas));
+      assertSummaryEqualsAllClasses();
       assertEquals(
           quotas.values().stream().mapToInt(Integer::intValue).sum(),
           dynamicSettings.totalQuota(),
@@ -213,4 +178,44 @@
       assertEquals(quotas.size(), dynamicSettings.tenantCount());
     }
   }
+
+  /** An update that changes or removes one class and one tenant; keeps the quotas up to date. */
+  private static String randomUpdate(Random random, int revision, Map<String, Integer> quotas) {
+    String name = "r" + random.nextInt(30);
+    String tenant = "t" + random.nextInt(30);
+    boolean isRemoved = random.nextInt(3) == 0;
+    int quota = random.nextInt(9);
+    String entry =
+        isRemoved
+            ? "{'name':'" + name + "','gone':true}"
+            : requestClass(
+                name, 1 + random.nextInt(9), random.nextBoolean() ? "read_like" : "non_idempotent");
+    quotas.remove(tenant);
+    if (!isRemoved) {
+      quotas.put(tenant, quota);
+    }
+    return "{'rev':"
+        + revision
+        + ",'after':"
+        + (revision - 1)
+        + ",'source':'c1','ruleSets':["
+        + entry
+        + "],'tenants':[{'name':'"
+        + tenant
+        + "',"
+        + (isRemoved ? "'gone':true" : "'quotaPerS':" + quota)
+        + "}]}";
+  }
+
+  private void assertSummaryEqualsAllClasses() {
+    RequestClass summary = dynamicSettings.summary()[0];
+    Collection<RequestClass> classes = dynamicSettings.requestClasses().values();
+    assertEquals(
+        classes.stream().mapToLong(RequestClass::latencyObjective).min().orElse(0),
+        summary.latencyObjective());
+    assertEquals(
+        classes.stream()
+            .anyMatch(requestClass -> requestClass.idempotency() == Idempotency.IDEMPOTENT),
+        summary.idempotency() == Idempotency.IDEMPOTENT);
+  }
 }
