JsonObjectReader, TomlKeyLocator, SimulatedRequest: one step at a time

Cause: a path was followed by a loop over dots, the fault of a wrong type was found by the class's name, table headings and keys were read in one loop, and a request's attempts stood in two parallel lists.

Change: the parent object first, then its key; each getter names its fault; tablePath reads a heading; a record holds an attempt. Messages stay.

--- a/proxy/src/main/java/wheattrack/config/JsonObjectReader.java
+++ b/proxy/src/main/java/wheattrack/config/JsonObjectReader.java
@@ -13,6 +13,9 @@
  * underlying map.
  */
 public sealed class JsonObjectReader permits Settings {
+  private static final String NOT_A_NUMBER = "not a number";
+  private static final String NOT_AN_OBJECT = "not an object";
+
   private final Map<String, Object> values;
 
   /** The path of this object in the complete document, with a dot at its end; "" at the root. */
@@ -35,39 +38,33 @@
 
   /** The value of any type; null if it is missing or null. */
   public Object any(String path) {
-    Object value = values;
-    int start = 0;
-    for (int dot = path.indexOf('.'); value != null && dot >= 0; dot = path.indexOf('.', start)) {
-      value = ((Map<?, ?>) value).get(path.substring(start, dot));
-      if (value != null && !(value instanceof Map<?, ?>)) {
-        throw new InvalidConfigurationException(key(path.substring(0, dot)), "not an object");
-      }
-      start = dot + 1;
+    int lastDot = path.lastIndexOf('.');
+    if (lastDot < 0) {
+      return values.get(path);
+    }
+    String parentPath = path.substring(0, lastDot);
+    Object parent = any(parentPath);
+    if (parent == null) {
+      return null;
+    }
+    if (!(parent instanceof Map<?, ?> parentObject)) {
+      throw new InvalidConfigurationException(key(parentPath), NOT_AN_OBJECT);
     }
-    return value == null ? null : ((Map<?, ?>) value).get(path.substring(start));
+    return parentObject.get(path.substring(lastDot + 1));
   }
 
-  private <T> T get(String path, Class<T> type, T defaultValue) {
+  /** The value if it is of this type, the default if it is missing; any other is a fault. */
+  private <T> T get(String path, Class<T> type, T defaultValue, String wrongTypeFault) {
     Object value = any(path);
     if (value == null) {
       return defaultValue;
     }
     if (!type.isInstance(value)) {
-      throw new InvalidConfigurationException(key(path), wrongType(type));
+      throw new InvalidConfigurationException(key(path), wrongTypeFault);
     }
     return type.cast(value);
   }
 
-  private static String wrongType(Class<?> expected) {
-    return switch (expected.getSimpleName()) {
-      case "Number" -> "not a number";
-      case "Boolean" -> "neither true nor false";
-      case "String" -> "not a text";
-      case "List" -> "not a list";
-      default -> "not an object";
-    };
-  }
-
   /** The path of a key from the document's root, for messages. */
   String key(String path) {
     return pathPrefix + path;
@@ -97,7 +94,7 @@
 
   /** A number. */
   public double number(String path, double defaultValue) {
-    return get(path, Number.class, defaultValue).doubleValue();
+    return get(path, Number.class, defaultValue, NOT_A_NUMBER).doubleValue();
   }
 
   /** A number without its fraction; beyond the range of an int, the nearest int. */
@@ -107,7 +104,7 @@
 
   /** A number without its fraction. */
   public long wholeNumber(String path, long defaultValue) {
-    return get(path, Number.class, defaultValue).longValue();
+    return get(path, Number.class, defaultValue, NOT_A_NUMBER).longValue();
   }
 
   /**
@@ -126,12 +123,12 @@
 
   /** A boolean, false by default. */
   public boolean flag(String path) {
-    return get(path, Boolean.class, false);
+    return get(path, Boolean.class, false, "neither true nor false");
   }
 
   /** A string. */
   public String text(String path, String defaultValue) {
-    return get(path, String.class, defaultValue);
+    return get(path, String.class, defaultValue, "not a text");
   }
 
   /**
@@ -149,14 +146,15 @@
 
   /** A list, empty by default. */
   public List<?> list(String path) {
-    return get(path, List.class, List.of());
+    return get(path, List.class, List.of(), "not a list");
   }
 
   /** A nested object, empty by default. */
   @SuppressWarnings("unchecked")
   public JsonObjectReader section(String path) {
     return new JsonObjectReader(
-        (Map<String, Object>) get(path, Map.class, Map.of()), pathPrefix + path + ".");
+        (Map<String, Object>) get(path, Map.class, Map.of(), NOT_AN_OBJECT),
+        pathPrefix + path + ".");
   }
 
   /** A list of objects, empty by default. */
@@ -170,7 +168,7 @@
   @SuppressWarnings("unchecked")
   private static JsonObjectReader listEntry(Object entry, String key) {
     if (!(entry instanceof Map<?, ?> map)) {
-      throw new InvalidConfigurationException(key, "not an object");
+      throw new InvalidConfigurationException(key, NOT_AN_OBJECT);
     }
     return new JsonObjectReader((Map<String, Object>) map, key + ".");
   }
--- a/proxy/src/main/java/wheattrack/config/TomlKeyLocator.java
+++ b/proxy/src/main/java/wheattrack/config/TomlKeyLocator.java
@@ -43,27 +43,33 @@
     String table = "";
     for (int i = 0; i < lines.size(); i++) {
       String line = lines.get(i).strip();
+      String linePath = null;
       if (isKeyValue(line)) {
         String key = unquoted(line.substring(0, line.indexOf('=')));
-        if (path.equals(table.isEmpty() ? key : table + "." + key)) {
-          return i + 1;
-        }
-        continue;
-      }
-      if (line.startsWith("[[")) {
-        String name = unquoted(line.substring(2, Math.max(2, line.indexOf(']'))));
-        int index = arrayTableCounts.merge(name, 1, Integer::sum) - 1;
-        table = name + "[" + index + "]";
+        linePath = table.isEmpty() ? key : table + "." + key;
       } else if (line.startsWith("[")) {
-        table = unquoted(line.substring(1, Math.max(1, line.indexOf(']'))));
+        table = tablePath(line, arrayTableCounts);
+        linePath = table;
       }
-      if (path.equals(table)) {
+      if (path.equals(linePath)) {
         return i + 1;
       }
     }
     return 0;
   }
 
+  /** The path of the table that a heading opens; counts the tables of each array. */
+  private static String tablePath(String heading, Map<String, Integer> arrayTableCounts) {
+    boolean isArrayTable = heading.startsWith("[[");
+    int nameStart = isArrayTable ? 2 : 1;
+    String name = unquoted(heading.substring(nameStart, Math.max(nameStart, heading.indexOf(']'))));
+    if (!isArrayTable) {
+      return name;
+    }
+    int index = arrayTableCounts.merge(name, 1, Integer::sum) - 1;
+    return name + "[" + index + "]";
+  }
+
   private static boolean isKeyValue(String line) {
     return !line.startsWith("[") && !line.startsWith("#") && line.indexOf('=') > 0;
   }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedRequest.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRequest.java
@@ -7,9 +7,15 @@
 
 /** One request of the simulator: its id, its attempts and the policy's handle to it. */
 final class SimulatedRequest {
+  private static final int EXPECTED_ATTEMPTS = 2;
+
+  private record Attempt(ListedBackend backend, AttemptCallback callback) {}
+
   private final String id;
-  private final List<AttemptCallback> callbacks = new ArrayList<>(2);
-  private final List<ListedBackend> backends = new ArrayList<>(2);
+
+  /** All attempts by their number; null once an attempt has ended. */
+  private final List<Attempt> attempts = new ArrayList<>(EXPECTED_ATTEMPTS);
+
   private int attemptsInFlight;
   private boolean isAnswered;
   private RequestHandle handle;
@@ -46,21 +52,23 @@
 
   /** Adds an attempt that is sent to this backend; attempts are numbered from 0. */
   void addAttempt(ListedBackend backend, AttemptCallback callback) {
-    callbacks.add(callback);
-    backends.add(backend);
+    attempts.add(new Attempt(backend, callback));
     attemptsInFlight++;
     backend.attemptStarted();
   }
 
   /** Whether the attempt with this number is in flight. */
-  boolean isInFlight(int attempt) {
-    return attempt >= 0 && attempt < callbacks.size() && callbacks.get(attempt) != null;
+  boolean isInFlight(int attemptNumber) {
+    return attemptNumber >= 0
+        && attemptNumber < attempts.size()
+        && attempts.get(attemptNumber) != null;
   }
 
   /** Removes an attempt in flight, as it has ended, and returns its callback. */
-  AttemptCallback removeAttempt(int attempt) {
-    backends.get(attempt).attemptEnded();
+  AttemptCallback removeAttempt(int attemptNumber) {
+    Attempt ended = attempts.set(attemptNumber, null);
+    ended.backend().attemptEnded();
     attemptsInFlight--;
-    return callbacks.set(attempt, null);
+    return ended.callback();
   }
 }
