--- a/proxy/src/main/java/wheattrack/config/DynamicSettings.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettings.java
@@ -10,7 +10,7 @@
  * snapshot first, then incremental updates. Does no I/O. An update is validated completely before
  * any of it is applied, and costs time in proportion to what it changes. Bounded by {@link
  * #MAX_CLASSES} and {@link #MAX_TENANTS}. Errors are {@link InvalidConfigurationException} and name
- * the key. Not for use by several threads.
+ * the key. Not thread-safe.
  */
 public final class DynamicSettings {
   /** The result of an update that is valid. */
@@ -56,7 +56,7 @@
    *
    * @throws InvalidConfigurationException if the update is invalid; nothing has changed then
    */
-  public Verdict apply(Settings update) {
+  public Verdict apply(JsonObjectReader update) {
     boolean isSnapshot = update.flag("all");
     long updateRevision = update.wholeNumber("rev", NO_REVISION);
     if (updateRevision < 0) {
@@ -76,7 +76,7 @@
     valid.requestClasses().forEach(this::putRequestClass);
     valid.quotas().forEach(this::putQuota);
     if (quotas.isEmpty()) {
-      totalQuota = 0; // without what rounding has left of it
+      totalQuota = 0; // drops the rounding error of the running total
     }
     limits = valid.limits();
     revision = updateRevision;
@@ -84,7 +84,7 @@
     return Verdict.APPLIED;
   }
 
-  private boolean follows(Settings update, long updateRevision, String updateSource) {
+  private boolean follows(JsonObjectReader update, long updateRevision, String updateSource) {
     return revision >= 0
         && updateSource.equals(source)
         && updateRevision > revision
@@ -161,7 +161,7 @@
 
   /** The given settings, with the limits that the source has set in place of their own. */
   public Settings overlay(Settings settings) {
-    return settings.with("limits", limits);
+    return settings.withLimits(limits);
   }
 
   /** The names of the limits that the source has set, sorted. */
--- a/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
+++ b/proxy/src/main/java/wheattrack/config/LoadBalancerFactory.java
@@ -5,7 +5,7 @@
 import wheattrack.api.RequestClass;
 import wheattrack.policy.EquiloadBalancer;
 
-/** Makes load balancers that are configured from settings and started. */
+/** Creates load balancers that are configured from settings and started. */
 public final class LoadBalancerFactory {
   private static final long DEFAULT_POLL_INTERVAL_MICROS = 10_000_000;
 
@@ -14,7 +14,7 @@
   /**
    * A started load balancer.
    *
-   * @param runtime where the load balancer's clock, timers and actions come from
+   * @param runtime the load balancer's clock, timers and actions
    * @param seed the seed of its random draws
    * @param requestClasses the request classes of the settings
    * @param pollsEndpoints whether the endpoint list has to be polled
@@ -41,12 +41,11 @@
       RequestClass[] requestClasses,
       boolean pollsEndpoints,
       long maxPollInterval) {
-    int proxyIndex = settings.integer("me", 0);
-    int proxyCount = settings.integer("balancers", 1);
     LoadBalancer loadBalancer =
-        new EquiloadBalancer(runtime, seed, proxyIndex, proxyCount, requestClasses);
+        new EquiloadBalancer(
+            runtime, seed, settings.proxyIndex(), settings.proxyCount(), requestClasses);
     loadBalancer.configure(
-        PolicySettingsMapper.policySettings(settings, settings.list("zones")), requestClasses);
+        PolicySettingsMapper.policySettings(settings, settings.zones()), requestClasses);
     long pollInterval = settings.time("rules.askEvery", DEFAULT_POLL_INTERVAL_MICROS);
     loadBalancer.start(pollsEndpoints, Math.min(maxPollInterval, pollInterval));
     return loadBalancer;
--- a/proxy/src/main/java/wheattrack/config/SettingsValidator.java
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * Rejects settings that the policy could not act on, or would silently take for something else.
- * Errors are {@link InvalidConfigurationException} and name the key.
+ * Rejects settings that the policy could not act on, or would silently misread. Errors are {@link
+ * InvalidConfigurationException} and name the key.
  */
 final class SettingsValidator {
   private SettingsValidator() {}
@@ -22,54 +22,58 @@
   static void checkSettings(Settings settings) {
     checkRequestClasses(settings);
     PolicySettingsMapper.requestClasses(settings);
-    PolicySettingsMapper.policySettings(settings, settings.list("zones"));
+    PolicySettingsMapper.policySettings(settings, settings.zones());
     checkRemovedRules(settings);
     checkPrices(settings);
     checkTenants(settings);
     checkLoadReports(settings);
-    int proxyCount = settings.integer("balancers", 1);
-    int proxyIndex = settings.integer("me", 0);
-    check(proxyCount >= 1, "settings.balancers", "under 1");
+    int proxyCount = settings.proxyCount();
+    int proxyIndex = settings.proxyIndex();
+    check(proxyCount >= 1, settings.key(Settings.PROXY_COUNT), "under 1");
     check(
-        proxyIndex >= 0 && proxyIndex < proxyCount, "settings.me", "not from 0 to under balancers");
+        proxyIndex >= 0 && proxyIndex < proxyCount,
+        settings.key(Settings.PROXY_INDEX),
+        "not from 0 to under balancers");
     checkLimits(settings);
-    int zoneCount = Math.max(1, settings.list("zones").size());
-    int zone = settings.integer("zone", 0);
-    check(zone >= 0 && zone < zoneCount, "settings.zone", "not a place in zones");
+    int zoneCount = Math.max(1, settings.zones().size());
+    int zone = settings.zoneIndex();
+    check(zone >= 0 && zone < zoneCount, settings.key(Settings.ZONE), "not a place in zones");
   }
 
   private static void checkRequestClasses(Settings settings) {
-    List<Settings> entries = settings.sections("ruleSets");
-    check(!entries.isEmpty(), "settings.ruleSets", "missing");
+    List<JsonObjectReader> entries = settings.requestClassEntries();
+    check(!entries.isEmpty(), settings.key(Settings.REQUEST_CLASSES), "missing");
     Set<String> names = new HashSet<>();
-    for (Settings entry : entries) {
+    for (JsonObjectReader entry : entries) {
       check(names.add(entry.text("name")), entry.key("name"), "the same as another's");
       checkRequestClass(entry);
     }
   }
 
   /** Checks one entry of `ruleSets`, except for its name. */
-  static void checkRequestClass(Settings entry) {
-    check(
-        SettingsWords.IDEMPOTENCY.contains(entry.text("effect")),
-        entry.key("effect"),
-        "none of " + SettingsWords.IDEMPOTENCY);
-    check(
-        SettingsWords.DEDUPLICATION_SCOPE.contains(entry.text("group", SettingsWords.SCOPE_ALL)),
-        entry.key("group"),
-        "none of " + SettingsWords.DEDUPLICATION_SCOPE);
+  static void checkRequestClass(JsonObjectReader entry) {
+    checkKeyword(entry, "effect", entry.text("effect"), RequestClassKeywords.IDEMPOTENCY);
+    String scope = entry.text("group", null);
+    if (scope != null) {
+      checkKeyword(entry, "group", scope, RequestClassKeywords.DEDUPLICATION_SCOPE);
+    }
     checkPositiveTime(entry, "clientTimeout");
     checkPositiveTime(entry, "responseTarget");
     PolicySettingsMapper.requestClass(entry, 0); // throws if another key has the wrong type
   }
 
-  private static void checkPositiveTime(Settings entry, String key) {
+  private static void checkKeyword(
+      JsonObjectReader object, String path, String keyword, List<String> allowed) {
+    check(allowed.contains(keyword), object.key(path), "none of " + allowed);
+  }
+
+  private static void checkPositiveTime(JsonObjectReader entry, String key) {
     long time = entry.time(key, PolicySettingsMapper.DEFAULT_LATENCY_MICROS);
     check(time > 0, entry.key(key), "not above 0");
   }
 
   /** Checks the section `limits` of the given settings. */
-  static void checkLimits(Settings settings) {
+  static void checkLimits(JsonObjectReader settings) {
     check(
         settings.integer("limits.maxDispatches", 1) >= 1,
         settings.key("limits.maxDispatches"),
@@ -86,35 +90,32 @@
   private static void checkRemovedRules(Settings settings) {
     check(
         settings.number("rules.budgetSpan", 0) == 0,
-        "settings.rules.budgetSpan",
+        settings.key("rules.budgetSpan"),
         "further dispatches are held to no budget any more");
     check(
         !settings.flag("rules.goneIsAdvice"),
-        "settings.rules.goneIsAdvice",
+        settings.key("rules.goneIsAdvice"),
         "what the list drops is gone, nothing else is known any more");
   }
 
   private static void checkPrices(Settings settings) {
     for (String key : List.of("prices.connection", "prices.handshake", "prices.crossZone")) {
-      check(settings.number(key, 0) >= 0, "settings." + key, "negative");
+      check(settings.number(key, 0) >= 0, settings.key(key), "negative");
     }
   }
 
   private static void checkTenants(Settings settings) {
-    for (Settings tenant : settings.sections("tenants")) {
+    for (JsonObjectReader tenant : settings.tenantEntries()) {
       check(tenant.number("quotaPerS", 0) >= 0, tenant.key("quotaPerS"), "negative");
     }
   }
 
   private static void checkLoadReports(Settings settings) {
-    String mode = settings.text("report.how", SettingsWords.REPORTS_NONE);
-    check(
-        SettingsWords.REPORTS.contains(mode),
-        "settings.report.how",
-        "none of " + SettingsWords.REPORTS);
+    String keyword = settings.text(Settings.LOAD_REPORT_MODE, LoadReportMode.NONE.keyword());
+    checkKeyword(settings, Settings.LOAD_REPORT_MODE, keyword, LoadReportMode.KEYWORDS);
     check(
-        !mode.equals(SettingsWords.REPORTS_BY_PROBE) || settings.flag("limits.probing"),
-        "settings.limits.probing",
+        settings.loadReportMode() != LoadReportMode.BY_PROBE || settings.flag("limits.probing"),
+        settings.key("limits.probing"),
         "not true, yet reports come with probes alone");
   }
 }
--- a/proxy/src/main/java/wheattrack/simulator/MessageFields.java
+++ b/proxy/src/main/java/wheattrack/simulator/MessageFields.java
@@ -6,12 +6,16 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
+import wheattrack.config.JsonObjectReader;
+import wheattrack.config.LoadReport;
+import wheattrack.config.Settings;
 import wheattrack.simulator.SimulatorProtocol.Field;
 
 /**
- * The fields of the event that was read last. Scalars are kept in arrays that are used again for
- * each event, so that nothing is allocated for most events.
+ * The fields of the event that was read last. Scalars are kept in arrays that are reused for each
+ * event, so that most events allocate nothing. Not thread-safe.
  */
 final class MessageFields {
   private static final int FIELD_COUNT = Field.values().length;
@@ -127,11 +131,11 @@
    *
    * @throws InvalidInputException if it has none
    */
-  Map<String, Object> settings() throws InvalidInputException {
+  Settings settings() throws InvalidInputException {
     if (settings == null) {
       throw missing(SimulatorProtocol.SETTINGS);
     }
-    return settings;
+    return new Settings(settings);
   }
 
   /**
@@ -146,12 +150,21 @@
     return records;
   }
 
-  /** The load report that came with the event, or null. */
-  Map<String, Object> loadReport() {
-    return loadReport;
+  /** Whether a load report came with the event. */
+  boolean hasLoadReport() {
+    return loadReport != null;
   }
 
-  /** The error for a field that an event must have and has not. */
+  /**
+   * The load report that came with the event, which must have one.
+   *
+   * @throws InvalidConfigurationException if a field of the report is not a number
+   */
+  LoadReport loadReport() {
+    return LoadReport.of(new JsonObjectReader(loadReport));
+  }
+
+  /** The error for a required field that an event does not have. */
   static InvalidInputException missing(String wireName) {
     return new InvalidInputException("missing field " + wireName);
   }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedRequest.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRequest.java
@@ -5,11 +5,17 @@
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.RequestHandle;
 
-/** One request of the simulator: its id, its attempts and the policy's handle of it. */
+/** One request of the simulator: its id, its attempts and the policy's handle to it. */
 final class SimulatedRequest {
+  private static final int EXPECTED_ATTEMPTS = 2;
+
+  private record Attempt(ListedBackend backend, AttemptCallback callback) {}
+
   private final String id;
-  private final List<AttemptCallback> callbacks = new ArrayList<>(2);
-  private final List<ListedBackend> backends = new ArrayList<>(2);
+
+  /** All attempts by their number; null once an attempt has ended. */
+  private final List<Attempt> attempts = new ArrayList<>(EXPECTED_ATTEMPTS);
+
   private int attemptsInFlight;
   private boolean isAnswered;
   private RequestHandle handle;
@@ -30,7 +36,7 @@
     this.handle = handle;
   }
 
-  /** Whether it has its final answer, or nobody waits for one any more. */
+  /** Whether it has its final answer, or its client has disconnected. */
   boolean isAnswered() {
     return isAnswered;
   }
@@ -44,23 +50,25 @@
     return isAnswered && attemptsInFlight == 0;
   }
 
-  /** An attempt is sent to this backend; attempts are numbered from 0. */
+  /** Adds an attempt that is sent to this backend; attempts are numbered from 0. */
   void addAttempt(ListedBackend backend, AttemptCallback callback) {
-    callbacks.add(callback);
-    backends.add(backend);
+    attempts.add(new Attempt(backend, callback));
     attemptsInFlight++;
     backend.attemptStarted();
   }
 
-  /** Whether it has an attempt of this number in flight. */
-  boolean isInFlight(int attempt) {
-    return attempt >= 0 && attempt < callbacks.size() && callbacks.get(attempt) != null;
+  /** Whether the attempt with this number is in flight. */
+  boolean isInFlight(int attemptNumber) {
+    return attemptNumber >= 0
+        && attemptNumber < attempts.size()
+        && attempts.get(attemptNumber) != null;
   }
 
-  /** An attempt in flight has ended; returns who is to be told. */
-  AttemptCallback removeAttempt(int attempt) {
-    backends.get(attempt).attemptEnded();
+  /** Removes an attempt in flight, as it has ended, and returns its callback. */
+  AttemptCallback removeAttempt(int attemptNumber) {
+    Attempt ended = attempts.set(attemptNumber, null);
+    ended.backend().attemptEnded();
     attemptsInFlight--;
-    return callbacks.set(attempt, null);
+    return ended.callback();
   }
 }
