--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -82,7 +82,7 @@
     run.run();
     double seconds = (System.nanoTime() - start) / 1e9;
     Verdict verdict = referee.verdict();
-    double requests = verdict.figures().get("asked");
+    double requests = verdict.metrics().get("asked");
     System.out.printf(
         Locale.ROOT,
         "%7d %7d %7.2f %9.1f %12.1f %8d %8.3f%n",
@@ -92,7 +92,7 @@
         seconds * 1e6 / requests,
         run.steps() / requests,
         peakHeapBytes(pools) >> 20,
-        verdict.figures().get("service"));
+        verdict.metrics().get("service"));
   }
 
   private static long peakHeapBytes(List<MemoryPoolMXBean> pools) {
@@ -114,16 +114,16 @@
         new ScenarioRunner.Job(job.seed(), null, job.policy(), job.proxyJar());
     ScenarioRunner.SocketResult result =
         ScenarioRunner.runOnSockets(scenario, withoutOutput, options);
-    Map<String, Double> figures = result.verdict().figures();
+    Map<String, Double> metrics = result.verdict().metrics();
     System.out.printf(
         Locale.ROOT,
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        figures.get("done") / (scenario.duration() / (double) Scenario.SECOND),
+        metrics.get("done") / (scenario.duration() / (double) Scenario.SECOND),
         ScenarioRunner.lateMillis(result.quality(), 99),
-        figures.get("p50"),
-        figures.get("p99"),
-        figures.get("p999"));
+        metrics.get("p50"),
+        metrics.get("p99"),
+        metrics.get("p999"));
   }
 }
--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -29,8 +29,8 @@
 final class CompareCommand {
   private static final int MAX_SEEDS = 10_000;
 
-  /** The figures that are printed, beside those of the scenario's windows. */
-  private static final List<String> PRINTED_FIGURES =
+  /** The metrics that are printed, beside those of the scenario's windows. */
+  private static final List<String> PRINTED_METRICS =
       List.of("service", "worst-second", "broken", "denied", "aborted", "duplicate", "p50", "p99");
 
   private final Path scenario;
@@ -127,10 +127,10 @@
       throws IOException {
     Map<String, PairedDifference> differences = new LinkedHashMap<>();
     try {
-      for (String figure : baseRuns.get(0).get().keySet()) {
+      for (String metric : baseRuns.get(0).get().keySet()) {
         PairedDifference difference =
-            PairedDifference.of(values(baseRuns, figure), values(candidateRuns, figure));
-        differences.put(figure, difference);
+            PairedDifference.of(values(baseRuns, metric), values(candidateRuns, metric));
+        differences.put(metric, difference);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -141,11 +141,11 @@
     return differences;
   }
 
-  private static double[] values(List<Future<Map<String, Double>>> runs, String figure)
+  private static double[] values(List<Future<Map<String, Double>>> runs, String metric)
       throws InterruptedException, ExecutionException {
     double[] values = new double[runs.size()];
     for (int i = 0; i < values.length; i++) {
-      values[i] = runs.get(i).get().getOrDefault(figure, Double.NaN);
+      values[i] = runs.get(i).get().getOrDefault(metric, Double.NaN);
     }
     return values;
   }
@@ -161,12 +161,12 @@
         "difference",
         "95% of resampled means, " + seeds + " seeds");
     differences.forEach(
-        (figure, difference) -> {
-          if (PRINTED_FIGURES.contains(figure) || figure.startsWith("service-")) {
+        (metric, difference) -> {
+          if (PRINTED_METRICS.contains(metric) || metric.startsWith("service-")) {
             System.out.printf(
                 Locale.ROOT,
                 "%-16s %12s %12s %10s   %s to %s%s%n",
-                figure,
+                metric,
                 Verdict.format(difference.base()),
                 Verdict.format(difference.candidate()),
                 Verdict.format(difference.mean()),
@@ -177,7 +177,7 @@
         });
   }
 
-  /** Appends a line for each figure, so that all points of the grid stand in one file. */
+  /** Appends a line for each metric, so that all points of the grid stand in one file. */
   private void writeLines(Map<String, String> point, Map<String, PairedDifference> differences)
       throws IOException {
     Path file = outputDirectory.resolve("compare.jsonl");
@@ -195,10 +195,10 @@
   }
 
   private void writeLine(
-      JsonGenerator json, Map<String, String> point, String figure, PairedDifference difference)
+      JsonGenerator json, Map<String, String> point, String metric, PairedDifference difference)
       throws IOException {
     json.writeStartObject();
-    json.writeStringField("figure", figure);
+    json.writeStringField("figure", metric);
     json.writeStringField("base", base.name());
     json.writeStringField("candidate", candidate.name());
     json.writeObjectFieldStart("set");
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -24,7 +24,7 @@
   /** The side as it stands on the command line. */
   String name();
 
-  /** The figures of a run by name; throws IOException if it could not be played. */
+  /** The metrics of a run by name; throws IOException if it could not be played. */
   Map<String, Double> play(Path scenario, Map<String, String> settings, int seed)
       throws IOException;
 
@@ -46,7 +46,7 @@
   record OwnPolicy(String name, Policies.Kind policy) implements ComparisonSide {
     @Override
     public Map<String, Double> play(Path scenario, Map<String, String> settings, int seed) {
-      return judge(scenario, settings, seed).figures();
+      return judge(scenario, settings, seed).metrics();
     }
 
     /** The whole verdict of a run. */
@@ -70,7 +70,7 @@
         throw new UncheckedIOException(
             new IOException(jar + " did not play seed " + seed + ": " + line));
       }
-      return figures(line);
+      return metrics(line);
     }
 
     private List<String> command(Path scenario, Map<String, String> settings, int seed) {
@@ -101,16 +101,16 @@
       return last;
     }
 
-    private static Map<String, Double> figures(String resultLine) {
-      Map<String, Double> figures = new LinkedHashMap<>();
+    private static Map<String, Double> metrics(String resultLine) {
+      Map<String, Double> metrics = new LinkedHashMap<>();
       for (String word : resultLine.split(" ")) {
         int equalsSign = word.indexOf('=');
         if (equalsSign > 0 && !word.startsWith("ok=") && !word.startsWith("seed=")) {
           String value = word.substring(equalsSign + 1);
-          figures.put(word.substring(0, equalsSign), Double.parseDouble(value));
+          metrics.put(word.substring(0, equalsSign), Double.parseDouble(value));
         }
       }
-      return figures;
+      return metrics;
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -36,7 +36,7 @@
     for (RuleViolation violation : verdict.violations()) {
       System.out.println("broken, " + violation.rule() + ": " + violation.description());
     }
-    printVerdict(verdict.figures());
+    printVerdict(verdict.metrics());
     System.out.println(verdict.resultLine(job.seed()));
     return result.exitCode();
   }
@@ -94,17 +94,17 @@
         totals.attemptsByBackend());
   }
 
-  private static void printVerdict(Map<String, Double> figures) {
-    double broken = figures.get("broken");
+  private static void printVerdict(Map<String, Double> metrics) {
+    double broken = metrics.get("broken");
     System.out.println(
         "the referee: "
             + (broken == 0 ? "no rule was broken" : Verdict.format(broken) + " rules were broken")
             + "; "
-            + String.format(Locale.ROOT, "%.1f", 100 * figures.get("service"))
+            + String.format(Locale.ROOT, "%.1f", 100 * metrics.get("service"))
             + "% of the value was done in time, half within "
-            + Verdict.format(figures.get("p50"))
+            + Verdict.format(metrics.get("p50"))
             + " ms, all but 1% within "
-            + Verdict.format(figures.get("p99"))
+            + Verdict.format(metrics.get("p99"))
             + " ms");
   }
 }
--- a/lab/src/main/java/wheattrack/lab/PairedDifference.java
+++ b/lab/src/main/java/wheattrack/lab/PairedDifference.java
@@ -4,7 +4,7 @@
 import wheattrack.lab.load.RandomStream;
 
 /**
- * How a figure differs between two sides that were played over the same seeds.
+ * How a metric differs between two sides that were played over the same seeds.
  *
  * @param base mean of the base side
  * @param candidate mean of the candidate side
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -140,10 +140,10 @@
           violation.description());
     }
     for (Expectation expectation : verdict.unmetExpectations()) {
-      Double value = verdict.figures().get(expectation.figure());
+      Double value = verdict.metrics().get(expectation.metric());
       System.out.println(
           "fell short: "
-              + expectation.figure()
+              + expectation.metric()
               + " "
               + (value == null ? "unknown" : Verdict.format(value))
               + ", expected "
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -21,7 +21,7 @@
   private final EffectRule effectRule;
   private final DrainRule drainRule;
   private final ColdStartRule coldStartRule;
-  private final ServiceFigures service;
+  private final ServiceMetrics service;
   private final List<LedgerRecord> faults = new ArrayList<>();
   private long lastAt;
 
@@ -35,7 +35,7 @@
     effectRule = new EffectRule(run, violations, scenario.zoneCount());
     drainRule = new DrainRule(run, violations, drainGrace);
     coldStartRule = new ColdStartRule(scenario, run, violations);
-    service = new ServiceFigures(scenario, run);
+    service = new ServiceMetrics(scenario, run);
   }
 
   @Override
@@ -119,7 +119,7 @@
     answerRule.finish(lastAt);
     return new Verdict(
         scenario,
-        figures(),
+        metrics(),
         violations.described(),
         service.seconds(),
         service.attemptsByBackend(),
@@ -129,31 +129,31 @@
         service.latency());
   }
 
-  /** Figures by name in the order of the result line. */
-  private Map<String, Double> figures() {
-    Map<String, Double> figures = new LinkedHashMap<>();
+  /** Metrics by name in the order of the result line. */
+  private Map<String, Double> metrics() {
+    Map<String, Double> metrics = new LinkedHashMap<>();
     int broken = violations.counts().values().stream().mapToInt(count -> count).sum();
-    figures.put("broken", (double) broken);
-    violations.counts().forEach((rule, count) -> figures.put("broken." + rule, (double) count));
-    figures.put("service", service.service(0, Long.MAX_VALUE));
+    metrics.put("broken", (double) broken);
+    violations.counts().forEach((rule, count) -> metrics.put("broken." + rule, (double) count));
+    metrics.put("service", service.service(0, Long.MAX_VALUE));
     for (Scenario.Window window : scenario.windows()) {
-      figures.put("service-" + window.name(), service.service(window.from(), window.until()));
+      metrics.put("service-" + window.name(), service.service(window.from(), window.until()));
     }
-    figures.put("worst-second", service.worstSecond());
-    figures.put("asked", (double) run.operationCount());
-    figures.put("done", (double) service.done());
-    figures.put("denied", (double) service.rejected());
-    figures.put("aborted", (double) service.failed());
-    figures.put("lost", (double) answerRule.lost());
-    figures.put("dispatches", (double) service.attempts());
-    figures.put("duplicate", effectRule.repeatedShare());
-    figures.put("crossings", service.crossingShare());
-    figures.put("p50", service.latencyMillis(50));
-    figures.put("p99", service.latencyMillis(99));
-    figures.put("p999", service.latencyMillis(99.9));
-    figures.put("late-drain", drainRule.latestArrival() / 10.0);
-    figures.put("cold-load", coldStartRule.peakLoad());
-    figures.put("fallen", (double) coldStartRule.collapses());
-    return figures;
+    metrics.put("worst-second", service.worstSecond());
+    metrics.put("asked", (double) run.operationCount());
+    metrics.put("done", (double) service.done());
+    metrics.put("denied", (double) service.rejected());
+    metrics.put("aborted", (double) service.failed());
+    metrics.put("lost", (double) answerRule.lost());
+    metrics.put("dispatches", (double) service.attempts());
+    metrics.put("duplicate", effectRule.repeatedShare());
+    metrics.put("crossings", service.crossingShare());
+    metrics.put("p50", service.latencyMillis(50));
+    metrics.put("p99", service.latencyMillis(99));
+    metrics.put("p999", service.latencyMillis(99.9));
+    metrics.put("late-drain", drainRule.latestArrival() / 10.0);
+    metrics.put("cold-load", coldStartRule.peakLoad());
+    metrics.put("fallen", (double) coldStartRule.collapses());
+    return metrics;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/Rule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Rule.java
@@ -1,6 +1,6 @@
 package wheattrack.lab.referee;
 
-/** The rules that a run is judged by, in the order of their figures. */
+/** The rules that a run is judged by, in the order of their metrics. */
 public enum Rule {
   /** Each request has one final answer, by its deadline. */
   ANSWERS("answers"),
@@ -17,7 +17,7 @@
     this.word = word;
   }
 
-  /** The rule's name in figures and reports. */
+  /** The rule's name in metrics and reports. */
   @Override
   public String toString() {
     return word;
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceFigures.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
@@ -11,7 +11,7 @@
 import wheattrack.lab.scenario.Scenario;
 
 /** Measures the service of a run: values, answers, latency, and who sent how much to whom. */
-final class ServiceFigures {
+final class ServiceMetrics {
   /** The most work of an attempt that is told apart, in tenths of a millisecond at speed 1. */
   private static final long MAX_WORK = 1_000_000;
 
@@ -31,7 +31,7 @@
   private long rejected;
   private long failed;
 
-  ServiceFigures(Scenario scenario, RunState run) {
+  ServiceMetrics(Scenario scenario, RunState run) {
     this.scenario = scenario;
     this.run = run;
   }
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -10,7 +10,7 @@
 /**
  * What the referee found of one run.
  *
- * @param figures the figures of the result line by name, in its order
+ * @param metrics the metrics of the result line by name, in its order
  * @param violations the rule violations that are described, in order of finding
  * @param seconds the service of each second
  * @param attemptsByBackend attempts in each second, by the backend's index
@@ -21,7 +21,7 @@
  */
 public record Verdict(
     Scenario scenario,
-    Map<String, Double> figures,
+    Map<String, Double> metrics,
     List<RuleViolation> violations,
     List<ServiceSecond> seconds,
     Map<Integer, long[]> attemptsByBackend,
@@ -29,13 +29,13 @@
     Map<Integer, ProxyTotals> totalsByProxy,
     List<LedgerRecord> faults,
     Histogram latency) {
-  /** Above this a figure is not shown as a whole number. */
+  /** Above this a metric is not shown as a whole number. */
   private static final double MAX_WHOLE_NUMBER = 1e12;
 
   /** The scenario's expectations that are not met. */
   public List<Expectation> unmetExpectations() {
     return scenario.expectations().stream()
-        .filter(expectation -> !expectation.isMetBy(figures.get(expectation.figure())))
+        .filter(expectation -> !expectation.isMetBy(metrics.get(expectation.metric())))
         .toList();
   }
 
@@ -53,12 +53,12 @@
             .append(seed)
             .append(" ok=")
             .append(isGood());
-    figures.forEach(
+    metrics.forEach(
         (name, value) -> line.append(' ').append(name).append('=').append(format(value)));
     return line.toString();
   }
 
-  /** A figure without more digits than it has meaning. */
+  /** A metric without more digits than it has meaning. */
   public static String format(double value) {
     if (value == Math.rint(value) && Math.abs(value) < MAX_WHOLE_NUMBER) {
       return Long.toString((long) value);
--- a/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -51,7 +51,7 @@
     backendPlots.addWork();
     new LatencyPlot(html, runs).add();
     ReportTables tables = new ReportTables(html, runs, scenario);
-    tables.addFigures();
+    tables.addMetrics();
     tables.addViolations();
     tables.addFaults();
     html.add("</html>\n");
--- a/lab/src/main/java/wheattrack/lab/report/ReportTables.java
+++ b/lab/src/main/java/wheattrack/lab/report/ReportTables.java
@@ -9,7 +9,7 @@
 import wheattrack.lab.report.HtmlReport.Run;
 import wheattrack.lab.scenario.Scenario;
 
-/** The parts of a report that are text: figures, rule violations and faults. */
+/** The parts of a report that are text: metrics, rule violations and faults. */
 final class ReportTables {
   /** Tenths of a millisecond in a second. */
   private static final double SECOND = 10_000.0;
@@ -24,23 +24,23 @@
     this.scenario = scenario;
   }
 
-  void addFigures() {
+  void addMetrics() {
     html.add("<h2>Figures</h2><table><tr><th>figure</th>");
     runs.forEach(run -> html.add("<th>%s</th>", escaped(run.name())));
     html.add("<th>expected</th></tr>");
-    for (String name : runs.get(0).verdict().figures().keySet()) {
+    for (String name : runs.get(0).verdict().metrics().keySet()) {
       html.add("<tr><td>%s</td>", escaped(name));
-      runs.forEach(run -> addFigure(run.verdict(), name));
+      runs.forEach(run -> addMetric(run.verdict(), name));
       html.add("<td>%s</td></tr>", escaped(expectation(name)));
     }
     html.add("</table>");
   }
 
-  private void addFigure(Verdict verdict, String name) {
-    Double value = verdict.figures().get(name);
+  private void addMetric(Verdict verdict, String name) {
+    Double value = verdict.metrics().get(name);
     boolean isUnmet =
         verdict.unmetExpectations().stream()
-            .anyMatch(expectation -> expectation.figure().equals(name));
+            .anyMatch(expectation -> expectation.metric().equals(name));
     html.add(
         "<td%s>%s</td>", isUnmet ? " class='bad'" : "", value == null ? "" : Verdict.format(value));
   }
@@ -48,7 +48,7 @@
   private String expectation(String name) {
     StringBuilder text = new StringBuilder();
     for (Scenario.Expectation expectation : scenario.expectations()) {
-      if (expectation.figure().equals(name)) {
+      if (expectation.metric().equals(name)) {
         text.append(expectation.sign()).append(' ').append(Verdict.format(expectation.bound()));
       }
     }
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -12,7 +12,7 @@
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 
-/** A run as JSON lines: its figures, each rule violation, each second. */
+/** A run as JSON lines: its metrics, each rule violation, each second. */
 public final class ResultLines {
   private ResultLines() {}
 
@@ -41,8 +41,8 @@
     json.writeStringField("policy", policy);
     json.writeBooleanField("ok", verdict.isGood());
     json.writeObjectFieldStart("figures");
-    for (Map.Entry<String, Double> figure : verdict.figures().entrySet()) {
-      json.writeNumberField(figure.getKey(), figure.getValue());
+    for (Map.Entry<String, Double> metric : verdict.metrics().entrySet()) {
+      json.writeNumberField(metric.getKey(), metric.getValue());
     }
     json.writeEndObject();
     json.writeEndObject();
--- a/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
@@ -9,19 +9,19 @@
 import java.util.Map;
 
 /**
- * What was measured along one axis: a row of figures by name for each point. A figure that could
+ * What was measured along one axis: a row of metrics by name for each point. A metric that could
  * not be measured is NaN. Not thread-safe.
  */
 public final class AxisMeasurements {
-  /** The figures of one point, in the order in which they were measured. */
-  public record Row(double point, Map<String, Double> figures) {
-    /** The figure of this name; NaN if it was not measured. */
-    public double figure(String name) {
-      return figures.getOrDefault(name, Double.NaN);
+  /** The metrics of one point, in the order in which they were measured. */
+  public record Row(double point, Map<String, Double> metrics) {
+    /** The metric of this name; NaN if it was not measured. */
+    public double metric(String name) {
+      return metrics.getOrDefault(name, Double.NaN);
     }
   }
 
-  /** A point at which a figure was measured, and its value there. */
+  /** A point at which a metric was measured, and its value there. */
   record Sample(double point, double value) {}
 
   /**
@@ -33,7 +33,7 @@
    */
   public record Line(double slope, double error, double bend) {}
 
-  /** Prefix of the figures of the complete proxy that stands beside. */
+  /** Prefix of the metrics of the complete proxy that stands beside. */
   private static final String REFERENCE_PREFIX = "w_";
 
   private static final int MIN_COLUMN_WIDTH = 8;
@@ -62,27 +62,27 @@
     return Collections.unmodifiableList(rows);
   }
 
-  /** Adds a point and returns its figures, to be filled. */
+  /** Adds a point and returns its metrics, to be filled. */
   Map<String, Double> addRow(double point) {
-    Map<String, Double> figures = new LinkedHashMap<>();
-    rows.add(new Row(point, figures));
-    return figures;
+    Map<String, Double> metrics = new LinkedHashMap<>();
+    rows.add(new Row(point, metrics));
+    return metrics;
   }
 
-  /** The figures' names in the order in which they were first measured. */
+  /** The metrics' names in the order in which they were first measured. */
   public List<String> names() {
-    return rows.stream().flatMap(row -> row.figures.keySet().stream()).distinct().toList();
+    return rows.stream().flatMap(row -> row.metrics.keySet().stream()).distinct().toList();
   }
 
-  /** The points at which this figure was measured. */
+  /** The points at which this metric was measured. */
   List<Sample> samples(String name) {
     return rows.stream()
-        .map(row -> new Sample(row.point, row.figure(name)))
+        .map(row -> new Sample(row.point, row.metric(name)))
         .filter(sample -> Double.isFinite(sample.value))
         .toList();
   }
 
-  /** The line through the samples of a figure; null with fewer than three. */
+  /** The line through the samples of a metric; null with fewer than three. */
   public Line line(String name) {
     List<Sample> samples = samples(name);
     int count = samples.size();
@@ -108,7 +108,7 @@
     return (to.value - from.value) / (to.point - from.point);
   }
 
-  /** As a table, the line of each figure and its ratio to the reference below. */
+  /** As a table, the line of each metric and its ratio to the reference below. */
   public String table() {
     StringBuilder table = new StringBuilder();
     List<String> names = names();
@@ -117,7 +117,7 @@
     for (Row row : rows) {
       append(table, "%n%12s", format(row.point));
       names.forEach(
-          name -> append(table, " %" + columnWidth(name) + "s", format(row.figure(name))));
+          name -> append(table, " %" + columnWidth(name) + "s", format(row.metric(name))));
     }
     names.forEach(name -> appendLine(table, name));
     names.forEach(name -> appendRatio(table, name));
@@ -141,7 +141,7 @@
   private void appendRatio(StringBuilder table, String name) {
     DoubleSummaryStatistics ratios =
         rows.stream()
-            .mapToDouble(row -> row.figure(name) / row.figure(REFERENCE_PREFIX + name))
+            .mapToDouble(row -> row.metric(name) / row.metric(REFERENCE_PREFIX + name))
             .filter(Double::isFinite)
             .summaryStatistics();
     if (ratios.getCount() > 0) {
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -97,7 +97,7 @@
    *
    * @param changedAtNanos when each was made; the last of them is the source's latest revision
    */
-  void putTimesInForce(long[] changedAtNanos, SourceServer source, Map<String, Double> figures) {
+  void putTimesInForce(long[] changedAtNanos, SourceServer source, Map<String, Double> metrics) {
     List<Double> latencies = new ArrayList<>();
     long latest = source.revision();
     for (ControlOnlyProcess process : processes) {
@@ -116,11 +116,11 @@
     }
     latencies.sort(null);
     int count = latencies.size();
-    figures.put("untold", (double) changedAtNanos.length * size - count);
-    figures.put("force_p50_ms", count == 0 ? Double.NaN : latencies.get(count / 2));
-    figures.put(
+    metrics.put("untold", (double) changedAtNanos.length * size - count);
+    metrics.put("force_p50_ms", count == 0 ? Double.NaN : latencies.get(count / 2));
+    metrics.put(
         "force_p99_ms", count == 0 ? Double.NaN : latencies.get((int) (0.99 * (count - 1))));
-    figures.put("force_last_ms", count == 0 ? Double.NaN : latencies.get(count - 1));
+    metrics.put("force_last_ms", count == 0 ? Double.NaN : latencies.get(count - 1));
   }
 
   @Override
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -23,7 +23,7 @@
   }
 
   /** By backends in the list. */
-  void measureBackends(int backends, Map<String, Double> figures) throws Exception {
+  void measureBackends(int backends, Map<String, Double> metrics) throws Exception {
     int fleetSize = backends > USUAL_LIST ? 1 : SMALL_FLEET;
     try (SourceServer source = environment.startEndpointSource(backends);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0)) {
@@ -31,28 +31,28 @@
       try (ControlOnlyFleet fleet =
           environment.startFleet(fleetSize, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
         double listMillis = fleet.awaitLists(LIST_TIMEOUT_MILLIS);
-        figures.put("list_ms", listMillis);
-        figures.put("known", fleet.maxKnownBackends());
-        figures.put("list_kb", (source.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
+        metrics.put("list_ms", listMillis);
+        metrics.put("known", fleet.maxKnownBackends());
+        metrics.put("list_kb", (source.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
         double watchers = fleetSize + (reference == null ? 0 : 1);
-        figures.put("asked_bytes", source.bytesReceived() / watchers);
-        figures.put("heap_kb", fleet.heapKibEach());
+        metrics.put("asked_bytes", source.bytesReceived() / watchers);
+        metrics.put("heap_kb", fleet.heapKibEach());
         if (reference != null) {
-          figures.put("w_ready_ms", reference.readyMillis());
-          figures.put("w_known", reference.metric("backends_known"));
-          reference.putStart(figures);
-          figures.put("w_rest_mb", reference.residentKib() / 1024.0);
+          metrics.put("w_ready_ms", reference.readyMillis());
+          metrics.put("w_known", reference.metric("backends_known"));
+          reference.putStart(metrics);
+          metrics.put("w_rest_mb", reference.residentKib() / 1024.0);
         }
         if (Double.isFinite(listMillis)) {
           new SteadyChanges(environment, source, backends)
-              .measure(fleet, reference, Pace.FAST, figures);
+              .measure(fleet, reference, Pace.FAST, metrics);
         }
       }
     }
   }
 
   /** By changes a second. */
-  void measureChangeRate(int perSecond, Map<String, Double> figures) throws Exception {
+  void measureChangeRate(int perSecond, Map<String, Double> metrics) throws Exception {
     try (SourceServer source = environment.startEndpointSource(USUAL_LIST);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
         ControlOnlyFleet fleet =
@@ -60,21 +60,21 @@
                 SMALL_FLEET, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
       fleet.awaitLists(LIST_TIMEOUT_MILLIS);
       new SteadyChanges(environment, source, USUAL_LIST)
-          .measure(fleet, reference, new Pace(CHANGE_SECONDS * perSecond, perSecond), figures);
+          .measure(fleet, reference, new Pace(CHANGE_SECONDS * perSecond, perSecond), metrics);
     }
   }
 
   /** By control-only proxies that watch the list. */
-  void measureWatchers(int fleetSize, Map<String, Double> figures) throws Exception {
+  void measureWatchers(int fleetSize, Map<String, Double> metrics) throws Exception {
     try (SourceServer source = environment.startEndpointSource(SMALL_LIST);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
         ControlOnlyFleet fleet =
             environment.startFleet(
                 fleetSize, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
-      figures.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
-      figures.put("processes", (double) fleet.processCount());
+      metrics.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+      metrics.put("processes", (double) fleet.processCount());
       new SteadyChanges(environment, source, SMALL_LIST)
-          .measure(fleet, reference, Pace.GENTLE, figures);
+          .measure(fleet, reference, Pace.GENTLE, metrics);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
@@ -19,28 +19,28 @@
   }
 
   /** By control-only proxies whose source of endpoints is away. */
-  void measureEndpointOutage(int fleetSize, Map<String, Double> figures) throws Exception {
+  void measureEndpointOutage(int fleetSize, Map<String, Double> metrics) throws Exception {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         ControlOnlyFleet fleet =
             environment.startFleet(
                 fleetSize, environment.writeConfig(endpoints, USUAL_RULE_SETS, 0))) {
-      measure(fleet, endpoints, figures);
+      measure(fleet, endpoints, metrics);
     }
   }
 
   /** By control-only proxies whose source of settings is away. */
-  void measureSettingsOutage(int fleetSize, Map<String, Double> figures) throws Exception {
+  void measureSettingsOutage(int fleetSize, Map<String, Double> metrics) throws Exception {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         SourceServer settings = environment.startSettingsSource(SettingsMeasurements.USUAL_SCOPE);
         ControlOnlyFleet fleet =
             environment.startFleet(fleetSize, environment.writeConfig(endpoints, 1, 0), settings)) {
-      measure(fleet, settings, figures);
+      measure(fleet, settings, metrics);
     }
   }
 
-  private void measure(ControlOnlyFleet fleet, SourceServer source, Map<String, Double> figures)
+  private void measure(ControlOnlyFleet fleet, SourceServer source, Map<String, Double> metrics)
       throws InterruptedException {
-    figures.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+    metrics.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
     fleet.forgetRevisions();
     source.setMode(SourceServer.Mode.REFUSING);
     Thread.sleep(OUTAGE_MILLIS);
@@ -51,11 +51,11 @@
     source.change(0, 1);
     source.setMode(SourceServer.Mode.UP);
     Thread.sleep(FIRST_CALLS_MILLIS);
-    figures.put("calls_first_400ms", (double) (source.calls() - callsBefore));
+    metrics.put("calls_first_400ms", (double) (source.calls() - callsBefore));
     Thread.sleep(RECOVERY_MILLIS);
     double size = fleet.size();
-    figures.put("return_bytes", (source.bytesSent() - bytesBefore) / size);
-    figures.put("return_us", (fleet.cpuNanos() - cpuBefore) / 1e3 / size);
-    fleet.putTimesInForce(new long[] {changedAt}, source, figures);
+    metrics.put("return_bytes", (source.bytesSent() - bytesBefore) / size);
+    metrics.put("return_us", (fleet.cpuNanos() - cpuBefore) / 1e3 / size);
+    fleet.putTimesInForce(new long[] {changedAt}, source, metrics);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
@@ -63,7 +63,7 @@
     }
   }
 
-  /** A figure of its admin address by name; NaN if there is none or it does not answer. */
+  /** A metric of its admin address by name; NaN if there is none or it does not answer. */
   double metric(String name) {
     try (Socket connection = new Socket()) {
       connection.connect(
@@ -114,10 +114,10 @@
   }
 
   /** Puts when it was ready and what its start cost. */
-  void putStart(Map<String, Double> figures) {
-    figures.put("w_ready_ms", readyMillis);
-    figures.put("w_start_cpu_ms", cpuNanos() / ScaleEnvironment.NANOS_PER_MILLI);
-    figures.put("w_rss_mb", peakResidentMib());
+  void putStart(Map<String, Double> metrics) {
+    metrics.put("w_ready_ms", readyMillis);
+    metrics.put("w_start_cpu_ms", cpuNanos() / ScaleEnvironment.NANOS_PER_MILLI);
+    metrics.put("w_rss_mb", peakResidentMib());
   }
 
   @Override
--- a/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
+++ b/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
@@ -19,16 +19,16 @@
   }
 
   /** By proxies. */
-  void measure(int count, Map<String, Double> figures) throws Exception {
+  void measure(int count, Map<String, Double> metrics) throws Exception {
     int processors = Runtime.getRuntime().availableProcessors();
     int cores = Math.max(1, Math.min(processors, (count + 1) / 2));
-    figures.put("core_each", Math.min(1, cores / (double) count));
+    metrics.put("core_each", Math.min(1, cores / (double) count));
     for (SourceServer.Mode mode : SourceServer.Mode.values()) {
       try (SourceServer source = environment.startEndpointSource(ScaleEnvironment.SMALL_LIST)) {
         source.setMode(mode);
         List<ReferenceProxy> proxies = start(count, source, "0-" + (cores - 1));
         double[] readyMillis = awaitReady(proxies);
-        putFigures(mode.name().toLowerCase(Locale.ROOT), proxies, readyMillis, figures);
+        putMetrics(mode.name().toLowerCase(Locale.ROOT), proxies, readyMillis, metrics);
         proxies.forEach(ReferenceProxy::close);
       }
     }
@@ -63,17 +63,17 @@
     return readyMillis;
   }
 
-  private static void putFigures(
+  private static void putMetrics(
       String mode,
       List<ReferenceProxy> proxies,
       double[] readyMillis,
-      Map<String, Double> figures) {
+      Map<String, Double> metrics) {
     int count = readyMillis.length;
     int rank90 = Math.max(0, (int) Math.ceil(0.9 * count) - 1);
     long residentKib = proxies.stream().mapToLong(ReferenceProxy::residentKib).sum();
-    figures.put(mode + "_p50_ms", readyMillis[count / 2]);
-    figures.put(mode + "_p90_ms", readyMillis[rank90]);
-    figures.put(mode + "_last_ms", readyMillis[count - 1]);
-    figures.put(mode + "_rss_mb", residentKib / 1024.0 / count);
+    metrics.put(mode + "_p50_ms", readyMillis[count / 2]);
+    metrics.put(mode + "_p90_ms", readyMillis[rank90]);
+    metrics.put(mode + "_last_ms", readyMillis[count - 1]);
+    metrics.put(mode + "_rss_mb", residentKib / 1024.0 / count);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleAxis.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleAxis.java
@@ -15,7 +15,7 @@
     String name, String unit, int[] points, int min, int max, Measurement measurement) {
   /** Measures one point; its processes are ended before the next point begins. */
   interface Measurement {
-    /** Puts the figures of this point by name; throws whatever kept it from being measured. */
-    void measure(int point, Map<String, Double> figures) throws Exception;
+    /** Puts the metrics of this point by name; throws whatever kept it from being measured. */
+    void measure(int point, Map<String, Double> metrics) throws Exception;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -30,7 +30,7 @@
    * @param home the root of the tree, where the operators' command line is run
    * @param axis the one axis to measure, or null for all
    * @param points its points, divided by commas, or null for those of a full run
-   * @param outputDirectory where the figures and the report go, or null
+   * @param outputDirectory where the metrics and the report go, or null
    * @param memoryBytes what all processes may hold, 0 for what the machine allows
    * @param sendsSnapshots whether the sources send each change as a complete snapshot, a fault that
    *     a test has to notice
@@ -49,7 +49,7 @@
   private ScaleCommand() {}
 
   /**
-   * Measures, prints each axis as it is done, and returns the figures. Throws
+   * Measures, prints each axis as it is done, and returns the metrics. Throws
    * InvalidConfigurationException for bad input and ResourceLimitException if the run needed more
    * than it may have.
    */
@@ -102,7 +102,7 @@
   }
 
   /**
-   * Measures a point; what keeps it from being measured is printed, and its figures are missing.
+   * Measures a point; what keeps it from being measured is printed, and its metrics are missing.
    */
   private static void measure(
       ScaleAxis axis,
@@ -175,11 +175,11 @@
     json.writeStringField("axis", axis.axis());
     json.writeNumberField("point", row.point());
     json.writeNumberField("seed", job.seed);
-    for (Map.Entry<String, Double> figure : row.figures().entrySet()) {
-      if (Double.isFinite(figure.getValue())) {
-        json.writeNumberField(figure.getKey(), figure.getValue());
+    for (Map.Entry<String, Double> metric : row.metrics().entrySet()) {
+      if (Double.isFinite(metric.getValue())) {
+        json.writeNumberField(metric.getKey(), metric.getValue());
       } else {
-        json.writeNullField(figure.getKey());
+        json.writeNullField(metric.getKey());
       }
     }
     json.writeEndObject();
--- a/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
@@ -26,44 +26,44 @@
   }
 
   /** By rule sets in the configuration file. */
-  void measureRuleSets(int ruleSets, Map<String, Double> figures) throws Exception {
-    measureFile(ruleSets, 0, figures);
+  void measureRuleSets(int ruleSets, Map<String, Double> metrics) throws Exception {
+    measureFile(ruleSets, 0, metrics);
   }
 
   /** By tenants in the configuration file. */
-  void measureTenants(int tenants, Map<String, Double> figures) throws Exception {
-    measureFile(USUAL_RULE_SETS, tenants, figures);
+  void measureTenants(int tenants, Map<String, Double> metrics) throws Exception {
+    measureFile(USUAL_RULE_SETS, tenants, metrics);
   }
 
   /** By rule sets in the source that a few proxies watch. */
-  void measureScope(int ruleSets, Map<String, Double> figures) throws Exception {
-    measureSource(ruleSets, SMALL_FLEET, figures);
+  void measureScope(int ruleSets, Map<String, Double> metrics) throws Exception {
+    measureSource(ruleSets, SMALL_FLEET, metrics);
   }
 
   /** By control-only proxies that watch a source of the usual size. */
-  void measureScopeWatchers(int fleetSize, Map<String, Double> figures) throws Exception {
-    measureSource(USUAL_SCOPE, fleetSize, figures);
+  void measureScopeWatchers(int fleetSize, Map<String, Double> metrics) throws Exception {
+    measureSource(USUAL_SCOPE, fleetSize, metrics);
   }
 
-  private void measureFile(int ruleSets, int tenants, Map<String, Double> figures)
+  private void measureFile(int ruleSets, int tenants, Map<String, Double> metrics)
       throws Exception {
     try (SourceServer source = environment.startEndpointSource(SMALL_LIST)) {
       Path config = environment.writeConfig(source, ruleSets, tenants);
-      figures.put("file_mb", Files.size(config) / 1048576.0);
+      metrics.put("file_mb", Files.size(config) / 1048576.0);
       try (ControlOnlyFleet fleet = environment.startFleet(1, config)) {
         fleet.awaitLists(READY_TIMEOUT_MILLIS);
         long cpuBefore = fleet.cpuNanos();
         long start = System.nanoTime();
         fleet.reload(config);
-        figures.put("reload_ms", (System.nanoTime() - start) / ScaleEnvironment.NANOS_PER_MILLI);
-        figures.put(
+        metrics.put("reload_ms", (System.nanoTime() - start) / ScaleEnvironment.NANOS_PER_MILLI);
+        metrics.put(
             "reload_cpu_ms", (fleet.cpuNanos() - cpuBefore) / ScaleEnvironment.NANOS_PER_MILLI);
-        figures.put("heap_kb", fleet.heapKibEach());
+        metrics.put("heap_kb", fleet.heapKibEach());
       }
       if (environment.hasReferences()) {
         try (ReferenceProxy reference = environment.startReference(source, ruleSets, tenants)) {
-          reference.putStart(figures);
-          figures.put(
+          reference.putStart(metrics);
+          metrics.put(
               "w_reload_cpu_ms",
               reference.wasReady() ? reference.reloadCpuMillis(LIST_TIMEOUT_MILLIS) : Double.NaN);
         }
@@ -72,7 +72,7 @@
   }
 
   /** Settings from a watched source: what a change costs, and when it is in force. */
-  private void measureSource(int ruleSets, int fleetSize, Map<String, Double> figures)
+  private void measureSource(int ruleSets, int fleetSize, Map<String, Double> metrics)
       throws Exception {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         SourceServer settings = environment.startSettingsSource(ruleSets)) {
@@ -80,18 +80,18 @@
       try (ReferenceProxy reference = environment.startReference(endpoints, settings)) {
         long bytesBefore = settings.bytesSent();
         try (ControlOnlyFleet fleet = environment.startFleet(fleetSize, config, settings)) {
-          figures.put("whole_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
-          figures.put("whole_kb", (settings.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
-          figures.put("heap_kb", fleet.heapKibEach());
+          metrics.put("whole_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+          metrics.put("whole_kb", (settings.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
+          metrics.put("heap_kb", fleet.heapKibEach());
           if (reference != null) {
-            figures.put("w_ready_ms", reference.readyMillis());
-            figures.put("w_rss_mb", reference.peakResidentMib());
+            metrics.put("w_ready_ms", reference.readyMillis());
+            metrics.put("w_rss_mb", reference.peakResidentMib());
           }
           Pace pace = fleetSize <= SMALL_FLEET ? Pace.FAST : Pace.GENTLE;
           new SteadyChanges(environment, settings, ruleSets)
-              .measure(fleet, reference, pace, figures);
+              .measure(fleet, reference, pace, metrics);
           if (reference != null) {
-            figures.put("w_told", reference.metric("settings_told"));
+            metrics.put("w_told", reference.metric("settings_told"));
           }
         }
       }
--- a/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -49,10 +49,10 @@
 
   /**
    * Makes changes at this pace while a fleet and, unless it is null, a reference proxy watch the
-   * source, and puts the figures.
+   * source, and puts the metrics.
    */
   void measure(
-      ControlOnlyFleet fleet, ReferenceProxy reference, Pace pace, Map<String, Double> figures)
+      ControlOnlyFleet fleet, ReferenceProxy reference, Pace pace, Map<String, Double> metrics)
       throws InterruptedException {
     if (environment.hasReferences()) {
       int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
@@ -79,15 +79,15 @@
     double elapsed = System.nanoTime() - start;
     double watchers = fleet.size() + (reference == null ? 0 : 1);
     double fleetSpent = fleet.cpuNanos() - fleetBefore - fleetRest * elapsed;
-    figures.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / pace.count);
-    figures.put("idle_us_s", fleetRest * 1e6 / fleet.size());
-    figures.put("change_us", fleetSpent / 1e3 / fleet.size() / pace.count);
-    fleet.putTimesInForce(changedAt, source, figures);
+    metrics.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / pace.count);
+    metrics.put("idle_us_s", fleetRest * 1e6 / fleet.size());
+    metrics.put("change_us", fleetSpent / 1e3 / fleet.size() / pace.count);
+    fleet.putTimesInForce(changedAt, source, metrics);
     if (reference != null && reference.wasReady()) {
       double spent = cpuNanos(reference) - referenceBefore - referenceRest * elapsed;
-      figures.put("w_idle_us_s", referenceRest * 1e6);
-      figures.put("w_change_us", spent / 1e3 / pace.count);
-      measureLatency(reference, pace.perSecond, figures);
+      metrics.put("w_idle_us_s", referenceRest * 1e6);
+      metrics.put("w_change_us", spent / 1e3 / pace.count);
+      measureLatency(reference, pace.perSecond, metrics);
     }
   }
 
@@ -96,13 +96,13 @@
   }
 
   /** Puts the latency of requests at rest and while there are changes. */
-  private void measureLatency(ReferenceProxy reference, int perSecond, Map<String, Double> figures)
+  private void measureLatency(ReferenceProxy reference, int perSecond, Map<String, Double> metrics)
       throws InterruptedException {
     new LatencyProbe(reference.address()).endAfter(PROBE_WARM_UP_MILLIS);
-    figures.put("w_p99_ms", new LatencyProbe(reference.address()).endAfter(PROBE_MILLIS));
+    metrics.put("w_p99_ms", new LatencyProbe(reference.address()).endAfter(PROBE_MILLIS));
     LatencyProbe probe = new LatencyProbe(reference.address());
     change(2 * perSecond, perSecond);
-    figures.put("w_p99_beside_ms", probe.endAfter(0));
+    metrics.put("w_p99_beside_ms", probe.endAfter(0));
   }
 
   /** Makes so many changes of one entry each, evenly; returns when each was made. */
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -47,8 +47,8 @@
   /** Tenths of a millisecond in a millisecond. */
   public static final long MILLISECOND = 10;
 
-  /** The figures of a verdict that an expectation may name, beside the service in a window. */
-  public static final List<String> FIGURES =
+  /** The metrics of a verdict that an expectation may name, beside the service in a window. */
+  public static final List<String> METRICS =
       List.of(
           "broken",
           "broken.answers",
@@ -197,9 +197,9 @@
   /** A part of the run whose service is measured by itself, from one time until before another. */
   public record Window(String name, long from, long until) {}
 
-  /** What a figure of the verdict is expected to be, such as {@code service >= 0.9}. */
-  public record Expectation(String figure, String sign, double bound) {
-    /** Whether a figure meets it; one that is absent (null) does not. */
+  /** What a metric of the verdict is expected to be, such as {@code service >= 0.9}. */
+  public record Expectation(String metric, String sign, double bound) {
+    /** Whether a metric meets it; one that is absent (null) does not. */
     public boolean isMetBy(Double value) {
       if (value == null) {
         return false;
--- a/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
@@ -366,19 +366,19 @@
 
   private List<Expectation> expectations(ConfigurationReader section) {
     List<Expectation> expectations = new ArrayList<>();
-    for (String figure : section.keys()) {
-      boolean isWindow = windows.stream().anyMatch(w -> figure.equals("service-" + w.name()));
-      if (!isWindow && !Scenario.FIGURES.contains(figure)) {
-        throw section.fault(figure, "unknown figure");
+    for (String metric : section.keys()) {
+      boolean isWindow = windows.stream().anyMatch(w -> metric.equals("service-" + w.name()));
+      if (!isWindow && !Scenario.METRICS.contains(metric)) {
+        throw section.fault(metric, "unknown figure");
       }
-      String[] parts = section.text(figure).trim().split("\\s+");
+      String[] parts = section.text(metric).trim().split("\\s+");
       if (parts.length != 2 || !SIGNS.contains(parts[0])) {
-        throw section.fault(figure, "not a sign (>=, <=, >, <, =) and a number");
+        throw section.fault(metric, "not a sign (>=, <=, >, <, =) and a number");
       }
       try {
-        expectations.add(new Expectation(figure, parts[0], Double.parseDouble(parts[1])));
+        expectations.add(new Expectation(metric, parts[0], Double.parseDouble(parts[1])));
       } catch (NumberFormatException e) {
-        throw section.fault(figure, "not a number: " + parts[1]);
+        throw section.fault(metric, "not a number: " + parts[1]);
       }
     }
     return List.copyOf(expectations);
--- a/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/wheattrack/lab/referee/RefereeTest.java
@@ -122,7 +122,7 @@
         referee.accept(LedgerRecord.answered(100, i, Answer.DONE));
       }
       Verdict verdict = referee.verdict();
-      assertEquals(isNotified ? 1 : 0, verdict.figures().get("broken.cold"));
+      assertEquals(isNotified ? 1 : 0, verdict.metrics().get("broken.cold"));
     }
   }
 
--- a/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
@@ -42,8 +42,8 @@
         .get(0);
   }
 
-  private static double figure(AxisMeasurements measurements, int row, String name) {
-    return measurements.rows().get(row).figures().get(name);
+  private static double metric(AxisMeasurements measurements, int row, String name) {
+    return measurements.rows().get(row).metrics().get(name);
   }
 
   /**
@@ -53,7 +53,7 @@
   private static boolean isFlat(AxisMeasurements measurements) {
     return measurements.rows().stream()
         .allMatch(
-            row -> row.figures().get("change_bytes") < ENTRY_BYTES + FRAME_BYTES + HEARTBEAT_BYTES);
+            row -> row.metrics().get("change_bytes") < ENTRY_BYTES + FRAME_BYTES + HEARTBEAT_BYTES);
   }
 
   @Test
@@ -61,9 +61,9 @@
     AxisMeasurements measurements = measure("backends", "50,200,800", false);
     for (int i = 0; i < 3; i++) {
       double point = measurements.rows().get(i).point();
-      assertEquals(point, figure(measurements, i, "known"), output.toString());
-      assertEquals(0, figure(measurements, i, "untold"), output.toString());
-      double listBytes = figure(measurements, i, "list_kb") * 1024;
+      assertEquals(point, metric(measurements, i, "known"), output.toString());
+      assertEquals(0, metric(measurements, i, "untold"), output.toString());
+      double listBytes = metric(measurements, i, "list_kb") * 1024;
       assertTrue(
           listBytes > 0.5 * ENTRY_BYTES * point && listBytes < ENTRY_BYTES * point + 1000,
           output.toString());
@@ -86,7 +86,7 @@
   void changesCostTheSameForAnyNumberOfWatchers() throws Exception {
     AxisMeasurements measurements = measure("watchers", "20,60,180", false);
     for (int i = 0; i < 3; i++) {
-      assertEquals(0, figure(measurements, i, "untold"), output.toString());
+      assertEquals(0, metric(measurements, i, "untold"), output.toString());
     }
     assertTrue(isFlat(measurements), output.toString());
   }
@@ -95,7 +95,7 @@
   void ruleSetsCostByTheirNumber() throws Exception {
     AxisMeasurements measurements = measure("rule-sets", "10,100,1000", false);
     double bytesEach =
-        (figure(measurements, 2, "file_mb") - figure(measurements, 1, "file_mb")) * 1048576 / 900;
+        (metric(measurements, 2, "file_mb") - metric(measurements, 1, "file_mb")) * 1048576 / 900;
     assertTrue(bytesEach > 80 && bytesEach < 200, bytesEach + " bytes each");
   }
 
--- a/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
@@ -97,9 +97,9 @@
     }
     assertEquals(0, liveChildProcesses());
     Verdict verdict = referee.verdict();
-    assertEquals(0, verdict.figures().get("broken"), verdict.violations().toString());
-    assertTrue(verdict.figures().get("done") > 300, verdict.figures().toString());
-    assertTrue(verdict.figures().get("aborted") > 0, "no answer was cut off: " + verdict.figures());
+    assertEquals(0, verdict.metrics().get("broken"), verdict.violations().toString());
+    assertTrue(verdict.metrics().get("done") > 300, verdict.metrics().toString());
+    assertTrue(verdict.metrics().get("aborted") > 0, "no answer was cut off: " + verdict.metrics());
   }
 
   /** A run whose lab is blocked again and again for a long time counts as too late. */
@@ -195,7 +195,7 @@
     }
     Referee referee = new Referee(scenario);
     entries.forEach(referee);
-    assertEquals(0, referee.verdict().figures().get("broken"));
+    assertEquals(0, referee.verdict().metrics().get("broken"));
     long drainEvents =
         entries.stream()
             .filter(
--- a/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
@@ -73,8 +73,8 @@
               assertEquals(
                   List.of(),
                   verdict.unmetExpectations(),
-                  name + ", seed " + seed + ": " + verdict.figures());
-              assertEquals(0, verdict.figures().get("fallen"));
+                  name + ", seed " + seed + ": " + verdict.metrics());
+              assertEquals(0, verdict.metrics().get("fallen"));
             });
   }
 
@@ -87,7 +87,7 @@
         IntStream.rangeClosed(1, SEEDS)
             .parallel()
             .mapToDouble(
-                seed -> play(name, 100, singleProxyView, seed).figures().get("broken.cold"))
+                seed -> play(name, 100, singleProxyView, seed).metrics().get("broken.cold"))
             .sum();
     assertTrue(collapses > 0, "none was pushed over");
   }
--- a/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -96,21 +96,21 @@
   @ValueSource(strings = {"herd", "herd-48", "zone", "join"})
   void policyMeetsExpectationsAndBaselinesDoNot(String name) {
     Verdict verdict = play(name, null);
-    assertEquals(List.of(), verdict.unmetExpectations(), verdict.figures().toString());
+    assertEquals(List.of(), verdict.unmetExpectations(), verdict.metrics().toString());
     Scenario scenario = scenario(name, Map.of());
     Verdict random = play(name, Policies.factory(Policies.Kind.RANDOM, scenario));
-    Set<String> missedFigures =
+    Set<String> missedMetrics =
         random.unmetExpectations().stream()
-            .map(Scenario.Expectation::figure)
+            .map(Scenario.Expectation::metric)
             .collect(Collectors.toSet());
     scenario.expectations().stream()
-        .map(Scenario.Expectation::figure)
-        .filter(figure -> figure.startsWith("service"))
+        .map(Scenario.Expectation::metric)
+        .filter(metric -> metric.startsWith("service"))
         .forEach(
-            figure ->
-                assertTrue(missedFigures.contains(figure), figure + " of " + random.figures()));
+            metric ->
+                assertTrue(missedMetrics.contains(metric), metric + " of " + random.metrics()));
     Verdict greedy = play(name, (runtime, seed, proxyIndex) -> new GreedyPolicy(runtime));
-    assertTrue(greedy.figures().get("broken.cold") > 0, greedy.figures().toString());
+    assertTrue(greedy.metrics().get("broken.cold") > 0, greedy.metrics().toString());
   }
 
   /**
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -91,7 +91,7 @@
   }
 
   private static void assertBroken(String rule, Verdict verdict) {
-    assertTrue(verdict.figures().get("broken." + rule) > 0, verdict.figures().toString());
+    assertTrue(verdict.metrics().get("broken." + rule) > 0, verdict.metrics().toString());
   }
 
   @Test
@@ -102,8 +102,8 @@
               effect,
               DRAIN + CRASH.replace("place = 0", "place = 1"),
               (runtime, request, ready, everListed) -> forwardToReady(runtime, request, ready));
-      assertEquals(0, verdict.figures().get("broken"), verdict.violations().toString());
-      assertTrue(verdict.figures().get("done") > 200);
+      assertEquals(0, verdict.metrics().get("broken"), verdict.violations().toString());
+      assertTrue(verdict.metrics().get("done") > 200);
     }
   }
 
@@ -157,7 +157,7 @@
           runtime.sendAttempt(request, ready.get(1), 0, (outcome, latency, ended) -> {});
         };
     assertBroken("effects", play("non-replayable", "", sendsTwice));
-    assertEquals(0, play("replayable", "", sendsTwice).figures().get("broken.effects"));
+    assertEquals(0, play("replayable", "", sendsTwice).metrics().get("broken.effects"));
     assertBroken(
         "effects",
         play(
@@ -180,7 +180,7 @@
         (runtime, request, ready, everListed) -> forwardToReady(runtime, request, everListed);
     Verdict verdict = play("replayable", DRAIN, ignoresDrains);
     assertBroken("drains", verdict);
-    assertTrue(verdict.figures().get("late-drain") > 700);
+    assertTrue(verdict.metrics().get("late-drain") > 700);
   }
 
   /** All proxies send all requests to the backend that has just started again. */
@@ -201,8 +201,8 @@
     Referee referee = new Referee(scenario);
     new VirtualRun(scenario, 4, Policies.Kind.RULES, referee).run();
     Verdict verdict = referee.verdict();
-    assertEquals(0, verdict.figures().get("broken"), verdict.violations().toString());
-    assertTrue(verdict.figures().get("done") > 50, verdict.figures().toString());
+    assertEquals(0, verdict.metrics().get("broken"), verdict.violations().toString());
+    assertTrue(verdict.metrics().get("done") > 50, verdict.metrics().toString());
   }
 
   /** Equal seeds give equal ledgers to the last entry, another seed gives another one. */
@@ -251,7 +251,7 @@
                     runtime.fail(request);
                   });
             });
-    assertEquals(0, verdict.figures().get("broken"));
+    assertEquals(0, verdict.metrics().get("broken"));
     assertEquals(List.of(AttemptOutcome.TIMEOUT), outcomes.stream().distinct().toList());
   }
 }
