--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -17,7 +17,8 @@
 import wheattrack.lab.virtual.VirtualRun;
 
 /**
- * What the lab costs and bears on this machine: the virtual world by size, and the sockets by rate.
+ * What the lab costs and achieves on this machine: runs on the virtual clock by size, and runs on
+ * sockets by rate.
  */
 final class BenchCommand {
   /** Size of a virtual fleet. */
@@ -121,7 +122,7 @@
         name,
         rate,
         metrics.get("done") / (scenario.duration() / (double) Scenario.SECOND),
-        ScenarioRunner.lateMillis(result.quality(), 99),
+        ScenarioRunner.latenessMillis(result.quality(), 99),
         metrics.get("p50"),
         metrics.get("p99"),
         metrics.get("p999"));
--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -29,7 +29,7 @@
 final class CompareCommand {
   private static final int MAX_SEEDS = 10_000;
 
-  /** The metrics that are printed, beside those of the scenario's windows. */
+  /** The metrics that are printed, in addition to those of the scenario's windows. */
   private static final List<String> PRINTED_METRICS =
       List.of("service", "worst-second", "broken", "denied", "aborted", "duplicate", "p50", "p99");
 
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -49,7 +49,7 @@
       return judge(scenario, settings, seed).metrics();
     }
 
-    /** The whole verdict of a run. */
+    /** The complete verdict of a run. */
     Verdict judge(Path scenario, Map<String, String> settings, int seed) {
       return ScenarioRunner.judgeVirtual(ScenarioReader.read(scenario, settings), seed, policy);
     }
@@ -103,11 +103,11 @@
 
     private static Map<String, Double> metrics(String resultLine) {
       Map<String, Double> metrics = new LinkedHashMap<>();
-      for (String word : resultLine.split(" ")) {
-        int equalsSign = word.indexOf('=');
-        if (equalsSign > 0 && !word.startsWith("ok=") && !word.startsWith("seed=")) {
-          String value = word.substring(equalsSign + 1);
-          metrics.put(word.substring(0, equalsSign), Double.parseDouble(value));
+      for (String field : resultLine.split(" ")) {
+        int equalsSign = field.indexOf('=');
+        if (equalsSign > 0 && !field.startsWith("ok=") && !field.startsWith("seed=")) {
+          String value = field.substring(equalsSign + 1);
+          metrics.put(field.substring(0, equalsSign), Double.parseDouble(value));
         }
       }
       return metrics;
--- a/lab/src/main/java/wheattrack/lab/ExitCode.java
+++ b/lab/src/main/java/wheattrack/lab/ExitCode.java
@@ -8,7 +8,7 @@
   FELL_SHORT(1),
   /** The command line or a file could not be used. */
   BAD_INPUT(2),
-  /** The run shows nothing: the machine was too busy, or a ledger is torn. */
+  /** The run shows nothing: the machine was too busy, or a ledger is corrupt. */
   INCONCLUSIVE(3);
 
   private final int status;
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -49,14 +49,14 @@
   private static ExitCode run(String[] args) {
     try {
       CommandLine line = LabOptions.parse(args);
-      List<String> words = line.getArgList();
-      if (line.hasOption("help") || words.equals(List.of("help"))) {
+      List<String> arguments = line.getArgList();
+      if (line.hasOption("help") || arguments.equals(List.of("help"))) {
         System.out.println(USAGE);
         return ExitCode.GOOD;
       }
-      return switch (words.size()) {
-        case 1 -> runCommand(words.get(0), line);
-        case 2 -> runCommand(words.get(0), words.get(1), line);
+      return switch (arguments.size()) {
+        case 1 -> runCommand(arguments.get(0), line);
+        case 2 -> runCommand(arguments.get(0), arguments.get(1), line);
         default -> badInput(USAGE);
       };
     } catch (ParseException | InvalidConfigurationException e) {
--- a/lab/src/main/java/wheattrack/lab/LabOptions.java
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -64,9 +64,9 @@
     return line.hasOption(option) ? Path.of(line.getOptionValue(option)) : null;
   }
 
-  /** The policy of one of the words for them. */
-  static Policies.Kind policy(String word) {
-    return Policies.Kind.values()[Policies.names().indexOf(word)];
+  /** The policy of this name on the command line. */
+  static Policies.Kind policy(String name) {
+    return Policies.Kind.values()[Policies.names().indexOf(name)];
   }
 
   /** The keys of the scenario that are set, each with its one value. */
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -29,7 +29,7 @@
    */
   record Job(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {}
 
-  /** What came of a run on sockets: the verdict, and how well the lab kept its own times. */
+  /** What came of a run on sockets: the verdict, and how punctual the lab itself was. */
   record SocketResult(Verdict verdict, SocketRun.Quality quality) {
     ExitCode exitCode() {
       return quality.isTooLate() ? ExitCode.INCONCLUSIVE : ScenarioRunner.exitCode(verdict);
@@ -82,7 +82,7 @@
     return referee.verdict();
   }
 
-  /** Plays on sockets, with a ledger on disk, and prints how well the lab kept its own times. */
+  /** Plays on sockets, with a ledger on disk, and prints how punctual the lab itself was. */
   static SocketResult runOnSockets(Scenario scenario, Job job, SocketRun.ProxyOptions options)
       throws IOException {
     Path ledger =
@@ -97,9 +97,9 @@
           Locale.ROOT,
           "the lab: late by %.2f ms at p50, %.2f at p99, %.2f at most; %d "
               + "connections of clients, %d reqs sent once more%n",
-          lateMillis(quality, 50),
-          lateMillis(quality, 99),
-          lateMillis(quality, 100),
+          latenessMillis(quality, 50),
+          latenessMillis(quality, 99),
+          latenessMillis(quality, 100),
           quality.openedConnections(),
           quality.resentRequests());
       if (quality.isTooLate()) {
@@ -126,7 +126,7 @@
   }
 
   /** By how many milliseconds the lab's own sends were late, at this percentile. */
-  static double lateMillis(SocketRun.Quality quality, double percentile) {
+  static double latenessMillis(SocketRun.Quality quality, double percentile) {
     return quality.latenessMicros().getValueAtPercentile(percentile) / 1000.0;
   }
 
@@ -153,10 +153,10 @@
     }
     if (job.outputDirectory != null) {
       ResultLines.write(
-          job.outputDirectory.resolve("result.jsonl"), verdict, job.seed, job.policy.word());
+          job.outputDirectory.resolve("result.jsonl"), verdict, job.seed, job.policy.keyword());
       HtmlReport.write(
           job.outputDirectory.resolve("report.html"),
-          List.of(new HtmlReport.Run(job.policy.word(), verdict)));
+          List.of(new HtmlReport.Run(job.policy.keyword(), verdict)));
     }
     System.out.println(verdict.resultLine(job.seed));
   }
--- a/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
+++ b/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
@@ -13,7 +13,7 @@
   /** Work, in tenths of a millisecond at speed 1. */
   double work();
 
-  /** When nobody waits for it any more, in tenths of a millisecond of the run. */
+  /** When the client stops waiting for it, in tenths of a millisecond of the run. */
   long deadline();
 
   /** The backend answers, or it breaks down and can't; called once. */
--- a/lab/src/main/java/wheattrack/lab/model/ClientOperation.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientOperation.java
@@ -60,7 +60,7 @@
     ended = true;
   }
 
-  /** Whether its client has hung up. */
+  /** Whether its client has disconnected. */
   boolean isDisconnected() {
     return disconnected;
   }
--- a/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
@@ -12,8 +12,8 @@
 import wheattrack.lab.scenario.Scenario.Clients;
 
 /**
- * The clients, and the front that distributes their requests over the proxies of their zone, on
- * either clock. Runs on the run's thread only.
+ * The clients, and the front load balancer that distributes their requests over the proxies of
+ * their zone, on either clock. Runs on the run's thread only.
  */
 public final class ClientPopulation {
   private final RunEnvironment environment;
@@ -22,7 +22,7 @@
   private final ArrivalProcess arrivals;
   private final Clients behaviour;
 
-  /** For each zone the proxies that the front takes to be up. */
+  /** For each zone the proxies that the front load balancer takes to be up. */
   private final List<List<ProxyHandle>> proxiesByZone = new ArrayList<>();
 
   private long operationCount;
@@ -48,7 +48,7 @@
     return arrivals;
   }
 
-  /** Tells the front that a proxy can be sent to, or that it is dead. */
+  /** Informs the front load balancer that a proxy can be sent to, or that it is dead. */
   public void setProxyAvailable(ProxyHandle proxy, boolean available) {
     List<ProxyHandle> proxies = proxiesByZone.get(proxy.zone());
     proxies.remove(proxy);
--- a/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
+++ b/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
@@ -74,7 +74,7 @@
   }
 
   /**
-   * Takes the list down or up again. While it is down nothing is sent; proxies that watch it anew
+   * Takes the list down or up again. While it is down nothing is sent; proxies that watch it again
    * afterwards receive a snapshot.
    */
   public final void setDown(boolean isDown) {
--- a/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
+++ b/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
@@ -176,7 +176,10 @@
     }
   }
 
-  /** Kills a proxy; the clients' front notices that later, unless it is up again by then. */
+  /**
+   * Kills a proxy; the clients' front load balancer notices that later, unless it is up again by
+   * then.
+   */
   private void killProxy(ProxyHandle proxy) {
     if (proxy.isUp()) {
       proxy.kill();
--- a/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
+++ b/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
@@ -41,7 +41,7 @@
     return incarnation;
   }
 
-  /** Starts its process; the clients' front learns once it can be sent to. */
+  /** Starts its process; the clients' front load balancer learns once it can be sent to. */
   public abstract void start();
 
   /** Kills its process. */
@@ -66,7 +66,7 @@
     environment.record(LedgerRecord.proxyChanged(environment.now(), index, true));
   }
 
-  /** Runs an action after a delay, unless the proxy was killed or started anew by then. */
+  /** Runs an action after a delay, unless the proxy was killed or started again by then. */
   public final TimerQueue.Timer scheduleInIncarnation(long delay, Runnable action) {
     int scheduledIn = incarnation;
     return environment.schedule(
@@ -87,6 +87,6 @@
   /** Sends it a request; the clients receive the answer, or a refused connection. */
   public abstract void submit(ClientRequest request);
 
-  /** The client of a request hangs up. */
+  /** The client of a request disconnects. */
   public abstract void clientDisconnected(ClientRequest request);
 }
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -112,7 +112,7 @@
     return draining;
   }
 
-  /** Whether load pushed it over while it was cold; it does not start again. */
+  /** Whether it collapsed under its load while it was cold; it does not start again. */
   public boolean isCollapsed() {
     return collapsed;
   }
@@ -173,7 +173,7 @@
     return group.coldSpeed() + (1 - group.coldSpeed()) * age / group.coldDuration();
   }
 
-  /** Accepts one connection more, or refuses it where it has as many as it bears. */
+  /** Accepts one connection more, or refuses it where it has as many as it can have. */
   public boolean tryConnect() {
     if (connectionCount >= group.maxConnections()) {
       return false;
@@ -303,7 +303,7 @@
     transitionTo(State.DEAD);
   }
 
-  /** The machine is cut off: nothing more is heard from it, and nothing reaches it. */
+  /** The machine is cut off: it sends nothing more, and nothing reaches it. */
   public void vanish() {
     incarnation++;
     connectionCount = 0;
--- a/lab/src/main/java/wheattrack/lab/referee/AnswerRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/AnswerRule.java
@@ -46,20 +46,25 @@
       return false;
     }
     request.setAnswer(entry.answer(), entry.at());
-    long late = entry.at() - request.deadline();
-    if (late > tolerance) {
+    long lateness = entry.at() - request.deadline();
+    if (lateness > tolerance) {
       violate(
-          entry.at(), "req " + entry.request() + " was answered " + late / 10 + " ms past its due");
+          entry.at(),
+          "req " + entry.request() + " was answered " + lateness / 10 + " ms past its due");
     }
     return true;
   }
 
   void judgeAttempt(TrackedRequest request, LedgerRecord entry) {
-    long late = entry.at() - request.closedAt();
-    if (late > tolerance) {
+    long lateness = entry.at() - request.closedAt();
+    if (lateness > tolerance) {
       violate(
           entry.at(),
-          "req " + entry.request() + " was sent on " + late / 10 + " ms after its answer or due");
+          "req "
+              + entry.request()
+              + " was sent on "
+              + lateness / 10
+              + " ms after its answer or due");
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 
 /**
- * The load that a backend which has just started bears from all proxies together. Let N be the
+ * The load that a backend which has just started sustains from all proxies together. Let N be the
  * requests of mean work that make up a given multiple of its momentary capacity over a window of
  * time; it collapses when a window holds more than N + 2 * sqrt(N) + 2, the excess over N being put
  * down to chance. Times are in tenths of a millisecond. Not thread-safe.
@@ -22,7 +22,7 @@
   /**
    * Creates an empty budget.
    *
-   * @param multiple how many times its capacity the backend bears
+   * @param multiple the multiple of its capacity that the backend sustains
    * @param window length of the window
    * @param meanWork the work of a mean request
    */
@@ -32,7 +32,7 @@
     this.meanWork = meanWork;
   }
 
-  /** Forgets the load so far: the backend has started anew. */
+  /** Forgets the load so far: the backend has started again. */
   public void clear() {
     arrivals.clear();
     windowWork = 0;
@@ -48,15 +48,15 @@
    */
   public boolean add(long at, double work, double capacity, boolean isInformed) {
     expire(at);
-    double bearable = multiple * capacity * window / meanWork;
+    double sustainable = multiple * capacity * window / meanWork;
     boolean isFirst = arrivals.isEmpty();
     if (!isFirst) {
-      peakLoad = Math.max(peakLoad, windowWork / meanWork / bearable);
+      peakLoad = Math.max(peakLoad, windowWork / meanWork / sustainable);
     }
     arrivals.add(new Arrival(at, work, isInformed));
     windowWork += work;
     informedWork += isInformed ? work : 0;
-    return !isFirst && windowWork / meanWork > bearable + 2 * Math.sqrt(bearable) + 2;
+    return !isFirst && windowWork / meanWork > sustainable + 2 * Math.sqrt(sustainable) + 2;
   }
 
   private void expire(long now) {
@@ -72,7 +72,7 @@
     return informedWork > windowWork * 2 / 3;
   }
 
-  /** The most that lay in a window as one request more came, in parts of N. */
+  /** The most that lay in a window as one request more came, as a multiple of N. */
   public double peakLoad() {
     return peakLoad;
   }
--- a/lab/src/main/java/wheattrack/lab/referee/ColdStartRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdStartRule.java
@@ -53,7 +53,10 @@
     }
   }
 
-  /** The highest load of a cold backend, in parts of what it bears without the margin of chance. */
+  /**
+   * The highest load of a cold backend, as a multiple of what it sustains without the allowance for
+   * chance.
+   */
   double peakLoad() {
     return peakLoad;
   }
--- a/lab/src/main/java/wheattrack/lab/referee/DrainRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/DrainRule.java
@@ -24,9 +24,9 @@
     if (state == null || state == State.READY) {
       return;
     }
-    long late = entry.at() - backend.stateSince(entry.proxy());
-    latestArrival = Math.max(latestArrival, late);
-    if (late > grace) {
+    long delay = entry.at() - backend.stateSince(entry.proxy());
+    latestArrival = Math.max(latestArrival, delay);
+    if (delay > grace) {
       violations.add(
           Rule.DRAINS,
           entry.at(),
@@ -37,7 +37,7 @@
               + " to server "
               + entry.backend()
               + " "
-              + late / 10
+              + delay / 10
               + " ms after it was told that it is "
               + state);
     }
--- a/lab/src/main/java/wheattrack/lab/referee/Ledger.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Ledger.java
@@ -21,7 +21,7 @@
   /** One record as a line of the ledger, its newline included. */
   static String format(LedgerRecord entry) {
     String text =
-        entry.kind().word()
+        entry.kind().keyword()
             + ' '
             + entry.at()
             + ' '
@@ -48,7 +48,7 @@
 
   /**
    * One writer's records, their times by the run's clock. Throws InvalidLedgerException where a
-   * line is torn or the last one is missing, and IOException if the file can't be read.
+   * line is corrupt or the last one is missing, and IOException if the file can't be read.
    */
   public static List<LedgerRecord> read(Path file) throws IOException {
     String text = Files.readString(file, StandardCharsets.US_ASCII);
--- a/lab/src/main/java/wheattrack/lab/referee/LedgerRecord.java
+++ b/lab/src/main/java/wheattrack/lab/referee/LedgerRecord.java
@@ -17,7 +17,7 @@
  */
 public record LedgerRecord(
     Kind kind, long at, long request, int proxy, int backend, long time, double amount, int code) {
-  /** What happened. Each kind has a word of its own in the ledger's lines. */
+  /** What happened. Each kind has a keyword of its own in the lines of the ledger. */
   public enum Kind {
     OPERATION_STARTED("ASKED"),
     REQUEST_ACCEPTED("TAKEN"),
@@ -33,25 +33,25 @@
     CLOCK("CLOCK"),
     END("END");
 
-    private final String word;
+    private final String keyword;
 
-    Kind(String word) {
-      this.word = word;
+    Kind(String keyword) {
+      this.keyword = keyword;
     }
 
-    /** The first word of such a line. */
-    String word() {
-      return word;
+    /** The first field of such a line. */
+    String keyword() {
+      return keyword;
     }
 
-    /** The kind that a line begins with; throws IllegalArgumentException for an unknown word. */
-    static Kind of(String word) {
+    /** The kind that a line begins with; throws IllegalArgumentException for an unknown keyword. */
+    static Kind of(String keyword) {
       for (Kind kind : values()) {
-        if (kind.word.equals(word)) {
+        if (kind.keyword.equals(keyword)) {
           return kind;
         }
       }
-      throw new IllegalArgumentException(word);
+      throw new IllegalArgumentException(keyword);
     }
   }
 
@@ -157,7 +157,7 @@
     return new LedgerRecord(Kind.CLOCK, at, 0, NONE, NONE, writerTime, 0, 0);
   }
 
-  /** The writer's last line; a ledger without it was cut off. */
+  /** The writer's last line; a ledger without it is truncated. */
   public static LedgerRecord end(long at) {
     return new LedgerRecord(Kind.END, at, 0, NONE, NONE, 0, 0, 0);
   }
--- a/lab/src/main/java/wheattrack/lab/referee/Rule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Rule.java
@@ -11,15 +11,15 @@
   /** No backend collapses while it warms up. */
   COLD("cold");
 
-  private final String word;
+  private final String keyword;
 
-  Rule(String word) {
-    this.word = word;
+  Rule(String keyword) {
+    this.keyword = keyword;
   }
 
   /** The rule's name in metrics and reports. */
   @Override
   public String toString() {
-    return word;
+    return keyword;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/RunState.java
+++ b/lab/src/main/java/wheattrack/lab/referee/RunState.java
@@ -82,7 +82,7 @@
     }
   }
 
-  /** A proxy is up: it learns the endpoint list anew. */
+  /** A proxy is up: it learns the endpoint list again. */
   void startProxy(LedgerRecord entry) {
     killedAtByProxy.remove(entry.proxy());
     backends.values().forEach(backend -> backend.forgetProxy(entry.proxy()));
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
@@ -12,10 +12,10 @@
 
 /** Measures the service of a run: values, answers, latency, and who sent how much to whom. */
 final class ServiceMetrics {
-  /** The most work of an attempt that is told apart, in tenths of a millisecond at speed 1. */
+  /** The most work of an attempt that is distinguished, in tenths of a millisecond at speed 1. */
   private static final long MAX_WORK = 1_000_000;
 
-  /** The highest latency that is told apart: ten minutes. */
+  /** The highest latency that is distinguished: ten minutes. */
   private static final long MAX_LATENCY = 10 * 60_000L * 10;
 
   private final Scenario scenario;
@@ -37,7 +37,7 @@
   }
 
   void countOperation(LedgerRecord entry) {
-    second(entry.at()).addAsked(entry.value());
+    second(entry.at()).addOffered(entry.value());
   }
 
   void countAccepted(int proxy) {
@@ -67,14 +67,14 @@
       return;
     }
     operation.markDone();
-    long took = at - operation.startedAt();
-    latency.recordValue(Math.min(latency.getHighestTrackableValue(), took));
-    second(operation.startedAt()).addEarned(earned(operation, took));
+    long operationLatency = at - operation.startedAt();
+    latency.recordValue(Math.min(latency.getHighestTrackableValue(), operationLatency));
+    second(operation.startedAt()).addEarned(earned(operation, operationLatency));
   }
 
-  private double earned(TrackedOperation operation, long took) {
+  private double earned(TrackedOperation operation, long operationLatency) {
     RequestClass requestClass = run.requestClassOf(operation);
-    if (took <= requestClass.latencyObjective()) {
+    if (operationLatency <= requestClass.latencyObjective()) {
       return operation.value();
     }
     if (requestClass.priorityWeight() > 0) {
@@ -112,21 +112,21 @@
     return totalsByProxy.computeIfAbsent(index, proxy -> new ProxyTotals());
   }
 
-  /** Value earned over value asked for in the seconds that begin in this stretch; 1 if none was. */
+  /** Value earned over value offered in the seconds that begin in this time span; 1 if none was. */
   double service(long from, long until) {
-    double asked = 0;
+    double offered = 0;
     double earned = 0;
     for (int i = 0; i < seconds.size(); i++) {
       long start = i * Scenario.SECOND;
       if (start >= from && start < until) {
-        asked += seconds.get(i).valueAsked();
+        offered += seconds.get(i).valueOffered();
         earned += seconds.get(i).valueEarned();
       }
     }
-    return asked > 0 ? earned / asked : 1;
+    return offered > 0 ? earned / offered : 1;
   }
 
-  /** The lowest share of the complete seconds of the run; 1 if nothing was asked for. */
+  /** The lowest share of the complete seconds of the run; 1 if nothing was offered. */
   double worstSecond() {
     int completeSeconds = (int) (scenario.duration() / Scenario.SECOND);
     return seconds.stream()
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceSecond.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceSecond.java
@@ -5,15 +5,15 @@
  * answers and attempts in the second in which they came.
  */
 public final class ServiceSecond {
-  private double valueAsked;
+  private double valueOffered;
   private double valueEarned;
   private int done;
   private int rejected;
   private int failed;
   private int attempts;
 
-  void addAsked(double value) {
-    valueAsked += value;
+  void addOffered(double value) {
+    valueOffered += value;
   }
 
   void addEarned(double value) {
@@ -33,8 +33,8 @@
   }
 
   /** Value of the operations that started. */
-  public double valueAsked() {
-    return valueAsked;
+  public double valueOffered() {
+    return valueOffered;
   }
 
   /** Value of those of them that were done, less where they were late. */
@@ -44,12 +44,12 @@
 
   /** Whether an operation of any value started, so that there is a share. */
   public boolean hasShare() {
-    return valueAsked > 0;
+    return valueOffered > 0;
   }
 
-  /** Value earned in parts of the value asked for. */
+  /** Value earned as a share of the value offered. */
   public double earnedShare() {
-    return valueEarned / valueAsked;
+    return valueEarned / valueOffered;
   }
 
   /** Requests answered with success. */
--- a/lab/src/main/java/wheattrack/lab/referee/TrackedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/referee/TrackedBackend.java
@@ -15,7 +15,7 @@
   private final Map<Integer, Long> stateSinceByProxy = new HashMap<>();
   private final Map<Integer, Long> knownStartByProxy = new HashMap<>();
 
-  /** Begins a new life; coldBudget: what it bears while it is cold. */
+  /** Begins a new incarnation; coldBudget: the load it sustains while it is cold. */
   void start(long at, double warmCapacity, boolean asCold, ColdBudget budget) {
     startedAt = at;
     capacity = warmCapacity;
@@ -35,7 +35,7 @@
     }
   }
 
-  /** A proxy that has started anew knows nothing until it is notified. */
+  /** A proxy that has started again knows nothing until it is notified. */
   void forgetProxy(int proxy) {
     stateByProxy.remove(proxy);
     stateSinceByProxy.remove(proxy);
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -29,7 +29,7 @@
     Map<Integer, ProxyTotals> totalsByProxy,
     List<LedgerRecord> faults,
     Histogram latency) {
-  /** Above this a metric is not shown as a whole number. */
+  /** Above this a metric is not shown as an integer. */
   private static final double MAX_WHOLE_NUMBER = 1e12;
 
   /** The scenario's expectations that are not met. */
--- a/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -9,7 +9,7 @@
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
 
-/** A run, or several of the same scenario, as one HTML file that needs nothing beside it. */
+/** A run, or several of the same scenario, as one self-contained HTML file. */
 public final class HtmlReport {
   /** One curve of the plots: its name and what was found. */
   public record Run(String name, Verdict verdict) {}
--- a/lab/src/main/java/wheattrack/lab/report/ReportTables.java
+++ b/lab/src/main/java/wheattrack/lab/report/ReportTables.java
@@ -78,7 +78,7 @@
       html.add(
           "<li>%.3f s: %s %s</li>",
           fault.at() / SECOND,
-          scenario.faults().get(fault.faultIndex()).kind().word(),
+          scenario.faults().get(fault.faultIndex()).kind().keyword(),
           fault.isBeginning() ? "begins" : "ends");
     }
     html.add("</ul>");
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -63,7 +63,7 @@
     json.writeStartObject();
     json.writeStringField("what", "second");
     json.writeNumberField("at_s", index);
-    json.writeNumberField("asked", second.valueAsked());
+    json.writeNumberField("asked", second.valueOffered());
     json.writeNumberField("earned", second.valueEarned());
     json.writeNumberField("done", second.done());
     json.writeNumberField("denied", second.rejected());
--- a/lab/src/main/java/wheattrack/lab/report/TimePlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -96,7 +96,7 @@
       html.add(
           "<rect x='%.1f' y='10' width='%.1f' height='%d' fill='#f3d9a6' fill-opacity='.55'/>",
           x, Math.max(2, area.x(until) - x), PlotArea.CURVE_HEIGHT);
-      html.add("<text x='%.1f' y='%d'>%s</text>", x + 2, 21 + 12 * (i % 4), fault.kind().word());
+      html.add("<text x='%.1f' y='%d'>%s</text>", x + 2, 21 + 12 * (i % 4), fault.kind().keyword());
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/AxisMeasurements.java
@@ -29,11 +29,11 @@
    *
    * @param slope value by point
    * @param error the slope's standard error
-   * @param bend the slope between the last two samples in parts of that between the first two
+   * @param slopeRatio the slope between the last two samples over that between the first two
    */
-  public record Line(double slope, double error, double bend) {}
+  public record Line(double slope, double error, double slopeRatio) {}
 
-  /** Prefix of the metrics of the complete proxy that stands beside. */
+  /** Prefix of the metrics of the complete proxy that runs alongside. */
   private static final String REFERENCE_PREFIX = "w_";
 
   private static final int MIN_COLUMN_WIDTH = 8;
@@ -134,7 +134,7 @@
           line.slope,
           line.error,
           axis,
-          line.bend);
+          line.slopeRatio);
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/CapacityReport.java
+++ b/lab/src/main/java/wheattrack/lab/scale/CapacityReport.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 
-/** The measurements as one HTML page that needs nothing beside it: a curve for each metric. */
+/** The measurements as one self-contained HTML page: a curve for each metric. */
 final class CapacityReport {
   private static final int WIDTH = 300;
   private static final int HEIGHT = 120;
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -81,7 +81,7 @@
         .sum();
   }
 
-  /** Has all read their configuration anew; returns once they have. */
+  /** Makes all of them reload their configuration; returns once they have. */
   void reload(Path config) {
     processes.forEach(process -> process.reload(config));
   }
@@ -92,12 +92,13 @@
   }
 
   /**
-   * Puts how long changes took from when they were made until they were in force, of all changes at
+   * Adds how long changes took from when they were made until they took effect, of all changes at
    * all proxies.
    *
    * @param changedAtNanos when each was made; the last of them is the source's latest revision
    */
-  void putTimesInForce(long[] changedAtNanos, SourceServer source, Map<String, Double> metrics) {
+  void putActivationLatencies(
+      long[] changedAtNanos, SourceServer source, Map<String, Double> metrics) {
     List<Double> latencies = new ArrayList<>();
     long latest = source.revision();
     for (ControlOnlyProcess process : processes) {
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -41,7 +41,7 @@
   private final List<ControlOnlyProxy> proxies = new ArrayList<>();
 
   /** By revision: when it took effect at each proxy, in nanoseconds of the shared clock. */
-  private final Map<Long, List<Long>> timesInForce = new TreeMap<>();
+  private final Map<Long, List<Long>> activationTimes = new TreeMap<>();
 
   /** The latest revision at each proxy; 0 before the first. */
   private final long[] latestRevisions;
@@ -103,13 +103,13 @@
   }
 
   private void answer(String command) throws InterruptedException {
-    String[] words = command.split(" ");
-    switch (words[0]) {
+    String[] arguments = command.split(" ");
+    switch (arguments[0]) {
       case "known" -> executeOnLoop(this::printKnown);
       case "heap" -> System.out.println(heapBytes());
-      case "forget" -> executeOnLoop(timesInForce::clear);
+      case "forget" -> executeOnLoop(activationTimes::clear);
       case "force" -> executeOnLoop(this::printTimesInForce);
-      case "reload" -> reload(Path.of(words[1]));
+      case "reload" -> reload(Path.of(arguments[1]));
       default -> System.out.println("unknown order: " + command);
     }
   }
@@ -123,12 +123,12 @@
 
   private void noteRevision(int index, long revision) {
     latestRevisions[index] = revision;
-    timesInForce.computeIfAbsent(revision, r -> new ArrayList<>()).add(System.nanoTime());
+    activationTimes.computeIfAbsent(revision, r -> new ArrayList<>()).add(System.nanoTime());
   }
 
   private void printTimesInForce() {
     StringBuilder lines = new StringBuilder();
-    timesInForce.forEach(
+    activationTimes.forEach(
         (revision, times) -> {
           lines.append(revision);
           times.forEach(time -> lines.append(' ').append(time));
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyProcess.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyProcess.java
@@ -41,41 +41,41 @@
 
   /** Waits for the proxies to start; to be called once, before any command. */
   Start awaitStart() throws IOException {
-    String[] words = readAnswer().get(0).split(" ");
-    return new Start(Long.parseLong(words[1]), Double.parseDouble(words[2]));
+    String[] fields = readAnswer().get(0).split(" ");
+    return new Start(Long.parseLong(fields[1]), Double.parseDouble(fields[2]));
   }
 
   Known known() {
-    String[] words = ask("known").get(0).split(" ");
-    return new Known(Integer.parseInt(words[0]), Double.parseDouble(words[1]));
+    String[] fields = execute("known").get(0).split(" ");
+    return new Known(Integer.parseInt(fields[0]), Double.parseDouble(fields[1]));
   }
 
   /** Bytes of heap in use after a collection. */
   double heapBytes() {
-    return Double.parseDouble(ask("heap").get(0));
+    return Double.parseDouble(execute("heap").get(0));
   }
 
   /** Forgets when revisions took effect so far. */
   void forgetRevisions() {
-    ask("forget");
+    execute("forget");
   }
 
   /** When each revision took effect at each proxy, in nanoseconds of the shared clock. */
   Map<Long, long[]> revisionTimes() {
     Map<Long, long[]> times = new LinkedHashMap<>();
-    for (String line : ask("force")) {
+    for (String line : execute("force")) {
       long[] numbers = Arrays.stream(line.split(" ")).mapToLong(Long::parseLong).toArray();
       times.put(numbers[0], Arrays.copyOfRange(numbers, 1, numbers.length));
     }
     return times;
   }
 
-  /** Has each proxy read its configuration anew; returns once all have. */
+  /** Makes each proxy reload its configuration; returns once all have. */
   void reload(Path config) {
-    ask("reload " + config);
+    execute("reload " + config);
   }
 
-  private List<String> ask(String command) {
+  private List<String> execute(String command) {
     try {
       process.outputWriter(StandardCharsets.US_ASCII).append(command).append('\n').flush();
       return readAnswer();
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -7,7 +7,7 @@
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
 import java.util.Map;
-import wheattrack.lab.scale.SteadyChanges.Pace;
+import wheattrack.lab.scale.SteadyChanges.ChangeSchedule;
 
 /** The axes about the endpoint list: its size, its changes, and who watches it. */
 final class EndpointMeasurements {
@@ -45,7 +45,7 @@
         }
         if (Double.isFinite(listMillis)) {
           new SteadyChanges(environment, source, backends)
-              .measure(fleet, reference, Pace.FAST, metrics);
+              .measure(fleet, reference, ChangeSchedule.FAST, metrics);
         }
       }
     }
@@ -60,7 +60,8 @@
                 SMALL_FLEET, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
       fleet.awaitLists(LIST_TIMEOUT_MILLIS);
       new SteadyChanges(environment, source, USUAL_LIST)
-          .measure(fleet, reference, new Pace(CHANGE_SECONDS * perSecond, perSecond), metrics);
+          .measure(
+              fleet, reference, new ChangeSchedule(CHANGE_SECONDS * perSecond, perSecond), metrics);
     }
   }
 
@@ -74,7 +75,7 @@
       metrics.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
       metrics.put("processes", (double) fleet.processCount());
       new SteadyChanges(environment, source, SMALL_LIST)
-          .measure(fleet, reference, Pace.GENTLE, metrics);
+          .measure(fleet, reference, ChangeSchedule.GENTLE, metrics);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
@@ -56,6 +56,6 @@
     double size = fleet.size();
     metrics.put("return_bytes", (source.bytesSent() - bytesBefore) / size);
     metrics.put("return_us", (fleet.cpuNanos() - cpuBefore) / 1e3 / size);
-    fleet.putTimesInForce(new long[] {changedAt}, source, metrics);
+    fleet.putActivationLatencies(new long[] {changedAt}, source, metrics);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/Polling.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Polling.java
@@ -2,7 +2,7 @@
 
 import java.util.function.BooleanSupplier;
 
-/** Waits for a condition by asking for it now and then. */
+/** Waits for a condition by checking it periodically. */
 final class Polling {
   private static final long INTERVAL_MILLIS = 20;
 
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -126,7 +126,7 @@
     }
   }
 
-  /** The most bytes that all processes held together at one of the looks at them. */
+  /** The most bytes that all processes held together at any one sample. */
   long peakMemoryBytes() {
     return peakMemoryBytes;
   }
--- a/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
@@ -31,7 +31,7 @@
     return address;
   }
 
-  /** Waits until it is ready; {@link #readyMillis} tells afterwards how long that took. */
+  /** Waits until it is ready; {@link #readyMillis} returns afterwards how long that took. */
   void awaitReady(long timeoutMillis) throws InterruptedException {
     boolean isReady = Polling.await(timeoutMillis, this::isReady);
     readyMillis = isReady ? millisSinceStart() : Double.NaN;
@@ -89,8 +89,8 @@
   }
 
   /**
-   * Has it read its configuration anew by a signal: milliseconds of processor time until it has,
-   * which include those at rest; NaN after the timeout.
+   * Makes it reload its configuration by a signal: milliseconds of processor time until it has,
+   * which include those of the idle state; NaN after the timeout.
    */
   double reloadCpuMillis(long timeoutMillis) throws IOException, InterruptedException {
     double reloadsBefore = metric("reloads_ok");
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -34,7 +34,7 @@
    * @param memoryBytes what all processes may hold, 0 for what the machine allows
    * @param sendsSnapshots whether the sources send each change as a complete snapshot, a fault that
    *     a test has to notice
-   * @param hasReferences whether complete proxies run beside the control-only ones
+   * @param hasReferences whether complete proxies run alongside the control-only ones
    */
   public record Job(
       Path home,
@@ -139,15 +139,15 @@
     if (text == null) {
       return axis.points();
     }
-    return Arrays.stream(text.split(",", -1)).mapToInt(word -> point(axis, word)).toArray();
+    return Arrays.stream(text.split(",", -1)).mapToInt(part -> point(axis, part)).toArray();
   }
 
-  private static int point(ScaleAxis axis, String word) {
+  private static int point(ScaleAxis axis, String text) {
     int point;
     try {
-      point = Integer.parseInt(word.strip());
+      point = Integer.parseInt(text.strip());
     } catch (NumberFormatException e) {
-      throw new InvalidConfigurationException("--points", "not a whole number: '" + word + "'");
+      throw new InvalidConfigurationException("--points", "not a whole number: '" + text + "'");
     }
     if (point < axis.min() || point > axis.max()) {
       throw new InvalidConfigurationException(
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Whether complete proxies run beside the control-only ones. Without them times say little, and
-   * little time is given to them.
+   * Whether complete proxies run alongside the control-only ones. Without them times say little,
+   * and little time is given to them.
    */
   boolean hasReferences() {
     return job.hasReferences();
--- a/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
@@ -9,7 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import wheattrack.lab.scale.SteadyChanges.Pace;
+import wheattrack.lab.scale.SteadyChanges.ChangeSchedule;
 
 /** The axes about settings: their size in a file, and in a source that is watched. */
 final class SettingsMeasurements {
@@ -71,7 +71,7 @@
     }
   }
 
-  /** Settings from a watched source: what a change costs, and when it is in force. */
+  /** Settings from a watched source: what a change costs, and when it takes effect. */
   private void measureSource(int ruleSets, int fleetSize, Map<String, Double> metrics)
       throws Exception {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
@@ -87,9 +87,10 @@
             metrics.put("w_ready_ms", reference.readyMillis());
             metrics.put("w_rss_mb", reference.peakResidentMib());
           }
-          Pace pace = fleetSize <= SMALL_FLEET ? Pace.FAST : Pace.GENTLE;
+          ChangeSchedule schedule =
+              fleetSize <= SMALL_FLEET ? ChangeSchedule.FAST : ChangeSchedule.GENTLE;
           new SteadyChanges(environment, settings, ruleSets)
-              .measure(fleet, reference, pace, metrics);
+              .measure(fleet, reference, schedule, metrics);
           if (reference != null) {
             metrics.put("w_told", reference.metric("settings_told"));
           }
--- a/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
@@ -22,8 +22,8 @@
 
 /**
  * A discovery or settings server for thousands of watches: one thread, an answer in chunks to each
- * watch. It keeps a bounded history of changes; who asks for what lies before it gets a complete
- * snapshot. Its methods may be called by any thread.
+ * watch. It keeps a bounded history of changes; a client that asks for an earlier revision gets a
+ * complete snapshot. Its methods may be called by any thread.
  */
 final class SourceServer implements AutoCloseable {
   /** How the server meets its clients. */
@@ -41,7 +41,7 @@
   private static final int READ_BUFFER_BYTES = 1 << 16;
   private static final long SELECT_TIMEOUT_MILLIS = 50;
 
-  /** An empty line goes to each watch this often, as a sign of life. */
+  /** An empty line goes to each watch this often, as a heartbeat. */
   private static final long HEARTBEAT_NANOS = 2_000_000_000;
 
   private static final long EXECUTE_TIMEOUT_SECONDS = 5;
--- a/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -4,17 +4,17 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures changes of a source at an even pace: what each costs beyond rest, when it is in force,
- * and how much longer requests take meanwhile.
+ * Measures changes of a source at an even rate: what each costs beyond the idle state, when it
+ * takes effect, and how much longer requests take meanwhile.
  */
 final class SteadyChanges {
   /** How many changes are made, and at what rate. */
-  record Pace(int count, int perSecond) {
+  record ChangeSchedule(int count, int perSecond) {
     /** For a few watchers. */
-    static final Pace FAST = new Pace(200, 100);
+    static final ChangeSchedule FAST = new ChangeSchedule(200, 100);
 
     /** For thousands of watchers. */
-    static final Pace GENTLE = new Pace(20, 5);
+    static final ChangeSchedule GENTLE = new ChangeSchedule(20, 5);
   }
 
   /** Changes before the measurement, so that code is compiled as in a proxy that has run on. */
@@ -30,7 +30,7 @@
 
   private static final long SHORT_REST_MILLIS = 100;
 
-  /** Time for the last change to be in force everywhere. */
+  /** Time for the last change to take effect everywhere. */
   private static final long SETTLE_MILLIS = 800;
 
   private static final long PROBE_WARM_UP_MILLIS = 1000;
@@ -40,7 +40,7 @@
   private final SourceServer source;
   private final int entries;
 
-  /** entries: how many the source has, of which the changes take their turns. */
+  /** entries: how many the source has, which the changes go through in turn. */
   SteadyChanges(ScaleEnvironment environment, SourceServer source, int entries) {
     this.environment = environment;
     this.source = source;
@@ -48,15 +48,18 @@
   }
 
   /**
-   * Makes changes at this pace while a fleet and, unless it is null, a reference proxy watch the
-   * source, and puts the metrics.
+   * Makes changes by this schedule while a fleet and, unless it is null, a reference proxy watch
+   * the source, and puts the metrics.
    */
   void measure(
-      ControlOnlyFleet fleet, ReferenceProxy reference, Pace pace, Map<String, Double> metrics)
+      ControlOnlyFleet fleet,
+      ReferenceProxy reference,
+      ChangeSchedule schedule,
+      Map<String, Double> metrics)
       throws InterruptedException {
     if (environment.hasReferences()) {
       int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
-      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(pace.perSecond, notifications));
+      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(schedule.perSecond, notifications));
       change(warmUp, warmUp);
       Thread.sleep(WARM_UP_PAUSE_MILLIS);
     }
@@ -73,21 +76,21 @@
     referenceBefore = cpuNanos(reference);
     long bytesBefore = source.bytesSent();
     long start = System.nanoTime();
-    long[] changedAt = change(pace.count, pace.perSecond);
+    long[] changedAt = change(schedule.count, schedule.perSecond);
     Thread.sleep(SETTLE_MILLIS);
     environment.checkLimit();
     double elapsed = System.nanoTime() - start;
     double watchers = fleet.size() + (reference == null ? 0 : 1);
     double fleetSpent = fleet.cpuNanos() - fleetBefore - fleetRest * elapsed;
-    metrics.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / pace.count);
+    metrics.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / schedule.count);
     metrics.put("idle_us_s", fleetRest * 1e6 / fleet.size());
-    metrics.put("change_us", fleetSpent / 1e3 / fleet.size() / pace.count);
-    fleet.putTimesInForce(changedAt, source, metrics);
+    metrics.put("change_us", fleetSpent / 1e3 / fleet.size() / schedule.count);
+    fleet.putActivationLatencies(changedAt, source, metrics);
     if (reference != null && reference.wasReady()) {
       double spent = cpuNanos(reference) - referenceBefore - referenceRest * elapsed;
       metrics.put("w_idle_us_s", referenceRest * 1e6);
-      metrics.put("w_change_us", spent / 1e3 / pace.count);
-      measureLatency(reference, pace.perSecond, metrics);
+      metrics.put("w_change_us", spent / 1e3 / schedule.count);
+      measureLatency(reference, schedule.perSecond, metrics);
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
+++ b/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
@@ -14,7 +14,7 @@
   /** Changes so many entries from this one on, and returns them as this revision. */
   String change(long revision, int first, int count);
 
-  /** A list of backends, all at one address; a change turns SERVING and DRAINING round. */
+  /** A list of backends, all at one address; a change switches between SERVING and DRAINING. */
   final class Backends implements VersionedSource {
     private static final int FIRST_UID = 0x1000_0000;
     private static final int BACKENDS_PER_POD_GROUP = 4;
@@ -69,7 +69,7 @@
     }
   }
 
-  /** Rule sets, each with ten tenants; a change turns a latency objective between two values. */
+  /** Rule sets, each with ten tenants; a change switches a latency objective between two values. */
   final class Scope implements VersionedSource {
     private static final int TENANTS_PER_RULE_SET = 10;
     private static final int TIGHT_OBJECTIVE = 600_000;
--- a/lab/src/main/java/wheattrack/lab/scenario/Fault.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Fault.java
@@ -33,11 +33,11 @@
   /**
    * The bounds of a kind's magnitude.
    *
-   * @param standard the magnitude where the scenario names none
+   * @param defaultValue the magnitude where the scenario names none
    * @param min the least allowed
    * @param max the greatest allowed
    */
-  public record MagnitudeRange(double standard, double min, double max) {}
+  public record MagnitudeRange(double defaultValue, double min, double max) {}
 
   /** What the timeline can do, and on which clocks it can be played. */
   public enum Kind {
@@ -87,7 +87,7 @@
     }
 
     /** The name of this kind in a scenario file. */
-    public String word() {
+    public String keyword() {
       return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
--- a/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
@@ -48,7 +48,7 @@
   private static Map<String, Object> requestClass(String name, RequestClass requestClass) {
     Map<String, Object> settings = new LinkedHashMap<>();
     settings.put("name", name);
-    settings.put("effect", effectWord(requestClass.idempotency()));
+    settings.put("effect", effectKeyword(requestClass.idempotency()));
     settings.put("group", requestClass.deduplicationScope().name().toLowerCase(Locale.ROOT));
     settings.put("window", requestClass.deduplicationWindow() * Settings.UNIT);
     settings.put("responseTarget", requestClass.latencyObjective() * Settings.UNIT);
@@ -58,7 +58,7 @@
     return settings;
   }
 
-  private static String effectWord(Idempotency idempotency) {
+  private static String effectKeyword(Idempotency idempotency) {
     return switch (idempotency) {
       case IDEMPOTENT -> "read_like";
       case IDEMPOTENT_WITH_KEY -> "idempotency_key";
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -17,7 +17,7 @@
  * @param zoneCount the number of zones, over which proxies and backends are spread in turn
  * @param backendGroups the backends, by kind
  * @param workloads the request classes with what clients send of each
- * @param frontNotice how long the clients' front takes to notice that a proxy is dead
+ * @param frontNotice how long the clients' front load balancer takes to notice that a proxy is dead
  * @param terms what the referee judges by
  * @param limits what the proxies' policy may do
  */
@@ -47,7 +47,9 @@
   /** Tenths of a millisecond in a millisecond. */
   public static final long MILLISECOND = 10;
 
-  /** The metrics of a verdict that an expectation may name, beside the service in a window. */
+  /**
+   * The metrics of a verdict that an expectation may name, in addition to the service in a window.
+   */
   public static final List<String> METRICS =
       List.of(
           "broken",
@@ -149,7 +151,7 @@
    * @param retries the most retries of one operation
    * @param backoff the delay before the first retry; it doubles with each further one
    * @param retryAfterShare the share of clients that follow the Retry-After of a rejection
-   * @param impatientShare the share of attempts whose client hangs up before the answer
+   * @param impatientShare the share of attempts whose client disconnects before the answer
    */
   public record Clients(int retries, long backoff, double retryAfterShare, double impatientShare) {}
 
@@ -219,7 +221,7 @@
     return backendGroups.stream().mapToInt(BackendGroup::count).sum();
   }
 
-  /** The group of a backend; groups take turns, so that ids say nothing of them. */
+  /** The group of a backend; groups take turns, so that an id does not reveal the group. */
   public BackendGroup groupOf(int backend) {
     int remaining = backend;
     for (int round = 0; ; round++) {
@@ -245,7 +247,10 @@
     return workloads.stream().mapToDouble(Workload::meanWork).average().orElse(1);
   }
 
-  /** A new measure of what one backend bears while it is cold, by the terms of this scenario. */
+  /**
+   * A new measure of the load that one backend sustains while it is cold, by the terms of this
+   * scenario.
+   */
   public ColdBudget coldBudget() {
     return new ColdBudget(terms.collapseMultiple, terms.collapseWindow, meanWork());
   }
--- a/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
@@ -29,8 +29,9 @@
  * wheattrack.config.InvalidConfigurationException}, which names file, line and key.
  */
 public final class ScenarioReader {
-  /** Words for {@link Idempotency}, in the order of its constants. */
-  private static final List<String> EFFECTS = List.of("replayable", "uniqued", "non-replayable");
+  /** Keywords of {@link Idempotency}, in the order of its constants. */
+  private static final List<String> IDEMPOTENCY_KEYWORDS =
+      List.of("replayable", "uniqued", "non-replayable");
 
   private static final List<String> SIGNS = List.of(">=", "<=", ">", "<", "=");
   private static final String SCENARIO_DIRECTORY = "/scenarios/";
@@ -135,13 +136,14 @@
   }
 
   private static long milliseconds(
-      ConfigurationReader section, String key, double standard, double min) {
-    return Math.round(section.number(key, standard, min, MAX_MILLISECONDS) * Scenario.MILLISECOND);
+      ConfigurationReader section, String key, double defaultValue, double min) {
+    return Math.round(
+        section.number(key, defaultValue, min, MAX_MILLISECONDS) * Scenario.MILLISECOND);
   }
 
   private static long seconds(
-      ConfigurationReader section, String key, double standard, double min, double max) {
-    return Math.round(section.number(key, standard, min, max) * Scenario.SECOND);
+      ConfigurationReader section, String key, double defaultValue, double min, double max) {
+    return Math.round(section.number(key, defaultValue, min, max) * Scenario.SECOND);
   }
 
   private List<BackendGroup> backendGroups() {
@@ -194,7 +196,8 @@
       throw section.fault("target-ms", "past timeout-ms");
     }
     Idempotency idempotency =
-        Idempotency.values()[EFFECTS.indexOf(section.choice("effect", EFFECTS))];
+        Idempotency.values()[
+            IDEMPOTENCY_KEYWORDS.indexOf(section.choice("effect", IDEMPOTENCY_KEYWORDS))];
     DeduplicationScope scope =
         DeduplicationScope.valueOf(
             section.choice("group", List.of("all", "zone", "cell")).toUpperCase(Locale.ROOT));
@@ -230,7 +233,7 @@
     if (!isTrace && trace.length > 0) {
       throw section.fault("trace", "given, but shape is no trace");
     }
-    if (Arrays.stream(trace).anyMatch(rate -> !(rate >= 0))) { // NaN is refused as well
+    if (Arrays.stream(trace).anyMatch(rate -> !(rate >= 0))) { // NaN is rejected as well
       throw section.fault("trace", "a negative rate");
     }
     return new Load(
@@ -310,21 +313,21 @@
     Fault.Target target = target(section, kind);
     Fault.MagnitudeRange range = kind.magnitudeRange();
     double magnitude =
-        range == null ? 0 : section.number("size", range.standard(), range.min(), range.max());
+        range == null ? 0 : section.number("size", range.defaultValue(), range.min(), range.max());
     long interval =
         kind == Fault.Kind.PAUSE ? seconds(section, "every-s", 3, 0.05, MAX_SECONDS) : 0;
     return new Fault(kind, startsAt, lasts, target, magnitude, interval);
   }
 
   private Fault.Kind faultKind(ConfigurationReader section) {
-    List<String> words = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
-    Fault.Kind kind = Fault.Kind.values()[words.indexOf(section.choice("kind", words))];
+    List<String> keywords = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::keyword).toList();
+    Fault.Kind kind = Fault.Kind.values()[keywords.indexOf(section.choice("kind", keywords))];
     if (!section.has("kind")) {
       throw section.fault("kind", "missing");
     }
     if (!kind.isPlayable(isVirtual)) {
       String clock = isVirtual ? "virtual" : "real";
-      throw section.fault("kind", kind.word() + " can't be played on the " + clock + " clock");
+      throw section.fault("kind", kind.keyword() + " can't be played on the " + clock + " clock");
     }
     return kind;
   }
--- a/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -112,7 +112,7 @@
     private final int proxy;
     private final int incarnation = backend.incarnation();
     private boolean silent;
-    private boolean counted;
+    private boolean holdsBackendConnection;
     private boolean unused = true;
     private Runnable closeHandler;
 
@@ -123,8 +123,8 @@
     }
 
     void open() {
-      counted = silent || backend.tryConnect();
-      if (counted) {
+      holdsBackendConnection = silent || backend.tryConnect();
+      if (holdsBackendConnection) {
         read(decoder.writableBuffer());
       } else {
         reset();
@@ -204,7 +204,7 @@
       if (!isClosed()) {
         super.close();
         connections.remove(this);
-        if (counted) {
+        if (holdsBackendConnection) {
           backend.connectionClosed(incarnation);
         }
       }
--- a/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -97,12 +97,12 @@
         backend.zone(),
         backend.group().kind(),
         event.backend() / BACKENDS_PER_CELL,
-        stateWord(event.state()),
+        stateKeyword(event.state()),
         backend.group().cores() * backend.group().speed(),
         event.startedAt() == LONG_AGO ? 0 : run.unixMillis(event.startedAt()));
   }
 
-  private static String stateWord(State state) {
+  private static String stateKeyword(State state) {
     return switch (state) {
       case READY -> "SERVING";
       case DRAINING -> "DRAINING";
--- a/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
@@ -16,7 +16,7 @@
 
   private final ClientRequest clientRequest;
   private final ByteBuffer bytes;
-  private boolean taken;
+  private boolean accepted;
 
   EncodedRequest(ClientRequest clientRequest) {
     this.clientRequest = clientRequest;
@@ -62,11 +62,11 @@
   }
 
   /** Whether its last byte was written, on this or an earlier connection. */
-  boolean isTaken() {
-    return taken;
+  boolean isAccepted() {
+    return accepted;
   }
 
-  void markTaken() {
-    taken = true;
+  void markAccepted() {
+    accepted = true;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -75,9 +75,9 @@
     if (current == null || output.hasRemaining()) {
       return;
     }
-    if (complete && !current.isTaken() && current.clientRequest().isOpen()) {
-      current.markTaken();
-      recordTaken(current);
+    if (complete && !current.isAccepted() && current.clientRequest().isOpen()) {
+      current.markAccepted();
+      recordAccepted(current);
       EncodedRequest sent = current;
       run.schedule(
           sent.timeout() + ANSWER_GRACE,
@@ -89,7 +89,7 @@
     }
   }
 
-  private void recordTaken(EncodedRequest request) {
+  private void recordAccepted(EncodedRequest request) {
     ClientRequest clientRequest = request.clientRequest();
     run.record(
         LedgerRecord.requestAccepted(
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnectionPool.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnectionPool.java
@@ -53,7 +53,7 @@
     }
   }
 
-  /** The client of a request hangs up: its connection is closed. */
+  /** The client of a request disconnects: its connection is closed. */
   void disconnect(ClientRequest request) {
     for (LoadConnection connection : List.copyOf(connections)) {
       if (connection.carries(request)) {
@@ -74,7 +74,7 @@
 
   /** The connection of a request ended without an answer. */
   void requestBroken(EncodedRequest request) {
-    if (request.isTaken()) {
+    if (request.isAccepted()) {
       run.clients().answered(request.clientRequest(), Answer.CONNECTION_LOST, 0);
     } else {
       run.clients().connectionRefused(request.clientRequest());
--- a/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
@@ -36,7 +36,7 @@
   private static final int MAX_SOCKETS = 1024;
 
   /** How long after a client's timeout the work of its request is still known. */
-  private static final long REQUEST_MEMORY = 20_000;
+  private static final long REQUEST_RETENTION = 20_000;
 
   private static final long EXIT_TIMEOUT_SECONDS = 5;
 
@@ -193,7 +193,7 @@
     EncodedRequest encoded = new EncodedRequest(request);
     long requestId = request.requestId();
     run.expectRequest(requestId, Math.max(1, Math.round(request.plan().work())));
-    run.schedule(encoded.timeout() + REQUEST_MEMORY, () -> run.forgetRequest(requestId));
+    run.schedule(encoded.timeout() + REQUEST_RETENTION, () -> run.forgetRequest(requestId));
     clientConnections.send(encoded);
   }
 
--- a/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
@@ -19,7 +19,7 @@
   private final Consumer<Boolean> callback;
   private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_SIZE);
 
-  /** Creates a check that tells the callback whether the proxy at an address is ready. */
+  /** Creates a check that reports to the callback whether the proxy at an address is ready. */
   ReadinessCheck(SocketRun run, InetSocketAddress address, Consumer<Boolean> callback)
       throws IOException {
     super(run.loop(), AsynchronousSocketChannel.open(run.group()));
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -26,12 +26,13 @@
 
 /**
  * A deployment on loopback sockets in real time: proxies as processes of their own, and in this one
- * the models of clients, front, backends, endpoint list and links. All of it ends with the run,
- * also when that is interrupted. Times are tenths of a millisecond from the start of the run.
+ * the models of clients, front load balancer, backends, endpoint list and links. All of it ends
+ * with the run, also when that is interrupted. Times are tenths of a millisecond from the start of
+ * the run.
  */
 public final class SocketRun extends RunEnvironment implements AutoCloseable {
   /**
-   * How well the lab itself kept up.
+   * How punctual the lab itself was.
    *
    * @param latenessMicros how late operations started, in microseconds
    * @param resentRequests requests sent again as their connection was closed under them
--- a/lab/src/main/java/wheattrack/lab/virtual/BaselinePolicy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/BaselinePolicy.java
@@ -29,7 +29,7 @@
   private final int maxAttempts;
   private final List<Integer> readyBackends = new ArrayList<>();
   private int[] attemptsInFlight = new int[16];
-  private int turn;
+  private int nextPosition;
 
   BaselinePolicy(Policies.Kind kind, PolicyRuntime runtime, RandomStream random, int maxAttempts) {
     this.kind = kind;
@@ -96,7 +96,7 @@
 
   private int candidatePosition(int trial, int count) {
     return switch (kind) {
-      case ROUND_ROBIN -> turn++ % count;
+      case ROUND_ROBIN -> nextPosition++ % count;
       case LEAST_OUT -> trial;
       default -> random.nextInt(count);
     };
--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -15,7 +15,7 @@
 /** The proxies' policy and the baselines that it is compared with, which only the lab has. */
 public final class Policies {
   /**
-   * The policies by the words of the command line: RULES is the proxies' own, LEAST_OUT takes the
+   * The policies by their names on the command line: RULES is the proxies' own, LEAST_OUT takes the
    * backend with the fewest attempts in flight.
    */
   public enum Kind {
@@ -26,7 +26,7 @@
     TWO_CHOICES;
 
     /** Its name on the command line. */
-    public String word() {
+    public String keyword() {
       return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
   }
@@ -35,7 +35,7 @@
 
   /** The names of all policies as the command line has them. */
   public static List<String> names() {
-    return Arrays.stream(Kind.values()).map(Kind::word).toList();
+    return Arrays.stream(Kind.values()).map(Kind::keyword).toList();
   }
 
   /** A factory of policies with the settings that a scenario gives its proxies. */
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
@@ -122,7 +122,7 @@
 
   private void receive(ClientRequest request, long sentAt) {
     if (!request.isOpen()) {
-      return; // the client hung up before the request was here
+      return; // the client disconnected before the request was here
     }
     if (!isUp()) {
       run.schedule(run.clientDelay(), () -> run.clients().connectionRefused(request));
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -14,8 +14,9 @@
 
 /**
  * A complete deployment in one thread on a virtual clock: proxies with the real policy, and models
- * of backends, endpoint list, links, front and clients. Equal scenarios, seeds and policies give
- * equal ledgers on any machine. Times are tenths of a millisecond from the start of the run.
+ * of backends, endpoint list, links, front load balancer and clients. Equal scenarios, seeds and
+ * policies give equal ledgers on any machine. Times are tenths of a millisecond from the start of
+ * the run.
  */
 public final class VirtualRun extends RunEnvironment {
   /** The time on a proxy's clock at the start of the run. */
--- a/lab/src/test/java/wheattrack/lab/ScenarioTest.java
+++ b/lab/src/test/java/wheattrack/lab/ScenarioTest.java
@@ -28,7 +28,7 @@
     assertFails(
         "[[fault]]\nkind = \"hang\"\nat-s = 1\n[[fault]]\nkind = \"flood\"\n",
         "small.toml:21: fault[1].kind: 'flood' is none of "
-            + Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList());
+            + Arrays.stream(Fault.Kind.values()).map(Fault.Kind::keyword).toList());
     assertFails(
         "[[fault]]\nkind = \"hang\"\nat-s = 6\n",
         "small.toml:19: fault[0].at-s: 6.0 is past the end");
