lab: axis labels of the HTML report stand in a fixed order

Cause: TimePlots took its axis labels from a Map.of, whose order differs from process to process, so that the pages of equal runs differed. Change: a list of labels, from the foot of the plot to its top.

--- a/lab/src/main/java/wheattrack/lab/report/TimePlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -9,7 +9,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import wheattrack.lab.referee.ServiceSecond;
@@ -20,6 +19,9 @@
 
 /** The plots over the time of the run: a curve for each run, the faults behind them. */
 final class TimePlots {
+  /** A label of the vertical axis, from 0 at the foot of the plot to 1 at its top. */
+  private record AxisLabel(double partOfHeight, String text) {}
+
   private final HtmlWriter html;
   private final List<Run> runs;
   private final Scenario scenario;
@@ -35,7 +37,7 @@
   void addService() {
     open(
         "Service: value done within the target over value asked for",
-        Map.of(0.0, "0", 0.5, "50%", 1.0, "100%"));
+        List.of(new AxisLabel(0, "0"), new AxisLabel(0.5, "50%"), new AxisLabel(1, "100%")));
     addCurves(ServiceSecond::hasShare, ServiceSecond::earnedShare);
     html.closeDrawing();
   }
@@ -47,7 +49,9 @@
       max = Math.max(max, most);
     }
     double top = max;
-    open("Denied and aborted by second", Map.of(0.0, "0", 1.0, Verdict.format(top)));
+    open(
+        "Denied and aborted by second",
+        List.of(new AxisLabel(0, "0"), new AxisLabel(1, Verdict.format(top))));
     addCurves(second -> true, second -> unsuccessful(second) / top);
     html.closeDrawing();
   }
@@ -72,17 +76,18 @@
     }
   }
 
-  /** Opens a plot; labels: those of its vertical axis by the part of its height. */
-  private void open(String title, Map<Double, String> labels) {
+  /** Opens a plot with these labels at its vertical axis. */
+  private void open(String title, List<AxisLabel> labels) {
     html.add("<h2>%s</h2>", escaped(title));
     html.openDrawing(WIDTH, HEIGHT);
     addFaults();
-    labels.forEach(
-        (part, label) ->
-            html.add(
-                "<line x1='%d' x2='%d' y1='%.1f' y2='%.1f' stroke='#ddd'/>"
-                    + "<text x='%d' y='%.1f' text-anchor='end'>%s</text>",
-                LEFT, RIGHT, y(part), y(part), LEFT - 6, y(part) + 4, label));
+    for (AxisLabel label : labels) {
+      double y = y(label.partOfHeight);
+      html.add(
+          "<line x1='%d' x2='%d' y1='%.1f' y2='%.1f' stroke='#ddd'/>"
+              + "<text x='%d' y='%.1f' text-anchor='end'>%s</text>",
+          LEFT, RIGHT, y, y, LEFT - 6, y + 4, label.text);
+    }
     addTimeAxis();
   }
 
