lab: logic that stood twice stands once

Cause: the four rule checkers had the same fields, constructor and violate method; the speed of a cold backend, the cell and zone of an index, the delay of a discovery event, units of time, the java command, killing a process and deleting a directory were each written two to four times.

--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -121,7 +121,7 @@
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        metrics.get("done") / (scenario.duration() / (double) Scenario.SECOND),
+        metrics.get("done") / (Scenario.toSeconds(scenario.duration())),
         ScenarioRunner.latenessMillis(result.quality(), 99),
         metrics.get("p50"),
         metrics.get("p99"),
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.process.Processes;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.virtual.Policies;
@@ -77,7 +78,7 @@
       String classPath =
           jar + System.getProperty("path.separator") + System.getProperty("java.class.path");
       List<String> command = new ArrayList<>();
-      command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+      command.add(Processes.javaCommand());
       command.add("-XX:+UseSerialGC");
       command.addAll(List.of("-cp", classPath));
       command.add(LabMain.class.getName());
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -135,7 +135,7 @@
       System.out.printf(
           Locale.ROOT,
           "broken %8.3f s %s: %s%n",
-          violation.at() / 10_000.0,
+          Scenario.toSeconds(violation.at()),
           violation.rule(),
           violation.description());
     }
--- a/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
+++ b/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import wheattrack.core.BackendIndex;
+import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.referee.LedgerRecord.State;
 
 /**
@@ -19,10 +20,8 @@
   /** The start time of a backend of which the list says only that it started long ago. */
   public static final long LONG_AGO = BackendIndex.LONG_AGO;
 
-  /** Backends of consecutive indexes that share a cell (pod group). */
-  public static final int BACKENDS_PER_CELL = 4;
-
   private final RunEnvironment environment;
+  private final RandomStream random;
   private final Map<Integer, EndpointEvent> endpoints = new LinkedHashMap<>();
   private List<EndpointEvent> staleEndpoints = List.of();
   private boolean down;
@@ -32,6 +31,7 @@
   /** Creates a list of all backends of the run, as ready and started long ago. */
   protected EndpointRegistry(RunEnvironment environment) {
     this.environment = environment;
+    random = environment.randomStream("list");
     for (SimulatedBackend backend : environment.backends()) {
       int index = backend.index();
       endpoints.put(index, new EndpointEvent(index, State.READY, LONG_AGO));
@@ -46,6 +46,11 @@
     return stale ? staleEndpoints : new ArrayList<>(endpoints.values());
   }
 
+  /** Draws the time that an event takes to reach a proxy. */
+  protected final long drawDeliveryDelay() {
+    return Math.round(environment.scenario().discovery().delay() * (0.5 + random.nextDouble()));
+  }
+
   /** Whether nothing is sent at present. */
   protected final boolean isDown() {
     return down;
--- a/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
+++ b/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
@@ -56,26 +56,24 @@
   }
 
   private List<Integer> targets(Fault fault, RandomStream random) {
-    int zoneCount = environment.scenario().zoneCount();
     if (fault.kind().hitsProxies()) {
-      return chooseTargets(fault, environment.proxies().size(), zoneCount, random);
+      return chooseTargets(fault, environment.proxies().size(), random);
     }
     if (fault.kind().hitsBackends()) {
-      return chooseTargets(fault, environment.backends().size(), zoneCount, random);
+      return chooseTargets(fault, environment.backends().size(), random);
     }
     return List.of();
   }
 
   /** The indexes that a fault hits; they are drawn without repeats. */
-  private static List<Integer> chooseTargets(
-      Fault fault, int population, int zoneCount, RandomStream random) {
+  private List<Integer> chooseTargets(Fault fault, int population, RandomStream random) {
     Fault.Target target = fault.target();
     if (target.index() >= 0) {
       return List.of(target.index());
     }
     List<Integer> candidates = new ArrayList<>();
     for (int index = 0; index < population; index++) {
-      if (target.zone() < 0 || index % zoneCount == target.zone()) {
+      if (target.zone() < 0 || environment.scenario().zoneOf(index) == target.zone()) {
         candidates.add(index);
       }
     }
--- a/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
+++ b/lab/src/main/java/wheattrack/lab/model/ProxyHandle.java
@@ -18,7 +18,7 @@
   protected ProxyHandle(RunEnvironment environment, int index) {
     this.environment = environment;
     this.index = index;
-    zone = index % environment.scenario().zoneCount();
+    zone = environment.scenario().zoneOf(index);
   }
 
   /** Its number among the proxies, from 0. */
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -72,7 +72,7 @@
     this.environment = environment;
     this.index = index;
     this.group = group;
-    zone = index % environment.scenario().zoneCount();
+    zone = environment.scenario().zoneOf(index);
     random = environment.randomStream("server" + index);
     coldBudget = environment.scenario().coldBudget();
   }
@@ -166,11 +166,7 @@
 
   /** The part of its speed that it has now, up to 1. */
   private double speedFactor() {
-    double age = environment.now() - startedAt;
-    if (!coldStarted || age >= group.coldDuration()) {
-      return 1;
-    }
-    return group.coldSpeed() + (1 - group.coldSpeed()) * age / group.coldDuration();
+    return coldStarted ? group.speedFactorAt(environment.now() - startedAt) : 1;
   }
 
   /** Accepts one connection more, or refuses it where it has as many as it can have. */
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/process/package-info.java
@@ -0,0 +1,2 @@
+/** Operating system resources that several commands of the lab use: processes and directories. */
+package wheattrack.lab.process;
--- a/lab/src/main/java/wheattrack/lab/referee/AnswerRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/AnswerRule.java
@@ -1,20 +1,17 @@
 package wheattrack.lab.referee;
 
 import java.util.Map;
+import wheattrack.lab.scenario.Scenario;
 
 /** Judges {@link Rule#ANSWERS}: one final answer to each request, and nothing sent after it. */
-final class AnswerRule {
-  private final RunState run;
-  private final RuleViolations violations;
-
+final class AnswerRule extends RuleChecker {
   /** How far the lab's own clocks and sends may be off. */
   private final long tolerance;
 
   private long lost;
 
   AnswerRule(RunState run, RuleViolations violations, long tolerance) {
-    this.run = run;
-    this.violations = violations;
+    super(Rule.ANSWERS, run, violations);
     this.tolerance = tolerance;
   }
 
@@ -28,7 +25,7 @@
 
   /** A connection ended without an answer: a loss unless the proxy was down or the client left. */
   void judgeLostConnection(TrackedRequest request, LedgerRecord entry) {
-    if (run.isProxyDown(request.proxy(), entry.at())) {
+    if (run().isProxyDown(request.proxy(), entry.at())) {
       request.excuse();
     }
     if (!request.isExcused() && !request.isDisconnected()) {
@@ -50,7 +47,11 @@
     if (lateness > tolerance) {
       violate(
           entry.at(),
-          "req " + entry.request() + " was answered " + lateness / 10 + " ms past its due");
+          "req "
+              + entry.request()
+              + " was answered "
+              + lateness / Scenario.MILLISECOND
+              + " ms past its due");
     }
     return true;
   }
@@ -70,7 +71,7 @@
 
   /** Ends the run: what has no answer by now although its deadline has passed is lost. */
   void finish(long lastAt) {
-    for (Map.Entry<Long, TrackedRequest> entry : run.requests().entrySet()) {
+    for (Map.Entry<Long, TrackedRequest> entry : run().requests().entrySet()) {
       TrackedRequest request = entry.getValue();
       if (!request.isAnswered()
           && !request.isDisconnected()
@@ -86,8 +87,4 @@
   long lost() {
     return lost;
   }
-
-  private void violate(long at, String description) {
-    violations.add(Rule.ANSWERS, at, description);
-  }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/ColdStartRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdStartRule.java
@@ -3,51 +3,45 @@
 import wheattrack.lab.scenario.Scenario;
 
 /** Judges {@link Rule#COLD}: informed proxies make no backend collapse while it warms up. */
-final class ColdStartRule {
+final class ColdStartRule extends RuleChecker {
   private final Scenario scenario;
-  private final RunState run;
-  private final RuleViolations violations;
   private double peakLoad;
   private int collapses;
 
   ColdStartRule(Scenario scenario, RunState run, RuleViolations violations) {
+    super(Rule.COLD, run, violations);
     this.scenario = scenario;
-    this.run = run;
-    this.violations = violations;
   }
 
   /** Every attempt that reaches a cold backend counts, those that it refuses too. */
   void judgeAttempt(LedgerRecord entry) {
-    TrackedBackend backend = run.backend(entry.backend());
+    TrackedBackend backend = run().backend(entry.backend());
     if (!backend.hasColdBudget()) {
       return;
     }
-    Scenario.BackendGroup kind = scenario.groupOf(entry.backend());
-    double age = entry.at() - backend.startedAt();
-    if (age >= kind.coldDuration()) {
+    Scenario.BackendGroup group = scenario.groupOf(entry.backend());
+    long age = entry.at() - backend.startedAt();
+    if (age >= group.coldDuration()) {
       return;
     }
-    double warmth =
-        kind.coldSpeed() + (1 - kind.coldSpeed()) * Math.max(0, age) / kind.coldDuration();
     ColdBudget budget = backend.coldBudget();
     boolean collapses =
         budget.add(
             entry.at(),
             entry.work(),
-            backend.capacity() * warmth,
+            backend.capacity() * group.speedFactorAt(Math.max(0, age)),
             backend.isStartKnownTo(entry.proxy()));
     peakLoad = Math.max(peakLoad, budget.peakLoad());
     if (collapses && !backend.hasCollapsed()) {
       backend.markCollapsed();
       this.collapses++;
       if (budget.isSendersFault()) {
-        violations.add(
-            Rule.COLD,
+        violate(
             entry.at(),
             "server "
                 + entry.backend()
                 + " was pushed over "
-                + (long) age / 10
+                + age / Scenario.MILLISECOND
                 + " ms after its start");
       }
     }
--- a/lab/src/main/java/wheattrack/lab/referee/DrainRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/DrainRule.java
@@ -1,25 +1,22 @@
 package wheattrack.lab.referee;
 
 import wheattrack.lab.referee.LedgerRecord.State;
+import wheattrack.lab.scenario.Scenario;
 
 /** Judges {@link Rule#DRAINS}: no attempt to a backend that its proxy knows to drain or be gone. */
-final class DrainRule {
-  private final RunState run;
-  private final RuleViolations violations;
-
+final class DrainRule extends RuleChecker {
   /** How long after the notification an attempt may still arrive. */
   private final long grace;
 
   private long latestArrival;
 
   DrainRule(RunState run, RuleViolations violations, long grace) {
-    this.run = run;
-    this.violations = violations;
+    super(Rule.DRAINS, run, violations);
     this.grace = grace;
   }
 
   void judgeAttempt(LedgerRecord entry) {
-    TrackedBackend backend = run.backend(entry.backend());
+    TrackedBackend backend = run().backend(entry.backend());
     State state = backend.stateAt(entry.proxy());
     if (state == null || state == State.READY) {
       return;
@@ -27,8 +24,7 @@
     long delay = entry.at() - backend.stateSince(entry.proxy());
     latestArrival = Math.max(latestArrival, delay);
     if (delay > grace) {
-      violations.add(
-          Rule.DRAINS,
+      violate(
           entry.at(),
           "proxy "
               + entry.proxy()
@@ -37,7 +33,7 @@
               + " to server "
               + entry.backend()
               + " "
-              + delay / 10
+              + delay / Scenario.MILLISECOND
               + " ms after it was told that it is "
               + state);
     }
--- a/lab/src/main/java/wheattrack/lab/referee/EffectRule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/EffectRule.java
@@ -4,27 +4,22 @@
 import wheattrack.api.Idempotency;
 import wheattrack.api.RequestClass;
 import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.Scenario;
 
 /** Judges {@link Rule#EFFECTS}: nothing is executed again that its class forbids. */
-final class EffectRule {
-  /** Backends of one cell in the lab's fleets. */
-  private static final int BACKENDS_PER_CELL = 4;
-
-  private final RunState run;
-  private final RuleViolations violations;
-  private final int zones;
+final class EffectRule extends RuleChecker {
+  private final Scenario scenario;
   private double executedWork;
   private double repeatedWork;
 
-  EffectRule(RunState run, RuleViolations violations, int zones) {
-    this.run = run;
-    this.violations = violations;
-    this.zones = zones;
+  EffectRule(Scenario scenario, RunState run, RuleViolations violations) {
+    super(Rule.EFFECTS, run, violations);
+    this.scenario = scenario;
   }
 
   void judgeUnknownAttempt(LedgerRecord entry) {
     violate(
-        entry,
+        entry.at(),
         "server "
             + entry.backend()
             + " got req "
@@ -37,9 +32,9 @@
    * and must not be again.
    */
   void judgeRejection(TrackedRequest request, LedgerRecord entry) {
-    RequestClass requestClass = run.requestClassOf(request);
+    RequestClass requestClass = run().requestClassOf(request);
     if (request.isExecuted() && requestClass != null && !mayRunAnywhere(requestClass)) {
-      violate(entry, "req " + entry.request() + " was denied, though it has run");
+      violate(entry.at(), "req " + entry.request() + " was denied, though it has run");
     }
   }
 
@@ -53,7 +48,7 @@
 
   void judgeExecution(LedgerRecord entry) {
     executedWork += entry.work();
-    TrackedRequest request = run.request(entry.request());
+    TrackedRequest request = run().request(entry.request());
     if (request == null) {
       return;
     }
@@ -68,15 +63,16 @@
   }
 
   private void judgeRepetition(TrackedRequest request, int executions, LedgerRecord entry) {
-    RequestClass requestClass = run.requestClassOf(request);
+    RequestClass requestClass = run().requestClassOf(request);
     if (requestClass == null) {
       return;
     }
     if (requestClass.idempotency() == Idempotency.NON_IDEMPOTENT) {
-      violate(entry, "req " + entry.request() + " ran " + executions + " times and may only once");
+      violate(
+          entry.at(), "req " + entry.request() + " ran " + executions + " times and may only once");
     } else if (requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
         && !isDeduplicated(request, requestClass, entry)) {
-      violate(entry, "req " + entry.request() + " ran again outside its group or window");
+      violate(entry.at(), "req " + entry.request() + " ran again outside its group or window");
     }
   }
 
@@ -88,8 +84,8 @@
 
   private boolean shareKeys(DeduplicationScope scope, int backend, int other) {
     return switch (scope) {
-      case ZONE -> backend % zones == other % zones;
-      case CELL -> backend / BACKENDS_PER_CELL == other / BACKENDS_PER_CELL;
+      case ZONE -> scenario.zoneOf(backend) == scenario.zoneOf(other);
+      case CELL -> Scenario.cellOf(backend) == Scenario.cellOf(other);
       default -> true;
     };
   }
@@ -98,8 +94,4 @@
   double repeatedShare() {
     return executedWork > 0 ? repeatedWork / executedWork : 0;
   }
-
-  private void violate(LedgerRecord entry, String description) {
-    violations.add(Rule.EFFECTS, entry.at(), description);
-  }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -32,7 +32,7 @@
     long drainGrace = scenario.terms().drainGrace() + (scenario.isVirtual() ? 0 : tolerance);
     run = new RunState(scenario);
     answerRule = new AnswerRule(run, violations, tolerance);
-    effectRule = new EffectRule(run, violations, scenario.zoneCount());
+    effectRule = new EffectRule(scenario, run, violations);
     drainRule = new DrainRule(run, violations, drainGrace);
     coldStartRule = new ColdStartRule(scenario, run, violations);
     service = new ServiceMetrics(scenario, run);
@@ -151,7 +151,7 @@
     metrics.put("p50", service.latencyMillis(50));
     metrics.put("p99", service.latencyMillis(99));
     metrics.put("p999", service.latencyMillis(99.9));
-    metrics.put("late-drain", drainRule.latestArrival() / 10.0);
+    metrics.put("late-drain", Scenario.toMillis(drainRule.latestArrival()));
     metrics.put("cold-load", coldStartRule.peakLoad());
     metrics.put("fallen", (double) coldStartRule.collapses());
     return metrics;
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
@@ -16,7 +16,7 @@
   private static final long MAX_WORK = 1_000_000;
 
   /** The highest latency that is distinguished: ten minutes. */
-  private static final long MAX_LATENCY = 10 * 60_000L * 10;
+  private static final long MAX_LATENCY = 600 * Scenario.SECOND;
 
   private final Scenario scenario;
   private final RunState run;
@@ -90,7 +90,7 @@
         .recordValue(Math.max(0, Math.min(MAX_WORK, Math.round(entry.work()))));
     proxy(entry.proxy()).countAttempt(entry.backend());
     second(entry.at()).countAttempt();
-    if (entry.proxy() % scenario.zoneCount() != entry.backend() % scenario.zoneCount()) {
+    if (scenario.zoneOf(entry.proxy()) != scenario.zoneOf(entry.backend())) {
       crossings++;
     }
     long[] bySecond =
@@ -165,7 +165,7 @@
 
   /** The latency in milliseconds that this percentage of the operations did not exceed. */
   double latencyMillis(double percentile) {
-    return latency.getValueAtPercentile(percentile) / 10.0;
+    return Scenario.toMillis(latency.getValueAtPercentile(percentile));
   }
 
   List<ServiceSecond> seconds() {
@@ -187,9 +187,9 @@
             quantiles.put(
                 backend,
                 new WorkQuantiles(
-                    work.getValueAtPercentile(10) / 10.0,
-                    work.getValueAtPercentile(50) / 10.0,
-                    work.getValueAtPercentile(90) / 10.0)));
+                    Scenario.toMillis(work.getValueAtPercentile(10)),
+                    Scenario.toMillis(work.getValueAtPercentile(50)),
+                    Scenario.toMillis(work.getValueAtPercentile(90)))));
     return quantiles;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
@@ -94,9 +94,7 @@
       if (Math.log(work) >= logLow) {
         html.add(
             "<text x='%.1f' y='%d' text-anchor='middle'>%s ms</text>",
-            LEFT + (double) AXIS_LENGTH * (Math.log(work) - logLow) / logRange,
-            height - 6,
-            Verdict.format(work));
+            workX(work, logLow, logRange), height - 6, Verdict.format(work));
       }
     }
     html.closeDrawing();
--- a/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -31,7 +31,7 @@
   private HtmlReport(List<Run> runs) {
     this.runs = runs;
     scenario = runs.get(0).verdict().scenario();
-    seconds = scenario.duration() / (double) Scenario.SECOND;
+    seconds = Scenario.toSeconds(scenario.duration());
   }
 
   /** Writes the report of these runs, at least one; throws IOException if the file can't be. */
--- a/lab/src/main/java/wheattrack/lab/report/LatencyPlot.java
+++ b/lab/src/main/java/wheattrack/lab/report/LatencyPlot.java
@@ -13,6 +13,7 @@
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.scenario.Scenario;
 
 /** Latency by percentile on a logarithmic axis, a curve for each run. */
 final class LatencyPlot {
@@ -68,7 +69,7 @@
   }
 
   private static double millis(Histogram latency, double percentile) {
-    return latency.getValueAtPercentile(percentile) / 10.0;
+    return Scenario.toMillis(latency.getValueAtPercentile(percentile));
   }
 
   private static double percentileX(int index) {
--- a/lab/src/main/java/wheattrack/lab/report/ReportTables.java
+++ b/lab/src/main/java/wheattrack/lab/report/ReportTables.java
@@ -11,9 +11,6 @@
 
 /** The parts of a report that are text: metrics, rule violations and faults. */
 final class ReportTables {
-  /** Tenths of a millisecond in a second. */
-  private static final double SECOND = 10_000.0;
-
   private final HtmlWriter html;
   private final List<Run> runs;
   private final Scenario scenario;
@@ -63,7 +60,7 @@
         for (RuleViolation violation : violations) {
           html.add(
               "<li>%.3f s, %s: %s</li>",
-              violation.at() / SECOND,
+              Scenario.toSeconds(violation.at()),
               escaped(violation.rule().toString()),
               escaped(violation.description()));
         }
@@ -77,7 +74,7 @@
     for (LedgerRecord fault : runs.get(0).verdict().faults()) {
       html.add(
           "<li>%.3f s: %s %s</li>",
-          fault.at() / SECOND,
+          Scenario.toSeconds(fault.at()),
           scenario.faults().get(fault.faultIndex()).kind().keyword(),
           fault.isBeginning() ? "begins" : "ends");
     }
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -11,6 +11,7 @@
 import wheattrack.lab.referee.RuleViolation;
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.scenario.Scenario;
 
 /** A run as JSON lines: its metrics, each rule violation, each second. */
 public final class ResultLines {
@@ -53,7 +54,7 @@
     json.writeStartObject();
     json.writeStringField("what", "break");
     json.writeStringField("rule", violation.rule().toString());
-    json.writeNumberField("at_ms", violation.at() / 10.0);
+    json.writeNumberField("at_ms", Scenario.toMillis(violation.at()));
     json.writeStringField("how", violation.description());
     json.writeEndObject();
   }
--- a/lab/src/main/java/wheattrack/lab/report/TimePlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -94,8 +94,8 @@
   private void addFaults() {
     for (int i = 0; i < scenario.faults().size(); i++) {
       Fault fault = scenario.faults().get(i);
-      double from = fault.startsAt() / (double) Scenario.SECOND;
-      double length = Math.max(0.1, fault.duration() / (double) Scenario.SECOND);
+      double from = Scenario.toSeconds(fault.startsAt());
+      double length = Math.max(0.1, Scenario.toSeconds(fault.duration()));
       double until = Math.min(area.seconds(), from + length);
       double x = area.x(from);
       html.add(
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import wheattrack.lab.process.Processes;
 
 /**
  * The processes of a run: started, watched for their memory by a thread of its own, and ended by id
@@ -17,7 +17,6 @@
 final class ProcessGroup implements AutoCloseable {
   private static final int MAX_PROCESSES = 200;
   private static final long WATCH_INTERVAL_MILLIS = 200;
-  private static final long END_TIMEOUT_SECONDS = 5;
 
   private final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
   private final long maxMemoryBytes;
@@ -57,10 +56,9 @@
    */
   ControlOnlyProcess startControlOnly(
       int count, int first, Path config, InetSocketAddress settingsSource) {
-    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     ProcessBuilder builder =
         new ProcessBuilder(
-            java,
+            Processes.javaCommand(),
             "-Djava.net.preferIPv4Stack=true",
             "-Xmx1500m",
             "-Xss512k",
@@ -133,12 +131,7 @@
 
   /** Ends a process and waits for its end, 5 s at most. */
   void end(Process process) {
-    process.destroyForcibly();
-    try {
-      process.waitFor(END_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    Processes.killAndWait(process);
     processes.remove(process);
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -9,12 +9,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import wheattrack.config.ConfigurationReader;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.process.TemporaryDirectory;
 
 /**
  * The command {@code lab scale}: what control costs, along one axis at a time. See
@@ -67,13 +66,12 @@
         job.hasReferences
             ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).text("run")
             : "";
-    Path directory = Files.createTempDirectory("wheattrack-scale");
     List<AxisMeasurements> measurements = new ArrayList<>();
     long deadline = System.nanoTime() + MAX_RUN_NANOS;
-    try (ProcessGroup processes =
-            new ProcessGroup(job.memoryBytes > 0 ? job.memoryBytes : allowed);
+    try (TemporaryDirectory directory = new TemporaryDirectory("wheattrack-scale");
+        ProcessGroup processes = new ProcessGroup(job.memoryBytes > 0 ? job.memoryBytes : allowed);
         ScaleEnvironment environment =
-            new ScaleEnvironment(processes, job, directory, commandLine)) {
+            new ScaleEnvironment(processes, job, directory.path(), commandLine)) {
       for (ScaleAxis axis : chosen(ScaleAxes.of(environment), job)) {
         AxisMeasurements axisMeasurements = new AxisMeasurements(axis.name(), axis.unit());
         measurements.add(axisMeasurements);
@@ -89,8 +87,6 @@
       }
       output.printf(
           "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / 1_048_576);
-    } finally {
-      delete(directory);
     }
     if (job.outputDirectory != null) {
       Files.createDirectories(job.outputDirectory);
@@ -184,12 +180,4 @@
     }
     json.writeEndObject();
   }
-
-  private static void delete(Path directory) throws IOException {
-    try (Stream<Path> files = Files.walk(directory)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.deleteIfExists(file);
-      }
-    }
-  }
 }
--- a/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
@@ -37,7 +37,7 @@
     settings.put("me", proxyIndex);
     settings.put("balancers", scenario.proxyCount());
     settings.put("zones", zones);
-    settings.put("zone", proxyIndex % scenario.zoneCount());
+    settings.put("zone", scenario.zoneOf(proxyIndex));
     settings.put("kinds", scenario.backendKinds());
     settings.put("ruleSets", requestClasses);
     settings.put("limits", limits(scenario.limits()));
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -47,6 +47,9 @@
   /** Tenths of a millisecond in a millisecond. */
   public static final long MILLISECOND = 10;
 
+  /** Backends of consecutive indexes that share a cell (pod group). */
+  private static final int BACKENDS_PER_CELL = 4;
+
   /**
    * The metrics of a verdict that an expectation may name, in addition to the service in a window.
    */
@@ -96,7 +99,12 @@
       double coldSpeed,
       long coldDuration,
       int maxConnections,
-      double handshakeWork) {}
+      double handshakeWork) {
+    /** The part of its full speed, up to 1, that a backend has so long after a cold start. */
+    public double speedFactorAt(long age) {
+      return age >= coldDuration ? 1 : coldSpeed + (1 - coldSpeed) * age / coldDuration;
+    }
+  }
 
   /**
    * A request class with what clients send of it.
@@ -216,6 +224,26 @@
     }
   }
 
+  /** A duration in milliseconds. */
+  public static double toMillis(long duration) {
+    return duration / (double) MILLISECOND;
+  }
+
+  /** A duration in seconds. */
+  public static double toSeconds(long duration) {
+    return duration / (double) SECOND;
+  }
+
+  /** The number of the cell (pod group) that the backend of this index belongs to, from 0. */
+  public static int cellOf(int backend) {
+    return backend / BACKENDS_PER_CELL;
+  }
+
+  /** The number of the zone that the proxy or backend of this index belongs to, from 0. */
+  public int zoneOf(int index) {
+    return index % zoneCount;
+  }
+
   /** The number of backends of all groups. */
   public int backendCount() {
     return backendGroups.stream().mapToInt(BackendGroup::count).sum();
--- a/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
@@ -307,7 +307,7 @@
     Fault.Kind kind = faultKind(section);
     long startsAt = seconds(section, "at-s", 0, 0, MAX_SECONDS);
     if (startsAt >= duration) {
-      throw section.fault("at-s", startsAt / (double) Scenario.SECOND + " is past the end");
+      throw section.fault("at-s", Scenario.toSeconds(startsAt) + " is past the end");
     }
     long lasts = seconds(section, "for-s", 0, 0, MAX_SECONDS);
     Fault.Target target = target(section, kind);
@@ -358,7 +358,7 @@
           new Window(
               section.text("name"),
               seconds(section, "from-s", 0, 0, MAX_SECONDS),
-              seconds(section, "until-s", duration / (double) Scenario.SECOND, 0, MAX_SECONDS));
+              seconds(section, "until-s", Scenario.toSeconds(duration), 0, MAX_SECONDS));
       if (window.until() > duration || window.from() >= window.until()) {
         throw section.fault("until-s", "past the end, or not after from-s");
       }
--- a/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -12,11 +12,11 @@
 import wheattrack.aio.TcpConnection;
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.RequestDecoder;
-import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.model.EndpointRegistry;
 import wheattrack.lab.model.SimulatedBackend;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.LedgerRecord.State;
+import wheattrack.lab.scenario.Scenario;
 
 /**
  * The endpoint list on sockets, in the form that the proxies expect. It has a port for each proxy,
@@ -36,14 +36,12 @@
   private final List<BackendServer> backendServers;
   private final List<LoopbackListener> listeners = new ArrayList<>();
   private final Set<Watcher> watchers = new LinkedHashSet<>();
-  private final RandomStream random;
   private long revision = 1;
 
   DiscoveryServer(SocketRun run, List<BackendServer> backendServers) {
     super(run);
     this.run = run;
     this.backendServers = backendServers;
-    random = run.randomStream("list");
     for (int index = 0; index < run.scenario().proxyCount(); index++) {
       int proxy = index;
       listeners.add(
@@ -96,7 +94,7 @@
         backendServers.get(event.backend()).port(proxy),
         backend.zone(),
         backend.group().kind(),
-        event.backend() / BACKENDS_PER_CELL,
+        Scenario.cellOf(event.backend()),
         stateKeyword(event.state()),
         backend.group().cores() * backend.group().speed(),
         event.startedAt() == LONG_AGO ? 0 : run.unixMillis(event.startedAt()));
@@ -160,9 +158,7 @@
 
     /** Delivers something after a random delay, but not before what was published earlier. */
     void deliverLater(Runnable delivery) {
-      double meanDelay = run.scenario().discovery().delay();
-      long delay = Math.round(meanDelay * (0.5 + random.nextDouble()));
-      lastDelivery = Math.max(lastDelivery, run.now() + delay);
+      lastDelivery = Math.max(lastDelivery, run.now() + drawDeliveryDelay());
       run.schedule(
           lastDelivery - run.now(),
           () -> {
--- a/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ProxyProcess.java
@@ -12,9 +12,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import wheattrack.lab.model.ClientRequest;
 import wheattrack.lab.model.ProxyHandle;
+import wheattrack.lab.process.Processes;
 import wheattrack.lab.scenario.ProxySettings;
 
 /** A proxy as a process of its own. Runs on the run's thread only. */
@@ -38,8 +38,6 @@
   /** How long after a client's timeout the work of its request is still known. */
   private static final long REQUEST_RETENTION = 20_000;
 
-  private static final long EXIT_TIMEOUT_SECONDS = 5;
-
   private final SocketRun run;
   private final Path jar;
   private final Path configFile;
@@ -70,7 +68,7 @@
     int clientPort = options.direct() ? directBackend.port(index) : port;
     clientConnections =
         new LoadConnectionPool(run, this, new InetSocketAddress(SocketRun.LOOPBACK, clientPort));
-    configFile = run.folder().resolve("p" + index + ".json");
+    configFile = run.directory().resolve("p" + index + ".json");
     Map<String, Object> configuration = new LinkedHashMap<>();
     configuration.put("name", "p" + index);
     configuration.put("listen", "127.0.0.1:" + port);
@@ -89,7 +87,7 @@
 
   /** The file to which the process logs. */
   Path log() {
-    return run.folder().resolve("p" + index() + ".log");
+    return run.directory().resolve("p" + index() + ".log");
   }
 
   @Override
@@ -117,7 +115,7 @@
     if (options.cores() != null) {
       command.addAll(List.of("taskset", "-c", options.cores()));
     }
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add(Processes.javaCommand());
     command.addAll(JVM_OPTIONS);
     command.addAll(options.jvmOptions());
     if (clockSkewMillis != 0) {
@@ -162,14 +160,8 @@
 
   /** Ends the process, however the run ends: it is gone when this returns. Any thread. */
   void destroy() {
-    if (process == null) {
-      return;
-    }
-    process.destroyForcibly();
-    try {
-      process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+    if (process != null) {
+      Processes.killAndWait(process);
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -7,19 +7,18 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 import wheattrack.aio.EventLoop;
 import wheattrack.core.TimerQueue;
 import wheattrack.lab.model.FaultTimeline;
 import wheattrack.lab.model.ProxyHandle;
 import wheattrack.lab.model.RunEnvironment;
+import wheattrack.lab.process.TemporaryDirectory;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
@@ -78,7 +77,7 @@
 
   private final EventLoop loop = new EventLoop();
   private final AsynchronousChannelGroup group;
-  private final Path folder;
+  private final TemporaryDirectory directory;
   private final Map<Long, Long> workByRequest = new HashMap<>();
   private final Histogram lateness = new Histogram(MAX_RECORDED_MICROS, 3);
   private final List<BackendServer> backendServers = new ArrayList<>();
@@ -101,7 +100,7 @@
     if (!Files.isRegularFile(jar)) {
       throw new IOException("no such jar: " + jar);
     }
-    folder = Files.createTempDirectory("wheattrack-lab");
+    directory = new TemporaryDirectory("wheattrack-lab");
     group = AsynchronousChannelGroup.withThreadPool(loop);
     boolean withFaultyLinks =
         scenario.faults().stream().anyMatch(fault -> fault.kind().hitsLinks());
@@ -180,11 +179,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    try (Stream<Path> files = Files.walk(folder)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
-      }
-    }
+    directory.close();
   }
 
   private void killAll() {
@@ -202,8 +197,8 @@
   }
 
   /** The directory of the proxies' configuration and logs, deleted with the run. */
-  Path folder() {
-    return folder;
+  Path directory() {
+    return directory.path();
   }
 
   /** A client sends a request of this work. */
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualDiscovery.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualDiscovery.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.model.EndpointRegistry;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.Scenario.Discovery;
@@ -15,7 +14,6 @@
 
   private final VirtualRun run;
   private final Discovery settings;
-  private final RandomStream random;
 
   /** When the last event for each proxy arrives there. */
   private final Map<VirtualProxy, Long> lastDeliveries = new LinkedHashMap<>();
@@ -27,7 +25,6 @@
     super(run);
     this.run = run;
     settings = run.scenario().discovery();
-    random = run.randomStream("list");
   }
 
   /** A proxy watches the list: it receives a snapshot first, and all changes from now on. */
@@ -67,8 +64,7 @@
       double sendTime = (double) entryCount * Scenario.SECOND / settings.entriesPerSecond();
       busyUntil = Math.max(now, busyUntil) + Math.round(sendTime);
     }
-    long delay = Math.round(settings.delay() * (0.5 + random.nextDouble()));
-    long arrival = Math.max(now, busyUntil) + delay;
+    long arrival = Math.max(now, busyUntil) + drawDeliveryDelay();
     long deliverAt = Math.max(arrival, lastDeliveries.getOrDefault(proxy, 0L));
     lastDeliveries.put(proxy, deliverAt);
     proxy.scheduleInIncarnation(
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualEndpointList.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualEndpointList.java
@@ -14,6 +14,7 @@
 import wheattrack.lab.model.SimulatedBackend;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.referee.LedgerRecord.State;
+import wheattrack.lab.scenario.Scenario;
 
 /**
  * The endpoint list as one proxy of the virtual run knows it: passes events to the policy, writes
@@ -96,7 +97,7 @@
             backend.id(),
             event.state() == State.READY,
             backend.zone(),
-            backendIndex / EndpointRegistry.BACKENDS_PER_CELL,
+            Scenario.cellOf(backendIndex),
             run.scenario().backendKinds().indexOf(backend.group().kind()),
             backend.group().cores() * backend.group().speed(),
             startedLongAgo ? EndpointRegistry.LONG_AGO : VirtualRun.CLOCK_START + event.startedAt(),
