lab: KEY=VALUE options, fleets of scale axes and test policies are set up in one place

Change: LabOptions.Setting, EndpointMeasurements.measureFleet, VirtualRunTest.whenReady. Error texts are as before.

--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -53,7 +53,7 @@
   /** Compares at each point of the grid and prints the differences. */
   static ExitCode run(Path scenario, CommandLine line) throws IOException {
     CompareCommand command = new CompareCommand(scenario, line);
-    List<Map<String, String>> grid = grid(LabOptions.settingTexts(line));
+    List<Map<String, String>> grid = grid(LabOptions.settings(line, "KEY=VALUE,VALUE"));
     for (Map<String, String> point : grid) {
       if (!ScenarioReader.read(scenario, point).isVirtual()) {
         throw new InvalidConfigurationException(
@@ -72,21 +72,16 @@
     return ExitCode.GOOD;
   }
 
-  /** Every choice of one value for each key of KEY=VALUE,VALUE texts. */
-  private static List<Map<String, String>> grid(String[] texts) {
+  /** Every choice of one value for each key, of settings whose values are divided by commas. */
+  private static List<Map<String, String>> grid(List<LabOptions.Setting> settings) {
     List<Map<String, String>> points = List.of(Map.of());
-    for (String text : texts) {
-      int equalsSign = text.indexOf('=');
-      if (equalsSign <= 0) {
-        throw new InvalidConfigurationException("--set", "not KEY=VALUE,VALUE: " + text);
-      }
-      String key = text.substring(0, equalsSign);
-      String[] values = text.substring(equalsSign + 1).split(",");
+    for (LabOptions.Setting setting : settings) {
+      String[] values = setting.value().split(",");
       List<Map<String, String>> extended = new ArrayList<>();
       for (Map<String, String> point : points) {
         for (String value : values) {
           Map<String, String> choice = new LinkedHashMap<>(point);
-          choice.put(key, value);
+          choice.put(setting.key(), value);
           extended.add(choice);
         }
       }
--- a/lab/src/main/java/wheattrack/lab/LabOptions.java
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -1,7 +1,9 @@
 package wheattrack.lab;
 
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -15,6 +17,17 @@
  * the option's name, if its value is not valid.
  */
 final class LabOptions {
+  /** A key of a scenario that the command line sets, with its value as it stands there. */
+  record Setting(String key, String value) {
+    private static Setting parse(String text, String form) {
+      int equalsSign = text.indexOf('=');
+      if (equalsSign <= 0) {
+        throw new InvalidConfigurationException("--set", "not " + form + ": " + text);
+      }
+      return new Setting(text.substring(0, equalsSign), text.substring(equalsSign + 1));
+    }
+  }
+
   private LabOptions() {}
 
   static CommandLine parse(String[] args) throws ParseException {
@@ -72,19 +85,16 @@
   /** The keys of the scenario that are set, each with its one value. */
   static Map<String, String> settings(CommandLine line) {
     Map<String, String> settings = new LinkedHashMap<>();
-    for (String setting : settingTexts(line)) {
-      int equalsSign = setting.indexOf('=');
-      if (equalsSign <= 0) {
-        throw new InvalidConfigurationException("--set", "not KEY=VALUE: " + setting);
-      }
-      settings.put(setting.substring(0, equalsSign), setting.substring(equalsSign + 1));
+    for (Setting setting : settings(line, "KEY=VALUE")) {
+      settings.put(setting.key, setting.value);
     }
     return settings;
   }
 
-  /** The values of --set as they stand. */
-  static String[] settingTexts(CommandLine line) {
-    return line.hasOption("set") ? line.getOptionValues("set") : new String[0];
+  /** The keys of the scenario that are set, in order; form: what an error says is expected. */
+  static List<Setting> settings(CommandLine line, String form) {
+    String[] texts = line.hasOption("set") ? line.getOptionValues("set") : new String[0];
+    return Arrays.stream(texts).map(text -> Setting.parse(text, form)).toList();
   }
 
   static long wholeNumber(CommandLine line, String option, long defaultValue) {
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -16,6 +16,12 @@
 
   private static final int CHANGE_SECONDS = 3;
 
+  /** What is measured while a fleet and, unless it is null, a reference proxy watch a source. */
+  private interface FleetMeasurement {
+    void measure(SourceServer source, ReferenceProxy reference, ControlOnlyFleet fleet)
+        throws InterruptedException;
+  }
+
   private final ScaleEnvironment environment;
 
   EndpointMeasurements(ScaleEnvironment environment) {
@@ -38,10 +44,7 @@
         metrics.put("asked_bytes", source.bytesReceived() / watchers);
         metrics.put("heap_kb", fleet.heapKibEach());
         if (reference != null) {
-          metrics.put("w_ready_ms", reference.readyMillis());
-          metrics.put("w_known", reference.metric("backends_known"));
-          reference.putStart(metrics);
-          metrics.put("w_rest_mb", reference.residentKib() / 1024.0);
+          putReferenceMetrics(reference, metrics);
         }
         if (Double.isFinite(listMillis)) {
           new SteadyChanges(environment, source, backends)
@@ -51,31 +54,48 @@
     }
   }
 
+  private static void putReferenceMetrics(ReferenceProxy reference, Map<String, Double> metrics) {
+    metrics.put("w_ready_ms", reference.readyMillis());
+    metrics.put("w_known", reference.metric("backends_known"));
+    reference.putStart(metrics);
+    metrics.put("w_rest_mb", reference.residentKib() / 1024.0);
+  }
+
   /** By changes a second. */
   void measureChangeRate(int perSecond, Map<String, Double> metrics) throws Exception {
-    try (SourceServer source = environment.startEndpointSource(USUAL_LIST);
-        ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
-        ControlOnlyFleet fleet =
-            environment.startFleet(
-                SMALL_FLEET, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
-      fleet.awaitLists(LIST_TIMEOUT_MILLIS);
-      new SteadyChanges(environment, source, USUAL_LIST)
-          .measure(
-              fleet, reference, new ChangeSchedule(CHANGE_SECONDS * perSecond, perSecond), metrics);
-    }
+    ChangeSchedule schedule = new ChangeSchedule(CHANGE_SECONDS * perSecond, perSecond);
+    measureFleet(
+        USUAL_LIST,
+        SMALL_FLEET,
+        (source, reference, fleet) -> {
+          fleet.awaitLists(LIST_TIMEOUT_MILLIS);
+          new SteadyChanges(environment, source, USUAL_LIST)
+              .measure(fleet, reference, schedule, metrics);
+        });
   }
 
   /** By control-only proxies that watch the list. */
   void measureWatchers(int fleetSize, Map<String, Double> metrics) throws Exception {
-    try (SourceServer source = environment.startEndpointSource(SMALL_LIST);
+    measureFleet(
+        SMALL_LIST,
+        fleetSize,
+        (source, reference, fleet) -> {
+          metrics.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+          metrics.put("processes", (double) fleet.processCount());
+          new SteadyChanges(environment, source, SMALL_LIST)
+              .measure(fleet, reference, ChangeSchedule.GENTLE, metrics);
+        });
+  }
+
+  /** Starts a source of that many backends and a fleet that watches it, and ends both. */
+  private void measureFleet(int backends, int fleetSize, FleetMeasurement measurement)
+      throws Exception {
+    try (SourceServer source = environment.startEndpointSource(backends);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
         ControlOnlyFleet fleet =
             environment.startFleet(
                 fleetSize, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
-      metrics.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
-      metrics.put("processes", (double) fleet.processCount());
-      new SteadyChanges(environment, source, SMALL_LIST)
-          .measure(fleet, reference, ChangeSchedule.GENTLE, metrics);
+      measurement.measure(source, reference, fleet);
     }
   }
 }
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -71,6 +71,19 @@
     return referee.verdict();
   }
 
+  /**
+   * Rejects each request that comes while no backend is ready, and leaves the others to a policy.
+   */
+  private static FaultyPolicy whenReady(FaultyPolicy policy) {
+    return (runtime, request, ready, everListed) -> {
+      if (ready.isEmpty()) {
+        runtime.reject(request, 0);
+      } else {
+        policy.onRequest(runtime, request, ready, everListed);
+      }
+    };
+  }
+
   private static void forwardToReady(
       PolicyRuntime runtime, PendingRequest request, List<Integer> ready) {
     if (ready.isEmpty()) {
@@ -131,18 +144,15 @@
         play(
             "replayable",
             "",
-            (runtime, request, ready, everListed) -> {
-              if (ready.isEmpty()) {
-                runtime.reject(request, 0);
-                return;
-              }
-              runtime.reject(request, 0);
-              runtime.schedule(
-                  2_000,
-                  () ->
-                      runtime.sendAttempt(
-                          request, ready.get(0), 1_000, (outcome, latency, ended) -> {}));
-            }));
+            whenReady(
+                (runtime, request, ready, everListed) -> {
+                  runtime.reject(request, 0);
+                  runtime.schedule(
+                      2_000,
+                      () ->
+                          runtime.sendAttempt(
+                              request, ready.get(0), 1_000, (outcome, latency, ended) -> {}));
+                })));
   }
 
   @Test
@@ -163,14 +173,11 @@
         play(
             "non-replayable",
             "",
-            (runtime, request, ready, everListed) -> {
-              if (!ready.isEmpty()) {
-                runtime.sendAttempt(request, ready.get(0), 0, (outcome, latency, ended) -> {});
-                runtime.schedule(100, () -> runtime.reject(request, 0));
-              } else {
-                runtime.reject(request, 0);
-              }
-            }));
+            whenReady(
+                (runtime, request, ready, everListed) -> {
+                  runtime.sendAttempt(request, ready.get(0), 0, (outcome, latency, ended) -> {});
+                  runtime.schedule(100, () -> runtime.reject(request, 0));
+                })));
   }
 
   /** The policy sends to a backend 700 ms and longer after it was notified of its drain. */
@@ -237,20 +244,16 @@
         play(
             "non-replayable",
             "[[fault]]\nkind = \"hang\"\nat-s = 0\nshare = 1\n",
-            (runtime, request, ready, everListed) -> {
-              if (ready.isEmpty()) {
-                runtime.reject(request, 0);
-                return;
-              }
-              runtime.sendAttempt(
-                  request,
-                  ready.get(0),
-                  5_000,
-                  (outcome, latency, ended) -> {
-                    outcomes.add(outcome);
-                    runtime.fail(request);
-                  });
-            });
+            whenReady(
+                (runtime, request, ready, everListed) ->
+                    runtime.sendAttempt(
+                        request,
+                        ready.get(0),
+                        5_000,
+                        (outcome, latency, ended) -> {
+                          outcomes.add(outcome);
+                          runtime.fail(request);
+                        })));
     assertEquals(0, verdict.metrics().get("broken"));
     assertEquals(List.of(AttemptOutcome.TIMEOUT), outcomes.stream().distinct().toList());
   }
