--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -147,7 +147,7 @@
               + " "
               + (value == null ? "unknown" : Verdict.format(value))
               + ", expected "
-              + expectation.sign()
+              + expectation.comparison().sign()
               + " "
               + Verdict.format(expectation.bound()));
     }
--- a/lab/src/main/java/wheattrack/lab/report/ReportTables.java
+++ b/lab/src/main/java/wheattrack/lab/report/ReportTables.java
@@ -46,7 +46,9 @@
     StringBuilder text = new StringBuilder();
     for (Scenario.Expectation expectation : scenario.expectations()) {
       if (expectation.metric().equals(name)) {
-        text.append(expectation.sign()).append(' ').append(Verdict.format(expectation.bound()));
+        text.append(expectation.comparison().sign())
+            .append(' ')
+            .append(Verdict.format(expectation.bound()));
       }
     }
     return text.toString();
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -208,19 +208,10 @@
   public record Window(String name, long from, long until) {}
 
   /** What a metric of the verdict is expected to be, such as {@code service >= 0.9}. */
-  public record Expectation(String metric, String sign, double bound) {
+  public record Expectation(String metric, Comparison comparison, double bound) {
     /** Whether a metric meets it; one that is absent (null) does not. */
     public boolean isMetBy(Double value) {
-      if (value == null) {
-        return false;
-      }
-      return switch (sign) {
-        case ">=" -> value >= bound;
-        case "<=" -> value <= bound;
-        case ">" -> value > bound;
-        case "<" -> value < bound;
-        default -> value == bound;
-      };
+      return value != null && comparison.holds(value, bound);
     }
   }
 
