lab: SourceServer and SimulatedBackend are split by concern

Change: SourceHistory (revisions), SourceWatch (one connection) and HttpMessages.chunk; JobQueue (attempts queued and in progress).

--- a/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
+++ b/lab/src/main/java/wheattrack/lab/model/BackendVisit.java
@@ -25,4 +25,10 @@
    * @param handler the backend's reaction, or null once it has answered
    */
   void onConnectionClosed(Runnable handler);
+
+  /** The backend answers or breaks down, and no longer reacts to the end of the connection. */
+  default void reply(AttemptOutcome outcome) {
+    onConnectionClosed(null);
+    completed(outcome);
+  }
 }
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -1,10 +1,6 @@
 package wheattrack.lab.model;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
 import wheattrack.api.AttemptOutcome;
-import wheattrack.core.TimerQueue;
 import wheattrack.lab.load.RandomStream;
 import wheattrack.lab.referee.ColdBudget;
 import wheattrack.lab.referee.LedgerRecord;
@@ -32,36 +28,18 @@
   /** Time that a request takes which fails. */
   private static final long ERROR_TIME = 10;
 
-  /** An attempt that is queued or in progress. */
-  private static final class Job {
-    private final BackendVisit attempt;
-    private final double work;
-    private final long arrivedAt;
-    private TimerQueue.Timer completionTimer;
-    private long completesAt;
-
-    Job(BackendVisit attempt, double work, long arrivedAt) {
-      this.attempt = attempt;
-      this.work = work;
-      this.arrivedAt = arrivedAt;
-    }
-  }
-
   private final RunEnvironment environment;
   private final int index;
   private final int zone;
   private final BackendGroup group;
   private final RandomStream random;
-  private final ArrayDeque<Job> queue = new ArrayDeque<>();
-  private final List<Job> running = new ArrayList<>();
+  private final JobQueue jobs;
   private final ColdBudget coldBudget;
   private State state = State.DEAD;
   private boolean draining;
   private boolean coldStarted;
   private boolean collapsed;
   private long startedAt;
-  private long pausedUntil;
-  private double slowdown = 1;
   private double failureShare;
   private int incarnation;
   private int connectionCount;
@@ -75,6 +53,7 @@
     zone = environment.scenario().zoneOf(index);
     random = environment.randomStream("server" + index);
     coldBudget = environment.scenario().coldBudget();
+    jobs = new JobQueue(environment, index, group, () -> state == State.UP, this::speedFactor);
   }
 
   /** Sets the one listener that runs after each change of state. */
@@ -207,18 +186,15 @@
       collapse(attempt);
       return;
     }
-    Job job = new Job(attempt, work, environment.now());
-    attempt.onConnectionClosed(() -> cancel(job));
-    boolean isFull = queue.size() >= group.queueCapacity() && running.size() >= group.cores();
+    JobQueue.Job job = jobs.create(attempt, work);
     if (state == State.HUNG) {
-      queue.add(job);
-    } else if (draining || isFull) {
-      reply(attempt, AttemptOutcome.FULL);
+      jobs.add(job);
+    } else if (draining || jobs.isFull()) {
+      attempt.reply(AttemptOutcome.FULL);
     } else if (random.nextBoolean(failureShare)) {
-      environment.schedule(ERROR_TIME, () -> reply(attempt, AttemptOutcome.ERROR));
+      environment.schedule(ERROR_TIME, () -> attempt.reply(AttemptOutcome.ERROR));
     } else {
-      queue.add(job);
-      startQueued();
+      jobs.add(job);
     }
   }
 
@@ -237,65 +213,11 @@
     crash();
   }
 
-  private void startQueued() {
-    while (state == State.UP
-        && environment.now() >= pausedUntil
-        && running.size() < group.cores()
-        && !queue.isEmpty()) {
-      Job job = queue.poll();
-      if (environment.now() >= job.attempt.deadline()) {
-        reply(job.attempt, AttemptOutcome.FULL); // too late already, and not started
-      } else {
-        startJob(job);
-      }
-    }
-  }
-
-  private void startJob(Job job) {
-    long now = environment.now();
-    running.add(job);
-    environment.record(
-        LedgerRecord.executionStarted(
-            now, job.attempt.requestId(), job.attempt.proxy(), index, job.arrivedAt, job.work));
-    double speed = group.speed() * speedFactor() / slowdown;
-    job.completesAt = now + Math.max(1, Math.round(job.work / speed));
-    scheduleCompletion(job);
-  }
-
-  private void scheduleCompletion(Job job) {
-    job.completionTimer =
-        environment.schedule(job.completesAt - environment.now(), () -> finish(job));
-  }
-
-  private void finish(Job job) {
-    running.remove(job);
-    reply(job.attempt, AttemptOutcome.DONE);
-    startQueued();
-  }
-
-  /** The connection of a job was closed: it does not wait or run any longer. */
-  private void cancel(Job job) {
-    if (!queue.remove(job) && running.remove(job)) {
-      environment.cancel(job.completionTimer);
-      startQueued();
-    }
-  }
-
-  private static void reply(BackendVisit attempt, AttemptOutcome outcome) {
-    attempt.onConnectionClosed(null);
-    attempt.completed(outcome);
-  }
-
-  // ---- faults
-
   /** The process dies: connections break. */
   public void crash() {
     incarnation++;
     connectionCount = 0;
-    for (Job job : removeAllJobs()) {
-      environment.cancel(job.completionTimer);
-      reply(job.attempt, AttemptOutcome.RESET);
-    }
+    jobs.removeAll(attempt -> attempt.reply(AttemptOutcome.RESET));
     transitionTo(State.DEAD);
   }
 
@@ -303,26 +225,15 @@
   public void vanish() {
     incarnation++;
     connectionCount = 0;
-    for (Job job : removeAllJobs()) {
-      environment.cancel(job.completionTimer);
-      job.attempt.onConnectionClosed(null);
-    }
+    jobs.removeAll(attempt -> attempt.onConnectionClosed(null));
     transitionTo(State.SILENT);
   }
 
-  private List<Job> removeAllJobs() {
-    List<Job> jobs = new ArrayList<>(running);
-    jobs.addAll(queue);
-    running.clear();
-    queue.clear();
-    return jobs;
-  }
-
   /** The process stands still, until {@link #resume}. */
   public void hang() {
     if (state == State.UP) {
       transitionTo(State.HUNG);
-      running.forEach(job -> environment.cancel(job.completionTimer));
+      jobs.suspend();
     }
   }
 
@@ -330,30 +241,20 @@
   public void resume() {
     if (state == State.HUNG) {
       transitionTo(State.UP);
-      List<Job> lostJobs = List.copyOf(running);
-      running.clear();
-      lostJobs.forEach(job -> reply(job.attempt, AttemptOutcome.RESET));
-      startQueued();
+      jobs.resume();
     }
   }
 
   /** The process pauses for a time, as in a garbage collection; all of its work ends later. */
   public void pauseFor(long duration) {
-    if (state != State.UP) {
-      return;
-    }
-    pausedUntil = Math.max(pausedUntil, environment.now() + duration);
-    for (Job job : running) {
-      environment.cancel(job.completionTimer);
-      job.completesAt += duration;
-      scheduleCompletion(job);
+    if (state == State.UP) {
+      jobs.pauseFor(duration);
     }
-    environment.schedule(duration, this::startQueued);
   }
 
   /** Divides its speed by a factor, for work that starts from now on. */
   public void setSlowdown(double factor) {
-    slowdown = factor;
+    jobs.setSlowdown(factor);
   }
 
   /** Lets this share of requests fail. */
--- a/lab/src/main/java/wheattrack/lab/scale/HttpMessages.java
+++ b/lab/src/main/java/wheattrack/lab/scale/HttpMessages.java
@@ -2,11 +2,15 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Locale;
 
 /** The little of HTTP/1.1 that the measurements read themselves. */
 final class HttpMessages {
-  private static final String END_OF_HEAD = "\r\n\r\n";
+  /** What ends the head of a message. */
+  static final String END_OF_HEAD = "\r\n\r\n";
+
   private static final String CONTENT_LENGTH = "content-length: ";
 
   private HttpMessages() {}
@@ -23,6 +27,17 @@
     return null;
   }
 
+  /** A text as one chunk of a message's chunked body. */
+  static byte[] chunk(String text) {
+    byte[] body = text.getBytes(StandardCharsets.US_ASCII);
+    byte[] size = (Integer.toHexString(body.length) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+    byte[] chunk = Arrays.copyOf(size, size.length + body.length + 2);
+    System.arraycopy(body, 0, chunk, size.length, body.length);
+    chunk[chunk.length - 2] = '\r';
+    chunk[chunk.length - 1] = '\n';
+    return chunk;
+  }
+
   /** The Content-Length of a head; 0 without one. */
   static int contentLength(String head) {
     String lowerCase = head.toLowerCase(Locale.ROOT);
--- a/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
@@ -9,16 +9,12 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A discovery or settings server for thousands of watches: one thread, an answer in chunks to each
@@ -36,7 +32,6 @@
     SILENT
   }
 
-  private static final int MAX_HISTORY = 20_000;
   private static final int BACKLOG = 8192;
   private static final int READ_BUFFER_BYTES = 1 << 16;
   private static final long SELECT_TIMEOUT_MILLIS = 50;
@@ -46,43 +41,22 @@
 
   private static final long EXECUTE_TIMEOUT_SECONDS = 5;
   private static final long END_TIMEOUT_MILLIS = 2000;
-  private static final Pattern AFTER = Pattern.compile("after=(\\d+)");
   private static final byte[] HEAD =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-  /** One connection of a client. */
-  private static final class Watch {
-    private final SocketChannel channel;
-    private final StringBuilder head = new StringBuilder();
-    private final Deque<ByteBuffer> pending = new ArrayDeque<>();
-    private boolean isRequested;
-    private boolean isMuted;
-
-    private Watch(SocketChannel channel) {
-      this.channel = channel;
-    }
-
-    private boolean isNotified() {
-      return isRequested && !isMuted;
-    }
-  }
-
   private final Selector selector;
   private final InetSocketAddress address;
   private final boolean sendsSnapshots;
   private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-  private final List<Watch> watches = new ArrayList<>();
-  private final VersionedSource source;
-  private final Deque<String> history = new ArrayDeque<>();
+  private final List<SourceWatch> watches = new ArrayList<>();
+  private final SourceHistory history;
   private final Thread thread;
+  private final AtomicLong bytesSent = new AtomicLong();
+  private final AtomicLong bytesReceived = new AtomicLong();
+  private final AtomicLong calls = new AtomicLong();
   private ServerSocketChannel listener;
   private Mode mode = Mode.REFUSING;
-  private long revision = 1;
-  private String snapshot;
   private volatile boolean isClosed;
-  private volatile long bytesSent;
-  private volatile long bytesReceived;
-  private volatile long calls;
 
   /**
    * Starts to serve at a free port.
@@ -91,7 +65,7 @@
    *     a test has to notice
    */
   SourceServer(VersionedSource source, boolean sendsSnapshots) throws IOException {
-    this.source = source;
+    history = new SourceHistory(source);
     this.sendsSnapshots = sendsSnapshots;
     selector = Selector.open();
     try (ServerSocketChannel free = ServerSocketChannel.open()) {
@@ -109,22 +83,22 @@
   }
 
   long bytesSent() {
-    return bytesSent;
+    return bytesSent.get();
   }
 
   long bytesReceived() {
-    return bytesReceived;
+    return bytesReceived.get();
   }
 
   /** Connections accepted so far. */
   long calls() {
-    return calls;
+    return calls.get();
   }
 
   /** The latest revision, once all changes asked for until now are made. */
   long revision() {
     long[] latest = new long[1];
-    executeAndWait(() -> latest[0] = revision);
+    executeAndWait(() -> latest[0] = history.revision());
     return latest[0];
   }
 
@@ -166,15 +140,9 @@
   void change(int first, int count) {
     execute(
         () -> {
-          revision++;
-          String line = source.change(revision, first, count);
-          snapshot = null;
-          history.add(line);
-          if (history.size() > MAX_HISTORY) {
-            history.remove();
-          }
+          String change = history.change(first, count);
           if (mode == Mode.UP) {
-            sendToAll(chunk(sendsSnapshots ? snapshot() : line));
+            sendToAll(HttpMessages.chunk(sendsSnapshots ? history.snapshot() : change));
           }
         });
   }
@@ -200,23 +168,6 @@
 
   // What follows runs on the server's thread only.
 
-  private String snapshot() {
-    if (snapshot == null) {
-      snapshot = source.snapshot(revision);
-    }
-    return snapshot;
-  }
-
-  private static byte[] chunk(String text) {
-    byte[] body = text.getBytes(StandardCharsets.US_ASCII);
-    byte[] size = (Integer.toHexString(body.length) + "\r\n").getBytes(StandardCharsets.US_ASCII);
-    byte[] chunk = Arrays.copyOf(size, size.length + body.length + 2);
-    System.arraycopy(body, 0, chunk, size.length, body.length);
-    chunk[chunk.length - 2] = '\r';
-    chunk[chunk.length - 1] = '\n';
-    return chunk;
-  }
-
   private void run() {
     long heartbeatAt = System.nanoTime();
     ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
@@ -232,7 +183,7 @@
         selector.selectedKeys().clear();
         if (System.nanoTime() - heartbeatAt > HEARTBEAT_NANOS) {
           heartbeatAt = System.nanoTime();
-          sendToAll(chunk("\n"));
+          sendToAll(HttpMessages.chunk("\n"));
         }
       } catch (IOException e) {
         throw new IllegalStateException(e);
@@ -248,12 +199,16 @@
       accept();
       return;
     }
-    Watch watch = (Watch) key.attachment();
-    if (key.isReadable()) {
-      read(watch, buffer);
-    }
-    if (key.isValid() && key.isWritable()) {
-      flush(watch);
+    SourceWatch watch = (SourceWatch) key.attachment();
+    try {
+      if (key.isReadable()) {
+        read(watch, buffer);
+      }
+      if (key.isValid() && key.isWritable()) {
+        watch.flush();
+      }
+    } catch (IOException e) {
+      drop(watch);
     }
   }
 
@@ -262,89 +217,49 @@
       return;
     }
     for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
-      channel.configureBlocking(false);
-      Watch watch = new Watch(channel);
-      watches.add(watch);
-      calls++;
-      channel.register(selector, SelectionKey.OP_READ, watch);
+      watches.add(new SourceWatch(channel, selector, bytesSent));
+      calls.incrementAndGet();
     }
   }
 
-  private void read(Watch watch, ByteBuffer buffer) {
-    try {
-      buffer.clear();
-      int count = watch.channel.read(buffer);
-      if (count < 0) {
-        drop(watch);
-        return;
-      }
-      bytesReceived += count;
-      if (watch.isRequested) {
-        return;
-      }
-      watch.head.append(StandardCharsets.US_ASCII.decode(buffer.flip()));
-      if (watch.head.indexOf("\r\n\r\n") >= 0) {
-        watch.isRequested = true;
-        watch.isMuted = mode != Mode.UP;
-        answer(watch);
-      }
-    } catch (IOException e) {
+  private void read(SourceWatch watch, ByteBuffer buffer) throws IOException {
+    boolean wasRequested = watch.isRequested();
+    int count = watch.read(buffer);
+    if (count < 0) {
       drop(watch);
+      return;
+    }
+    bytesReceived.addAndGet(count);
+    if (!wasRequested && watch.isRequested()) {
+      answer(watch);
     }
   }
 
-  private void answer(Watch watch) {
-    if (watch.isMuted) {
+  private void answer(SourceWatch watch) throws IOException {
+    if (mode != Mode.UP) {
+      watch.ignore();
       return;
     }
-    Matcher after = AFTER.matcher(watch.head);
-    long known = after.find() ? Long.parseLong(after.group(1)) : -1;
-    send(watch, HEAD);
-    if (known < 0 || known < revision - history.size() || known > revision) {
-      send(watch, chunk(snapshot()));
-    } else if (known < revision) {
-      long missing = revision - known;
-      history.stream().skip(history.size() - missing).forEach(line -> send(watch, chunk(line)));
+    watch.write(HEAD);
+    for (String line : history.since(watch.knownRevision())) {
+      watch.write(HttpMessages.chunk(line));
     }
   }
 
   /** Sends to each watch; a copy of the list is made, as a failed one is dropped from it. */
   private void sendToAll(byte[] chunk) {
-    watches.stream().filter(Watch::isNotified).toList().forEach(watch -> send(watch, chunk));
-  }
-
-  private void send(Watch watch, byte[] bytes) {
-    boolean isIdle = watch.pending.isEmpty();
-    watch.pending.add(ByteBuffer.wrap(bytes));
-    if (isIdle) {
-      flush(watch);
-    }
-  }
-
-  private void flush(Watch watch) {
-    try {
-      while (!watch.pending.isEmpty()) {
-        ByteBuffer next = watch.pending.peek();
-        bytesSent += watch.channel.write(next);
-        if (next.hasRemaining()) {
-          break;
-        }
-        watch.pending.remove();
+    for (SourceWatch watch : watches.stream().filter(SourceWatch::isNotified).toList()) {
+      try {
+        watch.write(chunk);
+      } catch (IOException e) {
+        drop(watch);
       }
-      int writeInterest = watch.pending.isEmpty() ? 0 : SelectionKey.OP_WRITE;
-      watch.channel.keyFor(selector).interestOps(SelectionKey.OP_READ | writeInterest);
-    } catch (IOException e) {
-      drop(watch);
     }
   }
 
-  private void drop(Watch watch) {
+  private void drop(SourceWatch watch) {
     watches.remove(watch);
-    try {
-      watch.channel.close();
-    } catch (IOException e) {
-      // it is gone either way
-    }
+    watch.close();
   }
 
   @Override
