lab: commands to control-only proxies are an enum, processor time has a meter

Cause: ControlOnlyMain and ControlOnlyProcess each held the strings of their protocol; SteadyChanges.measure kept six counters by hand. Change: ControlOnlyCommand with the same keywords on the pipe; CpuMeter. The reference's processor time is now read together with the fleet's, a moment earlier than before.

--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -78,12 +78,12 @@
             start(i, group, config, config.seed() + SEED_STEP * (first + i), source);
           }
         });
-    System.out.println("began " + startedAt + " " + emptyHeapBytes);
-    System.out.println("end");
+    System.out.println(ControlOnlyCommand.STARTED + " " + startedAt + " " + emptyHeapBytes);
+    System.out.println(ControlOnlyCommand.END);
     BufferedReader in = new BufferedReader(new InputStreamReader(System.in));
     for (String line = in.readLine(); line != null; line = in.readLine()) {
       answer(line);
-      System.out.println("end");
+      System.out.println(ControlOnlyCommand.END);
     }
   }
 
@@ -102,15 +102,20 @@
     }
   }
 
-  private void answer(String command) throws InterruptedException {
-    String[] arguments = command.split(" ");
-    switch (arguments[0]) {
-      case "known" -> executeOnLoop(this::printKnown);
-      case "heap" -> System.out.println(heapBytes());
-      case "forget" -> executeOnLoop(activationTimes::clear);
-      case "force" -> executeOnLoop(this::printTimesInForce);
-      case "reload" -> reload(Path.of(arguments[1]));
-      default -> System.out.println("unknown order: " + command);
+  private void answer(String line) throws InterruptedException {
+    String[] arguments = line.split(" ");
+    ControlOnlyCommand command = ControlOnlyCommand.of(arguments[0]);
+    if (command == null) {
+      System.out.println("unknown order: " + line);
+      return;
+    }
+    switch (command) {
+      case KNOWN -> executeOnLoop(this::printKnown);
+      case HEAP -> System.out.println(heapBytes());
+      case FORGET -> executeOnLoop(activationTimes::clear);
+      case REVISION_TIMES -> executeOnLoop(this::printActivationTimes);
+      case RELOAD -> reload(Path.of(arguments[1]));
+      default -> throw new IllegalStateException("unknown command " + command);
     }
   }
 
@@ -126,7 +131,7 @@
     activationTimes.computeIfAbsent(revision, r -> new ArrayList<>()).add(System.nanoTime());
   }
 
-  private void printTimesInForce() {
+  private void printActivationTimes() {
     StringBuilder lines = new StringBuilder();
     activationTimes.forEach(
         (revision, times) -> {
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyProcess.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyProcess.java
@@ -46,24 +46,24 @@
   }
 
   Known known() {
-    String[] fields = execute("known").get(0).split(" ");
+    String[] fields = execute(ControlOnlyCommand.KNOWN.keyword()).get(0).split(" ");
     return new Known(Integer.parseInt(fields[0]), Double.parseDouble(fields[1]));
   }
 
   /** Bytes of heap in use after a collection. */
   double heapBytes() {
-    return Double.parseDouble(execute("heap").get(0));
+    return Double.parseDouble(execute(ControlOnlyCommand.HEAP.keyword()).get(0));
   }
 
   /** Forgets when revisions took effect so far. */
   void forgetRevisions() {
-    execute("forget");
+    execute(ControlOnlyCommand.FORGET.keyword());
   }
 
   /** When each revision took effect at each proxy, in nanoseconds of the shared clock. */
   Map<Long, long[]> revisionTimes() {
     Map<Long, long[]> times = new LinkedHashMap<>();
-    for (String line : execute("force")) {
+    for (String line : execute(ControlOnlyCommand.REVISION_TIMES.keyword())) {
       long[] numbers = Arrays.stream(line.split(" ")).mapToLong(Long::parseLong).toArray();
       times.put(numbers[0], Arrays.copyOfRange(numbers, 1, numbers.length));
     }
@@ -72,7 +72,7 @@
 
   /** Makes each proxy reload its configuration; returns once all have. */
   void reload(Path config) {
-    execute("reload " + config);
+    execute(ControlOnlyCommand.RELOAD.keyword() + " " + config);
   }
 
   private List<String> execute(String command) {
@@ -86,7 +86,7 @@
 
   private List<String> readAnswer() throws IOException {
     List<String> lines = new ArrayList<>();
-    for (String line = in.readLine(); !"end".equals(line); line = in.readLine()) {
+    for (String line = in.readLine(); !ControlOnlyCommand.END.equals(line); line = in.readLine()) {
       if (line == null) {
         throw new IOException("a process of hollow proxies has ended");
       }
--- a/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -25,16 +25,18 @@
 
   private static final long WARM_UP_PAUSE_MILLIS = 500;
 
-  /** How long rest is measured; briefly without references, as times say little then. */
-  private static final long REST_MILLIS = 2000;
+  /** How long the idle state is measured; briefly without references: times say little then. */
+  private static final long IDLE_MILLIS = 2000;
 
-  private static final long SHORT_REST_MILLIS = 100;
+  private static final long SHORT_IDLE_MILLIS = 100;
 
   /** Time for the last change to take effect everywhere. */
   private static final long SETTLE_MILLIS = 800;
 
   private static final long PROBE_WARM_UP_MILLIS = 1000;
   private static final long PROBE_MILLIS = 2000;
+  private static final double MICROS_PER_SECOND = 1e6;
+  private static final double NANOS_PER_MICRO = 1e3;
 
   private final ScaleEnvironment environment;
   private final SourceServer source;
@@ -57,48 +59,45 @@
       ChangeSchedule schedule,
       Map<String, Double> metrics)
       throws InterruptedException {
-    if (environment.hasReferences()) {
-      int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
-      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(schedule.perSecond, notifications));
-      change(warmUp, warmUp);
-      Thread.sleep(WARM_UP_PAUSE_MILLIS);
-    }
-    long fleetBefore = fleet.cpuNanos();
-    long referenceBefore = cpuNanos(reference);
-    long restStart = System.nanoTime();
-    Thread.sleep(environment.hasReferences() ? REST_MILLIS : SHORT_REST_MILLIS);
-    double fleetRest = (fleet.cpuNanos() - fleetBefore) / (double) (System.nanoTime() - restStart);
-    double referenceRest =
-        (cpuNanos(reference) - referenceBefore) / (double) (System.nanoTime() - restStart);
+    warmUp(fleet, schedule);
+    CpuMeter fleetCpu = new CpuMeter(fleet::cpuNanos);
+    CpuMeter referenceCpu = new CpuMeter(() -> reference == null ? 0 : reference.cpuNanos());
+    Thread.sleep(environment.hasReferences() ? IDLE_MILLIS : SHORT_IDLE_MILLIS);
+    double fleetIdle = fleetCpu.utilization();
+    double referenceIdle = referenceCpu.utilization();
 
     fleet.forgetRevisions();
-    fleetBefore = fleet.cpuNanos();
-    referenceBefore = cpuNanos(reference);
+    fleetCpu.restart();
+    referenceCpu.restart();
     long bytesBefore = source.bytesSent();
-    long start = System.nanoTime();
     long[] changedAt = change(schedule.count, schedule.perSecond);
     Thread.sleep(SETTLE_MILLIS);
     environment.checkLimit();
-    double elapsed = System.nanoTime() - start;
     double watchers = fleet.size() + (reference == null ? 0 : 1);
-    double fleetSpent = fleet.cpuNanos() - fleetBefore - fleetRest * elapsed;
+    double fleetNanos = fleetCpu.nanosBeyond(fleetIdle);
+    double referenceNanos = referenceCpu.nanosBeyond(referenceIdle);
     metrics.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / schedule.count);
-    metrics.put("idle_us_s", fleetRest * 1e6 / fleet.size());
-    metrics.put("change_us", fleetSpent / 1e3 / fleet.size() / schedule.count);
+    metrics.put("idle_us_s", fleetIdle * MICROS_PER_SECOND / fleet.size());
+    metrics.put("change_us", fleetNanos / NANOS_PER_MICRO / fleet.size() / schedule.count);
     fleet.putActivationLatencies(changedAt, source, metrics);
     if (reference != null && reference.wasReady()) {
-      double spent = cpuNanos(reference) - referenceBefore - referenceRest * elapsed;
-      metrics.put("w_idle_us_s", referenceRest * 1e6);
-      metrics.put("w_change_us", spent / 1e3 / schedule.count);
+      metrics.put("w_idle_us_s", referenceIdle * MICROS_PER_SECOND);
+      metrics.put("w_change_us", referenceNanos / NANOS_PER_MICRO / schedule.count);
       measureLatency(reference, schedule.perSecond, metrics);
     }
   }
 
-  private static long cpuNanos(ReferenceProxy reference) {
-    return reference == null ? 0 : reference.cpuNanos();
+  /** Makes changes that are not measured, unless times say little anyway. */
+  private void warmUp(ControlOnlyFleet fleet, ChangeSchedule schedule) throws InterruptedException {
+    if (environment.hasReferences()) {
+      int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
+      int count = Math.min(MAX_WARM_UP_CHANGES, Math.max(schedule.perSecond, notifications));
+      change(count, count);
+      Thread.sleep(WARM_UP_PAUSE_MILLIS);
+    }
   }
 
-  /** Puts the latency of requests at rest and while there are changes. */
+  /** Puts the latency of requests when idle and while there are changes. */
   private void measureLatency(ReferenceProxy reference, int perSecond, Map<String, Double> metrics)
       throws InterruptedException {
     new LatencyProbe(reference.address()).endAfter(PROBE_WARM_UP_MILLIS);
