lab: the metrics of a verdict are an enum

Change: the enum Metric, in the order of the RESULT line, with the names as printed; Verdict.metric reads one. Windows of a scenario keep their names of the form service-NAME.

--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
@@ -83,7 +84,7 @@
     run.run();
     double seconds = (System.nanoTime() - start) / 1e9;
     Verdict verdict = referee.verdict();
-    double requests = verdict.metrics().get("asked");
+    double requests = verdict.metric(Metric.ASKED);
     System.out.printf(
         Locale.ROOT,
         "%7d %7d %7.2f %9.1f %12.1f %8d %8.3f%n",
@@ -93,7 +94,7 @@
         seconds * 1e6 / requests,
         run.steps() / requests,
         peakHeapBytes(pools) >> 20,
-        verdict.metrics().get("service"));
+        verdict.metric(Metric.SERVICE));
   }
 
   private static long peakHeapBytes(List<MemoryPoolMXBean> pools) {
@@ -115,16 +116,16 @@
         new ScenarioRunner.Job(job.seed(), null, job.policy(), job.proxyJar());
     ScenarioRunner.SocketResult result =
         ScenarioRunner.runOnSockets(scenario, withoutOutput, options);
-    Map<String, Double> metrics = result.verdict().metrics();
+    Verdict verdict = result.verdict();
     System.out.printf(
         Locale.ROOT,
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        metrics.get("done") / (Scenario.toSeconds(scenario.duration())),
+        verdict.metric(Metric.DONE) / (Scenario.toSeconds(scenario.duration())),
         ScenarioRunner.latenessMillis(result.quality(), 99),
-        metrics.get("p50"),
-        metrics.get("p99"),
-        metrics.get("p999"));
+        verdict.metric(Metric.P50),
+        verdict.metric(Metric.P99),
+        verdict.metric(Metric.P999));
   }
 }
--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -12,14 +12,18 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.ScenarioReader;
 
 /**
@@ -30,8 +34,18 @@
   private static final int MAX_SEEDS = 10_000;
 
   /** The metrics that are printed, in addition to those of the scenario's windows. */
-  private static final List<String> PRINTED_METRICS =
-      List.of("service", "worst-second", "broken", "denied", "aborted", "duplicate", "p50", "p99");
+  private static final Set<String> PRINTED_METRICS =
+      Stream.of(
+              Metric.SERVICE,
+              Metric.WORST_SECOND,
+              Metric.BROKEN,
+              Metric.REJECTED,
+              Metric.FAILED,
+              Metric.REPEATED_WORK,
+              Metric.P50,
+              Metric.P99)
+          .map(Metric::keyword)
+          .collect(Collectors.toUnmodifiableSet());
 
   private final Path scenario;
   private final int seeds;
@@ -157,7 +171,7 @@
         "95% of resampled means, " + seeds + " seeds");
     differences.forEach(
         (metric, difference) -> {
-          if (PRINTED_METRICS.contains(metric) || metric.startsWith("service-")) {
+          if (PRINTED_METRICS.contains(metric) || metric.startsWith(Metric.WINDOW_PREFIX)) {
             System.out.printf(
                 Locale.ROOT,
                 "%-16s %12s %12s %10s   %s to %s%s%n",
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.referee.ProxyTotals;
 import wheattrack.lab.referee.RuleViolation;
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Fault;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
@@ -36,7 +36,7 @@
     for (RuleViolation violation : verdict.violations()) {
       System.out.println("broken, " + violation.rule() + ": " + violation.description());
     }
-    printVerdict(verdict.metrics());
+    printVerdict(verdict);
     System.out.println(verdict.resultLine(job.seed()));
     return result.exitCode();
   }
@@ -94,17 +94,17 @@
         totals.attemptsByBackend());
   }
 
-  private static void printVerdict(Map<String, Double> metrics) {
-    double broken = metrics.get("broken");
+  private static void printVerdict(Verdict verdict) {
+    double broken = verdict.metric(Metric.BROKEN);
     System.out.println(
         "the referee: "
             + (broken == 0 ? "no rule was broken" : Verdict.format(broken) + " rules were broken")
             + "; "
-            + String.format(Locale.ROOT, "%.1f", 100 * metrics.get("service"))
+            + String.format(Locale.ROOT, "%.1f", 100 * verdict.metric(Metric.SERVICE))
             + "% of the value was done in time, half within "
-            + Verdict.format(metrics.get("p50"))
+            + Verdict.format(verdict.metric(Metric.P50))
             + " ms, all but 1% within "
-            + Verdict.format(metrics.get("p99"))
+            + Verdict.format(verdict.metric(Metric.P99))
             + " ms");
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 
 /**
@@ -133,27 +134,30 @@
   private Map<String, Double> metrics() {
     Map<String, Double> metrics = new LinkedHashMap<>();
     int broken = violations.counts().values().stream().mapToInt(count -> count).sum();
-    metrics.put("broken", (double) broken);
-    violations.counts().forEach((rule, count) -> metrics.put("broken." + rule, (double) count));
-    metrics.put("service", service.service(0, Long.MAX_VALUE));
+    metrics.put(Metric.BROKEN.keyword(), (double) broken);
+    violations
+        .counts()
+        .forEach((rule, count) -> metrics.put(rule.violationMetric().keyword(), (double) count));
+    metrics.put(Metric.SERVICE.keyword(), service.service(0, Long.MAX_VALUE));
     for (Scenario.Window window : scenario.windows()) {
-      metrics.put("service-" + window.name(), service.service(window.from(), window.until()));
+      metrics.put(
+          Metric.WINDOW_PREFIX + window.name(), service.service(window.from(), window.until()));
     }
-    metrics.put("worst-second", service.worstSecond());
-    metrics.put("asked", (double) run.operationCount());
-    metrics.put("done", (double) service.done());
-    metrics.put("denied", (double) service.rejected());
-    metrics.put("aborted", (double) service.failed());
-    metrics.put("lost", (double) answerRule.lost());
-    metrics.put("dispatches", (double) service.attempts());
-    metrics.put("duplicate", effectRule.repeatedShare());
-    metrics.put("crossings", service.crossingShare());
-    metrics.put("p50", service.latencyMillis(50));
-    metrics.put("p99", service.latencyMillis(99));
-    metrics.put("p999", service.latencyMillis(99.9));
-    metrics.put("late-drain", Scenario.toMillis(drainRule.latestArrival()));
-    metrics.put("cold-load", coldStartRule.peakLoad());
-    metrics.put("fallen", (double) coldStartRule.collapses());
+    metrics.put(Metric.WORST_SECOND.keyword(), service.worstSecond());
+    metrics.put(Metric.ASKED.keyword(), (double) run.operationCount());
+    metrics.put(Metric.DONE.keyword(), (double) service.done());
+    metrics.put(Metric.REJECTED.keyword(), (double) service.rejected());
+    metrics.put(Metric.FAILED.keyword(), (double) service.failed());
+    metrics.put(Metric.LOST.keyword(), (double) answerRule.lost());
+    metrics.put(Metric.ATTEMPTS.keyword(), (double) service.attempts());
+    metrics.put(Metric.REPEATED_WORK.keyword(), effectRule.repeatedShare());
+    metrics.put(Metric.CROSSINGS.keyword(), service.crossingShare());
+    metrics.put(Metric.P50.keyword(), service.latencyMillis(50));
+    metrics.put(Metric.P99.keyword(), service.latencyMillis(99));
+    metrics.put(Metric.P999.keyword(), service.latencyMillis(99.9));
+    metrics.put(Metric.LATE_DRAIN.keyword(), Scenario.toMillis(drainRule.latestArrival()));
+    metrics.put(Metric.COLD_LOAD.keyword(), coldStartRule.peakLoad());
+    metrics.put(Metric.COLLAPSES.keyword(), (double) coldStartRule.collapses());
     return metrics;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/Rule.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Rule.java
@@ -1,20 +1,29 @@
 package wheattrack.lab.referee;
 
+import wheattrack.lab.scenario.Metric;
+
 /** The rules that a run is judged by, in the order of their metrics. */
 public enum Rule {
   /** Each request has one final answer, by its deadline. */
-  ANSWERS("answers"),
+  ANSWERS("answers", Metric.BROKEN_ANSWERS),
   /** No request has an effect that its class forbids. */
-  EFFECTS("effects"),
+  EFFECTS("effects", Metric.BROKEN_EFFECTS),
   /** No attempt goes to a backend that is known to drain or to be gone. */
-  DRAINS("drains"),
+  DRAINS("drains", Metric.BROKEN_DRAINS),
   /** No backend collapses while it warms up. */
-  COLD("cold");
+  COLD("cold", Metric.BROKEN_COLD);
 
   private final String keyword;
+  private final Metric violationMetric;
 
-  Rule(String keyword) {
+  Rule(String keyword, Metric violationMetric) {
     this.keyword = keyword;
+    this.violationMetric = violationMetric;
+  }
+
+  /** The metric that counts its violations. */
+  Metric violationMetric() {
+    return violationMetric;
   }
 
   /** The rule's name in metrics and reports. */
--- a/lab/src/main/java/wheattrack/lab/referee/Verdict.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Verdict.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.Scenario.Expectation;
 
@@ -32,6 +33,11 @@
   /** Above this a metric is not shown as an integer. */
   private static final double MAX_WHOLE_NUMBER = 1e12;
 
+  /** The value of a metric. */
+  public double metric(Metric metric) {
+    return metrics.get(metric.keyword());
+  }
+
   /** The scenario's expectations that are not met. */
   public List<Expectation> unmetExpectations() {
     return scenario.expectations().stream()
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -50,33 +50,6 @@
   /** Backends of consecutive indexes that share a cell (pod group). */
   private static final int BACKENDS_PER_CELL = 4;
 
-  /**
-   * The metrics of a verdict that an expectation may name, in addition to the service in a window.
-   */
-  public static final List<String> METRICS =
-      List.of(
-          "broken",
-          "broken.answers",
-          "broken.effects",
-          "broken.drains",
-          "broken.cold",
-          "service",
-          "asked",
-          "done",
-          "denied",
-          "aborted",
-          "lost",
-          "dispatches",
-          "duplicate",
-          "crossings",
-          "p50",
-          "p99",
-          "p999",
-          "late-drain",
-          "worst-second",
-          "cold-load",
-          "fallen");
-
   /**
    * A number of equal backends.
    *
--- a/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ScenarioReader.java
@@ -244,8 +244,9 @@
   private List<Expectation> expectations(ConfigurationReader section) {
     List<Expectation> expectations = new ArrayList<>();
     for (String metric : section.keys()) {
-      boolean isWindow = windows.stream().anyMatch(w -> metric.equals("service-" + w.name()));
-      if (!isWindow && !Scenario.METRICS.contains(metric)) {
+      boolean isWindow =
+          windows.stream().anyMatch(w -> metric.equals(Metric.WINDOW_PREFIX + w.name()));
+      if (!isWindow && !Metric.isKeyword(metric)) {
         throw section.fault(metric, "unknown figure");
       }
       String[] parts = section.text(metric).trim().split("\\s+");
