lab: units, status codes and settings have names; measurements declare what they throw

Cause: 1024 and 1,048,576 in eight files, bare HTTP status codes and settings, a percentile written twice, and measurements that declared Exception.

--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -71,7 +71,7 @@
   /** KiB of heap that each has taken since its start. */
   double heapKibEach() {
     double heapBytes = processes.stream().mapToDouble(ControlOnlyProcess::heapBytes).sum();
-    return (heapBytes - emptyHeapBytes) / 1024 / size;
+    return (heapBytes - emptyHeapBytes) / ByteUnits.KIB / size;
   }
 
   /** Nanoseconds of processor time of all. */
@@ -119,8 +119,7 @@
     int count = latencies.size();
     metrics.put("untold", (double) changedAtNanos.length * size - count);
     metrics.put("force_p50_ms", count == 0 ? Double.NaN : latencies.get(count / 2));
-    metrics.put(
-        "force_p99_ms", count == 0 ? Double.NaN : latencies.get((int) (0.99 * (count - 1))));
+    metrics.put("force_p99_ms", Percentiles.of(latencies, 0.99));
     metrics.put("force_last_ms", count == 0 ? Double.NaN : latencies.get(count - 1));
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/DaemonThreads.java
+++ b/lab/src/main/java/wheattrack/lab/scale/DaemonThreads.java
@@ -1,10 +1,12 @@
 package wheattrack.lab.scale;
 
+import java.io.IOException;
+
 /** Starts threads that end with the program and whose errors end only themselves. */
 final class DaemonThreads {
   /** What a thread does. */
   interface Task {
-    void run() throws Exception;
+    void run() throws IOException, InterruptedException;
   }
 
   private DaemonThreads() {}
@@ -15,7 +17,7 @@
             () -> {
               try {
                 task.run();
-              } catch (Exception e) {
+              } catch (IOException | InterruptedException | RuntimeException e) {
                 // the peer has gone or the run is over; the measurement shows what is missing
               }
             });
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -6,6 +6,7 @@
 import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
+import java.io.IOException;
 import java.util.Map;
 import wheattrack.lab.scale.SteadyChanges.ChangeSchedule;
 
@@ -29,7 +30,8 @@
   }
 
   /** By backends in the list. */
-  void measureBackends(int backends, Map<String, Double> metrics) throws Exception {
+  void measureBackends(int backends, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     int fleetSize = backends > USUAL_LIST ? 1 : SMALL_FLEET;
     try (SourceServer source = environment.startEndpointSource(backends);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0)) {
@@ -39,7 +41,8 @@
         double listMillis = fleet.awaitLists(LIST_TIMEOUT_MILLIS);
         metrics.put("list_ms", listMillis);
         metrics.put("known", fleet.maxKnownBackends());
-        metrics.put("list_kb", (source.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
+        metrics.put(
+            "list_kb", (source.bytesSent() - bytesBefore) / (double) ByteUnits.KIB / fleetSize);
         double watchers = fleetSize + (reference == null ? 0 : 1);
         metrics.put("asked_bytes", source.bytesReceived() / watchers);
         metrics.put("heap_kb", fleet.heapKibEach());
@@ -58,11 +61,12 @@
     metrics.put("w_ready_ms", reference.readyMillis());
     metrics.put("w_known", reference.metric("backends_known"));
     reference.putStart(metrics);
-    metrics.put("w_rest_mb", reference.residentKib() / 1024.0);
+    metrics.put("w_rest_mb", reference.residentKib() / (double) ByteUnits.KIB);
   }
 
   /** By changes a second. */
-  void measureChangeRate(int perSecond, Map<String, Double> metrics) throws Exception {
+  void measureChangeRate(int perSecond, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     ChangeSchedule schedule = new ChangeSchedule(CHANGE_SECONDS * perSecond, perSecond);
     measureFleet(
         USUAL_LIST,
@@ -75,7 +79,8 @@
   }
 
   /** By control-only proxies that watch the list. */
-  void measureWatchers(int fleetSize, Map<String, Double> metrics) throws Exception {
+  void measureWatchers(int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     measureFleet(
         SMALL_LIST,
         fleetSize,
@@ -89,7 +94,7 @@
 
   /** Starts a source of that many backends and a fleet that watches it, and ends both. */
   private void measureFleet(int backends, int fleetSize, FleetMeasurement measurement)
-      throws Exception {
+      throws IOException, InterruptedException {
     try (SourceServer source = environment.startEndpointSource(backends);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
         ControlOnlyFleet fleet =
--- a/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
+++ b/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
@@ -71,9 +71,7 @@
     thread.join(END_TIMEOUT_MILLIS);
     synchronized (latencies) {
       latencies.sort(null);
-      return latencies.isEmpty()
-          ? Double.NaN
-          : latencies.get((int) (0.99 * (latencies.size() - 1)));
+      return Percentiles.of(latencies, 0.99);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
@@ -4,6 +4,7 @@
 import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
+import java.io.IOException;
 import java.util.Map;
 
 /** The axes about a source that is away for a while: what its watchers do when it is back. */
@@ -19,7 +20,8 @@
   }
 
   /** By control-only proxies whose source of endpoints is away. */
-  void measureEndpointOutage(int fleetSize, Map<String, Double> metrics) throws Exception {
+  void measureEndpointOutage(int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         ControlOnlyFleet fleet =
             environment.startFleet(
@@ -29,7 +31,8 @@
   }
 
   /** By control-only proxies whose source of settings is away. */
-  void measureSettingsOutage(int fleetSize, Map<String, Double> metrics) throws Exception {
+  void measureSettingsOutage(int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         SourceServer settings = environment.startSettingsSource(SettingsMeasurements.USUAL_SCOPE);
         ControlOnlyFleet fleet =
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -101,7 +101,7 @@
     while (!isClosed) {
       long sum = 0;
       for (Process process : List.copyOf(processes)) {
-        sum += process.isAlive() ? ProcessStatistics.residentKib(process) * 1024 : 0;
+        sum += process.isAlive() ? ProcessStatistics.residentKib(process) * ByteUnits.KIB : 0;
       }
       peakMemoryBytes = Math.max(peakMemoryBytes, sum);
       if (sum > maxMemoryBytes) {
@@ -120,7 +120,7 @@
   void checkLimit() {
     if (isLimitExceeded) {
       throw new ResourceLimitException(
-          "memory over " + maxMemoryBytes / 1_048_576 + " MiB: all processes were ended");
+          "memory over " + maxMemoryBytes / ByteUnits.MIB + " MiB: all processes were ended");
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessStatistics.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessStatistics.java
@@ -11,9 +11,8 @@
 
 /** What /proc says of this machine's memory, and of the memory and processor time of a process. */
 final class ProcessStatistics {
-  private static final long GIB = 1L << 30;
-  private static final long MAX_MEMORY_BYTES = 12 * GIB;
-  private static final long MIN_FREE_BYTES = GIB;
+  private static final long MAX_MEMORY_BYTES = 12 * ByteUnits.GIB;
+  private static final long MIN_FREE_BYTES = ByteUnits.GIB;
 
   private ProcessStatistics() {}
 
@@ -24,11 +23,11 @@
   static long allowedMemoryBytes() {
     try (Stream<String> lines = Files.lines(Path.of("/proc/meminfo"))) {
       List<String> info = lines.toList();
-      long half = Math.min(MAX_MEMORY_BYTES, kib(info, "MemTotal:") * 512);
-      long free = kib(info, "MemAvailable:") * 1024;
+      long half = Math.min(MAX_MEMORY_BYTES, kib(info, "MemTotal:") * ByteUnits.KIB / 2);
+      long free = kib(info, "MemAvailable:") * ByteUnits.KIB;
       if (free < MIN_FREE_BYTES) {
         throw new InvalidConfigurationException(
-            "memory", free / 1_048_576 + " MiB are free, under 1024");
+            "memory", free / ByteUnits.MIB + " MiB are free, under 1024");
       }
       return Math.min(half, free);
     } catch (IOException e) {
--- a/lab/src/main/java/wheattrack/lab/scale/ProxyConfigFiles.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProxyConfigFiles.java
@@ -14,6 +14,19 @@
 final class ProxyConfigFiles {
   private static final long SEED_STEP = 0x9E37_79B9L;
 
+  /** What the proxies take the number of proxies to be. */
+  private static final int PROXY_COUNT = 100;
+
+  private static final int MAX_ATTEMPTS = 3;
+
+  /** Microseconds, as the settings have them. */
+  private static final int LOAD_PROBE_INTERVAL = 10_000_000;
+
+  private static final int CONNECT_TIMEOUT = 250_000;
+  private static final int IDLE_TIMEOUT = 30_000_000;
+  private static final int LATENCY_OBJECTIVE = 600_000;
+  private static final int CLIENT_TIMEOUT = 1_200_000;
+
   private final Path directory;
   private final long seed;
   private int written;
@@ -55,15 +68,19 @@
   private static Map<String, Object> settings(int ruleSets, int tenants) {
     Map<String, Object> settings = new LinkedHashMap<>();
     settings.put("me", 0);
-    settings.put("balancers", 100);
+    settings.put("balancers", PROXY_COUNT);
     settings.put("zones", List.of("a", "b"));
     settings.put("zone", 0);
     settings.put("kinds", List.of("m1"));
     settings.put("ruleSets", ruleSets(ruleSets));
     settings.put("tenants", tenants(tenants));
-    settings.put("rules", Map.of("askEvery", 10_000_000));
+    settings.put("rules", Map.of("askEvery", LOAD_PROBE_INTERVAL));
     settings.put(
-        "limits", Map.of("maxDispatches", 3, "dialTimeout", 250_000, "idleClose", 30_000_000));
+        "limits",
+        Map.of(
+            "maxDispatches", MAX_ATTEMPTS,
+            "dialTimeout", CONNECT_TIMEOUT,
+            "idleClose", IDLE_TIMEOUT));
     return settings;
   }
 
@@ -75,8 +92,8 @@
       ruleSet.put("effect", "read_like");
       ruleSet.put("group", "all");
       ruleSet.put("window", 0);
-      ruleSet.put("responseTarget", 600_000);
-      ruleSet.put("clientTimeout", 1_200_000);
+      ruleSet.put("responseTarget", LATENCY_OBJECTIVE);
+      ruleSet.put("clientTimeout", CLIENT_TIMEOUT);
       ruleSets.add(ruleSet);
     }
     return ruleSets;
--- a/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
@@ -106,7 +106,7 @@
   }
 
   double peakResidentMib() {
-    return ProcessStatistics.peakResidentKib(process) / 1024.0;
+    return ProcessStatistics.peakResidentKib(process) / (double) ByteUnits.KIB;
   }
 
   long residentKib() {
--- a/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
+++ b/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
@@ -19,7 +19,7 @@
   }
 
   /** By proxies. */
-  void measure(int count, Map<String, Double> metrics) throws Exception {
+  void measure(int count, Map<String, Double> metrics) throws IOException, InterruptedException {
     int processors = Runtime.getRuntime().availableProcessors();
     int cores = Math.max(1, Math.min(processors, (count + 1) / 2));
     metrics.put("core_each", Math.min(1, cores / (double) count));
@@ -74,6 +74,6 @@
     metrics.put(mode + "_p50_ms", readyMillis[count / 2]);
     metrics.put(mode + "_p90_ms", readyMillis[rank90]);
     metrics.put(mode + "_last_ms", readyMillis[count - 1]);
-    metrics.put(mode + "_rss_mb", residentKib / 1024.0 / count);
+    metrics.put(mode + "_rss_mb", residentKib / (double) ByteUnits.KIB / count);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleAxis.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleAxis.java
@@ -1,5 +1,6 @@
 package wheattrack.lab.scale;
 
+import java.io.IOException;
 import java.util.Map;
 
 /**
@@ -15,7 +16,10 @@
     String name, String unit, int[] points, int min, int max, Measurement measurement) {
   /** Measures one point; its processes are ended before the next point begins. */
   interface Measurement {
-    /** Puts the metrics of this point by name; throws whatever kept it from being measured. */
-    void measure(int point, Map<String, Double> metrics) throws Exception;
+    /**
+     * Puts the metrics of this point by name; throws what kept it from being measured, a
+     * RuntimeException where a process of the measurement has ended.
+     */
+    void measure(int point, Map<String, Double> metrics) throws IOException, InterruptedException;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -57,9 +57,9 @@
     if (job.memoryBytes > allowed) {
       throw new InvalidConfigurationException(
           "--memory-mb",
-          job.memoryBytes / 1_048_576
+          job.memoryBytes / ByteUnits.MIB
               + " is over the "
-              + allowed / 1_048_576
+              + allowed / ByteUnits.MIB
               + " that may be used here");
     }
     String commandLine =
@@ -86,7 +86,7 @@
         output.flush();
       }
       output.printf(
-          "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / 1_048_576);
+          "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / ByteUnits.MIB);
     }
     if (job.outputDirectory != null) {
       Files.createDirectories(job.outputDirectory);
@@ -110,7 +110,7 @@
       axis.measurement().measure(point, measurements.addRow(point));
     } catch (ResourceLimitException e) {
       throw e;
-    } catch (Exception e) {
+    } catch (IOException | InterruptedException | RuntimeException e) {
       environment.checkLimit(); // it may have failed because its processes were ended
       output.println(axis.name() + " " + point + " fell short: " + e);
     }
--- a/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
@@ -6,6 +6,7 @@
 import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -26,30 +27,34 @@
   }
 
   /** By rule sets in the configuration file. */
-  void measureRuleSets(int ruleSets, Map<String, Double> metrics) throws Exception {
+  void measureRuleSets(int ruleSets, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     measureFile(ruleSets, 0, metrics);
   }
 
   /** By tenants in the configuration file. */
-  void measureTenants(int tenants, Map<String, Double> metrics) throws Exception {
+  void measureTenants(int tenants, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     measureFile(USUAL_RULE_SETS, tenants, metrics);
   }
 
   /** By rule sets in the source that a few proxies watch. */
-  void measureScope(int ruleSets, Map<String, Double> metrics) throws Exception {
+  void measureScope(int ruleSets, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     measureSource(ruleSets, SMALL_FLEET, metrics);
   }
 
   /** By control-only proxies that watch a source of the usual size. */
-  void measureScopeWatchers(int fleetSize, Map<String, Double> metrics) throws Exception {
+  void measureScopeWatchers(int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     measureSource(USUAL_SCOPE, fleetSize, metrics);
   }
 
   private void measureFile(int ruleSets, int tenants, Map<String, Double> metrics)
-      throws Exception {
+      throws IOException, InterruptedException {
     try (SourceServer source = environment.startEndpointSource(SMALL_LIST)) {
       Path config = environment.writeConfig(source, ruleSets, tenants);
-      metrics.put("file_mb", Files.size(config) / 1048576.0);
+      metrics.put("file_mb", Files.size(config) / (double) ByteUnits.MIB);
       try (ControlOnlyFleet fleet = environment.startFleet(1, config)) {
         fleet.awaitLists(READY_TIMEOUT_MILLIS);
         long cpuBefore = fleet.cpuNanos();
@@ -73,7 +78,7 @@
 
   /** Settings from a watched source: what a change costs, and when it takes effect. */
   private void measureSource(int ruleSets, int fleetSize, Map<String, Double> metrics)
-      throws Exception {
+      throws IOException, InterruptedException {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         SourceServer settings = environment.startSettingsSource(ruleSets)) {
       Path config = environment.writeConfig(endpoints, 1, 0);
@@ -81,7 +86,9 @@
         long bytesBefore = settings.bytesSent();
         try (ControlOnlyFleet fleet = environment.startFleet(fleetSize, config, settings)) {
           metrics.put("whole_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
-          metrics.put("whole_kb", (settings.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
+          metrics.put(
+              "whole_kb",
+              (settings.bytesSent() - bytesBefore) / (double) ByteUnits.KIB / fleetSize);
           metrics.put("heap_kb", fleet.heapKibEach());
           if (reference != null) {
             metrics.put("w_ready_ms", reference.readyMillis());
--- a/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -157,7 +157,7 @@
       boolean isValid = id != null && id.matches("[0-9a-f]{1,16}");
       Long work = isValid ? run.workOf(Long.parseLong(id, 16)) : null;
       if (work == null || closeHandler != null) {
-        write(Encoder.response(response(400, "no client sent this", false)));
+        write(Encoder.response(response(HttpStatus.BAD_REQUEST, "no client sent this", false)));
         return;
       }
       boolean isFirst = unused;
@@ -253,10 +253,12 @@
           return;
         }
         switch (outcome) {
-          case DONE -> write(Encoder.response(response(200, Long.toHexString(requestId), true)));
-          case ERROR -> write(Encoder.response(response(500, "failed", true)));
+          case DONE ->
+              write(Encoder.response(response(HttpStatus.OK, Long.toHexString(requestId), true)));
+          case ERROR ->
+              write(Encoder.response(response(HttpStatus.INTERNAL_SERVER_ERROR, "failed", true)));
           case FULL -> {
-            Response response = response(503, "full", true);
+            Response response = response(HttpStatus.SERVICE_UNAVAILABLE, "full", true);
             response.headers().with("Not-Started", "1");
             write(Encoder.response(response));
           }
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -140,10 +140,11 @@
   }
 
   private static Answer answerOf(Response response, ClientRequest request) {
-    if (response.status() == 503 || response.status() == 429) {
+    if (response.status() == HttpStatus.SERVICE_UNAVAILABLE
+        || response.status() == HttpStatus.TOO_MANY_REQUESTS) {
       return Answer.REJECTED;
     }
-    if (response.status() != 200) {
+    if (response.status() != HttpStatus.OK) {
       return Answer.FAILED;
     }
     String body = new String(response.body(), StandardCharsets.US_ASCII);
