--- a/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
@@ -5,6 +5,7 @@
 import static wheattrack.lab.report.PlotArea.WIDTH;
 
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Map;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.referee.WorkQuantiles;
@@ -60,14 +61,7 @@
   /** The work of the middle eight tenths of the attempts of each backend, the median marked. */
   void addWork() {
     Map<Integer, WorkQuantiles> rows = run.verdict().workByBackend();
-    double low = Double.MAX_VALUE;
-    double high = 1;
-    for (WorkQuantiles work : rows.values()) {
-      low = Math.min(low, work.low());
-      high = Math.max(high, work.high());
-    }
-    double logLow = Math.log(Math.max(MIN_WORK, low));
-    double logRange = Math.max(0.1, Math.log(high) - logLow);
+    WorkAxis axis = WorkAxis.of(rows.values());
     int rowHeight = PlotArea.rowHeight(rows.size());
     int height = PlotArea.rowsHeight(rows.size());
     html.add(
@@ -78,29 +72,56 @@
     int row = 0;
     for (Map.Entry<Integer, WorkQuantiles> entry : rows.entrySet()) {
       PlotArea.addRowLabel(html, row, rowHeight, entry.getKey());
-      WorkQuantiles work = entry.getValue();
-      int top = PlotArea.rowTop(row, rowHeight);
-      double left = workX(work.low(), logLow, logRange);
-      double right = workX(work.high(), logLow, logRange);
-      html.add(
-          "<rect x='%.1f' y='%d' width='%.1f' height='%d' fill='#1b6ca8' fill-opacity='.45'/>",
-          left, top, Math.max(1, right - left), rowHeight - 1);
-      html.add(
-          "<rect x='%.1f' y='%d' width='2' height='%d' fill='#0b3a5e'/>",
-          workX(work.median(), logLow, logRange), top, rowHeight - 1);
+      addWorkBar(entry.getValue(), axis, PlotArea.rowTop(row, rowHeight), rowHeight - 1);
       row++;
     }
-    for (double work = MIN_WORK; work <= high; work *= 10) {
-      if (Math.log(work) >= logLow) {
+    addWorkLabels(axis, height - 6);
+    html.closeDrawing();
+  }
+
+  private void addWorkBar(WorkQuantiles work, WorkAxis axis, int top, int barHeight) {
+    double left = axis.x(work.low());
+    double right = axis.x(work.high());
+    html.add(
+        "<rect x='%.1f' y='%d' width='%.1f' height='%d' fill='#1b6ca8' fill-opacity='.45'/>",
+        left, top, Math.max(1, right - left), barHeight);
+    html.add(
+        "<rect x='%.1f' y='%d' width='2' height='%d' fill='#0b3a5e'/>",
+        axis.x(work.median()), top, barHeight);
+  }
+
+  private void addWorkLabels(WorkAxis axis, int y) {
+    for (double work = MIN_WORK; work <= axis.high; work *= 10) {
+      if (axis.shows(work)) {
         html.add(
             "<text x='%.1f' y='%d' text-anchor='middle'>%s ms</text>",
-            workX(work, logLow, logRange), height - 6, Verdict.format(work));
+            axis.x(work), y, Verdict.format(work));
       }
     }
-    html.closeDrawing();
   }
 
-  private static double workX(double work, double logLow, double logRange) {
-    return LEFT + (double) AXIS_LENGTH * (Math.log(Math.max(MIN_WORK, work)) - logLow) / logRange;
+  /**
+   * A logarithmic axis of work in milliseconds.
+   *
+   * @param high the greatest work, at the right end
+   * @param logLow the logarithm of the work at the left end
+   * @param logRange the difference of the logarithms of both ends
+   */
+  private record WorkAxis(double high, double logLow, double logRange) {
+    static WorkAxis of(Collection<WorkQuantiles> rows) {
+      double low = rows.stream().mapToDouble(WorkQuantiles::low).min().orElse(Double.MAX_VALUE);
+      double high = rows.stream().mapToDouble(WorkQuantiles::high).max().orElse(1);
+      high = Math.max(1, high);
+      double logLow = Math.log(Math.max(MIN_WORK, low));
+      return new WorkAxis(high, logLow, Math.max(0.1, Math.log(high) - logLow));
+    }
+
+    boolean shows(double work) {
+      return Math.log(work) >= logLow;
+    }
+
+    double x(double work) {
+      return LEFT + (double) AXIS_LENGTH * (Math.log(Math.max(MIN_WORK, work)) - logLow) / logRange;
+    }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -53,15 +53,7 @@
    * than it may have.
    */
   public static List<AxisMeasurements> run(Job job, PrintStream output) throws IOException {
-    long allowed = ProcessStatistics.allowedMemoryBytes();
-    if (job.memoryBytes > allowed) {
-      throw new InvalidConfigurationException(
-          "--memory-mb",
-          job.memoryBytes / ByteUnits.MIB
-              + " is over the "
-              + allowed / ByteUnits.MIB
-              + " that may be used here");
-    }
+    long memoryLimit = memoryLimit(job);
     String commandLine =
         job.hasReferences
             ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).text("run")
@@ -69,7 +61,7 @@
     List<AxisMeasurements> measurements = new ArrayList<>();
     long deadline = System.nanoTime() + MAX_RUN_NANOS;
     try (TemporaryDirectory directory = new TemporaryDirectory("wheattrack-scale");
-        ProcessGroup processes = new ProcessGroup(job.memoryBytes > 0 ? job.memoryBytes : allowed);
+        ProcessGroup processes = new ProcessGroup(memoryLimit);
         ScaleEnvironment environment =
             new ScaleEnvironment(processes, job, directory.path(), commandLine)) {
       for (ScaleAxis axis : chosen(ScaleAxes.of(environment), job)) {
@@ -89,14 +81,32 @@
           "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / ByteUnits.MIB);
     }
     if (job.outputDirectory != null) {
-      Files.createDirectories(job.outputDirectory);
-      writeLines(job, measurements);
-      Files.writeString(
-          job.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
+      writeReports(job, measurements);
     }
     return measurements;
   }
 
+  /** The bytes that all processes may hold, as asked for or as this machine allows. */
+  private static long memoryLimit(Job job) {
+    long allowed = ProcessStatistics.allowedMemoryBytes();
+    if (job.memoryBytes > allowed) {
+      throw new InvalidConfigurationException(
+          "--memory-mb",
+          job.memoryBytes / ByteUnits.MIB
+              + " is over the "
+              + allowed / ByteUnits.MIB
+              + " that may be used here");
+    }
+    return job.memoryBytes > 0 ? job.memoryBytes : allowed;
+  }
+
+  private static void writeReports(Job job, List<AxisMeasurements> measurements)
+      throws IOException {
+    Files.createDirectories(job.outputDirectory);
+    writeLines(job, measurements);
+    Files.writeString(job.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
+  }
+
   /**
    * Measures a point; what keeps it from being measured is printed, and its metrics are missing.
    */
