lab: names of options, policies and plot points

Cause: two records named Job held options; constants of policies were made of command line words; points of curves were arrays. Change: RunOptions and ScaleOptions; Policies.Kind.EQUILOAD, LEAST_IN_FLIGHT and POWER_OF_TWO_CHOICES with the names on the command line as they were; HtmlWriter.Point.

--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -47,20 +47,20 @@
   private BenchCommand() {}
 
   /** Measures and prints all; takes minutes. */
-  static ExitCode run(ScenarioRunner.Job job) throws IOException {
+  static ExitCode run(ScenarioRunner.RunOptions options) throws IOException {
     System.out.println("virtual: 2,300 reqs a second for 10 s, one thread");
     System.out.println("proxies servers  wall s  µs a req  steps a req  peak MB  service");
     for (FleetSize size : SIZES) {
-      measureVirtual(size, job.seed());
+      measureVirtual(size, options.seed());
     }
     System.out.println(
         "sockets: light reqs of 1 ms at 12 servers, 6 s a rate; ms from intended send");
     System.out.println("                    rate   done/s  late p99      p50      p99    p99.9");
-    measureSockets("(warming up)", 3, SocketRun.ProxyOptions.DEFAULT, 1000, job);
+    measureSockets("(warming up)", 3, SocketRun.ProxyOptions.DEFAULT, 1000, options);
     for (int rate : RATES) {
-      measureSockets("direct", 12, DIRECT, rate, job);
-      measureSockets("1 proxy, 1 core", 1, ONE_CORE, rate, job);
-      measureSockets("3 proxies", 3, SocketRun.ProxyOptions.DEFAULT, rate, job);
+      measureSockets("direct", 12, DIRECT, rate, options);
+      measureSockets("1 proxy, 1 core", 1, ONE_CORE, rate, options);
+      measureSockets("3 proxies", 3, SocketRun.ProxyOptions.DEFAULT, rate, options);
     }
     return ExitCode.GOOD;
   }
@@ -80,7 +80,7 @@
     List<MemoryPoolMXBean> pools = ManagementFactory.getMemoryPoolMXBeans();
     pools.forEach(MemoryPoolMXBean::resetPeakUsage);
     long start = System.nanoTime();
-    VirtualRun run = new VirtualRun(scenario, seed, Policies.Kind.RULES, referee);
+    VirtualRun run = new VirtualRun(scenario, seed, Policies.Kind.EQUILOAD, referee);
     run.run();
     double seconds = (System.nanoTime() - start) / 1e9;
     Verdict verdict = referee.verdict();
@@ -105,17 +105,21 @@
   }
 
   private static void measureSockets(
-      String name, int proxies, SocketRun.ProxyOptions options, int rate, ScenarioRunner.Job job)
+      String name,
+      int proxies,
+      SocketRun.ProxyOptions proxyOptions,
+      int rate,
+      ScenarioRunner.RunOptions options)
       throws IOException {
     Map<String, String> settings = new LinkedHashMap<>();
     settings.put("load.rate", Integer.toString(rate));
     settings.put("seconds", "6");
     settings.put("fleet.proxies", Integer.toString(proxies));
     Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("long/rate"), settings);
-    ScenarioRunner.Job withoutOutput =
-        new ScenarioRunner.Job(job.seed(), null, job.policy(), job.proxyJar());
+    ScenarioRunner.RunOptions withoutOutput =
+        new ScenarioRunner.RunOptions(options.seed(), null, options.policy(), options.proxyJar());
     ScenarioRunner.SocketResult result =
-        ScenarioRunner.runOnSockets(scenario, withoutOutput, options);
+        ScenarioRunner.runOnSockets(scenario, withoutOutput, proxyOptions);
     Verdict verdict = result.verdict();
     System.out.printf(
         Locale.ROOT,
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -23,11 +23,11 @@
   private DemoCommand() {}
 
   /** Plays the demo and prints what comes of it. */
-  static ExitCode run(ScenarioRunner.Job job) throws IOException {
+  static ExitCode run(ScenarioRunner.RunOptions options) throws IOException {
     Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("demo"));
     printIntroduction(scenario);
     ScenarioRunner.SocketResult result =
-        ScenarioRunner.runOnSockets(scenario, job, SocketRun.ProxyOptions.DEFAULT);
+        ScenarioRunner.runOnSockets(scenario, options, SocketRun.ProxyOptions.DEFAULT);
     Verdict verdict = result.verdict();
     System.out.println();
     printSeconds(scenario, verdict.seconds());
@@ -37,7 +37,7 @@
       System.out.println("broken, " + violation.rule() + ": " + violation.description());
     }
     printVerdict(verdict);
-    System.out.println(verdict.resultLine(job.seed()));
+    System.out.println(verdict.resultLine(options.seed()));
     return result.exitCode();
   }
 
--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -72,8 +72,8 @@
   private static ExitCode runCommand(String command, CommandLine line) throws IOException {
     return switch (command) {
       case "list" -> list();
-      case "demo" -> DemoCommand.run(LabOptions.job(line));
-      case "bench" -> BenchCommand.run(LabOptions.job(line));
+      case "demo" -> DemoCommand.run(LabOptions.runOptions(line));
+      case "bench" -> BenchCommand.run(LabOptions.runOptions(line));
       case "scale" -> scale(line);
       default -> badInput(USAGE);
     };
@@ -91,7 +91,7 @@
         System.out.println("good: " + scenario.name());
         yield ExitCode.GOOD;
       }
-      case "run" -> ScenarioRunner.run(scenario, LabOptions.job(line));
+      case "run" -> ScenarioRunner.run(scenario, LabOptions.runOptions(line));
       default -> badInput(USAGE);
     };
   }
@@ -110,8 +110,8 @@
     if (memoryBytes < 0) {
       throw new InvalidConfigurationException("--memory-mb", "negative");
     }
-    ScaleCommand.Job job =
-        new ScaleCommand.Job(
+    ScaleCommand.ScaleOptions options =
+        new ScaleCommand.ScaleOptions(
             ScenarioCatalog.home(),
             line.getOptionValue("axis"),
             line.getOptionValue("points"),
@@ -120,7 +120,7 @@
             memoryBytes,
             false,
             true);
-    ScaleCommand.run(job, System.out);
+    ScaleCommand.run(options, System.out);
     return ExitCode.GOOD;
   }
 
--- a/lab/src/main/java/wheattrack/lab/LabOptions.java
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -49,7 +49,7 @@
   }
 
   /** How to play a scenario. */
-  static ScenarioRunner.Job job(CommandLine line) {
+  static ScenarioRunner.RunOptions runOptions(CommandLine line) {
     String policy = line.getOptionValue("policy", Policies.names().get(0));
     if (!Policies.names().contains(policy)) {
       throw new InvalidConfigurationException(
@@ -57,7 +57,7 @@
     }
     long seed = seed(line);
     Path proxyJar = path(line, "jar");
-    return new ScenarioRunner.Job(
+    return new ScenarioRunner.RunOptions(
         seed,
         outputDirectory(line),
         policy(policy),
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -21,13 +21,13 @@
 /** Plays one scenario, has it judged, and reports the verdict. */
 final class ScenarioRunner {
   /**
-   * How to play it.
+   * How to play a scenario.
    *
    * @param outputDirectory where ledgers and reports are left, or null
    * @param policy who decides on the virtual clock
    * @param proxyJar the proxies' program on the real clock; may be null on the virtual one
    */
-  record Job(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {}
+  record RunOptions(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {}
 
   /** What came of a run on sockets: the verdict, and how punctual the lab itself was. */
   record SocketResult(Verdict verdict, SocketRun.Quality quality) {
@@ -39,17 +39,17 @@
   private ScenarioRunner() {}
 
   /** Plays it on the clock it names and prints the verdict. */
-  static ExitCode run(Scenario scenario, Job job) throws IOException {
-    if (job.outputDirectory != null) {
-      Files.createDirectories(job.outputDirectory);
+  static ExitCode run(Scenario scenario, RunOptions options) throws IOException {
+    if (options.outputDirectory != null) {
+      Files.createDirectories(options.outputDirectory);
     }
     if (scenario.isVirtual()) {
-      Verdict verdict = runVirtual(scenario, job);
-      report(verdict, job);
+      Verdict verdict = runVirtual(scenario, options);
+      report(verdict, options);
       return exitCode(verdict);
     }
-    SocketResult result = runOnSockets(scenario, job, SocketRun.ProxyOptions.DEFAULT);
-    report(result.verdict, job);
+    SocketResult result = runOnSockets(scenario, options, SocketRun.ProxyOptions.DEFAULT);
+    report(result.verdict, options);
     return result.exitCode();
   }
 
@@ -57,14 +57,14 @@
     return verdict.isGood() ? ExitCode.GOOD : ExitCode.FELL_SHORT;
   }
 
-  private static Verdict runVirtual(Scenario scenario, Job job) throws IOException {
-    if (job.outputDirectory == null) {
-      return judgeVirtual(scenario, job.seed, job.policy);
+  private static Verdict runVirtual(Scenario scenario, RunOptions options) throws IOException {
+    if (options.outputDirectory == null) {
+      return judgeVirtual(scenario, options.seed, options.policy);
     }
-    Path ledger = job.outputDirectory.resolve("world.ledger");
+    Path ledger = options.outputDirectory.resolve("world.ledger");
     Files.deleteIfExists(ledger);
     try (LedgerWriter writer = new LedgerWriter(ledger, false)) {
-      new VirtualRun(scenario, job.seed, job.policy, writer).run();
+      new VirtualRun(scenario, options.seed, options.policy, writer).run();
     }
     return judge(scenario, ledger);
   }
@@ -83,15 +83,16 @@
   }
 
   /** Plays on sockets, with a ledger on disk, and prints how punctual the lab itself was. */
-  static SocketResult runOnSockets(Scenario scenario, Job job, SocketRun.ProxyOptions options)
+  static SocketResult runOnSockets(
+      Scenario scenario, RunOptions options, SocketRun.ProxyOptions proxyOptions)
       throws IOException {
     Path ledger =
-        job.outputDirectory == null
+        options.outputDirectory == null
             ? Files.createTempFile("wheattrack", ".ledger")
-            : job.outputDirectory.resolve("sockets.ledger");
+            : options.outputDirectory.resolve("sockets.ledger");
     Files.deleteIfExists(ledger);
     try {
-      SocketRun.Quality quality = writeLedger(scenario, job, options, ledger);
+      SocketRun.Quality quality = writeLedger(scenario, options, proxyOptions, ledger);
       Verdict verdict = judge(scenario, ledger);
       System.out.printf(
           Locale.ROOT,
@@ -107,19 +108,21 @@
       }
       return new SocketResult(verdict, quality);
     } finally {
-      if (job.outputDirectory == null) {
+      if (options.outputDirectory == null) {
         Files.deleteIfExists(ledger);
       }
     }
   }
 
   private static SocketRun.Quality writeLedger(
-      Scenario scenario, Job job, SocketRun.ProxyOptions options, Path ledger) throws IOException {
+      Scenario scenario, RunOptions options, SocketRun.ProxyOptions proxyOptions, Path ledger)
+      throws IOException {
     try (LedgerWriter writer = new LedgerWriter(ledger, false);
-        SocketRun run = new SocketRun(scenario, job.seed, job.proxyJar, options, writer)) {
+        SocketRun run =
+            new SocketRun(scenario, options.seed, options.proxyJar, proxyOptions, writer)) {
       SocketRun.Quality quality = run.run();
-      if (job.outputDirectory != null) {
-        run.keepLogs(job.outputDirectory);
+      if (options.outputDirectory != null) {
+        run.keepLogs(options.outputDirectory);
       }
       return quality;
     }
@@ -130,7 +133,7 @@
     return quality.latenessMicros().getValueAtPercentile(percentile) / 1000.0;
   }
 
-  private static void report(Verdict verdict, Job job) throws IOException {
+  private static void report(Verdict verdict, RunOptions options) throws IOException {
     for (RuleViolation violation : verdict.violations()) {
       System.out.printf(
           Locale.ROOT,
@@ -151,13 +154,16 @@
               + " "
               + Verdict.format(expectation.bound()));
     }
-    if (job.outputDirectory != null) {
+    if (options.outputDirectory != null) {
       ResultLines.write(
-          job.outputDirectory.resolve("result.jsonl"), verdict, job.seed, job.policy.keyword());
+          options.outputDirectory.resolve("result.jsonl"),
+          verdict,
+          options.seed,
+          options.policy.keyword());
       HtmlReport.write(
-          job.outputDirectory.resolve("report.html"),
-          List.of(new HtmlReport.Run(job.policy.keyword(), verdict)));
+          options.outputDirectory.resolve("report.html"),
+          List.of(new HtmlReport.Run(options.policy.keyword(), verdict)));
     }
-    System.out.println(verdict.resultLine(job.seed));
+    System.out.println(verdict.resultLine(options.seed));
   }
 }
--- a/lab/src/main/java/wheattrack/lab/report/HtmlWriter.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlWriter.java
@@ -5,6 +5,9 @@
 
 /** Collects the text of an HTML page; numbers are formatted without regard to the locale. */
 final class HtmlWriter {
+  /** A point of a curve, in pixels from the left and from the top. */
+  record Point(double x, double y) {}
+
   private final StringBuilder html = new StringBuilder();
 
   /** Adds formatted text; values that are not markup have to be escaped by the caller. */
@@ -12,10 +15,10 @@
     html.append(String.format(Locale.ROOT, format, values));
   }
 
-  /** Adds a curve through points of the plot, each x and y. */
-  void addCurve(String colour, List<double[]> points) {
+  /** Adds a curve through points of the plot. */
+  void addCurve(String colour, List<Point> points) {
     add("<polyline fill='none' stroke='%s' stroke-width='1.8' points='", colour);
-    points.forEach(point -> add("%.1f,%.1f ", point[0], point[1]));
+    points.forEach(point -> add("%.1f,%.1f ", point.x, point.y));
     add("'/>");
   }
 
--- a/lab/src/main/java/wheattrack/lab/report/LatencyPlot.java
+++ b/lab/src/main/java/wheattrack/lab/report/LatencyPlot.java
@@ -13,6 +13,7 @@
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.report.HtmlWriter.Point;
 import wheattrack.lab.scenario.Scenario;
 
 /** Latency by percentile on a logarithmic axis, a curve for each run. */
@@ -60,10 +61,10 @@
   }
 
   private void addCurve(String colour, Histogram latency) {
-    List<double[]> points = new ArrayList<>();
+    List<Point> points = new ArrayList<>();
     for (int i = 0; i < PERCENTILES.length; i++) {
       double millis = Math.max(MIN_MILLIS, millis(latency, PERCENTILES[i]));
-      points.add(new double[] {percentileX(i), latencyY(millis)});
+      points.add(new Point(percentileX(i), latencyY(millis)));
     }
     html.addCurve(colour, points);
   }
--- a/lab/src/main/java/wheattrack/lab/report/TimePlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -14,6 +14,7 @@
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.report.HtmlWriter.Point;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
 
@@ -65,11 +66,11 @@
       Predicate<ServiceSecond> isShown, ToDoubleFunction<ServiceSecond> partOfHeight) {
     for (int i = 0; i < runs.size(); i++) {
       List<ServiceSecond> all = runs.get(i).verdict().seconds();
-      List<double[]> points = new ArrayList<>();
+      List<Point> points = new ArrayList<>();
       for (int s = 0; s < Math.min(all.size(), Math.ceil(area.seconds())); s++) {
         ServiceSecond second = all.get(s);
         if (isShown.test(second)) {
-          points.add(new double[] {area.x(s + 0.5), y(partOfHeight.applyAsDouble(second))});
+          points.add(new Point(area.x(s + 0.5), y(partOfHeight.applyAsDouble(second))));
         }
       }
       html.addCurve(PlotArea.colour(i), points);
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -35,7 +35,7 @@
    *     a test has to notice
    * @param hasReferences whether complete proxies run alongside the control-only ones
    */
-  public record Job(
+  public record ScaleOptions(
       Path home,
       String axis,
       String points,
@@ -52,22 +52,23 @@
    * InvalidConfigurationException for bad input and ResourceLimitException if the run needed more
    * than it may have.
    */
-  public static List<AxisMeasurements> run(Job job, PrintStream output) throws IOException {
-    long memoryLimit = memoryLimit(job);
+  public static List<AxisMeasurements> run(ScaleOptions options, PrintStream output)
+      throws IOException {
+    long memoryLimit = memoryLimit(options);
     String commandLine =
-        job.hasReferences
-            ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).text("run")
+        options.hasReferences
+            ? ConfigurationReader.read(options.home.resolve("deploy/balancer.toml")).text("run")
             : "";
     List<AxisMeasurements> measurements = new ArrayList<>();
     long deadline = System.nanoTime() + MAX_RUN_NANOS;
     try (TemporaryDirectory directory = new TemporaryDirectory("wheattrack-scale");
         ProcessGroup processes = new ProcessGroup(memoryLimit);
         ScaleEnvironment environment =
-            new ScaleEnvironment(processes, job, directory.path(), commandLine)) {
-      for (ScaleAxis axis : chosen(ScaleAxes.of(environment), job)) {
+            new ScaleEnvironment(processes, options, directory.path(), commandLine)) {
+      for (ScaleAxis axis : chosen(ScaleAxes.of(environment), options)) {
         AxisMeasurements axisMeasurements = new AxisMeasurements(axis.name(), axis.unit());
         measurements.add(axisMeasurements);
-        for (int point : points(axis, job.points)) {
+        for (int point : points(axis, options.points)) {
           if (System.nanoTime() > deadline) {
             output.println("not run, as ten minutes are over: " + axis.name() + " " + point);
           } else {
@@ -80,31 +81,32 @@
       output.printf(
           "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / ByteUnits.MIB);
     }
-    if (job.outputDirectory != null) {
-      writeReports(job, measurements);
+    if (options.outputDirectory != null) {
+      writeReports(options, measurements);
     }
     return measurements;
   }
 
   /** The bytes that all processes may hold, as asked for or as this machine allows. */
-  private static long memoryLimit(Job job) {
+  private static long memoryLimit(ScaleOptions options) {
     long allowed = ProcessStatistics.allowedMemoryBytes();
-    if (job.memoryBytes > allowed) {
+    if (options.memoryBytes > allowed) {
       throw new InvalidConfigurationException(
           "--memory-mb",
-          job.memoryBytes / ByteUnits.MIB
+          options.memoryBytes / ByteUnits.MIB
               + " is over the "
               + allowed / ByteUnits.MIB
               + " that may be used here");
     }
-    return job.memoryBytes > 0 ? job.memoryBytes : allowed;
+    return options.memoryBytes > 0 ? options.memoryBytes : allowed;
   }
 
-  private static void writeReports(Job job, List<AxisMeasurements> measurements)
+  private static void writeReports(ScaleOptions options, List<AxisMeasurements> measurements)
       throws IOException {
-    Files.createDirectories(job.outputDirectory);
-    writeLines(job, measurements);
-    Files.writeString(job.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
+    Files.createDirectories(options.outputDirectory);
+    writeLines(options, measurements);
+    Files.writeString(
+        options.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
   }
 
   /**
@@ -126,17 +128,18 @@
     }
   }
 
-  private static List<ScaleAxis> chosen(List<ScaleAxis> all, Job job) {
-    if (job.axis == null) {
-      if (job.points != null) {
+  private static List<ScaleAxis> chosen(List<ScaleAxis> all, ScaleOptions options) {
+    if (options.axis == null) {
+      if (options.points != null) {
         throw new InvalidConfigurationException("--points", "given without --axis");
       }
       return all;
     }
-    List<ScaleAxis> chosen = all.stream().filter(axis -> axis.name().equals(job.axis)).toList();
+    List<ScaleAxis> chosen = all.stream().filter(axis -> axis.name().equals(options.axis)).toList();
     if (chosen.isEmpty()) {
       throw new InvalidConfigurationException(
-          "--axis", "'" + job.axis + "' is none of " + all.stream().map(ScaleAxis::name).toList());
+          "--axis",
+          "'" + options.axis + "' is none of " + all.stream().map(ScaleAxis::name).toList());
     }
     return chosen;
   }
@@ -162,25 +165,26 @@
     return point;
   }
 
-  private static void writeLines(Job job, List<AxisMeasurements> measurements) throws IOException {
-    Path file = job.outputDirectory.resolve("scale.jsonl");
+  private static void writeLines(ScaleOptions options, List<AxisMeasurements> measurements)
+      throws IOException {
+    Path file = options.outputDirectory.resolve("scale.jsonl");
     try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
       json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
       for (AxisMeasurements axis : measurements) {
         for (AxisMeasurements.Row row : axis.rows()) {
-          writeLine(json, job, axis, row);
+          writeLine(json, options, axis, row);
         }
       }
     }
   }
 
   private static void writeLine(
-      JsonGenerator json, Job job, AxisMeasurements axis, AxisMeasurements.Row row)
+      JsonGenerator json, ScaleOptions options, AxisMeasurements axis, AxisMeasurements.Row row)
       throws IOException {
     json.writeStartObject();
     json.writeStringField("axis", axis.axis());
     json.writeNumberField("point", row.point());
-    json.writeNumberField("seed", job.seed);
+    json.writeNumberField("seed", options.seed);
     for (Map.Entry<String, Double> metric : row.metrics().entrySet()) {
       if (Double.isFinite(metric.getValue())) {
         json.writeNumberField(metric.getKey(), metric.getValue());
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
@@ -28,7 +28,7 @@
   private static final int REFERENCE_PORT = 18_000;
 
   private final ProcessGroup processes;
-  private final ScaleCommand.Job job;
+  private final ScaleCommand.ScaleOptions options;
   private final Path directory;
   private final String commandLine;
   private final ProxyConfigFiles configs;
@@ -40,13 +40,14 @@
    * @param directory for its files
    * @param commandLine the operators' line that starts a complete proxy; unused without references
    */
-  ScaleEnvironment(ProcessGroup processes, ScaleCommand.Job job, Path directory, String commandLine)
+  ScaleEnvironment(
+      ProcessGroup processes, ScaleCommand.ScaleOptions options, Path directory, String commandLine)
       throws IOException {
     this.processes = processes;
-    this.job = job;
+    this.options = options;
     this.directory = directory;
     this.commandLine = commandLine;
-    configs = new ProxyConfigFiles(directory, job.seed());
+    configs = new ProxyConfigFiles(directory, options.seed());
   }
 
   /** Throws ResourceLimitException if the run took more memory than it may. */
@@ -55,7 +56,7 @@
   }
 
   long seed() {
-    return job.seed();
+    return options.seed();
   }
 
   /**
@@ -63,18 +64,18 @@
    * and little time is given to them.
    */
   boolean hasReferences() {
-    return job.hasReferences();
+    return options.hasReferences();
   }
 
   /** Starts a source of an endpoint list of so many backends. */
   SourceServer startEndpointSource(int backends) throws IOException {
     return new SourceServer(
-        new VersionedSource.Backends(backends, backend.address()), job.sendsSnapshots());
+        new VersionedSource.Backends(backends, backend.address()), options.sendsSnapshots());
   }
 
   /** Starts a source of settings with so many rule sets. */
   SourceServer startSettingsSource(int ruleSets) throws IOException {
-    return new SourceServer(new VersionedSource.Scope(ruleSets), job.sendsSnapshots());
+    return new SourceServer(new VersionedSource.Scope(ruleSets), options.sendsSnapshots());
   }
 
   /** Writes a configuration of control-only proxies. */
@@ -145,7 +146,7 @@
     long startedAtNanos = System.nanoTime();
     Path own = Files.createDirectories(directory.resolve("w" + number));
     Process process =
-        processes.startProxy(job.home(), commandLine + furtherArguments, config, own, cpus);
+        processes.startProxy(options.home(), commandLine + furtherArguments, config, own, cpus);
     return new ReferenceProxy(processes, referenceAddress(number), process, startedAtNanos);
   }
 
--- a/lab/src/main/java/wheattrack/lab/virtual/BaselinePolicy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/BaselinePolicy.java
@@ -87,17 +87,17 @@
       if (best == NONE || attemptsInFlight[candidate] < attemptsInFlight[best]) {
         best = candidate;
       }
-      if (kind == Policies.Kind.TWO_CHOICES && i >= 1) {
+      if (kind == Policies.Kind.POWER_OF_TWO_CHOICES && i >= 1) {
         return best;
       }
     }
     return best;
   }
 
-  private int candidatePosition(int trial, int count) {
+  private int candidatePosition(int position, int count) {
     return switch (kind) {
       case ROUND_ROBIN -> nextPosition++ % count;
-      case LEAST_OUT -> trial;
+      case LEAST_IN_FLIGHT -> position;
       default -> random.nextInt(count);
     };
   }
--- a/lab/src/main/java/wheattrack/lab/virtual/Policies.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/Policies.java
@@ -2,7 +2,6 @@
 
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 import wheattrack.api.LoadBalancer;
 import wheattrack.api.PolicyRuntime;
 import wheattrack.config.LoadBalancerFactory;
@@ -15,19 +14,25 @@
 /** The proxies' policy and the baselines that it is compared with, which only the lab has. */
 public final class Policies {
   /**
-   * The policies by their names on the command line: RULES is the proxies' own, LEAST_OUT takes the
-   * backend with the fewest attempts in flight.
+   * The policies: EQUILOAD is the proxies' own, LEAST_IN_FLIGHT takes the backend with the fewest
+   * attempts in flight, POWER_OF_TWO_CHOICES the better of two drawn at random.
    */
   public enum Kind {
-    RULES,
-    RANDOM,
-    ROUND_ROBIN,
-    LEAST_OUT,
-    TWO_CHOICES;
+    EQUILOAD("rules"),
+    RANDOM("random"),
+    ROUND_ROBIN("round-robin"),
+    LEAST_IN_FLIGHT("least-out"),
+    POWER_OF_TWO_CHOICES("two-choices");
+
+    private final String keyword;
+
+    Kind(String keyword) {
+      this.keyword = keyword;
+    }
 
     /** Its name on the command line. */
     public String keyword() {
-      return name().toLowerCase(Locale.ROOT).replace('_', '-');
+      return keyword;
     }
   }
 
@@ -42,7 +47,7 @@
   static PolicyFactory factory(Kind kind, Scenario scenario) {
     return (runtime, seed, proxyIndex) -> {
       Settings settings = new Settings(ProxySettings.of(scenario, proxyIndex));
-      return kind == Kind.RULES
+      return kind == Kind.EQUILOAD
           ? loadBalancer(settings, runtime, seed)
           : baseline(kind, settings, runtime, new RandomStream(seed, "baseline" + proxyIndex));
     };
--- a/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
@@ -36,7 +36,7 @@
   private AxisMeasurements measure(String axis, String points, boolean sendsSnapshots)
       throws IOException {
     return ScaleCommand.run(
-            new ScaleCommand.Job(
+            new ScaleCommand.ScaleOptions(
                 Path.of(".."), axis, points, 1, directory, 0, sendsSnapshots, false),
             new PrintStream(output))
         .get(0);
@@ -121,16 +121,18 @@
   /** A bound over the machine's is bad input; a run over its bound is ended with its processes. */
   @Test
   void memoryIsBounded() {
-    ScaleCommand.Job excessive =
-        new ScaleCommand.Job(Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
+    ScaleCommand.ScaleOptions excessive =
+        new ScaleCommand.ScaleOptions(
+            Path.of(".."), "watchers", "50", 1, null, 1L << 50, false, false);
     assertTrue(
         assertThrows(
                 InvalidConfigurationException.class,
                 () -> ScaleCommand.run(excessive, new PrintStream(output)))
             .getMessage()
             .startsWith("--memory-mb"));
-    ScaleCommand.Job limited =
-        new ScaleCommand.Job(Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
+    ScaleCommand.ScaleOptions limited =
+        new ScaleCommand.ScaleOptions(
+            Path.of(".."), "watchers", "300", 1, null, 30L << 20, false, false);
     assertThrows(
         ResourceLimitException.class, () -> ScaleCommand.run(limited, new PrintStream(output)));
     assertEquals(
--- a/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
@@ -40,7 +40,8 @@
   private static Verdict play(String name, int proxies, Scenario proxyView, long seed) {
     Scenario scenario = scenario(name, proxies, 3);
     Referee referee = new Referee(scenario);
-    new VirtualRun(scenario, seed, Policies.factory(Policies.Kind.RULES, proxyView), true, referee)
+    new VirtualRun(
+            scenario, seed, Policies.factory(Policies.Kind.EQUILOAD, proxyView), true, referee)
         .run();
     return referee.verdict();
   }
--- a/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/FleetTest.java
@@ -85,7 +85,7 @@
     new VirtualRun(
             scenario,
             2,
-            factory == null ? Policies.factory(Policies.Kind.RULES, scenario) : factory,
+            factory == null ? Policies.factory(Policies.Kind.EQUILOAD, scenario) : factory,
             true,
             referee)
         .run();
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -206,7 +206,7 @@
         ScenarioTexts.smallScenario(
             "non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
     Referee referee = new Referee(scenario);
-    new VirtualRun(scenario, 4, Policies.Kind.RULES, referee).run();
+    new VirtualRun(scenario, 4, Policies.Kind.EQUILOAD, referee).run();
     Verdict verdict = referee.verdict();
     assertEquals(0, verdict.metrics().get("broken"), verdict.violations().toString());
     assertTrue(verdict.metrics().get("done") > 50, verdict.metrics().toString());
@@ -228,7 +228,7 @@
       new VirtualRun(
               scenario,
               i < 2 ? 9 : 10,
-              Policies.Kind.RULES,
+              Policies.Kind.EQUILOAD,
               entry -> crc.update(entry.toString().getBytes()))
           .run();
       checksums[i] = crc.getValue();
