lab: jitter, seeds, digits and units are named; processes end also after a failure

Cause: factors such as 0.5 + nextDouble(), 50 * mean and Integer.MAX_VALUE / 4 stood bare; proxies of the restart axis and of a fleet that failed to start ran on until the whole run ended; several comments were in words of the lab's own. Change: RandomStream.nextJitterFactor and named constants; try/finally around the processes; LoopbackListener is AutoCloseable; comments in plain technical English.

--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -44,6 +44,9 @@
   private static final SocketRun.ProxyOptions ONE_CORE =
       new SocketRun.ProxyOptions(List.of(), "0", false);
 
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double MICROS_PER_SECOND = 1e6;
+
   private BenchCommand() {}
 
   /** Measures and prints all; takes minutes. */
@@ -82,7 +85,7 @@
     long start = System.nanoTime();
     VirtualRun run = new VirtualRun(scenario, seed, Policies.Kind.EQUILOAD, referee);
     run.run();
-    double seconds = (System.nanoTime() - start) / 1e9;
+    double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
     Verdict verdict = referee.verdict();
     double requests = verdict.metric(Metric.ASKED);
     System.out.printf(
@@ -91,7 +94,7 @@
         size.proxies,
         size.backends,
         seconds,
-        seconds * 1e6 / requests,
+        seconds * MICROS_PER_SECOND / requests,
         run.steps() / requests,
         peakHeapBytes(pools) >> 20,
         verdict.metric(Metric.SERVICE));
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -19,7 +19,7 @@
 
 /** One side of a comparison, which plays a scenario on the virtual clock. Safe for any thread. */
 sealed interface ComparisonSide {
-  /** What a side begins with that is another build's jar. */
+  /** The prefix of a side that is the jar of another build. */
   String JAR_PREFIX = "jar:";
 
   /** The side as it stands on the command line. */
--- a/lab/src/main/java/wheattrack/lab/PairedDifference.java
+++ b/lab/src/main/java/wheattrack/lab/PairedDifference.java
@@ -16,6 +16,9 @@
   private static final int RESAMPLES = 4000;
   private static final long RESAMPLING_SEED = 7;
 
+  /** The part of the resampled means that lies beyond each end of the interval. */
+  private static final double TAIL = 0.025;
+
   /** Compares values pair by pair; the resampling is the same each time. */
   static PairedDifference of(double[] base, double[] candidate) {
     int count = base.length;
@@ -28,8 +31,8 @@
         mean(base),
         mean(candidate),
         mean(differences),
-        means[(int) (RESAMPLES * 0.025)],
-        means[(int) (RESAMPLES * 0.975)]);
+        means[(int) (RESAMPLES * TAIL)],
+        means[(int) (RESAMPLES * (1 - TAIL))]);
   }
 
   private static double[] resampledMeans(double[] differences) {
--- a/lab/src/main/java/wheattrack/lab/load/RandomStream.java
+++ b/lab/src/main/java/wheattrack/lab/load/RandomStream.java
@@ -12,6 +12,12 @@
   /** Draws that are discarded, as streams of similar seeds start alike. */
   private static final int WARM_UP_DRAWS = 16;
 
+  /** A constant part of each seed: 2^64 over the golden ratio. */
+  private static final long SEED_CONSTANT = 0x9E3779B97F4A7C15L;
+
+  /** The greatest value of a Pareto tail, as a multiple of its mean. */
+  private static final double MAX_TAIL_FACTOR = 50;
+
   private final UniformRandomProvider generator;
   private final ZigguratSampler.NormalizedGaussian gaussian;
   private final ZigguratSampler.Exponential exponential;
@@ -20,7 +26,7 @@
   public RandomStream(long seed, String name) {
     generator =
         RandomSource.XO_SHI_RO_256_PP.create(
-            new long[] {seed, name.hashCode(), 0x9E3779B97F4A7C15L, seed * 31 + name.length()});
+            new long[] {seed, name.hashCode(), SEED_CONSTANT, seed * 31 + name.length()});
     gaussian = ZigguratSampler.NormalizedGaussian.of(generator);
     exponential = ZigguratSampler.Exponential.of(generator);
     for (int i = 0; i < WARM_UP_DRAWS; i++) {
@@ -33,6 +39,11 @@
     return generator.nextDouble();
   }
 
+  /** A factor to spread delays by: uniform from 0.5 to under 1.5. */
+  public double nextJitterFactor() {
+    return 0.5 + generator.nextDouble();
+  }
+
   /** Uniform from 0 to under the bound. */
   public int nextInt(int bound) {
     return generator.nextInt(bound);
@@ -61,7 +72,8 @@
       // the coefficient of variation of a Pareto distribution is 1 / sqrt(shape (shape - 2))
       double shape = 1 + Math.sqrt(1 + 1 / (coefficientOfVariation * coefficientOfVariation));
       return Math.min(
-          50 * mean, mean * (shape - 1) / shape * Math.pow(1 - generator.nextDouble(), -1 / shape));
+          MAX_TAIL_FACTOR * mean,
+          mean * (shape - 1) / shape * Math.pow(1 - generator.nextDouble(), -1 / shape));
     }
     return mean
         * nextLogNormal(Math.sqrt(Math.log(1 + coefficientOfVariation * coefficientOfVariation)));
--- a/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientPopulation.java
@@ -159,14 +159,14 @@
 
   /**
    * Retries after the advised delay, if this client follows the advice, or else after an
-   * exponential backoff; not past the operation's timeout.
+   * exponential backoff with jitter; not past the operation's timeout.
    */
   private void scheduleRetry(ClientOperation operation, long retryAfter) {
     if (operation.attempts() > behaviour.retries() || operation.hasEnded()) {
       return;
     }
     double backoff = behaviour.backoff() * Math.pow(2, operation.attempts() - 1);
-    long delay = Math.round(backoff * (0.5 + random.nextDouble()));
+    long delay = Math.round(backoff * random.nextJitterFactor());
     if (retryAfter > 0 && random.nextBoolean(behaviour.retryAfterShare())) {
       delay = retryAfter;
     }
--- a/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
+++ b/lab/src/main/java/wheattrack/lab/model/EndpointRegistry.java
@@ -48,7 +48,7 @@
 
   /** Draws the time that an event takes to reach a proxy. */
   protected final long drawDeliveryDelay() {
-    return Math.round(environment.scenario().discovery().delay() * (0.5 + random.nextDouble()));
+    return Math.round(environment.scenario().discovery().delay() * random.nextJitterFactor());
   }
 
   /** Whether nothing is sent at present. */
@@ -56,10 +56,10 @@
     return down;
   }
 
-  /** Sends one change to all who watch the list. */
+  /** Sends one change to all proxies that watch the list. */
   protected abstract void publishChange(EndpointEvent event);
 
-  /** Sends the complete list to all who watch it. */
+  /** Sends the complete list to all proxies that watch it. */
   protected abstract void publishSnapshot();
 
   /** The list goes down: all watches are lost. */
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
@@ -10,21 +10,31 @@
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.scenario.Scenario;
 
-/** Measures the service of a run: values, answers, latency, and who sent how much to whom. */
+/**
+ * Measures the service of a run: values, answers, latency, and how much each proxy sent to each
+ * backend.
+ */
 final class ServiceMetrics {
-  /** The most work of an attempt that is distinguished, in tenths of a millisecond at speed 1. */
+  /**
+   * The most work of an attempt that is recorded exactly, in tenths of a millisecond at speed 1.
+   */
   private static final long MAX_WORK = 1_000_000;
 
-  /** The highest latency that is distinguished: ten minutes. */
+  /** The highest latency that is recorded exactly: ten minutes. */
   private static final long MAX_LATENCY = 600 * Scenario.SECOND;
 
+  /** Significant digits of recorded values. */
+  private static final int LATENCY_DIGITS = 3;
+
+  private static final int WORK_DIGITS = 2;
+
   private final Scenario scenario;
   private final RunState run;
   private final List<ServiceSecond> seconds = new ArrayList<>();
   private final Map<Integer, long[]> attemptsByBackend = new TreeMap<>();
   private final Map<Integer, Histogram> workByBackend = new TreeMap<>();
   private final Map<Integer, ProxyTotals> totalsByProxy = new TreeMap<>();
-  private final Histogram latency = new Histogram(MAX_LATENCY, 3);
+  private final Histogram latency = new Histogram(MAX_LATENCY, LATENCY_DIGITS);
   private long attempts;
   private long crossings;
   private long done;
@@ -86,7 +96,7 @@
   void countAttempt(LedgerRecord entry) {
     attempts++;
     workByBackend
-        .computeIfAbsent(entry.backend(), backend -> new Histogram(MAX_WORK, 2))
+        .computeIfAbsent(entry.backend(), backend -> new Histogram(MAX_WORK, WORK_DIGITS))
         .recordValue(Math.max(0, Math.min(MAX_WORK, Math.round(entry.work()))));
     proxy(entry.proxy()).countAttempt(entry.backend());
     second(entry.at()).countAttempt();
--- a/lab/src/main/java/wheattrack/lab/report/PlotArea.java
+++ b/lab/src/main/java/wheattrack/lab/report/PlotArea.java
@@ -54,7 +54,7 @@
     return COLOURS[run % COLOURS.length];
   }
 
-  /** The height of each row if there are so many. */
+  /** The height of each row for this number of them. */
   static int rowHeight(int rows) {
     return Math.max(MIN_ROW_HEIGHT, Math.min(MAX_ROW_HEIGHT, ROWS_HEIGHT / Math.max(1, rows)));
   }
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -26,21 +26,30 @@
       throws IOException {
     this.group = group;
     this.size = size;
+    try {
+      startProcesses(config, settingsSource);
+      double heapBytes = 0;
+      long startedAt = Long.MAX_VALUE;
+      for (ControlOnlyProcess process : processes) {
+        ControlOnlyProcess.Start start = process.awaitStart();
+        startedAt = Math.min(startedAt, start.startedAtNanos());
+        heapBytes += start.heapBytes();
+      }
+      emptyHeapBytes = heapBytes;
+      startedAtNanos = startedAt;
+    } catch (IOException | RuntimeException e) {
+      close();
+      throw e;
+    }
+  }
+
+  private void startProcesses(Path config, InetSocketAddress settingsSource) {
     int count = (size + MAX_PROXIES_PER_PROCESS - 1) / MAX_PROXIES_PER_PROCESS;
     for (int i = 0; i < count; i++) {
       int first = size * i / count;
       int next = size * (i + 1) / count;
       processes.add(group.startControlOnly(next - first, first, config, settingsSource));
     }
-    double heapBytes = 0;
-    long startedAt = Long.MAX_VALUE;
-    for (ControlOnlyProcess process : processes) {
-      ControlOnlyProcess.Start start = process.awaitStart();
-      startedAt = Math.min(startedAt, start.startedAtNanos());
-      heapBytes += start.heapBytes();
-    }
-    emptyHeapBytes = heapBytes;
-    startedAtNanos = startedAt;
   }
 
   int size() {
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -51,7 +51,7 @@
   }
 
   /**
-   * Runs with the arguments COUNT FIRST CONFIG [SOURCE]: so many proxies of that configuration,
+   * Runs with the arguments COUNT FIRST CONFIG [SOURCE]: that many proxies of this configuration,
    * numbered from FIRST on; with a source of settings they watch it, and it is its revisions that
    * are reported, else those of the endpoint list.
    */
--- a/lab/src/main/java/wheattrack/lab/scale/HttpMessages.java
+++ b/lab/src/main/java/wheattrack/lab/scale/HttpMessages.java
@@ -6,7 +6,7 @@
 import java.util.Arrays;
 import java.util.Locale;
 
-/** The little of HTTP/1.1 that the measurements read themselves. */
+/** The part of HTTP/1.1 that the measurements read and write themselves. */
 final class HttpMessages {
   /** What ends the head of a message. */
   static final String END_OF_HEAD = "\r\n\r\n";
--- a/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
+++ b/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
@@ -64,7 +64,7 @@
     return true;
   }
 
-  /** Ends after so long; returns the 99th percentile in milliseconds, NaN without answers. */
+  /** Ends after this time; returns the 99th percentile in milliseconds, NaN without answers. */
   double endAfter(long millis) throws InterruptedException {
     Thread.sleep(millis);
     isEnded = true;
--- a/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/OutageMeasurements.java
@@ -7,11 +7,14 @@
 import java.io.IOException;
 import java.util.Map;
 
-/** The axes about a source that is away for a while: what its watchers do when it is back. */
+/**
+ * The axes about a source that is unavailable for a while: what its watchers do once it is back.
+ */
 final class OutageMeasurements {
   private static final long OUTAGE_MILLIS = 6_000;
   private static final long FIRST_CALLS_MILLIS = 400;
   private static final long RECOVERY_MILLIS = 6_000;
+  private static final double NANOS_PER_MICRO = 1e3;
 
   private final ScaleEnvironment environment;
 
@@ -19,7 +22,7 @@
     this.environment = environment;
   }
 
-  /** By control-only proxies whose source of endpoints is away. */
+  /** By control-only proxies whose source of endpoints is unavailable. */
   void measureEndpointOutage(int fleetSize, Map<String, Double> metrics)
       throws IOException, InterruptedException {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
@@ -30,7 +33,7 @@
     }
   }
 
-  /** By control-only proxies whose source of settings is away. */
+  /** By control-only proxies whose source of settings is unavailable. */
   void measureSettingsOutage(int fleetSize, Map<String, Double> metrics)
       throws IOException, InterruptedException {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
@@ -58,7 +61,7 @@
     Thread.sleep(RECOVERY_MILLIS);
     double size = fleet.size();
     metrics.put("return_bytes", (source.bytesSent() - bytesBefore) / size);
-    metrics.put("return_us", (fleet.cpuNanos() - cpuBefore) / 1e3 / size);
+    metrics.put("return_us", (fleet.cpuNanos() - cpuBefore) / NANOS_PER_MICRO / size);
     fleet.putActivationLatencies(new long[] {changedAt}, source, metrics);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/Percentiles.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Percentiles.java
@@ -6,7 +6,7 @@
 final class Percentiles {
   private Percentiles() {}
 
-  /** The value in sorted ones that this part of them, from 0 to 1, lies below; NaN without any. */
+  /** The percentile of sorted values at this part, from 0 to 1; NaN of none. */
   static double of(List<Double> sorted, double part) {
     return sorted.isEmpty() ? Double.NaN : sorted.get((int) (part * (sorted.size() - 1)));
   }
--- a/lab/src/main/java/wheattrack/lab/scale/Polling.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Polling.java
@@ -8,7 +8,7 @@
 
   private Polling() {}
 
-  /** Waits until the condition holds, or for so long; returns whether it holds. */
+  /** Waits until the condition holds, or the timeout is over; returns whether it holds. */
   static boolean await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
     long deadline = System.nanoTime() + timeoutMillis * 1_000_000;
     while (!condition.getAsBoolean()) {
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -25,7 +25,7 @@
   private volatile boolean isLimitExceeded;
   private volatile long peakMemoryBytes;
 
-  /** maxMemoryBytes: what all of them may hold; past it all are ended. */
+  /** maxMemoryBytes: what all of them may hold; above it all are killed. */
   ProcessGroup(long maxMemoryBytes) {
     this.maxMemoryBytes = maxMemoryBytes;
     watcher.setDaemon(true);
--- a/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
+++ b/lab/src/main/java/wheattrack/lab/scale/RestartMeasurement.java
@@ -26,21 +26,24 @@
     for (SourceServer.Mode mode : SourceServer.Mode.values()) {
       try (SourceServer source = environment.startEndpointSource(ScaleEnvironment.SMALL_LIST)) {
         source.setMode(mode);
-        List<ReferenceProxy> proxies = start(count, source, "0-" + (cores - 1));
-        double[] readyMillis = awaitReady(proxies);
-        putMetrics(mode.name().toLowerCase(Locale.ROOT), proxies, readyMillis, metrics);
-        proxies.forEach(ReferenceProxy::close);
+        List<ReferenceProxy> proxies = new ArrayList<>();
+        try {
+          start(count, source, "0-" + (cores - 1), proxies);
+          double[] readyMillis = awaitReady(proxies);
+          putMetrics(mode.name().toLowerCase(Locale.ROOT), proxies, readyMillis, metrics);
+        } finally {
+          proxies.forEach(ReferenceProxy::close);
+        }
       }
     }
   }
 
-  private List<ReferenceProxy> start(int count, SourceServer source, String cpus)
+  /** Starts proxies and adds each to the list, which has those that run also after a failure. */
+  private void start(int count, SourceServer source, String cpus, List<ReferenceProxy> proxies)
       throws IOException {
-    List<ReferenceProxy> proxies = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       proxies.add(environment.startPinnedReference(i, source, cpus));
     }
-    return proxies;
   }
 
   /** Milliseconds until each was ready, in rising order; NaN, last, for those that were not. */
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleEnvironment.java
@@ -67,13 +67,13 @@
     return options.hasReferences();
   }
 
-  /** Starts a source of an endpoint list of so many backends. */
+  /** Starts a source of an endpoint list of that many backends. */
   SourceServer startEndpointSource(int backends) throws IOException {
     return new SourceServer(
         new VersionedSource.Backends(backends, backend.address()), options.sendsSnapshots());
   }
 
-  /** Starts a source of settings with so many rule sets. */
+  /** Starts a source of settings with that many rule sets. */
   SourceServer startSettingsSource(int ruleSets) throws IOException {
     return new SourceServer(new VersionedSource.Scope(ruleSets), options.sendsSnapshots());
   }
--- a/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SourceServer.java
@@ -22,7 +22,7 @@
  * complete snapshot. Its methods may be called by any thread.
  */
 final class SourceServer implements AutoCloseable {
-  /** How the server meets its clients. */
+  /** What the server does with its clients. */
   enum Mode {
     /** Serves. */
     UP,
@@ -95,7 +95,7 @@
     return calls.get();
   }
 
-  /** The latest revision, once all changes asked for until now are made. */
+  /** The latest revision, once all changes requested until now are made. */
   long revision() {
     long[] latest = new long[1];
     executeAndWait(() -> latest[0] = history.revision());
@@ -136,7 +136,7 @@
     }
   }
 
-  /** Changes so many entries from this one on, as one revision; does not wait for it. */
+  /** Changes that many entries from this one on, as one revision; does not wait for it. */
   void change(int first, int count) {
     execute(
         () -> {
--- a/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -107,7 +107,7 @@
     metrics.put("w_p99_beside_ms", probe.endAfter(0));
   }
 
-  /** Makes so many changes of one entry each, evenly; returns when each was made. */
+  /** Makes that many changes of one entry each, evenly; returns when each was made. */
   private long[] change(int count, int perSecond) throws InterruptedException {
     long start = System.nanoTime();
     long[] changedAt = new long[count];
--- a/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
+++ b/lab/src/main/java/wheattrack/lab/scale/VersionedSource.java
@@ -11,7 +11,7 @@
   /** All entries, as of this revision. */
   String snapshot(long revision);
 
-  /** Changes so many entries from this one on, and returns them as this revision. */
+  /** Changes that many entries from this one on, and returns them as this revision. */
   String change(long revision, int first, int count);
 
   /** A list of backends, all at one address; a change switches between SERVING and DRAINING. */
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -47,6 +47,9 @@
   /** Tenths of a millisecond in a millisecond. */
   public static final long MILLISECOND = 10;
 
+  /** Microseconds in a tenth of a millisecond. */
+  public static final long MICROSECONDS_PER_UNIT = 100;
+
   /** Backends of consecutive indexes that share a cell (pod group). */
   private static final int BACKENDS_PER_CELL = 4;
 
@@ -73,7 +76,7 @@
       long coldDuration,
       int maxConnections,
       double handshakeWork) {
-    /** The part of its full speed, up to 1, that a backend has so long after a cold start. */
+    /** The part of its full speed, up to 1, that a backend has this long after a cold start. */
     public double speedFactorAt(long age) {
       return age >= coldDuration ? 1 : coldSpeed + (1 - coldSpeed) * age / coldDuration;
     }
--- a/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -22,9 +22,9 @@
 import wheattrack.lab.scenario.Scenario;
 
 /**
- * A backend on sockets: the model decides what it does, here is HTTP. It has a port for each proxy,
- * which says who sends, behind a link of its own where the scenario has faults of links. Runs on
- * the run's thread only.
+ * A backend on sockets: the model decides what it does, this class speaks HTTP. It has a port for
+ * each proxy, which identifies the sender, behind a link of its own where the scenario has faults
+ * of links. Runs on the run's thread only.
  */
 final class BackendServer {
   private final SocketRun run;
@@ -193,7 +193,7 @@
       }
     }
 
-    /** Breaks it so that the proxy learns of it at once. */
+    /** Resets it, so that the proxy notices at once. */
     void reset() {
       LoopbackListener.resetOnClose(channel);
       close();
--- a/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/DiscoveryServer.java
@@ -20,7 +20,7 @@
 
 /**
  * The endpoint list on sockets, in the form that the proxies expect. It has a port for each proxy,
- * which says who watches. Runs on the run's thread only.
+ * which identifies the watcher. Runs on the run's thread only.
  */
 final class DiscoveryServer extends EndpointRegistry {
   private static final long HEARTBEAT_INTERVAL = 20_000;
@@ -76,7 +76,7 @@
    */
   @Override
   protected void interruptWatches() {
-    // silence is all there is
+    // the watches stay open and silent
   }
 
   private String line(int proxy, List<EndpointEvent> events, boolean complete) {
--- a/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/EncodedRequest.java
@@ -11,9 +11,6 @@
 
 /** A client's request in its form on the wire. */
 final class EncodedRequest {
-  /** Microseconds, in which hints are sent, in a tenth of a millisecond. */
-  private static final int HINT_UNIT = 100;
-
   private final ClientRequest clientRequest;
   private final ByteBuffer bytes;
   private boolean accepted;
@@ -32,7 +29,7 @@
             .with("Request-Id", Long.toHexString(clientRequest.requestId()))
             .with("Request-Timeout", Double.toString(timeout / Scenario.SECOND));
     if (plan.hint() > 0) {
-      long hint = Math.max(1, Math.round(plan.hint() * HINT_UNIT));
+      long hint = Math.max(1, Math.round(plan.hint() * Scenario.MICROSECONDS_PER_UNIT));
       headers.with("Work-Hint", Long.toString(hint));
     }
     if (clientRequest.isRetry()) {
--- a/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/FaultyLink.java
@@ -16,14 +16,14 @@
 import wheattrack.lab.scenario.Scenario;
 
 /**
- * The link between one proxy and one backend: passes bytes on, and disturbs them while it has a
- * fault. DELAY: each piece is late. DROP: a share of pieces is as late as a packet sent again.
- * HOLD: nothing passes until it ends. CUT: a backend's answer ends after so many bytes. RESET:
+ * The link between one proxy and one backend: forwards bytes, and disturbs them while it has a
+ * fault. DELAY: each piece is late. DROP: a share of pieces is as late as a retransmitted packet.
+ * HOLD: nothing passes until it ends. CUT: a backend's answer ends after a number of bytes. RESET:
  * connections break at once, and new ones too. CORRUPT: a bit in each piece from the backend is
  * flipped. Runs on the run's thread only.
  */
 final class FaultyLink {
-  /** The delay of a packet that was lost and sent again. */
+  /** The delay of a packet that was lost and retransmitted. */
   private static final long RETRANSMIT_DELAY = 2_000;
 
   /** The most bytes that pass in one piece. */
@@ -70,7 +70,7 @@
     }
   }
 
-  /** When the proxy sent what the backend has now received from this port of the link's. */
+  /** When the proxy sent what the backend has now received from this port of the link. */
   long sentAt(int port) {
     Side proxySide = proxySideByPort.get(port);
     return proxySide == null ? run.now() : proxySide.receivedAt;
@@ -151,7 +151,7 @@
       passBuffer();
     }
 
-    /** Passes on what a fault has held, if any. */
+    /** Forwards what a fault has held, if any. */
     void release() {
       if (held && !isClosed()) {
         held = false;
@@ -165,7 +165,10 @@
       read(buffer);
     }
 
-    /** Passes a piece on, or the end with null: in order, and as late as the link is now. */
+    /**
+     * Forwards a piece, or the end of the stream with null: in order, and as late as the link is
+     * now.
+     */
     private void pass(ByteBuffer piece) {
       lastDelivery = Math.max(lastDelivery, run.now() + addedDelay());
       if (lastDelivery > run.now()) {
@@ -218,7 +221,7 @@
       }
     }
 
-    /** Breaks the connection on both sides so that both ends learn of it at once. */
+    /** Resets the connection on both sides, so that both peers notice at once. */
     void reset() {
       resetThisSide();
       if (peer != null) {
--- a/lab/src/main/java/wheattrack/lab/sockets/LoopbackListener.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoopbackListener.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 
 /** Accepts connections at a port of the loopback address. Runs on the run's thread only. */
-final class LoopbackListener {
+final class LoopbackListener implements AutoCloseable {
   /** Any free port. */
   static final int ANY_PORT = 0;
 
@@ -40,7 +40,7 @@
     acceptNext();
   }
 
-  /** The port that it listens at. */
+  /** The port that it listens on. */
   int port() {
     try {
       return ((InetSocketAddress) channel.getLocalAddress()).getPort();
@@ -49,8 +49,9 @@
     }
   }
 
-  /** Stops to listen; connections stay. */
-  void close() {
+  /** Stops listening; connections stay open. */
+  @Override
+  public void close() {
     try {
       channel.close();
     } catch (IOException e) {
@@ -74,12 +75,12 @@
                 }));
   }
 
-  /** Lets a connection break as it is closed, so that the other side learns of it at once. */
+  /** Makes a connection end with a reset once it is closed, so that the peer notices at once. */
   static void resetOnClose(AsynchronousSocketChannel connection) {
     try {
       connection.setOption(StandardSocketOptions.SO_LINGER, 0);
     } catch (IOException | RuntimeException e) {
-      // it is closed without
+      // it is closed without a reset
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
@@ -55,6 +55,6 @@
 
   @Override
   protected void onWritten(boolean complete) {
-    // the answer says all there is to know
+    // a failed write shows as the end of the answer
   }
 }
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -34,11 +34,11 @@
    * How punctual the lab itself was.
    *
    * @param latenessMicros how late operations started, in microseconds
-   * @param resentRequests requests sent again as their connection was closed under them
+   * @param resentRequests requests sent again as the proxy closed their connection
    * @param openedConnections connections that clients opened
    */
   public record Quality(Histogram latenessMicros, long resentRequests, long openedConnections) {
-    /** Whether the lab was so late that the run says nothing. */
+    /** Whether the lab was so late that the run proves nothing. */
     public boolean isTooLate() {
       return latenessMicros.getTotalCount() > 0
           && latenessMicros.getValueAtPercentile(99) > MAX_LATENESS_MICROS;
@@ -50,7 +50,7 @@
    *
    * @param jvmOptions further options of their JVM
    * @param cores the cores that they may use, in the form of taskset, or null for all
-   * @param direct whether there are none: then clients ask the backend of each proxy's index
+   * @param direct whether there are none: then clients connect to the backend of each proxy's index
    */
   public record ProxyOptions(List<String> jvmOptions, String cores, boolean direct) {
     /** No further options, on all cores. */
@@ -62,7 +62,7 @@
   /** The lateness, in microseconds, that one operation in a hundred may reach. */
   private static final long MAX_LATENESS_MICROS = 20_000;
 
-  /** The greatest lateness that is recorded as such, in microseconds. */
+  /** The greatest lateness that is recorded; a greater one counts as this, in microseconds. */
   private static final long MAX_RECORDED_MICROS = 60_000_000;
 
   /** How long the proxies may take until all are ready. */
@@ -74,6 +74,7 @@
   private static final long SETTLE_TIME = 5_000;
 
   private static final long GROUP_TIMEOUT_SECONDS = 1;
+  private static final long NANOS_PER_MICRO = 1000;
 
   private final EventLoop loop = new EventLoop();
   private final AsynchronousChannelGroup group;
@@ -241,8 +242,8 @@
 
   @Override
   public void arrivalStarted(double plannedAt) {
-    long plannedMicros = (long) (plannedAt * 100);
-    long micros = (System.nanoTime() - startedNanos) / 1000 - plannedMicros;
+    long plannedMicros = (long) (plannedAt * Scenario.MICROSECONDS_PER_UNIT);
+    long micros = (System.nanoTime() - startedNanos) / NANOS_PER_MICRO - plannedMicros;
     lateness.recordValue(Math.max(0, Math.min(lateness.getHighestTrackableValue(), micros)));
   }
 
@@ -253,6 +254,6 @@
 
   /** The time on the endpoint list's clock, Unix milliseconds, at a time of the run. */
   double unixMillis(long time) {
-    return (startedAt + time) / 10.0;
+    return Scenario.toMillis(startedAt + time);
   }
 }
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualProxy.java
@@ -23,12 +23,15 @@
   /** Time after which an attempt to connect to a silent machine fails. */
   static final long CONNECT_TIMEOUT = 2_500;
 
-  /** The part of the client's timeout, one in so many, that is kept for writing the answer. */
+  /** The client's timeout over the time that is reserved for writing the answer. */
   private static final long ANSWER_TIME_DIVISOR = 200;
 
-  /** The least time that is kept for writing the answer. */
+  /** The least time that is reserved for writing the answer. */
   private static final long MIN_ANSWER_TIME = 10;
 
+  /** The greatest cost hint that is passed to the policy. */
+  private static final int MAX_COST_HINT = Integer.MAX_VALUE / 4;
+
   /** How long after its deadline a request may stay open before the proxy fails it. */
   private static final long DEADLINE_GRACE = 50;
 
@@ -148,7 +151,7 @@
     long now = runtime.now();
     long deadline = now + timeout - answerTime;
     double hint = Math.ceil(clientRequest.plan().hint());
-    int costHint = (int) Math.min(Integer.MAX_VALUE / 4, hint);
+    int costHint = (int) Math.min(MAX_COST_HINT, hint);
     request.setPending(
         new PendingRequest(
             requestClass, now, deadline, costHint, clientRequest.isRetry(), request));
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRequest.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRequest.java
@@ -74,7 +74,7 @@
     }
   }
 
-  /** When the first attempt was made of those that were sent, or a time past all ends. */
+  /** When the first attempt was made of those that were sent, or a time later than any deadline. */
   long firstAttemptAt() {
     long first = Long.MAX_VALUE / 2;
     for (VirtualAttempt attempt : attempts) {
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -25,7 +25,7 @@
   /** How long a run goes on after the last deadline. */
   private static final long SETTLE_TIME = 4 * Scenario.SECOND;
 
-  /** The delay of a packet that was lost and sent again. */
+  /** The delay of a packet that was lost and retransmitted. */
   private static final long RETRANSMIT_DELAY = 2_000;
 
   private final RandomStream linkRandom;
