--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import wheattrack.lab.referee.Referee;
 import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
@@ -17,7 +18,8 @@
 import wheattrack.lab.virtual.VirtualRun;
 
 /**
- * What the lab costs and bears on this machine: the virtual world by size, and the sockets by rate.
+ * What the lab costs and achieves on this machine: runs on the virtual clock by size, and runs on
+ * sockets by rate.
  */
 final class BenchCommand {
   /** Size of a virtual fleet. */
@@ -42,23 +44,26 @@
   private static final SocketRun.ProxyOptions ONE_CORE =
       new SocketRun.ProxyOptions(List.of(), "0", false);
 
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double MICROS_PER_SECOND = 1e6;
+
   private BenchCommand() {}
 
   /** Measures and prints all; takes minutes. */
-  static ExitCode run(ScenarioRunner.Job job) throws IOException {
+  static ExitCode run(ScenarioRunner.RunOptions options) throws IOException {
     System.out.println("virtual: 2,300 reqs a second for 10 s, one thread");
     System.out.println("proxies servers  wall s  µs a req  steps a req  peak MB  service");
     for (FleetSize size : SIZES) {
-      measureVirtual(size, job.seed());
+      measureVirtual(size, options.seed());
     }
     System.out.println(
         "sockets: light reqs of 1 ms at 12 servers, 6 s a rate; ms from intended send");
     System.out.println("                    rate   done/s  late p99      p50      p99    p99.9");
-    measureSockets("(warming up)", 3, SocketRun.ProxyOptions.DEFAULT, 1000, job);
+    measureSockets("(warming up)", 3, SocketRun.ProxyOptions.DEFAULT, 1000, options);
     for (int rate : RATES) {
-      measureSockets("direct", 12, DIRECT, rate, job);
-      measureSockets("1 proxy, 1 core", 1, ONE_CORE, rate, job);
-      measureSockets("3 proxies", 3, SocketRun.ProxyOptions.DEFAULT, rate, job);
+      measureSockets("direct", 12, DIRECT, rate, options);
+      measureSockets("1 proxy, 1 core", 1, ONE_CORE, rate, options);
+      measureSockets("3 proxies", 3, SocketRun.ProxyOptions.DEFAULT, rate, options);
     }
     return ExitCode.GOOD;
   }
@@ -78,21 +83,21 @@
     List<MemoryPoolMXBean> pools = ManagementFactory.getMemoryPoolMXBeans();
     pools.forEach(MemoryPoolMXBean::resetPeakUsage);
     long start = System.nanoTime();
-    VirtualRun run = new VirtualRun(scenario, seed, Policies.Kind.RULES, referee);
+    VirtualRun run = new VirtualRun(scenario, seed, Policies.Kind.EQUILOAD, referee);
     run.run();
-    double seconds = (System.nanoTime() - start) / 1e9;
+    double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
     Verdict verdict = referee.verdict();
-    double requests = verdict.figures().get("asked");
+    double requests = verdict.metric(Metric.ASKED);
     System.out.printf(
         Locale.ROOT,
         "%7d %7d %7.2f %9.1f %12.1f %8d %8.3f%n",
         size.proxies,
         size.backends,
         seconds,
-        seconds * 1e6 / requests,
+        seconds * MICROS_PER_SECOND / requests,
         run.steps() / requests,
         peakHeapBytes(pools) >> 20,
-        verdict.figures().get("service"));
+        verdict.metric(Metric.SERVICE));
   }
 
   private static long peakHeapBytes(List<MemoryPoolMXBean> pools) {
@@ -103,27 +108,31 @@
   }
 
   private static void measureSockets(
-      String name, int proxies, SocketRun.ProxyOptions options, int rate, ScenarioRunner.Job job)
+      String name,
+      int proxies,
+      SocketRun.ProxyOptions proxyOptions,
+      int rate,
+      ScenarioRunner.RunOptions options)
       throws IOException {
     Map<String, String> settings = new LinkedHashMap<>();
     settings.put("load.rate", Integer.toString(rate));
     settings.put("seconds", "6");
     settings.put("fleet.proxies", Integer.toString(proxies));
     Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("long/rate"), settings);
-    ScenarioRunner.Job withoutOutput =
-        new ScenarioRunner.Job(job.seed(), null, job.policy(), job.proxyJar());
+    ScenarioRunner.RunOptions withoutOutput =
+        new ScenarioRunner.RunOptions(options.seed(), null, options.policy(), options.proxyJar());
     ScenarioRunner.SocketResult result =
-        ScenarioRunner.runOnSockets(scenario, withoutOutput, options);
-    Map<String, Double> figures = result.verdict().figures();
+        ScenarioRunner.runOnSockets(scenario, withoutOutput, proxyOptions);
+    Verdict verdict = result.verdict();
     System.out.printf(
         Locale.ROOT,
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        figures.get("done") / (scenario.duration() / (double) Scenario.SECOND),
-        ScenarioRunner.lateMillis(result.quality(), 99),
-        figures.get("p50"),
-        figures.get("p99"),
-        figures.get("p999"));
+        verdict.metric(Metric.DONE) / (Scenario.toSeconds(scenario.duration())),
+        ScenarioRunner.latenessMillis(result.quality(), 99),
+        verdict.metric(Metric.P50),
+        verdict.metric(Metric.P99),
+        verdict.metric(Metric.P999));
   }
 }
--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -12,14 +12,18 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.ScenarioReader;
 
 /**
@@ -29,9 +33,19 @@
 final class CompareCommand {
   private static final int MAX_SEEDS = 10_000;
 
-  /** The figures that are printed, beside those of the scenario's windows. */
-  private static final List<String> PRINTED_FIGURES =
-      List.of("service", "worst-second", "broken", "denied", "aborted", "duplicate", "p50", "p99");
+  /** The metrics that are printed, in addition to those of the scenario's windows. */
+  private static final Set<String> PRINTED_METRICS =
+      Stream.of(
+              Metric.SERVICE,
+              Metric.WORST_SECOND,
+              Metric.BROKEN,
+              Metric.REJECTED,
+              Metric.FAILED,
+              Metric.REPEATED_WORK,
+              Metric.P50,
+              Metric.P99)
+          .map(Metric::keyword)
+          .collect(Collectors.toUnmodifiableSet());
 
   private final Path scenario;
   private final int seeds;
@@ -53,7 +67,7 @@
   /** Compares at each point of the grid and prints the differences. */
   static ExitCode run(Path scenario, CommandLine line) throws IOException {
     CompareCommand command = new CompareCommand(scenario, line);
-    List<Map<String, String>> grid = grid(LabOptions.settingTexts(line));
+    List<Map<String, String>> grid = grid(LabOptions.settings(line, "KEY=VALUE,VALUE"));
     for (Map<String, String> point : grid) {
       if (!ScenarioReader.read(scenario, point).isVirtual()) {
         throw new InvalidConfigurationException(
@@ -72,21 +86,16 @@
     return ExitCode.GOOD;
   }
 
-  /** Every choice of one value for each key of KEY=VALUE,VALUE texts. */
-  private static List<Map<String, String>> grid(String[] texts) {
+  /** Every choice of one value for each key, of settings whose values are divided by commas. */
+  private static List<Map<String, String>> grid(List<LabOptions.Setting> settings) {
     List<Map<String, String>> points = List.of(Map.of());
-    for (String text : texts) {
-      int equalsSign = text.indexOf('=');
-      if (equalsSign <= 0) {
-        throw new InvalidConfigurationException("--set", "not KEY=VALUE,VALUE: " + text);
-      }
-      String key = text.substring(0, equalsSign);
-      String[] values = text.substring(equalsSign + 1).split(",");
+    for (LabOptions.Setting setting : settings) {
+      String[] values = setting.value().split(",");
       List<Map<String, String>> extended = new ArrayList<>();
       for (Map<String, String> point : points) {
         for (String value : values) {
           Map<String, String> choice = new LinkedHashMap<>(point);
-          choice.put(key, value);
+          choice.put(setting.key(), value);
           extended.add(choice);
         }
       }
@@ -127,10 +136,10 @@
       throws IOException {
     Map<String, PairedDifference> differences = new LinkedHashMap<>();
     try {
-      for (String figure : baseRuns.get(0).get().keySet()) {
+      for (String metric : baseRuns.get(0).get().keySet()) {
         PairedDifference difference =
-            PairedDifference.of(values(baseRuns, figure), values(candidateRuns, figure));
-        differences.put(figure, difference);
+            PairedDifference.of(values(baseRuns, metric), values(candidateRuns, metric));
+        differences.put(metric, difference);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -141,11 +150,11 @@
     return differences;
   }
 
-  private static double[] values(List<Future<Map<String, Double>>> runs, String figure)
+  private static double[] values(List<Future<Map<String, Double>>> runs, String metric)
       throws InterruptedException, ExecutionException {
     double[] values = new double[runs.size()];
     for (int i = 0; i < values.length; i++) {
-      values[i] = runs.get(i).get().getOrDefault(figure, Double.NaN);
+      values[i] = runs.get(i).get().getOrDefault(metric, Double.NaN);
     }
     return values;
   }
@@ -161,12 +170,12 @@
         "difference",
         "95% of resampled means, " + seeds + " seeds");
     differences.forEach(
-        (figure, difference) -> {
-          if (PRINTED_FIGURES.contains(figure) || figure.startsWith("service-")) {
+        (metric, difference) -> {
+          if (PRINTED_METRICS.contains(metric) || metric.startsWith(Metric.WINDOW_PREFIX)) {
             System.out.printf(
                 Locale.ROOT,
                 "%-16s %12s %12s %10s   %s to %s%s%n",
-                figure,
+                metric,
                 Verdict.format(difference.base()),
                 Verdict.format(difference.candidate()),
                 Verdict.format(difference.mean()),
@@ -177,7 +186,7 @@
         });
   }
 
-  /** Appends a line for each figure, so that all points of the grid stand in one file. */
+  /** Appends a line for each metric, so that all points of the grid stand in one file. */
   private void writeLines(Map<String, String> point, Map<String, PairedDifference> differences)
       throws IOException {
     Path file = outputDirectory.resolve("compare.jsonl");
@@ -195,10 +204,10 @@
   }
 
   private void writeLine(
-      JsonGenerator json, Map<String, String> point, String figure, PairedDifference difference)
+      JsonGenerator json, Map<String, String> point, String metric, PairedDifference difference)
       throws IOException {
     json.writeStartObject();
-    json.writeStringField("figure", figure);
+    json.writeStringField("figure", metric);
     json.writeStringField("base", base.name());
     json.writeStringField("candidate", candidate.name());
     json.writeObjectFieldStart("set");
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -12,19 +12,20 @@
 import java.util.List;
 import java.util.Map;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.process.Processes;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.virtual.Policies;
 
 /** One side of a comparison, which plays a scenario on the virtual clock. Safe for any thread. */
 sealed interface ComparisonSide {
-  /** What a side begins with that is another build's jar. */
+  /** The prefix of a side that is the jar of another build. */
   String JAR_PREFIX = "jar:";
 
   /** The side as it stands on the command line. */
   String name();
 
-  /** The figures of a run by name; throws IOException if it could not be played. */
+  /** The metrics of a run by name; throws IOException if it could not be played. */
   Map<String, Double> play(Path scenario, Map<String, String> settings, int seed)
       throws IOException;
 
@@ -46,10 +47,10 @@
   record OwnPolicy(String name, Policies.Kind policy) implements ComparisonSide {
     @Override
     public Map<String, Double> play(Path scenario, Map<String, String> settings, int seed) {
-      return judge(scenario, settings, seed).figures();
+      return judge(scenario, settings, seed).metrics();
     }
 
-    /** The whole verdict of a run. */
+    /** The complete verdict of a run. */
     Verdict judge(Path scenario, Map<String, String> settings, int seed) {
       return ScenarioRunner.judgeVirtual(ScenarioReader.read(scenario, settings), seed, policy);
     }
@@ -70,14 +71,14 @@
         throw new UncheckedIOException(
             new IOException(jar + " did not play seed " + seed + ": " + line));
       }
-      return figures(line);
+      return metrics(line);
     }
 
     private List<String> command(Path scenario, Map<String, String> settings, int seed) {
       String classPath =
           jar + System.getProperty("path.separator") + System.getProperty("java.class.path");
       List<String> command = new ArrayList<>();
-      command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+      command.add(Processes.javaCommand());
       command.add("-XX:+UseSerialGC");
       command.addAll(List.of("-cp", classPath));
       command.add(LabMain.class.getName());
@@ -101,16 +102,16 @@
       return last;
     }
 
-    private static Map<String, Double> figures(String resultLine) {
-      Map<String, Double> figures = new LinkedHashMap<>();
-      for (String word : resultLine.split(" ")) {
-        int equalsSign = word.indexOf('=');
-        if (equalsSign > 0 && !word.startsWith("ok=") && !word.startsWith("seed=")) {
-          String value = word.substring(equalsSign + 1);
-          figures.put(word.substring(0, equalsSign), Double.parseDouble(value));
+    private static Map<String, Double> metrics(String resultLine) {
+      Map<String, Double> metrics = new LinkedHashMap<>();
+      for (String field : resultLine.split(" ")) {
+        int equalsSign = field.indexOf('=');
+        if (equalsSign > 0 && !field.startsWith("ok=") && !field.startsWith("seed=")) {
+          String value = field.substring(equalsSign + 1);
+          metrics.put(field.substring(0, equalsSign), Double.parseDouble(value));
         }
       }
-      return figures;
+      return metrics;
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.referee.ProxyTotals;
 import wheattrack.lab.referee.RuleViolation;
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Fault;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.ScenarioReader;
 import wheattrack.lab.sockets.SocketRun;
@@ -23,11 +23,11 @@
   private DemoCommand() {}
 
   /** Plays the demo and prints what comes of it. */
-  static ExitCode run(ScenarioRunner.Job job) throws IOException {
+  static ExitCode run(ScenarioRunner.RunOptions options) throws IOException {
     Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("demo"));
     printIntroduction(scenario);
     ScenarioRunner.SocketResult result =
-        ScenarioRunner.runOnSockets(scenario, job, SocketRun.ProxyOptions.DEFAULT);
+        ScenarioRunner.runOnSockets(scenario, options, SocketRun.ProxyOptions.DEFAULT);
     Verdict verdict = result.verdict();
     System.out.println();
     printSeconds(scenario, verdict.seconds());
@@ -36,8 +36,8 @@
     for (RuleViolation violation : verdict.violations()) {
       System.out.println("broken, " + violation.rule() + ": " + violation.description());
     }
-    printVerdict(verdict.figures());
-    System.out.println(verdict.resultLine(job.seed()));
+    printVerdict(verdict);
+    System.out.println(verdict.resultLine(options.seed()));
     return result.exitCode();
   }
 
@@ -94,17 +94,17 @@
         totals.attemptsByBackend());
   }
 
-  private static void printVerdict(Map<String, Double> figures) {
-    double broken = figures.get("broken");
+  private static void printVerdict(Verdict verdict) {
+    double broken = verdict.metric(Metric.BROKEN);
     System.out.println(
         "the referee: "
             + (broken == 0 ? "no rule was broken" : Verdict.format(broken) + " rules were broken")
             + "; "
-            + String.format(Locale.ROOT, "%.1f", 100 * figures.get("service"))
+            + String.format(Locale.ROOT, "%.1f", 100 * verdict.metric(Metric.SERVICE))
             + "% of the value was done in time, half within "
-            + Verdict.format(figures.get("p50"))
+            + Verdict.format(verdict.metric(Metric.P50))
             + " ms, all but 1% within "
-            + Verdict.format(figures.get("p99"))
+            + Verdict.format(verdict.metric(Metric.P99))
             + " ms");
   }
 }
--- a/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
+++ b/lab/src/main/java/wheattrack/lab/model/FaultTimeline.java
@@ -56,26 +56,24 @@
   }
 
   private List<Integer> targets(Fault fault, RandomStream random) {
-    int zoneCount = environment.scenario().zoneCount();
     if (fault.kind().hitsProxies()) {
-      return chooseTargets(fault, environment.proxies().size(), zoneCount, random);
+      return chooseTargets(fault, environment.proxies().size(), random);
     }
     if (fault.kind().hitsBackends()) {
-      return chooseTargets(fault, environment.backends().size(), zoneCount, random);
+      return chooseTargets(fault, environment.backends().size(), random);
     }
     return List.of();
   }
 
   /** The indexes that a fault hits; they are drawn without repeats. */
-  private static List<Integer> chooseTargets(
-      Fault fault, int population, int zoneCount, RandomStream random) {
+  private List<Integer> chooseTargets(Fault fault, int population, RandomStream random) {
     Fault.Target target = fault.target();
     if (target.index() >= 0) {
       return List.of(target.index());
     }
     List<Integer> candidates = new ArrayList<>();
     for (int index = 0; index < population; index++) {
-      if (target.zone() < 0 || index % zoneCount == target.zone()) {
+      if (target.zone() < 0 || environment.scenario().zoneOf(index) == target.zone()) {
         candidates.add(index);
       }
     }
@@ -176,7 +174,10 @@
     }
   }
 
-  /** Kills a proxy; the clients' front notices that later, unless it is up again by then. */
+  /**
+   * Kills a proxy; the clients' front load balancer notices that later, unless it is up again by
+   * then.
+   */
   private void killProxy(ProxyHandle proxy) {
     if (proxy.isUp()) {
       proxy.kill();
--- a/lab/src/main/java/wheattrack/lab/referee/Referee.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Referee.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import wheattrack.lab.referee.LedgerRecord.Answer;
+import wheattrack.lab.scenario.Metric;
 import wheattrack.lab.scenario.Scenario;
 
 /**
@@ -21,7 +22,7 @@
   private final EffectRule effectRule;
   private final DrainRule drainRule;
   private final ColdStartRule coldStartRule;
-  private final ServiceFigures service;
+  private final ServiceMetrics service;
   private final List<LedgerRecord> faults = new ArrayList<>();
   private long lastAt;
 
@@ -32,10 +33,10 @@
     long drainGrace = scenario.terms().drainGrace() + (scenario.isVirtual() ? 0 : tolerance);
     run = new RunState(scenario);
     answerRule = new AnswerRule(run, violations, tolerance);
-    effectRule = new EffectRule(run, violations, scenario.zoneCount());
+    effectRule = new EffectRule(scenario, run, violations);
     drainRule = new DrainRule(run, violations, drainGrace);
     coldStartRule = new ColdStartRule(scenario, run, violations);
-    service = new ServiceFigures(scenario, run);
+    service = new ServiceMetrics(scenario, run);
   }
 
   @Override
@@ -119,7 +120,7 @@
     answerRule.finish(lastAt);
     return new Verdict(
         scenario,
-        figures(),
+        metrics(),
         violations.described(),
         service.seconds(),
         service.attemptsByBackend(),
@@ -129,31 +130,34 @@
         service.latency());
   }
 
-  /** Figures by name in the order of the result line. */
-  private Map<String, Double> figures() {
-    Map<String, Double> figures = new LinkedHashMap<>();
+  /** Metrics by name in the order of the result line. */
+  private Map<String, Double> metrics() {
+    Map<String, Double> metrics = new LinkedHashMap<>();
     int broken = violations.counts().values().stream().mapToInt(count -> count).sum();
-    figures.put("broken", (double) broken);
-    violations.counts().forEach((rule, count) -> figures.put("broken." + rule, (double) count));
-    figures.put("service", service.service(0, Long.MAX_VALUE));
+    metrics.put(Metric.BROKEN.keyword(), (double) broken);
+    violations
+        .counts()
+        .forEach((rule, count) -> metrics.put(rule.violationMetric().keyword(), (double) count));
+    metrics.put(Metric.SERVICE.keyword(), service.service(0, Long.MAX_VALUE));
     for (Scenario.Window window : scenario.windows()) {
-      figures.put("service-" + window.name(), service.service(window.from(), window.until()));
+      metrics.put(
+          Metric.WINDOW_PREFIX + window.name(), service.service(window.from(), window.until()));
     }
-    figures.put("worst-second", service.worstSecond());
-    figures.put("asked", (double) run.operationCount());
-    figures.put("done", (double) service.done());
-    figures.put("denied", (double) service.rejected());
-    figures.put("aborted", (double) service.failed());
-    figures.put("lost", (double) answerRule.lost());
-    figures.put("dispatches", (double) service.attempts());
-    figures.put("duplicate", effectRule.repeatedShare());
-    figures.put("crossings", service.crossingShare());
-    figures.put("p50", service.latencyMillis(50));
-    figures.put("p99", service.latencyMillis(99));
-    figures.put("p999", service.latencyMillis(99.9));
-    figures.put("late-drain", drainRule.latestArrival() / 10.0);
-    figures.put("cold-load", coldStartRule.peakLoad());
-    figures.put("fallen", (double) coldStartRule.collapses());
-    return figures;
+    metrics.put(Metric.WORST_SECOND.keyword(), service.worstSecond());
+    metrics.put(Metric.ASKED.keyword(), (double) run.operationCount());
+    metrics.put(Metric.DONE.keyword(), (double) service.done());
+    metrics.put(Metric.REJECTED.keyword(), (double) service.rejected());
+    metrics.put(Metric.FAILED.keyword(), (double) service.failed());
+    metrics.put(Metric.LOST.keyword(), (double) answerRule.lost());
+    metrics.put(Metric.ATTEMPTS.keyword(), (double) service.attempts());
+    metrics.put(Metric.REPEATED_WORK.keyword(), effectRule.repeatedShare());
+    metrics.put(Metric.CROSSINGS.keyword(), service.crossingShare());
+    metrics.put(Metric.P50.keyword(), service.latencyMillis(50));
+    metrics.put(Metric.P99.keyword(), service.latencyMillis(99));
+    metrics.put(Metric.P999.keyword(), service.latencyMillis(99.9));
+    metrics.put(Metric.LATE_DRAIN.keyword(), Scenario.toMillis(drainRule.latestArrival()));
+    metrics.put(Metric.COLD_LOAD.keyword(), coldStartRule.peakLoad());
+    metrics.put(Metric.COLLAPSES.keyword(), (double) coldStartRule.collapses());
+    return metrics;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceFigures.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceMetrics.java
@@ -10,13 +10,23 @@
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.scenario.Scenario;
 
-/** Measures the service of a run: values, answers, latency, and who sent how much to whom. */
-final class ServiceFigures {
-  /** The most work of an attempt that is told apart, in tenths of a millisecond at speed 1. */
+/**
+ * Measures the service of a run: values, answers, latency, and how much each proxy sent to each
+ * backend.
+ */
+final class ServiceMetrics {
+  /**
+   * The most work of an attempt that is recorded exactly, in tenths of a millisecond at speed 1.
+   */
   private static final long MAX_WORK = 1_000_000;
 
-  /** The highest latency that is told apart: ten minutes. */
-  private static final long MAX_LATENCY = 10 * 60_000L * 10;
+  /** The highest latency that is recorded exactly: ten minutes. */
+  private static final long MAX_LATENCY = 600 * Scenario.SECOND;
+
+  /** Significant digits of recorded values. */
+  private static final int LATENCY_DIGITS = 3;
+
+  private static final int WORK_DIGITS = 2;
 
   private final Scenario scenario;
   private final RunState run;
@@ -24,20 +34,20 @@
   private final Map<Integer, long[]> attemptsByBackend = new TreeMap<>();
   private final Map<Integer, Histogram> workByBackend = new TreeMap<>();
   private final Map<Integer, ProxyTotals> totalsByProxy = new TreeMap<>();
-  private final Histogram latency = new Histogram(MAX_LATENCY, 3);
+  private final Histogram latency = new Histogram(MAX_LATENCY, LATENCY_DIGITS);
   private long attempts;
   private long crossings;
   private long done;
   private long rejected;
   private long failed;
 
-  ServiceFigures(Scenario scenario, RunState run) {
+  ServiceMetrics(Scenario scenario, RunState run) {
     this.scenario = scenario;
     this.run = run;
   }
 
   void countOperation(LedgerRecord entry) {
-    second(entry.at()).addAsked(entry.value());
+    second(entry.at()).addOffered(entry.value());
   }
 
   void countAccepted(int proxy) {
@@ -67,14 +77,14 @@
       return;
     }
     operation.markDone();
-    long took = at - operation.startedAt();
-    latency.recordValue(Math.min(latency.getHighestTrackableValue(), took));
-    second(operation.startedAt()).addEarned(earned(operation, took));
+    long operationLatency = at - operation.startedAt();
+    latency.recordValue(Math.min(latency.getHighestTrackableValue(), operationLatency));
+    second(operation.startedAt()).addEarned(earned(operation, operationLatency));
   }
 
-  private double earned(TrackedOperation operation, long took) {
+  private double earned(TrackedOperation operation, long operationLatency) {
     RequestClass requestClass = run.requestClassOf(operation);
-    if (took <= requestClass.latencyObjective()) {
+    if (operationLatency <= requestClass.latencyObjective()) {
       return operation.value();
     }
     if (requestClass.priorityWeight() > 0) {
@@ -86,11 +96,11 @@
   void countAttempt(LedgerRecord entry) {
     attempts++;
     workByBackend
-        .computeIfAbsent(entry.backend(), backend -> new Histogram(MAX_WORK, 2))
+        .computeIfAbsent(entry.backend(), backend -> new Histogram(MAX_WORK, WORK_DIGITS))
         .recordValue(Math.max(0, Math.min(MAX_WORK, Math.round(entry.work()))));
     proxy(entry.proxy()).countAttempt(entry.backend());
     second(entry.at()).countAttempt();
-    if (entry.proxy() % scenario.zoneCount() != entry.backend() % scenario.zoneCount()) {
+    if (scenario.zoneOf(entry.proxy()) != scenario.zoneOf(entry.backend())) {
       crossings++;
     }
     long[] bySecond =
@@ -112,21 +122,21 @@
     return totalsByProxy.computeIfAbsent(index, proxy -> new ProxyTotals());
   }
 
-  /** Value earned over value asked for in the seconds that begin in this stretch; 1 if none was. */
+  /** Value earned over value offered in the seconds that begin in this time span; 1 if none was. */
   double service(long from, long until) {
-    double asked = 0;
+    double offered = 0;
     double earned = 0;
     for (int i = 0; i < seconds.size(); i++) {
       long start = i * Scenario.SECOND;
       if (start >= from && start < until) {
-        asked += seconds.get(i).valueAsked();
+        offered += seconds.get(i).valueOffered();
         earned += seconds.get(i).valueEarned();
       }
     }
-    return asked > 0 ? earned / asked : 1;
+    return offered > 0 ? earned / offered : 1;
   }
 
-  /** The lowest share of the complete seconds of the run; 1 if nothing was asked for. */
+  /** The lowest share of the complete seconds of the run; 1 if nothing was offered. */
   double worstSecond() {
     int completeSeconds = (int) (scenario.duration() / Scenario.SECOND);
     return seconds.stream()
@@ -165,7 +175,7 @@
 
   /** The latency in milliseconds that this percentage of the operations did not exceed. */
   double latencyMillis(double percentile) {
-    return latency.getValueAtPercentile(percentile) / 10.0;
+    return Scenario.toMillis(latency.getValueAtPercentile(percentile));
   }
 
   List<ServiceSecond> seconds() {
@@ -187,9 +197,9 @@
             quantiles.put(
                 backend,
                 new WorkQuantiles(
-                    work.getValueAtPercentile(10) / 10.0,
-                    work.getValueAtPercentile(50) / 10.0,
-                    work.getValueAtPercentile(90) / 10.0)));
+                    Scenario.toMillis(work.getValueAtPercentile(10)),
+                    Scenario.toMillis(work.getValueAtPercentile(50)),
+                    Scenario.toMillis(work.getValueAtPercentile(90)))));
     return quantiles;
   }
 }
--- a/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
+++ b/lab/src/main/java/wheattrack/lab/report/HtmlReport.java
@@ -9,7 +9,7 @@
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.scenario.Scenario;
 
-/** A run, or several of the same scenario, as one HTML file that needs nothing beside it. */
+/** A run, or several of the same scenario, as one self-contained HTML file. */
 public final class HtmlReport {
   /** One curve of the plots: its name and what was found. */
   public record Run(String name, Verdict verdict) {}
@@ -31,7 +31,7 @@
   private HtmlReport(List<Run> runs) {
     this.runs = runs;
     scenario = runs.get(0).verdict().scenario();
-    seconds = scenario.duration() / (double) Scenario.SECOND;
+    seconds = Scenario.toSeconds(scenario.duration());
   }
 
   /** Writes the report of these runs, at least one; throws IOException if the file can't be. */
@@ -51,7 +51,7 @@
     backendPlots.addWork();
     new LatencyPlot(html, runs).add();
     ReportTables tables = new ReportTables(html, runs, scenario);
-    tables.addFigures();
+    tables.addMetrics();
     tables.addViolations();
     tables.addFaults();
     html.add("</html>\n");
--- a/lab/src/main/java/wheattrack/lab/report/LatencyPlot.java
+++ b/lab/src/main/java/wheattrack/lab/report/LatencyPlot.java
@@ -13,6 +13,8 @@
 import org.HdrHistogram.Histogram;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.report.HtmlWriter.Point;
+import wheattrack.lab.scenario.Scenario;
 
 /** Latency by percentile on a logarithmic axis, a curve for each run. */
 final class LatencyPlot {
@@ -59,16 +61,16 @@
   }
 
   private void addCurve(String colour, Histogram latency) {
-    List<double[]> points = new ArrayList<>();
+    List<Point> points = new ArrayList<>();
     for (int i = 0; i < PERCENTILES.length; i++) {
       double millis = Math.max(MIN_MILLIS, millis(latency, PERCENTILES[i]));
-      points.add(new double[] {percentileX(i), latencyY(millis)});
+      points.add(new Point(percentileX(i), latencyY(millis)));
     }
     html.addCurve(colour, points);
   }
 
   private static double millis(Histogram latency, double percentile) {
-    return latency.getValueAtPercentile(percentile) / 10.0;
+    return Scenario.toMillis(latency.getValueAtPercentile(percentile));
   }
 
   private static double percentileX(int index) {
--- a/lab/src/main/java/wheattrack/lab/report/ResultLines.java
+++ b/lab/src/main/java/wheattrack/lab/report/ResultLines.java
@@ -11,8 +11,9 @@
 import wheattrack.lab.referee.RuleViolation;
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
+import wheattrack.lab.scenario.Scenario;
 
-/** A run as JSON lines: its figures, each rule violation, each second. */
+/** A run as JSON lines: its metrics, each rule violation, each second. */
 public final class ResultLines {
   private ResultLines() {}
 
@@ -41,8 +42,8 @@
     json.writeStringField("policy", policy);
     json.writeBooleanField("ok", verdict.isGood());
     json.writeObjectFieldStart("figures");
-    for (Map.Entry<String, Double> figure : verdict.figures().entrySet()) {
-      json.writeNumberField(figure.getKey(), figure.getValue());
+    for (Map.Entry<String, Double> metric : verdict.metrics().entrySet()) {
+      json.writeNumberField(metric.getKey(), metric.getValue());
     }
     json.writeEndObject();
     json.writeEndObject();
@@ -53,7 +54,7 @@
     json.writeStartObject();
     json.writeStringField("what", "break");
     json.writeStringField("rule", violation.rule().toString());
-    json.writeNumberField("at_ms", violation.at() / 10.0);
+    json.writeNumberField("at_ms", Scenario.toMillis(violation.at()));
     json.writeStringField("how", violation.description());
     json.writeEndObject();
   }
@@ -63,7 +64,7 @@
     json.writeStartObject();
     json.writeStringField("what", "second");
     json.writeNumberField("at_s", index);
-    json.writeNumberField("asked", second.valueAsked());
+    json.writeNumberField("asked", second.valueOffered());
     json.writeNumberField("earned", second.valueEarned());
     json.writeNumberField("done", second.done());
     json.writeNumberField("denied", second.rejected());
--- a/lab/src/main/java/wheattrack/lab/report/TimePlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/TimePlots.java
@@ -9,17 +9,20 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import wheattrack.lab.referee.ServiceSecond;
 import wheattrack.lab.referee.Verdict;
 import wheattrack.lab.report.HtmlReport.Run;
+import wheattrack.lab.report.HtmlWriter.Point;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
 
 /** The plots over the time of the run: a curve for each run, the faults behind them. */
 final class TimePlots {
+  /** A label of the vertical axis, from 0 at the foot of the plot to 1 at its top. */
+  private record AxisLabel(double partOfHeight, String text) {}
+
   private final HtmlWriter html;
   private final List<Run> runs;
   private final Scenario scenario;
@@ -35,7 +38,7 @@
   void addService() {
     open(
         "Service: value done within the target over value asked for",
-        Map.of(0.0, "0", 0.5, "50%", 1.0, "100%"));
+        List.of(new AxisLabel(0, "0"), new AxisLabel(0.5, "50%"), new AxisLabel(1, "100%")));
     addCurves(ServiceSecond::hasShare, ServiceSecond::earnedShare);
     html.closeDrawing();
   }
@@ -47,7 +50,9 @@
       max = Math.max(max, most);
     }
     double top = max;
-    open("Denied and aborted by second", Map.of(0.0, "0", 1.0, Verdict.format(top)));
+    open(
+        "Denied and aborted by second",
+        List.of(new AxisLabel(0, "0"), new AxisLabel(1, Verdict.format(top))));
     addCurves(second -> true, second -> unsuccessful(second) / top);
     html.closeDrawing();
   }
@@ -61,42 +66,43 @@
       Predicate<ServiceSecond> isShown, ToDoubleFunction<ServiceSecond> partOfHeight) {
     for (int i = 0; i < runs.size(); i++) {
       List<ServiceSecond> all = runs.get(i).verdict().seconds();
-      List<double[]> points = new ArrayList<>();
+      List<Point> points = new ArrayList<>();
       for (int s = 0; s < Math.min(all.size(), Math.ceil(area.seconds())); s++) {
         ServiceSecond second = all.get(s);
         if (isShown.test(second)) {
-          points.add(new double[] {area.x(s + 0.5), y(partOfHeight.applyAsDouble(second))});
+          points.add(new Point(area.x(s + 0.5), y(partOfHeight.applyAsDouble(second))));
         }
       }
       html.addCurve(PlotArea.colour(i), points);
     }
   }
 
-  /** Opens a plot; labels: those of its vertical axis by the part of its height. */
-  private void open(String title, Map<Double, String> labels) {
+  /** Opens a plot with these labels at its vertical axis. */
+  private void open(String title, List<AxisLabel> labels) {
     html.add("<h2>%s</h2>", escaped(title));
     html.openDrawing(WIDTH, HEIGHT);
     addFaults();
-    labels.forEach(
-        (part, label) ->
-            html.add(
-                "<line x1='%d' x2='%d' y1='%.1f' y2='%.1f' stroke='#ddd'/>"
-                    + "<text x='%d' y='%.1f' text-anchor='end'>%s</text>",
-                LEFT, RIGHT, y(part), y(part), LEFT - 6, y(part) + 4, label));
+    for (AxisLabel label : labels) {
+      double y = y(label.partOfHeight);
+      html.add(
+          "<line x1='%d' x2='%d' y1='%.1f' y2='%.1f' stroke='#ddd'/>"
+              + "<text x='%d' y='%.1f' text-anchor='end'>%s</text>",
+          LEFT, RIGHT, y, y, LEFT - 6, y + 4, label.text);
+    }
     addTimeAxis();
   }
 
   private void addFaults() {
     for (int i = 0; i < scenario.faults().size(); i++) {
       Fault fault = scenario.faults().get(i);
-      double from = fault.startsAt() / (double) Scenario.SECOND;
-      double length = Math.max(0.1, fault.duration() / (double) Scenario.SECOND);
+      double from = Scenario.toSeconds(fault.startsAt());
+      double length = Math.max(0.1, Scenario.toSeconds(fault.duration()));
       double until = Math.min(area.seconds(), from + length);
       double x = area.x(from);
       html.add(
           "<rect x='%.1f' y='10' width='%.1f' height='%d' fill='#f3d9a6' fill-opacity='.55'/>",
           x, Math.max(2, area.x(until) - x), PlotArea.CURVE_HEIGHT);
-      html.add("<text x='%.1f' y='%d'>%s</text>", x + 2, 21 + 12 * (i % 4), fault.kind().word());
+      html.add("<text x='%.1f' y='%d'>%s</text>", x + 2, 21 + 12 * (i % 4), fault.kind().keyword());
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyFleet.java
@@ -26,21 +26,30 @@
       throws IOException {
     this.group = group;
     this.size = size;
+    try {
+      startProcesses(config, settingsSource);
+      double heapBytes = 0;
+      long startedAt = Long.MAX_VALUE;
+      for (ControlOnlyProcess process : processes) {
+        ControlOnlyProcess.Start start = process.awaitStart();
+        startedAt = Math.min(startedAt, start.startedAtNanos());
+        heapBytes += start.heapBytes();
+      }
+      emptyHeapBytes = heapBytes;
+      startedAtNanos = startedAt;
+    } catch (IOException | RuntimeException e) {
+      close();
+      throw e;
+    }
+  }
+
+  private void startProcesses(Path config, InetSocketAddress settingsSource) {
     int count = (size + MAX_PROXIES_PER_PROCESS - 1) / MAX_PROXIES_PER_PROCESS;
     for (int i = 0; i < count; i++) {
       int first = size * i / count;
       int next = size * (i + 1) / count;
       processes.add(group.startControlOnly(next - first, first, config, settingsSource));
     }
-    double heapBytes = 0;
-    long startedAt = Long.MAX_VALUE;
-    for (ControlOnlyProcess process : processes) {
-      ControlOnlyProcess.Start start = process.awaitStart();
-      startedAt = Math.min(startedAt, start.startedAtNanos());
-      heapBytes += start.heapBytes();
-    }
-    emptyHeapBytes = heapBytes;
-    startedAtNanos = startedAt;
   }
 
   int size() {
@@ -71,7 +80,7 @@
   /** KiB of heap that each has taken since its start. */
   double heapKibEach() {
     double heapBytes = processes.stream().mapToDouble(ControlOnlyProcess::heapBytes).sum();
-    return (heapBytes - emptyHeapBytes) / 1024 / size;
+    return (heapBytes - emptyHeapBytes) / ByteUnits.KIB / size;
   }
 
   /** Nanoseconds of processor time of all. */
@@ -81,7 +90,7 @@
         .sum();
   }
 
-  /** Has all read their configuration anew; returns once they have. */
+  /** Makes all of them reload their configuration; returns once they have. */
   void reload(Path config) {
     processes.forEach(process -> process.reload(config));
   }
@@ -92,12 +101,13 @@
   }
 
   /**
-   * Puts how long changes took from when they were made until they were in force, of all changes at
+   * Adds how long changes took from when they were made until they took effect, of all changes at
    * all proxies.
    *
    * @param changedAtNanos when each was made; the last of them is the source's latest revision
    */
-  void putTimesInForce(long[] changedAtNanos, SourceServer source, Map<String, Double> figures) {
+  void putActivationLatencies(
+      long[] changedAtNanos, SourceServer source, Map<String, Double> metrics) {
     List<Double> latencies = new ArrayList<>();
     long latest = source.revision();
     for (ControlOnlyProcess process : processes) {
@@ -116,11 +126,10 @@
     }
     latencies.sort(null);
     int count = latencies.size();
-    figures.put("untold", (double) changedAtNanos.length * size - count);
-    figures.put("force_p50_ms", count == 0 ? Double.NaN : latencies.get(count / 2));
-    figures.put(
-        "force_p99_ms", count == 0 ? Double.NaN : latencies.get((int) (0.99 * (count - 1))));
-    figures.put("force_last_ms", count == 0 ? Double.NaN : latencies.get(count - 1));
+    metrics.put("untold", (double) changedAtNanos.length * size - count);
+    metrics.put("force_p50_ms", count == 0 ? Double.NaN : latencies.get(count / 2));
+    metrics.put("force_p99_ms", Percentiles.of(latencies, 0.99));
+    metrics.put("force_last_ms", count == 0 ? Double.NaN : latencies.get(count - 1));
   }
 
   @Override
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -41,7 +41,7 @@
   private final List<ControlOnlyProxy> proxies = new ArrayList<>();
 
   /** By revision: when it took effect at each proxy, in nanoseconds of the shared clock. */
-  private final Map<Long, List<Long>> timesInForce = new TreeMap<>();
+  private final Map<Long, List<Long>> activationTimes = new TreeMap<>();
 
   /** The latest revision at each proxy; 0 before the first. */
   private final long[] latestRevisions;
@@ -51,7 +51,7 @@
   }
 
   /**
-   * Runs with the arguments COUNT FIRST CONFIG [SOURCE]: so many proxies of that configuration,
+   * Runs with the arguments COUNT FIRST CONFIG [SOURCE]: that many proxies of this configuration,
    * numbered from FIRST on; with a source of settings they watch it, and it is its revisions that
    * are reported, else those of the endpoint list.
    */
@@ -78,12 +78,12 @@
             start(i, group, config, config.seed() + SEED_STEP * (first + i), source);
           }
         });
-    System.out.println("began " + startedAt + " " + emptyHeapBytes);
-    System.out.println("end");
+    System.out.println(ControlOnlyCommand.STARTED + " " + startedAt + " " + emptyHeapBytes);
+    System.out.println(ControlOnlyCommand.END);
     BufferedReader in = new BufferedReader(new InputStreamReader(System.in));
     for (String line = in.readLine(); line != null; line = in.readLine()) {
       answer(line);
-      System.out.println("end");
+      System.out.println(ControlOnlyCommand.END);
     }
   }
 
@@ -102,15 +102,20 @@
     }
   }
 
-  private void answer(String command) throws InterruptedException {
-    String[] words = command.split(" ");
-    switch (words[0]) {
-      case "known" -> executeOnLoop(this::printKnown);
-      case "heap" -> System.out.println(heapBytes());
-      case "forget" -> executeOnLoop(timesInForce::clear);
-      case "force" -> executeOnLoop(this::printTimesInForce);
-      case "reload" -> reload(Path.of(words[1]));
-      default -> System.out.println("unknown order: " + command);
+  private void answer(String line) throws InterruptedException {
+    String[] arguments = line.split(" ");
+    ControlOnlyCommand command = ControlOnlyCommand.of(arguments[0]);
+    if (command == null) {
+      System.out.println("unknown order: " + line);
+      return;
+    }
+    switch (command) {
+      case KNOWN -> executeOnLoop(this::printKnown);
+      case HEAP -> System.out.println(heapBytes());
+      case FORGET -> executeOnLoop(activationTimes::clear);
+      case REVISION_TIMES -> executeOnLoop(this::printActivationTimes);
+      case RELOAD -> reload(Path.of(arguments[1]));
+      default -> throw new IllegalStateException("unknown command " + command);
     }
   }
 
@@ -123,12 +128,12 @@
 
   private void noteRevision(int index, long revision) {
     latestRevisions[index] = revision;
-    timesInForce.computeIfAbsent(revision, r -> new ArrayList<>()).add(System.nanoTime());
+    activationTimes.computeIfAbsent(revision, r -> new ArrayList<>()).add(System.nanoTime());
   }
 
-  private void printTimesInForce() {
+  private void printActivationTimes() {
     StringBuilder lines = new StringBuilder();
-    timesInForce.forEach(
+    activationTimes.forEach(
         (revision, times) -> {
           lines.append(revision);
           times.forEach(time -> lines.append(' ').append(time));
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -6,8 +6,9 @@
 import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
+import java.io.IOException;
 import java.util.Map;
-import wheattrack.lab.scale.SteadyChanges.Pace;
+import wheattrack.lab.scale.SteadyChanges.ChangeSchedule;
 
 /** The axes about the endpoint list: its size, its changes, and who watches it. */
 final class EndpointMeasurements {
@@ -16,6 +17,12 @@
 
   private static final int CHANGE_SECONDS = 3;
 
+  /** What is measured while a fleet and, unless it is null, a reference proxy watch a source. */
+  private interface FleetMeasurement {
+    void measure(SourceServer source, ReferenceProxy reference, ControlOnlyFleet fleet)
+        throws InterruptedException;
+  }
+
   private final ScaleEnvironment environment;
 
   EndpointMeasurements(ScaleEnvironment environment) {
@@ -23,7 +30,8 @@
   }
 
   /** By backends in the list. */
-  void measureBackends(int backends, Map<String, Double> figures) throws Exception {
+  void measureBackends(int backends, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     int fleetSize = backends > USUAL_LIST ? 1 : SMALL_FLEET;
     try (SourceServer source = environment.startEndpointSource(backends);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0)) {
@@ -31,50 +39,68 @@
       try (ControlOnlyFleet fleet =
           environment.startFleet(fleetSize, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
         double listMillis = fleet.awaitLists(LIST_TIMEOUT_MILLIS);
-        figures.put("list_ms", listMillis);
-        figures.put("known", fleet.maxKnownBackends());
-        figures.put("list_kb", (source.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
+        metrics.put("list_ms", listMillis);
+        metrics.put("known", fleet.maxKnownBackends());
+        metrics.put(
+            "list_kb", (source.bytesSent() - bytesBefore) / (double) ByteUnits.KIB / fleetSize);
         double watchers = fleetSize + (reference == null ? 0 : 1);
-        figures.put("asked_bytes", source.bytesReceived() / watchers);
-        figures.put("heap_kb", fleet.heapKibEach());
+        metrics.put("asked_bytes", source.bytesReceived() / watchers);
+        metrics.put("heap_kb", fleet.heapKibEach());
         if (reference != null) {
-          figures.put("w_ready_ms", reference.readyMillis());
-          figures.put("w_known", reference.metric("backends_known"));
-          reference.putStart(figures);
-          figures.put("w_rest_mb", reference.residentKib() / 1024.0);
+          putReferenceMetrics(reference, metrics);
         }
         if (Double.isFinite(listMillis)) {
           new SteadyChanges(environment, source, backends)
-              .measure(fleet, reference, Pace.FAST, figures);
+              .measure(fleet, reference, ChangeSchedule.FAST, metrics);
         }
       }
     }
   }
 
+  private static void putReferenceMetrics(ReferenceProxy reference, Map<String, Double> metrics) {
+    metrics.put("w_ready_ms", reference.readyMillis());
+    metrics.put("w_known", reference.metric("backends_known"));
+    reference.putStart(metrics);
+    metrics.put("w_rest_mb", reference.residentKib() / (double) ByteUnits.KIB);
+  }
+
   /** By changes a second. */
-  void measureChangeRate(int perSecond, Map<String, Double> figures) throws Exception {
-    try (SourceServer source = environment.startEndpointSource(USUAL_LIST);
-        ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
-        ControlOnlyFleet fleet =
-            environment.startFleet(
-                SMALL_FLEET, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
-      fleet.awaitLists(LIST_TIMEOUT_MILLIS);
-      new SteadyChanges(environment, source, USUAL_LIST)
-          .measure(fleet, reference, new Pace(CHANGE_SECONDS * perSecond, perSecond), figures);
-    }
+  void measureChangeRate(int perSecond, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
+    ChangeSchedule schedule = new ChangeSchedule(CHANGE_SECONDS * perSecond, perSecond);
+    measureFleet(
+        USUAL_LIST,
+        SMALL_FLEET,
+        (source, reference, fleet) -> {
+          fleet.awaitLists(LIST_TIMEOUT_MILLIS);
+          new SteadyChanges(environment, source, USUAL_LIST)
+              .measure(fleet, reference, schedule, metrics);
+        });
   }
 
   /** By control-only proxies that watch the list. */
-  void measureWatchers(int fleetSize, Map<String, Double> figures) throws Exception {
-    try (SourceServer source = environment.startEndpointSource(SMALL_LIST);
+  void measureWatchers(int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
+    measureFleet(
+        SMALL_LIST,
+        fleetSize,
+        (source, reference, fleet) -> {
+          metrics.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+          metrics.put("processes", (double) fleet.processCount());
+          new SteadyChanges(environment, source, SMALL_LIST)
+              .measure(fleet, reference, ChangeSchedule.GENTLE, metrics);
+        });
+  }
+
+  /** Starts a source of that many backends and a fleet that watches it, and ends both. */
+  private void measureFleet(int backends, int fleetSize, FleetMeasurement measurement)
+      throws IOException, InterruptedException {
+    try (SourceServer source = environment.startEndpointSource(backends);
         ReferenceProxy reference = environment.startReference(source, USUAL_RULE_SETS, 0);
         ControlOnlyFleet fleet =
             environment.startFleet(
                 fleetSize, environment.writeConfig(source, USUAL_RULE_SETS, 0))) {
-      figures.put("list_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
-      figures.put("processes", (double) fleet.processCount());
-      new SteadyChanges(environment, source, SMALL_LIST)
-          .measure(fleet, reference, Pace.GENTLE, figures);
+      measurement.measure(source, reference, fleet);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
+++ b/lab/src/main/java/wheattrack/lab/scale/LatencyProbe.java
@@ -64,16 +64,14 @@
     return true;
   }
 
-  /** Ends after so long; returns the 99th percentile in milliseconds, NaN without answers. */
+  /** Ends after this time; returns the 99th percentile in milliseconds, NaN without answers. */
   double endAfter(long millis) throws InterruptedException {
     Thread.sleep(millis);
     isEnded = true;
     thread.join(END_TIMEOUT_MILLIS);
     synchronized (latencies) {
       latencies.sort(null);
-      return latencies.isEmpty()
-          ? Double.NaN
-          : latencies.get((int) (0.99 * (latencies.size() - 1)));
+      return Percentiles.of(latencies, 0.99);
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/Polling.java
+++ b/lab/src/main/java/wheattrack/lab/scale/Polling.java
@@ -2,13 +2,13 @@
 
 import java.util.function.BooleanSupplier;
 
-/** Waits for a condition by asking for it now and then. */
+/** Waits for a condition by checking it periodically. */
 final class Polling {
   private static final long INTERVAL_MILLIS = 20;
 
   private Polling() {}
 
-  /** Waits until the condition holds, or for so long; returns whether it holds. */
+  /** Waits until the condition holds, or the timeout is over; returns whether it holds. */
   static boolean await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
     long deadline = System.nanoTime() + timeoutMillis * 1_000_000;
     while (!condition.getAsBoolean()) {
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessGroup.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import wheattrack.lab.process.Processes;
 
 /**
  * The processes of a run: started, watched for their memory by a thread of its own, and ended by id
@@ -17,7 +17,6 @@
 final class ProcessGroup implements AutoCloseable {
   private static final int MAX_PROCESSES = 200;
   private static final long WATCH_INTERVAL_MILLIS = 200;
-  private static final long END_TIMEOUT_SECONDS = 5;
 
   private final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
   private final long maxMemoryBytes;
@@ -26,7 +25,7 @@
   private volatile boolean isLimitExceeded;
   private volatile long peakMemoryBytes;
 
-  /** maxMemoryBytes: what all of them may hold; past it all are ended. */
+  /** maxMemoryBytes: what all of them may hold; above it all are killed. */
   ProcessGroup(long maxMemoryBytes) {
     this.maxMemoryBytes = maxMemoryBytes;
     watcher.setDaemon(true);
@@ -57,10 +56,9 @@
    */
   ControlOnlyProcess startControlOnly(
       int count, int first, Path config, InetSocketAddress settingsSource) {
-    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     ProcessBuilder builder =
         new ProcessBuilder(
-            java,
+            Processes.javaCommand(),
             "-Djava.net.preferIPv4Stack=true",
             "-Xmx1500m",
             "-Xss512k",
@@ -103,7 +101,7 @@
     while (!isClosed) {
       long sum = 0;
       for (Process process : List.copyOf(processes)) {
-        sum += process.isAlive() ? ProcessStatistics.residentKib(process) * 1024 : 0;
+        sum += process.isAlive() ? ProcessStatistics.residentKib(process) * ByteUnits.KIB : 0;
       }
       peakMemoryBytes = Math.max(peakMemoryBytes, sum);
       if (sum > maxMemoryBytes) {
@@ -122,23 +120,18 @@
   void checkLimit() {
     if (isLimitExceeded) {
       throw new ResourceLimitException(
-          "memory over " + maxMemoryBytes / 1_048_576 + " MiB: all processes were ended");
+          "memory over " + maxMemoryBytes / ByteUnits.MIB + " MiB: all processes were ended");
     }
   }
 
-  /** The most bytes that all processes held together at one of the looks at them. */
+  /** The most bytes that all processes held together at any one sample. */
   long peakMemoryBytes() {
     return peakMemoryBytes;
   }
 
   /** Ends a process and waits for its end, 5 s at most. */
   void end(Process process) {
-    process.destroyForcibly();
-    try {
-      process.waitFor(END_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    Processes.killAndWait(process);
     processes.remove(process);
   }
 
--- a/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ReferenceProxy.java
@@ -31,7 +31,7 @@
     return address;
   }
 
-  /** Waits until it is ready; {@link #readyMillis} tells afterwards how long that took. */
+  /** Waits until it is ready; {@link #readyMillis} returns afterwards how long that took. */
   void awaitReady(long timeoutMillis) throws InterruptedException {
     boolean isReady = Polling.await(timeoutMillis, this::isReady);
     readyMillis = isReady ? millisSinceStart() : Double.NaN;
@@ -63,7 +63,7 @@
     }
   }
 
-  /** A figure of its admin address by name; NaN if there is none or it does not answer. */
+  /** A metric of its admin address by name; NaN if there is none or it does not answer. */
   double metric(String name) {
     try (Socket connection = new Socket()) {
       connection.connect(
@@ -89,8 +89,8 @@
   }
 
   /**
-   * Has it read its configuration anew by a signal: milliseconds of processor time until it has,
-   * which include those at rest; NaN after the timeout.
+   * Makes it reload its configuration by a signal: milliseconds of processor time until it has,
+   * which include those of the idle state; NaN after the timeout.
    */
   double reloadCpuMillis(long timeoutMillis) throws IOException, InterruptedException {
     double reloadsBefore = metric("reloads_ok");
@@ -106,7 +106,7 @@
   }
 
   double peakResidentMib() {
-    return ProcessStatistics.peakResidentKib(process) / 1024.0;
+    return ProcessStatistics.peakResidentKib(process) / (double) ByteUnits.KIB;
   }
 
   long residentKib() {
@@ -114,10 +114,10 @@
   }
 
   /** Puts when it was ready and what its start cost. */
-  void putStart(Map<String, Double> figures) {
-    figures.put("w_ready_ms", readyMillis);
-    figures.put("w_start_cpu_ms", cpuNanos() / ScaleEnvironment.NANOS_PER_MILLI);
-    figures.put("w_rss_mb", peakResidentMib());
+  void putStart(Map<String, Double> metrics) {
+    metrics.put("w_ready_ms", readyMillis);
+    metrics.put("w_start_cpu_ms", cpuNanos() / ScaleEnvironment.NANOS_PER_MILLI);
+    metrics.put("w_rss_mb", peakResidentMib());
   }
 
   @Override
--- a/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ScaleCommand.java
@@ -9,12 +9,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import wheattrack.config.ConfigurationReader;
 import wheattrack.config.InvalidConfigurationException;
+import wheattrack.lab.process.TemporaryDirectory;
 
 /**
  * The command {@code lab scale}: what control costs, along one axis at a time. See
@@ -30,13 +29,13 @@
    * @param home the root of the tree, where the operators' command line is run
    * @param axis the one axis to measure, or null for all
    * @param points its points, divided by commas, or null for those of a full run
-   * @param outputDirectory where the figures and the report go, or null
+   * @param outputDirectory where the metrics and the report go, or null
    * @param memoryBytes what all processes may hold, 0 for what the machine allows
    * @param sendsSnapshots whether the sources send each change as a complete snapshot, a fault that
    *     a test has to notice
-   * @param hasReferences whether complete proxies run beside the control-only ones
+   * @param hasReferences whether complete proxies run alongside the control-only ones
    */
-  public record Job(
+  public record ScaleOptions(
       Path home,
       String axis,
       String points,
@@ -49,35 +48,27 @@
   private ScaleCommand() {}
 
   /**
-   * Measures, prints each axis as it is done, and returns the figures. Throws
+   * Measures, prints each axis as it is done, and returns the metrics. Throws
    * InvalidConfigurationException for bad input and ResourceLimitException if the run needed more
    * than it may have.
    */
-  public static List<AxisMeasurements> run(Job job, PrintStream output) throws IOException {
-    long allowed = ProcessStatistics.allowedMemoryBytes();
-    if (job.memoryBytes > allowed) {
-      throw new InvalidConfigurationException(
-          "--memory-mb",
-          job.memoryBytes / 1_048_576
-              + " is over the "
-              + allowed / 1_048_576
-              + " that may be used here");
-    }
+  public static List<AxisMeasurements> run(ScaleOptions options, PrintStream output)
+      throws IOException {
+    long memoryLimit = memoryLimit(options);
     String commandLine =
-        job.hasReferences
-            ? ConfigurationReader.read(job.home.resolve("deploy/balancer.toml")).text("run")
+        options.hasReferences
+            ? ConfigurationReader.read(options.home.resolve("deploy/balancer.toml")).text("run")
             : "";
-    Path directory = Files.createTempDirectory("wheattrack-scale");
     List<AxisMeasurements> measurements = new ArrayList<>();
     long deadline = System.nanoTime() + MAX_RUN_NANOS;
-    try (ProcessGroup processes =
-            new ProcessGroup(job.memoryBytes > 0 ? job.memoryBytes : allowed);
+    try (TemporaryDirectory directory = new TemporaryDirectory("wheattrack-scale");
+        ProcessGroup processes = new ProcessGroup(memoryLimit);
         ScaleEnvironment environment =
-            new ScaleEnvironment(processes, job, directory, commandLine)) {
-      for (ScaleAxis axis : chosen(ScaleAxes.of(environment), job)) {
+            new ScaleEnvironment(processes, options, directory.path(), commandLine)) {
+      for (ScaleAxis axis : chosen(ScaleAxes.of(environment), options)) {
         AxisMeasurements axisMeasurements = new AxisMeasurements(axis.name(), axis.unit());
         measurements.add(axisMeasurements);
-        for (int point : points(axis, job.points)) {
+        for (int point : points(axis, options.points)) {
           if (System.nanoTime() > deadline) {
             output.println("not run, as ten minutes are over: " + axis.name() + " " + point);
           } else {
@@ -88,21 +79,38 @@
         output.flush();
       }
       output.printf(
-          "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / 1_048_576);
-    } finally {
-      delete(directory);
+          "memory of all processes, at most: %d MB%n", processes.peakMemoryBytes() / ByteUnits.MIB);
     }
-    if (job.outputDirectory != null) {
-      Files.createDirectories(job.outputDirectory);
-      writeLines(job, measurements);
-      Files.writeString(
-          job.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
+    if (options.outputDirectory != null) {
+      writeReports(options, measurements);
     }
     return measurements;
   }
 
+  /** The bytes that all processes may hold, as asked for or as this machine allows. */
+  private static long memoryLimit(ScaleOptions options) {
+    long allowed = ProcessStatistics.allowedMemoryBytes();
+    if (options.memoryBytes > allowed) {
+      throw new InvalidConfigurationException(
+          "--memory-mb",
+          options.memoryBytes / ByteUnits.MIB
+              + " is over the "
+              + allowed / ByteUnits.MIB
+              + " that may be used here");
+    }
+    return options.memoryBytes > 0 ? options.memoryBytes : allowed;
+  }
+
+  private static void writeReports(ScaleOptions options, List<AxisMeasurements> measurements)
+      throws IOException {
+    Files.createDirectories(options.outputDirectory);
+    writeLines(options, measurements);
+    Files.writeString(
+        options.outputDirectory.resolve("scale.html"), CapacityReport.html(measurements));
+  }
+
   /**
-   * Measures a point; what keeps it from being measured is printed, and its figures are missing.
+   * Measures a point; what keeps it from being measured is printed, and its metrics are missing.
    */
   private static void measure(
       ScaleAxis axis,
@@ -114,23 +122,24 @@
       axis.measurement().measure(point, measurements.addRow(point));
     } catch (ResourceLimitException e) {
       throw e;
-    } catch (Exception e) {
+    } catch (IOException | InterruptedException | RuntimeException e) {
       environment.checkLimit(); // it may have failed because its processes were ended
       output.println(axis.name() + " " + point + " fell short: " + e);
     }
   }
 
-  private static List<ScaleAxis> chosen(List<ScaleAxis> all, Job job) {
-    if (job.axis == null) {
-      if (job.points != null) {
+  private static List<ScaleAxis> chosen(List<ScaleAxis> all, ScaleOptions options) {
+    if (options.axis == null) {
+      if (options.points != null) {
         throw new InvalidConfigurationException("--points", "given without --axis");
       }
       return all;
     }
-    List<ScaleAxis> chosen = all.stream().filter(axis -> axis.name().equals(job.axis)).toList();
+    List<ScaleAxis> chosen = all.stream().filter(axis -> axis.name().equals(options.axis)).toList();
     if (chosen.isEmpty()) {
       throw new InvalidConfigurationException(
-          "--axis", "'" + job.axis + "' is none of " + all.stream().map(ScaleAxis::name).toList());
+          "--axis",
+          "'" + options.axis + "' is none of " + all.stream().map(ScaleAxis::name).toList());
     }
     return chosen;
   }
@@ -139,15 +148,15 @@
     if (text == null) {
       return axis.points();
     }
-    return Arrays.stream(text.split(",", -1)).mapToInt(word -> point(axis, word)).toArray();
+    return Arrays.stream(text.split(",", -1)).mapToInt(part -> point(axis, part)).toArray();
   }
 
-  private static int point(ScaleAxis axis, String word) {
+  private static int point(ScaleAxis axis, String text) {
     int point;
     try {
-      point = Integer.parseInt(word.strip());
+      point = Integer.parseInt(text.strip());
     } catch (NumberFormatException e) {
-      throw new InvalidConfigurationException("--points", "not a whole number: '" + word + "'");
+      throw new InvalidConfigurationException("--points", "not a whole number: '" + text + "'");
     }
     if (point < axis.min() || point > axis.max()) {
       throw new InvalidConfigurationException(
@@ -156,40 +165,33 @@
     return point;
   }
 
-  private static void writeLines(Job job, List<AxisMeasurements> measurements) throws IOException {
-    Path file = job.outputDirectory.resolve("scale.jsonl");
+  private static void writeLines(ScaleOptions options, List<AxisMeasurements> measurements)
+      throws IOException {
+    Path file = options.outputDirectory.resolve("scale.jsonl");
     try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
       json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
       for (AxisMeasurements axis : measurements) {
         for (AxisMeasurements.Row row : axis.rows()) {
-          writeLine(json, job, axis, row);
+          writeLine(json, options, axis, row);
         }
       }
     }
   }
 
   private static void writeLine(
-      JsonGenerator json, Job job, AxisMeasurements axis, AxisMeasurements.Row row)
+      JsonGenerator json, ScaleOptions options, AxisMeasurements axis, AxisMeasurements.Row row)
       throws IOException {
     json.writeStartObject();
     json.writeStringField("axis", axis.axis());
     json.writeNumberField("point", row.point());
-    json.writeNumberField("seed", job.seed);
-    for (Map.Entry<String, Double> figure : row.figures().entrySet()) {
-      if (Double.isFinite(figure.getValue())) {
-        json.writeNumberField(figure.getKey(), figure.getValue());
+    json.writeNumberField("seed", options.seed);
+    for (Map.Entry<String, Double> metric : row.metrics().entrySet()) {
+      if (Double.isFinite(metric.getValue())) {
+        json.writeNumberField(metric.getKey(), metric.getValue());
       } else {
-        json.writeNullField(figure.getKey());
+        json.writeNullField(metric.getKey());
       }
     }
     json.writeEndObject();
   }
-
-  private static void delete(Path directory) throws IOException {
-    try (Stream<Path> files = Files.walk(directory)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.deleteIfExists(file);
-      }
-    }
-  }
 }
--- a/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SettingsMeasurements.java
@@ -6,10 +6,11 @@
 import static wheattrack.lab.scale.ScaleEnvironment.SMALL_LIST;
 import static wheattrack.lab.scale.ScaleEnvironment.USUAL_RULE_SETS;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import wheattrack.lab.scale.SteadyChanges.Pace;
+import wheattrack.lab.scale.SteadyChanges.ChangeSchedule;
 
 /** The axes about settings: their size in a file, and in a source that is watched. */
 final class SettingsMeasurements {
@@ -26,44 +27,48 @@
   }
 
   /** By rule sets in the configuration file. */
-  void measureRuleSets(int ruleSets, Map<String, Double> figures) throws Exception {
-    measureFile(ruleSets, 0, figures);
+  void measureRuleSets(int ruleSets, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
+    measureFile(ruleSets, 0, metrics);
   }
 
   /** By tenants in the configuration file. */
-  void measureTenants(int tenants, Map<String, Double> figures) throws Exception {
-    measureFile(USUAL_RULE_SETS, tenants, figures);
+  void measureTenants(int tenants, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
+    measureFile(USUAL_RULE_SETS, tenants, metrics);
   }
 
   /** By rule sets in the source that a few proxies watch. */
-  void measureScope(int ruleSets, Map<String, Double> figures) throws Exception {
-    measureSource(ruleSets, SMALL_FLEET, figures);
+  void measureScope(int ruleSets, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
+    measureSource(ruleSets, SMALL_FLEET, metrics);
   }
 
   /** By control-only proxies that watch a source of the usual size. */
-  void measureScopeWatchers(int fleetSize, Map<String, Double> figures) throws Exception {
-    measureSource(USUAL_SCOPE, fleetSize, figures);
+  void measureScopeWatchers(int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
+    measureSource(USUAL_SCOPE, fleetSize, metrics);
   }
 
-  private void measureFile(int ruleSets, int tenants, Map<String, Double> figures)
-      throws Exception {
+  private void measureFile(int ruleSets, int tenants, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     try (SourceServer source = environment.startEndpointSource(SMALL_LIST)) {
       Path config = environment.writeConfig(source, ruleSets, tenants);
-      figures.put("file_mb", Files.size(config) / 1048576.0);
+      metrics.put("file_mb", Files.size(config) / (double) ByteUnits.MIB);
       try (ControlOnlyFleet fleet = environment.startFleet(1, config)) {
         fleet.awaitLists(READY_TIMEOUT_MILLIS);
         long cpuBefore = fleet.cpuNanos();
         long start = System.nanoTime();
         fleet.reload(config);
-        figures.put("reload_ms", (System.nanoTime() - start) / ScaleEnvironment.NANOS_PER_MILLI);
-        figures.put(
+        metrics.put("reload_ms", (System.nanoTime() - start) / ScaleEnvironment.NANOS_PER_MILLI);
+        metrics.put(
             "reload_cpu_ms", (fleet.cpuNanos() - cpuBefore) / ScaleEnvironment.NANOS_PER_MILLI);
-        figures.put("heap_kb", fleet.heapKibEach());
+        metrics.put("heap_kb", fleet.heapKibEach());
       }
       if (environment.hasReferences()) {
         try (ReferenceProxy reference = environment.startReference(source, ruleSets, tenants)) {
-          reference.putStart(figures);
-          figures.put(
+          reference.putStart(metrics);
+          metrics.put(
               "w_reload_cpu_ms",
               reference.wasReady() ? reference.reloadCpuMillis(LIST_TIMEOUT_MILLIS) : Double.NaN);
         }
@@ -71,27 +76,30 @@
     }
   }
 
-  /** Settings from a watched source: what a change costs, and when it is in force. */
-  private void measureSource(int ruleSets, int fleetSize, Map<String, Double> figures)
-      throws Exception {
+  /** Settings from a watched source: what a change costs, and when it takes effect. */
+  private void measureSource(int ruleSets, int fleetSize, Map<String, Double> metrics)
+      throws IOException, InterruptedException {
     try (SourceServer endpoints = environment.startEndpointSource(SMALL_LIST);
         SourceServer settings = environment.startSettingsSource(ruleSets)) {
       Path config = environment.writeConfig(endpoints, 1, 0);
       try (ReferenceProxy reference = environment.startReference(endpoints, settings)) {
         long bytesBefore = settings.bytesSent();
         try (ControlOnlyFleet fleet = environment.startFleet(fleetSize, config, settings)) {
-          figures.put("whole_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
-          figures.put("whole_kb", (settings.bytesSent() - bytesBefore) / 1024.0 / fleetSize);
-          figures.put("heap_kb", fleet.heapKibEach());
+          metrics.put("whole_ms", fleet.awaitLists(FLEET_LIST_TIMEOUT_MILLIS));
+          metrics.put(
+              "whole_kb",
+              (settings.bytesSent() - bytesBefore) / (double) ByteUnits.KIB / fleetSize);
+          metrics.put("heap_kb", fleet.heapKibEach());
           if (reference != null) {
-            figures.put("w_ready_ms", reference.readyMillis());
-            figures.put("w_rss_mb", reference.peakResidentMib());
+            metrics.put("w_ready_ms", reference.readyMillis());
+            metrics.put("w_rss_mb", reference.peakResidentMib());
           }
-          Pace pace = fleetSize <= SMALL_FLEET ? Pace.FAST : Pace.GENTLE;
+          ChangeSchedule schedule =
+              fleetSize <= SMALL_FLEET ? ChangeSchedule.FAST : ChangeSchedule.GENTLE;
           new SteadyChanges(environment, settings, ruleSets)
-              .measure(fleet, reference, pace, figures);
+              .measure(fleet, reference, schedule, metrics);
           if (reference != null) {
-            figures.put("w_told", reference.metric("settings_told"));
+            metrics.put("w_told", reference.metric("settings_told"));
           }
         }
       }
--- a/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
+++ b/lab/src/main/java/wheattrack/lab/scale/SteadyChanges.java
@@ -4,17 +4,17 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures changes of a source at an even pace: what each costs beyond rest, when it is in force,
- * and how much longer requests take meanwhile.
+ * Measures changes of a source at an even rate: what each costs beyond the idle state, when it
+ * takes effect, and how much longer requests take meanwhile.
  */
 final class SteadyChanges {
   /** How many changes are made, and at what rate. */
-  record Pace(int count, int perSecond) {
+  record ChangeSchedule(int count, int perSecond) {
     /** For a few watchers. */
-    static final Pace FAST = new Pace(200, 100);
+    static final ChangeSchedule FAST = new ChangeSchedule(200, 100);
 
     /** For thousands of watchers. */
-    static final Pace GENTLE = new Pace(20, 5);
+    static final ChangeSchedule GENTLE = new ChangeSchedule(20, 5);
   }
 
   /** Changes before the measurement, so that code is compiled as in a proxy that has run on. */
@@ -25,22 +25,24 @@
 
   private static final long WARM_UP_PAUSE_MILLIS = 500;
 
-  /** How long rest is measured; briefly without references, as times say little then. */
-  private static final long REST_MILLIS = 2000;
+  /** How long the idle state is measured; briefly without references: times say little then. */
+  private static final long IDLE_MILLIS = 2000;
 
-  private static final long SHORT_REST_MILLIS = 100;
+  private static final long SHORT_IDLE_MILLIS = 100;
 
-  /** Time for the last change to be in force everywhere. */
+  /** Time for the last change to take effect everywhere. */
   private static final long SETTLE_MILLIS = 800;
 
   private static final long PROBE_WARM_UP_MILLIS = 1000;
   private static final long PROBE_MILLIS = 2000;
+  private static final double MICROS_PER_SECOND = 1e6;
+  private static final double NANOS_PER_MICRO = 1e3;
 
   private final ScaleEnvironment environment;
   private final SourceServer source;
   private final int entries;
 
-  /** entries: how many the source has, of which the changes take their turns. */
+  /** entries: how many the source has, which the changes go through in turn. */
   SteadyChanges(ScaleEnvironment environment, SourceServer source, int entries) {
     this.environment = environment;
     this.source = source;
@@ -48,64 +50,64 @@
   }
 
   /**
-   * Makes changes at this pace while a fleet and, unless it is null, a reference proxy watch the
-   * source, and puts the figures.
+   * Makes changes by this schedule while a fleet and, unless it is null, a reference proxy watch
+   * the source, and puts the metrics.
    */
   void measure(
-      ControlOnlyFleet fleet, ReferenceProxy reference, Pace pace, Map<String, Double> figures)
+      ControlOnlyFleet fleet,
+      ReferenceProxy reference,
+      ChangeSchedule schedule,
+      Map<String, Double> metrics)
       throws InterruptedException {
-    if (environment.hasReferences()) {
-      int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
-      int warmUp = Math.min(MAX_WARM_UP_CHANGES, Math.max(pace.perSecond, notifications));
-      change(warmUp, warmUp);
-      Thread.sleep(WARM_UP_PAUSE_MILLIS);
-    }
-    long fleetBefore = fleet.cpuNanos();
-    long referenceBefore = cpuNanos(reference);
-    long restStart = System.nanoTime();
-    Thread.sleep(environment.hasReferences() ? REST_MILLIS : SHORT_REST_MILLIS);
-    double fleetRest = (fleet.cpuNanos() - fleetBefore) / (double) (System.nanoTime() - restStart);
-    double referenceRest =
-        (cpuNanos(reference) - referenceBefore) / (double) (System.nanoTime() - restStart);
+    warmUp(fleet, schedule);
+    CpuMeter fleetCpu = new CpuMeter(fleet::cpuNanos);
+    CpuMeter referenceCpu = new CpuMeter(() -> reference == null ? 0 : reference.cpuNanos());
+    Thread.sleep(environment.hasReferences() ? IDLE_MILLIS : SHORT_IDLE_MILLIS);
+    double fleetIdle = fleetCpu.utilization();
+    double referenceIdle = referenceCpu.utilization();
 
     fleet.forgetRevisions();
-    fleetBefore = fleet.cpuNanos();
-    referenceBefore = cpuNanos(reference);
+    fleetCpu.restart();
+    referenceCpu.restart();
     long bytesBefore = source.bytesSent();
-    long start = System.nanoTime();
-    long[] changedAt = change(pace.count, pace.perSecond);
+    long[] changedAt = change(schedule.count, schedule.perSecond);
     Thread.sleep(SETTLE_MILLIS);
     environment.checkLimit();
-    double elapsed = System.nanoTime() - start;
     double watchers = fleet.size() + (reference == null ? 0 : 1);
-    double fleetSpent = fleet.cpuNanos() - fleetBefore - fleetRest * elapsed;
-    figures.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / pace.count);
-    figures.put("idle_us_s", fleetRest * 1e6 / fleet.size());
-    figures.put("change_us", fleetSpent / 1e3 / fleet.size() / pace.count);
-    fleet.putTimesInForce(changedAt, source, figures);
+    double fleetNanos = fleetCpu.nanosBeyond(fleetIdle);
+    double referenceNanos = referenceCpu.nanosBeyond(referenceIdle);
+    metrics.put("change_bytes", (source.bytesSent() - bytesBefore) / watchers / schedule.count);
+    metrics.put("idle_us_s", fleetIdle * MICROS_PER_SECOND / fleet.size());
+    metrics.put("change_us", fleetNanos / NANOS_PER_MICRO / fleet.size() / schedule.count);
+    fleet.putActivationLatencies(changedAt, source, metrics);
     if (reference != null && reference.wasReady()) {
-      double spent = cpuNanos(reference) - referenceBefore - referenceRest * elapsed;
-      figures.put("w_idle_us_s", referenceRest * 1e6);
-      figures.put("w_change_us", spent / 1e3 / pace.count);
-      measureLatency(reference, pace.perSecond, figures);
+      metrics.put("w_idle_us_s", referenceIdle * MICROS_PER_SECOND);
+      metrics.put("w_change_us", referenceNanos / NANOS_PER_MICRO / schedule.count);
+      measureLatency(reference, schedule.perSecond, metrics);
     }
   }
 
-  private static long cpuNanos(ReferenceProxy reference) {
-    return reference == null ? 0 : reference.cpuNanos();
+  /** Makes changes that are not measured, unless times say little anyway. */
+  private void warmUp(ControlOnlyFleet fleet, ChangeSchedule schedule) throws InterruptedException {
+    if (environment.hasReferences()) {
+      int notifications = MAX_WARM_UP_NOTIFICATIONS / fleet.size();
+      int count = Math.min(MAX_WARM_UP_CHANGES, Math.max(schedule.perSecond, notifications));
+      change(count, count);
+      Thread.sleep(WARM_UP_PAUSE_MILLIS);
+    }
   }
 
-  /** Puts the latency of requests at rest and while there are changes. */
-  private void measureLatency(ReferenceProxy reference, int perSecond, Map<String, Double> figures)
+  /** Puts the latency of requests when idle and while there are changes. */
+  private void measureLatency(ReferenceProxy reference, int perSecond, Map<String, Double> metrics)
       throws InterruptedException {
     new LatencyProbe(reference.address()).endAfter(PROBE_WARM_UP_MILLIS);
-    figures.put("w_p99_ms", new LatencyProbe(reference.address()).endAfter(PROBE_MILLIS));
+    metrics.put("w_p99_ms", new LatencyProbe(reference.address()).endAfter(PROBE_MILLIS));
     LatencyProbe probe = new LatencyProbe(reference.address());
     change(2 * perSecond, perSecond);
-    figures.put("w_p99_beside_ms", probe.endAfter(0));
+    metrics.put("w_p99_beside_ms", probe.endAfter(0));
   }
 
-  /** Makes so many changes of one entry each, evenly; returns when each was made. */
+  /** Makes that many changes of one entry each, evenly; returns when each was made. */
   private long[] change(int count, int perSecond) throws InterruptedException {
     long start = System.nanoTime();
     long[] changedAt = new long[count];
--- a/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/ProxySettings.java
@@ -37,7 +37,7 @@
     settings.put("me", proxyIndex);
     settings.put("balancers", scenario.proxyCount());
     settings.put("zones", zones);
-    settings.put("zone", proxyIndex % scenario.zoneCount());
+    settings.put("zone", scenario.zoneOf(proxyIndex));
     settings.put("kinds", scenario.backendKinds());
     settings.put("ruleSets", requestClasses);
     settings.put("limits", limits(scenario.limits()));
@@ -48,7 +48,7 @@
   private static Map<String, Object> requestClass(String name, RequestClass requestClass) {
     Map<String, Object> settings = new LinkedHashMap<>();
     settings.put("name", name);
-    settings.put("effect", effectWord(requestClass.idempotency()));
+    settings.put("effect", effectKeyword(requestClass.idempotency()));
     settings.put("group", requestClass.deduplicationScope().name().toLowerCase(Locale.ROOT));
     settings.put("window", requestClass.deduplicationWindow() * TimeConversion.MICROS_PER_TICK);
     settings.put(
@@ -59,7 +59,7 @@
     return settings;
   }
 
-  private static String effectWord(Idempotency idempotency) {
+  private static String effectKeyword(Idempotency idempotency) {
     return switch (idempotency) {
       case IDEMPOTENT -> "read_like";
       case IDEMPOTENT_WITH_KEY -> "idempotency_key";
--- a/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/wheattrack/lab/scenario/Scenario.java
@@ -17,7 +17,7 @@
  * @param zoneCount the number of zones, over which proxies and backends are spread in turn
  * @param backendGroups the backends, by kind
  * @param workloads the request classes with what clients send of each
- * @param frontNotice how long the clients' front takes to notice that a proxy is dead
+ * @param frontNotice how long the clients' front load balancer takes to notice that a proxy is dead
  * @param terms what the referee judges by
  * @param limits what the proxies' policy may do
  */
@@ -47,30 +47,11 @@
   /** Tenths of a millisecond in a millisecond. */
   public static final long MILLISECOND = 10;
 
-  /** The figures of a verdict that an expectation may name, beside the service in a window. */
-  public static final List<String> FIGURES =
-      List.of(
-          "broken",
-          "broken.answers",
-          "broken.effects",
-          "broken.drains",
-          "broken.cold",
-          "service",
-          "asked",
-          "done",
-          "denied",
-          "aborted",
-          "lost",
-          "dispatches",
-          "duplicate",
-          "crossings",
-          "p50",
-          "p99",
-          "p999",
-          "late-drain",
-          "worst-second",
-          "cold-load",
-          "fallen");
+  /** Microseconds in a tenth of a millisecond. */
+  public static final long MICROSECONDS_PER_UNIT = 100;
+
+  /** Backends of consecutive indexes that share a cell (pod group). */
+  private static final int BACKENDS_PER_CELL = 4;
 
   /**
    * A number of equal backends.
@@ -94,7 +75,12 @@
       double coldSpeed,
       long coldDuration,
       int maxConnections,
-      double handshakeWork) {}
+      double handshakeWork) {
+    /** The part of its full speed, up to 1, that a backend has this long after a cold start. */
+    public double speedFactorAt(long age) {
+      return age >= coldDuration ? 1 : coldSpeed + (1 - coldSpeed) * age / coldDuration;
+    }
+  }
 
   /**
    * A request class with what clients send of it.
@@ -149,7 +135,7 @@
    * @param retries the most retries of one operation
    * @param backoff the delay before the first retry; it doubles with each further one
    * @param retryAfterShare the share of clients that follow the Retry-After of a rejection
-   * @param impatientShare the share of attempts whose client hangs up before the answer
+   * @param impatientShare the share of attempts whose client disconnects before the answer
    */
   public record Clients(int retries, long backoff, double retryAfterShare, double impatientShare) {}
 
@@ -197,29 +183,40 @@
   /** A part of the run whose service is measured by itself, from one time until before another. */
   public record Window(String name, long from, long until) {}
 
-  /** What a figure of the verdict is expected to be, such as {@code service >= 0.9}. */
-  public record Expectation(String figure, String sign, double bound) {
-    /** Whether a figure meets it; one that is absent (null) does not. */
+  /** What a metric of the verdict is expected to be, such as {@code service >= 0.9}. */
+  public record Expectation(String metric, Comparison comparison, double bound) {
+    /** Whether a metric meets it; one that is absent (null) does not. */
     public boolean isMetBy(Double value) {
-      if (value == null) {
-        return false;
-      }
-      return switch (sign) {
-        case ">=" -> value >= bound;
-        case "<=" -> value <= bound;
-        case ">" -> value > bound;
-        case "<" -> value < bound;
-        default -> value == bound;
-      };
+      return value != null && comparison.holds(value, bound);
     }
   }
 
+  /** A duration in milliseconds. */
+  public static double toMillis(long duration) {
+    return duration / (double) MILLISECOND;
+  }
+
+  /** A duration in seconds. */
+  public static double toSeconds(long duration) {
+    return duration / (double) SECOND;
+  }
+
+  /** The number of the cell (pod group) that the backend of this index belongs to, from 0. */
+  public static int cellOf(int backend) {
+    return backend / BACKENDS_PER_CELL;
+  }
+
+  /** The number of the zone that the proxy or backend of this index belongs to, from 0. */
+  public int zoneOf(int index) {
+    return index % zoneCount;
+  }
+
   /** The number of backends of all groups. */
   public int backendCount() {
     return backendGroups.stream().mapToInt(BackendGroup::count).sum();
   }
 
-  /** The group of a backend; groups take turns, so that ids say nothing of them. */
+  /** The group of a backend; groups take turns, so that an id does not reveal the group. */
   public BackendGroup groupOf(int backend) {
     int remaining = backend;
     for (int round = 0; ; round++) {
@@ -245,7 +242,10 @@
     return workloads.stream().mapToDouble(Workload::meanWork).average().orElse(1);
   }
 
-  /** A new measure of what one backend bears while it is cold, by the terms of this scenario. */
+  /**
+   * A new measure of the load that one backend sustains while it is cold, by the terms of this
+   * scenario.
+   */
   public ColdBudget coldBudget() {
     return new ColdBudget(terms.collapseMultiple, terms.collapseWindow, meanWork());
   }
--- a/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/BackendServer.java
@@ -22,9 +22,9 @@
 import wheattrack.lab.scenario.Scenario;
 
 /**
- * A backend on sockets: the model decides what it does, here is HTTP. It has a port for each proxy,
- * which says who sends, behind a link of its own where the scenario has faults of links. Runs on
- * the run's thread only.
+ * A backend on sockets: the model decides what it does, this class speaks HTTP. It has a port for
+ * each proxy, which identifies the sender, behind a link of its own where the scenario has faults
+ * of links. Runs on the run's thread only.
  */
 final class BackendServer {
   private final SocketRun run;
@@ -112,7 +112,7 @@
     private final int proxy;
     private final int incarnation = backend.incarnation();
     private boolean silent;
-    private boolean counted;
+    private boolean holdsBackendConnection;
     private boolean unused = true;
     private Runnable closeHandler;
 
@@ -123,8 +123,8 @@
     }
 
     void open() {
-      counted = silent || backend.tryConnect();
-      if (counted) {
+      holdsBackendConnection = silent || backend.tryConnect();
+      if (holdsBackendConnection) {
         read(decoder.writableBuffer());
       } else {
         reset();
@@ -157,7 +157,7 @@
       boolean isValid = id != null && id.matches("[0-9a-f]{1,16}");
       Long work = isValid ? run.workOf(Long.parseLong(id, 16)) : null;
       if (work == null || closeHandler != null) {
-        write(Encoder.response(response(400, "no client sent this", false)));
+        write(Encoder.response(response(HttpStatus.BAD_REQUEST, "no client sent this", false)));
         return;
       }
       boolean isFirst = unused;
@@ -193,7 +193,7 @@
       }
     }
 
-    /** Breaks it so that the proxy learns of it at once. */
+    /** Resets it, so that the proxy notices at once. */
     void reset() {
       LoopbackListener.resetOnClose(channel);
       close();
@@ -204,7 +204,7 @@
       if (!isClosed()) {
         super.close();
         connections.remove(this);
-        if (counted) {
+        if (holdsBackendConnection) {
           backend.connectionClosed(incarnation);
         }
       }
@@ -253,10 +253,12 @@
           return;
         }
         switch (outcome) {
-          case DONE -> write(Encoder.response(response(200, Long.toHexString(requestId), true)));
-          case ERROR -> write(Encoder.response(response(500, "failed", true)));
+          case DONE ->
+              write(Encoder.response(response(HttpStatus.OK, Long.toHexString(requestId), true)));
+          case ERROR ->
+              write(Encoder.response(response(HttpStatus.INTERNAL_SERVER_ERROR, "failed", true)));
           case FULL -> {
-            Response response = response(503, "full", true);
+            Response response = response(HttpStatus.SERVICE_UNAVAILABLE, "full", true);
             response.headers().with("Not-Started", "1");
             write(Encoder.response(response));
           }
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -75,9 +75,9 @@
     if (current == null || output.hasRemaining()) {
       return;
     }
-    if (complete && !current.isTaken() && current.clientRequest().isOpen()) {
-      current.markTaken();
-      recordTaken(current);
+    if (complete && !current.isAccepted() && current.clientRequest().isOpen()) {
+      current.markAccepted();
+      recordAccepted(current);
       EncodedRequest sent = current;
       run.schedule(
           sent.timeout() + ANSWER_GRACE,
@@ -89,7 +89,7 @@
     }
   }
 
-  private void recordTaken(EncodedRequest request) {
+  private void recordAccepted(EncodedRequest request) {
     ClientRequest clientRequest = request.clientRequest();
     run.record(
         LedgerRecord.requestAccepted(
@@ -140,10 +140,11 @@
   }
 
   private static Answer answerOf(Response response, ClientRequest request) {
-    if (response.status() == 503 || response.status() == 429) {
+    if (response.status() == HttpStatus.SERVICE_UNAVAILABLE
+        || response.status() == HttpStatus.TOO_MANY_REQUESTS) {
       return Answer.REJECTED;
     }
-    if (response.status() != 200) {
+    if (response.status() != HttpStatus.OK) {
       return Answer.FAILED;
     }
     String body = new String(response.body(), StandardCharsets.US_ASCII);
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -7,38 +7,38 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 import wheattrack.aio.EventLoop;
 import wheattrack.core.TimerQueue;
 import wheattrack.lab.model.FaultTimeline;
 import wheattrack.lab.model.ProxyHandle;
 import wheattrack.lab.model.RunEnvironment;
+import wheattrack.lab.process.TemporaryDirectory;
 import wheattrack.lab.referee.LedgerRecord;
 import wheattrack.lab.scenario.Fault;
 import wheattrack.lab.scenario.Scenario;
 
 /**
  * A deployment on loopback sockets in real time: proxies as processes of their own, and in this one
- * the models of clients, front, backends, endpoint list and links. All of it ends with the run,
- * also when that is interrupted. Times are tenths of a millisecond from the start of the run.
+ * the models of clients, front load balancer, backends, endpoint list and links. All of it ends
+ * with the run, also when that is interrupted. Times are tenths of a millisecond from the start of
+ * the run.
  */
 public final class SocketRun extends RunEnvironment implements AutoCloseable {
   /**
-   * How well the lab itself kept up.
+   * How punctual the lab itself was.
    *
    * @param latenessMicros how late operations started, in microseconds
-   * @param resentRequests requests sent again as their connection was closed under them
+   * @param resentRequests requests sent again as the proxy closed their connection
    * @param openedConnections connections that clients opened
    */
   public record Quality(Histogram latenessMicros, long resentRequests, long openedConnections) {
-    /** Whether the lab was so late that the run says nothing. */
+    /** Whether the lab was so late that the run proves nothing. */
     public boolean isTooLate() {
       return latenessMicros.getTotalCount() > 0
           && latenessMicros.getValueAtPercentile(99) > MAX_LATENESS_MICROS;
@@ -50,7 +50,7 @@
    *
    * @param jvmOptions further options of their JVM
    * @param cores the cores that they may use, in the form of taskset, or null for all
-   * @param direct whether there are none: then clients ask the backend of each proxy's index
+   * @param direct whether there are none: then clients connect to the backend of each proxy's index
    */
   public record ProxyOptions(List<String> jvmOptions, String cores, boolean direct) {
     /** No further options, on all cores. */
@@ -62,7 +62,7 @@
   /** The lateness, in microseconds, that one operation in a hundred may reach. */
   private static final long MAX_LATENESS_MICROS = 20_000;
 
-  /** The greatest lateness that is recorded as such, in microseconds. */
+  /** The greatest lateness that is recorded; a greater one counts as this, in microseconds. */
   private static final long MAX_RECORDED_MICROS = 60_000_000;
 
   /** How long the proxies may take until all are ready. */
@@ -74,10 +74,11 @@
   private static final long SETTLE_TIME = 5_000;
 
   private static final long GROUP_TIMEOUT_SECONDS = 1;
+  private static final long NANOS_PER_MICRO = 1000;
 
   private final EventLoop loop = new EventLoop();
   private final AsynchronousChannelGroup group;
-  private final Path folder;
+  private final TemporaryDirectory directory;
   private final Map<Long, Long> workByRequest = new HashMap<>();
   private final Histogram lateness = new Histogram(MAX_RECORDED_MICROS, 3);
   private final List<BackendServer> backendServers = new ArrayList<>();
@@ -100,7 +101,7 @@
     if (!Files.isRegularFile(jar)) {
       throw new IOException("no such jar: " + jar);
     }
-    folder = Files.createTempDirectory("wheattrack-lab");
+    directory = new TemporaryDirectory("wheattrack-lab");
     group = AsynchronousChannelGroup.withThreadPool(loop);
     boolean withFaultyLinks =
         scenario.faults().stream().anyMatch(fault -> fault.kind().hitsLinks());
@@ -179,11 +180,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    try (Stream<Path> files = Files.walk(folder)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
-      }
-    }
+    directory.close();
   }
 
   private void killAll() {
@@ -201,8 +198,8 @@
   }
 
   /** The directory of the proxies' configuration and logs, deleted with the run. */
-  Path folder() {
-    return folder;
+  Path directory() {
+    return directory.path();
   }
 
   /** A client sends a request of this work. */
@@ -245,8 +242,8 @@
 
   @Override
   public void arrivalStarted(double plannedAt) {
-    long plannedMicros = (long) (plannedAt * 100);
-    long micros = (System.nanoTime() - startedNanos) / 1000 - plannedMicros;
+    long plannedMicros = (long) (plannedAt * Scenario.MICROSECONDS_PER_UNIT);
+    long micros = (System.nanoTime() - startedNanos) / NANOS_PER_MICRO - plannedMicros;
     lateness.recordValue(Math.max(0, Math.min(lateness.getHighestTrackableValue(), micros)));
   }
 
@@ -257,6 +254,6 @@
 
   /** The time on the endpoint list's clock, Unix milliseconds, at a time of the run. */
   double unixMillis(long time) {
-    return (startedAt + time) / 10.0;
+    return Scenario.toMillis(startedAt + time);
   }
 }
--- a/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/ColdFleetTest.java
@@ -40,7 +40,8 @@
   private static Verdict play(String name, int proxies, Scenario proxyView, long seed) {
     Scenario scenario = scenario(name, proxies, 3);
     Referee referee = new Referee(scenario);
-    new VirtualRun(scenario, seed, Policies.factory(Policies.Kind.RULES, proxyView), true, referee)
+    new VirtualRun(
+            scenario, seed, Policies.factory(Policies.Kind.EQUILOAD, proxyView), true, referee)
         .run();
     return referee.verdict();
   }
@@ -73,8 +74,8 @@
               assertEquals(
                   List.of(),
                   verdict.unmetExpectations(),
-                  name + ", seed " + seed + ": " + verdict.figures());
-              assertEquals(0, verdict.figures().get("fallen"));
+                  name + ", seed " + seed + ": " + verdict.metrics());
+              assertEquals(0, verdict.metrics().get("fallen"));
             });
   }
 
@@ -87,7 +88,7 @@
         IntStream.rangeClosed(1, SEEDS)
             .parallel()
             .mapToDouble(
-                seed -> play(name, 100, singleProxyView, seed).figures().get("broken.cold"))
+                seed -> play(name, 100, singleProxyView, seed).metrics().get("broken.cold"))
             .sum();
     assertTrue(collapses > 0, "none was pushed over");
   }
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -71,6 +71,19 @@
     return referee.verdict();
   }
 
+  /**
+   * Rejects each request that comes while no backend is ready, and leaves the others to a policy.
+   */
+  private static FaultyPolicy whenReady(FaultyPolicy policy) {
+    return (runtime, request, ready, everListed) -> {
+      if (ready.isEmpty()) {
+        runtime.reject(request, 0);
+      } else {
+        policy.onRequest(runtime, request, ready, everListed);
+      }
+    };
+  }
+
   private static void forwardToReady(
       PolicyRuntime runtime, PendingRequest request, List<Integer> ready) {
     if (ready.isEmpty()) {
@@ -91,7 +104,7 @@
   }
 
   private static void assertBroken(String rule, Verdict verdict) {
-    assertTrue(verdict.figures().get("broken." + rule) > 0, verdict.figures().toString());
+    assertTrue(verdict.metrics().get("broken." + rule) > 0, verdict.metrics().toString());
   }
 
   @Test
@@ -102,8 +115,8 @@
               effect,
               DRAIN + CRASH.replace("place = 0", "place = 1"),
               (runtime, request, ready, everListed) -> forwardToReady(runtime, request, ready));
-      assertEquals(0, verdict.figures().get("broken"), verdict.violations().toString());
-      assertTrue(verdict.figures().get("done") > 200);
+      assertEquals(0, verdict.metrics().get("broken"), verdict.violations().toString());
+      assertTrue(verdict.metrics().get("done") > 200);
     }
   }
 
@@ -131,18 +144,15 @@
         play(
             "replayable",
             "",
-            (runtime, request, ready, everListed) -> {
-              if (ready.isEmpty()) {
-                runtime.reject(request, 0);
-                return;
-              }
-              runtime.reject(request, 0);
-              runtime.schedule(
-                  2_000,
-                  () ->
-                      runtime.sendAttempt(
-                          request, ready.get(0), 1_000, (outcome, latency, ended) -> {}));
-            }));
+            whenReady(
+                (runtime, request, ready, everListed) -> {
+                  runtime.reject(request, 0);
+                  runtime.schedule(
+                      2_000,
+                      () ->
+                          runtime.sendAttempt(
+                              request, ready.get(0), 1_000, (outcome, latency, ended) -> {}));
+                })));
   }
 
   @Test
@@ -157,20 +167,17 @@
           runtime.sendAttempt(request, ready.get(1), 0, (outcome, latency, ended) -> {});
         };
     assertBroken("effects", play("non-replayable", "", sendsTwice));
-    assertEquals(0, play("replayable", "", sendsTwice).figures().get("broken.effects"));
+    assertEquals(0, play("replayable", "", sendsTwice).metrics().get("broken.effects"));
     assertBroken(
         "effects",
         play(
             "non-replayable",
             "",
-            (runtime, request, ready, everListed) -> {
-              if (!ready.isEmpty()) {
-                runtime.sendAttempt(request, ready.get(0), 0, (outcome, latency, ended) -> {});
-                runtime.schedule(100, () -> runtime.reject(request, 0));
-              } else {
-                runtime.reject(request, 0);
-              }
-            }));
+            whenReady(
+                (runtime, request, ready, everListed) -> {
+                  runtime.sendAttempt(request, ready.get(0), 0, (outcome, latency, ended) -> {});
+                  runtime.schedule(100, () -> runtime.reject(request, 0));
+                })));
   }
 
   /** The policy sends to a backend 700 ms and longer after it was notified of its drain. */
@@ -180,7 +187,7 @@
         (runtime, request, ready, everListed) -> forwardToReady(runtime, request, everListed);
     Verdict verdict = play("replayable", DRAIN, ignoresDrains);
     assertBroken("drains", verdict);
-    assertTrue(verdict.figures().get("late-drain") > 700);
+    assertTrue(verdict.metrics().get("late-drain") > 700);
   }
 
   /** All proxies send all requests to the backend that has just started again. */
@@ -199,10 +206,10 @@
         ScenarioTexts.smallScenario(
             "non-replayable", "[clients]\nimpatient = 1\n[net]\nclient-ms = 60\n");
     Referee referee = new Referee(scenario);
-    new VirtualRun(scenario, 4, Policies.Kind.RULES, referee).run();
+    new VirtualRun(scenario, 4, Policies.Kind.EQUILOAD, referee).run();
     Verdict verdict = referee.verdict();
-    assertEquals(0, verdict.figures().get("broken"), verdict.violations().toString());
-    assertTrue(verdict.figures().get("done") > 50, verdict.figures().toString());
+    assertEquals(0, verdict.metrics().get("broken"), verdict.violations().toString());
+    assertTrue(verdict.metrics().get("done") > 50, verdict.metrics().toString());
   }
 
   /** Equal seeds give equal ledgers to the last entry, another seed gives another one. */
@@ -221,7 +228,7 @@
       new VirtualRun(
               scenario,
               i < 2 ? 9 : 10,
-              Policies.Kind.RULES,
+              Policies.Kind.EQUILOAD,
               entry -> crc.update(entry.toString().getBytes()))
           .run();
       checksums[i] = crc.getValue();
@@ -237,21 +244,17 @@
         play(
             "non-replayable",
             "[[fault]]\nkind = \"hang\"\nat-s = 0\nshare = 1\n",
-            (runtime, request, ready, everListed) -> {
-              if (ready.isEmpty()) {
-                runtime.reject(request, 0);
-                return;
-              }
-              runtime.sendAttempt(
-                  request,
-                  ready.get(0),
-                  5_000,
-                  (outcome, latency, ended) -> {
-                    outcomes.add(outcome);
-                    runtime.fail(request);
-                  });
-            });
-    assertEquals(0, verdict.figures().get("broken"));
+            whenReady(
+                (runtime, request, ready, everListed) ->
+                    runtime.sendAttempt(
+                        request,
+                        ready.get(0),
+                        5_000,
+                        (outcome, latency, ended) -> {
+                          outcomes.add(outcome);
+                          runtime.fail(request);
+                        })));
+    assertEquals(0, verdict.metrics().get("broken"));
     assertEquals(List.of(AttemptOutcome.TIMEOUT), outcomes.stream().distinct().toList());
   }
 }
