One check of a tenant's quota; checks of the proxy's position and zone by name

Cause: the quota's check and key stood in the validator, in the mapper and in the settings update; checkSettings checked three things itself; load probes in flight were taken from the front of an array list.

Change: checkTenant and quotaPerSecond are used by all three, in the same order as before; a deque holds the probes.

--- a/proxy/src/main/java/wheattrack/config/DynamicSettingsUpdate.java
+++ b/proxy/src/main/java/wheattrack/config/DynamicSettingsUpdate.java
@@ -75,10 +75,8 @@
     for (JsonObjectReader tenant : update.sections(Settings.TENANTS)) {
       String name = tenant.text("name");
       boolean isRemoved = tenant.flag("gone");
-      double quotaPerSecond = tenant.number("quotaPerS", 0);
-      if (quotaPerSecond < 0) {
-        throw new InvalidConfigurationException(tenant.key("quotaPerS"), "negative");
-      }
+      SettingsValidator.checkTenant(tenant);
+      double quotaPerSecond = PolicySettingsMapper.quotaPerSecond(tenant);
       if (changed.put(name, isRemoved ? REMOVED : quotaPerSecond) != null) {
         throw new InvalidConfigurationException(tenant.key("name"), "the same as another's");
       }
--- a/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
+++ b/proxy/src/main/java/wheattrack/config/PolicySettingsMapper.java
@@ -16,6 +16,9 @@
   /** The default of client timeouts and latency objectives, in microseconds. */
   static final long DEFAULT_LATENCY_MICROS = 1_000_000;
 
+  /** The key of a tenant's quota. */
+  static final String QUOTA = "quotaPerS";
+
   private PolicySettingsMapper() {}
 
   /** The request classes in the order of the settings, which is that of their indices. */
@@ -76,12 +79,15 @@
    */
   public static PolicySettings policySettings(Settings settings, List<?> zones) {
     double totalQuota =
-        settings.tenantEntries().stream()
-            .mapToDouble(tenant -> tenant.number("quotaPerS", 0))
-            .sum();
+        settings.tenantEntries().stream().mapToDouble(PolicySettingsMapper::quotaPerSecond).sum();
     return policySettings(settings, zones, totalQuota);
   }
 
+  /** The quota of one entry of `tenants`, in requests a second. */
+  static double quotaPerSecond(JsonObjectReader tenant) {
+    return tenant.number(QUOTA, 0);
+  }
+
   /**
    * The policy's settings, with a total quota that is known from elsewhere.
    *
--- a/proxy/src/main/java/wheattrack/config/SettingsValidator.java
+++ b/proxy/src/main/java/wheattrack/config/SettingsValidator.java
@@ -27,6 +27,12 @@
     checkPrices(settings);
     checkTenants(settings);
     checkLoadReports(settings);
+    checkProxyPosition(settings);
+    checkLimits(settings);
+    checkZone(settings);
+  }
+
+  private static void checkProxyPosition(Settings settings) {
     int proxyCount = settings.proxyCount();
     int proxyIndex = settings.proxyIndex();
     check(proxyCount >= 1, settings.key(Settings.PROXY_COUNT), "under 1");
@@ -34,7 +40,9 @@
         proxyIndex >= 0 && proxyIndex < proxyCount,
         settings.key(Settings.PROXY_INDEX),
         "not from 0 to under balancers");
-    checkLimits(settings);
+  }
+
+  private static void checkZone(Settings settings) {
     int zoneCount = Math.max(1, settings.zones().size());
     int zone = settings.zoneIndex();
     check(zone >= 0 && zone < zoneCount, settings.key(Settings.ZONE), "not a place in zones");
@@ -105,9 +113,13 @@
   }
 
   private static void checkTenants(Settings settings) {
-    for (JsonObjectReader tenant : settings.tenantEntries()) {
-      check(tenant.number("quotaPerS", 0) >= 0, tenant.key("quotaPerS"), "negative");
-    }
+    settings.tenantEntries().forEach(SettingsValidator::checkTenant);
+  }
+
+  /** Checks one entry of `tenants`, except for its name. */
+  static void checkTenant(JsonObjectReader tenant) {
+    double quotaPerSecond = PolicySettingsMapper.quotaPerSecond(tenant);
+    check(quotaPerSecond >= 0, tenant.key(PolicySettingsMapper.QUOTA), "negative");
   }
 
   private static void checkLoadReports(Settings settings) {
--- a/proxy/src/main/java/wheattrack/simulator/ListedBackend.java
+++ b/proxy/src/main/java/wheattrack/simulator/ListedBackend.java
@@ -1,13 +1,15 @@
 package wheattrack.simulator;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import wheattrack.api.ProbeCallback;
 import wheattrack.core.BackendIndex;
 
 /** One backend of the simulator, with the attempts and load probes that are in flight to it. */
 final class ListedBackend extends BackendIndex.Backend<Long> {
-  private final List<ProbeCallback> probes = new ArrayList<>();
+  /** The callbacks of load probes in flight, oldest first. */
+  private final Deque<ProbeCallback> probes = new ArrayDeque<>();
+
   private int attemptsInFlight;
 
   ListedBackend(Long id, int index) {
@@ -28,7 +30,7 @@
   }
 
   void addProbe(ProbeCallback callback) {
-    probes.add(callback);
+    probes.addLast(callback);
   }
 
   boolean hasProbeInFlight() {
@@ -37,6 +39,6 @@
 
   /** Removes the oldest load probe, as it has ended, and returns its callback. */
   ProbeCallback removeOldestProbe() {
-    return probes.remove(0);
+    return probes.removeFirst();
   }
 }
