--- a/decisions/src/main/java/wheattrack/api/RequestClass.java
+++ b/decisions/src/main/java/wheattrack/api/RequestClass.java
@@ -37,8 +37,8 @@
   /** Whether a client may retry a request that may have run; its retry can reach any backend. */
   public boolean isClientRetrySafe() {
     return idempotency == Idempotency.IDEMPOTENT
-        || idempotency == Idempotency.IDEMPOTENT_WITH_KEY
-            && deduplicationScope == DeduplicationScope.ALL;
+        || (idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+            && deduplicationScope == DeduplicationScope.ALL);
   }
 
   /**
--- a/decisions/src/main/java/wheattrack/policy/BackendSelector.java
+++ b/decisions/src/main/java/wheattrack/policy/BackendSelector.java
@@ -81,7 +81,7 @@
           preference.compareTo(Preference.TOO_LATE) >= 0 || state.reportedLoad().isExpected();
       if (best == null
           || preference.compareTo(bestPreference) < 0
-          || preference == bestPreference && comparesTimes && finish < soonest) {
+          || (preference == bestPreference && comparesTimes && finish < soonest)) {
         best = backend;
         bestPreference = preference;
         soonest = finish;
@@ -108,7 +108,7 @@
       return Preference.OVERLOADED;
     }
     // a failing backend is often idle: requests must not gather there
-    if (finish > timeLeft || !own && state.failureRates().isFailing(backend)) {
+    if (finish > timeLeft || (!own && state.failureRates().isFailing(backend))) {
       return Preference.TOO_LATE;
     }
     if (!state.zoneFactor().isOwn(backend) && !isWorthCrossing(request)) {
--- a/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
+++ b/decisions/src/main/java/wheattrack/policy/RequestLifecycle.java
@@ -196,13 +196,12 @@
   }
 
   private boolean isWorthHedging(Attempt attempt) {
-    long objective = open.requestClass().latencyObjective();
-    double patience = objective / HEDGE_AFTER_DIVISOR * (1 + 3.0 / state.proxyCount());
+    long patience = open.requestClass().latencyObjective() / HEDGE_AFTER_DIVISOR;
     return state.settings().attempts().mayHedge()
         && admission.shedShare() == 0
         && attempt.backend().inFlight() == 1
         && open.isWorthlessWhenLate()
-        && open.age() > patience;
+        && open.age() > patience * (1 + 3.0 / state.proxyCount());
   }
 
   @Override
--- a/decisions/src/main/java/wheattrack/state/CostModel.java
+++ b/decisions/src/main/java/wheattrack/state/CostModel.java
@@ -123,7 +123,7 @@
     maxHint = OUTLIER_MULTIPLE * sortedHints[n / 2];
     fitConstants(n);
     sumCosts(n);
-    if (unitChanged || hintsBeganLate && n <= RECENT) {
+    if (unitChanged || (hintsBeganLate && n <= RECENT)) {
       rescale(meanCost / before);
     }
   }
--- a/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
+++ b/decisions/src/main/java/wheattrack/statistics/SeededRandom.java
@@ -28,7 +28,7 @@
 
   private void put(long value, int offset) {
     for (int i = 0; i < Long.BYTES; i++) {
-      seedAndCounter[offset + i] = (byte) (value >> 8 * i);
+      seedAndCounter[offset + i] = (byte) (value >> (Byte.SIZE * i));
     }
   }
 }
--- a/lab/src/main/java/wheattrack/lab/BenchCommand.java
+++ b/lab/src/main/java/wheattrack/lab/BenchCommand.java
@@ -129,7 +129,7 @@
         "%-16s %7d %8.0f %9.2f %8.2f %8.2f %8.2f%n",
         name,
         rate,
-        verdict.metric(Metric.DONE) / (Scenario.toSeconds(scenario.duration())),
+        verdict.metric(Metric.DONE) / Scenario.toSeconds(scenario.duration()),
         ScenarioRunner.latenessMillis(result.quality(), 99),
         verdict.metric(Metric.P50),
         verdict.metric(Metric.P99),
--- a/lab/src/main/java/wheattrack/lab/model/ClientOperation.java
+++ b/lab/src/main/java/wheattrack/lab/model/ClientOperation.java
@@ -71,6 +71,7 @@
     pending = null;
   }
 
+  @SuppressWarnings("ReferenceEquality") // each request is an object of its own
   boolean isWaitingFor(ClientRequest request) {
     return pending == request;
   }
--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -80,7 +81,8 @@
         });
     System.out.println(ControlOnlyCommand.STARTED + " " + startedAt + " " + emptyHeapBytes);
     System.out.println(ControlOnlyCommand.END);
-    BufferedReader in = new BufferedReader(new InputStreamReader(System.in));
+    BufferedReader in =
+        new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
     for (String line = in.readLine(); line != null; line = in.readLine()) {
       answer(line);
       System.out.println(ControlOnlyCommand.END);
--- a/lab/src/main/java/wheattrack/lab/scale/ProcessStatistics.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ProcessStatistics.java
@@ -47,7 +47,7 @@
         String times = Files.readString(thread.toPath().resolve("schedstat"));
         sum += name.matches("(?s)C[12] Comp.*") ? 0 : Long.parseLong(times.split(" ")[0]);
       } catch (IOException e) {
-        continue; // the thread has just ended
+        // the thread has just ended
       }
     }
     return sum;
--- a/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/LoadConnection.java
@@ -52,6 +52,7 @@
   }
 
   /** Whether it waits for the answer to this request. */
+  @SuppressWarnings("ReferenceEquality") // each request is an object of its own
   boolean carries(ClientRequest request) {
     return current != null && current.clientRequest() == request;
   }
--- a/proxy/src/main/java/wheattrack/config/Json.java
+++ b/proxy/src/main/java/wheattrack/config/Json.java
@@ -63,8 +63,8 @@
       case START_OBJECT -> map(parser);
       case START_ARRAY -> list(parser);
       case VALUE_NULL -> null;
-      case VALUE_TRUE -> Boolean.TRUE;
-      case VALUE_FALSE -> Boolean.FALSE;
+      case VALUE_TRUE -> true;
+      case VALUE_FALSE -> false;
       case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new BigDecimal(parser.getText());
       default -> parser.getText();
     };
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -148,8 +148,8 @@
 
   /** Whether the line feed at the index follows another one, with or without a carriage return. */
   private static boolean endsEmptyLine(byte[] bytes, int index) {
-    return index > 0 && bytes[index - 1] == '\n'
-        || index > 1 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n';
+    return (index > 0 && bytes[index - 1] == '\n')
+        || (index > 1 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n');
   }
 
   /**
@@ -176,7 +176,7 @@
   }
 
   private static boolean isForbiddenInValue(int c) {
-    return c < FIRST_PRINTABLE && c != '\t' || c == DELETE;
+    return (c < FIRST_PRINTABLE && c != '\t') || c == DELETE;
   }
 
   /** Whether the text is a token as HTTP defines it, such as a method or a header's name. */
