Status codes by name in the network code; attempts in flight are counted in one class

The network code compared bare numbers though http names the codes; three kinds of backends counted their attempts in flight alike, and the base class had public fields. They use StatusCode, and BackendIndex.Backend counts for all.

--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualAttempt.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualAttempt.java
@@ -39,7 +39,7 @@
     this.request = request;
     this.connections = connections;
     this.callback = callback;
-    backend = run.backend(connections.id);
+    backend = run.backend(connections.id());
     createdAt = run.now();
     proxyIncarnation = proxy.incarnation();
   }
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualConnections.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualConnections.java
@@ -2,9 +2,8 @@
 
 import wheattrack.core.BackendIndex;
 
-/** What a proxy of the virtual run keeps of one backend: connections and attempts in flight. */
+/** The idle connections of one proxy of the virtual run to one backend. */
 final class VirtualConnections extends BackendIndex.Backend<Integer> {
-  private int attemptsInFlight;
   private int idleConnections;
 
   /** The backend's incarnation to which the idle connections lead. */
@@ -14,19 +13,6 @@
     super(backend, index);
   }
 
-  @Override
-  protected boolean hasWorkInFlight() {
-    return attemptsInFlight > 0;
-  }
-
-  void attemptStarted() {
-    attemptsInFlight++;
-  }
-
-  void attemptEnded() {
-    attemptsInFlight--;
-  }
-
   int idleConnections() {
     return idleConnections;
   }
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualEndpointList.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualEndpointList.java
@@ -93,7 +93,7 @@
     boolean startedLongAgo = event.startedAt() == EndpointRegistry.LONG_AGO;
     policy.updateBackend(
         new EndpointUpdate(
-            connections.index,
+            connections.index(),
             backend.id(),
             event.state() == State.READY,
             backend.zone(),
@@ -107,8 +107,8 @@
   private void remove(VirtualConnections connections) {
     if (backends.markUnlisted(connections)) {
       run.record(
-          LedgerRecord.endpointNotified(run.now(), proxyIndex, connections.id, State.GONE, 0));
-      policy.removeBackend(connections.index);
+          LedgerRecord.endpointNotified(run.now(), proxyIndex, connections.id(), State.GONE, 0));
+      policy.removeBackend(connections.index());
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/core/BackendIndex.java
+++ b/proxy/src/main/java/wheattrack/core/BackendIndex.java
@@ -24,13 +24,10 @@
    * @param <K> the type of its id
    */
   public abstract static class Backend<K> {
-    /** The id by which the endpoint list names it. */
-    public final K id;
-
-    /** Its index; unique among the backends known at one time. */
-    public final int index;
-
+    private final K id;
+    private final int index;
     private boolean isListed;
+    private int attemptsInFlight;
 
     /** Creates a backend that is not listed yet. */
     protected Backend(K id, int index) {
@@ -38,8 +35,30 @@
       this.index = index;
     }
 
+    /** The id by which the endpoint list names it. */
+    public final K id() {
+      return id;
+    }
+
+    /** Its index; unique among the backends known at one time. */
+    public final int index() {
+      return index;
+    }
+
+    /** Counts an attempt that is sent to this backend; {@link #attemptEnded} must follow. */
+    public final void attemptStarted() {
+      attemptsInFlight++;
+    }
+
+    /** Counts an attempt as ended: its outcome is known, and no rest of a response is awaited. */
+    public final void attemptEnded() {
+      attemptsInFlight--;
+    }
+
     /** Whether work is still in flight at this backend, so that its index must not be reused. */
-    protected abstract boolean hasWorkInFlight();
+    protected boolean hasWorkInFlight() {
+      return attemptsInFlight > 0;
+    }
 
     final boolean isListed() {
       return isListed;
@@ -99,8 +118,8 @@
   private int releaseIndex() {
     for (B backend : byIndex) {
       if (!backend.isListed() && !backend.hasWorkInFlight()) {
-        byId.remove(backend.id);
-        return backend.index;
+        byId.remove(backend.id());
+        return backend.index();
       }
     }
     return byIndex.size();
@@ -139,7 +158,7 @@
   /** The listed backends whose ids are not among these, by index. */
   public List<B> listedExcept(Set<?> ids) {
     return byIndex.stream()
-        .filter(backend -> backend.isListed() && !ids.contains(backend.id))
+        .filter(backend -> backend.isListed() && !ids.contains(backend.id()))
         .toList();
   }
 
--- a/proxy/src/main/java/wheattrack/http/StatusCode.java
+++ b/proxy/src/main/java/wheattrack/http/StatusCode.java
@@ -45,14 +45,21 @@
   public static final int GATEWAY_TIMEOUT = 504;
 
   private static final int MIN_FINAL = 200;
+  private static final int MIN_CLIENT_ERROR = 400;
+  private static final int MIN_SERVER_ERROR = 500;
 
   private StatusCode() {}
 
   /** Whether a response with this code is followed by another one to the same request. */
-  static boolean isInterim(int statusCode) {
+  public static boolean isInterim(int statusCode) {
     return statusCode < MIN_FINAL;
   }
 
+  /** Whether a response with this code says that the request itself is at fault. */
+  public static boolean isClientError(int statusCode) {
+    return statusCode >= MIN_CLIENT_ERROR && statusCode < MIN_SERVER_ERROR;
+  }
+
   /** Whether a response with this code has no body, whatever its headers say. */
   static boolean hasNoBody(int statusCode) {
     return isInterim(statusCode) || statusCode == NO_CONTENT || statusCode == NOT_MODIFIED;
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -11,6 +11,7 @@
 import wheattrack.http.Request;
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
+import wheattrack.http.StatusCode;
 import wheattrack.net.protocol.ProtocolMapping;
 
 /**
@@ -24,9 +25,6 @@
    */
   public static final long STALL_TIMEOUT = 100_000;
 
-  /** The lowest status of a final response; lower ones are interim. */
-  private static final int MIN_FINAL_STATUS = 200;
-
   private enum State {
     /** The connection is being made. */
     CONNECTING,
@@ -239,7 +237,7 @@
   private void decodeResponse() {
     try {
       Response response = decoder.next();
-      while (response != null && response.status() < MIN_FINAL_STATUS) {
+      while (response != null && StatusCode.isInterim(response.status())) {
         response = decoder.next();
       }
       if (response != null) {
@@ -272,7 +270,7 @@
     isReusable = response.keepAlive() && !isWriting() && bodySource == null;
     BackendAttempt attempt = currentAttempt;
     currentAttempt = null;
-    if (decoder.isStreamingBody() && response.status() == 200) {
+    if (decoder.isStreamingBody() && response.status() == StatusCode.OK) {
       responseReceiver = attempt.beginStreaming(response);
       if (responseReceiver == null) {
         close();
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -28,8 +28,6 @@
   /** Attempts without a connection, the one that waits longest first. */
   private final Deque<BackendAttempt> waiting = new ArrayDeque<>();
 
-  private int attemptsInFlight;
-
   /** Whether a step that gives idle connections to waiting attempts is scheduled. */
   private boolean isAssignmentScheduled;
 
@@ -103,21 +101,6 @@
 
   // ---- attempts
 
-  @Override
-  protected boolean hasWorkInFlight() {
-    return attemptsInFlight > 0;
-  }
-
-  /** Counts an attempt that is on its way to this backend; {@link #attemptEnded} must follow. */
-  public void attemptStarted() {
-    attemptsInFlight++;
-  }
-
-  /** Counts an attempt as ended: its outcome is known, or its long response has been passed on. */
-  void attemptEnded() {
-    attemptsInFlight--;
-  }
-
   /**
    * Sends the attempt on the idle connection used last, else on the first that becomes idle or is
    * opened.
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -9,6 +9,7 @@
 import wheattrack.http.Request;
 import wheattrack.http.RequestDecoder;
 import wheattrack.http.Response;
+import wheattrack.http.StatusCode;
 import wheattrack.net.protocol.ProtocolMapping;
 
 /**
@@ -223,7 +224,7 @@
 
   private void onRequestTimeout() {
     if (decoder.isMidMessage() && !isLingering) {
-      rejectMalformed(408, "the request did not come whole");
+      rejectMalformed(StatusCode.REQUEST_TIMEOUT, "the request did not come whole");
     } else {
       close();
     }
--- a/proxy/src/main/java/wheattrack/net/client/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientListener.java
@@ -11,6 +11,7 @@
 import wheattrack.core.Lifecycle;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
+import wheattrack.http.StatusCode;
 import wheattrack.log.EventLog;
 import wheattrack.net.protocol.ProtocolMapping;
 
@@ -257,7 +258,7 @@
   }
 
   private void respondToReadinessCheck(ClientConnection client, Request request) {
-    int status = lifecycle.isReady() ? 200 : 503;
+    int status = lifecycle.isReady() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE;
     String text = lifecycle.phase().name() + readinessRemark.get();
     boolean keepsAlive = mayKeepAlive(request.keepAlive());
     client.sendResponse(ProtocolMapping.textAnswer(status, text, keepsAlive));
--- a/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
@@ -77,9 +77,9 @@
 
   private void remove(BackendConnectionPool pool) {
     if (index.markUnlisted(pool)) {
-      long number = EndpointListParser.backendNumber(pool.id);
-      EventLog.detail("srv", Long.toString(number), () -> pool.id + " gone");
-      loadBalancer.removeBackend(pool.index);
+      long number = EndpointListParser.backendNumber(pool.id());
+      EventLog.detail("srv", Long.toString(number), () -> pool.id() + " gone");
+      loadBalancer.removeBackend(pool.index());
       pool.onDraining();
     }
   }
@@ -98,14 +98,14 @@
         "srv",
         Long.toString(number),
         () -> id + " " + entry.state() + ", up since " + entry.startedAt());
-    if (pool.index >= LoadBalancer.MAX_BACKENDS) {
+    if (pool.index() >= LoadBalancer.MAX_BACKENDS) {
       overLimitCount++;
       return;
     }
     boolean isReady = entry.state() == State.SERVING && !hasLeft;
     loadBalancer.updateBackend(
         new EndpointUpdate(
-            pool.index,
+            pool.index(),
             number,
             isReady,
             entry.zone(),
--- a/proxy/src/main/java/wheattrack/net/protocol/ProtocolMapping.java
+++ b/proxy/src/main/java/wheattrack/net/protocol/ProtocolMapping.java
@@ -12,6 +12,7 @@
 import wheattrack.http.Headers;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
+import wheattrack.http.StatusCode;
 
 /**
  * Maps the operators' protocol (paths, headers, statuses) to the proxy's own types and back.
@@ -74,12 +75,13 @@
     Headers headers = request.headers();
     String id = headers.first(REQUEST_ID);
     if (id == null || id.isEmpty()) {
-      throw new InvalidRequestException(400, "no " + REQUEST_ID);
+      throw new InvalidRequestException(StatusCode.BAD_REQUEST, "no " + REQUEST_ID);
     }
     String className = className(request);
     RequestClass requestClass = classes.get(className);
     if (requestClass == null) {
-      throw new InvalidRequestException(404, "unknown " + REQUEST_CLASS + " " + className);
+      throw new InvalidRequestException(
+          StatusCode.NOT_FOUND, "unknown " + REQUEST_CLASS + " " + className);
     }
     long clientTimeout = requestClass.clientTimeout();
     long timeout = number(headers, REQUEST_TIMEOUT, UNITS_PER_SECOND, clientTimeout, clientTimeout);
@@ -106,7 +108,7 @@
       return defaultValue;
     }
     if (text.length() > MAX_NUMBER_LENGTH || !NON_NEGATIVE_DECIMAL.matcher(text).matches()) {
-      throw new InvalidRequestException(400, "bad " + name);
+      throw new InvalidRequestException(StatusCode.BAD_REQUEST, "bad " + name);
     }
     BigDecimal number = new BigDecimal(text).multiply(BigDecimal.valueOf(factor));
     return number.min(BigDecimal.valueOf(maximum)).longValue();
@@ -155,10 +157,12 @@
 
   /** How an attempt ended, by the complete answer that it received. */
   public static AttemptOutcome attemptOutcome(Response answer) {
-    if (answer.status() == 200) {
+    if (answer.status() == StatusCode.OK) {
       return AttemptOutcome.DONE;
     }
-    boolean mayBeFull = answer.status() == 503 || answer.status() == 504;
+    boolean mayBeFull =
+        answer.status() == StatusCode.SERVICE_UNAVAILABLE
+            || answer.status() == StatusCode.GATEWAY_TIMEOUT;
     if (mayBeFull && "1".equals(answer.headers().first(NOT_STARTED))) {
       return AttemptOutcome.FULL;
     }
@@ -172,7 +176,7 @@
    * @param answer the answer; null: none came
    */
   public static boolean isClientError(Response answer) {
-    return answer != null && answer.status() >= 400 && answer.status() < 500;
+    return answer != null && StatusCode.isClientError(answer.status());
   }
 
   /**
@@ -196,7 +200,7 @@
       remainingBody = clientTakesChunks ? BodyFraming.CHUNKED : BodyFraming.UNTIL_CLOSE;
     }
     boolean staysOpen = keepAlive && !remainingBody.isUntilClose();
-    return new Response(200, headers, staysOpen, answer.body(), remainingBody);
+    return new Response(StatusCode.OK, headers, staysOpen, answer.body(), remainingBody);
   }
 
   /**
@@ -209,7 +213,7 @@
     if (retryAfter > 0) {
       headers.with(RETRY_AFTER, seconds(retryAfter));
     }
-    return new Response(503, headers, keepAlive, EMPTY_BODY);
+    return new Response(StatusCode.SERVICE_UNAVAILABLE, headers, keepAlive, EMPTY_BODY);
   }
 
   /** An answer of the proxy's own with a line of text. */
--- a/proxy/src/main/java/wheattrack/net/request/LoadReports.java
+++ b/proxy/src/main/java/wheattrack/net/request/LoadReports.java
@@ -62,9 +62,9 @@
     }
     try {
       LoadReport report = LoadReport.of(new JsonObjectReader(Json.object(text)));
-      loadBalancer.onLoadReport(backend.index, report.inFlight(), report.queued());
+      loadBalancer.onLoadReport(backend.index(), report.inFlight(), report.queued());
     } catch (IOException | InvalidConfigurationException e) {
-      EventLog.detail("load report", backend.id, () -> "can't be read: " + text);
+      EventLog.detail("load report", backend.id(), () -> "can't be read: " + text);
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
@@ -122,7 +122,7 @@
 
   private String describeStreaming() {
     return "to "
-        + backend().id
+        + backend().id()
         + " at "
         + sentAt()
         + ", a long answer after "
@@ -131,7 +131,7 @@
 
   private String describeEnd(AttemptOutcome finalOutcome) {
     return "to "
-        + backend().id
+        + backend().id()
         + " at "
         + sentAt()
         + ", begun "
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -15,6 +15,7 @@
 import wheattrack.core.SlotTable;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
+import wheattrack.http.StatusCode;
 import wheattrack.log.EventLog;
 import wheattrack.net.backend.BackendAttempt;
 import wheattrack.net.client.ClientConnection;
@@ -145,7 +146,7 @@
   /** Incident "bad clients": copies of a request that was still open reached backends. */
   private void reserveId(String id) throws InvalidRequestException {
     if (!reservedIds.add(id)) {
-      throw new InvalidRequestException(409, "a req of this id is open");
+      throw new InvalidRequestException(StatusCode.CONFLICT, "a req of this id is open");
     }
   }
 
@@ -276,7 +277,8 @@
 
   /** Answers that an open request has failed, with no promise about its effects. */
   void fail(InFlightRequest request) {
-    int status = loop.now() >= request.pending().deadline() ? 504 : 502;
+    boolean isPastDeadline = loop.now() >= request.pending().deadline();
+    int status = isPastDeadline ? StatusCode.GATEWAY_TIMEOUT : StatusCode.BAD_GATEWAY;
     failWith(request, status, "given up");
   }
 
--- a/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
+++ b/proxy/src/main/java/wheattrack/simulator/EndpointListEvents.java
@@ -60,7 +60,7 @@
 
   private void removeBackend(ListedBackend backend) {
     if (backends.markUnlisted(backend)) {
-      loadBalancer.removeBackend(backend.index);
+      loadBalancer.removeBackend(backend.index());
     }
   }
 
@@ -75,7 +75,7 @@
     double weight = listed.weight();
     loadBalancer.updateBackend(
         new EndpointUpdate(
-            backend.index,
+            backend.index(),
             listed.id(),
             listed.isReady(),
             listed.zone(),
--- a/proxy/src/main/java/wheattrack/simulator/ListedBackend.java
+++ b/proxy/src/main/java/wheattrack/simulator/ListedBackend.java
@@ -10,23 +10,13 @@
   /** The callbacks of load probes in flight, oldest first. */
   private final Deque<ProbeCallback> probes = new ArrayDeque<>();
 
-  private int attemptsInFlight;
-
   ListedBackend(Long id, int index) {
     super(id, index);
   }
 
   @Override
   protected boolean hasWorkInFlight() {
-    return attemptsInFlight > 0 || hasProbeInFlight();
-  }
-
-  void attemptStarted() {
-    attemptsInFlight++;
-  }
-
-  void attemptEnded() {
-    attemptsInFlight--;
+    return super.hasWorkInFlight() || hasProbeInFlight();
   }
 
   void addProbe(ProbeCallback callback) {
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedProxy.java
@@ -203,6 +203,6 @@
       return;
     }
     LoadReport report = event.loadReport();
-    loadBalancer.onLoadReport(backend.index, report.inFlight(), report.queued());
+    loadBalancer.onLoadReport(backend.index(), report.inFlight(), report.queued());
   }
 }
--- a/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
+++ b/proxy/src/main/java/wheattrack/simulator/SimulatedRuntime.java
@@ -84,7 +84,7 @@
     SimulatedRequest simulated = simulated(request);
     ListedBackend listed = backends.get(backend);
     simulated.addAttempt(listed, callback);
-    writer.writeSendAttempt(simulated.id(), listed.id, TimeConversion.toMicros(timeout));
+    writer.writeSendAttempt(simulated.id(), listed.id(), TimeConversion.toMicros(timeout));
   }
 
   @Override
@@ -110,12 +110,12 @@
   public void probeLoad(int backend, ProbeCallback callback) {
     ListedBackend listed = backends.get(backend);
     listed.addProbe(callback);
-    writer.writeProbeLoad(listed.id);
+    writer.writeProbeLoad(listed.id());
   }
 
   @Override
   public void closeIdleConnections(int backend) {
-    writer.writeCloseIdleConnections(backends.get(backend).id);
+    writer.writeCloseIdleConnections(backends.get(backend).id());
   }
 
   @Override
--- a/proxy/src/test/java/wheattrack/core/IndexTablesTest.java
+++ b/proxy/src/test/java/wheattrack/core/IndexTablesTest.java
@@ -57,21 +57,21 @@
     for (String id : List.of("x", "y", "z")) {
       TestBackend backend = backends.getOrAdd(id);
       String novelty = backends.markListed(backend) ? " fresh" : " known";
-      recorder.say(id + " at " + backend.index + novelty);
+      recorder.say(id + " at " + backend.index() + novelty);
     }
     recorder.say("x again " + (backends.markListed(backends.getOrAdd("x")) ? "fresh" : "known"));
     backends.find("x").isBusy = true;
     for (TestBackend backend : backends.listedExcept(Set.of("z"))) {
       boolean wasListed = backends.markUnlisted(backend);
-      recorder.say(backend.id + " missing " + wasListed + backends.markUnlisted(backend));
+      recorder.say(backend.id() + " missing " + wasListed + backends.markUnlisted(backend));
     }
     recorder.say(
-        "new ones at " + backends.getOrAdd("v").index + " and " + backends.getOrAdd("w").index);
+        "new ones at " + backends.getOrAdd("v").index() + " and " + backends.getOrAdd("w").index());
     recorder.say(
         "y "
             + backends.find("y")
             + ", x still at "
-            + backends.find("x").index
+            + backends.find("x").index()
             + ", none left "
             + backends.markUnlisted(null));
   }
@@ -87,8 +87,8 @@
         TestBackend backend = backends.getOrAdd("s" + round + "-" + i);
         backends.markListed(backend);
         backend.isBusy = i == round % 60;
-        ids.add(backend.id);
-        maxIndex = Math.max(maxIndex, backend.index);
+        ids.add(backend.id());
+        maxIndex = Math.max(maxIndex, backend.index());
       }
       backends.listedExcept(ids).forEach(backends::markUnlisted);
       if (round > 1) {
