Tests of the policy share one virtual clock, and SlowStartTest its busy seconds

RecordingRuntime and SimulatedHistory each kept timers and a clock of their own with the same code; both use the new VirtualClock. Names and comments follow the field's terms: fastNewBackendGetsWhatItCanDo is now fastNewBackendGetsAShareByItsMeasuredThroughput, endAllTrouble endAllFaults. No case, input, bound or expected trace changes.

--- a/decisions/src/test/java/wheattrack/policy/LoadBalancerPropertiesTest.java
+++ b/decisions/src/test/java/wheattrack/policy/LoadBalancerPropertiesTest.java
@@ -17,7 +17,7 @@
 import wheattrack.policy.SimulatedHistory.Change;
 import wheattrack.policy.SimulatedHistory.Step;
 
-/** What no history may lead to. One that does is shrunk to the shortest such one and printed. */
+/** Properties that hold after any history; a failing one is shrunk to the shortest and printed. */
 class LoadBalancerPropertiesTest {
   @Provide
   Arbitrary<Step> steps() {
@@ -58,7 +58,7 @@
     SimulatedHistory simulation =
         new SimulatedHistory(history.toString().hashCode(), backendCount, 1, isAsync, false);
     history.forEach(simulation::apply);
-    simulation.endAllTrouble();
+    simulation.endAllFaults();
     simulation.advance(20 * SimulatedHistory.SECOND);
     assertNull(simulation.violation());
     assertEquals(-1, simulation.findStarvedBackend(20 * SimulatedHistory.SECOND));
--- a/decisions/src/test/java/wheattrack/policy/RecordingRuntime.java
+++ b/decisions/src/test/java/wheattrack/policy/RecordingRuntime.java
@@ -1,10 +1,8 @@
 package wheattrack.policy;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Set;
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
@@ -22,32 +20,27 @@
 import wheattrack.testing.TraceRecorder;
 
 /**
- * A runtime played by the test: it records what the policy does, and the test says what comes of
- * it.
+ * A runtime on a virtual clock that records each call of the policy; the test decides the outcome
+ * of each attempt.
  */
 final class RecordingRuntime extends TraceRecorder implements PolicyRuntime {
   /** A second, in tenths of a millisecond. */
-  static final long SECOND = 10_000;
+  static final long SECOND = VirtualClock.SECOND;
 
   /** Cost hints of usual requests. */
   static final int[] COSTS = {10, 20, 30, 40, 50, 60, 70, 80};
 
-  private record Timer(long time, long sequence, Runnable task) {}
-
   /** The callbacks of all attempts, in their order. */
   final List<AttemptCallback> callbacks = new ArrayList<>();
 
   /** The backends of all attempts, in their order. */
   final List<Integer> attemptBackends = new ArrayList<>();
 
-  /** How often the policy has asked for the endpoint list. */
+  /** How often the policy has requested the endpoint list. */
   int watchCount;
 
   private final List<Long> sentAt = new ArrayList<>();
-  private final PriorityQueue<Timer> timers =
-      new PriorityQueue<>(Comparator.comparingLong(Timer::time).thenComparingLong(Timer::sequence));
-  private long now = 100 * SECOND;
-  private long timerCount;
+  private final VirtualClock clock = new VirtualClock();
   private final Set<Integer> listedBackends = new HashSet<>();
   private RequestClass requestClass;
   PolicySettings settings;
@@ -123,7 +116,7 @@
     return runtime;
   }
 
-  /** Puts these settings into use. */
+  /** Applies these settings. */
   void configure(PolicySettings newSettings) {
     settings = newSettings;
     loadBalancer.configure(newSettings, new RequestClass[] {requestClass});
@@ -147,13 +140,13 @@
   /** A request arrives, with a second until its deadline. */
   RequestHandle arrive(String name, int costHint) {
     return loadBalancer.accept(
-        new PendingRequest(requestClass, now, now + SECOND, costHint, false, name));
+        new PendingRequest(requestClass, now(), now() + SECOND, costHint, false, name));
   }
 
   /** A client's own retry, marked as one. */
   RequestHandle arriveAsRetry(String name, int costHint) {
     return loadBalancer.accept(
-        new PendingRequest(requestClass, now, now + SECOND, costHint, true, name));
+        new PendingRequest(requestClass, now(), now() + SECOND, costHint, true, name));
   }
 
   /** Ends the latest attempt. */
@@ -166,14 +159,14 @@
     say("  " + attempt + " ends " + outcome);
     callbacks
         .get(attempt)
-        .ended(outcome, now - sentAt.get(attempt), outcome == AttemptOutcome.DONE);
+        .ended(outcome, now() - sentAt.get(attempt), outcome == AttemptOutcome.DONE);
   }
 
-  /** Serves requests one after the other for so long, each in the time of its cost hint. */
+  /** Serves requests one by one for this time; each takes as long as its cost hint says. */
   void serveOneByOne(int seconds, int[] costs) {
     boolean wasQuiet = quiet;
     quiet = true;
-    for (long end = now + seconds * SECOND, i = 0; now < end; i++) {
+    for (long end = now() + seconds * SECOND, i = 0; now() < end; i++) {
       int first = callbacks.size();
       int cost = costs[(int) (i % costs.length)];
       arrive("busy", cost);
@@ -185,20 +178,14 @@
     quiet = wasQuiet;
   }
 
-  /** Lets time pass. */
+  /** Advances the clock and runs the timers that are due. */
   void advance(long duration) {
-    long end = now + duration;
-    while (!timers.isEmpty() && timers.peek().time <= end) {
-      Timer timer = timers.poll();
-      now = timer.time;
-      timer.task.run();
-    }
-    now = end;
+    clock.advance(duration);
   }
 
   @Override
   public long now() {
-    return now;
+    return clock.now();
   }
 
   @Override
@@ -207,7 +194,7 @@
     say(request.attachment() + " -> " + (10 * backend + 10) + " for " + timeout / 10 + " ms");
     attemptBackends.add(backend);
     callbacks.add(callback);
-    sentAt.add(now);
+    sentAt.add(now());
   }
 
   @Override
@@ -237,13 +224,13 @@
 
   @Override
   public void schedule(long delay, Runnable task) {
-    timers.add(new Timer(now + Math.max(1, delay), timerCount++, task));
+    clock.schedule(delay, task);
   }
 
   @Override
   public void watchEndpoints() {
     watchCount++;
-    say("follow at " + (now - 100 * SECOND) / 10 + " ms");
+    say("follow at " + (now() - VirtualClock.START) / 10 + " ms");
   }
 
   @Override
--- a/decisions/src/test/java/wheattrack/policy/SimulatedHistory.java
+++ b/decisions/src/test/java/wheattrack/policy/SimulatedHistory.java
@@ -1,7 +1,5 @@
 package wheattrack.policy;
 
-import java.util.Comparator;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
@@ -17,20 +15,20 @@
 import wheattrack.api.RequestClass;
 
 /**
- * A proxy's run through a history of changes: backends with a speed of their own, whatever the cost
- * hints say, and clients that send at a rate. It records what must never be: requests that are
- * rejected for long while nothing is in flight.
+ * One proxy simulated through a history of changes: backends whose speed is independent of the cost
+ * hints, and clients that send at a given rate. It records the first violation of an invariant: an
+ * attempt at a draining backend, or requests that are rejected for long while nothing is in flight.
  */
 final class SimulatedHistory implements PolicyRuntime {
   /** A second, in tenths of a millisecond. */
-  static final long SECOND = 10_000;
+  static final long SECOND = VirtualClock.SECOND;
 
   /** The latency objective of all requests, in tenths of a millisecond. */
   static final long LATENCY_OBJECTIVE = 3_000;
 
   /**
-   * So long all requests may be rejected while nothing is in flight and a warm backend is ready, in
-   * tenths of a millisecond.
+   * The longest time in which all requests may be rejected while nothing is in flight and a warm
+   * backend is ready, in tenths of a millisecond.
    */
   static final long MAX_STANDSTILL = 2 * LATENCY_OBJECTIVE;
 
@@ -60,8 +58,6 @@
     }
   }
 
-  private record Timer(long time, long sequence, Runnable task) {}
-
   private static final int[] RATES = {5, 20, 60, 200};
   private static final AttemptOutcome[] OUTCOMES = {
     AttemptOutcome.DONE,
@@ -96,8 +92,7 @@
           3,
           0,
           false);
-  private final PriorityQueue<Timer> timers =
-      new PriorityQueue<>(Comparator.comparingLong(Timer::time).thenComparingLong(Timer::sequence));
+  private final VirtualClock clock = new VirtualClock();
   private final LoadBalancer loadBalancer;
   private final int backendCount;
   private final boolean[] isReady;
@@ -105,8 +100,6 @@
   private final long[] idleAt;
   private final long[] lastAttemptAt;
   private final boolean isAsync;
-  private long now = 100 * SECOND;
-  private long timerCount;
   private long rejectedSince = -1;
   private int attemptsInFlight;
   private int hintMode;
@@ -147,12 +140,12 @@
             backend, 10 + backend, nowReady, 0, 0, 0, 1, startedAt[backend], isNewlyListed));
   }
 
-  /** What must never be and has been, or null. */
+  /** The first violation of an invariant, or null. */
   String violation() {
     return violation;
   }
 
-  /** Makes one change, and lets its time pass. */
+  /** Makes one change, and advances the clock by its time. */
   void apply(Step step) {
     switch (step.change) {
       case HINTS -> hintMode = step.measure % 9;
@@ -162,7 +155,7 @@
       case DRAIN -> updateBackend(step.measure % backendCount, false, false);
       case RETURN -> updateBackend(step.measure % backendCount, true, false);
       case RESTART -> {
-        startedAt[step.measure % backendCount] = now;
+        startedAt[step.measure % backendCount] = now();
         updateBackend(step.measure % backendCount, true, false);
       }
       default -> {
@@ -173,8 +166,8 @@
     advance(step.tenths * SECOND / 10);
   }
 
-  /** Ends all trouble but that of the cost hints, which stay as they are. */
-  void endAllTrouble() {
+  /** Ends all faults except those of the cost hints, which stay as they are. */
+  void endAllFaults() {
     slowdown = 1;
     outcome = AttemptOutcome.DONE;
     requestsPerSecond = 50;
@@ -184,25 +177,19 @@
     loadBalancer.endpointListUpdated(false);
   }
 
-  /** The first backend that has received nothing for so long, or -1. */
+  /** The first backend that has received nothing for this time, or -1. */
   int findStarvedBackend(long duration) {
     for (int backend = 0; backend < backendCount; backend++) {
-      if (now - lastAttemptAt[backend] > duration) {
+      if (now() - lastAttemptAt[backend] > duration) {
         return backend;
       }
     }
     return -1;
   }
 
-  /** Lets time pass; stops at the first violation. */
+  /** Advances the clock and runs the timers that are due; stops at the first violation. */
   void advance(long duration) {
-    long end = now + duration;
-    while (!timers.isEmpty() && timers.peek().time <= end && violation == null) {
-      Timer timer = timers.poll();
-      now = timer.time;
-      timer.task.run();
-    }
-    now = end;
+    clock.advance(duration, () -> violation != null);
   }
 
   private void arrive() {
@@ -212,7 +199,7 @@
     double work = 100 + random.nextDouble() * 200;
     RequestClass requestClass = random.nextInt(4) == 0 ? nonIdempotentClass : idempotentClass;
     loadBalancer.accept(
-        new PendingRequest(requestClass, now, now + 15_000, costHint(work), false, work));
+        new PendingRequest(requestClass, now(), now() + 15_000, costHint(work), false, work));
   }
 
   private int costHint(double work) {
@@ -231,24 +218,24 @@
 
   @Override
   public long now() {
-    return now;
+    return clock.now();
   }
 
   @Override
   public void sendAttempt(
       PendingRequest request, int backend, long timeout, AttemptCallback callback) {
     attemptsInFlight++;
-    lastAttemptAt[backend] = now;
+    lastAttemptAt[backend] = now();
     rejectedSince = -1;
     if (!isReady[backend]) {
-      violation = "sent to a server that drains";
+      violation = "sent to a backend that is draining";
     }
     double work = (Double) request.attachment();
-    long sentAt = now;
-    long maxDuration = timeout == 0 ? request.deadline() - now : timeout;
+    long sentAt = now();
+    long maxDuration = timeout == 0 ? request.deadline() - now() : timeout;
     long duration = duration(backend, work, maxDuration);
     if (outcome == AttemptOutcome.DONE) {
-      idleAt[backend] = now + duration;
+      idleAt[backend] = now() + duration;
     }
     boolean isLate = duration >= maxDuration;
     AttemptOutcome attemptOutcome = isLate ? AttemptOutcome.TIMEOUT : outcome;
@@ -256,7 +243,7 @@
         Math.max(1, Math.min(maxDuration, duration)),
         () -> {
           attemptsInFlight--;
-          callback.ended(attemptOutcome, now - sentAt, attemptOutcome == AttemptOutcome.DONE);
+          callback.ended(attemptOutcome, now() - sentAt, attemptOutcome == AttemptOutcome.DONE);
         });
   }
 
@@ -270,7 +257,7 @@
     if (isAsync) {
       return (long) (work * slowdown);
     }
-    return (long) (Math.max(0, idleAt[backend] - now) + work * slowdown);
+    return (long) (Math.max(0, idleAt[backend] - now()) + work * slowdown);
   }
 
   @Override
@@ -282,14 +269,17 @@
   public void reject(PendingRequest request, long retryAfter) {
     boolean hasWarmBackend = false;
     for (int backend = 0; backend < backendCount; backend++) {
-      hasWarmBackend |= isReady[backend] && now - startedAt[backend] >= 4 * SECOND;
+      hasWarmBackend |= isReady[backend] && now() - startedAt[backend] >= 4 * SECOND;
     }
-    if (attemptsInFlight > 0 || !hasWarmBackend || now - request.arrivedAt() >= LATENCY_OBJECTIVE) {
+    if (attemptsInFlight > 0
+        || !hasWarmBackend
+        || now() - request.arrivedAt() >= LATENCY_OBJECTIVE) {
       rejectedSince = -1;
     } else if (rejectedSince < 0) {
-      rejectedSince = now;
-    } else if (now - rejectedSince > MAX_STANDSTILL) {
-      violation = "all denied for " + (now - rejectedSince) / 10 + " ms while nothing was out";
+      rejectedSince = now();
+    } else if (now() - rejectedSince > MAX_STANDSTILL) {
+      violation =
+          "all rejected for " + (now() - rejectedSince) / 10 + " ms while nothing was in flight";
     }
   }
 
@@ -305,17 +295,17 @@
 
   @Override
   public void closeIdleConnections(int backend) {
-    // connections have no price here
+    // connections cost nothing here
   }
 
   @Override
   public void schedule(long delay, Runnable task) {
-    timers.add(new Timer(now + Math.max(1, delay), timerCount++, task));
+    clock.schedule(delay, task);
   }
 
   @Override
   public void watchEndpoints() {
-    // the list is given at the start
+    // the list is complete at the start
   }
 
   @Override
--- a/decisions/src/test/java/wheattrack/policy/SlowStartTest.java
+++ b/decisions/src/test/java/wheattrack/policy/SlowStartTest.java
@@ -8,16 +8,42 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import wheattrack.api.AttemptOutcome;
+import wheattrack.testing.TraceRecorder;
 
-/** What new backends get, and what proxies send that have just started. */
+/** How much is sent to new backends, and by proxies that have just started. */
 class SlowStartTest {
-  /** The backends of all attempts of a busy second. */
+  /** Serves requests for a second; returns the backend of each attempt. */
   private static List<Integer> backendsOfABusySecond(RecordingRuntime runtime) {
     int attemptsBefore = runtime.attemptBackends.size();
     runtime.serveOneByOne(1, COSTS);
     return runtime.attemptBackends.subList(attemptsBefore, runtime.attemptBackends.size());
   }
 
+  /** How many of these attempts went to a backend, and of how many. */
+  private static String shareOf(int backend, List<Integer> attemptBackends) {
+    return Collections.frequency(attemptBackends, backend) + " of " + attemptBackends.size();
+  }
+
+  /** Records a backend's share of the attempts in each of these busy seconds. */
+  private static void recordBusySeconds(
+      TraceRecorder recorder, String proxy, RecordingRuntime runtime, int backend, int seconds) {
+    for (int second = 0; second < seconds; second++) {
+      String share = shareOf(backend, backendsOfABusySecond(runtime));
+      recorder.say(proxy + " in second " + second + ": " + share);
+    }
+  }
+
+  private static void removeBackend(RecordingRuntime runtime, int backend) {
+    runtime.loadBalancer.removeBackend(backend);
+    runtime.loadBalancer.endpointListUpdated(false);
+  }
+
+  /** Lists a backend that has started just now. */
+  private static void addNewBackend(RecordingRuntime runtime, int backend) {
+    runtime.updateBackend(backend, true, runtime.now());
+    runtime.loadBalancer.endpointListUpdated(false);
+  }
+
   /**
    * Incident, new backends overloaded by light requests: three proxies keep one within its budget.
    */
@@ -26,31 +52,19 @@
     RecordingRuntime recorder = new RecordingRuntime();
     for (int proxyIndex = 0; proxyIndex < 3; proxyIndex++) {
       RecordingRuntime runtime = RecordingRuntime.idempotent(4, proxyIndex, 3, false);
-      runtime.loadBalancer.removeBackend(0);
-      runtime.loadBalancer.endpointListUpdated(false);
+      removeBackend(runtime, 0);
       runtime.serveOneByOne(4, COSTS);
-      runtime.updateBackend(0, true, runtime.now());
-      runtime.loadBalancer.endpointListUpdated(false);
-      for (int second = 0; second < 9; second++) {
-        List<Integer> backends = backendsOfABusySecond(runtime);
-        recorder.say(
-            proxyIndex
-                + " in second "
-                + second
-                + ": "
-                + Collections.frequency(backends, 0)
-                + " of "
-                + backends.size());
-      }
+      addNewBackend(runtime, 0);
+      recordBusySeconds(recorder, "" + proxyIndex, runtime, 0, 9);
     }
     recorder.matches("fresh");
   }
 
   /**
-   * Incident join+vast, new backends left idle while the rest was overloaded: of 8 proxies before
-   * 48 backends each uses 24, and the 24 that get nothing from it say nothing about what a new one
-   * can do. Slow start takes turns among the four proxies that use it: the sixth proxy has the
-   * second turn.
+   * Incident join+vast, new backends left idle while the rest was overloaded: of 8 proxies with 48
+   * backends each uses 24, and the 24 that it does not use tell nothing about the throughput of a
+   * new one. The four proxies that use a new backend start to use it one after the other: the sixth
+   * proxy is the second of them.
    */
   @Test
   void newBackendIsUsedByTheProxiesOfItsPart() throws IOException {
@@ -59,37 +73,27 @@
       RecordingRuntime runtime = RecordingRuntime.idempotent(48, proxyIndex, 8, false);
       runtime.serveOneByOne(6, COSTS);
       int newBackend = 24 * (proxyIndex % 2) + 12;
-      runtime.updateBackend(newBackend, true, runtime.now());
-      runtime.loadBalancer.endpointListUpdated(false);
+      addNewBackend(runtime, newBackend);
       for (int second = 0; second < 8; second++) {
         List<Integer> backends = backendsOfABusySecond(runtime);
         long backendCount = backends.stream().distinct().count();
-        recorder.say(
-            proxyIndex
-                + " in second "
-                + second
-                + ": "
-                + Collections.frequency(backends, newBackend)
-                + " of "
-                + backends.size()
-                + " at "
-                + backendCount);
+        String share = shareOf(newBackend, backends);
+        recorder.say(proxyIndex + " in second " + second + ": " + share + " at " + backendCount);
       }
     }
     recorder.matches("fresh-part");
   }
 
   /**
-   * Incident herd+vast, new backends kept idle as long as there was little traffic: the budget is
-   * what they can do.
+   * Incident herd+vast, new backends kept idle as long as there was little traffic: their budget
+   * follows the throughput that they are capable of.
    */
   @Test
   void newBackendIsUsedAfterAQuietTime() throws IOException {
     RecordingRuntime recorder = new RecordingRuntime();
     for (int proxyCount : new int[] {1, 3}) {
       RecordingRuntime runtime = RecordingRuntime.idempotent(2, 0, proxyCount, false);
-      runtime.loadBalancer.removeBackend(1);
-      runtime.loadBalancer.endpointListUpdated(false);
+      removeBackend(runtime, 1);
       runtime.quiet = true;
       for (int i = 0; i < 40; i++) {
         runtime.arrive("seldom", 40);
@@ -97,35 +101,22 @@
         runtime.endAttempt(AttemptOutcome.DONE);
         runtime.advance(SECOND / 5);
       }
-      runtime.updateBackend(1, true, runtime.now());
-      runtime.loadBalancer.endpointListUpdated(false);
-      for (int second = 0; second < 3; second++) {
-        List<Integer> backends = backendsOfABusySecond(runtime);
-        recorder.say(
-            "of "
-                + proxyCount
-                + " in second "
-                + second
-                + ": "
-                + Collections.frequency(backends, 1)
-                + " of "
-                + backends.size());
-      }
+      addNewBackend(runtime, 1);
+      recordBusySeconds(recorder, "of " + proxyCount, runtime, 1, 3);
     }
     recorder.matches("fresh-quiet");
   }
 
   /**
-   * Incident join+vast, new backends faster than their age says were kept at it: what one does is
-   * what it can do.
+   * Incident join+vast, new backends that were faster than expected at their age got no more than
+   * the expected share: the throughput that is measured counts.
    */
   @Test
-  void fastNewBackendGetsWhatItCanDo() throws IOException {
+  void fastNewBackendGetsAShareByItsMeasuredThroughput() throws IOException {
     RecordingRuntime recorder = new RecordingRuntime();
-    for (int slowdown : new int[] {1, 4}) { // times longer at the new one
+    for (int slowdown : new int[] {1, 4}) { // factor of the service time at the new backend
       RecordingRuntime runtime = RecordingRuntime.idempotent(3, 0, 8, false);
-      runtime.loadBalancer.removeBackend(2);
-      runtime.loadBalancer.endpointListUpdated(false);
+      removeBackend(runtime, 2);
       runtime.quiet = true;
       for (int second = 0; second < 8; second++) {
         int attemptsBefore = runtime.attemptBackends.size();
@@ -151,12 +142,9 @@
                 + " times as slow, second "
                 + second
                 + ": "
-                + Collections.frequency(backends, 2)
-                + " of "
-                + backends.size());
+                + shareOf(2, backends));
         if (second == 3) {
-          runtime.updateBackend(2, true, runtime.now());
-          runtime.loadBalancer.endpointListUpdated(false);
+          addNewBackend(runtime, 2);
         }
       }
     }
@@ -164,8 +152,8 @@
   }
 
   /**
-   * Incident herd+vast, ten of 14 proxies restart at once and fill every queue: at a backend not
-   * used before, requests wait for the first answer.
+   * Incident herd+vast, ten of 14 proxies restart at once and fill every queue: further requests
+   * are sent to a backend that was not used before only after its first answer.
    */
   @Test
   void proxiesThatStartAtOnceFillNoQueues() throws IOException {
@@ -178,7 +166,7 @@
       }
       int mostAtOneBackend =
           runtime.attemptBackends.stream()
-              .mapToInt(b -> Collections.frequency(runtime.attemptBackends, b))
+              .mapToInt(backend -> Collections.frequency(runtime.attemptBackends, backend))
               .max()
               .orElse(0);
       recorder.say(
