Actions of scripted backends are a type, and the test harness is split by concern

ProxyTestHarness held the scripted backends, the discovery stand-in, HTTP messages and the log recording in one class of 461 lines, with actions and list events as strings. BackendAction is an enum whose printed form is that of the traces; ScriptedBackends and EndpointListServer own their queues; RawHttp reads and writes messages; LogRecording is a class of its own. The harness has 255 lines.

No expected trace changes.

--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -54,15 +57,21 @@
   @Test
   void metricsMatchWhatClientsSaw() throws Exception {
     startProxyWithAdmin(4);
-    for (String actions : new String[] {"ok", "ok", "full ok", "500 500 500"}) {
-      backendActions.addAll(List.of(actions.split(" ")));
+    for (List<BackendAction> actions :
+        List.of(
+            List.of(BackendAction.OK),
+            List.of(BackendAction.OK),
+            List.of(BackendAction.NOT_STARTED_503, BackendAction.OK),
+            List.of(
+                BackendAction.STATUS_500, BackendAction.STATUS_500, BackendAction.STATUS_500))) {
+      backends.enqueue(actions.toArray(BackendAction[]::new));
       call(request("buy"));
     }
-    backendActions.add("500");
+    backends.enqueue(BackendAction.STATUS_500);
     call(request("pay"));
-    backendActions.add("404");
+    backends.enqueue(BackendAction.STATUS_404);
     call(request("mark"));
-    backendActions.addAll(List.of("slow", "ok"));
+    backends.enqueue(BackendAction.SLOW_OK, BackendAction.OK);
     try (Socket socket = connect()) {
       send(socket, request("buy"));
       Thread.sleep(100);
--- a/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
+++ b/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
@@ -1,6 +1,10 @@
 package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.requestId;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -280,7 +284,7 @@
     if (isQueueFull) {
       fillAcceptQueue(second);
     }
-    listLines.add(listLine(2, false, endpoint("s1", "SERVING", second.getLocalPort())));
+    endpointList.send(listLine(2, false, endpoint("s1", "SERVING", second.getLocalPort())));
     await("a second backend is known", () -> metric("backends_known") == 2);
     return second;
   }
--- a/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
@@ -4,6 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.requestId;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -108,7 +113,7 @@
         Thread.sleep(5); // the connection is of an earlier millisecond
         endpoint = endpoint.replace("}", ",'boot_ms':" + System.currentTimeMillis() + "}");
       }
-      listLines.add(
+      endpointList.send(
           listLine(2, false, endpoint, endpoint("s1", "DRAINING", secondListener.getLocalPort())));
       await("the list is read", () -> metric("backends_known") == 2);
       writeAnswer(first, "200", "", "old");
@@ -126,7 +131,8 @@
     try (Socket client = connect()) {
       send(client, request("pay"));
       await("in flight", () -> metric("in_flight") == 1);
-      listLines.add(listLine(2, false, endpoint("s0", "SERVING", secondListener.getLocalPort())));
+      endpointList.send(
+          listLine(2, false, endpoint("s0", "SERVING", secondListener.getLocalPort())));
       Socket moved = accept(secondListener);
       readRequest(moved);
       writeAnswer(moved, "200", "", "moved");
@@ -144,10 +150,10 @@
       String text = request("pay");
       send(client, text);
       await("in flight", () -> metric("in_flight") == 1);
-      listLines.add(listLine(2, false, endpoint.replace("SERVING", "DRAINING")));
+      endpointList.send(listLine(2, false, endpoint.replace("SERVING", "DRAINING")));
       assertEquals("503", readAnswer(client).substring(0, 3));
       if (isListedAgain) {
-        listLines.add(listLine(3, false, endpoint));
+        endpointList.send(listLine(3, false, endpoint));
       }
       answerAll(firstListener);
       if (isListedAgain) {
@@ -259,7 +265,7 @@
         "{\"prices\":{\"crossZone\":1},\"zone\":0,\"balancers\"",
         "[\"a\"]",
         "[\"a\",\"b\"]");
-    listLines.add(
+    endpointList.send(
         listLine(
             2,
             false,
--- a/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.send;
+import static wheattrack.net.RawHttp.sendChunk;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -1,6 +1,10 @@
 package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
+import static wheattrack.net.RawHttp.sendChunk;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
+++ b/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
@@ -2,6 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.contentLength;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.requestId;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -120,7 +125,7 @@
     for (int i = 0; i < backendCount; i++) {
       endpoints[i] = endpoint("s" + i, "SERVING", listen(this::serveLargeBodies).getLocalPort());
     }
-    listLines.add(listLine(1, true, endpoints));
+    endpointList.send(listLine(1, true, endpoints));
     startProxy(1024, "{}");
   }
 
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -2,6 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.contentLength;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.BufferedInputStream;
 import java.io.InputStream;
@@ -58,8 +62,8 @@
     for (int i = 0; i < inFlight.length; i++) {
       endpoints[i] = startReportingBackend("s" + i, inFlight[i]);
     }
-    listLines.add(listLine(1, true, endpoints));
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    endpointList.send(listLine(1, true, endpoints));
+    int listPort = listen(endpointList::serve).getLocalPort();
     startProxy(configWithReports(reportMode, listPort), loadHeader);
     return listPort;
   }
--- /dev/null
+++ b/proxy/src/test/java/wheattrack/net/LogRecording.java
@@ -0,0 +1,41 @@
+package wheattrack.net;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import wheattrack.testing.TraceRecorder;
+
+/** Puts the log into the trace, without ports and paths, which differ from run to run. */
+final class LogRecording extends Handler implements AutoCloseable {
+  private final Logger logger = Logger.getLogger(ProxyTestHarness.LOGGER_NAME);
+  private final TraceRecorder recorder;
+
+  /** Records what is logged from this level on, until it is closed. */
+  LogRecording(TraceRecorder recorder, Level level) {
+    this.recorder = recorder;
+    logger.addHandler(this);
+    logger.setLevel(level);
+  }
+
+  @Override
+  public void publish(LogRecord entry) {
+    recorder.say(
+        "log: "
+            + entry
+                .getMessage()
+                .replaceAll("127.0.0.1:\\d+", "PORT")
+                .replaceAll("/\\S*/(wheattrack\\d+|proxy)\\.", "FILE."));
+  }
+
+  @Override
+  public void flush() {
+    // nothing is buffered
+  }
+
+  @Override
+  public void close() {
+    logger.removeHandler(this);
+    logger.setLevel(Level.SEVERE);
+  }
+}
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.request;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -53,8 +54,9 @@
    * A configuration with three backends and a list, at a clients' address that was free just now.
    */
   private String configWithThreeBackends(int maxSockets) throws Exception {
-    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    endpointList.send(
+        listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    int listPort = listen(endpointList::serve).getLocalPort();
     port = freePort();
     String knownList =
         listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2"));
@@ -220,8 +222,8 @@
   /** A newer proxy that ends before it is ready leaves the older one serving. */
   @Test
   void newerProxyEndedBeforeReadyLeavesTheOlderServing() throws Exception {
-    listLines.add(listLine(1, true, startBackend("s0")));
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    endpointList.send(listLine(1, true, startBackend("s0")));
+    int listPort = listen(endpointList::serve).getLocalPort();
     port = freePort();
     String config =
         config(listPort, 1024, "{}")
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -1,5 +1,9 @@
 package wheattrack.net;
 
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
+
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -10,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import wheattrack.Signals;
 import wheattrack.config.Json;
@@ -17,39 +22,45 @@
 
 /** One proxy on loopback sockets: what clients, backends and the list see of it. */
 class ProxyServerTest extends ProxyTestHarness {
+  /** The backends' actions for a request and its retries. */
+  private static final List<List<BackendAction>> OUTCOMES =
+      List.of(
+          List.of(BackendAction.OK),
+          List.of(BackendAction.OK_CHUNKED),
+          List.of(BackendAction.STATUS_500, BackendAction.OK),
+          List.of(BackendAction.NOT_STARTED_503, BackendAction.OK),
+          List.of(BackendAction.NOT_STARTED_504, BackendAction.OK),
+          List.of(BackendAction.STATUS_503, BackendAction.OK),
+          List.of(BackendAction.STATUS_404, BackendAction.OK),
+          List.of(BackendAction.CLOSE, BackendAction.OK),
+          List.of(BackendAction.TRUNCATED_BODY, BackendAction.OK),
+          List.of(BackendAction.BODY_WITHOUT_LENGTH, BackendAction.OK),
+          List.of(BackendAction.NOT_HTTP, BackendAction.OK),
+          List.of(BackendAction.NOT_STARTED_503, BackendAction.STATUS_500, BackendAction.OK),
+          List.of(BackendAction.STATUS_500, BackendAction.STATUS_500, BackendAction.STATUS_500));
+
+  private static String traceText(List<BackendAction> actions) {
+    return actions.stream().map(BackendAction::toString).collect(Collectors.joining(" "));
+  }
+
   /** For each outcome in each class: what the client is answered, and how often it may have run. */
   @Test
   void eachOutcomeForEachClass() throws Exception {
     startProxyWithBackends(8);
     for (String className : new String[] {"buy", "mark", "pay"}) {
-      for (String actions :
-          new String[] {
-            "ok",
-            "chunks",
-            "500 ok",
-            "full ok",
-            "late ok",
-            "503 ok",
-            "404 ok",
-            "cut ok",
-            "half ok",
-            "unmeasured ok",
-            "garbage ok",
-            "full 500 ok",
-            "500 500 500"
-          }) {
-        backendActions.addAll(List.of(actions.split(" ")));
+      for (List<BackendAction> actions : OUTCOMES) {
+        backends.enqueue(actions.toArray(BackendAction[]::new));
         int requestsBefore = requestsReceived.get();
         String answer = call(request(className)).replaceAll("s\\d", "ok");
         recorder.say(
             className
                 + " ["
-                + actions
+                + traceText(actions)
                 + "] "
                 + answer
                 + ", sent "
                 + (requestsReceived.get() - requestsBefore));
-        backendActions.clear();
+        backends.clearScript();
       }
       Thread.sleep(1100); // then ejected backends are probed again
       for (int i = 0; i < 100; i++) {
@@ -63,7 +74,7 @@
   @Test
   void headersAreForwardedAndSilenceIsBounded() throws Exception {
     startProxyWithBackends(2);
-    backendActions.add("echo");
+    backends.enqueue(BackendAction.ECHO);
     recorder.say(
         call(
             "PUT /buy/7?x=%20y HTTP/1.1\r\n"
@@ -77,7 +88,7 @@
                 + "2\r\n"
                 + "hi\r\n"
                 + "0\r\n\r\n"));
-    backendActions.add("none");
+    backends.enqueue(BackendAction.NO_ANSWER);
     long startedAt = System.nanoTime();
     String answer =
         call(request("pay").replace("Work-Hint", "Request-Timeout: 1.000\r\nWork-Hint"));
@@ -181,7 +192,7 @@
   void sameIdIsRejectedWhileInFlight() throws Exception {
     startProxyWithBackends(3);
     try (Socket first = connect()) {
-      backendActions.add("slow");
+      backends.enqueue(BackendAction.SLOW_OK);
       String sameRequest = request("buy");
       send(first, sameRequest);
       awaitFirstRequest();
@@ -200,7 +211,7 @@
   void disconnectClosesTheBackendConnection() throws Exception {
     startProxyWithBackends(3);
     observations.clear();
-    backendActions.add("none");
+    backends.enqueue(BackendAction.NO_ANSWER);
     Socket socket = connect();
     send(socket, request("pay"));
     awaitFirstRequest();
@@ -219,7 +230,7 @@
     startProxyWithBackends(3);
     try (Socket slow = connect();
         Socket idle = connect()) {
-      backendActions.add("slow");
+      backends.enqueue(BackendAction.SLOW_OK);
       send(idle, "GET /ready HTTP/1.1\r\n\r\n");
       recorder.say("before: " + readAnswer(idle));
       Thread ending = startThread(server::shutdown);
@@ -227,7 +238,7 @@
         Thread.sleep(5);
       }
       send(slow, request("pay"));
-      while (!backendActions.isEmpty()) {
+      while (!backends.isScriptOver()) {
         Thread.sleep(5);
       }
       recorder.say("draining: " + call("GET /ready HTTP/1.1\r\n\r\n"));
@@ -251,11 +262,11 @@
     int[] ports = new int[3];
     for (int i = 0; i < 3; i++) {
       String name = "s" + i;
-      ports[i] = listen(socket -> serveBackend(name, socket)).getLocalPort();
+      ports[i] = listen(socket -> backends.serve(name, socket)).getLocalPort();
     }
     int closedPort = listen(socket -> {}).getLocalPort();
     listeners.get(listeners.size() - 1).close();
-    listLines.add(listLine(4, false));
+    endpointList.send(listLine(4, false));
     startProxy(
         1024,
         listLine(
@@ -276,7 +287,7 @@
     sendListLine("[]");
     sendListLine(listLine(8, true, endpoint("s0", "SERVING", ports[0])));
     sendListLine(listLine(9, false, endpoint("s0", "DELETED", ports[0])));
-    listLines.add("end");
+    endpointList.closeWatch();
     sendListLine(listLine(10, true, endpoint("s1", "SERVING", ports[1])));
     Thread.sleep(3300); // no line comes: the watch counts as broken
     observations.removeIf("closed"::equals);
@@ -292,19 +303,19 @@
     int[] ports = new int[2];
     for (int i = 0; i < 2; i++) {
       String name = "s" + i;
-      ports[i] = listen(socket -> serveBackend(name, socket)).getLocalPort();
+      ports[i] = listen(socket -> backends.serve(name, socket)).getLocalPort();
     }
     String knownList =
         listLine(3, true, endpoint("s0", "SERVING", ports[0]), endpoint("s1", "SERVING", ports[1]));
     String currentList =
         listLine(
             7, true, endpoint("s0", "DRAINING", ports[0]), endpoint("s1", "SERVING", ports[1]));
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    int listPort = listen(endpointList::serve).getLocalPort();
     run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, knownList)))));
     try (Socket early = connect()) { // waits for the current list
       send(early, request("buy"));
       Thread.sleep(100);
-      listLines.add(currentList);
+      endpointList.send(currentList);
       recorder.say(
           "came early: "
               + readAnswer(early)
@@ -314,12 +325,12 @@
               + observations);
     }
     server.shutdown();
-    listLines.clear();
+    endpointList.clear();
     run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, knownList)))));
     recorder.say("discovery says nothing: " + call(request("buy")));
     Thread.sleep(3300);
     recorder.say("for 3 s: " + servingBackends());
-    listLines.add(currentList);
+    endpointList.send(currentList);
     Thread.sleep(300);
     recorder.say("and then: " + servingBackends());
     recorder.matches("server-starts");
@@ -336,11 +347,11 @@
     String draining = endpoints[0].replace("SERVING", "DRAINING");
     LogRecording log = recordLog(Level.WARNING);
     try (log) {
-      listLines.add(listLine(5, true, endpoints));
+      endpointList.send(listLine(5, true, endpoints));
       startProxy(1024, "{}");
       sendListLine(listLine(6, false, draining));
       sendListLine(listLine(4, false, endpoints[0]));
-      listLines.add("end");
+      endpointList.closeWatch();
       sendListLine(listLine(3, true, endpoints));
       sendListLine(listLine(7, false, endpoints[0]));
       sendListLine(listLine(8, true, endpoints[0], endpoints[1], draining));
@@ -348,14 +359,14 @@
       for (int i = 0; i < 60; i++) {
         manyEndpoints[i] = i % 3 == 0 ? endpoints[i % 2] : "{'uid':'b" + i + "','state':'SERVING'}";
       }
-      listLines.add(listLine(9, true, manyEndpoints));
+      endpointList.send(listLine(9, true, manyEndpoints));
       Thread.sleep(300);
       recorder.say("60 entries, 40 broken: " + servingBackends());
-      listLines.add("half " + listLine(10, true, endpoints[0]));
+      endpointList.sendPartOf(listLine(10, true, endpoints[0]));
       Thread.sleep(600);
       recorder.say("cut off: " + servingBackends());
       listeners.get(listeners.size() - 1).close(); // that of the list
-      listLines.add("end");
+      endpointList.closeWatch();
       Thread.sleep(1000);
       recorder.say("refuses: " + servingBackends());
     }
@@ -374,14 +385,14 @@
     LogRecording log = recordLog(Level.INFO);
     try (log;
         Socket slow = connect()) {
-      backendActions.add("slow");
+      backends.enqueue(BackendAction.SLOW_OK);
       send(slow, request("pay"));
       awaitFirstRequest();
       int secondListPort =
           listen(
                   socket -> {
                     observations.add("second list");
-                    serveEndpointList(socket);
+                    endpointList.serve(socket);
                   })
               .getLocalPort();
       String newEndpoint = startBackend("s2");
@@ -398,7 +409,7 @@
         Thread.sleep(200);
       }
       recorder.say("open meanwhile: " + readAnswer(slow));
-      listLines.add(listLine(1, true, newEndpoint));
+      endpointList.send(listLine(1, true, newEndpoint));
       Thread.sleep(200);
       observations.removeIf("closed"::equals);
       recorder.say("asked " + observations + ", now " + servingBackends());
@@ -409,7 +420,7 @@
   }
 
   private void sendListLine(String line) throws Exception {
-    listLines.add(line);
+    endpointList.send(line);
     Thread.sleep(300);
     recorder.say(line.replaceAll("127.0.0.1:\\d+", "PORT") + "\n  " + servingBackends());
   }
@@ -426,7 +437,7 @@
   /** With few descriptors idle connections are closed, and surplus clients are rejected at once. */
   @Test
   void fewDescriptorsRejectSurplusClients() throws Exception {
-    listLines.add(listLine(1, true, startBackend("s0")));
+    endpointList.send(listLine(1, true, startBackend("s0")));
     startProxy(64, "{}");
     List<Socket> open = new ArrayList<>();
     Socket regularClient = connect();
@@ -444,7 +455,7 @@
     int served = 0;
     int rejected = 0;
     for (int i = 0; i < 30; i++) {
-      backendActions.add("slow");
+      backends.enqueue(BackendAction.SLOW_OK);
       open.add(connect());
       send(open.get(27 + i), request("buy"));
     }
@@ -455,7 +466,7 @@
         rejected++;
       }
     }
-    backendActions.clear();
+    backends.clearScript();
     recorder.say("of 30 at once all answered, some denied: " + (served > 0 && rejected > 0));
     for (Socket socket : open) {
       socket.close();
--- a/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
@@ -1,23 +1,19 @@
 package wheattrack.net;
 
-import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.send;
+
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -25,59 +21,40 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.testing.TraceRecorder;
 
-/**
- * One proxy on loopback sockets between clients, an endpoint list and backends that the test plays.
- */
+/** One proxy on loopback sockets, with the clients, backends and discovery service of the test. */
 abstract class ProxyTestHarness {
   /** Length of the accept queue of listeners. */
   static final int BACKLOG = 100;
 
-  private static final AtomicInteger LAST_REQUEST_ID = new AtomicInteger();
-  private static final String LOGGER_NAME = "wheattrack";
-  private static final String CONTENT_LENGTH = "content-length: ";
-  private static final String EMPTY_BODY = "Content-Length: 0\r\n\r\n";
-
-  /** Actions after which a backend closes its connection. */
-  private static final List<String> CLOSING_ACTIONS =
-      List.of("cut", "half", "unmeasured", "garbage");
-
-  /** Marks a line of the list after a part of which the connection is closed. */
-  private static final String HALF_LINE = "half ";
+  static final String LOGGER_NAME = "wheattrack";
 
   final TraceRecorder recorder = new TraceRecorder();
 
   /** All that listens, closed at the end of the test. */
   final List<ServerSocket> listeners = new ArrayList<>();
 
-  /** What the backends do with the next requests, whichever gets them. */
-  final BlockingQueue<String> backendActions = new LinkedBlockingQueue<>();
-
-  /** What the list was asked for, and "closed" for each connection that a backend saw close. */
+  /** The targets of watches, and "closed" for each connection that a backend saw close. */
   final BlockingQueue<String> observations = new LinkedBlockingQueue<>();
 
   /** How many requests the backends have received. */
   final AtomicInteger requestsReceived = new AtomicInteger();
 
-  /**
-   * Lines that the list sends to the latest watch. "end" closes its connection, and so does a line
-   * after "half ", of which a part is sent before.
-   */
-  final BlockingQueue<String> listLines = new LinkedBlockingQueue<>();
+  /** The backends of {@link #startBackend}. */
+  final ScriptedBackends backends = new ScriptedBackends(requestsReceived, observations);
 
-  /** How many watches of the list there have been. */
-  final AtomicInteger watchCount = new AtomicInteger();
+  /** The discovery service of the proxy. */
+  final EndpointListServer endpointList = new EndpointListServer(observations);
 
   ProxyServer server;
   int port;
   Thread serverThread;
-  private volatile boolean isTestOver;
 
   @BeforeAll
   static void silenceLog() {
     Logger.getLogger(LOGGER_NAME).setLevel(Level.SEVERE);
   }
 
-  /** Plays the other end of one accepted connection. */
+  /** Serves one accepted connection. */
   interface ConnectionHandler {
     void handle(Socket socket) throws Exception;
   }
@@ -118,128 +95,6 @@
     return thread;
   }
 
-  /** Reads a head up to its empty line; null: the connection ended before. */
-  static String readHead(InputStream input) throws IOException {
-    ByteArrayOutputStream head = new ByteArrayOutputStream();
-    for (int next = input.read(); next >= 0; next = input.read()) {
-      head.write(next);
-      if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
-        return head.toString(StandardCharsets.ISO_8859_1);
-      }
-    }
-    return null;
-  }
-
-  /** The length of the body behind this head; 0 if it says none. */
-  static int contentLength(String head) {
-    int start = head.toLowerCase().indexOf(CONTENT_LENGTH);
-    if (start < 0) {
-      return 0;
-    }
-    int end = head.indexOf("\r\n", start);
-    return Integer.parseInt(head.substring(start + CONTENT_LENGTH.length(), end));
-  }
-
-  /** The id of the request with this head. */
-  static String requestId(String head) {
-    return head.replaceAll("(?s).*Request-Id: (\\w+).*", "$1");
-  }
-
-  static void send(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  /** Plays a backend: each request is answered by the next action, or with the backend's name. */
-  void serveBackend(String name, Socket socket) throws Exception {
-    InputStream input = new BufferedInputStream(socket.getInputStream());
-    for (String head = readHead(input); head != null; head = readHead(input)) {
-      input.readNBytes(contentLength(head));
-      requestsReceived.incrementAndGet();
-      String action = backendActions.isEmpty() ? "ok" : backendActions.take();
-      answerRequest(socket, name, head, action);
-      if (CLOSING_ACTIONS.contains(action)) {
-        socket.close();
-      }
-    }
-    observations.add("closed");
-  }
-
-  private static void answerRequest(Socket socket, String name, String head, String action)
-      throws Exception {
-    switch (action) {
-      case "ok" -> sendOk(socket, name);
-      case "chunks" ->
-          send(
-              socket,
-              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"
-                  + name
-                  + "\r\n0\r\n\r\n");
-      case "echo" -> sendEcho(socket, head);
-      case "slow" -> {
-        Thread.sleep(400);
-        sendOk(socket, "slow");
-      }
-      case "slow 500" -> {
-        Thread.sleep(200);
-        send(socket, "HTTP/1.1 500 X\r\n" + EMPTY_BODY);
-      }
-      case "full" -> send(socket, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\n" + EMPTY_BODY);
-      case "late" -> send(socket, "HTTP/1.1 504 Late\r\nNot-Started: 1\r\n" + EMPTY_BODY);
-      case "half" -> send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
-      case "unmeasured" -> send(socket, "HTTP/1.1 200 OK\r\n\r\nwhole or not?");
-      case "garbage" -> send(socket, "SSH-2.0-OpenSSH\r\n\r\n");
-      case "cut", "none" -> {
-        // no answer
-      }
-      default -> send(socket, "HTTP/1.1 " + action + " X\r\n" + EMPTY_BODY);
-    }
-  }
-
-  private static void sendOk(Socket socket, String body) throws IOException {
-    send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-  }
-
-  /** Answers with the head of the request, without the times that differ from run to run. */
-  private static void sendEcho(Socket socket, String head) throws IOException {
-    String body = head.strip().replaceAll("out: [0-9.]+", "out: T").replace("\r\n", "|");
-    send(
-        socket,
-        "HTTP/1.1 200 OK\r\nX-Back: 3\r\nKeep-Alive: 9\r\nContent-Length: "
-            + body.length()
-            + "\r\n\r\n"
-            + body);
-  }
-
-  /** Plays the endpoint list for one watch, until there is a later one. */
-  void serveEndpointList(Socket socket) throws Exception {
-    InputStream input = new BufferedInputStream(socket.getInputStream());
-    observations.add(readHead(input).split(" ")[1]);
-    int watchNumber = watchCount.incrementAndGet();
-    send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    while (!isTestOver && watchNumber == watchCount.get()) {
-      String line = listLines.poll(5, TimeUnit.MILLISECONDS);
-      if (line == null) {
-        continue;
-      }
-      if (line.equals("end")) {
-        socket.close();
-        return;
-      }
-      if (line.startsWith(HALF_LINE)) {
-        String part = line.substring(HALF_LINE.length(), 40);
-        send(socket, Integer.toHexString(line.length()) + "\r\n" + part);
-        socket.close();
-        return;
-      }
-      sendChunk(socket, line + "\n");
-    }
-  }
-
-  /** Sends one chunk of a chunked body. */
-  static void sendChunk(Socket socket, String text) throws IOException {
-    send(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-  }
-
   /** An entry of the list; its quotes are still single ones. */
   static String endpoint(String id, String state, int port) {
     return "{'uid':'"
@@ -253,7 +108,7 @@
 
   /** Starts a backend of this name and returns its entry of the list. */
   String startBackend(String name) throws IOException {
-    return endpoint(name, "SERVING", listen(socket -> serveBackend(name, socket)).getLocalPort());
+    return endpoint(name, "SERVING", listen(socket -> backends.serve(name, socket)).getLocalPort());
   }
 
   /** Starts that many backends, named s0, s1 and so on, and returns their entries of the list. */
@@ -277,9 +132,9 @@
         .replace('\'', '"');
   }
 
-  /** Starts a proxy that watches {@link #serveEndpointList}; returns once it is ready. */
+  /** Starts a proxy that watches {@link #endpointList}; returns once it is ready. */
   void startProxy(int maxSockets, String knownList) throws Exception {
-    startProxy(config(listen(this::serveEndpointList).getLocalPort(), maxSockets, knownList), "");
+    startProxy(config(listen(endpointList::serve).getLocalPort(), maxSockets, knownList), "");
   }
 
   /** Starts a proxy with this configuration; returns once it is ready. */
@@ -333,13 +188,13 @@
   }
 
   private void startProxyWithBackends(int backendCount, String knownList) throws Exception {
-    listLines.add(listLine(1, true, startBackends(backendCount)));
+    endpointList.send(listLine(1, true, startBackends(backendCount)));
     startProxy(1024, knownList);
   }
 
   @AfterEach
   void stopProxyAndListeners() throws Exception {
-    isTestOver = true;
+    endpointList.stop();
     if (server != null) {
       server.shutdown();
     }
@@ -363,34 +218,6 @@
     }
   }
 
-  /** A request of this class with an id of its own. */
-  static String request(String className) {
-    return "POST /"
-        + className
-        + " HTTP/1.1\r\nRequest-Id: "
-        + LAST_REQUEST_ID.incrementAndGet()
-        + "\r\nRequest-Class: "
-        + className
-        + "\r\nWork-Hint: 5000\r\nContent-Length: 2\r\n\r\nhi";
-  }
-
-  /**
-   * Reads an answer: its status, " wait" if it names a Retry-After, the body, and " close" if the
-   * connection ends.
-   */
-  static String readAnswer(Socket socket) throws IOException {
-    InputStream input = socket.getInputStream();
-    String head = readHead(input);
-    if (head == null) {
-      return "closed";
-    }
-    byte[] body = input.readNBytes(contentLength(head));
-    String retryAfter = head.contains("Retry-After: ") ? " wait" : "";
-    String text = new String(body, StandardCharsets.ISO_8859_1).strip();
-    String close = head.contains("Connection: close") ? " close" : "";
-    return (head.substring(9, 12) + retryAfter + " " + text + close).strip();
-  }
-
   /** The answer to this request on a connection of its own. */
   String call(String text) throws IOException {
     try (Socket socket = connect()) {
@@ -425,37 +252,4 @@
   LogRecording recordLog(Level level) {
     return new LogRecording(recorder, level);
   }
-
-  /** Puts the log into the trace, without ports and paths, which differ from run to run. */
-  static final class LogRecording extends Handler implements AutoCloseable {
-    private final Logger logger = Logger.getLogger(LOGGER_NAME);
-    private final TraceRecorder recorder;
-
-    private LogRecording(TraceRecorder recorder, Level level) {
-      this.recorder = recorder;
-      logger.addHandler(this);
-      logger.setLevel(level);
-    }
-
-    @Override
-    public void publish(LogRecord entry) {
-      recorder.say(
-          "log: "
-              + entry
-                  .getMessage()
-                  .replaceAll("127.0.0.1:\\d+", "PORT")
-                  .replaceAll("/\\S*/(wheattrack\\d+|proxy)\\.", "FILE."));
-    }
-
-    @Override
-    public void flush() {
-      // nothing is buffered
-    }
-
-    @Override
-    public void close() {
-      logger.removeHandler(this);
-      logger.setLevel(Level.SEVERE);
-    }
-  }
 }
--- a/proxy/src/test/java/wheattrack/net/RawConnection.java
+++ b/proxy/src/test/java/wheattrack/net/RawConnection.java
@@ -2,6 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.contentLength;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.requestId;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -163,8 +168,8 @@
 
   /** A configuration with an admin address, and with these entries on the list. */
   String configWithEndpoints(String... endpoints) throws IOException {
-    listLines.add(listLine(1, true, endpoints));
-    return config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
+    endpointList.send(listLine(1, true, endpoints));
+    return config(listen(endpointList::serve).getLocalPort(), 1024, "{}")
         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
   }
 
--- /dev/null
+++ b/proxy/src/test/java/wheattrack/net/RawHttp.java
@@ -0,0 +1,81 @@
+package wheattrack.net;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** HTTP messages as plain text on sockets, for both clients and backends of a test. */
+final class RawHttp {
+  private static final AtomicInteger LAST_REQUEST_ID = new AtomicInteger();
+  private static final String CONTENT_LENGTH = "content-length: ";
+
+  private RawHttp() {}
+
+  /** Reads a head up to its empty line; null: the connection ended before. */
+  static String readHead(InputStream input) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    for (int next = input.read(); next >= 0; next = input.read()) {
+      head.write(next);
+      if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+        return head.toString(StandardCharsets.ISO_8859_1);
+      }
+    }
+    return null;
+  }
+
+  /** The length of the body behind this head; 0 if it says none. */
+  static int contentLength(String head) {
+    int start = head.toLowerCase().indexOf(CONTENT_LENGTH);
+    if (start < 0) {
+      return 0;
+    }
+    int end = head.indexOf("\r\n", start);
+    return Integer.parseInt(head.substring(start + CONTENT_LENGTH.length(), end));
+  }
+
+  /** The id of the request with this head. */
+  static String requestId(String head) {
+    return head.replaceAll("(?s).*Request-Id: (\\w+).*", "$1");
+  }
+
+  /** Sends these characters, a byte each. */
+  static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Sends one chunk of a chunked body. */
+  static void sendChunk(Socket socket, String text) throws IOException {
+    send(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  /** A request of this class with an id of its own. */
+  static String request(String className) {
+    return "POST /"
+        + className
+        + " HTTP/1.1\r\nRequest-Id: "
+        + LAST_REQUEST_ID.incrementAndGet()
+        + "\r\nRequest-Class: "
+        + className
+        + "\r\nWork-Hint: 5000\r\nContent-Length: 2\r\n\r\nhi";
+  }
+
+  /**
+   * Reads an answer: its status, " wait" if it names a Retry-After, the body, and " close" if the
+   * connection ends.
+   */
+  static String readAnswer(Socket socket) throws IOException {
+    InputStream input = socket.getInputStream();
+    String head = readHead(input);
+    if (head == null) {
+      return "closed";
+    }
+    byte[] body = input.readNBytes(contentLength(head));
+    String retryAfter = head.contains("Retry-After: ") ? " wait" : "";
+    String text = new String(body, StandardCharsets.ISO_8859_1).strip();
+    String close = head.contains("Connection: close") ? " close" : "";
+    return (head.substring(9, 12) + retryAfter + " " + text + close).strip();
+  }
+}
--- a/proxy/src/test/java/wheattrack/net/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.net.Socket;
 import java.nio.file.Files;
@@ -30,7 +33,8 @@
   @BeforeEach
   void startProxyWithThreeBackends() throws Exception {
     file = folder.resolve("proxy.json");
-    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    endpointList.send(
+        listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
     startProxy(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
     currentConfig =
         config(
@@ -89,7 +93,7 @@
             + ", ok "
             + metric("reloads_ok")
             + ", lists asked for "
-            + watchCount.get());
+            + endpointList.watchCount());
     recorder.matches("reload-broken");
   }
 
@@ -109,7 +113,7 @@
           currentConfig.replace("\"name\":\"buy\"", "\"name\":\"let\"")
         }) {
       Socket socket = connect(); // its first attempt fails only after the change
-      backendActions.addAll(List.of("slow 500", "ok"));
+      backends.enqueue(BackendAction.SLOW_STATUS_500, BackendAction.OK);
       int requestsBefore = requestsReceived.get();
       send(socket, request("buy"));
       while (requestsReceived.get() == requestsBefore) {
@@ -121,7 +125,7 @@
               + readAnswer(socket).replaceAll("s\\d", "ok")
               + ", sent "
               + (requestsReceived.get() - requestsBefore));
-      backendActions.addAll(List.of("500", "ok"));
+      backends.enqueue(BackendAction.STATUS_500, BackendAction.OK);
       requestsBefore = requestsReceived.get();
       recorder.say(
           "  then: "
@@ -130,7 +134,7 @@
               + statusFor("let")
               + ", sent "
               + (requestsReceived.get() - requestsBefore));
-      backendActions.clear();
+      backends.clearScript();
       reload(currentConfig);
       sockets.add(socket);
     }
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -43,9 +47,9 @@
               send(socket, HEAD);
               latestSocket = socket;
             });
-    listLines.add(listLine(1, true, startBackend("s0")));
+    endpointList.send(listLine(1, true, startBackend("s0")));
     String config =
-        config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
+        config(listen(endpointList::serve).getLocalPort(), 1024, "{}")
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
     file = Files.writeString(folder.resolve("config.json"), config);
     run(
@@ -197,7 +201,7 @@
     pause.release();
     await("both are in force", () -> metric("settings_told") == 2 && metric("reloads_ok") == 1);
     assertEquals("200 200 404", statusFor("a") + " " + statusFor("c") + " " + statusFor("buy"));
-    backendActions.add("full");
+    backends.enqueue(BackendAction.NOT_STARTED_503);
     assertEquals("503", statusFor("c")); // one attempt, by the file as it is now
   }
 
@@ -208,7 +212,7 @@
     assertEquals("/v1/settings?watch=1&scope=x,y", requestedTargets.get(0));
     sendSnapshot();
     assertTrue(observations.contains("/v1/endpoints?watch=1&scope=x,y"), observations.toString());
-    backendActions.add("slow");
+    backends.enqueue(BackendAction.SLOW_OK);
     try (Socket client = connect()) {
       send(client, request("b"));
       awaitFirstRequest();
@@ -249,12 +253,12 @@
     ServerSocket freedListener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
     InetSocketAddress address = (InetSocketAddress) freedListener.getLocalSocketAddress();
     freedListener.close();
-    listLines.add(listLine(1, true, startBackend("s0")));
+    endpointList.send(listLine(1, true, startBackend("s0")));
     run(
         new ProxyServer(
             new ProxyConfig(
                 Json.object(
-                    config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
+                    config(listen(endpointList::serve).getLocalPort(), 1024, "{}")
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
             "",
             address,
--- a/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -37,7 +40,7 @@
   /** Shutdown before the first list: clients that have connected are rejected, not reset. */
   @Test
   void endBeforeReadyRejectsThoseConnected() throws Exception {
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    int listPort = listen(endpointList::serve).getLocalPort();
     run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, "{}")))));
     try (Socket client = connect()) {
       send(client, request("buy"));
