Tests of the network code are named and described in the field's terms

RawConnection is a harness whose backends the test operates: it is now ManualBackendHarness. The usual number of descriptors is a constant, and comments state behaviour in ordinary terms. No case, input, bound, assertion or expected trace changes.

The other classes of wheattrack.net were not run again after these renames.

--- a/proxy/src/test/java/wheattrack/net/BackendAction.java
+++ b/proxy/src/test/java/wheattrack/net/BackendAction.java
@@ -15,9 +15,9 @@
   STATUS_404("404"),
   STATUS_500("500"),
   STATUS_503("503"),
-  /** 503 with the header that says that the request was not started. */
+  /** 503 with the header for a request that was not started. */
   NOT_STARTED_503("full"),
-  /** 504 with the header that says that the request was not started. */
+  /** 504 with the header for a request that was not started. */
   NOT_STARTED_504("late"),
   /** No answer; the connection stays open. */
   NO_ANSWER("none"),
--- a/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
+++ b/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
@@ -28,7 +28,7 @@
  * nothing is forwarded once the wait is over. Bytes behind a request, or a long body that was not
  * read, once hid the disconnect.
  */
-class ClientDisconnectTest extends RawConnection {
+class ClientDisconnectTest extends ManualBackendHarness {
   /** What the request waits for when its client disconnects. */
   enum Wait {
     CONNECTION_OPENS,
@@ -110,7 +110,7 @@
       assertEquals("200 first", readAnswer(otherClient));
       otherClient.close();
     }
-    callUntilPlayed(); // the backend is ejected as silent for a while
+    callUntilAnswered(); // the backend is ejected as silent for a while
     assertNotReceived(text);
   }
 
@@ -182,8 +182,8 @@
   }
 
   /**
-   * How the client disconnects. If it stays, the attempt is made: so the test is known to be able
-   * to fail.
+   * How the client disconnects. If it stays, the attempt is made, which proves that the test is
+   * able to fail.
    */
   enum Departure {
     FIN,
--- a/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ConcurrentEventsTest.java
@@ -120,7 +120,7 @@
       assertEquals("200 old", readAnswer(client));
       assertEquals("end", readRequest(first));
       answerAll(isRestart ? firstListener : secondListener);
-      callUntilPlayedOrFail(client);
+      callUntilAnsweredOrFail(client);
     }
   }
 
@@ -157,7 +157,7 @@
       }
       answerAll(firstListener);
       if (isListedAgain) {
-        callUntilPlayed();
+        callUntilAnswered();
       }
       assertNotReceived(text);
     }
@@ -182,7 +182,7 @@
           });
       assertEquals("50", readAnswer(client).substring(0, 2));
       answerAll(firstListener);
-      callUntilPlayedOrFail(client);
+      callUntilAnsweredOrFail(client);
     }
   }
 
@@ -199,7 +199,7 @@
       Thread.sleep(2000);
       pause.release();
       assertTrue(readAnswer(client).startsWith("50"));
-      callUntilPlayed();
+      callUntilAnswered();
       assertNotReceived(text);
     }
   }
@@ -242,7 +242,7 @@
 
   /** A client disconnects within its long body: the backend once waited 10 s for the rest. */
   @Test
-  void disconnectAmidBodyEndsTheAttempt() throws Exception {
+  void disconnectDuringBodyEndsTheAttempt() throws Exception {
     startProxyWithOneBackend("\"mayCancel\":true", "\"mayCancel\":false");
     Socket client = connect();
     send(
@@ -284,7 +284,7 @@
   }
 
   /** Sends requests until one is answered; before that they may only be rejected. */
-  private static void callUntilPlayedOrFail(Socket client) throws IOException {
+  private static void callUntilAnsweredOrFail(Socket client) throws IOException {
     String answer = call(client, request("buy"));
     while (!answer.equals("200 played")) {
       assertTrue(answer.startsWith("503"), answer);
--- a/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
+++ b/proxy/src/test/java/wheattrack/net/DiscoveryRecoveryTest.java
@@ -19,13 +19,13 @@
 import wheattrack.config.ProxyConfig;
 
 /**
- * Discovery fails in one way, then in another, and returns at many points of the pauses between
- * polls: its list is acted on within 6 s, however long askEvery is.
+ * Discovery fails in one way, then in another, and returns at various moments of the backoff
+ * between polls: its list is known within 6 s, whatever askEvery is.
  */
 class DiscoveryRecoveryTest extends ProxyTestHarness {
   /**
-   * How discovery fails: it refuses to connect, answers 503, answers 200 with an empty body, says
-   * nothing, or ends amid a line.
+   * How discovery fails: it refuses connections, answers 503, answers 200 with an empty body, does
+   * not answer, or ends within a line.
    */
   enum Failure {
     REFUSED,
@@ -59,8 +59,8 @@
   }
 
   /**
-   * One discovery at a loopback address of its own: a port that is closed for a while may be taken
-   * by somebody else at a shared one.
+   * One discovery service at a loopback address of its own: at a shared address another process may
+   * take its port while it is closed.
    */
   private final class Discovery {
     private final Failure first;
@@ -79,18 +79,18 @@
     }
 
     void run(long returnTime) throws Exception {
-      behave(first);
+      switchTo(first);
       sleepUntil(SECOND_FAILURE_MILLIS);
-      behave(second);
+      switchTo(second);
       sleepUntil(returnTime);
-      behave(null);
+      switchTo(null);
     }
 
     /**
-     * Serves new connections so from now on; null: discovery is back. Connections that are open
-     * hear nothing more.
+     * Serves new connections with this failure from now on; null: discovery has returned. Open
+     * connections receive nothing more.
      */
-    private void behave(Failure failure) throws IOException {
+    private void switchTo(Failure failure) throws IOException {
       if (failure == Failure.REFUSED) {
         if (listener != null) {
           listener.close();
@@ -186,7 +186,7 @@
   }
 
   @Test
-  void actedOnWithinSixSeconds() throws Exception {
+  void listIsKnownWithinSixSecondsOfTheReturn() throws Exception {
     List<Thread> cases = new ArrayList<>();
     for (Failure first : Failure.values()) {
       for (Failure second : Failure.values()) {
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -26,12 +26,12 @@
  */
 class IdleConnectionsTest extends ProxyTestHarness {
   /**
-   * How idle clients connect: all at once, one after the other, again as soon as they are closed,
-   * or with half a head each.
+   * How idle clients connect: all at once, spread over the outage, again as soon as they are
+   * closed, or with half a head each.
    */
   enum Pattern {
     AT_ONCE,
-    DRIPPING,
+    GRADUALLY,
     RECONNECTING,
     HALF_A_HEAD
   }
@@ -49,7 +49,7 @@
   private final List<String> failures = Collections.synchronizedList(new ArrayList<>());
   private final List<Socket> idleSockets = Collections.synchronizedList(new ArrayList<>());
 
-  /** One proxy before one backend, with its discovery and its idle clients. */
+  /** One proxy with one backend, its discovery service and its idle clients. */
   private final class Case {
     private final Pattern pattern;
     private final boolean isServedBefore;
@@ -105,7 +105,7 @@
         awaitBackendsKnown(proxy, 1, LIST_TIMEOUT_MILLIS, "never served");
         isDiscoveryDown = true;
       }
-      Thread crowd = startThread(this::connectCrowd);
+      Thread idleClients = startThread(this::connectIdleClients);
       Thread.sleep(OUTAGE_MILLIS);
       listLine = listLine(2, true, endpoint, endpoint("other", "DRAINING", 1));
       isDiscoveryDown = false;
@@ -123,7 +123,7 @@
         failures.add(this + ": " + served + " of " + REQUESTS + " served");
       }
       isOver = true;
-      crowd.interrupt();
+      idleClients.interrupt();
       proxy.shutdown();
       loop.join();
     }
@@ -153,18 +153,18 @@
       }
     }
 
-    private void connectCrowd() throws Exception {
-      int crowdSize =
+    private void connectIdleClients() throws Exception {
+      int clientCount =
           pattern == Pattern.HALF_A_HEAD ? clientCapacity() * 3 / 2 : maxSockets * 3 / 2;
       List<Socket> sockets = new ArrayList<>();
-      for (int i = 0; !isOver && i < crowdSize; i++) {
+      for (int i = 0; !isOver && i < clientCount; i++) {
         sockets.add(connectIdle());
-        if (pattern == Pattern.DRIPPING) {
-          Thread.sleep(OUTAGE_MILLIS / crowdSize);
+        if (pattern == Pattern.GRADUALLY) {
+          Thread.sleep(OUTAGE_MILLIS / clientCount);
         }
       }
-      while (!isOver && pattern != Pattern.DRIPPING && pattern != Pattern.AT_ONCE) {
-        for (int i = 0; i < crowdSize; i++) {
+      while (!isOver && pattern != Pattern.GRADUALLY && pattern != Pattern.AT_ONCE) {
+        for (int i = 0; i < clientCount; i++) {
           if (isClosed(sockets.get(i))) {
             sockets.get(i).close();
             sockets.set(i, connectIdle());
@@ -192,7 +192,7 @@
           send(socket, "GET /");
         }
       } catch (IOException e) {
-        socket.close(); // the accept queue is full, too: it connects again
+        socket.close(); // the accept queue is full, too: the client connects again
       }
       return socket;
     }
@@ -213,7 +213,7 @@
   @ParameterizedTest
   @ValueSource(ints = {64, 256})
   void listIsReadAndRequestsAreServed(int maxSockets) throws Exception {
-    runAll(List.of(Pattern.AT_ONCE, Pattern.DRIPPING, Pattern.RECONNECTING), maxSockets);
+    runAll(List.of(Pattern.AT_ONCE, Pattern.GRADUALLY, Pattern.RECONNECTING), maxSockets);
   }
 
   @Test
--- a/proxy/src/test/java/wheattrack/net/JitWarmUpTest.java
+++ b/proxy/src/test/java/wheattrack/net/JitWarmUpTest.java
@@ -22,7 +22,7 @@
     assertEquals(2, new JitWarmUp(settings()).run(4000, 0));
   }
 
-  /** With time left it runs on, up to the number of requests that was asked for. */
+  /** With time left it runs on, up to the number of requests that was requested. */
   @Test
   void runsUpToTheNumberOfRequests() throws Exception {
     int requests = new JitWarmUp(settings()).run(50, 60_000_000_000L);
--- a/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
+++ b/proxy/src/test/java/wheattrack/net/LargeBodiesTest.java
@@ -22,7 +22,7 @@
 import java.util.zip.CRC32;
 import org.junit.jupiter.api.Test;
 
-/** Bodies and answers longer than what is kept of them, and peers that are slow, stall or leave. */
+/** Bodies and answers longer than the buffers, and peers that are slow, stall or disconnect. */
 class LargeBodiesTest extends ProxyTestHarness {
   private static final int CLIENTS = 40;
   private static final int MEGABYTE = 1 << 20;
@@ -57,7 +57,7 @@
     return length - left + "/" + crc.getValue();
   }
 
-  /** Plays a backend; the request's target says how many bytes it answers with, and how. */
+  /** Serves a backend's connection; the request's target says how it answers, and its length. */
   private void serveLargeBodies(Socket socket) throws Exception {
     InputStream input = new BufferedInputStream(socket.getInputStream());
     OutputStream output = socket.getOutputStream();
@@ -126,7 +126,7 @@
       endpoints[i] = endpoint("s" + i, "SERVING", listen(this::serveLargeBodies).getLocalPort());
     }
     endpointList.send(listLine(1, true, endpoints));
-    startProxy(1024, "{}");
+    startProxy(MAX_SOCKETS, "{}");
   }
 
   private static String requestHead(String className, String mode, String id, long length) {
@@ -173,7 +173,7 @@
     }
   }
 
-  /** 40 bodies of 32 MB at once, there and back, in a heap far smaller than they are. */
+  /** 40 requests and answers of 32 MB each at once, in a heap that could not hold them. */
   @Test
   void manyLargeBodiesAtOnceFitTheHeap() throws Exception {
     startProxyWithLargeBodies(4);
@@ -207,7 +207,9 @@
     assertEquals(CLIENTS, correctAnswers.get());
   }
 
-  /** For each framing and each failure: what the client is answered, and what has run. */
+  /**
+   * For each framing and failure: the answer of the client, and the body that a backend received.
+   */
   @Test
   void eachFramingAndFailure() throws Exception {
     startProxyWithLargeBodies(3);
@@ -228,7 +230,7 @@
         brokenAttempts.set(0);
         int requestsBefore = requestsReceived.get();
         String id = (mode + className).replaceAll("\\W", "");
-        int times = mode.startsWith("breaks") ? 50 : 1; // more than lies between two sockets
+        int times = mode.startsWith("breaks") ? 50 : 1; // more than the socket buffers hold
         try (Socket socket = connect()) {
           send(socket, requestHead(className, mode, id, (long) times * body.length));
           for (int i = 0; i < times; i++) {
@@ -245,7 +247,7 @@
               answer.equals("200 " + checksum(randomBytes(size, Math.min(size, MEGABYTE)), 1));
           boolean isBodyReceivedOnce = checksum(body, 1).equals(receivedBodies.get(id));
           String result = isAsSent ? "200 as sent" : answer.replaceAll("(?s)/.*", "");
-          if (mode.startsWith("breaks")) { // a piece beyond what is kept may have gone by then
+          if (mode.startsWith("breaks")) { // more than the buffer may have been forwarded by then
             result = result.matches("200 as sent|503 0") ? "done or denied" : result;
             receivedBodies.remove(id);
           }
@@ -314,7 +316,7 @@
     recorder.matches("long-slow");
   }
 
-  /** Clients of any speed leave at any moment: each body that came completely has run once. */
+  /** Clients disconnect at any moment: each body that was received completely has run once. */
   @Test
   void completeBodiesOfLeavingClientsRunOnce() throws Exception {
     startProxyWithLargeBodies(3);
@@ -365,7 +367,7 @@
     for (int i = 0; i < 100 && !server.isIdle(); i++) {
       Thread.sleep(50);
     }
-    assertTrue(server.isIdle(), "requests or clients are left over");
+    assertTrue(server.isIdle(), "requests or clients remain");
     assertEquals("200", call(requestHead("buy", "plain,0", "last", 0)).strip());
   }
 }
--- a/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
+++ b/proxy/src/test/java/wheattrack/net/LoadReportsTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Load reports on sockets, from backends that report a load whatever they do. */
+/** Load reports on sockets, from backends that always report the same load. */
 class LoadReportsTest extends ProxyTestHarness {
   private final AtomicInteger probesReceived = new AtomicInteger();
 
@@ -47,7 +47,7 @@
   }
 
   private String configWithReports(String reportMode, int listPort) {
-    return config(listPort, 1024, "{}")
+    return config(listPort)
         .replace(
             "\"limits\":{\"maxD",
             "\"report\":{\"how\":\""
@@ -68,7 +68,7 @@
     return listPort;
   }
 
-  /** Once a reload switches reports on, backends are asked for their load, not for their health. */
+  /** After a reload that switches reports on, backends get load probes, not health checks. */
   @Test
   void reloadSwitchesProbesOn(@TempDir Path folder) throws Exception {
     int listPort = startReportingProxy("none", "", 20, 0);
@@ -97,12 +97,12 @@
     assertTrue(probesReceived.get() >= 20, probesReceived + " probes");
   }
 
-  /** The operators name the header; nothing is probed. */
+  /** Load is read from the configured header of answers; nothing is probed. */
   @Test
   void loadHeaderKeepsRequestsOffTheBusyBackend() throws Exception {
     startReportingProxy("answers", "Server-Load", 20, 0, 0);
     int atBusyBackend = countAnswersOf("s0", 30);
-    assertTrue(atBusyBackend <= 3, atBusyBackend + " of 30 went to the busy one");
+    assertTrue(atBusyBackend <= 3, atBusyBackend + " of 30 went to the busy backend");
     assertEquals(0, probesReceived.get());
   }
 
--- a/proxy/src/test/java/wheattrack/net/RawConnection.java
+++ b/proxy/src/test/java/wheattrack/net/ManualBackendHarness.java
@@ -28,11 +28,11 @@
 import org.junit.jupiter.api.AfterEach;
 
 /**
- * A harness whose backends are played by hand: an accept, an answer or a close waits until the test
- * makes it.
+ * A harness whose backends are operated by the test: each accept, answer and close waits until the
+ * test makes it.
  */
-abstract class RawConnection extends ProxyTestHarness {
-  /** How long anything is waited for, in milliseconds. */
+abstract class ManualBackendHarness extends ProxyTestHarness {
+  /** The longest time of each wait, in milliseconds. */
   static final int TIMEOUT_MILLIS = 5000;
 
   /** Ids of the requests that {@link #answerAll} has received completely, in their order. */
@@ -45,7 +45,7 @@
   static void await(String condition, BooleanSupplier isMet) throws InterruptedException {
     long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L;
     while (!isMet.getAsBoolean()) {
-      assertTrue(System.nanoTime() < deadline, "waited in vain: " + condition);
+      assertTrue(System.nanoTime() < deadline, "timed out: " + condition);
       Thread.sleep(1);
     }
   }
@@ -80,8 +80,8 @@
   }
 
   /**
-   * Reads one complete request: its id, or its target if it has none, or "end", "nothing" or
-   * "reset" if none came.
+   * Reads one complete request: its id, or its target if it has none; "end", "nothing" or "reset"
+   * if the connection ended, timed out or was reset before.
    */
   static String readRequest(Socket socket) {
     try {
@@ -153,7 +153,7 @@
   }
 
   /** Sends requests until one is answered by {@link #answerAll}; others may be rejected before. */
-  void callUntilPlayed() throws IOException {
+  void callUntilAnswered() throws IOException {
     String answer = call(request("buy"));
     while (!answer.equals("200 played")) {
       answer = call(request("buy"));
@@ -169,7 +169,7 @@
   /** A configuration with an admin address, and with these entries on the list. */
   String configWithEndpoints(String... endpoints) throws IOException {
     endpointList.send(listLine(1, true, endpoints));
-    return config(listen(endpointList::serve).getLocalPort(), 1024, "{}")
+    return config(listen(endpointList::serve).getLocalPort())
         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
   }
 
@@ -209,7 +209,7 @@
 
     /** Waits until the event loop is paused. */
     void awaitReached() throws InterruptedException {
-      assertTrue(reached.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "never said: " + text);
+      assertTrue(reached.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "not logged: " + text);
     }
 
     /** Lets the event loop go on. */
--- a/proxy/src/test/java/wheattrack/net/OneBackendHarness.java
+++ b/proxy/src/test/java/wheattrack/net/OneBackendHarness.java
@@ -11,7 +11,7 @@
  * A harness for pairs of concurrent events: the event loop, or a backend, is paused until the other
  * event has been seen.
  */
-abstract class OneBackendHarness extends RawConnection {
+abstract class OneBackendHarness extends ManualBackendHarness {
   @TempDir Path folder;
 
   /** Where the backend s0 listens, and another address, which is not listed at first. */
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -19,7 +19,9 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** Handover: a process is replaced by another one beside it, at the same client address. */
+/**
+ * Handover: a process is replaced by a newer one at the same client address; both run meanwhile.
+ */
 class ProcessHandoverTest extends ProxyTestHarness {
   private static final int CLIENTS = 6;
 
@@ -86,7 +88,7 @@
     }
   }
 
-  /** Under load, one replacement after another: no connection refused, reset or left unread. */
+  /** Replacements under load break few connections. */
   @Test
   void replacedProxiesBreakFewConnections() throws Exception {
     String config =
@@ -103,7 +105,8 @@
       server.shutdown();
       server = next;
       Thread.sleep(50);
-      assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
+      assertTrue(
+          requestsDone.get() > doneBefore, "no request was served by the newer process alone");
     }
     isStopping = true;
     for (Thread client : clients) {
@@ -114,7 +117,7 @@
         requestsBroken + " of " + requestsDone + " requests");
   }
 
-  /** The same with separate processes, whose memory and descriptors are added. */
+  /** The same with separate processes; the memory and descriptors of both are added. */
   @Test
   void replacedProcessesBreakFewConnections() throws Exception {
     String config = configWithThreeBackends(256);
@@ -137,7 +140,8 @@
         assertTrue(current.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
         current = next;
         Thread.sleep(30);
-        assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
+        assertTrue(
+            requestsDone.get() > doneBefore, "no request was served by the newer process alone");
       }
     } finally {
       isStopping = true;
@@ -226,7 +230,7 @@
     int listPort = listen(endpointList::serve).getLocalPort();
     port = freePort();
     String config =
-        config(listPort, 1024, "{}")
+        config(listPort)
             .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"")
             .replace("\"drain_ms\":1000", "\"drain_ms\":0,\"admin\":\"127.0.0.1:0\"");
     server = startUntilReady(config);
--- a/proxy/src/test/java/wheattrack/net/ProcessLockTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessLockTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The roles of processes of one proxy beside each other. */
+/** The roles of processes of one proxy that run at the same time. */
 class ProcessLockTest {
   @TempDir Path folder;
 
--- a/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyServerTest.java
@@ -20,7 +20,7 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** One proxy on loopback sockets: what clients, backends and the list see of it. */
+/** One proxy on loopback sockets, as clients, backends and the discovery service see it. */
 class ProxyServerTest extends ProxyTestHarness {
   /** The backends' actions for a request and its retries. */
   private static final List<List<BackendAction>> OUTCOMES =
@@ -43,7 +43,7 @@
     return actions.stream().map(BackendAction::toString).collect(Collectors.joining(" "));
   }
 
-  /** For each outcome in each class: what the client is answered, and how often it may have run. */
+  /** For each outcome in each class: the answer of the client, and the number of attempts. */
   @Test
   void eachOutcomeForEachClass() throws Exception {
     startProxyWithBackends(8);
@@ -70,7 +70,7 @@
     recorder.matches("server-outcomes");
   }
 
-  /** What is forwarded to a backend and back, and how long a silent backend is waited for. */
+  /** The headers that are forwarded both ways, and the timeout of a silent backend. */
   @Test
   void headersAreForwardedAndSilenceIsBounded() throws Exception {
     startProxyWithBackends(2);
@@ -187,7 +187,7 @@
     recorder.matches("server-in-time");
   }
 
-  /** A second copy of a request in flight once reached the backends. */
+  /** A second request with the id of one in flight once reached the backends. */
   @Test
   void sameIdIsRejectedWhileInFlight() throws Exception {
     startProxyWithBackends(3);
@@ -206,7 +206,7 @@
     recorder.matches("server-open-id");
   }
 
-  /** Nothing more runs for a client that has left. */
+  /** The attempt of a client that has disconnected is cancelled. */
   @Test
   void disconnectClosesTheBackendConnection() throws Exception {
     startProxyWithBackends(3);
@@ -256,7 +256,7 @@
     recorder.matches("server-ends");
   }
 
-  /** An old list at the start, bad entries and lines, a backend that drains, moves and goes. */
+  /** A known list, malformed entries and lines, a backend that drains, moves and is deleted. */
   @Test
   void endpointListChangesAreFollowed() throws Exception {
     int[] ports = new int[3];
@@ -289,7 +289,7 @@
     sendListLine(listLine(9, false, endpoint("s0", "DELETED", ports[0])));
     endpointList.closeWatch();
     sendListLine(listLine(10, true, endpoint("s1", "SERVING", ports[1])));
-    Thread.sleep(3300); // no line comes: the watch counts as broken
+    Thread.sleep(3300); // without a line the watch counts as broken
     observations.removeIf("closed"::equals);
     recorder.say("asked " + observations);
     recorder.matches("server-list");
@@ -339,7 +339,7 @@
   /**
    * Changes of an old revision, or an old snapshot, bring no drained backend back; of repeated
    * entries the last counts; 40 malformed ones of 60 are one line of the log; and if the list is
-   * cut off amid a line or refuses connections, the last good one is kept.
+   * cut off within a line or refuses connections, the last good one is kept.
    */
   @Test
   void lastGoodListOutlastsABrokenOne() throws Exception {
@@ -348,7 +348,7 @@
     LogRecording log = recordLog(Level.WARNING);
     try (log) {
       endpointList.send(listLine(5, true, endpoints));
-      startProxy(1024, "{}");
+      startProxy(MAX_SOCKETS, "{}");
       sendListLine(listLine(6, false, draining));
       sendListLine(listLine(4, false, endpoints[0]));
       endpointList.closeWatch();
@@ -374,8 +374,8 @@
   }
 
   /**
-   * SIGHUP once ended the process. Requests in flight and what was learnt outlast it, also if the
-   * file is bad.
+   * SIGHUP once ended the process. Requests in flight and learnt costs outlast a reload, also of an
+   * invalid file.
    */
   @Test
   void hangupReloadsTheConfiguration() throws Exception {
@@ -401,8 +401,8 @@
             config(secondListPort, 512, "{}"),
             "{'discovery'",
             "",
-            config(secondListPort, 1024, "{}").replace("127.0.0.1:" + secondListPort, "list:1"),
-            config(secondListPort, 1024, "{}").replace("read_like", "any")
+            config(secondListPort).replace("127.0.0.1:" + secondListPort, "list:1"),
+            config(secondListPort).replace("read_like", "any")
           }) {
         Files.writeString(file, text);
         new ProcessBuilder("kill", "-HUP", "" + ProcessHandle.current().pid()).start().waitFor();
--- a/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
@@ -26,11 +26,14 @@
   /** Length of the accept queue of listeners. */
   static final int BACKLOG = 100;
 
+  /** How many file descriptors a proxy may use unless a test needs another number. */
+  static final int MAX_SOCKETS = 1024;
+
   static final String LOGGER_NAME = "wheattrack";
 
   final TraceRecorder recorder = new TraceRecorder();
 
-  /** All that listens, closed at the end of the test. */
+  /** All listeners, which are closed at the end of the test. */
   final List<ServerSocket> listeners = new ArrayList<>();
 
   /** The targets of watches, and "closed" for each connection that a backend saw close. */
@@ -95,7 +98,7 @@
     return thread;
   }
 
-  /** An entry of the list; its quotes are still single ones. */
+  /** An entry of the list, in JSON with single quotes. */
   static String endpoint(String id, String state, int port) {
     return "{'uid':'"
         + id
@@ -152,6 +155,11 @@
     serverThread = startThread(proxy::run);
   }
 
+  /** A configuration with the usual number of descriptors and no known list. */
+  static String config(int listPort) {
+    return config(listPort, MAX_SOCKETS, "{}");
+  }
+
   /** A configuration; further keys may follow the known list. */
   static String config(int listPort, int maxSockets, String knownList) {
     String classSettings =
@@ -189,7 +197,7 @@
 
   private void startProxyWithBackends(int backendCount, String knownList) throws Exception {
     endpointList.send(listLine(1, true, startBackends(backendCount)));
-    startProxy(1024, knownList);
+    startProxy(MAX_SOCKETS, knownList);
   }
 
   @AfterEach
--- a/proxy/src/test/java/wheattrack/net/RawHttp.java
+++ b/proxy/src/test/java/wheattrack/net/RawHttp.java
@@ -26,7 +26,7 @@
     return null;
   }
 
-  /** The length of the body behind this head; 0 if it says none. */
+  /** The length of the body after this head; 0 if it has none. */
   static int contentLength(String head) {
     int start = head.toLowerCase().indexOf(CONTENT_LENGTH);
     if (start < 0) {
--- a/proxy/src/test/java/wheattrack/net/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Settings that change while the proxy serves: all of a file is taken, or nothing. */
+/** Settings that change while the proxy serves: a file is applied completely or not at all. */
 class ReloadTest extends ProxyTestHarness {
   private static final String SELL_CLASS =
       ",{\"name\":\"sell\",\"clientTimeout\":900000,"
@@ -50,7 +50,9 @@
     return call(request(className)).substring(0, 3);
   }
 
-  /** Each broken file leaves the settings as they were, and one line of the log says why. */
+  /**
+   * Each invalid file leaves the settings as they were, and one line of the log gives the reason.
+   */
   @Test
   void brokenFilesChangeNothing() throws Exception {
     String goodConfig = currentConfig.replace("]}}", SELL_CLASS + "]}}");
@@ -98,8 +100,8 @@
   }
 
   /**
-   * A class becomes stricter or goes, or fewer attempts are allowed: requests in flight keep the
-   * settings that they came under.
+   * A class becomes stricter or is removed, or fewer attempts are allowed: requests in flight keep
+   * the settings under which they were accepted.
    */
   @Test
   void requestsInFlightKeepTheirClass() throws Exception {
@@ -188,12 +190,12 @@
 
   /**
    * No JVM receives SIGHUP if its parent ignores it, as nohup does: a fleet kept its old settings.
-   * The log says so.
+   * The log has a line for it.
    */
   @Test
   void ignoredHangupIsLogged() throws Exception {
     Path file = Files.createTempFile("wheattrack", ".json");
-    Files.writeString(file, config(9, 1024, "{}"));
+    Files.writeString(file, config(9));
     String script = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     Process proxy =
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -24,10 +24,8 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/**
- * A proxy that takes its settings from a source that it watches, and what can go wrong with that.
- */
-class SettingsSubscriptionTest extends RawConnection {
+/** A proxy that watches a settings source, and the failures of that source. */
+class SettingsSubscriptionTest extends ManualBackendHarness {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 
   @TempDir Path folder;
@@ -49,7 +47,7 @@
             });
     endpointList.send(listLine(1, true, startBackend("s0")));
     String config =
-        config(listen(endpointList::serve).getLocalPort(), 1024, "{}")
+        config(listen(endpointList::serve).getLocalPort())
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
     file = Files.writeString(folder.resolve("config.json"), config);
     run(
@@ -77,7 +75,7 @@
             + ","
             + classSettings("b", 900)
             + "]}");
-    await("the whole is in force", () -> metric("settings_told") > 0);
+    await("the snapshot is in force", () -> metric("settings_told") > 0);
     await("ready", this::isReady);
   }
 
@@ -118,9 +116,9 @@
     assertEquals("404 200 200", statusFor("a") + " " + statusFor("b") + " " + statusFor("c"));
   }
 
-  /** The source ends amid a line: the settings stay in force, and the rest is asked for. */
+  /** The watch ends within a line: the settings stay in force, and the watch is resumed. */
   @Test
-  void watchThatEndsAmidALineIsResumed() throws Exception {
+  void watchThatEndsWithinALineIsResumed() throws Exception {
     startProxyWithSource("");
     sendSnapshot();
     send(latestSocket, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
@@ -134,8 +132,8 @@
   }
 
   /**
-   * After changes that are out of order, old or from another source, a snapshot is asked for; until
-   * it comes the settings stay in force.
+   * After changes that are out of order, old or from another source, a snapshot is requested; until
+   * it arrives the settings stay in force.
    */
   @Test
   void changesOutOfOrderAreDropped() throws Exception {
@@ -155,7 +153,7 @@
       assertEquals("200 404", statusFor("a") + " " + statusFor("c"));
       sendSettings("{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}");
       int settingsTaken = calls;
-      await("the whole is in force", () -> metric("settings_told") == settingsTaken);
+      await("the snapshot is in force", () -> metric("settings_told") == settingsTaken);
       assertEquals("200 404", statusFor("a") + " " + statusFor("b"));
     }
   }
@@ -186,9 +184,9 @@
     assertEquals("200", statusFor("c"));
   }
 
-  /** SIGHUP amid a change: the file's limits are taken, and the source's classes stay. */
+  /** A reload during a change: the limits of the file and the classes of the source both apply. */
   @Test
-  void reloadAmidAChangeTakesBoth() throws Exception {
+  void reloadDuringAChangeAppliesBoth() throws Exception {
     startProxyWithSource("");
     sendSnapshot();
     Files.writeString(
@@ -258,7 +256,7 @@
         new ProxyServer(
             new ProxyConfig(
                 Json.object(
-                    config(listen(endpointList::serve).getLocalPort(), 1024, "{}")
+                    config(listen(endpointList::serve).getLocalPort())
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
             "",
             address,
@@ -283,9 +281,9 @@
     assertEquals("404 200", statusFor("buy") + " " + statusFor("a"));
   }
 
-  /** Without a source nothing is asked for, and no scope is sent for the list. */
+  /** Without a source no settings are requested, and the list is requested without a scope. */
   @Test
-  void withoutSourceNothingIsAskedFor() throws Exception {
+  void withoutSourceNoSettingsAreRequested() throws Exception {
     startProxyWithBackends(1);
     assertEquals("200", statusFor("buy"));
     assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(observations));
@@ -304,7 +302,7 @@
               send(socket, HEAD + "{\"rev\":1,\"targets\":3}\n");
             });
     ProxyServer proxy =
-        new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
+        new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort()))));
     long startedAt = System.nanoTime();
     run(proxy);
     Thread.sleep(4000);
--- a/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
@@ -20,7 +20,7 @@
 class ShutdownEventsTest extends OneBackendHarness {
   /** Shutdown while clients with requests are in the accept queue: they were reset once. */
   @Test
-  void clientsInTheAcceptQueueAreAnsweredAtTheEnd() throws Exception {
+  void clientsInTheAcceptQueueAreAnsweredDuringShutdown() throws Exception {
     startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
     answerAll(firstListener);
     LoopPause pause = pauseLoopInReload(config);
@@ -39,9 +39,9 @@
 
   /** Shutdown before the first list: clients that have connected are rejected, not reset. */
   @Test
-  void endBeforeReadyRejectsThoseConnected() throws Exception {
+  void shutdownBeforeReadyRejectsConnectedClients() throws Exception {
     int listPort = listen(endpointList::serve).getLocalPort();
-    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, "{}")))));
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort)))));
     try (Socket client = connect()) {
       send(client, request("buy"));
       startThread(server::shutdown);
@@ -51,7 +51,7 @@
 
   /** A connection is closed as idle at the end, while a request on it has not been read yet. */
   @Test
-  void requestThatArrivesAtTheEndIsAnswered() throws Exception {
+  void requestThatArrivesDuringShutdownIsAnswered() throws Exception {
     startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
     answerAll(firstListener);
     try (Socket client = connect()) {
@@ -68,7 +68,7 @@
 
   /** A request is complete only shortly before the end: it is answered before the process ends. */
   @Test
-  void lateRequestIsAnsweredBeforeTheEnd() throws Exception {
+  void lateRequestIsAnsweredBeforeTheProcessEnds() throws Exception {
     startProxyWithOneBackend(
         "\"drain_ms\":1000",
         "\"drain_ms\":0",
@@ -99,7 +99,7 @@
 
   /** SIGHUP and a second SIGTERM during shutdown: requests are answered, and it ends once. */
   @Test
-  void furtherSignalsAtTheEndChangeNothing() throws Exception {
+  void furtherSignalsDuringShutdownChangeNothing() throws Exception {
     startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
     try (Socket client = connect()) {
       Socket heldSocket = sendAndAccept(client, request("pay"), firstListener);
--- a/proxy/src/test/java/wheattrack/net/WatchEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/WatchEventsTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Watches of the endpoint list that come in pieces, fall silent or end. */
+/** Watches of the endpoint list that arrive in pieces, fall silent or end. */
 class WatchEventsTest extends OneBackendHarness {
   /** A list may be indented, and cut into packets at any byte. */
   @Test
@@ -37,53 +37,55 @@
                 send(socket, character);
               }
             });
-    startProxy(config(list.getLocalPort(), 1024, "{}"), "");
+    startProxy(config(list.getLocalPort()), "");
     assertEquals("200 played", call(request("buy")));
   }
 
-  /** Watches are silent, or drip half a line, one after the other: each is replaced in time. */
+  /** Watches are silent, or send half a line byte by byte: each is replaced in time. */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
   void silentWatchIsReplacedInTime(boolean isDripping) throws Exception {
-    List<Long> askedAt = Collections.synchronizedList(new ArrayList<>());
+    List<Long> requestedAt = Collections.synchronizedList(new ArrayList<>());
     String first = listLine(1, true, startBackend("s0")) + "\n";
     ServerSocket list =
         listen(
             socket -> {
               readHead(socket.getInputStream());
-              askedAt.add(System.nanoTime());
-              int turn = askedAt.size();
+              requestedAt.add(System.nanoTime());
+              int turn = requestedAt.size();
               send(socket, "HTTP/1.1 200 OK\r\n\r\n" + (turn == 1 ? first : ""));
               for (int i = 0; turn < 4 && isDripping; i++) {
                 send(socket, i == 0 ? "{" : " ");
                 Thread.sleep(200);
               }
             });
-    config = config(list.getLocalPort(), 1024, "{}").replace("\"askEvery\":1", "\"askEvery\":99");
+    config = config(list.getLocalPort()).replace("\"askEvery\":1", "\"askEvery\":99");
     startProxy(config, "");
     long startedAt = System.nanoTime();
-    while (askedAt.size() < 4) {
+    while (requestedAt.size() < 4) {
       Thread.sleep(5);
-      assertTrue(System.nanoTime() - startedAt < 15e9, "asked " + askedAt.size() + " times");
+      assertTrue(
+          System.nanoTime() - startedAt < 15e9, "requested " + requestedAt.size() + " times");
     }
-    // what the first has missed has to be known 6 s after; no further pause comes between two
+    // a change missed by the first has to be known 6 s later; no further pause is added
     assertTrue(
-        askedAt.get(2) - askedAt.get(0) < 6e9, "third after " + (askedAt.get(2) - askedAt.get(0)));
+        requestedAt.get(2) - requestedAt.get(0) < 6e9,
+        "third after " + (requestedAt.get(2) - requestedAt.get(0)));
     assertTrue(
-        askedAt.get(3) - askedAt.get(2) < 3.4e9,
-        "fourth after " + (askedAt.get(3) - askedAt.get(2)));
+        requestedAt.get(3) - requestedAt.get(2) < 3.4e9,
+        "fourth after " + (requestedAt.get(3) - requestedAt.get(2)));
   }
 
-  /** A watch's answer ends while its connection stays open: it was taken for silent for 3 s. */
+  /** A watch ends while its connection stays open: it once counted as silent for 3 s. */
   @Test
   void endedWatchIsReplacedAtOnce() throws Exception {
-    CountDownLatch watchesAsked = new CountDownLatch(2);
+    CountDownLatch watchesRequested = new CountDownLatch(2);
     String first = listLine(1, true, startBackend("s0")) + "\n";
     ServerSocket list =
         listen(
             socket -> {
               readHead(socket.getInputStream());
-              watchesAsked.countDown();
+              watchesRequested.countDown();
               send(
                   socket,
                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -93,7 +95,7 @@
                       + "\r\n0\r\n\r\n");
               socket.getInputStream().read();
             });
-    startProxy(config(list.getLocalPort(), 1024, "{}"), "");
-    assertTrue(watchesAsked.await(2, TimeUnit.SECONDS));
+    startProxy(config(list.getLocalPort()), "");
+    assertTrue(watchesRequested.await(2, TimeUnit.SECONDS));
   }
 }
