Tests of the policy list and remove backends by one method each, clearer names

Four test classes each removed backends and published the list in two or three statements; RecordingRuntime.removeBackends and addNewBackend do it. Names and comments of the tests state the behaviour in the field's terms. No case, input, bound, assertion or expected trace changes.

--- a/decisions/src/test/java/wheattrack/policy/AdmissionTest.java
+++ b/decisions/src/test/java/wheattrack/policy/AdmissionTest.java
@@ -12,11 +12,11 @@
 /** Which requests are rejected, wait or are admitted. */
 class AdmissionTest {
   /**
-   * A request too heavy for its deadline even when alone is rejected at once; after a latency
-   * objective of that it is tried.
+   * A request too heavy for its deadline on an idle backend is rejected at once; after a latency
+   * objective of such rejections one is sent.
    */
   @Test
-  void requestWithoutAChanceIsRejectedAtOnce() {
+  void requestTooHeavyForItsDeadlineIsRejectedAtOnce() {
     RecordingRuntime runtime = RecordingRuntime.withLoadReports(false);
     runtime.serveOneByOne(2, COSTS);
     int attemptsBefore = runtime.callbacks.size();
@@ -29,11 +29,11 @@
   }
 
   /**
-   * Incidents repas big-1 and i6d7f1e, full backends tried again and again: rejections teach the
-   * capacity.
+   * Incidents repas big-1 and i6d7f1e, full backends got attempt after attempt: their capacity is
+   * estimated from their rejections.
    */
   @Test
-  void rejectionsTeachTheCapacity() throws IOException {
+  void capacityIsEstimatedFromRejections() throws IOException {
     RecordingRuntime runtime = RecordingRuntime.idempotent(2, false);
     runtime.serveOneByOne(2, COSTS);
     for (int i = 0; i < 6; i++) {
@@ -55,14 +55,14 @@
   }
 
   /**
-   * Service days: requests waited at idle backends, as one in flight over a long way was counted as
-   * a standing queue.
+   * Service days: requests waited at idle backends, as one in flight over a slow network was
+   * counted as a standing queue.
    */
   @Test
   void requestInFlightToADistantBackendDelaysNoOther() throws IOException {
     RecordingRuntime runtime = RecordingRuntime.idempotent(1, false);
     runtime.quiet = true;
-    for (int i = 0; i < 200; i++) { // one at a time, 83 ms each, the most of it on its way
+    for (int i = 0; i < 200; i++) { // one at a time, 83 ms each, most of it network latency
       runtime.arrive("busy", 300);
       runtime.advance(SECOND / 12);
       runtime.endAttempt(AttemptOutcome.DONE);
@@ -78,9 +78,7 @@
   @Test
   void rejectionsWhileIdleAreLoggedOnceASecond() throws IOException {
     RecordingRuntime runtime = RecordingRuntime.idempotent(2, false);
-    runtime.loadBalancer.removeBackend(0);
-    runtime.loadBalancer.removeBackend(1);
-    runtime.loadBalancer.endpointListUpdated(false);
+    runtime.removeBackends(0, 1);
     for (int i = 0; i < 30; i++) {
       runtime.quiet = true;
       runtime.arrive("r", 100);
@@ -91,10 +89,11 @@
   }
 
   /**
-   * No or very many proxies, odd cost hints, one backend or none: an attempt or a quick rejection.
+   * No or very many proxies, extreme cost hints, one backend or none: an attempt or a quick
+   * rejection.
    */
   @Test
-  void oddSettingsStillGiveAnAnswer() throws IOException {
+  void extremeSettingsStillGiveAnAnswer() throws IOException {
     RecordingRuntime recorder = new RecordingRuntime();
     for (int proxyCount : new int[] {0, 5000}) {
       RecordingRuntime runtime = RecordingRuntime.idempotent(1, 0, proxyCount, true);
@@ -102,8 +101,7 @@
         runtime.arrive("hint " + cost, cost);
         runtime.endAttempt(AttemptOutcome.DONE);
       }
-      runtime.loadBalancer.removeBackend(0);
-      runtime.loadBalancer.endpointListUpdated(false);
+      runtime.removeBackends(0);
       runtime.arrive("no srv", 100);
       recorder.say("one of " + proxyCount + " proxies:\n" + runtime.trace);
     }
--- a/decisions/src/test/java/wheattrack/policy/BackendSelectionTest.java
+++ b/decisions/src/test/java/wheattrack/policy/BackendSelectionTest.java
@@ -20,8 +20,8 @@
  */
 class BackendSelectionTest {
   /**
-   * Equal shares of summed cost in the order of ids; a cost on a cut is split, and busy backends
-   * are passed over.
+   * Equal shares of summed cost in the order of ids; a cost at the border of two intervals is split
+   * between them, and busy backends are skipped.
    */
   @Test
   void equalSharesOfCostInIdOrder() throws IOException {
@@ -47,8 +47,8 @@
   }
 
   /**
-   * Two backends are probed before the first attempt; no answer holds a request for longer than a
-   * moment.
+   * Two backends are probed before the first attempt; without an answer the attempt waits for a
+   * thirtieth of the latency objective only.
    */
   @Test
   void loadIsProbedBeforeTheFirstAttempt() {
@@ -63,7 +63,7 @@
     assertEquals(1, runtime.callbacks.size());
   }
 
-  /** Three of four backends report work ahead of any request: the fourth gets all requests. */
+  /** Three of four backends report requests in flight: the fourth gets all requests. */
   @Test
   void loadReportsSteerAllRequestsToTheIdleBackend() {
     RecordingRuntime runtime = RecordingRuntime.withLoadReports(false);
@@ -93,7 +93,7 @@
           runtime.arrive("r", 0);
           runtime.endAttempt(AttemptOutcome.DONE);
         }
-        runtime.attemptBackends.stream().distinct().forEach(b -> proxiesByBackend[b]++);
+        runtime.attemptBackends.stream().distinct().forEach(backend -> proxiesByBackend[backend]++);
       }
       recorder.say(
           proxyCount + " proxies, those that meet each srv: " + Arrays.toString(proxiesByBackend));
@@ -128,7 +128,7 @@
     runtime.matches("part-widens");
   }
 
-  /** An open connection costs a handshake in a second here: it is closed then, and not before. */
+  /** A connection that is open for a second costs as much as a handshake: it is closed then. */
   @Test
   void idleConnectionsAreClosedWhenTheyCostMoreThanAHandshake() {
     RecordingRuntime runtime = RecordingRuntime.idempotent(4, false);
--- a/decisions/src/test/java/wheattrack/policy/CostHintsTest.java
+++ b/decisions/src/test/java/wheattrack/policy/CostHintsTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import wheattrack.api.AttemptOutcome;
 
-/** Requests with and without cost hints, and hints that change their unit. */
+/** Requests with and without cost hints, and changes of the hints' unit. */
 class CostHintsTest {
   /**
    * Without hints a random ready backend gets each request, long latencies alone reject nothing,
@@ -16,26 +16,24 @@
   @Test
   void withoutHintsBackendsAreChosenAtRandom() throws IOException {
     RecordingRuntime runtime = RecordingRuntime.idempotent(4, false);
-    runtime.loadBalancer.removeBackend(3);
-    runtime.loadBalancer.endpointListUpdated(false);
+    runtime.removeBackends(3);
     runtime.quiet = true;
     for (int i = 0; i < 120; i++) {
       runtime.arrive("plain", 0);
       runtime.advance(1000);
       runtime.endAttempt(AttemptOutcome.DONE);
       if (i == 40) {
-        runtime.updateBackend(3, true, runtime.now());
-        runtime.loadBalancer.endpointListUpdated(false);
+        runtime.addNewBackend(3);
       }
     }
     runtime.quiet = false;
     int[] attemptsByBackend = new int[4];
-    runtime.attemptBackends.forEach(b -> attemptsByBackend[b]++);
+    runtime.attemptBackends.forEach(backend -> attemptsByBackend[backend]++);
     runtime.say("of 120: " + Arrays.toString(attemptsByBackend));
     runtime.matches("no-hints");
   }
 
-  /** Sends requests one after the other, 20 ms each, and records how many attempts there were. */
+  /** Sends requests one by one, 20 ms each, and records the number of attempts. */
   private static void recordAttempts(
       RecordingRuntime runtime, String label, int requests, int costHint) {
     int attemptsBefore = runtime.callbacks.size();
@@ -73,8 +71,8 @@
   }
 
   /**
-   * Grown overload: a heavy request that its clients retry again and again is no new unit of hints;
-   * new hints are.
+   * Growing overload: a heavy request that its clients retry repeatedly does not change the unit of
+   * hints; new requests with such hints do.
    */
   @Test
   void retriesOfAHeavyRequestAreNoNewUnit() throws IOException {
--- a/decisions/src/test/java/wheattrack/policy/EndpointListTest.java
+++ b/decisions/src/test/java/wheattrack/policy/EndpointListTest.java
@@ -9,15 +9,16 @@
 import wheattrack.api.DeduplicationScope;
 import wheattrack.api.Idempotency;
 
-/** What follows from changes of the endpoint list, and how it is polled. */
+/** How changes of the endpoint list are applied, and how it is polled. */
 class EndpointListTest {
-  /** Backends that drain, go or are of a stale list after a restart get nothing new. */
+  /**
+   * Backends that drain, were removed or are only on a stale list after a restart get no attempt.
+   */
   @Test
-  void backendsThatLeftGetNothing() throws IOException {
+  void drainingAndRemovedBackendsGetNoAttempt() throws IOException {
     RecordingRuntime runtime = RecordingRuntime.idempotent(3, true);
     runtime.updateBackend(0, false, Long.MIN_VALUE / 2);
-    runtime.loadBalancer.removeBackend(1);
-    runtime.loadBalancer.endpointListUpdated(false);
+    runtime.removeBackends(1);
     runtime.arrive("a", 100);
     runtime.arrive("odd", Integer.MAX_VALUE / 4);
     runtime.endAttempt(0, AttemptOutcome.DONE);
@@ -41,11 +42,11 @@
   }
 
   /**
-   * Hundreds of proxies restart together and discovery rejects each poll: polls spread and thin
-   * out.
+   * Hundreds of proxies restart together and discovery rejects each poll: polls are spread over
+   * time and become rarer.
    */
   @Test
-  void pollsOfManyProxiesSpreadAndThinOut() throws IOException {
+  void pollsOfManyProxiesSpreadAndBecomeRarer() throws IOException {
     int[] pollsBySecond = new int[30];
     for (int proxyIndex = 0; proxyIndex < 300; proxyIndex++) {
       RecordingRuntime runtime =
--- a/decisions/src/test/java/wheattrack/policy/LoadBalancerPropertiesTest.java
+++ b/decisions/src/test/java/wheattrack/policy/LoadBalancerPropertiesTest.java
@@ -49,7 +49,7 @@
     assertNull(simulation.violation());
   }
 
-  /** Once all trouble is over, each backend receives something within twenty seconds. */
+  /** Once all faults are over, each backend receives something within twenty seconds. */
   @Property(tries = 1_000, edgeCases = EdgeCasesMode.NONE, seed = "18")
   void noBackendStarves(
       @ForAll @Size(max = 6) List<@From("steps") Step> history,
--- a/decisions/src/test/java/wheattrack/policy/OutlierDetectionTest.java
+++ b/decisions/src/test/java/wheattrack/policy/OutlierDetectionTest.java
@@ -14,7 +14,8 @@
 /** Which backends are avoided or ejected, and when they are reinstated. */
 class OutlierDetectionTest {
   /**
-   * Backends that answer errors at once look idle, and once took what busy ones had no room for.
+   * Backends that answer errors at once look idle, and once got the requests that busy ones had no
+   * capacity for.
    */
   @Test
   void backendWithFastErrorsIsAvoided() throws IOException {
@@ -84,11 +85,11 @@
   }
 
   /**
-   * Incident ibf8546, outliers forgotten between two visits: where visits are rare, a slow backend
-   * stays known.
+   * Incident ibf8546, outliers forgotten between two attempts: where attempts are rare, a slow
+   * backend stays known as such.
    */
   @Test
-  void slowBackendStaysKnownBetweenRareVisits() throws IOException {
+  void slowBackendStaysKnownBetweenRareAttempts() throws IOException {
     RecordingRuntime runtime = RecordingRuntime.idempotent(4, 0, 300, false);
     runtime.quiet = true;
     for (int i = 0; i < 80; i++) {
--- a/decisions/src/test/java/wheattrack/policy/RecordingRuntime.java
+++ b/decisions/src/test/java/wheattrack/policy/RecordingRuntime.java
@@ -137,6 +137,20 @@
             listedBackends.add(backend)));
   }
 
+  /** Lists a backend that has started just now. */
+  void addNewBackend(int backend) {
+    updateBackend(backend, true, now());
+    loadBalancer.endpointListUpdated(false);
+  }
+
+  /** Removes backends from the list. */
+  void removeBackends(int... backends) {
+    for (int backend : backends) {
+      loadBalancer.removeBackend(backend);
+    }
+    loadBalancer.endpointListUpdated(false);
+  }
+
   /** A request arrives, with a second until its deadline. */
   RequestHandle arrive(String name, int costHint) {
     return loadBalancer.accept(
--- a/decisions/src/test/java/wheattrack/policy/RetryTest.java
+++ b/decisions/src/test/java/wheattrack/policy/RetryTest.java
@@ -59,9 +59,9 @@
   }
 
   /**
-   * Incident repas, late work wasted: a request past its objective that earns nothing any more is
-   * cancelled and rejected at once. But amman-later rough-2, the same work done twice: only if the
-   * wait advised outlasts its client.
+   * Incident repas, late work wasted: a request past its objective that no longer counts is
+   * cancelled and rejected at once. But incident amman-later rough-2, the same work done twice:
+   * only if the Retry-After outlasts its client.
    */
   @Test
   void requestPastItsObjectiveIsCancelledAndRejected() throws IOException {
@@ -82,8 +82,8 @@
   }
 
   /**
-   * Incident repas-later big-1, requests lost in queues that no proxy sees: one alone at its
-   * backend past its share of the objective is hedged.
+   * Incident repas-later big-1, requests lost in queues that no proxy sees: a request that is the
+   * only one at its backend past its share of the objective is hedged.
    */
   @Test
   void lateRequestIsHedged() throws IOException {
--- a/decisions/src/test/java/wheattrack/policy/SlowStartTest.java
+++ b/decisions/src/test/java/wheattrack/policy/SlowStartTest.java
@@ -33,17 +33,6 @@
     }
   }
 
-  private static void removeBackend(RecordingRuntime runtime, int backend) {
-    runtime.loadBalancer.removeBackend(backend);
-    runtime.loadBalancer.endpointListUpdated(false);
-  }
-
-  /** Lists a backend that has started just now. */
-  private static void addNewBackend(RecordingRuntime runtime, int backend) {
-    runtime.updateBackend(backend, true, runtime.now());
-    runtime.loadBalancer.endpointListUpdated(false);
-  }
-
   /**
    * Incident, new backends overloaded by light requests: three proxies keep one within its budget.
    */
@@ -52,9 +41,9 @@
     RecordingRuntime recorder = new RecordingRuntime();
     for (int proxyIndex = 0; proxyIndex < 3; proxyIndex++) {
       RecordingRuntime runtime = RecordingRuntime.idempotent(4, proxyIndex, 3, false);
-      removeBackend(runtime, 0);
+      runtime.removeBackends(0);
       runtime.serveOneByOne(4, COSTS);
-      addNewBackend(runtime, 0);
+      runtime.addNewBackend(0);
       recordBusySeconds(recorder, "" + proxyIndex, runtime, 0, 9);
     }
     recorder.matches("fresh");
@@ -73,7 +62,7 @@
       RecordingRuntime runtime = RecordingRuntime.idempotent(48, proxyIndex, 8, false);
       runtime.serveOneByOne(6, COSTS);
       int newBackend = 24 * (proxyIndex % 2) + 12;
-      addNewBackend(runtime, newBackend);
+      runtime.addNewBackend(newBackend);
       for (int second = 0; second < 8; second++) {
         List<Integer> backends = backendsOfABusySecond(runtime);
         long backendCount = backends.stream().distinct().count();
@@ -93,7 +82,7 @@
     RecordingRuntime recorder = new RecordingRuntime();
     for (int proxyCount : new int[] {1, 3}) {
       RecordingRuntime runtime = RecordingRuntime.idempotent(2, 0, proxyCount, false);
-      removeBackend(runtime, 1);
+      runtime.removeBackends(1);
       runtime.quiet = true;
       for (int i = 0; i < 40; i++) {
         runtime.arrive("seldom", 40);
@@ -101,7 +90,7 @@
         runtime.endAttempt(AttemptOutcome.DONE);
         runtime.advance(SECOND / 5);
       }
-      addNewBackend(runtime, 1);
+      runtime.addNewBackend(1);
       recordBusySeconds(recorder, "of " + proxyCount, runtime, 1, 3);
     }
     recorder.matches("fresh-quiet");
@@ -116,7 +105,7 @@
     RecordingRuntime recorder = new RecordingRuntime();
     for (int slowdown : new int[] {1, 4}) { // factor of the service time at the new backend
       RecordingRuntime runtime = RecordingRuntime.idempotent(3, 0, 8, false);
-      removeBackend(runtime, 2);
+      runtime.removeBackends(2);
       runtime.quiet = true;
       for (int second = 0; second < 8; second++) {
         int attemptsBefore = runtime.attemptBackends.size();
@@ -144,7 +133,7 @@
                 + ": "
                 + shareOf(2, backends));
         if (second == 3) {
-          addNewBackend(runtime, 2);
+          runtime.addNewBackend(2);
         }
       }
     }
--- a/decisions/src/test/java/wheattrack/testing/TraceRecorder.java
+++ b/decisions/src/test/java/wheattrack/testing/TraceRecorder.java
@@ -10,7 +10,7 @@
  * Collects lines of text and compares them with the expected trace kept under the test resources.
  */
 public class TraceRecorder {
-  private static final Path PRINTED = Path.of("target", "traces");
+  private static final Path ACTUAL = Path.of("target", "traces");
   private static final Path EXPECTED = Path.of("src/test/resources/traces");
 
   /** All lines so far. */
@@ -28,8 +28,8 @@
 
   /** Compares with the expected trace; the actual one is left in target/traces for inspection. */
   public void matches(String name) throws IOException {
-    Files.createDirectories(PRINTED);
-    Files.writeString(PRINTED.resolve(name + ".txt"), trace);
+    Files.createDirectories(ACTUAL);
+    Files.writeString(ACTUAL.resolve(name + ".txt"), trace);
     assertEquals(Files.readString(EXPECTED.resolve(name + ".txt")), trace.toString());
   }
 }
