ProcessHandoverTest shuts down the older proxy that one test left running

newerProxyEndedBeforeReadyLeavesTheOlderServing replaced the proxy under test by a third one and never ended the older. In the same JVM it went on polling the closed list, and its log lines came into the trace of ProxyServerTest.hangupReloadsTheConfiguration, which then failed. Whether the two classes share a JVM, in that order, depends on how surefire's two forks take classes. The older one is shut down once the third is ready; all assertions stay.

--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -241,6 +241,8 @@
       assertEquals("200 s0", call(request("buy")));
     }
     assertEquals(200, readAdminStatus(server));
+    ProxyServer older = server;
     server = startUntilReady(config); // and a third one finds a free lock
+    older.shutdown();
   }
 }
