--- a/proxy/src/test/java/wheattrack/net/RawConnection.java
+++ b/proxy/src/test/java/wheattrack/net/ManualBackendHarness.java
@@ -2,6 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.contentLength;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.requestId;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -23,11 +28,11 @@
 import org.junit.jupiter.api.AfterEach;
 
 /**
- * A harness whose backends are played by hand: an accept, an answer or a close waits until the test
- * makes it.
+ * A harness whose backends are operated by the test: each accept, answer and close waits until the
+ * test makes it.
  */
-abstract class RawConnection extends ProxyTestHarness {
-  /** How long anything is waited for, in milliseconds. */
+abstract class ManualBackendHarness extends ProxyTestHarness {
+  /** The longest time of each wait, in milliseconds. */
   static final int TIMEOUT_MILLIS = 5000;
 
   /** Ids of the requests that {@link #answerAll} has received completely, in their order. */
@@ -40,7 +45,7 @@
   static void await(String condition, BooleanSupplier isMet) throws InterruptedException {
     long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L;
     while (!isMet.getAsBoolean()) {
-      assertTrue(System.nanoTime() < deadline, "waited in vain: " + condition);
+      assertTrue(System.nanoTime() < deadline, "timed out: " + condition);
       Thread.sleep(1);
     }
   }
@@ -75,8 +80,8 @@
   }
 
   /**
-   * Reads one complete request: its id, or its target if it has none, or "end", "nothing" or
-   * "reset" if none came.
+   * Reads one complete request: its id, or its target if it has none; "end", "nothing" or "reset"
+   * if the connection ended, timed out or was reset before.
    */
   static String readRequest(Socket socket) {
     try {
@@ -93,6 +98,18 @@
     }
   }
 
+  /**
+   * Sends a request, accepts the connection over which the proxy forwards it, and reads it there;
+   * returns the backend's end of that connection.
+   */
+  static Socket sendAndAccept(Socket client, String request, ServerSocket listener)
+      throws IOException {
+    send(client, request);
+    Socket socket = accept(listener);
+    readRequest(socket);
+    return socket;
+  }
+
   /** Answers a request; each of the headers ends with a line break. */
   static void writeAnswer(Socket socket, String status, String headers, String body)
       throws IOException {
@@ -136,7 +153,7 @@
   }
 
   /** Sends requests until one is answered by {@link #answerAll}; others may be rejected before. */
-  void callUntilPlayed() throws IOException {
+  void callUntilAnswered() throws IOException {
     String answer = call(request("buy"));
     while (!answer.equals("200 played")) {
       answer = call(request("buy"));
@@ -151,8 +168,8 @@
 
   /** A configuration with an admin address, and with these entries on the list. */
   String configWithEndpoints(String... endpoints) throws IOException {
-    listLines.add(listLine(1, true, endpoints));
-    return config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
+    endpointList.send(listLine(1, true, endpoints));
+    return config(listen(endpointList::serve).getLocalPort())
         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
   }
 
@@ -192,7 +209,7 @@
 
     /** Waits until the event loop is paused. */
     void awaitReached() throws InterruptedException {
-      assertTrue(reached.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "never said: " + text);
+      assertTrue(reached.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "not logged: " + text);
     }
 
     /** Lets the event loop go on. */
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.request;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -18,7 +19,9 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** Handover: a process is replaced by another one beside it, at the same client address. */
+/**
+ * Handover: a process is replaced by a newer one at the same client address; both run meanwhile.
+ */
 class ProcessHandoverTest extends ProxyTestHarness {
   private static final int CLIENTS = 6;
 
@@ -53,8 +56,9 @@
    * A configuration with three backends and a list, at a clients' address that was free just now.
    */
   private String configWithThreeBackends(int maxSockets) throws Exception {
-    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    endpointList.send(
+        listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    int listPort = listen(endpointList::serve).getLocalPort();
     port = freePort();
     String knownList =
         listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2"));
@@ -84,7 +88,7 @@
     }
   }
 
-  /** Under load, one replacement after another: no connection refused, reset or left unread. */
+  /** Replacements under load break few connections. */
   @Test
   void replacedProxiesBreakFewConnections() throws Exception {
     String config =
@@ -101,7 +105,8 @@
       server.shutdown();
       server = next;
       Thread.sleep(50);
-      assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
+      assertTrue(
+          requestsDone.get() > doneBefore, "no request was served by the newer process alone");
     }
     isStopping = true;
     for (Thread client : clients) {
@@ -112,7 +117,7 @@
         requestsBroken + " of " + requestsDone + " requests");
   }
 
-  /** The same with separate processes, whose memory and descriptors are added. */
+  /** The same with separate processes; the memory and descriptors of both are added. */
   @Test
   void replacedProcessesBreakFewConnections() throws Exception {
     String config = configWithThreeBackends(256);
@@ -135,7 +140,8 @@
         assertTrue(current.waitFor(5, TimeUnit.SECONDS), "does not end at SIGTERM");
         current = next;
         Thread.sleep(30);
-        assertTrue(requestsDone.get() > doneBefore, "nobody was served by the newer process alone");
+        assertTrue(
+            requestsDone.get() > doneBefore, "no request was served by the newer process alone");
       }
     } finally {
       isStopping = true;
@@ -220,11 +226,11 @@
   /** A newer proxy that ends before it is ready leaves the older one serving. */
   @Test
   void newerProxyEndedBeforeReadyLeavesTheOlderServing() throws Exception {
-    listLines.add(listLine(1, true, startBackend("s0")));
-    int listPort = listen(this::serveEndpointList).getLocalPort();
+    endpointList.send(listLine(1, true, startBackend("s0")));
+    int listPort = listen(endpointList::serve).getLocalPort();
     port = freePort();
     String config =
-        config(listPort, 1024, "{}")
+        config(listPort)
             .replace("127.0.0.1:0\"", "127.0.0.1:" + port + "\"")
             .replace("\"drain_ms\":1000", "\"drain_ms\":0,\"admin\":\"127.0.0.1:0\"");
     server = startUntilReady(config);
@@ -235,6 +241,8 @@
       assertEquals("200 s0", call(request("buy")));
     }
     assertEquals(200, readAdminStatus(server));
+    ProxyServer older = server;
     server = startUntilReady(config); // and a third one finds a free lock
+    older.shutdown();
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ReloadTest.java
+++ b/proxy/src/test/java/wheattrack/net/ReloadTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.net.Socket;
 import java.nio.file.Files;
@@ -16,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Settings that change while the proxy serves: all of a file is taken, or nothing. */
+/** Settings that change while the proxy serves: a file is applied completely or not at all. */
 class ReloadTest extends ProxyTestHarness {
   private static final String SELL_CLASS =
       ",{\"name\":\"sell\",\"clientTimeout\":900000,"
@@ -30,7 +33,8 @@
   @BeforeEach
   void startProxyWithThreeBackends() throws Exception {
     file = folder.resolve("proxy.json");
-    listLines.add(listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
+    endpointList.send(
+        listLine(1, true, startBackend("s0"), startBackend("s1"), startBackend("s2")));
     startProxy(1024, "{},'admin':'127.0.0.1:0'".replace('\'', '"'));
     currentConfig =
         config(
@@ -46,7 +50,9 @@
     return call(request(className)).substring(0, 3);
   }
 
-  /** Each broken file leaves the settings as they were, and one line of the log says why. */
+  /**
+   * Each invalid file leaves the settings as they were, and one line of the log gives the reason.
+   */
   @Test
   void brokenFilesChangeNothing() throws Exception {
     String goodConfig = currentConfig.replace("]}}", SELL_CLASS + "]}}");
@@ -89,13 +95,13 @@
             + ", ok "
             + metric("reloads_ok")
             + ", lists asked for "
-            + watchCount.get());
+            + endpointList.watchCount());
     recorder.matches("reload-broken");
   }
 
   /**
-   * A class becomes stricter or goes, or fewer attempts are allowed: requests in flight keep the
-   * settings that they came under.
+   * A class becomes stricter or is removed, or fewer attempts are allowed: requests in flight keep
+   * the settings under which they were accepted.
    */
   @Test
   void requestsInFlightKeepTheirClass() throws Exception {
@@ -109,7 +115,7 @@
           currentConfig.replace("\"name\":\"buy\"", "\"name\":\"let\"")
         }) {
       Socket socket = connect(); // its first attempt fails only after the change
-      backendActions.addAll(List.of("slow 500", "ok"));
+      backends.enqueue(BackendAction.SLOW_STATUS_500, BackendAction.OK);
       int requestsBefore = requestsReceived.get();
       send(socket, request("buy"));
       while (requestsReceived.get() == requestsBefore) {
@@ -121,7 +127,7 @@
               + readAnswer(socket).replaceAll("s\\d", "ok")
               + ", sent "
               + (requestsReceived.get() - requestsBefore));
-      backendActions.addAll(List.of("500", "ok"));
+      backends.enqueue(BackendAction.STATUS_500, BackendAction.OK);
       requestsBefore = requestsReceived.get();
       recorder.say(
           "  then: "
@@ -130,7 +136,7 @@
               + statusFor("let")
               + ", sent "
               + (requestsReceived.get() - requestsBefore));
-      backendActions.clear();
+      backends.clearScript();
       reload(currentConfig);
       sockets.add(socket);
     }
@@ -184,12 +190,12 @@
 
   /**
    * No JVM receives SIGHUP if its parent ignores it, as nohup does: a fleet kept its old settings.
-   * The log says so.
+   * The log has a line for it.
    */
   @Test
   void ignoredHangupIsLogged() throws Exception {
     Path file = Files.createTempFile("wheattrack", ".json");
-    Files.writeString(file, config(9, 1024, "{}"));
+    Files.writeString(file, config(9));
     String script = "trap '' HUP; exec \"$0\" -cp \"$1\" wheattrack.Main serve --config \"$2\"";
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     Process proxy =
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.readHead;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -20,10 +24,8 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/**
- * A proxy that takes its settings from a source that it watches, and what can go wrong with that.
- */
-class SettingsSubscriptionTest extends RawConnection {
+/** A proxy that watches a settings source, and the failures of that source. */
+class SettingsSubscriptionTest extends ManualBackendHarness {
   private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 
   @TempDir Path folder;
@@ -43,9 +45,9 @@
               send(socket, HEAD);
               latestSocket = socket;
             });
-    listLines.add(listLine(1, true, startBackend("s0")));
+    endpointList.send(listLine(1, true, startBackend("s0")));
     String config =
-        config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
+        config(listen(endpointList::serve).getLocalPort())
             .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\"");
     file = Files.writeString(folder.resolve("config.json"), config);
     run(
@@ -73,7 +75,7 @@
             + ","
             + classSettings("b", 900)
             + "]}");
-    await("the whole is in force", () -> metric("settings_told") > 0);
+    await("the snapshot is in force", () -> metric("settings_told") > 0);
     await("ready", this::isReady);
   }
 
@@ -114,9 +116,9 @@
     assertEquals("404 200 200", statusFor("a") + " " + statusFor("b") + " " + statusFor("c"));
   }
 
-  /** The source ends amid a line: the settings stay in force, and the rest is asked for. */
+  /** The watch ends within a line: the settings stay in force, and the watch is resumed. */
   @Test
-  void watchThatEndsAmidALineIsResumed() throws Exception {
+  void watchThatEndsWithinALineIsResumed() throws Exception {
     startProxyWithSource("");
     sendSnapshot();
     send(latestSocket, "{\"rev\":4,\"after\":3,\"ruleSets\":[{\"name\":\"a\",\"go");
@@ -130,8 +132,8 @@
   }
 
   /**
-   * After changes that are out of order, old or from another source, a snapshot is asked for; until
-   * it comes the settings stay in force.
+   * After changes that are out of order, old or from another source, a snapshot is requested; until
+   * it arrives the settings stay in force.
    */
   @Test
   void changesOutOfOrderAreDropped() throws Exception {
@@ -151,7 +153,7 @@
       assertEquals("200 404", statusFor("a") + " " + statusFor("c"));
       sendSettings("{'rev':3,'all':true,'ruleSets':[" + classSettings("a", 900) + "]}");
       int settingsTaken = calls;
-      await("the whole is in force", () -> metric("settings_told") == settingsTaken);
+      await("the snapshot is in force", () -> metric("settings_told") == settingsTaken);
       assertEquals("200 404", statusFor("a") + " " + statusFor("b"));
     }
   }
@@ -182,9 +184,9 @@
     assertEquals("200", statusFor("c"));
   }
 
-  /** SIGHUP amid a change: the file's limits are taken, and the source's classes stay. */
+  /** A reload during a change: the limits of the file and the classes of the source both apply. */
   @Test
-  void reloadAmidAChangeTakesBoth() throws Exception {
+  void reloadDuringAChangeAppliesBoth() throws Exception {
     startProxyWithSource("");
     sendSnapshot();
     Files.writeString(
@@ -197,7 +199,7 @@
     pause.release();
     await("both are in force", () -> metric("settings_told") == 2 && metric("reloads_ok") == 1);
     assertEquals("200 200 404", statusFor("a") + " " + statusFor("c") + " " + statusFor("buy"));
-    backendActions.add("full");
+    backends.enqueue(BackendAction.NOT_STARTED_503);
     assertEquals("503", statusFor("c")); // one attempt, by the file as it is now
   }
 
@@ -208,7 +210,7 @@
     assertEquals("/v1/settings?watch=1&scope=x,y", requestedTargets.get(0));
     sendSnapshot();
     assertTrue(observations.contains("/v1/endpoints?watch=1&scope=x,y"), observations.toString());
-    backendActions.add("slow");
+    backends.enqueue(BackendAction.SLOW_OK);
     try (Socket client = connect()) {
       send(client, request("b"));
       awaitFirstRequest();
@@ -249,12 +251,12 @@
     ServerSocket freedListener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.44.1"));
     InetSocketAddress address = (InetSocketAddress) freedListener.getLocalSocketAddress();
     freedListener.close();
-    listLines.add(listLine(1, true, startBackend("s0")));
+    endpointList.send(listLine(1, true, startBackend("s0")));
     run(
         new ProxyServer(
             new ProxyConfig(
                 Json.object(
-                    config(listen(this::serveEndpointList).getLocalPort(), 1024, "{}")
+                    config(listen(endpointList::serve).getLocalPort())
                         .replace("\"drain_ms\"", "\"admin\":\"127.0.0.1:0\",\"drain_ms\""))),
             "",
             address,
@@ -279,9 +281,9 @@
     assertEquals("404 200", statusFor("buy") + " " + statusFor("a"));
   }
 
-  /** Without a source nothing is asked for, and no scope is sent for the list. */
+  /** Without a source no settings are requested, and the list is requested without a scope. */
   @Test
-  void withoutSourceNothingIsAskedFor() throws Exception {
+  void withoutSourceNoSettingsAreRequested() throws Exception {
     startProxyWithBackends(1);
     assertEquals("200", statusFor("buy"));
     assertEquals(List.of("/v1/endpoints?watch=1"), List.copyOf(observations));
@@ -300,7 +302,7 @@
               send(socket, HEAD + "{\"rev\":1,\"targets\":3}\n");
             });
     ProxyServer proxy =
-        new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort(), 1024, "{}"))));
+        new ProxyServer(new ProxyConfig(Json.object(config(discovery.getLocalPort()))));
     long startedAt = System.nanoTime();
     run(proxy);
     Thread.sleep(4000);
--- a/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
+++ b/proxy/src/test/java/wheattrack/net/ShutdownEventsTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
+import static wheattrack.net.RawHttp.request;
+import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -13,11 +16,11 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 
-/** Events that cross the shutdown of the proxy, each pair forced. */
+/** Pairs of concurrent events, one of which is the shutdown of the proxy. */
 class ShutdownEventsTest extends OneBackendHarness {
-  /** SIGTERM while clients with requests are in the accept queue: they were reset. */
+  /** Shutdown while clients with requests are in the accept queue: they were reset once. */
   @Test
-  void clientsInTheAcceptQueueAreAnsweredAtTheEnd() throws Exception {
+  void clientsInTheAcceptQueueAreAnsweredDuringShutdown() throws Exception {
     startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
     answerAll(firstListener);
     LoopPause pause = pauseLoopInReload(config);
@@ -26,7 +29,7 @@
       clients.add(sendRequest(connect(), request("buy")));
     }
     startThread(server::shutdown);
-    Thread.sleep(50); // in either order the end is queued behind
+    Thread.sleep(50); // the shutdown is queued in the event loop then
     pause.release();
     for (Socket client : clients) {
       assertTrue(readAnswer(client).matches("(200|503).*"));
@@ -34,11 +37,11 @@
     }
   }
 
-  /** SIGTERM before there is a list: clients that have connected are rejected, not reset. */
+  /** Shutdown before the first list: clients that have connected are rejected, not reset. */
   @Test
-  void endBeforeReadyRejectsThoseConnected() throws Exception {
-    int listPort = listen(this::serveEndpointList).getLocalPort();
-    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort, 1024, "{}")))));
+  void shutdownBeforeReadyRejectsConnectedClients() throws Exception {
+    int listPort = listen(endpointList::serve).getLocalPort();
+    run(new ProxyServer(new ProxyConfig(Json.object(config(listPort)))));
     try (Socket client = connect()) {
       send(client, request("buy"));
       startThread(server::shutdown);
@@ -48,7 +51,7 @@
 
   /** A connection is closed as idle at the end, while a request on it has not been read yet. */
   @Test
-  void requestThatArrivesAtTheEndIsAnswered() throws Exception {
+  void requestThatArrivesDuringShutdownIsAnswered() throws Exception {
     startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
     answerAll(firstListener);
     try (Socket client = connect()) {
@@ -65,7 +68,7 @@
 
   /** A request is complete only shortly before the end: it is answered before the process ends. */
   @Test
-  void lateRequestIsAnsweredBeforeTheEnd() throws Exception {
+  void lateRequestIsAnsweredBeforeTheProcessEnds() throws Exception {
     startProxyWithOneBackend(
         "\"drain_ms\":1000",
         "\"drain_ms\":0",
@@ -96,12 +99,10 @@
 
   /** SIGHUP and a second SIGTERM during shutdown: requests are answered, and it ends once. */
   @Test
-  void furtherSignalsAtTheEndChangeNothing() throws Exception {
+  void furtherSignalsDuringShutdownChangeNothing() throws Exception {
     startProxyWithOneBackend("\"drain_ms\":1000", "\"drain_ms\":0");
     try (Socket client = connect()) {
-      send(client, request("pay"));
-      Socket heldSocket = accept(firstListener);
-      readRequest(heldSocket);
+      Socket heldSocket = sendAndAccept(client, request("pay"), firstListener);
       LoopPause pause = pauseLoopAt("CLOSING");
       Thread firstEnd = startThread(server::shutdown);
       Thread secondEnd = startThread(server::shutdown);
