--- a/lab/src/main/java/wheattrack/lab/CompareCommand.java
+++ b/lab/src/main/java/wheattrack/lab/CompareCommand.java
@@ -186,7 +186,7 @@
         });
   }
 
-  /** Appends a line for each metric, so that all points of the grid stand in one file. */
+  /** Appends a line for each metric, so that one file holds all points of the grid. */
   private void writeLines(Map<String, String> point, Map<String, PairedDifference> differences)
       throws IOException {
     Path file = outputDirectory.resolve("compare.jsonl");
--- a/lab/src/main/java/wheattrack/lab/ComparisonSide.java
+++ b/lab/src/main/java/wheattrack/lab/ComparisonSide.java
@@ -22,7 +22,7 @@
   /** The prefix of a side that is the jar of another build. */
   String JAR_PREFIX = "jar:";
 
-  /** The side as it stands on the command line. */
+  /** The side as given on the command line. */
   String name();
 
   /** The metrics of a run by name; throws IOException if it could not be played. */
--- a/lab/src/main/java/wheattrack/lab/DemoCommand.java
+++ b/lab/src/main/java/wheattrack/lab/DemoCommand.java
@@ -22,7 +22,7 @@
 
   private DemoCommand() {}
 
-  /** Plays the demo and prints what comes of it. */
+  /** Runs the demo and prints its result. */
   static ExitCode run(ScenarioRunner.RunOptions options) throws IOException {
     Scenario scenario = ScenarioReader.read(ScenarioCatalog.find("demo"));
     printIntroduction(scenario);
--- a/lab/src/main/java/wheattrack/lab/LabOptions.java
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -17,7 +17,7 @@
  * the option's name, if its value is not valid.
  */
 final class LabOptions {
-  /** A key of a scenario that the command line sets, with its value as it stands there. */
+  /** A key of a scenario that the command line sets, with its value as given there. */
   record Setting(String key, String value) {
     private static Setting parse(String text, String form) {
       int equalsSign = text.indexOf('=');
--- a/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
+++ b/lab/src/main/java/wheattrack/lab/ScenarioRunner.java
@@ -24,12 +24,12 @@
    * How to play a scenario.
    *
    * @param outputDirectory where ledgers and reports are left, or null
-   * @param policy who decides on the virtual clock
+   * @param policy the policy that is used on the virtual clock
    * @param proxyJar the proxies' program on the real clock; may be null on the virtual one
    */
   record RunOptions(long seed, Path outputDirectory, Policies.Kind policy, Path proxyJar) {}
 
-  /** What came of a run on sockets: the verdict, and how punctual the lab itself was. */
+  /** The result of a run on sockets: the verdict, and how punctual the lab itself was. */
   record SocketResult(Verdict verdict, SocketRun.Quality quality) {
     ExitCode exitCode() {
       return quality.isTooLate() ? ExitCode.INCONCLUSIVE : ScenarioRunner.exitCode(verdict);
--- a/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
+++ b/lab/src/main/java/wheattrack/lab/model/SimulatedBackend.java
@@ -229,7 +229,7 @@
     transitionTo(State.SILENT);
   }
 
-  /** The process stands still, until {@link #resume}. */
+  /** Suspends the process until {@link #resume}. */
   public void hang() {
     if (state == State.UP) {
       transitionTo(State.HUNG);
@@ -237,7 +237,7 @@
     }
   }
 
-  /** The process goes on: what was in progress as it hung is lost, what was queued is served. */
+  /** Resumes the process: requests in progress when it hung are lost, queued ones are served. */
   public void resume() {
     if (state == State.HUNG) {
       transitionTo(State.UP);
--- a/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ColdBudget.java
@@ -67,12 +67,12 @@
     }
   }
 
-  /** Whether over two thirds of the load came from informed senders: then it is their fault. */
+  /** Whether over two thirds of the load came from notified senders, which makes it a violation. */
   public boolean isSendersFault() {
     return informedWork > windowWork * 2 / 3;
   }
 
-  /** The most that lay in a window as one request more came, as a multiple of N. */
+  /** The highest number of requests in a window at an arrival, as a multiple of N. */
   public double peakLoad() {
     return peakLoad;
   }
--- a/lab/src/main/java/wheattrack/lab/referee/Ledger.java
+++ b/lab/src/main/java/wheattrack/lab/referee/Ledger.java
@@ -10,8 +10,8 @@
 import java.util.zip.CRC32C;
 
 /**
- * The form of ledgers on disk: a line for each record, ended by the CRC32C of what stands before
- * it, so that an incomplete line shows. {@link LedgerWriter} writes them.
+ * The form of ledgers on disk: a line for each record, ended by the CRC32C of the text before it,
+ * so that an incomplete line shows. {@link LedgerWriter} writes them.
  */
 public final class Ledger {
   private static final int FIELDS = 9;
--- a/lab/src/main/java/wheattrack/lab/referee/LedgerRecord.java
+++ b/lab/src/main/java/wheattrack/lab/referee/LedgerRecord.java
@@ -187,7 +187,7 @@
     return ANSWERS[code];
   }
 
-  /** The work that an attempt asks for, as it arrives or is executed. */
+  /** The work of an attempt, as it arrives or is executed. */
   public double work() {
     return amount;
   }
@@ -217,7 +217,7 @@
     return code == 1;
   }
 
-  /** Whether a proxy came up, rather than was killed. */
+  /** Whether a proxy was started, rather than killed. */
   public boolean isUp() {
     return code == 1;
   }
--- a/lab/src/main/java/wheattrack/lab/referee/ServiceSecond.java
+++ b/lab/src/main/java/wheattrack/lab/referee/ServiceSecond.java
@@ -2,7 +2,7 @@
 
 /**
  * Service in one second of the run. Values count in the second in which the operation started,
- * answers and attempts in the second in which they came.
+ * answers and attempts in the second of their arrival.
  */
 public final class ServiceSecond {
   private double valueOffered;
--- a/lab/src/main/java/wheattrack/lab/referee/TrackedRequest.java
+++ b/lab/src/main/java/wheattrack/lab/referee/TrackedRequest.java
@@ -54,7 +54,7 @@
     return answer;
   }
 
-  /** After this moment nothing may be sent for it: the answer or the deadline, what came first. */
+  /** The time after which nothing may be sent for it: the answer or the deadline, if earlier. */
   long closedAt() {
     return Math.min(answeredAt, deadline);
   }
--- a/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
+++ b/lab/src/main/java/wheattrack/lab/report/BackendPlots.java
@@ -28,7 +28,7 @@
     this.area = area;
   }
 
-  /** A cell for each second: the darker the more attempts came. */
+  /** A cell for each second; a darker one stands for more attempts. */
   void addAttempts() {
     Map<Integer, long[]> rows = run.verdict().attemptsByBackend();
     long max = rows.values().stream().flatMapToLong(Arrays::stream).max().orElse(1);
--- a/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
+++ b/lab/src/main/java/wheattrack/lab/scale/EndpointMeasurements.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import wheattrack.lab.scale.SteadyChanges.ChangeSchedule;
 
-/** The axes about the endpoint list: its size, its changes, and who watches it. */
+/** The axes of the endpoint list: its size, its changes and the number of its watchers. */
 final class EndpointMeasurements {
   /** Backends in a usual list. */
   static final int USUAL_LIST = 1000;
--- a/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/ReadinessCheck.java
@@ -27,7 +27,7 @@
     this.callback = callback;
   }
 
-  /** Connects and asks. */
+  /** Connects and sends a readiness request. */
   void start() {
     connect(
         address,
--- a/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/wheattrack/lab/virtual/VirtualRun.java
@@ -22,7 +22,7 @@
   /** The time on a proxy's clock at the start of the run. */
   static final long CLOCK_START = 1_000_000;
 
-  /** How long a run goes on after the last deadline. */
+  /** How long a run continues after the last deadline. */
   private static final long SETTLE_TIME = 4 * Scenario.SECOND;
 
   /** The delay of a packet that was lost and retransmitted. */
--- a/lab/src/test/java/wheattrack/lab/report/HtmlReportTest.java
+++ b/lab/src/test/java/wheattrack/lab/report/HtmlReportTest.java
@@ -15,7 +15,7 @@
 import wheattrack.lab.referee.LedgerRecord.Answer;
 import wheattrack.lab.referee.Referee;
 
-/** The HTML report of a run: its parts stand in a fixed order. */
+/** The HTML report of a run: its parts have a fixed order. */
 class HtmlReportTest {
   private static final Pattern VERTICAL_LABEL =
       Pattern.compile("stroke='#ddd'/><text x='\\d+' y='[\\d.]+' text-anchor='end'>([^<]*)</text>");
--- a/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
+++ b/lab/src/test/java/wheattrack/lab/scale/ScaleTest.java
@@ -23,7 +23,7 @@
   /** Most bytes of one entry of a list. */
   private static final double ENTRY_BYTES = 160;
 
-  /** Most bytes of what stands around the entries of a change. */
+  /** Most bytes of a change apart from its entries. */
   private static final double FRAME_BYTES = 60;
 
   /** Most bytes of signs of life that go to the account of a change. */
--- a/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/sockets/SocketRunTest.java
@@ -145,7 +145,7 @@
     assertEquals(0, liveChildProcesses());
   }
 
-  /** The lab's process is told to end in the middle of a run: no proxy outlives it. */
+  /** The lab's process is terminated in the middle of a run: no proxy outlives it. */
   @Test
   void noProxyOutlivesATerminatedLab() throws Exception {
     Path file = directory.resolve("long.toml");
--- a/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
+++ b/lab/src/test/java/wheattrack/lab/virtual/VirtualRunTest.java
@@ -72,7 +72,7 @@
   }
 
   /**
-   * Rejects each request that comes while no backend is ready, and leaves the others to a policy.
+   * Rejects each request that arrives while no backend is ready, and leaves the others to a policy.
    */
   private static FaultyPolicy whenReady(FaultyPolicy policy) {
     return (runtime, request, ready, everListed) -> {
