The event loop creates the channel group that runs on it

Cause: three places made the group of the loop's channels by themselves, so that none of them could change how the group and the loop share threads. Change: EventLoop.channelGroup; no change of behaviour.

--- a/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
+++ b/lab/src/main/java/wheattrack/lab/scale/ControlOnlyMain.java
@@ -66,7 +66,7 @@
   }
 
   private void run(int first, Path file, InetSocketAddress source) throws Exception {
-    AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(loop);
+    AsynchronousChannelGroup group = loop.channelGroup();
     Thread thread = new Thread(loop::run, "loop");
     thread.setDaemon(true);
     thread.start();
--- a/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/wheattrack/lab/sockets/SocketRun.java
@@ -102,7 +102,7 @@
       throw new IOException("no such jar: " + jar);
     }
     directory = new TemporaryDirectory("wheattrack-lab");
-    group = AsynchronousChannelGroup.withThreadPool(loop);
+    group = loop.channelGroup();
     boolean withFaultyLinks =
         scenario.faults().stream().anyMatch(fault -> fault.kind().hitsLinks());
     Runtime.getRuntime().addShutdownHook(shutdownHook);
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -1,5 +1,8 @@
 package wheattrack.aio;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -57,9 +60,25 @@
   private long now; // ticks since 1970
   private volatile boolean isStopped;
 
-  /** Creates a loop whose clock shows the current time; it runs nothing until {@link #run}. */
+  private final AsynchronousChannelGroup channelGroup;
+
+  /**
+   * Creates a loop whose clock shows the current time; it runs nothing until {@link #run}.
+   *
+   * @throws UncheckedIOException if the system grants no channel group
+   */
   public EventLoop() {
     updateClock();
+    try {
+      channelGroup = AsynchronousChannelGroup.withThreadPool(this);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** The group of all channels whose operations complete on this loop. Any thread may call it. */
+  public AsynchronousChannelGroup channelGroup() {
+    return channelGroup;
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -120,7 +120,7 @@
   public ProxyServer(
       ProxyConfig config, String loadHeader, InetSocketAddress settingsSource, String scope)
       throws IOException {
-    group = AsynchronousChannelGroup.withThreadPool(loop);
+    group = loop.channelGroup();
     processLock =
         new ProcessLock(
             config.listen().getPort() == 0 ? null : sharedFolder(), config.listen().toString());
