Timeouts that a settings source withdraws give way to the file's

Symptom: connect and idle timeouts stayed as a source of settings had named them after it withdrew its limits, until SIGHUP. Cause: ConfigurationReloader.applyDynamicSettings set timeouts only while the source named a limit. Change: they are always set, by the source's limits over the file's. The test SettingsSubscriptionTest.withdrawnTimeoutsAreThoseOfTheFileAgain failed before the change.

--- a/lab/src/main/java/wheattrack/lab/LabMain.java
+++ b/lab/src/main/java/wheattrack/lab/LabMain.java
@@ -10,6 +10,7 @@
 import wheattrack.lab.scale.ScaleCommand;
 import wheattrack.lab.scenario.Scenario;
 import wheattrack.lab.scenario.ScenarioReader;
+import wheattrack.lab.soak.SoakCommand;
 
 /** The lab's command line; {@link ExitCode} names what it ends with. */
 public final class LabMain {
@@ -32,6 +33,9 @@
       --set KEY=A,B,...       plays each value of a key of the scenario; may stand several times
       --out DIR               leaves JSON lines and an HTML report of the first seed there
   bench                       what the virtual world and the sockets can do on this machine
+  soak                        shutdowns, signals and crowds on one proxy, by seeds
+      --seeds A-B             the seeds to play, first and last (1-8)
+      --jar FILE              the proxy's program
   scale                       what control costs by size: hollow proxies beside real ones
       --axis NAME             one of backends, changes, watchers, rule-sets, tenants, scope,
                               scope-watchers, outage, scope-outage, restart
@@ -75,6 +79,7 @@
       case "demo" -> DemoCommand.run(LabOptions.runOptions(line));
       case "bench" -> BenchCommand.run(LabOptions.runOptions(line));
       case "scale" -> scale(line);
+      case "soak" -> soak(line);
       default -> badInput(USAGE);
     };
   }
@@ -105,6 +110,18 @@
     return ExitCode.GOOD;
   }
 
+  private static ExitCode soak(CommandLine line) throws IOException {
+    LabOptions.SeedRange seeds = LabOptions.seedRange(line);
+    try {
+      boolean isKept =
+          SoakCommand.run(
+              ScenarioCatalog.home(), LabOptions.proxyJar(line), seeds.first(), seeds.last());
+      return isKept ? ExitCode.GOOD : ExitCode.FELL_SHORT;
+    } catch (InterruptedException e) {
+      throw new IOException("interrupted", e);
+    }
+  }
+
   private static ExitCode scale(CommandLine line) throws IOException {
     long memoryBytes = LabOptions.wholeNumber(line, "memory-mb", 0) << 20;
     if (memoryBytes < 0) {
--- a/lab/src/main/java/wheattrack/lab/LabOptions.java
+++ b/lab/src/main/java/wheattrack/lab/LabOptions.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
@@ -28,6 +30,9 @@
     }
   }
 
+  private static final String DEFAULT_SOAK_SEEDS = "1-8";
+  private static final Pattern SEED_RANGE = Pattern.compile("(?<first>\\d{1,9})-(?<last>\\d{1,9})");
+
   private LabOptions() {}
 
   static CommandLine parse(String[] args) throws ParseException {
@@ -56,12 +61,33 @@
           "--policy", "'" + policy + "' is none of " + Policies.names());
     }
     long seed = seed(line);
-    Path proxyJar = path(line, "jar");
     return new ScenarioRunner.RunOptions(
-        seed,
-        outputDirectory(line),
-        policy(policy),
-        proxyJar == null ? ScenarioCatalog.proxyJar() : proxyJar);
+        seed, outputDirectory(line), policy(policy), proxyJar(line));
+  }
+
+  /** The proxies' program: the one named, or the repository's own. */
+  static Path proxyJar(CommandLine line) {
+    Path proxyJar = path(line, "jar");
+    return proxyJar == null ? ScenarioCatalog.proxyJar() : proxyJar;
+  }
+
+  /** The seeds of a soak, first and last; both may be the same. */
+  record SeedRange(long first, long last) {}
+
+  /** The seeds to play, as in {@code --seeds 1-8}. */
+  static SeedRange seedRange(CommandLine line) {
+    String text = line.getOptionValue("seeds", DEFAULT_SOAK_SEEDS);
+    Matcher matcher = SEED_RANGE.matcher(text);
+    if (!matcher.matches()) {
+      throw new InvalidConfigurationException("--seeds", "not of the form A-B: " + text);
+    }
+    SeedRange range =
+        new SeedRange(
+            Long.parseLong(matcher.group("first")), Long.parseLong(matcher.group("last")));
+    if (range.first > range.last) {
+      throw new InvalidConfigurationException("--seeds", "the last is before the first: " + text);
+    }
+    return range;
   }
 
   static long seed(CommandLine line) {
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakBackends.java
@@ -0,0 +1,135 @@
+package wheattrack.lab.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** The backends and the discovery service of a soak, on threads of their own. */
+final class SoakBackends implements AutoCloseable {
+  private static final int COUNT = 3;
+  private static final int SERVICE_MILLIS = 4;
+  private static final int KEEP_ALIVE_MILLIS = 1000;
+  private static final String WATCH_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final List<ServerSocket> listeners = new ArrayList<>();
+  private final List<Socket> watches = new CopyOnWriteArrayList<>();
+  private final ServerSocket discovery;
+
+  /** When each attempt of a request was received completely, by the request's id. */
+  private final Map<String, List<Long>> attempts = new ConcurrentHashMap<>();
+
+  private volatile boolean isFirstHanging;
+  private volatile boolean isFirstDraining;
+
+  /** Opens all of them at free ports. */
+  SoakBackends() throws IOException {
+    for (int i = 0; i < COUNT; i++) {
+      boolean isFirst = i == 0;
+      listeners.add(listen(socket -> serve(socket, isFirst)));
+    }
+    discovery = listen(this::serveWatch);
+  }
+
+  private static ServerSocket listen(SoakThreads.SocketTask task) throws IOException {
+    ServerSocket listener = new ServerSocket(0, 500, InetAddress.getLoopbackAddress());
+    SoakThreads.start(
+        () -> {
+          while (!listener.isClosed()) {
+            Socket socket = listener.accept();
+            SoakThreads.start(() -> task.run(socket));
+          }
+        });
+    return listener;
+  }
+
+  int discoveryPort() {
+    return discovery.getLocalPort();
+  }
+
+  /** From now on the first backend answers nothing. */
+  void hangFirst() {
+    isFirstHanging = true;
+  }
+
+  /** Lists the first backend as draining. */
+  void drainFirst() {
+    isFirstDraining = true;
+    for (Socket watch : watches) {
+      try {
+        sendChunk(watch, list() + "\n");
+      } catch (IOException e) {
+        watches.remove(watch);
+      }
+    }
+  }
+
+  /** When the attempts of each request were received, nanoseconds, by the request's id. */
+  Map<String, List<Long>> attempts() {
+    return attempts;
+  }
+
+  private void serve(Socket socket, boolean isFirst) throws Exception {
+    try (socket) {
+      HttpStream stream = new HttpStream(socket);
+      for (HttpStream.Message request = stream.read(); request != null; request = stream.read()) {
+        attempts
+            .computeIfAbsent(request.header("Request-Id"), id -> new CopyOnWriteArrayList<>())
+            .add(System.nanoTime());
+        if (isFirst && isFirstHanging) {
+          Thread.sleep(Long.MAX_VALUE);
+        }
+        Thread.sleep(SERVICE_MILLIS);
+        stream.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      }
+    }
+  }
+
+  private void serveWatch(Socket socket) throws Exception {
+    try (socket) {
+      if (new HttpStream(socket).read() == null) {
+        return;
+      }
+      new HttpStream(socket).write(WATCH_HEAD);
+      sendChunk(socket, list() + "\n");
+      watches.add(socket);
+      while (true) {
+        Thread.sleep(KEEP_ALIVE_MILLIS);
+        sendChunk(socket, "\n");
+      }
+    } finally {
+      watches.remove(socket);
+    }
+  }
+
+  private static synchronized void sendChunk(Socket socket, String text) throws IOException {
+    new HttpStream(socket).write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  private String list() {
+    StringBuilder entries = new StringBuilder();
+    for (int i = 0; i < COUNT; i++) {
+      String state = i == 0 && isFirstDraining ? "DRAINING" : "SERVING";
+      entries
+          .append(i == 0 ? "" : ",")
+          .append("{\"uid\":\"s-" + i + "\",\"endpoint\":\"127.0.0.1:")
+          .append(listeners.get(i).getLocalPort())
+          .append("\",\"az\":\"a\",\"state\":\"" + state + "\",\"boot_ms\":0}");
+    }
+    int revision = isFirstDraining ? 2 : 1;
+    return "{\"rev\":" + revision + ",\"all\":true,\"targets\":[" + entries + "]}";
+  }
+
+  @Override
+  public void close() throws IOException {
+    discovery.close();
+    for (ServerSocket listener : listeners) {
+      listener.close();
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
@@ -0,0 +1,214 @@
+package wheattrack.lab.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import wheattrack.lab.soak.SoakCounts.Event;
+import wheattrack.lab.soak.SoakCounts.Outcome;
+import wheattrack.lab.soak.SoakCounts.Phase;
+import wheattrack.lab.soak.SoakCounts.Position;
+import wheattrack.lab.soak.SoakPlan.ClientKind;
+
+/**
+ * One client on a thread of its own. It goes on using a connection until that ends, also after the
+ * proxy has said that it will close it.
+ */
+final class SoakClient {
+  /** How long an answer may take beyond the request's timeout; the operators' figure. */
+  private static final int SLACK_MILLIS = 500;
+
+  /** How long a client that stops amid a message may be kept; the operators' figure. */
+  private static final int STOPPED_MILLIS = 3000;
+
+  private static final int RETRY_MILLIS = 20;
+  private static final int MAX_PAUSE_MILLIS = 8;
+  private static final int MAX_REST_MILLIS = 2500;
+  private static final String[] CLASSES = {"look", "mark", "pay"};
+  private static final String NON_IDEMPOTENT = "pay";
+
+  private final SoakRun run;
+  private final int index;
+  private final ClientKind kind;
+  private final Random random;
+  private int requestCount;
+
+  SoakClient(SoakRun run, int index) {
+    this.run = run;
+    this.index = index;
+    kind = SoakPlan.clientKind(index);
+    random = new Random(run.plan().seed() * 1000 + index);
+  }
+
+  /** One connection and what was sent on it. */
+  private final class Connection implements AutoCloseable {
+    private final Socket socket = new Socket(InetAddress.getLoopbackAddress(), run.port());
+    private final HttpStream stream = new HttpStream(socket);
+    private long bytesSent;
+    private boolean isFirst = true;
+    private boolean saidClose;
+
+    Connection() throws IOException {
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout(SoakRun.REQUEST_TIMEOUT_MILLIS + SLACK_MILLIS);
+    }
+
+    private void send(String text) throws IOException {
+      stream.write(text);
+    }
+
+    /**
+     * Sends as many requests at once as there are texts, and reads their answers; returns whether
+     * the connection is still open.
+     */
+    boolean exchange(String... requests) {
+      Phase phase = run.phase();
+      long startedAt = System.nanoTime();
+      try {
+        send(String.join("", requests));
+      } catch (IOException e) {
+        return ended(phase, requests.length);
+      }
+      for (int i = 0; i < requests.length; i++) {
+        if (!readAnswer(phase, startedAt)) {
+          return ended(phase, requests.length - i);
+        }
+        bytesSent += requests[i].length();
+      }
+      return true;
+    }
+
+    private boolean readAnswer(Phase phase, long startedAt) {
+      Outcome outcome;
+      try {
+        HttpStream.Message answer = stream.read();
+        if (answer == null) {
+          return false;
+        }
+        saidClose |= answer.saysClose();
+        outcome = outcome(answer.status());
+      } catch (SocketTimeoutException e) {
+        outcome = Outcome.LATE;
+      } catch (IOException e) {
+        return false;
+      }
+      long limit = SoakRun.REQUEST_TIMEOUT_MILLIS + SLACK_MILLIS;
+      boolean isLate = System.nanoTime() - startedAt > TimeUnit.MILLISECONDS.toNanos(limit);
+      run.counts().count(phase, position(), isLate ? Outcome.LATE : outcome);
+      isFirst = false;
+      return true;
+    }
+
+    private SoakRun.Ending ending() {
+      if (!saidClose) {
+        return SoakRun.Ending.UNANNOUNCED;
+      }
+      boolean isPipelined = kind == ClientKind.PIPELINING;
+      return isPipelined ? SoakRun.Ending.ANNOUNCED_AMID_PIPELINE : SoakRun.Ending.ANNOUNCED;
+    }
+
+    private Position position() {
+      return isFirst ? Position.FIRST : Position.FURTHER;
+    }
+
+    /** The connection has ended with this many requests unanswered; the log tells the rest. */
+    private boolean ended(Phase phase, int unanswered) {
+      int port = socket.getLocalPort();
+      for (int i = 0; i < unanswered; i++) {
+        run.addUnanswered(
+            new SoakRun.Unanswered(phase, position(), port, bytesSent, ending(), kind));
+        isFirst = false;
+      }
+      return false;
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  private static Outcome outcome(int status) {
+    return switch (status) {
+      case 200 -> Outcome.ANSWERED;
+      case 429, 503 -> Outcome.REJECTED;
+      default -> Outcome.FAILED;
+    };
+  }
+
+  /** Uses one connection after another until the run is over. */
+  void use() throws InterruptedException {
+    while (run.mayConnect()) {
+      try (Connection connection = new Connection()) {
+        switch (kind) {
+          case STOPPING -> stopAmidMessage(connection);
+          case LEAVING -> leave(connection);
+          default -> useUntilItEnds(connection);
+        }
+      } catch (IOException e) {
+        Thread.sleep(RETRY_MILLIS); // refused, as no process listens
+      }
+      Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+    }
+  }
+
+  private void useUntilItEnds(Connection connection) throws InterruptedException {
+    boolean isOpen = true;
+    while (isOpen && !run.isOver()) {
+      isOpen =
+          kind == ClientKind.PIPELINING
+              ? connection.exchange(nextRequest(), nextRequest())
+              : connection.exchange(nextRequest());
+      Thread.sleep(random.nextInt(kind == ClientKind.RESTING ? MAX_REST_MILLIS : MAX_PAUSE_MILLIS));
+    }
+  }
+
+  private String nextRequest() {
+    String className = CLASSES[random.nextInt(CLASSES.length)];
+    boolean hasLongBody = kind == ClientKind.LONG_BODIES;
+    String body = hasLongBody ? "x".repeat(SoakPlan.LONG_BODY_BYTES) : "hi";
+    return request(hasLongBody ? NON_IDEMPOTENT : className, nextId(className), body);
+  }
+
+  private String nextId(String className) {
+    requestCount++;
+    return String.format("%x%04x%06x", className.charAt(0) & 0xff, index, requestCount);
+  }
+
+  private static String request(String className, String id, String body) {
+    return "POST /"
+        + className
+        + " HTTP/1.1\r\nHost: soak\r\nRequest-Id: "
+        + id
+        + "\r\nRequest-Class: "
+        + className
+        + "\r\nRequest-Timeout: "
+        + SoakRun.REQUEST_TIMEOUT_MILLIS / 1000.0
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  /** Half a head or half a body, then silence: the proxy must answer or close in time. */
+  private void stopAmidMessage(Connection connection) throws IOException {
+    String text = request(NON_IDEMPOTENT, nextId(NON_IDEMPOTENT), "hi");
+    connection.send(text.substring(0, text.length() - (random.nextBoolean() ? 1 : 40)));
+    connection.socket.setSoTimeout(STOPPED_MILLIS + SLACK_MILLIS);
+    try {
+      connection.stream.read();
+    } catch (SocketTimeoutException e) {
+      run.counts().count(Event.STOPPED_CLIENT_KEPT, 1);
+    }
+  }
+
+  private void leave(Connection connection) throws IOException, InterruptedException {
+    String id = nextId(NON_IDEMPOTENT);
+    connection.send(request(NON_IDEMPOTENT, id, "hi"));
+    Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+    connection.close();
+    run.addDeparture(id, System.nanoTime());
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakCommand.java
@@ -0,0 +1,40 @@
+package wheattrack.lab.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Plays seeds one after another and prints a line for each. */
+public final class SoakCommand {
+  private SoakCommand() {}
+
+  /**
+   * Plays the seeds; the line of a seed that broke a rule says how to repeat it.
+   *
+   * @param home the repository's folder
+   * @param jar the proxy's program
+   * @return whether no seed broke a rule
+   */
+  public static boolean run(Path home, Path jar, long firstSeed, long lastSeed)
+      throws IOException, InterruptedException {
+    SoakCounts total = new SoakCounts();
+    long brokenSeeds = 0;
+    for (long seed = firstSeed; seed <= lastSeed; seed++) {
+      SoakPlan plan = SoakPlan.draw(seed);
+      SoakCounts counts = new SoakRun(plan, home, jar).play();
+      Map<String, Integer> violations = counts.violations(plan.crowd() != SoakPlan.Crowd.NONE);
+      System.out.println((violations.isEmpty() ? "kept " : "broken ") + plan);
+      System.out.println("  " + counts.requestsText());
+      if (!violations.isEmpty()) {
+        brokenSeeds++;
+        System.out.println("  broken: " + violations);
+        System.out.println("  repeat: ./wheattrack lab soak --seeds " + seed + "-" + seed);
+      }
+      total.addAll(counts);
+    }
+    long seeds = lastSeed - firstSeed + 1;
+    System.out.println("in all " + total.requestsText());
+    System.out.println("RESULT soak: " + seeds + " seeds, " + brokenSeeds + " broken");
+    return brokenSeeds == 0;
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
+++ b/proxy/src/main/java/wheattrack/net/ConfigurationReloader.java
@@ -113,9 +113,7 @@
   void applyDynamicSettings() {
     requestHandler.applySettings(config.settings(), dynamicSettings);
     longestClientTimeout = Math.max(longestClientTimeout, dynamicSettings.longestClientTimeout());
-    if (!dynamicSettings.limitNames().isEmpty()) {
-      applyTimeouts(dynamicSettings.overlay(config.settings()));
-    }
+    applyTimeouts(dynamicSettings.overlay(config.settings())); // the file's, where it names none
   }
 
   private void applyTimeouts(Settings settings) {
--- a/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
+++ b/proxy/src/test/java/wheattrack/net/ClientDisconnectTest.java
@@ -342,10 +342,12 @@
     Thread.sleep(GRACE_MILLIS);
     answerAll(listener);
     await(
-        "one that stayed is forwarded", () -> List.copyOf(receivedIds).stream().anyMatch(idsStaying::contains));
+        "one that stayed is forwarded",
+        () -> List.copyOf(receivedIds).stream().anyMatch(idsStaying::contains));
     Thread.sleep(SYN_RETRY_MILLIS);
     assertEquals(
-        Set.of(), List.copyOf(receivedIds).stream().filter(idsGone::contains).collect(Collectors.toSet()));
+        Set.of(),
+        List.copyOf(receivedIds).stream().filter(idsGone::contains).collect(Collectors.toSet()));
   }
 
   /**
--- a/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
+++ b/proxy/src/test/java/wheattrack/net/SettingsSubscriptionTest.java
@@ -116,6 +116,27 @@
     assertEquals("404 200 200", statusFor("a") + " " + statusFor("b") + " " + statusFor("c"));
   }
 
+  /**
+   * What happened: timeouts that the source had named stayed in force after it withdrew them. Why:
+   * they were applied only while the source named any limit. What shows it: the source's idle time
+   * closes a connection to a backend, also once the file's 30 s should hold again.
+   */
+  @Test
+  void withdrawnTimeoutsAreThoseOfTheFileAgain() throws Exception {
+    startProxyWithSource("");
+    sendSnapshot();
+    sendSettings("{'rev':4,'after':3,'limits':{'idleClose':400000}}");
+    await("the idle time is in force", () -> metric("settings_told") == 2);
+    assertEquals("200", statusFor("a"));
+    await("the idle connection is closed", () -> observations.contains("closed"));
+    sendSettings("{'rev':5,'after':4,'limits':{'idleClose':null}}");
+    await("the idle time is withdrawn", () -> metric("settings_told") == 3);
+    observations.clear();
+    assertEquals("200", statusFor("a"));
+    Thread.sleep(1000);
+    assertFalse(observations.contains("closed"), "closed by the time that was withdrawn");
+  }
+
   /** The watch ends within a line: the settings stay in force, and the watch is resumed. */
   @Test
   void watchThatEndsWithinALineIsResumed() throws Exception {
