lab soak: clients look for the end of a connection before they use it again

Clients that were told 'Connection: close' sent a further request over an end of the stream that had already come; the proxy discards what follows such an answer (lingering close), as it may. Traced by the bytes read of that connection: exactly one whole request more, sent after the end. A closed connection is found in the log by port and time, as ports are used again.

--- a/lab/src/main/java/wheattrack/lab/soak/HttpStream.java
+++ b/lab/src/main/java/wheattrack/lab/soak/HttpStream.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
@@ -37,6 +38,8 @@
     }
   }
 
+  private static final int PEEK_MILLIS = 1;
+
   private final Socket socket;
   private final InputStream input;
 
@@ -49,6 +52,22 @@
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  /** Whether the peer has closed its side by now; nothing may be received meanwhile. */
+  boolean isEnded() throws IOException {
+    int timeout = socket.getSoTimeout();
+    socket.setSoTimeout(PEEK_MILLIS);
+    try {
+      input.mark(1);
+      boolean isEnded = input.read() < 0;
+      input.reset();
+      return isEnded;
+    } catch (SocketTimeoutException e) {
+      return false;
+    } finally {
+      socket.setSoTimeout(timeout);
+    }
+  }
+
   /** The next message, its body dropped; null if the stream ends before it is complete. */
   Message read() throws IOException {
     StringBuilder head = new StringBuilder();
--- a/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
@@ -61,12 +61,15 @@
 
     /**
      * Sends as many requests at once as there are texts, and reads their answers; returns whether
-     * the connection is still open.
+     * the connection is still open. A connection that the proxy has closed by then is not used.
      */
     boolean exchange(String... requests) {
       Phase phase = run.phase();
       long startedAt = System.nanoTime();
       try {
+        if (stream.isEnded()) {
+          return false;
+        }
         send(String.join("", requests));
       } catch (IOException e) {
         return ended(phase, requests.length);
@@ -116,9 +119,10 @@
     /** The connection has ended with this many requests unanswered; the log tells the rest. */
     private boolean ended(Phase phase, int unanswered) {
       int port = socket.getLocalPort();
+      long endedAt = System.currentTimeMillis();
       for (int i = 0; i < unanswered; i++) {
         run.addUnanswered(
-            new SoakRun.Unanswered(phase, position(), port, bytesSent, ending(), kind));
+            new SoakRun.Unanswered(phase, position(), port, bytesSent, ending(), kind, endedAt));
         isFirst = false;
       }
       return false;
--- a/lab/src/main/java/wheattrack/lab/soak/SoakRun.java
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakRun.java
@@ -5,15 +5,18 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.LocalDateTime;
+import java.time.ZoneId;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
+import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import wheattrack.lab.process.TemporaryDirectory;
 import wheattrack.lab.soak.SoakCounts.Event;
 import wheattrack.lab.soak.SoakCounts.Outcome;
@@ -46,9 +49,23 @@
   private static final int UPGRADED_MILLIS = 700;
   private static final String NON_IDEMPOTENT_PREFIX = Integer.toHexString('p');
 
-  /** A client's end in the log: its port, the bytes received from it. */
+  /** A client's end and its line in the log are at most this far apart. */
+  private static final long MAX_LOG_DISTANCE_MILLIS = 500;
+
+  /** A client's end in the log: when, its port, the bytes received from it. */
   private static final Pattern CLOSED_LINE =
-      Pattern.compile("client closed: \\S*:(?<port>\\d+), age \\d+ ms, (?<bytes>\\d+) bytes");
+      Pattern.compile("(?m)^(\\S+) \\w+ client closed: \\S*:(\\d+), age \\d+ ms, (\\d+) bytes");
+
+  /** A line of the log, by {@link #CLOSED_LINE}; the time in milliseconds since 1970. */
+  private record ClosedClient(long time, int port, long bytes) {
+    private static ClosedClient of(MatchResult line) {
+      LocalDateTime time = LocalDateTime.parse(line.group(1));
+      return new ClosedClient(
+          time.atZone(ZoneId.systemDefault()).toInstant().toEpochMilli(),
+          Integer.parseInt(line.group(2)),
+          Long.parseLong(line.group(3)));
+    }
+  }
 
   /** What the proxy had said about the end of a connection before it came. */
   enum Ending {
@@ -65,6 +82,7 @@
    * @param port the client's
    * @param bytesBefore bytes that the client had sent before this request
    * @param kind of its client
+   * @param endedAt when its client saw the end, milliseconds since 1970
    */
   record Unanswered(
       Phase phase,
@@ -72,7 +90,8 @@
       int port,
       long bytesBefore,
       Ending ending,
-      SoakPlan.ClientKind kind) {
+      SoakPlan.ClientKind kind,
+      long endedAt) {
 
     /** How it ended, given whether the proxy had read bytes of it. */
     private Outcome outcome(boolean wasRead) {
@@ -287,27 +306,37 @@
   }
 
   private void judgeLogs() throws IOException {
-    Map<Integer, List<Long>> bytesByPort = new HashMap<>();
+    List<ClosedClient> closed = new ArrayList<>();
     for (SoakProcess process : processes) {
       String text = process.logText();
-      counts.count(Event.READ_DROPPED, text.split("client closed unanswered", -1).length - 1);
-      counts.count(Event.STEP_FAILED, text.split("a step failed", -1).length - 1);
-      counts.count(Event.PAST_DUE, text.split("past its due", -1).length - 1);
-      Matcher matcher = CLOSED_LINE.matcher(text);
-      while (matcher.find()) {
-        bytesByPort
-            .computeIfAbsent(Integer.valueOf(matcher.group("port")), key -> new ArrayList<>())
-            .add(Long.valueOf(matcher.group("bytes")));
-      }
+      counts.count(Event.READ_DROPPED, occurrences(text, "client closed unanswered"));
+      counts.count(Event.STEP_FAILED, occurrences(text, "a step failed"));
+      counts.count(Event.PAST_DUE, occurrences(text, "past its due"));
+      CLOSED_LINE.matcher(text).results().map(ClosedClient::of).forEach(closed::add);
     }
+    Map<Integer, List<ClosedClient>> closedByPort =
+        closed.stream().collect(Collectors.groupingBy(ClosedClient::port));
     for (Unanswered request : unanswered) {
-      List<Long> received = bytesByPort.getOrDefault(request.port, List.of());
-      boolean wasRead = received.stream().anyMatch(bytes -> bytes > request.bytesBefore);
-      Outcome outcome = request.outcome(wasRead);
-      counts.count(request.phase, request.position, outcome);
-      if (outcome == Outcome.CLOSED_AFTER_READING) {
-        System.out.println("  read and not answered: " + request + ", read: " + received);
-      }
+      judge(request, closedByPort.getOrDefault(request.port, List.of()));
+    }
+  }
+
+  private static int occurrences(String text, String part) {
+    return text.split(Pattern.quote(part), -1).length - 1;
+  }
+
+  /** Ports are used again: the connection is the one whose close was logged nearest in time. */
+  private void judge(Unanswered request, List<ClosedClient> closedAtPort) {
+    long received =
+        closedAtPort.stream()
+            .filter(client -> Math.abs(client.time - request.endedAt) < MAX_LOG_DISTANCE_MILLIS)
+            .min(Comparator.comparingLong(client -> Math.abs(client.time - request.endedAt)))
+            .map(ClosedClient::bytes)
+            .orElse(0L);
+    Outcome outcome = request.outcome(received > request.bytesBefore);
+    counts.count(request.phase, request.position, outcome);
+    if (outcome == Outcome.CLOSED_AFTER_READING) {
+      System.out.println("  read and not answered: " + request + ", bytes read: " + received);
     }
   }
 
