Half heads hold a place for 0.24 s while others wait

Cause: each half head held its place for 0.8 s, so that a client behind four times as many as there were places waited for 3 s in the accept queue. Change: HEAD_TIMEOUT_WHEN_FULL is a tenth of HEAD_TIMEOUT.

--- a/proxy/src/main/java/wheattrack/net/client/ConnectionTimeouts.java
+++ b/proxy/src/main/java/wheattrack/net/client/ConnectionTimeouts.java
@@ -16,8 +16,12 @@
   /** The longest time for a complete head, from connecting or from its first byte. */
   private static final long HEAD_TIMEOUT = 24_000;
 
-  /** The longest time for a complete head while the connection limit is reached and others wait. */
-  static final long HEAD_TIMEOUT_WHEN_FULL = HEAD_TIMEOUT / 3;
+  /**
+   * The longest time for a complete head while the connection limit is reached and others wait.
+   * With 0.8 s, clients beside four times as many half heads as there were places were answered
+   * after their timeout.
+   */
+  static final long HEAD_TIMEOUT_WHEN_FULL = HEAD_TIMEOUT / 10;
 
   /** The longest time between two requests. */
   private static final long IDLE_TIMEOUT = 20_500;
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -174,7 +174,7 @@
     }
 
     /**
-     * How many clients the proxy holds, by docs/design.md; half a head holds a place for 0.8 s
+     * How many clients the proxy holds, by docs/design.md; half a head holds a place for 0.24 s
      * where others wait.
      */
     private int clientCapacity() {
