Tasks of the event loop run in rounds, after all that had arrived when they were queued

Change: the loop keeps its own queue; a round of the group runs all tasks that have seen two earlier rounds, so that one notification round has been handled for each.

--- a/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
@@ -217,6 +217,7 @@
       connection.stream.read();
     } catch (SocketTimeoutException e) {
       run.counts().count(Event.STOPPED_CLIENT_KEPT, 1);
+      run.addKeptPort(connection.socket.getLocalPort());
     }
   }
 
--- a/lab/src/main/java/wheattrack/lab/soak/SoakRun.java
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakRun.java
@@ -107,6 +107,7 @@
   private final Path jar;
   private final SoakCounts counts = new SoakCounts();
   private final ConcurrentLinkedQueue<Unanswered> unanswered = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Integer> keptPorts = new ConcurrentLinkedQueue<>();
   private final Map<String, Long> departures = new ConcurrentHashMap<>();
   private final List<SoakProcess> processes = new ArrayList<>();
   private final int port;
@@ -165,6 +166,11 @@
     unanswered.add(request);
   }
 
+  /** Notes that the client at this port stopped amid a message and was kept for too long. */
+  void addKeptPort(int clientPort) {
+    keptPorts.add(clientPort);
+  }
+
   /** Notes that the client of a request has closed its connection at this time. */
   void addDeparture(String id, long nanoTime) {
     departures.put(id, nanoTime);
@@ -312,6 +318,9 @@
       counts.count(Event.READ_DROPPED, occurrences(text, "client closed unanswered"));
       counts.count(Event.STEP_FAILED, occurrences(text, "a step failed"));
       counts.count(Event.PAST_DUE, occurrences(text, "past its due"));
+      for (int keptPort : keptPorts) {
+        printLinesOf(keptPort, text);
+      }
       CLOSED_LINE.matcher(text).results().map(ClosedClient::of).forEach(closed::add);
     }
     Map<Integer, List<ClosedClient>> closedByPort =
@@ -321,6 +330,14 @@
     }
   }
 
+  /** Shows what the proxy logged about a client that was kept for too long, and its phases. */
+  private static void printLinesOf(int clientPort, String log) {
+    System.out.println("  kept: port " + clientPort);
+    log.lines()
+        .filter(line -> line.contains(":" + clientPort + ",") || line.contains(" phase "))
+        .forEach(line -> System.out.println("    " + line));
+  }
+
   private static int occurrences(String text, String part) {
     return text.split(Pattern.quote(part), -1).length - 1;
   }
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -5,10 +5,12 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -42,6 +44,21 @@
   /** The longest time for which other steps run before late timers after a stall; in ticks. */
   private static final long MAX_CATCH_UP_TIME = 100;
 
+  /**
+   * How many rounds of tasks begin before a task runs. The group asks the system for notifications
+   * before each round, and handles some of those that it gets before the round and some after it.
+   * The first round may belong to notifications that were asked for before the task was queued;
+   * those asked for before the second are all handled when the third begins.
+   */
+  private static final int ROUNDS_BEFORE_TASK = 3;
+
+  /**
+   * A task that waits.
+   *
+   * @param round the round in which it may run
+   */
+  private record QueuedTask(long round, Runnable task) {}
+
   /** Sets the clock of this process wrong by a number of milliseconds, for tests of clock skew. */
   private static final String CLOCK_SKEW_PROPERTY = "wheattrack.skew";
 
@@ -52,6 +69,16 @@
   private final ArrayDeque<Runnable> completedAtOnce = new ArrayDeque<>();
 
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+
+  /** Tasks of {@link #execute} that wait for their round, in order. */
+  private final ConcurrentLinkedQueue<QueuedTask> tasks = new ConcurrentLinkedQueue<>();
+
+  /** Whether the group has been asked for a round that has not begun. */
+  private final AtomicBoolean isRoundPosted = new AtomicBoolean();
+
+  /** The number of rounds that have begun; changed by the loop's thread only. */
+  private volatile long round;
+
   private final TimerQueue timers = new TimerQueue();
 
   /** The nanoseconds between 1970 and the origin of {@link System#nanoTime}. */
@@ -90,7 +117,7 @@
       throw new IllegalStateException("this JDK's channel groups run no tasks: " + channelGroup);
     }
     groupExecutor = executor;
-    alarm = new Alarm(() -> execute(() -> {})); // each task is followed by the timers that are due
+    alarm = new Alarm(() -> post(() -> runStep(() -> {}))); // a step is followed by due timers
   }
 
   /** Makes the one thread of the group, which waits for {@link #run}. */
@@ -198,14 +225,39 @@
    */
   @Override
   public void execute(Runnable task) {
+    tasks.add(new QueuedTask(round + ROUNDS_BEFORE_TASK, task));
+    postRound();
+  }
+
+  private void postRound() {
+    if (isRoundPosted.compareAndSet(false, true)) {
+      post(this::runRound);
+    }
+  }
+
+  /** Has the group run the action, after it has asked the system for notifications once more. */
+  private void post(Runnable action) {
     try {
-      // the group waits for the system's notifications once more before it runs the task
-      groupExecutor.execute(() -> runStep(task));
+      groupExecutor.execute(action);
     } catch (RejectedExecutionException e) {
       LOG.log(Level.FINE, "not run, as the loop has ended", e);
     }
   }
 
+  private void runRound() {
+    isRoundPosted.set(false);
+    round++;
+    QueuedTask next = tasks.peek();
+    while (next != null && next.round <= round) {
+      tasks.remove();
+      runStep(next.task);
+      next = tasks.peek();
+    }
+    if (next != null) {
+      postRound();
+    }
+  }
+
   /**
    * Ends the loop: the current step is the last one, and all channels are closed. Any thread may
    * call it.
