--- a/lab/src/test/java/wheattrack/lab/soak/SoakTest.java
+++ b/lab/src/test/java/wheattrack/lab/soak/SoakTest.java
@@ -31,13 +31,14 @@
   }
 
   /**
-   * Half heads, more than there are places, in two of three seeds during an upgrade, which halves
-   * the places. A request that has waited in the accept queue is timed from when it is read, so its
-   * answer may be late for its client.
+   * Half heads, more than there are places, in three of these seeds during an upgrade, which halves
+   * the places. Seen beside a busy machine: seeds 3 and 41, one late answer each (a request that
+   * has waited in the accept queue is timed from when it is read); seed 122, a whole request that a
+   * client sent after "Connection: close" and before the end of the stream, read and not answered.
    */
   @Tag("known-red")
   @ParameterizedTest
-  @ValueSource(longs = {3, 5, 7})
+  @ValueSource(longs = {3, 5, 7, 41, 122})
   void noRuleIsBrokenBesideHalfHeads(long seed) throws Exception {
     assertKeepsTheRules(seed);
   }
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -77,7 +78,7 @@
   private final AtomicBoolean isRoundPosted = new AtomicBoolean();
 
   /** The number of rounds that have begun; changed by the loop's thread only. */
-  private volatile long round;
+  private final AtomicLong round = new AtomicLong();
 
   private final TimerQueue timers = new TimerQueue();
 
@@ -225,7 +226,7 @@
    */
   @Override
   public void execute(Runnable task) {
-    tasks.add(new QueuedTask(round + ROUNDS_BEFORE_TASK, task));
+    tasks.add(new QueuedTask(round.get() + ROUNDS_BEFORE_TASK, task));
     postRound();
   }
 
@@ -246,9 +247,9 @@
 
   private void runRound() {
     isRoundPosted.set(false);
-    round++;
+    long begun = round.incrementAndGet();
     QueuedTask next = tasks.peek();
-    while (next != null && next.round <= round) {
+    while (next != null && next.round <= begun) {
       tasks.remove();
       runStep(next.task);
       next = tasks.peek();
