--- a/lab/src/main/java/wheattrack/lab/soak/SoakBackends.java
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakBackends.java
@@ -60,12 +60,16 @@
   /** Lists the first backend as draining. */
   void drainFirst() {
     isFirstDraining = true;
-    for (Socket watch : watches) {
-      try {
-        sendChunk(watch, list() + "\n");
-      } catch (IOException e) {
-        watches.remove(watch);
-      }
+    watches.removeIf(watch -> !sendList(watch));
+  }
+
+  /** Sends the list; returns whether the watch still takes it. */
+  private boolean sendList(Socket watch) {
+    try {
+      sendChunk(watch, list() + "\n");
+      return true;
+    } catch (IOException e) {
+      return false;
     }
   }
 
