Tasks of other threads run in the loop's next round, as a reload must

Cause: since each task waits for two rounds, also one that another thread submits, which a connection that is made later could overtake. Change: only tasks of the loop's own thread wait.

--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -74,6 +74,9 @@
   /** Tasks of {@link #execute} that wait for their round, in order. */
   private final ConcurrentLinkedQueue<QueuedTask> tasks = new ConcurrentLinkedQueue<>();
 
+  /** Tasks of other threads, which run in the next round. */
+  private final ConcurrentLinkedQueue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>();
+
   /** Whether the group has been asked for a round that has not begun. */
   private final AtomicBoolean isRoundPosted = new AtomicBoolean();
 
@@ -221,12 +224,17 @@
   }
 
   /**
-   * Queues a task, to be run as a step of its own, after everything that has arrived at the
-   * channels by now. Any thread may call it. After the shutdown the task is dropped.
+   * Queues a task, to be run as a step of its own. Any thread may call it. A task that the loop's
+   * own thread queues runs after everything that has arrived at the channels by now; one of another
+   * thread runs soon. After the shutdown the task is dropped.
    */
   @Override
   public void execute(Runnable task) {
-    tasks.add(new QueuedTask(round.get() + ROUNDS_BEFORE_TASK, task));
+    if (Thread.currentThread() == thread) {
+      tasks.add(new QueuedTask(round.get() + ROUNDS_BEFORE_TASK, task));
+    } else {
+      submittedTasks.add(task);
+    }
     postRound();
   }
 
@@ -248,6 +256,9 @@
   private void runRound() {
     isRoundPosted.set(false);
     long begun = round.incrementAndGet();
+    for (Runnable task = submittedTasks.poll(); task != null; task = submittedTasks.poll()) {
+      runStep(task);
+    }
     QueuedTask next = tasks.peek();
     while (next != null && next.round <= begun) {
       tasks.remove();
