Read again: state of the loop's own thread is plain; ids of long bodies name their class

EventLoop: rounds and their tasks belong to the loop's thread alone since other threads' tasks have a queue of their own, so neither an atomic counter nor a concurrent queue is needed. ClientConnection: whether there was a request follows from their number.

--- a/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
+++ b/lab/src/main/java/wheattrack/lab/soak/SoakClient.java
@@ -182,10 +182,11 @@
   }
 
   private String nextRequest() {
-    String className = CLASSES[random.nextInt(CLASSES.length)];
     boolean hasLongBody = kind == ClientKind.LONG_BODIES;
+    String drawnClass = CLASSES[random.nextInt(CLASSES.length)];
+    String className = hasLongBody ? NON_IDEMPOTENT : drawnClass;
     String body = hasLongBody ? "x".repeat(SoakPlan.LONG_BODY_BYTES) : "hi";
-    return request(hasLongBody ? NON_IDEMPOTENT : className, nextId(className), body);
+    return request(className, nextId(className), body);
   }
 
   private String nextId(String className) {
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -71,8 +70,8 @@
 
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
 
-  /** Tasks of {@link #execute} that wait for their round, in order. */
-  private final ConcurrentLinkedQueue<QueuedTask> tasks = new ConcurrentLinkedQueue<>();
+  /** Tasks of the loop's own thread that wait for their round, in order. */
+  private final ArrayDeque<QueuedTask> tasks = new ArrayDeque<>();
 
   /** Tasks of other threads, which run in the next round. */
   private final ConcurrentLinkedQueue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>();
@@ -80,8 +79,8 @@
   /** Whether the group has been asked for a round that has not begun. */
   private final AtomicBoolean isRoundPosted = new AtomicBoolean();
 
-  /** The number of rounds that have begun; changed by the loop's thread only. */
-  private final AtomicLong round = new AtomicLong();
+  /** The number of rounds that have begun. */
+  private long round;
 
   private final TimerQueue timers = new TimerQueue();
 
@@ -231,7 +230,7 @@
   @Override
   public void execute(Runnable task) {
     if (Thread.currentThread() == thread) {
-      tasks.add(new QueuedTask(round.get() + ROUNDS_BEFORE_TASK, task));
+      tasks.add(new QueuedTask(round + ROUNDS_BEFORE_TASK, task));
     } else {
       submittedTasks.add(task);
     }
@@ -255,12 +254,12 @@
 
   private void runRound() {
     isRoundPosted.set(false);
-    long begun = round.incrementAndGet();
+    round++;
     for (Runnable task = submittedTasks.poll(); task != null; task = submittedTasks.poll()) {
       runStep(task);
     }
     QueuedTask next = tasks.peek();
-    while (next != null && next.round <= begun) {
+    while (next != null && next.round <= round) {
       tasks.remove();
       runStep(next.task);
       next = tasks.peek();
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -46,7 +46,6 @@
   /** Whether a request is open, or the connection only waits to be closed. */
   private boolean isBusy;
 
-  private boolean hasHadRequest;
   private boolean isHeadRequest;
 
   private final long acceptedAt;
@@ -109,7 +108,7 @@
     return !isBusy
         && !isLingering
         && !decoder.isMidMessage()
-        && (hasHadRequest || !isJustConnected());
+        && (requestCount > 0 || !isJustConnected());
   }
 
   private boolean isJustConnected() {
@@ -152,7 +151,7 @@
     if (decoder.isMidMessage() || loop.now() - idleSince <= EVICTION_GRACE) {
       return EvictionPriority.NEVER;
     }
-    return hasHadRequest ? EvictionPriority.IDLE : EvictionPriority.SILENT;
+    return requestCount > 0 ? EvictionPriority.IDLE : EvictionPriority.SILENT;
   }
 
   /**
@@ -249,7 +248,6 @@
 
   private void onRequest(Request request) {
     isBusy = true;
-    hasHadRequest = true;
     requestCount++;
     isHeadRequest = request.method().equals("HEAD");
     bodyReader.onRequest();
