--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -12,7 +12,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -526,8 +525,4 @@
           });
     }
   }
-
-  static List<String> list() {
-    return new ArrayList<>();
-  }
 }
--- a/review/src/SilentBackend.java
+++ b/review/src/SilentBackend.java
@@ -3,7 +3,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
@@ -17,7 +19,8 @@
   private static final double SILENT_MS = 12_000;
   private static final double TIMEOUT_MS = 2_500; // of the rule set and of each request
   private static final double SLACK_MS = 500 + 50; // by the pages
-  private static final int MAX_BODY = 8 << 20; // bytes; the pages allow 32 MB
+  private static final int MAX_BODY = 6 << 20; // bytes; the pages allow 32 MB
+  private static final int SENT_AT_ONCE = 2 << 20; // bytes; the system takes more than that unread
 
   private static final String SETTINGS =
       """
@@ -93,12 +96,13 @@
     if (rig.trouble) {
       signal(rig, stopped, "STOP");
     }
+    Queues queues = new Queues(proxy.port);
     List<Result> results = new CopyOnWriteArrayList<>();
     List<Thread> threads = new ArrayList<>();
     for (int i = 0; i < REQUESTS; i++) {
       String id = "long-" + i;
-      threads.add(Rig.thread(id, () -> results.add(send(rig, proxy, id))));
-      Rig.sleep(20);
+      threads.add(Rig.thread(id, () -> results.add(send(rig, proxy, queues, id))));
+      Rig.sleep(40);
     }
     if (rig.trouble) {
       Rig.sleep(SILENT_MS);
@@ -153,9 +157,10 @@
 
   /**
    * Sends a request with a long body in chunks. Where the proxy's machine holds bytes that the proxy
-   * does not read for a while, the body ends there: its last byte has then reached that machine.
+   * does not read for 0.6 s, the body ends there: its last byte has then reached that machine.
    */
-  private static Result send(Rig rig, Rig.Proxy proxy, String id) throws Exception {
+  private static Result send(Rig rig, Rig.Proxy proxy, Queues queues, String id)
+      throws Exception {
     try (Rig.Client client = new Rig.Client(proxy.port, 25_000)) {
       String headers =
           "Request-Id: " + id + "\r\nRequest-Class: issue\r\nRequest-Timeout: 2.5\r\n"
@@ -168,17 +173,14 @@
       while (size < MAX_BODY && !isHeldUp) {
         client.socket.getOutputStream().write(chunk);
         size += 0x4000;
-        isHeldUp = staysUnread(proxy.port, port);
+        isHeldUp = size > SENT_AT_ONCE && staysUnread(queues, port);
       }
       client.socket.getOutputStream().write(Rig.ascii("0\r\n\r\n"));
       // the last byte counts as written once the client's machine holds none of them any more
       boolean taken = false;
       double end = Rig.ms() + 500;
       while (!taken && Rig.ms() < end) {
-        taken = queue(port, proxy.port, 0) == 0;
-        if (!taken) {
-          Rig.sleep(5);
-        }
+        taken = queues.next().unsent(port) == 0;
       }
       double sentAt = Rig.ms();
       rig.log(id + " sent, " + size + " bytes" + (taken ? "" : ", not taken completely"));
@@ -193,34 +195,78 @@
     }
   }
 
-  /** Whether bytes of the connection lie unread at the proxy's machine for 100 ms. */
-  private static boolean staysUnread(int proxyPort, int clientPort) throws IOException {
-    double end = Rig.ms() + 100;
-    while (queue(proxyPort, clientPort, 1) > 0) {
+  /** Whether bytes of the connection lie unread at the proxy's machine for 0.6 s. */
+  private static boolean staysUnread(Queues queues, int clientPort) {
+    double end = Rig.ms() + 600;
+    while (queues.next().unread(clientPort) > 0) {
       if (Rig.ms() > end) {
         return true;
       }
-      Rig.sleep(2);
     }
     return false;
   }
 
-  /**
-   * A queue of one side of a connection, as the system lists it.
-   *
-   * @param index 0: bytes sent that the other side has not received; 1: bytes received and not read
-   */
-  private static long queue(int localPort, int remotePort, int index) throws IOException {
-    String local = String.format(":%04X", localPort);
-    String remote = String.format(":%04X", remotePort);
-    for (String file : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
-      for (String line : Files.readAllLines(Path.of(file))) {
-        String[] fields = line.trim().split("\\s+");
-        if (fields[1].endsWith(local) && fields[2].endsWith(remote)) {
-          return Long.parseLong(fields[4].split(":")[index], 16);
+  /** The queues of the clients' connections to the proxy, as the system lists them. */
+  private static final class Queues {
+    private record Snapshot(double begunAt, Map<Integer, Long> unread, Map<Integer, Long> unsent) {
+      /** Bytes that the proxy's machine has received and the proxy has not read. */
+      long unread(int clientPort) {
+        return unread.getOrDefault(clientPort, 0L);
+      }
+
+      /** Bytes that the client has written and the proxy's machine has not received. */
+      long unsent(int clientPort) {
+        return unsent.getOrDefault(clientPort, 0L);
+      }
+    }
+
+    private final int proxyPort;
+    private volatile Snapshot latest = new Snapshot(0, Map.of(), Map.of());
+
+    /** Lists them all the time, on a thread of its own. */
+    Queues(int proxyPort) {
+      this.proxyPort = proxyPort;
+      Rig.thread(
+          "queues",
+          () -> {
+            while (true) {
+              latest = read();
+              Rig.sleep(2);
+            }
+          });
+    }
+
+    /** The first list that was begun after this call. */
+    Snapshot next() {
+      double now = Rig.ms();
+      while (latest.begunAt <= now) {
+        Rig.sleep(1);
+      }
+      return latest;
+    }
+
+    private Snapshot read() throws IOException {
+      Snapshot snapshot = new Snapshot(Rig.ms(), new HashMap<>(), new HashMap<>());
+      String proxy = String.format(":%04X", proxyPort);
+      for (String file : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+        for (String line : Files.readAllLines(Path.of(file))) {
+          if (!line.contains(proxy)) {
+            continue;
+          }
+          String[] fields = line.trim().split("\\s+");
+          String[] queues = fields[4].split(":");
+          if (fields[1].endsWith(proxy)) {
+            snapshot.unread.put(port(fields[2]), Long.parseLong(queues[1], 16));
+          } else if (fields[2].endsWith(proxy)) {
+            snapshot.unsent.put(port(fields[1]), Long.parseLong(queues[0], 16));
+          }
         }
       }
+      return snapshot;
+    }
+
+    private static int port(String address) {
+      return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1), 16);
     }
-    return 0; // closed already
   }
 }
