A long body's time runs from when its last byte may have arrived, not from its reading

Cause: RequestHandler.onBodyComplete started the deadline when the last byte was read, and the relay reads a body only as fast as a backend accepts it. The last byte lay in the receive buffer meanwhile. What was left was the limit of 10 s on a pause, which each part restarts, and none at a shutdown.

Evidence: LongBodyDeadlineTest forces four ways of holding the relay up. Before the change all four failed (no answer in 5 s three times, a reset at shutdown); the three cases of slow clients passed.

Change: BodyArrival tracks the last time at which the body was certainly incomplete: a read waits and the bytes before it don't end the body, or more is missing than both machines buffer (the receive buffer has a fixed size now). The request has a deadline from its acceptance, which moves with that.

--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -102,6 +102,24 @@
     return state != State.AWAITING_HEAD;
   }
 
+  /**
+   * Whether the received bytes that are not decoded yet may contain the end of the body that is
+   * streamed.
+   */
+  public boolean mayHoldEndOfBody() {
+    boolean hasKnownLength = bodyDecoder.framing().hasKnownLength();
+    return hasKnownLength ? missingBodyBytes() <= 0 : received.size() > 0;
+  }
+
+  /**
+   * How many bytes of the body that is streamed have at least not been received yet; 0 if its
+   * length is unknown.
+   */
+  public long missingBodyBytes() {
+    boolean hasKnownLength = isInBody() && bodyDecoder.framing().hasKnownLength();
+    return hasKnownLength ? bodyDecoder.remainingBytes() - received.size() : 0;
+  }
+
   /** Whether a message whose body has no known length has begun and was not returned yet. */
   public boolean isOpenEnded() {
     return state == State.BUFFERING_BODY && !bodyDecoder.framing().hasKnownLength();
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -83,7 +83,9 @@
     this.listener = listener;
     decoder = new RequestDecoder(listener.maxBodyBytes());
     timeouts = new ConnectionTimeouts(loop, this::onRequestTimeout, this::close);
-    bodyReader = new RequestBodyReader(this, listener.readAheadBudget(), loop, decoder, timeouts);
+    bodyReader =
+        new RequestBodyReader(
+            this, listener.readAheadBudget(), listener.arrivalChecker(), loop, decoder, timeouts);
     slot = listener.register(this);
     acceptedAt = loop.now();
     idleSince = acceptedAt;
@@ -310,6 +312,14 @@
     bodyReader.cancelRequest();
   }
 
+  /**
+   * The last time at which the long body of the open request is known to have been incomplete, in
+   * tenths of a millisecond. While its bytes are not read, its last byte may have arrived.
+   */
+  public long bodyIncompleteAt() {
+    return bodyReader.bodyIncompleteAt();
+  }
+
   // ---- the response
 
   /**
--- a/proxy/src/main/java/wheattrack/net/client/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientListener.java
@@ -52,6 +52,7 @@
   private final Supplier<String> readinessRemark;
   private final ClientConnectionTable connections;
   private final ReadAheadBudget readAheadBudget = new ReadAheadBudget();
+  private final BodyArrivalChecker arrivalChecker;
   private final ClientErrorLog errorLog;
   private final ClientConnectionCounters counters = new ClientConnectionCounters();
   private AsynchronousServerSocketChannel channel;
@@ -81,6 +82,7 @@
     this.receiver = receiver;
     this.readinessRemark = readinessRemark;
     connections = new ClientConnectionTable(maxClients);
+    arrivalChecker = new BodyArrivalChecker(loop);
     errorLog = new ClientErrorLog(loop);
   }
 
@@ -95,6 +97,7 @@
   public void listen(AsynchronousChannelGroup group, InetSocketAddress address) throws IOException {
     channel = AsynchronousServerSocketChannel.open(group);
     channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    channel.setOption(StandardSocketOptions.SO_RCVBUF, BodyArrival.RECEIVE_BUFFER_BYTES);
     channel.setOption(StandardSocketOptions.SO_REUSEPORT, true).bind(address, BACKLOG);
   }
 
@@ -249,6 +252,11 @@
     return readAheadBudget;
   }
 
+  /** The check, shared by all connections, of which reads of long bodies wait. */
+  BodyArrivalChecker arrivalChecker() {
+    return arrivalChecker;
+  }
+
   /** Length of the longest request body, in bytes. */
   long maxBodyBytes() {
     return maxBodyBytes;
--- a/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
@@ -34,6 +34,7 @@
   private final RequestDecoder decoder;
   private final ConnectionTimeouts timeouts;
   private final MinimumTransferRate transferRate = new MinimumTransferRate();
+  private final BodyArrival arrival;
 
   /** Whether the body of a request is being received, for which the minimum rate holds. */
   private boolean isInBody;
@@ -65,6 +66,7 @@
   RequestBodyReader(
       ClientConnection connection,
       ReadAheadBudget readAheadBudget,
+      BodyArrivalChecker arrivalChecker,
       EventLoop loop,
       RequestDecoder decoder,
       ConnectionTimeouts timeouts) {
@@ -73,10 +75,12 @@
     this.loop = loop;
     this.decoder = decoder;
     this.timeouts = timeouts;
+    arrival = new BodyArrival(connection, loop, decoder, arrivalChecker);
   }
 
   /** Handles a completed read: counts its bytes, and passes those read ahead to the decoder. */
   void onRead(int count) {
+    arrival.onReadCompleted();
     if (isInBody) {
       transferRate.received(loop.now(), count);
     }
@@ -156,8 +160,19 @@
     return consumer != null && lastPart == null;
   }
 
+  /**
+   * The last time at which the long body of the open request is known to have been incomplete, in
+   * tenths of a millisecond: its last byte has arrived at this machine no earlier than that.
+   */
+  long bodyIncompleteAt() {
+    return arrival.incompleteAt();
+  }
+
   /** A request has been received, complete or with its body's first bytes. */
   void onRequest() {
+    if (decoder.isStreamingBody()) {
+      arrival.start();
+    }
     if (decoder.isStreamingBody() && !isInBody) {
       transferRate.start(loop.now());
     }
@@ -209,11 +224,16 @@
       ByteBuffer part = decoder.nextBodyPart();
       updateCount();
       isInBody = decoder.isStreamingBody();
-      if (!isInBody) {
+      if (isInBody) {
+        arrival.onDecoded();
+      } else {
+        arrival.stop();
         lastPart = part;
         readMore();
         loop.execute(this::deliverLastPart);
-      } else if (part.hasRemaining()) {
+        return;
+      }
+      if (part.hasRemaining()) {
         deliver(part, false);
       } else {
         timeouts.awaitBody(transferRate.remaining(loop.now()));
@@ -244,6 +264,7 @@
    * The connection is closed: nothing more is delivered, and its bytes are released to the budget.
    */
   void close() {
+    arrival.stop();
     readAheadBudget.add(-countedBytes);
     consumer = null;
     lastPart = null;
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -192,7 +192,9 @@
     RequestBodyRelay body =
         hasLongBody ? new RequestBodyRelay(client, () -> onBodyComplete(request)) : null;
     request.open(slot, pending, body);
-    if (!hasLongBody) {
+    if (hasLongBody) {
+      startBodyDeadline(request);
+    } else {
       startDeadlineGuard(request);
     }
     request.setHandle(loadBalancer.accept(pending));
@@ -224,12 +226,39 @@
     }
   }
 
-  /** The last byte of a long body has been received: the client's timeout runs from now on. */
+  private void startBodyDeadline(InFlightRequest request) {
+    long delay = request.pending().deadline() - loop.now();
+    request.setDeadlineGuard(loop.schedule(delay, () -> onBodyDeadline(request)));
+  }
+
+  /**
+   * The client's timeout has passed since the last byte of a long body may have arrived, as far as
+   * was known. If the body is known to have been incomplete since, the request has more time; else
+   * its attempt is abandoned, and the policy ends it.
+   */
+  private void onBodyDeadline(InFlightRequest request) {
+    restartClock(request);
+    if (loop.now() < request.pending().deadline()) {
+      startBodyDeadline(request);
+      return;
+    }
+    startDeadlineGuard(request);
+    request.abandonAttempts(AttemptOutcome.TIMEOUT);
+  }
+
+  /** Lets the client's timeout run from the earliest time at which the body may be complete. */
+  private void restartClock(InFlightRequest request) {
+    long arrivedAt = Math.max(request.pending().arrivedAt(), request.client().bodyIncompleteAt());
+    request.pending().restartClock(arrivedAt, latestDeadline());
+  }
+
+  /** The last byte of a long body has been read; it may have arrived before. */
   private void onBodyComplete(InFlightRequest request) {
     if (request.isSettled()) {
       return;
     }
-    request.pending().restartClock(loop.now(), latestDeadline());
+    loop.cancel(request.deadlineGuard());
+    restartClock(request);
     startDeadlineGuard(request);
     BackendAttempt attempt = request.latestAttempt();
     if (attempt != null) { // null while backends are still being probed for their load
