Recognize second copies of answers by content, not by how late they come

Cause: after the quarantine of 0.04 of the connect timeout a connection took whatever came for the next request's answer, and from the first copy on each answer was one behind.

Change: ResponseMatcher compares each answer with all earlier ones on its connection. Classes whose answers are not known to differ use new connections for non-idempotent requests.

--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -1,6 +1,7 @@
 package wheattrack.http;
 
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 /**
  * Decodes messages from the bytes of one connection as they arrive.
@@ -157,6 +158,14 @@
     return startStreaming();
   }
 
+  /**
+   * The first bytes of the body decoded so far, {@code maxSize} at most. May be called only while
+   * {@link #isOpenEnded} holds.
+   */
+  public byte[] startOfBufferedBody(int maxSize) {
+    return Arrays.copyOf(bufferedBody.toByteArray(), Math.min(maxSize, bufferedBody.size()));
+  }
+
   /**
    * The next received bytes of the body that is streamed, which may be none. Afterwards {@link
    * #isStreamingBody} shows whether more of it follows.
--- a/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
@@ -168,6 +168,31 @@
     return null;
   }
 
+  /** Whether it is a probe of its backend rather than an attempt of a client's request. */
+  protected boolean isProbe() {
+    return false;
+  }
+
+  /** Whether its request must not run twice. */
+  protected boolean isNonIdempotent() {
+    return false;
+  }
+
+  /** Whether it must not use a connection that has carried a response. */
+  protected boolean needsNewConnection() {
+    return false;
+  }
+
+  /** Whether its response, if it arrives now, is the one that its client receives. */
+  protected boolean isResponseAwaited() {
+    return false;
+  }
+
+  /** Whether the responses to requests like this one differ; null for a probe. */
+  protected ResponseVariety responseVariety() {
+    return null;
+  }
+
   /** The last byte of the request has been written. */
   protected void onRequestWritten() {
     // only attempts of requests are counted, not probes
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -12,6 +12,7 @@
 import wheattrack.http.Response;
 import wheattrack.http.ResponseDecoder;
 import wheattrack.http.StatusCode;
+import wheattrack.log.EventLog;
 import wheattrack.net.protocol.ProtocolMapping;
 
 /**
@@ -39,6 +40,7 @@
   private final BackendConnectionPool pool;
   private final Connector connector;
   private final ResponseDecoder decoder;
+  private final ResponseMatcher matcher = new ResponseMatcher();
   private final InetSocketAddress remoteAddress;
   private final long openedAt;
   private final int slot;
@@ -64,6 +66,9 @@
   /** Whether a response of unknown length is being buffered, as it may be a short one. */
   private boolean isBufferingResponse;
 
+  /** Whether that response may be handled as a long one as soon as it is known not to be a copy. */
+  private boolean isBufferingTimeOver;
+
   /** Whether the connection broke while the request was being written. */
   private boolean isBroken;
 
@@ -177,6 +182,11 @@
 
   // ---- the request
 
+  /** Whether it may carry the attempt. */
+  boolean mayCarry(BackendAttempt attempt) {
+    return matcher.mayCarry(attempt);
+  }
+
   /** Sends the attempt's request; the attempt ends with the response or with a failure. */
   void send(BackendAttempt attempt) {
     loop.cancel(timer);
@@ -185,6 +195,7 @@
     attemptBeingWritten = attempt;
     attempt.startOn(this);
     Request request = attempt.buildRequest();
+    matcher.onRequest(attempt);
     bodySource = attempt.body();
     isBodyChunked = request.remainingBody().isChunked();
     decoder.expectNoBody(request.method().equals("HEAD"));
@@ -230,7 +241,10 @@
       } else {
         deliverNextPart();
       }
-    } else if (isBreak || currentAttempt == null) {
+    } else if (isBreak) {
+      onBreak();
+    } else if (currentAttempt == null) {
+      logSurplus("received while no request was in flight");
       onBreak();
     } else {
       decodeResponse();
@@ -239,38 +253,81 @@
 
   private void decodeResponse() {
     try {
-      Response response = decoder.next();
-      while (response != null && StatusCode.isInterim(response.status())) {
-        response = decoder.next();
+      for (Response response = nextFinal(); response != null; response = nextFinal()) {
+        ResponseMatcher.Origin origin =
+            matcher.originOf(response, currentAttempt, !decoder.isStreamingBody());
+        if (origin == ResponseMatcher.Origin.CURRENT_REQUEST) {
+          onResponse(response);
+          return;
+        }
+        logSurplus("equal to an earlier response, its request: " + origin);
+        if (origin == ResponseMatcher.Origin.UNKNOWN) {
+          onBreak();
+          return;
+        }
+        endBuffering();
       }
-      if (response != null) {
-        onResponse(response);
-        return;
-      }
-      if (decoder.isOpenEnded() && !isBufferingResponse) {
-        isBufferingResponse = true;
-        timer = loop.schedule(currentAttempt.remainingBufferingTime(), this::onBufferingExpired);
-      }
-      read(decoder.writableBuffer());
+      awaitRestOfResponse();
     } catch (MalformedMessageException e) {
       onBreak();
     }
   }
 
+  /** The next response that is not an interim one, or null if more bytes must be received first. */
+  private Response nextFinal() throws MalformedMessageException {
+    Response response = decoder.next();
+    while (response != null && StatusCode.isInterim(response.status())) {
+      response = decoder.next();
+    }
+    return response;
+  }
+
+  private void awaitRestOfResponse() {
+    if (decoder.isOpenEnded() && !isBufferingResponse) {
+      isBufferingResponse = true;
+      timer = loop.schedule(currentAttempt.remainingBufferingTime(), this::onBufferingExpired);
+    }
+    if (isBufferingTimeOver && decoder.isOpenEnded() && mayStream()) {
+      onResponse(decoder.nextWithPartialBody());
+    } else {
+      read(decoder.writableBuffer());
+    }
+  }
+
+  private void endBuffering() {
+    isBufferingResponse = false;
+    isBufferingTimeOver = false;
+    loop.cancel(timer);
+  }
+
+  private void logSurplus(String cause) {
+    EventLog.info("surplus response", pool.id(), cause);
+  }
+
   /**
    * A response of unknown length has not ended within its buffering time: it is handled as a long
-   * one, which counts as received with its first bytes.
+   * one, which counts as received with its first bytes, unless it may be a copy of an earlier one.
    */
   private void onBufferingExpired() {
     if (isBufferingResponse && currentAttempt != null && decoder.isOpenEnded()) {
-      onResponse(decoder.nextWithPartialBody());
+      isBufferingTimeOver = true;
+      if (mayStream()) {
+        onResponse(decoder.nextWithPartialBody());
+      }
     }
   }
 
+  private boolean mayStream() {
+    return !matcher.mayBeCopy(decoder.startOfBufferedBody(ResponseHistory.PREFIX_BYTES));
+  }
+
   private void onResponse(Response response) {
-    isBufferingResponse = false;
-    loop.cancel(timer);
-    isReusable = response.keepAlive() && !isWriting() && bodySource == null;
+    endBuffering();
+    isReusable =
+        response.keepAlive()
+            && !isWriting()
+            && bodySource == null
+            && matcher.mayContinueAfter(response, !decoder.isStreamingBody());
     BackendAttempt attempt = currentAttempt;
     currentAttempt = null;
     if (decoder.isStreamingBody() && response.status() == StatusCode.OK) {
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -52,6 +52,11 @@
     return address;
   }
 
+  /** The variety of all backends' responses to requests of this class. */
+  public ResponseVariety responseVariety(String className) {
+    return connector.recentResponses().variety(className);
+  }
+
   // ---- the backend's state in the endpoint list
 
   /**
@@ -117,16 +122,14 @@
     waiting.remove(attempt);
   }
 
-  /** Takes the attempt that waits longest and may still start, or null. */
-  private BackendAttempt pollWaiting() {
-    BackendAttempt attempt = waiting.pollFirst();
-    // After a stall of the process, waiting attempts may be past the time until which they may
-    // start.
-    while (attempt != null && loop.now() >= attempt.latestStart()) {
-      attempt.abandon(AttemptOutcome.DISCARDED);
-      attempt = waiting.pollFirst();
+  /** Discards the waiting attempts that are past the time until which they may start. */
+  private void discardOverdue() {
+    // After a stall of the process, waiting attempts may be past that time.
+    for (BackendAttempt attempt : List.copyOf(waiting)) {
+      if (loop.now() >= attempt.latestStart()) {
+        attempt.abandon(AttemptOutcome.DISCARDED);
+      }
     }
-    return attempt;
   }
 
   // ---- assignment of connections to attempts
@@ -141,7 +144,11 @@
       return;
     }
     long usableFrom =
-        idle.stream().mapToLong(BackendConnection::usableFrom).min().orElse(Long.MAX_VALUE);
+        idle.stream()
+            .filter(connection -> waiting.stream().anyMatch(connection::mayCarry))
+            .mapToLong(BackendConnection::usableFrom)
+            .min()
+            .orElse(Long.MAX_VALUE);
     if (usableFrom <= loop.now()) {
       isAssignmentScheduled = true;
       loop.execute(this::assignIdleConnections);
@@ -160,25 +167,32 @@
 
   private void assignIdleConnections() {
     isAssignmentScheduled = false;
-    BackendConnection connection = usableConnection();
-    while (connection != null && !waiting.isEmpty()) {
-      BackendAttempt attempt = pollWaiting();
-      if (attempt != null) {
+    closeOverdueIdleConnections();
+    discardOverdue();
+    for (BackendAttempt attempt : List.copyOf(waiting)) {
+      BackendConnection connection = usableConnection(attempt);
+      if (connection != null && waiting.remove(attempt)) {
         idle.remove(connection);
         connection.send(attempt);
       }
-      connection = usableConnection();
     }
     assignConnections();
   }
 
-  /** The usable connection used last, or null. Closes those that have exceeded the idle timeout. */
-  private BackendConnection usableConnection() {
-    for (int i = idle.size() - 1; i >= 0; i--) {
-      BackendConnection connection = idle.get(i);
+  /** Closes idle connections that have exceeded the idle timeout. */
+  private void closeOverdueIdleConnections() {
+    for (BackendConnection connection : List.copyOf(idle)) {
       if (connection.hasExceededIdleTimeout()) {
         connection.close();
-      } else if (connection.usableFrom() <= loop.now()) {
+      }
+    }
+  }
+
+  /** The usable connection used last that may carry the attempt, or null. */
+  private BackendConnection usableConnection(BackendAttempt attempt) {
+    for (int i = idle.size() - 1; i >= 0; i--) {
+      BackendConnection connection = idle.get(i);
+      if (connection.usableFrom() <= loop.now() && connection.mayCarry(attempt)) {
         return connection;
       }
     }
@@ -187,12 +201,39 @@
 
   /** Opens connections until there is one, usable or not yet, for each waiting attempt. */
   private void connectForWaiting() {
+    int neededConnections = attemptsWithoutIdleConnection().size();
     boolean mayConnect = true;
-    while (mayConnect && connecting.size() + idle.size() < waiting.size()) {
+    while (mayConnect && connecting.size() < neededConnections) {
       mayConnect = connectFor(waiting.peekLast());
     }
   }
 
+  /** The waiting attempts for which there is no idle connection, usable or not yet. */
+  private List<BackendAttempt> attemptsWithoutIdleConnection() {
+    if (idle.isEmpty()) {
+      return List.copyOf(waiting);
+    }
+    List<BackendConnection> available = new ArrayList<>(idle);
+    List<BackendAttempt> attempts = new ArrayList<>();
+    for (BackendAttempt attempt : waiting) {
+      if (!removeSuitable(available, attempt)) {
+        attempts.add(attempt);
+      }
+    }
+    return attempts;
+  }
+
+  private static boolean removeSuitable(
+      List<BackendConnection> connections, BackendAttempt attempt) {
+    for (int i = 0; i < connections.size(); i++) {
+      if (connections.get(i).mayCarry(attempt)) {
+        connections.remove(i);
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Starts to connect; if that is not possible, discards the attempt in a later step.
    *
@@ -216,30 +257,35 @@
 
   /** The connection is open. */
   void onConnected(BackendConnection connection) {
-    if (connecting.remove(connection)) {
-      BackendAttempt attempt = pollWaiting();
-      if (attempt != null) {
-        connection.send(attempt);
-      } else {
-        addIdle(connection, 0);
-      }
+    if (!connecting.remove(connection)) {
+      return;
+    }
+    discardOverdue();
+    if (waiting.isEmpty()) {
+      addIdle(connection, 0);
+      return;
     }
+    List<BackendAttempt> withoutIdleConnection = attemptsWithoutIdleConnection();
+    BackendAttempt next =
+        withoutIdleConnection.isEmpty() ? waiting.peekFirst() : withoutIdleConnection.get(0);
+    waiting.remove(next);
+    connection.send(next);
   }
 
   /** Connecting has failed or timed out. */
   void onConnectFailed(BackendConnection connection) {
-    if (connecting.remove(connection) && waiting.size() > connecting.size()) {
-      if (idle.isEmpty()) {
-        waiting.peekFirst().end(AttemptOutcome.NO_CONNECT, null);
-      } else {
-        assignConnections();
-      }
+    if (!connecting.remove(connection)) {
+      return;
+    }
+    List<BackendAttempt> withoutIdleConnection = attemptsWithoutIdleConnection();
+    if (withoutIdleConnection.size() > connecting.size()) {
+      withoutIdleConnection.get(0).end(AttemptOutcome.NO_CONNECT, null);
     }
   }
 
   /**
-   * The response on this connection is complete. The connection is first in quarantine: a surplus
-   * response may follow, which would be taken for the response to the next request.
+   * The response on this connection is complete. The connection is first in quarantine: surplus
+   * bytes that arrive within it close the connection before it carries another request.
    */
   void release(BackendConnection connection) {
     addIdle(connection, connector.quarantineTime());
--- a/proxy/src/main/java/wheattrack/net/backend/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/backend/Connector.java
@@ -18,8 +18,9 @@
   private static final double IDLE_TIMEOUT_FRACTION = 0.8;
 
   /**
-   * The quarantine of a connection after a response, as a fraction of the connect timeout. It is
-   * long enough to detect a surplus response, which may follow some milliseconds later.
+   * The quarantine of a connection after a response, as a fraction of the connect timeout. Most
+   * surplus bytes arrive within it, before the next request is sent; {@link ResponseMatcher}
+   * recognizes a second copy that arrives later.
    */
   private static final double QUARANTINE_FRACTION = 0.04;
 
@@ -27,6 +28,7 @@
   private final AsynchronousChannelGroup group;
   private final long maxBodyBytes;
   private final SlotTable<BackendConnection> connections = new SlotTable<>();
+  private final RecentResponses recentResponses = new RecentResponses();
   private int maxConnections;
   private long connectTimeout;
   private long idleTimeout;
@@ -63,6 +65,11 @@
     return maxBodyBytes;
   }
 
+  /** The responses received most recently. */
+  RecentResponses recentResponses() {
+    return recentResponses;
+  }
+
   /** How long a connection may be idle; 0: without limit. */
   long idleTimeout() {
     return idleTimeout;
--- /dev/null
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -0,0 +1,92 @@
+package wheattrack.net.backend;
+
+import wheattrack.http.Response;
+import wheattrack.http.StatusCode;
+
+/**
+ * Decides whether a response on a connection belongs to the current request. A backend may send a
+ * second copy of a response at any later time, also when the next request is already on its way to
+ * it, so that neither the state of the connection nor time tells the copy from a response. Runs on
+ * the event loop's thread only.
+ *
+ * <p>A copy equals an earlier response on the same connection. The history of a connection has all
+ * its responses with the status 200; after one that was not remembered as a whole it carries no
+ * further request.
+ */
+final class ResponseMatcher {
+  /** Which request a response belongs to. */
+  enum Origin {
+    CURRENT_REQUEST,
+    EARLIER_REQUEST,
+    /** It equals an earlier response, but the backend may respond so to both requests. */
+    UNKNOWN
+  }
+
+  private final ResponseHistory history = new ResponseHistory();
+  private boolean carriesProbes;
+
+  /**
+   * Whether the connection may carry the attempt. Probes have connections of their own, as their
+   * responses often repeat.
+   */
+  boolean mayCarry(BackendAttempt attempt) {
+    boolean isOfSameKind = attempt.isProbe() == carriesProbes;
+    return history.isEmpty() || (isOfSameKind && !attempt.needsNewConnection());
+  }
+
+  /** The connection carries this attempt from now on. */
+  void onRequest(BackendAttempt attempt) {
+    carriesProbes = attempt.isProbe();
+  }
+
+  /**
+   * Which request a response belongs to that was received while the attempt is in flight. Must be
+   * called once for each response.
+   *
+   * @param isComplete whether the response has its complete body
+   */
+  Origin originOf(Response response, BackendAttempt attempt, boolean isComplete) {
+    if (response.status() != StatusCode.OK) {
+      return Origin.CURRENT_REQUEST;
+    }
+    long fingerprint = Fingerprint.of(response.body());
+    if (history.contains(fingerprint) && !attempt.isProbe()) {
+      return originOfRepeated(attempt);
+    }
+    if (isComplete) {
+      record(response, fingerprint, attempt);
+    }
+    return Origin.CURRENT_REQUEST;
+  }
+
+  private static Origin originOfRepeated(BackendAttempt attempt) {
+    return switch (attempt.responseVariety().kind()) {
+      case DISTINCT -> Origin.EARLIER_REQUEST;
+      case REPEATING -> attempt.isNonIdempotent() ? Origin.UNKNOWN : Origin.CURRENT_REQUEST;
+      case UNKNOWN -> Origin.UNKNOWN;
+    };
+  }
+
+  private void record(Response response, long fingerprint, BackendAttempt attempt) {
+    history.add(response, fingerprint);
+    if (attempt.isResponseAwaited()) {
+      attempt.responseVariety().record(fingerprint);
+    }
+  }
+
+  /**
+   * Whether a response of unknown length that has begun like this may be a copy.
+   *
+   * @param startOfBody at least the first {@link ResponseHistory#PREFIX_BYTES} bytes of its body,
+   *     or all of them that were received
+   */
+  boolean mayBeCopy(byte[] startOfBody) {
+    return history.mayContainStart(startOfBody);
+  }
+
+  /** Whether the connection may carry a further request after this response. */
+  boolean mayContinueAfter(Response response, boolean isComplete) {
+    boolean isRemembered = response.status() != StatusCode.OK || isComplete;
+    return isRemembered && !history.isFull();
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/request/LoadProbe.java
+++ b/proxy/src/main/java/wheattrack/net/request/LoadProbe.java
@@ -35,6 +35,11 @@
     return ProtocolMapping.probeRequest(settings.expectsLoadReports());
   }
 
+  @Override
+  protected boolean isProbe() {
+    return true;
+  }
+
   @Override
   protected void onEnd(AttemptOutcome finalOutcome, Response response) {
     loop()
--- a/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
@@ -10,6 +10,7 @@
 import wheattrack.net.backend.BackendConnectionPool;
 import wheattrack.net.backend.RequestBodySource;
 import wheattrack.net.backend.ResponseBodyReceiver;
+import wheattrack.net.backend.ResponseVariety;
 import wheattrack.net.protocol.ProtocolMapping;
 
 /**
@@ -28,6 +29,7 @@
   private final LoadReports loadReports;
   private final InFlightRequest request;
   private final long deadline;
+  private final ResponseVariety responseVariety;
   private final AttemptCallback callback;
 
   /**
@@ -48,6 +50,7 @@
     this.loadReports = loadReports;
     this.request = request;
     this.deadline = deadline;
+    responseVariety = backend.responseVariety(request.parsed().className());
     this.callback = callback;
   }
 
@@ -56,6 +59,28 @@
     return ProtocolMapping.forwardedRequest(request.parsed().message(), deadline - loop().now());
   }
 
+  @Override
+  protected boolean isNonIdempotent() {
+    return request.pending().requestClass().isNonIdempotent();
+  }
+
+  /** A copy of an earlier response could not be told from the response to HEAD: it has no body. */
+  @Override
+  protected boolean needsNewConnection() {
+    return request.parsed().message().method().equals("HEAD")
+        || responseVariety.requiresNewConnection(isNonIdempotent());
+  }
+
+  @Override
+  protected boolean isResponseAwaited() {
+    return !request.isSettled();
+  }
+
+  @Override
+  protected ResponseVariety responseVariety() {
+    return responseVariety;
+  }
+
   @Override
   protected long remainingBufferingTime() {
     return request.pending().arrivedAt()
