Use no connection again after a rejection or an error of its backend

Cause: a rejection read while a request was in flight was taken for that request's and said that it had never run. It may be a second copy of an earlier rejection, or the true one of an earlier request where a copy of an answer had left the connection one answer behind.

Change: a connection carries no request after anything but a complete 200, so no copy of a rejection, an error or a 4xx can meet another request, whenever it comes.

--- a/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -9,9 +9,10 @@
  * it, so that neither the state of the connection nor time tells the copy from a response. Runs on
  * the event loop's thread only.
  *
- * <p>A copy equals an earlier response on the same connection. The history of a connection has all
- * its responses with the status 200; after one that was not remembered as a whole it carries no
- * further request.
+ * <p>A copy equals an earlier response on the same connection. Only complete responses with the
+ * status 200 are followed by another request on their connection, and all of them are in its
+ * history; so any other response belongs to the current request. Rejections and errors in
+ * particular are often equal, so that a copy of one could not be told from the next.
  */
 final class ResponseMatcher {
   /** Which request a response belongs to. */
@@ -86,7 +87,6 @@
 
   /** Whether the connection may carry a further request after this response. */
   boolean mayContinueAfter(Response response, boolean isComplete) {
-    boolean isRemembered = response.status() != StatusCode.OK || isComplete;
-    return isRemembered && !history.isFull();
+    return response.status() == StatusCode.OK && isComplete && !history.isFull();
   }
 }
--- a/proxy/src/test/java/wheattrack/net/SecondCopyTest.java
+++ b/proxy/src/test/java/wheattrack/net/SecondCopyTest.java
@@ -97,6 +97,17 @@
     assertOwnAnswers(className);
   }
 
+  /**
+   * Guards against a request that runs twice, or is refused although it runs: the refusal of an
+   * earlier request, late or a second time, was taken for its own.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"buy", "pay"})
+  void refusalsOfEarlierRequestsAreNotTakenForTheNext(String className) throws Exception {
+    startProxyWithCopyingBackends(3);
+    assertOwnAnswers(className);
+  }
+
   private void assertOwnAnswers(String className) throws IOException {
     int served = 0;
     try (Socket client = connect()) {
