End the process with exit code 3 when an error outside of steps ends the loop

Cause: the JDK's code around steps passes an OutOfMemoryError on, its thread ends, and the pool asks for another one. EventLoop.run joined the first thread only and returned as after a shutdown.

Change: the group gets no second thread; EventLoop.run throws EventLoopFailedException with the first cause, also for an error of the alarm's thread. An error in a step still ends that step only, and is now counted (steps_failed), also where no memory is left for the log line. The trace of the admin metrics gets the new line.

--- a/proxy/src/main/java/wheattrack/ServeCommand.java
+++ b/proxy/src/main/java/wheattrack/ServeCommand.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.logging.Level;
 import java.util.logging.Logger;
+import wheattrack.aio.EventLoopFailedException;
 import wheattrack.config.ExitCode;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.OperatorConfig;
@@ -33,7 +35,8 @@
   }
 
   /**
-   * Serves. Does not return: the process halts when the proxy has completed its shutdown.
+   * Serves. Does not return: the process halts when the proxy has completed its shutdown, or with
+   * {@link ExitCode#INTERNAL_ERROR} when its event loop has failed.
    *
    * @throws InvalidConfigurationException if the configuration or its address can't be used
    */
@@ -46,10 +49,22 @@
     // ExitCode is loaded now: after the shutdown, the time to load it could let the JVM exit first,
     // with the signal's code
     int exitCode = ExitCode.SUCCESS.code();
-    server.run();
+    try {
+      server.run();
+    } catch (EventLoopFailedException e) {
+      endAfter(e);
+    }
     Runtime.getRuntime().halt(exitCode);
   }
 
+  private static void endAfter(EventLoopFailedException failure) {
+    try {
+      Logger.getLogger("wheattrack").log(Level.SEVERE, "the process ends", failure);
+    } finally { // even without memory for the log line
+      Runtime.getRuntime().halt(ExitCode.INTERNAL_ERROR.code());
+    }
+  }
+
   private OperatorConfig.LogSettings logSettings() {
     return operatorConfig == null ? OperatorConfig.LogSettings.DEFAULTS : operatorConfig.log();
   }
--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
 import wheattrack.core.ClientConnectionCounters;
 import wheattrack.core.EvictionPriority;
@@ -31,6 +32,7 @@
   private final IntSupplier backends;
   private final IntSupplier ejectedBackends;
   private final IntSupplier leftOutBackends;
+  private final LongSupplier failedSteps;
 
   /**
    * Creates metrics that are read from these sources.
@@ -41,6 +43,7 @@
    * @param ejectedBackends those of them that are ejected now
    * @param leftOutBackends backends on the list that are not used, as the list holds more than the
    *     proxy supports
+   * @param failedSteps steps of the event loop that have thrown an exception or error
    */
   public MetricsFormat(
       RequestCounters counters,
@@ -48,13 +51,15 @@
       IntSupplier inFlight,
       IntSupplier backends,
       IntSupplier ejectedBackends,
-      IntSupplier leftOutBackends) {
+      IntSupplier leftOutBackends,
+      LongSupplier failedSteps) {
     this.counters = counters;
     this.clientCounters = clientCounters;
     this.inFlight = inFlight;
     this.backends = backends;
     this.ejectedBackends = ejectedBackends;
     this.leftOutBackends = leftOutBackends;
+    this.failedSteps = failedSteps;
   }
 
   /** All metrics. */
@@ -70,6 +75,7 @@
     append(text, "reloads_ok", counters.reloadsApplied(), COUNTER);
     append(text, "reloads_failed", counters.reloadsRejected(), COUNTER);
     appendClientConnections(text);
+    append(text, "steps_failed", failedSteps.getAsLong(), COUNTER);
     return text.toString();
   }
 
--- a/proxy/src/main/java/wheattrack/aio/Alarm.java
+++ b/proxy/src/main/java/wheattrack/aio/Alarm.java
@@ -1,6 +1,7 @@
 package wheattrack.aio;
 
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 /**
  * A thread that wakes the event loop when its next timer is due. All methods may be called from any
@@ -10,6 +11,7 @@
   private static final long NEVER = Long.MAX_VALUE;
 
   private final Runnable callback;
+  private final Consumer<Throwable> onFailed;
   private final Thread thread = new Thread(this::run, "event-loop-alarm");
 
   /** When the callback is due; {@link #NEVER} while no time is set. */
@@ -24,9 +26,11 @@
    * Creates an alarm that has no time set.
    *
    * @param callback run on the alarm's own thread each time that a set time is reached
+   * @param onFailed called on that thread if an exception or error has ended the alarm
    */
-  Alarm(Runnable callback) {
+  Alarm(Runnable callback, Consumer<Throwable> onFailed) {
     this.callback = callback;
+    this.onFailed = onFailed;
     thread.setDaemon(true);
   }
 
@@ -50,6 +54,14 @@
   }
 
   private void run() {
+    try {
+      runUntilStopped();
+    } catch (RuntimeException | Error e) {
+      onFailed.accept(e);
+    }
+  }
+
+  private void runUntilStopped() {
     while (!isStopped) {
       long next = dueTime;
       sleepEnd = next;
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -27,6 +27,11 @@
  * millisecond. Only {@link #execute}, {@link #channelGroup} and {@link #shutdown} may be called
  * from other threads.
  *
+ * <p>An exception or error that a step throws ends that step only: it is logged and counted, and
+ * the loop continues; whoever waits for the step is released by the timeout that bounds the wait.
+ * An error outside of steps, in the JDK's code that runs them, ends the loop: which notifications
+ * were lost with it is unknown.
+ *
  * <p>A channel group with a thread of its own would fill receive buffers while a step examines
  * them, and would read requests from connections that a step is closing, so that these requests
  * would get no response.
@@ -115,6 +120,12 @@
 
   private volatile boolean isStopped;
 
+  /** Why the loop has ended without {@link #shutdown}, or null. */
+  private volatile Throwable failure;
+
+  /** The number of steps that have thrown an exception or error. */
+  private long failedSteps;
+
   /**
    * Creates a loop that runs nothing until {@link #run} is called.
    *
@@ -131,24 +142,40 @@
       throw new IllegalStateException("expected a group that is an Executor, got " + channelGroup);
     }
     groupExecutor = executor;
-    alarm = new Alarm(() -> post(() -> runStep(() -> {}))); // a step is followed by due timers
+    // a step is followed by due timers
+    alarm = new Alarm(() -> post(() -> runStep(() -> {})), this::fail);
   }
 
-  /** Creates the factory of the group's one thread, which runs nothing until {@link #run}. */
+  /**
+   * Creates the factory of the group's one thread, which runs nothing until {@link #run}. The group
+   * asks for another thread when the first one has failed; it gets none, as the loop ends then.
+   */
   private ThreadFactory threadFactory() {
     return work -> {
-      thread =
-          new Thread(
-              () -> {
-                awaitStart();
-                work.run();
-              },
-              "event-loop");
+      if (thread != null) {
+        return null;
+      }
+      thread = new Thread(() -> runGroup(work), "event-loop");
       thread.setDaemon(true);
       return thread;
     };
   }
 
+  private void runGroup(Runnable work) {
+    awaitStart();
+    try {
+      work.run();
+    } catch (RuntimeException | Error e) {
+      fail(e);
+    }
+  }
+
+  /** Ends the loop because of an error outside of its steps. Any thread may call it. */
+  private void fail(Throwable cause) {
+    failure = cause;
+    shutdown();
+  }
+
   private void awaitStart() {
     try {
       started.await();
@@ -222,6 +249,8 @@
   /**
    * Starts the loop and blocks the calling thread until the loop has been shut down. Interrupting
    * that thread shuts the loop down.
+   *
+   * @throws EventLoopFailedException if an error outside of steps has ended the loop
    */
   public void run() {
     alarm.start();
@@ -231,6 +260,17 @@
     } catch (InterruptedException e) {
       shutdown();
     }
+    if (failure != null) {
+      throw new EventLoopFailedException(failure);
+    }
+  }
+
+  /**
+   * The number of steps that have thrown an exception or error. Runs on the event loop's thread
+   * only.
+   */
+  public long failedSteps() {
+    return failedSteps;
   }
 
   /**
@@ -350,11 +390,20 @@
       try {
         step.run();
       } catch (RuntimeException | Error e) { // one failed step must not end the loop
-        LOG.log(Level.SEVERE, "a step failed", e);
+        onStepFailed(e);
       }
     }
   }
 
+  private void onStepFailed(Throwable cause) {
+    failedSteps++;
+    try {
+      LOG.log(Level.SEVERE, "a step failed", cause);
+    } catch (RuntimeException | Error e) {
+      // without memory for a log line, the failure is only counted
+    }
+  }
+
   private Runnable nextStep() {
     Runnable completion = immediateCompletions.poll();
     return completion != null ? completion : deferred.poll();
--- a/proxy/src/main/java/wheattrack/config/ExitCode.java
+++ b/proxy/src/main/java/wheattrack/config/ExitCode.java
@@ -7,7 +7,9 @@
   /** The command succeeded, but the operator has something left to do. */
   ACTION_REQUIRED(1),
   /** The command line or a file is invalid; a message names the fault. */
-  BAD_INPUT(2);
+  BAD_INPUT(2),
+  /** The event loop has failed; requests that were in flight have not been answered. */
+  INTERNAL_ERROR(3);
 
   private final int code;
 
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -9,6 +9,7 @@
 import wheattrack.admin.AdminServer;
 import wheattrack.admin.MetricsFormat;
 import wheattrack.aio.EventLoop;
+import wheattrack.aio.EventLoopFailedException;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.ProxyConfig;
@@ -203,7 +204,8 @@
             requestHandler::openRequests,
             discovery::listedCount,
             requestHandler::ejectedBackends,
-            discovery::unusedCount);
+            discovery::unusedCount,
+            loop::failedSteps);
     try {
       return new AdminServer(loop, group, lifecycle, address, metrics::text);
     } catch (IOException e) {
@@ -239,6 +241,7 @@
    * Serves on the calling thread until the shutdown is complete.
    *
    * @throws InvalidConfigurationException if the listening address cannot be bound
+   * @throws EventLoopFailedException if an error outside of the loop's steps has ended it
    */
   public void run() {
     ProxyConfig config = reloader.config();
--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -115,7 +115,13 @@
     }
     String text =
         new MetricsFormat(
-                counters, new ClientConnectionCounters(), () -> 0, () -> 0, () -> 0, () -> 0)
+                counters,
+                new ClientConnectionCounters(),
+                () -> 0,
+                () -> 0,
+                () -> 0,
+                () -> 0,
+                () -> 0)
             .text();
     assertEquals("proxy.served.a_b_c_d_:1|c", text.split("\n")[0]);
     assertTrue(
