Bound the memory of all messages together; peers that stall give theirs up

Cause: what is held for one message is bounded, the sum is not. Arrays that double, receive buffers of 16 KiB, bodies and answers in flight, closed connections that attempts refer to, and bodies that a timer keeps for clients that have left.

Change: MemoryBudget counts what all connections hold; the limit is half of the heap, or 3/16 of limits.memory_mb. The step after the one that exceeds it makes connections give up their memory, the greatest product of bytes and stalled time first: 503 or a close, with metric and log line. A complete request of 4 KiB or more is rejected if nothing can be given up. Less is held as well: arrays grow up to the known length, closed connections and settled requests hold no content, long ids are digests.

--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -6,6 +6,8 @@
 import java.util.regex.Pattern;
 import wheattrack.core.ClientConnectionCounters;
 import wheattrack.core.EvictionPriority;
+import wheattrack.core.MemoryBudget;
+import wheattrack.core.MemoryUse;
 import wheattrack.core.RequestCounters;
 import wheattrack.core.RequestCounters.AnswerCounts;
 import wheattrack.core.RequestCounters.FinalAnswer;
@@ -28,6 +30,7 @@
 
   private final RequestCounters counters;
   private final ClientConnectionCounters clientCounters;
+  private final MemoryBudget memoryBudget;
   private final IntSupplier inFlight;
   private final IntSupplier backends;
   private final IntSupplier ejectedBackends;
@@ -38,6 +41,7 @@
    * Creates metrics that are read from these sources.
    *
    * @param clientCounters how connections of clients ended
+   * @param memoryBudget the memory that messages use
    * @param inFlight requests accepted and not answered yet
    * @param backends backends on the endpoint list
    * @param ejectedBackends those of them that are ejected now
@@ -48,6 +52,7 @@
   public MetricsFormat(
       RequestCounters counters,
       ClientConnectionCounters clientCounters,
+      MemoryBudget memoryBudget,
       IntSupplier inFlight,
       IntSupplier backends,
       IntSupplier ejectedBackends,
@@ -55,6 +60,7 @@
       LongSupplier failedSteps) {
     this.counters = counters;
     this.clientCounters = clientCounters;
+    this.memoryBudget = memoryBudget;
     this.inFlight = inFlight;
     this.backends = backends;
     this.ejectedBackends = ejectedBackends;
@@ -75,6 +81,7 @@
     append(text, "reloads_ok", counters.reloadsApplied(), COUNTER);
     append(text, "reloads_failed", counters.reloadsRejected(), COUNTER);
     appendClientConnections(text);
+    appendMemory(text);
     append(text, "steps_failed", failedSteps.getAsLong(), COUNTER);
     return text.toString();
   }
@@ -90,6 +97,18 @@
     append(text, "accepts_failed", clientCounters.failedAccepts(), COUNTER);
   }
 
+  private void appendMemory(StringBuilder text) {
+    append(text, "memory_used", memoryBudget.usedBytes(), GAUGE);
+    append(text, "memory_limit", memoryBudget.limit(), GAUGE);
+    for (MemoryUse use : MemoryUse.values()) {
+      if (use != MemoryUse.NEEDED) {
+        String name = "memory_reclaimed." + use.name().toLowerCase(Locale.ROOT);
+        append(text, name, memoryBudget.reclaims(use), COUNTER);
+      }
+    }
+    append(text, "memory_rejected", memoryBudget.rejectedRequests(), COUNTER);
+  }
+
   private static void appendClass(StringBuilder text, String className, AnswerCounts counts) {
     for (FinalAnswer answer : FinalAnswer.values()) {
       String name = metricName(answer) + "." + withoutReservedCharacters(className);
--- a/proxy/src/main/java/wheattrack/aio/TcpConnection.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayDeque;
+import wheattrack.core.MemoryAccount;
 
 /**
  * One TCP connection with at most one read and one write pending, each of which completes in a step
@@ -26,6 +27,15 @@
   /** The buffers still to be written, in order; the write of the first one is pending. */
   private final ArrayDeque<ByteBuffer> pendingWrites = new ArrayDeque<>();
 
+  /** Counts the memory that this connection holds; null: it is not counted. */
+  private MemoryAccount memory;
+
+  /** The capacities of the buffers still to be written, in bytes. */
+  private long pendingWriteBytes;
+
+  /** When the pending write of a buffer began. */
+  private long writingSince;
+
   private boolean isClosed;
   private boolean isReading;
 
@@ -75,6 +85,7 @@
     isReading = false;
     if (!isClosed) {
       onRead(count);
+      updateMemory();
     } else if (count > 0) {
       onReadDropped(count);
     }
@@ -95,9 +106,16 @@
    */
   public final void write(ByteBuffer buffer) {
     pendingWrites.add(buffer);
+    pendingWriteBytes += buffer.capacity();
     if (pendingWrites.size() == 1) {
-      continueWriting();
+      startWriting();
     }
+    updateMemory();
+  }
+
+  private void startWriting() {
+    writingSince = loop.now();
+    continueWriting();
   }
 
   private void continueWriting() {
@@ -114,10 +132,37 @@
       return;
     }
     pendingWrites.remove();
-    if (!pendingWrites.isEmpty() && !isClosed) {
-      continueWriting();
+    pendingWriteBytes -= buffer.capacity();
+    if (isClosed) {
+      pendingWrites.clear();
+    } else if (!pendingWrites.isEmpty()) {
+      startWriting();
     }
     onWritten(succeeded && !buffer.hasRemaining());
+    updateMemory();
+  }
+
+  /** Counts the memory of this connection in the account from now on. */
+  protected final void countMemoryIn(MemoryAccount account) {
+    memory = account;
+    updateMemory();
+  }
+
+  /** Updates the account after the memory that this connection holds has changed. */
+  protected final void updateMemory() {
+    if (memory != null) {
+      memory.setHeldBytes(isClosed ? 0 : pendingWriteBytes + bufferedBytes());
+    }
+  }
+
+  /** The memory that this connection holds, in bytes, apart from what is still to be written. */
+  protected long bufferedBytes() {
+    return 0;
+  }
+
+  /** When the pending write of a buffer began, in ticks; valid while {@link #isWriting}. */
+  protected final long writingSince() {
+    return writingSince;
   }
 
   /** The peer's address, for the log; "?" if the connection is closed or was never established. */
@@ -159,6 +204,7 @@
       return;
     }
     isClosed = true;
+    updateMemory();
     try {
       channel.close();
     } catch (IOException e) {
--- a/proxy/src/main/java/wheattrack/config/ProxyConfig.java
+++ b/proxy/src/main/java/wheattrack/config/ProxyConfig.java
@@ -22,6 +22,7 @@
   private static final double DEFAULT_BODY_LIMIT_MEGABYTES = 32;
   private static final double MIN_BODY_LIMIT_MEGABYTES = 1;
   private static final int BYTES_PER_MEGABYTE = 1 << 20;
+  private static final double UNLIMITED_MEGABYTES = Long.MAX_VALUE / (double) BYTES_PER_MEGABYTE;
   private static final double DEFAULT_DRAIN_MILLIS = 500;
   private static final int SEED_RADIX = 16;
 
@@ -51,6 +52,7 @@
   private final long seed;
   private final int maxDescriptors;
   private final long maxBodyBytes;
+  private final long maxMemoryBytes;
   private final long drainTime;
   private final JsonObjectReader cachedEndpoints;
   private final Settings settings;
@@ -80,6 +82,9 @@
         "limits.body_mb",
         "expected at least " + MIN_BODY_LIMIT_MEGABYTES + ", got " + bodyLimitMegabytes);
     maxBodyBytes = (long) (bodyLimitMegabytes * BYTES_PER_MEGABYTE);
+    double memoryMegabytes = root.number("limits.memory_mb", UNLIMITED_MEGABYTES);
+    check(memoryMegabytes > 0, "limits.memory_mb", "expected more than 0, got " + memoryMegabytes);
+    maxMemoryBytes = (long) (memoryMegabytes * BYTES_PER_MEGABYTE);
     double drainMillis = root.number("drain_ms", DEFAULT_DRAIN_MILLIS);
     drainTime = (long) (drainMillis * TimeConversion.TICKS_PER_MILLISECOND);
     check(drainTime >= 0, "drain_ms", "expected 0 or more, got " + drainMillis);
@@ -238,6 +243,11 @@
     return maxBodyBytes;
   }
 
+  /** How much memory the process may use, in bytes; a very large number if there is no limit. */
+  public long maxMemoryBytes() {
+    return maxMemoryBytes;
+  }
+
   /**
    * How long new connections are still accepted after the shutdown was announced, in tenths of a
    * millisecond.
--- a/proxy/src/main/java/wheattrack/http/ByteAccumulator.java
+++ b/proxy/src/main/java/wheattrack/http/ByteAccumulator.java
@@ -10,15 +10,24 @@
 final class ByteAccumulator {
   private static final int DEFAULT_CAPACITY = 256;
 
+  /** The capacity up to which it grows ahead of what it holds. */
+  private final int maxCapacity;
+
   private byte[] bytes;
   private int size;
 
   ByteAccumulator() {
-    this(DEFAULT_CAPACITY);
+    this(DEFAULT_CAPACITY, Integer.MAX_VALUE);
   }
 
-  ByteAccumulator(int initialCapacity) {
+  ByteAccumulator(int initialCapacity, int maxCapacity) {
     bytes = new byte[initialCapacity];
+    this.maxCapacity = maxCapacity;
+  }
+
+  /** Creates one for a sequence that is known not to exceed this size. */
+  static ByteAccumulator ofMaxSize(int maxSize) {
+    return new ByteAccumulator(Math.min(DEFAULT_CAPACITY, maxSize), maxSize);
   }
 
   int size() {
@@ -28,16 +37,27 @@
   /** Appends the next {@code count} bytes of the buffer. */
   void append(ByteBuffer source, int count) {
     if (size + count > bytes.length) {
-      bytes = Arrays.copyOf(bytes, Math.max(size + count, 2 * bytes.length));
+      long doubled = Math.min(maxCapacity, 2L * bytes.length);
+      bytes = Arrays.copyOf(bytes, (int) Math.max(size + count, doubled));
     }
     source.get(bytes, size, count);
     size += count;
   }
 
+  /** The number of bytes for which memory is allocated. */
+  int capacity() {
+    return bytes.length;
+  }
+
   byte[] toByteArray() {
     return Arrays.copyOf(bytes, size);
   }
 
+  /** All bytes, not copied where they fill the memory; this must not be used afterwards. */
+  byte[] takeBytes() {
+    return size == bytes.length ? bytes : toByteArray();
+  }
+
   /** All bytes as a view, not a copy: nothing may be appended or removed until they are read. */
   ByteBuffer asBuffer() {
     return ByteBuffer.wrap(bytes, 0, size);
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -28,6 +28,9 @@
   /** The most bytes of one read of a long body, and of one part of it. */
   private static final int MAX_PART = 16 * 1024;
 
+  /** The most bytes of one read of a body that is returned complete, if its length is known. */
+  private static final int MAX_BUFFERED_READ = MAX_PART / 2;
+
   /** The most remaining bytes of a body that are read into a buffer of the default size. */
   private static final int MAX_SMALL_REST = MAX_PART / 16;
 
@@ -51,7 +54,8 @@
   private final long maxBody;
 
   private State state = State.AWAITING_HEAD;
-  private ByteAccumulator bufferedBody; // set in BUFFERING_BODY only
+  private ByteAccumulator bufferedBody; // set in BUFFERING_BODY only, unless it was discarded
+  private long headBytes; // memory of the decoded head until its message is returned
 
   /**
    * Creates a decoder.
@@ -64,7 +68,17 @@
 
   /** The buffer for the next bytes received, to be filled by one read. */
   public ByteBuffer writableBuffer() {
-    return isLargeRestExpected() ? received.writableBuffer(MAX_PART) : received.writableBuffer();
+    if (isLargeRestExpected()) {
+      return received.writableBuffer(isShortBody() ? MAX_BUFFERED_READ : MAX_PART);
+    }
+    received.shrink();
+    return received.writableBuffer();
+  }
+
+  private boolean isShortBody() {
+    return state == State.BUFFERING_BODY
+        && bodyDecoder.framing().hasKnownLength()
+        && bodyDecoder.framing().length() <= MAX_BUFFERED_BODY;
   }
 
   private boolean isLargeRestExpected() {
@@ -83,6 +97,35 @@
     received.append(bytes);
   }
 
+  /** The number of bytes of memory held for what was received and not returned yet. */
+  public long heldBytes() {
+    long bodyBytes = bufferedBody == null ? 0 : bufferedBody.capacity();
+    return received.capacity() + bodyBytes + headBytes;
+  }
+
+  /** Drops the part of the current message's body that is collected; it cannot be returned then. */
+  public void discardBufferedBody() {
+    bufferedBody = null;
+    headBytes = 0;
+  }
+
+  /**
+   * Drops the bytes received and not decoded yet; no further message can be decoded then. Must not
+   * be called while a read into {@link #writableBuffer} is pending.
+   */
+  public void discardReceivedBytes() {
+    received.clear();
+  }
+
+  /**
+   * Releases all memory, as the connection is closed; no further message can be decoded. Others may
+   * refer to the connection for as long as a request takes.
+   */
+  public void close() {
+    discardBufferedBody();
+    received.close();
+  }
+
   /** The number of bytes received and not decoded yet. */
   public int bufferedBytes() {
     return received.size();
@@ -174,7 +217,7 @@
    */
   public ByteBuffer nextBodyPart() throws MalformedMessageException {
     int capacity = Math.min(MAX_PART, Math.max(MIN_PART_CAPACITY, received.size()));
-    ByteAccumulator part = new ByteAccumulator(capacity);
+    ByteAccumulator part = new ByteAccumulator(capacity, MAX_PART);
     decodeBody(part, MAX_PART);
     if (isBodyComplete()) {
       endMessage();
@@ -201,11 +244,18 @@
       throw bodyTooLong();
     }
     bodyDecoder.start(framing);
-    bufferedBody = new ByteAccumulator();
+    bufferedBody = ByteAccumulator.ofMaxSize(maxBufferedSize(framing));
+    headBytes = headers.heldBytes();
     state = State.BUFFERING_BODY;
     return true;
   }
 
+  private static int maxBufferedSize(BodyFraming framing) {
+    return framing.hasKnownLength()
+        ? (int) Math.min(MAX_BUFFERED_BODY, framing.length())
+        : MAX_BUFFERED_BODY;
+  }
+
   private MalformedMessageException bodyTooLong() {
     return new MalformedMessageException(
         StatusCode.CONTENT_TOO_LARGE, "body over " + maxBody + " bytes");
@@ -250,8 +300,9 @@
   }
 
   private byte[] removeBufferedBody() {
-    byte[] body = bufferedBody.toByteArray();
+    byte[] body = bufferedBody.takeBytes();
     bufferedBody = null;
+    headBytes = 0;
     return body;
   }
 
--- a/proxy/src/main/java/wheattrack/http/Headers.java
+++ b/proxy/src/main/java/wheattrack/http/Headers.java
@@ -23,6 +23,9 @@
   private static final String CONTENT_LENGTH = "Content-Length";
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
+  /** The memory, in bytes, that a line takes beyond its characters. */
+  private static final int LINE_OVERHEAD = 128;
+
   private final List<String> names = new ArrayList<>(INITIAL_CAPACITY);
   private final List<String> values = new ArrayList<>(INITIAL_CAPACITY);
 
@@ -38,6 +41,15 @@
     return names.size();
   }
 
+  /** The memory that these headers take, in bytes; estimated. */
+  long heldBytes() {
+    long bytes = 0;
+    for (int i = 0; i < names.size(); i++) {
+      bytes += names.get(i).length() + values.get(i).length() + LINE_OVERHEAD;
+    }
+    return bytes;
+  }
+
   /** The name on the line with this index, in the case in which it was given. */
   public String name(int index) {
     return names.get(index);
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -25,6 +25,8 @@
   /** The visible characters that must not be part of a token. */
   private static final String TOKEN_SEPARATORS = "\"(),/:;<=>?@[\\]{}";
 
+  private static final ByteBuffer CLOSED = ByteBuffer.allocate(0);
+
   /** Holds, from 0 to its position, the bytes received and not consumed. */
   private ByteBuffer buffer = ByteBuffer.allocate(MIN_CAPACITY);
 
@@ -70,11 +72,27 @@
     }
   }
 
+  /** Drops all bytes received. Must not be called while a read into the buffer is pending. */
+  void clear() {
+    buffer = ByteBuffer.allocate(MIN_CAPACITY);
+    scannedBytes = 0;
+  }
+
+  /** Releases all memory; no further bytes can be received. */
+  void close() {
+    buffer = CLOSED;
+  }
+
   /** The number of bytes received and not consumed. */
   int size() {
     return buffer.position();
   }
 
+  /** The number of bytes for which memory is allocated. */
+  int capacity() {
+    return buffer.capacity();
+  }
+
   /** The bytes not consumed yet, to be read; {@link #endReading} must follow. */
   ByteBuffer startReading() {
     return buffer.flip();
--- a/proxy/src/main/java/wheattrack/http/Request.java
+++ b/proxy/src/main/java/wheattrack/http/Request.java
@@ -24,4 +24,15 @@
   public Request(String method, String target, Headers headers, boolean keepAlive, byte[] body) {
     this(method, target, headers, keepAlive, body, BodyFraming.EMPTY, true);
   }
+
+  /** The memory that this request takes, in bytes; estimated. */
+  public long heldBytes() {
+    return target.length() + headers.heldBytes() + body.length;
+  }
+
+  /** This request without its headers and the bytes of its body, which need no memory then. */
+  public Request withoutContent() {
+    return new Request(
+        method, "", new Headers(), keepAlive, new byte[0], remainingBody, acceptsChunks);
+  }
 }
--- a/proxy/src/main/java/wheattrack/http/RequestDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/RequestDecoder.java
@@ -80,6 +80,10 @@
   @Override
   protected Request message(byte[] body, BodyFraming remainingBody) {
     expectsContinue &= !remainingBody.isEmpty();
-    return new Request(method, target, headers, keepAlive, body, remainingBody, acceptsChunks);
+    Request request =
+        new Request(method, target, headers, keepAlive, body, remainingBody, acceptsChunks);
+    target = null; // an idle connection holds no memory of its last request
+    headers = null;
+    return request;
   }
 }
--- a/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
+++ b/proxy/src/main/java/wheattrack/http/ResponseDecoder.java
@@ -85,6 +85,8 @@
 
   @Override
   protected Response message(byte[] body, BodyFraming remainingBody) {
-    return new Response(status, headers, keepAlive, body, remainingBody);
+    Response response = new Response(status, headers, keepAlive, body, remainingBody);
+    headers = null; // an idle connection holds no memory of its last response
+    return response;
   }
 }
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -6,6 +6,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.ProxyConfig;
+import wheattrack.core.MemoryBudget;
 import wheattrack.core.RequestCounters;
 import wheattrack.net.backend.BackendTimeouts;
 import wheattrack.net.backend.Connector;
@@ -44,7 +45,13 @@
     BackendTimeouts timeouts = BackendTimeouts.of(config.settings());
     Connector connector =
         new Connector(
-            loop, group, 0, config.maxBodyBytes(), timeouts.connect(), timeouts.idleClose());
+            loop,
+            group,
+            0,
+            config.maxBodyBytes(),
+            MemoryBudget.unlimited(),
+            timeouts.connect(),
+            timeouts.idleClose());
     discovery = new EndpointDiscovery(loop, group, connector, config, "");
     discovery.setRevisionListener(revisionListener);
     requestHandler =
--- a/proxy/src/main/java/wheattrack/net/ProcessHandover.java
+++ b/proxy/src/main/java/wheattrack/net/ProcessHandover.java
@@ -4,14 +4,15 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.Lifecycle;
 import wheattrack.core.Lifecycle.Phase;
+import wheattrack.core.MemoryBudget;
 import wheattrack.net.backend.Connector;
 import wheattrack.net.client.ClientListener;
 import wheattrack.net.request.RequestHandler;
 
 /**
  * The handover of the listening address from an older process of this proxy to a newer one: checks
- * for the other process, divides the descriptors with it, and shuts this process down gracefully.
- * Runs on the event loop's thread only. Times are tenths of a millisecond.
+ * for the other process, divides the descriptors and the memory with it, and shuts this process
+ * down gracefully. Runs on the event loop's thread only. Times are tenths of a millisecond.
  */
 final class ProcessHandover {
   /** How often to check for the end of the last request while closing. */
@@ -27,6 +28,7 @@
   private final ClientListener clientListener;
   private final Connector connector;
   private final RequestHandler requestHandler;
+  private final MemoryBudget memoryBudget;
   private final Runnable controlPlaneCloser;
 
   /**
@@ -43,6 +45,7 @@
       ClientListener clientListener,
       Connector connector,
       RequestHandler requestHandler,
+      MemoryBudget memoryBudget,
       Runnable controlPlaneCloser) {
     this.loop = loop;
     this.lifecycle = lifecycle;
@@ -51,6 +54,7 @@
     this.clientListener = clientListener;
     this.connector = connector;
     this.requestHandler = requestHandler;
+    this.memoryBudget = memoryBudget;
     this.controlPlaneCloser = controlPlaneCloser;
   }
 
@@ -63,6 +67,7 @@
       DescriptorBudget budget = DescriptorBudget.of(reloader.config(), isPresent);
       clientListener.setMaxClients(budget.clients());
       connector.setMaxConnections(budget.backends());
+      memoryBudget.setLimit(MessageMemory.limit(reloader.config(), isPresent));
       requestHandler.setOtherProcessPresent(isPresent);
     }
     loop.schedule(OTHER_PROCESS_CHECK_INTERVAL, this::watchOtherProcess);
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -15,6 +15,7 @@
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.Lifecycle;
 import wheattrack.core.Lifecycle.Phase;
+import wheattrack.core.MemoryBudget;
 import wheattrack.core.RequestCounters;
 import wheattrack.log.EventLog;
 import wheattrack.net.backend.BackendTimeouts;
@@ -72,6 +73,7 @@
   private final RequestCounters counters = new RequestCounters();
   private final AsynchronousChannelGroup group;
   private final ProcessLock processLock;
+  private final MemoryBudget memoryBudget;
   private final EndpointDiscovery discovery;
   private final RequestHandler requestHandler;
   private final ClientListener clientListener;
@@ -129,6 +131,12 @@
         new ProcessLock(
             config.listen().getPort() == 0 ? null : sharedFolder(), config.listen().toString());
     DescriptorBudget budget = DescriptorBudget.of(config, processLock.isOtherProcessPresent());
+    memoryBudget =
+        new MemoryBudget(
+            MessageMemory.limit(config, processLock.isOtherProcessPresent()),
+            loop::now,
+            loop::defer,
+            new MemoryReclaimLog(loop::now));
     Connector connector = newConnector(config, budget);
     discovery = new EndpointDiscovery(loop, group, connector, config, scope);
     requestHandler =
@@ -140,6 +148,7 @@
             budget.clients(),
             config.maxBodyBytes(),
             requestHandler,
+            memoryBudget,
             () -> discovery.hasList() ? "" : ", no list");
     requestHandler.setListener(clientListener);
     requestHandler.setOtherProcessPresent(processLock.isOtherProcessPresent());
@@ -162,6 +171,7 @@
             clientListener,
             connector,
             requestHandler,
+            memoryBudget,
             this::closeControlPlane);
   }
 
@@ -179,6 +189,7 @@
         group,
         budget.backends(),
         config.maxBodyBytes(),
+        memoryBudget,
         timeouts.connect(),
         timeouts.idleClose());
   }
@@ -201,6 +212,7 @@
         new MetricsFormat(
             counters,
             clientListener.counters(),
+            memoryBudget,
             requestHandler::openRequests,
             discovery::listedCount,
             requestHandler::ejectedBackends,
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -5,6 +5,8 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import wheattrack.aio.TcpConnection;
 import wheattrack.api.AttemptOutcome;
+import wheattrack.core.MemoryAccount;
+import wheattrack.core.MemoryUse;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
 import wheattrack.http.MalformedMessageException;
@@ -19,13 +21,16 @@
  * One connection to a backend; it carries one attempt at a time. Runs on the event loop's thread
  * only.
  */
-public final class BackendConnection extends TcpConnection {
+public final class BackendConnection extends TcpConnection implements MemoryAccount.Owner {
   /**
    * How long the sending of a long response by the backend, or of a long request body to it, may
    * pause; tenths of a millisecond.
    */
   public static final long STALL_TIMEOUT = 100_000;
 
+  /** The value of a time that is not set. */
+  private static final long NEVER = -1;
+
   private enum State {
     /** The connection is being made. */
     CONNECTING,
@@ -72,6 +77,14 @@
   /** Whether the connection broke while the request was being written. */
   private boolean isBroken;
 
+  /**
+   * Since when the current response is being received, or {@link #NEVER}; tenths of a millisecond.
+   */
+  private long responseSince = NEVER;
+
+  /** When bytes were received last; tenths of a millisecond. */
+  private long lastReadAt;
+
   /** When it became idle; tenths of a millisecond. */
   private long idleSince;
 
@@ -94,6 +107,7 @@
     remoteAddress = pool.address();
     openedAt = loop.now();
     slot = connector.register(this);
+    countMemoryIn(new MemoryAccount(connector.memoryBudget(), this));
   }
 
   /** The attempt whose response is awaited, or null. */
@@ -111,6 +125,44 @@
     return openedAt;
   }
 
+  // ---- memory
+
+  @Override
+  protected long bufferedBytes() {
+    return decoder.heldBytes();
+  }
+
+  @Override
+  public MemoryUse memoryUse() {
+    if (currentAttempt != null && isWriting()) {
+      return MemoryUse.UNREAD_REQUEST;
+    }
+    boolean isReceiving = currentAttempt != null ? responseSince != NEVER : isReceivingPart();
+    return isReceiving ? MemoryUse.INCOMPLETE_RESPONSE : MemoryUse.NEEDED;
+  }
+
+  private boolean isReceivingPart() {
+    return responseReceiver != null && isReading();
+  }
+
+  @Override
+  public long memoryUsedSince() {
+    if (currentAttempt == null) {
+      return lastReadAt;
+    }
+    return isWriting() ? writingSince() : responseSince;
+  }
+
+  /** Ends the attempt, or the long response, as if the connection had broken. */
+  @Override
+  public void releaseMemory(MemoryUse use) {
+    if (currentAttempt != null) {
+      onBreak();
+    } else {
+      close();
+    }
+  }
+
   // ---- connecting
 
   /** Connects; the pool is notified of success, or of failure, at the latest after the timeout. */
@@ -191,6 +243,7 @@
   void send(BackendAttempt attempt) {
     loop.cancel(timer);
     state = State.IN_USE;
+    responseSince = NEVER;
     currentAttempt = attempt;
     attemptBeingWritten = attempt;
     attempt.startOn(this);
@@ -233,6 +286,10 @@
 
   @Override
   protected void onRead(int n) {
+    lastReadAt = loop.now();
+    if (responseSince == NEVER) {
+      responseSince = lastReadAt;
+    }
     boolean isEndOfBody = n == END_OF_STREAM && decoder.endOfStream();
     boolean isBreak = n < 0 && !isEndOfBody;
     if (responseReceiver != null) {
@@ -416,6 +473,7 @@
       return;
     }
     super.close();
+    decoder.close();
     loop.cancel(timer);
     connector.onClosed(slot);
     pool.onClosed(this);
--- a/proxy/src/main/java/wheattrack/net/backend/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/backend/Connector.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import wheattrack.aio.EventLoop;
+import wheattrack.core.MemoryBudget;
 import wheattrack.core.SlotTable;
 
 /**
@@ -27,6 +28,7 @@
   private final EventLoop loop;
   private final AsynchronousChannelGroup group;
   private final long maxBodyBytes;
+  private final MemoryBudget memoryBudget;
   private final SlotTable<BackendConnection> connections = new SlotTable<>();
   private final RecentResponses recentResponses = new RecentResponses();
   private int maxConnections;
@@ -38,6 +40,7 @@
    *
    * @param maxConnections limit on the number of connections to all backends
    * @param maxBodyBytes length of the longest response body, in bytes
+   * @param memoryBudget the memory that all connections may hold for messages
    * @param connectTimeout how long connecting may take
    * @param backendIdleTimeout time after which a backend closes an idle connection; 0: never
    */
@@ -46,12 +49,14 @@
       AsynchronousChannelGroup group,
       int maxConnections,
       long maxBodyBytes,
+      MemoryBudget memoryBudget,
       long connectTimeout,
       long backendIdleTimeout) {
     this.loop = loop;
     this.group = group;
     this.maxConnections = maxConnections;
     this.maxBodyBytes = maxBodyBytes;
+    this.memoryBudget = memoryBudget;
     setTimeouts(connectTimeout, backendIdleTimeout);
   }
 
@@ -65,6 +70,11 @@
     return maxBodyBytes;
   }
 
+  /** The memory that all connections may hold for messages. */
+  MemoryBudget memoryBudget() {
+    return memoryBudget;
+  }
+
   /** The responses received most recently. */
   RecentResponses recentResponses() {
     return recentResponses;
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -5,6 +5,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.aio.TcpConnection;
 import wheattrack.core.EvictionPriority;
+import wheattrack.core.MemoryAccount;
 import wheattrack.http.Encoder;
 import wheattrack.http.MalformedMessageException;
 import wheattrack.http.Request;
@@ -42,6 +43,7 @@
   private final RequestDecoder decoder;
   private final ConnectionTimeouts timeouts;
   private final RequestBodyReader bodyReader;
+  private final ClientMemory memory;
 
   /** Whether a request is open, or the connection is only waiting to be closed. */
   private boolean isBusy;
@@ -90,6 +92,8 @@
     acceptedAt = loop.now();
     idleSince = acceptedAt;
     headSince = idleSince;
+    memory = new ClientMemory(this, bodyReader, acceptedAt);
+    countMemoryIn(new MemoryAccount(listener.memoryBudget(), memory));
   }
 
   /** Starts to read the first request. */
@@ -131,6 +135,11 @@
     return isLingering;
   }
 
+  /** Whether a request is open on it, or it only waits to be closed. */
+  boolean isBusy() {
+    return isBusy;
+  }
+
   /** Whether a long response is being sent. */
   boolean isStreamingResponse() {
     return streamedResponse != null;
@@ -196,6 +205,24 @@
         + " reqs";
   }
 
+  // ---- memory
+
+  @Override
+  protected long bufferedBytes() {
+    return decoder.heldBytes() + bodyReader.heldBytes() + memory.openRequestBytes();
+  }
+
+  /** Drops the bytes that were received beyond the open request, and all that follow. */
+  void dropReadAhead() {
+    bodyReader.dropReadAhead();
+    updateMemory();
+  }
+
+  /** Since when the pending write waits for the client; valid while {@link #isWriting}. */
+  long writeSince() {
+    return writingSince();
+  }
+
   // ---- the request
 
   @Override
@@ -204,6 +231,7 @@
       close();
       return;
     }
+    memory.onProgress(loop.now());
     receivedBytes += n;
     bodyReader.onRead(n);
     if (isLingering) {
@@ -240,7 +268,12 @@
     }
     if (request != null) {
       onRequest(request);
-    } else if (decoder.isInBody()) {
+      return;
+    }
+    if (decoder.isMidMessage()) {
+      memory.onIncompleteRequest(loop.now());
+    }
+    if (decoder.isInBody()) {
       bodyReader.awaitRestOfRequest();
       if (decoder.expectsContinue()) {
         isWritingInterim = true;
@@ -255,6 +288,7 @@
   private void onRequest(Request request) {
     isBusy = true;
     requestCount++;
+    memory.onRequest(request);
     isHeadRequest = request.method().equals("HEAD");
     bodyReader.onRequest();
     timeouts.cancel();
@@ -291,6 +325,7 @@
     }
     isBusy = true;
     hasUnreadRequest = true;
+    decoder.discardBufferedBody();
     sendResponse(ProtocolMapping.textResponse(status, reason, false));
   }
 
@@ -328,6 +363,7 @@
    */
   public void sendResponse(Response response) {
     disconnectCallback = null;
+    memory.onResponse();
     if (isClosed()) {
       return;
     }
@@ -403,6 +439,7 @@
    */
   private void linger() {
     isLingering = true;
+    memory.onProgress(loop.now());
     timeouts.awaitClose();
     shutdownOutput();
     bodyReader.readMore();
--- a/proxy/src/main/java/wheattrack/net/client/ClientListener.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientListener.java
@@ -10,10 +10,12 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.core.ClientConnectionCounters;
 import wheattrack.core.Lifecycle;
+import wheattrack.core.MemoryBudget;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Request;
 import wheattrack.http.StatusCode;
 import wheattrack.log.EventLog;
+import wheattrack.log.ThrottledEventLog;
 import wheattrack.net.protocol.ProtocolMapping;
 
 /**
@@ -51,9 +53,10 @@
   private final RequestReceiver receiver;
   private final Supplier<String> readinessRemark;
   private final ClientConnectionTable connections;
-  private final ReadAheadBudget readAheadBudget = new ReadAheadBudget();
+  private final MemoryBudget memoryBudget;
+  private final ReadAheadBudget readAheadBudget;
   private final BodyArrivalChecker arrivalChecker;
-  private final ClientErrorLog errorLog;
+  private final ThrottledEventLog errorLog;
   private final ClientConnectionCounters counters = new ClientConnectionCounters();
   private AsynchronousServerSocketChannel channel;
   private boolean isStarted;
@@ -67,6 +70,7 @@
    * @param maxClients limit on connections of clients; a few more are accepted, to have their
    *     requests rejected
    * @param maxBodyBytes length of the longest request body, in bytes
+   * @param memoryBudget the memory that all connections may hold for messages
    * @param readinessRemark appended to the phase in the response to a readiness check
    */
   public ClientListener(
@@ -75,15 +79,18 @@
       int maxClients,
       long maxBodyBytes,
       RequestReceiver receiver,
+      MemoryBudget memoryBudget,
       Supplier<String> readinessRemark) {
     this.loop = loop;
     this.lifecycle = lifecycle;
     this.maxBodyBytes = maxBodyBytes;
     this.receiver = receiver;
+    this.memoryBudget = memoryBudget;
+    readAheadBudget = new ReadAheadBudget(memoryBudget);
     this.readinessRemark = readinessRemark;
     connections = new ClientConnectionTable(maxClients);
     arrivalChecker = new BodyArrivalChecker(loop);
-    errorLog = new ClientErrorLog(loop);
+    errorLog = new ThrottledEventLog(loop::now);
   }
 
   // ---- the listening socket
@@ -247,6 +254,11 @@
     connections.closeIdle();
   }
 
+  /** The memory that all connections may hold for messages. */
+  MemoryBudget memoryBudget() {
+    return memoryBudget;
+  }
+
   /** The budget of bytes read ahead, which all connections share. */
   ReadAheadBudget readAheadBudget() {
     return readAheadBudget;
@@ -284,14 +296,26 @@
     if (path.equals(ProtocolMapping.READY_PATH)) {
       respondToReadinessCheck(client, request);
     } else if (connections.hasTooManyRequests()) {
-      errorLog.log("denied", connections.size() + " clients are connected");
-      receiver.onRejected(request);
-      client.sendResponse(ProtocolMapping.rejection(0, false));
+      reject(client, request, connections.size() + " clients are connected");
+    } else if (lacksMemoryFor(request)) {
+      memoryBudget.countRejectedRequest();
+      reject(client, request, memoryBudget.usedBytes() + " bytes are in use for messages");
     } else {
       receiver.onRequest(client, request);
     }
   }
 
+  /** Whether the memory for messages is used up and the request is not a small one. */
+  private boolean lacksMemoryFor(Request request) {
+    return memoryBudget.isExceeded() && request.heldBytes() >= MemoryBudget.MIN_RECLAIMED_BYTES;
+  }
+
+  private void reject(ClientConnection client, Request request, String cause) {
+    errorLog.log("denied", cause);
+    receiver.onRejected(request);
+    client.sendResponse(ProtocolMapping.rejection(0, false));
+  }
+
   private void respondToReadinessCheck(ClientConnection client, Request request) {
     int status = lifecycle.isReady() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE;
     String text = lifecycle.phase().name() + readinessRemark.get();
--- a/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
+++ b/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
@@ -1,18 +1,23 @@
 package wheattrack.net.client;
 
+import wheattrack.core.MemoryBudget;
+
 /**
  * The number of bytes that were read from all clients' connections before they were requested, and
  * the limit on this number. Runs on the event loop's thread only.
  */
 final class ReadAheadBudget {
-  /** The limit is the maximum size of the heap divided by this. */
-  private static final int HEAP_DIVISOR = 8;
-
-  /** The number of bytes from which on long bodies are not read ahead. */
-  private final long maxBytes = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
+  /** The limit is that of the memory of all messages divided by this. */
+  private static final int MEMORY_DIVISOR = 4;
 
+  private final MemoryBudget memory;
   private long usedBytes;
 
+  /** Creates a budget that is a part of the memory of all messages. */
+  ReadAheadBudget(MemoryBudget memory) {
+    this.memory = memory;
+  }
+
   /** Adds this number of bytes; a negative number releases bytes. */
   void add(long bytes) {
     usedBytes += bytes;
@@ -20,6 +25,13 @@
 
   /** Whether more may be read ahead of a long body. */
   boolean isAvailable() {
-    return usedBytes < maxBytes;
+    return usedBytes < memory.limit() / MEMORY_DIVISOR && !memory.isExceeded();
+  }
+
+  /**
+   * Whether the memory of all messages is used up, so that nothing of a long body is read ahead.
+   */
+  boolean isMemoryExceeded() {
+    return memory.isExceeded();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
@@ -95,7 +95,7 @@
     if (connection.hasDisconnectCallback()
         && !decoder.isStreamingBody()
         && decoder.bufferedBytes() + bytes.remaining() > MAX_READ_AHEAD) {
-      hasDroppedBytes = true;
+      dropReadAhead();
     }
     if (!connection.isLingering() && !hasDroppedBytes) {
       decoder.append(bytes);
@@ -103,6 +103,27 @@
     }
   }
 
+  /**
+   * Whether there are bytes beyond the open request that can be dropped, at the price that the
+   * connection is closed after its response.
+   */
+  boolean hasDroppableBytes() {
+    return decoder.bufferedBytes() > 0 && !decoder.isStreamingBody() && isDecoderAvailable();
+  }
+
+  /** Drops the bytes beyond the open request, and all that follow. */
+  void dropReadAhead() {
+    hasDroppedBytes = true;
+    decoder.discardReceivedBytes();
+    updateCount();
+  }
+
+  /** The memory held here, in bytes. */
+  long heldBytes() {
+    long readAhead = readAheadBuffer == null ? 0 : readAheadBuffer.capacity();
+    return readAhead + (lastPart == null ? 0 : lastPart.capacity());
+  }
+
   private void updateCount() {
     readAheadBudget.add(decoder.bufferedBytes() - countedBytes);
     countedBytes = decoder.bufferedBytes();
@@ -131,6 +152,9 @@
   }
 
   private boolean mayReadAhead() {
+    if (decoder.isStreamingBody() && readAheadBudget.isMemoryExceeded()) {
+      return false;
+    }
     if (decoder.bufferedBytes() < MAX_READ_AHEAD) {
       return true;
     }
@@ -268,5 +292,7 @@
     readAheadBudget.add(-countedBytes);
     consumer = null;
     lastPart = null;
+    readAheadBuffer = null;
+    decoder.close();
   }
 }
--- a/proxy/src/main/java/wheattrack/net/protocol/ParsedRequest.java
+++ b/proxy/src/main/java/wheattrack/net/protocol/ParsedRequest.java
@@ -21,4 +21,10 @@
     RequestClass requestClass,
     long timeout,
     int costHint,
-    boolean clientRetry) {}
+    boolean clientRetry) {
+  /** This request without the content of its message, which needs no memory then. */
+  public ParsedRequest withoutContent() {
+    return new ParsedRequest(
+        id, message.withoutContent(), className, requestClass, timeout, costHint, clientRetry);
+  }
+}
--- a/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
+++ b/proxy/src/main/java/wheattrack/net/request/InFlightRequest.java
@@ -24,7 +24,7 @@
   private static final long NONE_STARTED = Long.MAX_VALUE / 2;
 
   private final ClientConnection client;
-  private final ParsedRequest parsed;
+  private ParsedRequest parsed;
   private final List<BackendAttempt> attempts = new ArrayList<>(2);
   private int slot;
   private PendingRequest pending;
@@ -57,7 +57,7 @@
     return client;
   }
 
-  /** The request as the client sent it. */
+  /** The request as the client sent it; without its content once it is settled. */
   ParsedRequest parsed() {
     return parsed;
   }
@@ -114,8 +114,10 @@
     return isSettled;
   }
 
+  /** Notes that it is settled; the content of its message is not needed by further attempts. */
   void markSettled() {
     isSettled = true;
+    parsed = parsed.withoutContent();
   }
 
   /** Adds an attempt that is sent now; attempts are numbered from 0 in this order. */
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -1,7 +1,5 @@
 package wheattrack.net.request;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.logging.Level;
 import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptOutcome;
@@ -63,7 +61,7 @@
   private final SlotTable<InFlightRequest> openRequests = new SlotTable<>();
 
   /** Identifiers of open requests, and of those that may still run after a disconnect. */
-  private final Set<String> reservedIds = new HashSet<>();
+  private final ReservedIds reservedIds = new ReservedIds();
 
   private ClientListener listener;
 
@@ -289,12 +287,13 @@
    * deadline.
    */
   private void releaseIdOfDisconnected(InFlightRequest request) {
+    String key = ReservedIds.key(request.id());
     boolean isIdempotent = request.parsed().requestClass().idempotency() == Idempotency.IDEMPOTENT;
     if (!isIdempotent && request.mayHaveRun()) {
       long delay = request.pending().deadline() - loop.now();
-      loop.schedule(delay, () -> reservedIds.remove(request.id()));
+      loop.schedule(delay, () -> reservedIds.removeKey(key));
     } else {
-      reservedIds.remove(request.id());
+      reservedIds.removeKey(key);
     }
   }
 
@@ -382,7 +381,7 @@
 
   private void remove(InFlightRequest request) {
     openRequests.remove(request.slot());
-    reservedIds.remove(request.id());
+    reservedIds.removeKey(ReservedIds.key(request.id()));
   }
 
   private void logEnd(InFlightRequest request, String end) {
--- a/proxy/src/test/java/wheattrack/config/ProxyConfigTest.java
+++ b/proxy/src/test/java/wheattrack/config/ProxyConfigTest.java
@@ -39,7 +39,9 @@
           withSetting("'me':2,'balancers':2"),
           withKey("'drain_ms':-1"),
           VALID.replaceAll("\\[(\\{.*)\\]", "[$1,$1]"),
-          withSetting("'limits':{'maxDispatches':0}"));
+          withSetting("'limits':{'maxDispatches':0}"),
+          withKey("'limits':{'memory_mb':0}"),
+          withKey("'limits':{'memory_mb':'much'}"));
 
   private static String withReplaced(String original, String replacement) {
     return VALID.replace(original, replacement);
--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -18,6 +18,7 @@
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
 import wheattrack.core.ClientConnectionCounters;
+import wheattrack.core.MemoryBudget;
 import wheattrack.core.RequestCounters;
 
 /** The admin address: its answers, its metrics, and connections that stay idle. */
@@ -56,6 +57,11 @@
     recorder.assertMatches("admin-calls");
   }
 
+  /** The metrics with N for the memory in use, which depends on the system, and for its limit. */
+  private static String withoutMemory(String metrics) {
+    return metrics.replaceAll("memory_(used|limit):[1-9][0-9]+", "memory_$1:N");
+  }
+
   /** Each final answer is counted once, under its class; completely sent attempts are counted. */
   @Test
   void metricsMatchTheAnswersOfClients() throws Exception {
@@ -78,11 +84,11 @@
     try (Socket socket = connect()) {
       send(socket, request("buy"));
       Thread.sleep(100);
-      recorder.recordLine("one out: " + requestMetrics().replace("\n", ", "));
+      recorder.recordLine("one out: " + withoutMemory(requestMetrics()).replace("\n", ", "));
       readAnswer(socket);
     }
     String finalMetrics = requestMetrics();
-    recorder.recordLine("none out: " + finalMetrics.replace("\n", ", "));
+    recorder.recordLine("none out: " + withoutMemory(finalMetrics).replace("\n", ", "));
     assertTrue(
         finalMetrics.contains("proxy.attempts:" + requestsReceived.get() + "|c"),
         "expected " + requestsReceived.get() + " attempts, got " + finalMetrics);
@@ -117,6 +123,7 @@
         new MetricsFormat(
                 counters,
                 new ClientConnectionCounters(),
+                MemoryBudget.unlimited(),
                 () -> 0,
                 () -> 0,
                 () -> 0,
--- a/proxy/src/test/java/wheattrack/net/client/ClientEvictionTest.java
+++ b/proxy/src/test/java/wheattrack/net/client/ClientEvictionTest.java
@@ -25,6 +25,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.core.Lifecycle;
 import wheattrack.core.Lifecycle.Phase;
+import wheattrack.core.MemoryBudget;
 import wheattrack.http.Request;
 import wheattrack.net.protocol.ProtocolMapping;
 
@@ -67,7 +68,14 @@
   private final Lifecycle lifecycle = new Lifecycle(phase -> {});
   private final List<Socket> sockets = new ArrayList<>();
   private final ClientListener listener =
-      new ClientListener(loop, lifecycle, MAX_CLIENTS, 1 << 20, new ImmediateResponder(), () -> "");
+      new ClientListener(
+          loop,
+          lifecycle,
+          MAX_CLIENTS,
+          1 << 20,
+          new ImmediateResponder(),
+          MemoryBudget.unlimited(),
+          () -> "");
 
   /** Responds to each request immediately. */
   private static final class ImmediateResponder implements ClientListener.RequestReceiver {
