Count connections to backends by the reason why they are opened or not used again

Change: metrics backend_connections_opened.R and backend_connections_not_reused.R, and log lines of both where single requests are logged.

--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -4,10 +4,13 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
+import wheattrack.core.BackendConnectionCounters;
 import wheattrack.core.ClientConnectionCounters;
+import wheattrack.core.ConnectReason;
 import wheattrack.core.EvictionPriority;
 import wheattrack.core.MemoryBudget;
 import wheattrack.core.MemoryUse;
+import wheattrack.core.NoReuseReason;
 import wheattrack.core.RequestCounters;
 import wheattrack.core.RequestCounters.AnswerCounts;
 import wheattrack.core.RequestCounters.FinalAnswer;
@@ -30,6 +33,7 @@
 
   private final RequestCounters counters;
   private final ClientConnectionCounters clientCounters;
+  private final BackendConnectionCounters backendConnectionCounters;
   private final MemoryBudget memoryBudget;
   private final IntSupplier inFlight;
   private final IntSupplier backends;
@@ -41,6 +45,7 @@
    * Creates metrics that are read from these sources.
    *
    * @param clientCounters how connections of clients ended
+   * @param backendConnectionCounters why connections to backends were opened and not reused
    * @param memoryBudget the memory that messages use
    * @param inFlight requests accepted and not answered yet
    * @param backends backends on the endpoint list
@@ -52,6 +57,7 @@
   public MetricsFormat(
       RequestCounters counters,
       ClientConnectionCounters clientCounters,
+      BackendConnectionCounters backendConnectionCounters,
       MemoryBudget memoryBudget,
       IntSupplier inFlight,
       IntSupplier backends,
@@ -60,6 +66,7 @@
       LongSupplier failedSteps) {
     this.counters = counters;
     this.clientCounters = clientCounters;
+    this.backendConnectionCounters = backendConnectionCounters;
     this.memoryBudget = memoryBudget;
     this.inFlight = inFlight;
     this.backends = backends;
@@ -81,6 +88,7 @@
     append(text, "reloads_ok", counters.reloadsApplied(), COUNTER);
     append(text, "reloads_failed", counters.reloadsRejected(), COUNTER);
     appendClientConnections(text);
+    appendBackendConnections(text);
     appendMemory(text);
     append(text, "steps_failed", failedSteps.getAsLong(), COUNTER);
     return text.toString();
@@ -97,6 +105,17 @@
     append(text, "accepts_failed", clientCounters.failedAccepts(), COUNTER);
   }
 
+  private void appendBackendConnections(StringBuilder text) {
+    for (ConnectReason reason : ConnectReason.values()) {
+      String name = "backend_connections_opened." + reason.name().toLowerCase(Locale.ROOT);
+      append(text, name, backendConnectionCounters.opened(reason), COUNTER);
+    }
+    for (NoReuseReason reason : NoReuseReason.values()) {
+      String name = "backend_connections_not_reused." + reason.name().toLowerCase(Locale.ROOT);
+      append(text, name, backendConnectionCounters.notReused(reason), COUNTER);
+    }
+  }
+
   private void appendMemory(StringBuilder text) {
     append(text, "memory_used", memoryBudget.usedBytes(), GAUGE);
     append(text, "memory_limit", memoryBudget.limit(), GAUGE);
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -13,6 +13,7 @@
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.ProxyConfig;
+import wheattrack.core.BackendConnectionCounters;
 import wheattrack.core.Lifecycle;
 import wheattrack.core.Lifecycle.Phase;
 import wheattrack.core.MemoryBudget;
@@ -155,7 +156,7 @@
     if (processLock.role() != ProcessLock.Role.NEWER) {
       clientListener.listen(group, config.listen());
     }
-    admin = config.admin() == null ? null : openAdmin(config.admin());
+    admin = config.admin() == null ? null : openAdmin(config.admin(), connector.counters());
     DynamicSettings dynamicSettings = settingsSource == null ? null : new DynamicSettings();
     reloader =
         new ConfigurationReloader(
@@ -207,11 +208,13 @@
         changed -> reloader.applyDynamicSettings());
   }
 
-  private AdminServer openAdmin(InetSocketAddress address) {
+  private AdminServer openAdmin(
+      InetSocketAddress address, BackendConnectionCounters backendConnectionCounters) {
     MetricsFormat metrics =
         new MetricsFormat(
             counters,
             clientListener.counters(),
+            backendConnectionCounters,
             memoryBudget,
             requestHandler::openRequests,
             discovery::listedCount,
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -7,6 +7,7 @@
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.MemoryAccount;
 import wheattrack.core.MemoryUse;
+import wheattrack.core.NoReuseReason;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
 import wheattrack.http.MalformedMessageException;
@@ -380,11 +381,12 @@
 
   private void onResponse(Response response) {
     endBuffering();
-    isReusable =
-        response.keepAlive()
-            && !isWriting()
-            && bodySource == null
-            && matcher.mayContinueAfter(response, !decoder.isStreamingBody());
+    NoReuseReason reasonAgainstReuse = reasonAgainstReuse(response);
+    isReusable = reasonAgainstReuse == null;
+    if (!isReusable) {
+      connector.counters().countNotReused(reasonAgainstReuse);
+      EventLog.detail("connection not reused", pool.id(), reasonAgainstReuse::name);
+    }
     BackendAttempt attempt = currentAttempt;
     currentAttempt = null;
     if (decoder.isStreamingBody() && response.status() == StatusCode.OK) {
@@ -400,6 +402,13 @@
     attempt.end(ProtocolMapping.attemptOutcome(response), response);
   }
 
+  private NoReuseReason reasonAgainstReuse(Response response) {
+    if (!response.keepAlive() || isWriting() || bodySource != null) {
+      return NoReuseReason.BACKEND_CLOSES;
+    }
+    return matcher.reasonAgainstReuse(response, !decoder.isStreamingBody());
+  }
+
   /** Delivers the next part of a long response; called when the one before has been forwarded. */
   public void deliverNextPart() {
     if (isReading() || isClosed()) {
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -9,6 +9,7 @@
 import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.BackendIndex;
+import wheattrack.core.ConnectReason;
 import wheattrack.core.TimerQueue;
 
 /**
@@ -241,7 +242,7 @@
    */
   private boolean connectFor(BackendAttempt attempt) {
     try {
-      connecting.add(connector.connect(this));
+      connecting.add(connector.connect(this, connectReason(attempt)));
       return true;
     } catch (IOException e) { // no descriptor or the limit: the policy may use another backend
       loop.defer(
@@ -253,6 +254,13 @@
     }
   }
 
+  private ConnectReason connectReason(BackendAttempt attempt) {
+    if (idle.isEmpty()) {
+      return ConnectReason.NONE_IDLE;
+    }
+    return attempt.needsNewConnection() ? ConnectReason.NEW_REQUIRED : ConnectReason.OTHER_USE;
+  }
+
   // ---- notifications from connections
 
   /** The connection is open. */
--- a/proxy/src/main/java/wheattrack/net/backend/Connector.java
+++ b/proxy/src/main/java/wheattrack/net/backend/Connector.java
@@ -6,8 +6,11 @@
 import java.util.Comparator;
 import java.util.Optional;
 import wheattrack.aio.EventLoop;
+import wheattrack.core.BackendConnectionCounters;
+import wheattrack.core.ConnectReason;
 import wheattrack.core.MemoryBudget;
 import wheattrack.core.SlotTable;
+import wheattrack.log.EventLog;
 
 /**
  * Opens connections to backends up to a limit; when it is reached, the connection that has been
@@ -31,6 +34,7 @@
   private final MemoryBudget memoryBudget;
   private final SlotTable<BackendConnection> connections = new SlotTable<>();
   private final RecentResponses recentResponses = new RecentResponses();
+  private final BackendConnectionCounters counters = new BackendConnectionCounters();
   private int maxConnections;
   private long connectTimeout;
   private long idleTimeout;
@@ -80,6 +84,11 @@
     return recentResponses;
   }
 
+  /** The counters of connections, by reason. */
+  public BackendConnectionCounters counters() {
+    return counters;
+  }
+
   /** How long a connection may be idle; 0: without limit. */
   long idleTimeout() {
     return idleTimeout;
@@ -125,10 +134,11 @@
   /**
    * Starts to connect to the pool's backend.
    *
+   * @param reason why it is opened
    * @throws IOException if no file descriptor is left, or if the limit is reached and no connection
    *     is idle
    */
-  BackendConnection connect(BackendConnectionPool pool) throws IOException {
+  BackendConnection connect(BackendConnectionPool pool, ConnectReason reason) throws IOException {
     if (connections.size() >= maxConnections) {
       closeLongestIdle();
     }
@@ -138,6 +148,8 @@
     BackendConnection connection =
         new BackendConnection(pool, AsynchronousSocketChannel.open(group), this);
     connection.startConnecting(connectTimeout);
+    counters.countOpened(reason);
+    EventLog.detail("connection opened", pool.id(), reason::name);
     return connection;
   }
 
--- a/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -1,5 +1,6 @@
 package wheattrack.net.backend;
 
+import wheattrack.core.NoReuseReason;
 import wheattrack.http.Response;
 import wheattrack.http.StatusCode;
 
@@ -85,8 +86,14 @@
     return history.mayContainStart(startOfBody);
   }
 
-  /** Whether the connection may carry a further request after this response. */
-  boolean mayContinueAfter(Response response, boolean isComplete) {
-    return response.status() == StatusCode.OK && isComplete && !history.isFull();
+  /** Why the connection must carry no further request after this response; null: it may. */
+  NoReuseReason reasonAgainstReuse(Response response, boolean isComplete) {
+    if (response.status() != StatusCode.OK) {
+      return NoReuseReason.STATUS;
+    }
+    if (!isComplete) {
+      return NoReuseReason.LONG_RESPONSE;
+    }
+    return history.isFull() ? NoReuseReason.HISTORY_FULL : null;
   }
 }
--- a/proxy/src/test/java/wheattrack/net/AdminServerTest.java
+++ b/proxy/src/test/java/wheattrack/net/AdminServerTest.java
@@ -17,6 +17,7 @@
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.Json;
 import wheattrack.config.ProxyConfig;
+import wheattrack.core.BackendConnectionCounters;
 import wheattrack.core.ClientConnectionCounters;
 import wheattrack.core.MemoryBudget;
 import wheattrack.core.RequestCounters;
@@ -57,9 +58,9 @@
     recorder.assertMatches("admin-calls");
   }
 
-  /** The metrics with N for the memory in use, which depends on the system, and for its limit. */
-  private static String withoutMemory(String metrics) {
-    return metrics.replaceAll("memory_(used|limit):[1-9][0-9]+", "memory_$1:N");
+  /** The metrics with N for those that depend on the system or on the backends selected. */
+  private static String withoutVarying(String metrics) {
+    return metrics.replaceAll("(memory_used|memory_limit|opened.\\w+):[1-9][0-9]*", "$1:N");
   }
 
   /** Each final answer is counted once, under its class; completely sent attempts are counted. */
@@ -84,11 +85,11 @@
     try (Socket socket = connect()) {
       send(socket, request("buy"));
       Thread.sleep(100);
-      recorder.recordLine("one out: " + withoutMemory(requestMetrics()).replace("\n", ", "));
+      recorder.recordLine("one out: " + withoutVarying(requestMetrics()).replace("\n", ", "));
       readAnswer(socket);
     }
     String finalMetrics = requestMetrics();
-    recorder.recordLine("none out: " + withoutMemory(finalMetrics).replace("\n", ", "));
+    recorder.recordLine("none out: " + withoutVarying(finalMetrics).replace("\n", ", "));
     assertTrue(
         finalMetrics.contains("proxy.attempts:" + requestsReceived.get() + "|c"),
         "expected " + requestsReceived.get() + " attempts, got " + finalMetrics);
@@ -123,6 +124,7 @@
         new MetricsFormat(
                 counters,
                 new ClientConnectionCounters(),
+                new BackendConnectionCounters(),
                 MemoryBudget.unlimited(),
                 () -> 0,
                 () -> 0,
