Do not take the start of a long answer for a copy of an earlier one

A non-idempotent request whose answer is longer than 64 KiB, with a first part that equals a complete earlier answer on its connection, waits until its timeout.

Cause: ResponseMatcher.originOf compares the part that comes first like a complete answer. An answer of known length that is handled in parts is longer than all that the history holds, so it is no copy. Parts of unknown length are still compared, as a copy may be in chunks.

--- a/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -13,7 +13,9 @@
  * <p>A copy equals an earlier response on the same connection. Only complete responses with the
  * status 200 are followed by another request on their connection, and all of them are in its
  * history; so any other response belongs to the current request. Rejections and errors in
- * particular are often equal, so that a copy of one could not be told from the next.
+ * particular are often equal, so that a copy of one could not be told from the next. The history
+ * holds no response that is too long to be buffered, so the start of one whose length is known is
+ * no copy, though it may equal a shorter response.
  */
 final class ResponseMatcher {
   /** Which request a response belongs to. */
@@ -48,7 +50,8 @@
    * @param isComplete whether the response has its complete body
    */
   Origin originOf(Response response, BackendAttempt attempt, boolean isComplete) {
-    if (response.status() != StatusCode.OK) {
+    boolean isLongerThanEarlierOnes = !isComplete && response.remainingBody().hasKnownLength();
+    if (response.status() != StatusCode.OK || isLongerThanEarlierOnes) {
       return Origin.CURRENT_REQUEST;
     }
     long fingerprint = Fingerprint.of(response.body());
--- a/proxy/src/test/java/wheattrack/net/SecondCopyTest.java
+++ b/proxy/src/test/java/wheattrack/net/SecondCopyTest.java
@@ -40,6 +40,8 @@
 
   private static final int COPY_PAUSE_MILLIS = 700;
 
+  private static final int LONG_ANSWER_BYTES = 100_000;
+
   private static final String REFUSAL =
       "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -162,6 +164,44 @@
     }
   }
 
+  /**
+   * Guards against a long answer that its client never receives, as the part of it that comes first
+   * equals a complete earlier answer.
+   */
+  @Test
+  void startOfLongAnswerIsNotTakenForACopy() throws Exception {
+    endpointList.send(
+        listLine(
+            1, true, endpoint("s0", "SERVING", listen(this::serveWithLongAnswer).getLocalPort())));
+    startProxy(MAX_SOCKETS, "{}");
+    try (Socket client = connect()) {
+      for (int i = 1; i < FIRST_COPIED_REQUEST; i++) {
+        assertTrue(call(client, request("pay")).startsWith("200"));
+      }
+      String answer = call(client, request("pay"));
+      assertEquals(3 + 1 + LONG_ANSWER_BYTES, answer.length(), "status, space and body");
+      assertTrue(answer.startsWith("200 made for "));
+    }
+  }
+
+  /** The tenth answer is long; its first part, which comes alone, equals the one before. */
+  private void serveWithLongAnswer(Socket socket) throws Exception {
+    InputStream input = socket.getInputStream();
+    String previous = "";
+    for (String request = readHead(input); request != null; request = readHead(input)) {
+      input.readNBytes(contentLength(request));
+      if (requestsReceived.incrementAndGet() < FIRST_COPIED_REQUEST) {
+        send(socket, answerFor(requestId(request)));
+        previous = "made for " + requestId(request);
+        continue;
+      }
+      String head = "HTTP/1.1 200 OK\r\nContent-Length: " + LONG_ANSWER_BYTES + "\r\n\r\n";
+      send(socket, head + previous);
+      Thread.sleep(ANSWER_PAUSE_MILLIS);
+      send(socket, "x".repeat(LONG_ANSWER_BYTES - previous.length()));
+    }
+  }
+
   private static String chunkedAnswer(String id) {
     return "made for " + id + " " + "x".repeat(100);
   }
