Let idempotent requests use a connection after one rejection or error

Change: after its first 5xx a connection carries idempotent requests only, which prefer it, and closes with the second. A copy of the first that comes for a later request is the second, so the connection ends before it is one answer behind, and the request may run again. Requests that must not run twice, keyed ones and probes never use it. In part only: the second rejection still costs a connection.

--- a/proxy/src/main/java/wheattrack/http/StatusCode.java
+++ b/proxy/src/main/java/wheattrack/http/StatusCode.java
@@ -60,6 +60,11 @@
     return statusCode >= MIN_CLIENT_ERROR && statusCode < MIN_SERVER_ERROR;
   }
 
+  /** Whether this code is a server error (5xx), which includes rejections. */
+  public static boolean isServerError(int statusCode) {
+    return statusCode >= MIN_SERVER_ERROR;
+  }
+
   /** Whether a response with this code has no body, whatever its headers say. */
   static boolean hasNoBody(int statusCode) {
     return isInterim(statusCode) || statusCode == NO_CONTENT || statusCode == NOT_MODIFIED;
--- a/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendAttempt.java
@@ -178,6 +178,11 @@
     return false;
   }
 
+  /** Whether its request may run any number of times. */
+  protected boolean isIdempotent() {
+    return false;
+  }
+
   /** Whether it must not use a connection that has carried a response. */
   protected boolean needsNewConnection() {
     return false;
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -240,6 +240,14 @@
     return matcher.mayCarry(attempt);
   }
 
+  /**
+   * Whether only some attempts may use it, namely those of requests that may run any number of
+   * times, so that these should use it before others.
+   */
+  boolean isRestricted() {
+    return matcher.hasCarriedFailure();
+  }
+
   /** Sends the attempt's request; the attempt ends with the response or with a failure. */
   void send(BackendAttempt attempt) {
     loop.cancel(timer);
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Predicate;
 import wheattrack.aio.EventLoop;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.BackendIndex;
@@ -189,15 +190,29 @@
     }
   }
 
-  /** The usable connection used last that may carry the attempt, or null. */
+  /** The usable connection that the attempt should use, or null. */
   private BackendConnection usableConnection(BackendAttempt attempt) {
-    for (int i = idle.size() - 1; i >= 0; i--) {
-      BackendConnection connection = idle.get(i);
-      if (connection.usableFrom() <= loop.now() && connection.mayCarry(attempt)) {
-        return connection;
+    return preferredConnection(
+        idle, connection -> connection.usableFrom() <= loop.now() && connection.mayCarry(attempt));
+  }
+
+  /**
+   * The candidate used last of those that only some attempts may use, else the candidate used last;
+   * null if there is none.
+   */
+  private static BackendConnection preferredConnection(
+      List<BackendConnection> connections, Predicate<BackendConnection> isCandidate) {
+    BackendConnection preferred = null;
+    for (int i = connections.size() - 1; i >= 0; i--) {
+      BackendConnection connection = connections.get(i);
+      if (isCandidate.test(connection)) {
+        if (connection.isRestricted()) {
+          return connection;
+        }
+        preferred = preferred == null ? connection : preferred;
       }
     }
-    return null;
+    return preferred;
   }
 
   /** Opens connections until there is one, usable or not yet, for each waiting attempt. */
@@ -217,24 +232,17 @@
     List<BackendConnection> available = new ArrayList<>(idle);
     List<BackendAttempt> attempts = new ArrayList<>();
     for (BackendAttempt attempt : waiting) {
-      if (!removeSuitable(available, attempt)) {
+      BackendConnection connection =
+          preferredConnection(available, candidate -> candidate.mayCarry(attempt));
+      if (connection == null) {
         attempts.add(attempt);
+      } else {
+        available.remove(connection);
       }
     }
     return attempts;
   }
 
-  private static boolean removeSuitable(
-      List<BackendConnection> connections, BackendAttempt attempt) {
-    for (int i = 0; i < connections.size(); i++) {
-      if (connections.get(i).mayCarry(attempt)) {
-        connections.remove(i);
-        return true;
-      }
-    }
-    return false;
-  }
-
   /**
    * Starts to connect; if that is not possible, discards the attempt in a later step.
    *
--- a/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -10,12 +10,13 @@
  * it, so that neither the state of the connection nor time tells the copy from a response. Runs on
  * the event loop's thread only.
  *
- * <p>A copy equals an earlier response on the same connection. Only complete responses with the
- * status 200 are followed by another request on their connection, and all of them are in its
- * history; so any other response belongs to the current request. Rejections and errors in
- * particular are often equal, so that a copy of one could not be told from the next. The history
- * holds no response that is too long to be buffered, so the start of one whose length is known is
- * no copy, though it may equal a shorter response.
+ * <p>A copy of a response with the status 200 equals an earlier one on the same connection, all of
+ * which are in its history. Rejections and errors are often equal, so that a copy of one could not
+ * be told from the next. So a connection that has carried one carries only requests that may run
+ * any number of times, to which a copy does no harm, and is closed with the second one: if that is
+ * a copy, the response that follows belongs to the request before. The history holds no response
+ * that is too long to be buffered, so the start of one whose length is known is no copy, though it
+ * may equal a shorter response.
  */
 final class ResponseMatcher {
   /** Which request a response belongs to. */
@@ -29,13 +30,26 @@
   private final ResponseHistory history = new ResponseHistory();
   private boolean carriesProbes;
 
+  /** The number of responses with another status than 200. */
+  private int failures;
+
   /**
    * Whether the connection may carry the attempt. Probes have connections of their own, as their
    * responses often repeat.
    */
   boolean mayCarry(BackendAttempt attempt) {
+    if (history.isEmpty() && !hasCarriedFailure()) {
+      return true;
+    }
     boolean isOfSameKind = attempt.isProbe() == carriesProbes;
-    return history.isEmpty() || (isOfSameKind && !attempt.needsNewConnection());
+    return isOfSameKind
+        && !attempt.needsNewConnection()
+        && (attempt.isIdempotent() || attempt.isProbe() || !hasCarriedFailure());
+  }
+
+  /** Whether the connection has carried a rejection or an error. */
+  boolean hasCarriedFailure() {
+    return failures > 0;
   }
 
   /** The connection carries this attempt from now on. */
@@ -50,8 +64,12 @@
    * @param isComplete whether the response has its complete body
    */
   Origin originOf(Response response, BackendAttempt attempt, boolean isComplete) {
+    if (response.status() != StatusCode.OK) {
+      failures++;
+      return Origin.CURRENT_REQUEST;
+    }
     boolean isLongerThanEarlierOnes = !isComplete && response.remainingBody().hasKnownLength();
-    if (response.status() != StatusCode.OK || isLongerThanEarlierOnes) {
+    if (isLongerThanEarlierOnes) {
       return Origin.CURRENT_REQUEST;
     }
     long fingerprint = Fingerprint.of(response.body());
@@ -91,7 +109,9 @@
 
   /** Why the connection must carry no further request after this response; null: it may. */
   NoReuseReason reasonAgainstReuse(Response response, boolean isComplete) {
-    if (response.status() != StatusCode.OK) {
+    boolean isFirstFailure = failures == 1 && StatusCode.isServerError(response.status());
+    boolean mayCopyDoHarm = !isFirstFailure || carriesProbes;
+    if (response.status() != StatusCode.OK && mayCopyDoHarm) {
       return NoReuseReason.STATUS;
     }
     if (!isComplete) {
--- a/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestAttempt.java
@@ -2,6 +2,7 @@
 
 import wheattrack.api.AttemptCallback;
 import wheattrack.api.AttemptOutcome;
+import wheattrack.api.Idempotency;
 import wheattrack.core.RequestCounters.FinalAnswer;
 import wheattrack.http.Request;
 import wheattrack.http.Response;
@@ -64,6 +65,11 @@
     return request.pending().requestClass().isNonIdempotent();
   }
 
+  @Override
+  protected boolean isIdempotent() {
+    return request.pending().requestClass().idempotency() == Idempotency.IDEMPOTENT;
+  }
+
   /** A copy of an earlier response could not be told from the response to HEAD: it has no body. */
   @Override
   protected boolean needsNewConnection() {
--- a/proxy/src/test/java/wheattrack/net/SecondCopyTest.java
+++ b/proxy/src/test/java/wheattrack/net/SecondCopyTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -110,6 +111,53 @@
     assertOwnAnswers(className);
   }
 
+  /**
+   * Guards against a connection for each rejection where a copy of it would do no harm, and against
+   * requests that must not run twice on connections where it would.
+   */
+  @Test
+  void onlyIdempotentRequestsUseAConnectionAfterOneRejection() throws Exception {
+    List<String> histories = Collections.synchronizedList(new ArrayList<>());
+    int backendPort = listen(socket -> serveRefusingSome(socket, histories)).getLocalPort();
+    endpointList.send(listLine(1, true, endpoint("s0", "SERVING", backendPort)));
+    startProxy(MAX_SOCKETS, "{}");
+    try (Socket client = connect()) {
+      for (int i = 0; i < REQUESTS; i++) {
+        call(client, request(i % 2 == 0 ? "buy" : "pay"));
+      }
+    }
+    stopProxyAndListeners();
+    server = null;
+    Thread.sleep(ANSWER_PAUSE_MILLIS);
+    String all = String.join("\n", histories);
+    assertTrue(all.contains("REFUSED buy"), () -> "no idempotent request after one:\n" + all);
+    for (String history : histories) {
+      assertTrue(
+          !history.matches(".*REFUSED .*pay.*|.*REFUSED .*REFUSED .+"),
+          () -> "requests of one connection: " + history);
+    }
+  }
+
+  /** Refuses one request in three, and adds what the connection has carried when it ends. */
+  private void serveRefusingSome(Socket socket, List<String> histories) throws IOException {
+    StringBuilder history = new StringBuilder();
+    InputStream input = socket.getInputStream();
+    try {
+      for (String head = readHead(input); head != null; head = readHead(input)) {
+        input.readNBytes(contentLength(head));
+        history.append(head.contains("/buy") ? "buy " : "pay ");
+        if (refusableRequests.incrementAndGet() % 3 == 0) {
+          history.append("REFUSED ");
+          send(socket, REFUSAL);
+        } else {
+          send(socket, answerFor(requestId(head)));
+        }
+      }
+    } finally {
+      histories.add(history.toString());
+    }
+  }
+
   private void assertOwnAnswers(String className) throws IOException {
     int served = 0;
     try (Socket client = connect()) {
