Answer clients that stop within a short body 2.5 s after their head

Cause: each byte extends the time left at half the slowest rate, 65,500 bytes by 2 s. Until the buffered part of a body is there, a client now has 2.5 s from the end of its head; the slowest one that is to be served, 64 kB a second, needs 1.1 s. It holds its memory for that much less, too.

--- a/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
@@ -22,6 +22,13 @@
   /** The most bytes that are read ahead of a long body until its first part is requested. */
   private static final int MAX_BODY_READ_AHEAD = 1 << 20;
 
+  /**
+   * The longest time from the end of a head until enough of the body is received for the request to
+   * be handled, in tenths of a millisecond. The slowest client that is to be served needs 1.1 s,
+   * and one that stops must get its response within 3 s of connecting.
+   */
+  private static final long BODY_START_TIMEOUT = 25_000;
+
   /** The most bytes of one read ahead, unless the request's body is long. */
   private static final int READ_SIZE = 4 * 1024;
 
@@ -39,6 +46,9 @@
   /** Whether the body of a request is being received, for which the minimum rate holds. */
   private boolean isInBody;
 
+  /** When the head of the current request was received; tenths of a millisecond. */
+  private long bodySince;
+
   /** Whether a part of the current long body has been requested yet. */
   private boolean isBodyRequested;
 
@@ -209,9 +219,11 @@
   void awaitRestOfRequest() {
     if (!isInBody) {
       isInBody = true;
+      bodySince = loop.now();
       transferRate.start(loop.now());
     }
-    timeouts.awaitBody(transferRate.remaining(loop.now()));
+    long timeLeft = bodySince + BODY_START_TIMEOUT - loop.now();
+    timeouts.awaitBody(Math.min(timeLeft, transferRate.remaining(loop.now())));
   }
 
   /** The complete response is written, and the connection stays open for another request. */
--- a/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
+++ b/proxy/src/test/java/wheattrack/net/IdleConnectionsTest.java
@@ -1,6 +1,8 @@
 package wheattrack.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wheattrack.net.RawHttp.readAnswer;
 import static wheattrack.net.RawHttp.readHead;
 import static wheattrack.net.RawHttp.request;
 import static wheattrack.net.RawHttp.send;
@@ -290,4 +292,18 @@
     }
     assertEquals(List.of(), failures);
   }
+
+  // Guards against a client that stops within a short body and is kept for longer than 3 s.
+  @Test
+  void clientThatStopsWithinAShortBodyIsAnsweredInTime() throws Exception {
+    startProxyWithBackends(1);
+    String head = "POST /buy HTTP/1.1\r\nRequest-Id: stops\r\nContent-Length: 65536\r\n\r\n";
+    try (Socket socket = connect()) {
+      long start = System.nanoTime();
+      send(socket, head + "b".repeat(65_500));
+      assertEquals("408", readAnswer(socket).substring(0, 3));
+      long millis = (System.nanoTime() - start) / 1_000_000;
+      assertTrue(millis < 3000, "answered after " + millis + " ms");
+    }
+  }
 }
