--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnection.java
@@ -6,7 +6,6 @@
 import wheattrack.aio.TcpConnection;
 import wheattrack.api.AttemptOutcome;
 import wheattrack.core.MemoryAccount;
-import wheattrack.core.MemoryUse;
 import wheattrack.core.NoReuseReason;
 import wheattrack.core.TimerQueue;
 import wheattrack.http.Encoder;
@@ -22,16 +21,13 @@
  * One connection to a backend; it carries one attempt at a time. Runs on the event loop's thread
  * only.
  */
-public final class BackendConnection extends TcpConnection implements MemoryAccount.Owner {
+public final class BackendConnection extends TcpConnection {
   /**
    * How long the sending of a long response by the backend, or of a long request body to it, may
    * pause; tenths of a millisecond.
    */
   public static final long STALL_TIMEOUT = 100_000;
 
-  /** The value of a time that is not set. */
-  private static final long NEVER = -1;
-
   private enum State {
     /** The connection is being made. */
     CONNECTING,
@@ -47,6 +43,7 @@
   private final Connector connector;
   private final ResponseDecoder decoder;
   private final ResponseMatcher matcher = new ResponseMatcher();
+  private final BackendMemory memory = new BackendMemory(this);
   private final InetSocketAddress remoteAddress;
   private final long openedAt;
   private final int slot;
@@ -78,14 +75,6 @@
   /** Whether the connection broke while the request was being written. */
   private boolean isBroken;
 
-  /**
-   * Since when the current response is being received, or {@link #NEVER}; tenths of a millisecond.
-   */
-  private long responseSince = NEVER;
-
-  /** When bytes were received last; tenths of a millisecond. */
-  private long lastReadAt;
-
   /** When it became idle; tenths of a millisecond. */
   private long idleSince;
 
@@ -108,7 +97,7 @@
     remoteAddress = pool.address();
     openedAt = loop.now();
     slot = connector.register(this);
-    countMemoryIn(new MemoryAccount(connector.memoryBudget(), this));
+    countMemoryIn(new MemoryAccount(connector.memoryBudget(), memory));
   }
 
   /** The attempt whose response is awaited, or null. */
@@ -133,30 +122,18 @@
     return decoder.heldBytes();
   }
 
-  @Override
-  public MemoryUse memoryUse() {
-    if (currentAttempt != null && isWriting()) {
-      return MemoryUse.UNREAD_REQUEST;
-    }
-    boolean isReceiving = currentAttempt != null ? responseSince != NEVER : isReceivingPart();
-    return isReceiving ? MemoryUse.INCOMPLETE_RESPONSE : MemoryUse.NEEDED;
-  }
-
-  private boolean isReceivingPart() {
+  /** Whether it waits for a further part of a long response. */
+  boolean isReceivingPart() {
     return responseReceiver != null && isReading();
   }
 
-  @Override
-  public long memoryUsedSince() {
-    if (currentAttempt == null) {
-      return lastReadAt;
-    }
-    return isWriting() ? writingSince() : responseSince;
+  /** Since when the pending write waits for the backend; valid while {@link #isWriting}. */
+  long writeSince() {
+    return writingSince();
   }
 
   /** Ends the attempt, or the long response, as if the connection had broken. */
-  @Override
-  public void releaseMemory(MemoryUse use) {
+  void giveUp() {
     if (currentAttempt != null) {
       onBreak();
     } else {
@@ -252,7 +229,7 @@
   void send(BackendAttempt attempt) {
     loop.cancel(timer);
     state = State.IN_USE;
-    responseSince = NEVER;
+    memory.onRequest();
     currentAttempt = attempt;
     attemptBeingWritten = attempt;
     attempt.startOn(this);
@@ -295,10 +272,7 @@
 
   @Override
   protected void onRead(int n) {
-    lastReadAt = loop.now();
-    if (responseSince == NEVER) {
-      responseSince = lastReadAt;
-    }
+    memory.onRead(loop.now());
     boolean isEndOfBody = n == END_OF_STREAM && decoder.endOfStream();
     boolean isBreak = n < 0 && !isEndOfBody;
     if (responseReceiver != null) {
