--- a/review/src-2/independent/Backend.java
+++ b/review/src-2/independent/Backend.java
@@ -6,7 +6,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.function.Function;
 
 /** A backend: one thread a connection, one request at a time on each. */
 final class Backend implements AutoCloseable {
@@ -45,13 +44,28 @@
     void handle(Connection connection, Request request) throws Exception;
   }
 
+  /** Serves a connection to its end. */
+  interface ConnectionHandler {
+    void serve(Connection connection) throws Exception;
+  }
+
   final String name;
   private final ServerSocket listener;
-  private final Handler handler;
+  private final ConnectionHandler connectionHandler;
 
+  /** A backend that reads each request to its last byte. */
   Backend(String name, Handler handler) throws IOException {
+    this(connection -> serveRequests(connection, handler), name);
+  }
+
+  /** A backend that reads its connections itself. */
+  static Backend ofConnections(String name, ConnectionHandler handler) throws IOException {
+    return new Backend(handler, name);
+  }
+
+  private Backend(ConnectionHandler connectionHandler, String name) throws IOException {
     this.name = name;
-    this.handler = handler;
+    this.connectionHandler = connectionHandler;
     listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     Discovery.start(name, this::accept);
   }
@@ -82,32 +96,30 @@
 
   private void serve(Socket socket) {
     try (socket) {
-      Connection connection = new Connection(socket);
-      for (String head = Wire.readHead(connection.input);
-          head != null;
-          head = Wire.readHead(connection.input)) {
-        String body = Wire.readBody(connection.input, head);
-        String[] line = head.split("\r\n")[0].split(" ");
-        Request request =
-            new Request(line[0], line[1], Wire.header(head, "Request-Id", ""), head, body);
-        if (request.id().isEmpty()) {
-          connection.send(status(404, ""));
-        } else {
-          handler.handle(connection, request);
-        }
-      }
+      connectionHandler.serve(new Connection(socket));
     } catch (Exception e) {
       // the proxy has closed, or the case has reset the connection
     }
   }
 
+  private static void serveRequests(Connection connection, Handler handler) throws Exception {
+    for (String head = Wire.readHead(connection.input);
+        head != null;
+        head = Wire.readHead(connection.input)) {
+      String body = Wire.readBody(connection.input, head);
+      String[] line = head.split("\r\n")[0].split(" ");
+      Request request =
+          new Request(line[0], line[1], Wire.header(head, "Request-Id", ""), head, body);
+      if (request.id().isEmpty()) {
+        connection.send(status(404, ""));
+      } else {
+        handler.handle(connection, request);
+      }
+    }
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
   }
-
-  /** The answer of a function of the request's path, as most cases have it. */
-  static Handler answering(Function<Request, String> answer) {
-    return (connection, request) -> connection.send(ok(answer.apply(request)));
-  }
 }
