--- a/review/src-2/independent/Rig.java
+++ b/review/src-2/independent/Rig.java
@@ -147,7 +147,8 @@
     /** Sends a signal by its name. */
     void signal(String signal) throws Exception {
       record("SIG" + signal + " to proxy " + name);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+      String command = "kill -" + signal + " " + process.pid();
+      new ProcessBuilder("/bin/sh", "-c", command).inheritIO().start().waitFor();
     }
 
     boolean isAlive() {
