Give each request body an object of its own, so that no part outlives its request

Cause: RequestBodyReader kept the last part of a body in a field of the connection while pending events were handled. An attempt that broke in that step left it there, and the next long body got it. The same kind of state, found by reading: the timeout for further bytes went on after the last byte of such a body, and closed the request unanswered while its retry waited.

Change: RequestBody holds what concerns one body and ends with the response to its request; the relay of a request refers to that object, not to the connection. It cannot deliver a byte that was decoded for another request, in whatever order resets, answers and next requests come.

Evidence: RequestBodyTest forces both by steps of the event loop. With the version before, three of its four cases fail: "" and "" in place of "70000b" (chunks, length), and a closed connection in place of 200. The listener's harness is shared with ClientEvictionTest.

--- a/proxy/src/main/java/wheattrack/net/client/BodyArrival.java
+++ b/proxy/src/main/java/wheattrack/net/client/BodyArrival.java
@@ -4,7 +4,7 @@
 import wheattrack.http.RequestDecoder;
 
 /**
- * Tracks how long the last byte of a long request body is known not to have arrived.
+ * Tracks how long the last byte of one long request body is known not to have arrived.
  *
  * <p>The client's timeout runs from the arrival of the last byte at this machine, which may be long
  * before that byte is read: while a backend does not accept the body, bytes stay unread in the
@@ -30,8 +30,8 @@
   private final RequestDecoder decoder;
   private final BodyArrivalChecker checker;
 
-  /** Whether a long body is being received. */
-  private boolean isTracking;
+  /** Whether the body is still being received. */
+  private boolean isTracking = true;
 
   /** The last time at which the body is known to have been incomplete. */
   private long incompleteAt;
@@ -45,6 +45,7 @@
   /** Whether the pending read waits, and the bytes read before do not end the body. */
   private boolean isKnownIncomplete;
 
+  /** Begins with a request that has been received up to a part of its body. */
   BodyArrival(
       ClientConnection connection,
       EventLoop loop,
@@ -54,19 +55,11 @@
     this.loop = loop;
     this.decoder = decoder;
     this.checker = checker;
-  }
-
-  /** A request with a long body has been received up to a part of its body. */
-  void start() {
-    isTracking = true;
     incompleteAt = loop.now();
-    isReadChecked = false;
-    isReadWaiting = false;
-    isKnownIncomplete = false;
     checker.add(this);
   }
 
-  /** The last byte of the body has been read, or the connection is closed. */
+  /** The last byte of the body has been read, or the body is of no use any more. */
   void stop() {
     isTracking = false;
     isKnownIncomplete = false;
--- a/proxy/src/main/java/wheattrack/net/client/BodyPartConsumer.java
+++ b/proxy/src/main/java/wheattrack/net/client/BodyPartConsumer.java
@@ -3,8 +3,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * Receives the parts of a long request body, one for each call of {@link
- * ClientConnection#requestBodyPart}. It is called on the event loop's thread.
+ * Receives the parts of a long request body, one for each call of {@link RequestBody#requestPart}.
+ * It is called on the event loop's thread.
  */
 @FunctionalInterface
 public interface BodyPartConsumer {
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -337,22 +337,12 @@
     disconnectCallback = callback;
   }
 
-  /** Requests the next part of the long body of the open request; the consumer is called once. */
-  public void requestBodyPart(BodyPartConsumer consumer) {
-    bodyReader.requestPart(consumer);
-  }
-
-  /** Cancels the request for the next part of the body; bytes already received stay buffered. */
-  public void cancelBodyRequest() {
-    bodyReader.cancelRequest();
-  }
-
   /**
-   * The last time at which the long body of the open request is known to have been incomplete, in
-   * tenths of a millisecond. While its bytes are not read, its last byte may have arrived.
+   * The rest of the open request's long body; null: the request was received complete. It is the
+   * body of this one request, also after the connection has received others.
    */
-  public long bodyIncompleteAt() {
-    return bodyReader.bodyIncompleteAt();
+  public RequestBody requestBody() {
+    return bodyReader.body();
   }
 
   // ---- the response
@@ -364,6 +354,7 @@
   public void sendResponse(Response response) {
     disconnectCallback = null;
     memory.onResponse();
+    bodyReader.endBody();
     if (isClosed()) {
       return;
     }
@@ -424,7 +415,6 @@
 
   private void awaitNextRequest() {
     isBusy = false;
-    bodyReader.onResponseComplete();
     idleSince = loop.now();
     timeouts.awaitNextRequest();
     if (bodyReader.isDecoderAvailable()) {
--- a/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
+++ b/proxy/src/main/java/wheattrack/net/client/RequestBodyReader.java
@@ -2,15 +2,13 @@
 
 import java.nio.ByteBuffer;
 import wheattrack.aio.EventLoop;
-import wheattrack.core.MinimumTransferRate;
-import wheattrack.http.MalformedMessageException;
 import wheattrack.http.RequestDecoder;
 
 /**
- * Reads from a client: the rest of a long body, one part for each call of {@link #requestPart}, and
- * a limited number of bytes ahead of that. Without reading ahead, the disconnect of a client that
- * has sent bytes after its request would not be detected while the request is open. Bytes read
- * ahead are counted in the listener's budget. Runs on the event loop's thread only.
+ * Reads from a client: the bytes of its requests, and a limited number of bytes ahead of what is
+ * requested of a long body. Without reading ahead, the disconnect of a client that has sent bytes
+ * after its request would not be detected while the request is open. Bytes read ahead are counted
+ * in the listener's budget. Runs on the event loop's thread only.
  */
 final class RequestBodyReader {
   /**
@@ -22,13 +20,6 @@
   /** The most bytes that are read ahead of a long body until its first part is requested. */
   private static final int MAX_BODY_READ_AHEAD = 1 << 20;
 
-  /**
-   * The longest time from the end of a head until enough of the body is received for the request to
-   * be handled, in tenths of a millisecond. The slowest client that is to be served needs 1.1 s,
-   * and one that stops must get its response within 3 s of connecting.
-   */
-  private static final long BODY_START_TIMEOUT = 25_000;
-
   /** The most bytes of one read ahead, unless the request's body is long. */
   private static final int READ_SIZE = 4 * 1024;
 
@@ -40,26 +31,10 @@
   private final EventLoop loop;
   private final RequestDecoder decoder;
   private final ConnectionTimeouts timeouts;
-  private final MinimumTransferRate transferRate = new MinimumTransferRate();
-  private final BodyArrival arrival;
-
-  /** Whether the body of a request is being received, for which the minimum rate holds. */
-  private boolean isInBody;
-
-  /** When the head of the current request was received; tenths of a millisecond. */
-  private long bodySince;
+  private final BodyArrivalChecker arrivalChecker;
 
-  /** Whether a part of the current long body has been requested yet. */
-  private boolean isBodyRequested;
-
-  /** Receives the next part; null: no part is requested. */
-  private BodyPartConsumer consumer;
-
-  /**
-   * The last part of a long body, held back until all other pending events are handled, as the
-   * client's disconnect may be among them; or null.
-   */
-  private ByteBuffer lastPart;
+  /** The body of the current request; null: it has none, or none that is received on its own. */
+  private RequestBody body;
 
   /**
    * The buffer that is being read ahead into; it is separate from the decoder's buffer, which may
@@ -85,14 +60,13 @@
     this.loop = loop;
     this.decoder = decoder;
     this.timeouts = timeouts;
-    arrival = new BodyArrival(connection, loop, decoder, arrivalChecker);
+    this.arrivalChecker = arrivalChecker;
   }
 
   /** Handles a completed read: counts its bytes, and passes those read ahead to the decoder. */
   void onRead(int count) {
-    arrival.onReadCompleted();
-    if (isInBody) {
-      transferRate.received(loop.now(), count);
+    if (body != null) {
+      body.onRead(count);
     }
     if (readAheadBuffer != null) {
       appendReadAhead();
@@ -131,10 +105,11 @@
   /** The memory held here, in bytes. */
   long heldBytes() {
     long readAhead = readAheadBuffer == null ? 0 : readAheadBuffer.capacity();
-    return readAhead + (lastPart == null ? 0 : lastPart.capacity());
+    return readAhead + (body == null ? 0 : body.heldBytes());
   }
 
-  private void updateCount() {
+  /** Updates the number of bytes that are counted in the budget as read ahead. */
+  void updateCount() {
     readAheadBudget.add(decoder.bufferedBytes() - countedBytes);
     countedBytes = decoder.bufferedBytes();
   }
@@ -157,10 +132,14 @@
 
   private boolean hasUnrequestedBytes() {
     return connection.hasOpenRequest()
-        && consumer == null
+        && !isPartRequested()
         && (decoder.bufferedBytes() > 0 || decoder.isStreamingBody());
   }
 
+  private boolean isPartRequested() {
+    return body != null && body.isPartRequested();
+  }
+
   private boolean mayReadAhead() {
     if (decoder.isStreamingBody() && readAheadBudget.isMemoryExceeded()) {
       return false;
@@ -174,7 +153,8 @@
     if (!decoder.isStreamingBody()) {
       return true; // bytes above the limit are dropped
     }
-    return !isBodyRequested
+    return body != null
+        && !body.isRequested()
         && decoder.bufferedBytes() < MAX_BODY_READ_AHEAD
         && readAheadBudget.isAvailable();
   }
@@ -191,119 +171,57 @@
 
   /** Whether the next part of a long body is requested and has not been received yet. */
   boolean isPartAwaited() {
-    return consumer != null && lastPart == null;
-  }
-
-  /**
-   * The last time at which the long body of the open request is known to have been incomplete, in
-   * tenths of a millisecond: its last byte has arrived at this machine no earlier than that.
-   */
-  long bodyIncompleteAt() {
-    return arrival.incompleteAt();
+    return body != null && body.isPartAwaited();
   }
 
-  /** A request has been received, complete or with its body's first bytes. */
-  void onRequest() {
-    if (decoder.isStreamingBody()) {
-      arrival.start();
-    }
-    if (decoder.isStreamingBody() && !isInBody) {
-      transferRate.start(loop.now());
-    }
-    isInBody = decoder.isStreamingBody();
-    isBodyRequested = false;
-    transferRate.pause(loop.now());
+  /** Decodes the next part of the long body and delivers it; valid while one is awaited. */
+  void deliverPart() {
+    body.deliverPart();
   }
 
   /** The head of a request has been received, but less of its body than the decoder needs. */
   void awaitRestOfRequest() {
-    if (!isInBody) {
-      isInBody = true;
-      bodySince = loop.now();
-      transferRate.start(loop.now());
+    if (body == null) {
+      body = newBody();
     }
-    long timeLeft = bodySince + BODY_START_TIMEOUT - loop.now();
-    timeouts.awaitBody(Math.min(timeLeft, transferRate.remaining(loop.now())));
-  }
-
-  /** The complete response is written, and the connection stays open for another request. */
-  void onResponseComplete() {
-    isInBody = false;
+    body.awaitStart();
   }
 
-  /** Requests the next part of the long body. */
-  void requestPart(BodyPartConsumer next) {
-    consumer = next;
-    isBodyRequested = true;
-    transferRate.resume(loop.now());
-    timeouts.awaitBody(transferRate.remaining(loop.now()));
-    if (lastPart != null) {
-      loop.execute(this::deliverLastPart);
-    } else if (isDecoderAvailable()) { // else the part is delivered when the pending read completes
-      deliverPart();
-      readMore();
+  /** A request has been received, complete or with its body's first bytes. */
+  void onRequest() {
+    if (!decoder.isStreamingBody()) {
+      body = null;
+      return;
     }
-  }
-
-  /** Cancels the request for a part; bytes already received stay buffered for the next request. */
-  void cancelRequest() {
-    consumer = null;
-    if (decoder.isStreamingBody() && !connection.isStreamingResponse()) {
-      transferRate.pause(loop.now());
-      timeouts.cancel();
+    if (body == null) {
+      body = newBody();
     }
+    body.open(arrivalChecker);
   }
 
-  /** Decodes the next part and delivers it, if there is one. */
-  void deliverPart() {
-    try {
-      ByteBuffer part = decoder.nextBodyPart();
-      updateCount();
-      isInBody = decoder.isStreamingBody();
-      if (isInBody) {
-        arrival.onDecoded();
-      } else {
-        arrival.stop();
-        lastPart = part;
-        readMore();
-        loop.execute(this::deliverLastPart);
-        return;
-      }
-      if (part.hasRemaining()) {
-        deliver(part, false);
-      } else {
-        timeouts.awaitBody(transferRate.remaining(loop.now()));
-      }
-    } catch (MalformedMessageException e) {
-      consumer = null;
-      connection.rejectMalformed(e.status(), e.getMessage());
-    }
+  private RequestBody newBody() {
+    return new RequestBody(connection, this, loop, decoder, timeouts);
   }
 
-  private void deliverLastPart() {
-    if (lastPart != null && consumer != null) { // else it is delivered already or not requested
-      ByteBuffer part = lastPart;
-      lastPart = null;
-      deliver(part, true);
-    }
+  /** The rest of the open request's long body; null: the request was received complete. */
+  RequestBody body() {
+    return body;
   }
 
-  private void deliver(ByteBuffer part, boolean isLast) {
-    BodyPartConsumer receiver = consumer;
-    consumer = null;
-    transferRate.pause(loop.now());
-    timeouts.cancel();
-    receiver.accept(part, isLast);
+  /** The current request has its response: the rest of its body is of no use any more. */
+  void endBody() {
+    if (body != null) {
+      body.end();
+      body = null;
+    }
   }
 
   /**
    * The connection is closed: nothing more is delivered, and its bytes are released to the budget.
    */
   void close() {
-    arrival.stop();
+    endBody();
     readAheadBudget.add(-countedBytes);
-    consumer = null;
-    lastPart = null;
     readAheadBuffer = null;
     decoder.close();
   }
--- a/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestBodyRelay.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import wheattrack.net.backend.BackendConnection;
 import wheattrack.net.backend.RequestBodySource;
-import wheattrack.net.client.ClientConnection;
+import wheattrack.net.client.RequestBody;
 
 /**
  * Forwards the part of a long request body that is not buffered. It is read from the client only as
@@ -12,7 +12,7 @@
  * event loop's thread only.
  */
 final class RequestBodyRelay implements RequestBodySource {
-  private final ClientConnection client;
+  private final RequestBody body;
   private final Runnable onComplete;
   private BackendConnection target;
   private boolean hasStarted;
@@ -23,8 +23,8 @@
    *
    * @param onComplete run when the last byte has been received from the client
    */
-  RequestBodyRelay(ClientConnection client, Runnable onComplete) {
-    this.client = client;
+  RequestBodyRelay(RequestBody body, Runnable onComplete) {
+    this.body = body;
     this.onComplete = onComplete;
   }
 
@@ -38,10 +38,18 @@
     return isComplete;
   }
 
+  /**
+   * The last time at which the body is known to have been incomplete, in tenths of a millisecond.
+   * While its bytes are not read, its last byte may have arrived.
+   */
+  long incompleteAt() {
+    return body.incompleteAt();
+  }
+
   @Override
   public void requestNext(BackendConnection connection) {
     target = connection;
-    client.requestBodyPart(this::forward);
+    body.requestPart(this::forward);
   }
 
   private void forward(ByteBuffer bytes, boolean isLast) {
@@ -62,7 +70,7 @@
   public void detach(BackendConnection connection) {
     if (target == connection) {
       target = null;
-      client.cancelBodyRequest();
+      body.cancelRequest();
     }
   }
 }
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -186,9 +186,11 @@
             parsed.costHint(),
             parsed.clientRetry(),
             request);
-    boolean hasLongBody = !parsed.message().remainingBody().isEmpty();
+    boolean hasLongBody = client.requestBody() != null;
     RequestBodyRelay body =
-        hasLongBody ? new RequestBodyRelay(client, () -> onBodyComplete(request)) : null;
+        hasLongBody
+            ? new RequestBodyRelay(client.requestBody(), () -> onBodyComplete(request))
+            : null;
     request.open(slot, pending, body);
     if (hasLongBody) {
       startBodyDeadline(request);
@@ -246,7 +248,7 @@
 
   /** Lets the client's timeout run from the earliest time at which the body may be complete. */
   private void restartClock(InFlightRequest request) {
-    long arrivedAt = Math.max(request.pending().arrivedAt(), request.client().bodyIncompleteAt());
+    long arrivedAt = Math.max(request.pending().arrivedAt(), request.body().incompleteAt());
     request.pending().restartClock(arrivedAt, latestDeadline());
   }
 
--- a/proxy/src/test/java/wheattrack/net/client/ClientEvictionTest.java
+++ b/proxy/src/test/java/wheattrack/net/client/ClientEvictionTest.java
@@ -4,28 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wheattrack.aio.EventLoop;
-import wheattrack.core.Lifecycle;
-import wheattrack.core.Lifecycle.Phase;
-import wheattrack.core.MemoryBudget;
 import wheattrack.http.Request;
 import wheattrack.net.protocol.ProtocolMapping;
 
@@ -43,39 +30,25 @@
  * was not read ends in a reset; the log line "client closed unanswered" and the metric {@code
  * client_reads_dropped} report it.
  */
-class ClientEvictionTest {
+class ClientEvictionTest extends ClientListenerHarness {
   private static final int MAX_CLIENTS = 4;
 
   /** The time from a client's connecting until it sends its request, as on a busy machine. */
   private static final int CLIENT_DELAY_MILLIS = 30;
 
-  /** Bytes sent over loopback are received within this time. */
-  private static final int ARRIVAL_MILLIS = 200;
-
   /** A client that has sent nothing for this long after connecting counts as idle. */
   private static final int IDLE_MILLIS = 400;
 
   /** A client is accepted and served within this time, even after a failed accepting step. */
   private static final int ACCEPT_MILLIS = 1000;
 
-  private static final int TIMEOUT_MILLIS = 3000;
   private static final String SERVED = "HTTP/1.1 200 OK";
   private static final String REQUEST = "GET /x HTTP/1.1\r\n\r\n";
   private static final Logger LOG = Logger.getLogger("wheattrack");
 
-  private final EventLoop loop = new EventLoop();
-  private final Thread loopThread = new Thread(loop::run);
-  private final Lifecycle lifecycle = new Lifecycle(phase -> {});
-  private final List<Socket> sockets = new ArrayList<>();
-  private final ClientListener listener =
-      new ClientListener(
-          loop,
-          lifecycle,
-          MAX_CLIENTS,
-          1 << 20,
-          new ImmediateResponder(),
-          MemoryBudget.unlimited(),
-          () -> "");
+  ClientEvictionTest() {
+    super(MAX_CLIENTS, new ImmediateResponder());
+  }
 
   /** Responds to each request immediately. */
   private static final class ImmediateResponder implements ClientListener.RequestReceiver {
@@ -88,40 +61,6 @@
     public void onRejected(Request request) {}
   }
 
-  @BeforeEach
-  void startListener() throws Exception {
-    lifecycle.advanceTo(Phase.WARMING);
-    lifecycle.advanceTo(Phase.SERVING);
-    listener.listen(
-        loop.channelGroup(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    loopThread.setDaemon(true);
-    loopThread.start();
-    runOnLoop(listener::startAccepting);
-  }
-
-  @AfterEach
-  void stopListener() throws IOException {
-    for (Socket socket : sockets) {
-      socket.close();
-    }
-    loop.shutdown();
-  }
-
-  private void runOnLoop(Runnable task) throws Exception {
-    CompletableFuture.runAsync(task, loop).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
-  private Socket connect() throws IOException {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), listener.port());
-    socket.setSoTimeout(TIMEOUT_MILLIS);
-    sockets.add(socket);
-    return socket;
-  }
-
-  private static void send(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-  }
-
   /** The first line of the response, "end" at the end of the stream, or "reset". */
   private static String readOutcome(Socket socket) throws IOException {
     try {
