Keep what is known of ended backends when the list's revision, source or scope changes

Cause: whether a list is older was told by the revision in use alone, which was forgotten with the address or the scope, and lowered by an older complete list, so that its repetition passed for new. The end of a removed backend was forgotten as soon as its index was taken; any older list set an older start time, with which a cold backend counts as warm.

Change: BackendHistory keeps the end of each backend with its incarnation, revision and source. A backend becomes ready only by an entry newer than that; else it is held as draining for a limited time, so that it comes back where revisions begin anew. Ends are taken from every list.

--- a/proxy/src/main/java/wheattrack/core/BackendIndex.java
+++ b/proxy/src/main/java/wheattrack/core/BackendIndex.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiFunction;
+import java.util.function.Predicate;
 
 /**
  * Assigns each known backend an index from a small dense range. An index is reused for a new
@@ -169,6 +170,11 @@
         .toList();
   }
 
+  /** Whether any listed backend meets the condition. */
+  public boolean anyListed(Predicate<B> condition) {
+    return byIndex.stream().anyMatch(backend -> backend.isListed() && condition.test(backend));
+  }
+
   /** Removes all backends. */
   public void clear() {
     byId.clear();
--- a/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
+++ b/proxy/src/main/java/wheattrack/net/backend/BackendConnectionPool.java
@@ -83,14 +83,14 @@
     return !connection.remoteAddress().equals(address) || connection.openedAt() < startedAt;
   }
 
-  /**
-   * Whether the incarnation of the backend that started at this time is known to be draining or
-   * removed.
-   *
-   * @param startedAt in tenths of a millisecond
-   */
-  public boolean hasStoppedServing(long startedAt) {
-    return !isServing && startedAt <= this.startedAt;
+  /** Whether the backend is listed as serving. */
+  public boolean isServing() {
+    return isServing;
+  }
+
+  /** When the backend, as it was listed last, started; tenths of a millisecond. */
+  public long startedAt() {
+    return startedAt;
   }
 
   /** The backend is draining or removed: attempts that have not started are discarded. */
--- a/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointDiscovery.java
@@ -13,6 +13,7 @@
 import wheattrack.config.Json;
 import wheattrack.config.JsonObjectReader;
 import wheattrack.config.ProxyConfig;
+import wheattrack.core.TimerQueue;
 import wheattrack.log.EventLog;
 import wheattrack.net.backend.BackendConnectionPool;
 import wheattrack.net.backend.Connector;
@@ -28,6 +29,7 @@
   private final EventLoop loop;
   private final AsynchronousChannelGroup group;
   private final EndpointListParser parser;
+  private final BackendHistory history = new BackendHistory();
   private final BackendPoolTable pools;
   private InetSocketAddress address;
   private String scope;
@@ -35,9 +37,15 @@
   private LongConsumer revisionListener = revision -> {};
   private WatchConnection watch;
 
-  /** Revision of the endpoint list in use; negative if there is none. */
+  /** Revision of the last event of the current source; negative if there was none. */
   private long revision = -1;
 
+  /** Whether no list has been received since the scope changed. */
+  private boolean isNewScope;
+
+  /** Runs when the next held backend is used again; null: none is held. */
+  private TimerQueue.Timer releaseTimer;
+
   /** Whether discovery answers, but with events that cannot be parsed or exceed a limit. */
   private boolean isUnreadable;
 
@@ -64,7 +72,7 @@
     parser =
         new EndpointListParser(config.settings().list("zones"), config.settings().list("kinds"));
     cachedList = config.cachedEndpoints().has("targets") ? config.cachedEndpoints() : null;
-    pools = new BackendPoolTable(connector);
+    pools = new BackendPoolTable(loop::now, connector, history);
   }
 
   /** Sets the policy that is notified of the list; to be called before the watch is opened. */
@@ -148,17 +156,21 @@
   public void changeScope(String newScope) {
     if (!newScope.equals(scope)) {
       scope = newScope;
+      isNewScope = true;
+      history.onScopeChanged();
       watchFromSnapshot();
     }
   }
 
   /**
    * Watches at this address from now on, beginning with the complete list, as the revisions there
-   * may be unrelated to those of the previous address.
+   * may be unrelated to those of the previous address. What is known of backends that do not serve
+   * remains, as the list there may be older.
    */
   public void changeAddress(InetSocketAddress newAddress) {
     if (!newAddress.equals(address)) {
       address = newAddress;
+      history.onSourceChanged();
       watchFromSnapshot();
     }
   }
@@ -180,6 +192,10 @@
   private void onWatchFailed(String reason, boolean isSilent, boolean deliveredValidLines) {
     EventLog.info("watch on the list", null, reason);
     isUnreadable = watch != null && watch.isUnreadable();
+    if (isSilent || !deliveredValidLines) {
+      pools.extendHolds();
+      scheduleRelease();
+    }
     if (isSilent) {
       watchEndpoints();
     } else {
@@ -211,41 +227,61 @@
   }
 
   /**
-   * Applies an event. Changes of an older revision are skipped, as they could reinstate a drained
-   * backend. A complete list of an older revision is applied, as discovery may have restarted, but
-   * it does not reinstate a backend that is draining or removed either.
+   * Applies an event. Changes of an older revision are skipped. A complete list of an older
+   * revision is applied, as discovery may have restarted or may be behind; {@link BackendHistory}
+   * tells which backends it must not bring back.
    *
    * @param isCached whether the event is the cached list
    */
   private void apply(JsonObjectReader eventFields, boolean isCached) {
     EndpointListParser.Event event = EndpointListParser.event(eventFields, revision);
-    boolean isStale = event.revision() < revision;
-    if (isStale) {
+    long newestRevision = Math.max(revision, history.newestRevision());
+    if (event.revision() < newestRevision) {
       EventLog.warning(
-          "old news of the list", null, "revision " + event.revision() + " after " + revision);
-      if (!event.isSnapshot()) {
-        return;
-      }
+          "old news of the list",
+          null,
+          "revision " + event.revision() + " after " + newestRevision);
+    }
+    if (event.revision() < revision && !event.isSnapshot()) {
+      return;
     }
     if (event.isSnapshot()) {
       Set<Object> ids = new HashSet<>();
       event.entries().forEach(entry -> ids.add(EndpointListParser.rawId(entry)));
-      pools.removeAllExcept(ids);
+      pools.removeAllExcept(ids, event.revision(), isNewScope);
     }
-    applyEntries(event.entries(), isStale);
+    applyEntries(event);
     revision = event.revision();
+    isNewScope = false;
     isUnreadable = false;
+    history.onEventApplied(revision, loop.now());
     loadBalancer.endpointListUpdated(isCached);
     revisionListener.accept(revision);
+    scheduleRelease();
+  }
+
+  private void scheduleRelease() {
+    loop.cancel(releaseTimer);
+    long time = pools.nextRelease();
+    releaseTimer =
+        time == Long.MAX_VALUE ? null : loop.schedule(time - loop.now(), this::releaseHeldBackends);
+  }
+
+  private void releaseHeldBackends() {
+    if (pools.releaseDue()) {
+      loadBalancer.endpointListUpdated(false);
+    }
+    scheduleRelease();
   }
 
-  private void applyEntries(List<JsonObjectReader> entries, boolean isStale) {
+  private void applyEntries(EndpointListParser.Event event) {
+    List<JsonObjectReader> entries = event.entries();
     pools.beginUpdate();
     int skippedCount = 0;
     String firstFault = null;
     for (JsonObjectReader entry : entries) {
       try {
-        pools.apply(parser.entry(entry), isStale);
+        pools.apply(parser.entry(entry), event.revision());
       } catch (InvalidConfigurationException e) {
         if (skippedCount == 0) {
           firstFault = e.getMessage();
@@ -259,6 +295,7 @@
           null,
           firstFault);
     }
+    pools.releaseUnknownIfNoneServes();
     pools.logChanges(entries.size());
   }
 }
--- a/proxy/src/main/java/wheattrack/net/discovery/WatchConnection.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/WatchConnection.java
@@ -37,7 +37,7 @@
    * Operators' rule: after a failed call, the proxy counts as notified of a change at this time
    * after discovery has the change and is reachable.
    */
-  private static final long NOTIFICATION_LIMIT = 60_000;
+  static final long NOTIFICATION_LIMIT = 60_000;
 
   /** Time reserved for connecting again and reading the complete list. */
   private static final long RECONNECT_TIME = NOTIFICATION_LIMIT / 6;
