--- a/proxy/src/test/java/wheattrack/net/MessageMemoryTest.java
+++ b/proxy/src/test/java/wheattrack/net/MessageMemoryTest.java
@@ -2,15 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static wheattrack.net.RawHttp.readAnswer;
 import static wheattrack.net.RawHttp.readHead;
 import static wheattrack.net.RawHttp.request;
 import static wheattrack.net.RawHttp.send;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -33,6 +30,9 @@
   private static final String MAX_HEAP = "-Xmx24m";
   private static final int PEERS = 400;
 
+  /** How many usual clients call at a time. */
+  private static final int USUAL_CLIENTS = 3;
+
   /** How often all peers begin anew. */
   private static final int ROUNDS = 4;
 
@@ -90,12 +90,6 @@
   private int adminPort;
   private int lastId;
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private static void serveBackend(Socket socket) throws IOException {
     for (String head = readHead(socket.getInputStream());
         head != null;
@@ -129,20 +123,7 @@
             .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"")
             .replace("{\"listen\"", "{\"admin\":\"127.0.0.1:" + adminPort + "\",\"listen\"");
     Path file = Files.writeString(folder.resolve("config.json"), text);
-    process =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                MAX_HEAP,
-                "-XX:+UseSerialGC",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "wheattrack.Main",
-                "serve",
-                "--config",
-                file.toString())
-            .redirectErrorStream(true)
-            .redirectOutput(folder.resolve("log.txt").toFile())
-            .start();
+    process = proxyProcess(file, folder.resolve("log.txt"), MAX_HEAP, "-XX:+UseSerialGC").start();
     while (!isReady()) {
       Thread.sleep(20);
     }
@@ -162,8 +143,7 @@
   }
 
   private long processMetric(String name) throws IOException {
-    return Long.parseLong(
-        readMetrics(adminPort).replaceAll("(?s).*proxy\\." + name + ":(\\d+).*", "$1"));
+    return metric(adminPort, name);
   }
 
   /** Opens a peer that does not read, and sends its text as far as the proxy takes it. */
@@ -179,21 +159,6 @@
     return socket;
   }
 
-  private void callUsual(TreeMap<String, Integer> answers, Socket[] usual) throws IOException {
-    for (Socket client : usual) {
-      String answer = call(client, request("buy"));
-      answers.merge(answer.replaceAll("answer for .*", "served"), 1, Integer::sum);
-    }
-  }
-
-  private static Socket[] openUsual(int usualPort) throws IOException {
-    Socket[] usual = new Socket[3];
-    for (int i = 0; i < usual.length; i++) {
-      usual[i] = new Socket("127.0.0.1", usualPort);
-    }
-    return usual;
-  }
-
   private void runPeers(Peer peer, TreeMap<String, Integer> answers) throws Exception {
     List<Socket> peers = new ArrayList<>();
     for (int i = 0; i < PEERS; i++) {
@@ -216,10 +181,11 @@
 
   /** Some usual clients are answered while the sum is within its limit. */
   private void checkWithin(TreeMap<String, Integer> answers) throws IOException {
-    Socket[] usual = openUsual(port);
-    callUsual(answers, usual);
-    for (Socket client : usual) {
-      client.close();
+    for (int i = 0; i < USUAL_CLIENTS; i++) {
+      try (Socket client = new Socket("127.0.0.1", port)) { // waits beside occupied backends
+        String answer = call(client, request("buy"));
+        answers.merge(answer.replaceAll("answer for .*", "served"), 1, Integer::sum);
+      }
     }
     long used = processMetric("memory_used");
     long limit = processMetric("memory_limit");
@@ -270,13 +236,6 @@
     long idleConnectionBytes = 4 * 4 * 1024; // some connections to backends stay open
     assertTrue(
         after <= before + idleConnectionBytes, before + " bytes before, " + after + " after");
-    assertEquals("200", readAnswerTo(request("buy")).substring(0, 3));
-  }
-
-  private String readAnswerTo(String text) throws IOException {
-    try (Socket socket = connect()) {
-      send(socket, text);
-      return readAnswer(socket);
-    }
+    assertEquals("200", call(request("buy")).substring(0, 3));
   }
 }
--- a/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
+++ b/proxy/src/test/java/wheattrack/net/ProcessHandoverTest.java
@@ -5,8 +5,6 @@
 import static wheattrack.net.RawHttp.request;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -191,20 +189,13 @@
         config.replace(
             "\"drain_ms\":1000", "\"drain_ms\":100,\"admin\":\"127.0.0.1:" + adminPort + "\""));
     ProcessBuilder builder =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Djava.net.preferIPv4Stack=true",
-                "-Xmx72m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "wheattrack.Main",
-                "serve",
-                "--config",
-                file.toString())
-            .redirectErrorStream(true)
-            .redirectOutput(folder.resolve("log").toFile());
+        proxyProcess(
+            file,
+            folder.resolve("log"),
+            "-Djava.net.preferIPv4Stack=true",
+            "-Xmx72m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1");
     builder.environment().put("TMPDIR", folder.toString());
     Process process = builder.start();
     for (int i = 0; i < READY_POLLS; i++) {
@@ -234,12 +225,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return free.getLocalPort();
-    }
-  }
-
   /** A newer proxy that ends before it is ready does not stop the older one. */
   @Test
   void newerProxyEndedBeforeReadyLeavesTheOlderServing() throws Exception {
--- a/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
+++ b/proxy/src/test/java/wheattrack/net/ProxyTestHarness.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -264,13 +265,40 @@
   /** Requests one metric of the proxy by its name without "proxy."; needs an admin address. */
   int metric(String name) {
     try {
-      String metrics = readMetrics(server.adminPort());
-      return Integer.parseInt(metrics.replaceAll("(?s).*proxy\\." + name + ":(\\d+).*", "$1"));
+      return Math.toIntExact(metric(server.adminPort(), name));
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
   }
 
+  /** Requests one metric, by its name without "proxy.", at this admin port. */
+  static long metric(int adminPort, String name) throws IOException {
+    String metrics = readMetrics(adminPort);
+    return Long.parseLong(metrics.replaceAll("(?s).*proxy\\." + name + ":(\\d+).*", "$1"));
+  }
+
+  /** A port at which nothing listens. */
+  static int freePort() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return free.getLocalPort();
+    }
+  }
+
+  /**
+   * Prepares a proxy in a process of its own, with this test's classes.
+   *
+   * @param log receives its standard output and error
+   * @param jvmOptions options of its JVM
+   */
+  static ProcessBuilder proxyProcess(Path config, Path log, String... jvmOptions) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of(jvmOptions));
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "wheattrack.Main"));
+    command.addAll(List.of("serve", "--config", config.toString()));
+    return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+  }
+
   /** Records the log lines of this level and above in the trace until it is closed. */
   LogRecording recordLog(Level level) {
     return new LogRecording(recorder, level);
--- a/proxy/src/test/java/wheattrack/net/RawHttp.java
+++ b/proxy/src/test/java/wheattrack/net/RawHttp.java
@@ -10,6 +10,7 @@
 /** Reads and writes HTTP messages as text on sockets, for the clients and backends of tests. */
 final class RawHttp {
   private static final AtomicInteger LAST_REQUEST_ID = new AtomicInteger();
+  private static final String HEAD_END = "\r\n\r\n";
   private static final String CONTENT_LENGTH = "content-length: ";
 
   private RawHttp() {}
@@ -17,9 +18,12 @@
   /** Reads a head including its empty line; null if the connection ends before. */
   static String readHead(InputStream input) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
+    int matched = 0; // characters of the end that were read last
     for (int next = input.read(); next >= 0; next = input.read()) {
       head.write(next);
-      if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+      boolean isNextOfEnd = next == HEAD_END.charAt(matched);
+      matched = isNextOfEnd ? matched + 1 : next == '\r' ? 1 : 0;
+      if (matched == HEAD_END.length()) {
         return head.toString(StandardCharsets.ISO_8859_1);
       }
     }
