Share the ids of requests in use between the processes of one proxy

Cause: the set of ids in use was one process's own; the two processes shared locks and nothing else.

Change: leases on ids in a file of $TMPDIR that both processes map, one 64-bit word each, changed by compare-and-set: no process waits for another, and exactly one of two gets an id. A lease ends with the answer or at its deadline, also after its process. A file that cannot be used is logged, and each process goes on with its own ids.

--- a/proxy/src/main/java/wheattrack/config/TimeConversion.java
+++ b/proxy/src/main/java/wheattrack/config/TimeConversion.java
@@ -9,7 +9,7 @@
   public static final int MICROS_PER_TICK = 100;
 
   /** Ticks in a millisecond. */
-  static final int TICKS_PER_MILLISECOND = 10;
+  public static final int TICKS_PER_MILLISECOND = 10;
 
   /** The largest cost that a hint stands for, in ticks. */
   private static final int MAX_COST = Integer.MAX_VALUE / 4;
--- a/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
+++ b/proxy/src/main/java/wheattrack/net/ClassArchiveTraining.java
@@ -7,10 +7,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 import wheattrack.config.PolicySettingsMapper;
 import wheattrack.config.ProxyConfig;
+import wheattrack.net.lease.IdLease;
+import wheattrack.net.lease.IdLeaseFile;
 
 /**
  * A training run for the class archive that the build creates: starts a proxy as in production,
@@ -21,6 +25,7 @@
 public final class ClassArchiveTraining {
   private static final int BACKEND_COUNT = 8;
   private static final int REQUEST_COUNT = 32;
+  private static final long LEASE_MILLIS = 1000;
 
   /** Cost hint of the first request, in microseconds. */
   private static final int FIRST_HINT = 1000;
@@ -54,6 +59,21 @@
       }
       proxy.shutdown();
     }
+    trainIdLeases();
+  }
+
+  /** A proxy at a port that the system chooses, as above, shares no ids. */
+  private static void trainIdLeases() throws IOException {
+    Path folder = Files.createTempDirectory("wheattrack-training");
+    IdLease lease = IdLeaseFile.open(folder, "training").acquire(1, LEASE_MILLIS);
+    lease.extend(2 * LEASE_MILLIS);
+    lease.release();
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(folder);
   }
 
   private static String request(String className, int number) {
--- a/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
+++ b/proxy/src/main/java/wheattrack/net/ControlOnlyProxy.java
@@ -11,6 +11,7 @@
 import wheattrack.net.backend.BackendTimeouts;
 import wheattrack.net.backend.Connector;
 import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.lease.IdLeaseTable;
 import wheattrack.net.request.RequestHandler;
 import wheattrack.net.settings.SettingsSubscription;
 
@@ -55,7 +56,14 @@
     discovery = new EndpointDiscovery(loop, group, connector, config, "");
     discovery.setRevisionListener(revisionListener);
     requestHandler =
-        new RequestHandler(loop, discovery, new RequestCounters(), config.settings(), seed, "");
+        new RequestHandler(
+            loop,
+            discovery,
+            new RequestCounters(),
+            config.settings(),
+            seed,
+            "",
+            IdLeaseTable.unshared());
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/ProxyServer.java
+++ b/proxy/src/main/java/wheattrack/net/ProxyServer.java
@@ -24,6 +24,8 @@
 import wheattrack.net.client.ClientListener;
 import wheattrack.net.discovery.EndpointDiscovery;
 import wheattrack.net.discovery.WatchConnection;
+import wheattrack.net.lease.IdLeaseFile;
+import wheattrack.net.lease.IdLeaseTable;
 import wheattrack.net.request.RequestHandler;
 import wheattrack.net.settings.SettingsSubscription;
 
@@ -128,9 +130,11 @@
       ProxyConfig config, String loadHeader, InetSocketAddress settingsSource, String scope)
       throws IOException {
     group = loop.channelGroup();
-    processLock =
-        new ProcessLock(
-            config.listen().getPort() == 0 ? null : sharedFolder(), config.listen().toString());
+    boolean sharesAddress = config.listen().getPort() != 0;
+    String address = config.listen().toString();
+    processLock = new ProcessLock(sharesAddress ? sharedFolder() : null, address);
+    IdLeaseTable idLeases =
+        sharesAddress ? IdLeaseFile.open(sharedFolder(), address) : IdLeaseTable.unshared();
     DescriptorBudget budget = DescriptorBudget.of(config, processLock.isOtherProcessPresent());
     memoryBudget =
         new MemoryBudget(
@@ -141,7 +145,8 @@
     Connector connector = newConnector(config, budget);
     discovery = new EndpointDiscovery(loop, group, connector, config, scope);
     requestHandler =
-        new RequestHandler(loop, discovery, counters, config.settings(), config.seed(), loadHeader);
+        new RequestHandler(
+            loop, discovery, counters, config.settings(), config.seed(), loadHeader, idLeases);
     clientListener =
         new ClientListener(
             loop,
@@ -176,7 +181,10 @@
             this::closeControlPlane);
   }
 
-  /** The folder of the lock file, which all processes of this proxy can access. */
+  /**
+   * The folder of the lock file and of the leases on ids, which all processes of this proxy can
+   * access.
+   */
   private static Path sharedFolder() {
     String folder = System.getenv("TMPDIR");
     return Path.of(
--- a/proxy/src/main/java/wheattrack/net/backend/ResponseHistory.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseHistory.java
@@ -1,6 +1,7 @@
 package wheattrack.net.backend;
 
 import java.util.Arrays;
+import wheattrack.core.Fingerprint;
 import wheattrack.http.Response;
 
 /**
--- a/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -1,5 +1,6 @@
 package wheattrack.net.backend;
 
+import wheattrack.core.Fingerprint;
 import wheattrack.core.NoReuseReason;
 import wheattrack.http.Response;
 import wheattrack.http.StatusCode;
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -19,6 +19,7 @@
 import wheattrack.net.client.ClientConnection;
 import wheattrack.net.client.ClientListener;
 import wheattrack.net.discovery.EndpointDiscovery;
+import wheattrack.net.lease.IdLeaseTable;
 import wheattrack.net.protocol.InvalidRequestException;
 import wheattrack.net.protocol.ParsedRequest;
 import wheattrack.net.protocol.ProtocolMapping;
@@ -61,7 +62,7 @@
   private final SlotTable<InFlightRequest> openRequests = new SlotTable<>();
 
   /** Identifiers of open requests, and of those that may still run after a disconnect. */
-  private final ReservedIds reservedIds = new ReservedIds();
+  private final ReservedIds reservedIds;
 
   private ClientListener listener;
 
@@ -75,6 +76,7 @@
    * @param endpoints notifies the policy of the endpoint list from now on
    * @param seed of the policy's random numbers
    * @param loadHeader header of backends' responses that holds a load report; empty: none does
+   * @param idLeases the identifiers that other processes of this proxy have reserved
    */
   public RequestHandler(
       EventLoop loop,
@@ -82,8 +84,10 @@
       RequestCounters counters,
       Settings settings,
       long seed,
-      String loadHeader) {
+      String loadHeader,
+      IdLeaseTable idLeases) {
     this.loop = loop;
+    reservedIds = new ReservedIds(loop, idLeases);
     this.counters = counters;
     settingsApplier = new SettingsApplier(endpoints, counters);
     SocketPolicyRuntime runtime = new SocketPolicyRuntime(loop, endpoints, this, settingsApplier);
@@ -144,7 +148,7 @@
     ParsedRequest parsed;
     try {
       parsed = ProtocolMapping.parse(message, settingsApplier.classes());
-      reserveId(parsed.id());
+      reserveId(parsed);
     } catch (InvalidRequestException e) {
       rejectInvalid(client, message, e);
       return;
@@ -154,12 +158,12 @@
 
   /**
    * Reserves a request's identifier. Without this, a client that repeats a request which is still
-   * open would have both copies sent to backends.
+   * open, here or at another process of this proxy, would have both copies sent to backends.
    *
    * @throws InvalidRequestException if the identifier is reserved already
    */
-  private void reserveId(String id) throws InvalidRequestException {
-    if (!reservedIds.add(id)) {
+  private void reserveId(ParsedRequest parsed) throws InvalidRequestException {
+    if (!reservedIds.add(parsed.id(), parsed.timeout())) {
       throw new InvalidRequestException(
           StatusCode.CONFLICT, "a request with this Request-Id is open");
     }
@@ -293,7 +297,7 @@
     boolean isIdempotent = request.parsed().requestClass().idempotency() == Idempotency.IDEMPOTENT;
     if (!isIdempotent && request.mayHaveRun()) {
       long delay = request.pending().deadline() - loop.now();
-      loop.schedule(delay, () -> reservedIds.removeKey(key));
+      reservedIds.removeKeyAfter(key, delay);
     } else {
       reservedIds.removeKey(key);
     }
--- a/proxy/src/main/java/wheattrack/net/request/ReservedIds.java
+++ b/proxy/src/main/java/wheattrack/net/request/ReservedIds.java
@@ -3,14 +3,21 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.HexFormat;
-import java.util.Set;
+import java.util.Map;
+import wheattrack.aio.EventLoop;
+import wheattrack.config.TimeConversion;
+import wheattrack.core.Fingerprint;
+import wheattrack.net.lease.IdLease;
+import wheattrack.net.lease.IdLeaseTable;
 
 /**
  * The identifiers of open requests, and of those that may still run after their client has
- * disconnected. Long identifiers are kept as digests, so that each takes little memory. Runs on the
- * event loop's thread only.
+ * disconnected, at this process and, as leases, at other processes of this proxy. A lease lasts
+ * until the request's deadline, also beyond the end of this process, and is extended while its
+ * request is open. Long identifiers are kept as digests, so that each takes little memory. Times
+ * are tenths of a millisecond. Runs on the event loop's thread only.
  */
 final class ReservedIds {
   /** The length, in characters, of the longest identifier that is kept as it is. */
@@ -18,7 +25,27 @@
 
   private static final String DIGEST_ALGORITHM = "SHA-256";
 
-  private final Set<String> keys = new HashSet<>();
+  /** How often the leases of open requests are extended. */
+  private static final long EXTENSION_INTERVAL = 10_000;
+
+  /** How long a lease lasts at least after it was extended, in milliseconds. */
+  private static final long EXTENSION_MILLIS = 3000;
+
+  private final EventLoop loop;
+  private final IdLeaseTable leases;
+  private final Map<String, IdLease> openByKey = new HashMap<>();
+  private final Map<String, IdLease> heldByKey = new HashMap<>();
+  private boolean isExtensionScheduled;
+
+  /**
+   * Creates an empty set.
+   *
+   * @param leases the identifiers that other processes of this proxy have reserved
+   */
+  ReservedIds(EventLoop loop, IdLeaseTable leases) {
+    this.loop = loop;
+    this.leases = leases;
+  }
 
   /** What an identifier is kept as. */
   static String key(String id) {
@@ -34,13 +61,60 @@
     }
   }
 
-  /** Reserves the identifier; returns whether it was not reserved before. */
-  boolean add(String id) {
-    return keys.add(key(id));
+  /**
+   * Reserves the identifier; returns whether it was not reserved before, here or at another process
+   * of this proxy.
+   *
+   * @param duration the time until the request's deadline
+   */
+  boolean add(String id, long duration) {
+    String key = key(id);
+    if (openByKey.containsKey(key) || heldByKey.containsKey(key)) {
+      return false;
+    }
+    long fingerprint = Fingerprint.of(key.getBytes(StandardCharsets.UTF_8));
+    IdLease lease = leases.acquire(fingerprint, millis(duration));
+    if (lease == null) {
+      return false;
+    }
+    openByKey.put(key, lease);
+    scheduleExtension();
+    return true;
+  }
+
+  private static long millis(long ticks) {
+    return ticks / TimeConversion.TICKS_PER_MILLISECOND + 1;
   }
 
-  /** Releases the identifier with this {@link #key}. */
+  /** Keeps the identifier with this {@link #key} reserved for this time, then releases it. */
+  void removeKeyAfter(String key, long duration) {
+    IdLease lease = openByKey.remove(key);
+    if (lease != null) {
+      heldByKey.put(key, lease);
+      lease.extend(millis(duration));
+      loop.schedule(duration, () -> heldByKey.remove(key).release());
+    }
+  }
+
+  /** Releases the identifier with this {@link #key}, whose request was open. */
   void removeKey(String key) {
-    keys.remove(key);
+    IdLease lease = openByKey.remove(key);
+    if (lease != null) {
+      lease.release();
+    }
+  }
+
+  private void scheduleExtension() {
+    if (!isExtensionScheduled && !openByKey.isEmpty()) {
+      isExtensionScheduled = true;
+      loop.schedule(EXTENSION_INTERVAL, this::extendAll);
+    }
+  }
+
+  /** Requests whose response or body is long may be open for longer than their deadline. */
+  private void extendAll() {
+    isExtensionScheduled = false;
+    openByKey.values().forEach(lease -> lease.extend(EXTENSION_MILLIS));
+    scheduleExtension();
   }
 }
--- a/proxy/src/test/java/wheattrack/net/PackageDependenciesTest.java
+++ b/proxy/src/test/java/wheattrack/net/PackageDependenciesTest.java
@@ -30,7 +30,8 @@
           "backend", Set.of("protocol"),
           "discovery", Set.of("backend"),
           "settings", Set.of("backend", "discovery"),
-          "request", Set.of("backend", "client", "discovery", "protocol", "settings"));
+          "lease", Set.of(),
+          "request", Set.of("backend", "client", "discovery", "lease", "protocol", "settings"));
 
   @Test
   void eachPackageHasItsDependenciesListed() throws IOException {
