--- a/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
+++ b/proxy/src/main/java/wheattrack/admin/MetricsFormat.java
@@ -1,8 +1,11 @@
 package wheattrack.admin;
 
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 import java.util.regex.Pattern;
 import wheattrack.core.BackendConnectionCounters;
 import wheattrack.core.ClientConnectionCounters;
@@ -95,39 +98,42 @@
   }
 
   private void appendClientConnections(StringBuilder text) {
-    for (EvictionPriority priority : EvictionPriority.values()) {
-      if (priority != EvictionPriority.NEVER) {
-        String name = "clients_evicted." + priority.name().toLowerCase(Locale.ROOT);
-        append(text, name, clientCounters.evictions(priority), COUNTER);
-      }
-    }
+    Set<EvictionPriority> evicted = EnumSet.complementOf(EnumSet.of(EvictionPriority.NEVER));
+    appendEach(text, "clients_evicted", evicted, clientCounters::evictions);
     append(text, "client_reads_dropped", clientCounters.droppedReads(), COUNTER);
     append(text, "accepts_failed", clientCounters.failedAccepts(), COUNTER);
   }
 
   private void appendBackendConnections(StringBuilder text) {
-    for (ConnectReason reason : ConnectReason.values()) {
-      String name = "backend_connections_opened." + reason.name().toLowerCase(Locale.ROOT);
-      append(text, name, backendConnectionCounters.opened(reason), COUNTER);
-    }
-    for (NoReuseReason reason : NoReuseReason.values()) {
-      String name = "backend_connections_not_reused." + reason.name().toLowerCase(Locale.ROOT);
-      append(text, name, backendConnectionCounters.notReused(reason), COUNTER);
-    }
+    appendEach(
+        text,
+        "backend_connections_opened",
+        EnumSet.allOf(ConnectReason.class),
+        backendConnectionCounters::opened);
+    appendEach(
+        text,
+        "backend_connections_not_reused",
+        EnumSet.allOf(NoReuseReason.class),
+        backendConnectionCounters::notReused);
   }
 
   private void appendMemory(StringBuilder text) {
     append(text, "memory_used", memoryBudget.usedBytes(), GAUGE);
     append(text, "memory_limit", memoryBudget.limit(), GAUGE);
-    for (MemoryUse use : MemoryUse.values()) {
-      if (use != MemoryUse.NEEDED) {
-        String name = "memory_reclaimed." + use.name().toLowerCase(Locale.ROOT);
-        append(text, name, memoryBudget.reclaims(use), COUNTER);
-      }
-    }
+    Set<MemoryUse> reclaimable = EnumSet.complementOf(EnumSet.of(MemoryUse.NEEDED));
+    appendEach(text, "memory_reclaimed", reclaimable, memoryBudget::reclaims);
     append(text, "memory_rejected", memoryBudget.rejectedRequests(), COUNTER);
   }
 
+  /** Appends a counter for each constant, whose name is a part of the metric's name. */
+  private static <E extends Enum<E>> void appendEach(
+      StringBuilder text, String name, Set<E> constants, ToLongFunction<E> count) {
+    for (E constant : constants) {
+      String suffix = constant.name().toLowerCase(Locale.ROOT);
+      append(text, name + "." + suffix, count.applyAsLong(constant), COUNTER);
+    }
+  }
+
   private static void appendClass(StringBuilder text, String className, AnswerCounts counts) {
     for (FinalAnswer answer : FinalAnswer.values()) {
       String name = metricName(answer) + "." + withoutReservedCharacters(className);
--- a/proxy/src/main/java/wheattrack/aio/EventLoop.java
+++ b/proxy/src/main/java/wheattrack/aio/EventLoop.java
@@ -170,10 +170,15 @@
     }
   }
 
-  /** Ends the loop because of an error outside of its steps. Any thread may call it. */
+  /**
+   * Ends the loop because of an error outside of its steps, unless it has ended before. Any thread
+   * may call it.
+   */
   private void fail(Throwable cause) {
-    failure = cause;
-    shutdown();
+    if (!isStopped) {
+      failure = cause;
+      shutdown();
+    }
   }
 
   private void awaitStart() {
--- a/proxy/src/main/java/wheattrack/aio/TcpConnection.java
+++ b/proxy/src/main/java/wheattrack/aio/TcpConnection.java
@@ -71,6 +71,7 @@
       return;
     }
     isReading = true;
+    updateMemory();
     loop.defer(() -> startRead(buffer));
   }
 
--- a/proxy/src/main/java/wheattrack/core/MemoryBudget.java
+++ b/proxy/src/main/java/wheattrack/core/MemoryBudget.java
@@ -1,7 +1,9 @@
 package wheattrack.core;
 
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -122,38 +124,31 @@
 
   private void reclaim() {
     try {
-      Set<MemoryAccount> candidates = new LinkedHashSet<>(largeAccounts);
-      MemoryAccount next = mostStalled(candidates);
-      while (isExceeded() && next != null) {
-        candidates.remove(next);
-        release(next);
-        next = mostStalled(candidates);
+      for (MemoryAccount account : mostStalledFirst()) {
+        if (isExceeded() && isReclaimable(account)) { // others may have changed it by now
+          release(account);
+        }
       }
     } finally {
       isReclaimScheduled = false;
     }
   }
 
-  /** The account whose memory is to be given up next, or null if none can be given up. */
-  private MemoryAccount mostStalled(Set<MemoryAccount> candidates) {
-    MemoryAccount mostStalled = null;
-    double greatestCost = 0;
-    for (MemoryAccount account : candidates) {
-      double cost = cost(account);
-      if (cost > greatestCost) {
-        mostStalled = account;
-        greatestCost = cost;
-      }
-    }
-    return mostStalled;
+  private List<MemoryAccount> mostStalledFirst() {
+    return largeAccounts.stream()
+        .filter(MemoryBudget::isReclaimable)
+        .sorted(Comparator.comparingDouble(this::cost).reversed())
+        .toList();
   }
 
-  /** The bytes held times the time for which they were stalled; 0 if they are needed. */
+  private static boolean isReclaimable(MemoryAccount account) {
+    return account.heldBytes() >= MIN_RECLAIMED_BYTES
+        && account.owner().memoryUse() != MemoryUse.NEEDED;
+  }
+
+  /** The bytes held times the time for which they were stalled. */
   private double cost(MemoryAccount account) {
     MemoryUse use = account.owner().memoryUse();
-    if (use == MemoryUse.NEEDED || account.heldBytes() < MIN_RECLAIMED_BYTES) {
-      return 0;
-    }
     long stalled = clock.getAsLong() - account.owner().memoryUsedSince() - use.allowance();
     return (double) account.heldBytes() * Math.max(1, stalled);
   }
--- a/proxy/src/main/java/wheattrack/core/MemoryUse.java
+++ b/proxy/src/main/java/wheattrack/core/MemoryUse.java
@@ -27,7 +27,7 @@
   INCOMPLETE_RESPONSE(MemoryUse.SLOW_PEER_ALLOWANCE),
 
   /** The memory is needed, and no peer delays its release: nothing can be given up. */
-  NEEDED(Long.MAX_VALUE);
+  NEEDED(0);
 
   /**
    * How long a peer may pause within a long transfer without being taken for stalled, in tenths of
--- a/proxy/src/main/java/wheattrack/http/ByteAccumulator.java
+++ b/proxy/src/main/java/wheattrack/http/ByteAccumulator.java
@@ -49,13 +49,14 @@
     return bytes.length;
   }
 
-  byte[] toByteArray() {
-    return Arrays.copyOf(bytes, size);
+  /** A copy of the first bytes, {@code maxCount} at most. */
+  byte[] copyOfStart(int maxCount) {
+    return Arrays.copyOf(bytes, Math.min(maxCount, size));
   }
 
   /** All bytes, not copied where they fill the memory; this must not be used afterwards. */
   byte[] takeBytes() {
-    return size == bytes.length ? bytes : toByteArray();
+    return size == bytes.length ? bytes : copyOfStart(size);
   }
 
   /** All bytes as a view, not a copy: nothing may be appended or removed until they are read. */
--- a/proxy/src/main/java/wheattrack/http/Decoder.java
+++ b/proxy/src/main/java/wheattrack/http/Decoder.java
@@ -1,7 +1,6 @@
 package wheattrack.http;
 
 import java.nio.ByteBuffer;
-import java.util.Arrays;
 
 /**
  * Decodes messages from the bytes of one connection as they arrive.
@@ -206,7 +205,7 @@
    * {@link #isOpenEnded} holds.
    */
   public byte[] startOfBufferedBody(int maxSize) {
-    return Arrays.copyOf(bufferedBody.toByteArray(), Math.min(maxSize, bufferedBody.size()));
+    return bufferedBody.copyOfStart(maxSize);
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
+++ b/proxy/src/main/java/wheattrack/http/ReceiveBuffer.java
@@ -74,8 +74,9 @@
 
   /** Drops all bytes received. Must not be called while a read into the buffer is pending. */
   void clear() {
-    buffer = ByteBuffer.allocate(MIN_CAPACITY);
+    buffer.clear();
     scannedBytes = 0;
+    shrink();
   }
 
   /** Releases all memory; no further bytes can be received. */
--- a/proxy/src/main/java/wheattrack/net/MemoryReclaimLog.java
+++ b/proxy/src/main/java/wheattrack/net/MemoryReclaimLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.function.LongSupplier;
+import wheattrack.config.TimeConversion;
 import wheattrack.core.MemoryBudget;
 import wheattrack.core.MemoryUse;
 import wheattrack.log.ThrottledEventLog;
@@ -11,8 +12,6 @@
  * Runs on the event loop's thread only.
  */
 final class MemoryReclaimLog implements MemoryBudget.ReclaimListener {
-  private static final long TICKS_PER_MILLISECOND = 10;
-
   private final ThrottledEventLog log;
 
   /**
@@ -27,7 +26,7 @@
   @Override
   public void onReclaim(MemoryUse use, long bytes, long duration) {
     String name = use.name().toLowerCase(Locale.ROOT);
-    long millis = duration / TICKS_PER_MILLISECOND;
+    long millis = duration / TimeConversion.TICKS_PER_MILLISECOND;
     log.log("memory reclaimed", name + ", " + bytes + " bytes held for " + millis + " ms");
   }
 }
--- a/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
+++ b/proxy/src/main/java/wheattrack/net/backend/ResponseMatcher.java
@@ -45,7 +45,7 @@
     boolean isOfSameKind = attempt.isProbe() == carriesProbes;
     return isOfSameKind
         && !attempt.needsNewConnection()
-        && (attempt.isIdempotent() || attempt.isProbe() || !hasCarriedFailure());
+        && (attempt.isIdempotent() || !hasCarriedFailure());
   }
 
   /** Whether the connection has carried a rejection or an error. */
@@ -111,8 +111,8 @@
   /** Why the connection must carry no further request after this response; null: it may. */
   NoReuseReason reasonAgainstReuse(Response response, boolean isComplete) {
     boolean isFirstFailure = failures == 1 && StatusCode.isServerError(response.status());
-    boolean mayCopyDoHarm = !isFirstFailure || carriesProbes;
-    if (response.status() != StatusCode.OK && mayCopyDoHarm) {
+    boolean isCopyHarmless = isFirstFailure && !carriesProbes;
+    if (response.status() != StatusCode.OK && !isCopyHarmless) {
       return NoReuseReason.STATUS;
     }
     if (!isComplete) {
--- a/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
+++ b/proxy/src/main/java/wheattrack/net/client/ClientConnection.java
@@ -4,6 +4,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import wheattrack.aio.EventLoop;
 import wheattrack.aio.TcpConnection;
+import wheattrack.config.TimeConversion;
 import wheattrack.core.EvictionPriority;
 import wheattrack.core.MemoryAccount;
 import wheattrack.http.Encoder;
@@ -36,8 +37,6 @@
    */
   static final long EVICTION_GRACE = 500;
 
-  private static final long TICKS_PER_MILLISECOND = 10;
-
   private final ClientListener listener;
   private final int slot;
   private final RequestDecoder decoder;
@@ -197,7 +196,7 @@
   private String description() {
     return remoteAddressText()
         + ", age "
-        + (loop.now() - acceptedAt) / TICKS_PER_MILLISECOND
+        + (loop.now() - acceptedAt) / TimeConversion.TICKS_PER_MILLISECOND
         + " ms, "
         + receivedBytes
         + " bytes, "
--- a/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
+++ b/proxy/src/main/java/wheattrack/net/client/ReadAheadBudget.java
@@ -25,7 +25,7 @@
 
   /** Whether more may be read ahead of a long body. */
   boolean isAvailable() {
-    return usedBytes < memory.limit() / MEMORY_DIVISOR && !memory.isExceeded();
+    return usedBytes < memory.limit() / MEMORY_DIVISOR;
   }
 
   /**
--- a/proxy/src/main/java/wheattrack/net/discovery/EndpointListParser.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/EndpointListParser.java
@@ -8,15 +8,13 @@
 import wheattrack.config.InvalidConfigurationException;
 import wheattrack.config.JsonObjectReader;
 import wheattrack.config.SocketAddressParser;
+import wheattrack.config.TimeConversion;
 
 /** Parses discovery's events of the endpoint list into typed entries. Immutable. */
 final class EndpointListParser {
   /** A hexadecimal number that fits in a non-negative long. */
   private static final Pattern HEXADECIMAL = Pattern.compile("[0-9a-f]{1,15}");
 
-  /** Tenths of a millisecond in a millisecond. */
-  private static final int TICKS_PER_MILLISECOND = 10;
-
   /** The state of an entry that has left the list. */
   private static final String DELETED = "DELETED";
 
@@ -124,7 +122,7 @@
         state,
         endpoint,
         SocketAddressParser.parse("endpoint", endpoint),
-        (long) (entry.number("boot_ms", 0) * TICKS_PER_MILLISECOND),
+        (long) (entry.number("boot_ms", 0) * TimeConversion.TICKS_PER_MILLISECOND),
         zones.indexOf(entry.text("az", "")),
         Math.max(0, kinds.indexOf(entry.text("model", ""))),
         entry.integer("pod_group", 0),
--- a/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
+++ b/proxy/src/main/java/wheattrack/net/request/RequestHandler.java
@@ -8,6 +8,7 @@
 import wheattrack.api.PendingRequest;
 import wheattrack.config.DynamicSettings;
 import wheattrack.config.Settings;
+import wheattrack.config.TimeConversion;
 import wheattrack.core.RequestCounters;
 import wheattrack.core.RequestCounters.FinalAnswer;
 import wheattrack.core.SlotTable;
@@ -53,8 +54,6 @@
    */
   private static final long SHUTDOWN_MARGIN = 2 * DEADLINE_GRACE;
 
-  private static final long TICKS_PER_MILLISECOND = 10;
-
   private final EventLoop loop;
   private final RequestCounters counters;
   private final SettingsApplier settingsApplier;
@@ -395,7 +394,8 @@
   }
 
   private String describeEnd(InFlightRequest request, String end) {
-    long millis = (loop.now() - request.pending().arrivedAt()) / TICKS_PER_MILLISECOND;
+    long millis =
+        (loop.now() - request.pending().arrivedAt()) / TimeConversion.TICKS_PER_MILLISECOND;
     return end + " after " + millis + " ms, " + request.attemptCount() + " dispatches";
   }
 }
