An older list does not replace the address or zone of a restarted backend

BackendPoolTable skips entries of an earlier incarnation of a serving backend, whose attributes would be outdated. It did so by the start time alone, so that a newer event without a start time was skipped as well; found by reading, before any release. Only entries of an older revision are skipped now. BackendPoolTableTest.zoneOfAServingBackendIsThatOfTheNewestEvent fails on the version before.

--- a/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
+++ b/proxy/src/main/java/wheattrack/net/discovery/BackendPoolTable.java
@@ -150,7 +150,8 @@
       list(entry, startedAt, false);
       return;
     }
-    if (isServing(id) && entry.startedAt() < startedAt) {
+    boolean isOlder = revision < history.newestRevision() && entry.startedAt() < startedAt;
+    if (isServing(id) && isOlder) {
       return; // of an earlier incarnation than the one that is known to serve
     }
     long holdUntil =
--- a/proxy/src/test/java/wheattrack/net/discovery/BackendPoolTableTest.java
+++ b/proxy/src/test/java/wheattrack/net/discovery/BackendPoolTableTest.java
@@ -77,10 +77,9 @@
       return ids;
     }
 
-    long startedAt(String id) {
+    EndpointUpdate backend(String id) {
       return backends.values().stream()
           .filter(update -> ("s-" + Long.toHexString(update.id())).equals(id))
-          .mapToLong(EndpointUpdate::startedAt)
           .findFirst()
           .orElseThrow();
     }
@@ -207,7 +206,24 @@
     history.onSourceChanged();
     snapshot(4, entry("s-0", State.SERVING, START - 9000), serving("s-1"));
     assertReady("s-0", "s-1");
-    assertEquals(START - 10, policy.startedAt("s-0"));
+    assertEquals(START - 10, policy.backend("s-0").startedAt());
+  }
+
+  /** An older list does not replace the zone of a restarted backend, a newer event does. */
+  @Test
+  void zoneOfAServingBackendIsThatOfTheNewestEvent() {
+    snapshot(4, listedInZone(0, START - 9000), serving("s-1"));
+    change(6, listedInZone(1, START - 10));
+    history.onSourceChanged();
+    snapshot(4, listedInZone(0, START - 9000), serving("s-1"));
+    assertEquals(1, policy.backend("s-0").zone());
+    change(7, listedInZone(2, 0)); // without a start time
+    assertEquals(2, policy.backend("s-0").zone());
+    assertEquals(START - 10, policy.backend("s-0").startedAt());
+  }
+
+  private static Listed listedInZone(int zone, long startedAt) {
+    return new Listed("s-0", State.SERVING, "", ADDRESS, startedAt, zone, 0, 0, 1);
   }
 
   /** Revisions of two sources may be unrelated, so a greater one proves nothing at first. */
