--- a/proxy/src/main/java/wheattrack/net/lease/IdLeaseTable.java
+++ b/proxy/src/main/java/wheattrack/net/lease/IdLeaseTable.java
@@ -108,11 +108,7 @@
     long now =
         currentUnit(); // before any word is read, so that an extended one is not taken for over
     int bucket = (int) Math.floorMod(digest, (long) BUCKETS) * SLOTS_PER_BUCKET;
-    long tentative =
-        digest & FINGERPRINT_MASK
-            | endOf(duration) << TIME_SHIFT
-            | owner << OWNER_SHIFT
-            | TENTATIVE;
+    long tentative = word(digest, endOf(duration), TENTATIVE);
     if (isHeld(bucket, tentative, now)) {
       return null;
     }
@@ -125,10 +121,14 @@
       compareAndSet(slot, tentative, FREE);
       return null;
     }
-    long confirmed = tentative & ~STATE_MASK | CONFIRMED;
+    long confirmed = (tentative & ~STATE_MASK) | CONFIRMED;
     return compareAndSet(slot, tentative, confirmed) ? IdLease.inSlot(this, slot, confirmed) : null;
   }
 
+  private long word(long digest, long end, long state) {
+    return (digest & FINGERPRINT_MASK) | (end << TIME_SHIFT) | (owner << OWNER_SHIFT) | state;
+  }
+
   private boolean isHeld(int bucket, long word, long now) {
     for (int slot = bucket; slot < bucket + SLOTS_PER_BUCKET; slot++) {
       if (isLeaseOfSameId(get(slot), word, now)) {
@@ -165,8 +165,8 @@
     return true;
   }
 
-  private static boolean isLeaseOfSameId(long word, long other, long now) {
-    return ((word ^ other) & FINGERPRINT_MASK) == 0 && isLease(word, now);
+  private static boolean isLeaseOfSameId(long candidate, long ownWord, long now) {
+    return ((candidate ^ ownWord) & FINGERPRINT_MASK) == 0 && isLease(candidate, now);
   }
 
   /** Whether the word is a lease whose time is not over; any other word counts as free. */
@@ -184,7 +184,7 @@
 
   private long endOf(long duration) {
     long limited = Math.min(Math.max(0, duration), MAX_DURATION);
-    return (clock.getAsLong() + limited) / TIME_UNIT + 1 & TIME_MASK;
+    return ((clock.getAsLong() + limited) / TIME_UNIT + 1) & TIME_MASK;
   }
 
   /**
@@ -194,7 +194,7 @@
    */
   long extend(int slot, long word, long duration) {
     long now = currentUnit();
-    long extended = word & ~(TIME_MASK << TIME_SHIFT) | endOf(duration) << TIME_SHIFT;
+    long extended = (word & ~(TIME_MASK << TIME_SHIFT)) | (endOf(duration) << TIME_SHIFT);
     boolean isLonger = remainingUnits(extended, now) > remainingUnits(word, now);
     if (memory == null || !isLease(word, now) || !isLonger) {
       return word;
